--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,5 @@
+"""
+benches
+
+Measurements, run by ``make bench``.
+"""
--- /dev/null
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyokectl
+
+The operators' command line of chalkyoke.
+"""
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/caller.py
@@ -0,0 +1,119 @@
+"""
+chalkyoke_fakes.caller
+
+A caller: sends requests as a clerk's, kiosk's or desk's program would, and tells what it got.
+"""
+
+import json
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+import aiohttp
+
+DONE_EVENT = b"data: [DONE]\n\n"
+TOKEN = "Chalkyoke-Token"
+
+
+class Told(StrEnum):
+    """What a caller got."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    BAD = "bad"
+    NOTHING = "nothing"
+
+
+@dataclass
+class Reply:
+    """One answer, as the caller saw it.
+
+    :param first_s: until the first byte, in seconds; -1 where none came.
+    """
+
+    told: Told
+    status: int = 0
+    reason: str = ""
+    body: bytes = b""
+    token: str = ""
+    first_s: float = -1.0
+    total_s: float = 0.0
+    retry_after_s: float | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+    def json(self) -> Any:
+        """Read the body as JSON."""
+        return json.loads(self.body)
+
+
+class Caller:
+    """Send requests to a node.
+
+    :param key: the team's key.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, key: str) -> None:
+        self._session = session
+        self._key = key
+
+    async def take_token(self, address: str) -> str:
+        """Take a token for a request to come."""
+        async with self._session.post(
+            f"http://{address}/v1/tokens", headers={"Authorization": f"Bearer {self._key}"}
+        ) as response:
+            return str((await response.json())["token"])
+
+    async def complete(self, address: str, body: dict[str, Any], **headers: str) -> Reply:
+        """Ask for a completion; headers are written with ``_`` for ``-``."""
+        return await self.post(address, "/v1/completions", json.dumps(body).encode(), **headers)
+
+    async def call(self, address: str, service: str, body: bytes, **headers: str) -> Reply:
+        """Call a plain service."""
+        return await self.post(address, f"/v1/services/{service}/call", body, **headers)
+
+    async def post(self, address: str, path: str, body: bytes, **headers: str) -> Reply:
+        """Send one request and read all that comes."""
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        sent.setdefault("Authorization", f"Bearer {self._key}")
+        sent.setdefault("Content-Type", "application/json")
+        started = time.monotonic()
+        reply = Reply(Told.NOTHING)
+        try:
+            async with self._session.post(
+                f"http://{address}{path}", data=body, headers=sent
+            ) as response:
+                reply.status = response.status
+                reply.headers = dict(response.headers)
+                reply.token = response.headers.get(TOKEN, "")
+                pieces: list[bytes] = []
+                async for piece in response.content.iter_any():
+                    if reply.first_s < 0:
+                        reply.first_s = time.monotonic() - started
+                    pieces.append(piece)
+                reply.body = b"".join(pieces)
+            _judge(reply)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reply.reason = type(error).__name__
+        reply.total_s = time.monotonic() - started
+        return reply
+
+
+def _judge(reply: Reply) -> None:
+    kind = reply.headers.get("Content-Type", "")
+    if kind.startswith("application/problem+json"):
+        _read_problem(reply, reply.json())
+    elif kind.startswith("text/event-stream") and not reply.body.endswith(DONE_EVENT):
+        last = reply.body.rsplit(b"event: error\ndata: ", 1)
+        if len(last) == 2:
+            _read_problem(reply, json.loads(last[1]))
+    else:
+        reply.told = Told.WHOLE
+
+
+def _read_problem(reply: Reply, problem: dict[str, Any]) -> None:
+    reply.told = Told(problem["outcome"]) if "outcome" in problem else Told.BAD
+    reply.reason = str(problem.get("reason", problem.get("detail", "")))
+    reply.retry_after_s = problem.get("retry_after_s")
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/engine.py
@@ -0,0 +1,367 @@
+"""
+chalkyoke_fakes.engine
+
+A stand-in for a model engine: streamed completions in the usual format over server-sent events,
+continuous batching, a prompt prefix cache in limited memory, priorities, resume and cancel.
+"""
+
+import asyncio
+import json
+import math
+import os
+import random
+import time
+from collections import Counter, OrderedDict, deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import falcon
+import falcon.asgi
+from chalkyoke.entry.reception import prompt_blocks
+from chalkyoke.scheduling.placement import BLOCK_TOKENS
+
+from chalkyoke_fakes.serving import Control, parser, serve
+
+CHARACTERS_PER_TOKEN = 4
+PREFILL_CHUNK_TOKENS = 512
+RESUME_GRACE_S = 2.0
+DIED = 9
+
+
+@dataclass
+class Faults:
+    """Faults that can be switched at run time.
+
+    :ivar slow: so many times slower.
+    :ivar refuse: answer 503 to new work.
+    :ivar hang: take work and go no further.
+    :ivar cut_streams: so many streams are cut half-way.
+    :ivar die: end the process at once.
+    """
+
+    slow: float = 1.0
+    refuse: bool = False
+    hang: bool = False
+    cut_streams: int = 0
+    can_resume: bool = True
+    draining: bool = False
+    report_lag_s: float = 0.5
+    event_lag_s: float = 0.5
+    event_gap: float = 0.2
+    die: bool = False
+
+
+@dataclass
+class Sequence:
+    """One request in the engine."""
+
+    id: str
+    prompt_tokens: int
+    cached_tokens: int
+    output_tokens: int
+    priority: int
+    arrived: float
+    prefill_left: int
+    events: list[bytes] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    done: bool = False
+    cancelled: bool = False
+    readers: int = 0
+
+    def produce(self) -> None:
+        """Make one more token, or the end."""
+        made = len(self.events)
+        choice = {"index": 0, "text": f"w{made} ", "finish_reason": None}
+        self._add({"id": self.id, "model": "fake", "choices": [choice]})
+        if made + 1 >= self.output_tokens:
+            usage = {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": self.output_tokens,
+                "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
+            }
+            choice = {"index": 0, "text": "", "finish_reason": "stop"}
+            self._add({"id": self.id, "model": "fake", "choices": [choice], "usage": usage})
+            self.events.append(b"data: [DONE]\n\n")
+            self.done = True
+        self.changed.set()
+
+    def _add(self, event: dict[str, Any]) -> None:
+        self.events.append(b"data: " + json.dumps(event).encode() + b"\n\n")
+
+
+class Engine:
+    """The engine: its queue, its batch, its cache, its counts."""
+
+    def __init__(self, arguments: Any) -> None:
+        self.faults = Faults()
+        self.slots = int(arguments.slots)
+        self.prefill_s = 1.0 / arguments.prefill_tokens_per_s
+        self.token_s = 1.0 / arguments.decode_tokens_per_s
+        self.slope = (arguments.batch_slowdown - 1.0) / max(1, self.slots - 1)
+        self.cache_blocks = int(arguments.cache_blocks)
+        self.sequences: dict[str, Sequence] = {}
+        self.queue: list[Sequence] = []
+        self.batch: list[Sequence] = []
+        self.seen: Counter[str] = Counter()
+        self.prefill_done = 0
+        self.prefill_wasted = 0
+        self.outputs = 0
+        self.delivered = 0
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._dropped: deque[tuple[float, int]] = deque()
+        self._reports: deque[tuple[float, int, int]] = deque()
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def counts(self) -> dict[str, Any]:
+        """Count work and requests."""
+        doubled = sum(1 for count in self.seen.values() if count > 1)
+        return {
+            "requests": len(self.seen),
+            "doubled": doubled,
+            "prefill_done": self.prefill_done,
+            "prefill_wasted": self.prefill_wasted,
+            "output_tokens": self.outputs,
+            "delivered": self.delivered,
+            "seen": dict(self.seen),
+        }
+
+    # Work.
+
+    def admit(self, name: str, body: dict[str, Any]) -> Sequence:
+        """Take a request into the queue."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+        self.seen[name] += 1
+        prompt = body.get("prompt") or "\n".join(
+            str(each.get("content", "")) for each in body.get("messages", [])
+        )
+        tokens = len(prompt) // CHARACTERS_PER_TOKEN + 1
+        blocks = prompt_blocks(prompt)
+        cached = min(self._look_up(blocks) * BLOCK_TOKENS, tokens - 1)
+        most = int(body.get("max_tokens", 256))
+        wanted = body.get("fake_output_tokens") or _output_length(name, most)
+        sequence = Sequence(
+            name,
+            tokens,
+            cached,
+            min(most, int(wanted)),
+            int(body.get("priority", 0)),
+            time.monotonic(),
+            tokens - cached,
+        )
+        self._remember(blocks)
+        self.sequences[name] = sequence
+        self.queue.append(sequence)
+        self.queue.sort(key=lambda each: (each.priority, each.arrived))
+        self._wake.set()
+        return sequence
+
+    def cancel(self, name: str) -> None:
+        """Stop work on a request that nobody waits for."""
+        sequence = self.sequences.get(name)
+        if sequence is None or sequence.done or sequence.cancelled:
+            return
+        sequence.cancelled = True
+        self.prefill_wasted += (
+            sequence.prompt_tokens - sequence.cached_tokens - sequence.prefill_left
+        )
+        if sequence in self.queue:
+            self.queue.remove(sequence)
+        if sequence in self.batch:
+            self.batch.remove(sequence)
+        sequence.changed.set()
+
+    async def _run(self) -> None:
+        while True:
+            if not self.queue and not self.batch:
+                self._wake.clear()
+                await self._wake.wait()
+            if self.faults.hang:
+                await asyncio.sleep(0.05)
+                continue
+            while self.queue and len(self.batch) < self.slots:
+                self.batch.append(self.queue.pop(0))
+            started = time.monotonic()
+            seconds = self._step() * self.faults.slow
+            await asyncio.sleep(max(0.0, seconds - (time.monotonic() - started)))
+
+    def _step(self) -> float:
+        """Read one chunk of one prompt and make one token for each stream.
+
+        :return: seconds that the step takes.
+        """
+        seconds = 0.0
+        reading = next((each for each in self.batch if each.prefill_left > 0), None)
+        if reading is not None:
+            chunk = min(PREFILL_CHUNK_TOKENS, reading.prefill_left)
+            reading.prefill_left -= chunk
+            self.prefill_done += chunk
+            seconds += chunk * self.prefill_s
+        streams = [each for each in self.batch if each.prefill_left == 0]
+        if streams:
+            seconds += self.token_s * (1.0 + self.slope * (len(streams) - 1))
+        for each in streams:
+            each.produce()
+            self.outputs += 1
+        self.batch = [each for each in self.batch if not each.done]
+        return seconds
+
+    # Cache.
+
+    def _look_up(self, blocks: tuple[int, ...]) -> int:
+        depth = 0
+        for block in blocks:
+            if block not in self._cache:
+                break
+            self._cache.move_to_end(block)
+            depth += 1
+        return depth
+
+    def _remember(self, blocks: tuple[int, ...]) -> None:
+        for block in reversed(blocks):
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.cache_blocks:
+            dropped, _ = self._cache.popitem(last=False)
+            self._dropped.append((time.monotonic(), dropped))
+
+    # Reports.
+
+    def report(self) -> dict[str, Any]:
+        """Tell the load as it was a while ago, and some of the cache events."""
+        now = time.monotonic()
+        self._reports.append((now, len(self.batch), len(self.queue)))
+        while len(self._reports) > 1 and self._reports[1][0] <= now - self.faults.report_lag_s:
+            self._reports.popleft()
+        at, running, waiting = self._reports[0]
+        dropped: list[int] = []
+        while self._dropped and self._dropped[0][0] <= now - self.faults.event_lag_s:
+            _, block = self._dropped.popleft()
+            if random.random() >= self.faults.event_gap:
+                dropped.append(block)
+        return {
+            "running": running,
+            "waiting": waiting,
+            "age_s": now - at,
+            "draining": self.faults.draining,
+            "cache_dropped": dropped,
+        }
+
+
+def _output_length(name: str, most: int) -> int:
+    """Draw a length from a long-tailed distribution, the same for the same request."""
+    source = random.Random(name)
+    return max(1, min(most, int(math.exp(source.gauss(math.log(max(2, most / 3)), 0.7)))))
+
+
+class CompletionsPage:
+    """New work."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def on_post(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Complete a prompt as a stream."""
+        engine = self._engine
+        if engine.faults.die:
+            os._exit(DIED)
+        body = await req.get_media()
+        if engine.faults.refuse or engine.faults.draining:
+            resp.set_header("Retry-After", "2")
+            raise falcon.HTTPServiceUnavailable(description="refused")
+        name = req.get_header("X-Request-Id") or f"anonymous-{time.monotonic_ns()}"
+        sequence = engine.admit(name, body)
+        resp.content_type = "text/event-stream"
+        resp.stream = stream(engine, sequence, 0)
+
+
+class EventsPage:
+    """Resume and cancel."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response, name: str) -> None:
+        """Go on with a stream at an offset."""
+        sequence = self._engine.sequences.get(name)
+        if sequence is None or sequence.cancelled or not self._engine.faults.can_resume:
+            raise falcon.HTTPServiceUnavailable(description="nothing to resume")
+        resp.content_type = "text/event-stream"
+        resp.stream = stream(self._engine, sequence, req.get_param_as_int("offset") or 0)
+
+    async def on_delete(
+        self, _: falcon.asgi.Request, resp: falcon.asgi.Response, name: str
+    ) -> None:
+        """Cancel."""
+        self._engine.cancel(name)
+        resp.status = 204
+
+
+async def stream(engine: Engine, sequence: Sequence, offset: int) -> AsyncIterator[bytes]:
+    """Send a sequence's events from an offset on."""
+    sequence.readers += 1
+    sent = 0
+    try:
+        while not sequence.cancelled:
+            if engine.faults.die:
+                os._exit(DIED)
+            if engine.faults.cut_streams > 0 and sent >= 3:
+                engine.faults.cut_streams -= 1
+                raise ConnectionError("cut by a fault")
+            if offset < len(sequence.events):
+                yield sequence.events[offset]
+                offset += 1
+                sent += 1
+            elif sequence.done:
+                engine.delivered += 1
+                return
+            else:
+                sequence.changed.clear()
+                await sequence.changed.wait()
+        raise ConnectionError("cancelled")
+    finally:
+        sequence.readers -= 1
+        if not sequence.done:
+            asyncio.get_running_loop().call_later(RESUME_GRACE_S, _abandon, engine, sequence)
+
+
+def _abandon(engine: Engine, sequence: Sequence) -> None:
+    if sequence.readers == 0:
+        engine.cancel(sequence.id)
+
+
+class LoadPage:
+    """The load report."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def on_get(self, _: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        """Tell the load."""
+        resp.media = self._engine.report()
+
+
+def make_app(arguments: Any) -> Any:
+    """Build the application."""
+    engine = Engine(arguments)
+    app: Any = falcon.asgi.App()
+    for path in ("/v1/completions", "/v1/chat/completions"):
+        app.add_route(path, CompletionsPage(engine))
+        app.add_route(path + "/{name}", EventsPage(engine))
+        app.add_route(path + "/{name}/events", EventsPage(engine))
+    app.add_route("/load", LoadPage(engine))
+    app.add_route("/control", Control(engine))
+    return app
+
+
+if __name__ == "__main__":
+    made = parser("a model engine")
+    made.add_argument("--slots", type=int, default=8)
+    made.add_argument("--prefill-tokens-per-s", type=float, default=8000)
+    made.add_argument("--decode-tokens-per-s", type=float, default=60)
+    made.add_argument("--batch-slowdown", type=float, default=1.5)
+    made.add_argument("--cache-blocks", type=int, default=256)
+    parsed = made.parse_args()
+    serve(make_app(parsed), parsed.address)
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -0,0 +1,302 @@
+"""
+chalkyoke_fakes.fleet
+
+A whole fleet on this machine's loopback addresses: stand-ins and nodes as separate processes, for
+the demo, tests and benches.
+"""
+
+import asyncio
+import hashlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+START_S = 15.0
+POLL_S = 0.05
+OPERATOR_TOKEN = "demo-operator"
+FLEET_KEY_HEX = "00112233445566778899aabbccddeeff"
+
+
+def free_address(ip: str) -> str:
+    """Find a free port on a loopback address.
+
+    :return: ``ip:port``.
+    """
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return f"{ip}:{probe.getsockname()[1]}"
+
+
+@dataclass
+class Process:
+    """One process of the fleet."""
+
+    name: str
+    address: str
+    popen: "subprocess.Popen[bytes]"
+    links: str = ""
+    administration: str = ""
+    failure_domain: str = ""
+    arguments: list[str] = field(default_factory=list)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to it."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+
+class LocalFleet:
+    """Start, fault and end a fleet.
+
+    :param folder: where settings and logs go.
+    :param platform: TOML file that lists engines, plain services and entry hosts.
+    :param resources: TOML file of the fleet's configuration.
+    """
+
+    def __init__(self, folder: Path, platform: Path, resources: Path) -> None:
+        self.folder = folder
+        self.platform = tomllib.loads(platform.read_text(encoding="utf-8"))
+        self.resources = tomllib.loads(resources.read_text(encoding="utf-8"))
+        self.nodes: dict[str, Process] = {}
+        self.upstreams: dict[str, Process] = {}
+        self.store: Process | None = None
+        self.hosts: Process | None = None
+        self.listed: list[dict[str, Any]] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "LocalFleet":
+        self._session = aiohttp.ClientSession()
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.end()
+        await self.session.close()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The HTTP session for control routes."""
+        assert self._session is not None
+        return self._session
+
+    # Starting.
+
+    async def start(self) -> None:
+        """Start all stand-ins and nodes, and apply the configuration."""
+        self._start_upstreams()
+        self.store = self._fake("store", "chalkyoke_fakes.store", "127.0.0.1")
+        for entry in self.platform["entry"]:
+            self._list_node(entry)
+        hosts_file = self.folder / "hosts.json"
+        hosts_file.write_text(json.dumps(self.listed), encoding="utf-8")
+        arguments = ["--hosts", str(hosts_file), "--lag-s", str(self.platform.get("lag_s", 0.5))]
+        self.hosts = self._fake("hosts", "chalkyoke_fakes.hosts", "127.0.0.1", *arguments)
+        await self._wait_for_fakes()
+        for entry in self.platform["entry"]:
+            self.start_node(entry["host"])
+        await self._wait(self._all_alive, "nodes to start")
+        await self.apply(self.resources)
+        await self._wait(self._all_ready, "nodes to be ready")
+
+    def _start_upstreams(self) -> None:
+        for engine in self.platform.get("engine", []):
+            options = (
+                "slots",
+                "prefill_tokens_per_s",
+                "decode_tokens_per_s",
+                "batch_slowdown",
+                "cache_blocks",
+            )
+            arguments = [
+                part
+                for name in options
+                if name in engine
+                for part in ("--" + name.replace("_", "-"), str(engine[name]))
+            ]
+            self._upstream(engine, "chalkyoke_fakes.engine", arguments)
+        for plain in self.platform.get("plain", []):
+            arguments = ["--latency-s", str(plain.get("latency_s", 0.03))]
+            arguments += ["--checks"] if plain.get("checks") else []
+            self._upstream(plain, "chalkyoke_fakes.plain", arguments)
+
+    def _upstream(self, spec: dict[str, Any], module: str, arguments: list[str]) -> None:
+        process = self._fake(spec["id"], module, "127.0.2.1", *arguments)
+        process.failure_domain = spec["failure_domain"]
+        self.upstreams[spec["id"]] = process
+        self.listed.append(
+            {
+                "id": spec["id"],
+                "address": process.address,
+                "failure_domain": spec["failure_domain"],
+                "state": "live",
+                "labels": spec["labels"],
+            }
+        )
+
+    def _fake(self, name: str, module: str, ip: str, *arguments: str) -> Process:
+        address = free_address(ip)
+        command = [sys.executable, "-m", module, "--address", address, *arguments]
+        return Process(name, address, self._spawn(name, command), arguments=command)
+
+    def _spawn(self, name: str, command: list[str]) -> "subprocess.Popen[bytes]":
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(command, stdout=log, stderr=log, start_new_session=True)
+
+    def _list_node(self, entry: dict[str, Any]) -> None:
+        ip = f"127.0.1.{len(self.nodes) + 1}"
+        process = Process(
+            entry["host"],
+            free_address(ip),
+            None,  # type: ignore[arg-type]
+            free_address(ip),
+            free_address(ip),
+            entry["failure_domain"],
+        )
+        self.nodes[entry["host"]] = process
+        self.listed.append(
+            {
+                "id": entry["host"],
+                "address": process.links,
+                "failure_domain": entry["failure_domain"],
+                "state": "live",
+                "labels": {"kind": "entry"},
+            }
+        )
+
+    def start_node(self, host: str) -> None:
+        """Start a node, also one that was ended before."""
+        node = self.nodes[host]
+        assert self.store is not None
+        assert self.hosts is not None
+        settings = self.folder / f"{host}.toml"
+        extra = self.platform.get("settings", "")
+        settings.write_text(
+            f'[node]\nhost = "{host}"\nfailure_domain = "{node.failure_domain}"\n'
+            f'[listen]\ncallers = "{node.address}"\nlinks = "{node.links}"\n'
+            f'administration = "{node.administration}"\n'
+            f'[platform]\nstore_url = "http://{self.store.address}"\n'
+            f'hosts_url = "http://{self.hosts.address}/v1/hosts"\n'
+            f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
+            f'[administration]\noperate_sha256 = ["{_sha256(OPERATOR_TOKEN)}"]\n{extra}',
+            encoding="utf-8",
+        )
+        command = [sys.executable, "-m", "chalkyoke.cli", "serve", "--settings", str(settings)]
+        node.popen = self._spawn(host, command)
+
+    # Asking.
+
+    async def get(self, address: str, path: str) -> Any:
+        """Read a page of a control or administration route."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with self.session.get(f"http://{address}{path}", headers=headers) as response:
+            return await response.json()
+
+    async def set_faults(self, process: Process | None, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        assert process is not None
+        async with self.session.put(f"http://{process.address}/control", json=faults) as response:
+            response.raise_for_status()
+
+    async def change_host(self, **host: object) -> None:
+        """Change an entry of the host list."""
+        assert self.hosts is not None
+        async with self.session.post(
+            f"http://{self.hosts.address}/v1/hosts", json=host
+        ) as response:
+            response.raise_for_status()
+
+    async def apply(
+        self,
+        resources: dict[str, Any],
+        host: str = "",
+        change_id: str = "first",
+        base: int | None = None,
+    ) -> tuple[int, Any]:
+        """Apply a configuration through one node.
+
+        :return: status and body of the answer.
+        """
+        node = self.nodes[host or next(iter(self.nodes))]
+        async with self.session.post(
+            f"http://{node.administration}/v1/apply",
+            json={"change_id": change_id, "base": base, "resources": resources},
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+        ) as response:
+            return response.status, json.loads(await response.read())
+
+    async def counts(self) -> dict[str, Any]:
+        """Read the counts of all upstreams that answer."""
+        found: dict[str, Any] = {}
+        for name, process in self.upstreams.items():
+            try:
+                found[name] = await self.get(process.address, "/control")
+            except aiohttp.ClientError:
+                continue
+        return found
+
+    # Ending.
+
+    def end(self) -> None:
+        """End all processes that this fleet started."""
+        every = [*self.nodes.values(), *self.upstreams.values(), self.store, self.hosts]
+        started = [each for each in every if each is not None and each.popen is not None]
+        for process in started:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+        for process in started:
+            process.popen.wait()
+
+    # Waiting.
+
+    async def _wait_for_fakes(self) -> None:
+        async def answered() -> bool:
+            assert self.store is not None
+            assert self.hosts is not None
+            for process in [self.store, self.hosts, *self.upstreams.values()]:
+                await self.get(process.address, "/control")
+            return True
+
+        await self._wait(answered, "stand-ins to start")
+
+    async def _all_alive(self) -> bool:
+        for node in self.nodes.values():
+            await self.get(node.administration, "/v1/health")
+        return True
+
+    async def _all_ready(self) -> bool:
+        for node in self.nodes.values():
+            status = await self.get(node.administration, "/v1/status")
+            if status["revision"] < 1 or len(status["nodes"]) < len(self.nodes):
+                return False
+        return True
+
+    async def _wait(self, check: Any, what: str) -> None:
+        try:
+            async with asyncio.timeout(START_S):
+                while True:
+                    try:
+                        if await check():
+                            return
+                    except (aiohttp.ClientError, OSError):
+                        pass
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            raise RuntimeError(
+                f"waited in vain for {what}; see the logs in {self.folder}"
+            ) from None
+
+
+def _sha256(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/__init__.py
@@ -0,0 +1,7 @@
+"""
+chalkyoke
+
+A request scheduler for unlike model engines and plain upstreams.
+"""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/administration/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.administration
+
+Operator API, events and metrics.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -0,0 +1,75 @@
+"""
+chalkyoke.cli
+
+The node's command line.
+"""
+
+import asyncio
+import os
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from chalkyoke import __version__, logs, settings
+from chalkyoke.exceptions import InvariantBroken, SettingsError
+from chalkyoke.node.process import Node
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+EXIT_INVARIANT = 70
+
+app = typer.Typer(help="chalkyoke: a request scheduler for unlike engines.", no_args_is_help=True)
+SettingsFile = Annotated[Path, typer.Option("--settings", help="TOML file of this node.")]
+
+
+def _load(path: Path) -> settings.Settings:
+    try:
+        return settings.load(path, os.environ)
+    except SettingsError as error:
+        for problem in error.problems:
+            typer.echo(f"settings: {problem}", err=True)
+        raise typer.Exit(EXIT_SETTINGS) from error
+
+
+async def _serve(loaded: settings.Settings) -> None:
+    await Node(loaded).run()
+
+
+@app.command()
+def serve(settings_file: SettingsFile) -> None:
+    """Run a node until SIGTERM; a planned stop finishes what is in progress."""
+    loaded = _load(settings_file)
+    logs.set_up(loaded.logs.form, loaded.logs.level)
+    try:
+        asyncio.run(_serve(loaded))
+    except OSError as error:
+        typer.echo(f"can't listen: {error}", err=True)
+        raise typer.Exit(EXIT_ADDRESS) from error
+    except InvariantBroken as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_INVARIANT) from error
+
+
+@app.command("check-settings")
+def check_settings(
+    settings_file: Annotated[Path, typer.Argument(help="TOML file of a node.")],
+) -> None:
+    """Check a settings file without starting anything."""
+    loaded = _load(settings_file)
+    typer.echo(f"{settings_file}: good, for host {loaded.node.host}")
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(__version__)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/configuration/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.configuration
+
+Resources, selectors, revisions and how they spread.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.entry
+
+Caller requests: admission, dispatch, streams and replay.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -0,0 +1,207 @@
+"""
+chalkyoke.entry.acquirer
+
+The entry process's side of scheduling: ask the pool's scheduler for grants, give them back, and
+move to another scheduler when a pool's owner changes.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.entry.ports import ConfigurationPort, SchedulerPort
+from chalkyoke.entry.runs import Runs
+from chalkyoke.entry.state import Run
+from chalkyoke.entry.streams import StreamUsage
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    Grant,
+    Progress,
+    ProgressItem,
+    Release,
+    RunningItem,
+    Shed,
+    Usage,
+    Withdraw,
+)
+from chalkyoke.scheduling.state import ReleaseOutcome
+from chalkyoke.tokens.state import TokenState
+
+RESEND_S = 1.0
+
+
+class Acquirer:
+    """Acquire and release grants.
+
+    :param now: seconds on the monotonic clock since this process started.
+    """
+
+    def __init__(
+        self,
+        runs: Runs,
+        schedulers: SchedulerPort,
+        configuration: ConfigurationPort,
+        metrics: Metrics,
+        now: Callable[[], float],
+    ) -> None:
+        self._runs = runs
+        self._schedulers = schedulers
+        self._configuration = configuration
+        self._metrics = metrics
+        self._now = now
+        self._loop = asyncio.get_running_loop()
+        self._verdicts: dict[str, asyncio.Future[Grant | Shed]] = {}
+        self._owners: dict[str, str] = {}
+
+    async def acquire(self, run: Run) -> Grant | Shed:
+        """Ask the pool's scheduler until it decides; whoever that is by then."""
+        run.attempt += 1
+        future: asyncio.Future[Grant | Shed] = self._loop.create_future()
+        self._verdicts[run.id] = future
+        started = self._now()
+        while True:
+            self._send_acquire(run)
+            done, _ = await asyncio.wait([future], timeout=RESEND_S)
+            if done:
+                self._metrics.time("queue", self._now() - started, tier=run.request.tier)
+                return future.result()
+
+    def _send_acquire(self, run: Run) -> None:
+        pool = self._configuration.pool(run.request.service, run.id)
+        request = run.request
+        message = Acquire(
+            request=run.id,
+            attempt=run.attempt,
+            pool=pool,
+            route=request.route,
+            tier=request.tier,
+            team=request.team,
+            prompt_tokens=request.prompt_tokens,
+            max_output=request.max_output,
+            blocks=request.blocks,
+            budget_s=run.deadline - self._now(),
+            waited_s=self._now() - run.arrived,
+        )
+        self._schedulers.send(self._owner(pool), message)
+
+    def forget(self, run: Run) -> None:
+        """Drop what is kept for a run that is over."""
+        self._verdicts.pop(run.id, None)
+
+    def withdraw(self, run: Run) -> None:
+        """Take a waiting run back from its scheduler."""
+        if run.grant is not None and run.grant.attempt == run.attempt:
+            self.release(run, ReleaseOutcome.UNUSED)
+            return
+        pool = self._configuration.pool(run.request.service, run.id)
+        self._schedulers.send(self._owner(pool), Withdraw(run.id, pool))
+
+    def release(self, run: Run, outcome: ReleaseOutcome, seen: StreamUsage | None = None) -> None:
+        """Give a run's grant back, with what the upstream did for it."""
+        grant = run.grant
+        if grant is None:
+            return
+        if outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE):
+            run.grant = None
+        seen = seen or StreamUsage()
+        total = self._now() - run.dispatched_at if run.dispatched else 0.0
+        usage = Usage(
+            prompt_tokens=run.request.prompt_tokens,
+            cached_tokens=seen.cached_tokens,
+            output_tokens=seen.output_tokens if seen.output_tokens >= 0 else run.output_tokens,
+            first_s=run.first_s,
+            total_s=total,
+        )
+        message = Release(run.id, grant.attempt, grant.pool, outcome, usage)
+        self._schedulers.send(self._owner(grant.pool), message)
+
+    # What schedulers say.
+
+    def receive(self, process: str, message: Grant | Shed) -> None:
+        """Take a scheduler's decision; a grant that nobody waits for is given back.
+
+        :param process: id of the scheduler's process.
+        """
+        future = self._verdicts.get(message.request)
+        run = self._runs.find(message.request)
+        awaited = (
+            future is not None
+            and not future.done()
+            and run is not None
+            and run.attempt == message.attempt
+            and self._owner(message.pool) == process
+        )
+        if awaited and future is not None:
+            future.set_result(message)
+        elif isinstance(message, Grant) and not self._is_held(run, message):
+            unused = Release(
+                message.request, message.attempt, message.pool, ReleaseOutcome.UNUSED, Usage()
+            )
+            self._schedulers.send(process, unused)
+
+    def _is_held(self, run: Run | None, grant: Grant) -> bool:
+        if run is None or run.end is not None or run.grant is None:
+            return False
+        return run.grant.attempt == grant.attempt and run.grant.upstream == grant.upstream
+
+    def _owner(self, pool: str) -> str:
+        owner = self._schedulers.owner(pool)
+        before = self._owners.get(pool)
+        if before != owner:
+            self._owners[pool] = owner
+            self._move_pool(pool, before, owner)
+        return owner
+
+    def check_owners(self) -> None:
+        """Move to the new schedulers of pools whose owner has changed."""
+        for pool in self._configuration.pools():
+            self._owner(pool)
+
+    def _move_pool(self, pool: str, before: str | None, owner: str) -> None:
+        """Tell a new scheduler what runs here, and ask it for what waits here."""
+        mine = [run for run in self._runs.active() if self._in_pool(run, pool)]
+        running = tuple(_running_item(run, self._now()) for run in mine if run.dispatched)
+        self._schedulers.send(owner, Adopt(pool, running))
+        for run in mine:
+            future = self._verdicts.get(run.id)
+            if run.state is not TokenState.QUEUED or future is None or future.done():
+                continue
+            if before is not None and self._schedulers.is_alive(before):
+                self._schedulers.send(before, Withdraw(run.id, pool))
+            self._send_acquire(run)
+
+    def _in_pool(self, run: Run, pool: str) -> bool:
+        if run.grant is not None:
+            return run.grant.pool == pool
+        return self._configuration.pool(run.request.service, run.id) == pool
+
+    def send_progress(self) -> None:
+        """Tell each pool's scheduler how far running work has come; call once a second."""
+        items: dict[str, list[ProgressItem]] = {pool: [] for pool in self._owners}
+        for run in self._runs.active():
+            if run.grant is not None and run.dispatched:
+                elapsed = self._now() - run.dispatched_at
+                item = ProgressItem(run.id, run.output_tokens, run.first_s, elapsed)
+                items.setdefault(run.grant.pool, []).append(item)
+            elif run.grant is not None:
+                item = ProgressItem(run.id, 0, -1.0, 0.0)
+                items.setdefault(run.grant.pool, []).append(item)
+        for pool, each in items.items():
+            self._schedulers.send(self._owner(pool), Progress(pool, tuple(each)))
+
+
+def _running_item(run: Run, now: float) -> RunningItem:
+    request, grant = run.request, run.grant
+    return RunningItem(
+        request=run.id,
+        attempt=grant.attempt if grant is not None else run.attempt,
+        upstream=grant.upstream if grant is not None else "",
+        tier=request.tier,
+        team=request.team,
+        route=request.route,
+        prompt_tokens=request.prompt_tokens,
+        max_output=request.max_output,
+        output_tokens=run.output_tokens,
+        elapsed_s=now - run.dispatched_at,
+    )
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/runs.py
@@ -0,0 +1,126 @@
+"""
+chalkyoke.entry.runs
+
+All runs of one entry process: admission by token, joining, and the bounds within which answers
+are kept for callers that come back.
+"""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import msgspec
+from result import Err, Ok, Result
+
+from chalkyoke.entry.messages import CallerRequest
+from chalkyoke.entry.state import Run
+from chalkyoke.tokens.codec import TokenCodec
+from chalkyoke.tokens.ledger import TokenLedger
+from chalkyoke.tokens.messages import Token, TokenProblem
+from chalkyoke.tokens.state import TokenState
+
+KEEP_ANSWER_S = 120.0
+KEEP_ANSWER_BYTES = 16_000_000
+
+
+def request_digest(request: CallerRequest) -> bytes:
+    """Hash what makes two requests the same: all but the time left and the form of the answer.
+
+    :rtype: bytes
+    """
+    parts = (request.service, request.team, request.path, request.content_type, request.labels)
+    head = msgspec.msgpack.encode(parts, order="sorted")
+    return hashlib.blake2b(head + b"|" + request.body, digest_size=16).digest()
+
+
+class Runs:
+    """Admit requests by their tokens and keep their runs.
+
+    :param ledger: this process's own tokens.
+    :param codec: seals tokens under the fleet's key.
+    """
+
+    def __init__(self, ledger: TokenLedger, codec: TokenCodec) -> None:
+        self.ledger = ledger
+        self.codec = codec
+        self._runs: dict[int, Run] = {}
+        self._kept: OrderedDict[int, Run] = OrderedDict()
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def active(self) -> Iterator[Run]:
+        """Walk over the runs that have not ended."""
+        return (run for run in list(self._runs.values()) if run.end is None)
+
+    def all(self) -> Iterator[Run]:
+        """Walk over all runs that are known, ended ones included."""
+        return iter(list(self._runs.values()))
+
+    def find(self, request: str) -> Run | None:
+        """Find a run by its request id.
+
+        :rtype: Run or None
+        """
+        try:
+            return self._runs.get(int(request.rsplit("-", 1)[1]))
+        except (IndexError, ValueError):
+            return None
+
+    def issue(self, now: float) -> tuple[Token, str]:
+        """Issue a token.
+
+        :return: the token and its text.
+        """
+        token = self.ledger.issue(now)
+        return token, self.codec.encode(token)
+
+    def admit(
+        self, token: Token, text: str, request: CallerRequest, now: float
+    ) -> Result[tuple[Run, bool], TokenProblem]:
+        """Find the one run of a token, or start it.
+
+        :return: the run, and whether it is new and has to be driven.
+        """
+        admitted = self.ledger.admit(token, request_digest(request), now)
+        if isinstance(admitted, Err):
+            return admitted
+        known = self._runs.get(token.sequence)
+        if known is not None:
+            return Ok((known, False))
+
+        deadline = now + request.budget_s
+        record = admitted.ok_value
+        run = Run(token.request, text, record, self.ledger, request, now, deadline)
+        self._runs[token.sequence] = run
+        return Ok((run, record.state is TokenState.ISSUED))
+
+    def keep(self, run: Run) -> None:
+        """Keep an ended run's answer, and drop the oldest ones beyond the bound."""
+        self._kept[run.record.token.sequence] = run
+        self._kept_bytes += run.size
+        while self._kept_bytes > KEEP_ANSWER_BYTES and len(self._kept) > 1:
+            self._drop_oldest()
+
+    def expire(self, now: float) -> None:
+        """Drop answers that were kept long enough, and runs whose tokens have expired.
+
+        :param now: seconds on this process's monotonic clock.
+        """
+        while self._kept:
+            oldest = next(iter(self._kept.values()))
+            if now - oldest.ended_at < KEEP_ANSWER_S:
+                break
+            self._drop_oldest()
+        for record in self.ledger.expire(now):
+            sequence = record.token.sequence
+            kept = self._kept.pop(sequence, None)
+            if kept is not None:
+                self._kept_bytes -= kept.size
+            self._runs.pop(sequence, None)
+
+    def _drop_oldest(self) -> None:
+        _, run = self._kept.popitem(last=False)
+        self._kept_bytes -= run.size
+        run.drop_answer()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -0,0 +1,199 @@
+"""
+chalkyoke.entry.service
+
+Take requests in, drive each to one end, and let callers read the answers.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from result import Err, Ok, Result
+
+from chalkyoke.administration.events import EventKind, EventRing
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.entry.acquirer import Acquirer
+from chalkyoke.entry.dispatcher import Dispatcher
+from chalkyoke.entry.ends import COME_BACK_S, Ends
+from chalkyoke.entry.messages import CallerRequest
+from chalkyoke.entry.ports import ConfigurationPort
+from chalkyoke.entry.readers import Reader
+from chalkyoke.entry.runs import Runs
+from chalkyoke.entry.state import Run, Whole
+from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
+from chalkyoke.scheduling.messages import Grant, Shed
+from chalkyoke.scheduling.state import ReleaseOutcome
+from chalkyoke.tokens.messages import Token, TokenProblem
+
+NOT_REPEATABLE_RUN_S = 60.0
+STOPPING_RETRY_S = 0.5
+DRAIN_CHECK_S = 0.05
+
+
+class EntryService:
+    """Keep the promises to callers while schedulers, upstreams and callers come and go.
+
+    :param now: seconds on the monotonic clock since this process started.
+    """
+
+    def __init__(
+        self,
+        runs: Runs,
+        acquirer: Acquirer,
+        ends: Ends,
+        dispatcher: Dispatcher,
+        configuration: ConfigurationPort,
+        events: EventRing,
+        metrics: Metrics,
+        now: Callable[[], float],
+    ) -> None:
+        self.runs = runs
+        self.stopping = False
+        self._acquirer = acquirer
+        self._ends = ends
+        self._dispatcher = dispatcher
+        self._configuration = configuration
+        self._events = events
+        self._metrics = metrics
+        self.now = now
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    # Admission.
+
+    def submit(
+        self, request: CallerRequest, token: Token | None, text: str
+    ) -> Result[Run, TokenProblem]:
+        """Start a run, or find the one that the token already has.
+
+        :param token: the caller's token; one is issued where it has none.
+        :param text: the token as text.
+        :return: the run, or why there is none; then nothing has changed.
+        """
+        if token is None:
+            token, text = self.runs.issue(self.now())
+        admitted = self.runs.admit(token, text, request, self.now())
+        if isinstance(admitted, Err):
+            return admitted
+        run, is_new = admitted.ok_value
+        if not is_new:
+            self._events.add(EventKind.JOINED, run.id, state=run.state)
+            self._metrics.count("joined")
+            return Ok(run)
+
+        self._events.add(EventKind.ARRIVED, run.id, service=request.service, tier=request.tier)
+        self._metrics.count("arrived", tier=request.tier)
+        if self.stopping:
+            refusal = not_run(Reason.STOPPING, "this host is stopping", STOPPING_RETRY_S)
+            self._ends.refuse(run, refusal)
+            return Ok(run)
+        run.queue()
+        self._start(run.id, self._drive(run))
+        return Ok(run)
+
+    def open_reader(self, run: Run) -> Reader:
+        """Let a caller read a run's answer.
+
+        :rtype: Reader
+        """
+        budget = max(run.request.budget_s, run.deadline - self.now())
+        return Reader(run, budget, self._reader_left)
+
+    def verdict(self, run: Run) -> Refusal | None:
+        """Tell what a caller hears that stops waiting now; nothing for a whole answer.
+
+        :rtype: Refusal or None
+        """
+        if isinstance(run.end, Whole):
+            if not run.replay_gone:
+                return None
+            text = "it was answered before, and the answer is no longer kept"
+            return Refusal(Verdict.FAILED, Reason.REPLAY_GONE, text)
+        if run.end is not None:
+            return run.end
+        text = "it runs on; ask again with the same token to learn its end"
+        return Refusal(Verdict.UNKNOWN, Reason.EXPIRED, text, COME_BACK_S)
+
+    # Driving.
+
+    async def _drive(self, run: Run) -> None:
+        try:
+            async with asyncio.timeout(run.request.budget_s):
+                await self._acquire_and_send(run)
+        except TimeoutError:
+            self._give_up(run, Reason.EXPIRED, "its deadline has passed")
+        except asyncio.CancelledError:
+            self._give_up(run, Reason.CALLER_LEFT, "its caller has left")
+        finally:
+            self._acquirer.forget(run)
+
+    async def _acquire_and_send(self, run: Run) -> None:
+        while run.end is None:
+            verdict = await self._acquirer.acquire(run)
+            if isinstance(verdict, Shed):
+                self._ends.refuse_shed(run, verdict)
+                return
+            run.grant = verdict
+            self._events.add(EventKind.GRANTED, run.id, upstream=verdict.upstream)
+            if not self._configuration.may_dispatch(verdict.upstream):
+                self._acquirer.release(run, ReleaseOutcome.UNUSED)
+            elif run.request.repeatable:
+                await self._dispatcher.send(run, verdict)
+            else:
+                # Once sent it goes on, so that a retry with the same token learns its end.
+                await asyncio.shield(self._start(f"{run.id}/run", self._send_once(run, verdict)))
+
+    async def _send_once(self, run: Run, grant: Grant) -> None:
+        try:
+            async with asyncio.timeout(NOT_REPEATABLE_RUN_S):
+                await self._dispatcher.send(run, grant)
+        except TimeoutError:
+            if run.dispatched and run.end is None:
+                self._ends.fail(run, Reason.NO_ANSWER, "it was sent and no answer came")
+
+    def _give_up(self, run: Run, reason: Reason, detail: str) -> None:
+        """End a run whose time is over or whose callers have left."""
+        if run.end is not None:
+            return
+        if not run.dispatched:
+            self._acquirer.withdraw(run)
+            self._ends.refuse(run, not_run(reason, detail))
+        elif run.request.repeatable:
+            self._ends.fail(run, reason, detail)
+            self._start(f"{run.id}/cancel", self._dispatcher.cancel(run))
+
+    def _reader_left(self, run: Run) -> None:
+        """Cancel what nobody waits for, unless its caller may come back for it."""
+        if run.readers > 0 or run.end is not None or run.request.held_token:
+            return
+        if run.dispatched and not run.request.repeatable:
+            return
+        self._events.add(EventKind.CALLER_LEFT, run.id, state=run.state)
+        self._metrics.count("caller_left", tier=run.request.tier)
+        task = self._tasks.get(run.id)
+        if task is not None:
+            task.cancel()
+
+    def _start(self, name: str, work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
+        task = asyncio.create_task(work, name=name)
+        self._tasks[name] = task
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.pop(task.get_name(), None)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            report = {"message": "a run broke", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(report)
+
+    # Stopping.
+
+    def in_progress(self) -> list[Run]:
+        """List the runs that a stop now would cut off.
+
+        :rtype: list[Run]
+        """
+        return list(self.runs.active())
+
+    async def drain(self) -> None:
+        """Wait until every run has ended and every reader has read its answer."""
+        while self._tasks or any(run.readers for run in self.runs.all()):  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_CHECK_S)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/streams.py
@@ -0,0 +1,128 @@
+"""
+chalkyoke.entry.streams
+
+Cut an engine's server-sent events at their ends, so that callers get whole events only and a
+broken stream can be resumed at an exact offset.
+"""
+
+import msgspec
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]" + EVENT_END
+DATA_PREFIX = b"data: "
+
+
+class EventCutter:
+    """Take bytes in, give whole events out.
+
+    :ivar events: whole events so far; the offset at which a stream is resumed.
+    :ivar done: whether the final event has come.
+    """
+
+    __slots__ = ("_rest", "done", "events")
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.events = 0
+        self.done = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes in.
+
+        :return: the events that are whole now, as they came.
+        """
+        if self._rest:
+            data = self._rest + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._rest = data
+            return b""
+
+        whole, self._rest = data[:end], data[end:]
+        self.events += whole.count(EVENT_END)
+        if whole.endswith(DONE_EVENT):
+            self.done = True
+        return whole
+
+    def restart(self) -> None:
+        """Forget a partial event, before the stream is resumed."""
+        self._rest = b""
+
+
+class _Details(msgspec.Struct):
+    cached_tokens: int = -1
+
+
+class _UsageBody(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _Details | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: dict[str, object] | None = None
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    id: str = ""
+    model: str = ""
+    choices: list[_Choice] = []
+    usage: _UsageBody | None = None
+
+
+class StreamUsage(msgspec.Struct, frozen=True):
+    """What an engine said of its work at the end of a stream; -1 where it did not."""
+
+    prompt_tokens: int = -1
+    output_tokens: int = -1
+    cached_tokens: int = -1
+
+
+def read_usage(tail: bytes) -> StreamUsage:
+    """Find the usage in the last events of a stream.
+
+    :param tail: bytes that hold at least the last two events whole.
+    :rtype: StreamUsage
+    """
+    for part in reversed(tail.split(EVENT_END)):
+        if b'"usage"' not in part or not part.startswith(DATA_PREFIX):
+            continue
+        try:
+            usage = msgspec.json.decode(part[len(DATA_PREFIX) :], type=_Event).usage
+        except msgspec.MsgspecError:
+            continue
+        if usage is not None:
+            details = usage.prompt_tokens_details or _Details()
+            return StreamUsage(usage.prompt_tokens, usage.completion_tokens, details.cached_tokens)
+    return StreamUsage()
+
+
+def assemble(stream: bytes) -> bytes:
+    """Put a streamed completion together as one JSON answer.
+
+    :param stream: all events, the final one included.
+    :return: the answer in the usual whole form.
+    """
+    text: list[str] = []
+    content: list[str] = []
+    last, usage, finish = _Event(), None, None
+    for part in stream.split(EVENT_END):
+        if not part.startswith(DATA_PREFIX) or part == DONE_EVENT[: -len(EVENT_END)]:
+            continue
+        last = msgspec.json.decode(part[len(DATA_PREFIX) :], type=_Event)
+        usage = last.usage or usage
+        for choice in last.choices:
+            text.append(choice.text)
+            finish = choice.finish_reason or finish
+            if choice.delta is not None:
+                content.append(str(choice.delta.get("content", "")))
+    choice_body: dict[str, object] = {"index": 0, "finish_reason": finish or "stop"}
+    if content:
+        choice_body["message"] = {"role": "assistant", "content": "".join(content)}
+    else:
+        choice_body["text"] = "".join(text)
+    return msgspec.json.encode(
+        {"id": last.id, "model": last.model, "choices": [choice_body], "usage": usage}
+    )
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/links/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.links
+
+Framed msgpack streams between nodes.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -0,0 +1,199 @@
+"""
+chalkyoke.links.connection
+
+One authenticated stream of messages between two processes.
+"""
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from chalkyoke.clock import Stamp
+from chalkyoke.exceptions import LinkError, ProtocolError
+from chalkyoke.links.codec import FrameCodec, FrameReader
+from chalkyoke.links.handshake import (
+    NONCE_BYTES,
+    hello_is_valid,
+    make_hello,
+    make_welcome,
+    welcome_is_valid,
+)
+from chalkyoke.links.messages import Challenge, Hello, Welcome
+
+HANDSHAKE_S = 2.0
+READ_BYTES = 65_536
+MAX_UNSENT_BYTES = 4_000_000
+
+
+class Clock(Protocol):
+    """What a connection needs of the process's clock."""
+
+    def stamp(self) -> Stamp:
+        """Stamp an outgoing message."""
+
+    def observe(self, stamp: Stamp) -> None:
+        """Learn the stamp of an incoming message."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a process is on its links.
+
+    :param address: ``ip:port`` of its listener.
+    """
+
+    process: str
+    address: str
+    failure_domain: str
+    key: bytes
+
+
+@dataclass(slots=True)
+class LinkCounters:
+    """Bytes and messages over all links of a process."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent: int = 0
+    received: int = 0
+    dropped: int = 0
+
+
+class Connection:
+    """Send and receive messages over one stream.
+
+    :param peer: id of the process on the other side, once the handshake is done.
+    :param peer_address: ``ip:port`` of that process's listener.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        codec: FrameCodec,
+        clock: Clock,
+        counters: LinkCounters,
+    ) -> None:
+        self.peer = ""
+        self.peer_address = ""
+        self.peer_domain = ""
+        self._reader = reader
+        self._writer = writer
+        self._codec = codec
+        self._clock = clock
+        self._counters = counters
+        self._frames = FrameReader()
+        self._ready: list[msgspec.Struct] = []
+
+    @property
+    def closing(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._writer.is_closing()
+
+    def send(self, message: msgspec.Struct) -> bool:
+        """Send without waiting.
+
+        :return: whether it was handed to the stream; a peer that reads too slowly loses it.
+        """
+        unsent = self._writer.transport.get_write_buffer_size()
+        if self._writer.is_closing() or unsent > MAX_UNSENT_BYTES:
+            self._counters.dropped += 1
+            return False
+        frame = self._codec.encode(self._clock.stamp(), message)
+        self._writer.write(frame)
+        self._counters.sent += 1
+        self._counters.sent_bytes += len(frame)
+        return True
+
+    async def send_and_wait(self, message: msgspec.Struct) -> None:
+        """Send, and wait while the peer reads too slowly.
+
+        :raises LinkError: when the stream is gone.
+        """
+        if not self.send(message):
+            raise LinkError("the link is closed")
+        try:
+            await self._writer.drain()
+        except ConnectionError as error:
+            raise LinkError(str(error)) from error
+
+    async def receive(self) -> msgspec.Struct | None:
+        """Receive the next message; nothing when the peer has closed.
+
+        :raises ProtocolError: when the peer does not follow the protocol.
+        """
+        while not self._ready:
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except ConnectionError:
+                return None
+            if not data:
+                return None
+            self._counters.received_bytes += len(data)
+            for frame in self._frames.feed(data):
+                stamp, message = self._codec.decode(frame)
+                self._clock.observe(stamp)
+                self._ready.append(message)
+        self._counters.received += 1
+        return self._ready.pop(0)
+
+    async def messages(self) -> AsyncIterator[msgspec.Struct]:
+        """Receive messages until the peer closes."""
+        while (message := await self.receive()) is not None:
+            yield message
+
+    async def greet(self, me: Identity) -> None:
+        """Prove who this is, as the calling side, and check the listener.
+
+        :raises LinkError: when the listener does not hold the fleet's key or does not answer.
+        """
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                challenge = await self.receive()
+                if not isinstance(challenge, Challenge):
+                    raise LinkError("the listener sent no challenge")
+                nonce = secrets.token_bytes(NONCE_BYTES)
+                hello = make_hello(
+                    me.key, challenge.nonce, me.process, me.address, me.failure_domain, nonce
+                )
+                self.send(hello)
+                welcome = await self.receive()
+        except (TimeoutError, ProtocolError) as error:
+            raise LinkError(f"no handshake: {error}") from error
+        if not isinstance(welcome, Welcome) or not welcome_is_valid(me.key, nonce, welcome):
+            raise LinkError("the listener does not hold the fleet's key")
+        self.peer = welcome.process
+
+    async def accept(self, me: Identity) -> None:
+        """Check the calling side, and prove who this is.
+
+        :raises LinkError: when the caller does not hold the fleet's key or does not answer.
+        """
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        self.send(Challenge(nonce))
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                hello = await self.receive()
+        except (TimeoutError, ProtocolError) as error:
+            raise LinkError(f"no handshake: {error}") from error
+        if not isinstance(hello, Hello) or not hello_is_valid(me.key, nonce, hello):
+            raise LinkError("the caller does not hold the fleet's key")
+        self.peer, self.peer_address = hello.process, hello.address
+        self.peer_domain = hello.failure_domain
+        self.send(make_welcome(me.key, hello, me.process))
+
+    async def close(self) -> None:
+        """Close the stream."""
+        self._writer.close()
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                await self._writer.wait_closed()
+
+    def abort(self) -> None:
+        """Drop the stream at once."""
+        self._writer.transport.abort()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/links/messages.py
@@ -0,0 +1,34 @@
+"""
+chalkyoke.links.messages
+
+The first frames of a link: both sides prove that they hold the fleet's key.
+"""
+
+import msgspec
+
+
+class Challenge(msgspec.Struct, frozen=True, array_like=True, tag="challenge"):
+    """The listener's first frame."""
+
+    nonce: bytes
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
+    """The caller's answer.
+
+    :param process: id of the calling process.
+    :param address: ``ip:port`` of its own listener, where answers go.
+    """
+
+    process: str
+    address: str
+    failure_domain: str
+    nonce: bytes
+    mac: bytes
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="welcome"):
+    """The listener's proof."""
+
+    process: str
+    mac: bytes
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/logs.py
@@ -0,0 +1,43 @@
+"""
+chalkyoke.logs
+
+Log lines by logbook: one for each change of state, plain or as JSON.
+"""
+
+import sys
+
+import logbook
+import msgspec
+
+PLAIN = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}: {record.message}"
+
+
+def _json_line(record: logbook.LogRecord, _: logbook.Handler) -> str:
+    line = {
+        "at": record.time.isoformat() + "Z",
+        "level": record.level_name,
+        "channel": record.channel,
+        "message": record.message,
+        **record.kwargs,
+    }
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def set_up(form: str, level: str) -> None:
+    """Send this process's log lines to standard error.
+
+    :param form: ``plain`` or ``json``.
+    :param level: the lowest level that is written.
+    """
+    handler = logbook.StreamHandler(sys.stderr, level=level, format_string=PLAIN)
+    if form == "json":
+        handler.formatter = _json_line
+    handler.push_application()
+
+
+def logger(name: str) -> logbook.Logger:
+    """Give the logger of a slice.
+
+    :rtype: logbook.Logger
+    """
+    return logbook.Logger(f"chalkyoke.{name}")
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/membership/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.membership
+
+Live hosts, their incarnations, and who owns which pool.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -0,0 +1,66 @@
+"""
+chalkyoke.membership.messages
+
+What hosts say to each other about who is alive.
+"""
+
+import msgspec
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One process as it describes itself.
+
+    :param incarnation: random number of the process; a restarted host has another one.
+    :param address: ``ip:port`` of its link listener.
+    :param leaving: whether it is in a planned stop.
+    :param ready: whether it has a configuration and may own pools.
+    :param revision: configuration revision in force there.
+    :param hosts_version: version of the host list that it holds.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    administration: str
+    failure_domain: str
+    leaving: bool
+    ready: bool
+    revision: int
+    hosts_version: int
+
+    @property
+    def process(self) -> str:
+        """The id of the process: host and incarnation."""
+        return f"{self.host}/{self.incarnation:x}"
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """Names one state of a failure domain's membership, as one of its reporters sees it."""
+
+    failure_domain: str
+    reporter: str
+    version: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
+    """A sign of life. Its digests keep other failure domains alive in the receiver's view."""
+
+    record: MemberRecord
+    beat: int
+    digests: tuple[Digest, ...] = ()
+
+
+class SummaryRequest(msgspec.Struct, frozen=True, array_like=True, tag="summary_request"):
+    """Ask for the members behind a digest."""
+
+    digest: Digest
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag="summary"):
+    """The live members of one failure domain."""
+
+    digest: Digest
+    records: tuple[MemberRecord, ...]
+
+
+MembershipMessage = Heartbeat | SummaryRequest | Summary
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -0,0 +1,286 @@
+"""
+chalkyoke.membership.view
+
+The membership of the fleet as one process sees it: direct heartbeats inside its failure domain,
+and digests from a few reporters for the others, so that traffic does not grow with the square of
+the fleet.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from chalkyoke.membership.messages import (
+    Digest,
+    Heartbeat,
+    MemberRecord,
+    MembershipMessage,
+    Summary,
+    SummaryRequest,
+)
+from chalkyoke.membership.owners import owner, ranked
+from chalkyoke.membership.state import Candidate, Change, ForeignDomain, Joined, Left, Member
+
+REPORTERS = 2
+DEFAULT_INTERVAL_S = 0.25
+SUSPECT_INTERVALS = 6
+FOREIGN_SUSPECT_INTERVALS = 10
+FORGET_INTERVALS = 2400
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A message for the link listener at an address."""
+
+    address: str
+    message: MembershipMessage
+
+
+class MembershipView:
+    """Follow which processes are alive.
+
+    :param record: this process.
+    :param interval_s: time between heartbeats, in seconds.
+
+    Usage::
+
+      >>> view = MembershipView(record, interval_s=0.25)
+      >>> sends = view.beat(now=0.0)
+      >>> changes, sends = view.receive("127.0.0.2:7000", heartbeat, now=0.1)
+    """
+
+    def __init__(self, record: MemberRecord, interval_s: float = DEFAULT_INTERVAL_S) -> None:
+        self.record = record
+        self.interval_s = interval_s
+        self._beat = 0
+        self._version = 0
+        self._members: dict[str, Member] = {}
+        self._foreign: dict[str, ForeignDomain] = {}
+        self._candidates: dict[str, Candidate] = {}
+        self._last_summary: tuple[MemberRecord, ...] = ()
+
+    @property
+    def domain(self) -> str:
+        """This process's failure domain."""
+        return self.record.failure_domain
+
+    # What others ask of the view.
+
+    def live(self) -> list[MemberRecord]:
+        """List the processes that are believed alive, this one included.
+
+        :rtype: list[MemberRecord]
+        """
+        records = self._own_domain()
+        for foreign in self._foreign.values():
+            records.extend(foreign.records)
+        return records
+
+    def find(self, host: str) -> MemberRecord | None:
+        """Find a live process by host id.
+
+        :rtype: MemberRecord or None
+        """
+        return next((record for record in self.live() if record.host == host), None)
+
+    def pool_owner(self, pool: str) -> MemberRecord:
+        """Give the process that schedules a pool; this one where nobody else can.
+
+        :rtype: MemberRecord
+        """
+        fit = {each.host: each for each in self.live() if each.ready and not each.leaving}
+        chosen = owner(f"pool/{pool}", fit)
+        return fit[chosen] if chosen is not None else self.record
+
+    def holds_duty(self, duty: str) -> bool:
+        """Tell whether this process holds a duty for its failure domain.
+
+        :rtype: bool
+        """
+        hosts = [each.host for each in self._own_domain() if not each.leaving]
+        return owner(f"{duty}/{self.domain}", hosts or [self.record.host]) == self.record.host
+
+    def domains(self) -> dict[str, int]:
+        """Count the live processes by failure domain.
+
+        :rtype: dict[str, int]
+        """
+        counts: dict[str, int] = {}
+        for record in self.live():
+            counts[record.failure_domain] = counts.get(record.failure_domain, 0) + 1
+        return counts
+
+    # Events.
+
+    def set_candidates(self, candidates: Iterable[Candidate]) -> None:
+        """Take the hosts that the platform's list or the settings name."""
+        self._candidates = {each.host: each for each in candidates if each.host != self.record.host}
+
+    def update_self(self, **changes: object) -> None:
+        """Change what this process says of itself, for example ``leaving`` or ``revision``."""
+        self.record = msgspec.structs.replace(self.record, **changes)
+
+    def beat(self, now: float) -> list[Send]:
+        """Send the signs of life that are due; call once per interval.
+
+        :param now: seconds on this process's monotonic clock.
+        :rtype: list[Send]
+        """
+        self._beat += 1
+        inside = Heartbeat(self.record, self._beat, self._heard_outside(now))
+        sends = [Send(address, inside) for address in self._inside_targets()]
+        if self._is_reporter():
+            outside = Heartbeat(self.record, self._beat, (self._own_digest(),))
+            sends += [Send(address, outside) for address in self._outside_targets()]
+        return sends
+
+    def receive(
+        self, sender: str, message: MembershipMessage, now: float
+    ) -> tuple[list[Change], list[Send]]:
+        """Take a message in.
+
+        :param sender: address of the sender's link listener.
+        :return: changes of the view, and answers.
+        """
+        if isinstance(message, Heartbeat):
+            changes = self._take_record(message.record, message.beat, now)
+            return changes, self._take_digests(sender, message, now)
+        if isinstance(message, SummaryRequest):
+            return [], self._answer(sender, message)
+        return self._take_summary(message, now), []
+
+    def tick(self, now: float) -> list[Change]:
+        """Find who has fallen silent.
+
+        :rtype: list[Change]
+        """
+        changes: list[Change] = []
+        for member in self._members.values():
+            silent = now - member.heard > SUSPECT_INTERVALS * self.interval_s
+            if member.alive and silent:
+                member.alive = False
+                changes.append(Left(member.record))
+        for name, foreign in list(self._foreign.items()):
+            if now - foreign.heard > FOREIGN_SUSPECT_INTERVALS * self.interval_s:
+                del self._foreign[name]
+                changes.extend(Left(record) for record in foreign.records)
+        self._forget(now)
+        return changes
+
+    # Own failure domain.
+
+    def _own_domain(self) -> list[MemberRecord]:
+        alive = [member.record for member in self._members.values() if member.alive]
+        return [self.record, *alive]
+
+    def _take_record(self, record: MemberRecord, beat: int, now: float) -> list[Change]:
+        if record.failure_domain != self.domain or record.host == self.record.host:
+            return []
+
+        member = self._members.get(record.host)
+        if member is None:
+            self._members[record.host] = Member(record, beat, now)
+            return [Joined(record)]
+        if record.incarnation in member.retired:
+            return []
+        if record.incarnation != member.record.incarnation:
+            changes: list[Change] = [Left(member.record)] if member.alive else []
+            member.retired.add(member.record.incarnation)
+            member.record, member.beat, member.heard, member.alive = record, beat, now, True
+            return [*changes, Joined(record)]
+        if beat <= member.beat:
+            return []
+
+        member.record, member.beat, member.heard = record, beat, now
+        if member.alive:
+            return []
+        member.alive = True
+        return [Joined(record)]
+
+    def _inside_targets(self) -> list[str]:
+        known = {
+            each.host: each.address
+            for each in self._candidates.values()
+            if each.failure_domain == self.domain
+        }
+        known.update({host: each.record.address for host, each in self._members.items()})
+        return [known[host] for host in sorted(known)]
+
+    def _forget(self, now: float) -> None:
+        """Drop hosts that are long dead and no longer listed, so that the view stays bounded."""
+        limit = FORGET_INTERVALS * self.interval_s
+        for host, member in list(self._members.items()):
+            if not member.alive and host not in self._candidates and now - member.heard > limit:
+                del self._members[host]
+
+    # Other failure domains.
+
+    def _is_reporter(self) -> bool:
+        hosts = [each.host for each in self._own_domain() if not each.leaving]
+        return self.record.host in ranked(f"reporter/{self.domain}", hosts)[:REPORTERS]
+
+    def _own_digest(self) -> Digest:
+        records = tuple(sorted(self._own_domain(), key=lambda each: each.host))
+        if records != self._last_summary:
+            self._last_summary = records
+            self._version += 1
+        return Digest(self.domain, self.record.process, self._version)
+
+    def _outside_targets(self) -> list[str]:
+        by_domain: dict[str, dict[str, str]] = {}
+        for each in self._candidates.values():
+            if each.failure_domain != self.domain:
+                by_domain.setdefault(each.failure_domain, {})[each.host] = each.address
+        targets: list[str] = []
+        for name, foreign in self._foreign.items():
+            live = {each.host: each.address for each in foreign.records}
+            targets += [live[host] for host in ranked(f"reporter/{name}", live)[:REPORTERS]]
+        for name, listed in by_domain.items():
+            # One candidate a beat in turn: it finds a domain that came back, and a dead reporter.
+            hosts = sorted(listed)
+            targets.append(listed[hosts[self._beat % len(hosts)]])
+            if name not in self._foreign:
+                targets.append(listed[hosts[(self._beat + 1) % len(hosts)]])
+        return list(dict.fromkeys(targets))
+
+    def _heard_outside(self, now: float) -> tuple[Digest, ...]:
+        fresh = 2 * self.interval_s
+        return tuple(
+            each.digest for each in self._foreign.values() if now - each.heard_outside <= fresh
+        )
+
+    def _take_digests(self, sender: str, message: Heartbeat, now: float) -> list[Send]:
+        sends: list[Send] = []
+        for digest in message.digests:
+            if digest.failure_domain == self.domain:
+                continue
+            known = self._foreign.get(digest.failure_domain)
+            if known is None or known.digest != digest:
+                sends.append(Send(sender, SummaryRequest(digest)))
+                if known is None:
+                    continue
+            known.heard = now
+            if message.record.failure_domain != self.domain:
+                known.heard_outside = now
+        return sends
+
+    def _answer(self, sender: str, message: SummaryRequest) -> list[Send]:
+        if message.digest.failure_domain == self.domain:
+            return [Send(sender, Summary(self._own_digest(), self._last_summary))]
+        known = self._foreign.get(message.digest.failure_domain)
+        return [] if known is None else [Send(sender, Summary(known.digest, known.records))]
+
+    def _take_summary(self, message: Summary, now: float) -> list[Change]:
+        name = message.digest.failure_domain
+        if name == self.domain:
+            return []
+        known = self._foreign.get(name)
+        before = {each.process: each for each in known.records} if known else {}
+        after = {each.process: each for each in message.records}
+        outside = known.heard_outside if known else now
+        self._foreign[name] = ForeignDomain(message.digest, message.records, now, outside)
+
+        changes: list[Change] = [Left(before[key]) for key in before if key not in after]
+        changes += [Joined(after[key]) for key in after if key not in before]
+        return changes
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.node
+
+One process: the slices put together over one event loop.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/configuration.py
@@ -0,0 +1,206 @@
+"""
+chalkyoke.node.configuration
+
+Keep the configuration and the host list up to date: one watcher for each failure domain asks the
+platform, all others ask their peers.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.configuration.messages import (
+    HostsAnswer,
+    HostsRequest,
+    ListedHost,
+    RevisionAnswer,
+    RevisionRequest,
+    Root,
+)
+from chalkyoke.configuration.publisher import CHUNK_PREFIX, ROOT_KEY, Found, decode_root
+from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.links.connection import Connection
+from chalkyoke.links.peers import Links
+from chalkyoke.logs import logger
+from chalkyoke.membership.messages import MemberRecord
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.fleet import FleetView
+from chalkyoke.platform.hosts import HostListClient
+from chalkyoke.platform.store import StoreClient
+from chalkyoke.settings import TimingSection
+
+WATCH_DUTY = "watch"
+ASK_AGAIN_S = 0.3
+IDLE_S = 0.25
+
+log = logger("configuration")
+
+
+class ConfigurationKeeper:
+    """Hold the revision and host list in force on this node.
+
+    :param changed: called after either has changed.
+    :param now: seconds on the monotonic clock since this process started.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        store: StoreClient,
+        hosts: HostListClient,
+        links: Links,
+        timing: TimingSection,
+        metrics: Metrics,
+        changed: Callable[[], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.state = ConfigurationState()
+        self.hosts: tuple[ListedHost, ...] = ()
+        self.hosts_version = 0
+        self.fleet = FleetView(self.state.resources, ())
+        self._view = view
+        self._store = store
+        self._host_list = hosts
+        self._links = links
+        self._timing = timing
+        self._metrics = metrics
+        self._changed = changed
+        self._now = now
+        self._root_version = 0
+        self._asked: dict[str, float] = {}
+
+    # Starting.
+
+    async def start(self) -> None:
+        """Ask the platform once; where it is away, the peers will tell."""
+        await asyncio.gather(self._poll_hosts(), self._read_root())
+
+    # Loops of the watcher.
+
+    async def watch_root(self) -> None:
+        """Wait on the root while this process is its failure domain's watcher."""
+        while True:
+            if not self._view.holds_duty(WATCH_DUTY):
+                await asyncio.sleep(IDLE_S)
+                continue
+            wait = self._timing.watch_wait_s
+            found = await self._store.watch(ROOT_KEY, self._root_version, wait)
+            if isinstance(found, Found):
+                await self._take_root(found)
+            else:
+                await asyncio.sleep(IDLE_S)
+
+    async def watch_hosts(self) -> None:
+        """Poll the host list while this process is its failure domain's watcher."""
+        while True:
+            await asyncio.sleep(self._timing.hosts_interval_s)
+            if self._view.holds_duty(WATCH_DUTY):
+                await self._poll_hosts()
+
+    # Peers.
+
+    def heard(self, address: str, record: MemberRecord) -> None:
+        """Ask a peer for what it has and this node lacks.
+
+        :param address: link address of the peer.
+        """
+        if record.revision > self.state.revision and self._may_ask("revision"):
+            held = tuple(self.state.chunks)
+            self._links.send(address, RevisionRequest(self.state.revision, held))
+        if record.hosts_version > self.hosts_version and self._may_ask("hosts"):
+            self._links.send(address, HostsRequest(self.hosts_version))
+
+    def receive(
+        self,
+        connection: Connection,
+        message: RevisionRequest | RevisionAnswer | HostsRequest | HostsAnswer,
+    ) -> None:
+        """Take a peer's question or answer."""
+        if isinstance(message, RevisionRequest):
+            if self.state.revision > message.above:
+                chunks = {h: c for h, c in self.state.chunks.items() if h not in message.held}
+                answer = RevisionAnswer(self.state.root, chunks)
+                self._links.send(connection.peer_address, answer)
+        elif isinstance(message, RevisionAnswer):
+            self.adopt(message.root, message.chunks, "a peer")
+        elif isinstance(message, HostsRequest):
+            if self.hosts_version > message.above:
+                answer_hosts = HostsAnswer(self.hosts_version, self.hosts)
+                self._links.send(connection.peer_address, answer_hosts)
+        else:
+            self._adopt_hosts(message)
+
+    # Taking.
+
+    def adopt(self, root: Root, chunks: dict[str, bytes], source: str) -> None:
+        """Move to a configuration, if its revision is higher.
+
+        :param source: where it came from, for the log.
+        """
+        taken = self.state.adopt(root, chunks)
+        if isinstance(taken, Err):
+            self._metrics.count("revision_unreadable")
+            log.warning("a revision from {} was not taken: {}", source, taken.err_value)
+        elif taken.ok_value:
+            log.info("revision {} is in force, from {}", root.revision, source)
+            self._rebuild()
+
+    async def _read_root(self) -> None:
+        found = await self._store.get(ROOT_KEY)
+        if isinstance(found, Found):
+            await self._take_root(found)
+
+    async def _take_root(self, found: Found) -> None:
+        try:
+            root = decode_root(found.value)
+        except ValueError as error:
+            self._metrics.count("revision_unreadable")
+            log.error("the root in the store is not readable: {}", error)
+            await asyncio.sleep(IDLE_S)
+            return
+        if root.revision > self.state.revision:
+            chunks = await self._fetch_chunks(root)
+            if chunks is None:
+                await asyncio.sleep(IDLE_S)
+                return
+            self.adopt(root, chunks, "the store")
+        self._root_version = max(self._root_version, found.version)
+
+    async def _fetch_chunks(self, root: Root) -> dict[str, bytes] | None:
+        chunks: dict[str, bytes] = {}
+        for digest in self.state.missing(root):
+            found = await self._store.get(CHUNK_PREFIX + digest)
+            if not isinstance(found, Found) or found.value is None:
+                return None
+            chunks[digest] = found.value
+        return chunks
+
+    async def _poll_hosts(self) -> None:
+        answer = await self._host_list.fetch()
+        if answer is not None:
+            self._adopt_hosts(answer)
+
+    def _adopt_hosts(self, answer: HostsAnswer) -> None:
+        if answer.version <= self.hosts_version:
+            return
+        self.hosts_version, self.hosts = answer.version, answer.hosts
+        self._rebuild()
+
+    def _rebuild(self) -> None:
+        self.fleet = FleetView(self.state.resources, self.hosts)
+        self._view.set_candidates(self.fleet.candidates())
+        self._view.update_self(
+            revision=self.state.revision,
+            hosts_version=self.hosts_version,
+            ready=self.state.revision > 0,
+        )
+        self._changed()
+
+    def _may_ask(self, what: str) -> bool:
+        now = self._now()
+        if now - self._asked.get(what, -ASK_AGAIN_S) < ASK_AGAIN_S:
+            return False
+        self._asked[what] = now
+        return True
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/probes.py
@@ -0,0 +1,45 @@
+"""
+chalkyoke.node.probes
+
+Ask the upstreams of the pools scheduled here for their load and cache events.
+"""
+
+import asyncio
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.upstreams.client import UpstreamClient
+
+
+async def probe_once(
+    schedulers: SchedulerHost, client: UpstreamClient, metrics: Metrics, now: float
+) -> None:
+    """Probe each upstream of each pool hosted here once.
+
+    :param now: seconds on the monotonic clock since this process started.
+    """
+    tasks = [
+        _probe(schedulers, client, metrics, pool, upstream.spec.id, upstream.spec.address, now)
+        for pool, scheduler in schedulers.pools.items()
+        for upstream in scheduler.upstreams.values()
+    ]
+    await asyncio.gather(*tasks)
+
+
+async def _probe(
+    schedulers: SchedulerHost,
+    client: UpstreamClient,
+    metrics: Metrics,
+    pool: str,
+    upstream: str,
+    address: str,
+    now: float,
+) -> None:
+    answered = await client.load(upstream, address)
+    scheduler = schedulers.pools.get(pool)
+    if answered is None or scheduler is None:
+        metrics.count("probe_failures")
+        return
+    report, dropped = answered
+    scheduler.cache_event(dropped)
+    schedulers.dispatch(scheduler.load_report(report, now))
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -0,0 +1,404 @@
+"""
+chalkyoke.node.process
+
+The node: all slices of one process put together, started, and stopped without cutting anything
+off.
+"""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import time
+from collections.abc import Callable, Coroutine
+
+import aiohttp
+import msgspec
+
+from chalkyoke.administration.events import EventKind, EventRing
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.clock import HybridClock
+from chalkyoke.configuration.messages import (
+    HostsAnswer,
+    HostsRequest,
+    RevisionAnswer,
+    RevisionRequest,
+)
+from chalkyoke.entry.acquirer import Acquirer
+from chalkyoke.entry.answers import serve_forward
+from chalkyoke.entry.dispatcher import Dispatcher
+from chalkyoke.entry.ends import Ends
+from chalkyoke.entry.http import CallerApi
+from chalkyoke.entry.messages import Forward, ForwardChunk, ForwardEnd, ForwardHead
+from chalkyoke.entry.runs import Runs
+from chalkyoke.entry.service import EntryService
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.links.connection import Connection, Identity
+from chalkyoke.links.peers import Links
+from chalkyoke.logs import logger
+from chalkyoke.membership.messages import Heartbeat, MemberRecord, Summary, SummaryRequest
+from chalkyoke.membership.state import Change, Joined
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.api import NodeApi
+from chalkyoke.node.configuration import ConfigurationKeeper
+from chalkyoke.node.ports import FleetPort
+from chalkyoke.node.probes import probe_once
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.node.servers import HttpServer
+from chalkyoke.platform.hosts import HostListClient
+from chalkyoke.platform.store import StoreClient
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    Grant,
+    Progress,
+    Release,
+    Shed,
+    Withdraw,
+)
+from chalkyoke.settings import Settings
+from chalkyoke.tokens.codec import TokenCodec
+from chalkyoke.tokens.ledger import TokenLedger
+from chalkyoke.upstreams.client import UpstreamClient, make_session
+
+TICK_S = 0.05
+HOUSEKEEPING_S = 1.0
+LEAVING_INTERVALS = 3
+INCARNATION_BITS = 62
+
+LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    Acquire,
+    Adopt,
+    Forward,
+    ForwardChunk,
+    ForwardEnd,
+    ForwardHead,
+    Grant,
+    Heartbeat,
+    HostsAnswer,
+    HostsRequest,
+    Progress,
+    Release,
+    RevisionAnswer,
+    RevisionRequest,
+    Shed,
+    Summary,
+    SummaryRequest,
+    Withdraw,
+)
+
+log = logger("node")
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class Node:
+    """One process of the fleet. Make it inside a running loop.
+
+    :param settings: checked settings.
+
+    Usage::
+
+      >>> node = Node(settings)
+      >>> await node.run()
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self.settings = settings
+        self.now: Callable[[], float] = lambda: loop.time() - started
+        self.metrics = Metrics()
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        self._record = MemberRecord(
+            host=settings.node.host,
+            incarnation=incarnation,
+            address=settings.listen.links,
+            administration=settings.listen.administration,
+            failure_domain=settings.node.failure_domain,
+            leaving=False,
+            ready=False,
+            revision=0,
+            hosts_version=0,
+        )
+        self.process = self._record.process
+        self.events = EventRing(settings.node.host, HybridClock(), _wall_ms)
+        self.view = MembershipView(self._record, settings.timing.heartbeat_interval_s)
+        self._stop = asyncio.Event()
+        self._stopping = asyncio.Event()
+        self._failure: BaseException | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        loop.set_exception_handler(self._on_exception)
+        self._make_links()
+        self._make_platform()
+        self._make_entry(incarnation)
+        self._make_apis()
+
+    # Putting together.
+
+    def _make_links(self) -> None:
+        settings = self.settings
+        me = Identity(
+            self.process, settings.listen.links, settings.node.failure_domain, settings.fleet.key
+        )
+        self.links = Links(me, LINK_MESSAGES, self.events, self._receive)
+
+    def _make_platform(self) -> None:
+        self._platform_session = aiohttp.ClientSession()
+        platform = self.settings.platform
+        self.store = StoreClient(self._platform_session, platform.store_url, self.metrics)
+        hosts = HostListClient(self._platform_session, platform.hosts_url, self.metrics)
+        self.configuration = ConfigurationKeeper(
+            self.view,
+            self.store,
+            hosts,
+            self.links,
+            self.settings.timing,
+            self.metrics,
+            self._configuration_changed,
+            self.now,
+        )
+        self.schedulers = SchedulerHost(
+            self.process,
+            self.view,
+            lambda: self.configuration.fleet,
+            self.links.send,
+            self.events,
+            self.metrics,
+            self.now,
+        )
+
+    def _make_entry(self, incarnation: int) -> None:
+        settings = self.settings
+        ledger = TokenLedger(
+            settings.node.host,
+            settings.listen.links,
+            incarnation,
+            settings.limits.token_lifetime_s,
+            settings.limits.tokens_kept,
+        )
+        runs = Runs(ledger, TokenCodec(settings.fleet.key))
+        port = FleetPort(lambda: self.configuration.fleet)
+        self._upstream_session = make_session()
+        self.upstreams = UpstreamClient(self._upstream_session)
+        self.acquirer = Acquirer(runs, self.schedulers, port, self.metrics, self.now)
+        ends = Ends(runs, self.acquirer, self.events, self.metrics, self.now)
+        dispatcher = Dispatcher(
+            self.acquirer, ends, port, self.upstreams, self.events, self.metrics, self.now
+        )
+        self.entry = EntryService(
+            runs, self.acquirer, ends, dispatcher, port, self.events, self.metrics, self.now
+        )
+        self.schedulers.deliver = self.acquirer.receive
+
+    def _make_apis(self) -> None:
+        settings, tls = self.settings, self.settings.tls
+        port = FleetPort(lambda: self.configuration.fleet)
+        callers = CallerApi(self.entry, port, self.links, self.events, self.is_ready)
+        self._servers = [
+            HttpServer(
+                callers.app(), settings.listen.callers, tls.callers_certificate, tls.callers_key
+            ),
+            HttpServer(
+                NodeApi(self).app(),
+                settings.listen.administration,
+                tls.administration_certificate,
+                tls.administration_key,
+            ),
+        ]
+        self.metrics.gauge("running", lambda: sum(1 for _ in self.entry.runs.active()))
+        self.metrics.gauge("tokens_kept", lambda: len(self.entry.runs.ledger))
+        self.metrics.gauge("link_sent_bytes", lambda: self.links.counters.sent_bytes)
+        self.metrics.gauge("link_received_bytes", lambda: self.links.counters.received_bytes)
+        self.metrics.gauge("revision", lambda: self.configuration.state.revision)
+        self.metrics.gauge("live_members", lambda: len(self.view.live()))
+
+    # Life.
+
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force here.
+
+        :rtype: bool
+        """
+        return self.configuration.state.revision > 0
+
+    def stop(self) -> None:
+        """Begin a planned stop; a second call says what is still in progress."""
+        if self._stopping.is_set():
+            runs = self.entry.in_progress()
+            log.warning("still in progress: {} requests; a kill would cut them off", len(runs))
+            for run in runs:
+                log.warning("in progress: {} ({})", run.id, run.state)
+            return
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until a planned stop is through.
+
+        :raises InvariantBroken: when a promise of the program does not hold.
+        """
+        loop = asyncio.get_running_loop()
+        for each in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(each, self.stop)
+        await self.links.listen()
+        await self.configuration.start()
+        for server in self._servers:
+            server.start()
+        self._start_loops()
+        self.events.add(EventKind.STARTED, process=self.process)
+        log.info("{} serves callers on {}", self.process, self.settings.listen.callers)
+        stopping = asyncio.create_task(self._stop_on_plan())
+        await self._stop.wait()
+        stopping.cancel()
+        await self._close()
+        if self._failure is not None:
+            raise self._failure
+
+    async def _stop_on_plan(self) -> None:
+        """Take no new callers, give pools up, finish what is in progress, then end."""
+        await self._stopping.wait()
+        log.notice("planned stop: {} requests in progress", len(self.entry.in_progress()))
+        self.events.add(EventKind.STOPPING, in_progress=len(self.entry.in_progress()))
+        self.entry.stopping = True
+        self.view.update_self(leaving=True)
+        self._beat()
+        await asyncio.sleep(LEAVING_INTERVALS * self.view.interval_s)
+        await self.entry.drain()
+        while any(pool.waiting or pool.running for pool in self.schedulers.pools.values()):
+            if len(self.view.live()) == 1:
+                break
+            await asyncio.sleep(TICK_S)
+        self.events.add(EventKind.STOPPED)
+        self._stop.set()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self._failure is None:
+            await asyncio.gather(*(server.stop() for server in self._servers))
+        await self.links.close()
+        await self._platform_session.close()
+        await self._upstream_session.close()
+        log.info("{} has stopped", self.process)
+
+    # Loops.
+
+    def _start_loops(self) -> None:
+        timing = self.settings.timing
+        self._start(self._repeat(self.view.interval_s, self._beat))
+        self._start(self._repeat(TICK_S, self._tick))
+        self._start(self._repeat(HOUSEKEEPING_S, self._keep_house))
+        self._start(self._probe(timing.load_interval_s))
+        self._start(self.configuration.watch_root())
+        self._start(self.configuration.watch_hosts())
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._loop_ended)
+        self._tasks.append(task)
+
+    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._fail(error)
+
+    async def _repeat(self, interval_s: float, work: Callable[[], None]) -> None:
+        while True:
+            work()
+            await asyncio.sleep(interval_s)
+
+    async def _probe(self, interval_s: float) -> None:
+        while True:
+            await probe_once(self.schedulers, self.upstreams, self.metrics, self.now())
+            await asyncio.sleep(interval_s)
+
+    def _beat(self) -> None:
+        for send in self.view.beat(self.now()):
+            self.links.send(send.address, send.message)
+
+    def _tick(self) -> None:
+        self._apply(self.view.tick(self.now()))
+        self.schedulers.tick()
+
+    def _keep_house(self) -> None:
+        self.acquirer.check_owners()
+        self.acquirer.send_progress()
+        self.entry.runs.expire(self.now())
+
+    # Messages.
+
+    def _receive(
+        self, connection: Connection, message: msgspec.Struct
+    ) -> Coroutine[None, None, None] | None:
+        try:
+            return self._route(connection, message)
+        except InvariantBroken as error:
+            self._fail(error)
+            return None
+
+    def _route(
+        self, connection: Connection, message: msgspec.Struct
+    ) -> Coroutine[None, None, None] | None:
+        if isinstance(message, Forward):
+            return self._serve_forward(connection, message)
+        if isinstance(message, Heartbeat | SummaryRequest | Summary):
+            changes, sends = self.view.receive(connection.peer_address, message, self.now())
+            self._apply(changes)
+            for send in sends:
+                self.links.send(send.address, send.message)
+            if isinstance(message, Heartbeat):
+                self.configuration.heard(connection.peer_address, message.record)
+        elif isinstance(message, Grant | Shed):
+            self.acquirer.receive(connection.peer, message)
+        elif isinstance(message, Acquire | Adopt | Progress | Release | Withdraw):
+            self.schedulers.note_address(connection.peer, connection.peer_address)
+            self.schedulers.receive(connection.peer, connection.peer_domain, message)
+        elif isinstance(message, RevisionRequest | RevisionAnswer | HostsRequest | HostsAnswer):
+            self.configuration.receive(connection, message)
+        return None
+
+    async def _serve_forward(self, connection: Connection, message: Forward) -> None:
+        opened = self.entry.runs.codec.decode(message.token)
+        if opened.is_ok():
+            await serve_forward(connection, self.entry, opened.unwrap(), message)
+
+    # Changes.
+
+    def _apply(self, changes: list[Change]) -> None:
+        for change in changes:
+            if isinstance(change, Joined):
+                self.events.add(EventKind.MEMBER_JOINED, process=change.record.process)
+                log.info("{} joined ({})", change.record.process, change.record.failure_domain)
+            else:
+                self.events.add(EventKind.MEMBER_LEFT, process=change.record.process)
+                log.info("{} left the view", change.record.process)
+                self.schedulers.member_left(change.record.process)
+        if changes:
+            self.acquirer.check_owners()
+
+    def _configuration_changed(self) -> None:
+        state = self.configuration.state
+        self.events.add(
+            EventKind.REVISION, revision=state.revision, hosts=self.configuration.hosts_version
+        )
+        self.schedulers.reconfigure()
+        self.acquirer.check_owners()
+
+    # Faults.
+
+    def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        error = context.get("exception")
+        if isinstance(error, BaseException) and not isinstance(error, ConnectionError):
+            self._fail(error)
+        else:
+            log.debug("{}", context.get("message"))
+
+    def _fail(self, error: BaseException) -> None:
+        """Stop the process for a fault that must not be lived with."""
+        if self._failure is None:
+            log.critical("stopped by a fault: {!r}", error)
+            with contextlib.suppress(Exception):
+                self.events.add(EventKind.STOPPED, fault=repr(error))
+            self._failure = error
+        self._stop.set()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -0,0 +1,202 @@
+"""
+chalkyoke.node.schedulers
+
+The schedulers that this process hosts, and the way to those of other processes.
+"""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from chalkyoke.administration.events import EventKind, EventRing
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.logs import logger
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.fleet import FleetView
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    EntryMessage,
+    Grant,
+    Progress,
+    Release,
+    Shed,
+)
+from chalkyoke.scheduling.scheduler import Out, PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec
+
+KEEP_S = 5.0
+
+log = logger("schedulers")
+
+Deliver = Callable[[str, Grant | Shed], None]
+
+
+class SchedulerHost:
+    """Host a scheduler for each pool that entry processes ask this process for.
+
+    Two processes that both believe they own a pool cost some overcommit, never a wrong answer.
+
+    :param process: id of this process.
+    :param send: sends a message to a process by its link address.
+    :param now: seconds on the monotonic clock since this process started.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        view: MembershipView,
+        fleet: Callable[[], FleetView],
+        send: Callable[[str, msgspec.Struct], None],
+        events: EventRing,
+        metrics: Metrics,
+        now: Callable[[], float],
+    ) -> None:
+        self.pools: dict[str, PoolScheduler] = {}
+        self.deliver: Deliver | None = None
+        self._process = process
+        self._view = view
+        self._fleet = fleet
+        self._send = send
+        self._events = events
+        self._metrics = metrics
+        self._now = now
+        self._addresses: dict[str, str] = {}
+        self._disowned: dict[str, float] = {}
+        self._random = random.Random()
+
+    # The port that the entry slice uses.
+
+    def owner(self, pool: str) -> str:
+        """Give the id of the process that schedules a pool now.
+
+        :rtype: str
+        """
+        return self._view.pool_owner(pool).process
+
+    def is_alive(self, process: str) -> bool:
+        """Tell whether a process is in the membership view.
+
+        :rtype: bool
+        """
+        return any(record.process == process for record in self._view.live())
+
+    def send(self, process: str, message: EntryMessage) -> None:
+        """Send a message to the scheduler in a process, this one included."""
+        if process == self._process:
+            self.receive(process, self._view.domain, message)
+            return
+        address = self._address(process)
+        if address is not None:
+            self._send(address, message)
+
+    # Messages.
+
+    def note_address(self, process: str, address: str) -> None:
+        """Remember where a process that wrote to us listens."""
+        self._addresses[process] = address
+
+    def receive(self, entry: str, domain: str, message: EntryMessage) -> None:
+        """Take a message of an entry process.
+
+        :param entry: id of the entry process.
+        :param domain: its failure domain.
+        """
+        scheduler = self._scheduler(message.pool)
+        if scheduler is None:
+            if isinstance(message, Acquire):
+                self._refuse_unknown(entry, message)
+            return
+        now = self._now()
+        if isinstance(message, Acquire):
+            self._dispatch(scheduler.acquire(entry, domain, message, now))
+        elif isinstance(message, Release):
+            self._dispatch(scheduler.release(domain, message, now))
+        elif isinstance(message, Progress):
+            self._dispatch(scheduler.progress(entry, message, now))
+        elif isinstance(message, Adopt):
+            self._dispatch(scheduler.adopt(entry, message, now))
+        else:
+            scheduler.withdraw(message)
+
+    def tick(self) -> None:
+        """Let each scheduler give up what is late, and drop those that moved away."""
+        now = self._now()
+        for name, scheduler in list(self.pools.items()):
+            self._dispatch(scheduler.tick(now))
+            self._drop_disowned(name, now)
+
+    def reconfigure(self) -> None:
+        """Tell each scheduler of a new configuration or host list."""
+        pools = self._fleet().pools
+        for name, scheduler in list(self.pools.items()):
+            spec = pools.get(name)
+            if spec is None:
+                spec = PoolSpec(name)
+            if spec != scheduler.spec:
+                self._dispatch(scheduler.configure(spec, self._now()))
+
+    def member_left(self, process: str) -> None:
+        """Drop what a dead entry process had here."""
+        self._addresses.pop(process, None)
+        for scheduler in self.pools.values():
+            self._dispatch(scheduler.member_gone(process, self._now()))
+
+    def dispatch(self, outs: list[Out]) -> None:
+        """Deliver what a scheduler decided."""
+        self._dispatch(outs)
+
+    # Private.
+
+    def _scheduler(self, pool: str) -> PoolScheduler | None:
+        found = self.pools.get(pool)
+        if found is not None:
+            return found
+        spec = self._fleet().pools.get(pool)
+        if spec is None:
+            return None
+        expected = [record.process for record in self._view.live()]
+        scheduler = PoolScheduler(spec, self._random.random, self._now(), expected)
+        self.pools[pool] = scheduler
+        self._events.add(EventKind.POOL_TAKEN, pool=pool)
+        log.info("took pool {}", pool)
+        return scheduler
+
+    def _drop_disowned(self, name: str, now: float) -> None:
+        if self.owner(name) == self._process:
+            self._disowned.pop(name, None)
+            return
+        since = self._disowned.setdefault(name, now)
+        if now - since > KEEP_S:
+            del self.pools[name]
+            del self._disowned[name]
+            self._events.add(EventKind.POOL_GIVEN_UP, pool=name)
+            log.info("gave up pool {}", name)
+
+    def _refuse_unknown(self, entry: str, message: Acquire) -> None:
+        """Answer for a pool that this process's configuration does not have (yet)."""
+        # The entry asks again after a second, by when the revision will have come.
+        self._metrics.count("acquire_unknown_pool")
+        log.debug("{} asks for pool {} that is not known here", entry, message.pool)
+
+    def _address(self, process: str) -> str | None:
+        for record in self._view.live():
+            if record.process == process:
+                return record.address
+        return self._addresses.get(process)
+
+    def _dispatch(self, outs: list[Out]) -> None:
+        for out in outs:
+            action = out.action
+            if isinstance(action, Shed):
+                self._metrics.count("scheduler_shed", reason=action.reason, pool=action.pool)
+            else:
+                self._metrics.count("scheduler_granted", pool=action.pool)
+            if out.entry == self._process:
+                assert self.deliver is not None
+                self.deliver(self._process, action)
+                continue
+            address = self._address(out.entry)
+            if address is not None:
+                self._send(address, action)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -0,0 +1,67 @@
+"""
+chalkyoke.node.servers
+
+HTTP servers inside this process's loop: uvicorn with the plain asyncio loop and one worker.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+BACKLOG = 1024
+KEEP_ALIVE_S = 30
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """Serve one ASGI application on one address.
+
+    :param address: ``ip:port``.
+    :param certificate: file of a TLS certificate; empty is plain HTTP.
+    :raises OSError: when the address can't be bound.
+    """
+
+    def __init__(self, app: Any, address: str, certificate: str = "", key: str = "") -> None:
+        ip, port = address.rsplit(":", 1)
+        # asyncio switches Nagle's algorithm off only on sockets that name their protocol.
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((ip, int(port)))
+        self._socket.listen(BACKLOG)
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=2,
+            ssl_certfile=certificate or None,
+            ssl_keyfile=key or None,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+
+    async def stop(self) -> None:
+        """Stop to take connections, and wait for those that are being answered."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/platform/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.platform
+
+Adapters for the platform's key-value service and host list.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/platform/hosts.py
@@ -0,0 +1,62 @@
+"""
+chalkyoke.platform.hosts
+
+The platform's list of live and leaving hosts, as JSON over HTTP. The list lags.
+"""
+
+import aiohttp
+import msgspec
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.configuration.messages import HostsAnswer, ListedHost
+
+CALL_S = 2.0
+
+
+class _Entry(msgspec.Struct):
+    id: str
+    address: str
+    failure_domain: str
+    state: str = "live"
+    labels: dict[str, str] = {}
+
+
+class _List(msgspec.Struct):
+    version: int
+    hosts: list[_Entry]
+
+
+class HostListClient:
+    """Read the host list.
+
+    :param url: address of the list.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str, metrics: Metrics) -> None:
+        self._session = session
+        self._url = url
+        self._metrics = metrics
+
+    async def fetch(self) -> HostsAnswer | None:
+        """Read the list once; nothing where it can't be had.
+
+        :rtype: HostsAnswer or None
+        """
+        self._metrics.count("store_calls", kind="hosts")
+        try:
+            async with self._session.get(
+                self._url, timeout=aiohttp.ClientTimeout(total=CALL_S)
+            ) as response:
+                if response.status != 200:
+                    return None
+                listed = msgspec.json.decode(await response.read(), type=_List)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            self._metrics.count("store_failures", kind="hosts")
+            return None
+        hosts = tuple(
+            ListedHost(
+                each.id, each.address, each.failure_domain, each.state != "live", each.labels
+            )
+            for each in listed.hosts
+        )
+        return HostsAnswer(listed.version, hosts)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/problems.py
@@ -0,0 +1,67 @@
+"""
+chalkyoke.problems
+
+Problem documents (RFC 9457) for callers and operators.
+"""
+
+from typing import Any
+
+import falcon
+import falcon.asgi
+import msgspec
+
+from chalkyoke.outcomes import Reason, Refusal, Verdict
+
+MEDIA_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:chalkyoke:problem:"
+
+STATUS_BY_REASON = {
+    Reason.HOPELESS: 504,
+    Reason.EXPIRED: 504,
+    Reason.TOKEN_EXPIRED: 410,
+    Reason.REFUSED_BEFORE: 410,
+    Reason.REPLAY_GONE: 410,
+}
+STATUS_BY_VERDICT = {Verdict.NOT_RUN: 503, Verdict.FAILED: 502, Verdict.UNKNOWN: 504}
+
+
+def document(status: int, kind: str, detail: str, **members: object) -> dict[str, Any]:
+    """Make a problem document.
+
+    :param kind: end of its type, for example ``not_run``.
+    :rtype: dict
+    """
+    held = {name: value for name, value in members.items() if value is not None}
+    title = kind.replace("_", " ")
+    return {"type": TYPE_PREFIX + kind, "title": title, "status": status, "detail": detail, **held}
+
+
+def of_refusal(refusal: Refusal, token: str, event: str) -> dict[str, Any]:
+    """Make the problem document of a refusal.
+
+    :param token: the request's token, for a retry.
+    :param event: id of the event at which to look on the time line.
+    :rtype: dict
+    """
+    status = STATUS_BY_REASON.get(refusal.reason, STATUS_BY_VERDICT[refusal.verdict])
+    return document(
+        status,
+        refusal.verdict,
+        refusal.detail,
+        outcome=refusal.verdict,
+        reason=refusal.reason,
+        retry_after_s=refusal.retry_after_s,
+        delivered_bytes=refusal.delivered_bytes or None,
+        token=token,
+        event=event,
+    )
+
+
+def respond(response: falcon.asgi.Response, problem: dict[str, Any]) -> None:
+    """Answer with a problem document, and ``Retry-After`` where it says when to come back."""
+    response.status = problem["status"]
+    response.content_type = MEDIA_TYPE
+    response.data = msgspec.json.encode(problem)
+    retry = problem.get("retry_after_s")
+    if retry is not None:
+        response.set_header("Retry-After", str(max(1, round(retry))))
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.scheduling
+
+The pool scheduler: queue, placement, fairness and shedding.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -0,0 +1,163 @@
+"""
+chalkyoke.scheduling.estimates
+
+What is learned from finished and running work: engine speeds and output lengths. Model cards are
+only the first guess.
+"""
+
+import math
+from dataclasses import dataclass
+
+SPEED_GAIN = 0.25
+PREFILL_GAIN = 0.15
+MAX_STEP = 3.0
+MIN_FACTOR = 0.05
+MAX_FACTOR = 200.0
+STALL_FACTOR = 4.0
+
+MEDIAN = 0.5
+OPTIMISTIC = 0.15
+QUANTILE_STEP = 0.35
+QUANTILE_MIN_STEP = 0.05
+TEAM_MIN_SAMPLES = 8
+DEFAULT_OUTPUT_TOKENS = 128.0
+
+
+def _clamp(value: float, low: float, high: float) -> float:
+    return max(low, min(high, value))
+
+
+class SpeedModel:
+    """Predict how long one upstream takes, and correct the prediction by what it does.
+
+    The time of one output token is linear in the number of streams (continuous batching), times a
+    learned factor; the time of one prompt token is a constant times another learned factor. Both
+    factors are exponentially weighted in the logarithm, so that five times slower and five times
+    faster weigh the same.
+
+    :param prefill_tokens_per_s: first guess.
+    :param decode_tokens_per_s: first guess for a single stream.
+    :param batch_slowdown: how many times slower one stream is when all slots run.
+    :param slots: streams at most.
+    """
+
+    __slots__ = ("_base", "_prefill", "_slope", "decode_factor", "prefill_factor")
+
+    def __init__(
+        self,
+        prefill_tokens_per_s: float,
+        decode_tokens_per_s: float,
+        batch_slowdown: float,
+        slots: int,
+    ) -> None:
+        self._prefill = 1.0 / prefill_tokens_per_s
+        self._base = 1.0 / decode_tokens_per_s
+        self._slope = (batch_slowdown - 1.0) / max(1, slots - 1)
+        self.prefill_factor = 1.0
+        self.decode_factor = 1.0
+
+    def token_time(self, streams: int) -> float:
+        """Predict the time between two output tokens of one stream.
+
+        :param streams: how many streams run, this one included.
+        :return: seconds.
+        """
+        return self._base * (1.0 + self._slope * max(0, streams - 1)) * self.decode_factor
+
+    def prefill_time(self, tokens: float) -> float:
+        """Predict the time to read prompt tokens.
+
+        :return: seconds.
+        """
+        return tokens * self._prefill * self.prefill_factor
+
+    def learn_tokens(self, tokens: int, seconds: float, streams: int) -> None:
+        """Learn from output tokens that came.
+
+        :param tokens: how many came.
+        :param seconds: in how long.
+        :param streams: how many streams ran meanwhile.
+        """
+        if seconds <= 0:
+            return
+
+        predicted = self.token_time(streams)
+        if tokens == 0:
+            # A stall tells only that a token takes at least so long.
+            if seconds > STALL_FACTOR * predicted:
+                self._scale_decode(min(seconds / predicted, MAX_STEP), SPEED_GAIN)
+            return
+
+        weight = SPEED_GAIN * min(1.0, tokens / 8.0)
+        self._scale_decode(seconds / tokens / predicted, weight)
+
+    def learn_first(self, expected_s: float, observed_s: float) -> None:
+        """Learn from the time to the first token.
+
+        :param expected_s: what was predicted when it was granted.
+        :param observed_s: what it took.
+        """
+        if expected_s <= 0 or observed_s <= 0:
+            return
+        ratio = _clamp(observed_s / expected_s, 1 / MAX_STEP, MAX_STEP)
+        factor = self.prefill_factor * ratio**PREFILL_GAIN
+        self.prefill_factor = _clamp(factor, MIN_FACTOR, MAX_FACTOR)
+
+    def _scale_decode(self, ratio: float, gain: float) -> None:
+        ratio = _clamp(ratio, 1 / MAX_STEP, MAX_STEP)
+        self.decode_factor = _clamp(self.decode_factor * ratio**gain, MIN_FACTOR, MAX_FACTOR)
+
+
+@dataclass(slots=True)
+class QuantileTracker:
+    """Follow one quantile with a single number.
+
+    A step up on each larger sample and a step down on each smaller one, in the logarithm, with a
+    step that shrinks. Source: Ma, Muthukrishnan and Sandler, "Frugal Streaming for Estimating
+    Quantiles", 2013, here with a proportional step.
+    """
+
+    quantile: float
+    value: float
+    samples: int = 0
+
+    def learn(self, sample: float) -> None:
+        """Move towards one more sample."""
+        self.samples += 1
+        step = max(QUANTILE_MIN_STEP, QUANTILE_STEP / math.sqrt(self.samples))
+        up = sample > self.value
+        move = step * (self.quantile if up else self.quantile - 1.0)
+        self.value = max(1.0, self.value * math.exp(2.0 * move))
+
+
+class OutputModel:
+    """Predict output lengths from what routes and teams have asked for before."""
+
+    def __init__(self) -> None:
+        self._trackers: dict[tuple[str, str], tuple[QuantileTracker, QuantileTracker]] = {}
+
+    def predict(self, route: str, team: str, max_output: int) -> tuple[float, float]:
+        """Predict the output of one request.
+
+        :param max_output: the caller's own upper bound, in tokens.
+        :return: the median and the optimistic (low) quantile, in tokens.
+        """
+        for key in ((route, team), (route, "")):
+            pair = self._trackers.get(key)
+            if pair is not None and pair[0].samples >= TEAM_MIN_SAMPLES:
+                median, low = pair[0].value, pair[1].value
+                return min(median, max_output), min(low, median, max_output)
+
+        guess = min(DEFAULT_OUTPUT_TOKENS, max_output)
+        return guess, min(guess, 1.0 + guess / 4)
+
+    def learn(self, route: str, team: str, output_tokens: int) -> None:
+        """Learn from one finished request."""
+        for key in ((route, team), (route, "")):
+            pair = self._trackers.get(key)
+            if pair is None:
+                start = max(1.0, float(output_tokens))
+                pair = QuantileTracker(MEDIAN, start), QuantileTracker(OPTIMISTIC, start)
+                self._trackers[key] = pair
+            pair[0].learn(output_tokens)
+            pair[1].learn(output_tokens)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -0,0 +1,155 @@
+"""
+chalkyoke.scheduling.forecast
+
+Which waiting requests would be late, and which of them are given up. The queue is played forward
+over the slots in the order in which it would be granted (list scheduling, Graham 1969).
+"""
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from chalkyoke.scheduling.placement import predict
+from chalkyoke.scheduling.state import Upstream, Waiting
+
+MAX_LOOKAHEAD = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Late:
+    """A waiting request that is predicted to miss its deadline.
+
+    :param late_s: by how much, in seconds.
+    """
+
+    item: Waiting
+    late_s: float
+
+
+class SlotForecast:
+    """When the slots of the upstreams get free, as predicted now.
+
+    :param upstreams: the upstreams that take new work.
+    :param now: seconds on the scheduler's clock.
+    """
+
+    def __init__(self, upstreams: Iterable[Upstream], now: float) -> None:
+        self._now = now
+        self._slots: dict[str, list[float]] = {}
+        for upstream in upstreams:
+            finishes = [max(now, item.expected_finish) for item in upstream.running.values()]
+            free = max(0, upstream.spec.slots - upstream.occupied(now))
+            slots = finishes + [now] * free
+            heapq.heapify(slots)
+            if slots:
+                self._slots[upstream.spec.id] = slots
+
+    def soonest(self, upstreams: Iterable[Upstream]) -> tuple[Upstream, float] | None:
+        """Find the upstream whose next slot gets free first.
+
+        :return: the upstream and the moment, or nothing where none has slots.
+        """
+        best: tuple[Upstream, float] | None = None
+        for upstream in upstreams:
+            slots = self._slots.get(upstream.spec.id)
+            if slots and (best is None or slots[0] < best[1]):
+                best = (upstream, slots[0])
+        return best
+
+    def start(self, upstream: Upstream) -> float:
+        """Give the moment at which an upstream's next slot gets free; infinite where it has none.
+
+        :rtype: float
+        """
+        slots = self._slots.get(upstream.spec.id)
+        return slots[0] if slots else float("inf")
+
+    def take(self, upstream: Upstream, seconds: float) -> None:
+        """Use the next slot of an upstream for some time."""
+        slots = self._slots[upstream.spec.id]
+        heapq.heapreplace(slots, slots[0] + seconds)
+
+
+def find_late(
+    ordered: Iterable[Waiting],
+    eligible: dict[str, list[Upstream]],
+    forecast: SlotForecast,
+    now: float,
+) -> list[Late]:
+    """Play the queue forward and list what would be late.
+
+    A late request takes no slot in the play, so what stands behind it is not blamed for it.
+
+    :param ordered: waiting requests, highest tier first, in the order of their grants.
+    :param eligible: upstreams by route.
+    :param now: seconds on the scheduler's clock.
+    :rtype: list[Late]
+    """
+    late: list[Late] = []
+    for count, item in enumerate(ordered):
+        if count >= MAX_LOOKAHEAD:
+            break
+        upstreams = eligible[item.route]
+        found = forecast.soonest(upstreams)
+        if found is None:
+            continue
+
+        upstream, start = found
+        duration = predict(item, upstream, 0, upstream.spec.slots).finish_s
+        if start + duration > item.deadline:
+            upstream, start, duration = _earliest_finish(item, upstreams, forecast)
+        missed = start + duration - item.deadline
+        if missed <= 0 or (start <= now and _could_start(item, upstream, now)):
+            forecast.take(upstream, duration)
+        else:
+            late.append(Late(item, missed))
+    return late
+
+
+def _earliest_finish(
+    item: Waiting, upstreams: list[Upstream], forecast: SlotForecast
+) -> tuple[Upstream, float, float]:
+    best: tuple[float, Upstream, float, float] | None = None
+    for upstream in upstreams:
+        start = forecast.start(upstream)
+        duration = predict(item, upstream, 0, upstream.spec.slots).finish_s
+        if best is None or start + duration < best[0]:
+            best = (start + duration, upstream, start, duration)
+    assert best is not None
+    return best[1:]
+
+
+def _could_start(item: Waiting, upstream: Upstream, now: float) -> bool:
+    """Tell whether a free slot is there and the deadline can be met with luck."""
+    optimistic = predict(item, upstream, 0, upstream.occupied(now) + 1).optimistic_s
+    return upstream.has_slot(now) and now + optimistic <= item.deadline
+
+
+def may_shed(
+    late: list[Late], waiting: Iterable[Waiting], overlaps: set[tuple[str, str]]
+) -> list[Late]:
+    """Keep, of the late requests, those that may be given up: strictly from the lowest tier up.
+
+    A request may go only when no lower tier has anything left waiting for the same upstreams.
+
+    :param waiting: all waiting requests.
+    :param overlaps: pairs of routes that share an upstream.
+    :return: what may be shed, lowest tier first.
+    """
+    gone = {id(entry.item) for entry in late}
+    left: dict[str, int] = {}
+    for item in waiting:
+        if id(item) not in gone:
+            left[item.route] = max(left.get(item.route, -1), item.rank)
+
+    allowed: list[Late] = []
+    for entry in sorted(late, key=lambda each: -each.item.rank):
+        item = entry.item
+        lowest = max(
+            (rank for route, rank in left.items() if (route, item.route) in overlaps), default=-1
+        )
+        if lowest > item.rank:
+            left[item.route] = max(left.get(item.route, -1), item.rank)
+        else:
+            allowed.append(entry)
+    return allowed
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -0,0 +1,157 @@
+"""
+chalkyoke.scheduling.messages
+
+What entry processes and pool schedulers say to each other. All durations are in seconds, and
+relative, so that no two clocks are ever compared.
+"""
+
+import msgspec
+
+from chalkyoke.outcomes import Reason
+
+
+class Acquire(msgspec.Struct, frozen=True, array_like=True, tag="acquire"):
+    """Ask the scheduler of a pool for an upstream; sent again it changes nothing.
+
+    :param request: id of the request, unique over the fleet.
+    :param attempt: counts the grants that could not be used.
+    :param blocks: chained hashes of the prompt's leading blocks.
+    :param budget_s: time left until the deadline.
+    :param waited_s: time since the request arrived at its entry host.
+    """
+
+    request: str
+    attempt: int
+    pool: str
+    route: str
+    tier: str
+    team: str
+    prompt_tokens: int
+    max_output: int
+    blocks: tuple[int, ...]
+    budget_s: float
+    waited_s: float
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
+    """Allow one dispatch to one upstream.
+
+    :param priority: rank of the tier, for engines that honour priorities; 0 goes first.
+    :param valid_s: after this time an unused grant is void.
+    """
+
+    request: str
+    attempt: int
+    pool: str
+    upstream: str
+    address: str
+    priority: int
+    valid_s: float
+
+
+class Shed(msgspec.Struct, frozen=True, array_like=True, tag="shed"):
+    """Give a request up before it ran."""
+
+    request: str
+    attempt: int
+    pool: str
+    reason: Reason
+    retry_after_s: float | None
+
+
+class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag="withdraw"):
+    """Take a waiting request back."""
+
+    request: str
+    pool: str
+
+
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream did for one request.
+
+    :param cached_tokens: prompt tokens found in the prefix cache; -1 where not told.
+    :param first_s: from dispatch to the first byte; -1 where none came.
+    :param total_s: from dispatch to the end.
+    """
+
+    prompt_tokens: int = 0
+    cached_tokens: int = -1
+    output_tokens: int = 0
+    first_s: float = -1.0
+    total_s: float = 0.0
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
+    """Give a grant back.
+
+    :param outcome: one of :class:`~chalkyoke.scheduling.state.ReleaseOutcome`.
+    """
+
+    request: str
+    attempt: int
+    pool: str
+    outcome: str
+    usage: Usage
+
+
+class ProgressItem(msgspec.Struct, frozen=True, array_like=True):
+    """How far one running request has come."""
+
+    request: str
+    output_tokens: int
+    first_s: float
+    elapsed_s: float
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
+    """How far the running requests of one entry process have come, sent about once a second."""
+
+    pool: str
+    items: tuple[ProgressItem, ...]
+
+
+class RunningItem(msgspec.Struct, frozen=True, array_like=True):
+    """One request that is running, told to a new scheduler."""
+
+    request: str
+    attempt: int
+    upstream: str
+    tier: str
+    team: str
+    route: str
+    prompt_tokens: int
+    max_output: int
+    output_tokens: int
+    elapsed_s: float
+
+
+class Adopt(msgspec.Struct, frozen=True, array_like=True, tag="adopt"):
+    """Tell a new scheduler of a pool what this entry process has running."""
+
+    pool: str
+    items: tuple[RunningItem, ...]
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
+    """What an upstream says of itself; stale by the time it is read.
+
+    :param age_s: how old the figures are at least.
+    :param draining: whether the upstream says that it is leaving.
+    """
+
+    upstream: str
+    running: int
+    waiting: int
+    age_s: float
+    draining: bool = False
+
+
+class CacheEvent(msgspec.Struct, frozen=True, array_like=True, tag="cache"):
+    """Blocks that an engine says it dropped from its prefix cache; late and with gaps."""
+
+    upstream: str
+    dropped: tuple[int, ...]
+
+
+Action = Grant | Shed
+EntryMessage = Acquire | Withdraw | Release | Progress | Adopt
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -0,0 +1,163 @@
+"""
+chalkyoke.scheduling.placement
+
+Which upstream finishes one request first, and whether to wait for a better one. Pure functions
+over explicit state.
+"""
+
+from dataclasses import dataclass
+
+from chalkyoke.scheduling.state import Upstream, Waiting
+
+BLOCK_TOKENS = 256
+HOLD_MARGIN = 0.10
+HOLD_MARGIN_S = 0.02
+CONNECT_S = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """What one upstream would do with one request, in seconds from now.
+
+    :param first_s: until the first output token.
+    :param finish_s: until the last one, with the median output.
+    :param optimistic_s: until the last one, with the optimistic output.
+    """
+
+    first_s: float
+    finish_s: float
+    optimistic_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The decision for one request.
+
+    :param upstream: where it goes now; ``None`` when it is held.
+    :param held_for: the busy upstream that it is held for, if any.
+    """
+
+    upstream: Upstream | None
+    prediction: Prediction | None
+    cached_blocks: int = 0
+    held_for: Upstream | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """Parts of the policy that can be switched off, to measure what each one earns.
+
+    :param hold: wait for a better upstream.
+    :param prefix: count what is left of the prompt after the cached prefix.
+    :param learn: correct speeds and lengths by finished work.
+    :param shed: give up early what would be late.
+    :param fair: fair shares among teams; else earliest deadline over all teams.
+    :param predict: place by predicted finish; else by the fewest running.
+    """
+
+    hold: bool = True
+    prefix: bool = True
+    learn: bool = True
+    shed: bool = True
+    fair: bool = True
+    predict: bool = True
+
+
+def predict(item: Waiting, upstream: Upstream, cached_blocks: int, streams: int) -> Prediction:
+    """Predict one request on one upstream, if it started now.
+
+    :param cached_blocks: leading blocks of its prompt in the upstream's cache.
+    :param streams: streams that run there, this one included.
+    :rtype: Prediction
+    """
+    speed = upstream.speed
+    left = max(1, item.prompt_tokens - cached_blocks * BLOCK_TOKENS)
+    first = CONNECT_S + speed.prefill_time(left + upstream.prefill_backlog())
+    token = speed.token_time(streams)
+    return Prediction(
+        first, first + item.expected_output * token, first + item.optimistic_output * token
+    )
+
+
+def idle_minimum(item: Waiting, upstream: Upstream, cached_blocks: int) -> float:
+    """Predict the least time that one request can take on an idle upstream.
+
+    :return: seconds, with the optimistic output.
+    """
+    left = max(1, item.prompt_tokens - cached_blocks * BLOCK_TOKENS)
+    speed = upstream.speed
+    return speed.prefill_time(left) + item.optimistic_output * speed.token_time(1)
+
+
+def next_slot(upstream: Upstream, now: float, ahead: int) -> float:
+    """Predict when a slot of a busy upstream gets free.
+
+    :param ahead: requests that are already held for the same upstream.
+    :return: seconds from now.
+    """
+    finishes = sorted(item.expected_finish for item in upstream.running.values())
+    if ahead >= len(finishes):
+        return float("inf")
+    return max(0.0, finishes[ahead] - now)
+
+
+def choose(
+    item: Waiting,
+    eligible: list[Upstream],
+    depths: dict[str, int],
+    held: dict[str, int],
+    now: float,
+    features: Features,
+) -> Choice:
+    """Choose the upstream with the smallest predicted finish, or hold the request.
+
+    :param eligible: upstreams that may take it now or when a slot gets free.
+    :param depths: cached leading blocks by upstream.
+    :param held: requests already held, by upstream.
+    :param now: seconds on the scheduler's clock.
+    :rtype: Choice
+    """
+    best: tuple[float, Upstream, Prediction] | None = None
+    busy: list[Upstream] = []
+    for upstream in eligible:
+        if not upstream.has_slot(now):
+            busy.append(upstream)
+            continue
+        occupied = upstream.occupied(now)
+        cached = depths.get(upstream.spec.id, 0)
+        prediction = predict(item, upstream, cached, occupied + 1)
+        score = prediction.finish_s if features.predict else float(occupied)
+        if best is None or score < best[0]:
+            best = (score, upstream, prediction)
+
+    if best is None:
+        return Choice(None, None)
+
+    _, upstream, prediction = best
+    if features.hold and features.predict:
+        better = _worth_waiting_for(item, busy, depths, held, prediction, now)
+        if better is not None:
+            return Choice(None, prediction, held_for=better)
+    return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
+
+
+def _worth_waiting_for(
+    item: Waiting,
+    busy: list[Upstream],
+    depths: dict[str, int],
+    held: dict[str, int],
+    free: Prediction,
+    now: float,
+) -> Upstream | None:
+    """Find the busy upstream that finishes the request clearly sooner, wait included."""
+    limit = free.finish_s * (1.0 - HOLD_MARGIN) - HOLD_MARGIN_S
+    best: tuple[float, Upstream] | None = None
+    for upstream in busy:
+        wait = next_slot(upstream, now, held.get(upstream.spec.id, 0))
+        if wait >= limit:
+            continue
+        cached = depths.get(upstream.spec.id, 0)
+        finish = wait + predict(item, upstream, cached, upstream.spec.slots).finish_s
+        if finish < limit and (best is None or finish < best[0]):
+            best = (finish, upstream)
+    return best[1] if best is not None else None
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -0,0 +1,162 @@
+"""
+chalkyoke.scheduling.queues
+
+Waiting requests by tier and team: tiers strictly, teams by fair shares of measured work, and the
+earliest deadline first inside a team.
+"""
+
+import heapq
+from collections.abc import Iterator
+
+from chalkyoke.scheduling.state import Waiting
+
+PEEK = 4
+
+
+class TeamQueue:
+    """One team's waiting requests of one tier and route, earliest deadline first."""
+
+    __slots__ = ("_heap", "live", "name", "route")
+
+    def __init__(self, name: str, route: str) -> None:
+        self.name = name
+        self.route = route
+        self.live = 0
+        self._heap: list[tuple[float, int, Waiting]] = []
+
+    def push(self, item: Waiting) -> None:
+        """Add a request."""
+        heapq.heappush(self._heap, (item.deadline, item.order, item))
+        self.live += 1
+
+    def discard(self, item: Waiting) -> None:
+        """Take a request out, wherever it stands."""
+        if item.gone:
+            return
+        item.gone = True
+        self.live -= 1
+        while self._heap and self._heap[0][2].gone:
+            heapq.heappop(self._heap)
+        if len(self._heap) > 2 * self.live + 16:
+            self._heap = [entry for entry in self._heap if not entry[2].gone]
+            heapq.heapify(self._heap)
+
+    def front(self) -> list[Waiting]:
+        """List a few requests from the front; the first has the earliest deadline.
+
+        :rtype: list[Waiting]
+        """
+        return [entry[2] for entry in self._heap[:PEEK] if not entry[2].gone]
+
+    def ordered(self) -> list[Waiting]:
+        """List all waiting requests, earliest deadline first.
+
+        :rtype: list[Waiting]
+        """
+        return [entry[2] for entry in sorted(self._heap) if not entry[2].gone]
+
+
+class TierQueue:
+    """The waiting requests of one tier.
+
+    Teams share by start-time fair queueing: the team with the least virtual time goes first, and a
+    grant adds its work divided by the team's weight. Source: Goyal, Vin and Cheng, "Start-time
+    Fair Queueing", 1996.
+    """
+
+    def __init__(self, rank: int) -> None:
+        self.rank = rank
+        self.live = 0
+        self._queues: dict[tuple[str, str], TeamQueue] = {}
+        self._backlog: dict[str, int] = {}
+        self._virtual: dict[str, float] = {}
+        self._floor = 0.0
+
+    def push(self, item: Waiting) -> None:
+        """Add a request; a team that was idle starts level with the others."""
+        if item.team not in self._backlog:
+            level = min((self._virtual[team] for team in self._backlog), default=self._floor)
+            self._virtual[item.team] = max(self._virtual.get(item.team, 0.0), level)
+        self._backlog[item.team] = self._backlog.get(item.team, 0) + 1
+
+        key = (item.team, item.route)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = TeamQueue(item.team, item.route)
+        queue.push(item)
+        self.live += 1
+
+    def discard(self, item: Waiting) -> None:
+        """Take a request out."""
+        if item.gone:
+            return
+        key = (item.team, item.route)
+        queue = self._queues[key]
+        queue.discard(item)
+        self.live -= 1
+        if queue.live == 0:
+            del self._queues[key]
+
+        self._backlog[item.team] -= 1
+        if self._backlog[item.team] == 0:
+            del self._backlog[item.team]
+
+    def charge(self, team: str, work: float, weight: float) -> None:
+        """Add work to a team's share.
+
+        :param work: seconds; negative where less was used than charged before.
+        :param weight: the team's weight.
+        """
+        before = self._virtual.get(team, self._floor)
+        if work > 0:
+            self._floor = max(self._floor, before)
+        self._virtual[team] = max(0.0, before + work / weight)
+
+    def virtual(self, team: str) -> float:
+        """Give a team's virtual time, in seconds of work per weight.
+
+        :rtype: float
+        """
+        return self._virtual.get(team, self._floor)
+
+    def queues(self, fair: bool = True) -> list[TeamQueue]:
+        """List the queues that wait, in the order of their teams' shares.
+
+        :param fair: else in the order of their first deadlines.
+        :rtype: list[TeamQueue]
+        """
+        virtual = self._virtual
+        if fair:
+            key = lambda queue: (virtual[queue.name], queue.name, queue.route)  # noqa: E731
+        else:
+            key = lambda queue: (queue.front()[0].deadline, queue.name, queue.route)  # noqa: E731
+        return sorted(self._queues.values(), key=key)
+
+    def items(self) -> Iterator[Waiting]:
+        """Walk over all waiting requests, team by team."""
+        for queue in self._queues.values():
+            yield from queue.ordered()
+
+    def fair_order(self, weights: dict[str, float]) -> Iterator[Waiting]:
+        """Walk over all waiting requests in the order in which they would be granted.
+
+        The walk charges copies of the virtual times; nothing changes.
+
+        :param weights: weight by team; 1 where a team has none.
+        """
+        virtual = {team: self._virtual[team] for team in self._backlog}
+        queues = {key: queue.ordered() for key, queue in self._queues.items()}
+        heap = [(virtual[key[0]], key, 0) for key in queues]
+        heapq.heapify(heap)
+        while heap:
+            level, key, index = heapq.heappop(heap)
+            team = key[0]
+            if level < virtual[team]:
+                heapq.heappush(heap, (virtual[team], key, index))
+                continue
+
+            item = queues[key][index]
+            yield item
+            virtual[team] += item.work / weights.get(team, 1.0)
+            if index + 1 < len(queues[key]):
+                heapq.heappush(heap, (virtual[team], key, index + 1))
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -0,0 +1,720 @@
+"""
+chalkyoke.scheduling.scheduler
+
+The scheduler of one pool: events with an explicit time go in, grants and refusals come out. It
+decides quality only; that a request runs at most once is kept by its entry process.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from chalkyoke.invariants import require
+from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.estimates import OutputModel, SpeedModel
+from chalkyoke.scheduling.forecast import Late, SlotForecast, find_late, may_shed
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Action,
+    Adopt,
+    CacheEvent,
+    Grant,
+    LoadReport,
+    Progress,
+    ProgressItem,
+    Release,
+    RunningItem,
+    Shed,
+    Usage,
+    Withdraw,
+)
+from chalkyoke.scheduling.placement import (
+    BLOCK_TOKENS,
+    Choice,
+    Features,
+    choose,
+    idle_minimum,
+)
+from chalkyoke.scheduling.prefixes import PrefixIndex
+from chalkyoke.scheduling.queues import TierQueue
+from chalkyoke.scheduling.state import (
+    PoolSpec,
+    ReleaseOutcome,
+    RouteSpec,
+    Running,
+    Upstream,
+    UpstreamSpec,
+    Waiting,
+)
+
+GRANT_VALID_S = 5.0
+SETTLE_S = 0.4
+FORECAST_INTERVAL_S = 0.05
+FORECAST_S_PER_WAITING = 0.0005
+MAX_WAITING = 5000
+MAX_LOOKED = 24
+LOST_RELEASE_S = 3.0
+FOREIGN_VALID_S = 5.0
+FAILURES_TO_SUSPEND = 3
+BACKOFF_S = 0.5
+MAX_BACKOFF_S = 30.0
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 60.0
+NO_UPSTREAM_RETRY_S = 5.0
+
+
+@dataclass(slots=True)
+class Counters:
+    """What the scheduler did, for metrics.
+
+    :param shed: refusals by (reason, rank).
+    """
+
+    granted: int = 0
+    held: int = 0
+    shed: dict[tuple[Reason, int], int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Out:
+    """One action and the entry process that it goes to."""
+
+    entry: str
+    action: Action
+
+
+class PoolScheduler:
+    """Decide for one pool which request goes where, what waits and what is given up.
+
+    :param spec: upstreams, tiers, teams and routes of the pool.
+    :param random: source of numbers in [0, 1), to spread the callers that come back.
+    :param now: seconds on this process's monotonic clock.
+    :param expected: entry processes that will tell what they have running; until all have, or
+        :data:`SETTLE_S` has passed, nothing is granted.
+    :param features: parts of the policy, for ablation.
+
+    Usage::
+
+      >>> scheduler = PoolScheduler(spec, random.random, now=0.0)
+      >>> outs = scheduler.acquire("h1/7", "zone-a", acquire, now=0.1)
+    """
+
+    def __init__(
+        self,
+        spec: PoolSpec,
+        random: Callable[[], float],
+        now: float,
+        expected: Iterable[str] = (),
+        features: Features | None = None,
+    ) -> None:
+        self.spec = spec
+        self.counters = Counters()
+        self.features = features or Features()
+        self._random = random
+        self._upstreams: dict[str, Upstream] = {}
+        self._prefixes = PrefixIndex()
+        self._outputs = OutputModel()
+        self._queues: dict[int, TierQueue] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._counts: dict[tuple[int, str], int] = {}
+        self._running: dict[str, Running] = {}
+        self._team_running: dict[str, int] = {}
+        self._order = 0
+        self._unsettled = set(expected)
+        self._settle_at = now + SETTLE_S
+        self._next_forecast = now
+        self.configure(spec, now)
+
+    # What the shell and the benches may look at.
+
+    @property
+    def waiting(self) -> int:
+        """Count the requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Count the grants that are held."""
+        return len(self._running)
+
+    @property
+    def upstreams(self) -> dict[str, Upstream]:
+        """The upstreams as seen now, by id."""
+        return self._upstreams
+
+    def waiting_items(self) -> list[Waiting]:
+        """List what waits, in no order.
+
+        :rtype: list[Waiting]
+        """
+        return list(self._waiting.values())
+
+    # Events.
+
+    def configure(self, spec: PoolSpec, now: float) -> list[Out]:
+        """Take a new configuration or host list.
+
+        :return: refusals of requests whose route or tier is gone, and new grants.
+        """
+        self.spec = spec
+        self._ranks = {tier.name: tier.rank for tier in spec.tiers}
+        self._weights = {team.name: team.weight for team in spec.teams}
+        self._limits = {team.name: team.max_running for team in spec.teams if team.max_running}
+        self._merge_upstreams(spec.upstreams)
+        self._routes: dict[str, RouteSpec] = {route.name: route for route in spec.routes}
+        self._eligible = {
+            route.name: [
+                self._upstreams[uid] for uid in sorted(route.upstreams) if uid in self._upstreams
+            ]
+            for route in spec.routes
+        }
+        self._overlaps = {
+            (one.name, other.name)
+            for one in spec.routes
+            for other in spec.routes
+            if one.upstreams & other.upstreams
+        }
+        self._set_reference_costs()
+
+        outs: list[Out] = []
+        for item in list(self._waiting.values()):
+            if not self._eligible.get(item.route):
+                outs.append(self._shed(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S))
+        return outs + self._decide(now)
+
+    def acquire(self, entry: str, domain: str, message: Acquire, now: float) -> list[Out]:
+        """Take a request in; the same message again changes nothing.
+
+        :param entry: id of the entry process.
+        :param domain: its failure domain.
+        :rtype: list[Out]
+        """
+        known = self._waiting.get(message.request)
+        if known is not None and known.attempt >= message.attempt:
+            return []
+        held = self._running.get(message.request)
+        if held is not None:
+            if held.attempt >= message.attempt:
+                return [Out(entry, self._grant_message(held))]
+            self._end(held, now)
+        if known is not None:
+            self._remove(known)
+
+        item = self._make_waiting(entry, domain, message, now)
+        refusal = self._refuse_at_arrival(item, now)
+        if refusal is not None:
+            return [refusal]
+        self._add(item)
+        return self._make_room(item, now) + self._decide(now)
+
+    def withdraw(self, message: Withdraw) -> None:
+        """Forget a request that waits."""
+        item = self._waiting.get(message.request)
+        if item is not None:
+            self._remove(item)
+
+    def release(self, domain: str, message: Release, now: float) -> list[Out]:
+        """Take a grant back and learn from it.
+
+        :param domain: failure domain of the entry process.
+        :rtype: list[Out]
+        """
+        item = self._running.get(message.request)
+        if item is None or item.attempt != message.attempt:
+            return []
+
+        outcome = ReleaseOutcome(message.outcome)
+        upstream = self._upstreams.get(item.upstream)
+        if upstream is not None:
+            self._learn_health(upstream, domain, outcome, now)
+            self._learn_usage(item, upstream, outcome, message.usage)
+        self._end(item, now)
+        return self._decide(now)
+
+    def progress(self, entry: str, message: Progress, now: float) -> list[Out]:
+        """Learn how far running work has come, and find releases that were lost.
+
+        :param entry: id of the entry process; the message lists all that it has running here.
+        :rtype: list[Out]
+        """
+        for item in message.items:
+            running = self._running.get(item.request)
+            if running is not None:
+                self._learn_progress(running, item, now)
+
+        listed = {item.request for item in message.items}
+        lost = [
+            running
+            for running in self._running.values()
+            if running.entry == entry
+            and running.request not in listed
+            and now - running.granted > LOST_RELEASE_S
+        ]
+        for running in lost:
+            self._end(running, now)
+        return self._decide(now) if lost else []
+
+    def adopt(self, entry: str, message: Adopt, now: float) -> list[Out]:
+        """Take over what an entry process has running under an earlier scheduler.
+
+        :rtype: list[Out]
+        """
+        for item in message.items:
+            upstream = self._upstreams.get(item.upstream)
+            if upstream is not None and item.request not in self._running:
+                self._start(self._adopted(entry, item, upstream, now), upstream, now)
+        self._unsettled.discard(entry)
+        return self._decide(now)
+
+    def member_gone(self, entry: str, now: float) -> list[Out]:
+        """Drop what a dead entry process had waiting and running.
+
+        :rtype: list[Out]
+        """
+        for waiting in [each for each in self._waiting.values() if each.entry == entry]:
+            self._remove(waiting)
+        for running in [each for each in self._running.values() if each.entry == entry]:
+            self._end(running, now)
+        self._unsettled.discard(entry)
+        return self._decide(now)
+
+    def load_report(self, message: LoadReport, now: float) -> list[Out]:
+        """Learn from what an upstream says of itself: only what cannot be seen from here.
+
+        :rtype: list[Out]
+        """
+        upstream = self._upstreams.get(message.upstream)
+        if upstream is None:
+            return []
+
+        upstream.draining = message.draining
+        own = upstream.most_own_load_since(now - 2 * message.age_s - 1.0)
+        upstream.foreign = max(0, message.running + message.waiting - own)
+        upstream.foreign_until = now + FOREIGN_VALID_S
+        return self._decide(now)
+
+    def cache_event(self, message: CacheEvent) -> None:
+        """Note what an engine dropped from its prefix cache; a hint, late and with gaps."""
+        self._prefixes.drop(message.upstream, message.dropped)
+
+    def tick(self, now: float) -> list[Out]:
+        """Give up what has expired, is hopeless or would be late; call about every 50 ms.
+
+        :rtype: list[Out]
+        """
+        outs = self._expire(now)
+        if self.features.shed and now >= self._next_forecast:
+            pause = max(FORECAST_INTERVAL_S, FORECAST_S_PER_WAITING * len(self._waiting))
+            self._next_forecast = now + pause
+            outs += self._shed_late(now)
+        return outs + self._decide(now)
+
+    # Arrival.
+
+    def _make_waiting(self, entry: str, domain: str, message: Acquire, now: float) -> Waiting:
+        if self.features.learn:
+            expected, low = self._outputs.predict(message.route, message.team, message.max_output)
+        else:
+            expected, low = message.max_output / 2, message.max_output / 8
+        self._order += 1
+        blocks = message.blocks if self.features.prefix else ()
+        return Waiting(
+            request=message.request,
+            attempt=message.attempt,
+            entry=entry,
+            domain=domain,
+            route=message.route,
+            rank=self._ranks.get(message.tier, max(self._ranks.values(), default=0)),
+            team=message.team,
+            prompt_tokens=message.prompt_tokens,
+            max_output=message.max_output,
+            blocks=blocks,
+            arrived=now - message.waited_s,
+            deadline=now + message.budget_s,
+            order=self._order,
+            expected_output=expected,
+            optimistic_output=low,
+            work=self._work(message.prompt_tokens, expected),
+        )
+
+    def _refuse_at_arrival(self, item: Waiting, now: float) -> Out | None:
+        eligible = [each for each in self._eligible.get(item.route, ()) if not each.leaving]
+        if not eligible:
+            return self._refusal(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+        if item.deadline <= now:
+            return self._refusal(item, Reason.EXPIRED, None)
+        if self.features.shed and self._is_hopeless(item, eligible, now):
+            return self._refusal(item, Reason.HOPELESS, None)
+        return None
+
+    def _is_hopeless(self, item: Waiting, eligible: list[Upstream], now: float) -> bool:
+        """Tell whether the deadline could not be met on an idle pool."""
+        depths = self._prefixes.matches(item.blocks)
+        least = min(idle_minimum(item, each, depths.get(each.spec.id, 0)) for each in eligible)
+        return now + least > item.deadline
+
+    def _make_room(self, item: Waiting, now: float) -> list[Out]:
+        """Keep the queue bounded: the lowest tier that shares upstreams gives way."""
+        if len(self._waiting) <= MAX_WAITING:
+            return []
+        sharing = [
+            each for each in self._waiting.values() if (each.route, item.route) in self._overlaps
+        ]
+        victim = max(sharing, key=lambda each: (each.rank, each.deadline, each.order))
+        return [self._shed(victim, Reason.SHED, self._retry_after(victim.deadline - now))]
+
+    # Decisions.
+
+    def _decide(self, now: float) -> list[Out]:
+        """Grant what can go now: tiers strictly, teams by their shares, then deadlines."""
+        if not self._waiting or not self._settled(now):
+            return []
+        outs: list[Out] = []
+        held: dict[str, int] = {}
+        for rank in sorted(self._queues):
+            queue = self._queues[rank]
+            if queue.live:
+                self._decide_tier(queue, held, now, outs)
+        return outs
+
+    def _settled(self, now: float) -> bool:
+        if self._unsettled and now < self._settle_at:
+            return False
+        self._unsettled.clear()
+        return True
+
+    def _decide_tier(
+        self, queue: TierQueue, held: dict[str, int], now: float, outs: list[Out]
+    ) -> None:
+        blocked: set[tuple[str, str]] = set()
+        full: set[str] = set()
+        looked = 0
+        while looked < MAX_LOOKED:
+            granted = False
+            for each in queue.queues(self.features.fair):
+                key = (each.name, each.route)
+                if key in blocked or each.route in full or self._at_limit(each.name):
+                    continue
+                if not any(up.has_slot(now) for up in self._eligible[each.route]):
+                    full.add(each.route)
+                    continue
+                for item in each.front():
+                    looked += 1
+                    if self._try(item, held, now, outs):
+                        granted = True
+                        break
+                if granted:
+                    break
+                blocked.add(key)
+            if not granted:
+                return
+
+    def _at_limit(self, team: str) -> bool:
+        limit = self._limits.get(team)
+        return limit is not None and self._team_running.get(team, 0) >= limit
+
+    def _try(self, item: Waiting, held: dict[str, int], now: float, outs: list[Out]) -> bool:
+        eligible = [each for each in self._eligible[item.route] if each.usable(item.domain, now)]
+        if not eligible:
+            return False
+        depths = self._prefixes.matches(item.blocks)
+        choice = choose(item, eligible, depths, held, now, self.features)
+        if choice.upstream is None:
+            if choice.held_for is not None:
+                name = choice.held_for.spec.id
+                held[name] = held.get(name, 0) + 1
+                self.counters.held += 1
+            return False
+        if self.features.shed and not self._may_start(item, choice, now):
+            return False
+        outs.append(self._grant(item, choice, now))
+        return True
+
+    def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
+        """Tell whether to start a request that may be cut at its deadline."""
+        prediction = choice.prediction
+        assert prediction is not None
+        if now + prediction.finish_s <= item.deadline:
+            return True
+        if now + prediction.optimistic_s > item.deadline:
+            return False
+        alone = self._counts[item.rank, item.route] == 1
+        return alone or self._lower_waits(item)
+
+    def _lower_waits(self, item: Waiting) -> bool:
+        """Tell whether a lower tier waits for some of the same upstreams."""
+        return any(
+            count > 0 and rank > item.rank and (route, item.route) in self._overlaps
+            for (rank, route), count in self._counts.items()
+        )
+
+    def _grant(self, item: Waiting, choice: Choice, now: float) -> Out:
+        upstream, prediction = choice.upstream, choice.prediction
+        assert upstream is not None and prediction is not None
+        require(
+            not upstream.leaving, "a leaving upstream gets no new work", upstream=upstream.spec.id
+        )
+        require(upstream.has_slot(now), "a grant finds a free slot", upstream=upstream.spec.id)
+
+        self._remove(item)
+        cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
+        left = max(1, item.prompt_tokens - cached)
+        work = self._work(left, item.expected_output)
+        self._queues[item.rank].charge(item.team, work, self._weights.get(item.team, 1.0))
+        self._prefixes.insert(upstream.spec.id, item.blocks)
+        running = Running(
+            request=item.request,
+            attempt=item.attempt,
+            entry=item.entry,
+            upstream=upstream.spec.id,
+            route=item.route,
+            rank=item.rank,
+            team=item.team,
+            prompt_tokens=item.prompt_tokens,
+            expected_output=item.expected_output,
+            work=work,
+            granted=now,
+            expected_finish=now + prediction.finish_s,
+            prefill_left=left,
+            expected_first_s=prediction.first_s,
+        )
+        self._start(running, upstream, now)
+        self.counters.granted += 1
+        return Out(item.entry, self._grant_message(running))
+
+    # Giving up.
+
+    def _expire(self, now: float) -> list[Out]:
+        outs: list[Out] = []
+        for item in list(self._waiting.values()):
+            if item.deadline <= now:
+                outs.append(self._shed(item, Reason.EXPIRED, None))
+            elif self.features.shed:
+                eligible = [each for each in self._eligible[item.route] if not each.leaving]
+                if not eligible:
+                    outs.append(self._shed(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S))
+                elif self._is_hopeless(item, eligible, now):
+                    outs.append(self._shed(item, Reason.HOPELESS, None))
+        return outs
+
+    def _shed_late(self, now: float) -> list[Out]:
+        if not self._waiting or not self._settled(now):
+            return []
+        forecast = SlotForecast(
+            (each for each in self._upstreams.values() if each.usable("", now)), now
+        )
+        ordered = (
+            item
+            for rank in sorted(self._queues)
+            for item in self._queues[rank].fair_order(self._weights)
+        )
+        late = find_late(ordered, self._eligible, forecast, now)
+        allowed = may_shed(late, self._waiting.values(), self._overlaps)
+        return self._shed_all(allowed)
+
+    def _shed_all(self, allowed: list[Late]) -> list[Out]:
+        return [
+            self._shed(entry.item, Reason.SHED, self._retry_after(entry.late_s))
+            for entry in allowed
+        ]
+
+    def _shed(self, item: Waiting, reason: Reason, retry_after_s: float | None) -> Out:
+        self._remove(item)
+        if reason is Reason.SHED:
+            require(
+                not self._lower_waits(item),
+                "a higher tier is never shed while a lower one waits for the same upstreams",
+                request=item.request,
+                rank=item.rank,
+            )
+        return self._refusal(item, reason, retry_after_s)
+
+    def _refusal(self, item: Waiting, reason: Reason, retry_after_s: float | None) -> Out:
+        key = (reason, item.rank)
+        self.counters.shed[key] = self.counters.shed.get(key, 0) + 1
+        message = Shed(item.request, item.attempt, self.spec.name, reason, retry_after_s)
+        return Out(item.entry, message)
+
+    def _retry_after(self, late_s: float) -> float:
+        """Say when to come back: after the lateness, spread over as long again."""
+        base = min(MAX_RETRY_S, max(MIN_RETRY_S, late_s))
+        return round(base * (1.0 + self._random()), 2)
+
+    # Learning.
+
+    def _learn_health(
+        self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float
+    ) -> None:
+        if outcome is ReleaseOutcome.DELIVERED:
+            upstream.failures = 0
+            upstream.unreachable_from.pop(domain, None)
+        elif outcome is ReleaseOutcome.UNREACHABLE:
+            upstream.failures += 1
+            backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.failures, 10))
+            upstream.unreachable_from[domain] = now + backoff
+        elif outcome is ReleaseOutcome.FAILED:
+            upstream.failures += 1
+            if upstream.failures >= FAILURES_TO_SUSPEND:
+                excess = min(upstream.failures - FAILURES_TO_SUSPEND, 10)
+                upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
+
+    def _learn_usage(
+        self, item: Running, upstream: Upstream, outcome: ReleaseOutcome, usage: Usage
+    ) -> None:
+        weight = self._weights.get(item.team, 1.0)
+        if outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE):
+            self._queues[item.rank].charge(item.team, -item.work, weight)
+            return
+
+        cached = max(0, usage.cached_tokens)
+        actual = self._work(max(0, item.prompt_tokens - cached), usage.output_tokens)
+        self._queues[item.rank].charge(item.team, actual - item.work, weight)
+        if not self.features.learn:
+            return
+        if usage.first_s > 0 and not item.first_seen:
+            upstream.speed.learn_first(item.expected_first_s, usage.first_s)
+        if outcome is not ReleaseOutcome.DELIVERED:
+            return
+
+        self._outputs.learn(item.route, item.team, usage.output_tokens)
+        seconds = usage.total_s - max(usage.first_s, item.elapsed_s)
+        tokens = usage.output_tokens - max(1, item.output_tokens)
+        if tokens > 0:
+            upstream.speed.learn_tokens(tokens, seconds, len(upstream.running))
+        if usage.cached_tokens >= 0:
+            believed = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
+            found = usage.cached_tokens // BLOCK_TOKENS
+            self._prefixes.correct(upstream.spec.id, int(believed), found)
+
+    def _learn_progress(self, item: Running, seen: ProgressItem, now: float) -> None:
+        upstream = self._upstreams.get(item.upstream)
+        if upstream is None or seen.output_tokens < item.output_tokens:
+            return
+
+        if self.features.learn:
+            if seen.first_s > 0 and not item.first_seen:
+                upstream.speed.learn_first(item.expected_first_s, seen.first_s)
+            elif item.first_seen:
+                tokens = seen.output_tokens - item.output_tokens
+                seconds = seen.elapsed_s - item.elapsed_s
+                upstream.speed.learn_tokens(tokens, seconds, len(upstream.running))
+        item.first_seen = item.first_seen or seen.first_s > 0
+        item.output_tokens = seen.output_tokens
+        item.elapsed_s = seen.elapsed_s
+        item.expected_finish = now + self._remaining_s(item, upstream)
+
+    def _remaining_s(self, item: Running, upstream: Upstream) -> float:
+        """Predict the rest of a running request, in seconds."""
+        left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
+        seconds = left * upstream.speed.token_time(len(upstream.running))
+        if not item.first_seen:
+            seconds += upstream.speed.prefill_time(item.prefill_left)
+        return seconds
+
+    # Book-keeping.
+
+    def _merge_upstreams(self, specs: tuple[UpstreamSpec, ...]) -> None:
+        for spec in specs:
+            known = self._upstreams.get(spec.id)
+            if known is None:
+                speed = SpeedModel(
+                    spec.prefill_tokens_per_s,
+                    spec.decode_tokens_per_s,
+                    spec.batch_slowdown,
+                    spec.slots,
+                )
+                self._upstreams[spec.id] = Upstream(spec, speed)
+            else:
+                known.spec = spec
+            self._prefixes.add_upstream(spec.id, spec.cache_blocks)
+
+        gone = set(self._upstreams) - {spec.id for spec in specs}
+        for name in gone:
+            for item in list(self._upstreams[name].running.values()):
+                self._forget_running(item)
+            del self._upstreams[name]
+            self._prefixes.remove_upstream(name)
+
+    def _set_reference_costs(self) -> None:
+        """Price work alike for all upstreams, so that shares do not hang on who ran it."""
+        specs = self.spec.upstreams
+        count = max(1, len(specs))
+        self._prefill_cost = sum(1 / spec.prefill_tokens_per_s for spec in specs) / count
+        self._decode_cost = sum(1 / spec.decode_tokens_per_s for spec in specs) / count
+
+    def _work(self, prompt_tokens: float, output_tokens: float) -> float:
+        return prompt_tokens * self._prefill_cost + output_tokens * self._decode_cost
+
+    def _add(self, item: Waiting) -> None:
+        queue = self._queues.get(item.rank)
+        if queue is None:
+            queue = self._queues[item.rank] = TierQueue(item.rank)
+        queue.push(item)
+        self._waiting[item.request] = item
+        key = (item.rank, item.route)
+        self._counts[key] = self._counts.get(key, 0) + 1
+
+    def _remove(self, item: Waiting) -> None:
+        if self._waiting.get(item.request) is not item:
+            return
+        del self._waiting[item.request]
+        self._queues[item.rank].discard(item)
+        self._counts[item.rank, item.route] -= 1
+
+    def _start(self, item: Running, upstream: Upstream, now: float) -> None:
+        require(
+            item.request not in self._running, "a request holds one grant", request=item.request
+        )
+        self._running[item.request] = item
+        upstream.running[item.request] = item
+        upstream.note_own_load(now)
+        self._team_running[item.team] = self._team_running.get(item.team, 0) + 1
+
+    def _end(self, item: Running, now: float) -> None:
+        self._forget_running(item)
+        upstream = self._upstreams.get(item.upstream)
+        if upstream is not None:
+            upstream.note_own_load(now)
+
+    def _forget_running(self, item: Running) -> None:
+        del self._running[item.request]
+        self._upstreams[item.upstream].running.pop(item.request, None)
+        self._team_running[item.team] -= 1
+        if self._team_running[item.team] == 0:
+            del self._team_running[item.team]
+
+    def _grant_message(self, item: Running) -> Grant:
+        address = self._upstreams[item.upstream].spec.address
+        return Grant(
+            item.request,
+            item.attempt,
+            self.spec.name,
+            item.upstream,
+            address,
+            item.rank,
+            GRANT_VALID_S,
+        )
+
+    def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
+        rank = self._ranks.get(item.tier, max(self._ranks.values(), default=0))
+        expected, _ = self._outputs.predict(item.route, item.team, item.max_output)
+        self._queues.setdefault(rank, TierQueue(rank))
+        running = Running(
+            request=item.request,
+            attempt=item.attempt,
+            entry=entry,
+            upstream=item.upstream,
+            route=item.route,
+            rank=rank,
+            team=item.team,
+            prompt_tokens=item.prompt_tokens,
+            expected_output=expected,
+            work=self._work(item.prompt_tokens, expected),
+            granted=now,
+            expected_finish=now,
+            prefill_left=item.prompt_tokens,
+            first_seen=item.output_tokens > 0,
+            output_tokens=item.output_tokens,
+            elapsed_s=item.elapsed_s,
+        )
+        running.expected_finish = now + self._remaining_s(running, upstream)
+        return running
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -0,0 +1,204 @@
+"""
+chalkyoke.scheduling.state
+
+What the scheduler of one pool knows: its upstreams, what waits and what runs.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from chalkyoke.scheduling.estimates import SpeedModel
+
+OWN_LOAD_MEMORY_S = 15.0
+
+
+class ReleaseOutcome(StrEnum):
+    """How a grant ended."""
+
+    DELIVERED = "delivered"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNREACHABLE = "unreachable"
+    UNUSED = "unused"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSpec:
+    """What configuration and host list say of one upstream.
+
+    :param slots: how many requests it runs at once.
+    :param prefill_tokens_per_s: first guess, until work has been measured.
+    :param decode_tokens_per_s: first guess for a single stream.
+    :param batch_slowdown: first guess: how many times slower a stream is when all slots run.
+    :param cache_blocks: prompt blocks that its prefix cache holds.
+    """
+
+    id: str
+    address: str
+    failure_domain: str
+    slots: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    batch_slowdown: float = 1.5
+    cache_blocks: int = 0
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TierSpec:
+    """One tier; rank 0 is the highest."""
+
+    name: str
+    rank: int
+
+
+@dataclass(frozen=True, slots=True)
+class TeamSpec:
+    """One team's share and limit in a pool.
+
+    :param weight: share against the other teams of the same tier.
+    :param max_running: grants held at once; 0 is no limit.
+    """
+
+    name: str
+    weight: float = 1.0
+    max_running: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteSpec:
+    """One route and the upstreams that its selector matches."""
+
+    name: str
+    upstreams: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSpec:
+    """All that configuration and host list say of one pool."""
+
+    name: str
+    upstreams: tuple[UpstreamSpec, ...] = ()
+    tiers: tuple[TierSpec, ...] = ()
+    teams: tuple[TeamSpec, ...] = ()
+    routes: tuple[RouteSpec, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """One request that waits for a grant.
+
+    :param deadline: on the scheduler's own clock.
+    :param expected_output: output tokens, the learned median.
+    :param optimistic_output: output tokens, a low quantile.
+    :param work: seconds that it is expected to take on a typical upstream; its fair-share cost.
+    """
+
+    request: str
+    attempt: int
+    entry: str
+    domain: str
+    route: str
+    rank: int
+    team: str
+    prompt_tokens: int
+    max_output: int
+    blocks: tuple[int, ...]
+    arrived: float
+    deadline: float
+    order: int
+    expected_output: float
+    optimistic_output: float
+    work: float
+    gone: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Running:
+    """One request that holds a grant."""
+
+    request: str
+    attempt: int
+    entry: str
+    upstream: str
+    route: str
+    rank: int
+    team: str
+    prompt_tokens: int
+    expected_output: float
+    work: float
+    granted: float
+    expected_finish: float
+    prefill_left: float
+    expected_first_s: float = 0.0
+    first_seen: bool = False
+    output_tokens: int = 0
+    elapsed_s: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """One upstream as the scheduler sees it now."""
+
+    spec: UpstreamSpec
+    speed: SpeedModel
+    running: dict[str, Running] = field(default_factory=dict)
+    draining: bool = False
+    foreign: int = 0
+    foreign_until: float = 0.0
+    failures: int = 0
+    suspended_until: float = 0.0
+    unreachable_from: dict[str, float] = field(default_factory=dict)
+    own_load: deque[tuple[float, int]] = field(default_factory=deque)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any signal says that it gets no new work."""
+        return self.spec.leaving or self.draining
+
+    def occupied(self, now: float) -> int:
+        """Count the slots in use: granted here, and seen in load reports from elsewhere.
+
+        :rtype: int
+        """
+        foreign = self.foreign if now < self.foreign_until else 0
+        return len(self.running) + foreign
+
+    def has_slot(self, now: float) -> bool:
+        """Tell whether a grant would find a free slot.
+
+        :rtype: bool
+        """
+        return self.occupied(now) < self.spec.slots
+
+    def usable(self, domain: str, now: float) -> bool:
+        """Tell whether an entry process of a failure domain may be sent here.
+
+        :rtype: bool
+        """
+        if self.leaving or now < self.suspended_until:
+            return False
+        return now >= self.unreachable_from.get(domain, 0.0)
+
+    def note_own_load(self, now: float) -> None:
+        """Remember how much was granted here, to tell it apart in lagged reports."""
+        self.own_load.append((now, len(self.running)))
+        while self.own_load and self.own_load[0][0] < now - OWN_LOAD_MEMORY_S:
+            self.own_load.popleft()
+
+    def most_own_load_since(self, since: float) -> int:
+        """Give the highest number of grants held at any time since a moment.
+
+        :rtype: int
+        """
+        recent = [count for at, count in self.own_load if at >= since]
+        before = [count for at, count in self.own_load if at < since]
+        return max([*recent, *before[-1:], len(self.running)])
+
+    def prefill_backlog(self) -> float:
+        """Sum the prompt tokens that are granted and not yet read.
+
+        :return: tokens.
+        """
+        return sum(item.prefill_left for item in self.running.values() if not item.first_seen)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -0,0 +1,223 @@
+"""
+chalkyoke.settings
+
+The settings of one node: a TOML file, overridden by the environment, checked as a whole.
+"""
+
+import difflib
+import ipaddress
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+from chalkyoke.exceptions import SettingsError
+
+ENVIRONMENT_PREFIX = "CHALKYOKE_"
+NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
+SHA256 = re.compile(r"^[0-9a-f]{64}$")
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSection(_Section):
+    """Who this node is."""
+
+    host: str
+    failure_domain: str
+
+    @field_validator("host", "failure_domain")
+    @classmethod
+    def _check_name(cls, name: str) -> str:
+        if not NAME.match(name):
+            raise ValueError("use lower case letters, digits and '-'")
+        return name
+
+
+def _check_address(address: str) -> str:
+    ip, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        raise ValueError("write an IPv4 number and a port, for example 10.0.0.7:8080") from None
+    if not port.isdigit() or not 1 <= int(port) <= 65_535:
+        raise ValueError("the port is a number from 1 to 65535")
+    return address
+
+
+class ListenSection(_Section):
+    """Addresses that this node listens on, as ``ip:port``."""
+
+    callers: str
+    links: str
+    administration: str
+
+    @field_validator("callers", "links", "administration")
+    @classmethod
+    def _check(cls, address: str) -> str:
+        return _check_address(address)
+
+
+class PlatformSection(_Section):
+    """Where the platform's services are."""
+
+    store_url: str = Field(pattern=r"^https?://")
+    hosts_url: str = Field(pattern=r"^https?://")
+
+
+class FleetSection(_Section):
+    """What all nodes of the fleet share."""
+
+    key_hex: str
+
+    @field_validator("key_hex")
+    @classmethod
+    def _check_key(cls, text: str) -> str:
+        try:
+            key = bytes.fromhex(text)
+        except ValueError:
+            raise ValueError("write the key in hexadecimal") from None
+        if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+            raise ValueError(f"the key has {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes")
+        return text
+
+    @property
+    def key(self) -> bytes:
+        """The fleet's key as bytes."""
+        return bytes.fromhex(self.key_hex)
+
+
+class AdministrationSection(_Section):
+    """Hashes (SHA-256, hexadecimal) of the operators' tokens, by role."""
+
+    view_sha256: list[str] = []
+    operate_sha256: list[str] = []
+
+    @field_validator("view_sha256", "operate_sha256")
+    @classmethod
+    def _check(cls, hashes: list[str]) -> list[str]:
+        for each in hashes:
+            if not SHA256.match(each):
+                raise ValueError("a hash is 64 lower case hexadecimal digits")
+        return hashes
+
+
+class TimingSection(_Section):
+    """How often things are done."""
+
+    heartbeat_interval_s: float = Field(default=0.25, ge=0.05, le=5)
+    hosts_interval_s: float = Field(default=1.0, ge=0.1, le=60)
+    watch_wait_s: float = Field(default=5.0, ge=0.5, le=60)
+    load_interval_s: float = Field(default=1.0, ge=0.1, le=60)
+
+
+class LimitsSection(_Section):
+    """Bounds of what this node keeps."""
+
+    token_lifetime_s: float = Field(default=900.0, ge=1, le=86_400)
+    tokens_kept: int = Field(default=100_000, ge=100)
+
+
+class TlsSection(_Section):
+    """Certificate and key files; empty is plain HTTP."""
+
+    callers_certificate: str = ""
+    callers_key: str = ""
+    administration_certificate: str = ""
+    administration_key: str = ""
+
+
+class LogsSection(_Section):
+    """How lines are logged."""
+
+    form: Literal["plain", "json"] = "plain"
+    level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = "INFO"
+
+
+class Settings(_Section):
+    """All settings of one node."""
+
+    node: NodeSection
+    listen: ListenSection
+    platform: PlatformSection
+    fleet: FleetSection
+    administration: AdministrationSection = AdministrationSection()
+    timing: TimingSection = TimingSection()
+    limits: LimitsSection = LimitsSection()
+    tls: TlsSection = TlsSection()
+    logs: LogsSection = LogsSection()
+
+
+def load(path: Path, environment: Mapping[str, str]) -> Settings:
+    """Read the settings of a node.
+
+    :param path: the TOML file.
+    :param environment: ``CHALKYOKE_SECTION__KEY`` overrides ``key`` of ``[section]``.
+    :raises SettingsError: with every mistake at once.
+
+    Usage::
+
+      >>> settings = load(Path("node.toml"), os.environ)
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: is no TOML: {error}"]) from error
+    problems = list(_override(document, environment))
+    return _check(document, problems)
+
+
+def _check(document: dict[str, Any], problems: list[str]) -> Settings:
+    try:
+        settings = Settings.model_validate(document)
+    except ValidationError as error:
+        problems += [
+            _word(item["loc"], item["type"], item["msg"])
+            for each in [error]
+            for item in each.errors()
+        ]
+        raise SettingsError(problems) from None
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def _override(document: dict[str, Any], environment: Mapping[str, str]) -> Iterator[str]:
+    """Put values of the environment over the file's; yield those that fit nowhere."""
+    for name, value in sorted(environment.items()):
+        section, separator, key = name.removeprefix(ENVIRONMENT_PREFIX).lower().partition("__")
+        if not name.startswith(ENVIRONMENT_PREFIX) or not separator:
+            continue
+        model = Settings.model_fields.get(section)
+        if model is None:
+            yield f"{name} (environment): unknown section {section!r}{_nearest(section, Settings)}"
+            continue
+        table = document.setdefault(section, {})
+        if isinstance(table, dict):
+            table[key] = value.split(",") if key.endswith("_sha256") else value
+
+
+def _word(location: tuple[int | str, ...], kind: str, message: str) -> str:
+    path = ".".join(str(part) for part in location)
+    if kind != "extra_forbidden":
+        return f"{path}: {message.removeprefix('Value error, ')}"
+    model: type[BaseModel] = Settings
+    for part in location[:-1]:
+        annotation = model.model_fields[str(part)].annotation
+        if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+            model = annotation
+    return f"{path}: unknown{_nearest(str(location[-1]), model)}"
+
+
+def _nearest(name: str, model: type[BaseModel]) -> str:
+    close = difflib.get_close_matches(name, model.model_fields, n=1, cutoff=0.5)
+    return f"; did you mean {close[0]!r}?" if close else ""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/tokens/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.tokens
+
+Request tokens and their one-way life.
+"""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/tokens/ledger.py
@@ -0,0 +1,170 @@
+"""
+chalkyoke.tokens.ledger
+
+The issuer's record of its own tokens: the one place that decides whether a request may be
+dispatched. It needs no lease, no store and no clock but its own.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from chalkyoke.invariants import require
+from chalkyoke.tokens.messages import Token, TokenProblem
+from chalkyoke.tokens.state import ALLOWED_MOVES, FINAL_STATES, TokenState
+
+DEFAULT_LIFETIME_S = 900.0
+DEFAULT_CAPACITY = 100_000
+
+
+@dataclass(slots=True)
+class Record:
+    """What the issuer knows of one token that was used.
+
+    :param digest: hash of the request that first used it; another request is not served.
+    :param dispatches: how often bytes may have left for an upstream; never above one.
+    """
+
+    token: Token
+    digest: bytes
+    state: TokenState = TokenState.ISSUED
+    dispatches: int = 0
+
+
+class TokenLedger:
+    """Issue tokens and move them one way.
+
+    An unspent token costs no memory: a sequence number below the next one that has no record is
+    still ``issued``. A used one is kept until it expires, and an expired one stays refused even
+    when the clock steps back.
+
+    :param host: id of this host.
+    :param address: ``ip:port`` of this host's link listener.
+    :param incarnation: random number of this process.
+    :param lifetime_s: how long a token can be used, in seconds.
+    :param capacity: how many used tokens are kept at most.
+
+    Usage::
+
+      >>> ledger = TokenLedger("h1", "127.0.0.1:7000", incarnation=7)
+      >>> token = ledger.issue(now=0.0)
+      >>> ledger.admit(token, b"digest", now=1.0).is_ok()
+      True
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        incarnation: int,
+        lifetime_s: float = DEFAULT_LIFETIME_S,
+        capacity: int = DEFAULT_CAPACITY,
+    ) -> None:
+        self.host = host
+        self.address = address
+        self.incarnation = incarnation
+        self.lifetime_s = lifetime_s
+        self._capacity = capacity
+        self._next = 1
+        self._records: OrderedDict[int, Record] = OrderedDict()
+        self._expired_up_to_ms = -1
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def issue(self, now: float) -> Token:
+        """Issue a token.
+
+        :param now: seconds on the monotonic clock since this process started.
+        :rtype: Token
+        """
+        sequence = self._next
+        self._next += 1
+        expires_ms = int((now + self.lifetime_s) * 1000)
+        return Token(self.host, self.address, self.incarnation, sequence, expires_ms)
+
+    def is_ours(self, token: Token) -> bool:
+        """Tell whether this process issued a token, and nobody else may run it.
+
+        :rtype: bool
+        """
+        return token.host == self.host and token.incarnation == self.incarnation
+
+    def admit(self, token: Token, digest: bytes, now: float) -> Result[Record, TokenProblem]:
+        """Find the record of a token, or make one at its first use.
+
+        :param digest: hash of the request that comes with it.
+        :param now: seconds on the monotonic clock since this process started.
+        :return: the record, or why the token is not taken; then nothing has changed.
+        """
+        if not self.is_ours(token):
+            return Err(TokenProblem.OTHER_INCARNATION)
+        if token.sequence >= self._next:
+            return Err(TokenProblem.NEVER_ISSUED)
+
+        known = self._records.get(token.sequence)
+        if known is not None:
+            return Ok(known) if known.digest == digest else Err(TokenProblem.OTHER_REQUEST)
+        if token.expires_ms <= max(int(now * 1000), self._expired_up_to_ms):
+            return Err(TokenProblem.EXPIRED)
+        if len(self._records) >= self._capacity:
+            return Err(TokenProblem.LEDGER_FULL)
+
+        record = Record(token, digest)
+        self._records[token.sequence] = record
+        return Ok(record)
+
+    def move(self, record: Record, state: TokenState) -> None:
+        """Move a token to its next state.
+
+        :param state: the new state.
+        :raises InvariantBroken: when the move is not one of :data:`ALLOWED_MOVES`, or would be a
+            second dispatch.
+        """
+        require(
+            state in ALLOWED_MOVES[record.state],
+            "a token moves one way",
+            sequence=record.token.sequence,
+            held=record.state,
+            asked=state,
+        )
+        if state is TokenState.DISPATCHED:
+            record.dispatches += 1
+            require(
+                record.dispatches == 1,
+                "a request is dispatched at most once",
+                sequence=record.token.sequence,
+            )
+        record.state = state
+
+    def told_not_run(self, record: Record) -> None:
+        """Check, before a caller is told "not run", that it is true and stays true.
+
+        :raises InvariantBroken: when bytes may have left, or the token could still run.
+        """
+        require(
+            record.dispatches == 0 and record.state is TokenState.REFUSED,
+            "a caller that is told 'not run' had no dispatch and can have none later",
+            sequence=record.token.sequence,
+            state=record.state,
+            dispatches=record.dispatches,
+        )
+
+    def expire(self, now: float) -> list[Record]:
+        """Forget the final records whose tokens have expired.
+
+        :param now: seconds on the monotonic clock since this process started.
+        :return: the records that were forgotten.
+        """
+        now_ms = int(now * 1000)
+        forgotten: list[Record] = []
+        for sequence, record in list(self._records.items()):
+            if record.token.expires_ms > now_ms:
+                break
+            if record.state in FINAL_STATES:
+                forgotten.append(self._records.pop(sequence))
+
+        for record in forgotten:
+            self._expired_up_to_ms = max(self._expired_up_to_ms, record.token.expires_ms)
+        return forgotten
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/tokens/state.py
@@ -0,0 +1,30 @@
+"""
+chalkyoke.tokens.state
+
+The states of a request token, and the only moves allowed between them.
+"""
+
+from enum import StrEnum
+
+
+class TokenState(StrEnum):
+    """Where a token stands; it moves one way only."""
+
+    ISSUED = "issued"
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+ALLOWED_MOVES: dict[TokenState, frozenset[TokenState]] = {
+    TokenState.ISSUED: frozenset({TokenState.QUEUED, TokenState.REFUSED}),
+    TokenState.QUEUED: frozenset({TokenState.DISPATCHED, TokenState.REFUSED}),
+    TokenState.DISPATCHED: frozenset({TokenState.ANSWERED, TokenState.FAILED}),
+    TokenState.ANSWERED: frozenset(),
+    TokenState.FAILED: frozenset(),
+    TokenState.REFUSED: frozenset(),
+}
+
+FINAL_STATES = frozenset(state for state, moves in ALLOWED_MOVES.items() if not moves)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/__init__.py
@@ -0,0 +1,5 @@
+"""
+chalkyoke.upstreams
+
+Adapters for model engines and plain services.
+"""
