--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -0,0 +1,181 @@
+"""
+chalkyoke.upstreams.client
+
+Calls on model engines and plain services over HTTP. The permission to dispatch is taken once a
+connection stands and before the first byte is written, so a failed connect is no dispatch.
+"""
+
+import socket
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import aiohttp
+import msgspec
+
+from chalkyoke.exceptions import ChalkyokeError
+from chalkyoke.scheduling.messages import CacheEvent, LoadReport
+from chalkyoke.upstreams.messages import (
+    CallOutcome,
+    Declined,
+    NoAnswer,
+    NotConnected,
+    NotPermitted,
+    Opened,
+)
+
+CONNECT_S = 1.0
+PROBE_S = 1.0
+KEEP_ALIVE_S = 10.0
+MAX_DECLINE_BYTES = 2_000
+REQUEST_ID = "X-Request-Id"
+
+Gate = Callable[[], bool]
+
+
+class _GateShut(ChalkyokeError):
+    """The gate refused the dispatch on a connection that was ready."""
+
+
+async def _take_permission(
+    _session: aiohttp.ClientSession, context: SimpleNamespace, _params: object
+) -> None:
+    gate: Gate | None = context.trace_request_ctx
+    if gate is not None and not gate():
+        raise _GateShut
+
+
+def dispatch_trace() -> aiohttp.TraceConfig:
+    """Make the trace that asks a call's gate before its first byte.
+
+    :rtype: aiohttp.TraceConfig
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_take_permission)
+    trace.on_connection_reuseconn.append(_take_permission)
+    return trace
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Make the HTTP session for upstreams.
+
+    :rtype: aiohttp.ClientSession
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False, family=socket.AF_INET
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        trace_configs=[dispatch_trace()],
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+        auto_decompress=False,
+    )
+
+
+class _LoadBody(msgspec.Struct):
+    running: int
+    waiting: int = 0
+    age_s: float = 0.0
+    draining: bool = False
+    cache_dropped: list[int] = []
+
+
+class UpstreamClient:
+    """Call upstreams.
+
+    :param session: from :func:`make_session`.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def post(
+        self, address: str, path: str, body: bytes, headers: dict[str, str], gate: Gate
+    ) -> CallOutcome:
+        """Dispatch one request.
+
+        :param gate: asked once, right before the first byte.
+        :rtype: CallOutcome
+        """
+        asked = False
+
+        def ask() -> bool:
+            nonlocal asked
+            asked = gate()
+            return asked
+
+        try:
+            response = await self._session.post(
+                f"http://{address}{path}",
+                data=body,
+                headers=headers,
+                trace_request_ctx=ask,
+                allow_redirects=False,
+            )
+        except _GateShut:
+            return NotPermitted()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return NoAnswer(_word(error)) if asked else NotConnected(_word(error))
+        return await self._sort(response)
+
+    async def resume(self, address: str, path: str, request: str, offset: int) -> CallOutcome:
+        """Go on reading a stream whose connection broke; never a dispatch.
+
+        :param offset: events that have come already.
+        :rtype: CallOutcome
+        """
+        try:
+            response = await self._session.get(
+                f"http://{address}{path}/{request}/events", params={"offset": str(offset)}
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return NotConnected(_word(error))
+        return await self._sort(response)
+
+    async def cancel(self, address: str, path: str, request: str) -> None:
+        """Tell an engine that nobody waits for a request any more."""
+        try:
+            async with self._session.delete(
+                f"http://{address}{path}/{request}",
+                timeout=aiohttp.ClientTimeout(total=PROBE_S),
+            ):
+                pass
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def load(self, upstream: str, address: str) -> tuple[LoadReport, CacheEvent] | None:
+        """Ask an upstream for its load report and cache events.
+
+        :return: both, or nothing where it did not answer.
+        """
+        try:
+            async with self._session.get(
+                f"http://{address}/load", timeout=aiohttp.ClientTimeout(total=PROBE_S)
+            ) as response:
+                if response.status != 200:
+                    return None
+                body = msgspec.json.decode(await response.read(), type=_LoadBody)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            return None
+        report = LoadReport(upstream, body.running, body.waiting, body.age_s, body.draining)
+        return report, CacheEvent(upstream, tuple(body.cache_dropped))
+
+    async def _sort(self, response: aiohttp.ClientResponse) -> CallOutcome:
+        if response.status < 500 and response.status not in (408, 429):
+            return Opened(response)
+        try:
+            text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
+        except (aiohttp.ClientError, OSError):
+            text = ""
+        response.release()
+        return Declined(response.status, text.strip(), _seconds(response))
+
+
+def _seconds(response: aiohttp.ClientResponse) -> float | None:
+    try:
+        return float(response.headers["Retry-After"])
+    except (KeyError, ValueError):
+        return None
+
+
+def _word(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"[:200]
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/messages.py
@@ -0,0 +1,50 @@
+"""
+chalkyoke.upstreams.messages
+
+What can come of a call on an upstream, as values.
+"""
+
+from dataclasses import dataclass
+
+import aiohttp
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The upstream answers; the body is still to be read."""
+
+    response: aiohttp.ClientResponse
+
+
+@dataclass(frozen=True, slots=True)
+class NotConnected:
+    """No connection came about, so not one byte has left."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotPermitted:
+    """The gate stayed shut: the run had ended or its deadline had passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """Bytes may have left, and nothing came back."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The upstream itself answered that it does not do it.
+
+    :param retry_after_s: what the upstream said, in seconds.
+    """
+
+    status: int
+    detail: str
+    retry_after_s: float | None
+
+
+CallOutcome = Opened | NotConnected | NotPermitted | NoAnswer | Declined
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,158 @@
+"""
+scripts.demo
+
+Start a fleet on loopback addresses, send a few dozen requests, kill a node in the middle, and
+print what each caller got.
+"""
+
+import argparse
+import asyncio
+import collections
+import random
+import signal
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from chalkyoke_fakes.caller import Caller, Reply, Told
+from chalkyoke_fakes.fleet import LocalFleet
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+REQUESTS = 48
+KILL_AFTER = 20
+SEED = 7
+PROMPT_TOKENS = (40, 200, 800, 4000)
+ARRIVAL_S = 0.12
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(self, fleet: LocalFleet, plan: dict[str, Any], session: aiohttp.ClientSession):
+        self.fleet = fleet
+        self.plan = plan
+        self.session = session
+        self.random = random.Random(SEED)
+        self.told: collections.Counter[Told] = collections.Counter()
+        self.wrong: list[str] = []
+        self.alive = list(fleet.nodes)
+
+    async def run(self) -> None:
+        """Send all requests, with a kill in the middle."""
+        tasks = []
+        for number in range(REQUESTS):
+            tasks.append(asyncio.create_task(self.send(number)))
+            await asyncio.sleep(ARRIVAL_S)
+            if number == KILL_AFTER:
+                self.kill()
+        await asyncio.gather(*tasks)
+        await self.check()
+
+    def kill(self) -> None:
+        """Kill the node that schedules nothing less than the others: the last one."""
+        victim = self.alive.pop()
+        print(f"-- killing {victim} (SIGKILL)", flush=True)
+        self.fleet.nodes[victim].send(signal.SIGKILL)
+
+    async def send(self, number: int) -> None:
+        """Send one request, and a retry with the same token where a node died on it."""
+        spec = self.plan["caller"][number % len(self.plan["caller"])]
+        caller = Caller(self.session, spec["key"])
+        host = self.random.choice(self.alive)
+        plain = number % 3 == 2
+        size = self.random.choice(PROMPT_TOKENS)
+        headers = {"Chalkyoke_Tier": spec["tier"]}
+        if "labels" in spec:
+            headers["Chalkyoke_Labels"] = spec["labels"]
+        address = self.fleet.nodes[host].address
+        try:
+            headers["Chalkyoke_Token"] = await caller.take_token(address)
+        except aiohttp.ClientError:
+            host = self.random.choice(self.alive)
+            address = self.fleet.nodes[host].address
+            headers["Chalkyoke_Token"] = await caller.take_token(address)
+        reply = await self._post(caller, address, number, plain, size, headers)
+        if reply.told is Told.NOTHING:
+            other = self.random.choice(self.alive)
+            print(f"#{number:02d} {host} gave no answer; asking {other} with the same token")
+            address = self.fleet.nodes[other].address
+            reply = await self._post(caller, address, number, plain, size, headers)
+        self.note(number, spec, host, plain, size, reply)
+
+    async def _post(
+        self,
+        caller: Caller,
+        address: str,
+        number: int,
+        plain: bool,
+        size: int,
+        headers: dict[str, str],
+    ) -> Reply:
+        if plain:
+            body = f'{{"hold": {number}}}'.encode()
+            return await caller.call(address, self.plan["plain"], body, **headers)
+        head = self.plan["head"] * 40
+        prompt = (head + f"Case {number}. " + "detail " * size)[: size * 4]
+        body_json = {
+            "model": self.plan["service"],
+            "prompt": prompt,
+            "max_tokens": max(16, size // 8),
+            "stream": number % 2 == 0,
+        }
+        return await caller.complete(address, body_json, **headers)
+
+    def note(
+        self, number: int, spec: dict[str, Any], host: str, plain: bool, size: int, reply: Reply
+    ) -> None:
+        """Print and count what a caller got."""
+        self.told[reply.told] += 1
+        kind = self.plan["plain"] if plain else f"{self.plan['service']} ({size} tokens)"
+        why = f" {reply.reason}" if reply.told is not Told.WHOLE else ""
+        print(
+            f"#{number:02d} {spec['tier']:>8} {kind:<22} by {host}: {reply.told}{why}"
+            f" in {reply.total_s:.2f} s",
+            flush=True,
+        )
+        if reply.told in (Told.BAD, Told.NOTHING):
+            self.wrong.append(f"#{number} was not accounted for: {reply.told} {reply.reason}")
+        if reply.told is Told.NOT_RUN:
+            self.wrong += [f"#{number}" for _ in ()]
+
+    async def check(self) -> None:
+        """Compare what callers were told with what the upstreams counted."""
+        counts = await self.fleet.counts()
+        seen: collections.Counter[str] = collections.Counter()
+        for each in counts.values():
+            seen.update(each["seen"])
+        doubled = sum(1 for count in seen.values() if count > 1)
+        sent = sum(self.told.values())
+        print(
+            f"demo: {sent} sent, {self.told[Told.WHOLE]} whole, {self.told[Told.NOT_RUN]} not run, "
+            f"{self.told[Told.FAILED]} failed, {self.told[Told.UNKNOWN]} unknown, {doubled} doubled"
+        )
+        if doubled or sent != REQUESTS or self.wrong:
+            print("\n".join(self.wrong))
+            sys.exit(1)
+
+
+async def main(name: str) -> None:
+    folder = EXAMPLES / name
+    if not folder.is_dir():
+        sys.exit(f"there is no example fleet {name!r}")
+    plan = tomllib.loads((folder / "demo.toml").read_text(encoding="utf-8"))
+    with tempfile.TemporaryDirectory(prefix="chalkyoke-demo-") as temporary:
+        fleet = LocalFleet(Path(temporary), folder / "platform.toml", folder / "fleet.toml")
+        async with fleet, aiohttp.ClientSession() as session:
+            print(
+                f"-- {name}: {len(fleet.nodes)} nodes, {len(fleet.upstreams)} upstreams", flush=True
+            )
+            await Demo(fleet, plan, session).run()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--fleet", default="norrspar")
+    asyncio.run(main(parser.parse_args().fleet))
