--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -57,14 +57,14 @@
     """Start, fault and end a fleet.
 
     :param folder: where settings and logs go.
-    :param platform: TOML file that lists engines, plain services and entry hosts.
-    :param resources: TOML file of the fleet's configuration.
+    :param platform: engines, plain services and entry hosts.
+    :param resources: the fleet's configuration.
     """
 
-    def __init__(self, folder: Path, platform: Path, resources: Path) -> None:
+    def __init__(self, folder: Path, platform: dict[str, Any], resources: dict[str, Any]) -> None:
         self.folder = folder
-        self.platform = tomllib.loads(platform.read_text(encoding="utf-8"))
-        self.resources = tomllib.loads(resources.read_text(encoding="utf-8"))
+        self.platform = platform
+        self.resources = resources
         self.nodes: dict[str, Process] = {}
         self.upstreams: dict[str, Process] = {}
         self.store: Process | None = None
@@ -72,6 +72,13 @@
         self.listed: list[dict[str, Any]] = []
         self._session: aiohttp.ClientSession | None = None
 
+    @classmethod
+    def of_example(cls, folder: Path, example: Path) -> "LocalFleet":
+        """Make the fleet of an example: a folder with ``platform.toml`` and ``fleet.toml``."""
+        platform = tomllib.loads((example / "platform.toml").read_text(encoding="utf-8"))
+        resources = tomllib.loads((example / "fleet.toml").read_text(encoding="utf-8"))
+        return cls(folder, platform, resources)
+
     async def __aenter__(self) -> "LocalFleet":
         self._session = aiohttp.ClientSession()
         try:
--- a/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
@@ -21,7 +21,7 @@
 CHUNK_PREFIX = "chalkyoke/chunk/"
 HISTORY_LENGTH = 256
 MAX_SWAPS = 8
-MAX_READS = 12
+MAX_READS = 6
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/chalkyoke/src/chalkyoke/entry/answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/answers.py
@@ -186,8 +186,10 @@
     except LinkError:
         return
     finally:
-        watching.cancel()
         answer.close()
+        # The stream serves one forward; nothing may read it after this.
+        watching.cancel()
+        await connection.close()
 
 
 async def _watch(connection: Connection, answer: LocalAnswer) -> None:
--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -19,6 +19,8 @@
 from chalkyoke.entry.readers import Reader
 from chalkyoke.entry.runs import Runs
 from chalkyoke.entry.state import Run, Whole
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.logs import logger
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
 from chalkyoke.scheduling.messages import Grant, Shed
 from chalkyoke.scheduling.state import ReleaseOutcome
@@ -28,6 +30,8 @@
 STOPPING_RETRY_S = 0.5
 DRAIN_CHECK_S = 0.05
 
+log = logger("entry")
+
 
 class EntryService:
     """Keep the promises to callers while schedulers, upstreams and callers come and go.
@@ -122,6 +126,12 @@
             self._give_up(run, Reason.EXPIRED, "its deadline has passed")
         except asyncio.CancelledError:
             self._give_up(run, Reason.CALLER_LEFT, "its caller has left")
+        except InvariantBroken:
+            raise
+        except Exception as error:
+            log.error("{}: {!r}", run.id, error)
+            self._metrics.count("faults")
+            self._give_up(run, Reason.INTERNAL, "this host has a fault")
         finally:
             self._acquirer.forget(run)
 
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -40,7 +40,8 @@
 
     :param me: who this process is.
     :param types: all message types that may come in.
-    :param handler: called with each message that comes in.
+    :param handler: called with each message that comes in; what it returns is awaited, and then
+        the stream is at its end.
     """
 
     def __init__(
@@ -152,6 +153,7 @@
                 answered = self._handler(connection, message)
                 if answered is not None:
                     await answered
+                    return
         except ChalkyokeError:
             pass
         finally:
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -300,6 +300,7 @@
         self._tasks.append(task)
 
     def _loop_ended(self, task: "asyncio.Task[None]") -> None:
+        # Without one of its loops a process would look alive and do nothing.
         if not task.cancelled() and (error := task.exception()) is not None:
             self._fail(error)
 
@@ -389,10 +390,12 @@
 
     def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         error = context.get("exception")
-        if isinstance(error, BaseException) and not isinstance(error, ConnectionError):
+        if isinstance(error, InvariantBroken):
             self._fail(error)
-        else:
-            log.debug("{}", context.get("message"))
+        elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
+            # A fault in the service of one connection ends that connection, not the process.
+            self.metrics.count("faults")
+            log.error("{}: {!r}", context.get("message"), error)
 
     def _fail(self, error: BaseException) -> None:
         """Stop the process for a fault that must not be lived with."""
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -41,6 +41,7 @@
     :param process: id of this process.
     :param send: sends a message to a process by its link address.
     :param now: seconds on the monotonic clock since this process started.
+    :param source: random numbers in [0, 1).
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         events: EventRing,
         metrics: Metrics,
         now: Callable[[], float],
+        source: Callable[[], float] = random.random,
     ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self.deliver: Deliver | None = None
@@ -64,7 +66,7 @@
         self._now = now
         self._addresses: dict[str, str] = {}
         self._disowned: dict[str, float] = {}
-        self._random = random.Random()
+        self._random = source
 
     # The port that the entry slice uses.
 
@@ -157,7 +159,7 @@
         if spec is None:
             return None
         expected = [record.process for record in self._view.live()]
-        scheduler = PoolScheduler(spec, self._random.random, self._now(), expected)
+        scheduler = PoolScheduler(spec, self._random, self._now(), expected)
         self.pools[pool] = scheduler
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
         log.info("took pool {}", pool)
--- a/packages/chalkyoke/src/chalkyoke/outcomes.py
+++ b/packages/chalkyoke/src/chalkyoke/outcomes.py
@@ -37,6 +37,7 @@
     REPLAY_GONE = "replay_gone"
     ISSUER_GONE = "issuer_gone"
     ISSUER_UNREACHABLE = "issuer_unreachable"
+    INTERNAL = "internal"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from bisect import bisect_left, insort
 from collections.abc import Iterator
 
 from chalkyoke.scheduling.state import Waiting
@@ -16,44 +17,37 @@
 class TeamQueue:
     """One team's waiting requests of one tier and route, earliest deadline first."""
 
-    __slots__ = ("_heap", "live", "name", "route")
+    __slots__ = ("_items", "name", "route")
 
     def __init__(self, name: str, route: str) -> None:
         self.name = name
         self.route = route
-        self.live = 0
-        self._heap: list[tuple[float, int, Waiting]] = []
+        self._items: list[tuple[float, int, Waiting]] = []
+
+    def __len__(self) -> int:
+        return len(self._items)
 
     def push(self, item: Waiting) -> None:
         """Add a request."""
-        heapq.heappush(self._heap, (item.deadline, item.order, item))
-        self.live += 1
+        insort(self._items, (item.deadline, item.order, item))
 
     def discard(self, item: Waiting) -> None:
-        """Take a request out, wherever it stands."""
-        if item.gone:
-            return
-        item.gone = True
-        self.live -= 1
-        while self._heap and self._heap[0][2].gone:
-            heapq.heappop(self._heap)
-        if len(self._heap) > 2 * self.live + 16:
-            self._heap = [entry for entry in self._heap if not entry[2].gone]
-            heapq.heapify(self._heap)
+        """Take a request out."""
+        del self._items[bisect_left(self._items, (item.deadline, item.order))]
 
     def front(self) -> list[Waiting]:
         """List a few requests from the front; the first has the earliest deadline.
 
         :rtype: list[Waiting]
         """
-        return [entry[2] for entry in self._heap[:PEEK] if not entry[2].gone]
+        return [entry[2] for entry in self._items[:PEEK]]
 
     def ordered(self) -> list[Waiting]:
         """List all waiting requests, earliest deadline first.
 
         :rtype: list[Waiting]
         """
-        return [entry[2] for entry in sorted(self._heap) if not entry[2].gone]
+        return [entry[2] for entry in self._items]
 
 
 class TierQueue:
@@ -88,13 +82,11 @@
 
     def discard(self, item: Waiting) -> None:
         """Take a request out."""
-        if item.gone:
-            return
         key = (item.team, item.route)
         queue = self._queues[key]
         queue.discard(item)
         self.live -= 1
-        if queue.live == 0:
+        if not queue:
             del self._queues[key]
 
         self._backlog[item.team] -= 1
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -111,7 +111,6 @@
     expected_output: float
     optimistic_output: float
     work: float
-    gone: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -17,12 +17,16 @@
 from typing import Any
 
 import aiohttp
+from chalkyoke.tokens.codec import request_of
 from chalkyoke_fakes.caller import Caller, Reply, Told
 from chalkyoke_fakes.fleet import LocalFleet
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 REQUESTS = 48
 KILL_AFTER = 20
+EXTRA = 2
+LEAD_S = 0.6
+PURCHASE_LEAD_S = 0.02
 SEED = 7
 PROMPT_TOKENS = (40, 200, 800, 4000)
 ARRIVAL_S = 0.12
@@ -38,6 +42,7 @@
         self.random = random.Random(SEED)
         self.told: collections.Counter[Told] = collections.Counter()
         self.wrong: list[str] = []
+        self.refused: dict[str, int] = {}
         self.alive = list(fleet.nodes)
 
     async def run(self) -> None:
@@ -47,23 +52,31 @@
             tasks.append(asyncio.create_task(self.send(number)))
             await asyncio.sleep(ARRIVAL_S)
             if number == KILL_AFTER:
-                self.kill()
+                await self.kill_in_the_middle(tasks)
         await asyncio.gather(*tasks)
         await self.check()
 
-    def kill(self) -> None:
-        """Kill the node that schedules nothing less than the others: the last one."""
-        victim = self.alive.pop()
+    async def kill_in_the_middle(self, tasks: list["asyncio.Task[None]"]) -> None:
+        """Kill one node while it has a long answer and a seat purchase under way."""
+        victim = self.alive[-1]
+        long_one = asyncio.create_task(self.send(REQUESTS, victim, plain=False, size=4000))
+        await asyncio.sleep(LEAD_S)
+        purchase = asyncio.create_task(self.send(REQUESTS + 1, victim, plain=True, size=40))
+        await asyncio.sleep(PURCHASE_LEAD_S)
+        self.alive.remove(victim)
         print(f"-- killing {victim} (SIGKILL)", flush=True)
         self.fleet.nodes[victim].send(signal.SIGKILL)
+        tasks += [long_one, purchase]
 
-    async def send(self, number: int) -> None:
+    async def send(
+        self, number: int, host: str = "", plain: bool | None = None, size: int = 0
+    ) -> None:
         """Send one request, and a retry with the same token where a node died on it."""
         spec = self.plan["caller"][number % len(self.plan["caller"])]
         caller = Caller(self.session, spec["key"])
-        host = self.random.choice(self.alive)
-        plain = number % 3 == 2
-        size = self.random.choice(PROMPT_TOKENS)
+        host = host or self.random.choice(self.alive)
+        plain = number % 3 == 2 if plain is None else plain
+        size = size or self.random.choice(PROMPT_TOKENS)
         headers = {"Chalkyoke_Tier": spec["tier"]}
         if "labels" in spec:
             headers["Chalkyoke_Labels"] = spec["labels"]
@@ -119,7 +132,7 @@
         if reply.told in (Told.BAD, Told.NOTHING):
             self.wrong.append(f"#{number} was not accounted for: {reply.told} {reply.reason}")
         if reply.told is Told.NOT_RUN:
-            self.wrong += [f"#{number}" for _ in ()]
+            self.refused[request_of(reply.token)] = number
 
     async def check(self) -> None:
         """Compare what callers were told with what the upstreams counted."""
@@ -129,11 +142,14 @@
             seen.update(each["seen"])
         doubled = sum(1 for count in seen.values() if count > 1)
         sent = sum(self.told.values())
+        for request, number in self.refused.items():
+            if seen[request]:
+                self.wrong.append(f"#{number} was told 'not run' and ran")
         print(
             f"demo: {sent} sent, {self.told[Told.WHOLE]} whole, {self.told[Told.NOT_RUN]} not run, "
             f"{self.told[Told.FAILED]} failed, {self.told[Told.UNKNOWN]} unknown, {doubled} doubled"
         )
-        if doubled or sent != REQUESTS or self.wrong:
+        if doubled or sent != REQUESTS + EXTRA or self.wrong:
             print("\n".join(self.wrong))
             sys.exit(1)
 
@@ -144,7 +160,7 @@
         sys.exit(f"there is no example fleet {name!r}")
     plan = tomllib.loads((folder / "demo.toml").read_text(encoding="utf-8"))
     with tempfile.TemporaryDirectory(prefix="chalkyoke-demo-") as temporary:
-        fleet = LocalFleet(Path(temporary), folder / "platform.toml", folder / "fleet.toml")
+        fleet = LocalFleet.of_example(Path(temporary), folder)
         async with fleet, aiohttp.ClientSession() as session:
             print(
                 f"-- {name}: {len(fleet.nodes)} nodes, {len(fleet.upstreams)} upstreams", flush=True
--- /dev/null
+++ b/tests/overload.py
@@ -0,0 +1,230 @@
+"""
+tests.overload
+
+The scheduler of one pool under random overload, with a naive check of every refusal and grant.
+"""
+
+import random
+from collections import Counter
+
+from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    Grant,
+    LoadReport,
+    Progress,
+    ProgressItem,
+    Release,
+    RunningItem,
+    Usage,
+    Withdraw,
+)
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+
+ROUTES = {
+    "all": {"u0", "u1", "u2", "u3"},
+    "left": {"u0", "u1"},
+    "right": {"u2", "u3"},
+    "one": {"u3"},
+}
+
+
+def make_spec(leaving=frozenset()):
+    return PoolSpec(
+        "pool",
+        tuple(
+            UpstreamSpec(
+                f"u{i}",
+                f"a{i}",
+                "d1",
+                2 + i % 2,
+                2000 * (1 + i),
+                30 * (1 + i),
+                1.5,
+                20,
+                f"u{i}" in leaving,
+            )
+            for i in range(4)
+        ),
+        tuple(TierSpec(f"t{rank}", rank) for rank in range(4)),
+        tuple(TeamSpec(f"m{i}", 1.0 + i, 3 if i == 4 else 0) for i in range(5)),
+        tuple(RouteSpec(name, frozenset(ups)) for name, ups in ROUTES.items()),
+    )
+
+
+class Overload:
+    """Drive one scheduler, and know on its own what waits and what runs."""
+
+    def __init__(self, seed, make=PoolScheduler):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.leaving = {}
+        self.scheduler = make(make_spec(), self.random.random, 0.0)
+        self.waiting = {}
+        self.running = {}
+        self.counts = Counter()
+        self.log = []
+        self.number = 0
+
+    def step(self):
+        self.now += self.random.expovariate(40)
+        actions = (
+            [self.arrive] * 6
+            + [self.finish] * 4
+            + [
+                self.tick,
+                self.tick,
+                self.withdraw,
+                self.progress,
+                self.report,
+                self.change_list,
+                self.lose_entry,
+                self.fail,
+                self.adopt,
+            ]
+        )
+        self.random.choice(actions)()
+
+    # Events.
+
+    def arrive(self):
+        self.number += 1
+        burst = self.random.choice([1, 1, 1, 6])
+        for _ in range(burst):
+            self.number += 1
+            name = f"r{self.number}"
+            acquire = Acquire(
+                name,
+                1,
+                "pool",
+                self.random.choice(list(ROUTES)),
+                f"t{self.random.randrange(4)}",
+                f"m{self.random.randrange(5)}",
+                self.random.choice([20, 200, 2000]),
+                self.random.choice([10, 50, 200]),
+                self.blocks(),
+                self.random.choice([0.3, 2, 6, 20]),
+                0.0,
+            )
+            self.waiting[name] = acquire
+            entry = f"entry{self.random.randrange(3)}"
+            self.take(self.scheduler.acquire(entry, "d1", acquire, self.now))
+            if self.random.random() < 0.1:
+                if name not in self.running:
+                    self.waiting[name] = acquire
+                self.take(self.scheduler.acquire(entry, "d1", acquire, self.now))
+
+    def blocks(self):
+        start = 100 * self.random.randrange(4)
+        return tuple(range(start, start + self.random.randrange(8)))
+
+    def finish(self, outcome="delivered"):
+        if not self.running:
+            return
+        name = self.random.choice(list(self.running))
+        self.running.pop(name)
+        usage = Usage(
+            100, self.random.choice([-1, 0, 100]), self.random.randrange(1, 100), 0.1, 1.0
+        )
+        self.take(self.scheduler.release("d1", Release(name, 1, "pool", outcome, usage), self.now))
+
+    def fail(self):
+        self.finish(self.random.choice(["failed", "unreachable", "cancelled", "unused"]))
+
+    def tick(self):
+        self.take(self.scheduler.tick(self.now))
+
+    def withdraw(self):
+        if self.waiting:
+            name = self.random.choice(list(self.waiting))
+            self.waiting.pop(name)
+            self.scheduler.withdraw(Withdraw(name, "pool"))
+
+    def progress(self):
+        items = tuple(
+            ProgressItem(name, self.random.randrange(20), 0.1, self.random.random() * 3)
+            for name in self.running
+        )
+        for entry in range(3):
+            self.take(self.scheduler.progress(f"entry{entry}", Progress("pool", items), self.now))
+
+    def report(self):
+        upstream = f"u{self.random.randrange(4)}"
+        running = self.random.randrange(3)
+        report = LoadReport(upstream, running, 0, 0.5, upstream in self.leaving)
+        self.take(self.scheduler.load_report(report, self.now))
+
+    def change_list(self):
+        name = f"u{self.random.randrange(4)}"
+        if name in self.leaving:
+            del self.leaving[name]
+        elif len(self.leaving) < 2:
+            self.leaving[name] = self.now
+        self.take(self.scheduler.configure(make_spec(frozenset(self.leaving)), self.now))
+
+    def lose_entry(self):
+        if self.random.random() < 0.2:
+            entry = f"entry{self.random.randrange(3)}"
+            gone = {item.request for item in self.scheduler.waiting_items() if item.entry == entry}
+            for name in gone:
+                self.waiting.pop(name)
+            for name in [n for n, r in self.scheduler._running.items() if r.entry == entry]:
+                self.running.pop(name, None)
+            self.take(self.scheduler.member_gone(entry, self.now))
+
+    def adopt(self):
+        self.number += 1
+        item = RunningItem(
+            f"r{self.number}", 1, f"u{self.random.randrange(4)}", "t1", "m1", "all", 50, 50, 3, 0.4
+        )
+        self.running[item.request] = (item.upstream, 1)
+        self.take(self.scheduler.adopt("entry0", Adopt("pool", (item,)), self.now))
+
+    # The naive check.
+
+    def take(self, outs):
+        for out in outs:
+            action = out.action
+            self.log.append(
+                (
+                    round(self.now, 6),
+                    type(action).__name__,
+                    action.request,
+                    getattr(action, "upstream", getattr(action, "reason", "")),
+                )
+            )
+            if isinstance(action, Grant):
+                self.check_grant(action)
+            else:
+                self.check_shed(action, outs)
+
+    def check_grant(self, grant):
+        if grant.request in self.running:
+            return
+        self.counts["granted"] += 1
+        acquire = self.waiting.pop(grant.request)
+        assert grant.upstream in ROUTES[acquire.route], "granted against its selector"
+        assert grant.upstream not in self.leaving, "a leaving upstream got new work"
+        self.running[grant.request] = (grant.upstream, acquire.tier)
+
+    def check_shed(self, shed, outs):
+        """A higher tier is never shed while a lower one stays, for some of the same upstreams."""
+        self.counts[shed.reason] += 1
+        acquire = self.waiting.pop(shed.request)
+        if shed.reason is not Reason.SHED:
+            return
+        with_it = {out.action.request for out in outs}
+        for other in self.waiting.values():
+            lower = other.tier > acquire.tier and other.request not in with_it
+            share = ROUTES[other.route] & ROUTES[acquire.route]
+            assert not (lower and share), f"{shed.request} of {acquire.tier} before {other.tier}"
+
+
+def overload(seed, steps=1500, make=PoolScheduler):
+    """Drive one seed and return the counts."""
+    run = Overload(seed, make)
+    for _ in range(steps):
+        run.step()
+    return run
--- /dev/null
+++ b/tests/plants.py
@@ -0,0 +1,111 @@
+"""
+tests.plants
+
+Planted faults: each switches one protection off, so that the proof which relies on it must go red.
+"""
+
+from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.entry.dispatcher import Dispatcher
+from chalkyoke.entry.runs import Runs
+from chalkyoke.entry.service import EntryService
+from chalkyoke.entry.state import Run
+from chalkyoke.entry.streams import EventCutter
+from chalkyoke.node.fleet import FleetView
+from chalkyoke.scheduling import scheduler as scheduling
+from chalkyoke.scheduling.state import Upstream
+from chalkyoke.tokens.ledger import TokenLedger
+from chalkyoke.tokens.state import TokenState
+
+
+def dispatch_again_after_no_answer(monkeypatch):
+    """A request that was sent and got no answer is sent once more; nothing marks the first."""
+
+    def dispatch(run, now):
+        run.dispatched_at = now
+        return run.end is None
+
+    def not_answered(dispatcher, run, outcome):
+        dispatcher._acquirer.release(run, scheduling.ReleaseOutcome.UNUSED)
+
+    monkeypatch.setattr(Run, "dispatch", dispatch)
+    monkeypatch.setattr(Run, "add", lambda run, data, now, tokens=0: run.chunks.append(data))
+    monkeypatch.setattr(TokenLedger, "move", lambda ledger, record, state: None)
+    monkeypatch.setattr(TokenLedger, "told_not_run", lambda ledger, record: None)
+    monkeypatch.setattr(Dispatcher, "_not_answered", not_answered)
+
+
+def refused_token_runs_again(monkeypatch):
+    """A token whose caller was told "not run" is admitted as a new one."""
+    admit = Runs.admit
+
+    def forgetful(runs, token, text, request, now):
+        run = runs._runs.get(token.sequence)
+        if run is not None and run.state is TokenState.REFUSED:
+            del runs._runs[token.sequence]
+            del runs.ledger._records[token.sequence]
+        return admit(runs, token, text, request, now)
+
+    monkeypatch.setattr(Runs, "admit", forgetful)
+
+
+def restarted_host_runs_old_tokens(monkeypatch):
+    """A restarted process takes the tokens of the one before it for its own."""
+    monkeypatch.setattr(TokenLedger, "is_ours", lambda ledger, token: token.host == ledger.host)
+    monkeypatch.setattr(TokenLedger, "issue", _issue_from_far)
+
+
+def _issue_from_far(ledger, now, issue=TokenLedger.issue):
+    ledger._next = max(ledger._next, 1000 * ledger.incarnation)
+    return issue(ledger, now)
+
+
+def end_of_stream_counts_as_whole(monkeypatch):
+    """A stream that ends is taken for whole, with or without its final event."""
+    read_events = Dispatcher._read_events
+
+    async def trusting(dispatcher, run, response, cutter, most):
+        await read_events(dispatcher, run, response, cutter, most)
+        cutter.done = True
+
+    monkeypatch.setattr(Dispatcher, "_read_events", trusting)
+
+
+def partial_events_are_passed_on(monkeypatch):
+    """Bytes go to the caller as they come, cut events included."""
+    feed = EventCutter.feed
+
+    def careless(cutter, data):
+        feed(cutter, data)
+        return data
+
+    monkeypatch.setattr(EventCutter, "feed", careless)
+
+
+def leaving_is_not_heard(monkeypatch):
+    """Neither the scheduler nor the entry looks at who leaves."""
+    monkeypatch.setattr(Upstream, "leaving", property(lambda upstream: False))
+    monkeypatch.setattr(FleetView, "may_dispatch", lambda fleet, upstream: True)
+
+
+def drain_does_not_wait(monkeypatch):
+    """A planned stop ends at once."""
+
+    async def at_once(service):
+        return None
+
+    monkeypatch.setattr(EntryService, "drain", at_once)
+
+
+def shed_by_arrival(monkeypatch):
+    """Whatever is late is given up, whichever tier it has."""
+    monkeypatch.setattr(scheduling, "may_shed", lambda late, waiting, overlaps: late)
+
+
+def lower_revision_is_taken(monkeypatch):
+    """A node takes whatever configuration it is told."""
+
+    def adopt(state, root, fetched):
+        chunks = {**state.chunks, **fetched}
+        return state._take(root, {h: chunks[h] for h in root.chunks.values()})
+
+    monkeypatch.setattr(ConfigurationState, "adopt", adopt)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,286 @@
+"""
+tests.test_configuration
+
+Changes of configuration: racing operators, a store whose answers are lost and whose writes land
+late, nodes that hear of revisions late and out of order.
+"""
+
+import pytest
+from chalkyoke.configuration import publisher
+from chalkyoke.configuration.publisher import (
+    ROOT_KEY,
+    Accepted,
+    AnswerLost,
+    Change,
+    Conflict,
+    Found,
+    Get,
+    Invalid,
+    Mismatch,
+    NotReached,
+    Unavailable,
+    Unsettled,
+    Written,
+    decode_root,
+    publish,
+)
+from chalkyoke.configuration.resources import read_document
+from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.exceptions import InvariantBroken
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from tests import plants
+
+TIERS = [{"name": f"t{i}", "rank": i} for i in range(3)]
+
+
+class FakeStore:
+    """Compare-and-swap in memory; a write may land later than its answer was given up on."""
+
+    def __init__(self):
+        self.values = {}
+        self.version = 0
+        self.late = []
+        self.roots = []
+
+    def put(self, call):
+        held = self.values.get(call.key)
+        if (held.version if held else 0) != call.expected:
+            return Mismatch()
+        self.version += 1
+        self.values[call.key] = Found(call.value, self.version)
+        if call.key == ROOT_KEY:
+            self.roots.append(decode_root(call.value))
+        return Written(self.version)
+
+    def answer(self, call, fault):
+        if fault == "away":
+            return Unavailable()
+        if isinstance(call, Get):
+            return self.values.get(call.key, Found(None, 0))
+        if fault == "lost":
+            self.put(call)
+            return AnswerLost()
+        if fault == "late":
+            self.late.append(call)
+            return AnswerLost()
+        return self.put(call)
+
+    def land(self):
+        if self.late:
+            self.put(self.late.pop(0))
+
+    def chunks(self, root):
+        return {h: self.values["chalkyoke/chunk/" + h].value for h in root.chunks.values()}
+
+
+def drive(machine, store, faults=()):
+    """Run a publisher against the store, with a list of faults for its first calls."""
+    faults = list(faults)
+    try:
+        call = next(machine)
+        while True:
+            call = machine.send(store.answer(call, faults.pop(0) if faults else "none"))
+    except StopIteration as stop:
+        return stop.value
+
+
+def team(name, weight=1, **extra):
+    return read_document(
+        {"team": [{"name": name, "tiers": ["t0"], "weight": weight, **extra}]}
+    ).unwrap()
+
+
+def seeded():
+    store = FakeStore()
+    specs = read_document({"tier": TIERS, "team": [{"name": "a", "tiers": ["t0"]}]}).unwrap()
+    assert isinstance(drive(publish(Change("seed", "op", None, specs), 0), store), Accepted)
+    return store
+
+
+def test_a_swap_whose_answer_is_lost_is_settled_and_accepted_once():
+    store = seeded()
+    change = Change("c1", "op", 1, team("b"))
+    # root, four reads of chunks and writes come first; then the swap's answer is lost
+    outcome = drive(publish(change, 0), store, ["none"] * 4 + ["lost"])
+    assert isinstance(outcome, Accepted)
+    again = drive(publish(change, 0), store)
+    assert isinstance(again, Accepted)
+    assert again.revision == outcome.revision
+    assert [each.change_id for each in store.roots[-1].history].count("c1") == 1
+
+
+def test_the_loser_of_a_race_is_told_the_fields_that_clash():
+    store = seeded()
+    assert isinstance(drive(publish(Change("c1", "one", 1, team("a", 5)), 0), store), Accepted)
+    outcome = drive(publish(Change("c2", "two", 1, team("a", 7)), 0), store)
+    assert isinstance(outcome, Conflict)
+    assert outcome.paths == ("team/a.weight",)
+    assert outcome.other.change_id == "c1"
+    assert len(store.roots) == 2
+
+
+def test_changes_of_other_fields_do_not_clash():
+    store = seeded()
+    assert isinstance(drive(publish(Change("c1", "one", 1, team("b", 5)), 0), store), Accepted)
+    outcome = drive(publish(Change("c2", "two", 1, team("c", 7)), 0), store)
+    assert isinstance(outcome, Accepted)
+    assert outcome.revision == 3
+
+
+def test_a_store_that_is_away_changes_nothing_and_says_so():
+    store = seeded()
+    outcome = drive(publish(Change("c1", "op", 1, team("b")), 0), store, ["away"] * 500)
+    assert isinstance(outcome, NotReached)
+    assert len(store.roots) == 1
+
+
+def test_a_change_that_does_not_fit_names_its_field():
+    store = seeded()
+    specs = read_document({"team": [{"name": "b", "tiers": ["nowhere"]}]}).unwrap()
+    outcome = drive(publish(Change("c1", "op", 1, specs), 0), store)
+    assert isinstance(outcome, Invalid)
+    assert outcome.problems[0].path == "team.b.tiers"
+
+
+@pytest.mark.parametrize(
+    ("selector", "word"),
+    [
+        ({"host": "h1"}, "single machine"),
+        ({"rack": "10.0.0.7"}, "single machine"),
+        ({"rack": "10.0.0.7:80"}, "single machine"),
+    ],
+)
+def test_a_selector_on_a_single_machine_is_refused_with_its_path(selector, word):
+    document = {"route": [{"name": "r", "service": "s", "upstreams": selector}]}
+    problems = read_document(document).unwrap_err()
+    assert problems[0].path == "route[0].upstreams"
+    assert word in problems[0].message
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Operators, a faulty store and nodes, interleaved call by call."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = seeded()
+        self.open = {}
+        self.outcomes = {}
+        self.number = 0
+        self.nodes = [ConfigurationState() for _ in range(3)]
+        self.highest = [0, 0, 0]
+        self.old = [self.store.roots[0]]
+
+    @rule(base_back=st.integers(0, 2), name=st.sampled_from("abc"), weight=st.integers(1, 9))
+    def begin(self, base_back, name, weight):
+        if len(self.open) >= 4:
+            return
+        self.number += 1
+        base = max(1, len(self.store.roots) - base_back)
+        change = Change(f"c{self.number}", "op", base, team(name, weight))
+        machine = publish(change, 0)
+        self.open[change.change_id] = (machine, next(machine))
+
+    @rule(
+        which=st.integers(0, 3),
+        fault=st.sampled_from(["none", "none", "none", "none", "away", "lost", "late"]),
+        calls=st.integers(1, 8),
+    )
+    def advance(self, which, fault, calls):
+        if not self.open:
+            return
+        key = sorted(self.open)[which % len(self.open)]
+        for index in range(calls):
+            machine, call = self.open[key]
+            try:
+                answer = self.store.answer(call, fault if index == calls - 1 else "none")
+                self.open[key] = (machine, machine.send(answer))
+            except StopIteration as stop:
+                self.outcomes[key] = stop.value
+                del self.open[key]
+                return
+
+    @rule()
+    def land(self):
+        self.store.land()
+
+    @rule(node=st.integers(0, 2), back=st.integers(0, 4))
+    def hear(self, node, back):
+        """A node hears of a root: the newest, or an old one that was under way for long."""
+        root = self.store.roots[max(0, len(self.store.roots) - 1 - back)]
+        self.nodes[node].adopt(root, self.store.chunks(root))
+        assert self.nodes[node].revision >= self.highest[node], "a configuration reverted"
+        self.highest[node] = self.nodes[node].revision
+
+    @invariant()
+    def revisions_follow_each_other(self):
+        assert [root.revision for root in self.store.roots] == list(
+            range(1, len(self.store.roots) + 1)
+        )
+
+    @invariant()
+    def accepted_is_in_and_refused_is_not(self):
+        history = [each.change_id for each in self.store.roots[-1].history]
+        assert len(history) == len(set(history)), "a change took effect twice"
+        for key, outcome in self.outcomes.items():
+            if isinstance(outcome, Accepted) and outcome.paths:
+                assert key in history, f"{key} was accepted and is gone"
+            elif not isinstance(outcome, Accepted | Unsettled):
+                assert key not in history, f"{key} was refused and took effect"
+
+
+def run_machine(examples=60, steps=40):
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        report_multiple_bugs=False,
+        phases=[Phase.generate],
+    )
+    run_state_machine_as_test(ConfigurationMachine, settings=chosen)
+
+
+def test_configuration_is_accepted_once_and_never_reverts():
+    run_machine()
+
+
+def _report_loss_as_refusal(monkeypatch):
+    """A swap whose answer is lost is reported as not done, without reading back."""
+
+    def hasty(change, now_ms):
+        machine = publisher.publish(change, now_ms)
+        call = next(machine)
+        while True:
+            answer = yield call
+            if isinstance(answer, AnswerLost) and call.key == ROOT_KEY:
+                return NotReached()
+            try:
+                call = machine.send(answer)
+            except StopIteration as stop:
+                return stop.value
+
+    monkeypatch.setitem(globals(), "publish", hasty)
+
+
+def _swap_without_compare(monkeypatch):
+    """The store writes whatever the expected version is."""
+    put = FakeStore.put
+
+    def blind(store, call):
+        held = store.values.get(call.key)
+        return put(store, publisher.Put(call.key, call.value, held.version if held else 0))
+
+    monkeypatch.setattr(FakeStore, "put", blind)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [plants.lower_revision_is_taken, _report_loss_as_refusal, _swap_without_compare],
+    ids=lambda each: each.__name__,
+)
+def test_a_planted_fault_turns_the_configuration_proof_red(plant, monkeypatch):
+    plant(monkeypatch)
+    with pytest.raises((AssertionError, InvariantBroken)) as red:
+        run_machine(examples=200)
+    print(f"{plant.__name__}: {red.value}")
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,369 @@
+"""
+tests.test_processes
+
+The same promises with real processes: killed, frozen, cut, without the store, stopped on plan.
+"""
+
+import asyncio
+import hashlib
+import json
+import signal
+import tempfile
+from pathlib import Path
+
+import aiohttp
+from chalkyoke_fakes.caller import Caller, Told
+from chalkyoke_fakes.fleet import LocalFleet
+
+KEY = "team-key"
+DOMAINS = ("d1", "d2", "d3")
+HASH = hashlib.sha256(KEY.encode()).hexdigest()
+
+PLATFORM = {
+    "lag_s": 0.2,
+    "entry": [{"host": f"n{i + 1}", "failure_domain": each} for i, each in enumerate(DOMAINS)],
+    "engine": [
+        {
+            "id": f"e{i}",
+            "failure_domain": DOMAINS[i],
+            "labels": {"kind": "engine"},
+            "slots": 2,
+            "decode_tokens_per_s": 40,
+            "prefill_tokens_per_s": 20000,
+        }
+        for i in range(2)
+    ],
+    "plain": [
+        {"id": "p1", "failure_domain": "d1", "labels": {"kind": "plain"}, "latency_s": 0.05},
+    ],
+}
+RESOURCES = {
+    "tier": [{"name": "high", "rank": 0}, {"name": "low", "rank": 1}],
+    "team": [{"name": "team", "tiers": ["low", "high"], "key_sha256": [HASH]}],
+    "service": [
+        {"name": "model", "protocol": "completions", "selector": {"kind": "engine"}},
+        {"name": "seats", "protocol": "plain", "selector": {"kind": "plain"}, "repeatable": False},
+    ],
+    "upstream_class": [
+        {"name": "e", "selector": {"kind": "engine"}, "slots": 2, "decode_tokens_per_s": 40},
+        {"name": "p", "selector": {"kind": "plain"}, "slots": 8, "decode_tokens_per_s": 20},
+    ],
+    "route": [{"name": "model", "service": "model"}, {"name": "seats", "service": "seats"}],
+}
+
+
+def with_fleet(check):
+    """Run a check against a fresh fleet of three nodes."""
+
+    async def main():
+        with tempfile.TemporaryDirectory(prefix="chalkyoke-test-") as folder:
+            fleet = LocalFleet(Path(folder), PLATFORM, RESOURCES)
+            async with fleet, aiohttp.ClientSession() as session:
+                await check(fleet, Caller(session, KEY))
+
+    asyncio.run(main())
+
+
+def body(tokens, stream=True):
+    return {
+        "model": "model",
+        "prompt": "a question",
+        "max_tokens": tokens,
+        "stream": stream,
+        "fake_output_tokens": tokens,
+    }
+
+
+async def seen(fleet):
+    """Count how often the upstreams saw each request."""
+    counts = await fleet.counts()
+    merged = {}
+    for each in counts.values():
+        for request, count in each["seen"].items():
+            merged[request] = merged.get(request, 0) + count
+    return merged
+
+
+async def until(check, seconds=10):
+    async with asyncio.timeout(seconds):
+        while not await check():
+            await asyncio.sleep(0.05)
+
+
+async def gone_from(fleet, host, watcher):
+    async def check():
+        status = await fleet.get(fleet.nodes[watcher].administration, "/v1/status")
+        return all(each["host"] != host for each in status["nodes"])
+
+    await until(check)
+
+
+def test_a_retry_joins_through_another_host_while_it_runs_and_after_it_has_finished():
+    async def check(fleet, caller):
+        one, other = fleet.nodes["n1"].address, fleet.nodes["n2"].address
+        token = await caller.take_token(one)
+        first = asyncio.create_task(caller.complete(one, body(30), Chalkyoke_Token=token))
+        await until(lambda: seen(fleet))
+        second = await caller.complete(other, body(30), Chalkyoke_Token=token)
+        third = await caller.complete(other, body(30), Chalkyoke_Token=token)
+        assert (await first).told is second.told is third.told is Told.WHOLE
+        assert (await first).body == second.body == third.body
+        assert list((await seen(fleet)).values()) == [1]
+
+    with_fleet(check)
+
+
+def test_a_killed_issuer_is_told_as_unknown_and_its_requests_never_run_again():
+    async def check(fleet, caller):
+        token = await caller.take_token(fleet.nodes["n1"].address)
+        unspent = await caller.take_token(fleet.nodes["n1"].address)
+        call = caller.call(fleet.nodes["n1"].address, "seats", b"{}", Chalkyoke_Token=token)
+        await fleet.set_faults(fleet.upstreams["p1"], latency_s=1.0)
+        first = asyncio.create_task(call)
+        await until(lambda: seen(fleet))
+        fleet.nodes["n1"].send(signal.SIGKILL)
+        assert (await first).told is Told.NOTHING
+        for each in (token, unspent):
+            reply = await caller.call(
+                fleet.nodes["n2"].address, "seats", b"{}", Chalkyoke_Token=each
+            )
+            assert reply.told is Told.UNKNOWN
+        fleet.start_node("n1")
+        await until(lambda: is_ready(fleet, "n1"))
+        reply = await caller.call(fleet.nodes["n1"].address, "seats", b"{}", Chalkyoke_Token=token)
+        assert (reply.told, reply.reason) == (Told.UNKNOWN, "issuer_gone")
+        assert list((await seen(fleet)).values()) == [1]
+
+    with_fleet(check)
+
+
+async def is_ready(fleet, host):
+    try:
+        return (await fleet.get(fleet.nodes[host].administration, "/v1/ready"))["ready"]
+    except aiohttp.ClientError:
+        return False
+
+
+def test_a_frozen_issuer_that_wakes_up_has_run_its_request_once():
+    async def check(fleet, caller):
+        token = await caller.take_token(fleet.nodes["n1"].address)
+        await fleet.set_faults(fleet.upstreams["p1"], latency_s=0.5)
+        first = asyncio.create_task(
+            caller.call(fleet.nodes["n1"].address, "seats", b"{}", Chalkyoke_Token=token)
+        )
+        await until(lambda: seen(fleet))
+        fleet.nodes["n1"].send(signal.SIGSTOP)
+        await gone_from(fleet, "n1", "n2")
+        reply = await caller.call(fleet.nodes["n2"].address, "seats", b"{}", Chalkyoke_Token=token)
+        assert reply.told is Told.UNKNOWN
+        fleet.nodes["n1"].send(signal.SIGCONT)
+        assert (await first).told is Told.WHOLE
+        reply = await caller.call(fleet.nodes["n2"].address, "seats", b"{}", Chalkyoke_Token=token)
+        assert reply.told is Told.WHOLE
+        assert list((await seen(fleet)).values()) == [1]
+
+    with_fleet(check)
+
+
+async def is_known_leaving(fleet, upstream):
+    """Ask the scheduler of the pool whether it knows."""
+    status = await fleet.get(fleet.nodes["n1"].administration, "/v1/status")
+    owner = fleet.nodes[status["pools"]["model"]]
+    status = await fleet.get(owner.administration, "/v1/status")
+    return status["scheduled_here"]["model"]["upstreams"][upstream]["leaving"]
+
+
+def test_a_killed_scheduler_loses_no_waiting_request():
+    async def check(fleet, caller):
+        status = await fleet.get(fleet.nodes["n1"].administration, "/v1/status")
+        owner = status["pools"]["model"]
+        entry = next(host for host in fleet.nodes if host != owner)
+        calls = [
+            asyncio.create_task(caller.complete(fleet.nodes[entry].address, body(40)))
+            for _ in range(10)
+        ]
+        await asyncio.sleep(0.4)
+        fleet.nodes[owner].send(signal.SIGKILL)
+        replies = await asyncio.gather(*calls)
+        assert [each.told for each in replies] == [Told.WHOLE] * 10
+        assert set((await seen(fleet)).values()) == {1}
+
+    with_fleet(check)
+
+
+def test_a_purchase_whose_answer_is_lost_runs_once_and_is_told_as_unknown():
+    async def check(fleet, caller):
+        address = fleet.nodes["n2"].address
+        token = await caller.take_token(address)
+        await fleet.set_faults(fleet.upstreams["p1"], lose_answers=1)
+        for host in ("n2", "n3", "n2"):
+            reply = await caller.call(
+                fleet.nodes[host].address, "seats", b"{}", Chalkyoke_Token=token
+            )
+            assert reply.told is Told.UNKNOWN
+        assert list((await seen(fleet)).values()) == [1]
+
+    with_fleet(check)
+
+
+def test_a_cut_stream_is_resumed_at_the_same_engine_or_told_as_not_whole():
+    async def check(fleet, caller):
+        address = fleet.nodes["n1"].address
+        for name in ("e0", "e1"):
+            await fleet.set_faults(fleet.upstreams[name], cut_streams=1)
+        reply = await caller.complete(address, body(30))
+        assert reply.told is Told.WHOLE
+        assert reply.body.count(b"\n\n") == 32
+        for name in ("e0", "e1"):
+            await fleet.set_faults(fleet.upstreams[name], cut_streams=1, can_resume=False)
+        reply = await caller.complete(address, body(30))
+        assert (reply.told, reply.reason) == (Told.FAILED, "cut_short")
+        assert not reply.body.endswith(b"[DONE]\n\n")
+        assert set((await seen(fleet)).values()) == {1}
+
+    with_fleet(check)
+
+
+def test_a_planned_stop_cuts_off_nothing():
+    async def check(fleet, caller):
+        node = fleet.nodes["n1"]
+        unspent = await caller.take_token(node.address)
+        # two engines of two slots: the fifth and sixth wait in the queue
+        calls = [asyncio.create_task(caller.complete(node.address, body(60))) for _ in range(6)]
+        await until(lambda: seen(fleet))
+        node.send(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        refused = await caller.complete(node.address, body(5))
+        assert (refused.told, refused.reason) == (Told.NOT_RUN, "stopping")
+        replies = await asyncio.gather(*calls)
+        assert [each.told for each in replies] == [Told.WHOLE] * 6
+        async with asyncio.timeout(10):
+            while node.popen.poll() is None:
+                await asyncio.sleep(0.05)
+        assert node.popen.returncode == 0
+        reply = await caller.complete(fleet.nodes["n2"].address, body(5), Chalkyoke_Token=unspent)
+        assert reply.told is Told.UNKNOWN
+        assert len(await seen(fleet)) == 6
+
+    with_fleet(check)
+
+
+def test_without_the_store_requests_are_served_and_a_new_node_learns_from_its_peers():
+    async def check(fleet, caller):
+        await fleet.set_faults(fleet.store, outage=True)
+        status, answer = await fleet.apply(RESOURCES, change_id="while-away")
+        assert (status, answer["title"]) == (503, "store away")
+        fleet.nodes["n3"].send(signal.SIGKILL)
+        fleet.nodes["n3"].popen.wait()
+        fleet.start_node("n3")
+        await until(lambda: is_ready(fleet, "n3"))
+        assert (await caller.complete(fleet.nodes["n3"].address, body(5))).told is Told.WHOLE
+        await fleet.set_faults(fleet.store, outage=False)
+        changed = {"team": [{**RESOURCES["team"][0], "weight": 3}]}
+        status, answer = await fleet.apply(changed, change_id="after")
+        assert (status, answer["revision"]) == (200, 2)
+
+        async def everywhere():
+            found = [await fleet.get(n.administration, "/v1/ready") for n in fleet.nodes.values()]
+            return all(each["revision"] == 2 for each in found)
+
+        await until(everywhere)
+
+    with_fleet(check)
+
+
+def test_a_swap_whose_answer_is_lost_is_accepted_once_and_a_racer_is_told_its_fields():
+    async def check(fleet, caller):
+        heavier = {"team": [{**RESOURCES["team"][0], "weight": 3}]}
+        # the team's new chunk is written first, then the root
+        await fleet.set_faults(fleet.store, lose_writes=2)
+        status, answer = await fleet.apply(heavier, "n1", "mine", 1)
+        assert (status, answer["revision"]) == (200, 2)
+        assert (await fleet.apply(heavier, "n2", "mine", 1))[1]["revision"] == 2
+        racing = {"team": [{**RESOURCES["team"][0], "weight": 5}]}
+        status, answer = await fleet.apply(racing, "n3", "other", 1)
+        assert status == 409
+        assert answer["fields"] == ["team/team.weight"]
+        assert answer["other"]["change_id"] == "mine"
+
+    with_fleet(check)
+
+
+def test_an_upstream_that_leaves_gets_no_new_work_by_list_or_by_its_own_answer():
+    async def check(fleet, caller):
+        address = fleet.nodes["n1"].address
+        await fleet.change_host(id="e0", state="leaving")
+        await until(lambda: is_known_leaving(fleet, "e0"))
+        before = (await fleet.counts())["e0"]["requests"]
+        await asyncio.gather(*(caller.complete(address, body(5)) for _ in range(6)))
+        assert (await fleet.counts())["e0"]["requests"] == before
+        await fleet.change_host(id="e0", state="live")
+        await fleet.set_faults(fleet.upstreams["e1"], draining=True)
+        await until(lambda: is_known_leaving(fleet, "e1"))
+        before = (await fleet.counts())["e1"]["requests"]
+        replies = await asyncio.gather(*(caller.complete(address, body(5)) for _ in range(6)))
+        assert [each.told for each in replies] == [Told.WHOLE] * 6
+        assert (await fleet.counts())["e1"]["requests"] == before
+
+    with_fleet(check)
+
+
+def test_a_dead_engine_is_passed_over_where_no_byte_was_sent():
+    async def check(fleet, caller):
+        fleet.upstreams["e0"].send(signal.SIGKILL)
+        fleet.upstreams["e0"].popen.wait()
+        replies = await asyncio.gather(
+            *(caller.complete(fleet.nodes["n2"].address, body(5)) for _ in range(4))
+        )
+        assert [each.told for each in replies] == [Told.WHOLE] * 4
+
+    with_fleet(check)
+
+
+def test_bad_input_gets_a_clear_4xx_and_changes_nothing():
+    async def check(fleet, caller):
+        address = fleet.nodes["n1"].address
+        cases = [
+            (404, "service", {"model": "nothing", "prompt": "x"}, {}),
+            (400, "body.prompt", {"model": "model"}, {}),
+            (400, "body.max_tokens", {"model": "model", "prompt": "x", "max_tokens": 0}, {}),
+            (400, "Chalkyoke-Deadline-Ms", body(5), {"Chalkyoke_Deadline_Ms": "-5"}),
+            (403, "Chalkyoke-Tier", body(5), {"Chalkyoke_Tier": "royal"}),
+            (400, "Chalkyoke-Token", body(5), {"Chalkyoke_Token": "ck1_junk"}),
+            (400, "Chalkyoke-Labels", body(5), {"Chalkyoke_Labels": "nothing"}),
+            (401, "Authorization", body(5), {"Authorization": "Bearer wrong"}),
+            (413, "body", {**body(5), "prompt": "x" * 2_000_000}, {}),
+        ]
+        for status, field, sent, headers in cases:
+            reply = await caller.complete(address, sent, **headers)
+            assert (reply.status, reply.json()["field"]) == (status, field)
+        broken = await caller.post(address, "/v1/completions", b"{not json")
+        assert (broken.status, broken.json()["field"]) == (400, "body")
+        keyed = await caller.call(address, "seats", b"{}", Idempotency_Key="mine")
+        assert (keyed.status, keyed.json()["field"]) == (400, "Idempotency-Key")
+        assert await seen(fleet) == {}
+
+    with_fleet(check)
+
+
+def test_a_token_serves_one_request_only():
+    async def check(fleet, caller):
+        token = await caller.take_token(fleet.nodes["n1"].address)
+        first = await caller.complete(fleet.nodes["n1"].address, body(5), Chalkyoke_Token=token)
+        assert first.told is Told.WHOLE
+        for host in ("n1", "n2"):
+            other = await caller.complete(fleet.nodes[host].address, body(6), Chalkyoke_Token=token)
+            assert (other.status, other.json()["field"]) == (422, "Chalkyoke-Token")
+
+    with_fleet(check)
+
+
+def test_a_whole_answer_has_the_usual_form():
+    async def check(fleet, caller):
+        reply = await caller.complete(fleet.nodes["n3"].address, body(4, stream=False))
+        answer = reply.json()
+        assert answer["choices"][0]["text"] == "w0 w1 w2 w3 "
+        assert answer["usage"]["completion_tokens"] == 4
+        assert json.loads(json.dumps(answer)) == answer
+
+    with_fleet(check)
--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,30 @@
+"""
+tests.test_shedding
+
+Tiers, selectors and leaving upstreams under random overload, beside planted faults.
+"""
+
+import pytest
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.outcomes import Reason
+
+from tests import plants
+from tests.overload import overload
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_higher_tier_is_shed_before_a_lower_one(seed):
+    run = overload(seed)
+    assert run.counts["granted"] > 100
+    assert run.counts[Reason.SHED] > 5
+
+
+@pytest.mark.parametrize(
+    "plant", [plants.shed_by_arrival, plants.leaving_is_not_heard], ids=lambda each: each.__name__
+)
+def test_a_planted_fault_turns_the_overload_proof_red(plant, monkeypatch):
+    plant(monkeypatch)
+    with pytest.raises((AssertionError, InvariantBroken)) as red:
+        for seed in range(8):
+            overload(seed)
+    print(f"{plant.__name__}: seed {seed}: {red.value}")
--- /dev/null
+++ b/tests/upstreams.py
@@ -0,0 +1,157 @@
+"""
+tests.upstreams
+
+Fake upstreams at the interface of the upstream client: answers name their request, so that a
+swapped, cut or doubled answer is seen.
+"""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+from chalkyoke.upstreams.messages import NoAnswer, NotConnected, NotPermitted, Opened
+
+CONNECT_S = 0.002
+GRACE_S = 2.0
+
+
+@dataclass
+class FakeUpstream:
+    """One upstream and its faults."""
+
+    id: str
+    domain: str
+    plain: bool
+    token_s: float = 0.02
+    down: bool = False
+    hang: bool = False
+    leaving: bool = False
+    draining: bool = False
+    leaving_since: float = 0.0
+    seen: Counter = field(default_factory=Counter)
+    started: list = field(default_factory=list)
+    running: set = field(default_factory=set)
+    cancelled: set = field(default_factory=set)
+
+
+def answer_events(request, tokens):
+    """Make the events of one answer."""
+    events = [
+        b"data: "
+        + json.dumps({"id": request, "choices": [{"index": 0, "text": f"{request}:{i} "}]}).encode()
+        + b"\n\n"
+        for i in range(tokens)
+    ]
+    usage = {"prompt_tokens": 10, "completion_tokens": tokens}
+    final = {"id": request, "choices": [], "usage": usage}
+    return [*events, b"data: " + json.dumps(final).encode() + b"\n\n", b"data: [DONE]\n\n"]
+
+
+def tokens_of(request):
+    """Give a request's output length: the same for the same request."""
+    return 3 + sum(request.encode()) % 40
+
+
+class _Content:
+    def __init__(self, response):
+        self._response = response
+        self._ended = False
+
+    async def iter_any(self):
+        async for data in self._response.pieces():
+            yield data
+
+    async def read(self, _):
+        data = b"".join([piece async for piece in self._response.pieces()])
+        self._ended = True
+        return data
+
+    def at_eof(self):
+        return self._ended
+
+
+class _Response:
+    """The part of an HTTP response that the dispatcher reads."""
+
+    def __init__(self, client, upstream, request, offset):
+        self.status = 200
+        self.headers = {
+            "Content-Type": "application/json" if upstream.plain else "text/event-stream"
+        }
+        self.content = _Content(self)
+        self._client = client
+        self._upstream = upstream
+        self._request = request
+        self._offset = offset
+
+    async def pieces(self):
+        world, upstream, source = self._client.world, self._upstream, self._client.world.random
+        if upstream.plain:
+            await self._pause(0.03)
+            if source.random() < world.chaos * 0.1:
+                raise aiohttp.ClientPayloadError("lost")
+            yield json.dumps({"request": self._request}).encode()
+            return
+        for event in answer_events(self._request, tokens_of(self._request))[self._offset :]:
+            await self._pause(upstream.token_s)
+            if source.random() < world.chaos * 0.01:
+                yield event[: len(event) // 2]
+                raise aiohttp.ClientPayloadError("cut")
+            cut = source.randrange(len(event))
+            yield event[:cut]
+            yield event[cut:]
+
+    async def _pause(self, seconds):
+        await asyncio.sleep(seconds)
+        while self._upstream.hang:
+            await asyncio.sleep(0.2)
+        if self._upstream.down or not self._client.reaches(self._upstream):
+            raise aiohttp.ClientPayloadError("down")
+
+    def release(self):
+        self._upstream.running.discard(self._request)
+
+    def close(self):
+        self._upstream.running.discard(self._request)
+
+
+class FakeUpstreamClient:
+    """What a node calls; one for each node."""
+
+    def __init__(self, world, node):
+        self.world = world
+        self.node = node
+
+    def reaches(self, upstream):
+        return not self.node.dead and self.world.linked(self.node.domain, upstream.domain)
+
+    async def post(self, address, path, body, headers, gate):
+        upstream = self.world.upstreams[address]
+        await asyncio.sleep(CONNECT_S * (1 + 5 * self.world.random.random()))
+        if self.node.dead or upstream.down or not self.reaches(upstream):
+            return NotConnected("refused")
+        if not gate():
+            return NotPermitted()
+        request = headers["X-Request-Id"]
+        upstream.seen[request] += 1
+        upstream.started.append((self.world.now(), request))
+        upstream.running.add(request)
+        if self.world.random.random() < self.world.chaos * 0.02:
+            upstream.running.discard(request)
+            return NoAnswer("reset")
+        return Opened(_Response(self, upstream, request, 0))
+
+    async def resume(self, address, path, request, offset):
+        upstream = self.world.upstreams[address]
+        await asyncio.sleep(CONNECT_S)
+        gone = upstream.down or not self.reaches(upstream) or request in upstream.cancelled
+        if gone or self.world.random.random() < 0.3:
+            return NotConnected("nothing to resume")
+        return Opened(_Response(self, upstream, request, offset))
+
+    async def cancel(self, address, path, request):
+        await asyncio.sleep(CONNECT_S)
+        self.world.upstreams[address].cancelled.add(request)
+        self.world.upstreams[address].running.discard(request)
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,56 @@
+"""
+tests.virtual
+
+An event loop in virtual time: where nothing is ready, the clock jumps to the next timer.
+"""
+
+import asyncio
+import selectors
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self):
+        super().__init__()
+        self.jump = None
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("nothing is ready and no timer is set: a deadlock")
+        if timeout > 0:
+            self.jump(timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run coroutines without waiting."""
+
+    def __init__(self):
+        selector = _JumpingSelector()
+        super().__init__(selector)
+        self._virtual = 0.0
+        selector.jump = self._jump
+
+    def time(self):
+        return self._virtual
+
+    def _jump(self, seconds):
+        self._virtual += seconds
+
+
+def run(make):
+    """Run a coroutine function in virtual time; a fault in any task ends it."""
+    loop = VirtualLoop()
+    faults = []
+    loop.set_exception_handler(lambda _, context: faults.append(context))
+    try:
+        result = loop.run_until_complete(make())
+        leftover = [task for task in asyncio.all_tasks(loop) if not task.done()]
+        for task in leftover:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
+    finally:
+        loop.close()
+    for fault in faults:
+        if fault.get("exception") is not None:
+            raise fault["exception"]
+    return result
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,517 @@
+"""
+tests.world
+
+Several processes' real logic over small fakes, in virtual time and with one seed: callers, kills,
+cuts, holds, slow and leaving upstreams. What must always hold is asserted at the end, beside the
+invariants inside the program.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from chalkyoke.administration.events import EventRing
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.clock import HybridClock
+from chalkyoke.configuration.messages import ListedHost
+from chalkyoke.configuration.resources import build, read_document
+from chalkyoke.entry.acquirer import Acquirer
+from chalkyoke.entry.answers import LocalAnswer, issuer_gone
+from chalkyoke.entry.dispatcher import Dispatcher
+from chalkyoke.entry.ends import Ends
+from chalkyoke.entry.messages import CallerRequest
+from chalkyoke.entry.runs import Runs
+from chalkyoke.entry.service import EntryService
+from chalkyoke.entry.streams import DONE_EVENT
+from chalkyoke.membership.messages import Heartbeat, MemberRecord, Summary, SummaryRequest
+from chalkyoke.membership.state import Left
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.fleet import FleetView
+from chalkyoke.node.ports import FleetPort
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.outcomes import Verdict
+from chalkyoke.scheduling.messages import Grant, LoadReport, Shed
+from chalkyoke.tokens.codec import TokenCodec
+from chalkyoke.tokens.ledger import TokenLedger
+
+from tests.upstreams import FakeUpstream, FakeUpstreamClient, answer_events, tokens_of
+
+KEY = b"w" * 16
+DOMAINS = ("d1", "d2", "d3")
+LIST_LAG_S = 1.0
+LEAVING_LIMIT_S = 4.0
+
+DOCUMENT = {
+    "tier": [{"name": f"t{rank}", "rank": rank} for rank in range(3)],
+    "team": [{"name": f"m{i}", "tiers": ["t0", "t1", "t2"], "weight": i + 1} for i in range(3)],
+    "service": [
+        {"name": "model", "protocol": "completions", "selector": {"kind": "engine"}},
+        {"name": "seats", "protocol": "plain", "selector": {"kind": "plain"}, "repeatable": False},
+    ],
+    "upstream_class": [
+        {"name": "engines", "selector": {"kind": "engine"}, "slots": 3, "decode_tokens_per_s": 50},
+        {"name": "plains", "selector": {"kind": "plain"}, "slots": 4, "decode_tokens_per_s": 30},
+    ],
+    "route": [
+        {"name": "all", "service": "model"},
+        {"name": "some", "service": "model", "match": {"w": "s"}, "upstreams": {"size": "small"}},
+        {"name": "seats", "service": "seats"},
+    ],
+}
+
+
+@dataclass
+class Told:
+    """What one try of a caller heard."""
+
+    request: str
+    verdict: str
+    body: bytes
+    at: float
+
+
+@dataclass
+class WorldNode:
+    """One process: the real slices over fakes."""
+
+    world: "World"
+    host: str
+    domain: str
+    incarnation: int
+    dead: bool = False
+    held: bool = False
+    inbox: list = field(default_factory=list)
+    tasks: list = field(default_factory=list)
+
+    def __post_init__(self):
+        world, started = self.world, self.world.now()
+        self.now = lambda: world.now() - started
+        self.address = f"{self.host}:{self.incarnation}"
+        self.record = MemberRecord(
+            self.host, self.incarnation, self.address, "", self.domain, False, True, 1, 1
+        )
+        self.process = self.record.process
+        self.view = MembershipView(self.record)
+        self.fleet = FleetView(world.resources, world.listed())
+        self.view.set_candidates(self.fleet.candidates())
+        self.metrics = Metrics()
+        self.events = EventRing(self.host, HybridClock(), lambda: int(world.now() * 1000))
+        port = FleetPort(lambda: self.fleet)
+        self.schedulers = SchedulerHost(
+            self.process,
+            self.view,
+            lambda: self.fleet,
+            self.send,
+            self.events,
+            self.metrics,
+            self.now,
+            world.random.random,
+        )
+        ledger = TokenLedger(self.host, self.address, self.incarnation, lifetime_s=120)
+        self.runs = Runs(ledger, TokenCodec(KEY))
+        self.acquirer = Acquirer(self.runs, self.schedulers, port, self.metrics, self.now)
+        ends = Ends(self.runs, self.acquirer, self.events, self.metrics, self.now)
+        dispatcher = Dispatcher(
+            self.acquirer,
+            ends,
+            port,
+            FakeUpstreamClient(world, self),
+            self.events,
+            self.metrics,
+            self.now,
+        )
+        self.entry = EntryService(
+            self.runs, self.acquirer, ends, dispatcher, port, self.events, self.metrics, self.now
+        )
+        self.schedulers.deliver = self.acquirer.receive
+        self.every(self.view.interval_s, self.beat)
+        self.every(0.05, self.tick)
+        self.every(1.0, self.keep_house)
+
+    def every(self, seconds, work):
+        async def loop():
+            while True:
+                if not self.held:
+                    work()
+                await asyncio.sleep(seconds)
+
+        task = asyncio.get_running_loop().create_task(loop())
+        task.add_done_callback(self.world.note_fault)
+        self.tasks.append(task)
+
+    def beat(self):
+        for send in self.view.beat(self.now()):
+            self.send(send.address, send.message)
+
+    def tick(self):
+        self.apply(self.view.tick(self.now()))
+        self.schedulers.tick()
+
+    def keep_house(self):
+        self.acquirer.check_owners()
+        self.acquirer.send_progress()
+        self.runs.expire(self.now())
+        for scheduler in list(self.schedulers.pools.values()):
+            for name in list(scheduler.upstreams):
+                upstream = self.world.upstreams[name]
+                report = LoadReport(name, len(upstream.running), 0, 0.5, upstream.draining)
+                self.schedulers.dispatch(scheduler.load_report(report, self.now()))
+
+    def apply(self, changes):
+        for change in changes:
+            if isinstance(change, Left):
+                self.schedulers.member_left(change.record.process)
+        if changes:
+            self.acquirer.check_owners()
+
+    def take_list(self, hosts):
+        self.fleet = FleetView(self.world.resources, hosts)
+        self.view.set_candidates(self.fleet.candidates())
+        self.schedulers.reconfigure()
+
+    def send(self, address, message):
+        if not self.dead:
+            self.world.carry(self, address, message)
+
+    def receive(self, sender, message):
+        if self.dead:
+            return
+        if self.held:
+            self.inbox.append((sender, message))
+            return
+        if isinstance(message, Heartbeat | Summary | SummaryRequest):
+            changes, sends = self.view.receive(sender.address, message, self.now())
+            self.apply(changes)
+            for send in sends:
+                self.send(send.address, send.message)
+        elif isinstance(message, Grant | Shed):
+            self.acquirer.receive(sender.process, message)
+        else:
+            self.schedulers.note_address(sender.process, sender.address)
+            self.schedulers.receive(sender.process, sender.domain, message)
+
+    def wake(self):
+        self.held = False
+        inbox, self.inbox = self.inbox, []
+        for sender, message in inbox:
+            self.receive(sender, message)
+
+    def die(self):
+        self.dead = True
+        for task in [*self.tasks, *self.entry._tasks.values()]:
+            task.cancel()
+
+
+class World:
+    """The processes, the wires between them, the upstreams and the callers."""
+
+    def __init__(self, seed, chaos=1.0):
+        self.random = random.Random(seed)
+        self.chaos = chaos
+        self.loop = asyncio.get_running_loop()
+        self.resources = build(read_document(DOCUMENT).unwrap()).unwrap()
+        self.upstreams = {
+            f"e{i}": FakeUpstream(f"e{i}", DOMAINS[i % 3], False, 0.01 * (1 + i % 3))
+            for i in range(5)
+        }
+        self.upstreams |= {f"p{i}": FakeUpstream(f"p{i}", DOMAINS[i], True) for i in range(3)}
+        self.cuts = set()
+        self.faults = []
+        self.told = []
+        self.steps = Counter()
+        self.nodes = {}
+        self.incarnations = iter(range(1, 10_000))
+        for index in range(6):
+            self.start(f"h{index}", DOMAINS[index % 3])
+
+    def now(self):
+        return self.loop.time()
+
+    def start(self, host, domain):
+        self.nodes[host] = WorldNode(self, host, domain, next(self.incarnations))
+
+    def listed(self):
+        entries = [
+            ListedHost(f"h{i}", f"h{i}", DOMAINS[i % 3], False, {"kind": "entry"}) for i in range(6)
+        ]
+        return tuple(
+            entries
+            + [
+                ListedHost(
+                    each.id,
+                    each.id,
+                    each.domain,
+                    each.leaving,
+                    {
+                        "kind": "plain" if each.plain else "engine",
+                        "size": "small" if each.id in ("e0", "e1") else "large",
+                    },
+                )
+                for each in self.upstreams.values()
+            ]
+        )
+
+    def note_fault(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self.faults.append(task.exception())
+
+    # Wires: late, doubled and out of order; cut one way or both.
+
+    def linked(self, one, other):
+        return (one, other) not in self.cuts
+
+    def carry(self, sender, address, message):
+        target = self.nodes.get(address.split(":")[0])
+        if target is None or not self.linked(sender.domain, target.domain):
+            return
+        if ":" in address and target.address != address:
+            return
+        copies = 2 if self.random.random() < 0.05 * self.chaos else 1
+        for _ in range(copies):
+            slow = self.random.random() < 0.02 * self.chaos
+            delay = self.random.uniform(0.0005, 0.003) + (self.random.uniform(0, 2) if slow else 0)
+            self.loop.call_later(delay, self.deliver, sender, target, message)
+
+    def deliver(self, sender, target, message):
+        try:
+            target.receive(sender, message)
+        except BaseException as error:
+            self.faults.append(error)
+
+    # Callers.
+
+    def make_request(self, number, held_token):
+        plain = self.random.random() < 0.4
+        route = "seats" if plain else self.random.choice(["all", "some"])
+        return CallerRequest(
+            service="seats" if plain else "model",
+            team=f"m{number % 3}",
+            tier=f"t{self.random.randrange(3)}",
+            route=route,
+            path="/v1/completions" if not plain else "/hold",
+            content_type="application/json",
+            body=b"{}",
+            labels={"n": str(number)},
+            budget_s=self.random.choice([0.8, 2.0, 5.0]),
+            repeatable=not plain,
+            stream=True,
+            prompt_tokens=10,
+            max_output=0 if plain else 50,
+            blocks=(),
+            held_token=held_token,
+        )
+
+    async def caller(self, number):
+        """Send a request; with a token, send it again through others, at once or later."""
+        held = self.random.random() < 0.7
+        request = self.make_request(number, held)
+        node = self.pick_node()
+        if node is None:
+            return
+        token = node.runs.issue(node.now()) if held else (None, "")
+        tries = self.random.choice([1, 1, 2, 3]) if held else 1
+        tasks = []
+        for _ in range(tries):
+            tasks.append(
+                asyncio.ensure_future(self.send(self.pick_node() or node, request, *token))
+            )
+            await asyncio.sleep(self.random.choice([0.0, 0.01, 0.3, 3.0]))
+        if self.random.random() < 0.1 * self.chaos:
+            tasks[0].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if held and self.random.random() < 0.5:
+            await asyncio.sleep(self.random.uniform(0, 10))
+            await self.send(self.pick_node() or node, request, *token)
+
+    def pick_node(self):
+        alive = [each for each in self.nodes.values() if not each.dead]
+        return self.random.choice(alive) if alive else None
+
+    async def send(self, node, request, token, text):
+        self.steps["sent"] += 1
+        issuer = node
+        if token is not None and not node.runs.ledger.is_ours(token):
+            issuer = self.nodes.get(token.host, node)
+            both = self.linked(node.domain, issuer.domain) and self.linked(
+                issuer.domain, node.domain
+            )
+            if issuer.dead or not both or not issuer.runs.ledger.is_ours(token):
+                self.hear(token.request, issuer_gone(), b"")
+                return
+            self.steps["forwarded"] += 1
+        submitted = issuer.entry.submit(request, token, text)
+        if submitted.is_err():
+            self.steps["bad"] += 1
+            return
+        run = submitted.unwrap()
+        answer = LocalAnswer(issuer.entry, issuer.entry.open_reader(run))
+        try:
+            pieces = []
+            while (piece := await answer.next()) is not None:
+                pieces.append(piece)
+            if not issuer.dead:
+                self.hear(run.id, answer.verdict(), b"".join(pieces))
+        finally:
+            answer.close()
+
+    def hear(self, request, refusal, body):
+        verdict = "whole" if refusal is None else refusal.verdict
+        self.steps[verdict] += 1
+        self.told.append(Told(request, verdict, body, self.now()))
+
+    # Faults.
+
+    async def disturb(self, until):
+        actions = [
+            self.kill,
+            self.cut,
+            self.heal,
+            self.hold,
+            self.plan_stop,
+            self.upset,
+            self.leave,
+        ]
+        while self.now() < until:
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+            action = self.random.choice(actions)
+            self.steps[action.__name__] += 1
+            action()
+            if self.random.random() < 0.2:
+                self.random.choice(actions)()
+
+    def kill(self):
+        node = self.pick_node()
+        if node is not None:
+            node.die()
+            self.loop.call_later(self.random.uniform(0.1, 3), self.restart, node)
+
+    def restart(self, node):
+        if self.nodes[node.host] is node:
+            self.start(node.host, node.domain)
+
+    def cut(self):
+        one, other = self.random.sample(DOMAINS, 2)
+        self.cuts.add((one, other))
+        if self.random.random() < 0.6:
+            self.cuts.add((other, one))
+
+    def heal(self):
+        self.cuts.clear()
+
+    def hold(self):
+        node = self.pick_node()
+        if node is not None:
+            node.held = True
+            self.loop.call_later(self.random.uniform(0.2, 6), node.wake)
+
+    def plan_stop(self):
+        node = self.pick_node()
+        if node is None:
+            return
+        node.entry.stopping = True
+        node.view.update_self(leaving=True)
+        self.loop.create_task(self.finish_stop(node))
+
+    async def finish_stop(self, node):
+        await node.entry.drain()
+        cut_off = list(node.runs.active())
+        assert node.dead or not cut_off, f"a planned stop cut off {[run.id for run in cut_off]}"
+        self.steps["stopped"] += 1
+        if not node.dead:
+            node.die()
+            self.restart(node)
+
+    def upset(self):
+        upstream = self.random.choice(list(self.upstreams.values()))
+        fault = self.random.choice(["down", "hang", "slow"])
+        if fault == "slow":
+            upstream.token_s *= 5
+        else:
+            setattr(upstream, fault, True)
+        self.loop.call_later(self.random.uniform(0.3, 5), self.settle, upstream)
+
+    def settle(self, upstream):
+        upstream.down = upstream.hang = False
+        upstream.token_s = 0.01
+
+    def leave(self):
+        upstream = self.random.choice(list(self.upstreams.values()))
+        if upstream.leaving or sum(not each.leaving for each in self.upstreams.values()) <= 4:
+            return
+        upstream.leaving, upstream.leaving_since = True, self.now()
+        upstream.draining = self.random.random() < 0.5
+        self.tell_list()
+        self.loop.call_later(self.random.uniform(6, 10), self.come_back, upstream)
+
+    def come_back(self, upstream):
+        self.check_leaving(upstream)
+        upstream.leaving = upstream.draining = False
+        self.tell_list()
+
+    def check_leaving(self, upstream):
+        late = [at for at, _ in upstream.started if at > upstream.leaving_since + LEAVING_LIMIT_S]
+        if upstream.leaving and late:
+            self.faults.append(AssertionError(f"{upstream.id} leaves and got work at {late}"))
+
+    def tell_list(self):
+        hosts = self.listed()
+        for node in self.nodes.values():
+            delay = self.random.uniform(0.1, LIST_LAG_S)
+            self.loop.call_later(delay, lambda node=node: node.dead or node.take_list(hosts))
+
+    # Verdict.
+
+    def check(self):
+        """Compare what callers were told with what the upstreams saw."""
+        if self.faults:
+            raise self.faults[0]
+        seen = Counter()
+        for upstream in self.upstreams.values():
+            seen.update(upstream.seen)
+        doubled = [request for request, count in seen.items() if count > 1]
+        assert not doubled, f"dispatched more than once: {doubled}"
+        refused = {each.request for each in self.told if each.verdict == Verdict.NOT_RUN}
+        assert not refused & set(seen), f"told 'not run' but ran: {refused & set(seen)}"
+        for each in self.told:
+            if each.verdict == "whole":
+                assert_whole(each)
+
+    async def play(self, seconds, callers):
+        """Run callers under faults, then heal and wait until all is quiet."""
+        disturbing = self.loop.create_task(self.disturb(seconds))
+        calls = []
+        for number in range(callers):
+            calls.append(self.loop.create_task(self.caller(number)))
+            await asyncio.sleep(self.random.expovariate(callers / seconds))
+        await disturbing
+        self.heal()
+        for node in list(self.nodes.values()):
+            node.wake()
+        for call in calls:
+            call.add_done_callback(self.note_fault)
+        await asyncio.wait(calls, timeout=120)
+        assert all(call.done() for call in calls), "a caller was left without an answer"
+        await asyncio.sleep(70)
+        self.check()
+        return self.steps
+
+
+def assert_whole(told):
+    """Check that an answer is whole and the caller's own."""
+    if told.body.startswith(b"{"):
+        assert told.request.encode() in told.body, "an answer went to another caller"
+        return
+    wanted = b"".join(answer_events(told.request, tokens_of(told.request)))
+    assert told.body == wanted, f"not whole, or another's: {told.request} {told.body[-80:]!r}"
+    assert told.body.endswith(DONE_EVENT)
+
+
+def play(seed, seconds=40, callers=120, chaos=1.0):
+    """Play one seed and return the counts of what happened."""
+    from tests.virtual import run
+
+    async def main():
+        return await World(seed, chaos).play(seconds, callers)
+
+    return run(main)
