--- /dev/null
+++ b/benches/policy/__main__.py
@@ -0,0 +1,49 @@
+"""
+benches.policy.__main__
+
+``python -m benches.policy --scenario FILE --seed N --json OUT``
+"""
+
+import argparse
+from pathlib import Path
+
+from benches.policy import report
+from benches.policy.policies import POLICIES
+from benches.policy.scenario import all_scenarios, load
+
+DEFAULT_SEEDS = 10
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the policy bench and print its tables."""
+    parser = argparse.ArgumentParser(description="The policy over fake engines in virtual time.")
+    parser.add_argument("--scenario", type=Path, action="append", help="a TOML file; all if none")
+    parser.add_argument("--only", default="", help="scenarios whose names hold this")
+    parser.add_argument("--seed", type=int, action="append", help="a seed; 1 to 10 if none")
+    parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS, help="how many seeds")
+    parser.add_argument("--policy", action="append", choices=list(POLICIES), help="all if none")
+    parser.add_argument("--json", type=Path, help="write all figures here")
+    parser.add_argument("--brief", action="store_true", help="only what falls short")
+    parsed = parser.parse_args(arguments)
+
+    if parsed.scenario:
+        scenarios = [each for path in parsed.scenario for each in load(path)]
+    else:
+        scenarios = [each for each in all_scenarios() if parsed.only in each.name]
+    seeds = parsed.seed or list(range(1, parsed.seeds + 1))
+    verdicts = report.play_all(scenarios, parsed.policy or list(POLICIES), seeds)
+    rows = report.rows_of(verdicts)
+    tiers = {each.fleet: [tier["name"] for tier in each.tiers] for each in scenarios}
+    if not parsed.brief:
+        print(report.table(rows, tiers))
+    print(
+        "Short of the aims:" if (short := report.shortfalls(rows, tiers)) else "All aims reached."
+    )
+    for line in short:
+        print(f"- {line}")
+    if parsed.json:
+        report.write_json(parsed.json, verdicts)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benches/policy/policies.py
@@ -0,0 +1,462 @@
+"""
+benches.policy.policies
+
+The baselines, chalkyoke with its parts, and the bound that is told what nobody knows.
+"""
+
+import random
+import zlib
+from collections import defaultdict
+from collections.abc import Callable
+
+from chalkyoke.scheduling.estimates import OutputModel, SpeedModel
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    CacheEvent,
+    Grant,
+    LoadReport,
+    Progress,
+    ProgressItem,
+    Release,
+    RunningItem,
+    Shed,
+    Usage,
+    Withdraw,
+)
+from chalkyoke.scheduling.placement import Features
+from chalkyoke.scheduling.scheduler import Out, PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+
+from benches.policy.engine import EngineSpec, SimEngine
+from benches.policy.simulation import Simulation, Try
+
+LINK_S = 0.001
+TICK_S = 0.05
+PROGRESS_S = 1.0
+REPORT_S = 1.0
+TAKE_OVER_S = 1.5
+CACHE_LAG_S = 1.0
+CACHE_GAP = 0.2
+CARD_ERROR = 1.3
+
+
+class Baseline:
+    """Send each request to an engine as it arrives; first in, first out, nothing given up."""
+
+    name = "baseline"
+
+    def begin(self, simulation: Simulation) -> None:
+        """Get ready."""
+        self.simulation = simulation
+        self.random = random.Random(5)
+        self.outstanding: dict[str, int] = defaultdict(int)
+        self.reported: dict[str, int] = dict.fromkeys(simulation.engines, 0)
+        simulation.every(REPORT_S, self._report)
+
+    def _report(self) -> None:
+        lag = self.simulation.scenario.report_lag_s
+        loads = {name: engine.load for name, engine in self.simulation.engines.items()}
+        self.simulation.at(self.simulation.now + lag, lambda: self.reported.update(loads))
+
+    def eligible(self, item: Try) -> list[SimEngine]:
+        """List the engines that the request's route matches."""
+        names = eligible_names(self.simulation, item.demand.route)
+        return [self.simulation.engines[name] for name in names]
+
+    def arrive(self, item: Try) -> None:
+        """Choose an engine; one that refuses the connection is passed over."""
+        engines = self.eligible(item)
+        while engines:
+            chosen = self.choose(item, engines)
+            if self.simulation.start(item, chosen, 0):
+                self.outstanding[chosen.spec.id] += 1
+                return
+            engines.remove(chosen)
+
+    def choose(self, item: Try, engines: list[SimEngine]) -> SimEngine:
+        """Choose one engine."""
+        raise NotImplementedError
+
+    def first(self, item: Try) -> None:
+        """Nothing is learned."""
+
+    def ended(self, item: Try, delivered: bool) -> None:
+        """Count down."""
+        assert item.engine is not None
+        self.outstanding[item.engine.spec.id] -= 1
+
+    def left(self, item: Try) -> None:
+        """Nothing waits outside engines."""
+
+    def lose_scheduler(self) -> None:
+        """There is none."""
+
+    def backlogged(self) -> dict[str, dict[str, int]]:
+        """Nothing waits outside engines."""
+        return {}
+
+
+class RoundRobin(Baseline):
+    """One after the other."""
+
+    name = "round robin"
+
+    def begin(self, simulation: Simulation) -> None:
+        """Get ready."""
+        super().begin(simulation)
+        self.turn = 0
+
+    def choose(self, item: Try, engines: list[SimEngine]) -> SimEngine:
+        """Choose the next one."""
+        self.turn += 1
+        return engines[self.turn % len(engines)]
+
+
+class LeastOutstanding(Baseline):
+    """The engine with the fewest requests sent and not ended."""
+
+    name = "least outstanding"
+
+    def choose(self, item: Try, engines: list[SimEngine]) -> SimEngine:
+        """Choose the emptiest."""
+        return min(engines, key=lambda engine: self.outstanding[engine.spec.id])
+
+
+class TwoChoices(Baseline):
+    """The better of two random engines by their reported load."""
+
+    name = "two choices"
+
+    def choose(self, item: Try, engines: list[SimEngine]) -> SimEngine:
+        """Choose the better of two."""
+        two = self.random.sample(engines, min(2, len(engines)))
+        return min(two, key=lambda engine: self.reported[engine.spec.id])
+
+
+class PrefixAffinity(Baseline):
+    """The engine that a hash of the prompt's head names."""
+
+    name = "prefix affinity"
+
+    def choose(self, item: Try, engines: list[SimEngine]) -> SimEngine:
+        """Choose by rendezvous over the head block."""
+        head = item.demand.blocks[:1] or (item.demand.id,)
+        return max(engines, key=lambda engine: zlib.crc32(f"{head}{engine.spec.id}".encode()))
+
+
+def eligible_names(simulation: Simulation, route: str) -> list[str]:
+    """List the engines whose labels a route's selector matches."""
+    wanted = next(each for each in simulation.scenario.routes if each["name"] == route)
+    return [
+        spec.id
+        for spec in simulation.scenario.engines
+        if all(spec.labels.get(k) == v for k, v in wanted.get("upstreams", {}).items())
+    ]
+
+
+def _card(spec: EngineSpec) -> float:
+    """Give the error of an engine's model card: too good or too bad by up to 30%."""
+    return float(CARD_ERROR ** ((zlib.crc32(spec.id.encode()) % 201 - 100) / 100))
+
+
+class Chalkyoke:
+    """The pool scheduler as it runs in a node, over the simulated engines."""
+
+    name = "chalkyoke"
+
+    def __init__(self, name: str = "chalkyoke", features: Features | None = None) -> None:
+        self.name = name
+        self._features = features or Features()
+
+    def begin(self, simulation: Simulation) -> None:
+        """Make the scheduler and its timers."""
+        self.simulation = simulation
+        self.random = random.Random(3)
+        self.waiting: dict[str, Try] = {}
+        self.running: dict[str, Try] = {}
+        self.attempts: dict[str, int] = {}
+        self.scheduler: PoolScheduler | None = self.make_scheduler()
+        simulation.every(TICK_S, self._tick)
+        simulation.every(PROGRESS_S, self._progress)
+        simulation.every(REPORT_S, self._report)
+
+    def spec(self) -> PoolSpec:
+        """Write the scenario as a pool; model cards are wrong by up to 30%."""
+        scenario = self.simulation.scenario
+        return PoolSpec(
+            "pool",
+            tuple(
+                UpstreamSpec(
+                    each.id,
+                    each.id,
+                    each.domain,
+                    each.slots,
+                    each.prefill_tokens_per_s * _card(each),
+                    each.decode_tokens_per_s * _card(each),
+                    each.batch_slowdown,
+                    each.cache_blocks,
+                )
+                for each in scenario.engines
+            ),
+            tuple(TierSpec(tier["name"], rank) for rank, tier in enumerate(scenario.tiers)),
+            tuple(TeamSpec(team["name"], team["weight"]) for team in scenario.teams),
+            tuple(
+                RouteSpec(each["name"], frozenset(eligible_names(self.simulation, each["name"])))
+                for each in scenario.routes
+            ),
+        )
+
+    def make_scheduler(self, expected: tuple[str, ...] = ()) -> PoolScheduler:
+        """Make a scheduler."""
+        return PoolScheduler(
+            self.spec(), self.random.random, self.simulation.now, expected, self._features
+        )
+
+    # The entry's side.
+
+    def arrive(self, item: Try) -> None:
+        """Acquire."""
+        self.waiting[item.id] = item
+        self.attempts[item.id] = 1
+        self._acquire(item)
+
+    def _acquire(self, item: Try) -> None:
+        if self.scheduler is not None:
+            self._take(
+                self.scheduler.acquire("entry", "d", self.message(item), self.simulation.now)
+            )
+
+    def message(self, item: Try) -> Acquire:
+        """Write the acquire message of a try."""
+        demand, now = item.demand, self.simulation.now
+        return Acquire(
+            item.id,
+            self.attempts[item.id],
+            "pool",
+            demand.route,
+            demand.tier,
+            demand.team,
+            demand.prompt_tokens,
+            demand.max_output,
+            demand.blocks,
+            item.deadline - now,
+            now - item.arrived,
+        )
+
+    def _take(self, outs: list[Out]) -> None:
+        for out in outs:
+            action = out.action
+            self.simulation.at(
+                self.simulation.now + LINK_S,
+                lambda action=action: self._act(action),  # type: ignore[misc]
+            )
+
+    def _act(self, action: Grant | Shed) -> None:
+        item = self.waiting.get(action.request)
+        if item is None or self.attempts[item.id] != action.attempt:
+            if isinstance(action, Grant):
+                self._release(action.request, action.attempt, "unused", Usage())
+            return
+        if isinstance(action, Shed):
+            del self.waiting[item.id]
+            self.simulation.refuse(item, action.reason, action.retry_after_s)
+            return
+        engine = self.simulation.engines[action.upstream]
+        if self.simulation.start(item, engine, action.priority):
+            del self.waiting[item.id]
+            self.running[item.id] = item
+            return
+        self._release(item.id, action.attempt, "unreachable", Usage())
+        self.attempts[item.id] += 1
+        self._acquire(item)
+
+    def _release(self, request: str, attempt: int, outcome: str, usage: Usage) -> None:
+        if self.scheduler is not None:
+            message = Release(request, attempt, "pool", outcome, usage)
+            self._take(self.scheduler.release("d", message, self.simulation.now))
+
+    def first(self, item: Try) -> None:
+        """The next progress message tells it."""
+
+    def ended(self, item: Try, delivered: bool) -> None:
+        """Release."""
+        self.running.pop(item.id, None)
+        sequence, engine = item.sequence, item.engine
+        assert sequence is not None
+        assert engine is not None
+        output = sequence.output_tokens if delivered else engine.tokens_of(sequence)
+        first = sequence.first_at - sequence.submitted if sequence.first_at >= 0 else -1.0
+        usage = Usage(
+            sequence.prompt_tokens,
+            sequence.cached_tokens if sequence.first_at >= 0 else -1,
+            output,
+            first,
+            self.simulation.now - sequence.submitted,
+        )
+        outcome = "delivered" if delivered else ("failed" if engine.gone else "cancelled")
+        self._release(item.id, self.attempts[item.id], outcome, usage)
+
+    def left(self, item: Try) -> None:
+        """Withdraw."""
+        self.waiting.pop(item.id, None)
+        if self.scheduler is not None:
+            self.scheduler.withdraw(Withdraw(item.id, "pool"))
+
+    def lose_scheduler(self) -> None:
+        """Lose it; its successor is asked after the heartbeats have run out."""
+        self.scheduler = None
+        self.simulation.at(self.simulation.now + TAKE_OVER_S, self._take_over)
+
+    def _take_over(self) -> None:
+        self.scheduler = self.make_scheduler(("entry",))
+        now = self.simulation.now
+        items = []
+        for item in self.running.values():
+            assert item.sequence is not None
+            assert item.engine is not None
+            demand = item.demand
+            items.append(
+                RunningItem(
+                    item.id,
+                    self.attempts[item.id],
+                    item.engine.spec.id,
+                    demand.tier,
+                    demand.team,
+                    demand.route,
+                    demand.prompt_tokens,
+                    demand.max_output,
+                    item.engine.tokens_of(item.sequence),
+                    now - item.sequence.submitted,
+                )
+            )
+        self._take(self.scheduler.adopt("entry", Adopt("pool", tuple(items)), now))
+        for item in list(self.waiting.values()):
+            self._acquire(item)
+
+    # Timers.
+
+    def _tick(self) -> None:
+        if self.scheduler is not None:
+            self._take(self.scheduler.tick(self.simulation.now))
+
+    def _progress(self) -> None:
+        if self.scheduler is None:
+            return
+        now = self.simulation.now
+        items = []
+        for item in self.running.values():
+            assert item.sequence is not None
+            assert item.engine is not None
+            item.engine.advance(now)
+            sequence = item.sequence
+            first = sequence.first_at - sequence.submitted if sequence.first_at >= 0 else -1.0
+            tokens = item.engine.tokens_of(sequence)
+            items.append(ProgressItem(item.id, tokens, first, now - sequence.submitted))
+        self._take(self.scheduler.progress("entry", Progress("pool", tuple(items)), now))
+
+    def _report(self) -> None:
+        now, lag = self.simulation.now, self.simulation.scenario.report_lag_s
+        for name, engine in self.simulation.engines.items():
+            if engine.gone:
+                continue
+            report = LoadReport(name, len(engine.batch), engine.load - len(engine.batch), lag)
+            dropped = [block for at, block in engine.dropped if at <= now - CACHE_LAG_S]
+            engine.dropped = [each for each in engine.dropped if each[0] > now - CACHE_LAG_S]
+            heard = tuple(block for block in dropped if self.random.random() >= CACHE_GAP)
+            self.simulation.at(
+                now + lag,
+                lambda report=report, heard=heard: self._hear(report, heard),  # type: ignore[misc]
+            )
+
+    def _hear(self, report: LoadReport, dropped: tuple[int, ...]) -> None:
+        if self.scheduler is not None:
+            self.scheduler.cache_event(CacheEvent(report.upstream, dropped))
+            self._take(self.scheduler.load_report(report, self.simulation.now))
+
+    def backlogged(self) -> dict[str, dict[str, int]]:
+        """Count what waits, by tier and team."""
+        counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+        for item in self.waiting.values():
+            counts[item.demand.tier][item.demand.team] += 1
+        return counts
+
+
+class _TrueSpeed(SpeedModel):
+    """A speed model that reads the engine itself."""
+
+    __slots__ = ("_engine",)
+
+    def __init__(self, engine: SimEngine) -> None:
+        spec = engine.spec
+        super().__init__(
+            spec.prefill_tokens_per_s, spec.decode_tokens_per_s, spec.batch_slowdown, spec.slots
+        )
+        self._engine = engine
+
+    def token_time(self, streams: int) -> float:
+        """Give the true time."""
+        return super().token_time(streams) * self._engine.slow
+
+    def prefill_time(self, tokens: float) -> float:
+        """Give the true time."""
+        return super().prefill_time(tokens) * self._engine.slow
+
+    def learn_tokens(self, tokens: int, seconds: float, streams: int) -> None:
+        """There is nothing to learn."""
+
+    def learn_first(self, expected_s: float, observed_s: float) -> None:
+        """There is nothing to learn."""
+
+
+class _TrueOutput(OutputModel):
+    """An output model that is told the true length as the caller's bound."""
+
+    def predict(self, _route: str, _team: str, max_output: int) -> tuple[float, float]:
+        """Give the true length."""
+        return float(max_output), float(max_output)
+
+
+class Bound(Chalkyoke):
+    """The same policy told true lengths, true speeds and fresh load."""
+
+    name = "bound"
+
+    def __init__(self) -> None:
+        super().__init__("bound")
+
+    def make_scheduler(self, expected: tuple[str, ...] = ()) -> PoolScheduler:
+        """Make a scheduler that is told the truth."""
+        made = super().make_scheduler(expected)
+        made._outputs = _TrueOutput()
+        for name, upstream in made.upstreams.items():
+            upstream.speed = _TrueSpeed(self.simulation.engines[name])
+        return made
+
+    def begin(self, simulation: Simulation) -> None:
+        """Tell progress with each tick."""
+        super().begin(simulation)
+        simulation.every(TICK_S, self._progress)
+
+    def message(self, item: Try) -> Acquire:
+        """Tell the true length."""
+        message = super().message(item)
+        fields = {name: getattr(message, name) for name in message.__struct_fields__}
+        return Acquire(**{**fields, "max_output": item.demand.output_tokens})
+
+
+POLICIES: dict[str, Callable[[], Baseline | Chalkyoke]] = {
+    "round robin": RoundRobin,
+    "least outstanding": LeastOutstanding,
+    "two choices": TwoChoices,
+    "prefix affinity": PrefixAffinity,
+    "chalkyoke": Chalkyoke,
+    "without hold": lambda: Chalkyoke("without hold", Features(hold=False)),
+    "without prefix": lambda: Chalkyoke("without prefix", Features(prefix=False)),
+    "without learning": lambda: Chalkyoke("without learning", Features(learn=False)),
+    "without shedding": lambda: Chalkyoke("without shedding", Features(shed=False)),
+    "without fairness": lambda: Chalkyoke("without fairness", Features(fair=False)),
+    "without prediction": lambda: Chalkyoke("without prediction", Features(predict=False)),
+    "bound": Bound,
+}
+BASELINES = ("round robin", "least outstanding", "two choices", "prefix affinity")
--- /dev/null
+++ b/benches/policy/report.py
@@ -0,0 +1,139 @@
+"""
+benches.policy.report
+
+Run scenarios over seeds and policies in parallel, and write the tables.
+"""
+
+import json
+import math
+import statistics
+from collections import defaultdict
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from benches.policy.policies import BASELINES, POLICIES
+from benches.policy.scenario import Scenario
+from benches.policy.simulation import Simulation, Verdict
+
+BOUND = "bound"
+OURS = "chalkyoke"
+TOP_SHARE = 0.99
+TOTAL_SHARE = 0.95
+WASTE_SHARE = 0.1
+FAIR_LEAST = 0.95
+
+Key = tuple[str, str]
+
+
+def play_one(job: tuple[Scenario, str, int]) -> Verdict:
+    """Play one scenario with one policy and one seed."""
+    scenario, policy, seed = job
+    return Simulation(scenario, POLICIES[policy](), seed).play()
+
+
+def play_all(scenarios: list[Scenario], policies: list[str], seeds: list[int]) -> list[Verdict]:
+    """Play all, on all processors."""
+    jobs = [(each, policy, seed) for each in scenarios for policy in policies for seed in seeds]
+    with ProcessPoolExecutor() as pool:
+        return list(pool.map(play_one, jobs, chunksize=4))
+
+
+@dataclass
+class Row:
+    """One policy in one scenario, over all seeds."""
+
+    goodput: float
+    spread: float
+    tiers: dict[str, float]
+    wasted: float
+    fairness: float
+
+
+def rows_of(verdicts: list[Verdict]) -> dict[Key, dict[str, Row]]:
+    """Fold verdicts over seeds: rows by (scenario, fleet) and policy."""
+    grouped: dict[Key, dict[str, list[Verdict]]] = defaultdict(lambda: defaultdict(list))
+    for verdict in verdicts:
+        grouped[verdict.scenario, verdict.fleet][verdict.policy].append(verdict)
+    return {
+        key: {policy: _fold(each) for policy, each in policies.items()}
+        for key, policies in grouped.items()
+    }
+
+
+def _fold(verdicts: list[Verdict]) -> Row:
+    goodputs = [each.goodput for each in verdicts]
+    fair = [each.fairness for each in verdicts if not math.isnan(each.fairness)]
+    tiers = {
+        tier: statistics.mean(each.tier_goodput(tier) for each in verdicts)
+        for tier in verdicts[0].demands
+    }
+    return Row(
+        statistics.mean(goodputs),
+        statistics.stdev(goodputs) if len(goodputs) > 1 else 0.0,
+        tiers,
+        statistics.mean(each.wasted_prefill for each in verdicts),
+        statistics.mean(fair) if fair else math.nan,
+    )
+
+
+def table(rows: dict[Key, dict[str, Row]], tiers: dict[str, list[str]]) -> str:
+    """Write one table for each scenario and fleet, as Markdown."""
+    lines: list[str] = []
+    for (scenario, fleet), policies in rows.items():
+        names = tiers[fleet]
+        lines += [f"### {scenario}, {fleet}", ""]
+        lines.append(
+            "| policy | goodput | spread | " + " | ".join(names) + " | wasted prefill | fairness |"
+        )
+        lines.append("|---|---|---|" + "---|" * (len(names) + 2))
+        for policy, row in policies.items():
+            by_tier = " | ".join(f"{row.tiers.get(name, math.nan):.3f}" for name in names)
+            fairness = "" if math.isnan(row.fairness) else f"{row.fairness:.3f}"
+            lines.append(
+                f"| {policy} | {row.goodput:.3f} | {row.spread:.3f} | {by_tier} "
+                f"| {row.wasted:,.0f} | {fairness} |"
+            )
+        lines.append("")
+    return "\n".join(lines)
+
+
+def shortfalls(rows: dict[Key, dict[str, Row]], tiers: dict[str, list[str]]) -> list[str]:
+    """List where the aims of the policy are not reached."""
+    found: list[str] = []
+    for (scenario, fleet), policies in rows.items():
+        ours, bound = policies[OURS], policies.get(BOUND)
+        where = f"{scenario}, {fleet}"
+        top = tiers[fleet][0]
+        if bound is not None and ours.tiers[top] < TOP_SHARE * bound.tiers[top]:
+            found.append(
+                f"{where}: {top} {ours.tiers[top]:.3f} of the bound's {bound.tiers[top]:.3f}"
+            )
+        if bound is not None and ours.goodput < TOTAL_SHARE * bound.goodput:
+            found.append(f"{where}: total {ours.goodput:.3f} of the bound's {bound.goodput:.3f}")
+        for name in BASELINES:
+            other = policies.get(name)
+            if other is None:
+                continue
+            if ours.goodput < other.goodput:
+                found.append(
+                    f"{where}: total {ours.goodput:.3f} under {name}'s {other.goodput:.3f}"
+                )
+            if ours.wasted > other.wasted:
+                found.append(f"{where}: waste {ours.wasted:,.0f} over {name}'s {other.wasted:,.0f}")
+        least = policies.get("least outstanding")
+        if (
+            "overload" in scenario
+            and least is not None
+            and ours.wasted > WASTE_SHARE * least.wasted
+        ):
+            share = ours.wasted / least.wasted
+            found.append(f"{where}: waste is {share:.2f} of least outstanding's")
+        if ours.fairness < FAIR_LEAST:
+            found.append(f"{where}: fairness {ours.fairness:.3f}")
+    return found
+
+
+def write_json(path: Path, verdicts: list[Verdict]) -> None:
+    """Write all verdicts as JSON."""
+    path.write_text(json.dumps([asdict(each) for each in verdicts], indent=1), encoding="utf-8")
