Count what reading a prompt does to the other streams; try late requests last

Cause: in overload the engines read prompts while their streams stand still; neither prediction nor placement counted it, and requests predicted late were tried first, so all started at the latest moment that could just do. Ruled out: learned speeds (the bound, told true ones, wasted as much). Change: token times are divided by the share of time not spent reading prompts; a prompt that would make running work of its tier or higher late is held; late requests that may not be shed are tried after all others.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -95,9 +95,9 @@
             continue
 
         upstream, start = found
-        duration = predict(item, upstream, 0, upstream.spec.slots).finish_s
+        duration = predict(item, upstream, 0, upstream.spec.slots, now).finish_s
         if start + duration > item.deadline:
-            upstream, start, duration = _earliest_finish(item, upstreams, forecast)
+            upstream, start, duration = _earliest_finish(item, upstreams, forecast, now)
         missed = start + duration - item.deadline
         if missed <= 0 or (start <= now and _could_start(item, upstream, now)):
             forecast.take(upstream, duration)
@@ -107,12 +107,12 @@
 
 
 def _earliest_finish(
-    item: Waiting, upstreams: list[Upstream], forecast: SlotForecast
+    item: Waiting, upstreams: list[Upstream], forecast: SlotForecast, now: float
 ) -> tuple[Upstream, float, float]:
     best: tuple[float, Upstream, float, float] | None = None
     for upstream in upstreams:
         start = forecast.start(upstream)
-        duration = predict(item, upstream, 0, upstream.spec.slots).finish_s
+        duration = predict(item, upstream, 0, upstream.spec.slots, now).finish_s
         if best is None or start + duration < best[0]:
             best = (start + duration, upstream, start, duration)
     assert best is not None
@@ -121,7 +121,7 @@
 
 def _could_start(item: Waiting, upstream: Upstream, now: float) -> bool:
     """Tell whether a free slot is there and the deadline can be met with luck."""
-    optimistic = predict(item, upstream, 0, upstream.occupied(now) + 1).optimistic_s
+    optimistic = predict(item, upstream, 0, upstream.occupied(now) + 1, now).optimistic_s
     return upstream.has_slot(now) and now + optimistic <= item.deadline
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -13,6 +13,7 @@
 HOLD_MARGIN = 0.10
 HOLD_MARGIN_S = 0.02
 CONNECT_S = 0.002
+MAX_STALLED = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,7 @@
     :param learn: correct speeds and lengths by finished work.
     :param shed: give up early what would be late.
     :param fair: fair shares among teams; else earliest deadline over all teams.
+    :param guard: do not start what would make running requests late.
     :param predict: place by predicted finish; else by the fewest running.
     """
 
@@ -61,19 +63,36 @@
     shed: bool = True
     fair: bool = True
     predict: bool = True
+    guard: bool = True
 
 
-def predict(item: Waiting, upstream: Upstream, cached_blocks: int, streams: int) -> Prediction:
+def prompt_left(item: Waiting, cached_blocks: int) -> int:
+    """Count the prompt tokens that an upstream has to read.
+
+    :param cached_blocks: leading blocks of the prompt in the upstream's cache.
+    :rtype: int
+    """
+    return max(1, item.prompt_tokens - cached_blocks * BLOCK_TOKENS)
+
+
+def predict(
+    item: Waiting, upstream: Upstream, cached_blocks: int, streams: int, now: float
+) -> Prediction:
     """Predict one request on one upstream, if it started now.
 
+    While a prompt is read the other streams stand still, so a token takes its own time divided by
+    the share of time that is not spent reading prompts.
+
     :param cached_blocks: leading blocks of its prompt in the upstream's cache.
     :param streams: streams that run there, this one included.
+    :param now: seconds on the scheduler's clock.
     :rtype: Prediction
     """
     speed = upstream.speed
-    left = max(1, item.prompt_tokens - cached_blocks * BLOCK_TOKENS)
+    left = prompt_left(item, cached_blocks)
     first = CONNECT_S + speed.prefill_time(left + upstream.prefill_backlog())
-    token = speed.token_time(streams)
+    stalled = min(MAX_STALLED, upstream.stalled_share(now))
+    token = speed.token_time(streams) / (1.0 - stalled)
     return Prediction(
         first, first + item.expected_output * token, first + item.optimistic_output * token
     )
@@ -84,9 +103,10 @@
 
     :return: seconds, with the optimistic output.
     """
-    left = max(1, item.prompt_tokens - cached_blocks * BLOCK_TOKENS)
     speed = upstream.speed
-    return speed.prefill_time(left) + item.optimistic_output * speed.token_time(1)
+    return speed.prefill_time(
+        prompt_left(item, cached_blocks)
+    ) + item.optimistic_output * speed.token_time(1)
 
 
 def next_slot(upstream: Upstream, now: float, ahead: int) -> float:
@@ -125,7 +145,10 @@
             continue
         occupied = upstream.occupied(now)
         cached = depths.get(upstream.spec.id, 0)
-        prediction = predict(item, upstream, cached, occupied + 1)
+        if features.guard and _would_harm(item, upstream, cached, now):
+            busy.append(upstream)
+            continue
+        prediction = predict(item, upstream, cached, occupied + 1, now)
         score = prediction.finish_s if features.predict else float(occupied)
         if best is None or score < best[0]:
             best = (score, upstream, prediction)
@@ -141,6 +164,14 @@
     return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
 
 
+def _would_harm(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> bool:
+    """Tell whether reading the prompt would make a running request of its tier or higher late."""
+    if not upstream.running:
+        return False
+    stall = upstream.speed.prefill_time(prompt_left(item, cached_blocks))
+    return stall > upstream.slack(item.rank, now)
+
+
 def _worth_waiting_for(
     item: Waiting,
     busy: list[Upstream],
@@ -157,7 +188,7 @@
         if wait >= limit:
             continue
         cached = depths.get(upstream.spec.id, 0)
-        finish = wait + predict(item, upstream, cached, upstream.spec.slots).finish_s
+        finish = wait + predict(item, upstream, cached, upstream.spec.slots, now).finish_s
         if finish < limit and (best is None or finish < best[0]):
             best = (finish, upstream)
     return best[1] if best is not None else None
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -15,39 +15,39 @@
 
 
 class TeamQueue:
-    """One team's waiting requests of one tier and route, earliest deadline first."""
+    """One team's waiting requests of one tier and route: by deadline, late ones last."""
 
     __slots__ = ("_items", "name", "route")
 
     def __init__(self, name: str, route: str) -> None:
         self.name = name
         self.route = route
-        self._items: list[tuple[float, int, Waiting]] = []
+        self._items: list[tuple[bool, float, int, Waiting]] = []
 
     def __len__(self) -> int:
         return len(self._items)
 
     def push(self, item: Waiting) -> None:
         """Add a request."""
-        insort(self._items, (item.deadline, item.order, item))
+        insort(self._items, (item.late, item.deadline, item.order, item))
 
     def discard(self, item: Waiting) -> None:
         """Take a request out."""
-        del self._items[bisect_left(self._items, (item.deadline, item.order))]
+        del self._items[bisect_left(self._items, (item.late, item.deadline, item.order))]
 
     def front(self) -> list[Waiting]:
         """List a few requests from the front; the first has the earliest deadline.
 
         :rtype: list[Waiting]
         """
-        return [entry[2] for entry in self._items[:PEEK]]
+        return [entry[3] for entry in self._items[:PEEK]]
 
     def ordered(self) -> list[Waiting]:
         """List all waiting requests, earliest deadline first.
 
         :rtype: list[Waiting]
         """
-        return [entry[2] for entry in self._items]
+        return [entry[3] for entry in self._items]
 
 
 class TierQueue:
@@ -111,6 +111,15 @@
         """
         return self._virtual.get(team, self._floor)
 
+    def mark(self, item: Waiting, late: bool) -> None:
+        """Note whether a request is predicted to be late; its place in the queue changes."""
+        if item.late == late:
+            return
+        queue = self._queues[item.team, item.route]
+        queue.discard(item)
+        item.late = late
+        queue.push(item)
+
     def queues(self, fair: bool = True) -> list[TeamQueue]:
         """List the queues that wait, in the order of their teams' shares.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -29,6 +29,7 @@
 )
 from chalkyoke.scheduling.placement import (
     BLOCK_TOKENS,
+    MAX_STALLED,
     Choice,
     Features,
     choose,
@@ -53,6 +54,7 @@
 MAX_WAITING = 5000
 MAX_LOOKED = 24
 LOST_RELEASE_S = 3.0
+MIN_OWN_SHARE = 0.2
 FOREIGN_VALID_S = 5.0
 FAILURES_TO_SUSPEND = 3
 BACKOFF_S = 0.5
@@ -226,7 +228,7 @@
         upstream = self._upstreams.get(item.upstream)
         if upstream is not None:
             self._learn_health(upstream, domain, outcome, now)
-            self._learn_usage(item, upstream, outcome, message.usage)
+            self._learn_usage(item, upstream, outcome, message.usage, now)
         self._end(item, now)
         return self._decide(now)
 
@@ -236,8 +238,11 @@
         :param entry: id of the entry process; the message lists all that it has running here.
         :rtype: list[Out]
         """
-        for item in message.items:
-            running = self._running.get(item.request)
+        known = [(self._running.get(item.request), item) for item in message.items]
+        for running, item in known:
+            if running is not None:
+                self._learn_first(running, item.first_s, now)
+        for running, item in known:
             if running is not None:
                 self._learn_progress(running, item, now)
 
@@ -370,10 +375,10 @@
             return []
         outs: list[Out] = []
         held: dict[str, int] = {}
-        for rank in sorted(self._queues):
-            queue = self._queues[rank]
-            if queue.live:
-                self._decide_tier(queue, held, now, outs)
+        ranks = sorted(rank for rank, queue in self._queues.items() if queue.live)
+        for late in (False, True):
+            for rank in ranks:
+                self._decide_tier(self._queues[rank], late, held, now, outs)
         return outs
 
     def _settled(self, now: float) -> bool:
@@ -383,8 +388,9 @@
         return True
 
     def _decide_tier(
-        self, queue: TierQueue, held: dict[str, int], now: float, outs: list[Out]
+        self, queue: TierQueue, late: bool, held: dict[str, int], now: float, outs: list[Out]
     ) -> None:
+        """Grant one tier's requests that are predicted in time, or, after all, its late ones."""
         blocked: set[tuple[str, str]] = set()
         full: set[str] = set()
         looked = 0
@@ -398,6 +404,8 @@
                     full.add(each.route)
                     continue
                 for item in each.front():
+                    if item.late != late:
+                        break
                     looked += 1
                     if self._try(item, held, now, outs):
                         granted = True
@@ -437,8 +445,7 @@
             return True
         if now + prediction.optimistic_s > item.deadline:
             return False
-        alone = self._counts[item.rank, item.route] == 1
-        return alone or self._lower_waits(item)
+        return item.late or self._counts[item.rank, item.route] == 1
 
     def _lower_waits(self, item: Waiting) -> bool:
         """Tell whether a lower tier waits for some of the same upstreams."""
@@ -473,14 +480,23 @@
             expected_output=item.expected_output,
             work=work,
             granted=now,
+            deadline=item.deadline,
             expected_finish=now + prediction.finish_s,
             prefill_left=left,
             expected_first_s=prediction.first_s,
+            stalls_seen=upstream.stall_s,
         )
+        self._delay_others(upstream, left)
         self._start(running, upstream, now)
         self.counters.granted += 1
         return Out(item.entry, self._grant_message(running))
 
+    def _delay_others(self, upstream: Upstream, prompt_tokens: int) -> None:
+        """Expect the running requests of an upstream to end later, for a prompt that it reads."""
+        stall = upstream.speed.prefill_time(prompt_tokens)
+        for other in upstream.running.values():
+            other.expected_finish += stall
+
     # Giving up.
 
     def _expire(self, now: float) -> list[Out]:
@@ -509,7 +525,11 @@
         )
         late = find_late(ordered, self._eligible, forecast, now)
         allowed = may_shed(late, self._waiting.values(), self._overlaps)
-        return self._shed_all(allowed)
+        outs = self._shed_all(allowed)
+        kept = {entry.item.request for entry in late}
+        for item in self._waiting.values():
+            self._queues[item.rank].mark(item, item.request in kept)
+        return outs
 
     def _shed_all(self, allowed: list[Late]) -> list[Out]:
         return [
@@ -558,7 +578,12 @@
                 upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
 
     def _learn_usage(
-        self, item: Running, upstream: Upstream, outcome: ReleaseOutcome, usage: Usage
+        self,
+        item: Running,
+        upstream: Upstream,
+        outcome: ReleaseOutcome,
+        usage: Usage,
+        now: float,
     ) -> None:
         weight = self._weights.get(item.team, 1.0)
         if outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE):
@@ -570,42 +595,57 @@
         self._queues[item.rank].charge(item.team, actual - item.work, weight)
         if not self.features.learn:
             return
-        if usage.first_s > 0 and not item.first_seen:
-            upstream.speed.learn_first(item.expected_first_s, usage.first_s)
+        self._learn_first(item, usage.first_s, now)
         if outcome is not ReleaseOutcome.DELIVERED:
             return
 
         self._outputs.learn(item.route, item.team, usage.output_tokens)
-        seconds = usage.total_s - max(usage.first_s, item.elapsed_s)
-        tokens = usage.output_tokens - max(1, item.output_tokens)
-        if tokens > 0:
-            upstream.speed.learn_tokens(tokens, seconds, len(upstream.running))
+        if usage.output_tokens > item.output_tokens:
+            self._learn_tokens(item, upstream, usage.output_tokens, usage.total_s)
         if usage.cached_tokens >= 0:
             believed = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
             found = usage.cached_tokens // BLOCK_TOKENS
             self._prefixes.correct(upstream.spec.id, int(believed), found)
 
+    def _learn_first(self, item: Running, first_s: float, now: float) -> None:
+        """Learn from a first token: how fast prompts are read, and that one was."""
+        upstream = self._upstreams.get(item.upstream)
+        if upstream is None or item.first_seen or first_s <= 0:
+            return
+        item.first_seen = True
+        upstream.note_stall(upstream.speed.prefill_time(item.prefill_left), now)
+        item.stalls_seen = upstream.stall_s
+        if self.features.learn:
+            upstream.speed.learn_first(item.expected_first_s, first_s)
+        item.elapsed_s = first_s
+        item.output_tokens = 1
+
     def _learn_progress(self, item: Running, seen: ProgressItem, now: float) -> None:
         upstream = self._upstreams.get(item.upstream)
         if upstream is None or seen.output_tokens < item.output_tokens:
             return
-
-        if self.features.learn:
-            if seen.first_s > 0 and not item.first_seen:
-                upstream.speed.learn_first(item.expected_first_s, seen.first_s)
-            elif item.first_seen:
-                tokens = seen.output_tokens - item.output_tokens
-                seconds = seen.elapsed_s - item.elapsed_s
-                upstream.speed.learn_tokens(tokens, seconds, len(upstream.running))
-        item.first_seen = item.first_seen or seen.first_s > 0
+        if self.features.learn and item.first_seen:
+            self._learn_tokens(item, upstream, seen.output_tokens, seen.elapsed_s)
         item.output_tokens = seen.output_tokens
         item.elapsed_s = seen.elapsed_s
-        item.expected_finish = now + self._remaining_s(item, upstream)
+        item.expected_finish = now + self._remaining_s(item, upstream, now)
 
-    def _remaining_s(self, item: Running, upstream: Upstream) -> float:
+    def _learn_tokens(
+        self, item: Running, upstream: Upstream, output_tokens: int, elapsed_s: float
+    ) -> None:
+        """Learn the time of a token, without the time in which other prompts were read."""
+        tokens = output_tokens - item.output_tokens
+        seconds = elapsed_s - item.elapsed_s
+        stalled = upstream.stall_s - item.stalls_seen
+        item.stalls_seen = upstream.stall_s
+        own = max(MIN_OWN_SHARE * seconds, seconds - stalled)
+        upstream.speed.learn_tokens(tokens, own, len(upstream.running))
+
+    def _remaining_s(self, item: Running, upstream: Upstream, now: float) -> float:
         """Predict the rest of a running request, in seconds."""
         left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
-        seconds = left * upstream.speed.token_time(len(upstream.running))
+        stalled = min(MAX_STALLED, upstream.stalled_share(now))
+        seconds = left * upstream.speed.token_time(len(upstream.running)) / (1.0 - stalled)
         if not item.first_seen:
             seconds += upstream.speed.prefill_time(item.prefill_left)
         return seconds
@@ -710,11 +750,12 @@
             expected_output=expected,
             work=self._work(item.prompt_tokens, expected),
             granted=now,
+            deadline=now + GRANT_VALID_S,
             expected_finish=now,
             prefill_left=item.prompt_tokens,
             first_seen=item.output_tokens > 0,
             output_tokens=item.output_tokens,
             elapsed_s=item.elapsed_s,
         )
-        running.expected_finish = now + self._remaining_s(running, upstream)
+        running.expected_finish = now + self._remaining_s(running, upstream, now)
         return running
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -4,6 +4,7 @@
 What the scheduler of one pool knows: its upstreams, what waits and what runs.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -11,6 +12,7 @@
 from chalkyoke.scheduling.estimates import SpeedModel
 
 OWN_LOAD_MEMORY_S = 15.0
+STALL_MEMORY_S = 10.0
 
 
 class ReleaseOutcome(StrEnum):
@@ -93,6 +95,7 @@
     :param expected_output: output tokens, the learned median.
     :param optimistic_output: output tokens, a low quantile.
     :param work: seconds that it is expected to take on a typical upstream; its fair-share cost.
+    :ivar late: whether it is predicted to miss its deadline; such a request is tried last.
     """
 
     request: str
@@ -111,11 +114,16 @@
     expected_output: float
     optimistic_output: float
     work: float
+    late: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class Running:
-    """One request that holds a grant."""
+    """One request that holds a grant.
+
+    :param prefill_left: prompt tokens to be read when it was granted.
+    :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
+    """
 
     request: str
     attempt: int
@@ -128,17 +136,23 @@
     expected_output: float
     work: float
     granted: float
+    deadline: float
     expected_finish: float
     prefill_left: float
     expected_first_s: float = 0.0
     first_seen: bool = False
     output_tokens: int = 0
     elapsed_s: float = 0.0
+    stalls_seen: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
 class Upstream:
-    """One upstream as the scheduler sees it now."""
+    """One upstream as the scheduler sees it now.
+
+    :ivar stall_s: seconds that it has spent reading prompts; its other streams stand still then.
+    :ivar stall_share: the share of its time that this took lately.
+    """
 
     spec: UpstreamSpec
     speed: SpeedModel
@@ -150,6 +164,9 @@
     suspended_until: float = 0.0
     unreachable_from: dict[str, float] = field(default_factory=dict)
     own_load: deque[tuple[float, int]] = field(default_factory=deque)
+    stall_s: float = 0.0
+    stall_share: float = 0.0
+    stall_noted: float = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -195,6 +212,33 @@
         before = [count for at, count in self.own_load if at < since]
         return max([*recent, *before[-1:], len(self.running)])
 
+    def note_stall(self, seconds: float, now: float) -> None:
+        """Note that it has read a prompt."""
+        self.stall_share = self.stalled_share(now) + seconds / STALL_MEMORY_S
+        self.stall_noted = now
+        self.stall_s += seconds
+
+    def stalled_share(self, now: float) -> float:
+        """Give the share of its time that reading prompts took lately.
+
+        :rtype: float
+        """
+        return self.stall_share * math.exp((self.stall_noted - now) / STALL_MEMORY_S)
+
+    def slack(self, rank: int, now: float) -> float:
+        """Give the delay that its running requests of a tier or higher bear, in seconds.
+
+        Requests that miss their deadlines anyway are left out.
+
+        :rtype: float
+        """
+        slacks = [
+            item.deadline - max(now, item.expected_finish)
+            for item in self.running.values()
+            if item.rank <= rank
+        ]
+        return min((each for each in slacks if each > 0), default=math.inf)
+
     def prefill_backlog(self) -> float:
         """Sum the prompt tokens that are granted and not yet read.
 
