--- a/packages/chalkyoke/src/chalkyoke/configuration/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/resources.py
@@ -74,6 +74,7 @@
     max_body_bytes: int = Field(default=1_000_000, ge=1, le=16_000_000)
     max_answer_bytes: int = Field(default=4_000_000, ge=1, le=64_000_000)
     shards: int = Field(default=1, ge=1, le=64)
+    caution: float = Field(default=0.65, ge=0.5, le=0.95)
 
     @field_validator("selector")
     @classmethod
--- a/packages/chalkyoke/src/chalkyoke/node/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleet.py
@@ -191,4 +191,5 @@
                     for route in self._routes.get(service.name, ())
                 )
                 upstreams = tuple(self._upstreams[uid] for uid in mine)
-                yield PoolSpec(pool_name(service, shard), upstreams, tiers, teams, routes)
+                name = pool_name(service, shard)
+                yield PoolSpec(name, upstreams, tiers, teams, routes, service.caution)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -8,7 +8,8 @@
 import math
 from dataclasses import dataclass
 
-SPEED_GAIN = 0.25
+SPEED_GAIN = 0.4
+FULL_SAMPLE_TOKENS = 40.0
 PREFILL_GAIN = 0.15
 MAX_STEP = 3.0
 MIN_FACTOR = 0.05
@@ -17,6 +18,7 @@
 
 MEDIAN = 0.5
 OPTIMISTIC = 0.15
+DEFAULT_CAUTION = 0.65
 QUANTILE_STEP = 0.35
 QUANTILE_MIN_STEP = 0.05
 TEAM_MIN_SAMPLES = 8
@@ -88,7 +90,7 @@
                 self._scale_decode(min(seconds / predicted, MAX_STEP), SPEED_GAIN)
             return
 
-        weight = SPEED_GAIN * min(1.0, tokens / 8.0)
+        weight = SPEED_GAIN * min(1.0, tokens / FULL_SAMPLE_TOKENS)
         self._scale_decode(seconds / tokens / predicted, weight)
 
     def learn_first(self, expected_s: float, observed_s: float) -> None:
@@ -130,34 +132,57 @@
         self.value = max(1.0, self.value * math.exp(2.0 * move))
 
 
+@dataclass(frozen=True, slots=True)
+class OutputEstimate:
+    """How many output tokens one request may have, by quantiles."""
+
+    median: float
+    optimistic: float
+    cautious: float
+
+    def capped(self, most: int) -> "OutputEstimate":
+        """Keep it within a bound, in tokens.
+
+        :rtype: OutputEstimate
+        """
+        cautious = min(self.cautious, most)
+        median = min(self.median, cautious)
+        return OutputEstimate(median, min(self.optimistic, median), cautious)
+
+
 class OutputModel:
-    """Predict output lengths from what routes and teams have asked for before."""
+    """Predict output lengths from what routes and teams have asked for before.
+
+    :param caution: quantile of the cautious estimate.
+    """
 
-    def __init__(self) -> None:
-        self._trackers: dict[tuple[str, str], tuple[QuantileTracker, QuantileTracker]] = {}
+    def __init__(self, caution: float = DEFAULT_CAUTION) -> None:
+        self._quantiles = (MEDIAN, OPTIMISTIC, caution)
+        self._trackers: dict[tuple[str, str], tuple[QuantileTracker, ...]] = {}
 
-    def predict(self, route: str, team: str, max_output: int) -> tuple[float, float]:
+    def predict(self, route: str, team: str, max_output: int) -> OutputEstimate:
         """Predict the output of one request.
 
         :param max_output: the caller's own upper bound, in tokens.
-        :return: the median and the optimistic (low) quantile, in tokens.
+        :rtype: OutputEstimate
         """
         for key in ((route, team), (route, "")):
-            pair = self._trackers.get(key)
-            if pair is not None and pair[0].samples >= TEAM_MIN_SAMPLES:
-                median, low = pair[0].value, pair[1].value
-                return min(median, max_output), min(low, median, max_output)
+            trackers = self._trackers.get(key)
+            if trackers is not None and trackers[0].samples >= TEAM_MIN_SAMPLES:
+                median, optimistic, cautious = trackers
+                learned = OutputEstimate(median.value, optimistic.value, cautious.value)
+                return learned.capped(max_output)
 
-        guess = min(DEFAULT_OUTPUT_TOKENS, max_output)
-        return guess, min(guess, 1.0 + guess / 4)
+        guess = DEFAULT_OUTPUT_TOKENS
+        return OutputEstimate(guess, 1.0 + guess / 4, guess).capped(max_output)
 
     def learn(self, route: str, team: str, output_tokens: int) -> None:
         """Learn from one finished request."""
         for key in ((route, team), (route, "")):
-            pair = self._trackers.get(key)
-            if pair is None:
+            trackers = self._trackers.get(key)
+            if trackers is None:
                 start = max(1.0, float(output_tokens))
-                pair = QuantileTracker(MEDIAN, start), QuantileTracker(OPTIMISTIC, start)
-                self._trackers[key] = pair
-            pair[0].learn(output_tokens)
-            pair[1].learn(output_tokens)
+                trackers = tuple(QuantileTracker(each, start) for each in self._quantiles)
+                self._trackers[key] = trackers
+            for tracker in trackers:
+                tracker.learn(output_tokens)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from chalkyoke.scheduling.placement import predict
+from chalkyoke.scheduling.placement import Prediction, predict
 from chalkyoke.scheduling.state import Upstream, Waiting
 
 MAX_LOOKAHEAD = 4000
@@ -95,12 +95,12 @@
             continue
 
         upstream, start = found
-        duration = predict(item, upstream, 0, upstream.spec.slots, now).finish_s
-        if start + duration > item.deadline:
-            upstream, start, duration = _earliest_finish(item, upstreams, forecast, now)
-        missed = start + duration - item.deadline
+        prediction = predict(item, upstream, 0, upstream.spec.slots, now)
+        if start + prediction.cautious_s > item.deadline:
+            upstream, start, prediction = _earliest_finish(item, upstreams, forecast, now)
+        missed = start + prediction.cautious_s - item.deadline
         if missed <= 0 or (start <= now and _could_start(item, upstream, now)):
-            forecast.take(upstream, duration)
+            forecast.take(upstream, prediction.finish_s)
         else:
             late.append(Late(item, missed))
     return late
@@ -108,13 +108,14 @@
 
 def _earliest_finish(
     item: Waiting, upstreams: list[Upstream], forecast: SlotForecast, now: float
-) -> tuple[Upstream, float, float]:
-    best: tuple[float, Upstream, float, float] | None = None
+) -> tuple[Upstream, float, Prediction]:
+    best: tuple[float, Upstream, float, Prediction] | None = None
     for upstream in upstreams:
         start = forecast.start(upstream)
-        duration = predict(item, upstream, 0, upstream.spec.slots, now).finish_s
-        if best is None or start + duration < best[0]:
-            best = (start + duration, upstream, start, duration)
+        prediction = predict(item, upstream, 0, upstream.spec.slots, now)
+        finish = start + prediction.cautious_s
+        if best is None or finish < best[0]:
+            best = (finish, upstream, start, prediction)
     assert best is not None
     return best[1:]
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -23,11 +23,13 @@
     :param first_s: until the first output token.
     :param finish_s: until the last one, with the median output.
     :param optimistic_s: until the last one, with the optimistic output.
+    :param cautious_s: until the last one, with the cautious output.
     """
 
     first_s: float
     finish_s: float
     optimistic_s: float
+    cautious_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,8 +95,12 @@
     first = CONNECT_S + speed.prefill_time(left + upstream.prefill_backlog())
     stalled = min(MAX_STALLED, upstream.stalled_share(now))
     token = speed.token_time(streams) / (1.0 - stalled)
+    output = item.output
     return Prediction(
-        first, first + item.expected_output * token, first + item.optimistic_output * token
+        first,
+        first + output.median * token,
+        first + output.optimistic * token,
+        first + output.cautious * token,
     )
 
 
@@ -106,7 +112,7 @@
     speed = upstream.speed
     return speed.prefill_time(
         prompt_left(item, cached_blocks)
-    ) + item.optimistic_output * speed.token_time(1)
+    ) + item.output.optimistic * speed.token_time(1)
 
 
 def next_slot(upstream: Upstream, now: float, ahead: int) -> float:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -10,7 +10,7 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
-from chalkyoke.scheduling.estimates import OutputModel, SpeedModel
+from chalkyoke.scheduling.estimates import OutputEstimate, OutputModel, SpeedModel
 from chalkyoke.scheduling.forecast import Late, SlotForecast, find_late, may_shed
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -42,6 +42,7 @@
     ReleaseOutcome,
     RouteSpec,
     Running,
+    TokenSample,
     Upstream,
     UpstreamSpec,
     Waiting,
@@ -54,7 +55,6 @@
 MAX_WAITING = 5000
 MAX_LOOKED = 24
 LOST_RELEASE_S = 3.0
-MIN_OWN_SHARE = 0.2
 FOREIGN_VALID_S = 5.0
 FAILURES_TO_SUSPEND = 3
 BACKOFF_S = 0.5
@@ -114,7 +114,7 @@
         self._random = random
         self._upstreams: dict[str, Upstream] = {}
         self._prefixes = PrefixIndex()
-        self._outputs = OutputModel()
+        self._outputs = OutputModel(spec.caution)
         self._queues: dict[int, TierQueue] = {}
         self._waiting: dict[str, Waiting] = {}
         self._counts: dict[tuple[int, str], int] = {}
@@ -242,9 +242,15 @@
         for running, item in known:
             if running is not None:
                 self._learn_first(running, item.first_s, now)
+        samples: dict[str, TokenSample] = {}
         for running, item in known:
             if running is not None:
-                self._learn_progress(running, item, now)
+                self._note_progress(running, item, samples)
+        self._learn_samples(samples)
+        for running, _ in known:
+            if running is not None and running.upstream in self._upstreams:
+                upstream = self._upstreams[running.upstream]
+                running.expected_finish = now + self._remaining_s(running, upstream, now)
 
         listed = {item.request for item in message.items}
         lost = [
@@ -317,9 +323,10 @@
 
     def _make_waiting(self, entry: str, domain: str, message: Acquire, now: float) -> Waiting:
         if self.features.learn:
-            expected, low = self._outputs.predict(message.route, message.team, message.max_output)
+            output = self._outputs.predict(message.route, message.team, message.max_output)
         else:
-            expected, low = message.max_output / 2, message.max_output / 8
+            most = float(message.max_output)
+            output = OutputEstimate(most / 2, most / 8, most / 2)
         self._order += 1
         blocks = message.blocks if self.features.prefix else ()
         return Waiting(
@@ -336,9 +343,8 @@
             arrived=now - message.waited_s,
             deadline=now + message.budget_s,
             order=self._order,
-            expected_output=expected,
-            optimistic_output=low,
-            work=self._work(message.prompt_tokens, expected),
+            output=output,
+            work=self._work(message.prompt_tokens, output.median),
         )
 
     def _refuse_at_arrival(self, item: Waiting, now: float) -> Out | None:
@@ -441,10 +447,12 @@
         """Tell whether to start a request that may be cut at its deadline."""
         prediction = choice.prediction
         assert prediction is not None
-        if now + prediction.finish_s <= item.deadline:
+        if now + prediction.cautious_s <= item.deadline:
             return True
         if now + prediction.optimistic_s > item.deadline:
             return False
+        if item.late and now + prediction.finish_s > item.deadline:
+            return False
         return item.late or self._counts[item.rank, item.route] == 1
 
     def _lower_waits(self, item: Waiting) -> bool:
@@ -465,7 +473,7 @@
         self._remove(item)
         cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
         left = max(1, item.prompt_tokens - cached)
-        work = self._work(left, item.expected_output)
+        work = self._work(left, item.output.median)
         self._queues[item.rank].charge(item.team, work, self._weights.get(item.team, 1.0))
         self._prefixes.insert(upstream.spec.id, item.blocks)
         running = Running(
@@ -477,7 +485,7 @@
             rank=item.rank,
             team=item.team,
             prompt_tokens=item.prompt_tokens,
-            expected_output=item.expected_output,
+            expected_output=item.output.median,
             work=work,
             granted=now,
             deadline=item.deadline,
@@ -601,7 +609,9 @@
 
         self._outputs.learn(item.route, item.team, usage.output_tokens)
         if usage.output_tokens > item.output_tokens:
-            self._learn_tokens(item, upstream, usage.output_tokens, usage.total_s)
+            sample = TokenSample()
+            sample.add(item, upstream, usage.output_tokens, usage.total_s)
+            self._learn_samples({item.upstream: sample})
         if usage.cached_tokens >= 0:
             believed = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
             found = usage.cached_tokens // BLOCK_TOKENS
@@ -620,26 +630,25 @@
         item.elapsed_s = first_s
         item.output_tokens = 1
 
-    def _learn_progress(self, item: Running, seen: ProgressItem, now: float) -> None:
+    def _note_progress(
+        self, item: Running, seen: ProgressItem, samples: dict[str, TokenSample]
+    ) -> None:
         upstream = self._upstreams.get(item.upstream)
         if upstream is None or seen.output_tokens < item.output_tokens:
             return
-        if self.features.learn and item.first_seen:
-            self._learn_tokens(item, upstream, seen.output_tokens, seen.elapsed_s)
+        if item.first_seen:
+            sample = samples.setdefault(item.upstream, TokenSample())
+            sample.add(item, upstream, seen.output_tokens, seen.elapsed_s)
         item.output_tokens = seen.output_tokens
         item.elapsed_s = seen.elapsed_s
-        item.expected_finish = now + self._remaining_s(item, upstream, now)
 
-    def _learn_tokens(
-        self, item: Running, upstream: Upstream, output_tokens: int, elapsed_s: float
-    ) -> None:
-        """Learn the time of a token, without the time in which other prompts were read."""
-        tokens = output_tokens - item.output_tokens
-        seconds = elapsed_s - item.elapsed_s
-        stalled = upstream.stall_s - item.stalls_seen
-        item.stalls_seen = upstream.stall_s
-        own = max(MIN_OWN_SHARE * seconds, seconds - stalled)
-        upstream.speed.learn_tokens(tokens, own, len(upstream.running))
+    def _learn_samples(self, samples: dict[str, TokenSample]) -> None:
+        """Learn the time of a token, once for each upstream from all of its streams."""
+        if not self.features.learn:
+            return
+        for name, sample in samples.items():
+            upstream = self._upstreams[name]
+            upstream.speed.learn_tokens(sample.tokens, sample.seconds, len(upstream.running))
 
     def _remaining_s(self, item: Running, upstream: Upstream, now: float) -> float:
         """Predict the rest of a running request, in seconds."""
@@ -736,7 +745,7 @@
 
     def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
         rank = self._ranks.get(item.tier, max(self._ranks.values(), default=0))
-        expected, _ = self._outputs.predict(item.route, item.team, item.max_output)
+        expected = self._outputs.predict(item.route, item.team, item.max_output).median
         self._queues.setdefault(rank, TierQueue(rank))
         running = Running(
             request=item.request,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -9,10 +9,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from chalkyoke.scheduling.estimates import SpeedModel
+from chalkyoke.scheduling.estimates import DEFAULT_CAUTION, OutputEstimate, SpeedModel
 
 OWN_LOAD_MEMORY_S = 15.0
 STALL_MEMORY_S = 10.0
+MIN_OWN_SHARE = 0.2
 
 
 class ReleaseOutcome(StrEnum):
@@ -78,13 +79,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolSpec:
-    """All that configuration and host list say of one pool."""
+    """All that configuration and host list say of one pool.
+
+    :param caution: how sure a request's deadline must be before it is started while others wait:
+        a quantile of the output length. More wastes less prompt work, and delivers a little less.
+    """
 
     name: str
     upstreams: tuple[UpstreamSpec, ...] = ()
     tiers: tuple[TierSpec, ...] = ()
     teams: tuple[TeamSpec, ...] = ()
     routes: tuple[RouteSpec, ...] = ()
+    caution: float = DEFAULT_CAUTION
 
 
 @dataclass(slots=True, eq=False)
@@ -92,8 +98,7 @@
     """One request that waits for a grant.
 
     :param deadline: on the scheduler's own clock.
-    :param expected_output: output tokens, the learned median.
-    :param optimistic_output: output tokens, a low quantile.
+    :param output: output tokens, as learned.
     :param work: seconds that it is expected to take on a typical upstream; its fair-share cost.
     :ivar late: whether it is predicted to miss its deadline; such a request is tried last.
     """
@@ -111,8 +116,7 @@
     arrived: float
     deadline: float
     order: int
-    expected_output: float
-    optimistic_output: float
+    output: OutputEstimate
     work: float
     late: bool = False
 
@@ -245,3 +249,22 @@
         :return: tokens.
         """
         return sum(item.prefill_left for item in self.running.values() if not item.first_seen)
+
+
+@dataclass(slots=True)
+class TokenSample:
+    """Output tokens of one upstream's streams and the seconds that they took."""
+
+    tokens: int = 0
+    seconds: float = 0.0
+
+    def add(self, item: Running, upstream: Upstream, output_tokens: int, elapsed_s: float) -> None:
+        """Add what one stream did since its progress was last told.
+
+        The seconds in which the upstream read other prompts are left out.
+        """
+        seconds = elapsed_s - item.elapsed_s
+        stalled = upstream.stall_s - item.stalls_seen
+        item.stalls_seen = upstream.stall_s
+        self.tokens += output_tokens - item.output_tokens
+        self.seconds += max(MIN_OWN_SHARE * seconds, seconds - stalled)
