Bound what caution adds by a share of the caller's time

Cause: under lasting overload requests start at the edge of their deadlines and four in ten miss them; a higher quantile alone sheds long work that a free engine could still do.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -14,6 +14,7 @@
 HOLD_MARGIN_S = 0.02
 CONNECT_S = 0.002
 MAX_STALLED = 0.6
+MARGIN_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +24,8 @@
     :param first_s: until the first output token.
     :param finish_s: until the last one, with the median output.
     :param optimistic_s: until the last one, with the optimistic output.
-    :param cautious_s: until the last one, with the cautious output.
+    :param cautious_s: until the last one, with the cautious output; what caution adds is bounded
+        by a share of the time that the caller gave.
     """
 
     first_s: float
@@ -96,12 +98,10 @@
     stalled = min(MAX_STALLED, upstream.stalled_share(now))
     token = speed.token_time(streams) / (1.0 - stalled)
     output = item.output
-    return Prediction(
-        first,
-        first + output.median * token,
-        first + output.optimistic * token,
-        first + output.cautious * token,
-    )
+    margin = (output.cautious - output.median) * token
+    most = MARGIN_SHARE * (item.deadline - item.arrived)
+    finish = first + output.median * token
+    return Prediction(first, finish, first + output.optimistic * token, finish + min(margin, most))
 
 
 def idle_minimum(item: Waiting, upstream: Upstream, cached_blocks: int) -> float:
