--- /dev/null
+++ b/benches/__main__.py
@@ -0,0 +1,32 @@
+"""
+benches.__main__
+
+``python -m benches --part path|policy|fleet|capacity|all``
+"""
+
+import argparse
+import asyncio
+
+from benches import capacity, fleet, path
+from benches.policy import __main__ as policy
+
+
+def main() -> None:
+    """Run one part, or all."""
+    parser = argparse.ArgumentParser(description="Measurements of chalkyoke.")
+    parser.add_argument(
+        "--part", default="all", choices=["all", "path", "policy", "fleet", "capacity"]
+    )
+    parsed = parser.parse_args()
+    if parsed.part in ("all", "path"):
+        asyncio.run(path.main())
+    if parsed.part in ("all", "fleet"):
+        asyncio.run(fleet.main())
+    if parsed.part in ("all", "capacity"):
+        asyncio.run(capacity.main())
+    if parsed.part in ("all", "policy"):
+        policy.main([])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benches/capacity.py
@@ -0,0 +1,450 @@
+"""
+benches.capacity
+
+Slopes for each role, worked out at the size of two years from now: heartbeats and membership,
+scheduling, configuration, host list, and calls on the store.
+"""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgpack
+from chalkyoke.clock import Stamp
+from chalkyoke.configuration.chunks import chunk_hash, cut
+from chalkyoke.configuration.messages import ListedHost, Revision, Root
+from chalkyoke.configuration.publisher import encode_root
+from chalkyoke.configuration.resources import Specs, build, read_document
+from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.links.codec import FrameCodec
+from chalkyoke.membership.messages import Digest, Heartbeat, MemberRecord, Summary
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.fleet import FleetView
+from chalkyoke.node.process import LINK_MESSAGES
+from chalkyoke.scheduling.messages import Acquire, Grant, Progress, ProgressItem, Release, Usage
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+
+from benches.statistics import Line, fit
+
+NODES, REPLICAS, TEAMS, MODELS, DOMAINS = 340, 1300, 3800, 20, 7
+REQUESTS_PER_S = 6700
+CHANGES_PER_DAY = 1300
+RESTARTS_PER_DAY = 90 + 16
+CORE_BUDGET, MEMORY_BUDGET_MB, BYTES_BUDGET = 0.016, 32.0, 25_000.0
+HEARTBEAT_S = 1.0
+PROGRESS_S = 1.0
+ANSWER_S = 8.0
+TICK_S = 0.05
+
+CODEC = FrameCodec(LINK_MESSAGES)
+STAMP = Stamp(1_790_000_000_000, 3)
+
+
+def size_of(message: object) -> int:
+    """Give the size of a message on a link, in bytes."""
+    return len(CODEC.encode(STAMP, message))  # type: ignore[arg-type]
+
+
+def best_of(work: Callable[[], object], rounds: int = 5) -> float:
+    """Time some work; the best of a few rounds, in seconds."""
+    best = float("inf")
+    for _ in range(rounds):
+        started = time.process_time()
+        work()
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def memory_of(make: Callable[[], object]) -> float:
+    """Measure what an object holds, in bytes."""
+    tracemalloc.start()
+    held = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return float(size)
+
+
+def show(what: str, sizes: str, line: Line, unit: str, scale: float, at: float) -> None:
+    """Print one fitted line as a row."""
+    print(
+        f"| {what} | {sizes} | {line.base * scale:.3g} + {line.slope * scale:.3g} n {unit} "
+        f"| {line.residual:.0%} | {line.at(at) * scale:.3g} {unit} at {at:.0f} |"
+    )
+
+
+# Membership.
+
+
+def record(index: int, domain: str) -> MemberRecord:
+    """Make a member as it describes itself."""
+    address = f"10.{index // 250}.{index % 250}.7:7000"
+    return MemberRecord(
+        f"entry-{index}", 2**61 + index, address, address, domain, False, True, 4000, 90_000
+    )
+
+
+def membership_view(members: int) -> tuple[MembershipView, list[Heartbeat]]:
+    """Make a view with some members of its own domain and the other domains' summaries."""
+    view = MembershipView(record(0, "d0"), HEARTBEAT_S)
+    beats = [Heartbeat(record(i, "d0"), 1) for i in range(1, members)]
+    for beat in beats:
+        view.receive(beat.record.address, beat, 0.0)
+    for domain in range(1, DOMAINS):
+        name = f"d{domain}"
+        records = tuple(record(1000 * domain + i, name) for i in range(members))
+        view.receive("x", Summary(Digest(name, f"r{domain}", 1), records), 0.0)
+    return view, beats
+
+
+def membership() -> tuple[Line, Line, float]:
+    """Measure a second of heartbeats against the members of a domain."""
+    times, memory = [], []
+    for members in (10, 25, 49, 100, 200):
+        view, beats = membership_view(members)
+        frames = [CODEC.encode(STAMP, each) for each in beats]
+
+        def second(view: MembershipView = view, beats: list[Heartbeat] = beats) -> None:
+            for send in view.beat(1.0):
+                CODEC.encode(STAMP, send.message)
+            for beat in beats:
+                again = Heartbeat(beat.record, beat.beat + 1)
+                view.receive("x", again, 1.0)
+            view.tick(1.0)
+            view.pool_owner("some-pool")
+
+        times.append((members, best_of(second)))
+        memory.append((members, memory_of(lambda m=members: membership_view(m))))  # type: ignore[misc]
+        del frames
+    beat = size_of(Heartbeat(record(1, "d0"), 12345, (Digest("d1", "entry-1/fffffff", 9),)))
+    return fit(times), fit(memory), float(beat)
+
+
+# Scheduling.
+
+
+def pool(upstreams: int, teams: int = 200) -> PoolSpec:
+    """Make a pool of unlike upstreams."""
+    specs = tuple(
+        UpstreamSpec(f"u{i}", f"a{i}", "d", 8, 4000.0 + 500 * (i % 9), 40.0 + 5 * (i % 7), 1.5, 400)
+        for i in range(upstreams)
+    )
+    return PoolSpec(
+        "pool",
+        specs,
+        tuple(TierSpec(f"t{rank}", rank) for rank in range(5)),
+        tuple(TeamSpec(f"m{i}") for i in range(teams)),
+        (RouteSpec("r", frozenset(each.id for each in specs)),),
+    )
+
+
+def acquire(number: int, source: random.Random) -> Acquire:
+    """Make a request's acquire message."""
+    blocks = tuple(source.randrange(50) * 100 + i for i in range(4))
+    return Acquire(
+        f"h-{number}",
+        1,
+        "pool",
+        "r",
+        f"t{source.randrange(5)}",
+        f"m{source.randrange(200)}",
+        source.randrange(50, 4000),
+        256,
+        blocks,
+        30.0,
+        0.0,
+    )
+
+
+def busy_scheduler(upstreams: int, waiting: int) -> PoolScheduler:
+    """Make a scheduler whose slots are all taken, and some requests that wait."""
+    source = random.Random(4)
+    scheduler = PoolScheduler(pool(upstreams), source.random, 0.0)
+    for number in range(upstreams * 8 + waiting):
+        scheduler.acquire("entry", "d", acquire(number, source), 1.0)
+    return scheduler
+
+
+def decision_time(upstreams: int, waiting: int, rounds: int = 60) -> float:
+    """Time a release and the grant that follows it: one decision."""
+    scheduler = busy_scheduler(upstreams, waiting)
+    source = random.Random(5)
+    usage = Usage(100, 0, 60, 0.2, 1.5)
+    used: list[float] = []
+    for number in range(rounds):
+        request = source.choice(list(scheduler._running))
+        release = Release(request, 1, "pool", "delivered", usage)
+        started = time.process_time()
+        outs = scheduler.release("d", release, 2.0)
+        used.append(time.process_time() - started)
+        assert any(isinstance(out.action, Grant) for out in outs)
+        scheduler.acquire("entry", "d", acquire(100_000 + number, source), 2.0)
+    return sorted(used)[len(used) // 2]
+
+
+def tick_time(waiting: int) -> float:
+    """Time one forecast over the queue of 40 upstreams."""
+    scheduler = busy_scheduler(40, waiting)
+
+    def tick() -> None:
+        scheduler._next_forecast = 0.0
+        scheduler._shed_late(2.0)
+
+    return best_of(tick, 3)
+
+
+def scheduling() -> tuple[Line, Line, Line, Line]:
+    """Measure decisions against upstreams and against the queue, forecasts, and memory."""
+    by_upstreams = [(n, decision_time(n, 1000)) for n in (5, 10, 20, 40, 80, 160)]
+    by_waiting = [(n, decision_time(40, n)) for n in (10, 100, 300, 1000, 2000)]
+    by_forecast = [(n, tick_time(n)) for n in (100, 300, 1000, 2000)]
+    memory = [(n, memory_of(lambda n=n: busy_scheduler(n, 10 * n))) for n in (10, 20, 40, 80)]  # type: ignore[misc]
+    return fit(by_upstreams), fit(by_waiting), fit(by_forecast), fit(memory)
+
+
+# Configuration.
+
+
+def fleet_specs(teams: int) -> Specs:
+    """Make a configuration of many teams and 20 models."""
+    document = {
+        "tier": [{"name": f"t{rank}", "rank": rank} for rank in range(5)],
+        "team": [
+            {
+                "name": f"team-{i}",
+                "tiers": ["t2", "t3"],
+                "weight": 2,
+                "labels": {"channel": "desk", "region": f"r{i % 3}"},
+                "key_sha256": [f"{i:064x}"],
+            }
+            for i in range(teams)
+        ],
+        "service": [
+            {"name": f"model-{i}", "protocol": "completions", "selector": {"model": f"m{i}"}}
+            for i in range(MODELS)
+        ],
+        "upstream_class": [
+            {"name": f"gen{i}", "selector": {"hardware": f"gen{i}"}, "slots": 16} for i in range(4)
+        ],
+        "route": [{"name": f"route-{i}", "service": f"model-{i}"} for i in range(MODELS)],
+    }
+    return read_document(document).unwrap()
+
+
+def hosts(replicas: int) -> tuple[ListedHost, ...]:
+    """Make a host list of replicas and nodes."""
+    entries = [
+        ListedHost(
+            f"entry-{i}", f"10.0.{i % 250}.1:7000", f"d{i % DOMAINS}", False, {"kind": "entry"}
+        )
+        for i in range(replicas * NODES // REPLICAS)
+    ]
+    engines = [
+        ListedHost(
+            f"engine-{i}",
+            f"10.1.{i % 250}.1:8000",
+            f"d{i % DOMAINS}",
+            False,
+            {"kind": "engine", "model": f"m{i % MODELS}", "hardware": f"gen{i % 4}"},
+        )
+        for i in range(replicas)
+    ]
+    return tuple(entries + engines)
+
+
+def adopted(specs: Specs, teams: int) -> tuple[ConfigurationState, Root, dict[str, bytes]]:
+    """Adopt a configuration, and make the next revision: one team changed."""
+    state = ConfigurationState()
+    chunks = cut(specs)
+    hashes = {name: chunk_hash(content) for name, content in chunks.items()}
+    history = tuple(Revision(i, f"change-{i}", "op", 0, ("team/x.weight",)) for i in range(256))
+    state.adopt(Root(1, hashes, history), {hashes[name]: chunks[name] for name in chunks}).unwrap()
+    changed = dict(specs)
+    changed["team", "team-1"] = {**specs["team", "team-1"], "weight": 3 + teams % 900}
+    after = cut(changed)
+    new = {name: chunk_hash(content) for name, content in after.items()}
+    fresh = {new[name]: after[name] for name in after if new[name] != hashes[name]}
+    return state, Root(2, new, history), fresh
+
+
+def configuration() -> tuple[Line, Line, Line, float]:
+    """Measure taking one change, rebuilding the fleet's view, memory, and bytes of a change."""
+    times, rebuilds, memory = [], [], []
+    moved = 0.0
+    for teams in (475, 950, 1900, 3800):
+        specs = fleet_specs(teams)
+        state, root, fresh = adopted(specs, teams)
+
+        def take(
+            state: ConfigurationState = state, root: Root = root, fresh: dict[str, bytes] = fresh
+        ) -> None:
+            copy = ConfigurationState()
+            copy.root, copy.chunks, copy.specs = state.root, state.chunks, state.specs
+            copy.adopt(root, fresh).unwrap()
+
+        times.append((teams, best_of(take, 3)))
+        memory.append((teams, memory_of(lambda s=specs, t=teams: adopted(s, t)[0])))  # type: ignore[misc]
+        resources = build(specs).unwrap()
+        listed = hosts(teams * REPLICAS // TEAMS)
+        rebuilds.append((teams, best_of(lambda r=resources, h=listed: FleetView(r, h), 3)))  # type: ignore[misc]
+        moved = float(sum(len(each) for each in fresh.values()) + size_of_root(root))
+    return fit(times), fit(rebuilds), fit(memory), moved
+
+
+def size_of_root(root: Root) -> int:
+    """Give the size of a root with its history, in bytes."""
+    return len(encode_root(root))
+
+
+# Links.
+
+
+def link_costs() -> tuple[float, float, float, float]:
+    """Measure a message's encoding and decoding, and the bytes of one request's messages."""
+    source = random.Random(2)
+    message = acquire(1, source)
+    frame = CODEC.encode(STAMP, message)
+    listed = msgpack.unpackb(frame)
+    count = 2000
+    encode = best_of(lambda: [CODEC.encode(STAMP, message) for _ in range(count)]) / count
+    decode = best_of(lambda: [CODEC.decode(list(listed)) for _ in range(count)]) / count
+    grant = Grant(
+        "entry-100-3fffffffffffffff-100000", 1, "model-11", "engine-1000", "10.1.200.1:8000", 2, 5.0
+    )
+    release = Release(grant.request, 1, "model-11", "delivered", Usage(900, 0, 120, 0.3, 8.0))
+    per_request = float(len(frame) + 30 + size_of(grant) + size_of(release))
+    items = tuple(ProgressItem(grant.request, 120, 0.31234, 4.51234) for _ in range(100))
+    per_item = size_of(Progress("model-11", items)) / 100
+    return encode, decode, per_request, per_item
+
+
+async def main() -> None:
+    """Run the part and print its table."""
+    print("\n## Part capacity\n")
+    print("| what | sizes n | fitted line | residual | at the target |")
+    print("|---|---|---|---|---|")
+    per_domain = NODES / DOMAINS
+    beats, members, beat_bytes = membership()
+    show(
+        "a heartbeat round, processor", "10..200 members of a domain", beats, "ms", 1e3, per_domain
+    )
+    show("membership, memory", "10..200 members of a domain", members, "kB", 1e-3, per_domain)
+    by_upstreams, by_waiting, by_forecast, pool_memory = scheduling()
+    per_pool = REPLICAS / MODELS
+    show("a decision, 1,000 waiting", "5..160 upstreams", by_upstreams, "us", 1e6, per_pool)
+    show("a decision, 40 upstreams", "10..2,000 waiting", by_waiting, "us", 1e6, 1000)
+    show("a forecast, 40 upstreams", "100..2,000 waiting", by_forecast, "ms", 1e3, 1000)
+    show(
+        "a pool scheduler, memory",
+        "10..80 upstreams, 18 requests each",
+        pool_memory,
+        "kB",
+        1e-3,
+        per_pool,
+    )
+    take, rebuild, config_memory, moved = configuration()
+    show("taking one change, processor", "475..3,800 teams", take, "ms", 1e3, TEAMS)
+    show(
+        "rebuilding the fleet's view",
+        "475..3,800 teams, 162..1,300 replicas",
+        rebuild,
+        "ms",
+        1e3,
+        TEAMS,
+    )
+    show("configuration, memory", "475..3,800 teams", config_memory, "MB", 1e-6, TEAMS)
+    encode, decode, per_request, per_item = link_costs()
+    print(
+        f"\nA link message costs {encode * 1e6:.1f} us to write and {decode * 1e6:.1f} us to read."
+    )
+
+    _budget(
+        beats,
+        beat_bytes,
+        by_upstreams,
+        take,
+        rebuild,
+        config_memory,
+        members,
+        pool_memory,
+        encode + decode,
+        per_request,
+        per_item,
+        moved,
+    )
+
+
+def _budget(
+    beats: Line,
+    beat_bytes: float,
+    by_upstreams: Line,
+    take: Line,
+    rebuild: Line,
+    config_memory: Line,
+    members: Line,
+    pool_memory: Line,
+    message: float,
+    per_request: float,
+    per_item: float,
+    moved: float,
+) -> None:
+    """Work the slopes out for one node at the target, against its budget."""
+    per_domain, rate = NODES / DOMAINS, REQUESTS_PER_S / NODES
+    pools_here = MODELS / NODES
+    running = rate * ANSWER_S
+    rows: list[tuple[str, float, float, float]] = [
+        (
+            "heartbeats",
+            beats.at(per_domain) / HEARTBEAT_S + 2 * per_domain * message,
+            2 * per_domain * beat_bytes / HEARTBEAT_S,
+            members.at(per_domain) / 1e6,
+        ),
+        ("acquire, grant, release of own requests", rate * 3 * message, rate * per_request, 0.0),
+        (
+            "progress of own requests",
+            message * MODELS + running * 2e-6,
+            running * per_item / PROGRESS_S,
+            0.0,
+        ),
+        (
+            "changes of configuration",
+            CHANGES_PER_DAY / 86_400 * (take.at(TEAMS) + rebuild.at(TEAMS)),
+            CHANGES_PER_DAY / 86_400 * moved,
+            config_memory.at(TEAMS) / 1e6,
+        ),
+        (
+            "host list changes",
+            RESTARTS_PER_DAY / 86_400 * 2 * rebuild.at(TEAMS),
+            RESTARTS_PER_DAY / 86_400 * 2 * (NODES + REPLICAS) * 90,
+            0.5,
+        ),
+    ]
+    print("\n| control of an entry node at the target | of a core | bytes a second | memory |")
+    print("|---|---|---|---|")
+    for what, core, octets, memory in rows:
+        print(f"| {what} | {core:.3%} | {octets:,.0f} | {memory:.1f} MB |")
+    core = sum(row[1] for row in rows)
+    octets = sum(row[2] for row in rows)
+    memory = sum(row[3] for row in rows)
+    print(
+        f"| together | {core:.2%} of {CORE_BUDGET:.1%} | {octets:,.0f} of {BYTES_BUDGET:,.0f} "
+        f"| {memory:.1f} of {MEMORY_BUDGET_MB:.0f} MB |"
+    )
+    pool_rate = REQUESTS_PER_S / MODELS
+    each = 2 * by_upstreams.at(REPLICAS / MODELS) + 3 * message
+    whole = pool_rate * each
+    shards = max(1, -(-whole // CORE_BUDGET))
+    print(
+        f"\nA whole pool of {REPLICAS / MODELS:.0f} replicas at {pool_rate:.0f} requests a second costs its "
+        f"scheduler {whole:.1%} of a core and {pool_rate * per_request:,.0f} bytes a second; "
+        f"{pools_here:.2f} pools a node. Spread over all nodes that is {whole * MODELS / NODES:.2%} a node; "
+        f"inside the budget of one node a pool needs about {shards:.0f} shards."
+    )
+    print(f"A pool scheduler's memory there: {pool_memory.at(REPLICAS / MODELS) / 1e6:.1f} MB.")
+    watchers = DOMAINS * (1 / 5.0 + 1.0)
+    print(
+        f"Calls on the store: {DOMAINS} watchers, one watch each 5 s and the host list each second: "
+        f"{watchers:.1f} a second at 3 domains {3 * 1.2:.1f}; it grows with domains, not with nodes."
+    )
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -56,6 +56,7 @@
     Shed,
     Withdraw,
 )
+from chalkyoke.scheduling.placement import Features
 from chalkyoke.settings import Settings
 from chalkyoke.tokens.codec import TokenCodec
 from chalkyoke.tokens.ledger import TokenLedger
@@ -168,6 +169,7 @@
             self.events,
             self.metrics,
             self.now,
+            features=Features(**self.settings.policy.model_dump()),
         )
 
     def _make_entry(self, incarnation: int) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -23,6 +23,7 @@
     Release,
     Shed,
 )
+from chalkyoke.scheduling.placement import Features
 from chalkyoke.scheduling.scheduler import Out, PoolScheduler
 from chalkyoke.scheduling.state import PoolSpec
 
@@ -42,6 +43,7 @@
     :param send: sends a message to a process by its link address.
     :param now: seconds on the monotonic clock since this process started.
     :param source: random numbers in [0, 1).
+    :param features: parts of the policy that are on; all where nothing is given.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         metrics: Metrics,
         now: Callable[[], float],
         source: Callable[[], float] = random.random,
+        features: Features | None = None,
     ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self.deliver: Deliver | None = None
@@ -67,6 +70,7 @@
         self._addresses: dict[str, str] = {}
         self._disowned: dict[str, float] = {}
         self._random = source
+        self._features = features
 
     # The port that the entry slice uses.
 
@@ -159,7 +163,7 @@
         if spec is None:
             return None
         expected = [record.process for record in self._view.live()]
-        scheduler = PoolScheduler(spec, self._random, self._now(), expected)
+        scheduler = PoolScheduler(spec, self._random, self._now(), expected, self._features)
         self.pools[pool] = scheduler
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
         log.info("took pool {}", pool)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -13,7 +13,6 @@
 HOLD_MARGIN = 0.10
 HOLD_MARGIN_S = 0.02
 CONNECT_S = 0.002
-MAX_STALLED = 0.6
 MARGIN_SHARE = 0.2
 
 
@@ -94,9 +93,9 @@
     """
     speed = upstream.speed
     left = prompt_left(item, cached_blocks)
-    first = CONNECT_S + speed.prefill_time(left + upstream.prefill_backlog())
-    stalled = min(MAX_STALLED, upstream.stalled_share(now))
-    token = speed.token_time(streams) / (1.0 - stalled)
+    backlog, moving = upstream.outlook(now)
+    first = CONNECT_S + speed.prefill_time(left + backlog)
+    token = speed.token_time(streams) / moving
     output = item.output
     margin = (output.cautious - output.median) * token
     most = MARGIN_SHARE * (item.deadline - item.arrived)
@@ -121,10 +120,10 @@
     :param ahead: requests that are already held for the same upstream.
     :return: seconds from now.
     """
-    finishes = sorted(item.expected_finish for item in upstream.running.values())
-    if ahead >= len(finishes):
+    ends = upstream.ends()
+    if ahead >= len(ends):
         return float("inf")
-    return max(0.0, finishes[ahead] - now)
+    return max(0.0, ends[ahead] - now)
 
 
 def choose(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -61,7 +61,9 @@
     def __init__(self, rank: int) -> None:
         self.rank = rank
         self.live = 0
+        self.late = 0
         self._queues: dict[tuple[str, str], TeamQueue] = {}
+        self._order: list[tuple[float, str, str]] = []
         self._backlog: dict[str, int] = {}
         self._virtual: dict[str, float] = {}
         self._floor = 0.0
@@ -77,8 +79,10 @@
         queue = self._queues.get(key)
         if queue is None:
             queue = self._queues[key] = TeamQueue(item.team, item.route)
+            insort(self._order, (self._virtual[item.team], *key))
         queue.push(item)
         self.live += 1
+        self.late += item.late
 
     def discard(self, item: Waiting) -> None:
         """Take a request out."""
@@ -86,8 +90,10 @@
         queue = self._queues[key]
         queue.discard(item)
         self.live -= 1
+        self.late -= item.late
         if not queue:
             del self._queues[key]
+            self._order.remove((self._virtual[item.team], *key))
 
         self._backlog[item.team] -= 1
         if self._backlog[item.team] == 0:
@@ -102,7 +108,13 @@
         before = self._virtual.get(team, self._floor)
         if work > 0:
             self._floor = max(self._floor, before)
-        self._virtual[team] = max(0.0, before + work / weight)
+        after = max(0.0, before + work / weight)
+        self._virtual[team] = after
+        if team not in self._backlog:
+            return
+        for key in [each for each in self._order if each[1] == team]:
+            self._order.remove(key)
+            insort(self._order, (after, *key[1:]))
 
     def virtual(self, team: str) -> float:
         """Give a team's virtual time, in seconds of work per weight.
@@ -117,21 +129,25 @@
             return
         queue = self._queues[item.team, item.route]
         queue.discard(item)
+        self.late += late - item.late
         item.late = late
         queue.push(item)
 
-    def queues(self, fair: bool = True) -> list[TeamQueue]:
-        """List the queues that wait, in the order of their teams' shares.
+    def queues(self, fair: bool = True) -> Iterator[TeamQueue]:
+        """Walk over the queues that wait, in the order of their teams' shares.
+
+        Nothing may be pushed, discarded or charged during the walk.
 
         :param fair: else in the order of their first deadlines.
-        :rtype: list[TeamQueue]
         """
-        virtual = self._virtual
         if fair:
-            key = lambda queue: (virtual[queue.name], queue.name, queue.route)  # noqa: E731
-        else:
-            key = lambda queue: (queue.front()[0].deadline, queue.name, queue.route)  # noqa: E731
-        return sorted(self._queues.values(), key=key)
+            return (self._queues[key[1:]] for key in self._order)
+        return iter(
+            sorted(
+                self._queues.values(),
+                key=lambda each: (each.front()[0].deadline, each.name, each.route),
+            )
+        )
 
     def items(self) -> Iterator[Waiting]:
         """Walk over all waiting requests, team by team."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -29,7 +29,6 @@
 )
 from chalkyoke.scheduling.placement import (
     BLOCK_TOKENS,
-    MAX_STALLED,
     Choice,
     Features,
     choose,
@@ -251,6 +250,8 @@
             if running is not None and running.upstream in self._upstreams:
                 upstream = self._upstreams[running.upstream]
                 running.expected_finish = now + self._remaining_s(running, upstream, now)
+        for upstream in self._upstreams.values():
+            upstream.changed()
 
         listed = {item.request for item in message.items}
         lost = [
@@ -381,12 +382,16 @@
             return []
         outs: list[Out] = []
         held: dict[str, int] = {}
-        ranks = sorted(rank for rank, queue in self._queues.items() if queue.live)
+        queues = [self._queues[rank] for rank in sorted(self._queues)]
         for late in (False, True):
-            for rank in ranks:
-                self._decide_tier(self._queues[rank], late, held, now, outs)
+            for queue in queues:
+                if queue.late if late else queue.live > queue.late:
+                    self._decide_tier(queue, late, held, now, outs)
         return outs
 
+    def _any_slot(self, now: float) -> bool:
+        return any(each.has_slot(now) and not each.leaving for each in self._upstreams.values())
+
     def _settled(self, now: float) -> bool:
         if self._unsettled and now < self._settle_at:
             return False
@@ -400,7 +405,7 @@
         blocked: set[tuple[str, str]] = set()
         full: set[str] = set()
         looked = 0
-        while looked < MAX_LOOKED:
+        while looked < MAX_LOOKED and self._any_slot(now):
             granted = False
             for each in queue.queues(self.features.fair):
                 key = (each.name, each.route)
@@ -504,6 +509,7 @@
         stall = upstream.speed.prefill_time(prompt_tokens)
         for other in upstream.running.values():
             other.expected_finish += stall
+        upstream.changed()
 
     # Giving up.
 
@@ -653,8 +659,8 @@
     def _remaining_s(self, item: Running, upstream: Upstream, now: float) -> float:
         """Predict the rest of a running request, in seconds."""
         left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
-        stalled = min(MAX_STALLED, upstream.stalled_share(now))
-        seconds = left * upstream.speed.token_time(len(upstream.running)) / (1.0 - stalled)
+        _, moving = upstream.outlook(now)
+        seconds = left * upstream.speed.token_time(len(upstream.running)) / moving
         if not item.first_seen:
             seconds += upstream.speed.prefill_time(item.prefill_left)
         return seconds
@@ -715,18 +721,19 @@
         )
         self._running[item.request] = item
         upstream.running[item.request] = item
+        upstream.changed()
         upstream.note_own_load(now)
         self._team_running[item.team] = self._team_running.get(item.team, 0) + 1
 
     def _end(self, item: Running, now: float) -> None:
         self._forget_running(item)
-        upstream = self._upstreams.get(item.upstream)
-        if upstream is not None:
-            upstream.note_own_load(now)
+        self._upstreams[item.upstream].note_own_load(now)
 
     def _forget_running(self, item: Running) -> None:
         del self._running[item.request]
-        self._upstreams[item.upstream].running.pop(item.request, None)
+        upstream = self._upstreams[item.upstream]
+        upstream.running.pop(item.request, None)
+        upstream.changed()
         self._team_running[item.team] -= 1
         if self._team_running[item.team] == 0:
             del self._team_running[item.team]
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -13,6 +13,7 @@
 
 OWN_LOAD_MEMORY_S = 15.0
 STALL_MEMORY_S = 10.0
+MAX_STALLED = 0.6
 MIN_OWN_SHARE = 0.2
 
 
@@ -171,6 +172,8 @@
     stall_s: float = 0.0
     stall_share: float = 0.0
     stall_noted: float = 0.0
+    _ends: list[float] | None = None
+    _outlook: tuple[float, float, float] | None = None
 
     @property
     def leaving(self) -> bool:
@@ -221,6 +224,7 @@
         self.stall_share = self.stalled_share(now) + seconds / STALL_MEMORY_S
         self.stall_noted = now
         self.stall_s += seconds
+        self.changed()
 
     def stalled_share(self, now: float) -> float:
         """Give the share of its time that reading prompts took lately.
@@ -243,12 +247,33 @@
         ]
         return min((each for each in slacks if each > 0), default=math.inf)
 
-    def prefill_backlog(self) -> float:
-        """Sum the prompt tokens that are granted and not yet read.
+    def changed(self) -> None:
+        """Forget what is kept of the running requests; call after each change of them."""
+        self._ends = None
+        self._outlook = None
 
-        :return: tokens.
+    def ends(self) -> list[float]:
+        """List when the running requests are expected to end, earliest first.
+
+        :rtype: list[float]
+        """
+        if self._ends is None:
+            self._ends = sorted(item.expected_finish for item in self.running.values())
+        return self._ends
+
+    def outlook(self, now: float) -> tuple[float, float]:
+        """Say what stands before a new request.
+
+        :return: prompt tokens that are granted and not yet read, and the share of time in which
+            streams move on, that is, in which no prompt is read.
         """
-        return sum(item.prefill_left for item in self.running.values() if not item.first_seen)
+        if self._outlook is None or self._outlook[0] != now:
+            backlog = sum(
+                item.prefill_left for item in self.running.values() if not item.first_seen
+            )
+            moving = 1.0 - min(MAX_STALLED, self.stalled_share(now))
+            self._outlook = (now, backlog, moving)
+        return self._outlook[1:]
 
 
 @dataclass(slots=True)
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -125,6 +125,18 @@
     tokens_kept: int = Field(default=100_000, ge=100)
 
 
+class PolicySection(_Section):
+    """Parts of the scheduling policy; each can be switched off, to see what it earns."""
+
+    hold: bool = True
+    prefix: bool = True
+    learn: bool = True
+    shed: bool = True
+    fair: bool = True
+    predict: bool = True
+    guard: bool = True
+
+
 class TlsSection(_Section):
     """Certificate and key files; empty is plain HTTP."""
 
@@ -151,6 +163,7 @@
     administration: AdministrationSection = AdministrationSection()
     timing: TimingSection = TimingSection()
     limits: LimitsSection = LimitsSection()
+    policy: PolicySection = PolicySection()
     tls: TlsSection = TlsSection()
     logs: LogsSection = LogsSection()
 
--- /dev/null
+++ b/tests/naive.py
@@ -0,0 +1,260 @@
+"""
+tests.naive
+
+The scheduler once more, naively: plain lists, no index, all worked out from scratch. The same
+events must bring the same actions. It shares with the real one only the formulas of a prediction.
+"""
+
+from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling import placement, scheduler
+from chalkyoke.scheduling.placement import BLOCK_TOKENS, predict
+from chalkyoke.scheduling.scheduler import PoolScheduler
+
+
+class NaivePrefixes:
+    """Each engine's cache as a plain list of blocks, oldest first."""
+
+    def __init__(self):
+        self.held, self.capacity, self.believed = {}, {}, {}
+
+    def add_upstream(self, name, capacity):
+        self.held.setdefault(name, [])
+        self.believed.setdefault(name, float(capacity))
+        self.capacity[name] = capacity
+
+    def remove_upstream(self, name):
+        for table in (self.held, self.capacity, self.believed):
+            table.pop(name, None)
+
+    def matches(self, blocks):
+        depths = {}
+        for name, held in self.held.items():
+            depth = 0
+            while depth < len(blocks) and blocks[depth] in held:
+                depth += 1
+            if depth:
+                depths[name] = depth
+        return depths
+
+    def insert(self, name, blocks):
+        if name not in self.held or self.capacity[name] <= 0:
+            return
+        held = [block for block in self.held[name] if block not in blocks]
+        held += list(reversed(list(dict.fromkeys(blocks))))
+        while len(held) > self.believed[name]:
+            held.pop(0)
+        self.held[name] = held
+
+    def drop(self, name, blocks):
+        if name in self.held:
+            self.held[name] = [block for block in self.held[name] if block not in blocks]
+
+    def correct(self, name, expected, found):
+        if not self.capacity.get(name) or expected == 0:
+            return
+        believed = self.believed[name] * (0.95 if found < expected else 1.01)
+        self.believed[name] = min(self.capacity[name], max(0.1 * self.capacity[name], believed))
+
+
+class NaiveScheduler(PoolScheduler):
+    """Events and learning are inherited; every decision is worked out again from plain lists."""
+
+    def __init__(self, *arguments, **options):
+        self._naive_ready = False
+        super().__init__(*arguments, **options)
+        self._prefixes = NaivePrefixes()
+        for spec in self.spec.upstreams:
+            self._prefixes.add_upstream(spec.id, spec.cache_blocks)
+
+    def _usable(self, item, now):
+        route = next(each for each in self.spec.routes if each.name == item.route)
+        names = sorted(name for name in route.upstreams if name in self._upstreams)
+        return [self._upstreams[n] for n in names if self._upstreams[n].usable(item.domain, now)]
+
+    def _shares(self, one, other):
+        routes = {each.name: each.upstreams for each in self.spec.routes}
+        return bool(routes[one] & routes[other])
+
+    def _fair_teams(self, rank):
+        """List (team, route) of a tier in the order of their shares."""
+        keys = {(item.team, item.route) for item in self._waiting.values() if item.rank == rank}
+        return sorted(keys, key=lambda key: (self._queues[rank].virtual(key[0]), *key))
+
+    def _in_order(self, rank, team, route):
+        mine = [
+            item
+            for item in self._waiting.values()
+            if (item.rank, item.team, item.route) == (rank, team, route)
+        ]
+        return sorted(mine, key=lambda item: (item.late, item.deadline, item.order))
+
+    # The decision.
+
+    def _decide(self, now):
+        if not self._waiting or not self._settled(now):
+            return []
+        outs, held = [], {}
+        for late in (False, True):
+            for rank in sorted({item.rank for item in self._waiting.values()}):
+                self._decide_naively(rank, late, held, now, outs)
+        return outs
+
+    def _decide_naively(self, rank, late, held, now, outs):
+        blocked, full, looked = set(), set(), 0
+        while looked < scheduler.MAX_LOOKED:
+            granted = False
+            for team, route in self._fair_teams(rank):
+                if (team, route) in blocked or route in full or self._over_limit(team):
+                    continue
+                names = next(each for each in self.spec.routes if each.name == route).upstreams
+                if not any(self._upstreams[n].has_slot(now) for n in names if n in self._upstreams):
+                    full.add(route)
+                    continue
+                for item in self._in_order(rank, team, route)[:4]:
+                    if item.late != late:
+                        break
+                    looked += 1
+                    if self._try_naively(item, held, now, outs):
+                        granted = True
+                        break
+                if granted:
+                    break
+                blocked.add((team, route))
+            if not granted:
+                return
+
+    def _over_limit(self, team):
+        limit = next((each.max_running for each in self.spec.teams if each.name == team), 0)
+        return bool(limit) and sum(r.team == team for r in self._running.values()) >= limit
+
+    def _try_naively(self, item, held, now, outs):
+        depths = self._prefixes.matches(item.blocks)
+        free, busy = [], []
+        for upstream in self._usable(item, now):
+            cached = depths.get(upstream.spec.id, 0)
+            left = max(1, item.prompt_tokens - cached * BLOCK_TOKENS)
+            harm = upstream.running and upstream.speed.prefill_time(left) > upstream.slack(
+                item.rank, now
+            )
+            (busy if harm or not upstream.has_slot(now) else free).append((upstream, cached))
+        found = [
+            (predict(item, up, cached, up.occupied(now) + 1, now), up, cached)
+            for up, cached in free
+        ]
+        if not found:
+            return False
+        best, upstream, cached = min(found, key=lambda each: each[0].finish_s)
+        limit = best.finish_s * (1.0 - placement.HOLD_MARGIN) - placement.HOLD_MARGIN_S
+        better = []
+        for other, other_cached in busy:
+            ends = sorted(each.expected_finish for each in other.running.values())
+            ahead = held.get(other.spec.id, 0)
+            wait = max(0.0, ends[ahead] - now) if ahead < len(ends) else float("inf")
+            finish = wait + predict(item, other, other_cached, other.spec.slots, now).finish_s
+            if finish < limit:
+                better.append((finish, other.spec.id))
+        if better:
+            name = min(better, key=lambda each: each[0])[1]
+            held[name] = held.get(name, 0) + 1
+            self.counters.held += 1
+            return False
+        if not self._worth_starting(item, best, now):
+            return False
+        outs.append(self._grant(item, placement.Choice(upstream, best, cached), now))
+        return True
+
+    def _worth_starting(self, item, best, now):
+        left = item.deadline - now
+        if best.cautious_s <= left:
+            return True
+        alone = sum(
+            (each.rank, each.route) == (item.rank, item.route) for each in self._waiting.values()
+        )
+        if item.late:
+            return best.finish_s <= left and best.optimistic_s <= left
+        return alone == 1 and best.optimistic_s <= left
+
+    # Giving up.
+
+    def _lower_waits(self, item):
+        return any(
+            other.rank > item.rank and self._shares(other.route, item.route)
+            for other in self._waiting.values()
+        )
+
+    def _shed_late(self, now):
+        if not self._waiting or not self._settled(now):
+            return []
+        slots = {}
+        for name, upstream in self._upstreams.items():
+            if upstream.usable("", now):
+                ends = [max(now, each.expected_finish) for each in upstream.running.values()]
+                free = max(0, upstream.spec.slots - upstream.occupied(now))
+                slots[name] = sorted(ends + [now] * free)
+        late = [
+            (item, missed)
+            for item in self._play_order()
+            if (missed := self._missed(item, slots, now)) is not None
+        ]
+        allowed = self._lowest_first(late)
+        outs = [
+            self._shed(item, Reason.SHED, self._retry_after(missed)) for item, missed in allowed
+        ]
+        gone = [item for item, _ in late]
+        for item in list(self._waiting.values()):
+            self._queues[item.rank].mark(item, item in gone)
+        return outs
+
+    def _play_order(self):
+        weights = {team.name: team.weight for team in self.spec.teams}
+        for rank in sorted({item.rank for item in self._waiting.values()}):
+            queues = {key: self._in_order(rank, *key) for key in self._fair_teams(rank)}
+            virtual = {team: self._queues[rank].virtual(team) for team, _ in queues}
+            while queues:
+                key = min(queues, key=lambda each: (virtual[each[0]], each))
+                item = queues[key].pop(0)
+                if not queues[key]:
+                    del queues[key]
+                yield item
+                virtual[key[0]] += item.work / weights.get(key[0], 1.0)
+
+    def _missed(self, item, slots, now):
+        """Play one request forward; give by how much it is late, or take its slot."""
+        route = next(each for each in self.spec.routes if each.name == item.route)
+        names = [n for n in sorted(route.upstreams) if slots.get(n)]
+        if not names:
+            return None
+        name = min(names, key=lambda each: slots[each][0])
+        guess = predict(item, self._upstreams[name], 0, self._upstreams[name].spec.slots, now)
+        if slots[name][0] + guess.cautious_s > item.deadline:
+            guesses = {
+                n: predict(item, self._upstreams[n], 0, self._upstreams[n].spec.slots, now)
+                for n in names
+            }
+            name = min(names, key=lambda each: slots[each][0] + guesses[each].cautious_s)
+            guess = guesses[name]
+        start, upstream = slots[name][0], self._upstreams[name]
+        missed = start + guess.cautious_s - item.deadline
+        soon = predict(item, upstream, 0, upstream.occupied(now) + 1, now).optimistic_s
+        lucky = start <= now and upstream.has_slot(now) and now + soon <= item.deadline
+        if missed <= 0 or lucky:
+            slots[name] = sorted([*slots[name][1:], start + guess.finish_s])
+            return None
+        return missed
+
+    def _lowest_first(self, late):
+        staying = [
+            item for item in self._waiting.values() if item not in [each for each, _ in late]
+        ]
+        allowed = []
+        for item, missed in sorted(late, key=lambda each: -each[0].rank):
+            below = [
+                other
+                for other in staying
+                if other.rank > item.rank and self._shares(other.route, item.route)
+            ]
+            if below:
+                staying.append(item)
+            else:
+                allowed.append((item, missed))
+        return allowed
