Cut the scheduler into decisions, book-keeping and learning; test the edges

Change: pool.py keeps the books, learning.py learns, scheduler.py decides. Ruled out: any change of behaviour; the naive scheduler still decides alike.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -174,7 +174,7 @@
     usage = Usage(100, 0, 60, 0.2, 1.5)
     used: list[float] = []
     for number in range(rounds):
-        request = source.choice(list(scheduler._running))
+        request = source.choice(list(scheduler._pool.running))
         release = Release(request, 1, "pool", "delivered", usage)
         started = time.process_time()
         outs = scheduler.release("d", release, 2.0)
--- a/benches/policy/policies.py
+++ b/benches/policy/policies.py
@@ -429,7 +429,7 @@
     def make_scheduler(self, expected: tuple[str, ...] = ()) -> PoolScheduler:
         """Make a scheduler that is told the truth."""
         made = super().make_scheduler(expected)
-        made._outputs = _TrueOutput()
+        made._learner.outputs = _TrueOutput()
         for name, upstream in made.upstreams.items():
             upstream.speed = _TrueSpeed(self.simulation.engines[name])
         return made
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -0,0 +1,127 @@
+import random
+
+from chalkyoke.membership.messages import Heartbeat, MemberRecord
+from chalkyoke.membership.owners import owner, ranked
+from chalkyoke.membership.state import Candidate, Joined, Left
+from chalkyoke.membership.view import MembershipView
+
+
+def record(host, domain="d1", incarnation=1, **changes):
+    fields = {"leaving": False, "ready": True, "revision": 1, "hosts_version": 1, **changes}
+    return MemberRecord(host, incarnation, f"{host}:1", "", domain, **fields)
+
+
+class Fleet:
+    """Views that hear each other at once, unless cut."""
+
+    def __init__(self, domains):
+        self.views = {}
+        self.cut = set()
+        self.now = 0.0
+        self.messages = 0
+        listed = [Candidate(h, f"{h}:1", d) for d, hosts in domains.items() for h in hosts]
+        for each in listed:
+            self.views[each.host] = MembershipView(record(each.host, each.failure_domain))
+            self.views[each.host].set_candidates(listed)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.25
+            for host, view in self.views.items():
+                if host not in self.cut:
+                    self.carry(view, view.beat(self.now))
+            for view in self.views.values():
+                view.tick(self.now)
+
+    def carry(self, sender, sends):
+        for send in sends:
+            self.messages += 1
+            target = self.views[send.address.split(":")[0]]
+            if self.reaches(sender.record.host, target.record.host):
+                _, answers = target.receive(sender.record.address, send.message, self.now)
+                self.carry(target, answers)
+
+    def reaches(self, one, other):
+        return one not in self.cut and other not in self.cut and (one, other) not in self.cut
+
+    def hosts(self, viewer):
+        return {each.host for each in self.views[viewer].live()}
+
+
+TWO = {"d1": ["a1", "a2", "a3"], "d2": ["b1", "b2", "b3"]}
+ALL = {"a1", "a2", "a3", "b1", "b2", "b3"}
+
+
+def test_all_processes_of_all_domains_are_seen():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    assert all(fleet.hosts(viewer) == ALL for viewer in ALL)
+    owners = {view.pool_owner("p").host for view in fleet.views.values()}
+    assert len(owners) == 1
+
+
+def test_a_silent_process_leaves_every_view():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    fleet.cut.add("a1")
+    fleet.run(6)
+    assert all(fleet.hosts(viewer) == ALL - {"a1"} for viewer in ALL - {"a1"})
+
+
+def test_a_cut_leaves_each_side_an_owner_and_heals():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    fleet.cut = {(a, b) for a in TWO["d1"] for b in TWO["d2"]} | {
+        (b, a) for a in TWO["d1"] for b in TWO["d2"]
+    }
+    fleet.run(6)
+    assert fleet.hosts("a1") == set(TWO["d1"])
+    assert fleet.views["b1"].pool_owner("p").host in TWO["d2"]
+    fleet.cut = set()
+    fleet.run(4)
+    assert all(fleet.hosts(viewer) == ALL for viewer in ALL)
+
+
+def test_traffic_between_domains_does_not_grow_with_their_square():
+    counts = []
+    for size in (5, 20):
+        fleet = Fleet({d: [f"{d}{i}" for i in range(size)] for d in ("x", "y")})
+        fleet.run(3)
+        before = fleet.messages
+        fleet.run(10)
+        inside = 2 * size * (size - 1) * 40
+        counts.append(fleet.messages - before - inside)
+    assert counts[1] <= 2 * counts[0]
+
+
+def test_a_restarted_host_replaces_its_earlier_process_for_good():
+    view = MembershipView(record("me"))
+    old, new = record("h", incarnation=7), record("h", incarnation=8)
+    assert view.receive("h:1", Heartbeat(old, 5), 0.0)[0] == [Joined(old)]
+    assert view.receive("h:1", Heartbeat(new, 1), 0.1)[0] == [Left(old), Joined(new)]
+    assert view.receive("h:1", Heartbeat(old, 6), 0.2)[0] == []
+    assert view.find("h") == new
+
+
+def test_a_late_copy_of_a_heartbeat_keeps_nobody_alive():
+    view = MembershipView(record("me"))
+    view.receive("h:1", Heartbeat(record("h"), 5), 0.0)
+    view.receive("h:1", Heartbeat(record("h"), 5), 3.0)
+    assert [type(each) for each in view.tick(3.1)] == [Left]
+
+
+def test_a_leaving_process_owns_no_pool():
+    view = MembershipView(record("me"))
+    view.receive("h:1", Heartbeat(record("h"), 1), 0.0)
+    view.update_self(leaving=True)
+    assert view.pool_owner("any").host == "h"
+
+
+def test_few_pools_move_when_a_host_goes():
+    hosts = [f"h{i}" for i in range(10)]
+    pools = [f"p{i}" for i in range(300)]
+    gone = random.Random(1).choice(hosts)
+    moved = [p for p in pools if owner(p, hosts) != owner(p, [h for h in hosts if h != gone])]
+    assert all(owner(p, hosts) == gone for p in moved)
+    assert ranked("p", hosts)[0] == owner("p", hosts)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -0,0 +1,149 @@
+"""
+chalkyoke.scheduling.learning
+
+Learn from what running and finished work tells: speeds, output lengths, prefix caches, health and
+shares.
+"""
+
+from chalkyoke.scheduling.estimates import OutputEstimate, OutputModel
+from chalkyoke.scheduling.messages import Acquire, ProgressItem, Usage
+from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
+from chalkyoke.scheduling.pool import PoolState
+from chalkyoke.scheduling.state import ReleaseOutcome, Running, TokenSample, Upstream
+
+FAILURES_TO_SUSPEND = 3
+BACKOFF_S = 0.5
+MAX_BACKOFF_S = 30.0
+
+
+class Learner:
+    """Correct what a pool's scheduler believes.
+
+    :param pool: the book-keeping that it corrects.
+    """
+
+    def __init__(self, pool: PoolState, features: Features) -> None:
+        self.outputs = OutputModel(pool.spec.caution)
+        self._pool = pool
+        self._features = features
+
+    def estimate(self, message: Acquire) -> OutputEstimate:
+        """Estimate the output of a request.
+
+        :rtype: OutputEstimate
+        """
+        if self._features.learn:
+            return self.outputs.predict(message.route, message.team, message.max_output)
+        most = float(message.max_output)
+        return OutputEstimate(most / 2, most / 8, most / 2)
+
+    def progress(self, items: tuple[ProgressItem, ...], now: float) -> None:
+        """Learn how far running work has come."""
+        known = [(self._pool.running.get(item.request), item) for item in items]
+        for running, item in known:
+            if running is not None:
+                self._learn_first(running, item.first_s, now)
+        samples: dict[str, TokenSample] = {}
+        for running, item in known:
+            if running is not None:
+                self._note_progress(running, item, samples)
+        self._learn_samples(samples)
+        for running, _ in known:
+            if running is not None and running.upstream in self._pool.upstreams:
+                upstream = self._pool.upstreams[running.upstream]
+                running.expected_finish = now + self.remaining_s(running, upstream, now)
+        for upstream in self._pool.upstreams.values():
+            upstream.changed()
+
+    def health(self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float) -> None:
+        """Learn from an outcome whether an upstream can be relied on.
+
+        :param domain: failure domain of the entry process.
+        """
+        if outcome is ReleaseOutcome.DELIVERED:
+            upstream.failures = 0
+            upstream.unreachable_from.pop(domain, None)
+        elif outcome is ReleaseOutcome.UNREACHABLE:
+            upstream.failures += 1
+            backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.failures, 10))
+            upstream.unreachable_from[domain] = now + backoff
+        elif outcome is ReleaseOutcome.FAILED:
+            upstream.failures += 1
+            if upstream.failures >= FAILURES_TO_SUSPEND:
+                excess = min(upstream.failures - FAILURES_TO_SUSPEND, 10)
+                upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
+
+    def usage(
+        self,
+        item: Running,
+        upstream: Upstream,
+        outcome: ReleaseOutcome,
+        usage: Usage,
+        now: float,
+    ) -> None:
+        """Learn from the end of a grant, and correct the share of its team by what it used."""
+        weight = self._pool.weight(item.team)
+        if outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE):
+            self._pool.queues[item.rank].charge(item.team, -item.work, weight)
+            return
+
+        cached = max(0, usage.cached_tokens)
+        actual = self._pool.work(max(0, item.prompt_tokens - cached), usage.output_tokens)
+        self._pool.queues[item.rank].charge(item.team, actual - item.work, weight)
+        if not self._features.learn:
+            return
+        self._learn_first(item, usage.first_s, now)
+        if outcome is not ReleaseOutcome.DELIVERED:
+            return
+
+        self.outputs.learn(item.route, item.team, usage.output_tokens)
+        if usage.output_tokens > item.output_tokens:
+            sample = TokenSample()
+            sample.add(item, upstream, usage.output_tokens, usage.total_s)
+            self._learn_samples({item.upstream: sample})
+        if usage.cached_tokens >= 0:
+            believed = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
+            found = usage.cached_tokens // BLOCK_TOKENS
+            self._pool.prefixes.correct(upstream.spec.id, int(believed), found)
+
+    def _learn_first(self, item: Running, first_s: float, now: float) -> None:
+        """Learn from a first token: how fast prompts are read, and that one was."""
+        upstream = self._pool.upstreams.get(item.upstream)
+        if upstream is None or item.first_seen or first_s <= 0:
+            return
+        item.first_seen = True
+        upstream.note_stall(upstream.speed.prefill_time(item.prefill_left), now)
+        item.stalls_seen = upstream.stall_s
+        if self._features.learn:
+            upstream.speed.learn_first(item.expected_first_s, first_s)
+        item.elapsed_s = first_s
+        item.output_tokens = 1
+
+    def _note_progress(
+        self, item: Running, seen: ProgressItem, samples: dict[str, TokenSample]
+    ) -> None:
+        upstream = self._pool.upstreams.get(item.upstream)
+        if upstream is None or seen.output_tokens < item.output_tokens:
+            return
+        if item.first_seen:
+            sample = samples.setdefault(item.upstream, TokenSample())
+            sample.add(item, upstream, seen.output_tokens, seen.elapsed_s)
+        item.output_tokens = seen.output_tokens
+        item.elapsed_s = seen.elapsed_s
+
+    def _learn_samples(self, samples: dict[str, TokenSample]) -> None:
+        """Learn the time of a token, once for each upstream from all of its streams."""
+        if not self._features.learn:
+            return
+        for name, sample in samples.items():
+            upstream = self._pool.upstreams[name]
+            upstream.speed.learn_tokens(sample.tokens, sample.seconds, len(upstream.running))
+
+    def remaining_s(self, item: Running, upstream: Upstream, now: float) -> float:
+        """Predict the rest of a running request, in seconds."""
+        left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
+        _, moving = upstream.outlook(now)
+        seconds = left * upstream.speed.token_time(len(upstream.running)) / moving
+        if not item.first_seen:
+            seconds += upstream.speed.prefill_time(item.prefill_left)
+        return seconds
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -0,0 +1,177 @@
+"""
+chalkyoke.scheduling.pool
+
+The book-keeping of one pool: its upstreams and routes as configured, what waits and what runs.
+"""
+
+from chalkyoke.invariants import require
+from chalkyoke.scheduling.estimates import SpeedModel
+from chalkyoke.scheduling.prefixes import PrefixIndex
+from chalkyoke.scheduling.queues import TierQueue
+from chalkyoke.scheduling.state import PoolSpec, Running, Upstream, UpstreamSpec, Waiting
+
+
+class PoolState:
+    """All that the scheduler of one pool knows.
+
+    :ivar waiting: requests that wait, by id.
+    :ivar running: grants that are held, by request id.
+    :ivar counts: waiting requests by (rank, route).
+    :ivar eligible: upstreams by route, in the order of their ids.
+    :ivar overlaps: pairs of routes that share an upstream.
+    """
+
+    def __init__(self, spec: PoolSpec) -> None:
+        self.upstreams: dict[str, Upstream] = {}
+        self.prefixes = PrefixIndex()
+        self.queues: dict[int, TierQueue] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.counts: dict[tuple[int, str], int] = {}
+        self.running: dict[str, Running] = {}
+        self.team_running: dict[str, int] = {}
+        self.configure(spec)
+
+    def configure(self, spec: PoolSpec) -> None:
+        """Take a new configuration or host list."""
+        self.spec = spec
+        self.ranks = {tier.name: tier.rank for tier in spec.tiers}
+        self.weights = {team.name: team.weight for team in spec.teams}
+        self.limits = {team.name: team.max_running for team in spec.teams if team.max_running}
+        self._merge_upstreams(spec.upstreams)
+        self.eligible = {
+            route.name: [
+                self.upstreams[name] for name in sorted(route.upstreams) if name in self.upstreams
+            ]
+            for route in spec.routes
+        }
+        self.overlaps = {
+            (one.name, other.name)
+            for one in spec.routes
+            for other in spec.routes
+            if one.upstreams & other.upstreams
+        }
+        self._set_reference_costs()
+
+    def rank(self, tier: str) -> int:
+        """Give the rank of a tier; an unknown one counts as the lowest.
+
+        :rtype: int
+        """
+        return self.ranks.get(tier, max(self.ranks.values(), default=0))
+
+    def weight(self, team: str) -> float:
+        """Give the weight of a team.
+
+        :rtype: float
+        """
+        return self.weights.get(team, 1.0)
+
+    def queue(self, rank: int) -> TierQueue:
+        """Give the queue of a tier.
+
+        :rtype: TierQueue
+        """
+        return self.queues.setdefault(rank, TierQueue(rank))
+
+    def work(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Price some work, in seconds of a mean upstream.
+
+        :rtype: float
+        """
+        return prompt_tokens * self._prefill_cost + output_tokens * self._decode_cost
+
+    def add(self, item: Waiting) -> None:
+        """Take a request in."""
+        self.queue(item.rank).push(item)
+        self.waiting[item.request] = item
+        key = (item.rank, item.route)
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+    def remove(self, item: Waiting) -> None:
+        """Take a request out; one that is not waiting is left alone."""
+        if self.waiting.get(item.request) is not item:
+            return
+        del self.waiting[item.request]
+        self.queues[item.rank].discard(item)
+        self.counts[item.rank, item.route] -= 1
+
+    def start(self, item: Running, upstream: Upstream, now: float) -> None:
+        """Note a grant."""
+        require(item.request not in self.running, "a request holds one grant", request=item.request)
+        self.running[item.request] = item
+        upstream.running[item.request] = item
+        upstream.changed()
+        upstream.note_own_load(now)
+        self.team_running[item.team] = self.team_running.get(item.team, 0) + 1
+
+    def end(self, item: Running, now: float) -> None:
+        """Note the end of a grant."""
+        self._forget_running(item)
+        self.upstreams[item.upstream].note_own_load(now)
+
+    def lower_waits(self, item: Waiting) -> bool:
+        """Tell whether a lower tier waits for some of the same upstreams."""
+        return any(
+            count > 0 and rank > item.rank and (route, item.route) in self.overlaps
+            for (rank, route), count in self.counts.items()
+        )
+
+    def any_slot(self, now: float) -> bool:
+        """Tell whether any upstream that takes new work has a free slot.
+
+        :rtype: bool
+        """
+        return any(each.has_slot(now) and not each.leaving for each in self.upstreams.values())
+
+    def at_limit(self, team: str) -> bool:
+        """Tell whether a team holds as many grants as it may.
+
+        :rtype: bool
+        """
+        limit = self.limits.get(team)
+        return limit is not None and self.team_running.get(team, 0) >= limit
+
+    def delay_others(self, upstream: Upstream, prompt_tokens: int) -> None:
+        """Expect the running requests of an upstream to end later, for a prompt that it reads."""
+        stall = upstream.speed.prefill_time(prompt_tokens)
+        for other in upstream.running.values():
+            other.expected_finish += stall
+        upstream.changed()
+
+    def _forget_running(self, item: Running) -> None:
+        del self.running[item.request]
+        upstream = self.upstreams[item.upstream]
+        upstream.running.pop(item.request, None)
+        upstream.changed()
+        self.team_running[item.team] -= 1
+        if self.team_running[item.team] == 0:
+            del self.team_running[item.team]
+
+    def _merge_upstreams(self, specs: tuple[UpstreamSpec, ...]) -> None:
+        for spec in specs:
+            known = self.upstreams.get(spec.id)
+            if known is None:
+                speed = SpeedModel(
+                    spec.prefill_tokens_per_s,
+                    spec.decode_tokens_per_s,
+                    spec.batch_slowdown,
+                    spec.slots,
+                )
+                self.upstreams[spec.id] = Upstream(spec, speed)
+            else:
+                known.spec = spec
+            self.prefixes.add_upstream(spec.id, spec.cache_blocks)
+
+        gone = set(self.upstreams) - {spec.id for spec in specs}
+        for name in gone:
+            for item in list(self.upstreams[name].running.values()):
+                self._forget_running(item)
+            del self.upstreams[name]
+            self.prefixes.remove_upstream(name)
+
+    def _set_reference_costs(self) -> None:
+        """Price work alike for all upstreams, so that shares do not hang on who ran it."""
+        specs = self.spec.upstreams
+        count = max(1, len(specs))
+        self._prefill_cost = sum(1 / spec.prefill_tokens_per_s for spec in specs) / count
+        self._decode_cost = sum(1 / spec.decode_tokens_per_s for spec in specs) / count
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -10,8 +10,8 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
-from chalkyoke.scheduling.estimates import OutputEstimate, OutputModel, SpeedModel
 from chalkyoke.scheduling.forecast import Late, SlotForecast, find_late, may_shed
+from chalkyoke.scheduling.learning import Learner
 from chalkyoke.scheduling.messages import (
     Acquire,
     Action,
@@ -20,11 +20,9 @@
     Grant,
     LoadReport,
     Progress,
-    ProgressItem,
     Release,
     RunningItem,
     Shed,
-    Usage,
     Withdraw,
 )
 from chalkyoke.scheduling.placement import (
@@ -34,16 +32,13 @@
     choose,
     idle_minimum,
 )
-from chalkyoke.scheduling.prefixes import PrefixIndex
+from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.state import (
     PoolSpec,
     ReleaseOutcome,
-    RouteSpec,
     Running,
-    TokenSample,
     Upstream,
-    UpstreamSpec,
     Waiting,
 )
 
@@ -55,9 +50,6 @@
 MAX_LOOKED = 24
 LOST_RELEASE_S = 3.0
 FOREIGN_VALID_S = 5.0
-FAILURES_TO_SUSPEND = 3
-BACKOFF_S = 0.5
-MAX_BACKOFF_S = 30.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
 NO_UPSTREAM_RETRY_S = 5.0
@@ -107,47 +99,44 @@
         expected: Iterable[str] = (),
         features: Features | None = None,
     ) -> None:
-        self.spec = spec
         self.counters = Counters()
         self.features = features or Features()
         self._random = random
-        self._upstreams: dict[str, Upstream] = {}
-        self._prefixes = PrefixIndex()
-        self._outputs = OutputModel(spec.caution)
-        self._queues: dict[int, TierQueue] = {}
-        self._waiting: dict[str, Waiting] = {}
-        self._counts: dict[tuple[int, str], int] = {}
-        self._running: dict[str, Running] = {}
-        self._team_running: dict[str, int] = {}
+        self._pool = PoolState(spec)
+        self._learner = Learner(self._pool, self.features)
         self._order = 0
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
         self._next_forecast = now
-        self.configure(spec, now)
 
     # What the shell and the benches may look at.
 
+    @property
+    def spec(self) -> PoolSpec:
+        """The pool as configured."""
+        return self._pool.spec
+
     @property
     def waiting(self) -> int:
         """Count the requests that wait."""
-        return len(self._waiting)
+        return len(self._pool.waiting)
 
     @property
     def running(self) -> int:
         """Count the grants that are held."""
-        return len(self._running)
+        return len(self._pool.running)
 
     @property
     def upstreams(self) -> dict[str, Upstream]:
         """The upstreams as seen now, by id."""
-        return self._upstreams
+        return self._pool.upstreams
 
     def waiting_items(self) -> list[Waiting]:
         """List what waits, in no order.
 
         :rtype: list[Waiting]
         """
-        return list(self._waiting.values())
+        return list(self._pool.waiting.values())
 
     # Events.
 
@@ -156,29 +145,10 @@
 
         :return: refusals of requests whose route or tier is gone, and new grants.
         """
-        self.spec = spec
-        self._ranks = {tier.name: tier.rank for tier in spec.tiers}
-        self._weights = {team.name: team.weight for team in spec.teams}
-        self._limits = {team.name: team.max_running for team in spec.teams if team.max_running}
-        self._merge_upstreams(spec.upstreams)
-        self._routes: dict[str, RouteSpec] = {route.name: route for route in spec.routes}
-        self._eligible = {
-            route.name: [
-                self._upstreams[uid] for uid in sorted(route.upstreams) if uid in self._upstreams
-            ]
-            for route in spec.routes
-        }
-        self._overlaps = {
-            (one.name, other.name)
-            for one in spec.routes
-            for other in spec.routes
-            if one.upstreams & other.upstreams
-        }
-        self._set_reference_costs()
-
+        self._pool.configure(spec)
         outs: list[Out] = []
-        for item in list(self._waiting.values()):
-            if not self._eligible.get(item.route):
+        for item in list(self._pool.waiting.values()):
+            if not self._pool.eligible.get(item.route):
                 outs.append(self._shed(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S))
         return outs + self._decide(now)
 
@@ -189,29 +159,29 @@
         :param domain: its failure domain.
         :rtype: list[Out]
         """
-        known = self._waiting.get(message.request)
+        known = self._pool.waiting.get(message.request)
         if known is not None and known.attempt >= message.attempt:
             return []
-        held = self._running.get(message.request)
+        held = self._pool.running.get(message.request)
         if held is not None:
             if held.attempt >= message.attempt:
                 return [Out(entry, self._grant_message(held))]
-            self._end(held, now)
+            self._pool.end(held, now)
         if known is not None:
-            self._remove(known)
+            self._pool.remove(known)
 
         item = self._make_waiting(entry, domain, message, now)
         refusal = self._refuse_at_arrival(item, now)
         if refusal is not None:
             return [refusal]
-        self._add(item)
+        self._pool.add(item)
         return self._make_room(item, now) + self._decide(now)
 
     def withdraw(self, message: Withdraw) -> None:
         """Forget a request that waits."""
-        item = self._waiting.get(message.request)
+        item = self._pool.waiting.get(message.request)
         if item is not None:
-            self._remove(item)
+            self._pool.remove(item)
 
     def release(self, domain: str, message: Release, now: float) -> list[Out]:
         """Take a grant back and learn from it.
@@ -219,16 +189,16 @@
         :param domain: failure domain of the entry process.
         :rtype: list[Out]
         """
-        item = self._running.get(message.request)
+        item = self._pool.running.get(message.request)
         if item is None or item.attempt != message.attempt:
             return []
 
         outcome = ReleaseOutcome(message.outcome)
-        upstream = self._upstreams.get(item.upstream)
+        upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
-            self._learn_health(upstream, domain, outcome, now)
-            self._learn_usage(item, upstream, outcome, message.usage, now)
-        self._end(item, now)
+            self._learner.health(upstream, domain, outcome, now)
+            self._learner.usage(item, upstream, outcome, message.usage, now)
+        self._pool.end(item, now)
         return self._decide(now)
 
     def progress(self, entry: str, message: Progress, now: float) -> list[Out]:
@@ -237,32 +207,17 @@
         :param entry: id of the entry process; the message lists all that it has running here.
         :rtype: list[Out]
         """
-        known = [(self._running.get(item.request), item) for item in message.items]
-        for running, item in known:
-            if running is not None:
-                self._learn_first(running, item.first_s, now)
-        samples: dict[str, TokenSample] = {}
-        for running, item in known:
-            if running is not None:
-                self._note_progress(running, item, samples)
-        self._learn_samples(samples)
-        for running, _ in known:
-            if running is not None and running.upstream in self._upstreams:
-                upstream = self._upstreams[running.upstream]
-                running.expected_finish = now + self._remaining_s(running, upstream, now)
-        for upstream in self._upstreams.values():
-            upstream.changed()
-
+        self._learner.progress(message.items, now)
         listed = {item.request for item in message.items}
         lost = [
             running
-            for running in self._running.values()
+            for running in self._pool.running.values()
             if running.entry == entry
             and running.request not in listed
             and now - running.granted > LOST_RELEASE_S
         ]
         for running in lost:
-            self._end(running, now)
+            self._pool.end(running, now)
         return self._decide(now) if lost else []
 
     def adopt(self, entry: str, message: Adopt, now: float) -> list[Out]:
@@ -271,9 +226,9 @@
         :rtype: list[Out]
         """
         for item in message.items:
-            upstream = self._upstreams.get(item.upstream)
-            if upstream is not None and item.request not in self._running:
-                self._start(self._adopted(entry, item, upstream, now), upstream, now)
+            upstream = self._pool.upstreams.get(item.upstream)
+            if upstream is not None and item.request not in self._pool.running:
+                self._pool.start(self._adopted(entry, item, upstream, now), upstream, now)
         self._unsettled.discard(entry)
         return self._decide(now)
 
@@ -282,10 +237,10 @@
 
         :rtype: list[Out]
         """
-        for waiting in [each for each in self._waiting.values() if each.entry == entry]:
-            self._remove(waiting)
-        for running in [each for each in self._running.values() if each.entry == entry]:
-            self._end(running, now)
+        for waiting in [each for each in self._pool.waiting.values() if each.entry == entry]:
+            self._pool.remove(waiting)
+        for running in [each for each in self._pool.running.values() if each.entry == entry]:
+            self._pool.end(running, now)
         self._unsettled.discard(entry)
         return self._decide(now)
 
@@ -294,7 +249,7 @@
 
         :rtype: list[Out]
         """
-        upstream = self._upstreams.get(message.upstream)
+        upstream = self._pool.upstreams.get(message.upstream)
         if upstream is None:
             return []
 
@@ -306,7 +261,7 @@
 
     def cache_event(self, message: CacheEvent) -> None:
         """Note what an engine dropped from its prefix cache; a hint, late and with gaps."""
-        self._prefixes.drop(message.upstream, message.dropped)
+        self._pool.prefixes.drop(message.upstream, message.dropped)
 
     def tick(self, now: float) -> list[Out]:
         """Give up what has expired, is hopeless or would be late; call about every 50 ms.
@@ -315,7 +270,7 @@
         """
         outs = self._expire(now)
         if self.features.shed and now >= self._next_forecast:
-            pause = max(FORECAST_INTERVAL_S, FORECAST_S_PER_WAITING * len(self._waiting))
+            pause = max(FORECAST_INTERVAL_S, FORECAST_S_PER_WAITING * len(self._pool.waiting))
             self._next_forecast = now + pause
             outs += self._shed_late(now)
         return outs + self._decide(now)
@@ -323,11 +278,7 @@
     # Arrival.
 
     def _make_waiting(self, entry: str, domain: str, message: Acquire, now: float) -> Waiting:
-        if self.features.learn:
-            output = self._outputs.predict(message.route, message.team, message.max_output)
-        else:
-            most = float(message.max_output)
-            output = OutputEstimate(most / 2, most / 8, most / 2)
+        output = self._learner.estimate(message)
         self._order += 1
         blocks = message.blocks if self.features.prefix else ()
         return Waiting(
@@ -336,7 +287,7 @@
             entry=entry,
             domain=domain,
             route=message.route,
-            rank=self._ranks.get(message.tier, max(self._ranks.values(), default=0)),
+            rank=self._pool.rank(message.tier),
             team=message.team,
             prompt_tokens=message.prompt_tokens,
             max_output=message.max_output,
@@ -345,11 +296,11 @@
             deadline=now + message.budget_s,
             order=self._order,
             output=output,
-            work=self._work(message.prompt_tokens, output.median),
+            work=self._pool.work(message.prompt_tokens, output.median),
         )
 
     def _refuse_at_arrival(self, item: Waiting, now: float) -> Out | None:
-        eligible = [each for each in self._eligible.get(item.route, ()) if not each.leaving]
+        eligible = [each for each in self._pool.eligible.get(item.route, ()) if not each.leaving]
         if not eligible:
             return self._refusal(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if item.deadline <= now:
@@ -360,16 +311,18 @@
 
     def _is_hopeless(self, item: Waiting, eligible: list[Upstream], now: float) -> bool:
         """Tell whether the deadline could not be met on an idle pool."""
-        depths = self._prefixes.matches(item.blocks)
+        depths = self._pool.prefixes.matches(item.blocks)
         least = min(idle_minimum(item, each, depths.get(each.spec.id, 0)) for each in eligible)
         return now + least > item.deadline
 
     def _make_room(self, item: Waiting, now: float) -> list[Out]:
         """Keep the queue bounded: the lowest tier that shares upstreams gives way."""
-        if len(self._waiting) <= MAX_WAITING:
+        if len(self._pool.waiting) <= MAX_WAITING:
             return []
         sharing = [
-            each for each in self._waiting.values() if (each.route, item.route) in self._overlaps
+            each
+            for each in self._pool.waiting.values()
+            if (each.route, item.route) in self._pool.overlaps
         ]
         victim = max(sharing, key=lambda each: (each.rank, each.deadline, each.order))
         return [self._shed(victim, Reason.SHED, self._retry_after(victim.deadline - now))]
@@ -378,20 +331,17 @@
 
     def _decide(self, now: float) -> list[Out]:
         """Grant what can go now: tiers strictly, teams by their shares, then deadlines."""
-        if not self._waiting or not self._settled(now):
+        if not self._pool.waiting or not self._settled(now):
             return []
         outs: list[Out] = []
         held: dict[str, int] = {}
-        queues = [self._queues[rank] for rank in sorted(self._queues)]
+        queues = [self._pool.queues[rank] for rank in sorted(self._pool.queues)]
         for late in (False, True):
             for queue in queues:
                 if queue.late if late else queue.live > queue.late:
                     self._decide_tier(queue, late, held, now, outs)
         return outs
 
-    def _any_slot(self, now: float) -> bool:
-        return any(each.has_slot(now) and not each.leaving for each in self._upstreams.values())
-
     def _settled(self, now: float) -> bool:
         if self._unsettled and now < self._settle_at:
             return False
@@ -405,13 +355,13 @@
         blocked: set[tuple[str, str]] = set()
         full: set[str] = set()
         looked = 0
-        while looked < MAX_LOOKED and self._any_slot(now):
+        while looked < MAX_LOOKED and self._pool.any_slot(now):
             granted = False
             for each in queue.queues(self.features.fair):
                 key = (each.name, each.route)
-                if key in blocked or each.route in full or self._at_limit(each.name):
+                if key in blocked or each.route in full or self._pool.at_limit(each.name):
                     continue
-                if not any(up.has_slot(now) for up in self._eligible[each.route]):
+                if not any(up.has_slot(now) for up in self._pool.eligible[each.route]):
                     full.add(each.route)
                     continue
                 for item in each.front():
@@ -427,15 +377,13 @@
             if not granted:
                 return
 
-    def _at_limit(self, team: str) -> bool:
-        limit = self._limits.get(team)
-        return limit is not None and self._team_running.get(team, 0) >= limit
-
     def _try(self, item: Waiting, held: dict[str, int], now: float, outs: list[Out]) -> bool:
-        eligible = [each for each in self._eligible[item.route] if each.usable(item.domain, now)]
+        eligible = [
+            each for each in self._pool.eligible[item.route] if each.usable(item.domain, now)
+        ]
         if not eligible:
             return False
-        depths = self._prefixes.matches(item.blocks)
+        depths = self._pool.prefixes.matches(item.blocks)
         choice = choose(item, eligible, depths, held, now, self.features)
         if choice.upstream is None:
             if choice.held_for is not None:
@@ -458,14 +406,7 @@
             return False
         if item.late and now + prediction.finish_s > item.deadline:
             return False
-        return item.late or self._counts[item.rank, item.route] == 1
-
-    def _lower_waits(self, item: Waiting) -> bool:
-        """Tell whether a lower tier waits for some of the same upstreams."""
-        return any(
-            count > 0 and rank > item.rank and (route, item.route) in self._overlaps
-            for (rank, route), count in self._counts.items()
-        )
+        return item.late or self._pool.counts[item.rank, item.route] == 1
 
     def _grant(self, item: Waiting, choice: Choice, now: float) -> Out:
         upstream, prediction = choice.upstream, choice.prediction
@@ -475,12 +416,12 @@
         )
         require(upstream.has_slot(now), "a grant finds a free slot", upstream=upstream.spec.id)
 
-        self._remove(item)
+        self._pool.remove(item)
         cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
         left = max(1, item.prompt_tokens - cached)
-        work = self._work(left, item.output.median)
-        self._queues[item.rank].charge(item.team, work, self._weights.get(item.team, 1.0))
-        self._prefixes.insert(upstream.spec.id, item.blocks)
+        work = self._pool.work(left, item.output.median)
+        self._pool.queues[item.rank].charge(item.team, work, self._pool.weight(item.team))
+        self._pool.prefixes.insert(upstream.spec.id, item.blocks)
         running = Running(
             request=item.request,
             attempt=item.attempt,
@@ -499,27 +440,20 @@
             expected_first_s=prediction.first_s,
             stalls_seen=upstream.stall_s,
         )
-        self._delay_others(upstream, left)
-        self._start(running, upstream, now)
+        self._pool.delay_others(upstream, left)
+        self._pool.start(running, upstream, now)
         self.counters.granted += 1
         return Out(item.entry, self._grant_message(running))
 
-    def _delay_others(self, upstream: Upstream, prompt_tokens: int) -> None:
-        """Expect the running requests of an upstream to end later, for a prompt that it reads."""
-        stall = upstream.speed.prefill_time(prompt_tokens)
-        for other in upstream.running.values():
-            other.expected_finish += stall
-        upstream.changed()
-
     # Giving up.
 
     def _expire(self, now: float) -> list[Out]:
         outs: list[Out] = []
-        for item in list(self._waiting.values()):
+        for item in list(self._pool.waiting.values()):
             if item.deadline <= now:
                 outs.append(self._shed(item, Reason.EXPIRED, None))
             elif self.features.shed:
-                eligible = [each for each in self._eligible[item.route] if not each.leaving]
+                eligible = [each for each in self._pool.eligible[item.route] if not each.leaving]
                 if not eligible:
                     outs.append(self._shed(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S))
                 elif self._is_hopeless(item, eligible, now):
@@ -527,22 +461,22 @@
         return outs
 
     def _shed_late(self, now: float) -> list[Out]:
-        if not self._waiting or not self._settled(now):
+        if not self._pool.waiting or not self._settled(now):
             return []
         forecast = SlotForecast(
-            (each for each in self._upstreams.values() if each.usable("", now)), now
+            (each for each in self._pool.upstreams.values() if each.usable("", now)), now
         )
         ordered = (
             item
-            for rank in sorted(self._queues)
-            for item in self._queues[rank].fair_order(self._weights)
+            for rank in sorted(self._pool.queues)
+            for item in self._pool.queues[rank].fair_order(self._pool.weights)
         )
-        late = find_late(ordered, self._eligible, forecast, now)
-        allowed = may_shed(late, self._waiting.values(), self._overlaps)
+        late = find_late(ordered, self._pool.eligible, forecast, now)
+        allowed = may_shed(late, self._pool.waiting.values(), self._pool.overlaps)
         outs = self._shed_all(allowed)
         kept = {entry.item.request for entry in late}
-        for item in self._waiting.values():
-            self._queues[item.rank].mark(item, item.request in kept)
+        for item in self._pool.waiting.values():
+            self._pool.queues[item.rank].mark(item, item.request in kept)
         return outs
 
     def _shed_all(self, allowed: list[Late]) -> list[Out]:
@@ -552,10 +486,10 @@
         ]
 
     def _shed(self, item: Waiting, reason: Reason, retry_after_s: float | None) -> Out:
-        self._remove(item)
+        self._pool.remove(item)
         if reason is Reason.SHED:
             require(
-                not self._lower_waits(item),
+                not self._pool.lower_waits(item),
                 "a higher tier is never shed while a lower one waits for the same upstreams",
                 request=item.request,
                 rank=item.rank,
@@ -573,173 +507,8 @@
         base = min(MAX_RETRY_S, max(MIN_RETRY_S, late_s))
         return round(base * (1.0 + self._random()), 2)
 
-    # Learning.
-
-    def _learn_health(
-        self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float
-    ) -> None:
-        if outcome is ReleaseOutcome.DELIVERED:
-            upstream.failures = 0
-            upstream.unreachable_from.pop(domain, None)
-        elif outcome is ReleaseOutcome.UNREACHABLE:
-            upstream.failures += 1
-            backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.failures, 10))
-            upstream.unreachable_from[domain] = now + backoff
-        elif outcome is ReleaseOutcome.FAILED:
-            upstream.failures += 1
-            if upstream.failures >= FAILURES_TO_SUSPEND:
-                excess = min(upstream.failures - FAILURES_TO_SUSPEND, 10)
-                upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
-
-    def _learn_usage(
-        self,
-        item: Running,
-        upstream: Upstream,
-        outcome: ReleaseOutcome,
-        usage: Usage,
-        now: float,
-    ) -> None:
-        weight = self._weights.get(item.team, 1.0)
-        if outcome in (ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE):
-            self._queues[item.rank].charge(item.team, -item.work, weight)
-            return
-
-        cached = max(0, usage.cached_tokens)
-        actual = self._work(max(0, item.prompt_tokens - cached), usage.output_tokens)
-        self._queues[item.rank].charge(item.team, actual - item.work, weight)
-        if not self.features.learn:
-            return
-        self._learn_first(item, usage.first_s, now)
-        if outcome is not ReleaseOutcome.DELIVERED:
-            return
-
-        self._outputs.learn(item.route, item.team, usage.output_tokens)
-        if usage.output_tokens > item.output_tokens:
-            sample = TokenSample()
-            sample.add(item, upstream, usage.output_tokens, usage.total_s)
-            self._learn_samples({item.upstream: sample})
-        if usage.cached_tokens >= 0:
-            believed = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
-            found = usage.cached_tokens // BLOCK_TOKENS
-            self._prefixes.correct(upstream.spec.id, int(believed), found)
-
-    def _learn_first(self, item: Running, first_s: float, now: float) -> None:
-        """Learn from a first token: how fast prompts are read, and that one was."""
-        upstream = self._upstreams.get(item.upstream)
-        if upstream is None or item.first_seen or first_s <= 0:
-            return
-        item.first_seen = True
-        upstream.note_stall(upstream.speed.prefill_time(item.prefill_left), now)
-        item.stalls_seen = upstream.stall_s
-        if self.features.learn:
-            upstream.speed.learn_first(item.expected_first_s, first_s)
-        item.elapsed_s = first_s
-        item.output_tokens = 1
-
-    def _note_progress(
-        self, item: Running, seen: ProgressItem, samples: dict[str, TokenSample]
-    ) -> None:
-        upstream = self._upstreams.get(item.upstream)
-        if upstream is None or seen.output_tokens < item.output_tokens:
-            return
-        if item.first_seen:
-            sample = samples.setdefault(item.upstream, TokenSample())
-            sample.add(item, upstream, seen.output_tokens, seen.elapsed_s)
-        item.output_tokens = seen.output_tokens
-        item.elapsed_s = seen.elapsed_s
-
-    def _learn_samples(self, samples: dict[str, TokenSample]) -> None:
-        """Learn the time of a token, once for each upstream from all of its streams."""
-        if not self.features.learn:
-            return
-        for name, sample in samples.items():
-            upstream = self._upstreams[name]
-            upstream.speed.learn_tokens(sample.tokens, sample.seconds, len(upstream.running))
-
-    def _remaining_s(self, item: Running, upstream: Upstream, now: float) -> float:
-        """Predict the rest of a running request, in seconds."""
-        left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
-        _, moving = upstream.outlook(now)
-        seconds = left * upstream.speed.token_time(len(upstream.running)) / moving
-        if not item.first_seen:
-            seconds += upstream.speed.prefill_time(item.prefill_left)
-        return seconds
-
-    # Book-keeping.
-
-    def _merge_upstreams(self, specs: tuple[UpstreamSpec, ...]) -> None:
-        for spec in specs:
-            known = self._upstreams.get(spec.id)
-            if known is None:
-                speed = SpeedModel(
-                    spec.prefill_tokens_per_s,
-                    spec.decode_tokens_per_s,
-                    spec.batch_slowdown,
-                    spec.slots,
-                )
-                self._upstreams[spec.id] = Upstream(spec, speed)
-            else:
-                known.spec = spec
-            self._prefixes.add_upstream(spec.id, spec.cache_blocks)
-
-        gone = set(self._upstreams) - {spec.id for spec in specs}
-        for name in gone:
-            for item in list(self._upstreams[name].running.values()):
-                self._forget_running(item)
-            del self._upstreams[name]
-            self._prefixes.remove_upstream(name)
-
-    def _set_reference_costs(self) -> None:
-        """Price work alike for all upstreams, so that shares do not hang on who ran it."""
-        specs = self.spec.upstreams
-        count = max(1, len(specs))
-        self._prefill_cost = sum(1 / spec.prefill_tokens_per_s for spec in specs) / count
-        self._decode_cost = sum(1 / spec.decode_tokens_per_s for spec in specs) / count
-
-    def _work(self, prompt_tokens: float, output_tokens: float) -> float:
-        return prompt_tokens * self._prefill_cost + output_tokens * self._decode_cost
-
-    def _add(self, item: Waiting) -> None:
-        queue = self._queues.get(item.rank)
-        if queue is None:
-            queue = self._queues[item.rank] = TierQueue(item.rank)
-        queue.push(item)
-        self._waiting[item.request] = item
-        key = (item.rank, item.route)
-        self._counts[key] = self._counts.get(key, 0) + 1
-
-    def _remove(self, item: Waiting) -> None:
-        if self._waiting.get(item.request) is not item:
-            return
-        del self._waiting[item.request]
-        self._queues[item.rank].discard(item)
-        self._counts[item.rank, item.route] -= 1
-
-    def _start(self, item: Running, upstream: Upstream, now: float) -> None:
-        require(
-            item.request not in self._running, "a request holds one grant", request=item.request
-        )
-        self._running[item.request] = item
-        upstream.running[item.request] = item
-        upstream.changed()
-        upstream.note_own_load(now)
-        self._team_running[item.team] = self._team_running.get(item.team, 0) + 1
-
-    def _end(self, item: Running, now: float) -> None:
-        self._forget_running(item)
-        self._upstreams[item.upstream].note_own_load(now)
-
-    def _forget_running(self, item: Running) -> None:
-        del self._running[item.request]
-        upstream = self._upstreams[item.upstream]
-        upstream.running.pop(item.request, None)
-        upstream.changed()
-        self._team_running[item.team] -= 1
-        if self._team_running[item.team] == 0:
-            del self._team_running[item.team]
-
     def _grant_message(self, item: Running) -> Grant:
-        address = self._upstreams[item.upstream].spec.address
+        address = self._pool.upstreams[item.upstream].spec.address
         return Grant(
             item.request,
             item.attempt,
@@ -751,9 +520,9 @@
         )
 
     def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
-        rank = self._ranks.get(item.tier, max(self._ranks.values(), default=0))
-        expected = self._outputs.predict(item.route, item.team, item.max_output).median
-        self._queues.setdefault(rank, TierQueue(rank))
+        rank = self._pool.rank(item.tier)
+        expected = self._learner.outputs.predict(item.route, item.team, item.max_output).median
+        self._pool.queue(rank)
         running = Running(
             request=item.request,
             attempt=item.attempt,
@@ -764,7 +533,7 @@
             team=item.team,
             prompt_tokens=item.prompt_tokens,
             expected_output=expected,
-            work=self._work(item.prompt_tokens, expected),
+            work=self._pool.work(item.prompt_tokens, expected),
             granted=now,
             deadline=now + GRANT_VALID_S,
             expected_finish=now,
@@ -773,5 +542,5 @@
             output_tokens=item.output_tokens,
             elapsed_s=item.elapsed_s,
         )
-        running.expected_finish = now + self._remaining_s(running, upstream, now)
+        running.expected_finish = now + self._learner.remaining_s(running, upstream, now)
         return running
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -60,16 +60,19 @@
     """Events and learning are inherited; every decision is worked out again from plain lists."""
 
     def __init__(self, *arguments, **options):
-        self._naive_ready = False
         super().__init__(*arguments, **options)
-        self._prefixes = NaivePrefixes()
+        self._pool.prefixes = NaivePrefixes()
         for spec in self.spec.upstreams:
-            self._prefixes.add_upstream(spec.id, spec.cache_blocks)
+            self._pool.prefixes.add_upstream(spec.id, spec.cache_blocks)
 
     def _usable(self, item, now):
         route = next(each for each in self.spec.routes if each.name == item.route)
-        names = sorted(name for name in route.upstreams if name in self._upstreams)
-        return [self._upstreams[n] for n in names if self._upstreams[n].usable(item.domain, now)]
+        names = sorted(name for name in route.upstreams if name in self._pool.upstreams)
+        return [
+            self._pool.upstreams[n]
+            for n in names
+            if self._pool.upstreams[n].usable(item.domain, now)
+        ]
 
     def _shares(self, one, other):
         routes = {each.name: each.upstreams for each in self.spec.routes}
@@ -77,13 +80,15 @@
 
     def _fair_teams(self, rank):
         """List (team, route) of a tier in the order of their shares."""
-        keys = {(item.team, item.route) for item in self._waiting.values() if item.rank == rank}
-        return sorted(keys, key=lambda key: (self._queues[rank].virtual(key[0]), *key))
+        keys = {
+            (item.team, item.route) for item in self._pool.waiting.values() if item.rank == rank
+        }
+        return sorted(keys, key=lambda key: (self._pool.queues[rank].virtual(key[0]), *key))
 
     def _in_order(self, rank, team, route):
         mine = [
             item
-            for item in self._waiting.values()
+            for item in self._pool.waiting.values()
             if (item.rank, item.team, item.route) == (rank, team, route)
         ]
         return sorted(mine, key=lambda item: (item.late, item.deadline, item.order))
@@ -91,11 +96,11 @@
     # The decision.
 
     def _decide(self, now):
-        if not self._waiting or not self._settled(now):
+        if not self._pool.waiting or not self._settled(now):
             return []
         outs, held = [], {}
         for late in (False, True):
-            for rank in sorted({item.rank for item in self._waiting.values()}):
+            for rank in sorted({item.rank for item in self._pool.waiting.values()}):
                 self._decide_naively(rank, late, held, now, outs)
         return outs
 
@@ -107,7 +112,11 @@
                 if (team, route) in blocked or route in full or self._over_limit(team):
                     continue
                 names = next(each for each in self.spec.routes if each.name == route).upstreams
-                if not any(self._upstreams[n].has_slot(now) for n in names if n in self._upstreams):
+                if not any(
+                    self._pool.upstreams[n].has_slot(now)
+                    for n in names
+                    if n in self._pool.upstreams
+                ):
                     full.add(route)
                     continue
                 for item in self._in_order(rank, team, route)[:4]:
@@ -125,10 +134,10 @@
 
     def _over_limit(self, team):
         limit = next((each.max_running for each in self.spec.teams if each.name == team), 0)
-        return bool(limit) and sum(r.team == team for r in self._running.values()) >= limit
+        return bool(limit) and sum(r.team == team for r in self._pool.running.values()) >= limit
 
     def _try_naively(self, item, held, now, outs):
-        depths = self._prefixes.matches(item.blocks)
+        depths = self._pool.prefixes.matches(item.blocks)
         free, busy = [], []
         for upstream in self._usable(item, now):
             cached = depths.get(upstream.spec.id, 0)
@@ -168,7 +177,8 @@
         if best.cautious_s <= left:
             return True
         alone = sum(
-            (each.rank, each.route) == (item.rank, item.route) for each in self._waiting.values()
+            (each.rank, each.route) == (item.rank, item.route)
+            for each in self._pool.waiting.values()
         )
         if item.late:
             return best.finish_s <= left and best.optimistic_s <= left
@@ -176,17 +186,11 @@
 
     # Giving up.
 
-    def _lower_waits(self, item):
-        return any(
-            other.rank > item.rank and self._shares(other.route, item.route)
-            for other in self._waiting.values()
-        )
-
     def _shed_late(self, now):
-        if not self._waiting or not self._settled(now):
+        if not self._pool.waiting or not self._settled(now):
             return []
         slots = {}
-        for name, upstream in self._upstreams.items():
+        for name, upstream in self._pool.upstreams.items():
             if upstream.usable("", now):
                 ends = [max(now, each.expected_finish) for each in upstream.running.values()]
                 free = max(0, upstream.spec.slots - upstream.occupied(now))
@@ -201,15 +205,15 @@
             self._shed(item, Reason.SHED, self._retry_after(missed)) for item, missed in allowed
         ]
         gone = [item for item, _ in late]
-        for item in list(self._waiting.values()):
-            self._queues[item.rank].mark(item, item in gone)
+        for item in list(self._pool.waiting.values()):
+            self._pool.queues[item.rank].mark(item, item in gone)
         return outs
 
     def _play_order(self):
         weights = {team.name: team.weight for team in self.spec.teams}
-        for rank in sorted({item.rank for item in self._waiting.values()}):
+        for rank in sorted({item.rank for item in self._pool.waiting.values()}):
             queues = {key: self._in_order(rank, *key) for key in self._fair_teams(rank)}
-            virtual = {team: self._queues[rank].virtual(team) for team, _ in queues}
+            virtual = {team: self._pool.queues[rank].virtual(team) for team, _ in queues}
             while queues:
                 key = min(queues, key=lambda each: (virtual[each[0]], each))
                 item = queues[key].pop(0)
@@ -225,15 +229,19 @@
         if not names:
             return None
         name = min(names, key=lambda each: slots[each][0])
-        guess = predict(item, self._upstreams[name], 0, self._upstreams[name].spec.slots, now)
+        guess = predict(
+            item, self._pool.upstreams[name], 0, self._pool.upstreams[name].spec.slots, now
+        )
         if slots[name][0] + guess.cautious_s > item.deadline:
             guesses = {
-                n: predict(item, self._upstreams[n], 0, self._upstreams[n].spec.slots, now)
+                n: predict(
+                    item, self._pool.upstreams[n], 0, self._pool.upstreams[n].spec.slots, now
+                )
                 for n in names
             }
             name = min(names, key=lambda each: slots[each][0] + guesses[each].cautious_s)
             guess = guesses[name]
-        start, upstream = slots[name][0], self._upstreams[name]
+        start, upstream = slots[name][0], self._pool.upstreams[name]
         missed = start + guess.cautious_s - item.deadline
         soon = predict(item, upstream, 0, upstream.occupied(now) + 1, now).optimistic_s
         lucky = start <= now and upstream.has_slot(now) and now + soon <= item.deadline
@@ -244,7 +252,7 @@
 
     def _lowest_first(self, late):
         staying = [
-            item for item in self._waiting.values() if item not in [each for each, _ in late]
+            item for item in self._pool.waiting.values() if item not in [each for each, _ in late]
         ]
         allowed = []
         for item, missed in sorted(late, key=lambda each: -each[0].rank):
--- a/tests/overload.py
+++ b/tests/overload.py
@@ -170,7 +170,7 @@
             gone = {item.request for item in self.scheduler.waiting_items() if item.entry == entry}
             for name in gone:
                 self.waiting.pop(name)
-            for name in [n for n, r in self.scheduler._running.items() if r.entry == entry]:
+            for name in [n for n, r in self.scheduler._pool.running.items() if r.entry == entry]:
                 self.running.pop(name, None)
             self.take(self.scheduler.member_gone(entry, self.now))
 
