--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -205,6 +205,9 @@
     headers = {REQUEST_ID: run.id, "Content-Type": run.request.content_type}
     if run.request.max_output == 0:
         return run.request.body, headers
+
+    # It was read as JSON, whatever the caller called it.
+    headers["Content-Type"] = "application/json"
     body = msgspec.json.decode(run.request.body)
     body["stream"] = True
     body["stream_options"] = {"include_usage": True}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import hashlib
-import json
 import signal
 import tempfile
 from pathlib import Path
@@ -364,6 +363,10 @@
         answer = reply.json()
         assert answer["choices"][0]["text"] == "w0 w1 w2 w3 "
         assert answer["usage"]["completion_tokens"] == 4
-        assert json.loads(json.dumps(answer)) == answer
+        form = "application/x-www-form-urlencoded"
+        again = await caller.complete(
+            fleet.nodes["n3"].address, body(4, stream=False), Content_Type=form
+        )
+        assert again.json()["choices"] == answer["choices"]
 
     with_fleet(check)
