--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -94,6 +94,7 @@
         app.add_route("/v1/services/{service}/{path:path}", _Services(self))
         app.add_route("/v1/tokens", _Tokens(self))
         app.set_error_serializer(_serialize_error)
+        problems.stop_on_broken_invariants(app)
         return keep_receive(app)
 
     async def issue_token(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/api.py
+++ b/packages/chalkyoke/src/chalkyoke/node/api.py
@@ -78,6 +78,7 @@
         ):
             app.add_route(path, resource)
         app.set_error_serializer(_serialize_error)
+        problems.stop_on_broken_invariants(app)
         return app
 
     def allow(self, req: falcon.asgi.Request, role: str) -> str:
--- a/packages/chalkyoke/src/chalkyoke/node/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleet.py
@@ -56,7 +56,10 @@
         self._labels: dict[str, dict[str, str]] = {}
         self._add_upstreams()
         self._routes = self._group_routes()
-        self.pools = {pool.name: pool for pool in self._build_pools()}
+        self.pools: dict[str, PoolSpec] = {}
+        self._shards: dict[str, list[str]] = {}
+        for service in resources.service.values():
+            self._add_pools(service)
 
     # For reception.
 
@@ -87,10 +90,8 @@
 
         :rtype: str
         """
-        found = self.resources.service.get(service)
-        if found is None or found.shards == 1:
-            return service
-        return pool_name(found, _hash(request) % found.shards)
+        shards = self._shards.get(service)
+        return shards[_hash(request) % len(shards)] if shards else service
 
     def may_dispatch(self, upstream: str) -> bool:
         """Tell whether an upstream takes new work, as far as this process knows.
@@ -171,25 +172,26 @@
             each.sort(key=lambda route: (-len(route.match), route.name))
         return routes
 
-    def _build_pools(self) -> Iterable[PoolSpec]:
+    def _add_pools(self, service: Service) -> None:
+        """Cut a service's upstreams into shards; requests go to those that have upstreams."""
         tiers = tuple(TierSpec(each.name, each.rank) for each in self.resources.tier.values())
         teams = tuple(
             TeamSpec(each.name, each.weight, each.max_running)
             for each in self.resources.team.values()
         )
-        for service in self.resources.service.values():
-            served = [
-                uid for uid, labels in self._labels.items() if matches(service.selector, labels)
-            ]
-            for shard in range(service.shards):
-                mine = [uid for uid in served if _hash(uid) % service.shards == shard]
-                routes = tuple(
-                    RouteSpec(
-                        route.name,
-                        frozenset(u for u in mine if matches(route.upstreams, self._labels[u])),
-                    )
-                    for route in self._routes.get(service.name, ())
+        served = [uid for uid, held in self._labels.items() if matches(service.selector, held)]
+        for shard in range(service.shards):
+            mine = [uid for uid in served if _hash(uid) % service.shards == shard]
+            routes = tuple(
+                RouteSpec(
+                    route.name,
+                    frozenset(u for u in mine if matches(route.upstreams, self._labels[u])),
                 )
-                upstreams = tuple(self._upstreams[uid] for uid in mine)
-                name = pool_name(service, shard)
-                yield PoolSpec(name, upstreams, tiers, teams, routes, service.caution)
+                for route in self._routes.get(service.name, ())
+            )
+            name = pool_name(service, shard)
+            upstreams = tuple(self._upstreams[uid] for uid in mine)
+            self.pools[name] = PoolSpec(name, upstreams, tiers, teams, routes, service.caution)
+            if mine:
+                self._shards.setdefault(service.name, []).append(name)
+        self._shards.setdefault(service.name, [pool_name(service, 0)])
--- a/packages/chalkyoke/src/chalkyoke/problems.py
+++ b/packages/chalkyoke/src/chalkyoke/problems.py
@@ -4,12 +4,14 @@
 Problem documents (RFC 9457) for callers and operators.
 """
 
+import asyncio
 from typing import Any
 
 import falcon
 import falcon.asgi
 import msgspec
 
+from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.outcomes import Reason, Refusal, Verdict
 
 MEDIA_TYPE = "application/problem+json"
@@ -57,6 +59,27 @@
     )
 
 
+def stop_on_broken_invariants(app: Any) -> None:
+    """Let a broken invariant reach the loop's exception handler, which stops the process.
+
+    Without this, falcon would answer 500 and the process would live on.
+
+    :param app: a falcon application.
+    """
+
+    async def handle(
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        error: InvariantBroken,
+        _: dict[str, Any],
+    ) -> None:
+        context = {"message": req.path, "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        respond(resp, document(500, "broken_invariant", "this host stops"))
+
+    app.add_error_handler(InvariantBroken, handle)
+
+
 def respond(response: falcon.asgi.Response, problem: dict[str, Any]) -> None:
     """Answer with a problem document, and ``Retry-After`` where it says when to come back."""
     response.status = problem["status"]
