A scheduler that begins asks all entry processes what they have running

Cause: read as a newcomer: a scheduler that was dropped and made again without its entry processes seeing another owner would grant as if nothing ran, and a grant that was not yet dispatched was not told to a successor. Ruled out: that entries tell it by themselves (they do on a change of owner only). Change: adopt_request goes out when a scheduler begins; all grants held are told. The randomised proof now ends with nothing held anywhere, then loses the owner of a pool and compares its successor's books with the upstreams'.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -312,7 +312,7 @@
     encode = best_of(lambda: [CODEC.encode(STAMP, message) for _ in range(count)]) / count
     decode = best_of(lambda: [CODEC.decode(list(listed)) for _ in range(count)]) / count
     grant = Grant(
-        "entry-100-3fffffffffffffff-100000", 1, "model-11", "engine-1000", "10.1.200.1:8000", 2, 5.0
+        "entry-100-3fffffffffffffff-100000", 1, "model-11", "engine-1000", "10.1.200.1:8000", 2
     )
     release = Release(grant.request, 1, "model-11", "delivered", Usage(900, 0, 120, 0.3, 8.0))
     per_request = float(len(frame) + 30 + size_of(grant) + size_of(release))
--- a/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -160,10 +160,8 @@
 
     def _move_pool(self, pool: str, before: str | None, owner: str) -> None:
         """Tell a new scheduler what runs here, and ask it for what waits here."""
-        mine = [run for run in self._runs.active() if self._in_pool(run, pool)]
-        running = tuple(_running_item(run, self._now()) for run in mine if run.dispatched)
-        self._schedulers.send(owner, Adopt(pool, running))
-        for run in mine:
+        self.tell_running(pool, owner)
+        for run in [each for each in self._runs.active() if self._in_pool(each, pool)]:
             future = self._verdicts.get(run.id)
             if run.state is not TokenState.QUEUED or future is None or future.done():
                 continue
@@ -171,6 +169,19 @@
                 self._schedulers.send(before, Withdraw(run.id, pool))
             self._send_acquire(run)
 
+    def tell_running(self, pool: str, process: str) -> None:
+        """Tell a scheduler which of a pool's grants are held here.
+
+        :param process: id of the scheduler's process.
+        """
+        now = self._now()
+        items = tuple(
+            _running_item(run, run.grant, now)
+            for run in self._runs.active()
+            if run.grant is not None and run.grant.pool == pool
+        )
+        self._schedulers.send(process, Adopt(pool, items))
+
     def _in_pool(self, run: Run, pool: str) -> bool:
         if run.grant is not None:
             return run.grant.pool == pool
@@ -191,17 +202,17 @@
             self._schedulers.send(self._owner(pool), Progress(pool, tuple(each)))
 
 
-def _running_item(run: Run, now: float) -> RunningItem:
-    request, grant = run.request, run.grant
+def _running_item(run: Run, grant: Grant, now: float) -> RunningItem:
+    request = run.request
     return RunningItem(
         request=run.id,
-        attempt=grant.attempt if grant is not None else run.attempt,
-        upstream=grant.upstream if grant is not None else "",
+        attempt=grant.attempt,
+        upstream=grant.upstream,
         tier=request.tier,
         team=request.team,
         route=request.route,
         prompt_tokens=request.prompt_tokens,
         max_output=request.max_output,
         output_tokens=run.output_tokens,
-        elapsed_s=now - run.dispatched_at,
+        elapsed_s=now - run.dispatched_at if run.dispatched else 0.0,
     )
--- a/packages/chalkyoke/src/chalkyoke/links/tests/test_links.py
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_links.py
@@ -13,7 +13,7 @@
 from chalkyoke.scheduling.messages import Grant, Shed
 
 TYPES = (Grant, Shed)
-GRANT = Grant("r", 1, "p", "u", "127.0.0.1:1", 0, 5.0)
+GRANT = Grant("r", 1, "p", "u", "127.0.0.1:1", 0)
 
 
 class Clock:
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -50,6 +50,7 @@
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
+    AdoptRequest,
     Grant,
     Progress,
     Release,
@@ -70,6 +71,7 @@
 LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     Acquire,
     Adopt,
+    AdoptRequest,
     Forward,
     ForwardChunk,
     ForwardEnd,
@@ -194,6 +196,7 @@
             runs, self.acquirer, ends, dispatcher, port, self.events, self.metrics, self.now
         )
         self.schedulers.deliver = self.acquirer.receive
+        self.schedulers.tell_running = self.acquirer.tell_running
 
     def _make_apis(self) -> None:
         settings, tls = self.settings, self.settings.tls
@@ -354,6 +357,8 @@
                 self.configuration.heard(connection.peer_address, message.record)
         elif isinstance(message, Grant | Shed):
             self.acquirer.receive(connection.peer, message)
+        elif isinstance(message, AdoptRequest):
+            self.acquirer.tell_running(message.pool, connection.peer)
         elif isinstance(message, Acquire | Adopt | Progress | Release | Withdraw):
             self.schedulers.note_address(connection.peer, connection.peer_address)
             self.schedulers.receive(connection.peer, connection.peer_domain, message)
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -17,6 +17,7 @@
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
+    AdoptRequest,
     EntryMessage,
     Grant,
     Progress,
@@ -60,6 +61,7 @@
     ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self.deliver: Deliver | None = None
+        self.tell_running: Callable[[str, str], None] | None = None
         self._process = process
         self._view = view
         self._fleet = fleet
@@ -165,10 +167,20 @@
         expected = [record.process for record in self._view.live()]
         scheduler = PoolScheduler(spec, self._random, self._now(), expected, self._features)
         self.pools[pool] = scheduler
+        self._ask_running(pool)
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
         log.info("took pool {}", pool)
         return scheduler
 
+    def _ask_running(self, pool: str) -> None:
+        """Ask all entry processes what they have running, whether or not they saw a change."""
+        for record in self._view.live():
+            if record.process == self._process:
+                assert self.tell_running is not None
+                self.tell_running(pool, self._process)
+            else:
+                self._send(record.address, AdoptRequest(pool))
+
     def _drop_disowned(self, name: str, now: float) -> None:
         if self.owner(name) == self._process:
             self._disowned.pop(name, None)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -37,7 +37,6 @@
     """Allow one dispatch to one upstream.
 
     :param priority: rank of the tier, for engines that honour priorities; 0 goes first.
-    :param valid_s: after this time an unused grant is void.
     """
 
     request: str
@@ -46,7 +45,6 @@
     upstream: str
     address: str
     priority: int
-    valid_s: float
 
 
 class Shed(msgspec.Struct, frozen=True, array_like=True, tag="shed"):
@@ -125,6 +123,12 @@
     elapsed_s: float
 
 
+class AdoptRequest(msgspec.Struct, frozen=True, array_like=True, tag="adopt_request"):
+    """A scheduler that has just begun asks an entry process what it has running."""
+
+    pool: str
+
+
 class Adopt(msgspec.Struct, frozen=True, array_like=True, tag="adopt"):
     """Tell a new scheduler of a pool what this entry process has running."""
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -42,7 +42,7 @@
     Waiting,
 )
 
-GRANT_VALID_S = 5.0
+ADOPTED_DEADLINE_S = 5.0
 SETTLE_S = 0.4
 FORECAST_INTERVAL_S = 0.05
 FORECAST_S_PER_WAITING = 0.0005
@@ -525,7 +525,6 @@
             item.upstream,
             address,
             item.rank,
-            GRANT_VALID_S,
         )
 
     def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
@@ -544,7 +543,7 @@
             expected_output=expected,
             work=self._pool.work(item.prompt_tokens, expected),
             granted=now,
-            deadline=now + GRANT_VALID_S,
+            deadline=now + ADOPTED_DEADLINE_S,
             expected_finish=now,
             prefill_left=item.prompt_tokens,
             first_seen=item.output_tokens > 0,
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -5,6 +5,7 @@
 """
 
 from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.entry.acquirer import Acquirer
 from chalkyoke.entry.dispatcher import Dispatcher
 from chalkyoke.entry.runs import Runs
 from chalkyoke.entry.service import EntryService
@@ -96,6 +97,11 @@
     monkeypatch.setattr(EntryService, "drain", at_once)
 
 
+def running_is_not_told(monkeypatch):
+    """A new scheduler is not told what runs under its predecessor."""
+    monkeypatch.setattr(Acquirer, "tell_running", lambda acquirer, pool, process: None)
+
+
 def shed_by_arrival(monkeypatch):
     """Whatever is late is given up, whichever tier it has."""
     monkeypatch.setattr(scheduling, "may_shed", lambda late, waiting, overlaps: late)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -39,6 +39,7 @@
         plants.partial_events_are_passed_on,
         plants.leaving_is_not_heard,
         plants.drain_does_not_wait,
+        plants.running_is_not_told,
     ],
     ids=lambda plant: plant.__name__,
 )
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -44,11 +44,11 @@
     loop.set_exception_handler(lambda _, context: faults.append(context))
     try:
         result = loop.run_until_complete(make())
+    finally:
         leftover = [task for task in asyncio.all_tasks(loop) if not task.done()]
         for task in leftover:
             task.cancel()
         loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
-    finally:
         loop.close()
     for fault in faults:
         if fault.get("exception") is not None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.clock import HybridClock
@@ -31,7 +32,7 @@
 from chalkyoke.node.ports import FleetPort
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.outcomes import Verdict
-from chalkyoke.scheduling.messages import Grant, LoadReport, Shed
+from chalkyoke.scheduling.messages import AdoptRequest, Grant, LoadReport, Shed
 from chalkyoke.tokens.codec import TokenCodec
 from chalkyoke.tokens.ledger import TokenLedger
 
@@ -125,6 +126,7 @@
             self.runs, self.acquirer, ends, dispatcher, port, self.events, self.metrics, self.now
         )
         self.schedulers.deliver = self.acquirer.receive
+        self.schedulers.tell_running = self.acquirer.tell_running
         self.every(self.view.interval_s, self.beat)
         self.every(0.05, self.tick)
         self.every(1.0, self.keep_house)
@@ -187,6 +189,8 @@
                 self.send(send.address, send.message)
         elif isinstance(message, Grant | Shed):
             self.acquirer.receive(sender.process, message)
+        elif isinstance(message, AdoptRequest):
+            self.acquirer.tell_running(message.pool, sender.process)
         else:
             self.schedulers.note_address(sender.process, sender.address)
             self.schedulers.receive(sender.process, sender.domain, message)
@@ -494,8 +498,52 @@
         assert all(call.done() for call in calls), "a caller was left without an answer"
         await asyncio.sleep(70)
         self.check()
+        self.check_nothing_left()
+        await self.check_occupancy()
+        self.check()
         return self.steps
 
+    def check_nothing_left(self):
+        """When all is quiet, no scheduler believes that anything waits or runs."""
+        for node in self.nodes.values():
+            for name, scheduler in node.schedulers.pools.items():
+                if node.schedulers.owner(name) == node.process:
+                    left = (scheduler.waiting, scheduler.running)
+                    assert left == (0, 0), f"{node.process} still holds {left} of {name}"
+
+    async def check_occupancy(self):
+        """After the loss of a scheduler its successor knows what runs, to the last request."""
+        engines = [each for each in self.upstreams.values() if not each.plain]
+        for engine in engines:
+            engine.hang = True
+        calls = []
+        for number in range(8):
+            request = msgspec.structs.replace(
+                self.make_request(number, False),
+                service="model",
+                route="all",
+                budget_s=30.0,
+                path="/v1/completions",
+                repeatable=True,
+                max_output=50,
+                tier="t0",
+            )
+            calls.append(self.loop.create_task(self.send(self.pick_node(), request, None, "")))
+        await asyncio.sleep(2)
+        some = self.pick_node()
+        owner = self.nodes[some.view.pool_owner("model").host]
+        lost = {run.id for run in owner.runs.active()}
+        owner.die()
+        await asyncio.sleep(6)
+        successor = self.nodes[self.pick_node().view.pool_owner("model").host]
+        known = set(successor.schedulers.pools["model"]._pool.running)
+        truth = set().union(*(each.running for each in engines)) - lost
+        assert known == truth, f"the successor knows {known}, and {truth} runs"
+        assert truth, "nothing runs"
+        for engine in engines:
+            engine.hang = False
+        await asyncio.gather(*calls, return_exceptions=True)
+
 
 def assert_whole(told):
     """Check that an answer is whole and the caller's own."""
