Tell whole records on change only; count undelivered answers as wasted

Change: a short beat between whole ones (after a change four whole ones, then one in five); the engine counts abandoned answers. Ruled out: nothing else was tried.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -18,8 +18,8 @@
 from chalkyoke.configuration.resources import Specs, build, read_document
 from chalkyoke.configuration.state import ConfigurationState
 from chalkyoke.links.codec import FrameCodec
-from chalkyoke.membership.messages import Digest, Heartbeat, MemberRecord, Summary
-from chalkyoke.membership.view import MembershipView
+from chalkyoke.membership.messages import Digest, Heartbeat, MemberRecord, ShortHeartbeat, Summary
+from chalkyoke.membership.view import FULL_EVERY, MembershipView
 from chalkyoke.node.fleet import FleetView
 from chalkyoke.node.process import LINK_MESSAGES
 from chalkyoke.scheduling.messages import Acquire, Grant, Progress, ProgressItem, Release, Usage
@@ -118,8 +118,11 @@
         times.append((members, best_of(second)))
         memory.append((members, memory_of(lambda m=members: membership_view(m))))  # type: ignore[misc]
         del frames
-    beat = size_of(Heartbeat(record(1, "d0"), 12345, (Digest("d1", "entry-1/fffffff", 9),)))
-    return fit(times), fit(memory), float(beat)
+    digests = (Digest("d1", "entry-1/fffffff", 9),)
+    member = record(1, "d0")
+    whole = size_of(Heartbeat(member, 12345, digests))
+    short = size_of(ShortHeartbeat(member.host, member.incarnation, "d0", 12345, digests))
+    return fit(times), fit(memory), (whole + (FULL_EVERY - 1) * short) / FULL_EVERY
 
 
 # Scheduling.
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/engine.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/engine.py
@@ -67,8 +67,15 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     done: bool = False
     cancelled: bool = False
+    delivered: bool = False
+    abandoned: bool = False
     readers: int = 0
 
+    @property
+    def prefill_done(self) -> int:
+        """Prompt tokens that were read for it."""
+        return self.prompt_tokens - self.cached_tokens - self.prefill_left
+
     def produce(self) -> None:
         """Make one more token, or the end."""
         made = len(self.events)
@@ -164,9 +171,7 @@
         if sequence is None or sequence.done or sequence.cancelled:
             return
         sequence.cancelled = True
-        self.prefill_wasted += (
-            sequence.prompt_tokens - sequence.cached_tokens - sequence.prefill_left
-        )
+        self.prefill_wasted += sequence.prefill_done
         if sequence in self.queue:
             self.queue.remove(sequence)
         if sequence in self.batch:
@@ -315,7 +320,8 @@
                 offset += 1
                 sent += 1
             elif sequence.done:
-                engine.delivered += 1
+                engine.delivered += not sequence.delivered
+                sequence.delivered = True
                 return
             else:
                 sequence.changed.clear()
@@ -323,12 +329,18 @@
         raise ConnectionError("cancelled")
     finally:
         sequence.readers -= 1
-        if not sequence.done:
+        if not sequence.delivered:
             asyncio.get_running_loop().call_later(RESUME_GRACE_S, _abandon, engine, sequence)
 
 
 def _abandon(engine: Engine, sequence: Sequence) -> None:
-    if sequence.readers == 0:
+    """Give up a sequence that nobody reads any more; what it cost brought no answer."""
+    if sequence.readers > 0 or sequence.delivered or sequence.abandoned:
+        return
+    sequence.abandoned = True
+    if sequence.done:
+        engine.prefill_wasted += sequence.prefill_done
+    else:
         engine.cancel(sequence.id)
 
 
--- a/packages/chalkyoke/src/chalkyoke/membership/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -43,13 +43,26 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """A sign of life. Its digests keep other failure domains alive in the receiver's view."""
+    """A sign of life with the whole record: after a change, and now and then.
+
+    :param digests: they keep other failure domains alive in the receiver's view.
+    """
 
     record: MemberRecord
     beat: int
     digests: tuple[Digest, ...] = ()
 
 
+class ShortHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
+    """A sign of life of a process whose record has not changed."""
+
+    host: str
+    incarnation: int
+    failure_domain: str
+    beat: int
+    digests: tuple[Digest, ...] = ()
+
+
 class SummaryRequest(msgspec.Struct, frozen=True, array_like=True, tag="summary_request"):
     """Ask for the members behind a digest."""
 
@@ -63,4 +76,4 @@
     records: tuple[MemberRecord, ...]
 
 
-MembershipMessage = Heartbeat | SummaryRequest | Summary
+MembershipMessage = Heartbeat | ShortHeartbeat | SummaryRequest | Summary
--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -1,6 +1,6 @@
 import random
 
-from chalkyoke.membership.messages import Heartbeat, MemberRecord
+from chalkyoke.membership.messages import Heartbeat, MemberRecord, ShortHeartbeat
 from chalkyoke.membership.owners import owner, ranked
 from chalkyoke.membership.state import Candidate, Joined, Left
 from chalkyoke.membership.view import MembershipView
@@ -125,3 +125,23 @@
     moved = [p for p in pools if owner(p, hosts) != owner(p, [h for h in hosts if h != gone])]
     assert all(owner(p, hosts) == gone for p in moved)
     assert ranked("p", hosts)[0] == owner("p", hosts)
+
+
+def test_a_short_beat_keeps_a_known_process_alive_and_makes_no_unknown_one():
+    view = MembershipView(record("me"))
+    short = ShortHeartbeat("h", 1, "d1", 9)
+    assert view.receive("h:1", short, 0.0) == ([], [])
+    view.receive("h:1", Heartbeat(record("h"), 8), 0.0)
+    view.receive("h:1", short, 1.4)
+    assert view.tick(2.5) == []
+    assert view.receive("h:1", ShortHeartbeat("h", 2, "d1", 99), 2.6) == ([], [])
+    assert [type(each) for each in view.tick(3.0)] == [Left]
+
+
+def test_a_change_is_told_whole_at_once():
+    view = MembershipView(record("me"))
+    view.set_candidates([Candidate("h", "h:1", "d1")])
+    kinds = [type(view.beat(i)[0].message) for i in range(1, 20)]
+    assert ShortHeartbeat in kinds
+    view.update_self(revision=2)
+    assert view.beat(20)[0].message.record.revision == 2
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -16,6 +16,7 @@
     Heartbeat,
     MemberRecord,
     MembershipMessage,
+    ShortHeartbeat,
     Summary,
     SummaryRequest,
 )
@@ -27,6 +28,8 @@
 SUSPECT_INTERVALS = 6
 FOREIGN_SUSPECT_INTERVALS = 10
 FORGET_INTERVALS = 2400
+FULL_AFTER_CHANGE = 4
+FULL_EVERY = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,8 @@
         self._members: dict[str, Member] = {}
         self._foreign: dict[str, ForeignDomain] = {}
         self._candidates: dict[str, Candidate] = {}
+        self._told: MemberRecord | None = None
+        self._whole_until = 0
         self._last_summary: tuple[MemberRecord, ...] = ()
 
     @property
@@ -128,13 +133,25 @@
         :rtype: list[Send]
         """
         self._beat += 1
-        inside = Heartbeat(self.record, self._beat, self._heard_outside(now))
+        inside = self._heartbeat(self._heard_outside(now))
         sends = [Send(address, inside) for address in self._inside_targets()]
         if self._is_reporter():
-            outside = Heartbeat(self.record, self._beat, (self._own_digest(),))
+            outside = self._heartbeat((self._own_digest(),))
             sends += [Send(address, outside) for address in self._outside_targets()]
         return sends
 
+    def _heartbeat(self, digests: tuple[Digest, ...]) -> Heartbeat | ShortHeartbeat:
+        """Make a sign of life: whole after a change of the record and each few beats."""
+        record = self.record
+        if record != self._told:
+            self._told = record
+            self._whole_until = self._beat + FULL_AFTER_CHANGE
+        if self._beat <= self._whole_until or self._beat % FULL_EVERY == 0:
+            return Heartbeat(record, self._beat, digests)
+        return ShortHeartbeat(
+            record.host, record.incarnation, record.failure_domain, self._beat, digests
+        )
+
     def receive(
         self, sender: str, message: MembershipMessage, now: float
     ) -> tuple[list[Change], list[Send]]:
@@ -145,7 +162,12 @@
         """
         if isinstance(message, Heartbeat):
             changes = self._take_record(message.record, message.beat, now)
-            return changes, self._take_digests(sender, message, now)
+            domain = message.record.failure_domain
+            return changes, self._take_digests(sender, domain, message.digests, now)
+        if isinstance(message, ShortHeartbeat):
+            changes = self._take_short(message, now)
+            domain = message.failure_domain
+            return changes, self._take_digests(sender, domain, message.digests, now)
         if isinstance(message, SummaryRequest):
             return [], self._answer(sender, message)
         return self._take_summary(message, now), []
@@ -198,6 +220,13 @@
         member.alive = True
         return [Joined(record)]
 
+    def _take_short(self, message: ShortHeartbeat, now: float) -> list[Change]:
+        """Take the beat of a process whose record is known; a new one sends it whole soon."""
+        member = self._members.get(message.host)
+        if member is None or member.record.incarnation != message.incarnation:
+            return []
+        return self._take_record(member.record, message.beat, now)
+
     def _inside_targets(self) -> list[str]:
         known = {
             each.host: each.address
@@ -250,9 +279,11 @@
             each.digest for each in self._foreign.values() if now - each.heard_outside <= fresh
         )
 
-    def _take_digests(self, sender: str, message: Heartbeat, now: float) -> list[Send]:
+    def _take_digests(
+        self, sender: str, domain: str, digests: tuple[Digest, ...], now: float
+    ) -> list[Send]:
         sends: list[Send] = []
-        for digest in message.digests:
+        for digest in digests:
             if digest.failure_domain == self.domain:
                 continue
             known = self._foreign.get(digest.failure_domain)
@@ -261,7 +292,7 @@
                 if known is None:
                     continue
             known.heard = now
-            if message.record.failure_domain != self.domain:
+            if domain != self.domain:
                 known.heard_outside = now
         return sends
 
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -36,7 +36,13 @@
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
-from chalkyoke.membership.messages import Heartbeat, MemberRecord, Summary, SummaryRequest
+from chalkyoke.membership.messages import (
+    Heartbeat,
+    MemberRecord,
+    ShortHeartbeat,
+    Summary,
+    SummaryRequest,
+)
 from chalkyoke.membership.state import Change, Joined
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.api import NodeApi
@@ -85,6 +91,7 @@
     RevisionAnswer,
     RevisionRequest,
     Shed,
+    ShortHeartbeat,
     Summary,
     SummaryRequest,
     Withdraw,
@@ -348,7 +355,7 @@
     ) -> Coroutine[None, None, None] | None:
         if isinstance(message, Forward):
             return self._serve_forward(connection, message)
-        if isinstance(message, Heartbeat | SummaryRequest | Summary):
+        if isinstance(message, Heartbeat | ShortHeartbeat | SummaryRequest | Summary):
             changes, sends = self.view.receive(connection.peer_address, message, self.now())
             self._apply(changes)
             for send in sends:
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,7 +25,13 @@
 from chalkyoke.entry.runs import Runs
 from chalkyoke.entry.service import EntryService
 from chalkyoke.entry.streams import DONE_EVENT
-from chalkyoke.membership.messages import Heartbeat, MemberRecord, Summary, SummaryRequest
+from chalkyoke.membership.messages import (
+    Heartbeat,
+    MemberRecord,
+    ShortHeartbeat,
+    Summary,
+    SummaryRequest,
+)
 from chalkyoke.membership.state import Left
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.fleet import FleetView
@@ -182,7 +188,7 @@
         if self.held:
             self.inbox.append((sender, message))
             return
-        if isinstance(message, Heartbeat | Summary | SummaryRequest):
+        if isinstance(message, Heartbeat | ShortHeartbeat | Summary | SummaryRequest):
             changes, sends = self.view.receive(sender.address, message, self.now())
             self.apply(changes)
             for send in sends:
