Adopt a running request that also waits without granting it again

Ruled out: a second dispatch (its ledger holds one permission; no upstream saw the request twice). Change: what is told as running stops waiting, unless the wait is for a later attempt.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -227,6 +227,11 @@
         """
         for item in message.items:
             upstream = self._pool.upstreams.get(item.upstream)
+            waiting = self._pool.waiting.get(item.request)
+            if waiting is not None and waiting.attempt > item.attempt:
+                continue
+            if waiting is not None:
+                self._pool.remove(waiting)
             if upstream is not None and item.request not in self._pool.running:
                 self._pool.start(self._adopted(entry, item, upstream, now), upstream, now)
         self._unsettled.discard(entry)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -0,0 +1,164 @@
+from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    Grant,
+    LoadReport,
+    Progress,
+    Release,
+    RunningItem,
+    Shed,
+    Usage,
+)
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+
+
+def make_spec(slots=1, upstreams=("u1",), **team):
+    return PoolSpec(
+        "pool",
+        tuple(UpstreamSpec(name, f"{name}:1", "d", slots, 1000, 50) for name in upstreams),
+        (TierSpec("high", 0), TierSpec("low", 1)),
+        (TeamSpec("a", **team), TeamSpec("b")),
+        (RouteSpec("r", frozenset(upstreams)),),
+    )
+
+
+def make(expected=(), **options):
+    return PoolScheduler(make_spec(**options), lambda: 0.5, 0.0, expected)
+
+
+def acquire(name, tier="high", team="a", attempt=1, budget=30.0, most=100):
+    return Acquire(name, attempt, "pool", "r", tier, team, 100, most, (), budget, 0.0)
+
+
+def take(scheduler, now, *messages):
+    outs = []
+    for message in messages:
+        outs += scheduler.acquire("e1", "d", message, now)
+    return [out.action for out in outs]
+
+
+def end(scheduler, name, now, outcome="delivered", attempt=1):
+    usage = Usage(100, 0, 20, 0.1, 0.5)
+    release = Release(name, attempt, "pool", outcome, usage)
+    return [out.action for out in scheduler.release("d", release, now)]
+
+
+def held(name, upstream="u1", attempt=1):
+    return RunningItem(name, attempt, upstream, "high", "a", "r", 100, 100, 0, 0.0)
+
+
+def test_the_same_message_again_changes_nothing_and_repeats_the_grant():
+    scheduler = make()
+    first = take(scheduler, 0.0, acquire("x"))
+    assert take(scheduler, 0.1, acquire("x")) == first
+    assert (scheduler.running, scheduler.waiting) == (1, 0)
+
+
+def test_a_request_that_waits_and_is_told_as_running_is_not_granted_again():
+    scheduler = make(expected=["e1", "e2"])
+    assert take(scheduler, 0.0, acquire("x")) == []
+    scheduler.adopt("e1", Adopt("pool", (held("x"),)), 0.1)
+    scheduler.adopt("e2", Adopt("pool", ()), 0.1)
+    assert (scheduler.running, scheduler.waiting) == (1, 0)
+
+
+def test_a_grant_that_was_given_back_is_not_adopted_over_a_newer_wait():
+    scheduler = make(expected=["e1", "e2"])
+    take(scheduler, 0.0, acquire("x", attempt=2))
+    scheduler.adopt("e1", Adopt("pool", (held("x", attempt=1),)), 0.1)
+    assert (scheduler.running, scheduler.waiting) == (0, 1)
+
+
+def test_nothing_is_granted_until_all_have_told_what_runs_or_time_is_up():
+    scheduler = make(expected=["e1", "e2"])
+    assert take(scheduler, 0.0, acquire("x")) == []
+    scheduler.adopt("e1", Adopt("pool", (held("y"),)), 0.1)
+    assert scheduler.tick(0.2) == []
+    scheduler.adopt("e2", Adopt("pool", ()), 0.3)
+    assert scheduler.running == 1
+    silent = make(expected=["e1", "e2"])
+    take(silent, 0.0, acquire("x"))
+    assert isinstance(silent.tick(1.0)[0].action, Grant)
+
+
+def test_higher_tiers_go_first_and_teams_share_a_tier():
+    scheduler = make()
+    take(scheduler, 0.0, acquire("first"), acquire("low", "low"), acquire("high"))
+    assert end(scheduler, "first", 1.0)[0].request == "high"
+    assert end(scheduler, "high", 2.0)[0].request == "low"
+    take(scheduler, 3.0, *(acquire(f"a{i}") for i in range(3)), acquire("b0", team="b"))
+    assert end(scheduler, "low", 4.0)[0].request.startswith(("a", "b"))
+    order = [end(scheduler, name, 5.0 + i)[0].request for i, name in enumerate(_walk(scheduler, 2))]
+    assert "b0" in [*order, *scheduler._pool.running]
+
+
+def _walk(scheduler, steps):
+    for _ in range(steps):
+        yield next(iter(scheduler._pool.running))
+
+
+def test_a_team_holds_no_more_grants_than_it_may():
+    scheduler = make(slots=5, max_running=2)
+    take(scheduler, 0.0, *(acquire(f"a{i}") for i in range(4)), acquire("b", team="b"))
+    assert sorted(scheduler._pool.running) == ["a0", "a1", "b"]
+
+
+def test_a_request_that_no_idle_upstream_could_do_is_hopeless_at_once():
+    action = take(make(), 0.0, acquire("x", budget=0.05))[0]
+    assert isinstance(action, Shed)
+    assert (action.reason, action.retry_after_s) == (Reason.HOPELESS, None)
+
+
+def test_an_upstream_that_is_not_reached_is_passed_over_and_tried_again_later():
+    scheduler = make(upstreams=("u1", "u2"))
+    first = take(scheduler, 0.0, acquire("x"))[0].upstream
+    end(scheduler, "x", 0.1, "unreachable")
+    again = take(scheduler, 0.2, acquire("x", attempt=2))[0]
+    assert again.upstream != first
+    end(scheduler, "x", 0.3, attempt=2)
+    assert scheduler.upstreams[first].usable("d", 5.0)
+    assert scheduler.upstreams[first].usable("another-domain", 0.2)
+
+
+def test_an_upstream_that_keeps_failing_is_suspended():
+    scheduler = make()
+    for index in range(3):
+        take(scheduler, index, acquire(f"x{index}"))
+        end(scheduler, f"x{index}", index + 0.5, "failed")
+    assert not scheduler.upstreams["u1"].usable("d", 2.6)
+    assert scheduler.upstreams["u1"].usable("d", 10.0)
+
+
+def test_a_grant_whose_release_was_lost_is_found_by_progress():
+    scheduler = make()
+    take(scheduler, 0.0, acquire("x"), acquire("y"))
+    assert scheduler.progress("e1", Progress("pool", ()), 1.0) == []
+    outs = scheduler.progress("e1", Progress("pool", ()), 5.0)
+    assert outs[0].action.request == "y"
+
+
+def test_load_reports_count_only_what_cannot_be_seen_from_here():
+    scheduler = make(slots=3)
+    take(scheduler, 0.0, acquire("x"), acquire("y"))
+    scheduler.load_report(LoadReport("u1", 2, 0, 0.5), 0.5)
+    assert scheduler.upstreams["u1"].foreign == 0
+    scheduler.load_report(LoadReport("u1", 3, 0, 0.5), 0.6)
+    assert take(scheduler, 0.7, acquire("z")) == []
+    assert isinstance(scheduler.tick(10.0)[0].action, Grant)
+
+
+def test_a_dead_entry_process_leaves_nothing_behind():
+    scheduler = make()
+    take(scheduler, 0.0, acquire("x"), acquire("y"))
+    scheduler.member_gone("e1", 1.0)
+    assert (scheduler.running, scheduler.waiting) == (0, 0)
+    assert scheduler.upstreams["u1"].running == {}
+
+
+def test_a_route_that_is_taken_away_refuses_what_waits_for_it():
+    scheduler = make()
+    take(scheduler, 0.0, acquire("x"), acquire("y"))
+    outs = scheduler.configure(PoolSpec("pool", make_spec().upstreams, make_spec().tiers), 1.0)
+    assert [out.action.reason for out in outs] == [Reason.NO_UPSTREAM]
