Give back what a process holds that has fallen silent

A message under way at its death came after the news of it, and nothing would ever release it. Ruled out: a lost release (its entry process was gone; progress finds those). Change: a process that says nothing to a scheduler for 10 s holds nothing there; each tells its progress every second.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -49,6 +49,8 @@
 MAX_WAITING = 5000
 MAX_LOOKED = 8
 LOST_RELEASE_S = 3.0
+SILENT_S = 10.0
+SWEEP_S = 1.0
 FOREIGN_VALID_S = 5.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
@@ -108,6 +110,8 @@
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
         self._next_forecast = now
+        self._heard: dict[str, float] = {}
+        self._next_sweep = now
 
     # What the shell and the benches may look at.
 
@@ -159,6 +163,7 @@
         :param domain: its failure domain.
         :rtype: list[Out]
         """
+        self._heard[entry] = now
         known = self._pool.waiting.get(message.request)
         if known is not None and known.attempt >= message.attempt:
             return []
@@ -207,6 +212,7 @@
         :param entry: id of the entry process; the message lists all that it has running here.
         :rtype: list[Out]
         """
+        self._heard[entry] = now
         self._learner.progress(message.items, now)
         listed = {item.request for item in message.items}
         lost = [
@@ -225,6 +231,7 @@
 
         :rtype: list[Out]
         """
+        self._heard[entry] = now
         for item in message.items:
             upstream = self._pool.upstreams.get(item.upstream)
             waiting = self._pool.waiting.get(item.request)
@@ -242,11 +249,7 @@
 
         :rtype: list[Out]
         """
-        for waiting in [each for each in self._pool.waiting.values() if each.entry == entry]:
-            self._pool.remove(waiting)
-        for running in [each for each in self._pool.running.values() if each.entry == entry]:
-            self._pool.end(running, now)
-        self._unsettled.discard(entry)
+        self._drop_entry(entry, now)
         return self._decide(now)
 
     def load_report(self, message: LoadReport, now: float) -> list[Out]:
@@ -273,6 +276,7 @@
 
         :rtype: list[Out]
         """
+        self._drop_silent(now)
         outs = self._expire(now)
         if self.features.shed and now >= self._next_forecast:
             pause = max(FORECAST_INTERVAL_S, FORECAST_S_PER_WAITING * len(self._pool.waiting))
@@ -280,6 +284,27 @@
             outs += self._shed_late(now)
         return outs + self._decide(now)
 
+    def _drop_silent(self, now: float) -> None:
+        """Drop what processes hold that say nothing any more.
+
+        Membership tells of a death once; a message that was under way may come after that.
+        """
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_S
+        holders = {each.entry for each in self._pool.running.values()}
+        for entry in holders | set(self._heard):
+            if now - self._heard.get(entry, now) > SILENT_S:
+                del self._heard[entry]
+                self._drop_entry(entry, now)
+
+    def _drop_entry(self, entry: str, now: float) -> None:
+        for waiting in [each for each in self._pool.waiting.values() if each.entry == entry]:
+            self._pool.remove(waiting)
+        for running in [each for each in self._pool.running.values() if each.entry == entry]:
+            self._pool.end(running, now)
+        self._unsettled.discard(entry)
+
     # Arrival.
 
     def _make_waiting(self, entry: str, domain: str, message: Acquire, now: float) -> Waiting:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -162,3 +162,16 @@
     take(scheduler, 0.0, acquire("x"), acquire("y"))
     outs = scheduler.configure(PoolSpec("pool", make_spec().upstreams, make_spec().tiers), 1.0)
     assert [out.action.reason for out in outs] == [Reason.NO_UPSTREAM]
+
+
+def test_what_a_process_holds_that_has_fallen_silent_is_given_back():
+    scheduler = make()
+    scheduler.member_gone("e1", 0.0)
+    # A message that was under way when its sender died comes after the news of its death.
+    take(scheduler, 0.1, acquire("x"))
+    scheduler.acquire("e2", "d", acquire("y"), 0.2)
+    granted = []
+    for second in range(1, 20):
+        scheduler.progress("e2", Progress("pool", ()), float(second))
+        granted += [out.action.request for out in scheduler.tick(float(second))]
+    assert granted == ["y"]
