Let chalkyokectl speak to nodes with certificates

Cause: TLS tried by hand: the listeners serve HTTPS by settings, the command line could only speak plain HTTP. Change: the server's address may have https:// before it; its fellow nodes are asked the same way. Ruled out: a switch that turns checking off.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/client.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/client.py
@@ -32,12 +32,15 @@
 class AdministrationClient:
     """Call one node, and through its status all others.
 
-    :param server: ``ip:port`` of a node's administration listener.
+    :param server: ``ip:port`` of a node's administration listener, with ``https://`` before it
+        where the listeners have certificates; authorities are those of ``SSL_CERT_FILE``.
     :param token: the operator's token.
     """
 
     def __init__(self, server: str, token: str) -> None:
-        self.server = server
+        scheme, separator, address = server.rpartition("://")
+        self._scheme = scheme if separator else "http"
+        self.server = address
         self._headers = {"Authorization": f"Bearer {token}"}
 
     async def get(self, path: str, server: str = "", **params: str) -> Answer:
@@ -75,7 +78,7 @@
         return dict(zip(nodes, answers, strict=True))
 
     async def _call(self, method: str, path: str, server: str, **options: Any) -> Answer:
-        url = f"http://{server or self.server}{path}"
+        url = f"{self._scheme}://{server or self.server}{path}"
         timeout = aiohttp.ClientTimeout(total=CALL_S)
         try:
             async with (
