Summarise the policy bench; test a node that starts with neither store nor peers

Change: one line a scenario and the means over all; a test that kills all nodes in an outage and starts one.

--- a/benches/policy/__main__.py
+++ b/benches/policy/__main__.py
@@ -34,6 +34,8 @@
     verdicts = report.play_all(scenarios, parsed.policy or list(POLICIES), seeds)
     rows = report.rows_of(verdicts)
     tiers = {each.fleet: [tier["name"] for tier in each.tiers] for each in scenarios}
+    if not parsed.policy:
+        print(report.summary(rows, tiers) + "\n\n" + report.ablations(rows) + "\n")
     if not parsed.brief:
         print(report.table(rows, tiers))
     print(
--- a/benches/policy/report.py
+++ b/benches/policy/report.py
@@ -98,6 +98,37 @@
     return "\n".join(lines)
 
 
+def summary(rows: dict[Key, dict[str, Row]], tiers: dict[str, list[str]]) -> str:
+    """Write one line for each scenario and fleet: ours, the bound and the best baseline."""
+    lines = [
+        "| scenario, fleet | ours | bound | best baseline | top tier, ours and bound | wasted, ours and "
+        "least outstanding's | fairness |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for (scenario, fleet), policies in rows.items():
+        ours, bound, top = policies[OURS], policies[BOUND], tiers[fleet][0]
+        name, best = max(
+            ((each, policies[each]) for each in BASELINES), key=lambda pair: pair[1].goodput
+        )
+        fairness = "" if math.isnan(ours.fairness) else f"{ours.fairness:.3f}"
+        lines.append(
+            f"| {scenario}, {fleet} | {ours.goodput:.3f} | {bound.goodput:.3f} "
+            f"| {best.goodput:.3f} ({name}) | {ours.tiers[top]:.3f}, {bound.tiers[top]:.3f} "
+            f"| {ours.wasted:,.0f}, {policies['least outstanding'].wasted:,.0f} | {fairness} |"
+        )
+    return "\n".join(lines)
+
+
+def ablations(rows: dict[Key, dict[str, Row]]) -> str:
+    """Write the means over all scenarios and fleets for each policy."""
+    lines = ["| policy | mean goodput | mean wasted prefill |", "|---|---|---|"]
+    for policy in next(iter(rows.values())):
+        goodput = statistics.mean(each[policy].goodput for each in rows.values())
+        wasted = statistics.mean(each[policy].wasted for each in rows.values())
+        lines.append(f"| {policy} | {goodput:.4f} | {wasted:,.0f} |")
+    return "\n".join(lines)
+
+
 def shortfalls(rows: dict[Key, dict[str, Row]], tiers: dict[str, list[str]]) -> list[str]:
     """List where the aims of the policy are not reached."""
     found: list[str] = []
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -271,6 +271,32 @@
     with_fleet(check)
 
 
+def test_a_node_without_store_and_peers_says_that_it_is_not_ready_until_one_is_back():
+    async def check(fleet, caller):
+        await fleet.set_faults(fleet.store, outage=True)
+        for node in fleet.nodes.values():
+            node.send(signal.SIGKILL)
+            node.popen.wait()
+        fleet.start_node("n1")
+        node = fleet.nodes["n1"]
+
+        async def is_up():
+            try:
+                return (await fleet.get(node.administration, "/v1/health"))["alive"]
+            except aiohttp.ClientError:
+                return False
+
+        await until(is_up, 20)
+        assert not await is_ready(fleet, "n1")
+        reply = await caller.complete(node.address, body(5))
+        assert (reply.told, reply.reason) == (Told.NOT_RUN, "not_ready")
+        await fleet.set_faults(fleet.store, outage=False)
+        await until(lambda: is_ready(fleet, "n1"), 20)
+        assert (await caller.complete(node.address, body(5))).told is Told.WHOLE
+
+    with_fleet(check)
+
+
 def test_a_swap_whose_answer_is_lost_is_accepted_once_and_a_racer_is_told_its_fields():
     async def check(fleet, caller):
         heavier = {"team": [{**RESOURCES["team"][0], "weight": 3}]}
