Look owners and addresses up once for each change of the view

Ruled out: a cheaper hash (343 of them stay 343). Change: the view has a generation; the scheduler host keeps owners and addresses until it changes. A test that every shown change changes it.

--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -1,6 +1,7 @@
+import itertools
 import random
 
-from chalkyoke.membership.messages import Heartbeat, MemberRecord, ShortHeartbeat
+from chalkyoke.membership.messages import Digest, Heartbeat, MemberRecord, ShortHeartbeat, Summary
 from chalkyoke.membership.owners import owner, ranked
 from chalkyoke.membership.state import Candidate, Joined, Left
 from chalkyoke.membership.view import MembershipView
@@ -145,3 +146,23 @@
     assert ShortHeartbeat in kinds
     view.update_self(revision=2)
     assert view.beat(20)[0].message.record.revision == 2
+
+
+def test_every_change_of_what_the_view_shows_changes_its_generation():
+    view = MembershipView(record("me"))
+    shown, seen = [], []
+    digest = Digest("d2", "x/1", 1)
+    for step in (
+        lambda: view.receive("h:1", Heartbeat(record("h"), 1), 0.0),
+        lambda: view.receive("h:1", Heartbeat(record("h", ready=False), 2), 0.1),
+        lambda: view.receive("h:1", Heartbeat(record("h", incarnation=2), 1), 0.2),
+        lambda: view.update_self(leaving=True),
+        lambda: view.receive("x:1", Summary(digest, (record("x", "d2"),)), 0.3),
+        lambda: view.tick(60.0),
+        lambda: view.receive("h:1", ShortHeartbeat("h", 2, "d1", 9), 61.0),
+    ):
+        step()
+        shown.append(view.live())
+        seen.append(view.generation)
+    assert all(one != other for one, other in itertools.pairwise(shown))
+    assert all(one < other for one, other in itertools.pairwise(seen))
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -45,6 +45,7 @@
 
     :param record: this process.
     :param interval_s: time between heartbeats, in seconds.
+    :ivar generation: grows with each change of what the view shows, for caches over it.
 
     Usage::
 
@@ -56,6 +57,7 @@
     def __init__(self, record: MemberRecord, interval_s: float = DEFAULT_INTERVAL_S) -> None:
         self.record = record
         self.interval_s = interval_s
+        self.generation = 0
         self._beat = 0
         self._version = 0
         self._members: dict[str, Member] = {}
@@ -125,6 +127,7 @@
     def update_self(self, **changes: object) -> None:
         """Change what this process says of itself, for example ``leaving`` or ``revision``."""
         self.record = msgspec.structs.replace(self.record, **changes)
+        self.generation += 1
 
     def beat(self, now: float) -> list[Send]:
         """Send the signs of life that are due; call once per interval.
@@ -188,6 +191,7 @@
                 del self._foreign[name]
                 changes.extend(Left(record) for record in foreign.records)
         self._forget(now)
+        self.generation += len(changes)
         return changes
 
     # Own failure domain.
@@ -202,10 +206,13 @@
 
         member = self._members.get(record.host)
         if member is None:
+            self.generation += 1
             self._members[record.host] = Member(record, beat, now)
             return [Joined(record)]
         if record.incarnation in member.retired:
             return []
+        if record != member.record or not member.alive:
+            self.generation += 1
         if record.incarnation != member.record.incarnation:
             changes: list[Change] = [Left(member.record)] if member.alive else []
             member.retired.add(member.record.incarnation)
@@ -311,6 +318,7 @@
         after = {each.process: each for each in message.records}
         outside = known.heard_outside if known else now
         self._foreign[name] = ForeignDomain(message.digest, message.records, now, outside)
+        self.generation += 1
 
         changes: list[Change] = [Left(before[key]) for key in before if key not in after]
         changes += [Joined(after[key]) for key in after if key not in before]
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -71,6 +71,9 @@
         self._metrics = metrics
         self._now = now
         self._addresses: dict[str, str] = {}
+        self._generation = -1
+        self._owners: dict[str, str] = {}
+        self._live: dict[str, str] = {}
         self._disowned: dict[str, float] = {}
         self._random = source
         self._features = features
@@ -82,14 +85,19 @@
 
         :rtype: str
         """
-        return self._view.pool_owner(pool).process
+        self._refresh()
+        found = self._owners.get(pool)
+        if found is None:
+            found = self._owners[pool] = self._view.pool_owner(pool).process
+        return found
 
     def is_alive(self, process: str) -> bool:
         """Tell whether a process is in the membership view.
 
         :rtype: bool
         """
-        return any(record.process == process for record in self._view.live())
+        self._refresh()
+        return process in self._live
 
     def send(self, process: str, message: EntryMessage) -> None:
         """Send a message to the scheduler in a process, this one included."""
@@ -200,10 +208,16 @@
         log.debug("{} asks for pool {} that is not known here", entry, message.pool)
 
     def _address(self, process: str) -> str | None:
-        for record in self._view.live():
-            if record.process == process:
-                return record.address
-        return self._addresses.get(process)
+        self._refresh()
+        return self._live.get(process) or self._addresses.get(process)
+
+    def _refresh(self) -> None:
+        """Forget owners and addresses when the view has changed; both are asked on each message."""
+        if self._generation == self._view.generation:
+            return
+        self._generation = self._view.generation
+        self._owners.clear()
+        self._live = {record.process: record.address for record in self._view.live()}
 
     def _dispatch(self, outs: list[Out]) -> None:
         for out in outs:
