Report progress only for pools where something runs

Cause: read with the target in mind: every node told the schedulers of all 20 pools every second that nothing runs, 340 messages a second for each of them. Change: a pool is told while something runs, and five times more after that. Ruled out: no trailing reports (a lost release would wait for the silence of 10 s).

--- a/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -29,6 +29,7 @@
 from chalkyoke.tokens.state import TokenState
 
 RESEND_S = 1.0
+TRAILING_REPORTS = 5
 
 
 class Acquirer:
@@ -53,6 +54,7 @@
         self._loop = asyncio.get_running_loop()
         self._verdicts: dict[str, asyncio.Future[Grant | Shed]] = {}
         self._owners: dict[str, str] = {}
+        self._trailing: dict[str, int] = {}
 
     async def acquire(self, run: Run) -> Grant | Shed:
         """Ask the pool's scheduler until it decides; whoever that is by then."""
@@ -188,8 +190,11 @@
         return self._configuration.pool(run.request.service, run.id) == pool
 
     def send_progress(self) -> None:
-        """Tell each pool's scheduler how far running work has come; call once a second."""
-        items: dict[str, list[ProgressItem]] = {pool: [] for pool in self._owners}
+        """Tell each pool's scheduler how far running work has come; call once a second.
+
+        A pool where nothing runs any more is told so a few times, in case a release was lost.
+        """
+        items: dict[str, list[ProgressItem]] = {pool: [] for pool in self._trailing}
         for run in self._runs.active():
             if run.grant is not None and run.dispatched:
                 elapsed = self._now() - run.dispatched_at
@@ -200,6 +205,9 @@
                 items.setdefault(run.grant.pool, []).append(item)
         for pool, each in items.items():
             self._schedulers.send(self._owner(pool), Progress(pool, tuple(each)))
+            self._trailing[pool] = TRAILING_REPORTS if each else self._trailing[pool] - 1
+            if self._trailing[pool] == 0:
+                del self._trailing[pool]
 
 
 def _running_item(run: Run, grant: Grant, now: float) -> RunningItem:
