--- a/benches/policy/policies.py
+++ b/benches/policy/policies.py
@@ -459,6 +459,7 @@
     "without shedding": lambda: Chalkyoke("without shedding", Features(shed=False)),
     "without fairness": lambda: Chalkyoke("without fairness", Features(fair=False)),
     "without prediction": lambda: Chalkyoke("without prediction", Features(predict=False)),
+    "without guard": lambda: Chalkyoke("without guard", Features(guard=False)),
     "bound": Bound,
 }
 BASELINES = ("round robin", "least outstanding", "two choices", "prefix affinity")
