--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -0,0 +1,86 @@
+"""
+chalkyoke.balancing.local
+
+Choose a replica by what this node alone has seen: load per slot, speed, failures, reachability.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+
+from chalkyoke.balancing.state import Seen
+from chalkyoke.catalog.resources import Replica
+
+FAILURE_WEIGHT = 1.5
+OTHER_DOMAIN_COST = 0.05
+UNREACHABLE_COST = 1_000.0
+EXCLUDED_COST = 10_000.0
+LATENCY_FLOOR_S = 0.005
+
+
+class LocalBalancer:
+    """Choose replicas for this node.
+
+    :param failure_domain: of this node.
+    :param random: source of numbers in [0, 1), to spread equal choices.
+    """
+
+    def __init__(self, failure_domain: str, random: Callable[[], float]) -> None:
+        self._domain = failure_domain
+        self._random = random
+        self._seen: dict[str, Seen] = {}
+
+    def seen(self, replica: str) -> Seen:
+        """Give what is known of a replica.
+
+        :rtype: Seen
+        """
+        found = self._seen.get(replica)
+        if found is None:
+            found = self._seen[replica] = Seen()
+        return found
+
+    def choose(
+        self,
+        replicas: Iterable[Replica],
+        now: float,
+        *,
+        avoid: Collection[str] = (),
+        most_outstanding: Callable[[Replica], int] | None = None,
+    ) -> Replica | None:
+        """Choose the replica with the least cost.
+
+        Replicas that seem bad come last and are never shut out: a pool must not go empty by
+        suspicion.
+
+        :param avoid: replicas that were tried already.
+        :param most_outstanding: bound of this node's requests at a replica; none where nothing is
+            given.
+        :rtype: Replica or None
+        """
+        best: tuple[float, Replica] | None = None
+        for replica in replicas:
+            seen = self.seen(replica.id)
+            if most_outstanding is not None and seen.outstanding >= most_outstanding(replica):
+                continue
+            cost = self._cost(replica, seen, now)
+            if replica.id in avoid:
+                cost += EXCLUDED_COST
+            if best is None or cost < best[0]:
+                best = (cost, replica)
+        return best[1] if best is not None else None
+
+    def forget(self, kept: Collection[str]) -> None:
+        """Drop what is known of replicas that are gone."""
+        for name in [each for each in self._seen if each not in kept]:
+            if self._seen[name].outstanding == 0:
+                del self._seen[name]
+
+    def _cost(self, replica: Replica, seen: Seen, now: float) -> float:
+        load = (seen.load(now) + 1.0) / max(1, replica.slots)
+        speed = max(LATENCY_FLOOR_S, seen.latency_s) if seen.latency_s else LATENCY_FLOOR_S
+        cost = load * (1.0 + speed * 4.0)
+        cost += FAILURE_WEIGHT * seen.recent_failures(now)
+        if now < seen.unreachable_until:
+            cost += UNREACHABLE_COST
+        if replica.failure_domain != self._domain:
+            cost += OTHER_DOMAIN_COST
+        return cost + 0.02 * self._random()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -0,0 +1,72 @@
+"""
+chalkyoke.balancing.state
+
+What one node sees of a replica.
+"""
+
+import math
+from dataclasses import dataclass
+
+LOAD_MEMORY_S = 1.0
+FAILURE_MEMORY_S = 4.0
+LATENCY_GAIN = 0.2
+FIRST_LATENCY_GAIN = 0.5
+UNREACHABLE_S = 0.5
+MAX_UNREACHABLE_S = 4.0
+
+
+@dataclass(slots=True)
+class Seen:
+    """One replica, as seen from here.
+
+    :ivar outstanding: requests that this node has at it now.
+    :ivar others: requests of other nodes, as it told last; it ages.
+    :ivar failures: recent failures; each fades within some seconds.
+    :ivar latency_s: smoothed time of an answer; 0 until one was seen.
+    """
+
+    outstanding: int = 0
+    others: float = 0.0
+    others_at: float = 0.0
+    failures: float = 0.0
+    failures_at: float = 0.0
+    latency_s: float = 0.0
+    unreachable: int = 0
+    unreachable_until: float = 0.0
+
+    def note_load(self, running: int, waiting: int, now: float) -> None:
+        """Take what the replica told of its load."""
+        self.others = max(0.0, running + waiting - self.outstanding)
+        self.others_at = now
+
+    def load(self, now: float) -> float:
+        """Estimate the requests at the replica.
+
+        :rtype: float
+        """
+        return self.outstanding + self.others * math.exp((self.others_at - now) / LOAD_MEMORY_S)
+
+    def recent_failures(self, now: float) -> float:
+        """Count recent failures, faded by their age.
+
+        :rtype: float
+        """
+        return self.failures * math.exp((self.failures_at - now) / FAILURE_MEMORY_S)
+
+    def note_failure(self, weight: float, now: float) -> None:
+        """Count a failure."""
+        self.failures = self.recent_failures(now) + weight
+        self.failures_at = now
+
+    def note_answer(self, seconds: float) -> None:
+        """Learn from an answer."""
+        self.unreachable = 0
+        self.unreachable_until = 0.0
+        gain = LATENCY_GAIN if self.latency_s else 1.0
+        self.latency_s += gain * (seconds - self.latency_s)
+
+    def note_unreachable(self, now: float) -> None:
+        """Learn that no connection could be opened."""
+        pause = min(MAX_UNREACHABLE_S, UNREACHABLE_S * 2**self.unreachable)
+        self.unreachable += 1
+        self.unreachable_until = now + pause
--- a/packages/chalkyoke/src/chalkyoke/platform/hosts.py
+++ b/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.platform.hosts
+chalkyoke.discovery.host_list
 
 The platform's list of live and leaving hosts, as JSON over HTTP. The list lags.
 """
--- a/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -19,6 +19,7 @@
     Grant,
     Progress,
     ProgressItem,
+    Queued,
     Release,
     RunningItem,
     Shed,
@@ -120,11 +121,13 @@
 
     # What schedulers say.
 
-    def receive(self, process: str, message: Grant | Shed) -> None:
+    def receive(self, process: str, message: Grant | Shed | Queued) -> None:
         """Take a scheduler's decision; a grant that nobody waits for is given back.
 
         :param process: id of the scheduler's process.
         """
+        if isinstance(message, Queued):
+            return
         future = self._verdicts.get(message.request)
         run = self._runs.find(message.request)
         awaited = (
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/events.py
@@ -0,0 +1,95 @@
+"""
+chalkyoke.gateway.events
+
+Cut a stream of events at their ends and follow their ids, so that callers get whole events, each
+once, and a broken stream can go on elsewhere.
+"""
+
+from dataclasses import dataclass
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+MAX_PARTIAL_BYTES = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """What is whole now.
+
+    :param data: whole events, as they came.
+    :param count: how many events these are.
+    """
+
+    data: bytes
+    count: int
+
+
+class EventCutter:
+    """Take bytes in, give whole events out.
+
+    :param after: number of the event after which the caller wants the stream to go on; -1 where it
+        wants all. Events up to it are dropped.
+    :ivar last_id: number of the last whole event, -1 before the first.
+    """
+
+    __slots__ = ("_rest", "last_id")
+
+    def __init__(self, after: int = -1) -> None:
+        self._rest = b""
+        self.last_id = after
+
+    def feed(self, data: bytes) -> Cut:
+        """Take bytes in."""
+        if self._rest:
+            data = self._rest + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._rest = data
+            return Cut(b"", 0)
+
+        whole, self._rest = data[:end], data[end:]
+        return self._new_events(whole)
+
+    @property
+    def partial(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest)
+
+    @property
+    def too_large(self) -> bool:
+        """Whether an event is larger than any that is passed on."""
+        return len(self._rest) > MAX_PARTIAL_BYTES
+
+    def restart(self) -> None:
+        """Forget a partial event, before the stream goes on elsewhere."""
+        self._rest = b""
+
+    def _new_events(self, whole: bytes) -> Cut:
+        """Leave out events that were there before; the usual case has none."""
+        kept: list[bytes] = []
+        for event in whole.split(EVENT_END)[:-1]:
+            number = event_id(event)
+            if number is not None:
+                if number <= self.last_id:
+                    continue
+                self.last_id = number
+            kept.append(event)
+        if not kept:
+            return Cut(b"", 0)
+        return Cut(EVENT_END.join(kept) + EVENT_END, len(kept))
+
+
+def event_id(event: bytes) -> int | None:
+    """Read the id of an event, where it is a whole number.
+
+    :rtype: int or None
+    """
+    if event.startswith(ID_FIELD):
+        start = 0
+    else:
+        found = event.find(b"\n" + ID_FIELD)
+        if found < 0:
+            return None
+        start = found + 1
+    line = event[start + len(ID_FIELD) :].split(b"\n", 1)[0].strip()
+    return int(line) if line.isdigit() else None
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -0,0 +1,431 @@
+"""
+chalkyoke.gateway.exchange
+
+One request of a caller, from its arrival to its end.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Catalog
+from chalkyoke.gateway.events import EventCutter
+from chalkyoke.gateway.grants import Denied, Granted, Grants, ReplicaPort
+from chalkyoke.gateway.ports import Forwarding, HeaderFormat
+from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
+from chalkyoke.gateway.relay import Delivery, Relay
+from chalkyoke.gateway.verdict import Next, SendEnd, Sends, after
+from chalkyoke.http1.client import ClientConnection
+from chalkyoke.http1.messages import AnswerHead, Headers, Request, reason_of, request_head
+from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.http1.server import Answering
+from chalkyoke.invariants import require
+from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.retries.budget import RetryBudget
+from chalkyoke.scheduling.state import ReleaseOutcome
+
+CONNECT_S = 0.25
+FRESH_FOR_SINGLE_RUN_S = 1.5
+FRESH_S = 15.0
+MIN_SEND_S = 0.03
+MAX_GRANTS = 12
+RETRY_SOON_S = 0.3
+STALL_MIN_S = 0.9
+STALL_GAPS = 2.0
+FIRST_STALL_GOALS = 1.5
+MAX_RETRY_AFTER_S = 60.0
+METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+
+ENDED_OUTCOMES = {
+    SendEnd.DELIVERED: ReleaseOutcome.DELIVERED,
+    SendEnd.FAILURE_ANSWER: ReleaseOutcome.FAILED,
+    SendEnd.DECLINED: ReleaseOutcome.UNUSED,
+    SendEnd.NOT_CONNECTED: ReleaseOutcome.UNREACHABLE,
+    SendEnd.BROKEN: ReleaseOutcome.FAILED,
+    SendEnd.UNUSABLE: ReleaseOutcome.FAILED,
+    SendEnd.STALLED: ReleaseOutcome.FAILED,
+}
+FAILURE_WEIGHTS = {
+    SendEnd.FAILURE_ANSWER: 0.3,
+    SendEnd.DECLINED: 0.3,
+    SendEnd.BROKEN: 1.0,
+    SendEnd.UNUSABLE: 1.0,
+    SendEnd.STALLED: 1.0,
+}
+
+Record = Callable[..., None]
+
+
+@dataclass(slots=True)
+class GatewayParts:
+    """What all exchanges of a node share.
+
+    :param catalog: gives the catalog in force.
+    :param nodes: gives the number of nodes that there may be in the fleet.
+    :param now: the node's clock, in seconds.
+    :param record: writes a decision on a request to the log.
+    """
+
+    catalog: Callable[[], Catalog]
+    replicas: ReplicaPort
+    headers: HeaderFormat
+    grants: Grants
+    balancer: LocalBalancer
+    quotas: QuotaClient
+    budget: RetryBudget
+    connections: ConnectionPool
+    nodes: Callable[[], int]
+    now: Callable[[], float]
+    record: Record
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to a request so far."""
+
+    sends: Sends = field(default_factory=Sends)
+    tried: list[str] = field(default_factory=list)
+    attempt: int = 0
+    first_counted: bool = False
+
+
+class Exchange:
+    """Drive one request.
+
+    :param parts: what all exchanges share.
+    """
+
+    def __init__(self, parts: GatewayParts, request: Request, answering: Answering) -> None:
+        self._parts = parts
+        self._request = request
+        self._answering = answering
+        self._fields = parts.headers.read_request(request.headers)
+        after_event = self._fields.last_event_id
+        after_number = int(after_event) if after_event.isdigit() else -1
+        self._delivery = Delivery(answering, EventCutter(after_number))
+        self._progress = _Progress()
+        self._connection: ClientConnection | None = None
+        self._granted: Granted | None = None
+        self._admission: Admission | None = None
+        self._left = False
+
+    # What the caller's connection tells.
+
+    def caller_left(self) -> None:
+        """Stop at once, at the replica too: nobody waits for the answer."""
+        self._left = True
+        if self._connection is not None:
+            self._connection.cancel()
+        if self.task is not None:
+            self.task.cancel()
+
+    def caller_can_read(self, can_read: bool) -> None:
+        """Hold the replica back while the caller reads too slowly."""
+        if self._connection is None:
+            return
+        if can_read:
+            self._connection.resume()
+        else:
+            self._connection.pause()
+
+    task: "asyncio.Task[None] | None" = None
+
+    # Driving.
+
+    async def run(self) -> None:
+        """Answer the request."""
+        parts = self._parts
+        judged = judge(self._request, self._fields, parts.catalog(), parts.now())
+        if isinstance(judged, Rejection):
+            retry = RETRY_SOON_S if judged.status == 503 else None
+            self._answer(judged.status, judged.reason, retry)
+            return
+        self._admission = judged
+        try:
+            async with asyncio.timeout_at(self._loop_time(judged.ends)):
+                await self._serve(judged)
+        except TimeoutError:
+            self._time_is_up(judged)
+        except asyncio.CancelledError:
+            self._release_cancelled(judged)
+            if not self._left:
+                raise
+            parts.record("left", judged, sends=self._progress.sends.arrivals)
+        except BaseException:
+            self._release_cancelled(judged)
+            self._answering.abort()
+            raise
+
+    def _loop_time(self, at: float) -> float:
+        return asyncio.get_running_loop().time() + (at - self._parts.now())
+
+    async def _serve(self, admission: Admission) -> None:
+        allowed = await self._parts.quotas.take(admission)
+        if not allowed.passed:
+            self._parts.record("over_quota", admission, cost=admission.cost)
+            self._answer(429, "over quota", allowed.retry_after_s)
+            return
+        while True:
+            if not still_allowed(admission, self._parts.catalog()):
+                self._refuse(admission, "no longer allowed", RETRY_SOON_S)
+                return
+            self._progress.attempt += 1
+            granted = await self._parts.grants.acquire(
+                admission, self._progress.attempt, self._progress.tried
+            )
+            if isinstance(granted, Denied):
+                self._refuse(admission, granted.reason, granted.retry_after_s)
+                return
+            self._granted = granted
+            end = await self._send(admission, granted)
+            if end is None:
+                continue
+            if self._follow(admission, granted, end) is not Next.SEND_AGAIN:
+                return
+
+    def _follow(self, admission: Admission, granted: Granted, end: SendEnd) -> Next:
+        """Do what follows the end of a send."""
+        self._note_end(admission, granted, end)
+        parts, progress = self._parts, self._progress
+        now = parts.now()
+        begun = self._delivery.head_sent
+        time_left = progress.attempt < MAX_GRANTS and admission.ends - now > MIN_SEND_S
+        if not begun and admission.route.streams:
+            time_left = time_left and now < admission.patience
+        budget = parts.budget.left(admission.service.name, parts.nodes(), now) >= 1
+        follows = after(
+            end, admission.route, progress.sends, begun=begun, budget=budget, time_left=time_left
+        )
+        if follows is Next.SEND_AGAIN:
+            if end is not SendEnd.NOT_CONNECTED:
+                parts.budget.try_spend(admission.service.name, parts.nodes(), now)
+            self._delivery.cutter.restart()
+        elif follows is Next.PASS_ON and self._relay is not None:
+            self._relay.pass_on()
+        elif follows is Next.REFUSE:
+            self._refuse(admission, f"replicas: {end}", RETRY_SOON_S)
+        elif follows is Next.FAIL:
+            self._answer(502, f"replica: {end}", None)
+        elif follows is Next.BREAK_OFF:
+            self._answering.abort()
+        parts.record(
+            "ended",
+            admission,
+            replica=granted.replica.id,
+            end=end,
+            follows=follows,
+            sends=progress.sends.arrivals,
+            events=self._delivery.events,
+        )
+        return follows
+
+    # One send.
+
+    async def _send(self, admission: Admission, granted: Granted) -> SendEnd | None:
+        """Send to the granted replica; nothing where it must not be sent there any more."""
+        parts = self._parts
+        connection = await self._connect(admission, granted)
+        if isinstance(connection, ConnectFailure):
+            self._progress.tried.append(granted.replica.id)
+            return SendEnd.NOT_CONNECTED
+        usable = parts.replicas.find(granted.replica.id) is not None
+        if not usable or not still_allowed(admission, parts.catalog()):
+            parts.connections.give_back(granted.replica.ip, granted.replica.port, connection)
+            parts.grants.release(admission, granted, ReleaseOutcome.UNUSED)
+            return None
+        relay = self._dispatch(admission, granted, connection)
+        try:
+            end = await self._watch(admission, granted, connection, relay)
+        finally:
+            self._connection = None
+        granted.events = relay.events
+        if end not in (SendEnd.STALLED, SendEnd.UNUSABLE):
+            parts.connections.give_back(granted.replica.ip, granted.replica.port, connection)
+        elif not connection.closed:
+            connection.cancel()
+        return end
+
+    async def _connect(
+        self, admission: Admission, granted: Granted
+    ) -> ClientConnection | ConnectFailure:
+        replica = granted.replica
+        nodes = max(1, self._parts.nodes())
+        fresh = FRESH_S if admission.route.repeatable else FRESH_FOR_SINGLE_RUN_S
+        return await self._parts.connections.connect(
+            replica.ip,
+            replica.port,
+            limit=max(2, int(admission.service.max_connections * 0.9 / nodes)),
+            timeout_s=CONNECT_S,
+            fresh_s=fresh,
+        )
+
+    def _dispatch(
+        self, admission: Admission, granted: Granted, connection: ClientConnection
+    ) -> Relay:
+        """Write the request. From here on it may have run."""
+        parts, progress, request = self._parts, self._progress, self._request
+        require(
+            progress.sends.runs == 0 or admission.route.repeatable,
+            "a request that must not be repeated is sent once",
+            request=admission.request_id,
+        )
+        now = parts.now()
+        if not progress.first_counted:
+            progress.first_counted = True
+            parts.budget.note_first(admission.service.name, now)
+        resumed_after = str(self._delivery.cutter.last_id) if self._delivery.head_sent else ""
+        forwarding = Forwarding(
+            granted.replica.id,
+            admission.team.name if admission.team else "",
+            admission.ends - now,
+            resumed_after,
+        )
+        headers = parts.headers.forward(request.headers, forwarding)
+        has_body = bool(request.body) or request.method in METHODS_WITH_BODY
+        head = request_head(
+            request.method, request.target, headers, len(request.body) if has_body else None
+        )
+        relay = Relay(self._delivery, parts.headers, parts.now, streams=admission.route.streams)
+        self._relay = relay
+        self._connection = connection
+        progress.sends.runs += 1
+        progress.sends.arrivals += 1
+        progress.tried.append(granted.replica.id)
+        parts.grants.started(admission, granted)
+        bodiless = request.method == b"HEAD"
+        connection.send(head + request.body, relay, self._belongs, bodiless=bodiless)
+        return relay
+
+    _relay: Relay | None = None
+
+    def _belongs(self, headers: Headers) -> bool:
+        found = self._parts.headers.read_answer(headers)
+        return found.request_id == self._fields.request_id
+
+    async def _watch(
+        self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
+    ) -> SendEnd:
+        """Wait for the end; a silent replica is left where another one may go on."""
+        parts = self._parts
+        while True:
+            wait_s = self._patience_with(admission, relay) - parts.now()
+            done, _ = await asyncio.wait([relay.ended], timeout=max(0.001, wait_s))
+            granted.events = relay.events
+            if relay.first_at:
+                granted.first_s = relay.first_at - relay.started_at
+            if done:
+                return relay.ended.result()
+            if parts.now() < self._patience_with(admission, relay):
+                continue
+            connection.cancel()
+            return SendEnd.STALLED
+
+    def _patience_with(self, admission: Admission, relay: Relay) -> float:
+        """Tell until when a silent replica is waited for."""
+        route, sends = admission.route, self._progress.sends
+        budget = self._parts.budget.left(
+            admission.service.name, self._parts.nodes(), self._parts.now()
+        )
+        if not route.repeatable or sends.runs >= route.attempts or budget < 1:
+            return admission.ends + 1.0
+        if relay.first_at:
+            return relay.last_at + max(STALL_MIN_S, STALL_GAPS * route.gap_goal_s)
+        return relay.started_at + FIRST_STALL_GOALS * route.goal_s
+
+    def _note_end(self, admission: Admission, granted: Granted, end: SendEnd) -> None:
+        """Learn from the end of a send."""
+        parts = self._parts
+        now = parts.now()
+        seen = parts.balancer.seen(granted.replica.id)
+        relay = self._relay
+        if end is SendEnd.DECLINED:
+            self._progress.sends.runs -= 1
+        if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
+            seen.note_load(relay.fields.load.running, relay.fields.load.waiting, now)
+        if end is SendEnd.DELIVERED:
+            seen.note_answer(now - granted.started)
+        elif end is SendEnd.NOT_CONNECTED:
+            seen.note_unreachable(now)
+        else:
+            seen.note_failure(FAILURE_WEIGHTS[end], now)
+        parts.grants.release(admission, granted, ENDED_OUTCOMES[end])
+        self._granted = None
+
+    # Ends.
+
+    def _time_is_up(self, admission: Admission) -> None:
+        """End a request whose time is over."""
+        sent = self._progress.sends.runs > 0
+        if self._connection is not None:
+            self._connection.cancel()
+        self._release_cancelled(admission)
+        self._parts.record("expired", admission, sends=self._progress.sends.arrivals)
+        if self._delivery.head_sent:
+            self._answering.abort()
+        elif sent:
+            self._answer(504, "no answer in time", None)
+        else:
+            self._refuse(admission, "no replica in time", RETRY_SOON_S)
+
+    def _release_cancelled(self, admission: Admission) -> None:
+        if self._granted is not None:
+            self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
+            self._granted = None
+
+    def _refuse(self, admission: Admission, reason: str, retry_after_s: float) -> None:
+        """Tell that the request has not run and never will."""
+        if self._delivery.head_sent:
+            self._answering.abort()
+            return
+        require(
+            self._progress.sends.runs == 0 or admission.route.repeatable,
+            "a caller that is told 'not run' had no run",
+            request=admission.request_id,
+        )
+        self._parts.record("refused", admission, reason=reason, retry_after_s=retry_after_s)
+        self._answer(503, reason, retry_after_s)
+
+    def _answer(self, status: int, reason: str, retry_after_s: float | None) -> None:
+        headers: Headers = [(b"Content-Type", b"text/plain")]
+        if retry_after_s is not None:
+            bounded = min(MAX_RETRY_AFTER_S, max(0.0, retry_after_s))
+            headers.append((b"Retry-After", b"%.2f" % bounded))
+        body = reason.encode()
+        self._answering.begin(AnswerHead(status, reason_of(status), headers, len(body)), body)
+        self._answering.end()
+
+
+class Gateway:
+    """Start an exchange for each request."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self._exchanges: set[asyncio.Task[None]] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """Count the requests that are being answered."""
+        return len(self._exchanges)
+
+    def start(self, request: Request, answering: Answering) -> Exchange:
+        """Begin to answer a request."""
+        exchange = Exchange(self._parts, request, answering)
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        self._exchanges.add(exchange.task)
+        exchange.task.add_done_callback(self._ended)
+        return exchange
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._exchanges.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            report = {"message": "an exchange broke", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(report)
+
+    async def drain(self, until_s: float) -> None:
+        """Wait until every request is answered, at most for some seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(until_s):
+                while self._exchanges:
+                    await asyncio.wait(list(self._exchanges))
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -0,0 +1,375 @@
+"""
+chalkyoke.gateway.grants
+
+Permission to send a request to one replica: from the pool's scheduler, from the next in line when
+that one is silent, and from this node alone within bounds when nobody answers.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, prompt_blocks
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    EntryMessage,
+    Grant,
+    Progress,
+    ProgressItem,
+    Queued,
+    Release,
+    RunningItem,
+    Shed,
+    Usage,
+    Withdraw,
+)
+from chalkyoke.scheduling.state import ReleaseOutcome
+
+FIRST_ANSWER_S = 0.03
+QUEUED_ANSWER_S = 0.06
+ASK_AGAIN_S = 0.15
+AVOID_S = 0.4
+OWNERS_ASKED = 2
+LOCAL_POLL_S = 0.01
+TRAILING_REPORTS = 3
+DEFAULT_RETRY_S = 0.5
+
+
+class Source(StrEnum):
+    """Who gave a grant."""
+
+    SCHEDULER = "scheduler"
+    LOCAL = "local"
+
+
+@dataclass(slots=True)
+class Granted:
+    """Permission to send one request to one replica once.
+
+    :param scheduler: the process that gave it; empty for this node alone.
+    :ivar first_s: from the send to the first event; -1 before.
+    """
+
+    replica: Replica
+    attempt: int
+    source: Source
+    scheduler: str = ""
+    started: float = 0.0
+    first_s: float = -1.0
+    events: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """No replica takes the request.
+
+    :param retry_after_s: when to come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+class SchedulerPort(Protocol):
+    """The pool schedulers, here and in other processes."""
+
+    def send(self, process: str, message: EntryMessage) -> None:
+        """Send a message to the scheduler in a process."""
+
+    def owners(self, pool: str) -> list[str]:
+        """List the processes that may schedule a pool, the present owner first."""
+
+
+class ReplicaPort(Protocol):
+    """The replicas that may take new work."""
+
+    def find(self, replica: str) -> Replica | None:
+        """Find a replica that takes new work."""
+
+    def of(self, service: str) -> list[Replica]:
+        """List a service's replicas that take new work."""
+
+
+@dataclass(slots=True)
+class _Held:
+    admission: Admission
+    granted: Granted
+
+
+class Grants:
+    """Acquire and release grants for this node's requests.
+
+    :param now: the node's clock, in seconds.
+    :param pooled: whether pool schedulers are asked at all.
+    """
+
+    def __init__(
+        self,
+        schedulers: SchedulerPort,
+        replicas: ReplicaPort,
+        balancer: LocalBalancer,
+        now: Callable[[], float],
+        *,
+        pooled: bool,
+    ) -> None:
+        self._schedulers = schedulers
+        self._replicas = replicas
+        self._balancer = balancer
+        self._now = now
+        self._pooled = pooled
+        self._loop = asyncio.get_running_loop()
+        self._answers: dict[str, asyncio.Queue[tuple[str, Grant | Shed | Queued]]] = {}
+        self._held: dict[str, _Held] = {}
+        self._avoid: dict[str, float] = {}
+        self._owner: dict[str, str] = {}
+        self._trailing: dict[str, int] = {}
+
+    # Acquiring.
+
+    async def acquire(
+        self, admission: Admission, attempt: int, avoid: Collection[str]
+    ) -> Granted | Denied:
+        """Get a replica for a request; waits while none is free.
+
+        :param attempt: counts the grants that were asked for.
+        :param avoid: replicas that were tried already.
+        """
+        if not self._replicas.of(admission.service.name):
+            return Denied("no replica", DEFAULT_RETRY_S)
+        granted: Granted | Denied | None = None
+        if admission.service.is_engine and self._pooled:
+            granted = await self._ask_schedulers(admission, attempt)
+        if granted is None:
+            granted = await self._choose_here(admission, attempt, avoid)
+        if isinstance(granted, Granted):
+            self._held[admission.request_id] = _Held(admission, granted)
+            self._balancer.seen(granted.replica.id).outstanding += 1
+        return granted
+
+    async def _ask_schedulers(self, admission: Admission, attempt: int) -> Granted | Denied | None:
+        request = admission.request_id
+        queue: asyncio.Queue[tuple[str, Grant | Shed | Queued]] = asyncio.Queue()
+        self._answers[request] = queue
+        try:
+            for owner in self._schedulers.owners(admission.service.name)[:OWNERS_ASKED]:
+                if self._avoid.get(owner, 0.0) > self._now():
+                    continue
+                decided = await self._ask(owner, queue, admission, attempt)
+                if decided is not None:
+                    return decided
+                self._avoid[owner] = self._now() + AVOID_S
+                self._schedulers.send(owner, Withdraw(request, admission.service.name))
+            return None
+        except asyncio.CancelledError:
+            for owner in self._schedulers.owners(admission.service.name)[:OWNERS_ASKED]:
+                self._schedulers.send(owner, Withdraw(request, admission.service.name))
+            raise
+        finally:
+            del self._answers[request]
+
+    async def _ask(
+        self,
+        owner: str,
+        queue: "asyncio.Queue[tuple[str, Grant | Shed | Queued]]",
+        admission: Admission,
+        attempt: int,
+    ) -> Granted | Denied | None:
+        """Ask one scheduler until it decides; nothing where it falls silent."""
+        self._schedulers.send(owner, self._acquire_message(admission, attempt))
+        wait_s = FIRST_ANSWER_S
+        asked_again = False
+        while True:
+            try:
+                async with asyncio.timeout(wait_s):
+                    process, message = await queue.get()
+            except TimeoutError:
+                if wait_s != ASK_AGAIN_S or asked_again:
+                    return None
+                asked_again = True
+                wait_s = QUEUED_ANSWER_S
+                self._schedulers.send(owner, self._acquire_message(admission, attempt))
+                continue
+            if message.attempt != attempt:
+                continue
+            if isinstance(message, Queued):
+                if process == owner:
+                    wait_s, asked_again = ASK_AGAIN_S, False
+                continue
+            return self._decided(process, message)
+
+    def _decided(self, process: str, message: Grant | Shed) -> Granted | Denied | None:
+        if isinstance(message, Shed):
+            return Denied(message.reason, message.retry_after_s or DEFAULT_RETRY_S)
+        replica = self._replicas.find(message.upstream)
+        if replica is None:
+            unused = Release(
+                message.request, message.attempt, message.pool, ReleaseOutcome.UNUSED, Usage()
+            )
+            self._schedulers.send(process, unused)
+            return None
+        return Granted(replica, message.attempt, Source.SCHEDULER, process)
+
+    def _acquire_message(self, admission: Admission, attempt: int) -> Acquire:
+        now = self._now()
+        fields = admission.fields
+        streams = admission.route.streams
+        last = admission.patience if streams else admission.ends
+        return Acquire(
+            request=admission.request_id,
+            attempt=attempt,
+            pool=admission.service.name,
+            route=admission.route.name,
+            tier=str(admission.rank),
+            team=admission.team.name if admission.team else "",
+            prompt_tokens=fields.prompt_tokens,
+            max_output=fields.most_output_tokens or DEFAULT_OUTPUT_TOKENS,
+            blocks=prompt_blocks(fields),
+            budget_s=last - now,
+            waited_s=now - admission.arrived,
+            goal_s=(admission.due - now) or -1e-3,
+            likely_output=fields.likely_output_tokens,
+        )
+
+    async def _choose_here(
+        self, admission: Admission, attempt: int, avoid: Collection[str]
+    ) -> Granted | Denied:
+        service = admission.service
+        bound = self._own_part if service.is_engine else None
+        while True:
+            replicas = self._replicas.of(service.name)
+            chosen = self._balancer.choose(
+                replicas, self._now(), avoid=avoid, most_outstanding=bound
+            )
+            if chosen is not None:
+                return Granted(chosen, attempt, Source.LOCAL)
+            if not replicas:
+                return Denied("no replica", DEFAULT_RETRY_S)
+            if self._now() >= admission.patience:
+                return Denied("no free slot", DEFAULT_RETRY_S)
+            await asyncio.sleep(LOCAL_POLL_S)
+
+    def _own_part(self, replica: Replica) -> int:
+        """Bound what this node alone has at a replica, since it can't see what others have."""
+        if self._pooled:
+            return max(1, replica.slots // 4)
+        return max(1, replica.slots // 4 + 2)
+
+    # Messages of schedulers.
+
+    def receive(self, process: str, message: Grant | Shed | Queued) -> None:
+        """Take a scheduler's word; a grant that nobody waits for is given back."""
+        self._avoid.pop(process, None)
+        queue = self._answers.get(message.request)
+        if queue is not None:
+            queue.put_nowait((process, message))
+            return
+        held = self._held.get(message.request)
+        if isinstance(message, Grant) and (
+            held is None
+            or held.granted.scheduler != process
+            or held.granted.attempt != message.attempt
+        ):
+            unused = Release(
+                message.request, message.attempt, message.pool, ReleaseOutcome.UNUSED, Usage()
+            )
+            self._schedulers.send(process, unused)
+
+    # Running and releasing.
+
+    def started(self, admission: Admission, granted: Granted) -> None:
+        """Note that a request is on its way; a scheduler that did not grant it is told."""
+        granted.started = self._now()
+        if granted.source is Source.LOCAL and admission.service.is_engine and self._pooled:
+            owners = self._schedulers.owners(admission.service.name)
+            item = self._running_item(_Held(admission, granted))
+            for owner in owners[:1]:
+                self._schedulers.send(owner, Adopt(admission.service.name, (item,)))
+
+    def release(self, admission: Admission, granted: Granted, outcome: ReleaseOutcome) -> None:
+        """Give a grant back with what the replica did."""
+        held = self._held.get(admission.request_id)
+        if held is None or held.granted is not granted:
+            return
+        del self._held[admission.request_id]
+        self._balancer.seen(granted.replica.id).outstanding -= 1
+        if not admission.service.is_engine or not self._pooled:
+            return
+        pool = admission.service.name
+        usage = Usage(
+            prompt_tokens=admission.fields.prompt_tokens,
+            output_tokens=granted.events * admission.service.tokens_per_event,
+            first_s=granted.first_s,
+            total_s=self._now() - granted.started if granted.started else 0.0,
+        )
+        message = Release(admission.request_id, granted.attempt, pool, outcome, usage)
+        owner = self._schedulers.owners(pool)[:1]
+        for process in dict.fromkeys([granted.scheduler, *owner]):
+            if process:
+                self._schedulers.send(process, message)
+
+    def send_progress(self) -> None:
+        """Tell the schedulers how far running work has come; call about once a second."""
+        now = self._now()
+        items: dict[tuple[str, str], list[ProgressItem]] = {}
+        for request, held in self._held.items():
+            service = held.admission.service
+            if not service.is_engine or not self._pooled:
+                continue
+            granted = held.granted
+            item = ProgressItem(
+                request,
+                granted.events * service.tokens_per_event,
+                granted.first_s,
+                now - granted.started if granted.started else 0.0,
+            )
+            owner = self._schedulers.owners(service.name)[:1]
+            for process in dict.fromkeys([granted.scheduler, *owner]):
+                if process:
+                    items.setdefault((process, service.name), []).append(item)
+        for key in items:
+            self._trailing[f"{key[0]}|{key[1]}"] = TRAILING_REPORTS
+        for name in list(self._trailing):
+            process, _, pool = name.rpartition("|")
+            self._schedulers.send(process, Progress(pool, tuple(items.get((process, pool), ()))))
+            self._trailing[name] -= 1
+            if self._trailing[name] <= 0:
+                del self._trailing[name]
+
+    def check_owners(self, pools: Collection[str]) -> None:
+        """Tell a pool's new scheduler what runs here."""
+        if not self._pooled:
+            return
+        for pool in pools:
+            owners = self._schedulers.owners(pool)[:1]
+            if owners and self._owner.get(pool) != owners[0]:
+                self._owner[pool] = owners[0]
+                self.tell_running(pool, owners[0])
+
+    def tell_running(self, pool: str, process: str) -> None:
+        """Tell a scheduler which of a pool's grants are held here."""
+        items = tuple(
+            self._running_item(held)
+            for held in self._held.values()
+            if held.admission.service.name == pool
+        )
+        self._schedulers.send(process, Adopt(pool, items))
+
+    def _running_item(self, held: _Held) -> RunningItem:
+        admission, granted = held.admission, held.granted
+        return RunningItem(
+            request=admission.request_id,
+            attempt=granted.attempt,
+            upstream=granted.replica.id,
+            tier=str(admission.rank),
+            team=admission.team.name if admission.team else "",
+            route=admission.route.name,
+            prompt_tokens=admission.fields.prompt_tokens,
+            max_output=admission.fields.most_output_tokens or DEFAULT_OUTPUT_TOKENS,
+            output_tokens=granted.events * admission.service.tokens_per_event,
+            elapsed_s=self._now() - granted.started if granted.started else 0.0,
+        )
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -0,0 +1,87 @@
+"""
+chalkyoke.gateway.ports
+
+What the gateway needs from outside: the meaning of headers.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+from chalkyoke.http1.messages import Headers
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt that several requests may share."""
+
+    id: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFields:
+    """What a request says of itself.
+
+    :param deadline_s: how long its caller waits, in seconds.
+    :param most_output_tokens: the most that it may generate.
+    :param likely_output_tokens: the caller's own estimate; 0 where it gives none.
+    """
+
+    request_id: str
+    deadline_s: float | None = None
+    key: str | None = None
+    prompt_tokens: int = 0
+    most_output_tokens: int = 0
+    likely_output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    last_event_id: str = ""
+
+
+class Load(NamedTuple):
+    """What a replica says of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFields:
+    """What an answer says of itself.
+
+    :param stamped: whether it carries the replica's signature.
+    :param not_run: whether the replica promises that it has not run the request.
+    :param encoded: whether its body is encoded, which no caller asked for.
+    """
+
+    request_id: str
+    stamped: bool = False
+    not_run: bool = False
+    encoded: bool = False
+    load: Load | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarding:
+    """What goes with a request to a replica.
+
+    :param replica: id of the incarnation that may run it.
+    :param deadline_s: what is left of the caller's time.
+    """
+
+    replica: str
+    team: str
+    deadline_s: float
+    last_event_id: str = ""
+
+
+class HeaderFormat(Protocol):
+    """Reads and writes the headers of requests and answers."""
+
+    def read_request(self, headers: Headers) -> RequestFields:
+        """Read what a request says of itself."""
+
+    def forward(self, headers: Headers, forwarding: Forwarding) -> Headers:
+        """Give the headers with which a request goes on to a replica."""
+
+    def read_answer(self, headers: Headers) -> AnswerFields:
+        """Read what an answer says of itself."""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -0,0 +1,157 @@
+"""
+chalkyoke.gateway.reception
+
+Judge a request by the catalog in force: its route, its team, its limits of time. Pure functions.
+"""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from chalkyoke.catalog.resources import Catalog, Route, Service, Team, pick_target
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.http1.messages import Request, find
+
+BLOCK_TOKENS = 256
+HASH_SPAN = 2.0**64
+PATIENCE_GOALS = 4.0
+PATIENCE_GAPS = 8.0
+MIN_PATIENCE_S = 2.0
+DEFAULT_OUTPUT_TOKENS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A request that is refused as it stands.
+
+    :param status: 400, 401, 404 or 503.
+    """
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that may be passed on.
+
+    :param version: version of the catalog that judged it.
+    :param rank: 0 is the most urgent.
+    :param cost: what it counts in its team's quota.
+    :param ends: when its caller or the route's limit ends it, on the node's clock.
+    :param due: when its answer, or its first event, is due.
+    :param patience: when the caller of a stream gives up if no event has come.
+    """
+
+    request_id: str
+    fields: RequestFields
+    route: Route
+    service: Service
+    team: Team | None
+    version: int
+    rank: int
+    cost: float
+    arrived: float
+    ends: float
+    due: float
+    patience: float
+
+
+def judge(
+    request: Request, fields: RequestFields, catalog: Catalog, now: float
+) -> Admission | Rejection:
+    """Judge a request.
+
+    :param now: seconds on the node's clock.
+    """
+    if catalog.version == 0:
+        return Rejection(503, "no configuration yet")
+    if not fields.request_id:
+        return Rejection(400, "no request id")
+    host = (find(request.headers, b"host") or b"").decode("latin-1")
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    route = catalog.route(host, path)
+    if route is None:
+        return Rejection(404, "no route")
+    team = catalog.team(fields.key) if fields.key else None
+    if team is None and catalog.keyed and not route.public:
+        return Rejection(401, "unknown key")
+    service = catalog.services.get(pick_target(route, _point(fields.request_id)))
+    if service is None:
+        return Rejection(404, "no service")
+    return _admit(fields, route, service, team, catalog.version, now)
+
+
+def still_allowed(admission: Admission, catalog: Catalog) -> bool:
+    """Tell whether a newer catalog still lets an admitted request go where it was to go.
+
+    :rtype: bool
+    """
+    if catalog.version == admission.version:
+        return True
+    key = admission.fields.key
+    if admission.team is not None:
+        team = catalog.team(key) if key else None
+        if team is None or team.name != admission.team.name:
+            return False
+    route = admission.route
+    found = catalog.route(route.host, route.prefix)
+    if found is None or found.prefix != route.prefix:
+        return False
+    return any(target.service == admission.service.name for target in found.targets)
+
+
+def prompt_blocks(fields: RequestFields) -> tuple[int, ...]:
+    """Cut a prompt's parts into blocks of one size, named alike in requests that share them.
+
+    :rtype: tuple[int, ...]
+    """
+    blocks: list[int] = []
+    for part in fields.parts:
+        count = round(part.tokens / BLOCK_TOKENS)
+        blocks += (
+            xxhash.xxh32_intdigest(f"{part.id:x}/{number}".encode()) for number in range(count)
+        )
+    return tuple(blocks)
+
+
+def _admit(
+    fields: RequestFields,
+    route: Route,
+    service: Service,
+    team: Team | None,
+    version: int,
+    now: float,
+) -> Admission:
+    deadline = route.timeout_s if fields.deadline_s is None else fields.deadline_s
+    ends = now + min(deadline, route.timeout_s)
+    patience = ends
+    if route.streams:
+        gaps = max(MIN_PATIENCE_S, PATIENCE_GOALS * route.goal_s, PATIENCE_GAPS * route.gap_goal_s)
+        patience = min(ends, now + gaps)
+    rank = route.rank if team is None or team.rank is None else team.rank
+    return Admission(
+        request_id=fields.request_id,
+        fields=fields,
+        route=route,
+        service=service,
+        team=team,
+        version=version,
+        rank=rank,
+        cost=_cost(fields, team),
+        arrived=now,
+        ends=ends,
+        due=now + route.goal_s,
+        patience=patience,
+    )
+
+
+def _cost(fields: RequestFields, team: Team | None) -> float:
+    if team is None or not team.by_tokens:
+        return 1.0
+    tokens = fields.prompt_tokens + fields.most_output_tokens
+    return float(tokens) if tokens else team.plain_cost
+
+
+def _point(request_id: str) -> float:
+    return xxhash.xxh64_intdigest(request_id.encode()) / HASH_SPAN
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -0,0 +1,188 @@
+"""
+chalkyoke.gateway.relay
+
+Take a replica's answer and pass it on: small plain answers whole, streams event by event.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chalkyoke.gateway.events import EventCutter
+from chalkyoke.gateway.ports import AnswerFields, HeaderFormat
+from chalkyoke.gateway.verdict import MISDIRECTED, SERVER_ERROR_MIN, SendEnd
+from chalkyoke.http1.client import Break
+from chalkyoke.http1.messages import AnswerHead, end_to_end
+from chalkyoke.http1.server import Answering
+
+HELD_BYTES = 262_144
+SUCCESS_MIN, SUCCESS_MAX = 200, 299
+
+
+@dataclass(slots=True)
+class Delivery:
+    """What one caller has got so far, over all sends of its request.
+
+    :ivar cutter: follows the events of a stream.
+    :ivar events: events passed on.
+    :ivar first_at: when the first byte of the answer was passed on, on the node's clock.
+    """
+
+    answering: Answering
+    cutter: EventCutter
+    events: int = 0
+    first_at: float = 0.0
+    head_sent: bool = False
+
+
+class Relay:
+    """Takes the answer of one send.
+
+    :param streams: whether the route's answers are series of events.
+    :param clock: the node's clock, in seconds.
+    :ivar ended: set when the send is over, to how it ended.
+    :ivar last_at: when something last came.
+    """
+
+    def __init__(
+        self,
+        delivery: Delivery,
+        headers: HeaderFormat,
+        clock: Callable[[], float],
+        *,
+        streams: bool,
+    ) -> None:
+        self._delivery = delivery
+        self._headers = headers
+        self._clock = clock
+        self._streams = streams
+        self._held: list[bytes] = []
+        self._held_size = 0
+        self._by_event = False
+        self._passing = False
+        self._cancelled = False
+        self.head: AnswerHead | None = None
+        self.fields = AnswerFields("")
+        self.ended: asyncio.Future[SendEnd] = asyncio.get_running_loop().create_future()
+        self.started_at = clock()
+        self.first_at = 0.0
+        self.last_at = self.started_at
+        self.events = 0
+
+    # The sink of the replica's connection.
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """Take the head, and find out how the body is passed on."""
+        self.last_at = self._clock()
+        self.head = head
+        self.fields = self._headers.read_answer(head.headers)
+        success = SUCCESS_MIN <= head.status <= SUCCESS_MAX
+        self._by_event = self._streams and success and self._usable()
+
+    def answer_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        now = self.last_at = self._clock()
+        self.first_at = self.first_at or now
+        if self._by_event:
+            self._pass_events(data, now)
+        elif self._passing:
+            self._delivery.answering.send(data)
+        else:
+            self._hold(data, now)
+
+    def answer_end(self) -> None:
+        """Learn that the answer is whole."""
+        self.last_at = self._clock()
+        head = self.head
+        if head is None:
+            self._end(SendEnd.BROKEN)
+        elif self._by_event:
+            self._end_stream()
+        elif self._passing:
+            self._delivery.answering.end()
+            self._end(SendEnd.DELIVERED)
+        else:
+            self._end(self._judge(head))
+
+    def answer_broken(self, _: Break) -> None:
+        """Learn that no more of the answer comes."""
+        self._end(SendEnd.BROKEN)
+
+    # What the exchange asks for.
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of any answer has gone to the caller."""
+        return self._delivery.head_sent
+
+    def pass_on(self) -> None:
+        """Pass a held answer on, whole."""
+        head = self.head
+        if head is None:
+            return
+        body = b"".join(self._held)
+        whole = AnswerHead(head.status, head.reason, end_to_end(head.headers), len(body))
+        self._begin(whole, body, self._clock())
+        self._delivery.answering.end()
+
+    def _usable(self) -> bool:
+        """Tell whether an answer can be the replica's own, unaltered."""
+        return self.fields.stamped and not self.fields.encoded
+
+    def _judge(self, head: AnswerHead) -> SendEnd:
+        if self.fields.not_run or head.status == MISDIRECTED:
+            return SendEnd.DECLINED
+        if SUCCESS_MIN <= head.status <= SUCCESS_MAX:
+            if not self._usable() or self._streams:
+                return SendEnd.UNUSABLE
+            self.pass_on()
+            return SendEnd.DELIVERED
+        if head.status >= SERVER_ERROR_MIN:
+            return SendEnd.FAILURE_ANSWER
+        self.pass_on()
+        return SendEnd.DELIVERED
+
+    def _hold(self, data: bytes, now: float) -> None:
+        self._held.append(data)
+        self._held_size += len(data)
+        head = self.head
+        if self._held_size <= HELD_BYTES or head is None or not self._usable():
+            return
+        if head.status >= SERVER_ERROR_MIN or self.fields.not_run:
+            return
+        passed = AnswerHead(head.status, head.reason, end_to_end(head.headers), head.length)
+        self._begin(passed, b"".join(self._held), now)
+        self._held.clear()
+        self._passing = True
+
+    def _pass_events(self, data: bytes, now: float) -> None:
+        cut = self._delivery.cutter.feed(data)
+        if self._delivery.cutter.too_large:
+            self._end(SendEnd.UNUSABLE)
+            return
+        if not cut.count:
+            return
+        self.events += cut.count
+        self._delivery.events += cut.count
+        if self._delivery.head_sent:
+            self._delivery.answering.send(cut.data)
+        elif self.head is not None:
+            head = self.head
+            passed = AnswerHead(head.status, head.reason, end_to_end(head.headers), None)
+            self._begin(passed, cut.data, now)
+
+    def _begin(self, head: AnswerHead, data: bytes, now: float) -> None:
+        self._delivery.head_sent = True
+        self._delivery.first_at = now
+        self._delivery.answering.begin(head, data)
+
+    def _end_stream(self) -> None:
+        if self._delivery.cutter.partial or not self._delivery.head_sent:
+            self._end(SendEnd.BROKEN)
+            return
+        self._delivery.answering.end()
+        self._end(SendEnd.DELIVERED)
+
+    def _end(self, end: SendEnd) -> None:
+        if not self.ended.done():
+            self.ended.set_result(end)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -0,0 +1,175 @@
+"""
+chalkyoke.gateway.settings
+
+The settings of a gateway node: a TOML file in the product's own names, checked as a whole.
+"""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from chalkyoke.exceptions import SettingsError
+
+MIN_KEY_BYTES = 16
+
+
+class NodeSection(msgspec.Struct, frozen=True):
+    """Who this node is.
+
+    :param first_start: whether the whole fleet starts for the first time.
+    """
+
+    host: str
+    failure_domain: str
+    first_start: bool = False
+
+
+class ListenSection(msgspec.Struct, frozen=True):
+    """Addresses that this node listens on, as ``ip:port``.
+
+    :param metrics: empty is none.
+    """
+
+    callers: str
+    ready: str
+    links: str
+    metrics: str = ""
+
+
+class PeersSection(msgspec.Struct, frozen=True):
+    """Where other nodes may be found.
+
+    :param seeds: link addresses; they may be stale.
+    """
+
+    seeds: list[str] = []
+
+
+class StoreSection(msgspec.Struct, frozen=True):
+    """The store.
+
+    :param watchers: how many nodes of a failure domain watch it; the others are told by them.
+    :param watch_wait_s: how long one watch waits.
+    """
+
+    address: str
+    watchers: int = 3
+    watch_wait_s: float = 10.0
+    lease_s: float = 30.0
+
+
+class FleetSection(msgspec.Struct, frozen=True):
+    """What all nodes of the fleet share.
+
+    :param key_hex: proves to each other that two nodes are of one fleet.
+    """
+
+    key_hex: str
+
+
+class LimitsSection(msgspec.Struct, frozen=True):
+    """The fleet's limits, over all nodes.
+
+    :param grace_s: how long a planned stop may take.
+    :param drain_s: how long a leaving replica still takes requests.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_s: float = 10.0
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 0.0
+    grace_s: float = 8.0
+    drain_s: float = 2.0
+
+
+class SchedulingSection(msgspec.Struct, frozen=True):
+    """How replicas are chosen.
+
+    :param pooled: whether one scheduler decides for each pool of engines; else each node alone.
+    :param prefill_tokens_per_s: first guess for an engine that nothing is known of yet.
+    :param token_s: first guess: seconds between two output tokens.
+    :param setup_s: first guess: seconds that a request takes besides its tokens.
+    :param attention_s_per_pair: first guess: seconds for each pair of prompt tokens.
+    """
+
+    pooled: bool = True
+    prefill_tokens_per_s: float = 35_000.0
+    token_s: float = 0.0055
+    setup_s: float = 0.05
+    attention_s_per_pair: float = 1.2e-9
+    heartbeat_interval_s: float = 0.25
+
+
+class LogsSection(msgspec.Struct, frozen=True):
+    """How lines are logged.
+
+    :param lines_per_s: lines for requests that went well; failures have as many for themselves.
+    """
+
+    level: str = "INFO"
+    lines_per_s: float = 100.0
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """All settings of a gateway node. Unknown sections and fields are let pass."""
+
+    node: NodeSection
+    listen: ListenSection
+    store: StoreSection
+    fleet: FleetSection
+    peers: PeersSection = PeersSection()
+    limits: LimitsSection = LimitsSection()
+    scheduling: SchedulingSection = SchedulingSection()
+    logs: LogsSection = LogsSection()
+
+    @property
+    def key(self) -> bytes:
+        """The fleet's key as bytes."""
+        return bytes.fromhex(self.fleet.key_hex)
+
+
+def load(path: Path) -> GatewaySettings:
+    """Read the settings of a gateway node.
+
+    :raises SettingsError: with what is wrong.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: is no TOML: {error}"]) from error
+    try:
+        settings = msgspec.convert(document, GatewaySettings)
+    except msgspec.ValidationError as error:
+        raise SettingsError([str(error)]) from error
+    problems = _problems(settings)
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def _problems(settings: GatewaySettings) -> list[str]:
+    problems: list[str] = []
+    listen = settings.listen
+    addresses = {
+        "listen.callers": listen.callers,
+        "listen.ready": listen.ready,
+        "listen.links": listen.links,
+        "store.address": settings.store.address,
+    }
+    if listen.metrics:
+        addresses["listen.metrics"] = listen.metrics
+    for name, address in addresses.items():
+        ip, _, port = address.rpartition(":")
+        if not ip or not port.isdigit():
+            problems.append(f"{name}: write an IPv4 number and a port, not {address!r}")
+    try:
+        if len(settings.key) < MIN_KEY_BYTES:
+            problems.append(f"fleet.key_hex: the key has {MIN_KEY_BYTES} bytes or more")
+    except ValueError:
+        problems.append("fleet.key_hex: write the key in hexadecimal")
+    return problems
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -0,0 +1,113 @@
+"""
+chalkyoke.http1.calls
+
+Short calls whose answer is read whole, as on a store.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from chalkyoke.http1.client import Break, ClientConnection
+from chalkyoke.http1.messages import AnswerHead, Headers, request_head
+from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+
+CONNECT_S = 0.5
+CALLER_CONNECTIONS = 8
+FRESH_S = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """No whole answer.
+
+    :param sent: whether the call may have been carried out.
+    """
+
+    reason: str
+    sent: bool
+
+
+class _Whole:
+    """Collects an answer."""
+
+    def __init__(self, future: "asyncio.Future[CallAnswer | CallFailed]") -> None:
+        self._future = future
+        self._status = 0
+        self._parts: list[bytes] = []
+
+    def answer_head(self, head: AnswerHead) -> None:
+        self._status = head.status
+
+    def answer_data(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def answer_end(self) -> None:
+        if not self._future.done():
+            self._future.set_result(CallAnswer(self._status, b"".join(self._parts)))
+
+    def answer_broken(self, how: Break) -> None:
+        if not self._future.done():
+            self._future.set_result(CallFailed(how, sent=True))
+
+
+class Caller:
+    """Make calls on one address; every outcome is a value.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, pool: ConnectionPool, address: str) -> None:
+        ip, port = address.rsplit(":", 1)
+        self._pool = pool
+        self._ip, self._port = ip, int(port)
+        self._host: Headers = [(b"Host", address.encode())]
+
+    async def call(
+        self, method: bytes, target: bytes, body: bytes | None, timeout_s: float
+    ) -> CallAnswer | CallFailed:
+        """Make one call.
+
+        :param body: JSON, or nothing.
+        :param timeout_s: for the whole call, connecting included.
+        """
+        connection = await self._pool.connect(
+            self._ip,
+            self._port,
+            limit=CALLER_CONNECTIONS,
+            timeout_s=min(CONNECT_S, timeout_s),
+            fresh_s=FRESH_S,
+        )
+        if isinstance(connection, ConnectFailure):
+            return CallFailed(connection, sent=False)
+        headers = list(self._host)
+        if body is not None:
+            headers.append((b"Content-Type", b"application/json"))
+        data = request_head(method, target, headers, None if body is None else len(body))
+        return await self._exchange(connection, data + (body or b""), timeout_s)
+
+    async def _exchange(
+        self, connection: ClientConnection, data: bytes, timeout_s: float
+    ) -> CallAnswer | CallFailed:
+        future: asyncio.Future[CallAnswer | CallFailed]
+        future = asyncio.get_running_loop().create_future()
+        connection.send(data, _Whole(future), lambda _: True)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await future
+        except TimeoutError:
+            # A connection on which an answer was lost says nothing further.
+            connection.cancel()
+            return CallFailed("timed out", sent=True)
+        except asyncio.CancelledError:
+            connection.cancel()
+            raise
+        self._pool.give_back(self._ip, self._port, connection)
+        return answer
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/http1/messages.py
@@ -0,0 +1,141 @@
+"""
+chalkyoke.http1.messages
+
+Requests and answers as they are on the wire, without any meaning.
+"""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+Header = tuple[bytes, bytes]
+Headers = list[Header]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request, read whole.
+
+    :param target: the request target, byte for byte.
+    :param headers: in their order, names as they were sent.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status line and headers of an answer.
+
+    :param length: length of the body in bytes, where the head tells it.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+    length: int | None
+
+
+def find(headers: Headers, name: bytes) -> bytes | None:
+    """Find the first header of a name.
+
+    :param name: in lower case.
+    :rtype: bytes or None
+    """
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers, keep: frozenset[bytes] = frozenset()) -> Headers:
+    """Leave out the headers that concern a single connection only.
+
+    :param keep: names in lower case that a ``Connection`` header can't take away.
+    :rtype: Headers
+    """
+    named = connection_options(headers) - keep
+    return [
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in HOP_BY_HOP and lower not in named
+    ]
+
+
+def connection_options(headers: Headers) -> frozenset[bytes]:
+    """List what the ``Connection`` headers name, in lower case.
+
+    :rtype: frozenset[bytes]
+    """
+    options = {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for option in value.split(b",")
+    }
+    return frozenset(options)
+
+
+def request_head(method: bytes, target: bytes, headers: Headers, length: int | None) -> bytes:
+    """Write the head of a request.
+
+    :param length: length of the body; ``None`` where there is none.
+    :rtype: bytes
+    """
+    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
+    _write_headers(parts, headers)
+    if length is not None:
+        parts.append(b"Content-Length: %d\r\n" % length)
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def answer_head(head: AnswerHead, *, close: bool, chunked: bool) -> bytes:
+    """Write the head of an answer.
+
+    :param close: whether the connection ends after the answer.
+    :param chunked: whether the body comes in chunks; else its length is ``head.length``.
+    :rtype: bytes
+    """
+    parts = [b"HTTP/1.1 %d " % head.status, head.reason, b"\r\n"]
+    _write_headers(parts, head.headers)
+    if chunked:
+        parts.append(b"Transfer-Encoding: chunked\r\n")
+    elif head.length is not None:
+        parts.append(b"Content-Length: %d\r\n" % head.length)
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def reason_of(status: int) -> bytes:
+    """Give the usual reason phrase of a status.
+
+    :rtype: bytes
+    """
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
+
+
+def _write_headers(parts: list[bytes], headers: Headers) -> None:
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -91,6 +91,14 @@
         """
         return next((record for record in self.live() if record.host == host), None)
 
+    def pool_owners(self, pool: str) -> list[MemberRecord]:
+        """List the processes that may schedule a pool, its present owner first.
+
+        :rtype: list[MemberRecord]
+        """
+        fit = {each.host: each for each in self.live() if each.ready and not each.leaving}
+        return [fit[host] for host in ranked(f"pool/{pool}", fit)]
+
     def pool_owner(self, pool: str) -> MemberRecord:
         """Give the process that schedules a pool; this one where nobody else can.
 
@@ -100,13 +108,29 @@
         chosen = owner(f"pool/{pool}", fit)
         return fit[chosen] if chosen is not None else self.record
 
-    def holds_duty(self, duty: str) -> bool:
+    def holds_duty(self, duty: str, holders: int = 1) -> bool:
         """Tell whether this process holds a duty for its failure domain.
 
+        :param holders: how many processes of a failure domain hold it at once.
+        :rtype: bool
+        """
+        return self.has_duty(duty, holders, self.record.host)
+
+    def has_duty(self, duty: str, holders: int, host: str) -> bool:
+        """Tell whether a process of this failure domain holds a duty for it.
+
         :rtype: bool
         """
         hosts = [each.host for each in self._own_domain() if not each.leaving]
-        return owner(f"{duty}/{self.domain}", hosts or [self.record.host]) == self.record.host
+        chosen = ranked(f"{duty}/{self.domain}", hosts or [self.record.host])[:holders]
+        return host in chosen
+
+    def introduction(self) -> Heartbeat:
+        """Make the message with which this process makes itself known at an address.
+
+        :rtype: Heartbeat
+        """
+        return Heartbeat(self.record, self._beat, (self._own_digest(),))
 
     # Events.
 
@@ -156,7 +180,15 @@
         if isinstance(message, Heartbeat):
             changes = self._take_record(message.record, message.beat, now)
             domain = message.record.failure_domain
-            return changes, self._take_digests(sender, domain, message.digests, now)
+            sends = self._take_digests(sender, domain, message.digests, now)
+            if any(isinstance(each, Joined) for each in changes):
+                # A newcomer may know nobody else.
+                sends.append(Send(sender, Summary(self._own_digest(), self._last_summary)))
+                sends += [
+                    Send(sender, Summary(each.digest, each.records))
+                    for each in self._foreign.values()
+                ]
+            return changes, sends
         if isinstance(message, ShortHeartbeat):
             changes = self._take_short(message, now)
             domain = message.failure_domain
@@ -270,6 +302,14 @@
                 targets.append(listed[hosts[(self._beat + 1) % len(hosts)]])
         return list(dict.fromkeys(targets))
 
+    def _introduce(self, records: tuple[MemberRecord, ...]) -> None:
+        """Take members of this failure domain that another one has told of for candidates."""
+        for record in records:
+            if record.host != self.record.host and record.host not in self._members:
+                self._candidates.setdefault(
+                    record.host, Candidate(record.host, record.address, record.failure_domain)
+                )
+
     def _heard_outside(self, now: float) -> tuple[Digest, ...]:
         fresh = 2 * self.interval_s
         return tuple(
@@ -302,6 +342,7 @@
     def _take_summary(self, message: Summary, now: float) -> list[Change]:
         name = message.digest.failure_domain
         if name == self.domain:
+            self._introduce(message.records)
             return []
         known = self._foreign.get(name)
         before = {each.process: each for each in known.records} if known else {}
--- a/packages/chalkyoke/src/chalkyoke/node/configuration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/configuration.py
@@ -21,15 +21,15 @@
 )
 from chalkyoke.configuration.publisher import CHUNK_PREFIX, ROOT_KEY, Found, decode_root
 from chalkyoke.configuration.state import ConfigurationState
+from chalkyoke.discovery.host_list import HostListClient
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.fleet import FleetView
-from chalkyoke.platform.hosts import HostListClient
-from chalkyoke.platform.store import StoreClient
 from chalkyoke.settings import TimingSection
+from chalkyoke.storage.keyvalue import StoreClient
 
 WATCH_DUTY = "watch"
 ASK_AGAIN_S = 0.3
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -0,0 +1,486 @@
+"""
+chalkyoke.node.gateway
+
+The gateway node: requests as they are, on a platform whose store declares routes and replicas. The
+slices put together, started, and stopped without cutting anything off.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import secrets
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+
+import msgspec
+
+from chalkyoke.administration.events import EventRing
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.catalog.state import CatalogState, ReadCatalog, ReadReplica
+from chalkyoke.clock import HybridClock
+from chalkyoke.exceptions import InvariantBroken, SettingsError
+from chalkyoke.gateway.exchange import Gateway, GatewayParts
+from chalkyoke.gateway.grants import Grants
+from chalkyoke.gateway.ports import HeaderFormat
+from chalkyoke.gateway.settings import GatewaySettings, load
+from chalkyoke.http1.calls import Caller
+from chalkyoke.http1.pool import ConnectionPool
+from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
+from chalkyoke.links.connection import Connection, Identity
+from chalkyoke.links.peers import Links
+from chalkyoke.logs import logger
+from chalkyoke.membership.messages import (
+    Heartbeat,
+    MemberRecord,
+    ShortHeartbeat,
+    Summary,
+    SummaryRequest,
+)
+from chalkyoke.membership.state import Candidate, Change, Joined
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.catalog import CatalogKeeper, Keys, Registration
+from chalkyoke.node.fleetsize import FleetSize
+from chalkyoke.node.pages import PageServer
+from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
+from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
+from chalkyoke.node.requestlog import RequestLog
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.quotas.bucket import QuotaLimits
+from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
+from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.retries.budget import BudgetLimits, RetryBudget
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    AdoptRequest,
+    Grant,
+    Progress,
+    Queued,
+    Release,
+    Shed,
+    Withdraw,
+)
+from chalkyoke.scheduling.placement import Features
+from chalkyoke.storage.port import Store
+
+TICK_S = 0.05
+HOUSEKEEPING_S = 1.0
+INCARNATION_BITS = 62
+BACKLOG = 1024
+LEAVE_S = 2.5
+GRACE_MARGIN_S = 0.6
+
+LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    Acquire,
+    Adopt,
+    AdoptRequest,
+    CatalogRequest,
+    CatalogTold,
+    Grant,
+    Heartbeat,
+    Progress,
+    Queued,
+    QuotaGrant,
+    QuotaRequest,
+    Release,
+    ReplicasTold,
+    Shed,
+    ShortHeartbeat,
+    Summary,
+    SummaryRequest,
+    Withdraw,
+)
+POOL_FEATURES = Features(late_last=False)
+
+log = logger("node")
+
+
+class PlatformParts:
+    """What the start-up code brings of the users' platform.
+
+    :param make_store: makes the store's client over a caller.
+    """
+
+    def __init__(
+        self,
+        make_store: Callable[[Caller], Store],
+        headers: HeaderFormat,
+        read_catalog: ReadCatalog,
+        read_replica: ReadReplica,
+        keys: Keys,
+    ) -> None:
+        self.make_store = make_store
+        self.headers = headers
+        self.read_catalog = read_catalog
+        self.read_replica = read_replica
+        self.keys = keys
+
+
+class GatewayNode:
+    """One process of the fleet. Make it inside a running loop.
+
+    :param path: where the settings lie, to read them again.
+    """
+
+    def __init__(self, settings: GatewaySettings, path: Path, platform: PlatformParts) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self.settings = settings
+        self._path = path
+        self._platform = platform
+        self.now: Callable[[], float] = lambda: loop.time() - started
+        self.metrics = Metrics()
+        self.record = MemberRecord(
+            host=settings.node.host,
+            incarnation=secrets.randbits(INCARNATION_BITS),
+            address=settings.listen.links,
+            administration=settings.listen.metrics,
+            failure_domain=settings.node.failure_domain,
+            leaving=False,
+            ready=False,
+            revision=0,
+            hosts_version=0,
+        )
+        self.events = EventRing(settings.node.host, HybridClock(), _wall_ms)
+        self.view = MembershipView(self.record, settings.scheduling.heartbeat_interval_s)
+        self.size = FleetSize()
+        self.requests = RequestLog(self.metrics, self.now)
+        self._connections: set[ServerConnection] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = asyncio.Event()
+        self._stopped = asyncio.Event()
+        self._failure: BaseException | None = None
+        loop.set_exception_handler(self._on_exception)
+        self._make_links()
+        self._make_catalog()
+        self._make_schedulers()
+        self._make_gateway()
+        self._pages = PageServer(self.is_ready, self.metrics)
+
+    # Putting together.
+
+    def _make_links(self) -> None:
+        settings = self.settings
+        me = Identity(
+            self.record.process,
+            settings.listen.links,
+            settings.node.failure_domain,
+            settings.key,
+        )
+        self.links = Links(me, LINK_MESSAGES, self.events, self._receive)
+
+    def _make_catalog(self) -> None:
+        settings, platform = self.settings, self._platform
+        self._store_connections = ConnectionPool()
+        caller = Caller(self._store_connections, settings.store.address)
+        self.store = platform.make_store(caller)
+        state = CatalogState(platform.read_catalog, platform.read_replica)
+        self.catalog = CatalogKeeper(
+            state,
+            self.store,
+            platform.keys,
+            self.view,
+            self.links,
+            settings.store.watchers,
+            settings.store.watch_wait_s,
+            self._catalog_changed,
+            self._nodes_registered,
+            self.now,
+        )
+        self.replicas = DeclaredReplicas(state, self.now)
+        self.pools = DeclaredPools(settings.scheduling)
+        listed = msgspec.msgpack.encode((settings.listen.links, settings.node.failure_domain))
+        key = platform.keys.nodes + settings.node.host
+        self._registration = Registration(self.store, key, listed, settings.store.lease_s)
+
+    def _make_schedulers(self) -> None:
+        self.hosted = SchedulerHost(
+            self.record.process,
+            self.view,
+            lambda: self.pools,
+            self.links.send,
+            self.events,
+            self.metrics,
+            self.now,
+            features=POOL_FEATURES,
+            acknowledge=True,
+        )
+        self.balancer = LocalBalancer(self.settings.node.failure_domain, random.random)
+        self.grants = Grants(
+            PeerSchedulers(self.hosted, self.view),
+            self.replicas,
+            self.balancer,
+            self.now,
+            pooled=self.settings.scheduling.pooled,
+        )
+        self.hosted.deliver = self.grants.receive
+        self.hosted.tell_running = self.grants.tell_running
+
+    def _make_gateway(self) -> None:
+        limits = self.settings.limits
+        quota = QuotaLimits(limits.quota_window_s, limits.quota_over, limits.quota_slack)
+        self.quotas = QuotaClient(
+            QuotaWallet(quota, self.nodes),
+            QuotaHome(quota, first_start=self.settings.node.first_start),
+            PeerQuotas(self.view, self.links.send, self.presence),
+            lambda name: self.catalog.state.catalog.teams.get(name),
+            self.now,
+        )
+        budget = BudgetLimits(limits.retry_ratio, limits.retry_slack, limits.retry_window_s)
+        self.connections = ConnectionPool()
+        self.gateway = Gateway(
+            GatewayParts(
+                catalog=lambda: self.catalog.state.catalog,
+                replicas=self.replicas,
+                headers=self._platform.headers,
+                grants=self.grants,
+                balancer=self.balancer,
+                quotas=self.quotas,
+                budget=RetryBudget(budget),
+                connections=self.connections,
+                nodes=self.nodes,
+                now=self.now,
+                record=self.requests.record,
+            )
+        )
+
+    # What the parts ask of the node.
+
+    def nodes(self) -> int:
+        """Count the nodes that there may be in the fleet.
+
+        :rtype: int
+        """
+        return self.size.known(self.now())
+
+    def presence(self) -> Presence:
+        """Tell how much of the fleet this node sees.
+
+        :rtype: Presence
+        """
+        return Presence(len(self.view.live()), self.nodes())
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here.
+
+        :rtype: bool
+        """
+        return self.catalog.state.complete and not self._stopping.is_set()
+
+    def _limits(self) -> ServerLimits:
+        limits = self.catalog.state.catalog.limits
+        return ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    # Life.
+
+    async def run(self) -> None:
+        """Serve until a planned stop is through.
+
+        :raises InvariantBroken: when a promise of the program does not hold.
+        """
+        loop = asyncio.get_running_loop()
+        for each in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(each, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.links.listen()
+        server = await self._listen(self.settings.listen.callers, self.gateway.start)
+        pages = [await self._listen(self.settings.listen.ready, self._pages.start)]
+        if self.settings.listen.metrics:
+            pages.append(await self._listen(self.settings.listen.metrics, self._pages.start))
+        self._start_loops()
+        log.notice("started", process=self.record.process, pid=os.getpid())
+        self._start(self._stop_on_plan(server))
+        await self._stopped.wait()
+        await self._close([server, *pages])
+        if self._failure is not None:
+            raise self._failure
+
+    async def _listen(self, address: str, start: Start) -> asyncio.Server:
+        ip, port = address.rsplit(":", 1)
+        own = self._connections if start == self.gateway.start else set()
+        return await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(start, self._limits, own),
+            ip,
+            int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    async def _stop_on_plan(self, server: asyncio.Server) -> None:
+        """Call for no new callers, finish what is in progress, then end."""
+        await self._stopping.wait()
+        began = self.now()
+        log.notice("stopping", in_progress=self.gateway.in_progress)
+        self.view.update_self(leaving=True, ready=False)
+        self._beat()
+        # Callers still come until the balancer has noticed.
+        await asyncio.sleep(LEAVE_S)
+        server.close()
+        for connection in list(self._connections):
+            connection.stop()
+        left = self.settings.limits.grace_s - GRACE_MARGIN_S - (self.now() - began)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left)):
+                while self._connections:  # noqa: ASYNC110
+                    await asyncio.sleep(TICK_S)
+        log.notice("stopped", in_progress=self.gateway.in_progress, took_s=self.now() - began)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await self._registration.end()
+        self._stopped.set()
+
+    async def _close(self, servers: list[asyncio.Server]) -> None:
+        for server in servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await self.links.close()
+        self.connections.close()
+        self._store_connections.close()
+        await asyncio.sleep(TICK_S)
+
+    def _reload(self) -> None:
+        """Read the settings again; a file that can't be read changes nothing."""
+        try:
+            self.settings = load(self._path)
+        except SettingsError as error:
+            log.error("reload_failed", problems=error.problems)
+            return
+        log.notice("reloaded", seeds=self.settings.peers.seeds)
+
+    # Loops.
+
+    def _start_loops(self) -> None:
+        self._start(self._repeat(self.view.interval_s, self._beat))
+        self._start(self._repeat(TICK_S, self._tick))
+        self._start(self._repeat(HOUSEKEEPING_S, self._keep_house))
+        self._start(self.catalog.run())
+        self._start(self._registration.run())
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._loop_ended)
+        self._tasks.append(task)
+
+    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
+        # Without one of its loops a process would look alive and do nothing.
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._fail(error)
+
+    async def _repeat(self, interval_s: float, work: Callable[[], None]) -> None:
+        while True:
+            work()
+            await asyncio.sleep(interval_s)
+
+    def _beat(self) -> None:
+        for send in self.view.beat(self.now()):
+            self.links.send(send.address, send.message)
+        known = {each.address for each in self.view.live()}
+        for seed in self.settings.peers.seeds:
+            if seed not in known:
+                self.links.send(seed, self.view.introduction())
+
+    def _tick(self) -> None:
+        self._apply(self.view.tick(self.now()))
+        self.size.note(self.view.live(), self.now())
+        self.hosted.tick()
+
+    def _keep_house(self) -> None:
+        self.grants.check_owners(self.pools.pools)
+        self.grants.send_progress()
+        self.connections.expire()
+        self._store_connections.expire()
+        self.balancer.forget(self.catalog.state.replicas)
+        self.quotas.keep_house()
+
+    # Messages.
+
+    def _receive(self, connection: Connection, message: msgspec.Struct) -> None:
+        try:
+            self._route(connection, message)
+        except InvariantBroken as error:
+            self._fail(error)
+
+    def _route(self, connection: Connection, message: msgspec.Struct) -> None:
+        address = connection.peer_address
+        if isinstance(message, Heartbeat | ShortHeartbeat | SummaryRequest | Summary):
+            changes, sends = self.view.receive(address, message, self.now())
+            self._apply(changes)
+            for send in sends:
+                self.links.send(send.address, send.message)
+            if isinstance(message, Heartbeat):
+                self.catalog.heard(address, message.record)
+        elif isinstance(message, Grant | Queued | Shed):
+            self.grants.receive(connection.peer, message)
+        elif isinstance(message, AdoptRequest):
+            self.grants.tell_running(message.pool, connection.peer)
+        elif isinstance(message, Acquire | Adopt | Progress | Release | Withdraw):
+            self.hosted.note_address(connection.peer, address)
+            self.hosted.receive(connection.peer, connection.peer_domain, message)
+        elif isinstance(message, QuotaRequest | QuotaGrant):
+            self.quotas.receive(address, message)
+        elif isinstance(message, CatalogRequest | CatalogTold | ReplicasTold):
+            self.catalog.receive(address, message)
+
+    # Changes.
+
+    def _apply(self, changes: list[Change]) -> None:
+        for change in changes:
+            record = change.record
+            joined = isinstance(change, Joined)
+            event = "member_joined" if joined else "member_left"
+            log.info(event, member=record.process, failure_domain=record.failure_domain)
+            if not joined:
+                self.hosted.member_left(record.process)
+        if changes:
+            self.size.note(self.view.live(), self.now())
+            self.grants.check_owners(self.pools.pools)
+
+    def _catalog_changed(self) -> None:
+        state = self.catalog.state
+        self.replicas.rebuild()
+        self.pools.rebuild(state.catalog, state.replicas)
+        self.hosted.reconfigure()
+        self.grants.check_owners(self.pools.pools)
+
+    def _nodes_registered(self, registered: dict[str, bytes]) -> None:
+        candidates: list[Candidate] = []
+        prefix = self._platform.keys.nodes
+        for key, value in registered.items():
+            address, domain = msgspec.msgpack.decode(value, type=tuple[str, str])
+            candidates.append(Candidate(key.removeprefix(prefix), address, domain))
+        self.view.set_candidates(candidates)
+        self.size.note_listed((each.host for each in candidates), self.now())
+
+    # Faults.
+
+    def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        error = context.get("exception")
+        if isinstance(error, InvariantBroken):
+            self._fail(error)
+        elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
+            self.metrics.count("faults")
+            log.error("fault", where=str(context.get("message")), error=repr(error))
+
+    def _fail(self, error: BaseException) -> None:
+        """Stop the process for a fault that must not be lived with."""
+        if self._failure is None:
+            log.critical("fatal", error=repr(error))
+            self._failure = error
+        self._stopped.set()
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/pages.py
@@ -0,0 +1,52 @@
+"""
+chalkyoke.node.pages
+
+The pages of a gateway node: whether callers may be sent here, and its metrics.
+"""
+
+from collections.abc import Callable
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.http1.messages import AnswerHead, Headers, Request, reason_of
+from chalkyoke.http1.server import Answering
+
+READY_PATH = b"/readyz"
+METRICS_PATH = b"/metrics"
+
+
+class _Done:
+    """A page is answered at once: there is nothing to stop or to hold back."""
+
+    def caller_left(self) -> None:
+        pass
+
+    def caller_can_read(self, can_read: bool) -> None:
+        pass
+
+
+class PageServer:
+    """Answer for pages.
+
+    :param is_ready: whether callers may be sent here.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool], metrics: Metrics) -> None:
+        self._is_ready = is_ready
+        self._metrics = metrics
+
+    def start(self, request: Request, answering: Answering) -> _Done:
+        """Answer one request."""
+        path = request.target.partition(b"?")[0]
+        if path == READY_PATH:
+            status = 200 if self._is_ready() else 503
+            self._answer(answering, status, b"ready" if status == 200 else b"not ready")
+        elif path == METRICS_PATH:
+            self._answer(answering, 200, self._metrics.exposition())
+        else:
+            self._answer(answering, 404, b"no such page")
+        return _Done()
+
+    def _answer(self, answering: Answering, status: int, body: bytes) -> None:
+        headers: Headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        answering.begin(AnswerHead(status, reason_of(status), headers, len(body)), body)
+        answering.end()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -0,0 +1,83 @@
+"""
+chalkyoke.node.peers
+
+The way to the schedulers and quota homes in other nodes.
+"""
+
+from collections.abc import Callable
+
+from chalkyoke.membership.owners import owner
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.quotas.home import Presence
+from chalkyoke.quotas.messages import QuotaMessage
+from chalkyoke.scheduling.messages import EntryMessage
+
+
+class PeerSchedulers:
+    """The pool schedulers, here and in other processes."""
+
+    def __init__(self, hosted: SchedulerHost, view: MembershipView) -> None:
+        self._hosted = hosted
+        self._view = view
+        self._generation = -1
+        self._owners: dict[str, list[str]] = {}
+
+    def send(self, process: str, message: EntryMessage) -> None:
+        """Send a message to the scheduler in a process."""
+        self._hosted.send(process, message)
+
+    def owners(self, pool: str) -> list[str]:
+        """List the processes that may schedule a pool, the present owner first."""
+        if self._generation != self._view.generation:
+            self._generation = self._view.generation
+            self._owners.clear()
+        found = self._owners.get(pool)
+        if found is None:
+            found = [record.process for record in self._view.pool_owners(pool)]
+            self._owners[pool] = found
+        return found
+
+
+class PeerQuotas:
+    """The homes of teams' quotas.
+
+    :param send: sends a message to a link address.
+    :param presence: tells how much of the fleet this node sees.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        send: Callable[[str, QuotaMessage], None],
+        presence: Callable[[], Presence],
+    ) -> None:
+        self._view = view
+        self._send = send
+        self._presence = presence
+        self._generation = -1
+        self._homes: dict[str, str | None] = {}
+
+    def home(self, team: str) -> str | None:
+        """Give the link address of a team's home; nothing where it is this node."""
+        if self._generation != self._view.generation:
+            self._generation = self._view.generation
+            self._homes.clear()
+        if team not in self._homes:
+            self._homes[team] = self._find(team)
+        return self._homes[team]
+
+    def _find(self, team: str) -> str | None:
+        fit = {each.host: each for each in self._view.live() if each.ready and not each.leaving}
+        chosen = owner(f"quota/{team}", fit)
+        if chosen is None or chosen == self._view.record.host:
+            return None
+        return fit[chosen].address
+
+    def presence(self) -> Presence:
+        """Tell how much of the fleet this node sees."""
+        return self._presence()
+
+    def send(self, address: str, message: QuotaMessage) -> None:
+        """Send a message to a node."""
+        self._send(address, message)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -0,0 +1,118 @@
+"""
+chalkyoke.node.pools
+
+The catalog as the pool schedulers and the gateway ask for it.
+"""
+
+from collections.abc import Callable
+
+from chalkyoke.catalog.resources import Catalog, Replica, Service
+from chalkyoke.catalog.state import CatalogState
+from chalkyoke.gateway.reception import BLOCK_TOKENS
+from chalkyoke.gateway.settings import SchedulingSection
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+
+CACHE_SHARE = 0.7
+LAST_RESORT_S = 1.2
+
+
+class DeclaredPools:
+    """The pools that the catalog declares, rebuilt when it changes.
+
+    :param guess: first guesses for engines that nothing is known of yet.
+    """
+
+    def __init__(self, guess: SchedulingSection) -> None:
+        self._guess = guess
+        self.pools: dict[str, PoolSpec] = {}
+
+    def rebuild(self, catalog: Catalog, replicas: dict[str, Replica]) -> None:
+        """Take a new catalog or other replicas."""
+        ranks = {route.rank for route in catalog.routes}
+        ranks |= {team.rank for team in catalog.teams.values() if team.rank is not None}
+        tiers = tuple(TierSpec(str(rank), rank) for rank in sorted(ranks))
+        teams = tuple(TeamSpec(name) for name in catalog.teams)
+        self.pools = {
+            service.name: self._pool(service, catalog, replicas, tiers, teams)
+            for service in catalog.services.values()
+            if service.is_engine
+        }
+
+    def _pool(
+        self,
+        service: Service,
+        catalog: Catalog,
+        replicas: dict[str, Replica],
+        tiers: tuple[TierSpec, ...],
+        teams: tuple[TeamSpec, ...],
+    ) -> PoolSpec:
+        mine = [each for each in replicas.values() if each.service == service.name]
+        names = frozenset(each.id for each in mine)
+        routes = tuple(
+            RouteSpec(route.name, names)
+            for route in catalog.routes
+            if any(target.service == service.name for target in route.targets)
+        )
+        upstreams = tuple(self._upstream(service, each) for each in mine)
+        return PoolSpec(service.name, upstreams, tiers, teams, routes)
+
+    def _upstream(self, service: Service, replica: Replica) -> UpstreamSpec:
+        guess = self._guess
+        return UpstreamSpec(
+            id=replica.id,
+            address=replica.address,
+            failure_domain=replica.failure_domain,
+            slots=replica.slots,
+            prefill_tokens_per_s=guess.prefill_tokens_per_s,
+            decode_tokens_per_s=1.0 / guess.token_s,
+            batch_slowdown=1.1,
+            cache_blocks=int(service.cache_tokens * CACHE_SHARE) // BLOCK_TOKENS,
+            leaving=replica.draining,
+            setup_s=guess.setup_s,
+            attention_s_per_pair=guess.attention_s_per_pair,
+        )
+
+
+class DeclaredReplicas:
+    """The replicas that may take new work, as the gateway asks for them.
+
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(self, state: CatalogState, now: Callable[[], float]) -> None:
+        self._state = state
+        self._now = now
+        self._by_service: dict[str, list[Replica]] = {}
+
+    def rebuild(self) -> None:
+        """Take other replicas."""
+        self._by_service = {}
+        for replica in self._state.replicas.values():
+            if not replica.draining:
+                self._by_service.setdefault(replica.service, []).append(replica)
+
+    def find(self, replica: str) -> Replica | None:
+        """Find a replica that takes new work."""
+        found = self._state.replicas.get(replica)
+        if found is not None:
+            return None if found.draining else found
+        return next((each for each in self._last_resort() if each.id == replica), None)
+
+    def of(self, service: str) -> list[Replica]:
+        """List a service's replicas that take new work.
+
+        Where all of them are gone from the list, those that went a moment ago are tried: they
+        serve on for a while, and a list that has lost all at once may be wrong.
+        """
+        found = self._by_service.get(service)
+        if found:
+            return found
+        return [each for each in self._last_resort() if each.service == service]
+
+    def _last_resort(self) -> list[Replica]:
+        since = self._now() - LAST_RESORT_S
+        return [
+            each.replica
+            for each in self._state.departed.values()
+            if each.since >= since and not each.replica.draining
+        ]
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -24,6 +24,7 @@
     RevisionAnswer,
     RevisionRequest,
 )
+from chalkyoke.discovery.host_list import HostListClient
 from chalkyoke.entry.acquirer import Acquirer
 from chalkyoke.entry.answers import serve_forward
 from chalkyoke.entry.dispatcher import Dispatcher
@@ -51,20 +52,20 @@
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.servers import HttpServer
-from chalkyoke.platform.hosts import HostListClient
-from chalkyoke.platform.store import StoreClient
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
     AdoptRequest,
     Grant,
     Progress,
+    Queued,
     Release,
     Shed,
     Withdraw,
 )
 from chalkyoke.scheduling.placement import Features
 from chalkyoke.settings import Settings
+from chalkyoke.storage.keyvalue import StoreClient
 from chalkyoke.tokens.codec import TokenCodec
 from chalkyoke.tokens.ledger import TokenLedger
 from chalkyoke.upstreams.client import UpstreamClient, make_session
@@ -87,6 +88,7 @@
     HostsAnswer,
     HostsRequest,
     Progress,
+    Queued,
     Release,
     RevisionAnswer,
     RevisionRequest,
@@ -362,7 +364,7 @@
                 self.links.send(send.address, send.message)
             if isinstance(message, Heartbeat):
                 self.configuration.heard(connection.peer_address, message.record)
-        elif isinstance(message, Grant | Shed):
+        elif isinstance(message, Grant | Queued | Shed):
             self.acquirer.receive(connection.peer, message)
         elif isinstance(message, AdoptRequest):
             self.acquirer.tell_running(message.pool, connection.peer)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -0,0 +1,51 @@
+"""
+chalkyoke.node.requestlog
+
+One line for each decision that touches a request, and the counters beside it.
+"""
+
+from collections.abc import Callable
+
+import logbook
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.gateway.reception import Admission
+from chalkyoke.logs import logger
+
+FAILURES = frozenset(("refused", "expired", "over_quota"))
+
+log = logger("request")
+
+
+class RequestLog:
+    """Write decisions on requests.
+
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(self, metrics: Metrics, now: Callable[[], float]) -> None:
+        self._metrics = metrics
+        self._now = now
+
+    def record(self, event: str, admission: Admission, **facts: object) -> None:
+        """Write one decision.
+
+        :param event: what was decided.
+        :param facts: what decided it, and the outcome.
+        """
+        tier = str(admission.rank)
+        self._metrics.count("requests", event=event, route=admission.service.name, tier=tier)
+        failed = event in FAILURES or facts.get("follows") in ("fail", "break_off", "pass_on")
+        level = logbook.NOTICE if failed else logbook.INFO
+        log.log(
+            level,
+            event,
+            request=admission.request_id,
+            route=admission.route.name,
+            service=admission.service.name,
+            tier=admission.rank,
+            team=admission.team.name if admission.team else "",
+            version=admission.version,
+            age_s=round(self._now() - admission.arrived, 4),
+            **facts,
+        )
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -5,7 +5,8 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Protocol
 
 import msgspec
 
@@ -13,7 +14,6 @@
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.fleet import FleetView
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -21,6 +21,7 @@
     EntryMessage,
     Grant,
     Progress,
+    Queued,
     Release,
     Shed,
 )
@@ -33,7 +34,15 @@
 
 log = logger("schedulers")
 
-Deliver = Callable[[str, Grant | Shed], None]
+Deliver = Callable[[str, Grant | Shed | Queued], None]
+
+
+class Pools(Protocol):
+    """The pools as configuration and discovery describe them together."""
+
+    @property
+    def pools(self) -> Mapping[str, PoolSpec]:
+        """The pools by name."""
 
 
 class SchedulerHost:
@@ -46,19 +55,22 @@
     :param now: seconds on the monotonic clock since this process started.
     :param source: random numbers in [0, 1).
     :param features: parts of the policy that are on; all where nothing is given.
+    :param acknowledge: whether entry processes are told at once that a request waits here.
     """
 
     def __init__(
         self,
         process: str,
         view: MembershipView,
-        fleet: Callable[[], FleetView],
+        fleet: Callable[[], Pools],
         send: Callable[[str, msgspec.Struct], None],
         events: EventRing,
         metrics: Metrics,
         now: Callable[[], float],
         source: Callable[[], float] = random.random,
         features: Features | None = None,
+        *,
+        acknowledge: bool = False,
     ) -> None:
         self.pools: dict[str, PoolScheduler] = {}
         self.deliver: Deliver | None = None
@@ -77,6 +89,7 @@
         self._disowned: dict[str, float] = {}
         self._random = source
         self._features = features
+        self._acknowledge = acknowledge
 
     # The port that the entry slice uses.
 
@@ -128,6 +141,8 @@
         now = self._now()
         if isinstance(message, Acquire):
             self.dispatch(scheduler.acquire(entry, domain, message, now))
+            if self._acknowledge and scheduler.is_waiting(message.request):
+                self._deliver(entry, Queued(message.request, message.attempt, message.pool))
         elif isinstance(message, Release):
             self.dispatch(scheduler.release(domain, message, now))
         elif isinstance(message, Progress):
@@ -168,16 +183,19 @@
                 self._metrics.count("scheduler_shed", reason=action.reason, pool=action.pool)
             else:
                 self._metrics.count("scheduler_granted", pool=action.pool)
-            if out.entry == self._process:
-                assert self.deliver is not None
-                self.deliver(self._process, action)
-                continue
-            address = self._address(out.entry)
-            if address is not None:
-                self._send(address, action)
+            self._deliver(out.entry, action)
 
     # Private.
 
+    def _deliver(self, entry: str, message: Grant | Shed | Queued) -> None:
+        if entry == self._process:
+            assert self.deliver is not None
+            self.deliver(self._process, message)
+            return
+        address = self._address(entry)
+        if address is not None:
+            self._send(address, message)
+
     def _scheduler(self, pool: str) -> PoolScheduler | None:
         found = self.pools.get(pool)
         if found is not None:
--- a/packages/chalkyoke/src/chalkyoke/platform/__init__.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/__init__.py
@@ -1,5 +1,6 @@
 """
 chalkyoke.platform
 
-Adapters for the platform's key-value service and host list.
+The users' platform: its names, formats and calls, and nothing that makes decisions. Only the
+start-up code imports this package.
 """
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -0,0 +1,181 @@
+"""
+chalkyoke.platform.documents
+
+The documents in the platform's store: the operators' configuration and the replicas' records.
+"""
+
+import msgspec
+from result import Err, Ok, Result
+
+from chalkyoke.catalog.resources import (
+    Catalog,
+    Replica,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    Target,
+    Team,
+)
+from chalkyoke.storage.messages import Item
+
+CONFIGURATION_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+REPLICAS_PREFIX = "servers/"
+DRAINING = "draining"
+TOKENS = "tokens"
+
+
+class _Struct(msgspec.Struct, rename=lambda name: name.replace("_", "-"), omit_defaults=True):
+    pass
+
+
+class _Target(_Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = RouteKind.NON_IDEMPOTENT
+    timeout_ms: float = 30_000
+    goal_ms: float = 1_000
+    gap_goal_ms: float = 0
+    priority: int = 0
+    service: str = ""
+    split: list[_Target] = []
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(_Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+    stride: int = 1
+
+
+class _Service(_Struct):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(_Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(_Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Configuration(_Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Server(_Struct):
+    service: str
+    addr: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+def read_catalog(document: bytes) -> Result[Catalog, str]:
+    """Read the operators' configuration.
+
+    :return: the catalog, or why it can't be read.
+    """
+    try:
+        found = msgspec.json.decode(document, type=_Configuration)
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    return Ok(
+        Catalog(
+            version=found.version,
+            routes=tuple(_route(each) for each in found.routes),
+            services={each.name: _service(each) for each in found.services},
+            teams={each.name: _team(each) for each in found.tenants or ()},
+            limits=RequestLimits(
+                found.limits.max_header_bytes,
+                found.limits.max_body_bytes,
+                found.limits.header_timeout_ms / 1000,
+                found.limits.idle_timeout_ms / 1000,
+            ),
+            keyed=found.tenants is not None,
+        )
+    )
+
+
+def read_replica(item: Item) -> Result[Replica, str]:
+    """Read one replica's record.
+
+    :return: the replica, or why it can't be read.
+    """
+    try:
+        found = msgspec.json.decode(item.value, type=_Server)
+        ip, _, port = found.addr.rpartition(":")
+        number = int(port)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Err(str(error))
+    return Ok(
+        Replica(
+            id=item.key.removeprefix(REPLICAS_PREFIX),
+            service=found.service,
+            ip=ip,
+            port=number,
+            failure_domain=found.zone,
+            slots=found.slots,
+            draining=found.state == DRAINING,
+        )
+    )
+
+
+def _route(each: _Route) -> Route:
+    targets = tuple(Target(part.service, part.weight) for part in each.split)
+    return Route(
+        name=each.name,
+        host=each.host,
+        prefix=each.path_prefix,
+        targets=targets or (Target(each.service, 1.0),),
+        kind=RouteKind(each.kind),
+        timeout_s=each.timeout_ms / 1000,
+        goal_s=each.goal_ms / 1000,
+        gap_goal_s=each.gap_goal_ms / 1000,
+        attempts=each.attempts,
+        rank=each.priority,
+        public=each.public,
+        resumable=each.resumable,
+    )
+
+
+def _service(each: _Service) -> Service:
+    engine = each.engine or _Engine(slots=0)
+    return Service(each.name, each.max_conns, engine.slots, engine.kv_capacity, engine.stride)
+
+
+def _team(each: _Tenant) -> Team:
+    return Team(
+        name=each.name,
+        keys=tuple(each.api_keys),
+        rank=each.priority,
+        rate_per_s=each.rate_per_s,
+        burst=each.burst,
+        by_tokens=each.unit == TOKENS,
+        plain_cost=each.plain_tokens if each.unit == TOKENS else 1.0,
+    )
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -0,0 +1,113 @@
+"""
+chalkyoke.platform.headers
+
+The platform's headers of requests and answers.
+"""
+
+from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
+from chalkyoke.http1.messages import Headers, end_to_end
+
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+CREDENTIAL = b"x-credential"
+MODEL = b"x-model"
+TOKEN_COUNT = b"x-token-count"
+PREFIX_HASH = b"x-prefix-hash"
+LAST_EVENT_ID = b"last-event-id"
+STAMP = b"x-server-stamp"
+NOT_RUN = b"x-not-run"
+LOAD = b"x-server-load"
+LENGTH_HINT = b"x-length-hint"
+
+OF_THE_REQUEST = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
+SET_BY_THE_SYSTEM = frozenset(
+    (
+        b"x-tenant",
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-deadline-ms",
+        b"x-credential",
+        b"x-pin-ms",
+        b"x-hold",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+
+
+class PlatformHeaders:
+    """The platform's headers, as :class:`chalkyoke.gateway.ports.HeaderFormat` asks for them."""
+
+    def read_request(self, headers: Headers) -> RequestFields:
+        """Read what a request says of itself."""
+        found = {name.lower(): value.decode("latin-1") for name, value in headers}
+        prompt, most = _numbers(found.get(TOKEN_COUNT, ""))
+        return RequestFields(
+            request_id=found.get(REQUEST_ID, ""),
+            deadline_s=_seconds(found.get(DEADLINE_MS, "")),
+            key=found.get(CREDENTIAL),
+            prompt_tokens=prompt,
+            most_output_tokens=most,
+            likely_output_tokens=_number(found.get(LENGTH_HINT, "")),
+            parts=_parts(found.get(PREFIX_HASH, "")),
+            last_event_id=found.get(LAST_EVENT_ID, ""),
+        )
+
+    def forward(self, headers: Headers, forwarding: Forwarding) -> Headers:
+        """Give the headers with which a request goes on to a replica."""
+        passed = end_to_end(headers, keep=OF_THE_REQUEST)
+        kept = [pair for pair in passed if pair[0].lower() not in SET_BY_THE_SYSTEM]
+        if forwarding.last_event_id:
+            kept = [pair for pair in kept if pair[0].lower() != LAST_EVENT_ID]
+            kept.append((b"Last-Event-Id", forwarding.last_event_id.encode()))
+        deadline_ms = max(1, int(forwarding.deadline_s * 1000))
+        kept.append((b"X-Deadline-Ms", b"%d" % deadline_ms))
+        kept.append((b"X-Expect-Instance", forwarding.replica.encode()))
+        if forwarding.team:
+            kept.append((b"X-Tenant", forwarding.team.encode()))
+        return kept
+
+    def read_answer(self, headers: Headers) -> AnswerFields:
+        """Read what an answer says of itself."""
+        found = {name.lower(): value for name, value in headers}
+        return AnswerFields(
+            request_id=found.get(REQUEST_ID, b"").decode("latin-1"),
+            stamped=STAMP in found,
+            not_run=NOT_RUN in found,
+            encoded=b"content-encoding" in found,
+            load=_load(found.get(LOAD)),
+        )
+
+
+def _seconds(text: str) -> float | None:
+    return int(text) / 1000 if text.isascii() and text.isdigit() else None
+
+
+def _number(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _numbers(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(",")
+    if first.strip().isdigit() and second.strip().isdigit():
+        return int(first), int(second)
+    return 0, 0
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for each in text.split(","):
+        name, _, tokens = each.partition(":")
+        try:
+            parts.append(PromptPart(int(name, 16), int(tokens)))
+        except ValueError:
+            return ()
+    return tuple(parts)
+
+
+def _load(value: bytes | None) -> Load | None:
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 3 or not all(each.strip().isdigit() for each in numbers):
+        return None
+    return Load(*(int(each) for each in numbers))
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -0,0 +1,33 @@
+"""
+chalkyoke.platform.start
+
+The platform's parts, for the start-up code.
+"""
+
+from chalkyoke.node.catalog import Keys
+from chalkyoke.node.gateway import PlatformParts
+from chalkyoke.platform.documents import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    REPLICAS_PREFIX,
+    read_catalog,
+    read_replica,
+)
+from chalkyoke.platform.headers import PlatformHeaders
+from chalkyoke.platform.store import PlatformStore
+
+NODES_PREFIX = "chalkyoke/nodes/"
+
+
+def platform_parts() -> PlatformParts:
+    """Give the platform's names, formats and calls.
+
+    :rtype: PlatformParts
+    """
+    return PlatformParts(
+        make_store=PlatformStore,
+        headers=PlatformHeaders(),
+        read_catalog=read_catalog,
+        read_replica=read_replica,
+        keys=Keys(CONFIGURATION_KEY, CONFIGURATION_PREFIX, REPLICAS_PREFIX, NODES_PREFIX),
+    )
--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -1,154 +1,176 @@
 """
 chalkyoke.platform.store
 
-The platform's key-value service, spoken to in the wire format of Consul's KV HTTP API
-(compare-and-swap by modify index, blocking queries). To change the format, change this file.
+The calls of the platform's metadata store.
 """
 
-import asyncio
-import json
-from collections.abc import Generator
-from typing import TypeVar
-
-import aiohttp
-from tenacity import (
-    AsyncRetrying,
-    RetryCallState,
-    retry_if_result,
-    stop_after_attempt,
-    wait_random_exponential,
-)
-
-from chalkyoke.administration.metrics import Metrics
-from chalkyoke.configuration.publisher import (
-    AnswerLost,
-    Found,
-    Get,
-    Mismatch,
-    Put,
-    StoreAnswer,
-    StoreCall,
+import base64
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from chalkyoke.http1.calls import CallAnswer, Caller, CallFailed
+from chalkyoke.storage.messages import (
+    Changes,
+    Conflict,
+    HistoryLost,
+    Item,
+    LeaseGone,
+    LeaseGranted,
+    Listing,
+    Removed,
     Unavailable,
     Written,
 )
 
 CALL_S = 2.0
-INDEX_HEADER = "X-Consul-Index"
-MIN_RETRY_S = 0.05
-MAX_RETRY_S = 1.0
-
-T = TypeVar("T")
-
-
-def _gave_up(_: RetryCallState) -> Unavailable:
-    return Unavailable()
-
-
-class StoreClient:
-    """Call the key-value service; every answer is a value, lost ones included.
-
-    :param url: base address of the service.
-    """
-
-    def __init__(self, session: aiohttp.ClientSession, url: str, metrics: Metrics) -> None:
-        self._session = session
-        self._url = url.rstrip("/")
-        self._metrics = metrics
+MAX_PAGES = 50
+OK, GONE, NOT_FOUND, CONFLICT = 200, 410, 404, 412
+NOTHING_DONE = (429, 503)
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class _Item(msgspec.Struct):
+    key: str
+    rev: int
+    value: str = ""
+    gone: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    at: int
+    more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _Revision(msgspec.Struct):
+    rev: int
+
+
+class _Lease(msgspec.Struct):
+    ttl_ms: float
+    lease: int = 0
+
+
+class PlatformStore:
+    """The store, as :class:`chalkyoke.storage.port.Store` asks for it."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+        self.calls: dict[str, int] = {}
+
+    async def read(self, prefix: str) -> Listing | Unavailable:
+        """Read all items under a prefix, page by page."""
+        items: list[Item] = []
+        at = 0
+        after = ""
+        for _ in range(MAX_PAGES):
+            target = f"/kv-range?path-prefix={quote(prefix)}"
+            target += f"&since-rev={quote(after)}" if after else ""
+            answer = await self._call(b"GET", target, None, CALL_S)
+            if isinstance(answer, Unavailable):
+                return answer
+            page = _decode(answer, _Range)
+            if isinstance(page, Unavailable):
+                return page
+            at = at or page.at
+            items += [_item(each) for each in page.items]
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        return Listing(tuple(items), at)
+
+    async def watch(
+        self, prefix: str, since: int, wait_s: float
+    ) -> Changes | HistoryLost | Unavailable:
+        """Wait for changes under a prefix."""
+        wait_ms = int(wait_s * 1000)
+        target = f"/kv-watch?path-prefix={quote(prefix)}&since-rev={since}&wait-ms={wait_ms}"
+        answer = await self._call(b"GET", target, None, CALL_S + wait_s)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == GONE:
+            return HistoryLost()
+        found = _decode(answer, _Events)
+        if isinstance(found, Unavailable):
+            return found
+        changes = tuple(
+            Removed(each.key, each.rev) if each.gone else _item(each) for each in found.events
+        )
+        return Changes(changes, found.at)
+
+    async def write(
+        self, key: str, value: bytes, *, lease: int = 0, expected: int | None = None
+    ) -> Written | Conflict | LeaseGone | Unavailable:
+        """Write one key in a transaction of its own."""
+        conditions = [] if expected is None else [{"key": key, "rev": expected}]
+        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        body = {"expect-rev": conditions, "put": [put], "delete": []}
+        answer = await self._call(b"POST", "/kv-txn", body, CALL_S)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == CONFLICT:
+            return Conflict()
+        if answer.status == NOT_FOUND:
+            return LeaseGone()
+        done = _decode(answer, _Revision)
+        return done if isinstance(done, Unavailable) else Written(done.rev)
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
+        """Begin a lease."""
+        answer = await self._call(b"POST", "/kv-lease", {"ttl_ms": int(ttl_s * 1000)}, CALL_S)
+        if isinstance(answer, Unavailable):
+            return answer
+        lease = _decode(answer, _Lease)
+        if isinstance(lease, Unavailable):
+            return lease
+        return LeaseGranted(lease.lease, lease.ttl_ms / 1000)
+
+    async def renew_lease(self, lease: int) -> LeaseGranted | LeaseGone | Unavailable:
+        """Renew a lease."""
+        answer = await self._call(b"POST", f"/kv-keep/{lease}", None, CALL_S)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == NOT_FOUND:
+            return LeaseGone()
+        renewed = _decode(answer, _Lease)
+        if isinstance(renewed, Unavailable):
+            return renewed
+        return LeaseGranted(lease, renewed.ttl_ms / 1000)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease."""
+        await self._call(b"DELETE", f"/kv-lease-end/{lease}", None, CALL_S)
+
+    async def _call(
+        self, method: bytes, target: str, body: dict[str, Any] | None, timeout_s: float
+    ) -> CallAnswer | Unavailable:
+        kind = target.split("?")[0].split("/")[1]
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        encoded = None if body is None else msgspec.json.encode(body)
+        answer = await self._caller.call(method, target.encode(), encoded, timeout_s)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason, answer.sent)
+        if answer.status in NOTHING_DONE:
+            return Unavailable(str(answer.status), may_be_done=False)
+        return answer
 
-    async def call(self, call: StoreCall) -> StoreAnswer:
-        """Make one call, without a retry.
 
-        :rtype: StoreAnswer
-        """
-        if isinstance(call, Get):
-            return await self._get(call.key)
-        return await self._put(call)
+def _item(each: _Item) -> Item:
+    return Item(each.key, base64.b64decode(each.value), each.rev)
 
-    async def get(self, key: str) -> Found | Unavailable:
-        """Read a value, with a few retries.
 
-        :rtype: Found or Unavailable
-        """
-        retrying = AsyncRetrying(
-            stop=stop_after_attempt(3),
-            wait=wait_random_exponential(MIN_RETRY_S, MAX_RETRY_S),
-            retry=retry_if_result(lambda answer: isinstance(answer, Unavailable)),
-            retry_error_callback=_gave_up,
-        )
-        answer: Found | Unavailable = await retrying(self._get, key)
-        return answer
-
-    async def watch(self, key: str, version: int, wait_s: float) -> Found | Unavailable:
-        """Wait until a key's version is another; one call on the service.
-
-        :param wait_s: after so many seconds the value is returned as it is.
-        :rtype: Found or Unavailable
-        """
-        params = {"raw": "", "index": str(version), "wait": f"{wait_s:.1f}s"}
-        return await self._get(key, params, "watch", CALL_S + wait_s)
-
-    async def drive(self, machine: Generator[StoreCall, StoreAnswer, T]) -> T:
-        """Run a machine that asks for store calls, with a pause after each bad answer.
-
-        :return: what the machine returns.
-        """
-        failures = 0
-        try:
-            call = next(machine)
-            while True:
-                answer = await self.call(call)
-                bad = isinstance(answer, Unavailable | AnswerLost)
-                failures = failures + 1 if bad else 0
-                if bad:
-                    await asyncio.sleep(min(MAX_RETRY_S, MIN_RETRY_S * 2 ** min(failures, 5)))
-                call = machine.send(answer)
-        except StopIteration as stop:
-            value: T = stop.value
-            return value
-
-    async def _get(
-        self,
-        key: str,
-        params: dict[str, str] | None = None,
-        kind: str = "get",
-        timeout_s: float = CALL_S,
-    ) -> Found | Unavailable:
-        self._metrics.count("store_calls", kind=kind)
-        try:
-            async with self._session.get(
-                f"{self._url}/v1/kv/{key}",
-                params=params or {"raw": ""},
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                if response.status == 404:
-                    return Found(None, 0)
-                if response.status != 200:
-                    return self._bad(kind, Unavailable())
-                return Found(await response.read(), int(response.headers[INDEX_HEADER]))
-        except (aiohttp.ClientError, TimeoutError, KeyError, ValueError, OSError):
-            return self._bad(kind, Unavailable())
-
-    async def _put(self, call: Put) -> Written | Mismatch | Unavailable | AnswerLost:
-        self._metrics.count("store_calls", kind="put")
-        try:
-            async with self._session.put(
-                f"{self._url}/v1/kv/{call.key}",
-                params={"cas": str(call.expected)},
-                data=call.value,
-                timeout=aiohttp.ClientTimeout(total=CALL_S),
-            ) as response:
-                if response.status in (429, 503):
-                    return self._bad("put", Unavailable())
-                if response.status != 200:
-                    return self._bad("put", AnswerLost())
-                if json.loads(await response.read()):
-                    return Written(int(response.headers.get(INDEX_HEADER, "0")))
-                return Mismatch()
-        except aiohttp.ClientConnectorError:
-            return self._bad("put", Unavailable())
-        except (aiohttp.ClientError, TimeoutError, ValueError, OSError):
-            return self._bad("put", AnswerLost())
-
-    def _bad(self, kind: str, answer: T) -> T:
-        self._metrics.count("store_failures", kind=kind)
-        return answer
+def _decode(answer: CallAnswer, kind: type[T]) -> T | Unavailable:
+    if answer.status != OK:
+        return Unavailable(str(answer.status), may_be_done=True)
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        return Unavailable(f"unreadable answer: {error}", may_be_done=True)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -0,0 +1,144 @@
+"""
+chalkyoke.quotas.client
+
+Ask for quota: from this node's lease, from the team's home, and from this node's own share when
+the home is silent.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from chalkyoke.catalog.resources import Team
+from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.messages import QuotaGrant, QuotaMessage, QuotaRequest
+from chalkyoke.quotas.wallet import QuotaWallet
+
+ANSWER_S = 0.03
+AVOID_S = 0.3
+ALONE_RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """Whether a request is within its team's quota.
+
+    :param retry_after_s: when to come back, where it is not.
+    """
+
+    passed: bool
+    retry_after_s: float = 0.0
+
+
+class Charged(Protocol):
+    """What is charged to a team: a request with its cost."""
+
+    @property
+    def team(self) -> Team | None:
+        """The team, if the request has one."""
+
+    @property
+    def cost(self) -> float:
+        """What the request counts."""
+
+    @property
+    def version(self) -> int:
+        """The version of the catalog that judged it."""
+
+
+class HomePort(Protocol):
+    """Who is a team's home, and the way there."""
+
+    def home(self, team: str) -> str | None:
+        """Give the link address of a team's home; nothing where it is this node."""
+
+    def presence(self) -> Presence:
+        """Tell how much of the fleet this node sees."""
+
+    def send(self, address: str, message: QuotaMessage) -> None:
+        """Send a message to a node."""
+
+
+class QuotaClient:
+    """Take cost for requests.
+
+    :param now: the node's clock, in seconds.
+    :param teams: finds a team by its name.
+    """
+
+    def __init__(
+        self,
+        wallet: QuotaWallet,
+        home: QuotaHome,
+        port: HomePort,
+        teams: Callable[[str], Team | None],
+        now: Callable[[], float],
+    ) -> None:
+        self._wallet = wallet
+        self._home = home
+        self._port = port
+        self._teams = teams
+        self._now = now
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[QuotaGrant]] = {}
+        self._avoid: dict[str, float] = {}
+
+    async def take(self, charged: Charged) -> Passed:
+        """Take the cost of a request from its team's quota.
+
+        :rtype: Passed
+        """
+        team = charged.team
+        if team is None or team.rate_per_s <= 0:
+            return Passed(True)
+        if self._wallet.spend(team, charged.cost, charged.version, self._now()):
+            return Passed(True)
+        grant = await self._ask(team, charged.cost, charged.version)
+        if grant is None:
+            alone = self._wallet.spend_alone(team, charged.cost, self._now())
+            return Passed(alone, ALONE_RETRY_S)
+        passed = self._wallet.take(grant, charged.cost, self._now())
+        return Passed(passed, grant.retry_after_s)
+
+    async def _ask(self, team: Team, cost: float, version: int) -> QuotaGrant | None:
+        """Ask the home; nothing where it is silent."""
+        number = next(self._numbers)
+        message = QuotaRequest(team.name, number, cost, self._wallet.ahead(team), version)
+        address = self._port.home(team.name)
+        if address is None:
+            return self._home.ask(team, message, self._port.presence(), self._now())
+        if self._avoid.get(address, 0.0) > self._now():
+            return None
+        future: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self._port.send(address, message)
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await future
+        except TimeoutError:
+            self._avoid[address] = self._now() + AVOID_S
+            return None
+        finally:
+            del self._waiting[number]
+
+    def receive(self, sender: str, message: QuotaMessage) -> None:
+        """Take a question or an answer of another node.
+
+        :param sender: its link address.
+        """
+        if isinstance(message, QuotaGrant):
+            future = self._waiting.get(message.number)
+            if future is not None and not future.done():
+                future.set_result(message)
+            return
+        team = self._teams(message.team)
+        if team is None or team.rate_per_s <= 0:
+            return
+        grant = self._home.ask(team, message, self._port.presence(), self._now())
+        self._port.send(sender, grant)
+
+    def keep_house(self) -> None:
+        """Drop the buckets of teams whose home is elsewhere; call about once a second."""
+        self._home.forget_others(lambda team: self._port.home(team) is None)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -0,0 +1,40 @@
+"""
+chalkyoke.quotas.messages
+
+What nodes and the home of a team's quota say to each other.
+"""
+
+import msgspec
+
+
+class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota_request"):
+    """Ask the home of a team for some cost.
+
+    :param number: names the question; the answer has the same.
+    :param need: cost of the request that waits for it.
+    :param ahead: cost that is welcome on top, for the next requests.
+    :param version: configuration version by which the asking node judges.
+    """
+
+    team: str
+    number: int
+    need: float
+    ahead: float
+    version: int
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota_grant"):
+    """Lease some cost; 0 is a refusal.
+
+    :param retry_after_s: when to come back after a refusal.
+    :param valid_s: how long what is left of the lease may be spent.
+    """
+
+    team: str
+    number: int
+    amount: float
+    retry_after_s: float
+    valid_s: float
+
+
+QuotaMessage = QuotaRequest | QuotaGrant
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
@@ -0,0 +1,104 @@
+"""
+chalkyoke.quotas.wallet
+
+A node's side of quotas: what it has leased and not spent, and a small share of its own for when
+no home answers.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chalkyoke.catalog.resources import Team
+from chalkyoke.quotas.bucket import Bucket, QuotaLimits
+from chalkyoke.quotas.messages import QuotaGrant
+
+AHEAD_S = 0.4
+DEMAND_MEMORY_S = 2.0
+ALONE_ALLOWANCE = 0.3
+
+
+@dataclass(slots=True)
+class _Purse:
+    balance: float = 0.0
+    until: float = 0.0
+    demand_per_s: float = 0.0
+    demand_at: float = 0.0
+    version: int = 0
+
+
+class QuotaWallet:
+    """Spend leased cost.
+
+    :param limits: the strictness of quotas.
+    :param nodes: gives the number of nodes that there may be.
+    """
+
+    def __init__(self, limits: QuotaLimits, nodes: Callable[[], int]) -> None:
+        self.limits = limits
+        self._nodes = nodes
+        self._purses: dict[str, _Purse] = {}
+        self._alone: dict[str, Bucket] = {}
+
+    def spend(self, team: Team, cost: float, version: int, now: float) -> bool:
+        """Spend cost from the lease, if it is enough.
+
+        :param version: configuration version; a lease of an older one is dropped.
+        :rtype: bool
+        """
+        purse = self._purse(team.name)
+        self._note_demand(purse, cost, now)
+        if purse.version != version:
+            purse.balance, purse.version = 0.0, version
+        if now >= purse.until or purse.balance < cost:
+            return False
+        purse.balance -= cost
+        return True
+
+    def ahead(self, team: Team) -> float:
+        """Tell how much cost is worth leasing ahead.
+
+        :rtype: float
+        """
+        return self._purse(team.name).demand_per_s * AHEAD_S
+
+    def take(self, grant: QuotaGrant, cost: float, now: float) -> bool:
+        """Take a lease, and spend the cost of the request that asked for it.
+
+        :return: whether the request may pass.
+        """
+        purse = self._purse(grant.team)
+        if grant.amount <= 0:
+            return False
+        if now >= purse.until:
+            purse.balance = 0.0
+        purse.balance += grant.amount
+        purse.until = now + grant.valid_s
+        if purse.balance < cost:
+            return False
+        purse.balance -= cost
+        return True
+
+    def spend_alone(self, team: Team, cost: float, now: float) -> bool:
+        """Spend from this node's own share, while no home answers.
+
+        :rtype: bool
+        """
+        nodes = max(1, self._nodes())
+        allowance = self.limits.allowance(team.rate_per_s, team.burst)
+        rate = team.rate_per_s / nodes
+        capacity = (team.burst + ALONE_ALLOWANCE * allowance) / nodes
+        bucket = self._alone.get(team.name)
+        if bucket is None:
+            bucket = self._alone[team.name] = Bucket(rate, capacity, capacity, now)
+        elif (bucket.rate_per_s, bucket.capacity) != (rate, capacity):
+            bucket.reshape(rate, capacity, now)
+        return bucket.take(cost, 0.0, now) > 0
+
+    def _purse(self, name: str) -> _Purse:
+        return self._purses.setdefault(name, _Purse())
+
+    def _note_demand(self, purse: _Purse, cost: float, now: float) -> None:
+        elapsed = now - purse.demand_at
+        decay = max(0.0, 1.0 - elapsed / DEMAND_MEMORY_S)
+        purse.demand_per_s = purse.demand_per_s * decay + cost / DEMAND_MEMORY_S
+        purse.demand_at = now
--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -11,6 +11,7 @@
 SPEED_GAIN = 0.4
 FULL_SAMPLE_TOKENS = 40.0
 PREFILL_GAIN = 0.15
+FIRST_PREFILL_GAIN = 0.6
 MAX_STEP = 3.0
 MIN_FACTOR = 0.05
 MAX_FACTOR = 200.0
@@ -41,9 +42,20 @@
     :param decode_tokens_per_s: first guess for a single stream.
     :param batch_slowdown: how many times slower one stream is when all slots run.
     :param slots: streams at most.
+    :param setup_s: first guess of what a request takes besides its tokens, in seconds.
+    :param attention_s_per_pair: first guess of what each pair of prompt tokens takes, in seconds.
     """
 
-    __slots__ = ("_base", "_prefill", "_slope", "decode_factor", "prefill_factor")
+    __slots__ = (
+        "_attention",
+        "_base",
+        "_firsts",
+        "_prefill",
+        "_setup",
+        "_slope",
+        "decode_factor",
+        "prefill_factor",
+    )
 
     def __init__(
         self,
@@ -51,7 +63,12 @@
         decode_tokens_per_s: float,
         batch_slowdown: float,
         slots: int,
+        setup_s: float = 0.0,
+        attention_s_per_pair: float = 0.0,
     ) -> None:
+        self._setup = setup_s
+        self._attention = attention_s_per_pair
+        self._firsts = 0
         self._prefill = 1.0 / prefill_tokens_per_s
         self._base = 1.0 / decode_tokens_per_s
         self._slope = (batch_slowdown - 1.0) / max(1, slots - 1)
@@ -73,6 +90,16 @@
         """
         return tokens * self._prefill * self.prefill_factor
 
+    def first_time(self, tokens: float, before: float) -> float:
+        """Predict the time until the first output token.
+
+        :param tokens: prompt tokens to read.
+        :param before: prompt tokens of other requests that are read first.
+        :return: seconds.
+        """
+        attention = self._attention * tokens * tokens * self.prefill_factor
+        return self._setup * self.prefill_factor + attention + self.prefill_time(tokens + before)
+
     def learn_tokens(self, tokens: int, seconds: float, streams: int) -> None:
         """Learn from output tokens that came.
 
@@ -102,7 +129,9 @@
         if expected_s <= 0 or observed_s <= 0:
             return
         ratio = _clamp(observed_s / expected_s, 1 / MAX_STEP, MAX_STEP)
-        factor = self.prefill_factor * ratio**PREFILL_GAIN
+        self._firsts += 1
+        gain = max(PREFILL_GAIN, FIRST_PREFILL_GAIN / self._firsts)
+        factor = self.prefill_factor * ratio**gain
         self.prefill_factor = _clamp(factor, MIN_FACTOR, MAX_FACTOR)
 
     def _scale_decode(self, ratio: float, gain: float) -> None:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from chalkyoke.scheduling.placement import Prediction, predict
+from chalkyoke.scheduling.placement import Prediction, missed_by, predict
 from chalkyoke.scheduling.state import Upstream, Waiting
 
 MAX_LOOKAHEAD = 4000
@@ -20,10 +20,12 @@
     """A waiting request that is predicted to miss its deadline.
 
     :param late_s: by how much, in seconds.
+    :param hopeless: whether nobody would wait for it any more.
     """
 
     item: Waiting
     late_s: float
+    hopeless: bool = True
 
 
 class SlotForecast:
@@ -96,13 +98,16 @@
 
         upstream, start = found
         prediction = predict(item, upstream, 0, upstream.spec.slots, now)
-        if start + prediction.cautious_s > item.deadline:
+        if missed_by(item, start, prediction) > 0:
             upstream, start, prediction = _earliest_finish(item, upstreams, forecast, now)
-        missed = start + prediction.cautious_s - item.deadline
+        missed = missed_by(item, start, prediction)
         if missed <= 0 or (start <= now and _could_start(item, upstream, now)):
             forecast.take(upstream, prediction.finish_s)
         else:
-            late.append(Late(item, missed))
+            hopeless = not item.has_goal or start + prediction.first_s > item.deadline
+            late.append(Late(item, missed, hopeless))
+            if not hopeless:
+                forecast.take(upstream, prediction.finish_s)
     return late
 
 
@@ -113,7 +118,7 @@
     for upstream in upstreams:
         start = forecast.start(upstream)
         prediction = predict(item, upstream, 0, upstream.spec.slots, now)
-        finish = start + prediction.cautious_s
+        finish = missed_by(item, start, prediction)
         if best is None or finish < best[0]:
             best = (finish, upstream, start, prediction)
     assert best is not None
@@ -122,7 +127,8 @@
 
 def _could_start(item: Waiting, upstream: Upstream, now: float) -> bool:
     """Tell whether a free slot is there and the deadline can be met with luck."""
-    optimistic = predict(item, upstream, 0, upstream.occupied(now) + 1, now).optimistic_s
+    prediction = predict(item, upstream, 0, upstream.occupied(now) + 1, now)
+    optimistic = prediction.first_s if item.has_goal else prediction.optimistic_s
     return upstream.has_slot(now) and now + optimistic <= item.deadline
 
 
@@ -133,10 +139,12 @@
 
     A request may go only when no lower tier has anything left waiting for the same upstreams.
 
+    :param late: what is predicted to be late; what somebody would still wait for is kept.
     :param waiting: all waiting requests.
     :param overlaps: pairs of routes that share an upstream.
     :return: what may be shed, lowest tier first.
     """
+    late = [entry for entry in late if entry.hopeless]
     gone = {id(entry.item) for entry in late}
     left: dict[str, int] = {}
     for item in waiting:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -14,6 +14,12 @@
 FAILURES_TO_SUSPEND = 3
 BACKOFF_S = 0.5
 MAX_BACKOFF_S = 30.0
+HINT_SPREAD = 3.0
+
+
+def _around(tokens: int) -> OutputEstimate:
+    """Take a caller's own estimate: right at the median, often far off."""
+    return OutputEstimate(tokens, tokens / HINT_SPREAD, tokens * HINT_SPREAD)
 
 
 class Learner:
@@ -32,6 +38,8 @@
 
         :rtype: OutputEstimate
         """
+        if message.likely_output:
+            return _around(message.likely_output).capped(message.max_output)
         if self._features.learn:
             return self.outputs.predict(message.route, message.team, message.max_output)
         most = float(message.max_output)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -18,6 +18,10 @@
     :param blocks: chained hashes of the prompt's leading blocks.
     :param budget_s: time left until the deadline.
     :param waited_s: time since the request arrived at its entry host.
+    :param goal_s: time left in which the first output is due; 0 where the whole answer is due by
+        the deadline. With a goal, the deadline is the moment by which the first output must have
+        come for the caller to be still there.
+    :param likely_output: the caller's own estimate of its output, in tokens; 0 where it gives none.
     """
 
     request: str
@@ -31,6 +35,16 @@
     blocks: tuple[int, ...]
     budget_s: float
     waited_s: float
+    goal_s: float = 0.0
+    likely_output: int = 0
+
+
+class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
+    """Tell an entry process that its request waits here, so that it need not ask elsewhere."""
+
+    request: str
+    attempt: int
+    pool: str
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -16,6 +16,7 @@
 MOST_HELD_FOR = 8
 CONNECT_S = 0.002
 MARGIN_SHARE = 0.2
+MISSED_GOAL = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,8 @@
     :param fair: fair shares among teams; else earliest deadline over all teams.
     :param guard: do not start what would make running requests late.
     :param predict: place by predicted finish; else by the fewest running.
+    :param late_last: what would be late waits for all that would not, whatever its tier; else for
+        its own tier only.
     """
 
     hold: bool = True
@@ -69,6 +72,7 @@
     fair: bool = True
     predict: bool = True
     guard: bool = True
+    late_last: bool = True
 
 
 def prompt_left(item: Waiting, cached_blocks: int) -> int:
@@ -96,7 +100,7 @@
     speed = upstream.speed
     left = prompt_left(item, cached_blocks)
     backlog, moving = upstream.outlook(now)
-    first = CONNECT_S + speed.prefill_time(left + backlog)
+    first = CONNECT_S + speed.first_time(left, backlog)
     token = speed.token_time(streams) / moving
     output = item.output
     margin = (output.cautious - output.median) * token
@@ -111,9 +115,21 @@
     :return: seconds, with the optimistic output.
     """
     speed = upstream.speed
-    return speed.prefill_time(
-        prompt_left(item, cached_blocks)
-    ) + item.output.optimistic * speed.token_time(1)
+    first = speed.first_time(prompt_left(item, cached_blocks), 0)
+    if item.has_goal:
+        return first
+    return first + item.output.optimistic * speed.token_time(1)
+
+
+def missed_by(item: Waiting, start: float, prediction: Prediction) -> float:
+    """Predict by how much a request would miss what is due, if it started at a moment.
+
+    :param start: on the scheduler's clock, in seconds.
+    :return: seconds; negative where it would be in time.
+    """
+    if item.has_goal:
+        return start + prediction.first_s - item.goal
+    return start + prediction.cautious_s - item.deadline
 
 
 def next_slot(upstream: Upstream, now: float, ahead: int) -> float:
@@ -156,7 +172,7 @@
             busy.append(upstream)
             continue
         prediction = predict(item, upstream, cached, occupied + 1, now)
-        score = prediction.finish_s if features.predict else float(occupied)
+        score = _score(item, prediction, now) if features.predict else float(occupied)
         if best is None or score < best[0]:
             best = (score, upstream, prediction)
 
@@ -165,12 +181,24 @@
 
     _, upstream, prediction = best
     if features.hold and features.predict:
-        better = _worth_waiting_for(item, busy, depths, held, prediction, now)
+        in_time = item.has_goal and missed_by(item, now, prediction) <= 0
+        better = None if in_time else _worth_waiting_for(item, busy, depths, held, prediction, now)
         if better is not None:
             return Choice(None, prediction, held_for=better)
     return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
 
 
+def _score(item: Waiting, prediction: Prediction, now: float) -> float:
+    """Score an upstream for a request; the least is the best.
+
+    With a goal, an upstream that meets it goes before each that does not.
+    """
+    if not item.has_goal:
+        return prediction.finish_s
+    missed = missed_by(item, now, prediction)
+    return prediction.finish_s if missed <= 0 else MISSED_GOAL + missed
+
+
 def _would_harm(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> bool:
     """Tell whether reading the prompt would make a running request of its tier or higher late."""
     if not upstream.running:
@@ -191,7 +219,8 @@
 
     Only the :data:`MOST_HELD_FOR` that get free soonest are looked at, to bound a decision's time.
     """
-    limit = free.finish_s * (1.0 - HOLD_MARGIN) - HOLD_MARGIN_S
+    reached = free.first_s if item.has_goal else free.finish_s
+    limit = reached * (1.0 - HOLD_MARGIN) - HOLD_MARGIN_S
     waits = [
         (next_slot(upstream, now, held.get(upstream.spec.id, 0)), index)
         for index, upstream in enumerate(busy)
@@ -202,7 +231,8 @@
             break
         upstream = busy[index]
         cached = depths.get(upstream.spec.id, 0)
-        finish = wait + predict(item, upstream, cached, upstream.spec.slots, now).finish_s
+        then = predict(item, upstream, cached, upstream.spec.slots, now)
+        finish = wait + (then.first_s if item.has_goal else then.finish_s)
         if finish < limit and (best is None or finish < best[0]):
             best = (finish, upstream)
     return best[1] if best is not None else None
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -159,6 +159,8 @@
                     spec.decode_tokens_per_s,
                     spec.batch_slowdown,
                     spec.slots,
+                    spec.setup_s,
+                    spec.attention_s_per_pair,
                 )
                 self.upstreams[spec.id] = Upstream(spec, speed)
             else:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -29,11 +29,11 @@
 
     def push(self, item: Waiting) -> None:
         """Add a request."""
-        insort(self._items, (item.late, item.deadline, item.order, item))
+        insort(self._items, (item.late, item.due, item.order, item))
 
     def discard(self, item: Waiting) -> None:
         """Take a request out."""
-        del self._items[bisect_left(self._items, (item.late, item.deadline, item.order))]
+        del self._items[bisect_left(self._items, (item.late, item.due, item.order))]
 
     def front(self) -> list[Waiting]:
         """List a few requests from the front; the first has the earliest deadline.
@@ -145,7 +145,7 @@
         return iter(
             sorted(
                 self._queues.values(),
-                key=lambda each: (each.front()[0].deadline, each.name, each.route),
+                key=lambda each: (each.front()[0].due, each.name, each.route),
             )
         )
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 decides quality only; that a request runs at most once is kept by its entry process.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from chalkyoke.invariants import require
@@ -103,6 +104,13 @@
         """The upstreams as seen now, by id."""
         return self._pool.upstreams
 
+    def is_waiting(self, request: str) -> bool:
+        """Tell whether a request waits here.
+
+        :rtype: bool
+        """
+        return request in self._pool.waiting
+
     def waiting_items(self) -> list[Waiting]:
         """List what waits, in no order.
 
@@ -286,6 +294,7 @@
             deadline=now + message.budget_s,
             order=self._order,
             output=output,
+            goal=now + message.goal_s if message.goal_s else math.inf,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
 
@@ -299,14 +308,19 @@
         if not self._pool.any_slot(now):
             return outs
         held: dict[str, int] = {}
-        queues = [self._pool.queues[rank] for rank in sorted(self._pool.queues)]
-        for late in (False, True):
-            for queue in queues:
-                wanted = queue.late if late else queue.live > queue.late
-                if wanted and not self._decide_tier(queue, late, held, now, outs):
-                    return outs
+        for queue, late in self._passes():
+            wanted = queue.late if late else queue.live > queue.late
+            if wanted and not self._decide_tier(queue, late, held, now, outs):
+                return outs
         return outs
 
+    def _passes(self) -> list[tuple[TierQueue, bool]]:
+        """List tiers, highest first, each with what is in time and with what would be late."""
+        queues = [self._pool.queues[rank] for rank in sorted(self._pool.queues)]
+        if self.features.late_last:
+            return [(queue, late) for late in (False, True) for queue in queues]
+        return [(queue, late) for queue in queues for late in (False, True)]
+
     def _settled(self, now: float) -> bool:
         if self._unsettled and now < self._settle_at:
             return False
@@ -371,6 +385,8 @@
         """Tell whether to start a request that may be cut at its deadline."""
         prediction = choice.prediction
         assert prediction is not None
+        if item.has_goal:
+            return now + prediction.first_s <= item.deadline
         if now + prediction.cautious_s <= item.deadline:
             return True
         if now + prediction.optimistic_s > item.deadline:
@@ -405,7 +421,7 @@
             expected_output=item.output.median,
             work=work,
             granted=now,
-            deadline=item.deadline,
+            deadline=math.inf if item.has_goal else item.deadline,
             expected_finish=now + prediction.finish_s,
             prefill_left=left,
             expected_first_s=prediction.first_s,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -36,6 +36,9 @@
     :param decode_tokens_per_s: first guess for a single stream.
     :param batch_slowdown: first guess: how many times slower a stream is when all slots run.
     :param cache_blocks: prompt blocks that its prefix cache holds.
+    :param setup_s: first guess of what a request takes besides its tokens.
+    :param attention_s_per_pair: first guess of what each pair of prompt tokens takes; it makes long
+        prompts dearer than in proportion.
     """
 
     id: str
@@ -47,6 +50,8 @@
     batch_slowdown: float = 1.5
     cache_blocks: int = 0
     leaving: bool = False
+    setup_s: float = 0.0
+    attention_s_per_pair: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +108,8 @@
     :param work: seconds that it is expected to take on a typical upstream; its fair-share cost.
     :ivar least_s: the least time that it could take on an idle upstream, as last worked out.
     :ivar late: whether it is predicted to miss its deadline; such a request is tried last.
+    :param goal: when the first output is due, on the scheduler's own clock; infinite where the
+        whole answer is due by the deadline.
     """
 
     request: str
@@ -121,6 +128,17 @@
     work: float
     least_s: float = 0.0
     late: bool = False
+    goal: float = math.inf
+
+    @property
+    def has_goal(self) -> bool:
+        """Whether the first output is due by a time of its own."""
+        return self.goal < math.inf
+
+    @property
+    def due(self) -> float:
+        """When it should be done: the first output where it has a goal, else the whole."""
+        return min(self.goal, self.deadline)
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/storage/messages.py
@@ -0,0 +1,81 @@
+"""
+chalkyoke.storage.messages
+
+What a store with revisions, conditional writes, watches and leases is asked and answers. Every
+answer is a value, those that were lost included.
+"""
+
+import msgspec
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """One key as it was last written.
+
+    :param revision: the store's revision of that write.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Removed(msgspec.Struct, frozen=True, array_like=True):
+    """A key that is gone since a revision."""
+
+    key: str
+    revision: int
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All items under a prefix; pages of it may stem from different moments.
+
+    :param at: the store's revision when the listing began.
+    """
+
+    items: tuple[Item, ...]
+    at: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What has changed since a revision, and the revision up to which this is complete."""
+
+    changes: tuple[Item | Removed, ...]
+    at: int
+
+
+class HistoryLost(msgspec.Struct, frozen=True):
+    """The store no longer knows what has changed since a revision."""
+
+
+class Written(msgspec.Struct, frozen=True):
+    """A write was done."""
+
+    revision: int
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A condition did not hold; nothing was written."""
+
+
+class LeaseGone(msgspec.Struct, frozen=True):
+    """There is no such lease; nothing was written."""
+
+
+class LeaseGranted(msgspec.Struct, frozen=True):
+    """A lease runs from the arrival of the call.
+
+    :param ttl_s: seconds for which it holds without a renewal.
+    """
+
+    lease: int
+    ttl_s: float
+
+
+class Unavailable(msgspec.Struct, frozen=True):
+    """No answer that can be used.
+
+    :param may_be_done: whether a write may have been carried out, or may be yet.
+    """
+
+    reason: str
+    may_be_done: bool
