Keep headroom for higher tiers; refuse early what would wait beyond its goal

Cause: long chats of the lowest tier held all slots of the slow replicas, so claim matches waited 66 ms at the median and 0.3 s at the 90th percentile. Ruled out: prediction error. Change: long work of lower tiers leaves slots free and takes the slowest replica that meets its goal; what would wait beyond its goal is refused at arrival.

--- a/packages/chalkyoke/src/chalkyoke/catalog/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/resources.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-
 ROUTE_RANKS = 100
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -97,7 +97,7 @@
     SummaryRequest,
     Withdraw,
 )
-POOL_FEATURES = Features(late_last=False)
+POOL_FEATURES = Features(late_last=False, headroom=True, early=True)
 
 log = logger("node")
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
@@ -0,0 +1,70 @@
+"""
+chalkyoke.scheduling.headroom
+
+Keep a few slots free of long work of lower tiers. A slot that a long stream holds is lost to higher
+tiers for seconds, while they are due within a fraction of one; so long work of a lower tier starts
+only where more slots are free than the higher tiers usually swing by.
+"""
+
+import math
+from collections.abc import Iterable
+
+MEMORY_S = 3.0
+SWING = 1.0
+LONG_S = 0.6
+RATE_MEMORY_S = 1.5
+MIN_RATE_PER_S = 0.2
+
+
+class Headroom:
+    """Follow how many slots the tiers use, and how fast they get them.
+
+    :param now: seconds on the scheduler's clock.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._mean: dict[int, float] = {}
+        self._at = now
+        self._rates: dict[int, tuple[float, float]] = {}
+
+    def observe(self, running: Iterable[int], now: float) -> None:
+        """Note the ranks of what runs; call often.
+
+        :param running: one rank for each running request.
+        """
+        counts: dict[int, int] = {}
+        for rank in running:
+            counts[rank] = counts.get(rank, 0) + 1
+        gain = 1.0 - math.exp((self._at - now) / MEMORY_S)
+        self._at = now
+        for rank in counts.keys() | self._mean.keys():
+            mean = self._mean.get(rank, 0.0)
+            self._mean[rank] = mean + gain * (counts.get(rank, 0) - mean)
+
+    def kept_free(self, rank: int) -> int:
+        """Tell how many slots long work of a tier leaves free for higher ones.
+
+        :rtype: int
+        """
+        higher = sum(mean for each, mean in self._mean.items() if each < rank)
+        return math.ceil(SWING * math.sqrt(2.0 * higher)) if higher > 0.05 else 0
+
+    def note_grant(self, rank: int, now: float) -> None:
+        """Note that a request of a tier was granted."""
+        self._rates[rank] = (self.rate(rank, now) + 1.0 / RATE_MEMORY_S, now)
+
+    def rate(self, rank: int, now: float) -> float:
+        """Tell how many requests of a tier are granted each second, lately.
+
+        :rtype: float
+        """
+        rate, at = self._rates.get(rank, (0.0, now))
+        return rate * math.exp((at - now) / RATE_MEMORY_S)
+
+    def wait_s(self, rank: int, ahead: int, now: float) -> float:
+        """Predict how long a request waits behind others of its tier.
+
+        :param ahead: how many of them wait.
+        :return: seconds.
+        """
+        return ahead / max(MIN_RATE_PER_S, self.rate(rank, now))
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -17,6 +17,7 @@
 CONNECT_S = 0.002
 MARGIN_SHARE = 0.2
 MISSED_GOAL = 1e6
+SPARE_FIRSTS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +64,10 @@
     :param predict: place by predicted finish; else by the fewest running.
     :param late_last: what would be late waits for all that would not, whatever its tier; else for
         its own tier only.
+    :param headroom: long work of lower tiers leaves slots free, and goes to the slowest upstream
+        that meets its goal.
+    :param early: refuse at arrival what would wait beyond its goal, while a new attempt of its
+        caller can still be in time.
     """
 
     hold: bool = True
@@ -73,6 +78,8 @@
     predict: bool = True
     guard: bool = True
     late_last: bool = True
+    headroom: bool = False
+    early: bool = False
 
 
 def prompt_left(item: Waiting, cached_blocks: int) -> int:
@@ -172,7 +179,9 @@
             busy.append(upstream)
             continue
         prediction = predict(item, upstream, cached, occupied + 1, now)
-        score = _score(item, prediction, now) if features.predict else float(occupied)
+        score = float(occupied)
+        if features.predict:
+            score = _score(item, prediction, now, modest=features.headroom and item.long)
         if best is None or score < best[0]:
             best = (score, upstream, prediction)
 
@@ -188,15 +197,21 @@
     return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
 
 
-def _score(item: Waiting, prediction: Prediction, now: float) -> float:
+def _score(item: Waiting, prediction: Prediction, now: float, *, modest: bool) -> float:
     """Score an upstream for a request; the least is the best.
 
     With a goal, an upstream that meets it goes before each that does not.
+
+    :param modest: take the slowest upstream that meets the goal with some to spare.
     """
     if not item.has_goal:
         return prediction.finish_s
     missed = missed_by(item, now, prediction)
-    return prediction.finish_s if missed <= 0 else MISSED_GOAL + missed
+    if missed > 0:
+        return MISSED_GOAL + missed
+    if modest and missed < -prediction.first_s * SPARE_FIRSTS:
+        return -prediction.finish_s
+    return prediction.finish_s
 
 
 def _would_harm(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -11,6 +11,7 @@
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
 from chalkyoke.scheduling.forecast import SlotForecast, find_late, may_shed
+from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Action, Shed
 from chalkyoke.scheduling.placement import Features, idle_minimum
 from chalkyoke.scheduling.pool import PoolState
@@ -22,6 +23,9 @@
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
 NO_UPSTREAM_RETRY_S = 5.0
+LEAST_AHEAD = 3
+MIN_EARLY_RETRY_S = 0.4
+EARLY_RETRY_SHARE = 0.6
 
 
 @dataclass(slots=True)
@@ -48,6 +52,7 @@
     """Decide what is given up, and word it.
 
     :param pool: the book-keeping.
+    :param headroom: tells how fast tiers get slots.
     :param random: source of numbers in [0, 1), to spread the callers that come back.
     """
 
@@ -56,12 +61,14 @@
         pool: PoolState,
         counters: Counters,
         features: Features,
+        headroom: Headroom,
         random: Callable[[], float],
         now: float,
     ) -> None:
         self._pool = pool
         self._counters = counters
         self._features = features
+        self._headroom = headroom
         self._random = random
         self._next_forecast = now
 
@@ -77,8 +84,28 @@
             return self._word(item, Reason.EXPIRED, None)
         if self._features.shed and self._is_hopeless(item, eligible, now):
             return self._word(item, Reason.HOPELESS, None)
+        if self._features.early and item.has_goal:
+            return self._too_late(item, now)
         return None
 
+    def _too_late(self, item: Waiting, now: float) -> Out | None:
+        """Refuse at once what would wait beyond its goal, so that its caller can come back."""
+        if self._pool.lower_waits(item):
+            return None
+        ahead = sum(count for (rank, _), count in self._pool.counts.items() if rank == item.rank)
+        if ahead < LEAST_AHEAD:
+            return None
+        wait = self._headroom.wait_s(item.rank, ahead, now)
+        if now + wait + item.least_s <= item.goal:
+            return None
+        return self._word(item, Reason.SHED, self._come_back(item, wait, now))
+
+    def _come_back(self, item: Waiting, wait_s: float, now: float) -> float:
+        """Say when to come back: when the queue has gone, while there is time left for it."""
+        most = max(MIN_EARLY_RETRY_S, (item.deadline - now) * EARLY_RETRY_SHARE)
+        base = min(most, max(MIN_EARLY_RETRY_S, wait_s))
+        return round(base * (0.7 + 0.6 * self._random()), 2)
+
     def make_room(self, item: Waiting, now: float) -> list[Out]:
         """Keep the queue bounded: the lowest tier that shares upstreams gives way.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from chalkyoke.invariants import require
+from chalkyoke.scheduling.headroom import LONG_S, Headroom
 from chalkyoke.scheduling.learning import Learner
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -75,7 +76,10 @@
         self.features = features or Features()
         self._pool = PoolState(spec)
         self._learner = Learner(self._pool, self.features)
-        self._refuser = Refuser(self._pool, self.counters, self.features, random, now)
+        self._headroom = Headroom(now)
+        self._refuser = Refuser(
+            self._pool, self.counters, self.features, self._headroom, random, now
+        )
         self._order = 0
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
@@ -249,6 +253,7 @@
         :rtype: list[Out]
         """
         self._drop_silent(now)
+        self._headroom.observe((each.rank for each in self._pool.running.values()), now)
         outs = self._refuser.expire(now)
         if self._settled(now):
             outs += self._refuser.forecast(now)
@@ -295,6 +300,7 @@
             order=self._order,
             output=output,
             goal=now + message.goal_s if message.goal_s else math.inf,
+            long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
 
@@ -378,9 +384,20 @@
             return False
         if self.features.shed and not self._may_start(item, choice, now):
             return False
+        if self.features.headroom and item.long and not self._leaves_room(item, now):
+            return False
         outs.append(self._grant(item, choice, now))
         return True
 
+    def _leaves_room(self, item: Waiting, now: float) -> bool:
+        """Tell whether enough slots stay free for higher tiers beside long work of this one."""
+        free = sum(
+            max(0, each.spec.slots - each.occupied(now))
+            for each in self._pool.eligible[item.route]
+            if each.usable(item.domain, now)
+        )
+        return free > self._headroom.kept_free(item.rank)
+
     def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
         """Tell whether to start a request that may be cut at its deadline."""
         prediction = choice.prediction
@@ -430,6 +447,7 @@
         self._pool.delay_others(upstream, left)
         self._pool.start(running, upstream, now)
         self.counters.granted += 1
+        self._headroom.note_grant(item.rank, now)
         return Out(item.entry, self._grant_message(running))
 
     def _grant_message(self, item: Running) -> Grant:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -110,6 +110,7 @@
     :ivar late: whether it is predicted to miss its deadline; such a request is tried last.
     :param goal: when the first output is due, on the scheduler's own clock; infinite where the
         whole answer is due by the deadline.
+    :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
 
     request: str
@@ -129,6 +130,7 @@
     least_s: float = 0.0
     late: bool = False
     goal: float = math.inf
+    long: bool = False
 
     @property
     def has_goal(self) -> bool:
