Keep quotas by the window that the operators' bounds give

Ruled out: late configuration, lost leases (the team and the costs in the log add up). Change: the home keeps a sliding window; a new home assumes a full one; the less urgent are refused first, cheap ones are not.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -38,6 +38,7 @@
 LOCAL_POLL_S = 0.01
 TRAILING_REPORTS = 3
 DEFAULT_RETRY_S = 0.5
+COMES_BACK_SHARE = 0.3
 
 
 class Source(StrEnum):
@@ -242,6 +243,7 @@
             waited_s=now - admission.arrived,
             goal_s=(admission.due - now) or -1e-3,
             likely_output=fields.likely_output_tokens,
+            comes_back_s=(admission.ends - now) * COMES_BACK_SHARE,
         )
 
     async def _choose_here(
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -63,6 +63,11 @@
     due: float
     patience: float
 
+    @property
+    def urgency(self) -> int:
+        """How urgent the request is among those of its team; 0 is the most."""
+        return self.route.rank
+
 
 def judge(
     request: Request, fields: RequestFields, catalog: Catalog, now: float
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from chalkyoke.catalog.messages import CatalogMessage, CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.catalog.resources import Catalog
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
@@ -29,6 +30,7 @@
 ASK_AGAIN_S = 0.3
 BEHIND_RESTART_S = 0.4
 DEPARTED_KEPT_S = 30.0
+MOST_QUOTAS_LOGGED = 10
 
 log = logger("catalog")
 
@@ -177,11 +179,12 @@
     def _take_document(self, item: Item) -> None:
         if item.key != self._keys.document:
             return
+        before = self.state.catalog
         taken = self.state.adopt_document(item.value)
         if isinstance(taken, Err):
             log.error("document_unreadable", revision=item.revision, why=taken.err_value)
         elif taken.ok_value:
-            self._document_changed("store")
+            self._document_changed("store", before)
             self._tell(self.state.tell_catalog())
 
     def _take_replicas(self, listing: Listing) -> None:
@@ -222,9 +225,10 @@
             for answer in self.state.answers(message):
                 self._links.send(address, answer)
         elif isinstance(message, CatalogTold):
+            before = self.state.catalog
             taken = self.state.adopt_told(message)
             if not isinstance(taken, Err) and taken.ok_value:
-                self._document_changed("peer")
+                self._document_changed("peer", before)
         elif self.state.adopt_replicas(message.items, message.at, self._now()):
             self._replicas_changed(max(message.at, self._changed_at), "peer")
 
@@ -238,9 +242,17 @@
 
     # Changes.
 
-    def _document_changed(self, source: str) -> None:
-        version = self.state.catalog.version
-        log.info("version", version=version, source=source, routes=len(self.state.catalog.routes))
+    def _document_changed(self, source: str, before: Catalog) -> None:
+        catalog = self.state.catalog
+        version = catalog.version
+        log.info(
+            "version",
+            version=version,
+            before=before.version,
+            source=source,
+            routes=len(catalog.routes),
+            quotas=_changed_quotas(before, catalog),
+        )
         self._view.update_self(revision=version, ready=self.state.complete)
         self._changed()
 
@@ -260,6 +272,17 @@
         self._changed()
 
 
+def _changed_quotas(before: Catalog, now: Catalog) -> dict[str, tuple[float, float]]:
+    """List the teams whose quota has changed, with rate and burst; only a few of them."""
+    changed = {
+        name: (team.rate_per_s, team.burst)
+        for name, team in now.teams.items()
+        if (old := before.teams.get(name)) is None
+        or (old.rate_per_s, old.burst) != (team.rate_per_s, team.burst)
+    }
+    return dict(itertools.islice(changed.items(), MOST_QUOTAS_LOGGED))
+
+
 def _is_cancelling() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -50,11 +50,11 @@
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.quotas.bucket import QuotaLimits
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.quotas.home import Presence, QuotaHome
 from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
 from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.quotas.window import QuotaLimits
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
 from chalkyoke.scheduling.messages import (
     Acquire,
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -43,6 +43,10 @@
     def cost(self) -> float:
         """What the request counts."""
 
+    @property
+    def urgency(self) -> int:
+        """How urgent the request is among those of its team; 0 is the most."""
+
     @property
     def version(self) -> int:
         """The version of the catalog that judged it."""
@@ -95,17 +99,24 @@
             return Passed(True)
         if self._wallet.spend(team, charged.cost, charged.version, self._now()):
             return Passed(True)
-        grant = await self._ask(team, charged.cost, charged.version)
+        grant = await self._ask(team, charged)
         if grant is None:
             alone = self._wallet.spend_alone(team, charged.cost, self._now())
             return Passed(alone, ALONE_RETRY_S)
         passed = self._wallet.take(grant, charged.cost, self._now())
         return Passed(passed, grant.retry_after_s)
 
-    async def _ask(self, team: Team, cost: float, version: int) -> QuotaGrant | None:
+    async def _ask(self, team: Team, charged: Charged) -> QuotaGrant | None:
         """Ask the home; nothing where it is silent."""
         number = next(self._numbers)
-        message = QuotaRequest(team.name, number, cost, self._wallet.ahead(team), version)
+        message = QuotaRequest(
+            team.name,
+            number,
+            charged.cost,
+            self._wallet.ahead(team),
+            charged.version,
+            charged.urgency,
+        )
         address = self._port.home(team.name)
         if address is None:
             return self._home.ask(team, message, self._port.presence(), self._now())
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -2,20 +2,23 @@
 chalkyoke.quotas.home
 
 The home's side of quotas. A node is the home of a team while rendezvous hashing over the live
-members says so; two nodes that both believe it each lease at the rate of the members that they
-see, so the sum stays near the limit.
+members says so. Two nodes that both believe it each lease for the share of the fleet that they see,
+so the sum stays near the limit.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.bucket import Bucket, QuotaLimits
 from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
+from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
 
 VALID_S = 0.5
-USED_ALLOWANCE = 0.6
-START_ALLOWANCE = 0.25
+USED_SHARE = 0.78
+HELD_PER_RANK = 0.04
+CHEAP_COSTS = 3.0
+MOST_RANKS_HELD = 3
+SPARE_DIVISOR = 8.0
 MIN_RETRY_S = 0.05
 
 
@@ -42,47 +45,52 @@
 class QuotaHome:
     """Lease cost to the nodes that ask.
 
-    :param limits: the strictness of quotas.
+    :param limits: what any window may see.
     :param first_start: whether the whole fleet starts for the first time; otherwise another home
-        may have leased just now, and the burst is not given again.
+        may have leased just now, and the window is assumed to be full.
     """
 
     def __init__(self, limits: QuotaLimits, *, first_start: bool) -> None:
         self.limits = limits
         self._first_start = first_start
-        self._buckets: dict[str, tuple[Bucket, Team]] = {}
+        self._windows: dict[str, SpendingWindow] = {}
 
     def ask(self, team: Team, message: QuotaRequest, presence: Presence, now: float) -> QuotaGrant:
         """Answer a node that asks for cost of a limited team.
 
         :rtype: QuotaGrant
         """
-        bucket = self._bucket(team, presence, now)
-        amount = bucket.take(message.need, message.ahead, now)
-        retry = 0.0 if amount else max(MIN_RETRY_S, bucket.wait_s(message.need))
-        return QuotaGrant(team.name, message.number, amount, retry, VALID_S)
+        most = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE * presence.share
+        window = self._window(team.name, most, now)
+        # The less urgent are refused first: a part of the window is kept for the others.
+        ranks_held = 0 if self._is_cheap(team, message) else min(message.rank, MOST_RANKS_HELD)
+        ceiling = most * (1.0 - HELD_PER_RANK * ranks_held)
+        room = ceiling - window.spent(now)
+        if room < message.need:
+            retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
+            return QuotaGrant(team.name, message.number, 0.0, retry, VALID_S)
+        amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
+        window.add(amount, now)
+        return QuotaGrant(team.name, message.number, amount, 0.0, VALID_S)
+
+    def _is_cheap(self, team: Team, message: QuotaRequest) -> bool:
+        """Tell whether a request costs so little that refusing it makes no room for others."""
+        return message.need <= CHEAP_COSTS * team.plain_cost
 
     def forget_others(self, mine: Callable[[str], bool]) -> None:
-        """Drop the buckets of teams whose home is elsewhere.
+        """Drop the windows of teams whose home is elsewhere.
 
         :param mine: tells whether this node is a team's home.
         """
-        for name in list(self._buckets):
+        for name in list(self._windows):
             if not mine(name):
-                del self._buckets[name]
+                del self._windows[name]
                 self._first_start = False
 
-    def _bucket(self, team: Team, presence: Presence, now: float) -> Bucket:
-        allowance = self.limits.allowance(team.rate_per_s, team.burst)
-        capacity = (team.burst + USED_ALLOWANCE * allowance) * presence.share
-        rate = team.rate_per_s * presence.share
-        held = self._buckets.get(team.name)
-        if held is None:
-            level = capacity if self._first_start else START_ALLOWANCE * allowance
-            bucket = Bucket(rate, capacity, min(level, capacity), now)
-        else:
-            bucket, _ = held
-            if (bucket.rate_per_s, bucket.capacity) != (rate, capacity):
-                bucket.reshape(rate, capacity, now)
-        self._buckets[team.name] = (bucket, team)
-        return bucket
+    def _window(self, name: str, most: float, now: float) -> SpendingWindow:
+        window = self._windows.get(name)
+        if window is None:
+            window = self._windows[name] = SpendingWindow(self.limits.window_s)
+            if not self._first_start:
+                window.assume(most, now)
+        return window
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -13,6 +13,7 @@
     :param number: names the question; the answer has the same.
     :param need: cost of the request that waits for it.
     :param ahead: cost that is welcome on top, for the next requests.
+    :param rank: how urgent the request's route is; the less urgent are refused first.
     :param version: configuration version by which the asking node judges.
     """
 
@@ -21,6 +22,7 @@
     need: float
     ahead: float
     version: int
+    rank: int = 0
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota_grant"):
--- a/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
@@ -9,12 +9,14 @@
 from dataclasses import dataclass
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.bucket import Bucket, QuotaLimits
+from chalkyoke.quotas.bucket import Bucket
 from chalkyoke.quotas.messages import QuotaGrant
+from chalkyoke.quotas.window import QuotaLimits
 
 AHEAD_S = 0.4
 DEMAND_MEMORY_S = 2.0
-ALONE_ALLOWANCE = 0.3
+ALONE_SHARE = 0.08
+ALONE_RATE_SHARE = 0.7
 
 
 @dataclass(slots=True)
@@ -84,15 +86,15 @@
         :rtype: bool
         """
         nodes = max(1, self._nodes())
-        allowance = self.limits.allowance(team.rate_per_s, team.burst)
-        rate = team.rate_per_s / nodes
-        capacity = (team.burst + ALONE_ALLOWANCE * allowance) / nodes
+        rate = ALONE_RATE_SHARE * team.rate_per_s / nodes
+        most = self.limits.most(team.rate_per_s, team.burst)
+        capacity = ALONE_SHARE * most / nodes
         bucket = self._alone.get(team.name)
         if bucket is None:
             bucket = self._alone[team.name] = Bucket(rate, capacity, capacity, now)
         elif (bucket.rate_per_s, bucket.capacity) != (rate, capacity):
             bucket.reshape(rate, capacity, now)
-        return bucket.take(cost, 0.0, now) > 0
+        return bucket.take(cost, now)
 
     def _purse(self, name: str) -> _Purse:
         return self._purses.setdefault(name, _Purse())
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -0,0 +1,94 @@
+"""
+chalkyoke.quotas.window
+
+What a team has spent in the last seconds, against what a window of that length may see. A sliding
+window in buckets; the oldest bucket counts whole until it is out.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+BUCKETS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLimits:
+    """How quotas are kept over all nodes.
+
+    A window may see ``(rate * window + burst) * (1 + over) + slack``.
+
+    :param window_s: length of the window, in seconds.
+    """
+
+    window_s: float = 8.0
+    over: float = 0.1
+    slack: float = 0.0
+
+    def most(self, rate_per_s: float, burst: float) -> float:
+        """Give the cost that any window may see.
+
+        :rtype: float
+        """
+        return (rate_per_s * self.window_s + burst) * (1.0 + self.over) + self.slack
+
+
+@dataclass(slots=True)
+class SpendingWindow:
+    """Sum what was spent in the last ``window_s`` seconds.
+
+    Usage::
+
+      >>> window = SpendingWindow(8.0)
+      >>> window.add(1200.0, now=3.0)
+      >>> window.spent(now=3.5)
+    """
+
+    window_s: float
+    _buckets: deque[tuple[int, float]] = field(default_factory=deque)
+    _sum: float = 0.0
+
+    def add(self, cost: float, now: float) -> None:
+        """Note that cost was spent."""
+        index = self._index(now)
+        if self._buckets and self._buckets[-1][0] >= index:
+            last, before = self._buckets.pop()
+            self._buckets.append((last, before + cost))
+        else:
+            self._buckets.append((index, cost))
+        self._sum += cost
+
+    def assume(self, cost: float, now: float) -> None:
+        """Assume that cost was spent evenly over the window that ends now.
+
+        For when somebody else kept the window until now and what was spent is not known.
+        """
+        last = self._index(now)
+        self._buckets.clear()
+        for back in range(BUCKETS, 0, -1):
+            self._buckets.append((last - back, cost / BUCKETS))
+        self._sum = cost
+
+    def spent(self, now: float) -> float:
+        """Give what was spent in the window that ends now.
+
+        :rtype: float
+        """
+        oldest = self._index(now) - BUCKETS
+        while self._buckets and self._buckets[0][0] < oldest:
+            self._sum -= self._buckets.popleft()[1]
+        return self._sum if self._buckets else 0.0
+
+    def free_in_s(self, cost: float, now: float) -> float:
+        """Tell how long until so much of what was spent is out of the window, in seconds.
+
+        :rtype: float
+        """
+        left = cost
+        for index, amount in self._buckets:
+            left -= amount
+            if left <= 0:
+                return max(0.0, (index + 1 + BUCKETS) * self.window_s / BUCKETS - now)
+        return self.window_s
+
+    def _index(self, now: float) -> int:
+        return int(now / self.window_s * BUCKETS)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -21,6 +21,7 @@
     :param goal_s: time left in which the first output is due; 0 where the whole answer is due by
         the deadline. With a goal, the deadline is the moment by which the first output must have
         come for the caller to be still there.
+    :param comes_back_s: how long its caller may be told to stay away and still come back in time.
     :param likely_output: the caller's own estimate of its output, in tokens; 0 where it gives none.
     """
 
@@ -37,6 +38,7 @@
     waited_s: float
     goal_s: float = 0.0
     likely_output: int = 0
+    comes_back_s: float = 0.0
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -18,6 +18,7 @@
 MARGIN_SHARE = 0.2
 MISSED_GOAL = 1e6
 SPARE_FIRSTS = 1.0
+RISK = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,14 +201,15 @@
 def _score(item: Waiting, prediction: Prediction, now: float, *, modest: bool) -> float:
     """Score an upstream for a request; the least is the best.
 
-    With a goal, an upstream that meets it goes before each that does not.
+    With a goal, an upstream that meets it goes before each that may not: one first output in ten
+    takes twice as long as predicted.
 
     :param modest: take the slowest upstream that meets the goal with some to spare.
     """
     if not item.has_goal:
         return prediction.finish_s
     missed = missed_by(item, now, prediction)
-    if missed > 0:
+    if missed > -prediction.first_s * RISK:
         return MISSED_GOAL + missed
     if modest and missed < -prediction.first_s * SPARE_FIRSTS:
         return -prediction.finish_s
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -23,9 +23,9 @@
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
 NO_UPSTREAM_RETRY_S = 5.0
-LEAST_AHEAD = 3
+LEAST_AHEAD = 1
 MIN_EARLY_RETRY_S = 0.4
-EARLY_RETRY_SHARE = 0.6
+EARLY_RETRY_WAITS = 3.0
 
 
 @dataclass(slots=True)
@@ -98,13 +98,13 @@
         wait = self._headroom.wait_s(item.rank, ahead, now)
         if now + wait + item.least_s <= item.goal:
             return None
-        return self._word(item, Reason.SHED, self._come_back(item, wait, now))
+        return self._word(item, Reason.SHED, self._come_back(item, wait))
 
-    def _come_back(self, item: Waiting, wait_s: float, now: float) -> float:
+    def _come_back(self, item: Waiting, wait_s: float) -> float:
         """Say when to come back: when the queue has gone, while there is time left for it."""
-        most = max(MIN_EARLY_RETRY_S, (item.deadline - now) * EARLY_RETRY_SHARE)
-        base = min(most, max(MIN_EARLY_RETRY_S, wait_s))
-        return round(base * (0.7 + 0.6 * self._random()), 2)
+        most = max(MIN_EARLY_RETRY_S, item.comes_back_s)
+        base = min(most, max(MIN_EARLY_RETRY_S, EARLY_RETRY_WAITS * wait_s))
+        return round(base * (0.6 + 0.4 * self._random()), 2)
 
     def make_room(self, item: Waiting, now: float) -> list[Out]:
         """Keep the queue bounded: the lowest tier that shares upstreams gives way.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -300,6 +300,7 @@
             order=self._order,
             output=output,
             goal=now + message.goal_s if message.goal_s else math.inf,
+            comes_back_s=message.comes_back_s,
             long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -110,6 +110,7 @@
     :ivar late: whether it is predicted to miss its deadline; such a request is tried last.
     :param goal: when the first output is due, on the scheduler's own clock; infinite where the
         whole answer is due by the deadline.
+    :param comes_back_s: how long its caller may be told to stay away.
     :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
 
@@ -131,6 +132,7 @@
     late: bool = False
     goal: float = math.inf
     long: bool = False
+    comes_back_s: float = 0.0
 
     @property
     def has_goal(self) -> bool:
