--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -243,6 +243,8 @@
             waited_s=now - admission.arrived,
             goal_s=(admission.due - now) or -1e-3,
             likely_output=fields.likely_output_tokens,
+            gap_goal_s=admission.route.gap_goal_s,
+            whole_s=admission.ends - now,
             comes_back_s=(admission.ends - now) * COMES_BACK_SHARE,
         )
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -93,6 +93,7 @@
     :param token_s: first guess: seconds between two output tokens.
     :param setup_s: first guess: seconds that a request takes besides its tokens.
     :param attention_s_per_pair: first guess: seconds for each pair of prompt tokens.
+    :param prefill_chunk_tokens: prompt tokens that an engine reads between two tokens of streams.
     """
 
     pooled: bool = True
@@ -100,6 +101,7 @@
     token_s: float = 0.0055
     setup_s: float = 0.05
     attention_s_per_pair: float = 1.2e-9
+    prefill_chunk_tokens: int = 2048
     heartbeat_interval_s: float = 0.25
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -73,6 +73,8 @@
             leaving=replica.draining,
             setup_s=guess.setup_s,
             attention_s_per_pair=guess.attention_s_per_pair,
+            prefill_chunk_tokens=guess.prefill_chunk_tokens,
+            tokens_per_event=service.tokens_per_event,
         )
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -97,8 +97,17 @@
         :param before: prompt tokens of other requests that are read first.
         :return: seconds.
         """
-        attention = self._attention * tokens * tokens * self.prefill_factor
-        return self._setup * self.prefill_factor + attention + self.prefill_time(tokens + before)
+        own = self.read_time(tokens, tokens)
+        return self._setup * self.prefill_factor + own + self.prefill_time(before)
+
+    def read_time(self, tokens: float, context: float) -> float:
+        """Predict the time to read prompt tokens against a context.
+
+        :param context: prompt tokens that each of them attends to, at most.
+        :return: seconds.
+        """
+        pairs = self._attention * tokens * context * self.prefill_factor
+        return pairs + self.prefill_time(tokens)
 
     def learn_tokens(self, tokens: int, seconds: float, streams: int) -> None:
         """Learn from output tokens that came.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -22,6 +22,8 @@
         the deadline. With a goal, the deadline is the moment by which the first output must have
         come for the caller to be still there.
     :param comes_back_s: how long its caller may be told to stay away and still come back in time.
+    :param gap_goal_s: the longest pause between outputs that is in time; 0 where none is named.
+    :param whole_s: time left for the whole answer, beside a goal for the first output.
     :param likely_output: the caller's own estimate of its output, in tokens; 0 where it gives none.
     """
 
@@ -39,6 +41,8 @@
     goal_s: float = 0.0
     likely_output: int = 0
     comes_back_s: float = 0.0
+    gap_goal_s: float = 0.0
+    whole_s: float = 0.0
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -17,6 +17,8 @@
 CONNECT_S = 0.002
 MARGIN_SHARE = 0.2
 MISSED_GOAL = 1e6
+HARM = 1e3
+GAP_SHARE = 0.75
 SPARE_FIRSTS = 1.0
 RISK = 0.5
 
@@ -182,7 +184,8 @@
         prediction = predict(item, upstream, cached, occupied + 1, now)
         score = float(occupied)
         if features.predict:
-            score = _score(item, prediction, now, modest=features.headroom and item.long)
+            modest = features.headroom and item.long
+            score = _score(item, upstream, prediction, cached, now, modest=modest)
         if best is None or score < best[0]:
             best = (score, upstream, prediction)
 
@@ -198,22 +201,54 @@
     return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
 
 
-def _score(item: Waiting, prediction: Prediction, now: float, *, modest: bool) -> float:
+def _score(
+    item: Waiting,
+    upstream: Upstream,
+    prediction: Prediction,
+    cached_blocks: int,
+    now: float,
+    *,
+    modest: bool,
+) -> float:
     """Score an upstream for a request; the least is the best.
 
     With a goal, an upstream that meets it goes before each that may not: one first output in ten
-    takes twice as long as predicted.
+    takes twice as long as predicted. Among those, one goes before each where reading the prompt
+    would make a pause in other streams that they can't bear.
 
     :param modest: take the slowest upstream that meets the goal with some to spare.
     """
     if not item.has_goal:
         return prediction.finish_s
     missed = missed_by(item, now, prediction)
-    if missed > -prediction.first_s * RISK:
+    if missed > -prediction.first_s * RISK or now + prediction.cautious_s > item.whole:
         return MISSED_GOAL + missed
-    if modest and missed < -prediction.first_s * SPARE_FIRSTS:
-        return -prediction.finish_s
-    return prediction.finish_s
+    score = prediction.finish_s
+    if modest and missed < -prediction.first_s * SPARE_FIRSTS and _fits(item, upstream, now):
+        score = -prediction.finish_s
+    if _pause(item, upstream, cached_blocks, now) > GAP_SHARE * upstream.shortest_gap():
+        score += HARM
+    return score
+
+
+def _fits(item: Waiting, upstream: Upstream, now: float) -> bool:
+    """Tell whether the longest answer that a request may have would be whole in time."""
+    streams = upstream.spec.slots
+    return now + item.most_output * upstream.speed.token_time(streams) <= item.whole
+
+
+def _pause(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> float:
+    """Predict the pause that reading a prompt makes in the streams beside it, in seconds.
+
+    A chunk of the prompt is read between two tokens, and an event holds several tokens.
+    """
+    chunk = upstream.spec.prefill_chunk_tokens
+    if not chunk:
+        return 0.0
+    left = prompt_left(item, cached_blocks)
+    backlog, _ = upstream.outlook(now)
+    between = min(left + backlog, chunk * upstream.spec.tokens_per_event)
+    return upstream.speed.read_time(between, left)
 
 
 def _would_harm(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -301,6 +301,9 @@
             output=output,
             goal=now + message.goal_s if message.goal_s else math.inf,
             comes_back_s=message.comes_back_s,
+            gap_goal=message.gap_goal_s or math.inf,
+            whole=now + message.whole_s if message.whole_s else math.inf,
+            most_output=message.max_output,
             long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
@@ -444,6 +447,7 @@
             prefill_left=left,
             expected_first_s=prediction.first_s,
             stalls_seen=upstream.stall_s,
+            gap_goal=item.gap_goal,
         )
         self._pool.delay_others(upstream, left)
         self._pool.start(running, upstream, now)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -39,6 +39,9 @@
     :param setup_s: first guess of what a request takes besides its tokens.
     :param attention_s_per_pair: first guess of what each pair of prompt tokens takes; it makes long
         prompts dearer than in proportion.
+    :param prefill_chunk_tokens: prompt tokens that are read between two tokens of the streams that
+        run beside; 0 where this is not known.
+    :param tokens_per_event: output tokens that a stream gives out at once.
     """
 
     id: str
@@ -52,6 +55,8 @@
     leaving: bool = False
     setup_s: float = 0.0
     attention_s_per_pair: float = 0.0
+    prefill_chunk_tokens: int = 0
+    tokens_per_event: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +116,9 @@
     :param goal: when the first output is due, on the scheduler's own clock; infinite where the
         whole answer is due by the deadline.
     :param comes_back_s: how long its caller may be told to stay away.
+    :param gap_goal: the longest pause between its outputs that is in time, in seconds.
+    :param whole: when the whole answer is due, on the scheduler's own clock.
+    :param most_output: output tokens at most.
     :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
 
@@ -133,6 +141,9 @@
     goal: float = math.inf
     long: bool = False
     comes_back_s: float = 0.0
+    gap_goal: float = math.inf
+    whole: float = math.inf
+    most_output: int = 0
 
     @property
     def has_goal(self) -> bool:
@@ -172,6 +183,7 @@
     output_tokens: int = 0
     elapsed_s: float = 0.0
     stalls_seen: float = 0.0
+    gap_goal: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -197,6 +209,7 @@
     stall_noted: float = 0.0
     _ends: list[float] | None = None
     _outlook: tuple[float, float, float] | None = None
+    _shortest_gap: float | None = None
 
     @property
     def leaving(self) -> bool:
@@ -274,6 +287,17 @@
         """Forget what is kept of the running requests; call after each change of them."""
         self._ends = None
         self._outlook = None
+        self._shortest_gap = None
+
+    def shortest_gap(self) -> float:
+        """Give the shortest pause that one of its running requests can bear, in seconds.
+
+        :rtype: float
+        """
+        if self._shortest_gap is None:
+            gaps = (item.gap_goal for item in self.running.values())
+            self._shortest_gap = min(gaps, default=math.inf)
+        return self._shortest_gap
 
     def ends(self) -> list[float]:
         """List when the running requests are expected to end, earliest first.
