Survey what was spent when a quota's home changes; newcomers wait before they report or own

Cause: on rolling restarts each new home assumed a full window and refused (429) what was in quota, and a process that had just started told other domains that it was alone, so members left and joined by turns. Ruled out: lost heartbeats (the log shows whole summaries taking turns). Change: a new home asks all what they spent; a newcomer reports only after others would; it owns pools after a second; a successor takes learned speeds.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -223,6 +223,9 @@
             first_s=round(granted.first_s, 4),
             expected_first_s=round(granted.expected_first_s, 4),
             prompt_tokens=admission.fields.prompt_tokens,
+            most_output=admission.fields.most_output_tokens,
+            likely_output=admission.fields.likely_output_tokens,
+            output=granted.events * admission.service.tokens_per_event,
             goal_s=admission.route.goal_s,
         )
         return follows
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -30,6 +30,8 @@
 FORGET_INTERVALS = 2400
 FULL_AFTER_CHANGE = 4
 FULL_EVERY = 5
+FIRST_BEATS = 2
+SETTLED_BEATS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
 
         :rtype: Heartbeat
         """
-        return Heartbeat(self.record, self._beat, (self._own_digest(),))
+        return Heartbeat(self.record, self._beat)
 
     # Events.
 
@@ -181,7 +183,7 @@
             changes = self._take_record(message.record, message.beat, now)
             domain = message.record.failure_domain
             sends = self._take_digests(sender, domain, message.digests, now)
-            if any(isinstance(each, Joined) for each in changes):
+            if any(isinstance(each, Joined) for each in changes) or self._is_stranger(message):
                 # A newcomer may know nobody else.
                 sends.append(Send(sender, Summary(self._own_digest(), self._last_summary)))
                 sends += [
@@ -274,7 +276,22 @@
 
     # Other failure domains.
 
+    def _is_stranger(self, message: Heartbeat) -> bool:
+        """Tell whether a heartbeat comes from an unknown process of another failure domain."""
+        record = message.record
+        if record.failure_domain == self.domain:
+            return False
+        known = self._foreign.get(record.failure_domain)
+        return known is None or all(each.process != record.process for each in known.records)
+
+    def _is_newcomer(self) -> bool:
+        """Tell whether others of this failure domain know more of it than this process yet."""
+        older = any(each.alive and each.beat > self._beat for each in self._members.values())
+        return self._beat < (SETTLED_BEATS if older else FIRST_BEATS)
+
     def _is_reporter(self) -> bool:
+        if self._is_newcomer():
+            return False
         hosts = [each.host for each in self._own_domain() if not each.leaving]
         return self.record.host in ranked(f"reporter/{self.domain}", hosts)[:REPORTERS]
 
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -253,7 +253,7 @@
             routes=len(catalog.routes),
             quotas=_changed_quotas(before, catalog),
         )
-        self._view.update_self(revision=version, ready=self.state.complete)
+        self._view.update_self(revision=version)
         self._changed()
 
     def _replicas_changed(self, at: int, source: str) -> None:
@@ -266,7 +266,7 @@
             count=len(self.state.replicas),
             draining=sorted(each.id for each in self.state.replicas.values() if each.draining),
         )
-        self._view.update_self(hosts_version=self._changed_at, ready=self.state.complete)
+        self._view.update_self(hosts_version=self._changed_at)
         if source == "store":
             self._tell(self.state.tell_replicas())
         self._changed()
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -52,7 +52,7 @@
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.quotas.home import Presence, QuotaHome
-from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
+from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey
 from chalkyoke.quotas.wallet import QuotaWallet
 from chalkyoke.quotas.window import QuotaLimits
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
@@ -61,6 +61,7 @@
     Adopt,
     AdoptRequest,
     Grant,
+    Learned,
     Progress,
     Queued,
     Release,
@@ -75,6 +76,7 @@
 INCARNATION_BITS = 62
 BACKLOG = 1024
 LEAVE_S = 2.5
+NEWCOMER_S = 1.0
 GRACE_MARGIN_S = 0.6
 
 LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
@@ -85,10 +87,13 @@
     CatalogTold,
     Grant,
     Heartbeat,
+    Learned,
     Progress,
     Queued,
     QuotaGrant,
     QuotaRequest,
+    QuotaSpent,
+    QuotaSurvey,
     Release,
     ReplicasTold,
     Shed,
@@ -392,8 +397,17 @@
             if seed not in known:
                 self.links.send(seed, self.view.introduction())
 
+    def _note_fitness(self) -> None:
+        """Take duties for the fleet once this node knows the others, or finds none that does."""
+        if self.view.record.ready or self._stopping.is_set() or not self.catalog.state.complete:
+            return
+        others = any(each.ready for each in self.view.live())
+        if not others or self.now() >= NEWCOMER_S:
+            self.view.update_self(ready=True)
+
     def _tick(self) -> None:
         self._apply(self.view.tick(self.now()))
+        self._note_fitness()
         self.size.note(self.view.live(), self.now())
         self.hosted.tick()
 
@@ -426,10 +440,11 @@
             self.grants.receive(connection.peer, message)
         elif isinstance(message, AdoptRequest):
             self.grants.tell_running(message.pool, connection.peer)
-        elif isinstance(message, Acquire | Adopt | Progress | Release | Withdraw):
+            self.hosted.tell_learned(message.pool, connection.peer)
+        elif isinstance(message, Acquire | Adopt | Learned | Progress | Release | Withdraw):
             self.hosted.note_address(connection.peer, address)
             self.hosted.receive(connection.peer, connection.peer_domain, message)
-        elif isinstance(message, QuotaRequest | QuotaGrant):
+        elif isinstance(message, QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent):
             self.quotas.receive(address, message)
         elif isinstance(message, CatalogRequest | CatalogTold | ReplicasTold):
             self.catalog.receive(address, message)
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -74,6 +74,15 @@
             return None
         return fit[chosen].address
 
+    def host(self) -> str:
+        """Give this node's host id."""
+        return self._view.record.host
+
+    def others(self) -> list[str]:
+        """List the link addresses of the other live nodes."""
+        mine = self._view.record.host
+        return [each.address for each in self._view.live() if each.host != mine]
+
     def presence(self) -> Presence:
         """Tell how much of the fleet this node sees."""
         return self._presence()
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -20,6 +20,7 @@
     AdoptRequest,
     EntryMessage,
     Grant,
+    Learned,
     Progress,
     Queued,
     Release,
@@ -149,9 +150,17 @@
             self.dispatch(scheduler.progress(entry, message, now))
         elif isinstance(message, Adopt):
             self.dispatch(scheduler.adopt(entry, message, now))
+        elif isinstance(message, Learned):
+            scheduler.take_over(message)
         else:
             scheduler.withdraw(message)
 
+    def tell_learned(self, pool: str, process: str) -> None:
+        """Tell a pool's new scheduler what this process has learned as its earlier one."""
+        scheduler = self.pools.get(pool)
+        if scheduler is not None and process != self._process:
+            self.send(process, scheduler.learned())
+
     def tick(self) -> None:
         """Let each scheduler give up what is late, and drop those that moved away."""
         now = self._now()
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -13,7 +13,13 @@
 
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.home import Presence, QuotaHome
-from chalkyoke.quotas.messages import QuotaGrant, QuotaMessage, QuotaRequest
+from chalkyoke.quotas.messages import (
+    QuotaGrant,
+    QuotaMessage,
+    QuotaRequest,
+    QuotaSpent,
+    QuotaSurvey,
+)
 from chalkyoke.quotas.wallet import QuotaWallet
 
 ANSWER_S = 0.03
@@ -61,6 +67,12 @@
     def presence(self) -> Presence:
         """Tell how much of the fleet this node sees."""
 
+    def host(self) -> str:
+        """Give this node's host id."""
+
+    def others(self) -> list[str]:
+        """List the link addresses of the other live nodes."""
+
     def send(self, address: str, message: QuotaMessage) -> None:
         """Send a message to a node."""
 
@@ -119,7 +131,7 @@
         )
         address = self._port.home(team.name)
         if address is None:
-            return self._home.ask(team, message, self._port.presence(), self._now())
+            return self._answer(team, message)
         if self._avoid.get(address, 0.0) > self._now():
             return None
         future: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
@@ -144,11 +156,31 @@
             if future is not None and not future.done():
                 future.set_result(message)
             return
+        if isinstance(message, QuotaSurvey):
+            self._port.send(sender, self._spent(message.team))
+            return
         team = self._teams(message.team)
         if team is None or team.rate_per_s <= 0:
             return
+        if isinstance(message, QuotaSpent):
+            self._home.take_spent(team, message, self._port.presence(), self._now())
+            return
+        self._port.send(sender, self._answer(team, message))
+
+    def _answer(self, team: Team, message: QuotaRequest) -> QuotaGrant:
+        """Answer as the home; a new one asks all others what was spent before."""
+        survey = self._home.must_survey(team.name)
         grant = self._home.ask(team, message, self._port.presence(), self._now())
-        self._port.send(sender, grant)
+        if survey:
+            mine = self._spent(team.name)
+            self._home.take_spent(team, mine, self._port.presence(), self._now())
+            for address in self._port.others():
+                self._port.send(address, QuotaSurvey(team.name))
+        return grant
+
+    def _spent(self, team: str) -> QuotaSpent:
+        now = self._now()
+        return QuotaSpent(team, self._port.host(), self._wallet.spent(team, now), now)
 
     def keep_house(self) -> None:
         """Drop the buckets of teams whose home is elsewhere; call about once a second."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -7,10 +7,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
+from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent
 from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
 
 VALID_S = 0.5
@@ -19,6 +19,7 @@
 CHEAP_COSTS = 3.0
 MOST_RANKS_HELD = 3
 SPARE_DIVISOR = 8.0
+SURVEY_S = 1.0
 MIN_RETRY_S = 0.05
 
 
@@ -42,6 +43,18 @@
         return min(1.0, self.live / max(1, self.known))
 
 
+@dataclass(slots=True)
+class _Survey:
+    """What a new home has heard of what was spent before.
+
+    :ivar leased: what it has leased itself since it began.
+    """
+
+    began: float
+    told: dict[str, float] = field(default_factory=dict)
+    leased: float = 0.0
+
+
 class QuotaHome:
     """Lease cost to the nodes that ask.
 
@@ -54,6 +67,14 @@
         self.limits = limits
         self._first_start = first_start
         self._windows: dict[str, SpendingWindow] = {}
+        self._surveys: dict[str, _Survey] = {}
+
+    def must_survey(self, team: str) -> bool:
+        """Tell whether this node is new as a team's home and should ask what was spent.
+
+        :rtype: bool
+        """
+        return team not in self._windows and not self._first_start
 
     def ask(self, team: Team, message: QuotaRequest, presence: Presence, now: float) -> QuotaGrant:
         """Answer a node that asks for cost of a limited team.
@@ -71,12 +92,27 @@
             return QuotaGrant(team.name, message.number, 0.0, retry, VALID_S)
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
         window.add(amount, now)
+        survey = self._surveys.get(team.name)
+        if survey is not None:
+            survey.leased += amount
         return QuotaGrant(team.name, message.number, amount, 0.0, VALID_S)
 
     def _is_cheap(self, team: Team, message: QuotaRequest) -> bool:
         """Tell whether a request costs so little that refusing it makes no room for others."""
         return message.need <= CHEAP_COSTS * team.plain_cost
 
+    def take_spent(self, team: Team, message: QuotaSpent, presence: Presence, now: float) -> None:
+        """Take what a node has spent, in place of its part of what was assumed."""
+        survey, window = self._surveys.get(team.name), self._windows.get(team.name)
+        if survey is None or window is None or now - survey.began > SURVEY_S:
+            return
+        part = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE / presence.known
+        unknown = max(0.0, 1.0 - message.known_s / self.limits.window_s)
+        survey.told[message.host] = message.cost + part * unknown
+        missing = max(0, presence.known - len(survey.told))
+        assumed = sum(survey.told.values()) + part * missing
+        window.assume(assumed + survey.leased, survey.began)
+
     def forget_others(self, mine: Callable[[str], bool]) -> None:
         """Drop the windows of teams whose home is elsewhere.
 
@@ -85,6 +121,7 @@
         for name in list(self._windows):
             if not mine(name):
                 del self._windows[name]
+                self._surveys.pop(name, None)
                 self._first_start = False
 
     def _window(self, name: str, most: float, now: float) -> SpendingWindow:
@@ -93,4 +130,5 @@
             window = self._windows[name] = SpendingWindow(self.limits.window_s)
             if not self._first_start:
                 window.assume(most, now)
+                self._surveys[name] = _Survey(now)
         return window
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -39,4 +39,23 @@
     valid_s: float
 
 
-QuotaMessage = QuotaRequest | QuotaGrant
+class QuotaSurvey(msgspec.Struct, frozen=True, array_like=True, tag="quota_survey"):
+    """A node that has become the home of a team asks what has been spent lately."""
+
+    team: str
+
+
+class QuotaSpent(msgspec.Struct, frozen=True, array_like=True, tag="quota_spent"):
+    """Tell a new home what one node has spent in the window that ends now.
+
+    :param known_s: for how long before now this node can tell; less than the window where it
+        started only then.
+    """
+
+    team: str
+    host: str
+    cost: float
+    known_s: float
+
+
+QuotaMessage = QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent
--- a/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
@@ -11,7 +11,7 @@
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.bucket import Bucket
 from chalkyoke.quotas.messages import QuotaGrant
-from chalkyoke.quotas.window import QuotaLimits
+from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
 
 AHEAD_S = 0.4
 DEMAND_MEMORY_S = 2.0
@@ -40,6 +40,7 @@
         self._nodes = nodes
         self._purses: dict[str, _Purse] = {}
         self._alone: dict[str, Bucket] = {}
+        self._spent: dict[str, SpendingWindow] = {}
 
     def spend(self, team: Team, cost: float, version: int, now: float) -> bool:
         """Spend cost from the lease, if it is enough.
@@ -54,6 +55,7 @@
         if now >= purse.until or purse.balance < cost:
             return False
         purse.balance -= cost
+        self._note_spent(team.name, cost, now)
         return True
 
     def ahead(self, team: Team) -> float:
@@ -78,6 +80,7 @@
         if purse.balance < cost:
             return False
         purse.balance -= cost
+        self._note_spent(grant.team, cost, now)
         return True
 
     def spend_alone(self, team: Team, cost: float, now: float) -> bool:
@@ -94,7 +97,24 @@
             bucket = self._alone[team.name] = Bucket(rate, capacity, capacity, now)
         elif (bucket.rate_per_s, bucket.capacity) != (rate, capacity):
             bucket.reshape(rate, capacity, now)
-        return bucket.take(cost, now)
+        passed = bucket.take(cost, now)
+        if passed:
+            self._note_spent(team.name, cost, now)
+        return passed
+
+    def spent(self, team: str, now: float) -> float:
+        """Give what this node has spent of a team's quota in the window that ends now.
+
+        :rtype: float
+        """
+        window = self._spent.get(team)
+        return 0.0 if window is None else window.spent(now)
+
+    def _note_spent(self, team: str, cost: float, now: float) -> None:
+        window = self._spent.get(team)
+        if window is None:
+            window = self._spent[team] = SpendingWindow(self.limits.window_s)
+        window.add(cost, now)
 
     def _purse(self, name: str) -> _Purse:
         return self._purses.setdefault(name, _Purse())
--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -109,6 +109,19 @@
         pairs = self._attention * tokens * context * self.prefill_factor
         return pairs + self.prefill_time(tokens)
 
+    @property
+    def samples(self) -> int:
+        """How many first outputs it has learned from."""
+        return self._firsts
+
+    def take_over(self, prefill_factor: float, decode_factor: float, samples: int) -> None:
+        """Take what another one has learned, if that is more."""
+        if samples <= self._firsts:
+            return
+        self._firsts = samples
+        self.prefill_factor = _clamp(prefill_factor, MIN_FACTOR, MAX_FACTOR)
+        self.decode_factor = _clamp(decode_factor, MIN_FACTOR, MAX_FACTOR)
+
     def learn_tokens(self, tokens: int, seconds: float, streams: int) -> None:
         """Learn from output tokens that came.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -158,6 +158,25 @@
     items: tuple[RunningItem, ...]
 
 
+class LearnedSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """How fast one upstream has been found to be, against the first guesses.
+
+    :param samples: how many first outputs this is learned from.
+    """
+
+    upstream: str
+    prefill_factor: float
+    decode_factor: float
+    samples: int
+
+
+class Learned(msgspec.Struct, frozen=True, array_like=True, tag="learned"):
+    """What an earlier scheduler of a pool tells its successor."""
+
+    pool: str
+    speeds: tuple[LearnedSpeed, ...]
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """What an upstream says of itself; stale by the time it is read.
 
@@ -180,4 +199,4 @@
 
 
 Action = Grant | Shed
-EntryMessage = Acquire | Withdraw | Release | Progress | Adopt
+EntryMessage = Acquire | Withdraw | Release | Progress | Adopt | Learned
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -16,6 +16,8 @@
     Adopt,
     CacheEvent,
     Grant,
+    Learned,
+    LearnedSpeed,
     LoadReport,
     Progress,
     Release,
@@ -220,6 +222,31 @@
         self._unsettled.discard(entry)
         return self._decide(now)
 
+    def learned(self) -> Learned:
+        """Tell a successor what is known of the upstreams' speeds.
+
+        :rtype: Learned
+        """
+        speeds = tuple(
+            LearnedSpeed(
+                name,
+                each.speed.prefill_factor,
+                each.speed.decode_factor,
+                each.speed.samples,
+            )
+            for name, each in self._pool.upstreams.items()
+            if each.speed.samples
+        )
+        return Learned(self.spec.name, speeds)
+
+    def take_over(self, message: Learned) -> None:
+        """Take what an earlier scheduler has learned."""
+        for each in message.speeds:
+            upstream = self._pool.upstreams.get(each.upstream)
+            if upstream is not None:
+                upstream.speed.take_over(each.prefill_factor, each.decode_factor, each.samples)
+                upstream.changed()
+
     def member_gone(self, entry: str, now: float) -> list[Out]:
         """Drop what a dead entry process had waiting and running.
 
