--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -221,6 +221,7 @@
             source=granted.source,
             waited_s=round(granted.started - admission.arrived, 4) if granted.started else None,
             first_s=round(granted.first_s, 4),
+            longest_gap_s=round(self._relay.longest_gap_s, 4) if self._relay else None,
             expected_first_s=round(granted.expected_first_s, 4),
             prompt_tokens=admission.fields.prompt_tokens,
             most_output=admission.fields.most_output_tokens,
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -43,6 +43,7 @@
     :param first: called with the seconds from the send to the first event.
     :ivar ended: set when the send is over, to how it ended.
     :ivar last_at: when something last came.
+    :ivar longest_gap_s: the longest pause between two events, in seconds.
     """
 
     def __init__(
@@ -71,6 +72,8 @@
         self.first_at = 0.0
         self.last_at = self.started_at
         self.events = 0
+        self.longest_gap_s = 0.0
+        self._event_at = 0.0
 
     # The sink of the replica's connection.
 
@@ -167,6 +170,9 @@
             return
         if not self.events:
             self._first(now - self.started_at)
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._event_at)
+        self._event_at = now
         self.events += cut.count
         self._delivery.events += cut.count
         if self._delivery.head_sent:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -104,6 +104,7 @@
     SummaryRequest,
     Withdraw,
 )
+SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
 POOL_FEATURES = Features(late_last=False, headroom=True, early=True)
 
 log = logger("node")
@@ -443,9 +444,7 @@
         elif isinstance(message, AdoptRequest):
             self.grants.tell_running(message.pool, connection.peer)
             self.hosted.tell_learned(message.pool, connection.peer)
-        elif isinstance(
-            message, Acquire | Adopt | FirstOutput | Learned | Progress | Release | Withdraw
-        ):
+        elif isinstance(message, SCHEDULER_MESSAGES):
             self.hosted.note_address(connection.peer, address)
             self.hosted.receive(connection.peer, connection.peer_domain, message)
         elif isinstance(message, QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent):
