Count only what is seen in a new quota home; bound spending in a quarter of the window

Cause: after a cut or a restart of all, a new home assumed that members out of sight had spent their part although its own limit was scaled down already, so it refused for seconds (429 for 25 of 40 requests in the cut zone). Ruled out: demand (the passed cost was a sixth of what the limit allows). Change: only live members are assumed for; a home leases at most four tenths of its window within a quarter of it, so that assuming an even spread is safe after a crash; a newcomer spends its own small share first.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -240,6 +240,7 @@
             PeerQuotas(self.view, self.links.send, self.presence),
             lambda name: self.catalog.state.catalog.teams.get(name),
             self.now,
+            first_start=self.settings.node.first_start,
         )
         budget = BudgetLimits(limits.retry_ratio, limits.retry_slack, limits.retry_window_s)
         self.connections = ConnectionPool()
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -24,6 +24,7 @@
 
 ANSWER_S = 0.03
 AVOID_S = 0.3
+NEWCOMER_S = 1.0
 ALONE_RETRY_S = 0.3
 
 
@@ -82,6 +83,7 @@
 
     :param now: the node's clock, in seconds.
     :param teams: finds a team by its name.
+    :param first_start: whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -91,7 +93,10 @@
         port: HomePort,
         teams: Callable[[str], Team | None],
         now: Callable[[], float],
+        *,
+        first_start: bool,
     ) -> None:
+        self._first_start = first_start
         self._wallet = wallet
         self._home = home
         self._port = port
@@ -111,13 +116,21 @@
             return Passed(True)
         if self._wallet.spend(team, charged.cost, charged.version, self._now()):
             return Passed(True)
+        if self._is_newcomer():
+            return self._alone(team, charged)
         grant = await self._ask(team, charged)
         if grant is None:
-            alone = self._wallet.spend_alone(team, charged.cost, self._now())
-            return Passed(alone, ALONE_RETRY_S)
+            return self._alone(team, charged)
         passed = self._wallet.take(grant, charged.cost, self._now())
         return Passed(passed, grant.retry_after_s)
 
+    def _alone(self, team: Team, charged: Charged) -> Passed:
+        return Passed(self._wallet.spend_alone(team, charged.cost, self._now()), ALONE_RETRY_S)
+
+    def _is_newcomer(self) -> bool:
+        """Tell whether this node may not know yet who is the home."""
+        return not self._first_start and self._now() < NEWCOMER_S
+
     async def _ask(self, team: Team, charged: Charged) -> QuotaGrant | None:
         """Ask the home; nothing where it is silent."""
         number = next(self._numbers)
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -15,6 +15,11 @@
 
 VALID_S = 0.5
 USED_SHARE = 0.78
+ASSUMED_SHARE = 0.94
+# A quarter of the window may see four tenths of what the window may: when a home is lost, what it
+# leased is then spread enough for its successor to assume that it was spread evenly.
+SHORT_WINDOW = 0.25
+SHORT_SHARE = 0.4
 HELD_PER_RANK = 0.04
 CHEAP_COSTS = 3.0
 MOST_RANKS_HELD = 3
@@ -86,7 +91,10 @@
         # The less urgent are refused first: a part of the window is kept for the others.
         ranks_held = 0 if self._is_cheap(team, message) else min(message.rank, MOST_RANKS_HELD)
         ceiling = most * (1.0 - HELD_PER_RANK * ranks_held)
-        room = ceiling - window.spent(now)
+        room = min(
+            ceiling - window.spent(now),
+            SHORT_SHARE * most - window.spent(now, self.limits.window_s * SHORT_WINDOW),
+        )
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
             return QuotaGrant(team.name, message.number, 0.0, retry, VALID_S)
@@ -106,10 +114,12 @@
         survey, window = self._surveys.get(team.name), self._windows.get(team.name)
         if survey is None or window is None or now - survey.began > SURVEY_S:
             return
-        part = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE / presence.known
+        most = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE
+        part = most * ASSUMED_SHARE / presence.known
         unknown = max(0.0, 1.0 - message.known_s / self.limits.window_s)
         survey.told[message.host] = message.cost + part * unknown
-        missing = max(0, presence.known - len(survey.told))
+        # Those out of sight count for the share of the limit that is not used here.
+        missing = max(0, presence.live - len(survey.told))
         assumed = sum(survey.told.values()) + part * missing
         window.assume(assumed + survey.leased, survey.began)
 
@@ -129,6 +139,6 @@
         if window is None:
             window = self._windows[name] = SpendingWindow(self.limits.window_s)
             if not self._first_start:
-                window.assume(most, now)
+                window.assume(most * ASSUMED_SHARE, now)
                 self._surveys[name] = _Survey(now)
         return window
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -68,11 +68,15 @@
             self._buckets.append((last - back, cost / BUCKETS))
         self._sum = cost
 
-    def spent(self, now: float) -> float:
+    def spent(self, now: float, within_s: float | None = None) -> float:
         """Give what was spent in the window that ends now.
 
+        :param within_s: look only so far back, in seconds.
         :rtype: float
         """
+        if within_s is not None:
+            since = self._index(now - within_s)
+            return sum(cost for index, cost in self._buckets if index > since)
         oldest = self._index(now) - BUCKETS
         while self._buckets and self._buckets[0][0] < oldest:
             self._sum -= self._buckets.popleft()[1]
