Let a request that comes back as told in first

Change: the scheduler remembers what it told to come back, by what the request is about, and lets it in before new ones; the promises outstanding count when the next one is told.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -13,7 +13,7 @@
 
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.catalog.resources import Replica
-from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, prompt_blocks
+from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -246,6 +246,7 @@
             likely_output=fields.likely_output_tokens,
             gap_goal_s=admission.route.gap_goal_s,
             whole_s=admission.ends - now,
+            fingerprint=fingerprint(admission),
             comes_back_s=(admission.ends - now) * COMES_BACK_SHARE,
         )
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -127,6 +127,20 @@
     return tuple(blocks)
 
 
+def fingerprint(admission: Admission) -> int:
+    """Name what a request is about, the same for each attempt of its caller.
+
+    :return: 0 where nothing tells it from others.
+    """
+    fields = admission.fields
+    if not fields.parts:
+        return 0
+    team = admission.team.name if admission.team else ""
+    parts = ",".join(f"{part.id:x}:{part.tokens}" for part in fields.parts)
+    text = f"{team}|{admission.route.name}|{fields.most_output_tokens}|{parts}"
+    return xxhash.xxh64_intdigest(text.encode()) >> 1
+
+
 def _admit(
     fields: RequestFields,
     route: Route,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -24,6 +24,7 @@
     :param comes_back_s: how long its caller may be told to stay away and still come back in time.
     :param gap_goal_s: the longest pause between outputs that is in time; 0 where none is named.
     :param whole_s: time left for the whole answer, beside a goal for the first output.
+    :param fingerprint: the same for each attempt of one caller at one thing; 0 where not known.
     :param likely_output: the caller's own estimate of its output, in tokens; 0 where it gives none.
     """
 
@@ -43,6 +44,7 @@
     comes_back_s: float = 0.0
     gap_goal_s: float = 0.0
     whole_s: float = 0.0
+    fingerprint: int = 0
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -25,7 +25,8 @@
 NO_UPSTREAM_RETRY_S = 5.0
 LEAST_AHEAD = 1
 MIN_EARLY_RETRY_S = 0.4
-EARLY_RETRY_WAITS = 3.0
+EARLY_RETRY_WAITS = 1.5
+PROMISE_KEPT_S = 1.5
 
 
 @dataclass(slots=True)
@@ -71,6 +72,7 @@
         self._headroom = headroom
         self._random = random
         self._next_forecast = now
+        self._promised: dict[int, float] = {}
 
     def at_arrival(self, item: Waiting, now: float) -> Out | None:
         """Refuse a request that could not be done, whatever else waits.
@@ -84,9 +86,10 @@
             return self._word(item, Reason.EXPIRED, None)
         if self._features.shed and self._is_hopeless(item, eligible, now):
             return self._word(item, Reason.HOPELESS, None)
-        if self._features.early and item.has_goal:
-            return self._too_late(item, now)
-        return None
+        if not self._features.early or not item.has_goal:
+            return None
+        item.returning = self._promised.pop(item.fingerprint, 0.0) > now
+        return None if item.returning else self._too_late(item, now)
 
     def _too_late(self, item: Waiting, now: float) -> Out | None:
         """Refuse at once what would wait beyond its goal, so that its caller can come back."""
@@ -95,10 +98,22 @@
         ahead = sum(count for (rank, _), count in self._pool.counts.items() if rank == item.rank)
         if ahead < LEAST_AHEAD:
             return None
+        promised = self._count_promised(now)
         wait = self._headroom.wait_s(item.rank, ahead, now)
         if now + wait + item.least_s <= item.goal:
             return None
-        return self._word(item, Reason.SHED, self._come_back(item, wait))
+        after = self._headroom.wait_s(item.rank, ahead + promised, now)
+        retry = self._come_back(item, after)
+        if item.fingerprint:
+            self._promised[item.fingerprint] = now + retry + PROMISE_KEPT_S
+        return self._word(item, Reason.SHED, retry)
+
+    def _count_promised(self, now: float) -> int:
+        """Count the refused callers that have been told to come back and have not yet."""
+        for fingerprint, until in list(self._promised.items()):
+            if until < now:
+                del self._promised[fingerprint]
+        return len(self._promised)
 
     def _come_back(self, item: Waiting, wait_s: float) -> float:
         """Say when to come back: when the queue has gone, while there is time left for it."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -346,6 +346,7 @@
             gap_goal=message.gap_goal_s or math.inf,
             whole=now + message.whole_s if message.whole_s else math.inf,
             most_output=_most_output(message),
+            fingerprint=message.fingerprint,
             long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -15,6 +15,7 @@
 STALL_MEMORY_S = 10.0
 MAX_STALLED = 0.6
 MIN_OWN_SHARE = 0.2
+RETURNING_S = 1.0
 
 
 class ReleaseOutcome(StrEnum):
@@ -118,6 +119,8 @@
     :param comes_back_s: how long its caller may be told to stay away.
     :param gap_goal: the longest pause between its outputs that is in time, in seconds.
     :param whole: when the whole answer is due, on the scheduler's own clock.
+    :param fingerprint: the same for each attempt of one caller at one thing; 0 where not known.
+    :param returning: whether it comes back after a refusal that told it when.
     :param most_output: output tokens at most.
     :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
@@ -144,6 +147,8 @@
     gap_goal: float = math.inf
     whole: float = math.inf
     most_output: int = 0
+    fingerprint: int = 0
+    returning: bool = False
 
     @property
     def has_goal(self) -> bool:
@@ -152,8 +157,12 @@
 
     @property
     def due(self) -> float:
-        """When it should be done: the first output where it has a goal, else the whole."""
-        return min(self.goal, self.deadline)
+        """When it should be done: the first output where it has a goal, else the whole.
+
+        What comes back as it was told goes before what is new.
+        """
+        due = min(self.goal, self.deadline)
+        return due - RETURNING_S if self.returning else due
 
 
 @dataclass(slots=True, eq=False)
