--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -18,7 +18,8 @@
 MARGIN_SHARE = 0.2
 MISSED_GOAL = 1e6
 HARM = 1e3
-GAP_SHARE = 0.75
+GAP_SHARE = 0.65
+TIER_WEIGHT = 0.5
 SPARE_FIRSTS = 1.0
 RISK = 0.5
 
@@ -226,11 +227,24 @@
     score = prediction.finish_s
     if modest and missed < -prediction.first_s * SPARE_FIRSTS and _fits(item, upstream, now):
         score = -prediction.finish_s
-    if _pause(item, upstream, cached_blocks, now) > GAP_SHARE * upstream.shortest_gap():
-        score += HARM
+    pause = _pause(item, upstream, cached_blocks, now)
+    if pause > GAP_SHARE * upstream.shortest_gap():
+        score += HARM * _held_up(upstream, pause)
     return score
 
 
+def _held_up(upstream: Upstream, pause_s: float) -> float:
+    """Weigh the running requests that can't bear a pause; each lower tier weighs half.
+
+    :rtype: float
+    """
+    return sum(
+        TIER_WEIGHT**item.tier_index
+        for item in upstream.running.values()
+        if pause_s > GAP_SHARE * item.gap_goal
+    )
+
+
 def _fits(item: Waiting, upstream: Upstream, now: float) -> bool:
     """Tell whether the longest answer that a request may have would be whole in time."""
     streams = upstream.spec.slots
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -59,6 +59,13 @@
         """
         return self.ranks.get(tier, max(self.ranks.values(), default=0))
 
+    def tier_index(self, rank: int) -> int:
+        """Count the tiers that are higher than a rank.
+
+        :rtype: int
+        """
+        return sum(1 for each in self.ranks.values() if each < rank)
+
     def weight(self, team: str) -> float:
         """Give the weight of a team.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -491,6 +491,7 @@
             expected_first_s=prediction.first_s,
             stalls_seen=upstream.stall_s,
             gap_goal=item.gap_goal,
+            tier_index=self._pool.tier_index(item.rank),
         )
         self._pool.delay_others(upstream, left)
         self._pool.start(running, upstream, now)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -170,6 +170,7 @@
     """One request that holds a grant.
 
     :param prefill_left: prompt tokens to be read when it was granted.
+    :param tier_index: how many tiers of the pool are higher than its own.
     :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
     """
 
@@ -193,6 +194,7 @@
     elapsed_s: float = 0.0
     stalls_seen: float = 0.0
     gap_goal: float = math.inf
+    tier_index: int = 0
 
 
 @dataclass(slots=True, eq=False)
