--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/metastore.py
@@ -0,0 +1,256 @@
+"""
+chalkyoke_fakes.metastore
+
+A stand-in for the users' platform's metadata store: revisions, conditional writes, leases, watches,
+a bounded history, outages and lost answers. It runs in the loop of its test.
+"""
+
+import asyncio
+import base64
+import itertools
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+HISTORY = 500
+MAX_WAIT_S = 30.0
+PAGE = 50
+
+
+@dataclass
+class Faults:
+    """Faults that can be switched at run time.
+
+    :ivar down: every call gets 503.
+    :ivar silent: no call is answered.
+    :ivar slow_s: every call takes so much longer.
+    :ivar lose_writes: so many writes are done and not answered.
+    """
+
+    down: bool = False
+    silent: bool = False
+    slow_s: float = 0.0
+    lose_writes: int = 0
+
+
+@dataclass
+class Entry:
+    """One key."""
+
+    value: bytes
+    revision: int
+    made: int
+    lease: int = 0
+
+
+@dataclass
+class Lease:
+    """A lease; it runs out at a moment of the steady clock."""
+
+    ttl_s: float
+    until: float
+    keys: set[str] = field(default_factory=set)
+
+
+class MetaStore:
+    """The keys, leases, history and faults."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.entries: dict[str, Entry] = {}
+        self.leases: dict[int, Lease] = {}
+        self.calls: Counter[str] = Counter()
+        self.revision = 0
+        self._history: deque[tuple[int, str]] = deque(maxlen=HISTORY)
+        self._oldest = 0
+        self._changed = asyncio.Condition()
+        self._numbers = itertools.count(1000)
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    # Serving.
+
+    async def start(self, ip: str) -> None:
+        """Serve on a free port."""
+        app = web.Application(middlewares=[self._admit])
+        app.router.add_get("/kv-key", self._key)
+        app.router.add_get("/kv-range", self._range)
+        app.router.add_get("/kv-watch", self._watch)
+        app.router.add_post("/kv-txn", self._transaction)
+        app.router.add_post("/kv-lease", self._grant)
+        app.router.add_post("/kv-keep/{lease}", self._keep)
+        app.router.add_delete("/kv-lease-end/{lease}", self._end)
+        self._runner = web.AppRunner(app)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ip, 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _admit(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        self.calls[request.path.split("/")[1]] += 1
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        while self.faults.silent:
+            await asyncio.sleep(0.02)
+        if self.faults.down:
+            return web.json_response({"error": "down"}, status=503)
+        self._expire()
+        answer: web.StreamResponse = await handler(request)
+        while self.faults.silent:
+            await asyncio.sleep(0.02)
+        return answer
+
+    # What the operator and the replicas do.
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key.
+
+        :return: the revision.
+        """
+        self._put(key, value, lease)
+        await self._notify()
+        return self.revision
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._remove(key):
+            await self._notify()
+
+    async def forget_history(self) -> None:
+        """Forget what has changed, and cut the watches."""
+        self._history.clear()
+        self._oldest = self.revision + 1
+        self.revision += 1
+        await self._notify()
+
+    # Calls.
+
+    async def _key(self, request: web.Request) -> web.Response:
+        entry = self.entries.get(request.query["key"])
+        if entry is None:
+            return web.json_response({"at": self.revision}, status=404)
+        return web.json_response({**self._item(request.query["key"]), "at": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["path-prefix"], request.query.get("since-rev", "")
+        keys = sorted(key for key in self.entries if key.startswith(prefix) and key > after)
+        items = [self._item(key) for key in keys[:PAGE]]
+        return web.json_response({"items": items, "more": len(keys) > PAGE, "at": self.revision})
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix, since = request.query["path-prefix"], int(request.query["since-rev"])
+        wait_s = min(MAX_WAIT_S, int(request.query["wait-ms"]) / 1000)
+        end = time.monotonic() + wait_s
+        while True:
+            if since < self._oldest:
+                return web.json_response({"error": "history"}, status=410)
+            events = self._events(prefix, since)
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return web.json_response({"events": events, "at": self.revision})
+            try:
+                async with asyncio.timeout(min(left, 0.2)), self._changed:
+                    await self._changed.wait()
+            except TimeoutError:
+                self._expire()
+
+    def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        newest = {key: revision for revision, key in self._history if revision > since}
+        return [
+            self._item(key) if key in self.entries else {"key": key, "rev": revision, "gone": True}
+            for key, revision in newest.items()
+            if key.startswith(prefix)
+        ]
+
+    async def _transaction(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body.get("expect-rev", []):
+            entry = self.entries.get(row["key"])
+            if (entry.revision if entry else 0) != row["rev"]:
+                items = [self._item(each) for each in [row["key"]] if each in self.entries]
+                return web.json_response({"items": items}, status=412)
+        for put in body.get("put", []):
+            lease = put.get("lease", 0)
+            if put["key"].startswith(("op/", "servers/")):
+                return web.json_response({"error": "not yours"}, status=403)
+            if lease and lease not in self.leases:
+                return web.json_response({"error": "no such lease"}, status=404)
+        for put in body.get("put", []):
+            self._put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body.get("delete", []):
+            self._remove(key)
+        await self._notify()
+        if self.faults.lose_writes > 0:
+            self.faults.lose_writes -= 1
+            await asyncio.sleep(MAX_WAIT_S)
+        return web.json_response({"rev": self.revision})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        ttl_s = (await request.json())["ttl_ms"] / 1000
+        number = next(self._numbers)
+        self.leases[number] = Lease(ttl_s, time.monotonic() + ttl_s)
+        return web.json_response({"lease": number, "ttl_ms": ttl_s * 1000})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = self.leases.get(int(request.match_info["lease"]))
+        if lease is None:
+            return web.json_response({"error": "over"}, status=404)
+        lease.until = time.monotonic() + lease.ttl_s
+        return web.json_response({"ttl_ms": lease.ttl_s * 1000})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self._drop_lease(int(request.match_info["lease"]))
+        await self._notify()
+        return web.json_response({})
+
+    # State.
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
+        self.revision += 1
+        before = self.entries.get(key)
+        made = before.made if before else self.revision
+        self.entries[key] = Entry(value, self.revision, made, lease)
+        if lease:
+            self.leases[lease].keys.add(key)
+        self._history.append((self.revision, key))
+
+    def _remove(self, key: str) -> bool:
+        if self.entries.pop(key, None) is None:
+            return False
+        self.revision += 1
+        self._history.append((self.revision, key))
+        return True
+
+    def _drop_lease(self, number: int) -> None:
+        lease = self.leases.pop(number, None)
+        for key in lease.keys if lease else ():
+            self._remove(key)
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for number in [each for each, lease in self.leases.items() if lease.until < now]:
+            self._drop_lease(number)
+
+    def _item(self, key: str) -> dict[str, Any]:
+        entry = self.entries[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(entry.value).decode(),
+            "rev": entry.revision,
+            "made": entry.made,
+            "lease": entry.lease,
+        }
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformdemo.py
@@ -0,0 +1,71 @@
+"""
+chalkyoke_fakes.platformdemo
+
+Start the users' path on loopback addresses: three gateway nodes before the stand-ins of the
+platform's store and replicas. Send a few dozen requests, kill a node and a replica in the middle,
+and compare what each caller got with what the replicas ran.
+"""
+
+import asyncio
+import collections
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from chalkyoke_fakes.platformfleet import Got, PlatformFleet
+
+REQUESTS = 48
+KILL_NODE_AT = 16
+KILL_REPLICA_AT = 28
+PAUSE_S = 0.03
+PATHS = ("/chat/1", "/explain/1", "/book/1", "/find/1")
+
+
+def word(got: Got) -> str:
+    """Say what a caller got."""
+    if got.status == 0:
+        return "no answer"
+    if not got.whole:
+        return "broken off"
+    return {200: "whole", 503: "not run", 502: "unknown"}.get(got.status, str(got.status))
+
+
+async def send(fleet: PlatformFleet, number: int, alive: list[str]) -> tuple[int, str, Got]:
+    """Send one request."""
+    node = alive[number % len(alive)]
+    got = await fleet.ask(node, PATHS[number % len(PATHS)], request_id=f"demo-{number}")
+    print(f"#{number:02d} {PATHS[number % len(PATHS)]:<12} by {node}: {word(got)}", flush=True)
+    return number, word(got), got
+
+
+async def main() -> None:
+    """Play the demo."""
+    with tempfile.TemporaryDirectory(prefix="chalkyoke-demo-") as folder:
+        async with PlatformFleet(Path(folder)) as fleet:
+            print(f"-- platform: {len(fleet.nodes)} nodes, {len(fleet.replicas)} replicas")
+            alive = list(fleet.nodes)
+            tasks = []
+            for number in range(REQUESTS):
+                tasks.append(asyncio.create_task(send(fleet, number, alive)))
+                await asyncio.sleep(PAUSE_S)
+                if number == KILL_NODE_AT:
+                    victim = alive.pop()
+                    print(f"-- killing {victim} (SIGKILL)")
+                    fleet.nodes[victim].send(signal.SIGKILL)
+                if number == KILL_REPLICA_AT:
+                    print("-- a replica crashes")
+                    await fleet.replicas["m0"].crash()
+            check(fleet, await asyncio.gather(*tasks))
+
+
+def check(fleet: PlatformFleet, told: list[tuple[int, str, Got]]) -> None:
+    """Compare what callers were told with what ran."""
+    runs = fleet.runs()
+    single = [n for n in range(REQUESTS) if PATHS[n % len(PATHS)] in ("/chat/1", "/book/1")]
+    doubled = [n for n in single if runs[f"demo-{n}"] > 1]
+    untrue = [n for n, said, _ in told if said == "not run" and runs[f"demo-{n}"]]
+    counts = collections.Counter(said for _, said, _ in told)
+    print(f"demo: {len(told)} sent, {dict(counts)}, {len(doubled)} doubled, {len(untrue)} untrue")
+    if doubled or untrue or counts["whole"] < REQUESTS * 0.8:
+        sys.exit(1)
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -0,0 +1,269 @@
+"""
+chalkyoke_fakes.platformfleet
+
+The users' platform on loopback addresses: a store and replicas in this loop, and gateway nodes as
+separate processes.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from chalkyoke_fakes.fleet import FLEET_KEY_HEX, free_address
+from chalkyoke_fakes.metastore import MetaStore
+from chalkyoke_fakes.replica import Replica
+
+START_S = 20.0
+POLL_S = 0.02
+HOST = "desk.example"
+KEY = "clerks-key"
+TEAM = "clerks"
+
+
+def default_configuration(version: int = 1) -> dict[str, Any]:
+    """Make a configuration with a model, a booking service and a look-up service.
+
+    :rtype: dict
+    """
+    return {
+        "version": version,
+        "routes": [
+            _route("explain", "stream", "model", resumable=True, attempts=2),
+            _route("chat", "stream", "model"),
+            _route("book", "non_idempotent", "seats"),
+            _route("find", "idempotent", "seats", attempts=2),
+        ],
+        "services": [
+            {
+                "name": "model",
+                "max-conns": 100,
+                "engine": {"slots": 4, "kv-capacity": 100_000, "stride": 3},
+            },
+            {"name": "seats", "max-conns": 100},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 2000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": TEAM, "api-keys": [KEY], "priority": 1}],
+    }
+
+
+def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    route = {
+        "name": name,
+        "host": HOST,
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "timeout-ms": 8000,
+        "goal-ms": 1000,
+        "gap-goal-ms": 500,
+        "priority": 1,
+        "attempts": 1,
+    }
+    return {**route, **more, "service": service}
+
+
+@dataclass
+class Got:
+    """What a caller got.
+
+    :ivar whole: whether the answer ended as it should.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway node."""
+
+    name: str
+    zone: str
+    callers: str
+    ready: str
+    links: str
+    metrics: str
+    settings: Path
+    popen: "subprocess.Popen[bytes] | None" = None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to it."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+
+class PlatformFleet:
+    """Start, fault and end a fleet on the stand-in of the platform.
+
+    :param folder: where settings and logs go.
+    :param zones: failure domain of each node.
+    """
+
+    def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.folder = folder
+        self.store = MetaStore()
+        self.replicas: dict[str, Replica] = {}
+        self.nodes: dict[str, GatewayProcess] = {}
+        self.session: aiohttp.ClientSession
+        self._zones = zones
+        self._numbers = iter(range(1, 1_000_000))
+
+    async def __aenter__(self) -> "PlatformFleet":
+        self.session = aiohttp.ClientSession()
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for node in self.nodes.values():
+            node.send(signal.SIGCONT)
+            node.send(signal.SIGKILL)
+        for node in self.nodes.values():
+            if node.popen is not None:
+                node.popen.wait()
+        await self.session.close()
+        for replica in self.replicas.values():
+            await replica.crash()
+        await self.store.stop()
+
+    async def _start(self) -> None:
+        await self.store.start("127.0.0.1")
+        await self.configure(default_configuration())
+        for number, zone in enumerate(self._zones):
+            await self.add_replica(f"m{number}", "model", zone, engine=True)
+            await self.add_replica(f"s{number}", "seats", zone)
+        for number, zone in enumerate(self._zones):
+            self._lay_settings(f"n{number + 1}", zone, f"127.0.1.{number + 1}")
+        for name in self.nodes:
+            self.start_node(name)
+        for name in self.nodes:
+            await self.until_ready(name)
+
+    async def configure(self, configuration: dict[str, Any]) -> None:
+        """Write the operators' configuration."""
+        await self.store.put("op/config", json.dumps(configuration).encode())
+
+    async def add_replica(
+        self, name: str, service: str, zone: str, *, engine: bool = False, port: int = 0
+    ) -> Replica:
+        """Start a replica."""
+        replica = Replica(name, service, zone, self.store, engine)
+        await replica.start("127.0.2.1", port)
+        self.replicas[name] = replica
+        return replica
+
+    def _lay_settings(self, name: str, zone: str, ip: str) -> None:
+        path = self.folder / f"{name}.toml"
+        callers, ready, links, metrics = (free_address(ip) for _ in range(4))
+        self.nodes[name] = GatewayProcess(name, zone, callers, ready, links, metrics, path)
+
+    def start_node(self, name: str, *, first_start: bool = True) -> None:
+        """Start a node, also one that was ended before."""
+        node = self.nodes[name]
+        seeds = [each.links for each in self.nodes.values()][:3]
+        node.settings.write_text(
+            f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
+            f"first_start = {str(first_start).lower()}\n"
+            f'[listen]\ncallers = "{node.callers}"\nready = "{node.ready}"\n'
+            f'links = "{node.links}"\nmetrics = "{node.metrics}"\n'
+            f"[peers]\nseeds = {json.dumps(seeds)}\n"
+            f'[store]\naddress = "{self.store.address}"\nwatch_wait_s = 2.0\n'
+            f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
+            "[limits]\nretry_slack = 100.0\n",
+            encoding="utf-8",
+        )
+        command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            node.popen = subprocess.Popen(
+                command, stdout=log, stderr=log, start_new_session=True, env=dict(os.environ)
+            )
+
+    # Asking.
+
+    async def is_ready(self, name: str) -> bool:
+        """Ask a node whether callers may be sent to it."""
+        try:
+            async with self.session.get(f"http://{self.nodes[name].ready}/readyz") as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def until_ready(self, name: str) -> None:
+        """Wait until a node is ready."""
+        await self.until(lambda: self.is_ready(name), f"{name} to be ready")
+
+    async def until(self, check: Any, what: str, seconds: float = START_S) -> None:
+        """Wait until something holds.
+
+        :raises RuntimeError: when it does not within some seconds.
+        """
+        end = time.monotonic() + seconds
+        while True:
+            held = check()
+            if asyncio.iscoroutine(held):
+                held = await held
+            if held:
+                return
+            if time.monotonic() > end:
+                raise RuntimeError(f"waited in vain for {what}; see the logs in {self.folder}")
+            await asyncio.sleep(POLL_S)
+
+    async def ask(
+        self,
+        node: str,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"{}",
+        key: str | None = KEY,
+        request_id: str = "",
+        **headers: str,
+    ) -> Got:
+        """Send one request as a caller."""
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": request_id or f"q{next(self._numbers)}",
+            "X-Deadline-Ms": "8000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key is not None:
+            sent["X-Credential"] = key
+        url = f"http://{self.nodes[node].callers}{path}"
+        parts: list[bytes] = []
+        try:
+            async with self.session.request(method, url, data=body, headers=sent) as answer:
+                found = {name.lower(): value for name, value in answer.headers.items()}
+                try:
+                    async for part in answer.content.iter_any():
+                        parts.append(part)
+                except aiohttp.ClientError:
+                    return Got(answer.status, found, b"".join(parts), whole=False)
+                return Got(answer.status, found, b"".join(parts), whole=True)
+        except aiohttp.ClientError:
+            return Got(0, {}, b"", whole=False)
+
+    def runs(self) -> Counter[str]:
+        """Count the runs of each request over all replicas."""
+        total: Counter[str] = Counter()
+        for replica in self.replicas.values():
+            total.update(replica.runs)
+        return total
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -0,0 +1,210 @@
+"""
+chalkyoke_fakes.replica
+
+A stand-in for one replica on the users' platform: an incarnation with an id, slots, streams of
+events that can be resumed, and the faults that replicas have. It runs in the loop of its test.
+"""
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+
+from chalkyoke_fakes.metastore import MetaStore
+
+READ_LIMIT = 5_000_000
+REASONS = {200: "OK", 400: "Bad Request", 421: "Misdirected Request", 500: "Error", 503: "Full"}
+
+
+@dataclass
+class ReplicaFaults:
+    """Faults that can be switched at run time; counts go down as they strike.
+
+    :ivar lose_answers: run, then close without an answer.
+    :ivar break_streams: close in the middle of an event, after so many whole ones.
+    :ivar extra_answers: send a second answer after the first.
+    :ivar fail: answer 500 after the run.
+    :ivar shed: answer that it has not run.
+    """
+
+    lose_answers: int = 0
+    break_streams: int = 0
+    break_after: int = 2
+    extra_answers: int = 0
+    fail: int = 0
+    shed: int = 0
+    event_s: float = 0.005
+    work_s: float = 0.005
+
+
+@dataclass
+class Seen:
+    """One request as it arrived.
+
+    :ivar left: whether its connection was closed while it ran.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    left: bool = False
+
+
+@dataclass
+class Replica:
+    """One replica.
+
+    :param service: service that it belongs to.
+    :param engine: whether it answers with streams of events.
+    """
+
+    id: str
+    service: str
+    zone: str
+    store: MetaStore
+    engine: bool = False
+    slots: int = 4
+    events: int = 8
+    faults: ReplicaFaults = field(default_factory=ReplicaFaults)
+    seen: list[Seen] = field(default_factory=list)
+    runs: Counter[str] = field(default_factory=Counter)
+    state: str = "ready"
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, ip: str, port: int = 0) -> None:
+        """Serve, and declare itself in the store."""
+        self._server = await asyncio.start_server(self._serve, ip, port, limit=READ_LIMIT)
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        await self.declare("ready")
+
+    async def declare(self, state: str) -> None:
+        """Write its own record."""
+        self.state = state
+        record = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold-left-ms": 0,
+            "seq": 1,
+        }
+        await self.store.put(f"servers/{self.id}", json.dumps(record).encode())
+
+    async def crash(self) -> None:
+        """End without a word; its record stays."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                request = await _read_request(reader)
+                if request is None or not await self._answer(request, reader, writer):
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            with contextlib.suppress(ConnectionError):
+                writer.close()
+
+    async def _answer(
+        self, request: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        name = request.headers.get("x-request-id", "")
+        expected = request.headers.get("x-expect-instance", self.id)
+        if expected != self.id:
+            _write(writer, 421, {"X-Request-Id": name, "X-Instance": self.id}, b"")
+            return True
+        if not name or self.faults.shed > 0:
+            self.faults.shed -= bool(name)
+            status = 503 if name else 400
+            _write(writer, status, {"X-Request-Id": name, "X-Not-Run": "1"}, b"")
+            return True
+        self.runs[name] += 1
+        self.seen.append(request)
+        if self.engine:
+            try:
+                return await self._stream(name, request, writer)
+            except ConnectionError:
+                request.left = True
+                return False
+        await asyncio.sleep(self.faults.work_s)
+        if reader.at_eof():
+            request.left = True
+            return False
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return False
+        status = 200
+        if self.faults.fail > 0:
+            self.faults.fail -= 1
+            status = 500
+        body = f"{self.id} did {name}".encode()
+        _write(writer, status, self._headers(name), body)
+        if self.faults.extra_answers > 0:
+            self.faults.extra_answers -= 1
+            _write(writer, 200, self._headers(name), b"an answer that nobody asked for")
+        await writer.drain()
+        return True
+
+    async def _stream(self, name: str, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        after = request.headers.get("last-event-id", "")
+        first = int(after) + 1 if after.isdigit() else 0
+        head = {**self._headers(name), "Content-Type": "text/event-stream"}
+        _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"})
+        for number in range(first, self.events):
+            await asyncio.sleep(self.faults.event_s)
+            if writer.transport.is_closing():
+                request.left = True
+                return False
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.faults.break_streams > 0 and number - first >= self.faults.break_after:
+                self.faults.break_streams -= 1
+                writer.write(b"%x\r\n%b" % (len(event), event[:5]))
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def _headers(self, name: str) -> dict[str, str]:
+        return {
+            "X-Request-Id": name,
+            "X-Server-Stamp": f"{self.id}.{name}",
+            "X-Server-Load": f"1,0,{self.slots}",
+        }
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    pairs = (line.split(":", 1) for line in lines[1:] if line)
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(method, target, headers, body)
+
+
+def _write_head(writer: asyncio.StreamWriter, status: int, headers: dict[str, str]) -> None:
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+
+def _write(writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes) -> None:
+    _write_head(writer, status, {**headers, "Content-Length": str(len(body))})
+    writer.write(body)
--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -166,3 +166,44 @@
         seen.append(view.generation)
     assert all(one != other for one, other in itertools.pairwise(shown))
     assert all(one < other for one, other in itertools.pairwise(seen))
+
+
+def newcomer(host, domain="d1"):
+    return MembershipView(record(host, domain, incarnation=77))
+
+
+def test_a_newcomer_tells_no_other_domain_that_it_is_alone():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    shown = {each.host for each in fleet.views["b1"].live()}
+    fresh = newcomer("a9")
+    for _ in range(3):
+        for send in fresh.beat(0.0):
+            assert send.message.digests == ()
+        changes, _ = fleet.views["b1"].receive("a9:1", fresh.introduction(), fleet.now)
+        assert changes == []
+    assert {each.host for each in fleet.views["b1"].live()} == shown
+
+
+def test_a_newcomer_that_knows_one_seed_learns_of_all_others():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    fresh = newcomer("a9")
+    seed = fleet.views["a1"]
+    _, sends = seed.receive("a9:1", fresh.introduction(), fleet.now)
+    for send in sends:
+        if send.address == "a9:1":
+            fresh.receive(seed.record.address, send.message, 0.0)
+    told = {send.address for send in fresh.beat(0.1)}
+    for host in TWO["d1"]:
+        assert fleet.views[host].record.address in told
+    assert {each.host for each in fresh.live()} >= set(TWO["d2"])
+
+
+def test_owners_are_listed_in_the_order_in_which_they_would_take_over():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    view = fleet.views["a1"]
+    owners = [each.host for each in view.pool_owners("p")]
+    assert sorted(owners) == sorted(TWO["d1"] + TWO["d2"])
+    assert view.pool_owner("p").host == owners[0]
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -95,6 +95,8 @@
         """Refuse at once what would wait beyond its goal, so that its caller can come back."""
         if self._pool.lower_waits(item):
             return None
+        if not item.long and self._pool.any_slot(now):
+            return None
         ahead = sum(count for (rank, _), count in self._pool.counts.items() if rank == item.rank)
         if ahead < LEAST_AHEAD:
             return None
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -0,0 +1,235 @@
+"""Requests whose first output is due: order, headroom, pauses, early refusals and promises."""
+
+import dataclasses
+
+from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.headroom import Headroom
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    FirstOutput,
+    Grant,
+    Learned,
+    LearnedSpeed,
+    Release,
+    Shed,
+    Usage,
+)
+from chalkyoke.scheduling.placement import Features
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.state import (
+    PoolSpec,
+    ReleaseOutcome,
+    RouteSpec,
+    TeamSpec,
+    TierSpec,
+    UpstreamSpec,
+)
+
+FEATURES = Features(late_last=False, headroom=True, early=True)
+FAST, SLOW = "fast", "slow"
+
+
+def upstream(name, slots=2, prefill=40_000.0, decode=200.0):
+    return UpstreamSpec(
+        name,
+        "127.0.0.1:1",
+        "z",
+        slots,
+        prefill,
+        decode,
+        batch_slowdown=1.0,
+        prefill_chunk_tokens=2048,
+        tokens_per_event=3,
+    )
+
+
+def make(upstreams, features=FEATURES):
+    names = frozenset(each.id for each in upstreams)
+    spec = PoolSpec(
+        "p",
+        tuple(upstreams),
+        (TierSpec("0", 0), TierSpec("1", 1)),
+        (TeamSpec("t"),),
+        (RouteSpec("r", names),),
+    )
+    return PoolScheduler(spec, lambda: 0.5, now=0.0, features=features)
+
+
+def acquire(name, tier="1", **changes):
+    message = Acquire(
+        request=name,
+        attempt=1,
+        pool="p",
+        route="r",
+        tier=tier,
+        team="t",
+        prompt_tokens=400,
+        max_output=2000,
+        blocks=(),
+        budget_s=3.0,
+        waited_s=0.0,
+        goal_s=0.6,
+        likely_output=20,
+        comes_back_s=4.0,
+        gap_goal_s=0.3,
+        whole_s=15.0,
+    )
+    return message.__class__(**{**_asdict(message), **changes})
+
+
+def _asdict(message):
+    return {name: getattr(message, name) for name in message.__struct_fields__}
+
+
+def ask(scheduler, now=0.0, **fields):
+    outs = scheduler.acquire("h", "z", acquire(**fields), now)
+    return [out.action for out in outs]
+
+
+def granted(actions):
+    return [each.upstream for each in actions if isinstance(each, Grant)]
+
+
+def release(scheduler, name, now):
+    message = Release(name, 1, "p", ReleaseOutcome.DELIVERED, Usage(400, -1, 20, 0.05, 0.3))
+    return [out.action for out in scheduler.release("z", message, now)]
+
+
+def test_a_higher_tier_goes_first_even_when_it_is_late_already():
+    scheduler = make([upstream(FAST, slots=1)])
+    ask(scheduler, name="holder", tier="0")
+    ask(scheduler, name="low", tier="1", now=0.1)
+    ask(scheduler, name="high", tier="0", now=0.1, goal_s=-1.0)
+    assert [each.request for each in release(scheduler, "holder", 0.2)] == ["high"]
+
+
+def test_a_late_request_is_kept_while_its_caller_is_still_there_and_shed_after():
+    scheduler = make([upstream(FAST, slots=1)])
+    ask(scheduler, name="holder", tier="0", likely_output=600)
+    ask(scheduler, name="waits", tier="0", now=0.1)
+    kept = [out.action for out in scheduler.tick(1.0)]
+    assert kept == [] and scheduler.is_waiting("waits")
+    gone = [out.action for out in scheduler.tick(3.2)]
+    assert [(each.request, each.reason) for each in gone] == [("waits", Reason.EXPIRED)]
+
+
+def test_long_work_of_a_lower_tier_leaves_slots_free_for_higher_ones():
+    scheduler = make([upstream(FAST, slots=8)])
+    for number in range(4):
+        ask(scheduler, name=f"h{number}", tier="0", likely_output=400)
+    for step in range(200):
+        scheduler.tick(0.05 * step)
+    taken = [
+        granted(ask(scheduler, name=f"l{number}", likely_output=600, now=10.0))
+        for number in range(4)
+    ]
+    assert sum(len(each) for each in taken) < 4
+    assert granted(ask(scheduler, name="urgent", tier="0", now=10.0)) == [FAST]
+    short = ask(scheduler, name="short", likely_output=10, now=10.0)
+    assert granted(short) == [FAST]
+
+
+def test_long_low_work_takes_the_slowest_upstream_that_meets_its_goal():
+    scheduler = make([upstream(FAST), upstream(SLOW, prefill=14_000.0, decode=100.0)])
+    assert granted(ask(scheduler, name="long", likely_output=300)) == [SLOW]
+    assert granted(ask(scheduler, name="short", likely_output=10)) == [FAST]
+
+
+def test_an_answer_that_a_slow_upstream_could_not_finish_in_time_goes_to_a_fast_one():
+    scheduler = make([upstream(FAST), upstream(SLOW, prefill=14_000.0, decode=60.0)])
+    assert granted(ask(scheduler, name="long", likely_output=400)) == [FAST]
+
+
+def test_a_prompt_that_would_hold_streams_up_goes_where_none_or_the_least_run():
+    specs = [
+        upstream("a", prefill=14_000.0, decode=100.0),
+        upstream("b", prefill=14_000.0, decode=100.0),
+    ]
+    scheduler = make(specs)
+    first = granted(ask(scheduler, name="stream", tier="0"))[0]
+    scheduler.first_output(FirstOutput("stream", "p", 0.05), 0.06)
+    other = granted(ask(scheduler, name="big", tier="0", prompt_tokens=5000, now=0.1))[0]
+    assert other != first
+
+
+def test_a_first_output_that_is_told_at_once_takes_the_prompt_off_the_backlog():
+    scheduler = make([upstream(FAST, slots=8)])
+    ask(scheduler, name="big", prompt_tokens=16_000, goal_s=2.0)
+    (before,) = [a for a in ask(scheduler, name="x", now=0.5) if isinstance(a, Grant)]
+    scheduler.first_output(FirstOutput("big", "p", 0.4), 0.5)
+    (after,) = [a for a in ask(scheduler, name="y", now=0.5) if isinstance(a, Grant)]
+    assert after.expected_first_s < before.expected_first_s / 2
+
+
+def crowd(scheduler, count, now, start=0, **fields):
+    return [
+        ask(scheduler, name=f"c{start + number}", fingerprint=start + number + 1, now=now, **fields)
+        for number in range(count)
+    ]
+
+
+def test_what_would_wait_beyond_its_goal_is_refused_at_once_and_let_in_when_it_comes_back():
+    scheduler = make([upstream(FAST, slots=1)])
+    ask(scheduler, name="holder", likely_output=400)
+    answers = crowd(scheduler, 6, now=0.1, comes_back_s=1.0)
+    shed = [each for actions in answers for each in actions if isinstance(each, Shed)]
+    assert shed and all(0 < each.retry_after_s <= 1.0 for each in shed)
+
+    first = shed[0]
+    number = int(first.request[1:])
+    back = 0.1 + first.retry_after_s
+    again = ask(scheduler, name="again", fingerprint=number + 1, now=back)
+    assert not [each for each in again if isinstance(each, Shed)]
+    new = ask(scheduler, name="new", fingerprint=999, now=back)
+    assert [each for each in new if isinstance(each, Shed)]
+    scheduler.tick(back + 0.05)
+    queue = release(scheduler, "holder", back + 0.1)
+    assert next(each.request for each in queue if isinstance(each, Grant)) == "again"
+
+
+def test_a_higher_tier_is_not_refused_early_while_a_lower_one_waits():
+    scheduler = make([upstream(FAST, slots=1)])
+    ask(scheduler, name="holder", tier="0", likely_output=1000)
+    ask(scheduler, name="low", now=0.1)
+    for number in range(5):
+        actions = ask(scheduler, name=f"h{number}", tier="0", now=0.1)
+        assert not [each for each in actions if isinstance(each, Shed)]
+
+
+def test_a_successor_starts_with_what_was_learned():
+    old = make([upstream(FAST)])
+    old.take_over(Learned("p", (LearnedSpeed(FAST, 2.0, 3.0, 7),)))
+    told = old.learned()
+    assert told.speeds == (LearnedSpeed(FAST, 2.0, 3.0, 7),)
+    new = make([upstream(FAST)])
+    new.take_over(told)
+    new.take_over(Learned("p", (LearnedSpeed(FAST, 9.0, 9.0, 3),)))
+    new.take_over(Learned("p", (LearnedSpeed("unknown", 9.0, 9.0, 3),)))
+    assert new.learned() == told
+
+
+def test_headroom_grows_with_what_higher_tiers_use():
+    headroom = Headroom(0.0)
+    assert headroom.kept_free(1) == 0
+    for step in range(200):
+        headroom.observe([0] * 8 + [1] * 3, 0.05 * step)
+    assert headroom.kept_free(1) == 4 and headroom.kept_free(0) == 0
+    for step in range(200, 800):
+        headroom.observe([], 0.05 * step)
+    assert headroom.kept_free(1) == 0
+
+
+def test_a_tiers_wait_is_predicted_from_how_fast_it_gets_slots():
+    headroom = Headroom(0.0)
+    for step in range(100):
+        headroom.note_grant(1, 0.1 * step)
+    assert 8 < headroom.rate(1, 10.0) < 12
+    assert 0.8 < headroom.wait_s(1, 10, 10.0) < 1.25
+    assert headroom.wait_s(1, 10, 60.0) > 20
+
+
+def test_without_goals_nothing_of_this_changes_the_order():
+    features = dataclasses.replace(FEATURES, late_last=True)
+    scheduler = make([upstream(FAST), upstream(SLOW, decode=100.0)], features)
+    actions = ask(scheduler, name="plain", goal_s=0.0, likely_output=300, budget_s=30.0)
+    assert granted(actions) == [FAST]
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -135,6 +135,9 @@
     fair: bool = True
     predict: bool = True
     guard: bool = True
+    late_last: bool = True
+    headroom: bool = False
+    early: bool = False
 
 
 class TlsSection(_Section):
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -18,6 +18,7 @@
 
 import aiohttp
 from chalkyoke.tokens.codec import request_of
+from chalkyoke_fakes import platformdemo
 from chalkyoke_fakes.caller import Caller, Reply, Told
 from chalkyoke_fakes.fleet import LocalFleet
 
@@ -28,6 +29,7 @@
 LEAD_S = 0.6
 PURCHASE_LEAD_S = 0.02
 SEED = 7
+PLATFORM = "platform"
 PROMPT_TOKENS = (40, 200, 800, 4000)
 ARRIVAL_S = 0.12
 
@@ -155,6 +157,9 @@
 
 
 async def main(name: str) -> None:
+    if name == PLATFORM:
+        await platformdemo.main()
+        return
     folder = EXAMPLES / name
     if not folder.is_dir():
         sys.exit(f"there is no example fleet {name!r}")
--- /dev/null
+++ b/tests/test_gateway_processes.py
@@ -0,0 +1,325 @@
+"""
+tests.test_gateway_processes
+
+The users' path over real sockets: gateway nodes as processes, before the stand-ins of the
+platform's store and replicas.
+"""
+
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+from chalkyoke_fakes.platformfleet import HOST, KEY, PlatformFleet, default_configuration
+
+WHOLE_STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(8))
+
+
+def with_fleet(check, zones=("a", "b", "c")):
+    async def main():
+        with tempfile.TemporaryDirectory(prefix="chalkyoke-test-") as folder:
+            async with PlatformFleet(Path(folder), zones) as fleet:
+                await check(fleet)
+
+    asyncio.run(main())
+
+
+def engines(fleet):
+    return [each for each in fleet.replicas.values() if each.engine]
+
+
+def plain(fleet):
+    return [each for each in fleet.replicas.values() if not each.engine]
+
+
+def test_requests_go_whole_and_unaltered_to_one_replica_and_back():
+    async def check(fleet):
+        for name in fleet.nodes:
+            got = await fleet.ask(name, "/chat/x?y=%20z", body=b"\x00\xff")
+            assert (got.status, got.body, got.whole) == (200, WHOLE_STREAM, True)
+        assert sum(fleet.runs().values()) == 3
+        seen = next(each.seen[0] for each in engines(fleet) if each.seen)
+        assert (seen.method, seen.target, seen.body) == ("POST", "/chat/x?y=%20z", b"\x00\xff")
+        assert seen.headers["x-tenant"] == "clerks" and "x-credential" not in seen.headers
+        assert 0 < int(seen.headers["x-deadline-ms"]) <= 8000
+
+        got = await fleet.ask("n1", "/book/1", X_Tenant="forged", X_Expect_Instance="forged")
+        assert got.status == 200 and got.headers["x-server-stamp"]
+        seen = next(each.seen[-1] for each in plain(fleet) if each.seen)
+        assert seen.headers["x-tenant"] == "clerks"
+
+        for path, key, status in (
+            ("/none/", KEY, 404),
+            ("/book/1", "nobody", 401),
+            ("/book/1", None, 401),
+        ):
+            assert (await fleet.ask("n1", path, key=key)).status == status
+
+    with_fleet(check)
+
+
+def test_what_may_not_be_repeated_runs_once_and_what_may_is_sent_again():
+    async def check(fleet):
+        for replica in plain(fleet):
+            replica.faults.lose_answers = 1
+        got = await fleet.ask("n1", "/book/1", request_id="once")
+        assert got.status == 502
+        assert fleet.runs()["once"] == 1
+        for replica in plain(fleet):
+            replica.faults.lose_answers = 0
+            replica.faults.fail = 1
+        got = await fleet.ask("n1", "/find/1", method="GET", body=b"", request_id="twice")
+        assert got.status == 500 and fleet.runs()["twice"] == 2
+        for replica in plain(fleet):
+            replica.faults.fail = 0
+            replica.faults.shed = 1
+        got = await fleet.ask("n1", "/book/1", request_id="declined")
+        assert got.status == 200 and fleet.runs()["declined"] == 1
+
+    with_fleet(check)
+
+
+def test_a_broken_stream_goes_on_elsewhere_where_it_may_and_is_visibly_broken_where_not():
+    async def check(fleet):
+        for replica in engines(fleet):
+            replica.faults.break_streams = 1
+        got = await fleet.ask("n1", "/chat/1", request_id="chat")
+        assert not got.whole and WHOLE_STREAM.startswith(got.body) and got.body
+        assert fleet.runs()["chat"] == 1
+        broken = next(each for each in engines(fleet) if each.faults.break_streams == 0)
+        broken.faults.break_streams = 1
+        for replica in engines(fleet):
+            replica.faults.break_after = 3
+        got = await fleet.ask("n2", "/explain/1", request_id="explain")
+        assert fleet.runs()["explain"] == 2
+        resumed = [each for replica in engines(fleet) for each in replica.seen][-1]
+        assert resumed.headers["last-event-id"] == "2"
+        assert WHOLE_STREAM.startswith(got.body)
+        for replica in engines(fleet):
+            replica.faults.break_streams = 0
+        got = await fleet.ask("n2", "/explain/1", Last_Event_Id="4")
+        assert got.whole and got.body == WHOLE_STREAM[WHOLE_STREAM.index(b"id: 5") :]
+
+    with_fleet(check)
+
+
+def test_answers_that_nobody_asked_for_reach_nobody():
+    async def check(fleet):
+        for replica in plain(fleet):
+            replica.faults.extra_answers = 20
+        for number in range(30):
+            got = await fleet.ask("n1", "/book/1", request_id=f"e{number}")
+            assert got.status == 200 and got.body.endswith(f" did e{number}".encode())
+
+    with_fleet(check, ("a",))
+
+
+def test_another_replica_at_a_known_address_does_not_run_what_was_not_meant_for_it():
+    async def check(fleet):
+        old = fleet.replicas["s0"]
+        await old.crash()
+        port = int(old.address.rsplit(":", 1)[1])
+        stranger = await fleet.add_replica("x0", "other", "a", port=port)
+        for number in range(6):
+            got = await fleet.ask("n1", "/book/1", request_id=f"r{number}")
+            assert got.status == 200
+        assert not stranger.runs
+
+    with_fleet(check)
+
+
+def test_a_replica_that_leaves_gets_nothing_once_its_node_knows():
+    async def check(fleet):
+        leaving = fleet.replicas["s0"]
+        await leaving.declare("draining")
+
+        async def is_left_alone():
+            before = sum(leaving.runs.values())
+            for name in fleet.nodes:
+                for _ in range(4):
+                    assert (await fleet.ask(name, "/book/1")).status == 200
+            return sum(leaving.runs.values()) == before
+
+        await fleet.until(is_left_alone, "a leaving replica to be left alone")
+
+    with_fleet(check)
+
+
+def test_a_crashed_replica_costs_no_request_that_was_not_on_it():
+    async def check(fleet):
+        await fleet.replicas["m0"].crash()
+        await fleet.replicas["s0"].crash()
+        for name in fleet.nodes:
+            assert (await fleet.ask(name, "/chat/1")).body == WHOLE_STREAM
+            assert (await fleet.ask(name, "/book/1")).status == 200
+
+    with_fleet(check)
+
+
+def test_a_configuration_is_in_force_everywhere_and_stays_without_the_store():
+    async def check(fleet):
+        changed = default_configuration(5)
+        changed["routes"][2]["path-prefix"] = "/moved/"
+        changed["tenants"][0]["api-keys"] = ["new-key"]
+        await fleet.configure(changed)
+
+        async def in_force():
+            answers = [await fleet.ask(name, "/moved/1", key="new-key") for name in fleet.nodes]
+            return all(each.status == 200 for each in answers)
+
+        await fleet.until(in_force, "a configuration to be in force")
+        for name in fleet.nodes:
+            assert (await fleet.ask(name, "/moved/1")).status == 401
+            assert (await fleet.ask(name, "/book/1", key="new-key")).status == 404
+
+        fleet.store.faults.silent = True
+        fleet.nodes["n3"].send(signal.SIGKILL)
+        fleet.nodes["n3"].popen.wait()
+        fleet.start_node("n3", first_start=False)
+        await fleet.until_ready("n3")
+        assert (await fleet.ask("n3", "/moved/1", key="new-key")).status == 200
+        assert (await fleet.ask("n3", "/book/1", key="new-key")).status == 404
+        fleet.store.faults.silent = False
+
+    with_fleet(check)
+
+
+def test_a_history_that_was_forgotten_hides_no_change():
+    async def check(fleet):
+        await fleet.store.forget_history()
+        changed = default_configuration(9)
+        changed["routes"][2]["path-prefix"] = "/moved/"
+        await fleet.configure(changed)
+
+        async def in_force():
+            return all([(await fleet.ask(name, "/moved/1")).status == 200 for name in fleet.nodes])
+
+        await fleet.until(in_force, "a configuration to be in force")
+
+    with_fleet(check)
+
+
+def test_the_loss_or_freeze_of_a_scheduler_stops_nobody():
+    async def check(fleet):
+        await asyncio.gather(*(fleet.ask(name, "/chat/1") for name in fleet.nodes))
+        for name in fleet.nodes:
+            fleet.nodes[name].send(signal.SIGSTOP)
+            others = [each for each in fleet.nodes if each != name]
+            for other in others:
+                got = await fleet.ask(other, "/chat/1")
+                assert (got.status, got.body) == (200, WHOLE_STREAM)
+            fleet.nodes[name].send(signal.SIGCONT)
+        fleet.nodes["n1"].send(signal.SIGKILL)
+        for other in ("n2", "n3"):
+            assert (await fleet.ask(other, "/chat/1")).body == WHOLE_STREAM
+
+    with_fleet(check)
+
+
+def test_a_planned_stop_cuts_off_nothing_and_calls_for_no_more_at_once():
+    async def check(fleet):
+        for replica in engines(fleet):
+            replica.faults.event_s = 0.15
+        tasks = [asyncio.create_task(fleet.ask("n1", "/chat/1")) for _ in range(4)]
+        await fleet.until(lambda: sum(fleet.runs().values()) == 4, "four streams to run")
+        fleet.nodes["n1"].send(signal.SIGTERM)
+
+        async def is_not_ready():
+            return not await fleet.is_ready("n1")
+
+        await fleet.until(is_not_ready, "a stopping node to say so")
+        got = await fleet.ask("n1", "/book/1")
+        assert got.status == 200
+        for each in await asyncio.gather(*tasks):
+            assert each.whole and each.body == WHOLE_STREAM
+        assert fleet.nodes["n1"].popen.wait(timeout=20) == 0
+
+    with_fleet(check)
+
+
+def test_a_caller_that_leaves_is_felt_by_the_replica():
+    async def check(fleet):
+        for replica in engines(fleet):
+            replica.faults.event_s = 0.1
+        task = asyncio.create_task(fleet.ask("n1", "/chat/1"))
+        await fleet.until(lambda: sum(fleet.runs().values()) == 1, "a stream to run")
+        task.cancel()
+        seen = [each for replica in engines(fleet) for each in replica.seen]
+        await fleet.until(lambda: seen[0].left, "a replica to notice")
+
+    with_fleet(check, ("a",))
+
+
+def test_the_pages_tell_readiness_and_metrics_and_the_log_has_each_request():
+    async def check(fleet):
+        await fleet.ask("n1", "/book/1", request_id="told")
+        async with fleet.session.get(f"http://{fleet.nodes['n1'].metrics}/metrics") as page:
+            assert "chalkyoke_requests_total" in await page.text()
+
+        def lines():
+            text = (fleet.folder / "n1.log").read_text()
+            return [json.loads(line) for line in text.splitlines()]
+
+        def is_told():
+            return any(each.get("request") == "told" for each in lines())
+
+        await fleet.until(is_told, "a request to be in the log")
+        line = next(each for each in lines() if each.get("request") == "told")
+        assert line["end"] == "delivered" and line["replica"] and line["version"] == 1
+
+    with_fleet(check, ("a",))
+
+
+def test_settings_that_are_wrong_or_change_are_told():
+    async def check(fleet):
+        node = fleet.nodes["n1"]
+        node.settings.write_text("[node]\n")
+        node.send(signal.SIGHUP)
+
+        def log():
+            return (fleet.folder / "n1.log").read_text()
+
+        await fleet.until(lambda: "reload_failed" in log(), "the mistake to be told")
+        assert (await fleet.ask("n1", "/book/1")).status == 200
+        node.send(signal.SIGKILL)
+        node.popen.wait()
+        command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
+        process = await asyncio.create_subprocess_exec(*command, stderr=asyncio.subprocess.PIPE)
+        _, told = await process.communicate()
+        assert process.returncode == 2 and told.startswith(b"settings: ")
+
+    with_fleet(check, ("a",))
+
+
+def test_a_request_with_two_lengths_is_never_forwarded():
+    async def check(fleet):
+        ip, port = fleet.nodes["n1"].callers.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(
+            b"POST /book/1 HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\nX-Request-Id: evil\r\n"
+            b"X-Credential: " + KEY.encode() + b"\r\nContent-Length: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /book/2 HTTP/1.1\r\n\r\n"
+        )
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 400 ") and answer.count(b"HTTP/1.1") == 1
+        writer.close()
+        assert not fleet.runs()
+
+    with_fleet(check, ("a",))
+
+
+def test_the_callers_connection_is_kept_between_requests():
+    async def check(fleet):
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            for number in range(3):
+                url = f"http://{fleet.nodes['n1'].callers}/book/1"
+                headers = {"Host": HOST, "X-Request-Id": f"k{number}", "X-Credential": KEY}
+                async with session.post(url, headers=headers) as answer:
+                    assert answer.status == 200
+                    assert answer.connection is None or "close" not in answer.headers
+
+    with_fleet(check, ("a",))
