--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -27,6 +27,7 @@
 MIN_EARLY_RETRY_S = 0.4
 EARLY_RETRY_WAITS = 1.5
 PROMISE_KEPT_S = 1.5
+BORNE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -102,7 +103,8 @@
             return None
         promised = self._count_promised(now)
         wait = self._headroom.wait_s(item.rank, ahead, now)
-        if now + wait + item.least_s <= item.goal:
+        bearable = item.goal + BORNE_SHARE * max(0.0, item.deadline - item.goal)
+        if now + wait + item.least_s <= bearable:
             return None
         after = self._headroom.wait_s(item.rank, ahead + promised, now)
         retry = self._come_back(item, after)
