Suspend upstreams by a faded count of failures, never more than half of a pool

Ruled out: crashes (refused connections are not sent). Change: each success takes a third of a failure away; two suspend; at most half of a pool.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -11,7 +11,9 @@
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.state import ReleaseOutcome, Running, TokenSample, Upstream
 
-FAILURES_TO_SUSPEND = 3
+FAILURES_TO_SUSPEND = 2.0
+FADE_BY_SUCCESS = 0.34
+MOST_FAILURES = 6.0
 BACKOFF_S = 0.5
 MAX_BACKOFF_S = 30.0
 HINT_SPREAD = 3.0
@@ -76,18 +78,25 @@
         :param domain: failure domain of the entry process.
         """
         if outcome is ReleaseOutcome.DELIVERED:
-            upstream.failures = 0
+            upstream.failures = max(0.0, upstream.failures - FADE_BY_SUCCESS)
+            upstream.unreachable = 0
             upstream.unreachable_from.pop(domain, None)
         elif outcome is ReleaseOutcome.UNREACHABLE:
-            upstream.failures += 1
-            backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.failures, 10))
+            upstream.unreachable += 1
+            backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.unreachable, 10))
             upstream.unreachable_from[domain] = now + backoff
         elif outcome is ReleaseOutcome.FAILED:
-            upstream.failures += 1
-            if upstream.failures >= FAILURES_TO_SUSPEND:
-                excess = min(upstream.failures - FAILURES_TO_SUSPEND, 10)
+            upstream.failures = min(MOST_FAILURES, upstream.failures + 1.0)
+            if upstream.failures >= FAILURES_TO_SUSPEND and self._may_suspend(now):
+                excess = int(upstream.failures - FAILURES_TO_SUSPEND)
                 upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
 
+    def _may_suspend(self, now: float) -> bool:
+        """Tell whether one more upstream may be left out: a pool must not go empty by suspicion."""
+        upstreams = self._pool.upstreams.values()
+        suspended = sum(1 for each in upstreams if now < each.suspended_until)
+        return suspended + 1 <= max(1, len(upstreams) // 2)
+
     def usage(
         self,
         item: Running,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -201,6 +201,8 @@
 class Upstream:
     """One upstream as the scheduler sees it now.
 
+    :ivar failures: failures lately; each success takes a part of one away.
+    :ivar unreachable: connections that could not be opened, one after the other.
     :ivar stall_s: seconds that it has spent reading prompts; its other streams stand still then.
     :ivar stall_share: the share of its time that this took lately.
     """
@@ -211,7 +213,8 @@
     draining: bool = False
     foreign: int = 0
     foreign_until: float = 0.0
-    failures: int = 0
+    failures: float = 0.0
+    unreachable: int = 0
     suspended_until: float = 0.0
     unreachable_from: dict[str, float] = field(default_factory=dict)
     own_load: deque[tuple[float, int]] = field(default_factory=deque)
