--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -7,7 +7,7 @@
 import argparse
 import asyncio
 
-from benches import capacity, fleet, path
+from benches import capacity, fleet, gateway, path
 from benches.policy import __main__ as policy
 
 
@@ -15,11 +15,14 @@
     """Run one part, or all."""
     parser = argparse.ArgumentParser(description="Measurements of chalkyoke.")
     parser.add_argument(
-        "--part", default="all", choices=["all", "path", "policy", "fleet", "capacity"]
+        "--part", default="all", choices=["all", "path", "gateway", "policy", "fleet", "capacity"]
     )
     parsed = parser.parse_args()
     if parsed.part in ("all", "path"):
         asyncio.run(path.main())
+        asyncio.run(gateway.main())
+    if parsed.part == "gateway":
+        asyncio.run(gateway.main())
     if parsed.part in ("all", "fleet"):
         asyncio.run(fleet.main())
     if parsed.part in ("all", "capacity"):
--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -17,6 +17,7 @@
 from chalkyoke.tokens.codec import request_of
 from result import Err
 
+from chalkyokectl import story
 from chalkyokectl.client import AdministrationClient, Answer
 from chalkyokectl.output import Form, at, facts, picture, show
 
@@ -300,6 +301,26 @@
     show(rows, ["at", "host", "kind", "request", "facts"], output, found)
 
 
+@app.command()
+def explain(
+    logs: Annotated[list[Path], typer.Argument(help="Collected log files of nodes.")],
+    request: Annotated[str, typer.Option("--request", help="Id of the request.")],
+) -> None:
+    """Tell what happened to one request, from the logs of several nodes."""
+    texts: list[str] = []
+    for path in logs:
+        try:
+            texts += path.read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as error:
+            typer.echo(f"{path}: {error.strerror}", err=True)
+            raise typer.Exit(EXIT_FILE) from error
+    told = story.tell(request, story.read(texts))
+    for line in story.show(told):
+        typer.echo(line)
+    if not told.lines:
+        raise typer.Exit(EXIT_REFUSED)
+
+
 @app.command()
 def drain(host: str, server: Server, token: Token) -> None:
     """Stop a node on plan; what is in progress there is finished first."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -13,7 +13,7 @@
 from chalkyoke.catalog.resources import Catalog
 from chalkyoke.gateway.events import EventCutter
 from chalkyoke.gateway.grants import Denied, Granted, Grants, ReplicaPort
-from chalkyoke.gateway.ports import Forwarding, HeaderFormat
+from chalkyoke.gateway.ports import Forwarding, HeaderFormat, RequestFields
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.verdict import Next, SendEnd, Sends, after
@@ -56,6 +56,7 @@
 }
 
 Record = Callable[..., None]
+Reject = Callable[[Request, RequestFields, Rejection], None]
 
 
 @dataclass(slots=True)
@@ -66,6 +67,7 @@
     :param nodes: gives the number of nodes that there may be in the fleet.
     :param now: the node's clock, in seconds.
     :param record: writes a decision on a request to the log.
+    :param reject: writes to the log that a request is refused as it stands.
     """
 
     catalog: Callable[[], Catalog]
@@ -79,6 +81,7 @@
     nodes: Callable[[], int]
     now: Callable[[], float]
     record: Record
+    reject: Reject
 
 
 @dataclass(slots=True)
@@ -140,6 +143,7 @@
         judged = judge(self._request, self._fields, parts.catalog(), parts.now())
         if isinstance(judged, Rejection):
             retry = RETRY_SOON_S if judged.status == 503 else None
+            parts.reject(self._request, self._fields, judged)
             self._answer(judged.status, judged.reason, retry)
             return
         self._admission = judged
@@ -310,6 +314,17 @@
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
         parts.grants.started(admission, granted)
+        parts.record(
+            "sent",
+            admission,
+            replica=granted.replica.id,
+            source=granted.source,
+            scheduler=granted.scheduler,
+            send=progress.sends.arrivals,
+            expected_first_s=round(granted.expected_first_s, 4),
+            deadline_s=round(forwarding.deadline_s, 3),
+            resumed_after=resumed_after,
+        )
         bodiless = request.method == b"HEAD"
         connection.send(head + request.body, relay, self._belongs, bodiless=bodiless)
         return relay
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -261,6 +261,7 @@
                 nodes=self.nodes,
                 now=self.now,
                 record=self.requests.record,
+                reject=self.requests.reject,
             )
         )
 
--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -9,9 +9,12 @@
 import logbook
 
 from chalkyoke.administration.metrics import Metrics
-from chalkyoke.gateway.reception import Admission
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.reception import Admission, Rejection
+from chalkyoke.http1.messages import Request
 from chalkyoke.logs import logger
 
+MOST_TARGET = 200
 FAILURES = frozenset(("refused", "expired", "over_quota"))
 
 log = logger("request")
@@ -27,6 +30,17 @@
         self._metrics = metrics
         self._now = now
 
+    def reject(self, request: Request, fields: RequestFields, rejection: Rejection) -> None:
+        """Write that a request is refused as it stands."""
+        self._metrics.count("rejected", status=str(rejection.status))
+        log.notice(
+            "rejected",
+            request=fields.request_id,
+            status=rejection.status,
+            reason=rejection.reason,
+            target=request.target.decode("latin-1")[:MOST_TARGET],
+        )
+
     def record(self, event: str, admission: Admission, **facts: object) -> None:
         """Write one decision.
 
