--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -168,7 +168,13 @@
     async def _serve(self, admission: Admission) -> None:
         allowed = await self._parts.quotas.take(admission)
         if not allowed.passed:
-            self._parts.record("over_quota", admission, cost=admission.cost)
+            self._parts.record(
+                "over_quota",
+                admission,
+                cost=admission.cost,
+                decided_by=allowed.decided_by,
+                retry_after_s=round(allowed.retry_after_s, 3),
+            )
             self._answer(429, "over quota", allowed.retry_after_s)
             return
         while True:
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -24,7 +24,7 @@
 
 ANSWER_S = 0.03
 AVOID_S = 0.3
-NEWCOMER_S = 1.0
+NEWCOMER_S = 0.5
 ALONE_RETRY_S = 0.3
 
 
@@ -33,10 +33,12 @@
     """Whether a request is within its team's quota.
 
     :param retry_after_s: when to come back, where it is not.
+    :param decided_by: ``lease``, ``home``, ``alone`` or ``no quota``.
     """
 
     passed: bool
     retry_after_s: float = 0.0
+    decided_by: str = "no quota"
 
 
 class Charged(Protocol):
@@ -115,17 +117,18 @@
         if team is None or team.rate_per_s <= 0:
             return Passed(True)
         if self._wallet.spend(team, charged.cost, charged.version, self._now()):
-            return Passed(True)
+            return Passed(True, decided_by="lease")
         if self._is_newcomer():
             return self._alone(team, charged)
         grant = await self._ask(team, charged)
         if grant is None:
             return self._alone(team, charged)
         passed = self._wallet.take(grant, charged.cost, self._now())
-        return Passed(passed, grant.retry_after_s)
+        return Passed(passed, grant.retry_after_s, "home")
 
     def _alone(self, team: Team, charged: Charged) -> Passed:
-        return Passed(self._wallet.spend_alone(team, charged.cost, self._now()), ALONE_RETRY_S)
+        passed = self._wallet.spend_alone(team, charged.cost, self._now())
+        return Passed(passed, ALONE_RETRY_S, "alone")
 
     def _is_newcomer(self) -> bool:
         """Tell whether this node may not know yet who is the home."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
@@ -15,7 +15,7 @@
 
 AHEAD_S = 0.4
 DEMAND_MEMORY_S = 2.0
-ALONE_SHARE = 0.08
+ALONE_SHARE = 0.12
 ALONE_RATE_SHARE = 0.7
 
 
