Let long prompts gather where they do no new harm

Cause: pauses of 0.3 to 0.4 s on slow replicas struck a new set of streams with each long prompt. Change: a stream that was held up once weighs nothing; a test holds that long prompts gather.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -8,7 +8,7 @@
 import heapq
 from dataclasses import dataclass
 
-from chalkyoke.scheduling.state import Upstream, Waiting
+from chalkyoke.scheduling.state import Running, Upstream, Waiting
 
 BLOCK_TOKENS = 256
 HOLD_MARGIN = 0.10
@@ -227,22 +227,26 @@
     score = prediction.finish_s
     if modest and missed < -prediction.first_s * SPARE_FIRSTS and _fits(item, upstream, now):
         score = -prediction.finish_s
-    pause = _pause(item, upstream, cached_blocks, now)
-    if pause > GAP_SHARE * upstream.shortest_gap():
-        score += HARM * _held_up(upstream, pause)
-    return score
+    harmed = held_up_by(item, upstream, cached_blocks, now)
+    return score + HARM * sum(TIER_WEIGHT**each.tier_index for each in harmed)
+
 
+def held_up_by(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> list[Running]:
+    """List the running requests that could not bear the pause that reading a prompt makes.
 
-def _held_up(upstream: Upstream, pause_s: float) -> float:
-    """Weigh the running requests that can't bear a pause; each lower tier weighs half.
+    Those that another prompt has held up already are left out: long prompts gather where they do
+    no new harm.
 
-    :rtype: float
+    :rtype: list[Running]
     """
-    return sum(
-        TIER_WEIGHT**item.tier_index
-        for item in upstream.running.values()
-        if pause_s > GAP_SHARE * item.gap_goal
-    )
+    pause = _pause(item, upstream, cached_blocks, now)
+    if pause <= GAP_SHARE * upstream.shortest_gap():
+        return []
+    return [
+        each
+        for each in upstream.running.values()
+        if not each.held_up and pause > GAP_SHARE * each.gap_goal
+    ]
 
 
 def _fits(item: Waiting, upstream: Upstream, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -30,6 +30,7 @@
     Choice,
     Features,
     choose,
+    held_up_by,
 )
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.queues import TierQueue
@@ -468,6 +469,8 @@
         require(upstream.has_slot(now), "a grant finds a free slot", upstream=upstream.spec.id)
 
         self._pool.remove(item)
+        for each in held_up_by(item, upstream, choice.cached_blocks, now):
+            each.held_up = True
         cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
         left = max(1, item.prompt_tokens - cached)
         work = self._pool.work(left, item.output.median)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -171,6 +171,7 @@
 
     :param prefill_left: prompt tokens to be read when it was granted.
     :param tier_index: how many tiers of the pool are higher than its own.
+    :ivar held_up: whether a prompt beside it has made a pause already that it can't bear.
     :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
     """
 
@@ -195,6 +196,7 @@
     stalls_seen: float = 0.0
     gap_goal: float = math.inf
     tier_index: int = 0
+    held_up: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -233,3 +233,20 @@
     scheduler = make([upstream(FAST), upstream(SLOW, decode=100.0)], features)
     actions = ask(scheduler, name="plain", goal_s=0.0, likely_output=300, budget_s=30.0)
     assert granted(actions) == [FAST]
+
+
+def test_long_prompts_gather_where_streams_are_held_up_already():
+    specs = [
+        upstream("a", slots=6, prefill=14_000.0, decode=100.0),
+        upstream("b", slots=6, prefill=14_000.0, decode=100.0),
+    ]
+    scheduler = make(specs)
+    for number in range(4):
+        name = f"stream{number}"
+        ask(scheduler, name=name, tier="0", likely_output=500, now=0.1 * number)
+        scheduler.first_output(FirstOutput(name, "p", 0.05), 0.1 * number + 0.06)
+    assert all(each.running for each in scheduler.upstreams.values())
+    first = granted(ask(scheduler, name="big1", tier="0", prompt_tokens=5000, now=1.0))
+    scheduler.first_output(FirstOutput("big1", "p", 0.4), 1.4)
+    second = granted(ask(scheduler, name="big2", tier="0", prompt_tokens=5000, now=1.5))
+    assert first == second
