--- a/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 MEMORY_S = 3.0
-SWING = 1.0
+SWING = 0.6
 LONG_S = 0.6
 RATE_MEMORY_S = 1.5
 MIN_RATE_PER_S = 0.2
