Read the request's two lines in the test of the log

The test took the first line of a request for its last; a line for each send came before it since. It now checks both, and that they name the same replica.

--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -263,12 +263,13 @@
             text = (fleet.folder / "n1.log").read_text()
             return [json.loads(line) for line in text.splitlines()]
 
-        def is_told():
-            return any(each.get("request") == "told" for each in lines())
+        def told():
+            return {each["event"]: each for each in lines() if each.get("request") == "told"}
 
-        await fleet.until(is_told, "a request to be in the log")
-        line = next(each for each in lines() if each.get("request") == "told")
-        assert line["end"] == "delivered" and line["replica"] and line["version"] == 1
+        await fleet.until(lambda: "ended" in told(), "a request to be in the log")
+        sent, ended = told()["sent"], told()["ended"]
+        assert sent["replica"] == ended["replica"] and sent["version"] == ended["version"] == 1
+        assert ended["end"] == "delivered" and sent["deadline_s"] <= 8.0
 
     with_fleet(check, ("a",))
 
