--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -51,6 +51,17 @@
         raise typer.Exit(EXIT_INVARIANT) from error
 
 
+@app.command()
+def gateway(
+    settings_file: SettingsFile,
+    check: Annotated[bool, typer.Option("--check", help="Check the settings only.")] = False,
+) -> None:
+    """Run a gateway node on the users' platform until SIGTERM."""
+    from chalkyoke import gatewayd
+
+    raise typer.Exit(gatewayd.check(settings_file) if check else gatewayd.run(settings_file))
+
+
 @app.command("check-settings")
 def check_settings(
     settings_file: Annotated[Path, typer.Argument(help="TOML file of a node.")],
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -44,20 +44,31 @@
         writer.flush()
 
 
-def run(path: Path) -> int:
-    """Run a gateway node.
+def check(path: Path) -> int:
+    """Check the settings of a gateway node, and print each mistake.
 
-    :param path: of its settings.
     :return: the process's exit status.
     """
     try:
-        settings = load(path)
+        load(path)
     except SettingsError as error:
         for problem in error.problems:
             print(f"settings: {problem}", file=sys.stderr)
         return EXIT_SETTINGS
+    return 0
+
+
+def run(path: Path) -> int:
+    """Run a gateway node.
+
+    :param path: of its settings.
+    :return: the process's exit status.
+    """
+    status = check(path)
+    if status:
+        return status
     try:
-        asyncio.run(serve(settings, path))
+        asyncio.run(serve(load(path), path))
     except OSError as error:
         print(f"can't listen: {error}", file=sys.stderr)
         return EXIT_ADDRESS
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -0,0 +1,54 @@
+import pytest
+from chalkyoke import gatewayd
+from chalkyoke.cli import app
+from chalkyoke.gateway.settings import load
+from typer.testing import CliRunner
+
+GOOD = """
+[node]
+host = "n1"
+failure_domain = "a"
+unknown = "let pass"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+links = "127.0.0.1:3"
+[store]
+address = "127.0.0.1:4"
+[fleet]
+key_hex = "00112233445566778899aabbccddeeff"
+"""
+
+
+@pytest.fixture
+def lay(tmp_path):
+    def write(text):
+        path = tmp_path / "gateway.toml"
+        path.write_text(text)
+        return path
+
+    return write
+
+
+def test_good_settings_are_taken_and_unknown_fields_let_pass(lay):
+    settings = load(lay(GOOD))
+    assert settings.node.host == "n1" and settings.scheduling.pooled
+    assert gatewayd.check(lay(GOOD)) == 0
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        "not = [toml",
+        GOOD.replace('host = "n1"', ""),
+        GOOD.replace("127.0.0.1:1", "nowhere"),
+        GOOD.replace("00112233445566778899aabbccddeeff", "0011"),
+        GOOD.replace("00112233445566778899aabbccddeeff", "no hex"),
+    ],
+)
+def test_each_mistake_is_told_and_nothing_starts(lay, bad, capsys):
+    path = lay(bad)
+    assert gatewayd.run(path) == gatewayd.EXIT_SETTINGS
+    assert "settings: " in capsys.readouterr().err
+    shown = CliRunner().invoke(app, ["gateway", "--settings", str(path), "--check"])
+    assert shown.exit_code == gatewayd.EXIT_SETTINGS
