--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -19,7 +21,7 @@
 
 import aiohttp
 
-from chalkyoke_fakes.fleet import FLEET_KEY_HEX, free_address
+from chalkyoke_fakes.fleet import FLEET_KEY_HEX
 from chalkyoke_fakes.metastore import MetaStore
 from chalkyoke_fakes.replica import Replica
 
@@ -76,6 +78,15 @@
     return {**route, **more, "service": service}
 
 
+def _free_addresses(ip: str, count: int) -> list[str]:
+    """Find free ports that differ: each is held until all are found."""
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [f"{ip}:{probe.getsockname()[1]}" for probe in probes]
+
+
 @dataclass
 class Got:
     """What a caller got.
@@ -173,7 +184,7 @@
 
     def _lay_settings(self, name: str, zone: str, ip: str) -> None:
         path = self.folder / f"{name}.toml"
-        callers, ready, links, metrics = (free_address(ip) for _ in range(4))
+        callers, ready, links, metrics = _free_addresses(ip, 4)
         self.nodes[name] = GatewayProcess(name, zone, callers, ready, links, metrics, path)
 
     def start_node(self, name: str, *, first_start: bool = True) -> None:
