--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -459,10 +458,3 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             report = {"message": "an exchange broke", "exception": error}
             asyncio.get_running_loop().call_exception_handler(report)
-
-    async def drain(self, until_s: float) -> None:
-        """Wait until every request is answered, at most for some seconds."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(until_s):
-                while self._exchanges:
-                    await asyncio.wait(list(self._exchanges))
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -4,11 +4,11 @@
 The settings of a gateway node: a TOML file in the product's own names, checked as a whole.
 """
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 
+from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
 
 MIN_KEY_BYTES = 16
@@ -72,7 +72,6 @@
     """The fleet's limits, over all nodes.
 
     :param grace_s: how long a planned stop may take.
-    :param drain_s: how long a leaving replica still takes requests.
     """
 
     retry_ratio: float = 0.2
@@ -82,7 +81,6 @@
     quota_over: float = 0.1
     quota_slack: float = 0.0
     grace_s: float = 8.0
-    drain_s: float = 2.0
 
 
 class SchedulingSection(msgspec.Struct, frozen=True):
@@ -138,12 +136,7 @@
 
     :raises SettingsError: with what is wrong.
     """
-    try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError([f"{path}: is no TOML: {error}"]) from error
+    document = tomlfile.read(path)
     try:
         settings = msgspec.convert(document, GatewaySettings)
     except msgspec.ValidationError as error:
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Protocol, cast
@@ -14,7 +13,6 @@
 
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 
-CLIENT_ERROR_MIN = 400
 INFORMATIONAL_MAX = 199
 BODILESS_STATUSES = frozenset((204, 304))
 MAX_ANSWER_HEAD_BYTES = 65_536
@@ -68,7 +66,6 @@
         self._parser = httptools.HttpResponseParser(self)
         self.idle_since = self._loop.time()
         self.keep_alive_s = 0.0
-        self.used = False
         self.closed = False
         self.on_close: Callable[[ClientConnection], None] | None = None
         self._head: AnswerHead | None = None
@@ -137,7 +134,6 @@
         :param belongs: tells by its headers whether an answer belongs to the request.
         :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
         """
-        self.used = True
         self._sink, self._belongs, self._bodiless = sink, belongs, bodiless
         self._reset_message()
         self.transport.write(data)
@@ -258,11 +254,3 @@
         if name.lower() == b"timeout" and seconds.isdigit():
             return float(seconds)
     return 0.0
-
-
-def set_user_timeout(transport: asyncio.BaseTransport, milliseconds: int) -> None:
-    """Let the system end a connection whose peer acknowledges nothing for so long."""
-    connection = transport.get_extra_info("socket")
-    option = getattr(socket, "TCP_USER_TIMEOUT", None)
-    if connection is not None and option is not None:
-        connection.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from chalkyoke.http1.client import ClientConnection, set_user_timeout
+from chalkyoke.http1.client import ClientConnection
+from chalkyoke.sockets import set_user_timeout
 
 IDLE_LIMIT_S = 20.0
 KEEP_ALIVE_MARGIN_S = 1.0
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +15,7 @@
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
 from chalkyoke.links.messages import Challenge, Hello, Welcome
+from chalkyoke.sockets import set_user_timeout
 
 CONNECT_S = 0.5
 MAX_QUEUED = 2000
@@ -25,14 +25,6 @@
 Handler = Callable[[Connection, msgspec.Struct], Awaitable[None] | None]
 
 
-def _set_user_timeout(writer: asyncio.StreamWriter) -> None:
-    """Let the system end a link whose peer acknowledges nothing, as behind a cut."""
-    connection = writer.get_extra_info("socket")
-    option = getattr(socket, "TCP_USER_TIMEOUT", None)
-    if connection is not None and option is not None:
-        connection.setsockopt(socket.IPPROTO_TCP, option, USER_TIMEOUT_MS)
-
-
 class _Outgoing:
     """One outgoing link: a bounded queue while it is not connected."""
 
@@ -119,7 +111,7 @@
                 reader, writer = await asyncio.open_connection(ip, int(port))
         except (OSError, TimeoutError) as error:
             raise LinkError(f"{address} is not reached: {error}") from error
-        _set_user_timeout(writer)
+        set_user_timeout(writer, USER_TIMEOUT_MS)
         connection = Connection(reader, writer, self._codec, self._clock, self.counters)
         try:
             await connection.greet(self.me)
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -7,13 +7,13 @@
 import difflib
 import ipaddress
 import re
-import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
+from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
 
 ENVIRONMENT_PREFIX = "CHALKYOKE_"
@@ -182,12 +182,7 @@
 
       >>> settings = load(Path("node.toml"), os.environ)
     """
-    try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError([f"{path}: is no TOML: {error}"]) from error
+    document = tomlfile.read(path)
     problems = list(_override(document, environment))
     return _check(document, problems)
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/tomlfile.py
@@ -0,0 +1,24 @@
+"""
+chalkyoke.tomlfile
+
+Read a settings file.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from chalkyoke.exceptions import SettingsError
+
+
+def read(path: Path) -> dict[str, Any]:
+    """Read a TOML file.
+
+    :raises SettingsError: when there is none or it is no TOML.
+    """
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: is no TOML: {error}"]) from error
