--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import StrEnum
@@ -37,6 +38,7 @@
 AVOID_S = 0.4
 OWNERS_ASKED = 2
 LOCAL_POLL_S = 0.01
+LOCAL_WAIT_S = 0.1
 TRAILING_REPORTS = 3
 DEFAULT_RETRY_S = 0.5
 COMES_BACK_SHARE = 0.3
@@ -141,16 +143,22 @@
     ) -> Granted | Denied:
         """Get a replica for a request; waits while none is free.
 
+        A request that finds no scheduler and no free part of this node's own asks the schedulers
+        again every :data:`LOCAL_WAIT_S`: a new one may have taken the pool meanwhile.
+
         :param attempt: counts the grants that were asked for.
         :param avoid: replicas that were tried already.
         """
         if not self._replicas.of(admission.service.name):
             return Denied("no replica", DEFAULT_RETRY_S)
+        pooled = admission.service.is_engine and self._pooled
         granted: Granted | Denied | None = None
-        if admission.service.is_engine and self._pooled:
-            granted = await self._ask_schedulers(admission, attempt)
-        if granted is None:
-            granted = await self._choose_here(admission, attempt, avoid)
+        while granted is None:
+            if pooled:
+                granted = await self._ask_schedulers(admission, attempt)
+            if granted is None:
+                wait_s = LOCAL_WAIT_S if pooled else math.inf
+                granted = await self._choose_here(admission, attempt, avoid, wait_s)
         if isinstance(granted, Granted):
             self._held[admission.request_id] = _Held(admission, granted)
             self._balancer.seen(granted.replica.id).outstanding += 1
@@ -251,9 +259,11 @@
         )
 
     async def _choose_here(
-        self, admission: Admission, attempt: int, avoid: Collection[str]
-    ) -> Granted | Denied:
+        self, admission: Admission, attempt: int, avoid: Collection[str], wait_s: float
+    ) -> Granted | Denied | None:
+        """Choose a replica by what this node sees; nothing where none is free for so long."""
         service = admission.service
+        until = self._now() + wait_s
         bound = self._own_part if service.is_engine else None
         while True:
             replicas = self._replicas.of(service.name)
@@ -266,6 +276,8 @@
                 return Denied("no replica", DEFAULT_RETRY_S)
             if self._now() >= admission.patience:
                 return Denied("no free slot", DEFAULT_RETRY_S)
+            if self._now() >= until:
+                return None
             await asyncio.sleep(LOCAL_POLL_S)
 
     def _own_part(self, replica: Replica) -> int:
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -0,0 +1,90 @@
+import asyncio
+
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
+from chalkyoke.gateway.grants import Denied, Granted, Grants, Source
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.reception import Admission
+from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Withdraw
+
+from tests import virtual
+
+POOL = Service("model", engine_slots=4)
+ROUTE = Route("chat", "h", "/", (Target("model", 1),), RouteKind.STREAM, 8.0, 0.5, 0.3)
+REPLICAS = [Replica(f"m{n}", "model", "127.0.0.1", 8000 + n, "a", 4) for n in range(2)]
+
+
+class Replicas:
+    def find(self, replica):
+        return next((each for each in REPLICAS if each.id == replica), None)
+
+    def of(self, service):
+        return REPLICAS
+
+
+class Schedulers:
+    """Schedulers that are silent until some moment, and then grant ``m1``."""
+
+    def __init__(self, answers_from):
+        self.answers_from = answers_from
+        self.asked = []
+        self.withdrawn = []
+        self.grants = None
+
+    def owners(self, pool):
+        return ["n1", "n2"]
+
+    def send(self, process, message):
+        now = asyncio.get_running_loop().time()
+        if isinstance(message, Withdraw):
+            self.withdrawn.append(process)
+        if not isinstance(message, Acquire):
+            return
+        self.asked.append((process, now))
+        if process == "n2" and now >= self.answers_from:
+            queued = Queued(message.request, message.attempt, message.pool)
+            self.grants.receive(process, queued)
+            grant = Grant(message.request, message.attempt, message.pool, "m1", "", 0, 0.1)
+            asyncio.get_running_loop().call_later(0.02, self.grants.receive, process, grant)
+
+
+def admission(number, patience):
+    fields = RequestFields(f"r{number}", prompt_tokens=100, most_output_tokens=50)
+    return Admission(f"r{number}", fields, ROUTE, POOL, None, 1, 0, 150.0, 0.0, 8.0, 0.5, patience)
+
+
+def grants_before(schedulers, pooled=True):
+    loop = asyncio.get_running_loop()
+    balancer = LocalBalancer("a", lambda: 0.5)
+    made = Grants(schedulers, Replicas(), balancer, loop.time, pooled=pooled)
+    schedulers.grants = made
+    return made
+
+
+def test_what_waits_for_a_part_of_its_own_asks_the_next_scheduler_again():
+    async def main():
+        schedulers = Schedulers(answers_from=0.9)
+        grants = grants_before(schedulers)
+        taken = [await grants.acquire(admission(n, 2.4), 1, ()) for n in range(2)]
+        assert [each.source for each in taken] == [Source.LOCAL] * 2
+        found = await grants.acquire(admission(9, 2.4), 1, ())
+        assert isinstance(found, Granted)
+        assert (found.source, found.scheduler, found.replica.id) == (Source.SCHEDULER, "n2", "m1")
+        assert asyncio.get_running_loop().time() < 1.6
+
+    virtual.run(main)
+
+
+def test_silent_schedulers_are_asked_now_and_then_only_and_patience_ends_the_wait():
+    async def main():
+        schedulers = Schedulers(answers_from=99.0)
+        grants = grants_before(schedulers)
+        for number in range(2):
+            await grants.acquire(admission(number, 2.4), 1, ())
+        schedulers.asked.clear()
+        found = await grants.acquire(admission(9, 2.4), 1, ())
+        assert isinstance(found, Denied)
+        assert 2.4 <= asyncio.get_running_loop().time() < 2.6
+        assert len(schedulers.asked) <= 12
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -207,3 +207,13 @@
     owners = [each.host for each in view.pool_owners("p")]
     assert sorted(owners) == sorted(TWO["d1"] + TWO["d2"])
     assert view.pool_owner("p").host == owners[0]
+
+
+def test_the_second_in_line_for_a_pool_is_of_another_failure_domain():
+    fleet = Fleet(TWO)
+    fleet.run(3)
+    for number in range(20):
+        views = [fleet.views[host].pool_owners(f"p{number}") for host in ("a1", "b1")]
+        first, second = views[0][:2]
+        assert first.failure_domain != second.failure_domain
+        assert [each.host for each in views[0]] == [each.host for each in views[1]]
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -48,7 +48,8 @@
         leftover = [task for task in asyncio.all_tasks(loop) if not task.done()]
         for task in leftover:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
+        if leftover:
+            loop.run_until_complete(asyncio.wait(leftover))
         loop.close()
     for fault in faults:
         if fault.get("exception") is not None:
