Play late requests of a tier after its timely ones in the forecast

Cause: the scheduler grants what is in time before what is late in a tier, but the forecast played a late request in its place by due time, so under lasting overload it marked nearly all of a tier late and the order fell back to the earliest due. Change: each tier is played in two passes, as it is granted. A test, red before.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -80,7 +81,8 @@
 ) -> list[Late]:
     """Play the queue forward and list what would be late.
 
-    A late request takes no slot in the play, so what stands behind it is not blamed for it.
+    A late request is granted after all of its tier that would be in time, so it is played after
+    them too, and they are not blamed for it.
 
     :param ordered: waiting requests, highest tier first, in the order of their grants.
     :param eligible: upstreams by route.
@@ -88,29 +90,44 @@
     :rtype: list[Late]
     """
     late: list[Late] = []
-    for count, item in enumerate(ordered):
-        if count >= MAX_LOOKAHEAD:
-            break
-        upstreams = eligible[item.route]
-        found = forecast.soonest(upstreams)
-        if found is None:
-            continue
-
-        upstream, start = found
-        prediction = predict(item, upstream, 0, upstream.spec.slots, now)
-        if missed_by(item, start, prediction) > 0:
-            upstream, start, prediction = _earliest_finish(item, upstreams, forecast, now)
-        missed = missed_by(item, start, prediction)
-        if missed <= 0 or (start <= now and _could_start(item, upstream, now)):
-            forecast.take(upstream, prediction.finish_s)
-        else:
-            hopeless = not item.has_goal or start + prediction.first_s > item.deadline
-            late.append(Late(item, missed, hopeless))
-            if not hopeless:
-                forecast.take(upstream, prediction.finish_s)
+    bounded = itertools.islice(ordered, MAX_LOOKAHEAD)
+    for _, tier in itertools.groupby(bounded, key=lambda item: item.rank):
+        behind = [item for item in tier if not _plays_in_time(item, eligible, forecast, now)]
+        late += [_play_late(item, eligible, forecast, now) for item in behind]
     return late
 
 
+def _plays_in_time(
+    item: Waiting, eligible: dict[str, list[Upstream]], forecast: SlotForecast, now: float
+) -> bool:
+    """Play a request where it would be in time, and tell whether it would."""
+    upstreams = eligible[item.route]
+    found = forecast.soonest(upstreams)
+    if found is None:
+        return True
+
+    upstream, start = found
+    prediction = predict(item, upstream, 0, upstream.spec.slots, now)
+    if missed_by(item, start, prediction) > 0:
+        upstream, start, prediction = _earliest_finish(item, upstreams, forecast, now)
+    in_time = missed_by(item, start, prediction) <= 0
+    if in_time or (start <= now and _could_start(item, upstream, now)):
+        forecast.take(upstream, prediction.finish_s)
+        return True
+    return False
+
+
+def _play_late(
+    item: Waiting, eligible: dict[str, list[Upstream]], forecast: SlotForecast, now: float
+) -> Late:
+    """Play a request that would be late; one that nobody would wait for takes no slot."""
+    upstream, start, prediction = _earliest_finish(item, eligible[item.route], forecast, now)
+    hopeless = not item.has_goal or start + prediction.first_s > item.deadline
+    if not hopeless:
+        forecast.take(upstream, prediction.finish_s)
+    return Late(item, missed_by(item, start, prediction), hopeless)
+
+
 def _earliest_finish(
     item: Waiting, upstreams: list[Upstream], forecast: SlotForecast, now: float
 ) -> tuple[Upstream, float, Prediction]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -251,3 +251,17 @@
     scheduler.first_output(FirstOutput("big1", "p", 0.4), 1.4)
     second = granted(ask(scheduler, name="big2", tier="0", prompt_tokens=5000, now=1.5))
     assert first == second
+
+
+def test_late_requests_of_a_tier_make_no_timely_one_behind_them_late():
+    """They are granted after it, so they are played after it too."""
+    features = dataclasses.replace(FEATURES, early=False, fair=False)
+    scheduler = make([upstream(FAST, slots=1)], features)
+    ask(scheduler, name="holder", tier="1", likely_output=60)
+    for number in range(4):
+        ask(scheduler, name=f"late{number}", tier="1", goal_s=-0.5, likely_output=60, now=0.01)
+    ask(scheduler, name="timely", tier="1", goal_s=0.6, likely_output=60, now=0.02)
+    scheduler.tick(0.1)
+    late = {each.request: each.late for each in scheduler.waiting_items()}
+    assert late == {"late0": True, "late1": True, "late2": True, "late3": True, "timely": False}
+    assert [each.request for each in release(scheduler, "holder", 0.2)] == ["timely"]
