Hold a prompt that would hold streams up for a busy upstream that bears it

Change: where the best free upstream would hold streams up, wait for a busy one that would not, if the goal allows that with the usual risk. Two tests, one red before.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -196,7 +196,13 @@
     _, upstream, prediction = best
     if features.hold and features.predict:
         in_time = item.has_goal and missed_by(item, now, prediction) <= 0
-        better = None if in_time else _worth_waiting_for(item, busy, depths, held, prediction, now)
+        cached = depths.get(upstream.spec.id, 0)
+        if not in_time:
+            better = _worth_waiting_for(item, busy, depths, held, prediction, now)
+        elif held_up_by(item, upstream, cached, now):
+            better = _harmless_in_time(item, busy, depths, held, now)
+        else:
+            better = None
         if better is not None:
             return Choice(None, prediction, held_for=better)
     return Choice(upstream, prediction, depths.get(upstream.spec.id, 0))
@@ -277,6 +283,26 @@
     return stall > upstream.slack(item.rank, now)
 
 
+def _harmless_in_time(
+    item: Waiting,
+    busy: list[Upstream],
+    depths: dict[str, int],
+    held: dict[str, int],
+    now: float,
+) -> Upstream | None:
+    """Find a busy upstream that meets the goal, wait included, without holding up its streams."""
+    best: tuple[float, Upstream] | None = None
+    for upstream in busy:
+        wait = next_slot(upstream, now, held.get(upstream.spec.id, 0))
+        cached = depths.get(upstream.spec.id, 0)
+        first = predict(item, upstream, cached, upstream.spec.slots, now).first_s
+        if now + wait + first * (1.0 + RISK) > item.goal or (best and wait >= best[0]):
+            continue
+        if not held_up_by(item, upstream, cached, now):
+            best = (wait, upstream)
+    return best[1] if best is not None else None
+
+
 def _worth_waiting_for(
     item: Waiting,
     busy: list[Upstream],
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -265,3 +265,25 @@
     late = {each.request: each.late for each in scheduler.waiting_items()}
     assert late == {"late0": True, "late1": True, "late2": True, "late3": True, "timely": False}
     assert [each.request for each in release(scheduler, "holder", 0.2)] == ["timely"]
+
+
+def test_a_prompt_that_would_hold_streams_up_waits_for_an_upstream_that_bears_it():
+    fast = upstream(FAST, slots=1, prefill=80_000.0)
+    slow = upstream(SLOW, slots=4, prefill=20_000.0)
+    scheduler = make([fast, slow])
+    assert granted(ask(scheduler, name="soon done", tier="0", likely_output=30)) == [FAST]
+    for number in range(2):
+        assert granted(ask(scheduler, name=f"stream{number}", tier="0")) == [SLOW]
+    long = {"prompt_tokens": 9000, "goal_s": 0.8, "tier": "0"}
+    assert granted(ask(scheduler, name="long", now=0.1, **long)) == []
+    assert granted(release(scheduler, "soon done", 0.2)) == [FAST]
+
+
+def test_a_prompt_that_no_other_upstream_could_read_in_time_does_not_wait():
+    fast = upstream(FAST, slots=1, prefill=60_000.0)
+    slow = upstream(SLOW, slots=4, prefill=20_000.0)
+    scheduler = make([fast, slow])
+    assert granted(ask(scheduler, name="holder", tier="0", likely_output=118)) == [FAST]
+    assert granted(ask(scheduler, name="stream", tier="0")) == [SLOW]
+    long = {"prompt_tokens": 9000, "goal_s": 0.8, "tier": "0"}
+    assert granted(ask(scheduler, name="long", now=0.0, **long)) == [SLOW]
