Forgive a lowered quota what was spent before; wait on a slow home rather than refuse

After a quota was lowered its team was refused for up to 6.7 s, since what it had spent within the old limit filled the new window. Ruled out: leases that nobody spends (refusals by homes remain with teams that press beyond their limit).

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -23,6 +23,7 @@
 from chalkyoke.quotas.wallet import QuotaWallet
 
 ANSWER_S = 0.03
+LAST_ANSWER_S = 0.12
 AVOID_S = 0.3
 NEWCOMER_S = 0.5
 ALONE_RETRY_S = 0.3
@@ -119,49 +120,57 @@
         if self._wallet.spend(team, charged.cost, charged.version, self._now()):
             return Passed(True, decided_by="lease")
         if self._is_newcomer():
-            return self._alone(team, charged)
-        grant = await self._ask(team, charged)
-        if grant is None:
-            return self._alone(team, charged)
+            passed = self._wallet.spend_alone(team, charged.cost, self._now())
+            return Passed(passed, ALONE_RETRY_S, "alone")
+        return await self._ask_home(team, charged)
+
+    async def _ask_home(self, team: Team, charged: Charged) -> Passed:
+        """Ask the home; while it is silent, spend this node's own share, and wait on where that
+        is too small: a refusal costs the caller more than a moment.
+        """
+        message = self._question(team, charged)
+        address = self._port.home(team.name)
+        if address is None:
+            return self._granted(charged, self._answer(team, message))
+        silent = self._avoid.get(address, 0.0) > self._now()
+        if silent and self._wallet.spend_alone(team, charged.cost, self._now()):
+            return Passed(True, decided_by="alone")
+        answer: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
+        self._waiting[message.number] = answer
+        try:
+            self._port.send(address, message)
+            await asyncio.wait([answer], timeout=LAST_ANSWER_S if silent else ANSWER_S)
+            if not answer.done():
+                self._avoid[address] = self._now() + AVOID_S
+            if not answer.done() and not silent:
+                if self._wallet.spend_alone(team, charged.cost, self._now()):
+                    return Passed(True, decided_by="alone")
+                await asyncio.wait([answer], timeout=LAST_ANSWER_S)
+        finally:
+            del self._waiting[message.number]
+        if answer.done():
+            self._avoid.pop(address, None)
+            return self._granted(charged, answer.result())
+        return Passed(False, ALONE_RETRY_S, "alone")
+
+    def _granted(self, charged: Charged, grant: QuotaGrant) -> Passed:
         passed = self._wallet.take(grant, charged.cost, self._now())
         return Passed(passed, grant.retry_after_s, "home")
 
-    def _alone(self, team: Team, charged: Charged) -> Passed:
-        passed = self._wallet.spend_alone(team, charged.cost, self._now())
-        return Passed(passed, ALONE_RETRY_S, "alone")
-
     def _is_newcomer(self) -> bool:
         """Tell whether this node may not know yet who is the home."""
         return not self._first_start and self._now() < NEWCOMER_S
 
-    async def _ask(self, team: Team, charged: Charged) -> QuotaGrant | None:
-        """Ask the home; nothing where it is silent."""
-        number = next(self._numbers)
-        message = QuotaRequest(
+    def _question(self, team: Team, charged: Charged) -> QuotaRequest:
+        return QuotaRequest(
             team.name,
-            number,
+            next(self._numbers),
             charged.cost,
             self._wallet.ahead(team),
             charged.version,
             charged.urgency,
             *self._wallet.give_back(team.name),
         )
-        address = self._port.home(team.name)
-        if address is None:
-            return self._answer(team, message)
-        if self._avoid.get(address, 0.0) > self._now():
-            return None
-        future: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
-        self._waiting[number] = future
-        self._port.send(address, message)
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                return await future
-        except TimeoutError:
-            self._avoid[address] = self._now() + AVOID_S
-            return None
-        finally:
-            del self._waiting[number]
 
     def receive(self, sender: str, message: QuotaMessage) -> None:
         """Take a question or an answer of another node.
@@ -170,7 +179,10 @@
         """
         if isinstance(message, QuotaGrant):
             future = self._waiting.get(message.number)
-            if future is not None and not future.done():
+            if future is None:
+                # The request went its way without it; the next one may spend the lease.
+                self._wallet.keep(message, self._now())
+            elif not future.done():
                 future.set_result(message)
             return
         if isinstance(message, QuotaSurvey):
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -54,6 +54,7 @@
     """One team's window as its home keeps it.
 
     :param began: when this node became the home.
+    :param most: what any window may see by the limit in force.
     :param share: the share of the limit in use. It grows only as fast as the window passes, since
         the other side of a cut may have spent its share until the cut healed.
     :ivar told: what nodes have told that they spent before.
@@ -61,6 +62,7 @@
     """
 
     window: SpendingWindow
+    most: float
     began: float
     share: float
     share_at: float
@@ -68,6 +70,16 @@
     told: dict[str, QuotaSpent] = field(default_factory=dict)
     leased: float = 0.0
 
+    def follow_limit(self, most: float) -> None:
+        """Take a new limit of the window.
+
+        A lower one binds from now on only: what was spent before was within the old limit, so it
+        counts as the part of the new one that it was of the old one.
+        """
+        if most < self.most:
+            self.window.scale(most / self.most)
+        self.most = most
+
     def move_share(self, share: float, now: float) -> float:
         """Follow the share of the fleet that is in sight.
 
@@ -110,7 +122,8 @@
         ledger = self._ledger(team, presence, now)
         window = ledger.window
         share = ledger.move_share(presence.share, now)
-        most = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE * share
+        ledger.follow_limit(self.limits.most(team.rate_per_s, team.burst))
+        most = ledger.most * USED_SHARE * share
         if message.lease_of == window.number:
             window.give_back(message.returned, now)
         # The less urgent are refused first: a part of the window is kept for the others.
@@ -167,9 +180,9 @@
             return ledger
         number = self._identity + next(self._numbers)
         window = SpendingWindow(self.limits.window_s, number)
+        most = self.limits.most(team.rate_per_s, team.burst)
         if not self._first_start:
-            most = self.limits.most(team.rate_per_s, team.burst) * USED_SHARE * presence.share
-            window.assume(most * ASSUMED_SHARE, now)
-        ledger = _Ledger(window, now, presence.share, now, surveyed=self._first_start)
+            window.assume(most * USED_SHARE * presence.share * ASSUMED_SHARE, now)
+        ledger = _Ledger(window, most, now, presence.share, now, surveyed=self._first_start)
         self._ledgers[team.name] = ledger
         return ledger
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -31,6 +31,7 @@
 
     def __init__(self, count=9):
         self.now = 0.0
+        self.team = TEAM
         self.nodes = {n: Node(n, 0.0, True) for n in range(count)}
         self.sides = [set(range(count))]
         self.passed, self.refused = [], []
@@ -56,7 +57,7 @@
 
     def ask(self, name, cost, rank=0):
         node, home = self.nodes[name], self.nodes[self.home_of(name)]
-        if node.wallet.spend(TEAM, cost, 1, node.local(self.now)):
+        if node.wallet.spend(self.team, cost, 1, node.local(self.now)):
             passed = True
         else:
             grant = self._grant(node, home, cost, rank)
@@ -67,24 +68,25 @@
     def _grant(self, node, home, cost, rank):
         presence = Presence(len(self.side(node.name)), len(self.nodes))
         message = QuotaRequest(
-            "t", 1, cost, node.wallet.ahead(TEAM), 1, rank, *node.wallet.give_back("t")
+            "t", 1, cost, node.wallet.ahead(self.team), 1, rank, *node.wallet.give_back("t")
         )
         survey = home.home.must_survey("t")
-        grant = home.home.ask(TEAM, message, presence, home.local(self.now))
+        grant = home.home.ask(self.team, message, presence, home.local(self.now))
         if survey:
             for other in self.side(node.name):
                 each = self.nodes[other]
                 known = each.local(self.now)
                 spent = QuotaSpent("t", str(other), each.wallet.spent("t", known), known)
-                home.home.take_spent(TEAM, spent, presence, home.local(self.now))
+                home.home.take_spent(self.team, spent, presence, home.local(self.now))
         return grant
 
-    def worst_window(self):
+    def worst_window(self, since=0.0):
         worst, start, total = 0.0, 0, 0.0
-        for at, cost in self.passed:
+        passed = [each for each in self.passed if each[0] >= since]
+        for at, cost in passed:
             total += cost
-            while self.passed[start][0] <= at - LIMITS.window_s:
-                total -= self.passed[start][1]
+            while passed[start][0] <= at - LIMITS.window_s:
+                total -= passed[start][1]
                 start += 1
             worst = max(worst, total)
         return worst
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -79,6 +80,27 @@
     assert refused_share(fleet) < 0.05
 
 
+def lower(fleet):
+    fleet.team = dataclasses.replace(TEAM, rate_per_s=12_000, burst=12_000)
+
+
+def test_a_lowered_quota_binds_what_is_spent_from_then_on():
+    fleet = Fleet()
+    play(fleet, 1.0, 30, events=[(10, lower)])
+    lowered = LIMITS.most(12_000, 12_000)
+    assert fleet.worst_window() <= MOST
+    assert fleet.worst_window(since=10.0) <= lowered
+
+
+def test_a_lowered_quota_refuses_nobody_for_what_was_spent_before():
+    fleet = Fleet()
+    play(fleet, 1.0, 10)
+    lower(fleet)
+    play(fleet, 0.3, 10)
+    early = [at for at, _ in fleet.refused if 10.0 <= at < 18.0]
+    assert len(early) <= 0.02 * len([at for at, _ in fleet.passed if 10.0 <= at < 18.0])
+
+
 def test_the_less_urgent_are_refused_first_unless_they_are_cheap():
     fleet = Fleet()
     while fleet.ask(0, 3000, rank=2):
--- a/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
@@ -75,19 +75,24 @@
         left, purse.balance = purse.balance, 0.0
         return left, purse.lease_of
 
-    def take(self, grant: QuotaGrant, cost: float, now: float) -> bool:
-        """Take a lease, and spend the cost of the request that asked for it.
-
-        :return: whether the request may pass.
-        """
+    def keep(self, grant: QuotaGrant, now: float) -> None:
+        """Add a lease to what may be spent."""
         purse = self._purse(grant.team)
         if grant.amount <= 0:
-            return False
+            return
         if purse.lease_of != grant.lease_of:
             purse.balance, purse.lease_of = 0.0, grant.lease_of
         purse.balance += grant.amount
         purse.until = now + grant.valid_s
-        if purse.balance < cost:
+
+    def take(self, grant: QuotaGrant, cost: float, now: float) -> bool:
+        """Take a lease, and spend the cost of the request that asked for it.
+
+        :return: whether the request may pass.
+        """
+        self.keep(grant, now)
+        purse = self._purse(grant.team)
+        if grant.amount <= 0 or purse.balance < cost:
             return False
         purse.balance -= cost
         self._note_spent(grant.team, cost, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -65,6 +65,11 @@
         if cost > 0 and self._buckets:
             self.add(-min(cost, self.spent(now)), now)
 
+    def scale(self, factor: float) -> None:
+        """Multiply all that was spent."""
+        self._buckets = deque((index, cost * factor) for index, cost in self._buckets)
+        self._sum *= factor
+
     def assume(self, cost: float, now: float) -> None:
         """Assume that cost was spent evenly over the window that ends now.
 
