Read the store in one call at a start, watch from the second second on, let changes gather

Each start took three readings, and each newcomer believed itself a watcher until it knew its neighbours: 8 to 10 watches each while all registered. Ruled out: steady watching (no change after the first 4 s, so no call). Change: one reading of all keys; no node watches in its first second (it hears from peers, or with its first watch from the revision it read); 0.05 s between watches; two watchers a domain instead of three. Four tests of the keeper.

--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -54,7 +54,7 @@
     """
 
     address: str
-    watchers: int = 3
+    watchers: int = 2
     watch_wait_s: float = 10.0
     lease_s: float = 30.0
 
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -24,6 +24,8 @@
 
 WATCH_DUTY = "store-watch"
 IDLE_S = 0.25
+NEWCOMER_S = 1.0
+GATHER_S = 0.05
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
 LAG_S = 0.1
@@ -45,7 +47,6 @@
     """
 
     document: str
-    document_prefix: str
     replicas: str
     nodes: str
 
@@ -107,6 +108,13 @@
             await asyncio.sleep(min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures - 1, 5)))
 
     def _is_watcher(self) -> bool:
+        """Tell whether this node waits on the store for its failure domain.
+
+        A newcomer knows nobody yet and would believe so each time; what changes in its first
+        second it hears from its peers, or from its first watch.
+        """
+        if self._now() < NEWCOMER_S:
+            return False
         return self._view.holds_duty(WATCH_DUTY, self._watchers)
 
     def _note_store(self, answers: bool) -> None:
@@ -118,22 +126,16 @@
                 log.notice("store_lost", since=self._since, version=self.state.catalog.version)
 
     async def _read_all(self) -> bool:
-        """Read everything; what is complete after it is what both readings cover."""
-        document = await self._store.read(self._keys.document_prefix)
-        if not isinstance(document, Listing):
+        """Read everything at once."""
+        found = await self._store.read("")
+        if not isinstance(found, Listing):
             return False
-        for item in document.items:
+        for item in found.items:
             self._take_document(item)
-        replicas = await self._store.read(self._keys.replicas)
-        if not isinstance(replicas, Listing):
-            return False
-        self._take_replicas(replicas)
-        nodes = await self._store.read(self._keys.nodes)
-        if not isinstance(nodes, Listing):
-            return False
-        self._nodes = {item.key: item.value for item in nodes.items}
+        self._take_replicas(Listing(_under(self._keys.replicas, found), found.at))
+        self._nodes = {item.key: item.value for item in _under(self._keys.nodes, found)}
         self._registered(self._nodes)
-        self._since = min(document.at, replicas.at, nodes.at)
+        self._since = found.at
         return True
 
     async def _wait_for_changes(self) -> bool:
@@ -154,6 +156,8 @@
         if isinstance(found, Unavailable):
             return False
         self._take_changes(found)
+        # Changes come in crowds, and each call costs: let a few gather.
+        await asyncio.sleep(GATHER_S)
         return True
 
     def _take_changes(self, found: Changes) -> None:
@@ -283,6 +287,10 @@
     return dict(itertools.islice(changed.items(), MOST_QUOTAS_LOGGED))
 
 
+def _under(prefix: str, listing: Listing) -> tuple[Item, ...]:
+    return tuple(item for item in listing.items if item.key.startswith(prefix))
+
+
 def _is_cancelling() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
@@ -0,0 +1,151 @@
+import asyncio
+import json
+
+from chalkyoke.catalog.resources import Catalog, Replica
+from chalkyoke.catalog.state import CatalogState
+from chalkyoke.membership.messages import Heartbeat, MemberRecord
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.catalog import CatalogKeeper, Keys
+from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
+from result import Ok
+
+from tests import virtual
+
+KEYS = Keys("op/config", "servers/", "nodes/")
+
+
+def record(host, domain="a"):
+    return MemberRecord(host, 1, f"{host}:1", "", domain, False, True, 0, 0)
+
+
+class CountingStore:
+    """A store that counts its calls; ``write`` wakes whoever watches."""
+
+    def __init__(self):
+        self.revision = 3
+        self.items = {
+            "op/config": Item("op/config", b'{"version": 7}', 1),
+            "servers/s1": Item("servers/s1", b"s1", 2),
+            "nodes/n1": Item("nodes/n1", b"", 3),
+        }
+        self.reads = self.watches = 0
+        self.forgotten = 0
+        self._written = asyncio.Event()
+
+    def write(self, key, value):
+        self.revision += 1
+        self.items[key] = Item(key, value, self.revision)
+        self._written.set()
+        self._written = asyncio.Event()
+
+    async def read(self, prefix):
+        self.reads += 1
+        await asyncio.sleep(0.004)
+        return Listing(tuple(self.items.values()), self.revision)
+
+    async def watch(self, prefix, since, wait_s):
+        self.watches += 1
+        if since < self.forgotten:
+            return HistoryLost()
+        if since >= self.revision:
+            try:
+                await asyncio.wait_for(self._written.wait(), wait_s)
+            except TimeoutError:
+                return Changes((), since)
+        changed = [item for item in self.items.values() if item.revision > since]
+        return Changes(tuple(changed), self.revision)
+
+
+def keeper_of(store, beats=()):
+    loop = asyncio.get_running_loop()
+    view = MembershipView(record("n1"))
+    for host in beats:
+        view.receive(f"{host}:1", Heartbeat(record(host), 9), 0.0)
+    state = CatalogState(
+        lambda text: Ok(Catalog(version=json.loads(text)["version"])),
+        lambda item: Ok(Replica(item.key, "s", "127.0.0.1", 80, "a", 4)),
+    )
+    listed = []
+
+    class NoLinks:
+        def send(self, address, message):
+            pass
+
+    keeper = CatalogKeeper(
+        state,
+        store,
+        KEYS,
+        view,
+        NoLinks(),
+        1,
+        5.0,
+        lambda: None,
+        listed.append,
+        loop.time,
+    )
+    keeper.listed = listed
+    return keeper
+
+
+def run(check, beats=()):
+    async def main():
+        store = CountingStore()
+        keeper = keeper_of(store, beats)
+        task = asyncio.create_task(keeper.run())
+        await check(store, keeper)
+        task.cancel()
+
+    virtual.run(main)
+
+
+def test_a_start_takes_one_call_and_a_newcomer_does_not_watch_yet():
+    async def check(store, keeper):
+        await asyncio.sleep(0.1)
+        assert keeper.state.complete and keeper.state.catalog.version == 7
+        assert list(keeper.state.replicas) == ["servers/s1"]
+        assert keeper.listed == [{"nodes/n1": b""}]
+        for number in range(8):
+            store.write(f"nodes/m{number}", b"")
+            await asyncio.sleep(0.1)
+        assert (store.reads, store.watches) == (1, 0)
+
+    run(check)
+
+
+def test_what_changed_in_the_first_second_comes_with_the_first_watch():
+    async def check(store, keeper):
+        await asyncio.sleep(0.3)
+        store.write("op/config", b'{"version": 9}')
+        await asyncio.sleep(1.2)
+        assert keeper.state.catalog.version == 9
+        assert store.reads == 1
+
+    run(check)
+
+
+def test_a_crowd_of_changes_takes_few_watches():
+    async def check(store, keeper):
+        await asyncio.sleep(1.5)
+        before = store.watches
+        for number in range(50):
+            store.write(f"servers/m{number}", b"")
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        assert len(keeper.state.replicas) == 51
+        assert store.watches - before <= 12
+
+    run(check)
+
+
+def test_a_forgotten_history_is_read_anew():
+    async def check(store, keeper):
+        await asyncio.sleep(1.5)
+        store.write("op/config", b'{"version": 8}')
+        store.forgotten = store.revision + 1
+        store.write("op/config", b'{"version": 9}')
+        await asyncio.sleep(0.5)
+        store.forgotten = 0
+        await asyncio.sleep(0.5)
+        assert keeper.state.catalog.version == 9
+
+    run(check)
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -19,7 +19,6 @@
 )
 from chalkyoke.storage.messages import Item
 
-CONFIGURATION_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 REPLICAS_PREFIX = "servers/"
 DRAINING = "draining"
--- a/packages/chalkyoke/src/chalkyoke/platform/start.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -8,7 +8,6 @@
 from chalkyoke.node.gateway import PlatformParts
 from chalkyoke.platform.documents import (
     CONFIGURATION_KEY,
-    CONFIGURATION_PREFIX,
     REPLICAS_PREFIX,
     read_catalog,
     read_replica,
@@ -29,5 +28,5 @@
         headers=PlatformHeaders(),
         read_catalog=read_catalog,
         read_replica=read_replica,
-        keys=Keys(CONFIGURATION_KEY, CONFIGURATION_PREFIX, REPLICAS_PREFIX, NODES_PREFIX),
+        keys=Keys(CONFIGURATION_KEY, REPLICAS_PREFIX, NODES_PREFIX),
     )
