--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
@@ -0,0 +1,42 @@
+"""
+chalkyoke_fakes.children
+
+Start the processes of a stand-in fleet so that they end with the process that started them, also
+when that one is killed.
+"""
+
+import ctypes
+import os
+import signal
+import subprocess
+from collections.abc import Callable
+from pathlib import Path
+
+PR_SET_PDEATHSIG = 1
+
+
+def _ends_with(parent: int) -> Callable[[], None]:
+    """Make what the child runs first: ask the kernel for SIGKILL at its parent's death."""
+    prctl = ctypes.CDLL(None, use_errno=True).prctl
+
+    def ask() -> None:
+        prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        if os.getppid() != parent:
+            os._exit(1)
+
+    return ask
+
+
+def spawn(command: list[str], log: Path) -> "subprocess.Popen[bytes]":
+    """Start a process in a session of its own; call from the main thread.
+
+    :param log: file to which its output is added.
+    """
+    with log.open("ab") as output:
+        return subprocess.Popen(
+            command,
+            stdout=output,
+            stderr=output,
+            start_new_session=True,
+            preexec_fn=_ends_with(os.getpid()),
+        )
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -19,6 +19,8 @@
 
 import aiohttp
 
+from chalkyoke_fakes.children import spawn
+
 START_S = 15.0
 POLL_S = 0.05
 OPERATOR_TOKEN = "demo-operator"
@@ -158,8 +160,7 @@
         return Process(name, address, self._spawn(name, command), arguments=command)
 
     def _spawn(self, name: str, command: list[str]) -> "subprocess.Popen[bytes]":
-        with (self.folder / f"{name}.log").open("ab") as log:
-            return subprocess.Popen(command, stdout=log, stderr=log, start_new_session=True)
+        return spawn(command, self.folder / f"{name}.log")
 
     def _list_node(self, entry: dict[str, Any]) -> None:
         ip = f"127.0.1.{len(self.nodes) + 1}"
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -21,6 +20,7 @@
 
 import aiohttp
 
+from chalkyoke_fakes.children import spawn
 from chalkyoke_fakes.fleet import FLEET_KEY_HEX
 from chalkyoke_fakes.metastore import MetaStore
 from chalkyoke_fakes.replica import Replica
@@ -103,7 +103,11 @@
 
 @dataclass
 class GatewayProcess:
-    """One gateway node."""
+    """One gateway node.
+
+    :param advertised: where others reach its links; empty is ``links`` itself.
+    :param store: where it reaches the store; empty is the store itself.
+    """
 
     name: str
     zone: str
@@ -112,8 +116,15 @@
     links: str
     metrics: str
     settings: Path
+    advertised: str = ""
+    store: str = ""
     popen: "subprocess.Popen[bytes] | None" = None
 
+    @property
+    def reached_at(self) -> str:
+        """Where other nodes reach its links."""
+        return self.advertised or self.links
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to it."""
         if self.popen is not None and self.popen.poll() is None:
@@ -191,23 +202,21 @@
     def start_node(self, name: str, *, first_start: bool = True) -> None:
         """Start a node, also one that was ended before."""
         node = self.nodes[name]
-        seeds = [each.links for each in self.nodes.values()][:3]
+        seeds = [each.reached_at for each in self.nodes.values()][:3]
         node.settings.write_text(
             f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
             f"first_start = {str(first_start).lower()}\n"
             f'[listen]\ncallers = "{node.callers}"\nready = "{node.ready}"\n'
             f'links = "{node.links}"\nmetrics = "{node.metrics}"\n'
+            f'links_advertised = "{node.reached_at}"\n'
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
-            f'[store]\naddress = "{self.store.address}"\nwatch_wait_s = 2.0\n'
+            f'[store]\naddress = "{node.store or self.store.address}"\nwatch_wait_s = 2.0\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
             "[limits]\nretry_slack = 100.0\n",
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
-        with (self.folder / f"{name}.log").open("ab") as log:
-            node.popen = subprocess.Popen(
-                command, stdout=log, stderr=log, start_new_session=True, env=dict(os.environ)
-            )
+        node.popen = spawn(command, self.folder / f"{name}.log")
 
     # Asking.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -29,12 +29,19 @@
     """Addresses that this node listens on, as ``ip:port``.
 
     :param metrics: empty is none.
+    :param links_advertised: where other nodes reach ``links``, where that is another address.
     """
 
     callers: str
     ready: str
     links: str
     metrics: str = ""
+    links_advertised: str = ""
+
+    @property
+    def links_reached_at(self) -> str:
+        """The address that other nodes are told."""
+        return self.links_advertised or self.links
 
 
 class PeersSection(msgspec.Struct, frozen=True):
@@ -156,8 +163,11 @@
         "listen.links": listen.links,
         "store.address": settings.store.address,
     }
-    if listen.metrics:
-        addresses["listen.metrics"] = listen.metrics
+    optional = {
+        "listen.metrics": listen.metrics,
+        "listen.links_advertised": listen.links_advertised,
+    }
+    addresses.update({name: address for name, address in optional.items() if address})
     for name, address in addresses.items():
         ip, _, port = address.rpartition(":")
         if not ip or not port.isdigit():
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -44,6 +44,7 @@
     :param types: all message types that may come in.
     :param handler: called with each message that comes in; what it returns is awaited, and then
         the stream is at its end.
+    :param listen: the address to listen on, where that is not the one that others are told.
     """
 
     def __init__(
@@ -52,8 +53,10 @@
         types: tuple[type[msgspec.Struct], ...],
         clock: Clock,
         handler: Handler,
+        listen: str = "",
     ) -> None:
         self.me = me
+        self._listen = listen or me.address
         self.counters = LinkCounters()
         self._codec = FrameCodec((*types, Challenge, Hello, Welcome))
         self._clock = clock
@@ -67,7 +70,7 @@
 
         :raises OSError: when the address can't be bound.
         """
-        ip, port = self.me.address.rsplit(":", 1)
+        ip, port = self._listen.rsplit(":", 1)
         self._server = await asyncio.start_server(self._serve, ip, int(port))
 
     async def close(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -148,7 +148,7 @@
         self.record = MemberRecord(
             host=settings.node.host,
             incarnation=secrets.randbits(INCARNATION_BITS),
-            address=settings.listen.links,
+            address=settings.listen.links_reached_at,
             administration=settings.listen.metrics,
             failure_domain=settings.node.failure_domain,
             leaving=False,
@@ -178,11 +178,12 @@
         settings = self.settings
         me = Identity(
             self.record.process,
-            settings.listen.links,
+            settings.listen.links_reached_at,
             settings.node.failure_domain,
             settings.key,
         )
-        self.links = Links(me, LINK_MESSAGES, self.events, self._receive)
+        listen = settings.listen.links
+        self.links = Links(me, LINK_MESSAGES, self.events, self._receive, listen)
 
     def _make_catalog(self) -> None:
         settings, platform = self.settings, self._platform
@@ -204,7 +205,8 @@
         )
         self.replicas = DeclaredReplicas(state, self.now)
         self.pools = DeclaredPools(settings.scheduling)
-        listed = msgspec.msgpack.encode((settings.listen.links, settings.node.failure_domain))
+        where = (settings.listen.links_reached_at, settings.node.failure_domain)
+        listed = msgspec.msgpack.encode(where)
         key = platform.keys.nodes + settings.node.host
         self._registration = Registration(self.store, key, listed, settings.store.lease_s)
 
--- a/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -36,12 +36,19 @@
     assert gatewayd.check(lay(GOOD)) == 0
 
 
+def test_other_nodes_are_told_the_advertised_address(lay):
+    assert load(lay(GOOD)).listen.links_reached_at == "127.0.0.1:3"
+    advertised = GOOD.replace('links = "', 'links_advertised = "127.0.0.1:9"\nlinks = "')
+    assert load(lay(advertised)).listen.links_reached_at == "127.0.0.1:9"
+
+
 @pytest.mark.parametrize(
     "bad",
     [
         "not = [toml",
         GOOD.replace('host = "n1"', ""),
         GOOD.replace("127.0.0.1:1", "nowhere"),
+        GOOD.replace('links = "', 'links_advertised = "here"\nlinks = "'),
         GOOD.replace("00112233445566778899aabbccddeeff", "0011"),
         GOOD.replace("00112233445566778899aabbccddeeff", "no hex"),
     ],
--- /dev/null
+++ b/tests/test_children.py
@@ -0,0 +1,47 @@
+"""
+tests.test_children
+
+What a stand-in fleet has started ends with it, also when the starter is killed.
+"""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+STARTER = """
+import sys, time
+from pathlib import Path
+from chalkyoke_fakes.children import spawn
+child = spawn([sys.executable, "-c", "import time; time.sleep(60)"], Path(sys.argv[1]))
+print(child.pid, flush=True)
+time.sleep(60)
+"""
+
+
+def is_running(pid):
+    """Whether a process is there; one that is only waited for counts as ended."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    except FileNotFoundError:
+        return False
+    return stat.rsplit(")", 1)[1].split()[0] != "Z"
+
+
+def test_children_end_when_their_starter_is_killed(tmp_path):
+    starter = subprocess.Popen(
+        [sys.executable, "-c", STARTER, str(tmp_path / "log")], stdout=subprocess.PIPE
+    )
+    child = int(starter.stdout.readline())
+    assert is_running(child)
+    starter.send_signal(signal.SIGKILL)
+    starter.wait()
+    end = time.monotonic() + 10
+    while is_running(child) and time.monotonic() < end:
+        time.sleep(0.01)
+    gone = not is_running(child)
+    if not gone:
+        os.kill(child, signal.SIGKILL)
+    assert gone
