A soak of the real programs under random faults from outside

Relays before the links of each node, between each node and the store and before each replica; signals; faults of the store and the replicas; new configurations, in four series that overlap.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 20
 PACKAGES := packages/chalkyoke packages/chalkyoke-ctl packages/chalkyoke-fakes
 
-.PHONY: install demo test lint bench proofs format
+.PHONY: install demo test lint bench proofs soak format
 
 $(VENV)/.installed: requirements.lock packages/chalkyoke/pyproject.toml packages/chalkyoke-ctl/pyproject.toml packages/chalkyoke-fakes/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 proofs: install
 	SEEDS=$(SEEDS) $(BIN)/python scripts/proofs.py
 
+soak: install
+	$(BIN)/python scripts/soak.py --seeds $(SEEDS)
+
 bench: install
 	$(BIN)/python -m benches --part $(PART)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -16,7 +16,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import aiohttp
 
@@ -144,10 +144,11 @@
         self.replicas: dict[str, Replica] = {}
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
+        self.limits = {"retry_slack": 100.0}
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
-    async def __aenter__(self) -> "PlatformFleet":
+    async def __aenter__(self) -> Self:
         self.session = aiohttp.ClientSession()
         try:
             await self._start()
@@ -202,6 +203,7 @@
     def start_node(self, name: str, *, first_start: bool = True) -> None:
         """Start a node, also one that was ended before."""
         node = self.nodes[name]
+        limits = "".join(f"{key} = {value}\n" for key, value in self.limits.items())
         seeds = [each.reached_at for each in self.nodes.values()][:3]
         node.settings.write_text(
             f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
@@ -212,7 +214,7 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nwatch_wait_s = 2.0\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            "[limits]\nretry_slack = 100.0\n",
+            f"[limits]\n{limits}",
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -43,6 +44,7 @@
     """One request as it arrived.
 
     :ivar left: whether its connection was closed while it ran.
+    :ivar at: when it arrived, on the steady clock.
     """
 
     method: str
@@ -50,6 +52,7 @@
     headers: dict[str, str]
     body: bytes
     left: bool = False
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -75,11 +78,17 @@
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self, ip: str, port: int = 0) -> None:
-        """Serve, and declare itself in the store."""
+    async def start(self, ip: str, port: int = 0, reached_at: str = "") -> str:
+        """Serve, and declare itself in the store.
+
+        :param reached_at: the address to declare, where that is not its own.
+        :return: its own address.
+        """
         self._server = await asyncio.start_server(self._serve, ip, port, limit=READ_LIMIT)
-        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        own = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        self.address = reached_at or own
         await self.declare("ready")
+        return own
 
     async def declare(self, state: str) -> None:
         """Write its own record."""
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -0,0 +1,189 @@
+"""
+chalkyoke_fakes.soak.checkers
+
+What must always hold, judged from observations alone. Each checker lists what it found broken.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from chalkyoke_fakes.soak.observations import Asked, Drained, Observations
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+DRAIN_S = 3.0
+IN_TOUCH_S = 4.0
+DEADLINE_SLACK_S = 1.5
+RECOVER_S = 12.0
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """One promise that did not hold."""
+
+    promise: str
+    what: str
+
+
+def runs_once(seen: Observations) -> list[Broken]:
+    """A request that may not be repeated runs at most once."""
+    runs = Counter(each.request for each in seen.ran)
+    single = (each for each in seen.asked if not each.kind.repeatable)
+    return [
+        Broken("runs once", f"{each.request} ran {runs[each.request]} times")
+        for each in single
+        if runs[each.request] > 1
+    ]
+
+
+def not_run_is_true(seen: Observations) -> list[Broken]:
+    """A caller that is told "not run" had no run."""
+    runs = Counter(each.request for each in seen.ran)
+    return [
+        Broken("not run is true", f"{each.request} got {each.status} and ran")
+        for each in seen.asked
+        if each.status in NOT_RUN and not each.kind.repeatable and runs[each.request]
+    ]
+
+
+def answers_are_whole_and_own(seen: Observations) -> list[Broken]:
+    """An answer that looks whole is the whole answer to its own request."""
+    return [
+        Broken("whole and own", f"{each.request}: {each.status}, {each.body[:60]!r}")
+        for each in seen.asked
+        if each.status == 200 and not _is_own(each, seen.stream)
+    ]
+
+
+def _is_own(asked: Asked, stream: bytes) -> bool:
+    if not asked.kind.streams:
+        return not asked.whole or asked.body.endswith(f" did {asked.request}".encode())
+    return asked.body == stream if asked.whole else stream.startswith(asked.body)
+
+
+def runs_were_asked_for(seen: Observations) -> list[Broken]:
+    """No replica runs what nobody has asked for."""
+    asked = {each.request for each in seen.asked}
+    return [
+        Broken("asked for", f"{each.request} ran at {each.replica}")
+        for each in seen.ran
+        if each.request not in asked
+    ]
+
+
+def versions_rise(seen: Observations) -> list[Broken]:
+    """The configuration of a process never goes back."""
+    return [
+        Broken("versions rise", f"{process}: {versions}")
+        for process, versions in seen.versions.items()
+        if versions != sorted(versions)
+    ]
+
+
+def leaving_replicas_get_nothing(seen: Observations) -> list[Broken]:
+    """A replica that leaves gets no request some seconds after it said so.
+
+    Only where no fault was near: a node that is out of touch can't know.
+    """
+    return [
+        Broken("drain", f"{run.request} ran at {each.replica} {run.at - each.at:.1f} s after")
+        for each in seen.drained
+        if not _is_disturbed(each, seen)
+        for run in seen.ran
+        if run.replica == each.replica and each.at + DRAIN_S < run.at < each.at + 2 * DRAIN_S
+    ]
+
+
+def _is_disturbed(drained: Drained, seen: Observations) -> bool:
+    began, ended = drained.at - IN_TOUCH_S, drained.at + 2 * DRAIN_S
+    return any(each.touches(began, ended) for each in seen.faults)
+
+
+def deadlines_hold(seen: Observations) -> list[Broken]:
+    """A node that nothing is the matter with ends each request by its deadline."""
+    return [
+        Broken("deadlines", f"{each.request} took {each.ended - each.began:.1f} s at {each.node}")
+        for each in seen.asked
+        if each.ended - each.began > each.deadline_s + DEADLINE_SLACK_S
+        and not any(
+            fault.target == each.node and fault.touches(each.began - 1.0, each.ended)
+            for fault in seen.faults
+        )
+    ]
+
+
+def quotas_hold(seen: Observations) -> list[Broken]:
+    """No window sees more of a team's requests than its quota allows.
+
+    A request counts once it was both sent and run within the window.
+    """
+    broken: list[Broken] = []
+    began = {each.request: each.began for each in seen.asked}
+    for quota in seen.quotas:
+        runs = [each for each in seen.ran if each.team == quota.team and each.request in began]
+        spans = sorted((began[each.request], each.at) for each in runs)
+        worst = _most_within(spans, quota.window_s)
+        if worst > quota.most:
+            broken.append(Broken("quota", f"{quota.team}: {worst} of {quota.most}"))
+    return broken
+
+
+def _most_within(spans: list[tuple[float, float]], window_s: float) -> int:
+    """Count the most spans that lie whole in any window; ``spans`` are sorted by their begin."""
+    most = 0
+    for index, (start, _) in enumerate(spans):
+        inside = sum(1 for _, end in spans[index:] if end <= start + window_s)
+        most = max(most, inside)
+    return most
+
+
+def retries_are_few(seen: Observations) -> list[Broken]:
+    """Arrivals beyond the first of each request stay within the budget of each service."""
+    limit = seen.retries
+    broken: list[Broken] = []
+    for service in {each.service for each in seen.ran}:
+        runs = sorted((each for each in seen.ran if each.service == service), key=lambda e: e.at)
+        known: set[str] = set()
+        again: list[float] = []
+        for run in runs:
+            if run.request in known:
+                again.append(run.at)
+            known.add(run.request)
+        for at in again:
+            repeats = sum(1 for each in again if at <= each < at + limit.window_s)
+            first = sum(1 for run in runs if at - limit.window_s <= run.at < at + limit.window_s)
+            if repeats > limit.ratio * first + limit.slack:
+                broken.append(Broken("retry budget", f"{service}: {repeats} beside {first}"))
+                break
+    return broken
+
+
+def service_comes_back(seen: Observations) -> list[Broken]:
+    """All nodes serve again soon after the last fault."""
+    if seen.recovered_s is not None and seen.recovered_s <= RECOVER_S:
+        return []
+    return [Broken("recovery", f"after {seen.recovered_s} s")]
+
+
+Checker = Callable[[Observations], list[Broken]]
+
+SAFETY: tuple[Checker, ...] = (
+    runs_once,
+    not_run_is_true,
+    answers_are_whole_and_own,
+    runs_were_asked_for,
+    versions_rise,
+)
+TIMED: tuple[Checker, ...] = (
+    leaving_replicas_get_nothing,
+    deadlines_hold,
+    quotas_hold,
+    retries_are_few,
+    service_comes_back,
+)
+CHECKERS = SAFETY + TIMED
+
+
+def check(seen: Observations, checkers: Iterable[Checker] = CHECKERS) -> list[Broken]:
+    """Apply checkers; those of :data:`SAFETY` hang on no clock."""
+    return [broken for checker in checkers for broken in checker(seen)]
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -0,0 +1,112 @@
+"""
+chalkyoke_fakes.soak.fleet
+
+The stand-in fleet with a relay before the links of each node, between each node and the store, and
+before each replica.
+"""
+
+import itertools
+from pathlib import Path
+from typing import Any
+
+from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
+from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.soak.relay import Relay
+
+QUOTA_TEAM = "kiosks"
+QUOTA_KEY = "kiosks-key"
+QUOTA_RATE_PER_S = 6.0
+QUOTA_BURST = 10.0
+QUOTA_OVER = 0.1
+QUOTA_SLACK = 20.0
+QUOTA_WINDOW_S = 8.0
+RETRY_SLACK = 40.0
+RETRY_RATIO = 0.2
+RETRY_WINDOW_S = 10.0
+
+
+class SoakFleet(PlatformFleet):
+    """A fleet whose every connection can be harmed from outside.
+
+    :ivar past: replicas that are gone.
+    """
+
+    def __init__(self, folder: Path, zones: tuple[str, ...], replicas_each: int) -> None:
+        super().__init__(folder, zones)
+        self.limits = {
+            "retry_ratio": RETRY_RATIO,
+            "retry_slack": RETRY_SLACK,
+            "retry_window_s": RETRY_WINDOW_S,
+            "quota_window_s": QUOTA_WINDOW_S,
+            "quota_over": QUOTA_OVER,
+            "quota_slack": QUOTA_SLACK,
+        }
+        self.tenants: list[dict[str, Any]] = [
+            {"name": TEAM, "api-keys": [KEY], "priority": 1},
+            {
+                "name": QUOTA_TEAM,
+                "api-keys": [QUOTA_KEY],
+                "priority": 1,
+                "rate-per-s": QUOTA_RATE_PER_S,
+                "burst": QUOTA_BURST,
+            },
+        ]
+        self.link_relays: dict[str, Relay] = {}
+        self.store_relays: dict[str, Relay] = {}
+        self.replica_relays: dict[str, Relay] = {}
+        self.past: list[Replica] = []
+        self._each = replicas_each
+        self._incarnations = itertools.count(1)
+
+    async def _start(self) -> None:
+        await self.store.start("127.0.0.1")
+        await self.configure({**default_configuration(), "tenants": self.tenants})
+        for number, zone in itertools.product(range(self._each), sorted(set(self._zones))):
+            for kind, service in (("m", "model"), ("s", "seats")):
+                await self._add_place(f"{kind}{zone}{number}", service, zone)
+        for number, zone in enumerate(self._zones):
+            name = f"n{number + 1}"
+            self._lay_settings(name, zone, f"127.0.1.{number + 1}")
+            await self._add_relays(name)
+        for name in self.nodes:
+            self.start_node(name)
+        for name in self.nodes:
+            await self.until_ready(name)
+
+    async def __aexit__(self, *_: object) -> None:
+        await super().__aexit__()
+        relays = (self.link_relays, self.store_relays, self.replica_relays)
+        for relay in itertools.chain.from_iterable(each.values() for each in relays):
+            await relay.stop()
+
+    async def _add_relays(self, name: str) -> None:
+        node = self.nodes[name]
+        self.link_relays[name] = Relay(node.links)
+        self.store_relays[name] = Relay(self.store.address)
+        await self.link_relays[name].start("127.0.3.1")
+        await self.store_relays[name].start("127.0.3.1")
+        node.advertised = self.link_relays[name].address
+        node.store = self.store_relays[name].address
+
+    async def _add_place(self, place: str, service: str, zone: str) -> None:
+        self.replica_relays[place] = Relay()
+        await self.replica_relays[place].start("127.0.3.1")
+        await self._start_replica(place, service, zone)
+
+    async def _start_replica(self, place: str, service: str, zone: str) -> None:
+        relay = self.replica_relays[place]
+        name = f"{place}-{next(self._incarnations)}"
+        replica = Replica(name, service, zone, self.store, service == "model")
+        relay.target = await replica.start("127.0.2.1", reached_at=relay.address)
+        self.replicas[name] = replica
+
+    def at_place(self, place: str) -> Replica:
+        """Give the replica that serves at a place now."""
+        return next(each for name, each in self.replicas.items() if name.rsplit("-", 1)[0] == place)
+
+    async def replace(self, replica: Replica) -> None:
+        """Start another incarnation at a replica's place; the old one is gone."""
+        place = replica.id.rsplit("-", 1)[0]
+        del self.replicas[replica.id]
+        self.past.append(replica)
+        await self._start_replica(place, replica.service, replica.zone)
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -0,0 +1,200 @@
+"""
+chalkyoke_fakes.soak.injector
+
+Do the faults of a plan to a fleet, from outside.
+"""
+
+import asyncio
+import copy
+import signal
+from collections.abc import Awaitable, Callable
+
+from chalkyoke_fakes.platformfleet import default_configuration
+from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.soak.fleet import SoakFleet
+from chalkyoke_fakes.soak.observations import Drained, Observations, Span
+from chalkyoke_fakes.soak.plan import Fault, Step
+from chalkyoke_fakes.soak.relay import Relay, RelayFaults
+
+RESTART_S = 0.3
+STOP_S = 12.0
+LEAVES_AFTER_S = 2.5
+STRIKES = 3
+SLOW_LINK_S = 0.2
+SLOW_STORE_S = 0.4
+HARMED_S = 4.0
+
+
+class Injector:
+    """Strike a fleet.
+
+    :param seen: faults are noted here, for the checkers.
+    :param now: seconds since the run began.
+    """
+
+    def __init__(self, fleet: SoakFleet, seen: Observations, now: Callable[[], float]) -> None:
+        self._fleet = fleet
+        self._seen = seen
+        self._now = now
+        self._busy: set[str] = set()
+        self._version = 1
+
+    async def strike(self, step: Step) -> None:
+        """Do one fault and undo it; one at a time for each node, replica and the store."""
+        place = step.target or "store"
+        if place in self._busy or (step.fault is Fault.ALL_KILL and self._busy):
+            return
+        self._busy.add(place)
+        began = self._now()
+        try:
+            await self._do(step)
+        finally:
+            self._busy.discard(place)
+            self._note(step, place, began)
+
+    def _note(self, step: Step, place: str, began: float) -> None:
+        if step.fault is Fault.CONFIGURE:
+            return
+        places = list(self._fleet.nodes) if step.fault is Fault.ALL_KILL else [place]
+        for each in places:
+            self._seen.faults.append(Span(step.fault, each, began, self._now() + HARMED_S / 4))
+
+    async def _do(self, step: Step) -> None:
+        name = step.fault.value
+        if name.startswith("node_"):
+            await self._strike_node(step)
+        elif step.fault is Fault.ALL_KILL:
+            await self._kill(list(self._fleet.nodes))
+        elif name.startswith("links_"):
+            await self._strike_relay(self._fleet.link_relays[step.target], step)
+        elif step.fault in (Fault.STORE_CUT, Fault.STORE_REFUSES):
+            await self._strike_relay(self._fleet.store_relays[step.target], step)
+        elif name.startswith("store_"):
+            await self._strike_store(step)
+        elif name.startswith("replica_"):
+            await self._strike_replica(step)
+        else:
+            await self._configure()
+
+    # Nodes.
+
+    async def _strike_node(self, step: Step) -> None:
+        node = self._fleet.nodes[step.target]
+        if step.fault is Fault.NODE_FREEZE:
+            node.send(signal.SIGSTOP)
+            await asyncio.sleep(step.for_s)
+            node.send(signal.SIGCONT)
+        elif step.fault is Fault.NODE_KILL:
+            await self._kill([step.target])
+        else:
+            node.send(signal.SIGTERM)
+            await self._until_ended(step.target)
+            self._fleet.start_node(step.target, first_start=False)
+
+    async def _until_ended(self, name: str) -> None:
+        popen = self._fleet.nodes[name].popen
+        assert popen is not None
+        end = self._now() + STOP_S
+        while popen.poll() is None and self._now() < end:
+            await asyncio.sleep(0.05)
+        if popen.poll() is None:
+            self._fleet.nodes[name].send(signal.SIGKILL)
+            popen.wait()
+
+    async def _kill(self, names: list[str]) -> None:
+        for name in names:
+            self._fleet.nodes[name].send(signal.SIGKILL)
+        for name in names:
+            popen = self._fleet.nodes[name].popen
+            assert popen is not None
+            popen.wait()
+        await asyncio.sleep(RESTART_S)
+        for name in names:
+            self._fleet.start_node(name, first_start=False)
+
+    # Relays.
+
+    async def _strike_relay(self, relay: Relay, step: Step) -> None:
+        silent = RelayFaults(silent_to_target=True, silent_to_caller=True)
+        kinds = {
+            Fault.LINKS_SILENT: silent,
+            Fault.LINKS_ONE_WAY: RelayFaults(silent_to_target=True),
+            Fault.LINKS_SLOW: RelayFaults(delay_s=SLOW_LINK_S),
+            Fault.LINKS_RESET: RelayFaults(refuse=True),
+            Fault.STORE_CUT: silent,
+            Fault.STORE_REFUSES: RelayFaults(refuse=True),
+            Fault.REPLICA_SILENT: silent,
+            Fault.REPLICA_RESET: RelayFaults(refuse=True),
+        }
+        relay.faults = copy.copy(kinds[step.fault])
+        if relay.faults.refuse:
+            relay.reset()
+        await asyncio.sleep(step.for_s)
+        relay.heal()
+
+    # The store.
+
+    async def _strike_store(self, step: Step) -> None:
+        faults = self._fleet.store.faults
+        if step.fault is Fault.STORE_FORGETS:
+            await self._fleet.store.forget_history()
+            return
+        if step.fault is Fault.STORE_LOSES:
+            faults.lose_writes = STRIKES
+        faults.down = step.fault is Fault.STORE_DOWN
+        faults.silent = step.fault is Fault.STORE_SILENT
+        faults.slow_s = SLOW_STORE_S if step.fault is Fault.STORE_SLOW else 0.0
+        await asyncio.sleep(step.for_s)
+        faults.down = faults.silent = False
+        faults.slow_s, faults.lose_writes = 0.0, 0
+
+    # Replicas.
+
+    async def _strike_replica(self, step: Step) -> None:
+        replica = self._fleet.at_place(step.target)
+        strikes: dict[Fault, Callable[[Replica], Awaitable[None]]] = {
+            Fault.REPLICA_CRASH: self._crash,
+            Fault.REPLICA_LEAVES: self._leave,
+        }
+        if step.fault in strikes:
+            await strikes[step.fault](replica)
+        elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET):
+            await self._strike_relay(self._fleet.replica_relays[step.target], step)
+        else:
+            faults = replica.faults
+            counts = {
+                Fault.REPLICA_FAILS: "fail",
+                Fault.REPLICA_LOSES: "lose_answers",
+                Fault.REPLICA_BREAKS: "break_streams",
+                Fault.REPLICA_EXTRA: "extra_answers",
+                Fault.REPLICA_SHEDS: "shed",
+            }
+            setattr(faults, counts[step.fault], STRIKES)
+            await asyncio.sleep(step.for_s)
+            setattr(faults, counts[step.fault], 0)
+
+    async def _crash(self, replica: Replica) -> None:
+        """Crash one; another incarnation comes back at its address, and its record goes later."""
+        await replica.crash()
+        await asyncio.sleep(RESTART_S)
+        await self._fleet.replace(replica)
+        await asyncio.sleep(1.0)
+        await self._fleet.store.remove(f"servers/{replica.id}")
+
+    async def _leave(self, replica: Replica) -> None:
+        await replica.declare("draining")
+        self._seen.drained.append(Drained(replica.id, self._now()))
+        await asyncio.sleep(LEAVES_AFTER_S * 2.6)
+        await replica.crash()
+        await self._fleet.store.remove(f"servers/{replica.id}")
+        await self._fleet.replace(replica)
+
+    # The operators.
+
+    async def _configure(self) -> None:
+        """Write a new version, in which one route has moved to and fro."""
+        self._version += 1 + self._version % 3
+        changed = default_configuration(self._version)
+        changed["tenants"] = self._fleet.tenants
+        changed["routes"][2]["timeout-ms"] = 5000 + 100 * (self._version % 7)
+        await self._fleet.configure(changed)
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -0,0 +1,122 @@
+"""
+chalkyoke_fakes.soak.observations
+
+What callers, replicas and logs showed during a run. All times are seconds since the run began.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Kind(StrEnum):
+    """What a request may bear."""
+
+    ONCE = "once"
+    REPEATABLE = "repeatable"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self in (Kind.REPEATABLE, Kind.RESUMABLE)
+
+    @property
+    def streams(self) -> bool:
+        """Whether its answer is a series of events."""
+        return self in (Kind.STREAM, Kind.RESUMABLE)
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One attempt of a caller and what came of it.
+
+    :param status: 0 where no answer came.
+    :param whole: whether the answer ended as an answer ends.
+    """
+
+    request: str
+    kind: Kind
+    node: str
+    team: str
+    began: float
+    ended: float
+    deadline_s: float
+    status: int
+    body: bytes
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """One run of a request at a replica."""
+
+    request: str
+    replica: str
+    service: str
+    team: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A time in which something was at fault.
+
+    :param what: the kind of fault.
+    :param target: the node, replica or ``store`` that it struck.
+    """
+
+    what: str
+    target: str
+    began: float
+    ended: float
+
+    def touches(self, began: float, ended: float) -> bool:
+        """Tell whether it overlaps with another time."""
+        return self.began <= ended and began <= self.ended
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """A replica declared that it leaves."""
+
+    replica: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """What a team may have within a window: ``(rate * window + burst) * (1 + over) + slack``."""
+
+    team: str
+    most: float
+    window_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLimit:
+    """How many arrivals beyond the first of each request a service may get in a window."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclass
+class Observations:
+    """All that a run showed.
+
+    :ivar versions: for each process, the configuration versions that it logged, in order.
+    :ivar recovered_s: how long after the last fault all nodes served again; nothing where not.
+    :ivar stream: the body of a whole stream.
+    """
+
+    asked: list[Asked] = field(default_factory=list)
+    ran: list[Ran] = field(default_factory=list)
+    faults: list[Span] = field(default_factory=list)
+    drained: list[Drained] = field(default_factory=list)
+    versions: dict[str, list[int]] = field(default_factory=dict)
+    quotas: list[Quota] = field(default_factory=list)
+    retries: RetryLimit = RetryLimit(0.2, 100.0, 10.0)
+    recovered_s: float | None = 0.0
+    stream: bytes = b""
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -0,0 +1,227 @@
+"""
+chalkyoke_fakes.soak.play
+
+Play one seed: start a fleet, let callers ask while faults strike, and check what was seen.
+"""
+
+import asyncio
+import itertools
+import json
+import random
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from chalkyoke_fakes.platformfleet import KEY, TEAM
+from chalkyoke_fakes.soak import fleet as fleets
+from chalkyoke_fakes.soak.checkers import Broken, check
+from chalkyoke_fakes.soak.fleet import SoakFleet
+from chalkyoke_fakes.soak.injector import Injector
+from chalkyoke_fakes.soak.observations import (
+    Asked,
+    Kind,
+    Observations,
+    Quota,
+    Ran,
+    RetryLimit,
+)
+from chalkyoke_fakes.soak.plan import draw
+
+KINDS = {
+    "/book/1": Kind.ONCE,
+    "/find/1": Kind.REPEATABLE,
+    "/chat/1": Kind.STREAM,
+    "/explain/1": Kind.RESUMABLE,
+}
+DEADLINE_S = 8.0
+GIVE_UP_S = 20.0
+RECOVERED_IN_A_ROW = 3
+LAST_WAIT_S = 30.0
+ENGINE_SLOTS_S = 0.02
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(8))
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """How large a run is.
+
+    :param zones: the failure domain of each node.
+    :param replicas_each: replicas of each service in each failure domain.
+    :param seconds: how long faults strike.
+    :param per_s: requests a second for each node.
+    """
+
+    zones: tuple[str, ...] = ("a", "b", "c")
+    replicas_each: int = 1
+    seconds: float = 15.0
+    per_s: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of a run."""
+
+    seed: int
+    seen: Observations
+    broken: list[Broken]
+
+    def summary(self) -> str:
+        """Say it in one line."""
+        seen = self.seen
+        good = sum(1 for each in seen.asked if each.status == 200 and each.whole)
+        back = "never" if seen.recovered_s is None else f"{seen.recovered_s:.1f} s"
+        return (
+            f"seed {self.seed}: {len(seen.asked)} asked, {good} whole, {len(seen.ran)} runs, "
+            f"{len(seen.faults)} faults, {len(seen.drained)} drained, back after {back}, "
+            f"{len(self.broken)} broken"
+        )
+
+
+class Run:
+    """One run of a seed over a fleet."""
+
+    def __init__(self, fleet: SoakFleet, seed: int, shape: Shape) -> None:
+        self._fleet = fleet
+        self._seed = seed
+        self._shape = shape
+        self._random = random.Random(seed + 1)
+        self._numbers = itertools.count(1)
+        self._began = time.monotonic()
+        self.seen = Observations(
+            retries=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
+            stream=STREAM,
+        )
+        rate = fleets.QUOTA_RATE_PER_S * fleets.QUOTA_WINDOW_S + fleets.QUOTA_BURST
+        most = rate * (1.0 + fleets.QUOTA_OVER) + fleets.QUOTA_SLACK
+        self.seen.quotas.append(Quota(fleets.QUOTA_TEAM, most, fleets.QUOTA_WINDOW_S))
+
+    def now(self) -> float:
+        """Give the seconds since the run began."""
+        return time.monotonic() - self._began
+
+    async def play(self) -> Observations:
+        """Let callers ask while faults strike, then wait until all is well again."""
+        callers = asyncio.create_task(self._call(self._shape.seconds))
+        injector = Injector(self._fleet, self.seen, self.now)
+        steps = draw(
+            self._seed,
+            self._shape.seconds - 2.0,
+            list(self._fleet.nodes),
+            list(self._fleet.replica_relays),
+        )
+        strikes = []
+        for step in steps:
+            await asyncio.sleep(max(0.0, step.at - self.now()))
+            strikes.append(asyncio.create_task(injector.strike(step)))
+        await callers
+        await asyncio.gather(*strikes)
+        self.seen.recovered_s = await self._recover()
+        self._collect()
+        return self.seen
+
+    # Callers.
+
+    async def _call(self, seconds: float) -> None:
+        tasks: list[asyncio.Task[int]] = []
+        pause = 1.0 / (self._shape.per_s * len(self._fleet.nodes))
+        while self.now() < seconds:
+            path = self._random.choice(list(KINDS))
+            node = self._random.choice(list(self._fleet.nodes))
+            team = fleets.QUOTA_TEAM if self._random.random() < 0.4 else TEAM
+            tasks.append(asyncio.create_task(self._ask(node, path, team)))
+            await asyncio.sleep(self._random.expovariate(1.0 / pause))
+        await asyncio.gather(*tasks)
+
+    async def _ask(self, node: str, path: str, team: str) -> int:
+        name = f"r{self._seed}-{next(self._numbers)}"
+        key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
+        method = "GET" if KINDS[path] is Kind.REPEATABLE else "POST"
+        began = self.now()
+        status, body, whole = 0, b"", False
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                got = await self._fleet.ask(
+                    node, path, method=method, body=b"{}", key=key, request_id=name
+                )
+            status, body, whole = got.status, got.body, got.whole
+        except TimeoutError:
+            pass
+        self.seen.asked.append(
+            Asked(
+                name,
+                KINDS[path],
+                node,
+                team,
+                began,
+                self.now(),
+                DEADLINE_S,
+                status,
+                body,
+                whole,
+            )
+        )
+        return status
+
+    async def _recover(self) -> float | None:
+        """Ask each node until it has answered some requests in a row."""
+        began = self.now()
+        for node in self._fleet.nodes:
+            row = 0
+            while row < RECOVERED_IN_A_ROW:
+                if self.now() - began > LAST_WAIT_S:
+                    return None
+                path = self._random.choice(list(KINDS))
+                row = row + 1 if await self._ask(node, path, TEAM) == 200 else 0
+                await asyncio.sleep(0.05)
+        return self.now() - began
+
+    # What the others saw.
+
+    def _collect(self) -> None:
+        for replica in [*self._fleet.replicas.values(), *self._fleet.past]:
+            for seen in replica.seen:
+                self.seen.ran.append(
+                    Ran(
+                        seen.headers["x-request-id"],
+                        replica.id,
+                        replica.service,
+                        seen.headers.get("x-tenant", ""),
+                        seen.at - self._began,
+                    )
+                )
+        for name in self._fleet.nodes:
+            self._collect_versions(name)
+
+    def _collect_versions(self, name: str) -> None:
+        log = (self._fleet.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+        process = ""
+        for line in log.splitlines():
+            try:
+                entry = json.loads(line)
+            except json.JSONDecodeError:
+                continue
+            if entry.get("event") == "started":
+                process = entry["process"]
+            elif entry.get("event") == "version":
+                self.seen.versions.setdefault(process, []).append(entry["version"])
+
+
+async def play(seed: int, shape: Shape, keep: Path | None = None) -> Outcome:
+    """Play a seed.
+
+    :param keep: where the logs of a run that broke something are kept.
+    """
+    with tempfile.TemporaryDirectory(prefix="chalkyoke-soak-") as folder:
+        async with SoakFleet(Path(folder), shape.zones, shape.replicas_each) as fleet:
+            seen = await Run(fleet, seed, shape).play()
+        broken = check(seen)
+        if broken and keep is not None:
+            _keep_logs(Path(folder), keep / f"seed-{seed}")
+    return Outcome(seed, seen, broken)
+
+
+def _keep_logs(folder: Path, kept: Path) -> None:
+    kept.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob("*.log"):
+        (kept / log.name).write_bytes(log.read_bytes())
--- /dev/null
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -0,0 +1,101 @@
+"""
+chalkyoke_fakes.soak.relay
+
+A TCP relay on loopback that stands between two programs and can delay, hold back or reset what
+passes.
+"""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+CHUNK = 65_536
+POLL_S = 0.02
+
+
+@dataclass
+class RelayFaults:
+    """Faults that can be switched at run time.
+
+    :ivar silent_to_target: bytes towards the target are held back until it is over.
+    :ivar silent_to_caller: bytes towards the caller are held back until it is over.
+    :ivar delay_s: each piece passes so much later.
+    :ivar refuse: new connections are reset at once.
+    """
+
+    silent_to_target: bool = False
+    silent_to_caller: bool = False
+    delay_s: float = 0.0
+    refuse: bool = False
+
+
+class Relay:
+    """Pass connections on to a target.
+
+    :ivar target: ``ip:port``; it may change, for connections to come.
+    """
+
+    def __init__(self, target: str = "") -> None:
+        self.target = target
+        self.address = ""
+        self.faults = RelayFaults()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, ip: str) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.faults = RelayFaults()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.faults.refuse or not self.target:
+            writer.transport.abort()
+            return
+        ip, port = self.target.rsplit(":", 1)
+        try:
+            there, back = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, back}
+        towards = asyncio.create_task(self._pass(reader, back, to_target=True))
+        backwards = asyncio.create_task(self._pass(there, writer, to_target=False))
+        try:
+            await asyncio.wait([towards, backwards], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (towards, backwards):
+                task.cancel()
+            for each in (writer, back):
+                self._writers.discard(each)
+                with contextlib.suppress(ConnectionError):
+                    each.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, to_target: bool
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(CHUNK):
+                if self.faults.delay_s:
+                    await asyncio.sleep(self.faults.delay_s)
+                while self._is_silent(to_target):
+                    await asyncio.sleep(POLL_S)
+                writer.write(data)
+                await writer.drain()
+
+    def _is_silent(self, to_target: bool) -> bool:
+        return self.faults.silent_to_target if to_target else self.faults.silent_to_caller
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,42 @@
+"""
+scripts.soak
+
+Play random faults against real node processes, seed after seed. Logs of seeds that broke something
+are kept under ``out/soak``.
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+from chalkyoke_fakes.soak.play import Shape, play
+
+KEEP = Path("out/soak")
+
+
+def main() -> int:
+    """Play the seeds that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10, help="how many")
+    parser.add_argument("--first", type=int, default=int(time.time()), help="the first seed")
+    parser.add_argument("--seconds", type=float, default=15.0, help="of faults, for each seed")
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--replicas", type=int, default=1, help="of each service and zone")
+    chosen = parser.parse_args()
+    zones = tuple("abc"[number % 3] for number in range(chosen.nodes))
+    shape = Shape(zones, chosen.replicas, chosen.seconds)
+    red = 0
+    for seed in range(chosen.first, chosen.first + chosen.seeds):
+        outcome = asyncio.run(play(seed, shape, KEEP))
+        print(outcome.summary(), flush=True)
+        for broken in outcome.broken:
+            print(f"    {broken.promise}: {broken.what}", flush=True)
+        red += bool(outcome.broken)
+    print(f"soak: {chosen.seeds} seeds, {red} red")
+    return 1 if red else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,196 @@
+"""
+tests.test_soak
+
+Each checker of the soak goes red at a planted fault; the relay does what it is told; a short run of
+a fixed seed over real processes.
+"""
+
+import asyncio
+
+import pytest
+from chalkyoke_fakes.soak import checkers
+from chalkyoke_fakes.soak.observations import (
+    Asked,
+    Drained,
+    Kind,
+    Observations,
+    Quota,
+    Ran,
+    RetryLimit,
+    Span,
+)
+from chalkyoke_fakes.soak.plan import Fault, draw
+from chalkyoke_fakes.soak.play import STREAM, Shape, play
+from chalkyoke_fakes.soak.relay import Relay
+
+SHORT = Shape(seconds=8.0, per_s=6.0)
+
+
+def asked(request, kind=Kind.ONCE, began=1.0, ended=1.2, status=200, body=None, whole=True):
+    own = STREAM if kind.streams else f"s1 did {request}".encode()
+    return Asked(
+        request, kind, "n1", "t", began, ended, 8.0, status, own if body is None else body, whole
+    )
+
+
+def ran(request, at=1.1, replica="s1"):
+    return Ran(request, replica, "seats", "t", at)
+
+
+def sound():
+    """A run in which all is well, with something for each checker to look at."""
+    seen = Observations(stream=STREAM)
+    seen.asked = [
+        asked("a"),
+        asked("b", Kind.REPEATABLE),
+        asked("c", Kind.STREAM),
+        asked("d", Kind.STREAM, body=STREAM[:30], whole=False),
+        asked("e", status=503, body=b"no replica"),
+    ]
+    seen.ran = [ran("a"), ran("b"), ran("b", 1.15), ran("c"), ran("d")]
+    seen.faults = [Span(Fault.NODE_KILL, "n2", 3.0, 4.0)]
+    seen.drained = [Drained("s1", 30.0)]
+    seen.versions = {"n1/1": [1, 3, 4], "n1/2": [4, 5]}
+    seen.quotas = [Quota("t", 6, 8.0)]
+    seen.retries = RetryLimit(0.2, 3.0, 10.0)
+    return seen
+
+
+def run_twice(seen):
+    seen.ran.append(ran("a", 1.3))
+
+
+def run_what_was_refused(seen):
+    seen.ran.append(ran("e"))
+
+
+def hand_out_another_answer(seen):
+    seen.asked[0] = asked("a", body=b"s1 did x")
+
+
+def end_a_cut_stream_as_whole(seen):
+    seen.asked[3] = asked("d", Kind.STREAM, body=STREAM[:30])
+
+
+def join_two_runs_in_one_stream(seen):
+    seen.asked[3] = asked("d", Kind.STREAM, body=STREAM[:30] + STREAM[:30], whole=False)
+
+
+def run_what_nobody_asked(seen):
+    seen.ran.append(ran("smuggled"))
+
+
+def go_back_to_an_older_version(seen):
+    seen.versions["n1/1"].append(2)
+
+
+def send_to_a_leaving_replica(seen):
+    seen.asked.append(asked("late", began=33.4, ended=33.6))
+    seen.ran.append(ran("late", 33.5))
+
+
+def hold_past_the_deadline(seen):
+    seen.asked.append(asked("slow", Kind.REPEATABLE, began=5.0, ended=15.0))
+
+
+def pass_more_than_the_quota(seen):
+    for number in range(6):
+        seen.asked.append(asked(f"q{number}"))
+        seen.ran.append(ran(f"q{number}"))
+
+
+def repeat_too_often(seen):
+    for number in range(5):
+        seen.ran.append(ran("b", 1.2 + number / 10))
+
+
+def never_come_back(seen):
+    seen.recovered_s = None
+
+
+PLANTS = [
+    (run_twice, checkers.runs_once),
+    (run_what_was_refused, checkers.not_run_is_true),
+    (hand_out_another_answer, checkers.answers_are_whole_and_own),
+    (end_a_cut_stream_as_whole, checkers.answers_are_whole_and_own),
+    (join_two_runs_in_one_stream, checkers.answers_are_whole_and_own),
+    (run_what_nobody_asked, checkers.runs_were_asked_for),
+    (go_back_to_an_older_version, checkers.versions_rise),
+    (send_to_a_leaving_replica, checkers.leaving_replicas_get_nothing),
+    (hold_past_the_deadline, checkers.deadlines_hold),
+    (pass_more_than_the_quota, checkers.quotas_hold),
+    (repeat_too_often, checkers.retries_are_few),
+    (never_come_back, checkers.service_comes_back),
+]
+
+
+def test_a_sound_run_breaks_nothing():
+    assert checkers.check(sound()) == []
+
+
+@pytest.mark.parametrize(("plant", "checker"), PLANTS, ids=lambda each: each.__name__)
+def test_a_planted_fault_turns_its_checker_red(plant, checker):
+    seen = sound()
+    plant(seen)
+    assert checker(seen)
+
+
+def test_each_checker_has_a_planted_fault():
+    assert {checker for _, checker in PLANTS} == set(checkers.CHECKERS)
+
+
+def test_what_was_out_of_touch_is_not_blamed_for_a_drain():
+    seen = sound()
+    send_to_a_leaving_replica(seen)
+    seen.faults.append(Span(Fault.STORE_DOWN, "store", 28.0, 29.0))
+    assert checkers.leaving_replicas_get_nothing(seen) == []
+
+
+def test_a_plan_hangs_on_its_seed_alone_and_its_series_overlap():
+    places = (["n1", "n2"], ["m1", "s1"])
+    steps = draw(5, 60.0, *places)
+    assert steps == draw(5, 60.0, *places) != draw(6, 60.0, *places)
+    assert any(one.at < other.at < one.at + one.for_s for one in steps for other in steps)
+    assert {each.fault for each in draw(1, 900.0, *places)} == set(Fault)
+
+
+def test_a_relay_passes_holds_back_and_resets():
+    async def main():
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data.upper())
+
+        server = await asyncio.start_server(echo, "127.0.2.1", 0)
+        relay = Relay(f"127.0.2.1:{server.sockets[0].getsockname()[1]}")
+        await relay.start("127.0.3.1")
+        ip, port = relay.address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"one")
+        assert await reader.read(100) == b"ONE"
+        relay.faults.silent_to_caller = True
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.2)
+        relay.heal()
+        assert await reader.read(100) == b"TWO"
+        relay.faults.refuse = True
+        relay.reset()
+        with pytest.raises((ConnectionError, AssertionError)):
+            writer.write(b"three")
+            assert await reader.read(100)
+        with pytest.raises((ConnectionError, AssertionError)):
+            other, _ = await asyncio.open_connection(ip, int(port))
+            assert await other.read(100)
+        writer.close()
+        await relay.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_a_short_run_over_real_processes_breaks_no_promise_of_safety():
+    """What hangs on the clock is left to ``make soak``: this machine may be busy."""
+    outcome = asyncio.run(play(7, SHORT))
+    assert checkers.check(outcome.seen, checkers.SAFETY) == [], outcome.summary()
+    assert any(each.status == 200 for each in outcome.seen.asked)
+    assert outcome.seen.ran and outcome.seen.versions
