Keep each line's own fields; tell what a home counted when it refuses; name the events of pools

Change: the handler never lets a field hide one that every line has (test); pool_taken and pool_given_up with pool; window_spent and window_most in over_quota.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -172,6 +172,8 @@
                 admission,
                 cost=admission.cost,
                 decided_by=allowed.decided_by,
+                window_spent=round(allowed.spent),
+                window_most=round(allowed.most),
                 retry_after_s=round(allowed.retry_after_s, 3),
             )
             self._answer(429, "over quota", allowed.retry_after_s)
--- a/packages/chalkyoke/src/chalkyoke/linelog.py
+++ b/packages/chalkyoke/src/chalkyoke/linelog.py
@@ -122,8 +122,10 @@
             "level": record.level_name,
             "slice": record.channel,
             "event": record.message,
-            **record.kwargs,
         }
+        for name, value in record.kwargs.items():
+            # A record's field never hides one that every line has.
+            line[f"{name}_" if name in line else name] = value
         if self.suppressed:
             line["suppressed"] = self.suppressed
             self.suppressed = 0
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -265,7 +265,7 @@
         self.state.forget_departed(self._now(), DEPARTED_KEPT_S)
         log.info(
             "replicas",
-            at=self.state.replicas_at,
+            revision=self.state.replicas_at,
             source=source,
             count=len(self.state.replicas),
             draining=sorted(each.id for each in self.state.replicas.values() if each.draining),
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -220,7 +220,7 @@
         self.pools[pool] = scheduler
         self._ask_running(pool)
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
-        log.info("took pool {}", pool)
+        log.info("pool_taken", pool=pool)
         return scheduler
 
     def _ask_running(self, pool: str) -> None:
@@ -241,7 +241,7 @@
             del self.pools[name]
             del self._disowned[name]
             self._events.add(EventKind.POOL_GIVEN_UP, pool=name)
-            log.info("gave up pool {}", name)
+            log.info("pool_given_up", pool=name)
 
     def _refuse_unknown(self, entry: str, message: Acquire) -> None:
         """Answer for a pool that this process's configuration does not have (yet)."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -35,11 +35,15 @@
 
     :param retry_after_s: when to come back, where it is not.
     :param decided_by: ``lease``, ``home``, ``alone`` or ``no quota``.
+    :param spent: what the home that refused it counts in the window.
+    :param most: what that home leases in a window at most.
     """
 
     passed: bool
     retry_after_s: float = 0.0
     decided_by: str = "no quota"
+    spent: float = 0.0
+    most: float = 0.0
 
 
 class Charged(Protocol):
@@ -155,7 +159,7 @@
 
     def _granted(self, charged: Charged, grant: QuotaGrant) -> Passed:
         passed = self._wallet.take(grant, charged.cost, self._now())
-        return Passed(passed, grant.retry_after_s, "home")
+        return Passed(passed, grant.retry_after_s, "home", grant.spent, grant.most)
 
     def _is_newcomer(self) -> bool:
         """Tell whether this node may not know yet who is the home."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -136,7 +136,16 @@
         )
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
-            return QuotaGrant(team.name, message.number, 0.0, retry, VALID_S, window.number)
+            return QuotaGrant(
+                team.name,
+                message.number,
+                0.0,
+                retry,
+                VALID_S,
+                window.number,
+                window.spent(now),
+                most,
+            )
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
         window.add(amount, now)
         ledger.leased += amount
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -35,6 +35,8 @@
     :param retry_after_s: when to come back after a refusal.
     :param lease_of: names the window that the lease is of.
     :param valid_s: how long what is left of the lease may be spent.
+    :param spent: what the home counts in the window.
+    :param most: what it leases in a window at most.
     """
 
     team: str
@@ -43,6 +45,8 @@
     retry_after_s: float
     valid_s: float
     lease_of: int = 0
+    spent: float = 0.0
+    most: float = 0.0
 
 
 class QuotaSurvey(msgspec.Struct, frozen=True, array_like=True, tag="quota_survey"):
--- a/packages/chalkyoke/src/chalkyoke/tests/test_linelog.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_linelog.py
@@ -70,3 +70,16 @@
     assert {"at", "up_s", "host", "level", "slice", "event", "request"} <= set(records[0])
     os.close(reader)
     os.close(writer)
+
+
+def test_a_field_never_hides_one_that_every_line_has():
+    reader, writer, later, lines = pipe()
+    handler = LineHandler(lines, "INFO", 10.0, "n1", lambda: 1.0)
+    with handler:
+        logbook.Logger("chalkyoke.catalog").info("replicas", at=7, count=3)
+    later.run()
+    line = json.loads(os.read(reader, 1 << 16))
+    assert (line["at_"], line["count"], line["host"]) == (7, 3, "n1")
+    assert line["at"].endswith("Z")
+    os.close(reader)
+    os.close(writer)
