--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -12,7 +12,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -20,7 +20,6 @@
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
 from chalkyoke.catalog.state import CatalogState, ReadCatalog, ReadReplica
 from chalkyoke.clock import HybridClock
 from chalkyoke.exceptions import InvariantBroken, SettingsError
@@ -34,13 +33,7 @@
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
-from chalkyoke.membership.messages import (
-    Heartbeat,
-    MemberRecord,
-    ShortHeartbeat,
-    Summary,
-    SummaryRequest,
-)
+from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.state import Candidate, Change, Joined
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.catalog import CatalogKeeper, Keys, Registration
@@ -49,26 +42,14 @@
 from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.requestlog import RequestLog
+from chalkyoke.node.routing import LINK_MESSAGES, MessageRouter, RoutedParts
 from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.quotas.home import Presence, QuotaHome
-from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey
 from chalkyoke.quotas.wallet import QuotaWallet
 from chalkyoke.quotas.window import QuotaLimits
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
-from chalkyoke.scheduling.messages import (
-    Acquire,
-    Adopt,
-    AdoptRequest,
-    FirstOutput,
-    Grant,
-    Learned,
-    Progress,
-    Queued,
-    Release,
-    Shed,
-    Withdraw,
-)
 from chalkyoke.scheduling.placement import Features
 from chalkyoke.storage.port import Store
 
@@ -80,31 +61,6 @@
 NEWCOMER_S = 1.0
 GRACE_MARGIN_S = 0.6
 
-LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
-    Acquire,
-    Adopt,
-    AdoptRequest,
-    CatalogRequest,
-    CatalogTold,
-    FirstOutput,
-    Grant,
-    Heartbeat,
-    Learned,
-    Progress,
-    Queued,
-    QuotaGrant,
-    QuotaRequest,
-    QuotaSpent,
-    QuotaSurvey,
-    Release,
-    ReplicasTold,
-    Shed,
-    ShortHeartbeat,
-    Summary,
-    SummaryRequest,
-    Withdraw,
-)
-SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
 POOL_FEATURES = Features(late_last=False, headroom=True, early=True)
 
 log = logger("node")
@@ -161,15 +117,17 @@
         self.size = FleetSize()
         self.requests = RequestLog(self.metrics, self.now)
         self._connections: set[ServerConnection] = set()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = Supervisor(self.metrics)
         self._stopping = asyncio.Event()
-        self._stopped = asyncio.Event()
-        self._failure: BaseException | None = None
-        loop.set_exception_handler(self._on_exception)
         self._make_links()
         self._make_catalog()
         self._make_schedulers()
         self._make_gateway()
+        self._router = MessageRouter(
+            RoutedParts(self.view, self.links, self.catalog, self.grants, self.hosted, self.quotas),
+            self._apply,
+            self.now,
+        )
         self._pages = PageServer(self.is_ready, self.metrics)
 
     # Putting together.
@@ -317,11 +275,11 @@
             pages.append(await self._listen(self.settings.listen.metrics, self._pages.start))
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid())
-        self._start(self._stop_on_plan(server))
-        await self._stopped.wait()
+        self._supervisor.start(self._stop_on_plan(server))
+        await self._supervisor.ended.wait()
         await self._close([server, *pages])
-        if self._failure is not None:
-            raise self._failure
+        if self._supervisor.failure is not None:
+            raise self._supervisor.failure
 
     async def _listen(self, address: str, start: Start) -> asyncio.Server:
         ip, port = address.rsplit(":", 1)
@@ -355,13 +313,12 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
                 await self._registration.end()
-        self._stopped.set()
+        self._supervisor.ended.set()
 
     async def _close(self, servers: list[asyncio.Server]) -> None:
         for server in servers:
             server.close()
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         await self.links.close()
         self.connections.close()
         self._store_connections.close()
@@ -379,26 +336,12 @@
     # Loops.
 
     def _start_loops(self) -> None:
-        self._start(self._repeat(self.view.interval_s, self._beat))
-        self._start(self._repeat(TICK_S, self._tick))
-        self._start(self._repeat(HOUSEKEEPING_S, self._keep_house))
-        self._start(self.catalog.run())
-        self._start(self._registration.run())
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._loop_ended)
-        self._tasks.append(task)
-
-    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
-        # Without one of its loops a process would look alive and do nothing.
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._fail(error)
-
-    async def _repeat(self, interval_s: float, work: Callable[[], None]) -> None:
-        while True:
-            work()
-            await asyncio.sleep(interval_s)
+        loops = self._supervisor
+        loops.repeat(self.view.interval_s, self._beat)
+        loops.repeat(TICK_S, self._tick)
+        loops.repeat(HOUSEKEEPING_S, self._keep_house)
+        loops.start(self.catalog.run())
+        loops.start(self._registration.run())
 
     def _beat(self) -> None:
         for send in self.view.beat(self.now()):
@@ -434,31 +377,9 @@
 
     def _receive(self, connection: Connection, message: msgspec.Struct) -> None:
         try:
-            self._route(connection, message)
+            self._router.route(connection, message)
         except InvariantBroken as error:
-            self._fail(error)
-
-    def _route(self, connection: Connection, message: msgspec.Struct) -> None:
-        address = connection.peer_address
-        if isinstance(message, Heartbeat | ShortHeartbeat | SummaryRequest | Summary):
-            changes, sends = self.view.receive(address, message, self.now())
-            self._apply(changes)
-            for send in sends:
-                self.links.send(send.address, send.message)
-            if isinstance(message, Heartbeat):
-                self.catalog.heard(address, message.record)
-        elif isinstance(message, Grant | Queued | Shed):
-            self.grants.receive(connection.peer, message)
-        elif isinstance(message, AdoptRequest):
-            self.grants.tell_running(message.pool, connection.peer)
-            self.hosted.tell_learned(message.pool, connection.peer)
-        elif isinstance(message, SCHEDULER_MESSAGES):
-            self.hosted.note_address(connection.peer, address)
-            self.hosted.receive(connection.peer, connection.peer_domain, message)
-        elif isinstance(message, QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent):
-            self.quotas.receive(address, message)
-        elif isinstance(message, CatalogRequest | CatalogTold | ReplicasTold):
-            self.catalog.receive(address, message)
+            self._supervisor.fail(error)
 
     # Changes.
 
@@ -490,23 +411,6 @@
         self.view.set_candidates(candidates)
         self.size.note_listed((each.host for each in candidates), self.now())
 
-    # Faults.
-
-    def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-        error = context.get("exception")
-        if isinstance(error, InvariantBroken):
-            self._fail(error)
-        elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
-            self.metrics.count("faults")
-            log.error("fault", where=str(context.get("message")), error=repr(error))
-
-    def _fail(self, error: BaseException) -> None:
-        """Stop the process for a fault that must not be lived with."""
-        if self._failure is None:
-            log.critical("fatal", error=repr(error))
-            self._failure = error
-        self._stopped.set()
-
 
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import secrets
 import signal
 import time
@@ -52,6 +51,7 @@
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.servers import HttpServer
+from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -138,11 +138,8 @@
         self.process = self._record.process
         self.events = EventRing(settings.node.host, HybridClock(), _wall_ms)
         self.view = MembershipView(self._record, settings.timing.heartbeat_interval_s)
-        self._stop = asyncio.Event()
         self._stopping = asyncio.Event()
-        self._failure: BaseException | None = None
-        self._tasks: list[asyncio.Task[None]] = []
-        loop.set_exception_handler(self._on_exception)
+        self._supervisor = Supervisor(self.metrics)
         self._make_links()
         self._make_platform()
         self._make_entry(incarnation)
@@ -264,11 +261,13 @@
         self.events.add(EventKind.STARTED, process=self.process)
         log.info("{} serves callers on {}", self.process, self.settings.listen.callers)
         stopping = asyncio.create_task(self._stop_on_plan())
-        await self._stop.wait()
+        await self._supervisor.ended.wait()
         stopping.cancel()
         await self._close()
-        if self._failure is not None:
-            raise self._failure
+        failure = self._supervisor.failure
+        if failure is not None:
+            self.events.add(EventKind.STOPPED, fault=repr(failure))
+            raise failure
 
     async def _stop_on_plan(self) -> None:
         """Take no new callers, give pools up, finish what is in progress, then end."""
@@ -285,12 +284,11 @@
                 break
             await asyncio.sleep(TICK_S)
         self.events.add(EventKind.STOPPED)
-        self._stop.set()
+        self._supervisor.ended.set()
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        if self._failure is None:
+        self._supervisor.cancel()
+        if self._supervisor.failure is None:
             await asyncio.gather(*(server.stop() for server in self._servers))
         await self.links.close()
         await self._platform_session.close()
@@ -301,27 +299,13 @@
 
     def _start_loops(self) -> None:
         timing = self.settings.timing
-        self._start(self._repeat(self.view.interval_s, self._beat))
-        self._start(self._repeat(TICK_S, self._tick))
-        self._start(self._repeat(HOUSEKEEPING_S, self._keep_house))
-        self._start(self._probe(timing.load_interval_s))
-        self._start(self.configuration.watch_root())
-        self._start(self.configuration.watch_hosts())
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._loop_ended)
-        self._tasks.append(task)
-
-    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
-        # Without one of its loops a process would look alive and do nothing.
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._fail(error)
-
-    async def _repeat(self, interval_s: float, work: Callable[[], None]) -> None:
-        while True:
-            work()
-            await asyncio.sleep(interval_s)
+        loops = self._supervisor
+        loops.repeat(self.view.interval_s, self._beat)
+        loops.repeat(TICK_S, self._tick)
+        loops.repeat(HOUSEKEEPING_S, self._keep_house)
+        loops.start(self._probe(timing.load_interval_s))
+        loops.start(self.configuration.watch_root())
+        loops.start(self.configuration.watch_hosts())
 
     async def _probe(self, interval_s: float) -> None:
         while True:
@@ -349,7 +333,7 @@
         try:
             return self._route(connection, message)
         except InvariantBroken as error:
-            self._fail(error)
+            self._supervisor.fail(error)
             return None
 
     def _route(
@@ -401,23 +385,3 @@
         )
         self.schedulers.reconfigure()
         self.acquirer.check_owners()
-
-    # Faults.
-
-    def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-        error = context.get("exception")
-        if isinstance(error, InvariantBroken):
-            self._fail(error)
-        elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
-            # A fault in the service of one connection ends that connection, not the process.
-            self.metrics.count("faults")
-            log.error("{}: {!r}", context.get("message"), error)
-
-    def _fail(self, error: BaseException) -> None:
-        """Stop the process for a fault that must not be lived with."""
-        if self._failure is None:
-            log.critical("stopped by a fault: {!r}", error)
-            with contextlib.suppress(Exception):
-                self.events.add(EventKind.STOPPED, fault=repr(error))
-            self._failure = error
-        self._stop.set()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -0,0 +1,110 @@
+"""
+chalkyoke.node.routing
+
+Which part of a gateway node takes which message of another node.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.gateway.grants import Grants
+from chalkyoke.links.connection import Connection
+from chalkyoke.links.peers import Links
+from chalkyoke.membership.messages import Heartbeat, ShortHeartbeat, Summary, SummaryRequest
+from chalkyoke.membership.state import Change
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.catalog import CatalogKeeper
+from chalkyoke.node.schedulers import SchedulerHost
+from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    Adopt,
+    AdoptRequest,
+    FirstOutput,
+    Grant,
+    Learned,
+    Progress,
+    Queued,
+    Release,
+    Shed,
+    Withdraw,
+)
+
+MEMBERSHIP_MESSAGES = (Heartbeat, ShortHeartbeat, Summary, SummaryRequest)
+CATALOG_MESSAGES = (CatalogRequest, CatalogTold, ReplicasTold)
+ENTRY_MESSAGES = (Grant, Queued, Shed)
+SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
+QUOTA_MESSAGES = (QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey)
+LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    *MEMBERSHIP_MESSAGES,
+    *CATALOG_MESSAGES,
+    *ENTRY_MESSAGES,
+    *SCHEDULER_MESSAGES,
+    *QUOTA_MESSAGES,
+    AdoptRequest,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedParts:
+    """The parts of a node that take messages."""
+
+    view: MembershipView
+    links: Links
+    catalog: CatalogKeeper
+    grants: Grants
+    hosted: SchedulerHost
+    quotas: QuotaClient
+
+
+class MessageRouter:
+    """Hand each message to the part that it is for.
+
+    :param changed: called with what a message has changed in the membership view.
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        parts: RoutedParts,
+        changed: Callable[[list[Change]], None],
+        now: Callable[[], float],
+    ) -> None:
+        self._parts = parts
+        self._changed = changed
+        self._now = now
+
+    def route(self, connection: Connection, message: msgspec.Struct) -> None:
+        """Hand a message on.
+
+        :raises InvariantBroken: when a part finds that a promise does not hold.
+        """
+        parts, address = self._parts, connection.peer_address
+        if isinstance(message, MEMBERSHIP_MESSAGES):
+            self._take_membership(address, message)
+        elif isinstance(message, ENTRY_MESSAGES):
+            parts.grants.receive(connection.peer, message)
+        elif isinstance(message, AdoptRequest):
+            parts.grants.tell_running(message.pool, connection.peer)
+            parts.hosted.tell_learned(message.pool, connection.peer)
+        elif isinstance(message, SCHEDULER_MESSAGES):
+            parts.hosted.note_address(connection.peer, address)
+            parts.hosted.receive(connection.peer, connection.peer_domain, message)
+        elif isinstance(message, QUOTA_MESSAGES):
+            parts.quotas.receive(address, message)
+        elif isinstance(message, CATALOG_MESSAGES):
+            parts.catalog.receive(address, message)
+
+    def _take_membership(
+        self, address: str, message: Heartbeat | ShortHeartbeat | Summary | SummaryRequest
+    ) -> None:
+        changes, sends = self._parts.view.receive(address, message, self._now())
+        self._changed(changes)
+        for send in sends:
+            self._parts.links.send(send.address, send.message)
+        if isinstance(message, Heartbeat):
+            self._parts.catalog.heard(address, message.record)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -0,0 +1,72 @@
+"""
+chalkyoke.node.supervisor
+
+The endless loops of a node, and its end by a fault that must not be lived with.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.logs import logger
+
+log = logger("node")
+
+
+class Supervisor:
+    """Run loops for as long as the process lives. Make it inside the running event loop.
+
+    :param metrics: counts faults that end one connection only.
+    :ivar ended: set when the process is to end.
+    :ivar failure: the fault that ended it, if one did.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.ended = asyncio.Event()
+        self.failure: BaseException | None = None
+        self._metrics = metrics
+        self._tasks: list[asyncio.Task[None]] = []
+        asyncio.get_running_loop().set_exception_handler(self._on_exception)
+
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        """Run a loop; a fault in it ends the process."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._loop_ended)
+        self._tasks.append(task)
+
+    def repeat(self, interval_s: float, work: Callable[[], None]) -> None:
+        """Call a function again and again."""
+        self.start(_repeat(interval_s, work))
+
+    def fail(self, error: BaseException) -> None:
+        """End the process for a fault that must not be lived with."""
+        if self.failure is None:
+            log.critical("fatal", error=repr(error))
+            self.failure = error
+        self.ended.set()
+
+    def cancel(self) -> None:
+        """Cancel all loops."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
+        # Without one of its loops a process would look alive and do nothing.
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.fail(error)
+
+    def _on_exception(self, _: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        error = context.get("exception")
+        if isinstance(error, InvariantBroken):
+            self.fail(error)
+        elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
+            # A fault in the service of one connection ends that connection, not the process.
+            self._metrics.count("faults")
+            log.error("fault", where=str(context.get("message")), error=repr(error))
+
+
+async def _repeat(interval_s: float, work: Callable[[], None]) -> None:
+    while True:
+        work()
+        await asyncio.sleep(interval_s)
