Assume of an unknown quota window that all was spent as late as the home's rule allows

Change: each quarter of an assumed window holds what keeps both together within the rule whatever the old home did (18, 11, 33, 38 in 100, the oldest first).

--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -66,6 +66,14 @@
     assert refused_share(fleet) < 0.06
 
 
+@pytest.mark.parametrize(("seed", "at"), [(123, 4.48), (70, 4.82), (149, 2.28)])
+def test_a_kill_of_all_in_a_first_rush_keeps_the_limit(seed, at):
+    """All was spent just before, within little more than half of a window."""
+    fleet = Fleet()
+    play(fleet, 8.0, 16, seed, [(at, lambda fleet: fleet.kill(*range(9)))])
+    assert fleet.worst_window() <= 0.98 * MOST
+
+
 def test_a_cut_keeps_the_limit_and_each_side_serves_its_part():
     events = [
         (8, lambda fleet: fleet.cut(range(6), range(6, 9))),
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass, field
 
 BUCKETS = 40
+# What each quarter of an unknown window is assumed to hold, the oldest first. A home leases three
+# tenths of the window in a quarter at most, so all of it may lie in the newest three quarters and
+# a little: then hardly anything may be leased anew before it is out.
+ASSUMED_SPREAD = (0.18, 0.11, 0.33, 0.38)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,14 +75,16 @@
         self._sum *= factor
 
     def assume(self, cost: float, now: float) -> None:
-        """Assume that cost was spent evenly over the window that ends now.
+        """Assume that cost was spent in the window that ends now, and how: by :data:`ASSUMED_SPREAD`.
 
         For when somebody else kept the window until now and what was spent is not known.
         """
         last = self._index(now)
         self._buckets.clear()
         for back in range(BUCKETS, 0, -1):
-            self._buckets.append((last - back, cost / BUCKETS))
+            share = ASSUMED_SPREAD[(BUCKETS - back) * len(ASSUMED_SPREAD) // BUCKETS]
+            part = cost * share * len(ASSUMED_SPREAD) / BUCKETS
+            self._buckets.append((last - back, part))
         self._sum = cost
 
     def spent(self, now: float, within_s: float | None = None) -> float:
