--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -75,7 +75,7 @@
         self._sum *= factor
 
     def assume(self, cost: float, now: float) -> None:
-        """Assume that cost was spent in the window that ends now, and how: by :data:`ASSUMED_SPREAD`.
+        """Assume cost spent in the window that ends now, by :data:`ASSUMED_SPREAD`.
 
         For when somebody else kept the window until now and what was spent is not known.
         """
