Put a node of the own domain third in line; wait for a full replica rather than one out of reach

Ruled out: the pause after a failed connect (it holds, but what is out of reach came before what is full). Change: the third in line is of the asking node's own domain; what is not reached, or was tried, is taken only where no good replica is merely full.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -49,24 +49,29 @@
         """Choose the replica with the least cost.
 
         Replicas that seem bad come last and are never shut out: a pool must not go empty by
-        suspicion.
+        suspicion. Only while a better one has its bound in use, it is worth waiting for.
 
         :param avoid: replicas that were tried already.
         :param most_outstanding: bound of this node's requests at a replica; none where nothing is
             given.
-        :rtype: Replica or None
+        :return: nothing where none should be sent to now.
         """
         best: tuple[float, Replica] | None = None
+        good_is_full = False
         for replica in replicas:
             seen = self.seen(replica.id)
             if most_outstanding is not None and seen.outstanding >= most_outstanding(replica):
+                is_good = now >= seen.unreachable_until and replica.id not in avoid
+                good_is_full = good_is_full or is_good
                 continue
             cost = self._cost(replica, seen, now)
             if replica.id in avoid:
                 cost += EXCLUDED_COST
             if best is None or cost < best[0]:
                 best = (cost, replica)
-        return best[1] if best is not None else None
+        if best is None or (good_is_full and best[0] >= UNREACHABLE_COST):
+            return None
+        return best[1]
 
     def forget(self, kept: Collection[str]) -> None:
         """Drop what is known of replicas that are gone."""
--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
@@ -59,3 +59,20 @@
     for each in replicas():
         balancer.seen(each.id).outstanding = 1
     assert balancer.choose(replicas(), 0.0, most_outstanding=lambda _: 1) is None
+
+
+def test_a_full_replica_is_waited_for_rather_than_one_that_is_not_reached():
+    balancer = make()
+    balancer.seen("r0").outstanding = 1
+    balancer.seen("r1").note_unreachable(0.0)
+    assert balancer.choose(replicas(2), 0.1, most_outstanding=lambda _: 1) is None
+    balancer.seen("r0").outstanding = 0
+    assert balancer.choose(replicas(2), 0.1, most_outstanding=lambda _: 1).id == "r0"
+
+
+def test_where_none_is_reached_one_is_tried_all_the_same():
+    balancer = make()
+    for name in ("r0", "r1"):
+        balancer.seen(name).note_unreachable(0.0)
+    balancer.seen("r0").outstanding = 1
+    assert balancer.choose(replicas(2), 0.1, most_outstanding=lambda _: 1).id == "r1"
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -96,17 +96,18 @@
     def pool_owners(self, pool: str) -> list[MemberRecord]:
         """List the processes that may schedule a pool, its present owner first.
 
-        The second is of another failure domain: when the owner's domain is cut off, it is asked at
-        once, long before the membership tells of the cut.
+        The second is of another failure domain and the third of this process's own: when a domain
+        is cut off, one of the three is on this side of the cut, and is asked at once, long before
+        the membership tells of the cut.
 
         :rtype: list[MemberRecord]
         """
         fit = {each.host: each for each in self.live() if each.ready and not each.leaving}
         found = [fit[host] for host in ranked(f"pool/{pool}", fit)]
-        for index, each in enumerate(found):
-            if each.failure_domain != found[0].failure_domain:
-                return [found[0], each, *found[1:index], *found[index + 1 :]]
-        return found
+        elsewhere = [each for each in found if each.failure_domain != found[0].failure_domain]
+        here = [each for each in found if each.failure_domain == self.domain]
+        first = [*found[:1], *elsewhere[:1], *here[:1]]
+        return list({each.host: each for each in [*first, *found]}.values())
 
     def pool_owner(self, pool: str) -> MemberRecord:
         """Give the process that schedules a pool; this one where nobody else can.
