Hand quota windows over, open them ahead, believe none empty but at the fleet's first start

Cause 1 (simulation): a node of the first start that had never been a home began with an empty window whenever it became one, also long after: when a home died or stopped on plan, its successor leased a second window at once. Change: the home before answers a survey with its window, also for 3 s after it gave it up; a node opens the windows of its teams when the membership changes, not at the first question; empty only within 6 s of the first start; the smaller side of a cut assumes nothing (its share and the other side's home hold the sum). 0.8 of the window instead of 0.77.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -119,6 +119,7 @@
         self._connections: set[ServerConnection] = set()
         self._supervisor = Supervisor(self.metrics)
         self._stopping = asyncio.Event()
+        self._seen_generation = -1
         self._make_links()
         self._make_catalog()
         self._make_schedulers()
@@ -202,7 +203,7 @@
                 identity=self.record.incarnation >> 1,
             ),
             PeerQuotas(self.view, self.links.send, self.presence),
-            lambda name: self.catalog.state.catalog.teams.get(name),
+            lambda: self.catalog.state.catalog.teams,
             self.now,
             first_start=self.settings.node.first_start,
         )
@@ -362,6 +363,9 @@
     def _tick(self) -> None:
         self._apply(self.view.tick(self.now()))
         self._note_fitness()
+        if self._seen_generation != self.view.generation:
+            self._seen_generation = self.view.generation
+            self.quotas.keep_house()
         self.size.note(self.view.live(), self.now())
         self.hosted.tick()
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -89,7 +89,7 @@
     """Take cost for requests.
 
     :param now: the node's clock, in seconds.
-    :param teams: finds a team by its name.
+    :param teams: gives all teams by their names.
     :param first_start: whether the whole fleet starts for the first time.
     """
 
@@ -98,7 +98,7 @@
         wallet: QuotaWallet,
         home: QuotaHome,
         port: HomePort,
-        teams: Callable[[str], Team | None],
+        teams: Callable[[], Mapping[str, Team]],
         now: Callable[[], float],
         *,
         first_start: bool,
@@ -192,7 +192,7 @@
         if isinstance(message, QuotaSurvey):
             self._port.send(sender, self._spent(message.team))
             return
-        team = self._teams(message.team)
+        team = self._teams().get(message.team)
         if team is None or team.rate_per_s <= 0:
             return
         if isinstance(message, QuotaSpent):
@@ -201,20 +201,34 @@
         self._port.send(sender, self._answer(team, message))
 
     def _answer(self, team: Team, message: QuotaRequest) -> QuotaGrant:
-        """Answer as the home; a new one asks all others what was spent before."""
-        survey = self._home.must_survey(team.name)
-        grant = self._home.ask(team, message, self._port.presence(), self._now())
-        if survey:
-            mine = self._spent(team.name)
-            self._home.take_spent(team, mine, self._port.presence(), self._now())
-            for address in self._port.others():
-                self._port.send(address, QuotaSurvey(team.name))
-        return grant
+        """Answer as the home."""
+        self._open(team)
+        return self._home.ask(team, message, self._port.presence(), self._now())
+
+    def _open(self, team: Team) -> None:
+        """Be a team's home; a new one asks all others what was spent before."""
+        if not self._home.is_new(team.name):
+            return
+        mine = self._spent(team.name)
+        self._home.open(team, self._port.presence(), self._now())
+        self._home.take_spent(team, mine, self._port.presence(), self._now())
+        for address in self._port.others():
+            self._port.send(address, QuotaSurvey(team.name))
 
     def _spent(self, team: str) -> QuotaSpent:
         now = self._now()
-        return QuotaSpent(team, self._port.host(), self._wallet.spent(team, now), now)
+        window = self._home.hand_over(team, now)
+        return QuotaSpent(team, self._port.host(), self._wallet.spent(team, now), now, window)
 
     def keep_house(self) -> None:
-        """Drop the buckets of teams whose home is elsewhere; call about once a second."""
-        self._home.forget_others(lambda team: self._port.home(team) is None)
+        """Give up the teams whose home is elsewhere, and begin to be the home of others.
+
+        Call after each change of the membership and about once a second: then a home knows what was
+        spent before it is asked.
+        """
+        self._home.forget_others(lambda team: self._port.home(team) is None, self._now())
+        if self._is_newcomer():
+            return
+        for team in self._teams().values():
+            if team.rate_per_s > 0 and self._port.home(team.name) is None:
+                self._open(team)
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -15,8 +15,12 @@
 from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
 
 VALID_S = 0.5
-USED_SHARE = 0.77
+USED_SHARE = 0.8
 ASSUMED_SHARE = 0.95
+# The smaller side of a cut may begin at once: its share is small, and the other side's home counts
+# what was spent before. Whoever sees most of the fleet may be the successor of a dead home.
+MINOR_SHARE = 0.5
+MAJOR_SHARE = 0.72
 # A quarter of the window may see three tenths of what the window may: when a home is lost, what it
 # leased is then spread enough for its successor to assume that it was spread evenly.
 SHORT_WINDOW = 0.25
@@ -26,6 +30,9 @@
 MOST_RANKS_HELD = 3
 SPARE_DIVISOR = 8.0
 SURVEY_S = 1.0
+# So long after the first start of the whole fleet a new home is the first one of its team.
+FIRST_HOMES_S = 6.0
+KEPT_S = 3.0
 MIN_RETRY_S = 0.05
 
 
@@ -95,8 +102,8 @@
     """Lease cost to the nodes that ask.
 
     :param limits: what any window may see.
-    :param first_start: whether the whole fleet starts for the first time; otherwise another home
-        may have leased just now, and the window is assumed to be full.
+    :param first_start: whether the whole fleet starts for the first time; otherwise, and some
+        seconds later, another home may have leased just now, and the window is assumed to be full.
     :param identity: random number of this process, to tell its windows from those of others.
     """
 
@@ -106,13 +113,29 @@
         self._numbers = itertools.count(1)
         self._first_start = first_start
         self._ledgers: dict[str, _Ledger] = {}
+        self._given_up: dict[str, tuple[float, SpendingWindow]] = {}
 
-    def must_survey(self, team: str) -> bool:
-        """Tell whether this node is new as a team's home and should ask what was spent.
+    def is_new(self, team: str) -> bool:
+        """Tell whether this node has not been a team's home yet, and should ask what was spent.
 
         :rtype: bool
         """
-        return team not in self._ledgers and not self._first_start
+        return team not in self._ledgers
+
+    def open(self, team: Team, presence: Presence, now: float) -> None:
+        """Begin to be a team's home."""
+        self._ledger(team, presence, now)
+
+    def hand_over(self, team: str, now: float) -> tuple[float, ...]:
+        """Give the window of a team up to its new home; nothing where this node has none.
+
+        :return: its parts, oldest first.
+        """
+        ledger = self._ledgers.pop(team, None)
+        if ledger is not None:
+            self._given_up[team] = (now, ledger.window)
+        kept = self._given_up.get(team)
+        return () if kept is None or now - kept[0] > KEPT_S else kept[1].parts(now)
 
     def ask(self, team: Team, message: QuotaRequest, presence: Presence, now: float) -> QuotaGrant:
         """Answer a node that asks for cost of a limited team.
@@ -158,12 +181,19 @@
     def take_spent(self, team: Team, message: QuotaSpent, presence: Presence, now: float) -> None:
         """Take what a node has spent before; once all have told, it replaces what was assumed.
 
+        The window of the home before replaces it at once.
+
         A node that started within the window can't tell what its earlier process spent, and one
         that is out of sight tells nothing: the window then stays assumed to be full.
         """
         ledger = self._ledgers.get(team.name)
         if ledger is None or ledger.surveyed or now - ledger.began > SURVEY_S:
             return
+        if message.window:
+            ledger.surveyed = True
+            ledger.window.resume(message.window, now)
+            ledger.window.add(ledger.leased, now)
+            return
         ledger.told[message.host] = message
         told = ledger.told.values()
         whole = all(each.known_s >= self.limits.window_s for each in told)
@@ -173,15 +203,16 @@
         spent = sum(each.cost for each in told)
         ledger.window.assume(spent + ledger.leased, ledger.began)
 
-    def forget_others(self, mine: Callable[[str], bool]) -> None:
-        """Drop the windows of teams whose home is elsewhere.
+    def forget_others(self, mine: Callable[[str], bool], now: float) -> None:
+        """Give up the windows of teams whose home is elsewhere; they are kept for their new homes.
 
         :param mine: tells whether this node is a team's home.
         """
-        for name in list(self._ledgers):
-            if not mine(name):
-                del self._ledgers[name]
-                self._first_start = False
+        for name in [each for each in self._ledgers if not mine(each)]:
+            self.hand_over(name, now)
+        for name, (since, _) in list(self._given_up.items()):
+            if now - since > KEPT_S:
+                del self._given_up[name]
 
     def _ledger(self, team: Team, presence: Presence, now: float) -> _Ledger:
         ledger = self._ledgers.get(team.name)
@@ -190,8 +221,19 @@
         number = self._identity + next(self._numbers)
         window = SpendingWindow(self.limits.window_s, number)
         most = self.limits.most(team.rate_per_s, team.burst)
-        if not self._first_start:
-            window.assume(most * USED_SHARE * presence.share * ASSUMED_SHARE, now)
-        ledger = _Ledger(window, most, now, presence.share, now, surveyed=self._first_start)
+        first = self._first_start and now < FIRST_HOMES_S
+        if not first:
+            window.assume(most * USED_SHARE * presence.share * _assumed(presence.share), now)
+        ledger = _Ledger(window, most, now, presence.share, now, surveyed=first)
         self._ledgers[team.name] = ledger
         return ledger
+
+
+def _assumed(share: float) -> float:
+    """Tell how much of its part of the window a new home takes for spent.
+
+    :param share: the share of the fleet that it sees.
+    :rtype: float
+    """
+    seen = (share - MINOR_SHARE) / (MAJOR_SHARE - MINOR_SHARE)
+    return ASSUMED_SHARE * max(0.0, min(1.0, seen))
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -60,12 +60,15 @@
 
     :param known_s: for how long before now this node can tell; less than the window where it
         started only then.
+    :param window: where this node was the home until now, all that was leased in the window, in
+        equal parts, oldest first.
     """
 
     team: str
     host: str
     cost: float
     known_s: float
+    window: tuple[float, ...] = ()
 
 
 QuotaMessage = QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -32,6 +32,7 @@
     def __init__(self, count=9):
         self.now = 0.0
         self.team = TEAM
+        self.leaving = set()
         self.nodes = {n: Node(n, 0.0, True) for n in range(count)}
         self.sides = [set(range(count))]
         self.passed, self.refused = [], []
@@ -44,16 +45,32 @@
         self.sides = [set(side) for side in sides]
         self._forget()
 
+    def lose(self, *names):
+        """Nodes die and stay away; their neighbours find out at once."""
+        self.sides = [side - set(names) for side in self.sides]
+        self._forget()
+
     def side(self, name):
         return next(side for side in self.sides if name in side)
 
     def home_of(self, name):
-        return min(self.side(name), key=lambda each: (each * 7 + 3) % 9)
+        fit = self.side(name) - self.leaving or self.side(name)
+        return min(fit, key=lambda each: (each * 7 + 3) % 9)
+
+    def leave(self, *names):
+        """Nodes stop on plan: they answer on, and are no homes any more."""
+        self.leaving = set(names)
+        self._forget()
 
     def _forget(self):
         for name, node in self.nodes.items():
+            if not any(name in side for side in self.sides):
+                continue
             mine = self.home_of(name) == name
-            node.home.forget_others(lambda _, mine=mine: mine)
+            node.home.forget_others(lambda _, mine=mine: mine, node.local(self.now))
+        for side in self.sides:
+            home = self.nodes[self.home_of(next(iter(side)))]
+            self._open(home, Presence(len(side), len(self.nodes)))
 
     def ask(self, name, cost, rank=0):
         node, home = self.nodes[name], self.nodes[self.home_of(name)]
@@ -70,15 +87,19 @@
         message = QuotaRequest(
             "t", 1, cost, node.wallet.ahead(self.team), 1, rank, *node.wallet.give_back("t")
         )
-        survey = home.home.must_survey("t")
-        grant = home.home.ask(self.team, message, presence, home.local(self.now))
-        if survey:
-            for other in self.side(node.name):
-                each = self.nodes[other]
-                known = each.local(self.now)
-                spent = QuotaSpent("t", str(other), each.wallet.spent("t", known), known)
-                home.home.take_spent(self.team, spent, presence, home.local(self.now))
-        return grant
+        self._open(home, presence)
+        return home.home.ask(self.team, message, presence, home.local(self.now))
+
+    def _open(self, home, presence):
+        if not home.home.is_new("t"):
+            return
+        home.home.open(self.team, presence, home.local(self.now))
+        for other in self.side(home.name):
+            each = self.nodes[other]
+            known = each.local(self.now)
+            window = each.home.hand_over("t", known) if each is not home else ()
+            spent = QuotaSpent("t", str(other), each.wallet.spent("t", known), known, window)
+            home.home.take_spent(self.team, spent, presence, home.local(self.now))
 
     def worst_window(self, since=0.0):
         worst, start, total = 0.0, 0, 0.0
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -56,7 +56,7 @@
         QuotaWallet(LIMITS, lambda: NODES),
         QuotaHome(LIMITS, first_start=True, identity=1),
         home,
-        lambda name: TEAM,
+        lambda: {TEAM.name: TEAM},
         loop.time,
         first_start=True,
     )
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -17,7 +17,7 @@
         while events and events[0][0] <= fleet.now:
             events.pop(0)[1](fleet)
         cost = rng.choice((200, 1200, 3000, 3000, 9000))
-        names = only or list(fleet.nodes)
+        names = only or [name for side in fleet.sides for name in side]
         weights = [1 + 5 * (name % 3 == 0) for name in names]
         fleet.ask(rng.choices(names, weights)[0], cost)
         fleet.now += rng.expovariate(demand * TEAM.rate_per_s / 3280)
@@ -74,6 +74,32 @@
     assert fleet.worst_window() <= 0.98 * MOST
 
 
+def losing_home(fleet):
+    fleet.lose(fleet.home_of(next(iter(fleet.sides[0]))))
+
+
+@pytest.mark.parametrize("at", [8.5, 9.0, 10.5, 13.0])
+def test_a_lost_home_of_a_first_start_keeps_the_limit(at):
+    """Its successor has never been a home and must not believe that nothing was spent."""
+    fleet = Fleet()
+    fleet.now = 5.0
+    play(fleet, 8.0, 18, events=[(at, losing_home)])
+    assert fleet.worst_window() <= MOST
+
+
+def test_a_home_that_moves_on_plan_refuses_nobody():
+    """Nodes stop on plan and come back, one after the other; each home hands its window over."""
+    fleet = Fleet()
+
+    def stopping(name):
+        return lambda fleet: fleet.leave(name)
+
+    events = [(10.0 + 2 * n, stopping(n)) for n in range(9)]
+    play(fleet, 0.9, 32, events=events)
+    assert refused_share(fleet) < 0.01
+    assert fleet.worst_window() <= MOST
+
+
 def test_a_cut_keeps_the_limit_and_each_side_serves_its_part():
     events = [
         (8, lambda fleet: fleet.cut(range(6), range(6, 9))),
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -87,6 +87,23 @@
             self._buckets.append((last - back, part))
         self._sum = cost
 
+    def parts(self, now: float) -> tuple[float, ...]:
+        """Give what was spent in each of :data:`BUCKETS` equal parts of the window, oldest first.
+
+        :rtype: tuple[float, ...]
+        """
+        last = self._index(now)
+        by_index = dict(self._buckets)
+        return tuple(by_index.get(last - back, 0.0) for back in range(BUCKETS - 1, -1, -1))
+
+    def resume(self, parts: tuple[float, ...], now: float) -> None:
+        """Go on from the parts of another window that ends now."""
+        last = self._index(now)
+        self._buckets.clear()
+        for back, cost in zip(range(len(parts) - 1, -1, -1), parts, strict=True):
+            self._buckets.append((last - back, cost))
+        self._sum = sum(parts)
+
     def spent(self, now: float, within_s: float | None = None) -> float:
         """Give what was spent in the window that ends now.
 
