--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -155,12 +155,24 @@
             self._release_cancelled(judged)
             if not self._left:
                 raise
-            parts.record("left", judged, sends=self._progress.sends.arrivals)
+            parts.record(
+                "left",
+                judged,
+                sends=self._progress.sends.arrivals,
+                events=self._delivery.events,
+                silent_s=round(self._silent_s(), 4),
+            )
         except BaseException:
             self._release_cancelled(judged)
             self._answering.abort()
             raise
 
+    def _silent_s(self) -> float:
+        """Tell for how long the replica has said nothing; -1 where nothing was sent to one."""
+        if self._relay is None:
+            return -1.0
+        return self._parts.now() - self._relay.last_at
+
     def _loop_time(self, at: float) -> float:
         return asyncio.get_running_loop().time() + (at - self._parts.now())
 
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -251,6 +251,14 @@
         seen = [each for replica in engines(fleet) for each in replica.seen]
         await fleet.until(lambda: seen[0].left, "a replica to notice")
 
+        def left():
+            lines = (fleet.folder / "n1.log").read_text().splitlines()
+            return [each for each in map(json.loads, lines) if each["event"] == "left"]
+
+        await fleet.until(left, "the line of a caller that left")
+        assert left()[0]["sends"] == 1 and 0 <= left()[0]["silent_s"] < 60
+        assert left()[0]["events"] >= 0
+
     with_fleet(check, ("a",))
 
 
