Of several windows handed over, go on from the fullest; open windows ahead only once others are known

Cause (reading of the diff): a home that moves twice within 3 s, as in a rolling stop, gets the window of the one before last too, which lacks what the last one leased; the first to arrive counted. And a fresh node, which knows nobody, opened the windows of all teams and asked all it met. Change: the fuller window counts, also after another; nothing is opened ahead in the first second. A test, red before.

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -26,6 +26,7 @@
 LAST_ANSWER_S = 0.12
 AVOID_S = 0.3
 NEWCOMER_S = 0.5
+OPEN_AHEAD_S = 1.0
 ALONE_RETRY_S = 0.3
 
 
@@ -227,7 +228,8 @@
         spent before it is asked.
         """
         self._home.forget_others(lambda team: self._port.home(team) is None, self._now())
-        if self._is_newcomer():
+        if self._now() < OPEN_AHEAD_S:
+            # Nobody is known yet, and this node would believe itself the home of all.
             return
         for team in self._teams().values():
             if team.rate_per_s > 0 and self._port.home(team.name) is None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/home.py
@@ -66,6 +66,7 @@
         the other side of a cut may have spent its share until the cut healed.
     :ivar told: what nodes have told that they spent before.
     :ivar leased: what was leased since this node became the home.
+    :ivar resumed: what an earlier home had spent, where it goes on from its window; else -1.
     """
 
     window: SpendingWindow
@@ -76,6 +77,7 @@
     surveyed: bool
     told: dict[str, QuotaSpent] = field(default_factory=dict)
     leased: float = 0.0
+    resumed: float = -1.0
 
     def follow_limit(self, most: float) -> None:
         """Take a new limit of the window.
@@ -187,12 +189,11 @@
         that is out of sight tells nothing: the window then stays assumed to be full.
         """
         ledger = self._ledgers.get(team.name)
-        if ledger is None or ledger.surveyed or now - ledger.began > SURVEY_S:
+        if ledger is None or now - ledger.began > SURVEY_S:
             return
         if message.window:
-            ledger.surveyed = True
-            ledger.window.resume(message.window, now)
-            ledger.window.add(ledger.leased, now)
+            self._resume(ledger, message.window, now)
+        if ledger.surveyed:
             return
         ledger.told[message.host] = message
         told = ledger.told.values()
@@ -203,6 +204,19 @@
         spent = sum(each.cost for each in told)
         ledger.window.assume(spent + ledger.leased, ledger.began)
 
+    def _resume(self, ledger: _Ledger, window: tuple[float, ...], now: float) -> None:
+        """Go on from an earlier home's window; of several, the one in which most was spent.
+
+        Where a home moves twice in a moment, the first of them may tell an old window.
+        """
+        total = sum(window)
+        if total <= ledger.resumed:
+            return
+        ledger.resumed = total
+        ledger.surveyed = True
+        ledger.window.resume(window, now)
+        ledger.window.add(ledger.leased, now)
+
     def forget_others(self, mine: Callable[[str], bool], now: float) -> None:
         """Give up the windows of teams whose home is elsewhere; they are kept for their new homes.
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -2,6 +2,8 @@
 import random
 
 import pytest
+from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
 
 from .fleet import LIMITS, TEAM, Fleet
 
@@ -100,6 +102,19 @@
     assert fleet.worst_window() <= MOST
 
 
+@pytest.mark.parametrize("first", [0, 1])
+def test_of_two_windows_that_are_handed_over_the_fuller_one_counts(first):
+    """A home that moved twice in a moment: the one before last tells an old window."""
+    home = QuotaHome(LIMITS, first_start=False, identity=9)
+    home.open(TEAM, Presence(9, 9), 100.0)
+    windows = [tuple([100.0] * 40), tuple([5000.0] * 40)]
+    for index in (first, 1 - first):
+        told = QuotaSpent("t", f"n{index}", 0.0, 90.0, windows[index])
+        home.take_spent(TEAM, told, Presence(9, 9), 100.01)
+    grant = home.ask(TEAM, QuotaRequest("t", 1, 1e9, 0.0, 1), Presence(9, 9), 100.02)
+    assert grant.amount == 0 and 190_000 < grant.spent <= 200_000
+
+
 def test_a_cut_keeps_the_limit_and_each_side_serves_its_part():
     events = [
         (8, lambda fleet: fleet.cut(range(6), range(6, 9))),
