--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -177,6 +177,9 @@
             await self.add_replica(f"s{number}", "seats", zone)
         for number, zone in enumerate(self._zones):
             self._lay_settings(f"n{number + 1}", zone, f"127.0.1.{number + 1}")
+        await self._start_nodes()
+
+    async def _start_nodes(self) -> None:
         for name in self.nodes:
             self.start_node(name)
         for name in self.nodes:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -15,6 +15,7 @@
 from chalkyoke_fakes.metastore import MetaStore
 
 READ_LIMIT = 5_000_000
+EVENTS = 8
 REASONS = {200: "OK", 400: "Bad Request", 421: "Misdirected Request", 500: "Error", 503: "Full"}
 
 
@@ -69,7 +70,7 @@
     store: MetaStore
     engine: bool = False
     slots: int = 4
-    events: int = 8
+    events: int = EVENTS
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     seen: list[Seen] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
@@ -176,7 +177,7 @@
             if writer.transport.is_closing():
                 request.left = True
                 return False
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = event_of(number)
             if self.faults.break_streams > 0 and number - first >= self.faults.break_after:
                 self.faults.break_streams -= 1
                 writer.write(b"%x\r\n%b" % (len(event), event[:5]))
@@ -195,6 +196,16 @@
         }
 
 
+def event_of(number: int) -> bytes:
+    """Give one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def whole_stream() -> bytes:
+    """Give the body of a whole stream."""
+    return b"".join(event_of(number) for number in range(EVENTS))
+
+
 async def _read_request(reader: asyncio.StreamReader) -> Seen | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -68,10 +68,7 @@
             name = f"n{number + 1}"
             self._lay_settings(name, zone, f"127.0.1.{number + 1}")
             await self._add_relays(name)
-        for name in self.nodes:
-            self.start_node(name)
-        for name in self.nodes:
-            await self.until_ready(name)
+        await self._start_nodes()
 
     async def __aexit__(self, *_: object) -> None:
         await super().__aexit__()
@@ -102,11 +99,15 @@
 
     def at_place(self, place: str) -> Replica:
         """Give the replica that serves at a place now."""
-        return next(each for name, each in self.replicas.items() if name.rsplit("-", 1)[0] == place)
+        return next(each for each in self.replicas.values() if _place_of(each) == place)
 
     async def replace(self, replica: Replica) -> None:
         """Start another incarnation at a replica's place; the old one is gone."""
-        place = replica.id.rsplit("-", 1)[0]
+        place = _place_of(replica)
         del self.replicas[replica.id]
         self.past.append(replica)
         await self._start_replica(place, replica.service, replica.zone)
+
+
+def _place_of(replica: Replica) -> str:
+    return replica.id.rsplit("-", 1)[0]
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -7,7 +7,7 @@
 import asyncio
 import copy
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from chalkyoke_fakes.platformfleet import default_configuration
 from chalkyoke_fakes.replica import Replica
@@ -22,7 +22,7 @@
 STRIKES = 3
 SLOW_LINK_S = 0.2
 SLOW_STORE_S = 0.4
-HARMED_S = 4.0
+FADES_S = 1.0
 
 
 class Injector:
@@ -57,7 +57,7 @@
             return
         places = list(self._fleet.nodes) if step.fault is Fault.ALL_KILL else [place]
         for each in places:
-            self._seen.faults.append(Span(step.fault, each, began, self._now() + HARMED_S / 4))
+            self._seen.faults.append(Span(step.fault, each, began, self._now() + FADES_S))
 
     async def _do(self, step: Step) -> None:
         name = step.fault.value
@@ -152,12 +152,10 @@
 
     async def _strike_replica(self, step: Step) -> None:
         replica = self._fleet.at_place(step.target)
-        strikes: dict[Fault, Callable[[Replica], Awaitable[None]]] = {
-            Fault.REPLICA_CRASH: self._crash,
-            Fault.REPLICA_LEAVES: self._leave,
-        }
-        if step.fault in strikes:
-            await strikes[step.fault](replica)
+        if step.fault is Fault.REPLICA_CRASH:
+            await self._crash(replica)
+        elif step.fault is Fault.REPLICA_LEAVES:
+            await self._leave(replica)
         elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET):
             await self._strike_relay(self._fleet.replica_relays[step.target], step)
         else:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from chalkyoke_fakes.platformfleet import KEY, TEAM
+from chalkyoke_fakes.replica import whole_stream
 from chalkyoke_fakes.soak import fleet as fleets
 from chalkyoke_fakes.soak.checkers import Broken, check
 from chalkyoke_fakes.soak.fleet import SoakFleet
@@ -38,8 +39,6 @@
 GIVE_UP_S = 20.0
 RECOVERED_IN_A_ROW = 3
 LAST_WAIT_S = 30.0
-ENGINE_SLOTS_S = 0.02
-STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(8))
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +89,7 @@
         self._began = time.monotonic()
         self.seen = Observations(
             retries=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
-            stream=STREAM,
+            stream=whole_stream(),
         )
         rate = fleets.QUOTA_RATE_PER_S * fleets.QUOTA_WINDOW_S + fleets.QUOTA_BURST
         most = rate * (1.0 + fleets.QUOTA_OVER) + fleets.QUOTA_SLACK
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import asyncio
 
 import pytest
+from chalkyoke_fakes.replica import whole_stream
 from chalkyoke_fakes.soak import checkers
 from chalkyoke_fakes.soak.observations import (
     Asked,
@@ -20,9 +21,10 @@
     Span,
 )
 from chalkyoke_fakes.soak.plan import Fault, draw
-from chalkyoke_fakes.soak.play import STREAM, Shape, play
+from chalkyoke_fakes.soak.play import Shape, play
 from chalkyoke_fakes.soak.relay import Relay
 
+STREAM = whole_stream()
 SHORT = Shape(seconds=8.0, per_s=6.0)
 
 
