--- /dev/null
+++ b/benches/rounds/compare.py
@@ -0,0 +1,139 @@
+"""
+benches.rounds.compare
+
+Paired differences between two versions: the same day with the same seed on both. Pure functions.
+"""
+
+import math
+import statistics
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from benches.rounds.report import Report
+
+# A mean difference counts where it is this many standard errors away from nothing: 19 in 20 by
+# chance alone are nearer. Student's t for the few pairs of a round.
+T_95 = {
+    2: 12.71,
+    3: 4.30,
+    4: 3.18,
+    5: 2.78,
+    6: 2.57,
+    8: 2.36,
+    10: 2.26,
+    15: 2.14,
+    20: 2.09,
+    30: 2.05,
+}
+MIN_PAIRS = 2
+# Windows with fewer owed requests swing too much to be named.
+MIN_OWED = 15
+
+Key = tuple[str, str, int]
+"""Site, day and seed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """How a figure differs over some pairs.
+
+    :param before: mean on the first version.
+    :param after: mean on the second.
+    :param spread: standard deviation of the pairs' differences; 0 where there is one pair.
+    """
+
+    name: str
+    before: float
+    after: float
+    spread: float
+    pairs: int
+
+    @property
+    def mean(self) -> float:
+        """The mean difference; positive where the second version has more."""
+        return self.after - self.before
+
+    @property
+    def margin(self) -> float:
+        """How far the mean may be off by chance, at 19 in 20; infinite for a single pair."""
+        if self.pairs < MIN_PAIRS:
+            return math.inf
+        nearest = max(count for count in T_95 if count <= self.pairs)
+        return T_95[nearest] * self.spread / math.sqrt(self.pairs)
+
+    @property
+    def noise(self) -> bool:
+        """Whether the difference lies within what chance alone gives."""
+        return abs(self.mean) <= self.margin
+
+
+def difference(name: str, pairs: Iterable[tuple[float, float]]) -> Difference:
+    """Summarise pairs of a figure."""
+    listed = list(pairs)
+    differences = [after - before for before, after in listed]
+    return Difference(
+        name,
+        statistics.fmean(before for before, _ in listed),
+        statistics.fmean(after for _, after in listed),
+        statistics.stdev(differences) if len(differences) > 1 else 0.0,
+        len(listed),
+    )
+
+
+def matched(
+    before: Mapping[Key, Report], after: Mapping[Key, Report]
+) -> dict[Key, tuple[Report, Report]]:
+    """Pair what both versions played."""
+    return {key: (before[key], after[key]) for key in sorted(before.keys() & after.keys())}
+
+
+def by_day(pairs: Mapping[Key, tuple[Report, Report]]) -> list[Difference]:
+    """Compare the worth, all pairs first, then by site and day."""
+    groups: dict[str, list[tuple[float, float]]] = {"all": []}
+    for (site, day, _), (before, after) in pairs.items():
+        worths = (before.worth, after.worth)
+        groups["all"].append(worths)
+        groups.setdefault(f"{site} {day}", []).append(worths)
+    return [difference(name, values) for name, values in groups.items() if values]
+
+
+def by_part(pairs: Mapping[Key, tuple[Report, Report]]) -> list[Difference]:
+    """Compare the parts of the worth, the kinds of request, and the prices that differ."""
+    rows = _named("part", pairs, lambda report: report.parts)
+    rows += _named("kind", pairs, lambda report: report.classes)
+    prices = _named("price", pairs, lambda report: report.prices)
+    return rows + [row for row in prices if row.before or row.after]
+
+
+def by_window(pairs: Mapping[Key, tuple[Report, Report]], most: int = 8) -> list[Difference]:
+    """Compare single windows: those in which most was lost by the second version, by day."""
+    groups: dict[str, list[tuple[float, float]]] = {}
+    for (site, day, _), (before, after) in pairs.items():
+        for first, second in zip(before.windows, after.windows, strict=False):
+            if min(first.owed, second.owed) >= MIN_OWED:
+                name = f"{site} {day} {second.start_s:.0f} s"
+                groups.setdefault(name, []).append((first.worth, second.worth))
+    rows = [difference(name, values) for name, values in groups.items()]
+    return sorted(rows, key=lambda row: row.after)[:most]
+
+
+def _named(
+    kind: str,
+    pairs: Mapping[Key, tuple[Report, Report]],
+    figures: Callable[[Report], Mapping[str, float]],
+) -> list[Difference]:
+    names = dict.fromkeys(
+        name for both in pairs.values() for report in both for name in figures(report)
+    )
+    return [
+        difference(
+            f"{kind}: {name}",
+            [
+                (figures(before)[name], figures(after)[name])
+                for before, after in pairs.values()
+                if name in figures(before) and name in figures(after)
+            ]
+            or [(0.0, 0.0)],
+        )
+        for name in names
+    ]
--- /dev/null
+++ b/benches/rounds/variant.py
@@ -0,0 +1,82 @@
+"""
+benches.rounds.variant
+
+A version of the project to play: a revision, perhaps with parts of the policy switched off.
+"""
+
+import re
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+
+TEMPLATE = Path("deploy/settings.toml")
+WRITTEN = re.compile(r"(?P<name>[A-Za-z0-9_-]+)=(?P<revision>[^:=]+)(:(?P<off>[a-z_,]+))?")
+
+
+class VariantError(ValueError):
+    """A variant that can't be read or laid out, with the reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One side of a comparison.
+
+    :param name: how tables call it.
+    :param revision: of git; ``.`` is the last commit of the tree that the tool runs in.
+    :param off: parts of the policy that are switched off.
+    """
+
+    name: str
+    revision: str
+    off: tuple[str, ...] = ()
+
+
+def parse(text: str) -> Variant:
+    """Read ``NAME=REVISION`` or ``NAME=REVISION:PART,PART``.
+
+    :raises VariantError: where it is written otherwise.
+    """
+    found = WRITTEN.fullmatch(text)
+    if found is None:
+        raise VariantError(f"{text!r}: write NAME=REVISION or NAME=REVISION:PART,PART")
+    off = tuple(part for part in (found["off"] or "").split(",") if part)
+    return Variant(found["name"], found["revision"], off)
+
+
+def switched_off(template: str, off: tuple[str, ...]) -> str:
+    """Give the settings template with parts of the policy switched off.
+
+    :raises VariantError: where the template has a ``[scheduling]`` section already.
+    """
+    if not off:
+        return template
+    if "[scheduling]" in template:
+        raise VariantError("the settings template has a [scheduling] section of its own")
+    names = ", ".join(f'"{name}"' for name in off)
+    return f"{template}\n[scheduling]\noff = [{names}]\n"
+
+
+def lay_out(variant: Variant, repository: Path, trees: Path) -> Path:
+    """Clone the repository at the variant's revision, with its switches set.
+
+    :param trees: where the clones lie; the bench refuses trees below ``/tmp``.
+    :return: the clone.
+    :raises VariantError: where the revision is not known.
+    """
+    tree = trees / variant.name
+    revision = "HEAD" if variant.revision == "." else variant.revision
+    named = _git(repository, "rev-parse", "--verify", f"{revision}^{{commit}}").strip()
+    if not tree.exists():
+        _git(repository, "clone", "--quiet", "--shared", str(repository), str(tree))
+    _git(tree, "fetch", "--quiet", "origin")
+    _git(tree, "checkout", "--quiet", "--force", "--detach", named)
+    template = tree / TEMPLATE
+    template.write_text(switched_off(template.read_text(), variant.off))
+    return tree
+
+
+def _git(where: Path, *words: str) -> str:
+    done = subprocess.run(["git", "-C", str(where), *words], capture_output=True, text=True)
+    if done.returncode:
+        raise VariantError(f"git {' '.join(words)}: {done.stderr.strip()}")
+    return done.stdout
