--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -46,8 +46,8 @@
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.quotas.client import QuotaClient
-from chalkyoke.quotas.home import Presence, QuotaHome
-from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.quotas.leases import HeldLeases
+from chalkyoke.quotas.owner import Presence, QuotaOwner
 from chalkyoke.quotas.window import QuotaLimits
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
 from chalkyoke.scheduling.placement import Features
@@ -58,7 +58,7 @@
 INCARNATION_BITS = 62
 BACKLOG = 1024
 LEAVE_S = 2.5
-NEWCOMER_S = 1.0
+NEW_MEMBER_S = 1.0
 GRACE_MARGIN_S = 0.6
 
 POOL_FEATURES = Features(late_last=False, headroom=True, early=True)
@@ -196,8 +196,8 @@
         limits = self.settings.limits
         quota = QuotaLimits(limits.quota_window_s, limits.quota_over, limits.quota_slack)
         self.quotas = QuotaClient(
-            QuotaWallet(quota, self.nodes),
-            QuotaHome(
+            HeldLeases(quota, self.nodes),
+            QuotaOwner(
                 quota,
                 first_start=self.settings.node.first_start,
                 identity=self.record.incarnation >> 1,
@@ -357,7 +357,7 @@
         if self.view.record.ready or self._stopping.is_set() or not self.catalog.state.complete:
             return
         others = any(each.ready for each in self.view.live())
-        if not others or self.now() >= NEWCOMER_S:
+        if not others or self.now() >= NEW_MEMBER_S:
             self.view.update_self(ready=True)
 
     def _tick(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.node.peers
 
-The way to the schedulers and quota homes in other nodes.
+The way to the schedulers and quota owners in other nodes.
 """
 
 from collections.abc import Callable
@@ -9,8 +9,8 @@
 from chalkyoke.membership.owners import owner
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.quotas.home import Presence
 from chalkyoke.quotas.messages import QuotaMessage
+from chalkyoke.quotas.owner import Presence
 from chalkyoke.scheduling.messages import EntryMessage
 
 
@@ -40,7 +40,7 @@
 
 
 class PeerQuotas:
-    """The homes of teams' quotas.
+    """The owners of teams' quotas.
 
     :param send: sends a message to a link address.
     :param presence: tells how much of the fleet this node sees.
@@ -56,16 +56,16 @@
         self._send = send
         self._presence = presence
         self._generation = -1
-        self._homes: dict[str, str | None] = {}
+        self._owners: dict[str, str | None] = {}
 
-    def home(self, team: str) -> str | None:
-        """Give the link address of a team's home; nothing where it is this node."""
+    def owner(self, team: str) -> str | None:
+        """Give the link address of a team's owner; nothing where it is this node."""
         if self._generation != self._view.generation:
             self._generation = self._view.generation
-            self._homes.clear()
-        if team not in self._homes:
-            self._homes[team] = self._find(team)
-        return self._homes[team]
+            self._owners.clear()
+        if team not in self._owners:
+            self._owners[team] = self._find(team)
+        return self._owners[team]
 
     def _find(self, team: str) -> str | None:
         fit = {each.host: each for each in self._view.live() if each.ready and not each.leaving}
--- a/packages/chalkyoke/src/chalkyoke/quotas/__init__.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/__init__.py
@@ -1,5 +1,5 @@
 """
 chalkyoke.quotas
 
-Team quotas over all nodes: one home for each team leases cost ahead to the nodes that ask.
+Team quotas over all nodes: one owner for each team leases cost ahead to the nodes that ask.
 """
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -1,8 +1,8 @@
 """
 chalkyoke.quotas.client
 
-Ask for quota: from this node's lease, from the team's home, and from this node's own share when
-the home is silent.
+Ask for quota: from this node's lease, from the team's owner, and from this node's own share when
+the owner is silent.
 """
 
 import asyncio
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.messages import (
     QuotaGrant,
     QuotaMessage,
@@ -20,12 +20,12 @@
     QuotaSpent,
     QuotaSurvey,
 )
-from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.quotas.owner import Presence, QuotaOwner
 
 ANSWER_S = 0.03
 LAST_ANSWER_S = 0.12
 AVOID_S = 0.3
-NEWCOMER_S = 0.5
+NEW_MEMBER_S = 0.5
 OPEN_AHEAD_S = 1.0
 ALONE_RETRY_S = 0.3
 
@@ -35,9 +35,9 @@
     """Whether a request is within its team's quota.
 
     :param retry_after_s: when to come back, where it is not.
-    :param decided_by: ``lease``, ``home``, ``alone`` or ``no quota``.
-    :param spent: what the home that refused it counts in the window.
-    :param most: what that home leases in a window at most.
+    :param decided_by: ``lease``, ``owner``, ``alone`` or ``no quota``.
+    :param spent: what the owner that refused it counts in the window.
+    :param most: what that owner leases in a window at most.
     """
 
     passed: bool
@@ -67,11 +67,11 @@
         """The version of the catalog that judged it."""
 
 
-class HomePort(Protocol):
-    """Who is a team's home, and the way there."""
+class OwnerPort(Protocol):
+    """Who is a team's owner, and the way there."""
 
-    def home(self, team: str) -> str | None:
-        """Give the link address of a team's home; nothing where it is this node."""
+    def owner(self, team: str) -> str | None:
+        """Give the link address of a team's owner; nothing where it is this node."""
 
     def presence(self) -> Presence:
         """Tell how much of the fleet this node sees."""
@@ -96,17 +96,17 @@
 
     def __init__(
         self,
-        wallet: QuotaWallet,
-        home: QuotaHome,
-        port: HomePort,
+        leases: HeldLeases,
+        owner: QuotaOwner,
+        port: OwnerPort,
         teams: Callable[[], Mapping[str, Team]],
         now: Callable[[], float],
         *,
         first_start: bool,
     ) -> None:
         self._first_start = first_start
-        self._wallet = wallet
-        self._home = home
+        self._leases = leases
+        self._owner = owner
         self._port = port
         self._teams = teams
         self._now = now
@@ -122,23 +122,23 @@
         team = charged.team
         if team is None or team.rate_per_s <= 0:
             return Passed(True)
-        if self._wallet.spend(team, charged.cost, charged.version, self._now()):
+        if self._leases.spend(team, charged.cost, charged.version, self._now()):
             return Passed(True, decided_by="lease")
-        if self._is_newcomer():
-            passed = self._wallet.spend_alone(team, charged.cost, self._now())
+        if self._is_new_member():
+            passed = self._leases.spend_alone(team, charged.cost, self._now())
             return Passed(passed, ALONE_RETRY_S, "alone")
-        return await self._ask_home(team, charged)
+        return await self._ask_owner(team, charged)
 
-    async def _ask_home(self, team: Team, charged: Charged) -> Passed:
-        """Ask the home; while it is silent, spend this node's own share, and wait on where that
+    async def _ask_owner(self, team: Team, charged: Charged) -> Passed:
+        """Ask the owner; while it is silent, spend this node's own share, and wait on where that
         is too small: a refusal costs the caller more than a moment.
         """
         message = self._question(team, charged)
-        address = self._port.home(team.name)
+        address = self._port.owner(team.name)
         if address is None:
             return self._granted(charged, self._answer(team, message))
         silent = self._avoid.get(address, 0.0) > self._now()
-        if silent and self._wallet.spend_alone(team, charged.cost, self._now()):
+        if silent and self._leases.spend_alone(team, charged.cost, self._now()):
             return Passed(True, decided_by="alone")
         answer: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
         self._waiting[message.number] = answer
@@ -148,7 +148,7 @@
             if not answer.done():
                 self._avoid[address] = self._now() + AVOID_S
             if not answer.done() and not silent:
-                if self._wallet.spend_alone(team, charged.cost, self._now()):
+                if self._leases.spend_alone(team, charged.cost, self._now()):
                     return Passed(True, decided_by="alone")
                 await asyncio.wait([answer], timeout=LAST_ANSWER_S)
         finally:
@@ -159,22 +159,22 @@
         return Passed(False, ALONE_RETRY_S, "alone")
 
     def _granted(self, charged: Charged, grant: QuotaGrant) -> Passed:
-        passed = self._wallet.take(grant, charged.cost, self._now())
-        return Passed(passed, grant.retry_after_s, "home", grant.spent, grant.most)
+        passed = self._leases.take(grant, charged.cost, self._now())
+        return Passed(passed, grant.retry_after_s, "owner", grant.spent, grant.most)
 
-    def _is_newcomer(self) -> bool:
-        """Tell whether this node may not know yet who is the home."""
-        return not self._first_start and self._now() < NEWCOMER_S
+    def _is_new_member(self) -> bool:
+        """Tell whether this node may not know yet who is the owner."""
+        return not self._first_start and self._now() < NEW_MEMBER_S
 
     def _question(self, team: Team, charged: Charged) -> QuotaRequest:
         return QuotaRequest(
             team.name,
             next(self._numbers),
             charged.cost,
-            self._wallet.ahead(team),
+            self._leases.ahead(team),
             charged.version,
             charged.urgency,
-            *self._wallet.give_back(team.name),
+            *self._leases.give_back(team.name),
         )
 
     def receive(self, sender: str, message: QuotaMessage) -> None:
@@ -186,7 +186,7 @@
             future = self._waiting.get(message.number)
             if future is None:
                 # The request went its way without it; the next one may spend the lease.
-                self._wallet.keep(message, self._now())
+                self._leases.keep(message, self._now())
             elif not future.done():
                 future.set_result(message)
             return
@@ -197,40 +197,40 @@
         if team is None or team.rate_per_s <= 0:
             return
         if isinstance(message, QuotaSpent):
-            self._home.take_spent(team, message, self._port.presence(), self._now())
+            self._owner.take_spent(team, message, self._port.presence(), self._now())
             return
         self._port.send(sender, self._answer(team, message))
 
     def _answer(self, team: Team, message: QuotaRequest) -> QuotaGrant:
-        """Answer as the home."""
+        """Answer as the owner."""
         self._open(team)
-        return self._home.ask(team, message, self._port.presence(), self._now())
+        return self._owner.ask(team, message, self._port.presence(), self._now())
 
     def _open(self, team: Team) -> None:
-        """Be a team's home; a new one asks all others what was spent before."""
-        if not self._home.is_new(team.name):
+        """Be a team's owner; a new one asks all others what was spent before."""
+        if not self._owner.is_new(team.name):
             return
         mine = self._spent(team.name)
-        self._home.open(team, self._port.presence(), self._now())
-        self._home.take_spent(team, mine, self._port.presence(), self._now())
+        self._owner.open(team, self._port.presence(), self._now())
+        self._owner.take_spent(team, mine, self._port.presence(), self._now())
         for address in self._port.others():
             self._port.send(address, QuotaSurvey(team.name))
 
     def _spent(self, team: str) -> QuotaSpent:
         now = self._now()
-        window = self._home.hand_over(team, now)
-        return QuotaSpent(team, self._port.host(), self._wallet.spent(team, now), now, window)
+        window = self._owner.hand_over(team, now)
+        return QuotaSpent(team, self._port.host(), self._leases.spent(team, now), now, window)
 
     def keep_house(self) -> None:
-        """Give up the teams whose home is elsewhere, and begin to be the home of others.
+        """Give up the teams whose owner is elsewhere, and begin to be the owner of others.
 
-        Call after each change of the membership and about once a second: then a home knows what was
+        Call after each change of the membership and about once a second: then a owner knows what was
         spent before it is asked.
         """
-        self._home.forget_others(lambda team: self._port.home(team) is None, self._now())
+        self._owner.forget_others(lambda team: self._port.owner(team) is None, self._now())
         if self._now() < OPEN_AHEAD_S:
-            # Nobody is known yet, and this node would believe itself the home of all.
+            # Nobody is known yet, and this node would believe itself the owner of all.
             return
         for team in self._teams().values():
-            if team.rate_per_s > 0 and self._port.home(team.name) is None:
+            if team.rate_per_s > 0 and self._port.owner(team.name) is None:
                 self._open(team)
--- a/packages/chalkyoke/src/chalkyoke/quotas/wallet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/leases.py
@@ -1,8 +1,8 @@
 """
-chalkyoke.quotas.wallet
+chalkyoke.quotas.leases
 
 A node's side of quotas: what it has leased and not spent, and a small share of its own for when
-no home answers.
+no owner answers.
 """
 
 from collections.abc import Callable
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True)
-class _Purse:
+class _Held:
     balance: float = 0.0
     until: float = 0.0
     demand_per_s: float = 0.0
@@ -29,7 +29,7 @@
     lease_of: int = 0
 
 
-class QuotaWallet:
+class HeldLeases:
     """Spend leased cost.
 
     :param limits: the strictness of quotas.
@@ -39,7 +39,7 @@
     def __init__(self, limits: QuotaLimits, nodes: Callable[[], int]) -> None:
         self.limits = limits
         self._nodes = nodes
-        self._purses: dict[str, _Purse] = {}
+        self._held: dict[str, _Held] = {}
         self._alone: dict[str, Bucket] = {}
         self._spent: dict[str, SpendingWindow] = {}
 
@@ -49,13 +49,13 @@
         :param version: configuration version; a lease of an older one is dropped.
         :rtype: bool
         """
-        purse = self._purse(team.name)
-        self._note_demand(purse, cost, now)
-        if purse.version != version:
-            purse.balance, purse.version = 0.0, version
-        if now >= purse.until or purse.balance < cost:
+        held = self._of(team.name)
+        self._note_demand(held, cost, now)
+        if held.version != version:
+            held.balance, held.version = 0.0, version
+        if now >= held.until or held.balance < cost:
             return False
-        purse.balance -= cost
+        held.balance -= cost
         self._note_spent(team.name, cost, now)
         return True
 
@@ -64,26 +64,26 @@
 
         :rtype: float
         """
-        return self._purse(team.name).demand_per_s * AHEAD_S
+        return self._of(team.name).demand_per_s * AHEAD_S
 
     def give_back(self, team: str) -> tuple[float, int]:
         """Empty a lease that is not enough or over, to return what is left of it.
 
         :return: what is left, and the window that it is of.
         """
-        purse = self._purse(team)
-        left, purse.balance = purse.balance, 0.0
-        return left, purse.lease_of
+        held = self._of(team)
+        left, held.balance = held.balance, 0.0
+        return left, held.lease_of
 
     def keep(self, grant: QuotaGrant, now: float) -> None:
         """Add a lease to what may be spent."""
-        purse = self._purse(grant.team)
+        held = self._of(grant.team)
         if grant.amount <= 0:
             return
-        if purse.lease_of != grant.lease_of:
-            purse.balance, purse.lease_of = 0.0, grant.lease_of
-        purse.balance += grant.amount
-        purse.until = now + grant.valid_s
+        if held.lease_of != grant.lease_of:
+            held.balance, held.lease_of = 0.0, grant.lease_of
+        held.balance += grant.amount
+        held.until = now + grant.valid_s
 
     def take(self, grant: QuotaGrant, cost: float, now: float) -> bool:
         """Take a lease, and spend the cost of the request that asked for it.
@@ -91,15 +91,15 @@
         :return: whether the request may pass.
         """
         self.keep(grant, now)
-        purse = self._purse(grant.team)
-        if grant.amount <= 0 or purse.balance < cost:
+        held = self._of(grant.team)
+        if grant.amount <= 0 or held.balance < cost:
             return False
-        purse.balance -= cost
+        held.balance -= cost
         self._note_spent(grant.team, cost, now)
         return True
 
     def spend_alone(self, team: Team, cost: float, now: float) -> bool:
-        """Spend from this node's own share, while no home answers.
+        """Spend from this node's own share, while no owner answers.
 
         :rtype: bool
         """
@@ -131,11 +131,11 @@
             window = self._spent[team] = SpendingWindow(self.limits.window_s)
         window.add(cost, now)
 
-    def _purse(self, name: str) -> _Purse:
-        return self._purses.setdefault(name, _Purse())
+    def _of(self, name: str) -> _Held:
+        return self._held.setdefault(name, _Held())
 
-    def _note_demand(self, purse: _Purse, cost: float, now: float) -> None:
-        elapsed = now - purse.demand_at
+    def _note_demand(self, held: _Held, cost: float, now: float) -> None:
+        elapsed = now - held.demand_at
         decay = max(0.0, 1.0 - elapsed / DEMAND_MEMORY_S)
-        purse.demand_per_s = purse.demand_per_s * decay + cost / DEMAND_MEMORY_S
-        purse.demand_at = now
+        held.demand_per_s = held.demand_per_s * decay + cost / DEMAND_MEMORY_S
+        held.demand_at = now
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -1,19 +1,19 @@
 """
 chalkyoke.quotas.messages
 
-What nodes and the home of a team's quota say to each other.
+What nodes and the owner of a team's quota say to each other.
 """
 
 import msgspec
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota_request"):
-    """Ask the home of a team for some cost.
+    """Ask the owner of a team for some cost.
 
     :param number: names the question; the answer has the same.
     :param need: cost of the request that waits for it.
     :param ahead: cost that is welcome on top, for the next requests.
-    :param lease_of: the window that those leases were of; a home takes back only its own.
+    :param lease_of: the window that those leases were of; a owner takes back only its own.
     :param returned: what is left of earlier leases and comes back with this question.
     :param rank: how urgent the request's route is; the less urgent are refused first.
     :param version: configuration version by which the asking node judges.
@@ -35,7 +35,7 @@
     :param retry_after_s: when to come back after a refusal.
     :param lease_of: names the window that the lease is of.
     :param valid_s: how long what is left of the lease may be spent.
-    :param spent: what the home counts in the window.
+    :param spent: what the owner counts in the window.
     :param most: what it leases in a window at most.
     """
 
@@ -50,17 +50,17 @@
 
 
 class QuotaSurvey(msgspec.Struct, frozen=True, array_like=True, tag="quota_survey"):
-    """A node that has become the home of a team asks what has been spent lately."""
+    """A node that has become the owner of a team asks what has been spent lately."""
 
     team: str
 
 
 class QuotaSpent(msgspec.Struct, frozen=True, array_like=True, tag="quota_spent"):
-    """Tell a new home what one node has spent in the window that ends now.
+    """Tell a new owner what one node has spent in the window that ends now.
 
     :param known_s: for how long before now this node can tell; less than the window where it
         started only then.
-    :param window: where this node was the home until now, all that was leased in the window, in
+    :param window: where this node was the owner until now, all that was leased in the window, in
         equal parts, oldest first.
     """
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/home.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -1,7 +1,7 @@
 """
-chalkyoke.quotas.home
+chalkyoke.quotas.owner
 
-The home's side of quotas. A node is the home of a team while rendezvous hashing over the live
+The owner's side of quotas. A node is the owner of a team while rendezvous hashing over the live
 members says so. Two nodes that both believe it each lease for the share of the fleet that they see,
 so the sum stays near the limit.
 """
@@ -17,11 +17,11 @@
 VALID_S = 0.5
 USED_SHARE = 0.8
 ASSUMED_SHARE = 0.95
-# The smaller side of a cut may begin at once: its share is small, and the other side's home counts
-# what was spent before. Whoever sees most of the fleet may be the successor of a dead home.
+# The smaller side of a cut may begin at once: its share is small, and the other side's owner counts
+# what was spent before. Whoever sees most of the fleet may be the successor of a dead owner.
 MINOR_SHARE = 0.5
 MAJOR_SHARE = 0.72
-# A quarter of the window may see three tenths of what the window may: when a home is lost, what it
+# A quarter of the window may see three tenths of what the window may: when a owner is lost, what it
 # leased is then spread enough for its successor to assume that it was spread evenly.
 SHORT_WINDOW = 0.25
 SHORT_SHARE = 0.3
@@ -30,8 +30,8 @@
 MOST_RANKS_HELD = 3
 SPARE_DIVISOR = 8.0
 SURVEY_S = 1.0
-# So long after the first start of the whole fleet a new home is the first one of its team.
-FIRST_HOMES_S = 6.0
+# So long after the first start of the whole fleet a new owner is the first one of its team.
+FIRST_OWNERS_S = 6.0
 KEPT_S = 3.0
 MIN_RETRY_S = 0.05
 
@@ -58,15 +58,15 @@
 
 @dataclass(slots=True)
 class _Ledger:
-    """One team's window as its home keeps it.
+    """One team's window as its owner keeps it.
 
-    :param began: when this node became the home.
+    :param began: when this node became the owner.
     :param most: what any window may see by the limit in force.
     :param share: the share of the limit in use. It grows only as fast as the window passes, since
         the other side of a cut may have spent its share until the cut healed.
     :ivar told: what nodes have told that they spent before.
-    :ivar leased: what was leased since this node became the home.
-    :ivar resumed: what an earlier home had spent, where it goes on from its window; else -1.
+    :ivar leased: what was leased since this node became the owner.
+    :ivar resumed: what an earlier owner had spent, where it goes on from its window; else -1.
     """
 
     window: SpendingWindow
@@ -100,12 +100,12 @@
         return self.share
 
 
-class QuotaHome:
+class QuotaOwner:
     """Lease cost to the nodes that ask.
 
     :param limits: what any window may see.
     :param first_start: whether the whole fleet starts for the first time; otherwise, and some
-        seconds later, another home may have leased just now, and the window is assumed to be full.
+        seconds later, another owner may have leased just now, and the window is assumed to be full.
     :param identity: random number of this process, to tell its windows from those of others.
     """
 
@@ -118,18 +118,18 @@
         self._given_up: dict[str, tuple[float, SpendingWindow]] = {}
 
     def is_new(self, team: str) -> bool:
-        """Tell whether this node has not been a team's home yet, and should ask what was spent.
+        """Tell whether this node has not been a team's owner yet, and should ask what was spent.
 
         :rtype: bool
         """
         return team not in self._ledgers
 
     def open(self, team: Team, presence: Presence, now: float) -> None:
-        """Begin to be a team's home."""
+        """Begin to be a team's owner."""
         self._ledger(team, presence, now)
 
     def hand_over(self, team: str, now: float) -> tuple[float, ...]:
-        """Give the window of a team up to its new home; nothing where this node has none.
+        """Give the window of a team up to its new owner; nothing where this node has none.
 
         :return: its parts, oldest first.
         """
@@ -183,7 +183,7 @@
     def take_spent(self, team: Team, message: QuotaSpent, presence: Presence, now: float) -> None:
         """Take what a node has spent before; once all have told, it replaces what was assumed.
 
-        The window of the home before replaces it at once.
+        The window of the owner before replaces it at once.
 
         A node that started within the window can't tell what its earlier process spent, and one
         that is out of sight tells nothing: the window then stays assumed to be full.
@@ -205,9 +205,9 @@
         ledger.window.assume(spent + ledger.leased, ledger.began)
 
     def _resume(self, ledger: _Ledger, window: tuple[float, ...], now: float) -> None:
-        """Go on from an earlier home's window; of several, the one in which most was spent.
+        """Go on from an earlier owner's window; of several, the one in which most was spent.
 
-        Where a home moves twice in a moment, the first of them may tell an old window.
+        Where a owner moves twice in a moment, the first of them may tell an old window.
         """
         total = sum(window)
         if total <= ledger.resumed:
@@ -218,9 +218,9 @@
         ledger.window.add(ledger.leased, now)
 
     def forget_others(self, mine: Callable[[str], bool], now: float) -> None:
-        """Give up the windows of teams whose home is elsewhere; they are kept for their new homes.
+        """Give up the windows of teams whose owner is elsewhere; they are kept for their new owners.
 
-        :param mine: tells whether this node is a team's home.
+        :param mine: tells whether this node is a team's owner.
         """
         for name in [each for each in self._ledgers if not mine(each)]:
             self.hand_over(name, now)
@@ -235,7 +235,7 @@
         number = self._identity + next(self._numbers)
         window = SpendingWindow(self.limits.window_s, number)
         most = self.limits.most(team.rate_per_s, team.burst)
-        first = self._first_start and now < FIRST_HOMES_S
+        first = self._first_start and now < FIRST_OWNERS_S
         if not first:
             window.assume(most * USED_SHARE * presence.share * _assumed(presence.share), now)
         ledger = _Ledger(window, most, now, presence.share, now, surveyed=first)
@@ -244,7 +244,7 @@
 
 
 def _assumed(share: float) -> float:
-    """Tell how much of its part of the window a new home takes for spent.
+    """Tell how much of its part of the window a new owner takes for spent.
 
     :param share: the share of the fleet that it sees.
     :rtype: float
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -3,9 +3,9 @@
 import itertools
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
-from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.quotas.owner import Presence, QuotaOwner
 from chalkyoke.quotas.window import QuotaLimits
 
 LIMITS = QuotaLimits(window_s=8.0, over=0.1, slack=72_000)
@@ -18,8 +18,8 @@
 class Node:
     def __init__(self, name, started, first_start):
         self.name, self.started = name, started
-        self.home = QuotaHome(LIMITS, first_start=first_start, identity=next(IDENTITIES) * 1000)
-        self.wallet = QuotaWallet(LIMITS, lambda: 9)
+        self.owner = QuotaOwner(LIMITS, first_start=first_start, identity=next(IDENTITIES) * 1000)
+        self.leases = HeldLeases(LIMITS, lambda: 9)
         self.first_start = first_start
 
     def local(self, now):
@@ -53,12 +53,12 @@
     def side(self, name):
         return next(side for side in self.sides if name in side)
 
-    def home_of(self, name):
+    def owner_of(self, name):
         fit = self.side(name) - self.leaving or self.side(name)
         return min(fit, key=lambda each: (each * 7 + 3) % 9)
 
     def leave(self, *names):
-        """Nodes stop on plan: they answer on, and are no homes any more."""
+        """Nodes stop on plan: they answer on, and are no owners any more."""
         self.leaving = set(names)
         self._forget()
 
@@ -66,40 +66,40 @@
         for name, node in self.nodes.items():
             if not any(name in side for side in self.sides):
                 continue
-            mine = self.home_of(name) == name
-            node.home.forget_others(lambda _, mine=mine: mine, node.local(self.now))
+            mine = self.owner_of(name) == name
+            node.owner.forget_others(lambda _, mine=mine: mine, node.local(self.now))
         for side in self.sides:
-            home = self.nodes[self.home_of(next(iter(side)))]
-            self._open(home, Presence(len(side), len(self.nodes)))
+            owner = self.nodes[self.owner_of(next(iter(side)))]
+            self._open(owner, Presence(len(side), len(self.nodes)))
 
     def ask(self, name, cost, rank=0):
-        node, home = self.nodes[name], self.nodes[self.home_of(name)]
-        if node.wallet.spend(self.team, cost, 1, node.local(self.now)):
+        node, owner = self.nodes[name], self.nodes[self.owner_of(name)]
+        if node.leases.spend(self.team, cost, 1, node.local(self.now)):
             passed = True
         else:
-            grant = self._grant(node, home, cost, rank)
-            passed = node.wallet.take(grant, cost, node.local(self.now))
+            grant = self._grant(node, owner, cost, rank)
+            passed = node.leases.take(grant, cost, node.local(self.now))
         (self.passed if passed else self.refused).append((self.now, cost))
         return passed
 
-    def _grant(self, node, home, cost, rank):
+    def _grant(self, node, owner, cost, rank):
         presence = Presence(len(self.side(node.name)), len(self.nodes))
         message = QuotaRequest(
-            "t", 1, cost, node.wallet.ahead(self.team), 1, rank, *node.wallet.give_back("t")
+            "t", 1, cost, node.leases.ahead(self.team), 1, rank, *node.leases.give_back("t")
         )
-        self._open(home, presence)
-        return home.home.ask(self.team, message, presence, home.local(self.now))
+        self._open(owner, presence)
+        return owner.owner.ask(self.team, message, presence, owner.local(self.now))
 
-    def _open(self, home, presence):
-        if not home.home.is_new("t"):
+    def _open(self, owner, presence):
+        if not owner.owner.is_new("t"):
             return
-        home.home.open(self.team, presence, home.local(self.now))
-        for other in self.side(home.name):
+        owner.owner.open(self.team, presence, owner.local(self.now))
+        for other in self.side(owner.name):
             each = self.nodes[other]
             known = each.local(self.now)
-            window = each.home.hand_over("t", known) if each is not home else ()
-            spent = QuotaSpent("t", str(other), each.wallet.spent("t", known), known, window)
-            home.home.take_spent(self.team, spent, presence, home.local(self.now))
+            window = each.owner.hand_over("t", known) if each is not owner else ()
+            spent = QuotaSpent("t", str(other), each.leases.spent("t", known), known, window)
+            owner.owner.take_spent(self.team, spent, presence, owner.local(self.now))
 
     def worst_window(self, since=0.0):
         worst, start, total = 0.0, 0, 0.0
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -3,9 +3,9 @@
 
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.client import QuotaClient
-from chalkyoke.quotas.home import Presence, QuotaHome
+from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest
-from chalkyoke.quotas.wallet import QuotaWallet
+from chalkyoke.quotas.owner import Presence, QuotaOwner
 
 from tests import virtual
 
@@ -22,16 +22,16 @@
     version: int = 1
 
 
-class SlowHome:
-    """A home elsewhere that grants what is asked for, some time later."""
+class SlowOwner:
+    """A owner elsewhere that grants what is asked for, some time later."""
 
     def __init__(self, delay_s):
         self.delay_s = delay_s
         self.asked = 0
         self.client = None
 
-    def home(self, team):
-        return "home:1"
+    def owner(self, team):
+        return "owner:1"
 
     def presence(self):
         return Presence(NODES, NODES)
@@ -47,30 +47,30 @@
         self.asked += 1
         grant = QuotaGrant(TEAM.name, message.number, message.need, 0.0, 0.5, 7)
         loop = asyncio.get_running_loop()
-        loop.call_later(self.delay_s, self.client.receive, "home:1", grant)
+        loop.call_later(self.delay_s, self.client.receive, "owner:1", grant)
 
 
-def client_of(home):
+def client_of(owner):
     loop = asyncio.get_running_loop()
-    home.client = QuotaClient(
-        QuotaWallet(LIMITS, lambda: NODES),
-        QuotaHome(LIMITS, first_start=True, identity=1),
-        home,
+    owner.client = QuotaClient(
+        HeldLeases(LIMITS, lambda: NODES),
+        QuotaOwner(LIMITS, first_start=True, identity=1),
+        owner,
         lambda: {TEAM.name: TEAM},
         loop.time,
         first_start=True,
     )
-    return home.client
+    return owner.client
 
 
-def test_a_request_beyond_the_own_share_waits_for_a_slow_home():
+def test_a_request_beyond_the_own_share_waits_for_a_slow_owner():
     async def main():
-        client = client_of(SlowHome(delay_s=0.08))
+        client = client_of(SlowOwner(delay_s=0.08))
         first = await client.take(Charge(14_000))
         assert (first.passed, first.decided_by) == (True, "alone")
         await asyncio.sleep(0.6)
         second = await client.take(Charge(15_000))
-        assert (second.passed, second.decided_by) == (True, "home")
+        assert (second.passed, second.decided_by) == (True, "owner")
         assert asyncio.get_running_loop().time() < 0.75
 
     virtual.run(main)
@@ -78,21 +78,21 @@
 
 def test_a_small_request_does_not_wait_and_its_lease_is_there_for_the_next():
     async def main():
-        home = SlowHome(delay_s=0.08)
-        client = client_of(home)
+        owner = SlowOwner(delay_s=0.08)
+        client = client_of(owner)
         first = await client.take(Charge(300))
         assert (first.passed, first.decided_by) == (True, "alone")
         await asyncio.sleep(0.1)
         second = await client.take(Charge(300))
-        assert (second.passed, second.decided_by, home.asked) == (True, "lease", 1)
+        assert (second.passed, second.decided_by, owner.asked) == (True, "lease", 1)
 
     virtual.run(main)
 
 
-def test_a_silent_home_costs_a_large_request_a_moment_and_a_refusal():
+def test_a_silent_owner_costs_a_large_request_a_moment_and_a_refusal():
     async def main():
-        home = SlowHome(delay_s=9.0)
-        client = client_of(home)
+        owner = SlowOwner(delay_s=9.0)
+        client = client_of(owner)
         await client.take(Charge(14_000))
         began = asyncio.get_running_loop().time()
         second = await client.take(Charge(14_000))
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -2,8 +2,8 @@
 import random
 
 import pytest
-from chalkyoke.quotas.home import Presence, QuotaHome
 from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
+from chalkyoke.quotas.owner import Presence, QuotaOwner
 
 from .fleet import LIMITS, TEAM, Fleet
 
@@ -49,7 +49,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("demand", [1.0, 4.0])
-def test_kills_of_homes_and_nodes_keep_the_limit(seed, demand):
+def test_kills_of_owners_and_nodes_keep_the_limit(seed, demand):
     rng = random.Random(seed)
     kills = [(at, killing(rng.sample(range(9), 3))) for at in (6, 8, 11, 15, 21)]
     fleet = Fleet()
@@ -76,21 +76,21 @@
     assert fleet.worst_window() <= 0.98 * MOST
 
 
-def losing_home(fleet):
-    fleet.lose(fleet.home_of(next(iter(fleet.sides[0]))))
+def losing_owner(fleet):
+    fleet.lose(fleet.owner_of(next(iter(fleet.sides[0]))))
 
 
 @pytest.mark.parametrize("at", [8.5, 9.0, 10.5, 13.0])
-def test_a_lost_home_of_a_first_start_keeps_the_limit(at):
-    """Its successor has never been a home and must not believe that nothing was spent."""
+def test_a_lost_owner_of_a_first_start_keeps_the_limit(at):
+    """Its successor has never been a owner and must not believe that nothing was spent."""
     fleet = Fleet()
     fleet.now = 5.0
-    play(fleet, 8.0, 18, events=[(at, losing_home)])
+    play(fleet, 8.0, 18, events=[(at, losing_owner)])
     assert fleet.worst_window() <= MOST
 
 
-def test_a_home_that_moves_on_plan_refuses_nobody():
-    """Nodes stop on plan and come back, one after the other; each home hands its window over."""
+def test_an_owner_that_moves_on_plan_refuses_nobody():
+    """Nodes stop on plan and come back, one after the other; each owner hands its window over."""
     fleet = Fleet()
 
     def stopping(name):
@@ -104,14 +104,14 @@
 
 @pytest.mark.parametrize("first", [0, 1])
 def test_of_two_windows_that_are_handed_over_the_fuller_one_counts(first):
-    """A home that moved twice in a moment: the one before last tells an old window."""
-    home = QuotaHome(LIMITS, first_start=False, identity=9)
-    home.open(TEAM, Presence(9, 9), 100.0)
+    """A owner that moved twice in a moment: the one before last tells an old window."""
+    owner = QuotaOwner(LIMITS, first_start=False, identity=9)
+    owner.open(TEAM, Presence(9, 9), 100.0)
     windows = [tuple([100.0] * 40), tuple([5000.0] * 40)]
     for index in (first, 1 - first):
         told = QuotaSpent("t", f"n{index}", 0.0, 90.0, windows[index])
-        home.take_spent(TEAM, told, Presence(9, 9), 100.01)
-    grant = home.ask(TEAM, QuotaRequest("t", 1, 1e9, 0.0, 1), Presence(9, 9), 100.02)
+        owner.take_spent(TEAM, told, Presence(9, 9), 100.01)
+    grant = owner.ask(TEAM, QuotaRequest("t", 1, 1e9, 0.0, 1), Presence(9, 9), 100.02)
     assert grant.amount == 0 and 190_000 < grant.spent <= 200_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 BUCKETS = 40
-# What each quarter of an unknown window is assumed to hold, the oldest first. A home leases three
+# What each quarter of an unknown window is assumed to hold, the oldest first. A owner leases three
 # tenths of the window in a quarter at most, so all of it may lie in the newest three quarters and
 # a little: then hardly anything may be leased anew before it is out.
 ASSUMED_SPREAD = (0.18, 0.11, 0.33, 0.38)
