Quotas across cuts: successors know the window, and each side of a cut uses its share of the rest

Change: an owner tells what it leased four times a second to the next in line and to the first in line of each other failure domain; who takes over goes on from that copy. What was spent before a cut counts on each side by its share only, what is leased after it in full. When a cut heals, the side that gives up returns what it leased, and its share, to the owner. What nodes spend alone is told to the owner with the next question. A window of one side of a cut is no longer handed over as if it were whole.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -45,7 +45,7 @@
 from chalkyoke.node.routing import LINK_MESSAGES, MessageRouter, RoutedParts
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
-from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.quotas.client import TELL_S, QuotaClient
 from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.owner import Presence, QuotaOwner
 from chalkyoke.quotas.window import QuotaLimits
@@ -341,6 +341,7 @@
         loops.repeat(self.view.interval_s, self._beat)
         loops.repeat(TICK_S, self._tick)
         loops.repeat(HOUSEKEEPING_S, self._keep_house)
+        loops.repeat(TELL_S, self.quotas.tell_successors)
         loops.start(self.catalog.run())
         loops.start(self._registration.run())
 
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable
 
-from chalkyoke.membership.owners import owner
+from chalkyoke.membership.messages import MemberRecord
+from chalkyoke.membership.owners import ranked
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.quotas.messages import QuotaMessage
@@ -57,22 +58,44 @@
         self._presence = presence
         self._generation = -1
         self._owners: dict[str, str | None] = {}
+        self._successors: dict[str, list[str]] = {}
 
     def owner(self, team: str) -> str | None:
         """Give the link address of a team's owner; nothing where it is this node."""
+        self._follow_view()
+        if team not in self._owners:
+            found = self._ranked(team)[:1]
+            mine = not found or found[0].host == self._view.record.host
+            self._owners[team] = None if mine else found[0].address
+        return self._owners[team]
+
+    def successors(self, team: str) -> list[str]:
+        """List the link addresses of the nodes that may own a team's quota after this one.
+
+        These are the next in line, for when this node is lost, and the first in line of each
+        other failure domain, for when the domain is cut off.
+        """
+        self._follow_view()
+        found = self._successors.get(team)
+        if found is None:
+            first: dict[str, MemberRecord] = {}
+            others = [each for each in self._ranked(team) if each.host != self._view.record.host]
+            for each in others:
+                first.setdefault(each.failure_domain, each)
+            chosen = [*others[:1], *first.values()]
+            found = self._successors[team] = list(dict.fromkeys(each.address for each in chosen))
+        return found
+
+    def _follow_view(self) -> None:
+        """Forget owners and successors when the view has changed."""
         if self._generation != self._view.generation:
             self._generation = self._view.generation
             self._owners.clear()
-        if team not in self._owners:
-            self._owners[team] = self._find(team)
-        return self._owners[team]
+            self._successors.clear()
 
-    def _find(self, team: str) -> str | None:
+    def _ranked(self, team: str) -> list[MemberRecord]:
         fit = {each.host: each for each in self._view.live() if each.ready and not each.leaving}
-        chosen = owner(f"quota/{team}", fit)
-        if chosen is None or chosen == self._view.record.host:
-            return None
-        return fit[chosen].address
+        return [fit[host] for host in ranked(f"quota/{team}", fit)]
 
     def host(self) -> str:
         """Give this node's host id."""
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -19,7 +19,14 @@
 from chalkyoke.node.catalog import CatalogKeeper
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.quotas.client import QuotaClient
-from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey
+from chalkyoke.quotas.messages import (
+    QuotaGrant,
+    QuotaRequest,
+    QuotaReturned,
+    QuotaSpent,
+    QuotaSurvey,
+    QuotaWindows,
+)
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -38,7 +45,14 @@
 CATALOG_MESSAGES = (CatalogRequest, CatalogTold, ReplicasTold)
 ENTRY_MESSAGES = (Grant, Queued, Shed)
 SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
-QUOTA_MESSAGES = (QuotaGrant, QuotaRequest, QuotaSpent, QuotaSurvey)
+QUOTA_MESSAGES = (
+    QuotaGrant,
+    QuotaRequest,
+    QuotaReturned,
+    QuotaSpent,
+    QuotaSurvey,
+    QuotaWindows,
+)
 LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     *MEMBERSHIP_MESSAGES,
     *CATALOG_MESSAGES,
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -17,8 +17,10 @@
     QuotaGrant,
     QuotaMessage,
     QuotaRequest,
+    QuotaReturned,
     QuotaSpent,
     QuotaSurvey,
+    QuotaWindows,
 )
 from chalkyoke.quotas.owner import Presence, QuotaOwner
 
@@ -28,6 +30,8 @@
 NEW_MEMBER_S = 0.5
 OPEN_AHEAD_S = 1.0
 ALONE_RETRY_S = 0.3
+# A copy of a window is behind by so much, in seconds: a tenth of what a cut goes unnoticed.
+TELL_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +86,9 @@
     def others(self) -> list[str]:
         """List the link addresses of the other live nodes."""
 
+    def successors(self, team: str) -> list[str]:
+        """List the link addresses of the nodes that may own a team's quota after this one."""
+
     def send(self, address: str, message: QuotaMessage) -> None:
         """Send a message to a node."""
 
@@ -149,6 +156,7 @@
                 self._avoid[address] = self._now() + AVOID_S
             if not answer.done() and not silent:
                 if self._leases.spend_alone(team, charged.cost, self._now()):
+                    self._leases.note_alone(team.name, message.alone)
                     return Passed(True, decided_by="alone")
                 await asyncio.wait([answer], timeout=LAST_ANSWER_S)
         finally:
@@ -156,6 +164,7 @@
         if answer.done():
             self._avoid.pop(address, None)
             return self._granted(charged, answer.result())
+        self._leases.note_alone(team.name, message.alone)
         return Passed(False, ALONE_RETRY_S, "alone")
 
     def _granted(self, charged: Charged, grant: QuotaGrant) -> Passed:
@@ -175,6 +184,7 @@
             charged.version,
             charged.urgency,
             *self._leases.give_back(team.name),
+            self._leases.take_alone(team.name),
         )
 
     def receive(self, sender: str, message: QuotaMessage) -> None:
@@ -193,6 +203,12 @@
         if isinstance(message, QuotaSurvey):
             self._port.send(sender, self._spent(message.team))
             return
+        if isinstance(message, QuotaReturned):
+            self._owner.take_returned(message, self._now())
+            return
+        if isinstance(message, QuotaWindows):
+            self._owner.take_windows(message, self._now())
+            return
         team = self._teams().get(message.team)
         if team is None or team.rate_per_s <= 0:
             return
@@ -221,13 +237,25 @@
         window = self._owner.hand_over(team, now)
         return QuotaSpent(team, self._port.host(), self._leases.spent(team, now), now, window)
 
+    def tell_successors(self) -> None:
+        """Tell what this node has leased to those that would succeed it.
+
+        Call every :data:`TELL_S`.
+        """
+        for telling in self._owner.tell_windows(self._port.successors, self._now()):
+            self._port.send(telling.address, telling.message)
+
     def keep_house(self) -> None:
         """Give up the teams whose owner is elsewhere, and begin to be the owner of others.
 
-        Call after each change of the membership and about once a second: then a owner knows what was
-        spent before it is asked.
+        Call after each change of the membership and about once a second: then an owner knows
+        what was spent before it is asked.
         """
-        self._owner.forget_others(lambda team: self._port.owner(team) is None, self._now())
+        mine = self._port.owner
+        for returned in self._owner.forget_others(lambda team: mine(team) is None, self._now()):
+            address = mine(returned.team)
+            if address is not None:
+                self._port.send(address, returned)
         if self._now() < OPEN_AHEAD_S:
             # Nobody is known yet, and this node would believe itself the owner of all.
             return
--- a/packages/chalkyoke/src/chalkyoke/quotas/leases.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/leases.py
@@ -42,6 +42,7 @@
         self._held: dict[str, _Held] = {}
         self._alone: dict[str, Bucket] = {}
         self._spent: dict[str, SpendingWindow] = {}
+        self._spent_alone: dict[str, float] = {}
 
     def spend(self, team: Team, cost: float, version: int, now: float) -> bool:
         """Spend cost from the lease, if it is enough.
@@ -115,8 +116,17 @@
         passed = bucket.take(cost, now)
         if passed:
             self._note_spent(team.name, cost, now)
+            self.note_alone(team.name, cost)
         return passed
 
+    def note_alone(self, team: str, cost: float) -> None:
+        """Note cost that was spent alone and that no owner knows of yet."""
+        self._spent_alone[team] = self._spent_alone.get(team, 0.0) + cost
+
+    def take_alone(self, team: str) -> float:
+        """Give what was spent alone since an owner was told last; it is told now."""
+        return self._spent_alone.pop(team, 0.0)
+
     def spent(self, team: str, now: float) -> float:
         """Give what this node has spent of a team's quota in the window that ends now.
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -0,0 +1,185 @@
+"""
+chalkyoke.quotas.ledger
+
+One team's window as its owner keeps it, and how much of it this side of a cut may use.
+
+Before a cut all sides know what was spent: that counts on each side by its share only, since the
+rest of it is the others' part. What is leased after the cut counts on its own side in full. With
+``P`` spent before, each side may lease ``share * (most - P)``, and all sides together ``most - P``.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from chalkyoke.quotas.messages import QuotaSpent
+from chalkyoke.quotas.window import BUCKETS, QuotaLimits, SpendingWindow
+
+# How long a cut may go unnoticed, in seconds: ten heartbeats of another failure domain
+# (membership.view) at their usual 0.25 s, and as much as a copy of the window may be behind.
+UNNOTICED_S = 2.7
+# A quarter of the window may see three tenths of what the window may: when an owner is lost, what
+# it leased is then spread enough for its successor to assume that it was spread evenly.
+SHORT_WINDOW = 0.25
+SHORT_SHARE = 0.3
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What was leased of one team's quota, in the window and before a cut.
+
+    :param began: when this node became the owner, on its own clock, in seconds.
+    :param most: what any window may see by the limit in force.
+    :param share: the share of the limit in use. It grows only as fast as the window passes, since
+        the other side of a cut may have spent its share until the cut healed.
+    :param share_at: when ``share`` was true.
+    :param surveyed: whether what was spent before is known.
+    :param before: the part of ``window`` that the other sides of a cut know of and count too.
+    :ivar returned: shares of other sides that came back; used as these sides come in sight.
+    :ivar told: what nodes have told that they spent before.
+    :ivar leased: what was leased since this node became the owner.
+    :ivar resumed: what an earlier owner had spent, where this one goes on from its window; else -1.
+    """
+
+    window: SpendingWindow
+    before: SpendingWindow
+    most: float
+    began: float
+    share: float
+    share_at: float
+    surveyed: bool
+    told: dict[str, QuotaSpent] = field(default_factory=dict)
+    leased: float = 0.0
+    resumed: float = -1.0
+    returned: float = 0.0
+
+    def follow_limit(self, most: float) -> None:
+        """Take a new limit of the window.
+
+        A lower one binds from now on only: what was spent before was within the old limit, so it
+        counts as the part of the new one that it was of the old one.
+        """
+        if most < self.most:
+            self.window.scale(most / self.most)
+            self.before.scale(most / self.most)
+        self.most = most
+
+    def follow_share(self, share: float, now: float) -> None:
+        """Follow the share of the fleet that is in sight."""
+        if share < self.share:
+            self._divide(share, now)
+        grown = self.share + (now - self.share_at) / self.window.window_s
+        returned = min(self.returned, max(0.0, share - grown))
+        self.returned -= returned
+        self.share = min(share, grown + returned)
+        self.share_at = now
+
+    def own(self, now: float) -> tuple[float, ...]:
+        """Give what only this side knows of, in parts of the window, oldest first."""
+        pairs = zip(self.window.parts(now), self.before.parts(now), strict=True)
+        return tuple(max(0.0, spent - before) for spent, before in pairs)
+
+    def take_returned(self, parts: tuple[float, ...], share: float, now: float) -> None:
+        """Take what another side of a cut leased on its own, and its share of the limit.
+
+        :param parts: parts of the window, oldest first.
+        """
+        pairs = zip(self.window.parts(now), parts, strict=True)
+        self.window.resume(tuple(mine + theirs for mine, theirs in pairs), now)
+        # Successors are told by this sum, as if it had been leased just now.
+        self.leased += sum(parts)
+        self.returned += share
+
+    def allowed(self, most: float, now: float) -> float:
+        """Give what the window may see on this side.
+
+        :param most: what it may see over all sides.
+        """
+        before = self.before.spent(now)
+        return before + self.share * (most - before)
+
+    def room(self, most: float, now: float) -> float:
+        """Tell how much may be leased now.
+
+        :param most: what the window may see over all sides.
+        """
+        short_s = self.window.window_s * SHORT_WINDOW
+        return min(
+            self.allowed(most, now) - self.window.spent(now),
+            self.share * SHORT_SHARE * most - self.window.spent(now, short_s),
+        )
+
+    def lease(self, amount: float, now: float) -> None:
+        """Note that cost was leased."""
+        self.window.add(amount, now)
+        self.leased += amount
+
+    def take_back(self, amount: float, now: float) -> None:
+        """Note that leased cost has come back unspent."""
+        self.leased -= self.window.give_back(amount, now)
+
+    def resume(self, window: tuple[float, ...], now: float) -> None:
+        """Go on from an earlier owner's window; of several, the one in which most was spent.
+
+        Where an owner moves twice in a moment, the first of them may tell an old window.
+
+        :param window: its parts, oldest first.
+        """
+        total = sum(window)
+        if total <= self.resumed:
+            return
+        self.resumed = total
+        self.surveyed = True
+        self.window.resume(window, now)
+        self.window.add(self.leased, now)
+
+    def go_on_from(self, window: tuple[float, ...], share: float, now: float) -> None:
+        """Go on from the copy that an owner out of sight has told until a moment ago.
+
+        :param window: parts of its window, oldest first.
+        :param share: the share of the limit that it had.
+        """
+        self.resumed = sum(window)
+        self.surveyed = True
+        self.window.resume(window, now)
+        if self.share < share:
+            known = _known_part(share, self.share)
+            self.before.resume(tuple(cost * known for cost in window), now)
+
+    def _divide(self, share: float, now: float) -> None:
+        """Divide with the other sides of a cut what is left of the window.
+
+        What was leased while the cut may have gone unnoticed is not known to them, and stays
+        this side's own.
+        """
+        known = _known_part(self.share, share)
+        unnoticed = math.ceil(UNNOTICED_S / self.window.window_s * BUCKETS)
+        parts = list(self.before.parts(now))
+        spent = self.window.parts(now)
+        for index in range(BUCKETS - unnoticed):
+            parts[index] += known * (spent[index] - parts[index])
+        self.before.resume(tuple(parts), now)
+
+
+def _known_part(share_before: float, share: float) -> float:
+    """Give the part of a side's own spending that becomes common when its share falls.
+
+    What is left of the limit falls in proportion to the share. Of spending ``o``, a part ``x * o``
+    counts by the share and the rest in full, so ``x * share + (1 - x) = share / share_before``.
+    """
+    return (1.0 - share / share_before) / (1.0 - share)
+
+
+def new_ledger(limits: QuotaLimits, number: int, most: float, share: float, now: float) -> Ledger:
+    """Begin a ledger in which nothing was spent.
+
+    :param number: names its window among all of the fleet.
+    """
+    return Ledger(
+        SpendingWindow(limits.window_s, number),
+        SpendingWindow(limits.window_s),
+        most,
+        now,
+        share,
+        now,
+        surveyed=False,
+    )
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -13,10 +13,11 @@
     :param number: names the question; the answer has the same.
     :param need: cost of the request that waits for it.
     :param ahead: cost that is welcome on top, for the next requests.
-    :param lease_of: the window that those leases were of; a owner takes back only its own.
+    :param lease_of: the window that those leases were of; an owner takes back only its own.
     :param returned: what is left of earlier leases and comes back with this question.
     :param rank: how urgent the request's route is; the less urgent are refused first.
     :param version: configuration version by which the asking node judges.
+    :param alone: cost that the node has spent from its own share, while no owner answered.
     """
 
     team: str
@@ -27,6 +28,7 @@
     rank: int = 0
     returned: float = 0.0
     lease_of: int = 0
+    alone: float = 0.0
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota_grant"):
@@ -71,4 +73,38 @@
     window: tuple[float, ...] = ()
 
 
-QuotaMessage = QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent
+class ToldWindow(msgspec.Struct, frozen=True, array_like=True):
+    """What one team's owner has leased, for the nodes that would succeed it.
+
+    :param number: names the window.
+    :param total: cost leased since the window began, what came back taken off.
+    :param share: the share of the team's limit that the owner uses.
+    :param parts: the whole window in equal parts, oldest first; empty where only ``total`` is told.
+    """
+
+    team: str
+    number: int
+    total: float
+    share: float
+    parts: tuple[float, ...] = ()
+
+
+class QuotaWindows(msgspec.Struct, frozen=True, array_like=True, tag="quota_windows"):
+    """An owner tells a node that would succeed it what it has leased lately."""
+
+    windows: tuple[ToldWindow, ...]
+
+
+class QuotaReturned(msgspec.Struct, frozen=True, array_like=True, tag="quota_returned"):
+    """After a cut, what one side leased on its own, for the owner of the whole fleet.
+
+    :param share: the share of the team's limit that the side used; it comes back with this.
+    :param parts: what it leased, in equal parts of the window, oldest first.
+    """
+
+    team: str
+    share: float
+    parts: tuple[float, ...]
+
+
+QuotaMessage = QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent | QuotaWindows | QuotaReturned
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -7,11 +7,20 @@
 """
 
 import itertools
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.messages import QuotaGrant, QuotaRequest, QuotaSpent
+from chalkyoke.quotas.copies import WindowCopies, WindowTeller
+from chalkyoke.quotas.ledger import Ledger, new_ledger
+from chalkyoke.quotas.messages import (
+    QuotaGrant,
+    QuotaRequest,
+    QuotaReturned,
+    QuotaSpent,
+    QuotaWindows,
+    ToldWindow,
+)
 from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
 
 VALID_S = 0.5
@@ -21,15 +30,16 @@
 # what was spent before. Whoever sees most of the fleet may be the successor of a dead owner.
 MINOR_SHARE = 0.5
 MAJOR_SHARE = 0.72
-# A quarter of the window may see three tenths of what the window may: when a owner is lost, what it
-# leased is then spread enough for its successor to assume that it was spread evenly.
-SHORT_WINDOW = 0.25
-SHORT_SHARE = 0.3
 HELD_PER_RANK = 0.04
 CHEAP_COSTS = 3.0
 MOST_RANKS_HELD = 3
 SPARE_DIVISOR = 8.0
 SURVEY_S = 1.0
+# An owner with less than this share of the limit leased beside another one.
+WHOLE_SHARE = 0.999
+# What an owner may have leased, of what a window may see, since it told its successor last: half
+# a second of a team that asks for its whole quota.
+UNTOLD_SHARE = 0.06
 # So long after the first start of the whole fleet a new owner is the first one of its team.
 FIRST_OWNERS_S = 6.0
 KEPT_S = 3.0
@@ -56,48 +66,12 @@
         return min(1.0, self.live / max(1, self.known))
 
 
-@dataclass(slots=True)
-class _Ledger:
-    """One team's window as its owner keeps it.
-
-    :param began: when this node became the owner.
-    :param most: what any window may see by the limit in force.
-    :param share: the share of the limit in use. It grows only as fast as the window passes, since
-        the other side of a cut may have spent its share until the cut healed.
-    :ivar told: what nodes have told that they spent before.
-    :ivar leased: what was leased since this node became the owner.
-    :ivar resumed: what an earlier owner had spent, where it goes on from its window; else -1.
-    """
-
-    window: SpendingWindow
-    most: float
-    began: float
-    share: float
-    share_at: float
-    surveyed: bool
-    told: dict[str, QuotaSpent] = field(default_factory=dict)
-    leased: float = 0.0
-    resumed: float = -1.0
-
-    def follow_limit(self, most: float) -> None:
-        """Take a new limit of the window.
-
-        A lower one binds from now on only: what was spent before was within the old limit, so it
-        counts as the part of the new one that it was of the old one.
-        """
-        if most < self.most:
-            self.window.scale(most / self.most)
-        self.most = most
-
-    def move_share(self, share: float, now: float) -> float:
-        """Follow the share of the fleet that is in sight.
+@dataclass(frozen=True, slots=True)
+class Telling:
+    """A message and the link address that it goes to."""
 
-        :return: the share of the limit to use now.
-        """
-        grown = self.share + (now - self.share_at) / self.window.window_s
-        self.share = min(share, grown)
-        self.share_at = now
-        return self.share
+    address: str
+    message: QuotaWindows
 
 
 class QuotaOwner:
@@ -114,8 +88,10 @@
         self._identity = identity
         self._numbers = itertools.count(1)
         self._first_start = first_start
-        self._ledgers: dict[str, _Ledger] = {}
+        self._ledgers: dict[str, Ledger] = {}
         self._given_up: dict[str, tuple[float, SpendingWindow]] = {}
+        self._teller = WindowTeller()
+        self._copies = WindowCopies(limits.window_s)
 
     def is_new(self, team: str) -> bool:
         """Tell whether this node has not been a team's owner yet, and should ask what was spent.
@@ -131,10 +107,12 @@
     def hand_over(self, team: str, now: float) -> tuple[float, ...]:
         """Give the window of a team up to its new owner; nothing where this node has none.
 
+        A window of one side of a cut is not the whole: it is returned (:meth:`forget_others`).
+
         :return: its parts, oldest first.
         """
         ledger = self._ledgers.pop(team, None)
-        if ledger is not None:
+        if ledger is not None and ledger.share >= WHOLE_SHARE:
             self._given_up[team] = (now, ledger.window)
         kept = self._given_up.get(team)
         return () if kept is None or now - kept[0] > KEPT_S else kept[1].parts(now)
@@ -146,19 +124,16 @@
         """
         ledger = self._ledger(team, presence, now)
         window = ledger.window
-        share = ledger.move_share(presence.share, now)
+        ledger.follow_share(presence.share, now)
         ledger.follow_limit(self.limits.most(team.rate_per_s, team.burst))
-        most = ledger.most * USED_SHARE * share
         if message.lease_of == window.number:
-            window.give_back(message.returned, now)
+            ledger.take_back(message.returned, now)
+        if message.alone > 0:
+            ledger.lease(message.alone, now)
         # The less urgent are refused first: a part of the window is kept for the others.
         ranks_held = 0 if self._is_cheap(team, message) else min(message.rank, MOST_RANKS_HELD)
-        ceiling = most * (1.0 - HELD_PER_RANK * ranks_held)
-        short_s = self.limits.window_s * SHORT_WINDOW
-        room = min(
-            ceiling - window.spent(now),
-            SHORT_SHARE * ceiling - window.spent(now, short_s),
-        )
+        most = ledger.most * USED_SHARE * (1.0 - HELD_PER_RANK * ranks_held)
+        room = ledger.room(most, now)
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
             return QuotaGrant(
@@ -169,13 +144,35 @@
                 VALID_S,
                 window.number,
                 window.spent(now),
-                most,
+                ledger.allowed(most, now),
             )
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
-        window.add(amount, now)
-        ledger.leased += amount
+        ledger.lease(amount, now)
         return QuotaGrant(team.name, message.number, amount, 0.0, VALID_S, window.number)
 
+    def tell_windows(self, successors: Callable[[str], Iterable[str]], now: float) -> list[Telling]:
+        """Word what has changed in the windows of this node's teams, for their successors.
+
+        :param successors: gives the link addresses for a team.
+        """
+        changed: dict[str, list[ToldWindow]] = {}
+        kept: list[tuple[str, str]] = []
+        for team, ledger in self._ledgers.items():
+            for address in successors(team):
+                kept.append((address, team))
+                told = self._teller.due(address, team, ledger, now)
+                if told is not None:
+                    changed.setdefault(address, []).append(told)
+        self._teller.forget(kept)
+        return [
+            Telling(address, QuotaWindows(tuple(windows))) for address, windows in changed.items()
+        ]
+
+    def take_windows(self, message: QuotaWindows, now: float) -> None:
+        """Keep what another owner tells of its windows, to go on from when it is lost."""
+        for told in message.windows:
+            self._copies.take(told, now)
+
     def _is_cheap(self, team: Team, message: QuotaRequest) -> bool:
         """Tell whether a request costs so little that refusing it makes no room for others."""
         return message.need <= CHEAP_COSTS * team.plain_cost
@@ -192,7 +189,7 @@
         if ledger is None or now - ledger.began > SURVEY_S:
             return
         if message.window:
-            self._resume(ledger, message.window, now)
+            ledger.resume(message.window, now)
         if ledger.surveyed:
             return
         ledger.told[message.host] = message
@@ -204,42 +201,52 @@
         spent = sum(each.cost for each in told)
         ledger.window.assume(spent + ledger.leased, ledger.began)
 
-    def _resume(self, ledger: _Ledger, window: tuple[float, ...], now: float) -> None:
-        """Go on from an earlier owner's window; of several, the one in which most was spent.
+    def take_returned(self, message: QuotaReturned, now: float) -> None:
+        """Take what another side of a healed cut leased on its own.
 
-        Where a owner moves twice in a moment, the first of them may tell an old window.
+        An owner that has begun just now is told by its survey, and by this once more.
         """
-        total = sum(window)
-        if total <= ledger.resumed:
-            return
-        ledger.resumed = total
-        ledger.surveyed = True
-        ledger.window.resume(window, now)
-        ledger.window.add(ledger.leased, now)
+        ledger = self._ledgers.get(message.team)
+        if ledger is not None and now - ledger.began > SURVEY_S:
+            ledger.take_returned(message.parts, message.share, now)
+
+    def forget_others(self, mine: Callable[[str], bool], now: float) -> list[QuotaReturned]:
+        """Give up the windows of teams whose owner is elsewhere.
 
-    def forget_others(self, mine: Callable[[str], bool], now: float) -> None:
-        """Give up the windows of teams whose owner is elsewhere; they are kept for their new owners.
+        They are kept for a while, to be handed to their new owners.
 
         :param mine: tells whether this node is a team's owner.
+        :return: what was leased beside another owner, during a cut that is over.
         """
+        returned: list[QuotaReturned] = []
         for name in [each for each in self._ledgers if not mine(each)]:
+            ledger = self._ledgers[name]
+            if ledger.share < WHOLE_SHARE:
+                returned.append(QuotaReturned(name, ledger.share, ledger.own(now)))
             self.hand_over(name, now)
         for name, (since, _) in list(self._given_up.items()):
             if now - since > KEPT_S:
                 del self._given_up[name]
+        return returned
 
-    def _ledger(self, team: Team, presence: Presence, now: float) -> _Ledger:
+    def _ledger(self, team: Team, presence: Presence, now: float) -> Ledger:
         ledger = self._ledgers.get(team.name)
         if ledger is not None:
             return ledger
         number = self._identity + next(self._numbers)
-        window = SpendingWindow(self.limits.window_s, number)
         most = self.limits.most(team.rate_per_s, team.burst)
-        first = self._first_start and now < FIRST_OWNERS_S
-        if not first:
-            window.assume(most * USED_SHARE * presence.share * _assumed(presence.share), now)
-        ledger = _Ledger(window, most, now, presence.share, now, surveyed=first)
+        ledger = new_ledger(self.limits, number, most, presence.share, now)
         self._ledgers[team.name] = ledger
+        copy = self._copies.find(team.name, now)
+        if copy is not None:
+            window = copy.with_untold(most * USED_SHARE * UNTOLD_SHARE, now)
+            ledger.go_on_from(window, copy.share, now)
+            self._copies.drop(team.name)
+        elif self._first_start and now < FIRST_OWNERS_S:
+            ledger.surveyed = True
+        else:
+            spent = most * USED_SHARE * presence.share * _assumed(presence.share)
+            ledger.window.assume(spent, now)
         return ledger
 
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -42,6 +42,9 @@
     def others(self):
         return []
 
+    def successors(self, team):
+        return []
+
     def send(self, address, message):
         assert isinstance(message, QuotaRequest)
         self.asked += 1
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -64,10 +64,16 @@
             self._buckets.append((index, cost))
         self._sum += cost
 
-    def give_back(self, cost: float, now: float) -> None:
-        """Take back what was noted as spent and was not, as far as it is still in the window."""
-        if cost > 0 and self._buckets:
-            self.add(-min(cost, self.spent(now)), now)
+    def give_back(self, cost: float, now: float) -> float:
+        """Take back what was noted as spent and was not, as far as it is still in the window.
+
+        :return: how much that was.
+        """
+        if cost <= 0 or not self._buckets:
+            return 0.0
+        taken = min(cost, self.spent(now))
+        self.add(-taken, now)
+        return taken
 
     def scale(self, factor: float) -> None:
         """Multiply all that was spent."""
