Return after a cut only what was leased, not what was assumed

Change: a ledger keeps what was leased here apart; only that is returned. Test: test_spending_that_was_only_assumed_is_not_returned, red before.

--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -33,6 +33,7 @@
         the other side of a cut may have spent its share until the cut healed.
     :param share_at: when ``share`` was true.
     :param surveyed: whether what was spent before is known.
+    :param mine: what was leased here since the share fell, or since this node became the owner.
     :param before: the part of ``window`` that the other sides of a cut know of and count too.
     :ivar returned: shares of other sides that came back; used as these sides come in sight.
     :ivar told: what nodes have told that they spent before.
@@ -42,6 +43,7 @@
 
     window: SpendingWindow
     before: SpendingWindow
+    mine: SpendingWindow
     most: float
     began: float
     share: float
@@ -73,11 +75,6 @@
         self.share = min(share, grown + returned)
         self.share_at = now
 
-    def own(self, now: float) -> tuple[float, ...]:
-        """Give what only this side knows of, in parts of the window, oldest first."""
-        pairs = zip(self.window.parts(now), self.before.parts(now), strict=True)
-        return tuple(max(0.0, spent - before) for spent, before in pairs)
-
     def take_returned(self, parts: tuple[float, ...], share: float, now: float) -> None:
         """Take what another side of a cut leased on its own, and its share of the limit.
 
@@ -111,11 +108,13 @@
     def lease(self, amount: float, now: float) -> None:
         """Note that cost was leased."""
         self.window.add(amount, now)
+        self.mine.add(amount, now)
         self.leased += amount
 
     def take_back(self, amount: float, now: float) -> None:
         """Note that leased cost has come back unspent."""
         self.leased -= self.window.give_back(amount, now)
+        self.mine.give_back(amount, now)
 
     def resume(self, window: tuple[float, ...], now: float) -> None:
         """Go on from an earlier owner's window; of several, the one in which most was spent.
@@ -158,6 +157,9 @@
         for index in range(BUCKETS - unnoticed):
             parts[index] += known * (spent[index] - parts[index])
         self.before.resume(tuple(parts), now)
+        mine = self.mine.parts(now)
+        known_parts = BUCKETS - unnoticed
+        self.mine.resume((*(0.0 for _ in range(known_parts)), *mine[known_parts:]), now)
 
 
 def _known_part(share_before: float, share: float) -> float:
@@ -177,6 +179,7 @@
     return Ledger(
         SpendingWindow(limits.window_s, number),
         SpendingWindow(limits.window_s),
+        SpendingWindow(limits.window_s),
         most,
         now,
         share,
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -221,8 +221,8 @@
         returned: list[QuotaReturned] = []
         for name in [each for each in self._ledgers if not mine(each)]:
             ledger = self._ledgers[name]
-            if ledger.share < WHOLE_SHARE:
-                returned.append(QuotaReturned(name, ledger.share, ledger.own(now)))
+            if ledger.share < WHOLE_SHARE and ledger.mine.spent(now) > 0:
+                returned.append(QuotaReturned(name, ledger.share, ledger.mine.parts(now)))
             self.hand_over(name, now)
         for name, (since, _) in list(self._given_up.items()):
             if now - since > KEPT_S:
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -205,3 +205,16 @@
     ]
     play(fleet, 8.0, 28, seed, events)
     assert fleet.worst_window() <= MOST
+
+
+def test_spending_that_was_only_assumed_is_not_returned():
+    """After a kill of all, nodes that own teams for a moment have leased nothing."""
+    owner = QuotaOwner(LIMITS, first_start=False, identity=9)
+    owner.open(TEAM, Presence(5, 9), 0.5)
+    assert owner.forget_others(lambda _: False, 0.9) == []
+
+    owner.open(TEAM, Presence(3, 9), 1.0)
+    asked = owner.ask(TEAM, QuotaRequest("t", 1, 500.0, 0.0, 1), Presence(3, 9), 1.1)
+    assert asked.amount == 500.0
+    (returned,) = owner.forget_others(lambda _: False, 1.2)
+    assert sum(returned.parts) == 500.0
