A scarce quota goes to the ranks by weight, in place of fixed bands of 4 in 100

The first rank asks for twice the quota by itself and took each piece that came free, so the bands under it stayed shut: the second rank, which needs an eighth of the tokens, got nearly nothing. Change: weighted max-min shares over the window and its quarter, each rank twice the next; what a rank does not ask for goes to the others; 4 in 100 stay kept for a rank that wakes up. Leases ahead count for the rank that they were given to.

--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from chalkyoke.quotas.messages import QuotaSpent
+from chalkyoke.quotas.ranks import RankShares
 from chalkyoke.quotas.window import BUCKETS, QuotaLimits, SpendingWindow
 
 # How long a cut may go unnoticed, in seconds: ten heartbeats of another failure domain
@@ -34,6 +35,7 @@
     :param share_at: when ``share`` was true.
     :param surveyed: whether what was spent before is known.
     :param mine: what was leased here since the share fell, or since this node became the owner.
+    :param ranks: what each rank of the team's requests asked for and got.
     :param before: the part of ``window`` that the other sides of a cut know of and count too.
     :ivar returned: shares of other sides that came back; used as these sides come in sight.
     :ivar told: what nodes have told that they spent before.
@@ -44,6 +46,7 @@
     window: SpendingWindow
     before: SpendingWindow
     mine: SpendingWindow
+    ranks: RankShares
     most: float
     began: float
     share: float
@@ -63,6 +66,7 @@
         if most < self.most:
             self.window.scale(most / self.most)
             self.before.scale(most / self.most)
+            self.ranks.scale(most / self.most)
         self.most = most
 
     def follow_share(self, share: float, now: float) -> None:
@@ -180,6 +184,7 @@
         SpendingWindow(limits.window_s, number),
         SpendingWindow(limits.window_s),
         SpendingWindow(limits.window_s),
+        RankShares(limits.window_s),
         most,
         now,
         share,
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -12,7 +12,7 @@
 
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.copies import WindowCopies, WindowTeller
-from chalkyoke.quotas.ledger import Ledger, new_ledger
+from chalkyoke.quotas.ledger import SHORT_SHARE, SHORT_WINDOW, Ledger, new_ledger
 from chalkyoke.quotas.messages import (
     QuotaGrant,
     QuotaRequest,
@@ -30,9 +30,7 @@
 # what was spent before. Whoever sees most of the fleet may be the successor of a dead owner.
 MINOR_SHARE = 0.5
 MAJOR_SHARE = 0.72
-HELD_PER_RANK = 0.04
 CHEAP_COSTS = 3.0
-MOST_RANKS_HELD = 3
 SPARE_DIVISOR = 8.0
 SURVEY_S = 1.0
 # An owner with less than this share of the limit leased beside another one.
@@ -128,12 +126,15 @@
         ledger.follow_limit(self.limits.most(team.rate_per_s, team.burst))
         if message.lease_of == window.number:
             ledger.take_back(message.returned, now)
+            ledger.ranks.lease(message.returned_rank, -message.returned, now)
+            ledger.ranks.ask(message.returned_rank, -message.returned, now)
         if message.alone > 0:
             ledger.lease(message.alone, now)
-        # The less urgent are refused first: a part of the window is kept for the others.
-        ranks_held = 0 if self._is_cheap(team, message) else min(message.rank, MOST_RANKS_HELD)
-        most = ledger.most * USED_SHARE * (1.0 - HELD_PER_RANK * ranks_held)
+        most = ledger.most * USED_SHARE
+        ledger.ranks.ask(message.rank, message.need, now)
         room = ledger.room(most, now)
+        if not self._is_cheap(team, message):
+            room = min(room, self._rank_left(ledger, message, most, now))
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
             return QuotaGrant(
@@ -148,7 +149,11 @@
             )
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
         ledger.lease(amount, now)
-        return QuotaGrant(team.name, message.number, amount, 0.0, VALID_S, window.number)
+        ledger.ranks.ask(message.rank, amount - message.need, now)
+        ledger.ranks.lease(message.rank, amount, now)
+        return QuotaGrant(
+            team.name, message.number, amount, 0.0, VALID_S, window.number, rank=message.rank
+        )
 
     def tell_windows(self, successors: Callable[[str], Iterable[str]], now: float) -> list[Telling]:
         """Word what has changed in the windows of this node's teams, for their successors.
@@ -173,6 +178,16 @@
         for told in message.windows:
             self._copies.take(told, now)
 
+    def _rank_left(self, ledger: Ledger, message: QuotaRequest, most: float, now: float) -> float:
+        """Tell how much of this side's part a request's rank may still lease."""
+        ranks = ledger.ranks
+        short_s = self.limits.window_s * SHORT_WINDOW
+        short = ledger.share * SHORT_SHARE * most
+        return min(
+            ranks.left(message.rank, ledger.allowed(most, now), now),
+            ranks.left(message.rank, short, now, short_s),
+        )
+
     def _is_cheap(self, team: Team, message: QuotaRequest) -> bool:
         """Tell whether a request costs so little that refusing it makes no room for others."""
         return message.need <= CHEAP_COSTS * team.plain_cost
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ranks.py
@@ -0,0 +1,104 @@
+"""
+chalkyoke.quotas.ranks
+
+Which requests get a team's quota while it does not bear all of them. Each rank has a part of the
+window, twice that of the next rank; what a rank does not ask for goes to the others. So a lasting
+shortage falls on the less urgent first, and no rank gets nothing. Source: weighted max-min
+fairness, Bertsekas and Gallager, "Data Networks", 1992.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from chalkyoke.quotas.window import SpendingWindow
+
+# Ranks that are told apart; all beyond count as the last of them. Routes have three here.
+RANKS = 4
+# The part of a rank against the rank before. At a half, and a load of six times the usual, the
+# first of three ranks keeps the most of the quota, and the last a seventh.
+STEP = 0.5
+# What is kept for each rank even where it has asked for nothing lately, of the window: a rank that
+# wakes up is served at once. Four in 100 were kept before, by a fixed rule, and held.
+KEPT_SHARE = 0.04
+
+
+@dataclass(slots=True)
+class _Rank:
+    asked: SpendingWindow
+    leased: SpendingWindow
+
+
+@dataclass(slots=True)
+class RankShares:
+    """What each rank of one team has asked for and got lately.
+
+    :param window_s: length of the window, in seconds.
+    """
+
+    window_s: float
+    _ranks: list[_Rank] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._ranks = [
+            _Rank(SpendingWindow(self.window_s), SpendingWindow(self.window_s))
+            for _ in range(RANKS)
+        ]
+
+    def ask(self, rank: int, cost: float, now: float) -> None:
+        """Note that a request has asked for cost."""
+        self._of(rank).asked.add(cost, now)
+
+    def lease(self, rank: int, cost: float, now: float) -> None:
+        """Note that cost that was asked for is leased for a request of a rank."""
+        self._of(rank).leased.add(cost, now)
+
+    def scale(self, factor: float) -> None:
+        """Multiply all that was asked for and leased, after a change of the limit."""
+        for each in self._ranks:
+            each.asked.scale(factor)
+            each.leased.scale(factor)
+
+    def left(self, rank: int, most: float, now: float, within_s: float | None = None) -> float:
+        """Tell how much a rank may still lease.
+
+        :param most: what the span may see of all ranks together.
+        :param within_s: length of the span that ends now; the whole window where none is given.
+        """
+        own = min(max(rank, 0), RANKS - 1)
+        kept = KEPT_SHARE * most
+        asking = self._ranks[: max(own, self._last(now)) + 1]
+        asked = [max(kept, each.asked.spent(now, within_s)) for each in asking]
+        return divide(most, asked)[own] - self._ranks[own].leased.spent(now, within_s)
+
+    def _of(self, rank: int) -> _Rank:
+        return self._ranks[min(max(rank, 0), RANKS - 1)]
+
+    def _last(self, now: float) -> int:
+        """Give the last rank that has asked for anything in the window."""
+        asking = (index for index, each in enumerate(self._ranks) if each.asked.spent(now) > 0)
+        return max(asking, default=0)
+
+
+def divide(most: float, asked: Sequence[float]) -> list[float]:
+    """Divide a quota among ranks: each its weighted part, and what others leave of theirs.
+
+    What nobody asks for is open to each of them.
+
+    :param asked: what each rank asks for, the most urgent first.
+    """
+    parts = [0.0] * len(asked)
+    open_ranks = list(range(len(asked)))
+    left = most
+    while open_ranks:
+        weights = {rank: STEP**rank for rank in open_ranks}
+        unit = left / sum(weights.values())
+        content = [rank for rank in open_ranks if asked[rank] <= unit * weights[rank]]
+        if not content:
+            for rank in open_ranks:
+                parts[rank] = unit * weights[rank]
+            return parts
+        for rank in content:
+            parts[rank] = asked[rank]
+            left -= asked[rank]
+        open_ranks = [rank for rank in open_ranks if rank not in content]
+    return [part + left for part in parts]
