Give the quota of work that never ran back

Change: an exchange that ends without a run gives its charge back, once, to the lease it came from; the next request spends it or the next question returns it. Nothing comes back of what may have run, of another owner's window, or of what a node spent alone. Tests: three of the exchange (the slice had none), two of the client, a flood with a third of refunds that keeps the limit.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -21,7 +21,7 @@
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
 from chalkyoke.http1.server import Answering
 from chalkyoke.invariants import require
-from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.quotas.client import Passed, QuotaClient
 from chalkyoke.retries.budget import RetryBudget
 from chalkyoke.scheduling.state import ReleaseOutcome
 
@@ -111,6 +111,7 @@
         self._connection: ClientConnection | None = None
         self._granted: Granted | None = None
         self._admission: Admission | None = None
+        self._charge: Passed | None = None
         self._left = False
 
     # What the caller's connection tells.
@@ -146,6 +147,13 @@
             self._answer(judged.status, judged.reason, retry)
             return
         self._admission = judged
+        try:
+            await self._serve_in_time(judged)
+        finally:
+            self._refund(judged)
+
+    async def _serve_in_time(self, judged: Admission) -> None:
+        parts = self._parts
         try:
             async with asyncio.timeout_at(self._loop_time(judged.ends)):
                 await self._serve(judged)
@@ -167,6 +175,14 @@
             self._answering.abort()
             raise
 
+    def _refund(self, admission: Admission) -> None:
+        """Give the quota back that a request was charged and that ends without a run."""
+        charge, self._charge = self._charge, None
+        if charge is None or self._progress.sends.runs > 0:
+            return
+        if self._parts.quotas.refund(admission, charge):
+            self._parts.record("refunded", admission, cost=admission.cost)
+
     def _silent_s(self) -> float:
         """Tell for how long the replica has said nothing; -1 where nothing was sent to one."""
         if self._relay is None:
@@ -190,6 +206,7 @@
             )
             self._answer(429, "over quota", allowed.retry_after_s)
             return
+        self._charge = allowed
         while True:
             if not still_allowed(admission, self._parts.catalog()):
                 self._refuse(admission, "no longer allowed", RETRY_SOON_S)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -0,0 +1,122 @@
+"""One request from its arrival to its end, with the parts around it made up."""
+
+import asyncio
+from types import SimpleNamespace
+
+from chalkyoke.catalog.resources import Catalog, Route, RouteKind, Service, Target, Team
+from chalkyoke.gateway.exchange import Exchange, GatewayParts
+from chalkyoke.gateway.grants import Denied, Granted, Source
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.http1.messages import Request
+from chalkyoke.http1.pool import ConnectFailure
+from chalkyoke.quotas.client import Passed
+
+from tests import virtual
+
+TEAM = Team("t", ("k",), rate_per_s=1000.0, by_tokens=True, plain_cost=200.0)
+ROUTE = Route("chat", "h", "/", (Target("model", 1.0),), RouteKind.STREAM, 8.0, 0.5, 0.3)
+CATALOG = Catalog(
+    version=1,
+    routes=(ROUTE,),
+    services={"model": Service("model", engine_slots=4)},
+    teams={"t": TEAM},
+)
+REPLICA = SimpleNamespace(id="m1", ip="127.0.0.1", port=1)
+
+
+class Quotas:
+    def __init__(self):
+        self.refunded = []
+
+    async def take(self, charged):
+        return Passed(True, decided_by="owner", lease_of=7)
+
+    def refund(self, charged, passed):
+        self.refunded.append((charged.cost, passed.lease_of))
+        return True
+
+
+class Answering:
+    status = None
+
+    def begin(self, head, data=b""):
+        self.status = head.status
+
+    def end(self):
+        pass
+
+    def abort(self):
+        self.status = "aborted"
+
+
+def exchange_with(acquire, connect=None):
+    """Make an exchange whose grants and connections are the given coroutines."""
+    loop = asyncio.get_running_loop()
+    quotas, answering = Quotas(), Answering()
+    released = []
+    parts = GatewayParts(
+        catalog=lambda: CATALOG,
+        replicas=SimpleNamespace(find=lambda replica: REPLICA),
+        headers=SimpleNamespace(
+            read_request=lambda headers: RequestFields("r1", 5.0, "k", 900, 100)
+        ),
+        grants=SimpleNamespace(
+            acquire=acquire, release=lambda admission, granted, outcome: released.append(outcome)
+        ),
+        balancer=SimpleNamespace(
+            seen=lambda replica: SimpleNamespace(note_unreachable=lambda now: None)
+        ),
+        quotas=quotas,
+        budget=SimpleNamespace(left=lambda *_: 0.0, try_spend=lambda *_: False),
+        connections=SimpleNamespace(connect=connect),
+        nodes=lambda: 3,
+        now=loop.time,
+        record=lambda *_, **__: None,
+        reject=lambda *_: None,
+    )
+    request = Request(b"POST", b"/x", [(b"host", b"h")], b"{}")
+    return Exchange(parts, request, answering), quotas, answering
+
+
+def test_a_request_that_no_replica_takes_gives_its_quota_back():
+    async def main():
+        async def acquire(*_):
+            return Denied("shed", 0.5)
+
+        exchange, quotas, answering = exchange_with(acquire)
+        await exchange.run()
+        assert answering.status == 503
+        assert quotas.refunded == [(1000.0, 7)]
+
+    virtual.run(main)
+
+
+def test_a_caller_that_leaves_while_it_waits_gives_its_quota_back():
+    async def main():
+        async def acquire(*_):
+            await asyncio.sleep(60)
+
+        exchange, quotas, _ = exchange_with(acquire)
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        await asyncio.sleep(0.2)
+        exchange.caller_left()
+        await asyncio.gather(exchange.task, return_exceptions=True)
+        assert quotas.refunded == [(1000.0, 7)]
+
+    virtual.run(main)
+
+
+def test_a_request_that_may_have_run_keeps_its_charge():
+    async def main():
+        async def acquire(*_):
+            return Granted(REPLICA, 1, Source.LOCAL)
+
+        async def connect(*_, **__):
+            return ConnectFailure.REFUSED
+
+        exchange, quotas, _ = exchange_with(acquire, connect)
+        exchange._progress.sends.runs = 1
+        await exchange.run()
+        assert quotas.refunded == []
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -42,6 +42,7 @@
     :param decided_by: ``lease``, ``owner``, ``alone`` or ``no quota``.
     :param spent: what the owner that refused it counts in the window.
     :param most: what that owner leases in a window at most.
+    :param lease_of: the window that the cost was leased of; 0 where it was of none.
     """
 
     passed: bool
@@ -49,6 +50,7 @@
     decided_by: str = "no quota"
     spent: float = 0.0
     most: float = 0.0
+    lease_of: int = 0
 
 
 class Charged(Protocol):
@@ -130,7 +132,8 @@
         if team is None or team.rate_per_s <= 0:
             return Passed(True)
         if self._leases.spend(team, charged.cost, charged.version, self._now()):
-            return Passed(True, decided_by="lease")
+            lease_of = self._leases.lease_of(team.name)
+            return Passed(True, decided_by="lease", lease_of=lease_of)
         if self._is_new_member():
             passed = self._leases.spend_alone(team, charged.cost, self._now())
             return Passed(passed, ALONE_RETRY_S, "alone")
@@ -169,7 +172,19 @@
 
     def _granted(self, charged: Charged, grant: QuotaGrant) -> Passed:
         passed = self._leases.take(grant, charged.cost, self._now())
-        return Passed(passed, grant.retry_after_s, "owner", grant.spent, grant.most)
+        retry_s, lease_of = grant.retry_after_s, grant.lease_of
+        return Passed(passed, retry_s, "owner", grant.spent, grant.most, lease_of)
+
+    def refund(self, charged: Charged, passed: Passed) -> bool:
+        """Give the cost of a request back that has not run and never will.
+
+        Call once for a charge. What was spent alone is not given back.
+
+        :return: whether it could be given back.
+        """
+        if charged.team is None or not passed.lease_of:
+            return False
+        return self._leases.refund(charged.team.name, charged.cost, passed.lease_of, self._now())
 
     def _is_new_member(self) -> bool:
         """Tell whether this node may not know yet who is the owner."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/leases.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/leases.py
@@ -61,6 +61,25 @@
         self._note_spent(team.name, cost, now)
         return True
 
+    def lease_of(self, team: str) -> int:
+        """Name the window that the present lease of a team is of."""
+        return self._of(team).lease_of
+
+    def refund(self, team: str, cost: float, lease_of: int, now: float) -> bool:
+        """Put cost back into the lease that it was spent from, for work that never ran.
+
+        It serves the next request, or goes back to the owner with the next question.
+
+        :param lease_of: the window that the lease was of; another owner does not know of it.
+        :return: whether it could be put back.
+        """
+        held = self._of(team)
+        if held.lease_of != lease_of:
+            return False
+        held.balance += cost
+        self._spent_by(team).give_back(cost, now)
+        return True
+
     def ahead(self, team: Team) -> float:
         """Tell how much cost is worth leasing ahead.
 
@@ -138,10 +157,13 @@
         return 0.0 if window is None else window.spent(now)
 
     def _note_spent(self, team: str, cost: float, now: float) -> None:
+        self._spent_by(team).add(cost, now)
+
+    def _spent_by(self, team: str) -> SpendingWindow:
         window = self._spent.get(team)
         if window is None:
             window = self._spent[team] = SpendingWindow(self.limits.window_s)
-        window.add(cost, now)
+        return window
 
     def _of(self, name: str) -> _Held:
         return self._held.setdefault(name, _Held())
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -103,3 +103,26 @@
         assert asyncio.get_running_loop().time() - began < 0.2
 
     virtual.run(main)
+
+
+def test_cost_of_work_that_never_ran_serves_the_next_request():
+    async def main():
+        owner = SlowOwner(delay_s=0.001)
+        client = client_of(owner)
+        first = await client.take(Charge(9_000))
+        assert first.decided_by == "owner"
+        assert client.refund(Charge(9_000), first)
+        second = await client.take(Charge(9_000))
+        assert (second.passed, second.decided_by, owner.asked) == (True, "lease", 1)
+
+    virtual.run(main)
+
+
+def test_cost_spent_alone_is_not_given_back():
+    async def main():
+        client = client_of(SlowOwner(delay_s=9.0))
+        spent = await client.take(Charge(200))
+        assert spent.decided_by == "alone"
+        assert not client.refund(Charge(200), spent)
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -218,3 +218,28 @@
     assert asked.amount == 500.0
     (returned,) = owner.forget_others(lambda _: False, 1.2)
     assert sum(returned.parts) == 500.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_refunds_in_a_flood_keep_the_limit(seed):
+    """A third of what passes is refused later, before it ran, and its cost comes back."""
+    rng = random.Random(seed)
+    fleet = Fleet()
+    waiting = []
+
+    def refund_due(fleet):
+        while waiting and waiting[0][0] <= fleet.now:
+            _, node, cost, lease_of = waiting.pop(0)
+            node.leases.refund("t", cost, lease_of, node.local(fleet.now))
+
+    while fleet.now < 30.0:
+        refund_due(fleet)
+        cost, name = rng.choice((200, 1200, 3000, 9000)), rng.randrange(9)
+        node = fleet.nodes[name]
+        if fleet.ask(name, cost) and rng.random() < 0.33:
+            fleet.passed.pop()
+            lease_of = node.leases.lease_of("t")
+            waiting.append((fleet.now + rng.uniform(0.0, 2.0), node, cost, lease_of))
+            waiting.sort(key=lambda each: each[0])
+        fleet.now += rng.expovariate(6.0 * TEAM.rate_per_s / 3350)
+    assert 0.6 * MOST < fleet.worst_window() <= MOST
