Hand windows over in parts: common and own; copies answer a survey; cheap requests go first

Change: an owner that gives a team up tells what others know too and what it alone leased; a new owner adds up the latter and takes the most of the former. Nodes that hold a copy tell it where no owner tells. Assumed spending counts as common. Spending alone is added to known windows only. Cheap requests have first claim on up to 15 in 100.

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -249,8 +249,17 @@
 
     def _spent(self, team: str) -> QuotaSpent:
         now = self._now()
-        window = self._owner.hand_over(team, now)
-        return QuotaSpent(team, self._port.host(), self._leases.spent(team, now), now, window)
+        handed = self._owner.hand_over(team, now)
+        spent = self._leases.spent(team, now)
+        return QuotaSpent(
+            team,
+            self._port.host(),
+            spent,
+            now,
+            handed.window,
+            handed.own,
+            handed.copied,
+        )
 
     def tell_successors(self) -> None:
         """Tell what this node has leased to those that would succeed it.
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -23,6 +23,24 @@
 SHORT_WINDOW = 0.25
 SHORT_SHARE = 0.3
 
+Parts = tuple[float, ...]
+"""Cost in equal parts of a window that ends now, oldest first."""
+
+NOTHING: Parts = (0.0,) * BUCKETS
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """A window for a team's new owner; empty where there is none.
+
+    :param own: the part of it that no other node tells of.
+    :param copied: whether it is the copy of another owner's window.
+    """
+
+    window: Parts = ()
+    own: Parts = ()
+    copied: bool = False
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -34,18 +52,19 @@
         the other side of a cut may have spent its share until the cut healed.
     :param share_at: when ``share`` was true.
     :param surveyed: whether what was spent before is known.
-    :param mine: what was leased here since the share fell, or since this node became the owner.
     :param ranks: what each rank of the team's requests asked for and got.
-    :param before: the part of ``window`` that the other sides of a cut know of and count too.
+    :param before: the part of ``window`` that others know of and count too: what was spent before
+        a cut, and what was only assumed or taken over.
     :ivar returned: shares of other sides that came back; used as these sides come in sight.
     :ivar told: what nodes have told that they spent before.
     :ivar leased: what was leased since this node became the owner.
-    :ivar resumed: what an earlier owner had spent, where this one goes on from its window; else -1.
+    :ivar common: what earlier owners told of that others know too.
+    :ivar others_own: what each of them alone told of, added up.
+    :ivar copied: what copies of their windows hold.
     """
 
     window: SpendingWindow
     before: SpendingWindow
-    mine: SpendingWindow
     ranks: RankShares
     most: float
     began: float
@@ -54,7 +73,9 @@
     surveyed: bool
     told: dict[str, QuotaSpent] = field(default_factory=dict)
     leased: float = 0.0
-    resumed: float = -1.0
+    common: Parts = NOTHING
+    others_own: Parts = NOTHING
+    copied: Parts = NOTHING
     returned: float = 0.0
 
     def follow_limit(self, most: float) -> None:
@@ -79,7 +100,7 @@
         self.share = min(share, grown + returned)
         self.share_at = now
 
-    def take_returned(self, parts: tuple[float, ...], share: float, now: float) -> None:
+    def take_returned(self, parts: Parts, share: float, now: float) -> None:
         """Take what another side of a cut leased on its own, and its share of the limit.
 
         :param parts: parts of the window, oldest first.
@@ -112,41 +133,58 @@
     def lease(self, amount: float, now: float) -> None:
         """Note that cost was leased."""
         self.window.add(amount, now)
-        self.mine.add(amount, now)
         self.leased += amount
 
     def take_back(self, amount: float, now: float) -> None:
         """Note that leased cost has come back unspent."""
         self.leased -= self.window.give_back(amount, now)
-        self.mine.give_back(amount, now)
 
-    def resume(self, window: tuple[float, ...], now: float) -> None:
-        """Go on from an earlier owner's window; of several, the one in which most was spent.
+    def own(self, now: float) -> Parts:
+        """Give what only this node can tell of, in parts of the window, oldest first."""
+        pairs = zip(self.window.parts(now), self.before.parts(now), strict=True)
+        return tuple(max(0.0, spent - before) for spent, before in pairs)
+
+    def assume(self, cost: float, now: float) -> None:
+        """Assume cost spent before, where nobody has told."""
+        self.window.assume(cost, now)
+        self.before.assume(cost, now)
 
-        Where an owner moves twice in a moment, the first of them may tell an old window.
+    def resume(self, handed: Handed, now: float) -> None:
+        """Go on from what an earlier owner, or a copy of its window, tells.
 
-        :param window: its parts, oldest first.
+        Of several owners, what each alone can tell of adds up, and the rest is the same spending,
+        seen by one a moment longer than by another. Copies count only while no owner tells of
+        spending of its own: what they hold is in it.
         """
-        total = sum(window)
-        if total <= self.resumed:
+        if not any(handed.window):
             return
-        self.resumed = total
+        if handed.copied:
+            self.copied = most_of_both(self.copied, handed.window)
+        else:
+            rest = handed.own or NOTHING
+            common = tuple(a - b for a, b in zip(handed.window, rest, strict=True))
+            self.common = most_of_both(self.common, common)
+            self.others_own = tuple(a + b for a, b in zip(self.others_own, rest, strict=True))
+        if any(self.others_own):
+            pairs = zip(self.common, self.others_own, strict=True)
+            spent = tuple(a + b for a, b in pairs)
+        else:
+            spent = most_of_both(self.common, self.copied)
         self.surveyed = True
-        self.window.resume(window, now)
+        self.window.resume(spent, now)
+        self.before.resume(spent, now)
         self.window.add(self.leased, now)
 
-    def go_on_from(self, window: tuple[float, ...], share: float, now: float) -> None:
+    def go_on_from(self, window: Parts, share: float, now: float) -> None:
         """Go on from the copy that an owner out of sight has told until a moment ago.
 
-        :param window: parts of its window, oldest first.
         :param share: the share of the limit that it had.
         """
-        self.resumed = sum(window)
+        known = _known_part(share, self.share) if self.share < share else 1.0
+        self.copied = window
         self.surveyed = True
         self.window.resume(window, now)
-        if self.share < share:
-            known = _known_part(share, self.share)
-            self.before.resume(tuple(cost * known for cost in window), now)
+        self.before.resume(tuple(cost * known for cost in window), now)
 
     def _divide(self, share: float, now: float) -> None:
         """Divide with the other sides of a cut what is left of the window.
@@ -161,9 +199,11 @@
         for index in range(BUCKETS - unnoticed):
             parts[index] += known * (spent[index] - parts[index])
         self.before.resume(tuple(parts), now)
-        mine = self.mine.parts(now)
-        known_parts = BUCKETS - unnoticed
-        self.mine.resume((*(0.0 for _ in range(known_parts)), *mine[known_parts:]), now)
+
+
+def most_of_both(one: Parts, other: Parts) -> Parts:
+    """Give the larger of two windows' parts, each by itself."""
+    return tuple(max(pair) for pair in zip(one, other, strict=True))
 
 
 def _known_part(share_before: float, share: float) -> float:
@@ -183,7 +223,6 @@
     return Ledger(
         SpendingWindow(limits.window_s, number),
         SpendingWindow(limits.window_s),
-        SpendingWindow(limits.window_s),
         RankShares(limits.window_s),
         most,
         now,
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -68,6 +68,8 @@
         started only then.
     :param window: where this node was the owner until now, all that was leased in the window, in
         equal parts, oldest first.
+    :param own: the part of ``window`` that no other node tells of.
+    :param copied: whether ``window`` is this node's copy of an earlier owner's.
     """
 
     team: str
@@ -75,6 +77,8 @@
     cost: float
     known_s: float
     window: tuple[float, ...] = ()
+    own: tuple[float, ...] = ()
+    copied: bool = False
 
 
 class ToldWindow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -12,7 +12,15 @@
 
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.copies import WindowCopies, WindowTeller
-from chalkyoke.quotas.ledger import SHORT_SHARE, SHORT_WINDOW, Ledger, new_ledger
+from chalkyoke.quotas.ledger import (
+    NOTHING,
+    SHORT_SHARE,
+    SHORT_WINDOW,
+    Handed,
+    Ledger,
+    most_of_both,
+    new_ledger,
+)
 from chalkyoke.quotas.messages import (
     QuotaGrant,
     QuotaRequest,
@@ -21,7 +29,7 @@
     QuotaWindows,
     ToldWindow,
 )
-from chalkyoke.quotas.window import QuotaLimits, SpendingWindow
+from chalkyoke.quotas.window import QuotaLimits
 
 VALID_S = 0.5
 USED_SHARE = 0.8
@@ -72,6 +80,15 @@
     message: QuotaWindows
 
 
+@dataclass(slots=True)
+class _GivenUp:
+    """A ledger that this node kept until ``at``, and whether a new owner was told of it."""
+
+    ledger: Ledger
+    at: float
+    told: bool = False
+
+
 class QuotaOwner:
     """Lease cost to the nodes that ask.
 
@@ -87,7 +104,7 @@
         self._numbers = itertools.count(1)
         self._first_start = first_start
         self._ledgers: dict[str, Ledger] = {}
-        self._given_up: dict[str, tuple[float, SpendingWindow]] = {}
+        self._given_up: dict[str, _GivenUp] = {}
         self._teller = WindowTeller()
         self._copies = WindowCopies(limits.window_s)
 
@@ -102,18 +119,28 @@
         """Begin to be a team's owner."""
         self._ledger(team, presence, now)
 
-    def hand_over(self, team: str, now: float) -> tuple[float, ...]:
-        """Give the window of a team up to its new owner; nothing where this node has none.
-
-        A window of one side of a cut is not the whole: it is returned (:meth:`forget_others`).
+    def hand_over(self, team: str, now: float) -> Handed:
+        """Give the window of a team up to its new owner, which asks for it.
 
-        :return: its parts, oldest first.
+        Asked once more, this node tells the same window as one that others know of too.
         """
-        ledger = self._ledgers.pop(team, None)
-        if ledger is not None and ledger.share >= WHOLE_SHARE:
-            self._given_up[team] = (now, ledger.window)
+        self._give_up(team, now)
         kept = self._given_up.get(team)
-        return () if kept is None or now - kept[0] > KEPT_S else kept[1].parts(now)
+        held = NOTHING
+        if kept is not None and now - kept.at <= KEPT_S:
+            held = kept.ledger.window.parts(now)
+            if not kept.told:
+                kept.told = True
+                return Handed(held, kept.ledger.own(now))
+        copy = self._copies.find(team, now)
+        if copy is not None:
+            held = most_of_both(held, copy.window.parts(now))
+        return Handed(held, copied=True) if any(held) else Handed()
+
+    def _give_up(self, team: str, now: float, *, told: bool = False) -> None:
+        ledger = self._ledgers.pop(team, None)
+        if ledger is not None:
+            self._given_up[team] = _GivenUp(ledger, now, told=told)
 
     def ask(self, team: Team, message: QuotaRequest, presence: Presence, now: float) -> QuotaGrant:
         """Answer a node that asks for cost of a limited team.
@@ -128,12 +155,16 @@
             ledger.take_back(message.returned, now)
             ledger.ranks.lease(message.returned_rank, -message.returned, now)
             ledger.ranks.ask(message.returned_rank, -message.returned, now)
-        if message.alone > 0:
+        if message.alone > 0 and ledger.surveyed:
+            # A window that is assumed to be full has room for it.
             ledger.lease(message.alone, now)
         most = ledger.most * USED_SHARE
-        ledger.ranks.ask(message.rank, message.need, now)
         room = ledger.room(most, now)
-        if not self._is_cheap(team, message):
+        cheap = self._is_cheap(team, message)
+        if cheap:
+            ledger.ranks.ask_cheap(message.need, now)
+        else:
+            ledger.ranks.ask(message.rank, message.need, now)
             room = min(room, self._rank_left(ledger, message, most, now))
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
@@ -149,8 +180,9 @@
             )
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
         ledger.lease(amount, now)
-        ledger.ranks.ask(message.rank, amount - message.need, now)
-        ledger.ranks.lease(message.rank, amount, now)
+        if not cheap:
+            ledger.ranks.ask(message.rank, amount - message.need, now)
+            ledger.ranks.lease(message.rank, amount, now)
         return QuotaGrant(
             team.name, message.number, amount, 0.0, VALID_S, window.number, rank=message.rank
         )
@@ -204,7 +236,7 @@
         if ledger is None or now - ledger.began > SURVEY_S:
             return
         if message.window:
-            ledger.resume(message.window, now)
+            ledger.resume(Handed(message.window, message.own, message.copied), now)
         if ledger.surveyed:
             return
         ledger.told[message.host] = message
@@ -235,12 +267,13 @@
         """
         returned: list[QuotaReturned] = []
         for name in [each for each in self._ledgers if not mine(each)]:
-            ledger = self._ledgers[name]
-            if ledger.share < WHOLE_SHARE and ledger.mine.spent(now) > 0:
-                returned.append(QuotaReturned(name, ledger.share, ledger.mine.parts(now)))
-            self.hand_over(name, now)
-        for name, (since, _) in list(self._given_up.items()):
-            if now - since > KEPT_S:
+            ledger, own = self._ledgers[name], self._ledgers[name].own(now)
+            returns = ledger.share < WHOLE_SHARE and any(own)
+            if returns:
+                returned.append(QuotaReturned(name, ledger.share, own))
+            self._give_up(name, now, told=returns)
+        for name, kept in list(self._given_up.items()):
+            if now - kept.at > KEPT_S:
                 del self._given_up[name]
         return returned
 
@@ -260,13 +293,12 @@
         elif self._first_start and now < FIRST_OWNERS_S:
             ledger.surveyed = True
         else:
-            spent = most * USED_SHARE * presence.share * _assumed(presence.share)
-            ledger.window.assume(spent, now)
+            ledger.assume(most * USED_SHARE * _assumed(presence.share), now)
         return ledger
 
 
 def _assumed(share: float) -> float:
-    """Tell how much of its part of the window a new owner takes for spent.
+    """Tell how much of the window a new owner takes for spent.
 
     :param share: the share of the fleet that it sees.
     :rtype: float
--- a/packages/chalkyoke/src/chalkyoke/quotas/ranks.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ranks.py
@@ -21,6 +21,10 @@
 # wakes up is served at once. Four in 100 were kept before, by a fixed rule, and held.
 KEPT_SHARE = 0.04
 
+# What cheap requests may take before the ranks divide the rest, at most: at six times the usual
+# load those that name no tokens ask for a tenth of their team's quota.
+CHEAP_SHARE = 0.15
+
 
 @dataclass(slots=True)
 class _Rank:
@@ -36,9 +40,11 @@
     """
 
     window_s: float
+    _cheap: SpendingWindow = field(init=False)
     _ranks: list[_Rank] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        self._cheap = SpendingWindow(self.window_s)
         self._ranks = [
             _Rank(SpendingWindow(self.window_s), SpendingWindow(self.window_s))
             for _ in range(RANKS)
@@ -52,11 +58,16 @@
         """Note that cost that was asked for is leased for a request of a rank."""
         self._of(rank).leased.add(cost, now)
 
+    def ask_cheap(self, cost: float, now: float) -> None:
+        """Note that a request has asked for so little that it is never held back by its rank."""
+        self._cheap.add(cost, now)
+
     def scale(self, factor: float) -> None:
         """Multiply all that was asked for and leased, after a change of the limit."""
         for each in self._ranks:
             each.asked.scale(factor)
             each.leased.scale(factor)
+        self._cheap.scale(factor)
 
     def left(self, rank: int, most: float, now: float, within_s: float | None = None) -> float:
         """Tell how much a rank may still lease.
@@ -65,6 +76,7 @@
         :param within_s: length of the span that ends now; the whole window where none is given.
         """
         own = min(max(rank, 0), RANKS - 1)
+        most -= min(CHEAP_SHARE * most, self._cheap.spent(now, within_s))
         kept = KEPT_SHARE * most
         asking = self._ranks[: max(own, self._last(now)) + 1]
         asked = [max(kept, each.asked.spent(now, within_s)) for each in asking]
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -1,10 +1,12 @@
 """Nodes that share quotas in virtual time, with unequal traffic, kills and cuts."""
 
+import dataclasses
 import itertools
 
 from chalkyoke.catalog.resources import Team
 from chalkyoke.quotas.client import TELL_S
 from chalkyoke.quotas.leases import HeldLeases
+from chalkyoke.quotas.ledger import Handed
 from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
 from chalkyoke.quotas.owner import Presence, QuotaOwner
 from chalkyoke.quotas.window import QuotaLimits
@@ -153,8 +155,10 @@
         for other in self.side(owner.name):
             each = self.nodes[other]
             known = each.local(self.now)
-            window = each.owner.hand_over("t", known) if each is not owner else ()
-            spent = QuotaSpent("t", str(other), each.leases.spent("t", known), known, window)
+            handed = each.owner.hand_over("t", known) if each is not owner else Handed()
+            spent = QuotaSpent(
+                "t", str(other), each.leases.spent("t", known), known, *dataclasses.astuple(handed)
+            )
             owner.owner.take_spent(self.team, spent, presence, owner.local(self.now))
 
     def worst_window(self, since=0.0):
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -243,3 +243,14 @@
             waiting.sort(key=lambda each: each[0])
         fleet.now += rng.expovariate(6.0 * TEAM.rate_per_s / 3350)
     assert 0.6 * MOST < fleet.worst_window() <= MOST
+
+
+def test_owners_that_move_while_a_host_is_missing_refuse_nobody():
+    """A window is handed over in spite of the missing share; the host may be starting again."""
+    fleet = Fleet()
+    fleet.team = dataclasses.replace(TEAM, rate_per_s=200_000, burst=200_000)
+    fleet.lose(8)
+    events = [(10.0 + 2 * n, lambda fleet, n=n: fleet.leave(n)) for n in range(8)]
+    play(fleet, 4.0, 30, events=events)
+    late = [at for at, _ in fleet.refused if at > 9.0]
+    assert len(late) <= 0.01 * len(fleet.passed)
