Tell the next in line what a pool's scheduler has learned

Cause: after a zone cut, and after a scheduler is killed, its successor knew no engine's speed, since only the lost one could tell; with engines 4.4 times apart it takes seconds to learn anew, and long prompts go to slow engines meanwhile. Change: a pool's owner tells the two next in line once a second (some 20 bytes an engine); they keep it without scheduling, and start from it. Tests: three of the scheduler host, two red before.

--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -33,6 +33,11 @@
 from chalkyoke.scheduling.state import PoolSpec
 
 KEEP_S = 5.0
+# How often a pool's scheduler tells those that may succeed it what it has learned, in seconds. An
+# engine's speed is known after some first outputs, which takes about as long.
+TELL_LEARNED_S = 1.0
+# How many processes are told: the next in line of another failure domain and of the own one.
+SUCCESSORS = 2
 
 log = logger("schedulers")
 
@@ -92,6 +97,8 @@
         self._random = source
         self._features = features
         self._acknowledge = acknowledge
+        self._learned: dict[str, Learned] = {}
+        self._tell_learned_at = 0.0
 
     # The port that the entry slice uses.
 
@@ -135,6 +142,9 @@
         :param entry: id of the entry process.
         :param domain: its failure domain.
         """
+        if isinstance(message, Learned) and message.pool not in self.pools:
+            self._learned[message.pool] = message
+            return
         scheduler = self._scheduler(message.pool)
         if scheduler is None:
             if isinstance(message, Acquire):
@@ -170,6 +180,20 @@
         for name, scheduler in list(self.pools.items()):
             self.dispatch(scheduler.tick(now))
             self._drop_disowned(name, now)
+        if now >= self._tell_learned_at:
+            self._tell_learned_at = now + TELL_LEARNED_S
+            self._tell_successors()
+
+    def _tell_successors(self) -> None:
+        """Tell what is learned to those that schedule the pools when this process is lost."""
+        for name, scheduler in self.pools.items():
+            owners = [each.process for each in self._view.pool_owners(name)]
+            if owners[:1] != [self._process]:
+                continue
+            learned = scheduler.learned()
+            for process in owners[1 : 1 + SUCCESSORS]:
+                if learned.speeds:
+                    self.send(process, learned)
 
     def reconfigure(self) -> None:
         """Tell each scheduler of a new configuration or host list."""
@@ -218,6 +242,9 @@
         expected = [record.process for record in self._view.live()]
         scheduler = PoolScheduler(spec, self._random, self._now(), expected, self._features)
         self.pools[pool] = scheduler
+        learned = self._learned.pop(pool, None)
+        if learned is not None:
+            scheduler.take_over(learned)
         self._ask_running(pool)
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
         log.info("pool_taken", pool=pool)
