--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -287,3 +287,11 @@
     assert granted(ask(scheduler, name="stream", tier="0")) == [SLOW]
     long = {"prompt_tokens": 9000, "goal_s": 0.8, "tier": "0"}
     assert granted(ask(scheduler, name="long", now=0.0, **long)) == [SLOW]
+
+
+def test_a_new_scheduler_waits_no_longer_than_a_short_aim_for_those_that_are_lost():
+    pool = make([upstream(FAST)])
+    lost = PoolScheduler(pool.spec, lambda: 0.5, 0.0, ["e1", "gone"], FEATURES)
+    assert lost.acquire("e1", "z", acquire("q1", goal_s=0.3), 0.01) == []
+    outs = lost.tick(0.11)
+    assert [out.action.request for out in outs] == ["q1"]
