--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -45,9 +45,9 @@
 )
 
 ADOPTED_DEADLINE_S = 5.0
-# How long a new scheduler waits for entry processes to tell what they have running, in seconds. They
-# answer within a few milliseconds; those that are lost never do, and an aim may be 0.3 s. What is
-# told later costs some overcommit for a moment.
+# How long a new scheduler waits for entry processes to tell what they have running, in seconds.
+# They answer within a few milliseconds; those that are lost never do, and an aim may be 0.3 s.
+# What is told later costs some overcommit for a moment.
 SETTLE_S = 0.1
 MAX_LOOKED = 8
 LOST_RELEASE_S = 3.0
