--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -4,6 +4,8 @@
 from chalkyoke.http1.messages import AnswerHead
 from chalkyoke.http1.server import ServerConnection, ServerLimits
 
+from tests import virtual
+
 from .transports import KeptTransport
 
 LIMITS = ServerLimits(header_bytes=400, body_bytes=50, header_timeout_s=0.02, idle_timeout_s=5)
@@ -54,7 +56,7 @@
 
 
 def run(check):
-    asyncio.run(check())
+    virtual.run(check)
 
 
 POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
