Refuse at once what has tried all replicas and can connect to none

Change: a request that has tried every replica, all of them out of reach now, gets its true refusal; a new request still tries once. Test red before.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -73,6 +73,19 @@
             return None
         return best[1]
 
+    def out_of_reach(
+        self, replicas: Iterable[Replica], now: float, *, tried: Collection[str]
+    ) -> bool:
+        """Tell whether a request has tried all replicas and none can be connected to.
+
+        Another try at once would only wait for one more time-out.
+
+        :param tried: replicas that the request has tried.
+        """
+        return all(
+            each.id in tried and now < self.seen(each.id).unreachable_until for each in replicas
+        )
+
     def forget(self, kept: Collection[str]) -> None:
         """Drop what is known of replicas that are gone."""
         for name in [each for each in self._seen if each not in kept]:
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -267,6 +267,8 @@
         bound = self._own_part if service.is_engine else None
         while True:
             replicas = self._replicas.of(service.name)
+            if replicas and self._balancer.out_of_reach(replicas, self._now(), tried=avoid):
+                return Denied("replicas out of reach", DEFAULT_RETRY_S)
             chosen = self._balancer.choose(
                 replicas, self._now(), avoid=avoid, most_outstanding=bound
             )
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -88,3 +88,20 @@
         assert len(schedulers.asked) <= 12
 
     virtual.run(main)
+
+
+def test_a_request_that_has_found_no_replica_in_reach_is_refused_at_once():
+    """Before, it tried the one replica of a cut-off domain again and again until its end."""
+
+    async def main():
+        grants = grants_before(Schedulers(answers_from=99.0), pooled=False)
+        loop = asyncio.get_running_loop()
+        for each in REPLICAS:
+            grants._balancer.seen(each.id).note_unreachable(loop.time())
+        first = await grants.acquire(admission(1, 5.0), 1, [])
+        assert isinstance(first, Granted), "one try: the list may know better than this node"
+        second = await grants.acquire(admission(2, 5.0), 2, ["m0", "m1"])
+        assert second == Denied("replicas out of reach", 0.5)
+        assert loop.time() < 0.01
+
+    virtual.run(main)
