--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from chalkyoke.catalog.resources import Team
+from chalkyoke.logs import logger
 from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.messages import (
     QuotaGrant,
@@ -24,6 +25,8 @@
 )
 from chalkyoke.quotas.owner import Presence, QuotaOwner
 
+log = logger("quotas")
+
 ANSWER_S = 0.03
 LAST_ANSWER_S = 0.12
 AVOID_S = 0.3
@@ -219,7 +222,9 @@
             self._port.send(sender, self._spent(message.team))
             return
         if isinstance(message, QuotaReturned):
+            before = self._owner.spent(message.team, self._now())
             self._owner.take_returned(message, self._now())
+            self._note_window(message.team, "returned", before, told_by=sender)
             return
         if isinstance(message, QuotaWindows):
             self._owner.take_windows(message, self._now())
@@ -228,7 +233,11 @@
         if team is None or team.rate_per_s <= 0:
             return
         if isinstance(message, QuotaSpent):
+            before = self._owner.spent(message.team, self._now())
             self._owner.take_spent(team, message, self._port.presence(), self._now())
+            if message.window:
+                how = "copied" if message.copied else "handed over"
+                self._note_window(message.team, how, before, told_by=sender)
             return
         self._port.send(sender, self._answer(team, message))
 
@@ -244,9 +253,24 @@
         mine = self._spent(team.name)
         self._owner.open(team, self._port.presence(), self._now())
         self._owner.take_spent(team, mine, self._port.presence(), self._now())
+        self._note_window(team.name, "opened", -1.0)
         for address in self._port.others():
             self._port.send(address, QuotaSurvey(team.name))
 
+    def _note_window(self, team: str, how: str, before: float, told_by: str = "") -> None:
+        """Log that this node believes something else of what a team has spent."""
+        spent = self._owner.spent(team, self._now())
+        if spent != before:
+            log.info(
+                "quota_window",
+                team=team,
+                how=how,
+                told_by=told_by,
+                before=round(before),
+                spent=round(spent),
+                share=round(self._port.presence().share, 3),
+            )
+
     def _spent(self, team: str) -> QuotaSpent:
         now = self._now()
         handed = self._owner.hand_over(team, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -187,6 +187,11 @@
             team.name, message.number, amount, 0.0, VALID_S, window.number, rank=message.rank
         )
 
+    def spent(self, team: str, now: float) -> float:
+        """Tell what this node counts in a team's window; 0 where it is not the owner."""
+        ledger = self._ledgers.get(team)
+        return 0.0 if ledger is None else ledger.window.spent(now)
+
     def tell_windows(self, successors: Callable[[str], Iterable[str]], now: float) -> list[Telling]:
         """Word what has changed in the windows of this node's teams, for their successors.
 
