Of several windows handed over the fuller one counts; a leaving last node of a domain is heard

The only node of a failure domain was stopping and told no other domain so (a leaving node does not report, and nobody else was there), so two nodes owned the team for 2.5 s and took the window from each other some thirty times; each time the larger of each part of two windows was taken, whose clocks are a part's length off, and spending counted twice at the edges. Change: the fuller of two windows as a whole; where all nodes of a domain leave, they report. Tests: both red before.

--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -119,6 +119,16 @@
     assert view.pool_owner("any").host == "h"
 
 
+def test_the_last_of_a_failure_domain_is_heard_when_it_leaves():
+    """Before, it told nobody, and was taken for the owner of duties for 2.5 s more."""
+    fleet = Fleet({"d1": ["a1", "a2"], "d2": ["b1"]})
+    fleet.run(3)
+    fleet.views["b1"].update_self(leaving=True)
+    fleet.run(0.5)
+    for viewer in ("a1", "a2"):
+        assert fleet.views[viewer].find("b1").leaving
+
+
 def test_few_pools_move_when_a_host_goes():
     hosts = [f"h{i}" for i in range(10)]
     pools = [f"p{i}" for i in range(300)]
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -300,7 +300,10 @@
     def _is_reporter(self) -> bool:
         if self._is_newcomer():
             return False
-        hosts = [each.host for each in self._own_domain() if not each.leaving]
+        own = self._own_domain()
+        # Where all of a failure domain stop on plan, others still have to hear of it.
+        staying = [each for each in own if not each.leaving] or own
+        hosts = [each.host for each in staying]
         return self.record.host in ranked(f"reporter/{self.domain}", hosts)[:REPORTERS]
 
     def _own_digest(self) -> Digest:
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -153,23 +153,23 @@
         """Go on from what an earlier owner, or a copy of its window, tells.
 
         Of several owners, what each alone can tell of adds up, and the rest is the same spending,
-        seen by one a moment longer than by another. Copies count only while no owner tells of
-        spending of its own: what they hold is in it.
+        seen by one a moment longer than by another: the fuller one counts. Copies count only
+        while no owner tells of spending of its own: what they hold is in it.
         """
         if not any(handed.window):
             return
         if handed.copied:
-            self.copied = most_of_both(self.copied, handed.window)
+            self.copied = fuller(self.copied, handed.window)
         else:
             rest = handed.own or NOTHING
             common = tuple(a - b for a, b in zip(handed.window, rest, strict=True))
-            self.common = most_of_both(self.common, common)
+            self.common = fuller(self.common, common)
             self.others_own = tuple(a + b for a, b in zip(self.others_own, rest, strict=True))
         if any(self.others_own):
             pairs = zip(self.common, self.others_own, strict=True)
             spent = tuple(a + b for a, b in pairs)
         else:
-            spent = most_of_both(self.common, self.copied)
+            spent = fuller(self.common, self.copied)
         self.surveyed = True
         self.window.resume(spent, now)
         self.before.resume(spent, now)
@@ -201,9 +201,13 @@
         self.before.resume(tuple(parts), now)
 
 
-def most_of_both(one: Parts, other: Parts) -> Parts:
-    """Give the larger of two windows' parts, each by itself."""
-    return tuple(max(pair) for pair in zip(one, other, strict=True))
+def fuller(one: Parts, other: Parts) -> Parts:
+    """Give the window of two in which more was spent.
+
+    Not the larger of each part: the clocks of two nodes are a part of the window's parts' length
+    off, and the same spending would count twice at their edges.
+    """
+    return one if sum(one) >= sum(other) else other
 
 
 def _known_part(share_before: float, share: float) -> float:
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -18,7 +18,7 @@
     SHORT_WINDOW,
     Handed,
     Ledger,
-    most_of_both,
+    fuller,
     new_ledger,
 )
 from chalkyoke.quotas.messages import (
@@ -134,7 +134,7 @@
                 return Handed(held, kept.ledger.own(now))
         copy = self._copies.find(team, now)
         if copy is not None:
-            held = most_of_both(held, copy.window.parts(now))
+            held = fuller(held, copy.window.parts(now))
         return Handed(held, copied=True) if any(held) else Handed()
 
     def _give_up(self, team: str, now: float, *, told: bool = False) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -2,8 +2,10 @@
 import random
 
 import pytest
+from chalkyoke.quotas.ledger import Handed, new_ledger
 from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
 from chalkyoke.quotas.owner import Presence, QuotaOwner
+from chalkyoke.quotas.window import BUCKETS
 
 from .fleet import LIMITS, TEAM, Fleet
 
@@ -254,3 +256,14 @@
     play(fleet, 4.0, 30, events=events)
     late = [at for at, _ in fleet.refused if at > 9.0]
     assert len(late) <= 0.01 * len(fleet.passed)
+
+
+@pytest.mark.parametrize("copied", [True, False])
+def test_the_same_spending_seen_by_two_clocks_counts_once(copied):
+    """Two nodes tell one window, the edges of its parts a little apart."""
+    ledger = new_ledger(LIMITS, 1, MOST, 1.0, 10.0)
+    spikes = tuple(9000.0 if part % 4 == 0 else 0.0 for part in range(BUCKETS))
+    shifted = (*spikes[1:], 0.0)
+    ledger.resume(Handed(spikes, copied=copied), 10.0)
+    ledger.resume(Handed(shifted, copied=copied), 10.0)
+    assert ledger.window.spent(10.0) == sum(spikes)
