Failed try: shares of a scarce quota by rank; bands of 4 in 100 again

Weighted max-min shares by rank, fixed weights and in proportion to what is asked. Reverted: the fixed bands with cheap requests exempt, and their test, stand as before. Windows, copies, refunds stay.

--- a/packages/chalkyoke/src/chalkyoke/quotas/leases.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/leases.py
@@ -27,7 +27,6 @@
     demand_at: float = 0.0
     version: int = 0
     lease_of: int = 0
-    rank: int = 0
 
 
 class HeldLeases:
@@ -87,14 +86,14 @@
         """
         return self._of(team.name).demand_per_s * AHEAD_S
 
-    def give_back(self, team: str) -> tuple[float, int, int]:
+    def give_back(self, team: str) -> tuple[float, int]:
         """Empty a lease that is not enough or over, to return what is left of it.
 
-        :return: what is left, the window that it is of, and the rank for which it was given.
+        :return: what is left, and the window that it is of.
         """
         held = self._of(team)
         left, held.balance = held.balance, 0.0
-        return left, held.lease_of, held.rank
+        return left, held.lease_of
 
     def keep(self, grant: QuotaGrant, now: float) -> None:
         """Add a lease to what may be spent."""
@@ -104,7 +103,6 @@
         if held.lease_of != grant.lease_of:
             held.balance, held.lease_of = 0.0, grant.lease_of
         held.balance += grant.amount
-        held.rank = grant.rank
         held.until = now + grant.valid_s
 
     def take(self, grant: QuotaGrant, cost: float, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field
 
 from chalkyoke.quotas.messages import QuotaSpent
-from chalkyoke.quotas.ranks import RankShares
 from chalkyoke.quotas.window import BUCKETS, QuotaLimits, SpendingWindow
 
 # How long a cut may go unnoticed, in seconds: ten heartbeats of another failure domain
@@ -52,7 +51,6 @@
         the other side of a cut may have spent its share until the cut healed.
     :param share_at: when ``share`` was true.
     :param surveyed: whether what was spent before is known.
-    :param ranks: what each rank of the team's requests asked for and got.
     :param before: the part of ``window`` that others know of and count too: what was spent before
         a cut, and what was only assumed or taken over.
     :ivar returned: shares of other sides that came back; used as these sides come in sight.
@@ -65,7 +63,6 @@
 
     window: SpendingWindow
     before: SpendingWindow
-    ranks: RankShares
     most: float
     began: float
     share: float
@@ -87,7 +84,6 @@
         if most < self.most:
             self.window.scale(most / self.most)
             self.before.scale(most / self.most)
-            self.ranks.scale(most / self.most)
         self.most = most
 
     def follow_share(self, share: float, now: float) -> None:
@@ -227,7 +223,6 @@
     return Ledger(
         SpendingWindow(limits.window_s, number),
         SpendingWindow(limits.window_s),
-        RankShares(limits.window_s),
         most,
         now,
         share,
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -17,7 +17,6 @@
     :param returned: what is left of earlier leases and comes back with this question.
     :param rank: how urgent the request's route is; the less urgent are refused first.
     :param version: configuration version by which the asking node judges.
-    :param returned_rank: the rank for which those leases were given.
     :param alone: cost that the node has spent from its own share, while no owner answered.
     """
 
@@ -29,7 +28,6 @@
     rank: int = 0
     returned: float = 0.0
     lease_of: int = 0
-    returned_rank: int = 0
     alone: float = 0.0
 
 
@@ -40,7 +38,6 @@
     :param lease_of: names the window that the lease is of.
     :param valid_s: how long what is left of the lease may be spent.
     :param spent: what the owner counts in the window.
-    :param rank: the rank of the request that asked.
     :param most: what it leases in a window at most.
     """
 
@@ -52,7 +49,6 @@
     lease_of: int = 0
     spent: float = 0.0
     most: float = 0.0
-    rank: int = 0
 
 
 class QuotaSurvey(msgspec.Struct, frozen=True, array_like=True, tag="quota_survey"):
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -14,8 +14,6 @@
 from chalkyoke.quotas.copies import WindowCopies, WindowTeller
 from chalkyoke.quotas.ledger import (
     NOTHING,
-    SHORT_SHARE,
-    SHORT_WINDOW,
     Handed,
     Ledger,
     fuller,
@@ -38,6 +36,8 @@
 # what was spent before. Whoever sees most of the fleet may be the successor of a dead owner.
 MINOR_SHARE = 0.5
 MAJOR_SHARE = 0.72
+HELD_PER_RANK = 0.04
+MOST_RANKS_HELD = 3
 CHEAP_COSTS = 3.0
 SPARE_DIVISOR = 8.0
 SURVEY_S = 1.0
@@ -153,19 +153,14 @@
         ledger.follow_limit(self.limits.most(team.rate_per_s, team.burst))
         if message.lease_of == window.number:
             ledger.take_back(message.returned, now)
-            ledger.ranks.lease(message.returned_rank, -message.returned, now)
-            ledger.ranks.ask(message.returned_rank, -message.returned, now)
         if message.alone > 0 and ledger.surveyed:
             # A window that is assumed to be full has room for it.
             ledger.lease(message.alone, now)
-        most = ledger.most * USED_SHARE
-        room = ledger.room(most, now)
+        # The less urgent are refused first: a part of the window is kept for the others.
         cheap = self._is_cheap(team, message)
-        if cheap:
-            ledger.ranks.ask_cheap(message.need, now)
-        else:
-            ledger.ranks.ask(message.rank, message.need, now)
-            room = min(room, self._rank_left(ledger, message, most, now))
+        ranks_held = 0 if cheap else min(message.rank, MOST_RANKS_HELD)
+        most = ledger.most * USED_SHARE * (1.0 - HELD_PER_RANK * ranks_held)
+        room = ledger.room(most, now)
         if room < message.need:
             retry = max(MIN_RETRY_S, window.free_in_s(message.need - room, now))
             return QuotaGrant(
@@ -180,12 +175,7 @@
             )
         amount = message.need + min(message.ahead, (room - message.need) / SPARE_DIVISOR)
         ledger.lease(amount, now)
-        if not cheap:
-            ledger.ranks.ask(message.rank, amount - message.need, now)
-            ledger.ranks.lease(message.rank, amount, now)
-        return QuotaGrant(
-            team.name, message.number, amount, 0.0, VALID_S, window.number, rank=message.rank
-        )
+        return QuotaGrant(team.name, message.number, amount, 0.0, VALID_S, window.number)
 
     def spent(self, team: str, now: float) -> float:
         """Tell what this node counts in a team's window; 0 where it is not the owner."""
@@ -215,16 +205,6 @@
         for told in message.windows:
             self._copies.take(told, now)
 
-    def _rank_left(self, ledger: Ledger, message: QuotaRequest, most: float, now: float) -> float:
-        """Tell how much of this side's part a request's rank may still lease."""
-        ranks = ledger.ranks
-        short_s = self.limits.window_s * SHORT_WINDOW
-        short = ledger.share * SHORT_SHARE * most
-        return min(
-            ranks.left(message.rank, ledger.allowed(most, now), now),
-            ranks.left(message.rank, short, now, short_s),
-        )
-
     def _is_cheap(self, team: Team, message: QuotaRequest) -> bool:
         """Tell whether a request costs so little that refusing it makes no room for others."""
         return message.need <= CHEAP_COSTS * team.plain_cost
