Long work takes the upstream that finishes it soonest, not the slowest that meets its goal

The rule was made for chats beside unlike engines. Change: the rule and what only it used (a cap of the answer's length, a margin) are gone; long work of lower tiers still leaves slots free. The test of the old rule is replaced by one of the new.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -20,7 +20,6 @@
 HARM = 1e3
 GAP_SHARE = 0.65
 TIER_WEIGHT = 0.5
-SPARE_FIRSTS = 1.0
 RISK = 0.5
 
 
@@ -68,8 +67,7 @@
     :param predict: place by predicted finish; else by the fewest running.
     :param late_last: what would be late waits for all that would not, whatever its tier; else for
         its own tier only.
-    :param headroom: long work of lower tiers leaves slots free, and goes to the slowest upstream
-        that meets its goal.
+    :param headroom: long work of lower tiers leaves slots free for higher ones.
     :param parts: learn the parts of prefill apart, for all upstreams of a service together.
     :param early: refuse at arrival what would wait beyond its goal, while a new attempt of its
         caller can still be in time.
@@ -187,8 +185,7 @@
         prediction = predict(item, upstream, cached, occupied + 1, now)
         score = float(occupied)
         if features.predict:
-            modest = features.headroom and item.long
-            score = _score(item, upstream, prediction, cached, now, modest=modest)
+            score = _score(item, upstream, prediction, cached, now)
         if best is None or score < best[0]:
             best = (score, upstream, prediction)
 
@@ -216,27 +213,20 @@
     prediction: Prediction,
     cached_blocks: int,
     now: float,
-    *,
-    modest: bool,
 ) -> float:
     """Score an upstream for a request; the least is the best.
 
     With a goal, an upstream that meets it goes before each that may not: one first output in ten
     takes twice as long as predicted. Among those, one goes before each where reading the prompt
     would make a pause in other streams that they can't bear.
-
-    :param modest: take the slowest upstream that meets the goal with some to spare.
     """
     if not item.has_goal:
         return prediction.finish_s
     missed = missed_by(item, now, prediction)
     if missed > -prediction.first_s * RISK or now + prediction.cautious_s > item.whole:
         return MISSED_GOAL + missed
-    score = prediction.finish_s
-    if modest and missed < -prediction.first_s * SPARE_FIRSTS and _fits(item, upstream, now):
-        score = -prediction.finish_s
     harmed = held_up_by(item, upstream, cached_blocks, now)
-    return score + HARM * sum(TIER_WEIGHT**each.tier_index for each in harmed)
+    return prediction.finish_s + HARM * sum(TIER_WEIGHT**each.tier_index for each in harmed)
 
 
 def held_up_by(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> list[Running]:
@@ -257,12 +247,6 @@
     ]
 
 
-def _fits(item: Waiting, upstream: Upstream, now: float) -> bool:
-    """Tell whether the longest answer that a request may have would be whole in time."""
-    streams = upstream.spec.slots
-    return now + item.most_output * upstream.speed.token_time(streams) <= item.whole
-
-
 def _pause(item: Waiting, upstream: Upstream, cached_blocks: int, now: float) -> float:
     """Predict the pause that reading a prompt makes in the streams beside it, in seconds.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -54,14 +54,6 @@
 SILENT_S = 10.0
 SWEEP_S = 1.0
 FOREIGN_VALID_S = 5.0
-HINT_MOST = 4
-
-
-def _most_output(message: Acquire) -> int:
-    """Bound an answer's length: by the caller's limit, and by some times its own estimate."""
-    if not message.likely_output:
-        return message.max_output
-    return min(message.max_output, HINT_MOST * message.likely_output)
 
 
 class PoolScheduler:
@@ -359,7 +351,6 @@
             comes_back_s=message.comes_back_s,
             gap_goal=message.gap_goal_s or math.inf,
             whole=now + message.whole_s if message.whole_s else math.inf,
-            most_output=_most_output(message),
             fingerprint=message.fingerprint,
             long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -121,7 +121,6 @@
     :param whole: when the whole answer is due, on the scheduler's own clock.
     :param fingerprint: the same for each attempt of one caller at one thing; 0 where not known.
     :param returning: whether it comes back after a refusal that told it when.
-    :param most_output: output tokens at most.
     :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
 
@@ -146,7 +145,6 @@
     comes_back_s: float = 0.0
     gap_goal: float = math.inf
     whole: float = math.inf
-    most_output: int = 0
     fingerprint: int = 0
     returning: bool = False
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -130,10 +130,14 @@
     assert granted(short) == [FAST]
 
 
-def test_long_low_work_takes_the_slowest_upstream_that_meets_its_goal():
+def test_long_low_work_takes_the_upstream_that_finishes_it_soonest():
+    """It held a slow upstream's slot for several times as long before, and its streams had pauses
+    that they could not bear.
+    """
     scheduler = make([upstream(FAST), upstream(SLOW, prefill=14_000.0, decode=100.0)])
-    assert granted(ask(scheduler, name="long", likely_output=300)) == [SLOW]
+    assert granted(ask(scheduler, name="long", likely_output=300)) == [FAST]
     assert granted(ask(scheduler, name="short", likely_output=10)) == [FAST]
+    assert granted(ask(scheduler, name="third", likely_output=300)) == [SLOW]
 
 
 def test_an_answer_that_a_slow_upstream_could_not_finish_in_time_goes_to_a_fast_one():
