--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -8,8 +8,6 @@
 import math
 from dataclasses import dataclass
 
-from chalkyoke.scheduling.prefill import PrefillShape
-
 SPEED_GAIN = 0.4
 FULL_SAMPLE_TOKENS = 40.0
 PREFILL_GAIN = 0.15
@@ -36,9 +34,9 @@
     """Predict how long one upstream takes, and correct the prediction by what it does.
 
     The time of one output token is linear in the number of streams (continuous batching), times a
-    learned factor; the time to the first one is the service's (:class:`PrefillShape`) times
-    another learned factor. Both factors are exponentially weighted in the logarithm, so that five
-    times slower and five times faster weigh the same.
+    learned factor; the time of one prompt token is a constant times another learned factor. Both
+    factors are exponentially weighted in the logarithm, so that five times slower and five times
+    faster weigh the same.
 
     :param prefill_tokens_per_s: first guess.
     :param decode_tokens_per_s: first guess for a single stream.
@@ -46,16 +44,17 @@
     :param slots: streams at most.
     :param setup_s: first guess of what a request takes besides its tokens, in seconds.
     :param attention_s_per_pair: first guess of what each pair of prompt tokens takes, in seconds.
-    :param shape: the parts of prefill that upstreams of one service share and learn together.
     """
 
     __slots__ = (
+        "_attention",
         "_base",
         "_firsts",
+        "_prefill",
+        "_setup",
         "_slope",
         "decode_factor",
         "prefill_factor",
-        "shape",
     )
 
     def __init__(
@@ -66,11 +65,11 @@
         slots: int,
         setup_s: float = 0.0,
         attention_s_per_pair: float = 0.0,
-        shape: PrefillShape | None = None,
     ) -> None:
-        guess = PrefillShape(setup_s, 1.0 / prefill_tokens_per_s, attention_s_per_pair)
-        self.shape = shape or guess
+        self._setup = setup_s
+        self._attention = attention_s_per_pair
         self._firsts = 0
+        self._prefill = 1.0 / prefill_tokens_per_s
         self._base = 1.0 / decode_tokens_per_s
         self._slope = (batch_slowdown - 1.0) / max(1, slots - 1)
         self.prefill_factor = 1.0
@@ -89,7 +88,7 @@
 
         :return: seconds.
         """
-        return tokens * self.shape.token_s * self.prefill_factor
+        return tokens * self._prefill * self.prefill_factor
 
     def first_time(self, tokens: float, before: float) -> float:
         """Predict the time until the first output token.
@@ -98,7 +97,8 @@
         :param before: prompt tokens of other requests that are read first.
         :return: seconds.
         """
-        return self.shape.first_s(tokens, before) * self.prefill_factor
+        own = self.read_time(tokens, tokens)
+        return self._setup * self.prefill_factor + own + self.prefill_time(before)
 
     def read_time(self, tokens: float, context: float) -> float:
         """Predict the time to read prompt tokens against a context.
@@ -106,7 +106,8 @@
         :param context: prompt tokens that each of them attends to, at most.
         :return: seconds.
         """
-        return self.shape.read_s(tokens, context) * self.prefill_factor
+        pairs = self._attention * tokens * context * self.prefill_factor
+        return pairs + self.prefill_time(tokens)
 
     @property
     def samples(self) -> int:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -139,19 +139,10 @@
         upstream.note_stall(upstream.speed.prefill_time(item.prefill_left), now)
         item.stalls_seen = upstream.stall_s
         if self._features.learn:
-            self._learn_prefill(item, upstream, first_s)
+            upstream.speed.learn_first(item.expected_first_s, first_s)
         item.elapsed_s = first_s
         item.output_tokens = 1
 
-    def _learn_prefill(self, item: Running, upstream: Upstream, first_s: float) -> None:
-        """Learn from the time to a first output: the upstream's speed, and the common parts."""
-        if item.expected_first_s <= 0:
-            return
-        ratio = first_s / item.expected_first_s
-        if self._features.parts:
-            upstream.speed.shape.learn(item.prefill_left, item.prefill_before, ratio)
-        upstream.speed.learn_first(item.expected_first_s, first_s)
-
     def _note_progress(
         self, item: Running, seen: ProgressItem, samples: dict[str, TokenSample]
     ) -> None:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -183,25 +183,11 @@
     samples: int
 
 
-class LearnedShape(msgspec.Struct, frozen=True, array_like=True):
-    """How long engines of one kind have been found to take for a prompt.
-
-    :param guess: the first guesses of its parts, which name the kind.
-    :param parts: seconds for each request, each prompt token and each pair of them.
-    :param samples: how many prompts this is learned from.
-    """
-
-    guess: tuple[float, float, float]
-    parts: tuple[float, float, float]
-    samples: int
-
-
 class Learned(msgspec.Struct, frozen=True, array_like=True, tag="learned"):
     """What an earlier scheduler of a pool tells its successor."""
 
     pool: str
     speeds: tuple[LearnedSpeed, ...]
-    shapes: tuple[LearnedShape, ...] = ()
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -68,7 +68,6 @@
     :param late_last: what would be late waits for all that would not, whatever its tier; else for
         its own tier only.
     :param headroom: long work of lower tiers leaves slots free for higher ones.
-    :param parts: learn the parts of prefill apart, for all upstreams of a service together.
     :param early: refuse at arrival what would wait beyond its goal, while a new attempt of its
         caller can still be in time.
     """
@@ -83,7 +82,6 @@
     late_last: bool = True
     headroom: bool = False
     early: bool = False
-    parts: bool = True
 
 
 def prompt_left(item: Waiting, cached_blocks: int) -> int:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -8,7 +8,6 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.scheduling.estimates import SpeedModel
-from chalkyoke.scheduling.prefill import PrefillParts, PrefillShape
 from chalkyoke.scheduling.prefixes import PrefixIndex
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.state import PoolSpec, Running, Upstream, UpstreamSpec, Waiting
@@ -26,7 +25,6 @@
     :ivar counts: waiting requests by (rank, route).
     :ivar eligible: upstreams by route, in the order of their ids.
     :ivar overlaps: pairs of routes that share an upstream.
-    :ivar shapes: the learned parts of prefill, by the first guesses that upstreams share.
     """
 
     def __init__(self, spec: PoolSpec) -> None:
@@ -37,7 +35,6 @@
         self.counts: dict[tuple[int, str], int] = {}
         self.running: dict[str, Running] = {}
         self.team_running: dict[str, int] = {}
-        self.shapes: dict[PrefillParts, PrefillShape] = {}
         self.configure(spec)
 
     def configure(self, spec: PoolSpec) -> None:
@@ -183,20 +180,22 @@
             self.prefixes.remove_upstream(name)
 
     def _new_speed(self, spec: UpstreamSpec) -> SpeedModel:
-        """Make the speed model of a new upstream, as fast as most of those that are known."""
-        guess = (spec.setup_s, 1.0 / spec.prefill_tokens_per_s, spec.attention_s_per_pair)
-        shape = self.shapes.setdefault(guess, PrefillShape(*guess))
+        """Make the speed model of a new upstream, as fast as most of those that are known.
+
+        Known are those with the same first guesses, which their factors correct.
+        """
         speed = SpeedModel(
             spec.prefill_tokens_per_s,
             spec.decode_tokens_per_s,
             spec.batch_slowdown,
             spec.slots,
-            shape=shape,
+            spec.setup_s,
+            spec.attention_s_per_pair,
         )
         known = [
             each.speed
             for each in self.upstreams.values()
-            if each.speed.shape is shape and each.speed.samples >= KNOWN_SAMPLES
+            if each.speed.samples >= KNOWN_SAMPLES and _guesses(each.spec) == _guesses(spec)
         ]
         if known:
             speed.prefill_factor = statistics.median(each.prefill_factor for each in known)
@@ -209,3 +208,12 @@
         count = max(1, len(specs))
         self._prefill_cost = sum(1 / spec.prefill_tokens_per_s for spec in specs) / count
         self._decode_cost = sum(1 / spec.decode_tokens_per_s for spec in specs) / count
+
+
+def _guesses(spec: UpstreamSpec) -> tuple[float, ...]:
+    return (
+        spec.prefill_tokens_per_s,
+        spec.decode_tokens_per_s,
+        spec.setup_s,
+        spec.attention_s_per_pair,
+    )
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -18,7 +18,6 @@
     FirstOutput,
     Grant,
     Learned,
-    LearnedShape,
     LearnedSpeed,
     LoadReport,
     Progress,
@@ -249,19 +248,10 @@
             for name, each in self._pool.upstreams.items()
             if each.speed.samples
         )
-        shapes = tuple(
-            LearnedShape(guess, shape.parts, shape.samples)
-            for guess, shape in self._pool.shapes.items()
-            if shape.samples
-        )
-        return Learned(self.spec.name, speeds, shapes)
+        return Learned(self.spec.name, speeds)
 
     def take_over(self, message: Learned) -> None:
         """Take what an earlier scheduler has learned."""
-        for learned in message.shapes:
-            shape = self._pool.shapes.get(learned.guess)
-            if shape is not None:
-                shape.take_over(learned.parts, learned.samples)
         for each in message.speeds:
             upstream = self._pool.upstreams.get(each.upstream)
             if upstream is not None:
@@ -496,7 +486,6 @@
             expected_finish=now + prediction.finish_s,
             prefill_left=left,
             expected_first_s=prediction.first_s,
-            prefill_before=upstream.outlook(now)[0],
             stalls_seen=upstream.stall_s,
             gap_goal=item.gap_goal,
             tier_index=self._pool.tier_index(item.rank),
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -168,7 +168,6 @@
     """One request that holds a grant.
 
     :param prefill_left: prompt tokens to be read when it was granted.
-    :param prefill_before: prompt tokens of others that were to be read before them.
     :param tier_index: how many tiers of the pool are higher than its own.
     :ivar held_up: whether a prompt beside it has made a pause already that it can't bear.
     :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
@@ -189,7 +188,6 @@
     expected_finish: float
     prefill_left: float
     expected_first_s: float = 0.0
-    prefill_before: float = 0.0
     first_seen: bool = False
     output_tokens: int = 0
     elapsed_s: float = 0.0
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -138,7 +138,6 @@
     late_last: bool = True
     headroom: bool = False
     early: bool = False
-    parts: bool = True
 
 
 class TlsSection(_Section):
--- a/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -63,9 +63,9 @@
 
 
 def test_parts_of_the_policy_are_switched_off_by_name(lay):
-    path = lay(GOOD + '[scheduling]\noff = ["hold", "parts"]\n')
+    path = lay(GOOD + '[scheduling]\noff = ["hold", "guard"]\n')
     features = load(path).scheduling.features
-    assert not features.hold and not features.parts and features.early
+    assert not features.hold and not features.guard and features.early
 
     path = lay(GOOD + '[scheduling]\noff = ["holds"]\n')
     with pytest.raises(SettingsError, match="no part is called 'holds'; there are"):
