Tell the owner all that was spent alone while it was silent

Found by reading: a question that is worded and then not sent, because the owner has just been silent and the own share bears the request, dropped what earlier ones had spent alone, so the next owner that answered counted too little. Test red before (200 of 600 told).

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -159,6 +159,7 @@
             return self._granted(charged, self._answer(team, message))
         silent = self._avoid.get(address, 0.0) > self._now()
         if silent and self._leases.spend_alone(team, charged.cost, self._now()):
+            self._leases.note_alone(team.name, message.alone)
             return Passed(True, decided_by="alone")
         answer: asyncio.Future[QuotaGrant] = asyncio.get_running_loop().create_future()
         self._waiting[message.number] = answer
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -28,6 +28,7 @@
     def __init__(self, delay_s):
         self.delay_s = delay_s
         self.asked = 0
+        self.alone = []
         self.client = None
 
     def owner(self, team):
@@ -48,6 +49,7 @@
     def send(self, address, message):
         assert isinstance(message, QuotaRequest)
         self.asked += 1
+        self.alone.append(message.alone)
         grant = QuotaGrant(TEAM.name, message.number, message.need, 0.0, 0.5, 7)
         loop = asyncio.get_running_loop()
         loop.call_later(self.delay_s, self.client.receive, "owner:1", grant)
@@ -126,3 +128,17 @@
         assert not client.refund(Charge(200), spent)
 
     virtual.run(main)
+
+
+def test_what_was_spent_alone_is_told_to_the_next_owner_that_answers():
+    async def main():
+        owner = SlowOwner(delay_s=9.0)
+        client = client_of(owner)
+        for _ in range(3):
+            assert (await client.take(Charge(200))).decided_by == "alone"
+        await asyncio.sleep(1.0)
+        owner.delay_s = 0.001
+        assert (await client.take(Charge(9_000))).decided_by == "owner"
+        assert owner.alone == [0.0, 600.0]
+
+    virtual.run(main)
