Tell peers the difference a change makes, not the whole list

Cause: each change of one replica sent all 140 records (27 kB) from two nodes to every node of the failure domain, each start sent them too, and a list without a difference raised a node's own version, so that peers asked for what they had. Change: watchers send the changed records, and the difference of two documents; a node that lacks the base asks and gets the difference to what it holds, or all. The version told to peers is the newest change, the same however it was heard.

--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -1,12 +1,14 @@
 """
 chalkyoke.catalog.messages
 
-How nodes tell each other what is declared. A newer version is sent whole; it is rare and small.
+How nodes tell each other what is declared. A change goes out as the difference to what it
+changed, so that what a change costs on the links does not grow with what is declared; a node that
+lacks more asks, and gets the difference to what it has, or all.
 """
 
 import msgspec
 
-from chalkyoke.storage.messages import Item
+from chalkyoke.storage.messages import Item, Removed
 
 
 class CatalogRequest(msgspec.Struct, frozen=True, array_like=True, tag="catalog_request"):
@@ -26,11 +28,41 @@
     document: bytes
 
 
+class CatalogChanged(msgspec.Struct, frozen=True, array_like=True, tag="catalog_changed"):
+    """A version of the operators' document as the difference to an older one.
+
+    :param base: the version that the receiver must hold.
+    :param difference: as :func:`chalkyoke.catalog.difference.difference` makes it.
+    """
+
+    version: int
+    base: int
+    difference: bytes
+
+
 class ReplicasTold(msgspec.Struct, frozen=True, array_like=True, tag="replicas"):
-    """All replicas' own records, complete up to a revision of the store."""
+    """All replicas' own records, complete up to a revision of the store.
+
+    :param changed_at: revision of the newest change among them.
+    """
 
     at: int
+    changed_at: int
     items: tuple[Item, ...]
 
 
-CatalogMessage = CatalogRequest | CatalogTold | ReplicasTold
+class ReplicasChanged(msgspec.Struct, frozen=True, array_like=True, tag="replicas_changed"):
+    """What has changed of the replicas' records.
+
+    :param since: all changes after this revision are in here; a receiver must know the others.
+    :param at: the receiver is then complete up to this revision.
+    """
+
+    since: int
+    at: int
+    written: tuple[Item, ...]
+    removed: tuple[Removed, ...]
+
+
+CatalogAnswer = CatalogTold | CatalogChanged | ReplicasTold | ReplicasChanged
+CatalogMessage = CatalogRequest | CatalogAnswer
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -11,11 +11,21 @@
 
 from result import Err, Ok, Result
 
-from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.catalog.difference import difference, restore
+from chalkyoke.catalog.messages import (
+    CatalogAnswer,
+    CatalogChanged,
+    CatalogRequest,
+    CatalogTold,
+    ReplicasChanged,
+    ReplicasTold,
+)
+from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.invariants import require
 from chalkyoke.storage.messages import Item, Removed
 
+# Bound on a document that peers tell, in bytes: four times the largest value of the store.
 MAX_DOCUMENT_BYTES = 4_000_000
 
 ReadCatalog = Callable[[bytes], Result[Catalog, str]]
@@ -40,6 +50,8 @@
     :param read_catalog: reads the operators' document.
     :param read_replica: reads one replica's record.
     :ivar replicas_at: the store's revision up to which the replicas are complete.
+    :ivar changed_at: revision of the newest change of a replica. It is the same on all nodes that
+        know the same, however they heard, so that none asks another for what it has.
     """
 
     read_catalog: ReadCatalog
@@ -47,9 +59,12 @@
     catalog: Catalog = field(default_factory=Catalog)
     replicas: dict[str, Replica] = field(default_factory=dict)
     replicas_at: int = 0
+    changed_at: int = 0
     departed: dict[str, Departed] = field(default_factory=dict)
     _document: bytes = b""
     _items: dict[str, Item] = field(default_factory=dict)
+    _recent: RecentChanges = field(default_factory=RecentChanges)
+    _documents: RecentDocuments = field(default_factory=RecentDocuments)
 
     @property
     def complete(self) -> bool:
@@ -75,6 +90,7 @@
         before = self.catalog.version
         self.catalog = catalog
         self._document = document
+        self._documents.note(catalog.version, document)
         require(self.catalog.version > before, "a configuration never reverts", before=before)
         return Ok(True)
 
@@ -92,52 +108,97 @@
             return Err(f"not readable: {error}")
         return self.adopt_document(document)
 
-    def tell_catalog(self) -> CatalogTold:
+    def adopt_changed(self, message: CatalogChanged) -> Result[bool, str]:
+        """Take the operators' document from a peer as a difference, if it is newer.
+
+        :return: whether it was newer, or why it can't be read: the peer is to be asked then.
+        """
+        if message.version <= self.catalog.version:
+            return Ok(False)
+        base = self._documents.find(message.base)
+        if base is None:
+            return Err(f"version {message.base} is not held")
+        restored = restore(base, message.difference, MAX_DOCUMENT_BYTES)
+        return restored if isinstance(restored, Err) else self.adopt_document(restored.ok_value)
+
+    def tell_catalog(self, held: int = 0) -> CatalogTold | CatalogChanged:
         """Word the document for a peer.
 
-        :rtype: CatalogTold
+        :param held: the version that the peer holds.
         """
-        return CatalogTold(self.catalog.version, zlib.compress(self._document, 1))
+        base = self._documents.find(held)
+        if base is None:
+            return CatalogTold(self.catalog.version, zlib.compress(self._document, 1))
+        return CatalogChanged(self.catalog.version, held, difference(base, self._document))
 
     # Replicas.
 
-    def adopt_replicas(self, items: Iterable[Item], at: int, now: float) -> bool:
+    def adopt_replicas(
+        self, items: Iterable[Item], at: int, now: float, changed_at: int | None = None
+    ) -> bool:
         """Take all replicas' records as of a revision.
 
-        :return: whether this was newer than what is held.
+        :param changed_at: revision of the newest change; nothing where that is not known.
+        :return: whether anything of a replica changed.
         """
         if at <= self.replicas_at:
             return False
         held = {item.key: item for item in items}
-        for key in set(self._items) - set(held):
-            self._remove(key, now)
+        gone = set(self._items) - set(held)
+        changed = self.replicas_at == 0
+        for key in gone:
+            changed |= self._remove(key, now)
         for item in held.values():
-            self._put(item)
+            changed |= self._put(item)
+        if changed_at is None:
+            newest = max((item.revision for item in held.values()), default=0)
+            changed_at = at if gone else newest
         self.replicas_at = at
-        return True
+        self.changed_at = max(self.changed_at, changed_at)
+        self._recent.restart(at)
+        return changed
 
     def change_replicas(self, changes: Iterable[Item | Removed], at: int, now: float) -> bool:
-        """Take what has changed since the revision that is held.
+        """Take all that has changed since the revision that is held.
 
         :return: whether anything of a replica changed.
         """
+        newer = [each for each in changes if each.revision > self.replicas_at]
         changed = False
-        for change in changes:
-            if change.revision <= self.replicas_at:
-                continue
+        for change in newer:
             if isinstance(change, Removed):
                 changed |= self._remove(change.key, now)
             else:
                 changed |= self._put(change)
+        self._recent.note(newer)
         self.replicas_at = max(self.replicas_at, at)
+        self.changed_at = max([self.changed_at, *(each.revision for each in newer)])
         return changed
 
-    def tell_replicas(self) -> ReplicasTold:
+    def adopt_changes(self, message: ReplicasChanged, now: float) -> Result[bool, str]:
+        """Take what a peer tells has changed.
+
+        :return: whether anything of a replica changed, or why it can't be taken: the peer is to
+            be asked then.
+        """
+        if message.since > self.replicas_at:
+            return Err(f"complete up to {self.replicas_at}, not up to {message.since}")
+        return Ok(self.change_replicas((*message.written, *message.removed), message.at, now))
+
+    def tell_replicas(self, held_at: int = 0) -> ReplicasTold | ReplicasChanged:
         """Word the replicas for a peer.
 
-        :rtype: ReplicasTold
+        :param held_at: the revision up to which the peer is complete.
         """
-        return ReplicasTold(self.replicas_at, tuple(self._items.values()))
+        changes = self._recent.after(held_at) if held_at else None
+        if changes is None:
+            return ReplicasTold(self.replicas_at, self.changed_at, tuple(self._items.values()))
+        return ReplicasChanged(
+            held_at,
+            self.replicas_at,
+            tuple(each for each in changes if isinstance(each, Item)),
+            tuple(each for each in changes if isinstance(each, Removed)),
+        )
 
     def forget_departed(self, now: float, keep_s: float) -> None:
         """Drop the memory of replicas that went long ago."""
@@ -145,16 +206,16 @@
             if now - each.since > keep_s:
                 del self.departed[name]
 
-    def answers(self, request: CatalogRequest) -> list[CatalogTold | ReplicasTold]:
+    def answers(self, request: CatalogRequest) -> list[CatalogAnswer]:
         """Give a peer what it lacks.
 
-        :rtype: list[CatalogTold or ReplicasTold]
+        :rtype: list[CatalogAnswer]
         """
-        told: list[CatalogTold | ReplicasTold] = []
+        told: list[CatalogAnswer] = []
         if self.catalog.version > request.version:
-            told.append(self.tell_catalog())
+            told.append(self.tell_catalog(request.version))
         if self.replicas_at > request.replicas_at:
-            told.append(self.tell_replicas())
+            told.append(self.tell_replicas(request.replicas_at))
         return told
 
     def _put(self, item: Item) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -1,6 +1,12 @@
 import json
 
-from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.catalog.messages import (
+    CatalogChanged,
+    CatalogRequest,
+    CatalogTold,
+    ReplicasChanged,
+    ReplicasTold,
+)
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.storage.messages import Item, Removed
@@ -90,3 +96,63 @@
         else:
             newcomer.adopt_replicas(each.items, each.at, 0.0)
     assert newcomer.complete and newcomer.replicas == state.replicas
+
+
+def test_a_peer_that_lags_is_told_only_what_it_lacks():
+    state, peer = make(), make()
+    listing = [Item(name, b"ready", number) for number, name in enumerate("abcd", 1)]
+    for each in (state, peer):
+        each.adopt_replicas(listing, at=10, now=0.0)
+        each.adopt_document(document(1))
+    state.change_replicas([Item("b", b"draining", 12), Removed("c", 13)], 20, 1.0)
+    state.adopt_document(document(2))
+    catalog, replicas = state.answers(CatalogRequest(peer.catalog.version, peer.replicas_at))
+    assert isinstance(catalog, CatalogChanged) and isinstance(replicas, ReplicasChanged)
+    assert len(replicas.written) == len(replicas.removed) == 1
+    assert peer.adopt_changed(catalog) == Ok(True)
+    assert peer.adopt_changes(replicas, 1.0) == Ok(True)
+    assert peer.replicas == state.replicas and peer.catalog == state.catalog
+    assert (peer.replicas_at, peer.changed_at) == (state.replicas_at, state.changed_at) == (20, 13)
+
+
+def test_a_change_to_what_a_node_lacks_is_not_taken():
+    state, peer = make(), make()
+    peer.adopt_replicas([Item("a", b"ready", 5)], at=10, now=0.0)
+    assert isinstance(peer.adopt_changes(ReplicasChanged(11, 20, (), ()), 0.0), Err)
+    state.adopt_document(document(4))
+    state.adopt_document(document(5))
+    peer.adopt_document(document(3))
+    assert isinstance(peer.adopt_changed(state.tell_catalog(4)), Err)
+    assert (peer.replicas_at, peer.catalog.version) == (10, 3)
+
+
+def test_a_list_without_a_difference_is_no_change_and_raises_no_version():
+    state, peer = make(), make()
+    items = [Item("a", b"ready", 5), Item("b", b"ready", 7)]
+    state.adopt_replicas(items, at=10, now=0.0)
+    peer.adopt_replicas(items, at=12, now=0.0)
+    assert state.changed_at == peer.changed_at == 7
+    told = peer.tell_replicas()
+    assert not state.adopt_replicas(told.items, told.at, 1.0, told.changed_at)
+    assert (state.replicas_at, state.changed_at) == (12, 7)
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from("abc"), st.booleans()), max_size=30))
+def test_nodes_told_by_differences_agree_with_the_one_that_follows_the_store(steps):
+    state, peers = make(), [make(), make()]
+    for each in (state, *peers):
+        each.adopt_replicas([Item("a", b"ready", 1)], at=1, now=0.0)
+    revision = 1
+    for lost, key, gone in steps:
+        revision += 2
+        known_at = state.changed_at
+        change = Removed(key, revision) if gone else Item(key, b"%d" % revision, revision)
+        state.change_replicas([change], revision + 1, 0.0)
+        for number, peer in enumerate(peers):
+            if number != lost:
+                told = state.tell_replicas(known_at)
+                if isinstance(peer.adopt_changes(told, 0.0), Err):
+                    for answer in state.answers(CatalogRequest(0, peer.replicas_at)):
+                        peer.adopt_changes(answer, 0.0)
+                assert peer.replicas == state.replicas
+                assert peer.changed_at == state.changed_at
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -10,9 +10,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Err
-
-from chalkyoke.catalog.messages import CatalogMessage, CatalogRequest, CatalogTold, ReplicasTold
+from result import Err, Ok, Result
+
+from chalkyoke.catalog.messages import (
+    CatalogAnswer,
+    CatalogChanged,
+    CatalogMessage,
+    CatalogRequest,
+    CatalogTold,
+    ReplicasChanged,
+    ReplicasTold,
+)
 from chalkyoke.catalog.resources import Catalog
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.links.peers import Links
@@ -84,7 +92,6 @@
         self._now = now
         self._since = 0
         self._nodes: dict[str, bytes] = {}
-        self._changed_at = 0
         self._asked = 0.0
         self._behind_since = 0.0
         self._watch: asyncio.Task[Changes | HistoryLost | Unavailable] | None = None
@@ -174,8 +181,10 @@
                     self._nodes[change.key] = change.value
                 else:
                     self._nodes.pop(change.key, None)
+        known_at = self.state.changed_at
         if self.state.change_replicas(replicas, found.at, self._now()):
-            self._replicas_changed(max(change.revision for change in replicas), "store")
+            self._replicas_changed("store")
+            self._tell(self.state.tell_replicas(known_at))
         self._since = max(self._since, found.at)
         if nodes_changed:
             self._registered(self._nodes)
@@ -189,12 +198,16 @@
             log.error("document_unreadable", revision=item.revision, why=taken.err_value)
         elif taken.ok_value:
             self._document_changed("store", before)
-            self._tell(self.state.tell_catalog())
+            if before.version:
+                self._tell(self.state.tell_catalog(before.version))
 
     def _take_replicas(self, listing: Listing) -> None:
-        if self.state.adopt_replicas(listing.items, listing.at, self._now()):
-            newest = max((item.revision for item in listing.items), default=listing.at)
-            self._replicas_changed(max(newest, self._changed_at), "store")
+        first = not self.state.replicas_at
+        if not self.state.adopt_replicas(listing.items, listing.at, self._now()):
+            return
+        self._replicas_changed("store")
+        if not first:
+            self._tell(self.state.tell_replicas())
 
     # Peers.
 
@@ -213,10 +226,7 @@
         waited = now - self._behind_since
         if self.state.complete and waited < LAG_S:
             return
-        if now - self._asked >= ASK_AGAIN_S:
-            self._asked = now
-            request = CatalogRequest(self.state.catalog.version, self.state.replicas_at)
-            self._links.send(address, request)
+        self._ask(address)
         if self._watch is not None and waited > BEHIND_RESTART_S:
             self._watch.cancel()
 
@@ -228,15 +238,47 @@
         if isinstance(message, CatalogRequest):
             for answer in self.state.answers(message):
                 self._links.send(address, answer)
-        elif isinstance(message, CatalogTold):
-            before = self.state.catalog
+        elif isinstance(message, CatalogTold | CatalogChanged):
+            self._take_told_document(address, message)
+        else:
+            self._take_told_replicas(address, message)
+
+    def _take_told_document(self, address: str, message: CatalogTold | CatalogChanged) -> None:
+        before = self.state.catalog
+        if isinstance(message, CatalogTold):
             taken = self.state.adopt_told(message)
-            if not isinstance(taken, Err) and taken.ok_value:
-                self._document_changed("peer", before)
-        elif self.state.adopt_replicas(message.items, message.at, self._now()):
-            self._replicas_changed(max(message.at, self._changed_at), "peer")
+        else:
+            taken = self.state.adopt_changed(message)
+        if self._is_taken(address, "version", taken):
+            self._document_changed("peer", before)
+
+    def _take_told_replicas(self, address: str, message: ReplicasTold | ReplicasChanged) -> None:
+        state, now = self.state, self._now()
+        taken: Result[bool, str]
+        if isinstance(message, ReplicasTold):
+            taken = Ok(state.adopt_replicas(message.items, message.at, now, message.changed_at))
+        else:
+            taken = state.adopt_changes(message, now)
+        if self._is_taken(address, "replicas", taken):
+            self._replicas_changed("peer")
+
+    def _is_taken(self, address: str, what: str, taken: Result[bool, str]) -> bool:
+        """Tell whether what a peer told has changed anything; ask it where that does not fit."""
+        if isinstance(taken, Err):
+            log.info("not_taken", what=what, peer=address, why=taken.err_value)
+            self._ask(address)
+            return False
+        return taken.ok_value
 
-    def _tell(self, message: CatalogTold | ReplicasTold) -> None:
+    def _ask(self, address: str) -> None:
+        """Ask a peer for what is newer than what this node has, unless it has just asked one."""
+        if self._now() - self._asked < ASK_AGAIN_S:
+            return
+        self._asked = self._now()
+        request = CatalogRequest(self.state.catalog.version, self.state.replicas_at)
+        self._links.send(address, request)
+
+    def _tell(self, message: CatalogAnswer) -> None:
         """Tell those of this failure domain that do not watch the store themselves."""
         for record in self._view.live():
             mine = record.failure_domain == self._view.domain
@@ -260,8 +302,7 @@
         self._view.update_self(revision=version)
         self._changed()
 
-    def _replicas_changed(self, at: int, source: str) -> None:
-        self._changed_at = max(self._changed_at, at)
+    def _replicas_changed(self, source: str) -> None:
         self.state.forget_departed(self._now(), DEPARTED_KEPT_S)
         log.info(
             "replicas",
@@ -270,9 +311,7 @@
             count=len(self.state.replicas),
             draining=sorted(each.id for each in self.state.replicas.values() if each.draining),
         )
-        self._view.update_self(hosts_version=self._changed_at)
-        if source == "store":
-            self._tell(self.state.tell_replicas())
+        self._view.update_self(hosts_version=self.state.changed_at)
         self._changed()
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-from chalkyoke.catalog.messages import CatalogRequest, CatalogTold, ReplicasTold
+from chalkyoke.catalog.messages import (
+    CatalogChanged,
+    CatalogRequest,
+    CatalogTold,
+    ReplicasChanged,
+    ReplicasTold,
+)
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
@@ -42,7 +48,13 @@
 )
 
 MEMBERSHIP_MESSAGES = (Heartbeat, ShortHeartbeat, Summary, SummaryRequest)
-CATALOG_MESSAGES = (CatalogRequest, CatalogTold, ReplicasTold)
+CATALOG_MESSAGES = (
+    CatalogChanged,
+    CatalogRequest,
+    CatalogTold,
+    ReplicasChanged,
+    ReplicasTold,
+)
 ENTRY_MESSAGES = (Grant, Queued, Shed)
 SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
 QUOTA_MESSAGES = (
