Notice a silent store within the time operators forgive, and hand the duty to follow it to a node that it answers

Cause: a watch waited 10 s and was missed after 12; the duty to follow the store went by signs of life alone; a watch was made again at each heartbeat of a peer that knew more, also before a slow store could answer; a departed replica counted as a last resort from when its leaving was heard, not from when it was taken by the store. Change: waits and answers are shares of the deploy file's bound on a disturbed connection (3 s: 1.5 and 0.75); after a failure an answer at once is asked for, on a new connection; who finds the store lost says so in its record, and the next in line follows it; news carry their age. Store lost to all: under 150 calls of 26 nodes in 4.5 s (test).

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -215,7 +215,7 @@
             f'links = "{node.links}"\nmetrics = "{node.metrics}"\n'
             f'links_advertised = "{node.reached_at}"\n'
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
-            f'[store]\naddress = "{node.store or self.store.address}"\nwatch_wait_s = 2.0\n'
+            f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
             f"[limits]\n{limits}",
             encoding="utf-8",
--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -56,12 +56,14 @@
 
     :param since: all changes after this revision are in here; a receiver must know the others.
     :param at: the receiver is then complete up to this revision.
+    :param age_s: how long ago this may have changed when it was sent, in seconds.
     """
 
     since: int
     at: int
     written: tuple[Item, ...]
     removed: tuple[Removed, ...]
+    age_s: float
 
 
 CatalogAnswer = CatalogTold | CatalogChanged | ReplicasTold | ReplicasChanged
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -27,6 +27,8 @@
 
 # Bound on a document that peers tell, in bytes: four times the largest value of the store.
 MAX_DOCUMENT_BYTES = 4_000_000
+# What is told without its age may be as old as this, in seconds: beyond all that goes by ages.
+UNKNOWN_AGE_S = 60.0
 
 ReadCatalog = Callable[[bytes], Result[Catalog, str]]
 ReadReplica = Callable[[Item], Result[Replica, str]]
@@ -36,7 +38,8 @@
 class Departed:
     """A replica whose record is gone.
 
-    :param since: when this node saw it go, on its own clock, in seconds.
+    :param since: when it may have gone at the earliest, on this node's clock, in seconds. News
+        that came late count from the change, not from when they were heard.
     """
 
     replica: Replica
@@ -134,10 +137,11 @@
     # Replicas.
 
     def adopt_replicas(
-        self, items: Iterable[Item], at: int, now: float, changed_at: int | None = None
+        self, items: Iterable[Item], at: int, since: float, changed_at: int | None = None
     ) -> bool:
         """Take all replicas' records as of a revision.
 
+        :param since: when they may have changed at the earliest, on this node's clock.
         :param changed_at: revision of the newest change; nothing where that is not known.
         :return: whether anything of a replica changed.
         """
@@ -147,7 +151,7 @@
         gone = set(self._items) - set(held)
         changed = self.replicas_at == 0
         for key in gone:
-            changed |= self._remove(key, now)
+            changed |= self._remove(key, since)
         for item in held.values():
             changed |= self._put(item)
         if changed_at is None:
@@ -158,16 +162,17 @@
         self._recent.restart(at)
         return changed
 
-    def change_replicas(self, changes: Iterable[Item | Removed], at: int, now: float) -> bool:
+    def change_replicas(self, changes: Iterable[Item | Removed], at: int, since: float) -> bool:
         """Take all that has changed since the revision that is held.
 
+        :param since: when it may have changed at the earliest, on this node's clock.
         :return: whether anything of a replica changed.
         """
         newer = [each for each in changes if each.revision > self.replicas_at]
         changed = False
         for change in newer:
             if isinstance(change, Removed):
-                changed |= self._remove(change.key, now)
+                changed |= self._remove(change.key, since)
             else:
                 changed |= self._put(change)
         self._recent.note(newer)
@@ -175,20 +180,24 @@
         self.changed_at = max([self.changed_at, *(each.revision for each in newer)])
         return changed
 
-    def adopt_changes(self, message: ReplicasChanged, now: float) -> Result[bool, str]:
+    def adopt_changes(self, message: ReplicasChanged, since: float) -> Result[bool, str]:
         """Take what a peer tells has changed.
 
+        :param since: when it may have changed at the earliest, on this node's clock.
         :return: whether anything of a replica changed, or why it can't be taken: the peer is to
             be asked then.
         """
         if message.since > self.replicas_at:
             return Err(f"complete up to {self.replicas_at}, not up to {message.since}")
-        return Ok(self.change_replicas((*message.written, *message.removed), message.at, now))
+        return Ok(self.change_replicas((*message.written, *message.removed), message.at, since))
 
-    def tell_replicas(self, held_at: int = 0) -> ReplicasTold | ReplicasChanged:
+    def tell_replicas(
+        self, held_at: int = 0, age_s: float = UNKNOWN_AGE_S
+    ) -> ReplicasTold | ReplicasChanged:
         """Word the replicas for a peer.
 
         :param held_at: the revision up to which the peer is complete.
+        :param age_s: how long ago what has changed since may have changed, in seconds.
         """
         changes = self._recent.after(held_at) if held_at else None
         if changes is None:
@@ -198,6 +207,7 @@
             self.replicas_at,
             tuple(each for each in changes if isinstance(each, Item)),
             tuple(each for each in changes if isinstance(each, Removed)),
+            age_s,
         )
 
     def forget_departed(self, now: float, keep_s: float) -> None:
@@ -229,7 +239,7 @@
         self.departed.pop(replica.id, None)
         return changed
 
-    def _remove(self, key: str, now: float) -> bool:
+    def _remove(self, key: str, since: float) -> bool:
         item = self._items.pop(key, None)
         if item is None:
             return False
@@ -238,5 +248,5 @@
             return False
         gone = self.replicas.pop(read.ok_value.id, None)
         if gone is not None:
-            self.departed[gone.id] = Departed(gone, now)
+            self.departed[gone.id] = Departed(gone, since)
         return True
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -60,7 +60,7 @@
 
 def test_changes_apply_once_and_in_order():
     state = make()
-    state.adopt_replicas([Item("a", b"ready", 5)], at=10, now=0.0)
+    state.adopt_replicas([Item("a", b"ready", 5)], at=10, since=0.0)
     assert state.change_replicas([Item("a", b"draining", 12)], 12, 1.0)
     assert not state.change_replicas([Item("a", b"ready", 5)], 12, 1.0)
     assert state.replicas["a"].draining
@@ -70,22 +70,22 @@
 
 def test_a_full_reading_replaces_and_an_older_one_does_not():
     state = make()
-    state.adopt_replicas([Item("a", b"ready", 5), Item("b", b"ready", 6)], at=10, now=0.0)
-    assert not state.adopt_replicas([Item("a", b"ready", 5)], at=9, now=0.0)
-    assert state.adopt_replicas([Item("b", b"ready", 6), Item("c", b"ready", 11)], at=12, now=3.0)
+    state.adopt_replicas([Item("a", b"ready", 5), Item("b", b"ready", 6)], at=10, since=0.0)
+    assert not state.adopt_replicas([Item("a", b"ready", 5)], at=9, since=0.0)
+    assert state.adopt_replicas([Item("b", b"ready", 6), Item("c", b"ready", 11)], at=12, since=3.0)
     assert set(state.replicas) == {"b", "c"} and set(state.departed) == {"a"}
 
 
 def test_a_record_that_can_t_be_read_hides_no_other():
     state = make()
-    state.adopt_replicas([Item("a", b"", 5), Item("b", b"ready", 6)], at=10, now=0.0)
+    state.adopt_replicas([Item("a", b"", 5), Item("b", b"ready", 6)], at=10, since=0.0)
     assert set(state.replicas) == {"b"}
 
 
 def test_a_peer_is_told_what_it_lacks_and_nothing_else():
     state = make()
     state.adopt_document(document(3))
-    state.adopt_replicas([Item("a", b"ready", 5)], at=10, now=0.0)
+    state.adopt_replicas([Item("a", b"ready", 5)], at=10, since=0.0)
     told = state.answers(CatalogRequest(version=3, replicas_at=4))
     assert [type(each) for each in told] == [ReplicasTold]
     assert state.answers(CatalogRequest(3, 10)) == []
@@ -102,7 +102,7 @@
     state, peer = make(), make()
     listing = [Item(name, b"ready", number) for number, name in enumerate("abcd", 1)]
     for each in (state, peer):
-        each.adopt_replicas(listing, at=10, now=0.0)
+        each.adopt_replicas(listing, at=10, since=0.0)
         each.adopt_document(document(1))
     state.change_replicas([Item("b", b"draining", 12), Removed("c", 13)], 20, 1.0)
     state.adopt_document(document(2))
@@ -117,8 +117,8 @@
 
 def test_a_change_to_what_a_node_lacks_is_not_taken():
     state, peer = make(), make()
-    peer.adopt_replicas([Item("a", b"ready", 5)], at=10, now=0.0)
-    assert isinstance(peer.adopt_changes(ReplicasChanged(11, 20, (), ()), 0.0), Err)
+    peer.adopt_replicas([Item("a", b"ready", 5)], at=10, since=0.0)
+    assert isinstance(peer.adopt_changes(ReplicasChanged(11, 20, (), (), 0.0), 0.0), Err)
     state.adopt_document(document(4))
     state.adopt_document(document(5))
     peer.adopt_document(document(3))
@@ -129,8 +129,8 @@
 def test_a_list_without_a_difference_is_no_change_and_raises_no_version():
     state, peer = make(), make()
     items = [Item("a", b"ready", 5), Item("b", b"ready", 7)]
-    state.adopt_replicas(items, at=10, now=0.0)
-    peer.adopt_replicas(items, at=12, now=0.0)
+    state.adopt_replicas(items, at=10, since=0.0)
+    peer.adopt_replicas(items, at=12, since=0.0)
     assert state.changed_at == peer.changed_at == 7
     told = peer.tell_replicas()
     assert not state.adopt_replicas(told.items, told.at, 1.0, told.changed_at)
@@ -141,7 +141,7 @@
 def test_nodes_told_by_differences_agree_with_the_one_that_follows_the_store(steps):
     state, peers = make(), [make(), make()]
     for each in (state, *peers):
-        each.adopt_replicas([Item("a", b"ready", 1)], at=1, now=0.0)
+        each.adopt_replicas([Item("a", b"ready", 1)], at=1, since=0.0)
     revision = 1
     for lost, key, gone in steps:
         revision += 2
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -61,12 +61,13 @@
     """The store.
 
     :param watchers: how many nodes of a failure domain watch it; the others are told by them.
-    :param watch_wait_s: how long one watch waits.
+    :param silence_ms: how long a connection that went silent may go unnoticed until what comes
+        behind it is known, in milliseconds: what operators forgive a disturbed connection.
     """
 
     address: str
     watchers: int = 2
-    watch_wait_s: float = 10.0
+    silence_ms: float = 3000.0
     lease_s: float = 30.0
 
 
--- a/packages/chalkyoke/src/chalkyoke/http1/calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -11,8 +11,11 @@
 from chalkyoke.http1.messages import AnswerHead, Headers, request_head
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
 
+# How long opening a connection may take, in seconds: some round trips to another region.
 CONNECT_S = 0.5
+# Connections to one address at most: a watch, a lease and a listing at once, and as many lost.
 CALLER_CONNECTIONS = 8
+# How old a kept connection may be, in seconds: below what servers usually keep.
 FRESH_S = 8.0
 
 
@@ -103,8 +106,10 @@
             async with asyncio.timeout(timeout_s):
                 answer = await future
         except TimeoutError:
-            # A connection on which an answer was lost says nothing further.
+            # A connection on which an answer was lost says nothing further, and the other ones may
+            # have gone silent with it: the next call takes a new one.
             connection.cancel()
+            self._pool.drop_kept(self._ip, self._port)
             return CallFailed("timed out", sent=True)
         except asyncio.CancelledError:
             connection.cancel()
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -88,6 +88,15 @@
             return
         entry.idle.append(connection)
 
+    def drop_kept(self, ip: str, port: int) -> None:
+        """Close the kept connections to an address, since they may have gone silent."""
+        entry = self._addresses.get((ip, port))
+        if entry is None:
+            return
+        for connection in entry.idle:
+            connection.transport.abort()
+        entry.idle.clear()
+
     def expire(self) -> None:
         """Close what has been idle for too long; call about once a second."""
         now = self._loop.time()
--- a/packages/chalkyoke/src/chalkyoke/membership/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -16,6 +16,7 @@
     :param ready: whether it has a configuration and may own pools.
     :param revision: configuration revision in force there.
     :param hosts_version: version of the host list that it holds.
+    :param store_lost: whether the store does not answer it, while it may answer others.
     """
 
     host: str
@@ -27,6 +28,7 @@
     ready: bool
     revision: int
     hosts_version: int
+    store_lost: bool = False
 
     @property
     def process(self) -> str:
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -6,7 +6,7 @@
 the fleet.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -124,16 +124,19 @@
         :param holders: how many processes of a failure domain hold it at once.
         :rtype: bool
         """
-        return self.has_duty(duty, holders, self.record.host)
+        return self.record.host in self.duty_holders(duty, holders)
 
-    def has_duty(self, duty: str, holders: int, host: str) -> bool:
-        """Tell whether a process of this failure domain holds a duty for it.
+    def duty_holders(
+        self, duty: str, holders: int, able: Callable[[MemberRecord], bool] | None = None
+    ) -> list[str]:
+        """List the hosts of this failure domain that hold a duty for it.
 
-        :rtype: bool
+        :param able: tells who can do it; others hold it only where too few can.
         """
-        hosts = [each.host for each in self._own_domain() if not each.leaving]
-        chosen = ranked(f"{duty}/{self.domain}", hosts or [self.record.host])[:holders]
-        return host in chosen
+        staying = [each for each in self._own_domain() if not each.leaving] or [self.record]
+        order = ranked(f"{duty}/{self.domain}", [each.host for each in staying])
+        can = {each.host for each in staying if able is None or able(each)}
+        return sorted(order, key=lambda host: host not in can)[:holders]
 
     def introduction(self) -> Heartbeat:
         """Make the message with which this process makes itself known at an address.
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -1,11 +1,10 @@
 """
 chalkyoke.node.catalog
 
-Keep the catalog up to date: a few watchers in each failure domain wait on the store, and all nodes
+Keep the catalog up to date: a few nodes in each failure domain follow the store, and all nodes
 hear from their peers what is newer.
 """
 
-import asyncio
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,24 +21,28 @@
     ReplicasTold,
 )
 from chalkyoke.catalog.resources import Catalog
-from chalkyoke.catalog.state import CatalogState
+from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing, Removed, Unavailable
+from chalkyoke.node.follower import StoreFollower, WatchBounds
+from chalkyoke.storage.messages import Changes, Item, Listing, Removed
 from chalkyoke.storage.port import Store
 
 WATCH_DUTY = "store-watch"
-IDLE_S = 0.25
-NEWCOMER_S = 1.0
-GATHER_S = 0.05
-FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 1.0
+# How long a node lags its peers before it asks them, in seconds: those that follow the store tell
+# sooner, unless their messages were lost.
 LAG_S = 0.1
+# How long an answer is waited for before another peer is asked, in seconds.
 ASK_AGAIN_S = 0.3
-BEHIND_RESTART_S = 0.4
+# How long a node lags before its own watch is in doubt, in seconds: some heartbeats.
+DOUBT_S = 0.4
+# After so many seconds without a newer peer a lag is another one.
+LAG_OVER_S = 2.0
+# How long a replica whose entry is gone is remembered, in seconds; beyond any deadline.
 DEPARTED_KEPT_S = 30.0
+# Changed quotas named in one line of the log.
 MOST_QUOTAS_LOGGED = 10
 
 log = logger("catalog")
@@ -62,6 +65,8 @@
 class CatalogKeeper:
     """Hold the catalog in force on this node.
 
+    :param watchers: how many nodes of a failure domain follow the store.
+    :param bounds: how long a watch of the store may take.
     :param changed: called after the document or a replica has changed.
     :param registered: called with the nodes' registrations when they have changed.
     :param now: the node's clock, in seconds.
@@ -75,104 +80,65 @@
         view: MembershipView,
         links: Links,
         watchers: int,
-        watch_wait_s: float,
+        bounds: WatchBounds,
         changed: Callable[[], None],
         registered: Callable[[dict[str, bytes]], None],
         now: Callable[[], float],
     ) -> None:
         self.state = state
-        self._store = store
         self._keys = keys
         self._view = view
         self._links = links
         self._watchers = watchers
-        self._wait_s = watch_wait_s
         self._changed = changed
         self._registered = registered
         self._now = now
-        self._since = 0
         self._nodes: dict[str, bytes] = {}
         self._asked = 0.0
         self._behind_since = 0.0
-        self._watch: asyncio.Task[Changes | HistoryLost | Unavailable] | None = None
-        self._store_answers = True
-
-    # The store.
+        self._follower = StoreFollower(store, bounds, self, self._is_watcher, now)
 
     async def run(self) -> None:
         """Follow the store for as long as the process lives."""
-        failures = 0
-        while True:
-            if self._since and not self._is_watcher():
-                await asyncio.sleep(IDLE_S)
-                continue
-            good = await (self._wait_for_changes() if self._since else self._read_all())
-            self._note_store(good)
-            if good:
-                failures = 0
-                continue
-            failures += 1
-            await asyncio.sleep(min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures - 1, 5)))
+        await self._follower.run()
+
+    # The store.
 
     def _is_watcher(self) -> bool:
-        """Tell whether this node waits on the store for its failure domain.
+        return self._view.record.host in self._watching_hosts()
+
+    def _watching_hosts(self) -> list[str]:
+        """List the hosts of this failure domain that follow the store.
 
-        A newcomer knows nobody yet and would believe so each time; what changes in its first
-        second it hears from its peers, or from its first watch.
+        The duty leaves a node that the store does not answer, however alive it is: a domain whose
+        watchers were turned away would hear nothing while its other nodes reach the store.
         """
-        if self._now() < NEWCOMER_S:
-            return False
-        return self._view.holds_duty(WATCH_DUTY, self._watchers)
-
-    def _note_store(self, answers: bool) -> None:
-        if answers != self._store_answers:
-            self._store_answers = answers
-            if answers:
-                log.notice("store_back", since=self._since)
-            else:
-                log.notice("store_lost", since=self._since, version=self.state.catalog.version)
-
-    async def _read_all(self) -> bool:
-        """Read everything at once."""
-        found = await self._store.read("")
-        if not isinstance(found, Listing):
-            return False
-        for item in found.items:
-            self._take_document(item)
-        self._take_replicas(Listing(_under(self._keys.replicas, found), found.at))
-        self._nodes = {item.key: item.value for item in _under(self._keys.nodes, found)}
+        return self._view.duty_holders(
+            WATCH_DUTY, self._watchers, able=lambda record: not record.store_lost
+        )
+
+    def lost(self, is_lost: bool) -> None:
+        """Tell the peers whether the store answers this node."""
+        self._view.update_self(store_lost=is_lost)
+
+    def listed(self, listing: Listing) -> None:
+        """Take all that the store holds."""
+        for item in listing.items:
+            self._take_document(item, 0.0)
+        self._take_replicas(Listing(_under(self._keys.replicas, listing), listing.at))
+        self._nodes = {item.key: item.value for item in _under(self._keys.nodes, listing)}
         self._registered(self._nodes)
-        self._since = found.at
-        return True
-
-    async def _wait_for_changes(self) -> bool:
-        self._watch = asyncio.ensure_future(self._store.watch("", self._since, self._wait_s))
-        try:
-            found = await self._watch
-        except asyncio.CancelledError:
-            if self._watch is not None and self._watch.cancelled() and not _is_cancelling():
-                # This node was behind its peers: the watch may have gone silent.
-                return True
-            raise
-        finally:
-            self._watch = None
-        if isinstance(found, HistoryLost):
-            log.notice("history_lost", since=self._since)
-            self._since = 0
-            return True
-        if isinstance(found, Unavailable):
-            return False
-        self._take_changes(found)
-        # Changes come in crowds, and each call costs: let a few gather.
-        await asyncio.sleep(GATHER_S)
-        return True
 
-    def _take_changes(self, found: Changes) -> None:
+    def changed(self, found: Changes, age_s: float) -> None:
+        """Take what has changed in the store.
+
+        :param age_s: how long ago it may have changed at most, in seconds.
+        """
         replicas: list[Item | Removed] = []
         nodes_changed = False
         for change in found.changes:
             if change.key == self._keys.document and isinstance(change, Item):
-                self._take_document(change)
+                self._take_document(change, age_s)
             elif change.key.startswith(self._keys.replicas):
                 replicas.append(change)
             elif change.key.startswith(self._keys.nodes):
@@ -182,14 +148,13 @@
                 else:
                     self._nodes.pop(change.key, None)
         known_at = self.state.changed_at
-        if self.state.change_replicas(replicas, found.at, self._now()):
-            self._replicas_changed("store")
-            self._tell(self.state.tell_replicas(known_at))
-        self._since = max(self._since, found.at)
+        if self.state.change_replicas(replicas, found.at, self._now() - age_s):
+            self._replicas_changed("store", age_s)
+            self._tell(self.state.tell_replicas(known_at, age_s))
         if nodes_changed:
             self._registered(self._nodes)
 
-    def _take_document(self, item: Item) -> None:
+    def _take_document(self, item: Item, age_s: float) -> None:
         if item.key != self._keys.document:
             return
         before = self.state.catalog
@@ -197,15 +162,16 @@
         if isinstance(taken, Err):
             log.error("document_unreadable", revision=item.revision, why=taken.err_value)
         elif taken.ok_value:
-            self._document_changed("store", before)
+            self._document_changed("store", before, age_s)
             if before.version:
                 self._tell(self.state.tell_catalog(before.version))
 
     def _take_replicas(self, listing: Listing) -> None:
         first = not self.state.replicas_at
-        if not self.state.adopt_replicas(listing.items, listing.at, self._now()):
+        since = self._now() - UNKNOWN_AGE_S
+        if not self.state.adopt_replicas(listing.items, listing.at, since):
             return
-        self._replicas_changed("store")
+        self._replicas_changed("store", UNKNOWN_AGE_S)
         if not first:
             self._tell(self.state.tell_replicas())
 
@@ -221,14 +187,14 @@
         now = self._now()
         if not newer:
             return
-        if now - self._behind_since > 2.0:
+        if now - self._behind_since > LAG_OVER_S:
             self._behind_since = now
         waited = now - self._behind_since
         if self.state.complete and waited < LAG_S:
             return
         self._ask(address)
-        if self._watch is not None and waited > BEHIND_RESTART_S:
-            self._watch.cancel()
+        if waited > DOUBT_S:
+            self._follower.renew()
 
     def receive(self, address: str, message: CatalogMessage) -> None:
         """Take a peer's question or answer.
@@ -250,17 +216,21 @@
         else:
             taken = self.state.adopt_changed(message)
         if self._is_taken(address, "version", taken):
-            self._document_changed("peer", before)
+            self._document_changed("peer", before, UNKNOWN_AGE_S)
 
     def _take_told_replicas(self, address: str, message: ReplicasTold | ReplicasChanged) -> None:
         state, now = self.state, self._now()
         taken: Result[bool, str]
         if isinstance(message, ReplicasTold):
-            taken = Ok(state.adopt_replicas(message.items, message.at, now, message.changed_at))
+            age_s = UNKNOWN_AGE_S
+            taken = Ok(
+                state.adopt_replicas(message.items, message.at, now - age_s, message.changed_at)
+            )
         else:
-            taken = state.adopt_changes(message, now)
+            age_s = message.age_s
+            taken = state.adopt_changes(message, now - age_s)
         if self._is_taken(address, "replicas", taken):
-            self._replicas_changed("peer")
+            self._replicas_changed("peer", age_s)
 
     def _is_taken(self, address: str, what: str, taken: Result[bool, str]) -> bool:
         """Tell whether what a peer told has changed anything; ask it where that does not fit."""
@@ -279,16 +249,15 @@
         self._links.send(address, request)
 
     def _tell(self, message: CatalogAnswer) -> None:
-        """Tell those of this failure domain that do not watch the store themselves."""
+        """Tell those of this failure domain that do not follow the store themselves."""
+        watching = {self._view.record.host, *self._watching_hosts()}
         for record in self._view.live():
-            mine = record.failure_domain == self._view.domain
-            other = mine and record.host != self._view.record.host
-            if other and not self._view.has_duty(WATCH_DUTY, self._watchers, record.host):
+            if record.failure_domain == self._view.domain and record.host not in watching:
                 self._links.send(record.address, message)
 
     # Changes.
 
-    def _document_changed(self, source: str, before: Catalog) -> None:
+    def _document_changed(self, source: str, before: Catalog, age_s: float) -> None:
         catalog = self.state.catalog
         version = catalog.version
         log.info(
@@ -296,18 +265,21 @@
             version=version,
             before=before.version,
             source=source,
+            news_age_s=round(age_s, 3),
             routes=len(catalog.routes),
             quotas=_changed_quotas(before, catalog),
         )
         self._view.update_self(revision=version)
         self._changed()
 
-    def _replicas_changed(self, source: str) -> None:
+    def _replicas_changed(self, source: str, age_s: float) -> None:
         self.state.forget_departed(self._now(), DEPARTED_KEPT_S)
         log.info(
             "replicas",
             revision=self.state.replicas_at,
+            changed_at=self.state.changed_at,
             source=source,
+            news_age_s=round(age_s, 3),
             count=len(self.state.replicas),
             draining=sorted(each.id for each in self.state.replicas.values() if each.draining),
         )
@@ -328,48 +300,3 @@
 
 def _under(prefix: str, listing: Listing) -> tuple[Item, ...]:
     return tuple(item for item in listing.items if item.key.startswith(prefix))
-
-
-def _is_cancelling() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
-class Registration:
-    """Keep this node listed in the store, under a lease.
-
-    :param key: where.
-    :param value: what is listed.
-    """
-
-    def __init__(self, store: Store, key: str, value: bytes, lease_s: float) -> None:
-        self._store = store
-        self._key = key
-        self._value = value
-        self._lease_s = lease_s
-        self._lease = 0
-
-    async def run(self) -> None:
-        """Register, and renew the lease for as long as the process lives."""
-        for failures in itertools.count():
-            if await self._register():
-                break
-            await asyncio.sleep(min(MAX_PAUSE_S * 2, FIRST_PAUSE_S * 2 ** min(failures, 6)))
-        while True:
-            await asyncio.sleep(self._lease_s / 3)
-            renewed = await self._store.renew_lease(self._lease)
-            if not isinstance(renewed, Unavailable) and not hasattr(renewed, "lease"):
-                await self._register()
-
-    async def _register(self) -> bool:
-        granted = await self._store.grant_lease(self._lease_s)
-        if isinstance(granted, Unavailable):
-            return False
-        self._lease = granted.lease
-        written = await self._store.write(self._key, self._value, lease=self._lease)
-        return not isinstance(written, Unavailable)
-
-    async def end(self) -> None:
-        """Take this node off the list."""
-        if self._lease:
-            await self._store.end_lease(self._lease)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -36,11 +36,13 @@
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.state import Candidate, Change, Joined
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.catalog import CatalogKeeper, Keys, Registration
+from chalkyoke.node.catalog import CatalogKeeper, Keys
 from chalkyoke.node.fleetsize import FleetSize
+from chalkyoke.node.follower import WatchBounds
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
+from chalkyoke.node.registration import Registration
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.routing import LINK_MESSAGES, MessageRouter, RoutedParts
 from chalkyoke.node.schedulers import SchedulerHost
@@ -154,7 +156,7 @@
             self.view,
             self.links,
             settings.store.watchers,
-            settings.store.watch_wait_s,
+            WatchBounds.within(settings.store.silence_ms / 1000),
             self._catalog_changed,
             self._nodes_registered,
             self.now,
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
@@ -6,6 +6,7 @@
 from chalkyoke.membership.messages import Heartbeat, MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.catalog import CatalogKeeper, Keys
+from chalkyoke.node.follower import WatchBounds
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
 from result import Ok
 
@@ -43,7 +44,7 @@
         await asyncio.sleep(0.004)
         return Listing(tuple(self.items.values()), self.revision)
 
-    async def watch(self, prefix, since, wait_s):
+    async def watch(self, prefix, since, wait_s, answer_s):
         self.watches += 1
         if since < self.forgotten:
             return HistoryLost()
@@ -78,12 +79,12 @@
         view,
         NoLinks(),
         1,
-        5.0,
+        WatchBounds(5.0, 1.0),
         lambda: None,
         listed.append,
         loop.time,
     )
-    keeper.listed = listed
+    keeper.registrations = listed
     return keeper
 
 
@@ -103,7 +104,7 @@
         await asyncio.sleep(0.1)
         assert keeper.state.complete and keeper.state.catalog.version == 7
         assert list(keeper.state.replicas) == ["servers/s1"]
-        assert keeper.listed == [{"nodes/n1": b""}]
+        assert keeper.registrations == [{"nodes/n1": b""}]
         for number in range(8):
             store.write(f"nodes/m{number}", b"")
             await asyncio.sleep(0.1)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_follower.py
@@ -0,0 +1,127 @@
+import asyncio
+
+from chalkyoke.node.follower import LOST_S, RELIEVED_PAUSE_S, StoreFollower, WatchBounds
+from chalkyoke.storage.messages import Changes, Listing, Removed, Unavailable
+
+from tests import virtual
+
+BOUNDS = WatchBounds(1.5, 0.75)
+TIMED_OUT = Unavailable("timed out", may_be_done=True)
+REFUSED = Unavailable("503", may_be_done=False)
+
+
+class ScriptedStore:
+    """A store whose watches do what a script says; behind its end nothing changes."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.asked = []
+
+    async def read(self, prefix):
+        return Listing((), 1)
+
+    async def watch(self, prefix, since, wait_s, answer_s):
+        self.asked.append((asyncio.get_running_loop().time(), wait_s))
+        step = self.script.pop(0) if self.script else "idle"
+        if step == "silent":
+            await asyncio.sleep(wait_s + answer_s)
+            return TIMED_OUT
+        if step == "refused":
+            return REFUSED
+        if step == "idle":
+            await asyncio.sleep(wait_s)
+            return Changes((), since)
+        after_s, revision = step
+        await asyncio.sleep(after_s)
+        return Changes((Removed("k", revision),), revision)
+
+
+class Taker:
+    def __init__(self):
+        self.news, self.beliefs = [], []
+
+    def listed(self, listing):
+        pass
+
+    def changed(self, found, age_s):
+        if found.changes:
+            self.news.append((asyncio.get_running_loop().time(), age_s))
+
+    def lost(self, is_lost):
+        self.beliefs.append(is_lost)
+
+
+def follow(store, for_s, has_duty=lambda: True, at_last=lambda follower: None):
+    async def main():
+        loop = asyncio.get_running_loop()
+        taker = Taker()
+        follower = StoreFollower(store, BOUNDS, taker, has_duty, loop.time)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(for_s)
+        at_last(follower)
+        await asyncio.sleep(0.01)
+        assert not task.done()
+        task.cancel()
+        return taker
+
+    return virtual.run(main)
+
+
+def test_a_silent_watch_is_made_again_within_its_bounds_and_asks_for_an_answer_at_once():
+    store = ScriptedStore("silent", (0.0, 5))
+    taker = follow(store, 6.0)
+    (first, _), (second, wait_s) = store.asked[:2]
+    assert second - first <= BOUNDS.wait_s + BOUNDS.answer_s + 0.1 and wait_s == 0.0
+    assert taker.beliefs == []
+
+
+def test_news_from_behind_a_silent_connection_are_as_old_as_the_silence():
+    taker = follow(ScriptedStore((0.5, 3), "silent", (0.0, 5)), 8.0)
+    (_, prompt_s), (_, late_s) = taker.news
+    assert prompt_s <= 1.25, "the first watch begins a second after the first listing"
+    assert late_s >= BOUNDS.wait_s + BOUNDS.answer_s
+
+
+def test_what_a_pending_watch_brings_is_new():
+    taker = follow(ScriptedStore("idle", (1.0, 3), (1.0, 5)), 8.0)
+    assert all(age_s < 0.1 for _, age_s in taker.news) and len(taker.news) == 2
+
+
+def test_a_store_that_keeps_failing_is_lost_and_comes_back():
+    store = ScriptedStore(*["refused"] * 6, (0.0, 5))
+    taker = follow(store, 8.0)
+    assert taker.beliefs == [True, False]
+    assert store.asked[2][0] - store.asked[0][0] < LOST_S
+
+
+def test_a_node_that_was_relieved_asks_rarely_until_it_is_answered():
+    store = ScriptedStore(*["refused"] * 100)
+    duty = [True]
+
+    def has_duty():
+        return duty[0]
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        taker = Taker()
+        task = asyncio.create_task(StoreFollower(store, BOUNDS, taker, has_duty, loop.time).run())
+        await asyncio.sleep(4.0)
+        duty[0] = False
+        before = len(store.asked)
+        await asyncio.sleep(5 * RELIEVED_PAUSE_S)
+        assert len(store.asked) - before <= 6
+        store.script.clear()
+        await asyncio.sleep(RELIEVED_PAUSE_S + 0.1)
+        assert taker.beliefs == [True, False]
+        task.cancel()
+
+    virtual.run(main)
+
+
+def test_a_watch_that_could_not_have_been_answered_yet_is_left_alone():
+    store = ScriptedStore()
+    follow(store, 1.25 + BOUNDS.answer_s / 2, at_last=lambda follower: follower.renew())
+    assert len(store.asked) == 1
+    store = ScriptedStore()
+    follow(store, 1.25 + BOUNDS.answer_s * 1.5, at_last=lambda follower: follower.renew())
+    assert len(store.asked) == 2
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_pools.py
@@ -68,3 +68,12 @@
     assert replicas.find("m1") is not None
     clock.now = LAST_RESORT_S * 2
     assert replicas.find("m1") is None and replicas.of("model") == []
+
+
+def test_a_last_resort_counts_from_when_a_replica_went_not_from_when_that_was_heard():
+    for heard_after_s, found in ((0.0, ["m1"]), (LAST_RESORT_S + 0.1, [])):
+        state, replicas, clock = declared("m1 ready")
+        clock.now = 10.0
+        state.change_replicas([Removed("m1", 2)], 2, clock.now - heard_after_s)
+        replicas.rebuild()
+        assert [each.id for each in replicas.of("model")] == found
--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -88,12 +88,12 @@
         return Listing(tuple(items), at)
 
     async def watch(
-        self, prefix: str, since: int, wait_s: float
+        self, prefix: str, since: int, wait_s: float, answer_s: float
     ) -> Changes | HistoryLost | Unavailable:
         """Wait for changes under a prefix."""
         wait_ms = int(wait_s * 1000)
         target = f"/kv-watch?path-prefix={quote(prefix)}&since-rev={since}&wait-ms={wait_ms}"
-        answer = await self._call(b"GET", target, None, CALL_S + wait_s)
+        answer = await self._call(b"GET", target, None, wait_s + answer_s)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status == GONE:
--- a/packages/chalkyoke/src/chalkyoke/storage/port.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/port.py
@@ -25,11 +25,12 @@
         """Read all items under a prefix, linearizably."""
 
     async def watch(
-        self, prefix: str, since: int, wait_s: float
+        self, prefix: str, since: int, wait_s: float, answer_s: float
     ) -> Changes | HistoryLost | Unavailable:
         """Wait until something under a prefix changes after a revision.
 
         :param wait_s: after so many seconds the answer holds no change.
+        :param answer_s: how long the answer is waited for beyond that, in seconds.
         """
 
     async def write(
--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -23,7 +23,8 @@
 )
 from chalkyoke.membership.state import Candidate
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.catalog import CatalogKeeper, Keys
+from chalkyoke.node.catalog import WATCH_DUTY, CatalogKeeper, Keys
+from chalkyoke.node.follower import WatchBounds
 from chalkyoke.platform import documents
 from chalkyoke.platform import store as platform_store
 from chalkyoke.storage.messages import Changes, Item, Listing, Removed, Unavailable
@@ -166,8 +167,8 @@
     async def read(self, prefix):
         return await self._within(platform_store.CALL_S, lambda: self._store.read(prefix))
 
-    async def watch(self, prefix, since, wait_s):
-        limit_s = platform_store.CALL_S + wait_s
+    async def watch(self, prefix, since, wait_s, answer_s):
+        limit_s = wait_s + answer_s
         return await self._within(limit_s, lambda: self._store.watch(prefix, since, wait_s))
 
     async def _within(self, limit_s, work):
@@ -241,7 +242,7 @@
             self.view,
             self.links,
             2,
-            fleet.watch_wait_s,
+            WatchBounds.within(fleet.silence_s),
             lambda: None,
             lambda registered: None,
             loop.time,
@@ -300,7 +301,7 @@
     sizes: dict
     replicas: int = 140
     routes: int = 40
-    watch_wait_s: float = 10.0
+    silence_s: float = 3.0
     bytes_per_s: float = LINK_BYTES_PER_S
     lag: Lag = field(default_factory=Lag)
 
@@ -350,8 +351,8 @@
         self.store.put(f"{KEYS.replicas}i-{number:04d}", replica(number, "draining"))
 
     def watchers(self):
-        """List the hosts that follow the store for their failure domain."""
-        return {node.host for node in self.nodes if node.view.holds_duty("store-watch", 2)}
+        """List the hosts that follow the store for their failure domain at the start."""
+        return {node.host for node in self.nodes if node.view.holds_duty(WATCH_DUTY, 2)}
 
 
 def play(make):
--- a/tests/test_catalog_spread.py
+++ b/tests/test_catalog_spread.py
@@ -52,3 +52,59 @@
 
     fleet = played(disturb, after_s=14.0)
     assert fleet.lag.worst_s < MOST_LAG_AFTER_SILENCE_S, fleet.lag
+
+
+def test_a_domain_whose_watchers_meet_silence_at_the_store_is_followed_by_others():
+    async def disturb(fleet):
+        fleet.store.silent = {host for host in fleet.watchers() if host.startswith("a-")}
+        fleet.store.silence_connections()
+        await asyncio.sleep(6.0)
+        fleet.drain(1)
+        fleet.configure({1})
+
+    fleet = played(disturb)
+    assert fleet.lag.worst_s < 0.5, fleet.lag
+
+
+def test_a_domain_without_any_other_is_followed_by_those_whom_the_store_answers():
+    async def main():
+        fleet = Fleet({"a": 22})
+        fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        fleet.store.refused = fleet.watchers()
+        fleet.store.silence_connections()
+        await asyncio.sleep(4.0)
+        fleet.drain(1)
+        await asyncio.sleep(6.0)
+        return fleet
+
+    fleet = play(main)
+    assert fleet.lag.worst_s < 0.5, fleet.lag
+
+
+def test_a_store_that_answers_slowly_delays_news_by_little_more_than_its_answers():
+    async def disturb(fleet):
+        fleet.store.answer_s = 0.25
+        for number in range(15):
+            fleet.configure({number})
+            fleet.drain(number)
+            await asyncio.sleep(0.33)
+
+    fleet = played(disturb)
+    assert fleet.lag.worst_s < 1.0, fleet.lag
+
+
+def test_a_store_that_is_away_from_all_is_asked_by_few():
+    async def disturb(fleet):
+        fleet.calls_before = fleet.store.calls
+        fleet.store.refused = {node.host for node in fleet.nodes}
+        fleet.store.silence_connections()
+        await asyncio.sleep(4.5)
+        fleet.calls_meanwhile = fleet.store.calls - fleet.calls_before
+        fleet.store.refused = set()
+        await asyncio.sleep(1.2)
+        fleet.drain(1)
+
+    fleet = played(disturb)
+    assert fleet.calls_meanwhile < 150, fleet.calls_meanwhile
+    assert fleet.lag.worst_s < 0.5, fleet.lag
