Confirm what comes over a link, and make a silent link anew

On a way that takes bytes and loses them a peer's heartbeats, configurations and grants went nowhere, for good; the system's time-outs do not see it. Change: listeners confirm each half second how many messages they took; one second without a confirmation of what was sent, and the link is made anew. Metrics and lines for links that are silent or full; a peer has 1 MB to wait for it, not 4. Cost: some 170 bytes a second for each link in use.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -41,6 +41,7 @@
         self.faults = RelayFaults()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str) -> None:
         """Listen on a free port."""
@@ -58,6 +59,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let all open connections go silent for good: what is sent on them is lost, both ways."""
+        self._silent |= self._writers
+
     def heal(self) -> None:
         """End all faults."""
         self.faults = RelayFaults()
@@ -82,6 +87,7 @@
                 task.cancel()
             for each in (writer, back):
                 self._writers.discard(each)
+                self._silent.discard(each)
                 with contextlib.suppress(ConnectionError):
                     each.close()
 
@@ -94,6 +100,8 @@
                     await asyncio.sleep(self.faults.delay_s)
                 while self._is_silent(to_target):
                     await asyncio.sleep(POLL_S)
+                if writer in self._silent:
+                    continue
                 writer.write(data)
                 await writer.drain()
 
--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -25,9 +25,13 @@
 )
 from chalkyoke.links.messages import Challenge, Hello, Welcome
 
+# How long proving who one is may take, in seconds: some round trips between regions.
 HANDSHAKE_S = 2.0
+# Read at once at most, in bytes: what a socket usually holds.
 READ_BYTES = 65_536
-MAX_UNSENT_BYTES = 4_000_000
+# What may wait for one peer, in bytes: 1.6 s of the smallest links that operators run (5 Mbit/s).
+# What waits longer is no news any more, and its sender repeats what must not be lost.
+MAX_UNSENT_BYTES = 1_000_000
 
 
 class Clock(Protocol):
@@ -55,13 +59,18 @@
 
 @dataclass(slots=True)
 class LinkCounters:
-    """Bytes and messages over all links of a process."""
+    """Bytes and messages over all links of a process.
+
+    :param dropped: messages that waited for a peer and were given up.
+    :param silent: links that were made anew since nothing sent on them was confirmed.
+    """
 
     sent_bytes: int = 0
     received_bytes: int = 0
     sent: int = 0
     received: int = 0
     dropped: int = 0
+    silent: int = 0
 
 
 class Connection:
@@ -90,6 +99,11 @@
         self._frames = FrameReader()
         self._ready: list[msgspec.Struct] = []
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What waits to be sent, in bytes."""
+        return self._writer.transport.get_write_buffer_size()
+
     @property
     def closing(self) -> bool:
         """Whether nothing more can be sent."""
@@ -100,8 +114,7 @@
 
         :return: whether it was handed to the stream; a peer that reads too slowly loses it.
         """
-        unsent = self._writer.transport.get_write_buffer_size()
-        if self._writer.is_closing() or unsent > MAX_UNSENT_BYTES:
+        if self._writer.is_closing() or self.unsent_bytes > MAX_UNSENT_BYTES:
             self._counters.dropped += 1
             return False
         frame = self._codec.encode(self._clock.stamp(), message)
--- a/packages/chalkyoke/src/chalkyoke/links/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/links/messages.py
@@ -1,7 +1,8 @@
 """
 chalkyoke.links.messages
 
-The first frames of a link: both sides prove that they hold the fleet's key.
+The frames of a link itself: both sides prove that they hold the fleet's key, and the listener
+confirms what it took.
 """
 
 import msgspec
@@ -32,3 +33,9 @@
 
     process: str
     mac: bytes
+
+
+class Received(msgspec.Struct, frozen=True, array_like=True, tag="received"):
+    """The listener's word that it has taken so many messages since the welcome."""
+
+    count: int
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -14,16 +14,28 @@
 from chalkyoke.exceptions import ChalkyokeError, LinkError
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
-from chalkyoke.links.messages import Challenge, Hello, Welcome
+from chalkyoke.links.keepalive import CONFIRM_LOOKS, Receipts, Unconfirmed
+from chalkyoke.links.messages import Challenge, Hello, Received, Welcome
+from chalkyoke.logs import logger
 from chalkyoke.sockets import set_user_timeout
 
+# How long opening a link may take, in seconds: some round trips between regions.
 CONNECT_S = 0.5
+# Messages that wait for a link to come up, in number: some heartbeats' worth of a busy node.
 MAX_QUEUED = 2000
+# Pause after a failed opening, in seconds: doubled with each, up to the longest.
+FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
+# Failures in a row after which an address is forgotten, in number: it is retried as a new one.
+MOST_FAILURES = 20
+# How long the system waits for a peer's acknowledgement, in milliseconds: below the heartbeats
+# whose absence means that a peer is lost.
 USER_TIMEOUT_MS = 1000
 
 Handler = Callable[[Connection, msgspec.Struct], Awaitable[None] | None]
 
+log = logger("links")
+
 
 class _Outgoing:
     """One outgoing link: a bounded queue while it is not connected."""
@@ -33,6 +45,8 @@
         self.connection: Connection | None = None
         self.task: asyncio.Task[None] | None = None
         self.failures = 0
+        self.unconfirmed = Unconfirmed()
+        self.is_full = False
 
 
 class Links:
@@ -58,11 +72,12 @@
         self.me = me
         self._listen = listen or me.address
         self.counters = LinkCounters()
-        self._codec = FrameCodec((*types, Challenge, Hello, Welcome))
+        self._codec = FrameCodec((*types, Challenge, Hello, Received, Welcome))
         self._clock = clock
         self._handler = handler
         self._outgoing: dict[str, _Outgoing] = {}
-        self._incoming: set[Connection] = set()
+        self._incoming: dict[Connection, Receipts] = {}
+        self._looks = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -94,7 +109,7 @@
         if outgoing is None:
             outgoing = self._outgoing[address] = _Outgoing()
         if outgoing.connection is not None and not outgoing.connection.closing:
-            outgoing.connection.send(message)
+            self._send_on(address, outgoing, message)
             return
 
         if len(outgoing.queue) == MAX_QUEUED:
@@ -103,6 +118,52 @@
         if outgoing.task is None:
             outgoing.task = asyncio.create_task(self._run(address, outgoing))
 
+    def keep_alive(self) -> None:
+        """Confirm what came in, and drop links that went silent; call each ``KEEP_S``.
+
+        What was on a silent link is lost as by a reset; the next message makes the link anew.
+        """
+        now = asyncio.get_running_loop().time()
+        self._looks += 1
+        if self._looks % CONFIRM_LOOKS == 0:
+            self._confirm(now)
+        for address, outgoing in self._outgoing.items():
+            if outgoing.connection is None or not outgoing.unconfirmed.is_silent(now):
+                continue
+            self.counters.silent += 1
+            log.notice(
+                "link_silent",
+                peer=address,
+                unconfirmed=outgoing.unconfirmed.count,
+                unsent_bytes=outgoing.connection.unsent_bytes,
+            )
+            outgoing.connection.abort()
+
+    def unsent_bytes(self) -> int:
+        """Tell what waits to be sent over all links, in bytes.
+
+        :rtype: int
+        """
+        open_ones = (each.connection for each in self._outgoing.values())
+        return sum(each.unsent_bytes for each in open_ones if each is not None)
+
+    def _confirm(self, now: float) -> None:
+        for connection, receipts in list(self._incoming.items()):
+            due = receipts.due()
+            if due is not None:
+                connection.send(Received(due))
+            elif receipts.is_unused(now):
+                connection.abort()
+
+    def _send_on(self, address: str, outgoing: _Outgoing, message: msgspec.Struct) -> None:
+        connection = outgoing.connection
+        if connection is not None and connection.send(message):
+            outgoing.is_full = False
+            outgoing.unconfirmed.note_sent(asyncio.get_running_loop().time())
+        elif connection is not None and not outgoing.is_full:
+            outgoing.is_full = True
+            log.notice("link_full", peer=address, unsent_bytes=connection.unsent_bytes)
+
     async def open(self, address: str) -> Connection:
         """Open a stream of its own, for a transfer that must not delay other messages.
 
@@ -129,17 +190,22 @@
             connection = await self.open(address)
         except LinkError:
             outgoing.failures += 1
-            await asyncio.sleep(min(MAX_BACKOFF_S, 0.05 * 2 ** min(outgoing.failures, 6)))
+            await asyncio.sleep(
+                min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(outgoing.failures, 6))
+            )
             self._retire(address, outgoing)
             return
 
         outgoing.failures = 0
         outgoing.connection = connection
+        outgoing.unconfirmed = Unconfirmed()
         while outgoing.queue:
-            connection.send(outgoing.queue.popleft())
+            self._send_on(address, outgoing, outgoing.queue.popleft())
         with contextlib.suppress(ChalkyokeError):
-            async for _ in connection.messages():
-                pass
+            async for message in connection.messages():
+                if isinstance(message, Received):
+                    now = asyncio.get_running_loop().time()
+                    outgoing.unconfirmed.note_confirmed(message.count, now)
         outgoing.connection = None
         connection.abort()
         self._retire(address, outgoing)
@@ -147,21 +213,26 @@
     def _retire(self, address: str, outgoing: _Outgoing) -> None:
         outgoing.queue.clear()
         outgoing.task = None
-        if outgoing.failures == 0 or outgoing.failures > 20:
+        if outgoing.failures == 0 or outgoing.failures > MOST_FAILURES:
             self._outgoing.pop(address, None)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader, writer, self._codec, self._clock, self.counters)
-        self._incoming.add(connection)
+        loop = asyncio.get_running_loop()
+        receipts = Receipts(loop.time())
         try:
             await connection.accept(self.me)
+            self._incoming[connection] = receipts
             async for message in connection.messages():
+                receipts.note_taken(loop.time())
                 answered = self._handler(connection, message)
                 if answered is not None:
+                    # The stream is the answer's from here on.
+                    self._incoming.pop(connection, None)
                     await answered
                     return
         except ChalkyokeError:
             pass
         finally:
-            self._incoming.discard(connection)
+            self._incoming.pop(connection, None)
             connection.abort()
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_keepalive.py
@@ -0,0 +1,92 @@
+import asyncio
+
+from chalkyoke.links.connection import Identity
+from chalkyoke.links.keepalive import KEEP_S, SILENT_S, UNUSED_S, Receipts, Unconfirmed
+from chalkyoke.links.peers import Links
+
+from tests import virtual
+from tests.memorynet import MemoryNet
+
+from .test_links import GRANT, TYPES, Clock
+
+BEAT_S = 0.25
+KEY = b"k" * 16
+
+
+async def keep(links):
+    while True:
+        links.keep_alive()
+        await asyncio.sleep(KEEP_S)
+
+
+async def linked(handler):
+    """Make a caller and a listener, both in this loop."""
+    net = MemoryNet(asyncio.get_running_loop())
+    listener = Links(Identity("b", "b:1", "d", KEY), TYPES, Clock(), handler)
+    caller = Links(Identity("a", "a:1", "d", KEY), TYPES, Clock(), lambda c, m: None)
+    await listener.listen()
+    for each in (caller, listener):
+        asyncio.create_task(keep(each))
+    return caller, net
+
+
+async def beats(caller, for_s):
+    for _ in range(int(for_s / BEAT_S)):
+        caller.send("b:1", GRANT)
+        await asyncio.sleep(BEAT_S)
+
+
+def test_a_link_that_went_silent_is_made_anew_while_new_ones_work():
+    """A peer's heartbeats went on into a connection that carried nothing, and nobody noticed."""
+
+    async def main():
+        taken = []
+        caller, net = await linked(lambda c, m: taken.append(m))
+        await beats(caller, 2.0)
+        before = len(taken)
+        assert before == 8
+        net.silence()
+        await beats(caller, SILENT_S + 3 * BEAT_S)
+        assert len(taken) > before
+        assert caller.counters.silent == 1
+
+    virtual.run(main)
+
+
+def test_a_link_in_use_or_at_rest_is_left_alone():
+    async def main():
+        caller, net = await linked(lambda c, m: None)
+        await beats(caller, 4.0)
+        await asyncio.sleep(20.0)
+        await beats(caller, 4.0)
+        assert caller.counters.silent == 0 and caller.counters.dropped == 0
+        assert net.opened == 1
+
+    virtual.run(main)
+
+
+def test_what_is_on_its_way_when_a_confirmation_is_sent_is_not_taken_for_lost():
+    unconfirmed = Unconfirmed()
+    for _ in range(3):
+        unconfirmed.note_sent(0.0)
+    unconfirmed.note_confirmed(2, 0.9)
+    assert unconfirmed.count == 1
+    assert not unconfirmed.is_silent(0.9 + SILENT_S) and unconfirmed.is_silent(1.0 + SILENT_S)
+    unconfirmed.note_confirmed(3, 1.0)
+    assert not unconfirmed.is_silent(100.0)
+
+
+def test_a_confirmation_of_what_was_never_sent_counts_nothing():
+    unconfirmed = Unconfirmed()
+    unconfirmed.note_sent(0.0)
+    unconfirmed.note_confirmed(7, 0.5)
+    assert unconfirmed.count == 1
+
+
+def test_a_listener_confirms_once_what_it_took_and_drops_what_is_not_used():
+    receipts = Receipts(0.0)
+    assert receipts.due() is None
+    receipts.note_taken(1.0)
+    receipts.note_taken(2.0)
+    assert (receipts.due(), receipts.due()) == (2, None)
+    assert not receipts.is_unused(2.0 + UNUSED_S) and receipts.is_unused(2.1 + UNUSED_S)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -31,6 +31,7 @@
 from chalkyoke.http1.pool import ConnectionPool
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
 from chalkyoke.links.connection import Connection, Identity
+from chalkyoke.links.keepalive import KEEP_S
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
@@ -39,6 +40,7 @@
 from chalkyoke.node.catalog import CatalogKeeper, Keys
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.follower import WatchBounds
+from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
@@ -142,6 +144,7 @@
         )
         listen = settings.listen.links
         self.links = Links(me, LINK_MESSAGES, self.events, self._receive, listen)
+        add_link_gauges(self.metrics, self.links)
 
     def _make_catalog(self) -> None:
         settings, platform = self.settings, self._platform
@@ -339,6 +342,7 @@
         loops = self._supervisor
         loops.repeat(self.view.interval_s, self._beat)
         loops.repeat(TICK_S, self._tick)
+        loops.repeat(KEEP_S, self.links.keep_alive)
         loops.repeat(HOUSEKEEPING_S, self._keep_house)
         loops.repeat(TELL_S, self.quotas.tell_successors)
         loops.start(self.catalog.run())
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -34,6 +34,7 @@
 from chalkyoke.entry.service import EntryService
 from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.links.connection import Connection, Identity
+from chalkyoke.links.keepalive import KEEP_S
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import (
@@ -47,6 +48,7 @@
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.api import NodeApi
 from chalkyoke.node.configuration import ConfigurationKeeper
+from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.ports import FleetPort
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
@@ -221,8 +223,7 @@
         ]
         self.metrics.gauge("running", lambda: sum(1 for _ in self.entry.runs.active()))
         self.metrics.gauge("tokens_kept", lambda: len(self.entry.runs.ledger))
-        self.metrics.gauge("link_sent_bytes", lambda: self.links.counters.sent_bytes)
-        self.metrics.gauge("link_received_bytes", lambda: self.links.counters.received_bytes)
+        add_link_gauges(self.metrics, self.links)
         self.metrics.gauge("revision", lambda: self.configuration.state.revision)
         self.metrics.gauge("live_members", lambda: len(self.view.live()))
 
@@ -302,6 +303,7 @@
         loops = self._supervisor
         loops.repeat(self.view.interval_s, self._beat)
         loops.repeat(TICK_S, self._tick)
+        loops.repeat(KEEP_S, self.links.keep_alive)
         loops.repeat(HOUSEKEEPING_S, self._keep_house)
         loops.start(self._probe(timing.load_interval_s))
         loops.start(self.configuration.watch_root())
