--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -13,7 +13,7 @@
 from chalkyoke_fakes.replica import Replica
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.observations import Drained, Observations, Span
-from chalkyoke_fakes.soak.plan import Fault, Step
+from chalkyoke_fakes.soak.plan import OF_NODES_AND_STORE, Fault, Step
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
 RESTART_S = 0.3
@@ -21,6 +21,7 @@
 LEAVES_AFTER_S = 2.5
 STRIKES = 3
 SLOW_LINK_S = 0.2
+LOST_SHARE = 0.05
 SLOW_STORE_S = 0.4
 FADES_S = 1.0
 
@@ -67,7 +68,7 @@
             await self._kill(list(self._fleet.nodes))
         elif name.startswith("links_"):
             await self._strike_relay(self._fleet.link_relays[step.target], step)
-        elif step.fault in (Fault.STORE_CUT, Fault.STORE_REFUSES):
+        elif step.fault in OF_NODES_AND_STORE:
             await self._strike_relay(self._fleet.store_relays[step.target], step)
         elif name.startswith("store_"):
             await self._strike_store(step)
@@ -115,12 +116,16 @@
     # Relays.
 
     async def _strike_relay(self, relay: Relay, step: Step) -> None:
+        if step.fault in (Fault.LINKS_DEAD, Fault.STORE_DEAD, Fault.REPLICA_DEAD):
+            relay.silence()
+            return
         silent = RelayFaults(silent_to_target=True, silent_to_caller=True)
         kinds = {
             Fault.LINKS_SILENT: silent,
             Fault.LINKS_ONE_WAY: RelayFaults(silent_to_target=True),
             Fault.LINKS_SLOW: RelayFaults(delay_s=SLOW_LINK_S),
             Fault.LINKS_RESET: RelayFaults(refuse=True),
+            Fault.LINKS_LOSSY: RelayFaults(lost_share=LOST_SHARE),
             Fault.STORE_CUT: silent,
             Fault.STORE_REFUSES: RelayFaults(refuse=True),
             Fault.REPLICA_SILENT: silent,
@@ -156,7 +161,7 @@
             await self._crash(replica)
         elif step.fault is Fault.REPLICA_LEAVES:
             await self._leave(replica)
-        elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET):
+        elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD):
             await self._strike_relay(self._fleet.replica_relays[step.target], step)
         else:
             faults = replica.faults
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -10,7 +10,11 @@
 
 
 class Fault(StrEnum):
-    """What may be done to a fleet."""
+    """What may be done to a fleet.
+
+    What is ``dead`` are the connections that are open: they carry nothing any more, for good and
+    without an end, while new ones work.
+    """
 
     NODE_FREEZE = "node_freeze"
     NODE_KILL = "node_kill"
@@ -20,7 +24,10 @@
     LINKS_ONE_WAY = "links_one_way"
     LINKS_SLOW = "links_slow"
     LINKS_RESET = "links_reset"
+    LINKS_DEAD = "links_dead"
+    LINKS_LOSSY = "links_lossy"
     STORE_CUT = "store_cut"
+    STORE_DEAD = "store_dead"
     STORE_REFUSES = "store_refuses"
     STORE_DOWN = "store_down"
     STORE_SILENT = "store_silent"
@@ -31,6 +38,7 @@
     REPLICA_LEAVES = "replica_leaves"
     REPLICA_SILENT = "replica_silent"
     REPLICA_RESET = "replica_reset"
+    REPLICA_DEAD = "replica_dead"
     REPLICA_FAILS = "replica_fails"
     REPLICA_LOSES = "replica_loses"
     REPLICA_BREAKS = "replica_breaks"
@@ -40,7 +48,7 @@
 
 
 OF_NODES = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
-OF_NODES_AND_STORE = frozenset({Fault.STORE_CUT, Fault.STORE_REFUSES})
+OF_NODES_AND_STORE = frozenset({Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES})
 OF_REPLICAS = frozenset(each for each in Fault if each.startswith("replica_"))
 LEAST_S, MOST_S = 0.4, 4.0
 SERIES = 4
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -7,10 +7,13 @@
 
 import asyncio
 import contextlib
+import random
 from dataclasses import dataclass
 
 CHUNK = 65_536
 POLL_S = 0.02
+# When a system sends again what was not acknowledged, in seconds.
+SENT_AGAIN_S = 0.2
 
 
 @dataclass
@@ -20,12 +23,14 @@
     :ivar silent_to_target: bytes towards the target are held back until it is over.
     :ivar silent_to_caller: bytes towards the caller are held back until it is over.
     :ivar delay_s: each piece passes so much later.
+    :ivar lost_share: so many of the pieces pass only when they are sent again.
     :ivar refuse: new connections are reset at once.
     """
 
     silent_to_target: bool = False
     silent_to_caller: bool = False
     delay_s: float = 0.0
+    lost_share: float = 0.0
     refuse: bool = False
 
 
@@ -98,6 +103,8 @@
             while data := await reader.read(CHUNK):
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
+                if self.faults.lost_share and random.random() < self.faults.lost_share:
+                    await asyncio.sleep(SENT_AGAIN_S)
                 while self._is_silent(to_target):
                     await asyncio.sleep(POLL_S)
                 if writer in self._silent:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -190,6 +190,34 @@
     asyncio.run(main())
 
 
+def test_a_relay_lets_open_connections_go_dead_while_new_ones_work():
+    async def main():
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data.upper())
+
+        server = await asyncio.start_server(echo, "127.0.2.1", 0)
+        relay = Relay(f"127.0.2.1:{server.sockets[0].getsockname()[1]}")
+        await relay.start("127.0.3.1")
+        ip, port = relay.address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"one")
+        assert await reader.read(100) == b"ONE"
+        relay.silence()
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.2)
+        other, its_writer = await asyncio.open_connection(ip, int(port))
+        its_writer.write(b"three")
+        assert await other.read(100) == b"THREE"
+        for each in (writer, its_writer):
+            each.close()
+        await relay.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_a_short_run_over_real_processes_breaks_no_promise_of_safety():
     """What hangs on the clock is left to ``make soak``: this machine may be busy."""
     outcome = asyncio.run(play(7, SHORT))
