A repeatable request that may have run is not told that it has not

Cause (by reading): a resumable stream or idempotent request whose first run ended without a usable answer, and that nobody took again, got 503 with a time to come back: a promise that it had not run. Now 502, with the same time; the test was red before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -452,12 +452,20 @@
             self._granted = None
 
     def _refuse(self, admission: Admission, reason: str, retry_after_s: float) -> None:
-        """Tell that the request has not run and never will."""
+        """Tell that the request has not run and never will.
+
+        One that may be repeated and has been sent may have run to its end, so it is not refused:
+        no more is known of it than that no answer came.
+        """
         if self._delivery.head_sent:
             self._answering.abort()
             return
+        if self._progress.sends.runs > 0 and admission.route.repeatable:
+            self._parts.record("given_up", admission, reason=reason, retry_after_s=retry_after_s)
+            self._answer(502, reason, retry_after_s)
+            return
         require(
-            self._progress.sends.runs == 0 or admission.route.repeatable,
+            self._progress.sends.runs == 0,
             "a caller that is told 'not run' had no run",
             request=admission.request_id,
         )
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """One request from its arrival to its end, with the parts around it made up."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 from chalkyoke.catalog.resources import Catalog, Route, RouteKind, Service, Target, Team
@@ -49,13 +50,14 @@
         self.status = "aborted"
 
 
-def exchange_with(acquire, connect=None):
+def exchange_with(acquire, connect=None, route=ROUTE):
     """Make an exchange whose grants and connections are the given coroutines."""
+    catalog = replace(CATALOG, routes=(route,))
     loop = asyncio.get_running_loop()
     quotas, answering = Quotas(), Answering()
     released = []
     parts = GatewayParts(
-        catalog=lambda: CATALOG,
+        catalog=lambda: catalog,
         replicas=SimpleNamespace(find=lambda replica: REPLICA),
         headers=SimpleNamespace(
             read_request=lambda headers: RequestFields("r1", 5.0, "k", 900, 100)
@@ -120,3 +122,18 @@
         assert quotas.refunded == []
 
     virtual.run(main)
+
+
+def test_a_repeatable_request_that_may_have_run_is_not_told_that_it_has_not():
+    """Its first run may have come to a good end whose answer was lost; then nobody takes it."""
+
+    async def main():
+        async def acquire(*_):
+            return Denied("shed", 0.5)
+
+        exchange, _, answering = exchange_with(acquire, route=replace(ROUTE, resumable=True))
+        exchange._progress.sends.runs = 1
+        await exchange.run()
+        assert answering.status == 502
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -15,7 +15,7 @@
 from chalkyoke.logs import logger
 
 MOST_TARGET = 200
-FAILURES = frozenset(("refused", "expired", "over_quota"))
+FAILURES = frozenset(("refused", "given_up", "expired", "over_quota"))
 
 log = logger("request")
 
