Room for new callers near the bound of descriptors; connections kept beside a silent one are dropped

Cause (by reading): nothing bounded callers' connections, so that a process out of descriptors accepts nobody while it says that it is ready; and a request that stalled without a word was repeated over another connection kept beside the silent one.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -301,6 +301,9 @@
         finally:
             self._connection = None
         granted.events = relay.events
+        if end is SendEnd.STALLED and relay.head is None:
+            # The connection may have gone silent, and those kept beside it too.
+            parts.connections.drop_kept(granted.replica.ip, granted.replica.port)
         if end not in (SendEnd.STALLED, SendEnd.UNUSABLE):
             parts.connections.give_back(granted.replica.ip, granted.replica.port, connection)
         elif not connection.closed:
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -84,6 +84,7 @@
     """The fleet's limits, over all nodes.
 
     :param grace_s: how long a planned stop may take.
+    :param descriptors: how many descriptors this process may have open; 0 asks the system.
     """
 
     retry_ratio: float = 0.2
@@ -93,6 +94,7 @@
     quota_over: float = 0.1
     quota_slack: float = 0.0
     grace_s: float = 8.0
+    descriptors: int = 0
 
 
 class SchedulingSection(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -137,3 +137,43 @@
         assert answering.status == 502
 
     virtual.run(main)
+
+
+class SilentConnection:
+    """A connection that takes a request and says nothing."""
+
+    closed = False
+
+    def send(self, data, sink, belongs, *, bodiless=False):
+        pass
+
+    def cancel(self):
+        self.closed = True
+
+
+def test_connections_kept_beside_one_that_stalls_without_a_word_are_not_used_again():
+    async def main():
+        dropped = []
+        grants = [Granted(REPLICA, 1, Source.LOCAL), Denied("no replica", 0.5)]
+
+        async def acquire(*_):
+            return grants.pop(0)
+
+        async def connect(*_, **__):
+            return SilentConnection()
+
+        route = replace(ROUTE, kind=RouteKind.IDEMPOTENT, attempts=2)
+        exchange, _, answering = exchange_with(acquire, connect, route)
+        parts = exchange._parts
+        parts.connections.drop_kept = lambda ip, port: dropped.append((ip, port))
+        parts.headers.forward = lambda headers, forwarding: []
+        parts.budget = SimpleNamespace(
+            left=lambda *_: 9.0, try_spend=lambda *_: True, note_first=lambda *_: None
+        )
+        parts.grants.started = lambda admission, granted: None
+        parts.balancer.seen = lambda replica: SimpleNamespace(note_failure=lambda *_: None)
+        await exchange.run()
+        assert dropped == [(REPLICA.ip, REPLICA.port)]
+        assert answering.status == 502
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -117,6 +117,8 @@
     :param start: begins the work on one request.
     :param limits: gives the limits in force.
     :param connections: the set in which the connection lists itself while it is open.
+    :param opened: called when the connection is open and listed.
+    :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     """
 
     def __init__(
@@ -124,11 +126,14 @@
         start: Start,
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
+        opened: Callable[[], None] = lambda: None,
     ) -> None:
         self._start = start
         self._limits = limits
         self._connections = connections
+        self._opened = opened
         self._loop = asyncio.get_running_loop()
+        self.idle_since = self._loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[tuple[Request, bool, bool]] = deque()
         self._work: Work | None = None
@@ -156,6 +161,7 @@
         """Begin."""
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        self._opened()
         self._arm(self._limits().idle_timeout_s)
 
     def connection_lost(self, _: Exception | None) -> None:
@@ -320,6 +326,7 @@
     def answered(self, rest: bytes) -> None:
         """End the answer in progress, and go on with the next request."""
         self._work = None
+        self.idle_since = self._loop.time()
         if rest:
             self.write(rest)
         if self.closes_after_answer:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import random
+import resource
 import secrets
 import signal
 import time
@@ -29,6 +30,7 @@
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.http1.calls import Caller
 from chalkyoke.http1.pool import ConnectionPool
+from chalkyoke.http1.room import make_room, most_callers
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S
@@ -287,8 +289,14 @@
     async def _listen(self, address: str, start: Start) -> asyncio.Server:
         ip, port = address.rsplit(":", 1)
         own = self._connections if start == self.gateway.start else set()
+        most = most_callers(self.settings.limits.descriptors or _descriptors())
+
+        def opened() -> None:
+            if closed := make_room(own, most):
+                log.notice("room_made", closed=closed, open=len(own), most=most)
+
         return await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(start, self._limits, own),
+            lambda: ServerConnection(start, self._limits, own, opened),
             ip,
             int(port),
             backlog=BACKLOG,
@@ -420,5 +428,9 @@
         self.size.note_listed((each.host for each in candidates), self.now())
 
 
+def _descriptors() -> int:
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
