Name a state of a failure domain's membership by its content, so that two reporters' heartbeats are no news to each other

Cause: a digest named the reporter that made it; two reporters by turns made each heartbeat ask for the whole list of members. The test was red before.

--- a/packages/chalkyoke/src/chalkyoke/membership/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -37,7 +37,10 @@
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
-    """Names one state of a failure domain's membership, as one of its reporters sees it."""
+    """Names one state of a failure domain's membership, as one of its reporters sees it.
+
+    :param version: checksum of the members' records, the same for all that see the same.
+    """
 
     failure_domain: str
     reporter: str
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 
 from chalkyoke.membership.messages import (
     Digest,
@@ -68,6 +69,7 @@
         self._told: MemberRecord | None = None
         self._whole_until = 0
         self._last_summary: tuple[MemberRecord, ...] = ()
+        self._asked: dict[str, tuple[int, float]] = {}
 
     @property
     def domain(self) -> str:
@@ -313,7 +315,8 @@
         records = tuple(sorted(self._own_domain(), key=lambda each: each.host))
         if records != self._last_summary:
             self._last_summary = records
-            self._version += 1
+            # Reporters that see the same name it alike, so that nobody asks each of them for it.
+            self._version = xxhash.xxh64_intdigest(msgspec.msgpack.encode(records)) >> 1
         return Digest(self.domain, self.record.process, self._version)
 
     def _outside_targets(self) -> list[str]:
@@ -355,8 +358,9 @@
             if digest.failure_domain == self.domain:
                 continue
             known = self._foreign.get(digest.failure_domain)
-            if known is None or known.digest != digest:
-                sends.append(Send(sender, SummaryRequest(digest)))
+            if known is None or known.digest.version != digest.version:
+                if self._is_new_question(digest, now):
+                    sends.append(Send(sender, SummaryRequest(digest)))
                 if known is None:
                     continue
             known.heard = now
@@ -364,6 +368,14 @@
                 known.heard_outside = now
         return sends
 
+    def _is_new_question(self, digest: Digest, now: float) -> bool:
+        """Tell whether the members behind a digest were not asked for within a heartbeat."""
+        version, asked = self._asked.get(digest.failure_domain, (0, 0.0))
+        if version == digest.version and now - asked < self.interval_s:
+            return False
+        self._asked[digest.failure_domain] = (digest.version, now)
+        return True
+
     def _answer(self, sender: str, message: SummaryRequest) -> list[Send]:
         if message.digest.failure_domain == self.domain:
             return [Send(sender, Summary(self._own_digest(), self._last_summary))]
--- a/tests/test_catalog_spread.py
+++ b/tests/test_catalog_spread.py
@@ -108,3 +108,11 @@
     fleet = played(disturb)
     assert fleet.calls_meanwhile < 150, fleet.calls_meanwhile
     assert fleet.lag.worst_s < 0.5, fleet.lag
+
+
+def test_a_fleet_at_rest_sends_heartbeats_and_nothing_else():
+    async def disturb(fleet):
+        fleet.network.bytes_by_kind.clear()
+
+    fleet = played(disturb)
+    assert set(fleet.network.bytes_by_kind) == {"Heartbeat", "ShortHeartbeat"}
