--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -26,7 +26,7 @@
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.follower import StoreFollower, WatchBounds
+from chalkyoke.node.follower import Part, StoreFollower, WatchBounds
 from chalkyoke.storage.messages import Changes, Item, Listing, Removed
 from chalkyoke.storage.port import Store
 
@@ -96,7 +96,7 @@
         self._nodes: dict[str, bytes] = {}
         self._asked = 0.0
         self._behind_since = 0.0
-        self._follower = StoreFollower(store, bounds, self, self._is_watcher, now)
+        self._follower = StoreFollower(store, bounds, self, self._part, now)
 
     async def run(self) -> None:
         """Follow the store for as long as the process lives."""
@@ -104,8 +104,11 @@
 
     # The store.
 
-    def _is_watcher(self) -> bool:
-        return self._view.record.host in self._watching_hosts()
+    def _part(self) -> Part:
+        watching = self._watching_hosts()
+        if self._view.record.host not in watching:
+            return Part.NONE
+        return Part.FIRST if watching[0] == self._view.record.host else Part.STANDBY
 
     def _watching_hosts(self) -> list[str]:
         """List the hosts of this failure domain that follow the store.
@@ -249,10 +252,10 @@
         self._links.send(address, request)
 
     def _tell(self, message: CatalogAnswer) -> None:
-        """Tell those of this failure domain that do not follow the store themselves."""
-        watching = {self._view.record.host, *self._watching_hosts()}
+        """Tell all others of this failure domain: the store may be silent to the other watcher."""
         for record in self._view.live():
-            if record.failure_domain == self._view.domain and record.host not in watching:
+            mine = record.failure_domain == self._view.domain
+            if mine and record.host != self._view.record.host:
                 self._links.send(record.address, message)
 
     # Changes.
--- a/packages/chalkyoke/src/chalkyoke/node/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/node/follower.py
@@ -8,13 +8,14 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from chalkyoke.logs import logger
 from chalkyoke.storage.messages import Changes, HistoryLost, Listing, Unavailable
 from chalkyoke.storage.port import Store
 
-# How often a node that does not follow the store looks whether it has to, in seconds: a heartbeat.
+# How often a node looks whether its part in following the store has changed, in seconds: a beat.
 IDLE_S = 0.25
 # A node does not follow the store in its first second: it knows nobody yet and would believe each
 # time that it has to. What changes meanwhile it hears from its peers, or from its first watch.
@@ -32,16 +33,28 @@
 LOST_FAILURES = 2
 LOST_S = 0.5
 
+# How long a standby's watch waits, in seconds. It is there for the moment in which the first one
+# falls silent; that nothing comes for so long is noticed by the first one.
+STANDBY_WAIT_S = 10.0
+
 log = logger("store")
 
 
+class Part(StrEnum):
+    """A node's part in following the store for its failure domain."""
+
+    FIRST = "first"
+    STANDBY = "standby"
+    NONE = "none"
+
+
 @dataclass(frozen=True, slots=True)
 class WatchBounds:
-    """How long a watch may take.
+    """How long the watch of the first node of a failure domain may take.
 
-    A node that hears of nothing else knows of a change that came behind a silent connection at
-    most ``wait_s + answer_s`` after the connection went silent. What that costs is one call each
-    ``wait_s`` from each node that follows the store, while nothing changes.
+    A change that came behind silent connections is known at most ``wait_s + answer_s`` after they
+    went silent. What that costs is one call each ``wait_s`` from each failure domain while nothing
+    changes.
 
     :param wait_s: how long the store lets a watch wait for a change, in seconds.
     :param answer_s: how long an answer is waited for beyond that, in seconds.
@@ -82,7 +95,7 @@
     """Follow the store, where this node has to.
 
     :param bounds: how long a watch may take.
-    :param has_duty: tells whether this node has to follow the store.
+    :param part: tells this node's part in following the store.
     :param now: the node's clock, in seconds.
     :ivar since: revision up to which this node has followed the store; 0 is not at all.
     """
@@ -92,14 +105,14 @@
         store: Store,
         bounds: WatchBounds,
         follower: Follower,
-        has_duty: Callable[[], bool],
+        part: Callable[[], Part],
         now: Callable[[], float],
     ) -> None:
         self.since = 0
         self._store = store
         self._bounds = bounds
         self._follower = follower
-        self._has_duty = has_duty
+        self._part = part
         self._now = now
         self._failures = 0
         self._failing_since = 0.0
@@ -111,7 +124,7 @@
     async def run(self) -> None:
         """Follow the store for as long as the process lives."""
         while True:
-            if self.since and not self._is_lost and not self._must_follow():
+            if self.since and not self._is_lost and self._part_now() is Part.NONE:
                 await asyncio.sleep(IDLE_S)
                 continue
             answered = await (self._wait_for_changes() if self.since else self._read_all())
@@ -129,11 +142,11 @@
             log.notice("watch_renewed", since=self.since, waited_s=round(waited, 3))
             self._watch.cancel()
 
-    def _must_follow(self) -> bool:
-        return self._now() >= NEW_NODE_S and self._has_duty()
+    def _part_now(self) -> Part:
+        return Part.NONE if self._now() < NEW_NODE_S else self._part()
 
     def _pause_s(self) -> float:
-        if self._is_lost and not self._must_follow():
+        if self._is_lost and self._part_now() is Part.NONE:
             return RELIEVED_PAUSE_S
         doubled: float = FIRST_PAUSE_S * 2 ** min(self._failures - 1, 5)
         return min(MAX_PAUSE_S, doubled)
@@ -150,19 +163,9 @@
         return True
 
     async def _wait_for_changes(self) -> bool:
-        # After a failure an answer at once tells whether a new connection works.
-        wait_s = 0.0 if self._failures else self._bounds.wait_s
-        self._sent_at = self._now()
-        asked = self._store.watch("", self.since, wait_s, self._bounds.answer_s)
-        self._watch = asyncio.ensure_future(asked)
-        try:
-            found = await self._watch
-        except asyncio.CancelledError:
-            if self._watch.cancelled() and not _is_cancelling():
-                return True
-            raise
-        finally:
-            self._watch = None
+        found = await self._ask()
+        if found is None:
+            return True
         if isinstance(found, Unavailable):
             self._note_failure(found)
             return False
@@ -178,6 +181,26 @@
             await asyncio.sleep(GATHER_S)
         return True
 
+    async def _ask(self) -> Changes | HistoryLost | Unavailable | None:
+        """Wait for the answer of one watch; nothing where it is to be made anew."""
+        standby = self._part_now() is Part.STANDBY
+        wait_s = STANDBY_WAIT_S if standby else self._bounds.wait_s
+        if self._failures:
+            # An answer at once tells whether a new connection works.
+            wait_s = 0.0
+        self._sent_at = self._now()
+        asked = self._store.watch("", self.since, wait_s, self._bounds.answer_s)
+        self._watch = watch = asyncio.ensure_future(asked)
+        try:
+            while not watch.done():
+                await asyncio.wait([watch], timeout=IDLE_S if standby else None)
+                if standby and self._part_now() is Part.FIRST:
+                    return None
+        finally:
+            self._watch = None
+            watch.cancel()
+        return None if watch.cancelled() else watch.result()
+
     def _age_of_news_s(self) -> float:
         """Tell how old what a watch brings may be.
 
@@ -217,8 +240,3 @@
         if is_lost != self._is_lost:
             self._is_lost = is_lost
             self._follower.lost(is_lost)
-
-
-def _is_cancelling() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_follower.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_follower.py
@@ -1,6 +1,14 @@
 import asyncio
 
-from chalkyoke.node.follower import LOST_S, RELIEVED_PAUSE_S, StoreFollower, WatchBounds
+from chalkyoke.node.follower import (
+    IDLE_S,
+    LOST_S,
+    RELIEVED_PAUSE_S,
+    STANDBY_WAIT_S,
+    Part,
+    StoreFollower,
+    WatchBounds,
+)
 from chalkyoke.storage.messages import Changes, Listing, Removed, Unavailable
 
 from tests import virtual
@@ -51,11 +59,11 @@
         self.beliefs.append(is_lost)
 
 
-def follow(store, for_s, has_duty=lambda: True, at_last=lambda follower: None):
+def follow(store, for_s, part=lambda: Part.FIRST, at_last=lambda follower: None):
     async def main():
         loop = asyncio.get_running_loop()
         taker = Taker()
-        follower = StoreFollower(store, BOUNDS, taker, has_duty, loop.time)
+        follower = StoreFollower(store, BOUNDS, taker, part, loop.time)
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(for_s)
         at_last(follower)
@@ -96,17 +104,16 @@
 
 def test_a_node_that_was_relieved_asks_rarely_until_it_is_answered():
     store = ScriptedStore(*["refused"] * 100)
-    duty = [True]
-
-    def has_duty():
-        return duty[0]
+    parts = [Part.FIRST]
 
     async def main():
         loop = asyncio.get_running_loop()
         taker = Taker()
-        task = asyncio.create_task(StoreFollower(store, BOUNDS, taker, has_duty, loop.time).run())
+        task = asyncio.create_task(
+            StoreFollower(store, BOUNDS, taker, lambda: parts[0], loop.time).run()
+        )
         await asyncio.sleep(4.0)
-        duty[0] = False
+        parts[0] = Part.NONE
         before = len(store.asked)
         await asyncio.sleep(5 * RELIEVED_PAUSE_S)
         assert len(store.asked) - before <= 6
@@ -125,3 +132,21 @@
     store = ScriptedStore()
     follow(store, 1.25 + BOUNDS.answer_s * 1.5, at_last=lambda follower: follower.renew())
     assert len(store.asked) == 2
+
+
+def test_a_standby_asks_rarely_and_at_once_when_it_becomes_the_first():
+    store = ScriptedStore()
+    parts = [Part.STANDBY]
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        follower = StoreFollower(store, BOUNDS, Taker(), lambda: parts[0], loop.time)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.25 + STANDBY_WAIT_S + 1.0)
+        assert [wait_s for _, wait_s in store.asked] == [STANDBY_WAIT_S] * 2
+        parts[0] = Part.FIRST
+        await asyncio.sleep(IDLE_S + 0.01)
+        assert [wait_s for _, wait_s in store.asked[2:]] == [BOUNDS.wait_s]
+        task.cancel()
+
+    virtual.run(main)
