--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -14,7 +14,9 @@
 from chalkyoke.http1.messages import Request
 from chalkyoke.logs import logger
 
+# Of a request's target, so many characters are logged.
 MOST_TARGET = 200
+REFUSALS = frozenset(("refused", "given_up", "over_quota"))
 FAILURES = frozenset(("refused", "given_up", "expired", "over_quota"))
 
 log = logger("request")
@@ -49,6 +51,9 @@
         """
         tier = str(admission.rank)
         self._metrics.count("requests", event=event, route=admission.service.name, tier=tier)
+        if event in REFUSALS:
+            cause = facts.get("reason") or f"over quota, by {facts.get('decided_by')}"
+            self._metrics.count("refusals", cause=str(cause), route=admission.service.name)
         failed = event in FAILURES or facts.get("follows") in ("fail", "break_off", "pass_on")
         level = logbook.NOTICE if failed else logbook.INFO
         log.log(
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -216,7 +216,10 @@
         for out in outs:
             action = out.action
             if isinstance(action, Shed):
-                self._metrics.count("scheduler_shed", reason=action.reason, pool=action.pool)
+                beside = "free" if out.beside_free else "taken"
+                self._metrics.count(
+                    "scheduler_shed", reason=action.reason, pool=action.pool, places=beside
+                )
             else:
                 self._metrics.count("scheduler_granted", pool=action.pool)
             self._deliver(out.entry, action)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -15,6 +15,9 @@
 # So many first outputs make an upstream's speed known enough to guess a new one's from: the first
 # ones move it by six tenths and three tenths of an error (estimates.FIRST_PREFILL_GAIN).
 KNOWN_SAMPLES = 3
+# A pool with less than this part of its slots taken is mostly free: operators count a refusal as
+# needless below it.
+MOSTLY_FREE_SHARE = 0.5
 
 
 class PoolState:
@@ -139,6 +142,17 @@
         """
         return any(each.has_slot(now) and not each.leaving for each in self.upstreams.values())
 
+    def is_mostly_free(self) -> bool:
+        """Tell whether nothing waits and few of the slots that take work are taken.
+
+        A refusal then is hard to explain to its caller, whatever its reason.
+        """
+        if self.waiting:
+            return False
+        open_ones = [each for each in self.upstreams.values() if not each.leaving]
+        slots = sum(each.spec.slots for each in open_ones)
+        return sum(len(each.running) for each in open_ones) < MOSTLY_FREE_SHARE * slots
+
     def at_limit(self, team: str) -> bool:
         """Tell whether a team holds as many grants as it may.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -44,10 +44,14 @@
 
 @dataclass(slots=True)
 class Out:
-    """One action and the entry process that it goes to."""
+    """One action and the entry process that it goes to.
+
+    :param beside_free: whether the pool was mostly free when a request was refused.
+    """
 
     entry: str
     action: Action
+    beside_free: bool = False
 
 
 class Refuser:
@@ -250,4 +254,5 @@
         key = (reason, item.rank)
         self._counters.shed[key] = self._counters.shed.get(key, 0) + 1
         name = self._pool.spec.name
-        return Out(item.entry, Shed(item.request, item.attempt, name, reason, retry_after_s))
+        shed = Shed(item.request, item.attempt, name, reason, retry_after_s)
+        return Out(item.entry, shed, beside_free=self._pool.is_mostly_free())
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -175,3 +175,12 @@
         scheduler.progress("e2", Progress("pool", ()), float(second))
         granted += [out.action.request for out in scheduler.tick(float(second))]
     assert granted == ["y"]
+
+
+def test_a_refusal_beside_free_places_is_told_from_one_for_want_of_them():
+    scheduler = make(slots=4)
+    hopeless = acquire("x", budget=0.01)
+    assert [out.beside_free for out in scheduler.acquire("e1", "d", hopeless, 0.0)] == [True]
+    take(scheduler, 0.0, acquire("a"), acquire("b"))
+    hopeless = acquire("y", budget=0.01)
+    assert [out.beside_free for out in scheduler.acquire("e1", "d", hopeless, 0.0)] == [False]
