--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -148,7 +148,14 @@
     # Driving.
 
     async def run(self) -> None:
-        """Answer the request."""
+        """Answer the request; a fault in here ends it, and what is told of it stays true."""
+        try:
+            await self._run()
+        except Exception:
+            self._end_by_fault()
+            raise
+
+    async def _run(self) -> None:
         parts = self._parts
         judged = judge(self._request, self._fields, parts.catalog(), parts.now())
         if isinstance(judged, Rejection):
@@ -180,10 +187,15 @@
                 events=self._delivery.events,
                 silent_s=round(self._silent_s(), 4),
             )
-        except BaseException:
-            self._release_cancelled(judged)
+
+    def _end_by_fault(self) -> None:
+        """Refuse what was not sent yet; a bare close would leave its caller without an answer."""
+        if self._admission is not None:
+            self._release_cancelled(self._admission)
+        if self._progress.sends.runs or self._delivery.head_sent:
             self._answering.abort()
-            raise
+        else:
+            self._answer(503, "internal fault", RETRY_SOON_S)
 
     def _refund(self, admission: Admission) -> None:
         """Give the quota back that a request was charged and that ends without a run."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
 from chalkyoke.catalog.resources import Catalog, Route, RouteKind, Service, Target, Team
 from chalkyoke.gateway.exchange import Exchange, GatewayParts
 from chalkyoke.gateway.grants import Denied, Granted, Source
@@ -151,6 +152,60 @@
         self.closed = True
 
 
+@pytest.mark.parametrize("stage", ["quota", "queue", "connecting", "answer", "retry"])
+def test_a_caller_that_leaves_ends_its_request_at_once_wherever_it_waits(stage):
+    """Nothing of it is sent any more, and what runs is ended."""
+
+    async def main():
+        sent = []
+
+        async def forever(*_, **__):
+            await asyncio.sleep(60)
+
+        async def acquire(admission, attempt, tried):
+            if stage == "queue" or (stage == "retry" and attempt > 1):
+                await forever()
+            return Granted(REPLICA, attempt, Source.LOCAL)
+
+        async def connect(*_, **__):
+            if stage == "connecting":
+                await forever()
+            if stage == "retry":
+                return ConnectFailure.REFUSED
+            sent.append(SilentConnection())
+            return sent[-1]
+
+        exchange, _, answering = exchange_with(acquire, connect)
+        parts = exchange._parts
+        if stage == "quota":
+            parts.quotas.take = forever
+        parts.headers.forward = lambda headers, forwarding: []
+        parts.budget.note_first = lambda *_: None
+        parts.grants.started = lambda admission, granted: None
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        await asyncio.sleep(0.3)
+        exchange.caller_left()
+        await asyncio.gather(exchange.task, return_exceptions=True)
+        assert [each.closed for each in sent] == [True] * (stage == "answer")
+        assert answering.status is None
+
+    virtual.run(main)
+
+
+def test_a_fault_before_anything_was_sent_ends_with_a_true_refusal():
+    async def main():
+        async def acquire(*_):
+            raise ValueError("broken")
+
+        exchange, quotas, answering = exchange_with(acquire)
+        with pytest.raises(ValueError, match="broken"):
+            await exchange.run()
+        assert answering.status == 503
+        assert quotas.refunded == [(1000.0, 7)]
+
+    virtual.run(main)
+
+
 def test_connections_kept_beside_one_that_stalls_without_a_word_are_not_used_again():
     async def main():
         dropped = []
