--- a/packages/chalkyoke/src/chalkyoke/links/keepalive.py
+++ b/packages/chalkyoke/src/chalkyoke/links/keepalive.py
@@ -8,17 +8,29 @@
 
 # How often a node looks for links that went silent, in seconds: a heartbeat.
 KEEP_S = 0.25
-# A listener confirms at each so many looks what it took. One confirmation is some 80 bytes on
-# the wire: 170 bytes a second for each link that is in use, 8 kB a second with 49 peers.
-CONFIRM_LOOKS = 2
-# How long messages may stay unconfirmed, in seconds: twice the time between two confirmations, and
-# together with a look less than the heartbeats whose absence means that a peer is lost.
-SILENT_S = 1.0
+# A listener confirms what it took each half second, and where heartbeats are sparse after so many
+# of their spaces. One confirmation is some 80 bytes on the wire and 0.1 ms for both sides.
+CONFIRM_S = 0.5
+CONFIRM_SPACES = 1.45
+# How long messages may stay unconfirmed, in times between two confirmations. Together with a look
+# that is less than the heartbeats whose absence means that a peer is lost.
+SILENT_CONFIRMATIONS = 2.0
+# What a listener is taken to need for a confirmation before it has told, in seconds: with the
+# sparsest heartbeats.
+LONGEST_CONFIRM_S = 1.45
 # After so long without a message a listener drops a link, in seconds: its caller may be gone
 # without a word. A caller that lives makes the link anew with its next message.
 UNUSED_S = 120.0
 
 
+def confirm_every_s(heartbeat_spacing_s: float) -> float:
+    """Tell how often a listener confirms, by how often its peers send at least.
+
+    :return: seconds.
+    """
+    return max(CONFIRM_S, CONFIRM_SPACES * heartbeat_spacing_s)
+
+
 class Unconfirmed:
     """What a caller has sent and the listener has not confirmed yet."""
 
@@ -26,6 +38,7 @@
         self.sent = 0
         self._confirmed = 0
         self._since = 0.0
+        self._every_s = LONGEST_CONFIRM_S
 
     @property
     def count(self) -> int:
@@ -41,14 +54,18 @@
             self._since = now
         self.sent += 1
 
-    def note_confirmed(self, count: int, now: float) -> None:
-        """Note how many messages the listener has taken; what is on its way counts from now."""
+    def note_confirmed(self, count: int, every_s: float, now: float) -> None:
+        """Note how many messages the listener has taken; what is on its way counts from now.
+
+        :param every_s: how often the listener confirms, in seconds.
+        """
+        self._every_s = every_s
         if self._confirmed < count <= self.sent:
             self._confirmed, self._since = count, now
 
     def is_silent(self, now: float) -> bool:
         """Tell whether the listener has been silent for too long."""
-        return self.count > 0 and now - self._since > SILENT_S
+        return self.count > 0 and now - self._since > SILENT_CONFIRMATIONS * self._every_s
 
 
 class Receipts:
--- a/packages/chalkyoke/src/chalkyoke/links/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/links/messages.py
@@ -36,6 +36,10 @@
 
 
 class Received(msgspec.Struct, frozen=True, array_like=True, tag="received"):
-    """The listener's word that it has taken so many messages since the welcome."""
+    """The listener's word that it has taken so many messages since the welcome.
+
+    :param every_s: how often it says so while messages come, in seconds.
+    """
 
     count: int
+    every_s: float
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -14,7 +14,7 @@
 from chalkyoke.exceptions import ChalkyokeError, LinkError
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
-from chalkyoke.links.keepalive import CONFIRM_LOOKS, Receipts, Unconfirmed
+from chalkyoke.links.keepalive import KEEP_S, Receipts, Unconfirmed
 from chalkyoke.links.messages import Challenge, Hello, Received, Welcome
 from chalkyoke.logs import logger
 from chalkyoke.sockets import set_user_timeout
@@ -77,7 +77,7 @@
         self._handler = handler
         self._outgoing: dict[str, _Outgoing] = {}
         self._incoming: dict[Connection, Receipts] = {}
-        self._looks = 0
+        self._next_confirm = 0.0
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -118,15 +118,17 @@
         if outgoing.task is None:
             outgoing.task = asyncio.create_task(self._run(address, outgoing))
 
-    def keep_alive(self) -> None:
+    def keep_alive(self, confirm_s: float) -> None:
         """Confirm what came in, and drop links that went silent; call each ``KEEP_S``.
 
         What was on a silent link is lost as by a reset; the next message makes the link anew.
+
+        :param confirm_s: how often to confirm, in seconds.
         """
         now = asyncio.get_running_loop().time()
-        self._looks += 1
-        if self._looks % CONFIRM_LOOKS == 0:
-            self._confirm(now)
+        if now >= self._next_confirm:
+            self._next_confirm = now + confirm_s - KEEP_S / 2
+            self._confirm(confirm_s, now)
         for address, outgoing in self._outgoing.items():
             if outgoing.connection is None or not outgoing.unconfirmed.is_silent(now):
                 continue
@@ -147,11 +149,11 @@
         open_ones = (each.connection for each in self._outgoing.values())
         return sum(each.unsent_bytes for each in open_ones if each is not None)
 
-    def _confirm(self, now: float) -> None:
+    def _confirm(self, every_s: float, now: float) -> None:
         for connection, receipts in list(self._incoming.items()):
             due = receipts.due()
             if due is not None:
-                connection.send(Received(due))
+                connection.send(Received(due, every_s))
             elif receipts.is_unused(now):
                 connection.abort()
 
@@ -205,7 +207,7 @@
             async for message in connection.messages():
                 if isinstance(message, Received):
                     now = asyncio.get_running_loop().time()
-                    outgoing.unconfirmed.note_confirmed(message.count, now)
+                    outgoing.unconfirmed.note_confirmed(message.count, message.every_s, now)
         outgoing.connection = None
         connection.abort()
         self._retire(address, outgoing)
--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -233,3 +233,38 @@
             assert len({each.host for each in owners}) == 7
             first.add((owners[0].host, owners[1].host))
         assert len(first) == 1
+
+
+def large(count):
+    return {"d1": [f"a{n}" for n in range(count)], "d2": ["b1", "b2"]}
+
+
+def test_what_a_member_hears_does_not_grow_with_a_large_domain():
+    heard = []
+    for count in (8, 24):
+        fleet = Fleet(large(count))
+        fleet.run(10)
+        fleet.messages = 0
+        fleet.run(10)
+        assert len(fleet.hosts("a0")) == count + 2
+        heard.append(fleet.messages / count)
+    assert heard[1] <= 1.25 * heard[0]
+
+
+def test_a_large_domain_finds_the_dead_in_a_few_seconds_and_drops_nobody_else():
+    fleet = Fleet(large(24))
+    fleet.run(10)
+    fleet.cut.add("a7")
+    fleet.run(3.5)
+    for viewer in ("a0", "a23", "b1"):
+        assert "a7" not in fleet.hosts(viewer)
+    fleet.run(20)
+    assert len(fleet.hosts("a0")) == 25
+
+
+def test_a_change_is_told_at_once_in_a_large_domain():
+    fleet = Fleet(large(24))
+    fleet.run(10)
+    fleet.views["a3"].update_self(leaving=True)
+    fleet.run(0.25)
+    assert fleet.views["a9"].find("a3").leaving
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -24,13 +24,26 @@
 from chalkyoke.membership.owners import owner, ranked
 from chalkyoke.membership.state import Candidate, Change, ForeignDomain, Joined, Left, Member
 
+# Members of a failure domain that report it to the others: two, so that one may fall silent.
 REPORTERS = 2
 DEFAULT_INTERVAL_S = 0.25
+# A member is lost after so many intervals without a beat, a failure domain after more of them: what
+# is heard of it has come a longer way.
 SUSPECT_INTERVALS = 6
 FOREIGN_SUSPECT_INTERVALS = 10
+# Up to so many members a failure domain beats at the full rate. Beyond that each one's beats get
+# sparser, so that what each one hears grows no more: it would be most of what an idle node of a
+# domain of 20 spends.
+FULL_RATE_MEMBERS = 8
+# Sparser by this at most, and a member is lost there after so many beats that were due.
+MOST_SPARSE = 4.0
+SPARSE_SUSPECT_BEATS = 3.5
+# Hosts that are dead and no longer listed are forgotten after so many intervals.
 FORGET_INTERVALS = 2400
+# The whole record is sent in so many beats after a change, and then in each so many.
 FULL_AFTER_CHANGE = 4
 FULL_EVERY = 5
+# A new member reports nothing in its first beats: others know more of the domain than it does.
 FIRST_BEATS = 2
 SETTLED_BEATS = 3
 
@@ -62,6 +75,7 @@
         self.interval_s = interval_s
         self.generation = 0
         self._beat = 0
+        self._next_inside = 0.0
         self._version = 0
         self._members: dict[str, Member] = {}
         self._foreign: dict[str, ForeignDomain] = {}
@@ -158,15 +172,26 @@
         self.record = msgspec.structs.replace(self.record, **changes)
         self.generation += 1
 
+    @property
+    def spacing_s(self) -> float:
+        """The time between two heartbeats inside this failure domain, by its size, in seconds."""
+        members = 1 + sum(1 for each in self._members.values() if each.alive)
+        return self.interval_s * min(MOST_SPARSE, max(1.0, members / FULL_RATE_MEMBERS))
+
     def beat(self, now: float) -> list[Send]:
         """Send the signs of life that are due; call once per interval.
 
+        A change of this process's own record is told at once.
+
         :param now: seconds on this process's monotonic clock.
         :rtype: list[Send]
         """
         self._beat += 1
-        inside = self._heartbeat(self._heard_outside(now))
-        sends = [Send(address, inside) for address in self._inside_targets()]
+        sends: list[Send] = []
+        if now >= self._next_inside or self.record != self._told:
+            self._next_inside = now + self.spacing_s - self.interval_s / 2
+            inside = self._heartbeat(self._heard_outside(now))
+            sends += [Send(address, inside) for address in self._inside_targets()]
         if self._is_reporter():
             outside = self._heartbeat((self._own_digest(),))
             sends += [Send(address, outside) for address in self._outside_targets()]
@@ -218,13 +243,16 @@
         :rtype: list[Change]
         """
         changes: list[Change] = []
+        spacing = self.spacing_s
+        patience = max(SUSPECT_INTERVALS * self.interval_s, SPARSE_SUSPECT_BEATS * spacing)
+        far_patience = FOREIGN_SUSPECT_INTERVALS * self.interval_s + 2 * (spacing - self.interval_s)
         for member in self._members.values():
-            silent = now - member.heard > SUSPECT_INTERVALS * self.interval_s
+            silent = now - member.heard > patience
             if member.alive and silent:
                 member.alive = False
                 changes.append(Left(member.record))
         for name, foreign in list(self._foreign.items()):
-            if now - foreign.heard > FOREIGN_SUSPECT_INTERVALS * self.interval_s:
+            if now - foreign.heard > far_patience:
                 del self._foreign[name]
                 changes.extend(Left(record) for record in foreign.records)
         self._forget(now)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -33,7 +33,7 @@
 from chalkyoke.http1.room import make_room, most_callers
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
 from chalkyoke.links.connection import Connection, Identity
-from chalkyoke.links.keepalive import KEEP_S
+from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
@@ -350,7 +350,7 @@
         loops = self._supervisor
         loops.repeat(self.view.interval_s, self._beat)
         loops.repeat(TICK_S, self._tick)
-        loops.repeat(KEEP_S, self.links.keep_alive)
+        loops.repeat(KEEP_S, self._keep_links)
         loops.repeat(HOUSEKEEPING_S, self._keep_house)
         loops.repeat(TELL_S, self.quotas.tell_successors)
         loops.start(self.catalog.run())
@@ -372,6 +372,9 @@
         if not others or self.now() >= NEW_MEMBER_S:
             self.view.update_self(ready=True)
 
+    def _keep_links(self) -> None:
+        self.links.keep_alive(confirm_every_s(self.view.spacing_s))
+
     def _tick(self) -> None:
         self._apply(self.view.tick(self.now()))
         self._note_fitness()
