--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -7,9 +7,9 @@
 import asyncio
 import contextlib
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
@@ -23,6 +23,7 @@
     make_welcome,
     welcome_is_valid,
 )
+from chalkyoke.links.intake import Intake
 from chalkyoke.links.messages import Challenge, Hello, Welcome
 
 # How long proving who one is may take, in seconds: some round trips between regions.
@@ -34,6 +35,9 @@
 MAX_UNSENT_BYTES = 1_000_000
 
 
+Take = Callable[[msgspec.Struct], Awaitable[None] | None]
+
+
 class Clock(Protocol):
     """What a connection needs of the process's clock."""
 
@@ -82,7 +86,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: Intake,
         writer: asyncio.StreamWriter,
         codec: FrameCodec,
         clock: Clock,
@@ -147,18 +151,57 @@
                 return None
             if not data:
                 return None
-            self._counters.received_bytes += len(data)
-            for frame in self._frames.feed(data):
-                stamp, message = self._codec.decode(frame)
-                self._clock.observe(stamp)
-                self._ready.append(message)
+            self._decode(data)
         self._counters.received += 1
         return self._ready.pop(0)
 
-    async def messages(self) -> AsyncIterator[msgspec.Struct]:
-        """Receive messages until the peer closes."""
-        while (message := await self.receive()) is not None:
-            yield message
+    async def deliver(self, take: Take) -> Awaitable[None] | None:
+        """Hand messages over as they come, until the peer closes or one is to be answered here.
+
+        :param take: takes a message; what it returns is that message's answer on this stream.
+        :return: that answer.
+        :raises ProtocolError: when the peer does not follow the protocol.
+        """
+        ends: asyncio.Future[Awaitable[None] | None] = asyncio.get_running_loop().create_future()
+
+        def take_bytes(data: bytes) -> None:
+            try:
+                self._decode(data)
+                answered = self._hand_over(take)
+            except ProtocolError as error:
+                self._reader.hand_over(None)
+                ends.set_exception(error)
+                return
+            if answered is not None:
+                self._reader.hand_over(None)
+                ends.set_result(answered)
+
+        self._reader.hand_over(take_bytes)
+        if self._ready and not ends.done():
+            take_bytes(b"")
+        ended = asyncio.ensure_future(self._reader.ended.wait())
+        either: list[asyncio.Future[Any]] = [ends, ended]
+        try:
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            ended.cancel()
+            self._reader.hand_over(None)
+        return ends.result() if ends.done() else None
+
+    def _hand_over(self, take: Take) -> Awaitable[None] | None:
+        while self._ready:
+            self._counters.received += 1
+            answered = take(self._ready.pop(0))
+            if answered is not None:
+                return answered
+        return None
+
+    def _decode(self, data: bytes) -> None:
+        self._counters.received_bytes += len(data)
+        for frame in self._frames.feed(data):
+            stamp, message = self._codec.decode(frame)
+            self._clock.observe(stamp)
+            self._ready.append(message)
 
     async def greet(self, me: Identity) -> None:
         """Prove who this is, as the calling side, and check the listener.
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from chalkyoke.exceptions import ChalkyokeError, LinkError
+from chalkyoke.links import intake
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
 from chalkyoke.links.keepalive import KEEP_S, Receipts, Unconfirmed
@@ -86,7 +87,7 @@
         :raises OSError: when the address can't be bound.
         """
         ip, port = self._listen.rsplit(":", 1)
-        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self._server = await intake.listen(self._serve, ip, int(port))
 
     async def close(self) -> None:
         """Close the listener and all links."""
@@ -174,7 +175,7 @@
         ip, port = address.rsplit(":", 1)
         try:
             async with asyncio.timeout(CONNECT_S):
-                reader, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await intake.open_stream(ip, int(port))
         except (OSError, TimeoutError) as error:
             raise LinkError(f"{address} is not reached: {error}") from error
         set_user_timeout(writer, USER_TIMEOUT_MS)
@@ -203,11 +204,14 @@
         outgoing.unconfirmed = Unconfirmed()
         while outgoing.queue:
             self._send_on(address, outgoing, outgoing.queue.popleft())
+
+        def take(message: msgspec.Struct) -> None:
+            if isinstance(message, Received):
+                now = asyncio.get_running_loop().time()
+                outgoing.unconfirmed.note_confirmed(message.count, message.every_s, now)
+
         with contextlib.suppress(ChalkyokeError):
-            async for message in connection.messages():
-                if isinstance(message, Received):
-                    now = asyncio.get_running_loop().time()
-                    outgoing.unconfirmed.note_confirmed(message.count, message.every_s, now)
+            await connection.deliver(take)
         outgoing.connection = None
         connection.abort()
         self._retire(address, outgoing)
@@ -218,21 +222,23 @@
         if outgoing.failures == 0 or outgoing.failures > MOST_FAILURES:
             self._outgoing.pop(address, None)
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(self, reader: intake.Intake, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader, writer, self._codec, self._clock, self.counters)
         loop = asyncio.get_running_loop()
         receipts = Receipts(loop.time())
         try:
             await connection.accept(self.me)
             self._incoming[connection] = receipts
-            async for message in connection.messages():
+
+            def take(message: msgspec.Struct) -> Awaitable[None] | None:
                 receipts.note_taken(loop.time())
-                answered = self._handler(connection, message)
-                if answered is not None:
-                    # The stream is the answer's from here on.
-                    self._incoming.pop(connection, None)
-                    await answered
-                    return
+                return self._handler(connection, message)
+
+            answered = await connection.deliver(take)
+            # The stream is the answer's from here on.
+            self._incoming.pop(connection, None)
+            if answered is not None:
+                await answered
         except ChalkyokeError:
             pass
         finally:
