A link that the system gives up for a time-out is made anew

Cause: behind a cut the system ends a connection by ETIMEDOUT (TCP_USER_TIMEOUT, 1 s), which is an OSError and no ConnectionError: the task of the link ended by it, and the link stayed as it was, closed and never opened again. After each cut a node told some peers nothing more: no heartbeat, no configuration, no leaving replica, no grant, for as long as both lived.

--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -136,7 +136,7 @@
             raise LinkError("the link is closed")
         try:
             await self._writer.drain()
-        except ConnectionError as error:
+        except OSError as error:
             raise LinkError(str(error)) from error
 
     async def receive(self) -> msgspec.Struct | None:
@@ -147,7 +147,8 @@
         while not self._ready:
             try:
                 data = await self._reader.read(READ_BYTES)
-            except ConnectionError:
+            except OSError:
+                # Not only ConnectionError: behind a cut the system gives up with ETIMEDOUT.
                 return None
             if not data:
                 return None
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -5,13 +5,12 @@
 """
 
 import asyncio
-import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
-from chalkyoke.exceptions import ChalkyokeError, LinkError
+from chalkyoke.exceptions import ChalkyokeError, LinkError, ProtocolError
 from chalkyoke.links import intake
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
@@ -188,17 +187,29 @@
         return connection
 
     async def _run(self, address: str, outgoing: _Outgoing) -> None:
-        """Connect, send what has queued up, and watch for the end of the link."""
+        """Hold a link from its opening to its end.
+
+        However it ends, it is retired: a link that stayed here closed would never be opened again,
+        and its peer would hear nothing more from this process.
+        """
         try:
-            connection = await self.open(address)
+            await self._hold(address, outgoing)
         except LinkError:
             outgoing.failures += 1
-            await asyncio.sleep(
-                min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(outgoing.failures, 6))
-            )
+            doubled: float = FIRST_BACKOFF_S * 2 ** min(outgoing.failures, 6)
+            await asyncio.sleep(min(MAX_BACKOFF_S, doubled))
+        except Exception as error:
+            log.error("link_broke", peer=address, error=repr(error))
+            raise
+        finally:
             self._retire(address, outgoing)
-            return
 
+    async def _hold(self, address: str, outgoing: _Outgoing) -> None:
+        """Connect, send what has queued up, and watch for the end of the link.
+
+        :raises LinkError: when the listener is not reached.
+        """
+        connection = await self.open(address)
         outgoing.failures = 0
         outgoing.connection = connection
         outgoing.unconfirmed = Unconfirmed()
@@ -210,13 +221,15 @@
                 now = asyncio.get_running_loop().time()
                 outgoing.unconfirmed.note_confirmed(message.count, message.every_s, now)
 
-        with contextlib.suppress(ChalkyokeError):
+        try:
             await connection.deliver(take)
-        outgoing.connection = None
-        connection.abort()
-        self._retire(address, outgoing)
+        except ProtocolError as error:
+            log.notice("link_unreadable", peer=address, why=str(error))
+        finally:
+            connection.abort()
 
     def _retire(self, address: str, outgoing: _Outgoing) -> None:
+        outgoing.connection = None
         outgoing.queue.clear()
         outgoing.task = None
         if outgoing.failures == 0 or outgoing.failures > MOST_FAILURES:
@@ -239,8 +252,8 @@
             self._incoming.pop(connection, None)
             if answered is not None:
                 await answered
-        except ChalkyokeError:
-            pass
+        except ChalkyokeError as error:
+            log.info("link_refused", peer=connection.peer_address, why=str(error))
         finally:
             self._incoming.pop(connection, None)
             connection.abort()
--- a/packages/chalkyoke/src/chalkyoke/links/tests/test_keepalive.py
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_keepalive.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 
 from chalkyoke.links.connection import Identity
 from chalkyoke.links.keepalive import (
@@ -65,6 +66,25 @@
     virtual.run(main)
 
 
+def test_a_link_that_the_system_gives_up_for_a_time_out_is_made_anew():
+    """Behind a cut the system ends connections by ETIMEDOUT, which is no ``ConnectionError``.
+
+    The task of such a link ended by it and left the link as it was: closed, and never opened again,
+    so that a node told some of its peers nothing more for as long as it lived.
+    """
+
+    async def main():
+        taken = []
+        caller, net = await linked(lambda c, m: taken.append(m))
+        await beats(caller, 2.0)
+        net.give_up(TimeoutError(errno.ETIMEDOUT, "timed out"))
+        before = len(taken)
+        await beats(caller, 2.0)
+        assert len(taken) > before + 4
+
+    virtual.run(main)
+
+
 def test_a_link_in_use_or_at_rest_is_left_alone():
     async def main():
         caller, net = await linked(lambda c, m: None)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from chalkyoke.scheduling.placement import Prediction, missed_by, predict
+from chalkyoke.scheduling.shortlist import FREE_COMPARED, MOST_COMPARED
 from chalkyoke.scheduling.state import Upstream, Waiting
 
 MAX_LOOKAHEAD = 4000
@@ -67,6 +68,15 @@
         slots = self._slots.get(upstream.spec.id)
         return slots[0] if slots else float("inf")
 
+    def soonest_ones(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Choose the upstreams of a large pool whose next slots get free first.
+
+        :rtype: list[Upstream]
+        """
+        if len(upstreams) <= MOST_COMPARED:
+            return upstreams
+        return heapq.nsmallest(FREE_COMPARED, upstreams, key=self.start)
+
     def take(self, upstream: Upstream, seconds: float) -> None:
         """Use the next slot of an upstream for some time."""
         slots = self._slots[upstream.spec.id]
@@ -132,7 +142,7 @@
     item: Waiting, upstreams: list[Upstream], forecast: SlotForecast, now: float
 ) -> tuple[Upstream, float, Prediction]:
     best: tuple[float, Upstream, float, Prediction] | None = None
-    for upstream in upstreams:
+    for upstream in forecast.soonest_ones(upstreams):
         start = forecast.start(upstream)
         prediction = predict(item, upstream, 0, upstream.spec.slots, now)
         finish = missed_by(item, start, prediction)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -10,6 +10,7 @@
 from chalkyoke.scheduling.estimates import SpeedModel
 from chalkyoke.scheduling.prefixes import PrefixIndex
 from chalkyoke.scheduling.queues import TierQueue
+from chalkyoke.scheduling.shortlist import fastest
 from chalkyoke.scheduling.state import PoolSpec, Running, Upstream, UpstreamSpec, Waiting
 
 # So many first outputs make an upstream's speed known enough to guess a new one's from: the first
@@ -18,6 +19,8 @@
 # A pool with less than this part of its slots taken is mostly free: operators count a refusal as
 # needless below it.
 MOSTLY_FREE_SHARE = 0.5
+# How long it is believed which upstreams are the fastest, in seconds.
+FASTEST_KEPT_S = 1.0
 
 
 class PoolState:
@@ -38,11 +41,13 @@
         self.counts: dict[tuple[int, str], int] = {}
         self.running: dict[str, Running] = {}
         self.team_running: dict[str, int] = {}
+        self._fastest: dict[str, tuple[float, list[Upstream]]] = {}
         self.configure(spec)
 
     def configure(self, spec: PoolSpec) -> None:
         """Take a new configuration or host list."""
         self.spec = spec
+        self._fastest.clear()
         self.ranks = {tier.name: tier.rank for tier in spec.tiers}
         self.weights = {team.name: team.weight for team in spec.teams}
         self.limits = {team.name: team.max_running for team in spec.teams if team.max_running}
@@ -153,6 +158,17 @@
         slots = sum(each.spec.slots for each in open_ones)
         return sum(len(each.running) for each in open_ones) < MOSTLY_FREE_SHARE * slots
 
+    def fastest(self, route: str, now: float) -> list[Upstream]:
+        """List the upstreams of a route that would be the fastest if they were idle.
+
+        Speeds are learned slowly, so that this is looked up anew once a second only.
+        """
+        until, found = self._fastest.get(route, (0.0, []))
+        if now >= until:
+            found = fastest(each for each in self.eligible.get(route, ()) if not each.leaving)
+            self._fastest[route] = (now + FASTEST_KEPT_S, found)
+        return found
+
     def at_limit(self, team: str) -> bool:
         """Tell whether a team holds as many grants as it may.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -15,6 +15,7 @@
 from chalkyoke.scheduling.messages import Action, Shed
 from chalkyoke.scheduling.placement import Features, idle_minimum
 from chalkyoke.scheduling.pool import PoolState
+from chalkyoke.scheduling.shortlist import MOST_COMPARED
 from chalkyoke.scheduling.state import Upstream, Waiting
 
 FORECAST_INTERVAL_S = 0.05
@@ -89,7 +90,7 @@
             return self._word(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if item.deadline <= now:
             return self._word(item, Reason.EXPIRED, None)
-        if self._features.shed and self._is_hopeless(item, eligible, now):
+        if self._features.shed and self._is_hopeless(item, now):
             return self._word(item, Reason.HOPELESS, None)
         if not self._features.early or not item.has_goal:
             return None
@@ -227,9 +228,13 @@
     def _open(self, route: str) -> list[Upstream]:
         return [each for each in self._pool.eligible.get(route, ()) if not each.leaving]
 
-    def _is_hopeless(self, item: Waiting, eligible: list[Upstream], now: float) -> bool:
+    def _is_hopeless(self, item: Waiting, now: float) -> bool:
         """Tell whether the deadline could not be met on an idle pool."""
         depths = self._pool.prefixes.matches(item.blocks)
+        eligible = self._open(item.route)
+        if len(eligible) > MOST_COMPARED:
+            keeping = [each for each in eligible if each.spec.id in depths]
+            eligible = [*self._pool.fastest(item.route, now), *keeping]
         item.least_s = min(
             idle_minimum(item, each, depths.get(each.spec.id, 0)) for each in eligible
         )
@@ -239,7 +244,7 @@
         """Look again, with the speeds known now, once the earlier figure says so."""
         if now + item.least_s <= item.deadline:
             return False
-        return self._is_hopeless(item, self._open(item.route), now)
+        return self._is_hopeless(item, now)
 
     def _lowest_beside(self, item: Waiting) -> Waiting:
         """Find the lowest tier's last request among those that share upstreams with one."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -35,6 +35,7 @@
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.refusals import Counters, Out, Refuser
+from chalkyoke.scheduling.shortlist import shortlist
 from chalkyoke.scheduling.state import (
     PoolSpec,
     ReleaseOutcome,
@@ -417,7 +418,8 @@
         if not eligible:
             return False
         depths = self._pool.prefixes.matches(item.blocks)
-        choice = choose(item, eligible, depths, held, now, self.features)
+        compared = shortlist(eligible, depths, now)
+        choice = choose(item, compared, depths, held, now, self.features)
         if choice.upstream is None:
             if choice.held_for is not None:
                 name = choice.held_for.spec.id
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -11,6 +11,10 @@
 
 from chalkyoke.scheduling.estimates import DEFAULT_CAUTION, OutputEstimate, SpeedModel
 
+# A request of a usual size, in tokens: the mean prompt and answer of the callers' sheets. Only the
+# order of upstreams hangs on it.
+TYPICAL_PROMPT = 2000
+TYPICAL_OUTPUT = 60
 OWN_LOAD_MEMORY_S = 15.0
 STALL_MEMORY_S = 10.0
 MAX_STALLED = 0.6
@@ -224,6 +228,7 @@
     _ends: list[float] | None = None
     _outlook: tuple[float, float, float] | None = None
     _shortest_gap: float | None = None
+    _typical_s: float | None = None
 
     @property
     def leaving(self) -> bool:
@@ -302,6 +307,29 @@
         self._ends = None
         self._outlook = None
         self._shortest_gap = None
+        self._typical_s = None
+
+    def idle_s(self) -> float:
+        """Predict a request of a usual size here if nothing else ran, in seconds.
+
+        :rtype: float
+        """
+        speed = self.speed
+        return speed.first_time(TYPICAL_PROMPT, 0) + TYPICAL_OUTPUT * speed.token_time(1)
+
+    def typical_s(self) -> float:
+        """Predict a request of a usual size that starts here now, in seconds.
+
+        It is kept until what runs here changes, to compare many upstreams at little cost.
+
+        :rtype: float
+        """
+        if self._typical_s is None:
+            unread = (each.prefill_left for each in self.running.values() if not each.first_seen)
+            first = self.speed.first_time(TYPICAL_PROMPT, sum(unread))
+            token = self.speed.token_time(len(self.running) + 1)
+            self._typical_s = first + TYPICAL_OUTPUT * token
+        return self._typical_s
 
     def shortest_gap(self) -> float:
         """Give the shortest pause that one of its running requests can bear, in seconds.
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -58,6 +58,12 @@
             self._closed = True
             self._protocol.connection_lost(error)
 
+    def fail(self, error):
+        """Lose the connection as the system does when it gives it up."""
+        if not self._closed:
+            self._closed = True
+            self._protocol.connection_lost(error)
+
     def pause_reading(self):
         self._held = []
 
@@ -125,6 +131,12 @@
         await asyncio.sleep(0)
         return here, here._protocol
 
+    def give_up(self, error):
+        """Let the system give up all open connections, each end for itself."""
+        ends, self._ends = self._ends, []
+        for end in ends:
+            end.fail(error)
+
     def silence(self):
         """Let all open connections carry nothing any more, not even their end."""
         for end in self._ends:
