--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 from chalkyoke.invariants import require
 from chalkyoke.scheduling.headroom import LONG_S, Headroom
@@ -35,7 +36,7 @@
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.refusals import Counters, Out, Refuser
-from chalkyoke.scheduling.shortlist import shortlist
+from chalkyoke.scheduling.shortlist import Openings
 from chalkyoke.scheduling.state import (
     PoolSpec,
     ReleaseOutcome,
@@ -56,6 +57,20 @@
 FOREIGN_VALID_S = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Decision:
+    """What is looked at and decided in one turn.
+
+    :param outs: what is decided goes here.
+    :param held: requests that are held for an upstream, by upstream.
+    """
+
+    now: float
+    openings: Openings
+    outs: list[Out]
+    held: dict[str, int] = field(default_factory=dict)
+
+
 class PoolScheduler:
     """Decide for one pool which request goes where, what waits and what is given up.
 
@@ -356,10 +371,10 @@
         outs: list[Out] = []
         if not self._pool.any_slot(now):
             return outs
-        held: dict[str, int] = {}
+        decision = _Decision(now, Openings(self._pool.eligible, now), outs)
         for queue, late in self._passes():
             wanted = queue.late if late else queue.live > queue.late
-            if wanted and not self._decide_tier(queue, late, held, now, outs):
+            if wanted and not self._decide_tier(queue, late, decision):
                 return outs
         return outs
 
@@ -376,13 +391,12 @@
         self._unsettled.clear()
         return True
 
-    def _decide_tier(
-        self, queue: TierQueue, late: bool, held: dict[str, int], now: float, outs: list[Out]
-    ) -> bool:
+    def _decide_tier(self, queue: TierQueue, late: bool, decision: "_Decision") -> bool:
         """Grant one tier's requests that are predicted in time, or, after all, its late ones.
 
         :return: whether a slot may still be free.
         """
+        now = decision.now
         blocked: set[tuple[str, str]] = set()
         full: set[str] = set()
         looked = 0
@@ -399,7 +413,7 @@
                     if item.late != late:
                         break
                     looked += 1
-                    if self._try(item, held, now, outs):
+                    if self._try(item, decision):
                         granted = True
                         break
                 if granted:
@@ -411,35 +425,30 @@
                 return False
         return True
 
-    def _try(self, item: Waiting, held: dict[str, int], now: float, outs: list[Out]) -> bool:
-        eligible = [
-            each for each in self._pool.eligible[item.route] if each.usable(item.domain, now)
-        ]
-        if not eligible:
+    def _try(self, item: Waiting, decision: "_Decision") -> bool:
+        now, openings = decision.now, decision.openings
+        if not openings.usable(item.route, item.domain):
+            return False
+        if self.features.headroom and item.long and not self._leaves_room(item, openings):
             return False
         depths = self._pool.prefixes.matches(item.blocks)
-        compared = shortlist(eligible, depths, now)
-        choice = choose(item, compared, depths, held, now, self.features)
+        compared = openings.compared(item.route, item.domain, depths)
+        choice = choose(item, compared, depths, decision.held, now, self.features)
         if choice.upstream is None:
             if choice.held_for is not None:
                 name = choice.held_for.spec.id
-                held[name] = held.get(name, 0) + 1
+                decision.held[name] = decision.held.get(name, 0) + 1
                 self.counters.held += 1
             return False
         if self.features.shed and not self._may_start(item, choice, now):
             return False
-        if self.features.headroom and item.long and not self._leaves_room(item, now):
-            return False
-        outs.append(self._grant(item, choice, now))
+        decision.outs.append(self._grant(item, choice, now))
+        openings.changed()
         return True
 
-    def _leaves_room(self, item: Waiting, now: float) -> bool:
+    def _leaves_room(self, item: Waiting, openings: Openings) -> bool:
         """Tell whether enough slots stay free for higher tiers beside long work of this one."""
-        free = sum(
-            max(0, each.spec.slots - each.occupied(now))
-            for each in self._pool.eligible[item.route]
-            if each.usable(item.domain, now)
-        )
+        free = openings.free_slots(item.route, item.domain)
         return free > self._headroom.kept_free(item.rank)
 
     def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -20,23 +20,74 @@
 CACHED_COMPARED = 8
 
 
-def shortlist(upstreams: list[Upstream], depths: dict[str, int], now: float) -> list[Upstream]:
-    """Choose the upstreams that are compared for one request.
+class Openings:
+    """What the upstreams have free at one moment, worked out once for all requests looked at then.
 
-    :param upstreams: those that may take it.
-    :param depths: cached leading blocks of its prompt, by upstream.
+    While much waits, one decision looks at many requests and grants one or none.
+
+    :param eligible: upstreams by route.
     :param now: seconds on the scheduler's clock.
-    :rtype: list[Upstream]
     """
-    if len(upstreams) <= MOST_COMPARED:
-        return upstreams
-    free = [each for each in upstreams if each.has_slot(now)]
-    busy = [each for each in upstreams if not each.has_slot(now)]
-    keeping = [each for each in upstreams if each.spec.id in depths]
-    chosen = heapq.nsmallest(FREE_COMPARED, free, key=Upstream.typical_s)
-    chosen += heapq.nsmallest(BUSY_COMPARED, busy, key=_next_end)
-    chosen += heapq.nlargest(CACHED_COMPARED, keeping, key=lambda each: depths[each.spec.id])
-    return list(dict.fromkeys(chosen))
+
+    def __init__(self, eligible: dict[str, list[Upstream]], now: float) -> None:
+        self._eligible = eligible
+        self._now = now
+        self._usable: dict[tuple[str, str], list[Upstream]] = {}
+        self._best: dict[tuple[str, str], list[Upstream]] = {}
+        self._free: dict[tuple[str, str], int] = {}
+
+    def usable(self, route: str, domain: str) -> list[Upstream]:
+        """List the upstreams of a route that an entry process of a failure domain may be sent to.
+
+        :rtype: list[Upstream]
+        """
+        key = (route, domain)
+        if key not in self._usable:
+            self._usable[key] = [
+                each for each in self._eligible[route] if each.usable(domain, self._now)
+            ]
+        return self._usable[key]
+
+    def free_slots(self, route: str, domain: str) -> int:
+        """Count the free slots of the upstreams that are usable.
+
+        :rtype: int
+        """
+        key = (route, domain)
+        if key not in self._free:
+            self._free[key] = sum(
+                max(0, each.spec.slots - each.occupied(self._now))
+                for each in self.usable(route, domain)
+            )
+        return self._free[key]
+
+    def compared(self, route: str, domain: str, depths: dict[str, int]) -> list[Upstream]:
+        """List the upstreams that are compared for one request.
+
+        :param depths: cached leading blocks of its prompt, by upstream.
+        :rtype: list[Upstream]
+        """
+        usable = self.usable(route, domain)
+        if len(usable) <= MOST_COMPARED:
+            return usable
+        key = (route, domain)
+        if key not in self._best:
+            self._best[key] = self._likely(usable)
+        keeping = [each for each in usable if each.spec.id in depths] if depths else []
+        most = heapq.nlargest(CACHED_COMPARED, keeping, key=lambda each: depths[each.spec.id])
+        return list(dict.fromkeys([*self._best[key], *most]))
+
+    def changed(self) -> None:
+        """Forget what was free, after a grant."""
+        self._best.clear()
+        self._free.clear()
+
+    def _likely(self, usable: list[Upstream]) -> list[Upstream]:
+        """Choose those that would serve a request of a usual size soonest."""
+        free = [each for each in usable if each.has_slot(self._now)]
+        busy = [each for each in usable if not each.has_slot(self._now)]
+        soonest = heapq.nsmallest(FREE_COMPARED, free, key=Upstream.typical_s)
+        return soonest + heapq.nsmallest(BUSY_COMPARED, busy, key=_next_end)
 
 
 def fastest(upstreams: Iterable[Upstream]) -> list[Upstream]:
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_shortlist.py
@@ -0,0 +1,75 @@
+from chalkyoke.scheduling.placement import Features
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.shortlist import (
+    BUSY_COMPARED,
+    CACHED_COMPARED,
+    FREE_COMPARED,
+    MOST_COMPARED,
+    Openings,
+    fastest,
+)
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec
+
+from .test_goals import acquire, upstream
+
+
+def scheduler_of(count):
+    """Make a scheduler over engines of which each third one is three times slower."""
+    speeds = [40_000.0, 13_000.0, 40_000.0]
+    upstreams = tuple(
+        upstream(f"u{number:03d}", prefill=speeds[number % 3]) for number in range(count)
+    )
+    spec = PoolSpec(
+        "pool",
+        upstreams,
+        (TierSpec("1", 0),),
+        (TeamSpec("a"),),
+        (RouteSpec("r", frozenset(each.id for each in upstreams)),),
+    )
+    return PoolScheduler(spec, lambda: 0.5, 0.0, features=Features(late_last=False))
+
+
+def openings_of(scheduler, now=1.0):
+    eligible = {"r": [scheduler.upstreams[name] for name in sorted(scheduler.upstreams)]}
+    return Openings(eligible, now)
+
+
+def test_in_a_pool_of_a_usual_size_all_are_compared():
+    openings = openings_of(scheduler_of(MOST_COMPARED))
+    assert len(openings.compared("r", "d", {})) == MOST_COMPARED
+
+
+def test_in_a_large_pool_the_likely_ones_are_compared_and_those_that_keep_the_prompt():
+    scheduler = scheduler_of(140)
+    depths = {f"u{number:03d}": number for number in range(1, 140, 3)}
+    compared = openings_of(scheduler).compared("r", "d", depths)
+    assert len(compared) == FREE_COMPARED + CACHED_COMPARED
+    names = [each.spec.id for each in compared]
+    assert all(int(name[1:]) % 3 != 1 for name in names[:FREE_COMPARED])
+    assert set(sorted(depths)[-CACHED_COMPARED:]) <= set(names)
+
+
+def test_busy_ones_are_compared_by_when_they_get_free():
+    scheduler = scheduler_of(60)
+    for number in range(200):
+        scheduler.acquire("e", "d", acquire(f"x{number}"), 0.0)
+    busy = [each for each in scheduler.upstreams.values() if not each.has_slot(0.1)]
+    assert len(busy) > BUSY_COMPARED
+    compared = openings_of(scheduler, 0.1).compared("r", "d", {})
+    soonest = sorted(each.ends()[0] for each in busy)[:BUSY_COMPARED]
+    assert sorted(each.ends()[0] for each in compared if each in busy) == soonest
+
+
+def test_a_grant_is_seen_by_the_next_request_of_the_same_decision():
+    scheduler = scheduler_of(40)
+    openings = openings_of(scheduler)
+    free = openings.free_slots("r", "d")
+    scheduler.acquire("e", "d", acquire("x"), 1.0)
+    assert openings.free_slots("r", "d") == free
+    openings.changed()
+    assert openings.free_slots("r", "d") == free - 1
+
+
+def test_the_fastest_are_those_that_an_idle_pool_would_offer():
+    chosen = fastest(scheduler_of(90).upstreams.values())
+    assert all(int(each.spec.id[1:]) % 3 != 1 for each in chosen)
