--- a/benches/policy/__main__.py
+++ b/benches/policy/__main__.py
@@ -36,6 +36,7 @@
     tiers = {each.fleet: [tier["name"] for tier in each.tiers] for each in scenarios}
     if not parsed.policy:
         print(report.summary(rows, tiers) + "\n\n" + report.ablations(rows) + "\n")
+    print(report.values(rows) + "\n")
     if not parsed.brief:
         print(report.table(rows, tiers))
     print(
--- a/benches/policy/policies.py
+++ b/benches/policy/policies.py
@@ -459,6 +459,7 @@
     "without shedding": lambda: Chalkyoke("without shedding", Features(shed=False)),
     "without fairness": lambda: Chalkyoke("without fairness", Features(fair=False)),
     "without prediction": lambda: Chalkyoke("without prediction", Features(predict=False)),
+    "without late last": lambda: Chalkyoke("without late last", Features(late_last=False)),
     "without guard": lambda: Chalkyoke("without guard", Features(guard=False)),
     "bound": Bound,
 }
--- a/benches/policy/report.py
+++ b/benches/policy/report.py
@@ -48,6 +48,10 @@
     tiers: dict[str, float]
     wasted: float
     fairness: float
+    value: float
+    held: float
+    returns: float
+    beside_free: float
 
 
 def rows_of(verdicts: list[Verdict]) -> dict[Key, dict[str, Row]]:
@@ -74,6 +78,10 @@
         tiers,
         statistics.mean(each.wasted_prefill for each in verdicts),
         statistics.mean(fair) if fair else math.nan,
+        statistics.mean(each.value.net for each in verdicts),
+        statistics.mean(each.value.held / max(1, each.value.demands) for each in verdicts),
+        statistics.mean(each.value.returns / max(1, each.value.demands) for each in verdicts),
+        statistics.mean(each.value.beside_free for each in verdicts),
     )
 
 
@@ -119,6 +127,22 @@
     return "\n".join(lines)
 
 
+def values(rows: dict[Key, dict[str, Row]]) -> str:
+    """Write what service is worth from a caller's first try, beside goodput."""
+    lines = [
+        "| scenario, fleet | policy | goodput | value from the first try | held in vain | "
+        "came back in vain | refused beside free slots |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for (scenario, fleet), policies in rows.items():
+        for policy, row in policies.items():
+            lines.append(
+                f"| {scenario}, {fleet} | {policy} | {row.goodput:.3f} | {row.value:.3f} "
+                f"| {row.held:.3f} | {row.returns:.3f} | {row.beside_free:.1f} |"
+            )
+    return "\n".join(lines)
+
+
 def ablations(rows: dict[Key, dict[str, Row]]) -> str:
     """Write the means over all scenarios and fleets for each policy."""
     lines = ["| policy | mean goodput | mean wasted prefill |", "|---|---|---|"]
--- a/benches/policy/simulation.py
+++ b/benches/policy/simulation.py
@@ -15,6 +15,7 @@
 
 from benches.policy.engine import Sequence, SimEngine
 from benches.policy.scenario import TAIL_S, WARM_UP_S, Demand, Scenario
+from benches.policy.valuation import Value
 
 FAIR_SAMPLE_S = 0.25
 NOT_OBEYING_S = 0.2
@@ -79,6 +80,7 @@
     prefill: float = 0.0
     fairness: float = math.nan
     refused: dict[str, int] = field(default_factory=dict)
+    value: Value = field(default_factory=Value)
 
     @property
     def goodput(self) -> float:
@@ -149,6 +151,7 @@
         if self._measured(demand) and demand.leaves_s == math.inf:
             counts = self.verdict.demands
             counts[demand.tier] = counts.get(demand.tier, 0) + 1
+            self.verdict.value.demands += 1
 
     def _try(self, demand: Demand, number: int) -> None:
         item = Try(f"{demand.id}.{number}", demand, number, self.now, self.now + demand.deadline_s)
@@ -160,6 +163,7 @@
             return
         item.ended = True
         if item.sequence is None:
+            self._note_unserved(item)
             self.policy.left(item)
             return
         assert item.engine is not None
@@ -181,6 +185,7 @@
     def refuse(self, item: Try, reason: str, retry_after_s: float | None) -> None:
         """Tell a caller that its try was not run; it may come back."""
         item.ended = True
+        self._note_unserved(item)
         counts = self.verdict.refused
         counts[reason] = counts.get(reason, 0) + 1
         demand = item.demand
@@ -191,6 +196,24 @@
             pause = NOT_OBEYING_S
         self.at(self.now + pause, lambda: self._try(demand, item.number + 1))
 
+    def _note_unserved(self, item: Try) -> None:
+        """Count a try that was held for some time and has not run."""
+        demand = item.demand
+        if not self._measured(demand) or demand.leaves_s < math.inf:
+            return
+        value = self.verdict.value
+        held_s = self.now - item.arrived
+        value.note_unserved(held_s, demand.deadline_s, demand.deadline_s, returned=item.number > 1)
+        value.beside_free += self._is_mostly_free()
+
+    def _is_mostly_free(self) -> bool:
+        """Tell whether under half of the slots are taken and nothing waits outside engines."""
+        open_ones = [each for each in self.engines.values() if not each.gone]
+        slots = sum(each.spec.slots for each in open_ones)
+        taken = sum(min(each.load, each.spec.slots) for each in open_ones)
+        waiting = any(any(teams.values()) for teams in self.policy.backlogged().values())
+        return taken < slots / 2 and not waiting
+
     # Engines.
 
     def start(self, item: Try, engine: SimEngine, priority: int) -> bool:
@@ -243,6 +266,7 @@
         if self._measured(demand) and demand.leaves_s == math.inf:
             counts = self.verdict.delivered
             counts[demand.tier] = counts.get(demand.tier, 0) + 1
+            self.verdict.value.note_answer(self.now - demand.at, demand.deadline_s)
         self._note_work(item)
         self.policy.ended(item, True)
 
