--- a/packages/chalkyoke/src/chalkyoke/catalog/difference.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/difference.py
@@ -2,7 +2,7 @@
 chalkyoke.catalog.difference
 
 The difference between two versions of a document, as copies of parts of the old one and what is
-new between them. One changed route of 1,400 takes some hundred bytes in place of 60,000.
+new between them. One changed route of 1,400 takes 250 bytes in place of 33,000.
 """
 
 import zlib
