--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -90,11 +90,15 @@
         finally:
             for task in (towards, backwards):
                 task.cancel()
-            for each in (writer, back):
-                self._writers.discard(each)
-                self._silent.discard(each)
-                with contextlib.suppress(ConnectionError):
-                    each.close()
+            if writer not in self._silent:
+                self._end(writer, back)
+
+    def _end(self, *writers: asyncio.StreamWriter) -> None:
+        """Close both ends. Of a dead connection neither hears of the other's, until all stops."""
+        for each in writers:
+            self._writers.discard(each)
+            with contextlib.suppress(ConnectionError):
+                each.close()
 
     async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, to_target: bool
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -156,23 +156,43 @@
     assert {each.fault for each in draw(1, 900.0, *places)} == set(Fault)
 
 
-def test_a_relay_passes_holds_back_and_resets():
-    async def main():
-        async def echo(reader, writer):
-            while data := await reader.read(100):
-                writer.write(data.upper())
+def through_a_relay(check):
+    """Run a check with a relay before an echo, and a connection that has carried something."""
 
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data.upper())
+
+    async def main():
         server = await asyncio.start_server(echo, "127.0.2.1", 0)
         relay = Relay(f"127.0.2.1:{server.sockets[0].getsockname()[1]}")
         await relay.start("127.0.3.1")
-        ip, port = relay.address.rsplit(":", 1)
-        reader, writer = await asyncio.open_connection(ip, int(port))
+        reader, writer = await connect(relay)
         writer.write(b"one")
         assert await reader.read(100) == b"ONE"
+        await check(relay, reader, writer)
+        writer.close()
+        await relay.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
+async def connect(relay):
+    ip, port = relay.address.rsplit(":", 1)
+    return await asyncio.open_connection(ip, int(port))
+
+
+async def says_nothing(reader):
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(reader.read(100), 0.2)
+
+
+def test_a_relay_passes_holds_back_and_resets():
+    async def check(relay, reader, writer):
         relay.faults.silent_to_caller = True
         writer.write(b"two")
-        with pytest.raises(TimeoutError):
-            await asyncio.wait_for(reader.read(100), 0.2)
+        await says_nothing(reader)
         relay.heal()
         assert await reader.read(100) == b"TWO"
         relay.faults.refuse = True
@@ -181,41 +201,23 @@
             writer.write(b"three")
             assert await reader.read(100)
         with pytest.raises((ConnectionError, AssertionError)):
-            other, _ = await asyncio.open_connection(ip, int(port))
+            other, _ = await connect(relay)
             assert await other.read(100)
-        writer.close()
-        await relay.stop()
-        server.close()
 
-    asyncio.run(main())
+    through_a_relay(check)
 
 
 def test_a_relay_lets_open_connections_go_dead_while_new_ones_work():
-    async def main():
-        async def echo(reader, writer):
-            while data := await reader.read(100):
-                writer.write(data.upper())
-
-        server = await asyncio.start_server(echo, "127.0.2.1", 0)
-        relay = Relay(f"127.0.2.1:{server.sockets[0].getsockname()[1]}")
-        await relay.start("127.0.3.1")
-        ip, port = relay.address.rsplit(":", 1)
-        reader, writer = await asyncio.open_connection(ip, int(port))
-        writer.write(b"one")
-        assert await reader.read(100) == b"ONE"
+    async def check(relay, reader, writer):
         relay.silence()
         writer.write(b"two")
-        with pytest.raises(TimeoutError):
-            await asyncio.wait_for(reader.read(100), 0.2)
-        other, its_writer = await asyncio.open_connection(ip, int(port))
+        await says_nothing(reader)
+        other, its_writer = await connect(relay)
         its_writer.write(b"three")
         assert await other.read(100) == b"THREE"
-        for each in (writer, its_writer):
-            each.close()
-        await relay.stop()
-        server.close()
+        its_writer.close()
 
-    asyncio.run(main())
+    through_a_relay(check)
 
 
 def test_a_short_run_over_real_processes_breaks_no_promise_of_safety():
