--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -14,6 +14,9 @@
 from chalkyoke.scheduling.placement import Features
 
 MIN_KEY_BYTES = 16
+# The shortest time in which a silent connection to the store can be told from a slow answer, in
+# milliseconds: an answer is waited for during a quarter of it.
+MIN_SILENCE_MS = 400
 # What is late waits for its own tier only: these callers' late answers still earn something.
 GATEWAY_FEATURES = Features(late_last=False, headroom=True, early=True)
 
@@ -191,6 +194,11 @@
         if name not in parts:
             known = ", ".join(sorted(parts))
             problems.append(f"scheduling.off: no part is called {name!r}; there are {known}")
+    if settings.store.silence_ms < MIN_SILENCE_MS:
+        told = settings.store.silence_ms
+        problems.append(f"store.silence_ms: at least {MIN_SILENCE_MS}, not {told:g}")
+    if settings.limits.descriptors < 0:
+        problems.append("limits.descriptors: a number of descriptors, or 0 to ask the system")
     try:
         if len(settings.key) < MIN_KEY_BYTES:
             problems.append(f"fleet.key_hex: the key has {MIN_KEY_BYTES} bytes or more")
--- a/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -48,6 +48,8 @@
     [
         "not = [toml",
         GOOD.replace('host = "n1"', ""),
+        GOOD.replace("[fleet]", "silence_ms = 0\n[fleet]"),
+        GOOD + "[limits]\ndescriptors = -1\n",
         GOOD.replace("127.0.0.1:1", "nowhere"),
         GOOD.replace('links = "', 'links_advertised = "here"\nlinks = "'),
         GOOD.replace("00112233445566778899aabbccddeeff", "0011"),
