--- a/packages/chalkyoke/src/chalkyoke/http1/room.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/room.py
@@ -5,6 +5,7 @@
 for the longest close, so that a process that says it is ready can take new ones.
 """
 
+import heapq
 from collections.abc import Collection
 from typing import Protocol
 
@@ -47,7 +48,8 @@
     if len(connections) <= most:
         return 0
     wanted = len(connections) - most + int(most * FREED_SHARE)
-    at_rest = sorted((each for each in connections if each.idle), key=lambda one: one.idle_since)
-    for each in at_rest[:wanted]:
+    at_rest = (each for each in connections if each.idle)
+    longest = heapq.nsmallest(wanted, at_rest, key=lambda each: each.idle_since)
+    for each in longest:
         each.stop()
-    return len(at_rest[:wanted])
+    return len(longest)
--- a/packages/chalkyoke/src/chalkyoke/node/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/node/follower.py
@@ -75,7 +75,7 @@
         return cls(silence_s / 2, silence_s / 4)
 
 
-class Follower(Protocol):
+class NewsTaker(Protocol):
     """Takes what the store tells."""
 
     def listed(self, listing: Listing) -> None:
@@ -95,6 +95,7 @@
     """Follow the store, where this node has to.
 
     :param bounds: how long a watch may take.
+    :param taker: takes what the store tells.
     :param part: tells this node's part in following the store.
     :param now: the node's clock, in seconds.
     :ivar since: revision up to which this node has followed the store; 0 is not at all.
@@ -104,14 +105,14 @@
         self,
         store: Store,
         bounds: WatchBounds,
-        follower: Follower,
+        taker: NewsTaker,
         part: Callable[[], Part],
         now: Callable[[], float],
     ) -> None:
         self.since = 0
         self._store = store
         self._bounds = bounds
-        self._follower = follower
+        self._taker = taker
         self._part = part
         self._now = now
         self._failures = 0
@@ -158,7 +159,7 @@
             self._note_failure(found)
             return False
         self._note_answer()
-        self._follower.listed(found)
+        self._taker.listed(found)
         self.since = found.at
         return True
 
@@ -175,7 +176,7 @@
             log.notice("history_lost", since=self.since)
             self.since = 0
             return True
-        self._follower.changed(found, age_s)
+        self._taker.changed(found, age_s)
         self.since = max(self.since, found.at)
         if found.changes:
             await asyncio.sleep(GATHER_S)
@@ -239,4 +240,4 @@
     def _set_lost(self, *, is_lost: bool) -> None:
         if is_lost != self._is_lost:
             self._is_lost = is_lost
-            self._follower.lost(is_lost)
+            self._taker.lost(is_lost)
--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -14,6 +14,7 @@
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import Stamp
 from chalkyoke.links.codec import FrameCodec
+from chalkyoke.links.connection import MAX_UNSENT_BYTES
 from chalkyoke.membership.messages import (
     Heartbeat,
     MemberRecord,
@@ -22,7 +23,7 @@
     SummaryRequest,
 )
 from chalkyoke.membership.state import Candidate
-from chalkyoke.membership.view import MembershipView
+from chalkyoke.membership.view import DEFAULT_INTERVAL_S, MembershipView
 from chalkyoke.node.catalog import WATCH_DUTY, CatalogKeeper, Keys
 from chalkyoke.node.follower import WatchBounds
 from chalkyoke.platform import documents
@@ -37,13 +38,8 @@
 LINK_BYTES_PER_S = 5e6 / 8
 LINK_DELAY_S = 0.0005
 STORE_ANSWER_S = 0.004
-BEAT_S = 0.25
 TICK_S = 0.05
 SAMPLE_S = 0.05
-# What a link lets wait for a peer before it drops.
-UNSENT_BYTES = 4_000_000
-# How soon the system itself ends a connection whose peer acknowledges nothing.
-USER_TIMEOUT_S = 1.0
 
 
 def configuration(version, routes=40, marked=()):
@@ -198,7 +194,7 @@
         size = len(self._codec.encode(Stamp(1, 1), message)) + 60
         waiting_s = max(0.0, self._free_up.get(source, 0.0) - now)
         self.most_unsent_s = max(self.most_unsent_s, waiting_s)
-        if waiting_s * self.bytes_per_s > UNSENT_BYTES:
+        if waiting_s * self.bytes_per_s > MAX_UNSENT_BYTES:
             self.dropped += 1
             return
         self.sent_bytes += size
@@ -233,7 +229,7 @@
         self.host, self.address = host, f"{host}:1"
         self.links = _Links(fleet.network, self.address)
         record = MemberRecord(host, 1, self.address, "", domain, False, True, 0, 0)
-        self.view = MembershipView(record, BEAT_S)
+        self.view = MembershipView(record, DEFAULT_INTERVAL_S)
         self.state = CatalogState(documents.read_catalog, documents.read_replica)
         self.keeper = CatalogKeeper(
             self.state,
@@ -262,7 +258,7 @@
         while True:
             for send in self.view.beat(self._now()):
                 self.links.send(send.address, send.message)
-            await asyncio.sleep(BEAT_S)
+            await asyncio.sleep(DEFAULT_INTERVAL_S)
 
     async def tick(self):
         while True:
