A failing test: a request that ends the replicas that run it is sent on by every host

Cause sought: nothing names a request beyond one attempt, and no host compares what ran under the ends of several replicas. Virtual time jumps to the timer itself in whole nanoseconds: sums of times fell short of it by an ulp, and a timer set anew for the same moment spun for ever. 105 tests of links, node, membership and promises green with that.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -10,6 +10,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from chalkyoke_fakes.metastore import MetaStore
@@ -29,6 +30,10 @@
     :ivar fail: answer 500 after the run.
     :ivar shed: answer that it has not run.
     :ivar fail_each: answer 500 to each so-manieth request; 0 is none.
+    :ivar crash_bodies: end by itself after it has begun to run a request with such a body.
+    :ivar crash_after_s: how long after, in seconds.
+    :ivar back_after_s: how long it is gone then, in seconds.
+    :ivar renamed: whether it is back under another id, or else under its own with another start.
     """
 
     lose_answers: int = 0
@@ -40,6 +45,10 @@
     fail_each: int = 0
     event_s: float = 0.005
     work_s: float = 0.005
+    crash_bodies: frozenset[bytes] = frozenset()
+    crash_after_s: float = 0.05
+    back_after_s: float = 1.0
+    renamed: bool = True
 
 
 @dataclass
@@ -47,7 +56,7 @@
     """One request as it arrived.
 
     :ivar left: whether its connection was closed while it ran.
-    :ivar at: when it arrived, on the steady clock.
+    :ivar at: when it arrived, on the replica's clock.
     """
 
     method: str
@@ -55,7 +64,7 @@
     headers: dict[str, str]
     body: bytes
     left: bool = False
-    at: float = field(default_factory=time.monotonic)
+    at: float = 0.0
 
 
 @dataclass
@@ -65,6 +74,9 @@
     :param service: service that it belongs to.
     :param engine: whether it answers with streams of events.
     :param version: of its software.
+    :param now: a steady clock, in seconds.
+    :ivar ends: when it has ended by itself.
+    :ivar born: its start, in milliseconds of its own clock.
     """
 
     id: str
@@ -80,6 +92,10 @@
     runs: Counter[str] = field(default_factory=Counter)
     state: str = "ready"
     address: str = ""
+    now: Callable[[], float] = time.monotonic
+    ends: list[float] = field(default_factory=list)
+    born: int = 0
+    _returns: set["asyncio.Task[None]"] = field(default_factory=set)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -90,6 +106,7 @@
         :return: its own address.
         """
         self._server = await asyncio.start_server(self._serve, ip, port, limit=READ_LIMIT)
+        self.born = round(self.now() * 1000) + 1
         own = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self.address = reached_at or own
         await self.declare("ready")
@@ -107,6 +124,7 @@
             "state": state,
             "cold-left-ms": 0,
             "seq": 1,
+            "born": self.born,
         }
         await self.store.put(f"servers/{self.id}", json.dumps(record).encode())
 
@@ -117,6 +135,22 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def _end_by_itself(self) -> None:
+        if self._server is not None and self._server.is_serving():
+            self.ends.append(self.now())
+            back = asyncio.ensure_future(self._end_and_return())
+            self._returns.add(back)
+            back.add_done_callback(self._returns.discard)
+
+    async def _end_and_return(self) -> None:
+        ip, _, port = self.address.rpartition(":")
+        await self.crash()
+        await asyncio.sleep(self.faults.back_after_s)
+        if self.faults.renamed:
+            await self.store.remove(f"servers/{self.id}")
+            self.id = f"{self.id.partition('+')[0]}+{len(self.ends)}"
+        await self.start(ip, int(port))
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
@@ -145,7 +179,10 @@
             _write(writer, status, {"X-Request-Id": name, "X-Not-Run": "1"}, b"")
             return True
         self.runs[name] += 1
+        request.at = self.now()
         self.seen.append(request)
+        if request.body in self.faults.crash_bodies:
+            asyncio.get_running_loop().call_later(self.faults.crash_after_s, self._end_by_itself)
         if self.engine:
             try:
                 return await self._stream(name, request, writer)
--- /dev/null
+++ b/tests/gatewayfleet.py
@@ -0,0 +1,201 @@
+"""
+tests.gatewayfleet
+
+Whole gateway nodes before a store and replicas, all in one loop in virtual time, without a network.
+Replicas are those of the stand-ins; the store and the way to it are those of the catalog's fleet.
+"""
+
+import asyncio
+import itertools
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import logbook
+import msgspec
+from chalkyoke.gateway.settings import GatewaySettings
+from chalkyoke.node.gateway import GatewayNode
+from chalkyoke.node.parts import PlatformParts
+from chalkyoke.platform.start import platform_parts
+from chalkyoke.storage.messages import LeaseGranted, Written
+from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
+from chalkyoke_fakes.replica import Replica
+
+from tests import catalogfleet, virtual
+from tests.memorynet import MemoryNet
+
+FLEET_KEY_HEX = "00" * 32
+DEADLINE_MS = 8000
+# How long a fleet takes until all know each other, in seconds.
+SETTLED_S = 3.0
+
+
+class _StoreClient(catalogfleet.StoreClient):
+    """One host's way to the store, writes and leases with it."""
+
+    async def write(self, key, value, *, lease=0, expected=None):
+        self._store.put(key, value)
+        return Written(self._store.revision)
+
+    async def grant_lease(self, ttl_s):
+        return LeaseGranted(1, ttl_s)
+
+    renew_lease = end_lease = grant_lease
+
+
+class _ReplicaStore:
+    """The store as the stand-ins of replicas ask for it."""
+
+    def __init__(self, store):
+        self._store = store
+
+    async def put(self, key, value):
+        self._store.put(key, value)
+
+    async def remove(self, key):
+        if key in self._store.items:
+            self._store.remove(key)
+
+
+@dataclass
+class Got:
+    """What a caller got.
+
+    :ivar whole: whether the answer ended as it should.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+    took_s: float
+
+
+@dataclass
+class GatewayFleet:
+    """A fleet to play with; start it inside the loop.
+
+    :param domains: failure domain of each node.
+    :param replicas: of each of the two services.
+    """
+
+    domains: tuple = ("a", "a", "b", "b", "c", "c")
+    replicas: int = 6
+    limits: dict = field(default_factory=lambda: {"retry_slack": 1000.0})
+    models: list = field(default_factory=list)
+    seats: list = field(default_factory=list)
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.net = MemoryNet(loop)
+        self.store = catalogfleet.Store()
+        self.store.put("op/config", json.dumps(default_configuration()).encode())
+        self._numbers = itertools.count(1)
+        for number in range(self.replicas):
+            domain = self.domains[number * len(self.domains) // self.replicas]
+            self.models.append(await self.add_replica(f"m{number}", "model", domain, True))
+            self.seats.append(await self.add_replica(f"s{number}", "seats", domain, False))
+        self.nodes = [None] * len(self.domains)
+        self._tasks = [None] * len(self.domains)
+        for number in range(len(self.domains)):
+            self.start_node(number)
+        await asyncio.sleep(SETTLED_S)
+
+    async def add_replica(self, name, service, domain, engine):
+        loop = asyncio.get_running_loop()
+        replica = Replica(name, service, domain, _ReplicaStore(self.store), engine, now=loop.time)
+        await replica.start(f"10.2.0.{len(self.net.listeners) + 1}", 8100)
+        return replica
+
+    def start_node(self, number, *, first_start=True):
+        """Start a node, also one that was ended before."""
+        node = GatewayNode(self._settings(number, first_start), Path(), self._platform(number))
+        self.nodes[number] = node
+        self._tasks[number] = asyncio.ensure_future(node.run())
+
+    async def kill_node(self, number):
+        """End a node without a word."""
+        self._tasks[number].cancel()
+        for address in [each for each in self.net.listeners if each[0] == _ip(number)]:
+            del self.net.listeners[address]
+        node = self.nodes[number]
+        node._supervisor.cancel()
+        await node.links.close()
+
+    def _settings(self, number, first_start):
+        ip = _ip(number)
+        document = {
+            "node": {
+                "host": f"n{number}",
+                "failure_domain": self.domains[number],
+                "first_start": first_start,
+            },
+            "listen": {"callers": f"{ip}:80", "ready": f"{ip}:81", "links": f"{ip}:82"},
+            "store": {"address": "10.9.0.1:80"},
+            "fleet": {"key_hex": FLEET_KEY_HEX},
+            "peers": {"seeds": [f"{_ip(each)}:82" for each in range(min(3, len(self.domains)))]},
+            "limits": self.limits,
+        }
+        return msgspec.convert(document, GatewaySettings)
+
+    def _platform(self, number):
+        parts = platform_parts()
+        return PlatformParts(
+            lambda _: _StoreClient(self.store, f"n{number}"),
+            parts.headers,
+            parts.read_catalog,
+            parts.read_record,
+            parts.write_status,
+            parts.keys,
+        )
+
+    async def ask(self, node, path, body=b"{}", *, method="POST", key=KEY):
+        """Send one request as a caller, on a connection of its own."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: q{next(self._numbers)}\r\n"
+            f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Credential: {key}\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        try:
+            reader, writer = await asyncio.open_connection(_ip(node), 80)
+        except ConnectionRefusedError:
+            return Got(0, {}, b"", False, 0.0)
+        writer.write(head.encode() + body)
+        try:
+            answer = await reader.read()
+        except ConnectionResetError:
+            answer = b""
+        writer.close()
+        return _read(answer, loop.time() - began)
+
+
+def _ip(node):
+    return f"10.1.0.{node + 1}"
+
+
+def _read(answer, took_s):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    if len(lines) < 2:
+        return Got(0, {}, b"", False, took_s)
+    pairs = (line.partition(":") for line in lines[1:])
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    if "content-length" in headers:
+        whole = len(body) == int(headers["content-length"])
+    else:
+        whole = body.endswith(b"0\r\n\r\n")
+    return Got(int(lines[0].split(" ")[1]), headers, body, whole, took_s)
+
+
+def play(check, **fleet):
+    """Run a check on a started fleet, in virtual time and without log lines."""
+
+    async def main():
+        played = GatewayFleet(**fleet)
+        await played.start()
+        await check(played)
+
+    with logbook.NullHandler().applicationbound():
+        virtual.run(main)
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -92,11 +92,16 @@
 
 
 class _Listener:
-    sockets = ()
-
     def __init__(self, net, address):
         self._net = net
         self._address = address
+        self.sockets = (self,)
+
+    def getsockname(self):
+        return self._address
+
+    def is_serving(self):
+        return self._address in self._net.listeners
 
     def close(self):
         self._net.listeners.pop(self._address, None)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -17,7 +17,7 @@
         if timeout is None:
             raise RuntimeError("nothing is ready and no timer is set: a deadlock")
         if timeout > 0:
-            self.jump(timeout)
+            self.jump()
         return super().select(0)
 
 
@@ -33,8 +33,10 @@
     def time(self):
         return self._virtual
 
-    def _jump(self, seconds):
-        self._virtual += seconds
+    def _jump(self):
+        # Whole nanoseconds, the loop's resolution: sums of times fall short of a timer by less, and
+        # who then sets it for the same moment anew would be woken again and again.
+        self._virtual = round(self._scheduled[0].when(), 9)
 
 
 def run(make):
