--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -183,6 +183,9 @@
         self.seen.append(request)
         if request.body in self.faults.crash_bodies:
             asyncio.get_running_loop().call_later(self.faults.crash_after_s, self._end_by_itself)
+            # No answer comes of it before the end.
+            await asyncio.sleep(2 * self.faults.crash_after_s)
+            return False
         if self.engine:
             try:
                 return await self._stream(name, request, writer)
