Requests under which three replicas have ended are held back by all nodes

Cause: nothing named a request beyond one attempt, and what ran under the ends of several replicas was compared nowhere. Ruled out by the record: news of ends that come late (no send of this request met a replica that had ended), retries of ours alone (each attempt on that route is sent once). Change: a request is named by path, caller and body; a node whose run breaks opens a connection at once to find out whether the replica has ended (or learns it from its record, or from a peer), and tells all nodes what ran there; each counts ends of different starts without a whole answer between, and holds the request back from the third on. Who was cut off or has just started is told by comparing checksums. A replica's start is its id and when it was born. A popular request beside crashes: 300 of 300 served.

--- a/packages/chalkyoke/src/chalkyoke/catalog/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/resources.py
@@ -123,7 +123,9 @@
 class Replica(msgspec.Struct, frozen=True):
     """One replica as it declares itself.
 
-    :param id: of this incarnation; a restarted replica has another one.
+    :param id: a replica may start again under the id that it had.
+    :param born: tells its starts apart, in Unix milliseconds; 0 where it names none, and then each
+        start has an id of its own.
     :param draining: whether it has announced its end.
     :param version: of its software; empty where it names none.
     """
@@ -136,6 +138,12 @@
     slots: int
     draining: bool = False
     version: str = ""
+    born: int = 0
+
+    @property
+    def start(self) -> str:
+        """Name this start of the replica, which holds and knows nothing of the one before."""
+        return f"{self.id}/{self.born}"
 
     @property
     def address(self) -> str:
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -14,15 +14,17 @@
 from chalkyoke.gateway.events import EventCutter
 from chalkyoke.gateway.grants import Denied, Granted, Grants, ReplicaPort
 from chalkyoke.gateway.ports import Forwarding, HeaderFormat, RequestFields
+from chalkyoke.gateway.quarantine import QuarantinePort
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.trials import RolloutPort
 from chalkyoke.gateway.verdict import Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
-from chalkyoke.http1.messages import AnswerHead, Headers, Request, reason_of, request_head
+from chalkyoke.http1.messages import AnswerHead, Headers, Request, find, reason_of, request_head
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
 from chalkyoke.http1.server import Answering
 from chalkyoke.invariants import require
+from chalkyoke.quarantine.identity import identify
 from chalkyoke.quotas.client import Passed, QuotaClient
 from chalkyoke.retries.budget import RetryBudget
 from chalkyoke.scheduling.state import ReleaseOutcome
@@ -98,6 +100,7 @@
     reject: Reject
     plain_ended: Callable[[Admission, Replica, bool], None]
     rollouts: RolloutPort
+    quarantine: QuarantinePort
 
 
 class _Progress(msgspec.Struct):
@@ -221,6 +224,8 @@
         return asyncio.get_running_loop().time() + (at - self._parts.now())
 
     async def _serve(self, admission: Admission) -> None:
+        if self._is_held_back(admission):
+            return
         allowed = await self._parts.quotas.take(admission)
         if not allowed.passed:
             self._parts.record(
@@ -239,6 +244,8 @@
             if not still_allowed(admission, self._parts.catalog()):
                 self._refuse(admission, "no longer allowed", RETRY_SOON_S)
                 return
+            if self._is_held_back(admission):
+                return
             self._progress.attempt += 1
             granted = await self._acquire(admission)
             if isinstance(granted, Denied):
@@ -251,6 +258,38 @@
             if self._follow(admission, granted, end) is not Next.SEND_AGAIN:
                 return
 
+    def _identity(self) -> bytes:
+        """Name the request by what its caller asks for, the same for each of its attempts."""
+        if not self._named:
+            request, admission = self._request, self._admission
+            caller = admission.team.name if admission is not None and admission.team else ""
+            host = (find(request.headers, b"host") or b"").decode("latin-1")
+            self._named = identify(request.method, host, request.target, caller, request.body)
+        return self._named
+
+    _named = b""
+
+    def _is_held_back(self, admission: Admission) -> bool:
+        """End a request under which too many replicas have ended.
+
+        Its caller is told so at once, without a time to come back: that can't help. It is no
+        promise that nothing has run, since earlier attempts have; 502 keeps callers of what
+        may not be repeated from asking again by themselves.
+        """
+        if not self._parts.quarantine.holds(self._identity):
+            return False
+        self._parts.record(
+            "held_back",
+            admission,
+            digest=self._identity().hex(),
+            sends=self._progress.sends.arrivals,
+        )
+        if self._delivery.head_sent:
+            self._answering.abort()
+        else:
+            self._answer(502, "held back: replicas have ended while they ran this request", None)
+        return True
+
     async def _acquire(self, admission: Admission) -> Granted | Denied:
         """Get a replica; one of a version under trial where that is this request's turn.
 
@@ -325,11 +364,15 @@
         parts = self._parts
         connection = await self._connect(admission, granted)
         if isinstance(connection, ConnectFailure):
+            if connection is not ConnectFailure.AT_LIMIT:
+                parts.quarantine.unreachable(granted.replica)
             self._progress.tried.append(granted.replica.id)
             self._give_back_trial(admission, granted)
             return SendEnd.NOT_CONNECTED
         usable = parts.replicas.find(granted.replica.id, for_trial=granted.for_trial) is not None
         usable = usable and parts.rollouts.may_send(granted.replica)
+        # It may have waited in a queue while the last replica that it took ended.
+        usable = usable and not parts.quarantine.holds(self._identity)
         if not usable or not still_allowed(admission, parts.catalog()):
             self._give_back_trial(admission, granted)
             parts.connections.give_back(granted.replica.ip, granted.replica.port, connection)
@@ -477,6 +520,7 @@
             seen.note_unreachable(now)
         else:
             seen.note_failure(FAILURE_WEIGHTS[end], now)
+        self._note_replica(admission, granted.replica, end)
         parts.grants.release(admission, granted, ENDED_OUTCOMES[end])
         self._granted = None
         if end in NO_SIGN_OF_HEALTH:
@@ -486,6 +530,25 @@
         if not admission.service.is_engine:
             parts.plain_ended(admission, granted.replica, failed)
 
+    def _note_replica(self, admission: Admission, replica: Replica, end: SendEnd) -> None:
+        """Tell what the end of a send says of the request being one that ends replicas."""
+        quarantine = self._parts.quarantine
+        if end is SendEnd.NOT_CONNECTED:
+            return
+        if end is SendEnd.DELIVERED:
+            quarantine.delivered(replica, self._identity)
+        elif end is SendEnd.BROKEN:
+            quarantine.broke_off(admission, replica, self._identity(), self._output_s())
+        elif end is SendEnd.STALLED:
+            quarantine.left(replica, self._identity(), self._output_s())
+        else:
+            quarantine.answered(replica)
+
+    def _output_s(self) -> float:
+        """Tell for how long the replica has given output."""
+        relay = self._relay
+        return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
+
     def _note_version(self, admission: Admission, granted: Granted, *, failed: bool) -> None:
         """Tell how a replica's version did; how long a failure took tells nothing."""
         self._parts.rollouts.note_end(
@@ -517,6 +580,9 @@
 
     def _release_cancelled(self, admission: Admission) -> None:
         if self._granted is not None:
+            if self._granted.started:
+                replica = self._granted.replica
+                self._parts.quarantine.left(replica, self._identity(), self._output_s())
             self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
             self._granted = None
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -56,6 +56,18 @@
         pass
 
 
+class Quarantine:
+    """No request ends its replica."""
+
+    def holds(self, request):
+        return False
+
+    def left(self, *_):
+        pass
+
+    delivered = answered = broke_off = unreachable = left
+
+
 class Answering:
     status = None
 
@@ -96,6 +108,7 @@
         reject=lambda *_: None,
         plain_ended=lambda *_: None,
         rollouts=rollouts or NoOrder(),
+        quarantine=Quarantine(),
     )
     request = Request(b"POST", b"/x", [(b"host", b"h")], b"{}")
     return Exchange(parts, request, answering), quotas, answering
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -56,6 +56,17 @@
         kept = self._take_kept(entry, fresh_s)
         if kept is not None:
             return kept
+        return await self.open(ip, port, limit=limit, timeout_s=timeout_s)
+
+    async def open(
+        self, ip: str, port: int, *, limit: int, timeout_s: float
+    ) -> ClientConnection | ConnectFailure:
+        """Open a connection, also where some are kept.
+
+        :param limit: connections at most to this address.
+        :param timeout_s: how long the opening may take.
+        """
+        entry = self._addresses.setdefault((ip, port), _Address())
         if entry.open >= limit:
             return ConnectFailure.AT_LIMIT
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -46,6 +46,7 @@
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
+from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.registration import Listed, Registration, read_candidates
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
@@ -122,6 +123,7 @@
                 self.quotas,
                 self.suspicions,
                 self.rollouts,
+                self.quarantine,
             ),
             self._apply,
             self.now,
@@ -230,6 +232,9 @@
             lambda service: len(self.replicas.of(service)),
             self.now,
         )
+        self.quarantine = Quarantine(
+            self.view, self.connections, self.links.send, self.metrics, random.random, self.now
+        )
         self.gateway = Gateway(
             GatewayParts(
                 catalog=lambda: self.catalog.state.catalog,
@@ -248,6 +253,7 @@
                     replica.service, replica.id, admission.route.name, failed=failed
                 ),
                 rollouts=self.rollouts,
+                quarantine=self.quarantine,
             )
         )
 
@@ -352,6 +358,7 @@
             server.close()
         self._supervisor.cancel()
         await self.links.close()
+        self.quarantine.close()
         self.connections.close()
         self._store_connections.close()
         await asyncio.sleep(TICK_S)
@@ -424,6 +431,7 @@
         self.balancer.forget(self.catalog.state.replicas)
         self.quotas.keep_house()
         self.suspicions.tick()
+        self.quarantine.tick()
 
     # Messages.
 
@@ -454,6 +462,7 @@
         self.pools.rebuild(state.catalog, state.replicas)
         self.hosted.reconfigure()
         self.grants.check_owners(self.pools.pools)
+        self.quarantine.replicas_changed(state.replicas)
 
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
         candidates = read_candidates(registered, self._platform.keys.nodes)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -0,0 +1,240 @@
+"""
+chalkyoke.node.quarantine
+
+Requests that end the replicas that run them: what this node's runs met is told to all nodes, and
+each holds back by itself what too many replicas have ended under.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.quarantine import Identity
+from chalkyoke.gateway.reception import Admission
+from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.logs import logger
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.quarantine.evidence import EvidenceBook
+from chalkyoke.quarantine.messages import (
+    HeldSummary,
+    HeldTold,
+    QuarantineMessage,
+    ReplicaEnded,
+    RequestsServed,
+)
+from chalkyoke.quarantine.runs import UnansweredRuns
+
+# How long the connection may take that tells whether a replica lives, in seconds: as for a send.
+PROBE_S = 0.12
+# Whom a node tells each second what it holds back while that is anything, and in its first seconds:
+# who was cut off, or has just started, then knows in some 2 s; operators allow 3.
+SUMMARIES = 2
+ASKS_FOR_S = 5.0
+# Requests that one line names at most.
+MOST_NAMED = 10
+
+log = logger("quarantine")
+
+
+class Quarantine:
+    """Find the requests that end replicas, and hold them back.
+
+    :param send: sends a message to a node by its link address.
+    :param random: source of numbers in [0, 1).
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        connections: ConnectionPool,
+        send: Callable[[str, QuarantineMessage], None],
+        metrics: Metrics,
+        random: Callable[[], float],
+        now: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._connections = connections
+        self._send = send
+        self._metrics = metrics
+        self._random = random
+        self._now = now
+        self._book = EvidenceBook()
+        self._runs = UnansweredRuns()
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        metrics.gauge("requests_held_back", lambda: len(self._book.held))
+        metrics.gauge("requests_suspected", lambda: len(self._book))
+
+    # What exchanges ask and tell.
+
+    def holds(self, request: Identity) -> bool:
+        """Tell whether a request is held back."""
+        return bool(self._book.held) and self._book.is_held(request())
+
+    def delivered(self, replica: Replica, request: Identity) -> None:
+        """Note that a replica has served a request whole."""
+        self.answered(replica)
+        if not len(self._book):
+            return
+        name = request()
+        known = self._book.find(name)
+        if known is None or not known.ends:
+            return
+        message = RequestsServed((name,))
+        self._take_served(message)
+        self._tell(message)
+
+    def answered(self, replica: Replica) -> None:
+        """Note that a replica has answered, whatever it was."""
+        self._runs.note_alive(replica.start)
+
+    def broke_off(
+        self, admission: Admission, replica: Replica, request: bytes, output_s: float
+    ) -> None:
+        """Note that a replica broke a run off, and find out at once whether it has ended.
+
+        Its record goes only after three heartbeats, when the next replicas have met the request.
+        """
+        now = self._now()
+        self._runs.note(replica.start, request, now, output_s=output_s, broken=True)
+        if replica.start not in self._probes:
+            probe = asyncio.ensure_future(self._probe(replica, admission.service.max_connections))
+            self._probes[replica.start] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(replica.start, None))
+
+    def left(self, replica: Replica, request: bytes, output_s: float) -> None:
+        """Note that this side has left a run."""
+        now = self._now()
+        self._runs.note(replica.start, request, now, output_s=output_s, broken=False)
+
+    def unreachable(self, replica: Replica) -> None:
+        """Note that a replica can't be connected to: what broke there was its end."""
+        self._ended(replica.start, "unreachable")
+
+    async def _probe(self, replica: Replica, most: int) -> None:
+        opened = await self._connections.open(
+            replica.ip, replica.port, limit=most, timeout_s=PROBE_S
+        )
+        if isinstance(opened, ConnectFailure):
+            if opened is not ConnectFailure.AT_LIMIT:
+                self.unreachable(replica)
+            return
+        # The next request to it may use this connection.
+        self._connections.give_back(replica.ip, replica.port, opened)
+
+    def replicas_changed(self, replicas: Mapping[str, Replica]) -> None:
+        """Take the replicas that there are; a start that is no longer among them has ended."""
+        there = {each.start for each in replicas.values()}
+        for start in self._runs.starts(self._now()):
+            if start not in there:
+                self._ended(start, "record")
+
+    # Ends.
+
+    def _ended(self, start: str, source: str) -> None:
+        """Count the end of a replica against what ran there from here, and tell all nodes."""
+        now = self._now()
+        runs = self._runs.take(start, now)
+        if not runs:
+            return
+        message = ReplicaEnded(start, runs)
+        names = [_name(each.request) for each in runs]
+        log.info("replica_ended", start=start, source=source, requests=names[:MOST_NAMED])
+        self._metrics.count("replica_ends", source=source)
+        self._count(message)
+        self._tell(message)
+
+    def _count(self, message: ReplicaEnded) -> None:
+        now = self._now()
+        for run in message.runs:
+            book = self._book
+            held = book.note_end(run.request, message.start, run.weight, now - run.age_s, now)
+            known = book.find(run.request)
+            if held and known is not None:
+                log.notice(
+                    "request_held",
+                    request=_name(run.request),
+                    starts=sorted(known.ends)[:MOST_NAMED],
+                    for_s=round(known.held_until - now),
+                )
+
+    # Messages.
+
+    def receive(self, address: str, message: QuarantineMessage) -> None:
+        """Take what another node tells.
+
+        :param address: link address of the node.
+        """
+        if isinstance(message, HeldSummary):
+            if message.checksum != self._book.checksum():
+                self._send(address, HeldTold(self._book.tell_held(self._now())))
+        elif isinstance(message, HeldTold):
+            self._merge(address, message)
+        else:
+            self._take_news(message)
+
+    def _take_news(self, message: ReplicaEnded | RequestsServed) -> None:
+        if isinstance(message, ReplicaEnded):
+            self._count(message)
+            self._ended(message.start, "peer")
+        else:
+            self._take_served(message)
+        if message.relay:
+            told = msgspec.structs.replace(message, relay=False)
+            for each in self._view.domain_addresses():
+                self._send(each, told)
+
+    def _take_served(self, message: RequestsServed) -> None:
+        at = self._now() - message.age_s
+        for request in message.requests:
+            if self._book.note_served(request, at):
+                log.notice("request_released", request=_name(request), why="served")
+
+    def _merge(self, address: str, message: HeldTold) -> None:
+        now = self._now()
+        for each in message.requests:
+            if self._book.merge_held(each, now):
+                log.notice("request_held", request=_name(each.request), source=address)
+        for request, served_at in self._book.refuted(message.requests, now):
+            self._send(address, RequestsServed((request,), now - served_at))
+        if not message.is_answer and len(message.requests) != len(self._book.held):
+            self._send(address, HeldTold(self._book.tell_held(now), is_answer=True))
+
+    def _tell(self, message: ReplicaEnded | RequestsServed) -> None:
+        """Tell all nodes; what is lost with a node or a link is told again by what is held back."""
+        direct, relays = self._view.audience()
+        for address in direct:
+            self._send(address, message)
+        for address in relays:
+            self._send(address, msgspec.structs.replace(message, relay=True))
+
+    # Time.
+
+    def close(self) -> None:
+        """Give up what is still being found out."""
+        for probe in self._probes.values():
+            probe.cancel()
+
+    def tick(self) -> None:
+        """Let go what is due, and compare with some other nodes; call about once a second."""
+        now = self._now()
+        for request in self._book.expire(now):
+            log.notice("request_released", request=_name(request), why="on probation")
+        if not self._book.held and now > ASKS_FOR_S:
+            return
+        summary = HeldSummary(self._book.checksum())
+        for address in self._some_others():
+            self._send(address, summary)
+
+    def _some_others(self) -> Iterable[str]:
+        mine = self._view.record.host
+        others = [each.address for each in self._view.live() if each.host != mine]
+        count = min(SUMMARIES, len(others))
+        return {others[int(self._random() * len(others))] for _ in range(count)}
+
+
+def _name(request: bytes) -> str:
+    return request.hex()
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -27,9 +27,11 @@
 from chalkyoke.membership.state import Change
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.catalog import CatalogKeeper
+from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.rollouts import Rollouts
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.suspicions import Suspicions
+from chalkyoke.quarantine.messages import QUARANTINE_MESSAGES
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.quotas.messages import (
     QuotaGrant,
@@ -79,6 +81,7 @@
     *QUOTA_MESSAGES,
     *SUSPICION_MESSAGES,
     *ROLLOUT_MESSAGES,
+    *QUARANTINE_MESSAGES,
     AdoptRequest,
 )
 
@@ -94,6 +97,7 @@
     quotas: QuotaClient
     suspicions: Suspicions
     rollouts: Rollouts
+    quarantine: Quarantine
 
 
 class MessageRouter:
@@ -135,6 +139,8 @@
             parts.suspicions.receive(message)
         elif isinstance(message, ROLLOUT_MESSAGES):
             parts.rollouts.receive(connection.peer, message)
+        elif isinstance(message, QUARANTINE_MESSAGES):
+            parts.quarantine.receive(address, message)
         elif isinstance(message, CATALOG_MESSAGES):
             parts.catalog.receive(address, message)
 
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -97,6 +97,7 @@
     slots: int = 1
     state: str = "ready"
     version: int | float | str = ""
+    born: int = 0
 
 
 class _Rollout(_Struct):
@@ -205,6 +206,7 @@
             slots=found.slots,
             draining=found.state == DRAINING,
             version=str(found.version),
+            born=found.born,
         )
     )
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_evidence.py
@@ -0,0 +1,104 @@
+"""What speaks for and against a request, in whatever order it is told."""
+
+from chalkyoke.quarantine.evidence import HOLD_S, MOST_REQUESTS, REMEMBERED_S, EvidenceBook
+from chalkyoke.quarantine.messages import HeldRequest
+from hypothesis import given
+from hypothesis import strategies as st
+
+REQUEST = b"request-name"
+
+
+def end(book, number, at, *, weight=1.0, request=REQUEST, now=None):
+    return book.note_end(request, f"m{number}/1", weight, at, at if now is None else now)
+
+
+def test_a_request_is_held_back_from_the_third_end_on():
+    book = EvidenceBook()
+    assert [end(book, number, float(number)) for number in range(3)] == [False, False, True]
+    assert book.is_held(REQUEST)
+
+
+def test_one_end_told_by_two_nodes_counts_once():
+    book = EvidenceBook()
+    end(book, 1, 1.0)
+    end(book, 1, 3.9, now=4.0)
+    # This one has not heard yet that the replica had started again before.
+    book.note_end(REQUEST, "m1/0", 1.0, 1.1, 1.2)
+    assert book.find(REQUEST).weight == 1.0
+    # The same id, but back since.
+    book.note_end(REQUEST, "m1/2", 1.0, 3.0, 3.0)
+    assert book.find(REQUEST).weight == 2.0
+
+
+def test_ends_under_a_long_output_count_half():
+    book = EvidenceBook()
+    held = [end(book, number, float(number), weight=0.5) for number in range(6)]
+    assert held == [False] * 5 + [True]
+
+
+def test_a_popular_request_lies_under_every_end_and_is_never_held_back():
+    book = EvidenceBook()
+    for number in range(50):
+        end(book, number, float(number))
+        book.note_served(REQUEST, number + 0.1)
+        assert not book.is_held(REQUEST)
+
+
+def test_an_end_from_before_a_whole_answer_counts_nothing_when_it_is_told_late():
+    book = EvidenceBook()
+    end(book, 0, 0.0)
+    book.note_served(REQUEST, 1.0)
+    end(book, 1, 0.5, now=2.0)
+    end(book, 2, 0.9, now=2.0)
+    assert book.find(REQUEST).weight == 0.0
+
+
+@given(st.permutations([("end", 0), ("end", 1), ("end", 2), ("end", 3), ("served", 1.5)]))
+def test_all_nodes_agree_in_whatever_order_they_hear(news):
+    book = EvidenceBook()
+    for kind, at in news:
+        if kind == "end":
+            end(book, at, float(at), now=10.0)
+        else:
+            book.note_served(REQUEST, at)
+    # Two ends since it was served; who held it back for a moment has let it go again.
+    assert book.find(REQUEST).weight == 2.0
+    assert not book.is_held(REQUEST)
+
+
+def test_a_request_on_probation_is_held_back_by_one_end_and_for_longer():
+    book = EvidenceBook()
+    for number in range(3):
+        end(book, number, float(number))
+    assert book.expire(HOLD_S + 2.0) == [REQUEST]
+    assert not book.is_held(REQUEST)
+    again = HOLD_S + 10.0
+    assert end(book, 9, again)
+    assert book.expire(again + HOLD_S + 1.0) == []
+    assert book.expire(again + 2 * HOLD_S) == [REQUEST]
+    assert book.expire(again + 2 * HOLD_S + REMEMBERED_S + 1.0) == []
+    assert len(book) == 0
+
+
+def test_what_another_node_holds_back_is_taken_unless_it_was_served_since():
+    book, other = EvidenceBook(), EvidenceBook()
+    for number in range(3):
+        end(book, number, float(number))
+    told = book.tell_held(5.0)
+    assert told == (HeldRequest(REQUEST, 3.0, HOLD_S - 3.0),)
+    assert other.merge_held(told[0], 105.0)
+    assert other.checksum() == book.checksum() != 0
+    other.note_served(REQUEST, 104.0)
+    assert other.refuted(told, 105.0) == [(REQUEST, 104.0)]
+    assert not other.merge_held(told[0], 105.0)
+
+
+def test_a_thousand_requests_at_once_are_held_back_and_memory_has_a_bound():
+    book = EvidenceBook()
+    for request in range(1000):
+        for number in range(3):
+            end(book, 3 * request + number, float(number), request=b"%d" % request)
+    for victim in range(3 * MOST_REQUESTS):
+        end(book, victim, 5.0, request=b"victim-%d" % victim)
+    assert len(book.held) == 1000
+    assert len(book) <= MOST_REQUESTS + 1
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -74,3 +74,100 @@
 def test_a_request_that_ends_replicas_is_held_back_by_all_hosts():
     later = {path: later_of(path) for path in ("/chat/1", "/explain/1", "/find/1", "/book/1")}
     assert all(count <= MOST_LATER for count in later.values()), later
+
+
+def test_a_replica_that_is_back_under_its_id_is_another_replica():
+    async def check(fleet):
+        # One replica only, so that all ends are of one id.
+        for replica in fleet.models[1:]:
+            await replica.crash()
+            fleet.store.remove(f"servers/{replica.id}")
+        crash_by(fleet.models[:1], CRASHING, renamed=False, back_after_s=0.7)
+        await keep_asking(fleet, "/chat/1", CRASHING, again_s=1.0)
+        assert len(ends(fleet.models)) == 3
+        assert len(later_arrivals(fleet.models, CRASHING)) == 0
+
+    play(check, replicas=3)
+
+
+def test_a_held_request_is_answered_at_once_and_no_time_to_come_back_is_named():
+    async def check(fleet):
+        crash_by(fleet.models, CRASHING)
+        await keep_asking(fleet, "/chat/1", CRASHING, seconds=2.0)
+        before = len(arrivals(fleet.models, CRASHING))
+        got = await fleet.ask(0, "/chat/1", CRASHING)
+        assert (got.status, "retry-after" in got.headers) == (502, False)
+        assert len(arrivals(fleet.models, CRASHING)) == before
+        # The same body of the same caller on another path is another request.
+        assert (await fleet.ask(0, "/explain/1", b"{}")).whole
+
+    play(check)
+
+
+def test_a_popular_request_beside_crashes_is_served():
+    popular = b"what many ask"
+    served = []
+
+    async def check(fleet):
+        crash_by(fleet.seats, CRASHING)
+        for replica in fleet.seats:
+            replica.faults.work_s = 0.04
+        crashing = asyncio.ensure_future(keep_asking(fleet, "/find/1", CRASHING, seconds=6.0))
+        got = await keep_asking(fleet, "/find/1", popular, seconds=6.0, again_s=0.02)
+        await crashing
+        assert len(ends(fleet.seats)) >= 3
+        served.extend(each.status for each in got)
+
+    play(check)
+    # As many are asked again elsewhere as break with a replica.
+    assert served.count(200) == len(served) == 300
+
+
+def test_a_node_that_starts_learns_what_is_held_back():
+    async def check(fleet):
+        crash_by(fleet.models, CRASHING)
+        await keep_asking(fleet, "/chat/1", CRASHING, seconds=2.0)
+        await fleet.kill_node(2)
+        await asyncio.sleep(1.0)
+        fleet.start_node(2, first_start=False)
+        await asyncio.sleep(KNOWN_S)
+        before = len(arrivals(fleet.models, CRASHING))
+        got = await fleet.ask(2, "/chat/1", CRASHING)
+        assert got.status == 502
+        assert len(arrivals(fleet.models, CRASHING)) == before
+
+    play(check)
+
+
+def test_replicas_that_end_by_themselves_hold_no_request_back():
+    async def check(fleet):
+        async def end_in_turn():
+            for _ in range(4):
+                for replica in fleet.models:
+                    replica._end_by_itself()
+                    await asyncio.sleep(0.5)
+
+        for replica in fleet.models:
+            replica.faults.event_s = 0.1
+        ending = asyncio.ensure_future(end_in_turn())
+        bodies = [b"%d" % number for number in range(400)]
+        asked = []
+        for number, body in enumerate(bodies):
+            asked.append(asyncio.ensure_future(fleet.ask(number % 6, "/explain/1", body)))
+            await asyncio.sleep(0.03)
+        await asyncio.gather(*asked)
+        await ending
+        assert len(ends(fleet.models)) >= 20
+        assert [len(node.quarantine._book.held) for node in fleet.nodes] == [0] * 6
+
+    play(check)
+
+
+def test_broken_answers_of_living_replicas_count_nothing():
+    async def check(fleet):
+        for replica in fleet.models:
+            replica.faults.break_streams = 1000
+        await keep_asking(fleet, "/explain/1", b"{}", seconds=6.0)
+        assert [len(node.quarantine._book) for node in fleet.nodes] == [0] * 6
+
+    play(check)
