A node's clock counts the time for which its host was suspended

Cause: every belief with a time to live in node/, links/, quotas/ and http1/ reckons with the loop's clock, the steady one, which stands still while a host is suspended: after a sleep of 20 s leases, quota windows, heartbeats, the news of the store and grants would look as fresh as before. Ways weighed: a guard that compares two clocks before each decision (every belief has to ask it, and each new one may forget to) and one clock for the whole process that counts the sleep. Left: a timer that was waited for fires up to its own length after the host wakes.

--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -4,14 +4,13 @@
 The node's command line.
 """
 
-import asyncio
 import os
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from chalkyoke import __version__, logs, settings
+from chalkyoke import __version__, eventloop, logs, settings
 from chalkyoke.exceptions import InvariantBroken, SettingsError
 from chalkyoke.node.process import Node
 
@@ -42,7 +41,7 @@
     loaded = _load(settings_file)
     logs.set_up(loaded.logs.form, loaded.logs.level)
     try:
-        asyncio.run(_serve(loaded))
+        eventloop.run(_serve(loaded))
     except OSError as error:
         typer.echo(f"can't listen: {error}", err=True)
         raise typer.Exit(EXIT_ADDRESS) from error
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -11,6 +11,7 @@
 import sys
 from pathlib import Path
 
+from chalkyoke import eventloop
 from chalkyoke.exceptions import InvariantBroken, SettingsError
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.linelog import LineHandler, LineWriter
@@ -68,7 +69,7 @@
     if status:
         return status
     try:
-        asyncio.run(serve(load(path), path))
+        eventloop.run(serve(load(path), path))
     except OSError as error:
         print(f"can't listen: {error}", file=sys.stderr)
         return EXIT_ADDRESS
