Records of other writers name no replica to use, whatever they named before

Cause: every state but the one for leaving was read as ready, slots of any size and sign, ports and addresses of any kind; a record that turned bad left the replica of before in use; a registration of a node that could not be read raised. Change: a record needs service, address, failure domain, slots and one of the two states, each of its type and in range; a bad one removes what it named and is news once for each reason (one line); orders of roll-outs, which go the same way, are named at once too. One test of versions wrote a record without its failure domain, slots and state; it writes a whole one now and checks the same. Tests: every field missing or wrong, any bytes, 100,000 brackets, good and bad by turns beside a good one (hypothesis).

--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -247,8 +247,7 @@
     def _put(self, item: Item, since: float) -> bool:
         read = self.read_record(item)
         if isinstance(read, Err):
-            self.unreadable[item.key] = read.err_value
-            return False
+            return self._refuse(item.key, read.err_value)
         self.unreadable.pop(item.key, None)
         self._items[item.key] = item
         record = read.ok_value
@@ -263,6 +262,17 @@
         self.departed.pop(record.id, None)
         return changed
 
+    def _refuse(self, key: str, why: str) -> bool:
+        """Take a record that can't be read: it names nothing, whatever it named before.
+
+        :return: whether anything is told by that.
+        """
+        is_news = self.unreadable.get(key) != why
+        self.unreadable[key] = why
+        if (item := self._items.pop(key, None)) is not None:
+            self._drop(item)
+        return is_news
+
     def _put_order(self, order: RolloutOrder, since: float) -> bool:
         held = self.orders.get(order.service)
         if held is not None and held.order == order:
@@ -275,14 +285,20 @@
         item = self._items.pop(key, None)
         if item is None:
             return False
+        if (gone := self._drop(item)) is not None:
+            self.departed[gone.id] = Departed(gone, since)
+        return True
+
+    def _drop(self, item: Item) -> Replica | None:
+        """Forget what a record that was read before has named; give the replica, if it was one."""
         read = self.read_record(item)
         if isinstance(read, Err):
-            return False
+            return None
         record = read.ok_value
         if isinstance(record, RolloutOrder):
             self.orders.pop(record.service, None)
         elif isinstance(record, RolloutStatus):
             self.statuses.pop(record.service, None)
-        elif (gone := self.replicas.pop(record.id, None)) is not None:
-            self.departed[gone.id] = Departed(gone, since)
-        return True
+        else:
+            return self.replicas.pop(record.id, None)
+        return None
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -156,3 +156,26 @@
                         peer.adopt_changes(answer, 0.0)
                 assert peer.replicas == state.replicas
                 assert peer.changed_at == state.changed_at
+
+
+def test_a_record_that_turns_bad_names_no_replica_and_one_that_turns_good_again_does():
+    state = make()
+    state.adopt_replicas([Item("a", b"x", 1), Item("b", b"x", 2)], at=2, since=0.0)
+    assert state.change_replicas([Item("a", b"", 3)], 3, 0.0)
+    assert set(state.replicas) == {"b"} and not state.departed
+    # Written again and as bad as before: no news.
+    assert not state.change_replicas([Item("a", b"", 4)], 4, 0.0)
+    assert set(state.unreadable) == {"a"}
+    assert state.change_replicas([Item("a", b"x", 5)], 5, 0.0)
+    assert set(state.replicas) == {"a", "b"} and not state.unreadable
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1))
+def test_bad_records_never_change_what_is_known_of_other_replicas(writes):
+    state = make()
+    state.adopt_replicas([Item("good", b"x", 1)], at=1, since=0.0)
+    for revision, (key, is_bad) in enumerate(writes, start=2):
+        state.change_replicas([Item(key, b"" if is_bad else b"x", revision)], revision, 0.0)
+        assert state.replicas["good"].id == "good"
+    last = dict(writes)
+    assert set(state.replicas) - {"good"} == {key for key, is_bad in last.items() if not is_bad}
--- a/packages/chalkyoke/src/chalkyoke/node/registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/registration.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chalkyoke.logs import logger
 from chalkyoke.membership.state import Candidate
 from chalkyoke.storage.messages import Unavailable
 from chalkyoke.storage.port import Store
@@ -21,6 +22,8 @@
 # A lease is renewed so often within its time, so that one lost renewal does not end it.
 RENEWALS = 3
 
+log = logger("registration")
+
 
 class Listed(msgspec.Struct, frozen=True, array_like=True):
     """What is listed of a node.
@@ -42,7 +45,11 @@
     """
     found: list[Candidate] = []
     for key, value in registered.items():
-        listed = msgspec.msgpack.decode(value, type=Listed)
+        try:
+            listed = msgspec.msgpack.decode(value, type=Listed)
+        except (msgspec.MsgspecError, ValueError) as error:
+            log.info("node_unreadable", key=key, why=str(error))
+            continue
         host = key.removeprefix(prefix)
         found.append(Candidate(host, listed.address, listed.failure_domain, listed.capacity))
     return found
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -4,6 +4,9 @@
 The documents in the platform's store: the operators' configuration and the replicas' records.
 """
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -26,6 +29,10 @@
 ROLLOUT_STATUSES_PREFIX = "status/rollout/"
 DRAINING = "draining"
 TOKENS = "tokens"
+# More requests at once than any replica runs; a record that claims more comes from another writer,
+# and would draw all requests of its service.
+MOST_SLOTS = 10_000
+PORTS = range(1, 65_536)
 
 
 class _Struct(msgspec.Struct, rename=lambda name: name.replace("_", "-"), omit_defaults=True):
@@ -91,12 +98,16 @@
 
 
 class _Server(_Struct):
+    """A replica's record. One that lacks what is needed to use it comes from another writer."""
+
     service: str
     addr: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+    state: Literal["ready", "draining"]
     version: int | float | str = ""
+    seq: int = 0
+    cold_left_ms: float = 0
     born: int = 0
 
 
@@ -190,15 +201,21 @@
 
     :return: the replica, or why it can't be read.
     """
+    name = item.key.removeprefix(REPLICAS_PREFIX)
+    if not name:
+        return Err("it has no id")
     try:
         found = msgspec.json.decode(item.value, type=_Server)
         ip, _, port = found.addr.rpartition(":")
+        ipaddress.IPv4Address(ip)
         number = int(port)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return Err(str(error))
+    if number not in PORTS:
+        return Err(f"its port is {number}")
     return Ok(
         Replica(
-            id=item.key.removeprefix(REPLICAS_PREFIX),
+            id=name,
             service=found.service,
             ip=ip,
             port=number,
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -12,7 +12,9 @@
 from chalkyoke.platform.headers import PlatformHeaders
 from chalkyoke.rollouts.resources import RolloutState
 from chalkyoke.storage.messages import Item
-from result import Err
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
 
 CONFIGURATION = {
     "version": 7,
@@ -190,7 +192,63 @@
     assert isinstance(read_record(Item("op/rollout/s", value, 7)), Err)
 
 
+GOOD = {
+    "service": "s",
+    "addr": "10.1.2.3:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 7,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "seq": 4,
+    "born": 1_780_000_000_000,
+}
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+def read_written(**fields):
+    document = {name: value for name, value in (GOOD | fields).items() if value is not None}
+    return read_replica(Item("servers/i", json.dumps(document).encode(), 1))
+
+
+def test_records_of_other_writers_name_no_replica():
+    assert isinstance(read_written(), Ok)
+    for name in ("service", "addr", "zone", "slots", "state"):
+        assert isinstance(read_written(**{name: None}), Err), name
+    for slots in (0, -1, 10**9, 1.5, "7", True):
+        assert isinstance(read_written(slots=slots), Err), slots
+    for state in ("", "leaving", "READY", 1, ["ready"]):
+        assert isinstance(read_written(state=state), Err), state
+    for born in ("1780000000000", 1.5, [], True):
+        assert isinstance(read_written(born=born), Err), born
+    for address in ("", "10.1.2.3", "10.1.2.3:", "10.1.2.3:0", "10.1.2.3:65536", "a.b:80", ":80"):
+        assert isinstance(read_written(addr=address), Err), address
+    assert isinstance(read_replica(Item("servers/", json.dumps(GOOD).encode(), 1)), Err)
+    deep = b'{"other":' + b"[" * 100_000
+    assert isinstance(read_replica(Item("servers/i", deep, 1)), Err)
+
+
 def test_a_replica_tells_its_version_as_a_number_or_a_word():
-    for written, read in ((b"2", "2"), (b'"v2"', "v2"), (b'""', "")):
-        value = b'{"service":"s","addr":"127.0.0.1:1","version":%b}' % written
-        assert read_record(Item("servers/i", value, 1)).ok_value.version == read
+    for written, read in ((2, "2"), ("v2", "v2"), ("", "")):
+        assert read_written(version=written).ok_value.version == read
+
+
+def test_two_starts_of_a_replica_are_told_apart():
+    starts = {read_written(born=born).ok_value.start for born in (1, 2, 2)}
+    assert len(starts) == 2
+
+
+@given(st.binary(max_size=60), st.sampled_from(["servers/i", "op/rollout/s", "status/rollout/s"]))
+def test_any_bytes_are_read_without_an_exception(value, key):
+    assert isinstance(read_record(Item(key, value, 1)), Ok | Err)
+
+
+@given(st.sampled_from(sorted(GOOD)), ANYTHING)
+def test_a_record_with_any_field_wrong_is_read_without_an_exception(name, value):
+    found = read_replica(Item("servers/i", json.dumps(GOOD | {name: value}).encode(), 1))
+    if isinstance(found, Ok):
+        assert found.ok_value.slots >= 1 and 0 < found.ok_value.port < 65_536
