A replica is its id and its start: a later start takes the place of the one before

Cause: born was not read; all that is kept by a replica's id (speeds, prompts thought to be in its memory, slots, failures, suspicion, tried, evidence of versions) outlived a start under the same id, and a run on a connection that went silent with the old start was waited for. Change: platform/ decodes id and born into the id of that start, by which everything is kept, so that it is forgotten with it; only what the replica is told names the id that it declares. The start before is let go with the record of the later one: kept connections are dropped, what ran there goes on elsewhere or is told truthfully. Tests: late news of the old start on each way, two nodes that hold different starts, a run at a start that is over behind a silent connection.

--- a/packages/chalkyoke/src/chalkyoke/catalog/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/resources.py
@@ -123,11 +123,11 @@
 class Replica(msgspec.Struct, frozen=True):
     """One replica as it declares itself.
 
-    :param id: a replica may start again under the id that it had.
-    :param born: tells its starts apart, in Unix milliseconds; 0 where it names none, and then each
-        start has an id of its own.
+    :param id: of this start. A replica that starts again under the id that it had holds and knows
+        nothing of before; all that is kept by this id is forgotten with the start before.
     :param draining: whether it has announced its end.
     :param version: of its software; empty where it names none.
+    :param declared_id: its id as it declares it; empty where that is ``id``.
     """
 
     id: str
@@ -138,12 +138,12 @@
     slots: int
     draining: bool = False
     version: str = ""
-    born: int = 0
+    declared_id: str = ""
 
     @property
-    def start(self) -> str:
-        """Name this start of the replica, which holds and knows nothing of the one before."""
-        return f"{self.id}/{self.born}"
+    def expected_id(self) -> str:
+        """The id by which the replica knows itself, the same at each of its starts."""
+        return self.declared_id or self.id
 
     @property
     def address(self) -> str:
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -81,6 +81,7 @@
     statuses: dict[str, RolloutStatus] = msgspec.field(default_factory=dict)
     unreadable: dict[str, str] = msgspec.field(default_factory=dict)
     _document: bytes = b""
+    _restarted: list[Replica] = msgspec.field(default_factory=list)
     _items: dict[str, Item] = msgspec.field(default_factory=dict)
     _recent: RecentChanges = msgspec.field(default_factory=RecentChanges)
     _documents: RecentDocuments = msgspec.field(default_factory=RecentDocuments)
@@ -249,6 +250,7 @@
         if isinstance(read, Err):
             return self._refuse(item.key, read.err_value)
         self.unreadable.pop(item.key, None)
+        before = self._items.get(item.key)
         self._items[item.key] = item
         record = read.ok_value
         if isinstance(record, RolloutOrder):
@@ -257,11 +259,33 @@
             changed = self.statuses.get(record.service) != record
             self.statuses[record.service] = record
             return changed
+        self._end_start_before(before, record)
         changed = self.replicas.get(record.id) != record
         self.replicas[record.id] = record
         self.departed.pop(record.id, None)
         return changed
 
+    def _end_start_before(self, before: Item | None, replica: Replica) -> None:
+        """Let go of the start of a replica that this record takes the place of."""
+        if before is None:
+            return
+        read = self.read_record(before)
+        if isinstance(read, Err) or not isinstance(read.ok_value, Replica):
+            return
+        if read.ok_value.id == replica.id:
+            return
+        ended = self.replicas.pop(read.ok_value.id, None)
+        if ended is not None:
+            self._restarted.append(ended)
+
+    def take_restarted(self) -> list[Replica]:
+        """Take the starts of replicas that later ones have taken the place of since the last call.
+
+        :rtype: list[Replica]
+        """
+        restarted, self._restarted = self._restarted, []
+        return restarted
+
     def _refuse(self, key: str, why: str) -> bool:
         """Take a record that can't be read: it names nothing, whatever it named before.
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -179,3 +179,31 @@
         assert state.replicas["good"].id == "good"
     last = dict(writes)
     assert set(state.replicas) - {"good"} == {key for key, is_bad in last.items() if not is_bad}
+
+
+def read_start(item):
+    return Ok(Replica(f"{item.key}/{item.value.decode()}", "s", "10.0.0.1", 80, "z", 4))
+
+
+def started(*starts):
+    state = CatalogState(read_catalog, read_start)
+    for revision, start in enumerate(starts, start=1):
+        state.change_replicas([Item("m", start, revision)], revision, 0.0)
+    return state
+
+
+def test_a_later_start_takes_the_place_of_the_one_before():
+    state = started(b"1", b"2")
+    assert set(state.replicas) == {"m/2"} and not state.departed
+    assert [each.id for each in state.take_restarted()] == ["m/1"]
+    assert state.take_restarted() == []
+
+
+def test_late_news_of_the_old_start_never_undo_the_new_one_on_whichever_way_they_come():
+    state, behind = started(b"1", b"2"), started(b"1")
+    state.adopt_changes(ReplicasChanged(0, 1, (Item("m", b"1", 1),), (), 0.1), 0.0)
+    state.adopt_replicas([Item("m", b"1", 1)], at=1, since=0.0)
+    assert set(state.replicas) == {"m/2"}
+    # Two nodes that hold different starts for a while agree again.
+    behind.adopt_changes(state.tell_replicas(1, 0.1), 0.0)
+    assert set(behind.replicas) == {"m/2"}
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -152,6 +152,12 @@
         else:
             self._connection.pause()
 
+    def replica_ended(self, replica: str) -> None:
+        """Learn that a start of a replica is over, which its connection may never tell."""
+        granted = self._granted
+        if self._connection is not None and granted is not None and granted.replica.id == replica:
+            self._connection.give_up()
+
     task: "asyncio.Task[None] | None" = None
 
     # Driving.
@@ -428,7 +434,7 @@
             parts.budget.note_first(admission.service.name, now)
         resumed_after = str(self._delivery.cutter.last_id) if self._delivery.head_sent else ""
         forwarding = Forwarding(
-            granted.replica.id,
+            granted.replica.expected_id,
             admission.team.name if admission.team else "",
             admission.ends - now,
             resumed_after,
@@ -622,7 +628,7 @@
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
-        self._exchanges: set[asyncio.Task[None]] = set()
+        self._exchanges: dict[asyncio.Task[None], Exchange] = {}
 
     @property
     def in_progress(self) -> int:
@@ -633,12 +639,20 @@
         """Begin to answer a request."""
         exchange = Exchange(self._parts, request, answering)
         exchange.task = asyncio.get_running_loop().create_task(exchange.run())
-        self._exchanges.add(exchange.task)
+        self._exchanges[exchange.task] = exchange
         exchange.task.add_done_callback(self._ended)
         return exchange
 
+    def replica_ended(self, replica: str) -> None:
+        """Go on elsewhere with what ran at a start of a replica that is over.
+
+        :param replica: id of that start.
+        """
+        for exchange in list(self._exchanges.values()):
+            exchange.replica_ended(replica)
+
     def _ended(self, task: "asyncio.Task[None]") -> None:
-        self._exchanges.discard(task)
+        self._exchanges.pop(task, None)
         if not task.cancelled() and (error := task.exception()) is not None:
             report = {"message": "an exchange broke", "exception": error}
             asyncio.get_running_loop().call_exception_handler(report)
--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -62,7 +62,7 @@
 class Forwarding(msgspec.Struct, frozen=True):
     """What goes with a request to a replica.
 
-    :param replica: id of the incarnation that may run it.
+    :param replica: id, as it declares it, of the replica that may run it.
     :param deadline_s: what is left of the caller's time.
     """
 
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -143,6 +143,11 @@
         self._sink = None
         self.transport.abort()
 
+    def give_up(self) -> None:
+        """End the exchange as one that the upstream broke off: it has ended, if silently."""
+        self._fail(Break.RESET)
+        self.transport.abort()
+
     def pause(self) -> None:
         """Stop to read."""
         if not self.transport.is_closing():
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -457,6 +457,10 @@
 
     def _catalog_changed(self) -> None:
         state = self.catalog.state
+        for ended in state.take_restarted():
+            self.connections.drop_kept(ended.ip, ended.port)
+            self.gateway.replica_ended(ended.id)
+            log.info("replica_restarted", ended=ended.id)
         self.rollouts.rebuild()
         self.replicas.rebuild()
         self.pools.rebuild(state.catalog, state.replicas)
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -89,7 +89,7 @@
 
     def answered(self, replica: Replica) -> None:
         """Note that a replica has answered, whatever it was."""
-        self._runs.note_alive(replica.start)
+        self._runs.note_alive(replica.id)
 
     def broke_off(
         self, admission: Admission, replica: Replica, request: bytes, output_s: float
@@ -99,20 +99,20 @@
         Its record goes only after three heartbeats, when the next replicas have met the request.
         """
         now = self._now()
-        self._runs.note(replica.start, request, now, output_s=output_s, broken=True)
-        if replica.start not in self._probes:
+        self._runs.note(replica.id, request, now, output_s=output_s, broken=True)
+        if replica.id not in self._probes:
             probe = asyncio.ensure_future(self._probe(replica, admission.service.max_connections))
-            self._probes[replica.start] = probe
-            probe.add_done_callback(lambda _: self._probes.pop(replica.start, None))
+            self._probes[replica.id] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(replica.id, None))
 
     def left(self, replica: Replica, request: bytes, output_s: float) -> None:
         """Note that this side has left a run."""
         now = self._now()
-        self._runs.note(replica.start, request, now, output_s=output_s, broken=False)
+        self._runs.note(replica.id, request, now, output_s=output_s, broken=False)
 
     def unreachable(self, replica: Replica) -> None:
         """Note that a replica can't be connected to: what broke there was its end."""
-        self._ended(replica.start, "unreachable")
+        self._ended(replica.id, "unreachable")
 
     async def _probe(self, replica: Replica, most: int) -> None:
         opened = await self._connections.open(
@@ -127,7 +127,7 @@
 
     def replicas_changed(self, replicas: Mapping[str, Replica]) -> None:
         """Take the replicas that there are; a start that is no longer among them has ended."""
-        there = {each.start for each in replicas.values()}
+        there = {each.id for each in replicas.values()}
         for start in self._runs.starts(self._now()):
             if start not in there:
                 self._ended(start, "record")
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -215,7 +215,8 @@
         return Err(f"its port is {number}")
     return Ok(
         Replica(
-            id=name,
+            # Its id and when it was born, where it tells: the two together are one start.
+            id=f"{name}/{found.born}" if found.born else name,
             service=found.service,
             ip=ip,
             port=number,
@@ -223,7 +224,7 @@
             slots=found.slots,
             draining=found.state == DRAINING,
             version=str(found.version),
-            born=found.born,
+            declared_id=name,
         )
     )
 
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -238,8 +238,10 @@
 
 
 def test_two_starts_of_a_replica_are_told_apart():
-    starts = {read_written(born=born).ok_value.start for born in (1, 2, 2)}
-    assert len(starts) == 2
+    found = [read_written(born=born).ok_value for born in (1, 2, 2)]
+    assert len({each.id for each in found}) == 2
+    assert {each.expected_id for each in found} == {"i"}
+    assert read_written(born=0).ok_value.id == "i"
 
 
 @given(st.binary(max_size=60), st.sampled_from(["servers/i", "op/rollout/s", "status/rollout/s"]))
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -28,6 +28,8 @@
 DEADLINE_MS = 8000
 # How long a fleet takes until all know each other, in seconds.
 SETTLED_S = 3.0
+# How long a check may play, in virtual seconds: one that waits in vain would go on for ever.
+MOST_PLAYED_S = 120.0
 
 
 class _StoreClient(catalogfleet.StoreClient):
@@ -195,7 +197,8 @@
     async def main():
         played = GatewayFleet(**fleet)
         await played.start()
-        await check(played)
+        async with asyncio.timeout(MOST_PLAYED_S):
+            await check(played)
 
     with logbook.NullHandler().applicationbound():
         virtual.run(main)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -171,3 +171,24 @@
         assert [len(node.quarantine._book) for node in fleet.nodes] == [0] * 6
 
     play(check)
+
+
+def test_a_run_at_a_start_that_is_over_goes_on_elsewhere_though_its_connection_is_silent():
+    async def check(fleet):
+        loop = asyncio.get_running_loop()
+        for replica in fleet.models:
+            replica.faults.event_s = 0.2
+        asked = asyncio.ensure_future(fleet.ask(0, "/explain/1"))
+        await asyncio.sleep(0.5)
+        runs = next(each for each in fleet.models if each.seen)
+        for writer in runs._writers:
+            writer.transport.is_silent = writer.transport.peer.is_silent = True
+        began = loop.time()
+        runs.born += 1000
+        await runs.declare("ready")
+        got = await asked
+        assert got.status == 200
+        # The replica makes 8 events in 1.6 s; without the news it would be waited for in vain.
+        assert loop.time() - began < 3.0
+
+    play(check)
