What is held back is also recorded in the store

Cause: each node held its decision in memory only, so the loss of all nodes forgot it, and two sides of a cut that both reach the store knew halves. A store that is away gets it later; peers know meanwhile.

--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -23,6 +23,7 @@
 from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.invariants import require
+from chalkyoke.quarantine.messages import HeldRecord
 from chalkyoke.rollouts.resources import RolloutOrder, RolloutStatus
 from chalkyoke.storage.messages import Item, Removed
 
@@ -32,7 +33,8 @@
 UNKNOWN_AGE_S = 60.0
 
 ReadCatalog = Callable[[bytes], Result[Catalog, str]]
-ReadRecord = Callable[[Item], Result[Replica | RolloutOrder | RolloutStatus, str]]
+Record = Replica | RolloutOrder | RolloutStatus | HeldRecord
+ReadRecord = Callable[[Item], Result[Record, str]]
 
 
 class Ordered(msgspec.Struct, frozen=True):
@@ -60,13 +62,15 @@
     """Hold what is declared.
 
     :param read_catalog: reads the operators' document.
-    :param read_record: reads a replica's record, an order of a roll-out or the answer to one. All
-        of these spread alike, in the order of the store's revisions.
+    :param read_record: reads a replica's record, an order of a roll-out, the answer to one or the
+        record of a request that is held back. All of these spread alike, in the order of the
+        store's revisions.
     :ivar replicas_at: the store's revision up to which the replicas are complete.
     :ivar changed_at: revision of the newest change of a replica. It is the same on all nodes that
         know the same, however they heard, so that none asks another for what it has.
     :ivar orders: orders of roll-outs, by service.
     :ivar statuses: the answers to them, by service.
+    :ivar held: requests that are held back, as far as the store says so.
     :ivar unreadable: why a record can't be read, by key.
     """
 
@@ -79,6 +83,7 @@
     departed: dict[str, Departed] = msgspec.field(default_factory=dict)
     orders: dict[str, Ordered] = msgspec.field(default_factory=dict)
     statuses: dict[str, RolloutStatus] = msgspec.field(default_factory=dict)
+    held: set[bytes] = msgspec.field(default_factory=set)
     unreadable: dict[str, str] = msgspec.field(default_factory=dict)
     _document: bytes = b""
     _restarted: list[Replica] = msgspec.field(default_factory=list)
@@ -259,6 +264,10 @@
             changed = self.statuses.get(record.service) != record
             self.statuses[record.service] = record
             return changed
+        if isinstance(record, HeldRecord):
+            is_news = record.request not in self.held
+            self.held.add(record.request)
+            return is_news
         self._end_start_before(before, record)
         changed = self.replicas.get(record.id) != record
         self.replicas[record.id] = record
@@ -323,6 +332,8 @@
             self.orders.pop(record.service, None)
         elif isinstance(record, RolloutStatus):
             self.statuses.pop(record.service, None)
+        elif isinstance(record, HeldRecord):
+            self.held.discard(record.request)
         else:
             return self.replicas.pop(record.id, None)
         return None
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -60,6 +60,7 @@
     document: str
     records: tuple[str, ...]
     nodes: str
+    held: str = ""
 
 
 class CatalogKeeper:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -41,6 +41,7 @@
 from chalkyoke.node.catalog import CatalogKeeper
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.follower import WatchBounds
+from chalkyoke.node.heldrecords import HeldRecords
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
@@ -55,6 +56,7 @@
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.node.suspicions import Suspicions
+from chalkyoke.quarantine.records import read_also_held
 from chalkyoke.quotas.client import TELL_S, QuotaClient
 from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.owner import Presence, QuotaOwner
@@ -149,7 +151,9 @@
         self._store_connections = ConnectionPool()
         caller = Caller(self._store_connections, settings.store.address)
         self.store = platform.make_store(caller)
-        state = CatalogState(platform.read_catalog, platform.read_record)
+        state = CatalogState(
+            platform.read_catalog, read_also_held(platform.read_record, platform.keys.held)
+        )
         self.catalog = CatalogKeeper(
             state,
             self.store,
@@ -181,6 +185,7 @@
         node = settings.node
         listed = Listed(settings.listen.links_reached_at, node.failure_domain, node.capacity)
         key = platform.keys.nodes + settings.node.host
+        self.held_records = HeldRecords(self.store, platform.keys.held, self.now)
         self._registration = Registration(
             self.store, key, msgspec.msgpack.encode(listed), settings.store.lease_s
         )
@@ -233,7 +238,13 @@
             self.now,
         )
         self.quarantine = Quarantine(
-            self.view, self.connections, self.links.send, self.metrics, random.random, self.now
+            self.view,
+            self.connections,
+            self.links.send,
+            self.metrics,
+            self.held_records.remember,
+            random.random,
+            self.now,
         )
         self.gateway = Gateway(
             GatewayParts(
@@ -385,6 +396,7 @@
         loops.start(self._tick_pools())
         loops.start(self.catalog.run())
         loops.start(self._registration.run())
+        loops.start(self.held_records.run())
 
     def _beat(self) -> None:
         for send in self.view.beat(self.now()):
@@ -467,6 +479,7 @@
         self.hosted.reconfigure()
         self.grants.check_owners(self.pools.pools)
         self.quarantine.replicas_changed(state.replicas)
+        self.quarantine.stored(state.held)
 
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
         candidates = read_candidates(registered, self._platform.keys.nodes)
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -17,8 +17,9 @@
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.quarantine.evidence import EvidenceBook
+from chalkyoke.quarantine.evidence import HOLD_S, EvidenceBook
 from chalkyoke.quarantine.messages import (
+    HeldRequest,
     HeldSummary,
     HeldTold,
     QuarantineMessage,
@@ -43,6 +44,7 @@
     """Find the requests that end replicas, and hold them back.
 
     :param send: sends a message to a node by its link address.
+    :param remember: puts a request that is held back into the store.
     :param random: source of numbers in [0, 1).
     :param now: the node's clock, in seconds.
     """
@@ -53,6 +55,7 @@
         connections: ConnectionPool,
         send: Callable[[str, QuarantineMessage], None],
         metrics: Metrics,
+        remember: Callable[[bytes], None],
         random: Callable[[], float],
         now: Callable[[], float],
     ) -> None:
@@ -60,6 +63,7 @@
         self._connections = connections
         self._send = send
         self._metrics = metrics
+        self._remember = remember
         self._random = random
         self._now = now
         self._book = EvidenceBook()
@@ -132,6 +136,19 @@
             if start not in there:
                 self._ended(start, "record")
 
+    def stored(self, requests: Iterable[bytes]) -> None:
+        """Take what the store says is held back, by this node's memory or by another's.
+
+        How long ago that was decided is not known, so it counts from now.
+        """
+        now = self._now()
+        for request in requests:
+            known = self._book.find(request)
+            if known is not None and (known.holds or known.is_refuted):
+                continue
+            if self._book.merge_held(HeldRequest(request, 0.0, HOLD_S), now):
+                log.notice("request_held", request=_name(request), source="store")
+
     # Ends.
 
     def _ended(self, start: str, source: str) -> None:
@@ -144,22 +161,27 @@
         names = [_name(each.request) for each in runs]
         log.info("replica_ended", start=start, source=source, requests=names[:MOST_NAMED])
         self._metrics.count("replica_ends", source=source)
-        self._count(message)
+        for request in self._count(message):
+            self._remember(request)
         self._tell(message)
 
-    def _count(self, message: ReplicaEnded) -> None:
+    def _count(self, message: ReplicaEnded) -> list[bytes]:
+        """Count an end; give the requests that are held back for it."""
         now = self._now()
+        decided: list[bytes] = []
         for run in message.runs:
             book = self._book
             held = book.note_end(run.request, message.start, run.weight, now - run.age_s, now)
             known = book.find(run.request)
             if held and known is not None:
+                decided.append(run.request)
                 log.notice(
                     "request_held",
                     request=_name(run.request),
                     starts=sorted(known.ends)[:MOST_NAMED],
                     for_s=round(known.held_until - now),
                 )
+        return decided
 
     # Messages.
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_heldrecords.py
@@ -0,0 +1,84 @@
+"""Records of requests that are held back, by a store that is away at times."""
+
+import asyncio
+
+from chalkyoke.node.heldrecords import MOST_WAITING, SHARED_S, HeldRecords
+from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
+
+from tests import virtual
+
+
+class Store:
+    def __init__(self):
+        self.away = False
+        self.leases = []
+        self.written = {}
+        self.calls = 0
+
+    async def grant_lease(self, ttl_s):
+        self.calls += 1
+        if self.away:
+            return Unavailable("503", may_be_done=False)
+        self.leases.append(len(self.leases) + 1)
+        return LeaseGranted(self.leases[-1], ttl_s)
+
+    async def write(self, key, value, *, lease=0, expected=None):
+        self.calls += 1
+        if self.away:
+            return Unavailable("503", may_be_done=False)
+        if lease not in self.leases:
+            return LeaseGone()
+        self.written[key] = lease
+        return Written(len(self.written))
+
+
+def play(check):
+    async def main():
+        store = Store()
+        loop = asyncio.get_running_loop()
+        records = HeldRecords(store, "held/", loop.time)
+        running = asyncio.ensure_future(records.run())
+        await check(store, records)
+        running.cancel()
+
+    virtual.run(main)
+
+
+def test_requests_at_once_share_a_lease_and_later_ones_do_not():
+    async def check(store, records):
+        for number in range(10):
+            records.remember(bytes([number]))
+        await asyncio.sleep(1.0)
+        assert (len(store.written), store.calls) == (10, 11)
+        await asyncio.sleep(SHARED_S)
+        records.remember(b"later")
+        await asyncio.sleep(1.0)
+        assert set(store.written.values()) == {1, 2}
+
+    play(check)
+
+
+def test_a_store_that_is_away_is_asked_ever_less_and_gets_all_that_waits_when_it_is_back():
+    async def check(store, records):
+        store.away = True
+        for number in range(2 * MOST_WAITING):
+            records.remember(b"%d" % number)
+        await asyncio.sleep(60.0)
+        assert store.calls < 15
+        store.away = False
+        await asyncio.sleep(10.0)
+        assert len(store.written) == MOST_WAITING
+
+    play(check)
+
+
+def test_a_lease_that_has_run_out_is_taken_anew():
+    async def check(store, records):
+        records.remember(b"a")
+        await asyncio.sleep(1.0)
+        store.leases = [7]
+        records.remember(b"b")
+        await asyncio.sleep(3.0)
+        assert "held/" + b"b".hex() in store.written
+
+    play(check)
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -202,8 +202,6 @@
     :return: the replica, or why it can't be read.
     """
     name = item.key.removeprefix(REPLICAS_PREFIX)
-    if not name:
-        return Err("it has no id")
     try:
         found = msgspec.json.decode(item.value, type=_Server)
         ip, _, port = found.addr.rpartition(":")
@@ -211,8 +209,8 @@
         number = int(port)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return Err(str(error))
-    if number not in PORTS:
-        return Err(f"its port is {number}")
+    if not name or number not in PORTS:
+        return Err(f"its id is {name!r}, its port {number}")
     return Ok(
         Replica(
             # Its id and when it was born, where it tells: the two together are one start.
--- a/packages/chalkyoke/src/chalkyoke/platform/start.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -19,6 +19,7 @@
 from chalkyoke.platform.store import PlatformStore
 
 NODES_PREFIX = "chalkyoke/nodes/"
+HELD_PREFIX = "chalkyoke/held/"
 
 
 def platform_parts() -> PlatformParts:
@@ -34,7 +35,8 @@
         write_status=write_status,
         keys=Keys(
             CONFIGURATION_KEY,
-            (REPLICAS_PREFIX, ROLLOUT_ORDERS_PREFIX, ROLLOUT_STATUSES_PREFIX),
+            (REPLICAS_PREFIX, ROLLOUT_ORDERS_PREFIX, ROLLOUT_STATUSES_PREFIX, HELD_PREFIX),
             NODES_PREFIX,
+            HELD_PREFIX,
         ),
     )
--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -61,6 +61,11 @@
         """How much speaks against it, in ends."""
         return sum(each.weight for each in self.ends.values())
 
+    @property
+    def is_refuted(self) -> bool:
+        """Whether it is known to have been served whole."""
+        return self.served_at > float("-inf")
+
     def knows(self, start: str, at: float) -> bool:
         """Tell whether an end is known already."""
         if start in self.ends:
--- a/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
@@ -73,5 +73,11 @@
     is_answer: bool = False
 
 
+class HeldRecord(msgspec.Struct, frozen=True):
+    """A request whose record in the store says that it is held back."""
+
+    request: bytes
+
+
 QuarantineMessage = ReplicaEnded | RequestsServed | HeldSummary | HeldTold
 QUARANTINE_MESSAGES = (ReplicaEnded, RequestsServed, HeldSummary, HeldTold)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -139,6 +139,24 @@
     play(check)
 
 
+def test_what_is_held_back_outlasts_the_loss_of_all_nodes():
+    async def check(fleet):
+        crash_by(fleet.models, CRASHING)
+        await keep_asking(fleet, "/chat/1", CRASHING, seconds=2.0)
+        for node in range(len(fleet.nodes)):
+            await fleet.kill_node(node)
+        await asyncio.sleep(1.0)
+        for node in range(len(fleet.nodes)):
+            fleet.start_node(node, first_start=False)
+        await asyncio.sleep(KNOWN_S)
+        before = len(arrivals(fleet.models, CRASHING))
+        got = await keep_asking(fleet, "/chat/1", CRASHING, seconds=3.0)
+        assert {each.status for each in got} == {502}
+        assert len(arrivals(fleet.models, CRASHING)) == before
+
+    play(check)
+
+
 def test_replicas_that_end_by_themselves_hold_no_request_back():
     async def check(fleet):
         async def end_in_turn():
