Operators see what is held back and can release it

chalkyokectl held tells from the logs of several nodes which requests are held back, under the ends of which starts of replicas, since when and how often they came; explain knows the line held_back, which names the request's digest. Who writes 'released' to the request's record in the store lets it go at all nodes.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -17,7 +17,7 @@
 from chalkyoke.tokens.codec import request_of
 from result import Err
 
-from chalkyokectl import rolloutstory, story
+from chalkyokectl import heldstory, rolloutstory, story
 from chalkyokectl.client import AdministrationClient, Answer
 from chalkyokectl.output import Form, at, facts, picture, show
 
@@ -328,6 +328,20 @@
         raise typer.Exit(EXIT_REFUSED)
 
 
+@app.command()
+def held(
+    logs: Annotated[list[Path], typer.Argument(help="Collected log files of nodes.")],
+    digest: Annotated[str, typer.Option("--digest", help="Only this request.")] = "",
+) -> None:
+    """List the requests that nodes hold back, and why, from the logs of several nodes."""
+    found = heldstory.suspicions(story.read(_log_texts(logs)), digest)
+    for text in heldstory.show(found):
+        typer.echo(text)
+    if not found:
+        typer.echo("no line speaks of a request that is held back", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+
+
 def _log_texts(logs: list[Path]) -> list[str]:
     texts: list[str] = []
     for path in logs:
--- a/packages/chalkyoke-ctl/src/chalkyokectl/story.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/story.py
@@ -31,7 +31,7 @@
     )
 )
 FRAME = frozenset(("at", "up_s", "host", "level", "slice", "event", "request", "seen_at"))
-ENDS = frozenset(("refused", "given_up", "expired", "over_quota", "left", "rejected"))
+ENDS = frozenset(("held_back", "refused", "given_up", "expired", "over_quota", "left", "rejected"))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -71,6 +71,7 @@
     :ivar orders: orders of roll-outs, by service.
     :ivar statuses: the answers to them, by service.
     :ivar held: requests that are held back, as far as the store says so.
+    :ivar released: those of them that operators have released.
     :ivar unreadable: why a record can't be read, by key.
     """
 
@@ -84,6 +85,7 @@
     orders: dict[str, Ordered] = msgspec.field(default_factory=dict)
     statuses: dict[str, RolloutStatus] = msgspec.field(default_factory=dict)
     held: set[bytes] = msgspec.field(default_factory=set)
+    released: set[bytes] = msgspec.field(default_factory=set)
     unreadable: dict[str, str] = msgspec.field(default_factory=dict)
     _document: bytes = b""
     _restarted: list[Replica] = msgspec.field(default_factory=list)
@@ -265,9 +267,7 @@
             self.statuses[record.service] = record
             return changed
         if isinstance(record, HeldRecord):
-            is_news = record.request not in self.held
-            self.held.add(record.request)
-            return is_news
+            return self._put_held(record)
         self._end_start_before(before, record)
         changed = self.replicas.get(record.id) != record
         self.replicas[record.id] = record
@@ -306,6 +306,15 @@
             self._drop(item)
         return is_news
 
+    def _put_held(self, record: HeldRecord) -> bool:
+        mine, other = self.held, self.released
+        if record.is_released:
+            mine, other = other, mine
+        is_news = record.request not in mine
+        mine.add(record.request)
+        other.discard(record.request)
+        return is_news
+
     def _put_order(self, order: RolloutOrder, since: float) -> bool:
         held = self.orders.get(order.service)
         if held is not None and held.order == order:
@@ -334,6 +343,7 @@
             self.statuses.pop(record.service, None)
         elif isinstance(record, HeldRecord):
             self.held.discard(record.request)
+            self.released.discard(record.request)
         else:
             return self.replicas.pop(record.id, None)
         return None
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -479,7 +479,7 @@
         self.hosted.reconfigure()
         self.grants.check_owners(self.pools.pools)
         self.quarantine.replicas_changed(state.replicas)
-        self.quarantine.stored(state.held)
+        self.quarantine.stored(state.held, state.released)
 
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
         candidates = read_candidates(registered, self._platform.keys.nodes)
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -136,18 +136,21 @@
             if start not in there:
                 self._ended(start, "record")
 
-    def stored(self, requests: Iterable[bytes]) -> None:
-        """Take what the store says is held back, by this node's memory or by another's.
+    def stored(self, held: Iterable[bytes], released: Iterable[bytes]) -> None:
+        """Take what the store says is held back, and what operators have released there.
 
         How long ago that was decided is not known, so it counts from now.
         """
         now = self._now()
-        for request in requests:
+        for request in released:
+            if self._book.note_served(request, now):
+                log.notice("request_released", digest=_name(request), why="operator")
+        for request in held:
             known = self._book.find(request)
             if known is not None and (known.holds or known.is_refuted):
                 continue
             if self._book.merge_held(HeldRequest(request, 0.0, HOLD_S), now):
-                log.notice("request_held", request=_name(request), source="store")
+                log.notice("request_held", digest=_name(request), source="store")
 
     # Ends.
 
@@ -159,7 +162,7 @@
             return
         message = ReplicaEnded(start, runs)
         names = [_name(each.request) for each in runs]
-        log.info("replica_ended", start=start, source=source, requests=names[:MOST_NAMED])
+        log.info("replica_ended", start=start, source=source, digests=names[:MOST_NAMED])
         self._metrics.count("replica_ends", source=source)
         for request in self._count(message):
             self._remember(request)
@@ -177,7 +180,7 @@
                 decided.append(run.request)
                 log.notice(
                     "request_held",
-                    request=_name(run.request),
+                    digest=_name(run.request),
                     starts=sorted(known.ends)[:MOST_NAMED],
                     for_s=round(known.held_until - now),
                 )
@@ -213,13 +216,13 @@
         at = self._now() - message.age_s
         for request in message.requests:
             if self._book.note_served(request, at):
-                log.notice("request_released", request=_name(request), why="served")
+                log.notice("request_released", digest=_name(request), why="served")
 
     def _merge(self, address: str, message: HeldTold) -> None:
         now = self._now()
         for each in message.requests:
             if self._book.merge_held(each, now):
-                log.notice("request_held", request=_name(each.request), source=address)
+                log.notice("request_held", digest=_name(each.request), source=address)
         for request, served_at in self._book.refuted(message.requests, now):
             self._send(address, RequestsServed((request,), now - served_at))
         if not message.is_answer and len(message.requests) != len(self._book.held):
@@ -244,7 +247,7 @@
         """Let go what is due, and compare with some other nodes; call about once a second."""
         now = self._now()
         for request in self._book.expire(now):
-            log.notice("request_released", request=_name(request), why="on probation")
+            log.notice("request_released", digest=_name(request), why="on probation")
         if not self._book.held and now > ASKS_FOR_S:
             return
         summary = HeldSummary(self._book.checksum())
--- a/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
@@ -74,9 +74,13 @@
 
 
 class HeldRecord(msgspec.Struct, frozen=True):
-    """A request whose record in the store says that it is held back."""
+    """A request whose record in the store says that it is held back.
+
+    :param is_released: whether an operator has released it.
+    """
 
     request: bytes
+    is_released: bool = False
 
 
 QuarantineMessage = ReplicaEnded | RequestsServed | HeldSummary | HeldTold
--- a/packages/chalkyoke/src/chalkyoke/quarantine/records.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/records.py
@@ -2,7 +2,8 @@
 chalkyoke.quarantine.records
 
 Read the records in the store that say which requests are held back: a key with the request's name
-in hexadecimal, without a value.
+in hexadecimal. Nodes write it without a value; an operator who writes ``released`` there lets the
+request go at all nodes.
 """
 
 from collections.abc import Callable
@@ -16,11 +17,14 @@
 
 T = TypeVar("T")
 
+RELEASED = b"released"
 
-def read_held(name: str) -> Result[HeldRecord, str]:
-    """Read the name of a request.
 
-    :return: what it names, or why it can't be read.
+def read_held(name: str, value: bytes) -> Result[HeldRecord, str]:
+    """Read the record of a request.
+
+    :param name: of the request, in hexadecimal.
+    :return: what it says, or why it can't be read.
     """
     try:
         request = bytes.fromhex(name)
@@ -28,7 +32,7 @@
         return Err(str(error))
     if len(request) != NAME_BYTES:
         return Err(f"it has {len(request)} bytes")
-    return Ok(HeldRecord(request))
+    return Ok(HeldRecord(request, is_released=value.strip() == RELEASED))
 
 
 def read_also_held(
@@ -39,6 +43,6 @@
     def read(item: Item) -> Result[T | HeldRecord, str]:
         if not item.key.startswith(prefix):
             return read_others(item)
-        return read_held(item.key.removeprefix(prefix))
+        return read_held(item.key.removeprefix(prefix), item.value)
 
     return read
--- a/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_records.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_records.py
@@ -9,6 +9,8 @@
 
 def test_a_record_names_a_request_and_others_are_read_as_before():
     assert read(Item("held/" + "0a" * 12, b"", 3)).ok_value.request == b"\n" * 12
+    assert not read(Item("held/" + "0a" * 12, b"", 3)).ok_value.is_released
+    assert read(Item("held/" + "0a" * 12, b"released\n", 4)).ok_value.is_released
     assert read(Item("servers/i", b"", 3)).ok_value == "another record"
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -210,3 +210,20 @@
         assert loop.time() - began < 3.0
 
     play(check)
+
+
+def test_an_operator_releases_a_request_at_all_nodes():
+    async def check(fleet):
+        crash_by(fleet.models, CRASHING)
+        await keep_asking(fleet, "/chat/1", CRASHING, seconds=2.0)
+        for replica in fleet.models:
+            replica.faults.crash_bodies = frozenset()
+        records = [each for each in fleet.store.items if each.startswith("chalkyoke/held/")]
+        assert len(records) == 1
+        fleet.store.put(records[0], b"released")
+        await asyncio.sleep(KNOWN_S)
+        assert [(await fleet.ask(node, "/chat/1", CRASHING)).status for node in range(6)] == [
+            200
+        ] * 6
+
+    play(check)
