--- a/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_runs.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_runs.py
@@ -1,7 +1,7 @@
 """Runs that ended without an answer, until it is known whether their replica has ended."""
 
 from chalkyoke.quarantine.identity import identify
-from chalkyoke.quarantine.runs import KEPT_S, LEFT_KEPT_S, UnansweredRuns
+from chalkyoke.quarantine.runs import KEPT_S, LEFT_KEPT_S, LONG_OUTPUT_S, UnansweredRuns
 
 
 def weights(runs, start="m/1", now=1.0):
@@ -25,7 +25,7 @@
 
 def test_runs_count_by_how_long_they_had_given_output_and_for_a_while_only():
     runs = UnansweredRuns()
-    runs.note("m/1", b"a", 0.0, output_s=0.9, broken=True)
+    runs.note("m/1", b"a", 0.0, output_s=0.9 * LONG_OUTPUT_S, broken=True)
     runs.note("m/1", b"b", 0.0, output_s=4.0, broken=True)
     runs.note("m/1", b"c", 0.0, output_s=0.0, broken=False)
     assert runs.starts(LEFT_KEPT_S) == ["m/1"]
