--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -75,6 +75,8 @@
     :param engine: whether it answers with streams of events.
     :param version: of its software.
     :param now: a steady clock, in seconds.
+    :ivar address: where it says that it is reached.
+    :ivar own_address: where it listens.
     :ivar ends: when it has ended by itself.
     :ivar born: its start, in milliseconds of its own clock.
     """
@@ -92,6 +94,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     state: str = "ready"
     address: str = ""
+    own_address: str = ""
     now: Callable[[], float] = time.monotonic
     ends: list[float] = field(default_factory=list)
     born: int = 0
@@ -107,10 +110,10 @@
         """
         self._server = await asyncio.start_server(self._serve, ip, port, limit=READ_LIMIT)
         self.born = round(self.now() * 1000) + 1
-        own = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
-        self.address = reached_at or own
+        self.own_address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        self.address = reached_at or self.own_address
         await self.declare("ready")
-        return own
+        return self.own_address
 
     async def declare(self, state: str) -> None:
         """Write its own record."""
@@ -135,7 +138,8 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def _end_by_itself(self) -> None:
+    def end_by_itself(self) -> None:
+        """End without a word, and come back after a while."""
         if self._server is not None and self._server.is_serving():
             self.ends.append(self.now())
             back = asyncio.ensure_future(self._end_and_return())
@@ -143,13 +147,14 @@
             back.add_done_callback(self._returns.discard)
 
     async def _end_and_return(self) -> None:
-        ip, _, port = self.address.rpartition(":")
+        ip, _, port = self.own_address.rpartition(":")
+        reached_at = self.address
         await self.crash()
         await asyncio.sleep(self.faults.back_after_s)
         if self.faults.renamed:
             await self.store.remove(f"servers/{self.id}")
             self.id = f"{self.id.partition('+')[0]}+{len(self.ends)}"
-        await self.start(ip, int(port))
+        await self.start(ip, int(port), reached_at)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -182,7 +187,7 @@
         request.at = self.now()
         self.seen.append(request)
         if request.body in self.faults.crash_bodies:
-            asyncio.get_running_loop().call_later(self.faults.crash_after_s, self._end_by_itself)
+            asyncio.get_running_loop().call_later(self.faults.crash_after_s, self.end_by_itself)
             # No answer comes of it before the end.
             await asyncio.sleep(2 * self.faults.crash_after_s)
             return False
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -15,6 +15,9 @@
 IN_TOUCH_S = 4.0
 DEADLINE_SLACK_S = 1.5
 RECOVER_S = 12.0
+# How long all nodes have to know a request that ends replicas, and what is allowed after that.
+KNOWN_S = 3.0
+MOST_LATER = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +161,30 @@
     return broken
 
 
+def crashing_requests_are_held_back(seen: Observations) -> list[Broken]:
+    """A request under which replicas end reaches few more once all nodes could know of it.
+
+    Each run under it ends a replica here, so the third run is the third end. Only where no node or
+    link was at fault: who is out of touch can't know.
+    """
+    broken: list[Broken] = []
+    bodies = {each.body for each in seen.ran if each.body.startswith(b"crashing-")}
+    for body in bodies:
+        runs = sorted(each.at for each in seen.ran if each.body == body)
+        later = [at for at in runs[3:] if at > runs[2] + KNOWN_S]
+        if len(later) > MOST_LATER and not _nodes_were_disturbed(runs[0], runs[-1], seen):
+            broken.append(Broken("held back", f"{body!r} ran {len(runs)} times, {len(later)} late"))
+    return broken
+
+
+def _nodes_were_disturbed(began: float, ended: float, seen: Observations) -> bool:
+    kinds = ("node_", "links_", "all_", "store_")
+    return any(
+        each.what.startswith(kinds) and each.touches(began - IN_TOUCH_S, ended)
+        for each in seen.faults
+    )
+
+
 def service_comes_back(seen: Observations) -> list[Broken]:
     """All nodes serve again soon after the last fault."""
     if seen.recovered_s is not None and seen.recovered_s <= RECOVER_S:
@@ -179,6 +206,7 @@
     deadlines_hold,
     quotas_hold,
     retries_are_few,
+    crashing_requests_are_held_back,
     service_comes_back,
 )
 CHECKERS = SAFETY + TIMED
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -31,12 +31,20 @@
 
     :param seen: faults are noted here, for the checkers.
     :param now: seconds since the run began.
+    :param send_crashing: lets callers send a body for some seconds.
     """
 
-    def __init__(self, fleet: SoakFleet, seen: Observations, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        seen: Observations,
+        now: Callable[[], float],
+        send_crashing: Callable[[bytes, float], None],
+    ) -> None:
         self._fleet = fleet
         self._seen = seen
         self._now = now
+        self.send_crashing = send_crashing
         self._busy: set[str] = set()
         self._version = 1
 
@@ -74,6 +82,10 @@
             await self._strike_store(step)
         elif name.startswith("replica_"):
             await self._strike_replica(step)
+        elif step.fault is Fault.OTHER_WRITERS:
+            await self._write_as_others(step)
+        elif step.fault is Fault.CRASHING_REQUEST:
+            await self._let_crash(step)
         else:
             await self._configure()
 
@@ -159,6 +171,10 @@
         replica = self._fleet.at_place(step.target)
         if step.fault is Fault.REPLICA_CRASH:
             await self._crash(replica)
+        elif step.fault is Fault.REPLICA_RETURNS:
+            replica.faults.renamed = False
+            replica.end_by_itself()
+            await asyncio.sleep(replica.faults.back_after_s + step.for_s)
         elif step.fault is Fault.REPLICA_LEAVES:
             await self._leave(replica)
         elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD):
@@ -176,6 +192,29 @@
             await asyncio.sleep(step.for_s)
             setattr(faults, counts[step.fault], 0)
 
+    async def _let_crash(self, step: Step) -> None:
+        """Let replicas end under the requests with one body, which callers send from now on."""
+        self._seen.crashing += 1
+        body = b"crashing-%d" % self._seen.crashing
+        replicas = list(self._fleet.replicas.values())
+        for replica in replicas:
+            replica.faults.crash_bodies |= {body}
+            replica.faults.renamed = False
+        self.send_crashing(body, step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def _write_as_others(self, step: Step) -> None:
+        """Write records that no replica has written, one of them over a living one's."""
+        store = self._fleet.store
+        replica = next(iter(self._fleet.replicas.values()))
+        await store.put("servers/other-1", b"\xff\x00")
+        await store.put("servers/other-2", b'{"service":"seats","addr":"127.0.0.1:1","state":"up"}')
+        await store.put(f"servers/{replica.id}", b'{"state": 7}')
+        await asyncio.sleep(step.for_s)
+        await replica.declare(replica.state)
+        await store.remove("servers/other-1")
+        await store.remove("servers/other-2")
+
     async def _crash(self, replica: Replica) -> None:
         """Crash one; another incarnation comes back at its address, and its record goes later."""
         await replica.crash()
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -56,6 +56,7 @@
     service: str
     team: str
     at: float
+    body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +109,7 @@
 
     :ivar versions: for each process, the configuration versions that it logged, in order.
     :ivar recovered_s: how long after the last fault all nodes served again; nothing where not.
+    :ivar crashing: how many bodies there were that end replicas.
     :ivar stream: the body of a whole stream.
     """
 
@@ -120,3 +122,4 @@
     retries: RetryLimit = RetryLimit(0.2, 100.0, 10.0)
     recovered_s: float | None = 0.0
     stream: bytes = b""
+    crashing: int = 0
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -45,11 +45,18 @@
     REPLICA_EXTRA = "replica_extra"
     REPLICA_SHEDS = "replica_sheds"
     CONFIGURE = "configure"
+    REPLICA_RETURNS = "replica_returns"
+    OTHER_WRITERS = "other_writers"
+    CRASHING_REQUEST = "crashing_request"
 
 
 OF_NODES = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 OF_NODES_AND_STORE = frozenset({Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES})
 OF_REPLICAS = frozenset(each for each in Fault if each.startswith("replica_"))
+# Drawn from a source of their own, so that the plans of earlier seeds stay as they are beside them.
+LATER = (Fault.REPLICA_RETURNS, Fault.OTHER_WRITERS, Fault.CRASHING_REQUEST)
+EARLIER = tuple(each for each in Fault if each not in LATER)
+LATER_SOURCE = 0x5EED
 LEAST_S, MOST_S = 0.4, 4.0
 SERIES = 4
 PAUSE_S = 1.0
@@ -79,15 +86,28 @@
     source = random.Random(seed)
     steps: list[Step] = []
     for _ in range(SERIES):
-        at = QUIET_S + source.uniform(0.0, PAUSE_S)
-        while at < seconds:
-            fault = source.choice(list(Fault))
-            target = ""
-            if fault in OF_NODES | OF_NODES_AND_STORE:
-                target = source.choice(nodes)
-            elif fault in OF_REPLICAS:
-                target = source.choice(replicas)
-            for_s = source.uniform(LEAST_S, MOST_S)
-            steps.append(Step(at, fault, target, for_s))
-            at += for_s + source.expovariate(1.0 / PAUSE_S)
+        steps += _draw_series(source, EARLIER, seconds, nodes, replicas)
+    steps += _draw_series(random.Random(seed ^ LATER_SOURCE), LATER, seconds, nodes, replicas)
     return sorted(steps, key=lambda each: each.at)
+
+
+def _draw_series(
+    source: random.Random,
+    faults: tuple[Fault, ...],
+    seconds: float,
+    nodes: list[str],
+    replicas: list[str],
+) -> list[Step]:
+    steps: list[Step] = []
+    at = QUIET_S + source.uniform(0.0, PAUSE_S)
+    while at < seconds:
+        fault = source.choice(faults)
+        target = ""
+        if fault in OF_NODES | OF_NODES_AND_STORE:
+            target = source.choice(nodes)
+        elif fault in OF_REPLICAS:
+            target = source.choice(replicas)
+        for_s = source.uniform(LEAST_S, MOST_S)
+        steps.append(Step(at, fault, target, for_s))
+        at += for_s + source.expovariate(1.0 / PAUSE_S)
+    return steps
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -39,6 +39,9 @@
 GIVE_UP_S = 20.0
 RECOVERED_IN_A_ROW = 3
 LAST_WAIT_S = 30.0
+# How often a request that ends replicas comes again, and for how long after its fault, in seconds.
+CRASHING_AGAIN_S = 0.3
+SENT_ON_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +90,7 @@
         self._random = random.Random(seed + 1)
         self._numbers = itertools.count(1)
         self._began = time.monotonic()
+        self._crashing: list[asyncio.Task[None]] = []
         self.seen = Observations(
             retries=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
             stream=whole_stream(),
@@ -102,7 +106,7 @@
     async def play(self) -> Observations:
         """Let callers ask while faults strike, then wait until all is well again."""
         callers = asyncio.create_task(self._call(self._shape.seconds))
-        injector = Injector(self._fleet, self.seen, self.now)
+        injector = Injector(self._fleet, self.seen, self.now, self._send_crashing)
         steps = draw(
             self._seed,
             self._shape.seconds - 2.0,
@@ -114,6 +118,7 @@
             await asyncio.sleep(max(0.0, step.at - self.now()))
             strikes.append(asyncio.create_task(injector.strike(step)))
         await callers
+        await asyncio.gather(*self._crashing)
         await asyncio.gather(*strikes)
         self.seen.recovered_s = await self._recover()
         self._collect()
@@ -132,18 +137,30 @@
             await asyncio.sleep(self._random.expovariate(1.0 / pause))
         await asyncio.gather(*tasks)
 
-    async def _ask(self, node: str, path: str, team: str) -> int:
+    def _send_crashing(self, body: bytes, seconds: float) -> None:
+        self._crashing.append(asyncio.create_task(self._keep_sending(body, seconds)))
+
+    async def _keep_sending(self, body: bytes, seconds: float) -> None:
+        """Send one request again and again, at any node, for longer than nodes take to know it."""
+        until = min(self.now() + seconds + SENT_ON_S, self._shape.seconds)
+        path = self._random.choice(list(KINDS))
+        while self.now() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            await self._ask(node, path, TEAM, body)
+            await asyncio.sleep(CRASHING_AGAIN_S)
+
+    async def _ask(self, node: str, path: str, team: str, body: bytes = b"{}") -> int:
         name = f"r{self._seed}-{next(self._numbers)}"
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KINDS[path] is Kind.REPEATABLE else "POST"
         began = self.now()
-        status, body, whole = 0, b"", False
+        status, answer, whole = 0, b"", False
         try:
             async with asyncio.timeout(GIVE_UP_S):
                 got = await self._fleet.ask(
-                    node, path, method=method, body=b"{}", key=key, request_id=name
+                    node, path, method=method, body=body, key=key, request_id=name
                 )
-            status, body, whole = got.status, got.body, got.whole
+            status, answer, whole = got.status, got.body, got.whole
         except TimeoutError:
             pass
         self.seen.asked.append(
@@ -156,7 +173,7 @@
                 self.now(),
                 DEADLINE_S,
                 status,
-                body,
+                answer,
                 whole,
             )
         )
@@ -187,6 +204,7 @@
                         replica.service,
                         seen.headers.get("x-tenant", ""),
                         seen.at - self._began,
+                        seen.body,
                     )
                 )
         for name in self._fleet.nodes:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -162,7 +162,7 @@
         async def end_in_turn():
             for _ in range(4):
                 for replica in fleet.models:
-                    replica._end_by_itself()
+                    replica.end_by_itself()
                     await asyncio.sleep(0.5)
 
         for replica in fleet.models:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,6 +110,14 @@
     seen.recovered_s = None
 
 
+def send_on_a_request_that_ends_replicas(seen):
+    for number in range(7):
+        at = 40.0 + number * (1.0 if number < 3 else 2.0)
+        seen.asked.append(asked(f"x{number}", Kind.STREAM, began=at, status=502))
+        seen.ran.append(Ran(f"x{number}", "m1", "model", "t", at, b"crashing-1"))
+    seen.ran.append(Ran("x6", "m1", "model", "t", 55.0, b"crashing-1"))
+
+
 PLANTS = [
     (run_twice, checkers.runs_once),
     (run_what_was_refused, checkers.not_run_is_true),
@@ -122,6 +130,7 @@
     (hold_past_the_deadline, checkers.deadlines_hold),
     (pass_more_than_the_quota, checkers.quotas_hold),
     (repeat_too_often, checkers.retries_are_few),
+    (send_on_a_request_that_ends_replicas, checkers.crashing_requests_are_held_back),
     (never_come_back, checkers.service_comes_back),
 ]
 
@@ -148,6 +157,13 @@
     assert checkers.leaving_replicas_get_nothing(seen) == []
 
 
+def test_who_was_out_of_touch_is_not_blamed_for_a_request_that_ends_replicas():
+    seen = sound()
+    send_on_a_request_that_ends_replicas(seen)
+    seen.faults.append(Span(Fault.NODE_FREEZE, "n1", 41.0, 42.0))
+    assert checkers.crashing_requests_are_held_back(seen) == []
+
+
 def test_a_plan_hangs_on_its_seed_alone_and_its_series_overlap():
     places = (["n1", "n2"], ["m1", "s1"])
     steps = draw(5, 60.0, *places)
