A new owner of a quota goes on from the copy of one side of a cut with that side's share only

Ruled out: what nodes spend alone (nothing in that window), the assumed window (the owner was told). Change: a copy is told with the share of the limit that its owner used, and who goes on from it uses no more, growing as the window passes.

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -310,6 +310,7 @@
             handed.window,
             handed.own,
             handed.copied,
+            handed.share,
         )
 
     def tell_successors(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -34,11 +34,13 @@
 
     :param own: the part of it that no other node tells of.
     :param copied: whether it is the copy of another owner's window.
+    :param share: the share of the limit that the owner of a copy used.
     """
 
     window: Parts = ()
     own: Parts = ()
     copied: bool = False
+    share: float = 1.0
 
 
 class Ledger(msgspec.Struct):
@@ -58,6 +60,7 @@
     :ivar common: what earlier owners told of that others know too.
     :ivar others_own: what each of them alone told of, added up.
     :ivar copied: what copies of their windows hold.
+    :ivar copied_share: the share of the limit that the owner of that copy used.
     """
 
     window: SpendingWindow
@@ -72,6 +75,7 @@
     common: Parts = NOTHING
     others_own: Parts = NOTHING
     copied: Parts = NOTHING
+    copied_share: float = 1.0
     returned: float = 0.0
 
     def follow_limit(self, most: float) -> None:
@@ -170,6 +174,8 @@
             return
         if handed.copied:
             self.copied = fuller(self.copied, handed.window)
+            if self.copied is handed.window:
+                self.copied_share = handed.share
         else:
             rest = handed.own or NOTHING
             common = tuple(a - b for a, b in zip(handed.window, rest, strict=True))
@@ -180,6 +186,8 @@
             spent = tuple(a + b for a, b in pairs)
         else:
             spent = fuller(self.common, self.copied)
+            if spent is self.copied:
+                self._know_only(self.copied_share, now)
         self.surveyed = True
         self.window.resume(spent, now)
         self.before.resume(spent, now)
@@ -191,11 +199,21 @@
         :param share: the share of the limit that it had.
         """
         known = _known_part(share, self.share) if self.share < share else 1.0
-        self.copied = window
+        self._know_only(share, now)
+        self.copied, self.copied_share = window, share
         self.surveyed = True
         self.window.resume(window, now)
         self.before.resume(tuple(cost * known for cost in window), now)
 
+    def _know_only(self, share: float, now: float) -> None:
+        """Use no more than the share whose spending is known; the rest comes as the window passes.
+
+        The copy of an owner that saw one side of a cut tells nothing of the others: after the loss
+        of all that did, a whole limit beside it let a window see 1.13 of what it may.
+        """
+        if share < self.share:
+            self.share, self.share_at = share, now
+
     def _divide(self, share: float, unknown_s: float, now: float) -> None:
         """Divide with the other sides of a cut what is left of the window.
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -66,6 +66,7 @@
         equal parts, oldest first.
     :param own: the part of ``window`` that no other node tells of.
     :param copied: whether ``window`` is this node's copy of an earlier owner's.
+    :param share: the share of the team's limit that the owner of a copy used.
     """
 
     team: str
@@ -75,6 +76,7 @@
     window: tuple[float, ...] = ()
     own: tuple[float, ...] = ()
     copied: bool = False
+    share: float = 1.0
 
 
 class ToldWindow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -150,10 +150,11 @@
             if not kept.told:
                 kept.told = True
                 return Handed(held, kept.ledger.own(now))
+        share = 1.0
         copy = self._copies.find(team, now)
-        if copy is not None:
-            held = fuller(held, copy.window.parts(now))
-        return Handed(held, copied=True) if any(held) else Handed()
+        if copy is not None and fuller(held, parts := copy.window.parts(now)) is parts:
+            held, share = parts, copy.share
+        return Handed(held, copied=True, share=share) if any(held) else Handed()
 
     def _give_up(self, team: str, now: float, *, told: bool = False) -> None:
         ledger = self._ledgers.pop(team, None)
@@ -240,7 +241,8 @@
         if ledger is None or now - ledger.began > SURVEY_S:
             return
         if message.window:
-            ledger.resume(Handed(message.window, message.own, message.copied), now)
+            handed = Handed(message.window, message.own, message.copied, message.share)
+            ledger.resume(handed, now)
         if ledger.surveyed:
             return
         ledger.told[message.host] = message
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_losses.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_losses.py
@@ -1,13 +1,13 @@
 """
 A team's quota through losses, cuts and floods that follow each other at random.
 
-Seen in this simulation only, in one of 650 fleets, never on a played day: under a flood, 1.8 s
+Seen in this simulation only, in two of 2,000 fleets, never on a played day: under a flood, 1.8 s
 after a cut has healed, the owner is killed together with all that hold copies of its window, and
-the window sees 1.129 of the limit (seed 1374).
-The cause is not shown. What was seen: half of the limit in the 2.9 s before the kill, and 0.62 of
-it in the 5.1 s after it, where a new owner that assumes a full window leases 0.39 by its spread;
-the rest came from what nodes spend alone after a restart, or from the sides of the cut. Not mended;
-listed in KNOWN-RED.txt.
+the window sees 1.13 and 1.16 of the limit (seeds 1374 and 358).
+How it came about: the new owner was told 0.20 of the limit as spent where 0.50 had been. Cause: a
+survivor still held the copy of the owner that one side of the cut had, which knows that side's
+third only, and the new owner took it for all that was spent. Proved by what each owner believed
+as it began, and by these seeds.
 """
 
 import random
@@ -44,7 +44,7 @@
     return sorted(events, key=lambda each: each[0])
 
 
-@pytest.mark.parametrize("seed", [*range(24), 1374])
+@pytest.mark.parametrize("seed", [*range(24), 358, 1374])
 def test_losses_cuts_and_floods_in_a_row_keep_the_limit(seed):
     chance = random.Random(seed)
     fleet = Fleet()
