--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -5,28 +5,24 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 
-from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.gateway.events import EventCutter
-from chalkyoke.gateway.grants import Denied, Granted, Grants, ReplicaPort
-from chalkyoke.gateway.ports import Forwarding, HeaderFormat, RequestFields
-from chalkyoke.gateway.quarantine import QuarantinePort
+from chalkyoke.gateway.grants import Denied, Granted
+from chalkyoke.gateway.lessons import Lessons, output_s
+from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.ports import Forwarding
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
-from chalkyoke.gateway.trials import RolloutPort
 from chalkyoke.gateway.verdict import Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import AnswerHead, Headers, Request, find, reason_of, request_head
-from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.http1.pool import ConnectFailure
 from chalkyoke.http1.server import Answering
 from chalkyoke.invariants import require
 from chalkyoke.quarantine.identity import identify
-from chalkyoke.quotas.client import Passed, QuotaClient
-from chalkyoke.retries.budget import RetryBudget
+from chalkyoke.quotas.client import Passed
 from chalkyoke.scheduling.state import ReleaseOutcome
 
 # How long opening a connection may take, in seconds: far beyond a round trip, below most aims.
@@ -51,57 +47,6 @@
 MAX_RETRY_AFTER_S = 60.0
 METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
-ENDED_OUTCOMES = {
-    SendEnd.DELIVERED: ReleaseOutcome.DELIVERED,
-    SendEnd.FAILURE_ANSWER: ReleaseOutcome.FAILED,
-    SendEnd.DECLINED: ReleaseOutcome.UNUSED,
-    SendEnd.NOT_CONNECTED: ReleaseOutcome.UNREACHABLE,
-    SendEnd.BROKEN: ReleaseOutcome.FAILED,
-    SendEnd.UNUSABLE: ReleaseOutcome.FAILED,
-    SendEnd.STALLED: ReleaseOutcome.FAILED,
-}
-FAILURE_WEIGHTS = {
-    SendEnd.FAILURE_ANSWER: 0.3,
-    SendEnd.DECLINED: 0.3,
-    SendEnd.BROKEN: 1.0,
-    SendEnd.UNUSABLE: 1.0,
-    SendEnd.STALLED: 1.0,
-}
-# What a full replica and one out of this node's reach have in common: both may answer others well.
-NO_SIGN_OF_HEALTH = frozenset((SendEnd.DECLINED, SendEnd.NOT_CONNECTED))
-
-Record = Callable[..., None]
-Reject = Callable[[Request, RequestFields, Rejection], None]
-
-
-class GatewayParts(msgspec.Struct):
-    """What all exchanges of a node share.
-
-    :param catalog: gives the catalog in force.
-    :param nodes: gives the number of nodes that there may be in the fleet.
-    :param now: the node's clock, in seconds.
-    :param record: writes a decision on a request to the log.
-    :param reject: writes to the log that a request is refused as it stands.
-    :param plain_ended: takes the replica and whether it failed, where a plain service has ended a
-        request.
-    """
-
-    catalog: Callable[[], Catalog]
-    replicas: ReplicaPort
-    headers: HeaderFormat
-    grants: Grants
-    balancer: LocalBalancer
-    quotas: QuotaClient
-    budget: RetryBudget
-    connections: ConnectionPool
-    nodes: Callable[[], int]
-    now: Callable[[], float]
-    record: Record
-    reject: Reject
-    plain_ended: Callable[[Admission, Replica, bool], None]
-    rollouts: RolloutPort
-    quarantine: QuarantinePort
-
 
 class _Progress(msgspec.Struct):
     """What has happened to a request so far."""
@@ -120,6 +65,7 @@
 
     def __init__(self, parts: GatewayParts, request: Request, answering: Answering) -> None:
         self._parts = parts
+        self._lessons = Lessons(parts)
         self._request = request
         self._answering = answering
         self._fields = parts.headers.read_request(request.headers)
@@ -512,58 +458,10 @@
 
     def _note_end(self, admission: Admission, granted: Granted, end: SendEnd) -> None:
         """Learn from the end of a send."""
-        parts = self._parts
-        now = parts.now()
-        seen = parts.balancer.seen(granted.replica.id)
-        relay = self._relay
         if end is SendEnd.DECLINED:
             self._progress.sends.runs -= 1
-        if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
-            seen.note_load(relay.fields.load.running, relay.fields.load.waiting, now)
-        if end is SendEnd.DELIVERED:
-            seen.note_answer(now - granted.started)
-        elif end is SendEnd.NOT_CONNECTED:
-            seen.note_unreachable(now)
-        else:
-            seen.note_failure(FAILURE_WEIGHTS[end], now)
-        self._note_replica(admission, granted.replica, end)
-        parts.grants.release(admission, granted, ENDED_OUTCOMES[end])
+        self._lessons.note_end(admission, granted, end, self._relay, self._identity)
         self._granted = None
-        if end in NO_SIGN_OF_HEALTH:
-            return
-        failed = end is not SendEnd.DELIVERED
-        self._note_version(admission, granted, failed=failed)
-        if not admission.service.is_engine:
-            parts.plain_ended(admission, granted.replica, failed)
-
-    def _note_replica(self, admission: Admission, replica: Replica, end: SendEnd) -> None:
-        """Tell what the end of a send says of the request being one that ends replicas."""
-        quarantine = self._parts.quarantine
-        if end is SendEnd.NOT_CONNECTED:
-            return
-        if end is SendEnd.DELIVERED:
-            quarantine.delivered(replica, self._identity)
-        elif end is SendEnd.BROKEN:
-            quarantine.broke_off(admission, replica, self._identity(), self._output_s())
-        elif end is SendEnd.STALLED:
-            quarantine.left(replica, self._identity(), self._output_s())
-        else:
-            quarantine.answered(replica)
-
-    def _output_s(self) -> float:
-        """Tell for how long the replica has given output."""
-        relay = self._relay
-        return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
-
-    def _note_version(self, admission: Admission, granted: Granted, *, failed: bool) -> None:
-        """Tell how a replica's version did; how long a failure took tells nothing."""
-        self._parts.rollouts.note_end(
-            admission,
-            granted.replica,
-            failed=failed,
-            output_tokens=granted.events * admission.service.tokens_per_event,
-            took_s=0.0 if failed else self._parts.now() - granted.started,
-        )
 
     # Ends.
 
@@ -574,7 +472,8 @@
             self._connection.cancel()
         if self._granted is not None and self._granted.started:
             # A stream that was cut was slow or long; of any other answer nothing has come.
-            self._note_version(admission, self._granted, failed=not admission.route.streams)
+            failed = not admission.route.streams
+            self._lessons.note_version(admission, self._granted, failed=failed)
         self._release_cancelled(admission)
         self._parts.record("expired", admission, sends=self._progress.sends.arrivals)
         if self._delivery.head_sent:
@@ -588,7 +487,7 @@
         if self._granted is not None:
             if self._granted.started:
                 replica = self._granted.replica
-                self._parts.quarantine.left(replica, self._identity(), self._output_s())
+                self._parts.quarantine.left(replica, self._identity(), output_s(self._relay))
             self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
             self._granted = None
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/lessons.py
@@ -0,0 +1,107 @@
+"""
+chalkyoke.gateway.lessons
+
+What the end of a send teaches: of its replica, of the version it runs and of the request itself.
+"""
+
+from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.grants import Granted
+from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.quarantine import Identity
+from chalkyoke.gateway.reception import Admission
+from chalkyoke.gateway.relay import Relay
+from chalkyoke.gateway.verdict import SendEnd
+from chalkyoke.scheduling.state import ReleaseOutcome
+
+ENDED_OUTCOMES = {
+    SendEnd.DELIVERED: ReleaseOutcome.DELIVERED,
+    SendEnd.FAILURE_ANSWER: ReleaseOutcome.FAILED,
+    SendEnd.DECLINED: ReleaseOutcome.UNUSED,
+    SendEnd.NOT_CONNECTED: ReleaseOutcome.UNREACHABLE,
+    SendEnd.BROKEN: ReleaseOutcome.FAILED,
+    SendEnd.UNUSABLE: ReleaseOutcome.FAILED,
+    SendEnd.STALLED: ReleaseOutcome.FAILED,
+}
+FAILURE_WEIGHTS = {
+    SendEnd.FAILURE_ANSWER: 0.3,
+    SendEnd.DECLINED: 0.3,
+    SendEnd.BROKEN: 1.0,
+    SendEnd.UNUSABLE: 1.0,
+    SendEnd.STALLED: 1.0,
+}
+# What a full replica and one out of this node's reach have in common: both may answer others well.
+NO_SIGN_OF_HEALTH = frozenset((SendEnd.DECLINED, SendEnd.NOT_CONNECTED))
+
+
+def output_s(relay: Relay | None) -> float:
+    """Tell for how long a replica has given output, in seconds."""
+    return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
+
+
+class Lessons:
+    """Tell the parts of a node how a send has ended.
+
+    :param parts: what all exchanges share.
+    """
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+
+    def note_end(
+        self,
+        admission: Admission,
+        granted: Granted,
+        end: SendEnd,
+        relay: Relay | None,
+        request: Identity,
+    ) -> None:
+        """Learn from the end of a send.
+
+        :param relay: of the last send; nothing where none was made.
+        :param request: names the request.
+        """
+        parts = self._parts
+        now = parts.now()
+        seen = parts.balancer.seen(granted.replica.id)
+        if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
+            seen.note_load(relay.fields.load.running, relay.fields.load.waiting, now)
+        if end is SendEnd.DELIVERED:
+            seen.note_answer(now - granted.started)
+        elif end is SendEnd.NOT_CONNECTED:
+            seen.note_unreachable(now)
+        else:
+            seen.note_failure(FAILURE_WEIGHTS[end], now)
+        self._note_replica(admission, granted.replica, end, output_s(relay), request)
+        parts.grants.release(admission, granted, ENDED_OUTCOMES[end])
+        if end in NO_SIGN_OF_HEALTH:
+            return
+        failed = end is not SendEnd.DELIVERED
+        self.note_version(admission, granted, failed=failed)
+        if not admission.service.is_engine:
+            parts.plain_ended(admission, granted.replica, failed)
+
+    def _note_replica(
+        self, admission: Admission, replica: Replica, end: SendEnd, output: float, request: Identity
+    ) -> None:
+        """Tell what the end of a send says of the request being one that ends replicas."""
+        quarantine = self._parts.quarantine
+        if end is SendEnd.NOT_CONNECTED:
+            return
+        if end is SendEnd.DELIVERED:
+            quarantine.delivered(replica, request)
+        elif end is SendEnd.BROKEN:
+            quarantine.broke_off(admission, replica, request(), output)
+        elif end is SendEnd.STALLED:
+            quarantine.left(replica, request(), output)
+        else:
+            quarantine.answered(replica)
+
+    def note_version(self, admission: Admission, granted: Granted, *, failed: bool) -> None:
+        """Tell how a replica's version did; how long a failure took tells nothing."""
+        self._parts.rollouts.note_end(
+            admission,
+            granted.replica,
+            failed=failed,
+            output_tokens=granted.events * admission.service.tokens_per_event,
+            took_s=0.0 if failed else self._parts.now() - granted.started,
+        )
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -0,0 +1,53 @@
+"""
+chalkyoke.gateway.parts
+
+What all exchanges of a node share.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Catalog, Replica
+from chalkyoke.gateway.grants import Grants, ReplicaPort
+from chalkyoke.gateway.ports import HeaderFormat, RequestFields
+from chalkyoke.gateway.quarantine import QuarantinePort
+from chalkyoke.gateway.reception import Admission, Rejection
+from chalkyoke.gateway.trials import RolloutPort
+from chalkyoke.http1.messages import Request
+from chalkyoke.http1.pool import ConnectionPool
+from chalkyoke.quotas.client import QuotaClient
+from chalkyoke.retries.budget import RetryBudget
+
+Record = Callable[..., None]
+Reject = Callable[[Request, RequestFields, Rejection], None]
+
+
+class GatewayParts(msgspec.Struct):
+    """What all exchanges of a node share.
+
+    :param catalog: gives the catalog in force.
+    :param nodes: gives the number of nodes that there may be in the fleet.
+    :param now: the node's clock, in seconds.
+    :param record: writes a decision on a request to the log.
+    :param reject: writes to the log that a request is refused as it stands.
+    :param plain_ended: takes the replica and whether it failed, where a plain service has ended a
+        request.
+    """
+
+    catalog: Callable[[], Catalog]
+    replicas: ReplicaPort
+    headers: HeaderFormat
+    grants: Grants
+    balancer: LocalBalancer
+    quotas: QuotaClient
+    budget: RetryBudget
+    connections: ConnectionPool
+    nodes: Callable[[], int]
+    now: Callable[[], float]
+    record: Record
+    reject: Reject
+    plain_ended: Callable[[Admission, Replica, bool], None]
+    rollouts: RolloutPort
+    quarantine: QuarantinePort
--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -17,7 +17,7 @@
 # Of a request's target, so many characters are logged.
 MOST_TARGET = 200
 REFUSALS = frozenset(("refused", "given_up", "over_quota"))
-FAILURES = frozenset(("refused", "given_up", "expired", "over_quota"))
+FAILURES = frozenset(("held_back", "refused", "given_up", "expired", "over_quota"))
 
 log = logger("request")
 
