--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformdemo.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformdemo.py
@@ -3,7 +3,7 @@
 
 Start the users' path on loopback addresses: three gateway nodes before the stand-ins of the
 platform's store and replicas. Send a few dozen requests, kill a node and a replica in the middle,
-and compare what each caller got with what the replicas ran.
+let another replica start again under its id, and compare what each caller got with what the replicas ran.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 
 REQUESTS = 48
 KILL_NODE_AT = 16
+RETURN_REPLICA_AT = 22
 KILL_REPLICA_AT = 28
 PAUSE_S = 0.03
 PATHS = ("/chat/1", "/explain/1", "/book/1", "/find/1")
@@ -53,6 +54,10 @@
                     victim = alive.pop()
                     print(f"-- killing {victim} (SIGKILL)")
                     fleet.nodes[victim].send(signal.SIGKILL)
+                if number == RETURN_REPLICA_AT:
+                    print("-- a replica ends and starts again under its id")
+                    fleet.replicas["s1"].faults.renamed = False
+                    fleet.replicas["s1"].end_by_itself()
                 if number == KILL_REPLICA_AT:
                     print("-- a replica crashes")
                     await fleet.replicas["m0"].crash()
