What waits of a request is answered as soon as that is held back

It was answered only when a replica was granted to it, up to its patience later: what is given up is answered at once. A gauge counts records that can't be read. Test: a request that waits behind a full pool gets its answer with the third end, and reaches no replica.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformdemo.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformdemo.py
@@ -3,7 +3,8 @@
 
 Start the users' path on loopback addresses: three gateway nodes before the stand-ins of the
 platform's store and replicas. Send a few dozen requests, kill a node and a replica in the middle,
-let another replica start again under its id, and compare what each caller got with what the replicas ran.
+let another replica start again under its id, and compare what each caller got with what the
+replicas ran.
 """
 
 import asyncio
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -104,6 +104,14 @@
         if self._connection is not None and granted is not None and granted.replica.id == replica:
             self._connection.give_up()
 
+    def request_held(self, request: bytes) -> None:
+        """End at once where this is a request that is held back from now on, and still waits."""
+        waits = self._admission is not None and self._connection is None
+        if waits and self.task is not None and self._identity() == request:
+            self._held = True
+            self.task.cancel()
+
+    _held = False
     task: "asyncio.Task[None] | None" = None
 
     # Driving.
@@ -139,6 +147,10 @@
             self._time_is_up(judged)
         except asyncio.CancelledError:
             self._release_cancelled(judged)
+            if self._held and self.task is not None and not self._left:
+                self.task.uncancel()
+                self._end_held_back(judged)
+                return
             if not self._left:
                 raise
             parts.record(
@@ -222,14 +234,18 @@
     _named = b""
 
     def _is_held_back(self, admission: Admission) -> bool:
-        """End a request under which too many replicas have ended.
-
-        Its caller is told so at once, without a time to come back: that can't help. It is no
-        promise that nothing has run, since earlier attempts have; 502 keeps callers of what
-        may not be repeated from asking again by themselves.
-        """
+        """End a request under which too many replicas have ended; tell whether it was one."""
         if not self._parts.quarantine.holds(self._identity):
             return False
+        self._end_held_back(admission)
+        return True
+
+    def _end_held_back(self, admission: Admission) -> None:
+        """Tell the caller at once, without a time to come back: that can't help.
+
+        It is no promise that nothing has run, since earlier attempts have; 502 keeps callers of
+        what may not be repeated from asking again by themselves.
+        """
         self._parts.record(
             "held_back",
             admission,
@@ -240,7 +256,6 @@
             self._answering.abort()
         else:
             self._answer(502, "held back: replicas have ended while they ran this request", None)
-        return True
 
     async def _acquire(self, admission: Admission) -> Granted | Denied:
         """Get a replica; one of a version under trial where that is this request's turn.
@@ -542,6 +557,11 @@
         exchange.task.add_done_callback(self._ended)
         return exchange
 
+    def request_held(self, request: bytes) -> None:
+        """Answer what waits here of a request that is held back from now on."""
+        for exchange in list(self._exchanges.values()):
+            exchange.request_held(request)
+
     def replica_ended(self, replica: str) -> None:
         """Go on elsewhere with what ran at a start of a replica that is over.
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -181,6 +181,7 @@
             self._catalog_changed,
             self.now,
         )
+        self.metrics.gauge("records_unreadable", lambda: len(state.unreadable))
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
         node = settings.node
@@ -243,6 +244,7 @@
             self.connections,
             self.links.send,
             self.metrics,
+            lambda request: self.gateway.request_held(request),
             self.held_records.remember,
             random.random,
             self.now,
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -44,6 +44,7 @@
     """Find the requests that end replicas, and hold them back.
 
     :param send: sends a message to a node by its link address.
+    :param hold: ends what waits here of a request that is held back from now on.
     :param remember: puts a request that is held back into the store.
     :param random: source of numbers in [0, 1).
     :param now: the node's clock, in seconds.
@@ -55,6 +56,7 @@
         connections: ConnectionPool,
         send: Callable[[str, QuarantineMessage], None],
         metrics: Metrics,
+        hold: Callable[[bytes], None],
         remember: Callable[[bytes], None],
         random: Callable[[], float],
         now: Callable[[], float],
@@ -63,6 +65,7 @@
         self._connections = connections
         self._send = send
         self._metrics = metrics
+        self._hold = hold
         self._remember = remember
         self._random = random
         self._now = now
@@ -150,7 +153,7 @@
             if known is not None and (known.holds or known.is_refuted):
                 continue
             if self._book.merge_held(HeldRequest(request, 0.0, HOLD_S), now):
-                log.notice("request_held", digest=_name(request), source="store")
+                self._begin_hold(request, source="store")
 
     # Ends.
 
@@ -178,14 +181,15 @@
             known = book.find(run.request)
             if held and known is not None:
                 decided.append(run.request)
-                log.notice(
-                    "request_held",
-                    digest=_name(run.request),
-                    starts=sorted(known.ends)[:MOST_NAMED],
-                    for_s=round(known.held_until - now),
-                )
+                starts = sorted(known.ends)[:MOST_NAMED]
+                for_s = round(known.held_until - now)
+                self._begin_hold(run.request, starts=starts, for_s=for_s)
         return decided
 
+    def _begin_hold(self, request: bytes, **evidence: object) -> None:
+        log.notice("request_held", digest=_name(request), **evidence)
+        self._hold(request)
+
     # Messages.
 
     def receive(self, address: str, message: QuarantineMessage) -> None:
@@ -222,7 +226,7 @@
         now = self._now()
         for each in message.requests:
             if self._book.merge_held(each, now):
-                log.notice("request_held", digest=_name(each.request), source=address)
+                self._begin_hold(each.request, source=address)
         for request, served_at in self._book.refuted(message.requests, now):
             self._send(address, RequestsServed((request,), now - served_at))
         if not message.is_answer and len(message.requests) != len(self._book.held):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -10,6 +10,10 @@
 
 import asyncio
 
+from chalkyoke.quarantine.identity import identify
+from chalkyoke.quarantine.messages import ReplicaEnded, SuspectRun
+from chalkyoke_fakes.platformfleet import HOST, TEAM
+
 from tests.gatewayfleet import play
 
 CRASHING = b"a body that ends who runs it"
@@ -104,6 +108,31 @@
     play(check)
 
 
+def test_what_waits_of_a_request_is_answered_as_soon_as_it_is_held_back():
+    async def check(fleet):
+        loop = asyncio.get_running_loop()
+        for replica in fleet.models:
+            replica.faults.event_s = 0.5
+        # All slots are taken for 4 s, so that what comes now waits.
+        busy = [
+            asyncio.ensure_future(fleet.ask(each % 6, "/chat/1", b"long")) for each in range(24)
+        ]
+        await asyncio.sleep(0.2)
+        waiting = asyncio.ensure_future(fleet.ask(0, "/explain/1", CRASHING))
+        await asyncio.sleep(0.1)
+        name = identify(b"POST", HOST, b"/explain/1", TEAM, CRASHING)
+        began = loop.time()
+        ended = [ReplicaEnded(f"m{each}/9", (SuspectRun(name, 1.0, 0.0),)) for each in range(3)]
+        for message in ended:
+            fleet.nodes[0].quarantine.receive("10.1.0.2:82", message)
+        got = await waiting
+        assert (got.status, loop.time() - began < 1.1) == (502, True)
+        assert arrivals(fleet.models, CRASHING) == []
+        assert all(each.whole for each in await asyncio.gather(*busy))
+
+    play(check)
+
+
 def test_a_popular_request_beside_crashes_is_served():
     popular = b"what many ask"
     served = []
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -86,6 +86,7 @@
                 lambda address, message, number=number: self._send(number, address, message),
                 Metrics(),
                 lambda request: None,
+                lambda request: None,
                 self.random.random,
                 loop.time,
             )
