--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -79,7 +79,7 @@
 
     def holds(self, request: Identity) -> bool:
         """Tell whether a request is held back."""
-        return bool(self._book.held) and self._book.is_held(request())
+        return self._book.holds_any and self._book.is_held(request())
 
     def delivered(self, replica: Replica, request: Identity) -> None:
         """Note that a replica has served a request whole."""
@@ -252,7 +252,7 @@
         now = self._now()
         for request in self._book.expire(now):
             log.notice("request_released", digest=_name(request), why="on probation")
-        if not self._book.held and now > ASKS_FOR_S:
+        if not self._book.holds_any and now > ASKS_FOR_S:
             return
         summary = HeldSummary(self._book.checksum())
         for address in self._some_others():
--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -91,7 +91,6 @@
         self._known: dict[bytes, Suspicion] = {}
         self._held: set[bytes] = set()
         self._checksum: int | None = None
-
         self._ends: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -102,6 +101,11 @@
         """The requests that are held back."""
         return frozenset(self._held)
 
+    @property
+    def holds_any(self) -> bool:
+        """Whether any request is held back."""
+        return bool(self._held)
+
     def find(self, request: bytes) -> Suspicion | None:
         """Give what is known of a request."""
         return self._known.get(request)
