--- a/conftest.py
+++ b/conftest.py
@@ -44,6 +44,12 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print the known red tests."""
+    """Print the known red tests, and all that one of them that failed has to say."""
     for name, reason in known_red().items():
         terminalreporter.write_line(f"known red: {name}: {reason}")
+    for report in terminalreporter.stats.get("xfailed", ()):
+        terminalreporter.write_sep("_", f"known red, failed: {report.nodeid}")
+        terminalreporter.write_line(report.longreprtext)
+        for title, text in report.sections:
+            terminalreporter.write_sep("-", title)
+            terminalreporter.write_line(text)
