--- a/packages/chalkyoke/src/chalkyoke/catalog/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/resources.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+# Ranks of routes that fit below one rank of teams: a team's rank goes first.
 ROUTE_RANKS = 100
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/events.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/events.py
@@ -9,6 +9,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# An event that is longer, in bytes, is no event of ours: a bound on what one stream may hold.
 MAX_PARTIAL_BYTES = 1_000_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -18,11 +18,17 @@
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.http1.messages import Request, find
 
+# Prompts are compared in blocks of so many tokens: what an engine reads in some 8 ms, and a few
+# names in a message for the longest prompts.
 BLOCK_TOKENS = 256
+# As many values as the hash of a request's id has: it becomes a point in [0, 1).
 HASH_SPAN = 2.0**64
+# A caller gives a stream up after a gap of the longest of so many goals, so many of its longest
+# pauses, and so many seconds: the operators' rule.
 PATIENCE_GOALS = 4.0
 PATIENCE_GAPS = 8.0
 MIN_PATIENCE_S = 2.0
+# The most output that a request is taken to ask for where it names none, in tokens.
 DEFAULT_OUTPUT_TOKENS = 1_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -16,6 +16,8 @@
 from chalkyoke.http1.messages import AnswerHead, end_to_end
 from chalkyoke.http1.server import Answering
 
+# A plain answer of up to so many bytes is read whole before any of it is passed on, so that one
+# that breaks off can be had elsewhere; a longer one costs too much memory.
 HELD_BYTES = 262_144
 SUCCESS_MIN, SUCCESS_MAX = 200, 299
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -12,6 +12,7 @@
 from chalkyoke.exceptions import SettingsError
 from chalkyoke.scheduling.placement import Features
 
+# The shortest key of a fleet, in bytes: 128 bits can't be guessed.
 MIN_KEY_BYTES = 16
 # What a duty for the fleet sends while it uses a core, in Mbit/s: a pool's scheduler some 3, the
 # news of a failure domain more.
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -11,6 +11,7 @@
 
 from chalkyoke.catalog.resources import Route
 
+# Statuses of HTTP (RFC 9110).
 SERVER_ERROR_MIN = 500
 MISDIRECTED = 421
 
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -13,8 +13,11 @@
 
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 
+# The last status that announces another answer (RFC 9110).
 INFORMATIONAL_MAX = 199
 BODILESS_STATUSES = frozenset((204, 304))
+# An answer with a longer head, in bytes, is not read: a bound on memory, four times what callers
+# may send.
 MAX_ANSWER_HEAD_BYTES = 65_536
 
 
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -12,8 +12,12 @@
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.sockets import set_user_timeout
 
+# How long a connection is kept whose upstream does not say how long it keeps it, in seconds.
 IDLE_LIMIT_S = 20.0
+# How much sooner than an upstream says a connection is given up, in seconds: it tells whole ones.
 KEEP_ALIVE_MARGIN_S = 1.0
+# How long bytes may stay unconfirmed before the system gives a connection up, in milliseconds: less
+# than the 3 s that operators forgive a disturbed connection.
 USER_TIMEOUT_MS = 2500
 
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -21,8 +21,12 @@
     reason_of,
 )
 
+# Requests that may wait on one connection, in number; beyond it is not read on.
 MAX_PIPELINED = 16
+# How long a connection stays open after its last answer, in seconds, so that the caller reads it
+# before the close reaches it.
 LINGER_S = 1.0
+# The slowest upload that is waited for, in bytes a second: a bound on held connections.
 BODY_RATE_BYTES_S = 20_000
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
--- a/packages/chalkyoke/src/chalkyoke/links/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/links/codec.py
@@ -13,6 +13,7 @@
 from chalkyoke.clock import Stamp
 from chalkyoke.exceptions import ProtocolError
 
+# A longer frame, in bytes, is none of ours: five times the largest document that peers tell.
 MAX_FRAME_BYTES = 20_000_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/links/handshake.py
+++ b/packages/chalkyoke/src/chalkyoke/links/handshake.py
@@ -9,6 +9,7 @@
 
 from chalkyoke.links.messages import Hello, Welcome
 
+# Lengths in bytes: 128 bits are neither guessed nor met twice.
 NONCE_BYTES = 16
 MAC_BYTES = 16
 
--- a/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
@@ -9,6 +9,8 @@
 
 from chalkyoke.membership.messages import MemberRecord
 
+# How long a host that is gone still counts among those that there may be, in seconds: a cut or a
+# restart is over by then.
 REMEMBERED_S = 120.0
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -67,11 +67,20 @@
 
 # How often a pool's scheduler gives up what is late, in seconds: a twentieth of the shortest goals.
 TICK_S = 0.05
+# How often what is old is dropped and what was lost is told again, in seconds.
 HOUSEKEEPING_S = 1.0
+# Bits of the random number that tells two starts of a process apart: it stays positive in 64.
 INCARNATION_BITS = 62
+# New connections that may wait to be taken, in number: a burst while the loop is busy.
 BACKLOG = 1024
+# How long a node that stops still takes callers, in seconds: the balancer asks each second and goes
+# by two misses.
 LEAVE_S = 2.5
+# When a node that finds no other takes duties for the fleet, in seconds since its start: four
+# heartbeats.
 NEW_MEMBER_S = 1.0
+# How much sooner than it may be killed a node that stops ends, in seconds: for its last answers and
+# for taking itself off the list.
 GRACE_MARGIN_S = 0.6
 
 log = logger("node")
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -14,7 +14,10 @@
 from chalkyoke.rollouts.standing import Standing, trial_route
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
 
+# The part of an engine's memory that is thought to hold prompts; the rest is for what runs.
 CACHE_SHARE = 0.7
+# How long a replica whose record has gone may still be tried where a service has no other, in
+# seconds: less than the 2 s after which operators forbid it.
 LAST_RESORT_S = 1.2
 
 
--- a/packages/chalkyoke/src/chalkyoke/retries/budget.py
+++ b/packages/chalkyoke/src/chalkyoke/retries/budget.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+# The part of the budget that is used: windows of operators and of nodes do not begin together.
 SAFETY = 0.8
+# The slack is divided by so many nodes at least: one that knows nobody yet is hardly alone.
 LEAST_NODES = 2
 
 
