--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from chalkyoke.gateway.events import EventCutter
+from chalkyoke.gateway.feedback import Feedback, output_s
 from chalkyoke.gateway.grants import Denied, Granted
-from chalkyoke.gateway.lessons import Lessons, output_s
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import Forwarding
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
@@ -65,7 +65,7 @@
 
     def __init__(self, parts: GatewayParts, request: Request, answering: Answering) -> None:
         self._parts = parts
-        self._lessons = Lessons(parts)
+        self._feedback = Feedback(parts)
         self._request = request
         self._answering = answering
         self._fields = parts.headers.read_request(request.headers)
@@ -475,7 +475,7 @@
         """Learn from the end of a send."""
         if end is SendEnd.DECLINED:
             self._progress.sends.runs -= 1
-        self._lessons.note_end(admission, granted, end, self._relay, self._identity)
+        self._feedback.note_end(admission, granted, end, self._relay, self._identity)
         self._granted = None
 
     # Ends.
@@ -488,7 +488,7 @@
         if self._granted is not None and self._granted.started:
             # A stream that was cut was slow or long; of any other answer nothing has come.
             failed = not admission.route.streams
-            self._lessons.note_version(admission, self._granted, failed=failed)
+            self._feedback.note_version(admission, self._granted, failed=failed)
         self._release_cancelled(admission)
         self._parts.record("expired", admission, sends=self._progress.sends.arrivals)
         if self._delivery.head_sent:
--- a/packages/chalkyoke/src/chalkyoke/gateway/lessons.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -1,7 +1,7 @@
 """
-chalkyoke.gateway.lessons
+chalkyoke.gateway.feedback
 
-What the end of a send teaches: of its replica, of the version it runs and of the request itself.
+What the end of a send says: of its replica, of the version it runs and of the request itself.
 """
 
 from chalkyoke.catalog.resources import Replica
@@ -38,7 +38,7 @@
     return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
 
 
-class Lessons:
+class Feedback:
     """Tell the parts of a node how a send has ended.
 
     :param parts: what all exchanges share.
@@ -55,7 +55,7 @@
         relay: Relay | None,
         request: Identity,
     ) -> None:
-        """Learn from the end of a send.
+        """Tell all parts how a send has ended.
 
         :param relay: of the last send; nothing where none was made.
         :param request: names the request.
