Telling all nodes, and relaying in a large failure domain, is one piece of code

The quarantine had written for the third time what the observer of replicas and the leader of roll-outs do: told directly, told to relay, relayed once. node/broadcast.py serves all three; messages and their order are as before.

--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/catalog.py
@@ -55,12 +55,13 @@
     :param document: the operators' document.
     :param records: prefixes of the replicas' records, of orders of roll-outs and their answers.
     :param nodes: prefix of the nodes' registrations.
+    :param held: prefix of the records of requests that are held back.
     """
 
     document: str
     records: tuple[str, ...]
     nodes: str
-    held: str = ""
+    held: str
 
 
 class CatalogKeeper:
--- a/packages/chalkyoke/src/chalkyoke/node/heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/node/heldrecords.py
@@ -59,7 +59,7 @@
             if await self._write(request):
                 pause_s = FIRST_PAUSE_S
                 continue
-            log.info("record_waits", request=request.hex(), waiting=len(self._waiting) + 1)
+            log.info("record_waits", digest=request.hex(), waiting=len(self._waiting) + 1)
             self._waiting.appendleft(request)
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_PAUSE_S, 2 * pause_s)
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quarantine.py
@@ -8,8 +8,6 @@
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
 
-import msgspec
-
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.quarantine import Identity
@@ -17,6 +15,7 @@
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.broadcast import relay_on, tell_all
 from chalkyoke.quarantine.evidence import HOLD_S, EvidenceBook
 from chalkyoke.quarantine.messages import (
     HeldRequest,
@@ -211,10 +210,7 @@
             self._ended(message.start, "peer")
         else:
             self._take_served(message)
-        if message.relay:
-            told = msgspec.structs.replace(message, relay=False)
-            for each in self._view.domain_addresses():
-                self._send(each, told)
+        relay_on(self._view, self._send, message)
 
     def _take_served(self, message: RequestsServed) -> None:
         at = self._now() - message.age_s
@@ -234,11 +230,7 @@
 
     def _tell(self, message: ReplicaEnded | RequestsServed) -> None:
         """Tell all nodes; what is lost with a node or a link is told again by what is held back."""
-        direct, relays = self._view.audience()
-        for address in direct:
-            self._send(address, message)
-        for address in relays:
-            self._send(address, msgspec.structs.replace(message, relay=True))
+        tell_all(self._view, self._send, message)
 
     # Time.
 
--- a/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
@@ -16,6 +16,7 @@
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.broadcast import tell_all
 from chalkyoke.node.parts import WriteStatus
 from chalkyoke.node.peers import KNOWN_SHARE
 from chalkyoke.quotas.owner import Presence
@@ -203,11 +204,7 @@
         leading.told_at = now
         order = share.order
         message = RolloutTold(order.service, order.revision, phase, share.passed(now).least_s)
-        direct, relays = self._view.audience()
-        for address in direct:
-            self._send(address, message)
-        for address in relays:
-            self._send(address, msgspec.structs.replace(message, relay=True))
+        tell_all(self._view, self._send, message)
         self._hear(share, message)
 
     def _answer(self, order: Order, leading: _Leading, state: RolloutState) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/rollouts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rollouts.py
@@ -19,6 +19,7 @@
 from chalkyoke.gateway.settings import SchedulingSection
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.broadcast import relay_on
 from chalkyoke.node.parts import WriteStatus
 from chalkyoke.node.rolloutleads import RolloutLeads, order_of, stored_end
 from chalkyoke.quotas.owner import Presence
@@ -269,10 +270,7 @@
             self._leads.take(process, share, message)
             return
         self._hear(share, message)
-        if message.relay:
-            told = msgspec.structs.replace(message, relay=False)
-            for address in self._view.domain_addresses():
-                self._send(address, told)
+        relay_on(self._view, self._send, message)
 
     def _report(self, share: RolloutShare) -> None:
         if stored_end(self._state, share.order) is not None:
--- a/packages/chalkyoke/src/chalkyoke/node/suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/node/suspicions.py
@@ -14,6 +14,7 @@
 from chalkyoke.balancing.reports import ReportBook
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.broadcast import relay_on, tell_all
 
 # How often suspects are named again while there are some, in seconds: twice within the time for
 # which nodes go by them, in case a message was lost.
@@ -75,10 +76,7 @@
             self._take_report(message)
             return
         self._take_suspects(message)
-        if message.relay:
-            told = msgspec.structs.replace(message, relay=False)
-            for address in self._view.domain_addresses():
-                self._send(address, told)
+        relay_on(self._view, self._send, message)
 
     def _report(self, service: str) -> None:
         report = self._book.take(service)
@@ -105,13 +103,8 @@
         self._told[service] = _Told(suspects, now)
         message = SuspectReplicas(service, suspects)
         self._take_suspects(message)
-        direct, relays = self._view.audience()
-        for address in direct:
-            self._send(address, message)
-        for address in relays:
-            self._send(address, msgspec.structs.replace(message, relay=True))
+        told_to = tell_all(self._view, self._send, message)
         if not same:
-            told_to = len(direct) + len(relays)
             log.notice("suspects_named", service=service, replicas=suspects, told_to=told_to)
 
     def _take_suspects(self, message: SuspectReplicas) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
@@ -12,7 +12,7 @@
 
 from tests import virtual
 
-KEYS = Keys("op/config", ("servers/",), "nodes/")
+KEYS = Keys("op/config", ("servers/",), "nodes/", "held/")
 
 
 def record(host, domain="a"):
--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -26,7 +26,7 @@
 
 from tests import virtual
 
-KEYS = Keys(documents.CONFIGURATION_KEY, (documents.REPLICAS_PREFIX,), "nodes/")
+KEYS = Keys(documents.CONFIGURATION_KEY, (documents.REPLICAS_PREFIX,), "nodes/", "held/")
 # The smallest link of a host that the users run, and the delay between two failure domains.
 LINK_BYTES_PER_S = 5e6 / 8
 LINK_DELAY_S = 0.0005
