Sight: the line on the end of a send tells what the answer said of its replica

The hypotheses (nobody reads it; it is read and not told) could not be told apart by the logs: leaving and the time to wait are decoded in platform/ and stand in each line 'ended'. No decision reads them yet.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -321,6 +321,8 @@
             likely_output=admission.fields.likely_output_tokens,
             output=granted.events * admission.service.tokens_per_event,
             goal_s=admission.route.goal_s,
+            leaving=self._relay.fields.leaving if self._relay else None,
+            retry_after_s=self._relay.fields.retry_after_s if self._relay else None,
         )
         return follows
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -50,6 +50,8 @@
     :param stamped: whether it carries the replica's signature.
     :param not_run: whether the replica promises that it has not run the request.
     :param encoded: whether its body is encoded, which no caller asked for.
+    :param leaving: whether the replica says that it leaves: it serves on for a while, and ends.
+    :param retry_after_s: how long its sender is told to wait, in seconds; 0 where nothing is told.
     """
 
     request_id: str
@@ -57,6 +59,8 @@
     not_run: bool = False
     encoded: bool = False
     load: Load | None = None
+    leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 class Forwarding(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -18,6 +18,8 @@
 NOT_RUN = b"x-not-run"
 LOAD = b"x-server-load"
 LENGTH_HINT = b"x-length-hint"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 OF_THE_REQUEST = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SET_BY_THE_SYSTEM = frozenset(
@@ -77,6 +79,8 @@
             not_run=NOT_RUN in found,
             encoded=b"content-encoding" in found,
             load=_load(found.get(LOAD)),
+            leaving=found.get(LEAVING, b"").strip() == b"1",
+            retry_after_s=_retry_after_s(found.get(RETRY_AFTER, b"")),
         )
 
 
@@ -88,6 +92,14 @@
     return int(text) if text.isascii() and text.isdigit() else 0
 
 
+def _retry_after_s(value: bytes) -> float:
+    """Read seconds, fractions included; 0 for a date, a sign or anything else."""
+    whole, _, part = value.strip().partition(b".")
+    if not whole.isdigit() or not (part or b"0").isdigit():
+        return 0.0
+    return float(b"%b.%b" % (whole, part or b"0"))
+
+
 def _numbers(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     if first.strip().isdigit() and second.strip().isdigit():
