A pool's scheduler learns from declines: upstreams that turn requests away no longer draw them

Cause: a decline ended as 'unused', which taught the scheduler nothing; an upstream that refuses within a millisecond had a free slot again and was the best choice for the next request. Change: a release says whether the request was turned away and how long the upstream wants nothing of the entry process (fields at the end, older schedulers pass over them). A request is not granted what it has tried where there is another. What would wait for closed upstreams beyond its goal is answered at once with the time to come back. Ruled out: suspension as for failures (half of a pool at most, and 30 s long).

--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -6,7 +6,7 @@
 """
 
 from chalkyoke.scheduling.estimates import HintModel, OutputEstimate, OutputModel
-from chalkyoke.scheduling.messages import Acquire, ProgressItem, Usage
+from chalkyoke.scheduling.messages import Acquire, ProgressItem, Release, Usage
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.state import ReleaseOutcome, Running, TokenSample, Upstream
@@ -71,6 +71,7 @@
         self._learn_first(item, first_s, now)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
+            upstream.declines.serve(item.domain, item.granted, now)
             upstream.changed()
 
     def health(self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float) -> None:
@@ -92,6 +93,15 @@
                 excess = int(upstream.failures - FAILURES_TO_SUSPEND)
                 upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
 
+    def willingness(self, item: Running, upstream: Upstream, message: Release, now: float) -> None:
+        """Learn whether an upstream takes requests at all."""
+        if message.rest_s > 0:
+            upstream.declines.rest(item.entry, message.rest_s, now)
+        if message.declined:
+            upstream.declines.decline(item.domain, item.granted, now)
+        elif message.outcome == ReleaseOutcome.DELIVERED:
+            upstream.declines.serve(item.domain, item.granted, now)
+
     def _may_suspend(self, now: float) -> bool:
         """Tell whether one more upstream may be left out: a pool must not go empty by suspicion."""
         upstreams = self._pool.upstreams.values()
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -26,6 +26,7 @@
     :param whole_s: time left for the whole answer, beside a goal for the first output.
     :param fingerprint: the same for each attempt of one caller at one thing; 0 where not known.
     :param likely_output: the caller's own estimate of its output, in tokens; 0 where it gives none.
+    :param tried: upstreams that it was sent to already; others are better.
     """
 
     request: str
@@ -45,6 +46,7 @@
     gap_goal_s: float = 0.0
     whole_s: float = 0.0
     fingerprint: int = 0
+    tried: tuple[str, ...] = ()
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
@@ -107,6 +109,10 @@
     """Give a grant back.
 
     :param outcome: one of :class:`~chalkyoke.scheduling.state.ReleaseOutcome`.
+    :param declined: whether the upstream turned the request away and did not run it. Only the first
+        time that this happens to a request: later ones may be its own.
+    :param rest_s: how much longer the upstream wants nothing of the entry process; 0 where it did
+        not say so.
     """
 
     request: str
@@ -114,6 +120,8 @@
     pool: str
     outcome: str
     usage: Usage
+    declined: bool = False
+    rest_s: float = 0.0
 
 
 class FirstOutput(msgspec.Struct, frozen=True, array_like=True, tag="first_output"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -11,6 +11,7 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.declines import Closure, closure
 from chalkyoke.scheduling.forecast import SlotForecast, find_late, may_shed
 from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Action, Shed
@@ -30,6 +31,9 @@
 MAX_RETRY_S = 60.0
 # The same where a route has no upstream: one that starts takes seconds.
 NO_UPSTREAM_RETRY_S = 5.0
+# Over how long the callers are spread that come back when an upstream may take work again, in
+# seconds: a few goals, so that they are not the next burst.
+REOPENING_SPREAD_S = 0.5
 # Others that have to wait before a request is refused at arrival.
 LEAST_AHEAD = 1
 # The soonest that a caller refused at arrival comes back, in seconds, and in waits of the queue.
@@ -99,6 +103,9 @@
             return self._word(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if item.deadline <= now:
             return self._word(item, Reason.EXPIRED, None)
+        closed = closure((each.declines for each in eligible), item.entry, item.domain, now)
+        if closed is not None and _outlasts(closed, item, now):
+            return self._word(item, Reason.NO_UPSTREAM, self._after(closed, now))
         if self._features.shed and self._is_hopeless(item, now):
             return self._word(item, Reason.HOPELESS, None)
         if not self._features.early or not item.has_goal:
@@ -163,12 +170,34 @@
             if item.route in closed
         ]
 
+    def _closed(self, now: float) -> list[Out]:
+        """Refuse what waits for upstreams that are closed to its entry process for too long."""
+        outs: list[Out] = []
+        found: dict[tuple[str, str, str], Closure | None] = {}
+        for route in {route for (_, route), count in self._pool.counts.items() if count}:
+            declines = [each.declines for each in self._open(route)]
+            if any(each.is_clear for each in declines):
+                continue
+            for item in [each for each in self._pool.waiting.values() if each.route == route]:
+                key = (route, item.domain, item.entry)
+                if key not in found:
+                    found[key] = closure(declines, item.entry, item.domain, now)
+                closed = found[key]
+                if closed is not None and _outlasts(closed, item, now):
+                    retry = self._after(closed, now)
+                    outs.append(self.shed(item, Reason.NO_UPSTREAM, retry))
+        return outs
+
+    def _after(self, closed: Closure, now: float) -> float:
+        """Say when to come back: when an upstream may take work again, spread over a while."""
+        return round(closed.until - now + REOPENING_SPREAD_S * self._random(), 2)
+
     def expire(self, now: float) -> list[Out]:
-        """Refuse what has expired or become hopeless.
+        """Refuse what has expired, become hopeless or waits where nothing is taken.
 
         :rtype: list[Out]
         """
-        outs = self.no_upstream() if self._features.shed else []
+        outs = self.no_upstream() + self._closed(now) if self._features.shed else []
         for item in list(self._pool.waiting.values()):
             if item.deadline <= now:
                 outs.append(self.shed(item, Reason.EXPIRED, None))
@@ -275,3 +304,17 @@
         name = self._pool.spec.name
         shed = Shed(item.request, item.attempt, name, reason, retry_after_s)
         return Out(item.entry, shed, beside_free=self._pool.is_mostly_free())
+
+
+def _outlasts(closed: Closure, item: Waiting, now: float) -> bool:
+    """Tell whether to answer a request at once rather than hold it for closed upstreams.
+
+    What would start within its goal is held, and what would still be served where its caller can't
+    be told to stay away for so long.
+    """
+    if closed.refused:
+        return True
+    if closed.until <= item.due:
+        return False
+    comes_back = closed.until - now <= item.comes_back_s
+    return comes_back or closed.until + item.least_s > item.deadline
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -201,6 +201,7 @@
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
             self._learner.health(upstream, domain, outcome, now)
+            self._learner.willingness(item, upstream, message, now)
             self._learner.usage(item, upstream, outcome, message.usage, now)
         self._pool.end(item, now)
         return self._decide(now)
@@ -359,6 +360,7 @@
             whole=now + message.whole_s if message.whole_s else math.inf,
             fingerprint=message.fingerprint,
             hint=message.likely_output,
+            tried=message.tried,
             long=self._pool.work(0, output.median) > LONG_S,
             work=self._pool.work(message.prompt_tokens, output.median),
         )
@@ -428,12 +430,12 @@
 
     def _try(self, item: Waiting, decision: "_Decision") -> bool:
         now, openings = decision.now, decision.openings
-        if not openings.usable(item.route, item.domain):
+        if not openings.usable(item.route, item.domain, item.entry):
             return False
         if self.features.headroom and item.long and not self._leaves_room(item, openings):
             return False
         depths = self._pool.prefixes.matches(item.blocks)
-        compared = openings.compared(item.route, item.domain, depths)
+        compared = openings.compared(item.route, item.domain, depths, item.entry, item.tried)
         choice = choose(item, compared, depths, decision.held, now, self.features)
         if choice.upstream is None:
             if choice.held_for is not None:
@@ -449,7 +451,7 @@
 
     def _leaves_room(self, item: Waiting, openings: Openings) -> bool:
         """Tell whether enough slots stay free for higher tiers beside long work of this one."""
-        free = openings.free_slots(item.route, item.domain)
+        free = openings.free_slots(item.route, item.domain, item.entry)
         return free > self._headroom.kept_free(item.rank)
 
     def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
@@ -502,9 +504,11 @@
             gap_goal=item.gap_goal,
             tier_index=self._pool.tier_index(item.rank),
             hint=item.hint,
+            domain=item.domain,
         )
         self._pool.delay_others(upstream, left)
         self._pool.start(running, upstream, now)
+        upstream.declines.probe(item.domain, now)
         self.counters.granted += 1
         self._headroom.note_grant(item.rank, now)
         return Out(item.entry, self._grant_message(running))
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from chalkyoke.scheduling.state import Upstream
 
@@ -20,6 +20,10 @@
 CACHED_COMPARED = 8
 
 
+# Route, failure domain, and the entry process where some upstream wants nothing of it.
+_Sender = tuple[str, str, str]
+
+
 class Openings:
     """What the upstreams have free at one moment, worked out once for all requests looked at then.
 
@@ -32,45 +36,72 @@
     def __init__(self, eligible: dict[str, list[Upstream]], now: float) -> None:
         self._eligible = eligible
         self._now = now
-        self._usable: dict[tuple[str, str], list[Upstream]] = {}
-        self._best: dict[tuple[str, str], list[Upstream]] = {}
-        self._free: dict[tuple[str, str], int] = {}
+        self._usable: dict[_Sender, list[Upstream]] = {}
+        self._best: dict[_Sender, list[Upstream]] = {}
+        self._free: dict[_Sender, int] = {}
+        self._resting: dict[str, frozenset[str]] = {}
 
-    def usable(self, route: str, domain: str) -> list[Upstream]:
-        """List the upstreams of a route that an entry process of a failure domain may be sent to.
+    def usable(self, route: str, domain: str, entry: str = "") -> list[Upstream]:
+        """List the upstreams of a route that an entry process may be sent to.
 
+        :param domain: failure domain of the entry process.
+        :param entry: the entry process; empty for one that no upstream asked for rest.
         :rtype: list[Upstream]
         """
-        key = (route, domain)
+        key = self._sender(route, domain, entry)
         if key not in self._usable:
             self._usable[key] = [
-                each for each in self._eligible[route] if each.usable(domain, self._now)
+                each
+                for each in self._eligible[route]
+                if each.usable(domain, self._now) and each.declines.rests_until(entry) <= self._now
             ]
         return self._usable[key]
 
-    def free_slots(self, route: str, domain: str) -> int:
+    def free_slots(self, route: str, domain: str, entry: str = "") -> int:
         """Count the free slots of the upstreams that are usable.
 
         :rtype: int
         """
-        key = (route, domain)
+        key = self._sender(route, domain, entry)
         if key not in self._free:
             self._free[key] = sum(
                 max(0, each.spec.slots - each.occupied(self._now))
-                for each in self.usable(route, domain)
+                for each in self.usable(route, domain, entry)
             )
         return self._free[key]
 
-    def compared(self, route: str, domain: str, depths: dict[str, int]) -> list[Upstream]:
+    def compared(
+        self,
+        route: str,
+        domain: str,
+        depths: dict[str, int],
+        entry: str = "",
+        tried: Collection[str] = (),
+    ) -> list[Upstream]:
         """List the upstreams that are compared for one request.
 
         :param depths: cached leading blocks of its prompt, by upstream.
+        :param tried: upstreams that it was sent to already; they are compared where all were.
         :rtype: list[Upstream]
         """
-        usable = self.usable(route, domain)
+        found = self._shortest(self._sender(route, domain, entry), depths)
+        if not tried:
+            return found
+        return [each for each in found if each.spec.id not in tried] or found
+
+    def _sender(self, route: str, domain: str, entry: str) -> "_Sender":
+        """Tell apart only those entry processes that some upstream wants nothing of."""
+        if not entry:
+            return route, domain, ""
+        if route not in self._resting:
+            resting = (each.declines.resting for each in self._eligible[route])
+            self._resting[route] = frozenset().union(*resting)
+        return route, domain, entry if entry in self._resting[route] else ""
+
+    def _shortest(self, key: "_Sender", depths: dict[str, int]) -> list[Upstream]:
+        usable = self.usable(*key)
         if len(usable) <= MOST_COMPARED:
             return usable
-        key = (route, domain)
         if key not in self._best:
             self._best[key] = self._likely(usable)
         keeping = [each for each in usable if each.spec.id in depths] if depths else []
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chalkyoke.scheduling.declines import Declines
 from chalkyoke.scheduling.estimates import DEFAULT_CAUTION, OutputEstimate, SpeedModel
 
 # A request of a usual size, in tokens: the mean prompt and answer of the callers' sheets. Only the
@@ -120,6 +121,7 @@
     :param whole: when the whole answer is due, on the scheduler's own clock.
     :param fingerprint: the same for each attempt of one caller at one thing; 0 where not known.
     :param hint: its caller's own estimate of its output, in tokens; 0 where it gave none.
+    :param tried: upstreams that it was sent to already.
     :param returning: whether it comes back after a refusal that told it when.
     :param long: whether it holds a slot for long beside what higher tiers wait for.
     """
@@ -148,6 +150,7 @@
     fingerprint: int = 0
     returning: bool = False
     hint: int = 0
+    tried: tuple[str, ...] = ()
 
     @property
     def has_goal(self) -> bool:
@@ -169,6 +172,7 @@
 
     :param prefill_left: prompt tokens to be read when it was granted.
     :param tier_index: how many tiers of the pool are higher than its own.
+    :param domain: failure domain of its entry process; empty where that is not known.
     :ivar held_up: whether a prompt beside it has made a pause already that it can't bear.
     :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
     """
@@ -196,6 +200,7 @@
     tier_index: int = 0
     held_up: bool = False
     hint: int = 0
+    domain: str = ""
 
 
 class Upstream(msgspec.Struct, eq=False):
@@ -217,6 +222,7 @@
     unreachable: int = 0
     suspended_until: float = 0.0
     unreachable_from: dict[str, float] = msgspec.field(default_factory=dict)
+    declines: Declines = msgspec.field(default_factory=Declines)
     own_load: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     stall_s: float = 0.0
     stall_share: float = 0.0
@@ -247,12 +253,14 @@
         return self.occupied(now) < self.spec.slots
 
     def usable(self, domain: str, now: float) -> bool:
-        """Tell whether an entry process of a failure domain may be sent here.
+        """Tell whether an entry process of a failure domain may be sent here, rests aside.
 
         :rtype: bool
         """
         if self.leaving or now < self.suspended_until:
             return False
+        if now < self.declines.opens(domain, now):
+            return False
         return now >= self.unreachable_from.get(domain, 0.0)
 
     def note_own_load(self, now: float) -> None:
