Completions API: an upstream's time of rest is told to its scheduler, with one reader of Retry-After

The same cause elsewhere: the completions API read the time and told it to the caller only. The two readers of Retry-After, of which one took nan, inf and negative numbers, are one (rests.py), which reads digits only.

--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from chalkyoke.rests import bounded
+
 # How fast what others are said to have at a replica is forgotten, in seconds: it changes with each
 # answer.
 LOAD_MEMORY_S = 1.0
@@ -18,9 +20,6 @@
 # How long a replica that could not be connected to is put last, in seconds: at first, and at most.
 UNREACHABLE_S = 0.5
 MAX_UNREACHABLE_S = 4.0
-# The longest time for which a replica is left alone at its own word, in seconds: its header may be
-# wrong, and a request that it turns away again costs one try.
-MOST_REST_S = 600.0
 
 
 class Seen(msgspec.Struct):
@@ -85,7 +84,7 @@
 
         :return: for how long it gets nothing, in seconds.
         """
-        self.resting_until = max(self.resting_until, now + min(MOST_REST_S, seconds))
+        self.resting_until = max(self.resting_until, now + bounded(seconds))
         return self.rest_left_s(now)
 
     def rest_left_s(self, now: float) -> float:
--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_rests.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_rests.py
@@ -1,5 +1,5 @@
 from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.balancing.state import MOST_REST_S
+from chalkyoke.rests import MOST_REST_S
 
 from .test_local import replicas as some_replicas
 
--- a/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -100,8 +100,17 @@
         pool = self._configuration.pool(run.request.service, run.id)
         self._schedulers.send(self._owner(pool), Withdraw(run.id, pool))
 
-    def release(self, run: Run, outcome: ReleaseOutcome, seen: StreamUsage | None = None) -> None:
-        """Give a run's grant back, with what the upstream did for it."""
+    def release(
+        self,
+        run: Run,
+        outcome: ReleaseOutcome,
+        seen: StreamUsage | None = None,
+        rest_s: float = 0.0,
+    ) -> None:
+        """Give a run's grant back, with what the upstream did for it.
+
+        :param rest_s: for how long the upstream wants nothing of this process, in seconds.
+        """
         grant = run.grant
         if grant is None:
             return
@@ -116,7 +125,7 @@
             first_s=run.first_s,
             total_s=total,
         )
-        message = Release(run.id, grant.attempt, grant.pool, outcome, usage)
+        message = Release(run.id, grant.attempt, grant.pool, outcome, usage, rest_s=rest_s)
         self._schedulers.send(self._owner(grant.pool), message)
 
     # What schedulers say.
--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -189,7 +189,7 @@
             refusal = Refusal(
                 Verdict.FAILED, Reason.UPSTREAM_REFUSED, text, outcome.retry_after_s or COME_BACK_S
             )
-            self._ends.fail_with(run, refusal)
+            self._ends.fail_with(run, refusal, rest_s=outcome.rest_s)
             return
         detail = outcome.detail if isinstance(outcome, NoAnswer | NotConnected) else ""
         self._ends.fail(run, Reason.NO_ANSWER, f"it was sent and no answer came: {detail}")
--- a/packages/chalkyoke/src/chalkyoke/entry/ends.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/ends.py
@@ -66,14 +66,17 @@
         """End a run that was sent and brought no whole answer."""
         self.fail_with(run, run.failure(reason, detail, COME_BACK_S))
 
-    def fail_with(self, run: Run, refusal: Refusal) -> None:
-        """End a run that was sent, with a refusal that is already worded."""
+    def fail_with(self, run: Run, refusal: Refusal, rest_s: float = 0.0) -> None:
+        """End a run that was sent, with a refusal that is already worded.
+
+        :param rest_s: for how long its upstream wants nothing of this process, in seconds.
+        """
         run.fail(refusal, self._now())
         self._events.add(EventKind.FAILED, run.id, reason=refusal.reason)
         self._metrics.count("failed", reason=refusal.reason, tier=run.request.tier)
         cancelled = refusal.reason in CANCELLED
         outcome = ReleaseOutcome.CANCELLED if cancelled else ReleaseOutcome.FAILED
-        self._acquirer.release(run, outcome)
+        self._acquirer.release(run, outcome, rest_s=rest_s)
         self._runs.keep(run)
 
     def refuse(self, run: Run, refusal: Refusal) -> None:
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -6,6 +6,7 @@
 
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
 from chalkyoke.http1.messages import Headers, end_to_end
+from chalkyoke.rests import read_seconds
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -80,7 +81,7 @@
             encoded=b"content-encoding" in found,
             load=_load(found.get(LOAD)),
             leaving=found.get(LEAVING, b"").strip() == b"1",
-            retry_after_s=_retry_after_s(found.get(RETRY_AFTER, b"")),
+            retry_after_s=read_seconds(found.get(RETRY_AFTER, b"").decode("latin-1")),
         )
 
 
@@ -92,14 +93,6 @@
     return int(text) if text.isascii() and text.isdigit() else 0
 
 
-def _retry_after_s(value: bytes) -> float:
-    """Read seconds, fractions included; 0 for a date, a sign or anything else."""
-    whole, _, part = value.strip().partition(b".")
-    if not whole.isdigit() or not (part or b"0").isdigit():
-        return 0.0
-    return float(b"%b.%b" % (whole, part or b"0"))
-
-
 def _numbers(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     if first.strip().isdigit() and second.strip().isdigit():
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from chalkyoke.exceptions import ChalkyokeError
+from chalkyoke.rests import read_seconds
 from chalkyoke.scheduling.messages import CacheEvent, LoadReport
 from chalkyoke.upstreams.messages import (
     CallOutcome,
@@ -167,14 +168,9 @@
         except (aiohttp.ClientError, OSError):
             text = ""
         response.release()
-        return Declined(response.status, text.strip(), _seconds(response))
-
-
-def _seconds(response: aiohttp.ClientResponse) -> float | None:
-    try:
-        return float(response.headers["Retry-After"])
-    except (KeyError, ValueError):
-        return None
+        return Declined(
+            response.status, text.strip(), read_seconds(response.headers.get("Retry-After", ""))
+        )
 
 
 def _word(error: BaseException) -> str:
--- a/packages/chalkyoke/src/chalkyoke/upstreams/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/messages.py
@@ -8,6 +8,11 @@
 
 import aiohttp
 
+from chalkyoke.rests import bounded
+
+# Service unavailable (RFC 9110): with a time, the upstream wants nothing of its caller for so long.
+UNAVAILABLE = 503
+
 
 @dataclass(frozen=True, slots=True)
 class Opened:
@@ -39,12 +44,17 @@
 class Declined:
     """The upstream itself answered that it does not do it.
 
-    :param retry_after_s: what the upstream said, in seconds.
+    :param retry_after_s: what the upstream said, in seconds; 0 where it said nothing.
     """
 
     status: int
     detail: str
-    retry_after_s: float | None
+    retry_after_s: float = 0.0
+
+    @property
+    def rest_s(self) -> float:
+        """For how long the upstream wants nothing of this process, in seconds."""
+        return bounded(self.retry_after_s) if self.status == UNAVAILABLE else 0.0
 
 
 CallOutcome = Opened | NotConnected | NotPermitted | NoAnswer | Declined
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from chalkyoke.upstreams.messages import NoAnswer, NotConnected, NotPermitted, Opened
+from chalkyoke.upstreams.messages import Declined, NoAnswer, NotConnected, NotPermitted, Opened
 
 CONNECT_S = 0.002
 GRACE_S = 2.0
@@ -30,6 +30,8 @@
     leaving: bool = False
     draining: bool = False
     leaving_since: float = 0.0
+    rest_s: float = 0.0
+    turned_away: list = field(default_factory=list)
     seen: Counter = field(default_factory=Counter)
     started: list = field(default_factory=list)
     running: set = field(default_factory=set)
@@ -137,6 +139,9 @@
         if not gate():
             return NotPermitted()
         request = headers["X-Request-Id"]
+        if upstream.rest_s:
+            upstream.turned_away.append((self.node.process, self.world.now()))
+            return Declined(503, "wants rest", upstream.rest_s)
         upstream.seen[request] += 1
         upstream.started.append((self.world.now(), request))
         upstream.running.add(request)
