Versions side by side: a peer is sent only the kinds of messages that it understands, unknown kinds are skipped

Ways weighed: a version number in the handshake and the member record (a hand-kept table, and a field that old monitors drop when they pass records on), and the set of kinds told once when a link is opened (some 500 bytes a link, made from the code); the second is built. A listener tells its kinds with its welcome; what it does not know is withheld, counted and told to the log once for each kind and peer. A node of a version that does not tell is sent what the older landed version understands, and the later kinds once it has sent one of them. A kind that is not known here is skipped and confirmed; a damaged frame still ends the link.

--- a/packages/chalkyoke/src/chalkyoke/exceptions.py
+++ b/packages/chalkyoke/src/chalkyoke/exceptions.py
@@ -40,3 +40,11 @@
 
 class ProtocolError(ChalkyokeError):
     """A peer or an upstream sent bytes that do not follow its protocol."""
+
+
+class UnknownKind(ProtocolError):
+    """A whole frame of a kind that this version does not know; the link goes on."""
+
+    def __init__(self, kind: str) -> None:
+        super().__init__(f"unreadable frame: of unknown kind {kind!r}")
+        self.kind = kind
--- a/packages/chalkyoke/src/chalkyoke/links/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/links/codec.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from chalkyoke.clock import Stamp
-from chalkyoke.exceptions import ProtocolError
+from chalkyoke.exceptions import ProtocolError, UnknownKind
 
 # A longer frame, in bytes, is none of ours: five times the largest document that peers tell.
 MAX_FRAME_BYTES = 20_000_000
@@ -26,6 +26,11 @@
     def __init__(self, types: tuple[type[msgspec.Struct], ...]) -> None:
         self._types = {str(each.__struct_config__.tag): each for each in types}
 
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """The kinds of messages that are understood here."""
+        return tuple(self._types)
+
     def encode(self, stamp: Stamp, message: msgspec.Struct) -> bytes:
         """Write one frame.
 
@@ -38,10 +43,13 @@
     def decode(self, frame: list[Any]) -> tuple[Stamp, msgspec.Struct]:
         """Read one frame.
 
-        :raises ProtocolError: when it is no known message.
+        :raises UnknownKind: when it is a frame of a kind that a later version may have added.
+        :raises ProtocolError: when it is no message.
         """
         try:
             wall_ms, logical, tag = frame[0], frame[1], frame[2]
+            if isinstance(tag, str) and tag not in self._types:
+                raise UnknownKind(tag)
             kind = self._types[tag]
             message = msgspec.convert(frame[2:], kind, builtin_types=(bytes,))
         except (IndexError, KeyError, TypeError, msgspec.ValidationError) as error:
--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from chalkyoke.clock import Stamp
-from chalkyoke.exceptions import LinkError, ProtocolError
+from chalkyoke.exceptions import LinkError, ProtocolError, UnknownKind
 from chalkyoke.links.codec import FrameCodec, FrameReader
 from chalkyoke.links.handshake import (
     NONCE_BYTES,
@@ -23,7 +23,7 @@
     welcome_is_valid,
 )
 from chalkyoke.links.intake import Intake
-from chalkyoke.links.messages import Challenge, Hello, Welcome
+from chalkyoke.links.messages import Challenge, Hello, Skipped, Welcome
 
 # How long proving who one is may take, in seconds: some round trips between regions.
 HANDSHAKE_S = 2.0
@@ -64,6 +64,8 @@
 
     :param dropped: messages that waited for a peer and were given up.
     :param silent: links that were made anew since nothing sent on them was confirmed.
+    :param withheld: messages that were not sent, since the peer's version does not know their kind.
+    :param skipped: messages that came in and are of a kind that is not known here.
     """
 
     sent_bytes: int = 0
@@ -72,6 +74,8 @@
     received: int = 0
     dropped: int = 0
     silent: int = 0
+    withheld: int = 0
+    skipped: int = 0
 
 
 class Connection:
@@ -79,6 +83,7 @@
 
     :param peer: id of the process on the other side, once the handshake is done.
     :param peer_address: ``ip:port`` of that process's listener.
+    :ivar peer_kinds: the kinds of messages that the listener that was called says it understands.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         self.peer = ""
         self.peer_address = ""
         self.peer_domain = ""
+        self.peer_kinds: frozenset[str] = frozenset()
         self._reader = reader
         self._writer = writer
         self._codec = codec
@@ -197,7 +203,11 @@
     def _decode(self, data: bytes) -> None:
         self._counters.received_bytes += len(data)
         for frame in self._frames.feed(data):
-            stamp, message = self._codec.decode(frame)
+            try:
+                stamp, message = self._codec.decode(frame)
+            except UnknownKind as error:
+                self._ready.append(Skipped(error.kind))
+                continue
             self._clock.observe(stamp)
             self._ready.append(message)
 
@@ -222,6 +232,7 @@
         if not isinstance(welcome, Welcome) or not welcome_is_valid(me.key, nonce, welcome):
             raise LinkError("the listener does not hold the fleet's key")
         self.peer = welcome.process
+        self.peer_kinds = frozenset(welcome.kinds)
 
     async def accept(self, me: Identity) -> None:
         """Check the calling side, and prove who this is.
@@ -239,7 +250,7 @@
             raise LinkError("the caller does not hold the fleet's key")
         self.peer, self.peer_address = hello.process, hello.address
         self.peer_domain = hello.failure_domain
-        self.send(make_welcome(me.key, hello, me.process))
+        self.send(make_welcome(me.key, hello, me.process, self._codec.kinds))
 
     async def close(self) -> None:
         """Close the stream."""
--- a/packages/chalkyoke/src/chalkyoke/links/handshake.py
+++ b/packages/chalkyoke/src/chalkyoke/links/handshake.py
@@ -45,12 +45,13 @@
     return hmac.compare_digest(hello.mac, wanted)
 
 
-def make_welcome(key: bytes, hello: Hello, process: str) -> Welcome:
+def make_welcome(key: bytes, hello: Hello, process: str, kinds: tuple[str, ...]) -> Welcome:
     """Answer a caller whose proof was good.
 
+    :param kinds: the kinds of messages that are understood here.
     :rtype: Welcome
     """
-    return Welcome(process, _mac(key, b"listener", hello.nonce, process.encode()))
+    return Welcome(process, _mac(key, b"listener", hello.nonce, process.encode()), kinds)
 
 
 def welcome_is_valid(key: bytes, nonce: bytes, welcome: Welcome) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/links/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/links/messages.py
@@ -29,10 +29,20 @@
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="welcome"):
-    """The listener's proof."""
+    """The listener's proof.
+
+    :param kinds: the kinds of messages that it understands; empty where its version does not tell.
+    """
 
     process: str
     mac: bytes
+    kinds: tuple[str, ...] = ()
+
+
+class Skipped(msgspec.Struct, frozen=True):
+    """Stands for a message of a kind that is not known here; it never goes over a link."""
+
+    kind: str
 
 
 class Received(msgspec.Struct, frozen=True, array_like=True, tag="received"):
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -15,7 +15,8 @@
 from chalkyoke.links.codec import FrameCodec
 from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
 from chalkyoke.links.keepalive import KEEP_S, Receipts, Unconfirmed
-from chalkyoke.links.messages import Challenge, Hello, Received, Welcome
+from chalkyoke.links.kinds import PeerKinds
+from chalkyoke.links.messages import Challenge, Hello, Received, Skipped, Welcome
 from chalkyoke.logs import logger
 from chalkyoke.sockets import set_user_timeout
 
@@ -28,6 +29,8 @@
 MAX_BACKOFF_S = 0.5
 # Failures in a row after which an address is forgotten, in number: it is retried as a new one.
 MOST_FAILURES = 20
+# Pairs of a peer and a kind of message that are remembered as told in the log, in number.
+MOST_UNKNOWN = 1000
 # How long the system waits for a peer's acknowledgement, in milliseconds: below the heartbeats
 # whose absence means that a peer is lost.
 USER_TIMEOUT_MS = 1000
@@ -59,6 +62,7 @@
     :param handler: called with each message that comes in; what it returns is awaited, and then
         the stream is at its end.
     :param listen: the address to listen on, where that is not the one that others are told.
+    :param kinds: what peers understand whose version does not tell; nothing means all there is.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         clock: Clock,
         handler: Handler,
         listen: str = "",
+        kinds: PeerKinds | None = None,
     ) -> None:
         self.me = me
         self._listen = listen or me.address
@@ -75,6 +80,8 @@
         self._codec = FrameCodec((*types, Challenge, Hello, Received, Welcome))
         self._clock = clock
         self._handler = handler
+        self._kinds = kinds or PeerKinds()
+        self._unknown: set[tuple[str, str]] = set()
         self._outgoing: dict[str, _Outgoing] = {}
         self._incoming: dict[Connection, Receipts] = {}
         self._next_confirm = 0.0
@@ -159,13 +166,28 @@
 
     def _send_on(self, address: str, outgoing: _Outgoing, message: msgspec.Struct) -> None:
         connection = outgoing.connection
-        if connection is not None and connection.send(message):
+        kind = str(message.__struct_config__.tag)
+        if connection is not None and not self._kinds.understands(
+            connection.peer, connection.peer_kinds, kind
+        ):
+            self.counters.withheld += 1
+            self._note_unknown(connection.peer, kind, "withheld")
+        elif connection is not None and connection.send(message):
             outgoing.is_full = False
             outgoing.unconfirmed.note_sent(asyncio.get_running_loop().time())
         elif connection is not None and not outgoing.is_full:
             outgoing.is_full = True
             log.notice("link_full", peer=address, unsent_bytes=connection.unsent_bytes)
 
+    def _note_unknown(self, peer: str, kind: str, how: str) -> None:
+        """Tell the log once that two versions differ in a kind of message."""
+        if (peer, kind) in self._unknown:
+            return
+        if len(self._unknown) >= MOST_UNKNOWN:
+            self._unknown.clear()
+        self._unknown.add((peer, kind))
+        log.notice("kind_unknown", peer=peer, kind=kind, how=how)
+
     async def open(self, address: str) -> Connection:
         """Open a stream of its own, for a transfer that must not delay other messages.
 
@@ -245,6 +267,11 @@
 
             def take(message: msgspec.Struct) -> Awaitable[None] | None:
                 receipts.note_taken(loop.time())
+                if isinstance(message, Skipped):
+                    self.counters.skipped += 1
+                    self._note_unknown(connection.peer, message.kind, "skipped")
+                    return None
+                self._kinds.note_sent(connection.peer, str(message.__struct_config__.tag))
                 return self._handler(connection, message)
 
             answered = await connection.deliver(take)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -34,6 +34,7 @@
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
+from chalkyoke.links.kinds import PeerKinds
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
@@ -54,7 +55,13 @@
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
-from chalkyoke.node.routing import LINK_MESSAGES, MessageRouter, RoutedParts
+from chalkyoke.node.routing import (
+    KINDS_OF_OLD_NODES,
+    KINDS_WITH_QUARANTINE,
+    LINK_MESSAGES,
+    MessageRouter,
+    RoutedParts,
+)
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.node.suspicions import Suspicions
@@ -155,7 +162,14 @@
             settings.key,
         )
         listen = settings.listen.links
-        self.links = Links(me, LINK_MESSAGES, self.events, self._receive, listen)
+        self.links = Links(
+            me,
+            LINK_MESSAGES,
+            self.events,
+            self._receive,
+            listen,
+            PeerKinds(KINDS_OF_OLD_NODES, KINDS_WITH_QUARANTINE),
+        )
         add_link_gauges(self.metrics, self.links)
 
     def _make_catalog(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/linkgauges.py
+++ b/packages/chalkyoke/src/chalkyoke/node/linkgauges.py
@@ -15,4 +15,6 @@
     metrics.gauge("link_received_bytes", lambda: counters.received_bytes)
     metrics.gauge("link_unsent_bytes", links.unsent_bytes)
     metrics.gauge("link_messages_dropped", lambda: counters.dropped)
+    metrics.gauge("link_messages_withheld", lambda: counters.withheld)
+    metrics.gauge("link_messages_skipped", lambda: counters.skipped)
     metrics.gauge("link_went_silent", lambda: counters.silent)
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -88,6 +88,48 @@
     AdoptRequest,
 )
 
+# What nodes understand whose version does not tell its kinds when a link is opened. Any other kind
+# tears the link on which it comes to such a node.
+KINDS_OF_OLD_NODES = frozenset(
+    (
+        "acquire",
+        "adopt",
+        "adopt_request",
+        "beat",
+        "catalog",
+        "catalog_changed",
+        "catalog_request",
+        "first_output",
+        "grant",
+        "heartbeat",
+        "learned",
+        "progress",
+        "queued",
+        "quota_grant",
+        "quota_request",
+        "quota_returned",
+        "quota_spent",
+        "quota_survey",
+        "quota_windows",
+        "release",
+        "replica_report",
+        "replicas",
+        "replicas_changed",
+        "rollout_report",
+        "rollout_told",
+        "roster",
+        "shed",
+        "summary",
+        "summary_request",
+        "suspects",
+        "withdraw",
+    )
+)
+
+# Of the nodes that do not tell, the later ones understand these too; they tell them to all at the
+# first end of a replica under their runs.
+KINDS_WITH_QUARANTINE = frozenset(str(each.__struct_config__.tag) for each in QUARANTINE_MESSAGES)
+
 
 class RoutedParts(msgspec.Struct, frozen=True):
     """The parts of a node that take messages."""
--- /dev/null
+++ b/scripts/record_version.py
@@ -0,0 +1,114 @@
+"""
+Record what a version of chalkyoke says on its links and writes to the store, as data for the tests.
+
+    git worktree add out/old COMMIT
+    python scripts/record_version.py out/old > tests/versions/COMMIT.json
+
+It imports the version's own code from the checkout that is named, makes a message of each kind with
+values for all fields, and writes it as that version does.
+"""
+
+import enum
+import json
+import sys
+import types
+import typing
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+CHECKOUT = Path(sys.argv[1]).resolve() if __name__ == "__main__" else None
+if CHECKOUT is not None:
+    sys.path.insert(0, str(CHECKOUT / "packages/chalkyoke/src"))
+
+import msgspec  # noqa: E402
+from chalkyoke import node  # noqa: E402
+from chalkyoke.clock import Stamp  # noqa: E402
+from chalkyoke.links.codec import FrameCodec  # noqa: E402
+from chalkyoke.links.messages import Challenge, Hello, Received, Welcome  # noqa: E402
+from chalkyoke.node.registration import Listed  # noqa: E402
+from chalkyoke.node.routing import LINK_MESSAGES  # noqa: E402
+from chalkyoke.platform.documents import write_status  # noqa: E402
+from chalkyoke.rollouts.resources import RolloutOrder, RolloutState  # noqa: E402
+
+STAMP = Stamp(1_760_000_000_000, 3)
+
+
+def sample(kind: Any, number: int) -> Any:
+    """Make a value of a type, another one for another number."""
+    origin, parts = typing.get_origin(kind), typing.get_args(kind)
+    if origin in (typing.Union, types.UnionType):
+        return sample(parts[0], number)
+    if origin is tuple:
+        inner = parts[:1] * 2 if parts[-1] is Ellipsis else parts
+        return tuple(sample(each, number + place) for place, each in enumerate(inner))
+    if origin is typing.Annotated:
+        return sample(parts[0], number)
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return build(kind, number)
+    if isinstance(kind, type) and issubclass(kind, tuple):
+        return kind(*(sample(each, number + place) for place, each in enumerate(_parts(kind))))
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return list(kind)[number % len(list(kind))]
+    simple = {str: f"t{number}", bytes: bytes([number % 250]) * 3, float: number + 0.5}
+    return {**simple, int: number, bool: number % 2 == 0}[kind]
+
+
+def _parts(kind: Any) -> Iterable[Any]:
+    """List the types of a named tuple's fields."""
+    return typing.get_type_hints(kind, include_extras=True).values()
+
+
+def build(kind: Any, number: int) -> Any:
+    """Make a message with a value in each field."""
+    hints = typing.get_type_hints(kind, include_extras=True)
+    names = [field.name for field in msgspec.structs.fields(kind)]
+    return kind(*(sample(hints[name], number + place) for place, name in enumerate(names)))
+
+
+def schema(kind: Any) -> list[Any]:
+    """Name the fields of a message with their types and whether they may be left out."""
+    hints = typing.get_type_hints(kind, include_extras=True)
+    told = []
+    for field in msgspec.structs.fields(kind):
+        required = field.default is msgspec.NODEFAULT
+        required = required and field.default_factory is msgspec.NODEFAULT
+        told.append([field.name, word(hints[field.name]), required])
+    return told
+
+
+def word(kind: Any) -> Any:
+    """Word a type, a nested message by its fields, so that nothing hangs on module names."""
+    origin, parts = typing.get_origin(kind), typing.get_args(kind)
+    if parts:
+        return [str(getattr(origin, "__name__", origin)), *(word(each) for each in parts)]
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return schema(kind)
+    if isinstance(kind, type) and issubclass(kind, tuple):
+        return ["tuple", *(word(each) for each in _parts(kind))]
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return ["enum", *sorted(str(each.value) for each in kind)]
+    return getattr(kind, "__name__", str(kind))
+
+
+def main() -> None:
+    """Write the record to standard output."""
+    assert CHECKOUT is not None
+    assert Path(str(node.__file__)).is_relative_to(CHECKOUT), node.__file__
+    kinds: tuple[type[msgspec.Struct], ...] = (*LINK_MESSAGES, Challenge, Hello, Received, Welcome)
+    codec = FrameCodec(kinds)
+    messages = {}
+    for number, kind in enumerate(kinds):
+        frame = codec.encode(STAMP, build(kind, number + 1))
+        messages[str(kind.__struct_config__.tag)] = {"frame": frame.hex(), "schema": schema(kind)}
+    order = RolloutOrder("model", "2", 2, 30.0, 7)
+    key, status = write_status(order, RolloutState.RUNNING)
+    records = {
+        "registration": msgspec.msgpack.encode(Listed("10.0.0.1:80", "a", 2.0)).hex(),
+        "status": [key, status.hex()],
+    }
+    json.dump({"messages": messages, "records": records}, sys.stdout, indent=0, sort_keys=True)
+
+
+if __name__ == "__main__":
+    main()
