The soak plays two builds side by side, replicas at rest and replicas that say they leave; nodes tell their version

New faults from a source of their own, so that the plans of earlier seeds stay: a replica that turns all away with a rest of 3 s, one that says only in its answers that it leaves; a checker with a planted fault for each. Start line, metrics and chalkyokectl versions name a node's version (0.2.0). A scheduler's view that an upstream refuses all is a log line. A request whose scheduler has granted three times what can't be used is placed by its own node: a scheduler of an older version never hears of rests.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -17,7 +17,7 @@
 from chalkyoke.tokens.codec import request_of
 from result import Err
 
-from chalkyokectl import heldstory, rolloutstory, story
+from chalkyokectl import heldstory, rolloutstory, story, versionstory
 from chalkyokectl.client import AdministrationClient, Answer
 from chalkyokectl.output import Form, at, facts, picture, show
 
@@ -342,6 +342,19 @@
         raise typer.Exit(EXIT_REFUSED)
 
 
+@app.command()
+def versions(
+    logs: Annotated[list[Path], typer.Argument(help="Collected log files of nodes.")],
+) -> None:
+    """List the version that each node runs, from the logs of several nodes."""
+    found = versionstory.versions(story.read(_log_texts(logs)))
+    for text in versionstory.show(found):
+        typer.echo(text)
+    if not found:
+        typer.echo("no line speaks of a start", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+
+
 def _log_texts(logs: list[Path]) -> list[str]:
     texts: list[str] = []
     for path in logs:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
@@ -27,10 +27,13 @@
     return ask
 
 
-def spawn(command: list[str], log: Path) -> "subprocess.Popen[bytes]":
+def spawn(
+    command: list[str], log: Path, variables: dict[str, str] | None = None
+) -> "subprocess.Popen[bytes]":
     """Start a process in a session of its own; call from the main thread.
 
     :param log: file to which its output is added.
+    :param variables: of its environment, beside those of this process.
     """
     with log.open("ab") as output:
         return subprocess.Popen(
@@ -38,5 +41,6 @@
             stdout=output,
             stderr=output,
             start_new_session=True,
+            env={**os.environ, **(variables or {})},
             preexec_fn=_ends_with(os.getpid()),
         )
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -107,6 +107,7 @@
 
     :param advertised: where others reach its links; empty is ``links`` itself.
     :param store: where it reaches the store; empty is the store itself.
+    :param source: folder of the packages that it runs; nothing where that is this build.
     """
 
     name: str
@@ -118,6 +119,7 @@
     settings: Path
     advertised: str = ""
     store: str = ""
+    source: Path | None = None
     popen: "subprocess.Popen[bytes] | None" = None
 
     @property
@@ -238,7 +240,8 @@
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
-        node.popen = spawn(command, self.folder / f"{name}.log")
+        other = {} if node.source is None else {"PYTHONPATH": str(node.source)}
+        node.popen = spawn(command, self.folder / f"{name}.log", other)
 
     # Asking.
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -61,6 +61,7 @@
 
     :ivar left: whether its connection was closed while it ran.
     :ivar at: when it arrived, on the replica's clock.
+    :ivar rest_s: for how long the replica asked for rest when it turned it away, in seconds.
     """
 
     method: str
@@ -69,6 +70,7 @@
     body: bytes
     left: bool = False
     at: float = 0.0
+    rest_s: float = 0.0
 
 
 @dataclass
@@ -230,6 +232,7 @@
             return
         self.faults.shed -= 1
         self.turned_away.append(request)
+        request.rest_s = self.faults.rest_s
         if self.faults.rest_s:
             head["Retry-After"] = f"{self.faults.rest_s:g}"
         _write(writer, 503, head, b"")
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from chalkyoke_fakes.soak.observations import Asked, Drained, Observations
+from chalkyoke_fakes.soak.observations import Asked, Drained, Observations, Ran, TurnedAway
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 DRAIN_S = 3.0
@@ -18,6 +18,14 @@
 # How long all nodes have to know a request that ends replicas, and what is allowed after that.
 KNOWN_S = 3.0
 MOST_LATER = 3
+# How long after an answer that said so a replica gets nothing more of the node that passed it on,
+# and how many requests a node may send to a replica in a time of rest, from its first half second
+# on; both as operators allow it.
+LEFT_ALONE_S = 2.0
+REST_BEGINS_S = 0.5
+MOST_IN_REST = 2
+# Faults after which a node has forgotten, or did not notice for a while.
+AWAY = ("node_", "all_", "roll")
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +110,63 @@
     return any(each.touches(began, ended) for each in seen.faults)
 
 
+def leaving_answers_are_heard(seen: Observations) -> list[Broken]:
+    """A node sends a replica nothing more some time after it passed on that the replica leaves.
+
+    A node that was frozen, killed or stopped since then is excused.
+    """
+    broken: list[Broken] = []
+    asked = {each.request: each for each in seen.asked}
+    told: dict[tuple[str, str], float] = {}
+    for each in sorted(seen.asked, key=lambda each: each.ended):
+        if each.leaving:
+            told.setdefault((each.node, each.leaving), each.ended)
+    for run in seen.ran:
+        sent = asked.get(run.request)
+        since = told.get((sent.node, run.replica)) if sent is not None else None
+        if sent is None or since is None or sent.began <= since + LEFT_ALONE_S:
+            continue
+        is_other_start = any(since < at < run.at for at in seen.ends.get(run.replica, ()))
+        if not is_other_start and not _was_struck(sent.node, AWAY, since, run.at, seen):
+            what = f"{run.request} ran at {run.replica} {run.at - since:.1f} s after {sent.node}"
+            broken.append(Broken("leaving answers", what))
+    return broken
+
+
+def rests_are_kept(seen: Observations) -> list[Broken]:
+    """A replica that asked a node for rest has few requests of it until that is over."""
+    broken: list[Broken] = []
+    nodes = {each.request: each.node for each in seen.asked}
+    arrivals: dict[tuple[str, str], list[float]] = {}
+    reached: list[Ran | TurnedAway] = [*seen.ran, *seen.turned_away]
+    for arrived in reached:
+        if arrived.request in nodes:
+            key = (nodes[arrived.request], arrived.replica)
+            arrivals.setdefault(key, []).append(arrived.at)
+    for each in seen.turned_away:
+        node = nodes.get(each.request)
+        if not each.rest_s or node is None:
+            continue
+        began, ended = each.at + REST_BEGINS_S, each.at + each.rest_s
+        within = [at for at in arrivals[node, each.replica] if began <= at < ended]
+        if len(within) <= MOST_IN_REST:
+            continue
+        if not _was_struck(node, (*AWAY, "links_"), each.at, ended, seen):
+            what = f"{len(within)} from {node} to {each.replica} since {each.at:.1f} s"
+            broken.append(Broken("rest", what))
+    return broken
+
+
+def _was_struck(
+    node: str, kinds: tuple[str, ...], began: float, ended: float, seen: Observations
+) -> bool:
+    """Tell whether a fault of some kinds struck a node meanwhile."""
+    return any(
+        each.target == node and each.what.startswith(kinds) and each.touches(began, ended)
+        for each in seen.faults
+    )
+
+
 def deadlines_hold(seen: Observations) -> list[Broken]:
     """A node that nothing is the matter with ends each request by its deadline."""
     return [
@@ -203,6 +268,8 @@
 )
 TIMED: tuple[Checker, ...] = (
     leaving_replicas_get_nothing,
+    leaving_answers_are_heard,
+    rests_are_kept,
     deadlines_hold,
     quotas_hold,
     retries_are_few,
@@ -210,6 +277,9 @@
     service_comes_back,
 )
 CHECKERS = SAFETY + TIMED
+# What an old build can be asked for beside a new one; it does not hear what answers say.
+OF_THE_NEW_ONLY = (leaving_answers_are_heard, rests_are_kept)
+BETWEEN_VERSIONS = tuple(each for each in CHECKERS if each not in OF_THE_NEW_ONLY)
 
 
 def check(seen: Observations, checkers: Iterable[Checker] = CHECKERS) -> list[Broken]:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -28,11 +28,15 @@
 class SoakFleet(PlatformFleet):
     """A fleet whose every connection can be harmed from outside.
 
+    :param old: folder of the packages of another build, with which all nodes begin.
     :ivar past: replicas that are gone.
     """
 
-    def __init__(self, folder: Path, zones: tuple[str, ...], replicas_each: int) -> None:
+    def __init__(
+        self, folder: Path, zones: tuple[str, ...], replicas_each: int, old: Path | None = None
+    ) -> None:
         super().__init__(folder, zones)
+        self._old = old
         self.limits = {
             "retry_ratio": RETRY_RATIO,
             "retry_slack": RETRY_SLACK,
@@ -68,6 +72,7 @@
             name = f"n{number + 1}"
             self._lay_settings(name, zone, f"127.0.1.{number + 1}")
             await self._add_relays(name)
+            self.choose_build(name, is_new=False)
         await self._start_nodes()
 
     async def __aexit__(self, *_: object) -> None:
@@ -97,6 +102,10 @@
         relay.target = await replica.start("127.0.2.1", reached_at=relay.address)
         self.replicas[name] = replica
 
+    def choose_build(self, name: str, *, is_new: bool) -> None:
+        """Let a node run the new or the old build from its next start on."""
+        self.nodes[name].source = None if is_new else self._old
+
     def at_place(self, place: str) -> Replica:
         """Give the replica that serves at a place now."""
         return next(each for each in self.replicas.values() if _place_of(each) == place)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -13,13 +13,16 @@
 from chalkyoke_fakes.replica import Replica
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.observations import Drained, Observations, Span
-from chalkyoke_fakes.soak.plan import OF_NODES_AND_STORE, Fault, Step
+from chalkyoke_fakes.soak.plan import OF_NODES_AND_STORE, ROLL, Fault, RollStep, Step
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
 RESTART_S = 0.3
 STOP_S = 12.0
 LEAVES_AFTER_S = 2.5
+# What a replica asks for that wants rest, in seconds.
+REST_S = 3.0
 STRIKES = 3
+MANY = 1_000_000
 SLOW_LINK_S = 0.2
 LOST_SHARE = 0.05
 SLOW_STORE_S = 0.4
@@ -32,6 +35,7 @@
     :param seen: faults are noted here, for the checkers.
     :param now: seconds since the run began.
     :param send_crashing: lets callers send a body for some seconds.
+    :ivar struck: nodes, places of replicas and the store, where something is done to them now.
     """
 
     def __init__(
@@ -45,22 +49,38 @@
         self._seen = seen
         self._now = now
         self.send_crashing = send_crashing
-        self._busy: set[str] = set()
+        self.struck: set[str] = set()
         self._version = 1
 
     async def strike(self, step: Step) -> None:
         """Do one fault and undo it; one at a time for each node, replica and the store."""
         place = step.target or "store"
-        if place in self._busy or (step.fault is Fault.ALL_KILL and self._busy):
+        if place in self.struck or (step.fault is Fault.ALL_KILL and self.struck):
             return
-        self._busy.add(place)
+        self.struck.add(place)
         began = self._now()
         try:
             await self._do(step)
         finally:
-            self._busy.discard(place)
+            self.struck.discard(place)
             self._note(step, place, began)
 
+    async def roll(self, step: RollStep) -> None:
+        """Replace a host by one of the other build; waits until nothing else strikes it."""
+        while step.node in self.struck:
+            await asyncio.sleep(0.05)
+        self.struck.add(step.node)
+        began = self._now()
+        try:
+            self._fleet.nodes[step.node].send(signal.SIGTERM)
+            await self._until_ended(step.node)
+            self._fleet.choose_build(step.node, is_new=step.is_new)
+            self._fleet.start_node(step.node, first_start=False)
+            await self._fleet.until_ready(step.node)
+        finally:
+            self.struck.discard(step.node)
+            self._seen.faults.append(Span(ROLL, step.node, began, self._now() + FADES_S))
+
     def _note(self, step: Step, place: str, began: float) -> None:
         if step.fault is Fault.CONFIGURE:
             return
@@ -177,6 +197,12 @@
             await asyncio.sleep(replica.faults.back_after_s + step.for_s)
         elif step.fault is Fault.REPLICA_LEAVES:
             await self._leave(replica)
+        elif step.fault is Fault.REPLICA_SAYS_LEAVING:
+            await self._say_leaving(replica, step)
+        elif step.fault is Fault.REPLICA_RESTS:
+            replica.faults.shed, replica.faults.rest_s = MANY, REST_S
+            await asyncio.sleep(step.for_s)
+            replica.faults.shed, replica.faults.rest_s = 0, 0.0
         elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD):
             await self._strike_relay(self._fleet.replica_relays[step.target], step)
         else:
@@ -223,6 +249,14 @@
         await asyncio.sleep(1.0)
         await self._fleet.store.remove(f"servers/{replica.id}")
 
+    async def _say_leaving(self, replica: Replica, step: Step) -> None:
+        """Let it say in its answers only that it leaves, serve on, and end."""
+        replica.faults.says_leaving = True
+        await asyncio.sleep(LEAVES_AFTER_S + step.for_s)
+        await replica.crash()
+        await self._fleet.store.remove(f"servers/{replica.id}")
+        await self._fleet.replace(replica)
+
     async def _leave(self, replica: Replica) -> None:
         await replica.declare("draining")
         self._seen.drained.append(Drained(replica.id, self._now()))
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -33,6 +33,7 @@
 
     :param status: 0 where no answer came.
     :param whole: whether the answer ended as an answer ends.
+    :param leaving: the replica whose answer this was, where the answer said that it leaves.
     """
 
     request: str
@@ -45,6 +46,20 @@
     status: int
     body: bytes
     whole: bool
+    leaving: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """A replica answered that it has not run a request.
+
+    :param rest_s: for how long it asked for rest; 0 where it did not.
+    """
+
+    request: str
+    replica: str
+    at: float
+    rest_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,12 +124,16 @@
 
     :ivar versions: for each process, the configuration versions that it logged, in order.
     :ivar recovered_s: how long after the last fault all nodes served again; nothing where not.
+    :ivar turned_away: what replicas have not run.
+    :ivar ends: when replicas have ended by themselves; each is back under its id as a new start.
     :ivar crashing: how many bodies there were that end replicas.
     :ivar stream: the body of a whole stream.
     """
 
     asked: list[Asked] = field(default_factory=list)
     ran: list[Ran] = field(default_factory=list)
+    turned_away: list[TurnedAway] = field(default_factory=list)
+    ends: dict[str, list[float]] = field(default_factory=dict)
     faults: list[Span] = field(default_factory=list)
     drained: list[Drained] = field(default_factory=list)
     versions: dict[str, list[int]] = field(default_factory=dict)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -48,15 +48,24 @@
     REPLICA_RETURNS = "replica_returns"
     OTHER_WRITERS = "other_writers"
     CRASHING_REQUEST = "crashing_request"
+    REPLICA_RESTS = "replica_rests"
+    REPLICA_SAYS_LEAVING = "replica_says_leaving"
 
 
 OF_NODES = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 OF_NODES_AND_STORE = frozenset({Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES})
 OF_REPLICAS = frozenset(each for each in Fault if each.startswith("replica_"))
-# Drawn from a source of their own, so that the plans of earlier seeds stay as they are beside them.
+# Drawn from sources of their own, so that the plans of earlier seeds stay as they are beside them.
 LATER = (Fault.REPLICA_RETURNS, Fault.OTHER_WRITERS, Fault.CRASHING_REQUEST)
-EARLIER = tuple(each for each in Fault if each not in LATER)
 LATER_SOURCE = 0x5EED
+OF_ANSWERS = (Fault.REPLICA_RESTS, Fault.REPLICA_SAYS_LEAVING)
+ANSWERS_SOURCE = 0xA115
+EARLIER = tuple(each for each in Fault if each not in (*LATER, *OF_ANSWERS))
+# Hosts are replaced one after the other by those of another build.
+ROLL = "roll"
+# A roll goes forward, forward and back, or waits half-way; a step each so many seconds.
+ROLL_GAP_S = 0.8
+HALF_WAY_S = 4.0
 LEAST_S, MOST_S = 0.4, 4.0
 SERIES = 4
 PAUSE_S = 1.0
@@ -77,6 +86,41 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RollStep:
+    """One host is replaced by one of the other build.
+
+    :param is_new: whether it runs the new build from then on.
+    """
+
+    at: float
+    node: str
+    is_new: bool
+
+
+def draw_roll(seed: int, nodes: list[str]) -> list[RollStep]:
+    """Draw how nodes of the old build are rolled: forward, half-way and on, half-way and back."""
+    source = random.Random(seed ^ 0x2011)
+    order = source.sample(nodes, len(nodes))
+    half = len(order) // 2
+    waits_s = HALF_WAY_S * source.random()
+    goes_back = source.random() < 0.5
+    at = QUIET_S
+    steps: list[RollStep] = []
+    for number, node in enumerate(order):
+        if number == half:
+            at += waits_s
+            if goes_back:
+                break
+        steps.append(RollStep(at, node, True))
+        at += ROLL_GAP_S
+    if goes_back:
+        for node in reversed(order[:half]):
+            steps.append(RollStep(at, node, False))
+            at += ROLL_GAP_S
+    return steps
+
+
 def draw(seed: int, seconds: float, nodes: list[str], replicas: list[str]) -> list[Step]:
     """Draw the faults of a run: some series, each one fault after the other.
 
@@ -87,7 +131,8 @@
     steps: list[Step] = []
     for _ in range(SERIES):
         steps += _draw_series(source, EARLIER, seconds, nodes, replicas)
-    steps += _draw_series(random.Random(seed ^ LATER_SOURCE), LATER, seconds, nodes, replicas)
+    for later, number in ((LATER, LATER_SOURCE), (OF_ANSWERS, ANSWERS_SOURCE)):
+        steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
     return sorted(steps, key=lambda each: each.at)
 
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -16,7 +16,7 @@
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import whole_stream
 from chalkyoke_fakes.soak import fleet as fleets
-from chalkyoke_fakes.soak.checkers import Broken, check
+from chalkyoke_fakes.soak.checkers import BETWEEN_VERSIONS, CHECKERS, Broken, check
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.injector import Injector
 from chalkyoke_fakes.soak.observations import (
@@ -26,8 +26,9 @@
     Quota,
     Ran,
     RetryLimit,
+    TurnedAway,
 )
-from chalkyoke_fakes.soak.plan import draw
+from chalkyoke_fakes.soak.plan import draw, draw_roll
 
 KINDS = {
     "/book/1": Kind.ONCE,
@@ -37,6 +38,8 @@
 }
 DEADLINE_S = 8.0
 GIVE_UP_S = 20.0
+# The goal of the stand-in's routes, in seconds.
+GOAL_S = 1.0
 RECOVERED_IN_A_ROW = 3
 LAST_WAIT_S = 30.0
 # How often a request that ends replicas comes again, and for how long after its fault, in seconds.
@@ -52,12 +55,17 @@
     :param replicas_each: replicas of each service in each failure domain.
     :param seconds: how long faults strike.
     :param per_s: requests a second for each node.
+    :param old: folder of the packages of another build, from which the nodes are rolled to this one
+        while faults strike; nothing where all run this one.
+    :param calm: whether nothing strikes but the roll, to measure what callers notice of that.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
     replicas_each: int = 1
     seconds: float = 15.0
     per_s: float = 8.0
+    old: Path | None = None
+    calm: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +88,21 @@
         )
 
 
+def callers_of(seen: Observations) -> dict[str, int]:
+    """Count what callers noticed: who was refused, failed or late, of all that asked."""
+    told = {"asked": len(seen.asked), "refused": 0, "over quota": 0, "failed": 0, "late": 0}
+    for each in seen.asked:
+        if each.status == 429:
+            told["over quota"] += 1
+        elif each.status == 503:
+            told["refused"] += 1
+        elif each.status != 200 or not each.whole:
+            told["failed"] += 1
+        elif each.ended - each.began > GOAL_S:
+            told["late"] += 1
+    return told
+
+
 class Run:
     """One run of a seed over a fleet."""
 
@@ -105,8 +128,8 @@
 
     async def play(self) -> Observations:
         """Let callers ask while faults strike, then wait until all is well again."""
-        callers = asyncio.create_task(self._call(self._shape.seconds))
         injector = Injector(self._fleet, self.seen, self.now, self._send_crashing)
+        callers = asyncio.create_task(self._call(self._shape.seconds, injector))
         steps = draw(
             self._seed,
             self._shape.seconds - 2.0,
@@ -114,7 +137,9 @@
             list(self._fleet.replica_relays),
         )
         strikes = []
-        for step in steps:
+        if self._shape.old is not None:
+            strikes.append(asyncio.create_task(self._roll(injector)))
+        for step in [] if self._shape.calm else steps:
             await asyncio.sleep(max(0.0, step.at - self.now()))
             strikes.append(asyncio.create_task(injector.strike(step)))
         await callers
@@ -124,14 +149,23 @@
         self._collect()
         return self.seen
 
+    async def _roll(self, injector: Injector) -> None:
+        for step in draw_roll(self._seed, list(self._fleet.nodes)):
+            await asyncio.sleep(max(0.0, step.at - self.now()))
+            await injector.roll(step)
+
     # Callers.
 
-    async def _call(self, seconds: float) -> None:
+    async def _call(self, seconds: float, injector: Injector) -> None:
         tasks: list[asyncio.Task[int]] = []
         pause = 1.0 / (self._shape.per_s * len(self._fleet.nodes))
         while self.now() < seconds:
             path = self._random.choice(list(KINDS))
-            node = self._random.choice(list(self._fleet.nodes))
+            nodes = list(self._fleet.nodes)
+            if self._shape.calm:
+                # As behind a balancer, which sends nobody to a host that stops or starts.
+                nodes = [each for each in nodes if each not in injector.struck]
+            node = self._random.choice(nodes)
             team = fleets.QUOTA_TEAM if self._random.random() < 0.4 else TEAM
             tasks.append(asyncio.create_task(self._ask(node, path, team)))
             await asyncio.sleep(self._random.expovariate(1.0 / pause))
@@ -154,13 +188,15 @@
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KINDS[path] is Kind.REPEATABLE else "POST"
         began = self.now()
-        status, answer, whole = 0, b"", False
+        status, answer, whole, leaving = 0, b"", False, ""
         try:
             async with asyncio.timeout(GIVE_UP_S):
                 got = await self._fleet.ask(
                     node, path, method=method, body=body, key=key, request_id=name
                 )
             status, answer, whole = got.status, got.body, got.whole
+            if got.headers.get("server-leaving"):
+                leaving = got.headers.get("x-server-stamp", "").partition(".")[0]
         except TimeoutError:
             pass
         self.seen.asked.append(
@@ -175,6 +211,7 @@
                 status,
                 answer,
                 whole,
+                leaving,
             )
         )
         return status
@@ -196,6 +233,10 @@
 
     def _collect(self) -> None:
         for replica in [*self._fleet.replicas.values(), *self._fleet.past]:
+            self.seen.ends[replica.id] = [at - self._began for at in replica.ends]
+            for seen in replica.turned_away:
+                name, at = seen.headers["x-request-id"], seen.at - self._began
+                self.seen.turned_away.append(TurnedAway(name, replica.id, at, seen.rest_s))
             for seen in replica.seen:
                 self.seen.ran.append(
                     Ran(
@@ -230,9 +271,9 @@
     :param keep: where the logs of a run that broke something are kept.
     """
     with tempfile.TemporaryDirectory(prefix="chalkyoke-soak-") as folder:
-        async with SoakFleet(Path(folder), shape.zones, shape.replicas_each) as fleet:
+        async with SoakFleet(Path(folder), shape.zones, shape.replicas_each, shape.old) as fleet:
             seen = await Run(fleet, seed, shape).play()
-        broken = check(seen)
+        broken = check(seen, CHECKERS if shape.old is None else BETWEEN_VERSIONS)
         if broken and keep is not None:
             _keep_logs(Path(folder), keep / f"seed-{seed}")
     return Outcome(seed, seen, broken)
--- a/packages/chalkyoke/src/chalkyoke/__init__.py
+++ b/packages/chalkyoke/src/chalkyoke/__init__.py
@@ -4,4 +4,4 @@
 A request scheduler for unlike model engines and plain upstreams.
 """
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -35,6 +35,9 @@
 MIN_SEND_S = 0.03
 # Grants for one request at most, those included that found no connection.
 MAX_GRANTS = 12
+# After so many grants of one request that could not be used this node chooses by itself: its
+# scheduler does not know what this node was told, as one of an older version never will.
+MOST_UNUSED = 3
 # When a caller comes back after a refusal that will not last, in seconds.
 RETRY_SOON_S = 0.3
 # A stream that may go on elsewhere is left after a pause of so many of its longest in time, and of
@@ -56,6 +59,7 @@
     attempt: int = 0
     first_counted: bool = False
     declined: bool = False
+    unused: int = 0
 
 
 class Exchange:
@@ -280,6 +284,10 @@
                 return granted
             parts.rollouts.give_back(admission)
             progress.attempt += 1
+        if progress.unused >= MOST_UNUSED:
+            return await parts.grants.acquire(
+                admission, progress.attempt, progress.tried, alone=True
+            )
         return await parts.grants.acquire(admission, progress.attempt, progress.tried)
 
     def _follow(self, admission: Admission, granted: Granted, end: SendEnd) -> Next:
@@ -385,6 +393,7 @@
         self._give_back_trial(admission, granted)
         self._parts.grants.release(admission, granted, ReleaseOutcome.UNUSED)
         self._granted = None
+        self._progress.unused += 1
 
     def _give_back_trial(self, admission: Admission, granted: Granted) -> None:
         if granted.for_trial:
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -180,6 +180,7 @@
         avoid: Collection[str],
         *,
         for_trial: bool = False,
+        alone: bool = False,
     ) -> Granted | Denied:
         """Get a replica for a request; waits while none is free.
 
@@ -189,11 +190,12 @@
         :param attempt: counts the grants that were asked for.
         :param avoid: replicas that were tried already.
         :param for_trial: whether it is to be of a version under trial.
+        :param alone: whether to choose here without asking the schedulers.
         """
         if not self._replicas.of(admission.service.name, for_trial=for_trial):
             return Denied("no replica", DEFAULT_RETRY_S)
         wanted = _Wanted(admission, attempt, avoid, for_trial)
-        pooled = admission.service.is_engine and self._pooled
+        pooled = admission.service.is_engine and self._pooled and not alone
         granted: Granted | Denied | None = None
         while granted is None:
             if pooled:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from chalkyoke import __version__
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.balancing.local import LocalBalancer
@@ -108,6 +109,7 @@
         self._platform = platform
         self.now: Callable[[], float] = lambda: loop.time() - started
         self.metrics = Metrics()
+        self.metrics.count("started", version=__version__)
         self.record = MemberRecord(
             host=settings.node.host,
             incarnation=secrets.randbits(INCARNATION_BITS),
@@ -355,7 +357,7 @@
         if self.settings.listen.metrics:
             pages.append(await self._listen(self.settings.listen.metrics, self._pages.start))
         self._start_loops()
-        log.notice("started", process=self.record.process, pid=os.getpid())
+        log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         self._supervisor.start(self._stop_on_plan(server))
         await self._supervisor.ended.wait()
         await self._close([server, *pages])
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -161,8 +161,10 @@
                 self._deliver(entry, Queued(message.request, message.attempt, message.pool))
         elif isinstance(message, Release):
             self.dispatch(scheduler.release(domain, message, now))
+            self._tell_closings(scheduler)
         elif isinstance(message, FirstOutput):
             scheduler.first_output(message, now)
+            self._tell_closings(scheduler)
         elif isinstance(message, Progress):
             self.dispatch(scheduler.progress(entry, message, now))
         elif isinstance(message, Adopt):
@@ -232,6 +234,12 @@
 
     # Private.
 
+    def _tell_closings(self, scheduler: PoolScheduler) -> None:
+        for each in scheduler.take_closings():
+            event = "upstream_closed" if each.refuses else "upstream_opened"
+            log.info(event, pool=scheduler.spec.name, upstream=each.upstream)
+            self._metrics.count(event, pool=scheduler.spec.name)
+
     def _deliver(self, entry: str, message: Grant | Shed | Queued) -> None:
         if entry == self._process:
             assert self.deliver is not None
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -5,6 +5,8 @@
 shares.
 """
 
+import msgspec
+
 from chalkyoke.scheduling.estimates import HintModel, OutputEstimate, OutputModel
 from chalkyoke.scheduling.messages import Acquire, ProgressItem, Release, Usage
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
@@ -23,6 +25,16 @@
 MAX_BACKOFF_S = 30.0
 
 
+class Closing(msgspec.Struct, frozen=True):
+    """An upstream is taken to refuse whatever it gets, or no longer.
+
+    :param refuses: whether it is from now on.
+    """
+
+    upstream: str
+    refuses: bool
+
+
 class Learner:
     """Correct what a pool's scheduler believes.
 
@@ -32,6 +44,7 @@
     def __init__(self, pool: PoolState, features: Features) -> None:
         self.outputs = OutputModel(pool.spec.caution)
         self.hints = HintModel()
+        self.closings: list[Closing] = []
         self._pool = pool
         self._features = features
 
@@ -71,7 +84,9 @@
         self._learn_first(item, first_s, now)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
+            refused = upstream.declines.refuses_all
             upstream.declines.serve(item.domain, item.granted, now)
+            self._note_closing(upstream, refused)
             upstream.changed()
 
     def health(self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float) -> None:
@@ -95,12 +110,18 @@
 
     def willingness(self, item: Running, upstream: Upstream, message: Release, now: float) -> None:
         """Learn whether an upstream takes requests at all."""
+        refused = upstream.declines.refuses_all
         if message.rest_s > 0:
             upstream.declines.rest(item.entry, message.rest_s, now)
         if message.declined:
             upstream.declines.decline(item.domain, item.granted, now)
         elif message.outcome == ReleaseOutcome.DELIVERED:
             upstream.declines.serve(item.domain, item.granted, now)
+        self._note_closing(upstream, refused)
+
+    def _note_closing(self, upstream: Upstream, refused: bool) -> None:
+        if upstream.declines.refuses_all is not refused:
+            self.closings.append(Closing(upstream.spec.id, not refused))
 
     def _may_suspend(self, now: float) -> bool:
         """Tell whether one more upstream may be left out: a pool must not go empty by suspicion."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -12,7 +12,7 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.scheduling.headroom import LONG_S, Headroom
-from chalkyoke.scheduling.learning import Learner
+from chalkyoke.scheduling.learning import Closing, Learner
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -145,6 +145,14 @@
         """
         return list(self._pool.waiting.values())
 
+    def take_closings(self) -> list[Closing]:
+        """Take what has changed since the last call of the upstreams that refuse all.
+
+        :rtype: list[Closing]
+        """
+        closings, self._learner.closings = self._learner.closings, []
+        return closings
+
     # Events.
 
     def configure(self, spec: PoolSpec, now: float) -> list[Out]:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from chalkyoke_fakes.soak.play import Shape, play
+from chalkyoke_fakes.soak.play import Shape, callers_of, play
 
 KEEP = Path("out/soak")
 
@@ -24,13 +24,20 @@
     parser.add_argument("--seconds", type=float, default=15.0, help="of faults, for each seed")
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--replicas", type=int, default=1, help="of each service and zone")
+    parser.add_argument(
+        "--old", type=Path, help="checkout of another version, from which nodes are rolled to this"
+    )
+    parser.add_argument("--calm", action="store_true", help="no faults but the roll")
     chosen = parser.parse_args()
     zones = tuple("abc"[number % 3] for number in range(chosen.nodes))
-    shape = Shape(zones, chosen.replicas, chosen.seconds)
+    old = chosen.old and chosen.old.resolve() / "packages/chalkyoke/src"
+    shape = Shape(zones, chosen.replicas, chosen.seconds, old=old, calm=chosen.calm)
     red = 0
     for seed in range(chosen.first, chosen.first + chosen.seeds):
         outcome = asyncio.run(play(seed, shape, KEEP))
         print(outcome.summary(), flush=True)
+        if chosen.calm:
+            print(f"    callers: {callers_of(outcome.seen)}", flush=True)
         for broken in outcome.broken:
             print(f"    {broken.promise}: {broken.what}", flush=True)
         red += bool(outcome.broken)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from chalkyoke_fakes.replica import whole_stream
@@ -19,6 +20,7 @@
     Ran,
     RetryLimit,
     Span,
+    TurnedAway,
 )
 from chalkyoke_fakes.soak.plan import Fault, draw
 from chalkyoke_fakes.soak.play import Shape, play
@@ -110,6 +112,19 @@
     seen.recovered_s = None
 
 
+def send_to_one_that_said_it_leaves(seen):
+    seen.asked.append(replace(asked("told", began=50.0, ended=50.2), leaving="s1"))
+    seen.asked.append(asked("late", began=52.3, ended=52.5))
+    seen.ran.append(ran("late", 52.4))
+
+
+def send_to_one_that_rests(seen):
+    for number in range(4):
+        at = 60.0 + number * 0.7
+        seen.asked.append(asked(f"y{number}", began=at, ended=at, status=503))
+        seen.turned_away.append(TurnedAway(f"y{number}", "s1", at, 3.0))
+
+
 def send_on_a_request_that_ends_replicas(seen):
     for number in range(7):
         at = 40.0 + number * (1.0 if number < 3 else 2.0)
@@ -131,6 +146,8 @@
     (pass_more_than_the_quota, checkers.quotas_hold),
     (repeat_too_often, checkers.retries_are_few),
     (send_on_a_request_that_ends_replicas, checkers.crashing_requests_are_held_back),
+    (send_to_one_that_said_it_leaves, checkers.leaving_answers_are_heard),
+    (send_to_one_that_rests, checkers.rests_are_kept),
     (never_come_back, checkers.service_comes_back),
 ]
 
@@ -157,6 +174,19 @@
     assert checkers.leaving_replicas_get_nothing(seen) == []
 
 
+def test_a_node_that_started_since_or_a_replica_that_did_is_not_blamed():
+    seen = sound()
+    send_to_one_that_said_it_leaves(seen)
+    seen.ends["s1"] = [51.0]
+    assert checkers.leaving_answers_are_heard(seen) == []
+    seen.ends.clear()
+    seen.faults.append(Span(Fault.NODE_KILL, "n1", 51.0, 51.5))
+    assert checkers.leaving_answers_are_heard(seen) == []
+    send_to_one_that_rests(seen)
+    seen.faults.append(Span(Fault.LINKS_SILENT, "n1", 61.0, 61.5))
+    assert checkers.rests_are_kept(seen) == []
+
+
 def test_who_was_out_of_touch_is_not_blamed_for_a_request_that_ends_replicas():
     seen = sound()
     send_on_a_request_that_ends_replicas(seen)
