--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -38,6 +38,8 @@
 # After so many grants of one request that could not be used this node chooses by itself: its
 # scheduler does not know what this node was told, as one of an older version never will.
 MOST_UNUSED = 3
+# How often each replica turns a request away before it is refused, in number.
+DECLINES_FOR_GOOD = 2
 # When a caller comes back after a refusal that will not last, in seconds.
 RETRY_SOON_S = 0.3
 # A stream that may go on elsewhere is left after a pause of so many of its longest in time, and of
@@ -341,9 +343,13 @@
         return follows
 
     def _has_tried_all(self, admission: Admission) -> bool:
-        """Tell whether all replicas have had the request; the next would turn it away as well."""
+        """Tell whether all replicas have turned the request away for good.
+
+        One that was full for a moment is not a millisecond later.
+        """
+        tried = self._progress.tried
         replicas = self._parts.replicas.of(admission.service.name)
-        return all(each.id in self._progress.tried for each in replicas)
+        return all(tried.count(each.id) >= DECLINES_FOR_GOOD for each in replicas)
 
     # One send.
 
