Test of replicas at rest: its bound is worded by the goal and the scheduler's ticks

Trace: the goal passed at 12.186, the ticks at 12.20 and 12.25 found one replica open to another look by others, at 12.30 the request looked itself, was declined and refused at once. So: the goal and three ticks of 0.05 s. The aim, at once or when the goal has passed, is the same.

--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import json
+import random
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -220,5 +221,7 @@
         async with asyncio.timeout(MOST_PLAYED_S):
             await check(played)
 
+    # The nodes spread equal choices by it: the same play each time.
+    random.seed(0)
     with logbook.NullHandler().applicationbound():
         virtual.run(main)
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -15,6 +15,8 @@
 import random
 from collections import defaultdict
 
+from chalkyoke.node.gateway import TICK_S
+
 from tests.gatewayfleet import play
 
 PATHS = ("/chat/1", "/explain/1", "/find/1", "/book/1")
@@ -29,6 +31,8 @@
 LEFT_ALONE_S = 2.0
 REST_BEGINS_S = 0.5
 MOST_IN_REST = 2
+# The goal of the stand-in's routes, in seconds.
+GOAL_S = 1.0
 REST_S = 3.0
 
 
@@ -172,8 +176,9 @@
         refused = await keep_asking(fleet, path, 2 * REST_S)
         assert most_in_rest([*got, *refused], replicas) <= MOST_IN_REST
         assert {each.status for each in refused} == {503}
-        # At once, or a goal of 1 s later where a replica would have been back by then.
-        assert max(each.took_s for each in refused) <= 1.1
+        # At once, or when its goal has passed where a replica would have been back by then: at the
+        # scheduler's tick that finds that, one that lets another look, and one that ends it.
+        assert max(each.took_s for each in refused) <= GOAL_S + 3 * TICK_S
         told = [float(each.headers["retry-after"]) for each in refused]
         assert 0 < min(told) <= max(told) <= REST_S + 0.5
         for replica in replicas:
