--- /dev/null
+++ b/tests/test_roll.py
@@ -0,0 +1,45 @@
+"""
+tests.test_roll
+
+Real nodes of the version in production are rolled to this one while faults strike. Its code comes
+from the repository's history; where the history is not there, the recorded frames and records of
+``test_versions.py`` are what there is.
+"""
+
+import asyncio
+import io
+import subprocess
+import tarfile
+import tempfile
+import tomllib
+from pathlib import Path
+
+from chalkyoke_fakes.soak import checkers
+from chalkyoke_fakes.soak.play import Shape, play
+
+ROOT = Path(__file__).parents[1]
+SOURCES = "packages/chalkyoke/src"
+SEED = 74_002
+
+
+def unpack(folder):
+    """Unpack the packages of the version in production; tell whether they could be had."""
+    deployed = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
+    command = ["git", "archive", deployed["production"], SOURCES]
+    archive = subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
+    if archive.returncode:
+        return False
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as packed:
+        packed.extractall(folder, filter="data")
+    return True
+
+
+def test_a_roll_from_the_version_in_production_breaks_no_promise_of_safety():
+    with tempfile.TemporaryDirectory(prefix="chalkyoke-old-") as folder:
+        if not unpack(folder):
+            assert list((ROOT / "tests/versions").glob("*.json"))
+            return
+        shape = Shape(seconds=8.0, per_s=6.0, old=Path(folder) / SOURCES)
+        outcome = asyncio.run(play(SEED, shape))
+    assert checkers.check(outcome.seen, checkers.SAFETY) == []
+    assert len(outcome.seen.asked) > 20
