A new scheduler refuses nobody for a queue that only waits for it to settle

A new scheduler grants nothing for up to 0.1 s, until all have told what they have running; the first long request then waits, and the next ones were taken to stand behind a queue. That is so after each move of a pool, not only at a start. Change: nobody is refused early before grants are given. Test of the slice: red before (the second of three refused), green now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -93,9 +93,11 @@
         self._next_forecast = now
         self._promised: dict[int, float] = {}
 
-    def at_arrival(self, item: Waiting, now: float) -> Out | None:
+    def at_arrival(self, item: Waiting, now: float, *, settled: bool) -> Out | None:
         """Refuse a request that could not be done, whatever else waits.
 
+        :param settled: whether grants are given: until they are, what waits says nothing of how
+            long a wait will be, and a new scheduler refused all but the first before a free pool.
         :rtype: Out or None
         """
         eligible = self._open(item.route)
@@ -111,7 +113,7 @@
         if not self._features.early or not item.has_goal:
             return None
         item.returning = self._promised.pop(item.fingerprint, 0.0) > now
-        return None if item.returning else self._too_late(item, now)
+        return None if item.returning or not settled else self._too_late(item, now)
 
     def _too_late(self, item: Waiting, now: float) -> Out | None:
         """Refuse at once what would wait beyond its goal, so that its caller can come back."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -183,7 +183,7 @@
             self._pool.remove(known)
 
         item = self._make_waiting(entry, domain, message, now)
-        refusal = self._refuser.at_arrival(item, now)
+        refusal = self._refuser.at_arrival(item, now, settled=self._settled(now))
         if refusal is not None:
             return [refusal]
         self._pool.add(item)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -299,3 +299,14 @@
     assert lost.acquire("e1", "z", acquire("q1", goal_s=0.3), 0.01) == []
     outs = lost.tick(0.11)
     assert [out.action.request for out in outs] == ["q1"]
+
+
+def test_nobody_is_refused_for_a_queue_that_only_waits_for_a_new_scheduler_to_settle():
+    spec = make([upstream("u1"), upstream("u2")]).spec
+    scheduler = PoolScheduler(spec, lambda: 0.5, 0.0, ["h", "other"], FEATURES)
+    # Long answers, each of which keeps a slot for seconds.
+    long_ones = {"likely_output": 0, "max_output": 2000, "gap_goal_s": 0.3, "goal_s": 1.0}
+    asked = [ask(scheduler, 0.01, name=f"x{number}", **long_ones) for number in range(3)]
+    assert asked == [[], [], []]
+    told = [out.action for out in scheduler.tick(0.11)]
+    assert [type(each) for each in told] == [Grant] * 3
