--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
@@ -15,6 +15,17 @@
 PR_SET_PDEATHSIG = 1
 
 
+def own_address(number: int) -> str:
+    """Give a loopback address that stand-in fleets of no other process use.
+
+    Free ports are looked for before the nodes bind them; two fleets at one address found the same.
+
+    :param number: of the node, from 0 on.
+    """
+    process = os.getpid()
+    return f"127.{16 + process % 200}.{process // 200 % 250}.{number + 1}"
+
+
 def _ends_with(parent: int) -> Callable[[], None]:
     """Make what the child runs first: ask the kernel for SIGKILL at its parent's death."""
     prctl = ctypes.CDLL(None, use_errno=True).prctl
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from chalkyoke_fakes.children import spawn
+from chalkyoke_fakes.children import own_address, spawn
 
 START_S = 15.0
 POLL_S = 0.05
@@ -163,7 +163,7 @@
         return spawn(command, self.folder / f"{name}.log")
 
     def _list_node(self, entry: dict[str, Any]) -> None:
-        ip = f"127.0.1.{len(self.nodes) + 1}"
+        ip = own_address(len(self.nodes))
         process = Process(
             entry["host"],
             free_address(ip),
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -20,7 +20,7 @@
 
 import aiohttp
 
-from chalkyoke_fakes.children import spawn
+from chalkyoke_fakes.children import own_address, spawn
 from chalkyoke_fakes.fleet import FLEET_KEY_HEX
 from chalkyoke_fakes.metastore import MetaStore
 from chalkyoke_fakes.replica import Replica
@@ -178,7 +178,7 @@
             await self.add_replica(f"m{number}", "model", zone, engine=True)
             await self.add_replica(f"s{number}", "seats", zone)
         for number, zone in enumerate(self._zones):
-            self._lay_settings(f"n{number + 1}", zone, f"127.0.1.{number + 1}")
+            self._lay_settings(f"n{number + 1}", zone, own_address(number))
         await self._start_nodes()
 
     async def _start_nodes(self) -> None:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from chalkyoke_fakes.children import own_address
 from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
 from chalkyoke_fakes.replica import Replica
 from chalkyoke_fakes.soak.relay import Relay
@@ -70,7 +71,7 @@
                 await self._add_place(f"{kind}{zone}{number}", service, zone)
         for number, zone in enumerate(self._zones):
             name = f"n{number + 1}"
-            self._lay_settings(name, zone, f"127.0.1.{number + 1}")
+            self._lay_settings(name, zone, own_address(number))
             await self._add_relays(name)
             self.choose_build(name, is_new=False)
         await self._start_nodes()
