A rest that is over leaves nothing behind in a scheduler's decisions

Read in the change: an entry process that was once asked for rest was kept apart in each later decision, and its upstream never counted as clear again. Tests of the slice green, one extended.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
@@ -111,16 +111,14 @@
         """Tell until when the upstream wants nothing of an entry process."""
         return self._rests.get(entry, -math.inf)
 
-    @property
-    def resting(self) -> frozenset[str]:
-        """Entry processes that were asked for rest, some of it perhaps over."""
-        return frozenset(self._rests)
+    def resting(self, now: float) -> list[str]:
+        """List the entry processes that the upstream wants nothing of."""
+        return [entry for entry, until in self._rests.items() if until > now]
 
-    @property
-    def is_clear(self) -> bool:
-        """Whether nobody is turned away."""
+    def is_clear(self, now: float) -> bool:
+        """Tell whether nobody is turned away."""
         counts = (closed.count for closed in (self._all, *self._domains.values()))
-        return not self._rests and not any(counts)
+        return not any(counts) and not self.resting(now)
 
     @property
     def refuses_all(self) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -178,7 +178,7 @@
         found: dict[tuple[str, str, str], Closure | None] = {}
         for route in {route for (_, route), count in self._pool.counts.items() if count}:
             declines = [each.declines for each in self._open(route)]
-            if any(each.is_clear for each in declines):
+            if any(each.is_clear(now) for each in declines):
                 continue
             for item in [each for each in self._pool.waiting.values() if each.route == route]:
                 key = (route, item.domain, item.entry)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -94,7 +94,7 @@
         if not entry:
             return route, domain, ""
         if route not in self._resting:
-            resting = (each.declines.resting for each in self._eligible[route])
+            resting = (each.declines.resting(self._now) for each in self._eligible[route])
             self._resting[route] = frozenset().union(*resting)
         return route, domain, entry if entry in self._resting[route] else ""
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_declines.py
@@ -49,7 +49,10 @@
     assert declines.opens("a", 1.05) > 1.05
     declines.serve("a", 1.1, 1.2)
     assert declines.opens("a", 1.2) == -math.inf
-    assert declines.is_clear
+    assert declines.is_clear(1.2)
+    declines.rest("e", 3.0, 1.2)
+    assert (declines.is_clear(1.3), declines.resting(1.3)) == (False, ["e"])
+    assert (declines.is_clear(4.3), declines.resting(4.3)) == (True, [])
 
 
 def test_a_domain_that_is_turned_away_alone_is_left_out_alone():
