What a node tells callers in its own name, and the requests that it answers, in modules of their own

Behaviour stays. Two tests counted requests in a rest alike: one piece now (tests/rests.py), bounds unchanged.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -15,9 +15,10 @@
 from chalkyoke.gateway.ports import AnswerFields, Forwarding
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
+from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
 from chalkyoke.gateway.verdict import MISDIRECTED, UNAVAILABLE, Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
-from chalkyoke.http1.messages import AnswerHead, Headers, Request, find, reason_of, request_head
+from chalkyoke.http1.messages import Headers, Request, find, request_head
 from chalkyoke.http1.pool import ConnectFailure
 from chalkyoke.http1.server import Answering
 from chalkyoke.invariants import require
@@ -40,16 +41,12 @@
 MOST_UNUSED = 3
 # How often each replica turns a request away before it is refused, in number.
 DECLINES_FOR_GOOD = 2
-# When a caller comes back after a refusal that will not last, in seconds.
-RETRY_SOON_S = 0.3
 # A stream that may go on elsewhere is left after a pause of so many of its longest in time, and of
 # so many seconds at least. A trade-off: another replica reads the whole prompt again.
 STALL_MIN_S = 0.9
 STALL_GAPS = 2.0
 # A first output is waited for so many goals, where another replica may be asked.
 FIRST_STALL_GOALS = 1.5
-# The longest time that a caller is told to stay away, in seconds.
-MAX_RETRY_AFTER_S = 60.0
 METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
@@ -80,6 +77,7 @@
         after_number = int(after_event) if after_event.isdigit() else -1
         self._delivery = Delivery(answering, EventCutter(after_number))
         self._progress = _Progress()
+        self._replies = Replies(parts, answering, self._delivery, self._progress.sends)
         self._connection: ClientConnection | None = None
         self._granted: Granted | None = None
         self._admission: Admission | None = None
@@ -137,7 +135,7 @@
         if isinstance(judged, Rejection):
             retry = RETRY_SOON_S if judged.status == 503 else None
             parts.reject(self._request, self._fields, judged)
-            self._answer(judged.status, judged.reason, retry)
+            self._replies.answer(judged.status, judged.reason, retry)
             return
         self._admission = judged
         try:
@@ -156,7 +154,7 @@
             self._release_cancelled(judged)
             if self._held and self.task is not None and not self._left:
                 self.task.uncancel()
-                self._end_held_back(judged)
+                self._replies.held_back(judged, self._identity())
                 return
             if not self._left:
                 raise
@@ -169,13 +167,10 @@
             )
 
     def _end_by_fault(self) -> None:
-        """Refuse what was not sent yet; a bare close would leave its caller without an answer."""
+        """Give back what is held, and tell the caller what is true."""
         if self._admission is not None:
             self._release_cancelled(self._admission)
-        if self._progress.sends.runs or self._delivery.head_sent:
-            self._answering.abort()
-        else:
-            self._answer(503, "internal fault", RETRY_SOON_S)
+        self._replies.fault()
 
     def _refund(self, admission: Admission) -> None:
         """Give the quota back that a request was charged and that ends without a run."""
@@ -199,35 +194,26 @@
             return
         allowed = await self._parts.quotas.take(admission)
         if not allowed.passed:
-            self._parts.record(
-                "over_quota",
-                admission,
-                cost=admission.cost,
-                decided_by=allowed.decided_by,
-                window_spent=round(allowed.spent),
-                window_most=round(allowed.most),
-                retry_after_s=round(allowed.retry_after_s, 3),
-            )
-            self._answer(429, "over quota", allowed.retry_after_s)
+            self._replies.over_quota(admission, allowed)
             return
         self._charge = allowed
         while True:
             if not still_allowed(admission, self._parts.catalog()):
-                self._refuse(admission, "no longer allowed", RETRY_SOON_S)
+                self._replies.refuse(admission, "no longer allowed", RETRY_SOON_S)
                 return
             if self._is_held_back(admission):
                 return
             self._progress.attempt += 1
             granted = await self._acquire(admission)
             if isinstance(granted, Denied):
-                self._refuse(admission, granted.reason, granted.retry_after_s)
+                self._replies.refuse(admission, granted.reason, granted.retry_after_s)
                 return
             self._granted = granted
             end = await self._send(admission, granted)
             if end is None and self._progress.attempt < MAX_GRANTS:
                 continue
             if end is None:
-                self._refuse(admission, "no grant could be used", RETRY_SOON_S)
+                self._replies.refuse(admission, "no grant could be used", RETRY_SOON_S)
                 return
             if self._follow(admission, granted, end) is not Next.SEND_AGAIN:
                 return
@@ -247,26 +233,9 @@
         """End a request under which too many replicas have ended; tell whether it was one."""
         if not self._parts.quarantine.holds(self._identity):
             return False
-        self._end_held_back(admission)
+        self._replies.held_back(admission, self._identity())
         return True
 
-    def _end_held_back(self, admission: Admission) -> None:
-        """Tell the caller at once, without a time to come back: that can't help.
-
-        It is no promise that nothing has run, since earlier attempts have; 502 keeps callers of
-        what may not be repeated from asking again by themselves.
-        """
-        self._parts.record(
-            "held_back",
-            admission,
-            digest=self._identity().hex(),
-            sends=self._progress.sends.arrivals,
-        )
-        if self._delivery.head_sent:
-            self._answering.abort()
-        else:
-            self._answer(502, "held back: replicas have ended while they ran this request", None)
-
     async def _acquire(self, admission: Admission) -> Granted | Denied:
         """Get a replica; one of a version under trial where that is this request's turn.
 
@@ -314,9 +283,9 @@
         elif follows is Next.PASS_ON and self._relay is not None:
             self._relay.pass_on()
         elif follows is Next.REFUSE:
-            self._refuse(admission, f"replicas: {end}", RETRY_SOON_S)
+            self._replies.refuse(admission, f"replicas: {end}", RETRY_SOON_S)
         elif follows is Next.FAIL:
-            self._answer(502, f"replica: {end}", None)
+            self._replies.answer(502, f"replica: {end}", None)
         elif follows is Next.BREAK_OFF:
             self._answering.abort()
         parts.record(
@@ -546,9 +515,9 @@
         if self._delivery.head_sent:
             self._answering.abort()
         elif sent:
-            self._answer(504, "no answer in time", None)
+            self._replies.answer(504, "no answer in time", None)
         else:
-            self._refuse(admission, "no replica in time", RETRY_SOON_S)
+            self._replies.refuse(admission, "no replica in time", RETRY_SOON_S)
 
     def _release_cancelled(self, admission: Admission) -> None:
         if self._granted is not None:
@@ -557,73 +526,3 @@
                 self._parts.quarantine.left(replica, self._identity(), output_s(self._relay))
             self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
             self._granted = None
-
-    def _refuse(self, admission: Admission, reason: str, retry_after_s: float) -> None:
-        """Tell that the request has not run and never will.
-
-        One that may be repeated and has been sent may have run to its end, so it is not refused:
-        no more is known of it than that no answer came.
-        """
-        if self._delivery.head_sent:
-            self._answering.abort()
-            return
-        if self._progress.sends.runs > 0 and admission.route.repeatable:
-            self._parts.record("given_up", admission, reason=reason, retry_after_s=retry_after_s)
-            self._answer(502, reason, retry_after_s)
-            return
-        require(
-            self._progress.sends.runs == 0,
-            "a caller that is told 'not run' had no run",
-            request=admission.request_id,
-        )
-        self._parts.record("refused", admission, reason=reason, retry_after_s=retry_after_s)
-        self._answer(503, reason, retry_after_s)
-
-    def _answer(self, status: int, reason: str, retry_after_s: float | None) -> None:
-        headers: Headers = [(b"Content-Type", b"text/plain")]
-        if retry_after_s is not None:
-            bounded = min(MAX_RETRY_AFTER_S, max(0.0, retry_after_s))
-            headers.append((b"Retry-After", b"%.2f" % bounded))
-        body = reason.encode()
-        self._answering.begin(AnswerHead(status, reason_of(status), headers, len(body)), body)
-        self._answering.end()
-
-
-class Gateway:
-    """Start an exchange for each request."""
-
-    def __init__(self, parts: GatewayParts) -> None:
-        self._parts = parts
-        self._exchanges: dict[asyncio.Task[None], Exchange] = {}
-
-    @property
-    def in_progress(self) -> int:
-        """Count the requests that are being answered."""
-        return len(self._exchanges)
-
-    def start(self, request: Request, answering: Answering) -> Exchange:
-        """Begin to answer a request."""
-        exchange = Exchange(self._parts, request, answering)
-        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
-        self._exchanges[exchange.task] = exchange
-        exchange.task.add_done_callback(self._ended)
-        return exchange
-
-    def request_held(self, request: bytes) -> None:
-        """Answer what waits here of a request that is held back from now on."""
-        for exchange in list(self._exchanges.values()):
-            exchange.request_held(request)
-
-    def replica_ended(self, replica: str) -> None:
-        """Go on elsewhere with what ran at a start of a replica that is over.
-
-        :param replica: id of that start.
-        """
-        for exchange in list(self._exchanges.values()):
-            exchange.replica_ended(replica)
-
-    def _ended(self, task: "asyncio.Task[None]") -> None:
-        self._exchanges.pop(task, None)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            report = {"message": "an exchange broke", "exception": error}
-            asyncio.get_running_loop().call_exception_handler(report)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -0,0 +1,52 @@
+"""
+chalkyoke.gateway.gateway
+
+All requests that a node is answering.
+"""
+
+import asyncio
+
+from chalkyoke.gateway.exchange import Exchange
+from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.http1.messages import Request
+from chalkyoke.http1.server import Answering
+
+
+class Gateway:
+    """Start an exchange for each request."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self._exchanges: dict[asyncio.Task[None], Exchange] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Count the requests that are being answered."""
+        return len(self._exchanges)
+
+    def start(self, request: Request, answering: Answering) -> Exchange:
+        """Begin to answer a request."""
+        exchange = Exchange(self._parts, request, answering)
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        self._exchanges[exchange.task] = exchange
+        exchange.task.add_done_callback(self._ended)
+        return exchange
+
+    def request_held(self, request: bytes) -> None:
+        """Answer what waits here of a request that is held back from now on."""
+        for exchange in list(self._exchanges.values()):
+            exchange.request_held(request)
+
+    def replica_ended(self, replica: str) -> None:
+        """Go on elsewhere with what ran at a start of a replica that is over.
+
+        :param replica: id of that start.
+        """
+        for exchange in list(self._exchanges.values()):
+            exchange.replica_ended(replica)
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._exchanges.pop(task, None)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            report = {"message": "an exchange broke", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(report)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -25,7 +25,7 @@
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import HybridClock
 from chalkyoke.exceptions import InvariantBroken, SettingsError
-from chalkyoke.gateway.exchange import Gateway
+from chalkyoke.gateway.gateway import Gateway
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.settings import GatewaySettings, load
--- /dev/null
+++ b/tests/rests.py
@@ -0,0 +1,25 @@
+"""
+tests.rests
+
+How well times of rest are kept, from when requests reached one upstream from one node.
+"""
+
+# As operators allow it: what was under way may still come for so long, in seconds, and some more.
+REST_BEGINS_S = 0.5
+MOST_IN_REST = 2
+
+
+def most_in_rest(turned_away, rest_s):
+    """Count the requests that came in a time of rest; the most over all of these.
+
+    :param turned_away: for each pair of an upstream and a node, when the upstream answered that it
+        wants rest.
+    """
+    return max(
+        (
+            sum(began + REST_BEGINS_S <= at < began + rest_s for at in times)
+            for times in turned_away.values()
+            for began in times
+        ),
+        default=0,
+    )
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -18,6 +18,7 @@
 from chalkyoke.node.gateway import TICK_S
 
 from tests.gatewayfleet import play
+from tests.rests import MOST_IN_REST, most_in_rest
 
 PATHS = ("/chat/1", "/explain/1", "/find/1", "/book/1")
 CALLERS = 12
@@ -26,11 +27,8 @@
 PAUSE_S = 0.03
 # How long all replicas serve before some change, in seconds: until the scheduler knows them all.
 KNOWN_S = 3.0
-# What operators allow: nothing more reaches a replica so long after the news, in seconds; at most
-# so many requests in a time of rest, from so long after its begin on.
+# What operators allow: nothing more reaches a replica so long after the news, in seconds.
 LEFT_ALONE_S = 2.0
-REST_BEGINS_S = 0.5
-MOST_IN_REST = 2
 # The goal of the stand-in's routes, in seconds.
 GOAL_S = 1.0
 REST_S = 3.0
@@ -80,19 +78,15 @@
     return late
 
 
-def most_in_rest(got, replicas, rest_s=REST_S):
+def rests_in(got, replicas, rest_s=REST_S):
     """Count the requests that reached a replica in a time of rest; the most over all of these."""
     asked = {each.request: each for each in got}
-    most = 0
+    turned_away = defaultdict(list)
     for replica in replicas:
-        refused = defaultdict(list)
         for seen in replica.turned_away:
-            refused[asked[seen.headers["x-request-id"]].node].append(seen.at)
-        for times in refused.values():
-            for began in times:
-                later = [at for at in times if began + REST_BEGINS_S <= at < began + rest_s]
-                most = max(most, len(later))
-    return most
+            node = asked[seen.headers["x-request-id"]].node
+            turned_away[replica.id, node].append(seen.at)
+    return most_in_rest(turned_away, rest_s)
 
 
 def test_a_replica_that_says_in_its_answers_that_it_leaves_is_left_alone():
@@ -126,7 +120,7 @@
                 replica.faults.shed = 1_000_000
                 replica.faults.rest_s = REST_S
             got += await keep_asking(fleet, path)
-            most[path] = most_in_rest(got, replicas)
+            most[path] = rests_in(got, replicas)
 
         return check
 
@@ -174,7 +168,7 @@
         got = await keep_asking(fleet, path, KNOWN_S)
         turn_away(replicas, REST_S)
         refused = await keep_asking(fleet, path, 2 * REST_S)
-        assert most_in_rest([*got, *refused], replicas) <= MOST_IN_REST
+        assert rests_in([*got, *refused], replicas) <= MOST_IN_REST
         assert {each.status for each in refused} == {503}
         # At once, or when its goal has passed where a replica would have been back by then: at the
         # scheduler's tick that finds that, one that lets another look, and one that ends it.
--- a/tests/test_resting_upstreams.py
+++ b/tests/test_resting_upstreams.py
@@ -8,14 +8,12 @@
 import asyncio
 from collections import defaultdict
 
+from tests.rests import MOST_IN_REST, most_in_rest
 from tests.virtual import run
 from tests.world import World
 
 REST_S = 10.0
 PLAYED_S = 12.0
-# As at the gateway: what was under way may still come, and two more.
-BEGINS_S = 0.5
-MOST_IN_REST = 2
 
 
 async def play_requests(world):
@@ -29,17 +27,12 @@
     await asyncio.gather(*calls, return_exceptions=True)
 
 
-def most_in_rest(upstreams):
-    most = 0
+def rests_of(upstreams):
+    turned_away = defaultdict(list)
     for upstream in upstreams:
-        by_process = defaultdict(list)
         for process, at in upstream.turned_away:
-            by_process[process].append(at)
-        for times in by_process.values():
-            for began in times:
-                later = [at for at in times if began + BEGINS_S <= at < began + REST_S]
-                most = max(most, len(later))
-    return most
+            turned_away[upstream.id, process].append(at)
+    return most_in_rest(turned_away, REST_S)
 
 
 def test_an_upstream_that_wants_rest_is_left_alone_by_the_process_that_it_told():
@@ -54,4 +47,4 @@
 
     resting = run(main)
     assert any(each.turned_away for each in resting)
-    assert most_in_rest(resting) <= MOST_IN_REST
+    assert rests_of(resting) <= MOST_IN_REST
