--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -96,6 +96,8 @@
             told["over quota"] += 1
         elif each.status == 503:
             told["refused"] += 1
+            reason = f"refused: {each.body.decode(errors='replace')}"
+            told[reason] = told.get(reason, 0) + 1
         elif each.status != 200 or not each.whole:
             told["failed"] += 1
         elif each.ended - each.began > GOAL_S:
