--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -333,3 +333,26 @@
                     assert answer.connection is None or "close" not in answer.headers
 
     with_fleet(check, ("a",))
+
+
+def test_a_node_that_was_frozen_serves_in_the_first_second_after_it_wakes():
+    async def check(fleet):
+        await asyncio.sleep(1.0)
+        node = fleet.nodes["n1"]
+        node.send(signal.SIGSTOP)
+        # Longer than all that is promised for a time: leases, grants, signs of life.
+        await asyncio.sleep(6.0)
+        node.send(signal.SIGCONT)
+        paths = ("/chat/1", "/explain/1", "/find/1", "/book/1")
+        asked = []
+        for number in range(40):
+            path = paths[number % 4]
+            name = f"woken-{number}"
+            asked.append(asyncio.create_task(fleet.ask("n1", path, request_id=name)))
+            await asyncio.sleep(0.025)
+        got = await asyncio.gather(*asked)
+        assert [(each.status, each.whole) for each in got] == [(200, True)] * 40
+        runs = fleet.runs()
+        assert {runs[f"woken-{number}"] for number in range(40)} == {1}
+
+    with_fleet(check)
