--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -24,18 +24,8 @@
 
 OF_THE_REQUEST = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SET_BY_THE_SYSTEM = frozenset(
-    (
-        b"x-tenant",
-        b"x-expect-instance",
-        b"x-expect-version",
-        b"x-deadline-ms",
-        b"x-credential",
-        b"x-pin-ms",
-        b"x-hold",
-        b"x-kv-backup",
-        b"kv-from",
-        b"kv-fetch",
-    )
+    b"x-tenant x-expect-instance x-expect-version x-deadline-ms x-credential"
+    b" x-pin-ms x-hold x-kv-backup kv-from kv-fetch".split()
 )
 
 
