--- a/packages/chalkyoke/src/chalkyoke/configuration/chunks.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/chunks.py
@@ -11,7 +11,9 @@
 
 from chalkyoke.configuration.resources import KINDS, Specs
 
+# Chunks over which teams are spread, in number: one changed team rewrites a sixteenth of them.
 TEAM_CHUNKS = 16
+# The largest chunk, in bytes: below the largest value of the store.
 MAX_CHUNK_BYTES = 900_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
@@ -19,8 +19,11 @@
 
 ROOT_KEY = "chalkyoke/root"
 CHUNK_PREFIX = "chalkyoke/chunk/"
+# Revisions that are remembered in the root, in number: some five hours of 1,300 changes a day.
 HISTORY_LENGTH = 256
+# How often a swap that another change has overtaken is tried, in number.
 MAX_SWAPS = 8
+# How often the root is read to settle a swap whose answer was lost, in number.
 MAX_READS = 6
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/acquirer.py
@@ -29,7 +29,9 @@
 from chalkyoke.scheduling.state import ReleaseOutcome
 from chalkyoke.tokens.state import TokenState
 
+# How often a scheduler that has not decided is asked again, in seconds: its owner may have changed.
 RESEND_S = 1.0
+# Empty reports after the last running request, in number, in case a release was lost.
 TRAILING_REPORTS = 5
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/answers.py
@@ -25,6 +25,7 @@
 from chalkyoke.tokens.messages import Token, TokenProblem
 
 COME_BACK_S = 1.0
+# How much longer than its deadline an answer of another process is waited for, in seconds.
 GRACE_S = 0.5
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -31,7 +31,9 @@
     Opened,
 )
 
+# How often a broken stream is taken up again at its engine, in number.
 MAX_RESUMES = 3
+# The end of an answer in which usage is looked for, and the most of an error's text, in bytes.
 TAIL_BYTES = 4_096
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/readers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/readers.py
@@ -10,6 +10,7 @@
 
 from chalkyoke.entry.state import Run
 
+# How long after its deadline a reader is told, in seconds: the run itself should end first.
 GRACE_S = 0.05
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/reception.py
@@ -18,11 +18,16 @@
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.scheduling.placement import BLOCK_TOKENS
 
+# What a token is taken to be of a prompt, in characters: a usual figure for English text.
 CHARACTERS_PER_TOKEN = 4
 BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN
+# Leading blocks of a prompt that are compared, in number: a message stays below half a kilobyte.
 MAX_BLOCKS = 48
+# The most output that a request is taken to ask for where it names none, in tokens.
 DEFAULT_MAX_TOKENS = 256
+# The longest deadline that a caller may name, in milliseconds: an hour.
 MAX_DEADLINE_MS = 3_600_000
+# Labels that a request may bear, in number; routes look at a few.
 MAX_LABELS = 16
 
 TOKEN_HEADER = "Chalkyoke-Token"
--- a/packages/chalkyoke/src/chalkyoke/entry/runs.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/runs.py
@@ -19,7 +19,9 @@
 from chalkyoke.tokens.messages import Token, TokenProblem
 from chalkyoke.tokens.state import TokenState
 
+# How long an answer is kept for a retry with the same token, in seconds.
 KEEP_ANSWER_S = 120.0
+# What answers are kept of all tokens together, in bytes: half of what a node may use for control.
 KEEP_ANSWER_BYTES = 16_000_000
 
 
--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -26,8 +26,11 @@
 from chalkyoke.scheduling.state import ReleaseOutcome
 from chalkyoke.tokens.messages import Token, TokenProblem
 
+# How long a run that may not be repeated goes on without its caller, in seconds.
 NOT_REPEATABLE_RUN_S = 60.0
+# When a caller comes back to another host of a fleet from one that stops, in seconds.
 STOPPING_RETRY_S = 0.5
+# How often a stopping node looks whether all is finished, in seconds.
 DRAIN_CHECK_S = 0.05
 
 log = logger("entry")
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -13,7 +13,9 @@
 
 # Statuses of HTTP (RFC 9110).
 SERVER_ERROR_MIN = 500
+# (RFC 9110): another replica serves at the address.
 MISDIRECTED = 421
+# With a time: the replica wants nothing of its sender for so long.
 UNAVAILABLE = 503
 
 
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -19,6 +19,7 @@
 from chalkyoke.platform.start import platform_parts
 
 SETTINGS_VARIABLE = "CHALKYOKE_BOOT"
+# What the program ends with: bad settings, an address that is taken, a broken promise.
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 EXIT_INVARIANT = 70
--- a/packages/chalkyoke/src/chalkyoke/linelog.py
+++ b/packages/chalkyoke/src/chalkyoke/linelog.py
@@ -11,8 +11,11 @@
 import logbook
 import msgspec
 
+# Lines that wait for a slow reader, in bytes; what is beyond that is dropped and counted.
 MAX_HELD_BYTES = 262_144
+# How long a line waits for others to be written with it, in seconds.
 FLUSH_S = 0.05
+# For how many seconds a quota of lines may be saved up.
 BURST_S = 2.0
 KEPT_LEVEL = logbook.NOTICE
 
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -33,6 +33,7 @@
 from chalkyoke.scheduling.scheduler import PoolScheduler
 from chalkyoke.scheduling.state import PoolSpec
 
+# How long the scheduler of a pool that has moved is kept, in seconds: it may come back at once.
 KEEP_S = 5.0
 # How often a pool's scheduler tells those that may succeed it what it has learned, in seconds. An
 # engine's speed is known after some first outputs, which takes about as long.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -15,6 +15,7 @@
 from chalkyoke.scheduling.shortlist import FREE_COMPARED, MOST_COMPARED
 from chalkyoke.scheduling.state import Upstream, Waiting
 
+# Waiting requests that a forecast plays forward, in number; what is behind them is late anyway.
 MAX_LOOKAHEAD = 4000
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -11,6 +11,7 @@
 
 from chalkyoke.scheduling.state import Waiting
 
+# Requests of a queue that are tried for a slot in one decision: the first may fit nowhere.
 PEEK = 4
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -46,15 +46,21 @@
     Waiting,
 )
 
+# The deadline assumed for what runs under an earlier scheduler, in seconds: it is not told.
 ADOPTED_DEADLINE_S = 5.0
 # How long a new scheduler waits for entry processes to tell what they have running, in seconds.
 # They answer within a few milliseconds; those that are lost never do, and an aim may be 0.3 s.
 # What is told later costs some overcommit for a moment.
 SETTLE_S = 0.1
+# Requests of one tier that are looked at closely in one decision; each costs some 0.1 ms.
 MAX_LOOKED = 8
+# A grant that its holder no longer lists is over after so long, in seconds: three reports.
 LOST_RELEASE_S = 3.0
+# An entry process that has said nothing for so long is gone, in seconds: ten reports.
 SILENT_S = 10.0
+# How often silent entry processes are looked for, in seconds.
 SWEEP_S = 1.0
+# How long a load report is believed, in seconds: some times between two of them.
 FOREIGN_VALID_S = 5.0
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -17,10 +17,16 @@
 # order of upstreams hangs on it.
 TYPICAL_PROMPT = 2000
 TYPICAL_OUTPUT = 60
+# How long a scheduler remembers what it had at an upstream, in seconds: beyond the age of any load
+# report that it is compared with.
 OWN_LOAD_MEMORY_S = 15.0
+# Over how long the share of time that an upstream reads prompts is averaged, in seconds.
 STALL_MEMORY_S = 10.0
+# The largest such share that is reckoned with: streams go on between two prompts. Not measured.
 MAX_STALLED = 0.6
+# The least part of a stream's time that counts as its own, whatever was read beside it.
 MIN_OWN_SHARE = 0.2
+# How much earlier what comes back as it was told counts as due, in seconds: the longest goals seen.
 RETURNING_S = 1.0
 
 
--- a/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
@@ -32,8 +32,10 @@
     Written,
 )
 
+# How long a call may take, in seconds; a watch has its own wait beside it.
 CALL_S = 2.0
 INDEX_HEADER = "X-Consul-Index"
+# Pause after a failed call, in seconds: the shortest, doubled with each failure, and the longest.
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -24,9 +24,13 @@
     Opened,
 )
 
+# How long opening a connection may take, in seconds.
 CONNECT_S = 1.0
+# How long a load report or a cancellation may take, in seconds.
 PROBE_S = 1.0
+# How long an unused connection is kept, in seconds.
 KEEP_ALIVE_S = 10.0
+# What is read of the text of an upstream's refusal, in bytes; it goes into one line of the log.
 MAX_DECLINE_BYTES = 2_000
 REQUEST_ID = "X-Request-Id"
 
