--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
@@ -15,6 +15,10 @@
 PR_SET_PDEATHSIG = 1
 
 
+# Numbers of the addresses at which a fleet's replicas and relays listen; its nodes have lower ones.
+REPLICAS, RELAYS = 200, 201
+
+
 def own_address(number: int) -> str:
     """Give a loopback address that stand-in fleets of no other process use.
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -20,7 +20,7 @@
 
 import aiohttp
 
-from chalkyoke_fakes.children import own_address, spawn
+from chalkyoke_fakes.children import REPLICAS, own_address, spawn
 from chalkyoke_fakes.fleet import FLEET_KEY_HEX
 from chalkyoke_fakes.metastore import MetaStore
 from chalkyoke_fakes.replica import Replica
@@ -203,7 +203,7 @@
     ) -> Replica:
         """Start a replica."""
         replica = Replica(name, service, zone, self.store, engine, version=version)
-        await replica.start("127.0.2.1", port)
+        await replica.start(own_address(REPLICAS), port)
         self.replicas[name] = replica
         return replica
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from chalkyoke_fakes.children import own_address
+from chalkyoke_fakes.children import RELAYS, REPLICAS, own_address
 from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
 from chalkyoke_fakes.replica import Replica
 from chalkyoke_fakes.soak.relay import Relay
@@ -86,21 +86,21 @@
         node = self.nodes[name]
         self.link_relays[name] = Relay(node.links)
         self.store_relays[name] = Relay(self.store.address)
-        await self.link_relays[name].start("127.0.3.1")
-        await self.store_relays[name].start("127.0.3.1")
+        await self.link_relays[name].start(own_address(RELAYS))
+        await self.store_relays[name].start(own_address(RELAYS))
         node.advertised = self.link_relays[name].address
         node.store = self.store_relays[name].address
 
     async def _add_place(self, place: str, service: str, zone: str) -> None:
         self.replica_relays[place] = Relay()
-        await self.replica_relays[place].start("127.0.3.1")
+        await self.replica_relays[place].start(own_address(RELAYS))
         await self._start_replica(place, service, zone)
 
     async def _start_replica(self, place: str, service: str, zone: str) -> None:
         relay = self.replica_relays[place]
         name = f"{place}-{next(self._incarnations)}"
         replica = Replica(name, service, zone, self.store, service == "model")
-        relay.target = await replica.start("127.0.2.1", reached_at=relay.address)
+        relay.target = await replica.start(own_address(REPLICAS), reached_at=relay.address)
         self.replicas[name] = replica
 
     def choose_build(self, name: str, *, is_new: bool) -> None:
