--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from chalkyoke_fakes.children import own_address, spawn
+from chalkyoke_fakes.children import REPLICAS, own_address, spawn
 
 START_S = 15.0
 POLL_S = 0.05
@@ -141,7 +141,7 @@
             self._upstream(plain, "chalkyoke_fakes.plain", arguments)
 
     def _upstream(self, spec: dict[str, Any], module: str, arguments: list[str]) -> None:
-        process = self._fake(spec["id"], module, "127.0.2.1", *arguments)
+        process = self._fake(spec["id"], module, own_address(REPLICAS), *arguments)
         process.failure_domain = spec["failure_domain"]
         self.upstreams[spec["id"]] = process
         self.listed.append(
--- a/packages/chalkyoke/src/chalkyoke/links/kinds.py
+++ b/packages/chalkyoke/src/chalkyoke/links/kinds.py
@@ -41,6 +41,8 @@
         :param peer: id of its process.
         :param told: the kinds that it has told; empty where its version does not tell.
         """
-        if told or self._always is None:
-            return not told or kind in told
+        if told:
+            return kind in told
+        if self._always is None:
+            return True
         return kind in self._always or (kind in self._together and peer in self._sent)
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -166,16 +166,16 @@
 
     def _send_on(self, address: str, outgoing: _Outgoing, message: msgspec.Struct) -> None:
         connection = outgoing.connection
+        if connection is None:
+            return
         kind = str(message.__struct_config__.tag)
-        if connection is not None and not self._kinds.understands(
-            connection.peer, connection.peer_kinds, kind
-        ):
+        if not self._kinds.understands(connection.peer, connection.peer_kinds, kind):
             self.counters.withheld += 1
             self._note_unknown(connection.peer, kind, "withheld")
-        elif connection is not None and connection.send(message):
+        elif connection.send(message):
             outgoing.is_full = False
             outgoing.unconfirmed.note_sent(asyncio.get_running_loop().time())
-        elif connection is not None and not outgoing.is_full:
+        elif not outgoing.is_full:
             outgoing.is_full = True
             log.notice("link_full", peer=address, unsent_bytes=connection.unsent_bytes)
 
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -55,7 +55,7 @@
         """
         if not self._state.note_leaving(replica.id, self._now()):
             return
-        self._heard.add(replica.id)
+        self._heard = {*self._still_leaving(), replica.id}
         self._changed()
         told_to = tell_all(self._view, self._send, ReplicasLeave((replica.id,)))
         log.info("replica_leaves", replica=replica.id, source="answer", told_to=told_to)
@@ -87,6 +87,10 @@
 
         A node that misses this learns it by the first answer of the replica itself.
         """
-        self._heard = {each for each in self._heard if self._state.leaves(each)}
-        if self._heard:
-            self._send(member.address, ReplicasLeave(tuple(sorted(self._heard))))
+        leaving = self._still_leaving()
+        if leaving:
+            self._send(member.address, ReplicasLeave(tuple(sorted(leaving))))
+
+    def _still_leaving(self) -> set[str]:
+        """Give what was first heard here and is still remembered, which bounds it."""
+        return {each for each in self._heard if self._state.leaves(each)}
--- a/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
@@ -40,9 +40,14 @@
         self.last = now
         self.pause(now)
 
+    @property
+    def pause_s(self) -> float:
+        """The pause before the next request is tried, in seconds."""
+        return min(MOST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.count - 1, 10))
+
     def pause(self, now: float) -> None:
         """Keep the next request away for a while."""
-        self.until = now + min(MOST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.count - 1, 10))
+        self.until = now + self.pause_s
 
     def serve(self, granted: float) -> None:
         """Note that a request was taken; one from before the last decline tells nothing."""
@@ -123,7 +128,7 @@
     @property
     def refuses_all(self) -> bool:
         """Whether it has declined so often that it is taken to refuse whatever it gets."""
-        return FIRST_PAUSE_S * 2.0 ** max(0, self._all.count - 1) >= MOST_PAUSE_S
+        return self._all.pause_s >= MOST_PAUSE_S
 
 
 class Closure(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -84,9 +84,7 @@
         self._learn_first(item, first_s, now)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
-            refused = upstream.declines.refuses_all
-            upstream.declines.serve(item.domain, item.granted, now)
-            self._note_closing(upstream, refused)
+            self._note_served(item, upstream, now)
             upstream.changed()
 
     def health(self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float) -> None:
@@ -110,18 +108,24 @@
 
     def willingness(self, item: Running, upstream: Upstream, message: Release, now: float) -> None:
         """Learn whether an upstream takes requests at all."""
-        refused = upstream.declines.refuses_all
         if message.rest_s > 0:
             upstream.declines.rest(item.entry, message.rest_s, now)
         if message.declined:
-            upstream.declines.decline(item.domain, item.granted, now)
+            self._note_declined(item, upstream, now)
         elif message.outcome == ReleaseOutcome.DELIVERED:
-            upstream.declines.serve(item.domain, item.granted, now)
-        self._note_closing(upstream, refused)
+            self._note_served(item, upstream, now)
+
+    def _note_declined(self, item: Running, upstream: Upstream, now: float) -> None:
+        refused = upstream.declines.refuses_all
+        upstream.declines.decline(item.domain, item.granted, now)
+        if upstream.declines.refuses_all and not refused:
+            self.closings.append(Closing(upstream.spec.id, refuses=True))
 
-    def _note_closing(self, upstream: Upstream, refused: bool) -> None:
-        if upstream.declines.refuses_all is not refused:
-            self.closings.append(Closing(upstream.spec.id, not refused))
+    def _note_served(self, item: Running, upstream: Upstream, now: float) -> None:
+        refused = upstream.declines.refuses_all
+        upstream.declines.serve(item.domain, item.granted, now)
+        if refused and not upstream.declines.refuses_all:
+            self.closings.append(Closing(upstream.spec.id, refuses=False))
 
     def _may_suspend(self, now: float) -> bool:
         """Tell whether one more upstream may be left out: a pool must not go empty by suspicion."""
--- a/tests/rests.py
+++ b/tests/rests.py
@@ -4,9 +4,9 @@
 How well times of rest are kept, from when requests reached one upstream from one node.
 """
 
-# As operators allow it: what was under way may still come for so long, in seconds, and some more.
-REST_BEGINS_S = 0.5
-MOST_IN_REST = 2
+from chalkyoke_fakes.soak.checkers import MOST_IN_REST, REST_BEGINS_S
+
+__all__ = ["MOST_IN_REST", "most_in_rest"]
 
 
 def most_in_rest(turned_away, rest_s):
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -16,6 +16,8 @@
 from collections import defaultdict
 
 from chalkyoke.node.gateway import TICK_S
+from chalkyoke_fakes.soak.checkers import LEFT_ALONE_S
+from chalkyoke_fakes.soak.play import GOAL_S
 
 from tests.gatewayfleet import play
 from tests.rests import MOST_IN_REST, most_in_rest
@@ -27,10 +29,6 @@
 PAUSE_S = 0.03
 # How long all replicas serve before some change, in seconds: until the scheduler knows them all.
 KNOWN_S = 3.0
-# What operators allow: nothing more reaches a replica so long after the news, in seconds.
-LEFT_ALONE_S = 2.0
-# The goal of the stand-in's routes, in seconds.
-GOAL_S = 1.0
 REST_S = 3.0
 
 
