Sight: the line on the end of a send names the limit that the answer named

No line told whether an answer had named a limit, so that a word that nobody reads and a limit that each host keeps alone looked alike in the logs. The adapter reads the header; nothing acts on it yet.

--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/decimals.py
@@ -0,0 +1,43 @@
+"""
+chalkyoke.decimals
+
+Numbers as headers have them.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class Least(NamedTuple):
+    """The least of several numbers.
+
+    :ivar least: nothing where none of them could be read.
+    :ivar unreadable: whether one could not be read.
+    """
+
+    least: float | None
+    unreadable: bool
+
+
+def read_whole(text: str) -> int:
+    """Read a number of digits; 0 where it is none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def read_decimal(text: str) -> float | None:
+    """Read a number of digits with or without a fraction.
+
+    :return: nothing for a sign, an exponent or anything else that is no such number.
+    """
+    whole, _, part = text.strip().partition(".")
+    digits = whole + part
+    if not whole or not digits.isascii() or not digits.isdigit():
+        return None
+    return float(f"{whole}.{part or 0}")
+
+
+def least_decimal(texts: Iterable[str]) -> Least:
+    """Read a header that may stand there more than once; the least is the safe one to keep to."""
+    read = [read_decimal(text) for text in texts]
+    found = [each for each in read if each is not None]
+    return Least(min(found, default=None), len(found) < len(read))
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -308,6 +308,7 @@
             goal_s=admission.route.goal_s,
             leaving=self._relay.fields.leaving if self._relay else None,
             retry_after_s=self._relay.fields.retry_after_s if self._relay else None,
+            limit_per_s=self._relay.fields.limit_per_s if self._relay else None,
         )
         return follows
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -52,6 +52,9 @@
     :param encoded: whether its body is encoded, which no caller asked for.
     :param leaving: whether the replica says that it leaves: it serves on for a while, and ends.
     :param retry_after_s: how long its sender is told to wait, in seconds; 0 where nothing is told.
+    :param limit_per_s: requests a second that the replica takes from all nodes together; nothing
+        where the answer names no limit.
+    :param limit_unreadable: whether it names one that is no number.
     """
 
     request_id: str
@@ -61,6 +64,8 @@
     load: Load | None = None
     leaving: bool = False
     retry_after_s: float = 0.0
+    limit_per_s: float | None = None
+    limit_unreadable: bool = False
 
 
 class Forwarding(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -4,6 +4,7 @@
 The platform's headers of requests and answers.
 """
 
+from chalkyoke.decimals import least_decimal, read_whole
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
 from chalkyoke.http1.messages import Headers, end_to_end
 from chalkyoke.rests import read_seconds
@@ -21,6 +22,7 @@
 LENGTH_HINT = b"x-length-hint"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LIMIT = b"server-limit"
 
 OF_THE_REQUEST = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SET_BY_THE_SYSTEM = frozenset(
@@ -42,7 +44,7 @@
             key=found.get(CREDENTIAL),
             prompt_tokens=prompt,
             most_output_tokens=most,
-            likely_output_tokens=_number(found.get(LENGTH_HINT, "")),
+            likely_output_tokens=read_whole(found.get(LENGTH_HINT, "")),
             parts=_parts(found.get(PREFIX_HASH, "")),
             last_event_id=found.get(LAST_EVENT_ID, ""),
         )
@@ -64,23 +66,26 @@
     def read_answer(self, headers: Headers) -> AnswerFields:
         """Read what an answer says of itself."""
         found = {name.lower(): value for name, value in headers}
+        limit = least_decimal(_text(value) for name, value in headers if name.lower() == LIMIT)
         return AnswerFields(
-            request_id=found.get(REQUEST_ID, b"").decode("latin-1"),
+            request_id=_text(found.get(REQUEST_ID, b"")),
             stamped=STAMP in found,
             not_run=NOT_RUN in found,
             encoded=b"content-encoding" in found,
             load=_load(found.get(LOAD)),
             leaving=found.get(LEAVING, b"").strip() == b"1",
-            retry_after_s=read_seconds(found.get(RETRY_AFTER, b"").decode("latin-1")),
+            retry_after_s=read_seconds(_text(found.get(RETRY_AFTER, b""))),
+            limit_per_s=limit.least,
+            limit_unreadable=limit.unreadable,
         )
 
 
-def _seconds(text: str) -> float | None:
-    return int(text) / 1000 if text.isascii() and text.isdigit() else None
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
 
 
-def _number(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
+def _seconds(text: str) -> float | None:
+    return int(text) / 1000 if text.isascii() and text.isdigit() else None
 
 
 def _numbers(text: str) -> tuple[int, int]:
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -176,6 +176,19 @@
     assert read([(b"Retry-After", b"9" * 400)]).retry_after_s > 1e9
 
 
+def test_the_limit_that_an_answer_names_is_read():
+    read = PlatformHeaders().read_answer
+    assert read([]).limit_per_s is None
+    for value, limit in {b"3.8": 3.8, b" 12 ": 12.0, b"0": 0.0, b"0.25": 0.25}.items():
+        assert read([(b"Server-Limit", value)]).limit_per_s == limit
+    for value in (b"", b"-1", b"few", b"1e3", b"3,8", b"nan"):
+        fields = read([(b"server-limit", value)])
+        assert (fields.limit_per_s, fields.limit_unreadable) == (None, True), value
+    # Of several the least is kept to.
+    several = read([(b"Server-Limit", b"7"), (b"Server-Limit", b"2"), (b"Server-Limit", b"few")])
+    assert (several.limit_per_s, several.limit_unreadable) == (2.0, True)
+
+
 def test_orders_of_roll_outs_are_read_and_answered_with_the_version_as_written():
     for written, read in ((b"2", "2"), (b'"v2"', "v2")):
         value = b'{"service":"s","to-version":%b,"over-s":20}' % written
--- a/packages/chalkyoke/src/chalkyoke/rests.py
+++ b/packages/chalkyoke/src/chalkyoke/rests.py
@@ -5,6 +5,8 @@
 RFC 9110, in seconds.
 """
 
+from chalkyoke.decimals import read_decimal
+
 # The longest time for which an upstream is left alone at its own word, in seconds: its header may
 # be wrong, and a request that it turns away again costs one try.
 MOST_REST_S = 600.0
@@ -15,11 +17,7 @@
 
     :return: 0 for a date, a sign or anything else that is no number of seconds.
     """
-    whole, _, part = text.strip().partition(".")
-    digits = whole + part
-    if not whole or not digits.isascii() or not digits.isdigit():
-        return 0.0
-    return float(f"{whole}.{part or 0}")
+    return read_decimal(text) or 0.0
 
 
 def bounded(seconds: float) -> float:
