Failing test: a limit that a replica names holds over all nodes

Six whole nodes before six stand-ins of which two, or all, name a limit and take whatever comes, in virtual time. Seen on the code as it is: 245 to 254 requests in 4 s at a limit of 3.8 a second (27 allowed), 248 and 254 at 0.4 (7 allowed).

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -36,6 +36,8 @@
     :ivar says_leaving: say in all answers that it leaves, whatever its record says.
     :ivar rest_s: in answers that it has not run, ask for so many seconds of rest; 0 asks for none.
     :ivar renamed: whether it is back under another id, or else under its own with another start.
+    :ivar limit_per_s: requests a second that it says it takes from all nodes together; negative
+        where it says nothing of it. It takes whatever comes all the same.
     """
 
     lose_answers: int = 0
@@ -53,6 +55,7 @@
     renamed: bool = True
     says_leaving: bool = False
     rest_s: float = 0.0
+    limit_per_s: float = -1.0
 
 
 @dataclass
@@ -270,8 +273,11 @@
         }
 
     def _said(self) -> dict[str, str]:
-        """Say in an answer what becomes of the replica itself."""
-        return {"Server-Leaving": "1"} if self.faults.says_leaving else {}
+        """Say in an answer what becomes of the replica itself, and how much it takes."""
+        said = {"Server-Leaving": "1"} if self.faults.says_leaving else {}
+        if self.faults.limit_per_s >= 0:
+            said["Server-Limit"] = f"{self.faults.limit_per_s:g}"
+        return said
 
 
 def event_of(number: int) -> bytes:
--- /dev/null
+++ b/tests/limits.py
@@ -0,0 +1,44 @@
+"""
+tests.limits
+
+How well limits are kept that replicas name in their answers, from when requests reached them.
+"""
+
+from chalkyoke_fakes.soak.limits import most_allowed, worst_window
+
+__all__ = ["most_allowed", "over_limits"]
+
+
+def told_at(got):
+    """Find when each node had first passed on an answer that names a limit, by start of a replica.
+
+    :return: by replica and node, on the loop's clock.
+    """
+    told = {}
+    for each in sorted(got, key=lambda each: each.asked_at + each.took_s):
+        if "server-limit" in each.headers:
+            replica = each.headers["x-server-stamp"].partition(".")[0]
+            told.setdefault((replica, each.node), each.asked_at + each.took_s)
+    return told
+
+
+def over_limits(got, replicas):
+    """Count what reached each replica that has named a limit in its worst window.
+
+    :return: by replica, the most requests in a window.
+    """
+    told = told_at(got)
+    asked = {each.request: each for each in got}
+    found = {}
+    for replica in replicas:
+        first = min((at for (name, _), at in told.items() if name == replica.id), default=None)
+        if first is None:
+            continue
+        arrivals = [
+            (seen.at, asked[seen.headers["x-request-id"]].node)
+            for seen in (*replica.seen, *replica.turned_away)
+            if seen.headers["x-request-id"] in asked
+        ]
+        nodes = {node: at for (name, node), at in told.items() if name == replica.id}
+        found[replica.id] = worst_window(arrivals, nodes, first)
+    return found
