--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -75,7 +75,7 @@
         good_is_full = False
         for replica in replicas:
             seen = self.seen(replica.id)
-            if seen.rest_left_s(now) > 0:
+            if seen.rest_left_s(now) > 0 or seen.limited_until > now:
                 continue
             if most_outstanding is not None and seen.outstanding >= most_outstanding(replica):
                 is_good = now >= seen.unreachable_until and replica.id not in avoid
@@ -110,6 +110,20 @@
         left = (self.seen(each.id).rest_left_s(now) for each in replicas)
         return min(left, default=0.0)
 
+    def note_limited(self, replica: str, seconds: float, now: float) -> None:
+        """Learn that the limit that a replica names allows no request for some time."""
+        self.seen(replica).limited_until = now + seconds
+
+    def soonest_limited(self, replicas: Iterable[Replica], now: float) -> Replica | None:
+        """Find the replica whose limit allows a request first, where limits hold up all.
+
+        Those that want rest are left out.
+        """
+        awake = [each for each in replicas if self.seen(each.id).rest_left_s(now) <= 0]
+        if any(self.seen(each.id).limited_until <= now for each in awake):
+            return None
+        return min(awake, key=lambda each: self.seen(each.id).limited_until, default=None)
+
     def out_of_reach(
         self, replicas: Iterable[Replica], now: float, *, tried: Collection[str]
     ) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -30,6 +30,7 @@
     :ivar failures: recent failures; each fades within some seconds.
     :ivar latency_s: smoothed time of an answer; 0 until one was seen.
     :ivar resting_until: it wants nothing of this node before that.
+    :ivar limited_until: the limit that it names allows no request of this node before that.
     """
 
     outstanding: int = 0
@@ -41,6 +42,7 @@
     unreachable: int = 0
     unreachable_until: float = 0.0
     resting_until: float = 0.0
+    limited_until: float = 0.0
 
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take what the replica told of its load."""
--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -77,5 +77,30 @@
     relay: bool = False
 
 
+class ReplicaSaid(msgspec.Struct, frozen=True, array_like=True):
+    """One word of a replica of itself.
+
+    :param replica: id of its start.
+    :param word: what it speaks of; a word that a node does not know is passed over.
+    :param value: nothing where it does not say so any more.
+    :param age_s: how long ago it said so, in seconds.
+    """
+
+    replica: str
+    word: str
+    value: float | None
+    age_s: float
+
+
+class ReplicasSay(msgspec.Struct, frozen=True, array_like=True, tag="replicas_say"):
+    """What replicas have said of themselves in their answers.
+
+    :param relay: whether the receiver tells the other nodes of its failure domain.
+    """
+
+    items: tuple[ReplicaSaid, ...]
+    relay: bool = False
+
+
 CatalogAnswer = CatalogTold | CatalogChanged | ReplicasTold | ReplicasChanged
 CatalogMessage = CatalogRequest | CatalogAnswer
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -8,15 +8,16 @@
 
 import msgspec
 
+from chalkyoke.gateway.announcements import statement_of
 from chalkyoke.gateway.events import EventCutter
 from chalkyoke.gateway.feedback import Feedback, output_s
-from chalkyoke.gateway.grants import Denied, Granted
+from chalkyoke.gateway.granted import Denied, Granted
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import AnswerFields, Forwarding
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
-from chalkyoke.gateway.verdict import MISDIRECTED, UNAVAILABLE, Next, SendEnd, Sends, after
+from chalkyoke.gateway.verdict import MISDIRECTED, Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Headers, Request, find, request_head
 from chalkyoke.http1.pool import ConnectFailure
@@ -437,6 +438,7 @@
             for_trial=granted.for_trial,
             source=granted.source,
             scheduler=granted.scheduler,
+            limit_kept_by=_limit_kept_by(granted),
             send=progress.sends.arrivals,
             expected_first_s=round(granted.expected_first_s, 4),
             deadline_s=round(forwarding.deadline_s, 3),
@@ -452,10 +454,7 @@
         """Note what an answer says of its replica; a misdirected request met another one."""
         if status == MISDIRECTED:
             return
-        if fields.leaving:
-            self._parts.announcements.leaves(granted.replica)
-        if status == UNAVAILABLE and fields.retry_after_s > 0:
-            self._parts.announcements.rests(granted.replica, fields.retry_after_s)
+        self._parts.announcements.hear(granted.replica, statement_of(status, fields))
 
     def _belongs(self, headers: Headers) -> bool:
         found = self._parts.headers.read_answer(headers)
@@ -527,3 +526,11 @@
                 self._parts.quarantine.left(replica, self._identity(), output_s(self._relay))
             self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
             self._granted = None
+
+
+def _limit_kept_by(granted: Granted) -> str | None:
+    """Name the process that counts a send in the limit of its replica; nothing where none does."""
+    if granted.counted:
+        return granted.scheduler
+    permit = granted.permit
+    return permit.keeper if permit is not None and permit.limit_per_s is not None else None
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -5,7 +5,7 @@
 """
 
 from chalkyoke.catalog.resources import Replica
-from chalkyoke.gateway.grants import Granted
+from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.quarantine import Identity
 from chalkyoke.gateway.reception import Admission
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -8,13 +8,21 @@
 import asyncio
 import math
 from collections.abc import Callable, Collection
-from enum import StrEnum
 from typing import Protocol
 
 import msgspec
 
 from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.granted import (
+    DEFAULT_RETRY_S,
+    Denied,
+    Granted,
+    PermitPort,
+    ReplicaPort,
+    Source,
+    Wanted,
+)
+from chalkyoke.gateway.localchoice import LocalChoice
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
 from chalkyoke.rollouts.standing import trial_route
 from chalkyoke.scheduling.messages import (
@@ -46,58 +54,14 @@
 AVOID_S = 0.4
 # The owner, the next in another failure domain and the next in this node's own.
 OWNERS_ASKED = 3
-# How often this node alone looks for a free replica, in seconds.
-LOCAL_POLL_S = 0.01
 # How long it looks before the schedulers are asked again, in seconds.
 LOCAL_WAIT_S = 0.1
 # Empty reports after the last running request, in case the release was lost.
 TRAILING_REPORTS = 3
-# When a caller comes back where nobody can tell, in seconds.
-DEFAULT_RETRY_S = 0.5
 # The part of its time that a caller may be told to stay away, so that it still comes back.
 COMES_BACK_SHARE = 0.3
 
 
-class Source(StrEnum):
-    """Who gave a grant."""
-
-    SCHEDULER = "scheduler"
-    LOCAL = "local"
-
-
-class Granted(msgspec.Struct):
-    """Permission to send one request to one replica once.
-
-    :param scheduler: the process that gave it; empty for this node alone.
-    :param expected_first_s: what the scheduler predicted for ``first_s``; 0 where nobody did.
-    :param for_trial: whether it may go to a version under trial.
-    :ivar declined: whether the replica turned the request away, which none had done before.
-    :ivar started: when the request was sent, on the node's clock; 0 before.
-    :ivar first_s: from the send to the first event; -1 before.
-    """
-
-    replica: Replica
-    attempt: int
-    source: Source
-    scheduler: str = ""
-    started: float = 0.0
-    first_s: float = -1.0
-    events: int = 0
-    expected_first_s: float = 0.0
-    for_trial: bool = False
-    declined: bool = False
-
-
-class Denied(msgspec.Struct, frozen=True):
-    """No replica takes the request.
-
-    :param retry_after_s: when to come back.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
 class SchedulerPort(Protocol):
     """The pool schedulers, here and in other processes."""
 
@@ -108,41 +72,11 @@
         """List the processes that may schedule a pool, the present owner first."""
 
 
-class ReplicaPort(Protocol):
-    """The replicas that may take new work."""
-
-    def find(self, replica: str, *, for_trial: bool = False) -> Replica | None:
-        """Find a replica that takes new work.
-
-        :param for_trial: whether one of a version under trial will do.
-        """
-
-    def of(self, service: str, *, for_trial: bool = False) -> list[Replica]:
-        """List a service's replicas that take new work.
-
-        :param for_trial: those of a version under trial in place of the others.
-        """
-
-
 class _Held(msgspec.Struct):
     admission: Admission
     granted: Granted
 
 
-class _Wanted(msgspec.Struct, frozen=True):
-    """A replica that is looked for.
-
-    :param attempt: counts the grants that were asked for.
-    :param avoid: replicas that were tried already.
-    :param for_trial: whether it is to be of a version under trial.
-    """
-
-    admission: Admission
-    attempt: int
-    avoid: Collection[str]
-    for_trial: bool
-
-
 class Grants:
     """Acquire and release grants for this node's requests.
 
@@ -155,6 +89,7 @@
         schedulers: SchedulerPort,
         replicas: ReplicaPort,
         balancer: LocalBalancer,
+        permits: PermitPort,
         now: Callable[[], float],
         *,
         pooled: bool,
@@ -162,8 +97,10 @@
         self._schedulers = schedulers
         self._replicas = replicas
         self._balancer = balancer
+        self._permits = permits
         self._now = now
         self._pooled = pooled
+        self._local = LocalChoice(replicas, balancer, permits, now, pooled=pooled)
         self._loop = asyncio.get_running_loop()
         self._answers: dict[str, asyncio.Queue[tuple[str, Grant | Shed | Queued]]] = {}
         self._held: dict[str, _Held] = {}
@@ -194,21 +131,40 @@
         """
         if not self._replicas.of(admission.service.name, for_trial=for_trial):
             return Denied("no replica", DEFAULT_RETRY_S)
-        wanted = _Wanted(admission, attempt, avoid, for_trial)
+        wanted = Wanted(admission, attempt, avoid, for_trial)
         pooled = admission.service.is_engine and self._pooled and not alone
         granted: Granted | Denied | None = None
         while granted is None:
             if pooled:
                 granted = await self._ask_schedulers(wanted)
+            if isinstance(granted, Granted) and not await self._is_permitted(wanted, granted):
+                granted, pooled = None, False
             if granted is None:
                 wait_s = LOCAL_WAIT_S if pooled else math.inf
-                granted = await self._choose_here(wanted, wait_s)
+                granted = await self._local.choose(wanted, wait_s)
         if isinstance(granted, Granted):
             self._held[admission.request_id] = _Held(admission, granted)
             self._balancer.seen(granted.replica.id).outstanding += 1
         return granted
 
-    async def _ask_schedulers(self, wanted: _Wanted) -> Granted | Denied | None:
+    async def _is_permitted(self, wanted: Wanted, granted: Granted) -> bool:
+        """Get the permit that a scheduler's grant lacks; one that can't get it is given back.
+
+        A scheduler that has not heard of a limit, as one of an older version never will, grants on.
+        """
+        replica = granted.replica
+        if granted.counted or not self._permits.is_limited(replica.id):
+            return True
+        try:
+            granted.permit = await self._local.permit(replica, 0.0)
+        finally:
+            if granted.permit is None:
+                self._send_unused(
+                    granted.scheduler, wanted.admission.request_id, granted.attempt, replica.service
+                )
+        return granted.permit is not None
+
+    async def _ask_schedulers(self, wanted: Wanted) -> Granted | Denied | None:
         admission = wanted.admission
         request = admission.request_id
         queue: asyncio.Queue[tuple[str, Grant | Shed | Queued]] = asyncio.Queue()
@@ -234,7 +190,7 @@
         self,
         owner: str,
         queue: "asyncio.Queue[tuple[str, Grant | Shed | Queued]]",
-        wanted: _Wanted,
+        wanted: Wanted,
     ) -> Granted | Denied | None:
         """Ask one scheduler until it decides; nothing where it falls silent."""
         self._schedulers.send(owner, self._acquire_message(wanted))
@@ -266,10 +222,7 @@
             return Denied(message.reason, message.retry_after_s or DEFAULT_RETRY_S)
         replica = self._replicas.find(message.upstream, for_trial=for_trial)
         if replica is None:
-            unused = Release(
-                message.request, message.attempt, message.pool, ReleaseOutcome.UNUSED, Usage()
-            )
-            self._schedulers.send(process, unused)
+            self._send_unused(process, message.request, message.attempt, message.pool)
             return None
         return Granted(
             replica,
@@ -278,9 +231,10 @@
             process,
             expected_first_s=message.expected_first_s,
             for_trial=for_trial,
+            counted=message.counted,
         )
 
-    def _acquire_message(self, wanted: _Wanted) -> Acquire:
+    def _acquire_message(self, wanted: Wanted) -> Acquire:
         admission = wanted.admission
         now = self._now()
         fields = admission.fields
@@ -307,42 +261,6 @@
             tried=tuple(wanted.avoid),
         )
 
-    async def _choose_here(self, wanted: _Wanted, wait_s: float) -> Granted | Denied | None:
-        """Choose a replica by what this node sees; nothing where none is free for so long."""
-        admission, attempt, avoid = wanted.admission, wanted.attempt, wanted.avoid
-        service = admission.service
-        until = self._now() + wait_s
-        bound = self._own_part if service.is_engine else None
-        while True:
-            replicas = self._replicas.of(service.name, for_trial=wanted.for_trial)
-            rest_s = self._balancer.rest_left_s(replicas, self._now())
-            if self._now() + rest_s > admission.due and rest_s > 0:
-                return Denied("replicas rest", rest_s)
-            if replicas and self._balancer.out_of_reach(replicas, self._now(), tried=avoid):
-                return Denied("replicas out of reach", DEFAULT_RETRY_S)
-            chosen = self._balancer.choose(
-                replicas,
-                self._now(),
-                avoid=avoid,
-                repeatable=admission.route.repeatable and attempt < admission.route.attempts,
-                most_outstanding=bound,
-            )
-            if chosen is not None:
-                return Granted(chosen, attempt, Source.LOCAL, for_trial=wanted.for_trial)
-            if not replicas:
-                return Denied("no replica", DEFAULT_RETRY_S)
-            if self._now() >= admission.patience:
-                return Denied("no free slot", DEFAULT_RETRY_S)
-            if self._now() >= until:
-                return None
-            await asyncio.sleep(LOCAL_POLL_S)
-
-    def _own_part(self, replica: Replica) -> int:
-        """Bound what this node alone has at a replica, since it can't see what others have."""
-        if self._pooled:
-            return max(1, replica.slots // 4)
-        return max(1, replica.slots // 4 + 2)
-
     # Messages of schedulers.
 
     def receive(self, process: str, message: Grant | Shed | Queued) -> None:
@@ -358,10 +276,12 @@
             or held.granted.scheduler != process
             or held.granted.attempt != message.attempt
         ):
-            unused = Release(
-                message.request, message.attempt, message.pool, ReleaseOutcome.UNUSED, Usage()
-            )
-            self._schedulers.send(process, unused)
+            self._send_unused(process, message.request, message.attempt, message.pool)
+
+    def _send_unused(self, process: str, request: str, attempt: int, pool: str) -> None:
+        """Give a grant back to a scheduler that nothing was done with."""
+        unused = Release(request, attempt, pool, ReleaseOutcome.UNUSED, Usage())
+        self._schedulers.send(process, unused)
 
     # Running and releasing.
 
@@ -392,6 +312,8 @@
             return
         del self._held[admission.request_id]
         self._balancer.seen(granted.replica.id).outstanding -= 1
+        if granted.permit is not None and not granted.started:
+            self._permits.give_back(granted.permit)
         if not admission.service.is_engine or not self._pooled:
             return
         pool = admission.service.name
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -6,7 +6,7 @@
 import pytest
 from chalkyoke.catalog.resources import Catalog, Route, RouteKind, Service, Target, Team
 from chalkyoke.gateway.exchange import Exchange
-from chalkyoke.gateway.grants import Denied, Granted, Source
+from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.http1.messages import Request
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -2,9 +2,11 @@
 
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
-from chalkyoke.gateway.grants import Denied, Granted, Grants, Source
+from chalkyoke.gateway.granted import Denied, Granted, Source
+from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.gateway.reception import Admission
+from chalkyoke.limits.client import Permit
 from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Withdraw
 
 from tests import virtual
@@ -22,6 +24,16 @@
         return REPLICAS
 
 
+class Unlimited:
+    """Permits where no replica names a limit."""
+
+    def is_limited(self, replica):
+        return False
+
+    async def ask(self, service, replica, most_wait_s):
+        return Permit(service, replica)
+
+
 class Schedulers:
     """Schedulers that are silent until some moment, and then grant ``m1``."""
 
@@ -56,7 +68,7 @@
 def grants_before(schedulers, pooled=True):
     loop = asyncio.get_running_loop()
     balancer = LocalBalancer("a", lambda: 0.5)
-    made = Grants(schedulers, Replicas(), balancer, loop.time, pooled=pooled)
+    made = Grants(schedulers, Replicas(), balancer, Unlimited(), loop.time, pooled=pooled)
     schedulers.grants = made
     return made
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
@@ -0,0 +1,293 @@
+"""Nodes that send to replicas which name limits, in virtual time without a network.
+
+The pattern: open-loop callers at many hosts before a plain service, some replicas of which take
+few requests a second from all hosts together; hosts are killed and cut off meanwhile, and limits
+change. Limits of 0.2 to 40 a second are those of small engines and of busy plain services; hosts,
+domains and delays are those of the fleets that operators run, up to the size of two years from now.
+"""
+
+import asyncio
+import itertools
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
+from chalkyoke.gateway.granted import Granted
+from chalkyoke.gateway.grants import Grants
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.reception import Admission
+from chalkyoke.limits.client import PermitClient
+from chalkyoke.limits.keeper import LimitKeeper
+from chalkyoke.limits.known import KnownLimits
+from chalkyoke.node.limits import LimitNews
+from chalkyoke.scheduling.state import ReleaseOutcome
+from chalkyoke_fakes.soak.limits import worst_window
+
+SERVICE = Service("plain")
+GOAL_S = 1.0
+ROUTE = Route("r", "h", "/", (Target("plain", 1),), RouteKind.IDEMPOTENT, 8.0, GOAL_S, attempts=3)
+# One way, in seconds.
+NEAR_S, FAR_S = 0.0005, 0.002
+CONNECT_S = 0.002
+WORK_S = 0.02
+# How long it takes until a loss or a cut is noticed, in seconds.
+NOTICED_S = 2.5
+DOMAINS = 4
+
+
+class View:
+    """What one node believes of the others."""
+
+    def __init__(self, node, live):
+        self.node, self.live_names = node, set(live)
+        self.record = SimpleNamespace(process=node.process)
+
+    def audience(self):
+        return [each for each in sorted(self.live_names) if each != self.node.name], []
+
+    def domain_addresses(self):
+        return []
+
+
+class Node:
+    """One host: what it knows of limits, and its way to send. Made anew when it starts."""
+
+    starts = itertools.count(1)
+
+    def __init__(self, fleet, name, live):
+        self.fleet, self.name = fleet, name
+        self.process = f"{name}/{next(self.starts)}"
+        self.domain = name % DOMAINS
+        self.view = View(self, live)
+        self.random = random.Random(f"{fleet.seed}/{self.process}")
+        now = fleet.now
+        known = KnownLimits()
+        self.known = known
+        self.keeper = LimitKeeper(
+            known, lambda service: self.keepers(service)[0] == self.process, self._fleet_share
+        )
+        self.news = LimitNews(
+            known,
+            self.view,
+            SimpleNamespace(replicas=fleet.replicas),
+            Metrics(),
+            lambda address, message: fleet.carry(self, address, "news", message),
+            lambda: None,
+            now,
+        )
+        self.permits = PermitClient(
+            known, self.keeper, self, self.news.take, self.random.random, now
+        )
+        self.balancer = LocalBalancer(str(self.domain), self.random.random)
+        self.grants = Grants(
+            SimpleNamespace(), fleet, self.balancer, self.permits, now, pooled=False
+        )
+
+    # The port of the permits.
+
+    def keepers(self, service):
+        names = sorted(self.view.live_names, key=lambda each: (each * 7919 + 13) % 9973)
+        elsewhere = [each for each in names if each % DOMAINS != names[0] % DOMAINS]
+        here = [each for each in names if each % DOMAINS == self.domain]
+        order = dict.fromkeys([*names[:1], *elsewhere[:1], *here[:1], *names])
+        return [self.fleet.nodes[each].process for each in order]
+
+    def is_here(self, process):
+        return process == self.process
+
+    def send(self, process, message):
+        self.fleet.messages["permits"] += 1
+        self.fleet.carry(self, int(process.partition("/")[0]), "permits", message)
+
+    def nodes(self):
+        return len(self.fleet.nodes)
+
+    def _fleet_share(self):
+        return len(self.view.live_names) / len(self.fleet.nodes)
+
+    def receive(self, sender, kind, message):
+        if kind == "news":
+            self.news.receive(str(sender.name), message)
+        else:
+            self.permits.receive(sender.process, message)
+
+
+@dataclass
+class LimitedReplica:
+    """What one replica says and gets.
+
+    :ivar limit_per_s: negative where it names none.
+    :ivar arrivals: when requests reached it, and the processes that sent them.
+    :ivar told: when each process had passed on a first answer that names a limit.
+    """
+
+    resource: Replica
+    limit_per_s: float = -1.0
+    arrivals: list = field(default_factory=list)
+    told: dict = field(default_factory=dict)
+
+
+class Fleet:
+    """All nodes, and the callers before them.
+
+    :param weights: how many callers come to each node, beside others.
+    """
+
+    def __init__(self, hosts, replicas=6, seed=1, weights=None):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.replicas = {
+            f"p{number}": Replica(f"p{number}", "plain", "10.0.0.1", number + 1, "0", 50)
+            for number in range(replicas)
+        }
+        self.limited = {name: LimitedReplica(each) for name, each in self.replicas.items()}
+        self.messages = Counter()
+        self.answers = Counter()
+        self.cut_off = set()
+        self.excused = {}
+        self.weights = weights or [1 + 4 * (host % 5 == 0) for host in range(hosts)]
+        self.nodes = {}
+        for name in range(hosts):
+            self.nodes[name] = Node(self, name, range(hosts))
+        self._numbers = itertools.count(1)
+        self._tasks = set()
+
+    def now(self):
+        return self.loop.time()
+
+    # The ports of the grants.
+
+    def find(self, replica, *, for_trial=False):
+        return self.replicas.get(replica)
+
+    def of(self, service, *, for_trial=False):
+        return list(self.replicas.values())
+
+    # The way between nodes.
+
+    def carry(self, sender, address, kind, message):
+        self.messages[kind] += 1
+        if (sender.name in self.cut_off) != (address in self.cut_off):
+            return
+        near = sender.domain == address % DOMAINS
+        delay = (NEAR_S if near else FAR_S) * (1 + self.random.random())
+        process = self.nodes[address].process
+        self.loop.call_later(delay, self._deliver, sender, address, process, kind, message)
+
+    def _deliver(self, sender, address, process, kind, message):
+        node = self.nodes[address]
+        if node.process == process:
+            node.receive(sender, kind, message)
+
+    # Faults.
+
+    def kill(self, *names):
+        """End hosts that start again at once; others notice the new processes at once."""
+        for name in names:
+            self.nodes[name] = Node(self, name, self.nodes[name].view.live_names)
+
+    def cut(self, names, seconds):
+        """Cut hosts off from the others; replicas are reached by all."""
+        self.cut_off = set(names)
+        for process in (self.nodes[name].process for name in names):
+            self.excused[process] = (self.now(), self.now() + seconds + NOTICED_S)
+        self.loop.call_later(NOTICED_S, self._see)
+        self.loop.call_later(seconds, self._heal)
+
+    def _heal(self):
+        self.cut_off = set()
+        self.loop.call_later(0.25, self._see)
+
+    def _see(self):
+        for name, node in self.nodes.items():
+            side = name in self.cut_off
+            node.view.live_names = {each for each in self.nodes if (each in self.cut_off) == side}
+            node.keeper.refresh(self.now())
+
+    # Callers.
+
+    async def play(self, demand_per_s, seconds, events=()):
+        """Let callers come; ``events`` are (second, what)."""
+        began = self.now()
+        for at, what in events:
+            self.loop.call_later(at, what, self)
+        ticking = asyncio.ensure_future(self._tick())
+        names = list(self.nodes)
+        while self.now() < began + seconds:
+            await asyncio.sleep(self.random.expovariate(demand_per_s))
+            node = self.nodes[self.random.choices(names, self.weights)[0]]
+            task = asyncio.ensure_future(self._ask(node))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        ticking.cancel()
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(1.0)
+            for node in self.nodes.values():
+                node.news.keep_house()
+                node.permits.keep_house()
+
+    async def _ask(self, node):
+        now = self.now()
+        name = f"q{next(self._numbers)}"
+        fields = RequestFields(name)
+        admission = Admission(
+            name, fields, ROUTE, SERVICE, None, 1, 0, 1.0, now, now + 8.0, now + GOAL_S, now + 4.0
+        )
+        granted = await node.grants.acquire(admission, 1, ())
+        if not isinstance(granted, Granted):
+            self.answers["refused"] += 1
+            return
+        await asyncio.sleep(CONNECT_S * self.random.random())
+        if self.nodes[node.name] is not node:
+            self.answers["lost"] += 1
+            return
+        node.grants.started(admission, granted)
+        replica = self.limited[granted.replica.id]
+        replica.arrivals.append((self.now(), node.process))
+        await asyncio.sleep(WORK_S * self.random.expovariate(1.0))
+        node.balancer.seen(granted.replica.id).note_answer(self.now() - granted.started)
+        node.grants.release(admission, granted, ReleaseOutcome.DELIVERED)
+        self.answers["served"] += 1
+        self.answers["in time"] += self.now() <= admission.due
+        limit = replica.limit_per_s
+        node.news.hear(granted.replica.id, limit if limit >= 0 else None)
+        if limit >= 0 and self.nodes[node.name] is node:
+            replica.told.setdefault(node.process, self.now())
+
+    # What came of it.
+
+    def set_limits(self, limit_per_s, count=None):
+        for replica in list(self.limited.values())[:count]:
+            replica.limit_per_s = limit_per_s
+
+    def worst(self, since=0.0):
+        """Give the most requests in a window that the users' bound looks at, over all replicas."""
+        return max(self._worst_of(each, since) for each in self.limited.values())
+
+    def _worst_of(self, replica, since):
+        if not replica.told:
+            return 0
+        counted = [
+            (at, process) for at, process in replica.arrivals if not self._is_excused(process, at)
+        ]
+        return worst_window(counted, replica.told, max(since, min(replica.told.values())))
+
+    def _is_excused(self, process, at):
+        began, ended = self.excused.get(process, (math.inf, 0.0))
+        return began <= at <= ended
+
+    def used(self, limit_per_s, began, seconds):
+        """Tell how much of the limits was used in a time, requests of all hosts."""
+        limited = [each for each in self.limited.values() if each.limit_per_s >= 0]
+        sent = sum(began <= at < began + seconds for each in limited for at, _ in each.arrivals)
+        return sent / (len(limited) * limit_per_s * seconds)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_allowance.py
@@ -0,0 +1,101 @@
+import math
+
+import pytest
+from chalkyoke.limits.allowance import BURST_S, LEAST_PER_S, Allowance
+from chalkyoke_fakes.soak.limits import WINDOW_S, most_allowed
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+LIMITS = st.sampled_from((0.0, 0.2, 0.4, 1.0, 3.8, 40.0))
+
+
+def test_it_begins_empty_and_fills_at_the_limit():
+    allowance = Allowance(4.0, 1.0, 10.0)
+    assert not allowance.is_open(10.0)
+    assert allowance.opens_in_s(10.0) == 0.25
+    assert allowance.is_open(10.25)
+    allowance.take(10.25)
+    assert allowance.opens_in_s(10.25) == 0.25
+
+
+def test_requests_that_wait_go_one_after_the_other():
+    allowance = Allowance(2.0, 1.0, 0.0)
+    assert [allowance.reserve(1.2, 0.0) for _ in range(3)] == [0.5, 1.0, None]
+    allowance.give_back()
+    assert allowance.reserve(1.2, 0.0) == 1.0
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.1])
+def test_a_replica_that_takes_nothing_gets_one_request_in_five_seconds(limit_per_s):
+    allowance = Allowance(limit_per_s, 1.0, 0.0)
+    assert allowance.opens_in_s(0.0) == pytest.approx(1 / LEAST_PER_S)
+
+
+class Spending(RuleBasedStateMachine):
+    """Whatever is taken, reserved, given back or changed, no window sees more than is allowed."""
+
+    @initialize(limit_per_s=LIMITS)
+    def begin(self, limit_per_s):
+        self.now = 0.0
+        self.allowance = Allowance(limit_per_s, 1.0, 0.0)
+        self.limits = [(0.0, limit_per_s)]
+        self.sent = []
+
+    @rule(seconds=st.sampled_from((0.01, 0.05, 0.3, 1.0, 3.0, 20.0)))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(count=st.integers(1, 20))
+    def take_what_is_open(self, count):
+        for _ in range(count):
+            if self.allowance.is_open(self.now):
+                self.allowance.take(self.now)
+                self.sent.append(self.now)
+
+    @rule(count=st.integers(1, 20), most_wait_s=st.sampled_from((0.0, 0.2, 1.0)))
+    def reserve(self, count, most_wait_s):
+        for _ in range(count):
+            wait_s = self.allowance.reserve(most_wait_s, self.now)
+            if wait_s is not None:
+                self.sent.append(self.now + wait_s)
+
+    @rule()
+    def give_back(self):
+        if self.sent and self.sent[-1] >= self.now:
+            self.sent.pop()
+            self.allowance.give_back()
+
+    @rule(limit_per_s=LIMITS)
+    def change(self, limit_per_s):
+        # What waits for its time under an earlier limit asks anew.
+        for _ in [each for each in self.sent if each > self.now]:
+            self.allowance.give_back()
+        self.sent = [each for each in self.sent if each <= self.now]
+        self.allowance.reshape(limit_per_s, 1.0, self.now)
+        self.limits.append((self.now, limit_per_s))
+
+    @invariant()
+    def no_window_sees_more(self):
+        sent = sorted(self.sent)
+        for index, began in enumerate(sent):
+            ended = began + WINDOW_S
+            count = sum(1 for at in sent[index:] if at < ended)
+            # A limit that was named before counts until it was replaced.
+            before = [each for at, each in self.limits if at < began][-1:]
+            most = max([*before, *(each for at, each in self.limits if began <= at < ended)])
+            assert count <= most_allowed(most), (count, most)
+
+    @invariant()
+    def no_more_is_saved_up_than_a_moment_s_worth(self):
+        rate = max(LEAST_PER_S, self.allowance.limit_per_s)
+        probe = Allowance(self.allowance.limit_per_s, 1.0, self.now)
+        assert math.isclose(probe.rate_per_s, rate)
+        saved = Allowance(rate, 1.0, self.now - 1000.0)
+        count = 0
+        while saved.is_open(self.now):
+            saved.take(self.now)
+            count += 1
+        assert count <= 1 + BURST_S * rate
+
+
+TestSpending = Spending.TestCase
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -1,8 +1,8 @@
 """
 chalkyoke.node.announcements
 
-What replicas say of themselves in their answers: that they leave, which all nodes are told, and
-that they want nothing of this node for a while.
+What replicas say of themselves in their answers: that they leave and what they take from all nodes,
+which all nodes are told, and that they want nothing of this node for a while.
 """
 
 from collections.abc import Callable
@@ -12,10 +12,12 @@
 from chalkyoke.catalog.messages import ReplicasLeave
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.catalog.state import CatalogState
+from chalkyoke.gateway.announcements import Statement
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.broadcast import relay_on, tell_all
+from chalkyoke.node.limits import LimitNews
 
 log = logger("announcements")
 
@@ -33,6 +35,7 @@
         view: MembershipView,
         state: CatalogState,
         balancer: LocalBalancer,
+        limits: LimitNews,
         metrics: Metrics,
         send: Callable[[str, ReplicasLeave], None],
         changed: Callable[[], None],
@@ -41,13 +44,23 @@
         self._view = view
         self._state = state
         self._balancer = balancer
+        self._limits = limits
         self._metrics = metrics
         self._send = send
         self._changed = changed
         self._now = now
         self._heard: set[str] = set()
 
-    def leaves(self, replica: Replica) -> None:
+    def hear(self, replica: Replica, statement: Statement) -> None:
+        """Take what an answer says of its replica."""
+        if statement.leaving:
+            self._leaves(replica)
+        if statement.rest_s > 0:
+            self._rests(replica, statement.rest_s)
+        if statement.tells_limit:
+            self._limits.hear(replica.id, statement.limit_per_s)
+
+    def _leaves(self, replica: Replica) -> None:
         """Note that a replica says that it leaves, and tell all nodes unless its record did.
 
         Its answers tell it some milliseconds before its record does, and alone while the store is
@@ -61,7 +74,7 @@
         log.info("replica_leaves", replica=replica.id, source="answer", told_to=told_to)
         self._metrics.count("replica_leaves", source="answer")
 
-    def rests(self, replica: Replica, seconds: float) -> None:
+    def _rests(self, replica: Replica, seconds: float) -> None:
         """Note that a replica wants nothing of this node for some time."""
         is_new, for_s = self._balancer.note_rest(replica.id, seconds, self._now())
         if is_new:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -33,6 +33,9 @@
 from chalkyoke.http1.pool import ConnectionPool
 from chalkyoke.http1.room import make_room, most_callers
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
+from chalkyoke.limits.client import PermitClient
+from chalkyoke.limits.keeper import LimitKeeper
+from chalkyoke.limits.known import KnownLimits
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
 from chalkyoke.links.kinds import PeerKinds
@@ -46,10 +49,11 @@
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.follower import WatchBounds
 from chalkyoke.node.heldrecords import HeldRecords
+from chalkyoke.node.limits import LimitNews
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
-from chalkyoke.node.peers import PeerQuotas, PeerSchedulers
+from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.registration import Listed, Registration, read_candidates
@@ -147,6 +151,8 @@
                 self.rollouts,
                 self.quarantine,
                 self.announcements,
+                self.limits,
+                self.permits,
             ),
             self._apply,
             self.now,
@@ -220,6 +226,21 @@
         )
 
     def _make_schedulers(self) -> None:
+        known = KnownLimits()
+        self.keeper = LimitKeeper(
+            known,
+            lambda service: self.hosted.owner(service) == self.record.process,
+            lambda: self.presence().share,
+        )
+        self.limits = LimitNews(
+            known,
+            self.view,
+            self.catalog.state,
+            self.metrics,
+            self.links.send,
+            lambda: self.hosted.limits_changed(),
+            self.now,
+        )
         self.hosted = SchedulerHost(
             self.record.process,
             self.view,
@@ -229,13 +250,24 @@
             self.metrics,
             self.now,
             features=self.settings.scheduling.features,
+            keeper=self.keeper,
             acknowledge=True,
         )
+        schedulers = PeerSchedulers(self.hosted, self.view)
+        self.permits = PermitClient(
+            known,
+            self.keeper,
+            PeerKeepers(schedulers, self.view, self.links.send, self.nodes),
+            self.limits.take,
+            random.random,
+            self.now,
+        )
         self.balancer = LocalBalancer(self.settings.node.failure_domain, random.random)
         self.grants = Grants(
-            PeerSchedulers(self.hosted, self.view),
+            schedulers,
             self.replicas,
             self.balancer,
+            self.permits,
             self.now,
             pooled=self.settings.scheduling.pooled,
         )
@@ -270,6 +302,7 @@
             self.view,
             self.catalog.state,
             self.balancer,
+            self.limits,
             self.metrics,
             self.links.send,
             self._catalog_changed,
@@ -484,6 +517,8 @@
         self.quotas.keep_house()
         self.suspicions.tick()
         self.quarantine.tick()
+        self.limits.keep_house()
+        self.permits.keep_house()
 
     # Messages.
 
@@ -503,11 +538,13 @@
             log.info(event, member=record.process, failure_domain=record.failure_domain)
             if joined:
                 self.announcements.joined(record)
+                self.limits.joined(record)
             else:
                 self.hosted.member_left(record.process)
         if changes:
             self.size.note(self.view.live(), self.now())
             self.grants.check_owners(self.pools.pools)
+            self.keeper.refresh(self.now())
 
     def _catalog_changed(self) -> None:
         state = self.catalog.state
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/limits.py
@@ -0,0 +1,143 @@
+"""
+chalkyoke.node.limits
+
+The limits that replicas name: heard in answers, told to all nodes, kept by those that count.
+"""
+
+from collections.abc import Callable
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.catalog.messages import ReplicaSaid, ReplicasSay
+from chalkyoke.catalog.state import CatalogState
+from chalkyoke.limits.known import KnownLimits
+from chalkyoke.logs import logger
+from chalkyoke.membership.messages import MemberRecord
+from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.broadcast import relay_on, tell_all
+
+# The word of messages between nodes.
+LIMIT = "limit"
+# How soon after one change of a replica's limit the next one is told to all nodes, in seconds; what
+# has changed meanwhile is told once. A replica may name another limit in each answer.
+TELL_S = 0.25
+# Changes of limits that one message tells at most, in number.
+MOST_TOLD = 500
+
+log = logger("limits")
+
+
+class LimitNews:
+    """Take what replicas say of their limits, and what other nodes were told.
+
+    :param send: sends a message to a node by its link address.
+    :param changed: called after a limit has changed.
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        known: KnownLimits,
+        view: MembershipView,
+        state: CatalogState,
+        metrics: Metrics,
+        send: Callable[[str, ReplicasSay], None],
+        changed: Callable[[], None],
+        now: Callable[[], float],
+    ) -> None:
+        self._known = known
+        self._view = view
+        self._state = state
+        self._metrics = metrics
+        self._send = send
+        self._changed = changed
+        self._now = now
+        self._told: dict[str, tuple[float, float | None]] = {}
+        metrics.gauge("replica_limits", lambda: len(known.limits()))
+
+    def hear(self, replica: str, limit_per_s: float | None) -> None:
+        """Take a replica's own word, and tell all nodes what is new.
+
+        :param replica: id of its start.
+        :param limit_per_s: requests a second from all nodes; nothing where it names no limit.
+        """
+        now = self._now()
+        if not self._take(replica, limit_per_s, now, "answer"):
+            return
+        self._changed()
+        told_at, _ = self._told.get(replica, (now - TELL_S, None))
+        if now - told_at >= TELL_S:
+            self._tell([replica])
+
+    def take(self, replica: str, limit_per_s: float | None, at: float) -> None:
+        """Take what another node believes that asks this one.
+
+        :param at: when the replica said so, on this node's clock.
+        """
+        if self._take(replica, limit_per_s, at, "question"):
+            self._changed()
+
+    def receive(self, address: str, message: ReplicasSay) -> None:
+        """Take what another node was told.
+
+        :param address: link address of the node.
+        """
+        now = self._now()
+        limits = [each for each in message.items if each.word == LIMIT]
+        new = [self._take(each.replica, each.value, now - each.age_s, address) for each in limits]
+        if any(new):
+            self._changed()
+        relay_on(self._view, self._send, message)
+
+    def joined(self, member: MemberRecord) -> None:
+        """Tell a node that has started or was cut off the limits that were first heard here.
+
+        A node that misses this learns it by the first answer of the replica itself.
+        """
+        limits = self._known.limits()
+        if first_heard := [each for each in self._told if each in limits][:MOST_TOLD]:
+            self._send(member.address, self._message(first_heard))
+
+    def keep_house(self) -> None:
+        """Tell what has changed since it was told last, and drop what is over."""
+        now = self._now()
+        self._known.forget(self._state.replicas.keys(), now)
+        self._told = {
+            name: told for name, told in self._told.items() if self._known.remembers(name)
+        }
+        late = [name for name, (_, value) in self._told.items() if self._known.of(name) != value]
+        if late:
+            self._tell(late[:MOST_TOLD])
+
+    def _take(self, replica: str, limit_per_s: float | None, at: float, source: str) -> bool:
+        before = self._known.of(replica)
+        if not self._known.hear(replica, limit_per_s, at):
+            return False
+        log.info(
+            "replica_limit",
+            replica=replica,
+            limit_per_s=self._known.of(replica),
+            before=before,
+            source=source,
+            age_s=round(self._now() - at, 4),
+        )
+        self._metrics.count("replica_limit_changes", source=_kind(source))
+        return True
+
+    def _tell(self, replicas: list[str]) -> None:
+        now = self._now()
+        for each in replicas:
+            self._told[each] = (now, self._known.of(each))
+        tell_all(self._view, self._send, self._message(replicas))
+
+    def _message(self, replicas: list[str]) -> ReplicasSay:
+        now = self._now()
+        return ReplicasSay(
+            tuple(
+                ReplicaSaid(each, LIMIT, self._known.of(each), now - self._known.said_at(each))
+                for each in replicas
+            )
+        )
+
+
+def _kind(source: str) -> str:
+    return source if source in ("answer", "question") else "peer"
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from chalkyoke.limits.messages import PermitMessage
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.schedulers import SchedulerHost
@@ -43,6 +44,44 @@
         return found
 
 
+class PeerKeepers:
+    """The processes that count what limited replicas get: those that may schedule a pool.
+
+    :param send: sends a message to a link address.
+    :param nodes: counts the nodes that there may be in the fleet.
+    """
+
+    def __init__(
+        self,
+        schedulers: PeerSchedulers,
+        view: MembershipView,
+        send: Callable[[str, PermitMessage], None],
+        nodes: Callable[[], int],
+    ) -> None:
+        self._schedulers = schedulers
+        self._view = view
+        self._send = send
+        self._nodes = nodes
+
+    def keepers(self, service: str) -> list[str]:
+        """List the processes that may count for a service, the present keeper first."""
+        return self._schedulers.owners(service)
+
+    def is_here(self, process: str) -> bool:
+        """Tell whether a process is this one."""
+        return process == self._view.record.process
+
+    def send(self, process: str, message: PermitMessage) -> None:
+        """Send a message to a process; nothing where it is not there any more."""
+        found = next((each for each in self._view.live() if each.process == process), None)
+        if found is not None:
+            self._send(found.address, message)
+
+    def nodes(self) -> int:
+        """Count the nodes that there may be in the fleet."""
+        return self._nodes()
+
+
 class PeerQuotas:
     """The owners of teams' quotas.
 
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -15,9 +15,12 @@
     CatalogTold,
     ReplicasChanged,
     ReplicasLeave,
+    ReplicasSay,
     ReplicasTold,
 )
 from chalkyoke.gateway.grants import Grants
+from chalkyoke.limits.client import PermitClient
+from chalkyoke.limits.messages import PERMIT_MESSAGES
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
 from chalkyoke.membership.messages import (
@@ -29,6 +32,7 @@
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
 from chalkyoke.node.catalog import CatalogKeeper
+from chalkyoke.node.limits import LimitNews
 from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.rollouts import Rollouts
 from chalkyoke.node.schedulers import SchedulerHost
@@ -84,7 +88,9 @@
     *SUSPICION_MESSAGES,
     *ROLLOUT_MESSAGES,
     *QUARANTINE_MESSAGES,
+    *PERMIT_MESSAGES,
     ReplicasLeave,
+    ReplicasSay,
     AdoptRequest,
 )
 
@@ -144,6 +150,8 @@
     rollouts: Rollouts
     quarantine: Quarantine
     announcements: Announcements
+    limits: LimitNews
+    permits: PermitClient
 
 
 class MessageRouter:
@@ -189,6 +197,10 @@
             parts.quarantine.receive(address, message)
         elif isinstance(message, ReplicasLeave):
             parts.announcements.receive(address, message)
+        elif isinstance(message, ReplicasSay):
+            parts.limits.receive(address, message)
+        elif isinstance(message, PERMIT_MESSAGES):
+            parts.permits.receive(connection.peer, message)
         elif isinstance(message, CATALOG_MESSAGES):
             parts.catalog.receive(address, message)
 
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -13,6 +13,7 @@
 
 from chalkyoke.administration.events import EventKind, EventRing
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.scheduling.messages import (
@@ -64,6 +65,7 @@
     :param now: seconds on the monotonic clock since this process started.
     :param source: random numbers in [0, 1).
     :param features: parts of the policy that are on; all where nothing is given.
+    :param keeper: counts what upstreams get that name a limit; nothing where none can.
     :param acknowledge: whether entry processes are told at once that a request waits here.
     :ivar holds_pools: set while there is a scheduler here, so that nobody ticks for nothing: twenty
         wakes a second are 0.3% of a core.
@@ -80,6 +82,7 @@
         now: Callable[[], float],
         source: Callable[[], float] = random.random,
         features: Features | None = None,
+        keeper: LimitKeeper | None = None,
         *,
         acknowledge: bool = False,
     ) -> None:
@@ -101,6 +104,7 @@
         self._disowned: dict[str, float] = {}
         self._random = source
         self._features = features
+        self._keeper = keeper
         self._acknowledge = acknowledge
         self._learned: dict[str, Learned] = {}
         self._tell_learned_at = 0.0
@@ -212,8 +216,14 @@
             if spec is None:
                 spec = PoolSpec(name)
             if spec != scheduler.spec:
+                self._limit(scheduler)
                 self.dispatch(scheduler.configure(spec, self._now()))
 
+    def limits_changed(self) -> None:
+        """Tell each scheduler what upstreams may get that name a limit."""
+        for scheduler in self.pools.values():
+            self._limit(scheduler)
+
     def member_left(self, process: str) -> None:
         """Drop what a dead entry process had here."""
         self._addresses.pop(process, None)
@@ -235,6 +245,15 @@
 
     # Private.
 
+    def _limit(self, scheduler: PoolScheduler) -> None:
+        if self._keeper is None:
+            return
+        now, pool = self._now(), scheduler.spec.name
+        names = (each.id for each in self._fleet().pools.get(pool, scheduler.spec).upstreams)
+        found = {name: self._keeper.allowance(pool, name, now) for name in names}
+        allowances = {name: each for name, each in found.items() if each is not None}
+        self.dispatch(scheduler.limit(allowances, now))
+
     def _tell_closings(self, scheduler: PoolScheduler) -> None:
         for each in scheduler.take_closings():
             event = "upstream_closed" if each.refuses else "upstream_opened"
@@ -260,6 +279,7 @@
         expected = [record.process for record in self._view.live()]
         scheduler = PoolScheduler(spec, self._random, self._now(), expected, self._features)
         self.pools[pool] = scheduler
+        self._limit(scheduler)
         self.holds_pools.set()
         learned = self._learned.pop(pool, None)
         if learned is not None:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
@@ -142,17 +142,20 @@
     refused: bool
 
 
-def closure(upstreams: Iterable[Declines], entry: str, domain: str, now: float) -> Closure | None:
+def closure(
+    upstreams: Iterable[tuple[Declines, float]], entry: str, domain: str, now: float
+) -> Closure | None:
     """Tell until when all upstreams are closed to an entry process; nothing where one is not.
 
+    :param upstreams: what each turns away, and when it takes a request by the limit that it names.
     :param domain: failure domain of the entry process.
     """
     until = math.inf
     refused = True
-    for each in upstreams:
+    for each, limited_until in upstreams:
         rests, opens = each.rests_until(entry), each.opens(domain, now)
-        if max(rests, opens) <= now:
+        if max(rests, opens, limited_until) <= now:
             return None
-        until = min(until, max(rests, opens))
+        until = min(until, max(rests, opens, limited_until))
         refused = refused and rests <= now and each.refuses_all
     return Closure(until, refused) if until < math.inf else None
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Container, Iterable
 
 import msgspec
@@ -41,7 +42,10 @@
     def __init__(self, upstreams: Iterable[Upstream], now: float) -> None:
         self._now = now
         self._slots: dict[str, list[float]] = {}
+        self._limited_until: dict[str, float] = {}
         for upstream in upstreams:
+            if upstream.allowance is not None:
+                self._limited_until[upstream.spec.id] = upstream.limited_until(now)
             finishes = [max(now, item.expected_finish) for item in upstream.running.values()]
             free = max(0, upstream.spec.slots - upstream.occupied(now))
             slots = finishes + [now] * free
@@ -56,18 +60,22 @@
         """
         best: tuple[Upstream, float] | None = None
         for upstream in upstreams:
-            slots = self._slots.get(upstream.spec.id)
-            if slots and (best is None or slots[0] < best[1]):
-                best = (upstream, slots[0])
+            start = self.start(upstream)
+            if start < (best[1] if best is not None else math.inf):
+                best = (upstream, start)
         return best
 
     def start(self, upstream: Upstream) -> float:
         """Give the moment at which an upstream's next slot gets free; infinite where it has none.
 
+        One that names a limit starts nothing before that allows it, whatever its slots.
+
         :rtype: float
         """
         slots = self._slots.get(upstream.spec.id)
-        return slots[0] if slots else float("inf")
+        if not slots:
+            return math.inf
+        return max(slots[0], self._limited_until.get(upstream.spec.id, slots[0]))
 
     def soonest_ones(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Choose the upstreams of a large pool whose next slots get free first.
@@ -80,8 +88,11 @@
 
     def take(self, upstream: Upstream, seconds: float) -> None:
         """Use the next slot of an upstream for some time."""
-        slots = self._slots[upstream.spec.id]
-        heapq.heapreplace(slots, slots[0] + seconds)
+        start = self.start(upstream)
+        heapq.heapreplace(self._slots[upstream.spec.id], start + seconds)
+        if upstream.allowance is not None:
+            gap_s = 1.0 / upstream.allowance.rate_per_s
+            self._limited_until[upstream.spec.id] = start + gap_s
 
 
 def find_late(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -62,6 +62,7 @@
 
     :param priority: rank of the tier, for engines that honour priorities; 0 goes first.
     :param expected_first_s: predicted time from the dispatch to the first output.
+    :param counted: whether it is counted in the limit that the upstream has named.
     """
 
     request: str
@@ -71,6 +72,7 @@
     address: str
     priority: int
     expected_first_s: float = 0.0
+    counted: bool = False
 
 
 class Shed(msgspec.Struct, frozen=True, array_like=True, tag="shed"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -5,8 +5,10 @@
 """
 
 import statistics
+from collections.abc import Mapping
 
 from chalkyoke.invariants import require
+from chalkyoke.limits.allowance import Allowance
 from chalkyoke.scheduling.estimates import SpeedModel
 from chalkyoke.scheduling.overlaps import Overlaps
 from chalkyoke.scheduling.prefixes import PrefixIndex
@@ -42,6 +44,7 @@
         self.counts: dict[tuple[int, str], int] = {}
         self.running: dict[str, Running] = {}
         self.team_running: dict[str, int] = {}
+        self._allowances: Mapping[str, Allowance] = {}
         self._fastest: dict[str, tuple[float, list[Upstream]]] = {}
         self.configure(spec)
 
@@ -62,6 +65,12 @@
         self.overlaps = Overlaps(spec.routes)
         self._set_reference_costs()
 
+    def limit(self, allowances: Mapping[str, Allowance]) -> None:
+        """Take what upstreams that name a limit may get; all others are taken to name none."""
+        self._allowances = allowances
+        for name, upstream in self.upstreams.items():
+            upstream.allowance = allowances.get(name)
+
     def rank(self, tier: str) -> int:
         """Give the rank of a tier; an unknown one counts as the lowest.
 
@@ -193,7 +202,8 @@
         for spec in specs:
             known = self.upstreams.get(spec.id)
             if known is None:
-                self.upstreams[spec.id] = Upstream(spec, self._new_speed(spec))
+                allowance = self._allowances.get(spec.id)
+                self.upstreams[spec.id] = Upstream(spec, self._new_speed(spec), allowance=allowance)
             else:
                 known.spec = spec
             self.prefixes.add_upstream(spec.id, spec.cache_blocks)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -11,7 +11,7 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
-from chalkyoke.scheduling.declines import Closure, closure
+from chalkyoke.scheduling.declines import Closure, Declines, closure
 from chalkyoke.scheduling.forecast import SlotForecast, find_late, may_shed
 from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Action, Shed
@@ -105,7 +105,7 @@
             return self._word(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
         if item.deadline <= now:
             return self._word(item, Reason.EXPIRED, None)
-        closed = closure((each.declines for each in eligible), item.entry, item.domain, now)
+        closed = closure(_openings(eligible, now), item.entry, item.domain, now)
         if closed is not None and _outlasts(closed, item, now):
             return self._word(item, Reason.NO_UPSTREAM, self._after(closed, now))
         if self._features.shed and self._is_hopeless(item, now):
@@ -177,13 +177,13 @@
         outs: list[Out] = []
         found: dict[tuple[str, str, str], Closure | None] = {}
         for route in {route for (_, route), count in self._pool.counts.items() if count}:
-            declines = [each.declines for each in self._open(route)]
-            if any(each.is_clear(now) for each in declines):
+            openings = _openings(self._open(route), now)
+            if any(each.is_clear(now) and until <= now for each, until in openings):
                 continue
             for item in [each for each in self._pool.waiting.values() if each.route == route]:
                 key = (route, item.domain, item.entry)
                 if key not in found:
-                    found[key] = closure(declines, item.entry, item.domain, now)
+                    found[key] = closure(openings, item.entry, item.domain, now)
                 closed = found[key]
                 if closed is not None and _outlasts(closed, item, now):
                     retry = self._after(closed, now)
@@ -308,6 +308,10 @@
         return Out(item.entry, shed, beside_free=self._pool.is_mostly_free())
 
 
+def _openings(upstreams: list[Upstream], now: float) -> list[tuple[Declines, float]]:
+    return [(each.declines, each.limited_until(now)) for each in upstreams]
+
+
 def _outlasts(closed: Closure, item: Waiting, now: float) -> bool:
     """Tell whether to answer a request at once rather than hold it for closed upstreams.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -6,11 +6,12 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
 from chalkyoke.invariants import require
+from chalkyoke.limits.allowance import Allowance
 from chalkyoke.scheduling.headroom import LONG_S, Headroom
 from chalkyoke.scheduling.learning import Closing, Learner
 from chalkyoke.scheduling.messages import (
@@ -62,6 +63,8 @@
 SWEEP_S = 1.0
 # How long a load report is believed, in seconds: some times between two of them.
 FOREIGN_VALID_S = 5.0
+# Ends of grants under which a request may never have left its node.
+UNSENT = frozenset((ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE))
 
 
 class _Decision(msgspec.Struct, frozen=True):
@@ -169,6 +172,15 @@
         self._pool.configure(spec)
         return self._refuser.no_upstream() + self._decide(now)
 
+    def limit(self, allowances: Mapping[str, Allowance], now: float) -> list[Out]:
+        """Take what upstreams that name a limit may get; all others are taken to name none.
+
+        :param allowances: by upstream.
+        :return: new grants.
+        """
+        self._pool.limit(allowances)
+        return self._decide(now)
+
     def acquire(self, entry: str, domain: str, message: Acquire, now: float) -> list[Out]:
         """Take a request in; the same message again changes nothing.
 
@@ -214,12 +226,19 @@
         outcome = ReleaseOutcome(message.outcome)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
+            self._give_back(item, upstream, message)
             self._learner.health(upstream, domain, outcome, now)
             self._learner.willingness(item, upstream, message, now)
             self._learner.usage(item, upstream, outcome, message.usage, now)
         self._pool.end(item, now)
         return self._decide(now)
 
+    def _give_back(self, item: Running, upstream: Upstream, message: Release) -> None:
+        """Give back to an upstream's limit what was granted and never sent."""
+        unsent = message.outcome in UNSENT and message.usage.total_s == 0.0
+        if unsent and item.counted and upstream.allowance is not None:
+            upstream.allowance.give_back()
+
     def progress(self, entry: str, message: Progress, now: float) -> list[Out]:
         """Learn how far running work has come, and find releases that were lost.
 
@@ -498,6 +517,8 @@
         work = self._pool.work(left, item.output.median)
         self._pool.queues[item.rank].charge(item.team, work, self._pool.weight(item.team))
         self._pool.prefixes.insert(upstream.spec.id, item.blocks)
+        if upstream.allowance is not None:
+            upstream.allowance.take(now)
         running = Running(
             request=item.request,
             attempt=item.attempt,
@@ -519,6 +540,7 @@
             tier_index=self._pool.tier_index(item.rank),
             hint=item.hint,
             domain=item.domain,
+            counted=upstream.allowance is not None,
         )
         self._pool.delay_others(upstream, left)
         self._pool.start(running, upstream, now)
@@ -537,6 +559,7 @@
             address,
             item.rank,
             item.expected_first_s,
+            item.counted,
         )
 
     def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chalkyoke.limits.allowance import Allowance
 from chalkyoke.scheduling.declines import Declines
 from chalkyoke.scheduling.estimates import DEFAULT_CAUTION, OutputEstimate, SpeedModel
 
@@ -179,6 +180,7 @@
     :param prefill_left: prompt tokens to be read when it was granted.
     :param tier_index: how many tiers of the pool are higher than its own.
     :param domain: failure domain of its entry process; empty where that is not known.
+    :param counted: whether it is counted in the limit that its upstream has named.
     :ivar held_up: whether a prompt beside it has made a pause already that it can't bear.
     :ivar stalls_seen: the upstream's stall seconds when its progress was last told.
     """
@@ -207,6 +209,7 @@
     held_up: bool = False
     hint: int = 0
     domain: str = ""
+    counted: bool = False
 
 
 class Upstream(msgspec.Struct, eq=False):
@@ -214,6 +217,7 @@
 
     :ivar failures: failures lately; each success takes a part of one away.
     :ivar unreachable: connections that could not be opened, one after the other.
+    :ivar allowance: what it takes from all nodes; nothing where it names no limit.
     :ivar stall_s: seconds that it has spent reading prompts; its other streams stand still then.
     :ivar stall_share: the share of its time that this took lately.
     """
@@ -229,6 +233,7 @@
     suspended_until: float = 0.0
     unreachable_from: dict[str, float] = msgspec.field(default_factory=dict)
     declines: Declines = msgspec.field(default_factory=Declines)
+    allowance: Allowance | None = None
     own_load: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     stall_s: float = 0.0
     stall_share: float = 0.0
@@ -252,18 +257,25 @@
         return len(self.running) + foreign
 
     def has_slot(self, now: float) -> bool:
-        """Tell whether a grant would find a free slot.
+        """Tell whether a grant would find a free slot, and be within the limit that it names.
 
         :rtype: bool
         """
-        return self.occupied(now) < self.spec.slots
+        return self.occupied(now) < self.spec.slots and self.limited_until(now) <= now
+
+    def limited_until(self, now: float) -> float:
+        """Tell when it takes one more request by the limit that it names, slots aside.
+
+        :return: on the scheduler's clock.
+        """
+        return now if self.allowance is None else now + self.allowance.opens_in_s(now)
 
     def usable(self, domain: str, now: float) -> bool:
         """Tell whether an entry process of a failure domain may be sent here, rests aside.
 
         :rtype: bool
         """
-        if self.leaving or now < self.suspended_until:
+        if self.leaving or now < self.suspended_until or now < self.limited_until(now):
             return False
         if now < self.declines.opens(domain, now):
             return False
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_declines.py
@@ -132,6 +132,9 @@
 def test_all_are_closed_only_while_none_is_open():
     open_one, closed_one = Declines(), Declines()
     closed_one.decline("a", 0.0, 0.0)
-    assert closure([open_one, closed_one], "e", "a", 0.0) is None
-    assert closure([closed_one], "e", "a", 0.0).until == FIRST_PAUSE_S
+    assert closure([(open_one, 0.0), (closed_one, 0.0)], "e", "a", 0.0) is None
+    assert closure([(closed_one, 0.0)], "e", "a", 0.0).until == FIRST_PAUSE_S
+    # One that its limit holds up is closed as well, and refuses nothing.
+    limited = closure([(open_one, 0.4), (closed_one, 0.0)], "e", "a", 0.0)
+    assert (limited.until, limited.refused) == (FIRST_PAUSE_S, False)
     assert closure([], "e", "a", 0.0) is None
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -4,6 +4,8 @@
 How well limits are kept that replicas name in their answers, from when requests reached them.
 """
 
+import math
+
 from chalkyoke_fakes.soak.limits import most_allowed, worst_window
 
 __all__ = ["most_allowed", "over_limits"]
@@ -22,9 +24,10 @@
     return told
 
 
-def over_limits(got, replicas):
+def over_limits(got, replicas, since=-math.inf):
     """Count what reached each replica that has named a limit in its worst window.
 
+    :param since: when the limit last changed, on the loop's clock.
     :return: by replica, the most requests in a window.
     """
     told = told_at(got)
@@ -40,5 +43,5 @@
             if seen.headers["x-request-id"] in asked
         ]
         nodes = {node: at for (name, node), at in told.items() if name == replica.id}
-        found[replica.id] = worst_window(arrivals, nodes, first)
+        found[replica.id] = worst_window(arrivals, nodes, max(first, since))
     return found
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -36,8 +36,12 @@
     return fleet.models if path in ("/chat/1", "/explain/1") else fleet.seats
 
 
-async def keep_asking(fleet, path, seconds=PLAYED_S):
-    """Let callers ask at all nodes for some time; give all that they got."""
+async def keep_asking(fleet, path, seconds=PLAYED_S, nodes=()):
+    """Let callers ask for some time; give all that they got.
+
+    :param nodes: the nodes that they ask; all where nothing is given.
+    """
+    nodes = nodes or range(len(fleet.nodes))
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     got = []
@@ -47,7 +51,7 @@
         turn = caller
         await asyncio.sleep(PAUSE_S * 2 * source.random())
         while loop.time() < until:
-            got.append(await fleet.ask(turn % len(fleet.nodes), path, until_whole=True))
+            got.append(await fleet.ask(nodes[turn % len(nodes)], path, until_whole=True))
             turn += 1
             await asyncio.sleep(PAUSE_S * 2 * source.random())
 
