--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -17,7 +17,7 @@
 from chalkyoke.tokens.codec import request_of
 from result import Err
 
-from chalkyokectl import heldstory, rolloutstory, story, versionstory
+from chalkyokectl import heldstory, limitstory, rolloutstory, story, versionstory
 from chalkyokectl.client import AdministrationClient, Answer
 from chalkyokectl.output import Form, at, facts, picture, show
 
@@ -342,6 +342,20 @@
         raise typer.Exit(EXIT_REFUSED)
 
 
+@app.command()
+def limits(
+    logs: Annotated[list[Path], typer.Argument(help="Collected log files of nodes.")],
+    replica: Annotated[str, typer.Option("--replica", help="Only this start of a replica.")] = "",
+) -> None:
+    """List the limits that replicas name and who counts, from the logs of several nodes."""
+    found = limitstory.limits(story.read(_log_texts(logs)), replica)
+    for text in limitstory.show(found):
+        typer.echo(text)
+    if not found:
+        typer.echo("no line speaks of a limit", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+
+
 @app.command()
 def versions(
     logs: Annotated[list[Path], typer.Argument(help="Collected log files of nodes.")],
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from chalkyoke_fakes.soak.limits import windows_over
 from chalkyoke_fakes.soak.observations import Asked, Drained, Observations, Ran, TurnedAway
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -157,6 +158,18 @@
     return broken
 
 
+def limits_are_kept(seen: Observations) -> list[Broken]:
+    """A replica gets from the nodes that it told what operators allow beside its limit.
+
+    What a node sent around a restart, a freeze or a cut of its own does not count.
+    """
+
+    def excused(node: str, at: float) -> bool:
+        return _was_struck(node, (*AWAY, "links_"), at - IN_TOUCH_S, at, seen)
+
+    return [Broken("limits", what) for what in windows_over(seen, excused)]
+
+
 def _was_struck(
     node: str, kinds: tuple[str, ...], began: float, ended: float, seen: Observations
 ) -> bool:
@@ -270,6 +283,7 @@
     leaving_replicas_get_nothing,
     leaving_answers_are_heard,
     rests_are_kept,
+    limits_are_kept,
     deadlines_hold,
     quotas_hold,
     retries_are_few,
@@ -278,7 +292,7 @@
 )
 CHECKERS = SAFETY + TIMED
 # What an old build can be asked for beside a new one; it does not hear what answers say.
-OF_THE_NEW_ONLY = (leaving_answers_are_heard, rests_are_kept)
+OF_THE_NEW_ONLY = (leaving_answers_are_heard, rests_are_kept, limits_are_kept)
 BETWEEN_VERSIONS = tuple(each for each in CHECKERS if each not in OF_THE_NEW_ONLY)
 
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -12,7 +12,7 @@
 from chalkyoke_fakes.platformfleet import default_configuration
 from chalkyoke_fakes.replica import Replica
 from chalkyoke_fakes.soak.fleet import SoakFleet
-from chalkyoke_fakes.soak.observations import Drained, Observations, Span
+from chalkyoke_fakes.soak.observations import Drained, Limited, Observations, Span
 from chalkyoke_fakes.soak.plan import OF_NODES_AND_STORE, ROLL, Fault, RollStep, Step
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
@@ -21,6 +21,10 @@
 LEAVES_AFTER_S = 2.5
 # What a replica asks for that wants rest, in seconds.
 REST_S = 3.0
+# What a replica takes that names a limit, in requests a second, one value after the other, and for
+# how long each at least, in seconds: windows that are judged begin 3 s after the first word.
+LIMITS_PER_S = (1.0, 0.5)
+LIMITED_S = 4.0
 STRIKES = 3
 MANY = 1_000_000
 SLOW_LINK_S = 0.2
@@ -55,6 +59,9 @@
     async def strike(self, step: Step) -> None:
         """Do one fault and undo it; one at a time for each node, replica and the store."""
         place = step.target or "store"
+        if step.fault is Fault.REPLICA_LIMITS:
+            # What it says of its limit goes beside whatever else strikes it.
+            place = f"{place}, limit"
         if place in self.struck or (step.fault is Fault.ALL_KILL and self.struck):
             return
         self.struck.add(place)
@@ -203,6 +210,8 @@
             replica.faults.shed, replica.faults.rest_s = MANY, REST_S
             await asyncio.sleep(step.for_s)
             replica.faults.shed, replica.faults.rest_s = 0, 0.0
+        elif step.fault is Fault.REPLICA_LIMITS:
+            await self._limit(replica, step)
         elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD):
             await self._strike_relay(self._fleet.replica_relays[step.target], step)
         else:
@@ -218,6 +227,15 @@
             await asyncio.sleep(step.for_s)
             setattr(faults, counts[step.fault], 0)
 
+    async def _limit(self, replica: Replica, step: Step) -> None:
+        """Let it name a limit, then a lower one, then none, and take whatever comes."""
+        for limit_per_s in LIMITS_PER_S:
+            name, began = replica.id, self._now()
+            replica.faults.limit_per_s = limit_per_s
+            await asyncio.sleep(LIMITED_S + step.for_s)
+            self._seen.limited.append(Limited(name, began, self._now(), limit_per_s))
+        replica.faults.limit_per_s = -1.0
+
     async def _let_crash(self, step: Step) -> None:
         """Let replicas end under the requests with one body, which callers send from now on."""
         self._seen.crashing += 1
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/limits.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/limits.py
@@ -6,7 +6,9 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+
+from chalkyoke_fakes.soak.observations import Observations, Ran, TurnedAway
 
 # Windows begin so long after a replica first named its limit, in seconds.
 IN_FORCE_S = 3.0
@@ -49,3 +51,32 @@
         ),
         default=0,
     )
+
+
+def windows_over(seen: Observations, excused: Callable[[str, float], bool]) -> list[str]:
+    """Word the windows that saw more than is allowed, one at most for each time of a limit.
+
+    :param excused: tells whether what a node sent at a moment does not count.
+    """
+    nodes = {each.request: each.node for each in seen.asked}
+    told: dict[str, dict[str | int, float]] = {}
+    for answer in sorted(seen.asked, key=lambda each: each.ended):
+        if answer.limited:
+            told.setdefault(answer.limited, {}).setdefault(answer.node, answer.ended)
+    found: list[str] = []
+    for limit in seen.limited:
+        heard = told.get(limit.replica, {})
+        reached: list[Ran | TurnedAway] = [*seen.ran, *seen.turned_away]
+        arrivals = [
+            (each.at, nodes[each.request])
+            for each in reached
+            if each.replica == limit.replica
+            and limit.began <= each.at < limit.ended
+            and each.request in nodes
+            and not excused(nodes[each.request], each.at)
+        ]
+        first = max(min(heard.values(), default=math.inf), limit.began)
+        most = worst_window(arrivals, heard, first)
+        if most > most_allowed(limit.limit_per_s):
+            found.append(f"{limit.replica} got {most}, {most_allowed(limit.limit_per_s)} allowed")
+    return found
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -34,6 +34,7 @@
     :param status: 0 where no answer came.
     :param whole: whether the answer ended as an answer ends.
     :param leaving: the replica whose answer this was, where the answer said that it leaves.
+    :param limited: the replica whose answer this was, where the answer named a limit.
     """
 
     request: str
@@ -47,6 +48,7 @@
     body: bytes
     whole: bool
     leaving: str = ""
+    limited: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,19 @@
     rest_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """A replica named a limit for some time.
+
+    :param limit_per_s: requests a second that it said it takes from all nodes.
+    """
+
+    replica: str
+    began: float
+    ended: float
+    limit_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Ran:
     """One run of a request at a replica."""
@@ -125,6 +140,7 @@
     :ivar versions: for each process, the configuration versions that it logged, in order.
     :ivar recovered_s: how long after the last fault all nodes served again; nothing where not.
     :ivar turned_away: what replicas have not run.
+    :ivar limited: the limits that replicas have named.
     :ivar ends: when replicas have ended by themselves; each is back under its id as a new start.
     :ivar crashing: how many bodies there were that end replicas.
     :ivar stream: the body of a whole stream.
@@ -133,6 +149,7 @@
     asked: list[Asked] = field(default_factory=list)
     ran: list[Ran] = field(default_factory=list)
     turned_away: list[TurnedAway] = field(default_factory=list)
+    limited: list[Limited] = field(default_factory=list)
     ends: dict[str, list[float]] = field(default_factory=dict)
     faults: list[Span] = field(default_factory=list)
     drained: list[Drained] = field(default_factory=list)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -190,15 +190,16 @@
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KINDS[path] is Kind.REPEATABLE else "POST"
         began = self.now()
-        status, answer, whole, leaving = 0, b"", False, ""
+        status, answer, whole, leaving, limited = 0, b"", False, "", ""
         try:
             async with asyncio.timeout(GIVE_UP_S):
                 got = await self._fleet.ask(
                     node, path, method=method, body=body, key=key, request_id=name
                 )
             status, answer, whole = got.status, got.body, got.whole
-            if got.headers.get("server-leaving"):
-                leaving = got.headers.get("x-server-stamp", "").partition(".")[0]
+            replica = got.headers.get("x-server-stamp", "").partition(".")[0]
+            leaving = replica if "server-leaving" in got.headers else ""
+            limited = replica if "server-limit" in got.headers else ""
         except TimeoutError:
             pass
         self.seen.asked.append(
@@ -214,6 +215,7 @@
                 answer,
                 whole,
                 leaving,
+                limited,
             )
         )
         return status
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -80,6 +80,7 @@
 class Grants:
     """Acquire and release grants for this node's requests.
 
+    :param random: source of numbers in [0, 1), to spread the callers that come back.
     :param now: the node's clock, in seconds.
     :param pooled: whether pool schedulers are asked at all.
     """
@@ -90,6 +91,7 @@
         replicas: ReplicaPort,
         balancer: LocalBalancer,
         permits: PermitPort,
+        random: Callable[[], float],
         now: Callable[[], float],
         *,
         pooled: bool,
@@ -100,7 +102,7 @@
         self._permits = permits
         self._now = now
         self._pooled = pooled
-        self._local = LocalChoice(replicas, balancer, permits, now, pooled=pooled)
+        self._local = LocalChoice(replicas, balancer, permits, random, now, pooled=pooled)
         self._loop = asyncio.get_running_loop()
         self._answers: dict[str, asyncio.Queue[tuple[str, Grant | Shed | Queued]]] = {}
         self._held: dict[str, _Held] = {}
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -23,11 +23,19 @@
 
 # How often this node looks for a free replica, in seconds.
 LOCAL_POLL_S = 0.01
+# The part of the time until it is due for which a request waits for a place within a limit: the
+# rest is for the answer. Of that, each rank that is more urgent leaves a part, for so many ranks.
+WAIT_SHARE = 0.5
+WAIT_SHARE_OF_RANK = 0.7
+MOST_RANKS = 3
+# Over how long the callers are spread that come back when a limit allows a request, in seconds.
+REOPENING_SPREAD_S = 0.5
 
 
 class LocalChoice:
     """Choose by what this node sees.
 
+    :param random: source of numbers in [0, 1), to spread the callers that come back.
     :param now: the node's clock, in seconds.
     :param pooled: whether pool schedulers are asked first.
     """
@@ -37,6 +45,7 @@
         replicas: ReplicaPort,
         balancer: LocalBalancer,
         permits: PermitPort,
+        random: Callable[[], float],
         now: Callable[[], float],
         *,
         pooled: bool,
@@ -44,43 +53,53 @@
         self._replicas = replicas
         self._balancer = balancer
         self._permits = permits
+        self._random = random
         self._now = now
         self._pooled = pooled
 
     async def choose(self, wanted: Wanted, wait_s: float) -> Granted | Denied | None:
         """Choose a replica by what this node sees; nothing where none is free for so long."""
-        admission, attempt, avoid = wanted.admission, wanted.attempt, wanted.avoid
-        service = admission.service
+        admission, service = wanted.admission, wanted.admission.service
         until = self._now() + wait_s
         bound = self._own_part if service.is_engine else None
         while True:
             replicas = self._replicas.of(service.name, for_trial=wanted.for_trial)
-            rest_s = self._balancer.rest_left_s(replicas, self._now())
-            if self._now() + rest_s > admission.due and rest_s > 0:
-                return Denied("replicas rest", rest_s)
-            if replicas and self._balancer.out_of_reach(replicas, self._now(), tried=avoid):
-                return Denied("replicas out of reach", DEFAULT_RETRY_S)
+            denied = self._denied(wanted, replicas)
+            if denied is not None:
+                return denied
             chosen = self._balancer.choose(
                 replicas,
                 self._now(),
-                avoid=avoid,
-                repeatable=admission.route.repeatable and attempt < admission.route.attempts,
+                avoid=wanted.avoid,
+                repeatable=admission.route.repeatable and wanted.attempt < admission.route.attempts,
                 most_outstanding=bound,
             )
-            limited = self._balancer.soonest_limited(replicas, self._now())
-            if chosen is not None or limited is not None:
-                found = await self._within_limit(wanted, chosen, limited)
-                if found is not None:
-                    return found
+            if chosen is not None:
+                permit = await self.permit(chosen, 0.0)
+                if permit is not None:
+                    return _granted_here(chosen, wanted, permit)
                 continue
-            if not replicas:
-                return Denied("no replica", DEFAULT_RETRY_S)
+            found = await self._wait_for_limit(wanted, replicas, until)
+            if found is not None:
+                return found
             if self._now() >= admission.patience:
                 return Denied("no free slot", DEFAULT_RETRY_S)
             if self._now() >= until:
                 return None
             await asyncio.sleep(LOCAL_POLL_S)
 
+    def _denied(self, wanted: Wanted, replicas: list[Replica]) -> Denied | None:
+        """Tell why no replica will take a request in time, where that is so."""
+        now = self._now()
+        if not replicas:
+            return Denied("no replica", DEFAULT_RETRY_S)
+        rest_s = self._balancer.rest_left_s(replicas, now)
+        if rest_s > 0 and now + rest_s > wanted.admission.due:
+            return Denied("replicas rest", rest_s)
+        if self._balancer.out_of_reach(replicas, now, tried=wanted.avoid):
+            return Denied("replicas out of reach", DEFAULT_RETRY_S)
+        return None
+
     async def permit(self, replica: Replica, most_wait_s: float) -> Permit | None:
         """Get a permit to send to a replica; remember when to ask again where there is none.
 
@@ -93,36 +112,25 @@
         self._balancer.note_limited(replica.id, closed_s, self._now())
         return None
 
-    async def _within_limit(
-        self, wanted: Wanted, chosen: Replica | None, limited: Replica | None
+    async def _wait_for_limit(
+        self, wanted: Wanted, replicas: list[Replica], until: float
     ) -> Granted | Denied | None:
-        """Get a permit for the replica that was chosen, or the next place of the limited ones.
-
-        :param limited: where limits hold up all replicas, the one that is expected to open first.
-        :return: nothing where the choice is to be made anew.
-        """
-        if chosen is not None:
-            permit = await self.permit(chosen, 0.0)
-            return _granted_here(chosen, wanted, permit) if permit is not None else None
-        return await self._wait_for_limit(wanted, limited) if limited is not None else None
-
-    async def _wait_for_limit(self, wanted: Wanted, replica: Replica) -> Granted | Denied | None:
-        """Take the next place within the limits that all replicas name, or tell when there is one.
+        """Take the next place where limits hold up all replicas, or tell when there is one.
 
-        :param replica: the one whose limit allows a request first, by what is known here.
-        :return: nothing where another one may be sooner.
+        :param until: how long a place is waited for, on the node's clock.
+        :return: nothing where limits do not hold up all, or another replica may be sooner.
         """
-        admission, now = wanted.admission, self._now()
-        left_s = (admission.due if now < admission.due else admission.patience) - now
-        if wanted.for_trial:
-            # What no replica of that version takes now goes to the others.
-            left_s = 0.0
-        opens_in_s = self._balancer.seen(replica.id).limited_until - now
-        if opens_in_s > left_s:
-            return Denied("replicas at their limits", opens_in_s)
-        permit = await self.permit(replica, left_s)
+        now = self._now()
+        replica = self._balancer.soonest_limited(replicas, now)
+        if replica is None:
+            return None
+        latest = _latest(wanted, now)
+        opens_at = self._balancer.seen(replica.id).limited_until
+        if opens_at > latest:
+            spread_s = REOPENING_SPREAD_S * self._random()
+            return Denied("replicas at their limits", opens_at - now + spread_s)
+        permit = await self.permit(replica, min(latest, until) - now)
         if permit is None:
-            await asyncio.sleep(LOCAL_POLL_S)
             return None
         try:
             await asyncio.sleep(permit.wait_s)
@@ -141,5 +149,21 @@
         return max(1, replica.slots // 4 + 2)
 
 
+def _latest(wanted: Wanted, now: float) -> float:
+    """Tell until when a place within a limit is worth waiting for, on the node's clock.
+
+    Less urgent requests wait for a part of their time only: where more is asked for than limits
+    allow, they are refused at once and the places go to the more urgent ones.
+    """
+    admission = wanted.admission
+    if wanted.for_trial:
+        # What no replica of that version takes now goes to the others.
+        return now
+    if now >= admission.due:
+        return admission.patience
+    share = WAIT_SHARE * WAIT_SHARE_OF_RANK ** min(MOST_RANKS, admission.urgency)
+    return now + (admission.due - now) * share
+
+
 def _granted_here(replica: Replica, wanted: Wanted, permit: Permit) -> Granted:
     return Granted(replica, wanted.attempt, Source.LOCAL, for_trial=wanted.for_trial, permit=permit)
--- a/packages/chalkyoke/src/chalkyoke/limits/allowance.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/allowance.py
@@ -9,10 +9,11 @@
 # What a replica gets that takes less, in requests a second: an answer is the only word that a limit
 # has risen or is over, so that one request in five seconds goes to hear it.
 LEAST_PER_S = 0.2
-# What may be saved up for a burst, in seconds of the limit, beside one request: some ticks of a
-# pool's scheduler. What operators allow beyond a limit is kept for what no count sees at once:
-# another keeper, requests on their way.
-BURST_S = 0.25
+# What may be saved up for a burst, in requests and in seconds of the limit: some ticks of a pool's
+# scheduler, and a request that comes a little later. The rest of what operators allow beyond a
+# limit is kept for what no count sees at once: another keeper, requests on their way.
+BURST_REQUESTS = 2.0
+BURST_S = 0.1
 # What may lack of a whole request, in requests: levels are sums of fractions.
 EPSILON = 1e-9
 
@@ -30,12 +31,16 @@
         self.spent = 0
         self._bucket = Bucket(self._rate(), self._capacity(), 0.0, now)
 
-    def reshape(self, limit_per_s: float, share: float, now: float) -> None:
-        """Take another limit or another part of it."""
+    def reshape(self, limit_per_s: float, share: float, now: float) -> bool:
+        """Take another limit or another part of it.
+
+        :return: whether it is another one.
+        """
         if (limit_per_s, share) == (self.limit_per_s, self.share):
-            return
+            return False
         self.limit_per_s, self.share = limit_per_s, share
         self._bucket.reshape(self._rate(), self._capacity(), now)
+        return True
 
     @property
     def rate_per_s(self) -> float:
@@ -83,4 +88,4 @@
         return max(LEAST_PER_S, self.limit_per_s) * self.share
 
     def _capacity(self) -> float:
-        return 1.0 + BURST_S * self._rate()
+        return BURST_REQUESTS + BURST_S * self._rate()
--- a/packages/chalkyoke/src/chalkyoke/limits/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/keeper.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from chalkyoke.limits.allowance import Allowance
 from chalkyoke.limits.known import KnownLimits
 
@@ -19,12 +21,26 @@
 MAJOR_SHARE = 0.5
 
 
+class KeptLimit(msgspec.Struct, frozen=True):
+    """What this process gives out of one replica's limit from now on.
+
+    :param limit_per_s: requests a second that the replica takes from all nodes.
+    :param share: the part of them that is given out here.
+    """
+
+    service: str
+    replica: str
+    limit_per_s: float
+    share: float
+
+
 class LimitKeeper:
     """Keep the allowances of limited replicas.
 
     :param known: what replicas have said.
     :param keeps: tells whether this process is the keeper of a service.
     :param fleet_share: tells which part of the fleet this process sees.
+    :param changed: told what is given out here whenever that changes.
     """
 
     def __init__(
@@ -32,10 +48,12 @@
         known: KnownLimits,
         keeps: Callable[[str], bool],
         fleet_share: Callable[[], float],
+        changed: Callable[[KeptLimit], None],
     ) -> None:
         self._known = known
         self._keeps = keeps
         self._fleet_share = fleet_share
+        self._changed = changed
         self._kept: dict[str, tuple[str, Allowance]] = {}
 
     def allowance(self, service: str, replica: str, now: float) -> Allowance | None:
@@ -48,7 +66,9 @@
         found = self._kept.get(replica)
         if found is None:
             found = self._kept[replica] = (service, Allowance(limit_per_s, share, now))
-        found[1].reshape(limit_per_s, share, now)
+        elif not found[1].reshape(limit_per_s, share, now):
+            return found[1]
+        self._changed(KeptLimit(service, replica, limit_per_s, share))
         return found[1]
 
     def refresh(self, now: float) -> None:
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_fleet.py
@@ -85,3 +85,23 @@
 
     fleet = play(4, 24, 20.0, 1.2, 14.0, [(6.0, lower)])
     assert fleet.worst(since=6.0) <= most_allowed(2.0)
+
+
+@pytest.mark.parametrize("times", [1.2, 2.0, 5.0])
+def test_what_limits_allow_goes_to_the_more_urgent_requests_and_is_in_time(times):
+    fleet = play(5, 24, 3.8, times, 14.0)
+    answers = fleet.answers
+    urgent, other = (answers["served", name] / answers["asked", name] for name in ("r0", "r1"))
+    assert urgent >= other
+    # What is served is in time, and what is not was refused at once.
+    assert answers["in time"] >= 0.99 * answers["served"]
+
+
+def test_callers_are_served_by_replicas_with_room_as_if_there_were_no_limits():
+    free = play(6, 24, -1.0, 1.0, 8.0)
+    limited = play(6, 24, 2.0, 10.0, 8.0, limited=2)
+    for fleet in (free, limited):
+        assert fleet.answers["served"] >= 0.99 * (
+            fleet.answers["asked", "r0"] + fleet.answers["asked", "r1"]
+        )
+        assert fleet.answers["in time"] >= 0.99 * fleet.answers["served"]
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -34,7 +34,7 @@
 from chalkyoke.http1.room import make_room, most_callers
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
 from chalkyoke.limits.client import PermitClient
-from chalkyoke.limits.keeper import LimitKeeper
+from chalkyoke.limits.keeper import KeptLimit, LimitKeeper
 from chalkyoke.limits.known import KnownLimits
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
@@ -231,6 +231,7 @@
             known,
             lambda service: self.hosted.owner(service) == self.record.process,
             lambda: self.presence().share,
+            self._limit_kept,
         )
         self.limits = LimitNews(
             known,
@@ -257,7 +258,7 @@
         self.permits = PermitClient(
             known,
             self.keeper,
-            PeerKeepers(schedulers, self.view, self.links.send, self.nodes),
+            PeerKeepers(schedulers, self.hosted, self.view, self.links.send, self.nodes),
             self.limits.take,
             random.random,
             self.now,
@@ -268,6 +269,7 @@
             self.replicas,
             self.balancer,
             self.permits,
+            random.random,
             self.now,
             pooled=self.settings.scheduling.pooled,
         )
@@ -341,6 +343,15 @@
             )
         )
 
+    def _limit_kept(self, kept: KeptLimit) -> None:
+        log.info(
+            "limit_kept",
+            service=kept.service,
+            replica=kept.replica,
+            limit_per_s=kept.limit_per_s,
+            share=round(kept.share, 3),
+        )
+
     # What the parts ask of the node.
 
     def nodes(self) -> int:
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -54,11 +54,13 @@
     def __init__(
         self,
         schedulers: PeerSchedulers,
+        hosted: SchedulerHost,
         view: MembershipView,
         send: Callable[[str, PermitMessage], None],
         nodes: Callable[[], int],
     ) -> None:
         self._schedulers = schedulers
+        self._hosted = hosted
         self._view = view
         self._send = send
         self._nodes = nodes
@@ -73,9 +75,9 @@
 
     def send(self, process: str, message: PermitMessage) -> None:
         """Send a message to a process; nothing where it is not there any more."""
-        found = next((each for each in self._view.live() if each.process == process), None)
-        if found is not None:
-            self._send(found.address, message)
+        address = self._hosted.address(process)
+        if address is not None:
+            self._send(address, message)
 
     def nodes(self) -> int:
         """Count the nodes that there may be in the fleet."""
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -135,7 +135,7 @@
         if process == self._process:
             self.receive(process, self._view.domain, message)
             return
-        address = self._address(process)
+        address = self.address(process)
         if address is not None:
             self._send(address, message)
 
@@ -265,7 +265,7 @@
             assert self.deliver is not None
             self.deliver(self._process, message)
             return
-        address = self._address(entry)
+        address = self.address(entry)
         if address is not None:
             self._send(address, message)
 
@@ -315,7 +315,8 @@
         self._metrics.count("acquire_unknown_pool")
         log.debug("{} asks for pool {} that is not known here", entry, message.pool)
 
-    def _address(self, process: str) -> str | None:
+    def address(self, process: str) -> str | None:
+        """Give the link address of a process; nothing where it is not known."""
         self._refresh()
         return self._live.get(process) or self._addresses.get(process)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     Asked,
     Drained,
     Kind,
+    Limited,
     Observations,
     Quota,
     Ran,
@@ -133,6 +134,15 @@
     seen.ran.append(Ran("x6", "m1", "model", "t", 55.0, b"crashing-1"))
 
 
+def send_more_than_a_limit(seen):
+    seen.limited.append(Limited("s1", 70.0, 80.0, 0.5))
+    seen.asked.append(replace(asked("named", began=70.0, ended=70.1), limited="s1"))
+    for number in range(9):
+        at = 74.0 + number * 0.4
+        seen.asked.append(asked(f"z{number}", Kind.REPEATABLE, began=at, ended=at + 0.1))
+        seen.ran.append(ran(f"z{number}", at))
+
+
 PLANTS = [
     (run_twice, checkers.runs_once),
     (run_what_was_refused, checkers.not_run_is_true),
@@ -148,6 +158,7 @@
     (send_on_a_request_that_ends_replicas, checkers.crashing_requests_are_held_back),
     (send_to_one_that_said_it_leaves, checkers.leaving_answers_are_heard),
     (send_to_one_that_rests, checkers.rests_are_kept),
+    (send_more_than_a_limit, checkers.limits_are_kept),
     (never_come_back, checkers.service_comes_back),
 ]
 
@@ -187,6 +198,15 @@
     assert checkers.rests_are_kept(seen) == []
 
 
+def test_a_node_that_was_struck_is_not_blamed_for_a_limit():
+    seen = sound()
+    send_more_than_a_limit(seen)
+    seen.faults.append(Span(Fault.LINKS_SILENT, "n1", 72.0, 78.0))
+    assert not checkers.limits_are_kept(seen)
+    seen.faults[-1] = Span(Fault.LINKS_SILENT, "n2", 72.0, 78.0)
+    assert checkers.limits_are_kept(seen)
+
+
 def test_who_was_out_of_touch_is_not_blamed_for_a_request_that_ends_replicas():
     seen = sound()
     send_on_a_request_that_ends_replicas(seen)
