The decisions of a pool's scheduler are a module of their own; limits cost nothing where there are none

Code motion, but for two hot paths: whether an upstream has a place, and the forecast's search, ask for an allowance only where one is there.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -59,9 +59,13 @@
         :return: the upstream and the moment, or nothing where none has slots.
         """
         best: tuple[Upstream, float] | None = None
+        limited = self._limited_until
         for upstream in upstreams:
-            start = self.start(upstream)
-            if start < (best[1] if best is not None else math.inf):
+            slots = self._slots.get(upstream.spec.id)
+            if not slots:
+                continue
+            start = max(slots[0], limited.get(upstream.spec.id, 0.0)) if limited else slots[0]
+            if best is None or start < best[1]:
                 best = (upstream, start)
         return best
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -0,0 +1,218 @@
+"""
+chalkyoke.scheduling.granting
+
+Which waiting requests of a pool get which upstreams now.
+"""
+
+import math
+
+import msgspec
+
+from chalkyoke.invariants import require
+from chalkyoke.scheduling.headroom import Headroom
+from chalkyoke.scheduling.messages import Grant
+from chalkyoke.scheduling.placement import BLOCK_TOKENS, Choice, Features, choose, held_up_by
+from chalkyoke.scheduling.pool import PoolState
+from chalkyoke.scheduling.queues import TierQueue
+from chalkyoke.scheduling.refusals import Counters, Out
+from chalkyoke.scheduling.shortlist import Openings
+from chalkyoke.scheduling.state import Running, Waiting
+
+# Requests of one tier that are looked at closely in one decision; each costs some 0.1 ms.
+MAX_LOOKED = 8
+
+
+class _Decision(msgspec.Struct, frozen=True):
+    """What is looked at and decided in one turn.
+
+    :param outs: what is decided goes here.
+    :param held: requests that are held for an upstream, by upstream.
+    """
+
+    now: float
+    openings: Openings
+    outs: list[Out]
+    held: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+class Granter:
+    """Grant what waits.
+
+    :param pool: the book-keeping.
+    :param headroom: tells how many slots stay free for higher tiers.
+    """
+
+    def __init__(
+        self, pool: PoolState, counters: Counters, features: Features, headroom: Headroom
+    ) -> None:
+        self._pool = pool
+        self._counters = counters
+        self._features = features
+        self._headroom = headroom
+
+    def decide(self, now: float) -> list[Out]:
+        """Grant what can go now: tiers strictly, teams by their shares, then deadlines.
+
+        :rtype: list[Out]
+        """
+        if not self._pool.waiting:
+            return []
+        outs: list[Out] = []
+        if not self._pool.any_slot(now):
+            return outs
+        decision = _Decision(now, Openings(self._pool.eligible, now), outs)
+        for queue, late in self._passes():
+            wanted = queue.late if late else queue.live > queue.late
+            if wanted and not self._decide_tier(queue, late, decision):
+                return outs
+        return outs
+
+    def _passes(self) -> list[tuple[TierQueue, bool]]:
+        """List tiers, highest first, each with what is in time and with what would be late."""
+        queues = [self._pool.queues[rank] for rank in sorted(self._pool.queues)]
+        if self._features.late_last:
+            return [(queue, late) for late in (False, True) for queue in queues]
+        return [(queue, late) for queue in queues for late in (False, True)]
+
+    def _decide_tier(self, queue: TierQueue, late: bool, decision: "_Decision") -> bool:
+        """Grant one tier's requests that are predicted in time, or, after all, its late ones.
+
+        :return: whether a slot may still be free.
+        """
+        now = decision.now
+        blocked: set[tuple[str, str]] = set()
+        full: set[str] = set()
+        looked = 0
+        while looked < MAX_LOOKED:
+            granted = False
+            for each in queue.queues(self._features.fair):
+                key = (each.name, each.route)
+                if key in blocked or each.route in full or self._pool.at_limit(each.name):
+                    continue
+                if not any(up.has_slot(now) for up in self._pool.eligible[each.route]):
+                    full.add(each.route)
+                    continue
+                for item in each.front():
+                    if item.late != late:
+                        break
+                    looked += 1
+                    if self._try(item, decision):
+                        granted = True
+                        break
+                if granted:
+                    break
+                blocked.add(key)
+            if not granted:
+                return True
+            if not self._pool.any_slot(now):
+                return False
+        return True
+
+    def _try(self, item: Waiting, decision: "_Decision") -> bool:
+        now, openings = decision.now, decision.openings
+        if not openings.usable(item.route, item.domain, item.entry):
+            return False
+        if self._features.headroom and item.long and not self._leaves_room(item, openings):
+            return False
+        depths = self._pool.prefixes.matches(item.blocks)
+        compared = openings.compared(item.route, item.domain, depths, item.entry, item.tried)
+        choice = choose(item, compared, depths, decision.held, now, self._features)
+        if choice.upstream is None:
+            if choice.held_for is not None:
+                name = choice.held_for.spec.id
+                decision.held[name] = decision.held.get(name, 0) + 1
+                self._counters.held += 1
+            return False
+        if self._features.shed and not self._may_start(item, choice, now):
+            return False
+        decision.outs.append(self.grant(item, choice, now))
+        openings.changed()
+        return True
+
+    def _leaves_room(self, item: Waiting, openings: Openings) -> bool:
+        """Tell whether enough slots stay free for higher tiers beside long work of this one."""
+        free = openings.free_slots(item.route, item.domain, item.entry)
+        return free > self._headroom.kept_free(item.rank)
+
+    def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
+        """Tell whether to start a request that may be cut at its deadline."""
+        prediction = choice.prediction
+        assert prediction is not None
+        if item.has_goal:
+            return now + prediction.first_s <= item.deadline
+        if now + prediction.cautious_s <= item.deadline:
+            return True
+        if now + prediction.optimistic_s > item.deadline:
+            return False
+        if item.late and now + prediction.finish_s > item.deadline:
+            return False
+        return item.late or self._pool.counts[item.rank, item.route] == 1
+
+    def grant(self, item: Waiting, choice: Choice, now: float) -> Out:
+        """Grant one request what was chosen for it.
+
+        :raises InvariantBroken: when the upstream takes nothing now.
+        """
+        upstream, prediction = choice.upstream, choice.prediction
+        assert upstream is not None and prediction is not None
+        require(
+            not upstream.leaving, "a leaving upstream gets no new work", upstream=upstream.spec.id
+        )
+        require(upstream.has_slot(now), "a grant finds a free slot", upstream=upstream.spec.id)
+
+        self._pool.remove(item)
+        for each in held_up_by(item, upstream, choice.cached_blocks, now):
+            each.held_up = True
+        cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
+        left = max(1, item.prompt_tokens - cached)
+        work = self._pool.work(left, item.output.median)
+        self._pool.queues[item.rank].charge(item.team, work, self._pool.weight(item.team))
+        self._pool.prefixes.insert(upstream.spec.id, item.blocks)
+        if upstream.allowance is not None:
+            upstream.allowance.take(now)
+        running = Running(
+            request=item.request,
+            attempt=item.attempt,
+            entry=item.entry,
+            upstream=upstream.spec.id,
+            route=item.route,
+            rank=item.rank,
+            team=item.team,
+            prompt_tokens=item.prompt_tokens,
+            expected_output=item.output.median,
+            work=work,
+            granted=now,
+            deadline=math.inf if item.has_goal else item.deadline,
+            expected_finish=now + prediction.finish_s,
+            prefill_left=left,
+            expected_first_s=prediction.first_s,
+            stalls_seen=upstream.stall_s,
+            gap_goal=item.gap_goal,
+            tier_index=self._pool.tier_index(item.rank),
+            hint=item.hint,
+            domain=item.domain,
+            counted=upstream.allowance is not None,
+        )
+        self._pool.delay_others(upstream, left)
+        self._pool.start(running, upstream, now)
+        upstream.declines.probe(item.domain, now)
+        self._counters.granted += 1
+        self._headroom.note_grant(item.rank, now)
+        return Out(item.entry, self.message(running))
+
+    def message(self, item: Running) -> Grant:
+        """Word a grant.
+
+        :rtype: Grant
+        """
+        address = self._pool.upstreams[item.upstream].spec.address
+        return Grant(
+            item.request,
+            item.attempt,
+            self._pool.spec.name,
+            item.upstream,
+            address,
+            item.rank,
+            item.expected_first_s,
+            item.counted,
+        )
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -8,10 +8,8 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-import msgspec
-
-from chalkyoke.invariants import require
 from chalkyoke.limits.allowance import Allowance
+from chalkyoke.scheduling.granting import Granter
 from chalkyoke.scheduling.headroom import LONG_S, Headroom
 from chalkyoke.scheduling.learning import Closing, Learner
 from chalkyoke.scheduling.messages import (
@@ -19,7 +17,6 @@
     Adopt,
     CacheEvent,
     FirstOutput,
-    Grant,
     Learned,
     LearnedSpeed,
     LoadReport,
@@ -29,16 +26,10 @@
     Withdraw,
 )
 from chalkyoke.scheduling.placement import (
-    BLOCK_TOKENS,
-    Choice,
     Features,
-    choose,
-    held_up_by,
 )
 from chalkyoke.scheduling.pool import PoolState
-from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.refusals import Counters, Out, Refuser
-from chalkyoke.scheduling.shortlist import Openings
 from chalkyoke.scheduling.state import (
     PoolSpec,
     ReleaseOutcome,
@@ -53,8 +44,6 @@
 # They answer within a few milliseconds; those that are lost never do, and an aim may be 0.3 s.
 # What is told later costs some overcommit for a moment.
 SETTLE_S = 0.1
-# Requests of one tier that are looked at closely in one decision; each costs some 0.1 ms.
-MAX_LOOKED = 8
 # A grant that its holder no longer lists is over after so long, in seconds: three reports.
 LOST_RELEASE_S = 3.0
 # An entry process that has said nothing for so long is gone, in seconds: ten reports.
@@ -67,19 +56,6 @@
 UNSENT = frozenset((ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE))
 
 
-class _Decision(msgspec.Struct, frozen=True):
-    """What is looked at and decided in one turn.
-
-    :param outs: what is decided goes here.
-    :param held: requests that are held for an upstream, by upstream.
-    """
-
-    now: float
-    openings: Openings
-    outs: list[Out]
-    held: dict[str, int] = msgspec.field(default_factory=dict)
-
-
 class PoolScheduler:
     """Decide for one pool which request goes where, what waits and what is given up.
 
@@ -112,6 +88,7 @@
         self._refuser = Refuser(
             self._pool, self.counters, self.features, self._headroom, random, now
         )
+        self._granter = Granter(self._pool, self.counters, self.features, self._headroom)
         self._order = 0
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
@@ -195,7 +172,7 @@
         held = self._pool.running.get(message.request)
         if held is not None:
             if held.attempt >= message.attempt:
-                return [Out(entry, self._grant_message(held))]
+                return [Out(entry, self._granter.message(held))]
             self._pool.end(held, now)
         if known is not None:
             self._pool.remove(known)
@@ -398,28 +375,8 @@
             work=self._pool.work(message.prompt_tokens, output.median),
         )
 
-    # Decisions.
-
     def _decide(self, now: float) -> list[Out]:
-        """Grant what can go now: tiers strictly, teams by their shares, then deadlines."""
-        if not self._pool.waiting or not self._settled(now):
-            return []
-        outs: list[Out] = []
-        if not self._pool.any_slot(now):
-            return outs
-        decision = _Decision(now, Openings(self._pool.eligible, now), outs)
-        for queue, late in self._passes():
-            wanted = queue.late if late else queue.live > queue.late
-            if wanted and not self._decide_tier(queue, late, decision):
-                return outs
-        return outs
-
-    def _passes(self) -> list[tuple[TierQueue, bool]]:
-        """List tiers, highest first, each with what is in time and with what would be late."""
-        queues = [self._pool.queues[rank] for rank in sorted(self._pool.queues)]
-        if self.features.late_last:
-            return [(queue, late) for late in (False, True) for queue in queues]
-        return [(queue, late) for queue in queues for late in (False, True)]
+        return self._granter.decide(now) if self._settled(now) else []
 
     def _settled(self, now: float) -> bool:
         if self._unsettled and now < self._settle_at:
@@ -427,141 +384,6 @@
         self._unsettled.clear()
         return True
 
-    def _decide_tier(self, queue: TierQueue, late: bool, decision: "_Decision") -> bool:
-        """Grant one tier's requests that are predicted in time, or, after all, its late ones.
-
-        :return: whether a slot may still be free.
-        """
-        now = decision.now
-        blocked: set[tuple[str, str]] = set()
-        full: set[str] = set()
-        looked = 0
-        while looked < MAX_LOOKED:
-            granted = False
-            for each in queue.queues(self.features.fair):
-                key = (each.name, each.route)
-                if key in blocked or each.route in full or self._pool.at_limit(each.name):
-                    continue
-                if not any(up.has_slot(now) for up in self._pool.eligible[each.route]):
-                    full.add(each.route)
-                    continue
-                for item in each.front():
-                    if item.late != late:
-                        break
-                    looked += 1
-                    if self._try(item, decision):
-                        granted = True
-                        break
-                if granted:
-                    break
-                blocked.add(key)
-            if not granted:
-                return True
-            if not self._pool.any_slot(now):
-                return False
-        return True
-
-    def _try(self, item: Waiting, decision: "_Decision") -> bool:
-        now, openings = decision.now, decision.openings
-        if not openings.usable(item.route, item.domain, item.entry):
-            return False
-        if self.features.headroom and item.long and not self._leaves_room(item, openings):
-            return False
-        depths = self._pool.prefixes.matches(item.blocks)
-        compared = openings.compared(item.route, item.domain, depths, item.entry, item.tried)
-        choice = choose(item, compared, depths, decision.held, now, self.features)
-        if choice.upstream is None:
-            if choice.held_for is not None:
-                name = choice.held_for.spec.id
-                decision.held[name] = decision.held.get(name, 0) + 1
-                self.counters.held += 1
-            return False
-        if self.features.shed and not self._may_start(item, choice, now):
-            return False
-        decision.outs.append(self._grant(item, choice, now))
-        openings.changed()
-        return True
-
-    def _leaves_room(self, item: Waiting, openings: Openings) -> bool:
-        """Tell whether enough slots stay free for higher tiers beside long work of this one."""
-        free = openings.free_slots(item.route, item.domain, item.entry)
-        return free > self._headroom.kept_free(item.rank)
-
-    def _may_start(self, item: Waiting, choice: Choice, now: float) -> bool:
-        """Tell whether to start a request that may be cut at its deadline."""
-        prediction = choice.prediction
-        assert prediction is not None
-        if item.has_goal:
-            return now + prediction.first_s <= item.deadline
-        if now + prediction.cautious_s <= item.deadline:
-            return True
-        if now + prediction.optimistic_s > item.deadline:
-            return False
-        if item.late and now + prediction.finish_s > item.deadline:
-            return False
-        return item.late or self._pool.counts[item.rank, item.route] == 1
-
-    def _grant(self, item: Waiting, choice: Choice, now: float) -> Out:
-        upstream, prediction = choice.upstream, choice.prediction
-        assert upstream is not None and prediction is not None
-        require(
-            not upstream.leaving, "a leaving upstream gets no new work", upstream=upstream.spec.id
-        )
-        require(upstream.has_slot(now), "a grant finds a free slot", upstream=upstream.spec.id)
-
-        self._pool.remove(item)
-        for each in held_up_by(item, upstream, choice.cached_blocks, now):
-            each.held_up = True
-        cached = min(choice.cached_blocks * BLOCK_TOKENS, item.prompt_tokens)
-        left = max(1, item.prompt_tokens - cached)
-        work = self._pool.work(left, item.output.median)
-        self._pool.queues[item.rank].charge(item.team, work, self._pool.weight(item.team))
-        self._pool.prefixes.insert(upstream.spec.id, item.blocks)
-        if upstream.allowance is not None:
-            upstream.allowance.take(now)
-        running = Running(
-            request=item.request,
-            attempt=item.attempt,
-            entry=item.entry,
-            upstream=upstream.spec.id,
-            route=item.route,
-            rank=item.rank,
-            team=item.team,
-            prompt_tokens=item.prompt_tokens,
-            expected_output=item.output.median,
-            work=work,
-            granted=now,
-            deadline=math.inf if item.has_goal else item.deadline,
-            expected_finish=now + prediction.finish_s,
-            prefill_left=left,
-            expected_first_s=prediction.first_s,
-            stalls_seen=upstream.stall_s,
-            gap_goal=item.gap_goal,
-            tier_index=self._pool.tier_index(item.rank),
-            hint=item.hint,
-            domain=item.domain,
-            counted=upstream.allowance is not None,
-        )
-        self._pool.delay_others(upstream, left)
-        self._pool.start(running, upstream, now)
-        upstream.declines.probe(item.domain, now)
-        self.counters.granted += 1
-        self._headroom.note_grant(item.rank, now)
-        return Out(item.entry, self._grant_message(running))
-
-    def _grant_message(self, item: Running) -> Grant:
-        address = self._pool.upstreams[item.upstream].spec.address
-        return Grant(
-            item.request,
-            item.attempt,
-            self.spec.name,
-            item.upstream,
-            address,
-            item.rank,
-            item.expected_first_s,
-            item.counted,
-        )
-
     def _adopted(self, entry: str, item: RunningItem, upstream: Upstream, now: float) -> Running:
         rank = self._pool.rank(item.tier)
         expected = self._learner.outputs.predict(item.route, item.team, item.max_output).median
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -23,7 +23,7 @@
 OWN_LOAD_MEMORY_S = 15.0
 # Over how long the share of time that an upstream reads prompts is averaged, in seconds.
 STALL_MEMORY_S = 10.0
-# The largest such share that is reckoned with: streams go on between two prompts. Not measured.
+# The largest such share that is reckoned with: streams go on between two prompts.
 MAX_STALLED = 0.6
 # The least part of a stream's time that counts as its own, whatever was read beside it.
 MIN_OWN_SHARE = 0.2
@@ -261,7 +261,9 @@
 
         :rtype: bool
         """
-        return self.occupied(now) < self.spec.slots and self.limited_until(now) <= now
+        if self.occupied(now) >= self.spec.slots:
+            return False
+        return self.allowance is None or self.allowance.is_open(now)
 
     def limited_until(self, now: float) -> float:
         """Tell when it takes one more request by the limit that it names, slots aside.
@@ -275,7 +277,9 @@
 
         :rtype: bool
         """
-        if self.leaving or now < self.suspended_until or now < self.limited_until(now):
+        if self.leaving or now < self.suspended_until:
+            return False
+        if self.allowance is not None and not self.allowance.is_open(now):
             return False
         if now < self.declines.opens(domain, now):
             return False
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -6,7 +6,7 @@
 """
 
 from chalkyoke.outcomes import Reason
-from chalkyoke.scheduling import placement, scheduler
+from chalkyoke.scheduling import granting, placement
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, predict
 from chalkyoke.scheduling.refusals import Refuser
 from chalkyoke.scheduling.scheduler import PoolScheduler
@@ -115,7 +115,7 @@
 
     def _decide_naively(self, rank, late, held, now, outs):
         blocked, full, looked = set(), set(), 0
-        while looked < scheduler.MAX_LOOKED:
+        while looked < granting.MAX_LOOKED:
             granted = False
             for team, route in self._fair_teams(rank):
                 if (team, route) in blocked or route in full or self._over_limit(team):
@@ -181,7 +181,7 @@
             return False
         if not self._worth_starting(item, best, now):
             return False
-        outs.append(self._grant(item, placement.Choice(upstream, best, cached), now))
+        outs.append(self._granter.grant(item, placement.Choice(upstream, best, cached), now))
         return True
 
     def _worth_starting(self, item, best, now):
