--- a/packages/chalkyoke/src/chalkyoke/administration/events.py
+++ b/packages/chalkyoke/src/chalkyoke/administration/events.py
@@ -13,6 +13,7 @@
 
 from chalkyoke.clock import HybridClock, Stamp
 
+# Events that a process keeps, in number: the oldest go first.
 RING_LENGTH = 4096
 
 
--- a/packages/chalkyoke/src/chalkyoke/administration/metrics.py
+++ b/packages/chalkyoke/src/chalkyoke/administration/metrics.py
@@ -8,6 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+# What histograms tell apart: from and to, in microseconds, and in decimal digits.
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
@@ -60,14 +61,3 @@
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Name a value that is read when the metrics are."""
         self.gauges[name] = read
-
-    def exposition(self) -> bytes:
-        """Write all metrics in the text exposition format.
-
-        The library for it is loaded only when a page is asked for: it costs 5 MB.
-
-        :rtype: bytes
-        """
-        from chalkyoke.administration.exposition import write
-
-        return write(self)
--- a/packages/chalkyoke/src/chalkyoke/configuration/selectors.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/selectors.py
@@ -14,6 +14,7 @@
     {"host", "hostname", "host_name", "id", "ip", "address", "addr", "node", "machine", "name"}
 )
 LABEL_NAME = re.compile(r"^[a-z][a-z0-9_.-]{0,62}$")
+# In characters.
 MAX_LABEL_VALUE = 128
 
 
--- a/packages/chalkyoke/src/chalkyoke/membership/owners.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/owners.py
@@ -34,8 +34,8 @@
 def capacity_class(capacity: float) -> int:
     """Give the class of a host by what it can bear; each class bears twice as much as the next.
 
-    Duties for many others go to the highest class that is there: a pool's scheduler spends a
-    quarter of a core on 65 upstreams, half of what the smallest hosts have.
+    Duties for many others go to the highest class that is there: the scheduler of a large pool may
+    need half of what the smallest hosts have.
 
     :param capacity: in cores.
     """
--- a/packages/chalkyoke/src/chalkyoke/membership/spacing.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/spacing.py
@@ -10,8 +10,8 @@
 SUSPECT_INTERVALS = 6
 FOREIGN_SUSPECT_INTERVALS = 10
 # Up to so many members, all of a failure domain send each other their signs of life. In a larger
-# one they are sent to a few monitors only: with all to all, a host among 44 spent 6% of a core on
-# them and their confirmations (146 messages a second; 10 to its three monitors).
+# one they are sent to a few monitors only: all to all, they and their confirmations grow with the
+# square of the members.
 FEW_MEMBERS = 8
 # Beyond that a member's beats get sparser, by this at most, and it is lost after so many beats that
 # were due: a monitor hears all members.
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -64,7 +64,7 @@
         """Note that a replica says that it leaves, and tell all nodes unless its record did.
 
         Its answers tell it some milliseconds before its record does, and alone while the store is
-        silent: a scheduler that knew the record only sent a leaving replica 446 requests in 4 s.
+        silent: a scheduler that knew the record only would go on sending it work.
         """
         if not self._state.note_leaving(replica.id, self._now()):
             return
--- a/packages/chalkyoke/src/chalkyoke/node/api.py
+++ b/packages/chalkyoke/src/chalkyoke/node/api.py
@@ -15,6 +15,7 @@
 
 from chalkyoke import problems
 from chalkyoke.administration.events import EventKind
+from chalkyoke.administration.metricspage import metrics_page
 from chalkyoke.configuration.publisher import (
     Accepted,
     Change,
@@ -151,7 +152,7 @@
     async def on_get(self, _: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         """Give the metrics in the text exposition format."""
         resp.content_type = "text/plain; version=0.0.4; charset=utf-8"
-        resp.data = self._node.metrics.exposition()
+        resp.data = metrics_page(self._node.metrics)
 
 
 class _Resources(_Page):
--- a/packages/chalkyoke/src/chalkyoke/node/pages.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pages.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.administration.metricspage import metrics_page
 from chalkyoke.http1.messages import AnswerHead, Headers, Request, reason_of
 from chalkyoke.http1.server import Answering
 
@@ -41,7 +42,7 @@
             status = 200 if self._is_ready() else 503
             self._answer(answering, status, b"ready" if status == 200 else b"not ready")
         elif path == METRICS_PATH:
-            self._answer(answering, 200, self._metrics.exposition())
+            self._answer(answering, 200, metrics_page(self._metrics))
         else:
             self._answer(answering, 404, b"no such page")
         return _Done()
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -68,7 +68,9 @@
 
 TICK_S = 0.05
 HOUSEKEEPING_S = 1.0
+# How long a stop is announced before it begins, in heartbeats.
 LEAVING_INTERVALS = 3
+# Bits of the random number that tells two starts of a process apart: it stays positive in 64.
 INCARNATION_BITS = 62
 
 LINK_MESSAGES: tuple[type[msgspec.Struct], ...] = (
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -67,8 +67,7 @@
     :param features: parts of the policy that are on; all where nothing is given.
     :param keeper: counts what upstreams get that name a limit; nothing where none can.
     :param acknowledge: whether entry processes are told at once that a request waits here.
-    :ivar holds_pools: set while there is a scheduler here, so that nobody ticks for nothing: twenty
-        wakes a second are 0.3% of a core.
+    :ivar holds_pools: set while there is a scheduler here, so that nobody ticks for nothing.
     """
 
     def __init__(
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -12,6 +12,7 @@
 
 import uvicorn
 
+# New connections that may wait to be taken, in number.
 BACKLOG = 1024
 KEEP_ALIVE_S = 30
 
--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -17,9 +17,7 @@
 # since the first. Operators allow three more sends after the third end.
 ENDS_TO_HOLD = 3.0
 # It has to lie under this part of all ends since its first one: where replicas end by themselves,
-# one after the other, who asks again meets three in a row by chance. Of 150 simulated pools of six
-# in which a replica ends each quarter of a second, 122 held innocent requests back without this, 26
-# with it; of pools of twenty, 4 and none.
+# one after the other, who asks again meets three in a row by chance.
 LEAST_SHARE = 0.75
 # From so many ends on it is held back in any case: many such requests may come at once. One that is
 # innocent is sent four times at most, two by its caller and two by us each time.
--- a/packages/chalkyoke/src/chalkyoke/quarantine/runs.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/runs.py
@@ -17,8 +17,7 @@
 LEFT_KEPT_S = 1.0
 # An output of so many seconds shows that the replica had survived the beginning of the run, so that
 # its end counts half: chats of many seconds lie under most ends, and would be suspected by that
-# alone. Of 500 simulated fleets with a bad release 8 held one back where only a second was enough,
-# none with this. In the recorded day no event came before any of the thirteen ends.
+# alone.
 LONG_OUTPUT_S = 0.25
 LONG_RUN_WEIGHT = 0.5
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -34,8 +34,7 @@
 # asking again, short enough that idle leases come back within a sixteenth of a window.
 VALID_S = 0.5
 # The part of the limit that owners lease. The rest is for what they can't see: spending alone, the
-# last moment before a loss, cuts that go unnoticed. At 0.86 ten of 400 simulated fleets broke the
-# limit, at 0.9 thirty-four, at 0.8 two of 2,400 (quotas/tests/fleet.py).
+# last moment before a loss, cuts that go unnoticed.
 USED_SHARE = 0.8
 # What an owner that knows nothing assumes to be spent, of what may be leased.
 ASSUMED_SHARE = 0.95
@@ -44,7 +43,6 @@
 MINOR_SHARE = 0.5
 MAJOR_SHARE = 0.72
 # The part of the window that is kept for each more urgent rank, and for how many ranks at most.
-# Shares by weight and by demand were tried and served the first rank less (docs/DECISIONS.md).
 HELD_PER_RANK = 0.04
 MOST_RANKS_HELD = 3
 # A request that costs no more than so many plain ones is not held back by its rank.
--- a/packages/chalkyoke/src/chalkyoke/rollouts/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/evidence.py
@@ -40,7 +40,7 @@
 # Answers of the old version on a route, until what it does there is known.
 MIN_OLD_ENDS = 50
 # What the old version does is taken so many standard errors worse than it was seen: 50 answers tell
-# a share within some hundredths only, and a good version was left for that in simulation.
+# a share within some hundredths only, and a good version must not be left for that.
 DOUBT = 1.5
 # A route with less of the service's requests decides nothing alone.
 MIN_ROUTE_SHARE = 0.05
--- a/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/declines.py
@@ -2,8 +2,7 @@
 chalkyoke.scheduling.declines
 
 What an upstream says by turning requests away that it has not run. It answers within a millisecond
-and then has a free slot again, so that it would draw the work of its pool: with two of six engines
-that refuse all, 3,638 of 4,166 callers were refused while the other four had places.
+and then has a free slot again, so that it would draw the work of its pool while others have places.
 """
 
 import math
--- a/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/estimates.py
@@ -9,20 +9,28 @@
 
 import msgspec
 
+# The weight of a sample of so many tokens in the learned speed of a stream, as a part of one.
 SPEED_GAIN = 0.4
 FULL_SAMPLE_TOKENS = 40.0
+# The weight of a first output in the learned speed of reading prompts, as a part of one, and that
+# of the first such sample.
 PREFILL_GAIN = 0.15
 FIRST_PREFILL_GAIN = 0.6
+# How far one sample moves a speed, and how far it may go from the first guess, as factors.
 MAX_STEP = 3.0
 MIN_FACTOR = 0.05
 MAX_FACTOR = 200.0
+# A first output that takes so many times what was expected tells of something else than speed.
 STALL_FACTOR = 4.0
 
+# Parts of all requests that have no more output than is reckoned with.
 MEDIAN = 0.5
 OPTIMISTIC = 0.15
 DEFAULT_CAUTION = 0.65
+# How far a tracked quantile moves with a sample, in logarithms: at first, and at least.
 QUANTILE_STEP = 0.35
 QUANTILE_MIN_STEP = 0.05
+# Samples from which on a team's own outputs are believed, in number.
 TEAM_MIN_SAMPLES = 8
 DEFAULT_OUTPUT_TOKENS = 128.0
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
@@ -12,7 +12,7 @@
 # How far back the use of slots is remembered, in seconds: a burst is followed, a spike is not.
 MEMORY_S = 3.0
 # Slots kept free, in standard deviations of the number of running requests were it Poisson with
-# twice the mean; a trade-off between tiers, not measured by itself.
+# twice the mean; a trade-off between tiers.
 SWING = 0.6
 # Work counts as long from so many seconds of output on: as long as the longest aims.
 LONG_S = 0.6
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -36,9 +36,7 @@
 RISK = 0.5
 # What a slot of an upstream that takes no time is worth over one of the slowest, in seconds of a
 # request's end. Short work loses less than that on a slow upstream and leaves the fast ones to long
-# work, which would be cut at its deadline elsewhere: at the load that a pool just bears, a fourth
-# fewer streams are cut in simulation, at half of it half as many (tests/shiftedload.py, 2 to 4
-# seeds). Half a second gives less, two seconds serve fewer in bursts.
+# work, which would be cut at its deadline elsewhere.
 SPARE_S = 1.0
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/prefixes.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/prefixes.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 
+# What one answer of an engine changes of the part of its cache that is believed, as factors.
 SHRINK_ON_MISS = 0.95
 GROW_ON_HIT = 1.01
 MIN_BELIEVED_SHARE = 0.1
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -21,7 +21,7 @@
 from chalkyoke.scheduling.state import Upstream, Waiting
 
 # How often the queue is played forward, in seconds, and how much less often for each request that
-# waits: a long queue must not take the whole processor. Not measured by itself.
+# waits: a long queue must not take the whole processor.
 FORECAST_INTERVAL_S = 0.05
 FORECAST_S_PER_WAITING = 0.0005
 # Requests that wait at most, which bounds memory; far beyond what is served within a deadline.
@@ -41,8 +41,7 @@
 EARLY_RETRY_WAITS = 1.5
 # How long one that was told to come back goes before what is new, beyond that time, in seconds.
 PROMISE_KEPT_S = 1.5
-# How far beyond its goal a wait is borne, as a part of the time left then. Less serves no more in
-# bursts: a half, a fifth and nothing gave 0.961, 0.961 and 0.949 (tests/shiftedload.py).
+# How far beyond its goal a wait is borne, as a part of the time left then.
 BORNE_SHARE = 0.5
 
 
@@ -272,8 +271,7 @@
         """Tell whether the deadline could not be met on an idle pool.
 
         Who comes back with a fraction of its time left would be cut off in the middle, at the cost
-        of a prompt that is read in vain: in simulated bursts of twice the load that a pool bears,
-        refusing it at once serves 2 in 100 requests more (tests/shiftedload.py).
+        of a prompt that is read in vain.
         """
         depths = self._pool.prefixes.matches(item.blocks)
         eligible = self._open(item.route)
--- a/packages/chalkyoke/src/chalkyoke/tokens/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/tokens/ledger.py
@@ -15,6 +15,7 @@
 from chalkyoke.tokens.state import ALLOWED_MOVES, FINAL_STATES, TokenState
 
 DEFAULT_LIFETIME_S = 900.0
+# Tokens that are remembered, in number.
 DEFAULT_CAPACITY = 100_000
 
 
