Limits: a first word is told at once at any time of the clock, once, and what a limit allows is forgotten with it

Found by reading: whether a word was told lately was asked by a difference of floats (now - (now - 0.25) >= 0.25), which fails at about half of all times, so that a first word could go untold for good; nodes learnt by their own answers only. Who had ever told a replica's limit told each change of others again. A node went on leaving a replica alone for up to 5 s after its limit was over.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -114,6 +114,11 @@
         """Learn that the limit that a replica names allows no request for some time."""
         self.seen(replica).limited_until = now + seconds
 
+    def limits_changed(self) -> None:
+        """Forget what limits allow: a replica may take more now, or whatever comes."""
+        for seen in self._seen.values():
+            seen.limited_until = 0.0
+
     def soonest_limited(self, replicas: Iterable[Replica], now: float) -> Replica | None:
         """Find the replica whose limit allows a request first, where limits hold up all.
 
--- a/packages/chalkyoke/src/chalkyoke/limits/allowance.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/allowance.py
@@ -28,7 +28,6 @@
     def __init__(self, limit_per_s: float, share: float, now: float) -> None:
         self.limit_per_s = limit_per_s
         self.share = share
-        self.spent = 0
         self._bucket = Bucket(self._rate(), self._capacity(), 0.0, now)
 
     def reshape(self, limit_per_s: float, share: float, now: float) -> bool:
@@ -65,7 +64,6 @@
         """Count a request, one that can't wait included: what follows waits for it."""
         self._bucket.refill(now)
         self._bucket.level -= 1.0
-        self.spent += 1
 
     def reserve(self, most_wait_s: float, now: float) -> float | None:
         """Count a request that goes as soon as it may.
@@ -82,7 +80,6 @@
     def give_back(self) -> None:
         """Take a request back that never left its node."""
         self._bucket.level = min(self._bucket.capacity, self._bucket.level + 1.0)
-        self.spent -= 1
 
     def _rate(self) -> float:
         return max(LEAST_PER_S, self.limit_per_s) * self.share
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -239,7 +239,7 @@
             self.catalog.state,
             self.metrics,
             self.links.send,
-            lambda: self.hosted.limits_changed(),
+            self._limits_changed,
             self.now,
         )
         self.hosted = SchedulerHost(
@@ -343,6 +343,10 @@
             )
         )
 
+    def _limits_changed(self) -> None:
+        self.hosted.limits_changed()
+        self.balancer.limits_changed()
+
     def _limit_kept(self, kept: KeptLimit) -> None:
         log.info(
             "limit_kept",
--- a/packages/chalkyoke/src/chalkyoke/node/limits.py
+++ b/packages/chalkyoke/src/chalkyoke/node/limits.py
@@ -4,6 +4,7 @@
 The limits that replicas name: heard in answers, told to all nodes, kept by those that count.
 """
 
+import math
 from collections.abc import Callable
 
 from chalkyoke.administration.metrics import Metrics
@@ -51,7 +52,8 @@
         self._send = send
         self._changed = changed
         self._now = now
-        self._told: dict[str, tuple[float, float | None]] = {}
+        self._tell_from: dict[str, float] = {}
+        self._untold: set[str] = set()
         metrics.gauge("replica_limits", lambda: len(known.limits()))
 
     def hear(self, replica: str, limit_per_s: float | None) -> None:
@@ -64,9 +66,10 @@
         if not self._take(replica, limit_per_s, now, "answer"):
             return
         self._changed()
-        told_at, _ = self._told.get(replica, (now - TELL_S, None))
-        if now - told_at >= TELL_S:
+        if now >= self._tell_from.get(replica, -math.inf):
             self._tell([replica])
+        else:
+            self._untold.add(replica)
 
     def take(self, replica: str, limit_per_s: float | None, at: float) -> None:
         """Take what another node believes that asks this one.
@@ -94,19 +97,19 @@
         A node that misses this learns it by the first answer of the replica itself.
         """
         limits = self._known.limits()
-        if first_heard := [each for each in self._told if each in limits][:MOST_TOLD]:
+        if first_heard := [each for each in self._tell_from if each in limits][:MOST_TOLD]:
             self._send(member.address, self._message(first_heard))
 
     def keep_house(self) -> None:
         """Tell what has changed since it was told last, and drop what is over."""
         now = self._now()
         self._known.forget(self._state.replicas.keys(), now)
-        self._told = {
-            name: told for name, told in self._told.items() if self._known.remembers(name)
+        self._tell_from = {
+            name: at for name, at in self._tell_from.items() if self._known.remembers(name)
         }
-        late = [name for name, (_, value) in self._told.items() if self._known.of(name) != value]
-        if late:
-            self._tell(late[:MOST_TOLD])
+        if late := sorted(self._untold & self._tell_from.keys())[:MOST_TOLD]:
+            self._tell(late)
+        self._untold &= self._tell_from.keys()
 
     def _take(self, replica: str, limit_per_s: float | None, at: float, source: str) -> bool:
         before = self._known.of(replica)
@@ -126,7 +129,8 @@
     def _tell(self, replicas: list[str]) -> None:
         now = self._now()
         for each in replicas:
-            self._told[each] = (now, self._known.of(each))
+            self._tell_from[each] = now + TELL_S
+        self._untold.difference_update(replicas)
         tell_all(self._view, self._send, self._message(replicas))
 
     def _message(self, replicas: list[str]) -> ReplicasSay:
