--- a/packages/chalkyoke/src/chalkyoke/node/suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.suspicions
+chalkyoke.balancing.suspicions
 
 Replicas of plain services that answer badly: one node observes each service for all of them.
 """
@@ -12,9 +12,9 @@
 from chalkyoke.balancing.messages import ReplicaReport, SuspectReplicas, SuspicionMessage
 from chalkyoke.balancing.observer import Observer
 from chalkyoke.balancing.reports import ReportBook
+from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import relay_on, tell_all
 
 # How often suspects are named again while there are some, in seconds: twice within the time for
 # which nodes go by them, in case a message was lost.
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_suspicions.py
@@ -18,8 +18,8 @@
 import pytest
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.balancing.messages import SUSPICION_MESSAGES
+from chalkyoke.balancing.suspicions import Suspicions
 from chalkyoke.catalog.resources import Replica
-from chalkyoke.node.suspicions import Suspicions
 
 from tests.memberfleet import Fleet
 
--- a/packages/chalkyoke/src/chalkyoke/node/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/follower.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.follower
+chalkyoke.catalog.follower
 
 Follow the changes in the store by watches, and know when that no longer works: a call without an
 answer in time has a connection that went silent, and is made again on a new one.
--- a/packages/chalkyoke/src/chalkyoke/node/catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.catalog
+chalkyoke.catalog.keeper
 
 Keep the catalog up to date: a few nodes in each failure domain follow the store, and all nodes
 hear from their peers what is newer.
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from chalkyoke.catalog.follower import Part, StoreFollower, WatchBounds
 from chalkyoke.catalog.messages import (
     CatalogAnswer,
     CatalogChanged,
@@ -27,7 +28,6 @@
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.follower import Part, StoreFollower, WatchBounds
 from chalkyoke.storage.messages import Changes, Item, Listing, Removed
 from chalkyoke.storage.port import Store
 
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_follower.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_follower.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from chalkyoke.node.follower import (
+from chalkyoke.catalog.follower import (
     IDLE_S,
     LOST_S,
     RELIEVED_PAUSE_S,
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_catalog.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
@@ -1,12 +1,12 @@
 import asyncio
 import json
 
+from chalkyoke.catalog.follower import WatchBounds
+from chalkyoke.catalog.keeper import CatalogKeeper, Keys
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.membership.messages import Heartbeat, MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.catalog import CatalogKeeper, Keys
-from chalkyoke.node.follower import WatchBounds
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
 from result import Ok
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from chalkyoke.gateway.announcements import statement_of
 from chalkyoke.gateway.events import EventCutter
 from chalkyoke.gateway.feedback import Feedback, output_s
 from chalkyoke.gateway.granted import Denied, Granted
@@ -17,6 +16,7 @@
 from chalkyoke.gateway.reception import Admission, Rejection, judge, still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
+from chalkyoke.gateway.statements import statement_of
 from chalkyoke.gateway.verdict import MISDIRECTED, Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Headers, Request, find, request_head
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -10,12 +10,12 @@
 
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.catalog.resources import Catalog, Replica
-from chalkyoke.gateway.announcements import AnnouncementPort
 from chalkyoke.gateway.granted import ReplicaPort
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.ports import HeaderFormat, RequestFields
 from chalkyoke.gateway.quarantine import QuarantinePort
 from chalkyoke.gateway.reception import Admission, Rejection
+from chalkyoke.gateway.statements import AnnouncementPort
 from chalkyoke.gateway.trials import RolloutPort
 from chalkyoke.http1.messages import Request
 from chalkyoke.http1.pool import ConnectionPool
--- a/packages/chalkyoke/src/chalkyoke/gateway/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/statements.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.gateway.announcements
+chalkyoke.gateway.statements
 
 What replicas say of themselves in their answers, as exchanges tell it. A further word is a field of
 the statement, and its place in what takes statements.
--- a/packages/chalkyoke/src/chalkyoke/node/limits.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/news.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.limits
+chalkyoke.limits.news
 
 The limits that replicas name: heard in answers, told to all nodes, kept by those that count.
 """
@@ -11,10 +11,10 @@
 from chalkyoke.catalog.messages import ReplicaSaid, ReplicasSay
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.limits.known import KnownLimits
+from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import relay_on, tell_all
 
 # The word of messages between nodes.
 LIMIT = "limit"
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
@@ -24,7 +24,7 @@
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.limits.known import KnownLimits
-from chalkyoke.node.limits import LimitNews
+from chalkyoke.limits.news import LimitNews
 from chalkyoke.scheduling.state import ReleaseOutcome
 from chalkyoke_fakes.soak.limits import worst_window
 
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_limits.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_news.py
@@ -6,7 +6,7 @@
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.messages import ReplicaSaid, ReplicasSay
 from chalkyoke.limits.known import ENDED_KEPT_S, KnownLimits
-from chalkyoke.node.limits import TELL_S, LimitNews
+from chalkyoke.limits.news import TELL_S, LimitNews
 
 
 class View:
--- a/packages/chalkyoke/src/chalkyoke/node/broadcast.py
+++ b/packages/chalkyoke/src/chalkyoke/links/broadcast.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.broadcast
+chalkyoke.links.broadcast
 
 Tell all nodes of the fleet something. Of a large failure domain some are told, and relay it.
 """
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_broadcast.py
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_broadcast.py
@@ -1,6 +1,6 @@
 """Telling all nodes, some of which relay."""
 
-from chalkyoke.node.broadcast import relay_on, tell_all
+from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.quarantine.messages import RequestsServed
 
 MESSAGE = RequestsServed((b"name",))
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -12,12 +12,12 @@
 from chalkyoke.catalog.messages import ReplicasLeave
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.catalog.state import CatalogState
-from chalkyoke.gateway.announcements import Statement
+from chalkyoke.gateway.statements import Statement
+from chalkyoke.limits.news import LimitNews
+from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import relay_on, tell_all
-from chalkyoke.node.limits import LimitNews
 
 log = logger("announcements")
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -22,6 +22,9 @@
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.balancing.suspicions import Suspicions
+from chalkyoke.catalog.follower import WatchBounds
+from chalkyoke.catalog.keeper import CatalogKeeper
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import HybridClock
 from chalkyoke.exceptions import InvariantBroken, SettingsError
@@ -36,6 +39,7 @@
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.keeper import KeptLimit, LimitKeeper
 from chalkyoke.limits.known import KnownLimits
+from chalkyoke.limits.news import LimitNews
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
 from chalkyoke.links.kinds import PeerKinds
@@ -45,17 +49,12 @@
 from chalkyoke.membership.state import Change, Joined
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
-from chalkyoke.node.catalog import CatalogKeeper
 from chalkyoke.node.fleetsize import FleetSize
-from chalkyoke.node.follower import WatchBounds
-from chalkyoke.node.heldrecords import HeldRecords
-from chalkyoke.node.limits import LimitNews
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
-from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.registration import Listed, Registration, read_candidates
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
@@ -69,8 +68,9 @@
 )
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
-from chalkyoke.node.suspicions import Suspicions
+from chalkyoke.quarantine.heldrecords import HeldRecords
 from chalkyoke.quarantine.records import read_also_held
+from chalkyoke.quarantine.spread import Quarantine
 from chalkyoke.quotas.client import TELL_S, QuotaClient
 from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.owner import Presence, QuotaOwner
--- a/packages/chalkyoke/src/chalkyoke/node/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/parts.py
@@ -6,10 +6,10 @@
 
 from collections.abc import Callable
 
+from chalkyoke.catalog.keeper import Keys
 from chalkyoke.catalog.state import ReadCatalog, ReadRecord
 from chalkyoke.gateway.ports import HeaderFormat
 from chalkyoke.http1.calls import Caller
-from chalkyoke.node.catalog import Keys
 from chalkyoke.rollouts.resources import RolloutOrder, RolloutState
 from chalkyoke.storage.port import Store
 
--- a/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
@@ -13,10 +13,10 @@
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.catalog.state import CatalogState
+from chalkyoke.links.broadcast import tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import tell_all
 from chalkyoke.node.parts import WriteStatus
 from chalkyoke.node.peers import KNOWN_SHARE
 from chalkyoke.quotas.owner import Presence
--- a/packages/chalkyoke/src/chalkyoke/node/rollouts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rollouts.py
@@ -17,9 +17,9 @@
 from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState, Ordered
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission
 from chalkyoke.gateway.settings import SchedulingSection
+from chalkyoke.links.broadcast import relay_on
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import relay_on
 from chalkyoke.node.parts import WriteStatus
 from chalkyoke.node.rolloutleads import RolloutLeads, order_of, stored_end
 from chalkyoke.quotas.owner import Presence
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from chalkyoke.balancing.messages import SUSPICION_MESSAGES
+from chalkyoke.balancing.suspicions import Suspicions
+from chalkyoke.catalog.keeper import CatalogKeeper
 from chalkyoke.catalog.messages import (
     CatalogChanged,
     CatalogRequest,
@@ -21,6 +23,7 @@
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.messages import PERMIT_MESSAGES
+from chalkyoke.limits.news import LimitNews
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
 from chalkyoke.membership.messages import (
@@ -31,13 +34,10 @@
 from chalkyoke.membership.state import Change
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
-from chalkyoke.node.catalog import CatalogKeeper
-from chalkyoke.node.limits import LimitNews
-from chalkyoke.node.quarantine import Quarantine
 from chalkyoke.node.rollouts import Rollouts
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.node.suspicions import Suspicions
 from chalkyoke.quarantine.messages import QUARANTINE_MESSAGES
+from chalkyoke.quarantine.spread import Quarantine
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.quotas.messages import (
     QuotaGrant,
--- a/packages/chalkyoke/src/chalkyoke/platform/start.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -4,7 +4,7 @@
 The platform's parts, for the start-up code.
 """
 
-from chalkyoke.node.catalog import Keys
+from chalkyoke.catalog.keeper import Keys
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.platform.documents import (
     CONFIGURATION_KEY,
--- a/packages/chalkyoke/src/chalkyoke/node/heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/heldrecords.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.heldrecords
+chalkyoke.quarantine.heldrecords
 
 Records in the store of the requests that are held back: they outlast the loss of all nodes, and
 reach a failure domain that is cut off from the others.
--- a/packages/chalkyoke/src/chalkyoke/node/quarantine.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.node.quarantine
+chalkyoke.quarantine.spread
 
 Requests that end the replicas that run them: what this node's runs met is told to all nodes, and
 each holds back by itself what too many replicas have ended under.
@@ -13,9 +13,9 @@
 from chalkyoke.gateway.quarantine import Identity
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.broadcast import relay_on, tell_all
 from chalkyoke.quarantine.evidence import HOLD_S, EvidenceBook
 from chalkyoke.quarantine.messages import (
     HeldRequest,
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_heldrecords.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from chalkyoke.node.heldrecords import MOST_WAITING, SHARED_S, HeldRecords
+from chalkyoke.quarantine.heldrecords import MOST_WAITING, SHARED_S, HeldRecords
 from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
 
 from tests import virtual
--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -11,6 +11,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from chalkyoke.catalog.follower import WatchBounds
+from chalkyoke.catalog.keeper import WATCH_DUTY, CatalogKeeper, Keys
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import Stamp
 from chalkyoke.links.codec import FrameCodec
@@ -18,8 +20,6 @@
 from chalkyoke.membership.messages import MEMBERSHIP_MESSAGES, Heartbeat, MemberRecord
 from chalkyoke.membership.state import Candidate
 from chalkyoke.membership.view import DEFAULT_INTERVAL_S, MembershipView
-from chalkyoke.node.catalog import WATCH_DUTY, CatalogKeeper, Keys
-from chalkyoke.node.follower import WatchBounds
 from chalkyoke.platform import documents
 from chalkyoke.platform import store as platform_store
 from chalkyoke.storage.messages import Changes, Item, Listing, Removed, Unavailable
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -18,7 +18,7 @@
 import pytest
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.http1.pool import ConnectFailure
-from chalkyoke.node.quarantine import Quarantine
+from chalkyoke.quarantine.spread import Quarantine
 
 from tests import virtual
 
