One memory of starts of replicas serves leaving and limits

What leaves and what a limit is were each remembered by the id of a start with the same bound in number and the same 600 s after the record was last listed, in two pieces of code with the same constants. catalog/starts.py is the one copy; the limit adds its order of words and the 10 s for which an ended one is remembered. Behaviour stays.

--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -12,7 +12,6 @@
 from result import Err, Ok, Result
 
 from chalkyoke.catalog.difference import difference, restore
-from chalkyoke.catalog.leaving import LeavingStarts
 from chalkyoke.catalog.messages import (
     CatalogAnswer,
     CatalogChanged,
@@ -23,6 +22,7 @@
 )
 from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
 from chalkyoke.catalog.resources import Catalog, Replica
+from chalkyoke.catalog.starts import StartMemory
 from chalkyoke.invariants import require
 from chalkyoke.quarantine.messages import HeldRecord
 from chalkyoke.rollouts.resources import RolloutOrder, RolloutStatus
@@ -88,7 +88,7 @@
     held: set[bytes] = msgspec.field(default_factory=set)
     released: set[bytes] = msgspec.field(default_factory=set)
     unreadable: dict[str, str] = msgspec.field(default_factory=dict)
-    _leaving: LeavingStarts = msgspec.field(default_factory=LeavingStarts)
+    _leaving: StartMemory[None] = msgspec.field(default_factory=StartMemory)
     _document: bytes = b""
     _restarted: list[Replica] = msgspec.field(default_factory=list)
     _items: dict[str, Item] = msgspec.field(default_factory=dict)
@@ -242,7 +242,8 @@
         :param start: the replica's id.
         :return: whether it was taken to stay until now.
         """
-        is_new = self._leaving.note(start, now)
+        is_new = start not in self._leaving
+        self._leaving.keep(start, None, now)
         replica = self.replicas.get(start)
         if replica is not None:
             self.replicas[start] = self._as_told(replica)
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_leaving.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_leaving.py
@@ -1,4 +1,4 @@
-from chalkyoke.catalog.leaving import KEPT_S, MOST_KEPT, LeavingStarts
+from chalkyoke.catalog.starts import KEPT_S, MOST_KEPT, StartMemory
 from chalkyoke.storage.messages import Item, Removed
 
 from .test_state import make
@@ -38,9 +38,9 @@
 
 
 def test_what_is_remembered_is_bounded_in_time_and_number():
-    leaving = LeavingStarts()
+    leaving = StartMemory()
     for number in range(MOST_KEPT + 10):
-        leaving.note(f"r{number}", 0.0)
+        leaving.keep(f"r{number}", None, 0.0)
     assert "r9" not in leaving
     assert "r10" in leaving
     leaving.forget({"r11"}, KEPT_S + 1.0)
--- a/packages/chalkyoke/src/chalkyoke/limits/known.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/known.py
@@ -9,16 +9,13 @@
 
 import msgspec
 
+from chalkyoke.catalog.starts import StartMemory
+
 # A limit from which on it is none, in requests a second: hundreds of times what a replica of the
 # largest fleets gets, and each request to one that is kept to a limit costs a question.
 MOST_PER_S = 1000.0
 # How long it is remembered that a limit is over, in seconds: older news of it may still come.
 ENDED_KEPT_S = 10.0
-# How long it is remembered of a replica that is not listed, in seconds: a record that lapsed with
-# the store may come back.
-KEPT_S = 600.0
-# Starts that are remembered at most, in number; 0.3 MB. The oldest go first.
-MOST_KEPT = 2_000
 
 
 class _Heard(msgspec.Struct):
@@ -26,19 +23,17 @@
 
     :ivar limit_per_s: nothing where it names no limit any more.
     :ivar at: when it was said, as far as is known, on the node's clock.
-    :ivar listed: when its record was last there.
     """
 
     limit_per_s: float | None
     at: float
-    listed: float
 
 
 class KnownLimits:
     """Remember what replicas say, by the id of a start. Of two words the later one is believed."""
 
     def __init__(self) -> None:
-        self._heard: dict[str, _Heard] = {}
+        self._heard: StartMemory[_Heard] = StartMemory()
 
     def hear(self, start: str, limit_per_s: float | None, at: float) -> bool:
         """Take a replica's word.
@@ -53,9 +48,7 @@
         if heard is None:
             if limit_per_s is None:
                 return False
-            self._heard[start] = _Heard(limit_per_s, at, at)
-            if len(self._heard) > MOST_KEPT:
-                del self._heard[next(iter(self._heard))]
+            self._heard.keep(start, _Heard(limit_per_s, at), at)
             return True
         if at < heard.at:
             return False
@@ -79,17 +72,12 @@
 
     def limits(self) -> dict[str, float]:
         """Give the limits that are in force, by start, in requests a second."""
-        return {
-            start: heard.limit_per_s
-            for start, heard in self._heard.items()
-            if heard.limit_per_s is not None
-        }
+        found = ((start, self.of(start)) for start in self._heard)
+        return {start: limit_per_s for start, limit_per_s in found if limit_per_s is not None}
 
     def forget(self, listed: Container[str], now: float) -> None:
         """Drop what is over."""
-        for start, heard in list(self._heard.items()):
-            if start in listed:
-                heard.listed = now
-            ended = heard.limit_per_s is None and now - heard.at > ENDED_KEPT_S
-            if ended or now - heard.listed > KEPT_S:
-                del self._heard[start]
+        self._heard.forget(listed, now)
+        for start in self._heard:
+            if self.of(start) is None and now - self.said_at(start) > ENDED_KEPT_S:
+                self._heard.drop(start)
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/test_known.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_known.py
@@ -1,4 +1,5 @@
-from chalkyoke.limits.known import ENDED_KEPT_S, KEPT_S, MOST_KEPT, MOST_PER_S, KnownLimits
+from chalkyoke.catalog.starts import KEPT_S, MOST_KEPT
+from chalkyoke.limits.known import ENDED_KEPT_S, MOST_PER_S, KnownLimits
 
 
 def test_the_later_of_two_words_is_believed():
