An answer's head is read once: the relay tells whether it belongs and keeps what it read

The relay that is told of the head now tells whether it belongs. What belongs to another request leaves nothing behind, as before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -19,7 +19,7 @@
 from chalkyoke.gateway.statements import statement_of
 from chalkyoke.gateway.verdict import MISDIRECTED, Next, SendEnd, Sends, after
 from chalkyoke.http1.client import ClientConnection
-from chalkyoke.http1.messages import Headers, Request, find, request_head
+from chalkyoke.http1.messages import Request, find, request_head
 from chalkyoke.http1.pool import ConnectFailure
 from chalkyoke.http1.server import Answering
 from chalkyoke.invariants import require
@@ -419,6 +419,7 @@
         relay = Relay(
             self._delivery,
             parts.headers,
+            self._fields.request_id,
             parts.now,
             streams=admission.route.streams,
             first=lambda first_s: parts.grants.first_output(admission, granted, first_s),
@@ -445,7 +446,7 @@
             resumed_after=resumed_after,
         )
         bodiless = request.method == b"HEAD"
-        connection.send(head + request.body, relay, self._belongs, bodiless=bodiless)
+        connection.send(head + request.body, relay, relay.belongs, bodiless=bodiless)
         return relay
 
     _relay: Relay | None = None
@@ -456,10 +457,6 @@
             return
         self._parts.announcements.hear(granted.replica, statement_of(status, fields))
 
-    def _belongs(self, headers: Headers) -> bool:
-        found = self._parts.headers.read_answer(headers)
-        return found.request_id == self._fields.request_id
-
     async def _watch(
         self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
     ) -> SendEnd:
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -13,7 +13,7 @@
 from chalkyoke.gateway.ports import AnswerFields, HeaderFormat
 from chalkyoke.gateway.verdict import MISDIRECTED, SERVER_ERROR_MIN, SendEnd
 from chalkyoke.http1.client import Break
-from chalkyoke.http1.messages import AnswerHead, end_to_end
+from chalkyoke.http1.messages import AnswerHead, Headers, end_to_end
 from chalkyoke.http1.server import Answering
 
 # A plain answer of up to so many bytes is read whole before any of it is passed on, so that one
@@ -40,6 +40,7 @@
 class Relay:
     """Takes the answer of one send.
 
+    :param request_id: of the request; an answer to another one is none of this send.
     :param streams: whether the route's answers are series of events.
     :param clock: the node's clock, in seconds.
     :param first: called with the seconds from the send to the first event.
@@ -54,6 +55,7 @@
         self,
         delivery: Delivery,
         headers: HeaderFormat,
+        request_id: str,
         clock: Callable[[], float],
         *,
         streams: bool,
@@ -62,6 +64,7 @@
     ) -> None:
         self._delivery = delivery
         self._headers = headers
+        self._request_id = request_id
         self._clock = clock
         self._streams = streams
         self._first = first
@@ -83,11 +86,18 @@
 
     # The sink of the replica's connection.
 
+    def belongs(self, headers: Headers) -> bool:
+        """Read an answer's headers, and tell whether it is one to this request."""
+        found = self._headers.read_answer(headers)
+        if found.request_id != self._request_id:
+            return False
+        self.fields = found
+        return True
+
     def answer_head(self, head: AnswerHead) -> None:
         """Take the head, and find out how the body is passed on."""
         self.last_at = self._clock()
         self.head = head
-        self.fields = self._headers.read_answer(head.headers)
         self._told(head.status, self.fields)
         success = SUCCESS_MIN <= head.status <= SUCCESS_MAX
         self._by_event = self._streams and success and self._usable()
