--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -8,7 +8,7 @@
 import asyncio
 import tomllib
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -321,11 +321,7 @@
 ) -> None:
     """Tell how roll-outs went, from the logs of several nodes."""
     found = rolloutstory.rollout_lines(story.read(_log_texts(logs)), service)
-    for line in rolloutstory.show(found):
-        typer.echo(line)
-    if not found:
-        typer.echo("no line speaks of a roll-out", err=True)
-        raise typer.Exit(EXIT_REFUSED)
+    _tell(rolloutstory.show(found), "no line speaks of a roll-out")
 
 
 @app.command()
@@ -335,11 +331,7 @@
 ) -> None:
     """List the requests that nodes hold back, and why, from the logs of several nodes."""
     found = heldstory.suspicions(story.read(_log_texts(logs)), digest)
-    for text in heldstory.show(found):
-        typer.echo(text)
-    if not found:
-        typer.echo("no line speaks of a request that is held back", err=True)
-        raise typer.Exit(EXIT_REFUSED)
+    _tell(heldstory.show(found), "no line speaks of a request that is held back")
 
 
 @app.command()
@@ -349,11 +341,7 @@
 ) -> None:
     """List the limits that replicas name and who counts, from the logs of several nodes."""
     found = limitstory.limits(story.read(_log_texts(logs)), replica)
-    for text in limitstory.show(found):
-        typer.echo(text)
-    if not found:
-        typer.echo("no line speaks of a limit", err=True)
-        raise typer.Exit(EXIT_REFUSED)
+    _tell(limitstory.show(found), "no line speaks of a limit")
 
 
 @app.command()
@@ -362,10 +350,17 @@
 ) -> None:
     """List the version that each node runs, from the logs of several nodes."""
     found = versionstory.versions(story.read(_log_texts(logs)))
-    for text in versionstory.show(found):
+    _tell(versionstory.show(found), "no line speaks of a start")
+
+
+def _tell(texts: Iterable[str], nothing: str) -> None:
+    """Print what logs tell; where that is nothing, say so and end as refused."""
+    told = False
+    for text in texts:
         typer.echo(text)
-    if not found:
-        typer.echo("no line speaks of a start", err=True)
+        told = True
+    if not told:
+        typer.echo(nothing, err=True)
         raise typer.Exit(EXIT_REFUSED)
 
 
