--- a/packages/chalkyoke/src/chalkyoke/links/keepalive.py
+++ b/packages/chalkyoke/src/chalkyoke/links/keepalive.py
@@ -9,7 +9,7 @@
 # How often a node looks for links that went silent, in seconds: a heartbeat.
 KEEP_S = 0.25
 # A listener confirms what it took each half second, and where heartbeats are sparse after so many
-# of their spaces. One confirmation is some 80 bytes on the wire and 0.1 ms for both sides.
+# of their spaces.
 CONFIRM_S = 0.5
 CONFIRM_SPACES = 1.45
 # How long messages may stay unconfirmed, in times between two confirmations. Together with a look
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -46,7 +46,7 @@
 class _CatalogParts:
     """What pools need of a catalog, whatever its replicas are.
 
-    Replicas change far more often than the catalog; 1,400 routes of 16 teams take 10 ms each time.
+    Replicas change far more often than the catalog, whose routes and teams may be many.
     """
 
     def __init__(self, catalog: Catalog) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -71,7 +71,7 @@
 async def _repeat(interval_s: float, started: float, work: Callable[[], None]) -> None:
     """Call a function at the same moments as others of the same interval.
 
-    The loop then wakes once for all of them: an empty wake costs 0.14 ms.
+    The loop then wakes once for all of them.
     """
     loop = asyncio.get_running_loop()
     while True:
--- a/packages/chalkyoke/src/chalkyoke/rollouts/lead.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/lead.py
@@ -79,8 +79,8 @@
 class RolloutLead:
     """Lead one order.
 
-    What nodes told is kept by node and added up as it comes: 195 nodes of five routes tell some
-    7,000 counts, which would take 15 ms to add up at each look.
+    What nodes told is kept by node and added up as it comes: in a large fleet it is too much to add
+    up at each look.
     """
 
     def __init__(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -18,7 +18,7 @@
 from chalkyoke.scheduling.shortlist import Openings
 from chalkyoke.scheduling.state import Running, Waiting
 
-# Requests of one tier that are looked at closely in one decision; each costs some 0.1 ms.
+# Requests of one tier that are looked at closely in one decision, in number: it bounds its time.
 MAX_LOOKED = 8
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -1,9 +1,9 @@
 """
 chalkyoke.scheduling.shortlist
 
-Which upstreams of a large pool are looked at closely for one request. A prediction takes some
-10 us, so that a decision over 140 of them takes 2 ms; what most of them would do is told apart
-well enough by a figure that is kept until something changes there.
+Which upstreams of a large pool are looked at closely for one request. A decision that predicts for
+all of them would take too long; what most of them would do is told apart well enough by a figure
+that is kept until something changes there.
 """
 
 import heapq
@@ -11,7 +11,7 @@
 
 from chalkyoke.scheduling.state import Upstream
 
-# Up to so many upstreams all are compared; a pool of this size costs under half a millisecond.
+# Up to so many upstreams all are compared, in number.
 MOST_COMPARED = 32
 # Of more: so many with a free slot, so many whose next slot gets free soonest, and so many that
 # keep the most of the prompt.
