--- a/packages/chalkyoke/src/chalkyoke/catalog/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/follower.py
@@ -110,6 +110,7 @@
         now: Callable[[], float],
     ) -> None:
         self.since = 0
+        self._epoch = 0
         self._store = store
         self._bounds = bounds
         self._taker = taker
@@ -159,6 +160,7 @@
             self._note_failure(found)
             return False
         self._note_answer()
+        self._note_epoch(found.epoch)
         self._taker.listed(found)
         self.since = found.at
         return True
@@ -176,6 +178,7 @@
             log.notice("history_lost", since=self.since)
             self.since = 0
             return True
+        self._note_epoch(found.epoch)
         self._taker.changed(found, age_s)
         self.since = max(self.since, found.at)
         if found.changes:
@@ -221,6 +224,11 @@
         self._answered_at = now
         self._set_lost(is_lost=False)
 
+    def _note_epoch(self, epoch: int) -> None:
+        if epoch != self._epoch:
+            log.notice("store_epoch", before=self._epoch, epoch=epoch, since=self.since)
+            self._epoch = epoch
+
     def _note_failure(self, failure: Unavailable) -> None:
         now = self._now()
         self._failures += 1
--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -128,6 +128,7 @@
 
     def listed(self, listing: Listing) -> None:
         """Take all that the store holds."""
+        self._note_ignored("listing", listing.at, listing.epoch)
         for item in listing.items:
             self._take_document(item, 0.0)
         self._take_replicas(Listing(_under(self._keys.records, listing), listing.at))
@@ -139,6 +140,8 @@
 
         :param age_s: how long ago it may have changed at most, in seconds.
         """
+        if found.changes:
+            self._note_ignored("changes", found.at, found.epoch)
         replicas: list[Item | Removed] = []
         nodes_changed = False
         for change in found.changes:
@@ -159,6 +162,17 @@
         if nodes_changed:
             self._registered(self._nodes)
 
+    def _note_ignored(self, what: str, at: int, epoch: int) -> None:
+        """Log that the store's answer is not taken, since this node holds a later revision."""
+        if at < self.state.replicas_at:
+            log.notice(
+                "update_ignored",
+                what=what,
+                revision=at,
+                epoch=epoch,
+                held=self.state.replicas_at,
+            )
+
     def _take_document(self, item: Item, age_s: float) -> None:
         if item.key != self._keys.document:
             return
--- a/packages/chalkyoke/src/chalkyoke/http1/calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -21,10 +21,14 @@
 
 
 class CallAnswer(msgspec.Struct, frozen=True):
-    """A whole answer."""
+    """A whole answer.
+
+    :param headers: in their order, names as they were sent.
+    """
 
     status: int
     body: bytes
+    headers: Headers
 
 
 class CallFailed(msgspec.Struct, frozen=True):
@@ -43,17 +47,19 @@
     def __init__(self, future: "asyncio.Future[CallAnswer | CallFailed]") -> None:
         self._future = future
         self._status = 0
+        self._headers: Headers = []
         self._parts: list[bytes] = []
 
     def answer_head(self, head: AnswerHead) -> None:
-        self._status = head.status
+        self._status, self._headers = head.status, head.headers
 
     def answer_data(self, data: bytes) -> None:
         self._parts.append(data)
 
     def answer_end(self) -> None:
         if not self._future.done():
-            self._future.set_result(CallAnswer(self._status, b"".join(self._parts)))
+            body = b"".join(self._parts)
+            self._future.set_result(CallAnswer(self._status, body, self._headers))
 
     def answer_broken(self, how: Break) -> None:
         if not self._future.done():
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_calls.py
@@ -41,7 +41,7 @@
         async def call():
             return await caller.call(b"GET", b"/", None, 1.0)
 
-        whole = CallAnswer(200, b"ok")
+        whole = CallAnswer(200, b"ok", [(b"Content-Length", b"2")])
         assert await asyncio.gather(call(), call(), call()) == [whole] * 3
         server.silent = set(server.opened)
         assert await call() == CallFailed("timed out", sent=True)
--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
+from chalkyoke.decimals import read_whole
 from chalkyoke.http1.calls import CallAnswer, Caller, CallFailed
+from chalkyoke.http1.messages import find
 from chalkyoke.storage.messages import (
     Changes,
     Conflict,
@@ -28,6 +30,10 @@
 MAX_PAGES = 50
 OK, GONE, NOT_FOUND, CONFLICT = 200, 410, 404, 412
 NOTHING_DONE = (429, 503)
+# Rises by one each time the store comes back from a copy.
+ERA = b"store-era"
+# A number that is larger is no epoch: it would not fit into messages between nodes.
+MOST_EPOCH = 2**53
 
 T = TypeVar("T", bound=msgspec.Struct)
 
@@ -69,7 +75,7 @@
     async def read(self, prefix: str) -> Listing | Unavailable:
         """Read all items under a prefix, page by page."""
         items: list[Item] = []
-        at = 0
+        at, epoch = 0, 0
         after = ""
         for _ in range(MAX_PAGES):
             target = f"/kv-range?path-prefix={quote(prefix)}"
@@ -80,12 +86,14 @@
             page = _decode(answer, _Range)
             if isinstance(page, Unavailable):
                 return page
-            at = at or page.at
+            if after and _epoch(answer) != epoch:
+                return Unavailable("restored between two pages", may_be_done=False)
+            at, epoch = at or page.at, _epoch(answer)
             items += [_item(each) for each in page.items]
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
-        return Listing(tuple(items), at)
+        return Listing(tuple(items), at, epoch)
 
     async def watch(
         self, prefix: str, since: int, wait_s: float, answer_s: float
@@ -104,7 +112,7 @@
         changes = tuple(
             Removed(each.key, each.rev) if each.gone else _item(each) for each in found.events
         )
-        return Changes(changes, found.at)
+        return Changes(changes, found.at, _epoch(answer))
 
     async def write(
         self, key: str, value: bytes, *, lease: int = 0, expected: int | None = None
@@ -121,7 +129,7 @@
         if answer.status == NOT_FOUND:
             return LeaseGone()
         done = _decode(answer, _Revision)
-        return done if isinstance(done, Unavailable) else Written(done.rev)
+        return done if isinstance(done, Unavailable) else Written(done.rev, _epoch(answer))
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Begin a lease."""
@@ -131,7 +139,7 @@
         lease = _decode(answer, _Lease)
         if isinstance(lease, Unavailable):
             return lease
-        return LeaseGranted(lease.lease, lease.ttl_ms / 1000)
+        return LeaseGranted(lease.lease, lease.ttl_ms / 1000, _epoch(answer))
 
     async def renew_lease(self, lease: int) -> LeaseGranted | LeaseGone | Unavailable:
         """Renew a lease."""
@@ -143,7 +151,7 @@
         renewed = _decode(answer, _Lease)
         if isinstance(renewed, Unavailable):
             return renewed
-        return LeaseGranted(lease, renewed.ttl_ms / 1000)
+        return LeaseGranted(lease, renewed.ttl_ms / 1000, _epoch(answer))
 
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
@@ -167,6 +175,13 @@
     return Item(each.key, base64.b64decode(each.value), each.rev)
 
 
+def _epoch(answer: CallAnswer) -> int:
+    """Read the store's epoch; 0 where the answer names none that can be read."""
+    named = find(answer.headers, ERA)
+    epoch = 0 if named is None else read_whole(named.decode("latin-1"))
+    return epoch if epoch <= MOST_EPOCH else 0
+
+
 def _decode(answer: CallAnswer, kind: type[T]) -> T | Unavailable:
     if answer.status != OK:
         return Unavailable(str(answer.status), may_be_done=True)
--- a/packages/chalkyoke/src/chalkyoke/storage/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/messages.py
@@ -3,6 +3,10 @@
 
 What a store with revisions, conditional writes, watches and leases is asked and answers. Every
 answer is a value, those that were lost included.
+
+A store that was restored from a copy has lost its latest writes and gives their revisions and
+leases out again. Its epoch rises then, so revisions compare within one epoch only; 0 is a store
+that names no epoch.
 """
 
 import msgspec
@@ -30,17 +34,24 @@
     """All items under a prefix; pages of it may stem from different moments.
 
     :param at: the store's revision when the listing began.
+    :param epoch: the store's epoch, the same for all pages.
     """
 
     items: tuple[Item, ...]
     at: int
+    epoch: int = 0
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """What has changed since a revision, and the revision up to which this is complete."""
+    """What has changed since a revision, and the revision up to which this is complete.
+
+    :param epoch: the store's epoch. Where it is not that of the revision that was asked from, what
+        has changed is not known.
+    """
 
     changes: tuple[Item | Removed, ...]
     at: int
+    epoch: int = 0
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
@@ -48,9 +59,13 @@
 
 
 class Written(msgspec.Struct, frozen=True):
-    """A write was done."""
+    """A write was done.
+
+    :param epoch: the store's epoch: a restored store may have lost the write.
+    """
 
     revision: int
+    epoch: int = 0
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -65,10 +80,12 @@
     """A lease runs from the arrival of the call.
 
     :param ttl_s: seconds for which it holds without a renewal.
+    :param epoch: the store's epoch: in a later one the lease may be another writer's, or gone.
     """
 
     lease: int
     ttl_s: float
+    epoch: int = 0
 
 
 class Unavailable(msgspec.Struct, frozen=True):
