Failing test: a replica that leaves after the store came back from a copy still gets requests

What callers' requests met: they reached a replica more than 2 s after the store had acknowledged that it leaves.

--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -22,7 +22,14 @@
 from chalkyoke.membership.view import DEFAULT_INTERVAL_S, MembershipView
 from chalkyoke.platform import documents
 from chalkyoke.platform import store as platform_store
-from chalkyoke.storage.messages import Changes, Item, Listing, Removed, Unavailable
+from chalkyoke.storage.messages import (
+    Changes,
+    HistoryLost,
+    Item,
+    Listing,
+    Removed,
+    Unavailable,
+)
 
 from tests import virtual
 
@@ -71,10 +78,25 @@
     ).encode()
 
 
+@dataclass(frozen=True)
+class Copy:
+    """What a store held at a moment."""
+
+    items: dict
+    history: list
+    revision: int
+
+
 class Store:
-    """A store with revisions, whose calls may go silent or be turned away by host."""
+    """A store with revisions, whose calls may go silent or be turned away by host.
+
+    :ivar epoch: rises by one each time the store comes back from a copy.
+    """
 
     def __init__(self):
+        self.epoch = 1
+        self.away = False
+        self._went_away = asyncio.Event()
         self.revision = 0
         self.items = {}
         self.history = []
@@ -102,6 +124,22 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self):
+        return Copy(dict(self.items), list(self.history), self.revision)
+
+    def go_away(self):
+        """Break all calls in progress off, and turn all away until the store is back."""
+        self.away = True
+        self._went_away.set()
+        self._went_away = asyncio.Event()
+
+    def restore(self, copy):
+        """Come back from a copy: what was written since is gone, its revisions are free again."""
+        self.items, self.history = dict(copy.items), list(copy.history)
+        self.revision = copy.revision
+        self.epoch += 1
+        self.away = False
+
     def silence_connections(self):
         """Let all calls in progress go without an answer for good; new ones are answered."""
         self._silenced.set()
@@ -110,40 +148,49 @@
     async def call(self, host, work):
         """Answer one call of a host, unless its connection goes silent."""
         self.calls += 1
+        if self.away:
+            await asyncio.sleep(self.answer_s)
+            return Unavailable("reset", may_be_done=False)
         if host in self.refused:
             await asyncio.sleep(self.answer_s)
             return Unavailable("503", may_be_done=False)
         if host in self.silent:
             await asyncio.Event().wait()
         silenced = asyncio.ensure_future(self._silenced.wait())
+        went_away = asyncio.ensure_future(self._went_away.wait())
         answering = asyncio.ensure_future(work())
+        tasks = (silenced, went_away, answering)
         try:
-            await asyncio.wait([silenced, answering], return_when=asyncio.FIRST_COMPLETED)
-            if not answering.done():
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if answering.done():
+                return answering.result()
+            if not went_away.done():
                 await asyncio.Event().wait()
-            return answering.result()
+            return Unavailable("reset", may_be_done=True)
         finally:
-            silenced.cancel()
-            answering.cancel()
+            for each in tasks:
+                each.cancel()
 
     async def read(self, prefix):
         await asyncio.sleep(self.answer_s)
         found = [item for key, item in self.items.items() if key.startswith(prefix)]
-        return Listing(tuple(found), self.revision)
+        return Listing(tuple(found), self.revision, self.epoch)
 
     async def watch(self, prefix, since, wait_s):
         await asyncio.sleep(self.answer_s)
-        if since >= self.revision:
+        if since > self.revision:
+            return HistoryLost()
+        if since == self.revision:
             try:
                 await asyncio.wait_for(self._changed.wait(), wait_s)
             except TimeoutError:
-                return Changes((), since)
+                return Changes((), since, self.epoch)
         found = {
             change.key: change
             for change in self.history
             if change.revision > since and change.key.startswith(prefix)
         }
-        return Changes(tuple(found.values()), self.revision)
+        return Changes(tuple(found.values()), self.revision, self.epoch)
 
 
 class StoreClient:
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -18,7 +18,7 @@
 from chalkyoke.node.gateway import GatewayNode
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.platform.start import platform_parts
-from chalkyoke.storage.messages import LeaseGranted, Written
+from chalkyoke.storage.messages import LeaseGranted, Unavailable, Written
 from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
 from chalkyoke_fakes.replica import Replica
 
@@ -37,11 +37,15 @@
     """One host's way to the store, writes and leases with it."""
 
     async def write(self, key, value, *, lease=0, expected=None):
+        if self._store.away:
+            return Unavailable("reset", may_be_done=False)
         self._store.put(key, value)
-        return Written(self._store.revision)
+        return Written(self._store.revision, self._store.epoch)
 
     async def grant_lease(self, ttl_s):
-        return LeaseGranted(1, ttl_s)
+        if self._store.away:
+            return Unavailable("reset", may_be_done=False)
+        return LeaseGranted(1, ttl_s, self._store.epoch)
 
     renew_lease = end_lease = grant_lease
 
