Membership: an outdated summary of a failure domain is no longer passed round for ever

Cause: versions of a failure domain's summary have no order. A node passed on the summary that it held whenever it had lately been told any version straight from that domain, also where it held an outdated one; where all beat at the same moments, the outdated and the current one changed places between the members for ever. Ruled out: the digests' checksums (they differ as they should), lost messages (every question was answered). Change: a node passes a version on only while that version itself came straight from its domain lately, by a digest or by its reporter's answer.

--- a/packages/chalkyoke/src/chalkyoke/membership/outside.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/outside.py
@@ -58,12 +58,15 @@
         return known is not None and any(each.process == record.process for each in known.records)
 
     def heard(self, now: float) -> tuple[Digest, ...]:
-        """List the digests that came straight from their failure domains lately."""
+        """List the digests that came straight from their failure domains lately.
+
+        Others are not passed on: versions have no order, so that an outdated one would go round
+        beside the current one.
+        """
         return tuple(
             each.digest
             for each in self._domains.values()
-            if now - each.heard_outside
-            <= 2 * outside_spacing_s(len(each.records), self._interval_s)
+            if each.digest.version in self._current_versions(each, now)
         )
 
     def take_digest(self, sender_domain: str, digest: Digest, now: float) -> bool:
@@ -72,21 +75,26 @@
         :return: whether its sender is to be asked for the members behind it.
         """
         known = self._domains.get(digest.failure_domain)
-        is_news = known is None or known.digest.version != digest.version
-        if known is not None:
-            known.heard = now
-            if sender_domain != self._domain:
-                known.heard_outside = now
-        return is_news and self._is_new_question(digest, now)
-
-    def take_summary(self, message: Summary, now: float) -> list[Change]:
-        """Take the members of a failure domain."""
+        if known is None:
+            return self._is_new_question(digest, now)
+        known.heard = now
+        if sender_domain == digest.failure_domain:
+            self._note_direct(known, digest, now)
+        return known.digest.version != digest.version and self._is_new_question(digest, now)
+
+    def take_summary(self, sender: str, message: Summary, now: float) -> list[Change]:
+        """Take the members of a failure domain.
+
+        :param sender: address of the sender's link listener.
+        """
         name = message.digest.failure_domain
         known = self._domains.get(name)
+        if known is not None and _is_from_reporter(sender, message):
+            self._note_direct(known, message.digest, now)
         before = {each.process: each for each in known.records} if known else {}
         after = {each.process: each for each in message.records}
-        outside = known.heard_outside if known else now
-        self._domains[name] = ForeignDomain(message.digest, message.records, now, outside)
+        direct = known.direct if known else {message.digest.version: now}
+        self._domains[name] = ForeignDomain(message.digest, message.records, now, direct)
 
         changes: list[Change] = [Left(before[key]) for key in before if key not in after]
         changes += [Joined(after[key]) for key in after if key not in before]
@@ -131,6 +139,16 @@
                 found.setdefault(each.failure_domain, {})[each.host] = each
         return found
 
+    def _note_direct(self, known: ForeignDomain, digest: Digest, now: float) -> None:
+        """Note a version that came straight from its failure domain, and drop those of long ago."""
+        current = self._current_versions(known, now)
+        known.direct = {each: known.direct[each] for each in current} | {digest.version: now}
+
+    def _current_versions(self, known: ForeignDomain, now: float) -> set[int]:
+        """List the versions that came straight from a failure domain lately."""
+        lasts_s = 2 * outside_spacing_s(len(known.records), self._interval_s)
+        return {each for each, at in known.direct.items() if now - at <= lasts_s}
+
     def _is_new_question(self, digest: Digest, now: float) -> bool:
         """Tell whether the members behind a digest were not asked for within a heartbeat."""
         version, asked = self._asked.get(digest.failure_domain, (0, 0.0))
@@ -138,3 +156,9 @@
             return False
         self._asked[digest.failure_domain] = (digest.version, now)
         return True
+
+
+def _is_from_reporter(sender: str, message: Summary) -> bool:
+    """Tell whether a summary comes from the process that made it, and not from one that has it."""
+    reporter = message.digest.reporter
+    return any(each.process == reporter and each.address == sender for each in message.records)
--- a/packages/chalkyoke/src/chalkyoke/membership/state.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/state.py
@@ -44,13 +44,13 @@
     """Another failure domain, as the freshest of its reporters tells it.
 
     :param heard: when a digest of it last came in.
-    :param heard_outside: when one last came straight from there.
+    :param direct: when each version last came straight from there, lately.
     """
 
     digest: Digest
     records: tuple[MemberRecord, ...]
     heard: float
-    heard_outside: float
+    direct: dict[int, float] = msgspec.field(default_factory=dict)
 
 
 class Joined(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -3,10 +3,11 @@
 
 from chalkyoke.membership.messages import Digest, Heartbeat, ShortHeartbeat, Summary
 from chalkyoke.membership.owners import ranked_hosts
+from chalkyoke.membership.rosters import checksum
 from chalkyoke.membership.state import Candidate, Joined, Left
 from chalkyoke.membership.view import MembershipView
 
-from tests.memberfleet import Fleet, record
+from tests.memberfleet import DelayedFleet, Fleet, record
 
 TWO = {"d1": ["a1", "a2", "a3"], "d2": ["b1", "b2", "b3"]}
 ALL = {"a1", "a2", "a3", "b1", "b2", "b3"}
@@ -229,3 +230,20 @@
     fleet.views["a3"].update_self(leaving=True)
     fleet.run(0.25)
     assert fleet.views["a9"].find("a3").leaving
+
+
+# Guards against an outdated summary that the members of a domain pass round among themselves for
+# ever, so that they name another owner of a pool than all others do.
+def test_an_outdated_summary_of_a_domain_does_not_last():
+    domains = {name: [f"{name}{number}" for number in range(6)] for name in "abcd"}
+    fleet = DelayedFleet(domains)
+    fleet.run(4.0)
+    assert {len(fleet.hosts(host)) for host in fleet.views} == {24}
+    few = (fleet.views["d0"].record,)
+    outdated = Summary(Digest("d", few[0].process, checksum(few)), few)
+    for host in ("b1", "b3", "b5"):
+        fleet.views[host].receive("b0:1", outdated, fleet.now)
+    fleet.run(1.0)
+    for _ in range(200):
+        fleet.run(0.03)
+        assert {len(fleet.hosts(host)) for host in fleet.views} == {24}
--- a/packages/chalkyoke/src/chalkyoke/membership/view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/view.py
@@ -269,7 +269,7 @@
         if isinstance(message, RosterChange):
             changes, ask = self._inside.take_change(message, now)
             return changes, [Send(sender, SummaryRequest(message.digest))] if ask else []
-        return self._take_summary(message, now), []
+        return self._take_summary(sender, message, now), []
 
     def tick(self, now: float) -> list[Change]:
         """Find who has fallen silent.
@@ -393,8 +393,8 @@
         known = self._outside.find(wanted.failure_domain)
         return [] if known is None else [Send(sender, Summary(known.digest, known.records))]
 
-    def _take_summary(self, message: Summary, now: float) -> list[Change]:
+    def _take_summary(self, sender: str, message: Summary, now: float) -> list[Change]:
         if message.digest.failure_domain == self.domain:
             return self._inside.take_summary(message, now)
         self._generation += 1
-        return self._outside.take_summary(message, now)
+        return self._outside.take_summary(sender, message, now)
--- a/tests/memberfleet.py
+++ b/tests/memberfleet.py
@@ -2,6 +2,9 @@
 A fleet of membership views that hear each other at once, unless they are cut off or dead.
 """
 
+import heapq
+import itertools
+import math
 from collections import Counter
 
 from chalkyoke.membership.messages import MemberRecord
@@ -81,3 +84,44 @@
 
     def hosts(self, viewer):
         return {each.host for each in self.views[viewer].live()}
+
+
+class DelayedFleet(Fleet):
+    """A fleet whose messages take time, and whose hosts all beat at the same moments.
+
+    :ivar delay_s: how long each message takes, in seconds.
+    """
+
+    delay_s = 0.02
+
+    def __init__(self, domains, capacities=None):
+        self._on_way = []
+        self._numbers = itertools.count()
+        super().__init__(domains, capacities)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        beats = [self._next_beat(host) for host in self.views]
+        heapq.heapify(beats)
+        while (at := min(beats[0][0], self._on_way[0][0] if self._on_way else math.inf)) < end:
+            self.now = at
+            if beats[0][0] > at:
+                _, _, sender, target, message = heapq.heappop(self._on_way)
+                _, answers = self.views[target].receive(f"{sender}:1", message, at)
+                self.carry(self.views[target], answers)
+                continue
+            _, host = heapq.heappop(beats)
+            self.views[host].tick(at)
+            self.carry(self.views[host], self.views[host].beat(at))
+            heapq.heappush(beats, (at + INTERVAL_S, host))
+        self.now = end
+
+    def _next_beat(self, host):
+        return ((math.floor(self.now / INTERVAL_S) + 1) * INTERVAL_S, host)
+
+    def carry(self, sender, sends):
+        for send in sends:
+            target = send.address.split(":")[0]
+            if target in self.views and self.reaches(sender.record.host, target):
+                each = (self.now + self.delay_s, next(self._numbers), sender.record.host)
+                heapq.heappush(self._on_way, (*each, target, send.message))
