Catalog: revisions of the store are compared within an epoch; a store restored from a copy is believed at once

Cause: a counter of somebody else was taken for a clock that never goes back. After a store came back from a copy its revisions were lower than what nodes held, and its whole listing and then each change up to the old revision were ignored without a line. Ruled out: a watch that missed it, a scheduler that granted on (no node logged the record). Change: the store's epoch travels with revisions, from its answers through the follower, the catalog, messages between nodes and member records; a later epoch is newer, whatever its revisions are. What a node has seen later than the copy stays in force until the store tells more, or its writers have had time to: a start that leaves never comes back, one that is gone only if the store keeps listing it for 5 s, a record that the copy lacks stays for 2.5 s. Peers are told the difference between the two epochs. Nodes of builds that know no epoch are told as before, and what they tell is not taken once an epoch is known; they don't follow the store for those that know one. Why it holds: positions are totally ordered (epoch, then revision), and the store raises its epoch in each answer after a restore, so no later update can compare as older.

--- a/packages/chalkyoke/src/chalkyoke/catalog/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/follower.py
@@ -178,7 +178,11 @@
             log.notice("history_lost", since=self.since)
             self.since = 0
             return True
-        self._note_epoch(found.epoch)
+        if found.epoch not in (0, self._epoch):
+            # It was restored from a copy: its revisions are not those that were asked from.
+            log.notice("store_restored", before=self._epoch, epoch=found.epoch, since=self.since)
+            self.since = 0
+            return True
         self._taker.changed(found, age_s)
         self.since = max(self.since, found.at)
         if found.changes:
--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -23,6 +23,7 @@
     ReplicasTold,
 )
 from chalkyoke.catalog.resources import Catalog, Replica
+from chalkyoke.catalog.restores import Position
 from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
@@ -72,6 +73,7 @@
     :param changed: called after the document or a replica has changed.
     :param registered: called with the nodes' registrations when they have changed.
     :param now: the node's clock, in seconds.
+    :ivar ignored: the store's answers that were older than what this node held, by kind.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self._changed = changed
         self._registered = registered
         self._now = now
+        self.ignored: Counter[str] = Counter()
         self._nodes: dict[str, bytes] = {}
         self._asked = 0.0
         self._behind_since = 0.0
@@ -104,6 +107,11 @@
         """Follow the store for as long as the process lives."""
         await self._follower.run()
 
+    def settle(self) -> None:
+        """Believe a restored store where nobody has corrected it; call some times a second."""
+        if self.state.settle(self._now()):
+            self._replicas_changed("settled", 0.0)
+
     # The store.
 
     def _part(self) -> Part:
@@ -118,9 +126,14 @@
         The duty leaves a node that the store does not answer, however alive it is: a domain whose
         watchers were turned away would hear nothing while its other nodes reach the store.
         """
-        return self._view.duty_holders(
-            WATCH_DUTY, self._watchers, able=lambda record: not record.store_lost
-        )
+        return self._view.duty_holders(WATCH_DUTY, self._watchers, able=self._can_follow)
+
+    def _can_follow(self, record: MemberRecord) -> bool:
+        """Tell whether a node can follow the store for others.
+
+        What comes without an epoch can't be compared once one is known.
+        """
+        return not record.store_lost and (record.store_epoch > 0 or not self.state.epoch)
 
     def lost(self, is_lost: bool) -> None:
         """Tell the peers whether the store answers this node."""
@@ -128,10 +141,12 @@
 
     def listed(self, listing: Listing) -> None:
         """Take all that the store holds."""
-        self._note_ignored("listing", listing.at, listing.epoch)
+        listing = msgspec.structs.replace(listing, epoch=listing.epoch or self.state.epoch)
+        self._note_ignored("listing", Position(listing.epoch, listing.at))
         for item in listing.items:
             self._take_document(item, 0.0)
-        self._take_replicas(Listing(_under(self._keys.records, listing), listing.at))
+        records = _under(self._keys.records, listing)
+        self._take_replicas(Listing(records, listing.at, listing.epoch))
         self._nodes = {item.key: item.value for item in _under((self._keys.nodes,), listing)}
         self._registered(self._nodes)
 
@@ -140,8 +155,9 @@
 
         :param age_s: how long ago it may have changed at most, in seconds.
         """
+        position = Position(found.epoch or self.state.epoch, found.at)
         if found.changes:
-            self._note_ignored("changes", found.at, found.epoch)
+            self._note_ignored("changes", position)
         replicas: list[Item | Removed] = []
         nodes_changed = False
         for change in found.changes:
@@ -156,22 +172,28 @@
                 else:
                     self._nodes.pop(change.key, None)
         known_at = self.state.changed_at
-        if self.state.change_replicas(replicas, found.at, self._now() - age_s):
-            self._replicas_changed("store", age_s)
-            self._tell(self.state.tell_replicas(known_at, age_s))
+        if position.epoch == self.state.epoch:
+            now = self._now()
+            if self.state.change_replicas(replicas, found.at, now - age_s, now):
+                self._replicas_changed("store", age_s)
+                self._tell(self.state.tell_replicas(known_at, age_s))
         if nodes_changed:
             self._registered(self._nodes)
 
-    def _note_ignored(self, what: str, at: int, epoch: int) -> None:
-        """Log that the store's answer is not taken, since this node holds a later revision."""
-        if at < self.state.replicas_at:
-            log.notice(
-                "update_ignored",
-                what=what,
-                revision=at,
-                epoch=epoch,
-                held=self.state.replicas_at,
-            )
+    def _note_ignored(self, what: str, position: Position) -> None:
+        """Count and log that the store's answer is older than what this node holds."""
+        held = self.state.position
+        if position >= held:
+            return
+        self.ignored[what] += 1
+        log.notice(
+            "update_ignored",
+            what=what,
+            revision=position.revision,
+            epoch=position.epoch,
+            held=held.revision,
+            held_epoch=held.epoch,
+        )
 
     def _take_document(self, item: Item, age_s: float) -> None:
         if item.key != self._keys.document:
@@ -186,13 +208,17 @@
                 self._tell(self.state.tell_catalog(before.version))
 
     def _take_replicas(self, listing: Listing) -> None:
-        first = not self.state.replicas_at
-        since = self._now() - UNKNOWN_AGE_S
-        if not self.state.adopt_replicas(listing.items, listing.at, since):
+        before = self.state.position
+        now = self._now()
+        if not self.state.adopt_replicas(
+            listing.items, listing.at, now - UNKNOWN_AGE_S, epoch=listing.epoch, now=now
+        ):
             return
         self._replicas_changed("store", UNKNOWN_AGE_S)
-        if not first:
-            self._tell(self.state.tell_replicas())
+        if not before.revision:
+            return
+        is_restored = 0 < before.epoch < listing.epoch
+        self._tell(self.state.tell_restored() if is_restored else self.state.tell_replicas())
 
     # Peers.
 
@@ -202,7 +228,8 @@
         :param address: link address of the peer.
         """
         newer = record.revision > self.state.catalog.version
-        newer = newer or record.hosts_version > self.state.replicas_at
+        replicas = Position(record.store_epoch, record.hosts_version)
+        newer = newer or self.state.is_newer(replicas)
         now = self._now()
         if not newer:
             return
@@ -242,29 +269,42 @@
         taken: Result[bool, str]
         if isinstance(message, ReplicasTold):
             age_s = UNKNOWN_AGE_S
-            taken = Ok(
-                state.adopt_replicas(message.items, message.at, now - age_s, message.changed_at)
+            changed = state.adopt_replicas(
+                message.items,
+                message.at,
+                now - age_s,
+                message.changed_at,
+                epoch=message.epoch,
+                now=now,
             )
+            taken = Ok(changed)
         else:
             age_s = message.age_s
-            taken = state.adopt_changes(message, now - age_s)
-        if self._is_taken(address, "replicas", taken):
+            taken = state.adopt_changes(message, now - age_s, now)
+        whole = isinstance(message, ReplicasChanged) and bool(message.base_epoch)
+        if self._is_taken(address, "replicas", taken, whole=whole):
             self._replicas_changed("peer", age_s)
 
-    def _is_taken(self, address: str, what: str, taken: Result[bool, str]) -> bool:
-        """Tell whether what a peer told has changed anything; ask it where that does not fit."""
+    def _is_taken(
+        self, address: str, what: str, taken: Result[bool, str], *, whole: bool = False
+    ) -> bool:
+        """Tell whether what a peer told has changed anything; ask it where that does not fit.
+
+        :param whole: whether it is asked for all then.
+        """
         if isinstance(taken, Err):
             log.info("not_taken", what=what, peer=address, why=taken.err_value)
-            self._ask(address)
+            self._ask(address, whole=whole)
             return False
         return taken.ok_value
 
-    def _ask(self, address: str) -> None:
+    def _ask(self, address: str, *, whole: bool = False) -> None:
         """Ask a peer for what is newer than what this node has, unless it has just asked one."""
         if self._now() - self._asked < ASK_AGAIN_S:
             return
         self._asked = self._now()
-        request = CatalogRequest(self.state.catalog.version, self.state.replicas_at)
+        held_at = 0 if whole else self.state.replicas_at
+        request = CatalogRequest(self.state.catalog.version, held_at, self.state.epoch)
         self._links.send(address, request)
 
     def _tell(self, message: CatalogAnswer) -> None:
@@ -296,6 +336,7 @@
         log.info(
             "replicas",
             revision=self.state.replicas_at,
+            epoch=self.state.epoch,
             changed_at=self.state.changed_at,
             source=source,
             news_age_s=round(age_s, 3),
@@ -304,7 +345,7 @@
             versions=_count_versions(self.state.replicas.values()),
             unreadable=dict(itertools.islice(self.state.unreadable.items(), MOST_NAMED)),
         )
-        self._view.update_self(hosts_version=self.state.changed_at)
+        self._view.update_self(hosts_version=self.state.changed_at, store_epoch=self.state.epoch)
         self._changed()
 
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -12,10 +12,15 @@
 
 
 class CatalogRequest(msgspec.Struct, frozen=True, array_like=True, tag="catalog_request"):
-    """Ask for what is newer than this."""
+    """Ask for what is newer than this.
+
+    :param replicas_at: 0 asks for all.
+    :param epoch: the store's epoch of that revision; 0 is not known.
+    """
 
     version: int
     replicas_at: int
+    epoch: int = 0
 
 
 class CatalogTold(msgspec.Struct, frozen=True, array_like=True, tag="catalog"):
@@ -44,11 +49,13 @@
     """All replicas' own records, complete up to a revision of the store.
 
     :param changed_at: revision of the newest change among them.
+    :param epoch: the store's epoch of these revisions; 0 is not known.
     """
 
     at: int
     changed_at: int
     items: tuple[Item, ...]
+    epoch: int = 0
 
 
 class ReplicasChanged(msgspec.Struct, frozen=True, array_like=True, tag="replicas_changed"):
@@ -57,6 +64,10 @@
     :param since: all changes after this revision are in here; a receiver must know the others.
     :param at: the receiver is then complete up to this revision.
     :param age_s: how long ago this may have changed when it was sent, in seconds.
+    :param epoch: the store's epoch; 0 is not known.
+    :param base_epoch: where the store was restored from a copy, the epoch before, which ``since``
+        is of: a receiver must know exactly that, and not more. 0 is the same epoch.
+    :param changed_at: revision of the newest change, where the store was restored.
     """
 
     since: int
@@ -64,6 +75,9 @@
     written: tuple[Item, ...]
     removed: tuple[Removed, ...]
     age_s: float
+    epoch: int = 0
+    base_epoch: int = 0
+    changed_at: int = 0
 
 
 class ReplicasLeave(msgspec.Struct, frozen=True, array_like=True, tag="replicas_leave"):
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -1,14 +1,14 @@
 """
 chalkyoke.catalog.state
 
-The catalog and the replicas in force on this node. Versions only rise while the process lives,
-whether they come from the store or from peers.
+The catalog and the replicas in force on this node. Versions of the catalog only rise while the
+process lives, whether they come from the store or from peers. Revisions of the store rise within
+one of its epochs; a later epoch is a store that was restored from a copy.
 """
 
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
-import msgspec
 from result import Err, Ok, Result
 
 from chalkyoke.catalog.difference import difference, restore
@@ -21,11 +21,17 @@
     ReplicasTold,
 )
 from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
+from chalkyoke.catalog.records import Departed, Ordered, ReadRecord, Records
 from chalkyoke.catalog.resources import Catalog, Replica
-from chalkyoke.catalog.starts import StartMemory
+from chalkyoke.catalog.restores import (
+    MISSING_KEPT_S,
+    OUTDATED_IGNORED_S,
+    Conflicts,
+    Position,
+    SupersededItems,
+)
 from chalkyoke.invariants import require
-from chalkyoke.quarantine.messages import HeldRecord
-from chalkyoke.rollouts.resources import RolloutOrder, RolloutStatus
+from chalkyoke.rollouts.resources import RolloutStatus
 from chalkyoke.storage.messages import Item, Removed
 
 # Bound on a document that peers tell, in bytes: four times the largest value of the store.
@@ -34,66 +40,35 @@
 UNKNOWN_AGE_S = 60.0
 
 ReadCatalog = Callable[[bytes], Result[Catalog, str]]
-Record = Replica | RolloutOrder | RolloutStatus | HeldRecord
-ReadRecord = Callable[[Item], Result[Record, str]]
-
-
-class Ordered(msgspec.Struct, frozen=True):
-    """An order of a roll-out, and when it may have been given at the earliest.
-
-    :param since: on this node's clock, in seconds.
-    """
-
-    order: RolloutOrder
-    since: float
-
 
-class Departed(msgspec.Struct):
-    """A replica whose record is gone.
 
-    :param since: when it may have gone at the earliest, on this node's clock, in seconds. News
-        that came late count from the change, not from when they were heard.
-    """
-
-    replica: Replica
-    since: float
-
-
-class CatalogState(msgspec.Struct):
+class CatalogState:
     """Hold what is declared.
 
     :param read_catalog: reads the operators' document.
     :param read_record: reads a replica's record, an order of a roll-out, the answer to one or the
         record of a request that is held back. All of these spread alike, in the order of the
         store's revisions.
+    :ivar epoch: the store's epoch that the replicas are of; 0 is not known.
     :ivar replicas_at: the store's revision up to which the replicas are complete.
     :ivar changed_at: revision of the newest change of a replica. It is the same on all nodes that
-        know the same, however they heard, so that none asks another for what it has.
-    :ivar orders: orders of roll-outs, by service.
-    :ivar statuses: the answers to them, by service.
-    :ivar held: requests that are held back, as far as the store says so.
-    :ivar released: those of them that operators have released.
-    :ivar unreadable: why a record can't be read, by key.
+        know the same, however they learnt it, so that none asks another for what it has.
     """
 
-    read_catalog: ReadCatalog
-    read_record: ReadRecord
-    catalog: Catalog = msgspec.field(default_factory=Catalog)
-    replicas: dict[str, Replica] = msgspec.field(default_factory=dict)
-    replicas_at: int = 0
-    changed_at: int = 0
-    departed: dict[str, Departed] = msgspec.field(default_factory=dict)
-    orders: dict[str, Ordered] = msgspec.field(default_factory=dict)
-    statuses: dict[str, RolloutStatus] = msgspec.field(default_factory=dict)
-    held: set[bytes] = msgspec.field(default_factory=set)
-    released: set[bytes] = msgspec.field(default_factory=set)
-    unreadable: dict[str, str] = msgspec.field(default_factory=dict)
-    _leaving: StartMemory[None] = msgspec.field(default_factory=StartMemory)
-    _document: bytes = b""
-    _restarted: list[Replica] = msgspec.field(default_factory=list)
-    _items: dict[str, Item] = msgspec.field(default_factory=dict)
-    _recent: RecentChanges = msgspec.field(default_factory=RecentChanges)
-    _documents: RecentDocuments = msgspec.field(default_factory=RecentDocuments)
+    def __init__(self, read_catalog: ReadCatalog, read_record: ReadRecord) -> None:
+        self.read_catalog = read_catalog
+        self.catalog = Catalog()
+        self.epoch = 0
+        self.replicas_at = 0
+        self.changed_at = 0
+        self._records = Records(read_record)
+        self._document = b""
+        self._items: dict[str, Item] = {}
+        self._recent = RecentChanges()
+        self._documents = RecentDocuments()
+        self._superseded = SupersededItems()
+        self._conflicts = Conflicts()
+        self._restored: ReplicasChanged | None = None
 
     @property
     def complete(self) -> bool:
@@ -103,6 +78,77 @@
         """
         return self.catalog.version > 0 and self.replicas_at > 0
 
+    @property
+    def position(self) -> Position:
+        """Up to where in the store's changes the replicas are complete.
+
+        :rtype: Position
+        """
+        return Position(self.epoch, self.replicas_at)
+
+    # The records in force.
+
+    @property
+    def replicas(self) -> dict[str, Replica]:
+        """Replicas by id of their start."""
+        return self._records.replicas
+
+    @property
+    def departed(self) -> dict[str, Departed]:
+        """Replicas whose record is gone, by id of their start."""
+        return self._records.departed
+
+    @property
+    def orders(self) -> dict[str, Ordered]:
+        """Orders of roll-outs, by service."""
+        return self._records.orders
+
+    @property
+    def statuses(self) -> dict[str, RolloutStatus]:
+        """The answers to orders, by service."""
+        return self._records.statuses
+
+    @property
+    def held(self) -> set[bytes]:
+        """Requests that are held back, as far as the store says so."""
+        return self._records.held
+
+    @property
+    def released(self) -> set[bytes]:
+        """Requests that operators have released."""
+        return self._records.released
+
+    @property
+    def unreadable(self) -> dict[str, str]:
+        """Why a record can't be read, by key."""
+        return self._records.unreadable
+
+    def note_leaving(self, start: str, now: float) -> bool:
+        """Note that a replica has said itself that it leaves; no record of that start undoes it.
+
+        :param start: the replica's id.
+        :return: whether it was taken to stay until now.
+        """
+        return self._records.note_leaving(start, now)
+
+    def leaves(self, start: str) -> bool:
+        """Tell whether a replica has said itself that it leaves.
+
+        :param start: the replica's id.
+        """
+        return self._records.leaves(start)
+
+    def take_restarted(self) -> list[Replica]:
+        """Take the starts of replicas that later ones have taken the place of since the last call.
+
+        :rtype: list[Replica]
+        """
+        return self._records.take_restarted()
+
+    def forget_departed(self, now: float, keep_s: float) -> None:
+        """Drop the memory of replicas that went long ago."""
+        self._records.forget_departed(now, keep_s)
+
     # The operators' document.
 
     def adopt_document(self, document: bytes) -> Result[bool, str]:
@@ -163,219 +209,231 @@
     # Replicas.
 
     def adopt_replicas(
-        self, items: Iterable[Item], at: int, since: float, changed_at: int | None = None
+        self,
+        items: Iterable[Item],
+        at: int,
+        since: float,
+        changed_at: int | None = None,
+        *,
+        epoch: int = 0,
+        now: float = 0.0,
     ) -> bool:
-        """Take all replicas' records as of a revision.
+        """Take all replicas' records as of a revision, if that is newer.
 
         :param since: when they may have changed at the earliest, on this node's clock.
         :param changed_at: revision of the newest change; nothing where that is not known.
+        :param epoch: the store's epoch.
+        :param now: the node's clock, in seconds.
         :return: whether anything of a replica changed.
         """
-        if at <= self.replicas_at:
+        if not self.is_newer(Position(epoch, at)):
             return False
-        held = {item.key: item for item in items}
-        gone = set(self._items) - set(held)
-        changed = self.replicas_at == 0
-        for key in gone:
-            changed |= self._remove(key, since)
-        for item in held.values():
-            changed |= self._put(item, since)
+        listed = {item.key: item for item in items}
+        gone = set(self._items) - set(listed)
+        newest = max((item.revision for item in listed.values()), default=0)
         if changed_at is None:
-            newest = max((item.revision for item in held.values()), default=0)
             changed_at = at if gone else newest
+        if 0 < self.epoch < epoch:
+            self._enter_epoch(listed, Position(epoch, at), changed_at, since, now)
+            return True
+        changed = self.replicas_at == 0 or epoch != self.epoch
+        self.epoch = epoch
+        for key in gone:
+            changed |= self._take_removed(key, since, now)
+        for item in listed.values():
+            changed |= self._take_written(item, since, now)
         self.replicas_at = at
         self.changed_at = max(self.changed_at, changed_at)
         self._recent.restart(at)
         return changed
 
-    def change_replicas(self, changes: Iterable[Item | Removed], at: int, since: float) -> bool:
-        """Take all that has changed since the revision that is held.
+    def change_replicas(
+        self, changes: Iterable[Item | Removed], at: int, since: float, now: float = 0.0
+    ) -> bool:
+        """Take all that has changed since the revision that is held, in the epoch that is held.
 
         :param since: when it may have changed at the earliest, on this node's clock.
+        :param now: the node's clock, in seconds.
         :return: whether anything of a replica changed.
         """
         newer = [each for each in changes if each.revision > self.replicas_at]
         changed = False
         for change in newer:
             if isinstance(change, Removed):
-                changed |= self._remove(change.key, since)
+                changed |= self._take_removed(change.key, since, now)
             else:
-                changed |= self._put(change, since)
+                changed |= self._take_written(change, since, now)
         self._recent.note(newer)
         self.replicas_at = max(self.replicas_at, at)
         self.changed_at = max([self.changed_at, *(each.revision for each in newer)])
         return changed
 
-    def adopt_changes(self, message: ReplicasChanged, since: float) -> Result[bool, str]:
+    def adopt_changes(
+        self, message: ReplicasChanged, since: float, now: float = 0.0
+    ) -> Result[bool, str]:
         """Take what a peer tells has changed.
 
         :param since: when it may have changed at the earliest, on this node's clock.
+        :param now: the node's clock, in seconds.
         :return: whether anything of a replica changed, or why it can't be taken: the peer is to
             be asked then.
         """
-        if message.since > self.replicas_at:
-            return Err(f"complete up to {self.replicas_at}, not up to {message.since}")
-        return Ok(self.change_replicas((*message.written, *message.removed), message.at, since))
+        if message.epoch == self.epoch:
+            if message.since > self.replicas_at:
+                return Err(f"complete up to {self.replicas_at}, not up to {message.since}")
+            changes: tuple[Item | Removed, ...] = (*message.written, *message.removed)
+            return Ok(self.change_replicas(changes, message.at, since, now))
+        if not self.is_newer(Position(message.epoch, message.at)):
+            return Ok(False)
+        if (message.base_epoch, message.since) != (self.epoch, self.changed_at):
+            base = f"{self.changed_at} of epoch {self.epoch}"
+            return Err(f"known up to {base}, not {message.since} of epoch {message.base_epoch}")
+        listed = self._items | {item.key: item for item in message.written}
+        for each in message.removed:
+            listed.pop(each.key, None)
+        items, position = listed.values(), (message.at, since, message.changed_at)
+        return Ok(self.adopt_replicas(items, *position, epoch=message.epoch, now=now))
+
+    def is_newer(self, position: Position) -> bool:
+        """Tell whether replicas as of a position are newer than those that are held.
+
+        Where the epoch is not known, it comes from a node that does not know of epochs: what it
+        says can't be compared with what this node has by the store or by others.
+        """
+        if position.epoch == 0 and self.epoch > 0:
+            return False
+        return position > self.position
+
+    def settle(self, now: float) -> bool:
+        """Believe the store where it goes on contradicting what this node has seen later.
+
+        :return: whether anything changed.
+        """
+        self._superseded.forget(now)
+        changed = False
+        for key in self._conflicts.due(now):
+            item = self._items.get(key)
+            if item is None:
+                changed |= self._records.remove(key, now)
+            else:
+                changed |= self._records.put(item, now)
+        return changed
+
+    def _enter_epoch(
+        self,
+        listed: Mapping[str, Item],
+        position: Position,
+        changed_at: int,
+        since: float,
+        now: float,
+    ) -> None:
+        """Take all that a restored store holds, but for what this node has seen later."""
+        self._restored = self._tell_difference(listed, position, changed_at)
+        self._records.keep_leaving(now)
+        for key in self._records:
+            if key not in listed:
+                self._miss(key, since, now)
+        for item in listed.values():
+            if item in self._superseded and self._records.is_foreign(item):
+                self._conflicts.note(item.key, now + OUTDATED_IGNORED_S)
+                continue
+            self._conflicts.end(item.key)
+            self._records.put(item, since)
+        self._items = dict(listed)
+        self.epoch, self.replicas_at = position.epoch, position.revision
+        self.changed_at = changed_at
+        self._recent.restart(position.revision)
+
+    def _miss(self, key: str, since: float, now: float) -> None:
+        item = self._records.item(key)
+        if item is not None and self._records.is_foreign(item):
+            self._conflicts.note(key, now + MISSING_KEPT_S)
+        else:
+            self._records.remove(key, since)
+
+    def _take_written(self, item: Item, since: float, now: float) -> bool:
+        self._items[item.key] = item
+        before = self._records.item(item.key)
+        if before is not None and before != item:
+            self._superseded.note(before, now)
+        ended = self._conflicts.end(item.key)
+        # Peers have the conflict as well, and are to learn of its end.
+        return self._records.put(item, since) or ended
+
+    def _take_removed(self, key: str, since: float, now: float) -> bool:
+        self._items.pop(key, None)
+        before = self._records.item(key)
+        if before is not None:
+            self._superseded.note(before, now)
+        ended = self._conflicts.end(key)
+        return self._records.remove(key, since) or ended
+
+    # Words for peers.
 
     def tell_replicas(
         self, held_at: int = 0, age_s: float = UNKNOWN_AGE_S
     ) -> ReplicasTold | ReplicasChanged:
-        """Word the replicas for a peer.
+        """Word the replicas for a peer that is in the same epoch, or for any.
 
         :param held_at: the revision up to which the peer is complete.
         :param age_s: how long ago what has changed since may have changed, in seconds.
         """
         changes = self._recent.after(held_at) if held_at else None
         if changes is None:
-            return ReplicasTold(self.replicas_at, self.changed_at, tuple(self._items.values()))
+            items = tuple(self._items.values())
+            return ReplicasTold(self.replicas_at, self.changed_at, items, self.epoch)
         return ReplicasChanged(
             held_at,
             self.replicas_at,
             tuple(each for each in changes if isinstance(each, Item)),
             tuple(each for each in changes if isinstance(each, Removed)),
             age_s,
+            self.epoch,
         )
 
-    def note_leaving(self, start: str, now: float) -> bool:
-        """Note that a replica has said itself that it leaves; no record of that start undoes it.
+    def tell_restored(self) -> ReplicasTold | ReplicasChanged:
+        """Word for a peer in the epoch before what the restored store has changed.
 
-        :param start: the replica's id.
-        :return: whether it was taken to stay until now.
-        """
-        is_new = start not in self._leaving
-        self._leaving.keep(start, None, now)
-        replica = self.replicas.get(start)
-        if replica is not None:
-            self.replicas[start] = self._as_told(replica)
-        if (gone := self.departed.get(start)) is not None:
-            gone.replica = self._as_told(gone.replica)
-        return is_new and (replica is None or not replica.draining)
-
-    def leaves(self, start: str) -> bool:
-        """Tell whether a replica has said itself that it leaves.
-
-        :param start: the replica's id.
+        :return: the difference while nothing else has changed since; else all.
         """
-        return start in self._leaving
-
-    def _as_told(self, replica: Replica) -> Replica:
-        """Give a replica as it declares itself and as its answers tell of it."""
-        if replica.draining or replica.id not in self._leaving:
-            return replica
-        return msgspec.structs.replace(replica, draining=True)
-
-    def forget_departed(self, now: float, keep_s: float) -> None:
-        """Drop the memory of replicas that went long ago."""
-        self._leaving.forget(self.replicas.keys(), now)
-        for name, each in list(self.departed.items()):
-            if now - each.since > keep_s:
-                del self.departed[name]
+        restored = self._restored
+        if restored is None or restored.at != self.replicas_at or restored.epoch != self.epoch:
+            return self.tell_replicas()
+        return restored
 
     def answers(self, request: CatalogRequest) -> list[CatalogAnswer]:
         """Give a peer what it lacks.
 
         :rtype: list[CatalogAnswer]
         """
-        told: list[CatalogAnswer] = []
+        answers: list[CatalogAnswer] = []
         if self.catalog.version > request.version:
-            told.append(self.tell_catalog(request.version))
-        if self.replicas_at > request.replicas_at:
-            told.append(self.tell_replicas(request.replicas_at))
-        return told
-
-    def _put(self, item: Item, since: float) -> bool:
-        read = self.read_record(item)
-        if isinstance(read, Err):
-            return self._refuse(item.key, read.err_value)
-        self.unreadable.pop(item.key, None)
-        before = self._items.get(item.key)
-        self._items[item.key] = item
-        record = read.ok_value
-        if isinstance(record, RolloutOrder):
-            return self._put_order(record, since)
-        if isinstance(record, RolloutStatus):
-            changed = self.statuses.get(record.service) != record
-            self.statuses[record.service] = record
-            return changed
-        if isinstance(record, HeldRecord):
-            return self._put_held(record)
-        self._end_start_before(before, record)
-        record = self._as_told(record)
-        changed = self.replicas.get(record.id) != record
-        self.replicas[record.id] = record
-        self.departed.pop(record.id, None)
-        return changed
-
-    def _end_start_before(self, before: Item | None, replica: Replica) -> None:
-        """Let go of the start of a replica that this record takes the place of."""
-        if before is None:
-            return
-        read = self.read_record(before)
-        if isinstance(read, Err) or not isinstance(read.ok_value, Replica):
-            return
-        if read.ok_value.id == replica.id:
-            return
-        ended = self.replicas.pop(read.ok_value.id, None)
-        if ended is not None:
-            self._restarted.append(ended)
-
-    def take_restarted(self) -> list[Replica]:
-        """Take the starts of replicas that later ones have taken the place of since the last call.
-
-        :rtype: list[Replica]
-        """
-        restarted, self._restarted = self._restarted, []
-        return restarted
-
-    def _refuse(self, key: str, why: str) -> bool:
-        """Take a record that can't be read: it names nothing, whatever it named before.
-
-        :return: whether anything is told by that.
-        """
-        is_news = self.unreadable.get(key) != why
-        self.unreadable[key] = why
-        if (item := self._items.pop(key, None)) is not None:
-            self._drop(item)
-        return is_news
-
-    def _put_held(self, record: HeldRecord) -> bool:
-        mine, other = self.held, self.released
-        if record.is_released:
-            mine, other = other, mine
-        is_news = record.request not in mine
-        mine.add(record.request)
-        other.discard(record.request)
-        return is_news
-
-    def _put_order(self, order: RolloutOrder, since: float) -> bool:
-        held = self.orders.get(order.service)
-        if held is not None and held.order == order:
-            return False
-        self.orders[order.service] = Ordered(order, since)
-        return True
-
-    def _remove(self, key: str, since: float) -> bool:
-        self.unreadable.pop(key, None)
-        item = self._items.pop(key, None)
-        if item is None:
-            return False
-        if (gone := self._drop(item)) is not None:
-            self.departed[gone.id] = Departed(gone, since)
-        return True
-
-    def _drop(self, item: Item) -> Replica | None:
-        """Forget what a record that was read before has named; give the replica, if it was one."""
-        read = self.read_record(item)
-        if isinstance(read, Err):
+            answers.append(self.tell_catalog(request.version))
+        if request.epoch == self.epoch:
+            if self.replicas_at > request.replicas_at:
+                answers.append(self.tell_replicas(request.replicas_at))
+        elif request.epoch < self.epoch:
+            # One that asks without an epoch may be of any.
+            is_before = self._restored is not None and request.epoch == self._restored.base_epoch
+            whole = not is_before or not request.replicas_at
+            answers.append(self.tell_replicas() if whole else self.tell_restored())
+        return answers
+
+    def _tell_difference(
+        self, listed: Mapping[str, Item], position: Position, changed_at: int
+    ) -> ReplicasChanged | None:
+        """Word what a restored store holds as the difference to what it held before."""
+        if not self.epoch:
             return None
-        record = read.ok_value
-        if isinstance(record, RolloutOrder):
-            self.orders.pop(record.service, None)
-        elif isinstance(record, RolloutStatus):
-            self.statuses.pop(record.service, None)
-        elif isinstance(record, HeldRecord):
-            self.held.discard(record.request)
-            self.released.discard(record.request)
-        else:
-            return self.replicas.pop(record.id, None)
-        return None
+        removed = [Removed(key, position.revision) for key in self._items if key not in listed]
+        written = [item for item in listed.values() if self._items.get(item.key) != item]
+        return ReplicasChanged(
+            self.changed_at,
+            position.revision,
+            tuple(written),
+            tuple(removed),
+            UNKNOWN_AGE_S,
+            position.epoch,
+            self.epoch,
+            changed_at,
+        )
--- a/packages/chalkyoke/src/chalkyoke/membership/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -20,6 +20,7 @@
     :param edition: grows with each change of what others go by; of two records of a process the
         one with the higher edition is the newer.
     :param capacity: what the host can bear, in cores; see ``owners.capacity_class``.
+    :param store_epoch: the store's epoch that ``hosts_version`` is of; 0 is not known.
     """
 
     host: str
@@ -34,6 +35,7 @@
     store_lost: bool = False
     edition: int = 0
     capacity: float = 1.0
+    store_epoch: int = 0
 
     @property
     def process(self) -> str:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -215,6 +215,8 @@
             self.now,
         )
         self.metrics.gauge("records_unreadable", lambda: len(state.unreadable))
+        self.metrics.gauge("store_epoch", lambda: state.epoch)
+        self.metrics.gauge("store_updates_ignored", lambda: self.catalog.ignored.total())
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
         node = settings.node
@@ -478,6 +480,7 @@
         loops.repeat(self.view.interval_s, self._beat)
         loops.repeat(self.view.interval_s, self._check_members)
         loops.repeat(KEEP_S, self._keep_links)
+        loops.repeat(self.view.interval_s, self.catalog.settle)
         loops.repeat(HOUSEKEEPING_S, self._keep_house)
         loops.repeat(TELL_S, self.quotas.tell_successors)
         loops.repeat(ROLLOUTS_TICK_S, self.rollouts.tick)
--- a/packages/chalkyoke/src/chalkyoke/node/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/parts.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 
 from chalkyoke.catalog.keeper import Keys
-from chalkyoke.catalog.state import ReadCatalog, ReadRecord
+from chalkyoke.catalog.records import ReadRecord
+from chalkyoke.catalog.state import ReadCatalog
 from chalkyoke.gateway.ports import HeaderFormat
 from chalkyoke.http1.calls import Caller
 from chalkyoke.rollouts.resources import RolloutOrder, RolloutState
--- a/packages/chalkyoke/src/chalkyoke/node/rollouts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rollouts.py
@@ -13,8 +13,9 @@
 import xxhash
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.catalog.records import Ordered
 from chalkyoke.catalog.resources import Replica
-from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState, Ordered
+from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission
 from chalkyoke.gateway.settings import SchedulingSection
 from chalkyoke.links.broadcast import relay_on
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 
+import pytest
 from chalkyoke_fakes.platformfleet import default_configuration
 
 from tests.gatewayfleet import play
@@ -23,6 +24,8 @@
 # How soon after the store's return all nodes go by it again, in seconds.
 AGREED_S = 1.0
 PLAYED_S = 5.0
+# How long the platform lists a silent replica, in seconds: three heartbeats.
+LAPSES_S = 3.6
 
 
 def now():
@@ -107,3 +110,133 @@
 
     found = {path: play_path(path, story) for path in PATHS}
     assert all(late == 0 and served > 0.99 for late, served in found.values()), found
+
+
+# Guards against sends to a replica whose record went after the store's revisions went back.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_whose_record_goes_after_a_restore_is_left_alone(path):
+    async def story(fleet, replicas):
+        await restore(fleet)
+        await asyncio.sleep(AGREED_S)
+        fleet.store.remove(f"servers/{replicas[0].id}")
+        since = now()
+        await asyncio.sleep(PLAYED_S)
+        return later_sends(replicas[0], since)
+
+    late, served = play_path(path, story)
+    assert late == 0, late
+    assert served > 0.99, served
+
+
+# Guards against work for a replica that left in the seconds that the store has lost, whose record
+# in the copy says that it is ready.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_that_left_in_the_lost_seconds_stays_left_alone(path):
+    async def story(fleet, replicas):
+        async def leave():
+            await replicas[0].declare("draining")
+            leave.at = now()
+
+        await restore(fleet, leave)
+        await asyncio.sleep(AGREED_S)
+        await replicas[0].declare("draining")
+        await asyncio.sleep(PLAYED_S)
+        return later_sends(replicas[0], leave.at)
+
+    late, served = play_path(path, story)
+    assert late == 0, late
+    assert served > 0.99, served
+
+
+# Guards against work for a replica that was gone, which the copy lists until it lapses again.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_that_went_in_the_lost_seconds_stays_gone(path):
+    async def story(fleet, replicas):
+        key = f"servers/{replicas[0].id}"
+
+        async def go():
+            fleet.store.remove(key)
+            go.at = now()
+
+        await restore(fleet, go)
+        await asyncio.sleep(LAPSES_S)
+        fleet.store.remove(key)
+        await asyncio.sleep(PLAYED_S - LAPSES_S)
+        return later_sends(replicas[0], go.at)
+
+    late, served = play_path(path, story)
+    assert late == 0, late
+    assert served > 0.99, served
+
+
+# Guards against new replicas that get no work after the store's revisions went back.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_that_comes_after_a_restore_gets_work(path):
+    async def story(fleet, replicas):
+        await restore(fleet)
+        await asyncio.sleep(AGREED_S)
+        service = replicas[0].service
+        new = await fleet.add_replica("new", service, "a", service == "model")
+        since = now()
+        await asyncio.sleep(PLAYED_S)
+        return new.seen[0].at - since if new.seen else None
+
+    first, served = play_path(path, story)
+    assert first is not None and first < AGREED_S, first
+    assert served > 0.99, served
+
+
+# Guards against a new start under a known id that gets no work after the revisions went back.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_that_starts_anew_after_a_restore_gets_work(path):
+    async def story(fleet, replicas):
+        async def leave():
+            await replicas[0].declare("draining")
+
+        await restore(fleet, leave)
+        await asyncio.sleep(AGREED_S)
+        replicas[0].born += 1000
+        await replicas[0].declare("ready")
+        since = now()
+        await asyncio.sleep(PLAYED_S)
+        later = [each.at for each in replicas[0].seen if each.at > since]
+        return later[0] - since if later else None
+
+    first, served = play_path(path, story)
+    assert first is not None and first < AGREED_S, first
+    assert served > 0.99, served
+
+
+# Guards against a live replica, listed in the copy only, that never gets work again.
+def test_a_replica_that_lapsed_and_lives_gets_work_again():
+    async def story(fleet, replicas):
+        async def lapse():
+            fleet.store.remove(f"servers/{replicas[0].id}")
+
+        await restore(fleet, lapse)
+        since = now()
+        await asyncio.sleep(2 * PLAYED_S)
+        later = [each.at for each in replicas[0].seen if each.at > since]
+        return later[0] - since if later else None
+
+    first, _ = play_path("/find/1", story)
+    assert first is not None and LAPSES_S < first < 2 * LAPSES_S, first
+
+
+# Guards against nodes that start after a restore and are told what the others still believed.
+def test_nodes_that_start_amid_a_restore_go_by_it():
+    async def story(fleet, replicas):
+        await restore(fleet)
+        for node in (1, 4):
+            await fleet.kill_node(node)
+            fleet.start_node(node, first_start=False)
+        await asyncio.sleep(AGREED_S)
+        await replicas[0].declare("draining")
+        since = now()
+        await asyncio.sleep(PLAYED_S)
+        states = [node.catalog.state for node in fleet.nodes]
+        return later_sends(replicas[0], since), {(each.epoch, each.replicas_at) for each in states}
+
+    (late, positions), _ = play_path("/find/1", story)
+    assert late == 0, late
+    assert len(positions) == 1, positions
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -83,9 +83,11 @@
     told = bytes.fromhex(recorded(version, kind)["frame"])
     codec = FrameCodec(tuple(KINDS.values()))
     frame, message = frame_of(codec, told)
-    # All that it said is there, in its place; what was added since is at the end.
+    # Said again and read as the landed version reads it, all that it said is there, in its place.
     said_again, _ = frame_of(codec, codec.encode(STAMP, message))
-    assert said_again[2 : len(frame)] == frame[2:]
+    landed = struct_of(kind, recorded(version, kind)["schema"], tag=kind)
+    read = msgspec.convert(said_again[2:], landed, builtin_types=(bytes,))
+    assert msgspec.msgpack.encode(read) == msgspec.msgpack.encode(frame[2:])
 
 
 @pytest.mark.parametrize(("version", "kind"), CASES)
@@ -103,8 +105,41 @@
 def test_fields_are_only_added_at_the_end_and_with_a_default(version, kind):
     before = recorded(version, kind)["schema"]
     now = json.loads(json.dumps(record_version.schema(KINDS[kind])))
-    assert now[: len(before)] == before
-    assert not any(required for _, _, required in now[len(before) :])
+    assert only_adds(now, before)
+
+
+def only_adds(now, before):
+    """Tell whether a schema, and each one nested in it, only adds optional fields at the end."""
+    if isinstance(now, str) or isinstance(before, str):
+        return now == before
+    if not (before and isinstance(before[0], list)):
+        same_length = len(now) == len(before)
+        return same_length and all(map(only_adds, now, before))
+    kept = zip(now, before, strict=False)
+    return (
+        len(now) >= len(before)
+        and all(
+            (field, required) == (old_field, old_required) and only_adds(word, old_word)
+            for (field, word, required), (old_field, old_word, old_required) in kept
+        )
+        and not any(required for _, _, required in now[len(before) :])
+    )
+
+
+def test_schemas_that_do_more_than_add_optional_fields_at_the_end_are_found():
+    nested = [["a", "int", True], ["b", "str", False]]
+    before = [["x", ["tuple", nested, "Ellipsis"], True]]
+
+    def now_with(changed):
+        return [["x", ["tuple", changed, "Ellipsis"], True]]
+
+    assert only_adds(now_with([*nested, ["c", "int", False]]), before)
+    assert not only_adds(now_with([*nested, ["c", "int", True]]), before)
+    assert not only_adds(now_with([["c", "int", False], *nested]), before)
+    assert not only_adds(now_with(nested[:1]), before)
+    assert not only_adds(now_with([["a", "str", True], nested[1]]), before)
+    assert not only_adds([["x", ["tuple", nested], True]], before)
+    assert not only_adds([["x", nested, True]], before)
 
 
 def test_a_node_that_does_not_tell_its_kinds_is_told_those_of_its_version_only():
