Registrations and records of held requests outlast a restored store; newcomers are told who leaves

A node renewed its lease by number and never looked whether its key was there; after a restore the number may be another writer's, and its entry is gone. Records of held requests of the lost seconds were written by nobody again, and their shared lease could be another's. A node that started after the restore took a replica for ready that had said in the lost seconds that it leaves. Change: each answer about a lease names the epoch; an entry that is younger than a copy may be old (60 s) is written anew after a restore, an older one renewed; nothing of an earlier epoch is ended; records of held requests of the last 60 s are written again; whoever joins is told who leaves though the store may say otherwise. Shown by the tests, each of which failed before: entry lost for good, another's lease ended, records not written again, sends by two newcomers to a replica later than 2 s after it left.

--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -66,6 +66,7 @@
         self._read = read
         self._items: dict[str, Item] = {}
         self._leaving: StartMemory[None] = StartMemory()
+        self._kept_leaving: set[str] = set()
         self._restarted: list[Replica] = []
 
     def __iter__(self) -> Iterator[str]:
@@ -140,9 +141,17 @@
 
     def keep_leaving(self, now: float) -> None:
         """Let no older record undo that the replicas leave that say so now."""
-        for replica in self.replicas.values():
-            if replica.draining:
-                self._leaving.keep(replica.id, None, now)
+        kept = {each.id for each in self.replicas.values() if each.draining}
+        for start in kept:
+            self._leaving.keep(start, None, now)
+        self._kept_leaving = kept
+
+    def leaving_despite_restore(self) -> set[str]:
+        """List the replicas that leave though a restored store may say otherwise.
+
+        :rtype: set[str]
+        """
+        return {each for each in self._kept_leaving if each in self._leaving}
 
     def leaves(self, start: str) -> bool:
         """Tell whether a replica has said itself that it leaves.
--- a/packages/chalkyoke/src/chalkyoke/catalog/restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/restores.py
@@ -8,15 +8,13 @@
 import msgspec
 
 from chalkyoke.storage.messages import Item
+from chalkyoke.storage.port import MOST_COPY_AGE_S
 
 # How long a record that the copy lacks stays in force, in seconds: writers are back within two.
 MISSING_KEPT_S = 2.5
 # How long a record of the copy that is known to be outdated is not believed, in seconds: the store
 # removes what a replica has stopped renewing after three heartbeats.
 OUTDATED_IGNORED_S = 5.0
-# How long the records that later ones took the place of are remembered, in seconds: copies are some
-# seconds old.
-SUPERSEDED_KEPT_S = 60.0
 # How many of them are remembered at most, in number; 0.5 MB. The oldest go first.
 MOST_SUPERSEDED = 2_000
 
@@ -52,7 +50,7 @@
     def forget(self, now: float) -> None:
         """Drop what is older than a copy may be."""
         for key, each in list(self._kept.items()):
-            if now - each.at <= SUPERSEDED_KEPT_S:
+            if now - each.at <= MOST_COPY_AGE_S:
                 return
             del self._kept[key]
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -138,6 +138,13 @@
         """
         return self._records.leaves(start)
 
+    def leaving_despite_restore(self) -> set[str]:
+        """List the replicas that leave though a restored store may say otherwise.
+
+        :rtype: set[str]
+        """
+        return self._records.leaving_despite_restore()
+
     def take_restarted(self) -> list[Replica]:
         """Take the starts of replicas that later ones have taken the place of since the last call.
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -135,6 +135,7 @@
         self._stopping = asyncio.Event()
         self._seen_generation = -1
         self._is_monitor = False
+        self._store_epoch = 0
         self._make_links()
         self._make_catalog()
         self._make_schedulers()
@@ -224,7 +225,12 @@
         key = platform.keys.nodes + settings.node.host
         self.held_records = HeldRecords(self.store, platform.keys.held, self.now)
         self._registration = Registration(
-            self.store, key, msgspec.msgpack.encode(listed), settings.store.lease_s
+            self.store,
+            key,
+            msgspec.msgpack.encode(listed),
+            settings.store.lease_s,
+            random.random,
+            self.now,
         )
 
     def _make_schedulers(self) -> None:
@@ -566,6 +572,8 @@
 
     def _catalog_changed(self) -> None:
         state = self.catalog.state
+        if state.epoch != self._store_epoch:
+            self._epoch_changed(state.epoch)
         for ended in state.take_restarted():
             self.connections.drop_kept(ended.ip, ended.port)
             self.gateway.replica_ended(ended.id)
@@ -578,6 +586,16 @@
         self.quarantine.replicas_changed(state.replicas)
         self.quarantine.stored(state.held, state.released)
 
+    def _epoch_changed(self, epoch: int) -> None:
+        """Check what this node has in the store, where it was restored from a copy."""
+        before, self._store_epoch = self._store_epoch, epoch
+        if not before:
+            return
+        log.notice("store_restored", before=before, epoch=epoch)
+        self.metrics.count("store_restores")
+        self._registration.store_restored(epoch)
+        self.held_records.store_restored()
+
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
         candidates = read_candidates(registered, self._platform.keys.nodes)
         self.view.set_candidates(candidates)
--- a/packages/chalkyoke/src/chalkyoke/node/registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/registration.py
@@ -6,14 +6,14 @@
 
 import asyncio
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
 from chalkyoke.logs import logger
 from chalkyoke.membership.state import Candidate
-from chalkyoke.storage.messages import Unavailable
-from chalkyoke.storage.port import Store
+from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
+from chalkyoke.storage.port import MOST_COPY_AGE_S, Store
 
 # Pause after a failed call, in seconds: doubled with each, up to the longest. A store that comes
 # back must not meet all nodes at once, and each call is priced.
@@ -21,6 +21,9 @@
 MAX_PAUSE_S = 2.0
 # A lease is renewed so often within its time, so that one lost renewal does not end it.
 RENEWALS = 3
+# Over how long the nodes spread their calls after the store was restored, in seconds: all learn of
+# it at the same moment.
+RESTORED_SPREAD_S = 2.0
 
 log = logger("registration")
 
@@ -60,36 +63,96 @@
 
     :param key: where.
     :param value: what is listed.
+    :param random: source of numbers in [0, 1).
+    :param now: the node's clock, in seconds.
     """
 
-    def __init__(self, store: Store, key: str, value: bytes, lease_s: float) -> None:
+    def __init__(
+        self,
+        store: Store,
+        key: str,
+        value: bytes,
+        lease_s: float,
+        random: Callable[[], float],
+        now: Callable[[], float],
+    ) -> None:
         self._store = store
         self._key = key
         self._value = value
         self._lease_s = lease_s
-        self._lease = 0
+        self._random = random
+        self._now = now
+        self._lease: LeaseGranted | None = None
+        self._listed_at = 0.0
+        self._epoch = 0
+        self._restored = asyncio.Event()
+
+    def store_restored(self, epoch: int) -> None:
+        """Learn that the store was restored from a copy, which may lack this node's entry.
+
+        :param epoch: the store's epoch since then.
+        """
+        self._epoch = epoch
+        self._restored.set()
 
     async def run(self) -> None:
         """Register, and renew the lease for as long as the process lives."""
-        for failures in itertools.count():
-            if await self._register():
-                break
-            await asyncio.sleep(min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 6)))
+        await self._register()
         while True:
-            await asyncio.sleep(self._lease_s / RENEWALS)
-            renewed = await self._store.renew_lease(self._lease)
-            if not isinstance(renewed, Unavailable) and not hasattr(renewed, "lease"):
+            if await self._was_restored():
+                await asyncio.sleep(RESTORED_SPREAD_S * self._random())
+            if not await self._renew():
                 await self._register()
 
-    async def _register(self) -> bool:
+    async def end(self) -> None:
+        """Take this node off the list."""
+        if self._lease is not None and not self._may_be_lost(self._lease, self._epoch):
+            await self._store.end_lease(self._lease.lease)
+
+    async def _was_restored(self) -> bool:
+        """Wait until the lease is due, or until the store was restored."""
+        try:
+            async with asyncio.timeout(self._lease_s / RENEWALS):
+                await self._restored.wait()
+        except TimeoutError:
+            return False
+        self._restored.clear()
+        return True
+
+    async def _renew(self) -> bool:
+        """Renew the lease.
+
+        :return: whether this node is still listed, as far as it knows.
+        """
+        lease = self._lease
+        if lease is None or self._may_be_lost(lease, self._epoch):
+            return False
+        renewed = await self._store.renew_lease(lease.lease)
+        if isinstance(renewed, Unavailable):
+            return True
+        if isinstance(renewed, LeaseGone) or self._may_be_lost(lease, renewed.epoch):
+            return False
+        self._lease = renewed
+        return True
+
+    def _may_be_lost(self, lease: LeaseGranted, epoch: int) -> bool:
+        """Tell whether the store may know nothing of a lease, or have given it to another writer."""
+        return epoch > lease.epoch and self._now() - self._listed_at < MOST_COPY_AGE_S
+
+    async def _register(self) -> None:
+        for failures in itertools.count():
+            if await self._write():
+                return
+            await asyncio.sleep(min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 6)))
+
+    async def _write(self) -> bool:
         granted = await self._store.grant_lease(self._lease_s)
         if isinstance(granted, Unavailable):
             return False
-        self._lease = granted.lease
-        written = await self._store.write(self._key, self._value, lease=self._lease)
-        return not isinstance(written, Unavailable)
-
-    async def end(self) -> None:
-        """Take this node off the list."""
-        if self._lease:
-            await self._store.end_lease(self._lease)
+        written = await self._store.write(self._key, self._value, lease=granted.lease)
+        if not isinstance(written, Written) or written.epoch != granted.epoch:
+            log.info("not_registered", outcome=type(written).__name__, epoch=granted.epoch)
+            return False
+        self._lease, self._listed_at = granted, self._now()
+        log.info("registered", lease=granted.lease, epoch=granted.epoch)
+        return True
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_registration.py
@@ -1,10 +1,23 @@
 """What hosts have registered of themselves, and what others wrote beside it."""
 
+import asyncio
+
 import msgspec
-from chalkyoke.node.registration import Listed, read_candidates
+import pytest
+from chalkyoke.node.registration import (
+    RENEWALS,
+    RESTORED_SPREAD_S,
+    Listed,
+    Registration,
+    read_candidates,
+)
+from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
+from chalkyoke.storage.port import MOST_COPY_AGE_S
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests import virtual
+
 PREFIX = "nodes/"
 
 
@@ -15,3 +28,114 @@
     registered[PREFIX + "good-host"] = good
     found = {each.host: each for each in read_candidates(registered, PREFIX)}
     assert found["good-host"].address == "10.1.0.1:82"
+
+
+LEASE_S = 30.0
+
+
+class RestoredStore:
+    """A store that gives lease numbers out again when it was restored from a copy."""
+
+    def __init__(self):
+        self.epoch = 1
+        self.leases = {}
+        self.keys = {}
+        self.ended = []
+        self.away = False
+
+    def copy(self):
+        return dict(self.leases), dict(self.keys)
+
+    def restore(self, copy):
+        self.leases, self.keys = dict(copy[0]), dict(copy[1])
+        self.epoch += 1
+
+    async def grant_lease(self, ttl_s):
+        if self.away:
+            return Unavailable("reset", may_be_done=True)
+        number = max(self.leases, default=0) + 1
+        self.leases[number] = "node"
+        return LeaseGranted(number, ttl_s, self.epoch)
+
+    async def renew_lease(self, lease):
+        return LeaseGranted(lease, LEASE_S, self.epoch) if lease in self.leases else LeaseGone()
+
+    async def write(self, key, value, *, lease=0, expected=None):
+        if lease not in self.leases:
+            return LeaseGone()
+        self.keys[key] = lease
+        return Written(1, self.epoch)
+
+    async def end_lease(self, lease):
+        self.ended.append(lease)
+
+
+def registered(check):
+    async def main():
+        store, loop = RestoredStore(), asyncio.get_running_loop()
+        registration = Registration(store, "nodes/n", b"", LEASE_S, lambda: 0.5, loop.time)
+        copy = store.copy()
+        running = asyncio.ensure_future(registration.run())
+        await asyncio.sleep(1.0)
+        assert store.keys == {"nodes/n": 1}
+        await check(store, registration, copy)
+        running.cancel()
+
+    virtual.run(main)
+
+
+# Guards against a node that renews somebody else's lease and is listed nowhere.
+@pytest.mark.parametrize("is_told", [True, False])
+def test_an_entry_that_a_restored_store_lost_is_written_again(is_told):
+    async def check(store, registration, copy):
+        store.restore(copy)
+        store.leases[1] = "another"
+        if is_told:
+            registration.store_restored(store.epoch)
+        await asyncio.sleep(RESTORED_SPREAD_S if is_told else LEASE_S / RENEWALS)
+        assert store.keys == {"nodes/n": 2}
+
+    registered(check)
+
+
+# Guards against a node that ends somebody else's lease when it stops.
+def test_a_lease_of_an_earlier_epoch_is_not_ended():
+    async def check(store, registration, copy):
+        store.restore(copy)
+        store.leases[1] = "another"
+        registration.store_restored(store.epoch)
+        await registration.end()
+        assert not store.ended
+
+    registered(check)
+
+
+# Guards against writes of all nodes at once for entries that are in the copy for certain.
+def test_an_entry_that_is_older_than_a_copy_may_be_is_kept():
+    async def check(store, registration, copy):
+        await asyncio.sleep(MOST_COPY_AGE_S)
+        store.restore(store.copy())
+        registration.store_restored(store.epoch)
+        await asyncio.sleep(RESTORED_SPREAD_S)
+        assert store.keys == {"nodes/n": 1}
+        await registration.end()
+        assert store.ended == [1]
+
+    registered(check)
+
+
+# Guards against an entry that is thought written with a lease of the epoch before.
+def test_a_restore_between_a_lease_and_its_write_is_noticed():
+    async def check(store, registration, copy):
+        async def write(key, value, *, lease=0, expected=None):
+            del store.write
+            store.restore(({lease: "another"}, {}))
+            return Written(1, store.epoch)
+
+        store.restore(copy)
+        store.write = write
+        registration.store_restored(store.epoch)
+        await asyncio.sleep(RESTORED_SPREAD_S)
+        assert store.keys == {"nodes/n": 2}
+
+    registered(check)
--- a/packages/chalkyoke/src/chalkyoke/quarantine/heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/heldrecords.py
@@ -11,7 +11,7 @@
 
 from chalkyoke.logs import logger
 from chalkyoke.storage.messages import LeaseGranted, Written
-from chalkyoke.storage.port import Store
+from chalkyoke.storage.port import MOST_COPY_AGE_S, Store
 
 # How long the store keeps such a record, in seconds: the first hold, which is the longest that the
 # platform's leases last too.
@@ -39,8 +39,9 @@
         self._prefix = prefix
         self._now = now
         self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
+        self._written: deque[tuple[bytes, float]] = deque(maxlen=MOST_WAITING)
         self._wake = asyncio.Event()
-        self._lease = 0
+        self._lease: LeaseGranted | None = None
         self._lease_until = 0.0
 
     def remember(self, request: bytes) -> None:
@@ -48,6 +49,17 @@
         self._waiting.append(request)
         self._wake.set()
 
+    def store_restored(self) -> None:
+        """Write again what a store that was restored from a copy may have lost."""
+        self._lease_until = 0.0
+        since = self._now() - MOST_COPY_AGE_S
+        lost = [request for request, at in self._written if at >= since]
+        self._written.clear()
+        if lost:
+            log.notice("records_again", records=len(lost))
+        for request in lost:
+            self.remember(request)
+
     async def run(self) -> None:
         """Write what waits, for as long as the process lives."""
         pause_s = FIRST_PAUSE_S
@@ -65,14 +77,17 @@
             pause_s = min(MAX_PAUSE_S, 2 * pause_s)
 
     async def _write(self, request: bytes) -> bool:
-        if self._now() >= self._lease_until:
+        if self._lease is None or self._now() >= self._lease_until:
             granted = await self._store.grant_lease(KEPT_S)
             if not isinstance(granted, LeaseGranted):
                 return False
-            self._lease, self._lease_until = granted.lease, self._now() + SHARED_S
+            self._lease, self._lease_until = granted, self._now() + SHARED_S
+        lease = self._lease
         key = self._prefix + request.hex()
-        written = await self._store.write(key, b"", lease=self._lease)
-        if not isinstance(written, Written):
-            # The lease may be what is gone.
+        written = await self._store.write(key, b"", lease=lease.lease)
+        if not isinstance(written, Written) or written.epoch != lease.epoch:
+            # The lease may be what is gone, or be another writer's by now.
             self._lease_until = 0.0
-        return isinstance(written, Written)
+            return False
+        self._written.append((request, self._now()))
+        return True
--- a/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_heldrecords.py
@@ -4,6 +4,7 @@
 
 from chalkyoke.quarantine.heldrecords import MOST_WAITING, SHARED_S, HeldRecords
 from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
+from chalkyoke.storage.port import MOST_COPY_AGE_S
 
 from tests import virtual
 
@@ -82,3 +83,20 @@
         assert "held/" + b"b".hex() in store.written
 
     play(check)
+
+
+# Guards against records of held requests that are gone for good with the store's lost seconds.
+def test_records_that_a_restored_store_may_have_lost_are_written_again():
+    async def check(store, records):
+        records.remember(b"old")
+        await asyncio.sleep(MOST_COPY_AGE_S)
+        records.remember(b"new")
+        await asyncio.sleep(1.0)
+        # Its lease numbers are given out again, to others as well.
+        store.written.clear()
+        store.leases = [1, 2]
+        records.store_restored()
+        await asyncio.sleep(1.0)
+        assert store.written == {"held/" + b"new".hex(): 3}
+
+    play(check)
--- a/packages/chalkyoke/src/chalkyoke/storage/port.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/port.py
@@ -17,6 +17,10 @@
     Written,
 )
 
+# How old the copy may be at most that a store is restored from, in seconds: what was written before
+# is in it.
+MOST_COPY_AGE_S = 60.0
+
 
 class Store(Protocol):
     """A key-value store. No call is repeated by the store's client itself."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -240,3 +240,22 @@
     (late, positions), _ = play_path("/find/1", story)
     assert late == 0, late
     assert len(positions) == 1, positions
+
+
+# Guards against a node that starts after a restore and knows of a leaving replica by the copy only.
+def test_a_node_that_starts_after_a_restore_is_told_who_left_in_the_lost_seconds():
+    async def story(fleet, replicas):
+        async def leave():
+            await replicas[0].declare("draining")
+            leave.at = now()
+
+        await restore(fleet, leave)
+        await asyncio.sleep(AGREED_S)
+        for node in (1, 4):
+            await fleet.kill_node(node)
+            fleet.start_node(node, first_start=False)
+        await asyncio.sleep(PLAYED_S)
+        return later_sends(replicas[0], leave.at)
+
+    late, _ = play_path("/find/1", story)
+    assert late == 0, late
