Roll-outs: an order that a restored store lost is the same order when it is written again

The order of the lost seconds was gone, then another one: its trial began anew with another exposure, and its version was shut out meanwhile; nodes that knew the one and the other ignored each other. Change: an order keeps the name under which a node first knew it, revision, epoch and a digest of what it says; within an epoch the revision tells orders apart, between two the digest. Its answer is seen to be lost at once and written again. Shown by a test over whole nodes (failed before: other shares after the restore) and of the catalog.

--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -76,10 +76,12 @@
         """Give a record in force as it was written."""
         return self._items.get(key)
 
-    def put(self, item: Item, since: float) -> bool:
+    def put(self, item: Item, since: float, epoch: int, *, again: bool = False) -> bool:
         """Put a record into force.
 
         :param since: when it may have been written at the earliest, on this node's clock.
+        :param epoch: the store's epoch of its revision.
+        :param again: whether it may be one that a restored store had lost, written once more.
         :return: whether it changes anything.
         """
         read = self._read(item)
@@ -90,7 +92,7 @@
         self._items[item.key] = item
         record = read.ok_value
         if isinstance(record, RolloutOrder):
-            return self._put_order(record, since)
+            return self._put_order(record.named_in(epoch), since, again=again)
         if isinstance(record, RolloutStatus):
             changed = self.statuses.get(record.service) != record
             self.statuses[record.service] = record
@@ -224,8 +226,11 @@
         other.discard(record.request)
         return is_new
 
-    def _put_order(self, order: RolloutOrder, since: float) -> bool:
+    def _put_order(self, order: RolloutOrder, since: float, *, again: bool) -> bool:
         held = self.orders.get(order.service)
+        if held is not None and again and held.order.name.digest == order.name.digest:
+            order = msgspec.structs.replace(order, named=held.order.name)
+            since = held.since
         if held is not None and held.order == order:
             return False
         self.orders[order.service] = Ordered(order, since)
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -323,7 +323,7 @@
             if item is None:
                 changed |= self._records.remove(key, now)
             else:
-                changed |= self._records.put(item, now)
+                changed |= self._records.put(item, now, self.epoch)
         return changed
 
     def _enter_epoch(
@@ -345,7 +345,7 @@
                 self._conflicts.note(item.key, now + OUTDATED_IGNORED_S)
                 continue
             self._conflicts.end(item.key)
-            self._records.put(item, since)
+            self._records.put(item, since, position.epoch, again=True)
         self._items = dict(listed)
         self.epoch, self.replicas_at = position.epoch, position.revision
         self.changed_at = changed_at
@@ -365,7 +365,7 @@
             self._superseded.note(before, now)
         ended = self._conflicts.end(item.key)
         # Peers have the conflict as well, and are to learn of its end.
-        return self._records.put(item, since) or ended
+        return self._records.put(item, since, self.epoch, again=ended) or ended
 
     def _take_removed(self, key: str, since: float, now: float) -> bool:
         self._items.pop(key, None)
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -102,6 +102,32 @@
     assert state.orders["pool"].order.version == "2"
 
 
+# Guards against a trial that begins anew, with another exposure, for an order written again.
+def test_an_order_that_was_lost_and_is_written_again_is_the_same_order():
+    state = make_state(B, at=30)
+    state.change_replicas([Item("order", b"2", 35)], 35, 3.0, 3.0)
+    given = state.orders["pool"]
+    state.adopt_replicas([B], 28, 0.0, epoch=2, now=5.0)
+    assert state.orders["pool"] == given
+    state.change_replicas([Item("order", b"2", 31)], 31, 6.0, 6.0)
+    again = state.orders["pool"]
+    assert (again.since, again.order.name) == (given.since, given.order.name)
+    assert again.order.revision == 31
+    # A node that knows the later one only means the same; one with another order does not.
+    late = make_state(B, Item("order", b"2", 31), at=31, epoch=2)
+    assert late.orders["pool"].order.name.matches(again.order.name)
+    other = make_state(B, Item("order", b"3", 35), at=35, epoch=2)
+    assert not other.orders["pool"].order.name.matches(again.order.name)
+
+
+# Guards against an order that the operator gives anew, after a roll back, and that is not followed.
+def test_an_order_that_is_given_once_more_in_the_same_epoch_is_another():
+    state = make_state(Item("order", b"2", 5))
+    given = state.orders["pool"].order.name
+    state.change_replicas([Item("order", b"2", 12)], 12, 3.0, 3.0)
+    assert not state.orders["pool"].order.name.matches(given)
+
+
 # Guards against whole listings to each host of a large domain when the store is restored.
 def test_peers_in_the_epoch_before_are_told_the_difference():
     state, peer, other = make_state(A, B), make_state(A, B), make_state(A)
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -98,7 +98,8 @@
     def joined(self, member: MemberRecord) -> None:
         """Tell a node that has started or was cut off who leaves, where the store may not do so.
 
-        That is what was first heard here, and what a restored store has lost. A node that misses this learns it by the first answer of the replica itself.
+        That is what was first heard here, and what a restored store has lost. A node that misses
+        this learns it by the first answer of the replica itself.
         """
         leaving = self._still_leaving() | self._state.leaving_despite_restore()
         if leaving:
--- a/packages/chalkyoke/src/chalkyoke/node/registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/registration.py
@@ -136,7 +136,7 @@
         return True
 
     def _may_be_lost(self, lease: LeaseGranted, epoch: int) -> bool:
-        """Tell whether the store may know nothing of a lease, or have given it to another writer."""
+        """Tell whether a restored store may have lost a lease, or given it to another writer."""
         return epoch > lease.epoch and self._now() - self._listed_at < MOST_COPY_AGE_S
 
     async def _register(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
@@ -24,6 +24,7 @@
 from chalkyoke.rollouts.messages import RolloutReport, RolloutTold
 from chalkyoke.rollouts.resources import (
     Order,
+    OrderName,
     RolloutOrder,
     RolloutState,
     RolloutStatus,
@@ -69,7 +70,7 @@
     """
 
     lead: RolloutLead
-    order: int
+    order: OrderName
     phase: Phase | None = None
     told_at: float = float("-inf")
     written: RolloutState | None = None
@@ -148,10 +149,10 @@
         self._tell(share, leading, phase)
 
     def _led(self, share: RolloutShare) -> _Leading:
-        service, revision = share.order.service, share.order.revision
+        service, name = share.order.service, share.order.name
         found = self._leading.get(service)
-        if found is None or found.order != revision:
-            found = self._leading[service] = _Leading(RolloutLead(), revision)
+        if found is None or found.order != name:
+            found = self._leading[service] = _Leading(RolloutLead(), name)
         return found
 
     def _decide(self, share: RolloutShare, order: Order, leading: _Leading) -> Decision:
@@ -203,7 +204,15 @@
             return
         leading.told_at = now
         order = share.order
-        message = RolloutTold(order.service, order.revision, phase, share.passed(now).least_s)
+        name = order.name
+        message = RolloutTold(
+            order.service,
+            name.revision,
+            phase,
+            share.passed(now).least_s,
+            epoch=name.epoch,
+            digest=name.digest,
+        )
         tell_all(self._view, self._send, message)
         self._hear(share, message)
 
--- a/packages/chalkyoke/src/chalkyoke/node/rollouts.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rollouts.py
@@ -119,7 +119,9 @@
         """Take other orders, answers or replicas."""
         for service, ordered in self._state.orders.items():
             share = self._shares.get(service)
-            if share is None or share.order.revision != ordered.order.revision:
+            if share is not None and share.order.name == ordered.order.name:
+                share.order = ordered.order
+            else:
                 self._shares[service] = self._make_share(ordered)
                 log.notice(
                     "ordered",
@@ -264,7 +266,7 @@
         :param process: id of the sender.
         """
         share = self._shares.get(message.service)
-        if share is None or share.order.revision != message.order:
+        if share is None or not share.order.name.matches(message.name):
             return
         if isinstance(message, RolloutReport):
             share.learn_passed(message.least_s, self._now())
--- a/packages/chalkyoke/src/chalkyoke/rollouts/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from chalkyoke.rollouts.resources import OrderName
+
 
 class SlownessCount(NamedTuple):
     """How many answers took how long.
@@ -40,12 +42,14 @@
 
     Counts are totals, so that a report may be lost, or come twice, or go to a new leader.
 
-    :param order: revision of the order.
+    :param order: revision of the order, as its name has it.
     :param old_running: requests that this node has at replicas of the old version now, and one more
         while it may send others there.
     :param least_s: how long ago the order was given at least, in seconds, as this node knows.
     :param undone: whether a leader has told this node to leave the version. It then holds for all:
         two leaders of a fleet that was cut in two must not go on in two ways.
+    :param epoch: of the order's name.
+    :param digest: of the order's name.
     """
 
     service: str
@@ -54,15 +58,24 @@
     old_running: int
     least_s: float
     undone: bool = False
+    epoch: int = 0
+    digest: int = 0
+
+    @property
+    def name(self) -> OrderName:
+        """The name of the order."""
+        return OrderName(self.order, self.epoch, self.digest)
 
 
 class RolloutTold(msgspec.Struct, frozen=True, array_like=True, tag="rollout_told"):
     """The leader of an order tells how far it has come.
 
-    :param order: revision of the order.
+    :param order: revision of the order, as its name has it.
     :param phase: a :class:`chalkyoke.rollouts.lead.Phase`.
     :param least_s: how long ago the order was given at least, in seconds.
     :param relay: whether the receiver tells the other nodes of its failure domain.
+    :param epoch: of the order's name.
+    :param digest: of the order's name.
     """
 
     service: str
@@ -70,6 +83,13 @@
     phase: str
     least_s: float
     relay: bool = False
+    epoch: int = 0
+    digest: int = 0
+
+    @property
+    def name(self) -> OrderName:
+        """The name of the order."""
+        return OrderName(self.order, self.epoch, self.digest)
 
 
 RolloutMessage = RolloutReport | RolloutTold
--- a/packages/chalkyoke/src/chalkyoke/rollouts/share.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/share.py
@@ -139,11 +139,14 @@
         wanted = self._tallies if whole else self._unreported
         counts = tuple(self._tallies[key].word() for key in sorted(wanted))
         self._unreported.clear()
+        name = self.order.name
         return RolloutReport(
             self.order.service,
-            self.order.revision,
+            name.revision,
             counts,
             old_running + (not self.has_left_old(now)),
             self.passed(now).least_s,
             undone=self.ended is Phase.UNDONE,
+            epoch=name.epoch,
+            digest=name.digest,
         )
--- a/packages/chalkyoke/src/chalkyoke/rollouts/standing.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/standing.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-from chalkyoke.rollouts.resources import Order, RolloutState
+from chalkyoke.rollouts.resources import Order, OrderName, RolloutState
 
 
 class Standing(StrEnum):
@@ -55,7 +55,7 @@
 
     def __init__(self) -> None:
         self._orders: Mapping[str, Order] = {}
-        self._others: dict[str, int] = {}
+        self._others: dict[str, OrderName] = {}
         self._undone: dict[str, set[str]] = {}
 
     def rebuild(self, orders: Mapping[str, Order], replicas: Iterable[VersionedReplica]) -> None:
@@ -65,14 +65,14 @@
         for replica in replicas:
             order = orders.get(replica.service)
             if order is not None and replica.version != order.order.version:
-                self._others[replica.service] = order.order.revision
+                self._others[replica.service] = order.order.name
 
     def standing(self, service: str, version: str) -> Standing:
         """Tell what the replicas of a version take."""
         if version in self._undone.get(service, ()):
             return Standing.NOTHING
         order = self._orders.get(service)
-        if order is None or self._others.get(service) != order.order.revision:
+        if order is None or self._others.get(service) != order.order.name:
             return Standing.USUAL
         ordered = version == order.order.version
         if order.state is RolloutState.COMPLETED:
@@ -85,7 +85,7 @@
         """Shut out versions whose order was withdrawn or replaced before it was completed."""
         for service, before in self._orders.items():
             after = orders.get(service)
-            if after is not None and after.order.revision == before.order.revision:
+            if after is not None and after.order.name == before.order.name:
                 continue
             if before.state is not RolloutState.COMPLETED and self._was_tried(service, before):
                 self._undone.setdefault(service, set()).add(before.order.version)
@@ -94,4 +94,4 @@
                 self._undone[service].discard(after.order.version)
 
     def _was_tried(self, service: str, order: Order) -> bool:
-        return self._others.get(service) == order.order.revision
+        return self._others.get(service) == order.order.name
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -259,3 +259,36 @@
 
     late, _ = play_path("/find/1", story)
     assert late == 0, late
+
+
+ORDER_KEY, STATUS_KEY = "op/rollout/model", "status/rollout/model"
+ORDER = json.dumps({"to-version": "v2", "over-s": 30.0}).encode()
+
+
+# Guards against a trial that begins anew, and an answer that is never given again, after a restore.
+def test_an_order_of_the_lost_seconds_goes_on_and_is_answered_again():
+    async def story(fleet, replicas):
+        for each in replicas[:3]:
+            each.version = "v2"
+            await each.declare("ready")
+        await asyncio.sleep(1.0)
+
+        def shares():
+            return [node.rollouts._shares["model"] for node in fleet.nodes]
+
+        async def order():
+            fleet.store.put(ORDER_KEY, ORDER)
+            await asyncio.sleep(2.0)
+            assert STATUS_KEY in fleet.store.items
+            order.shares = shares()
+
+        await restore(fleet, order)
+        assert STATUS_KEY not in fleet.store.items
+        await asyncio.sleep(AGREED_S)
+        kept = shares() == order.shares
+        fleet.store.put(ORDER_KEY, ORDER)
+        await asyncio.sleep(2.0)
+        return kept and shares() == order.shares, STATUS_KEY in fleet.store.items
+
+    found, _ = play_path("/chat/1", story)
+    assert found == (True, True)
