Stand-ins: the store comes back from a copy, and the soak plays it

The stand-in of the store names its epoch in all answers, makes copies, comes back from one with revisions and lease numbers given out again, answers 410 to a watch from a revision that it does not have, and has operators and replicas write again what was lost.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/metastore.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/metastore.py
@@ -2,12 +2,12 @@
 chalkyoke_fakes.metastore
 
 A stand-in for the users' platform's metadata store: revisions, conditional writes, leases, watches,
-a bounded history, outages and lost answers. It runs in the loop of its test.
+a bounded history, outages, lost answers and returns from a copy. It runs in the loop of its test.
 """
 
 import asyncio
 import base64
-import itertools
+import copy
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
@@ -18,6 +18,7 @@
 HISTORY = 500
 MAX_WAIT_S = 30.0
 PAGE = 50
+FIRST_LEASE = 1000
 
 
 @dataclass
@@ -55,22 +56,55 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass
+class State:
+    """What the store keeps.
+
+    :ivar history: revisions and keys of the last changes.
+    :ivar oldest: the first revision from which all changes are known.
+    :ivar next_lease: number of the next lease.
+    """
+
+    entries: dict[str, Entry] = field(default_factory=dict)
+    leases: dict[int, Lease] = field(default_factory=dict)
+    revision: int = 0
+    history: deque[tuple[int, str]] = field(default_factory=lambda: deque(maxlen=HISTORY))
+    oldest: int = 0
+    next_lease: int = FIRST_LEASE
+
+
 class MetaStore:
-    """The keys, leases, history and faults."""
+    """The store's state and faults.
+
+    :ivar epoch: rises by one each time the store comes back from a copy.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
-        self.entries: dict[str, Entry] = {}
-        self.leases: dict[int, Lease] = {}
         self.calls: Counter[str] = Counter()
-        self.revision = 0
-        self._history: deque[tuple[int, str]] = deque(maxlen=HISTORY)
-        self._oldest = 0
+        self.epoch = 1
+        self._state = State()
+        self._foreign: dict[str, int] = {}
+        self._lost: dict[str, Entry | None] = {}
         self._changed = asyncio.Condition()
-        self._numbers = itertools.count(1000)
         self._runner: web.AppRunner | None = None
         self.address = ""
 
+    @property
+    def entries(self) -> dict[str, Entry]:
+        """What is stored, by key."""
+        return self._state.entries
+
+    @property
+    def leases(self) -> dict[int, Lease]:
+        """The leases, by number."""
+        return self._state.leases
+
+    @property
+    def revision(self) -> int:
+        """The number of the last change."""
+        return self._state.revision
+
     # Serving.
 
     async def start(self, ip: str) -> None:
@@ -103,11 +137,16 @@
         while self.faults.silent:
             await asyncio.sleep(0.02)
         if self.faults.down:
-            return web.json_response({"error": "down"}, status=503)
+            return self._named(web.json_response({"error": "down"}, status=503))
         self._expire()
         answer: web.StreamResponse = await handler(request)
         while self.faults.silent:
             await asyncio.sleep(0.02)
+        return self._named(answer)
+
+    def _named(self, answer: web.StreamResponse) -> web.StreamResponse:
+        """Name the epoch in an answer."""
+        answer.headers["Store-Era"] = str(self.epoch)
         return answer
 
     # What the operator and the replicas do.
@@ -118,21 +157,52 @@
         :return: the revision.
         """
         self._put(key, value, lease)
+        self._foreign[key] = self.revision
         await self._notify()
         return self.revision
 
     async def remove(self, key: str) -> None:
         """Remove a key."""
         if self._remove(key):
+            self._foreign[key] = self.revision
             await self._notify()
 
     async def forget_history(self) -> None:
         """Forget what has changed, and cut the watches."""
-        self._history.clear()
-        self._oldest = self.revision + 1
-        self.revision += 1
+        self._state.history.clear()
+        self._state.oldest = self.revision + 1
+        self._state.revision += 1
         await self._notify()
 
+    # Returns from a copy.
+
+    def copy(self) -> State:
+        """Make a copy of all that there is."""
+        return copy.deepcopy(self._state)
+
+    async def restore(self, state: State) -> None:
+        """Come back from a copy; what was written since is gone, until it is written again."""
+        self._lost = {
+            key: copy.copy(self.entries.get(key))
+            for key, revision in self._foreign.items()
+            if revision > state.revision
+        }
+        self._foreign.clear()
+        self._state = copy.deepcopy(state)
+        self.epoch += 1
+        await self._notify()
+
+    async def write_again(self) -> None:
+        """Write what operators and replicas had written that the copy lacks."""
+        lost, self._lost = self._lost, {}
+        for key, entry in lost.items():
+            if key in self._foreign:
+                continue
+            if entry is None:
+                await self.remove(key)
+            else:
+                await self.put(key, entry.value)
+
     # Calls.
 
     async def _key(self, request: web.Request) -> web.Response:
@@ -152,7 +222,9 @@
         wait_s = min(MAX_WAIT_S, int(request.query["wait-ms"]) / 1000)
         end = time.monotonic() + wait_s
         while True:
-            if since < self._oldest:
+            if self.faults.down:
+                return web.json_response({"error": "down"}, status=503)
+            if not self._state.oldest <= since <= self.revision:
                 return web.json_response({"error": "history"}, status=410)
             events = self._events(prefix, since)
             left = end - time.monotonic()
@@ -165,7 +237,7 @@
                 self._expire()
 
     def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
-        newest = {key: revision for revision, key in self._history if revision > since}
+        newest = {key: revision for revision, key in self._state.history if revision > since}
         return [
             self._item(key) if key in self.entries else {"key": key, "rev": revision, "gone": True}
             for key, revision in newest.items()
@@ -197,7 +269,8 @@
 
     async def _grant(self, request: web.Request) -> web.Response:
         ttl_s = (await request.json())["ttl_ms"] / 1000
-        number = next(self._numbers)
+        number = self._state.next_lease
+        self._state.next_lease += 1
         self.leases[number] = Lease(ttl_s, time.monotonic() + ttl_s)
         return web.json_response({"lease": number, "ttl_ms": ttl_s * 1000})
 
@@ -216,19 +289,19 @@
     # State.
 
     def _put(self, key: str, value: bytes, lease: int) -> None:
-        self.revision += 1
+        self._state.revision += 1
         before = self.entries.get(key)
         made = before.made if before else self.revision
         self.entries[key] = Entry(value, self.revision, made, lease)
         if lease:
             self.leases[lease].keys.add(key)
-        self._history.append((self.revision, key))
+        self._state.history.append((self.revision, key))
 
     def _remove(self, key: str) -> bool:
         if self.entries.pop(key, None) is None:
             return False
-        self.revision += 1
-        self._history.append((self.revision, key))
+        self._state.revision += 1
+        self._state.history.append((self.revision, key))
         return True
 
     def _drop_lease(self, number: int) -> None:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -10,6 +10,7 @@
 
 from chalkyoke_fakes.soak.limits import windows_over
 from chalkyoke_fakes.soak.observations import Asked, Drained, Observations, Ran, TurnedAway
+from chalkyoke_fakes.soak.plan import Fault
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 DRAIN_S = 3.0
@@ -111,6 +112,30 @@
     return any(each.touches(began, ended) for each in seen.faults)
 
 
+def restores_hide_no_leaving(seen: Observations) -> list[Broken]:
+    """A replica that leaves gets no request some seconds after, though the store was restored.
+
+    Counted from when it was written again, where it was written while the store was away. Only
+    where no node and no link was at fault, nor the store in another way.
+    """
+    broken: list[Broken] = []
+    for each in seen.drained:
+        ended = each.at + 2 * DRAIN_S
+        if _nodes_were_disturbed(each.at, ended, seen, but=Fault.STORE_RESTORED):
+            continue
+        since = max([each.at, *(at for at in seen.restored if each.at < at < each.at + DRAIN_S)])
+        late = [
+            run
+            for run in seen.ran
+            if run.replica == each.replica and since + DRAIN_S < run.at < ended
+        ]
+        broken += [
+            Broken("restores", f"{run.request} ran at {run.replica} {run.at - each.at:.1f} s after")
+            for run in late
+        ]
+    return broken
+
+
 def leaving_answers_are_heard(seen: Observations) -> list[Broken]:
     """A node sends a replica nothing more some time after it passed on that the replica leaves.
 
@@ -255,10 +280,14 @@
     return broken
 
 
-def _nodes_were_disturbed(began: float, ended: float, seen: Observations) -> bool:
+def _nodes_were_disturbed(began: float, ended: float, seen: Observations, but: str = "") -> bool:
+    """Tell whether a node, a link or the store was at fault.
+
+    :param but: a kind of fault that does not count.
+    """
     kinds = ("node_", "links_", "all_", "store_")
     return any(
-        each.what.startswith(kinds) and each.touches(began - IN_TOUCH_S, ended)
+        each.what.startswith(kinds) and each.what != but and each.touches(began - IN_TOUCH_S, ended)
         for each in seen.faults
     )
 
@@ -281,6 +310,7 @@
 )
 TIMED: tuple[Checker, ...] = (
     leaving_replicas_get_nothing,
+    restores_hide_no_leaving,
     leaving_answers_are_heard,
     rests_are_kept,
     limits_are_kept,
@@ -292,7 +322,12 @@
 )
 CHECKERS = SAFETY + TIMED
 # What an old build can be asked for beside a new one; it does not hear what answers say.
-OF_THE_NEW_ONLY = (leaving_answers_are_heard, rests_are_kept, limits_are_kept)
+OF_THE_NEW_ONLY = (
+    restores_hide_no_leaving,
+    leaving_answers_are_heard,
+    rests_are_kept,
+    limits_are_kept,
+)
 BETWEEN_VERSIONS = tuple(each for each in CHECKERS if each not in OF_THE_NEW_ONLY)
 
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -31,6 +31,10 @@
 LOST_SHARE = 0.05
 SLOW_STORE_S = 0.4
 FADES_S = 1.0
+# How long the store is away when it comes back from a copy, and how soon after that operators and
+# replicas write again what was lost, in seconds.
+RESTORE_AWAY_S = 0.5
+WRITTEN_AGAIN_S = 0.5
 
 
 class Injector:
@@ -180,6 +184,9 @@
 
     async def _strike_store(self, step: Step) -> None:
         faults = self._fleet.store.faults
+        if step.fault is Fault.STORE_RESTORED:
+            await self._restore(step)
+            return
         if step.fault is Fault.STORE_FORGETS:
             await self._fleet.store.forget_history()
             return
@@ -192,6 +199,19 @@
         faults.down = faults.silent = False
         faults.slow_s, faults.lose_writes = 0.0, 0
 
+    async def _restore(self, step: Step) -> None:
+        """Let the store lose its last seconds, be away for a moment and come back from a copy."""
+        store = self._fleet.store
+        copied = store.copy()
+        await asyncio.sleep(step.for_s)
+        store.faults.down = True
+        await asyncio.sleep(RESTORE_AWAY_S)
+        await store.restore(copied)
+        store.faults.down = False
+        await asyncio.sleep(WRITTEN_AGAIN_S)
+        await store.write_again()
+        self._seen.restored.append(self._now())
+
     # Replicas.
 
     async def _strike_replica(self, step: Step) -> None:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -143,6 +143,7 @@
     :ivar limited: the limits that replicas have named.
     :ivar ends: when replicas have ended by themselves; each is back under its id as a new start.
     :ivar crashing: how many bodies there were that end replicas.
+    :ivar restored: when the store came back from a copy, and its writers wrote again.
     :ivar stream: the body of a whole stream.
     """
 
@@ -153,6 +154,7 @@
     ends: dict[str, list[float]] = field(default_factory=dict)
     faults: list[Span] = field(default_factory=list)
     drained: list[Drained] = field(default_factory=list)
+    restored: list[float] = field(default_factory=list)
     versions: dict[str, list[int]] = field(default_factory=dict)
     quotas: list[Quota] = field(default_factory=list)
     retries: RetryLimit = RetryLimit(0.2, 100.0, 10.0)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -51,6 +51,7 @@
     REPLICA_RESTS = "replica_rests"
     REPLICA_SAYS_LEAVING = "replica_says_leaving"
     REPLICA_LIMITS = "replica_limits"
+    STORE_RESTORED = "store_restored"
 
 
 OF_NODES = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -63,7 +64,10 @@
 ANSWERS_SOURCE = 0xA115
 OF_LIMITS = (Fault.REPLICA_LIMITS,)
 LIMITS_SOURCE = 0x11317
-EARLIER = tuple(each for each in Fault if each not in (*LATER, *OF_ANSWERS, *OF_LIMITS))
+OF_RESTORES = (Fault.STORE_RESTORED,)
+RESTORES_SOURCE = 0xE90C
+OF_OTHER_SOURCES = frozenset((*LATER, *OF_ANSWERS, *OF_LIMITS, *OF_RESTORES))
+EARLIER = tuple(each for each in Fault if each not in OF_OTHER_SOURCES)
 # Hosts are replaced one after the other by those of another build.
 ROLL = "roll"
 # A roll goes forward, forward and back, or waits half-way; a step each so many seconds.
@@ -138,6 +142,7 @@
         (LATER, LATER_SOURCE),
         (OF_ANSWERS, ANSWERS_SOURCE),
         (OF_LIMITS, LIMITS_SOURCE),
+        (OF_RESTORES, RESTORES_SOURCE),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -143,6 +143,13 @@
         seen.ran.append(ran(f"z{number}", at))
 
 
+def send_to_one_that_left_before_a_restore(seen):
+    seen.faults.append(Span(Fault.STORE_RESTORED, "store", 29.0, 32.0))
+    seen.restored.append(31.0)
+    seen.asked.append(asked("hidden", began=34.2, ended=34.4))
+    seen.ran.append(ran("hidden", 34.3))
+
+
 PLANTS = [
     (run_twice, checkers.runs_once),
     (run_what_was_refused, checkers.not_run_is_true),
@@ -152,6 +159,7 @@
     (run_what_nobody_asked, checkers.runs_were_asked_for),
     (go_back_to_an_older_version, checkers.versions_rise),
     (send_to_a_leaving_replica, checkers.leaving_replicas_get_nothing),
+    (send_to_one_that_left_before_a_restore, checkers.restores_hide_no_leaving),
     (hold_past_the_deadline, checkers.deadlines_hold),
     (pass_more_than_the_quota, checkers.quotas_hold),
     (repeat_too_often, checkers.retries_are_few),
@@ -185,6 +193,17 @@
     assert checkers.leaving_replicas_get_nothing(seen) == []
 
 
+def test_a_leaving_that_is_written_again_counts_from_then():
+    seen = sound()
+    send_to_one_that_left_before_a_restore(seen)
+    seen.restored[-1] = 31.5
+    assert checkers.restores_hide_no_leaving(seen) == []
+    seen.restored.clear()
+    assert checkers.restores_hide_no_leaving(seen)
+    seen.faults.append(Span(Fault.STORE_DOWN, "store", 28.0, 29.0))
+    assert checkers.restores_hide_no_leaving(seen) == []
+
+
 def test_a_node_that_started_since_or_a_replica_that_did_is_not_blamed():
     seen = sound()
     send_to_one_that_said_it_leaves(seen)
