--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -285,6 +285,9 @@
         :return: whether anything of a replica changed, or why it can't be taken: the peer is to
             be asked then.
         """
+        if message.epoch == self.epoch and message.base_epoch:
+            # A second watcher tells of the same restore.
+            return Ok(False)
         if message.epoch == self.epoch:
             if message.since > self.replicas_at:
                 return Err(f"complete up to {self.replicas_at}, not up to {message.since}")
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -137,6 +137,8 @@
     assert peer.adopt_changes(told, 0.0, 1.0) == Ok(True)
     assert (peer.position, peer.changed_at) == (state.position, state.changed_at)
     assert names(peer) == names(state) == {"a1", "b1", "c1"}
+    # A second one that tells the same makes nobody ask for all.
+    assert peer.adopt_changes(told, 0.0, 1.0) == Ok(False)
     # One that knew something else asks for all.
     assert isinstance(other.adopt_changes(told, 0.0, 1.0), Err)
     (whole,) = state.answers(CatalogRequest(1, 0, other.epoch))
