--- a/packages/chalkyoke/src/chalkyoke/http1/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from chalkyoke.decimals import read_whole
+
 Header = tuple[bytes, bytes]
 Headers = list[Header]
 
@@ -63,6 +65,18 @@
     return None
 
 
+def find_whole(headers: Headers, name: bytes, most: int) -> int:
+    """Read the first header of a name as a whole number; 0 where it is none.
+
+    :param name: in lower case.
+    :param most: a larger number is taken for none.
+    :rtype: int
+    """
+    found = find(headers, name)
+    number = 0 if found is None else read_whole(found.decode("latin-1"))
+    return number if number <= most else 0
+
+
 def end_to_end(headers: Headers, keep: frozenset[bytes] = frozenset()) -> Headers:
     """Leave out the headers that concern a single connection only.
 
--- a/packages/chalkyoke/src/chalkyoke/platform/start.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -23,10 +23,7 @@
 
 
 def platform_parts() -> PlatformParts:
-    """Give the platform's names, formats and calls.
-
-    :rtype: PlatformParts
-    """
+    """Give the platform's names, formats and calls."""
     return PlatformParts(
         make_store=PlatformStore,
         headers=PlatformHeaders(),
--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -10,9 +10,8 @@
 
 import msgspec
 
-from chalkyoke.decimals import read_whole
 from chalkyoke.http1.calls import CallAnswer, Caller, CallFailed
-from chalkyoke.http1.messages import find
+from chalkyoke.http1.messages import find_whole
 from chalkyoke.storage.messages import (
     Changes,
     Conflict,
@@ -30,9 +29,8 @@
 MAX_PAGES = 50
 OK, GONE, NOT_FOUND, CONFLICT = 200, 410, 404, 412
 NOTHING_DONE = (429, 503)
-# Rises by one each time the store comes back from a copy.
+# Rises by one each time the store comes back from a copy; larger numbers fit into no message.
 ERA = b"store-era"
-# A number that is larger is no epoch: it would not fit into messages between nodes.
 MOST_EPOCH = 2**53
 
 T = TypeVar("T", bound=msgspec.Struct)
@@ -70,19 +68,15 @@
 
     def __init__(self, caller: Caller) -> None:
         self._caller = caller
-        self.calls: dict[str, int] = {}
 
     async def read(self, prefix: str) -> Listing | Unavailable:
         """Read all items under a prefix, page by page."""
         items: list[Item] = []
-        at, epoch = 0, 0
-        after = ""
+        at, epoch, after = 0, 0, ""
         for _ in range(MAX_PAGES):
             target = f"/kv-range?path-prefix={quote(prefix)}"
             target += f"&since-rev={quote(after)}" if after else ""
             answer = await self._call(b"GET", target, None, CALL_S)
-            if isinstance(answer, Unavailable):
-                return answer
             page = _decode(answer, _Range)
             if isinstance(page, Unavailable):
                 return page
@@ -102,9 +96,7 @@
         wait_ms = int(wait_s * 1000)
         target = f"/kv-watch?path-prefix={quote(prefix)}&since-rev={since}&wait-ms={wait_ms}"
         answer = await self._call(b"GET", target, None, wait_s + answer_s)
-        if isinstance(answer, Unavailable):
-            return answer
-        if answer.status == GONE:
+        if isinstance(answer, CallAnswer) and answer.status == GONE:
             return HistoryLost()
         found = _decode(answer, _Events)
         if isinstance(found, Unavailable):
@@ -134,12 +126,7 @@
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Begin a lease."""
         answer = await self._call(b"POST", "/kv-lease", {"ttl_ms": int(ttl_s * 1000)}, CALL_S)
-        if isinstance(answer, Unavailable):
-            return answer
-        lease = _decode(answer, _Lease)
-        if isinstance(lease, Unavailable):
-            return lease
-        return LeaseGranted(lease.lease, lease.ttl_ms / 1000, _epoch(answer))
+        return _lease(answer)
 
     async def renew_lease(self, lease: int) -> LeaseGranted | LeaseGone | Unavailable:
         """Renew a lease."""
@@ -148,10 +135,7 @@
             return answer
         if answer.status == NOT_FOUND:
             return LeaseGone()
-        renewed = _decode(answer, _Lease)
-        if isinstance(renewed, Unavailable):
-            return renewed
-        return LeaseGranted(lease, renewed.ttl_ms / 1000, _epoch(answer))
+        return _lease(answer, lease)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease."""
@@ -160,8 +144,6 @@
     async def _call(
         self, method: bytes, target: str, body: dict[str, Any] | None, timeout_s: float
     ) -> CallAnswer | Unavailable:
-        kind = target.split("?")[0].split("/")[1]
-        self.calls[kind] = self.calls.get(kind, 0) + 1
         encoded = None if body is None else msgspec.json.encode(body)
         answer = await self._caller.call(method, target.encode(), encoded, timeout_s)
         if isinstance(answer, CallFailed):
@@ -175,14 +157,20 @@
     return Item(each.key, base64.b64decode(each.value), each.rev)
 
 
-def _epoch(answer: CallAnswer) -> int:
-    """Read the store's epoch; 0 where the answer names none that can be read."""
-    named = find(answer.headers, ERA)
-    epoch = 0 if named is None else read_whole(named.decode("latin-1"))
-    return epoch if epoch <= MOST_EPOCH else 0
+def _epoch(answer: CallAnswer | Unavailable) -> int:
+    return 0 if isinstance(answer, Unavailable) else find_whole(answer.headers, ERA, MOST_EPOCH)
 
 
-def _decode(answer: CallAnswer, kind: type[T]) -> T | Unavailable:
+def _lease(answer: CallAnswer | Unavailable, number: int = 0) -> LeaseGranted | Unavailable:
+    read = _decode(answer, _Lease)
+    if isinstance(read, Unavailable):
+        return read
+    return LeaseGranted(read.lease or number, read.ttl_ms / 1000, _epoch(answer))
+
+
+def _decode(answer: CallAnswer | Unavailable, kind: type[T]) -> T | Unavailable:
+    if isinstance(answer, Unavailable):
+        return answer
     if answer.status != OK:
         return Unavailable(str(answer.status), may_be_done=True)
     try:
