--- a/packages/chalkyoke/src/chalkyoke/catalog/follower.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/follower.py
@@ -75,7 +75,7 @@
         return cls(silence_s / 2, silence_s / 4)
 
 
-class NewsTaker(Protocol):
+class UpdateHandler(Protocol):
     """Takes what the store tells."""
 
     def listed(self, listing: Listing) -> None:
@@ -105,7 +105,7 @@
         self,
         store: Store,
         bounds: WatchBounds,
-        taker: NewsTaker,
+        taker: UpdateHandler,
         part: Callable[[], Part],
         now: Callable[[], float],
     ) -> None:
@@ -172,7 +172,7 @@
         if isinstance(found, Unavailable):
             self._note_failure(found)
             return False
-        age_s = self._age_of_news_s()
+        age_s = self._age_of_changes_s()
         self._note_answer()
         if isinstance(found, HistoryLost):
             log.notice("history_lost", since=self.since)
@@ -209,8 +209,8 @@
             watch.cancel()
         return None if watch.cancelled() else watch.result()
 
-    def _age_of_news_s(self) -> float:
-        """Tell how old what a watch brings may be.
+    def _age_of_changes_s(self) -> float:
+        """Tell how old the changes of a watch may be.
 
         A watch is answered at the first change, so what it brings is as old as the time in which
         none was waiting. Where the store itself was away, it changed nothing meanwhile but by
--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -15,12 +15,12 @@
 from chalkyoke.catalog.follower import Part, StoreFollower, WatchBounds
 from chalkyoke.catalog.messages import (
     CatalogAnswer,
-    CatalogChanged,
+    CatalogDelta,
     CatalogMessage,
     CatalogRequest,
-    CatalogTold,
-    ReplicasChanged,
-    ReplicasTold,
+    CatalogSnapshot,
+    ReplicasDelta,
+    ReplicasSnapshot,
 )
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.restores import Position
@@ -124,7 +124,7 @@
         """List the hosts of this failure domain that follow the store.
 
         The duty leaves a node that the store does not answer, however alive it is: a domain whose
-        watchers were turned away would hear nothing while its other nodes reach the store.
+        watchers were turned away would learn nothing while its other nodes reach the store.
         """
         return self._view.duty_holders(WATCH_DUTY, self._watchers, able=self._can_follow)
 
@@ -176,7 +176,7 @@
             now = self._now()
             if self.state.change_replicas(replicas, found.at, now - age_s, now):
                 self._replicas_changed("store", age_s)
-                self._tell(self.state.tell_replicas(known_at, age_s))
+                self._broadcast(self.state.replicas_update(known_at, age_s))
         if nodes_changed:
             self._registered(self._nodes)
 
@@ -205,7 +205,7 @@
         elif taken.ok_value:
             self._document_changed("store", before, age_s)
             if before.version:
-                self._tell(self.state.tell_catalog(before.version))
+                self._broadcast(self.state.catalog_update(before.version))
 
     def _take_replicas(self, listing: Listing) -> None:
         before = self.state.position
@@ -218,11 +218,13 @@
         if not before.revision:
             return
         is_restored = 0 < before.epoch < listing.epoch
-        self._tell(self.state.tell_restored() if is_restored else self.state.tell_replicas())
+        self._broadcast(
+            self.state.restore_update() if is_restored else self.state.replicas_update()
+        )
 
     # Peers.
 
-    def heard(self, address: str, record: MemberRecord) -> None:
+    def receive_heartbeat(self, address: str, record: MemberRecord) -> None:
         """Ask a peer for what it has and this node still lacks a moment later.
 
         :param address: link address of the peer.
@@ -250,24 +252,24 @@
         if isinstance(message, CatalogRequest):
             for answer in self.state.answers(message):
                 self._links.send(address, answer)
-        elif isinstance(message, CatalogTold | CatalogChanged):
-            self._take_told_document(address, message)
+        elif isinstance(message, CatalogSnapshot | CatalogDelta):
+            self._receive_document(address, message)
         else:
-            self._take_told_replicas(address, message)
+            self._receive_replicas(address, message)
 
-    def _take_told_document(self, address: str, message: CatalogTold | CatalogChanged) -> None:
+    def _receive_document(self, address: str, message: CatalogSnapshot | CatalogDelta) -> None:
         before = self.state.catalog
-        if isinstance(message, CatalogTold):
-            taken = self.state.adopt_told(message)
+        if isinstance(message, CatalogSnapshot):
+            taken = self.state.adopt_snapshot(message)
         else:
-            taken = self.state.adopt_changed(message)
+            taken = self.state.adopt_delta(message)
         if self._is_taken(address, "version", taken):
             self._document_changed("peer", before, UNKNOWN_AGE_S)
 
-    def _take_told_replicas(self, address: str, message: ReplicasTold | ReplicasChanged) -> None:
+    def _receive_replicas(self, address: str, message: ReplicasSnapshot | ReplicasDelta) -> None:
         state, now = self.state, self._now()
         taken: Result[bool, str]
-        if isinstance(message, ReplicasTold):
+        if isinstance(message, ReplicasSnapshot):
             age_s = UNKNOWN_AGE_S
             changed = state.adopt_replicas(
                 message.items,
@@ -281,7 +283,7 @@
         else:
             age_s = message.age_s
             taken = state.adopt_changes(message, now - age_s, now)
-        whole = isinstance(message, ReplicasChanged) and bool(message.base_epoch)
+        whole = isinstance(message, ReplicasDelta) and bool(message.base_epoch)
         if self._is_taken(address, "replicas", taken, whole=whole):
             self._replicas_changed("peer", age_s)
 
@@ -307,7 +309,7 @@
         request = CatalogRequest(self.state.catalog.version, held_at, self.state.epoch)
         self._links.send(address, request)
 
-    def _tell(self, message: CatalogAnswer) -> None:
+    def _broadcast(self, message: CatalogAnswer) -> None:
         """Tell all others of this failure domain: the store may be silent to the other watcher."""
         for record in self._view.live():
             mine = record.failure_domain == self._view.domain
@@ -332,7 +334,7 @@
         self._changed()
 
     def _replicas_changed(self, source: str, age_s: float) -> None:
-        self.state.forget_departed(self._now(), DEPARTED_KEPT_S)
+        self.state.forget_removed(self._now(), DEPARTED_KEPT_S)
         log.info(
             "replicas",
             revision=self.state.replicas_at,
--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -23,7 +23,7 @@
     epoch: int = 0
 
 
-class CatalogTold(msgspec.Struct, frozen=True, array_like=True, tag="catalog"):
+class CatalogSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="catalog"):
     """A version of the operators' document.
 
     :param document: compressed, as it lies in the store.
@@ -33,7 +33,7 @@
     document: bytes
 
 
-class CatalogChanged(msgspec.Struct, frozen=True, array_like=True, tag="catalog_changed"):
+class CatalogDelta(msgspec.Struct, frozen=True, array_like=True, tag="catalog_changed"):
     """A version of the operators' document as the difference to an older one.
 
     :param base: the version that the receiver must hold.
@@ -45,7 +45,7 @@
     difference: bytes
 
 
-class ReplicasTold(msgspec.Struct, frozen=True, array_like=True, tag="replicas"):
+class ReplicasSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="replicas"):
     """All replicas' own records, complete up to a revision of the store.
 
     :param changed_at: revision of the newest change among them.
@@ -58,7 +58,7 @@
     epoch: int = 0
 
 
-class ReplicasChanged(msgspec.Struct, frozen=True, array_like=True, tag="replicas_changed"):
+class ReplicasDelta(msgspec.Struct, frozen=True, array_like=True, tag="replicas_changed"):
     """What has changed of the replicas' records.
 
     :param since: all changes after this revision are in here; a receiver must know the others.
@@ -91,7 +91,7 @@
     relay: bool = False
 
 
-class ReplicaSaid(msgspec.Struct, frozen=True, array_like=True):
+class ReplicaAttribute(msgspec.Struct, frozen=True, array_like=True):
     """One word of a replica of itself.
 
     :param replica: id of its start.
@@ -106,15 +106,15 @@
     age_s: float
 
 
-class ReplicasSay(msgspec.Struct, frozen=True, array_like=True, tag="replicas_say"):
+class ReplicaAttributes(msgspec.Struct, frozen=True, array_like=True, tag="replicas_say"):
     """What replicas have said of themselves in their answers.
 
     :param relay: whether the receiver tells the other nodes of its failure domain.
     """
 
-    items: tuple[ReplicaSaid, ...]
+    items: tuple[ReplicaAttribute, ...]
     relay: bool = False
 
 
-CatalogAnswer = CatalogTold | CatalogChanged | ReplicasTold | ReplicasChanged
+CatalogAnswer = CatalogSnapshot | CatalogDelta | ReplicasSnapshot | ReplicasDelta
 CatalogMessage = CatalogRequest | CatalogAnswer
--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -30,7 +30,7 @@
     since: float
 
 
-class Departed(msgspec.Struct):
+class RemovedReplica(msgspec.Struct):
     """A replica whose record is gone.
 
     :param since: when it may have gone at the earliest, on this node's clock, in seconds. A late
@@ -57,7 +57,7 @@
 
     def __init__(self, read: ReadRecord) -> None:
         self.replicas: dict[str, Replica] = {}
-        self.departed: dict[str, Departed] = {}
+        self.departed: dict[str, RemovedReplica] = {}
         self.orders: dict[str, Ordered] = {}
         self.statuses: dict[str, RolloutStatus] = {}
         self.held: set[bytes] = set()
@@ -112,7 +112,7 @@
         if item is None:
             return False
         if (gone := self._drop(item)) is not None:
-            self.departed[gone.id] = Departed(gone, since)
+            self.departed[gone.id] = RemovedReplica(gone, since)
         return True
 
     def is_foreign(self, item: Item) -> bool:
@@ -170,7 +170,7 @@
         restarted, self._restarted = self._restarted, []
         return restarted
 
-    def forget_departed(self, now: float, keep_s: float) -> None:
+    def forget_removed(self, now: float, keep_s: float) -> None:
         """Drop the memory of replicas that went long ago."""
         self._leaving.forget(self.replicas.keys(), now)
         for name, each in list(self.departed.items()):
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -14,14 +14,14 @@
 from chalkyoke.catalog.difference import difference, restore
 from chalkyoke.catalog.messages import (
     CatalogAnswer,
-    CatalogChanged,
+    CatalogDelta,
     CatalogRequest,
-    CatalogTold,
-    ReplicasChanged,
-    ReplicasTold,
+    CatalogSnapshot,
+    ReplicasDelta,
+    ReplicasSnapshot,
 )
 from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
-from chalkyoke.catalog.records import Departed, Ordered, ReadRecord, Records
+from chalkyoke.catalog.records import Ordered, ReadRecord, Records, RemovedReplica
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.restores import (
     MISSING_KEPT_S,
@@ -34,9 +34,9 @@
 from chalkyoke.rollouts.resources import RolloutStatus
 from chalkyoke.storage.messages import Item, Removed
 
-# Bound on a document that peers tell, in bytes: four times the largest value of the store.
+# Bound on a document that peers send, in bytes: four times the largest value of the store.
 MAX_DOCUMENT_BYTES = 4_000_000
-# What is told without its age may be as old as this, in seconds: beyond all that goes by ages.
+# How old an update may be that names no age, in seconds: beyond all that goes by ages.
 UNKNOWN_AGE_S = 60.0
 
 ReadCatalog = Callable[[bytes], Result[Catalog, str]]
@@ -68,7 +68,7 @@
         self._documents = RecentDocuments()
         self._superseded = SupersededItems()
         self._conflicts = Conflicts()
-        self._restored: ReplicasChanged | None = None
+        self._restored: ReplicasDelta | None = None
 
     @property
     def complete(self) -> bool:
@@ -94,7 +94,7 @@
         return self._records.replicas
 
     @property
-    def departed(self) -> dict[str, Departed]:
+    def departed(self) -> dict[str, RemovedReplica]:
         """Replicas whose record is gone, by id of their start."""
         return self._records.departed
 
@@ -152,9 +152,9 @@
         """
         return self._records.take_restarted()
 
-    def forget_departed(self, now: float, keep_s: float) -> None:
+    def forget_removed(self, now: float, keep_s: float) -> None:
         """Drop the memory of replicas that went long ago."""
-        self._records.forget_departed(now, keep_s)
+        self._records.forget_removed(now, keep_s)
 
     # The operators' document.
 
@@ -176,7 +176,7 @@
         require(self.catalog.version > before, "a configuration never reverts", before=before)
         return Ok(True)
 
-    def adopt_told(self, message: CatalogTold) -> Result[bool, str]:
+    def adopt_snapshot(self, message: CatalogSnapshot) -> Result[bool, str]:
         """Take the operators' document from a peer, if it is newer.
 
         :return: whether it was newer, or why it can't be read.
@@ -190,7 +190,7 @@
             return Err(f"not readable: {error}")
         return self.adopt_document(document)
 
-    def adopt_changed(self, message: CatalogChanged) -> Result[bool, str]:
+    def adopt_delta(self, message: CatalogDelta) -> Result[bool, str]:
         """Take the operators' document from a peer as a difference, if it is newer.
 
         :return: whether it was newer, or why it can't be read: the peer is to be asked then.
@@ -203,15 +203,15 @@
         restored = restore(base, message.difference, MAX_DOCUMENT_BYTES)
         return restored if isinstance(restored, Err) else self.adopt_document(restored.ok_value)
 
-    def tell_catalog(self, held: int = 0) -> CatalogTold | CatalogChanged:
-        """Word the document for a peer.
+    def catalog_update(self, held: int = 0) -> CatalogSnapshot | CatalogDelta:
+        """Give a peer the document, or what has changed of it.
 
         :param held: the version that the peer holds.
         """
         base = self._documents.find(held)
         if base is None:
-            return CatalogTold(self.catalog.version, zlib.compress(self._document, 1))
-        return CatalogChanged(self.catalog.version, held, difference(base, self._document))
+            return CatalogSnapshot(self.catalog.version, zlib.compress(self._document, 1))
+        return CatalogDelta(self.catalog.version, held, difference(base, self._document))
 
     # Replicas.
 
@@ -276,9 +276,9 @@
         return changed
 
     def adopt_changes(
-        self, message: ReplicasChanged, since: float, now: float = 0.0
+        self, message: ReplicasDelta, since: float, now: float = 0.0
     ) -> Result[bool, str]:
-        """Take what a peer tells has changed.
+        """Take the changes that a peer sends.
 
         :param since: when it may have changed at the earliest, on this node's clock.
         :param now: the node's clock, in seconds.
@@ -338,7 +338,7 @@
         now: float,
     ) -> None:
         """Take all that a restored store holds, but for what this node has seen later."""
-        self._restored = self._tell_difference(listed, position, changed_at)
+        self._restored = self._restore_delta(listed, position, changed_at)
         self._records.keep_leaving(now)
         for key in self._records:
             if key not in listed:
@@ -378,12 +378,12 @@
         ended = self._conflicts.end(key)
         return self._records.remove(key, since) or ended
 
-    # Words for peers.
+    # Updates for peers.
 
-    def tell_replicas(
+    def replicas_update(
         self, held_at: int = 0, age_s: float = UNKNOWN_AGE_S
-    ) -> ReplicasTold | ReplicasChanged:
-        """Word the replicas for a peer that is in the same epoch, or for any.
+    ) -> ReplicasSnapshot | ReplicasDelta:
+        """Give a peer the replicas, or what has changed of them in the same epoch.
 
         :param held_at: the revision up to which the peer is complete.
         :param age_s: how long ago what has changed since may have changed, in seconds.
@@ -391,8 +391,8 @@
         changes = self._recent.after(held_at) if held_at else None
         if changes is None:
             items = tuple(self._items.values())
-            return ReplicasTold(self.replicas_at, self.changed_at, items, self.epoch)
-        return ReplicasChanged(
+            return ReplicasSnapshot(self.replicas_at, self.changed_at, items, self.epoch)
+        return ReplicasDelta(
             held_at,
             self.replicas_at,
             tuple(each for each in changes if isinstance(each, Item)),
@@ -401,14 +401,14 @@
             self.epoch,
         )
 
-    def tell_restored(self) -> ReplicasTold | ReplicasChanged:
-        """Word for a peer in the epoch before what the restored store has changed.
+    def restore_update(self) -> ReplicasSnapshot | ReplicasDelta:
+        """Give a peer in the epoch before what the restored store has changed.
 
         :return: the difference while nothing else has changed since; else all.
         """
         restored = self._restored
         if restored is None or restored.at != self.replicas_at or restored.epoch != self.epoch:
-            return self.tell_replicas()
+            return self.replicas_update()
         return restored
 
     def answers(self, request: CatalogRequest) -> list[CatalogAnswer]:
@@ -418,26 +418,26 @@
         """
         answers: list[CatalogAnswer] = []
         if self.catalog.version > request.version:
-            answers.append(self.tell_catalog(request.version))
+            answers.append(self.catalog_update(request.version))
         if request.epoch == self.epoch:
             if self.replicas_at > request.replicas_at:
-                answers.append(self.tell_replicas(request.replicas_at))
+                answers.append(self.replicas_update(request.replicas_at))
         elif request.epoch < self.epoch:
             # One that asks without an epoch may be of any.
             is_before = self._restored is not None and request.epoch == self._restored.base_epoch
             whole = not is_before or not request.replicas_at
-            answers.append(self.tell_replicas() if whole else self.tell_restored())
+            answers.append(self.replicas_update() if whole else self.restore_update())
         return answers
 
-    def _tell_difference(
+    def _restore_delta(
         self, listed: Mapping[str, Item], position: Position, changed_at: int
-    ) -> ReplicasChanged | None:
-        """Word what a restored store holds as the difference to what it held before."""
+    ) -> ReplicasDelta | None:
+        """Compare what a restored store holds with what it held before."""
         if not self.epoch:
             return None
         removed = [Removed(key, position.revision) for key in self._items if key not in listed]
         written = [item for item in listed.values() if self._items.get(item.key) != item]
-        return ReplicasChanged(
+        return ReplicasDelta(
             self.changed_at,
             position.revision,
             tuple(written),
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_leaving.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_leaving.py
@@ -26,7 +26,7 @@
     assert state.replicas["r1"].draining
     state.change_replicas([Removed("r1", 2)], 2, 2.0)
     assert state.departed["r1"].replica.draining
-    state.forget_departed(40.0, 30.0)
+    state.forget_removed(40.0, 30.0)
     state.change_replicas([Item("r1", b"ready", 3)], 3, 41.0)
     assert state.replicas["r1"].draining
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -1,4 +1,4 @@
-from chalkyoke.catalog.messages import CatalogRequest, ReplicasChanged
+from chalkyoke.catalog.messages import CatalogRequest, ReplicasDelta
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.restores import MISSING_KEPT_S, OUTDATED_IGNORED_S
 from chalkyoke.catalog.state import CatalogState
@@ -132,8 +132,8 @@
 def test_peers_in_the_epoch_before_are_told_the_difference():
     state, peer, other = make_state(A, B), make_state(A, B), make_state(A)
     state.adopt_replicas([B, Item("c", b"c1 ready", 9)], 9, 0.0, epoch=2, now=1.0)
-    told = state.tell_restored()
-    assert isinstance(told, ReplicasChanged) and len(told.written) == 1
+    told = state.restore_update()
+    assert isinstance(told, ReplicasDelta) and len(told.written) == 1
     assert peer.adopt_changes(told, 0.0, 1.0) == Ok(True)
     assert (peer.position, peer.changed_at) == (state.position, state.changed_at)
     assert names(peer) == names(state) == {"a1", "b1", "c1"}
@@ -150,7 +150,7 @@
 def test_what_comes_without_an_epoch_is_not_taken_once_one_is_known():
     state = make_state(A, B, epoch=2)
     assert not state.adopt_replicas([A], 40, 0.0, now=1.0)
-    assert state.adopt_changes(ReplicasChanged(10, 40, (), (Removed("a", 40),), 0.0), 0.0) == Ok(
+    assert state.adopt_changes(ReplicasDelta(10, 40, (), (Removed("a", 40),), 0.0), 0.0) == Ok(
         False
     )
     assert names(state) == {"a1", "b1"}
@@ -236,7 +236,7 @@
     def peer_asks(self):
         told, peer = self.nodes[0], self.nodes[2]
         for answer in told.answers(CatalogRequest(1, peer.replicas_at, peer.epoch)):
-            if not isinstance(answer, ReplicasChanged):
+            if not isinstance(answer, ReplicasDelta):
                 at = (answer.at, self.now, answer.changed_at)
                 peer.adopt_replicas(answer.items, *at, epoch=answer.epoch, now=self.now)
             elif isinstance(peer.adopt_changes(answer, self.now, self.now), Err):
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -1,11 +1,11 @@
 import json
 
 from chalkyoke.catalog.messages import (
-    CatalogChanged,
+    CatalogDelta,
     CatalogRequest,
-    CatalogTold,
-    ReplicasChanged,
-    ReplicasTold,
+    CatalogSnapshot,
+    ReplicasDelta,
+    ReplicasSnapshot,
 )
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
@@ -42,7 +42,7 @@
     for version, by_peer in steps:
         if by_peer:
             peer.adopt_document(document(version))
-            state.adopt_told(peer.tell_catalog())
+            state.adopt_snapshot(peer.catalog_update())
             highest = max(highest, peer.catalog.version)
         else:
             state.adopt_document(document(version))
@@ -54,7 +54,7 @@
     state = make()
     state.adopt_document(document(3))
     assert isinstance(state.adopt_document(b"{"), Err)
-    assert isinstance(state.adopt_told(CatalogTold(9, b"no zlib")), Err)
+    assert isinstance(state.adopt_snapshot(CatalogSnapshot(9, b"no zlib")), Err)
     assert state.catalog.version == 3
 
 
@@ -87,12 +87,12 @@
     state.adopt_document(document(3))
     state.adopt_replicas([Item("a", b"ready", 5)], at=10, since=0.0)
     told = state.answers(CatalogRequest(version=3, replicas_at=4))
-    assert [type(each) for each in told] == [ReplicasTold]
+    assert [type(each) for each in told] == [ReplicasSnapshot]
     assert state.answers(CatalogRequest(3, 10)) == []
     newcomer = make()
     for each in state.answers(CatalogRequest(0, 0)):
-        if isinstance(each, CatalogTold):
-            newcomer.adopt_told(each)
+        if isinstance(each, CatalogSnapshot):
+            newcomer.adopt_snapshot(each)
         else:
             newcomer.adopt_replicas(each.items, each.at, 0.0)
     assert newcomer.complete and newcomer.replicas == state.replicas
@@ -107,9 +107,9 @@
     state.change_replicas([Item("b", b"draining", 12), Removed("c", 13)], 20, 1.0)
     state.adopt_document(document(2))
     catalog, replicas = state.answers(CatalogRequest(peer.catalog.version, peer.replicas_at))
-    assert isinstance(catalog, CatalogChanged) and isinstance(replicas, ReplicasChanged)
+    assert isinstance(catalog, CatalogDelta) and isinstance(replicas, ReplicasDelta)
     assert len(replicas.written) == len(replicas.removed) == 1
-    assert peer.adopt_changed(catalog) == Ok(True)
+    assert peer.adopt_delta(catalog) == Ok(True)
     assert peer.adopt_changes(replicas, 1.0) == Ok(True)
     assert peer.replicas == state.replicas and peer.catalog == state.catalog
     assert (peer.replicas_at, peer.changed_at) == (state.replicas_at, state.changed_at) == (20, 13)
@@ -118,11 +118,11 @@
 def test_a_change_to_what_a_node_lacks_is_not_taken():
     state, peer = make(), make()
     peer.adopt_replicas([Item("a", b"ready", 5)], at=10, since=0.0)
-    assert isinstance(peer.adopt_changes(ReplicasChanged(11, 20, (), (), 0.0), 0.0), Err)
+    assert isinstance(peer.adopt_changes(ReplicasDelta(11, 20, (), (), 0.0), 0.0), Err)
     state.adopt_document(document(4))
     state.adopt_document(document(5))
     peer.adopt_document(document(3))
-    assert isinstance(peer.adopt_changed(state.tell_catalog(4)), Err)
+    assert isinstance(peer.adopt_delta(state.catalog_update(4)), Err)
     assert (peer.replicas_at, peer.catalog.version) == (10, 3)
 
 
@@ -132,7 +132,7 @@
     state.adopt_replicas(items, at=10, since=0.0)
     peer.adopt_replicas(items, at=12, since=0.0)
     assert state.changed_at == peer.changed_at == 7
-    told = peer.tell_replicas()
+    told = peer.replicas_update()
     assert not state.adopt_replicas(told.items, told.at, 1.0, told.changed_at)
     assert (state.replicas_at, state.changed_at) == (12, 7)
 
@@ -150,7 +150,7 @@
         state.change_replicas([change], revision + 1, 0.0)
         for number, peer in enumerate(peers):
             if number != lost:
-                told = state.tell_replicas(known_at)
+                told = state.replicas_update(known_at)
                 if isinstance(peer.adopt_changes(told, 0.0), Err):
                     for answer in state.answers(CatalogRequest(0, peer.replicas_at)):
                         peer.adopt_changes(answer, 0.0)
@@ -201,9 +201,9 @@
 
 def test_late_news_of_the_old_start_never_undo_the_new_one_on_whichever_way_they_come():
     state, behind = started(b"1", b"2"), started(b"1")
-    state.adopt_changes(ReplicasChanged(0, 1, (Item("m", b"1", 1),), (), 0.1), 0.0)
+    state.adopt_changes(ReplicasDelta(0, 1, (Item("m", b"1", 1),), (), 0.1), 0.0)
     state.adopt_replicas([Item("m", b"1", 1)], at=1, since=0.0)
     assert set(state.replicas) == {"m/2"}
     # Two nodes that hold different starts for a while agree again.
-    behind.adopt_changes(state.tell_replicas(1, 0.1), 0.0)
+    behind.adopt_changes(state.replicas_update(1, 0.1), 0.0)
     assert set(behind.replicas) == {"m/2"}
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -455,7 +455,7 @@
         """Note what an answer says of its replica; a misdirected request met another one."""
         if status == MISDIRECTED:
             return
-        self._parts.announcements.hear(granted.replica, statement_of(status, fields))
+        self._parts.announcements.note_answer(granted.replica, statement_of(status, fields))
 
     async def _watch(
         self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
--- a/packages/chalkyoke/src/chalkyoke/gateway/statements.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/statements.py
@@ -46,5 +46,5 @@
 class AnnouncementPort(Protocol):
     """Takes what replicas say of themselves."""
 
-    def hear(self, replica: Replica, statement: Statement) -> None:
+    def note_answer(self, replica: Replica, statement: Statement) -> None:
         """Take what an answer says of its replica."""
--- a/packages/chalkyoke/src/chalkyoke/limits/news.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/announcements.py
@@ -1,5 +1,5 @@
 """
-chalkyoke.limits.news
+chalkyoke.limits.announcements
 
 The limits that replicas name: heard in answers, told to all nodes, kept by those that count.
 """
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from chalkyoke.administration.metrics import Metrics
-from chalkyoke.catalog.messages import ReplicaSaid, ReplicasSay
+from chalkyoke.catalog.messages import ReplicaAttribute, ReplicaAttributes
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.limits.known import KnownLimits
 from chalkyoke.links.broadcast import relay_on, tell_all
@@ -20,14 +20,14 @@
 LIMIT = "limit"
 # How soon after one change of a replica's limit the next one is told to all nodes, in seconds; what
 # has changed meanwhile is told once. A replica may name another limit in each answer.
-TELL_S = 0.25
+BROADCAST_S = 0.25
 # Changes of limits that one message tells at most, in number.
-MOST_TOLD = 500
+MOST_BROADCAST = 500
 
 log = logger("limits")
 
 
-class LimitNews:
+class LimitAnnouncements:
     """Take what replicas say of their limits, and what other nodes were told.
 
     :param send: sends a message to a node by its link address.
@@ -41,7 +41,7 @@
         view: MembershipView,
         state: CatalogState,
         metrics: Metrics,
-        send: Callable[[str, ReplicasSay], None],
+        send: Callable[[str, ReplicaAttributes], None],
         changed: Callable[[], None],
         now: Callable[[], float],
     ) -> None:
@@ -52,11 +52,11 @@
         self._send = send
         self._changed = changed
         self._now = now
-        self._tell_from: dict[str, float] = {}
-        self._untold: set[str] = set()
+        self._broadcast_from: dict[str, float] = {}
+        self._pending: set[str] = set()
         metrics.gauge("replica_limits", lambda: len(known.limits()))
 
-    def hear(self, replica: str, limit_per_s: float | None) -> None:
+    def note_answer(self, replica: str, limit_per_s: float | None) -> None:
         """Take a replica's own word, and tell all nodes what is new.
 
         :param replica: id of its start.
@@ -66,10 +66,10 @@
         if not self._take(replica, limit_per_s, now, "answer"):
             return
         self._changed()
-        if now >= self._tell_from.get(replica, -math.inf):
-            self._tell([replica])
+        if now >= self._broadcast_from.get(replica, -math.inf):
+            self._broadcast([replica])
         else:
-            self._untold.add(replica)
+            self._pending.add(replica)
 
     def take(self, replica: str, limit_per_s: float | None, at: float) -> None:
         """Take what another node believes that asks this one.
@@ -79,7 +79,7 @@
         if self._take(replica, limit_per_s, at, "question"):
             self._changed()
 
-    def receive(self, address: str, message: ReplicasSay) -> None:
+    def receive(self, address: str, message: ReplicaAttributes) -> None:
         """Take what another node was told.
 
         :param address: link address of the node.
@@ -97,23 +97,23 @@
         A node that misses this learns it by the first answer of the replica itself.
         """
         limits = self._known.limits()
-        if first_heard := [each for each in self._tell_from if each in limits][:MOST_TOLD]:
-            self._send(member.address, self._message(first_heard))
+        if first_here := [each for each in self._broadcast_from if each in limits][:MOST_BROADCAST]:
+            self._send(member.address, self._message(first_here))
 
     def keep_house(self) -> None:
         """Tell what has changed since it was told last, and drop what is over."""
         now = self._now()
         self._known.forget(self._state.replicas.keys(), now)
-        self._tell_from = {
-            name: at for name, at in self._tell_from.items() if self._known.remembers(name)
+        self._broadcast_from = {
+            name: at for name, at in self._broadcast_from.items() if self._known.remembers(name)
         }
-        if late := sorted(self._untold & self._tell_from.keys())[:MOST_TOLD]:
-            self._tell(late)
-        self._untold &= self._tell_from.keys()
+        if late := sorted(self._pending & self._broadcast_from.keys())[:MOST_BROADCAST]:
+            self._broadcast(late)
+        self._pending &= self._broadcast_from.keys()
 
     def _take(self, replica: str, limit_per_s: float | None, at: float, source: str) -> bool:
         before = self._known.of(replica)
-        if not self._known.hear(replica, limit_per_s, at):
+        if not self._known.update(replica, limit_per_s, at):
             return False
         log.info(
             "replica_limit",
@@ -126,18 +126,18 @@
         self._metrics.count("replica_limit_changes", source=_kind(source))
         return True
 
-    def _tell(self, replicas: list[str]) -> None:
+    def _broadcast(self, replicas: list[str]) -> None:
         now = self._now()
         for each in replicas:
-            self._tell_from[each] = now + TELL_S
-        self._untold.difference_update(replicas)
+            self._broadcast_from[each] = now + BROADCAST_S
+        self._pending.difference_update(replicas)
         tell_all(self._view, self._send, self._message(replicas))
 
-    def _message(self, replicas: list[str]) -> ReplicasSay:
+    def _message(self, replicas: list[str]) -> ReplicaAttributes:
         now = self._now()
-        return ReplicasSay(
+        return ReplicaAttributes(
             tuple(
-                ReplicaSaid(each, LIMIT, self._known.of(each), now - self._known.said_at(each))
+                ReplicaAttribute(each, LIMIT, self._known.of(each), now - self._known.said_at(each))
                 for each in replicas
             )
         )
--- a/packages/chalkyoke/src/chalkyoke/limits/client.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/client.py
@@ -75,7 +75,7 @@
 class PermitClient:
     """Get permits for this node's requests, and answer other nodes where this process counts.
 
-    :param hear: takes what another node has heard of a replica: its start, the limit and when it
+    :param report: takes what another node knows of a replica: its start, the limit and when it
         was said, on this node's clock.
     :param random: source of numbers in [0, 1): nodes that reach no keeper begin at different times.
     :param now: the node's clock, in seconds.
@@ -86,14 +86,14 @@
         known: KnownLimits,
         keeper: LimitKeeper,
         port: KeeperPort,
-        hear: Callable[[str, float | None, float], None],
+        report: Callable[[str, float | None, float], None],
         random: Callable[[], float],
         now: Callable[[], float],
     ) -> None:
         self._known = known
         self._keeper = keeper
         self._port = port
-        self._hear = hear
+        self._report = report
         self._random = random
         self._now = now
         self._numbers = itertools.count(1)
@@ -200,9 +200,9 @@
             self._port.send(process, PermitReturned(answer.service, answer.replica))
 
     def _answer(self, request: PermitRequest) -> PermitAnswer:
-        """Answer by what is known here, or by what the asking node has heard since."""
+        """Answer by what is known here, or by what the asking node has learnt since."""
         now = self._now()
-        self._hear(request.replica, request.limit_per_s, now - request.age_s)
+        self._report(request.replica, request.limit_per_s, now - request.age_s)
         allowance = self._keeper.allowance(request.service, request.replica, now)
         if allowance is None:
             return _answer_to(request, given=True, wait_s=0.0)
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
@@ -21,10 +21,10 @@
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.gateway.reception import Admission
+from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.limits.known import KnownLimits
-from chalkyoke.limits.news import LimitNews
 from chalkyoke.scheduling.state import ReleaseOutcome
 from chalkyoke_fakes.soak.limits import worst_window
 
@@ -88,7 +88,7 @@
             self._fleet_share,
             lambda kept: None,
         )
-        self.news = LimitNews(
+        self.announcements = LimitAnnouncements(
             known,
             self.view,
             SimpleNamespace(replicas=fleet.replicas),
@@ -98,7 +98,7 @@
             now,
         )
         self.permits = PermitClient(
-            known, self.keeper, self, self.news.take, self.random.random, now
+            known, self.keeper, self, self.announcements.take, self.random.random, now
         )
         self.balancer = LocalBalancer(str(self.domain), self.random.random)
         self.grants = Grants(
@@ -134,7 +134,7 @@
 
     def receive(self, sender, kind, message):
         if kind == "news":
-            self.news.receive(str(sender.name), message)
+            self.announcements.receive(str(sender.name), message)
         else:
             self.permits.receive(sender.process, message)
 
@@ -255,7 +255,7 @@
         while True:
             await asyncio.sleep(1.0)
             for node in self.nodes.values():
-                node.news.keep_house()
+                node.announcements.keep_house()
                 node.permits.keep_house()
 
     async def _ask(self, node):
@@ -285,7 +285,7 @@
         self.answers["served", route.name] += 1
         self.answers["in time"] += self.now() <= admission.due
         limit = replica.limit_per_s
-        node.news.hear(granted.replica.id, limit if limit >= 0 else None)
+        node.announcements.note_answer(granted.replica.id, limit if limit >= 0 else None)
         if limit >= 0 and self.nodes[node.name] is node:
             replica.told.setdefault(node.process, self.now())
 
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/test_news.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_announcements.py
@@ -4,9 +4,9 @@
 
 import pytest
 from chalkyoke.administration.metrics import Metrics
-from chalkyoke.catalog.messages import ReplicaSaid, ReplicasSay
+from chalkyoke.catalog.messages import ReplicaAttribute, ReplicaAttributes
+from chalkyoke.limits.announcements import BROADCAST_S, LimitAnnouncements
 from chalkyoke.limits.known import ENDED_KEPT_S, KnownLimits
-from chalkyoke.limits.news import TELL_S, LimitNews
 
 
 class View:
@@ -27,7 +27,7 @@
 def news():
     sent, changes = [], []
     known = KnownLimits()
-    made = LimitNews(
+    made = LimitAnnouncements(
         known,
         View(),
         SimpleNamespace(replicas={"p1": None, "p2": None}),
@@ -50,10 +50,10 @@
 def test_a_first_word_is_told_to_all_at_once(at):
     made = news()
     made._now.now = at
-    made.hear("p1", 3.8)
+    made.note_answer("p1", 3.8)
     assert words(made) == [(address, "p1", 3.8) for address in ("n2", "n3", "far")]
     assert [message.relay for _, message in made.sent] == [False, False, True]
-    made.hear("p1", 3.8)
+    made.note_answer("p1", 3.8)
     assert len(made.sent) == 3
     assert made.changes == [{"p1": 3.8}]
 
@@ -62,8 +62,8 @@
     made = news()
     for number in range(100):
         made._now.now = number * 0.01
-        made.hear("p1", 3.0 + number / 100)
-    assert len(made.sent) / 3 <= 1.0 / TELL_S
+        made.note_answer("p1", 3.0 + number / 100)
+    assert len(made.sent) / 3 <= 1.0 / BROADCAST_S
     made.sent.clear()
     made._now.now = 1.1
     made.keep_house()
@@ -75,35 +75,35 @@
 
 def test_what_another_node_tells_is_told_on_only_where_it_asks_for_it():
     made = news()
-    made.hear("p1", 3.8)
+    made.note_answer("p1", 3.8)
     made.sent.clear()
     made._now.now = 2.0
-    items = (ReplicaSaid("p1", "limit", 1.0, 0.1), ReplicaSaid("p2", "mood", 7.0, 0.0))
-    made.receive("n2", ReplicasSay(items))
+    items = (ReplicaAttribute("p1", "limit", 1.0, 0.1), ReplicaAttribute("p2", "mood", 7.0, 0.0))
+    made.receive("n2", ReplicaAttributes(items))
     made.keep_house()
     assert not made.sent
     assert made.known.limits() == {"p1": 1.0}
-    made.receive("n2", ReplicasSay(items, relay=True))
+    made.receive("n2", ReplicaAttributes(items, relay=True))
     assert [(address, message.relay) for address, message in made.sent] == [("n4", False)]
 
 
 def test_a_node_that_joins_is_told_what_was_first_heard_here():
     made = news()
-    made.hear("p1", 3.8)
+    made.note_answer("p1", 3.8)
     made.take("p2", 2.0, 0.0)
     made.sent.clear()
     made._now.now = 4.0
     made.joined(SimpleNamespace(address="n9"))
     ((address, message),) = made.sent
-    assert (address, message.items) == ("n9", (ReplicaSaid("p1", "limit", 3.8, 4.0),))
+    assert (address, message.items) == ("n9", (ReplicaAttribute("p1", "limit", 3.8, 4.0),))
 
 
 def test_that_a_limit_is_over_is_told_and_then_forgotten():
     made = news()
-    made.hear("p1", 3.8)
+    made.note_answer("p1", 3.8)
     made._now.now = 1.0
     made.sent.clear()
-    made.hear("p1", None)
+    made.note_answer("p1", None)
     assert words(made)[0] == ("n2", "p1", None)
     made._now.now = 2.0 + ENDED_KEPT_S
     made.keep_house()
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/test_known.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/test_known.py
@@ -4,42 +4,42 @@
 
 def test_the_later_of_two_words_is_believed():
     known = KnownLimits()
-    assert known.hear("a", 3.8, 10.0)
-    assert not known.hear("a", 3.8, 11.0)
-    assert not known.hear("a", 9.0, 10.5)
+    assert known.update("a", 3.8, 10.0)
+    assert not known.update("a", 3.8, 11.0)
+    assert not known.update("a", 9.0, 10.5)
     assert known.of("a") == 3.8
-    assert known.hear("a", 1.0, 11.5)
+    assert known.update("a", 1.0, 11.5)
     assert known.said_at("a") == 11.5
 
 
 def test_a_limit_is_over_when_an_answer_names_none():
     known = KnownLimits()
-    assert not known.hear("a", None, 1.0)
-    known.hear("a", 2.0, 2.0)
-    assert known.hear("a", None, 3.0)
+    assert not known.update("a", None, 1.0)
+    known.update("a", 2.0, 2.0)
+    assert known.update("a", None, 3.0)
     assert known.of("a") is None
     assert known.limits() == {}
     # News of the limit that are older come late.
-    assert not known.hear("a", 2.0, 2.5)
+    assert not known.update("a", 2.0, 2.5)
     assert known.of("a") is None
 
 
 def test_what_is_no_limit_is_taken_for_none():
     known = KnownLimits()
     for value in (MOST_PER_S, 1e300, float("inf"), float("nan"), -1.0):
-        assert not known.hear("a", value, 1.0), value
+        assert not known.update("a", value, 1.0), value
         assert known.of("a") is None
-    known.hear("a", 2.0, 2.0)
-    assert known.hear("a", 1e9, 3.0)
+    known.update("a", 2.0, 2.0)
+    assert known.update("a", 1e9, 3.0)
     assert known.of("a") is None
 
 
 def test_what_is_over_is_forgotten():
     known = KnownLimits()
-    known.hear("listed", 2.0, 0.0)
-    known.hear("gone", 2.0, 0.0)
-    known.hear("ended", 2.0, 0.0)
-    known.hear("ended", None, 1.0)
+    known.update("listed", 2.0, 0.0)
+    known.update("gone", 2.0, 0.0)
+    known.update("ended", 2.0, 0.0)
+    known.update("ended", None, 1.0)
     known.forget({"listed"}, ENDED_KEPT_S)
     assert known.remembers("ended")
     known.forget({"listed"}, ENDED_KEPT_S + 2.0)
@@ -52,6 +52,6 @@
 def test_no_more_starts_are_remembered_than_bounded():
     known = KnownLimits()
     for number in range(MOST_KEPT + 5):
-        known.hear(f"r{number}", 1.0, float(number))
+        known.update(f"r{number}", 1.0, float(number))
     assert len(known.limits()) == MOST_KEPT
     assert known.of("r0") is None
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -13,7 +13,7 @@
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.gateway.statements import Statement
-from chalkyoke.limits.news import LimitNews
+from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.links.broadcast import relay_on, tell_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
@@ -35,7 +35,7 @@
         view: MembershipView,
         state: CatalogState,
         balancer: LocalBalancer,
-        limits: LimitNews,
+        limits: LimitAnnouncements,
         metrics: Metrics,
         send: Callable[[str, ReplicasLeave], None],
         changed: Callable[[], None],
@@ -49,16 +49,16 @@
         self._send = send
         self._changed = changed
         self._now = now
-        self._heard: set[str] = set()
+        self._first_here: set[str] = set()
 
-    def hear(self, replica: Replica, statement: Statement) -> None:
+    def note_answer(self, replica: Replica, statement: Statement) -> None:
         """Take what an answer says of its replica."""
         if statement.leaving:
             self._leaves(replica)
         if statement.rest_s > 0:
             self._rests(replica, statement.rest_s)
         if statement.tells_limit:
-            self._limits.hear(replica.id, statement.limit_per_s)
+            self._limits.note_answer(replica.id, statement.limit_per_s)
 
     def _leaves(self, replica: Replica) -> None:
         """Note that a replica says that it leaves, and tell all nodes unless its record did.
@@ -68,7 +68,7 @@
         """
         if not self._state.note_leaving(replica.id, self._now()):
             return
-        self._heard = {*self._still_leaving(), replica.id}
+        self._first_here = {*self._still_leaving(), replica.id}
         self._changed()
         told_to = tell_all(self._view, self._send, ReplicasLeave((replica.id,)))
         log.info("replica_leaves", replica=replica.id, source="answer", told_to=told_to)
@@ -107,4 +107,4 @@
 
     def _still_leaving(self) -> set[str]:
         """Give what was first heard here and is still remembered, which bounds it."""
-        return {each for each in self._heard if self._state.leaves(each)}
+        return {each for each in self._first_here if self._state.leaves(each)}
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -36,10 +36,10 @@
 from chalkyoke.http1.pool import ConnectionPool
 from chalkyoke.http1.room import make_room, most_callers
 from chalkyoke.http1.server import ServerConnection, ServerLimits, Start
+from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.keeper import KeptLimit, LimitKeeper
 from chalkyoke.limits.known import KnownLimits
-from chalkyoke.limits.news import LimitNews
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEP_S, confirm_every_s
 from chalkyoke.links.kinds import PeerKinds
@@ -241,7 +241,7 @@
             lambda: self.presence().share,
             self._limit_kept,
         )
-        self.limits = LimitNews(
+        self.limits = LimitAnnouncements(
             known,
             self.view,
             self.catalog.state,
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -12,18 +12,18 @@
 from chalkyoke.balancing.suspicions import Suspicions
 from chalkyoke.catalog.keeper import CatalogKeeper
 from chalkyoke.catalog.messages import (
-    CatalogChanged,
+    CatalogDelta,
     CatalogRequest,
-    CatalogTold,
-    ReplicasChanged,
+    CatalogSnapshot,
+    ReplicaAttributes,
+    ReplicasDelta,
     ReplicasLeave,
-    ReplicasSay,
-    ReplicasTold,
+    ReplicasSnapshot,
 )
 from chalkyoke.gateway.grants import Grants
+from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.messages import PERMIT_MESSAGES
-from chalkyoke.limits.news import LimitNews
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
 from chalkyoke.membership.messages import (
@@ -63,11 +63,11 @@
 )
 
 CATALOG_MESSAGES = (
-    CatalogChanged,
+    CatalogDelta,
     CatalogRequest,
-    CatalogTold,
-    ReplicasChanged,
-    ReplicasTold,
+    CatalogSnapshot,
+    ReplicasDelta,
+    ReplicasSnapshot,
 )
 ENTRY_MESSAGES = (Grant, Queued, Shed)
 SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
@@ -90,7 +90,7 @@
     *QUARANTINE_MESSAGES,
     *PERMIT_MESSAGES,
     ReplicasLeave,
-    ReplicasSay,
+    ReplicaAttributes,
     AdoptRequest,
 )
 
@@ -150,7 +150,7 @@
     rollouts: Rollouts
     quarantine: Quarantine
     announcements: Announcements
-    limits: LimitNews
+    limits: LimitAnnouncements
     permits: PermitClient
 
 
@@ -197,7 +197,7 @@
             parts.quarantine.receive(address, message)
         elif isinstance(message, ReplicasLeave):
             parts.announcements.receive(address, message)
-        elif isinstance(message, ReplicasSay):
+        elif isinstance(message, ReplicaAttributes):
             parts.limits.receive(address, message)
         elif isinstance(message, PERMIT_MESSAGES):
             parts.permits.receive(connection.peer, message)
@@ -210,4 +210,4 @@
         for send in sends:
             self._parts.links.send(send.address, send.message)
         if isinstance(message, Heartbeat):
-            self._parts.catalog.heard(address, message.record)
+            self._parts.catalog.receive_heartbeat(address, message.record)
--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -292,7 +292,7 @@
         for send in sends:
             self.links.send(send.address, send.message)
         if isinstance(message, Heartbeat):
-            self.keeper.heard(address, message.record)
+            self.keeper.receive_heartbeat(address, message.record)
 
     async def beat(self):
         while True:
--- a/tests/test_restored_spread.py
+++ b/tests/test_restored_spread.py
@@ -90,7 +90,7 @@
 
     restored_s, again_s, kinds = played(nodes, story)
     assert restored_s < AGREED_S and again_s < AGREED_S, (restored_s, again_s)
-    assert "ReplicasTold" not in kinds
+    assert "ReplicasSnapshot" not in kinds
 
 
 # Guards against nodes that can't compare two listings of which one is of a later epoch.
