Quarantine: an end that a request which ends replicas explains no longer counts against popular ones

Cause, reproduced without a network: what is asked for often runs under nearly all ends, while each of two culprits lies under half of them only; a whole answer acquits, but where three replicas end each other second there is none between three ends, and what was served before the first end was not known. Change: a node remembers what it has served whole (5,000 names); against such a request an end does not count under which another ran that is held back and was never served; what was held back before the culprit was found is let go then. Ruled out as a way: explaining ends by any held request; the innocent one, held back first, would then acquit the culprits.

--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from chalkyoke.quarantine.messages import HeldRequest
+from chalkyoke.quarantine.served import ServedRequests
 
 # A request is held back from so many ends under it on, none of its runs having been served whole
 # since the first. Operators allow three more sends after the third end.
@@ -90,6 +91,8 @@
         self._held: set[bytes] = set()
         self._checksum: int | None = None
         self._ends: dict[str, float] = {}
+        self._under: dict[str, set[bytes]] = {}
+        self._served = ServedRequests()
 
     def __len__(self) -> int:
         return len(self._known)
@@ -126,7 +129,10 @@
         :return: whether the request is held back from now on.
         """
         self._ends.setdefault(start, at)
-        known = self._known.setdefault(request, Suspicion())
+        self._under.setdefault(start, set()).add(request)
+        known = self._known.get(request)
+        if known is None:
+            known = self._known[request] = Suspicion(served_at=self._served.last(request))
         if at <= known.served_at or known.knows(start, at):
             return False
         known.ends[start] = _End(at, weight)
@@ -138,6 +144,28 @@
         self._hold(request, known, now + hold_s)
         return True
 
+    def acquit_explained(self) -> list[bytes]:
+        """Let go what was held back for ends that a request found since explains.
+
+        :return: what is let go.
+        """
+        acquitted = [
+            each
+            for each in self._held
+            if (known := self._known[each]).is_refuted
+            and known.holds == 1
+            and known.ends
+            and not self._is_enough(known)
+        ]
+        for request in acquitted:
+            self._known[request].holds = 0
+            self._let_go(request)
+        return acquitted
+
+    def note_delivered(self, request: bytes, at: float) -> None:
+        """Remember a whole answer, in case the request is suspected later."""
+        self._served.note(request, at)
+
     def note_served(self, request: bytes, at: float) -> bool:
         """Take back what a whole answer refutes: who is served does not end its replica.
 
@@ -169,6 +197,8 @@
         last_end = now - told.last_end_age_s
         if last_end <= known.served_at or told.request in self._held:
             return False
+        if known.is_refuted and known.ends and not self._unexplained(known):
+            return False
         known.last_end = max(known.last_end, last_end)
         self._hold(told.request, known, now + min(MAX_HOLD_S, told.left_s))
         return True
@@ -204,6 +234,7 @@
             self._known[request].ends.clear()
             self._let_go(request)
         self._ends = {start: at for start, at in self._ends.items() if now - at <= COMPARED_S}
+        self._under = {start: each for start, each in self._under.items() if start in self._ends}
         for request, known in list(self._known.items()):
             newest = max(known.last_end, known.served_at, known.held_until)
             if request not in self._held and now - newest > REMEMBERED_S:
@@ -212,13 +243,30 @@
 
     def _is_enough(self, known: Suspicion) -> bool:
         """Tell whether what speaks against a request is enough to hold it back."""
-        if len(known.ends) >= ENDS_IN_ANY_CASE:
+        ends = self._unexplained(known)
+        if len(ends) >= ENDS_IN_ANY_CASE:
             return True
-        if known.weight < ENDS_TO_HOLD:
+        if sum(each.weight for each in ends.values()) < ENDS_TO_HOLD:
             return False
-        first = min(each.at for each in known.ends.values())
+        first = min(each.at for each in ends.values())
         since = sum(at >= first for at in self._ends.values())
-        return len(known.ends) >= LEAST_SHARE * since
+        return len(ends) >= LEAST_SHARE * since
+
+    def _unexplained(self, known: Suspicion) -> dict[str, _End]:
+        """List the ends that count against a request.
+
+        Against one that was served whole before, an end does not count under which a request ran
+        that is held back and was never served: who asks often runs under most ends of others.
+        """
+        if not known.is_refuted:
+            return known.ends
+        return {start: each for start, each in known.ends.items() if not self._is_explained(start)}
+
+    def _is_explained(self, start: str) -> bool:
+        return any(
+            each in self._held and not self._known[each].is_refuted
+            for each in self._under.get(start, ())
+        )
 
     def _hold(self, request: bytes, known: Suspicion, until: float) -> None:
         known.held_until = until
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -83,9 +83,8 @@
     def delivered(self, replica: Replica, request: Identity) -> None:
         """Note that a replica has served a request whole."""
         self.answered(replica)
-        if not len(self._book):
-            return
         name = request()
+        self._book.note_delivered(name, self._now())
         known = self._book.find(name)
         if known is None or not known.ends:
             return
@@ -183,6 +182,9 @@
                 starts = sorted(known.ends)[:MOST_NAMED]
                 for_s = round(known.held_until - now)
                 self._begin_hold(run.request, starts=starts, for_s=for_s)
+        if decided:
+            for request in self._book.acquit_explained():
+                log.notice("request_released", digest=_name(request), why="explained")
         return decided
 
     def _begin_hold(self, request: bytes, **evidence: object) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_evidence.py
@@ -118,3 +118,41 @@
         end(book, victim, 5.0, request=b"victim-%d" % victim)
     assert len(book.held) == 1000
     assert len(book) <= MOST_REQUESTS + 1
+
+
+# Guards against a popular request that is held back for ends that another one explains.
+def test_ends_that_a_request_found_since_explains_do_not_count_against_one_that_was_served():
+    book, popular = EvidenceBook(), b"popular"
+    book.note_delivered(popular, 0.5)
+    for number in range(3):
+        assert not end(book, number, 1.0 + number, weight=0.9, request=popular)
+        held = end(book, number, 1.0 + number)
+    assert held
+    for number in range(3, 9):
+        end(book, number, 1.0 + number)
+        assert not end(book, number, 1.0 + number, request=popular)
+    # Ends that nothing explains count as ever.
+    ends = [end(book, number, 1.0 + number, request=popular) for number in range(9, 15)]
+    assert True in ends
+
+
+def test_a_request_that_was_held_back_first_is_let_go_once_another_explains_its_ends():
+    book, popular = EvidenceBook(), b"popular"
+    book.note_delivered(popular, 0.5)
+    for number in range(3):
+        end(book, number, 1.0 + number, request=popular)
+        end(book, number, 1.0 + number)
+    assert book.is_held(popular)
+    assert book.acquit_explained() == [popular]
+    assert not book.is_held(popular) and book.is_held(REQUEST)
+    # What a node tells that does not know of the explanation is not taken.
+    assert not book.merge_held(HeldRequest(popular, 1.0, HOLD_S), 4.0)
+
+
+def test_a_request_that_was_never_served_is_not_explained_away():
+    book, other = EvidenceBook(), b"other"
+    for number in range(3):
+        end(book, number, 1.0 + number)
+        held = end(book, number, 1.0 + number, request=other)
+    assert held
+    assert book.acquit_explained() == []
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -281,3 +281,62 @@
 
 def test_a_storm_of_ends_in_a_pool_of_twenty_holds_nobody_back():
     assert [innocents_held(end_in_a_storm, seed, 20) for seed in range(20)] == [0] * 20
+
+
+CRASHING_TOO = b"d" * 12
+
+
+async def popular_work(fleet, seconds, kinds=4, per_s=20):
+    """Let callers ask for the same few things again and again; what breaks is sent once more."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+
+    async def one(name):
+        for _ in range(2):
+            node = fleet.random.randrange(len(fleet.nodes))
+            replica = fleet.run(name, node=node)
+            if replica is None:
+                return
+            await asyncio.sleep(fleet.random.choice((0.3, 1.0, 2.0)))
+            if fleet.deliver(replica, name, node):
+                return
+
+    asked = []
+    while loop.time() < until:
+        asked.append(asyncio.ensure_future(one(b"kind%08d" % fleet.random.randrange(kinds))))
+        await asyncio.sleep(1 / per_s)
+    await asyncio.gather(*asked)
+
+
+async def keep_crashing(fleet, request, seconds):
+    """Send a request that ends each replica 50 ms after it began; give how often it was sent."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    sends = 0
+    while loop.time() < until:
+        replica = fleet.run(request)
+        if replica is not None:
+            sends += 1
+            await asyncio.sleep(0.05)
+            if replica.id in fleet.running:
+                fleet.end(replica)
+        await asyncio.sleep(0.3)
+    return sends
+
+
+# Guards against popular requests that are held back since they run under most ends of others.
+def test_popular_requests_are_not_held_back_for_two_that_end_replicas():
+    found = []
+
+    async def check(fleet):
+        work = asyncio.ensure_future(popular_work(fleet, 14.0))
+        await asyncio.sleep(2.0)
+        crashing = (keep_crashing(fleet, each, 9.0) for each in (CRASHING, CRASHING_TOO))
+        sends = await asyncio.gather(*crashing)
+        await work
+        found.append((fleet.held(), max(sends)))
+
+    for seed in range(20):
+        play(check, 3, 3, 3, seed=seed)
+    assert all(held == {CRASHING, CRASHING_TOO} for held, _ in found), found
+    assert max(sends for _, sends in found) <= 5
