--- a/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/tests/test_view.py
@@ -1,6 +1,7 @@
 import itertools
 import random
 
+import pytest
 from chalkyoke.membership.messages import Digest, Heartbeat, ShortHeartbeat, Summary
 from chalkyoke.membership.owners import ranked_hosts
 from chalkyoke.membership.rosters import checksum
@@ -247,3 +248,20 @@
     for _ in range(200):
         fleet.run(0.03)
         assert {len(fleet.hosts(host)) for host in fleet.views} == {24}
+
+
+# Guards against domains that never know each other whole again after all hosts have started anew at
+# the same moment: their first summaries, of few members, were passed round beside the later ones.
+@pytest.mark.parametrize("size", [4, 12])
+def test_all_know_all_soon_after_a_start_of_all_anew(size):
+    domains = {name: [f"{name}{number}" for number in range(size)] for name in "abc"}
+    fleet = DelayedFleet(domains)
+    fleet.run(4.0)
+    for each in fleet.listed:
+        fleet.kill(each.host)
+    for each in fleet.listed:
+        fleet.start(each.host, incarnation=2)
+    fleet.run(3.0)
+    for _ in range(40):
+        fleet.run(0.05)
+        assert {len(fleet.hosts(host)) for host in fleet.views} == {3 * size}
--- a/tests/memberfleet.py
+++ b/tests/memberfleet.py
@@ -103,7 +103,7 @@
         end = self.now + seconds
         beats = [self._next_beat(host) for host in self.views]
         heapq.heapify(beats)
-        while (at := min(beats[0][0], self._on_way[0][0] if self._on_way else math.inf)) < end:
+        while (at := min(beats[0][0], self._on_way[0][0] if self._on_way else math.inf)) <= end:
             self.now = at
             if beats[0][0] > at:
                 _, _, sender, target, message = heapq.heappop(self._on_way)
