--- a/packages/chalkyoke/src/chalkyoke/catalog/restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/restores.py
@@ -72,7 +72,7 @@
         self._until[key] = until
 
     def end(self, key: str) -> bool:
-        """End a conflict, since the store has told more.
+        """End a conflict, since the store has changed the key.
 
         :return: whether there was one.
         """
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -286,7 +286,7 @@
             be asked then.
         """
         if message.epoch == self.epoch and message.base_epoch:
-            # A second watcher tells of the same restore.
+            # A second watcher reports the same restore.
             return Ok(False)
         if message.epoch == self.epoch:
             if message.since > self.replicas_at:
@@ -367,7 +367,7 @@
         if before is not None and before != item:
             self._superseded.note(before, now)
         ended = self._conflicts.end(item.key)
-        # Peers have the conflict as well, and are to learn of its end.
+        # Peers have the same conflict, and are to learn of its end.
         return self._records.put(item, since, self.epoch, again=ended) or ended
 
     def _take_removed(self, key: str, since: float, now: float) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -76,7 +76,7 @@
         state.adopt_replicas([B], 10, 0.0, epoch=2, now=1.0)
         assert names(state) == {"a1", "b1"}
         if again:
-            # Peers have to be told: they have the same doubt.
+            # Peers have the same conflict, and are to learn of its end.
             assert state.change_replicas([Item("a", b"a1 ready", 11)], 11, 2.0, 2.0)
         state.settle(1.0 + MISSING_KEPT_S)
         assert names(state) == ({"a1", "b1"} if again else {"b1"})
@@ -132,15 +132,15 @@
 def test_peers_in_the_epoch_before_are_told_the_difference():
     state, peer, other = make_state(A, B), make_state(A, B), make_state(A)
     state.adopt_replicas([B, Item("c", b"c1 ready", 9)], 9, 0.0, epoch=2, now=1.0)
-    told = state.restore_update()
-    assert isinstance(told, ReplicasDelta) and len(told.written) == 1
-    assert peer.adopt_changes(told, 0.0, 1.0) == Ok(True)
+    delta = state.restore_update()
+    assert isinstance(delta, ReplicasDelta) and len(delta.written) == 1
+    assert peer.adopt_changes(delta, 0.0, 1.0) == Ok(True)
     assert (peer.position, peer.changed_at) == (state.position, state.changed_at)
     assert names(peer) == names(state) == {"a1", "b1", "c1"}
-    # A second one that tells the same makes nobody ask for all.
-    assert peer.adopt_changes(told, 0.0, 1.0) == Ok(False)
+    # A second delta of the same restore makes nobody ask for all.
+    assert peer.adopt_changes(delta, 0.0, 1.0) == Ok(False)
     # One that knew something else asks for all.
-    assert isinstance(other.adopt_changes(told, 0.0, 1.0), Err)
+    assert isinstance(other.adopt_changes(delta, 0.0, 1.0), Err)
     (whole,) = state.answers(CatalogRequest(1, 0, other.epoch))
     assert other.adopt_replicas(whole.items, whole.at, 0.0, whole.changed_at, epoch=2, now=1.0)
     assert other.position == state.position
@@ -166,7 +166,7 @@
 
 
 class StoreWithCopies(RuleBasedStateMachine):
-    """A store that is restored at any time, two nodes that follow it, one that is told by one."""
+    """A store that is restored at any time, two nodes that follow it, one that asks one of them."""
 
     KEYS = ("a", "b", "c")
 
@@ -234,13 +234,13 @@
 
     @rule()
     def peer_asks(self):
-        told, peer = self.nodes[0], self.nodes[2]
-        for answer in told.answers(CatalogRequest(1, peer.replicas_at, peer.epoch)):
+        watcher, peer = self.nodes[0], self.nodes[2]
+        for answer in watcher.answers(CatalogRequest(1, peer.replicas_at, peer.epoch)):
             if not isinstance(answer, ReplicasDelta):
                 at = (answer.at, self.now, answer.changed_at)
                 peer.adopt_replicas(answer.items, *at, epoch=answer.epoch, now=self.now)
             elif isinstance(peer.adopt_changes(answer, self.now, self.now), Err):
-                (whole,) = told.answers(CatalogRequest(1, 0, peer.epoch))
+                (whole,) = watcher.answers(CatalogRequest(1, 0, peer.epoch))
                 at = (whole.at, self.now, whole.changed_at)
                 peer.adopt_replicas(whole.items, *at, epoch=whole.epoch, now=self.now)
 
