Shared interfaces for heavy load: time factors, load fields, settings, features

Load reports with a fourth value were discarded whole, so that hosts saw no load at all on machines that are shared. The value is read as a factor of the usual time; FirstOutput and Release can carry the report to the schedulers.

--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -40,11 +40,16 @@
 
 
 class Load(NamedTuple):
-    """The load that a replica reports: numbers of requests, and its slots."""
+    """The load that a replica reports: numbers of requests, and its slots.
+
+    :param time_factor: how long work takes on the replica's machine at the moment, as a factor of
+        the usual time; 1.0 where the replica does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_factor: float = 1.0
 
 
 class AnswerFields(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -4,6 +4,7 @@
 The settings of a gateway node: a TOML file that is checked as a whole.
 """
 
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -107,6 +108,8 @@
     :param grace_s: longest duration of a planned stop, in seconds.
     :param descriptors: number of file descriptors that this process may open; 0 for the limit of
         the system.
+    :param quota_snapshots: whether owners of quotas write snapshots of their windows to the store,
+        so that the spending survives the loss of all hosts.
     """
 
     retry_ratio: float = 0.2
@@ -119,6 +122,19 @@
     canary_slack: float = 50.0
     grace_s: float = 8.0
     descriptors: int = 0
+    quota_snapshots: bool = False
+
+
+class PlainServices(StrEnum):
+    """How replicas of plain services are chosen.
+
+    ``local``: each node chooses alone. ``queued``: the scheduler of the service's pool decides.
+    ``auto``: the scheduler decides while the fleet uses a large share of the service's slots.
+    """
+
+    LOCAL = "local"
+    QUEUED = "queued"
+    AUTO = "auto"
 
 
 class SchedulingSection(msgspec.Struct, frozen=True):
@@ -132,6 +148,7 @@
     :param attention_s_per_pair: initial estimate: time for each pair of prompt tokens, in seconds.
     :param prefill_chunk_tokens: number of prompt tokens that an engine reads between two output
         tokens of streams.
+    :param plain_services: how replicas of plain services are chosen.
     :param on: features of the policy to enable in addition to the default ones.
     :param off: features of the policy to disable, to measure the value of each.
     """
@@ -143,6 +160,7 @@
     attention_s_per_pair: float = 1.2e-9
     prefill_chunk_tokens: int = 2048
     heartbeat_interval_s: float = 0.25
+    plain_services: PlainServices = PlainServices.LOCAL
     on: list[str] = []
     off: list[str] = []
 
@@ -153,6 +171,17 @@
         return msgspec.structs.replace(GATEWAY_FEATURES, **changed)
 
 
+class MemorySection(msgspec.Struct, frozen=True):
+    """The memory of this process.
+
+    :param limit_mb: memory at which the host ends the process, in MB; 0 for no limit.
+    :param accounted: whether buffered bytes are accounted for and limited.
+    """
+
+    limit_mb: float = 0.0
+    accounted: bool = False
+
+
 class LogsSection(msgspec.Struct, frozen=True):
     """Logging.
 
@@ -174,6 +203,7 @@
     peers: PeersSection = PeersSection()
     limits: LimitsSection = LimitsSection()
     scheduling: SchedulingSection = SchedulingSection()
+    memory: MemorySection = MemorySection()
     logs: LogsSection = LogsSection()
 
     @property
@@ -236,6 +266,10 @@
         problems.append(f"limits.canary_share: above 0 and up to 1, not {value:g}")
     if settings.limits.canary_slack < 0:
         problems.append("limits.canary_slack: a number of requests, 0 or more")
+    if settings.memory.limit_mb < 0:
+        problems.append("memory.limit_mb: a number of megabytes, or 0 for no limit")
+    if settings.memory.accounted and not settings.memory.limit_mb:
+        problems.append("memory.accounted: needs memory.limit_mb")
     if settings.limits.descriptors < 0:
         problems.append("limits.descriptors: a number of descriptors, or 0 to ask the system")
     try:
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -109,7 +109,9 @@
 
 
 def _parse_load(value: bytes | None) -> Load | None:
-    numbers = (value or b"").split(b",")
-    if len(numbers) != 3 or not all(each.strip().isdigit() for each in numbers):
+    """Parse the numbers of running and waiting requests, of slots, and the time in percent."""
+    parts = (value or b"").split(b",")
+    if len(parts) not in (3, 4) or not all(each.strip().isdigit() for each in parts):
         return None
-    return Load(*(int(each) for each in numbers))
+    running, waiting, slots, percent = (int(each) for each in [*parts, b"100"][:4])
+    return Load(running, waiting, slots, percent / 100) if percent else None
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -2,7 +2,7 @@
 
 import pytest
 from chalkyoke.catalog.resources import RouteKind
-from chalkyoke.gateway.ports import Forwarding
+from chalkyoke.gateway.ports import Forwarding, Load
 from chalkyoke.platform.documents import (
     read_catalog,
     read_record,
@@ -160,10 +160,26 @@
         [(b"X-Request-Id", b"r1"), (b"X-Server-Stamp", b"s"), (b"X-Server-Load", b"3,0,8")]
     )
     assert (fields.request_id, fields.signed, fields.not_run) == ("r1", True, False)
-    assert fields.load == (3, 0, 8)
+    assert fields.load == Load(3, 0, 8, 1.0)
     assert PlatformHeaders().read_answer([(b"X-Server-Load", b"3,x")]).load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8,250", Load(3, 0, 8, 2.5)),
+        (b"3, 1, 8, 60", Load(3, 1, 8, 0.6)),
+        (b"3,0,8,", None),
+        (b"3,0,8,0", None),
+        (b"3,0,8,-1", None),
+        (b"3,0,8,100,1", None),
+        (b"3,0", None),
+    ],
+)
+def test_a_load_report_with_a_time_factor_is_not_discarded(value, load):
+    assert PlatformHeaders().read_answer([(b"X-Server-Load", value)]).load == load
+
+
 def test_leaving_and_retry_after_headers_are_parsed():
     read = PlatformHeaders().read_answer
     assert read([(b"Server-Leaving", b"1")]).leaving
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -118,6 +118,10 @@
         first decline of a request: later ones may be caused by the request itself.
     :param rest_s: remaining time for which the upstream asks the entry process to send nothing; 0
         where it does not.
+    :param running: requests running at the upstream, according to the answer's load report.
+    :param waiting: requests waiting there.
+    :param slots: its slots; 0 where the answer carried no load report.
+    :param time_factor: how long work takes there at the moment, as a factor of the usual time.
     """
 
     request: str
@@ -127,17 +131,29 @@
     usage: Usage
     declined: bool = False
     rest_s: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    time_factor: float = 1.0
 
 
 class FirstOutput(msgspec.Struct, frozen=True, array_like=True, tag="first_output"):
     """Report the first output of a request immediately: its prefill is complete.
 
     :param first_s: time from the dispatch to the first output.
+    :param running: requests running at the upstream, according to the answer's load report.
+    :param waiting: requests waiting there.
+    :param slots: its slots; 0 where the answer carried no load report.
+    :param time_factor: how long work takes there at the moment, as a factor of the usual time.
     """
 
     request: str
     pool: str
     first_s: float
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    time_factor: float = 1.0
 
 
 class ProgressItem(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -96,6 +96,13 @@
         default.
     :param early: refuse at arrival a request that would wait beyond its goal, while a retry of the
         caller can still be in time.
+    :param fair_admission: refuse and shed by each team's fair share of the work instead of by the
+        queue of the tier.
+    :param reserved_retries: assign a time and reserve capacity for the retry of a refused request.
+    :param local_domain: prefer upstreams in the failure domain of the entry host while they meet
+        the goal.
+    :param time_factors: multiply predicted times by the upstreams' reported time factors.
+    :param best_fit: prefer the slowest upstream that meets the goal and finishes in time.
     """
 
     hold: bool = True
@@ -109,6 +116,11 @@
     headroom: bool = False
     early: bool = False
     spare: bool = False
+    fair_admission: bool = False
+    reserved_retries: bool = False
+    local_domain: bool = False
+    time_factors: bool = False
+    best_fit: bool = False
 
 
 def uncached_prompt_tokens(item: WaitingRequest, cached_blocks: int) -> int:
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -139,6 +139,11 @@
     headroom: bool = False
     early: bool = False
     spare: bool = False
+    fair_admission: bool = False
+    reserved_retries: bool = False
+    local_domain: bool = False
+    time_factors: bool = False
+    best_fit: bool = False
 
 
 class TlsSection(_Section):
