--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -9,7 +9,6 @@
 import contextlib
 import os
 import random
-import resource
 import secrets
 import signal
 import time
@@ -33,9 +32,8 @@
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.http1.calls import HttpClient
-from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
 from chalkyoke.http1.pool import ConnectionPool
-from chalkyoke.http1.server import ServerConnection, ServerLimits, StartHandler
+from chalkyoke.http1.server import ServerLimits, StartHandler
 from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
 from chalkyoke.limits.keeper import AllocatedLimit, LimitKeeper
@@ -51,6 +49,7 @@
 from chalkyoke.node.announcements import Announcements
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.linkgauges import add_link_gauges
+from chalkyoke.node.listener import Listener
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
@@ -85,8 +84,6 @@
 # Bits of the random incarnation number, which distinguishes two starts of a process. 62 bits keep
 # the number positive in 64 bits.
 INCARNATION_BITS = 62
-# Number of new connections that may wait for accept: enough for a burst while the loop is busy.
-BACKLOG_CONNECTIONS = 1024
 # How long a stopping node still accepts callers, in seconds: the load balancer checks readiness
 # each second and removes a node after two failed checks.
 LEAVE_DELAY_S = 2.5
@@ -131,7 +128,6 @@
         self.view = MembershipView(self.record, settings.scheduling.heartbeat_interval_s)
         self.fleet_size = FleetSize()
         self.request_log = RequestLog(self.metrics, self.now)
-        self._connections: set[ServerConnection] = set()
         self._supervisor = Supervisor(self.metrics)
         self._stopping = asyncio.Event()
         self._handled_generation = -1
@@ -417,36 +413,27 @@
             loop.add_signal_handler(each, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.links.listen()
-        server = await self._listen(self.settings.listen.callers, self.gateway.start_exchange)
-        pages = [await self._listen(self.settings.listen.ready, self._pages.start)]
-        if self.settings.listen.metrics:
-            pages.append(await self._listen(self.settings.listen.metrics, self._pages.start))
+        listen = self.settings.listen
+        callers = self._listener(listen.callers, self.gateway.start_exchange)
+        pages = [
+            self._listener(each, self._pages.start)
+            for each in (listen.ready, listen.metrics)
+            if each
+        ]
+        for listener in (callers, *pages):
+            await listener.listen()
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
-        self._supervisor.start(self._run_planned_stop(server))
+        self._supervisor.start(self._run_planned_stop(callers))
         await self._supervisor.ended.wait()
-        await self._close([server, *pages])
+        await self._close([callers, *pages])
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
 
-    async def _listen(self, address: str, start: StartHandler) -> asyncio.Server:
-        ip, port = address.rsplit(":", 1)
-        own = self._connections if start == self.gateway.start_exchange else set()
-        most = max_caller_connections(self.settings.limits.descriptors or _descriptor_limit())
-
-        def opened() -> None:
-            if closed := close_idle_connections(own, most):
-                log.notice("room_made", closed=closed, open=len(own), most=most)
-
-        return await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(start, self._limits, own, opened),
-            ip,
-            int(port),
-            backlog=BACKLOG_CONNECTIONS,
-            reuse_address=True,
-        )
+    def _listener(self, address: str, start: StartHandler) -> Listener:
+        return Listener(address, start, self._limits, self.settings.limits.descriptors)
 
-    async def _run_planned_stop(self, server: asyncio.Server) -> None:
+    async def _run_planned_stop(self, callers: Listener) -> None:
         """Stop accepting callers, finish the requests in progress, then end the process."""
         await self._stopping.wait()
         began = self.now()
@@ -455,23 +442,20 @@
         self._send_heartbeats()
         # Callers still connect until the load balancer has removed this node.
         await asyncio.sleep(LEAVE_DELAY_S)
-        server.close()
-        for connection in list(self._connections):
-            connection.close_gracefully()
+        callers.close()
         left = self.settings.limits.grace_s - GRACE_MARGIN_S - (self.now() - began)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, left)):
-                while self._connections:  # noqa: ASYNC110
-                    await asyncio.sleep(TICK_S)
+                await callers.finish_requests()
         log.notice("stopped", in_progress=self.gateway.in_progress, took_s=self.now() - began)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
                 await self._registration.deregister()
         self._supervisor.ended.set()
 
-    async def _close(self, servers: list[asyncio.Server]) -> None:
-        for server in servers:
-            server.close()
+    async def _close(self, listeners: list[Listener]) -> None:
+        for listener in listeners:
+            listener.close()
         self._supervisor.cancel()
         await self.links.close()
         self.quarantine.close()
@@ -615,9 +599,5 @@
         self.fleet_size.record_registered((each.host for each in candidates), self.now())
 
 
-def _descriptor_limit() -> int:
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-
-
 def _wall_clock_ms() -> int:
     return time.time_ns() // 1_000_000
