gateway: move the life of one send out of the exchange

Connecting to the granted replica, dispatching the request and waiting for its end are a job of their own: gateway/sender.py. No behaviour changes.

--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -0,0 +1,284 @@
+"""
+chalkyoke.gateway.sender
+
+Send a request to the replica that was granted, and wait for the end of the send.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from chalkyoke.gateway.granted import Granted
+from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.ports import AnswerFields, Forwarding, RequestFields
+from chalkyoke.gateway.reception import Admission, is_still_allowed
+from chalkyoke.gateway.relay import Delivery, Relay
+from chalkyoke.gateway.statements import read_statement
+from chalkyoke.gateway.verdict import MISDIRECTED, SendCounts, SendEnd
+from chalkyoke.http1.client import ClientConnection
+from chalkyoke.http1.messages import Request, encode_request_head
+from chalkyoke.http1.pool import ConnectFailure
+from chalkyoke.invariants import require
+
+# Timeout for opening a connection, in seconds: far more than a round trip, less than most goals.
+CONNECT_TIMEOUT_S = 0.12
+# Longest idle time of a kept connection that is used again, in seconds. A replica may close an idle
+# connection while a request is in transit; a request that may run only once is then lost, so the
+# limit for such requests is lower.
+SINGLE_RUN_MAX_IDLE_S = 1.5
+MAX_IDLE_S = 15.0
+# A stream that another replica can resume is abandoned after a pause of this many gap goals, and of
+# at least this many seconds. Larger values let the caller wait longer for a stream that has
+# stopped; smaller ones abandon more streams that are only slow, and for each of them the other
+# replica reads the whole prompt again.
+STALL_MIN_S = 0.9
+STALL_GAP_GOALS = 2.0
+# Time to wait for the first output before another replica is tried, as a multiple of the goal of
+# the route.
+FIRST_STALL_GOALS = 1.5
+METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+class Progress(msgspec.Struct):
+    """The attempts of one request so far.
+
+    :ivar tried: replicas that were tried, one entry for each attempt to send.
+    :ivar attempt: number of the latest grant that was asked for.
+    :ivar first_counted: whether the retry budget has counted the first send.
+    :ivar declined: whether a replica has declined the request.
+    :ivar unused_grants: number of grants that could not be used.
+    """
+
+    sends: SendCounts = msgspec.field(default_factory=SendCounts)
+    tried: list[str] = msgspec.field(default_factory=list)
+    attempt: int = 0
+    first_counted: bool = False
+    declined: bool = False
+    unused_grants: int = 0
+
+
+class Sender:
+    """Sends one request, to one replica at a time.
+
+    :param parts: components that all exchanges share.
+    :param delivery: the part of an answer that the caller has received.
+    :param progress: the attempts of the request so far; each send is recorded there.
+    :param request_digest: returns the digest of the request's content.
+    :ivar relay: relay of the latest send; None before the first.
+    """
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        request: Request,
+        fields: RequestFields,
+        delivery: Delivery,
+        progress: Progress,
+        request_digest: Callable[[], bytes],
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._fields = fields
+        self._delivery = delivery
+        self._progress = progress
+        self._request_digest = request_digest
+        self._connection: ClientConnection | None = None
+        self.relay: Relay | None = None
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether a replica has the request."""
+        return self._connection is not None
+
+    def cancel(self) -> None:
+        """Abort the send in progress, if any, without an outcome."""
+        if self._connection is not None:
+            self._connection.cancel()
+
+    def abort_as_reset(self) -> None:
+        """Abort the send in progress, if any, as if the replica had reset the connection."""
+        if self._connection is not None:
+            self._connection.abort_as_reset()
+
+    def caller_can_read(self, can_read: bool) -> None:
+        """Pause reading from the replica while the caller reads too slowly."""
+        if self._connection is None:
+            return
+        if can_read:
+            self._connection.resume()
+        else:
+            self._connection.pause()
+
+    async def send(self, admission: Admission, granted: Granted) -> SendEnd | None:
+        """Send the request to the granted replica and wait for the end.
+
+        :return: None if the grant may no longer be used.
+        """
+        parts = self._parts
+        connection = await self._connect(admission, granted)
+        if isinstance(connection, ConnectFailure):
+            if connection is not ConnectFailure.AT_LIMIT:
+                parts.quarantine.record_unreachable(granted.replica)
+            self._progress.tried.append(granted.replica.id)
+            self._return_trial(admission, granted)
+            return SendEnd.NOT_CONNECTED
+        if not self._may_send(admission, granted):
+            parts.connections.release(granted.replica.ip, granted.replica.port, connection)
+            self._return_trial(admission, granted)
+            return None
+        relay = self._dispatch(admission, granted, connection)
+        try:
+            end = await self._wait_for_end(admission, granted, connection, relay)
+        finally:
+            self._connection = None
+            parts.rollouts.record_finished(granted.replica)
+        granted.events = relay.events
+        if end is SendEnd.STALLED and relay.head is None:
+            # The other idle connections to this address may be dead as well.
+            parts.connections.abort_idle(granted.replica.ip, granted.replica.port)
+        if end not in (SendEnd.STALLED, SendEnd.UNUSABLE):
+            parts.connections.release(granted.replica.ip, granted.replica.port, connection)
+        elif not connection.closed:
+            connection.cancel()
+        return end
+
+    def _may_send(self, admission: Admission, granted: Granted) -> bool:
+        """Return whether the grant may still be used after the connection has opened.
+
+        Catalog, quarantine and rollouts may change while the connection opens.
+        """
+        parts, replica = self._parts, granted.replica
+        if parts.replicas.find(replica.id, for_trial=granted.for_trial) is None:
+            return False
+        if parts.balancer.rest_left_s((replica,), parts.now()) > 0:
+            return False
+        if not parts.rollouts.may_send(replica) or parts.quarantine.is_held(self._request_digest):
+            return False
+        return is_still_allowed(admission, parts.catalog())
+
+    def _return_trial(self, admission: Admission, granted: Granted) -> None:
+        if granted.for_trial:
+            self._parts.rollouts.return_trial(admission)
+
+    async def _connect(
+        self, admission: Admission, granted: Granted
+    ) -> ClientConnection | ConnectFailure:
+        replica = granted.replica
+        nodes = max(1, self._parts.node_count())
+        fresh = MAX_IDLE_S if admission.route.repeatable else SINGLE_RUN_MAX_IDLE_S
+        return await self._parts.connections.connect(
+            replica.ip,
+            replica.port,
+            limit=max(2, int(admission.service.max_connections * 0.9 / nodes)),
+            timeout_s=CONNECT_TIMEOUT_S,
+            fresh_s=fresh,
+        )
+
+    def _dispatch(
+        self, admission: Admission, granted: Granted, connection: ClientConnection
+    ) -> Relay:
+        """Write the request to the connection. From here on the request may have run."""
+        parts, progress, request = self._parts, self._progress, self._request
+        require(
+            progress.sends.runs == 0 or admission.route.repeatable,
+            "a request that must not be repeated is sent once",
+            request=admission.request_id,
+        )
+        now = parts.now()
+        if not progress.first_counted:
+            progress.first_counted = True
+            parts.budget.record_first(admission.service.name, now)
+        resumed_after = str(self._delivery.splitter.last_id) if self._delivery.head_sent else ""
+        forwarding = Forwarding(
+            granted.replica.expected_id,
+            admission.team.name if admission.team else "",
+            admission.deadline - now,
+            resumed_after,
+        )
+        headers = parts.headers.forwarded_headers(request.headers, forwarding)
+        has_body = bool(request.body) or request.method in METHODS_WITH_BODY
+        head = encode_request_head(
+            request.method, request.target, headers, len(request.body) if has_body else None
+        )
+        relay = Relay(
+            self._delivery,
+            parts.headers,
+            self._fields.request_id,
+            parts.now,
+            streams=admission.route.is_stream,
+            on_first_event=lambda first_s: parts.grants.record_first_output(
+                admission, granted, first_s
+            ),
+            on_answer_head=lambda status, fields: self._record_statement(granted, status, fields),
+        )
+        self.relay = relay
+        self._connection = connection
+        progress.sends.runs += 1
+        progress.sends.arrivals += 1
+        progress.tried.append(granted.replica.id)
+        parts.grants.record_started(admission, granted)
+        parts.rollouts.record_sent(granted.replica)
+        parts.log_decision(
+            "sent",
+            admission,
+            replica=granted.replica.id,
+            for_trial=granted.for_trial,
+            source=granted.source,
+            scheduler=granted.scheduler,
+            limit_kept_by=_limit_counting_process(granted),
+            send=progress.sends.arrivals,
+            expected_first_s=round(granted.expected_first_s, 4),
+            deadline_s=round(forwarding.deadline_s, 3),
+            resumed_after=resumed_after,
+        )
+        bodiless = request.method == b"HEAD"
+        connection.send(head + request.body, relay, relay.matches_request, bodiless=bodiless)
+        return relay
+
+    def _record_statement(self, granted: Granted, status: int, fields: AnswerFields) -> None:
+        """Record what an answer states about its replica.
+
+        The answer to a misdirected request comes from another replica and is ignored.
+        """
+        if status == MISDIRECTED:
+            return
+        self._parts.announcements.record_answer(granted.replica, read_statement(status, fields))
+
+    async def _wait_for_end(
+        self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
+    ) -> SendEnd:
+        """Wait for the end of a send; abandon a stalled replica where another one may be tried."""
+        parts = self._parts
+        while True:
+            wait_s = self._stall_deadline(admission, relay) - parts.now()
+            done, _ = await asyncio.wait([relay.ended], timeout=max(0.001, wait_s))
+            granted.events = relay.events
+            if relay.first_at:
+                granted.first_s = relay.first_at - relay.started_at
+            if done:
+                return relay.ended.result()
+            if parts.now() < self._stall_deadline(admission, relay):
+                continue
+            connection.cancel()
+            return SendEnd.STALLED
+
+    def _stall_deadline(self, admission: Admission, relay: Relay) -> float:
+        """Return the time at which a silent replica counts as stalled, on the node's clock."""
+        route, sends = admission.route, self._progress.sends
+        budget = self._parts.budget.remaining(
+            admission.service.name, self._parts.node_count(), self._parts.now()
+        )
+        if not route.repeatable or sends.runs >= route.attempts or budget < 1:
+            return admission.deadline + 1.0
+        if relay.first_at:
+            return relay.last_at + max(STALL_MIN_S, STALL_GAP_GOALS * route.gap_goal_s)
+        return relay.started_at + FIRST_STALL_GOALS * route.goal_s
+
+
+def _limit_counting_process(granted: Granted) -> str | None:
+    """Return the process that counts a send toward the limit of its replica, or None."""
+    if granted.counted:
+        return granted.scheduler
+    permit = granted.permit
+    return permit.keeper if permit is not None and permit.limit_per_s is not None else None
