--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -16,7 +16,7 @@
 from chalkyoke.gateway.sender import Progress, Sender
 from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
-from chalkyoke.http1.server import ResponseWriter
+from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.quarantine.identity import request_digest
 from chalkyoke.quotas.client import QuotaDecision
 from chalkyoke.scheduling.state import ReleaseOutcome
--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -9,7 +9,7 @@
 from chalkyoke.gateway.exchange import Exchange
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.http1.messages import Request
-from chalkyoke.http1.server import ResponseWriter
+from chalkyoke.http1.response import ResponseWriter
 
 
 class Gateway:
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -14,7 +14,7 @@
 from chalkyoke.gateway.verdict import MISDIRECTED, SERVER_ERROR_MIN, SendEnd
 from chalkyoke.http1.client import BreakReason
 from chalkyoke.http1.messages import AnswerHead, Headers, end_to_end_headers
-from chalkyoke.http1.server import ResponseWriter
+from chalkyoke.http1.response import ResponseWriter
 
 # A plain answer of up to this many bytes is buffered completely before any of it is forwarded, so
 # that a broken one can be replaced by another attempt. Longer answers would take too much memory.
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -9,7 +9,7 @@
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.verdict import SendCounts
 from chalkyoke.http1.messages import AnswerHead, Headers, reason_phrase
-from chalkyoke.http1.server import ResponseWriter
+from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.invariants import require
 from chalkyoke.quotas.client import QuotaDecision
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -20,6 +20,7 @@
     encode_answer_head,
     reason_phrase,
 )
+from chalkyoke.http1.response import ResponseWriter
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
@@ -31,8 +32,6 @@
 # connection.
 MIN_BODY_BYTES_PER_S = 20_000
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
@@ -63,67 +62,7 @@
         """
 
 
-StartHandler = Callable[[Request, "ResponseWriter"], RequestHandler]
-
-
-class ResponseWriter:
-    """Write the answer to one request.
-
-    :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
-    :ivar head_sent: whether the head has been sent.
-    :ivar finished: whether the answer is finished or aborted; later calls have no effect.
-    """
-
-    __slots__ = ("_bodiless", "_chunked", "_connection", "_unsent_bytes", "finished", "head_sent")
-
-    def __init__(self, connection: "ServerConnection", bodiless: bool) -> None:
-        self._connection = connection
-        self._bodiless = bodiless
-        self._chunked = False
-        self._unsent_bytes = 0
-        self.head_sent = False
-        self.finished = False
-
-    def send_head(self, head: AnswerHead, data: bytes = b"") -> None:
-        """Send the head together with the first bytes of the body."""
-        if self.finished:
-            return
-        self.head_sent = True
-        if head.status in BODILESS_STATUSES:
-            self._bodiless = True
-        self._chunked = head.length is None and not self._bodiless
-        self._unsent_bytes = head.length or 0
-        close = self._connection.closes_after_answer
-        self._connection.write(encode_answer_head(head, close=close, chunked=self._chunked))
-        if data:
-            self.send_body(data)
-
-    def send_body(self, data: bytes) -> None:
-        """Send the next part of the body."""
-        if self.finished or self._bodiless or not data:
-            return
-        if self._chunked:
-            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-            return
-        self._unsent_bytes -= len(data)
-        self._connection.write(data)
-
-    def finish(self) -> None:
-        """Finish the answer, or abort it when the body does not have the announced length."""
-        if self.finished:
-            return
-        if not self._chunked and not self._bodiless and self._unsent_bytes != 0:
-            self.abort()
-            return
-        self.finished = True
-        self._connection.finish_answer(LAST_CHUNK if self._chunked else b"")
-
-    def abort(self) -> None:
-        """Abort the connection, so that the caller doesn't accept a partial answer as complete."""
-        if self.finished:
-            return
-        self.finished = True
-        self._connection.abort()
+StartHandler = Callable[[Request, ResponseWriter], RequestHandler]
 
 
 class ServerConnection(asyncio.Protocol):
--- a/packages/chalkyoke/src/chalkyoke/node/pages.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pages.py
@@ -9,7 +9,7 @@
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.administration.metricspage import metrics_page
 from chalkyoke.http1.messages import AnswerHead, Headers, Request, reason_phrase
-from chalkyoke.http1.server import ResponseWriter
+from chalkyoke.http1.response import ResponseWriter
 
 READY_PATH = b"/readyz"
 METRICS_PATH = b"/metrics"
