gateway: close the replica's connection when a send ends at the deadline

The end of a send forgot its connection before the exchange could cancel it. A request that reached its deadline left the connection open, outside of the pool, until the replica closed it, with what the replica still sent. The send now closes the connection when it is cancelled. The new test fails without the change (connection not closed).

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -130,6 +130,9 @@
         relay = self._dispatch(admission, granted, connection)
         try:
             end = await self._wait_for_end(admission, granted, connection, relay)
+        except asyncio.CancelledError:
+            connection.cancel()
+            raise
         finally:
             self._connection = None
             parts.rollouts.record_finished(granted.replica)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -228,6 +228,30 @@
     virtual.run(main)
 
 
+def test_a_send_that_reaches_the_deadline_leaves_no_connection_open():
+    """The replica went on with a request that nobody waited for, on a connection that was lost."""
+
+    async def main():
+        connection = SilentConnection()
+
+        async def acquire(*_):
+            return Granted(REPLICA, 1, Source.LOCAL)
+
+        async def connect(*_, **__):
+            return connection
+
+        exchange, _, response = exchange_with(acquire, connect)
+        parts = exchange._parts
+        parts.headers.forwarded_headers = lambda headers, forwarding: []
+        parts.budget.record_first = lambda *_: None
+        parts.grants.record_started = lambda admission, granted: None
+        await exchange.run()
+        assert response.status == 504
+        assert connection.closed
+
+    virtual.run(main)
+
+
 def test_an_exception_before_the_first_send_ends_with_a_refusal():
     async def main():
         async def acquire(*_):
