--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -12,10 +12,14 @@
 import httptools
 
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
+from chalkyoke.http1.upload import Upload
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
 BODILESS_STATUSES = frozenset((204, 304))
+# Most bytes that one read takes where memory is limited: with asyncio's 256 KB, a single read could
+# pass on far more for a slow caller than the buffer at which reading pauses.
+MAX_BOUNDED_READ_BYTES = 65_536
 # Largest answer head, in bytes; an answer with a larger head is skipped. It bounds memory at four
 # times the head that callers may send.
 MAX_ANSWER_HEAD_BYTES = 65_536
@@ -69,6 +73,7 @@
         self._sink: AnswerSink | None = None
         self._matches_request: AnswerMatcher | None = None
         self._bodiless = False
+        self._upload: Upload | None = None
         self._unusable = False
         self._parser = httptools.HttpResponseParser(self)
         self.idle_since = self._loop.time()
@@ -94,6 +99,7 @@
         An answer without a length is complete when the upstream closes without an error.
         """
         self.closed = True
+        self._end_upload()
         if self.on_close is not None:
             self.on_close(self)
         if self._sink is None:
@@ -108,6 +114,16 @@
         """Close this side too when the upstream closes its side."""
         return False
 
+    def pause_writing(self) -> None:
+        """Stop to write a request body while the upstream reads too slowly."""
+        if self._upload is not None:
+            self._upload.pause()
+
+    def resume_writing(self) -> None:
+        """Continue to write a request body."""
+        if self._upload is not None:
+            self._upload.resume()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or abort the connection when no request is in progress."""
         if self._sink is None:
@@ -144,20 +160,27 @@
         matches_request: AnswerMatcher,
         *,
         bodiless: bool = False,
+        upload: Upload | None = None,
     ) -> None:
         """Send a request; from this call on the upstream may have run it.
 
-        :param data: head and body.
+        :param data: head and body; only the head if the body is uploaded in pieces.
+        :param upload: the body, if it is uploaded in pieces.
         :param matches_request: tests by its headers whether an answer belongs to the request.
         :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
         """
         self._sink, self._matches_request, self._bodiless = sink, matches_request, bodiless
         self._reset_message()
-        self.transport.write(data)
+        self._upload = upload
+        if upload is None:
+            self.transport.write(data)
+        else:
+            upload.start(data, self.transport)
 
     def cancel(self) -> None:
         """Abort the connection without any further call to the sink."""
         self._sink = None
+        self._end_upload()
         self.transport.abort()
 
     def abort_as_reset(self) -> None:
@@ -247,11 +270,21 @@
     def _finish(self, *, whole: bool) -> None:
         sink, self._sink = self._sink, None
         self.idle_since = self._loop.time()
+        if self._upload is not None and not self._upload.is_complete:
+            # The upstream still expects the rest of the body.
+            self._unusable = True
+            self.transport.abort()
+        self._end_upload()
         if not self.closed:
             self._update_keep_alive()
         if sink is not None and whole:
             sink.answer_end()
 
+    def _end_upload(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            upload.close()
+
     def _update_keep_alive(self) -> None:
         options = connection_options(self._headers)
         if b"close" in options or self._until_close or self._bodiless:
@@ -269,10 +302,33 @@
     def _break_exchange(self, how: BreakReason) -> None:
         sink, self._sink = self._sink, None
         self._unusable = True
+        self._end_upload()
         if sink is not None:
             sink.answer_broken(how)
 
 
+class BoundedClientConnection(ClientConnection, asyncio.BufferedProtocol):
+    """A connection that reads little at a time, for a process whose memory is limited.
+
+    :param read_bytes: most bytes that one read takes; at most :data:`MAX_BOUNDED_READ_BYTES`.
+    """
+
+    # The event loop has one thread and uses the buffer up before the next read.
+    _shared_buffer = memoryview(bytearray(MAX_BOUNDED_READ_BYTES))
+
+    def __init__(self, read_bytes: int) -> None:
+        super().__init__()
+        self._buffer = self._shared_buffer[:read_bytes]
+
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return the buffer for the next read."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse received bytes."""
+        self.data_received(bytes(self._buffer[:nbytes]))
+
+
 def _keep_alive_timeout_s(value: bytes) -> float:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/http1/incoming.py
@@ -0,0 +1,93 @@
+"""
+chalkyoke.http1.incoming
+
+The request that is being read on a caller's connection.
+"""
+
+import msgspec
+
+from chalkyoke.http1.messages import Headers, Request
+from chalkyoke.http1.upload import COPIED_BYTES
+from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
+
+
+class IncomingRequest:
+    """Collects the parts of one request and charges its body to the account.
+
+    :ivar head_bytes: size of the head so far, in bytes.
+    :ivar body_bytes: size of the body so far, in bytes.
+    :ivar charge: the bytes reserved or held for the body.
+    """
+
+    __slots__ = ("_body", "_reserved", "body_bytes", "charge", "head_bytes", "headers", "target")
+
+    def __init__(self, account: MemoryAccount) -> None:
+        self.target = bytearray()
+        self.headers: Headers = []
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.charge: Charge = account.open(Purpose.BODIES_READ)
+        self._body: list[bytes] = []
+        self._reserved = 0
+
+    def add_target(self, part: bytes) -> None:
+        """Append a part of the request target."""
+        self.target += part
+        self.head_bytes += len(part)
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Append a header."""
+        self.head_bytes += len(name) + len(value) + 4
+        self.headers.append((name, value))
+
+    def add_body(self, part: bytes) -> bool:
+        """Append a part of the body.
+
+        :return: whether the body exceeds what was reserved for it, and was charged in addition.
+        """
+        self._body.append(part)
+        self.body_bytes += len(part)
+        if self.body_bytes <= self._reserved:
+            return False
+        self.reserve(self.body_bytes)
+        return True
+
+    def reserve(self, length: int) -> None:
+        """Charge a body, and the part of it that is copied while an upstream reads it.
+
+        :param length: in bytes.
+        """
+        self._reserved = length
+        self.charge.resize(length + min(length, COPIED_BYTES))
+
+    def expected_size(self) -> int:
+        """Return the declared length of the body; 1 if it is unknown, 0 if there is no body."""
+        length = self.declared_length()
+        if length is not None:
+            return length
+        return int(any(name.lower() == b"transfer-encoding" for name, _ in self.headers))
+
+    def declared_length(self) -> int | None:
+        """Return the declared length of the body in bytes, or None."""
+        for name, value in self.headers:
+            if name.lower() == b"content-length":
+                return int(value)
+        return None
+
+    def complete(self, method: bytes) -> Request:
+        """Build the complete request; from here on its body is kept until it has been answered."""
+        self.charge.move(Purpose.BODIES_KEPT)
+        return Request(method, bytes(self.target), self.headers, b"".join(self._body))
+
+    def discard_body(self) -> None:
+        """Drop the body of a refused request."""
+        self._body = []
+        self.charge.release()
+
+
+class WaitingRequest(msgspec.Struct, frozen=True):
+    """A complete request that waits for its turn on its connection."""
+
+    request: Request
+    keep_alive: bool
+    body_charge: Charge
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -9,8 +9,9 @@
 
 import msgspec
 
-from chalkyoke.http1.client import ClientConnection
-from chalkyoke.sockets import set_user_timeout
+from chalkyoke.http1.client import BoundedClientConnection, ClientConnection
+from chalkyoke.memory.account import MemoryAccount
+from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
 
 # Longest idle time of a connection whose upstream announces no keep-alive time, in seconds.
 DEFAULT_IDLE_LIMIT_S = 20.0
@@ -20,6 +21,9 @@
 # Milliseconds that sent bytes may stay unacknowledged before the operating system closes a
 # connection: less than the 3 s of disturbance that operators tolerate on a connection.
 USER_TIMEOUT_MS = 2500
+# Bytes that the system accepts for one connection before it can send them, where memory is limited;
+# without a bound it accepts some 3 MB.
+SYSTEM_UNSENT_BYTES = 16_384
 
 
 class ConnectFailure(StrEnum):
@@ -38,6 +42,8 @@
 class ConnectionPool:
     """Open connections to upstreams and keep idle ones for reuse.
 
+    :param memory: the host's account; with a limit, the system's buffers of each connection are
+        bounded.
     :ivar opened_connections: number of connections opened so far.
 
     Usage::
@@ -45,7 +51,8 @@
       >>> connection = await pool.connect("10.0.0.9", 8080, limit=50, timeout_s=0.3, fresh_s=20.0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryAccount | None = None) -> None:
+        self._memory = memory or MemoryAccount()
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[tuple[str, int], _AddressEntry] = {}
         self.opened_connections = 0
@@ -77,10 +84,12 @@
         if entry.open_connections >= limit:
             return ConnectFailure.AT_LIMIT
 
+        limited = self._memory.is_limited
+        protocol = self._make_bounded if limited else ClientConnection
         entry.open_connections += 1
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await self._loop.create_connection(ClientConnection, ip, port)
+                _, connection = await self._loop.create_connection(protocol, ip, port)
         except TimeoutError:
             entry.open_connections -= 1
             return ConnectFailure.TIMED_OUT
@@ -92,11 +101,18 @@
             raise
         self.opened_connections += 1
         set_user_timeout(connection.transport, USER_TIMEOUT_MS)
+        if limited:
+            bound_unread(connection.transport, self._memory.unread_bound)
+            bound_unsent(connection.transport, SYSTEM_UNSENT_BYTES)
         connection.on_close = lambda closed: self._remove_closed((ip, port), closed)
         if connection.closed:
             self._remove_closed((ip, port), connection)
         return connection
 
+    def _make_bounded(self) -> BoundedClientConnection:
+        # A read of half of what may be unread keeps the sender busy meanwhile.
+        return BoundedClientConnection(self._memory.unread_bound // 2)
+
     def release(self, ip: str, port: int, connection: ClientConnection) -> None:
         """Return a connection to the pool after its exchange, or close it if it can't be reused."""
         entry = self._addresses.get((ip, port))
--- a/packages/chalkyoke/src/chalkyoke/http1/response.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/response.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.http1.response
 
-Writes the answer to one request of a caller.
+Writes the answer to one request of a caller, and the port for the handler of a request.
 """
 
 from typing import Protocol
@@ -12,6 +12,19 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+class RequestHandler(Protocol):
+    """Handles one request while its answer is in progress."""
+
+    def caller_left(self) -> None:
+        """Stop the work, because the caller has closed its connection."""
+
+    def caller_can_read(self, can_read: bool) -> None:
+        """Pause or resume the work by the state of the caller's write buffer.
+
+        :param can_read: false while the caller reads more slowly than the answer is sent.
+        """
+
+
 class CallerConnection(Protocol):
     """The connection on which an answer is written."""
 
@@ -19,6 +32,10 @@
     def closes_after_answer(self) -> bool:
         """Whether the connection closes after the answer in progress."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller has not taken yet, where memory is accounted; else 0."""
+
     def write(self, data: bytes) -> None:
         """Send bytes of the answer."""
 
@@ -50,6 +67,11 @@
         self.head_sent = False
         self.finished = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller has not taken yet, where memory is accounted; else 0."""
+        return self._connection.unsent_bytes
+
     def send_head(self, head: AnswerHead, data: bytes = b"") -> None:
         """Send the head together with the first bytes of the body."""
         if self.finished:
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -7,11 +7,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import cast
 
 import httptools
 import msgspec
 
+from chalkyoke.http1.incoming import IncomingRequest, WaitingRequest
+from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
     AnswerHead,
     Headers,
@@ -20,7 +22,7 @@
     encode_answer_head,
     reason_phrase,
 )
-from chalkyoke.http1.response import ResponseWriter
+from chalkyoke.http1.response import RequestHandler, ResponseWriter
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
@@ -49,19 +51,6 @@
     idle_timeout_s: float = 15.0
 
 
-class RequestHandler(Protocol):
-    """Handles one request while its answer is in progress."""
-
-    def caller_left(self) -> None:
-        """Stop the work, because the caller has closed its connection."""
-
-    def caller_can_read(self, can_read: bool) -> None:
-        """Pause or resume the work by the state of the caller's write buffer.
-
-        :param can_read: false while the caller reads more slowly than the answer is sent.
-        """
-
-
 StartHandler = Callable[[Request, ResponseWriter], RequestHandler]
 
 
@@ -72,6 +61,7 @@
     :param limits: returns the limits in force.
     :param connections: the set of open connections; it contains the connection while it is open.
     :param opened: called when the connection is open and in the set.
+    :param memory: what the connections of a listener share to account for their buffers.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     :ivar closes_after_answer: whether the connection closes after the answer in progress.
     :ivar stopping: whether a planned stop has begun.
@@ -83,15 +73,21 @@
         limits: Callable[[], ServerLimits],
         connections: set["ServerConnection"],
         opened: Callable[[], None] = lambda: None,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._start_handler = start
         self._limits = limits
         self._connections = connections
         self._on_opened = opened
+        self._memory = memory or CallerMemory()
+        self._unsent: UnsentResponse | None = None
+        self._incoming = IncomingRequest(self._memory.account)
+        self._kept_charge = self._incoming.charge
+        self._refusal: bytes | None = None
         self._loop = asyncio.get_running_loop()
         self.idle_since = self._loop.time()
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting_requests: deque[tuple[Request, bool, bool]] = deque()
+        self._waiting_requests: deque[WaitingRequest] = deque()
         self._handler: RequestHandler | None = None
         self._response_writer: ResponseWriter | None = None
         self._write_buffer: list[bytes] = []
@@ -100,16 +96,12 @@
         self._ignores_input = False
         self._last_request_read = False
         self._reading_paused = False
+        self._writing_paused = False
         self.closes_after_answer = False
         self.stopping = False
         self._in_message = False
         self._head_complete = False
         self._unparsed_bytes = 0
-        self._head_bytes_read = 0
-        self._body_bytes_read = 0
-        self._target = bytearray()
-        self._headers: Headers = []
-        self._body: list[bytes] = []
 
     # Connection events.
 
@@ -117,6 +109,7 @@
         """Register the connection and start its idle timeout."""
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        self._unsent = self._memory.watch(self.transport)
         self._on_opened()
         self._set_timer(self._limits().idle_timeout_s)
 
@@ -124,7 +117,7 @@
         """Notify the handler in progress that the caller has disconnected."""
         self._connections.discard(self)
         self._cancel_timer()
-        self._waiting_requests.clear()
+        self._release_memory()
         handler, self._handler = self._handler, None
         if handler is not None:
             if self._response_writer is not None:
@@ -137,11 +130,13 @@
 
     def pause_writing(self) -> None:
         """Pause the handler while the caller reads too slowly."""
+        self._writing_paused = True
         if self._handler is not None:
             self._handler.caller_can_read(False)
 
     def resume_writing(self) -> None:
         """Resume the handler."""
+        self._writing_paused = False
         if self._handler is not None:
             self._handler.caller_can_read(True)
 
@@ -190,58 +185,55 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
-        self._head_bytes_read += len(url)
+        self._incoming.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header to the request."""
-        self._head_bytes_read += len(name) + len(value) + 4
-        self._headers.append((name, value))
+        self._incoming.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the complete head and refuse the request when it breaks a limit or a rule."""
         self._head_complete = True
-        limits = self._limits()
-        if self._head_bytes_read > limits.header_bytes:
+        limits, incoming = self._limits(), self._incoming
+        if incoming.head_bytes > limits.header_bytes:
             self._refuse(431)
             return
-        hosts = sum(1 for name, _ in self._headers if name.lower() == b"host")
+        hosts = sum(1 for name, _ in incoming.headers if name.lower() == b"host")
         version = self._parser.get_http_version()
-        if hosts > 1 or (hosts == 0 and version != "1.0") or not self._target.startswith(b"/"):
+        if hosts > 1 or (hosts == 0 and version != "1.0") or not incoming.target.startswith(b"/"):
             self._refuse(400)
             return
-        length = self._declared_length()
+        length = incoming.declared_length()
         if length is not None and length > limits.body_bytes:
             self._refuse(413)
             return
+        if not self._admit_body():
+            return
         self._set_timer(limits.header_timeout_s + (length or 0) / MIN_BODY_BYTES_PER_S)
-        if any(name.lower() == b"expect" for name, _ in self._headers):
+        if any(name.lower() == b"expect" for name, _ in incoming.headers):
             self.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, or refuse the request when the body is too large."""
         if self._ignores_input:
             return
-        self._body_bytes_read += len(body)
-        if self._body_bytes_read > self._limits().body_bytes:
+        incoming = self._incoming
+        if incoming.body_bytes + len(body) > self._limits().body_bytes:
             self._refuse(413)
-            return
-        self._body.append(body)
+        elif incoming.add_body(body) and self._memory.account.is_exceeded:
+            self._memory.on_upload_refused()
+            self._refuse_in_turn()
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and start it when no other is in progress."""
         if self._ignores_input:
             return
-        request = Request(
-            self._parser.get_method(),
-            bytes(self._target),
-            self._headers,
-            b"".join(self._body),
-        )
+        incoming = self._incoming
+        request = incoming.complete(self._parser.get_method())
         keep_alive = self._parser.should_keep_alive() and not self._last_request_read
-        if b"close" in connection_options(self._headers):
+        if b"close" in connection_options(request.headers):
             keep_alive = False
-        self._waiting_requests.append((request, keep_alive, request.method == b"HEAD"))
+        self._waiting_requests.append(WaitingRequest(request, keep_alive, incoming.charge))
         self._reset_message()
         if self._handler is None:
             self._start_next_request()
@@ -249,38 +241,35 @@
             self._reading_paused = True
             self.transport.pause_reading()
 
-    def _declared_length(self) -> int | None:
-        for name, value in self._headers:
-            if name.lower() == b"content-length":
-                return int(value)
-        return None
-
     def _reset_message(self) -> None:
         self._in_message = False
         self._head_complete = False
         self._unparsed_bytes = 0
-        self._head_bytes_read = 0
-        self._body_bytes_read = 0
-        self._target = bytearray()
-        self._headers = []
-        self._body = []
+        self._incoming = IncomingRequest(self._memory.account)
 
     # Requests and answers.
 
     def _start_next_request(self) -> None:
         if not self._waiting_requests:
+            if self._refusal is not None:
+                self._send_refusal(self._refusal)
+                return
             self._set_timer(self._limits().idle_timeout_s)
             return
         self._cancel_timer()
-        request, keep_alive, bodiless = self._waiting_requests.popleft()
+        waiting = self._waiting_requests.popleft()
+        self._kept_charge = waiting.body_charge
         if self._reading_paused and len(self._waiting_requests) < MAX_PIPELINED_REQUESTS:
             self._reading_paused = False
             self.transport.resume_reading()
-        self.closes_after_answer = not keep_alive or self.stopping
-        self._response_writer = ResponseWriter(self, bodiless)
-        self._handler = self._start_handler(request, self._response_writer)
+        self.closes_after_answer = not waiting.keep_alive or self.stopping
+        self._response_writer = ResponseWriter(self, waiting.request.method == b"HEAD")
+        self._handler = self._start_handler(waiting.request, self._response_writer)
         if self._response_writer.finished:
             self._handler = None
+        elif self._writing_paused and self._unsent is not None:
+            # The caller has not taken the answers to its earlier requests yet.
+            self._handler.caller_can_read(False)
 
     def finish_answer(self, final_bytes: bytes) -> None:
         """Finish the answer in progress, then start the next request or close the connection.
@@ -288,6 +277,7 @@
         :param final_bytes: the last bytes of the answer.
         """
         self._handler = None
+        self._kept_charge.release()
         self.idle_since = self._loop.time()
         if final_bytes:
             self.write(final_bytes)
@@ -319,7 +309,10 @@
     def _flush(self) -> None:
         self._flushing = False
         if self._write_buffer and not self.transport.is_closing():
-            self.transport.write(b"".join(self._write_buffer))
+            data = b"".join(self._write_buffer)
+            self.transport.write(data)
+            if self._unsent is not None:
+                self._unsent.on_written(len(data), self._loop.time())
         self._write_buffer.clear()
 
     def _refuse(self, status: int) -> None:
@@ -330,15 +323,63 @@
         if self._ignores_input:
             return
         self._ignores_input = True
+        self._incoming.discard_body()
         if self._handler is not None:
             # An earlier request is still being answered; the requests after it are discarded.
             self.closes_after_answer = True
-            self._waiting_requests.clear()
+            self._discard_waiting()
             return
-        head = AnswerHead(status, reason_phrase(status), [], 0)
-        self.write(encode_answer_head(head, close=True, chunked=False))
+        self._send_refusal(_encode_refusal(status, []))
+
+    def _refuse_in_turn(self) -> None:
+        """Refuse a request for lack of memory after the requests before it have been answered.
+
+        The rest of it is ignored, and the connection closes.
+        """
+        self._ignores_input = True
+        self._incoming.discard_body()
+        refusal = _encode_refusal(503, [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)])
+        if self._handler is None and not self._waiting_requests:
+            self._send_refusal(refusal)
+        else:
+            self._refusal = refusal
+
+    def _send_refusal(self, refusal: bytes) -> None:
+        self.write(refusal)
         self._close_after_linger()
 
+    # Memory.
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller has not taken yet, where memory is accounted; else 0."""
+        return 0 if self._unsent is None else self._unsent.unsent_bytes
+
+    def _admit_body(self) -> bool:
+        """Reserve memory for the body, or refuse the request.
+
+        :return: whether the request is read.
+        """
+        incoming = self._incoming
+        size = incoming.expected_size()
+        if not self._memory.admits(bytes(incoming.target), incoming.headers, size):
+            self._refuse_in_turn()
+            return False
+        incoming.reserve(size)
+        return True
+
+    def _release_memory(self) -> None:
+        self._incoming.discard_body()
+        self._kept_charge.release()
+        self._discard_waiting()
+        if self._unsent is not None:
+            self._unsent.close()
+
+    def _discard_waiting(self) -> None:
+        for waiting in self._waiting_requests:
+            waiting.body_charge.release()
+        self._waiting_requests.clear()
+
     def _close_after_linger(self) -> None:
         """Close after :data:`LINGER_S`.
 
@@ -371,3 +412,8 @@
             self._refuse(408)
         elif self.idle:
             self.transport.close()
+
+
+def _encode_refusal(status: int, headers: Headers) -> bytes:
+    head = AnswerHead(status, reason_phrase(status), headers, 0)
+    return encode_answer_head(head, close=True, chunked=False)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -1,7 +1,8 @@
 import asyncio
 
 import pytest
-from chalkyoke.http1.client import BreakReason, ClientConnection
+from chalkyoke.http1.client import BoundedClientConnection, BreakReason, ClientConnection
+from chalkyoke.http1.upload import COPIED_BYTES, Upload
 
 from .transports import RecordingTransport
 
@@ -112,3 +113,67 @@
 def test_interim_answer_is_skipped():
     _, _, sink = exchange(b"HTTP/1.1 103 Early Hints\r\nId: mine\r\n\r\n" + OWN_ANSWER)
     assert (sink.head.status, sink.ended) == (200, 1)
+
+
+class SlowUpstream(RecordingTransport):
+    """A transport whose upstream takes nothing until ``drain``."""
+
+    def write(self, data):
+        super().write(data)
+        self.unsent += len(data)
+        self.connection.pause_writing()
+
+    def drain(self):
+        self.unsent = 0
+        self.connection.resume_writing()
+
+
+def upload_to(transport, body):
+    connection = transport.connection = ClientConnection()
+    connection.connection_made(transport)
+    sink = RecordingSink()
+    connection.send(b"head", sink, lambda headers: True, upload=Upload(body))
+    return connection, sink
+
+
+def test_a_body_is_copied_in_pieces_while_the_upstream_reads_slowly():
+    async def main():
+        body, transport = bytes(range(256)) * 1000, SlowUpstream()
+        upload_to(transport, body)
+        while len(transport.written) < len(body) + 4:
+            assert transport.unsent <= COPIED_BYTES
+            transport.drain()
+        assert transport.written == b"head" + body
+
+    asyncio.run(main())
+
+
+def test_a_connection_with_an_unfinished_body_carries_no_other_request():
+    """The rest of the body would be read as the next request."""
+
+    async def main():
+        transport = SlowUpstream()
+        connection, sink = upload_to(transport, b"x" * 100_000)
+        connection.data_received(OWN_ANSWER)
+        sent = len(transport.written)
+        transport.drain()
+        assert sink.ended == 1 and not connection.reusable and transport.aborted
+        assert len(transport.written) == sent
+
+    asyncio.run(main())
+
+
+def test_a_bounded_connection_reads_answers_in_small_parts():
+    async def main():
+        connection, sink = BoundedClientConnection(16), RecordingSink()
+        connection.connection_made(RecordingTransport())
+        connection.send(b"GET", sink, lambda headers: True)
+        left = OWN_ANSWER
+        while left:
+            buffer = connection.get_buffer(-1)
+            part, left = left[: len(buffer)], left[len(buffer) :]
+            buffer[: len(part)] = part
+            connection.buffer_updated(len(part))
+        assert (sink.body, sink.ended) == (b"ok", 1)
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -1,8 +1,11 @@
 import asyncio
 
 import pytest
+from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import AnswerHead
 from chalkyoke.http1.server import ServerConnection, ServerLimits
+from chalkyoke.memory.account import MemoryAccount, Purpose
+from chalkyoke.memory.stopped import STOPPED_AFTER_S
 
 from tests import virtual
 
@@ -27,10 +30,10 @@
 class Caller:
     """A caller on one connection; the test answers its recorded requests itself."""
 
-    def __init__(self, limits=LIMITS):
+    def __init__(self, limits=LIMITS, memory=None):
         self.requests = []
         self.handlers = []
-        self.connection = ServerConnection(self._start, lambda: limits, set())
+        self.connection = ServerConnection(self._start, lambda: limits, set(), memory=memory)
         self.transport = RecordingTransport()
         self.connection.connection_made(self.transport)
 
@@ -247,3 +250,103 @@
         assert caller.transport.closed
 
     run(check)
+
+
+LONG_BODIES = ServerLimits(body_bytes=10**6)
+POST_HEAD = POST + b"Content-Length: 100000\r\nExpect: 100-continue\r\n\r\n"
+
+
+def memory_of(limit, **more):
+    return CallerMemory(MemoryAccount(limit), **more)
+
+
+@pytest.mark.parametrize("earlier", [b"", GOOD], ids=["first", "pipelined"])
+def test_a_body_without_room_is_refused_unread_and_earlier_requests_are_answered(earlier):
+    async def check():
+        memory = memory_of(10**6, admits=lambda target, headers, length: length == 0)
+        caller = Caller(LONG_BODIES, memory)
+        await caller.send(earlier + POST_HEAD)
+        await caller.send(b"x" * 100_000)
+        if earlier:
+            assert caller.transport.written == b""
+            await caller.answer(0)
+        assert len(caller.requests) == bool(earlier)
+        last = caller.transport.written.rpartition(b"HTTP/1.1 ")[2]
+        assert last.startswith(b"503 ") and b"Retry-After: 0.50" in last
+        assert b"100 Continue" not in caller.transport.written
+        assert caller.transport.ended and memory.account.total == 0
+
+    run(check)
+
+
+@pytest.mark.parametrize("how", ["answered", "left", "refused"])
+def test_a_body_is_charged_from_its_head_on_and_refunded_once(how):
+    """A charge that outlives its request would let the account fill up for good."""
+
+    async def check():
+        memory = memory_of(10**6)
+        caller = Caller(LONG_BODIES, memory)
+        await caller.send(POST_HEAD)
+        assert memory.account.by_purpose[Purpose.BODIES_READ] >= 100_000
+        if how == "refused":
+            await caller.send(b"x" * 100_000 + b"GARBAGE\r\n\r\n" + POST_HEAD)
+        else:
+            await caller.send(b"x" * 100_000)
+        assert memory.account.by_purpose[Purpose.BODIES_KEPT] >= 100_000
+        if how != "left":
+            await caller.answer(0)
+        if how != "answered":
+            caller.connection.connection_lost(None)
+        assert memory.account.total == 0
+
+    run(check)
+
+
+def test_an_upload_of_unknown_length_is_refused_when_it_exceeds_the_limit():
+    async def check():
+        refused = []
+        memory = memory_of(150_000, on_upload_refused=lambda: refused.append(1))
+        caller = Caller(LONG_BODIES, memory)
+        await caller.send(POST + b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(10):
+            await caller.send(b"7530\r\n" + b"z" * 30_000 + b"\r\n")
+        assert caller.transport.written.startswith(b"HTTP/1.1 503 ")
+        assert (caller.requests, refused, memory.account.total) == ([], [1], 0)
+
+    run(check)
+
+
+def test_a_connection_that_takes_no_byte_is_released_and_one_that_reads_is_not():
+    async def check():
+        memory = memory_of(10**6)
+        stopped, reading = Caller(memory=memory), Caller(memory=memory)
+        for each, unsent in ((stopped, 40_000), (reading, 90_000)):
+            await each.send(GOOD)
+            each.transport.unsent = unsent
+            await each.answer(0, b"y" * 100_000)
+        assert memory.account.by_purpose[Purpose.RESPONSES_SENT] > 130_000
+        now = asyncio.get_running_loop().time() + STOPPED_AFTER_S
+        reading.transport.unsent -= 1
+        memory.refresh(now)
+        assert memory.release_stopped(now).size == 40_000
+        assert memory.release_stopped(now) is None
+        assert stopped.transport.aborted and not reading.transport.aborted
+        reading.transport.unsent = 0
+        memory.refresh(now)
+        assert memory.account.total == 0
+
+    run(check)
+
+
+def test_a_request_behind_an_answer_that_is_not_taken_starts_paused():
+    """Otherwise one connection could pile up the answers to many requests."""
+
+    async def check():
+        caller = Caller(memory=memory_of(10**6))
+        await caller.send(GOOD)
+        caller.connection.pause_writing()
+        await caller.answer(0)
+        await caller.send(GOOD)
+        assert caller.handlers[1].readable == [False]
+
+    run(check)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/transports.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/transports.py
@@ -8,6 +8,7 @@
         self.aborted = False
         self.ended = False
         self.reading = True
+        self.unsent = 0
 
     def write(self, data):
         self.written += data
@@ -21,6 +22,12 @@
     def is_closing(self):
         return self.closed
 
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def set_write_buffer_limits(self, high):
+        pass
+
     def can_write_eof(self):
         return True
 
--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -35,6 +35,10 @@
 MAX_UNSENT_BYTES = 1_000_000
 
 
+def _max_unsent_bytes() -> int:
+    return MAX_UNSENT_BYTES
+
+
 MessageReceiver = Callable[[msgspec.Struct], Awaitable[None] | None]
 
 
@@ -83,6 +87,8 @@
 class Connection:
     """Send and receive messages over one stream.
 
+    :param max_unsent_bytes: returns the size of the send buffer above which messages are dropped,
+        in bytes.
     :ivar peer: id of the peer process, once the handshake is done.
     :ivar peer_address: ``ip:port`` of the peer's listener.
     :ivar peer_kinds: the kinds of messages that the listener has announced that it understands; set
@@ -96,6 +102,7 @@
         codec: FrameCodec,
         clock: Clock,
         counters: LinkCounters,
+        max_unsent_bytes: Callable[[], int] = _max_unsent_bytes,
     ) -> None:
         self.peer = ""
         self.peer_address = ""
@@ -106,6 +113,7 @@
         self._codec = codec
         self._clock = clock
         self._counters = counters
+        self._max_unsent_bytes = max_unsent_bytes
         self._frames = FrameReader()
         self._ready: list[msgspec.Struct] = []
 
@@ -125,7 +133,7 @@
         :return: whether the message was written to the stream; it is dropped if the stream is
             closing or the peer reads too slowly.
         """
-        if self._writer.is_closing() or self.unsent_bytes > MAX_UNSENT_BYTES:
+        if self._writer.is_closing() or self.unsent_bytes > self._max_unsent_bytes():
             self._counters.dropped += 1
             return False
         frame = self._codec.encode(self._clock.stamp(), message)
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -13,7 +13,13 @@
 from chalkyoke.exceptions import ChalkyokeError, LinkError, ProtocolError
 from chalkyoke.links import intake
 from chalkyoke.links.codec import FrameCodec
-from chalkyoke.links.connection import Clock, Connection, Identity, LinkCounters
+from chalkyoke.links.connection import (
+    MAX_UNSENT_BYTES,
+    Clock,
+    Connection,
+    Identity,
+    LinkCounters,
+)
 from chalkyoke.links.keepalive import KEEPALIVE_INTERVAL_S, Receipts, Unconfirmed
 from chalkyoke.links.kinds import PeerKinds
 from chalkyoke.links.messages import Challenge, Hello, Received, Skipped, Welcome
@@ -36,6 +42,9 @@
 # TCP user timeout: time that the system waits for a peer's acknowledgement, in milliseconds. It is
 # shorter than the time without heartbeats after which a peer is lost.
 USER_TIMEOUT_MS = 1000
+# Assumed size of a message that waits for its link to open, in bytes: they are not encoded yet, and
+# most are heartbeats, grants and releases.
+QUEUED_MESSAGE_BYTES = 500
 
 Handler = Callable[[Connection, msgspec.Struct], Awaitable[None] | None]
 
@@ -66,6 +75,8 @@
     :param listen: the address to listen on, if it differs from the announced one.
     :param kinds: the kinds that peers understand whose version does not announce them; None means
         all kinds.
+    :ivar max_unsent_bytes: returns the size of one link's send buffer above which messages are
+        dropped, in bytes; at most ``MAX_UNSENT_BYTES``. It may be replaced.
     """
 
     def __init__(
@@ -88,6 +99,7 @@
         self._outgoing: dict[str, _Outgoing] = {}
         self._incoming: dict[Connection, Receipts] = {}
         self._next_confirm = 0.0
+        self.max_unsent_bytes: Callable[[], int] = lambda: MAX_UNSENT_BYTES
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -160,6 +172,18 @@
         open_ones = (each.connection for each in self._outgoing.values())
         return sum(each.unsent_bytes for each in open_ones if each is not None)
 
+    def buffered_bytes(self) -> int:
+        """Return the estimated memory of all messages that wait to be sent, in bytes.
+
+        :rtype: int
+        """
+        queued = sum(len(each.queue) for each in self._outgoing.values())
+        answers = sum(each.unsent_bytes for each in self._incoming)
+        return self.unsent_bytes() + answers + queued * QUEUED_MESSAGE_BYTES
+
+    def _max_unsent(self) -> int:
+        return min(MAX_UNSENT_BYTES, self.max_unsent_bytes())
+
     def _confirm(self, every_s: float, now: float) -> None:
         for connection, receipts in list(self._incoming.items()):
             due = receipts.next_confirmation()
@@ -204,7 +228,7 @@
         except (OSError, TimeoutError) as error:
             raise LinkError(f"cannot reach {address}: {error}") from error
         set_user_timeout(writer, USER_TIMEOUT_MS)
-        connection = Connection(reader, writer, self._codec, self._clock, self.counters)
+        connection = self._make_connection(reader, writer)
         try:
             await connection.handshake_as_caller(self.me)
         except LinkError:
@@ -212,6 +236,11 @@
             raise
         return connection
 
+    def _make_connection(
+        self, reader: intake.ByteStreamReader, writer: asyncio.StreamWriter
+    ) -> Connection:
+        return Connection(reader, writer, self._codec, self._clock, self.counters, self._max_unsent)
+
     async def _run(self, address: str, outgoing: _Outgoing) -> None:
         """Open a link and serve it until it ends.
 
@@ -262,7 +291,7 @@
             self._outgoing.pop(address, None)
 
     async def _serve(self, reader: intake.ByteStreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = Connection(reader, writer, self._codec, self._clock, self.counters)
+        connection = self._make_connection(reader, writer)
         loop = asyncio.get_running_loop()
         receipts = Receipts(loop.time())
         try:
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -22,3 +22,27 @@
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
     if tcp_socket is not None and option is not None:
         tcp_socket.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
+
+
+def bound_unsent(connection: asyncio.BaseTransport, size: int) -> None:
+    """Bound the bytes that the operating system accepts before it can send them.
+
+    Unlike a small ``SO_SNDBUF``, this does not slow down a peer that reads: bytes in transit do not
+    count. It has no effect where the system lacks ``TCP_NOTSENT_LOWAT``.
+
+    :param size: in bytes.
+    """
+    tcp_socket = connection.get_extra_info("socket")
+    option = getattr(socket, "TCP_NOTSENT_LOWAT", None)
+    if tcp_socket is not None and option is not None:
+        tcp_socket.setsockopt(socket.IPPROTO_TCP, option, size)
+
+
+def bound_unread(connection: asyncio.BaseTransport, size: int) -> None:
+    """Bound the bytes that the operating system receives before the program reads them.
+
+    :param size: in bytes; the system may use up to twice as much.
+    """
+    tcp_socket = connection.get_extra_info("socket")
+    if tcp_socket is not None:
+        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
