gateway, node: limit the memory of a host under slow readers

memory.accounted, or the contract named by memory.accounted_with, switches the account on; the limit is memory.limit_mb less a reserve of a fifth and what the program itself uses. Requests are refused by rank when memory is scarce, responses to slow callers are read on after 1 s of pause as far as their share allows, plain responses are held back for a repeat up to their share, and a pause of the host's own is no stall of the replica.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -139,6 +139,7 @@
 
     :param folder: folder for settings and logs.
     :param zones: the failure domain of each node.
+    :ivar memory: the ``memory`` section of the settings of all nodes.
     """
 
     def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
@@ -148,6 +149,7 @@
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
         self.limits = {"retry_slack": 100.0}
+        self.memory: dict[str, Any] = {}
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -201,9 +203,13 @@
         engine: bool = False,
         port: int = 0,
         version: str = "v1",
+        **more: Any,
     ) -> Replica:
-        """Start a replica."""
-        replica = Replica(name, service, zone, self.store, engine, version=version)
+        """Start a replica.
+
+        :param more: further fields of the replica.
+        """
+        replica = Replica(name, service, zone, self.store, engine, version=version, **more)
         await replica.start(own_address(REPLICA_ADDRESS_NUMBER), port)
         self.replicas[name] = replica
         return replica
@@ -230,6 +236,7 @@
         """Write a node's settings and start the node; it may have run before."""
         node = self.nodes[name]
         limits = "".join(f"{key} = {value}\n" for key, value in self.limits.items())
+        memory = "".join(f"{key} = {json.dumps(value)}\n" for key, value in self.memory.items())
         seeds = [each.advertised_address for each in self.nodes.values()][:3]
         node.settings.write_text(
             f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
@@ -240,7 +247,7 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            f"[limits]\n{limits}",
+            f"[limits]\n{limits}[memory]\n{memory}",
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -17,6 +17,8 @@
 
 READ_LIMIT_BYTES = 5_000_000
 EVENTS_PER_STREAM = 8
+# Size of the parts in which a slow replica reads a request body, in bytes.
+SLOW_PART_BYTES = 4_096
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -50,6 +52,11 @@
     :ivar renamed: whether the replica restarts under a new id, or under its own id as a new start.
     :ivar limit_per_s: the limit announced in answers, in requests a second from all nodes together;
         negative announces none. The replica does not enforce it.
+    :ivar answer_bytes: size to which answers of plain requests are padded, in bytes.
+    :ivar unread_abort_s: time for which an answer may stay unread before the replica aborts it, in
+        seconds; 0 for no limit.
+    :ivar read_bytes_per_s: rate at which request bodies are read, in bytes per second; 0 for no
+        limit.
     """
 
     lose_answers: int = 0
@@ -68,6 +75,9 @@
     says_leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float = -1.0
+    answer_bytes: int = 0
+    unread_abort_s: float = 0.0
+    read_bytes_per_s: float = 0.0
 
 
 @dataclass
@@ -97,6 +107,7 @@
     :param engine: whether the replica answers with event streams.
     :param events: the number of events in each stream.
     :param version: version of the replica's software.
+    :param read_limit_bytes: bytes of a request that are received before they are read.
     :param now: a monotonic clock, in seconds.
     :ivar seen: requests that the replica began to run.
     :ivar address: the address in the replica's record.
@@ -104,6 +115,7 @@
     :ivar misdirected: the number of requests that were meant for another replica.
     :ivar rejected: requests that the replica answered with 503 and did not run.
     :ivar runs: the number of runs of each request id.
+    :ivar unread_aborts: the number of answers that were aborted because they stayed unread.
     :ivar exit_times: when the replica exited by itself.
     :ivar born: the replica's start, in milliseconds of its own clock.
     """
@@ -116,10 +128,12 @@
     slots: int = 4
     events: int = EVENTS_PER_STREAM
     version: str = "v1"
+    read_limit_bytes: int = READ_LIMIT_BYTES
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     seen: list[ReceivedRequest] = field(default_factory=list)
     rejected: list[ReceivedRequest] = field(default_factory=list)
     misdirected: int = 0
+    unread_aborts: int = 0
     runs: Counter[str] = field(default_factory=Counter)
     state: str = "ready"
     address: str = ""
@@ -138,7 +152,7 @@
         :return: the listening address.
         """
         self._server = await asyncio.start_server(
-            self._serve_connection, ip, port, limit=READ_LIMIT_BYTES
+            self._serve_connection, ip, port, limit=self.read_limit_bytes
         )
         self.born = round(self.now() * 1000) + 1
         self.listen_address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
@@ -193,7 +207,7 @@
         self._writers.add(writer)
         try:
             while True:
-                request = await _read_request(reader)
+                request = await _read_request(reader, self.faults.read_bytes_per_s)
                 if request is None or not await self._handle_request(request, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -242,12 +256,22 @@
             status = 500
         if self.faults.fail_each and self.runs.total() % self.faults.fail_each == 0:
             status = 500
-        body = f"{self.id} did {name}".encode()
+        body = f"{self.id} did {name}".encode().ljust(self.faults.answer_bytes, b".")
         _write_response(writer, status, self._headers(name), body)
         if self.faults.extra_answers > 0:
             self.faults.extra_answers -= 1
             _write_response(writer, 200, self._headers(name), b"an answer that nobody asked for")
-        await writer.drain()
+        return await self._drain(writer)
+
+    async def _drain(self, writer: asyncio.StreamWriter) -> bool:
+        """Wait until an answer is sent, and abort it if it stays unread for too long."""
+        try:
+            async with asyncio.timeout(self.faults.unread_abort_s or None):
+                await writer.drain()
+        except TimeoutError:
+            self.unread_aborts += 1
+            writer.transport.abort()
+            return False
         return True
 
     def _reject_request(
@@ -314,7 +338,9 @@
     return b"".join(encode_event(number) for number in range(EVENTS_PER_STREAM))
 
 
-async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
+async def _read_request(
+    reader: asyncio.StreamReader, bytes_per_s: float = 0.0
+) -> ReceivedRequest | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -323,10 +349,24 @@
     method, target, _ = lines[0].split(" ", 2)
     pairs = (line.split(":", 1) for line in lines[1:] if line)
     headers = {name.lower(): value.strip() for name, value in pairs}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    length = int(headers.get("content-length", "0"))
+    if bytes_per_s:
+        body = await _read_slowly(reader, length, bytes_per_s)
+    else:
+        body = await reader.readexactly(length)
     return ReceivedRequest(method, target, headers, body)
 
 
+async def _read_slowly(reader: asyncio.StreamReader, length: int, bytes_per_s: float) -> bytes:
+    parts = []
+    while length:
+        part = await reader.readexactly(min(length, SLOW_PART_BYTES))
+        parts.append(part)
+        length -= len(part)
+        await asyncio.sleep(len(part) / bytes_per_s)
+    return b"".join(parts)
+
+
 def _write_head(writer: asyncio.StreamWriter, status: int, headers: dict[str, str]) -> None:
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES[status]}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/packages/chalkyoke/src/chalkyoke/gateway/events.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/events.py
@@ -56,6 +56,11 @@
         """Whether the received data ends within an event."""
         return bool(self._partial_bytes)
 
+    @property
+    def partial_size(self) -> int:
+        """Size of the incomplete event, in bytes."""
+        return len(self._partial_bytes)
+
     @property
     def is_too_large(self) -> bool:
         """Whether the incomplete event exceeds the size limit."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -51,7 +51,13 @@
         self._progress = Progress()
         self._replies = Replies(parts, response, self._delivery, self._progress.sends)
         self._sender = Sender(
-            parts, request, self._fields, self._delivery, self._progress, self._request_digest
+            parts,
+            request,
+            self._fields,
+            response,
+            self._delivery,
+            self._progress,
+            self._request_digest,
         )
         self._granted: Granted | None = None
         self._admission: Admission | None = None
@@ -121,6 +127,7 @@
         try:
             await self._serve_in_time(decision)
         finally:
+            self._sender.close()
             self._refund_charge(decision)
 
     async def _serve_in_time(self, admission: Admission) -> None:
@@ -336,7 +343,6 @@
     def _expire(self, admission: Admission) -> None:
         """End a request whose deadline has passed."""
         sent = self._progress.sends.runs > 0
-        self._sender.cancel()
         if self._granted is not None and self._granted.started_at:
             # A stream that is cut off here was slow or long, which is no failure. Any other
             # request has received no answer, which is a failure.
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -19,6 +19,7 @@
 from chalkyoke.gateway.trials import RolloutPort
 from chalkyoke.http1.messages import Request
 from chalkyoke.http1.pool import ConnectionPool
+from chalkyoke.memory.account import MemoryAccount
 from chalkyoke.quotas.client import QuotaClient
 from chalkyoke.retries.budget import RetryBudget
 
@@ -36,6 +37,7 @@
     :param log_rejection: writes to the log that a request was rejected before admission.
     :param on_plain_request_ended: called when a request to a plain service has ended, with the
         admission, the replica and whether the request failed.
+    :param memory: the host's account of buffered bytes.
     """
 
     catalog: Callable[[], Catalog]
@@ -54,3 +56,4 @@
     rollouts: RolloutPort
     quarantine: QuarantinePort
     announcements: AnnouncementPort
+    memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -15,9 +15,11 @@
 from chalkyoke.http1.client import BreakReason
 from chalkyoke.http1.messages import AnswerHead, Headers, end_to_end_headers
 from chalkyoke.http1.response import ResponseWriter
+from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
 
 # A plain answer of up to this many bytes is buffered completely before any of it is forwarded, so
 # that a broken one can be replaced by another attempt. Longer answers would take too much memory.
+# Where memory is limited, the answer's share of the account is the limit if it is smaller.
 MAX_BUFFERED_BYTES = 262_144
 SUCCESS_MIN, SUCCESS_MAX = 200, 299
 
@@ -41,10 +43,13 @@
 class Relay:
     """Receives the answer of one send.
 
+    :param retained: charge for the bytes that are buffered before they are forwarded.
     :param request_id: id of the request; an answer to another request is not accepted.
     :param streams: whether the route's answers are series of events.
     :param clock: the node's clock, in seconds.
     :param on_first_event: called with the time from the send to the first event, in seconds.
+    :param account: the host's account of buffered bytes.
+    :param on_data: called after each part of the body.
     :param on_answer_head: called with the status and the fields of the answer as soon as its head
         is received, since a stream may last many seconds more.
     :ivar ended: future that gets the outcome of the send.
@@ -62,6 +67,9 @@
         streams: bool,
         on_first_event: Callable[[float], None],
         on_answer_head: Callable[[int, AnswerFields], None],
+        account: MemoryAccount | None = None,
+        retained: Charge | None = None,
+        on_data: Callable[[], None] = lambda: None,
     ) -> None:
         self._delivery = delivery
         self._headers = headers
@@ -70,6 +78,10 @@
         self._streams = streams
         self._on_first_event = on_first_event
         self._on_answer_head = on_answer_head
+        self._account = account or MemoryAccount()
+        self._retained = retained or self._account.open(Purpose.RESPONSES_RETAINED)
+        self._retained.release()
+        self._on_data = on_data
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_event_stream = False
@@ -113,6 +125,7 @@
             self._delivery.response.send_body(data)
         else:
             self._buffer(data, now)
+        self._on_data()
 
     def answer_end(self) -> None:
         """Finish the send at the end of a complete answer."""
@@ -139,6 +152,18 @@
         """Whether a part of any answer has been forwarded to the caller."""
         return self._delivery.head_sent
 
+    @property
+    def retained_bytes(self) -> int:
+        """Bytes of the answer that are buffered and not forwarded yet."""
+        return self._retained.size
+
+    def record_resumed(self) -> None:
+        """Record that the node reads the answer again after a pause of its own.
+
+        The pause is no sign that the replica has stalled.
+        """
+        self.last_at = self._clock()
+
     def pass_on(self) -> None:
         """Forward a buffered answer as a whole; does nothing before a head is received."""
         head = self.head
@@ -147,6 +172,7 @@
         body = b"".join(self._buffered)
         whole = AnswerHead(head.status, head.reason, end_to_end_headers(head.headers), len(body))
         self._begin_answer(whole, body, self._clock())
+        self._clear_buffer()
         self._delivery.response.finish()
 
     def _is_usable(self) -> bool:
@@ -169,8 +195,9 @@
     def _buffer(self, data: bytes, now: float) -> None:
         self._buffered.append(data)
         self._buffered_bytes += len(data)
+        self._retained.resize(self._buffered_bytes)
         head = self.head
-        if self._buffered_bytes <= MAX_BUFFERED_BYTES or head is None or not self._is_usable():
+        if self._buffered_bytes <= self._max_buffered() or head is None or not self._is_usable():
             return
         if head.status >= SERVER_ERROR_MIN or self.fields.not_run:
             return
@@ -178,11 +205,21 @@
             head.status, head.reason, end_to_end_headers(head.headers), head.length
         )
         self._begin_answer(caller_head, b"".join(self._buffered), now)
-        self._buffered.clear()
+        self._clear_buffer()
         self._is_forwarding = True
 
+    def _max_buffered(self) -> int:
+        if not self._account.is_limited:
+            return MAX_BUFFERED_BYTES
+        return min(MAX_BUFFERED_BYTES, self._account.share)
+
+    def _clear_buffer(self) -> None:
+        self._buffered.clear()
+        self._retained.release()
+
     def _forward_events(self, data: bytes, now: float) -> None:
         whole_events = self._delivery.splitter.feed(data)
+        self._retained.resize(self._delivery.splitter.partial_size)
         if self._delivery.splitter.is_too_large:
             self._finish(SendEnd.UNUSABLE)
             return
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -12,6 +12,7 @@
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, RequestFields
+from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.statements import read_statement
@@ -19,7 +20,10 @@
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Request, encode_request_head
 from chalkyoke.http1.pool import ConnectFailure
+from chalkyoke.http1.response import ResponseWriter
+from chalkyoke.http1.upload import Upload
 from chalkyoke.invariants import require
+from chalkyoke.memory.account import Purpose
 
 # Timeout for opening a connection, in seconds: far more than a round trip, less than most goals.
 CONNECT_TIMEOUT_S = 0.12
@@ -73,6 +77,7 @@
         parts: GatewayParts,
         request: Request,
         fields: RequestFields,
+        response: ResponseWriter,
         delivery: Delivery,
         progress: Progress,
         request_digest: Callable[[], bytes],
@@ -85,6 +90,8 @@
         self._request_digest = request_digest
         self._connection: ClientConnection | None = None
         self.relay: Relay | None = None
+        self._retained = parts.memory.open(Purpose.RESPONSES_RETAINED)
+        self._reading = ResponseReading(parts.memory, response, parts.now)
 
     @property
     def is_sending(self) -> bool:
@@ -103,12 +110,11 @@
 
     def caller_can_read(self, can_read: bool) -> None:
         """Pause reading from the replica while the caller reads too slowly."""
-        if self._connection is None:
-            return
-        if can_read:
-            self._connection.resume()
-        else:
-            self._connection.pause()
+        self._reading.set_caller_can_read(can_read)
+
+    def close(self) -> None:
+        """Refund what is retained of the last answer."""
+        self._retained.release()
 
     async def send(self, admission: Admission, granted: Granted) -> SendEnd | None:
         """Send the request to the granted replica and wait for the end.
@@ -135,6 +141,7 @@
             raise
         finally:
             self._connection = None
+            self._reading.end()
             parts.rollouts.record_finished(granted.replica)
         granted.events = relay.events
         if end is SendEnd.STALLED and relay.head is None:
@@ -214,6 +221,9 @@
                 admission, granted, first_s
             ),
             on_answer_head=lambda status, fields: self._record_statement(granted, status, fields),
+            account=parts.memory,
+            retained=self._retained,
+            on_data=self._reading.on_data,
         )
         self.relay = relay
         self._connection = connection
@@ -235,10 +245,20 @@
             deadline_s=round(forwarding.deadline_s, 3),
             resumed_after=resumed_after,
         )
-        bodiless = request.method == b"HEAD"
-        connection.send(head + request.body, relay, relay.matches_request, bodiless=bodiless)
+        self._send_on(connection, relay, head)
+        self._reading.start(connection, relay)
         return relay
 
+    def _send_on(self, connection: ClientConnection, relay: Relay, head: bytes) -> None:
+        """Write the request; a body is written in pieces where memory is limited."""
+        request, memory = self._request, self._parts.memory
+        bodiless = request.method == b"HEAD"
+        if not memory.is_limited:
+            connection.send(head + request.body, relay, relay.matches_request, bodiless=bodiless)
+            return
+        upload = Upload(request.body)
+        connection.send(head, relay, relay.matches_request, bodiless=bodiless, upload=upload)
+
     def _record_statement(self, granted: Granted, status: int, fields: AnswerFields) -> None:
         """Record what an answer states about its replica.
 
@@ -274,6 +294,9 @@
         )
         if not route.repeatable or sends.runs >= route.attempts or budget < 1:
             return admission.deadline + 1.0
+        if self._reading.is_paused:
+            # The caller reads slowly, which says nothing of the replica.
+            return self._parts.now() + STALL_MIN_S
         if relay.first_at:
             return relay.last_at + max(STALL_MIN_S, STALL_GAP_GOALS * route.gap_goal_s)
         return relay.started_at + FIRST_STALL_GOALS * route.goal_s
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -176,10 +176,21 @@
 
     :param limit_mb: memory at which the host ends the process, in MB; 0 for no limit.
     :param accounted: whether buffered bytes are accounted for and limited.
+    :param contracts: names of the contracts that the deployment declares.
+    :param accounted_with: contract with which buffered bytes are accounted for and limited, even if
+        ``accounted`` is false; empty for none.
     """
 
     limit_mb: float = 0.0
     accounted: bool = False
+    contracts: list[str] = []
+    accounted_with: str = ""
+
+    @property
+    def is_accounted(self) -> bool:
+        """Whether buffered bytes are accounted for and limited."""
+        asked = self.accounted or self.accounted_with in self.contracts
+        return asked and self.limit_mb > 0
 
 
 class LogsSection(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -33,10 +33,9 @@
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.http1.calls import HttpClient
 from chalkyoke.http1.pool import ConnectionPool
-from chalkyoke.http1.server import ServerLimits, StartHandler
 from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
-from chalkyoke.limits.keeper import AllocatedLimit, LimitKeeper
+from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.limits.known import KnownLimits
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEPALIVE_INTERVAL_S, confirm_interval_s
@@ -49,13 +48,15 @@
 from chalkyoke.node.announcements import Announcements
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.linkgauges import add_link_gauges
-from chalkyoke.node.listener import Listener
+from chalkyoke.node.listener import Listener, ListenerParts
+from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
+from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.registration import NodeEntry, Registration, read_candidates
-from chalkyoke.node.requestlog import RequestLog
+from chalkyoke.node.requestlog import RequestLog, log_kept_limit
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
 from chalkyoke.node.routing import (
@@ -128,6 +129,7 @@
         self.view = MembershipView(self.record, settings.scheduling.heartbeat_interval_s)
         self.fleet_size = FleetSize()
         self.request_log = RequestLog(self.metrics, self.now)
+        self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
         self._supervisor = Supervisor(self.metrics)
         self._stopping = asyncio.Event()
         self._handled_generation = -1
@@ -176,6 +178,7 @@
             listen,
             PeerKinds(LEGACY_KINDS, LEGACY_QUARANTINE_KINDS),
         )
+        self.memory.bound_links(self.links)
         add_link_gauges(self.metrics, self.links)
 
     def _make_catalog(self) -> None:
@@ -240,7 +243,7 @@
             known,
             lambda service: self.scheduler_host.owner(service) == self.record.process,
             lambda: self.presence().share,
-            self._log_kept_limit,
+            log_kept_limit,
         )
         self.limits = LimitAnnouncements(
             known,
@@ -303,7 +306,7 @@
             first_start=self.settings.node.first_start,
         )
         budget = BudgetLimits(limits.retry_ratio, limits.retry_slack, limits.retry_window_s)
-        self.connections = ConnectionPool()
+        self.connections = ConnectionPool(self.memory.account)
         self.suspicions = Suspicions(
             self.view,
             self.balancer,
@@ -353,6 +356,7 @@
                 rollouts=self.rollouts,
                 quarantine=self.quarantine,
                 announcements=self.announcements,
+                memory=self.memory.account,
             )
         )
 
@@ -360,15 +364,6 @@
         self.scheduler_host.limits_changed()
         self.balancer.clear_limits()
 
-    def _log_kept_limit(self, kept: AllocatedLimit) -> None:
-        log.info(
-            "limit_kept",
-            service=kept.service,
-            replica=kept.replica,
-            limit_per_s=kept.limit_per_s,
-            share=round(kept.share, 3),
-        )
-
     # Callbacks of the slices.
 
     def count_nodes(self) -> int:
@@ -392,15 +387,6 @@
         """
         return self.catalog.state.complete and not self._stopping.is_set()
 
-    def _limits(self) -> ServerLimits:
-        limits = self.catalog.state.catalog.limits
-        return ServerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
-
     # Start and stop.
 
     async def run(self) -> None:
@@ -414,12 +400,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.links.listen()
         listen = self.settings.listen
-        callers = self._listener(listen.callers, self.gateway.start_exchange)
-        pages = [
-            self._listener(each, self._pages.start)
-            for each in (listen.ready, listen.metrics)
-            if each
-        ]
+        make = self._listener_parts()
+        callers = make.for_callers(listen.callers, self.gateway.start_exchange)
+        addresses = [each for each in (listen.ready, listen.metrics) if each]
+        pages = [make.for_pages(each, self._pages.start) for each in addresses]
         for listener in (callers, *pages):
             await listener.listen()
         self._start_loops()
@@ -430,8 +414,11 @@
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
 
-    def _listener(self, address: str, start: StartHandler) -> Listener:
-        return Listener(address, start, self._limits, self.settings.limits.descriptors)
+    def _listener_parts(self) -> ListenerParts:
+        catalog = self.catalog.state
+        admission = self.memory.admit_callers(self._platform.headers, lambda: catalog.catalog)
+        descriptors = self.settings.limits.descriptors
+        return ListenerParts(lambda: catalog.catalog.limits, descriptors, admission)
 
     async def _run_planned_stop(self, callers: Listener) -> None:
         """Stop accepting callers, finish the requests in progress, then end the process."""
@@ -483,6 +470,8 @@
         loops.repeat(HOUSEKEEPING_S, self._run_housekeeping)
         loops.repeat(WINDOW_REPLICATION_INTERVAL_S, self.quotas.replicate_windows)
         loops.repeat(ROLLOUTS_TICK_S, self.rollouts.tick)
+        if self.memory.account.is_limited:
+            loops.repeat(MEMORY_TICK_S, lambda: self.memory.tick(self.links))
         loops.start(self._tick_pools())
         loops.start(self.catalog.run())
         loops.start(self._registration.run())
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -8,7 +8,11 @@
 import resource
 from collections.abc import Callable
 
+import msgspec
+
+from chalkyoke.catalog.resources import RequestLimits
 from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
+from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.server import ServerConnection, ServerLimits, StartHandler
 from chalkyoke.logs import logger
 
@@ -20,6 +24,37 @@
 log = logger("node")
 
 
+class ListenerParts(msgspec.Struct, frozen=True):
+    """What the listeners of a node share.
+
+    :param limits: returns the limits of callers' requests in force.
+    :param descriptors: number of file descriptors that this process may open; 0 for the limit of
+        the system.
+    :param memory: what callers' connections share to account for their buffers.
+    """
+
+    limits: Callable[[], RequestLimits]
+    descriptors: int
+    memory: CallerMemory
+
+    def for_callers(self, address: str, start: StartHandler) -> "Listener":
+        """Make the listener for callers."""
+        return Listener(address, start, self._server_limits, self.descriptors, self.memory)
+
+    def for_pages(self, address: str, start: StartHandler) -> "Listener":
+        """Make the listener for a page of this node, which is served however scarce memory is."""
+        return Listener(address, start, self._server_limits, self.descriptors)
+
+    def _server_limits(self) -> ServerLimits:
+        limits = self.limits()
+        return ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+
 class Listener:
     """Accept HTTP connections on one address.
 
@@ -28,6 +63,7 @@
     :param limits: returns the limits in force for requests and connections.
     :param descriptors: number of file descriptors that this process may open; 0 for the limit of
         the system.
+    :param memory: what its connections share to account for their buffers.
     """
 
     def __init__(
@@ -36,10 +72,12 @@
         start: StartHandler,
         limits: Callable[[], ServerLimits],
         descriptors: int = 0,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._address = address
         self._start = start
         self._limits = limits
+        self._memory = memory or CallerMemory()
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -71,7 +109,9 @@
             await asyncio.sleep(CLOSE_CHECK_S)
 
     def _make_connection(self) -> ServerConnection:
-        return ServerConnection(self._start, self._limits, self._connections, self._limit_idle)
+        return ServerConnection(
+            self._start, self._limits, self._connections, self._limit_idle, self._memory
+        )
 
     def _limit_idle(self) -> None:
         """Close idle connections if too many are open."""
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -0,0 +1,134 @@
+"""
+chalkyoke.node.memory
+
+The memory of a host: its account, its limit and what operators see of them.
+"""
+
+import os
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+
+from chalkyoke.administration.metrics import Metrics
+from chalkyoke.catalog.resources import Catalog
+from chalkyoke.gateway.intake import Intake, RefusedHead
+from chalkyoke.gateway.ports import HeaderFormat
+from chalkyoke.gateway.settings import MemorySection
+from chalkyoke.http1.memory import CallerMemory
+from chalkyoke.links.peers import Links
+from chalkyoke.logs import logger
+from chalkyoke.memory.account import MemoryAccount, Purpose
+from chalkyoke.memory.limit import START_S, account_limit_bytes
+
+# How often buffers that drain are measured and stopped readers are looked for, in seconds: shorter
+# than a refused caller takes to return.
+TICK_S = 0.25
+# Memory that the program is assumed to use where the system does not tell, in bytes.
+USUAL_PROGRAM_BYTES = 60_000_000
+STATM = Path("/proc/self/statm")
+
+log = logger("memory")
+
+
+class HostMemory:
+    """Accounts for the buffers of this host, if the settings ask for it.
+
+    :param now: the node's clock, in seconds since its start.
+    :param loop_time: the loop's clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: MemorySection,
+        metrics: Metrics,
+        now: Callable[[], float],
+        loop_time: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._now = now
+        self._loop_time = loop_time
+        self._program_bytes = 0
+        self.account = MemoryAccount()
+        self._links_charge = self.account.open(Purpose.LINKS)
+        self.callers = CallerMemory(self.account)
+        if settings.is_accounted:
+            self._measure_program()
+            self._register_gauges()
+
+    def admit_callers(self, headers: HeaderFormat, catalog: Callable[[], Catalog]) -> CallerMemory:
+        """Return what callers' connections share; they refuse requests when memory is scarce."""
+        intake = Intake(self.account, headers, catalog, self._log_refused)
+        self.callers = CallerMemory(self.account, intake, self._log_upload_refused)
+        return self.callers
+
+    def bound_links(self, links: Links) -> None:
+        """Bound the queues of links by the account."""
+        if self.account.is_limited:
+            links.max_unsent_bytes = lambda: self.account.link_share
+
+    def tick(self, links: Links) -> None:
+        """Measure what drains, and release buffers of stopped readers; call each ``TICK_S``."""
+        if not self.account.is_limited:
+            return
+        if self._now() < START_S:
+            self._measure_program()
+        self._links_charge.resize(links.buffered_bytes())
+        now = self._loop_time()
+        self.callers.refresh(now)
+        while self.account.is_scarce:
+            released = self.callers.release_stopped(now)
+            if released is None:
+                return
+            self._metrics.count("memory_released")
+            self._metrics.count("memory_released_bytes", released.size)
+            log.notice(
+                "memory_released",
+                bytes=released.size,
+                stopped_s=round(released.stopped_s, 1),
+                total=self.account.total,
+                limit=self.account.limit_bytes,
+            )
+
+    def _measure_program(self) -> None:
+        """Set the limit by the memory that the program uses besides the buffers."""
+        used = _resident_bytes() - self.account.total
+        if used <= self._program_bytes:
+            return
+        self._program_bytes = used
+        self.account.limit_bytes = account_limit_bytes(self._settings.limit_mb, used)
+
+    def _register_gauges(self) -> None:
+        account = self.account
+        self._metrics.register_gauge("memory_limit_bytes", lambda: account.limit_bytes)
+        self._metrics.register_gauge("memory_buffered_bytes", lambda: account.total)
+        self._metrics.register_gauge("memory_program_bytes", lambda: self._program_bytes)
+        for purpose in Purpose:
+            read = partial(account.by_purpose.__getitem__, purpose)
+            self._metrics.register_gauge(f"memory_{purpose}_bytes", read)
+
+    def _log_refused(self, refused: RefusedHead) -> None:
+        self._metrics.count("memory_refused", tier=str(refused.rank), cause="head")
+        log.notice(
+            "memory_refused",
+            request=refused.request_id,
+            tier=refused.rank,
+            bytes=refused.length,
+            total=self.account.total,
+            limit=self.account.limit_bytes,
+        )
+
+    def _log_upload_refused(self) -> None:
+        self._metrics.count("memory_refused", tier="", cause="upload")
+        log.notice(
+            "memory_upload_refused", total=self.account.total, limit=self.account.limit_bytes
+        )
+
+
+def _resident_bytes() -> int:
+    """Return the resident memory of this process, in bytes."""
+    try:
+        pages = int(STATM.read_text(encoding="ascii").split()[1])
+    except (OSError, ValueError, IndexError):
+        return USUAL_PROGRAM_BYTES
+    return pages * os.sysconf("SC_PAGE_SIZE")
--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.node.requestlog
 
-Writes a log line for each decision on a request and counts it.
+Writes a log line for each decision on a request and counts it, and one for each kept limit.
 """
 
 from collections.abc import Callable
@@ -12,6 +12,7 @@
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.gateway.reception import Admission, Rejection
 from chalkyoke.http1.messages import Request
+from chalkyoke.limits.keeper import AllocatedLimit
 from chalkyoke.logs import logger
 
 # The number of characters of a request's target that are logged.
@@ -20,6 +21,18 @@
 FAILURE_EVENTS = frozenset(("held_back", "refused", "given_up", "expired", "over_quota"))
 
 log = logger("request")
+limits_log = logger("node")
+
+
+def log_kept_limit(kept: AllocatedLimit) -> None:
+    """Log a limit of a replica that this process counts from now on."""
+    limits_log.info(
+        "limit_kept",
+        service=kept.service,
+        replica=kept.replica,
+        limit_per_s=kept.limit_per_s,
+        share=round(kept.share, 3),
+    )
 
 
 class RequestLog:
--- a/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -1,8 +1,11 @@
+import tomllib
+
+import msgspec
 import pytest
 from chalkyoke import gatewayd
 from chalkyoke.cli import app
 from chalkyoke.exceptions import SettingsError
-from chalkyoke.gateway.settings import load
+from chalkyoke.gateway.settings import MemorySection, load
 from typer.testing import CliRunner
 
 GOOD = """
@@ -81,3 +84,18 @@
     for wrong in ('on = ["spares"]', 'on = ["spare"]\noff = ["spare"]'):
         with pytest.raises(SettingsError):
             load(write_settings(GOOD + f"[scheduling]\n{wrong}\n"))
+
+
+@pytest.mark.parametrize(
+    ("section", "accounted"),
+    [
+        ('contracts = ["pressure"]\naccounted_with = "pressure"\nlimit_mb = 128', True),
+        ('contracts = ["other"]\naccounted_with = "pressure"\nlimit_mb = 128', False),
+        ('contracts = ["pressure"]\naccounted_with = "pressure"', False),
+        ("accounted = true\nlimit_mb = 128", True),
+        ("limit_mb = 128", False),
+    ],
+)
+def test_memory_is_accounted_only_where_asked_for_and_limited(section, accounted):
+    settings = msgspec.convert(tomllib.loads(section), MemorySection)
+    assert settings.is_accounted is accounted
