--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -41,10 +41,10 @@
     return {
         "version": version,
         "routes": [
-            _make_route("explain", "stream", "model", resumable=True, attempts=2),
-            _make_route("chat", "stream", "model"),
-            _make_route("book", "non_idempotent", "seats"),
-            _make_route("find", "idempotent", "seats", attempts=2),
+            make_route("explain", "stream", "model", resumable=True, attempts=2),
+            make_route("chat", "stream", "model"),
+            make_route("book", "non_idempotent", "seats"),
+            make_route("find", "idempotent", "seats", attempts=2),
         ],
         "services": [
             {
@@ -64,7 +64,11 @@
     }
 
 
-def _make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+def make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Make a route under a path prefix of its name.
+
+    :rtype: dict
+    """
     route = {
         "name": name,
         "host": HOST,
@@ -315,10 +319,12 @@
         body: bytes = b"{}",
         key: str | None = KEY,
         request_id: str = "",
+        read_pause_s: float = 0.0,
         **headers: str,
     ) -> CallerResponse:
         """Send one request as a caller.
 
+        :param read_pause_s: time between two reads of the answer, in seconds.
         :param headers: additional headers, with ``_`` for ``-``.
         """
         sent = {
@@ -337,6 +343,7 @@
                 try:
                     async for part in answer.content.iter_any():
                         parts.append(part)
+                        await asyncio.sleep(read_pause_s)
                 except aiohttp.ClientError:
                     return CallerResponse(answer.status, found, b"".join(parts), whole=False)
                 return CallerResponse(answer.status, found, b"".join(parts), whole=True)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -17,6 +18,8 @@
 
 READ_LIMIT_BYTES = 5_000_000
 EVENTS_PER_STREAM = 8
+# Header of a plain request that asks for an answer of at least that many bytes.
+ANSWER_BYTES_HEADER = "x-answer-bytes"
 # Size of the parts in which a slow replica reads a request body, in bytes.
 SLOW_PART_BYTES = 4_096
 REASON_PHRASES = {
@@ -52,7 +55,6 @@
     :ivar renamed: whether the replica restarts under a new id, or under its own id as a new start.
     :ivar limit_per_s: the limit announced in answers, in requests a second from all nodes together;
         negative announces none. The replica does not enforce it.
-    :ivar answer_bytes: size to which answers of plain requests are padded, in bytes.
     :ivar unread_abort_s: time for which an answer may stay unread before the replica aborts it, in
         seconds; 0 for no limit.
     :ivar read_bytes_per_s: rate at which request bodies are read, in bytes per second; 0 for no
@@ -75,7 +77,6 @@
     says_leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float = -1.0
-    answer_bytes: int = 0
     unread_abort_s: float = 0.0
     read_bytes_per_s: float = 0.0
 
@@ -154,6 +155,9 @@
         self._server = await asyncio.start_server(
             self._serve_connection, ip, port, limit=self.read_limit_bytes
         )
+        if self.read_limit_bytes < READ_LIMIT_BYTES:
+            listening = self._server.sockets[0]
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.read_limit_bytes)
         self.born = round(self.now() * 1000) + 1
         self.listen_address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self.address = advertised_address or self.listen_address
@@ -256,7 +260,8 @@
             status = 500
         if self.faults.fail_each and self.runs.total() % self.faults.fail_each == 0:
             status = 500
-        body = f"{self.id} did {name}".encode().ljust(self.faults.answer_bytes, b".")
+        size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
+        body = f"{self.id} did {name}".encode().rjust(size, b".")
         _write_response(writer, status, self._headers(name), body)
         if self.faults.extra_answers > 0:
             self.faults.extra_answers -= 1
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -26,6 +26,8 @@
 RETRY_SLACK = 40.0
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
+# Memory of each node's host, in MB.
+HOST_MB = 128.0
 
 
 class SoakFleet(PlatformFleet):
@@ -50,6 +52,7 @@
             "quota_over": QUOTA_OVER,
             "quota_slack": QUOTA_SLACK,
         }
+        self.memory = {"limit_mb": HOST_MB, "accounted": True}
         self.tenants: list[dict[str, Any]] = [
             {"name": TEAM, "api-keys": [KEY], "priority": 1},
             {
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -49,6 +49,7 @@
     :param observations: receives the records of the faults, for the checkers.
     :param now: returns the seconds since the run began.
     :param send_crashing: makes callers send a body for some seconds.
+    :param start_slow_readers: makes callers of a node read long answers slowly.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -58,16 +59,22 @@
         observations: Observations,
         now: Callable[[], float],
         send_crashing: Callable[[bytes, float], None],
+        start_slow_readers: Callable[[str], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
         self._now = now
         self.send_crashing = send_crashing
+        self._start_slow_readers = start_slow_readers
         self.active_targets: set[str] = set()
         self._version = 1
 
     async def inject_fault(self, step: FaultStep) -> None:
         """Apply one fault and end it; a fault is skipped while its target has another one."""
+        if step.fault is Fault.SLOW_READERS:
+            # No fault of the node: it must serve all others as before.
+            self._start_slow_readers(step.target)
+            return
         place = step.target or "store"
         if step.fault is Fault.REPLICA_LIMITS:
             # An announced limit may overlap with any other fault of the same replica.
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -47,6 +47,11 @@
 # after its fault has ended, in seconds.
 CRASHING_INTERVAL_S = 0.3
 CRASHING_EXTRA_S = 5.0
+# Number of callers that read slowly at a time, the size of their answers in bytes, and the time
+# between two of their reads in seconds: an answer takes some 2 s, well within its deadline.
+SLOW_READERS = 8
+SLOW_ANSWER_BYTES = 600_000
+READ_PAUSE_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +130,7 @@
         self._numbers = itertools.count(1)
         self._began = time.monotonic()
         self._crashing: list[asyncio.Task[None]] = []
+        self._slow_readers: list[asyncio.Task[int]] = []
         self.observations = Observations(
             retry_limit=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
             stream=whole_stream(),
@@ -140,7 +146,11 @@
     async def play_faults(self) -> Observations:
         """Send requests while faults are injected, then wait until all nodes serve again."""
         injector = Injector(
-            self._fleet, self.observations, self.elapsed_s, self._start_crashing_caller
+            self._fleet,
+            self.observations,
+            self.elapsed_s,
+            self._start_crashing_caller,
+            self._start_slow_readers,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -157,6 +167,7 @@
             injections.append(asyncio.create_task(injector.inject_fault(step)))
         await callers
         await asyncio.gather(*self._crashing)
+        await asyncio.gather(*self._slow_readers)
         await asyncio.gather(*injections)
         self.observations.recovered_s = await self._wait_for_recovery()
         self._collect_replica_records()
@@ -196,7 +207,16 @@
             await self._send_request(node, path, TEAM, body)
             await asyncio.sleep(CRASHING_INTERVAL_S)
 
-    async def _send_request(self, node: str, path: str, team: str, body: bytes = b"{}") -> int:
+    def _start_slow_readers(self, node: str) -> None:
+        paths = [path for path, kind in KIND_BY_PATH.items() if not kind.streams]
+        for number in range(SLOW_READERS):
+            path = paths[number % len(paths)]
+            request = self._send_request(node, path, TEAM, read_pause_s=READ_PAUSE_S)
+            self._slow_readers.append(asyncio.create_task(request))
+
+    async def _send_request(
+        self, node: str, path: str, team: str, body: bytes = b"{}", *, read_pause_s: float = 0.0
+    ) -> int:
         name = f"r{self._seed}-{next(self._numbers)}"
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KIND_BY_PATH[path] is Kind.REPEATABLE else "POST"
@@ -205,7 +225,14 @@
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 got = await self._fleet.send_request(
-                    node, path, method=method, body=body, key=key, request_id=name
+                    node,
+                    path,
+                    method=method,
+                    body=body,
+                    key=key,
+                    request_id=name,
+                    read_pause_s=read_pause_s,
+                    X_Answer_Bytes=str(SLOW_ANSWER_BYTES if read_pause_s else 0),
                 )
             status, answer, whole = got.status, got.body, got.whole
             replica = got.headers.get("x-server-stamp", "").partition(".")[0]
