--- a/packages/chalkyoke/src/chalkyoke/http1/incoming.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/incoming.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.http1.incoming
 
-The request that is being read on a caller's connection.
+The request that is being read on a caller's connection, and the limits for it.
 """
 
 import msgspec
@@ -11,6 +11,21 @@
 from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
 
 
+class ServerLimits(msgspec.Struct, frozen=True):
+    """Limits for the requests and the connections of callers.
+
+    :param header_bytes: largest request head, in bytes.
+    :param body_bytes: largest request body, in bytes.
+    :param header_timeout_s: seconds from the first byte of a request to the end of its head.
+    :param idle_timeout_s: seconds that a connection may stay idle before it is closed.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
 class IncomingRequest:
     """Collects the parts of one request and charges its body to the account.
 
--- a/packages/chalkyoke/src/chalkyoke/http1/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/messages.py
@@ -140,6 +140,15 @@
     return b"".join(parts)
 
 
+def encode_refusal(status: int, headers: Headers) -> bytes:
+    """Encode an answer without a body, after which the connection closes.
+
+    :rtype: bytes
+    """
+    head = AnswerHead(status, reason_phrase(status), headers, 0)
+    return encode_answer_head(head, close=True, chunked=False)
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the standard reason phrase of a status, or ``Unknown``.
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -10,17 +10,13 @@
 from typing import cast
 
 import httptools
-import msgspec
 
-from chalkyoke.http1.incoming import IncomingRequest, WaitingRequest
+from chalkyoke.http1.incoming import IncomingRequest, ServerLimits, WaitingRequest
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
-    AnswerHead,
-    Headers,
     Request,
     connection_options,
-    encode_answer_head,
-    reason_phrase,
+    encode_refusal,
 )
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 
@@ -35,22 +31,6 @@
 MIN_BODY_BYTES_PER_S = 20_000
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-
-class ServerLimits(msgspec.Struct, frozen=True):
-    """Limits for the requests and the connections of callers.
-
-    :param header_bytes: largest request head, in bytes.
-    :param body_bytes: largest request body, in bytes.
-    :param header_timeout_s: seconds from the first byte of a request to the end of its head.
-    :param idle_timeout_s: seconds that a connection may stay idle before it is closed.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 StartHandler = Callable[[Request, ResponseWriter], RequestHandler]
 
 
@@ -329,7 +309,7 @@
             self.closes_after_answer = True
             self._discard_waiting()
             return
-        self._send_refusal(_encode_refusal(status, []))
+        self._send_refusal(encode_refusal(status, []))
 
     def _refuse_in_turn(self) -> None:
         """Refuse a request for lack of memory after the requests before it have been answered.
@@ -338,7 +318,7 @@
         """
         self._ignores_input = True
         self._incoming.discard_body()
-        refusal = _encode_refusal(503, [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)])
+        refusal = encode_refusal(503, [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)])
         if self._handler is None and not self._waiting_requests:
             self._send_refusal(refusal)
         else:
@@ -412,8 +392,3 @@
             self._refuse(408)
         elif self.idle:
             self.transport.close()
-
-
-def _encode_refusal(status: int, headers: Headers) -> bytes:
-    head = AnswerHead(status, reason_phrase(status), headers, 0)
-    return encode_answer_head(head, close=True, chunked=False)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -1,9 +1,10 @@
 import asyncio
 
 import pytest
+from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.http1.server import ServerConnection, ServerLimits
+from chalkyoke.http1.server import ServerConnection
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.stopped import STOPPED_AFTER_S
 
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -12,8 +12,9 @@
 
 from chalkyoke.catalog.resources import RequestLimits
 from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
+from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import CallerMemory
-from chalkyoke.http1.server import ServerConnection, ServerLimits, StartHandler
+from chalkyoke.http1.server import ServerConnection, StartHandler
 from chalkyoke.logs import logger
 
 # Number of new connections that may wait for accept: enough for a burst while the loop is busy.
