tests: responses that are read late are complete, and no replica aborts them

A few callers that read nothing for 3 s, before a replica that aborts after 2 s: all get complete responses.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -260,6 +260,8 @@
             status = 500
         if self.faults.fail_each and self.runs.total() % self.faults.fail_each == 0:
             status = 500
+        if self.faults.unread_abort_s:
+            _bound_unsent(writer)
         size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
         body = f"{self.id} did {name}".encode().rjust(size, b".")
         _write_response(writer, status, self._headers(name), body)
@@ -372,6 +374,12 @@
     return b"".join(parts)
 
 
+def _bound_unsent(writer: asyncio.StreamWriter) -> None:
+    """Let the system accept little of an answer that is not read; it takes megabytes otherwise."""
+    accepted = writer.get_extra_info("socket")
+    accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, SLOW_PART_BYTES)
+
+
 def _write_head(writer: asyncio.StreamWriter, status: int, headers: dict[str, str]) -> None:
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES[status]}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/tests/slowpeers.py
+++ b/tests/slowpeers.py
@@ -85,6 +85,26 @@
     return f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{int(port):04X}"
 
 
+async def read_late(address, request, pause_s):
+    """Send a request, read its answer after a pause, and return its status.
+
+    :raises asyncio.IncompleteReadError: when the answer is incomplete.
+    """
+    ip, port = address.rsplit(":", 1)
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
+    raw.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(raw, (ip, int(port)))
+    reader, writer = await asyncio.open_connection(sock=raw)
+    reader._transport.pause_reading()
+    writer.write(request)
+    await asyncio.sleep(pause_s)
+    reader._transport.resume_reading()
+    status = await _read_answer(reader)
+    writer.close()
+    return status
+
+
 async def read_slowly(address, request):
     """Send a request and read its answer slowly until cancelled."""
     ip, port = address.rsplit(":", 1)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -20,6 +20,9 @@
 # Two thirds of the responses are held back as a whole if memory allows it; the others are longer.
 RESPONSE_BYTES = (200_000, 200_000, 1_000_000)
 BODY_BYTES = 400_000
+LATE_RESPONSE_BYTES = 500_000
+# Time after which the replica aborts a response that is not read, in seconds.
+UNREAD_ABORT_S = 2.0
 LOAD_S = 3.0
 WARM_UP_S = 1.0
 # Longest time of 95 in 100 normal requests, in seconds: generous, since the test process serves the
@@ -87,10 +90,19 @@
     assert 0 < max(charged) < await read_gauge(fleet, node, "limit_bytes")
 
 
+async def check_late_readers(node):
+    """A few callers that read nothing for longer than the replica waits get complete responses."""
+    late = slowpeers.encode_request("GET", "/files/1", answer_bytes=LATE_RESPONSE_BYTES)
+    reads = (slowpeers.read_late(node.callers, late, 1.5 * UNREAD_ABORT_S) for _ in range(5))
+    assert await asyncio.gather(*reads) == [200] * 5
+
+
 def test_callers_that_read_slowly_neither_fill_the_host_nor_hinder_others():
     async def check(fleet, node):
         files = fleet.replicas["f0"]
-        files.faults.unread_abort_s = 3.0
+        files.faults.unread_abort_s = UNREAD_ABORT_S
+        await check_late_readers(node)
+        assert files.unread_aborts == 0
         slow = [
             slowpeers.encode_request(
                 "GET", "/files/1", answer_bytes=RESPONSE_BYTES[number % len(RESPONSE_BYTES)]
