gateway: never write a second head into an answer that has begun

A plain repeatable answer of more than 262,144 bytes is forwarded before it is complete. If it broke then, the request was sent again and the second head and body were written into the first body: the caller counted them as a part of its announced length and took the answer for complete. The share of the account would make this frequent. Likewise, an error answer to the resumption of a stream was passed on within the stream. Only events continue an answer now; otherwise it is broken off.

test_an_answer_that_has_begun_is_never_replaced allowed PASS_ON and asked only about routes with one attempt; it is stricter now.

--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -182,6 +182,9 @@
     def _classify(self, head: AnswerHead) -> SendEnd:
         if self.fields.not_run or head.status == MISDIRECTED:
             return SendEnd.DECLINED
+        if self.begun:
+            # Only events can continue an answer; a second head would be read as a part of it.
+            return SendEnd.UNUSABLE
         if SUCCESS_MIN <= head.status <= SUCCESS_MAX:
             if not self._is_usable() or self._streams:
                 return SendEnd.UNUSABLE
@@ -199,7 +202,7 @@
         head = self.head
         if self._buffered_bytes <= self._max_buffered() or head is None or not self._is_usable():
             return
-        if head.status >= SERVER_ERROR_MIN or self.fields.not_run:
+        if head.status >= SERVER_ERROR_MIN or self.fields.not_run or self.begun:
             return
         caller_head = AnswerHead(
             head.status, head.reason, end_to_end_headers(head.headers), head.length
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -16,7 +16,7 @@
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.statements import read_statement
-from chalkyoke.gateway.verdict import MISDIRECTED, SendCounts, SendEnd
+from chalkyoke.gateway.verdict import MISDIRECTED, SendCounts, SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Request, encode_request_head
 from chalkyoke.http1.pool import ConnectFailure
@@ -292,7 +292,8 @@
         budget = self._parts.budget.remaining(
             admission.service.name, self._parts.node_count(), self._parts.now()
         )
-        if not route.repeatable or sends.runs >= route.attempts or budget < 1:
+        last = not route.repeatable or sends.runs >= route.attempts or budget < 1
+        if last or not may_continue(route, self._delivery.head_sent):
             return admission.deadline + 1.0
         if self._reading.is_paused:
             # The caller reads slowly, which says nothing of the replica.
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
@@ -7,6 +7,7 @@
 from chalkyoke.gateway.ports import AnswerFields
 from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.relay import Delivery, Relay
+from chalkyoke.gateway.verdict import SendEnd
 from chalkyoke.http1.messages import AnswerHead
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.flow import RESUME_AFTER_S
@@ -139,3 +140,17 @@
         assert send.connection.reads
 
     virtual.run(main)
+
+
+def test_no_second_head_is_written_into_an_answer_that_has_begun():
+    """The replica that resumes a stream may answer with an error of the caller's, such as 404."""
+
+    async def main():
+        send = Send(MemoryAccount(), status=404)
+        send.relay._delivery.head_sent = True
+        send.relay.answer_data(b"x" * 300_000)
+        send.relay.answer_end()
+        assert send.response.head is None
+        assert send.relay.ended.result() is SendEnd.UNUSABLE
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_verdict.py
@@ -58,16 +58,18 @@
 
 
 def test_an_answer_that_has_begun_is_never_replaced():
-    for end, (kind, resumable) in itertools.product(RAN, KINDS):
+    """A second head within the first answer would pass for a part of a complete body."""
+    for end, (kind, resumable), attempts in itertools.product(RAN, KINDS, (1, 2)):
         follows = decide_next_step(
             end,
-            route(kind, resumable, 1),
+            route(kind, resumable, attempts),
             SendCounts(1, 1),
             begun=True,
             budget=True,
             time_left=True,
         )
-        assert follows in (NextStep.BREAK_OFF, NextStep.PASS_ON)
+        continues = resumable and attempts > 1
+        assert follows is (NextStep.SEND_AGAIN if continues else NextStep.BREAK_OFF)
 
 
 def test_a_send_without_a_connection_needs_no_retry_budget():
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -70,12 +70,22 @@
         return NextStep.SEND_AGAIN if time_left else _end_unsent(sends, begun)
     if end is SendEnd.DECLINED:
         return NextStep.SEND_AGAIN if time_left and budget else _end_unsent(sends, begun)
-    may_repeat = route.repeatable and sends.runs < route.attempts
+    may_repeat = route.repeatable and sends.runs < route.attempts and may_continue(route, begun)
     if may_repeat and budget and time_left:
         return NextStep.SEND_AGAIN
-    if end is SendEnd.FAILURE_ANSWER:
-        return NextStep.PASS_ON
-    return NextStep.BREAK_OFF if begun else NextStep.FAIL
+    if begun:
+        return NextStep.BREAK_OFF
+    return NextStep.PASS_ON if end is SendEnd.FAILURE_ANSWER else NextStep.FAIL
+
+
+def may_continue(route: Route, begun: bool) -> bool:
+    """Return whether another replica can continue the answer, or give it if it has not begun.
+
+    A stream is resumed after its last event. A plain answer would start anew within the first one.
+
+    :param begun: whether a part of the answer has been forwarded to the caller.
+    """
+    return route.is_stream or not begun
 
 
 def _end_unsent(sends: SendCounts, begun: bool) -> NextStep:
--- a/tests/slowpeers.py
+++ b/tests/slowpeers.py
@@ -85,8 +85,8 @@
     return f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{int(port):04X}"
 
 
-async def read_late(address, request, pause_s):
-    """Send a request, read its answer after a pause, and return its status.
+async def read_late(address, request, size, pause_s):
+    """Send a request, read its answer after a pause, and return its body.
 
     :raises asyncio.IncompleteReadError: when the answer is incomplete.
     """
@@ -100,9 +100,10 @@
     writer.write(request)
     await asyncio.sleep(pause_s)
     reader._transport.resume_reading()
-    status = await _read_answer(reader)
+    await reader.readuntil(b"\r\n\r\n")
+    body = await reader.readexactly(size)
     writer.close()
-    return status
+    return body
 
 
 async def read_slowly(address, request):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -93,8 +93,12 @@
 async def check_late_readers(node):
     """A few callers that read nothing for longer than the replica waits get complete responses."""
     late = slowpeers.encode_request("GET", "/files/1", answer_bytes=LATE_RESPONSE_BYTES)
-    reads = (slowpeers.read_late(node.callers, late, 1.5 * UNREAD_ABORT_S) for _ in range(5))
-    assert await asyncio.gather(*reads) == [200] * 5
+    pause_s = 1.5 * UNREAD_ABORT_S
+    reads = (
+        slowpeers.read_late(node.callers, late, LATE_RESPONSE_BYTES, pause_s) for _ in range(5)
+    )
+    for body in await asyncio.gather(*reads):
+        assert body.startswith(b"....") and b"f0 did slow-" in body[-30:]
 
 
 def test_callers_that_read_slowly_neither_fill_the_host_nor_hinder_others():
