--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -9,8 +9,10 @@
 from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.http1.messages import Request
 from chalkyoke.http1.pool import ConnectFailure
+from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.quotas.client import QuotaDecision
 from msgspec.structs import replace
 
@@ -294,6 +296,40 @@
     virtual.run(main)
 
 
+def test_a_replica_is_not_abandoned_as_stalled_while_its_caller_does_not_read():
+    """The node itself has paused the answer; a second replica would run the request for nothing."""
+
+    async def main():
+        connection = SilentConnection()
+        connection.pause = connection.resume = lambda: None
+
+        async def acquire(*_):
+            return Granted(REPLICA, 1, Source.LOCAL)
+
+        async def connect(*_, **__):
+            return connection
+
+        route = replace(ROUTE, kind=RouteKind.IDEMPOTENT, attempts=2)
+        exchange, _, response = exchange_with(acquire, connect, route)
+        parts = exchange._parts
+        account = MemoryAccount(10_000_000)
+        account.add(Purpose.BODIES_KEPT, 10_000_000)
+        exchange._sender._reading = ResponseReading(account, response, parts.now)
+        parts.headers.forwarded_headers = lambda headers, forwarding: []
+        parts.budget = SimpleNamespace(remaining=lambda *_: 9.0, record_first=lambda *_: None)
+        parts.grants.record_started = lambda admission, granted: None
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        await asyncio.sleep(0.1)
+        response.unsent_bytes = 100_000
+        exchange.caller_can_read(False)
+        await asyncio.sleep(4.0)
+        assert not connection.closed
+        exchange.caller_left()
+        await asyncio.gather(exchange.task, return_exceptions=True)
+
+    virtual.run(main)
+
+
 def test_a_replica_abandoned_by_a_rollout_between_grant_and_send_gets_no_request():
     """An old replica may stop once the node has reported that it no longer uses the replica.
 
