http1: ignore requests that arrive together with a refused one

Cause: the parser goes on with the bytes of one read after the head of a request was refused. The next head in the same read was checked again: it was refused a second time, or it reserved memory and cancelled the timer that closes the connection, so that both stayed until the caller left. Change: a head that follows a refusal is ignored. Result: the new test saw two answers before; one now, no charge, and the connection closes.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -173,6 +173,9 @@
 
     def on_headers_complete(self) -> None:
         """Check the complete head and refuse the request when it breaks a limit or a rule."""
+        if self._ignores_input:
+            # The parser goes on with requests that came together with a refused one.
+            return
         self._head_complete = True
         limits, incoming = self._limits(), self._incoming
         if incoming.head_bytes > limits.header_bytes:
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -4,7 +4,7 @@
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.http1.server import ServerConnection
+from chalkyoke.http1.server import LINGER_S, ServerConnection
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.stopped import STOPPED_AFTER_S
 
@@ -280,6 +280,22 @@
     run(check)
 
 
+def test_a_request_that_comes_together_with_a_refused_one_is_ignored():
+    """It was refused as well, or reserved memory and cancelled the close of the connection."""
+
+    async def check():
+        answers = iter((False, True))
+        memory = memory_of(10**6, admits=lambda *_: next(answers))
+        caller = Caller(LONG_BODIES, memory)
+        await caller.send(POST_HEAD + b"x" * 100_000 + b"GET / HTTP/1.1\r\n\r\n")
+        assert caller.transport.written.count(b"HTTP/1.1 ") == 1
+        assert memory.account.total == 0
+        await asyncio.sleep(2 * LINGER_S)
+        assert caller.transport.closed
+
+    run(check)
+
+
 @pytest.mark.parametrize("how", ["answered", "left", "refused"])
 def test_a_body_is_charged_from_its_head_on_and_refunded_once(how):
     """A charge that outlives its request would let the account fill up for good."""
