http1: reuse no connection whose body still waits in the transport

Cause: a body counted as complete once its last piece was handed to the transport. A connection whose upstream answers before it reads that piece was reused while its transport was full; the transport reports that only once, so the next body was copied into it as a whole. Change: a body is complete when its last piece has been handed over and the transport is not full. Result: the second case of the test saw a reusable connection before.

--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -148,12 +148,13 @@
     asyncio.run(main())
 
 
-def test_a_connection_with_an_unfinished_body_carries_no_other_request():
-    """The rest of the body would be read as the next request."""
+@pytest.mark.parametrize("size", [100_000, 10], ids=["unwritten", "in-the-transport"])
+def test_a_connection_with_an_unfinished_body_carries_no_other_request(size):
+    """The rest of the body would be read as the next request, or delay it."""
 
     async def main():
         transport = SlowUpstream()
-        connection, sink = upload_to(transport, b"x" * 100_000)
+        connection, sink = upload_to(transport, b"x" * size)
         connection.data_received(OWN_ANSWER)
         sent = len(transport.written)
         transport.drain()
--- a/packages/chalkyoke/src/chalkyoke/http1/upload.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/upload.py
@@ -24,8 +24,8 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the whole body has been written to the transport."""
-        return not self._rest
+        """Whether the upstream reads the whole body: no part waits here or in a full transport."""
+        return not self._rest and not self._is_paused
 
     def start(self, head: bytes, transport: asyncio.WriteTransport) -> None:
         """Write the head together with the first piece, then the rest."""
