gateway: end and measure sends correctly after a pause of the host's own

Causes: a pause before the first output still counted toward the time after which another replica is tried. A resume set the time of the last data with the switch off too, which changed when a stream counts as stalled. An exception other than a cancellation left the replica's connection open, and what came on it stayed charged for good. Change: the time to the first output counts from the resume; the resume is recorded only with a limit; any exception closes the connection. Result: the extended tests of the first two fail without the change; the third holds by reading.

--- a/packages/chalkyoke/src/chalkyoke/gateway/reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reading.py
@@ -89,7 +89,8 @@
         elif was_paused:
             self._cancel_timer()
             self._unread.release()
-            relay.record_resumed()
+            if self._account.is_limited:
+                relay.record_resumed()
             connection.resume()
 
     def _watch(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -54,6 +54,8 @@
         is received, since a stream may last many seconds more.
     :ivar ended: future that gets the outcome of the send.
     :ivar last_at: when data was last received, on the node's clock.
+    :ivar resumed_at: when the node last resumed reading after a pause of its own, on the node's
+        clock; 0 without a pause.
     :ivar longest_gap_s: the longest pause between two events, in seconds.
     """
 
@@ -93,6 +95,7 @@
         self.started_at = clock()
         self.first_at = 0.0
         self.last_at = self.started_at
+        self.resumed_at = 0.0
         self.events = 0
         self.longest_gap_s = 0.0
         self._event_at = 0.0
@@ -162,7 +165,7 @@
 
         The pause is no sign that the replica has stalled.
         """
-        self.last_at = self._clock()
+        self.last_at = self.resumed_at = self._clock()
 
     def pass_on(self) -> None:
         """Forward a buffered answer as a whole; does nothing before a head is received."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -136,7 +136,8 @@
         relay = self._dispatch(admission, granted, connection)
         try:
             end = await self._wait_for_end(admission, granted, connection, relay)
-        except asyncio.CancelledError:
+        except BaseException:
+            # An answer that goes on would be charged for a request that has ended.
             connection.cancel()
             raise
         finally:
@@ -300,7 +301,8 @@
             return self._parts.now() + STALL_MIN_S
         if relay.first_at:
             return relay.last_at + max(STALL_MIN_S, STALL_GAP_GOALS * route.gap_goal_s)
-        return relay.started_at + FIRST_STALL_GOALS * route.goal_s
+        waits_since = max(relay.started_at, relay.resumed_at)
+        return waits_since + FIRST_STALL_GOALS * route.goal_s
 
 
 def _limit_counting_process(granted: Granted) -> str | None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -324,6 +324,9 @@
         exchange.caller_can_read(False)
         await asyncio.sleep(4.0)
         assert not connection.closed
+        exchange.caller_can_read(True)
+        await asyncio.sleep(0.5)
+        assert not connection.closed
         exchange.caller_left()
         await asyncio.gather(exchange.task, return_exceptions=True)
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
@@ -108,6 +108,7 @@
         assert not send.connection.reads and not send.reading.is_paused
         send.reading.set_caller_can_read(True)
         assert send.connection.reads and send.account.total == 0
+        assert send.relay.last_at == send.relay.started_at
 
     virtual.run(main)
 
