memory: look for stopped readers once in each tick

Cause: each release walked over all buffers again, so a tick that released many was quadratic in the number of connections. Change: the stopped readers are sorted once, and released while memory is scarce. Result: same choice and order; the test of connections now also sees that nothing is released while memory is not scarce.

--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -5,14 +5,14 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import msgspec
 
 from chalkyoke.http1.messages import Headers
 from chalkyoke.memory.account import MemoryAccount, Purpose
-from chalkyoke.memory.stopped import largest_stopped
+from chalkyoke.memory.stopped import stopped_by_size
 from chalkyoke.sockets import bound_unsent
 
 # Bytes of responses in the program at which the handler of a request is told that its caller reads
@@ -88,18 +88,22 @@
         for each in list(self._unsent):
             each.refresh(now)
 
-    def release_stopped(self, now: float) -> Released | None:
-        """Abort the connection with the largest buffer whose caller has stopped reading.
+    def release_stopped(self, now: float) -> Iterator[Released]:
+        """Abort connections whose callers have stopped reading while memory is scarce.
+
+        The largest buffer is released first.
 
         :param now: the loop's clock, in seconds.
-        :return: what was released, or None if no caller has stopped.
+        :return: what was released.
         """
-        found = largest_stopped(self._unsent, now)
-        if found is None:
-            return None
-        released = Released(found.unsent_bytes, now - found.progress_at)
-        found.abort()
-        return released
+        if not self.account.is_scarce:
+            return
+        for found in stopped_by_size(self._unsent, now):
+            released = Released(found.unsent_bytes, now - found.progress_at)
+            found.abort()
+            yield released
+            if not self.account.is_scarce:
+                return
 
 
 class UnsentResponse:
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -336,6 +336,7 @@
 def test_a_connection_that_takes_no_byte_is_released_and_one_that_reads_is_not():
     async def check():
         memory = memory_of(10**6)
+        others = memory.account.open(Purpose.BODIES_KEPT)
         stopped, reading = Caller(memory=memory), Caller(memory=memory)
         for each, unsent in ((stopped, 40_000), (reading, 90_000)):
             await each.send(GOOD)
@@ -345,8 +346,10 @@
         now = asyncio.get_running_loop().time() + STOPPED_AFTER_S
         reading.transport.unsent -= 1
         memory.refresh(now)
-        assert memory.release_stopped(now).size == 40_000
-        assert memory.release_stopped(now) is None
+        assert list(memory.release_stopped(now)) == []
+        others.resize(10**6)
+        assert [each.size for each in memory.release_stopped(now)] == [40_000]
+        others.release()
         assert stopped.transport.aborted and not reading.transport.aborted
         reading.transport.unsent = 0
         memory.refresh(now)
--- a/packages/chalkyoke/src/chalkyoke/memory/stopped.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/stopped.py
@@ -1,7 +1,8 @@
 """
 chalkyoke.memory.stopped
 
-Chooses the buffer to release when memory is scarce: the largest one whose reader has stopped.
+Chooses the buffers to release when memory is scarce: those whose readers have stopped, the largest
+first.
 """
 
 from collections.abc import Iterable
@@ -29,10 +30,10 @@
 B = TypeVar("B", bound=SendBuffer)
 
 
-def largest_stopped(buffers: Iterable[B], now: float) -> B | None:
-    """Return the largest buffer whose reader has stopped, or None if there is none.
+def stopped_by_size(buffers: Iterable[B], now: float) -> list[B]:
+    """Return the buffers whose readers have stopped, the largest first.
 
     :param now: on the clock of ``progress_at``, in seconds.
     """
     stopped = [each for each in buffers if now - each.progress_at >= STOPPED_AFTER_S]
-    return max(stopped, key=lambda each: each.unsent_bytes, default=None)
+    return sorted(stopped, key=lambda each: each.unsent_bytes, reverse=True)
--- a/packages/chalkyoke/src/chalkyoke/memory/tests/test_account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/tests/test_account.py
@@ -9,7 +9,7 @@
     Purpose,
 )
 from chalkyoke.memory.limit import MIN_LIMIT_BYTES, account_limit_bytes
-from chalkyoke.memory.stopped import STOPPED_AFTER_S, largest_stopped
+from chalkyoke.memory.stopped import STOPPED_AFTER_S, stopped_by_size
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -105,5 +105,5 @@
         SimpleNamespace(unsent_bytes=size, progress_at=at)
         for size, at in ((900, 90.0), (50, 10.0), (70, 20.0))
     ]
-    assert largest_stopped(buffers, 20.0 + STOPPED_AFTER_S) is buffers[2]
-    assert largest_stopped(buffers, 20.0) is None
+    assert stopped_by_size(buffers, 20.0 + STOPPED_AFTER_S) == [buffers[2], buffers[1]]
+    assert stopped_by_size(buffers, 20.0) == []
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -76,10 +76,7 @@
         self._links_charge.resize(links.buffered_bytes())
         now = self._loop_time()
         self.callers.refresh(now)
-        while self.account.is_scarce:
-            released = self.callers.release_stopped(now)
-            if released is None:
-                return
+        for released in self.callers.release_stopped(now):
             self._metrics.count("memory_released")
             self._metrics.count("memory_released_bytes", released.size)
             log.notice(
