memory: read responses that can't be forwarded in part on while memory is free

Cause: a failure, or an answer without a signature, of more than 16 KB was paused until its deadline as soon as a fifth of the limit was in use, and with it the repeat that would have replaced it. Such a pause also went on into the next send of the request, for up to 0.25 s. Change: such a response may hold a quarter of what is free below the refusal of bodies, and a pause for it ends with the response.

--- a/packages/chalkyoke/src/chalkyoke/gateway/reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reading.py
@@ -52,6 +52,7 @@
         self._unread.release()
         if connection is not None and self._flow.is_paused and not connection.closed:
             connection.resume()
+        self._flow.on_response_ended()
 
     def set_caller_can_read(self, can_read: bool) -> None:
         """Follow the state of the caller's send buffer."""
--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -84,6 +84,16 @@
         free = self.limit_bytes * BUFFER_LEVEL - self.total
         return max(MIN_SHARE_BYTES, int(free * SHARE_OF_FREE))
 
+    @property
+    def withheld_share(self) -> int:
+        """Bytes of a response that one request may hold back if it can't be forwarded in part.
+
+        It is larger than :attr:`share`, because such a response makes no progress at all meanwhile.
+        Only meaningful with a limit.
+        """
+        free = self.limit_bytes * LEAST_URGENT_LEVEL - self.total
+        return max(MIN_SHARE_BYTES, int(free * SHARE_OF_FREE))
+
     @property
     def unread_bound(self) -> int:
         """Bytes that the system may receive for one connection before the program reads them."""
--- a/packages/chalkyoke/src/chalkyoke/memory/flow.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/flow.py
@@ -43,7 +43,7 @@
         :param unsent_bytes: bytes of the response that the caller has not taken yet.
         """
         unsent = 0 if self._caller_can_read else unsent_bytes
-        if not self.is_paused and retained_bytes + unsent > self._account.share:
+        if not self.is_paused and retained_bytes + unsent > self._share:
             self._pause(now)
 
     def on_check(self, held_bytes: int, now: float) -> None:
@@ -54,9 +54,22 @@
         if not self.is_paused or not self._account.is_limited:
             return
         waited_enough = self._caller_can_read or now - self._paused_at >= RESUME_AFTER_S
-        if waited_enough and held_bytes < self._account.share:
+        if waited_enough and held_bytes < self._share:
             self.is_paused = False
 
+    def on_response_ended(self) -> None:
+        """Forget a pause that was for the bytes held back of this response."""
+        if self._caller_can_read:
+            self.is_paused = False
+
+    @property
+    def _share(self) -> int:
+        """Bytes of the response that the host may hold at present.
+
+        If the caller reads, they are held back, and only the end of the response releases them.
+        """
+        return self._account.withheld_share if self._caller_can_read else self._account.share
+
     def _pause(self, now: float) -> None:
         if not self.is_paused:
             self._paused_at = now
