--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -16,7 +16,7 @@
 from chalkyoke.sockets import bound_unsent
 
 # Bytes of responses in the program at which the handler of a request is told that its caller reads
-# too slowly, and bytes that the system accepts for one caller before it can send them. The defaults
+# too slowly, and bytes that the system accepts for one peer before it can send them. The defaults
 # of asyncio and the system are 64 KB and some 3 MB: several hundred slow readers would fill a
 # small host before any of them was noticed.
 WRITE_BUFFER_BYTES = 16_384
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chalkyoke.http1.client import BoundedClientConnection, ClientConnection
+from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.memory.account import MemoryAccount
 from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
 
@@ -21,9 +22,6 @@
 # Milliseconds that sent bytes may stay unacknowledged before the operating system closes a
 # connection: less than the 3 s of disturbance that operators tolerate on a connection.
 USER_TIMEOUT_MS = 2500
-# Bytes that the system accepts for one connection before it can send them, where memory is limited;
-# without a bound it accepts some 3 MB.
-SYSTEM_UNSENT_BYTES = 16_384
 
 
 class ConnectFailure(StrEnum):
--- a/tests/slowpeers.py
+++ b/tests/slowpeers.py
@@ -81,8 +81,20 @@
 
 def _encode_address(address):
     """Encode an address as in /proc/net/tcp."""
+    ip, port = _split_address(address)
+    return f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{port:04X}"
+
+
+def _split_address(address):
     ip, port = address.rsplit(":", 1)
-    return f"{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}:{int(port):04X}"
+    return ip, int(port)
+
+
+def _make_slow_socket():
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
+    raw.setblocking(False)
+    return raw
 
 
 async def read_late(address, request, size, pause_s):
@@ -90,11 +102,8 @@
 
     :raises asyncio.IncompleteReadError: when the answer is incomplete.
     """
-    ip, port = address.rsplit(":", 1)
-    raw = socket.socket()
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
-    raw.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(raw, (ip, int(port)))
+    raw = _make_slow_socket()
+    await asyncio.get_running_loop().sock_connect(raw, _split_address(address))
     reader, writer = await asyncio.open_connection(sock=raw)
     reader._transport.pause_reading()
     writer.write(request)
@@ -108,13 +117,9 @@
 
 async def read_slowly(address, request):
     """Send a request and read its answer slowly until cancelled."""
-    ip, port = address.rsplit(":", 1)
-    raw = socket.socket()
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
-    raw.setblocking(False)
     loop = asyncio.get_running_loop()
-    with raw, contextlib.suppress(OSError):
-        await loop.sock_connect(raw, (ip, int(port)))
+    with _make_slow_socket() as raw, contextlib.suppress(OSError):
+        await loop.sock_connect(raw, _split_address(address))
         await loop.sock_sendall(raw, request)
         while await loop.sock_recv(raw, SLOW_BYTES_PER_S):
             await asyncio.sleep(1.0)
@@ -122,10 +127,9 @@
 
 async def call_repeatedly(address, make_request, until, outcome):
     """Send requests one after the other on a connection until a time on the loop's clock."""
-    ip, port = address.rsplit(":", 1)
     loop = asyncio.get_running_loop()
     while loop.time() < until:
-        reader, writer = await asyncio.open_connection(ip, int(port))
+        reader, writer = await asyncio.open_connection(*_split_address(address))
         status = 200
         while status and loop.time() < until:
             began = time.monotonic()
