tests: the copy of a body is checked also when it is written at once

Cause: the bound was asserted only between two drains; an upload that ignored the pause wrote the whole body at once and passed. Result: the test fails without the check of the pause in Upload.

--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -140,9 +140,10 @@
     async def main():
         body, transport = bytes(range(256)) * 1000, SlowUpstream()
         upload_to(transport, body)
+        assert transport.unsent <= COPIED_BYTES
         while len(transport.written) < len(body) + 4:
-            assert transport.unsent <= COPIED_BYTES
             transport.drain()
+            assert transport.unsent <= COPIED_BYTES
         assert transport.written == b"head" + body
 
     asyncio.run(main())
