--- a/packages/chalkyoke/src/chalkyoke/links/tests/test_links.py
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_links.py
@@ -8,7 +8,7 @@
 from chalkyoke.links.codec import FrameCodec, FrameReader
 from chalkyoke.links.connection import Identity
 from chalkyoke.links.messages import Challenge
-from chalkyoke.links.peers import Links
+from chalkyoke.links.peers import QUEUED_MESSAGE_BYTES, Links
 from chalkyoke.outcomes import Reason
 from chalkyoke.scheduling.messages import Grant, Shed
 
@@ -68,6 +68,25 @@
     asyncio.run(main())
 
 
+def test_the_queues_of_links_are_bounded_and_measured_for_the_account_of_memory():
+    """A bound that open links ignored would let slow peers fill a host."""
+
+    async def main():
+        one, other = (make(name, b"k" * 16, lambda c, m: None) for name in ("one", "other"))
+        await other.listen()
+        connection = await one.open(other.me.address)
+        assert connection.send(GRANT) and one.counters.dropped == 0
+        one.max_unsent_bytes = lambda: -1
+        assert not connection.send(GRANT) and one.counters.dropped == 1
+        one.send(free(), GRANT)
+        assert one.buffered_bytes() == QUEUED_MESSAGE_BYTES
+        connection.abort()
+        await one.close()
+        await other.close()
+
+    asyncio.run(main())
+
+
 def test_a_process_without_the_fleet_key_is_refused():
     async def main():
         seen = []
