--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -41,10 +41,10 @@
     return {
         "version": version,
         "routes": [
-            _make_route("explain", "stream", "model", resumable=True, attempts=2),
-            _make_route("chat", "stream", "model"),
-            _make_route("book", "non_idempotent", "seats"),
-            _make_route("find", "idempotent", "seats", attempts=2),
+            make_route("explain", "stream", "model", resumable=True, attempts=2),
+            make_route("chat", "stream", "model"),
+            make_route("book", "non_idempotent", "seats"),
+            make_route("find", "idempotent", "seats", attempts=2),
         ],
         "services": [
             {
@@ -64,7 +64,11 @@
     }
 
 
-def _make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+def make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Make a route under a path prefix of its name.
+
+    :rtype: dict
+    """
     route = {
         "name": name,
         "host": HOST,
@@ -139,6 +143,7 @@
 
     :param folder: folder for settings and logs.
     :param zones: the failure domain of each node.
+    :ivar memory: the ``memory`` section of the settings of all nodes.
     """
 
     def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
@@ -148,6 +153,7 @@
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
         self.limits = {"retry_slack": 100.0}
+        self.memory: dict[str, Any] = {}
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -201,9 +207,13 @@
         engine: bool = False,
         port: int = 0,
         version: str = "v1",
+        **more: Any,
     ) -> Replica:
-        """Start a replica."""
-        replica = Replica(name, service, zone, self.store, engine, version=version)
+        """Start a replica.
+
+        :param more: further fields of the replica.
+        """
+        replica = Replica(name, service, zone, self.store, engine, version=version, **more)
         await replica.start(own_address(REPLICA_ADDRESS_NUMBER), port)
         self.replicas[name] = replica
         return replica
@@ -230,6 +240,7 @@
         """Write a node's settings and start the node; it may have run before."""
         node = self.nodes[name]
         limits = "".join(f"{key} = {value}\n" for key, value in self.limits.items())
+        memory = "".join(f"{key} = {json.dumps(value)}\n" for key, value in self.memory.items())
         seeds = [each.advertised_address for each in self.nodes.values()][:3]
         node.settings.write_text(
             f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
@@ -240,7 +251,7 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            f"[limits]\n{limits}",
+            f"[limits]\n{limits}[memory]\n{memory}",
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
@@ -308,10 +319,12 @@
         body: bytes = b"{}",
         key: str | None = KEY,
         request_id: str = "",
+        read_pause_s: float = 0.0,
         **headers: str,
     ) -> CallerResponse:
         """Send one request as a caller.
 
+        :param read_pause_s: time between two reads of the answer, in seconds.
         :param headers: additional headers, with ``_`` for ``-``.
         """
         sent = {
@@ -330,6 +343,7 @@
                 try:
                     async for part in answer.content.iter_any():
                         parts.append(part)
+                        await asyncio.sleep(read_pause_s)
                 except aiohttp.ClientError:
                     return CallerResponse(answer.status, found, b"".join(parts), whole=False)
                 return CallerResponse(answer.status, found, b"".join(parts), whole=True)
