gateway: refuse a waiting request while its caller still has time for a retry

Cause: without a scheduler's decision, a request looked for a replica until its caller gave up (patience_until). Silent schedulers, a used-up local share, rests that are renewed and limits that never open for it all ended there, with a refusal that nobody could act on. In a pool's scheduler, upstreams that are suspended or out of reach of a failure domain held requests until the deadline.

Change: gateway/waiting.py gives the latest end of a wait, two goals before the caller gives up (at most half of its time), and the longest Retry-After after which the caller returns. The local choice uses both. The scheduler refuses a request if no upstream can be used before its deadline.

The test of silent schedulers asserted the wait until 2.4 s; it now asserts that the wait ends between two and one goals earlier, and that the Retry-After is at most a third of the time left.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -25,6 +25,7 @@
 )
 from chalkyoke.gateway.localchoice import LocalChoice
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
+from chalkyoke.gateway.waiting import longest_retry_after_s
 from chalkyoke.rollouts.standing import trial_route
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -60,8 +61,6 @@
 LOCAL_WAIT_S = 0.1
 # Number of empty progress reports after the last running request, in case its release was lost.
 TRAILING_REPORTS = 3
-# Longest Retry-After time as a share of the request's remaining time, so that its caller retries.
-MAX_RETRY_AFTER_SHARE = 0.3
 
 
 class SchedulerPort(Protocol):
@@ -266,7 +265,7 @@
             gap_goal_s=admission.route.gap_goal_s,
             whole_s=admission.deadline - now,
             fingerprint=fingerprint(admission),
-            comes_back_s=(admission.deadline - now) * MAX_RETRY_AFTER_SHARE,
+            comes_back_s=longest_retry_after_s(admission, now),
             tried=tuple(wanted.avoid),
         )
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -19,6 +19,7 @@
     ReplicaPort,
     Source,
 )
+from chalkyoke.gateway.waiting import latest_wait_end, longest_retry_after_s
 from chalkyoke.limits.client import Permit
 
 # Interval at which the node looks for a free replica, in seconds.
@@ -62,7 +63,8 @@
         """Choose a replica by the observations of this node.
 
         :param wait_s: longest time to wait for a free replica, in seconds.
-        :return: None if no replica is free within that time.
+        :return: None if no replica is free within that time. A request that has waited until
+            :func:`~chalkyoke.gateway.waiting.latest_wait_end` is denied.
         """
         admission, service = wanted.admission, wanted.admission.service
         until = self._now() + wait_s
@@ -87,8 +89,8 @@
             found = await self._wait_for_limit(wanted, replicas, until)
             if found is not None:
                 return found
-            if self._now() >= admission.patience_until:
-                return Denied("no free slot", DEFAULT_RETRY_S)
+            if self._now() >= latest_wait_end(admission):
+                return Denied("no free slot", self._retry_soon_s(wanted))
             if self._now() >= until:
                 return None
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -102,9 +104,13 @@
         if rest_s > 0 and now + rest_s > wanted.admission.due_at:
             return Denied("replicas rest", rest_s)
         if self._balancer.are_all_unreachable(replicas, now, tried=wanted.avoid):
-            return Denied("replicas out of reach", DEFAULT_RETRY_S)
+            return Denied("replicas out of reach", self._retry_soon_s(wanted))
         return None
 
+    def _retry_soon_s(self, wanted: GrantRequest) -> float:
+        """Return a Retry-After time for a cause of unknown duration; the caller can return then."""
+        return min(DEFAULT_RETRY_S, longest_retry_after_s(wanted.admission, self._now()))
+
     async def request_permit(self, replica: Replica, most_wait_s: float) -> Permit | None:
         """Get a permit to send to a replica; if it is denied, record when the limit allows one.
 
@@ -129,7 +135,7 @@
         replica = self._balancer.first_limit_to_open(replicas, now)
         if replica is None:
             return None
-        latest = _latest_wait_end(wanted, now)
+        latest = _latest_permit_wait_end(wanted, now)
         opens_at = self._balancer.stats(replica.id).limited_until
         if opens_at > latest:
             spread_s = REOPENING_SPREAD_S * self._random()
@@ -157,7 +163,7 @@
         return max(1, replica.slots // 4 + 2)
 
 
-def _latest_wait_end(wanted: GrantRequest, now: float) -> float:
+def _latest_permit_wait_end(wanted: GrantRequest, now: float) -> float:
     """Return the latest time to which a request waits for a limit, on the node's clock.
 
     Less urgent requests wait for a smaller share of their time. If demand exceeds the limits, they
@@ -168,7 +174,7 @@
         # A request that no replica of the version under trial takes now goes to other versions.
         return now
     if now >= admission.due_at:
-        return admission.patience_until
+        return latest_wait_end(admission)
     share = LIMIT_WAIT_SHARE * LIMIT_WAIT_SHARE_PER_RANK ** min(MAX_RANKS, admission.rank_in_team)
     return now + (admission.due_at - now) * share
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -35,6 +35,9 @@
     async def request_permit(self, service, replica, most_wait_s):
         return Permit(service, replica)
 
+    def return_permit(self, permit):
+        pass
+
 
 class Schedulers:
     """Schedulers that send no answer until a given time, and then grant ``m1``."""
@@ -100,7 +103,18 @@
     virtual.run(main)
 
 
-def test_silent_schedulers_are_asked_rarely_and_the_wait_ends_with_the_patience():
+def assert_refused_in_time_for_a_retry(found, patience):
+    """The caller returns within a third of its remaining time and has time for an answer then."""
+    assert isinstance(found, Denied)
+    left_s = 8.0 - asyncio.get_running_loop().time()
+    assert 0 < found.retry_after_s <= left_s / 3
+    waited_s = asyncio.get_running_loop().time()
+    assert patience - 2 * ROUTE.goal_s <= waited_s < patience - ROUTE.goal_s
+
+
+def test_silent_schedulers_are_asked_rarely_and_the_refusal_leaves_time_for_a_retry():
+    """Guards against a wait until the caller gives up, with all slots of the node's share used."""
+
     async def main():
         schedulers = Schedulers(answers_from=99.0)
         grants = make_grants(schedulers)
@@ -108,13 +122,59 @@
             await grants.acquire(admission(number, 2.4), 1, ())
         schedulers.asked.clear()
         found = await grants.acquire(admission(9, 2.4), 1, ())
-        assert isinstance(found, Denied)
-        assert 2.4 <= asyncio.get_running_loop().time() < 2.6
+        assert_refused_in_time_for_a_retry(found, 2.4)
         assert len(schedulers.asked) <= 12
 
     virtual.run(main)
 
 
+def test_a_local_choice_without_a_free_slot_leaves_time_for_a_retry():
+    """Guards the path without schedulers, which had no other end than the deadline."""
+
+    async def main():
+        grants = make_grants(Schedulers(answers_from=99.0))
+        for number in range(2):
+            await grants.acquire(admission(number, 2.4), 1, (), local_only=True)
+        found = await grants.acquire(admission(9, 2.4), 1, (), local_only=True)
+        assert_refused_in_time_for_a_retry(found, 2.4)
+
+    virtual.run(main)
+
+
+def test_a_slot_that_is_free_before_the_latest_wait_end_is_used():
+    """Guards against the refusal of a request that is served if it waits."""
+
+    async def main():
+        grants = make_grants(Schedulers(answers_from=99.0))
+        held = [await grants.acquire(admission(number, 2.4), 1, ()) for number in range(2)]
+        release = (admission(0, 2.4), held[0], ReleaseOutcome.DELIVERED)
+        asyncio.get_running_loop().call_later(1.2, grants.release, *release)
+        found = await grants.acquire(admission(9, 2.4), 1, ())
+        assert (found.source, found.replica.id) == (Source.LOCAL, held[0].replica.id)
+
+    virtual.run(main)
+
+
+def test_replicas_whose_rests_are_renewed_hold_no_request_until_its_deadline():
+    """Guards the path in which each rest ends before the goal and is followed by another one."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        grants = make_grants(Schedulers(answers_from=99.0), pooled=False)
+
+        def rest():
+            for each in REPLICAS:
+                grants._balancer.record_rest(each.id, 0.3, loop.time())
+            loop.call_later(0.25, rest)
+
+        rest()
+        found = await grants.acquire(admission(9, 2.4), 1, ())
+        assert isinstance(found, Denied)
+        assert loop.time() <= 1.4 and found.retry_after_s <= (8.0 - loop.time()) / 3
+
+    virtual.run(main)
+
+
 def test_a_request_that_has_reached_no_replica_is_refused_at_once():
     """Guards against retries at the only replica of a cut-off domain until the deadline."""
 
@@ -167,6 +227,25 @@
     virtual.run(main)
 
 
+def test_limits_that_stay_closed_hold_no_request_until_its_deadline():
+    """Guards the path in which a limit opens soon, but never for this request."""
+
+    async def main():
+        permits = OneLimited(0.1)
+        grants = make_grants(Schedulers(answers_from=99.0), pooled=False, permits=permits)
+
+        async def deny(service, replica, most_wait_s):
+            return PermitDenied(0.1)
+
+        permits.request_permit = deny
+        found = await grants.acquire(admission(1, 2.4), 1, ())
+        assert isinstance(found, Denied)
+        assert asyncio.get_running_loop().time() <= 1.5
+        assert found.retry_after_s <= (8.0 - asyncio.get_running_loop().time()) / 3
+
+    virtual.run(main)
+
+
 def test_with_all_replicas_at_their_limits_a_request_waits_or_gets_a_retry_time():
     async def play(opens_in_s):
         loop = asyncio.get_running_loop()
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -203,6 +203,24 @@
                     actions.append(self.shed(item, Reason.NO_UPSTREAM, retry))
         return actions
 
+    def _refuse_unusable(self, now: float) -> list[AddressedAction]:
+        """Refuse requests if no upstream can be used in time: all are suspended or out of reach.
+
+        Such a request would wait until its deadline without any grant.
+        """
+        actions: list[AddressedAction] = []
+        found: dict[tuple[str, str], float] = {}
+        for item in list(self._pool.waiting.values()):
+            key = (item.route, item.domain)
+            if key not in found:
+                upstreams = self._open_upstreams(item.route)
+                opens = (each.reopens_at(item.domain) for each in upstreams)
+                found[key] = min(opens, default=now)
+            if found[key] + item.least_s > item.deadline:
+                retry = min(found[key] - now, item.max_retry_after_s)
+                actions.append(self.shed(item, Reason.NO_UPSTREAM, round(retry, 2)))
+        return actions
+
     def _reopening_retry_after_s(self, closure: Closure, now: float) -> float:
         """Return a Retry-After at which an upstream may accept requests, plus random spread."""
         return round(closure.until - now + REOPENING_SPREAD_S * self._random(), 2)
@@ -213,7 +231,13 @@
         :rtype: list[AddressedAction]
         """
         actions = (
-            self.refuse_without_upstream() + self._refuse_closed(now) if self._features.shed else []
+            [
+                *self.refuse_without_upstream(),
+                *self._refuse_closed(now),
+                *self._refuse_unusable(now),
+            ]
+            if self._features.shed
+            else []
         )
         for item in list(self._pool.waiting.values()):
             if item.deadline <= now:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -294,6 +294,18 @@
             return False
         return now >= self.unreachable_from.get(domain, 0.0)
 
+    def reopens_at(self, domain: str) -> float:
+        """Return when suspension and connection backoff end for a failure domain.
+
+        Requests in progress from that domain may end the backoff at any time.
+
+        :return: time on the scheduler's clock; 0 where neither applies.
+        """
+        unreachable = self.unreachable_from.get(domain, 0.0)
+        if any(each.domain == domain for each in self.running.values()):
+            unreachable = 0.0
+        return max(self.suspended_until, unreachable)
+
     def record_own_load(self, now: float) -> None:
         """Record the current number of grants, to subtract it from delayed load reports."""
         self.own_load.append((now, len(self.running)))
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -317,3 +317,16 @@
     assert asked == [[], [], []]
     actions = [out.action for out in scheduler.tick(0.11)]
     assert [type(each) for each in actions] == [Grant] * 3
+
+
+def test_requests_whose_upstreams_stay_out_of_reach_are_refused_in_time_for_a_retry():
+    """Guards against waiting until the deadline while no upstream may be granted."""
+    scheduler = make_scheduler([upstream(FAST, slots=1)])
+    scheduler.upstreams[FAST].unreachable_from["z"] = 8.0
+    send_acquire(scheduler, name="stays", now=0.2, comes_back_s=0.9)
+    send_acquire(scheduler, name="waits", now=0.2, budget_s=9.0)
+    gone = [out.action for out in scheduler.tick(0.25)]
+    assert [(each.request, each.reason) for each in gone] == [("stays", Reason.NO_UPSTREAM)]
+    assert gone[0].retry_after_s <= 0.9
+    assert scheduler.is_waiting("waits"), "the upstream can be used again in time for it"
+    assert scheduler.tick(8.1)[0].action.upstream == FAST
