scheduling: pools of plain services

Cause: each host chooses replicas of plain services alone, so nothing is queued, ordered by tier or shared between teams, and replicas reject what overfills them.

Change: a pool may be plain. Its requests have no tokens: their work is the mean duration that the pool has learned, and each replica's speed model learns its own duration. A replica gets its slots plus half of them as concurrent grants, which hides the turnaround of a grant. Grants whose answer or release was lost are ended: by the withdrawal, or after 3 s without a report. DeclaredPools builds such pools where scheduling.plain_services is not "local".

--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -10,12 +10,20 @@
 from chalkyoke.catalog.resources import Catalog, Replica, Service, combined_rank
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.gateway.reception import BLOCK_TOKENS
-from chalkyoke.gateway.settings import SchedulingSection
+from chalkyoke.gateway.settings import PlainServices, SchedulingSection
 from chalkyoke.rollouts.standing import Eligibility, trial_route
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
 
 # Share of an engine's cache that is assumed to hold prompt prefixes; running requests use the rest.
 CACHE_SHARE = 0.7
+# Usual duration of a plain request until durations are learned, in seconds.
+PLAIN_REQUEST_S = 0.05
+# Grants of a plain replica beyond its slots, as a share of the slots. After an answer, the release,
+# the next grant and its request take up to four one-way latencies: 18 ms between failure domains
+# that are 4.5 ms apart, in which a slot would be idle; half of the 36 ms for which a request runs.
+# With a larger share, requests wait at the replica instead of in the order of the queue; with a
+# smaller one, slots are idle while requests wait.
+PLAIN_EXTRA_GRANTS_SHARE = 1 / 2
 # How long a replica whose record was removed may still get requests if its service has no other
 # replica, in seconds: less than the 2 s after which the operators' rules forbid it.
 DEPARTED_FALLBACK_S = 1.2
@@ -87,7 +95,7 @@
         self.pools = {
             service.name: self._pool(service, replicas)
             for service in catalog.services.values()
-            if service.is_engine
+            if service.is_engine or self._defaults.plain_services is not PlainServices.LOCAL
         }
 
     def _pool(self, service: Service, replicas: dict[str, Replica]) -> PoolSpec:
@@ -107,10 +115,13 @@
             self._catalog_specs.tiers,
             self._catalog_specs.teams,
             tuple(routes),
+            plain=not service.is_engine,
         )
 
     def _upstream(self, service: Service, replica: Replica) -> UpstreamSpec:
         defaults = self._defaults
+        if not service.is_engine:
+            return plain_upstream(replica, defaults)
         return UpstreamSpec(
             id=replica.id,
             address=replica.address,
@@ -128,6 +139,25 @@
         )
 
 
+def plain_upstream(replica: Replica, defaults: SchedulingSection) -> UpstreamSpec:
+    """Build the specification of a plain service's replica; its requests have no tokens.
+
+    :param defaults: assumed speeds of engines; they do not affect requests without tokens.
+    """
+    return UpstreamSpec(
+        id=replica.id,
+        address=replica.address,
+        failure_domain=replica.failure_domain,
+        slots=replica.slots,
+        prefill_tokens_per_s=defaults.prefill_tokens_per_s,
+        decode_tokens_per_s=1.0 / defaults.token_s,
+        batch_slowdown=1.0,
+        leaving=replica.draining,
+        setup_s=PLAIN_REQUEST_S,
+        extra_grants=max(1, round(replica.slots * PLAIN_EXTRA_GRANTS_SHARE)),
+    )
+
+
 class DeclaredReplicas:
     """Look up the replicas that may take new requests.
 
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -188,6 +188,7 @@
             scheduler.import_learned(message)
         else:
             scheduler.withdraw(message)
+            scheduler.end_withdrawn_grant(entry, message, now)
 
     def send_learned(self, pool: str, process: str) -> None:
         """Send the learned engine speeds of a pool to its new scheduler."""
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -67,6 +67,7 @@
         known = [(self._pool.running.get(item.request), item) for item in items]
         for running, item in known:
             if running is not None:
+                running.reported_at = now
                 self._learn_first(running, item.first_s, now)
         samples: dict[str, TokenSample] = {}
         for running, item in known:
@@ -156,8 +157,7 @@
             self._pool.queues[item.rank].charge_team(item.team, -item.work, weight)
             return
 
-        cached = max(0, usage.cached_tokens)
-        actual = self._pool.work_s(max(0, item.prompt_tokens - cached), usage.output_tokens)
+        actual = self._actual_work_s(item, usage)
         self._pool.queues[item.rank].charge_team(item.team, actual - item.work, weight)
         if not self._features.learn:
             return
@@ -178,6 +178,14 @@
             found = usage.cached_tokens // BLOCK_TOKENS
             self._pool.prefixes.correct_capacity(upstream.spec.id, int(expected), found)
 
+    def _actual_work_s(self, item: RunningRequest, usage: Usage) -> float:
+        """Return the work of a request that has ended: its duration where the service is plain."""
+        if self._pool.spec.plain:
+            self._pool.learn_request_s(usage.total_s)
+            return usage.total_s
+        cached = max(0, usage.cached_tokens)
+        return self._pool.work_s(max(0, item.prompt_tokens - cached), usage.output_tokens)
+
     def _learn_first(self, item: RunningRequest, first_s: float, now: float) -> None:
         """Update the prefill speed from a first token and mark the prefill as complete."""
         upstream = self._pool.upstreams.get(item.upstream)
@@ -213,6 +221,8 @@
 
     def remaining_s(self, item: RunningRequest, upstream: Upstream, now: float) -> float:
         """Predict the remaining time of a running request, in seconds."""
+        if self._pool.spec.plain:
+            return max(0.0, upstream.speed.first_time(0, 0) - item.elapsed_s)
         left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
         _, decode_share = upstream.prefill_outlook(now)
         seconds = left * upstream.speed.token_time(len(upstream.running)) / decode_share
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -28,6 +28,8 @@
 # A pool with less than this share of its slots in use is mostly free; operators count a refusal
 # below that share as needless.
 MOSTLY_FREE_SHARE = 0.5
+# Weight of one plain request in the mean duration of its service's requests, as a share.
+DURATION_GAIN = 0.02
 # How long the list of the fastest upstreams is cached, in seconds.
 FASTEST_CACHE_S = 1.0
 
@@ -52,6 +54,7 @@
         self.team_running: dict[str, int] = {}
         self._allowances: Mapping[str, Allowance] = {}
         self._fastest: dict[str, tuple[float, list[Upstream]]] = {}
+        self._request_s = 0.0
         self.configure(spec)
 
     def configure(self, spec: PoolSpec) -> None:
@@ -111,10 +114,18 @@
     def work_s(self, prompt_tokens: float, output_tokens: float) -> float:
         """Return the cost of some tokens, in seconds on an average upstream.
 
+        A plain service's requests have no tokens; each costs their mean duration.
+
         :rtype: float
         """
+        if self.spec.plain:
+            return self._request_s
         return prompt_tokens * self._prefill_cost + output_tokens * self._decode_cost
 
+    def learn_request_s(self, seconds: float) -> None:
+        """Update the mean duration of a plain service's requests from one of them."""
+        self._request_s += DURATION_GAIN * (seconds - self._request_s)
+
     def add_waiting(self, item: WaitingRequest) -> None:
         """Add a waiting request."""
         self.queue(item.rank).push(item)
@@ -254,6 +265,8 @@
         count = max(1, len(specs))
         self._prefill_cost = sum(1 / spec.prefill_tokens_per_s for spec in specs) / count
         self._decode_cost = sum(1 / spec.decode_tokens_per_s for spec in specs) / count
+        if not self._request_s:
+            self._request_s = sum(spec.setup_s for spec in specs) / count
 
 
 def _initial_estimates(spec: UpstreamSpec) -> tuple[float, ...]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -10,9 +10,11 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from chalkyoke.limits.allowance import Allowance
+from chalkyoke.scheduling.entries import Entries
 from chalkyoke.scheduling.granting import Granter
 from chalkyoke.scheduling.headroom import LONG_OUTPUT_S, Headroom
 from chalkyoke.scheduling.learning import Learner, RefusalChange
+from chalkyoke.scheduling.loads import record_load_report, record_plain_load
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -46,15 +48,6 @@
 # answer within a few milliseconds and lost ones never, while a goal may be as short as 0.3 s. An
 # adopt message that arrives later causes brief overcommitment.
 SETTLE_S = 0.1
-# Age from which a grant counts as ended if its entry process no longer lists it, in seconds: three
-# progress reports.
-LOST_RELEASE_S = 3.0
-# An entry process that has sent nothing for this long counts as dead, in seconds: ten reports.
-ENTRY_TIMEOUT_S = 10.0
-# Interval between checks for silent entry processes, in seconds.
-SWEEP_S = 1.0
-# Validity of a load report, in seconds: several report intervals.
-FOREIGN_VALID_S = 5.0
 # Outcomes after which the request may never have been sent.
 UNSENT_OUTCOMES = frozenset((ReleaseOutcome.UNUSED, ReleaseOutcome.UNREACHABLE))
 
@@ -95,8 +88,7 @@
         self._order = 0
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
-        self._last_message_at: dict[str, float] = {}
-        self._next_sweep = now
+        self._entries = Entries(self._pool, now)
 
     # Read access for the node and for benchmarks.
 
@@ -172,7 +164,7 @@
         :param domain: failure domain of the entry process.
         :rtype: list[AddressedAction]
         """
-        self._last_message_at[entry] = now
+        self._entries.record_message(entry, now)
         known = self._pool.waiting.get(message.request)
         if known is not None and known.attempt >= message.attempt:
             return []
@@ -197,6 +189,15 @@
         if item is not None:
             self._pool.remove_waiting(item)
 
+    def end_withdrawn_grant(self, entry: str, message: Withdraw, now: float) -> None:
+        """End a plain service's grant whose answer was lost: its entry process asks elsewhere.
+
+        Without this, the grant would occupy a slot for as long as many requests take together.
+        """
+        held = self._pool.running.get(message.request)
+        if self.spec.plain and held is not None and held.entry == entry:
+            self._pool.end_running(held, now)
+
     def release(self, domain: str, message: Release, now: float) -> list[AddressedAction]:
         """End a grant and update the estimates from its outcome.
 
@@ -210,6 +211,8 @@
         outcome = ReleaseOutcome(message.outcome)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
+            if self.spec.plain:
+                message = record_plain_load(upstream, message, now)
             self._refund_limit(item, upstream, message)
             self._learner.learn_health(upstream, domain, outcome, now)
             self._learner.learn_declines(item, upstream, message, now)
@@ -230,19 +233,11 @@
             pool.
         :rtype: list[AddressedAction]
         """
-        self._last_message_at[entry] = now
+        self._entries.record_message(entry, now)
         self._learner.learn_progress(message.items, now)
         listed = {item.request for item in message.items}
-        lost = [
-            running
-            for running in self._pool.running.values()
-            if running.entry == entry
-            and running.request not in listed
-            and now - running.granted > LOST_RELEASE_S
-        ]
-        for running in lost:
-            self._pool.end_running(running, now)
-        return self._decide(now) if lost else []
+        ended = self._entries.end_unlisted(entry, listed, now)
+        return self._decide(now) if ended else []
 
     def apply_first_output(self, message: FirstOutput, now: float) -> None:
         """Record that the prefill of a request is complete."""
@@ -255,7 +250,7 @@
 
         :rtype: list[AddressedAction]
         """
-        self._last_message_at[entry] = now
+        self._entries.record_message(entry, now)
         for item in message.items:
             upstream = self._pool.upstreams.get(item.upstream)
             waiting = self._pool.waiting.get(item.request)
@@ -300,7 +295,8 @@
 
         :rtype: list[AddressedAction]
         """
-        self._remove_entry_requests(entry, now)
+        self._entries.remove(entry, now)
+        self._unsettled.discard(entry)
         return self._decide(now)
 
     def apply_load_report(self, message: LoadReport, now: float) -> list[AddressedAction]:
@@ -315,9 +311,7 @@
             return []
 
         upstream.draining = message.draining
-        own = upstream.max_own_load_since(now - 2 * message.age_s - 1.0)
-        upstream.foreign_load = max(0, message.running + message.waiting - own)
-        upstream.foreign_load_until = now + FOREIGN_VALID_S
+        record_load_report(upstream, message.running + message.waiting, message.age_s, now)
         return self._decide(now)
 
     def apply_cache_event(self, message: CacheEvent) -> None:
@@ -329,34 +323,13 @@
 
         :rtype: list[AddressedAction]
         """
-        self._remove_silent_entries(now)
+        self._unsettled.difference_update(self._entries.sweep(now))
         self._headroom.observe_running((each.rank for each in self._pool.running.values()), now)
         actions = self._refuser.refuse_expired(now)
         if self._settled(now):
             actions += self._refuser.shed_by_forecast(now)
         return actions + self._decide(now)
 
-    def _remove_silent_entries(self, now: float) -> None:
-        """Remove the requests of entry processes that have sent nothing for a while.
-
-        Membership reports a death only once, and a message that was in flight may arrive after
-        that.
-        """
-        if now < self._next_sweep:
-            return
-        self._next_sweep = now + SWEEP_S
-        for entry, last_message_at in list(self._last_message_at.items()):
-            if now - last_message_at > ENTRY_TIMEOUT_S:
-                del self._last_message_at[entry]
-                self._remove_entry_requests(entry, now)
-
-    def _remove_entry_requests(self, entry: str, now: float) -> None:
-        for waiting in [each for each in self._pool.waiting.values() if each.entry == entry]:
-            self._pool.remove_waiting(waiting)
-        for running in [each for each in self._pool.running.values() if each.entry == entry]:
-            self._pool.end_running(running, now)
-        self._unsettled.discard(entry)
-
     # Arrival.
 
     def _make_waiting(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -57,6 +57,8 @@
     :param prefill_chunk_tokens: prompt tokens that are read between two tokens of concurrent
         streams; 0 where unknown.
     :param tokens_per_event: output tokens that a stream emits in one event.
+    :param extra_grants: number of grants beyond the slots, which wait at the upstream while others
+        are on their way to it or from it.
     """
 
     id: str
@@ -72,6 +74,12 @@
     attention_s_per_pair: float = 0.0
     prefill_chunk_tokens: int = 0
     tokens_per_event: int = 1
+    extra_grants: int = 0
+
+    @property
+    def max_grants(self) -> int:
+        """The number of concurrent grants at which the upstream counts as full."""
+        return self.slots + self.extra_grants
 
 
 class TierSpec(msgspec.Struct, frozen=True):
@@ -106,6 +114,8 @@
     :param caution: quantile of the output length with which a request must still meet its deadline
         to be started while others wait. A higher quantile wastes less prefill work and delivers
         slightly fewer answers.
+    :param plain: whether the upstreams are replicas of a plain service. Its requests have no
+        tokens; their work is their duration, and the goal applies to the complete answer.
     """
 
     name: str
@@ -114,6 +124,7 @@
     teams: tuple[TeamSpec, ...] = ()
     routes: tuple[RouteSpec, ...] = ()
     caution: float = DEFAULT_CAUTION_QUANTILE
+    plain: bool = False
 
 
 class WaitingRequest(msgspec.Struct, eq=False):
@@ -188,6 +199,7 @@
         announced.
     :ivar gap_exceeded: whether the prefill of another request has already exceeded the gap goal.
     :ivar stalls_seen: the upstream's ``stall_s`` at the last progress report.
+    :ivar reported_at: time of the last progress report.
     """
 
     request: str
@@ -215,6 +227,7 @@
     hint: int = 0
     domain: str = ""
     counts_toward_limit: bool = False
+    reported_at: float = 0.0
 
 
 class Upstream(msgspec.Struct, eq=False):
@@ -268,7 +281,7 @@
 
         :rtype: bool
         """
-        if self.occupied(now) >= self.spec.slots:
+        if self.occupied(now) >= self.spec.max_grants:
             return False
         return self.allowance is None or self.allowance.is_open(now)
 
@@ -317,9 +330,12 @@
 
         :rtype: int
         """
-        recent = [count for at, count in self.own_load if at >= since]
-        before = [count for at, count in self.own_load if at < since]
-        return max([*recent, *before[-1:], len(self.running)])
+        most = len(self.running)
+        for at, count in reversed(self.own_load):
+            most = max(most, count)
+            if at < since:
+                break
+        return most
 
     def record_stall(self, seconds: float, now: float) -> None:
         """Record the duration of a prefill, during which other streams made no progress."""
