gateway: ask a pool's scheduler for plain requests, and bound the local choice

Cause: only requests to engines went through a scheduler; without one, a host had no bound for its requests to a plain service.

Change: one predicate, Grants._is_queued, says whether the pool's scheduler decides for a service now, for engines and for plain services. A plain request's Acquire states no tokens and has the request's digest as its fingerprint; its release says the time of the whole answer and the load that the answer reported; it is in a progress report only after a second.

Tests: a lost owner, a service that is not queued, and 60 nodes before 8 slots with no scheduler, in virtual time: at most 16 requests at once.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 import msgspec
 
@@ -273,12 +274,11 @@
         a trial never causes a refusal.
         """
         parts, progress = self._parts, self._progress
+        acquire = functools.partial(parts.grants.acquire, admission, digest=self._request_digest)
         again = progress.attempt > 1 or self._delivery.head_sent
         if parts.rollouts.claim_trial(admission, again=again):
             try:
-                granted = await parts.grants.acquire(
-                    admission, progress.attempt, progress.tried, for_trial=True
-                )
+                granted = await acquire(progress.attempt, progress.tried, for_trial=True)
             except asyncio.CancelledError:
                 parts.rollouts.return_trial(admission)
                 raise
@@ -286,11 +286,8 @@
                 return granted
             parts.rollouts.return_trial(admission)
             progress.attempt += 1
-        if progress.unused_grants >= MAX_UNUSED_GRANTS:
-            return await parts.grants.acquire(
-                admission, progress.attempt, progress.tried, local_only=True
-            )
-        return await parts.grants.acquire(admission, progress.attempt, progress.tried)
+        local_only = progress.unused_grants >= MAX_UNUSED_GRANTS
+        return await acquire(progress.attempt, progress.tried, local_only=local_only)
 
     def _act_on_end(self, admission: Admission, granted: Granted, end: SendEnd) -> NextStep:
         """Record the end of a send, then decide the next step and take it."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -66,7 +66,8 @@
         now = parts.now()
         stats = parts.balancer.stats(granted.replica.id)
         if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
-            stats.record_load(relay.fields.load.running, relay.fields.load.waiting, now)
+            granted.load = relay.fields.load
+            stats.record_load(granted.load.running, granted.load.waiting, now)
         if end is SendEnd.DELIVERED:
             stats.record_answer(now - granted.started_at)
         elif end is SendEnd.NOT_CONNECTED:
--- a/packages/chalkyoke/src/chalkyoke/gateway/granted.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/granted.py
@@ -5,13 +5,14 @@
 and permits.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from enum import StrEnum
 from typing import Protocol
 
 import msgspec
 
 from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.ports import Load
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
 
@@ -39,6 +40,7 @@
     :ivar started_at: when the request was sent, on the node's clock; 0 before.
     :ivar first_s: time from the send to the first event, in seconds; -1 before.
     :ivar events: number of events received.
+    :ivar load: load that the answer reported; None where it reported none.
     """
 
     replica: Replica
@@ -53,6 +55,7 @@
     counted: bool = False
     permit: Permit | None = None
     is_first_decline: bool = False
+    load: Load | None = None
 
 
 class Denied(msgspec.Struct, frozen=True):
@@ -108,9 +111,11 @@
     :param attempt: number of this grant among those that the request asked for.
     :param avoid: ids of replicas that were tried already.
     :param for_trial: whether the replica must run a version under trial.
+    :param digest: returns the digest of the request's content, for plain requests; None if unknown.
     """
 
     admission: Admission
     attempt: int
     avoid: Collection[str]
     for_trial: bool
+    digest: Callable[[], bytes] | None = None
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 import msgspec
 
 from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.catalog.resources import Service
 from chalkyoke.gateway.granted import (
     DEFAULT_RETRY_S,
     Denied,
@@ -23,12 +24,15 @@
     ReplicaPort,
     Source,
 )
+from chalkyoke.gateway.grantmessages import (
+    acquire_message,
+    progress_item,
+    release_message,
+    running_item,
+)
 from chalkyoke.gateway.localchoice import LocalChoice
-from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
-from chalkyoke.gateway.waiting import longest_retry_after_s
-from chalkyoke.rollouts.standing import trial_route
+from chalkyoke.gateway.reception import Admission
 from chalkyoke.scheduling.messages import (
-    Acquire,
     Adopt,
     EntryMessage,
     FirstOutput,
@@ -37,12 +41,11 @@
     ProgressItem,
     Queued,
     Release,
-    RunningItem,
     Shed,
     Usage,
     Withdraw,
 )
-from chalkyoke.scheduling.state import ReleaseOutcome
+from chalkyoke.scheduling.state import PoolSpec, ReleaseOutcome
 
 # Timeout for the first answer of a scheduler, in seconds: ten round trips between failure domains.
 # The next scheduler is asked after it, so a lost scheduler breaks no goal of 0.15 s or more.
@@ -59,6 +62,9 @@
 MAX_SCHEDULERS_ASKED = 3
 # Time that the local choice looks for a replica before the schedulers are asked again, in seconds.
 LOCAL_WAIT_S = 0.1
+# Time for which a plain request has run before progress reports list it, in seconds: most end far
+# sooner, and their release says all.
+MIN_REPORTED_PLAIN_S = 1.0
 # Number of empty progress reports after the last running request, in case its release was lost.
 TRAILING_REPORTS = 3
 
@@ -83,6 +89,9 @@
 
     :param random: source of numbers in [0, 1), to spread the retries of callers.
     :param now: the node's clock, in seconds.
+    :param nodes: returns the number of nodes that may exist in the fleet.
+    :param plain_queued: returns whether the scheduler of a plain service's pool decides for it now;
+        by default, this node chooses the replicas of all plain services.
     :param pooled: whether pool schedulers grant requests to engines; otherwise this node chooses
         the replicas.
     """
@@ -95,6 +104,8 @@
         permits: PermitPort,
         random: Callable[[], float],
         now: Callable[[], float],
+        nodes: Callable[[], int] = lambda: 1,
+        plain_queued: Callable[[str], bool] = lambda _: False,
         *,
         pooled: bool,
     ) -> None:
@@ -104,7 +115,8 @@
         self._permits = permits
         self._now = now
         self._pooled = pooled
-        self._local = LocalChoice(replicas, balancer, permits, random, now, pooled=pooled)
+        self._plain_queued = plain_queued
+        self._local = LocalChoice(replicas, balancer, permits, random, now, nodes, pooled=pooled)
         self._loop = asyncio.get_running_loop()
         self._answer_queues: dict[str, asyncio.Queue[tuple[str, Grant | Shed | Queued]]] = {}
         self._held_grants: dict[str, _HeldGrant] = {}
@@ -122,6 +134,7 @@
         *,
         for_trial: bool = False,
         local_only: bool = False,
+        digest: Callable[[], bytes] | None = None,
     ) -> Granted | Denied:
         """Get a replica for a request, and wait while none is free.
 
@@ -132,11 +145,14 @@
         :param avoid: ids of replicas that were tried already.
         :param for_trial: whether the replica must run a version under trial.
         :param local_only: whether this node chooses without asking the schedulers.
+        :param digest: returns the digest of the request's content, by which the scheduler of a
+            plain service recognises retries.
         """
         if not self._replicas.of_service(admission.service.name, for_trial=for_trial):
             return Denied("no replica", DEFAULT_RETRY_S)
-        wanted = GrantRequest(admission, attempt, avoid, for_trial)
-        pooled = admission.service.is_engine and self._pooled and not local_only
+        wanted = GrantRequest(admission, attempt, avoid, for_trial, digest)
+        queued = self._is_queued(admission.service)
+        pooled = queued and not local_only
         granted: Granted | Denied | None = None
         while granted is None:
             if pooled:
@@ -145,7 +161,7 @@
                 granted, pooled = None, False
             if granted is None:
                 wait_s = LOCAL_WAIT_S if pooled else math.inf
-                granted = await self._local.choose(wanted, wait_s)
+                granted = await self._local.choose(wanted, wait_s, queued=queued)
         if isinstance(granted, Granted):
             self._held_grants[admission.request_id] = _HeldGrant(admission, granted)
             self._balancer.stats(granted.replica.id).outstanding += 1
@@ -201,7 +217,7 @@
 
         :return: None if the scheduler stops answering, or grants an unknown replica.
         """
-        self._schedulers.send(owner, self._acquire_message(wanted))
+        self._schedulers.send(owner, acquire_message(wanted, self._now()))
         wait_s = FIRST_ANSWER_TIMEOUT_S
         asked_again = False
         while True:
@@ -213,7 +229,7 @@
                     return None
                 asked_again = True
                 wait_s = CHECK_TIMEOUT_S
-                self._schedulers.send(owner, self._acquire_message(wanted))
+                self._schedulers.send(owner, acquire_message(wanted, self._now()))
                 continue
             if message.attempt != wanted.attempt:
                 continue
@@ -242,33 +258,6 @@
             counted=message.counted,
         )
 
-    def _acquire_message(self, wanted: GrantRequest) -> Acquire:
-        admission = wanted.admission
-        now = self._now()
-        fields = admission.fields
-        streams = admission.route.is_stream
-        last = admission.patience_until if streams else admission.deadline
-        return Acquire(
-            request=admission.request_id,
-            attempt=wanted.attempt,
-            pool=admission.service.name,
-            route=_route_name(admission, for_trial=wanted.for_trial),
-            tier=str(admission.rank),
-            team=admission.team.name if admission.team else "",
-            prompt_tokens=fields.prompt_tokens,
-            max_output=fields.max_output_tokens or DEFAULT_OUTPUT_TOKENS,
-            blocks=prompt_blocks(fields),
-            budget_s=last - now,
-            waited_s=now - admission.arrived_at,
-            goal_s=(admission.due_at - now) or -1e-3,
-            likely_output=fields.estimated_output_tokens,
-            gap_goal_s=admission.route.gap_goal_s,
-            whole_s=admission.deadline - now,
-            fingerprint=fingerprint(admission),
-            comes_back_s=longest_retry_after_s(admission, now),
-            tried=tuple(wanted.avoid),
-        )
-
     # Messages from schedulers.
 
     def receive(self, process: str, message: Grant | Shed | Queued) -> None:
@@ -296,9 +285,9 @@
     def record_started(self, admission: Admission, granted: Granted) -> None:
         """Record that a request was sent, and report a local grant to the pool's owner."""
         granted.started_at = self._now()
-        if granted.source is Source.LOCAL and admission.service.is_engine and self._pooled:
+        if granted.source is Source.LOCAL and self._is_queued(admission.service):
             owners = self._schedulers.owners(admission.service.name)
-            item = self._running_item(_HeldGrant(admission, granted))
+            item = running_item(admission, granted, self._now())
             for owner in owners[:1]:
                 self._schedulers.send(owner, Adopt(admission.service.name, (item,)))
 
@@ -312,9 +301,8 @@
             return
         pool = admission.service.name
         message = FirstOutput(admission.request_id, pool, first_s)
-        for process in dict.fromkeys([granted.scheduler, *self._schedulers.owners(pool)[:1]]):
-            if process:
-                self._schedulers.send(process, message)
+        for process in self._informed_schedulers(admission.service, granted):
+            self._schedulers.send(process, message)
 
     def release(self, admission: Admission, granted: Granted, outcome: ReleaseOutcome) -> None:
         """Release a grant and report the usage of the replica to the schedulers."""
@@ -325,48 +313,31 @@
         self._balancer.stats(granted.replica.id).outstanding -= 1
         if granted.permit is not None and not granted.started_at:
             self._permits.return_permit(granted.permit)
-        if not admission.service.is_engine or not self._pooled:
-            return
-        pool = admission.service.name
-        usage = Usage(
-            prompt_tokens=admission.fields.prompt_tokens,
-            output_tokens=granted.events * admission.service.tokens_per_event,
-            first_s=granted.first_s,
-            total_s=self._now() - granted.started_at if granted.started_at else 0.0,
-        )
-        message = Release(
-            admission.request_id,
-            granted.attempt,
-            pool,
-            outcome,
-            usage,
-            declined=granted.is_first_decline,
-            rest_s=self._balancer.stats(granted.replica.id).rest_left_s(self._now()),
-        )
-        owner = self._schedulers.owners(pool)[:1]
-        for process in dict.fromkeys([granted.scheduler, *owner]):
-            if process:
-                self._schedulers.send(process, message)
+        rest_s = self._balancer.stats(granted.replica.id).rest_left_s(self._now())
+        message = release_message(admission, granted, outcome, rest_s, self._now())
+        for process in self._informed_schedulers(admission.service, granted):
+            self._schedulers.send(process, message)
+
+    def _informed_schedulers(self, service: Service, granted: Granted) -> list[str]:
+        """List the schedulers that count a grant: the one that issued it and the pool's owner."""
+        owners = self._schedulers.owners(service.name)[:1] if self._is_queued(service) else []
+        return [each for each in dict.fromkeys([granted.scheduler, *owners]) if each]
+
+    def _is_queued(self, service: Service) -> bool:
+        """Return whether the scheduler of a service's pool decides for its requests now."""
+        return self._pooled and (service.is_engine or self._plain_queued(service.name))
 
     def send_progress(self) -> None:
         """Report the progress of running requests to the schedulers; call about once a second."""
         now = self._now()
         items: dict[tuple[str, str], list[ProgressItem]] = {}
-        for request, held in self._held_grants.items():
-            service = held.admission.service
-            if not service.is_engine or not self._pooled:
+        for held in self._held_grants.values():
+            service, granted = held.admission.service, held.granted
+            if not service.is_engine and now - granted.started_at < MIN_REPORTED_PLAIN_S:
                 continue
-            granted = held.granted
-            item = ProgressItem(
-                request,
-                granted.events * service.tokens_per_event,
-                granted.first_s,
-                now - granted.started_at if granted.started_at else 0.0,
-            )
-            owner = self._schedulers.owners(service.name)[:1]
-            for process in dict.fromkeys([granted.scheduler, *owner]):
-                if process:
-                    items.setdefault((process, service.name), []).append(item)
+            item = progress_item(held.admission, granted, now)
+            for process in self._informed_schedulers(service, granted):
+                items.setdefault((process, service.name), []).append(item)
         for key in items:
             self._reports_left[f"{key[0]}|{key[1]}"] = TRAILING_REPORTS
         for name in list(self._reports_left):
@@ -376,11 +347,17 @@
             if self._reports_left[name] <= 0:
                 del self._reports_left[name]
 
-    def report_to_new_owners(self, pools: Collection[str]) -> None:
-        """Report the running requests of each pool whose owner has changed."""
+    def report_to_new_owners(self, pools: Mapping[str, PoolSpec]) -> None:
+        """Report the running requests of each pool whose owner has changed.
+
+        The owner of a plain service that is not queued is not told, as it has no scheduler for it.
+        """
         if not self._pooled:
             return
-        for pool in pools:
+        for pool, spec in pools.items():
+            if spec.plain and not self._plain_queued(pool):
+                self._reported_owners.pop(pool, None)
+                continue
             owners = self._schedulers.owners(pool)[:1]
             if owners and self._reported_owners.get(pool) != owners[0]:
                 self._reported_owners[pool] = owners[0]
@@ -389,28 +366,8 @@
     def report_running(self, pool: str, process: str) -> None:
         """Report to a scheduler the grants of a pool that this node holds."""
         items = tuple(
-            self._running_item(held)
+            running_item(held.admission, held.granted, self._now())
             for held in self._held_grants.values()
             if held.admission.service.name == pool
         )
         self._schedulers.send(process, Adopt(pool, items))
-
-    def _running_item(self, held: _HeldGrant) -> RunningItem:
-        admission, granted = held.admission, held.granted
-        return RunningItem(
-            request=admission.request_id,
-            attempt=granted.attempt,
-            upstream=granted.replica.id,
-            tier=str(admission.rank),
-            team=admission.team.name if admission.team else "",
-            route=_route_name(admission, for_trial=granted.for_trial),
-            prompt_tokens=admission.fields.prompt_tokens,
-            max_output=admission.fields.max_output_tokens or DEFAULT_OUTPUT_TOKENS,
-            output_tokens=granted.events * admission.service.tokens_per_event,
-            elapsed_s=self._now() - granted.started_at if granted.started_at else 0.0,
-        )
-
-
-def _route_name(admission: Admission, *, for_trial: bool) -> str:
-    name = admission.route.name
-    return trial_route(name) if for_trial else name
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -1,8 +1,9 @@
 """
 chalkyoke.gateway.localchoice
 
-Choose a replica without a scheduler: always for plain services, and within bounds for engines while
-no scheduler answers. Requests to replicas with a limit are counted over all nodes.
+Choose a replica without a scheduler: always for plain services that are not queued, and within
+bounds for other pools while no scheduler answers. Requests to replicas with a limit are counted
+over all nodes.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
     ReplicaPort,
     Source,
 )
+from chalkyoke.gateway.localshare import LocalShare
 from chalkyoke.gateway.waiting import latest_wait_end, longest_retry_after_s
 from chalkyoke.limits.client import Permit
 
@@ -39,6 +41,7 @@
 
     :param random: source of numbers in [0, 1), to spread the retries of callers.
     :param now: the node's clock, in seconds.
+    :param nodes: returns the number of nodes that may exist in the fleet.
     :param pooled: whether pool schedulers are asked first.
     """
 
@@ -49,6 +52,7 @@
         permits: PermitPort,
         random: Callable[[], float],
         now: Callable[[], float],
+        nodes: Callable[[], int],
         *,
         pooled: bool,
     ) -> None:
@@ -58,34 +62,36 @@
         self._random = random
         self._now = now
         self._pooled = pooled
+        self._share = LocalShare(random, nodes)
 
-    async def choose(self, wanted: GrantRequest, wait_s: float) -> Granted | Denied | None:
+    async def choose(
+        self, wanted: GrantRequest, wait_s: float, *, queued: bool = False
+    ) -> Granted | Denied | None:
         """Choose a replica by the observations of this node.
 
         :param wait_s: longest time to wait for a free replica, in seconds.
+        :param queued: whether a scheduler decides for the service, so that this node uses only its
+            share of the slots.
         :return: None if no replica is free within that time. A request that has waited until
             :func:`~chalkyoke.gateway.waiting.latest_wait_end` is denied.
         """
         admission, service = wanted.admission, wanted.admission.service
         until = self._now() + wait_s
-        bound = self._max_outstanding if service.is_engine else None
+        shared = queued and not service.is_engine
         while True:
             replicas = self._replicas.of_service(service.name, for_trial=wanted.for_trial)
             denied = self._find_denial(wanted, replicas)
             if denied is not None:
                 return denied
-            chosen = self._balancer.choose(
-                replicas,
-                self._now(),
-                avoid=wanted.avoid,
-                repeatable=admission.route.repeatable and wanted.attempt < admission.route.attempts,
-                max_outstanding=bound,
-            )
+            may_start = not shared or self._may_start(service.name, replicas)
+            chosen = self._choose_replica(wanted, replicas) if may_start else None
             if chosen is not None:
                 permit = await self.request_permit(chosen, 0.0)
-                if permit is not None:
-                    return _local_grant(chosen, wanted, permit)
-                continue
+                if permit is None:
+                    continue
+                if shared:
+                    self._share.record_start(service.name)
+                return _local_grant(chosen, wanted, permit)
             found = await self._wait_for_limit(wanted, replicas, until)
             if found is not None:
                 return found
@@ -95,6 +101,28 @@
                 return None
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _choose_replica(self, wanted: GrantRequest, replicas: list[Replica]) -> Replica | None:
+        route = wanted.admission.route
+        return self._balancer.choose(
+            replicas,
+            self._now(),
+            avoid=wanted.avoid,
+            repeatable=route.repeatable and wanted.attempt < route.attempts,
+            max_outstanding=self._max_outstanding if wanted.admission.service.is_engine else None,
+        )
+
+    def _may_start(self, service: str, replicas: list[Replica]) -> bool:
+        """Return whether this node's share of a plain service's slots allows one more request."""
+        stats = [self._balancer.stats(each.id) for each in replicas]
+        measured = [each.latency_s for each in stats if each.latency_s]
+        return self._share.may_start(
+            service,
+            sum(each.slots for each in replicas),
+            sum(each.outstanding for each in stats),
+            min(measured, default=0.0),
+            self._now(),
+        )
+
     def _find_denial(self, wanted: GrantRequest, replicas: list[Replica]) -> Denied | None:
         """Return the reason why no replica can take a request in time, or None."""
         now = self._now()
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -119,7 +119,7 @@
 
 def test_a_refused_request_gets_its_quota_refunded():
     async def main():
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return Denied("shed", 0.5)
 
         exchange, quotas, response = exchange_with(acquire)
@@ -132,7 +132,7 @@
 
 def test_a_request_abandoned_in_the_queue_gets_its_quota_refunded():
     async def main():
-        async def acquire(*_):
+        async def acquire(*_, **__):
             await asyncio.sleep(60)
 
         exchange, quotas, _ = exchange_with(acquire)
@@ -147,7 +147,7 @@
 
 def test_a_request_that_may_have_run_keeps_its_charge():
     async def main():
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return Granted(REPLICA, 1, Source.LOCAL)
 
         async def connect(*_, **__):
@@ -165,7 +165,7 @@
     """The first run may have succeeded and its answer was lost; no replica takes the retry."""
 
     async def main():
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return Denied("shed", 0.5)
 
         exchange, _, response = exchange_with(acquire, route=replace(ROUTE, resumable=True))
@@ -198,7 +198,7 @@
         async def forever(*_, **__):
             await asyncio.sleep(60)
 
-        async def acquire(admission, attempt, tried):
+        async def acquire(admission, attempt, tried, **_):
             if stage == "queue" or (stage == "retry" and attempt > 1):
                 await forever()
             return Granted(REPLICA, attempt, Source.LOCAL)
@@ -230,7 +230,7 @@
 
 def test_an_exception_before_the_first_send_ends_with_a_refusal():
     async def main():
-        async def acquire(*_):
+        async def acquire(*_, **__):
             raise ValueError("broken")
 
         exchange, quotas, response = exchange_with(acquire)
@@ -247,7 +247,7 @@
         dropped = []
         grants = [Granted(REPLICA, 1, Source.LOCAL), Denied("no replica", 0.5)]
 
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return grants.pop(0)
 
         async def connect(*_, **__):
@@ -284,7 +284,7 @@
         given_back = []
         grants = iter([Granted(REPLICA, 1, Source.LOCAL), Denied("no replica", 0.5)])
 
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return next(grants)
 
         async def connect(*_, **__):
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -4,7 +4,7 @@
 from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
 from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.grants import Grants
-from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.ports import Load, RequestFields
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
 from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Release, Withdraw
@@ -271,3 +271,107 @@
         assert denied.retry_after_s == 0.7 + 0.25
 
     virtual.run(late)
+
+
+PLAIN = Service("model")
+BOOK = Route("book", "h", "/", (Target("model", 1),), RouteKind.NON_IDEMPOTENT, 2.0, 0.2)
+
+
+def plain_admission(number, at=0.0):
+    fields = RequestFields(f"r{number}", prompt_tokens=7, max_output_tokens=9)
+    return Admission(
+        f"r{number}", fields, BOOK, PLAIN, None, 1, 0, 1.0, at, at + 2.0, at + 0.2, at + 2.0
+    )
+
+
+def make_plain_grants(schedulers, nodes=60, queued=lambda _: True, phase=0.5):
+    balancer = LocalBalancer("a", lambda: 0.5)
+    made = Grants(
+        schedulers,
+        Replicas(),
+        balancer,
+        Unlimited(),
+        lambda: phase,
+        asyncio.get_running_loop().time,
+        lambda: nodes,
+        queued,
+        pooled=True,
+    )
+    schedulers.grants = made
+    return made
+
+
+def test_a_queued_plain_request_asks_the_next_scheduler_and_states_no_tokens():
+    """Guards against a lost owner, and against token counts that would predict a false duration."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        sent = []
+        send = schedulers.send
+        schedulers.send = lambda process, message: (sent.append(message), send(process, message))
+        grants = make_plain_grants(schedulers)
+        wanted = plain_admission(1)
+        found = await grants.acquire(wanted, 1, (), digest=lambda: b"twelve bytes")
+        assert (found.source, found.scheduler) == (Source.SCHEDULER, "n2")
+        asked = sent[0]
+        assert (asked.prompt_tokens, asked.max_output, asked.blocks) == (0, 0, ())
+        assert asked.fingerprint == int.from_bytes(b"twelve b", "big") >> 1
+        grants.record_started(wanted, found)
+        found.load = Load(3, 1, 6)
+        sent.clear()
+        grants.send_progress()
+        assert sent == [], "a short request needs no progress report"
+        await asyncio.sleep(0.05)
+        grants.release(wanted, found, ReleaseOutcome.DELIVERED)
+        release = schedulers.released[-1][1]
+        assert (release.running, release.waiting, release.slots) == (3, 1, 6)
+        assert release.usage.first_s == release.usage.total_s > 0
+
+    virtual.run(main)
+
+
+def test_a_plain_service_that_is_not_queued_asks_no_scheduler():
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_plain_grants(schedulers, queued=lambda _: False)
+        found = [await grants.acquire(plain_admission(n), 1, ()) for n in range(5)]
+        assert all(each.source is Source.LOCAL for each in found)
+        assert schedulers.asked == [] and asyncio.get_running_loop().time() == 0.0
+
+    virtual.run(main)
+
+
+def test_without_a_scheduler_all_nodes_together_stay_close_to_the_slots():
+    """Guards against 60 nodes that overfill 8 slots while the owner of the pool is lost."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        running, most, served, refused = [0], [0], [0], [0]
+
+        async def call(grants, number):
+            wanted = plain_admission(number, loop.time())
+            granted = await grants.acquire(wanted, 1, ())
+            if isinstance(granted, Denied):
+                refused[0] += 1
+                assert granted.retry_after_s <= (wanted.deadline - loop.time()) / 3
+                return
+            grants.record_started(wanted, granted)
+            running[0] += 1
+            most[0] = max(most[0], running[0])
+            await asyncio.sleep(0.05)
+            running[0] -= 1
+            served[0] += 1
+            grants._balancer.stats(granted.replica.id).record_answer(0.05)
+            grants.release(wanted, granted, ReleaseOutcome.DELIVERED)
+
+        fleet = [make_plain_grants(Schedulers(99.0), phase=n / 60) for n in range(60)]
+        calls = []
+        for number in range(1200):
+            calls.append(loop.create_task(call(fleet[number * 7 % 60], number)))
+            await asyncio.sleep(0.003)
+        await asyncio.gather(*calls)
+        assert most[0] <= 16, "8 slots, and what arrives together"
+        assert served[0] / (loop.time() * 20.0 * 8) > 0.6, "the slots are used"
+        assert refused[0] > 0
+
+    virtual.run(main)
