balancing: queue a plain service while the fleet uses a large share of its slots

Cause: a round trip to a scheduler pays only where requests compete for slots, and no host knows that by itself.

Change: with scheduling.plain_services = "auto", the observer of a service sums what the nodes report: the duration of their requests (each up to its goal) and the rejections of full replicas, two new fields at the end of replica_report. It starts queueing from a quarter of the slots over 3 s, or from three rejections at 0.08 of the slots, stops it after 10 s below 0.15, and announces it to all nodes every 2 s (plain_queueing, a new kind, valid for 5 s).

--- a/packages/chalkyoke/src/chalkyoke/administration/exposition.py
+++ b/packages/chalkyoke/src/chalkyoke/administration/exposition.py
@@ -5,7 +5,7 @@
 """
 
 import resource
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
@@ -50,6 +50,13 @@
             yield from _quantiles(name, histograms)
         for name, read in self._metrics.gauges.items():
             yield GaugeMetricFamily(PREFIX + name, name.replace("_", " "), value=read())
+        for name, read_all in self._metrics.labelled_gauges.items():
+            values = read_all()
+            names = _label_names(values)
+            gauge = GaugeMetricFamily(PREFIX + name, name.replace("_", " "), labels=names)
+            for key, value in values.items():
+                gauge.add_metric(_label_values(names, key), value)
+            yield gauge
         used = resource.getrusage(resource.RUSAGE_SELF)
         yield CounterMetricFamily(
             PREFIX + "processor_seconds",
@@ -58,7 +65,7 @@
         )
 
 
-def _label_names(table: dict[Labels, float]) -> list[str]:
+def _label_names(table: Mapping[Labels, float]) -> list[str]:
     return sorted({name for key in table for name, _ in key})
 
 
--- a/packages/chalkyoke/src/chalkyoke/administration/metrics.py
+++ b/packages/chalkyoke/src/chalkyoke/administration/metrics.py
@@ -4,7 +4,7 @@
 Counters, latency histograms and gauges of one process, exported in the Prometheus text format.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -31,6 +31,7 @@
         self.counters: dict[str, dict[Labels, float]] = {}
         self.histograms: dict[str, dict[Labels, tuple[HdrHistogram, list[float]]]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
+        self.labelled_gauges: dict[str, Callable[[], Mapping[Labels, float]]] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increase a counter by ``amount``."""
@@ -65,3 +66,10 @@
         :param read: returns the value; it is called for each export.
         """
         self.gauges[name] = read
+
+    def register_gauges(self, name: str, read: Callable[[], Mapping[Labels, float]]) -> None:
+        """Register gauges with labels.
+
+        :param read: returns the values by labels; it is called for each export.
+        """
+        self.labelled_gauges[name] = read
--- a/packages/chalkyoke/src/chalkyoke/balancing/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/messages.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.balancing.messages
 
-The messages that nodes exchange about failing replicas.
+The messages that nodes exchange about replicas of plain services: failures, and use of their slots.
 """
 
 import msgspec
@@ -17,10 +17,16 @@
 
 
 class ReplicaReport(msgspec.Struct, frozen=True, array_like=True, tag="replica_report"):
-    """Report a node's request outcomes to the observer of a service."""
+    """Report a node's request outcomes to the observer of a service.
+
+    :param busy_s: total duration of the requests that ended since the last report, in seconds.
+    :param rejections: requests that a full replica rejected since then.
+    """
 
     service: str
     counts: tuple[RouteCount, ...]
+    busy_s: float = 0.0
+    rejections: int = 0
 
 
 class SuspectReplicas(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
@@ -36,5 +42,19 @@
     relay: bool = False
 
 
-SuspicionMessage = ReplicaReport | SuspectReplicas
-SUSPICION_MESSAGES = (ReplicaReport, SuspectReplicas)
+class QueueingUpdate(msgspec.Struct, frozen=True, array_like=True, tag="plain_queueing"):
+    """Announce whether the scheduler of a plain service's pool decides for its requests.
+
+    Repeated while the service is queued; receivers let it expire after some seconds.
+
+    :param relay: whether the receiver forwards the message to the other nodes of its failure
+        domain.
+    """
+
+    service: str
+    queued: bool
+    relay: bool = False
+
+
+SuspicionMessage = ReplicaReport | SuspectReplicas | QueueingUpdate
+SUSPICION_MESSAGES = (ReplicaReport, SuspectReplicas, QueueingUpdate)
--- a/packages/chalkyoke/src/chalkyoke/balancing/reports.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/reports.py
@@ -4,6 +4,8 @@
 Outcomes of this node's requests that have not yet been reported to an observer.
 """
 
+import msgspec
+
 from chalkyoke.balancing.messages import ReplicaReport, RouteCount
 
 # How long successful answers are collected before a report, in seconds. Failures are reported
@@ -11,10 +13,38 @@
 GATHER_INTERVAL_S = 1.0
 
 
+class PlainEnd(msgspec.Struct, frozen=True):
+    """The end of one send to a replica of a plain service.
+
+    :param took_s: duration of the send, in seconds.
+    :param due_s: time within which the answer was due, in seconds.
+    :param is_evidence: whether the end says anything about the replica's health.
+    :param failed: whether the replica failed the request.
+    :param was_full: whether the replica rejected the request as it was full.
+    """
+
+    service: str
+    replica: str
+    route: str
+    took_s: float
+    due_s: float
+    is_evidence: bool = True
+    failed: bool = False
+    was_full: bool = False
+
+
+class _Use(msgspec.Struct):
+    """The use of a service's slots by this node since the last report."""
+
+    busy_s: float = 0.0
+    rejections: int = 0
+
+
 class ReportBook:
     """Count request outcomes by service, replica and route."""
 
     def __init__(self) -> None:
+        self._uses: dict[str, _Use] = {}
         self._counts: dict[str, dict[tuple[str, str], tuple[int, int]]] = {}
         self._since: dict[str, float] = {}
 
@@ -31,12 +61,24 @@
         since = self._since.setdefault(service, now)
         return failed or now - since >= GATHER_INTERVAL_S
 
+    def add_use(self, end: PlainEnd, now: float) -> None:
+        """Add the duration of a request, or count that a full replica rejected it.
+
+        A duration counts up to the time by which the answer was due: a replica that hangs is not
+        in use, and would make a service look busy.
+        """
+        use = self._uses.setdefault(end.service, _Use())
+        use.rejections += end.was_full
+        use.busy_s += 0.0 if end.was_full else min(end.took_s, end.due_s)
+        self._since.setdefault(end.service, now)
+
     def take_report(self, service: str) -> ReplicaReport:
         """Build a report of all counts since the last one, and reset the counts."""
         counts = self._counts.pop(service, {})
         self._since.pop(service, None)
         counts_by_route = (RouteCount(*where, *ends) for where, ends in counts.items())
-        return ReplicaReport(service, tuple(counts_by_route))
+        use = self._uses.pop(service, _Use())
+        return ReplicaReport(service, tuple(counts_by_route), round(use.busy_s, 4), use.rejections)
 
     def due_services(self, now: float) -> list[str]:
         """List the services whose collection interval has passed."""
--- a/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
@@ -1,7 +1,8 @@
 """
 chalkyoke.balancing.suspicions
 
-Detection of failing replicas of plain services: one node observes each service for all nodes.
+Detection of failing replicas of plain services, and of services that need a queue: one node
+observes each service for all nodes.
 """
 
 from collections.abc import Callable
@@ -9,15 +10,22 @@
 import msgspec
 
 from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.balancing.messages import ReplicaReport, SuspectReplicas, SuspicionMessage
+from chalkyoke.balancing.messages import (
+    QueueingUpdate,
+    ReplicaReport,
+    SuspectReplicas,
+    SuspicionMessage,
+)
 from chalkyoke.balancing.observer import Observer
-from chalkyoke.balancing.reports import ReportBook
+from chalkyoke.balancing.queueing import QueuedServices, UseObserver
+from chalkyoke.balancing.reports import PlainEnd, ReportBook
 from chalkyoke.links.broadcast import relay_to_domain, send_to_all
 from chalkyoke.logs import logger
+from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 
-# Interval between repeated broadcasts of suspects, in seconds: twice within their validity, in case
-# a message is lost.
+# Interval between repeated broadcasts of suspects and of queued services, in seconds: twice within
+# their validity, in case a message is lost.
 REBROADCAST_INTERVAL_S = 2.0
 
 log = logger("suspicions")
@@ -36,6 +44,8 @@
     :param send: sends a message to a node by its link address.
     :param replicas: returns the number of replicas of a service.
     :param now: the node's clock, in seconds.
+    :param queueing: the services that are queued; None if none ever is.
+    :param slots: returns the number of slots of a service's replicas.
     """
 
     def __init__(
@@ -45,6 +55,8 @@
         send: Callable[[str, SuspicionMessage], None],
         replicas: Callable[[str], int],
         now: Callable[[], float],
+        queueing: QueuedServices | None = None,
+        slots: Callable[[str], int] = lambda _: 0,
     ) -> None:
         self._view = view
         self._balancer = balancer
@@ -54,6 +66,17 @@
         self._reports = ReportBook()
         self._observers: dict[str, Observer] = {}
         self._broadcasts: dict[str, _BroadcastState] = {}
+        self._queueing = queueing or QueuedServices(now, never=True)
+        self._slots = slots
+        self._uses: dict[str, UseObserver] = {}
+        self._announced_at: dict[str, float] = {}
+
+    def record_end(self, end: PlainEnd) -> None:
+        """Record the end of a send to a replica of a plain service."""
+        if self._queueing.announced and (end.is_evidence or end.was_full):
+            self._reports.add_use(end, self._now())
+        if end.is_evidence:
+            self.record_outcome(end.service, end.replica, end.route, failed=end.failed)
 
     def record_outcome(self, service: str, replica: str, route: str, *, failed: bool) -> None:
         """Record the outcome of a request to a replica of a plain service."""
@@ -69,28 +92,87 @@
             if observer.is_idle(self._now()):
                 del self._observers[service]
                 self._broadcasts.pop(service, None)
+        for service in list(self._uses):
+            if self._observer(service).host == self._view.record.host:
+                self._decide_queueing(service)
+            else:
+                self._forget_use(service)
 
     def receive(self, message: SuspicionMessage) -> None:
-        """Apply a node's report, or apply and relay an observer's list of suspects."""
+        """Apply a node's report, or apply and relay an observer's announcement."""
         if isinstance(message, ReplicaReport):
             self._apply_report(message)
             return
-        self._apply_suspects(message)
+        if isinstance(message, QueueingUpdate):
+            self._apply_queueing(message)
+        else:
+            self._apply_suspects(message)
         relay_to_domain(self._view, self._send, message)
 
     def _report(self, service: str) -> None:
         report = self._reports.take_report(service)
-        observer = next(iter(self._view.ranked(f"observer/{service}")), self._view.record)
+        observer = self._observer(service)
         if observer.host == self._view.record.host:
             self._apply_report(report)
         else:
             self._send(observer.address, report)
 
+    def _observer(self, service: str) -> MemberRecord:
+        return next(iter(self._view.ranked(f"observer/{service}")), self._view.record)
+
     def _apply_report(self, report: ReplicaReport) -> None:
         observer = self._observers.setdefault(report.service, Observer())
         observer.add_counts(report.counts, self._now())
         if any(each.failures for each in report.counts):
             self._broadcast_suspects(report.service, observer)
+        self._apply_use(report)
+
+    # Queueing.
+
+    def _apply_use(self, report: ReplicaReport) -> None:
+        """Add the use of a service's slots by a node; one of an older version reports none."""
+        if not self._queueing.announced:
+            return
+        service, now = report.service, self._now()
+        if service not in self._uses:
+            queued = self._queueing.is_queued(service)
+            self._uses[service] = UseObserver(now, queued=queued)
+        self._uses[service].add_report(report.busy_s, report.rejections, now)
+        self._decide_queueing(service)
+
+    def _decide_queueing(self, service: str) -> None:
+        """Announce that queueing starts or stops, and repeat the announcement while it lasts."""
+        now, observer, slots = self._now(), self._uses[service], self._slots(service)
+        change = observer.decide(slots, now)
+        if change is not None:
+            event = "queueing_started" if change.queued else "queueing_stopped"
+            log.notice(
+                event,
+                service=service,
+                reason=change.reason,
+                use=round(change.use, 3),
+                rejections=change.rejections,
+                slots=slots,
+            )
+        due = now - self._announced_at.get(service, 0.0) >= REBROADCAST_INTERVAL_S
+        if change is not None or (observer.queued and due):
+            self._announced_at[service] = now
+            message = QueueingUpdate(service, observer.queued)
+            self._apply_queueing(message)
+            send_to_all(self._view, self._send, message)
+        if observer.is_idle(now):
+            self._forget_use(service)
+
+    def _forget_use(self, service: str) -> None:
+        """Stop observing a service that is idle, or that another node observes from now on."""
+        del self._uses[service]
+        self._announced_at.pop(service, None)
+
+    def _apply_queueing(self, message: QueueingUpdate) -> None:
+        if self._queueing.apply(message.service, queued=message.queued):
+            log.info("queueing", service=message.service, queued=message.queued)
+
+    # Suspects.
 
     def _broadcast_suspects(self, service: str, observer: Observer) -> None:
         """Broadcast the suspects if they have changed or the last broadcast is outdated."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -4,6 +4,7 @@
 Report the end of a send to the components that track replicas, versions and suspicious requests.
 """
 
+from chalkyoke.balancing.reports import PlainEnd
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
@@ -40,6 +41,21 @@
     return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
 
 
+def _plain_end(admission: Admission, granted: Granted, end: SendEnd, now: float) -> PlainEnd:
+    """Describe the end of a send to a plain service's replica."""
+    load = granted.load
+    return PlainEnd(
+        admission.service.name,
+        granted.replica.id,
+        admission.route.name,
+        took_s=now - granted.started_at if granted.started_at else 0.0,
+        due_s=admission.route.goal_s,
+        is_evidence=end not in NOT_HEALTH_EVIDENCE,
+        failed=end is not SendEnd.DELIVERED,
+        was_full=end is SendEnd.DECLINED and load is not None and load.running >= load.slots,
+    )
+
+
 class Feedback:
     """Reports the ends of sends to the components of a node.
 
@@ -78,12 +94,11 @@
             admission, granted.replica, end, output_duration_s(relay), request
         )
         parts.grants.release(admission, granted, RELEASE_OUTCOMES[end])
+        if not admission.service.is_engine:
+            parts.on_plain_request_ended(_plain_end(admission, granted, end, now))
         if end in NOT_HEALTH_EVIDENCE:
             return
-        failed = end is not SendEnd.DELIVERED
-        self.record_version_outcome(admission, granted, failed=failed)
-        if not admission.service.is_engine:
-            parts.on_plain_request_ended(admission, granted.replica, failed)
+        self.record_version_outcome(admission, granted, failed=end is not SendEnd.DELIVERED)
 
     def _record_quarantine_evidence(
         self,
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -9,12 +9,13 @@
 import msgspec
 
 from chalkyoke.balancing.local import LocalBalancer
-from chalkyoke.catalog.resources import Catalog, Replica
+from chalkyoke.balancing.reports import PlainEnd
+from chalkyoke.catalog.resources import Catalog
 from chalkyoke.gateway.granted import ReplicaPort
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.ports import HeaderFormat, RequestFields
 from chalkyoke.gateway.quarantine import QuarantinePort
-from chalkyoke.gateway.reception import Admission, Rejection
+from chalkyoke.gateway.reception import Rejection
 from chalkyoke.gateway.statements import AnnouncementPort
 from chalkyoke.gateway.trials import RolloutPort
 from chalkyoke.http1.messages import Request
@@ -34,8 +35,7 @@
     :param now: the node's clock, in seconds.
     :param log_decision: writes a decision on a request to the log.
     :param log_rejection: writes to the log that a request was rejected before admission.
-    :param on_plain_request_ended: called when a request to a plain service has ended, with the
-        admission, the replica and whether the request failed.
+    :param on_plain_request_ended: called when a send to a replica of a plain service has ended.
     """
 
     catalog: Callable[[], Catalog]
@@ -50,7 +50,7 @@
     now: Callable[[], float]
     log_decision: LogDecision
     log_rejection: LogRejection
-    on_plain_request_ended: Callable[[Admission, Replica, bool], None]
+    on_plain_request_ended: Callable[[PlainEnd], None]
     rollouts: RolloutPort
     quarantine: QuarantinePort
     announcements: AnnouncementPort
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -33,10 +33,10 @@
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.http1.calls import HttpClient
 from chalkyoke.http1.pool import ConnectionPool
-from chalkyoke.http1.server import ServerLimits, StartHandler
+from chalkyoke.http1.server import StartHandler
 from chalkyoke.limits.announcements import LimitAnnouncements
 from chalkyoke.limits.client import PermitClient
-from chalkyoke.limits.keeper import AllocatedLimit, LimitKeeper
+from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.limits.known import KnownLimits
 from chalkyoke.links.connection import Connection, Identity
 from chalkyoke.links.keepalive import KEEPALIVE_INTERVAL_S, confirm_interval_s
@@ -48,11 +48,13 @@
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
 from chalkyoke.node.fleetsize import FleetSize
+from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
-from chalkyoke.node.listener import Listener
+from chalkyoke.node.listener import Listener, server_limits
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
+from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.registration import NodeEntry, Registration, read_candidates
 from chalkyoke.node.requestlog import RequestLog
@@ -240,7 +242,7 @@
             known,
             lambda service: self.scheduler_host.owner(service) == self.record.process,
             lambda: self.presence().share,
-            self._log_kept_limit,
+            log_kept_limit,
         )
         self.limits = LimitAnnouncements(
             known,
@@ -263,6 +265,8 @@
             keeper=self.keeper,
             acknowledge=True,
         )
+        self.queued_services = make_queued_services(self.settings.scheduling, self.now)
+        add_queue_gauges(self.metrics, self.scheduler_host.pools, self.queued_services)
         schedulers = PeerSchedulers(self.scheduler_host, self.view)
         self.permits = PermitClient(
             known,
@@ -282,6 +286,8 @@
             self.permits,
             random.random,
             self.now,
+            self.count_nodes,
+            self.queued_services.is_queued,
             pooled=self.settings.scheduling.pooled,
         )
         self.scheduler_host.deliver = self.grants.receive
@@ -310,6 +316,8 @@
             self.links.send,
             lambda service: len(self.replicas.of_service(service)),
             self.now,
+            self.queued_services,
+            self.replicas.count_slots,
         )
         self.announcements = Announcements(
             self.view,
@@ -345,11 +353,7 @@
                 now=self.now,
                 log_decision=self.request_log.log_decision,
                 log_rejection=self.request_log.log_rejection,
-                on_plain_request_ended=lambda admission, replica, failed: (
-                    self.suspicions.record_outcome(
-                        replica.service, replica.id, admission.route.name, failed=failed
-                    )
-                ),
+                on_plain_request_ended=self.suspicions.record_end,
                 rollouts=self.rollouts,
                 quarantine=self.quarantine,
                 announcements=self.announcements,
@@ -360,15 +364,6 @@
         self.scheduler_host.limits_changed()
         self.balancer.clear_limits()
 
-    def _log_kept_limit(self, kept: AllocatedLimit) -> None:
-        log.info(
-            "limit_kept",
-            service=kept.service,
-            replica=kept.replica,
-            limit_per_s=kept.limit_per_s,
-            share=round(kept.share, 3),
-        )
-
     # Callbacks of the slices.
 
     def count_nodes(self) -> int:
@@ -392,15 +387,6 @@
         """
         return self.catalog.state.complete and not self._stopping.is_set()
 
-    def _limits(self) -> ServerLimits:
-        limits = self.catalog.state.catalog.limits
-        return ServerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
-
     # Start and stop.
 
     async def run(self) -> None:
@@ -431,7 +417,12 @@
             raise self._supervisor.failure
 
     def _listener(self, address: str, start: StartHandler) -> Listener:
-        return Listener(address, start, self._limits, self.settings.limits.descriptors)
+        return Listener(
+            address,
+            start,
+            lambda: server_limits(self.catalog.state.catalog.limits),
+            self.settings.limits.descriptors,
+        )
 
     async def _run_planned_stop(self, callers: Listener) -> None:
         """Stop accepting callers, finish the requests in progress, then end the process."""
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -8,6 +8,7 @@
 import resource
 from collections.abc import Callable
 
+from chalkyoke.catalog.resources import RequestLimits
 from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
 from chalkyoke.http1.server import ServerConnection, ServerLimits, StartHandler
 from chalkyoke.logs import logger
@@ -20,6 +21,13 @@
 log = logger("node")
 
 
+def server_limits(limits: RequestLimits) -> ServerLimits:
+    """Return the limits of a server's connections that the catalog declares."""
+    return ServerLimits(
+        limits.header_bytes, limits.body_bytes, limits.header_timeout_s, limits.idle_timeout_s
+    )
+
+
 class Listener:
     """Accept HTTP connections on one address.
 
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -214,6 +214,10 @@
             return found
         return [each for each in self._recently_departed() if each.service == service]
 
+    def count_slots(self, service: str) -> int:
+        """Return the number of slots of a service's replicas that take all requests."""
+        return sum(each.slots for each in self.of_service(service))
+
     def _recently_departed(self) -> list[Replica]:
         since = self._now() - DEPARTED_FALLBACK_S
         return [
