tests, soak: full plain replicas before whole nodes, and a burst in the soak

The fake replica can bound its slots and queue, reports its load and rejects what exceeds them. The soak's nodes use plain_services = "auto". A node whose requests full replicas reject reports it after 0.25 s instead of 1 s.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -240,7 +240,8 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            f"[limits]\n{limits}",
+            f"[limits]\n{limits}"
+            f'[scheduling]\nplain_services = "auto"\n',
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from chalkyoke_fakes.metastore import MetaStore
+from chalkyoke_fakes.slots import Slots
 
 READ_LIMIT_BYTES = 5_000_000
 EVENTS_PER_STREAM = 8
@@ -50,6 +51,8 @@
     :ivar renamed: whether the replica restarts under a new id, or under its own id as a new start.
     :ivar limit_per_s: the limit announced in answers, in requests a second from all nodes together;
         negative announces none. The replica does not enforce it.
+    :ivar queue: plain requests that wait beyond the slots; the replica rejects any more. Negative:
+        all requests run at once.
     """
 
     lose_answers: int = 0
@@ -68,6 +71,7 @@
     says_leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float = -1.0
+    queue: int = -1
 
 
 @dataclass
@@ -105,6 +109,7 @@
     :ivar rejected: requests that the replica answered with 503 and did not run.
     :ivar runs: the number of runs of each request id.
     :ivar exit_times: when the replica exited by itself.
+    :ivar slot_use: the requests that occupy the slots of a plain replica with a queue.
     :ivar born: the replica's start, in milliseconds of its own clock.
     """
 
@@ -127,10 +132,14 @@
     now: Callable[[], float] = time.monotonic
     exit_times: list[float] = field(default_factory=list)
     born: int = 0
+    slot_use: Slots = field(init=False)
     _restart_tasks: set["asyncio.Task[None]"] = field(default_factory=set)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.slot_use = Slots(self.slots)
+
     async def start(self, ip: str, port: int = 0, advertised_address: str = "") -> str:
         """Start serving and write the replica's record to the store.
 
@@ -213,7 +222,10 @@
             _write_response(writer, 421, {"X-Request-Id": name, "X-Instance": self.id}, b"")
             return True
         request.at = self.now()
-        if not name or self.faults.shed > 0:
+        is_full = (
+            not self.engine and self.faults.queue >= 0 and self.slot_use.is_full(self.faults.queue)
+        )
+        if not name or self.faults.shed > 0 or is_full:
             self._reject_request(name, request, writer)
             return True
         self.runs[name] += 1
@@ -229,7 +241,10 @@
             except ConnectionError:
                 request.client_disconnected = True
                 return False
-        await asyncio.sleep(self.faults.work_s)
+        if self.faults.queue < 0:
+            await asyncio.sleep(self.faults.work_s)
+        else:
+            await self.slot_use.run(self.faults.work_s)
         if reader.at_eof():
             request.client_disconnected = True
             return False
@@ -258,7 +273,9 @@
         if not name:
             _write_response(writer, 400, head, b"")
             return
-        self.faults.shed -= 1
+        if self.faults.queue >= 0:
+            head["X-Server-Load"] = self.slot_use.load()
+        self.faults.shed -= self.faults.shed > 0
         self.rejected.append(request)
         request.rest_s = self.faults.rest_s
         if self.faults.rest_s:
@@ -292,7 +309,7 @@
         return {
             "X-Request-Id": name,
             "X-Server-Stamp": f"{self.id}.{name}",
-            "X-Server-Load": f"1,0,{self.slots}",
+            "X-Server-Load": f"1,0,{self.slots}" if self.faults.queue < 0 else self.slot_use.load(),
             **self._announcement_headers(),
         }
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -7,10 +7,10 @@
 import asyncio
 import copy
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from chalkyoke_fakes.platformfleet import default_configuration
-from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.replica import Replica, ReplicaFaults
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.observations import DrainStart, FaultPeriod, LimitPeriod, Observations
 from chalkyoke_fakes.soak.plan import ROLL, STORE_LINK_FAULTS, Fault, FaultStep, RollStep
@@ -37,6 +37,11 @@
 SLOW_STORE_S = 0.4
 # A fault counts as active for this long after its end.
 AFTERMATH_S = 1.0
+# A burst of plain requests: how long each runs, in seconds, how many a replica queues beyond its
+# slots, and the demand as a multiple of what the replicas can run.
+BURST_WORK_S = 0.25
+BURST_QUEUE = 3
+BURST_DEMAND = 1.3
 # How long the store is down for a restore from a snapshot, and how soon after that operators and
 # replicas write the lost records again, in seconds.
 RESTORE_OUTAGE_S = 0.5
@@ -49,6 +54,7 @@
     :param observations: receives the records of the faults, for the checkers.
     :param now: returns the seconds since the run began.
     :param send_crashing: makes callers send a body for some seconds.
+    :param send_burst: makes callers send plain requests at a rate per second for some seconds.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -58,17 +64,21 @@
         observations: Observations,
         now: Callable[[], float],
         send_crashing: Callable[[bytes, float], None],
+        send_burst: Callable[[float, float], Awaitable[None]],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
         self._now = now
         self.send_crashing = send_crashing
+        self.send_burst = send_burst
         self.active_targets: set[str] = set()
         self._version = 1
 
     async def inject_fault(self, step: FaultStep) -> None:
         """Apply one fault and end it; a fault is skipped while its target has another one."""
         place = step.target or "store"
+        if step.fault is Fault.PLAIN_BURST:
+            place = "burst"
         if step.fault is Fault.REPLICA_LIMITS:
             # An announced limit may overlap with any other fault of the same replica.
             place = f"{place}, limit"
@@ -127,6 +137,8 @@
             await self._write_foreign_records(step)
         elif step.fault is Fault.CRASHING_REQUEST:
             await self._send_crashing_body(step)
+        elif step.fault is Fault.PLAIN_BURST:
+            await self._fill_plain_replicas(step)
         else:
             await self._change_configuration()
 
@@ -279,6 +291,16 @@
         self.send_crashing(body, step.duration_s)
         await asyncio.sleep(step.duration_s)
 
+    async def _fill_plain_replicas(self, step: FaultStep) -> None:
+        """Bound the plain replicas' slots and queues, and let more callers come than they hold."""
+        plain = [each for each in self._fleet.replicas.values() if not each.engine]
+        for replica in plain:
+            replica.faults.work_s, replica.faults.queue = BURST_WORK_S, BURST_QUEUE
+        rate_per_s = BURST_DEMAND * sum(each.slots for each in plain) / BURST_WORK_S
+        await self.send_burst(rate_per_s, step.duration_s)
+        for replica in plain:
+            replica.faults.work_s, replica.faults.queue = ReplicaFaults().work_s, -1
+
     async def _write_foreign_records(self, step: FaultStep) -> None:
         """Write unreadable or foreign replica records, one of them over a live replica's record."""
         store = self._fleet.store
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -140,7 +140,11 @@
     async def play_faults(self) -> Observations:
         """Send requests while faults are injected, then wait until all nodes serve again."""
         injector = Injector(
-            self._fleet, self.observations, self.elapsed_s, self._start_crashing_caller
+            self._fleet,
+            self.observations,
+            self.elapsed_s,
+            self._start_crashing_caller,
+            self._send_burst,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -196,6 +200,18 @@
             await self._send_request(node, path, TEAM, body)
             await asyncio.sleep(CRASHING_INTERVAL_S)
 
+    async def _send_burst(self, rate_per_s: float, seconds: float) -> None:
+        """Send plain requests to random nodes, and wait for their answers."""
+        until = min(self.elapsed_s() + seconds, self._config.seconds)
+        paths = [path for path, kind in KIND_BY_PATH.items() if kind is not Kind.STREAM]
+        tasks: list[asyncio.Task[int]] = []
+        while self.elapsed_s() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            path = self._random.choice(paths)
+            tasks.append(asyncio.create_task(self._send_request(node, path, TEAM)))
+            await asyncio.sleep(self._random.expovariate(rate_per_s))
+        await asyncio.gather(*tasks)
+
     async def _send_request(self, node: str, path: str, team: str, body: bytes = b"{}") -> int:
         name = f"r{self._seed}-{next(self._numbers)}"
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
--- a/packages/chalkyoke/src/chalkyoke/balancing/reports.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/reports.py
@@ -11,6 +11,10 @@
 # How long successful answers are collected before a report, in seconds. Failures are reported
 # immediately: a replica that fails half of its requests does so for some seconds only.
 GATHER_INTERVAL_S = 1.0
+# Rejections by full replicas from which a report is due earlier, and its interval then, in seconds:
+# each second in which hosts fill the replicas alone costs as many sends as requests.
+EARLY_REJECTIONS = 3
+EARLY_INTERVAL_S = 0.25
 
 
 class PlainEnd(msgspec.Struct, frozen=True):
@@ -61,16 +65,19 @@
         since = self._since.setdefault(service, now)
         return failed or now - since >= GATHER_INTERVAL_S
 
-    def add_use(self, end: PlainEnd, now: float) -> None:
+    def add_use(self, end: PlainEnd, now: float) -> bool:
         """Add the duration of a request, or count that a full replica rejected it.
 
         A duration counts up to the time by which the answer was due: a replica that hangs is not
         in use, and would make a service look busy.
+
+        :return: whether a report is due now, since full replicas reject requests.
         """
         use = self._uses.setdefault(end.service, _Use())
         use.rejections += end.was_full
         use.busy_s += 0.0 if end.was_full else min(end.took_s, end.due_s)
-        self._since.setdefault(end.service, now)
+        since = self._since.setdefault(end.service, now)
+        return use.rejections >= EARLY_REJECTIONS and now - since >= EARLY_INTERVAL_S
 
     def take_report(self, service: str) -> ReplicaReport:
         """Build a report of all counts since the last one, and reset the counts."""
--- a/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
@@ -73,8 +73,9 @@
 
     def record_end(self, end: PlainEnd) -> None:
         """Record the end of a send to a replica of a plain service."""
-        if self._queueing.announced and (end.is_evidence or end.was_full):
-            self._reports.add_use(end, self._now())
+        counts = self._queueing.announced and (end.is_evidence or end.was_full)
+        if counts and self._reports.add_use(end, self._now()):
+            self._report(end.service)
         if end.is_evidence:
             self.record_outcome(end.service, end.replica, end.route, failed=end.failed)
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
@@ -64,6 +64,16 @@
     assert max(each.runs for each in load.calls.values()) == 1
 
 
+def test_a_cut_off_failure_domain_uses_the_replicas_that_it_reaches():
+    load = PlainLoad(lambda _: 60)
+    for name in ("r0", "r1"):
+        load.lost.add(name)
+        load.scheduler.upstreams[name].unreachable_from["z"] = 100.0
+    calls = load.run(10.0)
+    assert share(calls, in_goal) > 0.95
+    assert not load.scheduler.upstreams["r0"].running
+
+
 class OneSlot:
     """A pool with one replica of one slot and one extra grant."""
 
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -93,11 +93,13 @@
     :param domains: failure domain of each node.
     :param replicas: number of replicas of each of the two services.
     :param limits: the ``limits`` section of the settings of all nodes.
+    :param scheduling: the ``scheduling`` section of the settings of all nodes.
     """
 
     domains: tuple = ("a", "a", "b", "b", "c", "c")
     replicas: int = 6
     limits: dict = field(default_factory=lambda: {"retry_slack": 1000.0})
+    scheduling: dict = field(default_factory=dict)
     models: list = field(default_factory=list)
     seats: list = field(default_factory=list)
 
@@ -151,6 +153,7 @@
             "fleet": {"key_hex": FLEET_KEY_HEX},
             "peers": {"seeds": [f"{_ip(each)}:82" for each in range(min(3, len(self.domains)))]},
             "limits": self.limits,
+            "scheduling": self.scheduling,
         }
         return msgspec.convert(document, GatewaySettings)
 
