--- a/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/suspicions.py
@@ -5,11 +5,11 @@
 observes each service for all nodes.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from chalkyoke.balancing.local import LocalBalancer
+from chalkyoke.balancing.local import SUSPICION_VALID_S, LocalBalancer
 from chalkyoke.balancing.messages import (
     QueueingUpdate,
     ReplicaReport,
@@ -46,6 +46,7 @@
     :param now: the node's clock, in seconds.
     :param queueing: the services that are queued; None if none ever is.
     :param slots: returns the number of slots of a service's replicas.
+    :param suspend: suspends suspects of a service in its pool's scheduler here, for some seconds.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         now: Callable[[], float],
         queueing: QueuedServices | None = None,
         slots: Callable[[str], int] = lambda _: 0,
+        suspend: Callable[[str, Iterable[str], float], None] = lambda *_: None,
     ) -> None:
         self._view = view
         self._balancer = balancer
@@ -68,6 +70,7 @@
         self._broadcasts: dict[str, _BroadcastState] = {}
         self._queueing = queueing or QueuedServices(now, never=True)
         self._slots = slots
+        self._suspend = suspend
         self._uses: dict[str, UseObserver] = {}
         self._announced_at: dict[str, float] = {}
 
@@ -191,5 +194,6 @@
             log.notice("suspects_named", service=service, replicas=suspects, told_to=told_to)
 
     def _apply_suspects(self, message: SuspectReplicas) -> None:
+        self._suspend(message.service, message.suspects, SUSPICION_VALID_S)
         if self._balancer.set_suspects(message.service, message.suspects, self._now()):
             log.info("suspects", service=message.service, replicas=message.suspects)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -318,6 +318,7 @@
             self.now,
             self.queued_services,
             self.replicas.count_slots,
+            self.scheduler_host.suspend,
         )
         self.announcements = Announcements(
             self.view,
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -235,6 +235,12 @@
         for scheduler in self.pools.values():
             self._apply_limits(scheduler)
 
+    def suspend(self, pool: str, upstreams: Iterable[str], seconds: float) -> None:
+        """Suspend the upstreams that the observer of a plain service announced as suspects."""
+        scheduler = self.pools.get(pool)
+        if scheduler is not None:
+            scheduler.suspend(upstreams, seconds, self._now())
+
     def member_left(self, process: str) -> None:
         """Drop the requests and the address of an entry process that left."""
         self._sender_addresses.pop(process, None)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -17,6 +17,9 @@
 FAILURES_TO_SUSPEND = 2.0
 # Failures that one success cancels: three successes cancel one failure.
 FAILURES_FORGIVEN_PER_SUCCESS = 0.34
+# Weight of a failure of a plain service's replica: some routes fail one request in seven anywhere.
+# The service's observer compares replicas and names those that fail far more often than others.
+PLAIN_FAILURE_WEIGHT = 0.3
 # Upper bound of the failure count, so that an upstream is retried soon after a long outage.
 MAX_FAILURES = 6.0
 # Initial backoff of an upstream, doubled with each further failure (for connections already with
@@ -105,7 +108,8 @@
             backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.unreachable, 10))
             upstream.unreachable_from[domain] = now + backoff
         elif outcome is ReleaseOutcome.FAILED:
-            upstream.failures = min(MAX_FAILURES, upstream.failures + 1.0)
+            weight = PLAIN_FAILURE_WEIGHT if self._pool.spec.plain else 1.0
+            upstream.failures = min(MAX_FAILURES, upstream.failures + weight)
             if upstream.failures >= FAILURES_TO_SUSPEND and self._may_suspend(now):
                 excess_failures = int(upstream.failures - FAILURES_TO_SUSPEND)
                 upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess_failures)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -314,6 +314,16 @@
         record_load_report(upstream, message.running + message.waiting, message.age_s, now)
         return self._decide(now)
 
+    def suspend(self, upstreams: Iterable[str], seconds: float, now: float) -> None:
+        """Suspend upstreams that fail far more often than the others.
+
+        :param seconds: duration of the suspension; a longer one in effect is kept.
+        """
+        for name in upstreams:
+            upstream = self._pool.upstreams.get(name)
+            if upstream is not None:
+                upstream.suspended_until = max(upstream.suspended_until, now + seconds)
+
     def apply_cache_event(self, message: CacheEvent) -> None:
         """Remove evicted blocks from the prefix index; events are delayed and incomplete."""
         self._pool.prefixes.drop_blocks(message.upstream, message.dropped)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
@@ -39,7 +39,7 @@
         self.now, self.order, self.events = 0.0, itertools.count(), []
         self.calls = {}
         self.replicas = {f"r{n}": [count, 0, []] for n, count in enumerate(slots)}
-        self.lost = set()
+        self.lost, self.failing_share = set(), 0.0
         declared = [
             Replica(name, "p", "127.0.0.1", n, "z", each[0])
             for n, (name, each) in enumerate(self.replicas.items())
@@ -120,7 +120,8 @@
     def finish(self, replica, call, grant, sent_at):
         replica[1] -= 1
         if grant.upstream not in self.lost:
-            self.after(self.oneway_s, self.end, call, grant, sent_at, "delivered", replica)
+            outcome = "failed" if self.random.random() < self.failing_share else "delivered"
+            self.after(self.oneway_s, self.end, call, grant, sent_at, outcome, replica)
         if replica[2]:
             self.start(replica, *replica[2].pop(0))
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
@@ -74,6 +74,15 @@
     assert not load.scheduler.upstreams["r0"].running
 
 
+def test_routes_that_fail_anywhere_suspend_no_replica_and_suspects_get_no_grants():
+    """Guards against a loss of capacity by failures that say nothing about their replica."""
+    load = PlainLoad(lambda _: 400)
+    load.failing_share = 0.14
+    assert share(load.run(10.0), in_goal) > 0.82
+    load.scheduler.suspend(["r1"], 4.0, load.now)
+    assert not load.scheduler.upstreams["r1"].is_usable("z", load.now + 3.9)
+
+
 class OneSlot:
     """A pool with one replica of one slot and one extra grant."""
 
