scheduling: share the load of equal plain replicas, and tell adopters of releases

Cause 1: the predicted duration of a plain request does not depend on the load, so the replica with the shortest prediction was filled while others were free (868, 156 and 774 requests at 123 a second). Change: the slots in use cost up to one predicted duration; only upstreams with extra grants, that is plain ones, have this cost.

Cause 2: after the loss of a scheduler, its successor adopts what runs, but a host sends the release to the lost owner until membership drops it. Plain requests then occupied slots of the successor for 3 s. Change: a host also sends the release of a plain request to the schedulers that it has told of it. The test's bound rises from 0.9 to 0.97.

--- a/packages/chalkyoke/src/chalkyoke/gateway/granted.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/granted.py
@@ -41,6 +41,7 @@
     :ivar first_s: time from the send to the first event, in seconds; -1 before.
     :ivar events: number of events received.
     :ivar load: load that the answer reported; None where it reported none.
+    :ivar reported_to: schedulers that were told that the request runs, besides the issuer.
     """
 
     replica: Replica
@@ -56,6 +57,7 @@
     permit: Permit | None = None
     is_first_decline: bool = False
     load: Load | None = None
+    reported_to: tuple[str, ...] = ()
 
 
 class Denied(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -319,9 +319,10 @@
             self._schedulers.send(process, message)
 
     def _informed_schedulers(self, service: Service, granted: Granted) -> list[str]:
-        """List the schedulers that count a grant: the one that issued it and the pool's owner."""
+        """List the schedulers that count a grant: the issuer, the pool's owner and its adopters."""
         owners = self._schedulers.owners(service.name)[:1] if self._is_queued(service) else []
-        return [each for each in dict.fromkeys([granted.scheduler, *owners]) if each]
+        counting = [granted.scheduler, *owners, *granted.reported_to]
+        return [each for each in dict.fromkeys(counting) if each]
 
     def _is_queued(self, service: Service) -> bool:
         """Return whether the scheduler of a service's pool decides for its requests now."""
@@ -365,9 +366,11 @@
 
     def report_running(self, pool: str, process: str) -> None:
         """Report to a scheduler the grants of a pool that this node holds."""
-        items = tuple(
-            running_item(held.admission, held.granted, self._now())
-            for held in self._held_grants.values()
-            if held.admission.service.name == pool
-        )
+        found = [each for each in self._held_grants.values() if each.admission.service.name == pool]
+        items = tuple(running_item(each.admission, each.granted, self._now()) for each in found)
         self._schedulers.send(process, Adopt(pool, items))
+        for each in found:
+            # Until a lost owner is out of the view, only its adopter can count the release of a
+            # request that is much shorter than the interval of progress reports.
+            if not each.admission.service.is_engine:
+                each.granted.reported_to += (process,)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -48,6 +48,11 @@
 # would be cut at their deadlines elsewhere.
 FAST_UPSTREAM_PENALTY_S = 1.0
 
+# Cost of a plain replica with all slots in use, as a multiple of the predicted duration, so that
+# equal replicas share the load. With a smaller value, the one with the shortest prediction is
+# filled while others are free; a larger one sends more requests to slow replicas.
+PLAIN_LOAD_COST = 1.0
+
 
 class Prediction(msgspec.Struct, frozen=True):
     """The predicted progress of one request on one upstream, in seconds from now.
@@ -230,6 +235,7 @@
         score = float(occupied)
         if features.predict:
             score = _score(item, upstream, prediction, cached, now)
+            score += _plain_load_cost_s(upstream, prediction, occupied)
             if features.spare:
                 score += FAST_UPSTREAM_PENALTY_S * (1.0 - upstream.speed.token_time(1) / slowest)
         if best is None or score < best[0]:
@@ -257,6 +263,17 @@
     return max((each.speed.token_time(1) for each in upstreams), default=0.0)
 
 
+def _plain_load_cost_s(upstream: Upstream, prediction: Prediction, occupied: int) -> float:
+    """Return the cost of the requests at a plain replica, so that equal replicas share the load.
+
+    :return: seconds; 0 for engines, whose predictions depend on the concurrent streams.
+    """
+    if not upstream.spec.extra_grants:
+        return 0.0
+    busy_share = min(1.0, occupied / upstream.spec.slots)
+    return PLAIN_LOAD_COST * prediction.first_s * busy_share
+
+
 def _score(
     item: WaitingRequest,
     upstream: Upstream,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.settings import GATEWAY_FEATURES, SchedulingSection
@@ -40,6 +41,7 @@
         self.calls = {}
         self.replicas = {f"r{n}": [count, 0, []] for n, count in enumerate(slots)}
         self.lost, self.failing_share = set(), 0.0
+        self.started = Counter()
         declared = [
             Replica(name, "p", "127.0.0.1", n, "z", each[0])
             for n, (name, each) in enumerate(self.replicas.items())
@@ -113,6 +115,7 @@
     def start(self, replica, call, grant, sent_at):
         replica[1] += 1
         call.runs += 1
+        self.started[grant.upstream] += 1
         took_s = self.random.gammavariate(4.0, SERVICE_S / 4.0)
         took_s *= 5.0 if self.random.random() < 0.01 else 1.0
         self.after(took_s, self.finish, replica, call, grant, sent_at)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
@@ -29,6 +29,13 @@
     assert share(calls, in_goal) > 0.95
 
 
+def test_equal_replicas_share_the_usual_load():
+    """Guards against a replica that is filled while others are free, as its prediction is lower."""
+    load = PlainLoad(lambda _: 123)
+    load.run(15.0)
+    assert max(load.started.values()) < 1.2 * load.started.total() / 3
+
+
 def test_bursts_of_twice_the_rate_reject_nothing_and_shed_no_higher_tier():
     load = PlainLoad(lambda t: 500 if t % 10 > 7.5 else 250)
     calls = load.run(22.0)
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -81,7 +81,7 @@
         got = await run_callers(fleet, others)
         assert_ran_once(fleet, got)
         assert rejected_share(fleet, got) < 0.05
-        assert sum(each.status == 200 for each in got) > 0.9 * len(got)
+        assert sum(each.status == 200 for each in got) > 0.97 * len(got)
 
     run_check(check, scheduling={"plain_services": "queued"})
 
