scheduling: grant no more than a plain replica accepts

Cause: a plain replica is granted half of its slots more than it has. One that queues fewer requests than that rejects these grants; as its load is the scheduler's own, it did not count as foreign, and the decline of a full replica starts no pause. The same replica was granted the next request at once, which it rejected as well. The load at a rejection was also compared with grants that included the rejected one.

The test whether a load is full, in two places before, ignores loads without slots.

--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -52,7 +52,7 @@
         due_s=admission.route.goal_s,
         is_evidence=end not in NOT_HEALTH_EVIDENCE,
         failed=end is not SendEnd.DELIVERED,
-        was_full=end is SendEnd.DECLINED and load is not None and load.running >= load.slots,
+        was_full=end is SendEnd.DECLINED and load is not None and load.is_full,
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -51,6 +51,11 @@
     slots: int
     time_factor: float = 1.0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all slots are in use; false where the replica reports none."""
+        return 0 < self.slots <= self.running
+
 
 class AnswerFields(msgspec.Struct, frozen=True):
     """The fields in the headers of an answer.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/forecast.py
@@ -47,7 +47,7 @@
             if upstream.allowance is not None:
                 self._limited_until[upstream.spec.id] = upstream.limit_opens_at(now)
             finishes = [max(now, item.expected_finish) for item in upstream.running.values()]
-            free = max(0, upstream.spec.max_grants - upstream.occupied(now))
+            free = max(0, upstream.max_grants(now) - upstream.occupied(now))
             slots = finishes + [now] * free
             heapq.heapify(slots)
             if slots:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -67,7 +67,7 @@
         key = self._sender_key(route, domain, entry)
         if key not in self._free:
             self._free[key] = sum(
-                max(0, each.spec.max_grants - each.occupied(self._now))
+                max(0, each.max_grants(self._now) - each.occupied(self._now))
                 for each in self.usable_upstreams(route, domain, entry)
             )
         return self._free[key]
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -236,6 +236,7 @@
     :ivar failures: recent failures; each success subtracts a fraction of one.
     :ivar unreachable: consecutive connection failures.
     :ivar foreign_load: requests from other nodes, according to the last load report.
+    :ivar full_at: number of requests with which the upstream last rejected one as full.
     :ivar allowance: token bucket of the limit that the upstream announced to all nodes; None where
         it announced none.
     :ivar stall_s: total seconds of prefill, during which the other streams make no progress.
@@ -248,6 +249,8 @@
     draining: bool = False
     foreign_load: int = 0
     foreign_load_until: float = 0.0
+    full_at: int = 0
+    full_at_until: float = 0.0
     failures: float = 0.0
     unreachable: int = 0
     suspended_until: float = 0.0
@@ -276,12 +279,20 @@
         foreign = self.foreign_load if now < self.foreign_load_until else 0
         return len(self.running) + foreign
 
+    def max_grants(self, now: float) -> int:
+        """Return the number of requests at which the upstream counts as full.
+
+        :rtype: int
+        """
+        most = self.spec.max_grants
+        return min(most, self.full_at) if now < self.full_at_until else most
+
     def has_slot(self, now: float) -> bool:
         """Return whether the upstream has a free slot and its announced limit allows a request.
 
         :rtype: bool
         """
-        if self.occupied(now) >= self.spec.max_grants:
+        if self.occupied(now) >= self.max_grants(now):
             return False
         return self.allowance is None or self.allowance.is_open(now)
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/plainload.py
@@ -15,7 +15,7 @@
 from chalkyoke.scheduling.scheduler import PoolScheduler
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec
 
-SERVICE_S, REPLICA_QUEUE = 0.036, 24
+SERVICE_S = 0.036
 
 
 class Call:
@@ -30,6 +30,7 @@
     """Play calls against one scheduler and its replicas.
 
     :param rate: returns the calls per second at a time.
+    :ivar queue: number of requests that a replica queues beyond its slots.
     :param oneway_s: one-way latency between the host of a call, the scheduler and the replica.
     """
 
@@ -40,7 +41,7 @@
         self.now, self.order, self.events = 0.0, itertools.count(), []
         self.calls = {}
         self.replicas = {f"r{n}": [count, 0, []] for n, count in enumerate(slots)}
-        self.lost, self.failing_share = set(), 0.0
+        self.lost, self.failing_share, self.queue = set(), 0.0, 24
         self.started = Counter()
         declared = [
             Replica(name, "p", "127.0.0.1", n, "z", each[0])
@@ -107,7 +108,7 @@
         slots, running, queue = replica = self.replicas[grant.upstream]
         if running < slots:
             self.start(replica, call, grant, sent_at)
-        elif len(queue) < REPLICA_QUEUE:
+        elif len(queue) < self.queue:
             queue.append((call, grant, sent_at))
         else:
             self.after(self.oneway_s, self.end, call, grant, sent_at, "unused", replica)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
@@ -29,6 +29,16 @@
     assert share(calls, in_goal) > 0.95
 
 
+@pytest.mark.parametrize("queue", (0, 1))
+def test_replicas_that_queue_less_than_the_extra_grants_are_not_overfilled(queue):
+    """Guards against grants that are sent to a full replica and rejected, again and again."""
+    load = PlainLoad(lambda _: 300)
+    load.queue = queue
+    calls = load.run(12.0)
+    assert share(calls, rejected) < 0.01
+    assert share(calls, in_goal) > 0.95
+
+
 def test_equal_replicas_share_the_usual_load():
     """Guards against a replica that is filled while others are free, as its prediction is lower."""
     load = PlainLoad(lambda _: 123)
@@ -127,11 +137,12 @@
     assert list(pool.scheduler.upstreams["r0"].running) == ["long"]
 
 
-def test_reported_load_of_other_hosts_takes_slots_while_it_is_fresh():
+@pytest.mark.parametrize("waiting", (0, 9))
+def test_reported_load_of_other_hosts_takes_slots_while_it_is_fresh(waiting):
     """Guards against grants to a replica that hosts without a scheduler have filled."""
     pool = OneSlot()
     pool.acquire("x", 0.0)
-    full = Release("x", 1, "p", "unused", declined=True, usage=PROBE, running=1, waiting=9, slots=1)
+    full = Release("x", 1, "p", "unused", PROBE, True, running=1, waiting=waiting, slots=1)
     pool.scheduler.release("z", full, 0.01)
     assert pool.acquire("y", 0.02) == []
     granted = [each.action.request for each in pool.scheduler.tick(0.15)]
