scheduling: keep a suspect in use where no other replica is reached

Cause: the scheduler suspends the suspects of a plain service for 4 s. In a failure domain that is cut off with one replica, which fails some requests, all requests were then refused, while the local choice only ranks suspects last.

Change: a suspect is suspended only while another upstream takes requests, is not suspended and is reached. The new test fails without it.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -315,15 +315,26 @@
         return self._decide(now)
 
     def suspend(self, upstreams: Iterable[str], seconds: float, now: float) -> None:
-        """Suspend upstreams that fail far more often than the others.
+        """Suspend upstreams that fail far more often than the others, unless no other can be used.
 
         :param seconds: duration of the suspension; a longer one in effect is kept.
         """
         for name in upstreams:
             upstream = self._pool.upstreams.get(name)
-            if upstream is not None:
+            if upstream is not None and self._has_usable_upstream_besides(name, now):
                 upstream.suspended_until = max(upstream.suspended_until, now + seconds)
 
+    def _has_usable_upstream_besides(self, name: str, now: float) -> bool:
+        """Return whether another upstream takes requests and is reached by all failure domains.
+
+        A failure domain that is cut off may reach no other one.
+        """
+        return any(
+            not each.leaving and now >= each.suspended_until and not each.unreachable
+            for each in self._pool.upstreams.values()
+            if each.spec.id != name
+        )
+
     def apply_cache_event(self, message: CacheEvent) -> None:
         """Remove evicted blocks from the prefix index; events are delayed and incomplete."""
         self._pool.prefixes.drop_blocks(message.upstream, message.dropped)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_plain.py
@@ -100,6 +100,15 @@
     assert not load.scheduler.upstreams["r1"].is_usable("z", load.now + 3.9)
 
 
+def test_a_suspect_is_used_where_no_other_replica_is_reached():
+    """Guards a failure domain that is cut off with one replica, which fails some requests."""
+    load = PlainLoad(lambda _: 1)
+    for name in ("r0", "r2"):
+        load.scheduler.upstreams[name].unreachable = 1
+    load.scheduler.suspend(["r1"], 4.0, 0.0)
+    assert load.scheduler.upstreams["r1"].is_usable("z", 0.1)
+
+
 class OneSlot:
     """A pool with one replica of one slot and one extra grant."""
 
