gateway: share out the slots again at a second loss of a scheduler, and end adopted starts

Cause 1: the share's token bucket is created with a random level at the first loss of a scheduler and is full ever after, so that at a second loss all nodes started a request at once, 60 before 8 slots. Change: the level is random again after 2 s without a request.

Cause 2: a request that was started without a scheduler is reported to the pool's owner; its release was not, if queueing had stopped or the owner had changed meanwhile, and it occupied a slot there for 3 s. Change: the release goes to each scheduler that was told of the start.

Each new test fails without its change.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -290,6 +290,7 @@
             item = running_item(admission, granted, self._now())
             for owner in owners[:1]:
                 self._schedulers.send(owner, Adopt(admission.service.name, (item,)))
+                self._record_reported(admission.service, granted, owner)
 
     def record_first_output(self, admission: Admission, granted: Granted, first_s: float) -> None:
         """Record the time to the first event and report it to the schedulers.
@@ -370,7 +371,13 @@
         items = tuple(running_item(each.admission, each.granted, self._now()) for each in found)
         self._schedulers.send(process, Adopt(pool, items))
         for each in found:
-            # Until a lost owner is out of the view, only its adopter can count the release of a
-            # request that is much shorter than the interval of progress reports.
-            if not each.admission.service.is_engine:
-                each.granted.reported_to += (process,)
+            self._record_reported(each.admission.service, each.granted, process)
+
+    def _record_reported(self, service: Service, granted: Granted, process: str) -> None:
+        """Record that a scheduler counts a request, so that it is told of the release too.
+
+        Until a lost owner is out of the view, only its adopter can count the release of a plain
+        request, which is much shorter than the interval of progress reports.
+        """
+        if not service.is_engine and process not in granted.reported_to:
+            granted.reported_to += (process,)
--- a/packages/chalkyoke/src/chalkyoke/gateway/localshare.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localshare.py
@@ -15,6 +15,9 @@
 USED_SLOTS_SHARE = 0.8
 # Usual duration of a request until this node has measured one, in seconds.
 USUAL_REQUEST_S = 0.05
+# Time without a request after which the next start is at a random time again, in seconds. Nodes use
+# their shares only while no scheduler answers, and would all have gathered a start by then.
+PAUSE_S = 2.0
 
 
 class _Starts(msgspec.Struct):
@@ -27,8 +30,8 @@
 class LocalShare:
     """Bound the starts of this node at plain services.
 
-    :param random: source of numbers in [0, 1). The first start of each node is at a random part of
-        its interval, since all nodes notice the loss of a scheduler together.
+    :param random: source of numbers in [0, 1). The first start of each node after a loss is at a
+        random part of its interval, since all nodes notice the loss of a scheduler together.
     :param nodes: returns the number of nodes that may exist in the fleet.
     """
 
@@ -53,7 +56,7 @@
         if outstanding >= math.ceil(share):
             return False
         starts = self._starts.get(service)
-        if starts is None:
+        if starts is None or now - starts.at > PAUSE_S:
             starts = self._starts[service] = _Starts(self._random(), now)
         rate_per_s = share / (usual_s or USUAL_REQUEST_S)
         gained = (now - starts.at) * rate_per_s
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -4,6 +4,7 @@
 from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
 from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.grants import Grants
+from chalkyoke.gateway.localshare import LocalShare
 from chalkyoke.gateway.ports import Load, RequestFields
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
@@ -375,3 +376,27 @@
         assert refused[0] > 0
 
     virtual.run(main)
+
+
+def test_the_owner_told_of_a_local_start_is_told_of_its_release_after_queueing_has_stopped():
+    """Guards against slots that stay taken at the owner for 3 s."""
+
+    async def main():
+        schedulers, queued = Schedulers(answers_from=99.0), [True]
+        grants = make_plain_grants(schedulers, nodes=1, queued=lambda _: queued[0])
+        wanted = plain_admission(1)
+        found = await grants.acquire(wanted, 1, (), local_only=True)
+        grants.record_started(wanted, found)
+        queued[0] = False
+        grants.release(wanted, found, ReleaseOutcome.DELIVERED)
+        assert [process for process, _ in schedulers.released] == ["n1"]
+
+    virtual.run(main)
+
+
+def test_a_share_that_was_not_used_for_long_starts_at_a_random_time_again():
+    """Guards against a second loss of the scheduler, when all nodes would start one at once."""
+    share = LocalShare(lambda: 0.25, lambda: 60)
+    started = share.may_start("p", 18, 0, 0.05, 0.0)
+    assert not started and share.may_start("p", 18, 0, 0.05, 0.5), "gathered 0.75 at 4.8 a second"
+    assert not share.may_start("p", 18, 0, 0.05, 100.0)
