--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -53,6 +53,7 @@
     REPLICA_LIMITS = "replica_limits"
     STORE_RESTORED = "store_restored"
     SLOW_READERS = "slow_readers"
+    PLAIN_BURST = "plain_burst"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -70,8 +71,17 @@
 RESTORE_SEED_MASK = 0xE90C
 READER_FAULTS = (Fault.SLOW_READERS,)
 READER_SEED_MASK = 0x510E
+BURST_FAULTS = (Fault.PLAIN_BURST,)
+BURST_SEED_MASK = 0xB0857
 SEPARATELY_DRAWN_FAULTS = frozenset(
-    (*LATER_FAULTS, *ANSWER_FAULTS, *LIMIT_FAULTS, *RESTORE_FAULTS, *READER_FAULTS)
+    (
+        *LATER_FAULTS,
+        *ANSWER_FAULTS,
+        *LIMIT_FAULTS,
+        *RESTORE_FAULTS,
+        *READER_FAULTS,
+        *BURST_FAULTS,
+    )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
 # The name under which a roll (hosts replaced one by one by another build) is recorded as a fault.
@@ -158,6 +168,7 @@
         (LIMIT_FAULTS, LIMIT_SEED_MASK),
         (RESTORE_FAULTS, RESTORE_SEED_MASK),
         (READER_FAULTS, READER_SEED_MASK),
+        (BURST_FAULTS, BURST_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -151,6 +151,7 @@
             self.elapsed_s,
             self._start_crashing_caller,
             self._start_slow_readers,
+            self._send_burst,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -214,6 +215,18 @@
             request = self._send_request(node, path, TEAM, read_pause_s=READ_PAUSE_S)
             self._slow_readers.append(asyncio.create_task(request))
 
+    async def _send_burst(self, rate_per_s: float, seconds: float) -> None:
+        """Send plain requests to random nodes, and wait for their answers."""
+        until = min(self.elapsed_s() + seconds, self._config.seconds)
+        paths = [path for path, kind in KIND_BY_PATH.items() if kind is not Kind.STREAM]
+        tasks: list[asyncio.Task[int]] = []
+        while self.elapsed_s() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            path = self._random.choice(paths)
+            tasks.append(asyncio.create_task(self._send_request(node, path, TEAM)))
+            await asyncio.sleep(self._random.expovariate(rate_per_s))
+        await asyncio.gather(*tasks)
+
     async def _send_request(
         self, node: str, path: str, team: str, body: bytes = b"{}", *, read_pause_s: float = 0.0
     ) -> int:
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 from chalkyoke.gateway.events import EventSplitter
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
@@ -236,12 +237,11 @@
         a trial never causes a refusal.
         """
         parts, progress = self._parts, self._progress
+        acquire = functools.partial(parts.grants.acquire, admission, digest=self._request_digest)
         again = progress.attempt > 1 or self._delivery.head_sent
         if parts.rollouts.claim_trial(admission, again=again):
             try:
-                granted = await parts.grants.acquire(
-                    admission, progress.attempt, progress.tried, for_trial=True
-                )
+                granted = await acquire(progress.attempt, progress.tried, for_trial=True)
             except asyncio.CancelledError:
                 parts.rollouts.return_trial(admission)
                 raise
@@ -249,11 +249,8 @@
                 return granted
             parts.rollouts.return_trial(admission)
             progress.attempt += 1
-        if progress.unused_grants >= MAX_UNUSED_GRANTS:
-            return await parts.grants.acquire(
-                admission, progress.attempt, progress.tried, local_only=True
-            )
-        return await parts.grants.acquire(admission, progress.attempt, progress.tried)
+        local_only = progress.unused_grants >= MAX_UNUSED_GRANTS
+        return await acquire(progress.attempt, progress.tried, local_only=local_only)
 
     def _act_on_end(self, admission: Admission, granted: Granted, end: SendEnd) -> NextStep:
         """Record the end of a send, then decide the next step and take it."""
@@ -347,7 +344,9 @@
             # A stream that is cut off here was slow or long, which is no failure. Any other
             # request has received no answer, which is a failure.
             failed = not admission.route.is_stream
-            self._feedback.record_version_outcome(admission, self._granted, failed=failed)
+            self._feedback.record_version_outcome(
+                admission, self._granted, self._parts.now(), failed=failed
+            )
         self._release_cancelled(admission)
         self._parts.log_decision("expired", admission, sends=self._progress.sends.arrivals)
         if self._delivery.head_sent:
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -4,6 +4,7 @@
 Report the end of a send to the components that track replicas, versions and suspicious requests.
 """
 
+from chalkyoke.balancing.reports import PlainEnd
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
@@ -40,6 +41,21 @@
     return relay.last_at - relay.first_at if relay is not None and relay.first_at else 0.0
 
 
+def _plain_end(admission: Admission, granted: Granted, end: SendEnd, now: float) -> PlainEnd:
+    """Describe the end of a send to a plain service's replica."""
+    load = granted.load
+    return PlainEnd(
+        admission.service.name,
+        granted.replica.id,
+        admission.route.name,
+        took_s=now - granted.started_at if granted.started_at else 0.0,
+        due_s=admission.route.goal_s,
+        is_evidence=end not in NOT_HEALTH_EVIDENCE,
+        failed=end is not SendEnd.DELIVERED,
+        was_full=end is SendEnd.DECLINED and load is not None and load.is_full,
+    )
+
+
 class Feedback:
     """Reports the ends of sends to the components of a node.
 
@@ -66,7 +82,8 @@
         now = parts.now()
         stats = parts.balancer.stats(granted.replica.id)
         if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
-            stats.record_load(relay.fields.load.running, relay.fields.load.waiting, now)
+            granted.load = relay.fields.load
+            stats.record_load(granted.load.running, granted.load.waiting, now)
         if end is SendEnd.DELIVERED:
             stats.record_answer(now - granted.started_at)
         elif end is SendEnd.NOT_CONNECTED:
@@ -77,12 +94,11 @@
             admission, granted.replica, end, output_duration_s(relay), request
         )
         parts.grants.release(admission, granted, RELEASE_OUTCOMES[end])
-        if end in NOT_HEALTH_EVIDENCE:
-            return
-        failed = end is not SendEnd.DELIVERED
-        self.record_version_outcome(admission, granted, failed=failed)
+        if end not in NOT_HEALTH_EVIDENCE:
+            failed = end is not SendEnd.DELIVERED
+            self.record_version_outcome(admission, granted, now, failed=failed)
         if not admission.service.is_engine:
-            parts.on_plain_request_ended(admission, granted.replica, failed)
+            parts.on_plain_request_ended(_plain_end(admission, granted, end, now))
 
     def _record_quarantine_evidence(
         self,
@@ -106,13 +122,17 @@
             quarantine.record_answer(replica)
 
     def record_version_outcome(
-        self, admission: Admission, granted: Granted, *, failed: bool
+        self, admission: Admission, granted: Granted, ended_at: float, *, failed: bool
     ) -> None:
-        """Record the outcome for the replica's version; the duration of a failure is left out."""
+        """Record the outcome for the replica's version; the duration of a failure is left out.
+
+        :param ended_at: when the send ended, on the node's clock. The components told of the end
+            before may grant other requests meanwhile, which is no part of the duration.
+        """
         self._parts.rollouts.record_outcome(
             admission,
             granted.replica,
             failed=failed,
             output_tokens=granted.events * admission.service.tokens_per_event,
-            took_s=0.0 if failed else self._parts.now() - granted.started_at,
+            took_s=0.0 if failed else ended_at - granted.started_at,
         )
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -47,6 +47,7 @@
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
 from chalkyoke.node.fleetsize import FleetSize
+from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listener import Listener, ListenerParts
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
@@ -54,9 +55,10 @@
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
+from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.registration import NodeEntry, Registration, read_candidates
-from chalkyoke.node.requestlog import RequestLog, log_kept_limit
+from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
 from chalkyoke.node.routing import (
@@ -266,6 +268,8 @@
             keeper=self.keeper,
             acknowledge=True,
         )
+        self.queued_services = make_queued_services(self.settings.scheduling, self.now)
+        add_queue_gauges(self.metrics, self.scheduler_host.pools, self.queued_services)
         schedulers = PeerSchedulers(self.scheduler_host, self.view)
         self.permits = PermitClient(
             known,
@@ -285,6 +289,8 @@
             self.permits,
             random.random,
             self.now,
+            self.count_nodes,
+            self.queued_services.is_queued,
             pooled=self.settings.scheduling.pooled,
         )
         self.scheduler_host.deliver = self.grants.receive
@@ -313,6 +319,9 @@
             self.links.send,
             lambda service: len(self.replicas.of_service(service)),
             self.now,
+            self.queued_services,
+            self.replicas.count_slots,
+            self.scheduler_host.suspend,
         )
         self.announcements = Announcements(
             self.view,
@@ -348,11 +357,7 @@
                 now=self.now,
                 log_decision=self.request_log.log_decision,
                 log_rejection=self.request_log.log_rejection,
-                on_plain_request_ended=lambda admission, replica, failed: (
-                    self.suspicions.record_outcome(
-                        replica.service, replica.id, admission.route.name, failed=failed
-                    )
-                ),
+                on_plain_request_ended=self.suspicions.record_end,
                 rollouts=self.rollouts,
                 quarantine=self.quarantine,
                 announcements=self.announcements,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -17,6 +17,9 @@
 FAILURES_TO_SUSPEND = 2.0
 # Failures that one success cancels: three successes cancel one failure.
 FAILURES_FORGIVEN_PER_SUCCESS = 0.34
+# Weight of a failure of a plain service's replica: some routes fail one request in seven anywhere.
+# The service's observer compares replicas and names those that fail far more often than others.
+PLAIN_FAILURE_WEIGHT = 0.3
 # Upper bound of the failure count, so that an upstream is retried soon after a long outage.
 MAX_FAILURES = 6.0
 # Initial backoff of an upstream, doubled with each further failure (for connections already with
@@ -67,6 +70,7 @@
         known = [(self._pool.running.get(item.request), item) for item in items]
         for running, item in known:
             if running is not None:
+                running.reported_at = now
                 self._learn_first(running, item.first_s, now)
         samples: dict[str, TokenSample] = {}
         for running, item in known:
@@ -104,7 +108,8 @@
             backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.unreachable, 10))
             upstream.unreachable_from[domain] = now + backoff
         elif outcome is ReleaseOutcome.FAILED:
-            upstream.failures = min(MAX_FAILURES, upstream.failures + 1.0)
+            weight = PLAIN_FAILURE_WEIGHT if self._pool.spec.plain else 1.0
+            upstream.failures = min(MAX_FAILURES, upstream.failures + weight)
             if upstream.failures >= FAILURES_TO_SUSPEND and self._may_suspend(now):
                 excess_failures = int(upstream.failures - FAILURES_TO_SUSPEND)
                 upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess_failures)
@@ -156,8 +161,7 @@
             self._pool.queues[item.rank].charge_team(item.team, -item.work, weight)
             return
 
-        cached = max(0, usage.cached_tokens)
-        actual = self._pool.work_s(max(0, item.prompt_tokens - cached), usage.output_tokens)
+        actual = self._actual_work_s(item, usage)
         self._pool.queues[item.rank].charge_team(item.team, actual - item.work, weight)
         if not self._features.learn:
             return
@@ -178,6 +182,14 @@
             found = usage.cached_tokens // BLOCK_TOKENS
             self._pool.prefixes.correct_capacity(upstream.spec.id, int(expected), found)
 
+    def _actual_work_s(self, item: RunningRequest, usage: Usage) -> float:
+        """Return the work of a request that has ended: its duration where the service is plain."""
+        if self._pool.spec.plain:
+            self._pool.learn_request_s(usage.total_s)
+            return usage.total_s
+        cached = max(0, usage.cached_tokens)
+        return self._pool.work_s(max(0, item.prompt_tokens - cached), usage.output_tokens)
+
     def _learn_first(self, item: RunningRequest, first_s: float, now: float) -> None:
         """Update the prefill speed from a first token and mark the prefill as complete."""
         upstream = self._pool.upstreams.get(item.upstream)
@@ -213,6 +225,8 @@
 
     def remaining_s(self, item: RunningRequest, upstream: Upstream, now: float) -> float:
         """Predict the remaining time of a running request, in seconds."""
+        if self._pool.spec.plain:
+            return max(0.0, upstream.speed.first_time(0, 0) - item.elapsed_s)
         left = max(item.expected_output - item.output_tokens, 0.25 * item.output_tokens, 1.0)
         _, decode_share = upstream.prefill_outlook(now)
         seconds = left * upstream.speed.token_time(len(upstream.running)) / decode_share
