--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -60,12 +60,14 @@
         of requests that are held back.
     :param nodes: prefix of the node registrations.
     :param held: prefix of the records of requests that are held back.
+    :param quotas: prefix of the snapshots of quota windows.
     """
 
     document: str
     records: tuple[str, ...]
     nodes: str
     held: str
+    quotas: str = "quotas/"
 
 
 class CatalogSynchronizer:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -54,7 +54,8 @@
 from chalkyoke.node.parts import PlatformParts
 from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
-from chalkyoke.node.registration import NodeEntry, Registration, read_candidates
+from chalkyoke.node.quotas import make_quotas
+from chalkyoke.node.registration import make_registration, read_candidates
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
@@ -70,10 +71,8 @@
 from chalkyoke.quarantine.heldrecords import HeldRecords
 from chalkyoke.quarantine.records import with_held_records
 from chalkyoke.quarantine.spread import Quarantine
-from chalkyoke.quotas.client import WINDOW_REPLICATION_INTERVAL_S, QuotaClient
-from chalkyoke.quotas.leases import HeldLeases
-from chalkyoke.quotas.owner import Presence, QuotaOwner
-from chalkyoke.quotas.window import QuotaLimits
+from chalkyoke.quotas.client import WINDOW_REPLICATION_INTERVAL_S
+from chalkyoke.quotas.owner import Presence
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
 from chalkyoke.rollouts.exposure import ExposureBounds
 
@@ -219,19 +218,9 @@
         )
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
-        node = settings.node
-        listed = NodeEntry(
-            settings.listen.advertised_links_address, node.failure_domain, node.capacity
-        )
-        key = platform.keys.nodes + settings.node.host
         self.held_records = HeldRecords(self.store, platform.keys.held, self.now)
-        self._registration = Registration(
-            self.store,
-            key,
-            msgspec.msgpack.encode(listed),
-            settings.store.lease_s,
-            random.random,
-            self.now,
+        self._registration = make_registration(
+            settings, self.store, platform.keys.nodes, random.random, self.now
         )
 
     def _make_schedulers(self) -> None:
@@ -289,19 +278,18 @@
 
     def _make_gateway(self) -> None:
         limits = self.settings.limits
-        quota = QuotaLimits(limits.quota_window_s, limits.quota_over, limits.quota_slack)
-        self.quotas = QuotaClient(
-            HeldLeases(quota, self.count_nodes),
-            QuotaOwner(
-                quota,
-                first_start=self.settings.node.first_start,
-                identity=self.record.incarnation >> 1,
-            ),
+        quotas = make_quotas(
+            self.settings,
+            self.record,
+            self.store,
+            self._platform.keys.quotas,
             PeerQuotas(self.view, self.links.send, self.presence),
             lambda: self.catalog.state.catalog.teams,
+            self.count_nodes,
+            self.metrics,
             self.now,
-            first_start=self.settings.node.first_start,
         )
+        self.quotas, self.quota_snapshots = quotas.client, quotas.snapshots
         budget = BudgetLimits(limits.retry_ratio, limits.retry_slack, limits.retry_window_s)
         self.connections = ConnectionPool()
         self.suspicions = Suspicions(
@@ -487,6 +475,8 @@
         loops.start(self.catalog.run())
         loops.start(self._registration.run())
         loops.start(self.held_records.run())
+        if self.quota_snapshots is not None:
+            loops.start(self.quota_snapshots.run())
 
     def _send_heartbeats(self) -> None:
         for send in self.view.due_messages(self.now()):
@@ -592,6 +582,8 @@
         self.metrics.count("store_restores")
         self._registration.store_restored(epoch)
         self.held_records.store_restored()
+        if self.quota_snapshots is not None:
+            self.quota_snapshots.store_restored(epoch)
 
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
         candidates = read_candidates(registered, self._platform.keys.nodes)
--- a/packages/chalkyoke/src/chalkyoke/node/registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/registration.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chalkyoke.gateway.settings import GatewaySettings
 from chalkyoke.logs import logger
 from chalkyoke.membership.state import Candidate
 from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
@@ -159,3 +160,23 @@
         self._lease, self._registered_at = granted, self._now()
         log.info("registered", lease=granted.lease, epoch=granted.epoch)
         return True
+
+
+def make_registration(
+    settings: GatewaySettings,
+    store: Store,
+    prefix: str,
+    random: Callable[[], float],
+    now: Callable[[], float],
+) -> Registration:
+    """Build the registration of this node.
+
+    :param prefix: the prefix of the keys of all entries.
+    :param random: source of numbers in [0, 1).
+    :param now: the node's clock, in seconds.
+    :rtype: Registration
+    """
+    node = settings.node
+    entry = NodeEntry(settings.listen.advertised_links_address, node.failure_domain, node.capacity)
+    value = msgspec.msgpack.encode(entry)
+    return Registration(store, prefix + node.host, value, settings.store.lease_s, random, now)
--- a/packages/chalkyoke/src/chalkyoke/platform/start.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/start.py
@@ -20,6 +20,7 @@
 
 NODES_PREFIX = "chalkyoke/nodes/"
 HELD_PREFIX = "chalkyoke/held/"
+QUOTAS_PREFIX = "chalkyoke/quotas/"
 
 
 def platform_parts() -> PlatformParts:
@@ -35,5 +36,6 @@
             (REPLICAS_PREFIX, ROLLOUT_ORDERS_PREFIX, ROLLOUT_STATUSES_PREFIX, HELD_PREFIX),
             NODES_PREFIX,
             HELD_PREFIX,
+            QUOTAS_PREFIX,
         ),
     )
--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -35,6 +35,11 @@
 # Timeout for the owner's answer if the own share is too small, in seconds: a refusal delays the
 # caller for longer.
 LAST_ANSWER_TIMEOUT_S = 0.12
+# Time for which a refused request waits for the store, in seconds: five of its usual response
+# times, and less than the requesting node waits for the owner.
+STORE_WAIT_S = 0.02
+# Highest number of requests of other nodes that wait for the store at once.
+MAX_WAITING = 200
 # Time for which requests don't wait for an owner that did not answer, in seconds.
 OWNER_BACKOFF_S = 0.3
 # Time after its start in which a node may not know the quota owners yet, in seconds: two
@@ -116,12 +121,26 @@
         """Send a message to a node."""
 
 
+class StoreWaiter(Protocol):
+    """The accesses to the store that may raise what this node's owner can lease."""
+
+    def wake(self) -> None:
+        """Start the calls that are due."""
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait until the store has answered a call.
+
+        :return: whether it has answered in time.
+        """
+
+
 class QuotaClient:
     """Charge requests to team quotas, and lease quota to other nodes for the teams owned here.
 
     :param now: the node's clock, in seconds.
     :param teams: returns all teams by name.
     :param first_start: whether the whole fleet starts for the first time.
+    :param store: the accesses to the store; None if windows are not bounded by snapshots.
     """
 
     def __init__(
@@ -133,7 +152,10 @@
         now: Callable[[], float],
         *,
         first_start: bool,
+        store: StoreWaiter | None = None,
     ) -> None:
+        self._store = store
+        self._waiting: set[asyncio.Task[None]] = set()
         self._first_start = first_start
         self._leases = leases
         self._owner = owner
@@ -170,7 +192,10 @@
         message = self._build_request(team, request)
         address = self._port.owner(team.name)
         if address is None:
-            return self._apply_grant(request, self._answer(team, message))
+            grant = self._answer(team, message)
+            if self._waits_for_store(message, grant):
+                grant = await self._answer_again(team, message, grant)
+            return self._apply_grant(request, grant)
         silent = self._backoff_until.get(address, 0.0) > self._now()
         if silent and self._leases.spend_own_share(team, request.cost, self._now()):
             self._leases.add_unreported(team.name, message.alone)
@@ -278,7 +303,36 @@
                 how = "copied" if message.copied else "handed over"
                 self._log_window(message.team, how, before, reported_by=sender)
             return
-        self._port.send(sender, self._answer(team, message))
+        grant = self._answer(team, message)
+        if not self._waits_for_store(message, grant):
+            self._port.send(sender, grant)
+            return
+        task = asyncio.ensure_future(self._send_later(sender, team, message, grant))
+        self._waiting.add(task)
+        task.add_done_callback(self._waiting.discard)
+
+    async def _send_later(
+        self, sender: str, team: Team, message: QuotaRequest, refusal: QuotaGrant
+    ) -> None:
+        self._port.send(sender, await self._answer_again(team, message, refusal))
+
+    def _waits_for_store(self, message: QuotaRequest, grant: QuotaGrant) -> bool:
+        """Return whether a refused request may be granted as soon as the store has answered."""
+        if grant.amount > 0 or self._store is None or len(self._waiting) >= MAX_WAITING:
+            return False
+        return self._owner.is_bounded_by_snapshot(message.team, message.need, self._now())
+
+    async def _answer_again(
+        self, team: Team, message: QuotaRequest, refusal: QuotaGrant
+    ) -> QuotaGrant:
+        """Answer a refused request after the store's next answer, at most once.
+
+        :param refusal: the answer if the store doesn't answer in time.
+        """
+        if self._store is None or not await self._store.wait(STORE_WAIT_S):
+            return refusal
+        # The owner has counted the returned cost and the own spending with the refusal.
+        return self._answer(team, msgspec.structs.replace(message, returned=0.0, alone=0.0))
 
     def _answer(self, team: Team, message: QuotaRequest) -> QuotaGrant:
         """Answer a request for cost as the team's owner."""
@@ -296,6 +350,8 @@
         self._owner.start_owning(team, self._port.presence(), self._now())
         self._owner.apply_spending_report(team, own_spending, self._port.presence(), self._now())
         self._log_window(team.name, "opened", -1.0)
+        if self._store is not None:
+            self._store.wake()
         for address in self._port.others():
             self._port.send(address, QuotaSurvey(team.name))
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/quotas/growth.py
@@ -0,0 +1,132 @@
+"""
+chalkyoke.quotas.growth
+
+How much an owner may lease to one team, given what the store's snapshots say. A reader of the store
+must never assume less spending than there was, so the window stays within each snapshot that the
+store may hold, plus a fixed growth.
+"""
+
+import math
+
+import msgspec
+
+from chalkyoke.quotas.ledger import Ledger, Parts
+
+# Lifetime of an owner's value in the store, in seconds. It expires some seconds after its owner was
+# lost, so that the values of lost owners don't count for long beside those of their successors. It
+# must last until processes that were killed at once have started again and read it.
+VALUE_TTL_S = 6.0
+# Time for which a new owner takes into account that the store may hold the value of a lost owner,
+# in seconds: its lifetime, and the time until the loss was detected elsewhere.
+HOLD_S = VALUE_TTL_S + 1.0
+# Cost that an owner may lease while the store may hold a value that it could not read, as a
+# fraction of the window limit: half of the part that owners don't lease.
+UNREAD_SHARE = 0.1
+
+
+class Bound(msgspec.Struct, frozen=True):
+    """What a reader of one snapshot assumes.
+
+    :param sums: assumed cost in the newest part of the window, the newest two parts, and so on.
+    :param share: the share of the limit that the owner used.
+    """
+
+    sums: Parts
+    share: float
+
+
+class TeamGrowth(msgspec.Struct):
+    """The bounds of one team's window at its owner.
+
+    :param number: number of the window.
+    :param window_limit: the limit by which the bounds were computed.
+    :param sent: snapshots that the store may hold, by number of the write; the last acknowledged
+        one and later ones without an answer.
+    :param snapshot: what the latest write contained, without growth; None before the first write.
+    :param acknowledged: whether the store holds a snapshot of this owner.
+    :param inherited: bound by what this owner knew at its start; counts while no snapshot is
+        acknowledged.
+    :param unread: whether the store may hold snapshots of this team that are not known.
+    :param hold_until: time until which ``inherited`` and ``unread`` count, in seconds.
+    :param checked: cost leased at the last check whether a write is due.
+    """
+
+    number: int
+    window_limit: float
+    sent: dict[int, Bound] = msgspec.field(default_factory=dict)
+    snapshot: Bound | None = None
+    acknowledged: bool = False
+    inherited: Bound | None = None
+    unread: bool = False
+    hold_until: float = 0.0
+    checked: float = -1.0
+
+    def room(self, ledger: Ledger, now: float) -> float:
+        """Return the cost that may be leased now; infinite if no snapshot limits it."""
+        self.apply_limit(ledger.window_limit)
+        bounds = list(self.sent.values())
+        if now < self.hold_until and self.inherited is not None and not self.acknowledged:
+            bounds.append(self.inherited)
+        room = math.inf
+        if self.is_unread(now):
+            room = UNREAD_SHARE * self.window_limit - ledger.leased
+        if not bounds:
+            return room
+        sums = ledger.window.recent_sums(now)
+        for bound in bounds:
+            allowed = bound.sums
+            if ledger.share < bound.share:
+                # Since that snapshot a partition has left this owner a part of what a reader of the
+                # snapshot assumes to be spent on all sides.
+                allowed = _side_bound(bound.sums, ledger, now)
+            pairs = zip(allowed, sums, strict=True)
+            room = min(room, *(most - spent for most, spent in pairs))
+        return room
+
+    def is_unread(self, now: float) -> bool:
+        """Return whether the store may hold snapshots of this team that are not known."""
+        return self.unread and now < self.hold_until
+
+    def inherit(self, ledger: Ledger, unreported: float, now: float) -> None:
+        """Bound the window by its present content, which earlier owners' snapshots contain.
+
+        :param unreported: cost in the window that the earlier owner may not have leased.
+        """
+        sums = ledger.window.recent_sums(now)
+        self.inherited = Bound(tuple(max(0.0, each - unreported) for each in sums), ledger.share)
+        self.unread = False
+        self.hold_until = now + HOLD_S
+
+    def acknowledge(self, number: int) -> None:
+        """Apply the store's acknowledgement of a write, which replaces all earlier snapshots."""
+        if number not in self.sent:
+            return
+        self.sent = {each: bound for each, bound in self.sent.items() if each >= number}
+        self.acknowledged = True
+
+    def lose(self) -> None:
+        """Forget all snapshots of this owner, which the store has dropped."""
+        self.sent.clear()
+        self.snapshot = None
+        self.acknowledged = False
+        self.checked = -1.0
+
+    def apply_limit(self, limit: float) -> None:
+        """Scale the bounds with a lower limit, as the window itself."""
+        if limit < self.window_limit:
+            factor = limit / self.window_limit
+            self.sent = {number: _scaled(each, factor) for number, each in self.sent.items()}
+            self.snapshot = self.snapshot and _scaled(self.snapshot, factor)
+            self.inherited = self.inherited and _scaled(self.inherited, factor)
+        self.window_limit = limit
+
+
+def _side_bound(sums: Parts, ledger: Ledger, now: float) -> Parts:
+    """Return the part of a bound that one side of a partition may use (``ledger.allowed_cost``)."""
+    known = ledger.before.recent_sums(now)
+    pairs = zip(sums, known, strict=True)
+    return tuple(before + ledger.share * (most - before) for most, before in pairs)
+
+
+def _scaled(bound: Bound, factor: float) -> Bound:
+    return Bound(tuple(each * factor for each in bound.sums), bound.share)
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -210,6 +210,18 @@
         self.window.load_parts(window, now)
         self.before.load_parts(tuple(cost * known for cost in window), now)
 
+    def resume_snapshot(self, parts: Parts, now: float) -> None:
+        """Resume the window that a snapshot in the store stands for, after the loss of all hosts.
+
+        All sides of a partition read the same snapshots, so its cost is known to all of them.
+
+        :param parts: cost in each part of the window, oldest first.
+        """
+        self.surveyed = True
+        self.window.load_parts(parts, now)
+        self.before.load_parts(parts, now)
+        self.window.add(self.leased, now)
+
     def _cap_share(self, share: float, now: float) -> None:
         """Cap the share in use at the share whose spending is known; it grows as the window passes.
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -28,6 +29,7 @@
     QuotaWindows,
     WindowUpdate,
 )
+from chalkyoke.quotas.ownersnapshots import OwnerSnapshots
 from chalkyoke.quotas.window import QuotaLimits
 
 # Lifetime of a lease, in seconds: long enough to serve a burst of one node without another request
@@ -69,6 +71,9 @@
 HAND_OFF_RETENTION_S = 3.0
 # Lowest retry delay that a refused caller gets, in seconds.
 MIN_RETRY_AFTER_S = 0.05
+# Retry delay of a caller that is refused until a snapshot has been acknowledged, in seconds: a
+# store that is slow answers within it.
+SNAPSHOT_RETRY_AFTER_S = 0.3
 
 
 # Time until nodes detect a partition between small failure domains, in seconds: ten heartbeats of
@@ -121,9 +126,13 @@
         seconds after a first start, another owner may have leased cost a moment ago, so a new
         window is assumed to be full.
     :param identity: random number of this process, which makes its window numbers unique.
+    :param snapshots: whether windows are bounded by snapshots in the store.
+    :ivar snapshots: the snapshots of this owner; None if they are off.
     """
 
-    def __init__(self, limits: QuotaLimits, *, first_start: bool, identity: int) -> None:
+    def __init__(
+        self, limits: QuotaLimits, *, first_start: bool, identity: int, snapshots: bool = False
+    ) -> None:
         self.limits = limits
         self._identity = identity
         self._numbers = itertools.count(1)
@@ -132,6 +141,11 @@
         self._retired: dict[str, _RetiredLedger] = {}
         self._replicator = WindowReplicator()
         self._copies = WindowCopies(limits.window_s)
+        self.snapshots: OwnerSnapshots | None = None
+        if snapshots:
+            self.snapshots = OwnerSnapshots(
+                self._ledgers, LEASABLE_SHARE, ASSUMED_SHARE, HAND_OFF_RETENTION_S
+            )
 
     def is_new_owner(self, team: str) -> bool:
         """Return whether this node has no ledger of a team, so that it needs a survey of spending.
@@ -168,6 +182,8 @@
         ledger = self._ledgers.pop(team, None)
         if ledger is not None:
             self._retired[team] = _RetiredLedger(ledger, now, handed_off=handed_off)
+            if self.snapshots is not None:
+                self.snapshots.release(team, now)
 
     def answer_request(
         self, team: Team, message: QuotaRequest, presence: Presence, now: float
@@ -193,8 +209,13 @@
             ledger.window_limit * LEASABLE_SHARE * (1.0 - RESERVED_SHARE_PER_RANK * reserved_ranks)
         )
         headroom = ledger.headroom(leasable, now)
-        if headroom < message.need:
-            retry = ledger.free_in_s(message.need - headroom, leasable, presence.share, now)
+        room = self._snapshot_room(team.name, now)
+        if min(headroom, room) < message.need:
+            retry = MIN_RETRY_AFTER_S
+            if headroom < message.need:
+                retry = ledger.free_in_s(message.need - headroom, leasable, presence.share, now)
+            if room < message.need:
+                retry = max(retry, SNAPSHOT_RETRY_AFTER_S)
             retry = max(MIN_RETRY_AFTER_S, retry)
             return QuotaGrant(
                 team.name,
@@ -206,10 +227,24 @@
                 window.spent(now),
                 ledger.allowed_cost(leasable, now),
             )
-        amount = message.need + min(message.ahead, (headroom - message.need) / LEASE_AHEAD_DIVISOR)
+        spare = min(headroom, room) - message.need
+        amount = message.need + min(message.ahead, spare / LEASE_AHEAD_DIVISOR)
         ledger.add_lease(amount, now)
         return QuotaGrant(team.name, message.number, amount, 0.0, LEASE_VALID_S, window.number)
 
+    def is_bounded_by_snapshot(self, team: str, need: float, now: float) -> bool:
+        """Return whether a refused cost may be leased as soon as the store has answered."""
+        ledger = self._ledgers.get(team)
+        if ledger is None or self.snapshots is None:
+            return False
+        if self.snapshots.is_unread(team, now):
+            return True
+        leasable = ledger.window_limit * LEASABLE_SHARE
+        return self._snapshot_room(team, now) < need <= ledger.headroom(leasable, now)
+
+    def _snapshot_room(self, team: str, now: float) -> float:
+        return math.inf if self.snapshots is None else self.snapshots.room(team, now)
+
     def spent(self, team: str, now: float) -> float:
         """Return the cost in a team's window; 0 if this node is not the owner."""
         ledger = self._ledgers.get(team)
@@ -262,6 +297,7 @@
         if message.window:
             handed = HandedOffWindow(message.window, message.own, message.copied, message.share)
             ledger.resume_window(handed, now)
+            self._bound_by_survey(team.name, now)
         if ledger.surveyed:
             return
         ledger.spending_reports[message.host] = message
@@ -272,6 +308,11 @@
         ledger.surveyed = True
         spent = sum(each.cost for each in reports)
         ledger.window.assume_spent(spent + ledger.leased, ledger.started_at)
+        self._bound_by_survey(team.name, now)
+
+    def _bound_by_survey(self, team: str, now: float) -> None:
+        if self.snapshots is not None:
+            self.snapshots.survey_answered(team, now)
 
     def apply_returned(self, message: QuotaReturned, now: float) -> None:
         """Add the cost that the other side of a healed partition leased on its own.
@@ -311,16 +352,21 @@
         ledger = new_ledger(self.limits, number, window_limit, presence.share, now)
         self._ledgers[team.name] = ledger
         copy = self._copies.find(team.name, now)
+        is_first = copy is None and self._first_start and now < FIRST_START_S
+        unreported = 0.0
         if copy is not None:
-            window = copy.with_unreported(window_limit * LEASABLE_SHARE * UNREPORTED_SHARE, now)
+            unreported = window_limit * LEASABLE_SHARE * UNREPORTED_SHARE
+            window = copy.with_unreported(unreported, now)
             ledger.resume_from_copy(window, copy.share, now)
             self._copies.drop(team.name)
-        elif self._first_start and now < FIRST_START_S:
+        elif is_first:
             ledger.surveyed = True
         else:
             ledger.assume_spent(
                 window_limit * LEASABLE_SHARE * _assumed_fraction(presence.share), now
             )
+        if self.snapshots is not None:
+            self.snapshots.open(team.name, now, first=is_first, unreported=unreported)
         return ledger
 
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -106,6 +106,24 @@
         by_index = dict(self._buckets)
         return tuple(by_index.get(last - back, 0.0) for back in range(WINDOW_PARTS - 1, -1, -1))
 
+    def recent_sums(self, now: float) -> tuple[float, ...]:
+        """Return the cost in the newest part, in the newest two parts, and so on up to the window.
+
+        Returned cost counts in the part in which it was returned, so a sum of few parts may be too
+        low by it; each sum is therefore at least the one before. The last sum contains the part
+        that is leaving the window.
+
+        :return: :data:`WINDOW_PARTS` sums that don't fall.
+        """
+        sums: list[float] = []
+        total = highest = 0.0
+        for cost in reversed(self.parts(now)):
+            total += cost
+            highest = max(highest, total)
+            sums.append(highest)
+        sums[-1] = max(sums[-1], self.spent(now))
+        return tuple(sums)
+
     def load_parts(self, parts: tuple[float, ...], now: float) -> None:
         """Replace the content by the parts of another window that ends now, oldest first."""
         last = self._index(now)
