--- a/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from chalkyoke.quotas.ledger import Parts
-from chalkyoke.quotas.window import WINDOW_PARTS
+from chalkyoke.quotas.window import WINDOW_PARTS, assumed_sums
 
 FORMAT_VERSION = 1
 # Cost that an owner may lease beyond an acknowledged snapshot, as a fraction of the window limit. A
@@ -139,7 +139,8 @@
 
     :param window_limit: the present window limit.
     :param leasable: highest cost that owners lease in a window.
-    :param assumed: cost that is assumed to be spent if there is no snapshot.
+    :param assumed: cost that is assumed to be spent if there is no snapshot. What the snapshots say
+        counts as far as it is lower than this assumption, which is safe without them.
     :return: None if there is no snapshot, or one that the present limit makes unusable.
     """
     total = [0.0] * WINDOW_PARTS
@@ -162,7 +163,12 @@
     for cost in reversed(total):
         spent += cost
         bound.append(min(spent, highest))
-    return ResumedWindow(_shifted_parts(bound), tuple(bound))
+    # The writer's and the reader's parts begin at different moments. If the sums were not shifted
+    # by a part, cost could leave the reader's window before it has left the actual one.
+    shifted = [*bound[1:], bound[-1]]
+    unknown = assumed_sums(assumed)
+    sums = [min(pair) for pair in zip(shifted, unknown, strict=True)]
+    return ResumedWindow(_parts_of(sums), tuple(map(min, bound, unknown)))
 
 
 def _is_usable(snapshot: TeamSnapshot, window_limit: float) -> bool:
@@ -173,12 +179,7 @@
     return 1 / MAX_LIMIT_RATIO <= snapshot.window_limit / window_limit <= MAX_LIMIT_RATIO
 
 
-def _shifted_parts(bound: list[float]) -> Parts:
-    """Return the parts of a bound, each one part newer.
-
-    The writer's and the reader's parts begin at different moments. Without the shift a part could
-    leave the reader's window before its cost has left the actual one.
-    """
-    sums = [*bound[1:], bound[-1]]
+def _parts_of(sums: list[float]) -> Parts:
+    """Return the parts, oldest first, of sums of the newest parts."""
     parts = [now - before for before, now in zip([0.0, *sums], sums, strict=False)]
     return tuple(reversed(parts))
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -4,24 +4,37 @@
 
 import msgspec
 from chalkyoke.catalog.resources import Team
-from chalkyoke.quotas.client import WINDOW_REPLICATION_INTERVAL_S
+from chalkyoke.quotas.client import STORE_WAIT_S, WINDOW_REPLICATION_INTERVAL_S
 from chalkyoke.quotas.leases import HeldLeases
 from chalkyoke.quotas.ledger import HandedOffWindow
 from chalkyoke.quotas.messages import QuotaRequest, QuotaSpent
 from chalkyoke.quotas.owner import Presence, QuotaOwner
+from chalkyoke.quotas.snapshotcalls import SnapshotCalls
 from chalkyoke.quotas.window import QuotaLimits
 
+from .simstore import PREFIX, StoreClient
+
 LIMITS = QuotaLimits(window_s=8.0, over=0.1, slack=72_000)
 TEAM = Team("t", ("k",), rate_per_s=30_000, burst=30_000, by_tokens=True, default_cost=200)
 
 
+# Time between two steps of the store while a request waits for it, in seconds.
+STORE_STEP_S = 0.002
+
 IDENTITIES = itertools.count(1)
 
 
 class Node:
-    def __init__(self, name, started, first_start):
+    def __init__(self, name, started, first_start, store=None):
         self.name, self.started = name, started
-        self.owner = QuotaOwner(LIMITS, first_start=first_start, identity=next(IDENTITIES) * 1000)
+        identity = next(IDENTITIES) * 1000
+        self.owner = QuotaOwner(
+            LIMITS, first_start=first_start, identity=identity, snapshots=store is not None
+        )
+        self.store = None
+        if store is not None:
+            key = f"{PREFIX}{name}-{identity}"
+            self.store = StoreClient(store, SnapshotCalls(self.owner.snapshots, key), name, key)
         self.leases = HeldLeases(LIMITS, lambda: 9)
         self.first_start = first_start
 
@@ -34,13 +47,17 @@
 
 
 class Fleet:
-    """All nodes of the simulation; ``sides`` lists the groups that can reach each other."""
+    """All nodes of the simulation; ``sides`` lists the groups that can reach each other.
+
+    :param store: a :class:`SimStore` for snapshots of the windows; None if there are none.
+    """
 
-    def __init__(self, count=9):
+    def __init__(self, count=9, store=None):
         self.now = 0.0
         self.team = TEAM
         self.leaving = set()
-        self.nodes = {n: Node(n, 0.0, True) for n in range(count)}
+        self.store = store
+        self.nodes = {n: Node(n, 0.0, True, store) for n in range(count)}
         self.sides = [set(range(count))]
         self.passed, self.refused = [], []
         self.reach = None
@@ -49,7 +66,7 @@
 
     def kill(self, *names):
         for name in names:
-            self.nodes[name] = Node(name, self.now, False)
+            self.nodes[name] = Node(name, self.now, False, self.store)
 
     def cut(self, *sides):
         self.sides = [set(side) for side in sides]
@@ -65,6 +82,7 @@
         if self.reach is not None and self.now >= self.noticed_at:
             reach, self.reach = self.reach, None
             self.cut(*reach)
+        self._step_store()
         if self.now - self.replicated_at < WINDOW_REPLICATION_INTERVAL_S:
             return
         self.replicated_at = self.now
@@ -78,6 +96,25 @@
                     other = self.nodes[telling.address]
                     other.owner.apply_window_updates(telling.message, other.local(self.now))
 
+    def _step_store(self):
+        if self.store is None:
+            return
+        for side in self.sides:
+            for name in side:
+                node = self.nodes[name]
+                node.store.step(self.now, node.local(self.now))
+
+    def _wait_for_store(self, owner, cost):
+        """Let a refused request wait for the store, as its owner does; return whether it has."""
+        now = owner.local(self.now)
+        if self.store is None or not owner.owner.is_bounded_by_snapshot("t", cost, now):
+            return False
+        for _ in range(round(STORE_WAIT_S / STORE_STEP_S)):
+            self._step_store()
+            self.now += STORE_STEP_S
+        self._step_store()
+        return True
+
     def successors(self, name):
         """List the next owner, and the next owner in each other third of the fleet."""
         others = sorted(self.side(name) - self.leaving - {name}, key=rank)
@@ -148,7 +185,11 @@
             node.leases.pop_unreported("t"),
         )
         self._start_owning(owner, presence)
-        return owner.owner.answer_request(self.team, message, presence, owner.local(self.now))
+        grant = owner.owner.answer_request(self.team, message, presence, owner.local(self.now))
+        if grant.amount > 0 or not self._wait_for_store(owner, cost):
+            return grant
+        again = msgspec.structs.replace(message, returned=0.0, alone=0.0)
+        return owner.owner.answer_request(self.team, again, presence, owner.local(self.now))
 
     def _start_owning(self, owner, presence):
         if not owner.owner.is_new_owner("t"):
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_losses.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_losses.py
@@ -42,11 +42,9 @@
     return sorted(events, key=lambda each: each[0])
 
 
-@pytest.mark.parametrize("seed", [*range(24), 358, 1374])
-def test_random_losses_partitions_and_overload_keep_the_limit(seed):
-    rng = random.Random(seed)
-    fleet = Fleet()
-    events = draw_events(rng)
+def play_losses(fleet, rng, events):
+    """Play events, with phases of different demand from all nodes that are not lost."""
+    events = sorted(events, key=lambda each: each[0])
     phase_ends, demand = 0.0, 0.0
     while fleet.now < END_S:
         while events and events[0][0] <= fleet.now:
@@ -59,4 +57,11 @@
         name = rng.choices(names, [1 + 5 * (each % 3 == 0) for each in names])[0]
         fleet.send_request(name, cost)
         fleet.now += rng.expovariate(demand * TEAM.rate_per_s / 3280)
+
+
+@pytest.mark.parametrize("seed", [*range(24), 358, 1374])
+def test_random_losses_partitions_and_overload_keep_the_limit(seed):
+    rng = random.Random(seed)
+    fleet = Fleet()
+    play_losses(fleet, rng, draw_events(rng))
     assert fleet.worst_window() <= MOST
--- a/packages/chalkyoke/src/chalkyoke/quotas/window.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/window.py
@@ -19,6 +19,16 @@
 ASSUMED_SPREAD = (0.18, 0.11, 0.33, 0.38)
 
 
+def assumed_sums(cost: float) -> tuple[float, ...]:
+    """Return :data:`ASSUMED_SPREAD` as a cost in the newest part, the newest two parts, and so on.
+
+    :param cost: cost that is assumed to be spent.
+    """
+    window = SpendingWindow(1.0)
+    window.assume_spent(cost, 0.0)
+    return window.recent_sums(0.0)
+
+
 class QuotaLimits(msgspec.Struct, frozen=True):
     """The tolerance of quotas over all nodes.
 
