--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -147,7 +147,7 @@
         self.replicas: dict[str, Replica] = {}
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
-        self.limits = {"retry_slack": 100.0}
+        self.limits: dict[str, float | str] = {"retry_slack": 100.0}
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -49,6 +49,7 @@
             "quota_window_s": QUOTA_WINDOW_S,
             "quota_over": QUOTA_OVER,
             "quota_slack": QUOTA_SLACK,
+            "quota_snapshots": "true",
         }
         self.tenants: list[dict[str, Any]] = [
             {"name": TEAM, "api-keys": [KEY], "priority": 1},
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -111,11 +111,16 @@
 
 
 class _RetiredLedger(msgspec.Struct):
-    """A ledger that this node kept until ``at``, and whether a new owner has received it."""
+    """A ledger that this node kept until ``at``, and whether a new owner has received it.
+
+    :param is_assumption: whether the ledger has only assumed spending, which a new owner that can
+        read the snapshots must not take for a report.
+    """
 
     ledger: Ledger
     at: float
     handed_off: bool = False
+    is_assumption: bool = False
 
 
 class QuotaOwner:
@@ -167,7 +172,7 @@
         self._retire(team, now)
         kept = self._retired.get(team)
         held = EMPTY_PARTS
-        if kept is not None and now - kept.at <= HAND_OFF_RETENTION_S:
+        if kept is not None and now - kept.at <= HAND_OFF_RETENTION_S and not kept.is_assumption:
             held = kept.ledger.window.parts(now)
             if not kept.handed_off:
                 kept.handed_off = True
@@ -180,10 +185,13 @@
 
     def _retire(self, team: str, now: float, *, handed_off: bool = False) -> None:
         ledger = self._ledgers.pop(team, None)
-        if ledger is not None:
-            self._retired[team] = _RetiredLedger(ledger, now, handed_off=handed_off)
-            if self.snapshots is not None:
-                self.snapshots.release(team, now)
+        if ledger is None:
+            return
+        retired = _RetiredLedger(ledger, now, handed_off=handed_off)
+        self._retired[team] = retired
+        if self.snapshots is not None:
+            retired.is_assumption = not (ledger.surveyed or ledger.leased)
+            self.snapshots.release(team, now)
 
     def answer_request(
         self, team: Team, message: QuotaRequest, presence: Presence, now: float
@@ -260,6 +268,9 @@
         changed: dict[str, list[WindowUpdate]] = {}
         kept: list[tuple[str, str]] = []
         for team, ledger in self._ledgers.items():
+            if self.snapshots is not None and self.snapshots.is_unread(team, now):
+                # A successor would resume the assumed spending instead of the snapshots.
+                continue
             for address in successors(team):
                 kept.append((address, team))
                 update = self._replicator.next_update(address, team, ledger, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
@@ -8,6 +8,7 @@
 stays in the window longer than the cost of the same amount that a snapshot shows as old.
 """
 
+import itertools
 import math
 from collections.abc import Iterable
 
@@ -139,8 +140,8 @@
 
     :param window_limit: the present window limit.
     :param leasable: highest cost that owners lease in a window.
-    :param assumed: cost that is assumed to be spent if there is no snapshot. What the snapshots say
-        counts as far as it is lower than this assumption, which is safe without them.
+    :param assumed: cost that is assumed to be spent if there is no snapshot. The growth beyond the
+        snapshots counts only up to this assumption, which is safe without them.
     :return: None if there is no snapshot, or one that the present limit makes unusable.
     """
     total = [0.0] * WINDOW_PARTS
@@ -157,18 +158,18 @@
     if not known_share:
         return None
     growth += max(0.0, 1.0 - known_share) * assumed
-    highest = max(sum(total), leasable)
-    bound: list[float] = []
-    spent = growth
-    for cost in reversed(total):
-        spent += cost
-        bound.append(min(spent, highest))
+    known = list(itertools.accumulate(reversed(total)))
+    highest = max(known[-1], leasable)
+    unknown = assumed_sums(assumed)
+    bound = [
+        min(spent + growth, max(spent, most), highest)
+        for spent, most in zip(known, unknown, strict=True)
+    ]
     # The writer's and the reader's parts begin at different moments. If the sums were not shifted
     # by a part, cost could leave the reader's window before it has left the actual one.
-    shifted = [*bound[1:], bound[-1]]
-    unknown = assumed_sums(assumed)
-    sums = [min(pair) for pair in zip(shifted, unknown, strict=True)]
-    return ResumedWindow(_parts_of(sums), tuple(map(min, bound, unknown)))
+    shifted = zip([*known[1:], known[-1]], unknown, strict=True)
+    sums = [min(spent + growth, max(spent, most), highest) for spent, most in shifted]
+    return ResumedWindow(_parts_of(sums), tuple(bound))
 
 
 def _is_usable(snapshot: TeamSnapshot, window_limit: float) -> bool:
