quotas: new owners read before they lease, and assumed growth needs no even spread

Change: an unread owner leases nothing for 0.1 s; an owner may lease 0.02 of the limit before its first acknowledged write; the assumed growth does not count in the newest quarter.

--- a/packages/chalkyoke/src/chalkyoke/quotas/growth.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/growth.py
@@ -22,6 +22,13 @@
 # Cost that an owner may lease while the store may hold a value that it could not read, as a
 # fraction of the window limit: half of the part that owners don't lease.
 UNREAD_SHARE = 0.1
+# Time for which a new owner leases nothing until it has read the snapshots, in seconds: far longer
+# than a usual read. Its leases would be handed off together with the assumed spending.
+READ_WAIT_S = 0.1
+# Cost that an owner may lease before its first acknowledged write, beyond what it knew at its
+# start, as a fraction of the window limit. It serves requests for the time of some writes and comes
+# from the part that owners don't lease.
+FIRST_GROWTH_SHARE = 0.02
 
 
 class Bound(msgspec.Struct, frozen=True):
@@ -69,7 +76,9 @@
             bounds.append(self.inherited)
         room = math.inf
         if self.is_unread(now):
-            room = UNREAD_SHARE * self.window_limit - ledger.leased
+            is_waiting = now < self.hold_until - HOLD_S + READ_WAIT_S
+            share = 0.0 if is_waiting else UNREAD_SHARE
+            room = share * self.window_limit - ledger.leased
         if not bounds:
             return room
         sums = ledger.window.recent_sums(now)
@@ -87,13 +96,15 @@
         """Return whether the store may hold snapshots of this team that are not known."""
         return self.unread and now < self.hold_until
 
-    def inherit(self, ledger: Ledger, unreported: float, now: float) -> None:
-        """Bound the window by its present content, which earlier owners' snapshots contain.
+    def inherit(self, ledger: Ledger, now: float, bound: Bound | None = None) -> None:
+        """Bound the window until the first acknowledged write.
 
-        :param unreported: cost in the window that the earlier owner may not have leased.
+        :param bound: what a reader of earlier owners' snapshots assumes; None for the present
+            content of the window, which these snapshots contain.
         """
-        sums = ledger.window.recent_sums(now)
-        self.inherited = Bound(tuple(max(0.0, each - unreported) for each in sums), ledger.share)
+        known = bound or Bound(ledger.window.recent_sums(now), ledger.share)
+        more = FIRST_GROWTH_SHARE * ledger.window_limit
+        self.inherited = Bound(tuple(each + more for each in known.sums), known.share)
         self.unread = False
         self.hold_until = now + HOLD_S
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -64,6 +64,9 @@
     :ivar copied_share: the share of the limit that the owner of that copy used.
     :ivar returned: shares that other sides of a healed partition returned; this side uses them as
         the nodes of those sides become visible.
+    :ivar growth: cost in the window that may not have been spent, for a short time after the window
+        was resumed from snapshots.
+    :ivar growth_until: end of that time, in seconds.
     """
 
     window: SpendingWindow
@@ -80,6 +83,8 @@
     copied: Parts = EMPTY_PARTS
     copied_share: float = 1.0
     returned: float = 0.0
+    growth: float = 0.0
+    growth_until: float = 0.0
 
     def apply_limit(self, limit: float) -> None:
         """Apply a new limit of the window.
@@ -131,10 +136,14 @@
         :param limit: the cost that the window may hold on all sides together.
         """
         short_s = self.window.window_s * SHORT_WINDOW_FRACTION
-        return min(
-            self.allowed_cost(limit, now) - self.window.spent(now),
-            self.share * SHORT_WINDOW_SHARE * limit - self.window.spent(now, short_s),
-        )
+        most = SHORT_WINDOW_SHARE * limit
+        short = self.share * most - self.window.spent(now, short_s)
+        if now < self.growth_until:
+            # All sides know the resumed cost, and the assumed growth needs no even spread.
+            known = max(0.0, self.before.spent(now, short_s) - self.growth)
+            spent = self.window.spent(now, short_s) - self.growth
+            short = known + self.share * (most - known) - spent
+        return min(self.allowed_cost(limit, now) - self.window.spent(now), short)
 
     def free_in_s(self, cost: float, limit: float, share: float, now: float) -> float:
         """Return the time until the given cost may be leased in addition, in seconds.
@@ -210,14 +219,17 @@
         self.window.load_parts(window, now)
         self.before.load_parts(tuple(cost * known for cost in window), now)
 
-    def resume_snapshot(self, parts: Parts, now: float) -> None:
+    def resume_snapshot(self, parts: Parts, growth: float, now: float) -> None:
         """Resume the window that a snapshot in the store stands for, after the loss of all hosts.
 
         All sides of a partition read the same snapshots, so its cost is known to all of them.
 
         :param parts: cost in each part of the window, oldest first.
+        :param growth: the part of the cost in the newest quarter that may not have been spent.
         """
         self.surveyed = True
+        self.growth = growth
+        self.growth_until = now + self.window.window_s * SHORT_WINDOW_FRACTION
         self.window.load_parts(parts, now)
         self.before.load_parts(parts, now)
         self.window.add(self.leased, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -71,9 +71,9 @@
 HAND_OFF_RETENTION_S = 3.0
 # Lowest retry delay that a refused caller gets, in seconds.
 MIN_RETRY_AFTER_S = 0.05
-# Retry delay of a caller that is refused until a snapshot has been acknowledged, in seconds: a
-# store that is slow answers within it.
-SNAPSHOT_RETRY_AFTER_S = 0.3
+# Retry delay of a caller that is refused until the store has answered, in seconds: many times its
+# usual response time.
+SNAPSHOT_RETRY_AFTER_S = 0.1
 
 
 # Time until nodes detect a partition between small failure domains, in seconds: ten heartbeats of
@@ -223,7 +223,7 @@
             if headroom < message.need:
                 retry = ledger.free_in_s(message.need - headroom, leasable, presence.share, now)
             if room < message.need:
-                retry = max(retry, SNAPSHOT_RETRY_AFTER_S)
+                retry = max(retry, self._snapshot_retry_s(ledger, message.need - room, now))
             retry = max(MIN_RETRY_AFTER_S, retry)
             return QuotaGrant(
                 team.name,
@@ -250,6 +250,12 @@
         leasable = ledger.window_limit * LEASABLE_SHARE
         return self._snapshot_room(team, now) < need <= ledger.headroom(leasable, now)
 
+    def _snapshot_retry_s(self, ledger: Ledger, lacking: float, now: float) -> float:
+        """Return when the store has answered, or when enough cost has left the window."""
+        if self.snapshots is not None and self.snapshots.store_failing:
+            return ledger.window.free_in_s(lacking, now)
+        return SNAPSHOT_RETRY_AFTER_S
+
     def _snapshot_room(self, team: str, now: float) -> float:
         return math.inf if self.snapshots is None else self.snapshots.room(team, now)
 
@@ -364,10 +370,8 @@
         self._ledgers[team.name] = ledger
         copy = self._copies.find(team.name, now)
         is_first = copy is None and self._first_start and now < FIRST_START_S
-        unreported = 0.0
         if copy is not None:
-            unreported = window_limit * LEASABLE_SHARE * UNREPORTED_SHARE
-            window = copy.with_unreported(unreported, now)
+            window = copy.with_unreported(window_limit * LEASABLE_SHARE * UNREPORTED_SHARE, now)
             ledger.resume_from_copy(window, copy.share, now)
             self._copies.drop(team.name)
         elif is_first:
@@ -377,7 +381,7 @@
                 window_limit * LEASABLE_SHARE * _assumed_fraction(presence.share), now
             )
         if self.snapshots is not None:
-            self.snapshots.open(team.name, now, first=is_first, unreported=unreported)
+            self.snapshots.open(team.name, now, first=is_first)
         return ledger
 
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -68,6 +68,7 @@
     :param leasable_share: fraction of the window limit that owners lease.
     :param assumed_share: fraction of the leasable cost that is assumed to be spent if nothing is
         known.
+    :ivar store_failing: whether the store has not answered the last read or write.
     :param retention_s: time for which the snapshot of a team is kept after another node has become
         its owner, in seconds: the new owner writes its own within that time.
     """
@@ -88,13 +89,13 @@
         self._released: dict[str, _ReleasedTeam] = {}
         self._written: dict[str, TeamSnapshot] = {}
         self._lower_checked_at = -math.inf
+        self.store_failing = False
 
     # The owner's side.
 
-    def open(self, team: str, now: float, *, first: bool, unreported: float = 0.0) -> None:
+    def open(self, team: str, now: float, *, first: bool) -> None:
         """Begin to bound a team's window.
 
-        :param unreported: cost in the window that the earlier owner may not have leased.
         :param first: whether this node is the first owner in the fleet, so that the store holds no
             snapshot of the team.
         """
@@ -104,7 +105,7 @@
         if first:
             return
         if ledger.surveyed:
-            growth.inherit(ledger, unreported, now)
+            growth.inherit(ledger, now)
             return
         growth.unread, growth.hold_until = True, now + HOLD_S
 
@@ -112,7 +113,7 @@
         """Bound the window by what a survey has just shown, until the first acknowledged write."""
         growth, ledger = self._teams[team], self._ledgers[team]
         if not growth.sent and ledger.surveyed:
-            growth.inherit(ledger, 0.0, now)
+            growth.inherit(ledger, now)
 
     def release(self, team: str, now: float) -> None:
         """Stop bounding the window of a team that another node owns now."""
@@ -160,9 +161,9 @@
             )
             if window is None:
                 continue
-            ledger.resume_snapshot(window.parts, now)
-            growth.inherited = Bound(window.bound, min(1.0, _share_sum(found.teams[team])))
-            growth.hold_until = now + HOLD_S
+            ledger.resume_snapshot(window.parts, window.growth, now)
+            share = min(1.0, sum(each.share for each in found.teams[team]))
+            growth.inherit(ledger, now, Bound(window.bound, share))
             resumed.append(team)
         return resumed
 
@@ -263,10 +264,6 @@
         return bool(self._written)
 
 
-def _share_sum(snapshots: list[TeamSnapshot]) -> float:
-    return sum(each.share for each in snapshots)
-
-
 def _fitting(snapshots: list[TeamSnapshot]) -> list[TeamSnapshot]:
     """Return the snapshots that fit into one value, the highest spending first if not all do."""
     if sum(map(_encoded_bytes, snapshots)) <= MAX_VALUE_BYTES:
--- a/packages/chalkyoke/src/chalkyoke/quotas/snapshotcalls.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/snapshotcalls.py
@@ -35,9 +35,9 @@
 # Backoff after a failed call, in seconds: doubled with each failure, up to the maximum.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
-# Time for which a new owner waits for hand-offs before it reads snapshots, in seconds: two round
-# trips between failure domains.
-SURVEY_WAIT_S = 0.02
+# Time for which a new owner waits for hand-offs before it reads snapshots, in seconds: a round trip
+# between failure domains.
+SURVEY_WAIT_S = 0.01
 
 
 class GrantLease(msgspec.Struct, frozen=True):
@@ -125,6 +125,9 @@
             return None
         if self._revision is None:
             return ReadBack()
+        if self._lease is None and self._snapshots.unread_teams(now):
+            # The lease is granted while the snapshots are read.
+            return GrantLease()
         if self._snapshots.due(now) is Due.NOT and not self._repeat:
             return None
         self._repeat = True
@@ -169,6 +172,7 @@
             self._apply_write(call, answer, now)
         else:
             self._apply_grant(answer, now)
+        self._snapshots.store_failing = self.failing
 
     def store_restored(self, epoch: int) -> None:
         """Write again after a restore of the store; readers ignore values of an earlier epoch."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from chalkyoke.quotas.ledger import Parts
+from chalkyoke.quotas.ledger import SHORT_WINDOW_FRACTION, Parts
 from chalkyoke.quotas.window import WINDOW_PARTS, assumed_sums
 
 FORMAT_VERSION = 1
@@ -79,10 +79,12 @@
     :param parts: cost in each part of the window to resume, oldest first.
     :param bound: highest cost that may have been spent in the newest part, the newest two parts,
         and so on.
+    :param growth: the part of the cost in the newest quarter that may not have been spent.
     """
 
     parts: Parts
     bound: Parts
+    growth: float
 
 
 def make_team_snapshot(
@@ -167,9 +169,13 @@
     ]
     # The writer's and the reader's parts begin at different moments. If the sums were not shifted
     # by a part, cost could leave the reader's window before it has left the actual one.
-    shifted = zip([*known[1:], known[-1]], unknown, strict=True)
-    sums = [min(spent + growth, max(spent, most), highest) for spent, most in shifted]
-    return ResumedWindow(_parts_of(sums), tuple(bound))
+    shifted = [*known[1:], known[-1]]
+    sums = [
+        min(spent + growth, max(spent, most), highest)
+        for spent, most in zip(shifted, unknown, strict=True)
+    ]
+    recent = int(WINDOW_PARTS * SHORT_WINDOW_FRACTION) - 1
+    return ResumedWindow(_parts_of(sums), tuple(bound), sums[recent] - shifted[recent])
 
 
 def _is_usable(snapshot: TeamSnapshot, window_limit: float) -> bool:
