--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -32,6 +32,10 @@
 SHARE_FALL = 0.04
 # Rise of the share in use that makes a write due.
 SHARE_RISE = 0.1
+# Growths by which a window has fallen below its snapshot when a write is due. At usual use an owner
+# that resumes a snapshot of twice the growth too much still has room, and demand that varies needs
+# fewer writes: each one also answers all watches of the store.
+LOWER_GROWTHS = 2.0
 # Minimum time between writes that only make snapshots lower, in seconds.
 LOWER_INTERVAL_S = 2.0
 
@@ -196,7 +200,7 @@
         grown = max(spent - known for spent, known in zip(sums, before.sums, strict=True))
         if grown > URGENT_FRACTION * unit or ledger.share < before.share - SHARE_FALL:
             return Due.NOW
-        lower = before.sums[-1] - sums[-1] > unit
+        lower = before.sums[-1] - sums[-1] > LOWER_GROWTHS * unit
         return Due.LATER if lower or ledger.share > before.share + SHARE_RISE else Due.NOT
 
     def build(self, epoch: int, now: float) -> OutgoingSnapshot:
