quotas: tests of requests that wait for the store

Cause: the wait of a refused request for an acknowledgement had no test. Change: two tests of the client, with a store that answers and a silent one.

--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -178,3 +178,63 @@
         assert owner.alone == [0.0, 600.0]
 
     virtual.run(main)
+
+
+class StoreStub:
+    """A store that acknowledges the owner's snapshot while a request waits for it."""
+
+    def __init__(self, owner, *, answers):
+        self.owner, self.answers, self.waits = owner, answers, 0
+
+    def wake(self):
+        pass
+
+    async def wait(self, timeout_s):
+        self.waits += 1
+        await asyncio.sleep(0.004 if self.answers else timeout_s)
+        if self.answers:
+            now = asyncio.get_running_loop().time()
+            self.owner.snapshots.acknowledged(self.owner.snapshots.build(1, now).number)
+        return self.answers
+
+
+def charge_beyond_a_snapshot(*, answers):
+    """Charge more than the growth beyond an acknowledged snapshot, as the team's owner."""
+
+    async def main():
+        owner = QuotaOwner(LIMITS, first_start=True, identity=1, snapshots=True)
+        store, port, loop = (
+            StoreStub(owner, answers=answers),
+            SlowOwnerPort(0.0),
+            asyncio.get_running_loop(),
+        )
+        port.owner = lambda team: None
+        client = QuotaClient(
+            HeldLeases(LIMITS, lambda: NODES),
+            owner,
+            port,
+            lambda: {TEAM.name: TEAM},
+            loop.time,
+            first_start=True,
+            store=store,
+        )
+        await client.charge(Charge(1_000))
+        owner.snapshots.acknowledged(owner.snapshots.build(1, loop.time()).number)
+        first = await client.charge(Charge(30_000))
+        second = await client.charge(Charge(30_000))
+        return first.allowed, second, store.waits, owner.spent(TEAM.name, loop.time()), loop.time()
+
+    return virtual.run(main)
+
+
+def test_a_request_beyond_the_snapshot_waits_for_the_stores_acknowledgement():
+    """Guards against a refusal of some milliseconds, and against cost that is counted twice."""
+    first, second, waits, spent, now = charge_beyond_a_snapshot(answers=True)
+    assert first and second.allowed and waits == 1
+    assert 61_000 <= spent < 80_000 and now < 0.01
+
+
+def test_a_request_beyond_the_snapshot_is_refused_if_the_store_is_silent():
+    first, second, waits, _, now = charge_beyond_a_snapshot(answers=False)
+    assert first and not second.allowed and waits == 1
+    assert second.retry_after_s > 0 and now < 0.03
