--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -51,6 +51,7 @@
             "quota_window_s": QUOTA_WINDOW_S,
             "quota_over": QUOTA_OVER,
             "quota_slack": QUOTA_SLACK,
+            "quota_snapshots": "true",
         }
         self.memory = {"limit_mb": HOST_MB, "accounted": True}
         self.tenants: list[dict[str, Any]] = [
