--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -11,7 +11,8 @@
 from chalkyoke.scheduling.messages import Acquire, ProgressItem, Release, Usage
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
 from chalkyoke.scheduling.pool import PoolState
-from chalkyoke.scheduling.state import ReleaseOutcome, RunningRequest, TokenSample, Upstream
+from chalkyoke.scheduling.samples import TokenSample
+from chalkyoke.scheduling.state import ReleaseOutcome, RunningRequest, Upstream
 
 # Number of recent failures that suspends an upstream: a single one may be the request's own fault.
 FAILURES_TO_SUSPEND = 2.0
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -25,9 +25,6 @@
 STALL_MEMORY_S = 10.0
 # Upper bound of that share in predictions: streams continue between two prompts.
 MAX_STALLED_SHARE = 0.6
-# Lower bound of the share of a stream's time that counts as decoding, whatever prefill ran during
-# that time.
-MIN_OWN_SHARE = 0.2
 # How much earlier a promised retry counts as due, in seconds: as long as the longest goals.
 RETRY_DUE_ADVANCE_S = 1.0
 
@@ -402,23 +399,3 @@
             decode_share = 1.0 - min(MAX_STALLED_SHARE, self.stalled_share(now))
             self._prefill_outlook = (now, backlog, decode_share)
         return self._prefill_outlook[1:]
-
-
-class TokenSample(msgspec.Struct):
-    """Accumulate output tokens of one upstream's streams and their decode time in seconds."""
-
-    tokens: int = 0
-    seconds: float = 0.0
-
-    def add(
-        self, item: RunningRequest, upstream: Upstream, output_tokens: int, elapsed_s: float
-    ) -> None:
-        """Add the tokens and the time of one stream since its last progress report.
-
-        Time in which the upstream read other prompts is excluded.
-        """
-        seconds = elapsed_s - item.elapsed_s
-        stalled = upstream.stall_s - item.stalls_seen
-        item.stalls_seen = upstream.stall_s
-        self.tokens += output_tokens - item.output_tokens
-        self.seconds += max(MIN_OWN_SHARE * seconds, seconds - stalled)
