Scheduling: place by failure domain, speed and reported time factors

Cause: two thirds of the requests cross between three failure domains, fast engines take all requests that come first, and the fourth value of a load report is not used. Change: choose_preferred (preference.py) tries the free upstreams at home first, equally loaded ones slowest first, and takes one that meets the goal and stalls no stream; where there is none, choose_upstream decides as before, with a margin for other failure domains. A reported time factor (timefactors.py) lengthens predictions for 0.5 s and then returns to the mean of the reports; the time lost to it is left out of the learned token speed. Hosts take the load from the head of an answer and send it with first_output, or with release where no event came. The choice of a host alone stays at home while a healthy replica there is expected to answer within the goal. All of this is off unless scheduling.on names local_domain, best_fit or time_factors.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -4,10 +4,12 @@
 Choose a replica by this node's own statistics: load per slot, latency, failures, reachability.
 """
 
+import math
 from collections.abc import Callable, Collection, Iterable
 
 from chalkyoke.balancing.state import ReplicaStats
 from chalkyoke.catalog.resources import Replica
+from chalkyoke.scheduling.features import Features
 
 # Cost of a recent failure, in requests per slot.
 FAILURE_WEIGHT = 1.5
@@ -20,6 +22,14 @@
 SUSPICION_VALID_S = 4.0
 # Cost of a replica in another failure domain, in requests per slot: such traffic is charged.
 OTHER_DOMAIN_COST = 0.05
+# Cost of such a replica with the feature ``local_domain`` while a replica at home is expected to
+# answer in time, in requests per slot: above any load, below that of an unreachable replica.
+LEAVING_HOME_COST = 100.0
+# Share of the time to the goal within which a replica at home must be expected to answer: answers
+# vary by half of their mean.
+HOME_GOAL_SHARE = 0.6
+# Weighted number of recent failures from which a replica is no reason to stay at home.
+MAX_HOME_FAILURES = 0.5
 # Cost of an unreachable replica, in requests per slot: it ranks after all reachable replicas.
 UNREACHABLE_COST = 1_000.0
 # Cost of a replica that the caller asks to avoid, in requests per slot: it ranks after all others.
@@ -33,9 +43,17 @@
 
     :param failure_domain: of this node.
     :param random: source of numbers in [0, 1), to spread equal choices.
+    :param features: with ``local_domain``, requests stay in this node's failure domain while their
+        goal can be met there; with ``time_factors``, reported time factors count.
     """
 
-    def __init__(self, failure_domain: str, random: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        random: Callable[[], float],
+        features: Features | None = None,
+    ) -> None:
+        self._features = features or Features()
         self._domain = failure_domain
         self._random = random
         self._stats: dict[str, ReplicaStats] = {}
@@ -59,6 +77,7 @@
         avoid: Collection[str] = (),
         repeatable: bool = False,
         max_outstanding: Callable[[Replica], int] | None = None,
+        goal_s: float = math.inf,
     ) -> Replica | None:
         """Choose the replica with the lowest cost.
 
@@ -69,11 +88,14 @@
         :param avoid: replicas that were already tried.
         :param repeatable: whether a failure costs no more than another send.
         :param max_outstanding: bound of this node's requests at a replica; no bound by default.
+        :param goal_s: time until the answer is due, in seconds.
         :return: the replica; None where the request should not be sent now.
         """
         trusts_all = repeatable and self._random() < SUSPECT_PROBE_SHARE
         best: tuple[float, Replica] | None = None
         good_is_full = False
+        replicas = list(replicas)
+        away_cost = self._away_cost(replicas, avoid, max_outstanding, goal_s, now)
         for replica in replicas:
             stats = self.stats(replica.id)
             if stats.rest_left_s(now) > 0 or stats.limited_until > now:
@@ -83,6 +105,8 @@
                 good_is_full = good_is_full or is_good
                 continue
             cost = self._cost(replica, stats, now)
+            if replica.failure_domain != self._domain:
+                cost += away_cost
             if not trusts_all and self._is_suspect(replica, now):
                 cost += SUSPECT_COST
             if replica.id in avoid:
@@ -169,13 +193,52 @@
             if stats.outstanding == 0 and stats.rest_left_s(now) <= 0:
                 del self._stats[name]
 
+    def _away_cost(
+        self,
+        replicas: list[Replica],
+        avoid: Collection[str],
+        max_outstanding: Callable[[Replica], int] | None,
+        goal_s: float,
+        now: float,
+    ) -> float:
+        """Return the cost of leaving this node's failure domain, in requests per slot."""
+        if not self._features.local_domain:
+            return OTHER_DOMAIN_COST
+        for replica in replicas:
+            if replica.failure_domain != self._domain or replica.id in avoid:
+                continue
+            stats = self.stats(replica.id)
+            if max_outstanding is not None and stats.outstanding >= max_outstanding(replica):
+                continue
+            if self._is_healthy(replica, stats, now) and (
+                self._expected_answer_s(replica, stats, now) <= HOME_GOAL_SHARE * goal_s
+            ):
+                return LEAVING_HOME_COST
+        return 0.0
+
+    def _is_healthy(self, replica: Replica, stats: ReplicaStats, now: float) -> bool:
+        if stats.rest_left_s(now) > 0 or stats.limited_until > now:
+            return False
+        if now < stats.unreachable_until or self._is_suspect(replica, now):
+            return False
+        return stats.recent_failures(now) < MAX_HOME_FAILURES
+
+    def _expected_answer_s(self, replica: Replica, stats: ReplicaStats, now: float) -> float:
+        """Predict the answer time of a replica from its latency and load, in seconds.
+
+        Requests beyond the slots wait for those before them.
+        """
+        rounds = max(1.0, (stats.load(now) + 1.0) / max(1, replica.slots))
+        return stats.latency_s * rounds * self._time_factor(stats, now)
+
+    def _time_factor(self, stats: ReplicaStats, now: float) -> float:
+        return stats.time_factor.current(now) if self._features.time_factors else 1.0
+
     def _cost(self, replica: Replica, stats: ReplicaStats, now: float) -> float:
         load = (stats.load(now) + 1.0) / max(1, replica.slots)
         speed = max(LATENCY_FLOOR_S, stats.latency_s) if stats.latency_s else LATENCY_FLOOR_S
-        cost = load * (1.0 + speed * 4.0)
+        cost = load * (1.0 + speed * 4.0) * self._time_factor(stats, now)
         cost += FAILURE_WEIGHT * stats.recent_failures(now)
         if now < stats.unreachable_until:
             cost += UNREACHABLE_COST
-        if replica.failure_domain != self._domain:
-            cost += OTHER_DOMAIN_COST
         return cost + 0.02 * self._random()
--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chalkyoke.retry_after import cap_retry_after
+from chalkyoke.scheduling.timefactors import TimeFactor
 
 # Decay time of the load that other nodes have at a replica, in seconds: the load changes with each
 # answer.
@@ -31,6 +32,7 @@
     :ivar latency_s: smoothed answer time; 0 before the first answer.
     :ivar connect_failures: consecutive failed connections.
     :ivar resting_until: end of the period in which the replica asked this node to send nothing.
+    :ivar time_factor: how long work takes on the replica's machine at the moment.
     :ivar limited_until: time from which the replica's announced limit allows a request.
     """
 
@@ -44,6 +46,7 @@
     unreachable_until: float = 0.0
     resting_until: float = 0.0
     limited_until: float = 0.0
+    time_factor: TimeFactor = msgspec.field(default_factory=TimeFactor)
 
     def record_load(self, running: int, waiting: int, now: float) -> None:
         """Record the load that the replica reported, without this node's own requests."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -12,12 +12,11 @@
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
 from chalkyoke.gateway.granted import Denied, Granted
 from chalkyoke.gateway.parts import GatewayParts
-from chalkyoke.gateway.ports import AnswerFields, Forwarding
+from chalkyoke.gateway.ports import Forwarding
 from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
-from chalkyoke.gateway.statements import read_statement
-from chalkyoke.gateway.verdict import MISDIRECTED, NextStep, SendCounts, SendEnd, decide_next_step
+from chalkyoke.gateway.verdict import NextStep, SendCounts, SendEnd, decide_next_step
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Request, encode_request_head, find_header
 from chalkyoke.http1.pool import ConnectFailure
@@ -463,7 +462,9 @@
             on_first_event=lambda first_s: parts.grants.record_first_output(
                 admission, granted, first_s
             ),
-            on_answer_head=lambda status, fields: self._record_statement(granted, status, fields),
+            on_answer_head=lambda status, fields: self._feedback.record_answer_head(
+                granted, status, fields
+            ),
         )
         self._relay = relay
         self._connection = connection
@@ -491,15 +492,6 @@
 
     _relay: Relay | None = None
 
-    def _record_statement(self, granted: Granted, status: int, fields: AnswerFields) -> None:
-        """Record what an answer states about its replica.
-
-        The answer to a misdirected request comes from another replica and is ignored.
-        """
-        if status == MISDIRECTED:
-            return
-        self._parts.announcements.record_answer(granted.replica, read_statement(status, fields))
-
     async def _wait_for_end(
         self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
     ) -> SendEnd:
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -7,10 +7,12 @@
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.ports import AnswerFields
 from chalkyoke.gateway.quarantine import Identity
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Relay
-from chalkyoke.gateway.verdict import SendEnd
+from chalkyoke.gateway.statements import read_statement
+from chalkyoke.gateway.verdict import MISDIRECTED, SendEnd
 from chalkyoke.scheduling.state import ReleaseOutcome
 
 RELEASE_OUTCOMES = {
@@ -49,6 +51,20 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
 
+    def record_answer_head(self, granted: Granted, status: int, fields: AnswerFields) -> None:
+        """Record what the head of an answer states about its replica and the replica's load.
+
+        The answer to a misdirected request comes from another replica and is ignored.
+        """
+        if status == MISDIRECTED:
+            return
+        parts = self._parts
+        if fields.load is not None:
+            granted.load = fields.load
+            stats = parts.balancer.stats(granted.replica.id)
+            stats.time_factor.record(fields.load.time_factor, parts.now())
+        parts.announcements.record_answer(granted.replica, read_statement(status, fields))
+
     def record_end(
         self,
         admission: Admission,
--- a/packages/chalkyoke/src/chalkyoke/gateway/granted.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/granted.py
@@ -12,11 +12,15 @@
 import msgspec
 
 from chalkyoke.catalog.resources import Replica
+from chalkyoke.gateway.ports import Load
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
+from chalkyoke.scheduling.messages import Release
 
 # Retry-After time of a refusal for which no better estimate exists, in seconds.
 DEFAULT_RETRY_S = 0.5
+# Load of a replica that reported none: without slots.
+NO_LOAD = Load(0, 0, 0)
 
 
 class Source(StrEnum):
@@ -39,6 +43,7 @@
     :ivar started_at: when the request was sent, on the node's clock; 0 before.
     :ivar first_s: time from the send to the first event, in seconds; -1 before.
     :ivar events: number of events received.
+    :ivar load: the load that the replica reported with its answer.
     """
 
     replica: Replica
@@ -53,6 +58,12 @@
     counted: bool = False
     permit: Permit | None = None
     is_first_decline: bool = False
+    load: Load = NO_LOAD
+
+
+def with_load(message: Release, load: Load) -> Release:
+    """Return a release that reports the load of its replica."""
+    return msgspec.structs.replace(message, **load._asdict())
 
 
 class Denied(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -22,6 +22,7 @@
     PermitPort,
     ReplicaPort,
     Source,
+    with_load,
 )
 from chalkyoke.gateway.localchoice import LocalChoice
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
@@ -312,7 +313,7 @@
         if not admission.service.is_engine or not self._pooled:
             return
         pool = admission.service.name
-        message = FirstOutput(admission.request_id, pool, first_s)
+        message = FirstOutput(admission.request_id, pool, first_s, *granted.load)
         for process in dict.fromkeys([granted.scheduler, *self._schedulers.owners(pool)[:1]]):
             if process:
                 self._schedulers.send(process, message)
@@ -344,6 +345,9 @@
             declined=granted.is_first_decline,
             rest_s=self._balancer.stats(granted.replica.id).rest_left_s(self._now()),
         )
+        if not granted.events:
+            # A stream's load was reported with its first output and is old by now.
+            message = with_load(message, granted.load)
         owner = self._schedulers.owners(pool)[:1]
         for process in dict.fromkeys([granted.scheduler, *owner]):
             if process:
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -78,6 +78,7 @@
                 avoid=wanted.avoid,
                 repeatable=admission.route.repeatable and wanted.attempt < admission.route.attempts,
                 max_outstanding=bound,
+                goal_s=admission.due_at - self._now(),
             )
             if chosen is not None:
                 permit = await self.request_permit(chosen, 0.0)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -11,7 +11,6 @@
 import random
 import secrets
 import signal
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -67,6 +66,7 @@
 )
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
+from chalkyoke.node.wallclock import wall_clock_ms
 from chalkyoke.quarantine.heldrecords import HeldRecords
 from chalkyoke.quarantine.records import with_held_records
 from chalkyoke.quarantine.spread import Quarantine
@@ -124,7 +124,7 @@
             hosts_version=0,
             capacity=settings.node.capacity,
         )
-        self.events = EventRing(settings.node.host, HybridClock(), _wall_clock_ms)
+        self.events = EventRing(settings.node.host, HybridClock(), wall_clock_ms)
         self.view = MembershipView(self.record, settings.scheduling.heartbeat_interval_s)
         self.fleet_size = FleetSize()
         self.request_log = RequestLog(self.metrics, self.now)
@@ -274,7 +274,9 @@
             random.random,
             self.now,
         )
-        self.balancer = LocalBalancer(self.settings.node.failure_domain, random.random)
+        self.balancer = LocalBalancer(
+            self.settings.node.failure_domain, random.random, self.settings.scheduling.features
+        )
         self.grants = Grants(
             schedulers,
             self.replicas,
@@ -597,7 +599,3 @@
         candidates = read_candidates(registered, self._platform.keys.nodes)
         self.view.set_candidates(candidates)
         self.fleet_size.record_registered((each.host for each in candidates), self.now())
-
-
-def _wall_clock_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -8,7 +8,6 @@
 import asyncio
 import secrets
 import signal
-import time
 from collections.abc import Callable, Coroutine
 
 import aiohttp
@@ -48,6 +47,7 @@
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.servers import HttpServer
 from chalkyoke.node.supervisor import Supervisor
+from chalkyoke.node.wallclock import wall_clock_ms
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -100,10 +100,6 @@
 log = logger("node")
 
 
-def _wall_clock_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 class Node:
     """One process of the fleet. Create it inside a running event loop.
 
@@ -134,7 +130,7 @@
             hosts_version=0,
         )
         self.process = self._record.process
-        self.events = EventRing(settings.node.host, HybridClock(), _wall_clock_ms)
+        self.events = EventRing(settings.node.host, HybridClock(), wall_clock_ms)
         self.view = MembershipView(self._record, settings.timing.heartbeat_interval_s)
         self._stopping = asyncio.Event()
         self._supervisor = Supervisor(self.metrics)
--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -115,6 +115,7 @@
         self._acknowledge = acknowledge
         self._received_learned: dict[str, Learned] = {}
         self._next_learned_send_at = 0.0
+        metrics.register_gauge("scheduler_time_factors", self._count_time_factors)
 
     # The scheduler port of the entry slice.
 
@@ -251,10 +252,21 @@
                 )
             else:
                 self._metrics.count("scheduler_granted", pool=action.pool)
+                place = "overflow" if decision.leaves_domain else "home"
+                self._metrics.count("scheduler_placed", pool=action.pool, place=place)
             self._deliver(decision.entry, action)
 
     # Private.
 
+    def _count_time_factors(self) -> float:
+        """Count the upstreams with a valid reported time factor other than 1."""
+        now = self._now()
+        return sum(
+            each.time_factor.value != 1.0 and each.time_factor.valid_left_s(now) > 0
+            for scheduler in self.pools.values()
+            for each in scheduler.upstreams.values()
+        )
+
     def _apply_limits(self, scheduler: PoolScheduler) -> None:
         if self._keeper is None:
             return
--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -19,6 +19,7 @@
     streams_stalled_by,
 )
 from chalkyoke.scheduling.pool import PoolState
+from chalkyoke.scheduling.preference import choose_preferred
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.refusals import AddressedAction, Counters
 from chalkyoke.scheduling.shortlist import Openings
@@ -66,7 +67,7 @@
         actions: list[AddressedAction] = []
         if not self._pool.has_free_slot(now):
             return actions
-        decision = _Decision(now, Openings(self._pool.eligible, now), actions)
+        decision = _Decision(now, Openings(self._pool.eligible, now, self._features), actions)
         for queue, late in self._tier_passes():
             wanted = queue.late if late else queue.size > queue.late
             if wanted and not self._decide_tier(queue, late, decision):
@@ -124,7 +125,9 @@
         candidates = openings.candidates(
             item.route, item.domain, depths, item.entry, item.tried_upstreams
         )
-        placement = choose_upstream(item, candidates, depths, decision.held, now, self._features)
+        placement = choose_preferred(
+            item, candidates, depths, now, self._features
+        ) or choose_upstream(item, candidates, depths, decision.held, now, self._features)
         if placement.upstream is None:
             if placement.held_for is not None:
                 name = placement.held_for.spec.id
@@ -197,6 +200,7 @@
             prefill_left=left,
             expected_first_s=prediction.first_s,
             stalls_seen=upstream.stall_s,
+            lost_seen=upstream.time_factor.total_lost_s(now),
             gap_goal=item.gap_goal,
             tier_index=self._pool.tier_index(item.rank),
             hint=item.hint,
@@ -208,7 +212,8 @@
         upstream.declines.record_probe(item.domain, now)
         self._counters.granted += 1
         self._headroom.record_grant(item.rank, now)
-        return AddressedAction(item.entry, self.grant_message(running))
+        leaves_domain = upstream.spec.failure_domain != item.domain
+        return AddressedAction(item.entry, self.grant_message(running), leaves_domain=leaves_domain)
 
     def grant_message(self, item: RunningRequest) -> Grant:
         """Build the grant message of a running request.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chalkyoke.scheduling.estimates import HintModel, OutputEstimate, OutputModel
-from chalkyoke.scheduling.messages import Acquire, ProgressItem, Release, Usage
+from chalkyoke.scheduling.messages import Acquire, FirstOutput, ProgressItem, Release, Usage
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.samples import TokenSample
@@ -72,7 +72,7 @@
         samples: dict[str, TokenSample] = {}
         for running, item in known:
             if running is not None:
-                self._record_progress(running, item, samples)
+                self._record_progress(running, item, samples, now)
         self._learn_samples(samples)
         for running, _ in known:
             if running is not None and running.upstream in self._pool.upstreams:
@@ -81,14 +81,24 @@
         for upstream in self._pool.upstreams.values():
             upstream.invalidate_predictions()
 
-    def learn_first_output(self, item: RunningRequest, first_s: float, now: float) -> None:
-        """Update the prefill speed and the decline state from a first output."""
-        self._learn_first(item, first_s, now)
+    def learn_first_output(self, item: RunningRequest, message: FirstOutput, now: float) -> None:
+        """Update the prefill speed, the decline state and the load from a first output."""
+        self._learn_first(item, message.first_s, now)
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is not None:
             self._record_served(item, upstream, now)
+            self.learn_load(upstream, message, now)
             upstream.invalidate_predictions()
 
+    def learn_load(self, upstream: Upstream, message: FirstOutput | Release, now: float) -> None:
+        """Record the time factor that an answer reported; nothing where it carried no load.
+
+        The numbers of running and waiting requests are not used: they count this scheduler's own
+        grants as of another moment, so that a difference to them says little about other load.
+        """
+        if self._features.time_factors and message.slots:
+            upstream.time_factor.record(message.time_factor, now)
+
     def learn_health(
         self, upstream: Upstream, domain: str, outcome: ReleaseOutcome, now: float
     ) -> None:
@@ -172,7 +182,7 @@
         self.outputs.learn(item.route, item.team, usage.output_tokens)
         if usage.output_tokens > item.output_tokens:
             sample = TokenSample()
-            sample.add(item, upstream, usage.output_tokens, usage.total_s)
+            sample.add(item, upstream, usage.output_tokens, usage.total_s, now)
             self._learn_samples({item.upstream: sample})
         if usage.cached_tokens >= 0:
             expected = (item.prompt_tokens - item.prefill_left) // BLOCK_TOKENS
@@ -185,22 +195,28 @@
         if upstream is None or item.first_seen or first_s <= 0:
             return
         item.first_seen = True
-        upstream.record_stall(upstream.speed.prefill_time(item.prefill_left), now)
+        stall_s = upstream.speed.prefill_time(item.prefill_left)
+        upstream.record_stall(stall_s * upstream.time_factor.current(now), now)
         item.stalls_seen = upstream.stall_s
+        item.lost_seen = upstream.time_factor.total_lost_s(now)
         if self._features.learn:
             upstream.speed.learn_first(item.expected_first_s, first_s)
         item.elapsed_s = first_s
         item.output_tokens = 1
 
     def _record_progress(
-        self, item: RunningRequest, seen: ProgressItem, samples: dict[str, TokenSample]
+        self,
+        item: RunningRequest,
+        seen: ProgressItem,
+        samples: dict[str, TokenSample],
+        now: float,
     ) -> None:
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is None or seen.output_tokens < item.output_tokens:
             return
         if item.first_seen:
             sample = samples.setdefault(item.upstream, TokenSample())
-            sample.add(item, upstream, seen.output_tokens, seen.elapsed_s)
+            sample.add(item, upstream, seen.output_tokens, seen.elapsed_s, now)
         item.output_tokens = seen.output_tokens
         item.elapsed_s = seen.elapsed_s
 
@@ -219,4 +235,4 @@
         seconds = left * upstream.speed.token_time(len(upstream.running)) / decode_share
         if not item.first_seen:
             seconds += upstream.speed.prefill_time(item.prefill_left)
-        return seconds
+        return upstream.time_factor.lengthen(seconds, now)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -43,6 +43,10 @@
 # Safety margin on the predicted time of the first output, as a share: one in ten takes twice as
 # long as predicted.
 FIRST_OUTPUT_RISK_SHARE = 0.5
+# How much sooner an upstream of another failure domain must finish a request that none at home can
+# serve within its goal, in seconds: the error of a prediction. Larger values delay requests that
+# are late anyway; smaller ones send them across for savings that may only be prediction errors.
+OTHER_DOMAIN_MARGIN_S = 0.05
 # Highest penalty for using a slot of a fast upstream, in seconds of finish time: the slowest
 # upstream has none, and the penalty grows with the speed of the upstream up to this value. Short
 # requests lose less than that on a slow upstream and leave the fast ones to long requests, which
@@ -111,7 +115,21 @@
     if not item.has_goal:
         margin = min(margin, MAX_CAUTION_SHARE * (item.deadline - item.arrived))
     finish = first + output.median * token
-    return Prediction(first, finish, first + output.optimistic * token, finish + margin)
+    usual = Prediction(first, finish, first + output.optimistic * token, finish + margin)
+    if upstream.time_factor.is_neutral:
+        return usual
+    return _lengthen(usual, upstream, now)
+
+
+def _lengthen(usual: Prediction, upstream: Upstream, now: float) -> Prediction:
+    """Apply the upstream's reported time factor to a prediction."""
+    factor = upstream.time_factor
+    return Prediction(
+        factor.lengthen(usual.first_s, now),
+        factor.lengthen(usual.finish_s, now),
+        factor.lengthen(usual.optimistic_s, now),
+        factor.lengthen(usual.cautious_s, now),
+    )
 
 
 def idle_time_s(item: WaitingRequest, upstream: Upstream, cached_blocks: int) -> float:
@@ -121,14 +139,15 @@
         the time to the first output and the time that the median output needs, shifted to the
         first output's deadline; with less time, at least half of such requests would be cut.
     """
-    speed = upstream.speed
-    first = speed.first_time(uncached_prompt_tokens(item, cached_blocks), 0)
+    speed, usual_factor = upstream.speed, upstream.time_factor.mean
+    first = speed.first_time(uncached_prompt_tokens(item, cached_blocks), 0) * usual_factor
+    token = speed.token_time(1) * usual_factor
     if item.has_goal:
         # Shift the end of the answer to the deadline of the first output, so that callers compare
         # one value with one deadline.
-        whole = first + item.output.median * speed.token_time(1)
+        whole = first + item.output.median * token
         return max(first, whole - (item.answer_due - item.deadline))
-    return first + item.output.optimistic * speed.token_time(1)
+    return first + item.output.optimistic * token
 
 
 def lateness_s(item: WaitingRequest, start: float, prediction: Prediction) -> float:
@@ -179,13 +198,15 @@
             continue
         occupied = upstream.occupied(now)
         cached = depths.get(upstream.spec.id, 0)
-        if features.guard and _would_delay_running(item, upstream, cached, now):
+        if features.guard and would_delay_running(item, upstream, cached, now):
             busy.append(upstream)
             continue
         prediction = predict(item, upstream, cached, occupied + 1, now)
         score = float(occupied)
         if features.predict:
             score = _score(item, upstream, prediction, cached, now)
+            if features.local_domain and upstream.spec.failure_domain != item.domain:
+                score += OTHER_DOMAIN_MARGIN_S
             if features.spare:
                 score += FAST_UPSTREAM_PENALTY_S * (1.0 - upstream.speed.token_time(1) / slowest)
         if best is None or score < best[0]:
@@ -228,9 +249,9 @@
     """
     if not item.has_goal:
         return prediction.finish_s
-    missed = lateness_s(item, now, prediction)
-    overrun = now + prediction.cautious_s - item.answer_due
-    if missed > -prediction.first_s * FIRST_OUTPUT_RISK_SHARE or overrun > 0:
+    if not is_timely(item, prediction, now):
+        missed = lateness_s(item, now, prediction)
+        overrun = now + prediction.cautious_s - item.answer_due
         return MISSED_GOAL_PENALTY_S + max(missed, overrun)
     stalled = streams_stalled_by(item, upstream, cached_blocks, now)
     return prediction.finish_s + STALL_PENALTY_S * sum(
@@ -238,6 +259,17 @@
     )
 
 
+def is_timely(item: WaitingRequest, prediction: Prediction, now: float) -> bool:
+    """Return whether a request that starts now meets its goal with the usual margin and its end.
+
+    :param item: a request with a goal.
+    """
+    missed = lateness_s(item, now, prediction)
+    if missed > -prediction.first_s * FIRST_OUTPUT_RISK_SHARE:
+        return False
+    return now + prediction.cautious_s <= item.answer_due
+
+
 def streams_stalled_by(
     item: WaitingRequest, upstream: Upstream, cached_blocks: int, now: float
 ) -> list[RunningRequest]:
@@ -248,7 +280,7 @@
 
     :rtype: list[RunningRequest]
     """
-    pause = _prefill_pause_s(item, upstream, cached_blocks, now)
+    pause = prefill_pause_s(item, upstream, cached_blocks, now)
     if pause <= PREFILL_GAP_SHARE * upstream.shortest_gap_goal():
         return []
     return [
@@ -258,7 +290,7 @@
     ]
 
 
-def _prefill_pause_s(
+def prefill_pause_s(
     item: WaitingRequest, upstream: Upstream, cached_blocks: int, now: float
 ) -> float:
     """Predict the pause in concurrent streams that a prefill causes, in seconds.
@@ -272,17 +304,17 @@
     left = uncached_prompt_tokens(item, cached_blocks)
     backlog, _ = upstream.prefill_outlook(now)
     between = min(left + backlog, chunk * upstream.spec.tokens_per_event)
-    return upstream.speed.read_time(between, left)
+    return upstream.speed.read_time(between, left) * upstream.time_factor.current(now)
 
 
-def _would_delay_running(
+def would_delay_running(
     item: WaitingRequest, upstream: Upstream, cached_blocks: int, now: float
 ) -> bool:
     """Return whether a prefill would make a running request of the same or a higher tier late."""
     if not upstream.running:
         return False
     stall = upstream.speed.prefill_time(uncached_prompt_tokens(item, cached_blocks))
-    return stall > upstream.finish_slack_s(item.rank, now)
+    return stall * upstream.time_factor.current(now) > upstream.finish_slack_s(item.rank, now)
 
 
 def _find_timely_without_stalls(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -65,11 +65,14 @@
     """An action and the entry process that receives it.
 
     :param pool_mostly_free: whether the pool was mostly free when a request was refused.
+    :param leaves_domain: whether the upstream of a grant is in another failure domain than the
+        entry process.
     """
 
     entry: str
     action: Action
     pool_mostly_free: bool = False
+    leaves_domain: bool = False
 
 
 class Refuser:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/samples.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/samples.py
@@ -20,14 +20,26 @@
     seconds: float = 0.0
 
     def add(
-        self, item: RunningRequest, upstream: Upstream, output_tokens: int, elapsed_s: float
+        self,
+        item: RunningRequest,
+        upstream: Upstream,
+        output_tokens: int,
+        elapsed_s: float,
+        now: float,
     ) -> None:
         """Add the tokens and the time of one stream since its last progress report.
 
-        Time in which the upstream read other prompts is excluded.
+        Time in which the upstream read other prompts and time lost to its reported time factors
+        are excluded.
+
+        :param now: seconds on the scheduler's clock.
         """
         seconds = elapsed_s - item.elapsed_s
         stalled = upstream.stall_s - item.stalls_seen
         item.stalls_seen = upstream.stall_s
         self.tokens += output_tokens - item.output_tokens
-        self.seconds += max(MIN_OWN_SHARE * seconds, seconds - stalled)
+        own = max(MIN_OWN_SHARE * seconds, seconds - stalled)
+        total_lost = upstream.time_factor.total_lost_s(now)
+        lost_share = (total_lost - item.lost_seen) / seconds if seconds > 0 else 0.0
+        item.lost_seen = total_lost
+        self.seconds += own * max(MIN_OWN_SHARE, 1.0 - lost_share)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -26,9 +26,7 @@
     RunningItem,
     Withdraw,
 )
-from chalkyoke.scheduling.placement import (
-    Features,
-)
+from chalkyoke.scheduling.placement import Features
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.refusals import AddressedAction, Counters, Refuser
 from chalkyoke.scheduling.state import (
@@ -214,6 +212,7 @@
             self._learner.learn_health(upstream, domain, outcome, now)
             self._learner.learn_declines(item, upstream, message, now)
             self._learner.learn_usage(item, upstream, outcome, message.usage, now)
+            self._learner.learn_load(upstream, message, now)
         self._pool.end_running(item, now)
         return self._decide(now)
 
@@ -248,7 +247,7 @@
         """Record that the prefill of a request is complete."""
         running = self._pool.running.get(message.request)
         if running is not None:
-            self._learner.learn_first_output(running, message.first_s, now)
+            self._learner.learn_first_output(running, message, now)
 
     def adopt(self, entry: str, message: Adopt, now: float) -> list[AddressedAction]:
         """Adopt the requests that an entry process runs under a previous scheduler's grants.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -9,6 +9,8 @@
 import heapq
 from collections.abc import Collection, Iterable
 
+from chalkyoke.scheduling.features import Features
+from chalkyoke.scheduling.fit import by_fit
 from chalkyoke.scheduling.state import Upstream
 
 # Number of upstreams up to which all are compared.
@@ -18,6 +20,9 @@
 MAX_FREE_COMPARED = 16
 MAX_BUSY_COMPARED = 8
 MAX_CACHED_COMPARED = 8
+# Number of compared upstreams with a free slot outside the failure domain of the entry host, in
+# addition to those at home. They are used only where none at home meets the goal.
+MAX_AWAY_COMPARED = 8
 
 
 # Cache key: route, failure domain, and the entry process if some upstream asks it for rest, else an
@@ -32,11 +37,19 @@
 
     :param eligible: upstreams by route.
     :param now: seconds on the scheduler's clock.
+    :param features: with ``local_domain`` and ``best_fit``, the upstreams that these prefer are
+        among those compared.
     """
 
-    def __init__(self, eligible: dict[str, list[Upstream]], now: float) -> None:
+    def __init__(
+        self,
+        eligible: dict[str, list[Upstream]],
+        now: float,
+        features: Features | None = None,
+    ) -> None:
         self._eligible = eligible
         self._now = now
+        self._features = features or Features()
         self._usable: dict[_SenderKey, list[Upstream]] = {}
         self._best: dict[_SenderKey, list[Upstream]] = {}
         self._free: dict[_SenderKey, int] = {}
@@ -106,7 +119,7 @@
         if len(usable) <= MAX_COMPARED:
             return usable
         if key not in self._best:
-            self._best[key] = self._soonest_upstreams(usable)
+            self._best[key] = self._best_upstreams(usable, key[1])
         with_prefix = [each for each in usable if each.spec.id in depths] if depths else []
         most = heapq.nlargest(
             MAX_CACHED_COMPARED, with_prefix, key=lambda each: depths[each.spec.id]
@@ -118,12 +131,34 @@
         self._best.clear()
         self._free.clear()
 
-    def _soonest_upstreams(self, usable: list[Upstream]) -> list[Upstream]:
-        """Select the upstreams that would serve a typical request soonest."""
+    def _best_upstreams(self, usable: list[Upstream], domain: str) -> list[Upstream]:
+        """Select the upstreams with the best free slots and those that become free soonest."""
         free = [each for each in usable if each.has_slot(self._now)]
         busy = [each for each in usable if not each.has_slot(self._now)]
-        soonest = heapq.nsmallest(MAX_FREE_COMPARED, free, key=Upstream.typical_s)
-        return soonest + heapq.nsmallest(MAX_BUSY_COMPARED, busy, key=_next_finish)
+        if self._features.local_domain:
+            home = [each for each in free if each.spec.failure_domain == domain]
+            away = [each for each in free if each.spec.failure_domain != domain]
+            best = self._best_free(home, MAX_FREE_COMPARED)
+            best += self._best_free(away, MAX_AWAY_COMPARED)
+        else:
+            best = self._best_free(free, MAX_FREE_COMPARED)
+        return best + heapq.nsmallest(MAX_BUSY_COMPARED, busy, key=_next_finish)
+
+    def _best_free(self, free: list[Upstream], count: int) -> list[Upstream]:
+        """Select the upstreams that would serve a typical request soonest.
+
+        With the best fit, half of them are those that fit first; the others are fast enough for
+        the requests that these could not finish in time.
+        """
+        if not self._features.best_fit:
+            return heapq.nsmallest(count, free, key=self._typical_s)
+        fitting = heapq.nsmallest(count // 2, free, key=lambda each: by_fit(each, self._now))
+        fitting_ids = {each.spec.id for each in fitting}
+        others = [each for each in free if each.spec.id not in fitting_ids]
+        return fitting + heapq.nsmallest(count - count // 2, others, key=self._typical_s)
+
+    def _typical_s(self, upstream: Upstream) -> float:
+        return upstream.time_factor.lengthen(upstream.typical_s(), self._now)
 
 
 def fastest_upstreams(upstreams: Iterable[Upstream]) -> list[Upstream]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -13,6 +13,7 @@
 from chalkyoke.limits.allowance import Allowance
 from chalkyoke.scheduling.declines import Declines
 from chalkyoke.scheduling.estimates import DEFAULT_CAUTION_QUANTILE, OutputEstimate, SpeedModel
+from chalkyoke.scheduling.timefactors import TimeFactor
 
 # The size of a typical request, in tokens: the mean prompt and the mean answer. These sizes only
 # affect the order in which upstreams are compared.
@@ -21,6 +22,9 @@
 # How long the scheduler keeps its own past load at an upstream, in seconds: longer than the age of
 # any load report that this load is subtracted from.
 OWN_LOAD_MEMORY_S = 15.0
+# Averaging window of the load by which work is shared evenly among upstreams, in seconds: some
+# requests of the longest kinds.
+LOAD_MEMORY_S = 10.0
 # Averaging window for the share of time that an upstream spends on prefill, in seconds.
 STALL_MEMORY_S = 10.0
 # Upper bound of that share in predictions: streams continue between two prompts.
@@ -185,6 +189,7 @@
         announced.
     :ivar gap_exceeded: whether the prefill of another request has already exceeded the gap goal.
     :ivar stalls_seen: the upstream's ``stall_s`` at the last progress report.
+    :ivar lost_seen: the time lost to the upstream's time factors, as of the same report.
     """
 
     request: str
@@ -206,6 +211,7 @@
     output_tokens: int = 0
     elapsed_s: float = 0.0
     stalls_seen: float = 0.0
+    lost_seen: float = 0.0
     gap_goal: float = math.inf
     tier_index: int = 0
     gap_exceeded: bool = False
@@ -222,6 +228,8 @@
     :ivar foreign_load: requests from other nodes, according to the last load report.
     :ivar allowance: token bucket of the limit that the upstream announced to all nodes; None where
         it announced none.
+    :ivar time_factor: how long work takes there at the moment, relative to the learned speed.
+    :ivar mean_load: mean number of concurrent grants, as of the last entry of ``own_load``.
     :ivar stall_s: total seconds of prefill, during which the other streams make no progress.
     :ivar stall_share: recent share of time spent on prefill, as of ``stall_updated_at``.
     """
@@ -239,6 +247,8 @@
     declines: Declines = msgspec.field(default_factory=Declines)
     allowance: Allowance | None = None
     own_load: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
+    time_factor: TimeFactor = msgspec.field(default_factory=TimeFactor)
+    mean_load: float = 0.0
     stall_s: float = 0.0
     stall_share: float = 0.0
     stall_updated_at: float = 0.0
@@ -246,6 +256,7 @@
     _prefill_outlook: tuple[float, float, float] | None = None
     _shortest_gap_goal: float | None = None
     _typical_s: float | None = None
+    _idle_s: float | None = None
 
     @property
     def leaving(self) -> bool:
@@ -293,10 +304,21 @@
 
     def record_own_load(self, now: float) -> None:
         """Record the current number of grants, to subtract it from delayed load reports."""
+        self.mean_load = self.recent_load(now)
         self.own_load.append((now, len(self.running)))
         while self.own_load and self.own_load[0][0] < now - OWN_LOAD_MEMORY_S:
             self.own_load.popleft()
 
+    def recent_load(self, now: float) -> float:
+        """Return the mean number of concurrent grants over the last seconds.
+
+        :rtype: float
+        """
+        if not self.own_load:
+            return 0.0
+        at, count = self.own_load[-1]
+        return count + (self.mean_load - count) * math.exp((at - now) / LOAD_MEMORY_S)
+
     def max_own_load_since(self, since: float) -> int:
         """Return the maximum number of concurrent grants since a given time.
 
@@ -341,16 +363,18 @@
         self._prefill_outlook = None
         self._shortest_gap_goal = None
         self._typical_s = None
+        self._idle_s = None
 
     def idle_s(self) -> float:
         """Predict the duration of a typical request on the idle upstream, in seconds.
 
         :rtype: float
         """
-        speed = self.speed
-        return speed.first_time(
-            TYPICAL_PROMPT_TOKENS, 0
-        ) + TYPICAL_OUTPUT_TOKENS * speed.token_time(1)
+        if self._idle_s is None:
+            first = self.speed.first_time(TYPICAL_PROMPT_TOKENS, 0)
+            work = first + TYPICAL_OUTPUT_TOKENS * self.speed.token_time(1)
+            self._idle_s = work * self.time_factor.mean
+        return self._idle_s
 
     def typical_s(self) -> float:
         """Predict the duration of a typical request that starts now, in seconds.
--- a/tests/shiftedload.py
+++ b/tests/shiftedload.py
@@ -121,21 +121,22 @@
     time_factor: float
     runs: dict[str, Run] = field(default_factory=dict)
 
-    def advance(self, now):
+    def advance(self, now, work_s=STEP_S):
         """Advance all runs by one time step of ``STEP_S``.
 
         :param now: time at the start of the step, in seconds.
+        :param work_s: work done in the step, in seconds of an undisturbed engine.
         :return: runs that produced their first token, and finished runs.
         """
         reading = [each for each in self.runs.values() if each.read_left_s > 0]
         step_s = self.time_factor * (TOKEN_S + 0.00002 * len(self.runs))
-        left_s = STEP_S
+        left_s = work_s
         if reading:
             # One chunk of a prompt is read between two tokens, which takes most of the time.
             piece_s = self.time_factor * PREFILL_CHUNK_TOKENS / READ_TOKENS_PER_S
             share = piece_s / (piece_s + step_s)
-            reading[0].read_left_s -= STEP_S * share
-            left_s -= STEP_S * share
+            reading[0].read_left_s -= work_s * share
+            left_s -= work_s * share
         firsts, done = [], []
         for run in list(self.runs.values()):
             if run.read_left_s > 0:
@@ -185,29 +186,43 @@
     :param load: factor on all arrival rates.
     """
 
+    kinds = KINDS
+    gap_goal_s = GAP_GOAL_S
+
     def __init__(self, seed, bursts=(), load=1.0, engines=70, features=GATEWAY_FEATURES):
         self.rng = random.Random(seed)
         self.bursts, self.load = bursts, load * engines / 70
-        self.engines = {f"e{n:02}": Engine(TIME_FACTORS[n % 3]) for n in range(engines)}
+        self.engines = {f"e{n:02}": self.make_engine(n) for n in range(engines)}
         upstreams = tuple(self.upstream(name) for name in self.engines)
         names = frozenset(self.engines)
         spec = PoolSpec(
             "p",
             upstreams,
-            tuple(TierSpec(str(each.tier), each.tier) for each in KINDS),
+            tuple(TierSpec(str(each.tier), each.tier) for each in self.kinds),
             (TeamSpec("t"),),
-            tuple(RouteSpec(each.name, names) for each in KINDS),
+            tuple(RouteSpec(each.name, names) for each in self.kinds),
         )
         scheduler_rng = random.Random(seed + 1)
         self.scheduler = PoolScheduler(spec, scheduler_rng.random, 0.0, features=features)
-        self.scores = {each.name: Score() for each in KINDS}
-        self.largest = {each.name: Score() for each in KINDS}
+        self.scores = {each.name: Score() for each in self.kinds}
+        self.largest = {each.name: Score() for each in self.kinds}
         self.demands = {}
         self.attempts = {}
         self.events = []
         self.sequence = itertools.count()
         self.now = 0.0
 
+    def make_engine(self, number):
+        return Engine(TIME_FACTORS[number % 3])
+
+    def domain_of(self, demand):
+        """Return the failure domain of the host that accepted a request."""
+        return "z"
+
+    def load_fields(self, engine):
+        """Return the load that the engine reports with a response, as fields of a message."""
+        return {}
+
     def upstream(self, name):
         return UpstreamSpec(
             name,
@@ -234,9 +249,9 @@
     def run_load(self, seconds):
         """Let requests arrive for some seconds, and run until the last one has ended."""
         self.arrivals_end_at = seconds
-        for kind in KINDS:
+        for kind in self.kinds:
             self.schedule_arrival(kind, 0.0)
-        while self.now < seconds + CHAT.deadline_s:
+        while self.now < seconds + max(each.deadline_s for each in self.kinds):
             until = self.now + STEP_S
             while self.events and self.events[0][0] < until:
                 at, _, what, argument = heapq.heappop(self.events)
@@ -279,7 +294,7 @@
         kind = demand.kind
         deadline_at = demand.arrived_at + kind.deadline_s
         attempt = self.attempts[demand.id] = self.attempts.get(demand.id, 0) + 1
-        max_wait_s = max(2.0, 4 * kind.goal_s, 8 * GAP_GOAL_S)
+        max_wait_s = max(2.0, 4 * kind.goal_s, 8 * self.gap_goal_s)
         message = Acquire(
             request=demand.id,
             attempt=attempt,
@@ -294,12 +309,12 @@
             waited_s=0.0,
             goal_s=kind.goal_s,
             likely_output=demand.estimated_output,
-            gap_goal_s=GAP_GOAL_S,
+            gap_goal_s=self.gap_goal_s,
             whole_s=deadline_at - at,
             fingerprint=int(demand.id[1:]) + 1,
             comes_back_s=(deadline_at - at) * RETURN_SHARE,
         )
-        self.apply_actions(self.scheduler.acquire("n", "z", message, at))
+        self.apply_actions(self.scheduler.acquire("n", self.domain_of(demand), message, at))
 
     def apply_actions(self, outs):
         for out in outs:
@@ -337,7 +352,7 @@
             for run in firsts:
                 first_s = run.first_at - run.started_at
                 self.scheduler.apply_first_output(
-                    FirstOutput(run.demand.id, "p", first_s), self.now
+                    FirstOutput(run.demand.id, "p", first_s, **self.load_fields(engine)), self.now
                 )
             for run in done:
                 self.finish_run(run, ReleaseOutcome.DELIVERED)
@@ -363,7 +378,7 @@
             else:
                 score.late += 1
         message = Release(demand.id, run.attempt, "p", outcome, usage)
-        self.apply_actions(self.scheduler.release("z", message, self.now))
+        self.apply_actions(self.scheduler.release(self.domain_of(demand), message, self.now))
 
     def send_progress(self):
         items = tuple(
@@ -383,7 +398,7 @@
     @property
     def earned(self):
         """The earned share of the worth of all requests."""
-        worth = {each.name: each.worth for each in KINDS}
+        worth = {each.name: each.worth for each in self.kinds}
         total_worth = sum(worth[name] * score.asked for name, score in self.scores.items())
         return (
             sum(worth[name] * each.earned * each.asked for name, each in self.scores.items())
