--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
@@ -1,5 +1,6 @@
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.catalog.resources import Replica
+from chalkyoke.scheduling.features import Features
 
 
 def replicas(count=3):
@@ -76,3 +77,30 @@
         balancer.stats(name).record_unreachable(0.0)
     balancer.stats("r0").outstanding = 1
     assert balancer.choose(replicas(2), 0.1, max_outstanding=lambda _: 1).id == "r1"
+
+
+def make_placed():
+    return LocalBalancer("z0", lambda: 0.5, Features(local_domain=True, time_factors=True))
+
+
+def test_a_request_stays_at_home_while_a_replica_there_answers_within_the_goal():
+    balancer = make_placed()
+    balancer.stats("r0").record_answer(0.045)
+    balancer.stats("r0").outstanding = 7
+    assert balancer.choose(replicas(), 0.0, goal_s=0.2).id == "r0"
+    assert balancer.choose(replicas(), 0.0, goal_s=0.08).id != "r0"
+
+
+def test_a_failing_or_tried_replica_at_home_is_no_reason_to_stay():
+    balancer = make_placed()
+    assert balancer.choose(replicas(), 0.0, avoid=("r0",), goal_s=0.2).id != "r0"
+    balancer.stats("r0").record_failure(1.0, 0.0)
+    assert balancer.choose(replicas(), 0.1, goal_s=0.2).id != "r0"
+
+
+def test_a_reported_time_factor_counts_only_while_it_is_valid():
+    balancer = make_placed()
+    balancer.stats("r0").record_answer(0.1)
+    balancer.stats("r0").time_factor.record(2.5, 0.0)
+    assert balancer.choose(replicas(), 0.1, goal_s=0.2).id != "r0"
+    assert balancer.choose(replicas(), 5.0, goal_s=0.2).id == "r0"
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -4,7 +4,7 @@
 from chalkyoke.catalog.resources import Replica, Route, RouteKind, Service, Target
 from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.grants import Grants
-from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.ports import Load, RequestFields
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
 from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Release, Withdraw
@@ -192,3 +192,20 @@
         assert denied.retry_after_s == 0.7 + 0.25
 
     virtual.run(late)
+
+
+def test_the_reported_load_is_sent_once():
+    """Guards against an old load: at the end of a stream, its head is seconds old."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_grants(schedulers)
+        for number, events in ((1, 0), (2, 3)):
+            wanted = admission(number, 2.4)
+            granted = await grants.acquire(wanted, 1, ())
+            granted.load, granted.events = Load(3, 1, 4, 2.5), events
+            grants.release(wanted, granted, ReleaseOutcome.DELIVERED)
+        sent = [each for process, each in schedulers.released if process == "n2"]
+        assert [(each.slots, each.time_factor) for each in sent] == [(4, 2.5), (0, 1.0)]
+
+    virtual.run(main)
