Scheduling: stay at home while an upstream there meets the goal, even if all would stall streams

Cause: with the load at 0.9 of capacity, half of the requests that crossed found no upstream without stalls anywhere and were placed by the fewest stalls over all failure domains. Change: such a request compares only the upstreams at home while one of them meets the goal.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -19,7 +19,7 @@
     streams_stalled_by,
 )
 from chalkyoke.scheduling.pool import PoolState
-from chalkyoke.scheduling.preference import choose_preferred
+from chalkyoke.scheduling.preference import choose_preferred, stay_at_home
 from chalkyoke.scheduling.queues import TierQueue
 from chalkyoke.scheduling.refusals import AddressedAction, Counters
 from chalkyoke.scheduling.shortlist import Openings
@@ -125,9 +125,10 @@
         candidates = openings.candidates(
             item.route, item.domain, depths, item.entry, item.tried_upstreams
         )
-        placement = choose_preferred(
-            item, candidates, depths, now, self._features
-        ) or choose_upstream(item, candidates, depths, decision.held, now, self._features)
+        placement = choose_preferred(item, candidates, depths, now, self._features)
+        if placement is None:
+            compared = stay_at_home(item, candidates, depths, now, self._features)
+            placement = choose_upstream(item, compared, depths, decision.held, now, self._features)
         if placement.upstream is None:
             if placement.held_for is not None:
                 name = placement.held_for.spec.id
--- a/packages/chalkyoke/src/chalkyoke/scheduling/preference.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/preference.py
@@ -64,6 +64,36 @@
     return None
 
 
+def stay_at_home(
+    item: WaitingRequest,
+    eligible: list[Upstream],
+    depths: dict[str, int],
+    now: float,
+    features: Features,
+) -> list[Upstream]:
+    """Leave out the upstreams of other failure domains while one at home meets the goal.
+
+    For requests without a preferred upstream: if all would stall streams, leaving the failure
+    domain gains nothing.
+
+    :param eligible: upstreams that can run the request now or when a slot becomes free.
+    :return: the upstreams at home, or all of them where none at home meets the goal.
+    """
+    if not item.has_goal or not features.local_domain:
+        return eligible
+    home = [each for each in eligible if each.spec.failure_domain == item.domain]
+    if len(home) == len(eligible):
+        return eligible
+    for upstream in home:
+        if not upstream.has_slot(now):
+            continue
+        cached = depths.get(upstream.spec.id, 0)
+        prediction = predict(item, upstream, cached, upstream.occupied(now) + 1, now)
+        if is_timely(item, prediction, now):
+            return home
+    return eligible
+
+
 def _split_by_domain(
     item: WaitingRequest, free: list[Upstream], depths: dict[str, int]
 ) -> tuple[list[Upstream], ...]:
