--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -50,6 +50,8 @@
     :ivar renamed: whether the replica restarts under a new id, or under its own id as a new start.
     :ivar limit_per_s: the limit announced in answers, in requests a second from all nodes together;
         negative announces none. The replica does not enforce it.
+    :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
+        load where it is not 0.
     """
 
     lose_answers: int = 0
@@ -68,6 +70,12 @@
     says_leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float = -1.0
+    time_percent: int = 0
+
+    @property
+    def time_factor(self) -> float:
+        """How long work takes, as a factor of the usual time."""
+        return self.time_percent / 100 if self.time_percent else 1.0
 
 
 @dataclass
@@ -229,7 +237,7 @@
             except ConnectionError:
                 request.client_disconnected = True
                 return False
-        await asyncio.sleep(self.faults.work_s)
+        await asyncio.sleep(self.faults.work_s * self.faults.time_factor)
         if reader.at_eof():
             request.client_disconnected = True
             return False
@@ -273,7 +281,7 @@
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"})
         for number in range(first, self.events):
-            await asyncio.sleep(self.faults.event_s)
+            await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
             if writer.transport.is_closing():
                 request.client_disconnected = True
                 return False
@@ -289,10 +297,11 @@
         return True
 
     def _headers(self, name: str) -> dict[str, str]:
+        percent = f",{self.faults.time_percent}" if self.faults.time_percent else ""
         return {
             "X-Request-Id": name,
             "X-Server-Stamp": f"{self.id}.{name}",
-            "X-Server-Load": f"1,0,{self.slots}",
+            "X-Server-Load": f"1,0,{self.slots}{percent}",
             **self._announcement_headers(),
         }
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -28,6 +28,8 @@
 # announcement.
 LIMITS_PER_S = (1.0, 0.5)
 MIN_LIMIT_PERIOD_S = 4.0
+# How long work takes on a replica whose machine is disturbed, in percent of the usual time.
+DISTURBED_PERCENT = 250
 # The number of requests or writes that a counted fault affects, and a number that is never used up.
 FAULT_COUNT = 3
 UNLIMITED_COUNT = 1_000_000
@@ -69,9 +71,9 @@
     async def inject_fault(self, step: FaultStep) -> None:
         """Apply one fault and end it; a fault is skipped while its target has another one."""
         place = step.target or "store"
-        if step.fault is Fault.REPLICA_LIMITS:
-            # An announced limit may overlap with any other fault of the same replica.
-            place = f"{place}, limit"
+        if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED):
+            # These may overlap with any other fault of the same replica.
+            place = f"{place}, {step.fault}"
         if place in self.active_targets or (step.fault is Fault.ALL_KILL and self.active_targets):
             return
         self.active_targets.add(place)
@@ -101,7 +103,8 @@
             )
 
     def _record_fault(self, step: FaultStep, place: str, began: float) -> None:
-        if step.fault is Fault.CONFIGURE:
+        if step.fault in (Fault.CONFIGURE, Fault.REPLICA_DISTURBED):
+            # Neither excuses a request that is not served.
             return
         places = list(self._fleet.nodes) if step.fault is Fault.ALL_KILL else [place]
         for each in places:
@@ -242,6 +245,10 @@
             replica.faults.shed, replica.faults.rest_s = 0, 0.0
         elif step.fault is Fault.REPLICA_LIMITS:
             await self._announce_limits(replica, step)
+        elif step.fault is Fault.REPLICA_DISTURBED:
+            replica.faults.time_percent = DISTURBED_PERCENT
+            await asyncio.sleep(step.duration_s)
+            replica.faults.time_percent = 100
         elif step.fault in (Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD):
             await self._apply_relay_fault(self._fleet.replica_relays[step.target], step)
         else:
