Placement: cheaper order of free upstreams; evenness of the overflow by sender

Cause: with the features off, each request paid for a time factor of every free upstream in the shortlist. Change: the shortlist lengthens predictions only with time_factors on. The test now compares what each failure domain sends to its two neighbours, at 0.9 of capacity where there is overflow, with a bound of 1.4 instead of 2.0; the bound of the crossing share is as before.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/fit.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/fit.py
@@ -22,6 +22,8 @@
 
     :param now: seconds on the scheduler's clock.
     """
-    level = round((upstream.occupied(now) + 1) * upstream.time_factor.current(now))
+    level = upstream.occupied(now) + 1
+    if not upstream.time_factor.is_neutral:
+        level = round(level * upstream.time_factor.current(now))
     slowness = round(CLASSES_PER_DOUBLING * math.log2(upstream.idle_s()))
     return level, -slowness, upstream.recent_load(now)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/shortlist.py
@@ -50,6 +50,7 @@
         self._eligible = eligible
         self._now = now
         self._features = features or Features()
+        self._finish_key = self._factored_s if self._features.time_factors else Upstream.typical_s
         self._usable: dict[_SenderKey, list[Upstream]] = {}
         self._best: dict[_SenderKey, list[Upstream]] = {}
         self._free: dict[_SenderKey, int] = {}
@@ -151,13 +152,13 @@
         the requests that these could not finish in time.
         """
         if not self._features.best_fit:
-            return heapq.nsmallest(count, free, key=self._typical_s)
+            return heapq.nsmallest(count, free, key=self._finish_key)
         fitting = heapq.nsmallest(count // 2, free, key=lambda each: by_fit(each, self._now))
         fitting_ids = {each.spec.id for each in fitting}
         others = [each for each in free if each.spec.id not in fitting_ids]
-        return fitting + heapq.nsmallest(count - count // 2, others, key=self._typical_s)
+        return fitting + heapq.nsmallest(count - count // 2, others, key=self._finish_key)
 
-    def _typical_s(self, upstream: Upstream) -> float:
+    def _factored_s(self, upstream: Upstream) -> float:
         return upstream.time_factor.lengthen(upstream.typical_s(), self._now)
 
 
--- a/tests/test_domain_load.py
+++ b/tests/test_domain_load.py
@@ -13,15 +13,19 @@
 
 
 @pytest.mark.parametrize("domains", [2, 3])
-def test_requests_stay_at_home_and_neighbours_share_the_overflow_evenly(domains):
-    """Guards against crossing without need, and against one neighbour that gets the overflow."""
+def test_requests_stay_at_home_while_demand_is_below_capacity(domains):
+    """Guards against crossing without need."""
     played = DomainLoad(1, domains, 0.6, features=PLACED).run_load(SECONDS)
     assert played.crossed_share < least_crossed_share(0.6, domains) + 0.12
-    received = [
-        sum(count for (_, there), count in played.crossed.items() if there == f"z{number}")
-        for number in range(domains)
-    ]
-    assert max(received) < 2.0 * min(received)
+
+
+def test_neighbours_share_the_overflow_evenly():
+    """Guards against one neighbour that gets the overflow of a failure domain above capacity."""
+    played = DomainLoad(1, 3, 0.9, engines=72, features=PLACED).run_load(SECONDS)
+    for here in ("z0", "z1", "z2"):
+        sent = [count for (sender, _), count in played.crossed.items() if sender == here]
+        assert len(sent) == 2, here
+        assert max(sent) < 1.4 * min(sent), here
 
 
 def test_no_kind_is_served_later_or_cut_more_often_than_without_the_features():
