Scheduling: leave home when the upstreams there would make running requests late

Cause: with local_domain, a request stayed at home because an upstream there met its goal, but that upstream was then not granted, since the prefill would have made a running request late. The request waited beyond its goal while another failure domain had a free slot. Change: stay_at_home counts only upstreams that the guard allows. Result: test_a_request_leaves_home_if_the_only_engine_there_would_make_a_stream_late fails before (no grant) and passes after.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/preference.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/preference.py
@@ -74,7 +74,8 @@
     """Leave out the upstreams of other failure domains while one at home meets the goal.
 
     For requests without a preferred upstream: if all would stall streams, leaving the failure
-    domain gains nothing.
+    domain gains nothing. An upstream on which the prefill would make running requests late does not
+    count: it is not granted, so that the request would wait while others are free.
 
     :param eligible: upstreams that can run the request now or when a slot becomes free.
     :return: the upstreams at home, or all of them where none at home meets the goal.
@@ -88,6 +89,8 @@
         if not upstream.has_slot(now):
             continue
         cached = depths.get(upstream.spec.id, 0)
+        if features.guard and would_delay_running(item, upstream, cached, now):
+            continue
         prediction = predict(item, upstream, cached, upstream.occupied(now) + 1, now)
         if is_timely(item, prediction, now):
             return home
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
@@ -128,3 +128,13 @@
     openings = Openings({"r": list(scheduler.upstreams.values())}, 1.0, LOCAL)
     assert "x" in [each.spec.id for each in openings.candidates("r", "c", {})]
     assert placed(scheduler, "r1", domain="c") == "x"
+
+
+def test_a_request_leaves_home_if_the_only_engine_there_would_make_a_stream_late():
+    """Guards against a request that waits at home while another failure domain has a free slot."""
+    engines = [in_domain("home", "a"), in_domain("away", "b", prefill=10_000.0)]
+    scheduler = make_scheduler(engines, LOCAL)
+    urgent = {"tier": "0", "budget_s": 0.3, "goal_s": 0.0, "whole_s": 0.0, "gap_goal_s": 0.05}
+    assert placed(scheduler, "urgent", **urgent) == "home"
+    assert placed(scheduler, "stalled", domain="b", gap_goal_s=0.01) == "away"
+    assert placed(scheduler, "r1", prompt_tokens=8000, goal_s=2.0) == "away"
