Scheduling: an adopted stream does not count time lost to time factors before

Cause: a running request that a scheduler adopts started with a lost time of 0, so that its first progress report left out all time that the upstream had ever lost to reported time factors. The token sample was cut to a fifth of its time, and the learned speed became several times too fast. Change: it starts with the upstream's lost time as of the adoption. Result: test_an_adopted_stream_does_not_count_time_lost_before fails before and passes after.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -422,6 +422,7 @@
             first_seen=item.output_tokens > 0,
             output_tokens=item.output_tokens,
             elapsed_s=item.elapsed_s,
+            lost_seen=upstream.time_factor.total_lost_s(now),
         )
         running.expected_finish = now + self._learner.remaining_s(running, upstream, now)
         return running
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
@@ -1,7 +1,16 @@
 """Placement by failure domain, speed and load among upstreams that meet the goal."""
 
 import msgspec
-from chalkyoke.scheduling.messages import FirstOutput, Grant, Release, Usage
+from chalkyoke.scheduling.messages import (
+    Adopt,
+    FirstOutput,
+    Grant,
+    Progress,
+    ProgressItem,
+    Release,
+    RunningItem,
+    Usage,
+)
 from chalkyoke.scheduling.shortlist import Openings
 
 from .test_goals import FEATURES, acquire, make_scheduler, upstream
@@ -138,3 +147,16 @@
     assert placed(scheduler, "urgent", **urgent) == "home"
     assert placed(scheduler, "stalled", domain="b", gap_goal_s=0.01) == "away"
     assert placed(scheduler, "r1", prompt_tokens=8000, goal_s=2.0) == "away"
+
+
+def test_an_adopted_stream_does_not_count_time_lost_before():
+    """Guards against a learned speed several times too fast after a change of the scheduler."""
+    scheduler = make_scheduler([upstream("u0")], TIMED)
+    placed(scheduler, "r0")
+    scheduler.apply_first_output(FirstOutput("r0", "p", 0.06, 1, 0, 2, 2.5), 1.1)
+    scheduler.release("z", Release("r0", 1, "p", "delivered", Usage(400, 0, 20, 0.06, 0.2)), 1.2)
+    learned = scheduler.upstreams["u0"].speed.decode_factor
+    running = RunningItem("r1", 1, "u0", "1", "t", "r", 400, 2000, 200, 1.0)
+    scheduler.adopt("e", Adopt("p", (running,)), 1001.0)
+    scheduler.apply_progress("e", Progress("p", (ProgressItem("r1", 400, 0.06, 2.0),)), 1002.0)
+    assert 0.9 < scheduler.upstreams["u0"].speed.decode_factor / learned < 1.1
