Scheduling: weight the mean time factor by time instead of by report

Cause: the mean was taken over some 50 reports. A plain replica reports 40 to 50 times a second, so that its mean covered one second and followed single disturbances: 1.83 after one of 0.6 s at 2.5, which then applied to all work beyond the validity of the report. Change: a report has the weight of the time since the one before, over 10 s, at most 0.02 as before. Result: test_the_mean_does_not_depend_on_the_rate_of_reports fails before and passes after; at five reports a second the weights are those of before.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_timefactors.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_timefactors.py
@@ -32,3 +32,12 @@
     factor = TimeFactor()
     factor.record(1e9, 1.0)
     assert factor.lengthen(0.01, 1.0) < 1.0
+
+
+def test_the_mean_does_not_depend_on_the_rate_of_reports():
+    """Guards against a mean that follows one disturbance of a plain replica with many requests."""
+    factor = TimeFactor()
+    factor.record(1.0, 1.0)
+    for number in range(40):
+        factor.record(2.5, 1.0 + number * 0.015)
+    assert factor.mean < 1.15
--- a/packages/chalkyoke/src/chalkyoke/scheduling/timefactors.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/timefactors.py
@@ -13,9 +13,11 @@
 # length varies. With a longer validity, upstreams are avoided that have recovered; with a shorter
 # one, a factor expires before the next response reports it.
 TIME_FACTOR_VALID_S = 0.5
-# Weight of one report in the mean factor, as a share: some 50 reports, which at several responses a
-# second are about ten seconds, many disturbances.
-MEAN_GAIN = 0.02
+# Averaging window of the mean factor, in seconds: many disturbances.
+MEAN_MEMORY_S = 10.0
+# Upper bound of the weight of one report in the mean factor, as a share: a single report after a
+# pause must not set the mean.
+MAX_MEAN_GAIN = 0.02
 
 # Bounds of a reported factor; values beyond them are taken for errors of the report.
 MIN_TIME_FACTOR = 0.1
@@ -47,9 +49,11 @@
             return
         value = max(MIN_TIME_FACTOR, min(MAX_TIME_FACTOR, value))
         self.lost_s = self.total_lost_s(now)
+        # Weighted by time, since a busy plain service reports many times in one disturbance.
+        gain = min(MAX_MEAN_GAIN, (now - self.reported_at) / MEAN_MEMORY_S)
         self.value = value
         self.reported_at = now
-        self.mean += MEAN_GAIN * (value - self.mean)
+        self.mean += gain * (value - self.mean)
 
     @property
     def is_neutral(self) -> bool:
