Scheduling: the placement decision without the features costs what it did before

Change: is_neutral is a field, read before the factor is asked for; finish_slack_s leaves out the requests without a deadline first, whose slack is infinite.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -304,7 +304,9 @@
     left = uncached_prompt_tokens(item, cached_blocks)
     backlog, _ = upstream.prefill_outlook(now)
     between = min(left + backlog, chunk * upstream.spec.tokens_per_event)
-    return upstream.speed.read_time(between, left) * upstream.time_factor.current(now)
+    pause = upstream.speed.read_time(between, left)
+    factor = upstream.time_factor
+    return pause if factor.is_neutral else pause * factor.current(now)
 
 
 def would_delay_running(
@@ -314,7 +316,10 @@
     if not upstream.running:
         return False
     stall = upstream.speed.prefill_time(uncached_prompt_tokens(item, cached_blocks))
-    return stall * upstream.time_factor.current(now) > upstream.finish_slack_s(item.rank, now)
+    factor = upstream.time_factor
+    if not factor.is_neutral:
+        stall *= factor.current(now)
+    return stall > upstream.finish_slack_s(item.rank, now)
 
 
 def _find_timely_without_stalls(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -350,10 +350,12 @@
 
         :rtype: float
         """
+        # Requests with a goal have no deadline here. They are left out first, since most have one
+        # and this is computed for each upstream that is compared.
         slacks = [
             item.deadline - max(now, item.expected_finish)
             for item in self.running.values()
-            if item.rank <= rank
+            if item.deadline < math.inf and item.rank <= rank
         ]
         return min((each for each in slacks if each > 0), default=math.inf)
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/timefactors.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/timefactors.py
@@ -30,6 +30,8 @@
     :ivar value: the last reported factor.
     :ivar reported_at: when it was reported, on the scheduler's clock.
     :ivar mean: mean of the reported factors; it is used where no report is valid.
+    :ivar is_neutral: whether no factor other than 1.0 was reported. A field, since it is read for
+        each upstream that is compared.
     :ivar lost_s: total time by which work took longer than with a factor of 1, up to
         ``reported_at``.
     """
@@ -37,6 +39,7 @@
     value: float = 1.0
     reported_at: float = -TIME_FACTOR_VALID_S
     mean: float = 1.0
+    is_neutral: bool = True
     lost_s: float = 0.0
 
     def record(self, value: float, now: float) -> None:
@@ -54,11 +57,7 @@
         self.value = value
         self.reported_at = now
         self.mean += gain * (value - self.mean)
-
-    @property
-    def is_neutral(self) -> bool:
-        """Whether no factor other than 1.0 was reported."""
-        return self.value == 1.0 and self.mean == 1.0
+        self.is_neutral = False
 
     def valid_left_s(self, now: float) -> float:
         """Return how long the last report remains valid, in seconds; 0 where it is too old."""
