--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -62,6 +62,8 @@
         limit.
     :ivar queue: plain requests that wait beyond the slots; the replica rejects any more. Negative:
         all requests run at once.
+    :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
+        load where it is not 0.
     """
 
     lose_answers: int = 0
@@ -83,6 +85,12 @@
     unread_abort_s: float = 0.0
     read_bytes_per_s: float = 0.0
     queue: int = -1
+    time_percent: int = 0
+
+    @property
+    def time_factor(self) -> float:
+        """How long work takes, as a factor of the usual time."""
+        return self.time_percent / 100 if self.time_percent else 1.0
 
 
 @dataclass
@@ -259,10 +267,11 @@
             except ConnectionError:
                 request.client_disconnected = True
                 return False
+        work_s = self.faults.work_s * self.faults.time_factor
         if self.faults.queue < 0:
-            await asyncio.sleep(self.faults.work_s)
+            await asyncio.sleep(work_s)
         else:
-            await self.slot_use.run(self.faults.work_s)
+            await self.slot_use.run(work_s)
         if reader.at_eof():
             request.client_disconnected = True
             return False
@@ -321,7 +330,7 @@
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"})
         for number in range(first, self.events):
-            await asyncio.sleep(self.faults.event_s)
+            await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
             if writer.transport.is_closing():
                 request.client_disconnected = True
                 return False
@@ -337,10 +346,12 @@
         return True
 
     def _headers(self, name: str) -> dict[str, str]:
+        percent = f",{self.faults.time_percent}" if self.faults.time_percent else ""
+        load = f"1,0,{self.slots}" if self.faults.queue < 0 else self.slot_use.load()
         return {
             "X-Request-Id": name,
             "X-Server-Stamp": f"{self.id}.{name}",
-            "X-Server-Load": f"1,0,{self.slots}" if self.faults.queue < 0 else self.slot_use.load(),
+            "X-Server-Load": f"{load}{percent}",
             **self._announcement_headers(),
         }
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -54,6 +54,7 @@
     STORE_RESTORED = "store_restored"
     SLOW_READERS = "slow_readers"
     PLAIN_BURST = "plain_burst"
+    REPLICA_DISTURBED = "replica_disturbed"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -73,6 +74,8 @@
 READER_SEED_MASK = 0x510E
 BURST_FAULTS = (Fault.PLAIN_BURST,)
 BURST_SEED_MASK = 0xB0857
+DISTURBANCE_FAULTS = (Fault.REPLICA_DISTURBED,)
+DISTURBANCE_SEED_MASK = 0xD157
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -81,6 +84,7 @@
         *RESTORE_FAULTS,
         *READER_FAULTS,
         *BURST_FAULTS,
+        *DISTURBANCE_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -169,6 +173,7 @@
         (RESTORE_FAULTS, RESTORE_SEED_MASK),
         (READER_FAULTS, READER_SEED_MASK),
         (BURST_FAULTS, BURST_SEED_MASK),
+        (DISTURBANCE_FAULTS, DISTURBANCE_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -8,10 +8,12 @@
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.ports import AnswerFields
 from chalkyoke.gateway.quarantine import Identity
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Relay
-from chalkyoke.gateway.verdict import SendEnd
+from chalkyoke.gateway.statements import read_statement
+from chalkyoke.gateway.verdict import MISDIRECTED, SendEnd
 from chalkyoke.scheduling.state import ReleaseOutcome
 
 RELEASE_OUTCOMES = {
@@ -52,7 +54,7 @@
         due_s=admission.route.goal_s,
         is_evidence=end not in NOT_HEALTH_EVIDENCE,
         failed=end is not SendEnd.DELIVERED,
-        was_full=end is SendEnd.DECLINED and load is not None and load.is_full,
+        was_full=end is SendEnd.DECLINED and load.is_full,
     )
 
 
@@ -65,6 +67,20 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
 
+    def record_answer_head(self, granted: Granted, status: int, fields: AnswerFields) -> None:
+        """Record what the head of an answer states about its replica and the replica's load.
+
+        The answer to a misdirected request comes from another replica and is ignored.
+        """
+        if status == MISDIRECTED:
+            return
+        parts = self._parts
+        if fields.load is not None:
+            granted.load = fields.load
+            stats = parts.balancer.stats(granted.replica.id)
+            stats.time_factor.record(fields.load.time_factor, parts.now())
+        parts.announcements.record_answer(granted.replica, read_statement(status, fields))
+
     def record_end(
         self,
         admission: Admission,
@@ -82,8 +98,8 @@
         now = parts.now()
         stats = parts.balancer.stats(granted.replica.id)
         if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
-            granted.load = relay.fields.load
-            stats.record_load(granted.load.running, granted.load.waiting, now)
+            load = relay.fields.load
+            stats.record_load(load.running, load.waiting, now)
         if end is SendEnd.DELIVERED:
             stats.record_answer(now - granted.started_at)
         elif end is SendEnd.NOT_CONNECTED:
--- a/packages/chalkyoke/src/chalkyoke/gateway/granted.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/granted.py
@@ -18,6 +18,8 @@
 
 # Retry-After time of a refusal for which no better estimate exists, in seconds.
 DEFAULT_RETRY_S = 0.5
+# Load of a replica that reported none: without slots.
+NO_LOAD = Load(0, 0, 0)
 
 
 class Source(StrEnum):
@@ -40,7 +42,7 @@
     :ivar started_at: when the request was sent, on the node's clock; 0 before.
     :ivar first_s: time from the send to the first event, in seconds; -1 before.
     :ivar events: number of events received.
-    :ivar load: load that the answer reported; None where it reported none.
+    :ivar load: the load that the replica reported with its answer.
     :ivar reported_to: schedulers that were told that the request runs, besides the issuer.
     """
 
@@ -56,7 +58,7 @@
     counted: bool = False
     permit: Permit | None = None
     is_first_decline: bool = False
-    load: Load | None = None
+    load: Load = NO_LOAD
     reported_to: tuple[str, ...] = ()
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
@@ -4,7 +4,7 @@
 Build the messages that a node sends to pool schedulers about its requests. Pure functions.
 """
 
-from chalkyoke.gateway.granted import Granted, GrantRequest
+from chalkyoke.gateway.granted import NO_LOAD, Granted, GrantRequest
 from chalkyoke.gateway.reception import DEFAULT_OUTPUT_TOKENS, Admission, fingerprint, prompt_blocks
 from chalkyoke.gateway.waiting import longest_retry_after_s
 from chalkyoke.rollouts.standing import trial_route
@@ -95,7 +95,8 @@
         # The complete answer is due by the goal, so its time takes the place of the first output's.
         delivered = outcome is ReleaseOutcome.DELIVERED
         usage = Usage(first_s=usage.total_s if delivered else -1.0, total_s=usage.total_s)
-    load = granted.load
+    # A stream's load was reported with its first output and is old by now.
+    load = granted.load if not granted.events else NO_LOAD
     return Release(
         admission.request_id,
         granted.attempt,
@@ -104,10 +105,10 @@
         usage,
         declined=granted.is_first_decline,
         rest_s=rest_s,
-        running=load.running if load else 0,
-        waiting=load.waiting if load else 0,
-        slots=load.slots if load else 0,
-        time_factor=load.time_factor if load else 1.0,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        time_factor=load.time_factor,
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -301,7 +301,7 @@
         if not admission.service.is_engine or not self._pooled:
             return
         pool = admission.service.name
-        message = FirstOutput(admission.request_id, pool, first_s)
+        message = FirstOutput(admission.request_id, pool, first_s, *granted.load)
         for process in self._informed_schedulers(admission.service, granted):
             self._schedulers.send(process, message)
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -109,6 +109,7 @@
             avoid=wanted.avoid,
             repeatable=route.repeatable and wanted.attempt < route.attempts,
             max_outstanding=self._max_outstanding if wanted.admission.service.is_engine else None,
+            goal_s=wanted.admission.due_at - self._now(),
         )
 
     def _may_start(self, service: str, replicas: list[Replica]) -> bool:
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
+from chalkyoke.gateway.feedback import Feedback
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
-from chalkyoke.gateway.ports import AnswerFields, Forwarding, RequestFields
+from chalkyoke.gateway.ports import Forwarding, RequestFields
 from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
-from chalkyoke.gateway.statements import read_statement
-from chalkyoke.gateway.verdict import MISDIRECTED, SendCounts, SendEnd, may_continue
+from chalkyoke.gateway.verdict import SendCounts, SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.messages import Request, encode_request_head
 from chalkyoke.http1.pool import ConnectFailure
@@ -83,6 +83,7 @@
         request_digest: Callable[[], bytes],
     ) -> None:
         self._parts = parts
+        self._feedback = Feedback(parts)
         self._request = request
         self._fields = fields
         self._delivery = delivery
@@ -221,7 +222,9 @@
             on_first_event=lambda first_s: parts.grants.record_first_output(
                 admission, granted, first_s
             ),
-            on_answer_head=lambda status, fields: self._record_statement(granted, status, fields),
+            on_answer_head=lambda status, fields: self._feedback.record_answer_head(
+                granted, status, fields
+            ),
             account=parts.memory,
             retained=self._retained,
             on_data=self._reading.on_data,
@@ -260,15 +263,6 @@
         upload = Upload(request.body)
         connection.send(head, relay, relay.matches_request, bodiless=bodiless, upload=upload)
 
-    def _record_statement(self, granted: Granted, status: int, fields: AnswerFields) -> None:
-        """Record what an answer states about its replica.
-
-        The answer to a misdirected request comes from another replica and is ignored.
-        """
-        if status == MISDIRECTED:
-            return
-        self._parts.announcements.record_answer(granted.replica, read_statement(status, fields))
-
     async def _wait_for_end(
         self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
     ) -> SendEnd:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -400,3 +400,20 @@
     started = share.may_start("p", 18, 0, 0.05, 0.0)
     assert not started and share.may_start("p", 18, 0, 0.05, 0.5), "gathered 0.75 at 4.8 a second"
     assert not share.may_start("p", 18, 0, 0.05, 100.0)
+
+
+def test_the_reported_load_is_sent_once():
+    """Guards against an old load: at the end of a stream, its head is seconds old."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_grants(schedulers)
+        for number, events in ((1, 0), (2, 3)):
+            wanted = admission(number, 2.4)
+            granted = await grants.acquire(wanted, 1, ())
+            granted.load, granted.events = Load(3, 1, 4, 2.5), events
+            grants.release(wanted, granted, ReleaseOutcome.DELIVERED)
+        sent = [each for process, each in schedulers.released if process == "n2"]
+        assert [(each.slots, each.time_factor) for each in sent] == [(4, 2.5), (0, 1.0)]
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -28,9 +28,7 @@
     RunningItem,
     Withdraw,
 )
-from chalkyoke.scheduling.placement import (
-    Features,
-)
+from chalkyoke.scheduling.placement import Features
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.refusals import AddressedAction, Counters, Refuser
 from chalkyoke.scheduling.state import (
@@ -217,6 +215,7 @@
             self._learner.learn_health(upstream, domain, outcome, now)
             self._learner.learn_declines(item, upstream, message, now)
             self._learner.learn_usage(item, upstream, outcome, message.usage, now)
+            self._learner.learn_load(upstream, message, now)
         self._pool.end_running(item, now)
         return self._decide(now)
 
@@ -243,7 +242,7 @@
         """Record that the prefill of a request is complete."""
         running = self._pool.running.get(message.request)
         if running is not None:
-            self._learner.learn_first_output(running, message.first_s, now)
+            self._learner.learn_first_output(running, message, now)
 
     def adopt(self, entry: str, message: Adopt, now: float) -> list[AddressedAction]:
         """Adopt the requests that an entry process runs under a previous scheduler's grants.
@@ -417,6 +416,7 @@
             first_seen=item.output_tokens > 0,
             output_tokens=item.output_tokens,
             elapsed_s=item.elapsed_s,
+            lost_seen=upstream.time_factor.total_lost_s(now),
         )
         running.expected_finish = now + self._learner.remaining_s(running, upstream, now)
         return running
