--- a/tests/shiftedload.py
+++ b/tests/shiftedload.py
@@ -99,6 +99,7 @@
     prompt: int
     output: int
     estimated_output: int
+    team: str = "t"
 
 
 @dataclass
@@ -120,6 +121,8 @@
 
     time_factor: float
     runs: dict[str, Run] = field(default_factory=dict)
+    token_s: float = TOKEN_S
+    read_tokens_per_s: float = READ_TOKENS_PER_S
 
     def advance(self, now):
         """Advance all runs by one time step of ``STEP_S``.
@@ -128,11 +131,11 @@
         :return: runs that produced their first token, and finished runs.
         """
         reading = [each for each in self.runs.values() if each.read_left_s > 0]
-        step_s = self.time_factor * (TOKEN_S + 0.00002 * len(self.runs))
+        step_s = self.time_factor * (self.token_s + 0.00002 * len(self.runs))
         left_s = STEP_S
         if reading:
             # One chunk of a prompt is read between two tokens, which takes most of the time.
-            piece_s = self.time_factor * PREFILL_CHUNK_TOKENS / READ_TOKENS_PER_S
+            piece_s = self.time_factor * PREFILL_CHUNK_TOKENS / self.read_tokens_per_s
             share = piece_s / (piece_s + step_s)
             reading[0].read_left_s -= STEP_S * share
             left_s -= STEP_S * share
@@ -183,31 +186,39 @@
     :param bursts: tuples of the start and end in seconds, the factor on the arrival rate, and the
         name of the kind of request (empty for all kinds).
     :param load: factor on all arrival rates.
+    :cvar kinds: the kinds of requests, and the teams that the pool's configuration names.
     """
 
+    kinds = KINDS
+    teams = (TeamSpec("t"),)
+    gap_goal_s = GAP_GOAL_S
+
     def __init__(self, seed, bursts=(), load=1.0, engines=70, features=GATEWAY_FEATURES):
         self.rng = random.Random(seed)
         self.bursts, self.load = bursts, load * engines / 70
-        self.engines = {f"e{n:02}": Engine(TIME_FACTORS[n % 3]) for n in range(engines)}
+        self.engines = {f"e{n:02}": self.engine(n) for n in range(engines)}
         upstreams = tuple(self.upstream(name) for name in self.engines)
         names = frozenset(self.engines)
         spec = PoolSpec(
             "p",
             upstreams,
-            tuple(TierSpec(str(each.tier), each.tier) for each in KINDS),
-            (TeamSpec("t"),),
-            tuple(RouteSpec(each.name, names) for each in KINDS),
+            tuple(TierSpec(str(each.tier), each.tier) for each in self.kinds),
+            self.teams,
+            tuple(RouteSpec(each.name, names) for each in self.kinds),
         )
         scheduler_rng = random.Random(seed + 1)
         self.scheduler = PoolScheduler(spec, scheduler_rng.random, 0.0, features=features)
-        self.scores = {each.name: Score() for each in KINDS}
-        self.largest = {each.name: Score() for each in KINDS}
+        self.scores = {each.name: Score() for each in self.kinds}
+        self.largest = {each.name: Score() for each in self.kinds}
         self.demands = {}
         self.attempts = {}
         self.events = []
         self.sequence = itertools.count()
         self.now = 0.0
 
+    def engine(self, number):
+        return Engine(TIME_FACTORS[number % 3])
+
     def upstream(self, name):
         return UpstreamSpec(
             name,
@@ -234,9 +245,9 @@
     def run_load(self, seconds):
         """Let requests arrive for some seconds, and run until the last one has ended."""
         self.arrivals_end_at = seconds
-        for kind in KINDS:
+        for kind in self.kinds:
             self.schedule_arrival(kind, 0.0)
-        while self.now < seconds + CHAT.deadline_s:
+        while self.now < seconds + max(each.deadline_s for each in self.kinds):
             until = self.now + STEP_S
             while self.events and self.events[0][0] < until:
                 at, _, what, argument = heapq.heappop(self.events)
@@ -261,12 +272,16 @@
         output = lognormal(self.rng, *kind.output)
         estimated_output = max(1, int(output * self.rng.lognormvariate(0.0, 0.5)))
         prompt = lognormal(self.rng, *kind.prompt)
-        demand = Demand(f"d{next(self.sequence)}", kind, at, prompt, output, estimated_output)
+        name, team = f"d{next(self.sequence)}", self.draw_team(at)
+        demand = Demand(name, kind, at, prompt, output, estimated_output, team)
         self.demands[demand.id] = demand
         for score in self.scores_of(demand):
             score.asked += 1
         self.send_acquire(demand, at)
 
+    def draw_team(self, at):
+        return "t"
+
     def scores_of(self, demand):
         """Yield the scores that count a demand: its kind, and the tenth with most output."""
         yield self.scores[demand.kind.name]
@@ -279,14 +294,14 @@
         kind = demand.kind
         deadline_at = demand.arrived_at + kind.deadline_s
         attempt = self.attempts[demand.id] = self.attempts.get(demand.id, 0) + 1
-        max_wait_s = max(2.0, 4 * kind.goal_s, 8 * GAP_GOAL_S)
+        max_wait_s = max(2.0, 4 * kind.goal_s, 8 * self.gap_goal_s)
         message = Acquire(
             request=demand.id,
             attempt=attempt,
             pool="p",
             route=kind.name,
             tier=str(kind.tier),
-            team="t",
+            team=demand.team,
             prompt_tokens=demand.prompt,
             max_output=kind.output[2],
             blocks=(),
@@ -294,7 +309,7 @@
             waited_s=0.0,
             goal_s=kind.goal_s,
             likely_output=demand.estimated_output,
-            gap_goal_s=GAP_GOAL_S,
+            gap_goal_s=self.gap_goal_s,
             whole_s=deadline_at - at,
             fingerprint=int(demand.id[1:]) + 1,
             comes_back_s=(deadline_at - at) * RETURN_SHARE,
@@ -324,7 +339,7 @@
 
     def start_run(self, demand, grant):
         engine = self.engines[grant.upstream]
-        read_s = SETUP_S + demand.prompt / READ_TOKENS_PER_S
+        read_s = SETUP_S + demand.prompt / engine.read_tokens_per_s
         engine.runs[demand.id] = Run(
             demand, grant.attempt, self.now, grant.expected_first_s, read_s * engine.time_factor
         )
@@ -383,7 +398,7 @@
     @property
     def earned(self):
         """The earned share of the worth of all requests."""
-        worth = {each.name: each.worth for each in KINDS}
+        worth = {each.name: each.worth for each in self.kinds}
         total_worth = sum(worth[name] * score.asked for name, score in self.scores.items())
         return (
             sum(worth[name] * each.earned * each.asked for name, each in self.scores.items())
