tests: report output tokens as output tokens in the virtual load

Cause: tests.shiftedload passed the number of output tokens as the number of cached tokens. The scheduler then refunded most of the work of each request to its team, so fair shares had no effect, and callers' estimates were never learned. Found when one team above its load was served beyond its share. Change: name the argument.

--- a/tests/pushload.py
+++ b/tests/pushload.py
@@ -106,7 +106,7 @@
 
     def fail_run(self, name, demand, outcome):
         run = self.engines[name].runs.pop(demand.id)
-        usage = Usage(demand.prompt, int(run.tokens))
+        usage = Usage(demand.prompt, output_tokens=int(run.tokens))
         message = Release(demand.id, run.attempt, "p", outcome, usage)
         self.apply_actions(self.scheduler.release("z", message, self.now))
         at = self.now + 0.002
--- a/tests/shiftedload.py
+++ b/tests/shiftedload.py
@@ -365,7 +365,7 @@
         demand = run.demand
         usage = Usage(
             demand.prompt,
-            int(run.tokens),
+            output_tokens=int(run.tokens),
             first_s=run.first_at - run.started_at if run.first_at else -1.0,
             total_s=self.now - run.started_at,
         )
