scheduling: fair admission and scheduled retries

Cause: a refusal at arrival counted the queue of the whole tier and the length of the request; long requests waited behind reserved slots or were cut on slow engines; a Retry-After reserved nothing. Change (features fair_admission and reserved_retries, off by default): max-min shares of each tier's predicted work rate (fairshare), waits by the team's own backlog (admission), assigned times with reserved work (retryschedule). Long requests wait for an engine that completes them, and take reserved slots before their latest start. Builders of requests and TokenSample move out of scheduler and state, which are long.

--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -58,6 +58,7 @@
     Progress,
     Queued,
     Release,
+    RetryReservations,
     Shed,
     Withdraw,
 )
@@ -70,7 +71,16 @@
     ReplicasSnapshot,
 )
 ENTRY_MESSAGES = (Grant, Queued, Shed)
-SCHEDULER_MESSAGES = (Acquire, Adopt, FirstOutput, Learned, Progress, Release, Withdraw)
+SCHEDULER_MESSAGES = (
+    Acquire,
+    Adopt,
+    FirstOutput,
+    Learned,
+    Progress,
+    Release,
+    RetryReservations,
+    Withdraw,
+)
 QUOTA_MESSAGES = (
     QuotaGrant,
     QuotaRequest,
--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chalkyoke.invariants import require
+from chalkyoke.scheduling.admission import FairAdmission
 from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Grant
 from chalkyoke.scheduling.placement import (
@@ -16,6 +17,7 @@
     Features,
     Placement,
     choose_upstream,
+    complete_time_s,
     streams_stalled_by,
 )
 from chalkyoke.scheduling.pool import PoolState
@@ -26,6 +28,9 @@
 
 # Number of requests of one tier that one decision examines; it bounds the time of the decision.
 MAX_EXAMINED_REQUESTS = 8
+# Time before its latest start from which a long request may take a reserved slot, in seconds: some
+# slots of a busy pool become free within it.
+HEADROOM_SLACK_S = 1.0
 
 
 class _Decision(msgspec.Struct, frozen=True):
@@ -46,15 +51,22 @@
 
     :param pool: state of the pool.
     :param headroom: provides the number of slots reserved for higher tiers.
+    :param admission: records the work that teams get.
     """
 
     def __init__(
-        self, pool: PoolState, counters: Counters, features: Features, headroom: Headroom
+        self,
+        pool: PoolState,
+        counters: Counters,
+        features: Features,
+        headroom: Headroom,
+        admission: FairAdmission,
     ) -> None:
         self._pool = pool
         self._counters = counters
         self._features = features
         self._headroom = headroom
+        self._admission = admission
 
     def grant_waiting(self, now: float) -> list[AddressedAction]:
         """Grant all requests that can start: by strict tier, then fair share, then deadline.
@@ -118,7 +130,7 @@
         now, openings = decision.now, decision.openings
         if not openings.usable_upstreams(item.route, item.domain, item.entry):
             return False
-        if self._features.headroom and item.is_long and not self._leaves_headroom(item, openings):
+        if self._must_leave_headroom(item, now) and not self._leaves_headroom(item, openings):
             return False
         depths = self._pool.prefixes.matches(item.blocks)
         candidates = openings.candidates(
@@ -137,6 +149,17 @@
         openings.invalidate_slots()
         return True
 
+    def _must_leave_headroom(self, item: WaitingRequest, now: float) -> bool:
+        """Return whether slots are reserved from a request.
+
+        With fair admission, none are reserved from a long request that must start soon.
+        """
+        if not self._features.headroom or not item.is_long:
+            return False
+        if not self._features.fair_admission:
+            return True
+        return item.latest_start > now + HEADROOM_SLACK_S
+
     def _leaves_headroom(self, item: WaitingRequest, openings: Openings) -> bool:
         """Return whether enough slots stay free for higher tiers if a long request starts."""
         free = openings.free_slots(item.route, item.domain, item.entry)
@@ -147,7 +170,9 @@
         prediction = placement.prediction
         assert prediction is not None
         if item.has_goal:
-            return now + prediction.first_s <= item.deadline
+            if now + prediction.first_s > item.deadline:
+                return False
+            return not self._features.fair_admission or self._finishes(item, placement, now)
         if now + prediction.cautious_s <= item.deadline:
             return True
         if now + prediction.optimistic_s > item.deadline:
@@ -156,6 +181,20 @@
             return False
         return item.late or self._pool.waiting_counts[item.rank, item.route] == 1
 
+    def _finishes(self, item: WaitingRequest, placement: Placement, now: float) -> bool:
+        """Return whether a request is better started now than held for a faster upstream.
+
+        A long answer that the chosen upstream cannot complete by its due time would hold a slot
+        until it is cut. It waits for an upstream that completes it, while one can.
+        """
+        prediction = placement.prediction
+        assert prediction is not None
+        if now + prediction.finish_s <= item.answer_due:
+            return True
+        fastest = self._pool.fastest(item.route, now)
+        shortest = min((complete_time_s(item, each) for each in fastest), default=math.inf)
+        return now + shortest > item.answer_due
+
     def grant_request(
         self, item: WaitingRequest, placement: Placement, now: float
     ) -> AddressedAction:
@@ -208,6 +247,8 @@
         upstream.declines.record_probe(item.domain, now)
         self._counters.granted += 1
         self._headroom.record_grant(item.rank, now)
+        if self._features.fair_admission:
+            self._admission.record_grant(item.team, item.work)
         return AddressedAction(item.entry, self.grant_message(running))
 
     def grant_message(self, item: RunningRequest) -> Grant:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -11,7 +11,7 @@
 from chalkyoke.scheduling.messages import Acquire, ProgressItem, Release, Usage
 from chalkyoke.scheduling.placement import BLOCK_TOKENS, Features
 from chalkyoke.scheduling.pool import PoolState
-from chalkyoke.scheduling.state import ReleaseOutcome, RunningRequest, TokenSample, Upstream
+from chalkyoke.scheduling.state import ReleaseOutcome, RunningRequest, Upstream
 
 # Number of recent failures that suspends an upstream: a single one may be the request's own fault.
 FAILURES_TO_SUSPEND = 2.0
@@ -24,6 +24,29 @@
 # that still fails; larger ones leave the capacity of a recovered upstream unused for longer.
 BACKOFF_S = 0.5
 MAX_BACKOFF_S = 30.0
+# Lower bound of the share of a stream's time that counts as decoding, whatever prefill ran during
+# that time.
+MIN_OWN_SHARE = 0.2
+
+
+class TokenSample(msgspec.Struct):
+    """Accumulate output tokens of one upstream's streams and their decode time in seconds."""
+
+    tokens: int = 0
+    seconds: float = 0.0
+
+    def add(
+        self, item: RunningRequest, upstream: Upstream, output_tokens: int, elapsed_s: float
+    ) -> None:
+        """Add the tokens and the time of one stream since its last progress report.
+
+        Time in which the upstream read other prompts is excluded.
+        """
+        seconds = elapsed_s - item.elapsed_s
+        stalled = upstream.stall_s - item.stalls_seen
+        item.stalls_seen = upstream.stall_s
+        self.tokens += output_tokens - item.output_tokens
+        self.seconds += max(MIN_OWN_SHARE * seconds, seconds - stalled)
 
 
 class RefusalChange(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -219,6 +219,36 @@
     speeds: tuple[LearnedSpeed, ...]
 
 
+class RetryReservation(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity that is reserved for the retry of one refused request.
+
+    :param in_s: time until the assigned time, in seconds; negative where it has passed.
+    :param work: reserved work, in seconds on an average upstream.
+    :param claims: number of callers that were told the assigned time.
+    """
+
+    fingerprint: int
+    rank: int
+    team: str
+    in_s: float
+    work: float
+    claims: int = 1
+
+
+class RetryReservations(msgspec.Struct, frozen=True, array_like=True, tag="retry_reservations"):
+    """Copy the reservations of a pool's retries to the next schedulers in order.
+
+    :param whole: whether the items are all reservations; otherwise those added since the last
+        message.
+    :param ended: fingerprints whose reservations have ended since the last message.
+    """
+
+    pool: str
+    whole: bool
+    items: tuple[RetryReservation, ...]
+    ended: tuple[int, ...] = ()
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """Report an upstream's load; the values are outdated when the message arrives.
 
@@ -241,4 +271,6 @@
 
 
 Action = Grant | Shed
-EntryMessage = Acquire | Withdraw | Release | FirstOutput | Progress | Adopt | Learned
+EntryMessage = (
+    Acquire | Withdraw | Release | FirstOutput | Progress | Adopt | Learned | RetryReservations
+)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/placement.py
@@ -175,6 +175,16 @@
     return first + item.output.optimistic * speed.token_time(1)
 
 
+def complete_time_s(item: WaitingRequest, upstream: Upstream) -> float:
+    """Predict the time to the median output of a request on an otherwise idle upstream.
+
+    :return: seconds.
+    """
+    speed = upstream.speed
+    first = speed.first_time(uncached_prompt_tokens(item, 0), 0)
+    return first + item.output.median * speed.token_time(1)
+
+
 def lateness_s(item: WaitingRequest, start: float, prediction: Prediction) -> float:
     """Predict by how much a request would miss its goal or deadline if it started at a given time.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -151,6 +151,21 @@
             for (rank, route), count in self.waiting_counts.items()
         )
 
+    def lower_tier_waiting(self, item: WaitingRequest) -> list[WaitingRequest]:
+        """List the waiting requests of lower tiers for the same upstreams, lowest tier first.
+
+        :rtype: list[WaitingRequest]
+        """
+        if not self.has_lower_tier_waiting(item):
+            return []
+        ranks = sorted((rank for rank in self.queues if rank > item.rank), reverse=True)
+        return [
+            each
+            for rank in ranks
+            for each in self.queues[rank].items()
+            if (each.route, item.route) in self.overlaps
+        ]
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether any upstream that accepts new requests has a free slot.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -61,12 +61,17 @@
 
     :ivar size: number of waiting requests.
     :ivar late: number of waiting requests that are predicted to be late.
+    :ivar promised: number of waiting retries that returned at their assigned times.
+    :ivar work: work of the waiting requests, in seconds.
     """
 
     def __init__(self, rank: int) -> None:
         self.rank = rank
         self.size = 0
         self.late = 0
+        self.work = 0.0
+        self.promised = 0
+        self._team_work: dict[str, float] = {}
         self._queues: dict[tuple[str, str], TeamQueue] = {}
         self._team_order: list[tuple[float, str, str]] = []
         self._backlog: dict[str, int] = {}
@@ -88,6 +93,9 @@
         queue.push(item)
         self.size += 1
         self.late += item.late
+        self.work += item.work
+        self.promised += item.is_promised_retry
+        self._team_work[item.team] = self._team_work.get(item.team, 0.0) + item.work
 
     def discard(self, item: WaitingRequest) -> None:
         """Remove a request; empty queues are deleted."""
@@ -96,13 +104,24 @@
         queue.discard(item)
         self.size -= 1
         self.late -= item.late
+        self.promised -= item.is_promised_retry
         if not queue:
             del self._queues[key]
             self._team_order.remove((self._virtual[item.team], *key))
 
         self._backlog[item.team] -= 1
+        self.work = self.work - item.work if self.size else 0.0
+        self._team_work[item.team] -= item.work
         if self._backlog[item.team] == 0:
             del self._backlog[item.team]
+            del self._team_work[item.team]
+
+    def team_work(self, team: str) -> float:
+        """Return the work of a team's waiting requests, in seconds.
+
+        :rtype: float
+        """
+        return self._team_work.get(team, 0.0)
 
     def charge_team(self, team: str, work: float, weight: float) -> None:
         """Charge work to a team's virtual time.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -11,8 +11,9 @@
 
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason
+from chalkyoke.scheduling.admission import FairAdmission
 from chalkyoke.scheduling.declines import Closure, Declines, find_closure
-from chalkyoke.scheduling.forecast import SlotForecast, find_late, may_shed
+from chalkyoke.scheduling.forecast import Late, SlotForecast, find_late, may_shed
 from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Action, Shed
 from chalkyoke.scheduling.placement import Features, idle_time_s
@@ -65,11 +66,13 @@
     """An action and the entry process that receives it.
 
     :param pool_mostly_free: whether the pool was mostly free when a request was refused.
+    :param refused_again: whether a request was refused that returned at its assigned time.
     """
 
     entry: str
     action: Action
     pool_mostly_free: bool = False
+    refused_again: bool = False
 
 
 class Refuser:
@@ -77,6 +80,7 @@
 
     :param pool: state of the pool.
     :param headroom: provides the rates at which tiers get slots.
+    :param admission: predicts waits by fair shares and assigns the times of retries.
     :param random: source of numbers in [0, 1), to spread retries.
     """
 
@@ -86,6 +90,7 @@
         counters: Counters,
         features: Features,
         headroom: Headroom,
+        admission: FairAdmission,
         random: Callable[[], float],
         now: float,
     ) -> None:
@@ -93,6 +98,7 @@
         self._counters = counters
         self._features = features
         self._headroom = headroom
+        self._admission = admission
         self._random = random
         self._next_forecast = now
         self._promised_until: dict[int, float] = {}
@@ -119,11 +125,50 @@
             )
         if self._features.shed and self._is_hopeless(item, now):
             return self._build_refusal(item, Reason.HOPELESS, None)
-        if not self._features.early or not item.has_goal:
+        if not self._features.early or not item.has_goal or self._features.fair_admission:
             return None
         item.is_promised_retry = self._promised_until.pop(item.fingerprint, 0.0) > now
         return None if item.is_promised_retry or not settled else self._refuse_early(item, now)
 
+    def refuse_by_share(
+        self, item: WaitingRequest, now: float, *, settled: bool
+    ) -> list[AddressedAction]:
+        """Refuse a request at arrival if its team's share cannot start it in time.
+
+        Waiting requests of lower tiers would start even later, so they are refused before it. While
+        one of them is a retry at its assigned time, the request is queued instead.
+
+        :return: no refusals where the request is to be queued; otherwise its own is the last.
+        """
+        if not item.has_goal:
+            return []
+        admission = self._admission
+        admission.set_latest_start(item, now)
+        is_due = self._features.reserved_retries and admission.take_due_retry(item, now)
+        if admission.schedule.find(item.fingerprint) is None and not is_due:
+            admission.record_arrival(item, now)
+        if is_due or not settled:
+            return []
+        if self._starts_at_once(item, now) or admission.is_in_time(item, now):
+            admission.schedule.end_unshared(item.fingerprint)
+            return []
+        if any(each.promised for rank, each in self._pool.queues.items() if rank > item.rank):
+            return []
+        lower = self._pool.lower_tier_waiting(item)
+        actions = [
+            self.shed(each, Reason.SHED, admission.retry_after_s(each, now)) for each in lower
+        ]
+        retry = admission.retry_after_s(item, now)
+        return [*actions, self._build_refusal(item, Reason.SHED, retry)]
+
+    def _starts_at_once(self, item: WaitingRequest, now: float) -> bool:
+        """Return whether nothing waits in the tier or above it, and a slot is free."""
+        queues = self._pool.queues
+        if any(queue.size for rank, queue in queues.items() if rank <= item.rank):
+            return False
+        eligible = self._pool.eligible[item.route]
+        return any(each.has_slot(now) and each.is_usable(item.domain, now) for each in eligible)
+
     def _refuse_early(self, item: WaitingRequest, now: float) -> AddressedAction | None:
         """Refuse a request that would wait beyond its goal, early enough for a timely retry."""
         if self._pool.has_lower_tier_waiting(item):
@@ -249,7 +294,7 @@
         )
         late = find_late(ordered, pool.eligible, SlotForecast(usable, now), now)
         actions = [
-            self.shed(entry.item, Reason.SHED, self.retry_after_s(entry.late_s))
+            self.shed(entry.item, Reason.SHED, self._late_retry_after_s(entry, now))
             for entry in may_shed(late, pool.waiting.values(), pool.overlaps)
         ]
         kept = {entry.item.request for entry in late}
@@ -283,6 +328,11 @@
         base = min(MAX_RETRY_S, max(MIN_RETRY_S, late_s))
         return round(base * (1.0 + self._random()), 2)
 
+    def _late_retry_after_s(self, entry: Late, now: float) -> float:
+        if self._features.fair_admission and entry.item.has_goal:
+            return self._admission.retry_after_s(entry.item, now)
+        return self.retry_after_s(entry.late_s)
+
     def _open_upstreams(self, route: str) -> list[Upstream]:
         return [each for each in self._pool.eligible.get(route, ()) if not each.leaving]
 
@@ -324,7 +374,8 @@
         self._counters.shed[key] = self._counters.shed.get(key, 0) + 1
         name = self._pool.spec.name
         shed = Shed(item.request, item.attempt, name, reason, retry_after_s)
-        return AddressedAction(item.entry, shed, pool_mostly_free=self._pool.is_mostly_free())
+        mostly_free = self._pool.is_mostly_free()
+        return AddressedAction(item.entry, shed, mostly_free, item.is_promised_retry)
 
 
 def _open_times(upstreams: list[Upstream], now: float) -> list[tuple[Declines, float]]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -6,12 +6,12 @@
 most once.
 """
 
-import math
 from collections.abc import Callable, Iterable, Mapping
 
 from chalkyoke.limits.allowance import Allowance
+from chalkyoke.scheduling.admission import FairAdmission
 from chalkyoke.scheduling.granting import Granter
-from chalkyoke.scheduling.headroom import LONG_OUTPUT_S, Headroom
+from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.learning import Learner, RefusalChange
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -23,7 +23,8 @@
     LoadReport,
     Progress,
     Release,
-    RunningItem,
+    RetryReservation,
+    RetryReservations,
     Withdraw,
 )
 from chalkyoke.scheduling.placement import (
@@ -31,6 +32,7 @@
 )
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.refusals import AddressedAction, Counters, Refuser
+from chalkyoke.scheduling.requests import RequestBuilder
 from chalkyoke.scheduling.state import (
     PoolSpec,
     ReleaseOutcome,
@@ -39,9 +41,6 @@
     WaitingRequest,
 )
 
-# Assumed deadline of requests adopted from a previous scheduler, in seconds: the adopt message
-# does not contain the deadline.
-ADOPTED_DEADLINE_S = 5.0
 # How long a new scheduler waits for the adopt messages of entry processes, in seconds. Live ones
 # answer within a few milliseconds and lost ones never, while a goal may be as short as 0.3 s. An
 # adopt message that arrives later causes brief overcommitment.
@@ -87,12 +86,15 @@
         self.features = features or Features()
         self._pool = PoolState(spec)
         self._learner = Learner(self._pool, self.features)
+        self._builder = RequestBuilder(self._pool, self._learner, self.features)
         self._headroom = Headroom(now)
+        self.admission = FairAdmission(self._pool, self.features, random, now)
         self._refuser = Refuser(
-            self._pool, self.counters, self.features, self._headroom, random, now
+            self._pool, self.counters, self.features, self._headroom, self.admission, random, now
+        )
+        self._granter = Granter(
+            self._pool, self.counters, self.features, self._headroom, self.admission
         )
-        self._granter = Granter(self._pool, self.counters, self.features, self._headroom)
-        self._order = 0
         self._unsettled = set(expected)
         self._settle_at = now + SETTLE_S
         self._last_message_at: dict[str, float] = {}
@@ -184,10 +186,14 @@
         if known is not None:
             self._pool.remove_waiting(known)
 
-        item = self._make_waiting(entry, domain, message, now)
+        item = self._builder.waiting(entry, domain, message, now)
         refusal = self._refuser.check_arrival(item, now, settled=self._settled(now))
         if refusal is not None:
             return [refusal]
+        if self.features.fair_admission:
+            refusals = self._refuser.refuse_by_share(item, now, settled=self._settled(now))
+            if refusals:
+                return refusals
         self._pool.add_waiting(item)
         return self._refuser.make_room(item, now) + self._decide(now)
 
@@ -215,6 +221,8 @@
             self._learner.learn_declines(item, upstream, message, now)
             self._learner.learn_usage(item, upstream, outcome, message.usage, now)
         self._pool.end_running(item, now)
+        if outcome not in UNSENT_OUTCOMES:
+            self.admission.record_end(item.work, now - item.granted, now)
         return self._decide(now)
 
     def _refund_limit(self, item: RunningRequest, upstream: Upstream, message: Release) -> None:
@@ -265,7 +273,7 @@
                 self._pool.remove_waiting(waiting)
             if upstream is not None and item.request not in self._pool.running:
                 self._pool.start_running(
-                    self._make_running(entry, item, upstream, now), upstream, now
+                    self._builder.running(entry, item, upstream, now), upstream, now
                 )
         self._unsettled.discard(entry)
         return self._decide(now)
@@ -295,6 +303,30 @@
                 upstream.speed.adopt_factors(each.prefill_factor, each.decode_factor, each.samples)
                 upstream.invalidate_predictions()
 
+    def export_reservations(self, now: float, *, whole: bool) -> RetryReservations | None:
+        """Export the reservations of retries for the successors of this scheduler.
+
+        :param whole: whether to export all reservations instead of what has changed.
+        :return: None where there is nothing to tell.
+        """
+        schedule = self.admission.schedule
+        if not self.features.reserved_retries:
+            return None
+        if whole:
+            return RetryReservations(self.spec.name, True, schedule.export_all(now))
+        items, ended = schedule.take_changes(now)
+        if not items and not ended:
+            return None
+        return RetryReservations(self.spec.name, False, items, ended)
+
+    def import_reservations(self, items: Iterable[RetryReservation], now: float) -> None:
+        """Adopt the reservations of a previous scheduler.
+
+        :param items: reservations with times relative to now.
+        """
+        if self.features.reserved_retries:
+            self.admission.schedule.import_items(items, now)
+
     def remove_entry(self, entry: str, now: float) -> list[AddressedAction]:
         """Remove the waiting and running requests of a dead entry process.
 
@@ -331,6 +363,8 @@
         """
         self._remove_silent_entries(now)
         self._headroom.observe_running((each.rank for each in self._pool.running.values()), now)
+        if self.features.fair_admission:
+            self.admission.tick(now)
         actions = self._refuser.refuse_expired(now)
         if self._settled(now):
             actions += self._refuser.shed_by_forecast(now)
@@ -357,39 +391,6 @@
             self._pool.end_running(running, now)
         self._unsettled.discard(entry)
 
-    # Arrival.
-
-    def _make_waiting(
-        self, entry: str, domain: str, message: Acquire, now: float
-    ) -> WaitingRequest:
-        output = self._learner.estimate_output(message)
-        self._order += 1
-        blocks = message.blocks if self.features.prefix else ()
-        return WaitingRequest(
-            request=message.request,
-            attempt=message.attempt,
-            entry=entry,
-            domain=domain,
-            route=message.route,
-            rank=self._pool.rank(message.tier),
-            team=message.team,
-            prompt_tokens=message.prompt_tokens,
-            blocks=blocks,
-            arrived=now - message.waited_s,
-            deadline=now + message.budget_s,
-            order=self._order,
-            output=output,
-            goal=now + message.goal_s if message.goal_s else math.inf,
-            max_retry_after_s=message.comes_back_s,
-            gap_goal=message.gap_goal_s or math.inf,
-            answer_due=now + message.whole_s if message.whole_s else math.inf,
-            fingerprint=message.fingerprint,
-            hint=message.likely_output,
-            tried_upstreams=message.tried,
-            is_long=self._pool.work_s(0, output.median) > LONG_OUTPUT_S,
-            work=self._pool.work_s(message.prompt_tokens, output.median),
-        )
-
     def _decide(self, now: float) -> list[AddressedAction]:
         return self._granter.grant_waiting(now) if self._settled(now) else []
 
@@ -398,31 +399,3 @@
             return False
         self._unsettled.clear()
         return True
-
-    def _make_running(
-        self, entry: str, item: RunningItem, upstream: Upstream, now: float
-    ) -> RunningRequest:
-        rank = self._pool.rank(item.tier)
-        expected = self._learner.outputs.predict(item.route, item.team, item.max_output).median
-        self._pool.queue(rank)
-        running = RunningRequest(
-            request=item.request,
-            attempt=item.attempt,
-            entry=entry,
-            upstream=item.upstream,
-            route=item.route,
-            rank=rank,
-            team=item.team,
-            prompt_tokens=item.prompt_tokens,
-            expected_output=expected,
-            work=self._pool.work_s(item.prompt_tokens, expected),
-            granted=now,
-            deadline=now + ADOPTED_DEADLINE_S,
-            expected_finish=now,
-            prefill_left=item.prompt_tokens,
-            first_seen=item.output_tokens > 0,
-            output_tokens=item.output_tokens,
-            elapsed_s=item.elapsed_s,
-        )
-        running.expected_finish = now + self._learner.remaining_s(running, upstream, now)
-        return running
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -25,11 +25,11 @@
 STALL_MEMORY_S = 10.0
 # Upper bound of that share in predictions: streams continue between two prompts.
 MAX_STALLED_SHARE = 0.6
-# Lower bound of the share of a stream's time that counts as decoding, whatever prefill ran during
-# that time.
-MIN_OWN_SHARE = 0.2
 # How much earlier a promised retry counts as due, in seconds: as long as the longest goals.
 RETRY_DUE_ADVANCE_S = 1.0
+# How much earlier than its assigned time a retry counts as due, in seconds: longer than any goal,
+# so that it precedes all new requests of its team.
+RETRY_PRECEDENCE_S = 1000.0
 
 
 class ReleaseOutcome(StrEnum):
@@ -134,6 +134,10 @@
     :param hint: the caller's own estimate of the output, in tokens; 0 where none is given.
     :param tried_upstreams: upstreams that the request was already sent to.
     :param is_promised_retry: whether the request follows a refusal with Retry-After.
+    :param latest_start: when the request must start so that its first output and its complete
+        answer are in time, on the scheduler's own clock; infinite where it was not computed.
+    :param assigned_at: the time at which a retry was told to return, on the scheduler's own clock;
+        0 where no time was assigned.
     :param is_long: whether the request holds its slot long enough to delay higher tiers.
     """
 
@@ -160,6 +164,8 @@
     answer_due: float = math.inf
     fingerprint: int = 0
     is_promised_retry: bool = False
+    latest_start: float = math.inf
+    assigned_at: float = 0.0
     hint: int = 0
     tried_upstreams: tuple[str, ...] = ()
 
@@ -172,8 +178,14 @@
     def due(self) -> float:
         """When the first output (with a goal) or the complete answer (without one) is due.
 
-        A promised retry counts as due earlier and so precedes new requests.
+        A request that is late for its goal is due when it must start to be completed at all: a long
+        one earlier than a short one. A promised retry counts as due earlier and so precedes new
+        requests; retries with assigned times are ordered by these.
         """
+        if self.assigned_at:
+            return self.assigned_at - RETRY_PRECEDENCE_S
+        if self.late and self.latest_start < math.inf:
+            return self.latest_start
         due = min(self.goal, self.deadline)
         return due - RETRY_DUE_ADVANCE_S if self.is_promised_retry else due
 
@@ -402,23 +414,3 @@
             decode_share = 1.0 - min(MAX_STALLED_SHARE, self.stalled_share(now))
             self._prefill_outlook = (now, backlog, decode_share)
         return self._prefill_outlook[1:]
-
-
-class TokenSample(msgspec.Struct):
-    """Accumulate output tokens of one upstream's streams and their decode time in seconds."""
-
-    tokens: int = 0
-    seconds: float = 0.0
-
-    def add(
-        self, item: RunningRequest, upstream: Upstream, output_tokens: int, elapsed_s: float
-    ) -> None:
-        """Add the tokens and the time of one stream since its last progress report.
-
-        Time in which the upstream read other prompts is excluded.
-        """
-        seconds = elapsed_s - item.elapsed_s
-        stalled = upstream.stall_s - item.stalls_seen
-        item.stalls_seen = upstream.stall_s
-        self.tokens += output_tokens - item.output_tokens
-        self.seconds += max(MIN_OWN_SHARE * seconds, seconds - stalled)
