node: copy retry reservations to successors, report shares of teams

Cause: assigned times were lost with the scheduler, and operators could not see whether teams get their shares.

--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -16,6 +16,8 @@
 from chalkyoke.limits.keeper import LimitKeeper
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.reservations import ReservationCopies
+from chalkyoke.node.shares import ShareReporter
 from chalkyoke.scheduling.messages import (
     Acquire,
     Adopt,
@@ -27,6 +29,7 @@
     Progress,
     Queued,
     Release,
+    RetryReservations,
     Shed,
 )
 from chalkyoke.scheduling.placement import Features
@@ -40,8 +43,12 @@
 # How often a pool's scheduler sends its learned engine speeds to its successors, in seconds. The
 # speed of an engine is known after some first outputs, which takes about as long.
 LEARNED_SEND_INTERVAL_S = 1.0
-# Number of successors that get the learned speeds: the next owner of another failure domain and
-# the next owner of the same one.
+# How often the changed reservations of retries are sent to the successors, in seconds, and after
+# how many of these messages all of them are sent: a lost message is made up for within 3 s.
+RESERVATIONS_SEND_INTERVAL_S = 0.25
+RESERVATION_CHANGES_PER_WHOLE = 12
+# Number of successors that get the learned speeds and reservations: the next owner of another
+# failure domain and the next owner of the same one.
 SUCCESSOR_COUNT = 2
 
 log = logger("schedulers")
@@ -115,6 +122,10 @@
         self._acknowledge = acknowledge
         self._received_learned: dict[str, Learned] = {}
         self._next_learned_send_at = 0.0
+        self._reservation_copies = ReservationCopies()
+        self._next_reservations_send_at = 0.0
+        self._reservation_messages = 0
+        self._shares = ShareReporter(metrics)
 
     # The scheduler port of the entry slice.
 
@@ -164,6 +175,9 @@
         if isinstance(message, Learned) and message.pool not in self.pools:
             self._received_learned[message.pool] = message
             return
+        if isinstance(message, RetryReservations):
+            self._receive_reservations(message)
+            return
         scheduler = self._find_or_create_scheduler(message.pool)
         if scheduler is None:
             if isinstance(message, Acquire):
@@ -194,6 +208,9 @@
         scheduler = self.pools.get(pool)
         if scheduler is not None and process != self._process:
             self.send(process, scheduler.export_learned())
+            reservations = scheduler.export_reservations(self._now(), whole=True)
+            if reservations is not None:
+                self.send(process, reservations)
 
     def tick(self) -> None:
         """Expire late requests in each scheduler and drop schedulers of pools that moved away."""
@@ -206,17 +223,41 @@
         if now >= self._next_learned_send_at:
             self._next_learned_send_at = now + LEARNED_SEND_INTERVAL_S
             self._send_learned_to_successors()
+            for scheduler in self.pools.values():
+                self._shares.report(scheduler, now)
+        if now >= self._next_reservations_send_at:
+            self._next_reservations_send_at = now + RESERVATIONS_SEND_INTERVAL_S
+            self._send_reservations_to_successors(now)
 
     def _send_learned_to_successors(self) -> None:
         """Send the learned speeds to the processes that take the pools over if this one is lost."""
         for name, scheduler in self.pools.items():
-            owners = [each.process for each in self._view.pool_owners(name)]
-            if owners[:1] != [self._process]:
-                continue
             learned = scheduler.export_learned()
-            for process in owners[1 : 1 + SUCCESSOR_COUNT]:
-                if learned.speeds:
-                    self.send(process, learned)
+            if learned.speeds:
+                self._send_to_successors(name, learned)
+
+    def _send_reservations_to_successors(self, now: float) -> None:
+        """Send the reservations of retries: what has changed, and from time to time all."""
+        self._reservation_messages += 1
+        whole = self._reservation_messages % RESERVATION_CHANGES_PER_WHOLE == 0
+        for name, scheduler in self.pools.items():
+            message = scheduler.export_reservations(now, whole=whole)
+            if message is not None:
+                self._send_to_successors(name, message)
+
+    def _send_to_successors(self, pool: str, message: Learned | RetryReservations) -> None:
+        owners = [each.process for each in self._view.pool_owners(pool)]
+        if owners[:1] != [self._process]:
+            return
+        for process in owners[1 : 1 + SUCCESSOR_COUNT]:
+            self.send(process, message)
+
+    def _receive_reservations(self, message: RetryReservations) -> None:
+        scheduler = self.pools.get(message.pool)
+        if scheduler is not None:
+            scheduler.import_reservations(message.items, self._now())
+        else:
+            self._reservation_copies.receive(message, self._now())
 
     def reconfigure(self) -> None:
         """Apply a new configuration or host list to each scheduler."""
@@ -249,6 +290,8 @@
                 self._metrics.count(
                     "scheduler_shed", reason=action.reason, pool=action.pool, places=places
                 )
+                if decision.refused_again:
+                    self._metrics.count("scheduler_refused_again", pool=action.pool)
             else:
                 self._metrics.count("scheduler_granted", pool=action.pool)
             self._deliver(decision.entry, action)
@@ -294,6 +337,8 @@
         learned = self._received_learned.pop(pool, None)
         if learned is not None:
             scheduler.import_learned(learned)
+        copies = self._reservation_copies.take(pool, self._now())
+        scheduler.import_reservations(copies, self._now())
         self._request_running(pool)
         self._events.add(EventKind.POOL_TAKEN, pool=pool)
         log.info("pool_taken", pool=pool)
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_schedulers.py
@@ -1,10 +1,19 @@
-"""The hand-off of learned engine speeds from a pool's scheduler to its successors."""
+"""The hand-off of learned speeds and of retry reservations to a scheduler's successors."""
 
 from types import SimpleNamespace
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.scheduling.messages import Acquire, AdoptRequest, FirstOutput, Learned, LearnedSpeed
+from chalkyoke.scheduling.messages import (
+    Acquire,
+    AdoptRequest,
+    FirstOutput,
+    Learned,
+    LearnedSpeed,
+    RetryReservation,
+    RetryReservations,
+)
+from chalkyoke.scheduling.placement import Features
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TierSpec, UpstreamSpec
 
 UPSTREAM = UpstreamSpec("m1", "127.0.0.1:9", "a", 4, 40_000.0, 200.0)
@@ -23,7 +32,7 @@
         return self.now
 
 
-def host(name, owners=OWNERS):
+def host(name, owners=OWNERS, features=None):
     view = SimpleNamespace(
         domain="a",
         generation=1,
@@ -42,6 +51,7 @@
         Metrics(),
         clock,
         lambda: 0.5,
+        features,
     )
     made.deliver = lambda process, message: None
     made.report_running = lambda pool, process: None
@@ -88,3 +98,42 @@
     scheduler.receive("n1", "a", acquire("q1"))
     speed = scheduler.pools["p"].upstreams["m1"].speed
     assert (speed.prefill_factor, speed.decode_factor) == (3.0, 4.0)
+
+
+RESERVED = Features(fair_admission=True, reserved_retries=True)
+
+
+def reservation(fingerprint, in_s):
+    return RetryReservation(fingerprint, 0, "", in_s, 0.5)
+
+
+def schedule_of(made):
+    return made.pools["p"].admission.schedule
+
+
+def test_successors_receive_reservations_whole_and_as_changes():
+    """Guards against a successor that knows the reservations of some seconds ago only."""
+    scheduler, sent, clock = host("n1", features=RESERVED)
+    scheduler.receive("n1", "a", acquire("q1"))
+    scheduler.pools["p"].import_reservations([reservation(7, 2.0)], clock.now)
+    for _ in range(70):
+        clock.now += 0.05
+        scheduler.tick()
+    told = [(to, each) for to, each in sent if isinstance(each, RetryReservations)]
+    assert {to for to, _ in told} == {"n2:1", "n3:1"}
+    assert [each.whole for to, each in told if to == "n2:1"] == [False, False, True]
+    assert [each.ended for to, each in told if to == "n2:1"][1] == (7,)
+
+
+def test_a_successor_takes_over_copied_reservations_with_the_time_that_is_left():
+    """Guards against callers that return at their time to a scheduler that does not know them."""
+    successor, _, clock = host("n2", features=RESERVED)
+    items = (reservation(7, 2.0), reservation(8, 0.1), reservation(9, 2.0))
+    successor.receive("n1", "a", RetryReservations("p", True, items))
+    successor.receive("n1", "a", RetryReservations("p", False, (), (9,)))
+    assert not successor.pools, "copies do not create a scheduler"
+    clock.now += 1.0
+    successor.receive("n1", "a", acquire("q1"))
+    assert abs(schedule_of(successor).find(7).at - (clock.now + 1.0)) < 0.01
+    assert schedule_of(successor).find(8) is None, "its caller can no longer return"
+    assert schedule_of(successor).find(9) is None, "it had ended"
