soak: one team's callers flood and ignore Retry-After

Cause: no fault of the soak made requests compete for engines. Change: fault callers_flood, drawn from a source of its own so that the plans of existing seeds keep their faults; 40 streams a second, resent up to three times at once; nodes of this build switch on the features of overload.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -139,6 +139,7 @@
 
     :param folder: folder for settings and logs.
     :param zones: the failure domain of each node.
+    :ivar features: features of the pools' policy that nodes of this build switch on.
     """
 
     def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
@@ -148,6 +149,7 @@
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
         self.limits = {"retry_slack": 100.0}
+        self.features: list[str] = []
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -240,13 +242,19 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            f"[limits]\n{limits}",
+            f"[limits]\n{limits}" + self._scheduling_section(node),
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
         other = {} if node.source is None else {"PYTHONPATH": str(node.source)}
         node.popen = spawn(command, self.folder / f"{name}.log", other)
 
+    def _scheduling_section(self, node: "GatewayProcess") -> str:
+        """Return the settings that switch features on; another build may not know them."""
+        if not self.features or node.source is not None:
+            return ""
+        return f"[scheduling]\non = {json.dumps(self.features)}\n"
+
     # Requests.
 
     async def is_ready(self, name: str) -> bool:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -50,6 +50,7 @@
             "quota_over": QUOTA_OVER,
             "quota_slack": QUOTA_SLACK,
         }
+        self.features = ["fair_admission", "reserved_retries"]
         self.tenants: list[dict[str, Any]] = [
             {"name": TEAM, "api-keys": [KEY], "priority": 1},
             {
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -49,6 +49,7 @@
     :param observations: receives the records of the faults, for the checkers.
     :param now: returns the seconds since the run began.
     :param send_crashing: makes callers send a body for some seconds.
+    :param send_flood: makes one team send far more than usual for some seconds.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -58,17 +59,21 @@
         observations: Observations,
         now: Callable[[], float],
         send_crashing: Callable[[bytes, float], None],
+        send_flood: Callable[[float], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
         self._now = now
         self.send_crashing = send_crashing
+        self.send_flood = send_flood
         self.active_targets: set[str] = set()
         self._version = 1
 
     async def inject_fault(self, step: FaultStep) -> None:
         """Apply one fault and end it; a fault is skipped while its target has another one."""
         place = step.target or "store"
+        if step.fault is Fault.CALLERS_FLOOD:
+            place = "callers"
         if step.fault is Fault.REPLICA_LIMITS:
             # An announced limit may overlap with any other fault of the same replica.
             place = f"{place}, limit"
@@ -127,6 +132,9 @@
             await self._write_foreign_records(step)
         elif step.fault is Fault.CRASHING_REQUEST:
             await self._send_crashing_body(step)
+        elif step.fault is Fault.CALLERS_FLOOD:
+            self.send_flood(step.duration_s)
+            await asyncio.sleep(step.duration_s)
         else:
             await self._change_configuration()
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -52,6 +52,7 @@
     REPLICA_SAYS_LEAVING = "replica_says_leaving"
     REPLICA_LIMITS = "replica_limits"
     STORE_RESTORED = "store_restored"
+    CALLERS_FLOOD = "callers_flood"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -67,7 +68,11 @@
 LIMIT_SEED_MASK = 0x11317
 RESTORE_FAULTS = (Fault.STORE_RESTORED,)
 RESTORE_SEED_MASK = 0xE90C
-SEPARATELY_DRAWN_FAULTS = frozenset((*LATER_FAULTS, *ANSWER_FAULTS, *LIMIT_FAULTS, *RESTORE_FAULTS))
+LOAD_FAULTS = (Fault.CALLERS_FLOOD,)
+LOAD_SEED_MASK = 0x10AD
+SEPARATELY_DRAWN_FAULTS = frozenset(
+    (*LATER_FAULTS, *ANSWER_FAULTS, *LIMIT_FAULTS, *RESTORE_FAULTS, *LOAD_FAULTS)
+)
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
 # The name under which a roll (hosts replaced one by one by another build) is recorded as a fault.
 ROLL = "roll"
@@ -152,6 +157,7 @@
         (ANSWER_FAULTS, ANSWER_SEED_MASK),
         (LIMIT_FAULTS, LIMIT_SEED_MASK),
         (RESTORE_FAULTS, RESTORE_SEED_MASK),
+        (LOAD_FAULTS, LOAD_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -47,6 +47,10 @@
 # after its fault has ended, in seconds.
 CRASHING_INTERVAL_S = 0.3
 CRASHING_EXTRA_S = 5.0
+# Requests a second during a flood of one team, and how often its callers resend a refused one: some
+# callers were seen to ignore Retry-After up to three times.
+FLOOD_PER_S = 40.0
+FLOOD_RESENDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +128,7 @@
         self._random = random.Random(seed + 1)
         self._numbers = itertools.count(1)
         self._began = time.monotonic()
-        self._crashing: list[asyncio.Task[None]] = []
+        self._extra_callers: list[asyncio.Task[None]] = []
         self.observations = Observations(
             retry_limit=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
             stream=whole_stream(),
@@ -140,7 +144,11 @@
     async def play_faults(self) -> Observations:
         """Send requests while faults are injected, then wait until all nodes serve again."""
         injector = Injector(
-            self._fleet, self.observations, self.elapsed_s, self._start_crashing_caller
+            self._fleet,
+            self.observations,
+            self.elapsed_s,
+            self._start_crashing_caller,
+            self._start_flood,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -156,7 +164,7 @@
             await asyncio.sleep(max(0.0, step.at - self.elapsed_s()))
             injections.append(asyncio.create_task(injector.inject_fault(step)))
         await callers
-        await asyncio.gather(*self._crashing)
+        await asyncio.gather(*self._extra_callers)
         await asyncio.gather(*injections)
         self.observations.recovered_s = await self._wait_for_recovery()
         self._collect_replica_records()
@@ -185,7 +193,9 @@
         await asyncio.gather(*tasks)
 
     def _start_crashing_caller(self, body: bytes, seconds: float) -> None:
-        self._crashing.append(asyncio.create_task(self._repeat_crashing_request(body, seconds)))
+        self._extra_callers.append(
+            asyncio.create_task(self._repeat_crashing_request(body, seconds))
+        )
 
     async def _repeat_crashing_request(self, body: bytes, seconds: float) -> None:
         """Repeat one request at random nodes for longer than the nodes need to quarantine it."""
@@ -196,6 +206,25 @@
             await self._send_request(node, path, TEAM, body)
             await asyncio.sleep(CRASHING_INTERVAL_S)
 
+    def _start_flood(self, seconds: float) -> None:
+        self._extra_callers.append(asyncio.create_task(self._flood(seconds)))
+
+    async def _flood(self, seconds: float) -> None:
+        """Send streams of one team far faster than the engines serve them."""
+        until = min(self.elapsed_s() + seconds, self._config.seconds)
+        tasks: list[asyncio.Task[None]] = []
+        while self.elapsed_s() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            tasks.append(asyncio.create_task(self._send_stubbornly(node)))
+            await asyncio.sleep(1.0 / FLOOD_PER_S)
+        await asyncio.gather(*tasks)
+
+    async def _send_stubbornly(self, node: str) -> None:
+        """Send a request and, while it is refused, resend it at once despite its Retry-After."""
+        for _ in range(1 + FLOOD_RESENDS):
+            if await self._send_request(node, "/chat/1", TEAM) != 503:
+                return
+
     async def _send_request(self, node: str, path: str, team: str, body: bytes = b"{}") -> int:
         name = f"r{self._seed}-{next(self._numbers)}"
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
