scheduling: reserved slots stay as they are for long requests

Cause: taking reserved slots before the latest start delayed short streams in the usual load. Change: reverted to the rule of headroom; long requests still wait for an engine that completes them.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -28,9 +28,6 @@
 
 # Number of requests of one tier that one decision examines; it bounds the time of the decision.
 MAX_EXAMINED_REQUESTS = 8
-# Time before its latest start from which a long request may take a reserved slot, in seconds: some
-# slots of a busy pool become free within it.
-HEADROOM_SLACK_S = 1.0
 
 
 class _Decision(msgspec.Struct, frozen=True):
@@ -130,7 +127,7 @@
         now, openings = decision.now, decision.openings
         if not openings.usable_upstreams(item.route, item.domain, item.entry):
             return False
-        if self._must_leave_headroom(item, now) and not self._leaves_headroom(item, openings):
+        if self._features.headroom and item.is_long and not self._leaves_headroom(item, openings):
             return False
         depths = self._pool.prefixes.matches(item.blocks)
         candidates = openings.candidates(
@@ -149,17 +146,6 @@
         openings.invalidate_slots()
         return True
 
-    def _must_leave_headroom(self, item: WaitingRequest, now: float) -> bool:
-        """Return whether slots are reserved from a request.
-
-        With fair admission, none are reserved from a long request that must start soon.
-        """
-        if not self._features.headroom or not item.is_long:
-            return False
-        if not self._features.fair_admission:
-            return True
-        return item.latest_start > now + HEADROOM_SLACK_S
-
     def _leaves_headroom(self, item: WaitingRequest, openings: Openings) -> bool:
         """Return whether enough slots stay free for higher tiers if a long request starts."""
         free = openings.free_slots(item.route, item.domain, item.entry)
