scheduling: refuse lower tiers in the order of shared upstreams

Cause: a refusal at arrival sheds the lower tiers that share upstreams with it, but one of these may share upstreams with a still lower tier, and shedding it broke the invariant of strict tiers and ended the process. Change: follow the overlaps down the tiers. Result: the new test fails with InvariantBroken before and passes now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -152,19 +152,28 @@
         )
 
     def lower_tier_waiting(self, item: WaitingRequest) -> list[WaitingRequest]:
-        """List the waiting requests of lower tiers for the same upstreams, lowest tier first.
+        """List the waiting requests that must be refused before a request, lowest tier first.
+
+        These are the ones of lower tiers for the same upstreams and, in turn, those of still lower
+        tiers that share upstreams with one of them.
 
         :rtype: list[WaitingRequest]
         """
         if not self.has_lower_tier_waiting(item):
             return []
-        ranks = sorted((rank for rank in self.queues if rank > item.rank), reverse=True)
-        return [
-            each
-            for rank in ranks
-            for each in self.queues[rank].items()
-            if (each.route, item.route) in self.overlaps
-        ]
+        found: list[WaitingRequest] = []
+        routes = {item.route}
+        for rank in sorted(each for each in self.queues if each > item.rank):
+            sharing = {
+                route
+                for (other, route), count in self.waiting_counts.items()
+                if other == rank
+                and count
+                and any((route, each) in self.overlaps for each in routes)
+            }
+            found += (each for each in self.queues[rank].items() if each.route in sharing)
+            routes |= sharing
+        return found[::-1]
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether any upstream that accepts new requests has a free slot.
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
@@ -0,0 +1,103 @@
+"""Refusals at arrival and returns at assigned times; see chalkyoke.scheduling.admission."""
+
+import itertools
+
+from chalkyoke.gateway.settings import GATEWAY_FEATURES
+from chalkyoke.scheduling.messages import Acquire, Grant, Release, Shed, Usage
+from chalkyoke.scheduling.scheduler import PoolScheduler
+from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+from msgspec.structs import replace
+
+ON = replace(GATEWAY_FEATURES, fair_admission=True, reserved_retries=True)
+NUMBERS = itertools.count(1)
+
+
+def full_pool():
+    """Return a scheduler whose two slots are in use."""
+    engines = tuple(UpstreamSpec(each, "a:1", "z", 1, 1000.0, 100.0) for each in "ef")
+    tiers = tuple(TierSpec(str(rank), rank) for rank in range(3))
+    routes = tuple(RouteSpec(each, frozenset(each)) for each in ("e", "f", "ef"))
+    spec = PoolSpec("p", engines, tiers, (TeamSpec("a"), TeamSpec("b")), routes)
+    scheduler = PoolScheduler(spec, lambda: 0.5, 0.0, features=ON)
+    assert all(isinstance(send(scheduler, now=0.1)[-1], Grant) for _ in range(2))
+    return scheduler
+
+
+def send(scheduler, team="a", tier="0", now=0.2, fingerprint=0, route="ef"):
+    request = f"q{next(NUMBERS)}"
+    message = Acquire(
+        request,
+        1,
+        "p",
+        route,
+        tier,
+        team,
+        500,
+        100,
+        (),
+        4.0,
+        0.0,
+        1.0,
+        50,
+        3.0,
+        0.0,
+        12.0,
+        fingerprint,
+    )
+    return [out.action for out in scheduler.acquire("n", "z", message, now)]
+
+
+def first_refusal(scheduler, **options):
+    """Send requests of one team until one is refused; return its refusal."""
+    for number in range(1, 100):
+        for action in send(scheduler, fingerprint=number, **options):
+            if isinstance(action, Shed):
+                return action, number
+    raise AssertionError("none is refused")
+
+
+def test_the_queue_of_one_team_refuses_no_request_of_another():
+    """Guards against refusals of a team because of others' queues."""
+    scheduler = full_pool()
+    first_refusal(scheduler, team="a")
+    assert not send(scheduler, team="b")
+
+
+def test_waiting_requests_of_a_lower_tier_are_refused_before_a_higher_one():
+    """Guards against a higher tier that is shed while a lower one waits."""
+    scheduler = full_pool()
+    assert not send(scheduler, tier="1")
+    first_refusal(scheduler, team="a")
+    assert {item.rank for item in scheduler.waiting_items()} == {0}
+
+
+def test_requests_that_share_upstreams_only_indirectly_are_refused_first_too():
+    """Guards against a broken invariant where routes of a pool overlap in a chain."""
+    scheduler = full_pool()
+    assert not send(scheduler, route="f", tier="2")
+    assert not send(scheduler, route="ef", tier="1")
+    first_refusal(scheduler, route="e")
+    assert {item.rank for item in scheduler.waiting_items()} == {0}
+
+
+def test_a_caller_that_returns_early_is_told_the_rest_of_its_time_and_then_goes_first():
+    """Guards against callers that gain by ignoring Retry-After, and lose by respecting it."""
+    scheduler = full_pool()
+    refused, caller = first_refusal(scheduler)
+    at = 0.2 + refused.retry_after_s
+    early = send(scheduler, now=0.3, fingerprint=caller)[-1]
+    assert abs(0.3 + early.retry_after_s - at) < 0.02
+    assert not send(scheduler, now=at, fingerprint=caller)
+    first = next(scheduler._pool.queues[0].ordered_queues()).front()[0]
+    assert first.fingerprint == caller
+
+
+def test_nothing_is_refused_while_a_slot_is_free_and_nothing_waits():
+    """Guards against reserved work that refuses requests which nothing delays."""
+    scheduler = full_pool()
+    first_refusal(scheduler)
+    for item in [*scheduler.waiting_items()]:
+        scheduler._pool.remove_waiting(item)
+    running = next(iter(scheduler._pool.running))
+    scheduler.release("z", Release(running, 1, "p", "delivered", Usage(500, 0, 50, 0.1, 0.2)), 0.3)
+    assert isinstance(send(scheduler, now=0.3)[-1], Grant)
--- a/tests/overload.py
+++ b/tests/overload.py
@@ -107,6 +107,7 @@
                 self.random_blocks(),
                 self.random.choice([0.3, 2, 6, 20]),
                 0.0,
+                **self.goal_fields(),
             )
             self.waiting[name] = acquire
             entry = f"entry{self.random.randrange(3)}"
@@ -116,6 +117,10 @@
                     self.waiting[name] = acquire
                 self.apply_actions(self.scheduler.acquire(entry, "d1", acquire, self.now))
 
+    def goal_fields(self):
+        """Return the fields of an acquire that set a goal; none by default."""
+        return {}
+
     def random_blocks(self):
         start = 100 * self.random.randrange(4)
         return tuple(range(start, start + self.random.randrange(8)))
@@ -237,9 +242,17 @@
             )
 
 
-def run_overload(seed, steps=1500, scheduler_class=PoolScheduler):
+class GoalOverload(Overload):
+    """Overload by requests with goals, whose callers return or ignore their Retry-After."""
+
+    def goal_fields(self):
+        caller = self.random.randrange(200)
+        return {"goal_s": 0.2, "comes_back_s": 2.0, "whole_s": 20.0, "fingerprint": caller}
+
+
+def run_overload(seed, steps=1500, scheduler_class=PoolScheduler, overload_class=Overload):
     """Drive a scheduler with one seed; return the driver with its counts and decisions."""
-    run = Overload(seed, scheduler_class)
+    run = overload_class(seed, scheduler_class)
     for _ in range(steps):
         run.step()
     return run
