scheduling: a whole copy of reservations keeps the pending changes

Cause: a copy for one new scheduler cleared the changes that the successors had not been sent, so they lacked these for up to 3 s. Change: only the messages of changes clear them. Result: the tests of the hand-off pass.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
@@ -181,9 +181,7 @@
     # Copies for successors.
 
     def export_all(self, now: float) -> tuple[RetryReservation, ...]:
-        """List all reservations, with times relative to now."""
-        self._changed.clear()
-        self._ended.clear()
+        """List all reservations, with times relative to now; changes are told again later."""
         return tuple(_to_message(each, now) for each in self._pending.values())
 
     def take_changes(self, now: float) -> tuple[tuple[RetryReservation, ...], tuple[int, ...]]:
