scheduling: the order of retries is not their due time

Cause: a retry at its assigned time was given a due time 1,000 s in the past to precede others of its team, and the check for closed upstreams refused it at once although they opened within its goal. Change: the order is a property of its own; the due time stays the goal. Result: the new test fails before and passes now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -31,11 +31,11 @@
 
     def push(self, item: WaitingRequest) -> None:
         """Add a request in its order."""
-        insort(self._items, (item.late, item.due, item.order, item))
+        insort(self._items, (item.late, item.precedence, item.order, item))
 
     def discard(self, item: WaitingRequest) -> None:
         """Remove a request; its ``late`` flag must be the same as when it was added."""
-        del self._items[bisect_left(self._items, (item.late, item.due, item.order))]
+        del self._items[bisect_left(self._items, (item.late, item.precedence, item.order))]
 
     def front(self) -> list[WaitingRequest]:
         """List the first few requests, earliest deadline first.
@@ -169,7 +169,7 @@
         return iter(
             sorted(
                 self._queues.values(),
-                key=lambda each: (each.front()[0].due, each.name, each.route),
+                key=lambda each: (each.front()[0].precedence, each.name, each.route),
             )
         )
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -27,8 +27,8 @@
 MAX_STALLED_SHARE = 0.6
 # How much earlier a promised retry counts as due, in seconds: as long as the longest goals.
 RETRY_DUE_ADVANCE_S = 1.0
-# How much earlier than its assigned time a retry counts as due, in seconds: longer than any goal,
-# so that it precedes all new requests of its team.
+# How much earlier than its assigned time a retry is ordered, in seconds: longer than any goal, so
+# that it precedes all new requests of its team.
 RETRY_PRECEDENCE_S = 1000.0
 
 
@@ -178,16 +178,25 @@
     def due(self) -> float:
         """When the first output (with a goal) or the complete answer (without one) is due.
 
-        A request that is late for its goal is due when it must start to be completed at all: a long
-        one earlier than a short one. A promised retry counts as due earlier and so precedes new
-        requests; retries with assigned times are ordered by these.
+        A promised retry without an assigned time counts as due earlier.
+        """
+        due = min(self.goal, self.deadline)
+        advanced = self.is_promised_retry and not self.assigned_at
+        return due - RETRY_DUE_ADVANCE_S if advanced else due
+
+    @property
+    def precedence(self) -> float:
+        """The order among the requests of a team, as a time: the lowest goes first.
+
+        Requests are ordered by their due times. One that is late for its goal is ordered by the
+        time at which it must start to be completed at all: a long one before a short one. Retries
+        with assigned times precede all others, in the order of these times.
         """
         if self.assigned_at:
             return self.assigned_at - RETRY_PRECEDENCE_S
         if self.late and self.latest_start < math.inf:
             return self.latest_start
-        due = min(self.goal, self.deadline)
-        return due - RETRY_DUE_ADVANCE_S if self.is_promised_retry else due
+        return self.due
 
 
 class RunningRequest(msgspec.Struct, eq=False):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
@@ -101,3 +101,20 @@
     running = next(iter(scheduler._pool.running))
     scheduler.release("z", Release(running, 1, "p", "delivered", Usage(500, 0, 50, 0.1, 0.2)), 0.3)
     assert isinstance(send(scheduler, now=0.3)[-1], Grant)
+
+
+def waiting_retry(scheduler):
+    """Let a refused caller return at its assigned time; return its waiting request."""
+    refused, caller = first_refusal(scheduler)
+    assert not send(scheduler, now=0.2 + refused.retry_after_s, fingerprint=caller)
+    return next(each for each in scheduler.waiting_items() if each.fingerprint == caller)
+
+
+def test_a_returned_caller_is_held_for_upstreams_that_open_within_its_goal():
+    """Guards against the order of retries being taken for a due time that has passed."""
+    scheduler = full_pool()
+    item = waiting_retry(scheduler)
+    now = item.assigned_at + 0.1
+    for upstream in scheduler.upstreams.values():
+        upstream.declines.record_decline("z", now, now)
+    assert item.request not in {out.action.request for out in scheduler._refuser._refuse_closed(now)}
