scheduling: no time is assigned beyond the longest Retry-After

Cause: a caller with a long deadline could be assigned a time more than 60 s away, but was told 60 s, so it returned too early; the search for an interval also grew with the deadline. Change: the latest return is bounded by MAX_RETRY_S. Result: the new test fails before and passes now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/admission.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/admission.py
@@ -207,7 +207,7 @@
 
     def _latest_return(self, item: WaitingRequest, now: float) -> float:
         """Return the latest time at which a retry suits its caller and can still be completed."""
-        latest = now + item.max_retry_after_s
+        latest = now + min(MAX_RETRY_S, item.max_retry_after_s)
         if item.latest_start < item.deadline:
             latest = min(latest, item.latest_start)
         return latest
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
@@ -129,3 +129,13 @@
     item.goal = item.assigned_at
     scheduler._refuser.shed_late(item.assigned_at + 0.1)
     assert item.request in scheduler._pool.waiting and not item.late
+
+
+def test_no_time_is_assigned_beyond_the_longest_retry_after():
+    """Guards against callers with long deadlines that are told to return before their times."""
+    scheduler = full_pool()
+    item = waiting_retry(scheduler)
+    item.max_retry_after_s, item.latest_start, item.fingerprint = 900.0, 900.0, 99
+    item.deadline, item.work = 2000.0, 40.0
+    told = scheduler.admission.retry_after_s(item, 3.0)
+    assert abs(scheduler.admission.schedule.find(99).at - 3.0 - told) < 0.02
