--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -144,6 +144,7 @@
     :param folder: folder for settings and logs.
     :param zones: the failure domain of each node.
     :ivar memory: the ``memory`` section of the settings of all nodes.
+    :ivar features: features of the pools' policy that nodes of this build switch on.
     """
 
     def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
@@ -154,6 +155,7 @@
         self.session: aiohttp.ClientSession
         self.limits: dict[str, float | str] = {"retry_slack": 100.0}
         self.memory: dict[str, Any] = {}
+        self.features: list[str] = []
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -251,14 +253,18 @@
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
-            f"[limits]\n{limits}[memory]\n{memory}"
-            f'[scheduling]\nplain_services = "auto"\n',
+            f"[limits]\n{limits}[memory]\n{memory}" + self._scheduling_section(node),
             encoding="utf-8",
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
         other = {} if node.source is None else {"PYTHONPATH": str(node.source)}
         node.popen = spawn(command, self.folder / f"{name}.log", other)
 
+    def _scheduling_section(self, node: "GatewayProcess") -> str:
+        """Return the settings of the pools' policy; another build may not know the features."""
+        features = [] if node.source is not None else self.features
+        return f'[scheduling]\nplain_services = "auto"\non = {json.dumps(features)}\n'
+
     # Requests.
 
     async def is_ready(self, name: str) -> bool:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -54,6 +54,7 @@
             "quota_snapshots": "true",
         }
         self.memory = {"limit_mb": HOST_MB, "accounted": True}
+        self.features = ["fair_admission", "reserved_retries"]
         self.tenants: list[dict[str, Any]] = [
             {"name": TEAM, "api-keys": [KEY], "priority": 1},
             {
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -58,6 +58,7 @@
     :param send_crashing: makes callers send a body for some seconds.
     :param start_slow_readers: makes callers of a node read long answers slowly.
     :param send_burst: makes callers send plain requests at a rate per second for some seconds.
+    :param send_flood: makes one team send far more than usual for some seconds.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -69,6 +70,7 @@
         send_crashing: Callable[[bytes, float], None],
         start_slow_readers: Callable[[str], None],
         send_burst: Callable[[float, float], Awaitable[None]],
+        send_flood: Callable[[float], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -76,6 +78,7 @@
         self.send_crashing = send_crashing
         self._start_slow_readers = start_slow_readers
         self.send_burst = send_burst
+        self.send_flood = send_flood
         self.active_targets: set[str] = set()
         self._version = 1
 
@@ -88,6 +91,8 @@
         place = step.target or "store"
         if step.fault is Fault.PLAIN_BURST:
             place = "burst"
+        if step.fault is Fault.CALLERS_FLOOD:
+            place = "callers"
         if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED):
             # These may overlap with any other fault of the same replica.
             place = f"{place}, {step.fault}"
@@ -149,6 +154,9 @@
             await self._send_crashing_body(step)
         elif step.fault is Fault.PLAIN_BURST:
             await self._fill_plain_replicas(step)
+        elif step.fault is Fault.CALLERS_FLOOD:
+            self.send_flood(step.duration_s)
+            await asyncio.sleep(step.duration_s)
         else:
             await self._change_configuration()
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -55,6 +55,7 @@
     SLOW_READERS = "slow_readers"
     PLAIN_BURST = "plain_burst"
     REPLICA_DISTURBED = "replica_disturbed"
+    CALLERS_FLOOD = "callers_flood"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -76,6 +77,8 @@
 BURST_SEED_MASK = 0xB0857
 DISTURBANCE_FAULTS = (Fault.REPLICA_DISTURBED,)
 DISTURBANCE_SEED_MASK = 0xD157
+LOAD_FAULTS = (Fault.CALLERS_FLOOD,)
+LOAD_SEED_MASK = 0x10AD
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -85,6 +88,7 @@
         *READER_FAULTS,
         *BURST_FAULTS,
         *DISTURBANCE_FAULTS,
+        *LOAD_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -174,6 +178,7 @@
         (READER_FAULTS, READER_SEED_MASK),
         (BURST_FAULTS, BURST_SEED_MASK),
         (DISTURBANCE_FAULTS, DISTURBANCE_SEED_MASK),
+        (LOAD_FAULTS, LOAD_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -53,6 +53,11 @@
 SLOW_ANSWER_BYTES = 600_000
 READ_PAUSE_S = 0.25
 
+# Requests a second during a flood of one team, and how often its callers resend a refused one: some
+# callers were seen to ignore Retry-After up to three times.
+FLOOD_PER_S = 40.0
+FLOOD_RESENDS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class RunConfig:
@@ -129,7 +134,7 @@
         self._random = random.Random(seed + 1)
         self._numbers = itertools.count(1)
         self._began = time.monotonic()
-        self._crashing: list[asyncio.Task[None]] = []
+        self._extra_callers: list[asyncio.Task[None]] = []
         self._slow_readers: list[asyncio.Task[int]] = []
         self.observations = Observations(
             retry_limit=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
@@ -152,6 +157,7 @@
             self._start_crashing_caller,
             self._start_slow_readers,
             self._send_burst,
+            self._start_flood,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -167,7 +173,7 @@
             await asyncio.sleep(max(0.0, step.at - self.elapsed_s()))
             injections.append(asyncio.create_task(injector.inject_fault(step)))
         await callers
-        await asyncio.gather(*self._crashing)
+        await asyncio.gather(*self._extra_callers)
         await asyncio.gather(*self._slow_readers)
         await asyncio.gather(*injections)
         self.observations.recovered_s = await self._wait_for_recovery()
@@ -197,7 +203,9 @@
         await asyncio.gather(*tasks)
 
     def _start_crashing_caller(self, body: bytes, seconds: float) -> None:
-        self._crashing.append(asyncio.create_task(self._repeat_crashing_request(body, seconds)))
+        self._extra_callers.append(
+            asyncio.create_task(self._repeat_crashing_request(body, seconds))
+        )
 
     async def _repeat_crashing_request(self, body: bytes, seconds: float) -> None:
         """Repeat one request at random nodes for longer than the nodes need to quarantine it."""
@@ -227,6 +235,25 @@
             await asyncio.sleep(self._random.expovariate(rate_per_s))
         await asyncio.gather(*tasks)
 
+    def _start_flood(self, seconds: float) -> None:
+        self._extra_callers.append(asyncio.create_task(self._flood(seconds)))
+
+    async def _flood(self, seconds: float) -> None:
+        """Send streams of one team far faster than the engines serve them."""
+        until = min(self.elapsed_s() + seconds, self._config.seconds)
+        tasks: list[asyncio.Task[None]] = []
+        while self.elapsed_s() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            tasks.append(asyncio.create_task(self._send_stubbornly(node)))
+            await asyncio.sleep(1.0 / FLOOD_PER_S)
+        await asyncio.gather(*tasks)
+
+    async def _send_stubbornly(self, node: str) -> None:
+        """Send a request and, while it is refused, resend it at once despite its Retry-After."""
+        for _ in range(1 + FLOOD_RESENDS):
+            if await self._send_request(node, "/chat/1", TEAM) != 503:
+                return
+
     async def _send_request(
         self, node: str, path: str, team: str, body: bytes = b"{}", *, read_pause_s: float = 0.0
     ) -> int:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chalkyoke.invariants import require
+from chalkyoke.scheduling.admission import FairAdmission
 from chalkyoke.scheduling.headroom import Headroom
 from chalkyoke.scheduling.messages import Grant
 from chalkyoke.scheduling.placement import (
@@ -16,6 +17,7 @@
     Features,
     Placement,
     choose_upstream,
+    complete_time_s,
     streams_stalled_by,
 )
 from chalkyoke.scheduling.pool import PoolState
@@ -47,15 +49,22 @@
 
     :param pool: state of the pool.
     :param headroom: provides the number of slots reserved for higher tiers.
+    :param admission: records the work that teams get.
     """
 
     def __init__(
-        self, pool: PoolState, counters: Counters, features: Features, headroom: Headroom
+        self,
+        pool: PoolState,
+        counters: Counters,
+        features: Features,
+        headroom: Headroom,
+        admission: FairAdmission,
     ) -> None:
         self._pool = pool
         self._counters = counters
         self._features = features
         self._headroom = headroom
+        self._admission = admission
 
     def grant_waiting(self, now: float) -> list[AddressedAction]:
         """Grant all requests that can start: by strict tier, then fair share, then deadline.
@@ -151,7 +160,9 @@
         prediction = placement.prediction
         assert prediction is not None
         if item.has_goal:
-            return now + prediction.first_s <= item.deadline
+            if now + prediction.first_s > item.deadline:
+                return False
+            return not self._features.fair_admission or self._finishes(item, placement, now)
         if now + prediction.cautious_s <= item.deadline:
             return True
         if now + prediction.optimistic_s > item.deadline:
@@ -160,6 +171,20 @@
             return False
         return item.late or self._pool.waiting_counts[item.rank, item.route] == 1
 
+    def _finishes(self, item: WaitingRequest, placement: Placement, now: float) -> bool:
+        """Return whether a request is better started now than held for a faster upstream.
+
+        A long answer that the chosen upstream cannot complete by its due time would hold a slot
+        until it is cut. It waits for an upstream that completes it, while one can.
+        """
+        prediction = placement.prediction
+        assert prediction is not None
+        if now + prediction.finish_s <= item.answer_due:
+            return True
+        fastest = self._pool.fastest(item.route, now)
+        shortest = min((complete_time_s(item, each) for each in fastest), default=math.inf)
+        return now + shortest > item.answer_due
+
     def grant_request(
         self, item: WaitingRequest, placement: Placement, now: float
     ) -> AddressedAction:
@@ -213,6 +238,8 @@
         upstream.declines.record_probe(item.domain, now)
         self._counters.granted += 1
         self._headroom.record_grant(item.rank, now)
+        if self._features.fair_admission:
+            self._admission.record_grant(item.team, item.work)
         leaves_domain = upstream.spec.failure_domain != item.domain
         return AddressedAction(item.entry, self.grant_message(running), leaves_domain=leaves_domain)
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -31,6 +31,9 @@
 MAX_STALLED_SHARE = 0.6
 # How much earlier a promised retry counts as due, in seconds: as long as the longest goals.
 RETRY_DUE_ADVANCE_S = 1.0
+# How much earlier than its assigned time a retry is ordered, in seconds: longer than any goal, so
+# that it precedes all new requests of its team.
+RETRY_PRECEDENCE_S = 1000.0
 
 
 class ReleaseOutcome(StrEnum):
@@ -146,6 +149,10 @@
     :param hint: the caller's own estimate of the output, in tokens; 0 where none is given.
     :param tried_upstreams: upstreams that the request was already sent to.
     :param is_promised_retry: whether the request follows a refusal with Retry-After.
+    :param latest_start: when the request must start so that its first output and its complete
+        answer are in time, on the scheduler's own clock; infinite where it was not computed.
+    :param assigned_at: the time at which a retry was told to return, on the scheduler's own clock;
+        0 where no time was assigned.
     :param is_long: whether the request holds its slot long enough to delay higher tiers.
     """
 
@@ -172,6 +179,8 @@
     answer_due: float = math.inf
     fingerprint: int = 0
     is_promised_retry: bool = False
+    latest_start: float = math.inf
+    assigned_at: float = 0.0
     hint: int = 0
     tried_upstreams: tuple[str, ...] = ()
 
@@ -184,10 +193,25 @@
     def due(self) -> float:
         """When the first output (with a goal) or the complete answer (without one) is due.
 
-        A promised retry counts as due earlier and so precedes new requests.
+        A promised retry without an assigned time counts as due earlier.
         """
         due = min(self.goal, self.deadline)
-        return due - RETRY_DUE_ADVANCE_S if self.is_promised_retry else due
+        advanced = self.is_promised_retry and not self.assigned_at
+        return due - RETRY_DUE_ADVANCE_S if advanced else due
+
+    @property
+    def precedence(self) -> float:
+        """The order among the requests of a team, as a time: the lowest goes first.
+
+        Requests are ordered by their due times. One that is late for its goal is ordered by the
+        time at which it must start to be completed at all: a long one before a short one. Retries
+        with assigned times precede all others, in the order of these times.
+        """
+        if self.assigned_at:
+            return self.assigned_at - RETRY_PRECEDENCE_S
+        if self.late and self.latest_start < math.inf:
+            return self.latest_start
+        return self.due
 
 
 class RunningRequest(msgspec.Struct, eq=False):
--- a/tests/shiftedload.py
+++ b/tests/shiftedload.py
@@ -99,6 +99,7 @@
     prompt: int
     output: int
     estimated_output: int
+    team: str = "t"
 
 
 @dataclass
@@ -120,6 +121,8 @@
 
     time_factor: float
     runs: dict[str, Run] = field(default_factory=dict)
+    token_s: float = TOKEN_S
+    read_tokens_per_s: float = READ_TOKENS_PER_S
 
     def advance(self, now, work_s=STEP_S):
         """Advance all runs by one time step of ``STEP_S``.
@@ -129,11 +132,11 @@
         :return: runs that produced their first token, and finished runs.
         """
         reading = [each for each in self.runs.values() if each.read_left_s > 0]
-        step_s = self.time_factor * (TOKEN_S + 0.00002 * len(self.runs))
+        step_s = self.time_factor * (self.token_s + 0.00002 * len(self.runs))
         left_s = work_s
         if reading:
             # One chunk of a prompt is read between two tokens, which takes most of the time.
-            piece_s = self.time_factor * PREFILL_CHUNK_TOKENS / READ_TOKENS_PER_S
+            piece_s = self.time_factor * PREFILL_CHUNK_TOKENS / self.read_tokens_per_s
             share = piece_s / (piece_s + step_s)
             reading[0].read_left_s -= work_s * share
             left_s -= work_s * share
@@ -184,9 +187,11 @@
     :param bursts: tuples of the start and end in seconds, the factor on the arrival rate, and the
         name of the kind of request (empty for all kinds).
     :param load: factor on all arrival rates.
+    :cvar kinds: the kinds of requests, and the teams that the pool's configuration names.
     """
 
     kinds = KINDS
+    teams = (TeamSpec("t"),)
     gap_goal_s = GAP_GOAL_S
 
     def __init__(self, seed, bursts=(), load=1.0, engines=70, features=GATEWAY_FEATURES):
@@ -199,7 +204,7 @@
             "p",
             upstreams,
             tuple(TierSpec(str(each.tier), each.tier) for each in self.kinds),
-            (TeamSpec("t"),),
+            self.teams,
             tuple(RouteSpec(each.name, names) for each in self.kinds),
         )
         scheduler_rng = random.Random(seed + 1)
@@ -276,12 +281,16 @@
         output = lognormal(self.rng, *kind.output)
         estimated_output = max(1, int(output * self.rng.lognormvariate(0.0, 0.5)))
         prompt = lognormal(self.rng, *kind.prompt)
-        demand = Demand(f"d{next(self.sequence)}", kind, at, prompt, output, estimated_output)
+        name, team = f"d{next(self.sequence)}", self.draw_team(at)
+        demand = Demand(name, kind, at, prompt, output, estimated_output, team)
         self.demands[demand.id] = demand
         for score in self.scores_of(demand):
             score.asked += 1
         self.send_acquire(demand, at)
 
+    def draw_team(self, at):
+        return "t"
+
     def scores_of(self, demand):
         """Yield the scores that count a demand: its kind, and the tenth with most output."""
         yield self.scores[demand.kind.name]
@@ -301,7 +310,7 @@
             pool="p",
             route=kind.name,
             tier=str(kind.tier),
-            team="t",
+            team=demand.team,
             prompt_tokens=demand.prompt,
             max_output=kind.output[2],
             blocks=(),
@@ -339,7 +348,7 @@
 
     def start_run(self, demand, grant):
         engine = self.engines[grant.upstream]
-        read_s = SETUP_S + demand.prompt / READ_TOKENS_PER_S
+        read_s = SETUP_S + demand.prompt / engine.read_tokens_per_s
         engine.runs[demand.id] = Run(
             demand, grant.attempt, self.now, grant.expected_first_s, read_s * engine.time_factor
         )
@@ -365,7 +374,7 @@
         demand = run.demand
         usage = Usage(
             demand.prompt,
-            int(run.tokens),
+            output_tokens=int(run.tokens),
             first_s=run.first_at - run.started_at if run.first_at else -1.0,
             total_s=self.now - run.started_at,
         )
