gateway: build no release that no scheduler gets

Cause: a plain request that is not queued built a release message and then sent it to nobody. Change: return before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -314,9 +314,12 @@
         self._balancer.stats(granted.replica.id).outstanding -= 1
         if granted.permit is not None and not granted.started_at:
             self._permits.return_permit(granted.permit)
+        informed = self._informed_schedulers(admission.service, granted)
+        if not informed:
+            return
         rest_s = self._balancer.stats(granted.replica.id).rest_left_s(self._now())
         message = release_message(admission, granted, outcome, rest_s, self._now())
-        for process in self._informed_schedulers(admission.service, granted):
+        for process in informed:
             self._schedulers.send(process, message)
 
     def _informed_schedulers(self, service: Service, granted: Granted) -> list[str]:
