gateway: avoid a scheduler that knows no plain pool for that pool only

Cause: a process of the previous build does not answer for the pools of plain services. Each such silence also made this host skip that process for 0.4 s for the pools of engines, so that a second process scheduled these; and each of its answers for an engine made the next plain request wait for it for 30 ms again.

Change: silence about a plain service counts for its pool only; for pools of engines, nothing changes. The new test fails without it.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -120,7 +120,7 @@
         self._loop = asyncio.get_running_loop()
         self._answer_queues: dict[str, asyncio.Queue[tuple[str, Grant | Shed | Queued]]] = {}
         self._held_grants: dict[str, _HeldGrant] = {}
-        self._avoid_until: dict[str, float] = {}
+        self._avoid_until: dict[tuple[str, str], float] = {}
         self._reported_owners: dict[str, str] = {}
         self._reports_left: dict[str, int] = {}
 
@@ -192,12 +192,13 @@
         self._answer_queues[request] = queue
         try:
             for owner in self._schedulers.owners(admission.service.name)[:MAX_SCHEDULERS_ASKED]:
-                if self._avoid_until.get(owner, 0.0) > self._now():
+                if self._avoid_until.get(_avoid_key(owner, admission.service), 0.0) > self._now():
                     continue
                 decided = await self._ask_scheduler(owner, queue, wanted)
                 if decided is not None:
                     return decided
-                self._avoid_until[owner] = self._now() + SILENT_SCHEDULER_AVOID_S
+                avoid_key = _avoid_key(owner, admission.service)
+                self._avoid_until[avoid_key] = self._now() + SILENT_SCHEDULER_AVOID_S
                 self._schedulers.send(owner, Withdraw(request, admission.service.name))
             return None
         except asyncio.CancelledError:
@@ -262,7 +263,8 @@
 
     def receive(self, process: str, message: Grant | Shed | Queued) -> None:
         """Handle a scheduler's answer; a grant for which no request waits is returned."""
-        self._avoid_until.pop(process, None)
+        self._avoid_until.pop((process, ""), None)
+        self._avoid_until.pop((process, message.pool), None)
         queue = self._answer_queues.get(message.request)
         if queue is not None:
             queue.put_nowait((process, message))
@@ -384,3 +386,12 @@
         """
         if not service.is_engine and process not in granted.reported_to:
             granted.reported_to += (process,)
+
+
+def _avoid_key(process: str, service: Service) -> tuple[str, str]:
+    """Return the key under which a silent scheduler is avoided: per pool for plain services.
+
+    A process of an older version answers for its pools of engines, but not for those of plain
+    services, which it does not know.
+    """
+    return process, "" if service.is_engine else service.name
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -10,6 +10,7 @@
 from chalkyoke.limits.client import Permit, PermitDenied
 from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Release, Withdraw
 from chalkyoke.scheduling.state import ReleaseOutcome
+from msgspec.structs import replace
 
 from tests import virtual
 
@@ -400,3 +401,20 @@
     started = share.may_start("p", 18, 0, 0.05, 0.0)
     assert not started and share.may_start("p", 18, 0, 0.05, 0.5), "gathered 0.75 at 4.8 a second"
     assert not share.may_start("p", 18, 0, 0.05, 100.0)
+
+
+def test_a_process_that_knows_no_plain_pool_is_avoided_for_that_pool_only():
+    """Guards hosts beside an owner of the previous build, which schedules engines only."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_plain_grants(schedulers)
+        seats = replace(plain_admission(1), service=Service("seats"))
+        assert (await grants.acquire(seats, 1, ())).scheduler == "n2"
+        schedulers.asked.clear()
+        await grants.acquire(admission(2, 2.4), 1, ())
+        grants.receive("n1", Queued("r3", 1, POOL.name))
+        await grants.acquire(replace(seats, request_id="r4"), 1, ())
+        assert [process for process, _ in schedulers.asked] == ["n1", "n2", "n2"]
+
+    virtual.run(main)
