--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -297,9 +297,11 @@
         for replica in plain:
             replica.faults.work_s, replica.faults.queue = BURST_WORK_S, BURST_QUEUE
         rate_per_s = BURST_DEMAND * sum(each.slots for each in plain) / BURST_WORK_S
-        await self.send_burst(rate_per_s, step.duration_s)
-        for replica in plain:
-            replica.faults.work_s, replica.faults.queue = ReplicaFaults().work_s, -1
+        try:
+            await self.send_burst(rate_per_s, step.duration_s)
+        finally:
+            for replica in plain:
+                replica.faults.work_s, replica.faults.queue = ReplicaFaults().work_s, -1
 
     async def _write_foreign_records(self, step: FaultStep) -> None:
         """Write unreadable or foreign replica records, one of them over a live replica's record."""
