--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -238,7 +238,7 @@
     async def main():
         connection = SilentConnection()
 
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return Granted(REPLICA, 1, Source.LOCAL)
 
         async def connect(*_, **__):
@@ -305,7 +305,7 @@
         connection = SilentConnection()
         connection.pause = connection.resume = lambda: None
 
-        async def acquire(*_):
+        async def acquire(*_, **__):
             return Granted(REPLICA, 1, Source.LOCAL)
 
         async def connect(*_, **__):
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -10,6 +10,7 @@
 from chalkyoke.limits.client import Permit, PermitDenied
 from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Release, Withdraw
 from chalkyoke.scheduling.state import ReleaseOutcome
+from msgspec.structs import replace
 
 from tests import virtual
 
@@ -417,3 +418,20 @@
         assert [(each.slots, each.time_factor) for each in sent] == [(4, 2.5), (0, 1.0)]
 
     virtual.run(main)
+
+
+def test_a_process_that_knows_no_plain_pool_is_avoided_for_that_pool_only():
+    """Guards hosts beside an owner of the previous build, which schedules engines only."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_plain_grants(schedulers)
+        seats = replace(plain_admission(1), service=Service("seats"))
+        assert (await grants.acquire(seats, 1, ())).scheduler == "n2"
+        schedulers.asked.clear()
+        await grants.acquire(admission(2, 2.4), 1, ())
+        grants.receive("n1", Queued("r3", 1, POOL.name))
+        await grants.acquire(replace(seats, request_id="r4"), 1, ())
+        assert [process for process, _ in schedulers.asked] == ["n1", "n2", "n2"]
+
+    virtual.run(main)
