Balancing: stay at home by the time of the first event, and count a mean time factor once

Cause: a host alone compared the goal with the time of the whole answer, but the goal of a stream is due at its first event: streams of some seconds always left home when no scheduler answered, more often than without local_domain. And the measured latency was multiplied by the time factor although it contains the mean factor: a replica that always reports 2 counted as four times slower. Change: the time until what the goal asks for is kept beside the latency; only the deviation of the factor from its mean counts. Result: two tests in test_local.py guard this; with the code before, both leave home.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -224,16 +224,22 @@
         return stats.recent_failures(now) < MAX_HOME_FAILURES
 
     def _expected_answer_s(self, replica: Replica, stats: ReplicaStats, now: float) -> float:
-        """Predict the answer time of a replica from its latency and load, in seconds.
+        """Predict the time until what the goal asks for from latency and load, in seconds.
 
-        Requests beyond the slots wait for those before them.
+        Requests beyond the slots wait for the ends of those before them. The latencies contain the
+        mean time factor, so that only the deviation from it counts.
         """
-        rounds = max(1.0, (stats.load(now) + 1.0) / max(1, replica.slots))
-        return stats.latency_s * rounds * self._time_factor(stats, now)
+        rounds = (stats.load(now) + 1.0) / max(1, replica.slots)
+        wait_s = stats.latency_s * max(0.0, rounds - 1.0)
+        deviation = self._time_factor(stats, now) / self._mean_time_factor(stats)
+        return (stats.due_latency_s + wait_s) * deviation
 
     def _time_factor(self, stats: ReplicaStats, now: float) -> float:
         return stats.time_factor.current(now) if self._features.time_factors else 1.0
 
+    def _mean_time_factor(self, stats: ReplicaStats) -> float:
+        return stats.time_factor.mean if self._features.time_factors else 1.0
+
     def _cost(self, replica: Replica, stats: ReplicaStats, now: float) -> float:
         load = (stats.load(now) + 1.0) / max(1, replica.slots)
         speed = max(LATENCY_FLOOR_S, stats.latency_s) if stats.latency_s else LATENCY_FLOOR_S
--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -30,6 +30,8 @@
     :ivar other_load: requests of other nodes according to the last report; the value decays.
     :ivar failures: weighted recent failures; each decays within some seconds.
     :ivar latency_s: smoothed answer time; 0 before the first answer.
+    :ivar due_latency_s: smoothed time until what the goal asks for: the first event of a stream,
+        else the answer.
     :ivar connect_failures: consecutive failed connections.
     :ivar resting_until: end of the period in which the replica asked this node to send nothing.
     :ivar time_factor: how long work takes on the replica's machine at the moment.
@@ -42,6 +44,7 @@
     failures: float = 0.0
     failures_at: float = 0.0
     latency_s: float = 0.0
+    due_latency_s: float = 0.0
     connect_failures: int = 0
     unreachable_until: float = 0.0
     resting_until: float = 0.0
@@ -74,12 +77,18 @@
         self.failures = self.recent_failures(now) + weight
         self.failures_at = now
 
-    def record_answer(self, seconds: float) -> None:
-        """Update the latency from an answer, in seconds, and reset the connection backoff."""
+    def record_answer(self, seconds: float, first_s: float | None = None) -> None:
+        """Update the latency from an answer and reset the connection backoff.
+
+        :param seconds: time until the end of the answer.
+        :param first_s: time until its first event, in seconds; None where the whole answer is due.
+        """
         self.connect_failures = 0
         self.unreachable_until = 0.0
         gain = LATENCY_GAIN if self.latency_s else 1.0
         self.latency_s += gain * (seconds - self.latency_s)
+        due_s = seconds if first_s is None else first_s
+        self.due_latency_s += gain * (due_s - self.due_latency_s)
 
     def record_unreachable(self, now: float) -> None:
         """Record a failed connection and double the backoff."""
--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
@@ -98,6 +98,25 @@
     assert balancer.choose(replicas(), 0.1, goal_s=0.2).id != "r0"
 
 
+def test_streams_stay_at_home_by_the_time_of_their_first_event():
+    """Guards against streams that leave home because they last longer than their goal."""
+    balancer = make_placed()
+    balancer.stats("r0").record_answer(3.0, 0.2)
+    balancer.stats("r0").outstanding = 1
+    assert balancer.choose(replicas(), 0.0, goal_s=0.6).id == "r0"
+    assert balancer.choose(replicas(), 0.0, goal_s=0.3).id != "r0"
+
+
+def test_a_factor_that_is_always_reported_is_not_counted_twice():
+    """Guards against leaving a replica whose measured latency already contains its factor."""
+    balancer = make_placed()
+    stats = balancer.stats("r0")
+    for number in range(500):
+        stats.time_factor.record(2.0, number * 0.2)
+        stats.record_answer(0.1)
+    assert balancer.choose(replicas(), 100.0, goal_s=0.2).id == "r0"
+
+
 def test_a_reported_time_factor_counts_only_while_it_is_valid():
     balancer = make_placed()
     balancer.stats("r0").record_answer(0.1)
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -84,7 +84,9 @@
         if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
             stats.record_load(relay.fields.load.running, relay.fields.load.waiting, now)
         if end is SendEnd.DELIVERED:
-            stats.record_answer(now - granted.started_at)
+            begun = admission.route.is_stream and granted.first_s > 0
+            first_s = granted.first_s if begun else None
+            stats.record_answer(now - granted.started_at, first_s)
         elif end is SendEnd.NOT_CONNECTED:
             stats.record_unreachable(now)
         else:
