Tests: evenness of the overflow at 0.6 of capacity checked again, over two waves

Cause: the check of what each failure domain receives at 0.6 of capacity had been replaced by one at 0.9. It had failed for two reasons that are none of the placement's: one of three failure domains had 22 of 70 engines, and one wave from empty engines cuts the peaks of two failure domains short.

--- a/tests/test_domain_load.py
+++ b/tests/test_domain_load.py
@@ -10,18 +10,29 @@
     GATEWAY_FEATURES, local_domain=True, time_factors=True, best_fit=True
 )
 SECONDS = 17.0
+# With 70 engines, one of three failure domains has fewer engines and rightly gets less overflow.
+EQUAL_ENGINES = 72
 
 
 @pytest.mark.parametrize("domains", [2, 3])
 def test_requests_stay_at_home_while_demand_is_below_capacity(domains):
-    """Guards against crossing without need."""
-    played = DomainLoad(1, domains, 0.6, features=PLACED).run_load(SECONDS)
+    """Guards against crossing without need, and against one neighbour that gets the overflow.
+
+    Two waves, since the first starts on empty engines, in a different phase in each failure domain.
+    """
+    load = DomainLoad(1, domains, 0.6, engines=EQUAL_ENGINES, features=PLACED)
+    played = load.run_load(2 * SECONDS)
     assert played.crossed_share < least_crossed_share(0.6, domains) + 0.12
+    received = [
+        sum(count for (_, there), count in played.crossed.items() if there == f"z{number}")
+        for number in range(domains)
+    ]
+    assert max(received) < 1.5 * min(received)
 
 
 def test_neighbours_share_the_overflow_evenly():
     """Guards against one neighbour that gets the overflow of a failure domain above capacity."""
-    played = DomainLoad(1, 3, 0.9, engines=72, features=PLACED).run_load(SECONDS)
+    played = DomainLoad(1, 3, 0.9, engines=EQUAL_ENGINES, features=PLACED).run_load(SECONDS)
     for here in ("z0", "z1", "z2"):
         sent = [count for (sender, _), count in played.crossed.items() if sender == here]
         assert len(sent) == 2, here
