--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -101,7 +101,9 @@
             load = relay.fields.load
             stats.record_load(load.running, load.waiting, now)
         if end is SendEnd.DELIVERED:
-            stats.record_answer(now - granted.started_at)
+            begun = admission.route.is_stream and granted.first_s > 0
+            first_s = granted.first_s if begun else None
+            stats.record_answer(now - granted.started_at, first_s)
         elif end is SendEnd.NOT_CONNECTED:
             stats.record_unreachable(now)
         else:
