--- a/packages/chalkyoke/src/chalkyoke/scheduling/fairshare.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/fairshare.py
@@ -120,7 +120,6 @@
         self._teams: dict[str, DecayingRate] = {}
         self._weights: dict[str, float] = {}
         self._level = math.inf
-        self._total_weight = 0.0
         self._valid_until = now
         self.limited: frozenset[str] = frozenset()
 
@@ -141,14 +140,13 @@
         long = self._long.per_s(now)
         return long + (self._short.per_s(now) - long) * math.exp(-ahead_s / BURST_DECAY_S)
 
-    def refresh(self, rate_per_s: float, now: float) -> bool:
+    def refresh(self, rate_per_s: float, now: float) -> None:
         """Recompute the shares if they are outdated.
 
         :param rate_per_s: work of the tier that the pool can do.
-        :return: whether they were recomputed.
         """
         if now < self._valid_until:
-            return False
+            return
         self._valid_until = now + SHARES_VALID_S
         rates = {team: each.per_s(now) for team, each in self._teams.items()}
         idle = [team for team, rate in rates.items() if rate < IDLE_SHARE * rate_per_s]
@@ -156,11 +154,9 @@
             del self._teams[team], rates[team]
         demands = [TeamDemand(team, self._weights[team], rate) for team, rate in rates.items()]
         self._level = water_level(rate_per_s, demands)
-        self._total_weight = sum(each.weight for each in demands)
         self.limited = frozenset(
             each.team for each in demands if each.per_s > each.weight * self._level
         )
-        return True
 
     def team_rate_per_s(self, weight: float, rate_per_s: float) -> float:
         """Return the rate that a team of some weight can use, of a tier's rate.
@@ -198,7 +194,6 @@
         self._outlooks: dict[int, tuple[float, list[float]]] = {}
         self._done = DecayingRate(YIELD_WINDOW_S, now - YIELD_WINDOW_S)
         self._busy = DecayingRate(YIELD_WINDOW_S, now - YIELD_WINDOW_S)
-        self._started = now
         self._done.add(INITIAL_YIELD * INITIAL_YIELD_WEIGHT_S, now)
         self._busy.add(INITIAL_YIELD_WEIGHT_S, now)
 
