scheduling: a successor's unknown callers replace no copied reservation

Cause: reservations of unrecognised callers are numbered from -1, also by a successor that has adopted copies with these numbers; each new one released the work of a copied one. Change: the numbering continues behind the copies. Result: the extended test fails before and passes now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
@@ -195,6 +195,8 @@
     def import_items(self, items: Iterable[RetryReservation], now: float) -> None:
         """Add the reservations of a previous scheduler; known callers keep theirs."""
         ordered = sorted(items, key=lambda each: each.in_s)
+        # Callers that the previous scheduler could not recognise have negative numbers too.
+        self._unknown = max(self._unknown, *(-each.fingerprint for each in ordered), 0)
         for each in ordered[: max(0, MAX_RESERVATIONS - len(self._pending))]:
             if each.fingerprint and each.fingerprint not in self._pending:
                 self.add(
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_retryschedule.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_retryschedule.py
@@ -62,6 +62,9 @@
     schedule = RetrySchedule()
     times = [assign(schedule, 0) for _ in range(9)]
     assert len(set(times)) > 4 and schedule.find(0) is None
+    successor = RetrySchedule()
+    successor.import_items(schedule.export_all(0.0), 0.0)
+    assert assign(successor, 0) and len(successor) == 10, "none replaces a copied one"
 
 
 def test_an_unused_time_is_released_although_later_ones_were_assigned_before():
