scheduling: retries are recognised before any refusal and in later attempts

Cause: a caller that returned at its time and was refused as hopeless or for want of an upstream was not counted as refused again, and its work stayed reserved; a host that asked again for a waiting retry lost its precedence, and the retry could be refused as a new request. Change: the reservation is used first; a new attempt of a waiting retry keeps the assigned time. Result: the two new tests fail before and pass now.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/admission.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/admission.py
@@ -152,17 +152,15 @@
 
     # Retries.
 
-    def take_due_retry(self, item: WaitingRequest, now: float) -> bool:
-        """Return whether a request is a retry that arrives at its assigned time.
+    def take_due_retry(self, item: WaitingRequest, now: float) -> None:
+        """Mark a request that arrives at its assigned time as a retry, and use its reservation.
 
         Such a request precedes new ones, in the order of the assigned times.
         """
         found = self.schedule.take_due(item.fingerprint, now)
-        if found is None:
-            return False
-        item.is_promised_retry = True
-        item.assigned_at = found.at
-        return True
+        if found is not None:
+            item.is_promised_retry = True
+            item.assigned_at = found.at
 
     def retry_after_s(self, item: WaitingRequest, now: float) -> float:
         """Return a Retry-After, with a reservation where the caller can use one.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -113,6 +113,8 @@
             the pool is free.
         :rtype: AddressedAction or None
         """
+        if self._features.reserved_retries and item.has_goal and not item.assigned_at:
+            self._admission.take_due_retry(item, now)
         eligible = self._open_upstreams(item.route)
         if not eligible:
             return self._build_refusal(item, Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
@@ -144,10 +146,11 @@
             return []
         admission = self._admission
         admission.set_latest_start(item, now)
-        is_due = self._features.reserved_retries and admission.take_due_retry(item, now)
-        if admission.schedule.find(item.fingerprint) is None and not is_due:
+        if item.assigned_at:
+            return []
+        if admission.schedule.find(item.fingerprint) is None:
             admission.record_arrival(item, now)
-        if is_due or not settled:
+        if not settled:
             return []
         if self._starts_at_once(item, now) or admission.is_in_time(item, now):
             admission.schedule.end_unshared(item.fingerprint)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -187,6 +187,8 @@
             self._pool.remove_waiting(known)
 
         item = self._builder.waiting(entry, domain, message, now)
+        if known is not None and known.assigned_at:
+            item.assigned_at, item.is_promised_retry = known.assigned_at, True
         refusal = self._refuser.check_arrival(item, now, settled=self._settled(now))
         if refusal is not None:
             return [refusal]
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_admission.py
@@ -3,6 +3,7 @@
 import itertools
 
 from chalkyoke.gateway.settings import GATEWAY_FEATURES
+from chalkyoke.outcomes import Reason
 from chalkyoke.scheduling.messages import Acquire, Grant, Release, Shed, Usage
 from chalkyoke.scheduling.scheduler import PoolScheduler
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
@@ -23,28 +24,30 @@
     return scheduler
 
 
-def send(scheduler, team="a", tier="0", now=0.2, fingerprint=0, route="ef"):
-    request = f"q{next(NUMBERS)}"
-    message = Acquire(
-        request,
-        1,
-        "p",
-        route,
-        tier,
-        team,
-        500,
-        100,
-        (),
-        4.0,
-        0.0,
-        1.0,
-        50,
-        3.0,
-        0.0,
-        12.0,
-        fingerprint,
+def acquire(team="a", tier="0", fingerprint=0, route="ef"):
+    return Acquire(
+        request=f"q{next(NUMBERS)}",
+        attempt=1,
+        pool="p",
+        route=route,
+        tier=tier,
+        team=team,
+        prompt_tokens=500,
+        max_output=100,
+        blocks=(),
+        budget_s=4.0,
+        waited_s=0.0,
+        goal_s=1.0,
+        likely_output=50,
+        comes_back_s=3.0,
+        gap_goal_s=0.0,
+        whole_s=12.0,
+        fingerprint=fingerprint,
     )
-    return [out.action for out in scheduler.acquire("n", "z", message, now)]
+
+
+def send(scheduler, now=0.2, **options):
+    return [out.action for out in scheduler.acquire("n", "z", acquire(**options), now)]
 
 
 def first_refusal(scheduler, **options):
@@ -139,3 +142,23 @@
     item.deadline, item.work = 2000.0, 40.0
     told = scheduler.admission.retry_after_s(item, 3.0)
     assert abs(scheduler.admission.schedule.find(99).at - 3.0 - told) < 0.02
+
+
+def test_a_returned_caller_without_an_upstream_counts_as_refused_again():
+    """Guards against second refusals that no metric shows."""
+    scheduler = full_pool()
+    refused, caller = first_refusal(scheduler)
+    now = 0.2 + refused.retry_after_s
+    message = acquire(fingerprint=caller, route="without upstreams")
+    (out,) = scheduler.acquire("n", "z", message, now)
+    assert out.action.reason == Reason.NO_UPSTREAM and out.refused_again
+
+
+def test_a_returned_caller_keeps_its_place_in_the_next_attempt_of_its_host():
+    """Guards against a lost precedence where a host requests the same grant again."""
+    scheduler = full_pool()
+    item = waiting_retry(scheduler)
+    now = item.assigned_at + 0.1
+    message = replace(acquire(fingerprint=item.fingerprint), request=item.request, attempt=2)
+    assert not scheduler.acquire("n", "z", message, now)
+    assert scheduler._pool.waiting[item.request].assigned_at == item.assigned_at
