Tests: the learned token speed does not contain the reported factor either

Cause: the test checked the prompt speed only; without the subtraction of lost time in samples.py all tests of the slice passed. Result: with that subtraction removed, the test now fails.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_preference.py
@@ -127,6 +127,7 @@
         scheduler.release("z", done, now + 0.25)
     assert factor.value == 2.5
     assert 0.5 < scheduler.upstreams["u0"].speed.prefill_factor < 1.4
+    assert 0.5 < scheduler.upstreams["u0"].speed.decode_factor < 1.4
 
 
 def test_shortlist_of_a_large_pool_contains_the_upstreams_at_home():
