Refusals name their fields; only node/wallclock.py and the event loop read another clock

Cause: two parts had each added a field at the end of AddressedAction, and one passed its own by position, so that a second refusal was counted as a grant outside the failure domain. The list of modules that may read another clock is shorter now.

--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -373,7 +373,7 @@
     def take_10_ms(*_):
         clock[0] += 0.01
 
-    stats = SimpleNamespace(record_answer=lambda _: None)
+    stats = SimpleNamespace(record_answer=lambda *_: None)
     parts = SimpleNamespace(
         now=lambda: clock[0],
         balancer=SimpleNamespace(stats=lambda _: stats),
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -407,7 +407,12 @@
         name = self._pool.spec.name
         shed = Shed(item.request, item.attempt, name, reason, retry_after_s)
         mostly_free = self._pool.is_mostly_free()
-        return AddressedAction(item.entry, shed, mostly_free, item.is_promised_retry)
+        return AddressedAction(
+            item.entry,
+            shed,
+            pool_mostly_free=mostly_free,
+            refused_again=item.is_promised_retry,
+        )
 
 
 def _open_times(upstreams: list[Upstream], now: float) -> list[tuple[Declines, float]]:
--- a/packages/chalkyoke/src/chalkyoke/tests/test_eventloop.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_eventloop.py
@@ -12,7 +12,7 @@
 # Reads of clocks other than the event loop's, which don't include suspensions.
 OTHER_CLOCKS = re.compile(r"\b(monotonic|perf_counter|time\.time)(_ns)?\(|clock_gettime")
 # These modules read the time of day to timestamp log lines and events; no decision depends on it.
-TIMESTAMP_MODULES = {"node/process.py", "node/gateway.py", "eventloop.py"}
+TIMESTAMP_MODULES = {"node/wallclock.py", "eventloop.py"}
 
 
 class Host:
