--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -387,6 +387,7 @@
             handed.own,
             handed.copied,
             handed.share,
+            handed.assumed,
         )
 
     def replicate_windows(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/growth.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/growth.py
@@ -11,16 +11,15 @@
 import msgspec
 
 from chalkyoke.quotas.ledger import Ledger, Parts
+from chalkyoke.quotas.window import SpendingWindow
 
 # Lifetime of an owner's value in the store, in seconds. It expires some seconds after its owner was
 # lost, so that the values of lost owners don't count for long beside those of their successors. It
-# must last until processes that were killed at once have started again and read it.
+# must last until processes that were killed at once have started again and read it. Leases may wait
+# while the store is down, so a value that could not be read may exist for much longer.
 VALUE_TTL_S = 6.0
-# Time for which a new owner takes into account that the store may hold the value of a lost owner,
-# in seconds: its lifetime, and the time until the loss was detected elsewhere.
-HOLD_S = VALUE_TTL_S + 1.0
-# Cost that an owner may lease while the store may hold a value that it could not read, as a
-# fraction of the window limit: half of the part that owners don't lease.
+# Cost that an owner may lease in a window while the store may hold a value that it could not read,
+# as a fraction of the window limit: half of the part that owners don't lease.
 UNREAD_SHARE = 0.1
 # Time for which a new owner leases nothing until it has read the snapshots, in seconds: far longer
 # than a usual read. Its leases would be handed off together with the assumed spending.
@@ -45,40 +44,43 @@
 class TeamGrowth(msgspec.Struct):
     """The bounds of one team's window at its owner.
 
-    :param number: number of the window.
+    :param recent: cost that this owner leased in the last window; it counts from the call that
+        noticed it, which is never too early.
     :param window_limit: the limit by which the bounds were computed.
     :param sent: snapshots that the store may hold, by number of the write; the last acknowledged
         one and later ones without an answer.
     :param snapshot: what the latest write contained, without growth; None before the first write.
-    :param acknowledged: whether the store holds a snapshot of this owner.
-    :param inherited: bound by what this owner knew at its start; counts while no snapshot is
-        acknowledged.
-    :param unread: whether the store may hold snapshots of this team that are not known.
-    :param hold_until: time until which ``inherited`` and ``unread`` count, in seconds.
+    :param inherited: bound by what this owner knew at its start; counts until the first
+        acknowledged write.
+    :param unread: whether the store may hold snapshots of this team that are not read yet.
+    :param unreadable: whether the store held a value that could not be decoded and may contain this
+        team; counts until the first acknowledged write.
+    :param opened_at: time at which this node became the owner, in seconds.
     :param checked: cost leased at the last check whether a write is due.
     """
 
-    number: int
+    recent: SpendingWindow
     window_limit: float
     sent: dict[int, Bound] = msgspec.field(default_factory=dict)
     snapshot: Bound | None = None
-    acknowledged: bool = False
     inherited: Bound | None = None
     unread: bool = False
-    hold_until: float = 0.0
+    unreadable: bool = False
+    opened_at: float = 0.0
     checked: float = -1.0
+    _noticed: float = 0.0
 
     def room(self, ledger: Ledger, now: float) -> float:
         """Return the cost that may be leased now; infinite if no snapshot limits it."""
         self.apply_limit(ledger.window_limit)
         bounds = list(self.sent.values())
-        if now < self.hold_until and self.inherited is not None and not self.acknowledged:
+        if self.inherited is not None:
             bounds.append(self.inherited)
         room = math.inf
-        if self.is_unread(now):
-            is_waiting = now < self.hold_until - HOLD_S + READ_WAIT_S
+        if not self.is_known:
+            is_waiting = self.unread and now < self.opened_at + READ_WAIT_S
             share = 0.0 if is_waiting else UNREAD_SHARE
-            room = share * self.window_limit - ledger.leased
+            room = share * self.window_limit - self.leased_recently(ledger, now)
         if not bounds:
             return room
         sums = ledger.window.recent_sums(now)
@@ -92,9 +94,19 @@
             room = min(room, *(most - spent for most, spent in pairs))
         return room
 
-    def is_unread(self, now: float) -> bool:
-        """Return whether the store may hold snapshots of this team that are not known."""
-        return self.unread and now < self.hold_until
+    @property
+    def is_known(self) -> bool:
+        """Whether the store holds no snapshot of this team that this owner has not decoded."""
+        return not (self.unread or self.unreadable)
+
+    def leased_recently(self, ledger: Ledger, now: float) -> float:
+        """Return the cost that this owner has leased in the last window."""
+        more, self._noticed = ledger.leased - self._noticed, ledger.leased
+        if more < 0:
+            self.recent.subtract_unspent(-more, now)
+        else:
+            self.recent.add(more, now)
+        return self.recent.spent(now)
 
     def inherit(self, ledger: Ledger, now: float, bound: Bound | None = None) -> None:
         """Bound the window until the first acknowledged write.
@@ -106,20 +118,21 @@
         more = FIRST_GROWTH_SHARE * ledger.window_limit
         self.inherited = Bound(tuple(each + more for each in known.sums), known.share)
         self.unread = False
-        self.hold_until = now + HOLD_S
 
     def acknowledge(self, number: int) -> None:
-        """Apply the store's acknowledgement of a write, which replaces all earlier snapshots."""
+        """Apply the store's acknowledgement of a write, which replaces all earlier snapshots.
+
+        Readers add this owner's snapshot to what other values contain, so these count no longer.
+        """
         if number not in self.sent:
             return
         self.sent = {each: bound for each, bound in self.sent.items() if each >= number}
-        self.acknowledged = True
+        self.inherited, self.unreadable = None, False
 
     def lose(self) -> None:
         """Forget all snapshots of this owner, which the store has dropped."""
         self.sent.clear()
         self.snapshot = None
-        self.acknowledged = False
         self.checked = -1.0
 
     def apply_limit(self, limit: float) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -36,12 +36,15 @@
     :param own: the part of the window that no other node reports.
     :param copied: whether the window is a copy of another owner's window.
     :param share: for a copy, the share of the limit that its owner used.
+    :param assumed: whether ``window`` contains spending that was assumed since the snapshots in the
+        store are not known, so that the new owner has to read them; ``own`` was leased since.
     """
 
     window: Parts = ()
     own: Parts = ()
     copied: bool = False
     share: float = 1.0
+    assumed: bool = False
 
 
 class Ledger(msgspec.Struct):
@@ -219,20 +222,21 @@
         self.window.load_parts(window, now)
         self.before.load_parts(tuple(cost * known for cost in window), now)
 
-    def resume_snapshot(self, parts: Parts, growth: float, now: float) -> None:
+    def resume_snapshot(self, parts: Parts, growth: float, leased: float, now: float) -> None:
         """Resume the window that a snapshot in the store stands for, after the loss of all hosts.
 
         All sides of a partition read the same snapshots, so its cost is known to all of them.
 
         :param parts: cost in each part of the window, oldest first.
         :param growth: the part of the cost in the newest quarter that may not have been spent.
+        :param leased: cost that this owner has leased in the last window.
         """
         self.surveyed = True
         self.growth = growth
         self.growth_until = now + self.window.window_s * SHORT_WINDOW_FRACTION
         self.window.load_parts(parts, now)
         self.before.load_parts(parts, now)
-        self.window.add(self.leased, now)
+        self.window.add(leased, now)
 
     def _cap_share(self, share: float, now: float) -> None:
         """Cap the share in use at the share whose spending is known; it grows as the window passes.
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -70,6 +70,8 @@
     :param own: the part of ``window`` that no other node reports.
     :param copied: whether ``window`` is this node's copy of an earlier owner's window.
     :param share: for a copy, the share of the team's limit that its owner used.
+    :param assumed: whether ``window`` contains spending that was assumed since the snapshots in the
+        store are not known; ``own`` was leased since.
     """
 
     team: str
@@ -80,6 +82,7 @@
     own: tuple[float, ...] = ()
     copied: bool = False
     share: float = 1.0
+    assumed: bool = False
 
 
 class WindowUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -115,12 +115,14 @@
 
     :param is_assumption: whether the ledger has only assumed spending, which a new owner that can
         read the snapshots must not take for a report.
+    :param leased_unread: cost leased in the last window without knowledge of the snapshots.
     """
 
     ledger: Ledger
     at: float
     handed_off: bool = False
     is_assumption: bool = False
+    leased_unread: float = 0.0
 
 
 class QuotaOwner:
@@ -174,6 +176,10 @@
         held = EMPTY_PARTS
         if kept is not None and now - kept.at <= HAND_OFF_RETENTION_S and not kept.is_assumption:
             held = kept.ledger.window.parts(now)
+            if kept.leased_unread:
+                own = (*EMPTY_PARTS[1:], 0.0 if kept.handed_off else kept.leased_unread)
+                kept.handed_off = True
+                return HandedOffWindow(held, own, assumed=True)
             if not kept.handed_off:
                 kept.handed_off = True
                 return HandedOffWindow(held, kept.ledger.own_spending(now))
@@ -184,14 +190,18 @@
         return HandedOffWindow(held, copied=True, share=share) if any(held) else HandedOffWindow()
 
     def _retire(self, team: str, now: float, *, handed_off: bool = False) -> None:
-        ledger = self._ledgers.pop(team, None)
+        ledger = self._ledgers.get(team)
         if ledger is None:
             return
         retired = _RetiredLedger(ledger, now, handed_off=handed_off)
         self._retired[team] = retired
         if self.snapshots is not None:
             retired.is_assumption = not (ledger.surveyed or ledger.leased)
+            if not self.snapshots.is_known(team):
+                retired.leased_unread = self.snapshots.leased_recently(team, now)
+                retired.is_assumption = not retired.leased_unread
             self.snapshots.release(team, now)
+        del self._ledgers[team]
 
     def answer_request(
         self, team: Team, message: QuotaRequest, presence: Presence, now: float
@@ -245,7 +255,7 @@
         ledger = self._ledgers.get(team)
         if ledger is None or self.snapshots is None:
             return False
-        if self.snapshots.is_unread(team, now):
+        if self.snapshots.is_unread(team):
             return True
         leasable = ledger.window_limit * LEASABLE_SHARE
         return self._snapshot_room(team, now) < need <= ledger.headroom(leasable, now)
@@ -274,7 +284,7 @@
         changed: dict[str, list[WindowUpdate]] = {}
         kept: list[tuple[str, str]] = []
         for team, ledger in self._ledgers.items():
-            if self.snapshots is not None and self.snapshots.is_unread(team, now):
+            if self.snapshots is not None and self.snapshots.is_unread(team):
                 # A successor would resume the assumed spending instead of the snapshots.
                 continue
             for address in successors(team):
@@ -311,7 +321,9 @@
         ledger = self._ledgers.get(team.name)
         if ledger is None or now - ledger.started_at > SURVEY_S:
             return
-        if message.window:
+        if message.assumed and self.snapshots is not None:
+            ledger.add_lease(sum(message.own), now)
+        elif message.window:
             handed = HandedOffWindow(message.window, message.own, message.copied, message.share)
             ledger.resume_window(handed, now)
             self._bound_by_survey(team.name, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from chalkyoke.quotas.growth import HOLD_S, Bound, TeamGrowth
+from chalkyoke.quotas.growth import Bound, TeamGrowth
 from chalkyoke.quotas.ledger import Ledger, Parts
 from chalkyoke.quotas.snapshots import (
     FORMAT_VERSION,
@@ -24,6 +24,7 @@
     combine,
     make_team_snapshot,
 )
+from chalkyoke.quotas.window import SpendingWindow
 
 # Used fraction of the growth above which a write is due. The rest lasts for a quarter of a second
 # of the steepest ramp that an owner leases, longer than a write to a slow store.
@@ -104,14 +105,15 @@
             snapshot of the team.
         """
         ledger = self._ledgers[team]
-        growth = TeamGrowth(ledger.window.number, ledger.window_limit)
+        recent = SpendingWindow(ledger.window.window_s)
+        growth = TeamGrowth(recent, ledger.window_limit, opened_at=now)
         self._teams[team] = growth
         if first:
             return
         if ledger.surveyed:
             growth.inherit(ledger, now)
             return
-        growth.unread, growth.hold_until = True, now + HOLD_S
+        growth.unread = True
 
     def survey_answered(self, team: str, now: float) -> None:
         """Bound the window by what a survey has just shown, until the first acknowledged write."""
@@ -132,14 +134,23 @@
 
     # Reads.
 
-    def is_unread(self, team: str, now: float) -> bool:
-        """Return whether a team's snapshots have to be read first, or their lifetime to pass."""
+    def is_unread(self, team: str) -> bool:
+        """Return whether a team's snapshots have to be read first."""
         growth = self._teams.get(team)
-        return growth is not None and growth.is_unread(now)
+        return growth is not None and growth.unread
 
-    def unread_teams(self, now: float) -> list[str]:
+    def is_known(self, team: str) -> bool:
+        """Return whether all snapshots of a team in the store are known to this owner."""
+        growth = self._teams.get(team)
+        return growth is None or growth.is_known
+
+    def leased_recently(self, team: str, now: float) -> float:
+        """Return the cost that this owner leased to a team in the last window."""
+        return self._teams[team].leased_recently(self._ledgers[team], now)
+
+    def unread_teams(self) -> list[str]:
         """List the teams whose spending no other node knew and whose snapshots are not read yet."""
-        return [team for team, growth in self._teams.items() if growth.is_unread(now)]
+        return [team for team, growth in self._teams.items() if growth.unread]
 
     def apply_read(self, teams: list[str], found: ReadSnapshots, now: float) -> list[str]:
         """Resume windows from the snapshots in the store.
@@ -150,12 +161,13 @@
         resumed: list[str] = []
         for team in teams:
             growth, ledger = self._teams.get(team), self._ledgers.get(team)
-            if growth is None or ledger is None or not growth.is_unread(now):
+            if growth is None or ledger is None or not growth.unread:
                 continue
+            growth.unread = False
             if not found.complete:
                 # The unreadable value may contain more spending of this team than the others.
+                growth.unreadable = True
                 continue
-            growth.unread = False
             leasable = ledger.window_limit * self._leasable_share
             window = combine(
                 found.teams.get(team, ()),
@@ -165,7 +177,8 @@
             )
             if window is None:
                 continue
-            ledger.resume_snapshot(window.parts, window.growth, now)
+            leased = growth.leased_recently(ledger, now)
+            ledger.resume_snapshot(window.parts, window.growth, leased, now)
             share = min(1.0, sum(each.share for each in found.teams[team]))
             growth.inherit(ledger, now, Bound(window.bound, share))
             resumed.append(team)
@@ -183,7 +196,7 @@
                 due = Due.LATER
         for team, growth in self._teams.items():
             ledger = self._ledgers[team]
-            if growth.is_unread(now):
+            if growth.unread:
                 continue
             if check_lower or growth.checked != ledger.leased:
                 growth.checked = ledger.leased
@@ -215,7 +228,7 @@
         made: dict[str, tuple[TeamSnapshot, Parts]] = {}
         for team, growth in self._teams.items():
             ledger = self._ledgers[team]
-            if growth.is_unread(now):
+            if growth.unread:
                 continue
             growth.apply_limit(ledger.window_limit)
             sums = ledger.window.recent_sums(now)
