quotas: a request waits for the write that makes room for it, whatever its cost

Cause: on a healthy store, requests within the quota were refused. The first answer of the store ended the wait, also that to a lease, a read or an earlier write. A request that its rank refuses waited in vain. Change: the wait ends with the grant or its deadline; the next write contains the cost of the refused request and is due at once; ranks count.

--- a/packages/chalkyoke/src/chalkyoke/quotas/client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/client.py
@@ -193,8 +193,7 @@
         address = self._port.owner(team.name)
         if address is None:
             grant = self._answer(team, message)
-            if self._waits_for_store(message, grant):
-                grant = await self._answer_again(team, message, grant)
+            grant = await self._answer_again(team, message, grant)
             return self._apply_grant(request, grant)
         silent = self._backoff_until.get(address, 0.0) > self._now()
         if silent and self._leases.spend_own_share(team, request.cost, self._now()):
@@ -304,7 +303,8 @@
                 self._log_window(message.team, how, before, reported_by=sender)
             return
         grant = self._answer(team, message)
-        if not self._waits_for_store(message, grant):
+        is_full = len(self._waiting) >= MAX_WAITING
+        if is_full or not self._waits_for_store(team, message, grant):
             self._port.send(sender, grant)
             return
         task = asyncio.ensure_future(self._send_later(sender, team, message, grant))
@@ -316,23 +316,31 @@
     ) -> None:
         self._port.send(sender, await self._answer_again(team, message, refusal))
 
-    def _waits_for_store(self, message: QuotaRequest, grant: QuotaGrant) -> bool:
+    def _waits_for_store(self, team: Team, message: QuotaRequest, grant: QuotaGrant) -> bool:
         """Return whether a refused request may be granted as soon as the store has answered."""
-        if grant.amount > 0 or self._store is None or len(self._waiting) >= MAX_WAITING:
+        if grant.amount > 0 or self._store is None:
             return False
-        return self._owner.is_bounded_by_snapshot(message.team, message.need, self._now())
+        return self._owner.is_bounded_by_snapshot(team, message, self._now())
 
     async def _answer_again(
         self, team: Team, message: QuotaRequest, refusal: QuotaGrant
     ) -> QuotaGrant:
-        """Answer a refused request after the store's next answer, at most once.
+        """Answer a refused request after each of the store's next answers, until it is granted.
+
+        Several answers may precede the one that makes room: those to the grant of a lease, to the
+        read of the snapshots, and to a write that was sent before the request arrived.
 
         :param refusal: the answer if the store doesn't answer in time.
         """
-        if self._store is None or not await self._store.wait(STORE_WAIT_S):
-            return refusal
+        deadline, grant = self._now() + STORE_WAIT_S, refusal
         # The owner has counted the returned cost and the own spending with the refusal.
-        return self._answer(team, msgspec.structs.replace(message, returned=0.0, alone=0.0))
+        again = msgspec.structs.replace(message, returned=0.0, alone=0.0)
+        while self._store is not None and self._waits_for_store(team, message, grant):
+            left_s = deadline - self._now()
+            if left_s <= 0 or not await self._store.wait(left_s):
+                break
+            grant = self._answer(team, again)
+        return grant
 
     def _answer(self, team: Team, message: QuotaRequest) -> QuotaGrant:
         """Answer a request for cost as the team's owner."""
--- a/packages/chalkyoke/src/chalkyoke/quotas/growth.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/growth.py
@@ -56,6 +56,8 @@
     :param unreadable: whether the store held a value that could not be decoded and may contain this
         team; counts until the first acknowledged write.
     :param opened_at: time at which this node became the owner, in seconds.
+    :param expected: highest cost of a request that was refused since the last write for lack of
+        room within the bounds; the next write contains it.
     :param checked: cost leased at the last check whether a write is due.
     """
 
@@ -67,6 +69,7 @@
     unread: bool = False
     unreadable: bool = False
     opened_at: float = 0.0
+    expected: float = 0.0
     checked: float = -1.0
     _noticed: float = 0.0
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -219,13 +219,7 @@
         if message.alone > 0 and ledger.surveyed:
             # While the window is assumed to be full, the assumption already covers this spending.
             ledger.add_lease(message.alone, now)
-        # A part of the window is reserved for more urgent ranks, so less urgent requests are
-        # refused first.
-        cheap = self._is_cheap(team, message)
-        reserved_ranks = 0 if cheap else min(message.rank, MAX_RESERVED_RANKS)
-        leasable = (
-            ledger.window_limit * LEASABLE_SHARE * (1.0 - RESERVED_SHARE_PER_RANK * reserved_ranks)
-        )
+        leasable = self._leasable(team, message, ledger)
         headroom = ledger.headroom(leasable, now)
         room = self._snapshot_room(team.name, now)
         if min(headroom, room) < message.need:
@@ -233,7 +227,9 @@
             if headroom < message.need:
                 retry = ledger.free_in_s(message.need - headroom, leasable, presence.share, now)
             if room < message.need:
-                retry = max(retry, self._snapshot_retry_s(ledger, message.need - room, now))
+                retry = max(retry, self._snapshot_retry_s(team.name, message.need - room, now))
+                if headroom >= message.need and self.snapshots is not None:
+                    self.snapshots.expect(team.name, message.need)
             retry = max(MIN_RETRY_AFTER_S, retry)
             return QuotaGrant(
                 team.name,
@@ -250,20 +246,31 @@
         ledger.add_lease(amount, now)
         return QuotaGrant(team.name, message.number, amount, 0.0, LEASE_VALID_S, window.number)
 
-    def is_bounded_by_snapshot(self, team: str, need: float, now: float) -> bool:
-        """Return whether a refused cost may be leased as soon as the store has answered."""
-        ledger = self._ledgers.get(team)
+    def is_bounded_by_snapshot(self, team: Team, message: QuotaRequest, now: float) -> bool:
+        """Return whether a refused request may be granted as soon as the store has answered."""
+        ledger = self._ledgers.get(team.name)
         if ledger is None or self.snapshots is None:
             return False
-        if self.snapshots.is_unread(team):
+        if self.snapshots.is_unread(team.name):
             return True
-        leasable = ledger.window_limit * LEASABLE_SHARE
-        return self._snapshot_room(team, now) < need <= ledger.headroom(leasable, now)
+        headroom = ledger.headroom(self._leasable(team, message, ledger), now)
+        return self._snapshot_room(team.name, now) < message.need <= headroom
+
+    def _leasable(self, team: Team, message: QuotaRequest, ledger: Ledger) -> float:
+        """Return the cost that a window may hold for requests of the given rank.
+
+        A part of the window is reserved for more urgent ranks, so less urgent requests are refused
+        first.
+        """
+        cheap = self._is_cheap(team, message)
+        reserved_ranks = 0 if cheap else min(message.rank, MAX_RESERVED_RANKS)
+        reserved = RESERVED_SHARE_PER_RANK * reserved_ranks
+        return ledger.window_limit * LEASABLE_SHARE * (1.0 - reserved)
 
-    def _snapshot_retry_s(self, ledger: Ledger, lacking: float, now: float) -> float:
+    def _snapshot_retry_s(self, team: str, lacking: float, now: float) -> float:
         """Return when the store has answered, or when enough cost has left the window."""
         if self.snapshots is not None and self.snapshots.store_failing:
-            return ledger.window.free_in_s(lacking, now)
+            return self.snapshots.free_in_s(team, lacking, now)
         return SNAPSHOT_RETRY_AFTER_S
 
     def _snapshot_room(self, team: str, now: float) -> float:
--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -132,6 +132,21 @@
         """Return the cost of a team that may be leased now; infinite if no snapshot limits it."""
         return self._teams[team].room(self._ledgers[team], now)
 
+    def free_in_s(self, team: str, lacking: float, now: float) -> float:
+        """Return the time until a lacking cost may be leased without the store, in seconds."""
+        growth = self._teams[team]
+        window = self._ledgers[team].window if growth.is_known else growth.recent
+        return window.free_in_s(lacking, now)
+
+    def expect(self, team: str, cost: float) -> None:
+        """Make room for a cost with the next write, which is due at once.
+
+        A cost above the growth would not fit into the bound of any snapshot of the window alone.
+        """
+        growth = self._teams[team]
+        if not growth.unread:
+            growth.expected = max(growth.expected, cost)
+
     # Reads.
 
     def is_unread(self, team: str) -> bool:
@@ -198,7 +213,7 @@
             ledger = self._ledgers[team]
             if growth.unread:
                 continue
-            if check_lower or growth.checked != ledger.leased:
+            if check_lower or growth.expected or growth.checked != ledger.leased:
                 growth.checked = ledger.leased
                 due = max(due, self._due_of_team(growth, ledger, now))
         return due if check_lower or due is Due.NOW else Due.NOT
@@ -208,10 +223,11 @@
         growth.apply_limit(ledger.window_limit)
         before = growth.snapshot
         if before is None:
-            return Due.NOW if sums[-1] else Due.LATER
+            return Due.NOW if sums[-1] or growth.expected else Due.LATER
         unit = GROWTH_SHARE * ledger.window_limit
         grown = max(spent - known for spent, known in zip(sums, before.sums, strict=True))
-        if grown > URGENT_FRACTION * unit or ledger.share < before.share - SHARE_FALL:
+        is_urgent = growth.expected or grown > URGENT_FRACTION * unit
+        if is_urgent or ledger.share < before.share - SHARE_FALL:
             return Due.NOW
         lower = before.sums[-1] - sums[-1] > LOWER_GROWTHS * unit
         return Due.LATER if lower or ledger.share > before.share + SHARE_RISE else Due.NOT
@@ -231,7 +247,8 @@
             if growth.unread:
                 continue
             growth.apply_limit(ledger.window_limit)
-            sums = ledger.window.recent_sums(now)
+            sums = tuple(each + growth.expected for each in ledger.window.recent_sums(now))
+            growth.expected = 0.0
             made[team] = make_team_snapshot(team, ledger.window_limit, ledger.share, sums)
         self._drop_released(now)
         kept = [each.snapshot for each in self._released.values()]
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/fleet.py
@@ -104,10 +104,10 @@
                 node = self.nodes[name]
                 node.store.step(self.now, node.local(self.now))
 
-    def _wait_for_store(self, owner, cost):
+    def _wait_for_store(self, owner, message):
         """Let a refused request wait for the store, as its owner does; return whether it has."""
         now = owner.local(self.now)
-        if self.store is None or not owner.owner.is_bounded_by_snapshot("t", cost, now):
+        if self.store is None or not owner.owner.is_bounded_by_snapshot(self.team, message, now):
             return False
         for _ in range(round(STORE_WAIT_S / STORE_STEP_S)):
             self._step_store()
@@ -186,7 +186,7 @@
         )
         self._start_owning(owner, presence)
         grant = owner.owner.answer_request(self.team, message, presence, owner.local(self.now))
-        if grant.amount > 0 or not self._wait_for_store(owner, cost):
+        if grant.amount > 0 or not self._wait_for_store(owner, message):
             return grant
         again = msgspec.structs.replace(message, returned=0.0, alone=0.0)
         return owner.owner.answer_request(self.team, again, presence, owner.local(self.now))
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -181,10 +181,14 @@
 
 
 class StoreStub:
-    """A store that acknowledges the owner's snapshot while a request waits for it."""
+    """A store that acknowledges the owner's snapshot while a request waits for it.
 
-    def __init__(self, owner, *, answers):
+    :param other_calls: calls that the store answers before the write.
+    """
+
+    def __init__(self, owner, *, answers, other_calls=0):
         self.owner, self.answers, self.waits = owner, answers, 0
+        self.other_calls = other_calls
 
     def wake(self):
         pass
@@ -192,19 +196,19 @@
     async def wait(self, timeout_s):
         self.waits += 1
         await asyncio.sleep(0.004 if self.answers else timeout_s)
-        if self.answers:
+        if self.answers and self.waits > self.other_calls:
             now = asyncio.get_running_loop().time()
             self.owner.snapshots.acknowledged(self.owner.snapshots.build(1, now).number)
         return self.answers
 
 
-def charge_beyond_a_snapshot(*, answers):
+def charge_beyond_a_snapshot(*costs, answers, other_calls=0):
     """Charge more than the growth beyond an acknowledged snapshot, as the team's owner."""
 
     async def main():
         owner = QuotaOwner(LIMITS, first_start=True, identity=1, snapshots=True)
         store, port, loop = (
-            StoreStub(owner, answers=answers),
+            StoreStub(owner, answers=answers, other_calls=other_calls),
             SlowOwnerPort(0.0),
             asyncio.get_running_loop(),
         )
@@ -220,8 +224,7 @@
         )
         await client.charge(Charge(1_000))
         owner.snapshots.acknowledged(owner.snapshots.build(1, loop.time()).number)
-        first = await client.charge(Charge(30_000))
-        second = await client.charge(Charge(30_000))
+        first, second = [await client.charge(Charge(cost)) for cost in costs]
         return first.allowed, second, store.waits, owner.spent(TEAM.name, loop.time()), loop.time()
 
     return virtual.run(main)
@@ -229,12 +232,24 @@
 
 def test_a_request_beyond_the_snapshot_waits_for_the_stores_acknowledgement():
     """Guards against a refusal of some milliseconds, and against cost that is counted twice."""
-    first, second, waits, spent, now = charge_beyond_a_snapshot(answers=True)
+    first, second, waits, spent, now = charge_beyond_a_snapshot(30_000, 30_000, answers=True)
     assert first and second.allowed and waits == 1
     assert 61_000 <= spent < 80_000 and now < 0.01
 
 
+def test_a_request_waits_until_its_own_write_is_acknowledged():
+    """Guards against a refusal after the answer to an earlier call, as the grant of a lease."""
+    _, second, waits, _, _ = charge_beyond_a_snapshot(30_000, 30_000, answers=True, other_calls=2)
+    assert second.allowed and waits == 3
+
+
+def test_a_request_that_costs_more_than_the_growth_is_granted():
+    """Guards against refusals for ever: the room after any write is the growth, 36,900 here."""
+    _, second, waits, _, _ = charge_beyond_a_snapshot(10_000, 60_000, answers=True)
+    assert second.allowed and waits == 1
+
+
 def test_a_request_beyond_the_snapshot_is_refused_if_the_store_is_silent():
-    first, second, waits, _, now = charge_beyond_a_snapshot(answers=False)
+    first, second, waits, _, now = charge_beyond_a_snapshot(30_000, 30_000, answers=False)
     assert first and not second.allowed and waits == 1
     assert second.retry_after_s > 0 and now < 0.03
