--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from chalkyoke.quotas.growth import Bound, TeamGrowth
-from chalkyoke.quotas.ledger import Ledger, Parts
+from chalkyoke.quotas.ledger import SHORT_WINDOW_FRACTION, SHORT_WINDOW_SHARE, Ledger, Parts
 from chalkyoke.quotas.snapshots import (
     FORMAT_VERSION,
     GROWTH_SHARE,
@@ -24,7 +24,7 @@
     combine,
     make_team_snapshot,
 )
-from chalkyoke.quotas.window import SpendingWindow
+from chalkyoke.quotas.window import WINDOW_PARTS, SpendingWindow
 
 # Used fraction of the growth above which a write is due. The rest lasts for a quarter of a second
 # of the steepest ramp that an owner leases, longer than a write to a slow store.
@@ -33,9 +33,8 @@
 SHARE_FALL = 0.04
 # Rise of the share in use that makes a write due.
 SHARE_RISE = 0.1
-# Growths by which a window has fallen below its snapshot when a write is due. At usual use an owner
-# that resumes a snapshot of twice the growth too much still has room, and demand that varies needs
-# fewer writes: each one also answers all watches of the store.
+# Growths by which a sum of a window's newest parts has fallen below its snapshot when a write is due
+# that makes the snapshot lower. Each write also answers all watches of the store.
 LOWER_GROWTHS = 2.0
 # Minimum time between writes that only make snapshots lower, in seconds.
 LOWER_INTERVAL_S = 2.0
@@ -229,9 +228,25 @@
         is_urgent = growth.expected or grown > URGENT_FRACTION * unit
         if is_urgent or ledger.share < before.share - SHARE_FALL:
             return Due.NOW
-        lower = before.sums[-1] - sums[-1] > LOWER_GROWTHS * unit
+        fallen = max(known - spent for spent, known in zip(sums, before.sums, strict=True))
+        lower = fallen > LOWER_GROWTHS * unit and self._would_refuse(before.sums, sums, ledger)
         return Due.LATER if lower or ledger.share > before.share + SHARE_RISE else Due.NOT
 
+    def _would_refuse(self, known: Parts, sums: Parts, ledger: Ledger) -> bool:
+        """Return whether a reader of a snapshot has less room than the newest quarter has used.
+
+        With more room, the reader refuses nothing although the snapshot is too high, so it needs
+        no write.
+
+        :param known: the sums of the snapshot.
+        :param sums: the sums of the actual window.
+        """
+        leasable = self._leasable_share * ledger.window_limit
+        quarter = int(WINDOW_PARTS * SHORT_WINDOW_FRACTION) - 1
+        room = leasable - known[-1] - GROWTH_SHARE * ledger.window_limit
+        quarter_room = SHORT_WINDOW_SHARE * leasable - known[quarter]
+        return min(room, quarter_room) < sums[quarter]
+
     def build(self, epoch: int, now: float) -> OutgoingSnapshot:
         """Build the value to write now. From now on the store may hold it.
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshots.py
@@ -4,7 +4,7 @@
 import pytest
 from chalkyoke.quotas.growth import TeamGrowth
 from chalkyoke.quotas.ledger import new_ledger
-from chalkyoke.quotas.ownersnapshots import OwnerSnapshots
+from chalkyoke.quotas.ownersnapshots import Due, OwnerSnapshots
 from chalkyoke.quotas.snapshotcalls import ReadBack, SnapshotCalls, WriteValue
 from chalkyoke.quotas.snapshots import (
     FORMAT_VERSION,
@@ -62,6 +62,15 @@
     assert snapshots.room("t", 9.0) == pytest.approx(500.0)
 
 
+@pytest.mark.parametrize(("spent", "is_due"), [(300.0, False), (700.0, True)])
+def test_a_snapshot_is_lowered_only_if_a_restart_would_refuse_for_it(spent, is_due):
+    """Guards against writes, each of which answers all watches, without a use for them."""
+    ledger, snapshots = make_owner(spent=spent, at=0.1)
+    snapshots.acknowledged(snapshots.build(1, 3.0).number)
+    ledger.add_lease(60.0, 9.0)
+    assert (snapshots.due(9.0) is Due.LATER) is is_due
+
+
 def test_a_fallen_share_leaves_an_owner_its_part_of_the_bound():
     ledger, snapshots = make_owner(spent=300.0, at=10.0)
     snapshots.acknowledged(snapshots.build(1, 10.0).number)
