quotas: tests of the wait that count each lease once, and the age of an acknowledged write

Cause: a lease that is returned twice by the owner's repeated answer was not seen by any test; a conflict counted as an acknowledged write in the metric. Change: the test compares the spending with that of one answer; only a written value resets quota_snapshot_age_s. The reason for 40 fleets stands at the test. Result: the test fails if the lease is returned with each answer.

--- a/packages/chalkyoke/src/chalkyoke/node/quotasnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quotasnapshots.py
@@ -23,7 +23,7 @@
     StoreCall,
     WriteValue,
 )
-from chalkyoke.storage.messages import Unavailable
+from chalkyoke.storage.messages import Unavailable, Written
 from chalkyoke.storage.port import Store
 
 # How often an owner checks whether a call is due, in seconds: a fifth of the time in which the
@@ -156,7 +156,7 @@
         self._metrics.count("quota_snapshot_calls", call=type(call).__name__, outcome=outcome)
         if isinstance(call, WriteValue):
             self._metrics.count("quota_snapshot_bytes", len(call.value))
-            if not self._calls.failing:
+            if isinstance(answer, Written):
                 self._acknowledged_at = self._now()
         if isinstance(call, ReadAll) and not isinstance(answer, Unavailable):
             self._report_read(call)
--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -33,8 +33,8 @@
 SHARE_FALL = 0.04
 # Rise of the share in use that makes a write due.
 SHARE_RISE = 0.1
-# Growths by which a sum of a window's newest parts has fallen below its snapshot when a write is due
-# that makes the snapshot lower. Each write also answers all watches of the store.
+# Growths by which a sum of a window's newest parts has fallen below its snapshot when a write that
+# lowers the snapshot is due. Each write also answers all watches of the store.
 LOWER_GROWTHS = 2.0
 # Minimum time between writes that only make snapshots lower, in seconds.
 LOWER_INTERVAL_S = 2.0
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_client.py
@@ -231,16 +231,22 @@
 
 
 def test_a_request_beyond_the_snapshot_waits_for_the_stores_acknowledgement():
-    """Guards against a refusal of some milliseconds, and against cost that is counted twice."""
+    """Guards against a refusal of some milliseconds."""
     first, second, waits, spent, now = charge_beyond_a_snapshot(30_000, 30_000, answers=True)
     assert first and second.allowed and waits == 1
     assert 61_000 <= spent < 80_000 and now < 0.01
 
 
 def test_a_request_waits_until_its_own_write_is_acknowledged():
-    """Guards against a refusal after the answer to an earlier call, as the grant of a lease."""
-    _, second, waits, _, _ = charge_beyond_a_snapshot(30_000, 30_000, answers=True, other_calls=2)
-    assert second.allowed and waits == 3
+    """Guards against a refusal after the answer to an earlier call, as the grant of a lease.
+
+    A returned lease counts once, however often the owner answers.
+    """
+    _, _, _, once, _ = charge_beyond_a_snapshot(30_000, 30_000, answers=True)
+    _, second, waits, spent, _ = charge_beyond_a_snapshot(
+        30_000, 30_000, answers=True, other_calls=2
+    )
+    assert second.allowed and waits == 3 and spent == once
 
 
 def test_a_request_that_costs_more_than_the_growth_is_granted():
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshotlosses.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshotlosses.py
@@ -155,7 +155,10 @@
 
 @pytest.mark.parametrize(("demand", "least"), [(0.55, 0.95), (1.0, 0.8)])
 def test_most_requests_are_served_after_all_nodes_were_killed(demand, least):
-    """Guards against refusals for seconds: 0.87 and 0.84 are served without snapshots."""
+    """Guards against refusals for seconds: 0.87 and 0.84 are served without snapshots.
+
+    At full use the share of one fleet has a standard deviation of 0.13, that of 40 one of 0.02.
+    """
     counts = [served_after_kill(SimStore(seed), demand, seed) for seed in range(40)]
     assert sum(passed for passed, _ in counts) > least * sum(all_ for _, all_ in counts)
 
