--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -115,12 +115,14 @@
 
     :param is_assumption: whether the ledger has only assumed spending, which a new owner that can
         read the snapshots must not take for a report.
+    :param leased_unread: cost leased in the last window without knowledge of the snapshots.
     """
 
     ledger: Ledger
     at: float
     handed_off: bool = False
     is_assumption: bool = False
+    leased_unread: float = 0.0
 
 
 class QuotaOwner:
@@ -174,6 +176,10 @@
         held = EMPTY_PARTS
         if kept is not None and now - kept.at <= HAND_OFF_RETENTION_S and not kept.is_assumption:
             held = kept.ledger.window.parts(now)
+            if kept.leased_unread:
+                own = (*EMPTY_PARTS[1:], 0.0 if kept.handed_off else kept.leased_unread)
+                kept.handed_off = True
+                return HandedOffWindow(held, own, assumed=True)
             if not kept.handed_off:
                 kept.handed_off = True
                 return HandedOffWindow(held, kept.ledger.own_spending(now))
@@ -184,14 +190,18 @@
         return HandedOffWindow(held, copied=True, share=share) if any(held) else HandedOffWindow()
 
     def _retire(self, team: str, now: float, *, handed_off: bool = False) -> None:
-        ledger = self._ledgers.pop(team, None)
+        ledger = self._ledgers.get(team)
         if ledger is None:
             return
         retired = _RetiredLedger(ledger, now, handed_off=handed_off)
         self._retired[team] = retired
         if self.snapshots is not None:
             retired.is_assumption = not (ledger.surveyed or ledger.leased)
+            if not self.snapshots.is_known(team):
+                retired.leased_unread = self.snapshots.leased_recently(team, now)
+                retired.is_assumption = not retired.leased_unread
             self.snapshots.release(team, now)
+        del self._ledgers[team]
 
     def answer_request(
         self, team: Team, message: QuotaRequest, presence: Presence, now: float
@@ -209,13 +219,7 @@
         if message.alone > 0 and ledger.surveyed:
             # While the window is assumed to be full, the assumption already covers this spending.
             ledger.add_lease(message.alone, now)
-        # A part of the window is reserved for more urgent ranks, so less urgent requests are
-        # refused first.
-        cheap = self._is_cheap(team, message)
-        reserved_ranks = 0 if cheap else min(message.rank, MAX_RESERVED_RANKS)
-        leasable = (
-            ledger.window_limit * LEASABLE_SHARE * (1.0 - RESERVED_SHARE_PER_RANK * reserved_ranks)
-        )
+        leasable = self._leasable(team, message, ledger)
         headroom = ledger.headroom(leasable, now)
         room = self._snapshot_room(team.name, now)
         if min(headroom, room) < message.need:
@@ -223,7 +227,9 @@
             if headroom < message.need:
                 retry = ledger.free_in_s(message.need - headroom, leasable, presence.share, now)
             if room < message.need:
-                retry = max(retry, self._snapshot_retry_s(ledger, message.need - room, now))
+                retry = max(retry, self._snapshot_retry_s(team.name, message.need - room, now))
+                if headroom >= message.need and self.snapshots is not None:
+                    self.snapshots.expect(team.name, message.need)
             retry = max(MIN_RETRY_AFTER_S, retry)
             return QuotaGrant(
                 team.name,
@@ -240,20 +246,31 @@
         ledger.add_lease(amount, now)
         return QuotaGrant(team.name, message.number, amount, 0.0, LEASE_VALID_S, window.number)
 
-    def is_bounded_by_snapshot(self, team: str, need: float, now: float) -> bool:
-        """Return whether a refused cost may be leased as soon as the store has answered."""
-        ledger = self._ledgers.get(team)
+    def is_bounded_by_snapshot(self, team: Team, message: QuotaRequest, now: float) -> bool:
+        """Return whether a refused request may be granted as soon as the store has answered."""
+        ledger = self._ledgers.get(team.name)
         if ledger is None or self.snapshots is None:
             return False
-        if self.snapshots.is_unread(team, now):
+        if self.snapshots.is_unread(team.name):
             return True
-        leasable = ledger.window_limit * LEASABLE_SHARE
-        return self._snapshot_room(team, now) < need <= ledger.headroom(leasable, now)
+        headroom = ledger.headroom(self._leasable(team, message, ledger), now)
+        return self._snapshot_room(team.name, now) < message.need <= headroom
+
+    def _leasable(self, team: Team, message: QuotaRequest, ledger: Ledger) -> float:
+        """Return the cost that a window may hold for requests of the given rank.
+
+        A part of the window is reserved for more urgent ranks, so less urgent requests are refused
+        first.
+        """
+        cheap = self._is_cheap(team, message)
+        reserved_ranks = 0 if cheap else min(message.rank, MAX_RESERVED_RANKS)
+        reserved = RESERVED_SHARE_PER_RANK * reserved_ranks
+        return ledger.window_limit * LEASABLE_SHARE * (1.0 - reserved)
 
-    def _snapshot_retry_s(self, ledger: Ledger, lacking: float, now: float) -> float:
+    def _snapshot_retry_s(self, team: str, lacking: float, now: float) -> float:
         """Return when the store has answered, or when enough cost has left the window."""
         if self.snapshots is not None and self.snapshots.store_failing:
-            return ledger.window.free_in_s(lacking, now)
+            return self.snapshots.free_in_s(team, lacking, now)
         return SNAPSHOT_RETRY_AFTER_S
 
     def _snapshot_room(self, team: str, now: float) -> float:
@@ -274,7 +291,7 @@
         changed: dict[str, list[WindowUpdate]] = {}
         kept: list[tuple[str, str]] = []
         for team, ledger in self._ledgers.items():
-            if self.snapshots is not None and self.snapshots.is_unread(team, now):
+            if self.snapshots is not None and self.snapshots.is_unread(team):
                 # A successor would resume the assumed spending instead of the snapshots.
                 continue
             for address in successors(team):
@@ -311,7 +328,9 @@
         ledger = self._ledgers.get(team.name)
         if ledger is None or now - ledger.started_at > SURVEY_S:
             return
-        if message.window:
+        if message.assumed and self.snapshots is not None:
+            ledger.add_lease(sum(message.own), now)
+        elif message.window:
             handed = HandedOffWindow(message.window, message.own, message.copied, message.share)
             ledger.resume_window(handed, now)
             self._bound_by_survey(team.name, now)
--- a/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ownersnapshots.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from chalkyoke.quotas.growth import HOLD_S, Bound, TeamGrowth
-from chalkyoke.quotas.ledger import Ledger, Parts
+from chalkyoke.quotas.growth import Bound, TeamGrowth
+from chalkyoke.quotas.ledger import SHORT_WINDOW_FRACTION, SHORT_WINDOW_SHARE, Ledger, Parts
 from chalkyoke.quotas.snapshots import (
     FORMAT_VERSION,
     GROWTH_SHARE,
@@ -24,6 +24,7 @@
     combine,
     make_team_snapshot,
 )
+from chalkyoke.quotas.window import WINDOW_PARTS, SpendingWindow
 
 # Used fraction of the growth above which a write is due. The rest lasts for a quarter of a second
 # of the steepest ramp that an owner leases, longer than a write to a slow store.
@@ -32,9 +33,8 @@
 SHARE_FALL = 0.04
 # Rise of the share in use that makes a write due.
 SHARE_RISE = 0.1
-# Growths by which a window has fallen below its snapshot when a write is due. At usual use an owner
-# that resumes a snapshot of twice the growth too much still has room, and demand that varies needs
-# fewer writes: each one also answers all watches of the store.
+# Growths by which a sum of a window's newest parts has fallen below its snapshot when a write that
+# lowers the snapshot is due. Each write also answers all watches of the store.
 LOWER_GROWTHS = 2.0
 # Minimum time between writes that only make snapshots lower, in seconds.
 LOWER_INTERVAL_S = 2.0
@@ -104,14 +104,15 @@
             snapshot of the team.
         """
         ledger = self._ledgers[team]
-        growth = TeamGrowth(ledger.window.number, ledger.window_limit)
+        recent = SpendingWindow(ledger.window.window_s)
+        growth = TeamGrowth(recent, ledger.window_limit, opened_at=now)
         self._teams[team] = growth
         if first:
             return
         if ledger.surveyed:
             growth.inherit(ledger, now)
             return
-        growth.unread, growth.hold_until = True, now + HOLD_S
+        growth.unread = True
 
     def survey_answered(self, team: str, now: float) -> None:
         """Bound the window by what a survey has just shown, until the first acknowledged write."""
@@ -130,16 +131,40 @@
         """Return the cost of a team that may be leased now; infinite if no snapshot limits it."""
         return self._teams[team].room(self._ledgers[team], now)
 
+    def free_in_s(self, team: str, lacking: float, now: float) -> float:
+        """Return the time until a lacking cost may be leased without the store, in seconds."""
+        growth = self._teams[team]
+        window = self._ledgers[team].window if growth.is_known else growth.recent
+        return window.free_in_s(lacking, now)
+
+    def expect(self, team: str, cost: float) -> None:
+        """Make room for a cost with the next write, which is due at once.
+
+        A cost above the growth would not fit into the bound of any snapshot of the window alone.
+        """
+        growth = self._teams[team]
+        if not growth.unread:
+            growth.expected = max(growth.expected, cost)
+
     # Reads.
 
-    def is_unread(self, team: str, now: float) -> bool:
-        """Return whether a team's snapshots have to be read first, or their lifetime to pass."""
+    def is_unread(self, team: str) -> bool:
+        """Return whether a team's snapshots have to be read first."""
         growth = self._teams.get(team)
-        return growth is not None and growth.is_unread(now)
+        return growth is not None and growth.unread
+
+    def is_known(self, team: str) -> bool:
+        """Return whether all snapshots of a team in the store are known to this owner."""
+        growth = self._teams.get(team)
+        return growth is None or growth.is_known
+
+    def leased_recently(self, team: str, now: float) -> float:
+        """Return the cost that this owner leased to a team in the last window."""
+        return self._teams[team].leased_recently(self._ledgers[team], now)
 
-    def unread_teams(self, now: float) -> list[str]:
+    def unread_teams(self) -> list[str]:
         """List the teams whose spending no other node knew and whose snapshots are not read yet."""
-        return [team for team, growth in self._teams.items() if growth.is_unread(now)]
+        return [team for team, growth in self._teams.items() if growth.unread]
 
     def apply_read(self, teams: list[str], found: ReadSnapshots, now: float) -> list[str]:
         """Resume windows from the snapshots in the store.
@@ -150,12 +175,13 @@
         resumed: list[str] = []
         for team in teams:
             growth, ledger = self._teams.get(team), self._ledgers.get(team)
-            if growth is None or ledger is None or not growth.is_unread(now):
+            if growth is None or ledger is None or not growth.unread:
                 continue
+            growth.unread = False
             if not found.complete:
                 # The unreadable value may contain more spending of this team than the others.
+                growth.unreadable = True
                 continue
-            growth.unread = False
             leasable = ledger.window_limit * self._leasable_share
             window = combine(
                 found.teams.get(team, ()),
@@ -165,7 +191,8 @@
             )
             if window is None:
                 continue
-            ledger.resume_snapshot(window.parts, window.growth, now)
+            leased = growth.leased_recently(ledger, now)
+            ledger.resume_snapshot(window.parts, window.growth, leased, now)
             share = min(1.0, sum(each.share for each in found.teams[team]))
             growth.inherit(ledger, now, Bound(window.bound, share))
             resumed.append(team)
@@ -183,9 +210,9 @@
                 due = Due.LATER
         for team, growth in self._teams.items():
             ledger = self._ledgers[team]
-            if growth.is_unread(now):
+            if growth.unread:
                 continue
-            if check_lower or growth.checked != ledger.leased:
+            if check_lower or growth.expected or growth.checked != ledger.leased:
                 growth.checked = ledger.leased
                 due = max(due, self._due_of_team(growth, ledger, now))
         return due if check_lower or due is Due.NOW else Due.NOT
@@ -195,14 +222,31 @@
         growth.apply_limit(ledger.window_limit)
         before = growth.snapshot
         if before is None:
-            return Due.NOW if sums[-1] else Due.LATER
+            return Due.NOW if sums[-1] or growth.expected else Due.LATER
         unit = GROWTH_SHARE * ledger.window_limit
         grown = max(spent - known for spent, known in zip(sums, before.sums, strict=True))
-        if grown > URGENT_FRACTION * unit or ledger.share < before.share - SHARE_FALL:
+        is_urgent = growth.expected or grown > URGENT_FRACTION * unit
+        if is_urgent or ledger.share < before.share - SHARE_FALL:
             return Due.NOW
-        lower = before.sums[-1] - sums[-1] > LOWER_GROWTHS * unit
+        fallen = max(known - spent for spent, known in zip(sums, before.sums, strict=True))
+        lower = fallen > LOWER_GROWTHS * unit and self._would_refuse(before.sums, sums, ledger)
         return Due.LATER if lower or ledger.share > before.share + SHARE_RISE else Due.NOT
 
+    def _would_refuse(self, known: Parts, sums: Parts, ledger: Ledger) -> bool:
+        """Return whether a reader of a snapshot has less room than the newest quarter has used.
+
+        With more room, the reader refuses nothing although the snapshot is too high, so it needs
+        no write.
+
+        :param known: the sums of the snapshot.
+        :param sums: the sums of the actual window.
+        """
+        leasable = self._leasable_share * ledger.window_limit
+        quarter = int(WINDOW_PARTS * SHORT_WINDOW_FRACTION) - 1
+        room = leasable - known[-1] - GROWTH_SHARE * ledger.window_limit
+        quarter_room = SHORT_WINDOW_SHARE * leasable - known[quarter]
+        return min(room, quarter_room) < sums[quarter]
+
     def build(self, epoch: int, now: float) -> OutgoingSnapshot:
         """Build the value to write now. From now on the store may hold it.
 
@@ -215,10 +259,11 @@
         made: dict[str, tuple[TeamSnapshot, Parts]] = {}
         for team, growth in self._teams.items():
             ledger = self._ledgers[team]
-            if growth.is_unread(now):
+            if growth.unread:
                 continue
             growth.apply_limit(ledger.window_limit)
-            sums = ledger.window.recent_sums(now)
+            sums = tuple(each + growth.expected for each in ledger.window.recent_sums(now))
+            growth.expected = 0.0
             made[team] = make_team_snapshot(team, ledger.window_limit, ledger.share, sums)
         self._drop_released(now)
         kept = [each.snapshot for each in self._released.values()]
