--- a/packages/chalkyoke/src/chalkyoke/node/schedulers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/schedulers.py
@@ -191,10 +191,10 @@
                 self._deliver(entry, Queued(message.request, message.attempt, message.pool))
         elif isinstance(message, Release):
             self.dispatch(scheduler.release(domain, message, now))
-            self._log_upstream_transitions(scheduler)
+            self._log_upstream_transitions(scheduler, entry)
         elif isinstance(message, FirstOutput):
             scheduler.apply_first_output(message, now)
-            self._log_upstream_transitions(scheduler)
+            self._log_upstream_transitions(scheduler, entry)
         elif isinstance(message, Progress):
             self.dispatch(scheduler.apply_progress(entry, message, now))
         elif isinstance(message, Adopt):
@@ -326,11 +326,21 @@
         allowances = {name: each for name, each in found.items() if each is not None}
         self.dispatch(scheduler.set_allowances(allowances, now))
 
-    def _log_upstream_transitions(self, scheduler: PoolScheduler) -> None:
+    def _log_upstream_transitions(self, scheduler: PoolScheduler, entry: str) -> None:
+        """Log the changes that a message of an entry process has caused."""
         for each in scheduler.take_refusal_changes():
             event = "upstream_closed" if each.refuses else "upstream_opened"
             log.info(event, pool=scheduler.spec.name, upstream=each.upstream)
             self._metrics.count(event, pool=scheduler.spec.name)
+        for backoff in scheduler.take_backoffs():
+            log.info(
+                "upstream_backoff",
+                pool=scheduler.spec.name,
+                upstream=backoff.upstream,
+                domain=backoff.domain,
+                for_s=backoff.for_s,
+                reported_by=entry,
+            )
 
     def _deliver(self, entry: str, message: Grant | Shed | Queued) -> None:
         if entry == self._process:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -40,6 +40,18 @@
     refuses: bool
 
 
+class Backoff(msgspec.Struct, frozen=True):
+    """An upstream gets no requests for some time, since a host failed to use it.
+
+    :param domain: failure domain whose requests are kept away; empty for all.
+    :param for_s: duration in seconds.
+    """
+
+    upstream: str
+    domain: str
+    for_s: float
+
+
 class Learner:
     """Update the estimates of a pool from reports and outcomes.
 
@@ -50,6 +62,7 @@
         self.outputs = OutputModel(pool.spec.caution)
         self.hints = HintModel()
         self.refusal_changes: list[RefusalChange] = []
+        self.backoffs: list[Backoff] = []
         self._pool = pool
         self._features = features
 
@@ -118,12 +131,15 @@
             upstream.unreachable += 1
             backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(upstream.unreachable, 10))
             upstream.unreachable_from[domain] = now + backoff
+            self.backoffs.append(Backoff(upstream.spec.id, domain, backoff))
         elif outcome is ReleaseOutcome.FAILED:
             weight = PLAIN_FAILURE_WEIGHT if self._pool.spec.plain else 1.0
             upstream.failures = min(MAX_FAILURES, upstream.failures + weight)
             if upstream.failures >= FAILURES_TO_SUSPEND and self._may_suspend(now):
                 excess_failures = int(upstream.failures - FAILURES_TO_SUSPEND)
-                upstream.suspended_until = now + min(MAX_BACKOFF_S, BACKOFF_S * 2**excess_failures)
+                backoff = min(MAX_BACKOFF_S, BACKOFF_S * 2**excess_failures)
+                upstream.suspended_until = now + backoff
+                self.backoffs.append(Backoff(upstream.spec.id, "", backoff))
 
     def learn_declines(
         self, item: RunningRequest, upstream: Upstream, message: Release, now: float
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -13,7 +13,7 @@
 from chalkyoke.scheduling.entries import Entries
 from chalkyoke.scheduling.granting import Granter
 from chalkyoke.scheduling.headroom import Headroom
-from chalkyoke.scheduling.learning import Learner, RefusalChange
+from chalkyoke.scheduling.learning import Backoff, Learner, RefusalChange
 from chalkyoke.scheduling.loads import record_load_report, record_plain_load
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -134,6 +134,14 @@
         closings, self._learner.refusal_changes = self._learner.refusal_changes, []
         return closings
 
+    def take_backoffs(self) -> list[Backoff]:
+        """Return and clear the backoffs of upstreams that have begun.
+
+        :rtype: list[Backoff]
+        """
+        begun, self._learner.backoffs = self._learner.backoffs, []
+        return begun
+
     # Events.
 
     def configure(self, spec: PoolSpec, now: float) -> list[AddressedAction]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -125,6 +125,18 @@
     assert scheduler.upstreams[first].is_usable("another-domain", 0.2)
 
 
+def test_backoffs_name_the_upstream_and_the_failure_domain():
+    scheduler = make_scheduler(upstreams=("u1", "u2"))
+    first = send_acquires(scheduler, 0.0, acquire("x"))[0].upstream
+    send_release(scheduler, "x", 0.1, "unreachable")
+    for index in range(3):
+        upstream = send_acquires(scheduler, index + 1, acquire(f"y{index}"))[0].upstream
+        send_release(scheduler, f"y{index}", index + 1.1, "failed")
+    found = [(each.upstream, each.domain) for each in scheduler.take_backoffs()]
+    assert found[0] == (first, "d") and (upstream, "") in found[1:]
+    assert not scheduler.take_backoffs()
+
+
 def test_repeatedly_failing_upstream_is_suspended():
     scheduler = make_scheduler()
     for index in range(3):
