--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextvars
 import itertools
 import json
 import random
@@ -23,7 +24,7 @@
 from chalkyoke_fakes.replica import Replica
 
 from tests import catalogfleet, virtual
-from tests.memorynet import MemoryNet
+from tests.memorynet import MemoryNet, current_host
 
 FLEET_KEY_HEX = "00" * 32
 DEADLINE_MS = 8000
@@ -127,9 +128,13 @@
 
     def start_node(self, number, *, first_start=True):
         """Start a node, or restart one that was killed."""
-        node = GatewayNode(self._settings(number, first_start), Path(), self._platform(number))
+        context = contextvars.copy_context()
+        context.run(current_host.set, f"n{number}")
+        node = context.run(
+            GatewayNode, self._settings(number, first_start), Path(), self._platform(number)
+        )
         self.nodes[number] = node
-        self._tasks[number] = asyncio.ensure_future(node.run())
+        self._tasks[number] = context.run(asyncio.ensure_future, node.run())
 
     async def kill_node(self, number):
         """Stop a node without a shutdown, as a crash does."""
@@ -168,6 +173,17 @@
             parts.keys,
         )
 
+    def cut_from_replicas(self, nodes, replicas, mode):
+        """Partition nodes from replicas, while callers, the store and other nodes reach them.
+
+        :param nodes: indices of the nodes.
+        :rtype: Partition
+        """
+        addresses = [each.listen_address.rsplit(":", 1) for each in replicas]
+        return self.net.separate(
+            [f"n{each}" for each in nodes], [(ip, int(port)) for ip, port in addresses], mode
+        )
+
     async def send_request(
         self, node, path, body=b"{}", *, method="POST", key=KEY, until_whole=False
     ):
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -2,30 +2,86 @@
 tests.memorynet
 
 In-memory TCP for an event loop in virtual time: listeners and connections by address, without
-delay. All open connections can be silenced permanently while new ones still work.
+delay. All open connections can be silenced permanently while new ones still work, and hosts can be
+partitioned from addresses.
 """
 
 import asyncio
+import contextvars
+import errno
+from dataclasses import dataclass, field
+from enum import Enum
+
+# Time after which the operating system ends a connection with unacknowledged data, in seconds: the
+# shortest TCP_USER_TIMEOUT that nodes set on connections to replicas.
+USER_TIMEOUT_S = 2.5
+
+# The host whose code runs; empty outside of any host. Each connection end keeps the host's context.
+current_host = contextvars.ContextVar("current_host", default="")
+
+
+class PartitionMode(Enum):
+    """What happens to connections across a partition."""
+
+    RESET = "open connections are reset, new ones are refused"
+    SILENT = "open connections and new ones hang"
+    REFUSE_NEW = "open connections live on, new ones are refused"
+
+
+@dataclass
+class Partition:
+    """Separates hosts from addresses.
+
+    :ivar attempts: number of connections that hosts tried to open across it.
+    """
+
+    hosts: frozenset
+    addresses: frozenset
+    mode: PartitionMode
+    attempts: int = 0
+    healed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def separates(self, host, address):
+        return host in self.hosts and address in self.addresses
 
 
 class MemoryTransport(asyncio.Transport):
     """One end of an in-memory connection."""
 
-    def __init__(self, loop, protocol):
+    def __init__(self, loop, protocol, context, address):
         super().__init__()
         self._loop = loop
         self._protocol = protocol
+        self._context = context
+        self.host = context.get(current_host, "")
+        self.address = address
         self._closed = False
         self._paused_data = None
         self.peer = None
         self.is_silent = False
 
     def start(self):
-        self._loop.call_soon(self._protocol.connection_made, self)
+        self._call_soon(self._protocol.connection_made, self)
+
+    def set_protocol(self, protocol):
+        self._protocol = protocol
+
+    def get_protocol(self):
+        return self._protocol
+
+    def _call_soon(self, callback, *args):
+        self._loop.call_soon(callback, *args, context=self._context)
 
     def write(self, data):
-        if not self._closed and not self.is_silent:
-            self._loop.call_soon(self.peer.receive_data, bytes(data))
+        if self._closed:
+            return
+        if self.is_silent:
+            error = OSError(errno.ETIMEDOUT, "timed out")
+            self._loop.call_later(
+                USER_TIMEOUT_S, self.lose_connection, error, context=self._context
+            )
+            return
+        self.peer._call_soon(self.peer.receive_data, bytes(data))
 
     def receive_data(self, data):
         if self._closed or self.is_silent:
@@ -47,9 +103,9 @@
         if self._closed:
             return
         self._closed = True
-        self._loop.call_soon(self._protocol.connection_lost, None)
+        self._call_soon(self._protocol.connection_lost, None)
         if not self.is_silent:
-            self._loop.call_soon(self.peer.receive_close, error)
+            self.peer._call_soon(self.peer.receive_close, error)
 
     def receive_close(self, error):
         if error is None:
@@ -113,6 +169,8 @@
     def __init__(self, loop):
         self.listeners = {}
         self.opened_count = 0
+        self._contexts = {}
+        self._partitions = []
         self._loop = loop
         self._transports = []
         loop.create_server = self._create_server
@@ -120,15 +178,19 @@
 
     async def _create_server(self, factory, host, port, **_):
         self.listeners[(host, port)] = factory
+        self._contexts[(host, port)] = contextvars.copy_context()
         return _Listener(self, (host, port))
 
     async def _create_connection(self, factory, host, port, **_):
         protocol_factory = self.listeners.get((host, port))
         if protocol_factory is None:
             raise ConnectionRefusedError(f"{host}:{port}")
+        await self._cross_partitions((host, port))
         self.opened_count += 1
-        client_side = MemoryTransport(self._loop, factory())
-        server_side = MemoryTransport(self._loop, protocol_factory())
+        context, server_context = contextvars.copy_context(), self._contexts[(host, port)]
+        client_side = MemoryTransport(self._loop, factory(), context, (host, port))
+        server_protocol = server_context.run(protocol_factory)
+        server_side = MemoryTransport(self._loop, server_protocol, server_context, None)
         client_side.peer, server_side.peer = server_side, client_side
         self._transports += [client_side, server_side]
         client_side.start()
@@ -136,6 +198,41 @@
         await asyncio.sleep(0)
         return client_side, client_side._protocol
 
+    async def _cross_partitions(self, address):
+        """Refuse a new connection across a partition, or let it hang.
+
+        :raises ConnectionRefusedError: when a partition refuses it.
+        """
+        for partition in list(self._partitions):
+            if not partition.separates(current_host.get(), address):
+                continue
+            partition.attempts += 1
+            if partition.mode is not PartitionMode.SILENT:
+                raise ConnectionRefusedError(f"{address}")
+            await partition.healed.wait()
+
+    def separate(self, hosts, addresses, mode):
+        """Partition hosts from addresses; connections that were open then never recover.
+
+        :rtype: Partition
+        """
+        partition = Partition(frozenset(hosts), frozenset(addresses), mode)
+        self._partitions.append(partition)
+        for transport in list(self._transports):
+            if not partition.separates(transport.host, transport.address):
+                continue
+            for end in (transport, transport.peer):
+                if mode is PartitionMode.RESET:
+                    end.lose_connection(ConnectionResetError("reset by peer"))
+                elif mode is PartitionMode.SILENT:
+                    end.is_silent = True
+        return partition
+
+    def heal(self, partition):
+        """End a partition."""
+        self._partitions.remove(partition)
+        partition.healed.set()
+
     def fail_connections(self, error):
         """Fail all open connections with an error, each end on its own."""
         transports, self._transports = self._transports, []
