Reach replicas through other hosts while this host's own path is lost

Cause: a connection that one host could not open was taken for a statement about the replica. The host had no other way; the pool's scheduler kept the replica from the host's whole failure domain, so that callers of sound hosts were refused too; the quarantine counted an end of the replica.

Whether this host or another one connects is now decided below the pool of connections, where a replica is reached: a host that cannot connect asks another one for a tunnel, a stream between the two that carries the bytes of the connection. All decisions above stay at the host of the caller: dispatch, quotas, retry budget, deadline, cancelling. A tunnel leads to replicas only, so nothing is passed on twice. The path of a request that stays silent for 0.5 s is checked by a connection: a replica that is silent for a second accepts it.

Ruled out: a second scheduler for cut hosts, passing whole requests on (two places that count one request), health checks of all replicas by all hosts (hosts times replicas).

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -15,7 +15,7 @@
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
 from chalkyoke.gateway.sender import Progress, Sender
-from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
+from chalkyoke.gateway.verdict import UNCONNECTED, NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.quarantine.identity import request_digest
@@ -268,7 +268,7 @@
             end, admission.route, progress.sends, begun=begun, budget=budget, time_left=time_left
         )
         if next_step is NextStep.SEND_AGAIN:
-            if end is not SendEnd.NOT_CONNECTED:
+            if end not in UNCONNECTED:
                 parts.budget.try_spend(admission.service.name, parts.node_count(), now)
             self._delivery.splitter.discard_partial()
         elif next_step is NextStep.PASS_ON and self._sender.relay is not None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -13,7 +13,7 @@
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Relay
 from chalkyoke.gateway.statements import read_statement
-from chalkyoke.gateway.verdict import MISDIRECTED, SendEnd
+from chalkyoke.gateway.verdict import MISDIRECTED, UNCONNECTED, SendEnd
 from chalkyoke.scheduling.state import ReleaseOutcome
 
 RELEASE_OUTCOMES = {
@@ -21,9 +21,11 @@
     SendEnd.FAILURE_ANSWER: ReleaseOutcome.FAILED,
     SendEnd.DECLINED: ReleaseOutcome.UNUSED,
     SendEnd.NOT_CONNECTED: ReleaseOutcome.UNREACHABLE,
+    SendEnd.NO_PATH: ReleaseOutcome.UNUSED,
     SendEnd.BROKEN: ReleaseOutcome.FAILED,
     SendEnd.UNUSABLE: ReleaseOutcome.FAILED,
     SendEnd.STALLED: ReleaseOutcome.FAILED,
+    SendEnd.PATH_LOST: ReleaseOutcome.CANCELLED,
 }
 # Weight of each end in the failure statistics of its replica; 1.0 is a full failure.
 FAILURE_WEIGHTS = {
@@ -32,10 +34,11 @@
     SendEnd.BROKEN: 1.0,
     SendEnd.UNUSABLE: 1.0,
     SendEnd.STALLED: 1.0,
+    SendEnd.PATH_LOST: 0.3,
 }
 # Ends that are no evidence of the health of a replica: one that is full or that this node can't
 # reach may serve other nodes well.
-NOT_HEALTH_EVIDENCE = frozenset((SendEnd.DECLINED, SendEnd.NOT_CONNECTED))
+NOT_HEALTH_EVIDENCE = UNCONNECTED | {SendEnd.DECLINED, SendEnd.PATH_LOST}
 
 
 def output_duration_s(relay: Relay | None) -> float:
@@ -97,14 +100,14 @@
         parts = self._parts
         now = parts.now()
         stats = parts.balancer.stats(granted.replica.id)
-        if relay is not None and relay.fields.load is not None and end is not SendEnd.NOT_CONNECTED:
+        if relay is not None and relay.fields.load is not None and end not in UNCONNECTED:
             load = relay.fields.load
             stats.record_load(load.running, load.waiting, now)
         if end is SendEnd.DELIVERED:
             begun = admission.route.is_stream and granted.first_s > 0
             first_s = granted.first_s if begun else None
             stats.record_answer(now - granted.started_at, first_s)
-        elif end is SendEnd.NOT_CONNECTED:
+        elif end in UNCONNECTED:
             stats.record_unreachable(now)
         else:
             stats.record_failure(FAILURE_WEIGHTS[end], now)
@@ -128,13 +131,13 @@
     ) -> None:
         """Report to the quarantine what the end suggests about a request that ends replicas."""
         quarantine = self._parts.quarantine
-        if end is SendEnd.NOT_CONNECTED:
+        if end in UNCONNECTED:
             return
         if end is SendEnd.DELIVERED:
             quarantine.record_delivered(replica, request)
         elif end is SendEnd.BROKEN:
             quarantine.record_broken(admission, replica, request(), output_s)
-        elif end is SendEnd.STALLED:
+        elif end in (SendEnd.STALLED, SendEnd.PATH_LOST):
             quarantine.record_abandoned(replica, request(), output_s)
         else:
             quarantine.record_answer(replica)
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -18,8 +18,8 @@
 from chalkyoke.gateway.relay import Delivery, Relay
 from chalkyoke.gateway.verdict import SendCounts, SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
+from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
 from chalkyoke.http1.messages import Request, encode_request_head
-from chalkyoke.http1.pool import ConnectFailure
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.http1.upload import Upload
 from chalkyoke.invariants import require
@@ -125,11 +125,12 @@
         parts = self._parts
         connection = await self._connect(admission, granted)
         if isinstance(connection, ConnectFailure):
-            if connection is not ConnectFailure.AT_LIMIT:
+            if connection in UPSTREAM_FAILURES:
                 parts.quarantine.record_unreachable(granted.replica)
             self._progress.tried.append(granted.replica.id)
             self._return_trial(admission, granted)
-            return SendEnd.NOT_CONNECTED
+            has_path = connection is not ConnectFailure.NO_PATH
+            return SendEnd.NOT_CONNECTED if has_path else SendEnd.NO_PATH
         if not self._may_send(admission, granted):
             parts.connections.release(granted.replica.ip, granted.replica.port, connection)
             self._return_trial(admission, granted)
@@ -153,8 +154,19 @@
             parts.connections.release(granted.replica.ip, granted.replica.port, connection)
         elif not connection.closed:
             connection.cancel()
+        failed = end in (SendEnd.BROKEN, SendEnd.STALLED)
+        if failed and await self._has_lost_path(connection, granted):
+            return SendEnd.PATH_LOST
         return end
 
+    async def _has_lost_path(self, connection: ClientConnection, granted: Granted) -> bool:
+        """Check whether this node has lost its path to the replica of a failed send."""
+        if connection.via:
+            # The host on the way, or the path to it, may have failed as well as the replica.
+            return True
+        replica = granted.replica
+        return await self._parts.connections.is_path_lost(replica.ip, replica.port)
+
     def _may_send(self, admission: Admission, granted: Granted) -> bool:
         """Return whether the grant may still be used after the connection has opened.
 
@@ -248,6 +260,7 @@
             expected_first_s=round(granted.expected_first_s, 4),
             deadline_s=round(forwarding.deadline_s, 3),
             resumed_after=resumed_after,
+            via=connection.via,
         )
         self._send_on(connection, relay, head)
         self._reading.start(connection, relay)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -86,6 +86,10 @@
         self.status = "aborted"
 
 
+async def path_is_not_lost(ip, port):
+    return False
+
+
 def exchange_with(acquire, connect=None, route=ROUTE, rollouts=None):
     """Create an exchange that gets grants and connections from the given coroutine functions."""
     catalog = replace(CATALOG, routes=(route,))
@@ -107,7 +111,7 @@
         ),
         quotas=quotas,
         budget=SimpleNamespace(remaining=lambda *_: 0.0, try_spend=lambda *_: False),
-        connections=SimpleNamespace(connect=connect),
+        connections=SimpleNamespace(connect=connect, is_path_lost=path_is_not_lost),
         node_count=lambda: 3,
         now=loop.time,
         log_decision=lambda *_, **__: None,
@@ -184,6 +188,7 @@
     """A connection that accepts a request and never delivers an answer."""
 
     closed = False
+    via = ""
 
     def send(self, data, sink, belongs, *, bodiless=False):
         pass
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -21,15 +21,25 @@
 
 
 class SendEnd(StrEnum):
-    """How one send to a replica ended."""
+    """How one send to a replica ended.
+
+    ``NO_PATH``: not sent, since this node reaches no replica at all. ``PATH_LOST``: broken
+    or stalled, while only other nodes reach the replica. Both are no sign that the replica is down.
+    """
 
     DELIVERED = "delivered"
     FAILURE_ANSWER = "failure_answer"
     DECLINED = "declined"
     NOT_CONNECTED = "not_connected"
+    NO_PATH = "no_path"
     BROKEN = "broken"
     UNUSABLE = "unusable"
     STALLED = "stalled"
+    PATH_LOST = "path_lost"
+
+
+# Ends without a connection, so that nothing has been sent.
+UNCONNECTED = frozenset((SendEnd.NOT_CONNECTED, SendEnd.NO_PATH))
 
 
 class NextStep(StrEnum):
@@ -66,7 +76,7 @@
     """
     if end is SendEnd.DELIVERED:
         return NextStep.DONE
-    if end is SendEnd.NOT_CONNECTED:
+    if end in UNCONNECTED:
         return NextStep.SEND_AGAIN if time_left else _end_unsent(sends, begun)
     if end is SendEnd.DECLINED:
         return NextStep.SEND_AGAIN if time_left and budget else _end_unsent(sends, begun)
--- a/packages/chalkyoke/src/chalkyoke/http1/calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -9,8 +9,9 @@
 import msgspec
 
 from chalkyoke.http1.client import BreakReason, ClientConnection
+from chalkyoke.http1.dialing import ConnectFailure
 from chalkyoke.http1.messages import AnswerHead, Headers, encode_request_head
-from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.http1.pool import ConnectionPool
 
 # Longest time to open a connection, in seconds: several round trips to another region.
 CONNECT_TIMEOUT_S = 0.5
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -66,6 +66,12 @@
     :ivar keep_alive_s: seconds for which the upstream announces to keep an idle connection; 0
         when it announces nothing.
     :ivar on_close: called once when the connection has closed.
+    :ivar active_at: when the connection was opened, a request was sent or bytes arrived, whichever
+        was last, on the loop's clock.
+    :ivar heard_at: when the connection was opened or bytes arrived.
+    :ivar via: process of the host through which the connection passes; empty if it is direct.
+    :ivar stream: the stream over which the connection was opened, if any; it closes the transport
+        when it is collected.
     """
 
     def __init__(self) -> None:
@@ -76,8 +82,10 @@
         self._upload: Upload | None = None
         self._unusable = False
         self._parser = httptools.HttpResponseParser(self)
-        self.idle_since = self._loop.time()
+        self.idle_since = self.active_at = self.heard_at = self._loop.time()
         self.keep_alive_s = 0.0
+        self.via = ""
+        self.stream: object = None
         self.closed = False
         self.on_close: Callable[[ClientConnection], None] | None = None
         self._head: AnswerHead | None = None
@@ -105,7 +113,8 @@
         if self._sink is None:
             return
         ends_here = self._head is not None and not self._skipping and self._until_close
-        if ends_here and exc is None:
+        # The end of another host on the way closes the connection too.
+        if ends_here and exc is None and not self.via:
             self._finish(whole=True)
         else:
             self._break_exchange(BreakReason.CLOSED if exc is None else BreakReason.RESET)
@@ -126,6 +135,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or abort the connection when no request is in progress."""
+        self.active_at = self.heard_at = self._loop.time()
         if self._sink is None:
             self._unusable = True
             self.transport.abort()
@@ -143,6 +153,17 @@
 
     # Exchanges.
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress."""
+        return self._sink is not None
+
+    def retire(self) -> None:
+        """Let the exchange in progress end, then carry no other request."""
+        self._unusable = True
+        if not self.is_busy and not self.closed:
+            self.transport.close()
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -170,6 +191,7 @@
         :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
         """
         self._sink, self._matches_request, self._bodiless = sink, matches_request, bodiless
+        self.active_at = self._loop.time()
         self._reset_message()
         self._upload = upload
         if upload is None:
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-from enum import StrEnum
+from collections.abc import Iterator
 
 import msgspec
 
 from chalkyoke.http1.client import BoundedClientConnection, ClientConnection
+from chalkyoke.http1.dialing import ConnectFailure, Dialer, DirectDialer
 from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.memory.account import MemoryAccount
 from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
@@ -24,17 +25,21 @@
 USER_TIMEOUT_MS = 2500
 
 
-class ConnectFailure(StrEnum):
-    """Why no connection was obtained. Nothing has been sent in any of these cases."""
-
-    REFUSED = "refused"
-    TIMED_OUT = "timed_out"
-    AT_LIMIT = "at_limit"
+class _AddressEntry(msgspec.Struct):
+    """The connections to one address.
 
+    :ivar connections: all open connections, idle ones included.
+    :ivar opening: number of connections that are being opened.
+    """
 
-class _AddressEntry(msgspec.Struct):
     idle_connections: list[ClientConnection] = msgspec.field(default_factory=list)
-    open_connections: int = 0
+    connections: set[ClientConnection] = msgspec.field(default_factory=set)
+    opening: int = 0
+
+    @property
+    def count(self) -> int:
+        """Number of connections that count toward the limit."""
+        return len(self.connections) + self.opening
 
 
 class ConnectionPool:
@@ -42,6 +47,7 @@
 
     :param memory: the host's account; with a limit, the system's buffers of each connection are
         bounded.
+    :param dialer: opens the connections; by default, from this host only.
     :ivar opened_connections: number of connections opened so far.
 
     Usage::
@@ -49,8 +55,9 @@
       >>> connection = await pool.connect("10.0.0.9", 8080, limit=50, timeout_s=0.3, fresh_s=20.0)
     """
 
-    def __init__(self, memory: MemoryAccount | None = None) -> None:
+    def __init__(self, memory: MemoryAccount | None = None, dialer: Dialer | None = None) -> None:
         self._memory = memory or MemoryAccount()
+        self._dialer = dialer or DirectDialer()
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[tuple[str, int], _AddressEntry] = {}
         self.opened_connections = 0
@@ -79,37 +86,54 @@
         :param timeout_s: limit for opening the connection, in seconds.
         """
         entry = self._addresses.setdefault((ip, port), _AddressEntry())
-        if entry.open_connections >= limit:
+        if entry.count >= limit:
             return ConnectFailure.AT_LIMIT
 
-        limited = self._memory.is_limited
-        protocol = self._make_bounded if limited else ClientConnection
-        entry.open_connections += 1
+        entry.opening += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await self._loop.create_connection(protocol, ip, port)
-        except TimeoutError:
-            entry.open_connections -= 1
-            return ConnectFailure.TIMED_OUT
-        except OSError:
-            entry.open_connections -= 1
-            return ConnectFailure.REFUSED
-        except BaseException:
-            entry.open_connections -= 1
-            raise
+            found = await self._dialer.dial(self.make_connection, ip, port, timeout_s)
+        finally:
+            entry.opening -= 1
+        if isinstance(found, ClientConnection):
+            self._add(ip, port, found)
+        return found
+
+    async def is_path_lost(self, ip: str, port: int) -> bool:
+        """Check whether only other hosts reach an upstream whose connection has failed.
+
+        Such a failure is no sign that the upstream is down.
+        """
+        return await self._dialer.is_path_lost(ip, port)
+
+    def make_connection(self) -> ClientConnection:
+        """Create the protocol of a connection."""
+        if not self._memory.is_limited:
+            return ClientConnection()
+        # A read of half of what may be unread keeps the sender busy meanwhile.
+        return BoundedClientConnection(self._memory.unread_bound // 2)
+
+    def adopt(self, ip: str, port: int, connection: ClientConnection) -> None:
+        """Add a connection that was opened elsewhere as an idle one."""
+        self._add(ip, port, connection)
+        self.release(ip, port, connection)
+
+    def connections(self) -> Iterator[tuple[tuple[str, int], ClientConnection]]:
+        """Iterate over all open connections with their addresses."""
+        for address, entry in list(self._addresses.items()):
+            for connection in list(entry.connections):
+                yield address, connection
+
+    def _add(self, ip: str, port: int, connection: ClientConnection) -> None:
+        entry = self._addresses.setdefault((ip, port), _AddressEntry())
         self.opened_connections += 1
         set_user_timeout(connection.transport, USER_TIMEOUT_MS)
-        if limited:
+        if self._memory.is_limited:
             bound_unread(connection.transport, self._memory.unread_bound)
             bound_unsent(connection.transport, SYSTEM_UNSENT_BYTES)
+        entry.connections.add(connection)
         connection.on_close = lambda closed: self._remove_closed((ip, port), closed)
         if connection.closed:
             self._remove_closed((ip, port), connection)
-        return connection
-
-    def _make_bounded(self) -> BoundedClientConnection:
-        # A read of half of what may be unread keeps the sender busy meanwhile.
-        return BoundedClientConnection(self._memory.unread_bound // 2)
 
     def release(self, ip: str, port: int, connection: ClientConnection) -> None:
         """Return a connection to the pool after its exchange, or close it if it can't be reused."""
@@ -139,7 +163,7 @@
                 ):
                     entry.idle_connections.remove(connection)
                     connection.transport.close()
-            if entry.open_connections == 0 and not entry.idle_connections:
+            if entry.count == 0:
                 del self._addresses[key]
 
     def close(self) -> None:
@@ -163,7 +187,7 @@
         entry = self._addresses.get(key)
         if entry is None:
             return
-        entry.open_connections -= 1
+        entry.connections.discard(connection)
         if connection in entry.idle_connections:
             entry.idle_connections.remove(connection)
 
--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -8,7 +8,7 @@
 import contextlib
 import secrets
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 import msgspec
 
@@ -271,6 +271,17 @@
             async with asyncio.timeout(1.0):
                 await self._writer.wait_closed()
 
+    def detach(self) -> asyncio.Transport:
+        """Stop reading messages, and return the transport for another protocol.
+
+        Keep this connection while the transport is in use.
+
+        :raises LinkError: when the stream is closed, or holds bytes that were not read.
+        """
+        if self.closing or self._ready or self._reader.has_unread:
+            raise LinkError("the stream can't be detached")
+        return cast(asyncio.Transport, self._writer.transport)
+
     def abort(self) -> None:
         """Close the stream at once and drop unsent data."""
         self._writer.transport.abort()
--- a/packages/chalkyoke/src/chalkyoke/links/intake.py
+++ b/packages/chalkyoke/src/chalkyoke/links/intake.py
@@ -23,6 +23,11 @@
         self.ended = asyncio.Event()
         self._receiver: Callable[[bytes], None] | None = None
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes are buffered, or the stream has ended."""
+        return bool(self._buffer) or self.at_eof()  # type: ignore[attr-defined]
+
     def set_receiver(self, receiver: Callable[[bytes], None] | None) -> None:
         """Pass buffered and further bytes to a callback, or buffer them again if it is None."""
         self._receiver = receiver
--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -40,6 +40,7 @@
     RESPONSES_SENT = "responses_in_transit"
     UNREAD = "responses_unread"
     LINKS = "link_queues"
+    TUNNELS = "tunnels"
 
 
 class MemoryAccount:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -11,7 +11,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
@@ -78,6 +78,9 @@
 from chalkyoke.quotas.owner import Presence
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
 from chalkyoke.rollouts.exposure import ExposureBounds
+from chalkyoke.tunnels.dialer import SILENCE_CHECK_INTERVAL_S, FleetDialer
+from chalkyoke.tunnels.opener import TunnelOpener
+from chalkyoke.tunnels.server import TunnelServer
 
 # How often a pool's scheduler expires late requests, in seconds: a twentieth of the shortest goals.
 TICK_S = 0.05
@@ -154,6 +157,7 @@
                 self.announcements,
                 self.limits,
                 self.permits,
+                self.tunnels,
             ),
             self._apply_member_changes,
             self.now,
@@ -302,7 +306,20 @@
         )
         self.quotas, self.quota_snapshots = quotas.client, quotas.snapshots
         budget = BudgetLimits(limits.retry_ratio, limits.retry_slack, limits.retry_window_s)
-        self.connections = ConnectionPool(self.memory.account)
+        opener = TunnelOpener(
+            self.record.process,
+            self.settings.node.failure_domain,
+            self.links,
+            self.view.live,
+            random.random,
+            self.now,
+        )
+        self.dialer = FleetDialer(opener, self.replicas.addresses, random.random)
+        self.connections = ConnectionPool(self.memory.account, self.dialer)
+        self.dialer.pool = self.connections
+        self.tunnels = TunnelServer(self.dialer, self.replicas.addresses, self.memory.account)
+        self.metrics.register_gauge("replica_paths_lost", lambda: self.dialer.lost_paths)
+        self.metrics.register_gauge("tunnels_served", lambda: len(self.tunnels.tunnels))
         self.suspicions = Suspicions(
             self.view,
             self.balancer,
@@ -429,6 +446,9 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, left)):
                 await callers.finish_requests()
+        await self.tunnels.finish(
+            self.settings.limits.grace_s - GRACE_MARGIN_S - (self.now() - began)
+        )
         log.notice("stopped", in_progress=self.gateway.in_progress, took_s=self.now() - began)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
@@ -441,6 +461,7 @@
         self._supervisor.cancel()
         await self.links.close()
         self.quarantine.close()
+        self.dialer.close()
         self.connections.close()
         self._store_connections.close()
         await asyncio.sleep(TICK_S)
@@ -461,6 +482,7 @@
         loops.repeat(self.view.interval_s, self._send_heartbeats)
         loops.repeat(self.view.interval_s, self._check_members)
         loops.repeat(KEEPALIVE_INTERVAL_S, self._keep_links)
+        loops.repeat(SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
         loops.repeat(self.view.interval_s, self.catalog.resolve_conflicts)
         loops.repeat(HOUSEKEEPING_S, self._run_housekeeping)
         loops.repeat(WINDOW_REPLICATION_INTERVAL_S, self.quotas.replicate_windows)
@@ -505,6 +527,7 @@
             log.info("monitoring", begun=self._is_monitor, live=len(self.view.live()))
         if self._handled_generation != self.view.generation:
             self._handled_generation = self.view.generation
+            self.dialer.retire_tunnels()
             self.quotas.refresh_ownership()
 
     async def _tick_pools(self) -> None:
@@ -521,6 +544,7 @@
         self.connections.close_expired()
         self._store_connections.close_expired()
         self.balancer.prune(self.catalog.state.replicas, self.now())
+        self.dialer.prune()
         self.quotas.refresh_ownership()
         self.suspicions.tick()
         self.quarantine.tick()
@@ -529,11 +553,12 @@
 
     # Messages.
 
-    def _receive(self, connection: Connection, message: msgspec.Struct) -> None:
+    def _receive(self, connection: Connection, message: msgspec.Struct) -> Awaitable[None] | None:
         try:
-            self._router.route(connection, message)
+            return self._router.route(connection, message)
         except InvariantBroken as error:
             self._supervisor.fail(error)
+            return None
 
     # Changes of membership and catalog.
 
@@ -548,6 +573,7 @@
                 self.limits.member_joined(record)
             else:
                 self.scheduler_host.member_left(record.process)
+                self.tunnels.member_left(record.process)
         if changes:
             self.fleet_size.record_live(self.view.live(), self.now())
             self.grants.report_to_new_owners(self.pools.pools)
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -176,11 +176,13 @@
         self._standings = standings or NoRollouts()
         self._usual: dict[str, list[Replica]] = {}
         self._trial: dict[str, list[Replica]] = {}
+        self._addresses: set[tuple[str, int]] = set()
 
     def rebuild(self) -> None:
         """Rebuild the lists after the replicas or their standings have changed."""
         self._usual, self._trial = {}, {}
-        not_draining = (each for each in self._state.replicas.values() if not each.draining)
+        not_draining = [each for each in self._state.replicas.values() if not each.draining]
+        self._addresses = {(each.ip, each.port) for each in not_draining}
         usual, trial = _split_by_standing(not_draining, self._standings)
         for replica in usual:
             self._usual.setdefault(replica.service, []).append(replica)
@@ -214,6 +216,13 @@
             return found
         return [each for each in self._recently_departed() if each.service == service]
 
+    def addresses(self) -> set[tuple[str, int]]:
+        """Return the addresses of all replicas that take new requests."""
+        departed = self._recently_departed()
+        if not departed:
+            return self._addresses
+        return self._addresses | {(each.ip, each.port) for each in departed}
+
     def count_slots(self, service: str) -> int:
         """Return the number of slots of a service's replicas that take all requests."""
         return sum(each.slots for each in self.of_service(service))
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -4,7 +4,7 @@
 Routes messages of other nodes to the parts of a gateway node.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -62,6 +62,8 @@
     Shed,
     Withdraw,
 )
+from chalkyoke.tunnels.messages import TUNNEL_MESSAGES, TunnelRequest
+from chalkyoke.tunnels.server import TunnelServer
 
 CATALOG_MESSAGES = (
     CatalogDelta,
@@ -99,6 +101,7 @@
     *ROLLOUT_MESSAGES,
     *QUARANTINE_MESSAGES,
     *PERMIT_MESSAGES,
+    *TUNNEL_MESSAGES,
     ReplicasLeaving,
     ReplicaAttributes,
     AdoptRequest,
@@ -162,6 +165,7 @@
     announcements: Announcements
     limits: LimitAnnouncements
     permits: PermitClient
+    tunnels: TunnelServer
 
 
 class MessageRouter:
@@ -181,9 +185,10 @@
         self._apply_changes = apply_changes
         self._now = now
 
-    def route(self, connection: Connection, message: msgspec.Struct) -> None:
+    def route(self, connection: Connection, message: msgspec.Struct) -> Awaitable[None] | None:
         """Pass a message to the part that handles its kind.
 
+        :return: what answers the message on its own stream, if anything does.
         :raises InvariantBroken: if a part detects a violated invariant.
         """
         parts, address = self._parts, connection.peer_address
@@ -213,6 +218,9 @@
             parts.permits.receive(connection.peer, message)
         elif isinstance(message, CATALOG_MESSAGES):
             parts.catalog.receive(address, message)
+        elif isinstance(message, TunnelRequest):
+            return parts.tunnels.serve(connection, message)
+        return None
 
     def _receive_membership(self, address: str, message: MembershipMessage) -> None:
         changes, sends = self._parts.view.receive(address, message, self._now())
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -12,7 +12,8 @@
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.quarantine import Identity
 from chalkyoke.gateway.reception import Admission
-from chalkyoke.http1.pool import ConnectFailure, ConnectionPool
+from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
+from chalkyoke.http1.pool import ConnectionPool
 from chalkyoke.links.broadcast import relay_to_domain, send_to_all
 from chalkyoke.logs import logger
 from chalkyoke.membership.view import MembershipView
@@ -127,7 +128,7 @@
             replica.ip, replica.port, limit=max_connections, timeout_s=PROBE_TIMEOUT_S
         )
         if isinstance(opened, ConnectFailure):
-            if opened is not ConnectFailure.AT_LIMIT:
+            if opened in UPSTREAM_FAILURES:
                 self.record_unreachable(replica)
             return
         # The next request to it may use this connection.
