--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -62,6 +62,8 @@
         limit.
     :ivar queue: plain requests that wait beyond the slots; the replica rejects any more. Negative:
         all requests run at once.
+    :ivar brittle: rejections in a second above which the replica exits, as its answers state;
+        negative for none.
     :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
         load where it is not 0.
     """
@@ -85,6 +87,7 @@
     unread_abort_s: float = 0.0
     read_bytes_per_s: float = 0.0
     queue: int = -1
+    brittle: int = -1
     time_percent: int = 0
 
     @property
@@ -317,6 +320,8 @@
             head["X-Server-Load"] = self.slot_use.load()
         self.faults.shed -= self.faults.shed > 0
         self.rejected.append(request)
+        if 0 <= self.faults.brittle < sum(request.at - each.at < 1 for each in self.rejected):
+            self.exit_and_restart()
         request.rest_s = self.faults.rest_s
         if self.faults.rest_s:
             head["Retry-After"] = f"{self.faults.rest_s:g}"
@@ -360,6 +365,8 @@
         headers = {"Server-Leaving": "1"} if self.faults.says_leaving else {}
         if self.faults.limit_per_s >= 0:
             headers["Server-Limit"] = f"{self.faults.limit_per_s:g}"
+        if self.faults.brittle >= 0:
+            headers["Server-Brittle"] = str(self.faults.brittle)
         return headers
 
 
