Queue services whose replicas fall over if they reject requests

Replicas that state in their answers (Server-Brittle) above how many rejections a second they fall over did so in turn: nodes that choose alone filled them together, and the load of each that was down made the next one fall over. Nothing read the header.

A plain service is now queued at the scheduler of its pool while an answer of the last 10 s states it, whatever the setting scheduling.plain_services; pools of plain services are built wherever schedulers are on, as before for engines. A node whose request such a replica rejects sends it nothing for nodes / rejections seconds, 2 s at most, so that all nodes together stay below the stated number. Beside nodes of older builds, which choose alone, only that pause helps.

--- a/packages/chalkyoke/src/chalkyoke/balancing/queueing.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/queueing.py
@@ -126,14 +126,22 @@
     """The plain services that are queued, as announced by their observers.
 
     :param now: the node's clock, in seconds.
+    :param is_brittle: returns whether replicas of a service fall over if they reject requests. Such
+        a service is queued at once, whatever else was announced.
     :param always: whether all plain services are queued, whatever was announced.
-    :param never: whether none is.
+    :param never: whether none is queued by its use.
     """
 
     def __init__(
-        self, now: Callable[[], float], *, always: bool = False, never: bool = False
+        self,
+        now: Callable[[], float],
+        is_brittle: Callable[[str], bool] = lambda _: False,
+        *,
+        always: bool = False,
+        never: bool = False,
     ) -> None:
         self._now = now
+        self._is_brittle = is_brittle
         self._always = always
         self._never = never
         self._valid_until: dict[str, float] = {}
@@ -145,6 +153,8 @@
 
     def is_queued(self, service: str) -> bool:
         """Return whether the scheduler of a plain service's pool decides for its requests now."""
+        if self._is_brittle(service):
+            return True
         if not self.announced:
             return self._always
         return self._now() < self._valid_until.get(service, 0.0)
--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -68,6 +68,8 @@
     :param limit_per_s: requests per second that the replica accepts from all nodes together; None
         if the answer states no limit.
     :param limit_unreadable: whether the answer states a limit that is not a number.
+    :param max_rejections_per_s: rejections a second above which the replica falls over; None if the
+        answer states none.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     retry_after_s: float = 0.0
     limit_per_s: float | None = None
     limit_unreadable: bool = False
+    max_rejections_per_s: float | None = None
 
 
 class Forwarding(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/statements.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/statements.py
@@ -24,12 +24,17 @@
         limit.
     :param reports_limit: whether the answer states if there is a limit; otherwise ``limit_per_s``
         has no meaning.
+    :param is_rejection: whether the replica had no room for the request.
+    :param max_rejections_per_s: rejections a second above which the replica falls over; None if
+        the answer states none.
     """
 
     leaving: bool = False
     rest_s: float = 0.0
     limit_per_s: float | None = None
     reports_limit: bool = False
+    is_rejection: bool = False
+    max_rejections_per_s: float | None = None
 
 
 def read_statement(status: int, fields: AnswerFields) -> Statement:
@@ -43,6 +48,8 @@
         rest_s=fields.retry_after_s if status == UNAVAILABLE else 0.0,
         limit_per_s=fields.limit_per_s,
         reports_limit=has_limit or (fields.signed and not fields.limit_unreadable),
+        is_rejection=status == UNAVAILABLE and fields.not_run,
+        max_rejections_per_s=fields.max_rejections_per_s,
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/announcements.py
+++ b/packages/chalkyoke/src/chalkyoke/node/announcements.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.balancing.brittle import BrittleReplicas
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.catalog.messages import ReplicasLeaving
 from chalkyoke.catalog.resources import Replica
@@ -25,6 +26,7 @@
 class Announcements:
     """Apply the statements of replicas and the leaving replicas that other nodes broadcast.
 
+    :param nodes: returns the number of nodes that may exist in the fleet.
     :param send: sends a message to a node by its link address.
     :param changed: called after a replica's standing has changed.
     :param now: the node's clock, in seconds.
@@ -35,6 +37,8 @@
         view: MembershipView,
         state: CatalogState,
         balancer: LocalBalancer,
+        brittle: BrittleReplicas,
+        nodes: Callable[[], int],
         limits: LimitAnnouncements,
         metrics: Metrics,
         send: Callable[[str, ReplicasLeaving], None],
@@ -44,6 +48,8 @@
         self._view = view
         self._state = state
         self._balancer = balancer
+        self._brittle = brittle
+        self._nodes = nodes
         self._limits = limits
         self._metrics = metrics
         self._send = send
@@ -55,11 +61,29 @@
         """Apply the statement of a replica in one of its answers."""
         if statement.leaving:
             self._apply_leaving(replica)
-        if statement.rest_s > 0:
-            self._apply_rest(replica, statement.rest_s)
+        rest_s = max(statement.rest_s, self._record_rejections(replica, statement))
+        if rest_s > 0:
+            self._apply_rest(replica, rest_s)
         if statement.reports_limit:
             self._limits.record_answer(replica.id, statement.limit_per_s)
 
+    def _record_rejections(self, replica: Replica, statement: Statement) -> float:
+        """Record how many rejections the replica survives, and return the pause after one."""
+        service, now = replica.service, self._now()
+        was_brittle = self._brittle.is_brittle(service, now)
+        self._brittle.record_answer(service, replica.id, statement.max_rejections_per_s, now)
+        is_brittle = self._brittle.is_brittle(service, now)
+        if is_brittle != was_brittle:
+            log.notice(
+                "service_brittle",
+                service=service,
+                brittle=is_brittle,
+                max_rejections_per_s=statement.max_rejections_per_s,
+            )
+        if not statement.is_rejection:
+            return 0.0
+        return self._brittle.pause_s(service, replica.id, self._nodes())
+
     def _apply_leaving(self, replica: Replica) -> None:
         """Mark a replica as leaving and broadcast it, unless it is already known to leave.
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -19,6 +19,7 @@
 from chalkyoke import __version__
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.balancing.brittle import BrittleReplicas
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.balancing.suspicions import Suspicions
 from chalkyoke.catalog.follower import WatchTimeouts
@@ -261,7 +262,10 @@
             keeper=self.keeper,
             acknowledge=True,
         )
-        self.queued_services = make_queued_services(self.settings.scheduling, self.now)
+        self.brittle = BrittleReplicas()
+        self.queued_services = make_queued_services(
+            self.settings.scheduling, self.brittle, self.now
+        )
         add_queue_gauges(self.metrics, self.scheduler_host.pools, self.queued_services)
         schedulers = PeerSchedulers(self.scheduler_host, self.view)
         self.permits = PermitClient(
@@ -334,6 +338,8 @@
             self.view,
             self.catalog.state,
             self.balancer,
+            self.brittle,
+            self.count_nodes,
             self.limits,
             self.metrics,
             self.links.send,
--- a/packages/chalkyoke/src/chalkyoke/node/plainqueues.py
+++ b/packages/chalkyoke/src/chalkyoke/node/plainqueues.py
@@ -8,19 +8,27 @@
 from collections.abc import Callable, Mapping
 
 from chalkyoke.administration.metrics import Labels, Metrics
+from chalkyoke.balancing.brittle import BrittleReplicas
 from chalkyoke.balancing.queueing import QueuedServices
 from chalkyoke.gateway.settings import PlainServices, SchedulingSection
 from chalkyoke.scheduling.scheduler import PoolScheduler
 
 
-def make_queued_services(settings: SchedulingSection, now: Callable[[], float]) -> QueuedServices:
+def make_queued_services(
+    settings: SchedulingSection, brittle: BrittleReplicas, now: Callable[[], float]
+) -> QueuedServices:
     """Build the record of queued services; none is queued where the schedulers are switched off.
 
     :param now: the node's clock, in seconds.
     """
-    choice = settings.plain_services if settings.pooled else PlainServices.LOCAL
+    if not settings.pooled:
+        return QueuedServices(now, never=True)
+    choice = settings.plain_services
     return QueuedServices(
-        now, always=choice is PlainServices.QUEUED, never=choice is PlainServices.LOCAL
+        now,
+        lambda service: brittle.is_brittle(service, now()),
+        always=choice is PlainServices.QUEUED,
+        never=choice is PlainServices.LOCAL,
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -10,7 +10,7 @@
 from chalkyoke.catalog.resources import Catalog, Replica, Service, combined_rank
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.gateway.reception import BLOCK_TOKENS
-from chalkyoke.gateway.settings import PlainServices, SchedulingSection
+from chalkyoke.gateway.settings import SchedulingSection
 from chalkyoke.rollouts.standing import Eligibility, trial_route
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
 
@@ -95,7 +95,7 @@
         self.pools = {
             service.name: self._pool(service, replicas)
             for service in catalog.services.values()
-            if service.is_engine or self._defaults.plain_services is not PlainServices.LOCAL
+            if service.is_engine or self._defaults.pooled
         }
 
     def _pool(self, service: Service, replicas: dict[str, Replica]) -> PoolSpec:
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -4,7 +4,7 @@
 The platform's HTTP headers of requests and answers.
 """
 
-from chalkyoke.decimals import parse_integer, parse_smallest_decimal
+from chalkyoke.decimals import parse_decimal, parse_integer, parse_smallest_decimal
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
 from chalkyoke.http1.messages import Headers, end_to_end_headers
 from chalkyoke.retry_after import parse_retry_after
@@ -23,6 +23,7 @@
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 LIMIT = b"server-limit"
+BRITTLE = b"server-brittle"
 
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SYSTEM_HEADERS = frozenset(
@@ -79,6 +80,7 @@
             retry_after_s=parse_retry_after(_decode_text(found.get(RETRY_AFTER, b""))),
             limit_per_s=limit.value,
             limit_unreadable=limit.unreadable,
+            max_rejections_per_s=parse_decimal(_decode_text(found.get(BRITTLE, b""))),
         )
 
 
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -205,6 +205,15 @@
     assert (several.limit_per_s, several.limit_unreadable) == (2.0, True)
 
 
+def test_the_number_of_rejections_that_a_replica_survives_is_parsed():
+    read = PlatformHeaders().read_answer
+    assert read([]).max_rejections_per_s is None
+    for value, most in {b"5": 5.0, b" 12 ": 12.0, b"0": 0.0}.items():
+        assert read([(b"Server-Brittle", value)]).max_rejections_per_s == most
+    for value in (b"", b"-1", b"few", b"nan"):
+        assert read([(b"server-brittle", value)]).max_rejections_per_s is None
+
+
 def test_rollout_orders_are_parsed_and_the_status_keeps_the_written_version():
     for written, read in ((b"2", "2"), (b'"v2"', "v2")):
         value = b'{"service":"s","to-version":%b,"over-s":20}' % written
