--- a/packages/chalkyoke/src/chalkyoke/tunnels/paths.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/paths.py
@@ -15,9 +15,10 @@
 # seconds. A check of a path that is still lost costs the replica nothing.
 MIN_CHECK_INTERVAL_S = 0.25
 MAX_CHECK_INTERVAL_S = 1.0
-# Time for which no tunnel to a replica is tried after none could be opened, in seconds: as long as
-# the first connection backoff of the replica.
-TUNNEL_BACKOFF_S = 0.5
+# Initial and maximum time for which no tunnel to a replica is tried after none could be opened, in
+# seconds. It doubles with each further failure.
+MIN_TUNNEL_BACKOFF_S = 0.5
+MAX_TUNNEL_BACKOFF_S = 2.0
 
 
 class _Path(msgspec.Struct):
@@ -30,6 +31,7 @@
     check_at: float = 0.0
     failed_checks: int = 0
     tunnel_from: float = 0.0
+    failed_tunnels: int = 0
 
 
 class PathTable:
@@ -62,7 +64,7 @@
         :return: whether this is new.
         """
         path = self._paths.setdefault(address, _Path())
-        path.tunnel_from = 0.0
+        path.tunnel_from, path.failed_tunnels = 0.0, 0
         if path.lost_at is not None:
             return False
         path.lost_at, path.failed_checks = now, 0
@@ -73,7 +75,7 @@
         """Record that a lost path was checked and is still lost."""
         path = self._paths.get(address)
         if path is not None:
-            path.failed_checks += 1
+            path.failed_checks = min(path.failed_checks + 1, 10)
             doubled: float = MIN_CHECK_INTERVAL_S * 2**path.failed_checks
             path.check_at = now + min(MAX_CHECK_INTERVAL_S, doubled)
 
@@ -85,7 +87,9 @@
     def record_no_tunnel(self, address: Address, now: float) -> None:
         """Record that no host could open a tunnel to a replica."""
         path = self._paths.setdefault(address, _Path())
-        path.tunnel_from = now + TUNNEL_BACKOFF_S
+        doubled: float = MIN_TUNNEL_BACKOFF_S * 2**path.failed_tunnels
+        path.failed_tunnels = min(path.failed_tunnels + 1, 10)
+        path.tunnel_from = now + min(MAX_TUNNEL_BACKOFF_S, doubled)
 
     def may_tunnel(self, address: Address, now: float) -> bool:
         """Return whether a tunnel to a replica should be tried now."""
--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_paths.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_paths.py
@@ -2,8 +2,9 @@
 
 from chalkyoke.tunnels.paths import (
     MAX_CHECK_INTERVAL_S,
+    MAX_TUNNEL_BACKOFF_S,
     MIN_CHECK_INTERVAL_S,
-    TUNNEL_BACKOFF_S,
+    MIN_TUNNEL_BACKOFF_S,
     PathTable,
 )
 
@@ -30,7 +31,12 @@
 def test_no_tunnel_is_tried_for_a_while_after_none_could_be_opened():
     paths = PathTable()
     paths.record_no_tunnel(ADDRESS, 10.0)
-    assert not paths.may_tunnel(ADDRESS, 10.1) and paths.may_tunnel(ADDRESS, 10 + TUNNEL_BACKOFF_S)
+    assert not paths.may_tunnel(ADDRESS, 10.1)
+    assert paths.may_tunnel(ADDRESS, 10.0 + MIN_TUNNEL_BACKOFF_S)
+    for _ in range(40):
+        paths.record_no_tunnel(ADDRESS, 10.0)
+    assert not paths.may_tunnel(ADDRESS, 10.0 + MIN_TUNNEL_BACKOFF_S)
+    assert paths.may_tunnel(ADDRESS, 10.0 + MAX_TUNNEL_BACKOFF_S)
     assert not paths.is_lost(ADDRESS) and paths.lost == []
     paths.prune(set())
     assert paths.may_tunnel(ADDRESS, 10.1)
--- a/tests/test_hosts_cut_from_replicas.py
+++ b/tests/test_hosts_cut_from_replicas.py
@@ -10,12 +10,13 @@
 import random
 from collections import Counter
 
+import pytest
+
 from tests.gatewayfleet import run_check
 from tests.memorynet import PartitionMode
 
 DOMAINS = ("a", "a", "a", "b", "b", "c", "c")
 CUT_NODES = (0, 1, 3, 5)
-OTHER_NODES = (2, 4, 6)
 ALL_NODES = range(len(DOMAINS))
 PATHS = ("/chat/1", "/explain/1", "/find/1", "/book/1")
 REPEATABLE = ("/explain/1", "/find/1")
@@ -71,23 +72,34 @@
         assert each.status != 503 or runs[each.request] == 0
 
 
-def play_cut(mode):
-    """Cut some hosts from all replicas, then end the cut.
+def all_replicas(fleet):
+    return [*fleet.models, *fleet.seats]
+
 
+def play_cut(mode, replicas=all_replicas, cut_nodes=CUT_NODES, while_cut=None):
+    """Cut some hosts from replicas, then end the cut.
+
+    :param replicas: returns the replicas of a fleet from which the hosts are cut.
+    :param while_cut: coroutine function that is run for the fleet during the cut.
     :return: shares of the requests that were served at the cut hosts, at the others, and at all
         after the cut.
     """
     shares = []
+    others = [each for each in ALL_NODES if each not in cut_nodes]
 
     async def check(fleet):
         loop = asyncio.get_running_loop()
         await run_callers(fleet, 3.0, ALL_NODES)
         since = loop.time() + CONTACT_S
-        partition = fleet.cut_from_replicas(CUT_NODES, (*fleet.models, *fleet.seats), mode)
+        partition = fleet.cut_from_replicas(cut_nodes, replicas(fleet), mode)
+        disturbing = asyncio.ensure_future(while_cut(fleet)) if while_cut else None
         got = await run_callers(fleet, CUT_S, ALL_NODES)
         check_promises(fleet, got)
-        shares.append(served_share(got, CUT_NODES, since))
-        shares.append(served_share(got, OTHER_NODES, since))
+        assert not any(each.quarantine._evidence.holds_any for each in fleet.nodes)
+        shares.append(served_share(got, cut_nodes, since))
+        shares.append(served_share(got, others, since))
+        if disturbing is not None:
+            await disturbing
         fleet.net.heal(partition)
         await asyncio.sleep(CONTACT_S)
         got = await run_callers(fleet, 3.0, ALL_NODES)
@@ -103,3 +115,37 @@
     for cut, others, after in served.values():
         assert min(others, after) >= MIN_SERVED_SHARE, served
         assert cut >= MIN_SERVED_RATIO * others, served
+
+
+@pytest.mark.parametrize("mode", [PartitionMode.RESET, PartitionMode.SILENT])
+@pytest.mark.parametrize("lost", ["one service", "one failure domain"])
+def test_a_path_to_some_replicas_is_replaced_too(lost, mode):
+    def replicas(fleet):
+        if lost == "one service":
+            return fleet.seats
+        return [each for each in all_replicas(fleet) if each.zone == "a"]
+
+    assert min(play_cut(mode, replicas)) >= MIN_SERVED_SHARE
+
+
+@pytest.mark.parametrize("mode", [PartitionMode.RESET, PartitionMode.SILENT])
+def test_a_whole_failure_domain_without_paths_is_served_by_way_of_the_others(mode):
+    assert min(play_cut(mode, cut_nodes=(0, 1, 2))) >= MIN_SERVED_SHARE
+
+
+async def stop_helper(fleet):
+    await asyncio.sleep(CUT_S / 2)
+    fleet.nodes[2]._stopping.set()
+
+
+async def crash_helper(fleet):
+    await asyncio.sleep(CUT_S / 2)
+    await fleet.kill_node(2)
+    await asyncio.sleep(1.0)
+    fleet.start_node(2, first_start=False)
+
+
+@pytest.mark.parametrize("disturb", [stop_helper, crash_helper], ids=["stop", "crash"])
+def test_callers_are_served_while_a_host_on_the_way_stops_or_crashes(disturb):
+    cut, others, _ = play_cut(PartitionMode.RESET, while_cut=disturb)
+    assert cut >= MIN_SERVED_SHARE and cut >= MIN_SERVED_RATIO * others
