Let the latency of a replica decay while a node gets no answer from it

A sound replica that is silent for a second answers its requests late. Each node that saw one such answer kept its latency for good: while the other replicas had free slots, the replica got no further request, so that no later answer could correct it (none in 8 s, whole nodes in virtual time; by the unit test none in 20 s).

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -62,6 +62,8 @@
         limit.
     :ivar queue: plain requests that wait beyond the slots; the replica rejects any more. Negative:
         all requests run at once.
+    :ivar silent_until: time until which nothing is sent, in seconds of the replica's clock.
+        Requests and connections are accepted meanwhile.
     :ivar brittle: rejections in a second above which the replica exits, as its answers state;
         negative for none.
     :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
@@ -87,6 +89,7 @@
     unread_abort_s: float = 0.0
     read_bytes_per_s: float = 0.0
     queue: int = -1
+    silent_until: float = 0.0
     brittle: int = -1
     time_percent: int = 0
 
@@ -275,6 +278,7 @@
             await asyncio.sleep(work_s)
         else:
             await self.slot_use.run(work_s)
+        await self._wait_while_silent()
         if reader.at_eof():
             request.client_disconnected = True
             return False
@@ -297,6 +301,9 @@
             _write_response(writer, 200, self._headers(name), b"an answer that nobody asked for")
         return await self._drain(writer)
 
+    async def _wait_while_silent(self) -> None:
+        await asyncio.sleep(max(0.0, self.faults.silent_until - self.now()))
+
     async def _drain(self, writer: asyncio.StreamWriter) -> bool:
         """Wait until an answer is sent, and abort it if it stays unread for too long."""
         try:
@@ -336,6 +343,7 @@
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"})
         for number in range(first, self.events):
             await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
+            await self._wait_while_silent()
             if writer.transport.is_closing():
                 request.client_disconnected = True
                 return False
--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -242,7 +242,7 @@
 
     def _cost(self, replica: Replica, stats: ReplicaStats, now: float) -> float:
         load = (stats.load(now) + 1.0) / max(1, replica.slots)
-        speed = max(LATENCY_FLOOR_S, stats.latency_s) if stats.latency_s else LATENCY_FLOOR_S
+        speed = max(LATENCY_FLOOR_S, stats.recent_latency_s(now))
         cost = load * (1.0 + speed * 4.0) * self._time_factor(stats, now)
         cost += FAILURE_WEIGHT * stats.recent_failures(now)
         if now < stats.unreachable_until:
--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -18,6 +18,9 @@
 FAILURE_MEMORY_S = 4.0
 # Weight of one answer in the smoothed latency, as a share: an average over about five answers.
 LATENCY_GAIN = 0.2
+# Decay time of a latency without a further answer, in seconds. A replica that was slow once would
+# otherwise get no more requests from a node whose other replicas have free slots.
+UNUSED_LATENCY_MEMORY_S = 4.0
 # Initial and maximum backoff of a replica after a failed connection, in seconds.
 MIN_UNREACHABLE_S = 0.5
 MAX_UNREACHABLE_S = 4.0
@@ -30,6 +33,7 @@
     :ivar other_load: requests of other nodes according to the last report; the value decays.
     :ivar failures: weighted recent failures; each decays within some seconds.
     :ivar latency_s: smoothed answer time; 0 before the first answer.
+    :ivar answered_at: time of the last answer.
     :ivar due_latency_s: smoothed time until what the goal asks for: the first event of a stream,
         else the answer.
     :ivar connect_failures: consecutive failed connections.
@@ -44,6 +48,7 @@
     failures: float = 0.0
     failures_at: float = 0.0
     latency_s: float = 0.0
+    answered_at: float = 0.0
     due_latency_s: float = 0.0
     connect_failures: int = 0
     unreachable_until: float = 0.0
@@ -77,7 +82,11 @@
         self.failures = self.recent_failures(now) + weight
         self.failures_at = now
 
-    def record_answer(self, seconds: float, first_s: float | None = None) -> None:
+    def recent_latency_s(self, now: float) -> float:
+        """Return the smoothed answer time, decayed since the last answer, in seconds."""
+        return self.latency_s * math.exp((self.answered_at - now) / UNUSED_LATENCY_MEMORY_S)
+
+    def record_answer(self, seconds: float, now: float, first_s: float | None = None) -> None:
         """Update the latency from an answer and reset the connection backoff.
 
         :param seconds: time until the end of the answer.
@@ -85,6 +94,7 @@
         """
         self.connect_failures = 0
         self.unreachable_until = 0.0
+        self.answered_at = now
         gain = LATENCY_GAIN if self.latency_s else 1.0
         self.latency_s += gain * (seconds - self.latency_s)
         due_s = seconds if first_s is None else first_s
--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_local.py
@@ -49,12 +49,26 @@
 
 def test_faster_replica_is_preferred():
     balancer = make()
-    balancer.stats("r0").record_answer(0.5)
-    balancer.stats("r1").record_answer(0.05)
-    balancer.stats("r2").record_answer(0.5)
+    balancer.stats("r0").record_answer(0.5, 0.0)
+    balancer.stats("r1").record_answer(0.05, 0.0)
+    balancer.stats("r2").record_answer(0.5, 0.0)
     assert balancer.choose(replicas(), 0.0).id == "r1"
 
 
+def test_a_replica_that_was_slow_once_is_used_again_although_the_others_have_free_slots():
+    """Guards against a replica that was silent for a second and then got no more requests."""
+    balancer = make()
+    balancer.stats("r0").record_answer(1.2, 0.0)
+    chosen = set()
+    for step in range(100):
+        now = step / 5
+        chosen.add(balancer.choose(replicas(2), now).id)
+        balancer.stats("r1").record_answer(0.05, now)
+        if now <= 2.0:
+            assert chosen == {"r1"}
+    assert chosen == {"r0", "r1"}
+
+
 def test_no_replica_is_chosen_beyond_outstanding_bound():
     balancer = make()
     for each in replicas():
@@ -85,7 +99,7 @@
 
 def test_a_request_stays_at_home_while_a_replica_there_answers_within_the_goal():
     balancer = make_placed()
-    balancer.stats("r0").record_answer(0.045)
+    balancer.stats("r0").record_answer(0.045, 0.0)
     balancer.stats("r0").outstanding = 7
     assert balancer.choose(replicas(), 0.0, goal_s=0.2).id == "r0"
     assert balancer.choose(replicas(), 0.0, goal_s=0.08).id != "r0"
@@ -101,7 +115,7 @@
 def test_streams_stay_at_home_by_the_time_of_their_first_event():
     """Guards against streams that leave home because they last longer than their goal."""
     balancer = make_placed()
-    balancer.stats("r0").record_answer(3.0, 0.2)
+    balancer.stats("r0").record_answer(3.0, 0.0, 0.2)
     balancer.stats("r0").outstanding = 1
     assert balancer.choose(replicas(), 0.0, goal_s=0.6).id == "r0"
     assert balancer.choose(replicas(), 0.0, goal_s=0.3).id != "r0"
@@ -113,13 +127,13 @@
     stats = balancer.stats("r0")
     for number in range(500):
         stats.time_factor.record(2.0, number * 0.2)
-        stats.record_answer(0.1)
+        stats.record_answer(0.1, number * 0.2)
     assert balancer.choose(replicas(), 100.0, goal_s=0.2).id == "r0"
 
 
 def test_a_reported_time_factor_counts_only_while_it_is_valid():
     balancer = make_placed()
-    balancer.stats("r0").record_answer(0.1)
+    balancer.stats("r0").record_answer(0.1, 0.0)
     balancer.stats("r0").time_factor.record(2.5, 0.0)
     assert balancer.choose(replicas(), 0.1, goal_s=0.2).id != "r0"
     assert balancer.choose(replicas(), 5.0, goal_s=0.2).id == "r0"
--- a/packages/chalkyoke/src/chalkyoke/balancing/tests/test_suspicions.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/tests/test_suspicions.py
@@ -87,7 +87,7 @@
         if failed:
             seen.record_failure(0.3, self.now)
         else:
-            seen.record_answer(ANSWER_S)
+            seen.record_answer(ANSWER_S, self.now)
         if host in self.nodes:
             self.nodes[host].record_outcome("seats", replica, route, failed=failed)
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -106,7 +106,7 @@
         if end is SendEnd.DELIVERED:
             begun = admission.route.is_stream and granted.first_s > 0
             first_s = granted.first_s if begun else None
-            stats.record_answer(now - granted.started_at, first_s)
+            stats.record_answer(now - granted.started_at, now, first_s)
         elif end in UNCONNECTED:
             stats.record_unreachable(now)
         else:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -363,7 +363,7 @@
             await asyncio.sleep(0.05)
             running[0] -= 1
             served[0] += 1
-            grants._balancer.stats(granted.replica.id).record_answer(0.05)
+            grants._balancer.stats(granted.replica.id).record_answer(0.05, loop.time())
             grants.release(wanted, granted, ReleaseOutcome.DELIVERED)
 
         fleet = [make_plain_grants(Schedulers(99.0), phase=n / 60) for n in range(60)]
