--- a/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
@@ -279,7 +279,8 @@
         replica = self.limited[granted.replica.id]
         replica.arrivals.append((self.now(), node.process))
         await asyncio.sleep(WORK_S * self.random.expovariate(1.0))
-        node.balancer.stats(granted.replica.id).record_answer(self.now() - granted.started_at)
+        now = self.now()
+        node.balancer.stats(granted.replica.id).record_answer(now - granted.started_at, now)
         node.grants.release(admission, granted, ReleaseOutcome.DELIVERED)
         self.answers["served"] += 1
         self.answers["served", route.name] += 1
