--- a/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
@@ -31,7 +31,7 @@
 # Interval at which :meth:`FleetDialer.check_silent` is called, and the time without bytes after
 # which the path of a busy connection is checked, in seconds.
 SILENCE_CHECK_INTERVAL_S = 0.25
-MAX_SILENCE_S = 0.5
+MAX_SILENCE_S = 0.8
 
 log = logger("tunnels")
 
