Log on which evidence a request is held back

The record of soak could not tell its hypotheses apart: request_held did not say of how many ends how many counted, nor whether the node knew the request as served. No behaviour changes.

--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -115,6 +115,21 @@
         """Return the evidence on a request; None if there is none."""
         return self._suspicions.get(request)
 
+    def describe(self, request: bytes, now: float) -> dict[str, object]:
+        """Describe the evidence against a request for the log.
+
+        :return: the number of replica ends that count, the number of all ends since the first of
+            them, and the seconds since this node last knew the request as served in full; None if
+            it never did.
+        """
+        suspicion = self._suspicions[request]
+        ends = self._unexplained_ends(suspicion)
+        return {
+            "ends": len(ends),
+            "ends_since_first": self._ends_since_first(ends) if ends else 0,
+            "served_age_s": round(now - suspicion.served_at, 1) if suspicion.is_refuted else None,
+        }
+
     def is_held(self, request: bytes) -> bool:
         """Return whether a request is held back."""
         return request in self._held
@@ -272,9 +287,12 @@
             return True
         if sum(each.weight for each in ends.values()) < ENDS_TO_HOLD:
             return False
+        return len(ends) >= MIN_END_SHARE * self._ends_since_first(ends)
+
+    def _ends_since_first(self, ends: dict[str, _End]) -> int:
+        """Count the replica ends since the first of some, whatever was running there."""
         first = min(each.at for each in ends.values())
-        since = sum(at >= first for at in self._end_times.values())
-        return len(ends) >= MIN_END_SHARE * since
+        return sum(at >= first for at in self._end_times.values())
 
     def _unexplained_ends(self, suspicion: Suspicion) -> dict[str, _End]:
         """Return the ends that count against a request.
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -188,7 +188,8 @@
                 decided.append(run.request)
                 starts = sorted(suspicion.ends)[:MAX_LOGGED_DIGESTS]
                 for_s = round(suspicion.held_until - now)
-                self._begin_hold(run.request, starts=starts, for_s=for_s)
+                found = evidence.describe(run.request, now)
+                self._begin_hold(run.request, starts=starts, for_s=for_s, **found)
         if decided:
             for request in self._evidence.release_explained():
                 log.notice("request_released", digest=_hex_digest(request), why="explained")
