--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -353,3 +353,51 @@
         run_check(check, 3, 3, 3, seed=seed)
     assert all(held == {CRASHING_REQUEST, SECOND_CRASHING_REQUEST} for held, _ in found), found
     assert max(sends for _, sends in found) <= 5
+
+
+# Three sends end a replica each; operators allow three more.
+MAX_CRASHING_SENDS = 6
+# Time before the first crash, in seconds: each popular request has then been served in full at some
+# node.
+WARM_UP_S = 6.0
+
+
+def play_two_crashing_requests(nodes, replicas, per_s, seed):
+    """Run popular requests beside two that crash replicas.
+
+    :return: whether an innocent request was ever held back, and the crashing requests' sends.
+    """
+    found = []
+
+    async def check(fleet):
+        innocents = set()
+        for node in fleet.nodes:
+            hold = node._begin_hold
+            node._begin_hold = lambda request, hold=hold, **fields: (
+                innocents.add(request),
+                hold(request, **fields),
+            )
+        callers = asyncio.ensure_future(run_popular_requests(fleet, WARM_UP_S + 9.0, per_s=per_s))
+        await asyncio.sleep(WARM_UP_S)
+        crashing = (CRASHING_REQUEST, SECOND_CRASHING_REQUEST)
+        sends = await asyncio.gather(
+            *(send_crashing_repeatedly(fleet, each, 9.0) for each in crashing)
+        )
+        await callers
+        assert fleet.held() >= set(crashing)
+        found.append((bool(innocents - set(crashing)), max(sends)))
+
+    run_check(check, nodes, 3, replicas, seed=seed)
+    return found[0]
+
+
+# Guards against popular requests that are held back, even for a moment, by a node that has not
+# served them itself while others have.
+def test_what_any_node_has_served_is_never_held_back_for_others_that_crash_replicas():
+    shapes = [(nodes, each, per_s) for nodes in (3, 9) for each in (3, 6) for per_s in (6, 20)]
+    found = {
+        shape: [play_two_crashing_requests(*shape, seed) for seed in range(20)] for shape in shapes
+    }
+    assert all(sends <= MAX_CRASHING_SENDS for each in found.values() for _, sends in each), found
+    held = {shape: sum(innocent for innocent, _ in each) for shape, each in found.items()}
+    assert sum(held.values()) == 0, held
