--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -189,6 +189,12 @@
         """Record a complete answer, in case the request is suspected later."""
         self._served.record(request, at)
 
+    def last_served_at(self, request: bytes) -> float:
+        """Return when a request was last known to be served; minus infinity if it never was."""
+        suspicion = self._suspicions.get(request)
+        here = self._served.last_served_at(request)
+        return here if suspicion is None else max(here, suspicion.served_at)
+
     def record_served(self, request: bytes, at: float) -> bool:
         """Drop the evidence that a complete answer refutes: a served request ends no replica.
 
--- a/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
@@ -14,11 +14,14 @@
     :param request: digest by :func:`chalkyoke.quarantine.identity.request_digest`.
     :param weight: weight of the end as evidence against the request.
     :param age_s: time since the run broke, in seconds.
+    :param served_age_s: time since a node last served the request in full, as far as the reporting
+        node knows, in seconds; negative if it knows of none.
     """
 
     request: bytes
     weight: float
     age_s: float
+    served_age_s: float = -1.0
 
 
 class ReplicaEnded(msgspec.Struct, frozen=True, array_like=True, tag="replica_ended"):
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable, Mapping
 
+import msgspec
+
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.quarantine import Identity
@@ -25,6 +28,7 @@
     QuarantineMessage,
     ReplicaEnded,
     RequestsServed,
+    SuspectRun,
 )
 from chalkyoke.quarantine.runs import UnansweredRuns
 
@@ -165,7 +169,7 @@
         runs = self._runs.pop(start, now)
         if not runs:
             return
-        message = ReplicaEnded(start, runs)
+        message = ReplicaEnded(start, tuple(self._with_served_age(each, now) for each in runs))
         digests = [_hex_digest(each.request) for each in runs]
         log.info("replica_ended", start=start, source=source, digests=digests[:MAX_LOGGED_DIGESTS])
         self._metrics.count("replica_ends", source=source)
@@ -173,6 +177,12 @@
             self._queue_record(request)
         self._broadcast(message)
 
+    def _with_served_age(self, run: SuspectRun, now: float) -> SuspectRun:
+        served_at = self._evidence.last_served_at(run.request)
+        if served_at == -math.inf:
+            return run
+        return msgspec.structs.replace(run, served_age_s=now - served_at)
+
     def _count_ends(self, message: ReplicaEnded) -> list[bytes]:
         """Count a replica end against its runs.
 
@@ -182,6 +192,8 @@
         decided: list[bytes] = []
         for run in message.runs:
             evidence = self._evidence
+            if run.served_age_s >= 0:
+                evidence.record_served(run.request, now - run.served_age_s)
             held = evidence.record_end(run.request, message.start, run.weight, now - run.age_s, now)
             suspicion = evidence.find(run.request)
             if held and suspicion is not None:
@@ -212,16 +224,26 @@
         elif isinstance(message, HeldRequests):
             self._merge(address, message)
         else:
-            self._apply_report(message)
+            self._apply_report(address, message)
 
-    def _apply_report(self, message: ReplicaEnded | RequestsServed) -> None:
+    def _apply_report(self, address: str, message: ReplicaEnded | RequestsServed) -> None:
         if isinstance(message, ReplicaEnded):
+            self._tell_served(address, message)
             self._count_ends(message)
             self._record_end(message.start, "peer")
         else:
             self._apply_served(message)
         relay_to_domain(self._view, self._send, message)
 
+    def _tell_served(self, address: str, message: ReplicaEnded) -> None:
+        """Tell the sender of a report which of its requests this node has served in full."""
+        unknown = {each.request for each in message.runs if each.served_age_s < 0}
+        served_at = {each: self._evidence.last_served_at(each) for each in unknown}
+        known = [each for each, at in served_at.items() if at > -math.inf]
+        if known:
+            oldest = min(served_at[each] for each in known)
+            self._send(address, RequestsServed(tuple(known), self._now() - oldest))
+
     def _apply_served(self, message: RequestsServed) -> None:
         at = self._now() - message.age_s
         for request in message.requests:
