Decide on a request that was served before once all reports of the ends are in

Beside two requests that end replicas, what callers send again and again runs at most ends and reached three first: each culprit lies under half of them, and the report that explains an end may come a millisecond after the one that counts it. Such a request was held back by some node, for up to 14 s, and callers of that node got 502.

Against a request that some node has served in full, an end counts 0.1 s later, five are needed, and an end does not count under which a request ran that was never served and lies under three ends itself, whether or not it is held yet. A request that was served before and ends replicas now is held back from the sixth end on, as many sends as operators allow. One that was never served is judged as before.

--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -18,6 +18,13 @@
 # Number of replica ends after which a request is held back, if none of its runs was served in full
 # since the first end. Operators allow three more sends after the third end.
 ENDS_TO_HOLD = 3.0
+# The same for a request that was served in full before: what callers send again and again runs at
+# most ends that two others cause, until these have ended three replicas each. Operators allow six
+# sends in all.
+ENDS_TO_HOLD_SERVED = 5.0
+# Time in which all nodes report their runs at an end, in seconds. Against a request that was served
+# in full before, an end counts only afterwards: another request may explain it.
+REPORTS_COMPLETE_S = 0.1
 # Fraction of all replica ends since its first one at which a request must have been running. If
 # replicas end by themselves one after another, a caller that retries meets three ends in a row by
 # chance.
@@ -160,14 +167,16 @@
             return False
         suspicion.ends[start] = _End(at, weight)
         suspicion.last_end = max(suspicion.last_end, at)
-        if request in self._held or not (suspicion.holds > 0 or self._is_sufficient(suspicion)):
+        if request in self._held or not (
+            suspicion.holds > 0 or self._is_sufficient(suspicion, now)
+        ):
             self._evict_excess()
             return False
         hold_s = min(MAX_HOLD_S, HOLD_S * 2**suspicion.holds)
         self._start_hold(request, suspicion, now + hold_s)
         return True
 
-    def release_explained(self) -> list[bytes]:
+    def release_explained(self, now: float) -> list[bytes]:
         """Release requests whose ends are explained by a request that was held back later.
 
         :return: the released requests.
@@ -178,7 +187,7 @@
             if (suspicion := self._suspicions[each]).is_refuted
             and suspicion.holds == 1
             and suspicion.ends
-            and not self._is_sufficient(suspicion)
+            and not self._is_sufficient(suspicion, now)
         ]
         for request in explained:
             self._suspicions[request].holds = 0
@@ -195,7 +204,7 @@
         here = self._served.last_served_at(request)
         return here if suspicion is None else max(here, suspicion.served_at)
 
-    def record_served(self, request: bytes, at: float) -> bool:
+    def record_served(self, request: bytes, at: float, now: float) -> bool:
         """Drop the evidence that a complete answer refutes: a served request ends no replica.
 
         :return: whether the request is released by this.
@@ -211,7 +220,7 @@
             return False
         # The hold may have been decided before this report arrived, and the remaining ends may not
         # be enough for it.
-        too_little = counted and suspicion.holds == 1 and not self._is_sufficient(suspicion)
+        too_little = counted and suspicion.holds == 1 and not self._is_sufficient(suspicion, now)
         if suspicion.last_end > at and not too_little:
             return False
         suspicion.holds = 0
@@ -286,12 +295,16 @@
                 del self._suspicions[request]
         return due
 
-    def _is_sufficient(self, suspicion: Suspicion) -> bool:
+    def _is_sufficient(self, suspicion: Suspicion, now: float) -> bool:
         """Return whether the evidence against a request is enough to hold it back."""
-        ends = self._unexplained_ends(suspicion)
-        if len(ends) >= ENDS_TO_HOLD_ALWAYS:
+        ends, enough = self._unexplained_ends(suspicion), ENDS_TO_HOLD
+        if suspicion.is_refuted:
+            enough = ENDS_TO_HOLD_SERVED
+            reported_by = now - REPORTS_COMPLETE_S
+            ends = {start: each for start, each in ends.items() if each.at <= reported_by}
+        elif len(ends) >= ENDS_TO_HOLD_ALWAYS:
             return True
-        if sum(each.weight for each in ends.values()) < ENDS_TO_HOLD:
+        if sum(each.weight for each in ends.values()) < enough:
             return False
         return len(ends) >= MIN_END_SHARE * self._ends_since_first(ends)
 
@@ -303,9 +316,10 @@
     def _unexplained_ends(self, suspicion: Suspicion) -> dict[str, _End]:
         """Return the ends that count against a request.
 
-        If the request was served in full before, an end doesn't count when a held request that was
-        never served was running there too: a request that is sent often runs at most of the ends
-        that others cause.
+        If the request was served in full before, an end doesn't count when a request that was never
+        served was running there too and is held, or lies under as many ends as a hold takes: a
+        request that is sent often runs at most of the ends that others cause. Two that end replicas
+        in turn lie under half of the ends each, too few to be held at once.
         """
         if not suspicion.is_refuted:
             return suspicion.ends
@@ -314,9 +328,12 @@
         }
 
     def _is_explained(self, start: str) -> bool:
+        suspects = map(self._suspicions.get, self._requests_by_start.get(start, ()))
         return any(
-            each in self._held and not self._suspicions[each].is_refuted
-            for each in self._requests_by_start.get(start, ())
+            each is not None
+            and not each.is_refuted
+            and (each.holds > 0 or each.weight >= ENDS_TO_HOLD)
+            for each in suspects
         )
 
     def _start_hold(self, request: bytes, suspicion: Suspicion, until: float) -> None:
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -152,7 +152,7 @@
         """
         now = self._now()
         for request in released:
-            if self._evidence.record_served(request, now):
+            if self._evidence.record_served(request, now, now):
                 log.notice("request_released", digest=_hex_digest(request), why="operator")
         for request in held:
             suspicion = self._evidence.find(request)
@@ -193,7 +193,7 @@
         for run in message.runs:
             evidence = self._evidence
             if run.served_age_s >= 0:
-                evidence.record_served(run.request, now - run.served_age_s)
+                evidence.record_served(run.request, now - run.served_age_s, now)
             held = evidence.record_end(run.request, message.start, run.weight, now - run.age_s, now)
             suspicion = evidence.find(run.request)
             if held and suspicion is not None:
@@ -203,7 +203,7 @@
                 found = evidence.describe(run.request, now)
                 self._begin_hold(run.request, starts=starts, for_s=for_s, **found)
         if decided:
-            for request in self._evidence.release_explained():
+            for request in self._evidence.release_explained(now):
                 log.notice("request_released", digest=_hex_digest(request), why="explained")
         return decided
 
@@ -245,9 +245,9 @@
             self._send(address, RequestsServed(tuple(known), self._now() - oldest))
 
     def _apply_served(self, message: RequestsServed) -> None:
-        at = self._now() - message.age_s
+        now = self._now()
         for request in message.requests:
-            if self._evidence.record_served(request, at):
+            if self._evidence.record_served(request, now - message.age_s, now):
                 log.notice("request_released", digest=_hex_digest(request), why="served")
 
     def _merge(self, address: str, message: HeldRequests) -> None:
