--- a/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
@@ -24,7 +24,7 @@
 # Time that a failed connection waits for a tunnel while this host reaches other replicas, in
 # seconds: a few round trips. The tunnel is opened anyway, for later requests.
 TUNNEL_WAIT_S = 0.05
-# Number of other replicas by which this host checks whether it reaches any.
+# Highest number of other replicas by which this host checks whether it reaches any.
 COMPARED_REPLICAS = 2
 # Time for which this host relies on a check that reached none, in seconds.
 ISOLATION_VALID_S = 0.25
@@ -195,10 +195,10 @@
             return None
         if self._paths.record_lost(address, self._loop.time()):
             log.notice("path_lost", replica=_format(address), via=tunnel.via)
-            self._path_lost(address, now)
+            self._retire_hanging(address, now)
         return tunnel
 
-    def _path_lost(self, address: Address, since: float) -> None:
+    def _retire_hanging(self, address: Address, since: float) -> None:
         """Stop the use of connections that may hang, and check the paths to the other replicas.
 
         :param since: when the loss was found, on the loop's clock.
--- a/packages/chalkyoke/src/chalkyoke/tunnels/opener.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/opener.py
@@ -103,12 +103,14 @@
         )
 
     def _candidates(self) -> list[MemberRecord]:
-        """List the hosts to ask in turn."""
+        """List the hosts to ask in turn, without those that could not help lately."""
         now = self._now()
         self._avoided_until = {
             process: until for process, until in self._avoided_until.items() if until > now
         }
-        fit = [each for each in self._members() if self._is_fit(each)]
+        members = list(self._members())
+        self._without_tunnels &= {each.process for each in members}
+        fit = [each for each in members if self._is_fit(each)]
         asked = [each for each in fit if each.process not in self._avoided_until]
         asked.sort(key=lambda _: self._random())
         own = [each for each in fit if each.failure_domain == self._domain]
@@ -121,6 +123,7 @@
     async def _open_through(
         self, member: MemberRecord, address: Address, make: MakeConnection
     ) -> ClientConnection | TunnelOutcome:
+        """Ask one host; a host that does not answer in time counts as busy."""
         stream: Connection | None = None
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
