Compare an unreached replica with those heard last; wait less for tunnels

Behind a cut of a failure domain a host reaches only the replicas of its own. It compared the one that it did not reach with two at random, mostly behind the cut too, said nothing of it (no_path), and the scheduler went on granting it. It compares with those that it has heard from last now; the test fails on the code before.

--- a/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/dialer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -19,10 +20,11 @@
 
 # Timeout of a connection that checks a path, in seconds: as for a send.
 CHECK_TIMEOUT_S = 0.12
-# Longest time that the end of a send waits for the check of its path, in seconds.
-MAX_CHECK_S = 0.2
-# Time that a failed connection waits for a tunnel while this host reaches other replicas, in
-# seconds: a few round trips. The tunnel is opened anyway, for later requests.
+# Longest time that the end of a send waits for the check of its path, in seconds: some round trips.
+MAX_CHECK_S = 0.05
+# Time that a refused connection waits for a tunnel while this host reaches other replicas, in
+# seconds: a few round trips. After a timeout the request goes to another replica at once. The
+# tunnel is opened anyway, for later requests.
 TUNNEL_WAIT_S = 0.05
 # Highest number of other replicas by which this host checks whether it reaches any.
 COMPARED_REPLICAS = 2
@@ -107,14 +109,16 @@
         :param since: when it tried, on the loop's clock. Bytes that arrived since then are proof
             enough.
         """
-        if self._was_heard(since, besides=address):
+        heard_at = self._heard_at()
+        if any(at > since for each, at in heard_at.items() if each != address):
             return True
         others = [each for each in self._replicas() if each != address]
         if not others:
             return True
         if self._loop.time() < self._isolated_until:
             return False
-        others.sort(key=lambda each: (self._paths.is_lost(each), self._random()))
+        # A host that is cut from some failure domains has last heard from those that it reaches.
+        others.sort(key=lambda each: (-heard_at.get(each, -math.inf), self._random()))
         checks = [self._reaches(each) for each in others[:COMPARED_REPLICAS]]
         if any(await asyncio.gather(*checks)):
             return True
@@ -127,7 +131,7 @@
         Call every :data:`SILENCE_CHECK_INTERVAL_S`.
         """
         oldest = self._loop.time() - MAX_SILENCE_S
-        heard = {address for address, each in self.pool.connections() if each.heard_at > oldest}
+        heard = {address for address, at in self._heard_at().items() if at > oldest}
         checked: dict[ClientConnection, float] = {}
         for address, each in self.pool.connections():
             if not each.is_busy or each.via or each.active_at > oldest or address in heard:
@@ -168,7 +172,8 @@
         try:
             await asyncio.wait((reaching, tunnelling), return_when=asyncio.FIRST_COMPLETED)
             if not tunnelling.done():
-                wait_s = TUNNEL_WAIT_S if reaching.result() else None
+                refused = failure is ConnectFailure.REFUSED
+                wait_s = (TUNNEL_WAIT_S if refused else 0.0) if reaching.result() else None
                 await asyncio.wait((tunnelling,), timeout=wait_s)
             if not tunnelling.done():
                 tunnelling.add_done_callback(lambda task: self._keep_spare(address, task))
@@ -256,13 +261,13 @@
             if other == address and each.via:
                 each.retire()
 
-    def _was_heard(self, since: float, *, besides: Address) -> bool:
-        """Return whether bytes have arrived from another replica, without another host."""
-        return any(
-            each.heard_at > since and not each.via
-            for address, each in self.pool.connections()
-            if address != besides
-        )
+    def _heard_at(self) -> dict[Address, float]:
+        """Return when bytes last arrived from each replica, without another host."""
+        found: dict[Address, float] = {}
+        for address, each in self.pool.connections():
+            if not each.via:
+                found[address] = max(each.heard_at, found.get(address, -math.inf))
+        return found
 
     def _start(self, work: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
         task = self._loop.create_task(work)
--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
@@ -301,3 +301,16 @@
         assert not answer.ended.done()
 
     run_hosts(check, Upstream(b""), Upstream())
+
+
+def test_a_host_that_is_cut_from_most_upstreams_still_tells_which_ones_it_does_not_reach():
+    """Guards against replicas behind a cut that were granted on, since nothing was said of them."""
+
+    async def check(entry, helper, sound, *lost):
+        helper.members.clear()
+        entry.lost = {each.address for each in lost}
+        entry.pool.release(*sound.address, await entry.connect(sound.address))
+        found = [await entry.connect(each.address) for each in lost]
+        assert set(found) == {ConnectFailure.REFUSED}
+
+    run_hosts(check, *(Upstream() for _ in range(12)))
