--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -90,6 +90,7 @@
         """Update the latency from an answer and reset the connection backoff.
 
         :param seconds: time until the end of the answer.
+        :param now: the node's clock, in seconds.
         :param first_s: time until its first event, in seconds; None where the whole answer is due.
         """
         self.connect_failures = 0
--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -179,6 +179,7 @@
     def release_explained(self, now: float) -> list[bytes]:
         """Release requests whose ends are explained by a request that was held back later.
 
+        :param now: seconds on this node's clock.
         :return: the released requests.
         """
         explained = [
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -193,7 +193,7 @@
         for run in message.runs:
             evidence = self._evidence
             if run.served_age_s >= 0:
-                evidence.record_served(run.request, now - run.served_age_s, now)
+                self._record_served_elsewhere(run.request, run.served_age_s)
             held = evidence.record_end(run.request, message.start, run.weight, now - run.age_s, now)
             suspicion = evidence.find(run.request)
             if held and suspicion is not None:
@@ -245,10 +245,13 @@
             self._send(address, RequestsServed(tuple(known), self._now() - oldest))
 
     def _apply_served(self, message: RequestsServed) -> None:
-        now = self._now()
         for request in message.requests:
-            if self._evidence.record_served(request, now - message.age_s, now):
-                log.notice("request_released", digest=_hex_digest(request), why="served")
+            self._record_served_elsewhere(request, message.age_s)
+
+    def _record_served_elsewhere(self, request: bytes, age_s: float) -> None:
+        now = self._now()
+        if self._evidence.record_served(request, now - age_s, now):
+            log.notice("request_released", digest=_hex_digest(request), why="served")
 
     def _merge(self, address: str, message: HeldRequests) -> None:
         now = self._now()
