--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -13,7 +13,7 @@
 from chalkyoke.http1.messages import Headers
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.stopped import stopped_by_size
-from chalkyoke.sockets import bound_unread, bound_unsent
+from chalkyoke.sockets import bound_unsent
 
 # Bytes of responses in the program at which the handler of a request is told that its caller reads
 # too slowly, and bytes that the system accepts for one peer before it can send them. The defaults
@@ -26,13 +26,6 @@
 RETRY_AFTER_S = 0.5
 
 
-def bound_system_buffers(transport: asyncio.BaseTransport, account: MemoryAccount) -> None:
-    """Bound what the system buffers for a connection to an upstream, if memory is limited."""
-    if account.is_limited:
-        bound_unread(transport, account.unread_bound)
-        bound_unsent(transport, SYSTEM_UNSENT_BYTES)
-
-
 class HeadCheck(Protocol):
     """Decides by its head whether a request is read."""
 
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -11,9 +11,9 @@
 
 from chalkyoke.http1.client import BoundedClientConnection, ClientConnection
 from chalkyoke.http1.dialing import ConnectFailure, Dialer, DirectDialer
-from chalkyoke.http1.memory import bound_system_buffers
+from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.memory.account import MemoryAccount
-from chalkyoke.sockets import set_user_timeout
+from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
 
 # Longest idle time of a connection whose upstream announces no keep-alive time, in seconds.
 DEFAULT_IDLE_LIMIT_S = 20.0
@@ -127,7 +127,9 @@
         entry = self._addresses.setdefault((ip, port), _AddressEntry())
         self.opened_connections += 1
         set_user_timeout(connection.transport, USER_TIMEOUT_MS)
-        bound_system_buffers(connection.transport, self._memory)
+        if self._memory.is_limited:
+            bound_unread(connection.transport, self._memory.unread_bound)
+            bound_unsent(connection.transport, SYSTEM_UNSENT_BYTES)
         entry.connections.add(connection)
         connection.on_close = lambda closed: self._remove_closed((ip, port), closed)
         if connection.closed:
--- a/packages/chalkyoke/src/chalkyoke/tunnels/opener.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/opener.py
@@ -114,7 +114,7 @@
         asked = [each for each in fit if each.process not in self._avoided_until]
         asked.sort(key=lambda _: self._random())
         own = [each for each in fit if each.failure_domain == self._domain]
-        if own and not any(each.process in self._avoided_until for each in own):
+        if own and all(each in asked for each in own):
             first = next(each for each in asked if each.failure_domain == self._domain)
             asked.remove(first)
             asked.insert(0, first)
@@ -125,19 +125,22 @@
     ) -> ClientConnection | TunnelOutcome:
         """Ask one host; a host that does not answer in time counts as busy."""
         stream: Connection | None = None
-        found: ClientConnection | TunnelOutcome = TunnelOutcome.BUSY
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 stream = await self._streams.open(member.address)
-                found = await self._request(stream, address)
-            if found is TunnelOutcome.OPENED:
-                found = _connect_through(stream, make)
+                outcome = await self._request(stream, address)
+            if outcome is not TunnelOutcome.OPENED:
+                stream.abort()
+                return outcome
+            return _connect_through(stream, make)
         except (LinkError, ProtocolError, TimeoutError):
-            found = TunnelOutcome.BUSY
-        finally:
-            if stream is not None and not isinstance(found, ClientConnection):
+            if stream is not None:
+                stream.abort()
+            return TunnelOutcome.BUSY
+        except BaseException:
+            if stream is not None:
                 stream.abort()
-        return found
+            raise
 
     async def _request(self, stream: Connection, address: Address) -> TunnelOutcome:
         if TUNNEL_REQUEST_KIND not in stream.peer_kinds:
--- a/packages/chalkyoke/src/chalkyoke/tunnels/paths.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/paths.py
@@ -24,12 +24,10 @@
 class _Path(msgspec.Struct):
     """The state of the path to one replica.
 
-    :ivar is_lost: whether only other hosts reach the replica.
-    :ivar check_at: when a lost path is checked next.
-    :ivar tunnel_from: from when on tunnels are tried again after none could be opened.
+    :ivar lost_at: when the path was found lost; None while it is not.
     """
 
-    is_lost: bool = False
+    lost_at: float | None = None
     check_at: float = 0.0
     failed_checks: int = 0
     tunnel_from: float = 0.0
@@ -45,12 +43,12 @@
     @property
     def lost(self) -> list[Address]:
         """The addresses whose paths are lost."""
-        return [address for address, path in self._paths.items() if path.is_lost]
+        return [address for address, path in self._paths.items() if path.lost_at is not None]
 
     def is_lost(self, address: Address) -> bool:
         """Return whether the path to a replica is lost."""
         path = self._paths.get(address)
-        return path is not None and path.is_lost
+        return path is not None and path.lost_at is not None
 
     def record_reached(self, address: Address) -> bool:
         """Record that this host has reached a replica itself.
@@ -58,7 +56,7 @@
         :return: whether the path was lost before.
         """
         path = self._paths.pop(address, None)
-        return path is not None and path.is_lost
+        return path is not None and path.lost_at is not None
 
     def record_lost(self, address: Address, now: float) -> bool:
         """Record that another host reaches a replica that this host does not reach.
@@ -67,9 +65,9 @@
         """
         path = self._paths.setdefault(address, _Path())
         path.tunnel_from, path.failed_tunnels = 0.0, 0
-        if path.is_lost:
+        if path.lost_at is not None:
             return False
-        path.is_lost = True
+        path.lost_at, path.failed_checks = now, 0
         path.check_at = now + MIN_CHECK_INTERVAL_S
         return True
 
@@ -84,7 +82,7 @@
     def is_check_due(self, address: Address, now: float) -> bool:
         """Return whether a lost path should be checked now."""
         path = self._paths.get(address)
-        return path is not None and path.is_lost and now >= path.check_at
+        return path is not None and path.lost_at is not None and now >= path.check_at
 
     def record_no_tunnel(self, address: Address, now: float) -> None:
         """Record that no host could open a tunnel to a replica."""
--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -9,12 +9,12 @@
 from typing import cast
 
 from chalkyoke.exceptions import LinkError
-from chalkyoke.http1.memory import bound_system_buffers
+from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.http1.pool import USER_TIMEOUT_MS
 from chalkyoke.links.connection import Connection
 from chalkyoke.logs import logger
 from chalkyoke.memory.account import MemoryAccount, Purpose
-from chalkyoke.sockets import set_user_timeout
+from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
 from chalkyoke.tunnels.dialer import CHECK_TIMEOUT_S, FleetDialer
 from chalkyoke.tunnels.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
 from chalkyoke.tunnels.paths import Address
@@ -159,7 +159,9 @@
             reaches_others = await self._dialer.reaches_others(address, began)
             return TunnelOutcome.UNREACHABLE if reaches_others else TunnelOutcome.NO_PATH
         set_user_timeout(end.transport, USER_TIMEOUT_MS)
-        bound_system_buffers(end.transport, self._account)
+        if self._account.is_limited:
+            bound_unread(end.transport, self._account.unread_bound)
+            bound_unsent(end.transport, SYSTEM_UNSENT_BYTES)
         return end
 
     async def _splice(self, stream: Connection, replica_end: TunnelEnd) -> None:
@@ -173,7 +175,9 @@
         calling_end.other, replica_end.other = replica_end, calling_end
         self.tunnels[calling_end] = stream.peer
         try:
-            bound_system_buffers(transport, self._account)
+            if self._account.is_limited:
+                bound_unread(transport, self._account.unread_bound)
+                bound_unsent(transport, SYSTEM_UNSENT_BYTES)
             transport.set_protocol(calling_end)
             calling_end.connection_made(transport)
             if replica_end.closed.is_set():
