Log the software version of a replica and the attempt that a caller resumes

An incident needed the operators' log to tell which sends continued a stream at another version, and no line named the attempt that began a stream. The line 'sent' names both now; the header Resumes is read for it. No decision has changed.

--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -27,6 +27,8 @@
         stated.
     :param estimated_output_tokens: the caller's own estimate of the output; 0 if not stated.
     :param last_event_id: id of the last event that the caller of a stream has received.
+    :param resumes: id of the caller's attempt that brought the first event of the stream that this
+        attempt resumes; empty if the caller names none.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     estimated_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
 
 
 class Load(NamedTuple):
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -252,6 +252,7 @@
             "sent",
             admission,
             replica=granted.replica.id,
+            replica_version=granted.replica.version,
             for_trial=granted.for_trial,
             source=granted.source,
             scheduler=granted.scheduler,
@@ -260,6 +261,7 @@
             expected_first_s=round(granted.expected_first_s, 4),
             deadline_s=round(forwarding.deadline_s, 3),
             resumed_after=resumed_after,
+            resumes=self._fields.resumes,
             via=connection.via,
         )
         self._send_on(connection, relay, head)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -28,7 +28,7 @@
     services={"model": Service("model", engine_slots=4)},
     teams={"t": TEAM},
 )
-REPLICA = SimpleNamespace(id="m1", expected_id="m1", ip="127.0.0.1", port=1)
+REPLICA = SimpleNamespace(id="m1", expected_id="m1", ip="127.0.0.1", port=1, version="v1")
 
 
 class Quotas:
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -16,6 +16,7 @@
 TOKEN_COUNT = b"x-token-count"
 PREFIX_HASH = b"x-prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 STAMP = b"x-server-stamp"
 NOT_RUN = b"x-not-run"
 LOAD = b"x-server-load"
@@ -48,6 +49,7 @@
             estimated_output_tokens=parse_integer(found.get(LENGTH_HINT, "")),
             parts=_parse_prompt_parts(found.get(PREFIX_HASH, "")),
             last_event_id=found.get(LAST_EVENT_ID, ""),
+            resumes=found.get(RESUMES, "").strip(),
         )
 
     def forwarded_headers(self, headers: Headers, forwarding: Forwarding) -> Headers:
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -155,6 +155,15 @@
     assert [value for name, value in headers if name.lower() == b"last-event-id"] == [b"9"]
 
 
+def test_the_attempt_that_began_a_stream_is_read_and_forwarded():
+    request = [*REQUEST, (b"Resumes", b" a1 "), (b"Last-Event-Id", b"3")]
+    fields = PlatformHeaders().read_request(request)
+    assert (fields.resumes, fields.last_event_id) == ("a1", "3")
+    headers = PlatformHeaders().forwarded_headers(request, Forwarding("i-1", "", 2.5))
+    assert (b"Resumes", b" a1 ") in headers
+    assert PlatformHeaders().read_request(REQUEST).resumes == ""
+
+
 def test_answer_headers_are_parsed():
     fields = PlatformHeaders().read_answer(
         [(b"X-Request-Id", b"r1"), (b"X-Server-Stamp", b"s"), (b"X-Server-Load", b"3,0,8")]
