--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -19,6 +19,8 @@
 
 READ_LIMIT_BYTES = 5_000_000
 EVENTS_PER_STREAM = 8
+# Version of the software of replicas for which none is given.
+FIRST_VERSION = "v1"
 # Header of a plain request that asks for an answer of at least that many bytes.
 ANSWER_BYTES_HEADER = "x-answer-bytes"
 # Size of the parts in which a slow replica reads a request body, in bytes.
@@ -147,7 +149,7 @@
     engine: bool = False
     slots: int = 4
     events: int = EVENTS_PER_STREAM
-    version: str = "v1"
+    version: str = FIRST_VERSION
     read_limit_bytes: int = READ_LIMIT_BYTES
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     seen: list[ReceivedRequest] = field(default_factory=list)
@@ -347,7 +349,7 @@
             if writer.transport.is_closing():
                 request.client_disconnected = True
                 return False
-            event = encode_event(number)
+            event = encode_event(number, self.version)
             if self.faults.break_streams > 0 and number - first >= self.faults.break_after:
                 self.faults.break_streams -= 1
                 writer.write(b"%x\r\n%b" % (len(event), event[:5]))
@@ -378,14 +380,18 @@
         return headers
 
 
-def encode_event(number: int) -> bytes:
-    """Encode one event of a stream in the server-sent events format."""
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+def encode_event(number: int, version: str = FIRST_VERSION) -> bytes:
+    """Encode one event of a stream in the server-sent events format.
+
+    :param version: version of the software that writes the event; its events differ from those of
+        any other version.
+    """
+    return f"id: {number}\ndata: piece {number} of {version}\n\n".encode()
 
 
-def whole_stream() -> bytes:
-    """Return the body of a complete stream."""
-    return b"".join(encode_event(number) for number in range(EVENTS_PER_STREAM))
+def whole_stream(version: str = FIRST_VERSION) -> bytes:
+    """Return the body of a complete stream that one version has written."""
+    return b"".join(encode_event(number, version) for number in range(EVENTS_PER_STREAM))
 
 
 async def _read_request(
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -21,7 +21,7 @@
 from chalkyoke.platform.start import platform_parts
 from chalkyoke.storage.messages import LeaseGranted, Unavailable, Written
 from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
-from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.replica import FIRST_VERSION, Replica
 
 from tests import catalogfleet, virtual
 from tests.memorynet import MemoryNet, current_host
@@ -93,12 +93,14 @@
 
     :param domains: failure domain of each node.
     :param replicas: number of replicas of each of the two services.
+    :param versions: software versions of the engines, one after the other.
     :param limits: the ``limits`` section of the settings of all nodes.
     :param scheduling: the ``scheduling`` section of the settings of all nodes.
     """
 
     domains: tuple = ("a", "a", "b", "b", "c", "c")
     replicas: int = 6
+    versions: tuple = (FIRST_VERSION,)
     limits: dict = field(default_factory=lambda: {"retry_slack": 1000.0})
     scheduling: dict = field(default_factory=dict)
     models: list = field(default_factory=list)
@@ -112,7 +114,8 @@
         self._request_numbers = itertools.count(1)
         for number in range(self.replicas):
             domain = self.domains[number * len(self.domains) // self.replicas]
-            self.models.append(await self.add_replica(f"m{number}", "model", domain, True))
+            version = self.versions[number % len(self.versions)]
+            self.models.append(await self.add_replica(f"m{number}", "model", domain, True, version))
             self.seats.append(await self.add_replica(f"s{number}", "seats", domain, False))
         self.nodes = [None] * len(self.domains)
         self._tasks = [None] * len(self.domains)
@@ -120,9 +123,17 @@
             self.start_node(number)
         await asyncio.sleep(SETTLED_S)
 
-    async def add_replica(self, name, service, domain, engine):
+    async def add_replica(self, name, service, domain, engine, version=FIRST_VERSION):
         loop = asyncio.get_running_loop()
-        replica = Replica(name, service, domain, _ReplicaStore(self.store), engine, now=loop.time)
+        replica = Replica(
+            name,
+            service,
+            domain,
+            _ReplicaStore(self.store),
+            engine,
+            version=version,
+            now=loop.time,
+        )
         await replica.start(f"10.2.0.{len(self.net.listeners) + 1}", 8100)
         return replica
 
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -15,7 +15,7 @@
 import aiohttp
 from chalkyoke_fakes.platformfleet import HOST, KEY, PlatformFleet, default_configuration
 
-WHOLE_STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(8))
+WHOLE_STREAM = b"".join(b"id: %d\ndata: piece %d of v1\n\n" % (n, n) for n in range(8))
 
 
 def with_fleet(check, zones=("a", "b", "c")):
