A broken stream goes on only at the software version that began it

The version in a replica's record had no part in either choice.

A delivery keeps the version that wrote its first event. The search for a replica (grants, local choice) and the scheduler's message carry it; a pool has one more route for each version of a resumable route, so that queues, refusals and overlaps of the scheduler treat such streams like any other route with fewer upstreams. A scheduler of an older build does not read the field: its grant for another version is returned, and the host chooses itself.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -9,7 +9,7 @@
 
 from chalkyoke.gateway.events import EventSplitter
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
-from chalkyoke.gateway.granted import Denied, Granted
+from chalkyoke.gateway.granted import Denied, Granted, find_eligible
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
 from chalkyoke.gateway.relay import Delivery
@@ -237,9 +237,14 @@
         a trial never causes a refusal.
         """
         parts, progress = self._parts, self._progress
-        acquire = functools.partial(parts.grants.acquire, admission, digest=self._request_digest)
+        acquire = functools.partial(
+            parts.grants.acquire,
+            admission,
+            digest=self._request_digest,
+            version=self._delivery.version,
+        )
         again = progress.attempt > 1 or self._delivery.head_sent
-        if parts.rollouts.claim_trial(admission, again=again):
+        if self._delivery.version is None and parts.rollouts.claim_trial(admission, again=again):
             try:
                 granted = await acquire(progress.attempt, progress.tried, for_trial=True)
             except asyncio.CancelledError:
@@ -317,7 +322,9 @@
         A single decline is not enough: a replica that is full may have room a millisecond later.
         """
         tried = self._progress.tried
-        replicas = self._parts.replicas.of_service(admission.service.name)
+        replicas = find_eligible(
+            self._parts.replicas, admission.service.name, self._delivery.version
+        )
         return all(tried.count(each.id) >= MAX_DECLINES_PER_REPLICA for each in replicas)
 
     def _return_grant(self, admission: Admission, granted: Granted) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/granted.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/granted.py
@@ -37,6 +37,7 @@
     :param expected_first_s: the scheduler's prediction of ``first_s``; 0 if there is none.
     :param for_trial: whether the grant may be for a version under trial.
     :param counted: whether the scheduler has counted the grant toward the replica's limit.
+    :param is_version_bound: whether the replica must run the version that has begun the stream.
     :ivar permit: permit that counts the grant toward that limit if no scheduler does.
     :ivar is_first_decline: whether the replica declined the request as the first one to do so.
     :ivar started_at: when the request was sent, on the node's clock; 0 before.
@@ -56,6 +57,7 @@
     expected_first_s: float = 0.0
     for_trial: bool = False
     counted: bool = False
+    is_version_bound: bool = False
     permit: Permit | None = None
     is_first_decline: bool = False
     load: Load = NO_LOAD
@@ -72,6 +74,13 @@
     retry_after_s: float
 
 
+class OtherVersion(msgspec.Struct, frozen=True):
+    """A scheduler's grant for a replica of another version than the one that must be used.
+
+    Its build does not know of versions.
+    """
+
+
 class ReplicaPort(Protocol):
     """Lookup of the replicas that accept new requests."""
 
@@ -116,6 +125,8 @@
     :param avoid: ids of replicas that were tried already.
     :param for_trial: whether the replica must run a version under trial.
     :param digest: returns the digest of the request's content, for plain requests; None if unknown.
+    :param version: software version that the replica must run, since it has begun the stream; None
+        for any.
     """
 
     admission: Admission
@@ -123,3 +134,20 @@
     avoid: Collection[str]
     for_trial: bool
     digest: Callable[[], bytes] | None = None
+    version: str | None = None
+
+
+def find_eligible(
+    replicas: ReplicaPort, service: str, version: str | None, *, for_trial: bool = False
+) -> list[Replica]:
+    """List the replicas that may take a request.
+
+    A stream goes on at the version that began it, whether or not that version is under trial.
+
+    :param version: software version that the replica must run; None for any.
+    :param for_trial: whether the replica must run a version under trial if none is given.
+    """
+    if version is None:
+        return replicas.of_service(service, for_trial=for_trial)
+    every = [*replicas.of_service(service), *replicas.of_service(service, for_trial=True)]
+    return [each for each in every if each.version == version]
--- a/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
@@ -47,6 +47,7 @@
         fingerprint=fingerprint(admission) if is_engine else _digest_number(wanted),
         comes_back_s=longest_retry_after_s(admission, now),
         tried=tuple(wanted.avoid),
+        version=wanted.version,
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -20,9 +20,11 @@
     Denied,
     Granted,
     GrantRequest,
+    OtherVersion,
     PermitPort,
     ReplicaPort,
     Source,
+    find_eligible,
 )
 from chalkyoke.gateway.grantmessages import (
     acquire_message,
@@ -135,6 +137,7 @@
         for_trial: bool = False,
         local_only: bool = False,
         digest: Callable[[], bytes] | None = None,
+        version: str | None = None,
     ) -> Granted | Denied:
         """Get a replica for a request, and wait while none is free.
 
@@ -147,11 +150,13 @@
         :param local_only: whether this node chooses without asking the schedulers.
         :param digest: returns the digest of the request's content, by which the scheduler of a
             plain service recognises retries.
+        :param version: software version that the replica must run; None for any.
         """
-        if not self._replicas.of_service(admission.service.name, for_trial=for_trial):
+        wanted = GrantRequest(admission, attempt, avoid, for_trial, digest, version)
+        service = admission.service
+        if not find_eligible(self._replicas, service.name, version, for_trial=for_trial):
             return Denied("no replica", DEFAULT_RETRY_S)
-        wanted = GrantRequest(admission, attempt, avoid, for_trial, digest)
-        queued = self._is_queued(admission.service)
+        queued = self._is_queued(service)
         pooled = queued and not local_only
         granted: Granted | Denied | None = None
         while granted is None:
@@ -195,6 +200,8 @@
                 if self._avoid_until.get(_avoid_key(owner, admission.service), 0.0) > self._now():
                     continue
                 decided = await self._ask_scheduler(owner, queue, wanted)
+                if isinstance(decided, OtherVersion):
+                    return None
                 if decided is not None:
                     return decided
                 avoid_key = _avoid_key(owner, admission.service)
@@ -213,7 +220,7 @@
         owner: str,
         queue: "asyncio.Queue[tuple[str, Grant | Shed | Queued]]",
         wanted: GrantRequest,
-    ) -> Granted | Denied | None:
+    ) -> Granted | Denied | OtherVersion | None:
         """Ask one scheduler until it decides.
 
         :return: None if the scheduler stops answering, or grants an unknown replica.
@@ -238,25 +245,32 @@
                 if process == owner:
                     wait_s, asked_again = QUEUE_CHECK_INTERVAL_S, False
                 continue
-            return self._read_decision(process, message, for_trial=wanted.for_trial)
+            return self._read_decision(process, message, wanted)
 
     def _read_decision(
-        self, process: str, message: Grant | Shed, *, for_trial: bool
-    ) -> Granted | Denied | None:
+        self, process: str, message: Grant | Shed, wanted: GrantRequest
+    ) -> Granted | Denied | OtherVersion | None:
         if isinstance(message, Shed):
             return Denied(message.reason, message.retry_after_s or DEFAULT_RETRY_S)
-        replica = self._replicas.find(message.upstream, for_trial=for_trial)
+        is_version_bound = wanted.version is not None
+        replica = self._replicas.find(
+            message.upstream, for_trial=wanted.for_trial or is_version_bound
+        )
         if replica is None:
             self._send_unused(process, message.request, message.attempt, message.pool)
             return None
+        if is_version_bound and replica.version != wanted.version:
+            self._send_unused(process, message.request, message.attempt, message.pool)
+            return OtherVersion()
         return Granted(
             replica,
             message.attempt,
             Source.SCHEDULER,
             process,
             expected_first_s=message.expected_first_s,
-            for_trial=for_trial,
+            for_trial=wanted.for_trial,
             counted=message.counted,
+            is_version_bound=is_version_bound,
         )
 
     # Messages from schedulers.
--- a/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/localchoice.py
@@ -19,6 +19,7 @@
     PermitPort,
     ReplicaPort,
     Source,
+    find_eligible,
 )
 from chalkyoke.gateway.localshare import LocalShare
 from chalkyoke.gateway.waiting import latest_wait_end, longest_retry_after_s
@@ -79,7 +80,9 @@
         until = self._now() + wait_s
         shared = queued and not service.is_engine
         while True:
-            replicas = self._replicas.of_service(service.name, for_trial=wanted.for_trial)
+            replicas = find_eligible(
+                self._replicas, service.name, wanted.version, for_trial=wanted.for_trial
+            )
             denied = self._find_denial(wanted, replicas)
             if denied is not None:
                 return denied
@@ -209,4 +212,11 @@
 
 
 def _local_grant(replica: Replica, wanted: GrantRequest, permit: Permit) -> Granted:
-    return Granted(replica, wanted.attempt, Source.LOCAL, for_trial=wanted.for_trial, permit=permit)
+    return Granted(
+        replica,
+        wanted.attempt,
+        Source.LOCAL,
+        for_trial=wanted.for_trial,
+        is_version_bound=wanted.version is not None,
+        permit=permit,
+    )
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -31,6 +31,8 @@
     :ivar events: number of events forwarded.
     :ivar first_at: when the first byte of the answer was forwarded, on the node's clock.
     :ivar head_sent: whether the head of an answer has been forwarded.
+    :ivar version: software version of the replicas that may write the rest of the stream; None
+        before a replica has begun it.
     """
 
     response: ResponseWriter
@@ -38,6 +40,7 @@
     events: int = 0
     first_at: float = 0.0
     head_sent: bool = False
+    version: str | None = None
 
 
 class Relay:
@@ -45,6 +48,7 @@
 
     :param retained: charge for the bytes that are buffered before they are forwarded.
     :param request_id: id of the request; an answer to another request is not accepted.
+    :param version: software version of the replica.
     :param streams: whether the route's answers are series of events.
     :param clock: the node's clock, in seconds.
     :param on_first_event: called with the time from the send to the first event, in seconds.
@@ -66,6 +70,7 @@
         request_id: str,
         clock: Callable[[], float],
         *,
+        version: str,
         streams: bool,
         on_first_event: Callable[[float], None],
         on_answer_head: Callable[[int, AnswerFields], None],
@@ -77,6 +82,7 @@
         self._headers = headers
         self._request_id = request_id
         self._clock = clock
+        self._version = version
         self._streams = streams
         self._on_first_event = on_first_event
         self._on_answer_head = on_answer_head
@@ -249,6 +255,7 @@
 
     def _begin_answer(self, head: AnswerHead, data: bytes, now: float) -> None:
         self._delivery.head_sent = True
+        self._delivery.version = self._version
         self._delivery.first_at = now
         self._delivery.response.send_head(head, data)
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -173,7 +173,8 @@
         Catalog, quarantine and rollouts may change while the connection opens.
         """
         parts, replica = self._parts, granted.replica
-        if parts.replicas.find(replica.id, for_trial=granted.for_trial) is None:
+        may_be_on_trial = granted.for_trial or granted.is_version_bound
+        if parts.replicas.find(replica.id, for_trial=may_be_on_trial) is None:
             return False
         if parts.balancer.rest_left_s((replica,), parts.now()) > 0:
             return False
@@ -230,6 +231,7 @@
             parts.headers,
             self._fields.request_id,
             parts.now,
+            version=granted.replica.version,
             streams=admission.route.is_stream,
             on_first_event=lambda first_s: parts.grants.record_first_output(
                 admission, granted, first_s
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -435,3 +435,51 @@
         assert [process for process, _ in schedulers.asked] == ["n1", "n2", "n2"]
 
     virtual.run(main)
+
+
+class Versions:
+    """The replicas, where ``m0`` runs another version than ``m1``, or is under trial."""
+
+    def __init__(self, on_trial=()):
+        self._on_trial = on_trial
+        self._all = [
+            replace(each, version=version)
+            for each, version in zip(REPLICAS, ("v1", "v2"), strict=True)
+        ]
+
+    def find(self, replica, *, for_trial=False):
+        found = next((each for each in self._all if each.id == replica), None)
+        return found if for_trial or replica not in self._on_trial else None
+
+    def of_service(self, service, *, for_trial=False):
+        return [each for each in self._all if (each.id in self._on_trial) == for_trial]
+
+
+def test_a_grant_for_another_version_by_an_older_scheduler_is_returned_and_not_used():
+    """Schedulers of older builds grant whatever is free; a stream must stay at its version."""
+
+    async def main():
+        schedulers = Schedulers(answers_from=0.0)
+        grants = make_grants(schedulers)
+        grants._replicas = grants._local._replicas = Versions()
+        found = await grants.acquire(admission(1, 2.4), 1, (), version="v1")
+        assert isinstance(found, Granted) and found.is_version_bound
+        assert (found.source, found.replica.id) == (Source.LOCAL, "m0")
+        assert [each.outcome for _, each in schedulers.released] == [ReleaseOutcome.UNUSED]
+        # The scheduler answers, and other requests still ask it.
+        other = await grants.acquire(admission(2, 2.4), 1, ())
+        assert (other.source, other.scheduler) == (Source.SCHEDULER, "n2")
+
+    virtual.run(main)
+
+
+def test_a_stream_goes_on_at_its_version_though_that_version_is_under_trial():
+    async def main():
+        grants = make_grants(Schedulers(answers_from=99.0))
+        grants._replicas = grants._local._replicas = Versions(on_trial=("m0",))
+        found = await grants.acquire(admission(1, 2.4), 1, (), version="v1", local_only=True)
+        assert found.replica.id == "m0"
+        denied = await grants.acquire(admission(2, 2.4), 1, (), version="v3", local_only=True)
+        assert isinstance(denied, Denied) and denied.reason == "no replica"
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
@@ -56,6 +56,7 @@
             headers,
             "r",
             now,
+            version="v1",
             streams=False,
             on_first_event=lambda _: None,
             on_answer_head=lambda *_: None,
--- a/packages/chalkyoke/src/chalkyoke/node/pools.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pools.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from chalkyoke.catalog.resources import Catalog, Replica, Service, combined_rank
+from chalkyoke.catalog.resources import Catalog, Replica, Route, Service, combined_rank
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.gateway.reception import BLOCK_TOKENS
 from chalkyoke.gateway.settings import SchedulingSection
 from chalkyoke.rollouts.standing import Eligibility, trial_route
 from chalkyoke.scheduling.state import PoolSpec, RouteSpec, TeamSpec, TierSpec, UpstreamSpec
+from chalkyoke.scheduling.versionroutes import version_route
 
 # Share of an engine's cache that is assumed to hold prompt prefixes; running requests use the rest.
 CACHE_SHARE = 0.7
@@ -65,10 +66,10 @@
         }
         self.tiers = tuple(TierSpec(str(rank), rank) for rank in sorted(ranks))
         self.teams = tuple(TeamSpec(name) for name in catalog.teams)
-        self.routes: dict[str, list[str]] = {}
+        self.routes: dict[str, list[Route]] = {}
         for route in catalog.routes:
             for service in {target.service for target in route.targets}:
-                self.routes.setdefault(service, []).append(route.name)
+                self.routes.setdefault(service, []).append(route)
 
 
 class DeclaredPools:
@@ -103,11 +104,17 @@
         usual, trial = _split_by_standing(own, self._standings)
         names = frozenset(each.id for each in usual)
         tried = frozenset(each.id for each in self._standings.trial_replicas(service.name, trial))
+        versions = _ids_by_version([*usual, *trial])
         routes: list[RouteSpec] = []
         for each in self._catalog_specs.routes.get(service.name, ()):
-            routes.append(RouteSpec(each, names))
+            routes.append(RouteSpec(each.name, names))
             if tried:
-                routes.append(RouteSpec(trial_route(each), tried))
+                routes.append(RouteSpec(trial_route(each.name), tried))
+            if each.resumable:
+                routes += (
+                    RouteSpec(version_route(each.name, version), ids)
+                    for version, ids in versions.items()
+                )
         upstreams = tuple(self._upstream(service, each) for each in own)
         return PoolSpec(
             service.name,
@@ -238,6 +245,13 @@
         ]
 
 
+def _ids_by_version(replicas: Iterable[Replica]) -> dict[str, frozenset[str]]:
+    found: dict[str, set[str]] = {}
+    for each in replicas:
+        found.setdefault(each.version, set()).add(each.id)
+    return {version: frozenset(ids) for version, ids in found.items()}
+
+
 def _split_by_standing(
     replicas: Iterable[Replica], standings: ReplicaStandings
 ) -> tuple[list[Replica], list[Replica]]:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/learning.py
@@ -13,6 +13,7 @@
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.samples import TokenSample
 from chalkyoke.scheduling.state import ReleaseOutcome, RunningRequest, Upstream
+from chalkyoke.scheduling.versionroutes import without_version
 
 # Number of recent failures that suspends an upstream: a single one may be the request's own fault.
 FAILURES_TO_SUSPEND = 2.0
@@ -193,13 +194,14 @@
         if not self._features.learn:
             return
         self._learn_first(item, usage.first_s, now)
+        route = without_version(item.route)
         if item.hint and usage.output_tokens:
             whole = outcome is ReleaseOutcome.DELIVERED
-            self.hints.learn(item.route, item.hint, usage.output_tokens, whole=whole)
+            self.hints.learn(route, item.hint, usage.output_tokens, whole=whole)
         if outcome is not ReleaseOutcome.DELIVERED:
             return
 
-        self.outputs.learn(item.route, item.team, usage.output_tokens)
+        self.outputs.learn(route, item.team, usage.output_tokens)
         if usage.output_tokens > item.output_tokens:
             sample = TokenSample()
             sample.add(item, upstream, usage.output_tokens, usage.total_s, now)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -29,6 +29,8 @@
     :param fingerprint: identical for all attempts of one caller at one task; 0 where unknown.
     :param likely_output: the caller's own estimate of the output, in tokens; 0 where none is given.
     :param tried: upstreams that the request was already sent to; others are preferred.
+    :param version: software version of the upstreams that may run the request; None for any.
+        Schedulers of older builds do not read it.
     """
 
     request: str
@@ -49,6 +51,7 @@
     whole_s: float = 0.0
     fingerprint: int = 0
     tried: tuple[str, ...] = ()
+    version: str | None = None
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -72,6 +72,7 @@
                 listed[route.upstreams] = [self.upstreams[name] for name in known]
         self.eligible = {route.name: listed[route.upstreams] for route in spec.routes}
         self.overlaps = Overlaps(spec.routes)
+        self.waiting_counts = {key: count for key, count in self.waiting_counts.items() if count}
         self._set_reference_costs()
 
     def set_allowances(self, allowances: Mapping[str, Allowance]) -> None:
--- a/packages/chalkyoke/src/chalkyoke/scheduling/requests.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/requests.py
@@ -12,6 +12,7 @@
 from chalkyoke.scheduling.placement import Features
 from chalkyoke.scheduling.pool import PoolState
 from chalkyoke.scheduling.state import RunningRequest, Upstream, WaitingRequest
+from chalkyoke.scheduling.versionroutes import version_route
 
 # Assumed deadline of requests adopted from a previous scheduler, in seconds: the adopt message
 # does not contain the deadline.
@@ -38,12 +39,15 @@
         output = self._learner.estimate_output(message)
         self._order += 1
         blocks = message.blocks if self._features.prefix else ()
+        route = message.route
+        if message.version is not None:
+            route = version_route(route, message.version)
         return WaitingRequest(
             request=message.request,
             attempt=message.attempt,
             entry=entry,
             domain=domain,
-            route=message.route,
+            route=route,
             rank=self._pool.rank(message.tier),
             team=message.team,
             prompt_tokens=message.prompt_tokens,
