--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -156,6 +156,11 @@
         node._supervisor.cancel()
         await node.links.close()
 
+    async def crash_node(self, number):
+        """Kill a node together with the connections of its callers."""
+        await self.kill_node(number)
+        self.net.reset_host(f"n{number}")
+
     def _settings(self, number, first_start):
         ip = _ip(number)
         document = {
@@ -196,12 +201,13 @@
         )
 
     async def send_request(
-        self, node, path, body=b"{}", *, method="POST", key=KEY, until_whole=False
+        self, node, path, body=b"{}", *, method="POST", key=KEY, until_whole=False, headers=()
     ):
         """Send one request as a caller on a new connection, and wait for the answer.
 
         :param until_whole: close the connection as soon as the answer is complete; otherwise wait
             until the node closes it, which it does a second later.
+        :param headers: further headers, as pairs of a name and a value.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -209,17 +215,15 @@
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request}\r\n"
             f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Credential: {key}\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n"
         )
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers) + "\r\n"
         try:
             reader, writer = await asyncio.open_connection(_ip(node), 80)
         except ConnectionRefusedError:
             return CallerAnswer(0, {}, b"", False, 0.0, request, node, began)
         writer.write(head.encode() + body)
-        try:
-            answer = await _read_complete_answer(reader) if until_whole else await reader.read()
-        except ConnectionResetError:
-            answer = b""
+        answer = await _read_answer(reader, until_whole=until_whole)
         writer.close()
         got = _parse_answer(answer, loop.time() - began)
         got.request, got.node, got.asked_at = request, node, began
@@ -230,10 +234,17 @@
     return f"10.1.0.{node + 1}"
 
 
-async def _read_complete_answer(reader):
+async def _read_answer(reader, *, until_whole):
+    """Read an answer to its end, or what arrives of it before the connection is reset."""
     answer = b""
-    while not _parse_answer(answer, 0.0).whole and (more := await reader.read(65_536)):
-        answer += more
+    try:
+        while not (until_whole and _parse_answer(answer, 0.0).whole):
+            more = await reader.read(65_536)
+            if not more:
+                break
+            answer += more
+    except ConnectionResetError:
+        pass
     return answer
 
 
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -233,6 +233,12 @@
         self._partitions.remove(partition)
         partition.healed.set()
 
+    def reset_host(self, host):
+        """Reset all open connections of a host, as when its process is killed."""
+        for transport in [each for each in self._transports if each.host == host]:
+            for end in (transport, transport.peer):
+                end.lose_connection(ConnectionResetError("reset by peer"))
+
     def fail_connections(self, error):
         """Fail all open connections with an error, each end on its own."""
         transports, self._transports = self._transports, []
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,44 +8,18 @@
 
 import asyncio
 import random
-import re
 from collections import Counter
 
 from tests.gatewayfleet import run_check
+from tests.streamcallers import check_streams, events_of, run_streams, share, take_stream
 
 DOMAINS = ("a", "a", "a", "b", "b", "c", "c")
 # Four replicas of the first version and of the second, two of the third.
 VERSIONS = ("v1", "v1.1", "v1", "v1.1", "v1.2")
 REPLICAS = 10
-EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 STREAMS = 200
 MEAN_PAUSE_S = 0.02
-
-
-def events_of(body):
-    """Return (number, version) of each whole event in an answer."""
-    return [(int(number), version.decode()) for number, version in EVENT.findall(body)]
-
-
-def break_streams(replicas, share, rng):
-    """Let a share of the streams break off within an event, some events after their start."""
-    for each in replicas:
-        each.faults.break_streams = 1 if rng.random() < share else 0
-        each.faults.break_after = rng.randrange(1, 5)
-
-
-async def run_streams(fleet, count, send):
-    """Begin streams one after the other, and wait for the end of all.
-
-    :param send: coroutine function that plays one caller; gets the number of its stream.
-    """
-    rng = random.Random(64)
-    tasks = []
-    for number in range(count):
-        break_streams(fleet.models, 0.5, rng)
-        tasks.append(asyncio.ensure_future(send(number)))
-        await asyncio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
-    return await asyncio.gather(*tasks)
+EVENT_S = 0.04
 
 
 def test_a_broken_stream_goes_on_at_the_version_that_began_it():
@@ -55,7 +29,7 @@
             body = f"stream {number}".encode()
             return await fleet.send_request(node, "/explain/1", body, until_whole=True)
 
-        answers = await run_streams(fleet, STREAMS, send)
+        answers = await run_streams(fleet, STREAMS, MEAN_PAUSE_S, 0.5, send)
         runs = Counter()
         for replica in fleet.models:
             runs.update(replica.runs)
@@ -63,8 +37,47 @@
         assert len(resumed) >= STREAMS / 10
         mixed = [each for each in resumed if len({v for _, v in events_of(each.body)}) > 1]
         assert not mixed, f"{len(mixed)} of {len(resumed)} resumed streams have two versions"
-        went_on = sum(each.whole for each in resumed) / len(resumed)
-        begun = sum(each.status == 200 for each in answers) / len(answers)
+        went_on = share([each.whole for each in resumed])
+        begun = share([each.status == 200 for each in answers])
         assert went_on >= begun / 2, (went_on, begun)
 
     run_check(check, domains=DOMAINS, replicas=REPLICAS, versions=VERSIONS)
+
+
+def test_a_stream_taken_up_at_another_host_goes_on_at_the_version_that_began_it():
+    """Also while the hosts that began the streams are killed, one or two at a time."""
+
+    async def check(fleet):
+        rng = random.Random(65)
+        down = set()
+        for each in fleet.models:
+            each.faults.event_s = EVENT_S
+
+        async def crash_nodes():
+            while True:
+                await asyncio.sleep(0.7)
+                crashed = rng.sample(range(len(DOMAINS)), rng.randrange(1, 3))
+                down.update(crashed)
+                for each in crashed:
+                    await fleet.crash_node(each)
+                await asyncio.sleep(0.7)
+                for each in crashed:
+                    fleet.start_node(each, first_start=False)
+                await asyncio.sleep(1.0)
+                down.clear()
+
+        def choose_node():
+            return rng.choice([each for each in range(len(DOMAINS)) if each not in down])
+
+        crashing = asyncio.ensure_future(crash_nodes())
+        streams = await run_streams(
+            fleet,
+            STREAMS,
+            2 * MEAN_PAUSE_S,
+            0.2,
+            lambda number: take_stream(fleet, choose_node, f"stream {number}".encode()),
+        )
+        crashing.cancel()
+        check_streams(streams)
+
+    run_check(check, domains=DOMAINS, replicas=REPLICAS, versions=VERSIONS)
