A stream that its caller takes up goes on at the version that began it

The host that relays the first event tells five hosts the origin (service, version) before it forwards the event; which five follows from a hash of the stream and the membership, spread over failure domains. A host where a caller resumes the stream asks them at once, takes the first that knows it, and binds the request to that version. Nothing is written down: a record lives as long as the caller may resume, twice the longest of deadline and timeout. Where nobody knows the origin, the stream goes on only if the service has run one version for that long, by the histories of all that answered; a host that sees too little of the fleet does not go by its own. Otherwise 503. Hosts of older builds keep no origins and are sent none.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -10,6 +10,7 @@
 from chalkyoke.gateway.events import EventSplitter
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
 from chalkyoke.gateway.granted import Denied, Granted, find_eligible
+from chalkyoke.gateway.origins import find_origin, is_resumed_by_caller
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
 from chalkyoke.gateway.relay import Delivery
@@ -179,6 +180,8 @@
     async def _serve_admitted(self, admission: Admission) -> None:
         if self._refuse_if_held_back(admission):
             return
+        if is_resumed_by_caller(admission) and not await self._bind_to_origin(admission):
+            return
         quota_decision = await self._parts.quotas.charge(admission)
         if not quota_decision.allowed:
             self._replies.refuse_over_quota(admission, quota_decision)
@@ -230,6 +233,33 @@
         self._replies.refuse_held_back(admission, self._request_digest())
         return True
 
+    async def _bind_to_origin(self, admission: Admission) -> bool:
+        """Bind a stream that its caller resumes to the version that began it.
+
+        It is refused if that version is unknown: what two versions write does not fit together.
+
+        :return: whether the stream may go on here.
+        """
+        asked_at = self._parts.now()
+        found = await find_origin(self._parts.origins, admission)
+        origin = found.origin
+        self._parts.log_decision(
+            "stream_origin",
+            admission,
+            resumes=admission.fields.resumes,
+            source=found.source,
+            began_at=origin.service if origin else None,
+            began_version=origin.version if origin else None,
+            answers=found.answers,
+            took_s=round(self._parts.now() - asked_at, 4),
+        )
+        if origin is None or origin.service != admission.service.name:
+            reason = "stream of unknown origin" if origin is None else "stream of another service"
+            self._replies.refuse(admission, reason, RETRY_SOON_S)
+            return False
+        self._delivery.version = origin.version
+        return True
+
     async def _acquire(self, admission: Admission) -> Granted | Denied:
         """Get a grant, for a version under trial if the rollout claims this request.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -13,6 +13,7 @@
 from chalkyoke.catalog.resources import Catalog
 from chalkyoke.gateway.granted import ReplicaPort
 from chalkyoke.gateway.grants import Grants
+from chalkyoke.gateway.origins import OriginPort
 from chalkyoke.gateway.ports import HeaderFormat, RequestFields
 from chalkyoke.gateway.quarantine import QuarantinePort
 from chalkyoke.gateway.reception import Rejection
@@ -56,4 +57,5 @@
     rollouts: RolloutPort
     quarantine: QuarantinePort
     announcements: AnnouncementPort
+    origins: OriginPort
     memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -11,6 +11,7 @@
 
 from chalkyoke.gateway.feedback import Feedback
 from chalkyoke.gateway.granted import Granted
+from chalkyoke.gateway.origins import record_origin
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import Forwarding, RequestFields
 from chalkyoke.gateway.reading import ResponseReading
@@ -233,9 +234,7 @@
             parts.now,
             version=granted.replica.version,
             streams=admission.route.is_stream,
-            on_first_event=lambda first_s: parts.grants.record_first_output(
-                admission, granted, first_s
-            ),
+            on_first_event=lambda first_s: self._record_first_event(admission, granted, first_s),
             on_answer_head=lambda status, fields: self._feedback.record_answer_head(
                 granted, status, fields
             ),
@@ -270,6 +269,15 @@
         self._reading.start(connection, relay)
         return relay
 
+    def _record_first_event(self, admission: Admission, granted: Granted, first_s: float) -> None:
+        """Record the first event of a send, before it is forwarded.
+
+        :param first_s: time from the send to the event, in seconds.
+        """
+        self._parts.grants.record_first_output(admission, granted, first_s)
+        if not self._delivery.head_sent:
+            record_origin(self._parts.origins, admission, granted.replica)
+
     def _send_on(self, connection: ClientConnection, relay: Relay, head: bytes) -> None:
         """Write the request; a body is written in pieces where memory is limited."""
         request, memory = self._request, self._parts.memory
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -16,6 +16,9 @@
 from chalkyoke.http1.pool import ConnectFailure
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.quotas.client import QuotaDecision
+from chalkyoke.resumption.finder import FoundOrigin, OriginSource
+from chalkyoke.resumption.messages import Origin
+from chalkyoke.resumption.origins import stream_key
 from msgspec.structs import replace
 
 from tests import virtual
@@ -120,6 +123,7 @@
         rollouts=rollouts or NoRollouts(),
         quarantine=Quarantine(),
         announcements=SimpleNamespace(),
+        origins=SimpleNamespace(),
     )
     request = Request(b"POST", b"/x", [(b"host", b"h")], b"{}")
     return Exchange(parts, request, response), quotas, response
@@ -392,3 +396,54 @@
     granted = Granted(REPLICA, 1, Source.LOCAL, started_at=0.75)
     Feedback(parts).record_end(admission, granted, SendEnd.DELIVERED, None, lambda: b"")
     assert took == [0.25]
+
+
+@pytest.mark.parametrize(
+    ("origin", "version"),
+    [
+        (Origin("model", "v1.1"), "v1.1"),
+        (Origin("model", ""), ""),
+        (Origin("other", "v1.1"), None),
+        (None, None),
+    ],
+)
+def test_a_stream_that_its_caller_resumes_is_bound_to_the_version_that_began_it_or_refused(
+    origin, version
+):
+    """Nothing may be sent while that version is unknown or belongs to another service."""
+
+    async def main():
+        asked, bound = [], []
+
+        async def acquire(*_, version, **__):
+            bound.append(version)
+            return Denied("no replica", 0.5)
+
+        async def find(stream, service, keep_s):
+            asked.append((stream, service, keep_s))
+            return FoundOrigin(origin, OriginSource.KEEPER)
+
+        route = replace(ROUTE, resumable=True)
+        exchange, _, response = exchange_with(acquire, route=route)
+        exchange._parts.origins = SimpleNamespace(find=find)
+        exchange._fields = replace(exchange._fields, resumes="r0", last_event_id="4")
+        await exchange.run()
+        assert asked == [(stream_key("t", "r0"), "model", 2 * route.timeout_s)]
+        assert bound == ([] if version is None else [version])
+        assert response.status == 503
+
+    virtual.run(main)
+
+
+def test_a_stream_of_a_route_that_is_not_resumable_has_no_origin():
+    async def main():
+        async def acquire(*_, version, **__):
+            assert version is None
+            return Denied("no replica", 0.5)
+
+        exchange, _, response = exchange_with(acquire)
+        exchange._fields = replace(exchange._fields, resumes="r0", last_event_id="4")
+        await exchange.run()
+        assert response.status == 503
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -54,7 +54,12 @@
 from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
-from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
+from chalkyoke.node.peers import (
+    PeerKeepers,
+    PeerOriginKeepers,
+    PeerQuotas,
+    PeerSchedulers,
+)
 from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.quotas import make_quotas
@@ -71,12 +76,14 @@
 )
 from chalkyoke.node.schedulers import SchedulerHost
 from chalkyoke.node.supervisor import Supervisor
+from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.node.wallclock import wall_clock_ms
 from chalkyoke.quarantine.heldrecords import HeldRecords
 from chalkyoke.quarantine.records import with_held_records
 from chalkyoke.quarantine.spread import Quarantine
 from chalkyoke.quotas.client import WINDOW_REPLICATION_INTERVAL_S
 from chalkyoke.quotas.owner import Presence
+from chalkyoke.resumption.finder import OriginFinder
 from chalkyoke.retries.budget import BudgetLimits, RetryBudget
 from chalkyoke.rollouts.exposure import ExposureBounds
 from chalkyoke.tunnels.dialer import SILENCE_CHECK_INTERVAL_S, FleetDialer
@@ -159,6 +166,7 @@
                 self.limits,
                 self.permits,
                 self.tunnels,
+                self.origins,
             ),
             self._apply_member_changes,
             self.now,
@@ -227,6 +235,11 @@
             "store_updates_ignored", lambda: self.catalog.ignored_updates.total()
         )
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
+        self.versions = VersionHistories(state, self.now)
+        self.origins = OriginFinder(
+            PeerOriginKeepers(self.view, self.versions, self.links.send, self.presence), self.now
+        )
+        self.metrics.register_gauge("stream_origins_kept", lambda: self.origins.kept_count)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
         self.held_records = HeldRecords(self.store, platform.keys.held, self.now)
         self._registration = make_registration(
@@ -374,6 +387,7 @@
                 rollouts=self.rollouts,
                 quarantine=self.quarantine,
                 announcements=self.announcements,
+                origins=self.origins,
                 memory=self.memory.account,
             )
         )
@@ -556,6 +570,7 @@
         self.quarantine.tick()
         self.limits.broadcast_pending()
         self.permits.drop_expired()
+        self.origins.drop_expired()
 
     # Messages.
 
@@ -595,6 +610,7 @@
             log.info("replica_restarted", ended=ended.id)
         self.rollouts.rebuild()
         self.replicas.rebuild()
+        self.versions.catalog_changed()
         self.pools.rebuild(state.catalog, state.replicas)
         self.scheduler_host.reconfigure()
         self.grants.report_to_new_owners(self.pools.pools)
--- a/packages/chalkyoke/src/chalkyoke/node/routing.py
+++ b/packages/chalkyoke/src/chalkyoke/node/routing.py
@@ -47,6 +47,8 @@
     QuotaSurvey,
     QuotaWindows,
 )
+from chalkyoke.resumption.finder import OriginFinder
+from chalkyoke.resumption.messages import ORIGIN_MESSAGES
 from chalkyoke.rollouts.messages import ROLLOUT_MESSAGES
 from chalkyoke.scheduling.messages import (
     Acquire,
@@ -102,6 +104,7 @@
     *QUARANTINE_MESSAGES,
     *PERMIT_MESSAGES,
     *TUNNEL_MESSAGES,
+    *ORIGIN_MESSAGES,
     ReplicasLeaving,
     ReplicaAttributes,
     AdoptRequest,
@@ -166,6 +169,7 @@
     limits: LimitAnnouncements
     permits: PermitClient
     tunnels: TunnelServer
+    origins: OriginFinder
 
 
 class MessageRouter:
@@ -216,6 +220,8 @@
             parts.limits.receive(address, message)
         elif isinstance(message, PERMIT_MESSAGES):
             parts.permits.receive(connection.peer, message)
+        elif isinstance(message, ORIGIN_MESSAGES):
+            parts.origins.receive(address, message)
         elif isinstance(message, CATALOG_MESSAGES):
             parts.catalog.receive(address, message)
         elif isinstance(message, TunnelRequest):
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -0,0 +1,191 @@
+"""
+chalkyoke.resumption.finder
+
+Distribute the origins of streams to the nodes that keep them, and find the origin of a stream that
+a caller resumes here.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+
+from chalkyoke.resumption.messages import (
+    Origin,
+    OriginAnswer,
+    OriginMessage,
+    OriginRequest,
+    StreamBegan,
+    VersionHistory,
+)
+from chalkyoke.resumption.origins import KeptOrigins, only_version
+
+# Timeout for the answers of the keepers, in seconds. It includes the handshake of a new link
+# between distant failure domains.
+ANSWER_TIMEOUT_S = 0.25
+
+
+class OriginSource(StrEnum):
+    """How the origin of a stream became known.
+
+    ``ONLY_VERSION``: no node keeps it, but the service has run a single version for long enough.
+    ``UNKNOWN``: it did not.
+    """
+
+    KEPT_HERE = "kept_here"
+    KEEPER = "keeper"
+    ONLY_VERSION = "only_version"
+    UNKNOWN = "unknown"
+
+
+class FoundOrigin(msgspec.Struct, frozen=True):
+    """The result of the search for a stream's origin.
+
+    :param origin: None if it is unknown.
+    :param answers: number of keepers that answered.
+    """
+
+    origin: Origin | None
+    source: OriginSource
+    answers: int = 0
+
+
+class KeeperPort(Protocol):
+    """The nodes that keep the origins of streams, and what this node knows of versions."""
+
+    def keepers(self, stream: int) -> list[str]:
+        """List the link addresses of the other nodes that keep the origin of a stream."""
+
+    def send(self, address: str, message: OriginMessage) -> None:
+        """Send a message to a node by its link address."""
+
+    def history(self, service: str) -> VersionHistory:
+        """Return this node's version history of a service."""
+
+    def sees_fleet(self) -> bool:
+        """Return whether this node sees almost all of the fleet."""
+
+
+class _Search(msgspec.Struct):
+    """A search in progress.
+
+    :ivar ended: set once a keeper knows the origin, or all have answered.
+    """
+
+    expected: int
+    ended: "asyncio.Future[None]"
+    origin: Origin | None = None
+    histories: list[VersionHistory] = []
+
+
+class OriginFinder:
+    """Record the origins of streams that begin here, and find those of streams resumed here.
+
+    :param now: the node's clock, in seconds.
+    """
+
+    def __init__(self, port: KeeperPort, now: Callable[[], float]) -> None:
+        self._port = port
+        self._now = now
+        self._kept = KeptOrigins()
+        self._numbers = itertools.count(1)
+        self._searches: dict[int, _Search] = {}
+
+    @property
+    def kept_count(self) -> int:
+        """The number of origins that this node keeps."""
+        return len(self._kept)
+
+    def record_began(self, stream: int, origin: Origin, keep_s: float) -> None:
+        """Keep the origin of a stream, here and at its keepers.
+
+        Call it before the first event is forwarded: a caller may resume the stream at another node
+        as soon as it has that event.
+
+        :param keep_s: how long the caller may resume the stream, in seconds.
+        """
+        self._keep(stream, origin, keep_s)
+        message = StreamBegan(stream, origin, keep_s)
+        for address in self._port.keepers(stream):
+            self._port.send(address, message)
+
+    async def find(self, stream: int, service: str, keep_s: float) -> FoundOrigin:
+        """Find what began a stream.
+
+        :param service: service that would go on with the stream.
+        :param keep_s: how long ago the stream began at most, in seconds.
+        """
+        origin = self._kept.find(stream, self._now())
+        if origin is not None:
+            return FoundOrigin(origin, OriginSource.KEPT_HERE)
+        search = await self._ask_keepers(stream, service)
+        answers = len(search.histories) + (search.origin is not None)
+        if search.origin is not None:
+            self._keep(stream, search.origin, keep_s)
+            return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
+        if answers or self._port.sees_fleet():
+            histories = [self._port.history(service), *search.histories]
+            version = only_version(histories, keep_s)
+            if version is not None:
+                found = Origin(service, version)
+                return FoundOrigin(found, OriginSource.ONLY_VERSION, answers)
+        return FoundOrigin(None, OriginSource.UNKNOWN, answers)
+
+    def receive(self, address: str, message: OriginMessage) -> None:
+        """Handle a message of another node.
+
+        :param address: link address of the sender.
+        """
+        if isinstance(message, StreamBegan):
+            self._keep(message.stream, message.origin, message.keep_s)
+        elif isinstance(message, OriginRequest):
+            self._port.send(address, self._answer(message))
+        else:
+            self._apply_answer(message)
+
+    def drop_expired(self) -> None:
+        """Drop the origins of streams that can no longer be resumed."""
+        self._kept.drop_expired(self._now())
+
+    def _keep(self, stream: int, origin: Origin, keep_s: float) -> None:
+        now = self._now()
+        self._kept.put(stream, origin, now + keep_s, now)
+
+    async def _ask_keepers(self, stream: int, service: str) -> _Search:
+        """Ask all keepers at once; the first one that knows the origin ends the search."""
+        keepers = self._port.keepers(stream)
+        search = _Search(len(keepers), asyncio.get_running_loop().create_future())
+        if not keepers:
+            return search
+        number = next(self._numbers)
+        self._searches[number] = search
+        try:
+            for address in keepers:
+                self._port.send(address, OriginRequest(number, stream, service))
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await search.ended
+        except TimeoutError:
+            pass
+        finally:
+            del self._searches[number]
+        return search
+
+    def _answer(self, request: OriginRequest) -> OriginAnswer:
+        origin = self._kept.find(request.stream, self._now())
+        if origin is not None:
+            return OriginAnswer(request.number, origin)
+        return OriginAnswer(request.number, None, self._port.history(request.service))
+
+    def _apply_answer(self, answer: OriginAnswer) -> None:
+        search = self._searches.get(answer.number)
+        if search is None or search.ended.done():
+            return
+        if answer.origin is not None:
+            search.origin = answer.origin
+        else:
+            search.histories.append(answer.history)
+        if search.origin is not None or len(search.histories) == search.expected:
+            search.ended.set_result(None)
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -0,0 +1,152 @@
+import asyncio
+
+from chalkyoke.resumption.finder import ANSWER_TIMEOUT_S, OriginFinder, OriginSource
+from chalkyoke.resumption.messages import Origin, StreamBegan, VersionHistory
+
+from tests import virtual
+
+ORIGIN = Origin("model", "v1.1")
+STREAM, KEEP_S = 7, 8.0
+DELAY_S = 0.002
+
+
+class Fleet:
+    """Finders that are all keepers of all streams.
+
+    :ivar silent: nodes that get no messages.
+    """
+
+    def __init__(self, nodes=4, keepers=(1, 2, 3), histories=None):
+        loop = asyncio.get_running_loop()
+        self.keepers = keepers
+        self.histories = histories or {}
+        self.silent = set()
+        self.nodes = [OriginFinder(Port(self, number), loop.time) for number in range(nodes)]
+
+
+class Port:
+    def __init__(self, fleet, number):
+        self._fleet = fleet
+        self._number = number
+        self.sees_all = True
+
+    def keepers(self, stream):
+        return [each for each in self._fleet.keepers if each != self._number]
+
+    def send(self, address, message):
+        fleet, sender = self._fleet, self._number
+        if address not in fleet.silent:
+            asyncio.get_running_loop().call_later(
+                DELAY_S, lambda: fleet.nodes[address].receive(sender, message)
+            )
+
+    def history(self, service):
+        versions, covers_s = self._fleet.histories.get(self._number, ((), 0.0))
+        return VersionHistory(versions, covers_s)
+
+    def sees_fleet(self):
+        return self.sees_all
+
+
+def test_the_first_keeper_that_knows_the_origin_ends_the_search():
+    async def main():
+        fleet = Fleet()
+        fleet.silent = {1}
+        fleet.nodes[2].record_began(STREAM, ORIGIN, KEEP_S)
+        await asyncio.sleep(0.1)
+        began = asyncio.get_running_loop().time()
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert (found.origin, found.source) == (ORIGIN, OriginSource.KEEPER)
+        assert asyncio.get_running_loop().time() - began <= 2 * DELAY_S
+        again = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert (again.origin, again.source) == (ORIGIN, OriginSource.KEPT_HERE)
+
+    virtual.run(main)
+
+
+def test_the_origin_outlives_the_node_that_relayed_the_stream_and_all_keepers_but_one():
+    async def main():
+        fleet = Fleet(nodes=5)
+        fleet.nodes[4].record_began(STREAM, ORIGIN, KEEP_S)
+        await asyncio.sleep(0.1)
+        fleet.silent = {1, 2, 4}
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert found.origin == ORIGIN
+
+    virtual.run(main)
+
+
+def test_an_origin_that_nobody_knows_is_unknown_while_versions_differ():
+    async def main():
+        fleet = Fleet(histories={0: (("v1",), 30.0), 2: (("v1", "v1.1"), 30.0)})
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert (found.origin, found.source) == (None, OriginSource.UNKNOWN)
+        assert found.answers == 3
+
+    virtual.run(main)
+
+
+def test_with_a_single_version_a_restarted_node_resumes_a_stream_by_the_history_of_others():
+    async def main():
+        fleet = Fleet(histories={0: (("v1",), 1.0), 2: (("v1",), 30.0)})
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert (found.origin, found.source) == (Origin("model", "v1"), OriginSource.ONLY_VERSION)
+
+    virtual.run(main)
+
+
+def test_beside_nodes_of_older_builds_the_own_history_decides():
+    """Nodes of older builds keep no origins and get no requests."""
+
+    async def main():
+        fleet = Fleet(histories={0: (("v1",), 30.0)})
+        fleet.silent = {1, 2, 3}
+        began = asyncio.get_running_loop().time()
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert found.origin == Origin("model", "v1")
+        assert asyncio.get_running_loop().time() - began <= 1.01 * ANSWER_TIMEOUT_S
+
+    virtual.run(main)
+
+
+def test_a_node_that_is_cut_off_does_not_trust_its_own_history():
+    """Another version may have begun the stream where the node cannot know of it."""
+
+    async def main():
+        fleet = Fleet(histories={0: (("v1",), 30.0)})
+        fleet.silent = {1, 2, 3}
+        fleet.nodes[0]._port.sees_all = False
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        assert found.source is OriginSource.UNKNOWN
+
+    virtual.run(main)
+
+
+def test_an_origin_that_was_found_is_told_to_keepers_that_lack_it():
+    async def main():
+        fleet = Fleet(nodes=5, keepers=(1, 2))
+        fleet.nodes[0].record_began(STREAM, ORIGIN, KEEP_S)
+        await asyncio.sleep(0.1)
+        fleet.keepers = (3,)
+        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        fleet.nodes[0].record_began(STREAM, found.origin, KEEP_S)
+        await asyncio.sleep(0.1)
+        assert (await fleet.nodes[4].find(STREAM, "model", KEEP_S)).origin == ORIGIN
+
+    virtual.run(main)
+
+
+def test_late_answers_are_ignored_and_expired_origins_dropped():
+    async def main():
+        fleet = Fleet()
+        fleet.nodes[1].receive(0, StreamBegan(STREAM, ORIGIN, 0.05))
+        search = asyncio.ensure_future(fleet.nodes[0].find(STREAM, "model", KEEP_S))
+        await asyncio.sleep(0)
+        search.cancel()
+        await asyncio.sleep(0.1)
+        assert search.cancelled() and not fleet.nodes[0]._searches
+        assert (await fleet.nodes[0].find(STREAM, "model", KEEP_S)).origin is None
+        fleet.nodes[1].drop_expired()
+        assert fleet.nodes[1].kept_count == 0
+
+    virtual.run(main)
