A stream is resumed at the service of a split route that began it

Found when the cause of the incident was looked for elsewhere: a route that splits its traffic picks the service by the id of the request, and each attempt has its own, so that half of the streams of an even split were resumed at another service. The attempt that began the stream decides now, where the route is resumable.

--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -92,7 +92,9 @@
     team = catalog.find_team(fields.key) if fields.key else None
     if team is None and catalog.requires_keys and not route.public:
         return Rejection(401, "unknown key")
-    service = catalog.services.get(pick_target(route, _hash_to_unit_interval(fields.request_id)))
+    # Where a route splits its traffic, a stream is resumed at the service that began it.
+    first_attempt = (route.resumable and fields.resumes) or fields.request_id
+    service = catalog.services.get(pick_target(route, _hash_to_unit_interval(first_attempt)))
     if service is None:
         return Rejection(404, "no service")
     return _build_admission(fields, route, service, team, catalog.version, now)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -101,6 +101,23 @@
     assert (picked.count("a"), picked.count("b"), picked.count("c")) == (900, 100, 0)
 
 
+def test_a_stream_is_resumed_at_the_service_of_a_split_route_that_began_it():
+    """Guards against streams whose retry, with an id of its own, went to the other service."""
+    split = (Target("plain", 1), Target("model", 1))
+    for resumable in (True, False):
+        route = Route("r", "h", "/", split, RouteKind.STREAM, resumable=resumable)
+        services = {"plain": Service("plain"), "model": Service("model")}
+        declared = Catalog(1, (route,), services)
+        request = Request(b"POST", b"/", [(b"host", b"h")], b"")
+
+        def service(request_id, resumes="", declared=declared, request=request):
+            fields = RequestFields(request_id, resumes=resumes)
+            return admit_request(request, fields, declared, 0.0).service.name
+
+        same = [service(f"a{n}") == service(f"b{n}", f"a{n}") for n in range(100)]
+        assert all(same) is resumable
+
+
 def test_prompts_with_shared_parts_have_equal_leading_blocks():
     shared, own = PromptPart(7, 600), PromptPart(9, 300)
     one = prompt_blocks(RequestFields("1", parts=(shared, own)))
