Soak and stand-ins: replicas of two versions, callers that take streams up

Engines run two software versions, the next start the other one. A series of faults lets engines break off most streams while callers begin streams and resume them at other nodes. Two checkers judge from what callers got: no stream has events of two versions, and at least half as large a share of resumed streams goes on as of new ones begins (counted in touch, and while two engines of the version serve). Each has a planted violation.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
 import time
 from collections import Counter
@@ -21,6 +22,7 @@
 EVENTS_PER_STREAM = 8
 # Version of the software of replicas for which none is given.
 FIRST_VERSION = "v1"
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 # Header of a plain request that asks for an answer of at least that many bytes.
 ANSWER_BYTES_HEADER = "x-answer-bytes"
 # Size of the parts in which a slow replica reads a request body, in bytes.
@@ -205,6 +207,17 @@
         }
         await self.store.put(f"servers/{self.id}", json.dumps(record).encode())
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether the replica takes new requests, and serves those that it takes."""
+        is_serving = self._server is not None and self._server.is_serving()
+        return (
+            is_serving
+            and self.state == "ready"
+            and not self.faults.says_leaving
+            and (self.faults.shed == 0)
+        )
+
     async def crash(self) -> None:
         """Stop serving and abort all connections; the record in the store stays."""
         if self._server is not None:
@@ -389,9 +402,14 @@
     return f"id: {number}\ndata: piece {number} of {version}\n\n".encode()
 
 
-def whole_stream(version: str = FIRST_VERSION) -> bytes:
-    """Return the body of a complete stream that one version has written."""
-    return b"".join(encode_event(number, version) for number in range(EVENTS_PER_STREAM))
+def stream_events(version: str = FIRST_VERSION) -> tuple[bytes, ...]:
+    """Return the events of a complete stream that one version has written."""
+    return tuple(encode_event(number, version) for number in range(EVENTS_PER_STREAM))
+
+
+def read_events(body: bytes) -> list[tuple[int, str]]:
+    """Return the number and the version of each whole event in a part of a stream."""
+    return [(int(number), version.decode()) for number, version in EVENT.findall(body)]
 
 
 async def _read_request(
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -11,8 +11,8 @@
 
 from chalkyoke_fakes.children import RELAY_ADDRESS_NUMBER, REPLICA_ADDRESS_NUMBER, own_address
 from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
-from chalkyoke_fakes.replica import Replica
-from chalkyoke_fakes.soak.relay import Relay
+from chalkyoke_fakes.replica import FIRST_VERSION, Replica
+from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
 # The quota of one team, as a rate, a burst of requests, an allowed excess as a share and a slack in
 # requests, and the retry budget of each service, as a slack in requests and a share of requests.
@@ -26,6 +26,9 @@
 RETRY_SLACK = 40.0
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
+# Software versions of the engines: each start runs the next one, so that a replica may come back
+# with another version than it had.
+ENGINE_VERSIONS = ("v1", "v1.1")
 # Memory of each node's host, in MB.
 HOST_MB = 128.0
 
@@ -71,6 +74,7 @@
         self.removed_replicas: list[Replica] = []
         self._replicas_per_zone = replicas_each
         self._incarnations = itertools.count(1)
+        self._engine_versions = itertools.cycle(ENGINE_VERSIONS)
 
     async def _start(self) -> None:
         await self.store.start("127.0.0.1")
@@ -110,7 +114,9 @@
     async def _start_replica(self, place: str, service: str, zone: str) -> None:
         relay = self.replica_relays[place]
         name = f"{place}-{next(self._incarnations)}"
-        replica = Replica(name, service, zone, self.store, service == "model")
+        engine = service == "model"
+        version = next(self._engine_versions) if engine else FIRST_VERSION
+        replica = Replica(name, service, zone, self.store, engine, version=version)
         relay.target = await replica.start(
             own_address(REPLICA_ADDRESS_NUMBER), advertised_address=relay.address
         )
@@ -124,6 +130,19 @@
         """Return the replica that currently serves at a place."""
         return next(each for each in self.replicas.values() if _place_of(each) == place)
 
+    def engines(self) -> list[Replica]:
+        """List the engines."""
+        return [each for each in self.replicas.values() if each.engine]
+
+    def count_serving(self, version: str) -> int:
+        """Count the engines of a version that serve, without a fault of theirs or of their link."""
+        return sum(
+            each.version == version
+            and each.is_sound
+            and self.replica_relays[_place_of(each)].faults == RelayFaults()
+            for each in self.engines()
+        )
+
     async def replace_replica(self, replica: Replica) -> None:
         """Remove a replica and start another incarnation at its place."""
         place = _place_of(replica)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -44,6 +44,8 @@
 BURST_WORK_S = 0.25
 BURST_QUEUE = 3
 BURST_DEMAND = 1.3
+# Numbers of whole events after which engines break off their streams, by engine.
+BREAK_AFTER = (1, 3, 2)
 # How long the store is down for a restore from a snapshot, and how soon after that operators and
 # replicas write the lost records again, in seconds.
 RESTORE_OUTAGE_S = 0.5
@@ -59,6 +61,7 @@
     :param start_slow_readers: makes callers of a node read long answers slowly.
     :param send_burst: makes callers send plain requests at a rate per second for some seconds.
     :param send_flood: makes one team send far more than usual for some seconds.
+    :param send_streams: makes callers begin streams, and take broken ones up, for some seconds.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -71,6 +74,7 @@
         start_slow_readers: Callable[[str], None],
         send_burst: Callable[[float, float], Awaitable[None]],
         send_flood: Callable[[float], None],
+        send_streams: Callable[[float], Awaitable[None]],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -79,6 +83,7 @@
         self._start_slow_readers = start_slow_readers
         self.send_burst = send_burst
         self.send_flood = send_flood
+        self.send_streams = send_streams
         self.active_targets: set[str] = set()
         self._version = 1
 
@@ -93,6 +98,8 @@
             place = "burst"
         if step.fault is Fault.CALLERS_FLOOD:
             place = "callers"
+        if step.fault is Fault.STREAMS_BREAK:
+            place = "streams"
         if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED):
             # These may overlap with any other fault of the same replica.
             place = f"{place}, {step.fault}"
@@ -157,6 +164,8 @@
         elif step.fault is Fault.CALLERS_FLOOD:
             self.send_flood(step.duration_s)
             await asyncio.sleep(step.duration_s)
+        elif step.fault is Fault.STREAMS_BREAK:
+            await self._break_streams(step)
         else:
             await self._change_configuration()
 
@@ -313,6 +322,18 @@
         self.send_crashing(body, step.duration_s)
         await asyncio.sleep(step.duration_s)
 
+    async def _break_streams(self, step: FaultStep) -> None:
+        """Let engines break off most streams, while callers take them up at any node."""
+        for number, replica in enumerate(self._fleet.engines()):
+            replica.faults.break_streams = UNLIMITED_COUNT
+            replica.faults.break_after = BREAK_AFTER[number % len(BREAK_AFTER)]
+        try:
+            await self.send_streams(step.duration_s)
+        finally:
+            for replica in self._fleet.engines():
+                replica.faults.break_streams = 0
+                replica.faults.break_after = ReplicaFaults().break_after
+
     async def _fill_plain_replicas(self, step: FaultStep) -> None:
         """Bound the plain replicas' slots and queues, and let more callers come than they hold."""
         plain = [each for each in self._fleet.replicas.values() if not each.engine]
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -35,6 +35,9 @@
     :param complete: whether the answer arrived up to its regular end.
     :param leaving_replica: the replica that answered, where its answer announced that it leaves.
     :param limiting_replica: the replica that answered, where its answer announced a limit.
+    :param resumes: the attempt that began the stream, where this one takes it up.
+    :param after: number of the last event that the caller had before; -1 for none.
+    :param serving: number of replicas that served the stream's version when it was taken up.
     """
 
     request: str
@@ -49,6 +52,9 @@
     complete: bool
     leaving_replica: str = ""
     limiting_replica: str = ""
+    resumes: str = ""
+    after: int = -1
+    serving: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +160,7 @@
     :ivar crashing_bodies: the number of request bodies that make replicas exit.
     :ivar restore_times: when the store had been restored from a snapshot and its writers had
         written the lost records again.
-    :ivar stream: the body of a complete stream.
+    :ivar streams: the events of a complete stream, by the version that writes it.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -169,5 +175,5 @@
     quotas: list[Quota] = field(default_factory=list)
     retry_limit: RetryLimit = RetryLimit(0.2, 100.0, 10.0)
     recovered_s: float | None = 0.0
-    stream: bytes = b""
+    streams: dict[str, tuple[bytes, ...]] = field(default_factory=dict)
     crashing_bodies: int = 0
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -56,6 +56,7 @@
     PLAIN_BURST = "plain_burst"
     REPLICA_DISTURBED = "replica_disturbed"
     CALLERS_FLOOD = "callers_flood"
+    STREAMS_BREAK = "streams_break"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -79,6 +80,8 @@
 DISTURBANCE_SEED_MASK = 0xD157
 LOAD_FAULTS = (Fault.CALLERS_FLOOD,)
 LOAD_SEED_MASK = 0x10AD
+STREAM_FAULTS = (Fault.STREAMS_BREAK,)
+STREAM_SEED_MASK = 0x57EA
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -89,6 +92,7 @@
         *BURST_FAULTS,
         *DISTURBANCE_FAULTS,
         *LOAD_FAULTS,
+        *STREAM_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -179,6 +183,7 @@
         (BURST_FAULTS, BURST_SEED_MASK),
         (DISTURBANCE_FAULTS, DISTURBANCE_SEED_MASK),
         (LOAD_FAULTS, LOAD_SEED_MASK),
+        (STREAM_FAULTS, STREAM_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from chalkyoke_fakes.platformfleet import KEY, TEAM
-from chalkyoke_fakes.replica import whole_stream
+from chalkyoke_fakes.replica import read_events, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
 from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, Violation, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
@@ -57,6 +57,9 @@
 # callers were seen to ignore Retry-After up to three times.
 FLOOD_PER_S = 40.0
 FLOOD_RESENDS = 3
+# Streams that begin in a second while engines break them off, and how often a caller resumes one.
+STREAMS_PER_S = 20.0
+MAX_RESUMES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +127,24 @@
     return counts
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenStream:
+    """A stream that broke, as its caller has got it.
+
+    :ivar began_as: id of the attempt that brought the first event.
+    :ivar last_event: number of the last event.
+    :ivar version: version of the software that wrote it.
+    """
+
+    began_as: str
+    last_event: int
+    version: str
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers with which the caller resumes the stream."""
+        return {"Last_Event_Id": str(self.last_event), "Resumes": self.began_as}
+
+
 class SoakRun:
     """One run of a seed with a fleet."""
 
@@ -135,10 +156,10 @@
         self._numbers = itertools.count(1)
         self._began = time.monotonic()
         self._extra_callers: list[asyncio.Task[None]] = []
-        self._slow_readers: list[asyncio.Task[int]] = []
+        self._slow_readers: list[asyncio.Task[CallerAttempt]] = []
         self.observations = Observations(
             retry_limit=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
-            stream=whole_stream(),
+            streams={each: stream_events(each) for each in fleets.ENGINE_VERSIONS},
         )
         rate = fleets.QUOTA_RATE_PER_S * fleets.QUOTA_WINDOW_S + fleets.QUOTA_BURST
         most = rate * (1.0 + fleets.QUOTA_OVER) + fleets.QUOTA_SLACK
@@ -158,6 +179,7 @@
             self._start_slow_readers,
             self._send_burst,
             self._start_flood,
+            self._send_streams,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -188,7 +210,7 @@
     # Callers.
 
     async def _run_callers(self, seconds: float, injector: Injector) -> None:
-        tasks: list[asyncio.Task[int]] = []
+        tasks: list[asyncio.Task[None]] = []
         pause = 1.0 / (self._config.requests_per_s * len(self._fleet.nodes))
         while self.elapsed_s() < seconds:
             path = self._random.choice(list(KIND_BY_PATH))
@@ -198,7 +220,7 @@
                 nodes = [each for each in nodes if each not in injector.active_targets]
             node = self._random.choice(nodes)
             team = fleets.QUOTA_TEAM if self._random.random() < 0.4 else TEAM
-            tasks.append(asyncio.create_task(self._send_request(node, path, team)))
+            tasks.append(asyncio.create_task(self._send_from_caller(node, path, team)))
             await asyncio.sleep(self._random.expovariate(1.0 / pause))
         await asyncio.gather(*tasks)
 
@@ -227,7 +249,7 @@
         """Send plain requests to random nodes, and wait for their answers."""
         until = min(self.elapsed_s() + seconds, self._config.seconds)
         paths = [path for path, kind in KIND_BY_PATH.items() if kind is not Kind.STREAM]
-        tasks: list[asyncio.Task[int]] = []
+        tasks: list[asyncio.Task[CallerAttempt]] = []
         while self.elapsed_s() < until:
             node = self._random.choice(list(self._fleet.nodes))
             path = self._random.choice(paths)
@@ -251,16 +273,55 @@
     async def _send_stubbornly(self, node: str) -> None:
         """Send a request and, while it is refused, resend it at once despite its Retry-After."""
         for _ in range(1 + FLOOD_RESENDS):
-            if await self._send_request(node, "/chat/1", TEAM) != 503:
+            if (await self._send_request(node, "/chat/1", TEAM)).status != 503:
                 return
 
+    async def _send_streams(self, seconds: float) -> None:
+        """Begin streams at random nodes, and wait for their ends."""
+        until = min(self.elapsed_s() + seconds, self._config.seconds)
+        tasks: list[asyncio.Task[None]] = []
+        while self.elapsed_s() < until:
+            node = self._random.choice(list(self._fleet.nodes))
+            body = b"stream %d" % next(self._numbers)
+            tasks.append(asyncio.create_task(self._send_stream(node, "/explain/1", TEAM, body)))
+            await asyncio.sleep(self._random.expovariate(STREAMS_PER_S))
+        await asyncio.gather(*tasks)
+
+    async def _send_from_caller(self, node: str, path: str, team: str) -> None:
+        if KIND_BY_PATH[path] is Kind.RESUMABLE:
+            await self._send_stream(node, path, team, b"{}")
+        else:
+            await self._send_request(node, path, team)
+
+    async def _send_stream(self, node: str, path: str, team: str, body: bytes) -> None:
+        """Send a request for a stream, and resume the stream at other nodes while it breaks."""
+        attempt = await self._send_request(node, path, team, body)
+        stream: BrokenStream | None = None
+        for _ in range(MAX_RESUMES):
+            events = read_events(attempt.body) if attempt.status == 200 else []
+            if events:
+                began_as = stream.began_as if stream else attempt.request
+                stream = BrokenStream(began_as, *events[-1])
+            if stream is None or (attempt.status == 200 and attempt.complete):
+                return
+            other = self._random.choice(list(self._fleet.nodes))
+            attempt = await self._send_request(other, path, team, body, resumed=stream)
+
     async def _send_request(
-        self, node: str, path: str, team: str, body: bytes = b"{}", *, read_pause_s: float = 0.0
-    ) -> int:
+        self,
+        node: str,
+        path: str,
+        team: str,
+        body: bytes = b"{}",
+        *,
+        read_pause_s: float = 0.0,
+        resumed: "BrokenStream | None" = None,
+    ) -> CallerAttempt:
         name = f"r{self._seed}-{next(self._numbers)}"
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KIND_BY_PATH[path] is Kind.REPEATABLE else "POST"
         began = self.elapsed_s()
+        serving = self._fleet.count_serving(resumed.version) if resumed else 0
         status, answer, whole, leaving, limited = 0, b"", False, "", ""
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
@@ -273,6 +334,7 @@
                     request_id=name,
                     read_pause_s=read_pause_s,
                     X_Answer_Bytes=str(SLOW_ANSWER_BYTES if read_pause_s else 0),
+                    **(resumed.headers() if resumed else {}),
                 )
             status, answer, whole = got.status, got.body, got.whole
             replica = got.headers.get("x-server-stamp", "").partition(".")[0]
@@ -280,23 +342,25 @@
             limited = replica if "server-limit" in got.headers else ""
         except TimeoutError:
             pass
-        self.observations.attempts.append(
-            CallerAttempt(
-                name,
-                KIND_BY_PATH[path],
-                node,
-                team,
-                began,
-                self.elapsed_s(),
-                DEADLINE_S,
-                status,
-                answer,
-                whole,
-                leaving,
-                limited,
-            )
+        attempt = CallerAttempt(
+            name,
+            KIND_BY_PATH[path],
+            node,
+            team,
+            began,
+            self.elapsed_s(),
+            DEADLINE_S,
+            status,
+            answer,
+            whole,
+            leaving,
+            limited,
+            resumed.began_as if resumed else "",
+            resumed.last_event if resumed else -1,
+            serving,
         )
-        return status
+        self.observations.attempts.append(attempt)
+        return attempt
 
     async def _wait_for_recovery(self) -> float | None:
         """Send requests to each node until it has answered some in a row.
@@ -310,11 +374,8 @@
                 if self.elapsed_s() - began > RECOVERY_TIMEOUT_S:
                     return None
                 path = self._random.choice(list(KIND_BY_PATH))
-                answered_in_a_row = (
-                    answered_in_a_row + 1
-                    if await self._send_request(node, path, TEAM) == 200
-                    else 0
-                )
+                answer = await self._send_request(node, path, TEAM)
+                answered_in_a_row = answered_in_a_row + 1 if answer.status == 200 else 0
                 await asyncio.sleep(0.05)
         return self.elapsed_s() - began
 
--- a/packages/chalkyoke/src/chalkyoke/resumption/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/origins.py
@@ -11,7 +11,7 @@
 
 from chalkyoke.resumption.messages import Origin, VersionHistory
 
-# Maximum number of origins that a node keeps; they take some 4 MB. The oldest are dropped first.
+# Maximum number of origins that a node keeps; they take some 6 MB. The oldest are dropped first.
 MAX_ORIGINS = 20_000
 
 
--- a/tests/streamcallers.py
+++ b/tests/streamcallers.py
@@ -7,20 +7,15 @@
 
 import asyncio
 import random
-import re
 from dataclasses import dataclass, field
 
+from chalkyoke_fakes.replica import read_events
+
 PATH = "/explain/1"
-EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 MAX_TRIES = 5
 RETRY_S = 0.1
 
 
-def events_of(body):
-    """Return (number, version) of each whole event in an answer."""
-    return [(int(number), version.decode()) for number, version in EVENT.findall(body)]
-
-
 @dataclass
 class Stream:
     """One stream as its caller got it.
@@ -39,7 +34,7 @@
     @property
     def begun(self):
         """Whether the first attempt brought an event."""
-        return bool(events_of(self.tries[0].body))
+        return bool(read_events(self.tries[0].body))
 
     @property
     def versions(self):
@@ -66,7 +61,7 @@
             choose_node(), PATH, body, until_whole=True, headers=headers
         )
         stream.tries.append(answer)
-        got = events_of(answer.body) if answer.status == 200 else []
+        got = read_events(answer.body) if answer.status == 200 else []
         if headers:
             stream.take_ups.append(bool(got) or (answer.status == 200 and answer.whole))
         if got and not began_as:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 import pytest
-from chalkyoke_fakes.replica import whole_stream
+from chalkyoke_fakes.replica import stream_events
 from chalkyoke_fakes.soak import checkers
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
@@ -27,7 +27,8 @@
 from chalkyoke_fakes.soak.play import RunConfig, play_seed
 from chalkyoke_fakes.soak.relay import Relay
 
-STREAM = whole_stream()
+EVENTS, OTHER_EVENTS = stream_events("v1"), stream_events("v1.1")
+STREAM = b"".join(EVENTS)
 SHORT = RunConfig(seconds=8.0, requests_per_s=6.0)
 
 
@@ -38,19 +39,27 @@
     )
 
 
+def make_resumed(request, resumes, body, after=0, **fields):
+    """Make the record of an attempt that takes a stream up after its event ``after``."""
+    attempt = make_attempt(request, Kind.RESUMABLE, began=9.0, ended=9.2, body=body, **fields)
+    return replace(attempt, resumes=resumes, after=after, serving=2)
+
+
 def make_run(request, at=1.1, replica="s1"):
     return ReplicaRun(request, replica, "seats", "t", at)
 
 
 def make_sound_run():
     """Make the records of a run without violations, with data for each checker."""
-    observations = Observations(stream=STREAM)
+    observations = Observations(streams={"v1": EVENTS, "v1.1": OTHER_EVENTS})
     observations.attempts = [
         make_attempt("a"),
         make_attempt("b", Kind.REPEATABLE),
         make_attempt("c", Kind.STREAM),
         make_attempt("d", Kind.STREAM, body=STREAM[:30], whole=False),
         make_attempt("e", status=503, body=b"no replica"),
+        make_attempt("f", Kind.RESUMABLE, body=STREAM[:30], whole=False),
+        make_resumed("g", "f", b"".join(EVENTS[1:])),
     ]
     observations.runs = [
         make_run("a"),
@@ -89,6 +98,29 @@
     )
 
 
+def join_two_versions_in_one_answer(observations):
+    observations.attempts[2] = make_attempt(
+        "c", Kind.STREAM, body=b"".join([*EVENTS[:4], *OTHER_EVENTS[4:]])
+    )
+
+
+def resume_a_stream_at_another_version(observations):
+    observations.attempts[-1] = make_resumed("g", "f", b"".join(OTHER_EVENTS[1:]))
+
+
+def refuse_resumed_streams(observations):
+    for number in range(12):
+        name = f"u{number}"
+        observations.attempts.append(
+            make_attempt(name, Kind.RESUMABLE, 9.0, 9.1, body=STREAM[:30], whole=False)
+        )
+        if number < 6:
+            resumed = make_resumed(f"v{number}", name, b"", status=503)
+        else:
+            resumed = make_resumed(f"v{number}", name, b"", status=0, whole=False)
+        observations.attempts.append(resumed)
+
+
 def run_an_unsent_request(observations):
     observations.runs.append(make_run("smuggled"))
 
@@ -170,6 +202,9 @@
     (return_another_answer, checkers.answers_are_complete_and_own),
     (end_a_cut_stream_as_complete, checkers.answers_are_complete_and_own),
     (join_two_runs_in_one_stream, checkers.answers_are_complete_and_own),
+    (join_two_versions_in_one_answer, checkers.answers_are_complete_and_own),
+    (resume_a_stream_at_another_version, checkers.streams_keep_their_version),
+    (refuse_resumed_streams, checkers.resumed_streams_go_on),
     (run_an_unsent_request, checkers.runs_have_a_caller),
     (go_back_to_an_older_version, checkers.versions_never_decrease),
     (send_to_a_draining_replica, checkers.draining_replicas_get_no_requests),
@@ -200,6 +235,19 @@
     assert {checker for _, checker in VIOLATIONS} == set(checkers.CHECKERS)
 
 
+def test_resumed_streams_count_only_in_touch_and_while_two_replicas_of_their_version_serve():
+    observations = make_sound_run()
+    refuse_resumed_streams(observations)
+    observations.faults.append(FaultPeriod(Fault.STORE_SLOW, "store", 6.5, 7.0))
+    assert checkers.resumed_streams_go_on(observations) == []
+    observations.faults.pop()
+    assert checkers.resumed_streams_go_on(observations)
+    observations.attempts = [
+        replace(each, serving=1) if each.resumes else each for each in observations.attempts
+    ]
+    assert checkers.resumed_streams_go_on(observations) == []
+
+
 def test_a_drain_near_a_store_outage_is_not_a_violation():
     observations = make_sound_run()
     send_to_a_draining_replica(observations)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,8 +10,10 @@
 import random
 from collections import Counter
 
+from chalkyoke_fakes.replica import read_events
+
 from tests.gatewayfleet import run_check
-from tests.streamcallers import check_streams, events_of, run_streams, share, take_stream
+from tests.streamcallers import check_streams, run_streams, share, take_stream
 
 DOMAINS = ("a", "a", "a", "b", "b", "c", "c")
 # Four replicas of the first version and of the second, two of the third.
@@ -35,7 +37,7 @@
             runs.update(replica.runs)
         resumed = [each for each in answers if runs[each.request] > 1]
         assert len(resumed) >= STREAMS / 10
-        mixed = [each for each in resumed if len({v for _, v in events_of(each.body)}) > 1]
+        mixed = [each for each in resumed if len({v for _, v in read_events(each.body)}) > 1]
         assert not mixed, f"{len(mixed)} of {len(resumed)} resumed streams have two versions"
         went_on = share([each.whole for each in resumed])
         begun = share([each.status == 200 for each in answers])
