A host that is cut off does not assume the version that began a stream

Histories decide only once all keepers have answered, but those known to be of an older build, which are no longer asked.

--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -140,6 +140,19 @@
         if outgoing.task is None:
             outgoing.task = asyncio.create_task(self._run(address, outgoing))
 
+    def withholds(self, address: str, kind: type[msgspec.Struct]) -> bool:
+        """Return whether messages of a kind are not sent, as the peer does not understand them.
+
+        :param address: ``ip:port`` of the other process's listener.
+        :return: false also while no link to the peer is open.
+        """
+        outgoing = self._outgoing.get(address)
+        connection = outgoing.connection if outgoing is not None else None
+        if connection is None or connection.closing:
+            return False
+        tag = str(kind.__struct_config__.tag)
+        return not self._kinds.understands(connection.peer, connection.peer_kinds, tag)
+
     def keep_alive(self, confirm_s: float) -> None:
         """Confirm received messages and abort outgoing links whose peer stopped confirming.
 
--- a/packages/chalkyoke/src/chalkyoke/links/tests/test_kinds.py
+++ b/packages/chalkyoke/src/chalkyoke/links/tests/test_kinds.py
@@ -53,6 +53,9 @@
             await until(lambda: len(taken) == 2)
             assert taken == [GRANT, GRANT]
             assert (caller.counters.withheld, listener.counters.skipped) == (2, 0)
+            address = listener.me.address
+            assert caller.withholds(address, Queued) and not caller.withholds(address, Grant)
+            assert not caller.withholds("127.0.0.1:1", Queued)
             # Withheld messages do not count as unconfirmed.
             listener.keep_alive(0.01)
             await until(lambda: not caller._outgoing[listener.me.address].unconfirmed.count)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -237,7 +237,7 @@
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
         self.versions = VersionHistories(state, self.now)
         self.origins = OriginFinder(
-            PeerOriginKeepers(self.view, self.versions, self.links.send, self.presence), self.now
+            PeerOriginKeepers(self.view, self.versions, self.links, self.presence), self.now
         )
         self.metrics.register_gauge("stream_origins_kept", lambda: self.origins.kept_count)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -6,6 +6,9 @@
 """
 
 from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import msgspec
 
 from chalkyoke.limits.messages import PermitMessage
 from chalkyoke.membership.messages import MemberRecord
@@ -14,7 +17,7 @@
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.messages import QuotaMessage
 from chalkyoke.quotas.owner import Presence
-from chalkyoke.resumption.messages import OriginMessage, VersionHistory
+from chalkyoke.resumption.messages import OriginMessage, OriginRequest, VersionHistory
 from chalkyoke.scheduling.messages import EntryMessage
 
 # The smallest share of the fleet that a node must see to rely on the owners that it computes. With
@@ -92,6 +95,16 @@
         return self._nodes()
 
 
+class OriginLinks(Protocol):
+    """The links over which origins are exchanged."""
+
+    def send(self, address: str, message: OriginMessage) -> None:
+        """Send a message to a node by its link address."""
+
+    def withholds(self, address: str, kind: type[msgspec.Struct]) -> bool:
+        """Return whether messages of a kind are not sent, as the peer does not understand them."""
+
+
 class PeerOriginKeepers:
     """Find the nodes that keep the origins of streams and send them messages.
 
@@ -99,7 +112,6 @@
     has links to a limited number of them.
 
     :param histories: version histories of the services.
-    :param send: sends a message to a link address.
     :param presence: returns how much of the fleet this node sees.
     """
 
@@ -107,12 +119,12 @@
         self,
         view: MembershipView,
         histories: VersionHistories,
-        send: Callable[[str, OriginMessage], None],
+        links: OriginLinks,
         presence: Callable[[], Presence],
     ) -> None:
         self._view = view
         self._histories = histories
-        self._send = send
+        self._links = links
         self._presence = presence
         self._generation = -1
         self._keepers: dict[int, list[str]] = {}
@@ -137,7 +149,11 @@
 
     def send(self, address: str, message: OriginMessage) -> None:
         """Send a message to a node by its link address."""
-        self._send(address, message)
+        self._links.send(address, message)
+
+    def is_older(self, address: str) -> bool:
+        """Return whether a node is known to be of an older build, which keeps no origins."""
+        return self._links.withholds(address, OriginRequest)
 
     def history(self, service: str) -> VersionHistory:
         """Return this node's version history of a service."""
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -65,6 +65,9 @@
     def history(self, service: str) -> VersionHistory:
         """Return this node's version history of a service."""
 
+    def is_older(self, address: str) -> bool:
+        """Return whether a node is known to be of an older build, which keeps no origins."""
+
     def sees_fleet(self) -> bool:
         """Return whether this node sees almost all of the fleet."""
 
@@ -72,13 +75,15 @@
 class _Search(msgspec.Struct):
     """A search in progress.
 
+    :param asked: link addresses of the keepers that were asked.
     :ivar ended: set once a keeper knows the origin, or all have answered.
+    :ivar histories: answers of the keepers that do not know the origin, by link address.
     """
 
-    expected: int
+    asked: list[str]
     ended: "asyncio.Future[None]"
     origin: Origin | None = None
-    histories: list[VersionHistory] = []
+    histories: dict[str, VersionHistory] = {}
 
 
 class OriginFinder:
@@ -126,13 +131,10 @@
         if search.origin is not None:
             self._keep(stream, search.origin, keep_s)
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        if answers or self._port.sees_fleet():
-            histories = [self._port.history(service), *search.histories]
-            version = only_version(histories, keep_s)
-            if version is not None:
-                found = Origin(service, version)
-                return FoundOrigin(found, OriginSource.ONLY_VERSION, answers)
-        return FoundOrigin(None, OriginSource.UNKNOWN, answers)
+        version = self._only_version(search, service, keep_s)
+        if version is None:
+            return FoundOrigin(None, OriginSource.UNKNOWN, answers)
+        return FoundOrigin(Origin(service, version), OriginSource.ONLY_VERSION, answers)
 
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
@@ -144,7 +146,7 @@
         elif isinstance(message, OriginRequest):
             self._port.send(address, self._answer(message))
         else:
-            self._apply_answer(message)
+            self._apply_answer(address, message)
 
     def drop_expired(self) -> None:
         """Drop the origins of streams that can no longer be resumed."""
@@ -154,10 +156,22 @@
         now = self._now()
         self._kept.put(stream, origin, now + keep_s, now)
 
+    def _only_version(self, search: _Search, service: str, since_s: float) -> str | None:
+        """Return the version that must have begun a stream of unknown origin; None if unsure.
+
+        A keeper that does not answer may know of another version: this node may be cut off.
+        """
+        silent = (each for each in search.asked if each not in search.histories)
+        if any(not self._port.is_older(each) for each in silent):
+            return None
+        if not search.histories and not self._port.sees_fleet():
+            return None
+        return only_version([self._port.history(service), *search.histories.values()], since_s)
+
     async def _ask_keepers(self, stream: int, service: str) -> _Search:
         """Ask all keepers at once; the first one that knows the origin ends the search."""
-        keepers = self._port.keepers(stream)
-        search = _Search(len(keepers), asyncio.get_running_loop().create_future())
+        keepers = [each for each in self._port.keepers(stream) if not self._port.is_older(each)]
+        search = _Search(keepers, asyncio.get_running_loop().create_future())
         if not keepers:
             return search
         number = next(self._numbers)
@@ -179,13 +193,13 @@
             return OriginAnswer(request.number, origin)
         return OriginAnswer(request.number, None, self._port.history(request.service))
 
-    def _apply_answer(self, answer: OriginAnswer) -> None:
+    def _apply_answer(self, address: str, answer: OriginAnswer) -> None:
         search = self._searches.get(answer.number)
         if search is None or search.ended.done():
             return
         if answer.origin is not None:
             search.origin = answer.origin
         else:
-            search.histories.append(answer.history)
-        if search.origin is not None or len(search.histories) == search.expected:
+            search.histories[address] = answer.history
+        if search.origin is not None or len(search.histories) == len(search.asked):
             search.ended.set_result(None)
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import pytest
 from chalkyoke.resumption.finder import ANSWER_TIMEOUT_S, OriginFinder, OriginSource
 from chalkyoke.resumption.messages import Origin, StreamBegan, VersionHistory
 
@@ -14,6 +15,7 @@
     """Finders that are all keepers of all streams.
 
     :ivar silent: nodes that get no messages.
+    :ivar older: nodes whose build keeps no origins, once a link to them has been opened.
     """
 
     def __init__(self, nodes=4, keepers=(1, 2, 3), histories=None):
@@ -21,6 +23,7 @@
         self.keepers = keepers
         self.histories = histories or {}
         self.silent = set()
+        self.older = set()
         self.nodes = [OriginFinder(Port(self, number), loop.time) for number in range(nodes)]
 
 
@@ -29,13 +32,15 @@
         self._fleet = fleet
         self._number = number
         self.sees_all = True
+        self._linked = set()
 
     def keepers(self, stream):
         return [each for each in self._fleet.keepers if each != self._number]
 
     def send(self, address, message):
         fleet, sender = self._fleet, self._number
-        if address not in fleet.silent:
+        self._linked.add(address)
+        if address not in fleet.silent | fleet.older:
             asyncio.get_running_loop().call_later(
                 DELAY_S, lambda: fleet.nodes[address].receive(sender, message)
             )
@@ -44,6 +49,9 @@
         versions, covers_s = self._fleet.histories.get(self._number, ((), 0.0))
         return VersionHistory(versions, covers_s)
 
+    def is_older(self, address):
+        return address in self._fleet.older & self._linked
+
     def sees_fleet(self):
         return self.sees_all
 
@@ -96,26 +104,30 @@
 
 
 def test_beside_nodes_of_older_builds_the_own_history_decides():
-    """Nodes of older builds keep no origins and get no requests."""
+    """They keep no origins and are sent no messages that they do not understand."""
 
     async def main():
         fleet = Fleet(histories={0: (("v1",), 30.0)})
-        fleet.silent = {1, 2, 3}
-        began = asyncio.get_running_loop().time()
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
-        assert found.origin == Origin("model", "v1")
-        assert asyncio.get_running_loop().time() - began <= 1.01 * ANSWER_TIMEOUT_S
+        fleet.older = {1, 2, 3}
+        loop = asyncio.get_running_loop()
+        for longest in (1.01 * ANSWER_TIMEOUT_S, 0.0):
+            began = loop.time()
+            found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+            assert found.origin == Origin("model", "v1")
+            assert loop.time() - began <= longest
+        fleet.nodes[0]._port.sees_all = False
+        assert (await fleet.nodes[0].find(STREAM, "model", KEEP_S)).origin is None
 
     virtual.run(main)
 
 
-def test_a_node_that_is_cut_off_does_not_trust_its_own_history():
-    """Another version may have begun the stream where the node cannot know of it."""
+@pytest.mark.parametrize("silent", [{1}, {1, 2, 3}])
+def test_while_a_keeper_is_silent_histories_do_not_decide(silent):
+    """It may be on the other side of a partition, where another version began the stream."""
 
     async def main():
-        fleet = Fleet(histories={0: (("v1",), 30.0)})
-        fleet.silent = {1, 2, 3}
-        fleet.nodes[0]._port.sees_all = False
+        fleet = Fleet(histories=dict.fromkeys(range(4), (("v1",), 30.0)))
+        fleet.silent = silent
         found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
         assert found.source is OriginSource.UNKNOWN
 
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -24,7 +24,7 @@
 from chalkyoke_fakes.replica import FIRST_VERSION, Replica
 
 from tests import catalogfleet, virtual
-from tests.memorynet import MemoryNet, current_host
+from tests.memorynet import MemoryNet, PartitionMode, current_host
 
 FLEET_KEY_HEX = "00" * 32
 DEADLINE_MS = 8000
@@ -200,6 +200,15 @@
             [f"n{each}" for each in nodes], [(ip, int(port)) for ip, port in addresses], mode
         )
 
+    def cut_links(self, nodes, others):
+        """Partition the links between two groups of nodes, given by their indices."""
+        for group, rest in ((nodes, others), (others, nodes)):
+            self.net.separate(
+                [f"n{each}" for each in group],
+                [(_ip(each), 82) for each in rest],
+                PartitionMode.SILENT,
+            )
+
     async def send_request(
         self, node, path, body=b"{}", *, method="POST", key=KEY, until_whole=False, headers=()
     ):
--- a/tests/streamcallers.py
+++ b/tests/streamcallers.py
@@ -48,7 +48,7 @@
 async def take_stream(fleet, choose_node, body):
     """Begin a stream, and take it up at other nodes until it is whole.
 
-    :param choose_node: returns the index of a node.
+    :param choose_node: returns the index of a node; gets the stream so far.
     :rtype: Stream
     """
     stream = Stream(body)
@@ -58,7 +58,7 @@
         if stream.events:
             headers = (("Last-Event-Id", stream.events[-1][0]), ("Resumes", began_as))
         answer = await fleet.send_request(
-            choose_node(), PATH, body, until_whole=True, headers=headers
+            choose_node(stream), PATH, body, until_whole=True, headers=headers
         )
         stream.tries.append(answer)
         got = read_events(answer.body) if answer.status == 200 else []
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 from chalkyoke.node.peers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
@@ -48,7 +49,10 @@
         port = PeerOriginKeepers(
             view,
             VersionHistories(None, loop.time),
-            lambda address, message: self._send(host, address, message),
+            SimpleNamespace(
+                send=lambda address, message: self._send(host, address, message),
+                withholds=lambda address, kind: False,
+            ),
             lambda: Presence(len(view.live()), len(self.contacted), 1.0),
         )
         self.finders[host] = OriginFinder(port, loop.time)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -68,7 +68,7 @@
                 await asyncio.sleep(1.0)
                 down.clear()
 
-        def choose_node():
+        def choose_node(_):
             return rng.choice([each for each in range(len(DOMAINS)) if each not in down])
 
         crashing = asyncio.ensure_future(crash_nodes())
@@ -83,3 +83,43 @@
         check_streams(streams)
 
     run_check(check, domains=DOMAINS, replicas=REPLICAS, versions=VERSIONS)
+
+
+def test_a_host_that_is_cut_off_does_not_resume_a_stream_at_a_version_that_it_only_assumes():
+    """Another version starts where the host cannot know of it, and begins the stream."""
+
+    async def check(fleet):
+        others = range(1, len(DOMAINS))
+        # Long enough that all hosts know how long the service has run a single version.
+        await asyncio.sleep(20.0)
+        unknown = (("Last-Event-Id", 3), ("Resumes", "of a host that is gone"))
+        answer = await fleet.send_request(2, "/explain/1", until_whole=True, headers=unknown)
+        assert answer.status == 200 and read_events(answer.body)[0] == (4, "v1")
+
+        fleet.store.silent_hosts.add("n0")
+        # A watch of the store that was pending then may still be answered.
+        await asyncio.sleep(5.0)
+        fleet.cut_links([0], others)
+        for each in fleet.models:
+            await each.write_record("draining")
+        fleet.models += [
+            await fleet.add_replica(f"m9{n}", "model", "b", True, "v1.2") for n in range(4)
+        ]
+        await asyncio.sleep(0.2)
+        rng = random.Random(66)
+
+        def choose_node(stream):
+            return rng.choice(others) if not stream.events else 0
+
+        streams = await run_streams(
+            fleet,
+            STREAMS // 4,
+            MEAN_PAUSE_S,
+            1.0,
+            lambda number: take_stream(fleet, choose_node, f"stream {number}".encode()),
+        )
+        assert sum("v1.2" in each.versions for each in streams) >= 10
+        assert sum(len(each.tries) > 1 for each in streams) >= 10
+        assert not any(len(each.versions) > 1 for each in streams)
+
+    run_check(check, domains=DOMAINS)
