A stream that has begun precedes new requests at the scheduler

Cause: such a stream waits for the upstreams of one version, which new requests of all teams take as well. It came last in three ways: its goal had passed, so it counted as late and late requests wait for all others; within a team its queue came after that of the plain route, by name; and a forecast of that wait shed it. Before streams were bound to a version, the first way alone cost little, since any free slot would do.

A stream that resumes is treated like a retry at its assigned time, which has been admitted before: never marked late, not refused by the team's share, and higher tiers queue beside it. Queues of such streams precede those of new requests of their tier, in fair order among themselves. Tiers stay strict.

--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -10,6 +10,10 @@
 from collections.abc import Iterator
 
 from chalkyoke.scheduling.state import WaitingRequest
+from chalkyoke.scheduling.versionroutes import is_version_route
+
+# Order of a queue: whether its requests are new, the team's virtual time, the team and the route.
+_OrderKey = tuple[bool, float, str, str]
 
 # Number of requests at the front of a queue that are tried in one decision: the first may fit no
 # upstream.
@@ -73,7 +77,7 @@
         self.promised = 0
         self._team_work: dict[str, float] = {}
         self._queues: dict[tuple[str, str], TeamQueue] = {}
-        self._team_order: list[tuple[float, str, str]] = []
+        self._team_order: list[_OrderKey] = []
         self._backlog: dict[str, int] = {}
         self._virtual: dict[str, float] = {}
         self._floor = 0.0
@@ -89,7 +93,7 @@
         queue = self._queues.get(key)
         if queue is None:
             queue = self._queues[key] = TeamQueue(item.team, item.route)
-            insort(self._team_order, (self._virtual[item.team], *key))
+            insort(self._team_order, _order_key(self._virtual[item.team], *key))
         queue.push(item)
         self.size += 1
         self.late += item.late
@@ -107,7 +111,7 @@
         self.promised -= item.is_promised_retry
         if not queue:
             del self._queues[key]
-            self._team_order.remove((self._virtual[item.team], *key))
+            self._team_order.remove(_order_key(self._virtual[item.team], *key))
 
         self._backlog[item.team] -= 1
         self.work = self.work - item.work if self.size else 0.0
@@ -136,9 +140,9 @@
         self._virtual[team] = after
         if team not in self._backlog:
             return
-        for key in [each for each in self._team_order if each[1] == team]:
+        for key in [each for each in self._team_order if each[2] == team]:
             self._team_order.remove(key)
-            insort(self._team_order, (after, *key[1:]))
+            insort(self._team_order, _order_key(after, *key[2:]))
 
     def virtual_time(self, team: str) -> float:
         """Return a team's virtual time, in seconds of work per weight.
@@ -160,12 +164,15 @@
     def ordered_queues(self, fair: bool = True) -> Iterator[TeamQueue]:
         """Iterate over the non-empty queues in the order of their teams' virtual times.
 
+        Streams that have begun precede new requests: only upstreams of one version can go on with
+        them, and new requests would take all of these.
+
         Requests must not be added, removed or charged during the iteration.
 
         :param fair: if false, the queues are ordered by their first deadlines instead.
         """
         if fair:
-            return (self._queues[key[1:]] for key in self._team_order)
+            return (self._queues[key[2:]] for key in self._team_order)
         return iter(
             sorted(
                 self._queues.values(),
@@ -187,17 +194,23 @@
         """
         virtual = {team: self._virtual[team] for team in self._backlog}
         queues = {key: queue.ordered() for key, queue in self._queues.items()}
-        heap = [(virtual[key[0]], key, 0) for key in queues]
+        heap = [(_order_key(virtual[key[0]], *key), 0) for key in queues]
         heapq.heapify(heap)
         while heap:
-            level, key, index = heapq.heappop(heap)
-            team = key[0]
+            (_, level, *key), index = heapq.heappop(heap)
+            team, route = key
             if level < virtual[team]:
-                heapq.heappush(heap, (virtual[team], key, index))
+                heapq.heappush(heap, (_order_key(virtual[team], team, route), index))
                 continue
 
-            item = queues[key][index]
+            waiting = queues[team, route]
+            item = waiting[index]
             yield item
             virtual[team] += item.work / weights.get(team, 1.0)
-            if index + 1 < len(queues[key]):
-                heapq.heappush(heap, (virtual[team], key, index + 1))
+            if index + 1 < len(waiting):
+                heapq.heappush(heap, (_order_key(virtual[team], team, route), index + 1))
+
+
+def _order_key(virtual: float, team: str, route: str) -> _OrderKey:
+    """Return the key by which the queues of a tier are ordered."""
+    return not is_version_route(route), virtual, team, route
--- a/packages/chalkyoke/src/chalkyoke/scheduling/requests.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/requests.py
@@ -34,12 +34,16 @@
     def waiting(self, entry: str, domain: str, message: Acquire, now: float) -> WaitingRequest:
         """Build a waiting request from the message of an entry process.
 
+        A stream that has begun has been admitted before, and its caller holds a part of it. It is
+        treated like a retry that returns at the time assigned to it.
+
         :param domain: failure domain of the entry process.
         """
         output = self._learner.estimate_output(message)
         self._order += 1
         blocks = message.blocks if self._features.prefix else ()
         route = message.route
+        resumes = message.version is not None
         if message.version is not None:
             route = version_route(route, message.version)
         return WaitingRequest(
@@ -63,6 +67,8 @@
             fingerprint=message.fingerprint,
             hint=message.likely_output,
             tried_upstreams=message.tried,
+            is_promised_retry=resumes,
+            assigned_at=now if resumes else 0.0,
             is_long=self._pool.work_s(0, output.median) > LONG_OUTPUT_S,
             work=self._pool.work_s(message.prompt_tokens, output.median),
         )
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -148,11 +148,12 @@
     :param fingerprint: identical for all attempts of one caller at one task; 0 where unknown.
     :param hint: the caller's own estimate of the output, in tokens; 0 where none is given.
     :param tried_upstreams: upstreams that the request was already sent to.
-    :param is_promised_retry: whether the request follows a refusal with Retry-After.
+    :param is_promised_retry: whether the request follows a refusal with Retry-After, or resumes a
+        stream.
     :param latest_start: when the request must start so that its first output and its complete
         answer are in time, on the scheduler's own clock; infinite where it was not computed.
-    :param assigned_at: the time at which a retry was told to return, on the scheduler's own clock;
-        0 where no time was assigned.
+    :param assigned_at: the time at which a retry was told to return, or at which a stream that has
+        begun is to be resumed, on the scheduler's own clock; 0 where no time was assigned.
     :param is_long: whether the request holds its slot long enough to delay higher tiers.
     """
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_versionroutes.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_versionroutes.py
@@ -51,5 +51,18 @@
     assert grant.upstream == "u2"
 
 
+def test_a_stream_that_has_begun_precedes_new_requests_of_all_teams():
+    """Guards against streams that were started last of all, since their goal had passed."""
+    scheduler = make_scheduler({"u1": "v1", "u2": "v2"})
+    acquire(scheduler, "w1"), acquire(scheduler, "w2")
+    for number in range(3):
+        assert acquire(scheduler, f"new{number}") == []
+    assert acquire(scheduler, "begun", "v1") == []
+    scheduler.tick(2.0)
+    ended = Release("w1", 1, "pool", "delivered", Usage(100, 0, 20, 0.1, 0.5))
+    [granted] = [each.action for each in scheduler.release("d", ended, 2.1)]
+    assert (granted.request, granted.upstream) == ("begun", "u1")
+
+
 def test_outputs_are_learned_under_the_route_in_the_catalog():
     assert without_version(version_route("r", "v1.1")) == without_version("r") == "r"
--- a/packages/chalkyoke/src/chalkyoke/scheduling/versionroutes.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/versionroutes.py
@@ -17,6 +17,11 @@
     return f"{route}{_VERSION_MARK}{version}"
 
 
+def is_version_route(route: str) -> bool:
+    """Return whether a route in a pool is that of streams that a version has begun."""
+    return _VERSION_MARK in route
+
+
 def without_version(route: str) -> str:
     """Return the name in the catalog of a route in a pool, under which its outputs are learned."""
     return route.partition(_VERSION_MARK)[0]
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -22,6 +22,8 @@
 STREAMS = 200
 MEAN_PAUSE_S = 0.02
 EVENT_S = 0.04
+# A stream takes 0.32 s of one of 40 slots, which bear one each 8 ms.
+OVERLOAD_PAUSE_S = 0.004
 
 
 def test_a_broken_stream_goes_on_at_the_version_that_began_it():
@@ -85,6 +87,28 @@
     run_check(check, domains=DOMAINS, replicas=REPLICAS, versions=VERSIONS)
 
 
+def test_streams_that_are_taken_up_go_on_while_more_streams_begin_than_engines_serve():
+    """Guards against streams that waited behind all new requests, and were shed for it."""
+
+    async def check(fleet):
+        rng = random.Random(67)
+        for each in fleet.models:
+            each.faults.event_s = EVENT_S
+        streams = await run_streams(
+            fleet,
+            2 * STREAMS,
+            OVERLOAD_PAUSE_S,
+            0.3,
+            lambda number: take_stream(
+                fleet, lambda _: rng.randrange(len(DOMAINS)), f"stream {number}".encode()
+            ),
+        )
+        began, _ = check_streams(streams)
+        assert began < 0.9, "the engines are not overloaded"
+
+    run_check(check, domains=DOMAINS, replicas=REPLICAS, versions=VERSIONS)
+
+
 def test_a_host_that_is_cut_off_does_not_resume_a_stream_at_a_version_that_it_only_assumes():
     """Another version starts where the host cannot know of it, and begins the stream."""
 
