A stream whose caller names no attempt goes on while one version runs

Before streams were bound to versions they went on.

Nobody can be asked for the origin of such a stream, so nobody is. The host goes by the versions that it knows, and refuses where there are several.

--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -31,7 +31,7 @@
 class OriginSource(StrEnum):
     """How the origin of a stream became known.
 
-    ``ONLY_VERSION``: no node keeps it, but the service has run a single version for long enough.
+    ``ONLY_VERSION``: no node keeps it, but only one version of the service can have begun it.
     ``UNKNOWN``: it did not.
     """
 
@@ -131,10 +131,16 @@
         if search.origin is not None:
             self._keep(stream, search.origin, keep_s)
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        version = self._only_version(search, service, keep_s)
-        if version is None:
-            return FoundOrigin(None, OriginSource.UNKNOWN, answers)
-        return FoundOrigin(Origin(service, version), OriginSource.ONLY_VERSION, answers)
+        return _found_by_version(service, self._only_version(search, service, keep_s), answers)
+
+    def find_unnamed(self, service: str) -> FoundOrigin:
+        """Find what began a stream whose caller does not name the attempt that did.
+
+        Nobody can be asked for it. It is known only while the service runs a single version.
+
+        :param service: service that would go on with the stream.
+        """
+        return _found_by_version(service, only_version([self._port.history(service)], 0.0), 0)
 
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
@@ -203,3 +209,10 @@
             search.histories[address] = answer.history
         if search.origin is not None or len(search.histories) == len(search.asked):
             search.ended.set_result(None)
+
+
+def _found_by_version(service: str, version: str | None, answers: int) -> FoundOrigin:
+    """Build the result for a stream that the only possible version has begun; None if unsure."""
+    if version is None:
+        return FoundOrigin(None, OriginSource.UNKNOWN, answers)
+    return FoundOrigin(Origin(service, version), OriginSource.ONLY_VERSION, answers)
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -134,6 +134,21 @@
     virtual.run(main)
 
 
+@pytest.mark.parametrize(
+    ("versions", "origin"), [(("v1",), Origin("model", "v1")), (("v1", "v1.1"), None), ((), None)]
+)
+def test_a_stream_of_a_caller_that_names_no_attempt_goes_on_while_one_version_runs(
+    versions, origin
+):
+    """Also at a node that has just started: callers of an earlier protocol name none."""
+
+    async def main():
+        fleet = Fleet(histories={0: (versions, 0.1)})
+        assert fleet.nodes[0].find_unnamed("model").origin == origin
+
+    virtual.run(main)
+
+
 def test_an_origin_that_was_found_is_told_to_keepers_that_lack_it():
     async def main():
         fleet = Fleet(nodes=5, keepers=(1, 2))
