--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -6,18 +6,18 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from chalkyoke_fakes.soak.limits import describe_exceeded_windows
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
     DrainStart,
-    Kind,
     Observations,
     Rejection,
     ReplicaRun,
+    Violation,
 )
 from chalkyoke_fakes.soak.plan import Fault
+from chalkyoke_fakes.soak.streams import resumed_streams_go_on, streams_keep_their_version
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A draining replica may still get requests for this long after its announcement.
@@ -37,25 +37,10 @@
 LEAVING_GRACE_S = 2.0
 RETRY_AFTER_GRACE_S = 0.5
 MAX_REQUESTS_IN_RETRY_AFTER = 2
-# The operators' bound on streams that callers resume: from this number of them on, while this many
-# replicas serve their version, their share that goes on must be at least this part of the share of
-# new streams that begin. A node counts ``CONTACT_S`` after its last fault and the store's.
-MIN_RESUMED = 12
-MIN_SERVING = 2
-MIN_RESUMED_RATIO = 0.5
-CONTACT_S = 3.0
 # Faults in which a node loses its state or receives nothing for a while.
 NODE_OUTAGE_PREFIXES = ("node_", "all_", "roll")
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """One violation of a promise."""
-
-    promise: str
-    detail: str
-
-
 def runs_once(observations: Observations) -> list[Violation]:
     """Check that a request that may not be repeated runs at most once."""
     runs = Counter(each.request for each in observations.runs)
@@ -98,61 +83,6 @@
     return any(rest.startswith(attempt.body) for rest in rests)
 
 
-def streams_keep_their_version(observations: Observations) -> list[Violation]:
-    """Check that no stream has events of two software versions, over all attempts of its caller."""
-    versions: dict[str, set[str]] = {}
-    for each in observations.attempts:
-        if each.kind is Kind.RESUMABLE and each.status == 200:
-            found = versions.setdefault(each.resumes or each.request, set())
-            found |= _versions_of(each, observations)
-    return [
-        Violation("one version", f"{stream} has events of {sorted(found)}")
-        for stream, found in versions.items()
-        if len(found) > 1
-    ]
-
-
-def _versions_of(attempt: CallerAttempt, observations: Observations) -> set[str]:
-    """Return the versions that wrote an answer's events."""
-    return {
-        version
-        for version, events in observations.streams.items()
-        if any(event in attempt.body for event in events)
-    }
-
-
-def resumed_streams_go_on(observations: Observations) -> list[Violation]:
-    """Check that the share of resumed streams that go on is at least half of those that begin.
-
-    Counted are attempts at nodes in touch with the others and the store, while at least
-    :data:`MIN_SERVING` replicas of the stream's version serve, from :data:`MIN_RESUMED` on.
-    """
-    streams = [
-        each
-        for each in observations.attempts
-        if each.kind is Kind.RESUMABLE and _is_in_touch(each, observations)
-    ]
-    resumed = [each for each in streams if each.resumes and each.serving >= MIN_SERVING]
-    new = [each for each in streams if not each.resumes]
-    if len(resumed) < MIN_RESUMED or not new:
-        return []
-    went_on = sum(each.status == 200 for each in resumed) / len(resumed)
-    began = sum(each.status == 200 for each in new) / len(new)
-    if went_on >= MIN_RESUMED_RATIO * began:
-        return []
-    return [
-        Violation("streams go on", f"{went_on:.2f} of {len(resumed)} resumed, {began:.2f} of new")
-    ]
-
-
-def _is_in_touch(attempt: CallerAttempt, observations: Observations) -> bool:
-    began = attempt.began - CONTACT_S
-    return not any(
-        each.target in (attempt.node, "store") and each.overlaps(began, attempt.ended)
-        for each in observations.faults
-    )
-
-
 def runs_have_a_caller(observations: Observations) -> list[Violation]:
     """Check that each request that a replica ran was sent by a caller."""
     sent = {each.request for each in observations.attempts}
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -27,6 +27,14 @@
         return self in (Kind.STREAM, Kind.RESUMABLE)
 
 
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One violation of a promise."""
+
+    promise: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallerAttempt:
     """One request of a caller and its answer.
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -16,7 +16,7 @@
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
-from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, Violation, run_checkers
+from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.injector import Injector
 from chalkyoke_fakes.soak.observations import (
@@ -27,6 +27,7 @@
     Rejection,
     ReplicaRun,
     RetryLimit,
+    Violation,
 )
 from chalkyoke_fakes.soak.plan import draw_faults, draw_roll
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/origins.py
@@ -26,11 +26,11 @@
         :param keep_s: how long the caller may resume the stream, in seconds.
         """
 
-    async def find(self, stream: int, service: str, keep_s: float) -> FoundOrigin:
+    async def find(self, stream: int, service: str, age_s: float) -> FoundOrigin:
         """Find what began a stream.
 
         :param service: service that would go on with the stream.
-        :param keep_s: how long ago the stream began at most, in seconds.
+        :param age_s: how long ago the stream began at most, in seconds.
         """
 
     def find_unnamed(self, service: str) -> FoundOrigin:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -419,8 +419,8 @@
             bound.append(version)
             return Denied("no replica", 0.5)
 
-        async def find(stream, service, keep_s):
-            asked.append((stream, service, keep_s))
+        async def find(stream, service, age_s):
+            asked.append((stream, service, age_s))
             return FoundOrigin(origin, OriginSource.KEEPER)
 
         route = replace(ROUTE, resumable=True)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -52,14 +52,10 @@
 from chalkyoke.node.listener import Listener, ListenerParts
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
 from chalkyoke.node.memory import HostMemory
+from chalkyoke.node.originkeepers import PeerOriginKeepers
 from chalkyoke.node.pages import PageServer
 from chalkyoke.node.parts import PlatformParts
-from chalkyoke.node.peers import (
-    PeerKeepers,
-    PeerOriginKeepers,
-    PeerQuotas,
-    PeerSchedulers,
-)
+from chalkyoke.node.peers import PeerKeepers, PeerQuotas, PeerSchedulers
 from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.quotas import make_quotas
--- a/packages/chalkyoke/src/chalkyoke/node/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/peers.py
@@ -1,33 +1,23 @@
 """
 chalkyoke.node.peers
 
-Finds the schedulers, the keepers of permits and of streams' origins, and the quota owners in the
-fleet, and sends messages to them.
+Finds the schedulers, permit keepers and quota owners in the fleet and sends messages to them.
 """
 
-from collections.abc import Callable, Sequence
-from typing import Protocol
-
-import msgspec
+from collections.abc import Callable
 
 from chalkyoke.limits.messages import PermitMessage
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.messages import QuotaMessage
 from chalkyoke.quotas.owner import Presence
-from chalkyoke.resumption.messages import OriginMessage, OriginRequest, VersionHistory
 from chalkyoke.scheduling.messages import EntryMessage
 
 # The smallest share of the fleet that a node must see to rely on the owners that it computes. With
 # a smaller share, after the loss of all nodes, several nodes would grant leases at once, each as
 # the owner within its own small partition.
 MIN_VISIBLE_FLEET_SHARE = 0.95
-# Number of groups of streams, each with its own keepers, and the number of nodes that keep the
-# origin of a stream, besides the one that relayed its first event.
-ORIGIN_GROUPS = 16
-ORIGIN_KEEPERS = 5
 
 
 class PeerSchedulers:
@@ -95,83 +85,6 @@
         return self._nodes()
 
 
-class OriginLinks(Protocol):
-    """The links over which origins are exchanged."""
-
-    def send(self, address: str, message: OriginMessage) -> None:
-        """Send a message to a node by its link address."""
-
-    def withholds(self, address: str, kind: type[msgspec.Struct]) -> bool:
-        """Return whether messages of a kind are not sent, as the peer does not understand them."""
-
-
-class PeerOriginKeepers:
-    """Find the nodes that keep the origins of streams and send them messages.
-
-    Each group of streams has its own keepers, so that the work is spread over the fleet, and a node
-    has links to a limited number of them.
-
-    :param histories: version histories of the services.
-    :param presence: returns how much of the fleet this node sees.
-    """
-
-    def __init__(
-        self,
-        view: MembershipView,
-        histories: VersionHistories,
-        links: OriginLinks,
-        presence: Callable[[], Presence],
-    ) -> None:
-        self._view = view
-        self._histories = histories
-        self._links = links
-        self._presence = presence
-        self._generation = -1
-        self._keepers: dict[int, list[str]] = {}
-
-    def keepers(self, stream: int) -> list[str]:
-        """List the link addresses of the other nodes that keep the origin of a stream.
-
-        They are the first ranked nodes of distinct failure domains, as far as there are so many.
-        """
-        if self._generation != self._view.generation:
-            self._generation = self._view.generation
-            self._keepers.clear()
-        group = stream % ORIGIN_GROUPS
-        found = self._keepers.get(group)
-        if found is None:
-            ranked = self._view.ranked(f"origins/{group}")
-            own_host = self._view.record.host
-            chosen = _spread_over_domains(ranked)[:ORIGIN_KEEPERS]
-            found = [each.address for each in chosen if each.host != own_host]
-            self._keepers[group] = found
-        return found
-
-    def send(self, address: str, message: OriginMessage) -> None:
-        """Send a message to a node by its link address."""
-        self._links.send(address, message)
-
-    def is_older(self, address: str) -> bool:
-        """Return whether a node is known to be of an older build, which keeps no origins."""
-        return self._links.withholds(address, OriginRequest)
-
-    def history(self, service: str) -> VersionHistory:
-        """Return this node's version history of a service."""
-        return self._histories.of_service(service)
-
-    def sees_fleet(self) -> bool:
-        """Return whether this node sees almost all of the fleet."""
-        return self._presence().share >= MIN_VISIBLE_FLEET_SHARE
-
-
-def _spread_over_domains(ranked: Sequence[MemberRecord]) -> list[MemberRecord]:
-    """Order ranked nodes so that the best of each failure domain come first."""
-    first: dict[str, MemberRecord] = {}
-    for each in ranked:
-        first.setdefault(each.failure_domain, each)
-    return list({each.host: each for each in [*first.values(), *ranked]}.values())
-
-
 class PeerQuotas:
     """Find the owners of teams' quotas and send them messages.
 
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -117,11 +117,11 @@
         for address in self._port.keepers(stream):
             self._port.send(address, message)
 
-    async def find(self, stream: int, service: str, keep_s: float) -> FoundOrigin:
+    async def find(self, stream: int, service: str, age_s: float) -> FoundOrigin:
         """Find what began a stream.
 
         :param service: service that would go on with the stream.
-        :param keep_s: how long ago the stream began at most, in seconds.
+        :param age_s: how long ago the stream began at most, in seconds.
         """
         origin = self._kept.find(stream, self._now())
         if origin is not None:
@@ -129,9 +129,9 @@
         search = await self._ask_keepers(stream, service)
         answers = len(search.histories) + (search.origin is not None)
         if search.origin is not None:
-            self._keep(stream, search.origin, keep_s)
+            self._keep(stream, search.origin, age_s)
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        return _found_by_version(service, self._only_version(search, service, keep_s), answers)
+        return _found_by_version(service, self._only_version(search, service, age_s), answers)
 
     def find_unnamed(self, service: str) -> FoundOrigin:
         """Find what began a stream whose caller does not name the attempt that did.
@@ -162,7 +162,7 @@
         now = self._now()
         self._kept.put(stream, origin, now + keep_s, now)
 
-    def _only_version(self, search: _Search, service: str, since_s: float) -> str | None:
+    def _only_version(self, search: _Search, service: str, age_s: float) -> str | None:
         """Return the version that must have begun a stream of unknown origin; None if unsure.
 
         A keeper that does not answer may know of another version: this node may be cut off.
@@ -172,7 +172,7 @@
             return None
         if not search.histories and not self._port.sees_fleet():
             return None
-        return only_version([self._port.history(service), *search.histories.values()], since_s)
+        return only_version([self._port.history(service), *search.histories.values()], age_s)
 
     async def _ask_keepers(self, stream: int, service: str) -> _Search:
         """Ask all keepers at once; the first one that knows the origin ends the search."""
--- a/packages/chalkyoke/src/chalkyoke/resumption/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/origins.py
@@ -57,14 +57,14 @@
         self._origins = {stream: kept for stream, kept in self._origins.items() if now < kept[0]}
 
 
-def only_version(histories: Iterable[VersionHistory], since_s: float) -> str | None:
+def only_version(histories: Iterable[VersionHistory], age_s: float) -> str | None:
     """Return the only version that can have begun a stream, by the histories of several nodes.
 
-    :param since_s: how long ago the stream began at most, in seconds.
+    :param age_s: how long ago the stream began at most, in seconds.
     :return: None if several versions can have begun it, or no history reaches that far back.
     """
     known = list(histories)
     versions = {version for each in known for version in each.versions}
-    if len(versions) != 1 or max(each.covers_s for each in known) < since_s:
+    if len(versions) != 1 or max(each.covers_s for each in known) < age_s:
         return None
     return versions.pop()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
-from chalkyoke.node.peers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
+from chalkyoke.node.originkeepers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.owner import Presence
 from chalkyoke.resumption.finder import OriginFinder
