Soak: whether events are in order and who wrote them are two checks

The engines run two versions since, and the checker of whole answers compared with what one version writes, so that it judged what the checker of versions judges, which is left out beside older builds.

An answer's events are checked one by one now: each whole, once, in order, by whichever version; the versions are judged by streams_keep_their_version alone, for all streams instead of the resumable ones.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -17,7 +17,11 @@
     Violation,
 )
 from chalkyoke_fakes.soak.plan import Fault
-from chalkyoke_fakes.soak.streams import resumed_streams_go_on, streams_keep_their_version
+from chalkyoke_fakes.soak.streams import (
+    is_in_order,
+    resumed_streams_go_on,
+    streams_keep_their_version,
+)
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A draining replica may still get requests for this long after its announcement.
@@ -77,10 +81,7 @@
 def _matches_request(attempt: CallerAttempt, observations: Observations) -> bool:
     if not attempt.kind.streams:
         return not attempt.complete or attempt.body.endswith(f" did {attempt.request}".encode())
-    rests = [b"".join(events[attempt.after + 1 :]) for events in observations.streams.values()]
-    if attempt.complete:
-        return attempt.body in rests
-    return any(rest.startswith(attempt.body) for rest in rests)
+    return is_in_order(attempt, observations)
 
 
 def runs_have_a_caller(observations: Observations) -> list[Violation]:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/streams.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/streams.py
@@ -16,11 +16,26 @@
 CONTACT_S = 3.0
 
 
+def is_in_order(attempt: CallerAttempt, observations: Observations) -> bool:
+    """Return whether an answer has the events that its caller lacked, each whole and once.
+
+    An incomplete answer may end early, also within an event. Which version wrote an event is not
+    judged here.
+    """
+    rest = attempt.body
+    for written in list(zip(*observations.streams.values(), strict=True))[attempt.after + 1 :]:
+        event = next((each for each in written if rest.startswith(each)), None)
+        if event is None:
+            return not attempt.complete and any(each.startswith(rest) for each in written)
+        rest = rest[len(event) :]
+    return not rest
+
+
 def streams_keep_their_version(observations: Observations) -> list[Violation]:
     """Check that no stream has events of two software versions, over all attempts of its caller."""
     versions: dict[str, set[str]] = {}
     for each in observations.attempts:
-        if each.kind is Kind.RESUMABLE and each.status == 200:
+        if each.kind.streams and each.status == 200:
             found = versions.setdefault(each.resumes or each.request, set())
             found |= _versions_of(each, observations)
     return [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -202,7 +202,7 @@
     (return_another_answer, checkers.answers_are_complete_and_own),
     (end_a_cut_stream_as_complete, checkers.answers_are_complete_and_own),
     (join_two_runs_in_one_stream, checkers.answers_are_complete_and_own),
-    (join_two_versions_in_one_answer, checkers.answers_are_complete_and_own),
+    (join_two_versions_in_one_answer, checkers.streams_keep_their_version),
     (resume_a_stream_at_another_version, checkers.streams_keep_their_version),
     (refuse_resumed_streams, checkers.resumed_streams_go_on),
     (run_an_unsent_request, checkers.runs_have_a_caller),
@@ -235,6 +235,17 @@
     assert {checker for _, checker in VIOLATIONS} == set(checkers.CHECKERS)
 
 
+def test_an_answer_of_two_versions_is_in_order_but_does_not_keep_its_version():
+    """Nodes of older builds mix versions, and must still lose and repeat no event."""
+    observations = make_sound_run()
+    join_two_versions_in_one_answer(observations)
+    assert checkers.answers_are_complete_and_own(observations) == []
+    assert checkers.streams_keep_their_version(observations)
+    lacks_an_event = b"".join([*EVENTS[:4], *OTHER_EVENTS[5:]])
+    observations.attempts[2] = make_attempt("c", Kind.STREAM, body=lacks_an_event)
+    assert checkers.answers_are_complete_and_own(observations)
+
+
 def test_resumed_streams_count_only_in_touch_and_while_two_replicas_of_their_version_serve():
     observations = make_sound_run()
     refuse_resumed_streams(observations)
