Log the size of requests that were not served in full

Which sizes are refused, over quota or cut could not be read from the logs: only lines of runs that ended named prompt and output. refused, given_up, over_quota, expired, held_back and left name them too.

--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -18,6 +18,9 @@
 MAX_TARGET_CHARS = 200
 REFUSAL_EVENTS = frozenset(("refused", "given_up", "over_quota"))
 FAILURE_EVENTS = frozenset(("held_back", "refused", "given_up", "expired", "over_quota"))
+# Lines of requests that were not served in full. They state the size of the request, so that the
+# share served can be compared by size.
+SIZED_EVENTS = FAILURE_EVENTS | {"left"}
 
 log = logger("request")
 
@@ -54,6 +57,8 @@
         if event in REFUSAL_EVENTS:
             cause = facts.get("reason") or f"over quota, by {facts.get('decided_by')}"
             self._metrics.count("refusals", cause=str(cause), route=admission.service.name)
+        if event in SIZED_EVENTS:
+            facts.update(_size_facts(admission))
         failed = event in FAILURE_EVENTS or facts.get("follows") in ("fail", "break_off", "pass_on")
         level = logbook.NOTICE if failed else logbook.INFO
         log.log(
@@ -68,3 +73,13 @@
             age_s=round(self._now() - admission.arrived_at, 4),
             **facts,
         )
+
+
+def _size_facts(admission: Admission) -> dict[str, int]:
+    """Return the size that the caller stated, in tokens; 0 for each number that it did not."""
+    fields = admission.fields
+    return {
+        "prompt_tokens": fields.prompt_tokens,
+        "most_output": fields.max_output_tokens,
+        "likely_output": fields.estimated_output_tokens,
+    }
