Short requests take turns with a long one of their tier at the reserved slots

Callers saw the longest chats served less than half as often as all of them while a pool was overloaded. Slots are reserved for higher tiers against long requests only; under load nearly each free slot is a reserved one, and short requests of the same tier took it each time, until the patience of the long one's caller ended.

While a long request waits, one short request of its tier may take a reserved slot; the next ones wait until a long one has started. Only requests that share upstreams with it are held. Ruled out: quotas (no slope by estimate), cuts at the deadline (2 to 8% of the largest twentieth).

--- a/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/granting.py
@@ -128,7 +128,8 @@
         now, openings = decision.now, decision.openings
         if not openings.usable_upstreams(item.route, item.domain, item.entry):
             return False
-        if self._features.headroom and item.is_long and not self._leaves_headroom(item, openings):
+        leaves_headroom = not self._features.headroom or self._leaves_headroom(item, openings)
+        if not leaves_headroom and self._pool.must_leave_headroom(item):
             return False
         depths = self._pool.prefixes.matches(item.blocks)
         candidates = openings.candidates(
@@ -147,6 +148,7 @@
         if self._features.shed and not self._may_start(item, placement, now):
             return False
         decision.actions.append(self.grant_request(item, placement, now))
+        self._pool.queue(item.rank).record_start(item, from_reserve=not leaves_headroom)
         openings.invalidate_slots()
         return True
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/headroom.py
@@ -4,6 +4,7 @@
 Reserve a few slots against long requests of lower tiers. A long stream blocks its slot for seconds,
 while requests of higher tiers are due within a fraction of a second. A long request of a lower tier
 therefore starts only while more slots are free than the usual variation of the higher tiers' load.
+Short requests of its tier take turns with it, see :class:`~chalkyoke.scheduling.queues.TierQueue`.
 """
 
 import math
--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -163,6 +163,19 @@
             for (rank, route), count in self.waiting_counts.items()
         )
 
+    def must_leave_headroom(self, item: WaitingRequest) -> bool:
+        """Return whether a request must leave the slots free that are reserved for higher tiers.
+
+        Long requests always must. A short one must if others have overtaken a long one of its tier
+        that waits for some of the same upstreams.
+        """
+        queue = self.queue(item.rank)
+        if item.is_long:
+            return True
+        if queue.may_overtake:
+            return False
+        return any((route, item.route) in self.overlaps for route in queue.long)
+
     def lower_tier_waiting(self, item: WaitingRequest) -> list[WaitingRequest]:
         """List the waiting requests that must be refused before a request, lowest tier first.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -18,6 +18,10 @@
 # Number of requests at the front of a queue that are tried in one decision: the first may fit no
 # upstream.
 MAX_PEEKED_REQUESTS = 4
+# Number of short requests that may take reserved slots while a long request of their tier waits for
+# an unreserved one. Further ones wait until a long request has started; without this bound, short
+# requests take each slot that becomes free.
+MAX_OVERTAKES = 1
 
 
 class TeamQueue:
@@ -75,6 +79,8 @@
         self.late = 0
         self.work = 0.0
         self.promised = 0
+        self.long: dict[str, int] = {}
+        self._overtakes = 0
         self._team_work: dict[str, float] = {}
         self._queues: dict[tuple[str, str], TeamQueue] = {}
         self._team_order: list[_OrderKey] = []
@@ -99,6 +105,8 @@
         self.late += item.late
         self.work += item.work
         self.promised += item.is_promised_retry
+        if item.is_long:
+            self.long[item.route] = self.long.get(item.route, 0) + 1
         self._team_work[item.team] = self._team_work.get(item.team, 0.0) + item.work
 
     def discard(self, item: WaitingRequest) -> None:
@@ -109,6 +117,10 @@
         self.size -= 1
         self.late -= item.late
         self.promised -= item.is_promised_retry
+        if item.is_long:
+            self.long[item.route] -= 1
+            if self.long[item.route] == 0:
+                del self.long[item.route]
         if not queue:
             del self._queues[key]
             self._team_order.remove(_order_key(self._virtual[item.team], *key))
@@ -120,6 +132,21 @@
             del self._backlog[item.team]
             del self._team_work[item.team]
 
+    @property
+    def may_overtake(self) -> bool:
+        """Whether a short request may take a reserved slot while a long one waits."""
+        return self._overtakes < MAX_OVERTAKES
+
+    def record_start(self, item: WaitingRequest, *, from_reserve: bool) -> None:
+        """Count the short requests that have overtaken the waiting long ones.
+
+        :param from_reserve: whether the request has taken a reserved slot.
+        """
+        if item.is_long or not self.long:
+            self._overtakes = 0
+        elif from_reserve:
+            self._overtakes += 1
+
     def team_work(self, team: str) -> float:
         """Return the work of a team's waiting requests, in seconds.
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/refusals.py
@@ -179,7 +179,7 @@
         """Refuse a request that would wait beyond its goal, early enough for a timely retry."""
         if self._pool.has_lower_tier_waiting(item):
             return None
-        if not item.is_long and self._pool.has_free_slot(now):
+        if not self._pool.must_leave_headroom(item) and self._pool.has_free_slot(now):
             return None
         ahead = sum(
             count for (rank, _), count in self._pool.waiting_counts.items() if rank == item.rank
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_goals.py
@@ -28,6 +28,8 @@
 
 FEATURES = Features(late_last=False, headroom=True, early=True)
 FAST, SLOW = "fast", "slow"
+# Times of a caller that waits for long, in seconds.
+PATIENT = {"goal_s": 20.0, "budget_s": 25.0, "whole_s": 60.0}
 
 
 def upstream(name, slots=2, prefill=40_000.0, decode=200.0):
@@ -130,6 +132,44 @@
     assert granted(short) == [FAST]
 
 
+def send_long_behind_reserve(scheduler):
+    """Let long requests take all slots of a pool of 8 but two that are reserved, and one wait."""
+    for number in range(4):
+        send_acquire(scheduler, name=f"h{number}", tier="0", likely_output=400)
+    for step in range(200):
+        scheduler.tick(0.05 * step)
+    for number in range(4):
+        send_acquire(scheduler, name=f"l{number}", likely_output=600, now=10.0, **PATIENT)
+    assert any(each.is_long for each in scheduler.waiting_items())
+
+
+def test_short_requests_take_turns_with_a_long_one_that_waits_for_an_unreserved_slot():
+    """Guards against short requests that overtake a long one of their tier without end."""
+    scheduler = make_scheduler([upstream(FAST, slots=8)])
+    send_long_behind_reserve(scheduler)
+    first = send_acquire(scheduler, name="first", likely_output=10, now=10.0, **PATIENT)
+    assert granted(first) == [FAST]
+    assert granted(release(scheduler, "first", 10.1)) == []
+    second = send_acquire(scheduler, name="second", likely_output=10, now=10.1, **PATIENT)
+    assert granted(second) == []
+    actions = release(scheduler, "h0", 10.2) + release(scheduler, "h1", 10.3)
+    started = [each.request for each in actions if isinstance(each, Grant)]
+    assert started[0].startswith("l") and "second" in started
+
+
+def test_short_requests_for_other_upstreams_do_not_wait_for_a_long_one():
+    """Guards against a long request that keeps slots free which it may not use itself."""
+    spec = make_scheduler([upstream(FAST, slots=8), upstream(SLOW, slots=2)]).spec
+    routes = (RouteSpec("r", frozenset((FAST,))), RouteSpec("other", frozenset((SLOW,))))
+    spec = msgspec.structs.replace(spec, routes=routes)
+    scheduler = PoolScheduler(spec, lambda: 0.5, now=0.0, features=FEATURES)
+    send_long_behind_reserve(scheduler)
+    for number in range(3):
+        send_acquire(scheduler, name=f"s{number}", likely_output=10, now=10.0, **PATIENT)
+    asked = {"route": "other", "likely_output": 10, "now": 10.0}
+    assert granted(send_acquire(scheduler, name="other", **asked, **PATIENT)) == [SLOW]
+
+
 def test_long_low_tier_request_gets_upstream_with_earliest_finish():
     """On a slow upstream, the request would occupy its slot several times as long, and streams
     would exceed their gap goals.
