--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -53,6 +53,8 @@
     :ivar event_s: time before each event of a stream, in seconds.
     :ivar work_s: time that a plain request runs, in seconds.
     :ivar crash_bodies: exit after the start of a request with one of these bodies.
+    :ivar crash_parts: exit after the start of a request whose prompt has one of these parts, unless
+        it is the last one.
     :ivar crash_after_s: time between that start and the exit, in seconds.
     :ivar back_after_s: time between the exit and the restart, in seconds.
     :ivar says_leaving: announce in all answers that the replica leaves, whatever its record says.
@@ -84,6 +86,7 @@
     event_s: float = 0.005
     work_s: float = 0.005
     crash_bodies: frozenset[bytes] = frozenset()
+    crash_parts: frozenset[str] = frozenset()
     crash_after_s: float = 0.05
     back_after_s: float = 1.0
     renamed: bool = True
@@ -277,7 +280,7 @@
             return True
         self.runs[name] += 1
         self.seen.append(request)
-        if request.body in self.faults.crash_bodies:
+        if self._is_crashed_by(request):
             asyncio.get_running_loop().call_later(self.faults.crash_after_s, self.exit_and_restart)
             # The replica exits before this request gets an answer.
             await asyncio.sleep(2 * self.faults.crash_after_s)
@@ -316,6 +319,10 @@
             _write_response(writer, 200, self._headers(name), b"an answer that nobody asked for")
         return await self._drain(writer)
 
+    def _is_crashed_by(self, request: ReceivedRequest) -> bool:
+        parts = shared_parts(request)
+        return request.body in self.faults.crash_bodies or bool(self.faults.crash_parts & parts)
+
     async def _wait_while_silent(self) -> None:
         await asyncio.sleep(max(0.0, self.faults.silent_until - self.now()))
 
@@ -412,6 +419,12 @@
     return [(int(number), version.decode()) for number, version in EVENT.findall(body)]
 
 
+def shared_parts(request: ReceivedRequest) -> set[str]:
+    """Return the ids of the parts of a request's prompt, except for the last one."""
+    listed = request.headers.get("x-prefix-hash", "").split(",")
+    return {each.partition(":")[0] for each in listed[:-1]}
+
+
 async def _read_request(
     reader: asyncio.StreamReader, bytes_per_s: float = 0.0
 ) -> ReceivedRequest | None:
