A part of prompts that ends each replica that answers it is held back

The quarantine named a request by its whole content, so nothing came twice and nothing was counted. Ruled out: ends that are missed (15 of 15 were told within 40 ms).

Each run carries the digests of the parts of its prompt but the last, under the same evidence as its request. A part is held after four ends if no request with it is known to be served in full and it lies under three in ten of all ends meanwhile, or after eight. Nodes tell each other with the ends which parts were served; the reporter of an end passes on what it is told. Ends that a held part explains count against nothing else. Nodes of older versions neither send nor read parts.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/heldstory.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/heldstory.py
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class HeldRequest:
-    """Evidence against one request, and when nodes held it back.
+    """Evidence against one request or one shared part of prompts, and when nodes held it back.
 
     :ivar replica_ends: time of the first report of each replica that ended while it ran the
         request, by the start of the replica.
@@ -41,8 +41,9 @@
     """
     found: dict[str, HeldRequest] = {}
     for line in sorted(lines, key=lambda each: each.at):
-        digests = [line.fields["digest"]] if "digest" in line.fields else []
-        for name in [*digests, *line.fields.get("digests", ())]:
+        digests = [line.fields["digest"]] if line.fields.get("digest") else []
+        listed = (*line.fields.get("digests", ()), *line.fields.get("parts", ()))
+        for name in [*digests, *listed]:
             if digest in ("", name):
                 _record_line(found.setdefault(name, HeldRequest(name)), line)
     held = [each for each in found.values() if each.held_at or each.refusal_count]
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -12,6 +12,7 @@
 from chalkyoke.gateway.granted import Denied, Granted, find_eligible
 from chalkyoke.gateway.origins import find_origin, is_resumed_by_caller
 from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.quarantine import SharedParts
 from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
@@ -19,7 +20,7 @@
 from chalkyoke.gateway.verdict import UNCONNECTED, NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
 from chalkyoke.http1.response import ResponseWriter
-from chalkyoke.quarantine.identity import request_digest
+from chalkyoke.quarantine.identity import request_digest, shared_part_digests
 from chalkyoke.quotas.client import QuotaDecision
 from chalkyoke.scheduling.state import ReleaseOutcome
 
@@ -59,7 +60,7 @@
             response,
             self._delivery,
             self._progress,
-            self._request_digest,
+            lambda: self._find_held() is not None,
         )
         self._granted: Granted | None = None
         self._admission: Admission | None = None
@@ -93,10 +94,12 @@
     def on_request_held(self, request: bytes) -> None:
         """End the request at once if it is still waiting and is held back from now on.
 
-        :param request: digest of the request that is held back.
+        :param request: digest of the request, or of the shared part of prompts, that is held back.
         """
         waits = self._admission is not None and not self._sender.is_sending
-        if waits and self.task is not None and self._request_digest() == request:
+        if not waits or self.task is None:
+            return
+        if request in self._shared_parts or request == self._request_digest():
             self._is_held = True
             self.task.cancel()
 
@@ -143,7 +146,7 @@
             self._release_cancelled(admission)
             if self._is_held and self.task is not None and not self._caller_left:
                 self.task.uncancel()
-                self._replies.refuse_held_back(admission, self._request_digest())
+                self._replies.refuse_held_back(admission, self._find_held())
                 return
             if not self._caller_left:
                 raise
@@ -228,11 +231,20 @@
 
         :return: whether the request was refused.
         """
-        if not self._parts.quarantine.is_held(self._request_digest):
+        held = self._find_held()
+        if held is None:
             return False
-        self._replies.refuse_held_back(admission, self._request_digest())
+        self._replies.refuse_held_back(admission, held)
         return True
 
+    def _find_held(self) -> bytes | None:
+        """Return the digest of what is held back: this request or a part of its prompt."""
+        return self._parts.quarantine.find_held(self._request_digest, self._shared_parts)
+
+    @functools.cached_property
+    def _shared_parts(self) -> SharedParts:
+        return shared_part_digests(self._fields.parts)
+
     async def _bind_to_origin(self, admission: Admission) -> bool:
         """Bind a stream that its caller resumes to the version that began it.
 
@@ -369,7 +381,9 @@
             self._progress.sends.runs -= 1
             granted.is_first_decline = not self._progress.declined
             self._progress.declined = True
-        self._feedback.record_end(admission, granted, end, self._sender.relay, self._request_digest)
+        self._feedback.record_end(
+            admission, granted, end, self._sender.relay, self._request_digest, self._shared_parts
+        )
         self._granted = None
 
     # Ending the request.
@@ -398,7 +412,10 @@
             if self._granted.started_at:
                 replica = self._granted.replica
                 self._parts.quarantine.record_abandoned(
-                    replica, self._request_digest(), output_duration_s(self._sender.relay)
+                    replica,
+                    self._request_digest(),
+                    output_duration_s(self._sender.relay),
+                    self._shared_parts,
                 )
             self._parts.grants.release(admission, self._granted, ReleaseOutcome.CANCELLED)
             self._granted = None
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -9,7 +9,7 @@
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import AnswerFields
-from chalkyoke.gateway.quarantine import Identity
+from chalkyoke.gateway.quarantine import Identity, SharedParts
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Relay
 from chalkyoke.gateway.statements import read_statement
@@ -91,11 +91,13 @@
         end: SendEnd,
         relay: Relay | None,
         request: Identity,
+        shared_parts: SharedParts,
     ) -> None:
         """Report the end of a send to all components.
 
         :param relay: relay of the last send; None if there was none.
         :param request: returns the digest of the request.
+        :param shared_parts: digests of the shared parts of its prompt.
         """
         parts = self._parts
         now = parts.now()
@@ -112,7 +114,7 @@
         else:
             stats.record_failure(FAILURE_WEIGHTS[end], now)
         self._record_quarantine_evidence(
-            admission, granted.replica, end, output_duration_s(relay), request
+            admission, granted.replica, end, output_duration_s(relay), request, shared_parts
         )
         parts.grants.release(admission, granted, RELEASE_OUTCOMES[end])
         if end not in NOT_HEALTH_EVIDENCE:
@@ -128,17 +130,18 @@
         end: SendEnd,
         output_s: float,
         request: Identity,
+        shared_parts: SharedParts,
     ) -> None:
         """Report to the quarantine what the end suggests about a request that ends replicas."""
         quarantine = self._parts.quarantine
         if end in UNCONNECTED:
             return
         if end is SendEnd.DELIVERED:
-            quarantine.record_delivered(replica, request)
+            quarantine.record_delivered(replica, request, shared_parts)
         elif end is SendEnd.BROKEN:
-            quarantine.record_broken(admission, replica, request(), output_s)
+            quarantine.record_broken(admission, replica, request(), output_s, shared_parts)
         elif end in (SendEnd.STALLED, SendEnd.PATH_LOST):
-            quarantine.record_abandoned(replica, request(), output_s)
+            quarantine.record_abandoned(replica, request(), output_s, shared_parts)
         else:
             quarantine.record_answer(replica)
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -86,16 +86,20 @@
         )
         self.send_answer(429, "over quota", decided.retry_after_s)
 
-    def refuse_held_back(self, admission: Admission, digest: bytes) -> None:
+    def refuse_held_back(self, admission: Admission, digest: bytes | None) -> None:
         """Answer that the request is held back, without a Retry-After time, as retries can't help.
 
         The answer does not promise that nothing has run, since earlier attempts have. The status
         502 keeps callers from automatic retries of requests that may not be repeated.
 
-        :param digest: digest of the request.
+        :param digest: digest of the request or of the part of its prompt that is held back; None if
+            it has been released meanwhile.
         """
         self._parts.log_decision(
-            "held_back", admission, digest=digest.hex(), sends=self._sends.arrivals
+            "held_back",
+            admission,
+            digest=digest.hex() if digest else None,
+            sends=self._sends.arrivals,
         )
         if self._delivery.head_sent:
             self._response.abort()
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -69,7 +69,7 @@
     :param parts: components that all exchanges share.
     :param delivery: the part of an answer that the caller has received.
     :param progress: the attempts of the request so far; each send is recorded there.
-    :param request_digest: returns the digest of the request's content.
+    :param is_held_back: returns whether the quarantine holds the request back.
     :ivar relay: relay of the latest send; None before the first.
     """
 
@@ -81,7 +81,7 @@
         response: ResponseWriter,
         delivery: Delivery,
         progress: Progress,
-        request_digest: Callable[[], bytes],
+        is_held_back: Callable[[], bool],
     ) -> None:
         self._parts = parts
         self._feedback = Feedback(parts)
@@ -89,7 +89,7 @@
         self._fields = fields
         self._delivery = delivery
         self._progress = progress
-        self._request_digest = request_digest
+        self._is_held_back = is_held_back
         self._connection: ClientConnection | None = None
         self.relay: Relay | None = None
         self._retained = parts.memory.open(Purpose.RESPONSES_RETAINED)
@@ -179,7 +179,7 @@
             return False
         if parts.balancer.rest_left_s((replica,), parts.now()) > 0:
             return False
-        if not parts.rollouts.may_send(replica) or parts.quarantine.is_held(self._request_digest):
+        if not parts.rollouts.may_send(replica) or self._is_held_back():
             return False
         return is_still_allowed(admission, parts.catalog())
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -67,8 +67,8 @@
 class Quarantine:
     """Stub of the quarantine that holds back no request."""
 
-    def is_held(self, request):
-        return False
+    def find_held(self, request, parts):
+        return None
 
     def record_abandoned(self, *_):
         pass
@@ -394,7 +394,7 @@
     service = Service("seats")
     admission = SimpleNamespace(service=service, route=ROUTE)
     granted = Granted(REPLICA, 1, Source.LOCAL, started_at=0.75)
-    Feedback(parts).record_end(admission, granted, SendEnd.DELIVERED, None, lambda: b"")
+    Feedback(parts).record_end(admission, granted, SendEnd.DELIVERED, None, lambda: b"", ())
     assert took == [0.25]
 
 
--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -1,9 +1,9 @@
 """
 chalkyoke.quarantine.evidence
 
-Evidence for and against a request ending the replicas that run it. Each node keeps all evidence and
-decides on its own, so there is no central decision maker that can fail. Decisions are broadcast to
-all nodes.
+Evidence for and against a request ending the replicas that run it, and for and against each shared
+part of its prompt. Each node keeps all evidence and decides on its own, so there is no central
+decision maker that can fail. Decisions are broadcast to all nodes.
 """
 
 import heapq
@@ -33,6 +33,15 @@
 # requests that end replicas may arrive at once. An innocent request is sent at most four times: two
 # attempts by its caller with two sends each.
 ENDS_TO_HOLD_ALWAYS = 5
+# Number of replica ends after which a shared part of prompts is held back if no request with it is
+# known to be served in full. A sound part runs at many ends too, but is served meanwhile.
+ENDS_TO_HOLD_PART = 4.0
+# Fraction of all replica ends since its first one at which a part must have been running: a rare
+# part may not be served for some seconds while many replicas end by themselves.
+MIN_PART_END_SHARE = 0.3
+# Number of ends after which a part is held back whatever its fraction of the ends is, since many
+# parts may end replicas in turn. Operators allow eight sends in all.
+ENDS_TO_HOLD_PART_ALWAYS = 8
 # Time for which ends count in the comparison with MIN_END_SHARE, in seconds.
 COMPARISON_WINDOW_S = 60.0
 # Two reported ends of one replica within this time, in seconds, are the same end, reported by nodes
@@ -58,8 +67,10 @@
 
 
 class Suspicion(msgspec.Struct):
-    """The evidence on one request. All times are in seconds on this node's clock.
+    """The evidence on one request or on one shared part of prompts. All times are in seconds on
+    this node's clock.
 
+    :ivar is_part: whether it concerns a part.
     :ivar ends: replica ends at which the request was running, by start of the replica.
     :ivar served_at: time at which the request was last known to be served in full.
     :ivar last_end: time of the last replica end at which the request was running.
@@ -67,6 +78,7 @@
     :ivar holds: number of holds so far.
     """
 
+    is_part: bool = False
     ends: dict[str, _End] = msgspec.field(default_factory=dict)
     served_at: float = float("-inf")
     last_end: float = float("-inf")
@@ -104,6 +116,7 @@
         self._end_times: dict[str, float] = {}
         self._requests_by_start: dict[str, set[bytes]] = {}
         self._served = ServedRequests()
+        self._served_parts = ServedRequests()
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -148,8 +161,17 @@
             self._checksum = xxhash.xxh64_intdigest(joined) if joined else 0
         return self._checksum
 
-    def record_end(self, request: bytes, start: str, weight: float, at: float, now: float) -> bool:
-        """Count a replica end against a request that was running there.
+    def record_end(
+        self,
+        request: bytes,
+        start: str,
+        weight: float,
+        at: float,
+        now: float,
+        *,
+        is_part: bool = False,
+    ) -> bool:
+        """Count a replica end against a request that was running there, or against a part of it.
 
         :param start: the start of the replica that ended.
         :param weight: weight of the end as evidence.
@@ -161,7 +183,7 @@
         suspicion = self._suspicions.get(request)
         if suspicion is None:
             suspicion = self._suspicions[request] = Suspicion(
-                served_at=self._served.last_served_at(request)
+                is_part, served_at=self.last_served_at(request)
             )
         if at <= suspicion.served_at or suspicion.has_end(start, at):
             return False
@@ -195,14 +217,29 @@
             self._release(request)
         return explained
 
-    def record_delivered(self, request: bytes, at: float) -> None:
-        """Record a complete answer, in case the request is suspected later."""
+    def is_cleared_by_run(self, digest: bytes) -> bool:
+        """Return whether a complete answer refutes evidence against a request or a part.
+
+        A part that has been served is not suspected, so further answers change nothing.
+        """
+        suspicion = self._suspicions.get(digest)
+        if suspicion is None or not suspicion.ends:
+            return False
+        return not (suspicion.is_part and suspicion.is_refuted)
+
+    def record_delivered(self, request: bytes, at: float, parts: Iterable[bytes] = ()) -> None:
+        """Record a complete answer, in case the request or a part of it is suspected later."""
         self._served.record(request, at)
+        for part in parts:
+            self._served_parts.record(part, at)
 
     def last_served_at(self, request: bytes) -> float:
-        """Return when a request was last known to be served; minus infinity if it never was."""
+        """Return when a request, or one with a part, was last known to be served in full.
+
+        :return: seconds; minus infinity if it never was.
+        """
         suspicion = self._suspicions.get(request)
-        here = self._served.last_served_at(request)
+        here = max(self._served.last_served_at(request), self._served_parts.last_served_at(request))
         return here if suspicion is None else max(here, suspicion.served_at)
 
     def record_served(self, request: bytes, at: float, now: float) -> bool:
@@ -237,6 +274,8 @@
         last_end = now - held.last_end_age_s
         if last_end <= suspicion.served_at or held.request in self._held:
             return False
+        if self._is_sound_part(held.request):
+            return False
         if suspicion.is_refuted and suspicion.ends and not self._unexplained_ends(suspicion):
             return False
         suspicion.last_end = max(suspicion.last_end, last_end)
@@ -264,15 +303,23 @@
     ) -> list[tuple[bytes, float]]:
         """List the holds of another node that are refuted here.
 
-        :return: the requests that were served in full after their last end, and when they were.
+        :return: the requests that were served in full after their last end and the parts that were
+            served at all, and when they were.
         """
         return [
-            (each.request, suspicion.served_at)
+            (each.request, served_at)
             for each in announced
-            if (suspicion := self._suspicions.get(each.request)) is not None
-            and now - each.last_end_age_s <= suspicion.served_at
+            if now - each.last_end_age_s <= (served_at := self.last_served_at(each.request))
+            or self._is_sound_part(each.request)
         ]
 
+    def _is_sound_part(self, digest: bytes) -> bool:
+        """Return whether a digest is that of a part with which requests were served in full."""
+        suspicion = self._suspicions.get(digest)
+        if suspicion is not None and suspicion.is_part and suspicion.is_refuted:
+            return True
+        return self._served_parts.last_served_at(digest) > float("-inf")
+
     def expire(self, now: float) -> list[bytes]:
         """Release requests whose hold is over, and drop old evidence.
 
@@ -297,8 +344,10 @@
         return due
 
     def _is_sufficient(self, suspicion: Suspicion, now: float) -> bool:
-        """Return whether the evidence against a request is enough to hold it back."""
+        """Return whether the evidence against a request or a part is enough to hold it back."""
         ends, enough = self._unexplained_ends(suspicion), ENDS_TO_HOLD
+        if suspicion.is_part:
+            return not suspicion.is_refuted and self._is_sufficient_for_part(ends)
         if suspicion.is_refuted:
             enough = ENDS_TO_HOLD_SERVED
             reported_by = now - REPORTS_COMPLETE_S
@@ -309,33 +358,47 @@
             return False
         return len(ends) >= MIN_END_SHARE * self._ends_since_first(ends)
 
+    def _is_sufficient_for_part(self, ends: dict[str, _End]) -> bool:
+        if sum(each.weight for each in ends.values()) < ENDS_TO_HOLD_PART:
+            return False
+        if len(ends) >= ENDS_TO_HOLD_PART_ALWAYS:
+            return True
+        return len(ends) >= MIN_PART_END_SHARE * self._ends_since_first(ends)
+
     def _ends_since_first(self, ends: dict[str, _End]) -> int:
         """Count the replica ends since the first of some, whatever was running there."""
         first = min(each.at for each in ends.values())
         return sum(at >= first for at in self._end_times.values())
 
     def _unexplained_ends(self, suspicion: Suspicion) -> dict[str, _End]:
-        """Return the ends that count against a request.
+        """Return the ends that count against a request or a part.
 
+        An end does not count where a part was running that is held and lies under more ends.
         If the request was served in full before, an end doesn't count when a request that was never
         served was running there too and is held, or lies under as many ends as a hold takes: a
         request that is sent often runs at most of the ends that others cause. Two that end replicas
         in turn lie under half of the ends each, too few to be held at once.
         """
-        if not suspicion.is_refuted:
-            return suspicion.ends
         return {
-            start: each for start, each in suspicion.ends.items() if not self._is_explained(start)
+            start: each
+            for start, each in suspicion.ends.items()
+            if not any(self._explains(other, suspicion) for other in self._suspects_at(start))
         }
 
-    def _is_explained(self, start: str) -> bool:
-        suspects = map(self._suspicions.get, self._requests_by_start.get(start, ()))
-        return any(
-            each is not None
-            and not each.is_refuted
-            and (each.holds > 0 or each.weight >= ENDS_TO_HOLD)
-            for each in suspects
-        )
+    def _suspects_at(self, start: str) -> list[Suspicion]:
+        found = map(self._suspicions.get, self._requests_by_start.get(start, ()))
+        return [each for each in found if each is not None and not each.is_refuted]
+
+    @staticmethod
+    def _explains(suspect: Suspicion, other: Suspicion) -> bool:
+        """Return whether a suspect explains the ends at which another one was running too."""
+        if suspect is other:
+            return False
+        if suspect.is_part and suspect.holds > 0 and len(suspect.ends) > len(other.ends):
+            return True
+        if other.is_part or not other.is_refuted:
+            return False
+        return suspect.holds > 0 or suspect.weight >= ENDS_TO_HOLD
 
     def _start_hold(self, request: bytes, suspicion: Suspicion, until: float) -> None:
         suspicion.held_until = until
--- a/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
@@ -8,6 +8,18 @@
 import msgspec
 
 
+class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
+    """A shared part of the prompt of a run that broke when its replica ended.
+
+    :param part: digest by :func:`chalkyoke.quarantine.identity.shared_part_digests`.
+    :param served_age_s: time since a node last served a request with this part in full, as far as
+        the reporting node knows, in seconds; negative if it knows of none.
+    """
+
+    part: bytes
+    served_age_s: float = -1.0
+
+
 class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that broke when its replica ended.
 
@@ -16,12 +28,15 @@
     :param age_s: time since the run broke, in seconds.
     :param served_age_s: time since a node last served the request in full, as far as the reporting
         node knows, in seconds; negative if it knows of none.
+    :param parts: the shared parts of the prompt. Nodes of older versions neither send nor read
+        them.
     """
 
     request: bytes
     weight: float
     age_s: float
     served_age_s: float = -1.0
+    parts: tuple[SuspectPart, ...] = ()
 
 
 class ReplicaEnded(msgspec.Struct, frozen=True, array_like=True, tag="replica_ended"):
@@ -39,7 +54,7 @@
 class RequestsServed(msgspec.Struct, frozen=True, array_like=True, tag="requests_served"):
     """Suspected requests that were served in full, or that an operator has released.
 
-    :param requests: digests of the requests.
+    :param requests: digests of the requests, and of shared parts of prompts.
     :param age_s: time since they were served or released, in seconds.
     :param relay: whether the receiver forwards the message to its failure domain.
     """
@@ -50,9 +65,9 @@
 
 
 class HeldRequest(msgspec.Struct, frozen=True, array_like=True):
-    """A request that is held back.
+    """A request that is held back, or a shared part of prompts.
 
-    :param request: digest of the request.
+    :param request: digest of the request or of the part.
     :param last_end_age_s: time since a replica last ended while it ran the request, in seconds.
     :param left_s: remaining time of the hold, in seconds.
     """
--- a/packages/chalkyoke/src/chalkyoke/quarantine/runs.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/runs.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chalkyoke.quarantine.messages import SuspectRun
+from chalkyoke.quarantine.messages import SuspectPart, SuspectRun
 
 # Time for which a broken run is kept until the end of its replica is reported, in seconds. A
 # replica's record is removed within three heartbeats of some 1.2 s; the rest is for delays of the
@@ -30,6 +30,7 @@
     weight: float
     at: float
     until: float
+    parts: tuple[bytes, ...]
 
 
 class UnansweredRuns:
@@ -38,16 +39,26 @@
     def __init__(self) -> None:
         self._runs: dict[str, list[_Run]] = {}
 
-    def add(self, start: str, request: bytes, now: float, *, output_s: float, broken: bool) -> None:
+    def add(
+        self,
+        start: str,
+        request: bytes,
+        now: float,
+        *,
+        output_s: float,
+        broken: bool,
+        parts: tuple[bytes, ...] = (),
+    ) -> None:
         """Add a run that broke now.
 
         :param start: start of the replica.
         :param output_s: duration of the output so far, in seconds.
         :param broken: whether the replica broke off the run, rather than this side.
+        :param parts: digests of the shared parts of the prompt.
         """
         weight = LONG_RUN_WEIGHT if output_s >= LONG_OUTPUT_S else 1.0
         until = now + (BROKEN_RUN_RETENTION_S if broken else LEFT_RUN_RETENTION_S)
-        self._runs.setdefault(start, []).append(_Run(request, weight, now, until))
+        self._runs.setdefault(start, []).append(_Run(request, weight, now, until, parts))
 
     def discard(self, start: str) -> None:
         """Drop the broken runs at a replica that has answered since."""
@@ -57,7 +68,9 @@
         """Remove the runs at a replica that has ended, and return those not expired."""
         found = self._runs.pop(start, [])
         return tuple(
-            SuspectRun(each.request, each.weight, now - each.at)
+            SuspectRun(
+                each.request, each.weight, now - each.at, parts=tuple(map(SuspectPart, each.parts))
+            )
             for each in found
             if each.until >= now
         )
--- a/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/spread.py
@@ -1,8 +1,9 @@
 """
 chalkyoke.quarantine.spread
 
-Quarantine of requests that end the replicas that run them. Each node broadcasts the replica ends
-that its runs met, and each node decides on its own which requests to hold back.
+Quarantine of requests that end the replicas that run them, and of parts of prompts that do. Each
+node broadcasts the replica ends that its runs met, and each node decides on its own what to hold
+back.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Replica
-from chalkyoke.gateway.quarantine import Identity
+from chalkyoke.gateway.quarantine import Identity, SharedParts
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
 from chalkyoke.http1.pool import ConnectionPool
@@ -28,6 +29,7 @@
     QuarantineMessage,
     ReplicaEnded,
     RequestsServed,
+    SuspectPart,
     SuspectRun,
 )
 from chalkyoke.quarantine.runs import UnansweredRuns
@@ -78,24 +80,41 @@
         self._evidence = EvidenceTracker()
         self._runs = UnansweredRuns()
         self._probes: dict[str, asyncio.Task[None]] = {}
+        # Parts that this node has reported lately without knowing them as served.
+        self._reported_unserved: set[bytes] = set()
         metrics.register_gauge("requests_held_back", lambda: len(self._evidence.held))
         metrics.register_gauge("requests_suspected", lambda: len(self._evidence))
 
     # Calls of exchanges.
 
-    def is_held(self, request: Identity) -> bool:
-        """Return whether a request is held back."""
-        return self._evidence.holds_any and self._evidence.is_held(request())
+    def is_held(self, request: Identity, parts: SharedParts = ()) -> bool:
+        """Return whether a request or a shared part of its prompt is held back."""
+        return self.find_held(request, parts) is not None
+
+    def find_held(self, request: Identity, parts: SharedParts = ()) -> bytes | None:
+        """Return the digest of the request or of the part that is held back; None if none is."""
+        if not self._evidence.holds_any:
+            return None
+        held_parts = (each for each in parts if self._evidence.is_held(each))
+        found = next(held_parts, None)
+        if found is not None:
+            return found
+        digest = request()
+        return digest if self._evidence.is_held(digest) else None
 
-    def record_delivered(self, replica: Replica, request: Identity) -> None:
-        """Record that a replica has served a request in full, and broadcast it for a suspect."""
+    def record_delivered(
+        self, replica: Replica, request: Identity, parts: SharedParts = ()
+    ) -> None:
+        """Record that a replica has served a request in full, and broadcast it for suspects."""
         self.record_answer(replica)
         digest = request()
-        self._evidence.record_delivered(digest, self._now())
-        suspicion = self._evidence.find(digest)
-        if suspicion is None or not suspicion.ends:
+        suspects = tuple(
+            each for each in (digest, *parts) if self._evidence.is_cleared_by_run(each)
+        )
+        self._evidence.record_delivered(digest, self._now(), parts)
+        if not suspects:
             return
-        message = RequestsServed((digest,))
+        message = RequestsServed(suspects)
         self._apply_served(message)
         self._broadcast(message)
 
@@ -104,7 +123,12 @@
         self._runs.discard(replica.id)
 
     def record_broken(
-        self, admission: Admission, replica: Replica, request: bytes, output_s: float
+        self,
+        admission: Admission,
+        replica: Replica,
+        request: bytes,
+        output_s: float,
+        parts: SharedParts = (),
     ) -> None:
         """Record that a replica broke off a run, and probe at once whether the replica has ended.
 
@@ -112,16 +136,18 @@
         may have received the request.
         """
         now = self._now()
-        self._runs.add(replica.id, request, now, output_s=output_s, broken=True)
+        self._runs.add(replica.id, request, now, output_s=output_s, broken=True, parts=parts)
         if replica.id not in self._probes:
             probe = asyncio.ensure_future(self._probe(replica, admission.service.max_connections))
             self._probes[replica.id] = probe
             probe.add_done_callback(lambda _: self._probes.pop(replica.id, None))
 
-    def record_abandoned(self, replica: Replica, request: bytes, output_s: float) -> None:
+    def record_abandoned(
+        self, replica: Replica, request: bytes, output_s: float, parts: SharedParts = ()
+    ) -> None:
         """Record that the caller or this node has abandoned a run."""
         now = self._now()
-        self._runs.add(replica.id, request, now, output_s=output_s, broken=False)
+        self._runs.add(replica.id, request, now, output_s=output_s, broken=False, parts=parts)
 
     def record_unreachable(self, replica: Replica) -> None:
         """Record that a replica refuses connections: runs that broke there broke at its end."""
@@ -170,43 +196,71 @@
         if not runs:
             return
         message = ReplicaEnded(start, tuple(self._with_served_age(each, now) for each in runs))
+        parts = {each.part: each.served_age_s for run in message.runs for each in run.parts}
+        self._reported_unserved.update(each for each, age_s in parts.items() if age_s < 0)
         digests = [_hex_digest(each.request) for each in runs]
-        log.info("replica_ended", start=start, source=source, digests=digests[:MAX_LOGGED_DIGESTS])
+        log.info(
+            "replica_ended",
+            start=start,
+            source=source,
+            digests=digests[:MAX_LOGGED_DIGESTS],
+            parts=[_hex_digest(each) for each in parts][:MAX_LOGGED_DIGESTS],
+        )
         self._metrics.count("replica_ends", source=source)
         for request in self._count_ends(message):
             self._queue_record(request)
         self._broadcast(message)
 
     def _with_served_age(self, run: SuspectRun, now: float) -> SuspectRun:
-        served_at = self._evidence.last_served_at(run.request)
-        if served_at == -math.inf:
-            return run
-        return msgspec.structs.replace(run, served_age_s=now - served_at)
+        parts = tuple(
+            SuspectPart(each.part, self._served_age_s(each.part, now)) for each in run.parts
+        )
+        age_s = self._served_age_s(run.request, now)
+        return msgspec.structs.replace(run, served_age_s=age_s, parts=parts)
+
+    def _served_age_s(self, digest: bytes, now: float) -> float:
+        served_at = self._evidence.last_served_at(digest)
+        return -1.0 if served_at == -math.inf else now - served_at
 
     def _count_ends(self, message: ReplicaEnded) -> list[bytes]:
         """Count a replica end against its runs.
 
-        :return: the requests that are held back because of it.
+        :return: the requests and parts that are held back because of it.
         """
-        now = self._now()
         decided: list[bytes] = []
         for run in message.runs:
-            evidence = self._evidence
-            if run.served_age_s >= 0:
-                self._record_served_elsewhere(run.request, run.served_age_s)
-            held = evidence.record_end(run.request, message.start, run.weight, now - run.age_s, now)
-            suspicion = evidence.find(run.request)
-            if held and suspicion is not None:
+            for part in run.parts:
+                if self._count_end(part.part, message.start, run, part.served_age_s, is_part=True):
+                    decided.append(part.part)
+            if self._count_end(run.request, message.start, run, run.served_age_s, is_part=False):
                 decided.append(run.request)
-                starts = sorted(suspicion.ends)[:MAX_LOGGED_DIGESTS]
-                for_s = round(suspicion.held_until - now)
-                found = evidence.describe(run.request, now)
-                self._begin_hold(run.request, starts=starts, for_s=for_s, **found)
         if decided:
+            now = self._now()
             for request in self._evidence.release_explained(now):
                 log.notice("request_released", digest=_hex_digest(request), why="explained")
         return decided
 
+    def _count_end(
+        self, digest: bytes, start: str, run: SuspectRun, served_age_s: float, *, is_part: bool
+    ) -> bool:
+        """Count a replica end against a run's request or against a part of it.
+
+        :return: whether it is held back because of it.
+        """
+        now, evidence = self._now(), self._evidence
+        if served_age_s >= 0:
+            self._record_served_elsewhere(digest, served_age_s)
+        at = now - run.age_s
+        held = evidence.record_end(digest, start, run.weight, at, now, is_part=is_part)
+        suspicion = evidence.find(digest)
+        if not held or suspicion is None:
+            return False
+        starts = sorted(suspicion.ends)[:MAX_LOGGED_DIGESTS]
+        for_s = round(suspicion.held_until - now)
+        found = evidence.describe(digest, now)
+        self._begin_hold(digest, is_part=is_part, starts=starts, for_s=for_s, **found)
+        return True
+
     def _begin_hold(self, request: bytes, **fields: object) -> None:
         log.notice("request_held", digest=_hex_digest(request), **fields)
         self._on_hold(request)
@@ -238,6 +292,8 @@
     def _tell_served(self, address: str, message: ReplicaEnded) -> None:
         """Tell the sender of a report which of its requests this node has served in full."""
         unknown = {each.request for each in message.runs if each.served_age_s < 0}
+        parts = (each for run in message.runs for each in run.parts)
+        unknown |= {each.part for each in parts if each.served_age_s < 0}
         served_at = {each: self._evidence.last_served_at(each) for each in unknown}
         known = [each for each, at in served_at.items() if at > -math.inf]
         if known:
@@ -247,6 +303,12 @@
     def _apply_served(self, message: RequestsServed) -> None:
         for request in message.requests:
             self._record_served_elsewhere(request, message.age_s)
+        # Only the node that reported an end is told that a part of it has been served. The other
+        # nodes have counted the same report.
+        told = self._reported_unserved.intersection(message.requests)
+        if told:
+            self._reported_unserved -= told
+            self._broadcast(RequestsServed(tuple(told), message.age_s))
 
     def _record_served_elsewhere(self, request: bytes, age_s: float) -> None:
         now = self._now()
@@ -283,6 +345,7 @@
         Call about once a second.
         """
         now = self._now()
+        self._reported_unserved.clear()
         for request in self._evidence.expire(now):
             log.notice("request_released", digest=_hex_digest(request), why="on probation")
         if not self._evidence.holds_any and now > STARTUP_SUMMARY_S:
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -135,9 +135,12 @@
         service = SimpleNamespace(service=SimpleNamespace(max_connections=100))
         for (request, node), at in runs.items():
             output_s = max(0.0, now - at - 0.1)
-            self.nodes[node].record_broken(service, replica, request, output_s)
+            self.record_broken(node, service, replica, request, output_s)
         return runs
 
+    def record_broken(self, node, service, replica, request, output_s):
+        self.nodes[node].record_broken(service, replica, request, output_s)
+
     def held(self):
         return {name for node in self.nodes for name in node._evidence.held}
 
