One header with a huge number of tokens no longer keeps a host busy

X-Prefix-Hash states the tokens of each part, and prompts are compared in blocks of 256: a part of 100 million tokens took 0.41 s of the event loop, one of a million times that would never end. More than 4,300 digits raised in the parser, and a negative number was taken. Numbers of more than 15 digits or with a sign count as absent, and 8,192 blocks of a prompt are compared. Found while bad input of parts was checked.

--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -21,6 +21,9 @@
 # Size of the blocks in which prompts are compared, in tokens. An engine reads a block in some 8 ms,
 # and the longest prompts have few enough blocks to list in a message.
 BLOCK_TOKENS = 256
+# Highest number of blocks of one prompt that are compared, 2 million tokens: the header states any
+# number, and the loop over the blocks blocks the node.
+MAX_PROMPT_BLOCKS = 8192
 # Number of values of a 64-bit hash, to map the hash of a request id to [0, 1).
 HASH_VALUES = 2.0**64
 # By the operators' rule, the caller of a stream gives up after a gap of the longest of this many
@@ -122,11 +125,14 @@
 def prompt_blocks(fields: RequestFields) -> tuple[int, ...]:
     """Return a hash for each block of a prompt's parts; shared parts have equal hashes.
 
+    Blocks beyond :data:`MAX_PROMPT_BLOCKS` are left out.
+
     :rtype: tuple[int, ...]
     """
     blocks: list[int] = []
     for part in fields.parts:
-        count = round(part.tokens / BLOCK_TOKENS)
+        left = MAX_PROMPT_BLOCKS - len(blocks)
+        count = min(left, round(min(part.tokens, MAX_PROMPT_BLOCKS * BLOCK_TOKENS) / BLOCK_TOKENS))
         blocks += (
             xxhash.xxh32_intdigest(f"{part.id:x}/{number}".encode()) for number in range(count)
         )
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -10,6 +10,7 @@
 )
 from chalkyoke.gateway.ports import PromptPart, RequestFields
 from chalkyoke.gateway.reception import (
+    MAX_PROMPT_BLOCKS,
     Admission,
     Rejection,
     admit_request,
@@ -130,3 +131,11 @@
     first, again = (admit(request_id=each, parts=parts) for each in ("1", "2"))
     assert fingerprint(first) == fingerprint(again) != 0
     assert fingerprint(admit(parts=())) == 0
+
+
+def test_the_blocks_of_a_prompt_of_any_stated_length_are_bounded():
+    """Guards against one header that keeps a node busy for seconds or without end."""
+    parts = tuple(PromptPart(number, 10**15 - 1) for number in range(3))
+    assert len(prompt_blocks(RequestFields("1", parts=parts))) == MAX_PROMPT_BLOCKS
+    small = (PromptPart(1, 256), PromptPart(2, 512))
+    assert len(prompt_blocks(RequestFields("2", parts=small))) == 3
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -26,6 +26,9 @@
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 
+# Highest number of digits of a number of tokens.
+MAX_TOKEN_DIGITS = 15
+
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SYSTEM_HEADERS = frozenset(
     b"x-tenant x-expect-instance x-expect-version x-deadline-ms x-credential"
@@ -96,19 +99,29 @@
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    if first.strip().isdigit() and second.strip().isdigit():
-        return int(first), int(second)
-    return 0, 0
+    prompt, most = _parse_tokens(first), _parse_tokens(second)
+    return (0, 0) if prompt is None or most is None else (prompt, most)
+
+
+def _parse_tokens(text: str) -> int | None:
+    """Parse a number of tokens; None for one that no message between nodes can hold."""
+    digits = text.strip()
+    is_number = digits.isascii() and digits.isdigit() and len(digits) <= MAX_TOKEN_DIGITS
+    return int(digits) if is_number else None
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for each in text.split(","):
         name, _, tokens = each.partition(":")
+        count = _parse_tokens(tokens)
         try:
-            parts.append(PromptPart(int(name, 16), int(tokens)))
+            part = int(name, 16)
         except ValueError:
             return ()
+        if count is None:
+            return ()
+        parts.append(PromptPart(part, count))
     return tuple(parts)
 
 
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -313,3 +313,14 @@
     found = read_replica(Item("servers/i", json.dumps(VALID_RECORD | {name: value}).encode(), 1))
     if isinstance(found, Ok):
         assert found.ok_value.slots >= 1 and 0 < found.ok_value.port < 65_536
+
+
+@pytest.mark.parametrize("tokens", ["9" * 16, "9" * 5000, "-3", "1e9", "", "٣"])
+def test_a_number_of_tokens_that_no_message_can_hold_counts_as_absent(tokens):
+    """Guards against a header with which a request ends in an internal fault of the node."""
+    headers = [
+        (b"X-Token-Count", f"{tokens},5".encode("latin-1", "replace")),
+        (b"X-Prefix-Hash", f"5a:{tokens},7:9".encode("latin-1", "replace")),
+    ]
+    fields = PlatformHeaders().read_request(headers)
+    assert (fields.prompt_tokens, fields.max_output_tokens, fields.parts) == (0, 0, ())
