--- a/packages/chalkyoke/src/chalkyoke/decimals.py
+++ b/packages/chalkyoke/src/chalkyoke/decimals.py
@@ -19,6 +19,20 @@
     unreadable: bool
 
 
+# Highest number of digits of a count; messages between nodes hold 64 bits.
+MAX_COUNT_DIGITS = 15
+
+
+def parse_count(text: str) -> int | None:
+    """Parse a whole number of at most :data:`MAX_COUNT_DIGITS` ASCII digits.
+
+    :return: ``None`` for any other text, such as one with a sign.
+    """
+    digits = text.strip()
+    is_count = digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS
+    return int(digits) if is_count else None
+
+
 def parse_integer(text: str) -> int:
     """Parse a whole number of ASCII digits; return 0 for any other text."""
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -4,7 +4,9 @@
 The platform's HTTP headers of requests and answers.
 """
 
-from chalkyoke.decimals import parse_decimal, parse_integer, parse_smallest_decimal
+import string
+
+from chalkyoke.decimals import parse_count, parse_decimal, parse_integer, parse_smallest_decimal
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
 from chalkyoke.http1.messages import Headers, end_to_end_headers
 from chalkyoke.retry_after import parse_retry_after
@@ -26,9 +28,7 @@
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 
-# Highest number of digits of a number of tokens.
-MAX_TOKEN_DIGITS = 15
-
+HEX_DIGITS = frozenset(string.hexdigits)
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SYSTEM_HEADERS = frozenset(
     b"x-tenant x-expect-instance x-expect-version x-deadline-ms x-credential"
@@ -99,29 +99,18 @@
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    prompt, most = _parse_tokens(first), _parse_tokens(second)
+    prompt, most = parse_count(first), parse_count(second)
     return (0, 0) if prompt is None or most is None else (prompt, most)
 
 
-def _parse_tokens(text: str) -> int | None:
-    """Parse a number of tokens; None for one that no message between nodes can hold."""
-    digits = text.strip()
-    is_number = digits.isascii() and digits.isdigit() and len(digits) <= MAX_TOKEN_DIGITS
-    return int(digits) if is_number else None
-
-
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for each in text.split(","):
         name, _, tokens = each.partition(":")
-        count = _parse_tokens(tokens)
-        try:
-            part = int(name, 16)
-        except ValueError:
-            return ()
-        if count is None:
+        count = parse_count(tokens)
+        if count is None or not (name := name.strip()) or set(name) - HEX_DIGITS:
             return ()
-        parts.append(PromptPart(part, count))
+        parts.append(PromptPart(int(name, 16), count))
     return tuple(parts)
 
 
