Soak and stand-ins: parts that end replicas, answers without length or chunks, most connections to one node

Replicas exit on a part of a prompt, send answers that end with their connection, and callers open nine in ten of their connections to one node. From what callers and replicas see it is checked that such a part is held back, that sound prompts beside it go on being served, and that a node with most connections serves as before; each checker has a planted violation.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from chalkyoke_fakes.metastore import MetaStore
+from chalkyoke_fakes.resets import reset_connection
 from chalkyoke_fakes.slots import Slots
 
 READ_LIMIT_BYTES = 5_000_000
@@ -46,6 +47,7 @@
     :ivar lose_answers: run the request, then close the connection without an answer.
     :ivar break_streams: close the connection in the middle of an event.
     :ivar break_after: the number of whole events before such a break.
+    :ivar unframed: send answers with neither a length nor chunks, which end with their connection.
     :ivar extra_answers: send a second answer after the first.
     :ivar fail: answer 500 after the run.
     :ivar shed: answer 503 without running the request.
@@ -79,6 +81,7 @@
     lose_answers: int = 0
     break_streams: int = 0
     break_after: int = 2
+    unframed: bool = False
     extra_answers: int = 0
     fail: int = 0
     shed: int = 0
@@ -226,7 +229,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     def exit_and_restart(self) -> None:
         """Exit without an announcement and restart after ``back_after_s``."""
@@ -313,6 +316,11 @@
             _bound_unsent(writer)
         size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
         body = f"{self.id} did {name}".encode().rjust(size, b".")
+        if self.faults.unframed:
+            _write_head(writer, status, self._headers(name))
+            writer.write(body)
+            await self._drain(writer)
+            return False
         _write_response(writer, status, self._headers(name), body)
         if self.faults.extra_answers > 0:
             self.faults.extra_answers -= 1
@@ -362,7 +370,8 @@
         after = request.headers.get("last-event-id", "")
         first = int(after) + 1 if after.isdigit() else 0
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
-        _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"})
+        framed = not self.faults.unframed
+        _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"} if framed else head)
         for number in range(first, self.events):
             await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
             await self._wait_while_silent()
@@ -372,13 +381,14 @@
             event = encode_event(number, self.version)
             if self.faults.break_streams > 0 and number - first >= self.faults.break_after:
                 self.faults.break_streams -= 1
-                writer.write(b"%x\r\n%b" % (len(event), event[:5]))
+                writer.write(b"%x\r\n%b" % (len(event), event[:5]) if framed else event[:5])
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event) if framed else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+        if framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return framed
 
     def _headers(self, name: str) -> dict[str, str]:
         percent = f",{self.faults.time_percent}" if self.faults.time_percent else ""
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -16,6 +16,11 @@
     ReplicaRun,
     Violation,
 )
+from chalkyoke_fakes.soak.parts import (
+    crashing_parts_are_held_back,
+    focused_nodes_serve,
+    sound_prompts_are_served,
+)
 from chalkyoke_fakes.soak.plan import Fault
 from chalkyoke_fakes.soak.streams import (
     is_in_order,
@@ -380,11 +385,14 @@
     crashing_requests_are_held_back,
     streams_keep_their_version,
     resumed_streams_go_on,
+    crashing_parts_are_held_back,
+    sound_prompts_are_served,
+    focused_nodes_serve,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
-# Old builds ignore the announcements in answers and the versions of replicas, so these promises do
-# not hold for a mixed fleet.
+# Old builds ignore the announcements in answers, the versions of replicas and the parts of prompts,
+# so these promises do not hold for a mixed fleet.
 NEW_VERSION_CHECKERS = (
     drains_survive_store_restores,
     leaving_answers_are_respected,
@@ -392,6 +400,8 @@
     replica_limits_are_respected,
     streams_keep_their_version,
     resumed_streams_go_on,
+    crashing_parts_are_held_back,
+    sound_prompts_are_served,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -12,11 +12,19 @@
 from chalkyoke_fakes.platformfleet import default_configuration
 from chalkyoke_fakes.replica import Replica, ReplicaFaults
 from chalkyoke_fakes.soak.fleet import SoakFleet
-from chalkyoke_fakes.soak.observations import DrainStart, FaultPeriod, LimitPeriod, Observations
+from chalkyoke_fakes.soak.observations import (
+    DrainStart,
+    FaultPeriod,
+    FocusPeriod,
+    LimitPeriod,
+    Observations,
+)
 from chalkyoke_fakes.soak.plan import ROLL, STORE_LINK_FAULTS, Fault, FaultStep, RollStep
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
 RESTART_DELAY_S = 0.3
+# How much longer than other faults callers prefer one node, in seconds: it is checked from 3 s on.
+EXTRA_FOCUS_S = 4.0
 STOP_TIMEOUT_S = 12.0
 # The shortest time for which a replica serves on after it announced leaving only in its answers; a
 # replica that drains serves on for 2.6 times as long.
@@ -62,6 +70,8 @@
     :param send_burst: makes callers send plain requests at a rate per second for some seconds.
     :param send_flood: makes one team send far more than usual for some seconds.
     :param send_streams: makes callers begin streams, and take broken ones up, for some seconds.
+    :param send_crashing_part: makes callers send prompts with a part for some seconds.
+    :param prefer_node: makes callers open most connections to a node; to any node if empty.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -75,6 +85,8 @@
         send_burst: Callable[[float, float], Awaitable[None]],
         send_flood: Callable[[float], None],
         send_streams: Callable[[float], Awaitable[None]],
+        send_crashing_part: Callable[[str, float], None],
+        prefer_node: Callable[[str], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -84,6 +96,8 @@
         self.send_burst = send_burst
         self.send_flood = send_flood
         self.send_streams = send_streams
+        self.send_crashing_part = send_crashing_part
+        self.prefer_node = prefer_node
         self.active_targets: set[str] = set()
         self._version = 1
 
@@ -93,6 +107,9 @@
             # No fault of the node: it must serve all others as before.
             self._start_slow_readers(step.target)
             return
+        if step.fault is Fault.CALLERS_FOCUS:
+            await self._focus_callers(step)
+            return
         place = step.target or "store"
         if step.fault is Fault.PLAIN_BURST:
             place = "burst"
@@ -100,7 +117,9 @@
             place = "callers"
         if step.fault is Fault.STREAMS_BREAK:
             place = "streams"
-        if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED):
+        if step.fault is Fault.CRASHING_PART:
+            place = "parts"
+        if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED, Fault.REPLICA_UNFRAMED):
             # These may overlap with any other fault of the same replica.
             place = f"{place}, {step.fault}"
         if place in self.active_targets or (step.fault is Fault.ALL_KILL and self.active_targets):
@@ -132,7 +151,7 @@
             )
 
     def _record_fault(self, step: FaultStep, place: str, began: float) -> None:
-        if step.fault in (Fault.CONFIGURE, Fault.REPLICA_DISTURBED):
+        if step.fault in (Fault.CONFIGURE, Fault.REPLICA_DISTURBED, Fault.REPLICA_UNFRAMED):
             # Neither excuses a request that is not served.
             return
         places = list(self._fleet.nodes) if step.fault is Fault.ALL_KILL else [place]
@@ -159,6 +178,8 @@
             await self._write_foreign_records(step)
         elif step.fault is Fault.CRASHING_REQUEST:
             await self._send_crashing_body(step)
+        elif step.fault is Fault.CRASHING_PART:
+            await self._send_crashing_part(step)
         elif step.fault is Fault.PLAIN_BURST:
             await self._fill_plain_replicas(step)
         elif step.fault is Fault.CALLERS_FLOOD:
@@ -281,6 +302,10 @@
             replica.faults.shed, replica.faults.rest_s = 0, 0.0
         elif step.fault is Fault.REPLICA_LIMITS:
             await self._announce_limits(replica, step)
+        elif step.fault is Fault.REPLICA_UNFRAMED:
+            replica.faults.unframed = True
+            await asyncio.sleep(step.duration_s)
+            replica.faults.unframed = False
         elif step.fault is Fault.REPLICA_DISTURBED:
             replica.faults.time_percent = DISTURBED_PERCENT
             await asyncio.sleep(step.duration_s)
@@ -322,6 +347,28 @@
         self.send_crashing(body, step.duration_s)
         await asyncio.sleep(step.duration_s)
 
+    async def _send_crashing_part(self, step: FaultStep) -> None:
+        """Make engines exit under prompts with one part, and let callers send such prompts."""
+        part = f"bad{len(self._observations.crashing_parts):x}"
+        self._observations.crashing_parts.append(part)
+        for replica in self._fleet.engines():
+            replica.faults.crash_parts |= {part}
+            replica.faults.renamed = False
+        self.send_crashing_part(part, step.duration_s)
+        await asyncio.sleep(step.duration_s)
+
+    async def _focus_callers(self, step: FaultStep) -> None:
+        """Let callers open most new connections to one node, which is no fault of the node."""
+        if "focus" in self.active_targets:
+            return
+        self.active_targets.add("focus")
+        began = self._now()
+        self.prefer_node(step.target)
+        await asyncio.sleep(step.duration_s + EXTRA_FOCUS_S)
+        self.prefer_node("")
+        self.active_targets.discard("focus")
+        self._observations.focus_periods.append(FocusPeriod(step.target, began, self._now()))
+
     async def _break_streams(self, step: FaultStep) -> None:
         """Let engines break off most streams, while callers take them up at any node."""
         for number, replica in enumerate(self._fleet.engines()):
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -46,6 +46,7 @@
     :param resumes: the attempt that began the stream, where this one takes it up.
     :param after: number of the last event that the caller had before; -1 for none.
     :param serving: number of replicas that served the stream's version when it was taken up.
+    :param parts: the shared parts of the prompt.
     """
 
     request: str
@@ -63,6 +64,16 @@
     resumes: str = ""
     after: int = -1
     serving: int = 0
+    parts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class FocusPeriod:
+    """A period in which callers open most new connections to one node."""
+
+    node: str
+    began: float
+    ended: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +104,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaRun:
-    """One run of a request at a replica."""
+    """One run of a request at a replica.
+
+    :param parts: the shared parts of the prompt.
+    """
 
     request: str
     replica: str
@@ -101,6 +115,7 @@
     team: str
     at: float
     body: bytes = b""
+    parts: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +181,8 @@
     :ivar replica_exits: when replicas exited by themselves; each returns under its id as a new
         start.
     :ivar crashing_bodies: the number of request bodies that make replicas exit.
+    :ivar crashing_parts: the parts of prompts that make replicas exit.
+    :ivar focus_periods: when callers opened most new connections to one node.
     :ivar restore_times: when the store had been restored from a snapshot and its writers had
         written the lost records again.
     :ivar streams: the events of a complete stream, by the version that writes it.
@@ -185,3 +202,5 @@
     recovered_s: float | None = 0.0
     streams: dict[str, tuple[bytes, ...]] = field(default_factory=dict)
     crashing_bodies: int = 0
+    crashing_parts: list[str] = field(default_factory=list)
+    focus_periods: list[FocusPeriod] = field(default_factory=list)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -57,9 +57,14 @@
     REPLICA_DISTURBED = "replica_disturbed"
     CALLERS_FLOOD = "callers_flood"
     STREAMS_BREAK = "streams_break"
+    CRASHING_PART = "crashing_part"
+    REPLICA_UNFRAMED = "replica_unframed"
+    CALLERS_FOCUS = "callers_focus"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
+# Faults of the callers of one node.
+CALLER_FAULTS = frozenset({Fault.SLOW_READERS, Fault.CALLERS_FOCUS})
 STORE_LINK_FAULTS = frozenset({Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES})
 REPLICA_FAULTS = frozenset(each for each in Fault if each.startswith("replica_"))
 # These groups are drawn from separate random sources, so that the plans of existing seeds do not
@@ -82,6 +87,12 @@
 LOAD_SEED_MASK = 0x10AD
 STREAM_FAULTS = (Fault.STREAMS_BREAK,)
 STREAM_SEED_MASK = 0x57EA
+PART_FAULTS = (Fault.CRASHING_PART,)
+PART_SEED_MASK = 0x9A27
+FRAMING_FAULTS = (Fault.REPLICA_UNFRAMED,)
+FRAMING_SEED_MASK = 0xF2A3
+FOCUS_FAULTS = (Fault.CALLERS_FOCUS,)
+FOCUS_SEED_MASK = 0xF0C5
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -93,6 +104,9 @@
         *DISTURBANCE_FAULTS,
         *LOAD_FAULTS,
         *STREAM_FAULTS,
+        *PART_FAULTS,
+        *FRAMING_FAULTS,
+        *FOCUS_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -184,6 +198,9 @@
         (DISTURBANCE_FAULTS, DISTURBANCE_SEED_MASK),
         (LOAD_FAULTS, LOAD_SEED_MASK),
         (STREAM_FAULTS, STREAM_SEED_MASK),
+        (PART_FAULTS, PART_SEED_MASK),
+        (FRAMING_FAULTS, FRAMING_SEED_MASK),
+        (FOCUS_FAULTS, FOCUS_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
@@ -202,7 +219,7 @@
     while at < seconds:
         fault = source.choice(faults)
         target = ""
-        if fault in NODE_FAULTS | STORE_LINK_FAULTS or fault is Fault.SLOW_READERS:
+        if fault in NODE_FAULTS | STORE_LINK_FAULTS | CALLER_FAULTS:
             target = source.choice(nodes)
         elif fault in REPLICA_FAULTS:
             target = source.choice(replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from chalkyoke_fakes.platformfleet import KEY, TEAM
-from chalkyoke_fakes.replica import read_events, stream_events
+from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
 from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
@@ -48,6 +48,11 @@
 # after its fault has ended, in seconds.
 CRASHING_INTERVAL_S = 0.3
 CRASHING_EXTRA_S = 5.0
+# The first part of all prompts, and the number of subjects that they share beside it.
+FIRST_PART = "5a5a"
+SUBJECTS = 6
+# Share of new connections that callers open to a preferred node.
+PREFERRED_SHARE = 0.9
 # Number of callers that read slowly at a time, the size of their answers in bytes, and the time
 # between two of their reads in seconds: an answer takes some 2 s, well within its deadline.
 SLOW_READERS = 8
@@ -158,6 +163,7 @@
         self._began = time.monotonic()
         self._extra_callers: list[asyncio.Task[None]] = []
         self._slow_readers: list[asyncio.Task[CallerAttempt]] = []
+        self._preferred_node = ""
         self.observations = Observations(
             retry_limit=RetryLimit(fleets.RETRY_RATIO, fleets.RETRY_SLACK, fleets.RETRY_WINDOW_S),
             streams={each: stream_events(each) for each in fleets.ENGINE_VERSIONS},
@@ -181,6 +187,8 @@
             self._send_burst,
             self._start_flood,
             self._send_streams,
+            self._start_crashing_part_caller,
+            self._prefer_node,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         steps = draw_faults(
@@ -220,6 +228,8 @@
                 # A load balancer sends no requests to a host that stops or starts.
                 nodes = [each for each in nodes if each not in injector.active_targets]
             node = self._random.choice(nodes)
+            if self._preferred_node and self._random.random() < PREFERRED_SHARE:
+                node = self._preferred_node
             team = fleets.QUOTA_TEAM if self._random.random() < 0.4 else TEAM
             tasks.append(asyncio.create_task(self._send_from_caller(node, path, team)))
             await asyncio.sleep(self._random.expovariate(1.0 / pause))
@@ -239,6 +249,28 @@
             await self._send_request(node, path, TEAM, body)
             await asyncio.sleep(CRASHING_INTERVAL_S)
 
+    def _start_crashing_part_caller(self, part: str, seconds: float) -> None:
+        self._extra_callers.append(asyncio.create_task(self._send_crashing_part(part, seconds)))
+
+    async def _send_crashing_part(self, part: str, seconds: float) -> None:
+        """Send prompts with a part to random nodes, no two alike."""
+        until = min(self.elapsed_s() + seconds + CRASHING_EXTRA_S, self._config.seconds)
+        paths = [path for path, kind in KIND_BY_PATH.items() if kind.streams]
+        while self.elapsed_s() < until:
+            node, path = self._random.choice(list(self._fleet.nodes)), self._random.choice(paths)
+            body = b"with a part %d" % next(self._numbers)
+            await self._send_request(node, path, TEAM, body, parts=(FIRST_PART, part))
+            await asyncio.sleep(CRASHING_INTERVAL_S)
+
+    def _prefer_node(self, node: str) -> None:
+        self._preferred_node = node
+
+    def _draw_parts(self, path: str) -> tuple[str, ...]:
+        """Draw the shared parts of a sound prompt; plain requests have none."""
+        if not KIND_BY_PATH[path].streams:
+            return ()
+        return FIRST_PART, f"50{self._random.randrange(SUBJECTS):02x}"
+
     def _start_slow_readers(self, node: str) -> None:
         paths = [path for path, kind in KIND_BY_PATH.items() if not kind.streams]
         for number in range(SLOW_READERS):
@@ -317,8 +349,11 @@
         *,
         read_pause_s: float = 0.0,
         resumed: "BrokenStream | None" = None,
+        parts: tuple[str, ...] | None = None,
     ) -> CallerAttempt:
-        name = f"r{self._seed}-{next(self._numbers)}"
+        number = next(self._numbers)
+        name = f"r{self._seed}-{number}"
+        parts = self._draw_parts(path) if parts is None else parts
         key = fleets.QUOTA_KEY if team == fleets.QUOTA_TEAM else KEY
         method = "GET" if KIND_BY_PATH[path] is Kind.REPEATABLE else "POST"
         began = self.elapsed_s()
@@ -336,6 +371,7 @@
                     read_pause_s=read_pause_s,
                     X_Answer_Bytes=str(SLOW_ANSWER_BYTES if read_pause_s else 0),
                     **(resumed.headers() if resumed else {}),
+                    **(_prompt_headers(parts, number) if parts else {}),
                 )
             status, answer, whole = got.status, got.body, got.whole
             replica = got.headers.get("x-server-stamp", "").partition(".")[0]
@@ -359,6 +395,7 @@
             resumed.began_as if resumed else "",
             resumed.last_event if resumed else -1,
             serving,
+            parts,
         )
         self.observations.attempts.append(attempt)
         return attempt
@@ -401,6 +438,7 @@
                         received.headers.get("x-tenant", ""),
                         received.at - self._began,
                         received.body,
+                        frozenset(shared_parts(received)),
                     )
                 )
         for name in self._fleet.nodes:
@@ -420,6 +458,12 @@
                 self.observations.versions.setdefault(process, []).append(entry["version"])
 
 
+def _prompt_headers(parts: tuple[str, ...], number: int) -> dict[str, str]:
+    """Return the headers of a prompt with shared parts and a last part of its own."""
+    listed = ",".join(f"{each}:60" for each in (*parts, f"f{number:06x}"))
+    return {"X_Prefix_Hash": listed, "X_Token_Count": f"{60 * (len(parts) + 1)},100"}
+
+
 async def play_seed(seed: int, config: RunConfig, keep: Path | None = None) -> RunOutcome:
     """Play a seed and check the records of the run.
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -9,6 +9,8 @@
 import random
 from dataclasses import dataclass
 
+from chalkyoke_fakes.resets import reset_connection
+
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
 # The delay of a lost segment: the time until the sender retransmits it, in seconds.
@@ -61,7 +63,7 @@
     def reset_connections(self) -> None:
         """Abort all open connections; new ones are still accepted."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     def silence_open_connections(self) -> None:
         """Drop all data on the open connections for good, both ways, without closing them."""
@@ -104,7 +106,7 @@
     async def _copy_stream(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, to_target: bool
     ) -> None:
-        with contextlib.suppress(ConnectionError):
+        try:
             while data := await reader.read(CHUNK_BYTES):
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
@@ -116,6 +118,8 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+        except ConnectionError:
+            reset_connection(writer)
 
     def _is_silent(self, to_target: bool) -> bool:
         return self.faults.silent_to_target if to_target else self.faults.silent_to_caller
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     CallerAttempt,
     DrainStart,
     FaultPeriod,
+    FocusPeriod,
     Kind,
     LimitPeriod,
     Observations,
@@ -176,6 +177,40 @@
     observations.runs.append(ReplicaRun("x6", "m1", "model", "t", 55.0, b"crashing-1"))
 
 
+def keep_running_a_crashing_part(observations):
+    observations.crashing_parts.append("bad0")
+    for number in range(9):
+        at = 90.0 + number * 1.0 + (number >= 5) * 3.0
+        name = f"p{number}"
+        observations.attempts.append(
+            replace(make_attempt(name, Kind.STREAM, began=at, status=502), parts=("5a", "bad0"))
+        )
+        run = ReplicaRun(name, "m1", "model", "t", at, b"", frozenset(("5a", "bad0")))
+        observations.runs.append(run)
+
+
+def refuse_sound_prompts_beside_a_crashing_part(observations):
+    keep_running_a_crashing_part(observations)
+    observations.attempts.append(
+        replace(make_attempt("last", Kind.STREAM, began=106.0, status=502), parts=("5a", "bad0"))
+    )
+    for number in range(100):
+        began = 86.0 + number * 0.2
+        status = 200 if began < 90.0 or number % 5 == 0 else 502
+        attempt = make_attempt(f"h{number}", Kind.STREAM, began=began, status=status)
+        observations.attempts.append(replace(attempt, parts=("5a", "50")))
+
+
+def serve_too_little_at_a_preferred_node(observations):
+    observations.focus_periods.append(FocusPeriod("n1", 120.0, 128.0))
+    for number in range(60):
+        began = 116.0 + number * 0.2
+        status = 200 if began < 120.0 or number % 2 else 503
+        observations.attempts.append(
+            make_attempt(f"k{number}", Kind.REPEATABLE, began=began, ended=began, status=status)
+        )
+
+
 def exceed_a_replica_limit(observations):
     observations.limit_periods.append(LimitPeriod("s1", 70.0, 80.0, 0.5))
     observations.attempts.append(
@@ -213,6 +248,9 @@
     (run_more_than_the_quota, checkers.quotas_hold),
     (exceed_the_retry_budget, checkers.retries_stay_within_budget),
     (keep_running_a_crashing_request, checkers.crashing_requests_are_held_back),
+    (keep_running_a_crashing_part, checkers.crashing_parts_are_held_back),
+    (refuse_sound_prompts_beside_a_crashing_part, checkers.sound_prompts_are_served),
+    (serve_too_little_at_a_preferred_node, checkers.focused_nodes_serve),
     (send_after_a_leaving_answer, checkers.leaving_answers_are_respected),
     (send_during_retry_after, checkers.retry_after_is_respected),
     (exceed_a_replica_limit, checkers.replica_limits_are_respected),
