--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -235,6 +235,8 @@
         """Exit without an announcement and restart after ``back_after_s``."""
         if self._server is not None and self._server.is_serving():
             self.exit_times.append(self.now())
+            # Another request may end the replica in the same turn of the loop.
+            self._server.close()
             back = asyncio.ensure_future(self._restart_after_exit())
             self._restart_tasks.add(back)
             back.add_done_callback(self._restart_tasks.discard)
