--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -150,3 +150,59 @@
         assert load.begun_share(began + 14.0, began + 20.0) >= MIN_SOUND_SHARE
 
     run_load(check)
+
+
+# Guards against evidence that exists only in the memory of the nodes, which all lose power at once.
+def test_a_held_part_survives_the_loss_of_all_nodes():
+    async def check(fleet):
+        let_parts_crash(fleet, CRASHING)
+        load = Load(fleet)
+        await load.run(2.0)
+        await load.run(5.0, ((COMMON, CRASHING),))
+        await asyncio.gather(*(fleet.crash_node(node) for node in range(len(fleet.nodes))))
+        await asyncio.sleep(1.0)
+        for node in range(len(fleet.nodes)):
+            fleet.start_node(node, first_start=False)
+        await asyncio.sleep(SPREAD_S)
+        before, began = len(arrival_times(fleet, CRASHING)), asyncio.get_running_loop().time()
+        await load.run(5.0, ((COMMON, CRASHING),))
+        assert len(arrival_times(fleet, CRASHING)) == before
+        assert load.begun_share(began, began + 5.0) >= MIN_SOUND_SHARE
+
+    run_load(check)
+
+
+# Guards against a part that stays held back although an operator knows it to be sound.
+def test_an_operator_releases_a_part_at_all_nodes():
+    async def check(fleet):
+        let_parts_crash(fleet, CRASHING)
+        load = Load(fleet)
+        await load.run(2.0)
+        await load.run(5.0, ((COMMON, CRASHING),))
+        let_parts_crash(fleet)
+        held = await load.send((COMMON, CRASHING))
+        assert (held.status, "retry-after" in held.headers) == (502, False)
+        records = [each for each in fleet.store.items if each.startswith("chalkyoke/held/")]
+        assert len(records) == 1
+        fleet.store.put(records[0], b"released")
+        await asyncio.sleep(SPREAD_S)
+        got = [await load.send((COMMON, CRASHING), node) for node in range(len(fleet.nodes))]
+        assert [each.status for each in got] == [200] * len(fleet.nodes)
+
+    run_load(check)
+
+
+# Guards against a domain that goes on sending a part since it is cut off from the other ones.
+def test_a_domain_that_is_cut_off_holds_a_crashing_part_back_by_itself():
+    async def check(fleet):
+        let_parts_crash(fleet, CRASHING)
+        load = Load(fleet)
+        await load.run(2.0)
+        fleet.cut_links((0, 1, 2), (3, 4, 5, 6))
+        await load.run(14.0, ((COMMON, CRASHING),))
+        # Each side has to see the ends by itself.
+        assert len(arrival_times(fleet, CRASHING)) <= 2 * (LEARNED_AFTER + MAX_LATE_ARRIVALS)
+        now = asyncio.get_running_loop().time()
+        assert not [at for at in arrival_times(fleet, CRASHING) if at > now - 4.0]
+
+    run_load(check)
