--- a/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/pool.py
@@ -174,7 +174,7 @@
             return True
         if queue.may_overtake:
             return False
-        return any((route, item.route) in self.overlaps for route in queue.long)
+        return any((route, item.route) in self.overlaps for route in queue.long_waiting)
 
     def lower_tier_waiting(self, item: WaitingRequest) -> list[WaitingRequest]:
         """List the waiting requests that must be refused before a request, lowest tier first.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/queues.py
@@ -79,7 +79,7 @@
         self.late = 0
         self.work = 0.0
         self.promised = 0
-        self.long: dict[str, int] = {}
+        self.long_waiting: dict[str, int] = {}
         self._overtakes = 0
         self._team_work: dict[str, float] = {}
         self._queues: dict[tuple[str, str], TeamQueue] = {}
@@ -106,7 +106,7 @@
         self.work += item.work
         self.promised += item.is_promised_retry
         if item.is_long:
-            self.long[item.route] = self.long.get(item.route, 0) + 1
+            self.long_waiting[item.route] = self.long_waiting.get(item.route, 0) + 1
         self._team_work[item.team] = self._team_work.get(item.team, 0.0) + item.work
 
     def discard(self, item: WaitingRequest) -> None:
@@ -118,9 +118,9 @@
         self.late -= item.late
         self.promised -= item.is_promised_retry
         if item.is_long:
-            self.long[item.route] -= 1
-            if self.long[item.route] == 0:
-                del self.long[item.route]
+            self.long_waiting[item.route] -= 1
+            if self.long_waiting[item.route] == 0:
+                del self.long_waiting[item.route]
         if not queue:
             del self._queues[key]
             self._team_order.remove(_order_key(self._virtual[item.team], *key))
@@ -142,7 +142,7 @@
 
         :param from_reserve: whether the request has taken a reserved slot.
         """
-        if item.is_long or not self.long:
+        if item.is_long or not self.long_waiting:
             self._overtakes = 0
         elif from_reserve:
             self._overtakes += 1
