A sound part is not held when a whole domain of replicas is lost

A part that runs on all replicas of a domain has more than that at once.

A held part explains the ends of others if it lies under one more end than they do, where it had needed more in all.

--- a/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/evidence.py
@@ -185,6 +185,7 @@
             suspicion = self._suspicions[request] = Suspicion(
                 is_part, served_at=self.last_served_at(request)
             )
+        suspicion.is_part = is_part
         if at <= suspicion.served_at or suspicion.has_end(start, at):
             return False
         suspicion.ends[start] = _End(at, weight)
@@ -373,7 +374,8 @@
     def _unexplained_ends(self, suspicion: Suspicion) -> dict[str, _End]:
         """Return the ends that count against a request or a part.
 
-        An end does not count where a part was running that is held and lies under more ends.
+        An end does not count where a part was running that is held and lies under an end at which
+        this one was not running.
         If the request was served in full before, an end doesn't count when a request that was never
         served was running there too and is held, or lies under as many ends as a hold takes: a
         request that is sent often runs at most of the ends that others cause. Two that end replicas
@@ -394,7 +396,7 @@
         """Return whether a suspect explains the ends at which another one was running too."""
         if suspect is other:
             return False
-        if suspect.is_part and suspect.holds > 0 and len(suspect.ends) > len(other.ends):
+        if suspect.is_part and suspect.holds > 0 and suspect.ends.keys() - other.ends.keys():
             return True
         if other.is_part or not other.is_refuted:
             return False
--- a/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_evidence.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/tests/test_evidence.py
@@ -13,6 +13,8 @@
 
 REQUEST = b"request-name"
 
+PART = b"a-part------"
+
 
 def count_end(tracker, number, at, *, weight=1.0, request=REQUEST, now=None):
     return tracker.record_end(request, f"m{number}/1", weight, at, at if now is None else now)
@@ -182,3 +184,47 @@
         held = count_end(tracker, number, 1.0 + number, request=other)
     assert held
     assert tracker.release_explained(9.0) == []
+
+
+def test_a_part_that_another_node_has_served_is_not_held_while_all_replicas_end():
+    """Guards against a sound part that runs on all replicas of a domain when it is lost."""
+    tracker = EvidenceTracker()
+    tracker.record_served(PART, 0.5, now=1.0)
+    held = [
+        tracker.record_end(PART, f"m{number}/1", 1.0, at, at, is_part=True)
+        for number, at in enumerate((2.0, 2.2, 2.4, 2.6, 2.8, 3.0, 3.2, 3.4, 3.6))
+    ]
+    assert held == [False] * 9
+    assert tracker.held == frozenset()
+
+
+def test_a_part_that_was_never_served_is_held_after_four_ends():
+    tracker = EvidenceTracker()
+    held = [
+        tracker.record_end(PART, f"m{number}/1", 1.0, number, number, is_part=True)
+        for number in range(1, 5)
+    ]
+    assert held == [False, False, False, True]
+
+
+def test_a_rare_part_under_few_of_many_ends_is_held_after_eight():
+    tracker = EvidenceTracker()
+    held = 0
+    for number in range(1, 8):
+        for other in range(4):
+            name = b"other%07d" % (4 * number + other)
+            tracker.record_end(name, f"m{number}{other}/1", 1.0, number, number)
+        held += tracker.record_end(PART, f"p{number}/1", 1.0, number, number, is_part=True)
+    assert not held
+    assert tracker.record_end(PART, "p8/1", 1.0, 8, 8, is_part=True)
+
+
+def test_ends_under_a_held_part_do_not_count_against_another_part():
+    tracker = EvidenceTracker()
+    other = b"another-part"
+    for number in range(1, 5):
+        tracker.record_end(PART, f"m{number}/1", 1.0, number, number, is_part=True)
+        if number > 1:
+            tracker.record_end(other, f"m{number}/1", 1.0, number, number, is_part=True)
+    assert tracker.held == {PART}
+    assert not tracker.record_end(other, "m5/1", 1.0, 5, 5, is_part=True)
