--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -79,6 +79,8 @@
     :param old_packages: folder of the packages of another build, from which the nodes are rolled to
         this one while faults are injected; None where all nodes run this build.
     :param calm: whether the roll is the only fault, to show its effect on callers.
+    :param only: the kinds of faults to inject; all if empty. Shares of requests that are served are
+        compared only where no other fault is near.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
@@ -87,6 +89,7 @@
     requests_per_s: float = 8.0
     old_packages: Path | None = None
     calm: bool = False
+    only: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +203,8 @@
         injections = []
         if self._config.old_packages is not None:
             injections.append(asyncio.create_task(self._roll_nodes(injector)))
+        if self._config.only:
+            steps = [each for each in steps if each.fault in self._config.only]
         for step in [] if self._config.calm else steps:
             await asyncio.sleep(max(0.0, step.at - self.elapsed_s()))
             injections.append(asyncio.create_task(injector.inject_fault(step)))
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 
+from chalkyoke_fakes.soak.plan import Fault
 from chalkyoke_fakes.soak.play import RunConfig, count_caller_outcomes, play_seed
 
 KEPT_LOGS_FOLDER = Path("out/soak")
@@ -32,11 +33,24 @@
         help="checkout of another version, from which the nodes are rolled to this one",
     )
     parser.add_argument("--calm", action="store_true", help="inject no faults besides the roll")
+    parser.add_argument(
+        "--only",
+        type=Fault,
+        nargs="+",
+        default=[],
+        metavar="FAULT",
+        help=f"kinds of faults to inject, of: {', '.join(Fault)}",
+    )
     arguments = parser.parse_args()
     zones = tuple("abc"[number % 3] for number in range(arguments.nodes))
     old = arguments.old and arguments.old.resolve() / "packages/chalkyoke/src"
     shape = RunConfig(
-        zones, arguments.replicas, arguments.seconds, old_packages=old, calm=arguments.calm
+        zones,
+        arguments.replicas,
+        arguments.seconds,
+        old_packages=old,
+        calm=arguments.calm,
+        only=frozenset(arguments.only),
     )
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
