--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -349,6 +349,14 @@
     assert checkers.replica_limits_are_respected(observations)
 
 
+def test_a_preferred_node_is_not_compared_while_a_part_ends_replicas():
+    """Guards against the report of requests that were lost with the replicas."""
+    observations = make_sound_run()
+    serve_too_little_at_a_preferred_node(observations)
+    observations.faults.append(FaultPeriod(Fault.CRASHING_PART, "parts", 121.0, 122.0))
+    assert checkers.focused_nodes_serve(observations) == []
+
+
 def test_a_frozen_node_excuses_runs_of_a_crashing_request():
     observations = make_sound_run()
     keep_running_a_crashing_request(observations)
