Lines of given-up requests say what their replica had not received

Whether a request that is given up is still on its way to its replica could not be seen: `left` and `expired` named the number of sends only. `left`, `expired` and `ended` now state undelivered_bytes: what the program and the system held of the request when its send was given up (TIOCOUTQ; the end of the stream counts as one byte), empty where the system does not tell.

No decision changes.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -156,6 +156,7 @@
                 sends=self._progress.sends.arrivals,
                 events=self._delivery.events,
                 silent_s=round(self._silent_s(), 4),
+                undelivered_bytes=self._sender.undelivered_bytes,
             )
 
     def _end_after_fault(self) -> None:
@@ -356,6 +357,7 @@
             leaving=relay.fields.leaving if relay else None,
             retry_after_s=relay.fields.retry_after_s if relay else None,
             limit_per_s=relay.fields.limit_per_s if relay else None,
+            undelivered_bytes=self._sender.undelivered_bytes,
         )
 
     def _has_tried_all(self, admission: Admission) -> bool:
@@ -399,7 +401,12 @@
                 admission, self._granted, self._parts.now(), failed=failed
             )
         self._release_cancelled(admission)
-        self._parts.log_decision("expired", admission, sends=self._progress.sends.arrivals)
+        self._parts.log_decision(
+            "expired",
+            admission,
+            sends=self._progress.sends.arrivals,
+            undelivered_bytes=self._sender.undelivered_bytes,
+        )
         if self._delivery.head_sent:
             self._response.abort()
         elif sent:
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -71,6 +71,8 @@
     :param progress: the attempts of the request so far; each send is recorded there.
     :param is_held_back: returns whether the quarantine holds the request back.
     :ivar relay: relay of the latest send; None before the first.
+    :ivar undelivered_bytes: bytes that the replica's system had not acknowledged when the latest
+        send was given up; None if that is not known or it was not given up.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._is_held_back = is_held_back
         self._connection: ClientConnection | None = None
         self.relay: Relay | None = None
+        self.undelivered_bytes: int | None = None
         self._retained = parts.memory.open(Purpose.RESPONSES_RETAINED)
         self._reading = ResponseReading(parts.memory, response, parts.now)
 
@@ -103,7 +106,7 @@
     def cancel(self) -> None:
         """Abort the send in progress, if any, without an outcome."""
         if self._connection is not None:
-            self._connection.cancel()
+            self._give_up(self._connection)
 
     def abort_as_reset(self) -> None:
         """Abort the send in progress, if any, as if the replica had reset the connection."""
@@ -141,7 +144,7 @@
             end = await self._wait_for_end(admission, granted, connection, relay)
         except BaseException:
             # An answer that goes on would be charged for a request that has ended.
-            connection.cancel()
+            self._give_up(connection)
             raise
         finally:
             self._connection = None
@@ -154,7 +157,7 @@
         if end not in (SendEnd.STALLED, SendEnd.UNUSABLE):
             parts.connections.release(granted.replica.ip, granted.replica.port, connection)
         elif not connection.closed:
-            connection.cancel()
+            self._give_up(connection)
         failed = end in (SendEnd.BROKEN, SendEnd.STALLED)
         if failed and await self._has_lost_path(connection, granted):
             return SendEnd.PATH_LOST
@@ -244,6 +247,7 @@
         )
         self.relay = relay
         self._connection = connection
+        self.undelivered_bytes = None
         progress.sends.runs += 1
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
@@ -303,9 +307,15 @@
                 return relay.ended.result()
             if parts.now() < self._stall_deadline(admission, relay):
                 continue
-            connection.cancel()
+            self._give_up(connection)
             return SendEnd.STALLED
 
+    def _give_up(self, connection: ClientConnection) -> None:
+        """Cancel a send; one that has been cancelled already keeps its record."""
+        undelivered_bytes = connection.cancel()
+        if undelivered_bytes is not None:
+            self.undelivered_bytes = undelivered_bytes
+
     def _stall_deadline(self, admission: Admission, relay: Relay) -> float:
         """Return the time at which a silent replica counts as stalled, on the node's clock."""
         route, sends = admission.route, self._progress.sends
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -13,6 +13,7 @@
 
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 from chalkyoke.http1.upload import Upload
+from chalkyoke.sockets import unacknowledged_bytes
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
@@ -199,11 +200,18 @@
         else:
             upload.start(data, self.transport)
 
-    def cancel(self) -> None:
-        """Abort the connection without any further call to the sink."""
+    def cancel(self) -> int | None:
+        """Abort the connection without any further call to the sink.
+
+        :return: the bytes of the request that the upstream's system has not acknowledged; None if
+            the connection is closed, or the system does not tell.
+        """
+        unacknowledged = unacknowledged_bytes(self.transport)
+        unsent = self.transport.get_write_buffer_size()
         self._sink = None
         self._end_upload()
         self.transport.abort()
+        return None if unacknowledged is None else unsent + unacknowledged
 
     def abort_as_reset(self) -> None:
         """Abort the connection and report the exchange as reset by the upstream.
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -5,7 +5,13 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
+
+# An int of the C language, as ioctl returns it.
+_C_INT = struct.Struct("i")
 
 
 def set_user_timeout(
@@ -46,3 +52,21 @@
     tcp_socket = connection.get_extra_info("socket")
     if tcp_socket is not None:
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def unacknowledged_bytes(connection: asyncio.BaseTransport) -> int | None:
+    """Return the bytes that the operating system has accepted and the peer's has not acknowledged.
+
+    The end of the stream counts as one byte.
+
+    :return: None if the connection is closed, or the system does not tell.
+    """
+    tcp_socket = connection.get_extra_info("socket")
+    if tcp_socket is None or tcp_socket.fileno() < 0:
+        return None
+    try:
+        answer = fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, bytes(_C_INT.size))
+    except OSError:
+        return None
+    found: int = _C_INT.unpack(answer)[0]
+    return found
