--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import re
 import socket
 import time
@@ -76,6 +77,7 @@
         negative for none.
     :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
         load where it is not 0.
+    :ivar ignores_fin: only a reset of its connection ends a request early, not its close.
     """
 
     lose_answers: int = 0
@@ -102,6 +104,7 @@
     silent_until: float = 0.0
     brittle: int = -1
     time_percent: int = 0
+    ignores_fin: bool = False
 
     @property
     def time_factor(self) -> float:
@@ -115,6 +118,8 @@
 
     :ivar client_disconnected: whether the connection was closed while the request ran.
     :ivar at: when the request arrived, in seconds of the replica's clock.
+    :ivar ended_at: when the work ended; infinite while it goes on.
+    :ivar work_s: time that the work takes if nothing ends it early, in seconds.
     :ivar rest_s: the ``Retry-After`` with which the replica rejected the request, in seconds; 0 for
         none.
     """
@@ -125,9 +130,33 @@
     body: bytes
     client_disconnected: bool = False
     at: float = 0.0
+    ended_at: float = math.inf
+    work_s: float = 0.0
     rest_s: float = 0.0
 
 
+class _Reader(asyncio.StreamReader):
+    """A stream reader that tells at once that its connection was closed or reset.
+
+    :ivar closed: set when the peer has closed or reset the connection.
+    :ivar reset: set when it has reset the connection.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit=limit)
+        self.closed = asyncio.Event()
+        self.reset = asyncio.Event()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self.closed.set()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self.closed.set()
+        self.reset.set()
+
+
 @dataclass
 class Replica:
     """One replica.
@@ -185,9 +214,7 @@
         :param advertised_address: the address for the record; empty for the listening address.
         :return: the listening address.
         """
-        self._server = await asyncio.start_server(
-            self._serve_connection, ip, port, limit=self.read_limit_bytes
-        )
+        self._server = await asyncio.get_running_loop().create_server(self._make_protocol, ip, port)
         if self.read_limit_bytes < READ_LIMIT_BYTES:
             listening = self._server.sockets[0]
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.read_limit_bytes)
@@ -197,6 +224,10 @@
         await self.write_record("ready")
         return self.listen_address
 
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = _Reader(self.read_limit_bytes)
+        return asyncio.StreamReaderProtocol(reader, self._serve_connection)
+
     async def write_record(self, state: str) -> None:
         """Set the state and write the replica's record to the store."""
         self.state = state
@@ -254,6 +285,7 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        assert isinstance(reader, _Reader)
         self._writers.add(writer)
         try:
             while True:
@@ -268,7 +300,7 @@
                 writer.close()
 
     async def _handle_request(
-        self, request: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, request: ReceivedRequest, reader: _Reader, writer: asyncio.StreamWriter
     ) -> bool:
         name = request.headers.get("x-request-id", "")
         expected = request.headers.get("x-expect-instance", self.id)
@@ -290,21 +322,47 @@
             # The replica exits before this request gets an answer.
             await asyncio.sleep(2 * self.faults.crash_after_s)
             return False
-        if self.engine:
-            try:
-                return await self._stream_events(name, request, writer)
-            except ConnectionError:
-                request.client_disconnected = True
-                return False
-        work_s = self.faults.work_s * self.faults.time_factor
+        return await self._work(name, request, reader, writer)
+
+    async def _work(
+        self, name: str, request: ReceivedRequest, reader: _Reader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run and answer a request, until its end or that of its connection.
+
+        :return: whether the connection can carry another request.
+        """
+        answering = asyncio.ensure_future(
+            self._stream_events(name, request, writer)
+            if self.engine
+            else self._answer(name, request, writer)
+        )
+        # A connection that was closed together with its request ends the work as well.
+        ends = reader.reset if self.faults.ignores_fin else reader.closed
+        ended = asyncio.ensure_future(ends.wait())
+        try:
+            await asyncio.wait((answering, ended), return_when=asyncio.FIRST_COMPLETED)
+            if answering.done():
+                return answering.result()
+            request.client_disconnected = True
+            return False
+        except ConnectionError:
+            request.client_disconnected = True
+            return False
+        finally:
+            request.ended_at = self.now()
+            answering.cancel()
+            ended.cancel()
+
+    async def _answer(
+        self, name: str, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run a plain request and answer it."""
+        request.work_s = work_s = self.faults.work_s * self.faults.time_factor
         if self.faults.queue < 0:
             await asyncio.sleep(work_s)
         else:
             await self.slot_use.run(work_s)
         await self._wait_while_silent()
-        if reader.at_eof():
-            request.client_disconnected = True
-            return False
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return False
@@ -373,6 +431,7 @@
         first = int(after) + 1 if after.isdigit() else 0
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
         framed = not self.faults.unframed
+        request.work_s = (self.events - first) * self.faults.event_s * self.faults.time_factor
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"} if framed else head)
         for number in range(first, self.events):
             await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -116,6 +116,9 @@
                     await asyncio.sleep(POLL_S)
                 if writer in self._silent:
                     continue
+                if (lost := reader.exception()) is not None:
+                    # What a link holds up is lost if its sender resets the connection.
+                    raise lost
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
