A request that is given up is not delivered after its end

What callers saw: replicas got requests seconds after their callers had left, or worked on at them. Cause: a send was given up by aborting its transport. That closes the socket in the usual manner, so the system went on to deliver what it had accepted, however long a link or a slow replica held it up; and a replica that takes no FIN for an end worked on until it failed to write.

Now the stream is ended by a FIN, and the connection is reset 0.2 s later, or at once where a part of the request is still here or the replica sends on. The reset drops what has not arrived. It is sent once only, so while nothing but the FIN is unacknowledged (a broken link), the system may repeat the FIN for up to 2.5 s. The same goes for the end of a tunnel at its replica, for calls to the store, and for uploads that an answer has cut short.

Ruled out: that callers' closes reach the host late (resets, unread answers and uploads were within the bounds before).

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -23,7 +23,7 @@
 from chalkyoke_fakes.children import REPLICA_ADDRESS_NUMBER, own_address, spawn
 from chalkyoke_fakes.fleet import FLEET_KEY_HEX
 from chalkyoke_fakes.metastore import MetaStore
-from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.replica import READ_LIMIT_BYTES, Replica
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
@@ -146,6 +146,7 @@
     :ivar memory: the ``memory`` section of the settings of all nodes.
     :ivar features: features of the pools' policy that nodes of this build switch on.
     :ivar plain_services: the setting ``scheduling.plain_services`` of all nodes.
+    :ivar read_limit_bytes: bytes of a request that a replica receives before it reads them.
     """
 
     def __init__(self, folder: Path, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
@@ -158,6 +159,7 @@
         self.memory: dict[str, Any] = {}
         self.features: list[str] = []
         self.plain_services = "auto"
+        self.read_limit_bytes = READ_LIMIT_BYTES
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -217,6 +219,7 @@
 
         :param more: further fields of the replica.
         """
+        more = {"read_limit_bytes": self.read_limit_bytes, **more}
         replica = Replica(name, service, zone, self.store, engine, version=version, **more)
         await replica.start(own_address(REPLICA_ADDRESS_NUMBER), port)
         self.replicas[name] = replica
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from chalkyoke.http1.discard import Discard
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 from chalkyoke.http1.upload import Upload
 from chalkyoke.sockets import unacknowledged_bytes
@@ -82,6 +83,7 @@
         self._bodiless = False
         self._upload: Upload | None = None
         self._unusable = False
+        self._discard: Discard | None = None
         self._parser = httptools.HttpResponseParser(self)
         self.idle_since = self.active_at = self.heard_at = self._loop.time()
         self.keep_alive_s = 0.0
@@ -137,6 +139,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or abort the connection when no request is in progress."""
         self.active_at = self.heard_at = self._loop.time()
+        if self._discard is not None:
+            # The upstream still works on a request that was given up.
+            self._discard.reset()
+            return
         if self._sink is None:
             self._unusable = True
             self.transport.abort()
@@ -162,7 +168,7 @@
     def retire(self) -> None:
         """Let the exchange in progress end, then carry no other request."""
         self._unusable = True
-        if not self.is_busy and not self.closed:
+        if not self.is_busy and not self.closed and self._discard is None:
             self.transport.close()
 
     @property
@@ -201,7 +207,7 @@
             upload.start(data, self.transport)
 
     def cancel(self) -> int | None:
-        """Abort the connection without any further call to the sink.
+        """Give up the request in progress, without any further call to the sink.
 
         :return: the bytes of the request that the upstream's system has not acknowledged; None if
             the connection is closed, or the system does not tell.
@@ -210,16 +216,16 @@
         unsent = self.transport.get_write_buffer_size()
         self._sink = None
         self._end_upload()
-        self.transport.abort()
+        self._discard_connection()
         return None if unacknowledged is None else unsent + unacknowledged
 
     def abort_as_reset(self) -> None:
-        """Abort the connection and report the exchange as reset by the upstream.
+        """Give up the request in progress, and report it as reset by the upstream.
 
         This is for an upstream whose process has ended without closing its connections.
         """
         self._break_exchange(BreakReason.RESET)
-        self.transport.abort()
+        self._discard_connection()
 
     def pause(self) -> None:
         """Pause reading."""
@@ -302,8 +308,7 @@
         self.idle_since = self._loop.time()
         if self._upload is not None and not self._upload.is_complete:
             # The upstream still expects the rest of the body.
-            self._unusable = True
-            self.transport.abort()
+            self._discard_connection().reset()
         self._end_upload()
         if not self.closed:
             self._update_keep_alive()
@@ -327,7 +332,13 @@
 
     def _abort_garbled(self) -> None:
         self._break_exchange(BreakReason.GARBLED)
-        self.transport.abort()
+        self._discard_connection().reset()
+
+    def _discard_connection(self) -> Discard:
+        self._unusable = True
+        if self._discard is None:
+            self._discard = Discard(self.transport)
+        return self._discard
 
     def _break_exchange(self, how: BreakReason) -> None:
         sink, self._sink = self._sink, None
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -139,8 +139,7 @@
         """Return a connection to the pool after its exchange, or close it if it can't be reused."""
         entry = self._addresses.get((ip, port))
         if entry is None or not connection.reusable:
-            if not connection.closed:
-                connection.transport.close()
+            connection.retire()
             return
         entry.idle_connections.append(connection)
 
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -12,6 +12,8 @@
 
 # An int of the C language, as ioctl returns it.
 _C_INT = struct.Struct("i")
+# SO_LINGER with a timeout of 0 s: closing the socket sends a reset and discards unsent data.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def set_user_timeout(
@@ -70,3 +72,10 @@
         return None
     found: int = _C_INT.unpack(answer)[0]
     return found
+
+
+def reset_when_closed(connection: asyncio.BaseTransport) -> None:
+    """Make the operating system reset the connection, and drop unsent bytes, when it is closed."""
+    tcp_socket = connection.get_extra_info("socket")
+    if tcp_socket is not None and tcp_socket.fileno() >= 0:
+        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from chalkyoke.exceptions import LinkError
+from chalkyoke.http1.discard import Discard
 from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.http1.pool import USER_TIMEOUT_MS
 from chalkyoke.links.connection import Connection
@@ -35,6 +36,7 @@
     def __init__(self, account: MemoryAccount) -> None:
         self._account = account
         self._charge = account.open(Purpose.TUNNELS)
+        self._discard: Discard | None = None
         self.closed = asyncio.Event()
         self.other: TunnelEnd | None = None
         self.transport: asyncio.Transport
@@ -45,7 +47,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Write bytes to the other end."""
-        if self.other is None:
+        if self._discard is not None:
+            # The replica still works on a request that was given up.
+            self._discard.reset()
+        elif self.other is None:
             self.transport.abort()
         else:
             self.other.transport.write(data)
@@ -80,13 +85,21 @@
         else:
             self.transport.close()
 
+    def discard(self) -> None:
+        """Close this end, and drop what was written to it and has not arrived."""
+        if self._discard is None:
+            self._discard = Discard(self.transport)
+
 
 class CallingEnd(TunnelEnd):
     """The end at the host that has asked for the tunnel."""
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the tunnel; what was not yet written to the replica has no reader any more."""
-        super().connection_lost(exc or ConnectionResetError())
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """End the tunnel; nobody reads the answer to what the replica has not received yet."""
+        self._charge.release()
+        self.closed.set()
+        if self.other is not None:
+            self.other.discard()
 
 
 class TunnelServer:
@@ -186,4 +199,4 @@
             await calling_end.closed.wait()
         finally:
             del self.tunnels[calling_end]
-            replica_end.transport.abort()
+            replica_end.discard()
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -8,7 +8,13 @@
 import pytest
 from chalkyoke_fakes.leaving import Leave
 
-from tests.leavingcallers import measure
+from tests.leavingcallers import WORK_S, measure
+
+# Large enough that a slow replica has read only a part when the caller leaves, and that the system
+# does not take the whole body from the node at once.
+BODY_BYTES = 90_000
+SLOW_BYTES_PER_S = 60_000.0
+READ_LIMIT_BYTES = 16_384
 
 
 def check(found):
@@ -25,3 +31,12 @@
 
 def test_requests_on_links_that_hold_bytes_up_do_not_arrive_after_their_callers_left():
     check(measure([Leave.CLOSE], held=True))
+
+
+def test_requests_at_replicas_that_read_slowly_do_not_arrive_after_their_callers_left():
+    slow = {"read_limit_bytes": READ_LIMIT_BYTES, "read_bytes_per_s": SLOW_BYTES_PER_S}
+    check(measure([Leave.CLOSE], body_bytes=BODY_BYTES, **slow))
+
+
+def test_replicas_that_ignore_a_fin_do_not_work_on_for_callers_that_left():
+    check(measure([Leave.CLOSE], ignores_fin=True, event_s=WORK_S))
