A caller's close is noticed on connections that are not read

What callers saw: 40 requests sent on one connection that was then closed went on to replicas one after the other. Cause: at 16 waiting requests a connection is not read any more, and the event loop notices the end of a connection only when it reads. Tunnels had the same gap while a replica read slowly, and a host that was late read a request together with its caller's close, sent it, and looked at the close in the next turn of the loop.

Now a connection that is not read is checked for a hangup ten times a second (POLLRDHUP tells of it behind unread bytes), and each request once more right before it is sent. A close also ends the request in progress at once where an earlier answer is still unsent; it waited for that answer before.

Reaching a late host by itself was not played with real processes (unit test).

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -91,6 +91,7 @@
         self._fields = fields
         self._delivery = delivery
         self._progress = progress
+        self._response = response
         self._is_held_back = is_held_back
         self._connection: ClientConnection | None = None
         self.relay: Relay | None = None
@@ -139,6 +140,12 @@
             parts.connections.release(granted.replica.ip, granted.replica.port, connection)
             self._return_trial(admission, granted)
             return None
+        if self._response.check_caller_left():
+            # A host that is late reads a request and its caller's close at the same time.
+            parts.connections.release(granted.replica.ip, granted.replica.port, connection)
+            self._return_trial(admission, granted)
+            await asyncio.sleep(0)  # The task of the request has been cancelled.
+            return None
         relay = self._dispatch(admission, granted, connection)
         try:
             end = await self._wait_for_end(admission, granted, connection, relay)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -79,6 +79,9 @@
 class Answering:
     status = None
 
+    def check_caller_left(self):
+        return False
+
     def send_head(self, head, data=b""):
         self.status = head.status
 
@@ -241,6 +244,34 @@
     virtual.run(main)
 
 
+def test_a_request_is_not_sent_if_its_caller_has_closed_and_the_close_is_not_read_yet():
+    """A host that was late sent it, and looked at the close afterwards."""
+
+    async def main():
+        released = []
+
+        async def acquire(*_, **__):
+            return Granted(REPLICA, 1, Source.LOCAL)
+
+        async def connect(*_, **__):
+            return SilentConnection()
+
+        exchange, _, response = exchange_with(acquire, connect)
+        exchange._parts.connections.release = lambda *_: released.append(True)
+
+        def check_caller_left():
+            exchange.caller_left()
+            return True
+
+        response.check_caller_left = check_caller_left
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        await asyncio.gather(exchange.task, return_exceptions=True)
+        assert exchange._progress.sends.arrivals == 0
+        assert released == [True] and response.status is None
+
+    virtual.run(main)
+
+
 def test_a_send_that_reaches_the_deadline_leaves_no_connection_open():
     """The replica went on with a request that nobody waited for, on a connection that was lost."""
 
--- a/packages/chalkyoke/src/chalkyoke/http1/response.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/response.py
@@ -48,6 +48,12 @@
     def abort(self) -> None:
         """Abort the connection and discard unsent bytes."""
 
+    def check_caller_left(self) -> bool:
+        """Return whether the caller has closed its side, even if that has not been read yet.
+
+        The handler of the request in progress is then told before the return.
+        """
+
 
 class ResponseWriter:
     """Write the answer to one request.
@@ -72,6 +78,13 @@
         """Bytes of answers that the caller has not taken yet, where memory is accounted; else 0."""
         return self._connection.unsent_bytes
 
+    def check_caller_left(self) -> bool:
+        """Return whether the caller has closed its side, even if that has not been read yet.
+
+        The handler of the request is then told before the return.
+        """
+        return self._connection.check_caller_left()
+
     def send_head(self, head: AnswerHead, data: bytes = b"") -> None:
         """Send the head together with the first bytes of the body."""
         if self.finished:
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from chalkyoke.hangups import HangupWatch, has_hung_up
 from chalkyoke.http1.incoming import IncomingRequest, ServerLimits, WaitingRequest
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
@@ -90,6 +91,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
         self._unsent = self._memory.watch(self.transport)
+        self._hangups = HangupWatch(self.transport, self._leave)
         self._on_opened()
         self._set_timer(self._limits().idle_timeout_s)
 
@@ -97,17 +99,38 @@
         """Notify the handler in progress that the caller has disconnected."""
         self._connections.discard(self)
         self._cancel_timer()
+        self._hangups.stop()
         self._release_memory()
+        self._cancel_handler()
+
+    def eof_received(self) -> bool:
+        """Close the connection when the caller closes its side.
+
+        Answers that are complete are still sent. The request in progress ends now, since a caller
+        that does not read could hold up the close.
+        """
+        self._cancel_handler()
+        return False
+
+    def check_caller_left(self) -> bool:
+        """Return whether the caller has closed its side, even if that has not been read yet."""
+        if not self.transport.is_closing() and has_hung_up(self.transport):
+            self._leave()
+        return self.transport.is_closing()
+
+    def _leave(self) -> None:
+        """Handle that the caller has closed its side, although it was not read up to its end."""
+        self._ignores_input = True
+        self._cancel_handler()
+        self.transport.close()
+
+    def _cancel_handler(self) -> None:
         handler, self._handler = self._handler, None
         if handler is not None:
             if self._response_writer is not None:
                 self._response_writer.finished = True
             handler.caller_left()
 
-    def eof_received(self) -> bool:
-        """Close the connection when the caller closes its side."""
-        return False
-
     def pause_writing(self) -> None:
         """Pause the handler while the caller reads too slowly."""
         self._writing_paused = True
@@ -223,6 +246,7 @@
         elif len(self._waiting_requests) >= MAX_PIPELINED_REQUESTS:
             self._reading_paused = True
             self.transport.pause_reading()
+            self._hangups.start()
 
     def _reset_message(self) -> None:
         self._in_message = False
@@ -244,6 +268,7 @@
         self._kept_charge = waiting.body_charge
         if self._reading_paused and len(self._waiting_requests) < MAX_PIPELINED_REQUESTS:
             self._reading_paused = False
+            self._hangups.stop()
             self.transport.resume_reading()
         self.closes_after_answer = not waiting.keep_alive or self.stopping
         self._response_writer = ResponseWriter(self, waiting.request.method == b"HEAD")
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -1,10 +1,13 @@
 import asyncio
 
 import pytest
+from chalkyoke import hangups
+from chalkyoke.hangups import CHECK_INTERVAL_S
+from chalkyoke.http1 import server
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.http1.server import LINGER_S, ServerConnection
+from chalkyoke.http1.server import LINGER_S, MAX_PIPELINED_REQUESTS, ServerConnection
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.stopped import STOPPED_AFTER_S
 
@@ -370,3 +373,42 @@
         assert caller.handlers[1].readable == [False]
 
     run(check)
+
+
+def test_requests_of_a_caller_that_left_are_not_started_though_its_close_is_unread(monkeypatch):
+    """Reading had stopped at the number of waiting requests; all of them were sent in turn."""
+
+    async def main():
+        caller = Caller()
+        await caller.send(GOOD * (MAX_PIPELINED_REQUESTS + 1))
+        assert not caller.transport.reading
+        monkeypatch.setattr(hangups, "has_hung_up", lambda _: True)
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        assert caller.handlers[0].left and caller.transport.closed
+        await caller.answer(0)
+        assert len(caller.requests) == 1
+
+    run(main)
+
+
+def test_a_close_that_is_not_read_yet_ends_the_request_when_it_is_looked_for(monkeypatch):
+    async def main():
+        caller = Caller()
+        await caller.send(GOOD)
+        _, writer = caller.requests[0]
+        assert not writer.check_caller_left() and not caller.handlers[0].left
+        monkeypatch.setattr(server, "has_hung_up", lambda _: True)
+        assert writer.check_caller_left() and caller.handlers[0].left
+
+    run(main)
+
+
+def test_a_close_ends_the_request_in_progress_although_an_earlier_answer_is_unsent():
+    async def main():
+        caller = Caller()
+        await caller.send(GOOD)
+        caller.transport.unsent = 1_000
+        assert not caller.connection.eof_received()
+        assert caller.handlers[0].left
+
+    run(main)
--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from chalkyoke.exceptions import LinkError
+from chalkyoke.hangups import HangupWatch
 from chalkyoke.http1.discard import Discard
 from chalkyoke.http1.memory import SYSTEM_UNSENT_BYTES
 from chalkyoke.http1.pool import USER_TIMEOUT_MS
@@ -58,14 +59,24 @@
     def pause_writing(self) -> None:
         """Stop reading at the other end, as this end is read too slowly."""
         self._charge.resize(self.transport.get_write_buffer_size() + self._account.unread_bound)
-        if self.other is not None and not self.other.transport.is_closing():
-            self.other.transport.pause_reading()
+        if self.other is not None:
+            self.other.pause_reading()
 
     def resume_writing(self) -> None:
         """Read at the other end again."""
         self._charge.release()
-        if self.other is not None and not self.other.transport.is_closing():
-            self.other.transport.resume_reading()
+        if self.other is not None:
+            self.other.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Read no more from this end's peer."""
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read from this end's peer again."""
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Close this end when its peer closes it."""
@@ -94,8 +105,24 @@
 class CallingEnd(TunnelEnd):
     """The end at the host that has asked for the tunnel."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        super().connection_made(transport)
+        self._hangups = HangupWatch(transport, self.transport.abort)
+
+    def pause_reading(self) -> None:
+        """Read no more from the host, but notice that it closes the tunnel."""
+        super().pause_reading()
+        self._hangups.start()
+
+    def resume_reading(self) -> None:
+        """Read from the host again."""
+        self._hangups.stop()
+        super().resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """End the tunnel; nobody reads the answer to what the replica has not received yet."""
+        self._hangups.stop()
         self._charge.release()
         self.closed.set()
         if self.other is not None:
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -40,3 +40,8 @@
 
 def test_replicas_that_ignore_a_fin_do_not_work_on_for_callers_that_left():
     check(measure([Leave.CLOSE], ignores_fin=True, event_s=WORK_S))
+
+
+@pytest.mark.parametrize("body_bytes", [0, 2_000])
+def test_pipelined_requests_are_not_sent_after_their_caller_left(body_bytes):
+    check(measure([Leave.PIPELINED], body_bytes=body_bytes))
