Completions front: a request that is given up is not delivered by and by

Connections to upstreams are now reset when they are given up; the cancelling call that follows reaches an upstream that has the request already. Also a test for tunnels whose upstream reads nothing, which fails without the check of connections that are not read.

--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
@@ -11,6 +11,7 @@
 from chalkyoke.links.connection import Identity
 from chalkyoke.links.peers import Links
 from chalkyoke.memory.account import MemoryAccount
+from chalkyoke.sockets import set_user_timeout
 from chalkyoke.tunnels.dialer import MAX_SILENCE_S, FleetDialer
 from chalkyoke.tunnels.messages import TUNNEL_MESSAGES, TunnelOutcome, TunnelRequest
 from chalkyoke.tunnels.opener import TunnelOpener
@@ -195,6 +196,48 @@
     run_hosts(check, Upstream(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"), Upstream())
 
 
+class SilentUpstream:
+    """An upstream that accepts a connection and does not read from it."""
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.lost = loop.create_future()
+        self._server = await loop.create_server(lambda: self, IP, 0)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def connection_made(self, transport):
+        self.transport = transport
+        transport.pause_reading()
+
+    def connection_lost(self, exc):
+        self.lost.set_result(exc)
+
+    def eof_received(self):
+        return False
+
+    def data_received(self, data):
+        pass
+
+
+def test_a_tunnel_whose_upstream_reads_nothing_ends_with_its_request():
+    """The host on the way had stopped to read from the tunnel, and did not notice its end."""
+
+    async def check(entry, helper, upstream, _):
+        connection = await entry.connect(upstream.address)
+        request = b"POST / HTTP/1.1\r\n\r\n" + bytes(20_000_000)
+        connection.send(request, Answer(), lambda headers: True)
+        (tunnel,) = helper.server.tunnels
+        # The system would close the tunnel after some seconds.
+        set_user_timeout(tunnel.other.transport, 0)
+        await wait_until(lambda: not tunnel.transport.is_reading())
+        connection.cancel()
+        await wait_until(lambda: not helper.server.tunnels)
+        upstream.transport.resume_reading()
+        assert isinstance(await upstream.lost, ConnectionResetError)
+
+    run_hosts(check, SilentUpstream(), Upstream())
+
+
 def test_an_answer_without_a_length_is_incomplete_where_the_host_on_the_way_may_have_ended_it():
     async def check(entry, helper, upstream, _):
         answer = send_request(await entry.connect(upstream.address))
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -5,16 +5,19 @@
 connection is established and before the first byte is written, so a failed connect is no dispatch.
 """
 
+import functools
 import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
 
 from chalkyoke.exceptions import ChalkyokeError
 from chalkyoke.retry_after import parse_retry_after
 from chalkyoke.scheduling.messages import CacheEvent, LoadReport
+from chalkyoke.sockets import reset_when_closed
 from chalkyoke.upstreams.messages import (
     CallOutcome,
     Declined,
@@ -61,14 +64,39 @@
     return trace
 
 
+class _ResettingHandler(ResponseHandler):
+    """The protocol of a connection that is reset, and not closed, when it is given up.
+
+    A plain close would first deliver the rest of a request that nobody waits for any more. If the
+    reset is lost, the upstream still hears of the cancellation by a call of its own.
+    """
+
+    def close(self) -> None:
+        """Reset the connection and drop unsent data."""
+        transport = self.transport
+        if transport is not None:
+            reset_when_closed(transport)
+            transport.abort()
+        super().close()
+
+
+class _UpstreamConnector(aiohttp.TCPConnector):
+    """Opens connections that are reset when they are given up."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False, family=socket.AF_INET
+        )
+        handler: type[ResponseHandler] = _ResettingHandler
+        self._factory = functools.partial(handler, loop=self._loop)
+
+
 def make_session() -> aiohttp.ClientSession:
     """Create the HTTP session for upstreams, with dispatch gates and without a total timeout.
 
     :rtype: aiohttp.ClientSession
     """
-    connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False, family=socket.AF_INET
-    )
+    connector = _UpstreamConnector()
     return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[dispatch_trace()],
