Soak: callers that leave

Two callers a second leave after 0.3 s, by a close, a reset, with their answer unread or in the middle of a body, while their requests would run for 1.5 s. A new checker counts, from what callers and replicas saw, requests that reach a replica over 0.5 s later and work that goes on, where neither the node nor the replica or the link to it had a fault in the 4 s before. Planted violations turn it red; a fault of the node or the replica excuses them.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/leaving.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/leaving.py
@@ -13,7 +13,7 @@
 from enum import StrEnum
 
 from chalkyoke_fakes.platformfleet import HOST, KEY
-from chalkyoke_fakes.replica import Replica
+from chalkyoke_fakes.replica import WORK_HEADER, Replica
 from chalkyoke_fakes.resets import reset_connection
 
 # Time after a caller's close by which its request must have been given up, in seconds.
@@ -27,6 +27,7 @@
 SMALL_RECEIVE_BUFFER = 4_096
 # Number of requests that a pipelining caller sends on its connection.
 PIPELINED_REQUESTS = 40
+DEADLINE_MS = 8_000
 # Path prefix of the stand-in's requests that must not be repeated; their work may go on without
 # their callers.
 ONCE_PREFIX = "/book/"
@@ -79,15 +80,16 @@
 
 
 def encode_request(
-    name: str, method: str, path: str, body: bytes = b"", *, deadline_s: float = 8.0
+    name: str, method: str, path: str, body: bytes = b"", *, work_s: float = 0.0
 ) -> bytes:
     """Encode a request.
 
     :param name: id of the request.
+    :param work_s: shortest time that it runs at a replica, in seconds.
     """
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\n"
-        f"X-Deadline-Ms: {deadline_s * 1000:.0f}\r\nX-Credential: {KEY}\r\n"
+        f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Credential: {KEY}\r\n{WORK_HEADER}: {work_s}\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -27,6 +27,8 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
 # Header of a plain request that asks for an answer of at least that many bytes.
 ANSWER_BYTES_HEADER = "x-answer-bytes"
+# Header of a request whose work takes at least that many seconds.
+WORK_HEADER = "x-work-s"
 # Size of the parts in which a slow replica reads a request body, in bytes.
 SLOW_PART_BYTES = 4_096
 REASON_PHRASES = {
@@ -355,7 +357,8 @@
         self, name: str, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         """Run a plain request and answer it."""
-        request.work_s = work_s = self.faults.work_s * self.faults.time_factor
+        usual_s = self.faults.work_s * self.faults.time_factor
+        request.work_s = work_s = max(usual_s, _asked_work_s(request))
         if self.faults.queue < 0:
             await asyncio.sleep(work_s)
         else:
@@ -429,10 +432,12 @@
         first = int(after) + 1 if after.isdigit() else 0
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
         framed = not self.faults.unframed
-        request.work_s = (self.events - first) * self.faults.event_s * self.faults.time_factor
+        usual_s = self.faults.event_s * self.faults.time_factor
+        event_s = max(usual_s, _asked_work_s(request) / self.events)
+        request.work_s = (self.events - first) * event_s
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"} if framed else head)
         for number in range(first, self.events):
-            await asyncio.sleep(self.faults.event_s * self.faults.time_factor)
+            await asyncio.sleep(event_s)
             await self._wait_while_silent()
             if writer.transport.is_closing():
                 request.client_disconnected = True
@@ -494,6 +499,10 @@
     return {each.partition(":")[0] for each in listed[:-1]}
 
 
+def _asked_work_s(request: ReceivedRequest) -> float:
+    return float(request.headers.get(WORK_HEADER, "0"))
+
+
 async def _read_request(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, bytes_per_s: float = 0.0
 ) -> ReceivedRequest | None:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from chalkyoke_fakes.soak.departures import left_requests_end
 from chalkyoke_fakes.soak.limits import describe_exceeded_windows
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
@@ -92,6 +93,7 @@
 def runs_have_a_caller(observations: Observations) -> list[Violation]:
     """Check that each request that a replica ran was sent by a caller."""
     sent = {each.request for each in observations.attempts}
+    sent |= {each.request for each in observations.left_requests}
     return [
         Violation("asked for", f"{each.request} ran at {each.replica}")
         for each in observations.runs
@@ -388,11 +390,13 @@
     crashing_parts_are_held_back,
     sound_prompts_are_served,
     focused_nodes_serve,
+    left_requests_end,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
 # Old builds ignore the announcements in answers, the versions of replicas and the parts of prompts,
-# so these promises do not hold for a mixed fleet.
+# and close the connections of requests that they give up, so these promises do not hold for a mixed
+# fleet.
 NEW_VERSION_CHECKERS = (
     drains_survive_store_restores,
     leaving_answers_are_respected,
@@ -402,6 +406,7 @@
     resumed_streams_go_on,
     crashing_parts_are_held_back,
     sound_prompts_are_served,
+    left_requests_end,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -4,6 +4,7 @@
 The records of a run, from callers, replicas and logs. All times are seconds since the run began.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -107,6 +108,8 @@
     """One run of a request at a replica.
 
     :param parts: the shared parts of the prompt.
+    :param ended: when the replica's work ended; infinite if it goes on.
+    :param work_s: time that the work takes if nothing ends it early, in seconds.
     """
 
     request: str
@@ -116,6 +119,20 @@
     at: float
     body: bytes = b""
     parts: frozenset[str] = frozenset()
+    ended: float = math.inf
+    work_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeftRequest:
+    """A request whose caller left before the answer.
+
+    :param at: when the caller's close reached the node.
+    """
+
+    request: str
+    node: str
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +203,7 @@
     :ivar restore_times: when the store had been restored from a snapshot and its writers had
         written the lost records again.
     :ivar streams: the events of a complete stream, by the version that writes it.
+    :ivar left_requests: requests whose callers left.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -204,3 +222,4 @@
     crashing_bodies: int = 0
     crashing_parts: list[str] = field(default_factory=list)
     focus_periods: list[FocusPeriod] = field(default_factory=list)
+    left_requests: list[LeftRequest] = field(default_factory=list)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import random
@@ -13,6 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from chalkyoke_fakes.leaving import Leave, encode_request, leave_node
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
@@ -22,6 +24,7 @@
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
     Kind,
+    LeftRequest,
     Observations,
     Quota,
     Rejection,
@@ -51,6 +54,11 @@
 # The first part of all prompts, and the number of subjects that they share beside it.
 FIRST_PART = "5a5a"
 SUBJECTS = 6
+# Callers that leave, in a second; the time after which they leave, in seconds, and the time for
+# which their requests would run at replicas.
+LEAVING_PER_S = 2.0
+LEAVES_AFTER_S = 0.3
+LEFT_WORK_S = 1.5
 # Share of new connections that callers open to a preferred node.
 PREFERRED_SHARE = 0.9
 # Number of callers that read slowly at a time, the size of their answers in bytes, and the time
@@ -194,6 +202,7 @@
             self._prefer_node,
         )
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
+        leaving = asyncio.create_task(self._run_leaving_callers(self._config.seconds))
         steps = draw_faults(
             self._seed,
             self._config.seconds - 2.0,
@@ -209,6 +218,7 @@
             await asyncio.sleep(max(0.0, step.at - self.elapsed_s()))
             injections.append(asyncio.create_task(injector.inject_fault(step)))
         await callers
+        await leaving
         await asyncio.gather(*self._extra_callers)
         await asyncio.gather(*self._slow_readers)
         await asyncio.gather(*injections)
@@ -240,6 +250,28 @@
             await asyncio.sleep(self._random.expovariate(1.0 / pause))
         await asyncio.gather(*tasks)
 
+    async def _run_leaving_callers(self, seconds: float) -> None:
+        """Send requests whose callers leave, of kinds that end with their callers."""
+        rng = random.Random(f"leaving {self._seed}")
+        ways = [each for each in Leave if each is not Leave.PIPELINED]
+        paths = [path for path, kind in KIND_BY_PATH.items() if kind is not Kind.ONCE]
+        tasks: list[asyncio.Task[None]] = []
+        while self.elapsed_s() < seconds:
+            node, path = rng.choice(list(self._fleet.nodes)), rng.choice(paths)
+            tasks.append(asyncio.create_task(self._leave(node, path, rng.choice(ways))))
+            await asyncio.sleep(rng.expovariate(LEAVING_PER_S))
+        await asyncio.gather(*tasks)
+
+    async def _leave(self, node: str, path: str, how: Leave) -> None:
+        name = f"left{self._seed}-{next(self._numbers)}"
+        method = "GET" if KIND_BY_PATH[path] is Kind.REPEATABLE else "POST"
+        request = encode_request(name, method, path, b"{}", work_s=LEFT_WORK_S)
+        # A node that is down may have received the request all the same.
+        with contextlib.suppress(OSError):
+            await leave_node(self._fleet.nodes[node].callers, {name: request}, LEAVES_AFTER_S, how)
+        left = LeftRequest(name, node, self.elapsed_s())
+        self.observations.left_requests.append(left)
+
     def _start_crashing_caller(self, body: bytes, seconds: float) -> None:
         self._extra_callers.append(
             asyncio.create_task(self._repeat_crashing_request(body, seconds))
@@ -444,6 +476,8 @@
                         received.at - self._began,
                         received.body,
                         frozenset(shared_parts(received)),
+                        received.ended_at - self._began,
+                        received.work_s,
                     )
                 )
         for name in self._fleet.nodes:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     FaultPeriod,
     FocusPeriod,
     Kind,
+    LeftRequest,
     LimitPeriod,
     Observations,
     Quota,
@@ -231,6 +232,20 @@
     observations.runs.append(make_run("hidden", 34.3))
 
 
+def run_on_for_callers_that_left(observations):
+    for number in range(4):
+        name = f"left{number}"
+        observations.left_requests.append(LeftRequest(name, "n1", 40.3))
+        observations.runs.append(replace(make_run(name, 40.1), ended=41.6, work_s=1.5))
+
+
+def send_requests_of_callers_that_left(observations):
+    for number in range(4):
+        name = f"left{number}"
+        observations.left_requests.append(LeftRequest(name, "n1", 40.3))
+        observations.runs.append(make_run(name, 42.0))
+
+
 VIOLATIONS = [
     (run_twice, checkers.runs_once),
     (run_a_rejected_request, checkers.not_run_answers_are_true),
@@ -254,6 +269,8 @@
     (send_after_a_leaving_answer, checkers.leaving_answers_are_respected),
     (send_during_retry_after, checkers.retry_after_is_respected),
     (exceed_a_replica_limit, checkers.replica_limits_are_respected),
+    (run_on_for_callers_that_left, checkers.left_requests_end),
+    (send_requests_of_callers_that_left, checkers.left_requests_end),
     (never_recover, checkers.service_recovers),
 ]
 
@@ -297,6 +314,19 @@
     assert checkers.resumed_streams_go_on(observations) == []
 
 
+@pytest.mark.parametrize(
+    ("fault", "target"),
+    [(Fault.NODE_FREEZE, "n1"), (Fault.ALL_KILL, ""), (Fault.REPLICA_SILENT, "m")],
+)
+def test_a_fault_of_the_node_or_the_replica_excuses_work_for_callers_that_left(fault, target):
+    observations = make_sound_run()
+    run_on_for_callers_that_left(observations)
+    observations.runs = [replace(each, replica="m-1") for each in observations.runs]
+    assert checkers.left_requests_end(observations)
+    observations.faults.append(FaultPeriod(fault, target, 39.0, 39.5))
+    assert not checkers.left_requests_end(observations)
+
+
 def test_a_drain_near_a_store_outage_is_not_a_violation():
     observations = make_sound_run()
     send_to_a_draining_replica(observations)
