--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -136,15 +136,12 @@
             self._return_trial(admission, granted)
             has_path = connection is not ConnectFailure.NO_PATH
             return SendEnd.NOT_CONNECTED if has_path else SendEnd.NO_PATH
-        if not self._may_send(admission, granted):
+        # A host that is late may not have read its caller's close yet.
+        if not self._may_send(admission, granted) or self._response.check_caller_left():
             parts.connections.release(granted.replica.ip, granted.replica.port, connection)
             self._return_trial(admission, granted)
-            return None
-        if self._response.check_caller_left():
-            # A host that is late reads a request and its caller's close at the same time.
-            parts.connections.release(granted.replica.ip, granted.replica.port, connection)
-            self._return_trial(admission, granted)
-            await asyncio.sleep(0)  # The task of the request has been cancelled.
+            # The task has been cancelled if the caller has left.
+            await asyncio.sleep(0)
             return None
         relay = self._dispatch(admission, granted, connection)
         try:
--- a/packages/chalkyoke/src/chalkyoke/hangups.py
+++ b/packages/chalkyoke/src/chalkyoke/hangups.py
@@ -10,13 +10,16 @@
 
 # Interval at which connections that are not read are checked, in seconds.
 CHECK_INTERVAL_S = 0.1
-# Events by which the system tells that a peer has closed its side or reset the connection, also
-# while bytes before its close are unread.
-HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# Events by which the system tells that a peer has closed its side or reset the connection. Some
+# systems lack the one for a closed side, and tell of a reset only.
+HANGUP_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 
 
 def has_hung_up(connection: asyncio.BaseTransport) -> bool:
-    """Return whether the peer of an open connection has closed its side or reset it."""
+    """Return whether the peer of an open connection has closed its side or reset it.
+
+    Bytes that arrived before may still be unread.
+    """
     tcp_socket = connection.get_extra_info("socket")
     if tcp_socket is None or tcp_socket.fileno() < 0:
         return False
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -91,7 +91,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
         self._unsent = self._memory.watch(self.transport)
-        self._hangups = HangupWatch(self.transport, self._leave)
+        self._hangups = HangupWatch(self.transport, self._close_after_hangup)
         self._on_opened()
         self._set_timer(self._limits().idle_timeout_s)
 
@@ -115,10 +115,10 @@
     def check_caller_left(self) -> bool:
         """Return whether the caller has closed its side, even if that has not been read yet."""
         if not self.transport.is_closing() and has_hung_up(self.transport):
-            self._leave()
+            self._close_after_hangup()
         return self.transport.is_closing()
 
-    def _leave(self) -> None:
+    def _close_after_hangup(self) -> None:
         """Handle that the caller has closed its side, although it was not read up to its end."""
         self._ignores_input = True
         self._cancel_handler()
