--- a/tests/test_leaving_callers_fleet.py
+++ b/tests/test_leaving_callers_fleet.py
@@ -13,21 +13,16 @@
 from chalkyoke_fakes.leaving import Departure, encode_request, measure_abandoned_work
 
 from tests.gatewayfleet import run_check
+from tests.leavingcallers import EVENTS, LEAVES_AFTER_S, PATHS, WORK_S
 from tests.memorynet import PartitionMode
 
 HOSTS = 100
 REPLICAS = 12
 CALLERS = 150
 REQUESTS_PER_S = 25.0
-# Time between a request and the close of its caller, in seconds.
-LEAVES_AFTER_S = 0.3
-# Duration of work that nobody ends, in seconds.
-WORK_S = 2.5
-EVENTS = 8
 # Links hold all bytes up for a part of each period, in seconds.
 HOLD_PERIOD_S = 2.5
 HELD_S = 1.5
-PATHS = {"POST": "/chat/1", "PUT": "/explain/1", "GET": "/find/1"}
 
 
 def all_replicas(fleet):
