An answer that the host cuts off leaves a line with its cause

Callers lost streams that had begun, and no line told which decision had ended them: a refusal after the head of an answer was sent aborts the connection silently. The test fails without the line (only refunded).

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -348,6 +348,7 @@
             else None,
             first_s=round(granted.first_s, 4),
             longest_gap_s=round(relay.longest_gap_s, 4) if relay else None,
+            silent_s=round(self._silent_s(), 4),
             expected_first_s=round(granted.expected_first_s, 4),
             prompt_tokens=admission.fields.prompt_tokens,
             most_output=admission.fields.max_output_tokens,
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -54,10 +54,10 @@
         """Answer that the request has not run and never will.
 
         A repeatable request that was sent may have run to its end, so it gets no such promise but
-        a 502: the node knows only that it received no answer.
+        a 502: the node knows only that it received no answer. An answer that has begun is cut off.
         """
         if self._delivery.head_sent:
-            self._response.abort()
+            self._cut_off(admission, reason)
             return
         if self._sends.runs > 0 and admission.route.repeatable:
             self._parts.log_decision(
@@ -102,12 +102,24 @@
             sends=self._sends.arrivals,
         )
         if self._delivery.head_sent:
-            self._response.abort()
+            self._cut_off(admission, "held back")
         else:
             self.send_answer(
                 502, "held back: replicas have ended while they ran this request", None
             )
 
+    def _cut_off(self, admission: Admission, reason: str) -> None:
+        """End an answer that has begun, since no replica may or can go on with it."""
+        self._parts.log_decision(
+            "cut_off",
+            admission,
+            reason=reason,
+            sends=self._sends.arrivals,
+            events=self._delivery.events,
+            catalog_version=self._parts.catalog().version,
+        )
+        self._response.abort()
+
     def end_after_fault(self) -> None:
         """End a request after an unexpected exception in this node.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -478,3 +478,24 @@
         assert response.status == 503
 
     virtual.run(main)
+
+
+def test_an_answer_that_is_cut_off_leaves_a_line_with_its_cause():
+    """Guards against answers that ended without their end and left no trace in the log."""
+
+    async def main():
+        lines = []
+
+        async def acquire(*_, **__):
+            return Denied("shed", 0.5)
+
+        exchange, _, response = exchange_with(acquire, route=replace(ROUTE, resumable=True))
+        exchange._parts.log_decision = lambda event, _, **facts: lines.append((event, facts))
+        exchange._delivery.head_sent = True
+        exchange._delivery.events = 3
+        await exchange.run()
+        assert response.status == "aborted"
+        assert [event for event, _ in lines] == ["cut_off", "refunded"]
+        assert lines[0][1] == {"reason": "shed", "sends": 0, "events": 3, "catalog_version": 1}
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/node/requestlog.py
+++ b/packages/chalkyoke/src/chalkyoke/node/requestlog.py
@@ -16,8 +16,8 @@
 
 # The number of characters of a request's target that are logged.
 MAX_TARGET_CHARS = 200
-REFUSAL_EVENTS = frozenset(("refused", "given_up", "over_quota"))
-FAILURE_EVENTS = frozenset(("held_back", "refused", "given_up", "expired", "over_quota"))
+REFUSAL_EVENTS = frozenset(("refused", "given_up", "over_quota", "cut_off"))
+FAILURE_EVENTS = REFUSAL_EVENTS | {"held_back", "expired"}
 # Lines of requests that were not served in full. They state the size of the request, so that the
 # share served can be compared by size.
 SIZED_EVENTS = FAILURE_EVENTS | {"left"}
