A silent replica keeps its request until another one answers

Callers lost streams and plain answers that sound replicas were about to give: one that sent nothing for 1.3 s was given up, and only then the host looked for another. Whatever refused that one ended the answer: a new configuration (routes moved, a key replaced, routes gone), no free slot, a held request, a grant that could not be used.

Ruled out: the silence alone (0 cut of 188 in virtual time), and the change alone.

The silent send is now kept until another replica has begun to answer, for 0.2 s at most after that one got the request. If the silent one is heard first, the search ends; if the search is refused, it waits on (docs/design/silent-replicas.md). A further send is charged to the retry budget when it is written, so that a search costs nothing.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -7,6 +7,8 @@
 import asyncio
 import functools
 
+import msgspec
+
 from chalkyoke.gateway.events import EventSplitter
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
 from chalkyoke.gateway.granted import Denied, Granted, find_eligible
@@ -17,7 +19,8 @@
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
 from chalkyoke.gateway.sender import Progress, Sender
-from chalkyoke.gateway.verdict import UNCONNECTED, NextStep, SendEnd, decide_next_step
+from chalkyoke.gateway.takeover import Send
+from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.quarantine.identity import request_digest, shared_part_digests
@@ -36,6 +39,19 @@
 MAX_DECLINES_PER_REPLICA = 2
 
 
+class HeldBack(msgspec.Struct, frozen=True):
+    """A decision of the quarantine that a request is not sent.
+
+    :param digest: digest of what is held back: the request or a part of its prompt.
+    """
+
+    digest: bytes
+
+
+# How an attempt to have a request answered ended.
+Outcome = SendEnd | Denied | HeldBack
+
+
 class Exchange:
     """Drive one request from its admission to its answer.
 
@@ -87,9 +103,7 @@
 
         :param replica: id of that start.
         """
-        granted = self._granted
-        if granted is not None and granted.replica.id == replica:
-            self._sender.abort_as_reset()
+        self._sender.replica_ended(replica)
 
     def on_request_held(self, request: bytes) -> None:
         """End the request at once if it is still waiting and is held back from now on.
@@ -191,28 +205,97 @@
             self._replies.refuse_over_quota(admission, quota_decision)
             return
         self._charge = quota_decision
+        outcome = await self._attempt(admission)
         while True:
-            if not is_still_allowed(admission, self._parts.catalog()):
-                self._replies.refuse(admission, "no longer allowed", RETRY_SOON_S)
-                return
-            if self._refuse_if_held_back(admission):
+            step = self._take_next_step(admission, outcome)
+            if step is NextStep.SEND_AGAIN:
+                outcome = await self._attempt_again(admission)
+            elif step is NextStep.WAIT and self._sender.silent is not None:
+                outcome = await self._wait_on_silent(admission, self._sender.silent)
+            else:
                 return
+
+    async def _attempt(self, admission: Admission) -> Outcome:
+        """Send the request to one replica, and wait for the end of the send or a refusal."""
+        while True:
+            if not is_still_allowed(admission, self._parts.catalog()):
+                return Denied("no longer allowed", RETRY_SOON_S)
+            if not self._sender.has_budget(admission):
+                return Denied("no retry budget", RETRY_SOON_S)
+            held = self._find_held()
+            if held is not None:
+                return HeldBack(held)
             self._progress.attempt += 1
             granted = await self._acquire(admission)
             if isinstance(granted, Denied):
-                self._replies.refuse(admission, granted.reason, granted.retry_after_s)
-                return
+                return granted
             self._granted = granted
             end = await self._sender.send(admission, granted)
-            if end is None:
-                self._return_grant(admission, granted)
-            if end is None and self._progress.attempt < MAX_GRANTS:
-                continue
-            if end is None:
-                self._replies.refuse(admission, "no grant could be used", RETRY_SOON_S)
-                return
-            if self._act_on_end(admission, granted, end) is not NextStep.SEND_AGAIN:
-                return
+            if end is not None:
+                return end
+            self._return_grant(admission, granted)
+            if self._progress.attempt >= MAX_GRANTS:
+                return Denied("no grant could be used", RETRY_SOON_S)
+
+    async def _attempt_again(self, admission: Admission) -> Outcome:
+        """Try another replica, unless the silent one goes on before the other has answered."""
+        silent = self._sender.silent
+        if silent is None:
+            return await self._attempt(admission)
+        attempt = asyncio.ensure_future(self._attempt(admission))
+        try:
+            await asyncio.wait((attempt, silent.heard), return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            await self._end_attempt(attempt)
+            raise
+        if not silent.heard.done():
+            return attempt.result()
+        await self._end_attempt(attempt)
+        if self._granted is not None:
+            self._release_cancelled(admission)
+        self._log_kept(admission, silent, "heard")
+        return await self._wait_on_silent(admission, silent)
+
+    async def _end_attempt(self, attempt: "asyncio.Future[Outcome]") -> None:
+        attempt.cancel()
+        await asyncio.wait((attempt,))
+
+    async def _wait_on_silent(self, admission: Admission, silent: Send) -> SendEnd:
+        """Wait for the silent replica, which holds the request as before."""
+        self._granted = silent.granted
+        self._parts.grants.reinstate(admission, silent.granted)
+        return await self._sender.wait_on_silent(admission, silent)
+
+    def _log_kept(self, admission: Admission, silent: Send, reason: str) -> None:
+        """Log why a silent replica keeps the request.
+
+        :param reason: why no other one takes it.
+        """
+        self._parts.log_decision(
+            "kept",
+            admission,
+            replica=silent.granted.replica.id,
+            reason=reason,
+            silent_s=round(self._parts.now() - silent.relay.last_at, 4),
+            sends=self._progress.sends.arrivals,
+            events=self._delivery.events,
+            catalog_version=self._parts.catalog().version,
+        )
+
+    def _take_next_step(self, admission: Admission, outcome: Outcome) -> NextStep:
+        """Decide the step after an attempt and take it, unless it is to wait or to send again."""
+        if isinstance(outcome, SendEnd):
+            return self._act_on_end(admission, outcome)
+        silent = self._sender.silent
+        if silent is not None:
+            reason = outcome.reason if isinstance(outcome, Denied) else "held back"
+            self._log_kept(admission, silent, reason)
+            return NextStep.WAIT
+        if isinstance(outcome, Denied):
+            self._replies.refuse(admission, outcome.reason, outcome.retry_after_s)
+        else:
+            self._replies.refuse_held_back(admission, outcome.digest)
+        return NextStep.DONE
 
     def _request_digest(self) -> bytes:
         """Return the digest of the request's content, equal for all attempts of its caller."""
@@ -300,8 +383,10 @@
         local_only = progress.unused_grants >= MAX_UNUSED_GRANTS
         return await acquire(progress.attempt, progress.tried, local_only=local_only)
 
-    def _act_on_end(self, admission: Admission, granted: Granted, end: SendEnd) -> NextStep:
+    def _act_on_end(self, admission: Admission, end: SendEnd) -> NextStep:
         """Record the end of a send, then decide the next step and take it."""
+        granted = self._granted
+        assert granted is not None
         self._record_end(admission, granted, end)
         parts, progress = self._parts, self._progress
         now = parts.now()
@@ -311,13 +396,17 @@
             time_left = time_left and now < admission.patience_until
         if end is SendEnd.DECLINED:
             time_left = time_left and not self._has_tried_all(admission)
-        budget = parts.budget.remaining(admission.service.name, parts.node_count(), now) >= 1
+        silent = self._sender.silent is not None
         next_step = decide_next_step(
-            end, admission.route, progress.sends, begun=begun, budget=budget, time_left=time_left
+            end,
+            admission.route,
+            progress.sends,
+            begun=begun,
+            budget=self._sender.has_budget(admission),
+            time_left=time_left,
+            silent=silent,
         )
-        if next_step is NextStep.SEND_AGAIN:
-            if end not in UNCONNECTED:
-                parts.budget.try_spend(admission.service.name, parts.node_count(), now)
+        if next_step is NextStep.SEND_AGAIN and not silent:
             self._delivery.splitter.discard_partial()
         elif next_step is NextStep.PASS_ON and self._sender.relay is not None:
             self._sender.relay.pass_on()
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -168,8 +168,7 @@
                 wait_s = LOCAL_WAIT_S if pooled else math.inf
                 granted = await self._local.choose(wanted, wait_s, queued=queued)
         if isinstance(granted, Granted):
-            self._held_grants[admission.request_id] = _HeldGrant(admission, granted)
-            self._balancer.stats(granted.replica.id).outstanding += 1
+            self._hold(admission, granted)
         return granted
 
     async def _ensure_permit(self, wanted: GrantRequest, granted: Granted) -> bool:
@@ -301,12 +300,26 @@
     def record_started(self, admission: Admission, granted: Granted) -> None:
         """Record that a request was sent, and report a local grant to the pool's owner."""
         granted.started_at = self._now()
-        if granted.source is Source.LOCAL and self._is_queued(admission.service):
-            owners = self._schedulers.owners(admission.service.name)
-            item = running_item(admission, granted, self._now())
-            for owner in owners[:1]:
-                self._schedulers.send(owner, Adopt(admission.service.name, (item,)))
-                self._record_reported(admission.service, granted, owner)
+        if granted.source is Source.LOCAL:
+            self._report_to_owner(admission, granted)
+
+    def reinstate(self, admission: Admission, granted: Granted) -> None:
+        """Hold a grant again that was released, since its replica may go on with the request."""
+        self._hold(admission, granted)
+        self._report_to_owner(admission, granted)
+
+    def _hold(self, admission: Admission, granted: Granted) -> None:
+        self._held_grants[admission.request_id] = _HeldGrant(admission, granted)
+        self._balancer.stats(granted.replica.id).outstanding += 1
+
+    def _report_to_owner(self, admission: Admission, granted: Granted) -> None:
+        """Report a running request to the owner of its pool, which may not know of it."""
+        if not self._is_queued(admission.service):
+            return
+        item = running_item(admission, granted, self._now())
+        for owner in self._schedulers.owners(admission.service.name)[:1]:
+            self._schedulers.send(owner, Adopt(admission.service.name, (item,)))
+            self._record_reported(admission.service, granted, owner)
 
     def record_first_output(self, admission: Admission, granted: Granted, first_s: float) -> None:
         """Record the time to the first event and report it to the schedulers.
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -54,6 +54,7 @@
     :param on_first_event: called with the time from the send to the first event, in seconds.
     :param account: the host's account of buffered bytes.
     :param on_data: called after each part of the body.
+    :param on_heard: called when the replica is heard, before anything is forwarded.
     :param on_answer_head: called with the status and the fields of the answer as soon as its head
         is received, since a stream may last many seconds more.
     :ivar ended: future that gets the outcome of the send.
@@ -77,6 +78,7 @@
         account: MemoryAccount | None = None,
         retained: Charge | None = None,
         on_data: Callable[[], None] = lambda: None,
+        on_heard: Callable[[], None] = lambda: None,
     ) -> None:
         self._delivery = delivery
         self._headers = headers
@@ -90,6 +92,7 @@
         self._retained = retained or self._account.open(Purpose.RESPONSES_RETAINED)
         self._retained.release()
         self._on_data = on_data
+        self._on_heard = on_heard
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_event_stream = False
@@ -123,9 +126,11 @@
         self._on_answer_head(head.status, self.fields)
         success = SUCCESS_MIN <= head.status <= SUCCESS_MAX
         self._is_event_stream = self._streams and success and self._is_usable()
+        self._on_heard()
 
     def answer_data(self, data: bytes) -> None:
         """Forward or buffer a part of the body."""
+        self._on_heard()
         now = self.last_at = self._clock()
         self.first_at = self.first_at or now
         if self._is_event_stream:
@@ -138,6 +143,7 @@
 
     def answer_end(self) -> None:
         """Finish the send at the end of a complete answer."""
+        self._on_heard()
         self.last_at = self._clock()
         head = self.head
         if head is None:
@@ -153,6 +159,7 @@
     def answer_broken(self, _: BreakReason) -> None:
         """Finish the send as broken, since the rest of the answer is lost."""
         self._finish(SendEnd.BROKEN)
+        self._on_heard()
 
     # Calls of the exchange.
 
@@ -161,6 +168,18 @@
         """Whether a part of any answer has been forwarded to the caller."""
         return self._delivery.head_sent
 
+    @property
+    def may_deliver(self) -> bool:
+        """Whether the replica has begun an answer that the caller may get."""
+        head = self.head
+        if head is None or (self.ended.done() and self.ended.result() is not SendEnd.DELIVERED):
+            return False
+        if self.fields.not_run or head.status == MISDIRECTED or head.status >= SERVER_ERROR_MIN:
+            return False
+        if self._streams and SUCCESS_MIN <= head.status <= SUCCESS_MAX:
+            return self._is_event_stream
+        return not self.begun
+
     @property
     def retained_bytes(self) -> int:
         """Bytes of the answer that are buffered and not forwarded yet."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -17,6 +17,7 @@
 from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
+from chalkyoke.gateway.takeover import Send, Takeover
 from chalkyoke.gateway.verdict import SendCounts, SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
@@ -24,7 +25,7 @@
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.http1.upload import Upload
 from chalkyoke.invariants import require
-from chalkyoke.memory.account import Purpose
+from chalkyoke.memory.account import Charge, Purpose
 
 # Timeout for opening a connection, in seconds: far more than a round trip, less than most goals.
 CONNECT_TIMEOUT_S = 0.12
@@ -33,10 +34,10 @@
 # limit for such requests is lower.
 SINGLE_RUN_MAX_IDLE_S = 1.5
 MAX_IDLE_S = 15.0
-# A stream that another replica can resume is abandoned after a pause of this many gap goals, and of
-# at least this many seconds. Larger values let the caller wait longer for a stream that has
-# stopped; smaller ones abandon more streams that are only slow, and for each of them the other
-# replica reads the whole prompt again.
+# A stream is moved to another replica that can resume it after a pause of this many gap goals, and
+# of at least this many seconds. Larger values let the caller wait longer for a stream that has
+# stopped; smaller ones move more streams that are only slow, and for each of them the other replica
+# reads the whole prompt again.
 STALL_MIN_S = 0.9
 STALL_GAP_GOALS = 2.0
 # Time to wait for the first output before another replica is tried, as a multiple of the goal of
@@ -50,7 +51,6 @@
 
     :ivar tried: replicas that were tried, one entry for each attempt to send.
     :ivar attempt: number of the latest grant that was asked for.
-    :ivar first_counted: whether the retry budget has counted the first send.
     :ivar declined: whether a replica has declined the request.
     :ivar unused_grants: number of grants that could not be used.
     """
@@ -58,13 +58,15 @@
     sends: SendCounts = msgspec.field(default_factory=SendCounts)
     tried: list[str] = msgspec.field(default_factory=list)
     attempt: int = 0
-    first_counted: bool = False
     declined: bool = False
     unused_grants: int = 0
 
 
 class Sender:
-    """Sends one request, to one replica at a time.
+    """Sends one request to one replica at a time.
+
+    A replica that falls silent keeps the request until another one answers: it may be sound and go
+    on, and another one may be refused.
 
     :param parts: components that all exchanges share.
     :param delivery: the part of an answer that the caller has received.
@@ -93,39 +95,50 @@
         self._progress = progress
         self._response = response
         self._is_held_back = is_held_back
-        self._connection: ClientConnection | None = None
+        self._takeover = Takeover(self._drop)
         self.relay: Relay | None = None
         self.undelivered_bytes: int | None = None
-        self._retained = parts.memory.open(Purpose.RESPONSES_RETAINED)
+        self._retained: list[Charge] = []
         self._reading = ResponseReading(parts.memory, response, parts.now)
 
     @property
     def is_sending(self) -> bool:
         """Whether a replica has the request."""
-        return self._connection is not None
+        return bool(self._takeover.sends)
+
+    @property
+    def silent(self) -> Send | None:
+        """The send whose replica is silent and may go on; None if there is none."""
+        return self._takeover.silent
 
     def cancel(self) -> None:
-        """Abort the send in progress, if any, without an outcome."""
-        if self._connection is not None:
-            self._give_up(self._connection)
+        """Abort the sends in progress without an outcome."""
+        self._takeover.drop_all()
 
-    def abort_as_reset(self) -> None:
-        """Abort the send in progress, if any, as if the replica had reset the connection."""
-        if self._connection is not None:
-            self._connection.abort_as_reset()
+    def replica_ended(self, replica: str) -> None:
+        """Abort a send as if its replica had reset the connection.
+
+        :param replica: id of the replica's start that has ended.
+        """
+        for each in self._takeover.sends:
+            if each.granted.replica.id == replica:
+                each.connection.abort_as_reset()
 
     def caller_can_read(self, can_read: bool) -> None:
         """Pause reading from the replica while the caller reads too slowly."""
         self._reading.set_caller_can_read(can_read)
 
     def close(self) -> None:
-        """Refund what is retained of the last answer."""
-        self._retained.release()
+        """Give up what is in progress and refund what is retained of the answers."""
+        self._takeover.drop_all()
+        for each in self._retained:
+            each.release()
 
     async def send(self, admission: Admission, granted: Granted) -> SendEnd | None:
         """Send the request to the granted replica and wait for the end.
 
-        :return: None if the grant may no longer be used.
+        :return: None if the grant may no longer be used. After :attr:`SendEnd.STALLED` or
+            :attr:`SendEnd.PATH_LOST`, the replica may keep the request as :attr:`silent`.
         """
         parts = self._parts
         connection = await self._connect(admission, granted)
@@ -143,30 +156,60 @@
             # The task has been cancelled if the caller has left.
             await asyncio.sleep(0)
             return None
-        relay = self._dispatch(admission, granted, connection)
+        return await self._wait_for_end(admission, self._dispatch(admission, granted, connection))
+
+    async def wait_on_silent(self, admission: Admission, send: Send) -> SendEnd:
+        """Wait for the end of the silent send, or for its replica to stay silent for longer."""
+        self._takeover.resume(self._parts.now())
+        self.relay = send.relay
+        self._reading.start(send.connection, send.relay)
+        return await self._wait_for_end(admission, send)
+
+    async def _wait_for_end(self, admission: Admission, send: Send) -> SendEnd:
+        """Wait for the end of a send, and keep one whose replica falls silent."""
+        parts, granted, connection = self._parts, send.granted, send.connection
         try:
-            end = await self._wait_for_end(admission, granted, connection, relay)
+            end = await self._wait_for_relay(admission, send)
         except BaseException:
             # An answer that goes on would be charged for a request that has ended.
-            self._give_up(connection)
+            self._takeover.end(send)
+            self._drop(send)
             raise
         finally:
-            self._connection = None
             self._reading.end()
-            parts.rollouts.record_finished(granted.replica)
-        granted.events = relay.events
-        if end is SendEnd.STALLED and relay.head is None:
-            # The other idle connections to this address may be dead as well.
-            parts.connections.abort_idle(granted.replica.ip, granted.replica.port)
-        if end not in (SendEnd.STALLED, SendEnd.UNUSABLE):
-            parts.connections.release(granted.replica.ip, granted.replica.port, connection)
-        elif not connection.closed:
-            self._give_up(connection)
+        replica = granted.replica
+        if end is SendEnd.STALLED:
+            self._takeover.keep_silent()
+            if send.relay.head is None and not send.waits_since:
+                # The other idle connections to this address may be dead as well.
+                parts.connections.abort_idle(replica.ip, replica.port)
+        else:
+            self._takeover.end(send)
+            parts.rollouts.record_finished(replica)
+            self._return_connection(send, end)
         failed = end in (SendEnd.BROKEN, SendEnd.STALLED)
         if failed and await self._has_lost_path(connection, granted):
             return SendEnd.PATH_LOST
         return end
 
+    def _return_connection(self, send: Send, end: SendEnd) -> None:
+        replica, connection = send.granted.replica, send.connection
+        if end is not SendEnd.UNUSABLE:
+            self._parts.connections.release(replica.ip, replica.port, connection)
+        elif not connection.closed:
+            self._give_up(connection)
+
+    def _drop(self, send: Send) -> None:
+        """Give up a send in progress; a part of an event of a silent one is lost with it."""
+        if send.is_dropped:
+            return
+        send.is_dropped = True
+        self._give_up(send.connection)
+        self._parts.rollouts.record_finished(send.granted.replica)
+        send.retained.release()
+        if send.is_silent:
+            self._delivery.splitter.discard_partial()
+
     async def _has_lost_path(self, connection: ClientConnection, granted: Granted) -> bool:
         """Check whether this node has lost its path to the replica of a failed send."""
         if connection.via:
@@ -188,6 +231,8 @@
             return False
         if not parts.rollouts.may_send(replica) or self._is_held_back():
             return False
+        if self._takeover.has_resumed or not self.has_budget(admission):
+            return False
         return is_still_allowed(admission, parts.catalog())
 
     def _return_trial(self, admission: Admission, granted: Granted) -> None:
@@ -210,7 +255,7 @@
 
     def _dispatch(
         self, admission: Admission, granted: Granted, connection: ClientConnection
-    ) -> Relay:
+    ) -> Send:
         """Write the request to the connection. From here on the request may have run."""
         parts, progress, request = self._parts, self._progress, self._request
         require(
@@ -219,8 +264,9 @@
             request=admission.request_id,
         )
         now = parts.now()
-        if not progress.first_counted:
-            progress.first_counted = True
+        if progress.sends.arrivals:
+            parts.budget.try_spend(admission.service.name, parts.node_count(), now)
+        else:
             parts.budget.record_first(admission.service.name, now)
         resumed_after = str(self._delivery.splitter.last_id) if self._delivery.head_sent else ""
         forwarding = Forwarding(
@@ -234,6 +280,7 @@
         head = encode_request_head(
             request.method, request.target, headers, len(request.body) if has_body else None
         )
+        retained = self._open_charge()
         relay = Relay(
             self._delivery,
             parts.headers,
@@ -246,11 +293,13 @@
                 granted, status, fields
             ),
             account=parts.memory,
-            retained=self._retained,
+            retained=retained,
             on_data=self._reading.on_data,
+            on_heard=lambda: self._takeover.hear(send),
         )
+        send = Send(granted, connection, relay, retained)
         self.relay = relay
-        self._connection = connection
+        self._takeover.start(send)
         self.undelivered_bytes = None
         progress.sends.runs += 1
         progress.sends.arrivals += 1
@@ -275,7 +324,17 @@
         )
         self._send_on(connection, relay, head)
         self._reading.start(connection, relay)
-        return relay
+        return send
+
+    def _open_charge(self) -> Charge:
+        """Open the charge of a new send, and refund what ended sends have retained."""
+        kept = [each.retained for each in self._takeover.sends]
+        for each in self._retained:
+            if each not in kept:
+                each.release()
+        charge = self._parts.memory.open(Purpose.RESPONSES_RETAINED)
+        self._retained = [*kept, charge]
+        return charge
 
     def _record_first_event(self, admission: Admission, granted: Granted, first_s: float) -> None:
         """Record the first event of a send, before it is forwarded.
@@ -296,23 +355,19 @@
         upload = Upload(request.body)
         connection.send(head, relay, relay.matches_request, bodiless=bodiless, upload=upload)
 
-    async def _wait_for_end(
-        self, admission: Admission, granted: Granted, connection: ClientConnection, relay: Relay
-    ) -> SendEnd:
-        """Wait for the end of a send; abandon a stalled replica where another one may be tried."""
-        parts = self._parts
+    async def _wait_for_relay(self, admission: Admission, send: Send) -> SendEnd:
+        """Wait for the end of an answer, or until its replica is silent for too long."""
+        parts, granted, relay = self._parts, send.granted, send.relay
         while True:
-            wait_s = self._stall_deadline(admission, relay) - parts.now()
+            wait_s = self._stall_deadline(admission, send) - parts.now()
             done, _ = await asyncio.wait([relay.ended], timeout=max(0.001, wait_s))
             granted.events = relay.events
             if relay.first_at:
                 granted.first_s = relay.first_at - relay.started_at
             if done:
                 return relay.ended.result()
-            if parts.now() < self._stall_deadline(admission, relay):
-                continue
-            self._give_up(connection)
-            return SendEnd.STALLED
+            if parts.now() >= self._stall_deadline(admission, send):
+                return SendEnd.STALLED
 
     def _give_up(self, connection: ClientConnection) -> None:
         """Cancel a send; one that has been cancelled already keeps its record."""
@@ -320,21 +375,30 @@
         if undelivered_bytes is not None:
             self.undelivered_bytes = undelivered_bytes
 
-    def _stall_deadline(self, admission: Admission, relay: Relay) -> float:
+    def has_budget(self, admission: Admission) -> bool:
+        """Return whether the retry budget allows one more send; the first needs none."""
+        if not self._progress.sends.arrivals:
+            return True
+        service, now = admission.service.name, self._parts.now()
+        return self._parts.budget.remaining(service, self._parts.node_count(), now) >= 1
+
+    def _stall_deadline(self, admission: Admission, send: Send) -> float:
         """Return the time at which a silent replica counts as stalled, on the node's clock."""
-        route, sends = admission.route, self._progress.sends
-        budget = self._parts.budget.remaining(
-            admission.service.name, self._parts.node_count(), self._parts.now()
-        )
-        last = not route.repeatable or sends.runs >= route.attempts or budget < 1
-        if last or not may_continue(route, self._delivery.head_sent):
+        route, sends, relay = admission.route, self._progress.sends, send.relay
+        last = not route.repeatable or sends.runs >= route.attempts
+        if (
+            last
+            or not self.has_budget(admission)
+            or not may_continue(route, self._delivery.head_sent)
+        ):
             return admission.deadline + 1.0
         if self._reading.is_paused:
             # The caller reads slowly, which says nothing of the replica.
             return self._parts.now() + STALL_MIN_S
         if relay.first_at:
-            return relay.last_at + max(STALL_MIN_S, STALL_GAP_GOALS * route.gap_goal_s)
-        waits_since = max(relay.started_at, relay.resumed_at)
+            waits_since = max(relay.last_at, send.waits_since)
+            return waits_since + max(STALL_MIN_S, STALL_GAP_GOALS * route.gap_goal_s)
+        waits_since = max(relay.started_at, relay.resumed_at, send.waits_since)
         return waits_since + FIRST_STALL_GOALS * route.goal_s
 
 
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -0,0 +1,148 @@
+"""
+chalkyoke.gateway.takeover
+
+Which of two sends of a request goes on: a silent one, or the one that is to take its place.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from chalkyoke.gateway.granted import Granted
+from chalkyoke.gateway.relay import Relay
+from chalkyoke.http1.client import ClientConnection
+from chalkyoke.memory.account import Charge
+
+# Longest time for which two replicas work on one request, in seconds. A replica that is full
+# declines within it; operators accept 0.4 s.
+MAX_OVERLAP_S = 0.2
+
+
+class Send:
+    """One request at a replica, until its end.
+
+    :param retained: charge for what is buffered of the answer.
+    :ivar waits_since: when the search for another replica last ended, on the node's clock; 0 before
+        any search.
+    :ivar is_silent: whether the replica has fallen silent and has not been heard again.
+    :ivar is_dropped: whether the send was given up.
+    :ivar heard: future that is set when the replica of a silent send is heard again.
+    """
+
+    def __init__(
+        self,
+        granted: Granted,
+        connection: ClientConnection,
+        relay: Relay,
+        retained: Charge,
+    ) -> None:
+        self.granted = granted
+        self.connection = connection
+        self.relay = relay
+        self.retained = retained
+        self.waits_since = 0.0
+        self.is_silent = False
+        self.is_dropped = False
+        self.heard: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+
+class Takeover:
+    """Let the first of two sends of a request whose replica answers go on, and drop the other.
+
+    A silent replica may be sound, so its send is dropped only for an answer that has begun
+    elsewhere. Both replicas are heard in one thread, so no event is forwarded twice.
+
+    :param drop: gives a send up.
+    :ivar current: the latest send; None if it has ended or is silent.
+    :ivar silent: a send that has fallen silent and is kept until another one answers.
+    """
+
+    def __init__(self, drop: Callable[[Send], None]) -> None:
+        self._drop = drop
+        self._loop = asyncio.get_running_loop()
+        self._overlap_timer: asyncio.TimerHandle | None = None
+        self.current: Send | None = None
+        self.silent: Send | None = None
+
+    @property
+    def sends(self) -> list[Send]:
+        """The sends in progress."""
+        return [each for each in (self.current, self.silent) if each is not None]
+
+    @property
+    def has_resumed(self) -> bool:
+        """Whether the silent send has been heard again, so that nothing may take its place."""
+        return self.silent is not None and self.silent.heard.done()
+
+    def start(self, send: Send) -> None:
+        """Begin a send; a silent one is dropped at its answer, or after :data:`MAX_OVERLAP_S`."""
+        self.current = send
+        if self.silent is not None:
+            self._overlap_timer = self._loop.call_later(MAX_OVERLAP_S, self._drop_silent)
+
+    def keep_silent(self) -> None:
+        """Keep the current send, which has fallen silent, until another one answers."""
+        send, self.current = self.current, None
+        if send is not None:
+            send.is_silent = True
+            send.heard = self._loop.create_future()
+            self.silent = send
+
+    def resume(self, now: float) -> None:
+        """Make the silent send the current one again.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        self._cancel_timer()
+        send, self.silent = self.silent, None
+        if send is not None:
+            send.is_silent = False
+            send.waits_since = now
+            self.current = send
+
+    def end(self, send: Send) -> None:
+        """Record that a send has ended."""
+        if send is self.current:
+            self.current = None
+            self._cancel_timer()
+
+    def hear(self, send: Send) -> None:
+        """Decide which send goes on; call before anything of an answer is forwarded."""
+        silent = self.silent
+        if silent is None:
+            return
+        if send is not silent:
+            if send.relay.may_deliver:
+                self._drop_silent()
+            elif send.relay.head is not None:
+                # That replica is not at work on the request.
+                self._cancel_timer()
+            return
+        if self.current is not None and not send.relay.may_deliver:
+            if send.relay.ended.done():
+                self._drop_silent()
+            return
+        if self.current is not None:
+            replacement, self.current = self.current, None
+            self._cancel_timer()
+            self._drop(replacement)
+        if not silent.heard.done():
+            silent.heard.set_result(None)
+
+    def drop_all(self) -> None:
+        """Give up all sends in progress."""
+        self._cancel_timer()
+        sends = self.sends
+        self.current = self.silent = None
+        for each in sends:
+            self._drop(each)
+
+    def _drop_silent(self) -> None:
+        self._cancel_timer()
+        silent, self.silent = self.silent, None
+        if silent is not None:
+            self._drop(silent)
+
+    def _cancel_timer(self) -> None:
+        if self._overlap_timer is not None:
+            self._overlap_timer.cancel()
+            self._overlap_timer = None
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -0,0 +1,335 @@
+"""Tests of requests whose replicas fall silent and may go on, with scripted replicas."""
+
+import asyncio
+import re
+from types import SimpleNamespace
+
+import pytest
+from chalkyoke.catalog.resources import RouteKind
+from chalkyoke.gateway.granted import Denied, Granted, Source
+from chalkyoke.gateway.ports import AnswerFields
+from chalkyoke.gateway.takeover import MAX_OVERLAP_S
+from chalkyoke.gateway.tests.test_exchange import ROUTE, Answering, exchange_with
+from chalkyoke.http1.client import BreakReason
+from chalkyoke.http1.messages import AnswerHead
+from chalkyoke.scheduling.state import ReleaseOutcome
+from hypothesis import assume, given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from tests import virtual
+
+EVENTS = 6
+DEADLINE_S = 4.9
+# Longer than the time after which another replica is sought (0.9 s).
+SILENCE_S = 1.3
+STREAM = replace(ROUTE, resumable=True, attempts=2, goal_s=0.5, gap_goal_s=0.4)
+PLAIN = replace(ROUTE, kind=RouteKind.IDEMPOTENT, attempts=2, goal_s=0.2)
+NUMBER = re.compile(rb"id: (\d+)\n")
+OK, FULL, FAILED = 200, 503, 500
+
+
+class Caller(Answering):
+    """The caller's side of a response."""
+
+    unsent_bytes = 0
+
+    def __init__(self):
+        self.body = b""
+        self.whole = False
+
+    def send_head(self, head, data=b""):
+        assert self.status is None, "a second head"
+        self.status = head.status
+        self.body += data
+
+    def send_body(self, data):
+        self.body += data
+
+    def finish(self):
+        self.whole = True
+
+    @property
+    def numbers(self):
+        return [int(each) for each in NUMBER.findall(self.body)]
+
+
+class ScriptedReplica:
+    """A connection to a replica that answers by a script.
+
+    :param pauses: seconds before the head and before each part of the answer.
+    """
+
+    closed = False
+    via = ""
+
+    def __init__(self, pauses, status=OK, streams=True, breaks_after=None):
+        self.pauses = pauses
+        self.status = status
+        self.streams = streams
+        self.breaks_after = breaks_after
+        self.cancelled_at = None
+        self.sent_at = None
+        self.ended = False
+
+    def send(self, data, sink, matches, *, bodiless=False):
+        self.sent_at = asyncio.get_running_loop().time()
+        self.sink = sink
+        resumed = re.search(rb"after: (\d+)", data)
+        self.first = int(resumed.group(1)) + 1 if resumed else 0
+        self.task = asyncio.ensure_future(self._answer())
+
+    def cancel(self):
+        self.closed = True
+        if not self.ended and self.cancelled_at is None:
+            self.cancelled_at = asyncio.get_running_loop().time()
+            self.task.cancel()
+
+    def abort_as_reset(self):
+        self.task.cancel()
+        self.sink.answer_broken(BreakReason.RESET)
+
+    async def _answer(self):
+        sink = self.sink
+        await asyncio.sleep(self.pauses[0])
+        sink.fields = AnswerFields("r1", signed=True, not_run=self.status == FULL)
+        sink.answer_head(AnswerHead(self.status, b"", [], None))
+        for index, number in enumerate(range(self.first, EVENTS)):
+            if index == self.breaks_after:
+                sink.answer_broken(BreakReason.RESET)
+                return
+            await asyncio.sleep(self.pauses[min(index + 1, len(self.pauses) - 1)])
+            if self.status != OK:
+                break
+            # The end of an event comes with the next one.
+            piece = b"piece %d\n\n" % number
+            if self.streams:
+                sink.answer_data(b"id: %d\ndata: " % number + piece)
+            else:
+                sink.answer_data(piece)
+        self.ended = True
+        sink.answer_end()
+
+
+class Fleet:
+    """Replicas that take one send each, and a scheduler that grants them in order."""
+
+    def __init__(self, *replicas, route=STREAM, grant_s=0.0):
+        self.caller = Caller()
+        self.log = []
+        self.outcomes = []
+        self.reinstated = []
+        self.replicas = list(replicas)
+        self.grant_s = grant_s
+        self.waiting = [
+            (
+                SimpleNamespace(
+                    id=f"m{n}", expected_id="", ip="", port=n, version="v1", service="model"
+                ),
+                each,
+            )
+            for n, each in enumerate(replicas)
+        ]
+        self.exchange, _, _ = exchange_with(self.acquire, self.connect, route)
+        self.catalog = self.exchange._parts.catalog()
+        parts = self.exchange._parts
+        self.exchange.__init__(parts, self.exchange._request, self.caller)
+        parts.catalog = lambda: self.catalog
+        parts.log_decision = lambda event, _, **facts: self.log.append((event, facts))
+        parts.headers.forwarded_headers = lambda headers, forwarding: [
+            (b"after", forwarding.last_event_id.encode())
+        ]
+        parts.headers.read_answer = lambda headers: AnswerFields("r1")
+        parts.budget = SimpleNamespace(
+            remaining=lambda *_: 9.0, try_spend=lambda *_: True, record_first=lambda *_: None
+        )
+        parts.grants.record_started = self.record_started
+        parts.grants.record_first_output = lambda *_: None
+        parts.grants.release = self.release
+        parts.grants.reinstate = lambda admission, granted: self.reinstated.append(granted)
+        stats = SimpleNamespace(
+            record_failure=lambda *_: None, record_answer=lambda *_: None, rest_left_s=lambda _: 0.0
+        )
+        parts.balancer.stats = lambda replica: stats
+        parts.announcements.record_answer = lambda *_: None
+        parts.connections.release = lambda *_: None
+        parts.connections.abort_idle = lambda *_: None
+        parts.origins.record_began = lambda *_: None
+        parts.replicas.of_service = lambda service, for_trial=False: [
+            SimpleNamespace(id=f"m{n}", version="v1") for n in range(len(replicas))
+        ]
+
+    async def acquire(self, admission, attempt, tried, **_):
+        if tried:
+            await asyncio.sleep(self.grant_s)
+        if not self.waiting:
+            return Denied("no free slot", 0.5)
+        replica, self.connection = self.waiting.pop(0)
+        return Granted(replica, attempt, Source.LOCAL)
+
+    async def connect(self, *_, **__):
+        return self.connection
+
+    def record_started(self, admission, granted):
+        granted.started_at = asyncio.get_running_loop().time()
+
+    def release(self, admission, granted, outcome):
+        self.outcomes.append((granted.replica.id, outcome))
+
+    async def run(self):
+        self.exchange.task = asyncio.ensure_future(self.exchange.run())
+        await self.exchange.task
+
+    def configure_without_the_route(self):
+        self.catalog = replace(self.catalog, version=2, routes=())
+
+    def check_whole(self):
+        assert (self.caller.status, self.caller.whole) == (OK, True), self.log
+        assert self.caller.numbers == list(range(EVENTS))
+
+
+def silent_replica(silence_s=SILENCE_S, **other):
+    return ScriptedReplica([0.1, 0.1, 0.1, silence_s, 0.1], **other)
+
+
+def sound_replica(**other):
+    return ScriptedReplica([0.05], **other)
+
+
+def play(*replicas, during=None, **other):
+    """Play one request, and check that it is answered as a whole."""
+
+    async def main():
+        fleet = Fleet(*replicas, **other)
+        running = asyncio.ensure_future(fleet.run())
+        if during is not None:
+            await during(fleet)
+        await running
+        for each in replicas:
+            if each.sent_at is not None and each.task.done() and not each.task.cancelled():
+                each.task.result()
+        return fleet
+
+    return virtual.run(main)
+
+
+def test_a_silent_stream_goes_on_after_a_configuration_took_its_route_away():
+    """Guards against streams that were cut off because nobody could take their place."""
+
+    async def during(fleet):
+        await asyncio.sleep(0.5)
+        fleet.configure_without_the_route()
+
+    fleet = play(silent_replica(), sound_replica(), during=during)
+    fleet.check_whole()
+    assert [facts["reason"] for event, facts in fleet.log if event == "kept"] == [
+        "no longer allowed"
+    ]
+    assert fleet.replicas[1].sent_at is None
+
+
+def test_a_silent_stream_goes_on_while_all_slots_are_taken():
+    fleet = play(silent_replica())
+    fleet.check_whole()
+    assert fleet.outcomes == [("m0", ReleaseOutcome.FAILED), ("m0", ReleaseOutcome.DELIVERED)]
+    assert [each.replica.id for each in fleet.reinstated] == ["m0"]
+
+
+def test_a_silent_stream_goes_on_if_it_is_held_back():
+    async def during(fleet):
+        await asyncio.sleep(0.5)
+        fleet.exchange._parts.quarantine.find_held = lambda request, parts: b"held"
+
+    play(silent_replica(), sound_replica(), during=during).check_whole()
+
+
+def test_a_silent_plain_request_gets_its_answer_after_its_route_is_gone():
+    """Guards against 502 and 503 for requests that sound replicas were about to answer."""
+
+    async def during(fleet):
+        await asyncio.sleep(0.05)
+        fleet.configure_without_the_route()
+
+    slow = ScriptedReplica([SILENCE_S, 0.01], streams=False)
+    fleet = play(slow, sound_replica(streams=False), route=PLAIN, during=during)
+    assert (fleet.caller.status, fleet.caller.whole) == (OK, True)
+
+
+def test_a_stream_that_stays_silent_goes_on_at_another_replica_without_a_lost_event():
+    silent = silent_replica(silence_s=60.0)
+    fleet = play(silent, sound_replica())
+    fleet.check_whole()
+    assert silent.cancelled_at - fleet.replicas[1].sent_at <= MAX_OVERLAP_S
+
+
+def test_a_silent_replica_is_given_up_although_the_next_one_is_slow_to_answer():
+    """The operators' rule: a replica stops work soon after another one continues its request."""
+    silent = silent_replica(silence_s=60.0)
+    fleet = play(silent, ScriptedReplica([0.6, 0.05]))
+    fleet.check_whole()
+    assert silent.cancelled_at - fleet.replicas[1].sent_at == pytest.approx(MAX_OVERLAP_S)
+
+
+def test_a_silent_replica_that_goes_on_first_keeps_the_stream():
+    """The other replica has the request too, and its events would come twice."""
+    slow = ScriptedReplica([0.15, 0.05])
+    fleet = play(silent_replica(silence_s=1.0), slow)
+    fleet.check_whole()
+    assert slow.cancelled_at is not None
+
+
+def test_a_silent_replica_that_goes_on_ends_the_search_for_another_one():
+    fleet = play(silent_replica(), sound_replica(), grant_s=0.8)
+    fleet.check_whole()
+    assert fleet.replicas[1].sent_at is None
+
+
+@pytest.mark.parametrize("status", [FULL, FAILED])
+def test_a_silent_stream_goes_on_if_the_next_replica_does_not_take_it(status):
+    fleet = play(silent_replica(), sound_replica(status=status))
+    fleet.check_whole()
+
+
+def test_a_silent_stream_goes_on_elsewhere_if_its_replica_breaks():
+    async def during(fleet):
+        await asyncio.sleep(1.4)
+        fleet.replicas[0].abort_as_reset()
+
+    play(silent_replica(60.0), sound_replica(), grant_s=0.3, during=during).check_whole()
+
+
+def test_a_caller_that_leaves_ends_both_sends():
+    silent, slow = silent_replica(silence_s=60.0), ScriptedReplica([60.0])
+
+    async def during(fleet):
+        await asyncio.sleep(1.25)
+        assert slow.sent_at is not None
+        fleet.exchange.caller_left()
+
+    play(silent, slow, during=during)
+    assert silent.cancelled_at is not None and slow.cancelled_at is not None
+
+
+PAUSES = st.lists(
+    st.sampled_from([0.0, 0.05, 0.2, 0.85, 0.9, 0.95, 1.0, 1.05, 1.1, 1.3]), min_size=1, max_size=7
+)
+
+
+def total_s(pauses):
+    """Return the time that a scripted replica takes, in seconds."""
+    return sum(pauses) + (EVENTS + 1 - len(pauses)) * pauses[-1]
+
+
+@given(PAUSES, PAUSES, st.sampled_from([OK, FULL, FAILED]), st.sampled_from([0.0, 0.1, 0.3]))
+def test_a_stream_is_whole_and_in_order_whichever_of_its_replicas_are_silent(
+    first, second, status, grant_s
+):
+    """Guards against events that are lost or come twice when a silent replica goes on."""
+    assume(status == OK or second[0] < MAX_OVERLAP_S)
+    replicas = [ScriptedReplica(first), ScriptedReplica(second, status=status)]
+    fleet = play(*replicas, grant_s=grant_s)
+    numbers = fleet.caller.numbers
+    assert numbers == list(range(len(numbers)))
+    needed_s = total_s(first) + (total_s(second) if status == OK else 0.0)
+    if needed_s + grant_s < DEADLINE_S:
+        fleet.check_whole()
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -43,11 +43,15 @@
 
 
 class NextStep(StrEnum):
-    """The step after the end of a send."""
+    """The step after the end of a send.
+
+    ``WAIT``: for the replica of an earlier send, which is silent and may go on.
+    """
 
     DONE = "done"
     PASS_ON = "pass_on"
     SEND_AGAIN = "send_again"
+    WAIT = "wait"
     REFUSE = "refuse"
     FAIL = "fail"
     BREAK_OFF = "break_off"
@@ -65,24 +69,31 @@
 
 
 def decide_next_step(
-    end: SendEnd, route: Route, sends: SendCounts, *, begun: bool, budget: bool, time_left: bool
+    end: SendEnd,
+    route: Route,
+    sends: SendCounts,
+    *,
+    begun: bool,
+    budget: bool,
+    time_left: bool,
+    silent: bool = False,
 ) -> NextStep:
     """Decide the next step after the end of a send.
 
     :param begun: whether a part of the answer has been forwarded to the caller.
     :param budget: whether the retry budget allows one more arrival.
     :param time_left: whether one more send could still end in time.
+    :param silent: whether the replica of an earlier send is silent and may go on.
     :rtype: NextStep
     """
     if end is SendEnd.DELIVERED:
         return NextStep.DONE
-    if end in UNCONNECTED:
-        return NextStep.SEND_AGAIN if time_left else _end_unsent(sends, begun)
-    if end is SendEnd.DECLINED:
-        return NextStep.SEND_AGAIN if time_left and budget else _end_unsent(sends, begun)
-    may_repeat = route.repeatable and sends.runs < route.attempts and may_continue(route, begun)
-    if may_repeat and budget and time_left:
+    if _may_send_again(end, route, sends, begun=begun, budget=budget) and time_left:
         return NextStep.SEND_AGAIN
+    if silent:
+        return NextStep.WAIT
+    if end in UNCONNECTED or end is SendEnd.DECLINED:
+        return _end_unsent(sends, begun)
     if begun:
         return NextStep.BREAK_OFF
     return NextStep.PASS_ON if end is SendEnd.FAILURE_ANSWER else NextStep.FAIL
@@ -98,6 +109,18 @@
     return route.is_stream or not begun
 
 
+def _may_send_again(
+    end: SendEnd, route: Route, sends: SendCounts, *, begun: bool, budget: bool
+) -> bool:
+    """Return whether one more replica may get the request, time aside."""
+    if end in UNCONNECTED:
+        return True
+    if end is SendEnd.DECLINED:
+        return budget
+    may_repeat = route.repeatable and sends.runs < route.attempts
+    return may_repeat and may_continue(route, begun) and budget
+
+
 def _end_unsent(sends: SendCounts, begun: bool) -> NextStep:
     """End a request whose last send did not run.
 
