A grant that crosses the news of a resumed request is given back

A request whose silent replica goes on while another one is being sought left its pool's scheduler with a wrong count: a grant that was on its way ended the entry of the silent replica, whose slot was then granted once more; a grant that had arrived in the turn of the cancel was returned by nobody, and its slot stayed taken until the request ended. Now the report of a running request replaces a later grant of the same request and entry, and a cancelled search returns the grants that have arrived for it.

--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -210,6 +210,7 @@
         except asyncio.CancelledError:
             for owner in self._schedulers.owners(admission.service.name)[:MAX_SCHEDULERS_ASKED]:
                 self._schedulers.send(owner, Withdraw(request, admission.service.name))
+            self._return_unread(queue)
             raise
         finally:
             del self._answer_queues[request]
@@ -272,6 +273,13 @@
             is_version_bound=is_version_bound,
         )
 
+    def _return_unread(self, queue: "asyncio.Queue[tuple[str, Grant | Shed | Queued]]") -> None:
+        """Return the grants that have arrived for a search that was cancelled."""
+        while not queue.empty():
+            process, message = queue.get_nowait()
+            if isinstance(message, Grant):
+                self._send_unused(process, message.request, message.attempt, message.pool)
+
     # Messages from schedulers.
 
     def receive(self, process: str, message: Grant | Shed | Queued) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -8,7 +8,7 @@
 from chalkyoke.gateway.ports import Load, RequestFields
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.limits.client import Permit, PermitDenied
-from chalkyoke.scheduling.messages import Acquire, Grant, Queued, Release, Withdraw
+from chalkyoke.scheduling.messages import Acquire, Adopt, Grant, Queued, Release, Withdraw
 from chalkyoke.scheduling.state import ReleaseOutcome
 from msgspec.structs import replace
 
@@ -483,3 +483,46 @@
         assert isinstance(denied, Denied) and denied.reason == "no replica"
 
     virtual.run(main)
+
+
+class OneSilent(Schedulers):
+    """A single scheduler that answers nothing by itself."""
+
+    def __init__(self):
+        super().__init__(0.0)
+        self.adopted = []
+
+    def owners(self, pool):
+        return ["n1"]
+
+    def send(self, process, message):
+        if isinstance(message, Release):
+            self.released.append(message)
+        elif isinstance(message, Adopt):
+            self.adopted += message.items
+
+
+def test_a_grant_that_arrives_as_its_search_is_cancelled_is_returned():
+    """Guards against slots that stay taken by requests which go on at their silent replica."""
+
+    async def main():
+        schedulers = OneSilent()
+        grants = make_grants(schedulers)
+        wanted = admission(1, 5.0)
+        silent = Granted(FIRST, 1, Source.SCHEDULER, "n1", started_at=0.001)
+        grants.reinstate(wanted, silent)
+        grants.release(wanted, silent, ReleaseOutcome.FAILED)
+        search = asyncio.ensure_future(grants.acquire(wanted, 2, ["m0"]))
+        await asyncio.sleep(0.01)
+        grants.receive("n1", Grant("r1", 2, "model", "m1", "", 0, 0.1))
+        search.cancel()
+        await asyncio.wait((search,))
+        grants.reinstate(wanted, silent)
+        assert [(each.attempt, each.outcome) for each in schedulers.released] == [
+            (1, ReleaseOutcome.FAILED),
+            (2, ReleaseOutcome.UNUSED),
+        ]
+        assert [each.attempt for each in schedulers.adopted] == [1, 1]
+        assert grants._balancer.stats("m0").outstanding == 1
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/scheduler.py
@@ -263,7 +263,9 @@
             self._learner.learn_first_output(running, message, now)
 
     def adopt(self, entry: str, message: Adopt, now: float) -> list[AddressedAction]:
-        """Adopt the requests that an entry process runs under a previous scheduler's grants.
+        """Adopt the requests that an entry process runs under grants that are not known here.
+
+        A later grant of the same request has crossed the message, and is returned by the process.
 
         :rtype: list[AddressedAction]
         """
@@ -275,6 +277,9 @@
                 continue
             if waiting is not None:
                 self._pool.remove_waiting(waiting)
+            crossed = self._pool.running.get(item.request)
+            if crossed is not None and crossed.entry == entry and crossed.attempt > item.attempt:
+                self._pool.end_running(crossed, now)
             if upstream is not None and item.request not in self._pool.running:
                 self._pool.start_running(
                     self._builder.running(entry, item, upstream, now), upstream, now
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -199,3 +199,18 @@
     send_acquires(scheduler, 0.0, acquire("a"), acquire("b"))
     hopeless = acquire("y", budget=0.01)
     assert [out.pool_mostly_free for out in scheduler.acquire("e1", "d", hopeless, 0.0)] == [False]
+
+
+def test_a_request_that_goes_on_at_its_silent_replica_counts_there_and_not_where_it_was_granted():
+    """Guards against a slot that is granted twice: the later grant crossed the entry's message."""
+    scheduler = make_scheduler()
+    (first,) = send_acquires(scheduler, 0.0, acquire("x"))
+    send_release(scheduler, "x", 1.0, outcome="failed")
+    (second,) = send_acquires(scheduler, 1.0, acquire("x", attempt=2))
+    assert second.attempt == 2
+    item = make_running_item("x", upstream=first.upstream, attempt=1)
+    scheduler.adopt("e1", Adopt("pool", (item,)), 1.01)
+    send_release(scheduler, "x", 1.02, outcome="unused", attempt=2)
+    assert scheduler.running == 1
+    send_release(scheduler, "x", 2.0)
+    assert scheduler.running == 0
