A stopping gateway refuses requests whose answers it would cut off

Callers that were connected to a stopping gateway and completed a request 3.4 s or later after the SIGTERM got an answer that was cut off after 7.4 s, with time left for another host. A request that waited for a replica at such a host was refused only at the end of its time.

Cause: a planned stop never refused. It waited for the requests in progress, however late they came and however long their answers took.

Ruled out: a refusal by the time alone, which turns away short answers; and the route's timeout alone, which does the same for all routes whose timeout is longer than the rest of the stop. The decision knows neither load nor tier, so no higher tier is shed before a lower one.

Change: each gateway keeps how long the last 128 answers of each route took from their dispatch, scaled by the output that callers allow. During a stop a request is dispatched only if its answer is expected to end in time: by the median while callers may still choose the host, later by the longest one with a margin for few samples. A later request on an unknown route is taken only if its deadline lies before the end. All others get a true 503 with a short Retry-After and Connection: close, before the charge. A request that waits for a replica gets the same, and its charge back, as soon as its answer would no longer end in time. One that a replica has goes on.

--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/drain.py
@@ -0,0 +1,61 @@
+"""
+chalkyoke.gateway.drain
+
+Decides which requests a node still takes during a planned stop. Performs no I/O.
+"""
+
+import msgspec
+
+from chalkyoke.gateway.durations import AnswerDurations
+from chalkyoke.gateway.reception import Admission
+
+# How long before the node ends it refuses the requests that still wait, in seconds: time for the
+# refusal to reach the caller.
+REFUSAL_TIME_S = 0.3
+
+
+class PlannedStop(msgspec.Struct, frozen=True):
+    """The times of a planned stop, on the node's clock, in seconds.
+
+    :param leaves_at: until when callers may still choose this node, as the load balancer has not
+        removed it yet.
+    :param ends_at: when the node ends, whatever is in progress.
+    """
+
+    leaves_at: float
+    ends_at: float
+
+
+class Drain:
+    """Predicts which answers end before a stopping node does.
+
+    :ivar stop: the planned stop in progress; None before.
+    :ivar durations: the recent answers of this node.
+    """
+
+    def __init__(self) -> None:
+        self.stop: PlannedStop | None = None
+        self.durations = AnswerDurations()
+
+    def latest_dispatch(self, admission: Admission) -> float | None:
+        """Return when a request must have been dispatched to end in time, on the node's clock.
+
+        A request that arrives after the callers have left is dispatched only if hardly any answer
+        of its route takes longer than the time left, as its caller can still go elsewhere. Before,
+        refusals would turn away callers that the answer would have reached most of the time.
+
+        :return: None if no stop is in progress, or the caller gives up before its end.
+        """
+        stop = self.stop
+        if stop is None or admission.deadline <= stop.ends_at:
+            return None
+        expected_s = self._expected_s(admission, stop)
+        return stop.ends_at - max(REFUSAL_TIME_S, expected_s)
+
+    def _expected_s(self, admission: Admission, stop: PlannedStop) -> float:
+        timeout_s = admission.deadline - admission.arrived_at
+        if admission.arrived_at <= stop.leaves_at:
+            expected_s = self.durations.typical_s(admission)
+            return 0.0 if expected_s is None else min(expected_s, timeout_s)
+        expected_s = self.durations.longest_s(admission)
+        return timeout_s if expected_s is None else min(expected_s, timeout_s)
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -17,7 +17,7 @@
 from chalkyoke.gateway.quarantine import SharedParts
 from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
 from chalkyoke.gateway.relay import Delivery
-from chalkyoke.gateway.replies import RETRY_SOON_S, Replies
+from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
 from chalkyoke.gateway.sender import Progress, Sender
 from chalkyoke.gateway.takeover import Send
 from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
@@ -117,7 +117,26 @@
             self._is_held = True
             self.task.cancel()
 
+    def begin_stop(self) -> None:
+        """Refuse the request when it can no longer be answered before the node ends.
+
+        A request that has been sent goes on.
+        """
+        latest = self._latest_dispatch()
+        if latest is None or self._stop_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._stop_timer = loop.call_at(self._loop_time(latest), self._refuse_unsent)
+
+    def _refuse_unsent(self) -> None:
+        if self.task is None or self._is_held or not self._is_unsent():
+            return
+        self._is_refused_for_stop = True
+        self.task.cancel()
+
     _is_held = False
+    _is_refused_for_stop = False
+    _stop_timer: asyncio.TimerHandle | None = None
     task: "asyncio.Task[None] | None" = None
 
     # Running the request.
@@ -143,9 +162,12 @@
             self._replies.send_answer(decision.status, decision.reason, retry)
             return
         self._admission = decision
+        self.begin_stop()
         try:
             await self._serve_in_time(decision)
         finally:
+            if self._stop_timer is not None:
+                self._stop_timer.cancel()
             self._sender.close()
             self._refund_charge(decision)
 
@@ -162,6 +184,10 @@
                 self.task.uncancel()
                 self._replies.refuse_held_back(admission, self._find_held())
                 return
+            if self._is_refused_for_stop and self.task is not None and not self._caller_left:
+                self.task.uncancel()
+                self._refuse_stopping(admission)
+                return
             if not self._caller_left:
                 raise
             parts.log_decision(
@@ -195,7 +221,31 @@
     def _loop_time(self, at: float) -> float:
         return asyncio.get_running_loop().time() + (at - self._parts.now())
 
+    def _latest_dispatch(self) -> float | None:
+        """Return when the request must have been sent; None if no stop limits that."""
+        if self._admission is None:
+            return None
+        return self._parts.drain.latest_dispatch(self._admission)
+
+    def _is_too_late(self) -> bool:
+        """Return whether no replica has the request and its answer would not end in time."""
+        latest = self._latest_dispatch()
+        return latest is not None and self._parts.now() >= latest and self._is_unsent()
+
+    def _is_unsent(self) -> bool:
+        """Return whether no replica has the request or has begun an answer."""
+        sent = self._sender.is_sending or self._progress.sends.runs
+        return not sent and not self._delivery.head_sent
+
+    def _refuse_stopping(self, admission: Admission) -> None:
+        stop, latest = self._parts.drain.stop, self._latest_dispatch()
+        if stop is not None and latest is not None:
+            self._replies.refuse_stopping(admission, stop, latest)
+
     async def _serve_admitted(self, admission: Admission) -> None:
+        if self._is_too_late():
+            self._refuse_stopping(admission)
+            return
         if self._refuse_if_held_back(admission):
             return
         if is_resumed_by_caller(admission) and not await self._bind_to_origin(admission):
@@ -220,6 +270,8 @@
         while True:
             if not is_still_allowed(admission, self._parts.catalog()):
                 return Denied("no longer allowed", RETRY_SOON_S)
+            if self._is_too_late():
+                return Denied(STOPPING, RETRY_SOON_S)
             if not self._sender.has_budget(admission):
                 return Denied("no retry budget", RETRY_SOON_S)
             held = self._find_held()
@@ -484,6 +536,8 @@
         """End a request whose deadline has passed."""
         sent = self._progress.sends.runs > 0
         if self._granted is not None and self._granted.started_at:
+            if admission.route.is_stream:
+                self._feedback.record_expired(admission, self._granted)
             # A stream that is cut off here was slow or long, which is no failure. Any other
             # request has received no answer, which is a failure.
             failed = not admission.route.is_stream
--- a/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/feedback.py
@@ -108,7 +108,9 @@
         if end is SendEnd.DELIVERED:
             begun = admission.route.is_stream and granted.first_s > 0
             first_s = granted.first_s if begun else None
-            stats.record_answer(now - granted.started_at, now, first_s)
+            took_s = now - granted.started_at
+            stats.record_answer(took_s, now, first_s)
+            parts.drain.durations.record(admission, took_s, first_s)
         elif end in UNCONNECTED:
             stats.record_unreachable(now)
         else:
@@ -123,6 +125,15 @@
         if not admission.service.is_engine:
             parts.on_plain_request_ended(_plain_end(admission, granted, end, now))
 
+    def record_expired(self, admission: Admission, granted: Granted) -> None:
+        """Record the time that a stream took until its deadline cut it off.
+
+        Without the streams that are cut off, the longest ones would never be seen.
+        """
+        if granted.started_at and granted.first_s > 0:
+            took_s = self._parts.now() - granted.started_at
+            self._parts.drain.durations.record(admission, took_s, granted.first_s)
+
     def _record_quarantine_evidence(
         self,
         admission: Admission,
--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from chalkyoke.gateway.drain import PlannedStop
 from chalkyoke.gateway.exchange import Exchange
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.http1.messages import Request
@@ -32,6 +33,12 @@
         exchange.task.add_done_callback(self._on_task_done)
         return exchange
 
+    def begin_stop(self, stop: PlannedStop) -> None:
+        """Refuse from now on the requests that would not end before the node does."""
+        self._parts.drain.stop = stop
+        for exchange in list(self._exchanges.values()):
+            exchange.begin_stop()
+
     def on_request_held(self, request: bytes) -> None:
         """End the waiting exchanges of a request that is held back from now on.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -11,6 +11,7 @@
 from chalkyoke.balancing.local import LocalBalancer
 from chalkyoke.balancing.reports import PlainEnd
 from chalkyoke.catalog.resources import Catalog
+from chalkyoke.gateway.drain import Drain
 from chalkyoke.gateway.granted import ReplicaPort
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.origins import OriginPort
@@ -39,6 +40,7 @@
     :param log_rejection: writes to the log that a request was rejected before admission.
     :param on_plain_request_ended: called when a send to a replica of a plain service has ended.
     :param memory: the host's account of buffered bytes.
+    :param drain: decides which requests the node still takes during a planned stop.
     """
 
     catalog: Callable[[], Catalog]
@@ -59,3 +61,4 @@
     announcements: AnnouncementPort
     origins: OriginPort
     memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
+    drain: Drain = msgspec.field(default_factory=Drain)
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -4,6 +4,7 @@
 Answers of the node itself, for requests without an answer of a replica.
 """
 
+from chalkyoke.gateway.drain import PlannedStop
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Delivery
@@ -17,6 +18,8 @@
 MAX_RETRY_AFTER_S = 60.0
 # Retry-After time of a refusal whose cause is short-lived, in seconds.
 RETRY_SOON_S = 0.3
+# Reason of a refusal because the answer would not end before this node does.
+STOPPING = "stopping"
 
 
 class Replies:
@@ -44,6 +47,9 @@
         if retry_after_s is not None:
             bounded = min(MAX_RETRY_AFTER_S, max(0.0, retry_after_s))
             headers.append((b"Retry-After", b"%.2f" % bounded))
+        if self._parts.drain.stop is not None:
+            # The caller goes on elsewhere.
+            self._response.close_gracefully()
         body = reason.encode()
         self._response.send_head(
             AnswerHead(status, reason_phrase(status), headers, len(body)), body
@@ -73,6 +79,23 @@
         self._parts.log_decision("refused", admission, reason=reason, retry_after_s=retry_after_s)
         self.send_answer(503, reason, retry_after_s)
 
+    def refuse_stopping(
+        self, admission: Admission, stop: PlannedStop, latest_dispatch: float
+    ) -> None:
+        """Answer that the node ends too early for the answer.
+
+        :param latest_dispatch: when the request should have been dispatched, on the node's clock.
+        """
+        self._parts.log_decision(
+            "refused",
+            admission,
+            reason=STOPPING,
+            retry_after_s=RETRY_SOON_S,
+            ends_in_s=round(stop.ends_at - self._parts.now(), 4),
+            expected_s=round(stop.ends_at - latest_dispatch, 4),
+        )
+        self.send_answer(503, STOPPING, RETRY_SOON_S)
+
     def refuse_over_quota(self, admission: Admission, decided: QuotaDecision) -> None:
         """Answer that the team's quota is spent."""
         self._parts.log_decision(
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -0,0 +1,94 @@
+"""Tests of the decision which requests a node takes during a planned stop."""
+
+import pytest
+from chalkyoke.catalog.resources import Route, RouteKind, Service, Target
+from chalkyoke.gateway.drain import REFUSAL_TIME_S, Drain, PlannedStop
+from chalkyoke.gateway.durations import MAX_SAMPLES
+from chalkyoke.gateway.ports import RequestFields
+from chalkyoke.gateway.reception import Admission
+
+STOP = PlannedStop(leaves_at=102.5, ends_at=107.4)
+
+
+def admitted(arrived_at, timeout_s=8.0, max_output=0, route="chat", service="model"):
+    fields = RequestFields("r1", max_output_tokens=max_output)
+    return Admission(
+        request_id="r1",
+        fields=fields,
+        route=Route(route, "h", "/", (Target(service, 1.0),), RouteKind.STREAM),
+        service=Service(service),
+        team=None,
+        version=1,
+        rank=0,
+        cost=1.0,
+        arrived_at=arrived_at,
+        deadline=arrived_at + timeout_s,
+        due_at=arrived_at,
+        patience_until=arrived_at,
+    )
+
+
+def stopping(*answers):
+    """Return the drain of a stopping node that has seen answers: duration and allowed output."""
+    drain = Drain()
+    for took_s, max_output in answers:
+        drain.durations.record(admitted(0.0, max_output=max_output), took_s, 0.2)
+    drain.stop = STOP
+    return drain
+
+
+def is_taken(drain, admission):
+    latest = drain.latest_dispatch(admission)
+    return latest is None or admission.arrived_at < latest
+
+
+def test_every_request_is_taken_before_a_stop():
+    assert Drain().latest_dispatch(admitted(100.0)) is None
+
+
+def test_a_late_request_of_an_unknown_route_is_taken_only_if_its_caller_waits_no_longer():
+    assert not is_taken(stopping(), admitted(103.0))
+    assert is_taken(stopping(), admitted(103.0, timeout_s=4.0))
+
+
+def test_a_request_of_an_unknown_route_is_taken_while_callers_may_still_choose_the_node():
+    assert is_taken(stopping(), admitted(102.4))
+
+
+@pytest.mark.parametrize(("arrived_at", "taken"), [(102.0, True), (102.6, True), (106.9, True)])
+def test_a_short_answer_is_taken_until_shortly_before_the_end(arrived_at, taken):
+    assert is_taken(stopping(*[(0.25, 0)] * 50), admitted(arrived_at)) == taken
+
+
+def test_a_long_answer_is_refused_though_most_answers_of_its_route_are_short():
+    """Guards against the longest streams of a route, which a stop cut off."""
+    answers = [(0.5, 0)] * 50 + [(3.0, 0)]
+    assert not is_taken(stopping(*answers), admitted(104.0))
+    assert is_taken(stopping(*answers), admitted(102.4))
+
+
+def test_the_output_that_the_caller_allows_scales_the_expected_duration():
+    drain = stopping(*[(0.6, 60)] * 100)
+    assert is_taken(drain, admitted(104.0, max_output=90))
+    assert not is_taken(drain, admitted(104.0, max_output=600))
+
+
+def test_an_answer_that_usually_takes_longer_than_the_whole_stop_is_refused_at_once():
+    drain = stopping(*[(9.0, 0)] * 5)
+    assert not is_taken(drain, admitted(100.1, timeout_s=30.0))
+
+
+def test_a_few_samples_leave_a_wider_margin_than_many():
+    assert not is_taken(stopping((1.0, 0)), admitted(103.0))
+    assert is_taken(stopping(*[(1.0, 0)] * 100), admitted(103.0))
+
+
+def test_old_answers_and_those_of_dropped_routes_are_forgotten():
+    drain = stopping((6.0, 0), *[(0.25, 0)] * MAX_SAMPLES)
+    assert is_taken(drain, admitted(106.0))
+    drain.durations.retain({"other"})
+    assert not is_taken(drain, admitted(106.0))
+
+
+def test_a_request_that_waits_is_refused_in_time_for_its_caller_to_read_the_refusal():
+    assert stopping().latest_dispatch(admitted(100.0)) == STOP.ends_at - REFUSAL_TIME_S
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -5,6 +5,7 @@
 
 import pytest
 from chalkyoke.catalog.resources import Catalog, Route, RouteKind, Service, Target, Team
+from chalkyoke.gateway.drain import Drain, PlannedStop
 from chalkyoke.gateway.exchange import Exchange
 from chalkyoke.gateway.feedback import Feedback
 from chalkyoke.gateway.granted import Denied, Granted, Source
@@ -160,6 +161,86 @@
     virtual.run(main)
 
 
+class StoppingResponse(Answering):
+    """Records whether the close of the connection was asked for before the answer's head."""
+
+    closes = None
+
+    def close_gracefully(self):
+        self.closes = self.status is None
+
+
+def test_a_request_that_comes_too_late_in_a_stop_is_refused_before_it_is_charged():
+    """Guards against charges for requests that a stopping node refuses."""
+
+    async def main():
+        asked = []
+
+        async def acquire(*_, **__):
+            asked.append("grant")
+
+        exchange, quotas, _ = exchange_with(acquire)
+        exchange._response = exchange._replies._response = response = StoppingResponse()
+        exchange._parts.drain.stop = PlannedStop(leaves_at=-1.0, ends_at=1.0)
+        await exchange.run()
+        assert response.status == 503 and response.closes
+        assert asked == quotas.refunded == []
+        assert exchange._charge is None
+
+    virtual.run(main)
+
+
+@pytest.mark.parametrize(("typical_s", "refused_at"), [(None, 3.7), (1.5, 2.5)])
+def test_a_request_without_a_replica_is_refused_during_a_stop_and_gets_its_quota_refunded(
+    typical_s, refused_at
+):
+    """Guards against requests that waited until the node ended and got no answer."""
+
+    async def main():
+        async def acquire(*_, **__):
+            await asyncio.sleep(60)
+
+        exchange, quotas, _ = exchange_with(acquire)
+        exchange._response = exchange._replies._response = response = StoppingResponse()
+        loop = asyncio.get_running_loop()
+        exchange.task = loop.create_task(exchange.run())
+        await asyncio.sleep(0.2)
+        if typical_s is not None:
+            exchange._parts.drain.durations.record(exchange._admission, typical_s, 0.1)
+        exchange._parts.drain.stop = PlannedStop(leaves_at=1.0, ends_at=4.0)
+        exchange.begin_stop()
+        await exchange.task
+        assert response.status == 503 and response.closes
+        assert loop.time() == pytest.approx(refused_at)
+        assert quotas.refunded == [(1000.0, 7)]
+
+    virtual.run(main)
+
+
+@pytest.mark.parametrize(("runs", "head_sent"), [(1, False), (1, True)])
+def test_a_request_that_may_have_run_is_not_refused_for_a_stop(runs, head_sent):
+    """Guards against a "not run" that is untrue, and against streams that a stop gives up early."""
+
+    async def main():
+        async def acquire(*_, **__):
+            await asyncio.sleep(60)
+
+        exchange, _, response = exchange_with(acquire, route=replace(ROUTE, resumable=True))
+        loop = asyncio.get_running_loop()
+        exchange.task = loop.create_task(exchange.run())
+        await asyncio.sleep(0.2)
+        exchange._progress.sends.runs = runs
+        exchange._delivery.head_sent = head_sent
+        exchange._parts.drain.stop = PlannedStop(leaves_at=1.0, ends_at=2.0)
+        exchange.begin_stop()
+        await asyncio.sleep(3.0)
+        assert response.status is None and not exchange.task.done()
+        exchange.caller_left()
+        await asyncio.gather(exchange.task, return_exceptions=True)
+
+    virtual.run(main)
+
+
 def test_a_request_that_may_have_run_keeps_its_charge():
     async def main():
         async def acquire(*_, **__):
@@ -421,9 +502,11 @@
         grants=SimpleNamespace(release=take_10_ms),
         rollouts=SimpleNamespace(record_outcome=lambda *_, took_s, **__: took.append(took_s)),
         on_plain_request_ended=take_10_ms,
+        drain=Drain(),
     )
     service = Service("seats")
-    admission = SimpleNamespace(service=service, route=ROUTE)
+    fields = RequestFields("r1")
+    admission = SimpleNamespace(service=service, route=ROUTE, fields=fields)
     granted = Granted(REPLICA, 1, Source.LOCAL, started_at=0.75)
     Feedback(parts).record_end(admission, granted, SendEnd.DELIVERED, None, lambda: b"", ())
     assert took == [0.25]
--- a/packages/chalkyoke/src/chalkyoke/http1/response.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/response.py
@@ -39,6 +39,9 @@
     def write(self, data: bytes) -> None:
         """Send bytes of the answer."""
 
+    def close_gracefully(self) -> None:
+        """Close after the requests that have been read are answered."""
+
     def finish_answer(self, final_bytes: bytes) -> None:
         """Finish the answer.
 
@@ -85,6 +88,10 @@
         """
         return self._connection.check_caller_left()
 
+    def close_gracefully(self) -> None:
+        """Close the connection after the requests that have been read are answered."""
+        self._connection.close_gracefully()
+
     def send_head(self, head: AnswerHead, data: bytes = b"") -> None:
         """Send the head together with the first bytes of the body."""
         if self.finished:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -27,6 +27,7 @@
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import HybridClock
 from chalkyoke.exceptions import InvariantBroken, SettingsError
+from chalkyoke.gateway.drain import Drain, PlannedStop
 from chalkyoke.gateway.gateway import Gateway
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.parts import GatewayParts
@@ -365,6 +366,7 @@
             random.random,
             self.now,
         )
+        self.drain = Drain()
         self.gateway = Gateway(
             GatewayParts(
                 catalog=lambda: self.catalog.state.catalog,
@@ -385,6 +387,7 @@
                 announcements=self.announcements,
                 origins=self.origins,
                 memory=self.memory.account,
+                drain=self.drain,
             )
         )
 
@@ -452,19 +455,18 @@
         """Stop accepting callers, finish the requests in progress, then end the process."""
         await self._stopping.wait()
         began = self.now()
+        ends_at = began + self.settings.limits.grace_s - GRACE_MARGIN_S
         log.notice("stopping", in_progress=self.gateway.in_progress)
+        self.gateway.begin_stop(PlannedStop(began + LEAVE_DELAY_S, ends_at))
         self.view.update_self(leaving=True, ready=False)
         self._send_heartbeats()
         # Callers still connect until the load balancer has removed this node.
         await asyncio.sleep(LEAVE_DELAY_S)
         callers.close()
-        left = self.settings.limits.grace_s - GRACE_MARGIN_S - (self.now() - began)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, left)):
+            async with asyncio.timeout(max(0.0, ends_at - self.now())):
                 await callers.finish_requests()
-        await self.tunnels.finish(
-            self.settings.limits.grace_s - GRACE_MARGIN_S - (self.now() - began)
-        )
+        await self.tunnels.finish(ends_at - self.now())
         log.notice("stopped", in_progress=self.gateway.in_progress, took_s=self.now() - began)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
@@ -604,6 +606,7 @@
             self.connections.abort_idle(ended.ip, ended.port)
             self.gateway.on_replica_ended(ended.id)
             log.info("replica_restarted", ended=ended.id)
+        self.drain.durations.retain({each.name for each in state.catalog.routes})
         self.rollouts.rebuild()
         self.replicas.rebuild()
         self.versions.catalog_changed()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,144 @@
+"""Planned stops of a node, while callers that are connected to it still send their requests."""
+
+import asyncio
+import json
+
+from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
+
+from tests.gatewayfleet import CallerAnswer, _ip, _parse_answer, _read_answer, run_check
+
+# Seconds after the signal. The node accepts no connections from 2.5 s on and ends after 7.4 s.
+FIRST_BYTE_S = 2.3
+GRACE_S = 8.0
+# A body of this size may take five seconds, in bytes.
+BODY_BYTES = 60_000
+DEADLINE_MS = 7_900
+LONG_STREAM_S = 3.8
+SHORT_ANSWER_S = 0.05
+
+
+def encode_head(path, request, *, length=BODY_BYTES, work_s=0.0):
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request}\r\n"
+        f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Credential: {KEY}\r\nX-Work-S: {work_s}\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    )
+    return head.encode()
+
+
+async def send_until(began, path, request, sent_at, *, work_s=0.0):
+    """Send a request whose last byte comes some time after the signal, and read the answer.
+
+    :param began: time of the signal, in seconds on the loop's clock.
+    :param sent_at: seconds from the signal to the last byte.
+    """
+    loop = asyncio.get_running_loop()
+    reader, writer = await asyncio.open_connection(_ip(0), 80)
+    await asyncio.sleep(began + FIRST_BYTE_S - loop.time())
+    writer.write(encode_head(path, request, work_s=work_s) + b"x" * (BODY_BYTES - 1))
+    await asyncio.sleep(began + sent_at - loop.time())
+    writer.write(b"x")
+    answer = await _read_answer(reader, until_whole=False)
+    writer.close()
+    return _parse_answer(answer, loop.time() - began - sent_at) if answer else no_answer()
+
+
+def no_answer():
+    return CallerAnswer(0, {}, b"", False, 0.0)
+
+
+def count_runs(fleet, request):
+    return sum(each.runs[request] for each in [*fleet.models, *fleet.seats])
+
+
+async def serve_before(fleet, path, work_s, count=8):
+    sends = (
+        fleet.send_request(0, path, until_whole=True, headers=[("X-Work-S", work_s)])
+        for _ in range(count)
+    )
+    assert all(each.whole for each in await asyncio.gather(*sends))
+
+
+def stop(fleet):
+    fleet.nodes[0]._stopping.set()
+    return asyncio.get_running_loop().time()
+
+
+def test_a_stream_that_would_be_cut_off_by_the_stop_is_refused_and_never_sent_on():
+    """Guards against streams that a stopping node took late and cut off at its end."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/chat/1", LONG_STREAM_S)
+        began = stop(fleet)
+        times = [3.9, 4.1, 4.3]
+        got = await asyncio.gather(
+            *(send_until(began, "/chat/1", f"late{at}", at, work_s=LONG_STREAM_S) for at in times)
+        )
+        for at, answer in zip(times, got, strict=True):
+            assert answer.status == 503 and answer.whole, answer
+            assert answer.headers["connection"] == "close"
+            assert float(answer.headers["retry-after"]) <= 1.0
+            assert count_runs(fleet, f"late{at}") == 0
+
+    run_check(check)
+
+
+def test_a_late_request_on_a_route_that_the_node_has_not_served_is_refused():
+    """Guards against answers of unknown length that a stopping node cut off at its end."""
+
+    async def check(fleet):
+        began = stop(fleet)
+        got = await send_until(began, "/chat/1", "late", 4.0, work_s=LONG_STREAM_S)
+        assert got.status == 503 and got.whole
+        assert count_runs(fleet, "late") == 0
+
+    run_check(check)
+
+
+def test_short_answers_are_served_until_shortly_before_the_end_of_the_stop():
+    """Guards against a stop that refuses by the time alone."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        await serve_before(fleet, "/chat/1", LONG_STREAM_S)
+        began = stop(fleet)
+        got = await asyncio.gather(
+            *(
+                send_until(began, "/book/1", f"short{at}", at, work_s=SHORT_ANSWER_S)
+                for at in (3.5, 5.0, 6.5)
+            ),
+            send_until(began, "/chat/1", "stream", 2.4, work_s=LONG_STREAM_S),
+        )
+        assert [(each.status, each.whole) for each in got] == [(200, True)] * 4
+
+    run_check(check)
+
+
+def test_a_request_that_waits_for_a_replica_is_refused_once_its_answer_would_be_cut_off():
+    """Guards against requests that waited at a stopping node until no other could serve them."""
+
+    async def check(fleet):
+        patient = default_configuration(2)
+        for route in patient["routes"]:
+            route["goal-ms"] = 4000
+        fleet.store.put("op/config", json.dumps(patient).encode())
+        await asyncio.sleep(1.0)
+        await serve_before(fleet, "/chat/1", LONG_STREAM_S)
+        for replica in fleet.models:
+            replica.faults.event_s = 20.0
+        fill = [
+            asyncio.create_task(fleet.send_request(1, "/chat/1"))
+            for _ in range(6 * len(fleet.models))
+        ]
+        await asyncio.sleep(0.5)
+        waiting = asyncio.create_task(fleet.send_request(0, "/chat/1"))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        stop(fleet)
+        got = await waiting
+        assert got.status == 503 and got.whole and got.took_s < GRACE_S / 2
+        assert count_runs(fleet, got.request) == 0
+        for each in fill:
+            each.cancel()
+
+    run_check(check)
