A planned stop answers the pipelined requests that it has read

A request that was read and waited behind another one on its connection vanished when a planned stop closed the connection after the answer in progress: its caller saw a close and no answer. An answer that had ended just before the stop could vanish too.

Cause: the close was announced on, or happened after, the answer in progress, whatever waited behind it. The close of an idle connection discarded bytes that were to be written in the same iteration of the loop.

Ruled out: an answer after an announced close. HTTP/1.1 forbids it, so the announcement waits for the last of the requests that have been read or are being read; one that begins after the announcement is not started. The bound on pipelined requests is unchanged.

Change: the server connection decides by what waits and what is being read whether an answer announces the close, and each waiting request is started in turn and served or refused like any other during the stop. An idle connection writes what is buffered before it closes.

--- a/packages/chalkyoke/src/chalkyoke/http1/response.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/response.py
@@ -63,10 +63,19 @@
 
     :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
     :ivar head_sent: whether the head has been sent.
+    :ivar close_announced: whether the head has announced that no other answer follows.
     :ivar finished: whether the answer is finished or aborted; later calls have no effect.
     """
 
-    __slots__ = ("_bodiless", "_chunked", "_connection", "_unsent_bytes", "finished", "head_sent")
+    __slots__ = (
+        "_bodiless",
+        "_chunked",
+        "_connection",
+        "_unsent_bytes",
+        "close_announced",
+        "finished",
+        "head_sent",
+    )
 
     def __init__(self, connection: CallerConnection, bodiless: bool) -> None:
         self._connection = connection
@@ -74,6 +83,7 @@
         self._chunked = False
         self._unsent_bytes = 0
         self.head_sent = False
+        self.close_announced = False
         self.finished = False
 
     @property
@@ -101,7 +111,7 @@
             self._bodiless = True
         self._chunked = head.length is None and not self._bodiless
         self._unsent_bytes = head.length or 0
-        close = self._connection.closes_after_answer
+        self.close_announced = close = self._connection.closes_after_answer
         self._connection.write(encode_answer_head(head, close=close, chunked=self._chunked))
         if data:
             self.send_body(data)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -44,7 +44,6 @@
     :param opened: called when the connection is open and in the set.
     :param memory: what the connections of a listener share to account for their buffers.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
-    :ivar closes_after_answer: whether the connection closes after the answer in progress.
     :ivar stopping: whether a planned stop has begun.
     """
 
@@ -78,7 +77,7 @@
         self._last_request_read = False
         self._reading_paused = False
         self._writing_paused = False
-        self.closes_after_answer = False
+        self._keep_alive = True
         self.stopping = False
         self._in_message = False
         self._head_complete = False
@@ -169,15 +168,25 @@
         """Whether no request is being read or answered."""
         return self._handler is None and not self._waiting_requests and not self._in_message
 
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the connection closes after the answer in progress.
+
+        During a planned stop, it closes after the last of the requests that have been read or are
+        being read.
+        """
+        if not self._keep_alive:
+            return True
+        return self.stopping and not self._waiting_requests and not self._in_message
+
     def close_gracefully(self) -> None:
-        """Close after the request in progress; an idle connection closes at once.
+        """Close after the last request that has been read; an idle connection closes at once.
 
-        The answer in progress announces the close with ``Connection: close``.
+        The answer to that request announces the close with ``Connection: close``.
         """
         self.stopping = True
-        if self._handler is not None:
-            self.closes_after_answer = True
-        elif self.idle:
+        if self.idle:
+            self._flush()
             self.transport.close()
 
     # Parser events.
@@ -270,7 +279,7 @@
             self._reading_paused = False
             self._hangups.stop()
             self.transport.resume_reading()
-        self.closes_after_answer = not waiting.keep_alive or self.stopping
+        self._keep_alive = waiting.keep_alive
         self._response_writer = ResponseWriter(self, waiting.request.method == b"HEAD")
         self._handler = self._start_handler(waiting.request, self._response_writer)
         if self._response_writer.finished:
@@ -289,14 +298,15 @@
         self.idle_since = self._loop.time()
         if final_bytes:
             self.write(final_bytes)
-        if self.closes_after_answer:
+        announced = self._response_writer is not None and self._response_writer.close_announced
+        if announced or self.closes_after_answer:
             self._close_after_linger()
             return
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
         if self._handler is None and not self.transport.is_closing():
-            if self.stopping and not self._waiting_requests:
+            if self.stopping and self.idle:
                 self._close_after_linger()
                 return
             self._start_next_request()
@@ -334,7 +344,7 @@
         self._incoming.discard_body()
         if self._handler is not None:
             # An earlier request is still being answered; the requests after it are discarded.
-            self.closes_after_answer = True
+            self._keep_alive = False
             self._discard_waiting()
             return
         self._send_refusal(encode_refusal(status, []))
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -247,6 +247,106 @@
     run(check)
 
 
+async def send_head_of(caller, number):
+    _, writer = caller.requests[number]
+    writer.send_head(AnswerHead(200, b"OK", [], None))
+    await settle()
+    return writer
+
+
+def heads_of(caller):
+    return caller.transport.written.split(b"HTTP/1.1 ")[1:]
+
+
+@pytest.mark.parametrize("head_before_stop", [False, True])
+def test_planned_stop_answers_pipelined_requests_and_announces_the_close_on_the_last(
+    head_before_stop,
+):
+    """Guards against requests that were read and vanished behind the answer that a stop ended."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD * 3)
+        writer = None
+        if head_before_stop:
+            writer = await send_head_of(caller, 0)
+        caller.connection.close_gracefully()
+        writer = writer or await send_head_of(caller, 0)
+        writer.finish()
+        await settle()
+        for number in (1, 2):
+            await caller.answer(number)
+        announced = [b"Connection: close" in each for each in heads_of(caller)]
+        assert announced == [False, False, True]
+        assert caller.transport.ended and not caller.transport.aborted
+
+    run(check)
+
+
+def test_planned_stop_answers_a_request_that_is_read_while_the_one_before_is_answered():
+    """Guards against a close that was announced before the last request was read to its end."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD + GOOD[:10])
+        caller.connection.close_gracefully()
+        await caller.answer(0)
+        await caller.send(GOOD[10:])
+        await caller.answer(1)
+        announced = [b"Connection: close" in each for each in heads_of(caller)]
+        assert announced == [False, True]
+        assert caller.transport.ended
+
+    run(check)
+
+
+def test_no_answer_follows_one_that_has_announced_the_close():
+    """Guards against an answer after an announced close, which callers do not read."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD)
+        caller.connection.close_gracefully()
+        writer = await send_head_of(caller, 0)
+        await caller.send(GOOD)
+        writer.finish()
+        await settle()
+        assert len(caller.requests) == 1
+        assert len(heads_of(caller)) == 1 and caller.transport.ended
+
+    run(check)
+
+
+def test_planned_stop_keeps_the_bound_on_pipelined_requests():
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD * (MAX_PIPELINED_REQUESTS + 1))
+        caller.connection.close_gracefully()
+        assert not caller.transport.reading
+        for number in range(MAX_PIPELINED_REQUESTS + 1):
+            await caller.answer(number)
+        assert b"Connection: close" in heads_of(caller)[-1]
+        assert caller.transport.ended
+
+    run(check)
+
+
+def test_planned_stop_sends_an_answer_that_ended_just_before_it():
+    """Guards against answers that were complete and lost before they were written."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD)
+        _, writer = caller.requests[0]
+        writer.send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+        writer.finish()
+        caller.connection.close_gracefully()
+        await settle()
+        assert caller.transport.written.endswith(b"ok") and caller.transport.closed
+
+    run(check)
+
+
 def test_planned_stop_closes_an_idle_connection():
     async def check():
         caller = Caller()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -142,3 +142,42 @@
             each.cancel()
 
     run_check(check)
+
+
+async def send_pipelined(*requests):
+    """Send requests on one connection at once, and return its bytes up to the close.
+
+    :param requests: path, id and work in seconds of each.
+    """
+    reader, writer = await asyncio.open_connection(_ip(0), 80)
+    for path, request, work_s in requests:
+        writer.write(encode_head(path, request, length=0, work_s=work_s))
+    answers = await _read_answer(reader, until_whole=False)
+    writer.close()
+    return answers
+
+
+def test_a_pipelined_request_behind_the_last_answer_of_a_stop_is_answered_too():
+    """Guards against requests that were read and vanished when a stop closed their connection."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/chat/1", LONG_STREAM_S)
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        long, short = ("/chat/1", LONG_STREAM_S), ("/book/1", SHORT_ANSWER_S)
+        sends = [
+            asyncio.create_task(send_pipelined(*((path, f"{name}{n}", s) for n, (path, s) in each)))
+            for name, each in (
+                ("served", enumerate([long, short, short])),
+                ("refused", enumerate([long, short, long])),
+            )
+        ]
+        await asyncio.sleep(0.5)
+        stop(fleet)
+        for answers, last in zip(await asyncio.gather(*sends), (b"200", b"503"), strict=True):
+            heads = answers.split(b"HTTP/1.1 ")[1:]
+            assert [each[:3] for each in heads] == [b"200", b"200", last]
+            closes = [b"connection: close" in each.lower() for each in heads]
+            assert closes == [False, False, True]
+        assert count_runs(fleet, "refused2") == 0
+
+    run_check(check)
