A SIGHUP during the start of a gateway reloads after the start

A SIGHUP that came while a gateway process was still importing its modules ended the process: the default action of the signal applied until the node had set its handler.

Ruled out: ignoring the signal until then, since a settings file that changes after it was read would not be read again.

Change: chalkyoke.gatewayd blocks the signal before its imports, and the node unblocks it after the handler is set, so a pending one reloads once. What comes in the interpreter's own start, before the module runs, still has the default action. "chalkyoke gateway" is unchanged.

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -9,9 +9,15 @@
 import asyncio
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
+if __name__ == "__main__":
+    # A reload that is requested during the imports below waits for its handler; it would end the
+    # process otherwise.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 from chalkyoke import eventloop
 from chalkyoke.exceptions import InvariantBroken, SettingsError
 from chalkyoke.gateway.settings import GatewaySettings, load
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -429,6 +429,8 @@
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # The start-up code may have blocked it until it is handled.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.links.listen()
         listen = self.settings.listen
         make = self._listener_parts()
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -312,6 +312,27 @@
     with_fleet(check, ("a",))
 
 
+def test_a_reload_that_is_requested_while_a_node_starts_takes_place_after_the_start():
+    """Guards against a reload signal that ended a process before its handler was set."""
+
+    async def check(fleet):
+        node = fleet.nodes["n1"]
+        node.send_signal(signal.SIGKILL)
+        node.popen.wait()
+        log = fleet.folder / "n1.log"
+        assert "reloaded" not in log.read_text()
+        fleet.start_node("n1")
+        # A library that the node needs is loaded: the imports are under way.
+        loaded = Path(f"/proc/{node.popen.pid}/maps")
+        await fleet.wait_until(lambda: "msgspec" in loaded.read_text(), "the start of the imports")
+        node.send_signal(signal.SIGHUP)
+        await fleet.wait_until_ready("n1")
+        await fleet.wait_until(lambda: "reloaded" in log.read_text(), "the reload")
+        assert node.popen.poll() is None
+
+    with_fleet(check, ("a",))
+
+
 def test_a_request_with_two_lengths_is_never_forwarded():
     async def check(fleet):
         ip, port = fleet.nodes["n1"].callers.rsplit(":", 1)
