A stopping gateway opens no tunnel, and waits for those being opened

A host that stops serves tunnels to hosts that have lost their own paths to replicas. Until its own callers were finished, up to 7.4 s after the SIGTERM, it still opened tunnels for hosts that had not heard of the stop; and a tunnel that was being opened when it began to wait for the open ones was not waited for. Requests on such tunnels could be cut off by the end of the process.

Ruled out: ending tunnels early. The hosts that use them retire them once they see this host leave, and requests in progress may end in time.

Change: the stop refuses new tunnels from the signal on, and the hosts that ask try another one; at the end it waits for open and opening tunnels alike.

--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import cast
 
@@ -24,6 +25,8 @@
 # Highest number of tunnels that this host serves: with two file descriptors each, a tenth of those
 # of the smallest hosts that operators run.
 MAX_TUNNELS = 200
+# Interval at which a stop checks whether tunnels are still open, in seconds.
+END_CHECK_S = 0.05
 
 log = logger("tunnels")
 
@@ -164,19 +167,22 @@
             return
         await self._splice(stream, found)
 
+    def refuse_new(self) -> None:
+        """Open no tunnel from now on; a host that has not seen this one leave asks another one."""
+        self._stopping = True
+
     async def finish(self, seconds: float) -> None:
-        """Open no tunnel from now on, and wait for the end of the open ones.
+        """Open no tunnel from now on, and wait for the end of the open and the opening ones.
 
         The hosts that use them close them after their requests, since they see this host leave.
 
         :param seconds: longest time to wait.
         """
-        self._stopping = True
-        ends = [asyncio.ensure_future(each.closed.wait()) for each in self.tunnels]
-        if ends:
-            await asyncio.wait(ends, timeout=max(0.0, seconds))
-        for end in ends:
-            end.cancel()
+        self.refuse_new()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, seconds)):
+                while self._opening or self.tunnels:  # noqa: ASYNC110
+                    await asyncio.sleep(END_CHECK_S)
 
     def member_left(self, process: str) -> None:
         """End the tunnels of a process that is lost."""
--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
@@ -310,6 +310,38 @@
     run_hosts(check, Upstream(), Upstream())
 
 
+def test_a_planned_stop_waits_for_a_tunnel_that_is_being_opened():
+    """Guards against requests that were cut off as the stop did not know their tunnel yet."""
+
+    async def check(entry, helper, upstream, _):
+        opening = asyncio.create_task(entry.connect(upstream.address))
+        while not helper.server._opening:
+            await asyncio.sleep(0)
+        stop = asyncio.create_task(helper.server.finish(5.0))
+        connection = await opening
+        answer = send_request(connection)
+        await asyncio.sleep(0)
+        assert not stop.done()
+        assert await answer.ended is None and bytes(answer.body) == BODY
+        connection.retire()
+        entry.pool.release(*upstream.address, connection)
+        await stop
+        assert not helper.server.tunnels
+
+    run_hosts(check, Upstream(), Upstream())
+
+
+def test_a_host_that_stops_opens_no_tunnel_while_it_still_serves_its_own_callers():
+    """Guards against tunnels for hosts that have not heard of the stop, which its end cuts off."""
+
+    async def check(entry, helper, upstream, _):
+        helper.server.refuse_new()
+        assert await entry.connect(upstream.address) is ConnectFailure.NO_PATH
+        assert not helper.server.tunnels
+
+    run_hosts(check, Upstream(), Upstream())
+
+
 def test_the_own_path_is_used_again_once_it_is_back():
     async def check(entry, helper, upstream, _):
         tunnel = await entry.connect(upstream.address)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from chalkyoke.tunnels.messages import TunnelOutcome, TunnelRequest
 from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
 
 from tests.gatewayfleet import CallerAnswer, _ip, _parse_answer, _read_answer, run_check
@@ -157,6 +158,28 @@
     return answers
 
 
+def test_a_stopping_node_opens_no_tunnel_from_the_signal_on():
+    """Guards against tunnels that are opened late and cut off at the end of the stop."""
+
+    async def check(fleet):
+        stopping, asking = fleet.nodes[0], fleet.nodes[3]
+        ip, port = fleet.seats[0].listen_address.rsplit(":", 1)
+
+        async def ask():
+            stream = await asking.links.open(stopping.record.address)
+            stream.send(TunnelRequest(ip, int(port)))
+            answer = await stream.receive()
+            stream.abort()
+            return answer.outcome
+
+        assert await ask() == TunnelOutcome.OPENED
+        stop(fleet)
+        await asyncio.sleep(0.01)
+        assert await ask() == TunnelOutcome.BUSY
+
+    run_check(check)
+
+
 def test_a_pipelined_request_behind_the_last_answer_of_a_stop_is_answered_too():
     """Guards against requests that were read and vanished when a stop closed their connection."""
 
