A request is never sent twice over the same connection

Cause: an answer is matched by the request's id, which all sends of a request share, as the platform asks for the caller's id unaltered. The pool reuses the connection that was used last, so a second send to a replica usually got the connection on which it had been rejected.

Ruled out: an id of its own for each send (the replica must get the caller's); dropping each connection on which a rejection came (other requests have other ids and are safe there, and each drop costs a round trip when replicas are full); skipping a second answer with the same id (nothing tells which of the two is the late one).

Change: an exchange remembers the connections over which it has sent its request, and the pool takes another idle connection for it or opens a new one. At the limit an idle connection that is excluded is closed to make room. On one connection an id is thus sent once, in all orders of late bytes.

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -53,6 +53,9 @@
     :ivar attempt: number of the latest grant that was asked for.
     :ivar declined: whether a replica has declined the request.
     :ivar unused_grants: number of grants that could not be used.
+    :ivar connections: connections over which the request was sent. All sends of a request have its
+        id, so a late copy of an answer to one could be taken for the answer to another one on the
+        same connection.
     """
 
     sends: SendCounts = msgspec.field(default_factory=SendCounts)
@@ -60,6 +63,7 @@
     attempt: int = 0
     declined: bool = False
     unused_grants: int = 0
+    connections: list[ClientConnection] = msgspec.field(default_factory=list)
 
 
 class Sender:
@@ -251,6 +255,7 @@
             limit=max(2, int(admission.service.max_connections * 0.9 / nodes)),
             timeout_s=CONNECT_TIMEOUT_S,
             fresh_s=fresh,
+            excluded=self._progress.connections,
         )
 
     def _dispatch(
@@ -304,6 +309,7 @@
         progress.sends.runs += 1
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
+        progress.connections.append(connection)
         parts.grants.record_started(admission, granted)
         parts.rollouts.record_sent(granted.replica)
         parts.log_decision(
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import msgspec
 
@@ -63,18 +63,29 @@
         self.opened_connections = 0
 
     async def connect(
-        self, ip: str, port: int, *, limit: int, timeout_s: float, fresh_s: float
+        self,
+        ip: str,
+        port: int,
+        *,
+        limit: int,
+        timeout_s: float,
+        fresh_s: float,
+        excluded: Collection[ClientConnection] = (),
     ) -> ClientConnection | ConnectFailure:
         """Reuse an idle connection, or open a new one.
 
         :param limit: highest number of open connections to this address.
         :param timeout_s: limit for opening a connection, in seconds.
         :param fresh_s: longest idle time of a reused connection, in seconds.
+        :param excluded: connections that may not be reused here; at the limit an idle one of them
+            is closed to make room.
         """
         entry = self._addresses.setdefault((ip, port), _AddressEntry())
-        idle = self._take_idle(entry, fresh_s)
+        idle = self._take_idle(entry, fresh_s, excluded)
         if idle is not None:
             return idle
+        if entry.count >= limit:
+            _close_one_idle(entry)
         return await self.open(ip, port, limit=limit, timeout_s=timeout_s)
 
     async def open(
@@ -171,10 +182,14 @@
             for connection in entry.idle_connections:
                 connection.transport.abort()
 
-    def _take_idle(self, entry: _AddressEntry, fresh_s: float) -> ClientConnection | None:
+    def _take_idle(
+        self, entry: _AddressEntry, fresh_s: float, excluded: Collection[ClientConnection]
+    ) -> ClientConnection | None:
         now = self._loop.time()
-        while entry.idle_connections:
-            connection = entry.idle_connections.pop()
+        for connection in reversed(entry.idle_connections.copy()):
+            if connection in excluded:
+                continue
+            entry.idle_connections.remove(connection)
             age = now - connection.idle_since
             if connection.reusable and age <= min(fresh_s, _idle_limit_s(connection)):
                 return connection
@@ -191,6 +206,15 @@
             entry.idle_connections.remove(connection)
 
 
+def _close_one_idle(entry: _AddressEntry) -> None:
+    """Close an idle connection, if there is one, so that it no longer counts toward the limit."""
+    if not entry.idle_connections:
+        return
+    connection = entry.idle_connections.pop(0)
+    entry.connections.discard(connection)
+    connection.transport.close()
+
+
 def _idle_limit_s(connection: ClientConnection) -> float:
     if connection.keep_alive_s <= 0:
         return DEFAULT_IDLE_LIMIT_S
