A part of an answer and the next answer are not read as one

The replica had sent a part of an earlier answer once more, broken off in its head, and the bytes arrived where the next answer was due.

Cause: the part and the next answer are one head to the parser if the part ends in the reason phrase or in the value of a header: "HTTP/1.1 200 OKHTTP/1.1 500 Internal Server Error". A part that ends elsewhere is refused by the parser already (a header's name can't hold a slash, a status or a length no letters, a CR must precede an LF, a second length or a length beside chunks is an error); tried at each place of a head.

Ruled out: looking for headers that come twice alone (a part that ends before its first deciding header leaves one line of each); dropping each connection over which an answer to another request came (its id tells it apart, and other requests would pay a new connection).

Change: a status line within the reason phrase or a header's value breaks the exchange as garbled, for all answers, interim ones and those of the store included. An answer with two different values of X-Request-Id, X-Server-Stamp, X-Not-Run or Retry-After (RFC 9110, 5.3) is no answer either: the matcher now tells own, other and invalid answers apart, and an invalid one resets the connection.

--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -73,6 +73,7 @@
     :param limit_unreadable: whether the answer states a limit that is not a number.
     :param max_rejections_per_s: rejections a second above which the replica falls over; None if the
         answer states none.
+    :param contradictory: whether the answer states two values where only one can hold.
     """
 
     request_id: str
@@ -85,6 +86,7 @@
     limit_per_s: float | None = None
     limit_unreadable: bool = False
     max_rejections_per_s: float | None = None
+    contradictory: bool = False
 
 
 class Forwarding(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -12,7 +12,7 @@
 from chalkyoke.gateway.events import EventSplitter
 from chalkyoke.gateway.ports import AnswerFields, HeaderFormat
 from chalkyoke.gateway.verdict import MISDIRECTED, SERVER_ERROR_MIN, SendEnd
-from chalkyoke.http1.client import BreakReason
+from chalkyoke.http1.client import AnswerMatch, BreakReason
 from chalkyoke.http1.messages import AnswerHead, Headers, end_to_end_headers
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
@@ -111,13 +111,15 @@
 
     # Callbacks of the replica's connection.
 
-    def matches_request(self, headers: Headers) -> bool:
+    def match_answer(self, headers: Headers) -> AnswerMatch:
         """Read an answer's headers and return whether the answer belongs to this request."""
         found = self._headers.read_answer(headers)
+        if found.contradictory:
+            return AnswerMatch.INVALID
         if found.request_id != self._request_id:
-            return False
+            return AnswerMatch.OTHER
         self.fields = found
-        return True
+        return AnswerMatch.OWN
 
     def answer_head(self, head: AnswerHead) -> None:
         """Receive the head and decide how the body is forwarded."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -356,10 +356,10 @@
         request, memory = self._request, self._parts.memory
         bodiless = request.method == b"HEAD"
         if not memory.is_limited:
-            connection.send(head + request.body, relay, relay.matches_request, bodiless=bodiless)
+            connection.send(head + request.body, relay, relay.match_answer, bodiless=bodiless)
             return
         upload = Upload(request.body)
-        connection.send(head, relay, relay.matches_request, bodiless=bodiless, upload=upload)
+        connection.send(head, relay, relay.match_answer, bodiless=bodiless, upload=upload)
 
     async def _wait_for_relay(self, admission: Admission, send: Send) -> SendEnd:
         """Wait for the end of an answer, or until its replica is silent for too long."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_late_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_late_answers.py
@@ -62,11 +62,22 @@
             connection.data_received(data)
 
 
+class ContradictingReplica(RejectingReplica):
+    """Answers with the ids of two requests."""
+
+    def answer(self, connection):
+        self.runs += 1
+        asyncio.get_running_loop().call_soon(
+            self.send, connection, SUCCESS.replace(b"Id: r1", b"Id: r0\r\nId: r1")
+        )
+
+
 def read_answer(headers):
     return AnswerFields(
         (find_header(headers, b"id") or b"").decode(),
         signed=find_header(headers, b"signed") is not None,
         not_run=find_header(headers, b"not-run") is not None,
+        contradictory=sum(name == b"Id" for name, _ in headers) > 1,
     )
 
 
@@ -94,3 +105,14 @@
         assert (fleet.caller.status, fleet.caller.body, replica.runs) == (200, b"ok", 1)
 
     virtual.run(main)
+
+
+# Guards against a success that belongs in part to another request.
+def test_an_answer_with_the_ids_of_two_requests_is_no_answer():
+    async def main():
+        replica = ContradictingReplica()
+        fleet = OneReplicaFleet(replica)
+        await fleet.run()
+        assert (fleet.caller.status, replica.runs) == (502, 1)
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reading.py
@@ -64,7 +64,7 @@
             on_data=self.reading.on_data,
         )
         self.reading.start(self.connection, self.relay)
-        self.relay.matches_request([])
+        self.relay.match_answer([])
         self.relay.answer_head(AnswerHead(status, b"OK", [], None))
 
 
--- a/packages/chalkyoke/src/chalkyoke/http1/calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chalkyoke.http1.client import BreakReason, ClientConnection
+from chalkyoke.http1.client import AnswerMatch, BreakReason, ClientConnection
 from chalkyoke.http1.dialing import ConnectFailure
 from chalkyoke.http1.messages import AnswerHead, Headers, encode_request_head
 from chalkyoke.http1.pool import ConnectionPool
@@ -109,7 +109,7 @@
     ) -> CallAnswer | CallFailed:
         future: asyncio.Future[CallAnswer | CallFailed]
         future = asyncio.get_running_loop().create_future()
-        connection.send(data, _AnswerCollector(future), lambda _: True)
+        connection.send(data, _AnswerCollector(future), lambda _: AnswerMatch.OWN)
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await future
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from chalkyoke.discard import Discard
+from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 from chalkyoke.http1.upload import Upload
 from chalkyoke.sockets import unacknowledged_bytes
@@ -36,6 +37,14 @@
     CANCELLED = "cancelled"
 
 
+class AnswerMatch(StrEnum):
+    """Whether an answer belongs to the request in progress; an invalid one is no answer at all."""
+
+    OWN = "own"
+    OTHER = "other"
+    INVALID = "invalid"
+
+
 class AnswerSink(Protocol):
     """Receives one answer as a stream. The last call is one ``answer_end`` or ``answer_broken``."""
 
@@ -55,14 +64,15 @@
         """
 
 
-AnswerMatcher = Callable[[Headers], bool]
+AnswerMatcher = Callable[[Headers], AnswerMatch]
 
 
 class ClientConnection(asyncio.Protocol):
     """One connection to an upstream.
 
     An answer to another request is skipped. Bytes that arrive while no request is in progress
-    abort the connection, because they belong to no request.
+    abort the connection, because they belong to no request. A head that is not the head of one
+    answer breaks the exchange.
 
     :ivar idle_since: when the last answer ended, on the loop's clock.
     :ivar keep_alive_s: seconds for which the upstream announces to keep an idle connection; 0
@@ -79,7 +89,7 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._sink: AnswerSink | None = None
-        self._matches_request: AnswerMatcher | None = None
+        self._match_answer: AnswerMatcher | None = None
         self._bodiless = False
         self._upload: Upload | None = None
         self._unusable = False
@@ -185,7 +195,7 @@
         self,
         data: bytes,
         sink: AnswerSink,
-        matches_request: AnswerMatcher,
+        match_answer: AnswerMatcher,
         *,
         bodiless: bool = False,
         upload: Upload | None = None,
@@ -194,10 +204,10 @@
 
         :param data: head and body; only the head if the body is uploaded in pieces.
         :param upload: the body, if it is uploaded in pieces.
-        :param matches_request: tests by its headers whether an answer belongs to the request.
+        :param match_answer: tells by its headers whether an answer belongs to the request.
         :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
         """
-        self._sink, self._matches_request, self._bodiless = sink, matches_request, bodiless
+        self._sink, self._match_answer, self._bodiless = sink, match_answer, bodiless
         self.active_at = self._loop.time()
         self._reset_message()
         self._upload = upload
@@ -257,12 +267,22 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sink if the answer belongs to the request, else skip the answer."""
-        sink, matches_request = self._sink, self._matches_request
+        sink, match_answer = self._sink, self._match_answer
+        if sink is None or match_answer is None:
+            self._skipping = True
+            return
+        if contains_status_line(bytes(self._reason), self._headers):
+            self._abort_garbled()
+            return
         status = self._parser.get_status_code()
-        if sink is None or matches_request is None or status <= MAX_INFORMATIONAL_STATUS:
+        if status <= MAX_INFORMATIONAL_STATUS or self._head_bytes_read > MAX_ANSWER_HEAD_BYTES:
             self._skipping = True
             return
-        if self._head_bytes_read > MAX_ANSWER_HEAD_BYTES or not matches_request(self._headers):
+        match = match_answer(self._headers)
+        if match is AnswerMatch.INVALID:
+            self._abort_garbled()
+            return
+        if match is AnswerMatch.OTHER:
             self._skipping = True
             return
         length = self._declared_length(status)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -1,7 +1,12 @@
 import asyncio
 
 import pytest
-from chalkyoke.http1.client import BoundedClientConnection, BreakReason, ClientConnection
+from chalkyoke.http1.client import (
+    AnswerMatch,
+    BoundedClientConnection,
+    BreakReason,
+    ClientConnection,
+)
 from chalkyoke.http1.upload import COPIED_BYTES, Upload
 
 from .transports import RecordingTransport
@@ -27,13 +32,18 @@
         self.broken.append(how)
 
 
+def match_own(headers):
+    found = {value for name, value in headers if name == b"Id"}
+    if len(found) > 1:
+        return AnswerMatch.INVALID
+    return AnswerMatch.OWN if found == {b"mine"} else AnswerMatch.OTHER
+
+
 def exchange(*pieces, error=None, closes=False):
     async def main():
         connection, transport, sink = ClientConnection(), RecordingTransport(), RecordingSink()
         connection.connection_made(transport)
-        connection.send(
-            b"GET / HTTP/1.1\r\n\r\n", sink, lambda headers: (b"Id", b"mine") in headers
-        )
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", sink, match_own)
         for piece in pieces:
             connection.data_received(piece)
         if closes:
@@ -81,6 +91,38 @@
     assert not connection.reusable
 
 
+HEAD_OF_OTHER = b"HTTP/1.1 200 OK\r\nDate: now\r\nId: other\r\nContent-Length: 2\r\n"
+FAILURE = b"HTTP/1.1 500 Internal Server Error\r\nId: mine\r\nContent-Length: 2\r\n\r\nno"
+
+
+# Guards against a failure that reached its caller as a success, because a part of an earlier answer
+# and the failure were read as one head.
+@pytest.mark.parametrize("cut", range(1, len(HEAD_OF_OTHER)))
+def test_a_part_of_an_answer_and_the_next_answer_are_not_read_as_one(cut):
+    connection, transport, sink = exchange(HEAD_OF_OTHER[:cut] + FAILURE)
+    assert (sink.head, sink.ended, sink.broken) == (None, 0, [BreakReason.GARBLED])
+    assert transport.aborted and not connection.reusable
+
+
+def test_a_part_of_an_interim_answer_and_the_next_answer_are_not_read_as_one():
+    _, _, sink = exchange(b"HTTP/1.1 103 Early" + FAILURE)
+    assert (sink.head, sink.broken) == (None, [BreakReason.GARBLED])
+
+
+def test_an_answer_that_its_matcher_calls_invalid_breaks_the_exchange():
+    connection, transport, sink = exchange(
+        b"HTTP/1.1 200 OK\r\nId: other\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert (sink.head, sink.broken) == (None, [BreakReason.GARBLED])
+    assert transport.aborted and not connection.reusable
+
+
+@pytest.mark.parametrize("value", [b"HTTP/1.1 proxy", b"HTTP/1.1", b"see HTTP/2", b"HTTP/1.1 2000"])
+def test_a_header_that_names_the_protocol_is_no_second_status_line(value):
+    _, _, sink = exchange(OWN_ANSWER.replace(b"Id:", b"Via: %b\r\nId:" % value))
+    assert (sink.ended, sink.broken) == (1, [])
+
+
 @pytest.mark.parametrize(
     ("error", "ended", "broken"),
     [(None, 1, []), (ConnectionResetError(), 0, [BreakReason.RESET])],
@@ -132,7 +174,7 @@
     connection = transport.connection = ClientConnection()
     connection.connection_made(transport)
     sink = RecordingSink()
-    connection.send(b"head", sink, lambda headers: True, upload=Upload(body))
+    connection.send(b"head", sink, lambda headers: AnswerMatch.OWN, upload=Upload(body))
     return connection, sink
 
 
@@ -169,7 +211,7 @@
     async def main():
         connection, sink = BoundedClientConnection(16), RecordingSink()
         connection.connection_made(RecordingTransport())
-        connection.send(b"GET", sink, lambda headers: True)
+        connection.send(b"GET", sink, lambda headers: AnswerMatch.OWN)
         left = OWN_ANSWER
         while left:
             buffer = connection.get_buffer(-1)
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -8,6 +8,7 @@
 
 from chalkyoke.decimals import parse_count, parse_decimal, parse_integer, parse_smallest_decimal
 from chalkyoke.gateway.ports import AnswerFields, Forwarding, Load, PromptPart, RequestFields
+from chalkyoke.http1.heads import has_conflict
 from chalkyoke.http1.messages import Headers, end_to_end_headers
 from chalkyoke.retry_after import parse_retry_after
 
@@ -28,6 +29,8 @@
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 
+# Headers of answers that decide whether and how an answer counts.
+ANSWER_SINGLETONS = frozenset((REQUEST_ID, STAMP, NOT_RUN, RETRY_AFTER))
 HEX_DIGITS = frozenset(string.hexdigits)
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 SYSTEM_HEADERS = frozenset(
@@ -86,6 +89,7 @@
             limit_per_s=limit.value,
             limit_unreadable=limit.unreadable,
             max_rejections_per_s=parse_decimal(_decode_text(found.get(BRITTLE, b""))),
+            contradictory=has_conflict(headers, ANSWER_SINGLETONS),
         )
 
 
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -189,6 +189,16 @@
     assert PlatformHeaders().read_answer([(b"X-Server-Load", value)]).load == load
 
 
+@pytest.mark.parametrize("name", [b"X-Request-Id", b"X-Server-Stamp", b"X-Not-Run", b"Retry-After"])
+def test_an_answer_with_two_values_of_a_deciding_header_is_contradictory(name):
+    """Guards against an answer that is read as that of the later of two requests it names."""
+    read = PlatformHeaders().read_answer
+    assert read([(name, b"1"), (name.lower(), b"2")]).contradictory
+    for other in ([], [(name, b"1")], [(name, b"1"), (name.lower(), b" 1")]):
+        assert not read(other).contradictory
+    assert not read([(b"X-Server-Load", b"1,0,4"), (b"X-Server-Load", b"2,0,4")]).contradictory
+
+
 def test_leaving_and_retry_after_headers_are_parsed():
     read = PlatformHeaders().read_answer
     assert read([(b"Server-Leaving", b"1")]).leaving
--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
@@ -5,7 +5,7 @@
 
 import pytest
 from chalkyoke.clock import Stamp
-from chalkyoke.http1.client import BreakReason, ClientConnection
+from chalkyoke.http1.client import AnswerMatch, BreakReason, ClientConnection
 from chalkyoke.http1.dialing import ConnectFailure
 from chalkyoke.http1.pool import ConnectionPool
 from chalkyoke.links.connection import Identity
@@ -156,7 +156,7 @@
 
 def send_request(connection):
     answer = Answer()
-    connection.send(b"GET / HTTP/1.1\r\n\r\n", answer, lambda headers: True)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", answer, lambda headers: AnswerMatch.OWN)
     return answer
 
 
@@ -225,7 +225,7 @@
     async def check(entry, helper, upstream, _):
         connection = await entry.connect(upstream.address)
         request = b"POST / HTTP/1.1\r\n\r\n" + bytes(20_000_000)
-        connection.send(request, Answer(), lambda headers: True)
+        connection.send(request, Answer(), lambda headers: AnswerMatch.OWN)
         (tunnel,) = helper.server.tunnels
         # The system would close the tunnel after some seconds.
         set_user_timeout(tunnel.other.transport, 0)
