A request that contradicts itself is answered with 400

A request with two different ids, deadlines, keys, models, token counts or event ids was served by the last of each and forwarded with all of them, so a replica may read the other one: an answer that then echoes the first id is never matched, and quota and key are checked by a value that the replica need not use.

Ruled out: forwarding only the value that was read (the id must reach the replica as supplied, and neither of two is that); refusing lines that agree (RFC 9110, 5.3 forbids them to senders, but they mislead nobody). Two Host headers, two lengths, and a length beside chunks are refused before.

Change: the deciding headers of a request come once or agree (the rule of http1/heads.py that holds for answers); else the request gets a 400 before its key and route are looked at.

Measured: on the code before, read_request of X-Request-Id a and b returned b; the seven new checks fail there (the field is missing) and pass now. Proper requests in the tests of the gateway and the platform are admitted as before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -29,6 +29,7 @@
     :param last_event_id: id of the last event that the caller of a stream has received.
     :param resumes: id of the caller's attempt that brought the first event of the stream that this
         attempt resumes; empty if the caller names none.
+    :param contradictory: whether the request states two values where only one can hold.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    contradictory: bool = False
 
 
 class Load(NamedTuple):
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -87,6 +87,8 @@
         return Rejection(503, "no configuration yet")
     if not fields.request_id:
         return Rejection(400, "no request id")
+    if fields.contradictory:
+        return Rejection(400, "contradictory headers")
     host = (find_header(request.headers, b"host") or b"").decode("latin-1")
     path = request.target.partition(b"?")[0].decode("latin-1")
     route = catalog.find_route(host, path)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -62,6 +62,7 @@
     assert admit(key="nobody's").status == 401
     assert admit(key=None).status == 401
     assert admit(request_id="").status == 400
+    assert admit(contradictory=True).status == 400
     empty = admit_request(Request(b"GET", b"/", [], b""), RequestFields("1"), Catalog(), 0.0)
     assert empty.status == 503
 
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -29,6 +29,10 @@
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 
+# Headers of requests that decide how a request is served, for whom, and which attempt it is.
+REQUEST_SINGLETONS = frozenset(
+    (REQUEST_ID, DEADLINE_MS, CREDENTIAL, MODEL, TOKEN_COUNT, LAST_EVENT_ID, RESUMES)
+)
 # Headers of answers that decide whether and how an answer counts.
 ANSWER_SINGLETONS = frozenset((REQUEST_ID, STAMP, NOT_RUN, RETRY_AFTER))
 HEX_DIGITS = frozenset(string.hexdigits)
@@ -56,6 +60,7 @@
             parts=_parse_prompt_parts(found.get(PREFIX_HASH, "")),
             last_event_id=found.get(LAST_EVENT_ID, ""),
             resumes=found.get(RESUMES, "").strip(),
+            contradictory=has_conflict(headers, REQUEST_SINGLETONS),
         )
 
     def forwarded_headers(self, headers: Headers, forwarding: Forwarding) -> Headers:
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_formats.py
@@ -131,6 +131,17 @@
     assert (fields.deadline_s, fields.prompt_tokens, fields.parts) == (None, 0, ())
 
 
+@pytest.mark.parametrize(
+    "name", ["X-Request-Id", "X-Deadline-Ms", "X-Credential", "X-Model", "X-Token-Count", "Resumes"]
+)
+def test_a_request_with_two_values_of_a_deciding_header_is_contradictory(name):
+    """Guards against a request whose replica reads another of its values than the node did."""
+    read, name = PlatformHeaders().read_request, name.encode()
+    assert read([(name, b"1"), (name.lower(), b"2")]).contradictory
+    for other in ([], [(name, b"1")], [(name, b"1"), (name.lower(), b" 1")], REQUEST):
+        assert not read(other).contradictory
+
+
 def test_system_headers_can_t_be_forged_and_the_key_is_not_forwarded():
     forwarding = Forwarding("i-1", "clerks", 2.5)
     headers = PlatformHeaders().forwarded_headers(REQUEST, forwarding)
