Completions: a part of an answer and the next answer are not read as one

Of "HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error", read from an engine where an answer was due, it made an opened answer with the body of the failure.

Ruled out: a check of the answer that is handed out. With a whole body in the same read, the connection is back in the client's pool by then, and would carry other requests (tried: the connection stayed open).

Change: the protocol of its connections refuses such a head by the rule of http1/heads.py. The call ends without an answer, and the connection is reset. Load reports, resumed streams and cancellations go over the same protocol.

--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -13,8 +13,11 @@
 import aiohttp
 import msgspec
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 
 from chalkyoke.exceptions import ChalkyokeError
+from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.retry_after import parse_retry_after
 from chalkyoke.scheduling.messages import CacheEvent, LoadReport
 from chalkyoke.sockets import reset_when_closed
@@ -64,13 +67,23 @@
     return trace
 
 
-class _ResettingHandler(ResponseHandler):
+class _UpstreamHandler(ResponseHandler):
     """The protocol of a connection that is reset, and not closed, when it is given up.
 
     A plain close would first deliver the rest of a request that nobody waits for any more. If the
     reset is lost, the upstream still hears of the cancellation by a call of its own.
+
+    An answer whose head was joined from two ends the connection and the call.
     """
 
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Receive the head of an answer."""
+        head = data[0]
+        if contains_status_line(head.reason.encode(), list(head.raw_headers)):
+            self.set_exception(aiohttp.ClientPayloadError("the head of two answers"))
+            return
+        super().feed_data(data, size)
+
     def close(self) -> None:
         """Reset the connection and drop unsent data."""
         transport = self.transport
@@ -87,7 +100,7 @@
         super().__init__(
             limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False, family=socket.AF_INET
         )
-        handler: type[ResponseHandler] = _ResettingHandler
+        handler: type[ResponseHandler] = _UpstreamHandler
         self._factory = functools.partial(handler, loop=self._loop)
 
 
