--- a/packages/chalkyoke/src/chalkyoke/gateway/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/ports.py
@@ -29,6 +29,7 @@
     :param last_event_id: id of the last event that the caller of a stream has received.
     :param resumes: id of the caller's attempt that brought the first event of the stream that this
         attempt resumes; empty if the caller names none.
+    :param contradictory: whether the request states two values where only one can hold.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    contradictory: bool = False
 
 
 class Load(NamedTuple):
@@ -73,6 +75,7 @@
     :param limit_unreadable: whether the answer states a limit that is not a number.
     :param max_rejections_per_s: rejections a second above which the replica falls over; None if the
         answer states none.
+    :param contradictory: whether the answer states two values where only one can hold.
     """
 
     request_id: str
@@ -85,6 +88,7 @@
     limit_per_s: float | None = None
     limit_unreadable: bool = False
     max_rejections_per_s: float | None = None
+    contradictory: bool = False
 
 
 class Forwarding(msgspec.Struct, frozen=True):
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -53,6 +53,9 @@
     :ivar attempt: number of the latest grant that was asked for.
     :ivar declined: whether a replica has declined the request.
     :ivar unused_grants: number of grants that could not be used.
+    :ivar connections: connections over which the request was sent. All sends of a request have its
+        id, so a late copy of an answer to one could be taken for the answer to another one on the
+        same connection.
     """
 
     sends: SendCounts = msgspec.field(default_factory=SendCounts)
@@ -60,6 +63,7 @@
     attempt: int = 0
     declined: bool = False
     unused_grants: int = 0
+    connections: list[ClientConnection] = msgspec.field(default_factory=list)
 
 
 class Sender:
@@ -265,6 +269,7 @@
             limit=max(2, int(admission.service.max_connections * 0.9 / nodes)),
             timeout_s=CONNECT_TIMEOUT_S,
             fresh_s=fresh,
+            excluded=self._progress.connections,
         )
 
     def _dispatch(
@@ -319,6 +324,7 @@
         progress.sends.runs += 1
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
+        progress.connections.append(connection)
         parts.grants.record_started(admission, granted)
         parts.rollouts.record_sent(granted.replica)
         parts.log_decision(
@@ -365,10 +371,10 @@
         request, memory = self._request, self._parts.memory
         bodiless = request.method == b"HEAD"
         if not memory.is_limited:
-            connection.send(head + request.body, relay, relay.matches_request, bodiless=bodiless)
+            connection.send(head + request.body, relay, relay.match_answer, bodiless=bodiless)
             return
         upload = Upload(request.body)
-        connection.send(head, relay, relay.matches_request, bodiless=bodiless, upload=upload)
+        connection.send(head, relay, relay.match_answer, bodiless=bodiless, upload=upload)
 
     async def _wait_for_relay(self, admission: Admission, send: Send) -> SendEnd:
         """Wait for the end of an answer, or until its replica is silent for too long."""
