Interim and other answers without end break the exchange at 1 MB

What callers saw: a request that may run only once waited 8 s for a 504 while its replica sent interim answers, or answers to other requests, without end; the node spent most of a core on skipping them. Cause: what precedes the awaited answer was skipped without a limit until the deadline. Change: the client counts the bytes that precede the awaited answer of one request. Beyond 1 MB the exchange is broken as oversized and the connection is reset. The body of the answer in progress does not count. A longer answer to another request, before the awaited one, now ends the exchange.

The stand-in wrote an empty part first, which the memory net takes for a close; it no longer does.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -382,7 +382,7 @@
     async def _answer_endlessly(self, name: str, writer: asyncio.StreamWriter) -> None:
         begin, repeated = ENDLESS_ANSWERS[self.faults.endless]
         head = _encode_head(200, self._headers(name)).removesuffix(b"\r\n")
-        writer.write(begin.replace(b"%b", head))
+        writer.write(begin.replace(b"%b", head) + repeated)
         while not writer.transport.is_closing():
             writer.write(repeated * (ENDLESS_PART_BYTES // len(repeated)))
             await writer.drain()
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -25,6 +25,8 @@
 # Most bytes without a part of a body: a head, trailers, or the header of a chunk. It bounds memory
 # at four times the head that callers may send.
 MAX_ANSWER_HEAD_BYTES = 65_536
+# Most bytes that precede the awaited answer: interim answers, and answers to other requests.
+MAX_SKIPPED_BYTES = 1_048_576
 # Bytes that are parsed at once before the awaited answer begins; the limit above may be exceeded by
 # as much.
 HEAD_PIECE_BYTES = 4_096
@@ -65,7 +67,8 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to an upstream.
 
-    An answer to another request is skipped. Bytes that arrive while no request is in progress
+    An answer to another request is skipped. An exchange whose upstream sends without end what is no
+    part of its answer breaks as oversized. Bytes that arrive while no request is in progress
     abort the connection, because they belong to no request.
 
     :ivar idle_since: when the last answer ended, on the loop's clock.
@@ -98,6 +101,7 @@
         self._head: AnswerHead | None = None
         self._headers: Headers = []
         self._bytes_since_body = 0
+        self._skipped_bytes = 0
         self._reason = bytearray()
         self._skipping = False
         self._until_close = False
@@ -159,6 +163,8 @@
             self.transport.abort()
             return
         self._bytes_since_body += len(data)
+        if self._head is None:
+            self._skipped_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -169,9 +175,14 @@
                 self.transport.abort()
             else:
                 self._abort_exchange(BreakReason.GARBLED)
-        if self._sink is not None and self._bytes_since_body > MAX_ANSWER_HEAD_BYTES:
+        if self._sink is not None and self._is_oversized():
             self._abort_exchange(BreakReason.OVERSIZED)
 
+    def _is_oversized(self) -> bool:
+        if self._bytes_since_body > MAX_ANSWER_HEAD_BYTES:
+            return True
+        return self._head is None and self._skipped_bytes > MAX_SKIPPED_BYTES
+
     # Exchanges.
 
     @property
@@ -213,6 +224,7 @@
         """
         self._sink, self._matches_request, self._bodiless = sink, matches_request, bodiless
         self.active_at = self._loop.time()
+        self._skipped_bytes = 0
         self._reset_message()
         self._upload = upload
         if upload is None:
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -185,6 +185,7 @@
 
 
 HEAD_LIMIT_BYTES = 65_536
+SKIPPED_LIMIT_BYTES = 1_048_576
 # Bytes that may come beyond the limit before the connection ends: what is parsed at once.
 SLACK_BYTES = 65_536 + 4_096
 ENDLESS_BYTES = 400_000
@@ -208,7 +209,7 @@
 }
 
 
-def feed_endlessly(begin, endless, piece_bytes):
+def feed_endlessly(begin, endless, piece_bytes, endless_bytes=ENDLESS_BYTES):
     """Feed an answer without end until its connection ends.
 
     :return: the sink, the transport, and the bytes of the endless part that were fed.
@@ -218,7 +219,7 @@
         connection, transport, sink = ClientConnection(), RecordingTransport(), RecordingSink()
         connection.connection_made(transport)
         connection.send(b"GET", sink, lambda headers: (b"Id", b"mine") in headers)
-        data = begin + endless * (ENDLESS_BYTES // len(endless))
+        data = begin + endless * (endless_bytes // len(endless))
         fed = 0
         while fed < len(data) and not transport.closed:
             connection.data_received(data[fed : fed + piece_bytes])
@@ -279,3 +280,60 @@
     data = CHUNKED + b"1\r\nz\r\n" * 50_000 + b"0\r\n\r\n"
     _, _, sink = exchange(data)
     assert (len(sink.body), sink.ended, sink.broken) == (50_000, 1, [])
+
+
+UNLIMITED_BEGIN = b"HTTP/1.1 200 OK\r\nId: other\r\n"
+# What precedes the awaited answer without end: what comes first, and the part that repeats.
+ENDLESS_BEFORE_ANSWER = {
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n"),
+    "other answers": (b"", OTHER_ANSWER),
+    "body of another answer": (UNLIMITED_BEGIN + b"\r\n", b"z"),
+    "long body of another answer": (UNLIMITED_BEGIN + b"Content-Length: 99999999\r\n\r\n", b"z"),
+    "chunks of another answer": (
+        UNLIMITED_BEGIN + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nzz\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("place", ENDLESS_BEFORE_ANSWER)
+@given(piece_bytes=st.integers(500, 262_144))
+@settings(deadline=None, max_examples=6)
+def test_skipped_answers_without_end_break_the_exchange_at_their_limit(place, piece_bytes):
+    """Guards against an exchange that skips until its deadline what is no answer to its request."""
+    begin, repeated = ENDLESS_BEFORE_ANSWER[place]
+    sink, transport, fed = feed_endlessly(begin, repeated, piece_bytes, 4 * SKIPPED_LIMIT_BYTES)
+    assert sink.broken == [BreakReason.OVERSIZED] and transport.aborted
+    assert sink.head is None and not sink.ended
+    assert fed <= SKIPPED_LIMIT_BYTES + SLACK_BYTES + piece_bytes
+
+
+def test_an_answer_after_skipped_answers_below_the_limit_is_complete():
+    other = OTHER_ANSWER * (SKIPPED_LIMIT_BYTES // len(OTHER_ANSWER) - 10)
+    connection, _, sink = exchange(other + OWN_ANSWER)
+    assert (sink.body, sink.ended, sink.broken) == (b"ok", 1, [])
+    assert connection.reusable
+
+
+def test_the_limit_of_skipped_answers_counts_for_one_request():
+    """Guards against a limit that fills up over the requests of a kept connection."""
+    half = OTHER_ANSWER * (SKIPPED_LIMIT_BYTES // len(OTHER_ANSWER) // 2)
+
+    async def main():
+        connection = ClientConnection()
+        connection.connection_made(RecordingTransport())
+        for _ in range(4):
+            sink = RecordingSink()
+            connection.send(b"GET", sink, lambda headers: (b"Id", b"mine") in headers)
+            connection.data_received(half + OWN_ANSWER)
+            assert (sink.ended, sink.broken) == (1, [])
+        assert connection.reusable
+
+    asyncio.run(main())
+
+
+def test_the_body_of_the_answer_in_progress_has_no_such_limit():
+    body_bytes = 3 * SKIPPED_LIMIT_BYTES
+    head = b"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: %d\r\n\r\n" % body_bytes
+    _, _, sink = exchange(head + b"z" * body_bytes)
+    assert (len(sink.body), sink.ended, sink.broken) == (body_bytes, 1, [])
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 # Longest time from a request to its answer, in virtual seconds. It includes the wait for a replica.
 AT_ONCE_S = 0.15 * DEADLINE_MS / 1000
+SKIPPED = ("interim", "others")
 HEADS = ("reason", "name", "value", "headers", "extension", "trailer", "trailers")
 
 
@@ -25,13 +26,13 @@
     run_check(check)
 
 
-@pytest.mark.parametrize("place", HEADS)
+@pytest.mark.parametrize("place", (*HEADS, *SKIPPED))
 def test_a_head_without_end_ends_a_request_that_may_run_once(place):
     """Guards against callers that wait for their deadline while a replica sends no answer."""
     check_answers(place, "/book/1", 502)
 
 
-@pytest.mark.parametrize("place", HEADS)
+@pytest.mark.parametrize("place", (*HEADS, *SKIPPED))
 def test_a_repeatable_request_is_sent_to_another_replica(place):
     """Guards against one replica's head without end that fails a repeatable request."""
 
