--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -26,6 +26,8 @@
 # Most bytes without a part of a body: a head, trailers, or the header of a chunk. It bounds memory
 # at four times the head that callers may send.
 MAX_ANSWER_HEAD_BYTES = 65_536
+# Most bytes that precede the awaited answer: interim answers, and answers to other requests.
+MAX_SKIPPED_BYTES = 1_048_576
 # Bytes that are parsed at once before the awaited answer begins; the limit above may be exceeded by
 # as much.
 HEAD_PIECE_BYTES = 4_096
@@ -74,9 +76,10 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to an upstream.
 
-    An answer to another request is skipped. Bytes that arrive while no request is in progress
-    abort the connection, because they belong to no request. A head that is not the head of one
-    answer breaks the exchange.
+    An answer to another request is skipped. A head that is not the head of one answer breaks the
+    exchange, and one whose upstream sends without end what is no part of its answer breaks as
+    oversized. Bytes that arrive while no request is in progress abort the connection, because they
+    belong to no request.
 
     :ivar idle_since: when the last answer ended, on the loop's clock.
     :ivar keep_alive_s: seconds for which the upstream announces to keep an idle connection; 0
@@ -108,6 +111,7 @@
         self._head: AnswerHead | None = None
         self._headers: Headers = []
         self._bytes_since_body = 0
+        self._skipped_bytes = 0
         self._reason = bytearray()
         self._skipping = False
         self._until_close = False
@@ -169,6 +173,8 @@
             self.transport.abort()
             return
         self._bytes_since_body += len(data)
+        if self._head is None:
+            self._skipped_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -179,9 +185,14 @@
                 self.transport.abort()
             else:
                 self._abort_exchange(BreakReason.GARBLED)
-        if self._sink is not None and self._bytes_since_body > MAX_ANSWER_HEAD_BYTES:
+        if self._sink is not None and self._is_oversized():
             self._abort_exchange(BreakReason.OVERSIZED)
 
+    def _is_oversized(self) -> bool:
+        if self._bytes_since_body > MAX_ANSWER_HEAD_BYTES:
+            return True
+        return self._head is None and self._skipped_bytes > MAX_SKIPPED_BYTES
+
     # Exchanges.
 
     @property
@@ -223,6 +234,7 @@
         """
         self._sink, self._match_answer, self._bodiless = sink, match_answer, bodiless
         self.active_at = self._loop.time()
+        self._skipped_bytes = 0
         self._reset_message()
         self._upload = upload
         if upload is None:
