A connection that opens late in a planned stop learns of it

A connection that was accepted just before the listener closed, and opened after the stop had told the open ones, was never told. Its answers announced no close, so that its caller sent further requests until the process ended, which could cut them off.

Ruled out: closing it at once like an idle one. Its caller's first request is likely on the way and would be lost.

Change: a connection that opens after the stop began to finish the others closes after the requests that it has read, and announces that.

Measured: the new test in node/tests/test_listener.py found no "Connection: close" in such an answer before, and passes now.

--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -82,6 +82,7 @@
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._stopping = False
 
     async def listen(self) -> None:
         """Start to accept connections.
@@ -103,7 +104,12 @@
             self._server.close()
 
     async def finish_requests(self) -> None:
-        """Close each connection after its request in progress, and wait until all are closed."""
+        """Close each connection after the requests that it has read, and wait until all are closed.
+
+        A connection that was accepted just before :meth:`close` may open later; its caller can
+        still send one request.
+        """
+        self._stopping = True
         for connection in list(self._connections):
             connection.close_gracefully()
         while self._connections:  # noqa: ASYNC110
@@ -111,9 +117,15 @@
 
     def _make_connection(self) -> ServerConnection:
         return ServerConnection(
-            self._start, self._limits, self._connections, self._limit_idle, self._memory
+            self._start, self._limits, self._connections, self._on_opened, self._memory
         )
 
+    def _on_opened(self) -> None:
+        if self._stopping:
+            for connection in self._connections:
+                connection.stopping = True
+        self._limit_idle()
+
     def _limit_idle(self) -> None:
         """Close idle connections if too many are open."""
         most = self._max_connections
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -0,0 +1,58 @@
+"""Tests of the listener for HTTP connections during a planned stop."""
+
+import asyncio
+
+from chalkyoke.http1.incoming import ServerLimits
+from chalkyoke.http1.messages import AnswerHead
+from chalkyoke.http1.tests.transports import RecordingTransport
+from chalkyoke.node.listener import CLOSE_CHECK_S, Listener
+
+from tests import virtual
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Handler:
+    def caller_left(self):
+        pass
+
+    def caller_can_read(self, can_read):
+        pass
+
+
+def open_connection(listener):
+    connection, transport = listener._make_connection(), RecordingTransport()
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def test_a_connection_that_opens_while_a_stop_finishes_the_others_closes_after_its_request():
+    """Guards against connections that were accepted last and learned of no stop until its end."""
+
+    async def main():
+        writers = []
+
+        def start(request, writer):
+            writers.append(writer)
+            return Handler()
+
+        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        first, first_transport = open_connection(listener)
+        first.data_received(REQUEST)
+        finish = asyncio.ensure_future(listener.finish_requests())
+        await asyncio.sleep(0)
+        late, late_transport = open_connection(listener)
+        await asyncio.sleep(2 * CLOSE_CHECK_S)
+        assert not late_transport.closed
+        late.data_received(REQUEST)
+        for writer in writers:
+            writer.send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+            writer.finish()
+        await asyncio.sleep(0)
+        for transport in (first_transport, late_transport):
+            assert b"Connection: close" in transport.written and transport.ended
+        for connection in list(listener._connections):
+            connection.connection_lost(None)
+        await finish
+
+    virtual.run(main)
