A silent replica does not get its request again while there are others

With all other slots taken, the second send of a request went to the replica that still held the first one: two runs at one replica, whose answers overlapped, and the second of which was answered no sooner. Such a grant is returned, and the silent send waits on; only the single replica of a service may get the request again, over another connection. The test fails before the change.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -284,6 +284,9 @@
             if isinstance(granted, Denied):
                 return granted
             self._granted = granted
+            if self._is_for_silent_replica(admission, granted):
+                self._return_grant(admission, granted)
+                return Denied("no other replica", RETRY_SOON_S)
             end = await self._sender.send(admission, granted)
             if end is not None:
                 return end
@@ -291,6 +294,20 @@
             if self._progress.attempt >= MAX_GRANTS:
                 return Denied("no grant could be used", RETRY_SOON_S)
 
+    def _is_for_silent_replica(self, admission: Admission, granted: Granted) -> bool:
+        """Return whether a grant is for the silent replica although there are others.
+
+        A second run there would be answered no sooner. The only replica of a service may get the
+        request again, since the connection on which it is silent may be dead.
+        """
+        silent = self._sender.silent
+        if silent is None or silent.granted.replica.id != granted.replica.id:
+            return False
+        replicas = find_eligible(
+            self._parts.replicas, admission.service.name, self._delivery.version
+        )
+        return any(each.id != granted.replica.id for each in replicas)
+
     async def _attempt_again(self, admission: Admission) -> Outcome:
         """Try another replica, unless the silent one goes on before the other has answered."""
         silent = self._sender.silent
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -384,3 +384,19 @@
 
     fleet = play(Trickling([0.0]), sound_replica(), grant_s=0.15)
     fleet.check_whole()
+
+
+def test_a_silent_replica_does_not_get_its_request_again_while_there_are_others():
+    """Guards against two runs of a request at one replica, whose answers overlap."""
+    silent, again = silent_replica(), sound_replica()
+
+    async def during(fleet):
+        replica, connection = fleet.waiting[1]
+        replica.id = "m0"
+
+    fleet = play(silent, again, during=during)
+    fleet.check_whole()
+    assert again.sent_at is None
+    assert [facts["reason"] for event, facts in fleet.log if event == "kept"] == [
+        "no other replica"
+    ]
