Trailers and chunk headers of requests are bounded like their heads

Line breaks before a request renewed the time limit of its head and never ended. Cause: received bytes counted against the limit only until the head was complete, and a whole read of 256 KB was parsed before the check. Change: bytes count since the request began, its head was complete, or its last part of a body, and are parsed in pieces of 4 KB in a head and 64 KB in a body. Beyond the limit of a head the request is refused with 431; no handler starts.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -30,6 +30,10 @@
 # Lowest accepted upload rate, in bytes per second. It bounds how long a slow upload occupies a
 # connection.
 MIN_BODY_BYTES_PER_S = 20_000
+# Bytes that are parsed at once in a head and in a body; the limit of the head may be exceeded by as
+# much.
+HEAD_PIECE_BYTES = 4_096
+BODY_PIECE_BYTES = 65_536
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 StartHandler = Callable[[Request, ResponseWriter], RequestHandler]
@@ -145,12 +149,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; after a refusal or the last request they are ignored."""
-        if self._ignores_input or self._last_request_read:
-            return
+        left = memoryview(data)
+        while left and not self._ignores_input and not self._last_request_read:
+            size = BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
+            self._receive_piece(left[:size])
+            left = left[size:]
+
+    def _receive_piece(self, data: memoryview) -> None:
+        """Parse a part of a request.
+
+        Line breaks before a request, its head, the header of a chunk and trailers are refused when
+        they exceed the limit of a head.
+        """
         if not self._in_message:
             self._set_timer(self._limits().header_timeout_s)
-        if not self._head_complete:
-            self._unparsed_bytes += len(data)
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -158,11 +171,8 @@
         except httptools.HttpParserError:
             self._refuse(400)
             return
-        if self._in_message and not self._head_complete:
-            if self._unparsed_bytes > self._limits().header_bytes:
-                self._refuse(431)
-        elif not self._in_message:
-            self._unparsed_bytes = 0
+        if self._unparsed_bytes > self._limits().header_bytes:
+            self._refuse(431)
 
     @property
     def idle(self) -> bool:
@@ -200,6 +210,7 @@
             # The parser goes on with requests that came together with a refused one.
             return
         self._head_complete = True
+        self._unparsed_bytes = 0
         limits, incoming = self._limits(), self._incoming
         if incoming.head_bytes > limits.header_bytes:
             self._refuse(431)
@@ -223,6 +234,7 @@
         """Append a part of the body, or refuse the request when the body is too large."""
         if self._ignores_input:
             return
+        self._unparsed_bytes = 0
         incoming = self._incoming
         if incoming.body_bytes + len(body) > self._limits().body_bytes:
             self._refuse(413)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import tracemalloc
 
 import pytest
 from chalkyoke import hangups
@@ -412,3 +413,60 @@
         assert caller.handlers[0].left
 
     run(main)
+
+
+POST_CHUNKS = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+USUAL_LIMITS = ServerLimits()
+ENDLESS_BYTES = 4_000_000
+MAX_PEAK_BYTES = 2_000_000
+# What comes before the endless part of a request, and the part that repeats without end.
+ENDLESS_PLACES = {
+    "line breaks before a request": (b"", b"\r\n"),
+    "target": (b"GET /", b"z"),
+    "header name": (GOOD[:-2], b"z"),
+    "header value": (GOOD[:-2] + b"Name: ", b"z"),
+    "headers": (GOOD[:-2], b"N: v\r\n"),
+    "chunk size": (POST_CHUNKS, b"0"),
+    "chunk extension": (POST_CHUNKS + b"2;", b"z"),
+    "later chunk extension": (POST_CHUNKS + b"2\r\nok\r\n2;", b"z"),
+    "trailer value": (POST_CHUNKS + b"2\r\nok\r\n0\r\nName: ", b"z"),
+    "trailers": (POST_CHUNKS + b"2\r\nok\r\n0\r\n", b"N: v\r\n"),
+}
+
+
+@pytest.mark.parametrize("read_bytes", [100, 1_460, 262_144])
+@pytest.mark.parametrize("place", ENDLESS_PLACES)
+def test_a_request_without_end_is_refused_at_the_limit_of_a_head(place, read_bytes):
+    """Guards against trailers and headers of chunks that a caller sends without end."""
+    begin, repeated = ENDLESS_PLACES[place]
+    data = begin + repeated * (ENDLESS_BYTES // len(repeated))
+
+    async def main():
+        caller = Caller(USUAL_LIMITS)
+        fed = 0
+        tracemalloc.start()
+        try:
+            while fed < len(data) and not caller.transport.ended:
+                await caller.send(data[fed : fed + read_bytes])
+                fed += read_bytes
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert caller.transport.written.startswith(b"HTTP/1.1 431 ")
+        assert not caller.requests
+        assert fed - len(begin) <= USUAL_LIMITS.header_bytes + 4_096 + read_bytes
+        assert peak_bytes <= MAX_PEAK_BYTES
+
+    asyncio.run(main())
+
+
+def test_many_small_chunks_are_a_proper_body():
+    size = USUAL_LIMITS.header_bytes
+
+    async def main():
+        caller = Caller(USUAL_LIMITS)
+        await caller.send(POST_CHUNKS + b"1\r\nz\r\n" * size + b"0\r\nName: value\r\n\r\n" + GOOD)
+        await caller.answer(0)
+        assert [request.body for request, _ in caller.requests] == [b"z" * size, b""]
+
+    asyncio.run(main())
