The log tells why an answer broke off

What operators saw: `ended` with `end=broken`, whether the replica had closed or reset the connection, garbled its answer, or sent bytes without end. Cause: the relay dropped the reason that its connection gave. Result: the new test failed before (no such field) and passes, with the other tests of gateway, chalkyoke-ctl, test_endless_answers.py and test_operators.py.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -428,6 +428,7 @@
             admission,
             replica=granted.replica.id,
             end=end,
+            broken_by=relay.broken_by if relay else None,
             follows=next_step,
             sends=self._progress.sends.arrivals,
             events=self._delivery.events,
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -58,6 +58,7 @@
     :param on_answer_head: called with the status and the fields of the answer as soon as its head
         is received, since a stream may last many seconds more.
     :ivar ended: future that gets the outcome of the send.
+    :ivar broken_by: why the answer broke off; None if it did not.
     :ivar last_at: when data was last received, on the node's clock.
     :ivar resumed_at: when the node last resumed reading after a pause of its own, on the node's
         clock; 0 without a pause.
@@ -100,6 +101,7 @@
         self._cancelled = False
         self.head: AnswerHead | None = None
         self.fields = AnswerFields("")
+        self.broken_by: BreakReason | None = None
         self.ended: asyncio.Future[SendEnd] = asyncio.get_running_loop().create_future()
         self.started_at = clock()
         self.first_at = 0.0
@@ -156,8 +158,9 @@
         else:
             self._finish(self._classify(head))
 
-    def answer_broken(self, _: BreakReason) -> None:
+    def answer_broken(self, how: BreakReason) -> None:
         """Finish the send as broken, since the rest of the answer is lost."""
+        self.broken_by = how
         self._finish(SendEnd.BROKEN)
         self._on_heard()
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 Replicas that answer with bytes without end: the request ends long before its deadline.
 """
 
+import logbook
 import pytest
 
 from tests.gatewayfleet import DEADLINE_MS, run_check
@@ -44,3 +45,20 @@
         assert max(each.took_s for each in got) < AT_ONCE_S
 
     run_check(check)
+
+
+def test_the_log_names_the_replica_and_the_cause():
+    """Guards against an answer without end that the log does not tell from a closed connection."""
+
+    async def check(fleet):
+        for replica in fleet.seats:
+            replica.faults.endless = "value"
+        with logbook.TestHandler().applicationbound() as handler:
+            await fleet.send_request(0, "/book/1")
+        ended = [each.kwargs for each in handler.records if each.msg == "ended"]
+        ran = next(replica.id for replica in fleet.seats if replica.runs)
+        replicas = [each["replica"].partition("/")[0] for each in ended]
+        assert replicas == [ran]
+        assert [each["broken_by"] for each in ended] == ["oversized"]
+
+    run_check(check)
