--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -391,8 +391,7 @@
     silent, again = silent_replica(), sound_replica()
 
     async def during(fleet):
-        replica, connection = fleet.waiting[1]
-        replica.id = "m0"
+        fleet.waiting[1][0].id = "m0"
 
     fleet = play(silent, again, during=during)
     fleet.check_whole()
