Test: one event without end ends its stream at once

Nothing was wrong here: the limit of an incomplete event (1 MB) ends the send, and a caller of a stream that may run once hears 502 long before its deadline. No test held this for a fleet; this one passes without a change of code.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -62,3 +62,8 @@
         assert [each["broken_by"] for each in ended] == ["oversized"]
 
     run_check(check)
+
+
+def test_an_event_without_end_ends_a_stream_that_may_run_once():
+    """Guards against a stream that waits for its deadline while one event goes on and on."""
+    check_answers("event", "/chat/1", 502)
