The soak: replicas that pause and go on, and a check that nothing begun is cut

The soak had no sound replica that falls silent, so answers that a node cut off for that were never seen. The fault `replica_pauses` lets a replica send nothing for 1.0 to 1.6 s in the middle of its answers. It is drawn from a random source of its own, so existing seeds keep their other faults, and it excuses nothing.

The checker `begun_requests_end` reports requests that a replica has begun and that get no whole answer before the lowest time limit. Excused are those near faults of other kinds than pauses, configurations and planned stops, and those that end more than 7.4 s after their host's stop began. It is judged for fleets of this build only, as builds before this fix cut such requests off. The records of the sound run in tests/test_soak.py held a stream cut off without a cause; they now hold its replica's fault, and all planted violations still turn their checkers red.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from chalkyoke_fakes.soak.departures import left_requests_end
+from chalkyoke_fakes.soak.endings import begun_requests_end
 from chalkyoke_fakes.soak.limits import describe_exceeded_windows
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
@@ -391,6 +392,7 @@
     sound_prompts_are_served,
     focused_nodes_serve,
     left_requests_end,
+    begun_requests_end,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
@@ -407,6 +409,7 @@
     crashing_parts_are_held_back,
     sound_prompts_are_served,
     left_requests_end,
+    begun_requests_end,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -19,7 +19,15 @@
     LimitPeriod,
     Observations,
 )
-from chalkyoke_fakes.soak.plan import ROLL, STORE_LINK_FAULTS, Fault, FaultStep, RollStep
+from chalkyoke_fakes.soak.plan import (
+    MAX_FAULT_S,
+    MIN_FAULT_S,
+    ROLL,
+    STORE_LINK_FAULTS,
+    Fault,
+    FaultStep,
+    RollStep,
+)
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
 
 RESTART_DELAY_S = 0.3
@@ -38,6 +46,11 @@
 MIN_LIMIT_PERIOD_S = 4.0
 # How long work takes on a replica whose machine is disturbed, in percent of the usual time.
 DISTURBED_PERCENT = 250
+# A replica that pauses makes events this slowly for a while, so that streams are in progress, then
+# sends nothing for a time between these, and goes on. All in seconds.
+PAUSED_EVENT_S = 0.2
+BEFORE_PAUSE_S = 0.6
+MIN_PAUSE_S, MAX_PAUSE_S = 1.0, 1.6
 # The number of requests or writes that a counted fault affects, and a number that is never used up.
 FAULT_COUNT = 3
 UNLIMITED_COUNT = 1_000_000
@@ -119,7 +132,12 @@
             place = "streams"
         if step.fault is Fault.CRASHING_PART:
             place = "parts"
-        if step.fault in (Fault.REPLICA_LIMITS, Fault.REPLICA_DISTURBED, Fault.REPLICA_UNFRAMED):
+        if step.fault in (
+            Fault.REPLICA_LIMITS,
+            Fault.REPLICA_DISTURBED,
+            Fault.REPLICA_UNFRAMED,
+            Fault.REPLICA_PAUSES,
+        ):
             # These may overlap with any other fault of the same replica.
             place = f"{place}, {step.fault}"
         if place in self.active_targets or (step.fault is Fault.ALL_KILL and self.active_targets):
@@ -151,8 +169,13 @@
             )
 
     def _record_fault(self, step: FaultStep, place: str, began: float) -> None:
-        if step.fault in (Fault.CONFIGURE, Fault.REPLICA_DISTURBED, Fault.REPLICA_UNFRAMED):
-            # Neither excuses a request that is not served.
+        if step.fault in (
+            Fault.CONFIGURE,
+            Fault.REPLICA_DISTURBED,
+            Fault.REPLICA_UNFRAMED,
+            Fault.REPLICA_PAUSES,
+        ):
+            # None of them excuses a request that is not served.
             return
         places = list(self._fleet.nodes) if step.fault is Fault.ALL_KILL else [place]
         for each in places:
@@ -306,6 +329,8 @@
             replica.faults.unframed = True
             await asyncio.sleep(step.duration_s)
             replica.faults.unframed = False
+        elif step.fault is Fault.REPLICA_PAUSES:
+            await self._pause_replica(replica, step)
         elif step.fault is Fault.REPLICA_DISTURBED:
             replica.faults.time_percent = DISTURBED_PERCENT
             await asyncio.sleep(step.duration_s)
@@ -325,6 +350,16 @@
             await asyncio.sleep(step.duration_s)
             setattr(faults, counts[step.fault], 0)
 
+    async def _pause_replica(self, replica: Replica, step: FaultStep) -> None:
+        """Let a sound replica send nothing for a time, in the middle of its answers, and go on."""
+        share = (step.duration_s - MIN_FAULT_S) / (MAX_FAULT_S - MIN_FAULT_S)
+        pause_s = MIN_PAUSE_S + share * (MAX_PAUSE_S - MIN_PAUSE_S)
+        replica.faults.event_s = PAUSED_EVENT_S
+        await asyncio.sleep(BEFORE_PAUSE_S)
+        replica.faults.silent_until = replica.now() + pause_s
+        await asyncio.sleep(pause_s)
+        replica.faults.event_s = ReplicaFaults().event_s
+
     async def _announce_limits(self, replica: Replica, step: FaultStep) -> None:
         """Let a replica announce a limit, then a lower one, then none, without enforcing them."""
         for limit_per_s in LIMITS_PER_S:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -60,6 +60,7 @@
     CRASHING_PART = "crashing_part"
     REPLICA_UNFRAMED = "replica_unframed"
     CALLERS_FOCUS = "callers_focus"
+    REPLICA_PAUSES = "replica_pauses"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -93,6 +94,8 @@
 FRAMING_SEED_MASK = 0xF2A3
 FOCUS_FAULTS = (Fault.CALLERS_FOCUS,)
 FOCUS_SEED_MASK = 0xF0C5
+PAUSE_FAULTS = (Fault.REPLICA_PAUSES,)
+PAUSE_SEED_MASK = 0x9A05
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -107,6 +110,7 @@
         *PART_FAULTS,
         *FRAMING_FAULTS,
         *FOCUS_FAULTS,
+        *PAUSE_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -201,6 +205,7 @@
         (PART_FAULTS, PART_SEED_MASK),
         (FRAMING_FAULTS, FRAMING_SEED_MASK),
         (FOCUS_FAULTS, FOCUS_SEED_MASK),
+        (PAUSE_FAULTS, PAUSE_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,7 +70,10 @@
         make_run("c"),
         make_run("d"),
     ]
-    observations.faults = [FaultPeriod(Fault.NODE_KILL, "n2", 3.0, 4.0)]
+    observations.faults = [
+        FaultPeriod(Fault.REPLICA_BREAKS, "m1", 0.9, 1.3),
+        FaultPeriod(Fault.NODE_KILL, "n2", 3.0, 4.0),
+    ]
     observations.drains = [DrainStart("s1", 30.0)]
     observations.versions = {"n1/1": [1, 3, 4], "n1/2": [4, 5]}
     observations.quotas = [Quota("t", 6, 8.0)]
@@ -246,6 +249,13 @@
         observations.runs.append(make_run(name, 42.0))
 
 
+def cut_off_a_begun_stream(observations):
+    observations.attempts.append(
+        make_attempt("cut", Kind.STREAM, 20.0, 22.0, body=STREAM[:30], whole=False)
+    )
+    observations.runs.append(make_run("cut", 20.1))
+
+
 VIOLATIONS = [
     (run_twice, checkers.runs_once),
     (run_a_rejected_request, checkers.not_run_answers_are_true),
@@ -271,6 +281,7 @@
     (exceed_a_replica_limit, checkers.replica_limits_are_respected),
     (run_on_for_callers_that_left, checkers.left_requests_end),
     (send_requests_of_callers_that_left, checkers.left_requests_end),
+    (cut_off_a_begun_stream, checkers.begun_requests_end),
     (never_recover, checkers.service_recovers),
 ]
 
@@ -327,6 +338,17 @@
     assert not checkers.left_requests_end(observations)
 
 
+def test_only_other_faults_and_the_end_of_a_stop_excuse_requests_that_are_cut_off():
+    observations = make_sound_run()
+    cut_off_a_begun_stream(observations)
+    observations.faults.append(FaultPeriod(Fault.NODE_STOP, "n1", 19.0, 27.0))
+    assert checkers.begun_requests_end(observations)
+    observations.faults[-1] = FaultPeriod(Fault.NODE_STOP, "n1", 14.5, 23.0)
+    assert not checkers.begun_requests_end(observations)
+    observations.faults[-1] = FaultPeriod(Fault.REPLICA_LOSES, "m1", 19.0, 20.0)
+    assert not checkers.begun_requests_end(observations)
+
+
 def test_a_drain_near_a_store_outage_is_not_a_violation():
     observations = make_sound_run()
     send_to_a_draining_replica(observations)
