A loop of a node is called once in each interval, whenever it has started

A fleet in virtual time whose host was started again at any later time never ended: one loop of that host was called over and over at the same moment. `_repeat` counted the intervals since the start by a division; a rounded time lies just before the moment that has come, so the same moment was due again. With a real clock the same costs a second call within a nanosecond.

Ruled out: the silent replicas and the planned stop (a host that stops and is not started again ends); the check's time limit (virtual time did not advance).

The number of the interval now grows with each call. Measured with intervals of 0.05 s: test_supervisor.py failed at all 4 starts before (1,000 calls at one moment), passes now; tests of node/ green. The tests of silent replicas passed 26 of 27 before a limit of 70 s beside other runs ended them; the 27th passed alone. Other tests were not run with this change.

--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -74,11 +74,13 @@
     The event loop then wakes once for all of them.
     """
     loop = asyncio.get_running_loop()
+    intervals = 0
     while True:
         work()
-        intervals = (loop.time() - started) // interval_s
+        # A division of rounded times may give the interval before the one that has just begun.
+        intervals = max(intervals, int((loop.time() - started) // interval_s)) + 1
         woken = loop.create_future()
-        loop.call_at(started + (intervals + 1) * interval_s, _wake, woken)
+        loop.call_at(started + intervals * interval_s, _wake, woken)
         await woken
 
 
