Hosts that stop beside silent replicas are started again

Each silence now stops another host, which starts again when its stop is complete, so that more requests are in progress at hosts that stop.

--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -147,9 +147,11 @@
         self.nodes[number] = node
         self._tasks[number] = context.run(asyncio.ensure_future, node.run())
 
-    def stop_node(self, number):
-        """Stop a node on plan, as SIGTERM does."""
+    async def stop_and_restart_node(self, number):
+        """Stop a node on plan, as SIGTERM does, and start it again when the stop is complete."""
         self.nodes[number]._stopping.set()
+        await self._tasks[number]
+        self.start_node(number, first_start=False)
 
     def reload_node(self, number, path):
         """Write the settings of a node to a file, and let the node reload them as on SIGHUP."""
--- a/tests/silentreplicas.py
+++ b/tests/silentreplicas.py
@@ -151,10 +151,10 @@
         return put_back
 
     def stop_next_node(self):
-        """Stop a node on plan, and another one each time, but never the last one."""
-        if self._next_node < len(self._fleet.nodes) - 1:
-            self._fleet.stop_node(self._next_node)
-            self._next_node += 1
+        """Stop a node on plan, and start it again; another node each time."""
+        number = self._next_node
+        self._next_node = (number + 1) % len(self._fleet.nodes)
+        self._start(self._fleet.stop_and_restart_node(number))
 
     def reload_nodes(self, folder):
         """Let all nodes reload their settings."""
