Trailers change nothing in the head of a request or an answer

A caller's chunked request could carry a second Host, deadline or key behind its body: the parser reports trailers like headers, and they were added to the head after its checks. An answer's trailers were added to its head in the same way, so that a Connection: close behind a whole answer ended the use of its connection. Trailers are ignored now (RFC 9110, section 6.5.1). Both tests fail before the change; the 218 tests of http1 pass.

--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -286,8 +286,9 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name, value))
+        """Append a header; trailers are ignored (RFC 9110, section 6.5.1)."""
+        if self._head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sink if the answer belongs to the request, else skip the answer."""
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -210,8 +210,9 @@
         self._incoming.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header to the request."""
-        self._incoming.add_header(name, value)
+        """Append a header to the request; trailers are ignored (RFC 9110, section 6.5.1)."""
+        if not self._head_complete:
+            self._incoming.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the complete head and refuse the request when it breaks a limit or a rule."""
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -379,3 +379,17 @@
     head = b"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: %d\r\n\r\n" % body_bytes
     _, _, sink = exchange(head + b"z" * body_bytes)
     assert (len(sink.body), sink.ended, sink.broken) == (body_bytes, 1, [])
+
+
+def test_trailers_of_an_answer_change_nothing_in_its_head():
+    """Guards against headers of an answer that change after its head was forwarded or judged."""
+
+    async def main():
+        connection, sink = ClientConnection(), RecordingSink()
+        connection.connection_made(RecordingTransport())
+        connection.send(b"GET", sink, match_own)
+        connection.data_received(CHUNKED + b"2\r\nok\r\n0\r\nConnection: close\r\n\r\n")
+        assert (sink.body, sink.ended) == (b"ok", 1)
+        assert connection.reusable
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -602,3 +602,17 @@
         assert [request.body for request, _ in caller.requests] == [b"z" * size, b""]
 
     asyncio.run(main())
+
+
+def test_trailers_of_a_request_change_nothing_in_its_head():
+    """Guards against a second host, deadline or key that is smuggled in behind the body."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(POST_CHUNKS + b"2\r\nok\r\n0\r\nHost: other\r\nName: value\r\n\r\n")
+        ((request, _),) = caller.requests
+        assert request.body == b"ok"
+        assert [value for name, value in request.headers if name.lower() == b"host"] == [b"h"]
+        assert b"Name" not in dict(request.headers)
+
+    run(check)
