--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -29,14 +29,11 @@
 LIMIT = b"server-limit"
 BRITTLE = b"server-brittle"
 
-# Headers of requests that decide how a request is served, for whom, and which attempt it is.
-REQUEST_SINGLETONS = frozenset(
-    (REQUEST_ID, DEADLINE_MS, CREDENTIAL, MODEL, TOKEN_COUNT, LAST_EVENT_ID, RESUMES)
-)
-# Headers of answers that decide whether and how an answer counts.
-ANSWER_SINGLETONS = frozenset((REQUEST_ID, STAMP, NOT_RUN, RETRY_AFTER))
 HEX_DIGITS = frozenset(string.hexdigits)
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
+# Headers that decide how a message counts, so that it may name one value of each only.
+REQUEST_SINGLETONS = KEPT_HEADERS | {DEADLINE_MS, CREDENTIAL, RESUMES}
+ANSWER_SINGLETONS = frozenset((REQUEST_ID, STAMP, NOT_RUN, RETRY_AFTER))
 SYSTEM_HEADERS = frozenset(
     b"x-tenant x-expect-instance x-expect-version x-deadline-ms x-credential"
     b" x-pin-ms x-hold x-kv-backup kv-from kv-fetch".split()
@@ -70,8 +67,7 @@
         if forwarding.last_event_id:
             kept = [pair for pair in kept if pair[0].lower() != LAST_EVENT_ID]
             kept.append((b"Last-Event-Id", forwarding.last_event_id.encode()))
-        deadline_ms = max(1, int(forwarding.deadline_s * 1000))
-        kept.append((b"X-Deadline-Ms", b"%d" % deadline_ms))
+        kept.append((b"X-Deadline-Ms", b"%d" % max(1, int(forwarding.deadline_s * 1000))))
         kept.append((b"X-Expect-Instance", forwarding.replica.encode()))
         if forwarding.team:
             kept.append((b"X-Tenant", forwarding.team.encode()))
@@ -79,29 +75,24 @@
 
     def read_answer(self, headers: Headers) -> AnswerFields:
         """Parse an answer's fields; an invalid value counts as absent, the lowest limit applies."""
-        found = {name.lower(): value for name, value in headers}
-        limit = parse_smallest_decimal(
-            _decode_text(value) for name, value in headers if name.lower() == LIMIT
-        )
+        found = {name.lower(): value.decode("latin-1") for name, value in headers}
+        limits = [value.decode("latin-1") for name, value in headers if name.lower() == LIMIT]
+        limit = parse_smallest_decimal(limits)
         return AnswerFields(
-            request_id=_decode_text(found.get(REQUEST_ID, b"")),
+            request_id=found.get(REQUEST_ID, ""),
             signed=STAMP in found,
             not_run=NOT_RUN in found,
             encoded=b"content-encoding" in found,
-            load=_parse_load(found.get(LOAD)),
-            leaving=found.get(LEAVING, b"").strip() == b"1",
-            retry_after_s=parse_retry_after(_decode_text(found.get(RETRY_AFTER, b""))),
+            load=_parse_load(found.get(LOAD, "")),
+            leaving=found.get(LEAVING, "").strip() == "1",
+            retry_after_s=parse_retry_after(found.get(RETRY_AFTER, "")),
             limit_per_s=limit.value,
             limit_unreadable=limit.unreadable,
-            max_rejections_per_s=parse_decimal(_decode_text(found.get(BRITTLE, b""))),
+            max_rejections_per_s=parse_decimal(found.get(BRITTLE, "")),
             contradictory=has_conflict(headers, ANSWER_SINGLETONS),
         )
 
 
-def _decode_text(value: bytes) -> str:
-    return value.decode("latin-1")
-
-
 def _parse_milliseconds(text: str) -> float | None:
     return int(text) / 1000 if text.isascii() and text.isdigit() else None
 
@@ -123,9 +114,9 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes | None) -> Load | None:
+def _parse_load(value: str) -> Load | None:
     """Parse the numbers of running and waiting requests, of slots, and the time in percent."""
-    parts = (value or b"").split(b",")
+    parts = value.encode("latin-1").split(b",")
     if len(parts) not in (3, 4) or not all(each.strip().isdigit() for each in parts):
         return None
     running, waiting, slots, percent = (int(each) for each in [*parts, b"100"][:4])
