Each call to the store has a connection of its own

What operators would see: a write counts as done, or a lease as renewed, by the late copy of the answer to another call. The ownership of pools and quotas depends on these answers.

Cause: the store's answers name no call, and the client took whatever answer came next on a kept connection.

Ruled out: an id that the store returns (its protocol has none); no reuse after a failure only (the copies are of sound answers); a check for bytes right before the send (a copy may come after). What is left without an id is the connection: an answer belongs to the only call on it.

Change: HttpClient opens a connection for each call, announces that with "Connection: close" and closes it after the answer.

--- a/packages/chalkyoke/src/chalkyoke/http1/calls.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/calls.py
@@ -1,7 +1,9 @@
 """
 chalkyoke.http1.calls
 
-Short HTTP calls whose answer is read completely, such as calls to a store.
+Short HTTP calls whose answer is read completely, such as calls to a store. Their answers name no
+call, so each call has a connection of its own: an answer that comes late or once more reaches no
+other call.
 """
 
 import asyncio
@@ -18,8 +20,6 @@
 # Highest number of connections to one address: a watch, a lease and a listing at the same time, and
 # as many that are lost.
 MAX_CONNECTIONS = 8
-# Longest idle time of a reused connection, in seconds: less than servers usually keep one open.
-MAX_IDLE_S = 8.0
 # Largest body of an answer, in bytes: many times a page of a listing.
 MAX_BODY_BYTES = 16_777_216
 
@@ -90,7 +90,7 @@
         ip, port = address.rsplit(":", 1)
         self._pool = pool
         self._ip, self._port = ip, int(port)
-        self._host: Headers = [(b"Host", address.encode())]
+        self._headers: Headers = [(b"Host", address.encode()), (b"Connection", b"close")]
 
     async def call(
         self, method: bytes, target: bytes, body: bytes | None, timeout_s: float
@@ -101,16 +101,15 @@
         :param timeout_s: limit for connecting, which also ends after :data:`CONNECT_TIMEOUT_S`, and
             again for the exchange, in seconds.
         """
-        connection = await self._pool.connect(
+        connection = await self._pool.open(
             self._ip,
             self._port,
             limit=MAX_CONNECTIONS,
             timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
-            fresh_s=MAX_IDLE_S,
         )
         if isinstance(connection, ConnectFailure):
             return CallFailed(connection, sent=False)
-        headers = list(self._host)
+        headers = list(self._headers)
         if body is not None:
             headers.append((b"Content-Type", b"application/json"))
         data = encode_request_head(method, target, headers, None if body is None else len(body))
@@ -126,10 +125,7 @@
             async with asyncio.timeout(timeout_s):
                 answer = await future
         except TimeoutError:
-            # The connection can't be reused after a lost answer, and the idle connections to the
-            # address may be dead too, so the next call opens a new one.
             connection.cancel()
-            self._pool.abort_idle(self._ip, self._port)
             return CallFailed("timed out", sent=True)
         except asyncio.CancelledError:
             connection.cancel()
@@ -137,5 +133,5 @@
         if connection.is_busy:
             # The rest of an answer that is too large may have no end.
             connection.cancel()
-        self._pool.release(self._ip, self._port, connection)
+        connection.retire()
         return answer
