A connection carries each request id once, over all requests

What callers would see: a caller gets the answer to another caller's request, if both requests have the same id and the upstream sends the first answer once more while the second one waits.

Nothing kept two requests with one id apart, and nothing forbade a send for which no id is known.

What an answer belongs to: a connection, and the one send over it that has its id. A request without an id is known by its connection alone, so that connection carries no other request.

Ruled out: refusing an id that another caller uses (hosts don't know each other's ids, and the rule for callers is theirs); a list in each exchange beside a table of ids in use (copies come later than the use); the place of an answer in its connection (a copy takes the place of the next answer).

Change: the connection knows the ids that were sent over it (http1/sent_ids.py), the pool takes another one for an id that it has carried, and a send that would break this is a broken invariant. The list in Progress goes.

Measured: test_a_late_copy_of_an_answer_is_not_the_answer_to_another_request_with_its_id gave the second caller the first one's answer before (b'01' for b'02'), and passes now.

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -53,9 +53,6 @@
     :ivar attempt: number of the latest grant that was asked for.
     :ivar declined: whether a replica has declined the request.
     :ivar unused_grants: number of grants that could not be used.
-    :ivar connections: connections over which the request was sent. All sends of a request have its
-        id, so a late copy of an answer to one could be taken for the answer to another one on the
-        same connection.
     """
 
     sends: SendCounts = msgspec.field(default_factory=SendCounts)
@@ -63,7 +60,6 @@
     attempt: int = 0
     declined: bool = False
     unused_grants: int = 0
-    connections: list[ClientConnection] = msgspec.field(default_factory=list)
 
 
 class Sender:
@@ -269,7 +265,7 @@
             limit=max(2, int(admission.service.max_connections * 0.9 / nodes)),
             timeout_s=CONNECT_TIMEOUT_S,
             fresh_s=fresh,
-            excluded=self._progress.connections,
+            request_id=self._fields.request_id,
         )
 
     def _dispatch(
@@ -324,7 +320,6 @@
         progress.sends.runs += 1
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
-        progress.connections.append(connection)
         parts.grants.record_started(admission, granted)
         parts.rollouts.record_sent(granted.replica)
         parts.log_decision(
@@ -368,13 +363,15 @@
 
     def _send_on(self, connection: ClientConnection, relay: Relay, head: bytes) -> None:
         """Write the request; a body is written in pieces where memory is limited."""
-        request, memory = self._request, self._parts.memory
-        bodiless = request.method == b"HEAD"
-        if not memory.is_limited:
-            connection.send(head + request.body, relay, relay.match_answer, bodiless=bodiless)
-            return
-        upload = Upload(request.body)
-        connection.send(head, relay, relay.match_answer, bodiless=bodiless, upload=upload)
+        request, is_limited = self._request, self._parts.memory.is_limited
+        connection.send(
+            head if is_limited else head + request.body,
+            relay,
+            relay.match_answer,
+            request_id=self._fields.request_id,
+            bodiless=request.method == b"HEAD",
+            upload=Upload(request.body) if is_limited else None,
+        )
 
     async def _wait_for_relay(self, admission: Admission, send: Send) -> SendEnd:
         """Wait for the end of an answer, or until its replica is silent for too long."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -278,7 +278,7 @@
     closed = False
     via = ""
 
-    def send(self, data, sink, belongs, *, bodiless=False):
+    def send(self, data, sink, belongs, *, request_id, bodiless=False, upload=None):
         pass
 
     def cancel(self):
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_late_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_late_answers.py
@@ -116,3 +116,30 @@
         assert (fleet.caller.status, replica.runs) == (502, 1)
 
     virtual.run(main)
+
+
+class RepeatingReplica(RejectingReplica):
+    """Answers each request with its number, and the first one once more while the next waits."""
+
+    def answer(self, connection):
+        call_later = asyncio.get_running_loop().call_later
+        self.runs += 1
+        answer = SUCCESS.replace(b"ok", b"%02d" % self.runs)
+        if self.runs == 1:
+            call_later(0.0, self.send, connection, answer)
+            call_later(LATE_S, self.send, connection, answer)
+            return
+        call_later(WORK_S, self.send, connection, answer)
+
+
+# Guards against a caller that got the answer to another caller's request with the same id.
+def test_a_late_copy_of_an_answer_is_not_the_answer_to_another_request_with_its_id():
+    async def main():
+        replica = RepeatingReplica()
+        first, second = OneReplicaFleet(replica), OneReplicaFleet(replica)
+        second.exchange._parts.connections = first.exchange._parts.connections
+        await first.run()
+        await second.run()
+        assert (first.caller.body, second.caller.body, replica.runs) == (b"01", b"02", 2)
+
+    virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -78,7 +78,7 @@
         self.sent_at = None
         self.ended = False
 
-    def send(self, data, sink, matches, *, bodiless=False):
+    def send(self, data, sink, matches, *, request_id, bodiless=False, upload=None):
         self.sent_at = asyncio.get_running_loop().time()
         self.sink = sink
         resumed = re.search(rb"after: (\d+)", data)
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -14,7 +14,9 @@
 from chalkyoke.discard import Discard
 from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
+from chalkyoke.http1.sent_ids import SentIds
 from chalkyoke.http1.upload import Upload
+from chalkyoke.invariants import require
 from chalkyoke.sockets import unacknowledged_bytes
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
@@ -79,7 +81,8 @@
     An answer to another request is skipped. A head that is not the head of one answer breaks the
     exchange, and one whose upstream sends without end what is no part of its answer breaks as
     oversized. Bytes that arrive while no request is in progress abort the connection, because they
-    belong to no request.
+    belong to no request. Each request id is sent once over a connection, so that an answer belongs
+    to one send even if the upstream sends it late or more than once.
 
     :ivar idle_since: when the last answer ended, on the loop's clock.
     :ivar keep_alive_s: seconds for which the upstream announces to keep an idle connection; 0
@@ -99,6 +102,7 @@
         self._match_answer: AnswerMatcher | None = None
         self._bodiless = False
         self._upload: Upload | None = None
+        self._sent_ids = SentIds()
         self._unusable = False
         self._discard: Discard | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -212,26 +216,41 @@
         return (
             self._sink is None
             and not self._unusable
+            and not self._sent_ids.is_full
             and not self.closed
             and not self.transport.is_closing()
         )
 
+    def may_send(self, request_id: str | None) -> bool:
+        """Return whether an answer to this request can't be confused with an earlier one.
+
+        :param request_id: id that the answer will name; None if it names none.
+        """
+        return self._sent_ids.may_send(request_id)
+
     def send(
         self,
         data: bytes,
         sink: AnswerSink,
         match_answer: AnswerMatcher,
         *,
+        request_id: str | None = None,
         bodiless: bool = False,
         upload: Upload | None = None,
     ) -> None:
-        """Send a request; from this call on the upstream may have run it.
+        """Send a request for which :meth:`may_send` is true.
+
+        From this call on the upstream may have run it.
 
         :param data: head and body; only the head if the body is uploaded in pieces.
         :param upload: the body, if it is uploaded in pieces.
         :param match_answer: tells by its headers whether an answer belongs to the request.
+        :param request_id: id by which ``match_answer`` knows the answer. If None, the connection
+            carries no other request.
         :param bodiless: whether the answer has no body whatever its head says (``HEAD``).
         """
+        require(self.may_send(request_id), "a request id is sent once over a connection")
+        self._sent_ids.add(request_id)
         self._sink, self._match_answer, self._bodiless = sink, match_answer, bodiless
         self.active_at = self._loop.time()
         self._skipped_bytes = 0
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Iterator
+from collections.abc import Iterator
 
 import msgspec
 
@@ -52,7 +52,9 @@
 
     Usage::
 
-      >>> connection = await pool.connect("10.0.0.9", 8080, limit=50, timeout_s=0.3, fresh_s=20.0)
+      >>> connection = await pool.connect(
+      ...     "10.0.0.9", 8080, limit=50, timeout_s=0.3, fresh_s=20.0, request_id="r1"
+      ... )
     """
 
     def __init__(self, memory: MemoryAccount | None = None, dialer: Dialer | None = None) -> None:
@@ -70,18 +72,18 @@
         limit: int,
         timeout_s: float,
         fresh_s: float,
-        excluded: Collection[ClientConnection] = (),
+        request_id: str | None,
     ) -> ClientConnection | ConnectFailure:
         """Reuse an idle connection, or open a new one.
 
         :param limit: highest number of open connections to this address.
         :param timeout_s: limit for opening a connection, in seconds.
         :param fresh_s: longest idle time of a reused connection, in seconds.
-        :param excluded: connections that may not be reused here; at the limit an idle one of them
-            is closed to make room.
+        :param request_id: id of the request, by which its answer is known. A connection over which
+            it was sent before is not reused; at the limit an idle one is closed to make room.
         """
         entry = self._addresses.setdefault((ip, port), _AddressEntry())
-        idle = self._take_idle(entry, fresh_s, excluded)
+        idle = self._take_idle(entry, fresh_s, request_id)
         if idle is not None:
             return idle
         if entry.count >= limit:
@@ -183,11 +185,11 @@
                 connection.transport.abort()
 
     def _take_idle(
-        self, entry: _AddressEntry, fresh_s: float, excluded: Collection[ClientConnection]
+        self, entry: _AddressEntry, fresh_s: float, request_id: str | None
     ) -> ClientConnection | None:
         now = self._loop.time()
         for connection in reversed(entry.idle_connections.copy()):
-            if connection in excluded:
+            if not connection.may_send(request_id):
                 continue
             entry.idle_connections.remove(connection)
             age = now - connection.idle_since
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_answer_order.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_answer_order.py
@@ -126,7 +126,7 @@
             return
         answer = turn.answer._replace(number=number)
         sink = RecordingSink()
-        connection.send(b"request", sink, match_number(number))
+        connection.send(b"request", sink, match_number(number), request_id=f"{number}")
         data = encode_extras(turn.before, earlier) + answer.encode()
         earlier.append(answer)
         if turn is drawn[-1]:
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_client.py
@@ -46,7 +46,7 @@
     async def main():
         connection, transport, sink = ClientConnection(), RecordingTransport(), RecordingSink()
         connection.connection_made(transport)
-        connection.send(b"GET / HTTP/1.1\r\n\r\n", sink, match_own)
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", sink, match_own, request_id="mine")
         for piece in pieces:
             connection.data_received(piece)
         if closes:
@@ -364,9 +364,9 @@
     async def main():
         connection = ClientConnection()
         connection.connection_made(RecordingTransport())
-        for _ in range(4):
+        for number in range(4):
             sink = RecordingSink()
-            connection.send(b"GET", sink, match_own)
+            connection.send(b"GET", sink, match_own, request_id=f"{number}")
             connection.data_received(half + OWN_ANSWER)
             assert (sink.ended, sink.broken) == (1, [])
         assert connection.reusable
@@ -387,7 +387,7 @@
     async def main():
         connection, sink = ClientConnection(), RecordingSink()
         connection.connection_made(RecordingTransport())
-        connection.send(b"GET", sink, match_own)
+        connection.send(b"GET", sink, match_own, request_id="mine")
         connection.data_received(CHUNKED + b"2\r\nok\r\n0\r\nConnection: close\r\n\r\n")
         assert (sink.body, sink.ended) == (b"ok", 1)
         assert connection.reusable
--- a/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/tests/test_tunnels.py
@@ -1,6 +1,7 @@
 """Tunnels between two hosts over real sockets."""
 
 import asyncio
+import itertools
 from types import SimpleNamespace
 
 import pytest
@@ -128,7 +129,12 @@
         return made
 
     async def connect(self, address):
-        return await self.pool.connect(*address, limit=9, timeout_s=0.3, fresh_s=15.0)
+        return await self.pool.connect(
+            *address, limit=9, timeout_s=0.3, fresh_s=15.0, request_id=""
+        )
+
+
+request_numbers = itertools.count()
 
 
 def run_hosts(check, *upstreams, helper_types=TUNNEL_MESSAGES):
@@ -156,7 +162,12 @@
 
 def send_request(connection):
     answer = Answer()
-    connection.send(b"GET / HTTP/1.1\r\n\r\n", answer, lambda headers: AnswerMatch.OWN)
+    connection.send(
+        b"GET / HTTP/1.1\r\n\r\n",
+        answer,
+        lambda headers: AnswerMatch.OWN,
+        request_id=f"{next(request_numbers)}",
+    )
     return answer
 
 
