Completions: each call to an upstream has a connection of its own

What callers saw: the late copy of a refusal was believed for a request that then ran elsewhere or was reported as refused; the late copy of a success gave one caller another caller's answer, or another stream's events when a stream was resumed; and calls were never sent, as the copy had answered them before.

Cause: the upstreams' answers name no request, and aiohttp takes what comes next on a kept connection. Bytes that come while the connection is idle are kept and given to the next call's parser, so that it need not even wait for its answer.

Change: the connector closes each connection after its call. The permission to dispatch is given when a connection was opened; reused ones no longer exist. The load reports and cancellations of the same session go the same way: a late load report could undo that an upstream drains.

Measured: four cases of ten pairs of calls (refusal or success, idle or waiting) and a resumed stream, all five failed before and pass now.

--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -3,6 +3,9 @@
 
 HTTP client for model engines and plain services. The permission to dispatch is requested after the
 connection is established and before the first byte is written, so a failed connect is no dispatch.
+
+The answers of an upstream name no request, so each call has a connection of its own: an answer that
+comes late or once more reaches no other call.
 """
 
 import functools
@@ -34,8 +37,6 @@
 CONNECT_TIMEOUT_S = 1.0
 # How long the fetch of a load report or a cancellation may take, in seconds.
 SHORT_CALL_TIMEOUT_S = 1.0
-# How long an idle connection is kept, in seconds.
-IDLE_CONNECTION_S = 10.0
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
 REQUEST_ID = "X-Request-Id"
@@ -63,7 +64,6 @@
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_check_gate)
-    trace.on_connection_reuseconn.append(_check_gate)
     return trace
 
 
@@ -94,12 +94,10 @@
 
 
 class _UpstreamConnector(aiohttp.TCPConnector):
-    """Opens connections that are reset when they are given up."""
+    """Opens a connection for each call, which is reset when it is given up."""
 
     def __init__(self) -> None:
-        super().__init__(
-            limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False, family=socket.AF_INET
-        )
+        super().__init__(limit=0, force_close=True, use_dns_cache=False, family=socket.AF_INET)
         handler: type[ResponseHandler] = _UpstreamHandler
         self._factory = functools.partial(handler, loop=self._loop)
 
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_client.py
@@ -1,14 +1,16 @@
 """
 chalkyoke.upstreams.tests.test_client
 
-Calls to upstreams that are given up.
+Calls to upstreams that are given up, and upstreams that send more than their answers.
 """
 
 import asyncio
+import contextlib
+import re
 
 import pytest
 from chalkyoke.upstreams.client import UpstreamClient, make_session
-from chalkyoke.upstreams.messages import NoAnswer
+from chalkyoke.upstreams.messages import NoAnswer, Opened
 
 # More than the system's buffers take.
 BODY_BYTES = 20_000_000
@@ -99,3 +101,98 @@
         server.close()
 
     asyncio.run(main())
+
+
+PAIRS = 10
+WORK_S = 0.05
+NEXT_CALL_S = 0.04
+# Times between an answer and its copy.
+COPIES_S = {"while the connection is idle": 0.02, "while the next call waits": 0.06}
+REFUSED, DONE = 503, 200
+
+
+class RepeatingUpstream:
+    """Answers the first call at once, and once more late; the second call is at work meanwhile.
+
+    :ivar runs: the calls that reached the upstream. Each answer names its call.
+    """
+
+    def __init__(self, first_status, copy_s):
+        self.first_status = first_status
+        self.copy_s = copy_s
+        self.runs = []
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)
+                body = await reader.readexactly(int(length[1]) if length else 0)
+                self.runs.append(body or head.split(b" ")[1])
+                await self.answer(writer, self.runs[-1])
+        writer.close()
+
+    async def answer(self, writer, name):
+        call_later = asyncio.get_running_loop().call_later
+        if len(self.runs) == 1:
+            first = encode_answer(self.first_status, name)
+            writer.write(first)
+            call_later(self.copy_s, writer.write, first)
+            return
+        await asyncio.sleep(WORK_S)
+        writer.write(encode_answer(DONE, name))
+
+
+def encode_answer(status, body):
+    return b"HTTP/1.1 %d \r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+async def post(client, address, name):
+    outcome = await client.post(address, "/run", name, {}, gate=lambda: True)
+    if isinstance(outcome, Opened):
+        return outcome.response.status, await outcome.response.read()
+    return outcome.status, outcome.detail.encode()
+
+
+async def resume(client, address, name):
+    outcome = await client.resume(address, "/run", name.decode(), 3)
+    return outcome.response.status, await outcome.response.read()
+
+
+async def play_pair(upstream, *calls):
+    """Make two calls to an upstream, and return what came for them."""
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    answers = []
+    async with make_session() as session:
+        client = UpstreamClient(session)
+        for call, name in zip(calls, (b"first", b"second"), strict=True):
+            answers.append(await call(client, address, name))
+            await asyncio.sleep(NEXT_CALL_S)
+    server.close()
+    return answers
+
+
+# Guards against a refusal of one request that was believed for another one that runs, and against a
+# caller that got another caller's answer.
+@pytest.mark.parametrize("copy_s", COPIES_S.values(), ids=COPIES_S)
+@pytest.mark.parametrize("first_status", [REFUSED, DONE])
+def test_a_late_copy_of_an_answer_is_not_the_answer_to_the_next_request(first_status, copy_s):
+    async def main():
+        upstreams = [RepeatingUpstream(first_status, copy_s) for _ in range(PAIRS)]
+        found = await asyncio.gather(*(play_pair(each, post, post) for each in upstreams))
+        assert found == [[(first_status, b"first"), (DONE, b"second")]] * PAIRS
+        assert all(each.runs == [b"first", b"second"] for each in upstreams)
+
+    asyncio.run(main())
+
+
+# Guards against the end of a stream that was taken from another one when it was resumed.
+def test_a_late_copy_of_an_answer_is_not_the_rest_of_a_resumed_stream():
+    async def main():
+        for copy_s in COPIES_S.values():
+            upstream = RepeatingUpstream(DONE, copy_s)
+            found = await play_pair(upstream, post, resume)
+            assert found == [(DONE, b"first"), (DONE, b"/run/second/events?offset=3")]
+
+    asyncio.run(main())
