Key-value service: each call has a connection of its own

What operators would see: a change that was not accepted is reported as accepted, by the late copy of the answer to another write.

The answers of the key-value service and of the host list name no call, and aiohttp gives whatever comes on a kept connection to the next call, even what came while it was idle.

Change: storage.keyvalue.make_session creates the session for both, which closes each connection after its call.

--- a/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
+++ b/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
@@ -30,6 +30,7 @@
 class HostListClient:
     """Fetch the host list.
 
+    :param session: a session of :func:`chalkyoke.storage.keyvalue.make_session`.
     :param url: URL of the list.
     """
 
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -10,7 +10,6 @@
 import signal
 from collections.abc import Callable, Coroutine
 
-import aiohttp
 import msgspec
 
 from chalkyoke.administration.events import EventKind, EventRing
@@ -62,6 +61,7 @@
 from chalkyoke.scheduling.placement import Features
 from chalkyoke.settings import Settings
 from chalkyoke.storage.keyvalue import StoreClient
+from chalkyoke.storage.keyvalue import make_session as make_platform_session
 from chalkyoke.tokens.codec import TokenCodec
 from chalkyoke.tokens.ledger import TokenLedger
 from chalkyoke.upstreams.client import UpstreamClient, make_session
@@ -149,7 +149,7 @@
         self.links = Links(identity, LINK_MESSAGES, self.events, self._receive)
 
     def _make_platform(self) -> None:
-        self._platform_session = aiohttp.ClientSession()
+        self._platform_session = make_platform_session()
         platform = self.settings.platform
         self.store = StoreClient(self._platform_session, platform.store_url, self.metrics)
         hosts = HostListClient(self._platform_session, platform.hosts_url, self.metrics)
--- a/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
@@ -47,9 +47,20 @@
     return Unavailable()
 
 
+def make_session() -> aiohttp.ClientSession:
+    """Create the HTTP session for the platform's services.
+
+    Their answers name no call, so each call has a connection of its own.
+
+    :rtype: aiohttp.ClientSession
+    """
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+
+
 class StoreClient:
     """Call the key-value service. Failures are returned as values, not raised.
 
+    :param session: a session of :func:`make_session`.
     :param url: base URL of the service.
     """
 
