The simulated network ignores empty writes, as asyncio does

Cause: an empty write arrived as an empty read, which a protocol takes for the peer's close. The stand-in replicas write an empty body behind the head of each rejection, so in all simulated fleets a rejection closed its connection, and no second send over it was ever seen there.

Measured: the tests of simulated fleets pass as before (test_brittle_replicas to test_unframed_answers, each file once).

--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -109,7 +109,7 @@
         self._loop.call_soon(callback, *args, context=self._context)
 
     def write(self, data):
-        if self._closed:
+        if self._closed or not data:
             return
         if self.is_silent:
             error = OSError(errno.ETIMEDOUT, "timed out")
