Test: late copies over a pool, with equal, different and absent ids

The order of answers was tested on one connection with one id a request. Requests now also share ids, or have none, over a pool, and whole answers of seven statuses come once more while the next request waits and while the connection is idle.

--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_answer_order.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_answer_order.py
@@ -4,13 +4,23 @@
 from typing import NamedTuple
 
 from chalkyoke.http1.client import AnswerMatch, ClientConnection
+from chalkyoke.http1.pool import ConnectionPool
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from .test_client import RecordingSink
+from .test_pool import ADDRESS, InstantDialer
 from .transports import RecordingTransport
 
-STATUSES = {200: b"OK", 500: b"Internal Server Error", 503: b"", 204: b"No Content"}
+STATUSES = {
+    200: b"OK",
+    204: b"No Content",
+    404: b"Not Found",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    500: b"Internal Server Error",
+    503: b"",
+}
 MAX_EXCHANGES = 4
 
 
@@ -22,10 +32,12 @@
     size: int
     chunked: bool
     id_first: bool
+    marker: bytes = b";"
 
     @property
     def body(self):
-        return b"" if self.status == 204 else b"%d;" % self.number * self.size
+        text = b"%d%b" % (self.number, self.marker)
+        return b"" if self.status == 204 else text * self.size
 
     def encode(self):
         fields = [b"Id: %d" % self.number, b"Date: now"]
@@ -155,3 +167,58 @@
         play(drawn, after)
 
     asyncio.run(main())
+
+
+class Request(NamedTuple):
+    """One request over a pool, and the answers of its connection that come once more.
+
+    :param request_id: None for an upstream whose answers name no request.
+    :param waiting: indices of earlier answers that come between the request and its answer.
+    :param after: indices of those that come when the connection is idle again.
+    """
+
+    request_id: str | None
+    answer: Answer
+    waiting: list[int]
+    after: list[int]
+
+
+copies = st.lists(st.integers(0, MAX_EXCHANGES), max_size=2)
+requests = st.lists(
+    st.builds(Request, st.sampled_from(["0", "1", None]), answers, copies, copies),
+    min_size=2,
+    max_size=2 * MAX_EXCHANGES,
+)
+
+
+async def play_over_pool(drawn):
+    """Play requests with equal, different and absent ids, one after the other."""
+    pool, sent = ConnectionPool(dialer=InstantDialer()), {}
+    for number, each in enumerate(drawn):
+        connection = await pool.connect(
+            *ADDRESS, limit=9, timeout_s=0.1, fresh_s=9.0, request_id=each.request_id
+        )
+        earlier = sent.setdefault(connection, [])
+        name = each.request_id
+        match = match_number(int(name)) if name else lambda headers: AnswerMatch.OWN
+        # The body names the request, as its id may be that of others.
+        answer = each.answer._replace(number=int(name or 0), marker=b"%d," % number)
+        sink = RecordingSink()
+        connection.send(b"request", sink, match, request_id=name)
+        for copied in each.waiting if earlier else ():
+            connection.data_received(earlier[copied % len(earlier)])
+        connection.data_received(answer.encode())
+        earlier.append(answer.encode())
+        check_answer(sink, answer)
+        assert sink.ended == 1
+        pool.release(*ADDRESS, connection)
+        for copied in each.after:
+            if not connection.transport.closed:
+                connection.data_received(earlier[copied % len(earlier)])
+
+
+@given(requests)
+@settings(max_examples=300)
+def test_a_request_with_any_id_or_none_gets_its_own_answer(drawn):
+    """Guards against answers to other requests that have the same id, or that name no request."""
+    asyncio.run(play_over_pool(drawn))
