Stand-ins send answers of every kind once more, late

LocalFleet puts such relays before the upstreams, the store and the host list of the completions front.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/fleet.py
@@ -19,7 +19,14 @@
 
 import aiohttp
 
-from chalkyoke_fakes.children import REPLICA_ADDRESS_NUMBER, own_address, spawn
+from chalkyoke_fakes.children import (
+    RELAY_ADDRESS_NUMBER,
+    REPLICA_ADDRESS_NUMBER,
+    own_address,
+    spawn,
+)
+from chalkyoke_fakes.latecopies import LateCopies
+from chalkyoke_fakes.soak.relay import Relay
 
 START_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -65,11 +72,21 @@
     :param folder: folder for settings and logs.
     :param platform: engines, plain services and entry hosts.
     :param resources: the fleet's configuration.
+    :param copied_share: share of the answers of upstreams, store and host list that reach the nodes
+        once more, late; from 0 to 1.
     :ivar host_entries: the initial entries of the host list.
     """
 
-    def __init__(self, folder: Path, platform: dict[str, Any], resources: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        platform: dict[str, Any],
+        resources: dict[str, Any],
+        copied_share: float = 0.0,
+    ) -> None:
         self.folder = folder
+        self._copied_share = copied_share
+        self.relays: list[Relay] = []
         self.platform = platform
         self.resources = resources
         self.nodes: dict[str, Process] = {}
@@ -97,6 +114,8 @@
 
     async def __aexit__(self, *_: object) -> None:
         self.kill_processes()
+        for relay in self.relays:
+            await relay.stop()
         await self.session.close()
 
     @property
@@ -113,17 +132,32 @@
         self.store = self._start_fake("store", "chalkyoke_fakes.store", "127.0.0.1")
         for entry in self.platform["entry"]:
             self._add_node(entry)
+        for listed in self.host_entries:
+            if listed["id"] in self.upstreams:
+                listed["address"] = await self._address_for_nodes(listed["address"])
         hosts_file = self.folder / "hosts.json"
         hosts_file.write_text(json.dumps(self.host_entries), encoding="utf-8")
         arguments = ["--hosts", str(hosts_file), "--lag-s", str(self.platform.get("lag_s", 0.5))]
         self.hosts = self._start_fake("hosts", "chalkyoke_fakes.hosts", "127.0.0.1", *arguments)
         await self._wait_for_fakes()
+        self._store_address = await self._address_for_nodes(self.store.address)
+        self._hosts_address = await self._address_for_nodes(self.hosts.address)
         for entry in self.platform["entry"]:
             self.start_node(entry["host"])
         await self._wait_until(self._all_alive, "nodes to start")
         await self.apply_configuration(self.resources)
         await self._wait_until(self._all_ready, "nodes to be ready")
 
+    async def _address_for_nodes(self, address: str) -> str:
+        """Return the address at which nodes reach a stand-in, that of a relay for late copies."""
+        if not self._copied_share:
+            return address
+        relay = Relay(address)
+        relay.late_copies = LateCopies(len(self.relays), self._copied_share)
+        self.relays.append(relay)
+        await relay.start(own_address(RELAY_ADDRESS_NUMBER))
+        return relay.address
+
     def _start_upstreams(self) -> None:
         for engine in self.platform.get("engine", []):
             options = (
@@ -193,16 +227,14 @@
     def start_node(self, host: str) -> None:
         """Write a node's settings and start the node; it may have run before."""
         node = self.nodes[host]
-        assert self.store is not None
-        assert self.hosts is not None
         settings = self.folder / f"{host}.toml"
         extra = self.platform.get("settings", "")
         settings.write_text(
             f'[node]\nhost = "{host}"\nfailure_domain = "{node.failure_domain}"\n'
             f'[listen]\ncallers = "{node.address}"\nlinks = "{node.links}"\n'
             f'administration = "{node.administration}"\n'
-            f'[platform]\nstore_url = "http://{self.store.address}"\n'
-            f'hosts_url = "http://{self.hosts.address}/v1/hosts"\n'
+            f'[platform]\nstore_url = "http://{self._store_address}"\n'
+            f'hosts_url = "http://{self._hosts_address}/v1/hosts"\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
             f'[administration]\noperate_sha256 = ["{_sha256(OPERATOR_TOKEN)}"]\n{extra}',
             encoding="utf-8",
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from chalkyoke_fakes.latecopies import LateCopies, RepeatingWriter
 from chalkyoke_fakes.metastore import MetaStore
 from chalkyoke_fakes.resets import is_reset, reset_connection, wait_for_reset
 from chalkyoke_fakes.slots import Slots
@@ -196,6 +197,7 @@
     :ivar exit_times: when the replica exited by itself.
     :ivar slot_use: the requests that occupy the slots of a plain replica with a queue.
     :ivar born: the replica's start, in milliseconds of its own clock.
+    :ivar late_copies: the answers that the replica sends once more; none at first.
     """
 
     id: str
@@ -208,6 +210,7 @@
     version: str = FIRST_VERSION
     read_limit_bytes: int = READ_LIMIT_BYTES
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
+    late_copies: LateCopies = field(default_factory=LateCopies)
     seen: list[ReceivedRequest] = field(default_factory=list)
     rejected: list[ReceivedRequest] = field(default_factory=list)
     misdirected: int = 0
@@ -305,6 +308,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         assert isinstance(reader, _Reader)
+        writer = RepeatingWriter(writer, reader, self.late_copies)
         self._writers.add(writer)
         try:
             while True:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/relay.py
@@ -1,7 +1,8 @@
 """
 chalkyoke_fakes.soak.relay
 
-A TCP relay on loopback between two programs. It can delay, hold back, drop or reset the traffic.
+A TCP relay on loopback between two programs. It can delay, hold back, drop or reset the traffic,
+and send answers of an HTTP server once more.
 """
 
 import asyncio
@@ -9,6 +10,7 @@
 import random
 from dataclasses import dataclass
 
+from chalkyoke_fakes.latecopies import LateCopies, RepeatingWriter
 from chalkyoke_fakes.resets import is_reset, reset_connection, wait_for_reset
 
 CHUNK_BYTES = 65_536
@@ -39,12 +41,15 @@
     """Forward connections to a target.
 
     :ivar target: ``ip:port``; a change applies to new connections only.
+    :ivar late_copies: the target's answers that are sent once more; none at first. They are no
+        fault of the connections, and outlast those.
     """
 
     def __init__(self, target: str = "") -> None:
         self.target = target
         self.address = ""
         self.faults = RelayFaults()
+        self.late_copies = LateCopies()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
@@ -85,6 +90,7 @@
         except OSError:
             writer.transport.abort()
             return
+        writer = RepeatingWriter(writer, reader, self.late_copies)
         self._writers |= {writer, back}
         towards = asyncio.create_task(self._copy_stream(reader, writer, back, to_target=True))
         backwards = asyncio.create_task(self._copy_stream(there, back, writer, to_target=False))
