Soak: replicas and the store send answers once more, late

Two kinds of faults, replica_repeats and store_repeats, in a series of their own, so that the plans of existing seeds stay as they are. They excuse nothing.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -67,6 +67,8 @@
 BURST_DEMAND = 1.3
 # Numbers of whole events after which engines break off their streams, by engine.
 BREAK_AFTER = (1, 3, 2)
+# Share of whole answers that are sent once more, late.
+COPIED_SHARE = 0.5
 # How long the store is down for a restore from a snapshot, and how soon after that operators and
 # replicas write the lost records again, in seconds.
 RESTORE_OUTAGE_S = 0.5
@@ -137,6 +139,8 @@
             Fault.REPLICA_DISTURBED,
             Fault.REPLICA_UNFRAMED,
             Fault.REPLICA_PAUSES,
+            Fault.REPLICA_REPEATS,
+            Fault.STORE_REPEATS,
         ):
             # These may overlap with any other fault of the same replica.
             place = f"{place}, {step.fault}"
@@ -174,6 +178,8 @@
             Fault.REPLICA_DISTURBED,
             Fault.REPLICA_UNFRAMED,
             Fault.REPLICA_PAUSES,
+            Fault.REPLICA_REPEATS,
+            Fault.STORE_REPEATS,
         ):
             # None of them excuses a request that is not served.
             return
@@ -185,7 +191,9 @@
 
     async def _apply_fault(self, step: FaultStep) -> None:
         name = step.fault.value
-        if name.startswith("node_"):
+        if step.fault in (Fault.REPLICA_REPEATS, Fault.STORE_REPEATS):
+            await self._repeat_answers(step)
+        elif name.startswith("node_"):
             await self._apply_node_fault(step)
         elif step.fault is Fault.ALL_KILL:
             await self._kill_and_restart(list(self._fleet.nodes))
@@ -251,6 +259,14 @@
 
     # Relays.
 
+    async def _repeat_answers(self, step: FaultStep) -> None:
+        """Let a replica, or the store to one node, send half of its answers once more, late."""
+        is_store = step.fault is Fault.STORE_REPEATS
+        relays = self._fleet.store_relays if is_store else self._fleet.replica_relays
+        relays[step.target].late_copies.share = COPIED_SHARE
+        await asyncio.sleep(step.duration_s)
+        relays[step.target].late_copies.share = 0.0
+
     async def _apply_relay_fault(self, relay: Relay, step: FaultStep) -> None:
         if step.fault in (Fault.LINKS_DEAD, Fault.STORE_DEAD, Fault.REPLICA_DEAD):
             relay.silence_open_connections()
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -61,12 +61,16 @@
     REPLICA_UNFRAMED = "replica_unframed"
     CALLERS_FOCUS = "callers_focus"
     REPLICA_PAUSES = "replica_pauses"
+    REPLICA_REPEATS = "replica_repeats"
+    STORE_REPEATS = "store_repeats"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 # Faults of the callers of one node.
 CALLER_FAULTS = frozenset({Fault.SLOW_READERS, Fault.CALLERS_FOCUS})
-STORE_LINK_FAULTS = frozenset({Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES})
+STORE_LINK_FAULTS = frozenset(
+    {Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES, Fault.STORE_REPEATS}
+)
 REPLICA_FAULTS = frozenset(each for each in Fault if each.startswith("replica_"))
 # These groups are drawn from separate random sources, so that the plans of existing seeds do not
 # change. Each mask is XORed with the run's seed.
@@ -96,6 +100,8 @@
 FOCUS_SEED_MASK = 0xF0C5
 PAUSE_FAULTS = (Fault.REPLICA_PAUSES,)
 PAUSE_SEED_MASK = 0x9A05
+COPY_FAULTS = (Fault.REPLICA_REPEATS, Fault.STORE_REPEATS)
+COPY_SEED_MASK = 0xC0B1
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -111,6 +117,7 @@
         *FRAMING_FAULTS,
         *FOCUS_FAULTS,
         *PAUSE_FAULTS,
+        *COPY_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -206,6 +213,7 @@
         (FRAMING_FAULTS, FRAMING_SEED_MASK),
         (FOCUS_FAULTS, FOCUS_SEED_MASK),
         (PAUSE_FAULTS, PAUSE_SEED_MASK),
+        (COPY_FAULTS, COPY_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
