Requests with equal ids no longer take each other's grants

What callers saw: several requests with one id at the same time at one host. 40 of 216 were refused with "internal fault", and hosts counted up to 30 requests as still running at a replica for good, so that its place stayed taken.

A scheduler's message names the caller's request id and the number of the attempt. Two searches of one host with equal ids shared an entry in the tables of waiting searches and of held grants: the second one took its place, the first one's end removed it, and a release found another request's grant. Schedulers took two requests of different hosts for one.

Ruled out: refusing an id in use (hosts don't know each other's ids); a check of the message's pool and attempt (requests of one service share both); the host's tables alone by another key (schedulers compare the names that hosts send).

Change: each request gets a search_id at its admission, the process and a number, and messages to schedulers carry it in place of the caller's id. Schedulers of any version take it for an opaque name. The caller's id remains in logs and for the replica.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -155,7 +155,9 @@
 
     async def _run(self) -> None:
         parts = self._parts
-        decision = admit_request(self._request, self._fields, parts.catalog(), parts.now())
+        decision = admit_request(
+            self._request, self._fields, parts.catalog(), parts.now(), next(parts.search_ids)
+        )
         if isinstance(decision, Rejection):
             retry = RETRY_SOON_S if decision.status == 503 else None
             parts.log_rejection(self._request, self._fields, decision)
--- a/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grantmessages.py
@@ -29,7 +29,7 @@
     is_engine = admission.service.is_engine
     last = admission.patience_until if admission.route.is_stream else admission.deadline
     return Acquire(
-        request=admission.request_id,
+        request=admission.search_id,
         attempt=wanted.attempt,
         pool=admission.service.name,
         route=route_name(admission, for_trial=wanted.for_trial),
@@ -57,7 +57,7 @@
     :param now: time on the node's clock, in seconds.
     """
     return RunningItem(
-        request=admission.request_id,
+        request=admission.search_id,
         attempt=granted.attempt,
         upstream=granted.replica.id,
         tier=str(admission.rank),
@@ -76,7 +76,7 @@
     :param now: time on the node's clock, in seconds.
     """
     return ProgressItem(
-        admission.request_id,
+        admission.search_id,
         granted.events * admission.service.tokens_per_event,
         granted.first_s,
         _elapsed_s(granted, now),
@@ -99,7 +99,7 @@
     # A stream's load was reported with its first output and is old by now.
     load = granted.load if not granted.events else NO_LOAD
     return Release(
-        admission.request_id,
+        admission.search_id,
         granted.attempt,
         admission.service.name,
         outcome,
--- a/packages/chalkyoke/src/chalkyoke/gateway/grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/grants.py
@@ -185,13 +185,13 @@
         finally:
             if granted.permit is None:
                 self._send_unused(
-                    granted.scheduler, wanted.admission.request_id, granted.attempt, replica.service
+                    granted.scheduler, wanted.admission.search_id, granted.attempt, replica.service
                 )
         return granted.permit is not None
 
     async def _ask_schedulers(self, wanted: GrantRequest) -> Granted | Denied | None:
         admission = wanted.admission
-        request = admission.request_id
+        request = admission.search_id
         queue: asyncio.Queue[tuple[str, Grant | Shed | Queued]] = asyncio.Queue()
         self._answer_queues[request] = queue
         try:
@@ -317,7 +317,7 @@
         self._report_to_owner(admission, granted)
 
     def _hold(self, admission: Admission, granted: Granted) -> None:
-        self._held_grants[admission.request_id] = _HeldGrant(admission, granted)
+        self._held_grants[admission.search_id] = _HeldGrant(admission, granted)
         self._balancer.stats(granted.replica.id).outstanding += 1
 
     def _report_to_owner(self, admission: Admission, granted: Granted) -> None:
@@ -338,16 +338,16 @@
         if not admission.service.is_engine or not self._pooled:
             return
         pool = admission.service.name
-        message = FirstOutput(admission.request_id, pool, first_s, *granted.load)
+        message = FirstOutput(admission.search_id, pool, first_s, *granted.load)
         for process in self._informed_schedulers(admission.service, granted):
             self._schedulers.send(process, message)
 
     def release(self, admission: Admission, granted: Granted, outcome: ReleaseOutcome) -> None:
         """Release a grant and report the usage of the replica to the schedulers."""
-        held = self._held_grants.get(admission.request_id)
+        held = self._held_grants.get(admission.search_id)
         if held is None or held.granted is not granted:
             return
-        del self._held_grants[admission.request_id]
+        del self._held_grants[admission.search_id]
         self._balancer.stats(granted.replica.id).outstanding -= 1
         if granted.permit is not None and not granted.started_at:
             self._permits.return_permit(granted.permit)
--- a/packages/chalkyoke/src/chalkyoke/gateway/parts.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/parts.py
@@ -4,7 +4,7 @@
 Components that all exchanges of a node share.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -40,6 +40,7 @@
     :param log_rejection: writes to the log that a request was rejected before admission.
     :param on_plain_request_ended: called when a send to a replica of a plain service has ended.
     :param memory: the host's account of buffered bytes.
+    :param search_ids: unique names of requests in messages to schedulers.
     :param drain: decides which requests the node still takes during a planned stop.
     """
 
@@ -60,5 +61,6 @@
     quarantine: QuarantinePort
     announcements: AnnouncementPort
     origins: OriginPort
+    search_ids: Iterator[str]
     memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
     drain: Drain = msgspec.field(default_factory=Drain)
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -48,6 +48,8 @@
 class Admission(msgspec.Struct, frozen=True):
     """A request that may be forwarded. Times are on the node's clock.
 
+    :param search_id: names the request in messages to schedulers. Callers may give several requests
+        one ``request_id``, but no two requests of the fleet have the same ``search_id``.
     :param version: version of the catalog that admitted the request.
     :param rank: combined rank of team and route; 0 is the most urgent.
     :param cost: cost charged to the quota of the request's team.
@@ -58,6 +60,7 @@
     """
 
     request_id: str
+    search_id: str
     fields: RequestFields
     route: Route
     service: Service
@@ -77,10 +80,11 @@
 
 
 def admit_request(
-    request: Request, fields: RequestFields, catalog: Catalog, now: float
+    request: Request, fields: RequestFields, catalog: Catalog, now: float, search_id: str
 ) -> Admission | Rejection:
     """Admit or reject a request by the catalog.
 
+    :param search_id: unique name of the request in the fleet.
     :param now: time on the node's clock, in seconds.
     """
     if catalog.version == 0:
@@ -102,7 +106,7 @@
     service = catalog.services.get(pick_target(route, _hash_to_unit_interval(first_attempt)))
     if service is None:
         return Rejection(404, "no service")
-    return _build_admission(fields, route, service, team, catalog.version, now)
+    return _build_admission(fields, search_id, route, service, team, catalog.version, now)
 
 
 def is_still_allowed(admission: Admission, catalog: Catalog) -> bool:
@@ -159,6 +163,7 @@
 
 def _build_admission(
     fields: RequestFields,
+    search_id: str,
     route: Route,
     service: Service,
     team: Team | None,
@@ -175,6 +180,7 @@
         patience = min(ends_at, now + gaps)
     return Admission(
         request_id=fields.request_id,
+        search_id=search_id,
         fields=fields,
         route=route,
         service=service,
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -14,6 +14,7 @@
     fields = RequestFields("r1", max_output_tokens=max_output)
     return Admission(
         request_id="r1",
+        search_id="n1/1",
         fields=fields,
         route=Route(route, "h", "/", (Target(service, 1.0),), RouteKind.STREAM),
         service=Service(service),
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of one request from its arrival to its end, with stubs for the other components."""
 
 import asyncio
+import itertools
 from types import SimpleNamespace
 
 import pytest
@@ -128,6 +129,7 @@
         quarantine=Quarantine(),
         announcements=SimpleNamespace(),
         origins=SimpleNamespace(),
+        search_ids=(f"n1/{number}" for number in itertools.count(1)),
     )
     request = Request(b"POST", b"/x", [(b"host", b"h")], b"{}")
     return Exchange(parts, request, response), quotas, response
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_grants.py
@@ -72,7 +72,8 @@
 
 def admission(number, patience):
     fields = RequestFields(f"r{number}", prompt_tokens=100, max_output_tokens=50)
-    return Admission(f"r{number}", fields, ROUTE, POOL, None, 1, 0, 150.0, 0.0, 8.0, 0.5, patience)
+    name = f"r{number}"
+    return Admission(name, name, fields, ROUTE, POOL, None, 1, 0, 150.0, 0.0, 8.0, 0.5, patience)
 
 
 def make_grants(schedulers, pooled=True, permits=None):
@@ -281,8 +282,9 @@
 
 def plain_admission(number, at=0.0):
     fields = RequestFields(f"r{number}", prompt_tokens=7, max_output_tokens=9)
+    name = f"r{number}"
     return Admission(
-        f"r{number}", fields, BOOK, PLAIN, None, 1, 0, 1.0, at, at + 2.0, at + 0.2, at + 2.0
+        name, name, fields, BOOK, PLAIN, None, 1, 0, 1.0, at, at + 2.0, at + 0.2, at + 2.0
     )
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -47,7 +47,7 @@
 def admit(path="/chat/x", key="k1", request_id="1", host=b"A.example:80", **fields):
     request = Request(b"GET", path.encode(), [(b"Host", host)], b"")
     return admit_request(
-        request, RequestFields(request_id, key=key, **fields), catalog(), now=100.0
+        request, RequestFields(request_id, key=key, **fields), catalog(), 100.0, "n1/1"
     )
 
 
@@ -63,7 +63,9 @@
     assert admit(key=None).status == 401
     assert admit(request_id="").status == 400
     assert admit(contradictory=True).status == 400
-    empty = admit_request(Request(b"GET", b"/", [], b""), RequestFields("1"), Catalog(), 0.0)
+    empty = admit_request(
+        Request(b"GET", b"/", [], b""), RequestFields("1"), Catalog(), 0.0, "n1/1"
+    )
     assert empty.status == 503
 
 
@@ -114,7 +116,7 @@
 
         def service(request_id, resumes="", declared=declared, request=request):
             fields = RequestFields(request_id, resumes=resumes)
-            return admit_request(request, fields, declared, 0.0).service.name
+            return admit_request(request, fields, declared, 0.0, "n1/1").service.name
 
         same = [service(f"a{n}") == service(f"b{n}", f"a{n}") for n in range(100)]
         assert all(same) is resumable
--- a/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/tests/fleet.py
@@ -265,7 +265,19 @@
         route = self.random.choice(ROUTES)
         self.answers["asked", route.name] += 1
         admission = Admission(
-            name, fields, route, SERVICE, None, 1, 0, 1.0, now, now + 8.0, now + GOAL_S, now + 4.0
+            name,
+            name,
+            fields,
+            route,
+            SERVICE,
+            None,
+            1,
+            0,
+            1.0,
+            now,
+            now + 8.0,
+            now + GOAL_S,
+            now + 4.0,
         )
         granted = await node.grants.acquire(admission, 1, ())
         if not isinstance(granted, Granted):
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import random
 import secrets
@@ -386,6 +387,7 @@
                 quarantine=self.quarantine,
                 announcements=self.announcements,
                 origins=self.origins,
+                search_ids=(f"{self.record.process}/{n}" for n in itertools.count(1)),
                 memory=self.memory.account,
                 drain=self.drain,
             )
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -234,17 +234,27 @@
             )
 
     async def send_request(
-        self, node, path, body=b"{}", *, method="POST", key=KEY, until_whole=False, headers=()
+        self,
+        node,
+        path,
+        body=b"{}",
+        *,
+        method="POST",
+        key=KEY,
+        until_whole=False,
+        headers=(),
+        request="",
     ):
         """Send one request as a caller on a new connection, and wait for the answer.
 
         :param until_whole: close the connection as soon as the answer is complete; otherwise wait
             until the node closes it, which it does a second later.
         :param headers: further headers, as pairs of a name and a value.
+        :param request: id of the request; by default one that no other request has.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
-        request = f"q{next(self._request_numbers)}"
+        request = request or f"q{next(self._request_numbers)}"
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request}\r\n"
             f"X-Deadline-Ms: {DEADLINE_MS}\r\nX-Credential: {key}\r\n"
