A restored store's record of an earlier start does not undo a later start

What callers saw (soak): a request went to a replica 2.1 s after it had said that it leaves, and requests to one that had asked for rest.

Cause: when the store came back from a copy, it listed an earlier start of the replica. A host that had never seen that start took it for a new one, and forgot with the later start what that had announced. Records that a host itself had seen replaced were recognized; a host that had started in between had seen none.

Ruled out: births compared at all times (a replica's clock may go back over a restart; outside of a restore the later record wins).

--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -127,6 +127,19 @@
 
     # Replicas.
 
+    def names_earlier_start(self, item: Item) -> bool:
+        """Return whether an item is the record of an earlier start than the one in force."""
+        held = self._items.get(item.key)
+        if held is None:
+            return False
+        before, after = self._read(held), self._read(item)
+        if isinstance(before, Err) or isinstance(after, Err):
+            return False
+        known, found = before.ok_value, after.ok_value
+        if not isinstance(known, Replica) or not isinstance(found, Replica):
+            return False
+        return 0 < found.born < known.born
+
     def mark_leaving(self, start: str, now: float) -> bool:
         """Mark a replica start as leaving, as it has announced; no record of it reverts this.
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/resources.py
@@ -137,6 +137,7 @@
     :param draining: whether the replica has announced that it leaves.
     :param version: version of the replica's software; empty if not declared.
     :param declared_id: the id that the replica declares; empty if it equals ``id``.
+    :param born: when the replica started, in milliseconds of its own clock; 0 if not declared.
     """
 
     id: str
@@ -148,6 +149,7 @@
     draining: bool = False
     version: str = ""
     declared_id: str = ""
+    born: int = 0
 
     @property
     def expected_id(self) -> str:
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -366,7 +366,7 @@
             if key not in listed:
                 self._handle_missing(key, since, now)
         for item in listed.values():
-            if item in self._superseded and self._records.is_externally_written(item):
+            if self._is_outdated(item):
                 self._conflicts.add(item.key, now + OUTDATED_RECORD_TTL_S)
                 continue
             self._conflicts.remove(item.key)
@@ -376,6 +376,12 @@
         self.last_change_revision = changed_at
         self._recent_changes.reset(position.revision)
 
+    def _is_outdated(self, item: Item) -> bool:
+        """Return whether a restored store lists an older record than this node knows."""
+        if item in self._superseded and self._records.is_externally_written(item):
+            return True
+        return self._records.names_earlier_start(item)
+
     def _handle_missing(self, key: str, since: float, now: float) -> None:
         item = self._records.get(key)
         if item is not None and self._records.is_externally_written(item):
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -17,7 +17,11 @@
     if item.key.startswith("status"):
         return Ok(RolloutStatus("pool", text, RolloutState.RUNNING, item.revision))
     start, _, state = text.partition(" ")
-    return Ok(Replica(start, "pool", "127.0.0.1", 80, "a", 4, draining=state == "draining"))
+    start, _, born = start.partition("@")
+    draining = state == "draining"
+    return Ok(
+        Replica(start, "pool", "127.0.0.1", 80, "a", 4, draining=draining, born=int(born or 0))
+    )
 
 
 def make_state(*items, at=10, epoch=1):
@@ -68,6 +72,27 @@
         assert replica_ids(state) == ({"a1", "b1"} if keeps else {"b1"})
 
 
+# Guards against what a replica had announced being forgotten, because the backup names an earlier
+# start of it that this node has never seen.
+def test_an_earlier_start_in_the_backup_does_not_replace_a_later_one():
+    for again in (False, True):
+        state = make_state(Item("a", b"a2@2 ready", 12), B, at=12)
+        state.mark_leaving("a2", 0.5)
+        state.apply_replicas_snapshot([Item("a", b"a1@1 ready", 3), B], 10, 0.0, epoch=2, now=1.0)
+        assert replica_ids(state, draining=True) == {"a2"} and state.pop_restarted() == []
+        if again:
+            state.apply_replica_changes([Item("a", b"a2@2 ready", 11)], 11, 2.0, 2.0)
+        state.resolve_conflicts(1.0 + OUTDATED_RECORD_TTL_S)
+        assert replica_ids(state, draining=again) == ({"a2"} if again else {"a1", "b1"})
+
+
+def test_a_later_start_in_the_backup_replaces_an_earlier_one():
+    state = make_state(Item("a", b"a1@1 ready", 3), B)
+    state.apply_replicas_snapshot([Item("a", b"a2@2 ready", 9), B], 10, 0.0, epoch=2, now=1.0)
+    assert replica_ids(state) == {"a2", "b1"}
+    assert [each.id for each in state.pop_restarted()] == ["a1"]
+
+
 # Guards against a replica without requests because the backup lacks its first record.
 def test_a_record_missing_in_the_backup_stays_in_force_until_rewritten():
     for again in (False, True):
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -201,7 +201,6 @@
         return Err(f"invalid replica id {name!r} or port {number}")
     return Ok(
         Replica(
-            # The declared id and the start time, if the record has one, identify a start.
             id=f"{name}/{found.born}" if found.born else name,
             service=found.service,
             ip=ip,
@@ -211,6 +210,7 @@
             draining=found.state == DRAINING,
             version=str(found.version),
             declared_id=name,
+            born=found.born,
         )
     )
 
