A rest asked for before the news of a new start is kept

Cause: an answer names no start. A host that hears late of a replica's new start files the rest that this start asks for under the earlier one, and forgot it with that one when the news came.

Ruled out: carrying every rest over (a replica that starts again after a long rest would get no work for that time); naming the start in requests (the platform's replicas compare their id only).

Change: when a later start replaces an earlier one, a rest that was asked for in the last 3 s, the longest time that the news may take, holds for the later start. A restart names both starts now.

--- a/packages/chalkyoke/src/chalkyoke/balancing/local.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/local.py
@@ -36,6 +36,8 @@
 AVOIDED_COST = 10_000.0
 # Latencies below this value are treated as equal, in seconds.
 LATENCY_FLOOR_S = 0.005
+# Longest time between a replica's new start and the news of it, in seconds.
+MAX_RESTART_NEWS_S = 3.0
 
 
 class LocalBalancer:
@@ -126,6 +128,19 @@
         is_new = stats.rest_left_s(now) <= 0
         return is_new, stats.record_rest(seconds, now)
 
+    def replace_start(self, ended: str, later: str, now: float) -> None:
+        """Record that a replica has started again, which this node hears some time afterwards.
+
+        A rest that was asked for in that time may be the later start's.
+
+        :param ended: id of the earlier start.
+        :param later: id of the later start.
+        """
+        earlier = self.stats(ended)
+        if now - earlier.rest_asked_at <= MAX_RESTART_NEWS_S:
+            stats = self.stats(later)
+            stats.resting_until = max(stats.resting_until, earlier.resting_until)
+
     def rest_left_s(self, replicas: Iterable[Replica], now: float) -> float:
         """Return the remaining time, in seconds, in which all replicas ask this node for rest.
 
--- a/packages/chalkyoke/src/chalkyoke/balancing/state.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/state.py
@@ -38,6 +38,7 @@
         else the answer.
     :ivar connect_failures: consecutive failed connections.
     :ivar resting_until: end of the period in which the replica asked this node to send nothing.
+    :ivar rest_asked_at: time of the last answer that asked for it.
     :ivar time_factor: how long work takes on the replica's machine at the moment.
     :ivar limited_until: time from which the replica's announced limit allows a request.
     """
@@ -53,6 +54,7 @@
     connect_failures: int = 0
     unreachable_until: float = 0.0
     resting_until: float = 0.0
+    rest_asked_at: float = -math.inf
     limited_until: float = 0.0
     time_factor: TimeFactor = msgspec.field(default_factory=TimeFactor)
 
@@ -112,6 +114,7 @@
 
         :return: remaining time of the rest in seconds, within the general bound.
         """
+        self.rest_asked_at = now
         self.resting_until = max(self.resting_until, now + cap_retry_after(seconds))
         return self.rest_left_s(now)
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -42,6 +42,13 @@
     since: float
 
 
+class Restart(msgspec.Struct, frozen=True):
+    """A replica start whose record was replaced by that of a later start."""
+
+    ended: Replica
+    later: Replica
+
+
 class Records:
     """The records in force, parsed and indexed.
 
@@ -68,7 +75,7 @@
         self._items: dict[str, Item] = {}
         self._leaving: RetainedStarts[None] = RetainedStarts()
         self._retained_leaving: set[str] = set()
-        self._restarted: list[Replica] = []
+        self._restarted: list[Restart] = []
 
     def __iter__(self) -> Iterator[str]:
         return iter(list(self._items))
@@ -177,10 +184,10 @@
         """
         return start in self._leaving
 
-    def pop_restarted(self) -> list[Replica]:
+    def pop_restarted(self) -> list[Restart]:
         """Return and clear the replica starts that a later start has replaced since the last call.
 
-        :rtype: list[Replica]
+        :rtype: list[Restart]
         """
         restarted, self._restarted = self._restarted, []
         return restarted
@@ -217,7 +224,7 @@
             return
         ended = self.replicas.pop(read.ok_value.id, None)
         if ended is not None:
-            self._restarted.append(ended)
+            self._restarted.append(Restart(ended, replica))
 
     # Other records.
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -21,7 +21,7 @@
     ReplicasSnapshot,
 )
 from chalkyoke.catalog.recent import RecentChanges, RecentDocuments
-from chalkyoke.catalog.records import ReadRecord, ReceivedOrder, Records, RemovedReplica
+from chalkyoke.catalog.records import ReadRecord, ReceivedOrder, Records, RemovedReplica, Restart
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.restores import (
     MISSING_RECORD_TTL_S,
@@ -147,10 +147,10 @@
         """
         return self._records.leaving_despite_restore()
 
-    def pop_restarted(self) -> list[Replica]:
+    def pop_restarted(self) -> list[Restart]:
         """Return and clear the replica starts that a later start has replaced since the last call.
 
-        :rtype: list[Replica]
+        :rtype: list[Restart]
         """
         return self._records.pop_restarted()
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_restores.py
@@ -90,7 +90,7 @@
     state = make_state(Item("a", b"a1@1 ready", 3), B)
     state.apply_replicas_snapshot([Item("a", b"a2@2 ready", 9), B], 10, 0.0, epoch=2, now=1.0)
     assert replica_ids(state) == {"a2", "b1"}
-    assert [each.id for each in state.pop_restarted()] == ["a1"]
+    assert [each.ended.id for each in state.pop_restarted()] == ["a1"]
 
 
 # Guards against a replica without requests because the backup lacks its first record.
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -205,7 +205,7 @@
 def test_a_later_start_replaces_the_earlier_start():
     state = make_state_of_starts(b"1", b"2")
     assert set(state.replicas) == {"m/2"} and not state.removed_replicas
-    assert [each.id for each in state.pop_restarted()] == ["m/1"]
+    assert [each.ended.id for each in state.pop_restarted()] == ["m/1"]
     assert state.pop_restarted() == []
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -607,7 +607,9 @@
         state = self.catalog.state
         if state.epoch != self._store_epoch:
             self._epoch_changed(state.epoch)
-        for ended in state.pop_restarted():
+        for restart in state.pop_restarted():
+            ended = restart.ended
+            self.balancer.replace_start(ended.id, restart.later.id, self.now())
             self.connections.abort_idle(ended.ip, ended.port)
             self.gateway.on_replica_ended(ended.id)
             log.info("replica_restarted", ended=ended.id)
