--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/latecopies.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/latecopies.py
@@ -54,8 +54,14 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer = bytearray()
         self._is_inside = False
+        self._is_ended = False
         self._due: list[bytes] = []
 
+    def write_eof(self) -> None:
+        """End this side of the connection; copies that are due are dropped."""
+        self._is_ended = True
+        super().write_eof()
+
     def write(self, data: bytes) -> None:  # type: ignore[override]
         """Write a part of an answer, or several answers."""
         super().write(data)
@@ -95,5 +101,5 @@
 
     def _write_due(self) -> None:
         due, self._due = self._due, []
-        if due and not self.transport.is_closing():
+        if due and not self._is_ended and not self.transport.is_closing():
             super().write(b"".join(due))
