--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
@@ -102,9 +102,8 @@
             assert not connection.transport.closed
             exchange(connection, f"{number}")
             pool.release(*ADDRESS, connection)
-            assert await connect(pool, f"{number + 1}") is connection or (
-                number == MAX_REQUESTS - 1
-            )
+            is_last = number == MAX_REQUESTS - 1
+            assert (await connect(pool, f"{number + 1}") is connection) is not is_last
         assert connection.transport.closed
 
     check_pool(check)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -14,6 +14,7 @@
 import pytest
 from chalkyoke_fakes.caller import Caller, ReplyOutcome
 from chalkyoke_fakes.fleet import LocalFleet
+from chalkyoke_fakes.latecopies import LateCopies
 from chalkyoke_fakes.replica import read_events
 
 from tests.gatewayfleet import run_check
@@ -87,7 +88,7 @@
     async def check(fleet):
         replicas = [*fleet.models, *fleet.seats]
         for number, replica in enumerate(replicas):
-            replica.late_copies.__init__(100 * seed + number, COPIED_SHARE)
+            replica.late_copies = LateCopies(100 * seed + number, COPIED_SHARE)
             replica.faults.queue = 0 if not replica.engine else -1
             replica.faults.work_s = 0.04
             replica.faults.fail_each = 5
