The log tells when and why a silent replica loses its request

Which of the hypotheses holds could not be told from the log: a silent send was given up without a line, so that neither the reason nor the state of the replica that took its place was known. silent_given_up names both, and for how long the other replica has sent nothing amid its answers to this host (ConnectionPool.silent_s).

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -17,7 +17,7 @@
 from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
-from chalkyoke.gateway.takeover import Send, Takeover
+from chalkyoke.gateway.takeover import GiveUpReason, Send, Takeover
 from chalkyoke.gateway.verdict import SendCounts, SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
@@ -95,7 +95,8 @@
         self._progress = progress
         self._response = response
         self._is_held_back = is_held_back
-        self._takeover = Takeover(self._drop)
+        self._admission: Admission | None = None
+        self._takeover = Takeover(self._drop, self._log_given_up)
         self.relay: Relay | None = None
         self.undelivered_bytes: int | None = None
         self._retained: list[Charge] = []
@@ -213,6 +214,26 @@
         if send.is_silent:
             self._delivery.splitter.discard_partial()
 
+    def _log_given_up(self, silent: Send, other: Send | None, reason: GiveUpReason) -> None:
+        """Log that a silent replica loses its request.
+
+        :param other: the send that takes its place.
+        """
+        now, replica = self._parts.now(), other.granted.replica if other else None
+        self._parts.log_decision(
+            "silent_given_up",
+            self._admission,
+            replica=silent.granted.replica.id,
+            reason=reason,
+            silent_s=round(now - silent.relay.last_at, 4),
+            other=replica.id if replica else None,
+            other_silent_s=round(self._parts.connections.silent_s(replica.ip, replica.port), 4)
+            if replica
+            else None,
+            sends=self._progress.sends.arrivals,
+            events=self._delivery.events,
+        )
+
     def _finish(self, send: Send) -> bool:
         """Record that a send has finished.
 
@@ -273,6 +294,7 @@
     ) -> Send:
         """Write the request to the connection. From here on the request may have run."""
         parts, progress, request = self._parts, self._progress, self._request
+        self._admission = admission
         require(
             progress.sends.runs == 0 or admission.route.repeatable,
             "a request that must not be repeated is sent once",
--- a/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.relay import Relay
@@ -17,6 +18,19 @@
 MAX_OVERLAP_S = 0.2
 
 
+class GiveUpReason(StrEnum):
+    """Why a silent send was given up.
+
+    ``ANSWERED``: another replica has begun to answer. ``OVERLAP``: another one has had the request
+    for :data:`MAX_OVERLAP_S` and has not begun to answer. ``ENDED``: its replica has broken it off
+    or refused it, and another one has the request.
+    """
+
+    ANSWERED = "answered"
+    OVERLAP = "overlap"
+    ENDED = "ended"
+
+
 class Send:
     """One request at a replica, until its end.
 
@@ -54,12 +68,18 @@
     elsewhere. Both replicas are heard in one thread, so no event is forwarded twice.
 
     :param drop: gives a send up.
+    :param on_given_up: called before a silent send is given up for the current one.
     :ivar current: the latest send; None if it has ended, is silent or was dropped.
     :ivar silent: a send that has fallen silent and is kept until another one answers.
     """
 
-    def __init__(self, drop: Callable[[Send], None]) -> None:
+    def __init__(
+        self,
+        drop: Callable[[Send], None],
+        on_given_up: Callable[[Send, Send | None, GiveUpReason], None],
+    ) -> None:
         self._drop = drop
+        self._on_given_up = on_given_up
         self._loop = asyncio.get_running_loop()
         self._overlap_timer: asyncio.TimerHandle | None = None
         self.current: Send | None = None
@@ -123,7 +143,7 @@
     def answer_begun(self, send: Send) -> None:
         """Drop the silent send if the replica that is to take its place can answer."""
         if send is self.current and send.relay.may_deliver:
-            self._drop_silent()
+            self._drop_silent(GiveUpReason.ANSWERED)
 
     def answer_progressed(self, send: Send) -> None:
         """Let a silent send go on and drop the other; call before anything is forwarded."""
@@ -133,7 +153,7 @@
             return
         if current is not None and not silent.relay.may_deliver:
             # The silent replica has broken or refused, and the other one may still answer.
-            self._drop_silent()
+            self._drop_silent(GiveUpReason.ENDED)
             return
         if current is not None:
             self.current = None
@@ -157,12 +177,13 @@
         if current is not None and current.relay.head is not None:
             current.relay.end_early()
         else:
-            self._drop_silent()
+            self._drop_silent(GiveUpReason.OVERLAP)
 
-    def _drop_silent(self) -> None:
+    def _drop_silent(self, reason: GiveUpReason) -> None:
         self._cancel_timer()
         silent, self.silent = self.silent, None
         if silent is not None:
+            self._on_given_up(silent, self.current, reason)
             self._drop(silent)
 
     def _cancel_timer(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -162,6 +162,7 @@
         parts.announcements.record_answer = lambda *_: None
         parts.connections.release = lambda *_: None
         parts.connections.abort_idle = lambda *_: None
+        parts.connections.silent_s = lambda *_: 0.0
         parts.origins.record_began = lambda *_: None
         self.at_work = Counter()
         parts.rollouts.record_sent = lambda replica: self.at_work.update([replica.id])
@@ -386,6 +387,16 @@
     fleet.check_whole()
 
 
+def test_the_log_names_what_becomes_of_a_request_whose_silent_replica_is_given_up():
+    """Guards against answers whose silent replica was given up without a trace."""
+    fleet = play(silent_replica(), sound_replica())
+    given_up = [facts for event, facts in fleet.log if event == "silent_given_up"]
+    assert [(each["reason"], each["other"]) for each in given_up] == [("answered", "m1")]
+    fleet = play(silent_replica(2.5), ScriptedReplica([1.0, 0.05]))
+    given_up = [facts for event, facts in fleet.log if event == "silent_given_up"]
+    assert [(each["reason"], each["other"]) for each in given_up] == [("overlap", "m1")]
+
+
 def test_a_silent_replica_does_not_get_its_request_again_while_there_are_others():
     """Guards against two runs of a request at one replica, whose answers overlap."""
     silent, again = silent_replica(), sound_replica()
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -119,6 +119,7 @@
         self._reason = bytearray()
         self._skipping = False
         self._until_close = False
+        self._paused = False
 
     # Connection events.
 
@@ -204,6 +205,11 @@
         """Whether a request is in progress."""
         return self._sink is not None
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the upstream has begun to answer the request in progress, and is read."""
+        return self._sink is not None and self._head is not None and not self._paused
+
     def retire(self) -> None:
         """Let the exchange in progress end, then carry no other request."""
         self._unusable = True
@@ -284,11 +290,13 @@
 
     def pause(self) -> None:
         """Pause reading."""
+        self._paused = True
         if not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume(self) -> None:
         """Resume reading."""
+        self._paused = False
         if not self.transport.is_closing():
             self.transport.resume_reading()
 
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -130,6 +130,16 @@
         self._add(ip, port, connection)
         self.release(ip, port, connection)
 
+    def silent_s(self, ip: str, port: int) -> float:
+        """Return for how long an upstream has sent nothing amid its answers, in seconds.
+
+        It is 0 while the upstream has begun no answer: then its silence means nothing.
+        """
+        entry = self._addresses.get((ip, port))
+        if entry is None or not any(each.is_answering for each in entry.connections):
+            return 0.0
+        return self._loop.time() - max(each.heard_at for each in entry.connections)
+
     def connections(self) -> Iterator[tuple[tuple[str, int], ClientConnection]]:
         """Iterate over all open connections with their addresses."""
         for address, entry in list(self._addresses.items()):
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
@@ -128,3 +128,28 @@
         assert not busy.transport.closed
 
     check_pool(check)
+
+
+def test_an_upstream_is_silent_only_while_it_answers():
+    """Guards against idle upstreams that count as silent."""
+
+    async def check(pool):
+        loop = asyncio.get_running_loop()
+        assert pool.silent_s(*ADDRESS) == 0
+        connection = await connect(pool)
+        connection.send(b"GET", RecordingSink(), lambda _: AnswerMatch.OWN, request_id="q1")
+        connection.heard_at = loop.time() - 2.0
+        assert pool.silent_s(*ADDRESS) == 0
+        connection.data_received(ANSWER[:-1])
+        connection.heard_at = loop.time() - 2.0
+        assert 2.0 <= pool.silent_s(*ADDRESS) < 2.1
+        connection.pause()
+        assert pool.silent_s(*ADDRESS) == 0
+        connection.resume()
+        other = await connect(pool, "q2")
+        assert pool.silent_s(*ADDRESS) < 0.1
+        other.heard_at = connection.heard_at
+        connection.data_received(ANSWER[-1:])
+        assert pool.silent_s(*ADDRESS) == 0
+
+    check_pool(check)
