Red test: streams are cut off when all replicas pause and routes move meanwhile

A host gives the silent replica up 0.2 s after another one got the request, whether or not that one is at work.

The stand-in of a replica can be paused as a whole (nothing is read or begun meanwhile), and engines can reject streams beyond a number.

--- a/tests/silencecases.py
+++ b/tests/silencecases.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from tests.gatewayfleet import run_check
@@ -70,6 +70,14 @@
     return change
 
 
+async def _bound_engines(fleet):
+    """Let engines reject streams beyond their slots, as real ones do."""
+    for each in fleet.models:
+        each.faults.most_streams = each.slots
+
+
+# All replicas pause at once. A replica that gets a request meanwhile may reject it once it goes on.
+ALL_PAUSE = Silences(paths=("/explain/1",), share=1.0, paused=True, prepare=_bound_engines)
 TWO = Silences(second_services=True)
 ALL_PATHS = ("/explain/1", "/chat/1", "/find/1", "/book/1")
 CASES = {
@@ -118,6 +126,9 @@
     "callers resume streams of two versions": Case(
         Silences(resume_share=0.5), versions=("v1", "v1.1")
     ),
+    "all replicas pause and routes move once others were sought": Case(
+        replace(ALL_PAUSE, second_services=True, change_after_s=1.0), _move_routes, replicas=4
+    ),
     "time limits are lowered": Case(make_change=lambda changes, folder: changes.lower_timeouts),
     "routes move at fifteen hosts": Case(TWO, _move_routes, domains=DOMAINS * 3),
     "a key is replaced at fifteen hosts": Case(make_change=_replace_key, domains=DOMAINS * 3),
--- a/tests/silentreplicas.py
+++ b/tests/silentreplicas.py
@@ -90,6 +90,10 @@
     :param second_services: whether there is a second service of each kind.
     :param prepare: coroutine function that is run for the fleet before the first request.
     :param resume_share: share of the resumable streams that callers resume.
+    :param share: share of the replicas of a service that are silent at once.
+    :param paused: whether the whole process of a silent replica is paused, which then neither reads
+        nor begins requests.
+    :param change_after_s: time from the begin of each silence to the change, in seconds.
     """
 
     silence_s: float = 1.3
@@ -98,6 +102,9 @@
     prepare: Callable | None = None
     paths: tuple = PATHS
     resume_share: float = 0.0
+    share: float = SILENT_SHARE
+    paused: bool = False
+    change_after_s: float = CHANGE_AFTER_S
 
 
 class Changes:
@@ -229,15 +236,19 @@
         for replicas in (fleet.models, fleet.seats):
             able = [each for each in replicas if each.state == "ready"]
             able = [each for each in able if silences.may_fall_silent(each)]
-            count = max(1, round(len(replicas) * SILENT_SHARE))
+            count = max(1, round(len(replicas) * silences.share))
             changes.silent += rng.sample(able, min(count, len(able)))
         for each in changes.silent:
-            each.faults.silent_until = loop.time() + silences.silence_s
-        await asyncio.sleep(CHANGE_AFTER_S)
+            until = loop.time() + silences.silence_s
+            if silences.paused:
+                each.faults.paused_until = until
+            else:
+                each.faults.silent_until = until
+        await asyncio.sleep(silences.change_after_s)
         undo = change()
         if undo is not None:
             loop.call_later(KEY_BACK_AFTER_S, undo)
-        await asyncio.sleep(SILENCE_PERIOD_S - CHANGE_AFTER_S)
+        await asyncio.sleep(SILENCE_PERIOD_S - silences.change_after_s)
 
 
 async def play_silence(fleet, silences, make_change, seed=77):
