--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -95,7 +95,8 @@
         Requests and connections are accepted meanwhile.
     :ivar paused_until: time until which the replica's process is paused, in seconds of the
         replica's clock: connections and requests are accepted by its system, none is read.
-    :ivar most_streams: streams that an engine runs at once; it rejects any more. Negative: no limit.
+    :ivar most_streams: streams that an engine runs at once; it rejects any more. Negative: no
+        limit.
     :ivar brittle: rejections in a second above which the replica exits, as its answers state;
         negative for none.
     :ivar time_percent: how long work takes, in percent of the usual time. It is reported with the
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -14,11 +14,19 @@
 from chalkyoke.gateway.granted import Denied, Granted, find_eligible
 from chalkyoke.gateway.origins import find_origin, is_resumed_by_caller
 from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.progress import Progress
 from chalkyoke.gateway.quarantine import SharedParts
-from chalkyoke.gateway.reception import Admission, Rejection, admit_request, is_still_allowed
+from chalkyoke.gateway.reception import (
+    Admission,
+    Rejection,
+    admit_request,
+    is_still_allowed,
+)
 from chalkyoke.gateway.relay import Delivery
+from chalkyoke.gateway.replacement import find_objection
 from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
-from chalkyoke.gateway.sender import Progress, Sender
+from chalkyoke.gateway.sender import Sender
+from chalkyoke.gateway.sendlog import SendLog, silent_s
 from chalkyoke.gateway.takeover import Send
 from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
@@ -78,6 +86,7 @@
             self._progress,
             lambda: self._find_held() is not None,
         )
+        self._send_log = SendLog(parts, self._delivery, self._progress)
         self._granted: Granted | None = None
         self._admission: Admission | None = None
         self._charge: QuotaDecision | None = None
@@ -197,7 +206,7 @@
                 admission,
                 sends=self._progress.sends.arrivals,
                 events=self._delivery.events,
-                silent_s=round(self._silent_s(), 4),
+                silent_s=round(silent_s(self._sender.relay, parts.now()), 4),
                 undelivered_bytes=self._sender.undelivered_bytes,
             )
 
@@ -215,11 +224,6 @@
         if self._parts.quotas.refund(admission, charge):
             self._parts.log_decision("refunded", admission, cost=admission.cost)
 
-    def _silent_s(self) -> float:
-        """Return the time since data last came from the replica, in seconds; -1 before a send."""
-        relay = self._sender.relay
-        return -1.0 if relay is None else self._parts.now() - relay.last_at
-
     def _loop_time(self, at: float) -> float:
         return asyncio.get_running_loop().time() + (at - self._parts.now())
 
@@ -286,9 +290,16 @@
             if isinstance(granted, Denied):
                 return granted
             self._granted = granted
-            if self._is_for_silent_replica(admission, granted):
+            objection = find_objection(
+                admission,
+                granted,
+                self._sender.silent,
+                self._parts.replicas,
+                self._delivery.version,
+            )
+            if objection is not None:
                 self._return_grant(admission, granted)
-                return Denied("no other replica", RETRY_SOON_S)
+                return Denied(objection, RETRY_SOON_S)
             end = await self._sender.send(admission, granted)
             if end is not None:
                 return end
@@ -296,20 +307,6 @@
             if self._progress.attempt >= MAX_GRANTS:
                 return Denied("no grant could be used", RETRY_SOON_S)
 
-    def _is_for_silent_replica(self, admission: Admission, granted: Granted) -> bool:
-        """Return whether a grant is for the silent replica although there are others.
-
-        A second run there would be answered no sooner. The only replica of a service may get the
-        request again, since the connection on which it is silent may be dead.
-        """
-        silent = self._sender.silent
-        if silent is None or silent.granted.replica.id != granted.replica.id:
-            return False
-        replicas = find_eligible(
-            self._parts.replicas, admission.service.name, self._delivery.version
-        )
-        return any(each.id != granted.replica.id for each in replicas)
-
     async def _attempt_again(self, admission: Admission) -> Outcome:
         """Try another replica, unless the silent one goes on before the other has answered."""
         silent = self._sender.silent
@@ -329,7 +326,7 @@
             self._record_end(admission, self._granted, ended)
         elif self._granted is not None:
             self._release_cancelled(admission)
-        self._log_kept(admission, silent, "resumed")
+        self._send_log.log_kept(admission, silent, "resumed")
         return await self._wait_on_silent(admission, silent)
 
     async def _end_attempt(self, attempt: "asyncio.Future[Outcome]") -> None:
@@ -342,22 +339,6 @@
         self._parts.grants.reinstate(admission, silent.granted)
         return await self._sender.wait_on_silent(admission, silent)
 
-    def _log_kept(self, admission: Admission, silent: Send, reason: str) -> None:
-        """Log why a silent replica keeps the request.
-
-        :param reason: why no other one takes it.
-        """
-        self._parts.log_decision(
-            "kept",
-            admission,
-            replica=silent.granted.replica.id,
-            reason=reason,
-            silent_s=round(self._parts.now() - silent.relay.last_at, 4),
-            sends=self._progress.sends.arrivals,
-            events=self._delivery.events,
-            catalog_version=self._parts.catalog().version,
-        )
-
     def _take_next_step(self, admission: Admission, outcome: Outcome) -> NextStep:
         """Decide the step after an attempt and take it, unless it is to wait or to send again."""
         if isinstance(outcome, SendEnd):
@@ -365,7 +346,7 @@
         silent = self._sender.silent
         if silent is not None:
             reason = outcome.reason if isinstance(outcome, Denied) else "held back"
-            self._log_kept(admission, silent, reason)
+            self._send_log.log_kept(admission, silent, reason)
             return NextStep.WAIT
         if isinstance(outcome, Denied):
             self._replies.refuse(admission, outcome.reason, outcome.retry_after_s)
@@ -495,7 +476,9 @@
             self._replies.send_answer(502, f"replica: {end}", None)
         elif next_step is NextStep.BREAK_OFF:
             self._response.abort()
-        self._log_end(admission, granted, end, next_step)
+        self._send_log.log_end(
+            admission, granted, end, next_step, self._sender.relay, self._sender.undelivered_bytes
+        )
         return next_step
 
     def _is_reported(self, granted: Granted) -> bool:
@@ -506,38 +489,6 @@
         was_reported, silent.is_reported = silent.is_reported, True
         return was_reported
 
-    def _log_end(
-        self, admission: Admission, granted: Granted, end: SendEnd, next_step: NextStep
-    ) -> None:
-        relay = self._sender.relay
-        self._parts.log_decision(
-            "ended",
-            admission,
-            replica=granted.replica.id,
-            end=end,
-            broken_by=relay.broken_by if relay else None,
-            follows=next_step,
-            sends=self._progress.sends.arrivals,
-            events=self._delivery.events,
-            source=granted.source,
-            waited_s=round(granted.started_at - admission.arrived_at, 4)
-            if granted.started_at
-            else None,
-            first_s=round(granted.first_s, 4),
-            longest_gap_s=round(relay.longest_gap_s, 4) if relay else None,
-            silent_s=round(self._silent_s(), 4),
-            expected_first_s=round(granted.expected_first_s, 4),
-            prompt_tokens=admission.fields.prompt_tokens,
-            most_output=admission.fields.max_output_tokens,
-            likely_output=admission.fields.estimated_output_tokens,
-            output=granted.events * admission.service.tokens_per_event,
-            goal_s=admission.route.goal_s,
-            leaving=relay.fields.leaving if relay else None,
-            retry_after_s=relay.fields.retry_after_s if relay else None,
-            limit_per_s=relay.fields.limit_per_s if relay else None,
-            undelivered_bytes=self._sender.undelivered_bytes,
-        )
-
     def _has_tried_all(self, admission: Admission) -> bool:
         """Return whether all replicas have declined the request often enough to refuse it.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -7,18 +7,18 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
-
 from chalkyoke.gateway.feedback import Feedback
 from chalkyoke.gateway.granted import Granted
 from chalkyoke.gateway.origins import record_origin
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.ports import Forwarding, RequestFields
+from chalkyoke.gateway.progress import Progress
 from chalkyoke.gateway.reading import ResponseReading
 from chalkyoke.gateway.reception import Admission, is_still_allowed
 from chalkyoke.gateway.relay import Delivery, Relay
-from chalkyoke.gateway.takeover import GiveUpReason, Send, Takeover
-from chalkyoke.gateway.verdict import SendCounts, SendEnd, may_continue
+from chalkyoke.gateway.sendlog import SendLog
+from chalkyoke.gateway.takeover import Send, Takeover
+from chalkyoke.gateway.verdict import SendEnd, may_continue
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.http1.dialing import UPSTREAM_FAILURES, ConnectFailure
 from chalkyoke.http1.messages import Request, encode_request_head
@@ -46,22 +46,6 @@
 METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
-class Progress(msgspec.Struct):
-    """The attempts of one request so far.
-
-    :ivar tried: replicas that were tried, one entry for each attempt to send.
-    :ivar attempt: number of the latest grant that was asked for.
-    :ivar declined: whether a replica has declined the request.
-    :ivar unused_grants: number of grants that could not be used.
-    """
-
-    sends: SendCounts = msgspec.field(default_factory=SendCounts)
-    tried: list[str] = msgspec.field(default_factory=list)
-    attempt: int = 0
-    declined: bool = False
-    unused_grants: int = 0
-
-
 class Sender:
     """Sends one request to a replica, and to another one if that replica fails or falls silent.
 
@@ -95,8 +79,8 @@
         self._progress = progress
         self._response = response
         self._is_held_back = is_held_back
-        self._admission: Admission | None = None
-        self._takeover = Takeover(self._drop, self._log_given_up)
+        self._send_log = SendLog(parts, delivery, progress)
+        self._takeover = Takeover(self._drop)
         self.relay: Relay | None = None
         self.undelivered_bytes: int | None = None
         self._retained: list[Charge] = []
@@ -214,26 +198,6 @@
         if send.is_silent:
             self._delivery.splitter.discard_partial()
 
-    def _log_given_up(self, silent: Send, other: Send | None, reason: GiveUpReason) -> None:
-        """Log that a silent replica loses its request.
-
-        :param other: the send that takes its place.
-        """
-        now, replica = self._parts.now(), other.granted.replica if other else None
-        self._parts.log_decision(
-            "silent_given_up",
-            self._admission,
-            replica=silent.granted.replica.id,
-            reason=reason,
-            silent_s=round(now - silent.relay.last_at, 4),
-            other=replica.id if replica else None,
-            other_silent_s=round(self._parts.connections.silent_s(replica.ip, replica.port), 4)
-            if replica
-            else None,
-            sends=self._progress.sends.arrivals,
-            events=self._delivery.events,
-        )
-
     def _finish(self, send: Send) -> bool:
         """Record that a send has finished.
 
@@ -294,7 +258,6 @@
     ) -> Send:
         """Write the request to the connection. From here on the request may have run."""
         parts, progress, request = self._parts, self._progress, self._request
-        self._admission = admission
         require(
             progress.sends.runs == 0 or admission.route.repeatable,
             "a request that must not be repeated is sent once",
@@ -335,7 +298,13 @@
             on_begun=lambda: self._takeover.answer_begun(send),
             on_progress=lambda: self._takeover.answer_progressed(send),
         )
-        send = Send(granted, connection, relay, retained)
+        send = Send(
+            granted,
+            connection,
+            relay,
+            retained,
+            lambda other, reason: self._send_log.log_given_up(admission, send, other, reason),
+        )
         self.relay = relay
         self._takeover.start(send)
         self.undelivered_bytes = None
--- a/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -35,6 +35,8 @@
     """One request at a replica, until its end.
 
     :param retained: charge for what is buffered of the answer.
+    :param on_given_up: called before the send is given up while it is silent, with the send that
+        takes its place, if that is still in progress, and the reason.
     :ivar waits_since: when the search for another replica last ended, on the node's clock; 0 before
         any search.
     :ivar is_silent: whether the replica has fallen silent and keeps the request.
@@ -49,11 +51,13 @@
         connection: ClientConnection,
         relay: Relay,
         retained: Charge,
+        on_given_up: "Callable[[Send | None, GiveUpReason], None]",
     ) -> None:
         self.granted = granted
         self.connection = connection
         self.relay = relay
         self.retained = retained
+        self.on_given_up = on_given_up
         self.waits_since = 0.0
         self.is_silent = False
         self.is_reported = False
@@ -68,18 +72,12 @@
     elsewhere. Both replicas are heard in one thread, so no event is forwarded twice.
 
     :param drop: gives a send up.
-    :param on_given_up: called before a silent send is given up for the current one.
     :ivar current: the latest send; None if it has ended, is silent or was dropped.
     :ivar silent: a send that has fallen silent and is kept until another one answers.
     """
 
-    def __init__(
-        self,
-        drop: Callable[[Send], None],
-        on_given_up: Callable[[Send, Send | None, GiveUpReason], None],
-    ) -> None:
+    def __init__(self, drop: Callable[[Send], None]) -> None:
         self._drop = drop
-        self._on_given_up = on_given_up
         self._loop = asyncio.get_running_loop()
         self._overlap_timer: asyncio.TimerHandle | None = None
         self.current: Send | None = None
@@ -183,7 +181,7 @@
         self._cancel_timer()
         silent, self.silent = self.silent, None
         if silent is not None:
-            self._on_given_up(silent, self.current, reason)
+            silent.on_given_up(self.current, reason)
             self._drop(silent)
 
     def _cancel_timer(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/http1/pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pool.py
@@ -136,9 +136,10 @@
         It is 0 while the upstream has begun no answer: then its silence means nothing.
         """
         entry = self._addresses.get((ip, port))
-        if entry is None or not any(each.is_answering for each in entry.connections):
+        if entry is None:
             return 0.0
-        return self._loop.time() - max(each.heard_at for each in entry.connections)
+        heard = [each.heard_at for each in entry.connections if each.is_answering]
+        return self._loop.time() - max(heard) if heard else 0.0
 
     def connections(self) -> Iterator[tuple[tuple[str, int], ClientConnection]]:
         """Iterate over all open connections with their addresses."""
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_pool.py
@@ -146,9 +146,8 @@
         connection.pause()
         assert pool.silent_s(*ADDRESS) == 0
         connection.resume()
-        other = await connect(pool, "q2")
-        assert pool.silent_s(*ADDRESS) < 0.1
-        other.heard_at = connection.heard_at
+        await connect(pool, "q2")
+        assert pool.silent_s(*ADDRESS) >= 2.0, "a new connection says nothing of the upstream"
         connection.data_received(ANSWER[-1:])
         assert pool.silent_s(*ADDRESS) == 0
 
