A stream goes on elsewhere however long ago its first event came

Callers saw streams cut off whose replica broke or fell silent more than a caller's patience (2 s and more) after the request: the search for another replica still carried the limits of a first event, counted from the arrival. Its goal had passed, so that it came after all timely requests, and once the patience had passed as well the scheduler refused it as expired, at once and whatever was free.

The limits of a continued stream are those of its next event: its caller waits for it as long as for the first one, from the last one that it got, and the goal is to arrive before it leaves.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -19,6 +19,7 @@
 from chalkyoke.gateway.reception import (
     Admission,
     Rejection,
+    admit_continuation,
     admit_request,
     is_still_allowed,
 )
@@ -420,9 +421,10 @@
         a trial never causes a refusal.
         """
         parts, progress = self._parts, self._progress
+        last_event_at = self._delivery.last_event_at
         acquire = functools.partial(
             parts.grants.acquire,
-            admission,
+            admit_continuation(admission, last_event_at) if last_event_at else admission,
             digest=self._request_digest,
             version=self._delivery.version,
         )
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -109,6 +109,20 @@
     return _build_admission(fields, search_id, route, service, team, catalog.version, now)
 
 
+def admit_continuation(admission: Admission, last_event_at: float) -> Admission:
+    """Return the admission of a stream that has begun, with the limits of its next event.
+
+    The caller waits for it as long as for the first one, from the last one that it has received.
+    Its goal is to arrive before the caller leaves: no pause can be made good any more.
+
+    :param last_event_at: when the last event was forwarded, on the node's clock.
+    :rtype: Admission
+    """
+    patience_s = admission.patience_until - admission.arrived_at
+    latest = min(admission.deadline, last_event_at + patience_s)
+    return msgspec.structs.replace(admission, due_at=latest, patience_until=latest)
+
+
 def is_still_allowed(admission: Admission, catalog: Catalog) -> bool:
     """Return whether a newer catalog still allows an admitted request to go to its service.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -30,6 +30,7 @@
     :ivar splitter: tracks the events of a stream.
     :ivar events: number of events forwarded.
     :ivar first_at: when the first byte of the answer was forwarded, on the node's clock.
+    :ivar last_event_at: when the last event was forwarded; 0 before.
     :ivar head_sent: whether the head of an answer has been forwarded.
     :ivar version: software version of the replicas that may write the rest of the stream; None
         before a replica has begun it.
@@ -39,6 +40,7 @@
     splitter: EventSplitter
     events: int = 0
     first_at: float = 0.0
+    last_event_at: float = 0.0
     head_sent: bool = False
     version: str | None = None
 
@@ -281,7 +283,7 @@
             self._on_first_event(now - self.started_at)
         else:
             self.longest_gap_s = max(self.longest_gap_s, now - self._event_at)
-        self._event_at = now
+        self._event_at = self._delivery.last_event_at = now
         self.events += whole_events.count
         self._delivery.events += whole_events.count
         if self._delivery.head_sent:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -13,6 +13,7 @@
     MAX_PROMPT_BLOCKS,
     Admission,
     Rejection,
+    admit_continuation,
     admit_request,
     fingerprint,
     is_still_allowed,
@@ -76,6 +77,15 @@
     assert admit(deadline_s=1.0).deadline == 101.0
 
 
+def test_the_caller_of_a_stream_waits_for_each_event_as_long_as_for_the_first():
+    """Guards against streams that can't go on elsewhere as their first event came long ago."""
+    admission = admit(deadline_s=15.0)
+    continued = admit_continuation(admission, 101.5)
+    assert continued.due_at == continued.patience_until == 101.5 + 2.4
+    assert (continued.deadline, continued.search_id) == (admission.deadline, admission.search_id)
+    assert admit_continuation(admission, 103.0).patience_until == admission.deadline
+
+
 def test_a_request_costs_its_tokens_or_the_default_cost():
     assert admit(prompt_tokens=1000, max_output_tokens=50).cost == 1050
     assert admit().cost == 200
