A stream whose silent replica was given up is not ended by the next refusal

Whatever refused the next search then ended the answer: a full pool, the retry budget, a configuration that had moved the route or replaced the key meanwhile.

The host that gave up a replica amid its answer now owes the rest: it seeks a replica again every 0.1 s until the deadline, and under the configuration that admitted the request, as the replica would have finished under it. A scheduler doesn't know routes that no longer lead to its service, so the host chooses by itself there. Answers that have not begun, and those whose replica broke them off, end with the first refusal as before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -24,12 +24,12 @@
     is_still_allowed,
 )
 from chalkyoke.gateway.relay import Delivery
-from chalkyoke.gateway.replacement import find_objection
+from chalkyoke.gateway.replacement import SEARCH_INTERVAL_S, find_objection, may_search_again
 from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
 from chalkyoke.gateway.sender import Sender
 from chalkyoke.gateway.sendlog import SendLog, silent_s
 from chalkyoke.gateway.takeover import Send
-from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
+from chalkyoke.gateway.verdict import FAILURES, NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.quarantine.identity import request_digest, shared_part_digests
@@ -271,13 +271,16 @@
                 silent = self._sender.silent
                 assert silent is not None
                 outcome = await self._wait_on_silent(admission, silent)
+            elif step is NextStep.SEARCH_AGAIN:
+                await asyncio.sleep(SEARCH_INTERVAL_S)
+                outcome = await self._attempt(admission)
             else:
                 return
 
     async def _attempt(self, admission: Admission) -> Outcome:
         """Send the request to one replica, and wait for the end of the send or a refusal."""
         while True:
-            if not is_still_allowed(admission, self._parts.catalog()):
+            if not self._sender.is_still_allowed(admission):
                 return Denied("no longer allowed", RETRY_SOON_S)
             if self._is_too_late():
                 return Denied(STOPPING, RETRY_SOON_S)
@@ -349,6 +352,8 @@
             reason = outcome.reason if isinstance(outcome, Denied) else "held back"
             self._send_log.log_kept(admission, silent, reason)
             return NextStep.WAIT
+        if self._may_search_again(admission, outcome):
+            return NextStep.SEARCH_AGAIN
         if isinstance(outcome, Denied):
             self._replies.refuse(admission, outcome.reason, outcome.retry_after_s)
         else:
@@ -439,7 +444,9 @@
                 return granted
             parts.rollouts.return_trial(admission)
             progress.attempt += 1
-        local_only = progress.unused_grants >= MAX_UNUSED_GRANTS
+        # The scheduler of a service doesn't know routes that lead to it no longer.
+        is_known = is_still_allowed(admission, parts.catalog())
+        local_only = progress.unused_grants >= MAX_UNUSED_GRANTS or not is_known
         return await acquire(progress.attempt, progress.tried, local_only=local_only)
 
     def _act_on_end(self, admission: Admission, end: SendEnd) -> NextStep:
@@ -468,6 +475,8 @@
             time_left=time_left,
             silent=silent,
         )
+        if next_step in FAILURES and self._may_search_again(admission, end):
+            next_step = NextStep.SEARCH_AGAIN
         if next_step is NextStep.SEND_AGAIN and not silent:
             self._delivery.splitter.discard_partial()
         elif next_step is NextStep.PASS_ON and self._sender.relay is not None:
@@ -483,6 +492,10 @@
         )
         return next_step
 
+    def _may_search_again(self, admission: Admission, outcome: Outcome) -> bool:
+        owes_answer = self._sender.owes_answer
+        return owes_answer and may_search_again(outcome, admission, self._parts.now())
+
     def _is_reported(self, granted: Granted) -> bool:
         """Return whether a replica is still silent whose silence was reported as a failure."""
         silent = self._sender.silent
--- a/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
@@ -1,12 +1,19 @@
 """
 chalkyoke.gateway.replacement
 
-Which replica may take a request from a silent one.
+Which replica may take a request from a silent one, and how long one is sought for a request whose
+silent replica was given up.
 """
 
-from chalkyoke.gateway.granted import Granted, ReplicaPort, find_eligible
+from chalkyoke.gateway.granted import Denied, Granted, ReplicaPort, find_eligible
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.takeover import Send
+from chalkyoke.gateway.verdict import UNCONNECTED, SendEnd
+
+# Time between two searches, in seconds.
+SEARCH_INTERVAL_S = 0.1
+# Shortest time before the deadline of a request in which a replica is sought for it, in seconds.
+MIN_SEARCH_S = 0.2
 
 
 def find_objection(
@@ -31,3 +38,19 @@
         return None
     eligible = find_eligible(replicas, admission.service.name, version)
     return "no other replica" if any(each.id != replica.id for each in eligible) else None
+
+
+def may_search_again(outcome: object, admission: Admission, now: float) -> bool:
+    """Return whether a replica is sought again for an answer whose silent replica was given up.
+
+    The host has given up what might have become a whole answer, so one refusal does not end it.
+
+    :param outcome: the :class:`~chalkyoke.gateway.verdict.SendEnd` of the last send, or the
+        refusal that took its place.
+    :param now: time on the node's clock, in seconds.
+    """
+    if admission.deadline - now < MIN_SEARCH_S:
+        return False
+    if isinstance(outcome, SendEnd):
+        return outcome in UNCONNECTED or outcome is SendEnd.DECLINED
+    return isinstance(outcome, Denied)
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -96,6 +96,19 @@
         """The send whose replica is silent and may go on; None if there is none."""
         return self._takeover.silent
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether a silent replica was given up amid its answer, and none has gone on with it."""
+        return self._delivery.head_sent and self._takeover.owes_answer
+
+    def is_still_allowed(self, admission: Admission) -> bool:
+        """Return whether the request may go to one more replica under the configuration in force.
+
+        An answer whose silent replica was given up may always go on: that replica would have
+        finished it under the configuration that admitted the request.
+        """
+        return self.owes_answer or is_still_allowed(admission, self._parts.catalog())
+
     def cancel(self) -> None:
         """Abort the sends in progress without an outcome."""
         self._takeover.drop_all()
@@ -232,7 +245,7 @@
             return False
         if self._takeover.has_resumed or not self.has_budget(admission):
             return False
-        return is_still_allowed(admission, parts.catalog())
+        return self.is_still_allowed(admission)
 
     def _return_trial(self, admission: Admission, granted: Granted) -> None:
         if granted.for_trial:
--- a/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -74,6 +74,8 @@
     :param drop: gives a send up.
     :ivar current: the latest send; None if it has ended, is silent or was dropped.
     :ivar silent: a send that has fallen silent and is kept until another one answers.
+    :ivar owes_answer: whether a silent send was given up although no other replica had begun to
+        answer, and none has since.
     """
 
     def __init__(self, drop: Callable[[Send], None]) -> None:
@@ -82,6 +84,7 @@
         self._overlap_timer: asyncio.TimerHandle | None = None
         self.current: Send | None = None
         self.silent: Send | None = None
+        self.owes_answer = False
 
     @property
     def sends(self) -> list[Send]:
@@ -141,6 +144,7 @@
     def answer_begun(self, send: Send) -> None:
         """Drop the silent send if the replica that is to take its place can answer."""
         if send is self.current and send.relay.may_deliver:
+            self.owes_answer = False
             self._drop_silent(GiveUpReason.ANSWERED)
 
     def answer_progressed(self, send: Send) -> None:
@@ -175,6 +179,7 @@
         if current is not None and current.relay.head is not None:
             current.relay.end_early()
         else:
+            self.owes_answer = self.silent is not None
             self._drop_silent(GiveUpReason.OVERLAP)
 
     def _drop_silent(self, reason: GiveUpReason) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -387,6 +387,57 @@
     fleet.check_whole()
 
 
+def late_rejection():
+    """A replica that is paused when it gets the request, and rejects it once it goes on."""
+    return ScriptedReplica([MAX_OVERLAP_S + 0.3], status=FULL)
+
+
+def test_a_stream_goes_on_after_the_replica_that_took_it_over_has_rejected_it_late():
+    """Guards against streams whose silent replica was given up for one that then rejected them.
+
+    Routes had moved by then, and nobody could get the streams any more.
+    """
+
+    async def during(fleet):
+        await asyncio.sleep(1.4)
+        fleet.configure_without_the_route()
+
+    fleet = play(silent_replica(2.5), late_rejection(), sound_replica(), during=during)
+    fleet.check_whole()
+    given_up = [facts["reason"] for event, facts in fleet.log if event == "silent_given_up"]
+    assert given_up == ["overlap"]
+    assert fleet.replicas[2].sent_at is not None
+
+
+def test_a_stream_whose_silent_replica_was_given_up_waits_for_a_free_slot():
+    """Guards against streams that the first refusal ended after their replica was given up."""
+
+    async def during(fleet):
+        later, fleet.waiting[2:] = fleet.waiting[2:], []
+        await asyncio.sleep(2.6)
+        fleet.waiting += later
+
+    fleet = play(silent_replica(3.5), late_rejection(), sound_replica(), during=during)
+    fleet.check_whole()
+
+
+def test_a_stream_whose_replica_broke_it_off_ends_with_the_first_refusal():
+    """Guards against callers that wait for an answer which nobody goes on with."""
+    broken = sound_replica(breaks_after=2)
+    fleet = play(broken)
+    assert not fleet.caller.whole
+    assert [event for event, _ in fleet.log if event == "cut_off"] == ["cut_off"]
+
+
+def test_a_plain_request_is_not_sought_a_replica_until_its_deadline():
+    """Guards against answers that are held back: a plain request has not begun its answer."""
+    silent = ScriptedReplica([3.0], streams=False)
+    late = ScriptedReplica([MAX_OVERLAP_S + 0.3], status=FULL, streams=False)
+    fleet = play(silent, late, route=PLAIN)
+    assert fleet.caller.status == 502
+    assert not any(event == "expired" for event, _ in fleet.log)
+
+
 def test_the_log_names_what_becomes_of_a_request_whose_silent_replica_is_given_up():
     """Guards against answers whose silent replica was given up without a trace."""
     fleet = play(silent_replica(), sound_replica())
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -45,18 +45,24 @@
 class NextStep(StrEnum):
     """The step after the end of a send.
 
-    ``WAIT``: for the replica of an earlier send, which is silent and may go on.
+    ``WAIT``: for the replica of an earlier send, which is silent and may go on. ``SEARCH_AGAIN``:
+    ask for a replica again, since the host has given up a silent one for this request.
     """
 
     DONE = "done"
     PASS_ON = "pass_on"
     SEND_AGAIN = "send_again"
     WAIT = "wait"
+    SEARCH_AGAIN = "search_again"
     REFUSE = "refuse"
     FAIL = "fail"
     BREAK_OFF = "break_off"
 
 
+# Steps after which the caller gets no answer of a replica.
+FAILURES = frozenset((NextStep.REFUSE, NextStep.FAIL, NextStep.BREAK_OFF))
+
+
 class SendCounts(msgspec.Struct):
     """Counts of the sends of one request.
 
--- a/tests/silencecases.py
+++ b/tests/silencecases.py
@@ -129,6 +129,17 @@
     "all replicas pause and routes move once others were sought": Case(
         replace(ALL_PAUSE, second_services=True, change_after_s=1.0), _move_routes, replicas=4
     ),
+    "all replicas pause": Case(ALL_PAUSE),
+    "all replicas pause, requests of all kinds": Case(replace(ALL_PAUSE, paths=ALL_PATHS)),
+    "all replicas pause and a key is replaced once others were sought": Case(
+        replace(ALL_PAUSE, change_after_s=1.0), _replace_key, replicas=4
+    ),
+    "all replicas pause and routes move at once": Case(
+        replace(ALL_PAUSE, second_services=True), _move_routes
+    ),
+    "most replicas pause and routes move once others were sought": Case(
+        replace(ALL_PAUSE, share=0.6, second_services=True, change_after_s=1.0), _move_routes
+    ),
     "time limits are lowered": Case(make_change=lambda changes, folder: changes.lower_timeouts),
     "routes move at fifteen hosts": Case(TWO, _move_routes, domains=DOMAINS * 3),
     "a key is replaced at fifteen hosts": Case(make_change=_replace_key, domains=DOMAINS * 3),
