A silent stream is not moved to a replica that is silent too

When all replicas of a service pause, each host moved its streams between them: every one began again elsewhere and read its whole prompt once more, for no gain, and near its deadline without the time to end there. A replica that has sent nothing for half a second amid its answers to this host takes no request from a silent one; the silent one keeps it (kept, reason other replica silent).

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -299,6 +299,7 @@
                 granted,
                 self._sender.silent,
                 self._parts.replicas,
+                self._parts.connections,
                 self._delivery.version,
             )
             if objection is not None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
@@ -9,7 +9,11 @@
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.takeover import Send
 from chalkyoke.gateway.verdict import UNCONNECTED, SendEnd
+from chalkyoke.http1.pool import ConnectionPool
 
+# Silence amid its answers after which a replica takes no request from another silent one, in
+# seconds. It is longer than the pauses that the prompts of other requests cause.
+MAX_SILENCE_S = 0.5
 # Time between two searches, in seconds.
 SEARCH_INTERVAL_S = 0.1
 # Shortest time before the deadline of a request in which a replica is sought for it, in seconds.
@@ -21,12 +25,14 @@
     granted: Granted,
     silent: Send | None,
     replicas: ReplicaPort,
+    connections: ConnectionPool,
     version: str | None,
 ) -> str | None:
     """Return why a replica must not take a request from a silent one; None if it may.
 
     A second run at the silent replica would be answered no sooner; only the sole replica of a
-    service may get its request again, since the connection may be dead.
+    service may get its request again, since the connection may be dead. A replica that is silent
+    too is no better, and the one that has the request may have done a part of it.
 
     :param silent: the send whose replica is silent; None if there is none.
     :param version: software version that the replica must run; None for any.
@@ -35,7 +41,8 @@
         return None
     replica = granted.replica
     if replica.id != silent.granted.replica.id:
-        return None
+        is_silent = connections.silent_s(replica.ip, replica.port) > MAX_SILENCE_S
+        return "other replica silent" if is_silent else None
     eligible = find_eligible(replicas, admission.service.name, version)
     return "no other replica" if any(each.id != replica.id for each in eligible) else None
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -438,6 +438,20 @@
     assert not any(event == "expired" for event, _ in fleet.log)
 
 
+def test_a_silent_stream_stays_where_it_is_while_the_other_replica_is_silent_too():
+    """Guards against streams that were moved between replicas of a service that all paused."""
+
+    async def during(fleet):
+        fleet.exchange._parts.connections.silent_s = lambda ip, port: 1.0 if port == 1 else 0.0
+
+    fleet = play(silent_replica(), sound_replica(), during=during)
+    fleet.check_whole()
+    assert [facts["reason"] for event, facts in fleet.log if event == "kept"] == [
+        "other replica silent"
+    ]
+    assert fleet.replicas[1].sent_at is None
+
+
 def test_the_log_names_what_becomes_of_a_request_whose_silent_replica_is_given_up():
     """Guards against answers whose silent replica was given up without a trace."""
     fleet = play(silent_replica(), sound_replica())
