Soak: whole services pause beside changes of the configuration; stops, reloads and kills overlap

A second service of each kind takes the routes that move. Two series of their own stop, reload and kill nodes.

New checkers: a request that a node has passed on gets a whole answer or a true refusal, and two replicas work on one for 0.4 s at most. Unlike 'begun requests end', a fault excuses a request only if it ends that request itself (its node, its replica, its time limit), not by being near.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from chalkyoke_fakes.soak.departures import left_requests_end
+from chalkyoke_fakes.soak.dispatched import dispatched_requests_end, work_hardly_overlaps
 from chalkyoke_fakes.soak.endings import begun_requests_end
 from chalkyoke_fakes.soak.limits import describe_exceeded_windows
 from chalkyoke_fakes.soak.observations import (
@@ -393,6 +394,8 @@
     focused_nodes_serve,
     left_requests_end,
     begun_requests_end,
+    dispatched_requests_end,
+    work_hardly_overlaps,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
@@ -410,6 +413,8 @@
     sound_prompts_are_served,
     left_requests_end,
     begun_requests_end,
+    dispatched_requests_end,
+    work_hardly_overlaps,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/endings.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/endings.py
@@ -12,6 +12,8 @@
 MIN_TIME_LIMIT_S = 5.0
 # A node that stops may cut off what has not ended this long after the stop began, in seconds.
 STOP_LIMIT_S = 7.4
+# Faults that excuse no cut.
+PLANNED_FAULTS = frozenset({Fault.SERVICE_PAUSES, Fault.RELOAD})
 # Requests that began this soon after a fault of another kind are not judged, in seconds.
 CONTACT_S = 4.0
 
@@ -34,6 +36,8 @@
 
 def _is_excused(attempt: CallerAttempt, observations: Observations) -> bool:
     for each in observations.faults:
+        if each.fault in PLANNED_FAULTS:
+            continue
         if each.fault == Fault.NODE_STOP:
             is_over = attempt.ended - each.began > STOP_LIMIT_S
             if each.target == attempt.node and is_over:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -7,6 +7,7 @@
 import math
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
 
 class Kind(StrEnum):
@@ -122,6 +123,11 @@
     ended: float = math.inf
     work_s: float = 0.0
 
+    @property
+    def place(self) -> str:
+        """The place of the replica."""
+        return self.replica.partition("+")[0].rsplit("-", 1)[0]
+
 
 @dataclass(frozen=True, slots=True)
 class LeftRequest:
@@ -186,6 +192,30 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TimeLimit:
+    """The lowest time limit of a route in a version of the configuration.
+
+    :param at: when the version was written.
+    """
+
+    at: float
+    limit_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision of a node on a request, as its log has it.
+
+    :param event: the kind of the decision.
+    :param fields: the fields of the line.
+    """
+
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
 @dataclass
 class Observations:
     """All records of a run.
@@ -204,6 +234,10 @@
         written the lost records again.
     :ivar streams: the events of a complete stream, by the version that writes it.
     :ivar left_requests: requests whose callers left.
+    :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
+        changed it.
+    :ivar route_moves: when routes moved to other services.
+    :ivar decisions: the nodes' decisions on each request, in order.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -223,3 +257,6 @@
     crashing_parts: list[str] = field(default_factory=list)
     focus_periods: list[FocusPeriod] = field(default_factory=list)
     left_requests: list[LeftRequest] = field(default_factory=list)
+    time_limits: list[TimeLimit] = field(default_factory=list)
+    route_moves: list[float] = field(default_factory=list)
+    decisions: dict[str, list[Decision]] = field(default_factory=dict)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -63,6 +63,8 @@
     REPLICA_PAUSES = "replica_pauses"
     REPLICA_REPEATS = "replica_repeats"
     STORE_REPEATS = "store_repeats"
+    SERVICE_PAUSES = "service_pauses"
+    RELOAD = "reload"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -102,6 +104,11 @@
 PAUSE_SEED_MASK = 0x9A05
 COPY_FAULTS = (Fault.REPLICA_REPEATS, Fault.STORE_REPEATS)
 COPY_SEED_MASK = 0xC0B1
+SERVICE_FAULTS = (Fault.SERVICE_PAUSES,)
+SERVICE_SEED_MASK = 0x5E2F
+# Two series, so that stops, reloads and kills of nodes overlap with each other.
+PLANNED_FAULTS = (Fault.NODE_STOP, Fault.RELOAD, Fault.NODE_KILL)
+PLANNED_SEED_MASKS = (0x57071, 0x57072)
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -118,6 +125,8 @@
         *FOCUS_FAULTS,
         *PAUSE_FAULTS,
         *COPY_FAULTS,
+        *SERVICE_FAULTS,
+        Fault.RELOAD,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -214,6 +223,8 @@
         (FOCUS_FAULTS, FOCUS_SEED_MASK),
         (PAUSE_FAULTS, PAUSE_SEED_MASK),
         (COPY_FAULTS, COPY_SEED_MASK),
+        (SERVICE_FAULTS, SERVICE_SEED_MASK),
+        *((PLANNED_FAULTS, each) for each in PLANNED_SEED_MASKS),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
@@ -232,7 +243,7 @@
     while at < seconds:
         fault = source.choice(faults)
         target = ""
-        if fault in NODE_FAULTS | STORE_LINK_FAULTS | CALLER_FAULTS:
+        if fault in NODE_FAULTS | STORE_LINK_FAULTS | CALLER_FAULTS | {Fault.RELOAD}:
             target = source.choice(nodes)
         elif fault in REPLICA_FAULTS:
             target = source.choice(replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -18,11 +18,13 @@
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
+from chalkyoke_fakes.soak.causes import COLLECTED
 from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.injector import Injector
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
+    Decision,
     Kind,
     LeftRequest,
     Observations,
@@ -89,6 +91,7 @@
     :param calm: whether the roll is the only fault, to show its effect on callers.
     :param only: the kinds of faults to inject; all if empty. Shares of requests that are served are
         compared only where no other fault is near.
+    :param paths: the paths that callers ask for.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
@@ -98,6 +101,7 @@
     old_packages: Path | None = None
     calm: bool = False
     only: frozenset[str] = frozenset()
+    paths: tuple[str, ...] = tuple(KIND_BY_PATH)
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,7 +211,7 @@
             self._seed,
             self._config.seconds - 2.0,
             list(self._fleet.nodes),
-            list(self._fleet.replica_relays),
+            self._fleet.places,
         )
         injections = []
         if self._config.old_packages is not None:
@@ -237,7 +241,7 @@
         tasks: list[asyncio.Task[None]] = []
         pause = 1.0 / (self._config.requests_per_s * len(self._fleet.nodes))
         while self.elapsed_s() < seconds:
-            path = self._random.choice(list(KIND_BY_PATH))
+            path = self._random.choice(self._config.paths)
             nodes = list(self._fleet.nodes)
             if self._config.calm:
                 # A load balancer sends no requests to a host that stops or starts.
@@ -481,9 +485,9 @@
                     )
                 )
         for name in self._fleet.nodes:
-            self._collect_versions(name)
+            self._collect_lines(name)
 
-    def _collect_versions(self, name: str) -> None:
+    def _collect_lines(self, name: str) -> None:
         log = (self._fleet.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
         process = ""
         for line in log.splitlines():
@@ -495,6 +499,9 @@
                 process = entry["process"]
             elif entry.get("event") == "version":
                 self.observations.versions.setdefault(process, []).append(entry["version"])
+            elif entry.get("event") in COLLECTED and "request" in entry:
+                decision = Decision(name, entry["event"], entry)
+                self.observations.decisions.setdefault(entry["request"], []).append(decision)
 
 
 def _prompt_headers(parts: tuple[str, ...], number: int) -> dict[str, str]:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -11,8 +11,15 @@
 import time
 from pathlib import Path
 
+from chalkyoke_fakes.soak.causes import count_causes
+from chalkyoke_fakes.soak.dispatched import count_dispatched, find_cut
 from chalkyoke_fakes.soak.plan import Fault
-from chalkyoke_fakes.soak.play import RunConfig, count_caller_outcomes, play_seed
+from chalkyoke_fakes.soak.play import (
+    KIND_BY_PATH,
+    RunConfig,
+    count_caller_outcomes,
+    play_seed,
+)
 
 KEPT_LOGS_FOLDER = Path("out/soak")
 
@@ -41,6 +48,15 @@
         metavar="FAULT",
         help=f"kinds of faults to inject, of: {', '.join(Fault)}",
     )
+    parser.add_argument(
+        "--rate", type=float, default=8.0, help="requests a second to each node, on average"
+    )
+    parser.add_argument(
+        "--paths", nargs="+", default=list(KIND_BY_PATH), choices=list(KIND_BY_PATH)
+    )
+    parser.add_argument(
+        "--causes", action="store_true", help="count the cut requests by the ends in the logs"
+    )
     arguments = parser.parse_args()
     zones = tuple("abc"[number % 3] for number in range(arguments.nodes))
     old = arguments.old and arguments.old.resolve() / "packages/chalkyoke/src"
@@ -48,9 +64,11 @@
         zones,
         arguments.replicas,
         arguments.seconds,
+        arguments.rate,
         old_packages=old,
         calm=arguments.calm,
         only=frozenset(arguments.only),
+        paths=tuple(arguments.paths),
     )
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
@@ -58,6 +76,12 @@
         print(outcome.summary(), flush=True)
         if arguments.calm:
             print(f"    callers: {count_caller_outcomes(outcome.observations)}", flush=True)
+        if arguments.causes:
+            cut = find_cut(outcome.observations)
+            dispatched = count_dispatched(outcome.observations)
+            print(f"    cut: {len(cut)} of {dispatched} passed on", flush=True)
+            for cause, count in count_causes(cut, outcome.observations).most_common():
+                print(f"    {count} {cause}", flush=True)
         for broken in outcome.violations:
             print(f"    {broken.promise}: {broken.detail}", flush=True)
         failed += bool(outcome.violations)
