--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -348,6 +348,7 @@
             asyncio.get_running_loop().call_later(self.faults.crash_after_s, self.exit_and_restart)
             # The replica exits before this request gets an answer.
             await asyncio.sleep(2 * self.faults.crash_after_s)
+            request.ended_at = self.now()
             return False
         return await self._work(name, request, reader, writer)
 
