Stand-ins: callers no longer wait for each other's connections

The callers of the platform's stand-in share one aiohttp session, whose pool opens 100 connections at most; the time of a request began when it was queued there.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -92,6 +92,11 @@
         return [f"{ip}:{probe.getsockname()[1]}" for probe in probes]
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Open a session for any number of callers; none waits for another one's connection."""
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+
 @dataclass
 class CallerResponse:
     """The answer that a caller received.
@@ -164,7 +169,7 @@
         self._numbers = iter(range(1, 1_000_000))
 
     async def __aenter__(self) -> Self:
-        self.session = aiohttp.ClientSession()
+        self.session = open_session()
         try:
             await self._start()
         except BaseException:
