--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,13 @@
 EVENTS, OTHER_EVENTS = stream_events("v1"), stream_events("v1.1")
 STREAM = b"".join(EVENTS)
 SHORT = RunConfig(seconds=8.0, requests_per_s=6.0)
+# In the plan of this seed, services pause beside reloads, stops and a kill.
+PAUSED_SEED = 41
+PAUSED = RunConfig(
+    seconds=10.0,
+    requests_per_s=6.0,
+    only=frozenset({Fault.SERVICE_PAUSES, Fault.RELOAD, Fault.NODE_STOP, Fault.NODE_KILL}),
+)
 
 
 def make_attempt(request, kind=Kind.ONCE, began=1.0, ended=1.2, status=200, body=None, whole=True):
@@ -558,3 +565,13 @@
     )
     assert any(each.status == 200 for each in outcome.observations.attempts)
     assert outcome.observations.runs and outcome.observations.versions
+
+
+def test_a_short_run_with_paused_services_keeps_the_safety_promises():
+    """Requests ran twice or not at all while whole services paused and configurations changed."""
+    outcome = asyncio.run(play_seed(PAUSED_SEED, PAUSED))
+    assert checkers.run_checkers(outcome.observations, checkers.SAFETY_CHECKERS) == [], (
+        outcome.summary()
+    )
+    assert any(each.fault == Fault.SERVICE_PAUSES for each in outcome.observations.faults)
+    assert outcome.observations.time_limits and outcome.observations.decisions
