Revert "A plain request stays at its silent replica until another one answers"

Two replicas of a plain service then worked on one request for up to 1.3 s, which the checks of 'replicas stay silent' and 'all replicas pause, requests of all kinds' refuse (0.4 s). The bound holds for requests of all kinds, so a plain request may still end with 502 where the replica that took it over from a silent one rejects it.

--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -319,7 +319,7 @@
             lambda other, reason: self._send_log.log_given_up(admission, send, other, reason),
         )
         self.relay = relay
-        self._takeover.start(send, is_engine=admission.service.is_engine)
+        self._takeover.start(send)
         self.undelivered_bytes = None
         progress.sends.runs += 1
         progress.sends.arrivals += 1
--- a/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -13,7 +13,7 @@
 from chalkyoke.http1.client import ClientConnection
 from chalkyoke.memory.account import Charge
 
-# Longest time for which two engines work on one request, in seconds. An engine that is full
+# Longest time for which two replicas work on one request, in seconds. A replica that is full
 # declines within it; operators accept 0.4 s.
 MAX_OVERLAP_S = 0.2
 
@@ -96,22 +96,15 @@
         """Whether the silent send goes on, so that nothing may take its place."""
         return self.silent is not None and self.silent.resumed.done()
 
-    def start(self, send: Send, *, is_engine: bool) -> None:
-        """Begin a send; a silent one is dropped at its answer.
-
-        An engine drops a silent one after :data:`MAX_OVERLAP_S` at the latest. Twice the work of a
-        plain request is small, so the silent replica of a plain service keeps it until then.
+    def start(self, send: Send) -> None:
+        """Begin a send; a silent one is dropped at its answer, or after :data:`MAX_OVERLAP_S`.
 
         A replica that is to take its own place, over another connection, does not work on the
         request beside another one, so nothing is dropped before its answer.
         """
         self.current = send
         silent = self.silent
-        if (
-            is_engine
-            and silent is not None
-            and silent.granted.replica.id != send.granted.replica.id
-        ):
+        if silent is not None and silent.granted.replica.id != send.granted.replica.id:
             self._overlap_timer = self._loop.call_later(MAX_OVERLAP_S, self._end_overlap)
 
     def keep_silent(self) -> None:
