A quota that rises again counts what was spent before it fell

A team's window was scaled down with a lower quota, so that earlier spending refuses nothing, but not up again: a quota that fell and rose within a window left room for the same spending once more.

The ledger keeps what lower limits have scaled away while it is in the window, and counts it again in proportion to the rise. A new owner that takes the window over between a fall and a rise doesn't know of it.

--- a/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/ledger.py
@@ -47,6 +47,21 @@
     assumed: bool = False
 
 
+class Lowering(msgspec.Struct):
+    """Spending that lower limits have scaled away, while it is still in the window.
+
+    :param from_limit: the highest limit from which the window was lowered.
+    """
+
+    from_limit: float
+    window: SpendingWindow
+    before: SpendingWindow
+
+    def parts(self, now: float) -> tuple[Parts, Parts]:
+        """Return the cost in each part of both windows, oldest first."""
+        return self.window.parts(now), self.before.parts(now)
+
+
 class Ledger(msgspec.Struct):
     """The leased cost of one team's quota.
 
@@ -70,6 +85,7 @@
     :ivar growth: cost in the window that may not have been spent, for a short time after the window
         was resumed from snapshots.
     :ivar growth_until: end of that time, in seconds.
+    :ivar lowering: spending that lower limits have scaled away; None if none has.
     """
 
     window: SpendingWindow
@@ -88,18 +104,46 @@
     returned: float = 0.0
     growth: float = 0.0
     growth_until: float = 0.0
+    lowering: Lowering | None = None
 
-    def apply_limit(self, limit: float) -> None:
+    def apply_limit(self, limit: float, now: float) -> None:
         """Apply a new limit of the window.
 
         A lower limit binds future leases only: earlier spending was within the old limit, so it is
-        scaled to the same fraction of the new limit.
+        scaled to the same fraction of the new limit. A limit that rises again within the window
+        finds this spending again.
         """
         if limit < self.window_limit:
-            self.window.scale(limit / self.window_limit)
-            self.before.scale(limit / self.window_limit)
+            self._lower_limit(limit, now)
+        elif limit > self.window_limit and self.lowering is not None:
+            self._restore_spending(self.lowering, limit, now)
         self.window_limit = limit
 
+    def _lower_limit(self, limit: float, now: float) -> None:
+        highest, left = self.window_limit, 1.0 - limit / self.window_limit
+        taken = (
+            tuple(left * each for each in self.window.parts(now)),
+            tuple(left * each for each in self.before.parts(now)),
+        )
+        if self.lowering is not None:
+            earlier = self.lowering.parts(now)
+            taken = _add_parts(earlier[0], taken[0]), _add_parts(earlier[1], taken[1])
+            highest = max(highest, self.lowering.from_limit)
+        self.window.scale(limit / self.window_limit)
+        self.before.scale(limit / self.window_limit)
+        self.lowering = new_lowering(highest, taken, self.window.window_s, now)
+
+    def _restore_spending(self, lowering: Lowering, limit: float, now: float) -> None:
+        """Count spending again that a lower limit has scaled away, in proportion to the rise."""
+        share = min(1.0, (limit - self.window_limit) / (lowering.from_limit - self.window_limit))
+        window, before = lowering.parts(now)
+        self.window.load_parts(_add_parts(self.window.parts(now), window, share), now)
+        self.before.load_parts(_add_parts(self.before.parts(now), before, share), now)
+        lowering.window.scale(1.0 - share)
+        lowering.before.scale(1.0 - share)
+        if share == 1.0:
+            self.lowering = None
+
     def apply_share(self, share: float, unnoticed_s: float, now: float) -> None:
         """Apply the share of the fleet that this node sees.
 
@@ -265,6 +309,24 @@
         self.before.load_parts(tuple(parts), now)
 
 
+def new_lowering(
+    from_limit: float, parts: tuple[Parts, Parts], window_s: float, now: float
+) -> Lowering:
+    """Create the account of spending that was scaled away.
+
+    :param parts: cost in each part of the window, and of the part known before, oldest first.
+    :param window_s: length of the window, in seconds.
+    """
+    lowering = Lowering(from_limit, SpendingWindow(window_s), SpendingWindow(window_s))
+    lowering.window.load_parts(parts[0], now)
+    lowering.before.load_parts(parts[1], now)
+    return lowering
+
+
+def _add_parts(one: Parts, other: Parts, share: float = 1.0) -> Parts:
+    return tuple(a + share * b for a, b in zip(one, other, strict=True))
+
+
 def larger_window(one: Parts, other: Parts) -> Parts:
     """Return the one of two windows with the higher total spending.
 
--- a/packages/chalkyoke/src/chalkyoke/quotas/owner.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/owner.py
@@ -213,7 +213,7 @@
         ledger = self._ledger(team, presence, now)
         window = ledger.window
         ledger.apply_share(presence.share, presence.unnoticed_s, now)
-        ledger.apply_limit(self.limits.window_limit(team.rate_per_s, team.burst))
+        ledger.apply_limit(self.limits.window_limit(team.rate_per_s, team.burst), now)
         if message.lease_of == window.number:
             ledger.return_unspent(message.returned, now)
         if message.alone > 0 and ledger.surveyed:
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_fleet.py
@@ -157,6 +157,24 @@
     assert len(early) <= 0.02 * len([at for at, _ in fleet.passed if 10.0 <= at < 18.0])
 
 
+def raise_quota(fleet):
+    fleet.team = TEAM
+
+
+def lower_quota_far(fleet):
+    fleet.team = msgspec.structs.replace(TEAM, rate_per_s=600, burst=600)
+
+
+def test_a_quota_that_falls_and_rises_several_times_holds_in_each_window():
+    """Guards against spending that a lower quota hides from the higher one that follows it."""
+    fleet = Fleet()
+    dips = [10.0, 12.5, 15.0]
+    falls = [(at, lower_quota_far) for at in dips]
+    rises = [(at + 0.2, raise_quota) for at in dips]
+    play(fleet, 4.0, 26, events=sorted(falls + rises, key=lambda event: event[0]))
+    assert fleet.worst_window() <= MOST
+
+
 def test_less_urgent_requests_are_refused_first_unless_they_are_cheap():
     fleet = Fleet()
     while fleet.send_request(0, 3000, rank=2):
--- a/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/tests/test_snapshots.py
@@ -83,7 +83,7 @@
     growth = TeamGrowth(SpendingWindow(8.0), MOST)
     ledger.add_lease(400.0, 1.0)
     growth.inherit(ledger, 1.0)
-    ledger.apply_limit(500.0)
+    ledger.apply_limit(500.0, 1.0)
     assert growth.room(ledger, 1.0) == pytest.approx(10.0)
 
 
