A request that has not begun its answer is owed one too if its silent replica was given up

Callers got 502 where the host had given up a silent replica for one that rejected the request late, and no other could be had at that moment: in the soak of paused services at 60 requests a second 4 of 2,642 requests that were passed on, all refused by the retry budget.

A replica is sought for them as for streams that have begun, but only as long as requests wait for a replica at all: then they are refused while their callers can still try again.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -494,8 +494,10 @@
         return next_step
 
     def _may_search_again(self, admission: Admission, outcome: Outcome) -> bool:
-        owes_answer = self._sender.owes_answer
-        return owes_answer and may_search_again(outcome, admission, self._parts.now())
+        if not self._sender.owes_answer:
+            return False
+        begun = self._delivery.head_sent
+        return may_search_again(outcome, admission, self._parts.now(), begun=begun)
 
     def _is_reported(self, granted: Granted) -> bool:
         """Return whether a replica is still silent whose silence was reported as a failure."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
@@ -9,6 +9,7 @@
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.takeover import Send
 from chalkyoke.gateway.verdict import UNCONNECTED, SendEnd
+from chalkyoke.gateway.waiting import latest_wait_end
 from chalkyoke.http1.pool import ConnectionPool
 
 # Silence amid its answers after which a replica takes no request from another silent one, in
@@ -47,16 +48,20 @@
     return "no other replica" if any(each.id != replica.id for each in eligible) else None
 
 
-def may_search_again(outcome: object, admission: Admission, now: float) -> bool:
-    """Return whether a replica is sought again for an answer whose silent replica was given up.
+def may_search_again(outcome: object, admission: Admission, now: float, *, begun: bool) -> bool:
+    """Return whether a replica is sought again for a request whose silent replica was given up.
 
     The host has given up what might have become a whole answer, so one refusal does not end it.
+    An answer that has begun is worth the whole time of its caller; any other request is refused
+    while the caller can still try again.
 
+    :param begun: whether a part of the answer has been forwarded to the caller.
     :param outcome: the :class:`~chalkyoke.gateway.verdict.SendEnd` of the last send, or the
         refusal that took its place.
     :param now: time on the node's clock, in seconds.
     """
-    if admission.deadline - now < MIN_SEARCH_S:
+    latest = admission.deadline - MIN_SEARCH_S if begun else latest_wait_end(admission)
+    if now >= latest:
         return False
     if isinstance(outcome, SendEnd):
         return outcome in UNCONNECTED or outcome is SendEnd.DECLINED
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -98,14 +98,14 @@
 
     @property
     def owes_answer(self) -> bool:
-        """Whether a silent replica was given up amid its answer, and none has gone on with it."""
-        return self._delivery.head_sent and self._takeover.owes_answer
+        """Whether a silent replica was given up although no other one has begun to answer."""
+        return self._takeover.owes_answer
 
     def is_still_allowed(self, admission: Admission) -> bool:
         """Return whether the request may go to one more replica under the configuration in force.
 
-        An answer whose silent replica was given up may always go on: that replica would have
-        finished it under the configuration that admitted the request.
+        A request whose silent replica was given up may always: that replica would have answered
+        it under the configuration that admitted it.
         """
         return self.owes_answer or is_still_allowed(admission, self._parts.catalog())
 
