Tests: streams that callers resume after all hosts were killed at once

Callers that name the attempt which began their stream (Resumes) and callers that do not, while two versions serve, or with the old one gone while the hosts were down, before that, or before three kills in a row.

The in-memory network lost connections whose protocols had not been told of them yet when a host was killed; a protocol now learns of a connection before its loss.

--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -87,6 +87,7 @@
         self._context = context
         self.host = context.get(current_host, "")
         self.address = address
+        self._is_made = False
         self._closed = False
         self._paused_data = None
         self._eof_sent = False
@@ -97,7 +98,11 @@
         self.is_silent = False
 
     def start(self):
-        self._call_soon(self._protocol.connection_made, self)
+        self._call_soon(self._make_connection)
+
+    def _make_connection(self):
+        self._is_made = True
+        self._protocol.connection_made(self)
 
     def set_protocol(self, protocol):
         self._protocol = protocol
@@ -182,7 +187,10 @@
 
     def lose_connection(self, error):
         """Lose the connection as when the operating system reports an error on it."""
-        if not self._closed:
+        if not self._is_made:
+            # The protocol learns of a connection before it learns of its loss.
+            self._call_soon(self.lose_connection, error)
+        elif not self._closed:
             self._closed = True
             self._protocol.connection_lost(error)
 
--- /dev/null
+++ b/tests/rejoinedstreams.py
@@ -0,0 +1,167 @@
+"""
+tests.rejoinedstreams
+
+Streams that break off when hosts are killed and that their callers resume as soon as hosts are
+back, with counts of what became of them. Each event of the fake replicas names the software version
+that wrote it.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tests.gatewayfleet import GatewayFleet, run_check
+from tests.streamcallers import name_first_attempt, take_stream
+
+DOMAINS = ("a", "a", "b", "b", "c", "c")
+REPLICAS = 6
+STREAMS = 24
+# A stream of eight events takes 2.4 s.
+EVENT_S = 0.3
+BEGIN_PAUSE_S = 0.04
+# Time from the first request until the hosts are killed: all streams have begun, none has ended.
+UNTIL_KILL_S = 1.4
+DOWN_S = 0.6
+# Attempts of one caller, and the time between two of them.
+TRIES = 24
+RETRY_S = 0.15
+
+
+async def nothing(_):
+    """Change nothing."""
+
+
+async def kill_all(fleet):
+    """Kill all hosts at the same moment."""
+    for number in range(len(fleet.domains)):
+        await fleet.crash_node(number)
+
+
+def start_all(fleet):
+    """Start all hosts again."""
+    for number in range(len(fleet.domains)):
+        fleet.start_node(number, first_start=False)
+
+
+async def kill_and_restart_all(fleet, change):
+    """Kill all hosts at once and start them again.
+
+    :param change: coroutine function, called with the fleet while all hosts are down.
+    """
+    await kill_all(fleet)
+    await change(fleet)
+    await asyncio.sleep(DOWN_S)
+    start_all(fleet)
+
+
+def unnamed(stream, _):
+    """Return the headers of a caller that names none of its earlier attempts."""
+    return (("Last-Event-Id", stream.events[-1][0]),)
+
+
+@dataclass
+class Play:
+    """What is done to a fleet while callers take streams.
+
+    :param disrupt: coroutine function that breaks the streams off, and lets hosts return.
+    :param resume_headers: see :func:`tests.streamcallers.take_stream`.
+    :param nodes: indices of the nodes that callers use; None for all.
+    :param prepare: coroutine function, called with the fleet before the first stream.
+    """
+
+    disrupt: Callable[[GatewayFleet], Awaitable[None]]
+    resume_headers: Callable = name_first_attempt
+    nodes: tuple | None = None
+    prepare: Callable[[GatewayFleet], Awaitable[None]] = nothing
+    until_disruption_s: float = UNTIL_KILL_S
+    streams: int = STREAMS
+    event_s: float = EVENT_S
+    fleet: dict = field(default_factory=dict)
+
+
+@dataclass
+class Outcome:
+    """What callers got.
+
+    :ivar joined: streams that have events of several versions.
+    :ivar resumed: attempts that resumed a stream and were answered by a host.
+    :ivar went_on: those of them that brought more of the stream.
+    """
+
+    streams: list
+    joined: int = 0
+    resumed: int = 0
+    went_on: int = 0
+
+    def __post_init__(self):
+        self.joined = sum(len(each.versions) > 1 for each in self.streams)
+        for stream in self.streams:
+            answered = [each for each in stream.resumptions if each.status]
+            self.resumed += len(answered)
+            self.went_on += sum(each.status == 200 for each in answered)
+
+    def __str__(self):
+        return (
+            f"{self.joined} of {len(self.streams)} streams joined, "
+            f"{self.went_on} of {self.resumed} attempts to resume went on"
+        )
+
+
+def run_play(play):
+    """Play streams in virtual time.
+
+    :rtype: Outcome
+    """
+    outcomes = []
+
+    async def check(fleet):
+        outcomes.append(Outcome(await _take_streams(fleet, play)))
+
+    settings = {"domains": DOMAINS, "replicas": REPLICAS, "versions": ("v1",)} | play.fleet
+    run_check(check, **settings)
+    return outcomes[0]
+
+
+async def _take_streams(fleet, play):
+    rng = random.Random(84)
+    nodes = play.nodes or range(len(fleet.domains))
+    for each in fleet.models:
+        each.faults.event_s = play.event_s
+    await play.prepare(fleet)
+
+    async def take(number):
+        await asyncio.sleep(number * BEGIN_PAUSE_S)
+        return await take_stream(
+            fleet,
+            lambda _: rng.choice(nodes),
+            f"stream {number}".encode(),
+            resume_headers=play.resume_headers,
+            tries=TRIES,
+            pause_s=RETRY_S,
+        )
+
+    callers = [asyncio.ensure_future(take(number)) for number in range(play.streams)]
+    await asyncio.sleep(play.until_disruption_s)
+    await play.disrupt(fleet)
+    return await asyncio.gather(*callers)
+
+
+# Changes while hosts are down.
+
+
+async def replace_version(fleet, version="v2"):
+    """Let all engines leave, and as many of another version start at other addresses."""
+    for each in fleet.models:
+        await each.crash()
+        await each.store.remove(f"servers/{each.id}")
+    count, domains = len(fleet.models), fleet.domains
+    fleet.models = [
+        await fleet.add_replica(
+            f"{version}-{n}", "model", domains[n * len(domains) // count], True, version
+        )
+        for n in range(count)
+    ]
+    for each in fleet.models:
+        each.faults.event_s = EVENT_S
+
--- a/tests/streamcallers.py
+++ b/tests/streamcallers.py
@@ -23,12 +23,14 @@
     :ivar events: (number, version) of each event.
     :ivar tries: answers to the caller's attempts.
     :ivar take_ups: for each attempt that took the stream up, whether the stream went on.
+    :ivar resumptions: answers to those attempts.
     """
 
     body: bytes
     events: list = field(default_factory=list)
     tries: list = field(default_factory=list)
     take_ups: list = field(default_factory=list)
+    resumptions: list = field(default_factory=list)
     whole: bool = False
 
     @property
@@ -45,24 +47,40 @@
         return [number for number, _ in self.events] == list(range(len(self.events)))
 
 
-async def take_stream(fleet, choose_node, body):
+def name_first_attempt(stream, began_as):
+    """Return the headers of a caller that names the attempt which brought the first event."""
+    return (("Last-Event-Id", stream.events[-1][0]), ("Resumes", began_as))
+
+
+async def take_stream(
+    fleet,
+    choose_node,
+    body,
+    *,
+    resume_headers=name_first_attempt,
+    tries=MAX_TRIES,
+    pause_s=RETRY_S,
+):
     """Begin a stream, and take it up at other nodes until it is whole.
 
     :param choose_node: returns the index of a node; gets the stream so far.
+    :param resume_headers: returns the headers of an attempt that takes the stream up; gets the
+        stream so far and the id of the attempt that brought its first event.
+    :param tries: maximum number of attempts.
+    :param pause_s: time between two attempts, in seconds.
     :rtype: Stream
     """
     stream = Stream(body)
     began_as = ""
-    for _ in range(MAX_TRIES):
-        headers = ()
-        if stream.events:
-            headers = (("Last-Event-Id", stream.events[-1][0]), ("Resumes", began_as))
+    for _ in range(tries):
+        headers = resume_headers(stream, began_as) if stream.events else ()
         answer = await fleet.send_request(
             choose_node(stream), PATH, body, until_whole=True, headers=headers
         )
         stream.tries.append(answer)
         got = read_events(answer.body) if answer.status == 200 else []
         if headers:
+            stream.resumptions.append(answer)
             stream.take_ups.append(bool(got) or (answer.status == 200 and answer.whole))
         if got and not began_as:
             began_as = answer.request
@@ -70,7 +88,7 @@
         stream.whole = answer.status == 200 and answer.whole
         if stream.whole:
             break
-        await asyncio.sleep(RETRY_S)
+        await asyncio.sleep(pause_s)
     return stream
 
 
--- /dev/null
+++ b/tests/test_rejoined_streams.py
@@ -0,0 +1,68 @@
+"""
+tests.test_rejoined_streams
+
+Guards against streams that went on at another version than the one that began them, after all hosts
+had been killed at once: the hosts that came back knew neither the streams nor the versions that had
+served before.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.rejoinedstreams import (
+    Play,
+    kill_and_restart_all,
+    nothing,
+    replace_version,
+    run_play,
+    unnamed,
+)
+from tests.streamcallers import name_first_attempt
+
+# Attempts to resume a stream that a play must have to count.
+MIN_RESUMED = 12
+CALLERS = pytest.mark.parametrize(
+    "resume_headers", [name_first_attempt, unnamed], ids=["named", "unnamed"]
+)
+TWO_VERSIONS = {"versions": ("v1", "v2")}
+
+
+def check_nothing_is_joined(outcome):
+    assert outcome.resumed >= MIN_RESUMED, outcome
+    assert not outcome.joined, outcome
+
+
+async def leave_before_the_kill(fleet):
+    await replace_version(fleet)
+    await asyncio.sleep(0.3)
+    await kill_and_restart_all(fleet, nothing)
+
+
+async def kill_three_times(fleet):
+    await kill_and_restart_all(fleet, replace_version)
+    for _ in range(2):
+        await asyncio.sleep(0.9)
+        await kill_and_restart_all(fleet, nothing)
+
+
+@CALLERS
+@pytest.mark.parametrize(
+    "disrupt",
+    [
+        lambda fleet: kill_and_restart_all(fleet, replace_version),
+        leave_before_the_kill,
+        kill_three_times,
+    ],
+    ids=["while hosts are down", "before the kill", "killed three times"],
+)
+def test_streams_of_a_version_that_has_left_do_not_go_on_at_another_one(disrupt, resume_headers):
+    """Guards against joined streams of callers that name no attempt: any single version would do."""
+    check_nothing_is_joined(run_play(Play(disrupt, resume_headers)))
+
+
+@CALLERS
+def test_streams_are_not_joined_while_two_versions_serve(resume_headers):
+    play = Play(lambda fleet: kill_and_restart_all(fleet, nothing), resume_headers)
+    play.fleet = TWO_VERSIONS
+    check_nothing_is_joined(run_play(play))
