Streams resumed without the name of their first attempt are bound by the fleet's history

What callers saw: after all hosts had been killed at once while the old version of a service left, 24 of 24 streams that were resumed with Last-Event-Id alone were answered 200 with the rest from the new version (23 of 24 with three kills in a row); 0 with the name of the first attempt (Resumes).

Cause: for such a caller a host went by the versions that it knew at that moment, however short its life. A host that has just started knows no version that has left.

Now the same rule decides as for a stream that nobody knows: all keepers answer, and none of their histories, which reach back for as long as the caller may resume, names another version. A host of a fleet that starts for the first time knows that nothing came before it, so that nothing is refused in its first seconds.

--- a/packages/chalkyoke/src/chalkyoke/gateway/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/origins.py
@@ -33,9 +33,6 @@
         :param age_s: how long ago the stream began at most, in seconds.
         """
 
-    def find_unnamed(self, service: str) -> FoundOrigin:
-        """Find what began a stream whose caller does not name the attempt that did."""
-
 
 def is_resumed_by_caller(admission: Admission) -> bool:
     """Return whether a request resumes a stream that an earlier attempt of its caller began."""
@@ -44,9 +41,11 @@
 
 
 async def find_origin(origins: OriginPort, admission: Admission) -> FoundOrigin:
-    """Find what began the stream that a caller resumes."""
-    if not admission.fields.resumes:
-        return origins.find_unnamed(admission.service.name)
+    """Find what began the stream that a caller resumes.
+
+    A caller that does not name the attempt which began it may resume any stream of its team, so no
+    record tells: the service must have run a single version for long enough.
+    """
     return await origins.find(_key_of(admission), admission.service.name, _keep_s(admission))
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -233,7 +233,7 @@
             "store_updates_ignored", lambda: self.catalog.ignored_updates.total()
         )
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
-        self.versions = VersionHistories(state, self.now)
+        self.versions = VersionHistories(state, self.now, first_start=settings.node.first_start)
         self.origins = OriginFinder(
             PeerOriginKeepers(self.view, self.versions, self.links, self.presence), self.now
         )
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -133,15 +133,6 @@
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
         return _found_by_version(service, self._only_version(search, service, age_s), answers)
 
-    def find_unnamed(self, service: str) -> FoundOrigin:
-        """Find what began a stream whose caller does not name the attempt that did.
-
-        Nobody can be asked for it. It is known only while the service runs a single version.
-
-        :param service: service that would go on with the stream.
-        """
-        return _found_by_version(service, only_version([self._port.history(service)], 0.0), 0)
-
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
 
