Tests: one host of nine lives on while the old version leaves in five ways

The replicas are replaced, replaced while no host hears of it, replaced after records that can't be read, or restart under their ids as another version, with and without a record of a new start.

--- a/tests/catalogfleet.py
+++ b/tests/catalogfleet.py
@@ -105,6 +105,7 @@
         self.revision = 0
         self.items = {}
         self.history = []
+        self._forgotten_revision = 0
         self.acknowledged = []
         self.answer_delay_s = STORE_ANSWER_S
         self.refused_hosts = set()
@@ -132,6 +133,10 @@
     def snapshot(self):
         return StoreSnapshot(dict(self.items), list(self.history), self.revision)
 
+    def forget_history(self):
+        """Forget all changes so far; watches of older revisions fail."""
+        self._forgotten_revision = self.revision
+
     def go_offline(self):
         """Fail all calls in progress, and refuse new ones until ``restore``."""
         self.offline = True
@@ -183,7 +188,7 @@
 
     async def watch(self, prefix, since, wait_s):
         await asyncio.sleep(self.answer_delay_s)
-        if since > self.revision:
+        if since > self.revision or since < self._forgotten_revision:
             return HistoryLost()
         if since == self.revision:
             try:
--- a/tests/rejoinedstreams.py
+++ b/tests/rejoinedstreams.py
@@ -32,27 +32,30 @@
     """Change nothing."""
 
 
-async def kill_all(fleet):
-    """Kill all hosts at the same moment."""
-    for number in range(len(fleet.domains)):
-        await fleet.crash_node(number)
+async def kill_and_restart_all(fleet, change):
+    """Kill all hosts at once and start them again.
 
+    :param change: coroutine function, called with the fleet while all hosts are down.
+    """
+    await kill_and_restart(fleet, change, range(len(fleet.domains)))
 
-def start_all(fleet):
-    """Start all hosts again."""
-    for number in range(len(fleet.domains)):
-        fleet.start_node(number, first_start=False)
 
+async def kill_and_restart_others(fleet, change):
+    """Kill all hosts but the first at once and start them again."""
+    await kill_and_restart(fleet, change, range(1, len(fleet.domains)))
 
-async def kill_and_restart_all(fleet, change):
-    """Kill all hosts at once and start them again.
 
-    :param change: coroutine function, called with the fleet while all hosts are down.
+async def kill_and_restart(fleet, change, hosts):
+    """Kill hosts at once and start them again.
+
+    :param change: coroutine function, called with the fleet while the hosts are down.
     """
-    await kill_all(fleet)
+    for number in hosts:
+        await fleet.crash_node(number)
     await change(fleet)
     await asyncio.sleep(DOWN_S)
-    start_all(fleet)
+    for number in hosts:
+        fleet.start_node(number, first_start=False)
 
 
 def unnamed(stream, _):
@@ -164,3 +167,36 @@
     ]
     for each in fleet.models:
         each.faults.event_s = EVENT_S
+
+
+async def upgrade_in_place(fleet, *, is_new_start=True):
+    """Let all engines restart as another version, each under its id and at its address.
+
+    :param is_new_start: whether their records tell that they have restarted.
+    """
+    for each in fleet.models:
+        ip, _, port = each.listen_address.rpartition(":")
+        born = each.born
+        await each.crash()
+        each.version = "v2"
+        await each.start(ip, int(port))
+        if not is_new_start:
+            each.born = born
+            await each.write_record("ready")
+
+
+async def garble_and_replace_version(fleet):
+    """Let all engines write records that can't be read before they leave."""
+    for each in fleet.models:
+        await each.store.put(f"servers/{each.id}", b"{")
+    await asyncio.sleep(0.2)
+    await replace_version(fleet)
+
+
+async def replace_version_unseen(fleet):
+    """Replace the version while the store answers no host, and forgets its history."""
+    fleet.store.silent_hosts.update(f"n{number}" for number in range(len(fleet.domains)))
+    fleet.store.silence_connections()
+    await replace_version(fleet)
+    fleet.store.forget_history()
+    fleet.store.silent_hosts.clear()
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -7,17 +7,22 @@
 """
 
 import asyncio
+from functools import partial
 
 import pytest
 
 from tests.gatewayfleet import DEADLINE_MS
 from tests.rejoinedstreams import (
     Play,
+    garble_and_replace_version,
     kill_and_restart_all,
+    kill_and_restart_others,
     nothing,
     replace_version,
+    replace_version_unseen,
     run_play,
     unnamed,
+    upgrade_in_place,
 )
 from tests.streamcallers import name_first_attempt
 
@@ -26,6 +31,8 @@
 CALLERS = pytest.mark.parametrize(
     "resume_headers", [name_first_attempt, unnamed], ids=["named", "unnamed"]
 )
+# So many hosts that one which has lived on is no keeper of most streams.
+MORE_DOMAINS = ("a", "a", "a", "b", "b", "b", "c", "c", "c")
 TWO_VERSIONS = {"versions": ("v1", "v2")}
 
 
@@ -62,6 +69,32 @@
     check_nothing_is_joined(run_play(Play(disrupt, resume_headers)))
 
 
+async def run_for_long(fleet):
+    """Run for longer than callers may resume their streams."""
+    await asyncio.sleep(2.2 * DEADLINE_MS / 1000)
+
+
+@CALLERS
+@pytest.mark.parametrize(
+    "change",
+    [
+        replace_version,
+        replace_version_unseen,
+        garble_and_replace_version,
+        upgrade_in_place,
+        partial(upgrade_in_place, is_new_start=False),
+    ],
+    ids=["replaced", "replaced unseen", "garbled", "in place", "in place, same start"],
+)
+def test_a_host_that_has_lived_on_remembers_the_version_that_has_left(change, resume_headers):
+    """Guards against hosts that forgot a version at once if its replicas left in another way."""
+    play = Play(
+        lambda fleet: kill_and_restart_others(fleet, change), resume_headers, prepare=run_for_long
+    )
+    play.fleet = {"domains": MORE_DOMAINS}
+    check_nothing_is_joined(run_play(play))
+
+
 @CALLERS
 def test_streams_are_not_joined_while_two_versions_serve(resume_headers):
     play = Play(lambda fleet: kill_and_restart_all(fleet, nothing), resume_headers)
