--- a/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
@@ -82,9 +82,12 @@
         """Return whether a node is known to be of an older build, which keeps no origins."""
         return self._links.withholds(address, OriginRequest)
 
-    def history(self, service: str) -> VersionHistory:
-        """Return this node's version history of a service."""
-        return self._histories.of_service(service)
+    def history(self, service: str, age_s: float) -> VersionHistory:
+        """Return this node's version history of a service.
+
+        :param age_s: how far back the versions are listed, in seconds.
+        """
+        return self._histories.of_service(service, age_s)
 
     def sees_fleet(self) -> bool:
         """Return whether this node sees almost all of the fleet."""
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -62,8 +62,11 @@
     def send(self, address: str, message: OriginMessage) -> None:
         """Send a message to a node by its link address."""
 
-    def history(self, service: str) -> VersionHistory:
-        """Return this node's version history of a service."""
+    def history(self, service: str, age_s: float) -> VersionHistory:
+        """Return this node's version history of a service.
+
+        :param age_s: how far back the versions are listed, in seconds.
+        """
 
     def is_older(self, address: str) -> bool:
         """Return whether a node is known to be of an older build, which keeps no origins."""
@@ -126,7 +129,7 @@
         origin = self._kept.find(stream, self._now())
         if origin is not None:
             return FoundOrigin(origin, OriginSource.KEPT_HERE)
-        search = await self._ask_keepers(stream, service)
+        search = await self._ask_keepers(stream, service, age_s)
         answers = len(search.histories) + (search.origin is not None)
         if search.origin is not None:
             self._keep(stream, search.origin, age_s)
@@ -163,9 +166,10 @@
             return None
         if not search.histories and not self._port.sees_fleet():
             return None
-        return only_version([self._port.history(service), *search.histories.values()], age_s)
+        own = self._port.history(service, age_s)
+        return only_version([own, *search.histories.values()], age_s)
 
-    async def _ask_keepers(self, stream: int, service: str) -> _Search:
+    async def _ask_keepers(self, stream: int, service: str, age_s: float) -> _Search:
         """Ask all keepers at once; the first one that knows the origin ends the search."""
         keepers = [each for each in self._port.keepers(stream) if not self._port.is_older(each)]
         search = _Search(keepers, asyncio.get_running_loop().create_future())
@@ -175,7 +179,7 @@
         self._searches[number] = search
         try:
             for address in keepers:
-                self._port.send(address, OriginRequest(number, stream, service))
+                self._port.send(address, OriginRequest(number, stream, service, age_s))
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 await search.ended
         except TimeoutError:
@@ -188,7 +192,8 @@
         origin = self._kept.find(request.stream, self._now())
         if origin is not None:
             return OriginAnswer(request.number, origin)
-        return OriginAnswer(request.number, None, self._port.history(request.service))
+        history = self._port.history(request.service, request.age_s)
+        return OriginAnswer(request.number, None, history)
 
     def _apply_answer(self, address: str, answer: OriginAnswer) -> None:
         search = self._searches.get(answer.number)
--- a/packages/chalkyoke/src/chalkyoke/resumption/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/messages.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+# Highest age of a stream, in seconds, where a node of an older build names none.
+MAX_AGE_S = 30.0
+
 
 class Origin(msgspec.Struct, frozen=True, array_like=True):
     """What began a stream.
@@ -22,7 +25,8 @@
 class VersionHistory(msgspec.Struct, frozen=True, array_like=True):
     """The software versions of a service's replicas in the recent past, as one node knows them.
 
-    :param versions: all versions that had a replica in that time.
+    :param versions: the versions that had a replica in that time; at least two if there were more
+        than one.
     :param covers_s: how far back the node knows them, in seconds.
     """
 
@@ -47,11 +51,13 @@
 
     :param number: number of the request, repeated in the answer.
     :param service: service that would go on with the stream.
+    :param age_s: how long ago the stream began at most, in seconds.
     """
 
     number: int
     stream: int
     service: str
+    age_s: float = MAX_AGE_S
 
 
 class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_answer"):
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -45,7 +45,7 @@
                 DELAY_S, lambda: fleet.nodes[address].receive(sender, message)
             )
 
-    def history(self, service):
+    def history(self, service, age_s):
         versions, covers_s = self._fleet.histories.get(self._number, ((), 0.0))
         return VersionHistory(versions, covers_s)
 
