Tests: streams resumed after their route has changed its services

The route moves to another service of the same version, changes its weights, or another route takes over its paths, while eight of nine hosts are killed or none is; and a split route.

--- a/tests/rejoinedstreams.py
+++ b/tests/rejoinedstreams.py
@@ -7,15 +7,19 @@
 """
 
 import asyncio
+import json
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from chalkyoke_fakes.platformfleet import default_configuration, make_route
+
 from tests.gatewayfleet import GatewayFleet, run_check
 from tests.streamcallers import name_first_attempt, take_stream
 
 DOMAINS = ("a", "a", "b", "b", "c", "c")
 REPLICAS = 6
+OTHER_SERVICE = "other-model"
 STREAMS = 24
 # A stream of eight events takes 2.4 s.
 EVENT_S = 0.3
@@ -200,3 +204,47 @@
     await replace_version(fleet)
     fleet.store.forget_history()
     fleet.store.silent_hosts.clear()
+
+
+# Routes.
+
+
+def configure(fleet, version, *targets, more_routes=()):
+    """Write a configuration that sends the streams' route to the given services.
+
+    :param targets: pairs of a service and its weight; one for all requests, or several.
+    :param more_routes: further routes.
+    """
+    document = default_configuration(version)
+    document["services"].append({**document["services"][0], "name": OTHER_SERVICE})
+    for route in document["routes"]:
+        if route["name"] == "explain":
+            route["split"] = [{"service": name, "weight": weight} for name, weight in targets]
+    document["routes"] += more_routes
+    fleet.store.put("op/config", json.dumps(document).encode())
+
+
+def other_route(prefix):
+    """Return a route to the other service, for paths of the streams' route or above."""
+    route = make_route("other", "stream", OTHER_SERVICE, resumable=True, attempts=2)
+    return {**route, "path-prefix": prefix}
+
+
+async def add_other_service(fleet):
+    """Start another service of the same version, which writes other events all the same."""
+    for number in range(REPLICAS):
+        domain = fleet.domains[number * len(fleet.domains) // REPLICAS]
+        replica = await fleet.add_replica(f"x{number}", OTHER_SERVICE, domain, True)
+        replica.version = "v1-of-other-service"
+        replica.faults.event_s = EVENT_S
+        fleet.models.append(replica)
+
+
+async def break_streams_off(fleet):
+    """Let all engines break their streams off, also where a host resumes them within one answer."""
+    for each in fleet.models:
+        each.faults.break_streams = 1000
+        each.faults.break_after = 1
+    await asyncio.sleep(2.5)
+    for each in fleet.models:
+        each.faults.break_streams = 0
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -13,11 +13,16 @@
 
 from tests.gatewayfleet import DEADLINE_MS
 from tests.rejoinedstreams import (
+    OTHER_SERVICE,
     Play,
+    add_other_service,
+    break_streams_off,
+    configure,
     garble_and_replace_version,
     kill_and_restart_all,
     kill_and_restart_others,
     nothing,
+    other_route,
     replace_version,
     replace_version_unseen,
     run_play,
@@ -102,16 +107,6 @@
     check_nothing_is_joined(run_play(play))
 
 
-async def break_streams_off(fleet):
-    """Let all engines break their streams off, also where a host resumes them within one answer."""
-    for each in fleet.models:
-        each.faults.break_streams = 1000
-        each.faults.break_after = 1
-    await asyncio.sleep(2.5)
-    for each in fleet.models:
-        each.faults.break_streams = 0
-
-
 async def long_after_a_kill(fleet):
     """The hosts have run for longer than the caller of a stream may resume it."""
     await kill_and_restart_all(fleet, nothing)
@@ -127,3 +122,66 @@
     outcome = run_play(play)
     check_nothing_is_joined(outcome)
     assert outcome.went_on >= 0.9 * outcome.resumed, outcome
+
+
+MODEL, OTHER = ("model", 1), (OTHER_SERVICE, 1)
+
+
+def first_routes(*targets, more_routes=()):
+    """Return how a play begins: with another service, and with these targets and routes."""
+
+    async def prepare(fleet):
+        await add_other_service(fleet)
+        configure(fleet, 2, *targets, more_routes=more_routes)
+        await run_for_long(fleet)
+
+    return prepare
+
+
+# The targets of the streams' route and further routes, before and after a change.
+MOVES = {
+    "moved": (((MODEL,), ()), ((OTHER,), ())),
+    "other weights": (((MODEL, OTHER), ()), ((("model", 1), (OTHER_SERVICE, 9)), ())),
+    "longer prefix added": (((MODEL,), ()), ((MODEL,), (other_route("/explain/1"),))),
+    "longer prefix removed": (((MODEL,), (other_route("/explain/1"),)), ((MODEL,), ())),
+}
+
+
+@CALLERS
+@pytest.mark.parametrize("name", MOVES)
+@pytest.mark.parametrize("kill", [True, False], ids=["all but one killed", "none killed"])
+def test_streams_do_not_go_on_at_another_service_after_their_route_has_changed(
+    name, kill, resume_headers
+):
+    """Guards against the new service's only version for streams that the old service began."""
+    (targets, routes), (new_targets, new_routes) = MOVES[name]
+
+    async def change(fleet):
+        configure(fleet, 3, *new_targets, more_routes=new_routes)
+
+    async def disrupt(fleet):
+        if kill:
+            await kill_and_restart_others(fleet, change)
+            return
+        await change(fleet)
+        await break_streams_off(fleet)
+
+    prepare = first_routes(*targets, more_routes=routes)
+    play = Play(disrupt, resume_headers, prepare=prepare, until_disruption_s=0.9)
+    play.fleet = {"domains": MORE_DOMAINS}
+    check_nothing_is_joined(run_play(play))
+
+
+def test_streams_of_a_split_route_are_not_joined_if_their_callers_name_no_attempt():
+    """Each attempt has an id of its own, by which its service is picked."""
+    prepare = first_routes(MODEL, OTHER)
+    play = Play(break_streams_off, unnamed, prepare=prepare, until_disruption_s=0.0)
+    check_nothing_is_joined(run_play(play))
+
+
+def test_streams_of_a_split_route_go_on_if_their_callers_name_the_first_attempt():
+    prepare = first_routes(MODEL, OTHER)
+    play = Play(break_streams_off, prepare=prepare, until_disruption_s=0.0)
+    outcome = run_play(play)
+    check_nothing_is_joined(outcome)
+    assert outcome.went_on >= 0.9 * outcome.resumed, outcome
