A stream of unknown origin may have begun at another service of its route

What callers saw: a route moves to another service, changes its weights, or another route takes over its paths, and streams that the old service began go on at the new one, although what the two write does not fit together.

Cause: where no host knows the origin, the only version of the service that the route has now was taken for it. That the route may have had another service when the stream began was not considered.

Now hosts remember since when each route has had its services: it counts as moved when it changes, appears, or loses a route with a longer prefix. A host that asks for an origin names the route and a digest of its services; where any host that answers knows other ones, or a change within the time in which the caller may resume, the stream is refused. So is a stream of a split route if its caller does not name the first attempt. Requests and answers of older builds lack the new fields, which count as unknown.

--- a/packages/chalkyoke/src/chalkyoke/gateway/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/origins.py
@@ -8,9 +8,9 @@
 
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.gateway.reception import Admission
-from chalkyoke.resumption.finder import FoundOrigin
-from chalkyoke.resumption.messages import Origin
-from chalkyoke.resumption.origins import stream_key
+from chalkyoke.resumption.finder import FoundOrigin, OriginSource
+from chalkyoke.resumption.messages import Origin, Sought
+from chalkyoke.resumption.origins import route_key, stream_key, targets_digest
 
 # How long after its first event a caller may resume a stream, as a multiple of the longest time
 # that one attempt may take: a caller may retry for longer than the route's timeout.
@@ -26,11 +26,10 @@
         :param keep_s: how long the caller may resume the stream, in seconds.
         """
 
-    async def find(self, stream: int, service: str, age_s: float) -> FoundOrigin:
+    async def find(self, stream: int, sought: Sought) -> FoundOrigin:
         """Find what began a stream.
 
-        :param service: service that would go on with the stream.
-        :param age_s: how long ago the stream began at most, in seconds.
+        :param sought: where and when it may have begun if no node keeps its origin.
         """
 
 
@@ -44,9 +43,20 @@
     """Find what began the stream that a caller resumes.
 
     A caller that does not name the attempt which began it may resume any stream of its team, so no
-    record tells: the service must have run a single version for long enough.
+    record tells: the service must have run a single version for long enough, and the route must
+    have no other service.
     """
-    return await origins.find(_key_of(admission), admission.service.name, _keep_s(admission))
+    route = admission.route
+    weighted = [each for each in route.targets if each.weight > 0]
+    if not admission.fields.resumes and len(weighted) > 1:
+        return FoundOrigin(None, OriginSource.UNKNOWN)
+    sought = Sought(
+        admission.service.name,
+        _keep_s(admission),
+        route_key(route.host, route.prefix),
+        targets_digest((each.service, each.weight) for each in route.targets),
+    )
+    return await origins.find(_key_of(admission), sought)
 
 
 def record_origin(origins: OriginPort, admission: Admission, replica: Replica) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -535,8 +535,8 @@
             bound.append(version)
             return Denied("no replica", 0.5)
 
-        async def find(stream, service, age_s):
-            asked.append((stream, service, age_s))
+        async def find(stream, sought):
+            asked.append((stream, sought.service, sought.age_s))
             return FoundOrigin(origin, OriginSource.KEEPER)
 
         route = replace(ROUTE, resumable=True)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -65,6 +65,7 @@
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
+from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.routing import (
     LEGACY_KINDS,
     LEGACY_QUARANTINE_KINDS,
@@ -233,9 +234,13 @@
             "store_updates_ignored", lambda: self.catalog.ignored_updates.total()
         )
         self.replicas = DeclaredReplicas(state, self.now, self.rollouts)
+        self.route_histories = RouteHistories(state, self.now)
         self.versions = VersionHistories(state, self.now, first_start=settings.node.first_start)
         self.origins = OriginFinder(
-            PeerOriginKeepers(self.view, self.versions, self.links, self.presence), self.now
+            PeerOriginKeepers(
+                self.view, self.versions, self.route_histories, self.links, self.presence
+            ),
+            self.now,
         )
         self.metrics.register_gauge("stream_origins_kept", lambda: self.origins.kept_count)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
@@ -617,6 +622,7 @@
         self.rollouts.rebuild()
         self.replicas.rebuild()
         self.versions.catalog_changed()
+        self.route_histories.catalog_changed()
         self.pools.rebuild(state.catalog, state.replicas)
         self.scheduler_host.reconfigure()
         self.grants.report_to_new_owners(self.pools.pools)
--- a/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
@@ -12,9 +12,10 @@
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.peers import MIN_VISIBLE_FLEET_SHARE
+from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.owner import Presence
-from chalkyoke.resumption.messages import OriginMessage, OriginRequest, VersionHistory
+from chalkyoke.resumption.messages import OriginMessage, OriginRequest, Sought, VersionHistory
 
 # Number of groups of streams, each with its own keepers, and the number of nodes that keep the
 # origin of a stream, besides the one that relayed its first event.
@@ -39,6 +40,7 @@
     has links to a limited number of them.
 
     :param histories: version histories of the services.
+    :param routes: histories of the routes.
     :param presence: returns how much of the fleet this node sees.
     """
 
@@ -46,11 +48,13 @@
         self,
         view: MembershipView,
         histories: VersionHistories,
+        routes: RouteHistories,
         links: OriginLinks,
         presence: Callable[[], Presence],
     ) -> None:
         self._view = view
         self._histories = histories
+        self._routes = routes
         self._links = links
         self._presence = presence
         self._generation = -1
@@ -82,12 +86,11 @@
         """Return whether a node is known to be of an older build, which keeps no origins."""
         return self._links.withholds(address, OriginRequest)
 
-    def history(self, service: str, age_s: float) -> VersionHistory:
-        """Return this node's version history of a service.
-
-        :param age_s: how far back the versions are listed, in seconds.
-        """
-        return self._histories.of_service(service, age_s)
+    def history(self, sought: Sought) -> VersionHistory:
+        """Return this node's version history of a service for the time since a stream began."""
+        history = self._histories.of_service(sought.service, sought.age_s)
+        has_moved = self._routes.has_moved(sought.route, sought.targets, sought.age_s)
+        return msgspec.structs.replace(history, has_moved=has_moved)
 
     def sees_fleet(self) -> bool:
         """Return whether this node sees almost all of the fleet."""
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -18,6 +18,7 @@
     OriginAnswer,
     OriginMessage,
     OriginRequest,
+    Sought,
     StreamBegan,
     VersionHistory,
 )
@@ -62,11 +63,8 @@
     def send(self, address: str, message: OriginMessage) -> None:
         """Send a message to a node by its link address."""
 
-    def history(self, service: str, age_s: float) -> VersionHistory:
-        """Return this node's version history of a service.
-
-        :param age_s: how far back the versions are listed, in seconds.
-        """
+    def history(self, sought: Sought) -> VersionHistory:
+        """Return this node's version history of a service for the time since a stream began."""
 
     def is_older(self, address: str) -> bool:
         """Return whether a node is known to be of an older build, which keeps no origins."""
@@ -120,21 +118,20 @@
         for address in self._port.keepers(stream):
             self._port.send(address, message)
 
-    async def find(self, stream: int, service: str, age_s: float) -> FoundOrigin:
+    async def find(self, stream: int, sought: Sought) -> FoundOrigin:
         """Find what began a stream.
 
-        :param service: service that would go on with the stream.
-        :param age_s: how long ago the stream began at most, in seconds.
+        :param sought: where and when it may have begun if no node keeps its origin.
         """
         origin = self._kept.find(stream, self._now())
         if origin is not None:
             return FoundOrigin(origin, OriginSource.KEPT_HERE)
-        search = await self._ask_keepers(stream, service, age_s)
+        search = await self._ask_keepers(stream, sought)
         answers = len(search.histories) + (search.origin is not None)
         if search.origin is not None:
-            self._keep(stream, search.origin, age_s)
+            self._keep(stream, search.origin, sought.age_s)
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        return _found_by_version(service, self._only_version(search, service, age_s), answers)
+        return _found_by_version(sought.service, self._only_version(search, sought), answers)
 
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
@@ -156,7 +153,7 @@
         now = self._now()
         self._kept.put(stream, origin, now + keep_s, now)
 
-    def _only_version(self, search: _Search, service: str, age_s: float) -> str | None:
+    def _only_version(self, search: _Search, sought: Sought) -> str | None:
         """Return the version that must have begun a stream of unknown origin; None if unsure.
 
         A keeper that does not answer may know of another version: this node may be cut off.
@@ -166,10 +163,10 @@
             return None
         if not search.histories and not self._port.sees_fleet():
             return None
-        own = self._port.history(service, age_s)
-        return only_version([own, *search.histories.values()], age_s)
+        histories = [self._port.history(sought), *search.histories.values()]
+        return only_version(histories, sought.age_s)
 
-    async def _ask_keepers(self, stream: int, service: str, age_s: float) -> _Search:
+    async def _ask_keepers(self, stream: int, sought: Sought) -> _Search:
         """Ask all keepers at once; the first one that knows the origin ends the search."""
         keepers = [each for each in self._port.keepers(stream) if not self._port.is_older(each)]
         search = _Search(keepers, asyncio.get_running_loop().create_future())
@@ -178,8 +175,9 @@
         number = next(self._numbers)
         self._searches[number] = search
         try:
+            request = OriginRequest(number, stream, sought.service, sought)
             for address in keepers:
-                self._port.send(address, OriginRequest(number, stream, service, age_s))
+                self._port.send(address, request)
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 await search.ended
         except TimeoutError:
@@ -192,8 +190,8 @@
         origin = self._kept.find(request.stream, self._now())
         if origin is not None:
             return OriginAnswer(request.number, origin)
-        history = self._port.history(request.service, request.age_s)
-        return OriginAnswer(request.number, None, history)
+        sought = request.sought or Sought(request.service)
+        return OriginAnswer(request.number, None, self._port.history(sought))
 
     def _apply_answer(self, address: str, answer: OriginAnswer) -> None:
         search = self._searches.get(answer.number)
--- a/packages/chalkyoke/src/chalkyoke/resumption/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/messages.py
@@ -22,16 +22,33 @@
     version: str
 
 
+class Sought(msgspec.Struct, frozen=True, array_like=True):
+    """Where and when a stream of unknown origin may have begun.
+
+    :param service: service that would go on with the stream.
+    :param age_s: how long ago the stream began at most, in seconds.
+    :param route: key of the route; empty where a node of an older build names none.
+    :param targets: digest of the route's services, as the sender knows them.
+    """
+
+    service: str
+    age_s: float = MAX_AGE_S
+    route: str = ""
+    targets: int = 0
+
+
 class VersionHistory(msgspec.Struct, frozen=True, array_like=True):
     """The software versions of a service's replicas in the recent past, as one node knows them.
 
     :param versions: the versions that had a replica in that time; at least two if there were more
         than one.
     :param covers_s: how far back the node knows them, in seconds.
+    :param has_moved: whether the stream's route may have had other services in that time.
     """
 
     versions: tuple[str, ...] = ()
     covers_s: float = 0.0
+    has_moved: bool = False
 
 
 class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="stream_began"):
@@ -51,13 +68,13 @@
 
     :param number: number of the request, repeated in the answer.
     :param service: service that would go on with the stream.
-    :param age_s: how long ago the stream began at most, in seconds.
+    :param sought: the same service, and more; None from nodes of older builds.
     """
 
     number: int
     stream: int
     service: str
-    age_s: float = MAX_AGE_S
+    sought: Sought | None = None
 
 
 class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_answer"):
--- a/packages/chalkyoke/src/chalkyoke/resumption/origins.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/origins.py
@@ -23,6 +23,20 @@
     return xxhash.xxh64_intdigest(f"{team}|{first_request}".encode()) >> 1
 
 
+def route_key(host: str, prefix: str) -> str:
+    """Return the key of the route of a host and a path prefix."""
+    return host.lower() + prefix
+
+
+def targets_digest(targets: Iterable[tuple[str, float]]) -> int:
+    """Return a digest of the services of a route, below 2**63.
+
+    :param targets: each service with its weight.
+    """
+    text = "|".join(f"{service}={weight!r}" for service, weight in sorted(targets))
+    return xxhash.xxh64_intdigest(text.encode()) >> 1
+
+
 class KeptOrigins:
     """Keep the origins of streams for as long as their callers may resume them."""
 
@@ -67,4 +81,6 @@
     versions = {version for each in known for version in each.versions}
     if len(versions) != 1 or max(each.covers_s for each in known) < age_s:
         return None
+    if any(each.has_moved for each in known):
+        return None
     return versions.pop()
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -2,12 +2,13 @@
 
 import pytest
 from chalkyoke.resumption.finder import ANSWER_TIMEOUT_S, OriginFinder, OriginSource
-from chalkyoke.resumption.messages import Origin, StreamBegan, VersionHistory
+from chalkyoke.resumption.messages import Origin, Sought, StreamBegan, VersionHistory
 
 from tests import virtual
 
 ORIGIN = Origin("model", "v1.1")
 STREAM, KEEP_S = 7, 8.0
+SOUGHT = Sought("model", KEEP_S)
 DELAY_S = 0.002
 
 
@@ -45,7 +46,7 @@
                 DELAY_S, lambda: fleet.nodes[address].receive(sender, message)
             )
 
-    def history(self, service, age_s):
+    def history(self, sought):
         versions, covers_s = self._fleet.histories.get(self._number, ((), 0.0))
         return VersionHistory(versions, covers_s)
 
@@ -63,10 +64,10 @@
         fleet.nodes[2].record_began(STREAM, ORIGIN, KEEP_S)
         await asyncio.sleep(0.1)
         began = asyncio.get_running_loop().time()
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert (found.origin, found.source) == (ORIGIN, OriginSource.KEEPER)
         assert asyncio.get_running_loop().time() - began <= 2 * DELAY_S
-        again = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        again = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert (again.origin, again.source) == (ORIGIN, OriginSource.KEPT_HERE)
 
     virtual.run(main)
@@ -78,7 +79,7 @@
         fleet.nodes[4].record_began(STREAM, ORIGIN, KEEP_S)
         await asyncio.sleep(0.1)
         fleet.silent = {1, 2, 4}
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert found.origin == ORIGIN
 
     virtual.run(main)
@@ -87,7 +88,7 @@
 def test_an_origin_that_nobody_knows_is_unknown_while_versions_differ():
     async def main():
         fleet = Fleet(histories={0: (("v1",), 30.0), 2: (("v1", "v1.1"), 30.0)})
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert (found.origin, found.source) == (None, OriginSource.UNKNOWN)
         assert found.answers == 3
 
@@ -97,7 +98,7 @@
 def test_with_a_single_version_a_restarted_node_resumes_a_stream_by_the_history_of_others():
     async def main():
         fleet = Fleet(histories={0: (("v1",), 1.0), 2: (("v1",), 30.0)})
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert (found.origin, found.source) == (Origin("model", "v1"), OriginSource.ONLY_VERSION)
 
     virtual.run(main)
@@ -112,11 +113,11 @@
         loop = asyncio.get_running_loop()
         for longest in (1.01 * ANSWER_TIMEOUT_S, 0.0):
             began = loop.time()
-            found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+            found = await fleet.nodes[0].find(STREAM, SOUGHT)
             assert found.origin == Origin("model", "v1")
             assert loop.time() - began <= longest
         fleet.nodes[0]._port.sees_all = False
-        assert (await fleet.nodes[0].find(STREAM, "model", KEEP_S)).origin is None
+        assert (await fleet.nodes[0].find(STREAM, SOUGHT)).origin is None
 
     virtual.run(main)
 
@@ -128,7 +129,7 @@
     async def main():
         fleet = Fleet(histories=dict.fromkeys(range(4), (("v1",), 30.0)))
         fleet.silent = silent
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         assert found.source is OriginSource.UNKNOWN
 
     virtual.run(main)
@@ -150,7 +151,7 @@
 
     async def main():
         fleet = Fleet(histories=dict.fromkeys(range(4), (versions, covers_s)))
-        assert (await fleet.nodes[0].find(STREAM, "model", KEEP_S)).origin == origin
+        assert (await fleet.nodes[0].find(STREAM, SOUGHT)).origin == origin
 
     virtual.run(main)
 
@@ -161,10 +162,10 @@
         fleet.nodes[0].record_began(STREAM, ORIGIN, KEEP_S)
         await asyncio.sleep(0.1)
         fleet.keepers = (3,)
-        found = await fleet.nodes[0].find(STREAM, "model", KEEP_S)
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
         fleet.nodes[0].record_began(STREAM, found.origin, KEEP_S)
         await asyncio.sleep(0.1)
-        assert (await fleet.nodes[4].find(STREAM, "model", KEEP_S)).origin == ORIGIN
+        assert (await fleet.nodes[4].find(STREAM, SOUGHT)).origin == ORIGIN
 
     virtual.run(main)
 
@@ -173,12 +174,12 @@
     async def main():
         fleet = Fleet()
         fleet.nodes[1].receive(0, StreamBegan(STREAM, ORIGIN, 0.05))
-        search = asyncio.ensure_future(fleet.nodes[0].find(STREAM, "model", KEEP_S))
+        search = asyncio.ensure_future(fleet.nodes[0].find(STREAM, SOUGHT))
         await asyncio.sleep(0)
         search.cancel()
         await asyncio.sleep(0.1)
         assert search.cancelled() and not fleet.nodes[0]._searches
-        assert (await fleet.nodes[0].find(STREAM, "model", KEEP_S)).origin is None
+        assert (await fleet.nodes[0].find(STREAM, SOUGHT)).origin is None
         fleet.nodes[1].drop_expired()
         assert fleet.nodes[1].kept_count == 0
 
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_origins.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_origins.py
@@ -47,6 +47,7 @@
         ([VersionHistory(("v1",), 30.0), VersionHistory(("v1", "v2"), 2.0)], None),
         ([VersionHistory(("v1",), 30.0), VersionHistory(("v2",), 30.0)], None),
         ([VersionHistory(), VersionHistory(("v1",), 30.0)], "v1"),
+        ([VersionHistory(("v1",), 30.0), VersionHistory((), 2.0, has_moved=True)], None),
         ([VersionHistory()], None),
         ([], None),
     ],
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -11,10 +11,11 @@
 
 import pytest
 from chalkyoke.node.originkeepers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
+from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.owner import Presence
 from chalkyoke.resumption.finder import OriginFinder
-from chalkyoke.resumption.messages import Origin
+from chalkyoke.resumption.messages import Origin, Sought
 
 from tests import virtual
 from tests.memberfleet import INTERVAL_S, Fleet
@@ -49,6 +50,7 @@
         port = PeerOriginKeepers(
             view,
             VersionHistories(None, loop.time),
+            RouteHistories(SimpleNamespace(), loop.time),
             SimpleNamespace(
                 send=lambda address, message: self._send(host, address, message),
                 withholds=lambda address, kind: False,
@@ -107,7 +109,7 @@
             await asyncio.sleep(rng.uniform(0.05, 2.0))
             other = rng.choice(sorted(fleet.finders.keys() - {host}))
             finder = fleet.finders[other]
-            found.append((origin, (await finder.find(number, "model", KEEP_S)).origin))
+            found.append((origin, (await finder.find(number, Sought("model", KEEP_S))).origin))
 
         tasks = [asyncio.ensure_future(each()) for each in (run_membership, kill_hosts)]
         streams = []
