Tests: replicas restart as another version while streams are in progress

Each under its id and at its address, all at once or in turn, with and without a record of a new start, told at once or 0.2 s after they serve.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -230,17 +230,26 @@
     def __post_init__(self) -> None:
         self.slot_use = Slots(self.slots)
 
-    async def start(self, ip: str, port: int = 0, advertised_address: str = "") -> str:
+    async def start(
+        self,
+        ip: str,
+        port: int = 0,
+        advertised_address: str = "",
+        *,
+        is_new_start: bool = True,
+    ) -> str:
         """Start serving and write the replica's record to the store.
 
         :param advertised_address: the address for the record; empty for the listening address.
+        :param is_new_start: whether the record tells that the replica has started again.
         :return: the listening address.
         """
         self._server = await asyncio.get_running_loop().create_server(self._make_protocol, ip, port)
         if self.read_limit_bytes < READ_LIMIT_BYTES:
             listening = self._server.sockets[0]
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.read_limit_bytes)
-        self.born = round(self.now() * 1000) + 1
+        if is_new_start:
+            self.born = round(self.now() * 1000) + 1
         self.listen_address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self.address = advertised_address or self.listen_address
         await self.write_record("ready")
--- a/tests/rejoinedstreams.py
+++ b/tests/rejoinedstreams.py
@@ -27,6 +27,8 @@
 # Time from the first request until the hosts are killed: all streams have begun, none has ended.
 UNTIL_KILL_S = 1.4
 DOWN_S = 0.6
+# Time that a replica takes to restart.
+RESTART_S = 0.1
 # Attempts of one caller, and the time between two of them.
 TRIES = 24
 RETRY_S = 0.15
@@ -154,6 +156,18 @@
     return await asyncio.gather(*callers)
 
 
+class _LateStore:
+    """The interface of the store that replicas use, with a delay before each write."""
+
+    def __init__(self, store, delay_s):
+        self._store = store
+        self._delay_s = delay_s
+
+    async def put(self, key, value):
+        await asyncio.sleep(self._delay_s)
+        await self._store.put(key, value)
+
+
 # Changes while hosts are down.
 
 
@@ -173,20 +187,35 @@
         each.faults.event_s = EVENT_S
 
 
-async def upgrade_in_place(fleet, *, is_new_start=True):
+async def upgrade_in_place(fleet, *, is_new_start=True, down_s=RESTART_S, late_s=0.0):
     """Let all engines restart as another version, each under its id and at its address.
 
     :param is_new_start: whether their records tell that they have restarted.
+    :param down_s: time for which they are down, in seconds.
+    :param late_s: time for which they serve before the store has their records, in seconds.
     """
     for each in fleet.models:
-        ip, _, port = each.listen_address.rpartition(":")
-        born = each.born
         await each.crash()
-        each.version = "v2"
-        await each.start(ip, int(port))
-        if not is_new_start:
-            each.born = born
-            await each.write_record("ready")
+        each.store = _LateStore(each.store, late_s)
+    await asyncio.sleep(down_s)
+    starts = (start_as(each, "v2", is_new_start=is_new_start) for each in fleet.models)
+    await asyncio.gather(*starts)
+
+
+async def upgrade_in_turn(fleet, *, is_new_start=True):
+    """Let each engine restart as the other version, one after the other."""
+    for each in fleet.models:
+        await each.crash()
+        await asyncio.sleep(RESTART_S)
+        await start_as(each, "v1" if each.version == "v2" else "v2", is_new_start=is_new_start)
+        await asyncio.sleep(RESTART_S)
+
+
+async def start_as(replica, version, *, is_new_start):
+    """Start a replica that has ended as another version, under its id and at its address."""
+    ip, _, port = replica.listen_address.rpartition(":")
+    replica.version = version
+    await replica.start(ip, int(port), is_new_start=is_new_start)
 
 
 async def garble_and_replace_version(fleet):
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -14,6 +14,7 @@
 from tests.gatewayfleet import DEADLINE_MS
 from tests.rejoinedstreams import (
     OTHER_SERVICE,
+    UNTIL_KILL_S,
     Play,
     add_other_service,
     break_streams_off,
@@ -28,6 +29,7 @@
     run_play,
     unnamed,
     upgrade_in_place,
+    upgrade_in_turn,
 )
 from tests.streamcallers import name_first_attempt
 
@@ -124,6 +126,33 @@
     assert outcome.went_on >= 0.9 * outcome.resumed, outcome
 
 
+@CALLERS
+@pytest.mark.parametrize("late_s", [0.0, 0.2])
+@pytest.mark.parametrize("is_new_start", [True, False])
+@pytest.mark.parametrize("until_disruption_s", [UNTIL_KILL_S, 0.5])
+def test_streams_in_progress_are_not_joined_when_replicas_restart_as_another_version(
+    until_disruption_s, is_new_start, late_s, resume_headers
+):
+    """Guards against the next send of a stream to a replica that was another version by then.
+
+    The records tell it as soon as the replicas serve, or shortly before their first events.
+    """
+    change = partial(upgrade_in_place, is_new_start=is_new_start, down_s=0.0, late_s=late_s)
+    play = Play(change, resume_headers, until_disruption_s=until_disruption_s)
+    check_nothing_is_joined(run_play(play))
+
+
+@CALLERS
+@pytest.mark.parametrize("is_new_start", [True, False])
+@pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")], ids=["one", "two"])
+def test_streams_in_progress_are_not_joined_when_replicas_change_version_in_turn(
+    versions, is_new_start, resume_headers
+):
+    play = Play(partial(upgrade_in_turn, is_new_start=is_new_start), resume_headers)
+    play.fleet = {"versions": versions}
+    assert not run_play(play).joined
+
+
 MODEL, OTHER = ("model", 1), (OTHER_SERVICE, 1)
 
 
