A record of another version under the same start is that of a later start

Cause: a start is known by its id and `born`. A change of the version alone was an update of the same start, so the sends to it went on, and events of the new version were taken for the old one's. Read in the code, not seen in a fleet: between grant and send only the start's id was checked, so that a grant for the old version could be used for the new one.

Now such a record ends the earlier start, as one with a new `born` does: its sends end as reset, before the first event where the record comes in time, and idle connections are dropped. A grant for another version than the replica's present one is returned unused.

Left: a replica that has written an event before the host hears of the restart.

--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -43,7 +43,10 @@
 
 
 class Restart(msgspec.Struct, frozen=True):
-    """A replica start whose record was replaced by that of a later start."""
+    """A replica start whose record was replaced by that of a later start.
+
+    Both have the same id if the records tell the later start by its software version only.
+    """
 
     ended: Replica
     later: Replica
@@ -202,7 +205,11 @@
     def _put_replica(self, before: Item | None, replica: Replica) -> bool:
         self._remove_earlier_start(before, replica)
         replica = self._with_leaving(replica)
-        changed = self.replicas.get(replica.id) != replica
+        known = self.replicas.get(replica.id)
+        if known is not None and known.version != replica.version:
+            # Software changes its version only when it starts.
+            self._restarted.append(Restart(known, replica))
+        changed = known != replica
         self.replicas[replica.id] = replica
         self.removed_replicas.pop(replica.id, None)
         return changed
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_state.py
@@ -209,6 +209,21 @@
     assert state.pop_restarted() == []
 
 
+def test_another_version_under_the_same_start_id_is_a_later_start():
+    """Guards against sends in progress that went on at a version which had not begun them."""
+    state = CatalogState(
+        read_catalog,
+        lambda item: Ok(
+            Replica(item.key, "s", "10.0.0.1", 80, "z", 4, version=item.value.decode())
+        ),
+    )
+    for revision, version in enumerate((b"v1", b"v1", b"v2"), start=1):
+        assert state.pop_restarted() == []
+        state.apply_replica_changes([Item("m", version, revision)], revision, 0.0)
+    (restart,) = state.pop_restarted()
+    assert (restart.ended.version, restart.later.version) == ("v1", "v2")
+
+
 def test_late_updates_of_an_earlier_start_never_replace_the_later_one():
     state, behind = make_state_of_starts(b"1", b"2"), make_state_of_starts(b"1")
     state.apply_replicas_delta(ReplicasDelta(0, 1, (Item("m", b"1", 1),), (), 0.1), 0.0)
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -239,7 +239,8 @@
         """
         parts, replica = self._parts, granted.replica
         may_be_on_trial = granted.for_trial or granted.is_version_bound
-        if parts.replicas.find(replica.id, for_trial=may_be_on_trial) is None:
+        found = parts.replicas.find(replica.id, for_trial=may_be_on_trial)
+        if found is None or found.version != replica.version:
             return False
         if parts.balancer.rest_left_s((replica,), parts.now()) > 0:
             return False
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -489,6 +489,32 @@
     virtual.run(main)
 
 
+def test_a_replica_that_restarts_as_another_version_between_grant_and_send_gets_no_request():
+    """Guards against a stream that goes on at a version which the grant was not for."""
+
+    async def main():
+        given_back = []
+        grants = iter([Granted(REPLICA, 1, Source.LOCAL), Denied("no replica", 0.5)])
+
+        async def acquire(*_, **__):
+            return next(grants)
+
+        async def connect(*_, **__):
+            later = SimpleNamespace(**{**vars(REPLICA), "version": "v2"})
+            exchange._parts.replicas = SimpleNamespace(find=lambda *_, **__: later)
+            return SilentConnection()
+
+        exchange, _, response = exchange_with(acquire)
+        exchange._parts.connections = SimpleNamespace(
+            connect=connect, release=lambda *where: given_back.append(where)
+        )
+        await exchange.run()
+        assert response.status == 503
+        assert len(given_back) == 1
+
+    virtual.run(main)
+
+
 def test_the_duration_for_a_rollout_excludes_the_work_of_the_components_told_of_the_end():
     """Guards against a good version that looks slow as its scheduler runs at the node as well."""
     clock, took = [1.0], []
