A request that offers another protocol is read whole, and so is what follows it

Seen by callers that send "Connection: Upgrade" and "Upgrade: h2c" (Java's HTTP client does by default): the first request of a connection was answered, whatever followed got nothing until its deadline. Beside that, a body of such a request was dropped: its handler got the request with an empty body.

Cause: httptools ends a request that makes an offer with its head, whatever its length, and raises HttpParserUpgrade there. The connection queued the request at that point and read no more.

Ruled out: feeding the same parser what follows. It takes a body for the next request ("Invalid method encountered"), because it has skipped the body.

Now the head is read once more without its offer (RFC 9110, section 7.8), by a new parser that then gets the body and all that follows. CONNECT is refused by its method: with a target such as /a it reached a handler before, and a length that it declared was ignored.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -19,6 +19,7 @@
     connection_options,
     encode_refusal,
 )
+from chalkyoke.http1.offers import encode_without_offer
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
@@ -78,7 +79,6 @@
         self._flushing = False
         self._timer: asyncio.TimerHandle | None = None
         self._ignores_input = False
-        self._last_request_read = False
         self._reading_paused = False
         self._writing_paused = False
         self._keep_alive = True
@@ -147,9 +147,9 @@
             self._handler.caller_can_read(True)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; after a refusal or the last request they are ignored."""
+        """Parse received bytes; after a refusal they are ignored."""
         left = memoryview(data)
-        while left and not self._ignores_input and not self._last_request_read:
+        while left and not self._ignores_input:
             size = BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
             self._receive_piece(left[:size])
             left = left[size:]
@@ -164,15 +164,43 @@
             self._set_timer(self._limits().header_timeout_s)
         self._unparsed_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._last_request_read = True
+            self._feed_parser(data)
         except httptools.HttpParserError:
             self._refuse(400)
             return
         if self._unparsed_bytes > self._limits().header_bytes:
             self._refuse(431)
 
+    def _feed_parser(self, data: memoryview) -> None:
+        """Feed the parser, and read requests that offer another protocol without their offer.
+
+        :raises httptools.HttpParserError: if the bytes are no request.
+        """
+        while data and not self._ignores_input:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                # The parser has stopped at the end of the head.
+                (head_end,) = offer.args
+                data = data[head_end:]
+            if not self._ignores_input:
+                self._read_without_offer()
+
+    def _read_without_offer(self) -> None:
+        """Read the head of a request once more, without its offer of another protocol."""
+        offering, incoming = self._parser, self._incoming
+        head = encode_without_offer(
+            offering.get_method(),
+            bytes(incoming.target),
+            offering.get_http_version(),
+            incoming.headers,
+        )
+        incoming.discard_body()
+        self._reset_message()
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
@@ -219,6 +247,11 @@
         if self._ignores_input:
             # The parser goes on with requests that came together with a refused one.
             return
+        if self._parser.get_method() == b"CONNECT":
+            self._refuse(400)
+            return
+        if self._parser.should_upgrade():
+            return
         self._head_complete = True
         self._unparsed_bytes = 0
         limits, incoming = self._limits(), self._incoming
@@ -254,11 +287,11 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and start it when no other is in progress."""
-        if self._ignores_input:
+        if self._ignores_input or self._parser.should_upgrade():
             return
         incoming = self._incoming
         request = incoming.complete(self._parser.get_method())
-        keep_alive = self._parser.should_keep_alive() and not self._last_request_read
+        keep_alive = self._parser.should_keep_alive()
         if b"close" in connection_options(request.headers):
             keep_alive = False
         self._waiting_requests.append(WaitingRequest(request, keep_alive, incoming.charge))
