An answer to HEAD ends with its head

Seen by callers: a HEAD request, sent on to a replica that states the length of its answer, got 504 after 8.0 s, its deadline; a repeatable one ran at two replicas.

Cause: the parser of answers isn't told the method of the request and waits for as many bytes as the head states. The connection took the answer for whole only with them. If a replica sent a body all the same, it was passed on as a part of the answer.

Now the exchange ends with the head of an answer that can have no body. The length that it states is kept (it is the length of another answer's body, RFC 9110, section 8.6), so that the caller gets that one; it got 0. An answer with status 204 has no length (same section).

The stand-in replica sends no body to HEAD.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -416,12 +416,14 @@
             _bound_unsent(writer)
         size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
         body = f"{self.id} did {name}".encode().rjust(size, b".")
+        sent = b"" if request.method == "HEAD" else body
         if self.faults.unframed:
             _write_head(writer, status, self._headers(name))
-            writer.write(body)
+            writer.write(sent)
             await self._drain(writer)
             return False
-        _write_response(writer, status, self._headers(name), body)
+        _write_head(writer, status, {**self._headers(name), "Content-Length": str(len(body))})
+        writer.write(sent)
         if self.faults.extra_answers > 0:
             self.faults.extra_answers -= 1
             _write_response(writer, 200, self._headers(name), b"an answer that nobody asked for")
--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -213,7 +213,8 @@
         if head is None:
             return
         body = b"".join(self._buffered)
-        whole = AnswerHead(head.status, head.reason, end_to_end_headers(head.headers), len(body))
+        length = len(body) if head.has_body else head.length
+        whole = AnswerHead(head.status, head.reason, end_to_end_headers(head.headers), length)
         self._begin_answer(whole, body, self._clock())
         self._clear_buffer()
         self._delivery.response.finish()
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -21,7 +21,8 @@
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
-BODILESS_STATUSES = frozenset((204, 304))
+NO_CONTENT, NOT_MODIFIED = 204, 304
+BODILESS_STATUSES = frozenset((NO_CONTENT, NOT_MODIFIED))
 # Most bytes that one read takes where memory is limited: with asyncio's 256 KB, a single read could
 # pass on far more for a slow caller than the buffer at which reading pauses.
 MAX_BOUNDED_READ_BYTES = 65_536
@@ -329,9 +330,14 @@
         if match is AnswerMatch.OTHER:
             self._skipping = True
             return
+        has_body = not self._bodiless and status not in BODILESS_STATUSES
         length = self._declared_length(status)
-        self._head = AnswerHead(status, bytes(self._reason), self._headers, length)
+        self._until_close = self._until_close and has_body
+        self._head = AnswerHead(status, bytes(self._reason), self._headers, length, has_body)
         sink.answer_head(self._head)
+        if self._bodiless and self._sink is not None:
+            # The parser does not know that no body follows.
+            self._finish(whole=True)
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the sink."""
@@ -345,8 +351,8 @@
             self._finish(whole=True)
 
     def _declared_length(self, status: int) -> int | None:
-        if self._bodiless or status in BODILESS_STATUSES:
-            return 0
+        if status == NO_CONTENT:
+            return None
         chunked = False
         length: int | None = None
         for name, value in self._headers:
--- a/packages/chalkyoke/src/chalkyoke/http1/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/messages.py
@@ -45,12 +45,15 @@
     """Status line and headers of an answer.
 
     :param length: length of the body in bytes, or ``None`` when the head does not state it.
+    :param has_body: false if the answer ends with its head; then ``length`` is what the body of
+        another answer would have.
     """
 
     status: int
     reason: bytes
     headers: Headers
     length: int | None
+    has_body: bool = True
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
