A connection is not kept after an answer of HTTP/1.0

Seen by callers whose replica answers in HTTP/1.0: the second of two bookings over a node got 502. With a replica that closes its connection, as that version does, it had not run; with one that keeps it, it had run and its answer was lost: the parser refuses any answer that follows one of HTTP/1.0 on the same connection.

Cause: the connection only looked for "Connection: close", which HTTP/1.0 doesn't need for a close. Now an answer of any version but 1.1 is the last one on its connection, with keep-alive as well: agreeing to it is left to the reader (RFC 9112, section 9.3), and chunks in HTTP/1.0 end the connection whatever it says (section 6.1).

rawanswers.py lets a stand-in replica answer with given bytes, which may be cut off, followed by a close, a reset or the next answer.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -18,6 +18,7 @@
 
 from chalkyoke_fakes.latecopies import LateCopies, RepeatingWriter
 from chalkyoke_fakes.metastore import MetaStore
+from chalkyoke_fakes.rawanswers import RawAnswer
 from chalkyoke_fakes.resets import is_reset, reset_connection, wait_for_reset
 from chalkyoke_fakes.slots import Slots
 
@@ -100,6 +101,7 @@
     :ivar endless: answer requests without end; the place of the endless part is a name of
         :data:`ENDLESS_ANSWERS`. Empty: answers end.
     :ivar ignores_fin: only a reset of its connection ends a request early, not its close.
+    :ivar raw_answer: the answer to each request, in place of the replica's own; None for that one.
     """
 
     lose_answers: int = 0
@@ -128,6 +130,7 @@
     time_percent: int = 0
     ignores_fin: bool = False
     endless: str = ""
+    raw_answer: RawAnswer | None = None
 
     @property
     def time_factor(self) -> float:
@@ -379,6 +382,10 @@
         if self.faults.endless:
             await self._answer_endlessly(name, writer)
             return False
+        if self.faults.raw_answer is not None:
+            await asyncio.sleep(self.faults.work_s)
+            body = self.whole_body(name)
+            return await self.faults.raw_answer.write(writer, self._headers(name), body)
         if self.engine:
             return await self._stream_events(name, request, writer)
         return await self._answer(name, request, writer)
@@ -415,7 +422,7 @@
         if self.faults.unread_abort_s:
             _bound_unsent(writer)
         size = int(request.headers.get(ANSWER_BYTES_HEADER, "0"))
-        body = f"{self.id} did {name}".encode().rjust(size, b".")
+        body = self.whole_body(name).rjust(size, b".")
         sent = b"" if request.method == "HEAD" else body
         if self.faults.unframed:
             _write_head(writer, status, self._headers(name))
@@ -429,6 +436,12 @@
             _write_response(writer, 200, self._headers(name), b"an answer that nobody asked for")
         return await self._drain(writer)
 
+    def whole_body(self, name: str) -> bytes:
+        """Return the body of the whole answer to a request with a name and no special headers."""
+        if self.engine:
+            return b"".join(encode_event(number, self.version) for number in range(self.events))
+        return f"{self.id} did {name}".encode()
+
     def _is_crashed_by(self, request: ReceivedRequest) -> bool:
         parts = shared_parts(request)
         return request.body in self.faults.crash_bodies or bool(self.faults.crash_parts & parts)
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -21,6 +21,9 @@
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
+# Connections of earlier versions end with one answer unless both sides agree otherwise, and their
+# chunks need not be understood on the way (RFC 9112, sections 6.1 and 9.3).
+PERSISTENT_VERSION = "1.1"
 NO_CONTENT, NOT_MODIFIED = 204, 304
 BODILESS_STATUSES = frozenset((NO_CONTENT, NOT_MODIFIED))
 # Most bytes that one read takes where memory is limited: with asyncio's 256 KB, a single read could
@@ -393,7 +396,8 @@
 
     def _update_keep_alive(self) -> None:
         options = connection_options(self._headers)
-        if b"close" in options or self._until_close or self._bodiless:
+        persists = self._parser.get_http_version() == PERSISTENT_VERSION
+        if not persists or b"close" in options or self._until_close or self._bodiless:
             self._unusable = True
             self.transport.close()
             return
