An answer in an unknown transfer coding is broken, not passed on as it is

Seen by callers whose replica answers with "Transfer-Encoding: gzip, chunked": a 200 with the compressed bytes, framed as whole and without the header that names the coding, which is for one connection only. So not the replica's body.

Cause: the parser removes the chunks of such an answer and leaves the other coding to its user; the connection never looked at the value of the header. Codings without chunks at the end were broken at the close of the connection, after their head had been accepted and up to 256 KB read.

Now any coding but chunks, once, breaks the exchange at the head, as an answer that is no answer does (502 for a request that may run once, another replica for one that may be repeated). Answers with Content-Encoding were refused before; a test says so now.

--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from chalkyoke.discard import Discard
-from chalkyoke.http1.heads import contains_status_line
+from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 from chalkyoke.http1.sent_ids import SentIds
 from chalkyoke.http1.upload import Upload
@@ -334,6 +334,9 @@
             self._skipping = True
             return
         has_body = not self._bodiless and status not in BODILESS_STATUSES
+        if has_body and has_unknown_coding(self._headers):
+            self._abort_exchange(BreakReason.GARBLED)
+            return
         length = self._declared_length(status)
         self._until_close = self._until_close and has_body
         self._head = AnswerHead(status, bytes(self._reason), self._headers, length, has_body)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_framing.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_framing.py
@@ -43,6 +43,25 @@
     assert connection.reusable and not transport.closed
 
 
+# Guards against a coded body that reaches its caller without the header that names the coding.
+@pytest.mark.parametrize(
+    ("headers", "body"),
+    [
+        ((b"Transfer-Encoding: gzip, chunked",), CHUNKS),
+        ((b"Transfer-Encoding: gzip", CHUNKED), CHUNKS),
+        ((b"Transfer-Encoding: chunked, gzip",), CHUNKS),
+        ((CHUNKED, CHUNKED), CHUNKS),
+        ((b"Transfer-Encoding: gzip",), BODY),
+        ((b"Transfer-Encoding: identity",), BODY),
+        ((b"Transfer-Encoding: ",), CHUNKS),
+    ],
+)
+def test_a_transfer_coding_other_than_chunks_breaks_the_exchange(headers, body):
+    connection, transport, sink = exchange(encode(b"1.1", *headers, body=body))
+    assert (sink.head, sink.ended, sink.broken) == (None, 0, [BreakReason.GARBLED])
+    assert transport.aborted and not connection.reusable
+
+
 @pytest.mark.parametrize(
     "headers",
     [
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -11,6 +11,7 @@
 from tests.gatewayfleet import run_check
 
 PLAIN = ("/book/1", "/find/1")
+REPEATABLE = ("/find/1", "/explain/1")
 
 
 def play(answer, paths, check_answer, rounds=4):
@@ -51,3 +52,22 @@
 
 def test_answers_of_http_1_0_that_end_with_their_connection_are_whole():
     play(RawAnswer(b"HTTP/1.0 200 OK\r\n{fields}\r\n{body}"), PLAIN, check_whole)
+
+
+def check_no_success(path, got, ran, runs):
+    assert got.status == 502, path
+    assert 1 <= runs <= (2 if path in REPEATABLE else 1)
+
+
+# Guards against a coded body that reaches its caller without the header that names the coding.
+@pytest.mark.parametrize("coding", [b"gzip, chunked", b"gzip", b"chunked, gzip", b"identity"])
+def test_answers_in_an_unknown_transfer_coding_are_no_success(coding):
+    head = b"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: %b\r\n\r\n" % coding
+    play(RawAnswer(head + b"{chunk}0\r\n\r\n"), PLAIN, check_no_success)
+
+
+# Guards against a compressed body that is passed on as the replica's own.
+@pytest.mark.parametrize("coding", [b"gzip", b"deflate", b"br"])
+def test_answers_in_a_content_coding_are_no_success(coding):
+    head = b"HTTP/1.1 200 OK\r\n{fields}Content-Encoding: %b\r\n" % coding
+    play(RawAnswer(head + b"Content-Length: {length}\r\n\r\n{body}"), PLAIN, check_no_success)
