A listing of the store that never says it is whole is unavailable

Found by reading, beside the cut answers: after 50 pages, or a page without items, a listing ended as if it were whole although its last page said that more follow. What stood behind it would have counted as gone, replicas and hosts among it.

Now only a page without more ends a listing; after 50 pages the call fails, as it does for a store that is restored in between.

--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -83,10 +83,10 @@
                 return Unavailable("restored between two pages", may_have_been_applied=False)
             at, epoch = at or page.at, _read_epoch(answer)
             items += [_make_item(each) for each in page.items]
-            if not page.more or not page.items:
-                break
-            after = page.items[-1].key
-        return Listing(tuple(items), at, epoch)
+            if not page.more:
+                return Listing(tuple(items), at, epoch)
+            after = page.items[-1].key if page.items else after
+        return Unavailable("a listing without an end", may_have_been_applied=False)
 
     async def watch(
         self, prefix: str, since: int, wait_s: float, answer_s: float
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_store.py
@@ -1,6 +1,6 @@
 import pytest
 from chalkyoke.http1.calls import CallAnswer
-from chalkyoke.platform.store import PlatformStore
+from chalkyoke.platform.store import MAX_PAGES, PlatformStore
 from chalkyoke.storage.messages import (
     Changes,
     Item,
@@ -66,3 +66,14 @@
     whole = call_store(read, answer(PAGE, b"1"), answer(LAST_PAGE, b"1"))
     assert (whole.revision, whole.epoch, len(whole.items)) == (4, 1, 2)
     assert isinstance(call_store(read, answer(PAGE, b"1"), answer(LAST_PAGE, b"2")), Unavailable)
+
+
+# Guards against a listing that lacks what stands behind its last page, as if that were gone.
+def test_a_listing_that_never_says_that_it_is_whole_is_unavailable():
+    empty = b'{"items": [], "at": 4, "more": true}'
+    for page in (PAGE, empty):
+        pages = [answer(page, b"1")] * MAX_PAGES
+        assert isinstance(call_store(lambda store: store.read(""), *pages), Unavailable)
+    pages = [answer(PAGE, b"1")] * (MAX_PAGES - 1)
+    whole = call_store(lambda store: store.read(""), *pages, answer(LAST_PAGE, b"1"))
+    assert isinstance(whole, Listing) and len(whole.items) == MAX_PAGES
