A reset does not end an upstream's answer in the completions front

Seen by callers: an upstream of a plain service answers without a length, as it may, and its connection is reset in the body or right behind the head. The caller got a 200 with the short or empty body, framed as whole.

Cause: aiohttp ends a body that lasts until the end of its connection at connection_lost, whatever the error. Its parser is told of an end of file.

Ruled out: cuts in the head, in the digits of a length, in a chunk or in the trailers, by a close or a reset.

Now the protocol of the connection sets an error on a body that has not ended, before the parser is told. A close without an error still ends such a body. The protocol and the connector move to callsessions.py, so that other calls can use them.

--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -0,0 +1,50 @@
+"""
+chalkyoke.callsessions
+
+Connections of the HTTP client library for calls whose answers name no call. Each call has a
+connection of its own, and an answer is whole only if its upstream has ended it.
+"""
+
+import functools
+import socket
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from chalkyoke.http1.heads import contains_status_line
+
+
+class CallHandler(ResponseHandler):
+    """The protocol of a connection that carries one call.
+
+    An answer whose head was joined from two ends the connection and the call.
+    """
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Receive the head of an answer."""
+        head = data[0]
+        if contains_status_line(head.reason.encode(), list(head.raw_headers)):
+            self.set_exception(aiohttp.ClientPayloadError("the head of two answers"))
+            return
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the call; a reset does not end a body that ends with its connection."""
+        body = self._payload
+        if exc is not None and body is not None and not body.is_eof():
+            set_exception(body, aiohttp.ClientPayloadError(f"the answer broke off: {exc}"), exc)
+        super().connection_lost(exc)
+
+
+class CallConnector(aiohttp.TCPConnector):
+    """Opens a connection for each call.
+
+    :param handler: the protocol of the connections.
+    """
+
+    def __init__(self, handler: type[ResponseHandler] = CallHandler) -> None:
+        super().__init__(limit=0, force_close=True, use_dns_cache=False, family=socket.AF_INET)
+        self._factory = functools.partial(handler, loop=self._loop)
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -8,19 +8,14 @@
 comes late or once more reaches no other call.
 """
 
-import functools
-import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
-from aiohttp.streams import StreamReader
 
+from chalkyoke.callsessions import CallConnector, CallHandler
 from chalkyoke.exceptions import ChalkyokeError
-from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.retry_after import parse_retry_after
 from chalkyoke.scheduling.messages import CacheEvent, LoadReport
 from chalkyoke.sockets import reset_when_closed
@@ -67,23 +62,13 @@
     return trace
 
 
-class _UpstreamHandler(ResponseHandler):
+class _UpstreamHandler(CallHandler):
     """The protocol of a connection that is reset, and not closed, when it is given up.
 
     A plain close would first deliver the rest of a request that nobody waits for any more. If the
     reset is lost, the upstream still hears of the cancellation by a call of its own.
-
-    An answer whose head was joined from two ends the connection and the call.
     """
 
-    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Receive the head of an answer."""
-        head = data[0]
-        if contains_status_line(head.reason.encode(), list(head.raw_headers)):
-            self.set_exception(aiohttp.ClientPayloadError("the head of two answers"))
-            return
-        super().feed_data(data, size)
-
     def close(self) -> None:
         """Reset the connection and drop unsent data."""
         transport = self.transport
@@ -93,23 +78,13 @@
         super().close()
 
 
-class _UpstreamConnector(aiohttp.TCPConnector):
-    """Opens a connection for each call, which is reset when it is given up."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, force_close=True, use_dns_cache=False, family=socket.AF_INET)
-        handler: type[ResponseHandler] = _UpstreamHandler
-        self._factory = functools.partial(handler, loop=self._loop)
-
-
 def make_session() -> aiohttp.ClientSession:
     """Create the HTTP session for upstreams, with dispatch gates and without a total timeout.
 
     :rtype: aiohttp.ClientSession
     """
-    connector = _UpstreamConnector()
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=CallConnector(_UpstreamHandler),
         trace_configs=[dispatch_trace()],
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
@@ -0,0 +1,47 @@
+"""An upstream that answers with given bytes, then closes or resets the connection."""
+
+import asyncio
+import contextlib
+import re
+
+from chalkyoke.sockets import reset_when_closed
+
+# Time between an answer and the end of its connection, in seconds: its reader has read the answer.
+END_DELAY_S = 0.002
+
+
+class CuttingUpstream:
+    """Answers each request with the bytes that stand for its path, in order, the last ones again.
+
+    :ivar answers: lists of answers by path.
+    :ivar requests: heads of the received requests.
+    :ivar resets: whether connections are reset after an answer, and not closed.
+    """
+
+    def __init__(self):
+        self.answers = {}
+        self.requests = []
+        self.resets = False
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"(?i)content-length: (\d+)", head)
+            await reader.readexactly(int(length[1]) if length else 0)
+            self.requests.append(head)
+            answers = self.answers.get(head.split(b" ")[1].decode(), [b""])
+            writer.write(answers.pop(0) if len(answers) > 1 else answers[0])
+            await writer.drain()
+            await asyncio.sleep(END_DELAY_S)
+            if self.resets and not writer.transport.is_closing():
+                reset_when_closed(writer.transport)
+                writer.transport.abort()
+        writer.close()
