A reset does not end an answer of the key-value service

Seen by nodes of the completions front, whose service answers without a length and whose connection is reset: a value of the configuration was read empty or in part, a write counted as done or refused by an answer that had broken off.

Cause: the same as for upstreams, in another session of aiohttp. It now opens its connections with callsessions.py too; joined heads are refused with that.

A close may still end a value without a length early: what decodes it notices that.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -6,7 +6,7 @@
 """
 
 import functools
-import socket
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -43,8 +43,9 @@
     """Opens a connection for each call.
 
     :param handler: the protocol of the connections.
+    :param options: those of :class:`aiohttp.TCPConnector`.
     """
 
-    def __init__(self, handler: type[ResponseHandler] = CallHandler) -> None:
-        super().__init__(limit=0, force_close=True, use_dns_cache=False, family=socket.AF_INET)
+    def __init__(self, handler: type[ResponseHandler] = CallHandler, **options: Any) -> None:
+        super().__init__(force_close=True, **options)
         self._factory = functools.partial(handler, loop=self._loop)
--- a/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
@@ -20,6 +20,7 @@
 )
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.callsessions import CallConnector
 from chalkyoke.configuration.publisher import (
     AnswerLost,
     Found,
@@ -54,7 +55,7 @@
 
     :rtype: aiohttp.ClientSession
     """
-    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+    return aiohttp.ClientSession(connector=CallConnector())
 
 
 class StoreClient:
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -8,6 +8,7 @@
 comes late or once more reaches no other call.
 """
 
+import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 
@@ -83,8 +84,9 @@
 
     :rtype: aiohttp.ClientSession
     """
+    connector = CallConnector(_UpstreamHandler, limit=0, use_dns_cache=False, family=socket.AF_INET)
     return aiohttp.ClientSession(
-        connector=CallConnector(_UpstreamHandler),
+        connector=connector,
         trace_configs=[dispatch_trace()],
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
@@ -22,6 +22,7 @@
         self.answers = {}
         self.requests = []
         self.resets = False
+        self._serving = set()
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -30,8 +31,18 @@
 
     async def __aexit__(self, *_):
         self._server.close()
+        await asyncio.gather(*self._serving)
 
     async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        try:
+            await self._answer(reader, writer)
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             head = await reader.readuntil(b"\r\n\r\n")
             length = re.search(rb"(?i)content-length: (\d+)", head)
@@ -44,4 +55,3 @@
             if self.resets and not writer.transport.is_closing():
                 reset_when_closed(writer.transport)
                 writer.transport.abort()
-        writer.close()
