A chunk of the configuration is checked before it counts as read

Seen by nodes of the completions front: a chunk whose answer has no length and is ended early by a close was rejected with its root, and the root's version counted as seen. The node kept its old configuration, or none, until the next version or a peer with this one. An operator's change beside such a chunk ended in an error (ValueError).

Cause: a node fetched the chunks without a look at their hashes, and recorded the version of the root although it was rejected. The publisher decoded what it had read.

Now a chunk that doesn't match its hash counts as not read: the node reads the root and its chunks again, and a change isn't made (not reached).

A root that is cut was read again before as well.

--- a/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
@@ -305,7 +305,7 @@
     chunks: dict[str, bytes] = {}
     for digest in root.chunks.values():
         found = yield from _read_value(CHUNK_PREFIX + digest)
-        if found is None or found.value is None:
+        if found is None or found.value is None or chunk_hash(found.value) != digest:
             return None
         chunks[digest] = found.value
     return merge_chunks(chunks)
--- a/packages/chalkyoke/src/chalkyoke/node/configuration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/configuration.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.configuration.chunks import chunk_hash
 from chalkyoke.configuration.messages import (
     HostsAnswer,
     HostsRequest,
@@ -178,6 +179,10 @@
             found = await self._store.get(CHUNK_PREFIX + digest)
             if not isinstance(found, Found) or found.value is None:
                 return None
+            if chunk_hash(found.value) != digest:
+                self._metrics.count("chunk_unreadable")
+                log.warning("chunk {} in the store does not match its hash", digest)
+                return None
             chunks[digest] = found.value
         return chunks
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -150,6 +150,18 @@
     assert len(store.roots) == 1
 
 
+# Guards against a change that is made to a part of the configuration, or that fails with an error.
+@pytest.mark.parametrize("cut", [0, 1, -1])
+def test_a_chunk_that_is_read_in_part_leads_to_no_change(cut):
+    store = seeded()
+    for key, found in list(store.values.items()):
+        if key != ROOT_KEY:
+            store.values[key] = Found(found.value[:cut], found.version)
+    outcome = run_publisher(publish_change(Change("c", "op", None, team("b")), 0), store)
+    assert outcome == NotReached()
+    assert len(store.roots) == 1
+
+
 def test_an_invalid_change_names_its_field():
     store = seeded()
     specs = read_document({"team": [{"name": "b", "tiers": ["nowhere"]}]}).unwrap()
