A switch to another protocol is no answer in the completions front

Seen by callers whose upstream answers with 101: they got that status as the complete answer, with an empty body. What follows on such a connection is in a protocol that nobody has asked for.

Cause: aiohttp skips interim answers but 101, and the client took each status below 500 for an answer. Now 101, and statuses below 100, end the call without an answer.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -16,18 +16,22 @@
 
 from chalkyoke.http1.heads import contains_status_line
 
+# A status that is no answer, as no call asks for another protocol; other interim ones are skipped.
+SWITCHING_PROTOCOLS = 101
+MIN_STATUS = 100
+
 
 class CallHandler(ResponseHandler):
     """The protocol of a connection that carries one call.
 
-    An answer whose head was joined from two ends the connection and the call.
+    A head that is not the head of one answer ends the connection and the call.
     """
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Receive the head of an answer."""
-        head = data[0]
-        if contains_status_line(head.reason.encode(), list(head.raw_headers)):
-            self.set_exception(aiohttp.ClientPayloadError("the head of two answers"))
+        problem = _find_problem(data[0])
+        if problem is not None:
+            self.set_exception(aiohttp.ClientPayloadError(problem))
             return
         super().feed_data(data, size)
 
@@ -49,3 +53,12 @@
     def __init__(self, handler: type[ResponseHandler] = CallHandler, **options: Any) -> None:
         super().__init__(force_close=True, **options)
         self._factory = functools.partial(handler, loop=self._loop)
+
+
+def _find_problem(head: RawResponseMessage) -> str | None:
+    """Return why a head is not the head of one answer; None if it is."""
+    if contains_status_line(head.reason.encode(), list(head.raw_headers)):
+        return "the head of two answers"
+    if head.code == SWITCHING_PROTOCOLS or head.code < MIN_STATUS:
+        return f"status {head.code}"
+    return None
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
@@ -0,0 +1,58 @@
+"""
+chalkyoke.upstreams.tests.test_odd_answers
+
+Answers of upstreams that are no whole answer in the body's own bytes.
+"""
+
+import asyncio
+
+import pytest
+from chalkyoke.upstreams.client import UpstreamClient, make_session
+from chalkyoke.upstreams.messages import NoAnswer, Opened
+
+from .cuttingupstream import CuttingUpstream
+
+OK = b"HTTP/1.1 200 OK\r\n"
+LENGTH = b"Content-Length: 5\r\n"
+CHUNKS = b"\r\n5\r\nhello\r\n0\r\n\r\n"
+
+
+def post(answer):
+    """Post one request, and return its outcome and the head of the request."""
+
+    async def main():
+        async with CuttingUpstream() as upstream, make_session() as session:
+            upstream.answers["/run"] = [answer]
+            client = UpstreamClient(session)
+            outcome = await client.post(upstream.address, "/run", b"b", {}, gate=lambda: True)
+            if isinstance(outcome, Opened):
+                outcome = outcome.response.status, await outcome.response.read()
+            return outcome, upstream.requests[0]
+
+    return asyncio.run(main())
+
+
+# Guards against a switch to a protocol that nobody asked for, relayed as an empty answer.
+@pytest.mark.parametrize("fields", [b"", b"Connection: Upgrade\r\nUpgrade: h2c\r\n", LENGTH])
+def test_a_switch_of_protocols_is_no_answer(fields):
+    outcome, _ = post(b"HTTP/1.1 101 Switching Protocols\r\n" + fields + b"\r\n")
+    assert isinstance(outcome, NoAnswer)
+
+
+@pytest.mark.parametrize("fields", [LENGTH, LENGTH + b"Content-Encoding: identity\r\n"])
+def test_an_answer_without_a_coding_is_whole(fields):
+    assert post(OK + fields + b"\r\nhello")[0] == (200, b"hello")
+
+
+def test_an_answer_in_chunks_is_whole():
+    assert post(OK + b"Transfer-Encoding: Chunked\r\n" + CHUNKS)[0] == (200, b"hello")
+
+
+# Guards against two lengths of one body, of which the shorter one would cut it.
+@pytest.mark.parametrize(
+    "fields",
+    [LENGTH + LENGTH, LENGTH + b"Content-Length: 4\r\n", b"Content-Length: 5, 4\r\n"],
+)
+def test_lengths_that_contradict_each_other_are_no_answer(fields):
+    outcome, _ = post(OK + fields + b"\r\nhello")
+    assert isinstance(outcome, NoAnswer)
