An unknown transfer coding is no answer in the completions front

Seen by callers whose upstream answers with "Transfer-Encoding: gzip, chunked": a 200 with compressed bytes as the body. With "chunked, gzip" or an empty value they got the chunks with their sizes as the body, up to the end of the connection, so a close in it looked like its end.

Cause: aiohttp reads such bodies leniently. Now the check of the gateway's client (has_unknown_coding) ends the call without an answer.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -14,7 +14,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from chalkyoke.http1.heads import contains_status_line
+from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
 
 # A status that is no answer, as no call asks for another protocol; other interim ones are skipped.
 SWITCHING_PROTOCOLS = 101
@@ -61,4 +61,6 @@
         return "the head of two answers"
     if head.code == SWITCHING_PROTOCOLS or head.code < MIN_STATUS:
         return f"status {head.code}"
+    if has_unknown_coding(list(head.raw_headers)):
+        return "an unknown transfer coding"
     return None
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
@@ -39,6 +39,15 @@
     assert isinstance(outcome, NoAnswer)
 
 
+# Guards against coded bytes that a caller gets as the body.
+@pytest.mark.parametrize(
+    "coding", [b"gzip, chunked", b"chunked, gzip", b"gzip", b"identity", b"", b"chunked, chunked"]
+)
+def test_a_transfer_coding_other_than_chunks_is_no_answer(coding):
+    outcome, _ = post(OK + b"Transfer-Encoding: %b\r\n" % coding + CHUNKS)
+    assert isinstance(outcome, NoAnswer)
+
+
 @pytest.mark.parametrize("fields", [LENGTH, LENGTH + b"Content-Encoding: identity\r\n"])
 def test_an_answer_without_a_coding_is_whole(fields):
     assert post(OK + fields + b"\r\nhello")[0] == (200, b"hello")
