A compressed answer is not relayed as a plain one in the completions front

Seen by callers whose upstream compresses its answers: a 200 with the compressed bytes and the content type of the plain ones, and no word of the coding. Streams broke off, as no event was found in them.

Cause: aiohttp offers gzip and deflate to upstreams by itself, its decoding is switched off, and callers get no header of an upstream but the content type.

Now calls ask for no coding, and an answer in one is none that can be relayed: the run fails, as its answer is lost.

--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -36,6 +36,8 @@
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
 REQUEST_ID = "X-Request-Id"
+# The only content coding that is relayed: callers aren't told of others.
+IDENTITY = "identity"
 
 # Returns whether a request may be dispatched now.
 Gate = Callable[[], bool]
@@ -88,6 +90,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[dispatch_trace()],
+        headers={"Accept-Encoding": IDENTITY},
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
     )
@@ -188,7 +191,11 @@
 
     async def _classify_response(self, response: aiohttp.ClientResponse) -> CallOutcome:
         if response.status < 500 and response.status not in (408, 429):
-            return Opened(response)
+            coding = ", ".join(response.headers.getall("Content-Encoding", [IDENTITY]))
+            if coding.strip().lower() == IDENTITY:
+                return Opened(response)
+            response.close()
+            return NoAnswer(f"its body is coded: {coding}"[:200])
         try:
             text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
         except (aiohttp.ClientError, OSError):
--- a/packages/chalkyoke/src/chalkyoke/upstreams/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/messages.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """Bytes may have been sent, but no answer arrived."""
+    """Bytes may have been sent, but no answer arrived that can be relayed."""
 
     detail: str
 
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
@@ -48,6 +48,15 @@
     assert isinstance(outcome, NoAnswer)
 
 
+@pytest.mark.parametrize(
+    "coding", [b"gzip", b"deflate", b"br", b"gzip, identity", b"identity, gzip"]
+)
+def test_a_content_coding_is_no_answer(coding):
+    outcome, request = post(OK + LENGTH + b"Content-Encoding: %b\r\n\r\nhello" % coding)
+    assert isinstance(outcome, NoAnswer)
+    assert b"accept-encoding: identity\r\n" in request.lower()
+
+
 @pytest.mark.parametrize("fields", [LENGTH, LENGTH + b"Content-Encoding: identity\r\n"])
 def test_an_answer_without_a_coding_is_whole(fields):
     assert post(OK + fields + b"\r\nhello")[0] == (200, b"hello")
