An engine's rejection is relayed whole or not at all

Seen by callers whose engine rejects a request (a 4xx) and cuts its answer off, or sends it in pieces: the status came with an empty body, or with the first piece only, framed as whole. Of a longer one they got the first 4,096 bytes.

Cause: the dispatcher made one read of the body, took an error of the read for an empty body, and finished the run in any case.

Now a rejection is read to its end, up to the service's limit, as answers of plain services are. One that breaks off fails the run, as does a larger one.

Ruled out, by the same tests: answers of plain services and streams that are cut in any framing after any byte of the body, by a close or a reset; a stream without a length that is closed between events; a plain answer to a request for a stream.

--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -33,8 +33,7 @@
 
 # Maximum number of times that a broken stream is resumed at its engine.
 MAX_STREAM_RESUMES = 3
-# Size in bytes of the end of an answer that is searched for usage, and of the longest error body
-# that is relayed.
+# Size in bytes of the end of an answer that is searched for usage.
 TAIL_BYTES = 4_096
 
 
@@ -102,7 +101,18 @@
         if not isinstance(outcome, Opened):
             self._fail_unanswered(run, outcome)
             return
-        response = outcome.response
+        await self._relay_whole(
+            run, outcome.response, max_answer_bytes, StreamUsage(output_tokens=1)
+        )
+
+    async def _relay_whole(
+        self,
+        run: Run,
+        response: aiohttp.ClientResponse,
+        max_answer_bytes: int,
+        usage: StreamUsage,
+    ) -> None:
+        """Relay an answer once it has been received up to its end."""
         head = AnswerHead(response.status, response.headers.get("Content-Type", ""))
         try:
             data = await response.content.read(max_answer_bytes + 1)
@@ -121,8 +131,8 @@
             )
             return
         run.start_answer(head)
-        run.append_chunk(data, self._now(), tokens=1)
-        self._recorder.finish(run, StreamUsage(output_tokens=1))
+        run.append_chunk(data, self._now(), tokens=usage.output_tokens)
+        self._recorder.finish(run, usage)
 
     async def _relay_stream(
         self, run: Run, grant: Grant, outcome: CallOutcome, max_answer_bytes: int
@@ -133,7 +143,10 @@
             if not isinstance(outcome, Opened):
                 break
             if outcome.response.status != 200:
-                await self._relay_error(run, outcome.response)
+                # The engine rejects the request.
+                await self._relay_whole(
+                    run, outcome.response, max_answer_bytes, StreamUsage(output_tokens=0)
+                )
                 return
             await self._relay_events(run, outcome.response, splitter, max_answer_bytes)
             if splitter.done:
@@ -189,17 +202,6 @@
             "first_byte", self._now() - run.arrived, tier=run.request.tier
         )
 
-    async def _relay_error(self, run: Run, response: aiohttp.ClientResponse) -> None:
-        """Relay an engine's 4xx response as the complete answer to a request that it rejects."""
-        try:
-            data = await response.content.read(TAIL_BYTES)
-        except (aiohttp.ClientError, OSError):
-            data = b""
-        response.close()
-        run.start_answer(AnswerHead(response.status, response.headers.get("Content-Type", "")))
-        run.append_chunk(data, self._now())
-        self._recorder.finish(run, StreamUsage(output_tokens=0))
-
     def _fail_unanswered(self, run: Run, outcome: CallOutcome) -> None:
         if isinstance(outcome, Declined):
             text = f"the upstream declined with status {outcome.status}: {outcome.detail}"
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
@@ -6,7 +6,8 @@
 
 from chalkyoke.sockets import reset_when_closed
 
-# Time between an answer and the end of its connection, in seconds: its reader has read the answer.
+# Time after a piece of an answer, in seconds: its reader reads it before the next one, or before
+# the end of the connection.
 END_DELAY_S = 0.002
 
 
@@ -15,12 +16,14 @@
 
     :ivar answers: lists of answers by path.
     :ivar requests: heads of the received requests.
+    :ivar piece_bytes: size of the pieces in which an answer is sent; 0 for the whole.
     :ivar resets: whether connections are reset after an answer, and not closed.
     """
 
     def __init__(self):
         self.answers = {}
         self.requests = []
+        self.piece_bytes = 0
         self.resets = False
         self._serving = set()
 
@@ -49,9 +52,12 @@
             await reader.readexactly(int(length[1]) if length else 0)
             self.requests.append(head)
             answers = self.answers.get(head.split(b" ")[1].decode(), [b""])
-            writer.write(answers.pop(0) if len(answers) > 1 else answers[0])
-            await writer.drain()
-            await asyncio.sleep(END_DELAY_S)
+            data = answers.pop(0) if len(answers) > 1 else answers[0]
+            size = self.piece_bytes or max(1, len(data))
+            for start in range(0, len(data), size):
+                writer.write(data[start : start + size])
+                await writer.drain()
+                await asyncio.sleep(END_DELAY_S)
             if self.resets and not writer.transport.is_closing():
                 reset_when_closed(writer.transport)
                 writer.transport.abort()
