What an engine says of a stream's rest is no part of the stream

Seen by callers of the completions front: an engine cuts a stream off, as when it is stopped in its head or between events, and answers with 404 (or another status below 500, but 200) when it is asked for the rest. The caller got the events so far, then the text of that 404, and the proper end: a short stream framed as whole. If no event had come, it got the 404 as its answer, though the request had been sent and may have run.

Cause: the dispatcher took every status but 200 for the engine's rejection of the request, also where it was the answer to a resume. The stand-in engine says 503, which was handled, so no test had seen it. An engine without a path to resume streams says 404.

Now a resume is only opened by a 200. Anything else declines it, as 503 did: the run ends cut short, and a stream ends with its error event.

--- a/packages/chalkyoke/src/chalkyoke/entry/tests/test_cut_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/tests/test_cut_answers.py
@@ -22,7 +22,7 @@
 from chalkyoke.upstreams.client import UpstreamClient, make_session
 from chalkyoke.upstreams.tests.cuttingupstream import CuttingUpstream
 
-PATH = "/run"
+PATH, RESUME = "/run", "resume"
 MAX_ANSWER_BYTES = 20_000
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
 REJECTED = b"HTTP/1.1 422 Unprocessable Content\r\nContent-Type: text/plain\r\n"
@@ -66,14 +66,16 @@
             acquirer, recorder, configuration, UpstreamClient(session), events, Metrics(), now
         )
 
-    async def run(self, protocol, answer):
+    async def run(self, protocol, answer, resumed=b""):
         """Run a request to its end.
 
         :param protocol: of the service, ``plain`` or ``completions``.
         :param answer: the bytes that the upstream sends.
+        :param resumed: the bytes that it sends each time the stream is resumed.
         """
         self._service.protocol = protocol
         self.upstream.answers[PATH] = [answer]
+        self.upstream.answers[RESUME] = [resumed]
         request = CallerRequest(
             service="s",
             team="t",
@@ -192,3 +194,33 @@
         check_whole(await entry.run("plain", in_chunks(OK, EVENTS)), 200, EVENTS)
 
     run_entry(check)
+
+
+# Guards against a stream that looks complete since the engine, asked for the rest of it, answers
+# that it knows no such request or no such path.
+@framings
+@pytest.mark.parametrize("events", [0, 1])
+@pytest.mark.parametrize("status", [204, 302, 400, 404, 405, 410])
+def test_a_stream_whose_rest_the_engine_does_not_have_is_not_complete(status, events, frame):
+    first = EVENTS[: EVENTS.index(b"data: [DONE]")] if events else b""
+    refused = frame(b"HTTP/1.1 %d Reason\r\nContent-Type: text/plain\r\n" % status, b"none")
+
+    async def check(entry):
+        run = await entry.run("completions", until_close(OK, first), refused)
+        check_failed(run)
+        assert b"".join(run.chunks) == first
+        assert run.head is None or run.head.status == 200
+
+    run_entry(check)
+
+
+@pytest.mark.parametrize("cut", range(len(EVENTS)))
+def test_a_stream_that_is_resumed_is_complete_after_its_last_event(cut):
+    first = EVENTS.index(b"data: [DONE]")
+    left = EVENTS[first:] if cut >= first else EVENTS
+
+    async def check(entry):
+        run = await entry.run("completions", until_close(OK, EVENTS[:cut]), in_chunks(OK, left))
+        check_whole(run, 200, EVENTS)
+
+    run_entry(check)
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -36,6 +36,7 @@
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
 REQUEST_ID = "X-Request-Id"
+OK = 200
 # The only content coding that is relayed: callers aren't told of others.
 IDENTITY = "identity"
 
@@ -151,7 +152,7 @@
         """Resume reading a stream after its connection broke; this is never a dispatch.
 
         :param offset: number of events that were received already.
-        :rtype: CallOutcome
+        :return: an opened answer only if it is the rest of the stream.
         """
         try:
             response = await self._session.get(
@@ -159,6 +160,9 @@
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return NotConnected(_describe_error(error))
+        if response.status != OK:
+            # It says something of the stream, and is no part of it.
+            return await self._decline(response)
         return await self._classify_response(response)
 
     async def cancel(self, address: str, path: str, request: str) -> None:
@@ -181,7 +185,7 @@
             async with self._session.get(
                 f"http://{address}/load", timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S)
             ) as response:
-                if response.status != 200:
+                if response.status != OK:
                     return None
                 body = msgspec.json.decode(await response.read(), type=_LoadBody)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
@@ -196,6 +200,9 @@
                 return Opened(response)
             response.close()
             return NoAnswer(f"its body is coded: {coding}"[:200])
+        return await self._decline(response)
+
+    async def _decline(self, response: aiohttp.ClientResponse) -> Declined:
         try:
             text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
         except (aiohttp.ClientError, OSError):
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/cuttingupstream.py
@@ -14,7 +14,7 @@
 class CuttingUpstream:
     """Answers each request with the bytes that stand for its path, in order, the last ones again.
 
-    :ivar answers: lists of answers by path.
+    :ivar answers: lists of answers by path; ``resume`` stands for all resumed streams.
     :ivar requests: heads of the received requests.
     :ivar piece_bytes: size of the pieces in which an answer is sent; 0 for the whole.
     :ivar resets: whether connections are reset after an answer, and not closed.
@@ -51,7 +51,9 @@
             length = re.search(rb"(?i)content-length: (\d+)", head)
             await reader.readexactly(int(length[1]) if length else 0)
             self.requests.append(head)
-            answers = self.answers.get(head.split(b" ")[1].decode(), [b""])
+            path = head.split(b" ")[1].decode()
+            resumes = path.partition("?")[0].endswith("/events")
+            answers = self.answers.get("resume" if resumes else path, [b""])
             data = answers.pop(0) if len(answers) > 1 else answers[0]
             size = self.piece_bytes or max(1, len(data))
             for start in range(0, len(data), size):
