Calls to an upstream follow no redirect

Seen by an upstream other than the one that was granted: an engine that answers a resume with a redirect had its caller's stream read from wherever that points to, and taken for the rest. Dispatches followed none before.

Cause: aiohttp follows redirects unless told otherwise. Resumes, cancellations and load reports now don't; a resume counts as declined.

--- a/packages/chalkyoke/src/chalkyoke/entry/tests/test_cut_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/tests/test_cut_answers.py
@@ -224,3 +224,16 @@
         check_whole(run, 200, EVENTS)
 
     run_entry(check)
+
+
+# Guards against the rest of a stream that is read from wherever a redirect points to.
+@pytest.mark.parametrize("status", [301, 302, 303, 307, 308])
+def test_a_stream_is_not_resumed_elsewhere(status):
+    async def check(entry):
+        entry.upstream.answers["/other"] = [in_chunks(OK, EVENTS)]
+        moved = b"HTTP/1.1 %d Moved\r\nLocation: /other\r\n" % status
+        run = await entry.run("completions", until_close(OK, b""), with_length(moved, b""))
+        check_failed(run)
+        assert not any(b" /other " in each for each in entry.upstream.requests)
+
+    run_entry(check)
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -156,7 +156,9 @@
         """
         try:
             response = await self._session.get(
-                f"http://{address}{path}/{request}/events", params={"offset": str(offset)}
+                f"http://{address}{path}/{request}/events",
+                params={"offset": str(offset)},
+                allow_redirects=False,
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return NotConnected(_describe_error(error))
@@ -170,6 +172,7 @@
         try:
             async with self._session.delete(
                 f"http://{address}{path}/{request}",
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S),
             ):
                 pass
@@ -183,7 +186,9 @@
         """
         try:
             async with self._session.get(
-                f"http://{address}/load", timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S)
+                f"http://{address}/load",
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S),
             ) as response:
                 if response.status != OK:
                     return None
