HEAD on a route of streams gets the head of its answer

Seen by callers: 502, after a run at one replica, or at two where the stream may be resumed. Cause: the relay awaited events of any success on such a route, and took an answer without one for broken. Now an answer to HEAD is relayed like any other there.

The stand-in engine sends no events to HEAD.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -490,6 +490,8 @@
         event_s = max(usual_s, _asked_work_s(request) / self.events)
         request.work_s = (self.events - first) * event_s
         _write_head(writer, 200, {**head, "Transfer-Encoding": "chunked"} if framed else head)
+        if request.method == "HEAD":
+            return framed
         for number in range(first, self.events):
             await asyncio.sleep(event_s)
             await self._wait_while_silent()
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -302,7 +302,7 @@
             self._fields.request_id,
             parts.now,
             version=granted.replica.version,
-            streams=admission.route.is_stream,
+            streams=admission.route.is_stream and request.method != b"HEAD",
             on_first_event=lambda first_s: self._record_first_event(admission, granted, first_s),
             on_answer_head=lambda status, fields: self._feedback.record_answer_head(
                 granted, status, fields
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -31,3 +31,19 @@
             assert got.headers["x-server-stamp"] == f"{ran.id}.{got.request}"
 
     run_check(check, domains=("a", "b", "c"), replicas=3)
+
+
+# Guards against an answer to HEAD in which events are awaited, and against a second run for it.
+@pytest.mark.parametrize("unframed", [False, True])
+@pytest.mark.parametrize("path", ["/chat/1", "/explain/1"])
+def test_an_answer_to_head_on_a_route_of_streams_has_no_events(path, unframed):
+    async def check(fleet):
+        for replica in fleet.models:
+            replica.faults.unframed = unframed
+        got = await fleet.send_request(0, path, b"", method="HEAD")
+        runs = sum(replica.runs[got.request] for replica in fleet.models)
+        assert (got.status, got.body, runs) == (200, b"", 1)
+        assert got.headers["content-type"] == "text/event-stream"
+        assert "content-length" not in got.headers
+
+    run_check(check, domains=("a", "b", "c"), replicas=3)
