--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from chalkyoke.discard import Discard
-from chalkyoke.http1.heads import contains_status_line
+from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
 from chalkyoke.http1.messages import AnswerHead, Headers, connection_options
 from chalkyoke.http1.sent_ids import SentIds
 from chalkyoke.http1.upload import Upload
@@ -21,7 +21,11 @@
 
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
-BODILESS_STATUSES = frozenset((204, 304))
+# Connections of earlier versions end with one answer unless both sides agree otherwise, and their
+# chunks need not be understood on the way (RFC 9112, sections 6.1 and 9.3).
+PERSISTENT_VERSION = "1.1"
+NO_CONTENT, NOT_MODIFIED = 204, 304
+BODILESS_STATUSES = frozenset((NO_CONTENT, NOT_MODIFIED))
 # Most bytes that one read takes where memory is limited: with asyncio's 256 KB, a single read could
 # pass on far more for a slow caller than the buffer at which reading pauses.
 MAX_BOUNDED_READ_BYTES = 65_536
@@ -337,9 +341,17 @@
         if match is AnswerMatch.OTHER:
             self._skipping = True
             return
+        has_body = not self._bodiless and status not in BODILESS_STATUSES
+        if has_body and has_unknown_coding(self._headers):
+            self._abort_exchange(BreakReason.GARBLED)
+            return
         length = self._declared_length(status)
-        self._head = AnswerHead(status, bytes(self._reason), self._headers, length)
+        self._until_close = self._until_close and has_body
+        self._head = AnswerHead(status, bytes(self._reason), self._headers, length, has_body)
         sink.answer_head(self._head)
+        if self._bodiless and self._sink is not None:
+            # The parser does not know that no body follows.
+            self._finish(whole=True)
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the sink."""
@@ -353,8 +365,8 @@
             self._finish(whole=True)
 
     def _declared_length(self, status: int) -> int | None:
-        if self._bodiless or status in BODILESS_STATUSES:
-            return 0
+        if status == NO_CONTENT:
+            return None
         chunked = False
         length: int | None = None
         for name, value in self._headers:
@@ -395,7 +407,8 @@
 
     def _update_keep_alive(self) -> None:
         options = connection_options(self._headers)
-        if b"close" in options or self._until_close or self._bodiless:
+        persists = self._parser.get_http_version() == PERSISTENT_VERSION
+        if not persists or b"close" in options or self._until_close or self._bodiless:
             self._unusable = True
             self.transport.close()
             return
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -8,19 +8,15 @@
 comes late or once more reaches no other call.
 """
 
-import functools
 import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
-from aiohttp.streams import StreamReader
 
+from chalkyoke.callsessions import CallConnector, CallHandler
 from chalkyoke.exceptions import ChalkyokeError
-from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.retry_after import parse_retry_after
 from chalkyoke.scheduling.messages import CacheEvent, LoadReport
 from chalkyoke.sockets import reset_when_closed
@@ -40,6 +36,9 @@
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
 REQUEST_ID = "X-Request-Id"
+OK = 200
+# The only content coding that is relayed: callers aren't told of others.
+IDENTITY = "identity"
 
 # Returns whether a request may be dispatched now.
 Gate = Callable[[], bool]
@@ -67,23 +66,13 @@
     return trace
 
 
-class _UpstreamHandler(ResponseHandler):
+class _UpstreamHandler(CallHandler):
     """The protocol of a connection that is reset, and not closed, when it is given up.
 
     A plain close would first deliver the rest of a request that nobody waits for any more. If the
     reset is lost, the upstream still hears of the cancellation by a call of its own.
-
-    An answer whose head was joined from two ends the connection and the call.
     """
 
-    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Receive the head of an answer."""
-        head = data[0]
-        if contains_status_line(head.reason.encode(), list(head.raw_headers)):
-            self.set_exception(aiohttp.ClientPayloadError("the head of two answers"))
-            return
-        super().feed_data(data, size)
-
     def close(self) -> None:
         """Reset the connection and drop unsent data."""
         transport = self.transport
@@ -93,24 +82,16 @@
         super().close()
 
 
-class _UpstreamConnector(aiohttp.TCPConnector):
-    """Opens a connection for each call, which is reset when it is given up."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, force_close=True, use_dns_cache=False, family=socket.AF_INET)
-        handler: type[ResponseHandler] = _UpstreamHandler
-        self._factory = functools.partial(handler, loop=self._loop)
-
-
 def make_session() -> aiohttp.ClientSession:
     """Create the HTTP session for upstreams, with dispatch gates and without a total timeout.
 
     :rtype: aiohttp.ClientSession
     """
-    connector = _UpstreamConnector()
+    connector = CallConnector(_UpstreamHandler, limit=0, use_dns_cache=False, family=socket.AF_INET)
     return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[dispatch_trace()],
+        headers={"Accept-Encoding": IDENTITY},
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
     )
@@ -171,14 +152,19 @@
         """Resume reading a stream after its connection broke; this is never a dispatch.
 
         :param offset: number of events that were received already.
-        :rtype: CallOutcome
+        :return: an opened answer only if it is the rest of the stream.
         """
         try:
             response = await self._session.get(
-                f"http://{address}{path}/{request}/events", params={"offset": str(offset)}
+                f"http://{address}{path}/{request}/events",
+                params={"offset": str(offset)},
+                allow_redirects=False,
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return NotConnected(_describe_error(error))
+        if response.status != OK:
+            # It says something of the stream, and is no part of it.
+            return await self._decline(response)
         return await self._classify_response(response)
 
     async def cancel(self, address: str, path: str, request: str) -> None:
@@ -186,6 +172,7 @@
         try:
             async with self._session.delete(
                 f"http://{address}{path}/{request}",
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S),
             ):
                 pass
@@ -199,9 +186,11 @@
         """
         try:
             async with self._session.get(
-                f"http://{address}/load", timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S)
+                f"http://{address}/load",
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=SHORT_CALL_TIMEOUT_S),
             ) as response:
-                if response.status != 200:
+                if response.status != OK:
                     return None
                 body = msgspec.json.decode(await response.read(), type=_LoadBody)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
@@ -211,7 +200,14 @@
 
     async def _classify_response(self, response: aiohttp.ClientResponse) -> CallOutcome:
         if response.status < 500 and response.status not in (408, 429):
-            return Opened(response)
+            coding = ", ".join(response.headers.getall("Content-Encoding", [IDENTITY]))
+            if coding.strip().lower() == IDENTITY:
+                return Opened(response)
+            response.close()
+            return NoAnswer(f"its body is coded: {coding}"[:200])
+        return await self._decline(response)
+
+    async def _decline(self, response: aiohttp.ClientResponse) -> Declined:
         try:
             text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
         except (aiohttp.ClientError, OSError):
