--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -126,7 +126,15 @@
     @property
     def place(self) -> str:
         """The place of the replica."""
-        return self.replica.partition("+")[0].rsplit("-", 1)[0]
+        return place_of(self.replica)
+
+
+def place_of(replica: str) -> str:
+    """Return the place of a replica, which later starts at the same address share.
+
+    :param replica: id of the replica.
+    """
+    return replica.partition("+")[0].rsplit("-", 1)[0]
 
 
 @dataclass(frozen=True, slots=True)
