--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/dispatched.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/dispatched.py
@@ -37,8 +37,6 @@
 MAX_OVERLAP_S = 0.4
 # Faults of a node that end its requests. A link fault or one of the store does not.
 NODE_ENDS = frozenset({Fault.NODE_KILL, Fault.NODE_FREEZE, Fault.ALL_KILL})
-# Faults in which replicas exit or break off answers, whichever replica that is.
-SHARED_ENDS = frozenset({Fault.CRASHING_REQUEST, Fault.CRASHING_PART, Fault.STREAMS_BREAK})
 # Faults in which a replica does not hear of the end of a send at once.
 HINDRANCES = frozenset(
     {Fault.NODE_FREEZE, Fault.REPLICA_SILENT, Fault.REPLICA_RESET, Fault.REPLICA_DEAD}
@@ -152,7 +150,10 @@
         return True
     faults = _faults_of(attempt.node, replicas, attempt.began, attempt.ended, observations)
     for each in faults:
-        if each.fault != Fault.NODE_STOP or attempt.ended - each.began > STOP_LIMIT_S:
+        if each.fault == Fault.STREAMS_BREAK:
+            if attempt.kind.streams:
+                return True
+        elif each.fault != Fault.NODE_STOP or attempt.ended - each.began > STOP_LIMIT_S:
             return True
     return False
 
@@ -181,5 +182,5 @@
             continue
         is_own = each.target == node and each.fault in NODE_ENDS | {Fault.NODE_STOP}
         is_replica = each.target in places and each.fault.startswith("replica_")
-        if is_own or is_replica or each.fault in SHARED_ENDS:
+        if is_own or is_replica or each.fault == Fault.STREAMS_BREAK:
             yield each
