--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -126,7 +126,15 @@
     @property
     def place(self) -> str:
         """The place of the replica."""
-        return self.replica.partition("+")[0].rsplit("-", 1)[0]
+        return place_of(self.replica)
+
+
+def place_of(replica: str) -> str:
+    """Return the place of a replica, which later starts at the same address share.
+
+    :param replica: id of the replica.
+    """
+    return replica.partition("+")[0].rsplit("-", 1)[0]
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +245,7 @@
     :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
         changed it.
     :ivar route_moves: when routes moved to other services.
+    :ivar halts: when the stand-ins themselves were not run by their machine, as begin and end.
     :ivar decisions: the nodes' decisions on each request, in order.
     """
 
@@ -260,3 +269,4 @@
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
     decisions: dict[str, list[Decision]] = field(default_factory=dict)
+    halts: list[tuple[float, float]] = field(default_factory=list)
