A starting node asks the first peer that it hears for the catalog

A node whose store holds a configuration that it can't read has to get the one in force from a peer. Its first request was held back for 0.3 s after its start, as if it had just sent one; the first full heartbeats of its peers come before that (0.25 s in virtual time), and the next ones a second later.

The test failed before: no request was sent.

--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -104,7 +104,7 @@
         self._now = now
         self.ignored_updates: Counter[str] = Counter()
         self._node_registrations: dict[str, bytes] = {}
-        self._requested_at = 0.0
+        self._requested_at = -REQUEST_INTERVAL_S
         self._lagging_since = 0.0
         self._follower = StoreFollower(store, timeouts, self, self._watch_role, now)
 
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
@@ -3,11 +3,13 @@
 
 from chalkyoke.catalog.follower import WatchTimeouts
 from chalkyoke.catalog.keeper import CatalogSynchronizer, StoreKeys
+from chalkyoke.catalog.messages import CatalogRequest
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.membership.messages import Heartbeat, MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
+from msgspec import structs
 from result import Ok
 
 from tests import virtual
@@ -113,6 +115,20 @@
     run(check)
 
 
+# Guards against a starting node that drops the first heartbeats of its peers: the next full ones
+# come a second later, and a node that can't read the store's configuration serves no earlier.
+def test_a_starting_node_asks_the_first_peer_that_it_hears():
+    async def main():
+        synchronizer = make_synchronizer(CountingStore())
+        sent = []
+        synchronizer._links.send = lambda address, message: sent.append((address, message))
+        await asyncio.sleep(0.05)
+        synchronizer.receive_heartbeat("n2:1", structs.replace(record("n2"), revision=4))
+        assert sent == [("n2:1", CatalogRequest(0, 0))]
+
+    virtual.run(main)
+
+
 def test_changes_in_the_first_second_arrive_with_the_first_watch():
     async def check(store, synchronizer):
         await asyncio.sleep(0.3)
