An odd entry in the store is an error of its reader and ends no node

Another writer's configuration that was nested 100,000 deep, as a whole or in a field that nobody reads, ended all nodes, and again at each start; so did an order or a status of a roll-out (RecursionError), a route of an unknown kind (ValueError), and a version of 2**64 or more, which was accepted and could not be told to peers (OverflowError in the codec). A store's answer with a value that is no base64 raised as well.

Cause: each reader lists the exceptions that it expects of its decoder, and the types let through numbers that messages can't carry.

Bytes of other writers now become values in one place, chalkyoke.decoding: a decoder returns the value or the reason, whatever is wrong. The depth of JSON is bounded before it is decoded, since the decoder's own limit depends on the stack of the caller: nodes would differ. The numbers' bounds are part of the types of the documents. Addresses are parsed there too. A document above the size that peers exchange is refused where it is read.

--- a/packages/chalkyoke/src/chalkyoke/catalog/difference.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/difference.py
@@ -11,6 +11,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from chalkyoke.decoding.bounds import Count
+from chalkyoke.decoding.decoder import decode_msgpack, decompress
+
 # End of a record of a document. Documents are compared record by record, never by parts of records.
 RECORD_END = b"}"
 
@@ -23,8 +26,8 @@
     :param added: the bytes to append after the range.
     """
 
-    start: int
-    length: int
+    start: Count
+    length: Count
     added: bytes
 
 
@@ -67,11 +70,10 @@
     :param max_bytes: maximum size of the new document and of the decompressed difference.
     :return: the new document, or why the difference does not apply.
     """
-    try:
-        packed = zlib.decompressobj().decompress(encoded, max_bytes)
-        decoded = msgspec.msgpack.decode(packed, type=_Difference)
-    except (zlib.error, msgspec.MsgspecError) as error:
-        return Err(f"difference can't be decoded: {error}")
+    read = decompress(encoded, max_bytes).and_then(_decode_difference)
+    if isinstance(read, Err):
+        return Err(f"difference can't be decoded: {read.err_value}")
+    decoded = read.ok_value
     document = bytearray()
     for edit in decoded.edits:
         document += base[edit.start : edit.start + edit.length]
@@ -83,6 +85,10 @@
     return Ok(bytes(document))
 
 
+def _decode_difference(packed: bytes) -> Result[_Difference, str]:
+    return decode_msgpack(packed, _Difference)
+
+
 def _split_records(document: bytes) -> Iterator[tuple[int, bytes]]:
     """Split a document after each record end; yield the offset and bytes of each part."""
     start = 0
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -30,12 +30,12 @@
     Position,
     SupersededItems,
 )
+from chalkyoke.decoding.decoder import decompress
 from chalkyoke.invariants import require
 from chalkyoke.rollouts.resources import RolloutStatus
 from chalkyoke.storage.messages import Item, Removed
 
-# Maximum size of a decompressed document from a peer, in bytes: four times the largest value that
-# the store accepts.
+# Maximum size of a document, in bytes: four times the largest value that the store accepts.
 MAX_DOCUMENT_BYTES = 4_000_000
 # Age assumed for an update that carries none, in seconds: above every limit that depends on ages.
 UNKNOWN_AGE_S = 60.0
@@ -165,6 +165,8 @@
 
         :return: whether it was applied, or why it can't be parsed.
         """
+        if len(document) > MAX_DOCUMENT_BYTES:
+            return Err(f"larger than {MAX_DOCUMENT_BYTES} bytes")
         read = self.read_catalog(document)
         if isinstance(read, Err):
             return read
@@ -185,12 +187,7 @@
         """
         if message.version <= self.catalog.version:
             return Ok(False)
-        inflater = zlib.decompressobj()
-        try:
-            document = inflater.decompress(message.document, MAX_DOCUMENT_BYTES)
-        except zlib.error as error:
-            return Err(f"document can't be decompressed: {error}")
-        return self.apply_document(document)
+        return decompress(message.document, MAX_DOCUMENT_BYTES).and_then(self.apply_document)
 
     def apply_document_delta(self, message: CatalogDelta) -> Result[bool, str]:
         """Apply a peer's document that was sent as a difference, if its version is higher.
@@ -203,7 +200,7 @@
         if base is None:
             return Err(f"base version {message.base} is not available")
         restored = apply_difference(base, message.difference, MAX_DOCUMENT_BYTES)
-        return restored if isinstance(restored, Err) else self.apply_document(restored.ok_value)
+        return restored.and_then(self.apply_document)
 
     def build_catalog_update(self, peer_version: int = 0) -> CatalogSnapshot | CatalogDelta:
         """Build the update that brings a peer to this node's document.
--- a/packages/chalkyoke/src/chalkyoke/platform/documents.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/documents.py
@@ -4,7 +4,6 @@
 The documents in the platform's store: configuration, replicas, roll-out orders and statuses.
 """
 
-import ipaddress
 from typing import Annotated, Literal
 
 import msgspec
@@ -20,6 +19,10 @@
     Target,
     Team,
 )
+from chalkyoke.decoding import bounds
+from chalkyoke.decoding.addresses import parse_address
+from chalkyoke.decoding.bounds import Amount, Count, Milliseconds, Rank, Version
+from chalkyoke.decoding.decoder import decode_json
 from chalkyoke.rollouts.resources import RolloutOrder, RolloutState, RolloutStatus
 from chalkyoke.storage.messages import Item
 
@@ -32,7 +35,6 @@
 # Maximum number of requests at once in a replica record, above that of any real replica. A record
 # with more comes from a foreign writer and would attract all requests of its service.
 MAX_SLOTS = 10_000
-PORTS = range(1, 65_536)
 
 
 class _Struct(msgspec.Struct, rename=lambda name: name.replace("_", "-"), omit_defaults=True):
@@ -41,56 +43,56 @@
 
 class _Target(_Struct):
     service: str
-    weight: float = 1.0
+    weight: Amount = 1.0
 
 
 class _Route(_Struct):
     name: str
     host: str
     path_prefix: str
-    kind: str = RouteKind.NON_IDEMPOTENT
-    timeout_ms: float = 30_000
-    goal_ms: float = 1_000
-    gap_goal_ms: float = 0
-    priority: int = 0
+    kind: RouteKind = RouteKind.NON_IDEMPOTENT
+    timeout_ms: Milliseconds = 30_000
+    goal_ms: Milliseconds = 1_000
+    gap_goal_ms: Milliseconds = 0
+    priority: Rank = 0
     service: str = ""
     split: list[_Target] = []
-    attempts: int = 1
+    attempts: bounds.Attempts = 1
     public: bool = False
     resumable: bool = False
 
 
 class _Engine(_Struct):
-    slots: int = 1
-    kv_capacity: int = 0
-    stride: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 1
+    kv_capacity: Count = 0
+    stride: Count = 1
 
 
 class _Service(_Struct):
     name: str
-    max_conns: int = 100
+    max_conns: Count = 100
     engine: _Engine | None = None
 
 
 class _Limits(_Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 3_000
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 class _Tenant(_Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
     unit: str = ""
-    plain_tokens: float = 1
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: Amount = 1
+    rate_per_s: Amount = 0
+    burst: Amount = 0
 
 
 class _Configuration(_Struct):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -105,21 +107,21 @@
     zone: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    version: int | float | str = ""
-    seq: int = 0
-    cold_left_ms: float = 0
-    born: int = 0
+    version: Version = ""
+    seq: Count = 0
+    cold_left_ms: bounds.Decimal = 0
+    born: Count = 0
 
 
 class _Rollout(_Struct):
-    to_version: int | float | str
-    over_s: float
+    to_version: Version
+    over_s: bounds.PositiveSeconds
     service: str = ""
 
 
 class _RolloutStatus(_Struct):
-    state: str
-    to_version: int | float | str
+    state: RolloutState
+    to_version: Version
 
 
 Record = Replica | RolloutOrder | RolloutStatus
@@ -127,25 +129,7 @@
 
 def read_catalog(document: bytes) -> Result[Catalog, str]:
     """Parse the operators' configuration, or return why it can't be parsed."""
-    try:
-        found = msgspec.json.decode(document, type=_Configuration)
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
-    return Ok(
-        Catalog(
-            version=found.version,
-            routes=tuple(_make_route(each) for each in found.routes),
-            services={each.name: _make_service(each) for each in found.services},
-            teams={each.name: _make_team(each) for each in found.tenants or ()},
-            limits=RequestLimits(
-                found.limits.max_header_bytes,
-                found.limits.max_body_bytes,
-                found.limits.header_timeout_ms / 1000,
-                found.limits.idle_timeout_ms / 1000,
-            ),
-            requires_keys=found.tenants is not None,
-        )
-    )
+    return decode_json(document, _Configuration).map(_make_catalog)
 
 
 def read_record(item: Item) -> Result[Record, str]:
@@ -159,52 +143,45 @@
 
 def write_status(order: RolloutOrder, state: RolloutState) -> tuple[str, bytes]:
     """Return a roll-out status's key and document, with the version as the order spells it."""
-    status = _RolloutStatus(str(state), order.written_version)
+    status = _RolloutStatus(state, order.written_version)
     return ROLLOUT_STATUSES_PREFIX + order.service, msgspec.json.encode(status)
 
 
 def _read_order(item: Item) -> Result[Record, str]:
-    try:
-        found = msgspec.json.decode(item.value, type=_Rollout)
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
     service = item.key.removeprefix(ROLLOUT_ORDERS_PREFIX)
+    read = decode_json(item.value, _Rollout)
+    if isinstance(read, Err):
+        return read
+    found = read.ok_value
     if found.service not in ("", service):
-        return Err(f"the order is for service {found.service!r}")
-    if not found.over_s > 0:
-        return Err(f"over-s is not positive: {found.over_s:g} s")
+        return Err("the order names another service than its key")
     version = str(found.to_version)
     return Ok(RolloutOrder(service, version, found.to_version, found.over_s, item.revision))
 
 
 def _read_status(item: Item) -> Result[Record, str]:
-    try:
-        found = msgspec.json.decode(item.value, type=_RolloutStatus)
-        state = RolloutState(found.state)
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(str(error))
     service = item.key.removeprefix(ROLLOUT_STATUSES_PREFIX)
-    return Ok(RolloutStatus(service, str(found.to_version), state, item.revision))
+    return decode_json(item.value, _RolloutStatus).map(
+        lambda found: RolloutStatus(service, str(found.to_version), found.state, item.revision)
+    )
 
 
 def read_replica(item: Item) -> Result[Record, str]:
     """Parse a replica record, or return why it can't be parsed."""
     name = item.key.removeprefix(REPLICAS_PREFIX)
-    try:
-        found = msgspec.json.decode(item.value, type=_Server)
-        ip, _, port = found.addr.rpartition(":")
-        ipaddress.IPv4Address(ip)
-        number = int(port)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return Err(str(error))
-    if not name or number not in PORTS:
-        return Err(f"invalid replica id {name!r} or port {number}")
+    read = decode_json(item.value, _Server)
+    if isinstance(read, Err):
+        return read
+    found = read.ok_value
+    address = parse_address(found.addr)
+    if not name or address is None:
+        return Err("the key names no replica" if not name else "invalid address")
     return Ok(
         Replica(
             id=f"{name}/{found.born}" if found.born else name,
             service=found.service,
-            ip=ip,
-            port=number,
+            ip=address.ip,
+            port=address.port,
             failure_domain=found.zone,
             slots=found.slots,
             draining=found.state == DRAINING,
@@ -215,6 +192,22 @@
     )
 
 
+def _make_catalog(found: _Configuration) -> Catalog:
+    return Catalog(
+        version=found.version,
+        routes=tuple(_make_route(each) for each in found.routes),
+        services={each.name: _make_service(each) for each in found.services},
+        teams={each.name: _make_team(each) for each in found.tenants or ()},
+        limits=RequestLimits(
+            found.limits.max_header_bytes,
+            found.limits.max_body_bytes,
+            found.limits.header_timeout_ms / 1000,
+            found.limits.idle_timeout_ms / 1000,
+        ),
+        requires_keys=found.tenants is not None,
+    )
+
+
 def _make_route(each: _Route) -> Route:
     targets = tuple(Target(part.service, part.weight) for part in each.split)
     return Route(
@@ -222,7 +215,7 @@
         host=each.host,
         prefix=each.path_prefix,
         targets=targets or (Target(each.service, 1.0),),
-        kind=RouteKind(each.kind),
+        kind=each.kind,
         timeout_s=each.timeout_ms / 1000,
         goal_s=each.goal_ms / 1000,
         gap_goal_s=each.gap_goal_ms / 1000,
--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -9,7 +9,10 @@
 from urllib.parse import quote
 
 import msgspec
+from result import Err
 
+from chalkyoke.decoding.bounds import MAX_INTEGER, Count, Milliseconds
+from chalkyoke.decoding.decoder import decode_json
 from chalkyoke.http1.calls import CallAnswer, CallFailed, HttpClient
 from chalkyoke.http1.messages import find_integer
 from chalkyoke.storage.messages import (
@@ -30,36 +33,35 @@
 OK, GONE, NOT_FOUND, CONFLICT = 200, 410, 404, 412
 NOT_APPLIED_STATUSES = (429, 503)  # the store has certainly not applied the call
 EPOCH = b"store-era"  # this header's number rises by one with each restore from a backup
-MAX_INT = 2**53  # larger numbers do not fit into messages
 
 T = TypeVar("T", bound=msgspec.Struct)
 
 
 class _Item(msgspec.Struct):
     key: str
-    rev: int
-    value: str = ""
+    rev: Count
+    value: bytes = b""
     gone: bool = False
 
 
 class _Range(msgspec.Struct):
     items: list[_Item]
-    at: int
+    at: Count
     more: bool = False
 
 
 class _Events(msgspec.Struct):
     events: list[_Item]
-    at: int
+    at: Count
 
 
 class _Revision(msgspec.Struct):
-    rev: int
+    rev: Count
 
 
 class _Lease(msgspec.Struct):
-    ttl_ms: float
-    lease: int = 0
+    ttl_ms: Milliseconds
+    lease: Count = 0
 
 
 class PlatformStore:
@@ -155,11 +157,11 @@
 
 
 def _make_item(each: _Item) -> Item:
-    return Item(each.key, base64.b64decode(each.value), each.rev)
+    return Item(each.key, each.value, each.rev)
 
 
 def _read_epoch(reply: CallAnswer | Unavailable) -> int:
-    return 0 if isinstance(reply, Unavailable) else find_integer(reply.headers, EPOCH, MAX_INT)
+    return 0 if isinstance(reply, Unavailable) else find_integer(reply.headers, EPOCH, MAX_INTEGER)
 
 
 def _make_lease(answer: CallAnswer | Unavailable, number: int = 0) -> LeaseGranted | Unavailable:
@@ -174,7 +176,7 @@
         return answer
     if answer.status != OK:
         return Unavailable(str(answer.status), may_have_been_applied=True)
-    try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
-        return Unavailable(f"unreadable answer: {error}", may_have_been_applied=True)
+    read = decode_json(answer.body, kind)
+    if isinstance(read, Err):
+        return Unavailable(f"unreadable answer: {read.err_value}", may_have_been_applied=True)
+    return read.ok_value
