Unreadable entries of the store are logged once, and a node without a configuration says why

An unreadable configuration was logged at each listing, without its key, and an unreadable record with each change of any replica; nodes' entries at each change of the fleet. A node that started beside an unreadable configuration with no peers answered "not ready" and no more.

Each unreadable entry is now logged once with its key and reason (entry_unreadable), a configuration once for each revision and with the version that stays in force; /readyz names the reason. A node's entry that names no address or a capacity out of bounds is skipped like an unreadable one: an infinite capacity has no capacity class (OverflowError in capacity_class), and an address that is none raises in each attempt to open a link.

Tests: lines once; nodes that start together beside an odd configuration live, say why, and serve 1.5 s after a readable one is written (three kinds, whole nodes in virtual time).

--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -25,6 +25,7 @@
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.restores import Position
 from chalkyoke.catalog.state import UNKNOWN_AGE_S, CatalogState
+from chalkyoke.catalog.unreadable import UnreadableEntries
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.membership.messages import MemberRecord
@@ -46,7 +47,7 @@
 LAG_RESET_S = 2.0
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
-# Maximum number of changed quotas, or of unreadable records, in one log line.
+# Maximum number of changed quotas in one log line.
 MAX_LOGGED_ENTRIES = 10
 
 log = logger("catalog")
@@ -103,6 +104,7 @@
         self._on_registrations = registered
         self._now = now
         self.ignored_updates: Counter[str] = Counter()
+        self._unreadable = UnreadableEntries()
         self._node_registrations: dict[str, bytes] = {}
         self._requested_at = -REQUEST_INTERVAL_S
         self._lagging_since = 0.0
@@ -112,6 +114,16 @@
         """Watch the store until the process ends."""
         await self._follower.run()
 
+    def describe_lack(self) -> str:
+        """Return what this node lacks to serve; empty if its catalog is complete."""
+        if self.state.complete:
+            return ""
+        if self.state.catalog.version:
+            return "the replicas are not known yet"
+        if self._unreadable.document:
+            return f"the configuration can't be read: {self._unreadable.document}"
+        return "no configuration is known yet"
+
     def resolve_conflicts(self) -> None:
         """Resolve expired conflicts with a restored store; call a few times a second."""
         if self.state.resolve_conflicts(self._now()):
@@ -210,8 +222,11 @@
         before = self.state.catalog
         applied = self.state.apply_document(item.value)
         if isinstance(applied, Err):
-            log.error("document_unreadable", revision=item.revision, why=applied.err_value)
-        elif applied.ok_value:
+            why = applied.err_value
+            self._unreadable.note_document(item.key, item.revision, why, before.version)
+            return
+        self._unreadable.clear_document()
+        if applied.ok_value:
             self._handle_document_change("store", before, age_s)
             if before.version:
                 self._broadcast(self.state.build_catalog_update(before.version))
@@ -353,6 +368,7 @@
 
     def _handle_records_change(self, source: str, age_s: float) -> None:
         self.state.expire_removed(self._now(), REMOVED_REPLICA_TTL_S)
+        self._unreadable.note_records(self.state.unreadable)
         log.info(
             "replicas",
             revision=self.state.replicas_revision,
@@ -363,7 +379,7 @@
             count=len(self.state.replicas),
             draining=sorted(each.id for each in self.state.replicas.values() if each.draining),
             versions=_count_versions(self.state.replicas.values()),
-            unreadable=dict(itertools.islice(self.state.unreadable.items(), MAX_LOGGED_ENTRIES)),
+            unreadable=len(self.state.unreadable),
         )
         self._view.update_self(
             hosts_version=self.state.last_change_revision, store_epoch=self.state.epoch
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -61,7 +61,7 @@
 from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.quotas import make_quotas
-from chalkyoke.node.registration import make_registration, read_candidates
+from chalkyoke.node.registration import CandidateReader, make_registration
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
 from chalkyoke.node.rollouts import Rollouts
@@ -169,7 +169,7 @@
             self._apply_member_changes,
             self.now,
         )
-        self._pages = PageServer(self.is_ready, self.metrics)
+        self._pages = PageServer(self.is_ready, self.catalog.describe_lack, self.metrics)
 
     # Construction.
 
@@ -240,6 +240,7 @@
         self.metrics.register_gauge("stream_origins_kept", lambda: self.origins.kept_count)
         self.pools = DeclaredPools(settings.scheduling, self.rollouts)
         self.held_records = HeldRecords(self.store, platform.keys.held, self.now)
+        self._candidates = CandidateReader(platform.keys.nodes)
         self._registration = make_registration(
             settings, self.store, platform.keys.nodes, random.random, self.now
         )
@@ -636,6 +637,6 @@
             self.quota_snapshots.store_restored(epoch)
 
     def _nodes_registered(self, registered: dict[str, bytes]) -> None:
-        candidates = read_candidates(registered, self._platform.keys.nodes)
+        candidates = self._candidates.read(registered)
         self.view.set_candidates(candidates)
         self.fleet_size.record_registered((each.host for each in candidates), self.now())
--- a/packages/chalkyoke/src/chalkyoke/node/pages.py
+++ b/packages/chalkyoke/src/chalkyoke/node/pages.py
@@ -32,18 +32,26 @@
     """Serve the readiness and metrics pages.
 
     :param is_ready: returns whether this node is ready for callers.
+    :param describe_lack: returns what a node that is not ready lacks; empty if nothing.
     """
 
-    def __init__(self, is_ready: Callable[[], bool], metrics: Metrics) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], describe_lack: Callable[[], str], metrics: Metrics
+    ) -> None:
         self._is_ready = is_ready
+        self._describe_lack = describe_lack
         self._metrics = metrics
 
     def start(self, request: Request, response: ResponseWriter) -> _FinishedPage:
         """Answer one page request at once; 404 for other paths."""
         path = request.target.partition(b"?")[0]
         if path == READY_PATH:
-            status = 200 if self._is_ready() else 503
-            self._respond(response, status, b"ready" if status == 200 else b"not ready")
+            if self._is_ready():
+                self._respond(response, 200, b"ready")
+            else:
+                why = self._describe_lack()
+                text = f"not ready: {why}" if why else "not ready"
+                self._respond(response, 503, text.encode())
         elif path == METRICS_PATH:
             self._respond(response, 200, metrics_page(self._metrics))
         else:
--- a/packages/chalkyoke/src/chalkyoke/node/registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/registration.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable, Mapping
 
 import msgspec
+from result import Err, Ok, Result
 
+from chalkyoke.decoding.addresses import parse_address
+from chalkyoke.decoding.bounds import Capacity
+from chalkyoke.decoding.decoder import decode_msgpack
 from chalkyoke.gateway.settings import GatewaySettings
 from chalkyoke.logs import logger
 from chalkyoke.membership.state import Candidate
@@ -38,25 +42,46 @@
 
     address: str
     failure_domain: str
-    capacity: float = 1.0
+    capacity: Capacity = 1.0
 
 
-def read_candidates(registered: Mapping[str, bytes], prefix: str) -> list[Candidate]:
-    """Decode the node entries of the store; skip and log unreadable ones.
+class CandidateReader:
+    """Decode the node entries of the store; skip unreadable ones, and log each of them once.
 
-    :param registered: the encoded entries by key.
     :param prefix: the prefix of the keys, which the host id follows.
     """
-    found: list[Candidate] = []
-    for key, value in registered.items():
-        try:
-            entry = msgspec.msgpack.decode(value, type=NodeEntry)
-        except (msgspec.MsgspecError, ValueError) as error:
-            log.info("node_unreadable", key=key, why=str(error))
-            continue
-        host = key.removeprefix(prefix)
-        found.append(Candidate(host, entry.address, entry.failure_domain, entry.capacity))
-    return found
+
+    def __init__(self, prefix: str) -> None:
+        self._prefix = prefix
+        self._logged: dict[str, str] = {}
+
+    def read(self, registered: Mapping[str, bytes]) -> list[Candidate]:
+        """Decode all entries.
+
+        :param registered: the encoded entries by key.
+        """
+        found: list[Candidate] = []
+        unreadable: dict[str, str] = {}
+        for key, value in registered.items():
+            entry = read_entry(value)
+            if isinstance(entry, Err):
+                unreadable[key] = entry.err_value
+                continue
+            host, node = key.removeprefix(self._prefix), entry.ok_value
+            found.append(Candidate(host, node.address, node.failure_domain, node.capacity))
+        for key, why in unreadable.items():
+            if self._logged.get(key) != why:
+                log.info("node_unreadable", key=key, why=why)
+        self._logged = unreadable
+        return found
+
+
+def read_entry(value: bytes) -> Result[NodeEntry, str]:
+    """Decode the value of a node's entry, or return why it can't be decoded."""
+    read = decode_msgpack(value, NodeEntry)
+    if isinstance(read, Ok) and parse_address(read.ok_value.address) is None:
+        return Err("invalid address")
+    return read
 
 
 class Registration:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_registration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_registration.py
@@ -2,14 +2,17 @@
 
 import asyncio
 
+import logbook
 import msgspec
 import pytest
+from chalkyoke.decoding.addresses import parse_address
+from chalkyoke.membership.owners import capacity_class
 from chalkyoke.node.registration import (
     RENEWALS_PER_LEASE,
     RESTORED_SPREAD_S,
+    CandidateReader,
     NodeEntry,
     Registration,
-    read_candidates,
 )
 from chalkyoke.storage.messages import LeaseGone, LeaseGranted, Unavailable, Written
 from chalkyoke.storage.port import MAX_BACKUP_AGE_S
@@ -17,6 +20,7 @@
 from hypothesis import strategies as st
 
 from tests import virtual
+from tests.odddata import odd_msgpack
 
 PREFIX = "nodes/"
 
@@ -26,7 +30,7 @@
     good = msgspec.msgpack.encode(NodeEntry("10.1.0.1:82", "a"))
     registered = {PREFIX + name: value for name, value in others.items()}
     registered[PREFIX + "good-host"] = good
-    found = {each.host: each for each in read_candidates(registered, PREFIX)}
+    found = {each.host: each for each in CandidateReader(PREFIX).read(registered)}
     assert found["good-host"].address == "10.1.0.1:82"
 
 
@@ -139,3 +143,19 @@
         assert store.keys == {"nodes/n": 2}
 
     registered(check)
+
+
+# Guards against an entry that makes each heartbeat raise: no address, or an infinite capacity.
+@given(odd_msgpack(["10.0.0.1:80", "a", 2.0]))
+def test_an_entry_names_an_address_and_a_capacity_or_is_skipped(value):
+    for each in CandidateReader(PREFIX).read({PREFIX + "h": value}):
+        assert parse_address(each.address) is not None
+        assert capacity_class(each.capacity) < 21
+
+
+def test_an_unreadable_entry_is_logged_once():
+    reader = CandidateReader(PREFIX)
+    with logbook.TestHandler() as handler:
+        for _ in range(3):
+            assert reader.read({PREFIX + "h": b"\xff", PREFIX + "i": b""}) == []
+    assert [record.kwargs["key"] for record in handler.records] == [PREFIX + "h", PREFIX + "i"]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -170,3 +170,37 @@
         await check_fleet_goes_on(fleet, callers)
 
     run_check(check, domains=("a", "a", "b", "b"))
+
+
+async def ask_readiness(fleet, number):
+    """Ask a node whether it is ready, as the load balancer does; return the status and the body."""
+    reader, writer = await asyncio.open_connection(f"10.1.0.{number + 1}", 81)
+    writer.write(b"GET /readyz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+    head, _, body = (await reader.read(65_536)).partition(b"\r\n\r\n")
+    writer.close()
+    return int(head.split(b" ")[1]), body.decode()
+
+
+# Guards against nodes that end at a start, or serve no more, since no node holds an older version.
+@pytest.mark.parametrize("odd", ["nested_field", "not_utf8", f"version_{10**30}"])
+def test_nodes_without_a_configuration_say_why_and_serve_the_next_one(odd):
+    async def check(fleet):
+        for number in range(NODES):
+            await fleet.kill_node(number)
+        fleet.store.put("op/config", ODD_CONFIGURATIONS[odd])
+        for number in range(NODES):
+            fleet.start_node(number, first_start=False)
+        await asyncio.sleep(5.0)
+        assert_alive(fleet, "after a start beside an odd configuration")
+        for number in range(NODES):
+            status, body = await ask_readiness(fleet, number)
+            assert status == 503 and "the configuration can't be read: " in body, body
+        fleet.store.put("op/config", json.dumps(configuration(9)).encode())
+        await asyncio.sleep(STEP_S)
+        for number in range(NODES):
+            assert await ask_readiness(fleet, number) == (200, "ready")
+        callers = Callers(fleet)
+        await asyncio.sleep(STEP_S)
+        assert_served(await callers.stop())
+
+    run_check(check, domains=("a", "a", "b", "b"))
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -17,7 +17,7 @@
 from chalkyoke.clock import Stamp
 from chalkyoke.links.codec import FrameCodec, FrameReader
 from chalkyoke.links.messages import Challenge, Hello, Received, Welcome
-from chalkyoke.node.registration import read_candidates
+from chalkyoke.node.registration import CandidateReader
 from chalkyoke.node.routing import LEGACY_KINDS, LEGACY_QUARANTINE_KINDS, LINK_MESSAGES
 from chalkyoke.platform.documents import read_record
 from chalkyoke.storage.messages import Item
@@ -159,7 +159,7 @@
 def test_records_of_a_landed_version_are_read(version):
     records = RECORDED[version]["records"]
     registered = {"nodes/h": bytes.fromhex(records["registration"])}
-    (candidate,) = read_candidates(registered, "nodes/")
+    (candidate,) = CandidateReader("nodes/").read(registered)
     assert (candidate.host, candidate.address) == ("h", "10.0.0.1:80")
     key, status = records["status"]
     assert read_record(Item(key, bytes.fromhex(status), 1)).ok_value.version == "2"
