A frame that no build of ours sends ends its link and nothing else

A link took over whatever two values stood in a frame's stamp. A logical part of 2**64 - 1 within the allowed drift became the clock of the receiver, which told it on, and from then on each of its messages raised (OverflowError in msgpack) in the loop that sends heartbeats: the process ended, and all that it had told. A capacity that is infinite or NaN raised where duties are assigned, with the same end. A deep frame and an unhashable kind left decode() by other exceptions than ProtocolError.

Frames are decoded with chalkyoke.decoding; a stamp is two whole numbers from 0 to 2**53 - 1; the numbers of messages have bounds in their types, checked where they are decoded: whole numbers of 53 bits except for hashes and random numbers, and finite decimals. A reservation more than 120 s ahead isn't imported, since the time up to it is searched interval by interval. An address that is none is a LinkError. An unknown kind is cut in the log.

The record of landed versions describes a bounded number as a number: bounds are not part of the form on the wire. All recorded frames of landed versions are decoded as before.

--- a/packages/chalkyoke/src/chalkyoke/balancing/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/balancing/messages.py
@@ -6,14 +6,16 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class RouteCount(msgspec.Struct, frozen=True, array_like=True):
     """Count the answers and failures of one route at one replica since the last report."""
 
     replica: str
     route: str
-    answers: int
-    failures: int
+    answers: Integer
+    failures: Integer
 
 
 class ReplicaReport(msgspec.Struct, frozen=True, array_like=True, tag="replica_report"):
@@ -25,8 +27,8 @@
 
     service: str
     counts: tuple[RouteCount, ...]
-    busy_s: float = 0.0
-    rejections: int = 0
+    busy_s: Finite = 0.0
+    rejections: Integer = 0
 
 
 class SuspectReplicas(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
--- a/packages/chalkyoke/src/chalkyoke/catalog/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
 from chalkyoke.storage.messages import Item, Removed
 
 
@@ -20,9 +21,9 @@
     :param epoch: the store epoch of that revision; 0 if it is not known.
     """
 
-    version: int
-    replicas_at: int
-    epoch: int = 0
+    version: Integer
+    replicas_at: Integer
+    epoch: Integer = 0
 
 
 class CatalogSnapshot(msgspec.Struct, frozen=True, array_like=True, tag="catalog"):
@@ -31,7 +32,7 @@
     :param document: the document as written in the store, compressed with zlib.
     """
 
-    version: int
+    version: Integer
     document: bytes
 
 
@@ -42,8 +43,8 @@
     :param difference: the result of :func:`chalkyoke.catalog.difference.encode_difference`.
     """
 
-    version: int
-    base: int
+    version: Integer
+    base: Integer
     difference: bytes
 
 
@@ -55,10 +56,10 @@
     :param epoch: the store epoch of these revisions; 0 if it is not known.
     """
 
-    at: int
-    changed_at: int
+    at: Integer
+    changed_at: Integer
     items: tuple[Item, ...]
-    epoch: int = 0
+    epoch: Integer = 0
 
 
 class ReplicasDelta(msgspec.Struct, frozen=True, array_like=True, tag="replicas_changed"):
@@ -74,14 +75,14 @@
     :param changed_at: after a restore, the revision of the latest change.
     """
 
-    since: int
-    at: int
+    since: Integer
+    at: Integer
     written: tuple[Item, ...]
     removed: tuple[Removed, ...]
-    age_s: float
-    epoch: int = 0
-    base_epoch: int = 0
-    changed_at: int = 0
+    age_s: Finite
+    epoch: Integer = 0
+    base_epoch: Integer = 0
+    changed_at: Integer = 0
 
 
 class ReplicasLeaving(msgspec.Struct, frozen=True, array_like=True, tag="replicas_leave"):
@@ -106,8 +107,8 @@
 
     replica: str
     word: str
-    value: float | None
-    age_s: float
+    value: Finite | None
+    age_s: Finite
 
 
 class ReplicaAttributes(msgspec.Struct, frozen=True, array_like=True, tag="replicas_say"):
--- a/packages/chalkyoke/src/chalkyoke/configuration/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Integer
+
 
 class Revision(msgspec.Struct, frozen=True, array_like=True):
     """One accepted change of the configuration.
@@ -15,10 +17,10 @@
     :param at_ms: wall time of the node that accepted the change, in milliseconds.
     """
 
-    number: int
+    number: Integer
     change_id: str
     author: str
-    at_ms: int
+    at_ms: Integer
     paths: tuple[str, ...]
 
 
@@ -30,7 +32,7 @@
     :param history: the latest changes, oldest first.
     """
 
-    revision: int
+    revision: Integer
     chunks: dict[str, str]
     history: tuple[Revision, ...]
 
@@ -42,7 +44,7 @@
     :param held_chunks: hashes of the chunks that the sender already has.
     """
 
-    above_revision: int
+    above_revision: Integer
     held_chunks: tuple[str, ...]
 
 
@@ -59,7 +61,7 @@
     :param above_version: the sender's version.
     """
 
-    above_version: int
+    above_version: Integer
 
 
 class ListedHost(msgspec.Struct, frozen=True, array_like=True):
@@ -75,7 +77,7 @@
 class HostsAnswer(msgspec.Struct, frozen=True, array_like=True, tag="hosts_answer"):
     """A peer's host list and its version."""
 
-    version: int
+    version: Integer
     hosts: tuple[ListedHost, ...]
 
 
--- a/packages/chalkyoke/src/chalkyoke/decoding/bounds.py
+++ b/packages/chalkyoke/src/chalkyoke/decoding/bounds.py
@@ -5,6 +5,7 @@
 refuses a number that a message between nodes can't carry or that arithmetic can't use.
 """
 
+import sys
 from typing import Annotated
 
 from msgspec import Meta
@@ -21,10 +22,14 @@
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 # A whole number with a sign.
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+# A hash of 64 bits, or a small negative number in its place.
+Fingerprint = Annotated[int, Meta(ge=-MAX_INTEGER)]
 # A finite number from 0.
 Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 # A finite number with a sign.
 Decimal = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+# Any number but infinities and NaN.
+Finite = Annotated[float, Meta(ge=-sys.float_info.max, le=sys.float_info.max)]
 # A time span in seconds, and one in milliseconds.
 Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
--- a/packages/chalkyoke/src/chalkyoke/entry/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
 from chalkyoke.outcomes import Refusal
 
 
@@ -30,11 +31,11 @@
     content_type: str
     body: bytes
     labels: dict[str, str]
-    budget_s: float
+    budget_s: Finite
     repeatable: bool
     stream: bool
-    prompt_tokens: int
-    max_output: int
+    prompt_tokens: Integer
+    max_output: Integer
     blocks: tuple[int, ...]
     held_token: bool = False
 
@@ -42,7 +43,7 @@
 class AnswerHead(msgspec.Struct, frozen=True, array_like=True):
     """HTTP status and content type of an answer."""
 
-    status: int
+    status: Integer
     content_type: str
 
 
--- a/packages/chalkyoke/src/chalkyoke/limits/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag="permit_request"):
     """A node requests a permit to send one request to a limited replica.
@@ -17,12 +19,12 @@
     :param most_wait_s: longest time that the request would wait, in seconds.
     """
 
-    number: int
+    number: Integer
     service: str
     replica: str
-    limit_per_s: float
-    age_s: float
-    most_wait_s: float = 0.0
+    limit_per_s: Finite
+    age_s: Finite
+    most_wait_s: Finite = 0.0
 
 
 class PermitAnswer(msgspec.Struct, frozen=True, array_like=True, tag="permit_answer"):
@@ -33,11 +35,11 @@
         permit is available; in seconds.
     """
 
-    number: int
+    number: Integer
     service: str
     replica: str
     given: bool
-    wait_s: float
+    wait_s: Finite
 
 
 class PermitReturned(msgspec.Struct, frozen=True, array_like=True, tag="permit_returned"):
--- a/packages/chalkyoke/src/chalkyoke/links/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/links/codec.py
@@ -9,12 +9,19 @@
 
 import msgpack
 import msgspec
+from result import Err
 
 from chalkyoke.clock import Stamp
+from chalkyoke.decoding.bounds import MAX_INTEGER
+from chalkyoke.decoding.decoder import convert, describe
 from chalkyoke.exceptions import ProtocolError, UnknownKind
 
 # Maximum length of a frame, in bytes: five times the largest document that peers exchange.
 MAX_FRAME_BYTES = 20_000_000
+# Number of fields before those of the message: the two numbers of the stamp, and the tag.
+HEADER_FIELDS = 3
+# Maximum length of an unknown kind in the log, in characters.
+MAX_KIND_CHARS = 60
 
 
 class FrameCodec:
@@ -46,15 +53,20 @@
         :raises UnknownKind: when the tag is unknown; a later version may have added it.
         :raises ProtocolError: when the frame is not a valid message.
         """
-        try:
-            wall_ms, logical, tag = frame[0], frame[1], frame[2]
-            if isinstance(tag, str) and tag not in self._types:
-                raise UnknownKind(tag)
-            kind = self._types[tag]
-            message = msgspec.convert(frame[2:], kind, builtin_types=(bytes,))
-        except (IndexError, KeyError, TypeError, msgspec.ValidationError) as error:
-            raise ProtocolError(f"unreadable frame: {error}") from error
-        return Stamp(wall_ms, logical), message
+        if len(frame) < HEADER_FIELDS:
+            raise ProtocolError("unreadable frame: too short")
+        wall_ms, logical, tag = frame[:HEADER_FIELDS]
+        if not _is_count(wall_ms) or not _is_count(logical):
+            raise ProtocolError("unreadable frame: invalid stamp")
+        if not isinstance(tag, str):
+            raise ProtocolError("unreadable frame: invalid kind")
+        kind = self._types.get(tag)
+        if kind is None:
+            raise UnknownKind(tag[:MAX_KIND_CHARS])
+        message = convert(frame[2:], kind)
+        if isinstance(message, Err):
+            raise ProtocolError(f"unreadable frame: {message.err_value}")
+        return Stamp(wall_ms, logical), message.ok_value
 
 
 class FrameReader:
@@ -75,4 +87,8 @@
                     raise ProtocolError("frame is not an array")
                 yield frame
         except (ValueError, msgpack.UnpackException, msgpack.BufferFull) as error:
-            raise ProtocolError(f"unreadable stream: {error}") from error
+            raise ProtocolError(f"unreadable stream: {describe(error)}") from error
+
+
+def _is_count(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_INTEGER
--- a/packages/chalkyoke/src/chalkyoke/links/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/links/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class Challenge(msgspec.Struct, frozen=True, array_like=True, tag="challenge"):
     """The listener's first message, with the nonce for the caller's proof."""
@@ -53,5 +55,5 @@
     :param every_s: interval of confirmations while messages arrive, in seconds.
     """
 
-    count: int
-    every_s: float
+    count: Integer
+    every_s: Finite
--- a/packages/chalkyoke/src/chalkyoke/links/peers.py
+++ b/packages/chalkyoke/src/chalkyoke/links/peers.py
@@ -10,6 +10,9 @@
 
 import msgspec
 
+from chalkyoke.decimals import parse_count
+from chalkyoke.decoding.addresses import MAX_PORT
+from chalkyoke.decoding.decoder import MAX_REASON_CHARS
 from chalkyoke.exceptions import ChalkyokeError, LinkError, ProtocolError
 from chalkyoke.links import intake
 from chalkyoke.links.codec import FrameCodec
@@ -234,10 +237,13 @@
 
         :raises LinkError: when the listener can't be reached or the handshake fails.
         """
-        ip, port = address.rsplit(":", 1)
+        ip, _, digits = address.rpartition(":")
+        port = parse_count(digits)
+        if port is None or port > MAX_PORT:
+            raise LinkError(f"invalid address {address[:MAX_REASON_CHARS]!r}")
         try:
             async with asyncio.timeout(CONNECT_S):
-                reader, writer = await intake.open_stream(ip, int(port))
+                reader, writer = await intake.open_stream(ip, port)
         except (OSError, TimeoutError) as error:
             raise LinkError(f"cannot reach {address}: {error}") from error
         set_user_timeout(writer, USER_TIMEOUT_MS)
--- a/packages/chalkyoke/src/chalkyoke/membership/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/membership/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """The state that one process announces about itself.
@@ -30,12 +32,12 @@
     failure_domain: str
     leaving: bool
     ready: bool
-    revision: int
-    hosts_version: int
+    revision: Integer
+    hosts_version: Integer
     store_lost: bool = False
-    edition: int = 0
-    capacity: float = 1.0
-    store_epoch: int = 0
+    edition: Integer = 0
+    capacity: Finite = 1.0
+    store_epoch: Integer = 0
 
     @property
     def process(self) -> str:
@@ -61,7 +63,7 @@
     """
 
     record: MemberRecord
-    beat: int
+    beat: Integer
     digests: tuple[Digest, ...] = ()
 
 
@@ -71,7 +73,7 @@
     host: str
     incarnation: int
     failure_domain: str
-    beat: int
+    beat: Integer
     digests: tuple[Digest, ...] = ()
 
 
--- a/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite
+
 
 class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
     """A shared part of the prompt of a run that broke when its replica ended.
@@ -17,7 +19,7 @@
     """
 
     part: bytes
-    served_age_s: float = -1.0
+    served_age_s: Finite = -1.0
 
 
 class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
@@ -33,9 +35,9 @@
     """
 
     request: bytes
-    weight: float
-    age_s: float
-    served_age_s: float = -1.0
+    weight: Finite
+    age_s: Finite
+    served_age_s: Finite = -1.0
     parts: tuple[SuspectPart, ...] = ()
 
 
@@ -60,7 +62,7 @@
     """
 
     requests: tuple[bytes, ...]
-    age_s: float = 0.0
+    age_s: Finite = 0.0
     relay: bool = False
 
 
@@ -73,8 +75,8 @@
     """
 
     request: bytes
-    last_end_age_s: float
-    left_s: float
+    last_end_age_s: Finite
+    left_s: Finite
 
 
 class HeldSummary(msgspec.Struct, frozen=True, array_like=True, tag="held_summary"):
--- a/packages/chalkyoke/src/chalkyoke/quotas/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota_request"):
     """A node requests a lease from the owner of a team.
@@ -23,13 +25,13 @@
 
     team: str
     number: int
-    need: float
-    ahead: float
-    version: int
-    rank: int = 0
-    returned: float = 0.0
+    need: Finite
+    ahead: Finite
+    version: Integer
+    rank: Integer = 0
+    returned: Finite = 0.0
     lease_of: int = 0
-    alone: float = 0.0
+    alone: Finite = 0.0
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota_grant"):
@@ -45,12 +47,12 @@
 
     team: str
     number: int
-    amount: float
-    retry_after_s: float
-    valid_s: float
+    amount: Finite
+    retry_after_s: Finite
+    valid_s: Finite
     lease_of: int = 0
-    spent: float = 0.0
-    most: float = 0.0
+    spent: Finite = 0.0
+    most: Finite = 0.0
 
 
 class QuotaSurvey(msgspec.Struct, frozen=True, array_like=True, tag="quota_survey"):
@@ -76,12 +78,12 @@
 
     team: str
     host: str
-    cost: float
-    known_s: float
-    window: tuple[float, ...] = ()
-    own: tuple[float, ...] = ()
+    cost: Finite
+    known_s: Finite
+    window: tuple[Finite, ...] = ()
+    own: tuple[Finite, ...] = ()
     copied: bool = False
-    share: float = 1.0
+    share: Finite = 1.0
     assumed: bool = False
 
 
@@ -97,9 +99,9 @@
 
     team: str
     number: int
-    total: float
-    share: float
-    parts: tuple[float, ...] = ()
+    total: Finite
+    share: Finite
+    parts: tuple[Finite, ...] = ()
 
 
 class QuotaWindows(msgspec.Struct, frozen=True, array_like=True, tag="quota_windows"):
@@ -116,8 +118,8 @@
     """
 
     team: str
-    share: float
-    parts: tuple[float, ...]
+    share: Finite
+    parts: tuple[Finite, ...]
 
 
 QuotaMessage = QuotaRequest | QuotaGrant | QuotaSurvey | QuotaSpent | QuotaWindows | QuotaReturned
--- a/packages/chalkyoke/src/chalkyoke/resumption/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 
 class Origin(msgspec.Struct, frozen=True, array_like=True):
     """What began a stream.
@@ -27,7 +29,7 @@
     """
 
     versions: tuple[str, ...] = ()
-    covers_s: float = 0.0
+    covers_s: Finite = 0.0
 
 
 class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="stream_began"):
@@ -39,7 +41,7 @@
 
     stream: int
     origin: Origin
-    keep_s: float
+    keep_s: Finite
 
 
 class OriginRequest(msgspec.Struct, frozen=True, array_like=True, tag="origin_request"):
@@ -49,7 +51,7 @@
     :param service: service that would go on with the stream.
     """
 
-    number: int
+    number: Integer
     stream: int
     service: str
 
@@ -61,7 +63,7 @@
     :param history: the sender's version history of the service, if it does not know the origin.
     """
 
-    number: int
+    number: Integer
     origin: Origin | None = None
     history: VersionHistory = VersionHistory()
 
--- a/packages/chalkyoke/src/chalkyoke/rollouts/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/rollouts/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
 from chalkyoke.rollouts.resources import OrderName
 
 
@@ -18,8 +19,8 @@
     :param slowness: the class, by :func:`chalkyoke.rollouts.evidence.slowness_class`.
     """
 
-    slowness: int
-    answers: int
+    slowness: Integer
+    answers: Integer
 
 
 class EndCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -32,8 +33,8 @@
 
     route: str
     replica: str
-    ends: int
-    failures: int
+    ends: Integer
+    failures: Integer
     slowness: tuple[SlownessCount, ...]
 
 
@@ -54,12 +55,12 @@
     """
 
     service: str
-    order: int
+    order: Integer
     counts: tuple[EndCounts, ...]
-    old_running: int
-    least_s: float
+    old_running: Integer
+    least_s: Finite
     undone: bool = False
-    epoch: int = 0
+    epoch: Integer = 0
     digest: int = 0
 
     @property
@@ -80,11 +81,11 @@
     """
 
     service: str
-    order: int
+    order: Integer
     phase: str
-    least_s: float
+    least_s: Finite
     relay: bool = False
-    epoch: int = 0
+    epoch: Integer = 0
     digest: int = 0
 
     @property
--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Fingerprint, Finite, Integer
 from chalkyoke.outcomes import Reason
 
 
@@ -34,21 +35,21 @@
     """
 
     request: str
-    attempt: int
+    attempt: Integer
     pool: str
     route: str
     tier: str
     team: str
-    prompt_tokens: int
-    max_output: int
+    prompt_tokens: Integer
+    max_output: Integer
     blocks: tuple[int, ...]
-    budget_s: float
-    waited_s: float
-    goal_s: float = 0.0
-    likely_output: int = 0
-    comes_back_s: float = 0.0
-    gap_goal_s: float = 0.0
-    whole_s: float = 0.0
+    budget_s: Finite
+    waited_s: Finite
+    goal_s: Finite = 0.0
+    likely_output: Integer = 0
+    comes_back_s: Finite = 0.0
+    gap_goal_s: Finite = 0.0
+    whole_s: Finite = 0.0
     fingerprint: int = 0
     tried: tuple[str, ...] = ()
     version: str | None = None
@@ -58,7 +59,7 @@
     """Confirm to an entry process that its request is queued, so that it sends no other acquire."""
 
     request: str
-    attempt: int
+    attempt: Integer
     pool: str
 
 
@@ -72,12 +73,12 @@
     """
 
     request: str
-    attempt: int
+    attempt: Integer
     pool: str
     upstream: str
     address: str
-    priority: int
-    expected_first_s: float = 0.0
+    priority: Integer
+    expected_first_s: Finite = 0.0
     counted: bool = False
 
 
@@ -85,10 +86,10 @@
     """Refuse a request before it runs."""
 
     request: str
-    attempt: int
+    attempt: Integer
     pool: str
     reason: Reason
-    retry_after_s: float | None
+    retry_after_s: Finite | None
 
 
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag="withdraw"):
@@ -106,11 +107,11 @@
     :param total_s: time from the dispatch to the end.
     """
 
-    prompt_tokens: int = 0
-    cached_tokens: int = -1
-    output_tokens: int = 0
-    first_s: float = -1.0
-    total_s: float = 0.0
+    prompt_tokens: Integer = 0
+    cached_tokens: Integer = -1
+    output_tokens: Integer = 0
+    first_s: Finite = -1.0
+    total_s: Finite = 0.0
 
 
 class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
@@ -128,16 +129,16 @@
     """
 
     request: str
-    attempt: int
+    attempt: Integer
     pool: str
     outcome: str
     usage: Usage
     declined: bool = False
-    rest_s: float = 0.0
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    time_factor: float = 1.0
+    rest_s: Finite = 0.0
+    running: Integer = 0
+    waiting: Integer = 0
+    slots: Integer = 0
+    time_factor: Finite = 1.0
 
 
 class FirstOutput(msgspec.Struct, frozen=True, array_like=True, tag="first_output"):
@@ -152,20 +153,20 @@
 
     request: str
     pool: str
-    first_s: float
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    time_factor: float = 1.0
+    first_s: Finite
+    running: Integer = 0
+    waiting: Integer = 0
+    slots: Integer = 0
+    time_factor: Finite = 1.0
 
 
 class ProgressItem(msgspec.Struct, frozen=True, array_like=True):
     """Report the progress of one running request."""
 
     request: str
-    output_tokens: int
-    first_s: float
-    elapsed_s: float
+    output_tokens: Integer
+    first_s: Finite
+    elapsed_s: Finite
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
@@ -179,15 +180,15 @@
     """A running request, as described to a new scheduler."""
 
     request: str
-    attempt: int
+    attempt: Integer
     upstream: str
     tier: str
     team: str
     route: str
-    prompt_tokens: int
-    max_output: int
-    output_tokens: int
-    elapsed_s: float
+    prompt_tokens: Integer
+    max_output: Integer
+    output_tokens: Integer
+    elapsed_s: Finite
 
 
 class AdoptRequest(msgspec.Struct, frozen=True, array_like=True, tag="adopt_request"):
@@ -210,9 +211,9 @@
     """
 
     upstream: str
-    prefill_factor: float
-    decode_factor: float
-    samples: int
+    prefill_factor: Finite
+    decode_factor: Finite
+    samples: Integer
 
 
 class Learned(msgspec.Struct, frozen=True, array_like=True, tag="learned"):
@@ -230,12 +231,12 @@
     :param claims: number of callers that were told the assigned time.
     """
 
-    fingerprint: int
-    rank: int
+    fingerprint: Fingerprint
+    rank: Integer
     team: str
-    in_s: float
-    work: float
-    claims: int = 1
+    in_s: Finite
+    work: Finite
+    claims: Integer = 1
 
 
 class RetryReservations(msgspec.Struct, frozen=True, array_like=True, tag="retry_reservations"):
@@ -260,9 +261,9 @@
     """
 
     upstream: str
-    running: int
-    waiting: int
-    age_s: float
+    running: Integer
+    waiting: Integer
+    age_s: Finite
     draining: bool = False
 
 
--- a/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/retryschedule.py
@@ -21,6 +21,8 @@
 RELEASE_AFTER_S = 0.5
 # Maximum number of reservations, which bounds memory and the size of a message: some 30 bytes each.
 MAX_RESERVATIONS = 2000
+# Longest time ahead of an imported reservation, in seconds: twice the longest Retry-After.
+MAX_AHEAD_S = 120.0
 # Maximum number of callers that share the assigned time of one fingerprint.
 MAX_CLAIMS = 3
 
@@ -194,7 +196,8 @@
 
     def import_items(self, items: Iterable[RetryReservation], now: float) -> None:
         """Add the reservations of a previous scheduler; known callers keep theirs."""
-        ordered = sorted(items, key=lambda each: each.in_s)
+        near = [each for each in items if abs(each.in_s) <= MAX_AHEAD_S]
+        ordered = sorted(near, key=lambda each: each.in_s)
         # Callers that the previous scheduler could not recognise have negative numbers too.
         self._unknown = max(self._unknown, *(-each.fingerprint for each in ordered), 0)
         for each in ordered[: max(0, MAX_RESERVATIONS - len(self._pending))]:
--- a/packages/chalkyoke/src/chalkyoke/storage/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/messages.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Integer
+
 
 class Item(msgspec.Struct, frozen=True, array_like=True):
     """A key with its current value.
@@ -20,14 +22,14 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: Integer
 
 
 class Removed(msgspec.Struct, frozen=True, array_like=True):
     """A tombstone: the key was removed at this revision."""
 
     key: str
-    revision: int
+    revision: Integer
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/scripts/record_version.py
+++ b/scripts/record_version.py
@@ -86,6 +86,12 @@
 def describe_type(kind: Any) -> Any:
     """Describe a type without module names, and a nested message by its fields."""
     origin, parts = typing.get_origin(kind), typing.get_args(kind)
+    if origin is typing.Annotated:
+        # Bounds of a number are not part of its form on the wire.
+        return describe_type(parts[0])
+    if origin is typing.Union:
+        # The same union, spelled with an annotated type.
+        origin = types.UnionType
     if parts:
         return [str(getattr(origin, "__name__", origin)), *(describe_type(each) for each in parts)]
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
