Numbers in headers have bounds, whoever sent them

A caller's Last-Event-Id of "\xb2" (a digit for str.isdigit, none for int), or of 5,000 digits, a hint or a deadline of as many, got 400 or 503 "internal fault" from an exception, and a hint of 30 digits the latter.

Whole numbers in headers have at most 15 digits, ids of parts of prompts 16 hexadecimal ones, ids of events 100; longer ones count as absent, as other invalid values do. Numbers with a fraction are at most 1e15 rather than infinite.

The stand-in's replica reads such ids too.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -23,6 +23,8 @@
 
 READ_LIMIT_BYTES = 5_000_000
 EVENTS_PER_STREAM = 8
+# Maximum number of digits of an event id that a caller names.
+MAX_EVENT_DIGITS = 9
 # Version of the software of replicas for which none is given.
 FIRST_VERSION = "v1"
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
@@ -468,7 +470,8 @@
         self, name: str, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         after = request.headers.get("last-event-id", "")
-        first = int(after) + 1 if after.isdigit() else 0
+        is_number = after.isascii() and after.isdigit() and len(after) <= MAX_EVENT_DIGITS
+        first = int(after) + 1 if is_number else 0
         head = {**self._headers(name), "Content-Type": "text/event-stream"}
         framed = not self.faults.unframed
         usual_s = self.faults.event_s * self.faults.time_factor
--- a/packages/chalkyoke/src/chalkyoke/decimals.py
+++ b/packages/chalkyoke/src/chalkyoke/decimals.py
@@ -21,6 +21,8 @@
 
 # Highest number of digits of a count; messages between nodes hold 64 bits.
 MAX_COUNT_DIGITS = 15
+# Highest number with a fraction: a longer one would be infinite.
+MAX_DECIMAL = 1e15
 
 
 def parse_count(text: str) -> int | None:
@@ -34,20 +36,21 @@
 
 
 def parse_integer(text: str) -> int:
-    """Parse a whole number of ASCII digits; return 0 for any other text."""
-    return int(text) if text.isascii() and text.isdigit() else 0
+    """Parse a number as :func:`parse_count` does; return 0 for any other text."""
+    return parse_count(text) or 0
 
 
 def parse_decimal(text: str) -> float | None:
     """Parse a number of ASCII digits with or without a fraction.
 
-    :return: ``None`` for any other text, such as one with a sign or an exponent.
+    :return: the number, at most :data:`MAX_DECIMAL`; ``None`` for any other text, such as one with
+        a sign or an exponent.
     """
     whole, _, fraction = text.strip().partition(".")
     digits = whole + fraction
     if not whole or not digits.isascii() or not digits.isdigit():
         return None
-    return float(f"{whole}.{fraction or 0}")
+    return min(MAX_DECIMAL, float(f"{whole}.{fraction or 0}"))
 
 
 def parse_smallest_decimal(texts: Iterable[str]) -> SmallestDecimal:
--- a/packages/chalkyoke/src/chalkyoke/gateway/events.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/events.py
@@ -8,6 +8,8 @@
 import msgspec
 
 EVENT_END = b"\n\n"
+# Maximum number of digits of an event's id.
+MAX_ID_DIGITS = 100
 ID_FIELD = b"id:"
 # Size limit of an incomplete event, in bytes, to bound the memory of one stream. No replica sends
 # events as large as that.
@@ -98,4 +100,14 @@
             return None
         start = found + 1
     line = event[start + len(ID_FIELD) :].split(b"\n", 1)[0].strip()
-    return int(line) if line.isdigit() else None
+    number = event_number(line.decode("latin-1"))
+    return None if number < 0 else number
+
+
+def event_number(text: str) -> int:
+    """Parse an event's id as a whole number; -1 if it is none.
+
+    :rtype: int
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ID_DIGITS
+    return int(text) if is_number else -1
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chalkyoke.gateway.events import EventSplitter
+from chalkyoke.gateway.events import EventSplitter, event_number
 from chalkyoke.gateway.feedback import Feedback, output_duration_s
 from chalkyoke.gateway.granted import Denied, Granted, find_eligible
 from chalkyoke.gateway.origins import find_origin, is_resumed_by_caller
@@ -64,8 +64,7 @@
         self._request = request
         self._response = response
         self._fields = parts.headers.read_request(request.headers)
-        after_event = self._fields.last_event_id
-        after_number = int(after_event) if after_event.isdigit() else -1
+        after_number = event_number(self._fields.last_event_id)
         self._delivery = Delivery(response, EventSplitter(after_number))
         self._progress = Progress()
         self._replies = Replies(parts, response, self._delivery, self._progress.sends)
--- a/packages/chalkyoke/src/chalkyoke/platform/headers.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/headers.py
@@ -30,6 +30,7 @@
 BRITTLE = b"server-brittle"
 
 HEX_DIGITS = frozenset(string.hexdigits)
+MAX_ID_DIGITS = 16  # of the id of a part of a prompt: 64 bits
 KEPT_HEADERS = frozenset((REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, LAST_EVENT_ID, b"host"))
 # Headers that decide how a message counts, so that it may name one value of each only.
 REQUEST_SINGLETONS = KEPT_HEADERS | {DEADLINE_MS, CREDENTIAL, RESUMES}
@@ -94,7 +95,8 @@
 
 
 def _parse_milliseconds(text: str) -> float | None:
-    return int(text) / 1000 if text.isascii() and text.isdigit() else None
+    count = parse_count(text)
+    return None if count is None else count / 1000
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
@@ -108,7 +110,8 @@
     for each in text.split(","):
         name, _, tokens = each.partition(":")
         count = parse_count(tokens)
-        if count is None or not (name := name.strip()) or set(name) - HEX_DIGITS:
+        name = name.strip()
+        if count is None or not 0 < len(name) <= MAX_ID_DIGITS or set(name) - HEX_DIGITS:
             return ()
         parts.append(PromptPart(int(name, 16), count))
     return tuple(parts)
@@ -116,8 +119,8 @@
 
 def _parse_load(value: str) -> Load | None:
     """Parse the numbers of running and waiting requests, of slots, and the time in percent."""
-    parts = value.encode("latin-1").split(b",")
-    if len(parts) not in (3, 4) or not all(each.strip().isdigit() for each in parts):
+    counts = [count for each in value.split(",") if (count := parse_count(each)) is not None]
+    if len(counts) not in (3, 4) or value.count(",") != len(counts) - 1:
         return None
-    running, waiting, slots, percent = (int(each) for each in [*parts, b"100"][:4])
+    running, waiting, slots, percent = [*counts, 100][:4]
     return Load(running, waiting, slots, percent / 100) if percent else None
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -265,7 +265,7 @@
             reader, writer = await asyncio.open_connection(_ip(node), 80)
         except ConnectionRefusedError:
             return CallerAnswer(0, {}, b"", False, 0.0, request, node, began)
-        writer.write(head.encode() + body)
+        writer.write(head.encode("latin-1") + body)
         answer = await _read_answer(reader, until_whole=until_whole)
         writer.close()
         got = _parse_answer(answer, loop.time() - began)
