All other readers of foreign bytes return a value or an error

- the completions front: a host list or a load report nested too deeply, or with a number that messages can't carry; a chunk that is no list of entries (TypeError); a root under the revision in force with another content, which ended the process as a broken invariant although another writer had broken it; an unreadable root, logged four times a second and raised in an operator's change;
- a caller's body nested too deeply got 500 instead of 400; one with 1e400 in a field that is only passed on was accepted, and then raised in the dispatcher; max_tokens of 10**30 could not be told to the scheduler;
- an engine's odd event raised while its stream was read or assembled for the caller;
- chalkyoke-ctl: a response or a log line nested too deeply, or with numbers of another type.

All of them use chalkyoke.decoding. An operator's change beside an unreadable configuration is answered 422 with the reason. An engine's stream that can't be assembled is a failed answer.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/cli.py
@@ -83,7 +83,7 @@
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         typer.echo(f"{path}: {error.strerror}", err=True)
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         typer.echo(f"{path}: not valid TOML: {error}", err=True)
     raise typer.Exit(EXIT_INVALID)
 
--- a/packages/chalkyoke-ctl/src/chalkyokectl/client.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/client.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 import aiohttp
+from chalkyoke.decoding.decoder import decode_json
+from result import Err
 
 # Total time that one call may take.
 CALL_TIMEOUT_S = 15.0
@@ -89,6 +91,9 @@
                 aiohttp.ClientSession(headers=self._headers, timeout=timeout) as session,
                 session.request(method, url, **options) as response,
             ):
-                return Response(response.status, await response.json(content_type=None))
+                body = decode_json(await response.read(), dict[str, Any])
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Response(0, {"detail": f"{url}: {type(error).__name__}: {error}"})
+        if isinstance(body, Err):
+            return Response(0, {"detail": f"{url}: unreadable response: {body.err_value}"})
+        return Response(response.status, body.ok_value)
--- a/packages/chalkyoke-ctl/src/chalkyokectl/limitstory.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/limitstory.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from chalkyokectl.story import LogLine
+from chalkyokectl.story import LogLine, number_of
 
 # Length of the sliding window over which the largest number of attempts is reported.
 WINDOW_S = 4.0
@@ -58,14 +58,16 @@
         if line.event == "replica_limit" and replica in ("", name):
             _record_limit(found.setdefault(name, ReplicaLimit(name)), line)
         elif name in found and line.event == "limit_kept":
-            found[name].shares[line.host] = float(line.fields["share"])
+            found[name].shares[line.host] = number_of(line.fields, "share")
         elif name in found and line.event == "sent":
             _record_send(found[name], line)
     return list(found.values())
 
 
 def _record_limit(limit: ReplicaLimit, line: LogLine) -> None:
-    value = line.fields.get("limit_per_s")
+    value = (
+        None if line.fields.get("limit_per_s") is None else number_of(line.fields, "limit_per_s")
+    )
     limit.latest_values[line.host] = value
     if not limit.changes or limit.changes[-1][1] != value:
         limit.changes.append((line.at, value, line.host))
--- a/packages/chalkyoke-ctl/src/chalkyokectl/story.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/story.py
@@ -4,12 +4,15 @@
 Reconstruct the timeline of one request from the collected log lines of several nodes.
 """
 
-import json
 import re
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
+from chalkyoke.decoding.bounds import MAX_AMOUNT
+from chalkyoke.decoding.decoder import decode_json
+from result import Err
+
 # Time before the first and after the last line of a request in which other lines are its context.
 CONTEXT_MARGIN_S = 1.5
 # Matches the collector's optional time stamp, in seconds, and the JSON object of the line.
@@ -104,11 +107,9 @@
         found = LOG_LINE_PATTERN.match(text)
         if found is None:
             continue
-        try:
-            fields = json.loads(found.group(2))
-        except ValueError:
-            continue
-        if isinstance(fields, dict) and "event" in fields:
+        read = decode_json(found.group(2).encode(errors="replace"), dict[str, Any])
+        fields = {} if isinstance(read, Err) else read.ok_value
+        if "event" in fields:
             yield LogLine(_timestamp_s(found.group(1), fields), fields)
 
 
@@ -122,7 +123,7 @@
     if not own:
         return Timeline(request, (), (), ("no line names this request",))
     replicas = {line.fields.get("replica") for line in own} - {None, ""}
-    start = own[0].at - float(own[0].fields.get("age_s", 0)) - CONTEXT_MARGIN_S
+    start = own[0].at - number_of(own[0].fields, "age_s") - CONTEXT_MARGIN_S
     end = own[-1].at + CONTEXT_MARGIN_S
     context = [
         line
@@ -154,8 +155,14 @@
 
     try:
         return datetime.fromisoformat(str(fields["at"]).removesuffix("Z")).timestamp()
-    except (KeyError, ValueError):
-        return float(fields.get("up_s", 0.0))
+    except (KeyError, ValueError, OverflowError):
+        return number_of(fields, "up_s")
+
+
+def number_of(fields: dict[str, Any], name: str) -> float:
+    """Return the number in a field of a log line; 0 if there is none."""
+    value = fields.get(name)
+    return float(value) if isinstance(value, int | float) and abs(value) <= MAX_AMOUNT else 0.0
 
 
 def _reports_other_failure(line: LogLine, replicas: set[Any], request: str) -> bool:
@@ -182,7 +189,7 @@
     if "ended" in events and "sent" not in events:
         yield "its attempts (suppressed lines, or the log of an older version)"
     suppressed = sum(
-        int(line.fields.get("suppressed", 0)) + int(line.fields.get("dropped", 0))
+        int(number_of(line.fields, "suppressed") + number_of(line.fields, "dropped"))
         for line in all_lines
         if line.host == last.host
     )
--- a/packages/chalkyoke/src/chalkyoke/configuration/chunks.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/chunks.py
@@ -5,11 +5,14 @@
 """
 
 import hashlib
+from typing import Any
 
 import msgpack
 import xxhash
+from result import Err, Ok, Result
 
 from chalkyoke.configuration.resources import KINDS, Specs
+from chalkyoke.decoding.decoder import convert, describe, unpack
 
 # Number of chunks over which the teams are distributed: a change of one team rewrites a sixteenth
 # of them.
@@ -37,18 +40,25 @@
     return {name: msgpack.packb(entries) for name, entries in groups.items()}
 
 
-def merge_chunks(chunks: dict[str, bytes]) -> Specs:
+def merge_chunks(chunks: dict[str, bytes]) -> Result[Specs, str]:
     """Merge chunks into specs.
 
-    :raises ValueError: if a chunk can't be decoded.
+    :return: the specs, or why a chunk can't be decoded.
     """
     specs: Specs = {}
     for content in chunks.values():
-        for kind, name, spec in msgpack.unpackb(content):
+        entries = unpack(content).and_then(_convert_entries)
+        if isinstance(entries, Err):
+            return entries
+        for kind, name, spec in entries.ok_value:
             if kind not in KINDS:
-                raise ValueError(f"a chunk has the unknown kind {kind!r}")
+                return Err(f"a chunk has the unknown kind {describe(ValueError(kind))!r}")
             specs[kind, name] = spec
-    return specs
+    return Ok(specs)
+
+
+def _convert_entries(found: object) -> Result[list[tuple[str, str, dict[str, Any]]], str]:
+    return convert(found, list[tuple[str, str, dict[str, Any]]])
 
 
 def _chunk_name(kind: str, name: str) -> str:
--- a/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/publisher.py
@@ -12,11 +12,13 @@
 
 import msgpack
 import msgspec
+from result import Err, Ok, Result
 
 from chalkyoke.configuration.chunks import MAX_CHUNK_BYTES, chunk_hash, merge_chunks, split_chunks
 from chalkyoke.configuration.messages import Revision, Root
 from chalkyoke.configuration.resources import Problem, Specs, build_resources, check_spec
 from chalkyoke.configuration.state import EMPTY_ROOT
+from chalkyoke.decoding.decoder import convert, unpack
 
 ROOT_KEY = "chalkyoke/root"
 CHUNK_PREFIX = "chalkyoke/chunk/"
@@ -150,14 +152,18 @@
     return packed
 
 
-def decode_root(value: bytes | None) -> Root:
+def decode_root(value: bytes | None) -> Result[Root, str]:
     """Decode a root from the store; an absent one is revision 0.
 
-    :raises ValueError: if it can't be decoded.
+    :return: the root, or why it can't be decoded.
     """
     if value is None:
-        return EMPTY_ROOT
-    return msgspec.convert(msgpack.unpackb(value), Root)
+        return Ok(EMPTY_ROOT)
+    return unpack(value).and_then(_convert_root)
+
+
+def _convert_root(found: object) -> Result[Root, str]:
+    return convert(found, Root)
 
 
 def changed_paths(before: Specs, after: Specs) -> tuple[str, ...]:
@@ -190,7 +196,10 @@
         found = yield from _read_value(ROOT_KEY)
         if found is None:
             return Unsettled(change.change_id) if swapped else NotReached()
-        root = decode_root(found.value)
+        decoded = decode_root(found.value)
+        if isinstance(decoded, Err):
+            return Unsettled(change.change_id) if swapped else _unreadable(decoded.err_value)
+        root = decoded.ok_value
         published = _find_revision(root, change.change_id)
         if published is not None:
             return Accepted(root, published.number, published.paths)
@@ -198,7 +207,9 @@
         before = yield from _load_specs(root)
         if before is None:
             return Unsettled(change.change_id) if swapped else NotReached()
-        planned = plan_change(root, before, change, now_ms)
+        if isinstance(before, Err):
+            return Unsettled(change.change_id) if swapped else _unreadable(before.err_value)
+        planned = plan_change(root, before.ok_value, change, now_ms)
         if not isinstance(planned, Planned):
             return planned
         if not planned.paths and not swapped:
@@ -301,7 +312,12 @@
     return None
 
 
-def _load_specs(root: Root) -> Generator[StoreCall, StoreAnswer, Specs | None]:
+def _unreadable(why: str) -> Invalid:
+    message = f"the configuration in the store can't be read: {why}"
+    return Invalid((Problem(path=ROOT_KEY, message=message),))
+
+
+def _load_specs(root: Root) -> Generator[StoreCall, StoreAnswer, Result[Specs, str] | None]:
     chunks: dict[str, bytes] = {}
     for digest in root.chunks.values():
         found = yield from _read_value(CHUNK_PREFIX + digest)
--- a/packages/chalkyoke/src/chalkyoke/configuration/resources.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/resources.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from chalkyoke.configuration.selectors import Condition, Labelled, check_conditions
+from chalkyoke.decoding.bounds import MAX_INTEGER
 
 KINDS = ("service", "tier", "team", "upstream_class", "route")
 NAME = re.compile(r"^[a-z][a-z0-9-]{0,62}$")
@@ -23,7 +24,7 @@
 class Resource(BaseModel):
     """Base of all resources: a name, and no unknown fields."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
     name: str
 
@@ -52,7 +53,7 @@
 
     tiers: list[str] = Field(min_length=1)
     weight: float = Field(default=1.0, gt=0, le=1000)
-    max_running: int = Field(default=0, ge=0)
+    max_running: int = Field(default=0, ge=0, le=MAX_INTEGER)
     key_sha256: list[str] = Field(default_factory=list)
 
     @field_validator("key_sha256")
@@ -91,7 +92,7 @@
     prefill_tokens_per_s: float = Field(default=1000.0, gt=0)
     decode_tokens_per_s: float = Field(default=30.0, gt=0)
     batch_slowdown: float = Field(default=1.5, ge=1)
-    cache_blocks: int = Field(default=0, ge=0)
+    cache_blocks: int = Field(default=0, ge=0, le=MAX_INTEGER)
 
     @field_validator("selector")
     @classmethod
--- a/packages/chalkyoke/src/chalkyoke/configuration/state.py
+++ b/packages/chalkyoke/src/chalkyoke/configuration/state.py
@@ -4,7 +4,6 @@
 The configuration in force on one node. Its revision only rises.
 """
 
-import msgspec
 from result import Err, Ok, Result
 
 from chalkyoke.configuration.chunks import chunk_hash, merge_chunks
@@ -42,10 +41,10 @@
         :param root: the root from the store or a peer.
         :param fetched: the chunks that this node lacked, by hash.
         :return: whether the configuration was applied, or why it can't be.
-        :raises InvariantBroken: if the revision in force has a different content.
         """
         if root.revision <= self.revision:
-            self._check_same_content(root)
+            if root.revision == self.revision and root.chunks != self.root.chunks:
+                return Err(f"revision {root.revision} has another content than the one in force")
             return Ok(False)
 
         chunks: dict[str, bytes] = {}
@@ -59,10 +58,10 @@
         return self._decode_and_apply(root, chunks)
 
     def _decode_and_apply(self, root: Root, chunks: dict[str, bytes]) -> Result[bool, str]:
-        try:
-            specs = merge_chunks(chunks)
-        except (ValueError, msgspec.MsgspecError) as error:
-            return Err(f"revision {root.revision} can't be decoded: {error}")
+        merged = merge_chunks(chunks)
+        if isinstance(merged, Err):
+            return Err(f"revision {root.revision} can't be decoded: {merged.err_value}")
+        specs = merged.ok_value
         built = build_resources(specs, (self.specs, self.resources))
         if isinstance(built, Err):
             first = built.err_value[0]
@@ -75,11 +74,3 @@
             self.revision > before, "a configuration never reverts", held=before, now=self.revision
         )
         return Ok(True)
-
-    def _check_same_content(self, root: Root) -> None:
-        if root.revision == self.revision and root.revision > 0:
-            require(
-                root.chunks == self.root.chunks,
-                "one revision has one content",
-                revision=root.revision,
-            )
--- a/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
+++ b/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
@@ -6,9 +6,12 @@
 
 import aiohttp
 import msgspec
+from result import Err, Result
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.configuration.messages import HostsAnswer, ListedHost
+from chalkyoke.decoding.bounds import Count
+from chalkyoke.decoding.decoder import decode_json
 
 # How long one fetch of the list may take, in seconds.
 FETCH_TIMEOUT_S = 2.0
@@ -23,7 +26,7 @@
 
 
 class _List(msgspec.Struct):
-    version: int
+    version: Count
     hosts: list[_Entry]
 
 
@@ -51,14 +54,23 @@
             ) as response:
                 if response.status != 200:
                     return None
-                listed = msgspec.json.decode(await response.read(), type=_List)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+                found = read_hosts(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            found = Err("unavailable")
+        if isinstance(found, Err):
             self._metrics.count("store_failures", kind="hosts")
             return None
-        hosts = tuple(
-            ListedHost(
-                each.id, each.address, each.failure_domain, each.state != "live", each.labels
-            )
-            for each in listed.hosts
-        )
-        return HostsAnswer(listed.version, hosts)
+        return found.ok_value
+
+
+def read_hosts(body: bytes) -> Result[HostsAnswer, str]:
+    """Decode the host list, or return why it can't be decoded."""
+    return decode_json(body, _List).map(_make_answer)
+
+
+def _make_answer(listed: _List) -> HostsAnswer:
+    hosts = tuple(
+        ListedHost(each.id, each.address, each.failure_domain, each.state != "live", each.labels)
+        for each in listed.hosts
+    )
+    return HostsAnswer(listed.version, hosts)
--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -35,7 +35,7 @@
 from chalkyoke.entry.service import EntryService
 from chalkyoke.entry.streams import assemble_completion
 from chalkyoke.links.peers import Links
-from chalkyoke.outcomes import Reason, Refusal, not_run
+from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
 from chalkyoke.tokens.messages import Token, TokenProblem
 
 # Limit on the body of any request, in bytes; a service may set a lower one.
@@ -254,13 +254,22 @@
         data = b"".join(chunks)
         self._resp.status = head.status
         if assembled and head.status == 200:
-            self._resp.content_type = "application/json"
-            self._resp.data = assemble_completion(data)
+            self._respond_assembled(data)
         else:
             self._resp.content_type = head.content_type
             self._resp.data = data
         self._close()
 
+    def _respond_assembled(self, stream: bytes) -> None:
+        assembled = assemble_completion(stream)
+        if isinstance(assembled, Err):
+            detail = f"the engine's answer can't be read: {assembled.err_value}"
+            refusal = Refusal(Verdict.FAILED, Reason.CUT_SHORT, detail)
+            problems.respond(self._resp, problems.of_refusal(refusal, self._token, self._event))
+            return
+        self._resp.content_type = "application/json"
+        self._resp.data = assembled.ok_value
+
     async def _iter_chunks(self) -> AsyncIterator[bytes]:
         try:
             while (chunk := await self._answer.next_chunk()) is not None:
--- a/packages/chalkyoke/src/chalkyoke/entry/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/reception.py
@@ -15,6 +15,8 @@
 
 from chalkyoke.configuration.resources import Route, Service, Team
 from chalkyoke.configuration.selectors import check_label
+from chalkyoke.decoding.bounds import Integer
+from chalkyoke.decoding.decoder import convert, decode_json
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.scheduling.placement import BLOCK_TOKENS
 
@@ -81,10 +83,14 @@
     model: str
     prompt: str = ""
     messages: list[dict[str, Any]] = []
-    max_tokens: int = DEFAULT_MAX_TOKENS
+    max_tokens: Integer = DEFAULT_MAX_TOKENS
     stream: bool = False
 
 
+def _convert_body(found: dict[str, Any]) -> Result[_CompletionBody, str]:
+    return convert(found, _CompletionBody)
+
+
 def prompt_blocks(prompt: str) -> tuple[int, ...]:
     """Hash the leading blocks of a prompt; each hash includes the blocks before it.
 
@@ -130,10 +136,11 @@
     :param headers: with lower-case names.
     :rtype: CallerRequest or BadRequest
     """
-    try:
-        parsed = msgspec.json.decode(body, type=_CompletionBody)
-    except msgspec.MsgspecError as error:
-        return Err(BadRequest(400, "body", str(error)))
+    # The whole body is decoded, since it is encoded again for the upstream.
+    read = decode_json(body, dict[str, Any]).and_then(_convert_body)
+    if isinstance(read, Err):
+        return Err(BadRequest(400, "body", read.err_value))
+    parsed = read.ok_value
     if not parsed.prompt and not parsed.messages:
         return Err(BadRequest(400, "body.prompt", "give a prompt or messages"))
     if parsed.max_tokens < 1:
--- a/packages/chalkyoke/src/chalkyoke/entry/streams.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/streams.py
@@ -6,6 +6,10 @@
 """
 
 import msgspec
+from result import Err, Ok, Result
+
+from chalkyoke.decoding.bounds import Count, Integer
+from chalkyoke.decoding.decoder import decode_json
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]" + EVENT_END
@@ -50,12 +54,12 @@
 
 
 class _PromptTokensDetails(msgspec.Struct):
-    cached_tokens: int = -1
+    cached_tokens: Integer = -1
 
 
 class _UsageBody(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: Count = 0
+    completion_tokens: Count = 0
     prompt_tokens_details: _PromptTokensDetails | None = None
 
 
@@ -89,21 +93,19 @@
     for part in reversed(tail.split(EVENT_END)):
         if b'"usage"' not in part or not part.startswith(DATA_PREFIX):
             continue
-        try:
-            usage = msgspec.json.decode(part[len(DATA_PREFIX) :], type=_Event).usage
-        except msgspec.MsgspecError:
-            continue
+        event = decode_json(part[len(DATA_PREFIX) :], _Event)
+        usage = None if isinstance(event, Err) else event.ok_value.usage
         if usage is not None:
             details = usage.prompt_tokens_details or _PromptTokensDetails()
             return StreamUsage(usage.prompt_tokens, usage.completion_tokens, details.cached_tokens)
     return StreamUsage()
 
 
-def assemble_completion(stream: bytes) -> bytes:
+def assemble_completion(stream: bytes) -> Result[bytes, str]:
     """Assemble the events of a streamed completion into one JSON answer.
 
     :param stream: all events, including the final one.
-    :return: the body of a completion that is not streamed.
+    :return: the body of a completion that is not streamed, or why an event can't be decoded.
     """
     text: list[str] = []
     content: list[str] = []
@@ -111,7 +113,10 @@
     for part in stream.split(EVENT_END):
         if not part.startswith(DATA_PREFIX) or part == DONE_EVENT[: -len(EVENT_END)]:
             continue
-        last = msgspec.json.decode(part[len(DATA_PREFIX) :], type=_Event)
+        event = decode_json(part[len(DATA_PREFIX) :], _Event)
+        if isinstance(event, Err):
+            return event
+        last = event.ok_value
         usage = last.usage or usage
         for choice in last.choices:
             text.append(choice.text)
@@ -123,6 +128,5 @@
         choice_body["message"] = {"role": "assistant", "content": "".join(content)}
     else:
         choice_body["text"] = "".join(text)
-    return msgspec.json.encode(
-        {"id": last.id, "model": last.model, "choices": [choice_body], "usage": usage}
-    )
+    body = {"id": last.id, "model": last.model, "choices": [choice_body], "usage": usage}
+    return Ok(msgspec.json.encode(body))
--- a/packages/chalkyoke/src/chalkyoke/node/api.py
+++ b/packages/chalkyoke/src/chalkyoke/node/api.py
@@ -28,6 +28,8 @@
     publish_change,
 )
 from chalkyoke.configuration.resources import KINDS, Problem, Specs, build_resources, read_document
+from chalkyoke.decoding.bounds import Count
+from chalkyoke.decoding.decoder import decode_json
 from chalkyoke.logs import logger
 from chalkyoke.node.fleet import FleetView
 
@@ -46,7 +48,7 @@
 
 class _ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
     change_id: str = ""
-    base: int | None = None
+    base: Count | None = None
     resources: dict[str, Any] = {}
     deletes: list[tuple[str, str]] = []
 
@@ -115,10 +117,10 @@
         body = await req.stream.read(MAX_DOCUMENT_BYTES + 1)
         if len(body) > MAX_DOCUMENT_BYTES:
             return Err([Problem(path="body", message=f"larger than {MAX_DOCUMENT_BYTES} bytes")])
-        try:
-            parsed = msgspec.json.decode(body, type=_ChangeBody)
-        except msgspec.MsgspecError as error:
-            return Err([Problem(path="body", message=str(error))])
+        read = decode_json(body, _ChangeBody)
+        if isinstance(read, Err):
+            return Err([Problem(path="body", message=read.err_value)])
+        parsed = read.ok_value
         specs = read_document(parsed.resources)
         if isinstance(specs, Err):
             return specs
--- a/packages/chalkyoke/src/chalkyoke/node/configuration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/configuration.py
@@ -157,13 +157,15 @@
             await self._apply_root(found)
 
     async def _apply_root(self, found: Found) -> None:
-        try:
-            root = decode_root(found.value)
-        except ValueError as error:
+        decoded = decode_root(found.value)
+        if isinstance(decoded, Err):
+            # The watch then waits for the next write of the root.
+            self._root_version = max(self._root_version, found.version)
             self._metrics.count("revision_unreadable")
-            log.error("root in the store is unreadable: {}", error)
+            log.error("root in the store is unreadable: {}", decoded.err_value)
             await asyncio.sleep(RETRY_DELAY_S)
             return
+        root = decoded.ok_value
         if root.revision > self.state.revision:
             chunks = await self._fetch_chunks(root)
             if chunks is None:
--- a/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/quotas/snapshots.py
@@ -13,7 +13,10 @@
 from collections.abc import Iterable
 
 import msgspec
+from result import Err, Ok, Result
 
+from chalkyoke.decoding.bounds import Finite, Integer
+from chalkyoke.decoding.decoder import decode_msgpack
 from chalkyoke.quotas.ledger import SHORT_WINDOW_FRACTION, Parts
 from chalkyoke.quotas.window import WINDOW_PARTS, assumed_sums
 
@@ -40,9 +43,9 @@
     """
 
     team: str
-    window_limit: float
-    share: float
-    parts: tuple[int, ...] = ()
+    window_limit: Finite
+    share: Finite
+    parts: tuple[Integer, ...] = ()
 
 
 class OwnerSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -114,22 +117,27 @@
     found: dict[str, list[TeamSnapshot]] = {}
     complete = True
     for value in values:
-        try:
-            header = msgspec.msgpack.decode(value, type=_Header)
-            if header.epoch != epoch:
-                continue
-            if header.format_version != FORMAT_VERSION:
-                complete = False
-                continue
-            read = msgspec.msgpack.decode(value, type=OwnerSnapshot)
-        except (msgspec.MsgspecError, ValueError):
+        read = _read_value(value, epoch)
+        if isinstance(read, Err):
             complete = False
             continue
-        for each in read.teams:
+        for each in read.ok_value:
             found.setdefault(each.team, []).append(each)
     return ReadSnapshots(found, complete)
 
 
+def _read_value(value: bytes, epoch: int) -> Result[tuple[TeamSnapshot, ...], str]:
+    """Decode a value; it has no teams for this reader if it is from another epoch."""
+    header = decode_msgpack(value, _Header)
+    if isinstance(header, Err):
+        return header
+    if header.ok_value.epoch != epoch:
+        return Ok(())
+    if header.ok_value.format_version != FORMAT_VERSION:
+        return Err(f"unknown format {header.ok_value.format_version}")
+    return decode_msgpack(value, OwnerSnapshot).map(lambda read: read.teams)
+
+
 def combine(
     snapshots: Iterable[TeamSnapshot], window_limit: float, leasable: float, assumed: float
 ) -> ResumedWindow | None:
--- a/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import json
 from collections.abc import Generator
 from typing import TypeVar
 
 import aiohttp
+from result import Err
 from tenacity import (
     AsyncRetrying,
     RetryCallState,
@@ -31,6 +31,7 @@
     Unavailable,
     Written,
 )
+from chalkyoke.decoding.decoder import decode_json
 
 # Timeout of a call, in seconds. The timeout of a watch is this plus the time for which it waits.
 CALL_TIMEOUT_S = 2.0
@@ -156,7 +157,10 @@
                     return self._count_failure("put", Unavailable())
                 if response.status != 200:
                     return self._count_failure("put", AnswerLost())
-                if json.loads(await response.read()):
+                applied = decode_json(await response.read(), bool)
+                if isinstance(applied, Err):
+                    return self._count_failure("put", AnswerLost())
+                if applied.ok_value:
                     return Written(int(response.headers.get(INDEX_HEADER, "0")))
                 return Mismatch()
         except aiohttp.ClientConnectorError:
--- a/packages/chalkyoke/src/chalkyoke/tokens/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/tokens/codec.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from chalkyoke.decoding.decoder import convert, unpack
 from chalkyoke.tokens.messages import Token, TokenProblem
 
 PREFIX = "ck1_"
@@ -80,7 +81,8 @@
 
 
 def _parse_token(body: bytes) -> Token | None:
-    try:
-        return msgspec.convert(msgpack.unpackb(body), Token)
-    except (ValueError, msgpack.UnpackException, msgspec.ValidationError):
-        return None
+    return unpack(body).and_then(_convert_token).ok()
+
+
+def _convert_token(found: object) -> Result[Token, str]:
+    return convert(found, Token)
--- a/packages/chalkyoke/src/chalkyoke/tomlfile.py
+++ b/packages/chalkyoke/src/chalkyoke/tomlfile.py
@@ -20,5 +20,5 @@
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError([f"{path}: is no TOML: {error}"]) from error
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -18,7 +18,10 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
+from result import Err, Ok, Result
 
+from chalkyoke.decoding.bounds import Count, Fingerprint, Seconds
+from chalkyoke.decoding.decoder import decode_json
 from chalkyoke.exceptions import ChalkyokeError
 from chalkyoke.http1.heads import contains_status_line
 from chalkyoke.retry_after import parse_retry_after
@@ -117,11 +120,24 @@
 
 
 class _LoadBody(msgspec.Struct):
-    running: int
-    waiting: int = 0
-    age_s: float = 0.0
+    running: Count
+    waiting: Count = 0
+    age_s: Seconds = 0.0
     draining: bool = False
-    cache_dropped: list[int] = []
+    cache_dropped: list[Fingerprint] = []
+
+
+def read_load(upstream: str, body: bytes) -> Result[tuple[LoadReport, CacheEvent], str]:
+    """Decode the load report and the cache events of an upstream.
+
+    :return: both, or why the body can't be decoded.
+    """
+    read = decode_json(body, _LoadBody)
+    if isinstance(read, Err):
+        return read
+    found = read.ok_value
+    report = LoadReport(upstream, found.running, found.waiting, found.age_s, found.draining)
+    return Ok((report, CacheEvent(upstream, tuple(found.cache_dropped))))
 
 
 class UpstreamClient:
@@ -203,11 +219,10 @@
             ) as response:
                 if response.status != 200:
                     return None
-                body = msgspec.json.decode(await response.read(), type=_LoadBody)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+                found = read_load(upstream, await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError):
             return None
-        report = LoadReport(upstream, body.running, body.waiting, body.age_s, body.draining)
-        return report, CacheEvent(upstream, tuple(body.cache_dropped))
+        return found.ok()
 
     async def _classify_response(self, response: aiohttp.ClientResponse) -> CallOutcome:
         if response.status < 500 and response.status not in (408, 429):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -53,7 +53,7 @@
         self.version += 1
         self.values[call.key] = Found(call.value, self.version)
         if call.key == ROOT_KEY:
-            self.roots.append(decode_root(call.value))
+            self.roots.append(decode_root(call.value).ok_value)
         return Written(self.version)
 
     def answer(self, call, fault):
