A reason phrase that is no UTF-8 doesn't end a call in an exception

Seen by reading, then by a test: an upstream's answer whose status line holds bytes that are no UTF-8 raised UnicodeEncodeError out of the client, which returns failures as values, so the run ended as an internal error.

Cause: aiohttp decodes the phrase with surrogateescape, and the look for a second status line encoded it without. Now it encodes it alike, and the answer is whole.

RawAnswer loses its field for a cut, which no test uses.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/rawanswers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/rawanswers.py
@@ -30,12 +30,10 @@
     :ivar text: the bytes, in which ``{fields}`` are the headers that name the request, each with
         its line end, ``{body}`` is the body, ``{length}`` its length, ``{chunk}`` one chunk with
         the body, and ``{half}`` its first half.
-    :ivar cut: number of bytes that are sent; None for all.
     """
 
     text: bytes
     end: AnswerEnd = AnswerEnd.CLOSE
-    cut: int | None = None
 
     def encode(self, fields: dict[str, str], body: bytes) -> bytes:
         """Return the bytes that are sent for one request."""
@@ -50,7 +48,7 @@
         data = self.text
         for name, value in values.items():
             data = data.replace(name, value)
-        return data[: self.cut]
+        return data
 
     async def write(
         self, writer: asyncio.StreamWriter, fields: dict[str, str], body: bytes
--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -57,7 +57,8 @@
 
 def _find_problem(head: RawResponseMessage) -> str | None:
     """Return why a head is not the head of one answer; None if it is."""
-    if contains_status_line(head.reason.encode(), list(head.raw_headers)):
+    reason = head.reason.encode(errors="surrogateescape")
+    if contains_status_line(reason, list(head.raw_headers)):
         return "the head of two answers"
     if head.code == SWITCHING_PROTOCOLS or head.code < MIN_STATUS:
         return f"status {head.code}"
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
@@ -74,3 +74,10 @@
 def test_lengths_that_contradict_each_other_are_no_answer(fields):
     outcome, _ = post(OK + fields + b"\r\nhello")
     assert isinstance(outcome, NoAnswer)
+
+
+# Guards against a call that ends in an unexpected exception, over bytes that are no text.
+@pytest.mark.parametrize("reason", [b"\xff\xfe", b"caf\xe9", "\u00e9".encode()])
+def test_an_answer_whose_reason_is_no_text_is_whole(reason):
+    answer = b"HTTP/1.1 200 %b\r\n" % reason + LENGTH + b"X: \xff\r\n\r\nhello"
+    assert post(answer)[0] == (200, b"hello")
