Stand-ins: a request arrives at a paused replica before it is taken up

Arrivals and takings up are two times now; overlapping work counts from the latter. Misdirected requests wait for the pause too.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/replica.py
@@ -150,6 +150,7 @@
 
     :ivar client_disconnected: whether the connection was closed while the request ran.
     :ivar at: when the request arrived, in seconds of the replica's clock.
+    :ivar begun_at: when the replica took it up; later than ``at`` if it was paused.
     :ivar ended_at: when the work ended; infinite while it goes on.
     :ivar work_s: time that the work takes if nothing ends it early, in seconds.
     :ivar rest_s: the ``Retry-After`` with which the replica rejected the request, in seconds; 0 for
@@ -162,6 +163,7 @@
     body: bytes
     client_disconnected: bool = False
     at: float = 0.0
+    begun_at: float = 0.0
     ended_at: float = math.inf
     work_s: float = 0.0
     rest_s: float = 0.0
@@ -343,14 +345,15 @@
     async def _handle_request(
         self, request: ReceivedRequest, reader: _Reader, writer: asyncio.StreamWriter
     ) -> bool:
+        request.at = self.now()
+        await self._wait_while_paused()
+        request.begun_at = self.now()
         name = request.headers.get("x-request-id", "")
         expected = request.headers.get("x-expect-instance", self.id)
         if expected != self.id:
             self.misdirected += 1
             _write_response(writer, 421, {"X-Request-Id": name, "X-Instance": self.id}, b"")
             return True
-        await self._wait_while_paused()
-        request.at = self.now()
         if not name or self.faults.shed > 0 or self._is_full():
             self._reject_request(name, request, writer)
             return True
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/dispatched.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/dispatched.py
@@ -85,7 +85,8 @@
     violations = []
     for request, runs in _runs_by_request(observations).items():
         for one, other in itertools.combinations(sorted(runs, key=lambda each: each.at), 2):
-            overlap_s = min(one.ended, other.ended) - other.at
+            began = max(one.at, one.begun, other.at, other.begun)
+            overlap_s = min(one.ended, other.ended) - began
             is_other = one.replica != other.replica
             if not is_other or overlap_s <= MAX_OVERLAP_S or request not in nodes:
                 continue
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -108,9 +108,11 @@
 class ReplicaRun:
     """One run of a request at a replica.
 
+    :param at: when the request arrived.
     :param parts: the shared parts of the prompt.
     :param ended: when the replica's work ended; infinite if it goes on.
     :param work_s: time that the work takes if nothing ends it early, in seconds.
+    :param begun: when the work began, if that was later than ``at``.
     """
 
     request: str
@@ -122,6 +124,7 @@
     parts: frozenset[str] = frozenset()
     ended: float = math.inf
     work_s: float = 0.0
+    begun: float = 0.0
 
     @property
     def place(self) -> str:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -480,7 +480,7 @@
                 at - self._began for at in replica.exit_times
             ]
             for received in replica.rejected:
-                name, at = received.headers["x-request-id"], received.at - self._began
+                name, at = received.headers["x-request-id"], received.begun_at - self._began
                 self.observations.rejections.append(
                     Rejection(name, replica.id, at, received.rest_s)
                 )
@@ -496,6 +496,7 @@
                         frozenset(shared_parts(received)),
                         received.ended_at - self._began,
                         received.work_s,
+                        received.begun_at - self._began,
                     )
                 )
         for name in self._fleet.nodes:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -478,6 +478,24 @@
     assert checkers.dispatched_requests_end(observations) == []
 
 
+def test_a_paused_replica_takes_up_late_what_it_got_before_its_caller_left():
+    """It reads the request and the close together when it goes on, and must end its work then."""
+    observations = make_sound_run()
+    run_on_for_callers_that_left(observations)
+    late = [replace(each, begun=41.5, ended=41.51) for each in observations.runs[-4:]]
+    assert checkers.left_requests_end(observations)
+    assert checkers.left_requests_end(replace(observations, runs=late)) == []
+    working = [replace(each, ended=42.1) for each in late]
+    assert checkers.left_requests_end(replace(observations, runs=working))
+
+
+def test_work_at_two_replicas_counts_from_when_a_paused_one_takes_it_up():
+    observations = make_sound_run()
+    work_at_two_replicas_at_once(observations)
+    observations.runs[-1] = replace(observations.runs[-1], begun=21.4)
+    assert checkers.work_hardly_overlaps(observations) == []
+
+
 def test_a_halt_of_the_stand_ins_excuses_work_that_overlaps():
     """A loaded machine did not run the replicas, which then heard of an end 0.7 s late."""
     observations = make_sound_run()
