A stream whose caller waits beyond its patience may still go on elsewhere

A stream that had begun could not move any more once its caller's patience had passed since the last event (2 s and more): each further search carried an end that lay in the past, and the scheduler refused it as expired, whatever was free, every 0.1 s until the deadline. Patience is an estimate of when the caller leaves; a caller that has left ends the exchange, so one that is still there waits for longer. The limits of its next event are then those of the request.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -427,10 +427,12 @@
         a trial never causes a refusal.
         """
         parts, progress = self._parts, self._progress
-        last_event_at = self._delivery.last_event_at
+        wanted, last_event_at = admission, self._delivery.last_event_at
+        if last_event_at:
+            wanted = admit_continuation(admission, last_event_at, parts.now())
         acquire = functools.partial(
             parts.grants.acquire,
-            admit_continuation(admission, last_event_at) if last_event_at else admission,
+            wanted,
             digest=self._request_digest,
             version=self._delivery.version,
         )
--- a/packages/chalkyoke/src/chalkyoke/gateway/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/reception.py
@@ -109,17 +109,21 @@
     return _build_admission(fields, search_id, route, service, team, catalog.version, now)
 
 
-def admit_continuation(admission: Admission, last_event_at: float) -> Admission:
+def admit_continuation(admission: Admission, last_event_at: float, now: float) -> Admission:
     """Return the admission of a stream that has begun, with the limits of its next event.
 
     The caller waits for it as long as for the first one, from the last one that it has received.
-    Its goal is to arrive before the caller leaves: no pause can be made good any more.
+    Its goal is to arrive before the caller leaves: no pause can be made good any more. A caller
+    that is still there after that time waits until the deadline.
 
     :param last_event_at: when the last event was forwarded, on the node's clock.
+    :param now: time on the node's clock, in seconds.
     :rtype: Admission
     """
-    patience_s = admission.patience_until - admission.arrived_at
-    latest = min(admission.deadline, last_event_at + patience_s)
+    latest = last_event_at + admission.patience_until - admission.arrived_at
+    if latest <= now:
+        latest = admission.deadline
+    latest = min(admission.deadline, latest)
     return msgspec.structs.replace(admission, due_at=latest, patience_until=latest)
 
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_reception.py
@@ -80,10 +80,17 @@
 def test_the_caller_of_a_stream_waits_for_each_event_as_long_as_for_the_first():
     """Guards against streams that can't go on elsewhere as their first event came long ago."""
     admission = admit(deadline_s=15.0)
-    continued = admit_continuation(admission, 101.5)
+    continued = admit_continuation(admission, 101.5, 102.5)
     assert continued.due_at == continued.patience_until == 101.5 + 2.4
     assert (continued.deadline, continued.search_id) == (admission.deadline, admission.search_id)
-    assert admit_continuation(admission, 103.0).patience_until == admission.deadline
+    assert admit_continuation(admission, 103.0, 103.9).patience_until == admission.deadline
+
+
+def test_the_caller_of_a_stream_that_has_not_left_yet_waits_until_the_deadline():
+    """Guards against streams whose every search is refused as expired while their callers wait."""
+    admission = admit(deadline_s=15.0)
+    continued = admit_continuation(admission, 101.5, 101.5 + 2.4)
+    assert continued.due_at == continued.patience_until == admission.deadline
 
 
 def test_a_request_costs_its_tokens_or_the_default_cost():
