Tunnels of a host that is believed lost for a moment last

Callers lost streams and unrepeatable requests whose replica and whose host were both alive. A tunnel that has ended can't be taken back: the exchange breaks (path_lost, closed) and what may run only once is cut off or answered with 502. The class is that of the silent replicas: something was given up on a mere sign of trouble.

A tunnel now ends once its user has been lost for 2 s. A host that has really ended closes its tunnels itself, or a reset does; only a machine that vanishes leaves them to this.

The report of a domain without its members remains.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -595,6 +595,7 @@
             if joined:
                 self.announcements.member_joined(record)
                 self.limits.member_joined(record)
+                self.tunnels.member_joined(record.process)
             else:
                 self.scheduler_host.member_left(record.process)
                 self.tunnels.member_left(record.process)
--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -25,6 +25,9 @@
 # Highest number of tunnels that this host serves: with two file descriptors each, a tenth of those
 # of the smallest hosts that operators run.
 MAX_TUNNELS = 200
+# Time for which a process stays lost before its tunnels end, in seconds: a live one is taken for
+# lost for up to a second while another host of its failure domain starts.
+LOST_S = 2.0
 # Interval at which a stop checks whether tunnels are still open, in seconds.
 END_CHECK_S = 0.05
 
@@ -149,6 +152,7 @@
         self._stopping = False
         self._opening = 0
         self.tunnels: dict[CallingEnd, str] = {}
+        self._lost: dict[str, asyncio.TimerHandle] = {}
 
     async def serve(self, stream: Connection, message: TunnelRequest) -> None:
         """Answer a request for a tunnel, and serve the tunnel until its end.
@@ -185,7 +189,21 @@
                     await asyncio.sleep(END_CHECK_S)
 
     def member_left(self, process: str) -> None:
-        """End the tunnels of a process that is lost."""
+        """End the tunnels of a process that stays lost for :data:`LOST_S`.
+
+        A tunnel that has ended can't be taken back, and a process that is believed lost may live.
+        """
+        if process not in self._lost:
+            loop = asyncio.get_running_loop()
+            self._lost[process] = loop.call_later(LOST_S, self._end_tunnels, process)
+
+    def member_joined(self, process: str) -> None:
+        """Keep the tunnels of a process that was believed lost."""
+        if (timer := self._lost.pop(process, None)) is not None:
+            timer.cancel()
+
+    def _end_tunnels(self, process: str) -> None:
+        del self._lost[process]
         for end in [end for end, user in self.tunnels.items() if user == process]:
             end.transport.abort()
 
--- a/tests/silencecases.py
+++ b/tests/silencecases.py
@@ -104,6 +104,15 @@
     "hosts are cut off from replicas (silent)": Case(
         Silences(prepare=_cut_hosts(PartitionMode.SILENT)), reaches=False
     ),
+    "hosts are cut off from replicas (reset) and hosts stop": Case(
+        Silences(
+            silence_s=0.01,
+            paths=ALL_PATHS,
+            prepare=_cut_hosts(PartitionMode.RESET),
+        ),
+        lambda changes, folder: changes.stop_next_node,
+        reaches=False,
+    ),
     "hosts are cut off from replicas and routes move": Case(
         Silences(prepare=_cut_hosts(PartitionMode.RESET), second_services=True),
         _move_routes,
--- a/tests/test_silence_beside_changes.py
+++ b/tests/test_silence_beside_changes.py
@@ -39,3 +39,10 @@
 def test_answers_of_silent_replicas_are_not_cut_off_when(name):
     """Guards against cut answers and against two replicas that work on one request for long."""
     check_case(CASES[name], play(CASES[name]))
+
+
+@pytest.mark.parametrize("seed", [78, 80])
+def test_tunnels_of_hosts_that_are_believed_lost_for_a_moment_are_not_cut_off(seed):
+    """Guards against answers cut off in tunnels of live hosts while another host starts again."""
+    case = CASES["hosts are cut off from replicas (reset) and hosts stop"]
+    check_case(case, play(case, seed))
