Searches for an owed answer become rarer, and prefer replicas that are not silent

A silent replica whose grant was returned counts as tried, so that the next grant prefers another one.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -24,12 +24,12 @@
     is_still_allowed,
 )
 from chalkyoke.gateway.relay import Delivery
-from chalkyoke.gateway.replacement import SEARCH_INTERVAL_S, find_objection, may_search_again
+from chalkyoke.gateway.replacement import find_objection, next_search_at
 from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
 from chalkyoke.gateway.sender import Sender
 from chalkyoke.gateway.sendlog import SendLog, silent_s
 from chalkyoke.gateway.takeover import Send
-from chalkyoke.gateway.verdict import FAILURES, NextStep, SendEnd, decide_next_step
+from chalkyoke.gateway.verdict import NextStep, SendEnd, decide_next_step
 from chalkyoke.http1.messages import Request, find_header
 from chalkyoke.http1.response import ResponseWriter
 from chalkyoke.quarantine.identity import request_digest, shared_part_digests
@@ -271,7 +271,7 @@
                 assert silent is not None
                 outcome = await self._wait_on_silent(admission, silent)
             elif step is NextStep.SEARCH_AGAIN:
-                await asyncio.sleep(SEARCH_INTERVAL_S)
+                await asyncio.sleep(self._search_at - self._parts.now())
                 outcome = await self._attempt(admission)
             else:
                 return
@@ -302,6 +302,7 @@
                 self._delivery.version,
             )
             if objection is not None:
+                self._progress.tried.append(granted.replica.id)
                 self._return_grant(admission, granted)
                 return Denied(objection, RETRY_SOON_S)
             end = await self._sender.send(admission, granted)
@@ -477,7 +478,7 @@
             time_left=time_left,
             silent=silent,
         )
-        if next_step in FAILURES and self._may_search_again(admission, end):
+        if next_step is not NextStep.DONE and self._may_search_again(admission, end):
             next_step = NextStep.SEARCH_AGAIN
         if next_step is NextStep.SEND_AGAIN and not silent:
             self._delivery.splitter.discard_partial()
@@ -495,10 +496,18 @@
         return next_step
 
     def _may_search_again(self, admission: Admission, outcome: Outcome) -> bool:
+        """Decide whether a replica is sought again, and when."""
         if not self._sender.owes_answer:
             return False
-        begun = self._delivery.head_sent
-        return may_search_again(outcome, admission, self._parts.now(), begun=begun)
+        progress, begun = self._progress, self._delivery.head_sent
+        at = next_search_at(outcome, admission, self._parts.now(), progress.searches, begun=begun)
+        if at is None:
+            return False
+        self._search_at = at
+        progress.searches += 1
+        return True
+
+    _search_at = 0.0
 
     def _is_reported(self, granted: Granted) -> bool:
         """Return whether a replica is still silent whose silence was reported as a failure."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/progress.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/progress.py
@@ -16,6 +16,7 @@
     :ivar attempt: number of the latest grant that was asked for.
     :ivar declined: whether a replica has declined the request.
     :ivar unused_grants: number of grants that could not be used.
+    :ivar searches: number of searches since a silent replica was given up.
     """
 
     sends: SendCounts = msgspec.field(default_factory=SendCounts)
@@ -23,3 +24,4 @@
     attempt: int = 0
     declined: bool = False
     unused_grants: int = 0
+    searches: int = 0
--- a/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replacement.py
@@ -15,8 +15,10 @@
 # Silence amid its answers after which a replica takes no request from another silent one, in
 # seconds. It is longer than the pauses that the prompts of other requests cause.
 MAX_SILENCE_S = 0.5
-# Time between two searches, in seconds.
-SEARCH_INTERVAL_S = 0.1
+# Time before the first further search, in seconds, and the longest one. It doubles each time, as a
+# search may end with a rejected send, which the retry budget of the service pays for.
+FIRST_SEARCH_PAUSE_S = 0.1
+MAX_SEARCH_PAUSE_S = 0.5
 # Shortest time before the deadline of a request in which a replica is sought for it, in seconds.
 MIN_SEARCH_S = 0.2
 
@@ -48,21 +50,27 @@
     return "no other replica" if any(each.id != replica.id for each in eligible) else None
 
 
-def may_search_again(outcome: object, admission: Admission, now: float, *, begun: bool) -> bool:
-    """Return whether a replica is sought again for a request whose silent replica was given up.
+def next_search_at(
+    outcome: object, admission: Admission, now: float, searches: int, *, begun: bool
+) -> float | None:
+    """Return when a replica is sought again for a request whose silent replica was given up.
 
     The host has given up what might have become a whole answer, so one refusal does not end it.
     An answer that has begun is worth the whole time of its caller; any other request is refused
     while the caller can still try again.
 
-    :param begun: whether a part of the answer has been forwarded to the caller.
     :param outcome: the :class:`~chalkyoke.gateway.verdict.SendEnd` of the last send, or the
         refusal that took its place.
     :param now: time on the node's clock, in seconds.
+    :param searches: number of further searches so far.
+    :param begun: whether a part of the answer has been forwarded to the caller.
+    :return: the time on the node's clock, in seconds; None if the request ends now.
     """
     latest = admission.deadline - MIN_SEARCH_S if begun else latest_wait_end(admission)
-    if now >= latest:
-        return False
     if isinstance(outcome, SendEnd):
-        return outcome in UNCONNECTED or outcome is SendEnd.DECLINED
-    return isinstance(outcome, Denied)
+        is_refused = outcome in UNCONNECTED or outcome is SendEnd.DECLINED
+    else:
+        is_refused = isinstance(outcome, Denied)
+    if now >= latest or not is_refused:
+        return None
+    return min(latest, now + min(MAX_SEARCH_PAUSE_S, FIRST_SEARCH_PAUSE_S * 2.0**searches))
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -7,6 +7,7 @@
 
 import pytest
 from chalkyoke.catalog.resources import RouteKind
+from chalkyoke.gateway.exchange import MAX_GRANTS
 from chalkyoke.gateway.granted import Denied, Granted, Source
 from chalkyoke.gateway.ports import AnswerFields
 from chalkyoke.gateway.takeover import MAX_OVERLAP_S
@@ -422,6 +423,26 @@
     fleet.check_whole()
 
 
+def test_a_stream_that_is_rejected_again_and_again_is_sent_ever_more_rarely():
+    """Guards against one stream that spends the retry budget of its whole service."""
+    rejections = [ScriptedReplica([0.0], status=FULL) for _ in range(30)]
+    fleet = play(silent_replica(9.0), late_rejection(), *rejections)
+    assert not fleet.caller.whole
+    sent = [each.sent_at for each in rejections if each.sent_at is not None]
+    assert 5 <= len(sent) <= MAX_GRANTS
+
+
+def test_another_replica_is_preferred_to_one_that_is_silent_too():
+    """Guards against searches that get the same silent replica each time."""
+
+    async def during(fleet):
+        fleet.exchange._parts.connections.silent_s = lambda ip, port: 1.0 if port == 1 else 0.0
+
+    fleet = play(silent_replica(3.0), sound_replica(), sound_replica(), during=during)
+    fleet.check_whole()
+    assert fleet.exchange._progress.tried == ["m0", "m1", "m2"]
+
+
 def test_a_stream_whose_replica_broke_it_off_ends_with_the_first_refusal():
     """Guards against callers that wait for an answer which nobody goes on with."""
     broken = sound_replica(breaks_after=2)
--- a/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/verdict.py
@@ -59,10 +59,6 @@
     BREAK_OFF = "break_off"
 
 
-# Steps after which the caller gets no answer of a replica.
-FAILURES = frozenset((NextStep.REFUSE, NextStep.FAIL, NextStep.BREAK_OFF))
-
-
 class SendCounts(msgspec.Struct):
     """Counts of the sends of one request.
 
