--- a/packages/chalkyoke/src/chalkyoke/resumption/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chalkyoke.decoding.bounds import Finite, Integer
+
 # Highest age of a stream, in seconds, where a node of an older build names none.
 MAX_AGE_S = 30.0
 
@@ -32,7 +34,7 @@
     """
 
     service: str
-    age_s: float = MAX_AGE_S
+    age_s: Finite = MAX_AGE_S
     route: str = ""
     targets: int = 0
 
@@ -47,7 +49,7 @@
     """
 
     versions: tuple[str, ...] = ()
-    covers_s: float = 0.0
+    covers_s: Finite = 0.0
     has_moved: bool = False
 
 
@@ -60,7 +62,7 @@
 
     stream: int
     origin: Origin
-    keep_s: float
+    keep_s: Finite
 
 
 class OriginRequest(msgspec.Struct, frozen=True, array_like=True, tag="origin_request"):
@@ -71,7 +73,7 @@
     :param sought: the same service, and more; None from nodes of older builds.
     """
 
-    number: int
+    number: Integer
     stream: int
     service: str
     sought: Sought | None = None
@@ -84,7 +86,7 @@
     :param history: the sender's version history of the service, if it does not know the origin.
     """
 
-    number: int
+    number: Integer
     origin: Origin | None = None
     history: VersionHistory = VersionHistory()
 
