--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -410,6 +410,16 @@
     assert fleet.replicas[2].sent_at is not None
 
 
+def test_a_stream_stays_at_its_silent_replica_that_has_begun_its_answer_meanwhile():
+    """Guards against 502 for streams whose replica had gone on 0.2 s before it was given up.
+
+    It had sent the head and not yet an event, and the other replica rejected the request late.
+    """
+    begun_late = ScriptedReplica([0.9, 0.2, 0.1])
+    fleet = play(begun_late, late_rejection())
+    fleet.check_whole()
+
+
 def test_a_stream_whose_silent_replica_was_given_up_waits_for_a_free_slot():
     """Guards against streams that the first refusal ended after their replica was given up."""
 
