Red test: a request that no replica ran gets 502 if its silent replica rejected it

Only rejections of the current send are taken off the runs; that of a silent one still counts as a run, and as one of the route's attempts. The test fails with 502.

--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_takeover.py
@@ -420,6 +420,13 @@
     fleet.check_whole()
 
 
+def test_a_request_that_its_silent_replica_and_the_next_one_reject_has_not_run():
+    """Guards against 502 for requests that no replica ran, which their callers can't repeat."""
+    rejects = ScriptedReplica([0.85, 0.01], status=FULL)
+    fleet = play(rejects, ScriptedReplica([0.15, 0.01], status=FULL))
+    assert fleet.caller.status == FULL, fleet.log
+
+
 def test_a_stream_whose_silent_replica_was_given_up_waits_for_a_free_slot():
     """Guards against streams that the first refusal ended after their replica was given up."""
 
