An odd entry over a roll-out's order or status leaves the roll-out as it is

An unreadable order over a running one withdrew it: the version on trial was rejected, and the order got no answer (status "running" for good). An unreadable status stayed in the store, since each write over it expected no status and met a conflict, a call every 0.3 s; a node that starts then would run a trial again that had been rolled back.

An order now stays in force when its record becomes unreadable, until a readable one replaces it or it is removed; a status is written over whatever the store holds under its key, by the revision of that. The store of the simulated fleets refuses conditional writes as the real one does.

--- a/packages/chalkyoke/src/chalkyoke/catalog/records.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/records.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterator
 
 import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 
 from chalkyoke.catalog.resources import Replica
 from chalkyoke.catalog.starts import RetainedStarts
@@ -231,14 +231,22 @@
     def _mark_unreadable(self, key: str, why: str) -> bool:
         """Mark a record as unreadable and remove the earlier record under its key from force.
 
+        An order stays in force: without it, a service would leave the version that it has reached.
+
         :return: whether the reason differs from the previous one.
         """
         is_new = self.unreadable.get(key) != why
         self.unreadable[key] = why
-        if (item := self._items.pop(key, None)) is not None:
+        item = self._items.get(key)
+        if item is not None and not self._is_order(item):
+            del self._items[key]
             self._remove_from_indexes(item)
         return is_new
 
+    def _is_order(self, item: Item) -> bool:
+        read = self._read(item)
+        return isinstance(read, Ok) and isinstance(read.ok_value, RolloutOrder)
+
     def _put_held(self, record: HeldRecord) -> bool:
         mine, other = self.held_requests, self.released_requests
         if record.is_released:
--- a/packages/chalkyoke/src/chalkyoke/catalog/state.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/state.py
@@ -125,6 +125,11 @@
         """The reason why a record can't be parsed, by key."""
         return self._records.unreadable
 
+    def stored_revision(self, key: str) -> int:
+        """Return the store's revision of a record, readable or not; 0 if there is none."""
+        item = self._items.get(key)
+        return item.revision if item is not None else 0
+
     def mark_leaving(self, start: str, now: float) -> bool:
         """Mark a replica start as leaving, as it has announced; no record of it reverts this.
 
--- a/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
+++ b/packages/chalkyoke/src/chalkyoke/node/rolloutleads.py
@@ -235,8 +235,7 @@
     ) -> None:
         """Write a status if no other node wrote one meanwhile: a final status never changes."""
         key, document = self._write_status(tracked.order, state)
-        held = self._state.statuses.get(tracked.order.service)
-        expected = held.revision if held else 0
+        expected = self._state.stored_revision(key)
         written = await self._store.write(key, document, expected=expected)
         done = not isinstance(written, Unavailable | Conflict | LeaseGone)
         log.notice(
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -18,8 +18,9 @@
 from chalkyoke.gateway.settings import GatewaySettings
 from chalkyoke.node.gateway import GatewayNode
 from chalkyoke.node.parts import PlatformParts
+from chalkyoke.platform.documents import ROLLOUT_STATUSES_PREFIX
 from chalkyoke.platform.start import platform_parts
-from chalkyoke.storage.messages import LeaseGranted, Unavailable, Written
+from chalkyoke.storage.messages import Conflict, LeaseGranted, Unavailable, Written
 from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
 from chalkyoke_fakes.replica import FIRST_VERSION, Replica
 
@@ -41,6 +42,11 @@
     async def write(self, key, value, *, lease=0, expected=None):
         if self._store.offline:
             return Unavailable("reset", may_have_been_applied=False)
+        if key.startswith(ROLLOUT_STATUSES_PREFIX):
+            self._store.status_writes.append(key)
+        item = self._store.items.get(key)
+        if expected is not None and expected != (item.revision if item else 0):
+            return Conflict()
         self._store.put(key, value)
         return Written(self._store.revision, self._store.epoch)
 
@@ -105,11 +111,13 @@
     scheduling: dict = field(default_factory=dict)
     models: list = field(default_factory=list)
     seats: list = field(default_factory=list)
+    status_writes: list = field(default_factory=list)
 
     async def start(self):
         loop = asyncio.get_running_loop()
         self.net = MemoryNet(loop)
         self.store = catalogfleet.Store()
+        self.store.status_writes = self.status_writes
         self.store.put("op/config", json.dumps(default_configuration()).encode())
         self._request_numbers = itertools.count(1)
         for number in range(self.replicas):
