--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import copy
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -19,6 +20,7 @@
     LimitPeriod,
     Observations,
 )
+from chalkyoke_fakes.soak.oddentries import remove_odd_entries, write_odd_entries
 from chalkyoke_fakes.soak.plan import (
     MAX_FAULT_S,
     MIN_FAULT_S,
@@ -207,6 +209,8 @@
             await self._apply_replica_fault(step)
         elif step.fault is Fault.OTHER_WRITERS:
             await self._write_foreign_records(step)
+        elif step.fault is Fault.ODD_ENTRIES:
+            await self._write_odd_entries(step)
         elif step.fault is Fault.CRASHING_REQUEST:
             await self._send_crashing_body(step)
         elif step.fault is Fault.CRASHING_PART:
@@ -456,6 +460,13 @@
         await store.remove("servers/other-1")
         await store.remove("servers/other-2")
 
+    async def _write_odd_entries(self, step: FaultStep) -> None:
+        """Write entries that no reader can use, and then the next configuration."""
+        await write_odd_entries(self._fleet.store, random.Random(step.at))
+        await asyncio.sleep(step.duration_s)
+        await remove_odd_entries(self._fleet.store)
+        await self._change_configuration()
+
     async def _crash_replica(self, replica: Replica) -> None:
         """Crash a replica and replace it at its address; the old record is removed 1 s later."""
         await replica.crash()
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -63,6 +63,7 @@
     REPLICA_PAUSES = "replica_pauses"
     REPLICA_REPEATS = "replica_repeats"
     STORE_REPEATS = "store_repeats"
+    ODD_ENTRIES = "odd_entries"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -102,6 +103,8 @@
 PAUSE_SEED_MASK = 0x9A05
 COPY_FAULTS = (Fault.REPLICA_REPEATS, Fault.STORE_REPEATS)
 COPY_SEED_MASK = 0xC0B1
+ODD_FAULTS = (Fault.ODD_ENTRIES,)
+ODD_SEED_MASK = 0x0DD5
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -118,6 +121,7 @@
         *FOCUS_FAULTS,
         *PAUSE_FAULTS,
         *COPY_FAULTS,
+        *ODD_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -214,6 +218,7 @@
         (FOCUS_FAULTS, FOCUS_SEED_MASK),
         (PAUSE_FAULTS, PAUSE_SEED_MASK),
         (COPY_FAULTS, COPY_SEED_MASK),
+        (ODD_FAULTS, ODD_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -385,3 +385,26 @@
         assert {runs[f"woken-{number}"] for number in range(40)} == {1}
 
     with_fleet(check)
+
+
+# Guards against one odd entry in the store that ends every node, and again at each start.
+def test_nodes_live_and_follow_beside_a_deep_configuration_and_a_deep_order():
+    async def check(fleet):
+        deep = "[" * 100_000 + "]" * 100_000
+        document = json.dumps({**default_configuration(5), "unknown": "@"}).replace('"@"', deep)
+        await fleet.store.put("op/config", document.encode())
+        order = json.dumps({"to-version": "v2", "over-s": 9, "unknown": "@"}).replace('"@"', deep)
+        await fleet.store.put("op/rollout/seats", order.encode())
+        await asyncio.sleep(1.0)
+        for name in fleet.nodes:
+            assert (await fleet.send_request(name, "/book/1")).status == 200
+        later = default_configuration(6)
+        later["routes"].append({**later["routes"][2], "name": "new", "path-prefix": "/new/"})
+        await fleet.configure(later)
+        await asyncio.sleep(1.0)
+        for name in fleet.nodes:
+            assert (await fleet.send_request(name, "/new/1")).status == 200
+        logs = "".join(path.read_text() for path in fleet.folder.glob("*.log"))
+        assert '"event":"entry_unreadable"' in logs and '"event":"fatal"' not in logs
+
+    with_fleet(check)
