--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -47,6 +47,8 @@
 LAG_RESET_S = 2.0
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
+# Maximum length of a record, in bytes: a snapshot of the records must fit into one frame.
+MAX_RECORD_BYTES = 16_384
 # Maximum number of changed quotas in one log line.
 MAX_LOGGED_ENTRIES = 10
 
@@ -165,7 +167,8 @@
         for item in listing.items:
             self._apply_document(item, 0.0)
         records = _filter_by_prefix(self._keys.records, listing)
-        self._apply_snapshot(Listing(records, listing.revision, epoch))
+        cut = tuple(_cut_record(each) for each in records)
+        self._apply_snapshot(Listing(cut, listing.revision, epoch))
         self._node_registrations = {
             item.key: item.value for item in _filter_by_prefix((self._keys.nodes,), listing)
         }
@@ -185,7 +188,7 @@
             if change.key == self._keys.document and isinstance(change, Item):
                 self._apply_document(change, age_s)
             elif change.key.startswith(self._keys.records):
-                replicas.append(change)
+                replicas.append(_cut_record(change) if isinstance(change, Item) else change)
             elif change.key.startswith(self._keys.nodes):
                 nodes_changed = True
                 if isinstance(change, Item):
@@ -409,5 +412,12 @@
     }
 
 
+def _cut_record(item: Item) -> Item:
+    """Cut the value of a record that is longer than any of ours: it is sent to all peers."""
+    if len(item.value) <= MAX_RECORD_BYTES:
+        return item
+    return Item(item.key, item.value[:MAX_RECORD_BYTES], item.revision)
+
+
 def _filter_by_prefix(prefixes: tuple[str, ...], listing: Listing) -> tuple[Item, ...]:
     return tuple(item for item in listing.items if item.key.startswith(prefixes))
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
@@ -6,6 +6,8 @@
 from chalkyoke.catalog.messages import CatalogRequest
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
+from chalkyoke.clock import Stamp
+from chalkyoke.links.codec import MAX_FRAME_BYTES, FrameCodec, FrameReader
 from chalkyoke.membership.messages import Heartbeat, MemberRecord
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
@@ -129,6 +131,24 @@
     virtual.run(main)
 
 
+# Guards against a snapshot that no link carries: each attempt to send it ended the link.
+def test_long_records_of_other_writers_fit_into_a_frame():
+    async def check(store, synchronizer):
+        for number in range(15):
+            store.write(f"servers/odd{number}", bytes(1_000_000))
+        await asyncio.sleep(0.1)
+        for number in range(15, 30):
+            store.write(f"servers/odd{number}", bytes(1_000_000))
+        await asyncio.sleep(2.0)
+        assert len(synchronizer.state.replicas) == 31
+        update = synchronizer.state.build_replicas_update()
+        frame = FrameCodec(()).encode(Stamp(1, 1), update)
+        assert len(frame) < MAX_FRAME_BYTES / 10
+        assert len(list(FrameReader().feed(frame))) == 1
+
+    run(check)
+
+
 def test_changes_in_the_first_second_arrive_with_the_first_watch():
     async def check(store, synchronizer):
         await asyncio.sleep(0.3)
