A document that a node can't read is not requested from peers again and again

A peer of an older build that holds a configuration with a number out of bounds announces its version in each heartbeat: a node of this build would have requested it at each of them, refused it, and restarted its own watch of the store as if it lagged. It now refuses a version once, with its reason (not_taken), and requests the next one.

--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -109,6 +109,7 @@
         self._unreadable = UnreadableEntries()
         self._node_registrations: dict[str, bytes] = {}
         self._requested_at = -REQUEST_INTERVAL_S
+        self._refused_version = 0
         self._lagging_since = 0.0
         self._follower = StoreFollower(store, timeouts, self, self._watch_role, now)
 
@@ -259,6 +260,7 @@
         :param address: link address of the peer.
         """
         newer = record.revision > self.state.catalog.version
+        newer = newer and record.revision != self._refused_version
         replicas = Position(record.store_epoch, record.hosts_version)
         newer = newer or self.state.is_newer(replicas)
         now = self._now()
@@ -290,6 +292,17 @@
         before = self.state.catalog
         if isinstance(message, CatalogSnapshot):
             applied = self.state.apply_document_snapshot(message)
+            if isinstance(applied, Err):
+                # A peer of another build reads what this one can't; it would answer the same again.
+                self._refused_version = message.version
+                log.error(
+                    "not_taken",
+                    what="version",
+                    peer=address,
+                    why=applied.err_value,
+                    version=message.version,
+                )
+                return
         else:
             applied = self.state.apply_document_delta(message)
         if self._check_applied(address, "version", applied):
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_keeper.py
@@ -1,9 +1,10 @@
 import asyncio
 import json
+import zlib
 
 from chalkyoke.catalog.follower import WatchTimeouts
 from chalkyoke.catalog.keeper import CatalogSynchronizer, StoreKeys
-from chalkyoke.catalog.messages import CatalogRequest
+from chalkyoke.catalog.messages import CatalogRequest, CatalogSnapshot
 from chalkyoke.catalog.resources import Catalog, Replica
 from chalkyoke.catalog.state import CatalogState
 from chalkyoke.clock import Stamp
@@ -12,7 +13,7 @@
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing
 from msgspec import structs
-from result import Ok
+from result import Err, Ok
 
 from tests import virtual
 
@@ -131,6 +132,35 @@
     virtual.run(main)
 
 
+# Guards against requests without end for a document that this build can't read, and a peer's can.
+def test_a_document_that_was_refused_is_not_requested_again():
+    async def main():
+        synchronizer = make_synchronizer(CountingStore())
+        synchronizer.state.read_catalog = read_version_or_error
+        sent = []
+        synchronizer._links.send = lambda address, message: sent.append(message)
+        peer = structs.replace(record("n2"), revision=4)
+        for _ in range(20):
+            asked = len(sent)
+            synchronizer.receive_heartbeat("n2:1", peer)
+            if len(sent) > asked:
+                synchronizer.receive("n2:1", CatalogSnapshot(4, zlib.compress(b"odd")))
+            await asyncio.sleep(0.5)
+        assert len(sent) == 1
+        synchronizer.receive_heartbeat("n2:1", structs.replace(peer, revision=5))
+        synchronizer.receive("n2:1", CatalogSnapshot(5, zlib.compress(b'{"version": 5}')))
+        assert isinstance(sent[-1], CatalogRequest) and synchronizer.state.catalog.version == 5
+
+    virtual.run(main)
+
+
+def read_version_or_error(text):
+    try:
+        return Ok(Catalog(version=json.loads(text)["version"]))
+    except ValueError:
+        return Err("odd")
+
+
 # Guards against a snapshot that no link carries: each attempt to send it ended the link.
 def test_long_records_of_other_writers_fit_into_a_frame():
     async def check(store, synchronizer):
