--- a/packages/chalkyoke/src/chalkyoke/decoding/decoder.py
+++ b/packages/chalkyoke/src/chalkyoke/decoding/decoder.py
@@ -21,7 +21,8 @@
 
 _STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
 _NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
-_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
+# What the decoders raise for bytes that they can't decode.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
 
 T = TypeVar("T")
 
@@ -36,7 +37,7 @@
         return Err(f"nested deeper than {MAX_JSON_DEPTH} levels")
     try:
         return Ok(msgspec.json.decode(data, type=kind))
-    except _ERRORS as error:
+    except DECODE_ERRORS as error:
         return Err(describe(error))
 
 
@@ -48,7 +49,7 @@
     """
     try:
         return Ok(msgspec.msgpack.decode(data, type=kind))
-    except _ERRORS as error:
+    except DECODE_ERRORS as error:
         return Err(describe(error))
 
 
@@ -59,7 +60,7 @@
     """
     try:
         return Ok(msgpack.unpackb(data))
-    except (*_ERRORS, msgpack.UnpackException) as error:
+    except (*DECODE_ERRORS, msgpack.UnpackException) as error:
         return Err(describe(error))
 
 
@@ -71,7 +72,7 @@
     """
     try:
         return Ok(msgspec.convert(value, kind, builtin_types=(bytes,)))
-    except _ERRORS as error:
+    except DECODE_ERRORS as error:
         return Err(describe(error))
 
 
--- a/packages/chalkyoke/src/chalkyoke/links/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/links/codec.py
@@ -9,11 +9,10 @@
 
 import msgpack
 import msgspec
-from result import Err
 
 from chalkyoke.clock import Stamp
 from chalkyoke.decoding.bounds import MAX_INTEGER
-from chalkyoke.decoding.decoder import convert, describe
+from chalkyoke.decoding.decoder import DECODE_ERRORS, describe
 from chalkyoke.exceptions import ProtocolError, UnknownKind
 
 # Maximum length of a frame, in bytes: five times the largest document that peers exchange.
@@ -56,17 +55,22 @@
         if len(frame) < HEADER_FIELDS:
             raise ProtocolError("unreadable frame: too short")
         wall_ms, logical, tag = frame[:HEADER_FIELDS]
-        if not _is_count(wall_ms) or not _is_count(logical):
+        if not (
+            type(wall_ms) is type(logical) is int
+            and 0 <= wall_ms <= MAX_INTEGER
+            and 0 <= logical <= MAX_INTEGER
+        ):
             raise ProtocolError("unreadable frame: invalid stamp")
-        if not isinstance(tag, str):
+        if type(tag) is not str:
             raise ProtocolError("unreadable frame: invalid kind")
         kind = self._types.get(tag)
         if kind is None:
             raise UnknownKind(tag[:MAX_KIND_CHARS])
-        message = convert(frame[2:], kind)
-        if isinstance(message, Err):
-            raise ProtocolError(f"unreadable frame: {message.err_value}")
-        return Stamp(wall_ms, logical), message.ok_value
+        try:
+            message = msgspec.convert(frame[HEADER_FIELDS - 1 :], kind, builtin_types=(bytes,))
+        except DECODE_ERRORS as error:
+            raise ProtocolError(f"unreadable frame: {describe(error)}") from error
+        return Stamp(wall_ms, logical), message
 
 
 class FrameReader:
@@ -88,7 +92,3 @@
                 yield frame
         except (ValueError, msgpack.UnpackException, msgpack.BufferFull) as error:
             raise ProtocolError(f"unreadable stream: {describe(error)}") from error
-
-
-def _is_count(value: object) -> bool:
-    return type(value) is int and 0 <= value <= MAX_INTEGER
