--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -20,6 +20,7 @@
     Observations,
     TimeLimit,
 )
+from chalkyoke_fakes.soak.oddentries import remove_odd_entries, write_odd_entries
 from chalkyoke_fakes.soak.operators import Change, Operators
 from chalkyoke_fakes.soak.plan import (
     MAX_FAULT_S,
@@ -228,6 +229,8 @@
             await self._apply_replica_fault(step)
         elif step.fault is Fault.OTHER_WRITERS:
             await self._write_foreign_records(step)
+        elif step.fault is Fault.ODD_ENTRIES:
+            await self._write_odd_entries(step)
         elif step.fault is Fault.CRASHING_REQUEST:
             await self._send_crashing_body(step)
         elif step.fault is Fault.CRASHING_PART:
@@ -482,6 +485,14 @@
         await store.remove("servers/other-1")
         await store.remove("servers/other-2")
 
+    async def _write_odd_entries(self, step: FaultStep) -> None:
+        """Write entries that no reader can use, and then the next configuration."""
+        source = random.Random(step.at)
+        await write_odd_entries(self._fleet.store, source)
+        await asyncio.sleep(step.duration_s)
+        await remove_odd_entries(self._fleet.store)
+        await self._change_configuration(source)
+
     async def _crash_replica(self, replica: Replica) -> None:
         """Crash a replica and replace it at its address; the old record is removed 1 s later."""
         await replica.crash()
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -65,6 +65,7 @@
     STORE_REPEATS = "store_repeats"
     SERVICE_PAUSES = "service_pauses"
     RELOAD = "reload"
+    ODD_ENTRIES = "odd_entries"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
@@ -109,6 +110,8 @@
 # Two series, so that stops, reloads and kills of nodes overlap with each other.
 PLANNED_FAULTS = (Fault.NODE_STOP, Fault.RELOAD, Fault.NODE_KILL)
 PLANNED_SEED_MASKS = (0x57071, 0x57072)
+ODD_FAULTS = (Fault.ODD_ENTRIES,)
+ODD_SEED_MASK = 0x0DD5
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -127,6 +130,7 @@
         *COPY_FAULTS,
         *SERVICE_FAULTS,
         Fault.RELOAD,
+        *ODD_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -225,6 +229,7 @@
         (COPY_FAULTS, COPY_SEED_MASK),
         (SERVICE_FAULTS, SERVICE_SEED_MASK),
         *((PLANNED_FAULTS, each) for each in PLANNED_SEED_MASKS),
+        (ODD_FAULTS, ODD_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
