A silent replica that has begun its answer meanwhile keeps the request

When the 0.2 s ended in which two replicas have a request, the silent one was given up although it had just sent the head of its answer: only a whole event counted as going on. Whatever the silent replica has sent of its answer since the other one was asked now counts.

--- a/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/takeover.py
@@ -173,13 +173,18 @@
             self._drop(each)
 
     def _end_overlap(self) -> None:
-        """Drop the silent send, or the other one if its answer can't be used."""
+        """Drop the silent send, or the other one if the silent one has been heard since.
+
+        The other one is dropped as well if its answer can't be used.
+        """
         self._overlap_timer = None
-        current = self.current
+        current, silent = self.current, self.silent
         if current is not None and current.relay.ended.done():
             # The exchange learns of that end in the next turn of the loop.
             return
-        if current is not None and current.relay.head is not None:
+        if current is not None and silent is not None and _has_gone_on(silent, current):
+            self.answer_progressed(silent)
+        elif current is not None and current.relay.head is not None:
             current.relay.end_early()
         else:
             self.owes_answer = self.silent is not None
@@ -196,3 +201,9 @@
         if self._overlap_timer is not None:
             self._overlap_timer.cancel()
             self._overlap_timer = None
+
+
+def _has_gone_on(silent: Send, current: Send) -> bool:
+    """Return whether a silent replica has sent a part of its answer since another one was asked."""
+    is_later = silent.relay.last_at > current.relay.started_at
+    return is_later and silent.relay.may_deliver
