A silent replica that rejects its request has not run it

The rejection of a silent replica was not taken off the runs of its request, unlike that of the current one.

--- a/packages/chalkyoke/src/chalkyoke/gateway/relay.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/relay.py
@@ -194,8 +194,7 @@
     def end_early(self) -> None:
         """Finish the send by its head, without the rest of an answer that can't be used."""
         self.ended_early = True
-        declined = self.head is not None and self._is_declined(self.head)
-        self._finish(SendEnd.DECLINED if declined else SendEnd.UNUSABLE)
+        self._finish(SendEnd.DECLINED if self.is_declined else SendEnd.UNUSABLE)
 
     @property
     def retained_bytes(self) -> int:
@@ -221,6 +220,11 @@
         self._clear_buffer()
         self._delivery.response.finish()
 
+    @property
+    def is_declined(self) -> bool:
+        """Whether the replica has stated that it does not run the request."""
+        return self.head is not None and self._is_declined(self.head)
+
     def _is_declined(self, head: AnswerHead) -> bool:
         """Return whether the replica states that it does not run the request."""
         return self.fields.not_run or head.status == MISDIRECTED
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -205,6 +205,8 @@
         """Give up a send in progress; a part of an event of a silent one is lost with it."""
         if not self._finish(send):
             return
+        if send.is_silent and send.relay.is_declined:
+            self._progress.sends.runs -= 1
         self._reading.end(send.connection)
         self._give_up(send.connection)
         send.retained.release()
