--- a/packages/chalkyoke/src/chalkyoke/node/configuration.py
+++ b/packages/chalkyoke/src/chalkyoke/node/configuration.py
@@ -72,6 +72,7 @@
         self._changed = changed
         self._now = now
         self._root_version = 0
+        self._unreadable_root: bytes | None = None
         self._requested_at: dict[str, float] = {}
 
     # Start.
@@ -160,10 +161,7 @@
     async def _apply_root(self, found: Found) -> None:
         decoded = decode_root(found.value)
         if isinstance(decoded, Err):
-            # The watch then waits for the next write of the root.
-            self._root_version = max(self._root_version, found.version)
-            self._metrics.count("revision_unreadable")
-            log.error("root in the store is unreadable: {}", decoded.err_value)
+            self._record_unreadable_root(found, decoded.err_value)
             await asyncio.sleep(RETRY_DELAY_S)
             return
         root = decoded.ok_value
@@ -175,6 +173,18 @@
             self.adopt(root, chunks, "the store")
         self._root_version = max(self._root_version, found.version)
 
+    def _record_unreadable_root(self, found: Found, reason: str) -> None:
+        """Let the watch wait for the next write of the root once it was read alike twice.
+
+        The first time, a part of it may have been read.
+        """
+        if found.value == self._unreadable_root:
+            self._root_version = max(self._root_version, found.version)
+            return
+        self._unreadable_root = found.value
+        self._metrics.count("revision_unreadable")
+        log.error("root in the store is unreadable: {}", reason)
+
     async def _fetch_chunks(self, root: Root) -> dict[str, bytes] | None:
         chunks: dict[str, bytes] = {}
         for digest in self.state.missing_chunks(root):
