A search for an owed answer leaves a silent replica of a later send its place

With three attempts or more, a replica that fell silent after an earlier one had been given up was not heard while the next one was sought.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -272,7 +272,7 @@
                 outcome = await self._wait_on_silent(admission, silent)
             elif step is NextStep.SEARCH_AGAIN:
                 await asyncio.sleep(self._search_at - self._parts.now())
-                outcome = await self._attempt(admission)
+                outcome = await self._attempt_again(admission)
             else:
                 return
 
@@ -478,7 +478,8 @@
             time_left=time_left,
             silent=silent,
         )
-        if next_step is not NextStep.DONE and self._may_search_again(admission, end):
+        is_over = next_step in (NextStep.DONE, NextStep.WAIT)
+        if not is_over and self._may_search_again(admission, end):
             next_step = NextStep.SEARCH_AGAIN
         if next_step is NextStep.SEND_AGAIN and not silent:
             self._delivery.splitter.discard_partial()
