Origins: the log says how much of the fleet a host saw when nobody knew a stream

A stream that went on by source=only_version could not be told from one that a group of hosts which was cut off had let go on: the line named neither the hosts that were missing nor how many there were. fleet_share below 1 tells the two apart; no decision changes.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -411,6 +411,7 @@
             began_at=origin.service if origin else None,
             began_version=origin.version if origin else None,
             answers=found.answers,
+            fleet_share=round(found.fleet_share, 3),
             took_s=round(self._parts.now() - asked_at, 4),
         )
         if origin is None or origin.service != admission.service.name:
--- a/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
@@ -92,9 +92,13 @@
         has_moved = self._routes.has_moved(sought.route, sought.targets, sought.age_s)
         return msgspec.structs.replace(history, has_moved=has_moved)
 
+    def fleet_share(self) -> float:
+        """Return the share of the nodes that may exist which this node believes alive."""
+        return self._presence().share
+
     def sees_fleet(self) -> bool:
         """Return whether this node sees almost all of the fleet."""
-        return self._presence().share >= MIN_VISIBLE_FLEET_SHARE
+        return self.fleet_share() >= MIN_VISIBLE_FLEET_SHARE
 
 
 def _spread_over_domains(ranked: Sequence[MemberRecord]) -> list[MemberRecord]:
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -47,11 +47,14 @@
 
     :param origin: None if it is unknown.
     :param answers: number of keepers that answered.
+    :param fleet_share: share of the fleet that this node saw when no keeper knew the origin; 1
+        otherwise.
     """
 
     origin: Origin | None
     source: OriginSource
     answers: int = 0
+    fleet_share: float = 1.0
 
 
 class KeeperPort(Protocol):
@@ -69,6 +72,9 @@
     def is_older(self, address: str) -> bool:
         """Return whether a node is known to be of an older build, which keeps no origins."""
 
+    def fleet_share(self) -> float:
+        """Return the share of the nodes that may exist which this node believes alive."""
+
     def sees_fleet(self) -> bool:
         """Return whether this node sees almost all of the fleet."""
 
@@ -131,7 +137,12 @@
         if search.origin is not None:
             self._keep(stream, search.origin, sought.age_s)
             return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        return _found_by_version(sought.service, self._only_version(search, sought), answers)
+        version = self._only_version(search, sought)
+        share = self._port.fleet_share()
+        if version is None:
+            return FoundOrigin(None, OriginSource.UNKNOWN, answers, share)
+        origin = Origin(sought.service, version)
+        return FoundOrigin(origin, OriginSource.ONLY_VERSION, answers, share)
 
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
@@ -203,10 +214,3 @@
             search.histories[address] = answer.history
         if search.origin is not None or len(search.histories) == len(search.asked):
             search.ended.set_result(None)
-
-
-def _found_by_version(service: str, version: str | None, answers: int) -> FoundOrigin:
-    """Build the result for a stream that the only possible version has begun; None if unsure."""
-    if version is None:
-        return FoundOrigin(None, OriginSource.UNKNOWN, answers)
-    return FoundOrigin(Origin(service, version), OriginSource.ONLY_VERSION, answers)
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -53,6 +53,9 @@
     def is_older(self, address):
         return address in self._fleet.older & self._linked
 
+    def fleet_share(self):
+        return 1.0 if self.sees_all else 0.5
+
     def sees_fleet(self):
         return self.sees_all
 
