Start: a start that can't listen says so in the log, with the time, the host and the address

A failed start wrote one line to standard error without a time, a host or the address, and any OSError that left a node, whatever raised it, was reported as an address that can't be listened on.

--- a/packages/chalkyoke/src/chalkyoke/exceptions.py
+++ b/packages/chalkyoke/src/chalkyoke/exceptions.py
@@ -25,6 +25,17 @@
         self.problems = problems
 
 
+class ListenError(ChalkyokeError):
+    """The node can't listen on one of its addresses.
+
+    :ivar address: ``ip:port``.
+    """
+
+    def __init__(self, address: str, error: OSError) -> None:
+        super().__init__(f"can't listen on {address}: {error.strerror or error}")
+        self.address = address
+
+
 class LinkError(ChalkyokeError):
     """A link between two nodes failed or refused its peer."""
 
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -19,9 +19,10 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 from chalkyoke import eventloop
-from chalkyoke.exceptions import InvariantBroken, SettingsError
+from chalkyoke.exceptions import InvariantBroken, ListenError, SettingsError
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.linelog import LineHandler, LineWriter
+from chalkyoke.logs import logger
 from chalkyoke.node.gateway import GatewayNode
 from chalkyoke.platform.start import platform_parts
 
@@ -33,6 +34,8 @@
 # File descriptor of standard output.
 STANDARD_OUTPUT = 1
 
+log = logger("node")
+
 
 async def serve(settings: GatewaySettings, path: Path) -> None:
     """Run the node and its log until a planned stop is complete.
@@ -53,6 +56,9 @@
     gc.freeze()
     try:
         await GatewayNode(settings, path, platform_parts()).run()
+    except ListenError as error:
+        log.critical("start_failed", address=error.address, error=str(error))
+        raise
     finally:
         writer.flush()
 
@@ -82,8 +88,8 @@
         return status
     try:
         eventloop.run(serve(load(path), path))
-    except OSError as error:
-        print(f"can't listen: {error}", file=sys.stderr)
+    except ListenError as error:
+        print(error, file=sys.stderr)
         return EXIT_ADDRESS
     except InvariantBroken as error:
         print(error, file=sys.stderr)
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -52,6 +52,7 @@
 from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listener import Listener, ListenerParts
+from chalkyoke.node.listening import listen
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
 from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.originkeepers import PeerOriginKeepers
@@ -431,6 +432,7 @@
     async def run(self) -> None:
         """Serve until a planned stop is complete.
 
+        :raises ListenError: if an address can't be bound.
         :raises InvariantBroken: if an invariant of the program is violated.
         """
         loop = asyncio.get_running_loop()
@@ -439,14 +441,14 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         # The start-up code may have blocked it until it is handled.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        await self.links.listen()
-        listen = self.settings.listen
+        addresses = self.settings.listen
+        await listen(self.links.listen, addresses.links)
         make = self._listener_parts()
-        callers = make.for_callers(listen.callers, self.gateway.start_exchange)
-        addresses = [each for each in (listen.ready, listen.metrics) if each]
-        pages = [make.for_pages(each, self._pages.start) for each in addresses]
+        callers = make.for_callers(addresses.callers, self.gateway.start_exchange)
+        page_addresses = [each for each in (addresses.ready, addresses.metrics) if each]
+        pages = [make.for_pages(each, self._pages.start) for each in page_addresses]
         for listener in (callers, *pages):
-            await listener.listen()
+            await listen(listener.listen, listener.address)
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         self._supervisor.start(self._run_planned_stop(callers))
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -75,7 +75,7 @@
         descriptors: int = 0,
         memory: CallerMemory | None = None,
     ) -> None:
-        self._address = address
+        self.address = address
         self._start = start
         self._limits = limits
         self._memory = memory or CallerMemory()
@@ -89,7 +89,7 @@
 
         :raises OSError: if the address can't be bound.
         """
-        ip, port = self._address.rsplit(":", 1)
+        ip, port = self.address.rsplit(":", 1)
         self._server = await asyncio.get_running_loop().create_server(
             self._make_connection,
             ip,
