Origins: agreement within a group of hosts that is cut off no longer counts as that of the fleet

Named callers were no better off, as the keepers that knew were on the other side.

Cause: once the lost hosts are out of the view, the keepers that are left are in the same group. They answer at once, agree, and know as little. Whether the fleet was in sight was asked only if no keeper answered.

Without the store every host that may exist has to answer. Not asked if it would decide nothing. stream_origin says what confirmed it (confirmed_by).

--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from chalkyoke.catalog.confirmation import StoreConfirmation
 from chalkyoke.catalog.follower import StoreFollower, WatchRole, WatchTimeouts
 from chalkyoke.catalog.messages import (
     CatalogAnswer,
@@ -47,6 +48,9 @@
 LAG_RESET_S = 2.0
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
+# How long after this failure domain has reached the store the count of the fleet's nodes holds, in
+# seconds: half of the time for which lost nodes count.
+STORE_MEMORY_S = 60.0
 # Maximum length of a record, in bytes: a snapshot of the records must fit into one frame.
 MAX_RECORD_BYTES = 16_384
 # Maximum number of changed quotas in one log line.
@@ -111,12 +115,25 @@
         self._requested_at = -REQUEST_INTERVAL_S
         self._refused_version = 0
         self._lagging_since = 0.0
+        self._reachable_at = 0.0
         self._follower = StoreFollower(store, timeouts, self, self._watch_role, now)
+        self._confirmation = StoreConfirmation(store, self, now)
 
     async def run(self) -> None:
         """Watch the store until the process ends."""
         await self._follower.run()
 
+    async def confirm(self) -> bool:
+        """Bring this node's records up to date with the store.
+
+        :return: whether the store has answered a call that began after this one.
+        """
+        return await self._confirmation.confirm()
+
+    def was_reachable(self) -> bool:
+        """Return whether this failure domain has reached the store within the last minute."""
+        return self._now() - self._reachable_at <= STORE_MEMORY_S
+
     def describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if its catalog is complete."""
         if self.state.complete:
@@ -127,8 +144,14 @@
             return f"the configuration can't be read: {self._unreadable.document}"
         return "no configuration is known yet"
 
-    def resolve_conflicts(self) -> None:
-        """Resolve expired conflicts with a restored store; call a few times a second."""
+    def check_store(self) -> None:
+        """Note whether the store is reachable, and resolve expired conflicts with a restored one.
+
+        Call it a few times a second.
+        """
+        watching = set(self._list_watcher_hosts())
+        if any(each.host in watching and not each.store_lost for each in self._view.live()):
+            self._reachable_at = self._now()
         if self.state.resolve_conflicts(self._now()):
             self._handle_records_change("settled", 0.0)
 
@@ -205,6 +228,24 @@
         if nodes_changed:
             self._on_registrations(self._node_registrations)
 
+    def known_revision(self) -> int:
+        """Return the store revision up to which the records are complete; 0 if none is known."""
+        return self.state.replicas_revision
+
+    def apply_confirmed(self, found: Changes) -> bool:
+        """Apply the changes since :meth:`known_revision`.
+
+        Registrations are left to the watch, which has the earlier ones too.
+
+        :return: false if the answer is that of a restored or an outdated store.
+        """
+        if found.epoch not in (0, self.state.epoch) or found.revision < self.known_revision():
+            return False
+        changes = (each for each in found.changes if not each.key.startswith(self._keys.nodes))
+        kept = msgspec.structs.replace(found, changes=tuple(changes))
+        self.on_changes(kept, UNKNOWN_AGE_S)
+        return True
+
     def _report_ignored(self, what: str, position: Position) -> None:
         """Count and log a store answer that is older than this node's state."""
         held = self.state.position
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -412,6 +412,7 @@
             began_version=origin.version if origin else None,
             answers=found.answers,
             fleet_share=round(found.fleet_share, 3),
+            confirmed_by=found.confirmed_by,
             took_s=round(self._parts.now() - asked_at, 4),
         )
         if origin is None or origin.service != admission.service.name:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -239,7 +239,12 @@
         self.versions = VersionHistories(state, self.now, first_start=settings.node.first_start)
         self.origins = OriginFinder(
             PeerOriginKeepers(
-                self.view, self.versions, self.route_histories, self.links, self.presence
+                self.view,
+                self.versions,
+                self.route_histories,
+                self.links,
+                self.presence,
+                self.catalog,
             ),
             self.now,
         )
@@ -514,7 +519,7 @@
         loops.repeat(self.view.interval_s, self._check_members)
         loops.repeat(KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat(SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat(self.view.interval_s, self.catalog.resolve_conflicts)
+        loops.repeat(self.view.interval_s, self.catalog.check_store)
         loops.repeat(HOUSEKEEPING_S, self._run_housekeeping)
         loops.repeat(WINDOW_REPLICATION_INTERVAL_S, self.quotas.replicate_windows)
         loops.repeat(ROLLOUTS_TICK_S, self.rollouts.tick)
--- a/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
@@ -11,7 +11,6 @@
 
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
-from chalkyoke.node.peers import MIN_VISIBLE_FLEET_SHARE
 from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.owner import Presence
@@ -33,6 +32,16 @@
         """Return whether messages of a kind are not sent, as the peer does not understand them."""
 
 
+class ConfirmedStore(Protocol):
+    """What this node knows of the store."""
+
+    async def confirm(self) -> bool:
+        """Bring this node's records up to date with the store; return whether it answered."""
+
+    def was_reachable(self) -> bool:
+        """Return whether the failure domain has reached the store within the last minute."""
+
+
 class PeerOriginKeepers:
     """Find the nodes that keep the origins of streams and send them messages.
 
@@ -42,6 +51,7 @@
     :param histories: version histories of the services.
     :param routes: histories of the routes.
     :param presence: returns how much of the fleet this node sees.
+    :param store: confirms the histories.
     """
 
     def __init__(
@@ -51,12 +61,14 @@
         routes: RouteHistories,
         links: OriginLinks,
         presence: Callable[[], Presence],
+        store: ConfirmedStore,
     ) -> None:
         self._view = view
         self._histories = histories
         self._routes = routes
         self._links = links
         self._presence = presence
+        self._store = store
         self._generation = -1
         self._keepers: dict[int, list[str]] = {}
 
@@ -96,9 +108,22 @@
         """Return the share of the nodes that may exist which this node believes alive."""
         return self._presence().share
 
-    def sees_fleet(self) -> bool:
-        """Return whether this node sees almost all of the fleet."""
-        return self.fleet_share() >= MIN_VISIBLE_FLEET_SHARE
+    def other_nodes(self) -> list[str]:
+        """List the link addresses of all other nodes that are believed alive."""
+        own_host = self._view.record.host
+        return [each.address for each in self._view.live() if each.host != own_host]
+
+    def sees_whole_fleet(self) -> bool:
+        """Return whether every node that may exist is believed alive.
+
+        Nodes that were lost count only for a while, so a node of a fleet that has not reached the
+        store for longer can't tell.
+        """
+        return self._presence().share >= 1.0 and self._store.was_reachable()
+
+    async def confirm_history(self) -> bool:
+        """Bring this node's histories up to date with the store; return whether it answered."""
+        return await self._store.confirm()
 
 
 def _spread_over_domains(ranked: Sequence[MemberRecord]) -> list[MemberRecord]:
--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -27,6 +27,10 @@
 # Timeout for the answers of the keepers, in seconds. It includes the handshake of a new link
 # between distant failure domains.
 ANSWER_TIMEOUT_S = 0.25
+# Timeout for the answers of nodes that ask the store first, in seconds.
+CONFIRMED_ANSWER_TIMEOUT_S = 0.5
+# Maximum number of nodes that are asked to confirm a history with the store.
+MAX_CONFIRMING_NODES = 32
 
 
 class OriginSource(StrEnum):
@@ -42,6 +46,19 @@
     UNKNOWN = "unknown"
 
 
+class Confirmation(StrEnum):
+    """What showed that no other version can have begun a stream of unknown origin.
+
+    ``STORE``: the store, asked by this node. ``PEER``: the store, asked by another node.
+    ``FLEET``: every node that may exist.
+    """
+
+    NONE = "none"
+    STORE = "store"
+    PEER = "peer"
+    FLEET = "fleet"
+
+
 class FoundOrigin(msgspec.Struct, frozen=True):
     """The result of the search for a stream's origin.
 
@@ -55,6 +72,7 @@
     source: OriginSource
     answers: int = 0
     fleet_share: float = 1.0
+    confirmed_by: Confirmation = Confirmation.NONE
 
 
 class KeeperPort(Protocol):
@@ -72,19 +90,25 @@
     def is_older(self, address: str) -> bool:
         """Return whether a node is known to be of an older build, which keeps no origins."""
 
+    def other_nodes(self) -> list[str]:
+        """List the link addresses of all other nodes that are believed alive."""
+
     def fleet_share(self) -> float:
         """Return the share of the nodes that may exist which this node believes alive."""
 
-    def sees_fleet(self) -> bool:
-        """Return whether this node sees almost all of the fleet."""
+    def sees_whole_fleet(self) -> bool:
+        """Return whether every node that may exist is believed alive."""
+
+    async def confirm_history(self) -> bool:
+        """Bring this node's histories up to date with the store; return whether it answered."""
 
 
 class _Search(msgspec.Struct):
     """A search in progress.
 
-    :param asked: link addresses of the keepers that were asked.
-    :ivar ended: set once a keeper knows the origin, or all have answered.
-    :ivar histories: answers of the keepers that do not know the origin, by link address.
+    :param asked: link addresses of the nodes that were asked.
+    :ivar ended: set once a node knows the origin or has a confirmed history, or all have answered.
+    :ivar histories: answers of the nodes that do not know the origin, by link address.
     """
 
     asked: list[str]
@@ -92,6 +116,16 @@
     origin: Origin | None = None
     histories: dict[str, VersionHistory] = {}
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the store has confirmed one of the histories."""
+        return any(each.is_confirmed for each in self.histories.values())
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all nodes that were asked have answered."""
+        return len(self.histories) == len(self.asked)
+
 
 class OriginFinder:
     """Record the origins of streams that begin here, and find those of streams resumed here.
@@ -132,17 +166,10 @@
         origin = self._kept.find(stream, self._now())
         if origin is not None:
             return FoundOrigin(origin, OriginSource.KEPT_HERE)
-        search = await self._ask_keepers(stream, sought)
-        answers = len(search.histories) + (search.origin is not None)
+        search = await self._ask(stream, sought, self._port.keepers(stream))
         if search.origin is not None:
-            self._keep(stream, search.origin, sought.age_s)
-            return FoundOrigin(search.origin, OriginSource.KEEPER, answers)
-        version = self._only_version(search, sought)
-        share = self._port.fleet_share()
-        if version is None:
-            return FoundOrigin(None, OriginSource.UNKNOWN, answers, share)
-        origin = Origin(sought.service, version)
-        return FoundOrigin(origin, OriginSource.ONLY_VERSION, answers, share)
+            return self._found(stream, sought, search)
+        return await self._find_only_version(stream, sought, search)
 
     def receive(self, address: str, message: OriginMessage) -> None:
         """Handle a message of another node.
@@ -152,7 +179,10 @@
         if isinstance(message, StreamBegan):
             self._keep(message.stream, message.origin, message.keep_s)
         elif isinstance(message, OriginRequest):
-            self._port.send(address, self._answer(message))
+            if message.confirm and self._kept.find(message.stream, self._now()) is None:
+                asyncio.create_task(self._send_confirmed_answer(address, message))
+            else:
+                self._port.send(address, self._answer(message))
         else:
             self._apply_answer(address, message)
 
@@ -164,32 +194,74 @@
         now = self._now()
         self._kept.put(stream, origin, now + keep_s, now)
 
-    def _only_version(self, search: _Search, sought: Sought) -> str | None:
-        """Return the version that must have begun a stream of unknown origin; None if unsure.
+    def _found(self, stream: int, sought: Sought, search: _Search) -> FoundOrigin:
+        """Keep the origin that another node has found, and return it."""
+        assert search.origin is not None
+        self._keep(stream, search.origin, sought.age_s)
+        return FoundOrigin(search.origin, OriginSource.KEEPER, len(search.histories) + 1)
+
+    async def _find_only_version(self, stream: int, sought: Sought, search: _Search) -> FoundOrigin:
+        """Return the version that must have begun a stream whose keepers do not know it.
 
-        A keeper that does not answer may know of another version: this node may be cut off.
+        Nodes that are cut off together agree with each other, and none of them may know a version
+        that has joined since. So the store must confirm the history of one of them, or all nodes
+        that may exist must have answered.
         """
+        share = self._port.fleet_share()
+        unknown = FoundOrigin(None, OriginSource.UNKNOWN, len(search.histories), share)
+        # A keeper that does not answer may know of another version: this node may be cut off.
         silent = (each for each in search.asked if each not in search.histories)
         if any(not self._port.is_older(each) for each in silent):
-            return None
-        if not search.histories and not self._port.sees_fleet():
-            return None
+            return unknown
+        if self._only_version(sought, search) is None:
+            return unknown
+        confirmed_by = Confirmation.STORE
+        if not await self._port.confirm_history():
+            asked = search
+            search, confirmed_by = await self._ask_to_confirm(stream, sought)
+            if search.origin is not None:
+                return self._found(stream, sought, search)
+            if confirmed_by is Confirmation.NONE:
+                return unknown
+            search.histories = asked.histories | search.histories
+        version = self._only_version(sought, search)
+        if version is None:
+            return unknown
+        origin = Origin(sought.service, version)
+        answers = len(search.histories)
+        return FoundOrigin(origin, OriginSource.ONLY_VERSION, answers, share, confirmed_by)
+
+    async def _ask_to_confirm(self, stream: int, sought: Sought) -> tuple[_Search, Confirmation]:
+        """Ask all other nodes that keep origins; one of them may reach the store."""
+        others = [each for each in self._port.other_nodes() if not self._port.is_older(each)]
+        search = await self._ask(stream, sought, others[:MAX_CONFIRMING_NODES], confirm=True)
+        if search.is_confirmed:
+            return search, Confirmation.PEER
+        has_all = len(search.asked) == len(others) and search.is_complete
+        if has_all and self._port.sees_whole_fleet():
+            return search, Confirmation.FLEET
+        return search, Confirmation.NONE
+
+    def _only_version(self, sought: Sought, search: _Search) -> str | None:
+        """Return the only version in the histories of this node and of those that answered."""
         histories = [self._port.history(sought), *search.histories.values()]
         return only_version(histories, sought.age_s)
 
-    async def _ask_keepers(self, stream: int, sought: Sought) -> _Search:
-        """Ask all keepers at once; the first one that knows the origin ends the search."""
-        keepers = [each for each in self._port.keepers(stream) if not self._port.is_older(each)]
-        search = _Search(keepers, asyncio.get_running_loop().create_future())
-        if not keepers:
+    async def _ask(
+        self, stream: int, sought: Sought, nodes: list[str], *, confirm: bool = False
+    ) -> _Search:
+        """Ask nodes all at once; the first one that knows the origin ends the search."""
+        asked = [each for each in nodes if not self._port.is_older(each)]
+        search = _Search(asked, asyncio.get_running_loop().create_future())
+        if not asked:
             return search
         number = next(self._numbers)
         self._searches[number] = search
         try:
-            request = OriginRequest(number, stream, sought.service, sought)
-            for address in keepers:
+            request = OriginRequest(number, stream, sought.service, sought, confirm)
+            for address in asked:
                 self._port.send(address, request)
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(CONFIRMED_ANSWER_TIMEOUT_S if confirm else ANSWER_TIMEOUT_S):
                 await search.ended
         except TimeoutError:
             pass
@@ -197,6 +269,12 @@
             del self._searches[number]
         return search
 
+    async def _send_confirmed_answer(self, address: str, request: OriginRequest) -> None:
+        is_confirmed = await self._port.confirm_history()
+        answer = self._answer(request)
+        history = msgspec.structs.replace(answer.history, is_confirmed=is_confirmed)
+        self._port.send(address, msgspec.structs.replace(answer, history=history))
+
     def _answer(self, request: OriginRequest) -> OriginAnswer:
         origin = self._kept.find(request.stream, self._now())
         if origin is not None:
@@ -212,5 +290,5 @@
             search.origin = answer.origin
         else:
             search.histories[address] = answer.history
-        if search.origin is not None or len(search.histories) == len(search.asked):
+        if search.origin is not None or search.is_complete or search.is_confirmed:
             search.ended.set_result(None)
--- a/packages/chalkyoke/src/chalkyoke/resumption/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/messages.py
@@ -46,11 +46,14 @@
         than one.
     :param covers_s: how far back the node knows them, in seconds.
     :param has_moved: whether the stream's route may have had other services in that time.
+    :param is_confirmed: whether the store has confirmed, after the request, that the node's records
+        are up to date. False from nodes of older builds.
     """
 
     versions: tuple[str, ...] = ()
     covers_s: Finite = 0.0
     has_moved: bool = False
+    is_confirmed: bool = False
 
 
 class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="stream_began"):
@@ -71,12 +74,14 @@
     :param number: number of the request, repeated in the answer.
     :param service: service that would go on with the stream.
     :param sought: the same service, and more; None from nodes of older builds.
+    :param confirm: whether to confirm the version history with the store before answering.
     """
 
     number: Integer
     stream: int
     service: str
     sought: Sought | None = None
+    confirm: bool = False
 
 
 class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_answer"):
--- a/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/tests/test_finder.py
@@ -1,7 +1,12 @@
 import asyncio
 
 import pytest
-from chalkyoke.resumption.finder import ANSWER_TIMEOUT_S, OriginFinder, OriginSource
+from chalkyoke.resumption.finder import (
+    ANSWER_TIMEOUT_S,
+    Confirmation,
+    OriginFinder,
+    OriginSource,
+)
 from chalkyoke.resumption.messages import Origin, Sought, StreamBegan, VersionHistory
 
 from tests import virtual
@@ -17,6 +22,7 @@
 
     :ivar silent: nodes that get no messages.
     :ivar older: nodes whose build keeps no origins, once a link to them has been opened.
+    :ivar with_store: nodes that the store answers.
     """
 
     def __init__(self, nodes=4, keepers=(1, 2, 3), histories=None):
@@ -25,6 +31,7 @@
         self.histories = histories or {}
         self.silent = set()
         self.older = set()
+        self.with_store = set()
         self.nodes = [OriginFinder(Port(self, number), loop.time) for number in range(nodes)]
 
 
@@ -33,6 +40,7 @@
         self._fleet = fleet
         self._number = number
         self.sees_all = True
+        self.confirmations = 0
         self._linked = set()
 
     def keepers(self, stream):
@@ -53,12 +61,19 @@
     def is_older(self, address):
         return address in self._fleet.older & self._linked
 
+    def other_nodes(self):
+        return [each for each in range(len(self._fleet.nodes)) if each != self._number]
+
     def fleet_share(self):
         return 1.0 if self.sees_all else 0.5
 
-    def sees_fleet(self):
+    def sees_whole_fleet(self):
         return self.sees_all
 
+    async def confirm_history(self):
+        self.confirmations += 1
+        return self._number in self._fleet.with_store
+
 
 def test_the_first_keeper_that_knows_the_origin_ends_the_search():
     async def main():
@@ -125,6 +140,61 @@
     virtual.run(main)
 
 
+ONE_VERSION = dict.fromkeys(range(4), (("v1",), 30.0))
+
+
+@pytest.mark.parametrize(
+    ("with_store", "sees_all", "confirmed_by"),
+    [
+        ({0}, False, Confirmation.STORE),
+        ({2}, False, Confirmation.PEER),
+        ((), True, Confirmation.FLEET),
+        ((), False, Confirmation.NONE),
+    ],
+)
+def test_agreement_of_the_keepers_counts_only_with_the_store_or_the_whole_fleet(
+    with_store, sees_all, confirmed_by
+):
+    """Guards against hosts that are cut off together and agree on what they knew before."""
+
+    async def main():
+        fleet = Fleet(histories=ONE_VERSION)
+        fleet.with_store = with_store
+        fleet.nodes[0]._port.sees_all = sees_all
+        found = await fleet.nodes[0].find(STREAM, SOUGHT)
+        assert found.confirmed_by is confirmed_by
+        is_found = confirmed_by is not Confirmation.NONE
+        assert found.source is (OriginSource.ONLY_VERSION if is_found else OriginSource.UNKNOWN)
+
+    virtual.run(main)
+
+
+def test_a_version_that_the_store_or_a_peer_adds_is_taken_into_account():
+    async def main():
+        for adding in (0, 3):
+            fleet = Fleet(keepers=(1, 2), histories=dict(ONE_VERSION))
+            fleet.with_store = {adding}
+
+            async def confirm(port=fleet.nodes[adding]._port, fleet=fleet, adding=adding):
+                fleet.histories[adding] = (("v1", "v2"), 30.0)
+                return True
+
+            fleet.nodes[adding]._port.confirm_history = confirm
+            assert (await fleet.nodes[0].find(STREAM, SOUGHT)).origin is None
+
+    virtual.run(main)
+
+
+def test_the_store_is_not_asked_where_its_answer_would_decide_nothing():
+    async def main():
+        for histories in ({0: (("v1", "v2"), 30.0)}, dict.fromkeys(range(4), (("v1",), 1.0))):
+            fleet = Fleet(histories=histories)
+            await fleet.nodes[0].find(STREAM, SOUGHT)
+            assert not any(each._port.confirmations for each in fleet.nodes)
+
+    virtual.run(main)
+
+
 @pytest.mark.parametrize("silent", [{1}, {1, 2, 3}])
 def test_while_a_keeper_is_silent_histories_do_not_decide(silent):
     """It may be on the other side of a partition, where another version began the stream."""
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -307,6 +307,11 @@
         self._partitions.remove(partition)
         partition.healed.set()
 
+    def heal_all(self):
+        """End all partitions."""
+        for each in list(self._partitions):
+            self.heal(each)
+
     def hold(self, hosts, addresses):
         """Hold up all bytes between hosts and addresses, until they are released.
 
