Start: an address in use for a moment no longer ends the process

Ruled out: SO_REUSEADDR is set on all listeners already; it does not help against a socket that lacks it.

An address that is in use, or not assigned to the host yet, is tried again each 0.1 s for listen.wait_s (75 s: a port stays in use for 60 s after its connection was closed). The page that tells why a node is not ready comes first, callers last, and a missing metrics page keeps no node from serving. A stop ends the wait; a second process of the same host still ends with 3.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -148,6 +148,7 @@
 
     :param folder: folder for settings and logs.
     :param zones: the failure domain of each node.
+    :ivar listen: further settings of the ``listen`` section of nodes of this build.
     :ivar memory: the ``memory`` section of the settings of all nodes.
     :ivar features: features of the pools' policy that nodes of this build switch on.
     :ivar plain_services: the setting ``scheduling.plain_services`` of all nodes.
@@ -161,6 +162,7 @@
         self.nodes: dict[str, GatewayProcess] = {}
         self.session: aiohttp.ClientSession
         self.limits: dict[str, float | str] = {"retry_slack": 100.0}
+        self.listen: dict[str, float] = {}
         self.memory: dict[str, Any] = {}
         self.features: list[str] = []
         self.plain_services = "auto"
@@ -253,6 +255,7 @@
         node = self.nodes[name]
         limits = "".join(f"{key} = {value}\n" for key, value in self.limits.items())
         memory = "".join(f"{key} = {json.dumps(value)}\n" for key, value in self.memory.items())
+        listen = "".join(f"{key} = {value}\n" for key, value in self.listen.items())
         seeds = [each.advertised_address for each in self.nodes.values()][:3]
         node.settings.write_text(
             f'[node]\nhost = "{name}"\nfailure_domain = "{node.zone}"\n'
@@ -260,6 +263,7 @@
             f'[listen]\ncallers = "{node.callers}"\nready = "{node.ready}"\n'
             f'links = "{node.links}"\nmetrics = "{node.metrics}"\n'
             f'links_advertised = "{node.advertised_address}"\n'
+            f"{listen}"
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
             f'[store]\naddress = "{node.store or self.store.address}"\nsilence_ms = 3000\n'
             f'[fleet]\nkey_hex = "{FLEET_KEY_HEX}"\n'
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -4,6 +4,7 @@
 The settings of a gateway node: a TOML file that is checked as a whole.
 """
 
+import math
 from enum import StrEnum
 from pathlib import Path
 
@@ -21,6 +22,9 @@
 # Lowest limit for the silence of a connection to the store, in milliseconds. The timeout for an
 # answer is a quarter of it; a shorter one would mistake slow answers for a dead connection.
 MIN_SILENCE_MS = 400
+# How long a start waits for an address that is in use, in seconds: longer than a port stays in use
+# after its connection was closed.
+LISTEN_WAIT_S = 75.0
 # Late requests wait behind their own tier only, since late answers still have value for callers.
 GATEWAY_FEATURES = Features(late_last=False, headroom=True, early=True)
 
@@ -52,6 +56,7 @@
 
     :param metrics: address of the metrics page; empty for none.
     :param links_advertised: address at which other nodes reach ``links``, if it is a different one.
+    :param wait_s: how long a start waits for addresses that are in use, in seconds.
     """
 
     callers: str
@@ -59,6 +64,7 @@
     links: str
     metrics: str = ""
     links_advertised: str = ""
+    wait_s: float = LISTEN_WAIT_S
 
     @property
     def advertised_links_address(self) -> str:
@@ -281,6 +287,8 @@
         problems.append("memory.limit_mb: a number of megabytes, or 0 for no limit")
     if settings.memory.accounted and not settings.memory.limit_mb:
         problems.append("memory.accounted: needs memory.limit_mb")
+    if not 0 <= listen.wait_s < math.inf:
+        problems.append("listen.wait_s: a number of seconds, 0 or more")
     if settings.limits.descriptors < 0:
         problems.append("limits.descriptors: a number of descriptors, or 0 to ask the system")
     try:
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -52,7 +52,7 @@
 from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listener import Listener, ListenerParts
-from chalkyoke.node.listening import listen
+from chalkyoke.node.listening import AddressWaiter
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
 from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.originkeepers import PeerOriginKeepers
@@ -110,6 +110,23 @@
 log = logger("node")
 
 
+class _Listeners(msgspec.Struct, frozen=True):
+    """The HTTP listeners of a node.
+
+    :param metrics: None if the node has no address for it.
+    """
+
+    callers: Listener
+    ready: Listener
+    metrics: Listener | None
+
+    @property
+    def all(self) -> list[Listener]:
+        """All listeners."""
+        found = [self.callers, self.ready]
+        return found if self.metrics is None else [*found, self.metrics]
+
+
 class GatewayNode:
     """One gateway process of the fleet. Create it inside a running event loop.
 
@@ -171,7 +188,8 @@
             self._apply_member_changes,
             self.now,
         )
-        self._pages = PageServer(self.is_ready, self.catalog.describe_lack, self.metrics)
+        self._addresses = AddressWaiter(settings.listen.wait_s)
+        self._pages = PageServer(self.is_ready, self._describe_lack, self.metrics)
 
     # Construction.
 
@@ -427,6 +445,12 @@
         """
         return self.catalog.state.complete and not self._stopping.is_set()
 
+    def _describe_lack(self) -> str:
+        """Return what this node lacks to serve; empty if nothing."""
+        if self._addresses.awaited:
+            return f"{self._addresses.awaited} is in use"
+        return self.catalog.describe_lack()
+
     # Start and stop.
 
     async def run(self) -> None:
@@ -441,22 +465,56 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         # The start-up code may have blocked it until it is handled.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        addresses = self.settings.listen
-        await listen(self.links.listen, addresses.links)
-        make = self._listener_parts()
-        callers = make.for_callers(addresses.callers, self.gateway.start_exchange)
-        page_addresses = [each for each in (addresses.ready, addresses.metrics) if each]
-        pages = [make.for_pages(each, self._pages.start) for each in page_addresses]
-        for listener in (callers, *pages):
-            await listen(listener.listen, listener.address)
+        listeners = self._make_listeners()
+        if not await self._listen_unless_stopped(listeners):
+            await self._close(listeners.all)
+            return
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
-        self._supervisor.start(self._run_planned_stop(callers))
+        if listeners.metrics is not None:
+            metrics = listeners.metrics
+            self._supervisor.start(
+                self._addresses.listen_some_time(metrics.listen, metrics.address)
+            )
+        self._supervisor.start(self._run_planned_stop(listeners.callers))
         await self._supervisor.ended.wait()
-        await self._close([callers, *pages])
+        await self._close(listeners.all)
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
 
+    def _make_listeners(self) -> "_Listeners":
+        addresses = self.settings.listen
+        make = self._listener_parts()
+        callers = make.for_callers(addresses.callers, self.gateway.start_exchange)
+        ready = make.for_pages(addresses.ready, self._pages.start)
+        metrics = None
+        if addresses.metrics:
+            metrics = make.for_pages(addresses.metrics, self._pages.start)
+        return _Listeners(callers, ready, metrics)
+
+    async def _listen_unless_stopped(self, listeners: "_Listeners") -> bool:
+        """Listen on all addresses that a node needs; return whether no stop was requested.
+
+        The page that tells why the node is not ready is the first, and callers come last.
+
+        :raises ListenError: if an address can't be bound.
+        """
+        listening = asyncio.ensure_future(self._listen(listeners))
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        await asyncio.wait((listening, stopping), return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if not listening.done():
+            listening.cancel()
+            return False
+        listening.result()
+        return True
+
+    async def _listen(self, listeners: "_Listeners") -> None:
+        ready, callers = listeners.ready, listeners.callers
+        await self._addresses.listen(ready.listen, ready.address)
+        await self._addresses.listen(self.links.listen, self.settings.listen.links)
+        await self._addresses.listen(callers.listen, callers.address)
+
     def _listener_parts(self) -> ListenerParts:
         catalog = self.catalog.state
         admission = self.memory.admit_callers(self._platform.headers, lambda: catalog.catalog)
