Start: the completions front waits for its addresses too

The same cause in the other front: a node whose callers' or administration address was in use ended with 3 at once.

--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -11,7 +11,7 @@
 import typer
 
 from chalkyoke import __version__, eventloop, logs, settings
-from chalkyoke.exceptions import InvariantBroken, SettingsError
+from chalkyoke.exceptions import InvariantBroken, ListenError, SettingsError
 from chalkyoke.node.process import Node
 
 # Exit codes: invalid settings, an address that can't be listened on, a violated invariant.
@@ -43,8 +43,8 @@
     logs.set_up(loaded.logs.form, loaded.logs.level)
     try:
         eventloop.run(_serve(loaded))
-    except OSError as error:
-        typer.echo(f"can't listen: {error}", err=True)
+    except ListenError as error:
+        typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_ADDRESS) from error
     except InvariantBroken as error:
         typer.echo(str(error), err=True)
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -13,6 +13,7 @@
 from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
 from chalkyoke.scheduling.placement import Features
+from chalkyoke.sockets import LISTEN_WAIT_S
 
 # Shortest key of a fleet, in bytes: 128 bits can't be guessed.
 MIN_KEY_BYTES = 16
@@ -22,9 +23,6 @@
 # Lowest limit for the silence of a connection to the store, in milliseconds. The timeout for an
 # answer is a quarter of it; a shorter one would mistake slow answers for a dead connection.
 MIN_SILENCE_MS = 400
-# How long a start waits for an address that is in use, in seconds: longer than a port stays in use
-# after its connection was closed.
-LISTEN_WAIT_S = 75.0
 # Late requests wait behind their own tier only, since late answers still have value for callers.
 GATEWAY_FEATURES = Features(late_last=False, headroom=True, early=True)
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -52,7 +52,7 @@
 from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listener import Listener, ListenerParts
-from chalkyoke.node.listening import AddressWaiter
+from chalkyoke.node.listening import AddressWaiter, ListenAddress
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
 from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.originkeepers import PeerOriginKeepers
@@ -466,16 +466,14 @@
         # The start-up code may have blocked it until it is handled.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         listeners = self._make_listeners()
-        if not await self._listen_unless_stopped(listeners):
+        if not await self._listen(listeners):
             await self._close(listeners.all)
             return
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         if listeners.metrics is not None:
-            metrics = listeners.metrics
-            self._supervisor.start(
-                self._addresses.listen_some_time(metrics.listen, metrics.address)
-            )
+            metrics = listeners.metrics.listen_address
+            self._supervisor.start(self._addresses.listen_some_time(metrics))
         self._supervisor.start(self._run_planned_stop(listeners.callers))
         await self._supervisor.ended.wait()
         await self._close(listeners.all)
@@ -492,28 +490,16 @@
             metrics = make.for_pages(addresses.metrics, self._pages.start)
         return _Listeners(callers, ready, metrics)
 
-    async def _listen_unless_stopped(self, listeners: "_Listeners") -> bool:
+    async def _listen(self, listeners: "_Listeners") -> bool:
         """Listen on all addresses that a node needs; return whether no stop was requested.
 
         The page that tells why the node is not ready is the first, and callers come last.
 
         :raises ListenError: if an address can't be bound.
         """
-        listening = asyncio.ensure_future(self._listen(listeners))
-        stopping = asyncio.ensure_future(self._stopping.wait())
-        await asyncio.wait((listening, stopping), return_when=asyncio.FIRST_COMPLETED)
-        stopping.cancel()
-        if not listening.done():
-            listening.cancel()
-            return False
-        listening.result()
-        return True
-
-    async def _listen(self, listeners: "_Listeners") -> None:
-        ready, callers = listeners.ready, listeners.callers
-        await self._addresses.listen(ready.listen, ready.address)
-        await self._addresses.listen(self.links.listen, self.settings.listen.links)
-        await self._addresses.listen(callers.listen, callers.address)
+        links = ListenAddress(self.settings.listen.links, self.links.listen)
+        needed = (listeners.ready.listen_address, links, listeners.callers.listen_address)
+        return await self._addresses.listen(needed, self._stopping)
 
     def _listener_parts(self) -> ListenerParts:
         catalog = self.catalog.state
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -16,6 +16,7 @@
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.server import ServerConnection, StartHandler
 from chalkyoke.logs import logger
+from chalkyoke.node.listening import ListenAddress
 
 # Number of new connections that may wait for accept: enough for a burst while the loop is busy.
 BACKLOG_CONNECTIONS = 1024
@@ -75,7 +76,7 @@
         descriptors: int = 0,
         memory: CallerMemory | None = None,
     ) -> None:
-        self.address = address
+        self._address = address
         self._start = start
         self._limits = limits
         self._memory = memory or CallerMemory()
@@ -84,12 +85,17 @@
         self._server: asyncio.Server | None = None
         self._stopping = False
 
+    @property
+    def listen_address(self) -> ListenAddress:
+        """The address, and how to listen on it."""
+        return ListenAddress(self._address, self.listen)
+
     async def listen(self) -> None:
         """Start to accept connections.
 
         :raises OSError: if the address can't be bound.
         """
-        ip, port = self.address.rsplit(":", 1)
+        ip, port = self._address.rsplit(":", 1)
         self._server = await asyncio.get_running_loop().create_server(
             self._make_connection,
             ip,
--- a/packages/chalkyoke/src/chalkyoke/node/listening.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listening.py
@@ -8,7 +8,9 @@
 import asyncio
 import errno
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+
+import msgspec
 
 from chalkyoke.exceptions import ListenError
 from chalkyoke.logs import logger
@@ -20,7 +22,16 @@
 
 log = logger("node")
 
-Start = Callable[[], Awaitable[None]]
+
+class ListenAddress(msgspec.Struct, frozen=True):
+    """An address on which a node listens.
+
+    :param address: ``ip:port``.
+    :param start: binds the address and accepts connections.
+    """
+
+    address: str
+    start: Callable[[], Awaitable[None]]
 
 
 class AddressWaiter:
@@ -32,43 +43,55 @@
 
     def __init__(self, wait_s: float) -> None:
         self.awaited = ""
-        self._deadline = asyncio.get_running_loop().time() + wait_s
+        self._wait_s = wait_s
 
-    async def listen(self, start: Start, address: str) -> None:
-        """Start to listen on an address as soon as it is free.
+    async def listen(self, addresses: Iterable[ListenAddress], stopping: asyncio.Event) -> bool:
+        """Start to listen on addresses, one after the other, as soon as they are free.
 
-        :param start: binds the address and accepts connections.
-        :param address: ``ip:port``.
-        :raises ListenError: if the address can't be bound, or is in use for too long.
+        :param stopping: ends the wait.
+        :return: whether the node listens on all of them.
+        :raises ListenError: if an address can't be bound, or is in use for too long.
         """
+        listening = asyncio.ensure_future(self._listen_in_turn(addresses))
+        stopped = asyncio.ensure_future(stopping.wait())
         try:
-            await self._listen(start, address, self._deadline)
+            await asyncio.wait((listening, stopped), return_when=asyncio.FIRST_COMPLETED)
+            if listening.done():
+                listening.result()
+            return listening.done()
         finally:
-            self.awaited = ""
+            listening.cancel()
+            stopped.cancel()
 
-    async def listen_some_time(self, start: Start, address: str) -> None:
+    async def listen_some_time(self, address: ListenAddress) -> None:
         """Start to listen on an address as soon as it is free, however long that takes.
 
         :raises ListenError: if the address can't be bound.
         """
-        await self._listen(start, address, math.inf)
+        await self._listen(address, math.inf)
 
-    async def _listen(self, start: Start, address: str, deadline: float) -> None:
+    async def _listen_in_turn(self, addresses: Iterable[ListenAddress]) -> None:
+        deadline = asyncio.get_running_loop().time() + self._wait_s
+        for each in addresses:
+            await self._listen(each, deadline)
+
+    async def _listen(self, each: ListenAddress, deadline: float) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
         waits = False
         while True:
             try:
-                await start()
+                await each.start()
             except OSError as error:
                 if error.errno not in TEMPORARY_ERRORS or loop.time() >= deadline:
-                    raise ListenError(address, error) from error
+                    raise ListenError(each.address, error) from error
                 if not waits:
                     waits = True
-                    self.awaited = address
-                    log.warning("address_in_use", address=address, error=str(error))
+                    self.awaited = each.address
+                    log.warning("address_in_use", address=each.address, error=str(error))
             else:
                 break
             await asyncio.sleep(RETRY_INTERVAL_S)
         if waits:
-            log.notice("address_free", address=address, waited_s=round(loop.time() - began, 3))
+            self.awaited = ""
+            log.notice("address_free", address=each.address, waited_s=round(loop.time() - began, 3))
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -41,6 +41,7 @@
 from chalkyoke.node.api import NodeApi
 from chalkyoke.node.configuration import ConfigurationKeeper
 from chalkyoke.node.linkgauges import add_link_gauges
+from chalkyoke.node.listening import AddressWaiter, ListenAddress
 from chalkyoke.node.ports import FleetPort
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
@@ -241,12 +242,20 @@
     async def run(self) -> None:
         """Serve until a planned stop is complete.
 
+        :raises ListenError: if an address can't be bound.
         :raises InvariantBroken: if an invariant of the program is violated.
         """
         loop = asyncio.get_running_loop()
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, self.stop)
-        await self.links.listen()
+        listen = self.settings.listen
+        addresses = (
+            ListenAddress(listen.links, self.links.listen),
+            *(each.listen_address for each in self._servers),
+        )
+        if not await AddressWaiter(listen.wait_s).listen(addresses, self._stopping):
+            await self._close()
+            return
         await self.configuration.start()
         for server in self._servers:
             server.start()
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -12,6 +12,8 @@
 
 import uvicorn
 
+from chalkyoke.node.listening import ListenAddress
+
 # Number of new connections that may wait for accept.
 BACKLOG_CONNECTIONS = 1024
 # How long an idle connection is kept open, in seconds.
@@ -32,16 +34,11 @@
     :param address: ``ip:port``.
     :param certificate: file of a TLS certificate; empty for plain HTTP.
     :param key: file of the certificate's private key.
-    :raises OSError: when the address can't be bound.
     """
 
     def __init__(self, app: Any, address: str, certificate: str = "", key: str = "") -> None:
-        ip, port = address.rsplit(":", 1)
-        # asyncio disables Nagle's algorithm only on sockets with an explicit protocol number.
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((ip, int(port)))
-        self._socket.listen(BACKLOG_CONNECTIONS)
+        self._address = address
+        self._socket: socket.socket | None = None
         config = uvicorn.Config(
             app,
             loop="asyncio",
@@ -59,8 +56,31 @@
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def listen_address(self) -> ListenAddress:
+        """The address, and how to listen on it."""
+        return ListenAddress(self._address, self.listen)
+
+    async def listen(self) -> None:
+        """Bind the address; connections wait until the server is started.
+
+        :raises OSError: when the address can't be bound.
+        """
+        ip, port = self._address.rsplit(":", 1)
+        # asyncio disables Nagle's algorithm only on sockets with an explicit protocol number.
+        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.bind((ip, int(port)))
+            listening.listen(BACKLOG_CONNECTIONS)
+        except OSError:
+            listening.close()
+            raise
+        self._socket = listening
+
     def start(self) -> None:
-        """Start serving in a task of the running event loop."""
+        """Start serving in a task of the running event loop; listen first."""
+        assert self._socket is not None
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
     async def stop(self) -> None:
@@ -68,3 +88,5 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+        elif self._socket is not None:
+            self._socket.close()
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -15,6 +15,7 @@
 
 from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
+from chalkyoke.sockets import LISTEN_WAIT_S
 
 ENVIRONMENT_PREFIX = "CHALKYOKE_"
 NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -53,11 +54,15 @@
 
 
 class ListenSection(_Section):
-    """Addresses that this node listens on, as ``ip:port``."""
+    """Addresses that this node listens on, as ``ip:port``.
+
+    :ivar wait_s: how long a start waits for addresses that are in use, in seconds.
+    """
 
     callers: str
     links: str
     administration: str
+    wait_s: float = Field(default=LISTEN_WAIT_S, ge=0.0, allow_inf_nan=False)
 
     @field_validator("callers", "links", "administration")
     @classmethod
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -11,6 +11,9 @@
 import struct
 import termios
 
+# How long a start waits for an address that is in use, in seconds: longer than a port stays in use
+# after its connection was closed.
+LISTEN_WAIT_S = 75.0
 # An int of the C language, as ioctl returns it.
 _C_INT = struct.Struct("i")
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset and discards unsent data.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,6 +8,7 @@
 import asyncio
 import hashlib
 import signal
+import socket
 import tempfile
 from pathlib import Path
 
@@ -416,3 +417,23 @@
         assert again.json()["choices"] == answer["choices"]
 
     with_fleet(check)
+
+
+def test_a_start_waits_for_an_address_that_another_socket_uses():
+    """Guards against a node that was lost for good, as nothing started it again."""
+
+    async def check(fleet, _):
+        node = fleet.nodes["n1"]
+        node.send_signal(signal.SIGKILL)
+        node.popen.wait()
+        ip, port = node.address.rsplit(":", 1)
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((ip, int(port)))
+            other.listen()
+            fleet.start_node("n1")
+            await asyncio.sleep(2.0)
+            assert fleet.nodes["n1"].popen.poll() is None
+        await fleet._wait_until(fleet._all_ready, "n1 to be ready")
+
+    with_fleet(check)
