Connections: an outgoing connection no longer keeps a host from listening on its port

Two hosts of ours that share an address, or a host whose own ports lie in the system's outgoing range, could not start while a connection of another one had the port, nor for 60 s after that connection was closed. A listener with SO_REUSEADDR may share a port only with sockets that have the option too, and outgoing connections lacked it.

All outgoing connections of both fronts go through chalkyoke.sockets.connect, or the client library's socket factory, and set the option.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import socket
 from typing import Any
 
 import aiohttp
@@ -15,6 +16,7 @@
 from aiohttp.streams import StreamReader
 
 from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
+from chalkyoke.sockets import share_port
 
 # A status that is no answer, as no call asks for another protocol; other interim ones are skipped.
 SWITCHING_PROTOCOLS = 101
@@ -51,10 +53,17 @@
     """
 
     def __init__(self, handler: type[ResponseHandler] = CallHandler, **options: Any) -> None:
-        super().__init__(force_close=True, **options)
+        super().__init__(force_close=True, socket_factory=_create_socket, **options)
         self._factory = functools.partial(handler, loop=self._loop)
 
 
+def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, *_ = address
+    created = socket.socket(family, kind, protocol)
+    share_port(created)
+    return created
+
+
 def _find_problem(head: RawResponseMessage) -> str | None:
     """Return why a head is not the head of one answer; None if it is."""
     reason = head.reason.encode(errors="surrogateescape")
--- a/packages/chalkyoke/src/chalkyoke/http1/dialing.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/dialing.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from chalkyoke.http1.client import ClientConnection
+from chalkyoke.sockets import connect
 
 MakeConnection = Callable[[], ClientConnection]
 
@@ -58,10 +59,9 @@
         :param make: creates the protocol of the connection.
         :param timeout_s: limit for the attempt, in seconds.
         """
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(make, ip, port)
+                _, connection = await connect(make, ip, port)
         except TimeoutError:
             return ConnectFailure.TIMED_OUT
         except OSError:
--- a/packages/chalkyoke/src/chalkyoke/links/intake.py
+++ b/packages/chalkyoke/src/chalkyoke/links/intake.py
@@ -9,6 +9,8 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import SupportsIndex
 
+from chalkyoke.sockets import connect
+
 Serve = Callable[["ByteStreamReader", asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -59,10 +61,10 @@
 
     :raises OSError: when the address can't be reached.
     """
-    loop = asyncio.get_running_loop()
     intake = ByteStreamReader()
     protocol = asyncio.StreamReaderProtocol(intake)
-    transport, _ = await loop.create_connection(lambda: protocol, ip, port)
+    transport, _ = await connect(lambda: protocol, ip, port)
+    loop = asyncio.get_running_loop()
     return intake, asyncio.StreamWriter(transport, protocol, intake, loop)
 
 
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -5,11 +5,17 @@
 """
 
 import asyncio
+import asyncio.trsock
 import contextlib
 import fcntl
 import socket
 import struct
 import termios
+from collections.abc import Callable
+from typing import TypeVar
+
+P = TypeVar("P", bound=asyncio.BaseProtocol)
+SocketOptions = socket.socket | asyncio.trsock.TransportSocket
 
 # How long a start waits for an address that is in use, in seconds: longer than a port stays in use
 # after its connection was closed.
@@ -20,6 +26,31 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
+async def connect(make: Callable[[], P], ip: str, port: int) -> tuple[asyncio.Transport, P]:
+    """Open a connection whose local port keeps no process of this host from listening on it.
+
+    The operating system picks the port, which may be one on which a process is about to listen.
+
+    :param make: creates the protocol of the connection.
+    :raises OSError: when the address can't be reached.
+    """
+    transport, protocol = await asyncio.get_running_loop().create_connection(make, ip, port)
+    tcp_socket = transport.get_extra_info("socket")
+    if tcp_socket is not None:
+        # The connection may have been closed by the system already.
+        with contextlib.suppress(OSError):
+            share_port(tcp_socket)
+    return transport, protocol
+
+
+def share_port(outgoing: SocketOptions) -> None:
+    """Let a process of this host listen on the local port of an outgoing connection.
+
+    The port stays usable after the connection was closed, too.
+    """
+    outgoing.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+
 def set_user_timeout(
     connection: asyncio.BaseTransport | asyncio.StreamWriter, milliseconds: int
 ) -> None:
--- a/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
@@ -1,12 +1,13 @@
 """
 chalkyoke.tests.test_sockets
 
-What the operating system tells of sent bytes.
+What the operating system tells of sent bytes, and the local ports of outgoing connections.
 """
 
+import asyncio
 import socket
 
-from chalkyoke.sockets import unacknowledged_bytes
+from chalkyoke.sockets import connect, unacknowledged_bytes
 
 SMALL_BUFFER = 2_048
 
@@ -21,7 +22,7 @@
         return self._raw if name == "socket" else None
 
 
-def connect():
+def connect_pair():
     """Connect two sockets, of which the second one receives little before it is read."""
     with socket.socket() as listening:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
@@ -33,7 +34,7 @@
 
 
 def test_bytes_count_until_the_peer_has_acknowledged_them():
-    near, far = connect()
+    near, far = connect_pair()
     with near, far:
         near.setblocking(False)
         sent = near.send(b"x" * 1_000_000)
@@ -43,8 +44,33 @@
 
 
 def test_a_closed_socket_tells_nothing():
-    near, far = connect()
+    near, far = connect_pair()
     near.close()
     far.close()
     assert unacknowledged_bytes(Transport(near)) is None
     assert unacknowledged_bytes(Transport(None)) is None
+
+
+def listen_on(address):
+    """Listen as a process does that starts at an address."""
+    with socket.socket() as listening:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(address)
+        listening.listen()
+
+
+def test_the_port_of_an_outgoing_connection_can_be_listened_on():
+    """Guards against a host that did not start since a connection of another one had its port."""
+
+    async def main():
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        async with server:
+            transport, _ = await connect(asyncio.Protocol, *server.sockets[0].getsockname())
+            own = transport.get_extra_info("sockname")
+            listen_on(own)
+            transport.close()
+            await asyncio.sleep(0.01)
+            # The port is still in use for a minute after the end that closed first.
+            listen_on(own)
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/tunnels/server.py
+++ b/packages/chalkyoke/src/chalkyoke/tunnels/server.py
@@ -17,7 +17,7 @@
 from chalkyoke.links.connection import Connection
 from chalkyoke.logs import logger
 from chalkyoke.memory.account import MemoryAccount, Purpose
-from chalkyoke.sockets import bound_unread, bound_unsent, set_user_timeout
+from chalkyoke.sockets import bound_unread, bound_unsent, connect, set_user_timeout
 from chalkyoke.tunnels.dialer import CHECK_TIMEOUT_S, FleetDialer
 from chalkyoke.tunnels.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
 from chalkyoke.tunnels.paths import Address
@@ -218,7 +218,7 @@
         began = loop.time()
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
-                _, end = await loop.create_connection(lambda: TunnelEnd(self._account), *address)
+                _, end = await connect(lambda: TunnelEnd(self._account), *address)
         except (TimeoutError, OSError):
             reaches_others = await self._dialer.reaches_others(address, began)
             return TunnelOutcome.UNREACHABLE if reaches_others else TunnelOutcome.NO_PATH
