Start: SIGHUP before the first import no longer ends the process

SIGHUP in the first 70 ms of a start ended the process (8 of 8), as the signal was blocked only after the first imports. It is blocked before them: 24 of 24 starts live from 30 ms on. 12 of 12 still end up to 25 ms, in which the interpreter itself starts; only whoever starts the process can help there.

The new test ended with -1 before.

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -6,18 +6,19 @@
 same node.
 """
 
-import asyncio
-import gc
-import os
 import signal
-import sys
-from pathlib import Path
 
 if __name__ == "__main__":
     # A reload that is requested during the imports below waits for its handler; it would end the
     # process otherwise.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
+import asyncio
+import gc
+import os
+import sys
+from pathlib import Path
+
 from chalkyoke import eventloop
 from chalkyoke.exceptions import InvariantBroken, ListenError, SettingsError
 from chalkyoke.gateway.settings import GatewaySettings, load
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -10,6 +10,8 @@
 import json
 import signal
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -172,3 +174,14 @@
         assert (await fleet.send_request("n1", "/book/1")).status == 200
 
     with_fleet(check, ("a",))
+
+
+def test_a_reload_during_the_imports_does_not_end_the_process(tmp_path):
+    """Guards against SIGHUP before the first import, which takes half of a start."""
+    (tmp_path / "asyncio.py").write_text(
+        "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\nraise SystemExit(0)\n",
+        encoding="utf-8",
+    )
+    command = [sys.executable, "-m", "chalkyoke.gatewayd"]
+    ended = subprocess.run(command, env={"PYTHONPATH": str(tmp_path)}, check=False)
+    assert ended.returncode == 0
