Stop: a signal at the end of a planned stop no longer changes how the process ends

A SIGHUP or a second SIGTERM that came when the event loop had removed its handlers ended the process by the signal. The signals are blocked until the process is gone. The new test saw -15 in place of 0 before.

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -32,6 +32,8 @@
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 EXIT_INVARIANT = 70
+# Signals that a node handles while it runs.
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 # File descriptor of standard output.
 STANDARD_OUTPUT = 1
 
@@ -61,6 +63,8 @@
         log.critical("start_failed", address=error.address, error=str(error))
         raise
     finally:
+        # The loop is about to remove its handlers; a signal that comes later has no effect.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         writer.flush()
 
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -185,3 +185,17 @@
     command = [sys.executable, "-m", "chalkyoke.gatewayd"]
     ended = subprocess.run(command, env={"PYTHONPATH": str(tmp_path)}, check=False)
     assert ended.returncode == 0
+
+
+def test_signals_during_a_planned_stop_do_not_change_its_end():
+    """Guards against signals that come when the loop has removed its handlers."""
+
+    async def check(fleet):
+        node = fleet.nodes["n1"]
+        while node.popen.poll() is None:
+            for each in (signal.SIGTERM, signal.SIGHUP):
+                node.send_signal(each)
+            await asyncio.sleep(0.0005)
+        assert node.popen.returncode == 0
+
+    with_fleet(check, ("a",))
