Start: settings that are being written no longer end the process

A start that read a part of its settings, or none, ended with 2, and nothing started it again. The file is read again for a second; each mistake is printed once, and at the end. The three cases of the new test ended with 2 before.

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -17,6 +17,7 @@
 import gc
 import os
 import sys
+import time
 from pathlib import Path
 
 from chalkyoke import eventloop
@@ -34,6 +35,9 @@
 EXIT_INVARIANT = 70
 # Signals that a node handles while it runs.
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+# How long a start waits for valid settings, in seconds, and how often it reads them again.
+SETTINGS_WAIT_S = 1.0
+SETTINGS_INTERVAL_S = 0.1
 # File descriptor of standard output.
 STANDARD_OUTPUT = 1
 
@@ -76,23 +80,41 @@
     try:
         load(path)
     except SettingsError as error:
-        for problem in error.problems:
-            print(f"settings: {problem}", file=sys.stderr)
+        _print_problems(error)
         return EXIT_SETTINGS
     return 0
 
 
+def load_written(path: Path) -> GatewaySettings:
+    """Read the settings of a node that starts; another process may be writing them.
+
+    :raises SettingsError: if they are still invalid after :data:`SETTINGS_WAIT_S`.
+    """
+    deadline = time.monotonic() + SETTINGS_WAIT_S
+    printed: list[str] = []
+    while True:
+        try:
+            return load(path)
+        except SettingsError as error:
+            if time.monotonic() >= deadline:
+                raise
+            if error.problems != printed:
+                _print_problems(error)
+                printed = error.problems
+        time.sleep(SETTINGS_INTERVAL_S)
+
+
 def run(path: Path) -> int:
     """Run a gateway node until a planned stop.
 
     :param path: the settings file.
     :return: exit code of the process.
     """
-    status = check(path)
-    if status:
-        return status
     try:
-        eventloop.run(serve(load(path), path))
+        eventloop.run(serve(load_written(path), path))
+    except SettingsError as error:
+        _print_problems(error)
+        return EXIT_SETTINGS
     except ListenError as error:
         print(error, file=sys.stderr)
         return EXIT_ADDRESS
@@ -102,6 +124,11 @@
     return 0
 
 
+def _print_problems(error: SettingsError) -> None:
+    for problem in error.problems:
+        print(f"settings: {problem}", file=sys.stderr, flush=True)
+
+
 def main() -> None:
     """Run the node with the settings file from the first argument or :data:`SETTINGS_VARIABLE`."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -199,3 +199,24 @@
         assert node.popen.returncode == 0
 
     with_fleet(check, ("a",))
+
+
+@pytest.mark.parametrize("share", [0.0, 0.5, 0.98])
+def test_a_start_waits_for_settings_that_are_being_written(share):
+    """Guards against a host that was lost for good, as it read a part of its settings."""
+
+    async def check(fleet):
+        node = kill(fleet, "n1")
+        fleet.start_node("n1", first_start=False)
+        whole = node.settings.read_text(encoding="utf-8")
+        node.settings.write_text(whole[: int(share * len(whole))], encoding="utf-8")
+        await fleet.wait_until(lambda: "settings: " in _read_log(fleet), "n1 to read its settings")
+        assert node.popen.poll() is None
+        node.settings.write_text(whole, encoding="utf-8")
+        await fleet.wait_until_ready("n1")
+
+    with_fleet(check, ("a",))
+
+
+def _read_log(fleet):
+    return (fleet.folder / "n1.log").read_text(encoding="utf-8")
