--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -4,6 +4,7 @@
 The settings of a gateway node: a TOML file that is checked as a whole.
 """
 
+import math
 from enum import StrEnum
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
 from chalkyoke.scheduling.placement import Features
+from chalkyoke.sockets import LISTEN_WAIT_S
 
 # Shortest key of a fleet, in bytes: 128 bits can't be guessed.
 MIN_KEY_BYTES = 16
@@ -52,6 +54,7 @@
 
     :param metrics: address of the metrics page; empty for none.
     :param links_advertised: address at which other nodes reach ``links``, if it is a different one.
+    :param wait_s: how long a start waits for addresses that are in use, in seconds.
     """
 
     callers: str
@@ -59,6 +62,7 @@
     links: str
     metrics: str = ""
     links_advertised: str = ""
+    wait_s: float = LISTEN_WAIT_S
 
     @property
     def advertised_links_address(self) -> str:
@@ -281,6 +285,8 @@
         problems.append("memory.limit_mb: a number of megabytes, or 0 for no limit")
     if settings.memory.accounted and not settings.memory.limit_mb:
         problems.append("memory.accounted: needs memory.limit_mb")
+    if not 0 <= listen.wait_s < math.inf:
+        problems.append("listen.wait_s: a number of seconds, 0 or more")
     if settings.limits.descriptors < 0:
         problems.append("limits.descriptors: a number of descriptors, or 0 to ask the system")
     try:
