Origins: a host that comes back into the view while others answer does not count as one of them

2 of 24 streams were joined at eight of nine hosts that were cut off at once: the ninth was out of the view when the others were asked, and back in it, by a late report, when they had answered. The nodes that are asked and the count of the fleet are taken at the same moment now.

--- a/packages/chalkyoke/src/chalkyoke/resumption/finder.py
+++ b/packages/chalkyoke/src/chalkyoke/resumption/finder.py
@@ -234,11 +234,13 @@
     async def _ask_to_confirm(self, stream: int, sought: Sought) -> tuple[_Search, Confirmation]:
         """Ask all other nodes that keep origins; one of them may reach the store."""
         others = [each for each in self._port.other_nodes() if not self._port.is_older(each)]
+        # The view may change while they answer, and bring back a node that was not asked.
+        sees_whole_fleet = self._port.sees_whole_fleet()
         search = await self._ask(stream, sought, others[:MAX_CONFIRMING_NODES], confirm=True)
         if search.is_confirmed:
             return search, Confirmation.PEER
         has_all = len(search.asked) == len(others) and search.is_complete
-        if has_all and self._port.sees_whole_fleet():
+        if has_all and sees_whole_fleet:
             return search, Confirmation.FLEET
         return search, Confirmation.NONE
 
