Supervisor: a fault in one loop no longer ends the process

Any exception in any loop of a node ended its process within 50 ms, with all requests in progress: callers' connections closed without an answer, and nothing started the host again.

A loop that fails is started again, after 0.1 s and up to 5 s later with each failure in a row; a function that is called at intervals is called again at the next one. The first failure in a row is logged with its place, all are counted, and loops_failing shows those that do not run. A broken invariant still ends the process, also inside an exception group.

Simulated fleets fail a test if a node counts a fault that the test did not plant, so that a fault of ours stays visible.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/story.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/story.py
@@ -42,6 +42,7 @@
         "reloaded",
         "reload_failed",
         "fault",
+        "loop_failed",
         "fatal",
     )
 )
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -559,22 +559,24 @@
 
     def _start_loops(self) -> None:
         loops = self._supervisor
-        loops.repeat(self.view.interval_s, self._send_heartbeats)
-        loops.repeat(self.view.interval_s, self._check_members)
-        loops.repeat(KEEPALIVE_INTERVAL_S, self._keep_links)
-        loops.repeat(SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat(self.view.interval_s, self.catalog.check_store)
-        loops.repeat(HOUSEKEEPING_S, self._run_housekeeping)
-        loops.repeat(WINDOW_REPLICATION_INTERVAL_S, self.quotas.replicate_windows)
-        loops.repeat(ROLLOUTS_TICK_S, self.rollouts.tick)
+        interval_s = self.view.interval_s
+        loops.repeat("heartbeats", interval_s, self._send_heartbeats)
+        loops.repeat("members", interval_s, self._check_members)
+        loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
+        loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
+        loops.repeat("store check", interval_s, self.catalog.check_store)
+        loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
+        replicate = self.quotas.replicate_windows
+        loops.repeat("quota windows", WINDOW_REPLICATION_INTERVAL_S, replicate)
+        loops.repeat("roll-outs", ROLLOUTS_TICK_S, self.rollouts.tick)
         if self.memory.account.is_limited:
-            loops.repeat(MEMORY_TICK_S, lambda: self.memory.tick(self.links))
-        loops.start(self._tick_pools())
-        loops.start(self.catalog.run())
-        loops.start(self._registration.run())
-        loops.start(self.held_records.run())
+            loops.repeat("memory", MEMORY_TICK_S, lambda: self.memory.tick(self.links))
+        loops.keep_running("pools", self._tick_pools)
+        loops.keep_running("catalog", self.catalog.run)
+        loops.keep_running("registration", self._registration.run)
+        loops.keep_running("held records", self.held_records.run)
         if self.quota_snapshots is not None:
-            loops.start(self.quota_snapshots.run())
+            loops.keep_running("quota snapshots", self.quota_snapshots.run)
 
     def _send_heartbeats(self) -> None:
         for send in self.view.due_messages(self.now()):
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -302,13 +302,13 @@
     def _start_loops(self) -> None:
         timing = self.settings.timing
         loops = self._supervisor
-        loops.repeat(self.view.interval_s, self._send_heartbeats)
-        loops.repeat(TICK_S, self._tick)
-        loops.repeat(KEEPALIVE_INTERVAL_S, self._keep_links)
-        loops.repeat(HOUSEKEEPING_S, self._run_housekeeping)
-        loops.start(self._probe(timing.load_interval_s))
-        loops.start(self.configuration.watch_root())
-        loops.start(self.configuration.watch_hosts())
+        loops.repeat("heartbeats", self.view.interval_s, self._send_heartbeats)
+        loops.repeat("schedulers", TICK_S, self._tick)
+        loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
+        loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
+        loops.keep_running("probes", lambda: self._probe(timing.load_interval_s))
+        loops.keep_running("root watch", self.configuration.watch_root)
+        loops.keep_running("host list", self.configuration.watch_hosts)
 
     async def _probe(self, interval_s: float) -> None:
         while True:
--- a/packages/chalkyoke/src/chalkyoke/node/quotasnapshots.py
+++ b/packages/chalkyoke/src/chalkyoke/node/quotasnapshots.py
@@ -100,6 +100,7 @@
 
     async def run(self) -> None:
         """Make the calls that are due, until cancelled."""
+        self._calling.clear()
         async with asyncio.TaskGroup() as group:
             while True:
                 if not self._snapshots.is_active:
--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -1,23 +1,35 @@
 """
 chalkyoke.node.supervisor
 
-Runs the loops of a node and ends the process on a fatal fault.
+Runs the loops of a node, starts those again that fail, and ends the process on a broken invariant.
 """
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.decoding.decoder import MAX_REASON_CHARS
 from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.logs import logger
 
+# Delay before a loop that has failed is started again, in seconds: it doubles with each failure in
+# a row, up to the maximum.
+MIN_RESTART_DELAY_S = 0.1
+MAX_RESTART_DELAY_S = 5.0
+# How long a loop has to run before a failure counts as the first in a row, in seconds.
+STABLE_S = 10.0
+
 log = logger("node")
 
 
 class Supervisor:
     """Run loops until the process ends. Create it inside the running event loop.
 
-    :param metrics: counts faults that end one connection only.
+    A fault in a loop leaves the others, and the requests in progress, alone. Only a broken
+    invariant ends the process.
+
+    :param metrics: counts the faults that don't end the process.
     :ivar ended: set when the process must end.
     :ivar failure: the fault that ended the process, or None.
     """
@@ -27,24 +39,37 @@
         self.failure: BaseException | None = None
         self._metrics = metrics
         self._tasks: list[asyncio.Task[None]] = []
+        self._failing: set[str] = set()
+        metrics.register_gauge("loops_failing", lambda: len(self._failing))
         loop = asyncio.get_running_loop()
         self._started = loop.time()
         loop.set_exception_handler(self._on_exception)
 
     def start(self, work: Coroutine[None, None, None]) -> None:
-        """Run a loop as a task; an exception in it ends the process."""
+        """Run a task that the process can't do without; an exception in it ends the process."""
         task = asyncio.create_task(work)
-        task.add_done_callback(self._loop_ended)
+        task.add_done_callback(self._task_ended)
         self._tasks.append(task)
 
-    def repeat(self, interval_s: float, work: Callable[[], None]) -> None:
-        """Call a function every ``interval_s`` seconds, beginning now."""
-        self.start(_repeat(interval_s, self._started, work))
+    def keep_running(self, name: str, make: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Run a loop, and start it again if it fails.
+
+        :param name: for the log.
+        :param make: creates the coroutine of the loop.
+        """
+        self.start(self._keep_running(name, make))
+
+    def repeat(self, name: str, interval_s: float, work: Callable[[], None]) -> None:
+        """Call a function every ``interval_s`` seconds, beginning now, also after it has failed.
+
+        :param name: for the log.
+        """
+        self.start(_repeat(interval_s, self._started, lambda: self._call(name, work)))
 
     def fail(self, error: BaseException) -> None:
         """End the process because of a fatal fault; the first fault is kept."""
         if self.failure is None:
-            log.critical("fatal", error=repr(error))
+            log.critical("fatal", error=repr(error), where=_find_place(error))
             self.failure = error
         self.ended.set()
 
@@ -53,8 +78,49 @@
         for task in self._tasks:
             task.cancel()
 
-    def _loop_ended(self, task: "asyncio.Task[None]") -> None:
-        # A process without one of its loops would look healthy but do nothing.
+    async def _keep_running(
+        self, name: str, make: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = MIN_RESTART_DELAY_S
+        while True:
+            began = loop.time()
+            stable = loop.call_later(STABLE_S, self._failing.discard, name)
+            try:
+                await make()
+            except Exception as error:
+                self._record_failure(name, error)
+            else:
+                return
+            finally:
+                stable.cancel()
+            if loop.time() - began >= STABLE_S:
+                delay_s = MIN_RESTART_DELAY_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
+
+    def _call(self, name: str, work: Callable[[], None]) -> None:
+        try:
+            work()
+        except Exception as error:
+            self._record_failure(name, error)
+        else:
+            self._failing.discard(name)
+
+    def _record_failure(self, name: str, error: Exception) -> None:
+        """Count a failure of a loop, and log the first in a row.
+
+        :raises InvariantBroken: if the failure is a broken invariant.
+        """
+        broken = _find_invariant(error)
+        if broken is not None:
+            raise broken
+        self._metrics.count("faults")
+        if name not in self._failing:
+            self._failing.add(name)
+            log.error("loop_failed", loop=name, error=_describe(error), where=_find_place(error))
+
+    def _task_ended(self, task: "asyncio.Task[None]") -> None:
         if not task.cancelled() and (error := task.exception()) is not None:
             self.fail(error)
 
@@ -65,7 +131,32 @@
         elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
             # A fault while serving one connection ends that connection, not the process.
             self._metrics.count("faults")
-            log.error("fault", where=str(context.get("message")), error=repr(error))
+            log.error(
+                "fault",
+                during=str(context.get("message")),
+                error=_describe(error),
+                where=_find_place(error),
+            )
+
+
+def _find_invariant(error: BaseException) -> InvariantBroken | None:
+    """Return the broken invariant that an exception is or contains; None if there is none."""
+    if isinstance(error, InvariantBroken):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        found = (_find_invariant(each) for each in error.exceptions)
+        return next((each for each in found if each is not None), None)
+    return None
+
+
+def _describe(error: BaseException) -> str:
+    return repr(error)[:MAX_REASON_CHARS]
+
+
+def _find_place(error: BaseException) -> str:
+    """Return the file and line that raised an exception; empty if it was not raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].filename.rpartition('/')[2]}:{frames[-1].lineno}" if frames else ""
 
 
 async def _repeat(interval_s: float, started: float, work: Callable[[], None]) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
@@ -1,7 +1,7 @@
 """
 chalkyoke.node.tests.test_supervisor
 
-Loops are run at even times, whenever the node has started.
+Loops are run at even times, whenever the node has started, and again after they have failed.
 """
 
 import asyncio
@@ -9,7 +9,13 @@
 
 import pytest
 from chalkyoke.administration.metrics import Metrics
-from chalkyoke.node.supervisor import Supervisor
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.node.supervisor import (
+    MAX_RESTART_DELAY_S,
+    MIN_RESTART_DELAY_S,
+    STABLE_S,
+    Supervisor,
+)
 
 from tests import virtual
 
@@ -35,7 +41,7 @@
             if calls[-1] > ended:
                 supervisor.ended.set()
 
-        supervisor.repeat(INTERVAL_S, work)
+        supervisor.repeat("work", INTERVAL_S, work)
         await supervisor.ended.wait()
         assert supervisor.failure is None
         supervisor.cancel()
@@ -44,3 +50,90 @@
     assert len(calls) == round(SECONDS / INTERVAL_S) + 1
     gaps = [after - before for before, after in itertools.pairwise(calls)]
     assert gaps == pytest.approx([INTERVAL_S] * len(gaps), abs=1e-6)
+
+
+class FailingLoop:
+    """A loop that raises ``error`` after each of the given durations, and then runs on.
+
+    :ivar starts: when it was started, on the loop's clock.
+    """
+
+    def __init__(self, *durations_s, error=None):
+        self._durations_s = list(durations_s)
+        self._error = error or LookupError("planted")
+        self.starts = []
+
+    async def run(self):
+        self.starts.append(asyncio.get_running_loop().time())
+        if not self._durations_s:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self._durations_s.pop(0))
+        raise self._error
+
+
+def run_for(seconds, *loops):
+    """Run loops under a supervisor; return it and its gauge of failing loops over time."""
+    gauge = []
+
+    async def main():
+        metrics = Metrics()
+        supervisor = Supervisor(metrics)
+        for number, each in enumerate(loops):
+            supervisor.keep_running(f"loop {number}", each.run)
+        for _ in range(int(seconds)):
+            await asyncio.sleep(1.0)
+            gauge.append(metrics.gauges["loops_failing"]())
+        supervisor.cancel()
+        return supervisor
+
+    return virtual.run(main), gauge
+
+
+# Guards against a fault in one loop that ended the process with all requests in progress.
+def test_a_loop_that_fails_is_started_again_at_growing_intervals():
+    loop = FailingLoop(*[0.0] * 12)
+    supervisor, _ = run_for(60, loop)
+    gaps = [after - before for before, after in itertools.pairwise(loop.starts)]
+    assert gaps[:3] == pytest.approx([MIN_RESTART_DELAY_S * 2**n for n in range(3)])
+    assert gaps[-1] == pytest.approx(MAX_RESTART_DELAY_S)
+    assert supervisor.failure is None and not supervisor.ended.is_set()
+
+
+def test_a_loop_that_has_run_for_long_is_started_again_soon_and_counts_as_sound():
+    loop = FailingLoop(0.0, 0.0, 0.0, 2 * STABLE_S)
+    _, gauge = run_for(60, loop)
+    assert loop.starts[-1] - loop.starts[-2] == pytest.approx(2 * STABLE_S + MIN_RESTART_DELAY_S)
+    assert gauge[1] == 1 and gauge[-1] == 0
+
+
+def test_a_function_that_fails_is_called_again_at_its_next_interval():
+    calls = []
+
+    async def main():
+        metrics = Metrics()
+        supervisor = Supervisor(metrics)
+
+        def work():
+            calls.append(asyncio.get_running_loop().time())
+            if len(calls) <= 3:
+                raise LookupError("planted")
+
+        supervisor.repeat("work", 1.0, work)
+        await asyncio.sleep(5.5)
+        assert metrics.counter_value("faults") == 3
+        assert metrics.gauges["loops_failing"]() == 0
+        supervisor.cancel()
+
+    virtual.run(main)
+    assert len(calls) == 6
+
+
+@pytest.mark.parametrize(
+    "error",
+    [InvariantBroken("planted"), ExceptionGroup("group", [InvariantBroken("planted")])],
+)
+def test_a_broken_invariant_ends_the_process(error):
+    loop = FailingLoop(0.0, error=error)
+    supervisor, _ = run_for(3, loop)
+    assert isinstance(supervisor.failure, InvariantBroken) and supervisor.ended.is_set()
+    assert len(loop.starts) == 1
--- a/packages/chalkyoke/src/chalkyoke/quarantine/heldrecords.py
+++ b/packages/chalkyoke/src/chalkyoke/quarantine/heldrecords.py
@@ -70,7 +70,12 @@
                 self._wake.clear()
                 await self._wake.wait()
             request = self._waiting.popleft()
-            if await self._write(request):
+            try:
+                is_written = await self._write(request)
+            except BaseException:
+                self._waiting.append(request)
+                raise
+            if is_written:
                 backoff_s = MIN_BACKOFF_S
                 continue
             log.info("record_waits", digest=request.hex(), waiting=len(self._waiting) + 1)
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -322,10 +322,11 @@
     return CallerAnswer(int(lines[0].split(" ")[1]), headers, body, whole, took_s)
 
 
-def run_check(check, *, seed=0, **fleet):
+def run_check(check, *, seed=0, may_fault=False, **fleet):
     """Run a check on a started fleet, in virtual time and without log output.
 
     :param seed: seed of the random generator with which the nodes break ties.
+    :param may_fault: whether nodes may have faults that don't end them.
     """
 
     async def main():
@@ -333,6 +334,8 @@
         await fleet_under_test.start()
         async with asyncio.timeout(MAX_CHECK_S):
             await check(fleet_under_test)
+        faults = [each.metrics.counter_value("faults") for each in fleet_under_test.nodes]
+        assert may_fault or not any(faults), f"faults of the nodes: {faults}"
 
     # The seed makes each run the same.
     random.seed(seed)
