--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/causes.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/causes.py
@@ -12,6 +12,8 @@
 # The decisions that are collected, and those that tell the end of a request.
 ENDS = frozenset({"cut_off", "ended", "expired", "refused", "given_up", "held_back", "left"})
 COLLECTED = ENDS | {"sent", "kept"}
+# The lines in which a node reports that one of its loops failed, or that it ends by itself.
+NODE_FAULTS = frozenset({"loop_failed", "fatal", "start_failed"})
 
 
 def describe_cause(request: str, observations: Observations) -> str:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -112,6 +112,14 @@
     ]
 
 
+def nodes_have_no_faults(observations: Observations) -> list[Violation]:
+    """Check that no loop of a node failed, and that no process ended by itself."""
+    return [
+        Violation("node faults", f"{each.node} {each.event}: {each.fields.get('error', '')}")
+        for each in observations.node_faults
+    ]
+
+
 def draining_replicas_get_no_requests(observations: Observations) -> list[Violation]:
     """Check that a draining replica gets no request :data:`DRAIN_GRACE_S` after its announcement.
 
@@ -376,6 +384,7 @@
     answers_are_complete_and_own,
     runs_have_a_caller,
     versions_never_decrease,
+    nodes_have_no_faults,
 )
 TIMED_CHECKERS: tuple[Checker, ...] = (
     draining_replicas_get_no_requests,
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -250,6 +250,7 @@
     :ivar route_moves: when routes moved to other services.
     :ivar halts: when the stand-ins themselves were not run by their machine, as begin and end.
     :ivar decisions: the nodes' decisions on each request, in order.
+    :ivar node_faults: the lines in which nodes report faults of their own.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -272,4 +273,5 @@
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
     decisions: dict[str, list[Decision]] = field(default_factory=dict)
+    node_faults: list[Decision] = field(default_factory=list)
     halts: list[tuple[float, float]] = field(default_factory=list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -294,7 +294,12 @@
     ]
 
 
+def let_a_loop_fail(observations):
+    observations.node_faults.append(Decision("n1", "loop_failed", {"error": "LookupError()"}))
+
+
 VIOLATIONS = [
+    (let_a_loop_fail, checkers.nodes_have_no_faults),
     (run_twice, checkers.runs_once),
     (run_a_rejected_request, checkers.not_run_answers_are_true),
     (return_another_answer, checkers.answers_are_complete_and_own),
