Broken invariants: requests that were read are answered before the process ends

A broken invariant closed the connections of all callers within 50 ms: requests that waited for a replica, that were read behind another one, or that ran and had no answer yet ended without an answer, and fatal did not say how many there were.

Cause: run() went on to _close() whatever the reason of the end. Planned stops answer what is read, but they run the whole program meanwhile, which a broken invariant forbids.

The node now cancels its loops, reads no more messages of links, accepts no more connections and answers each request with what is known of it: 503 if no replica may have run it (also those that are being read or wait behind another one), 502 if one may have, and an abort only if a part of the answer has been sent. It waits 1.2 s at most for uploads and for callers to read. Nothing is sent to replicas or schedulers but the release of grants. fatal names in_progress, and each request is logged with the reason "internal fault".

Ruled out: letting requests that were sent run on, as grants, balancing and quarantine would run on state that is known to be wrong; and the planned stop with a short grace, which still dispatches.

An unexpected exception in one exchange answers in the same way now; it aborted the connection of a request that had been sent, though nothing of an answer had been.

Not changed: the completions front, whose servers are not stopped after a fatal fault.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -137,6 +137,14 @@
         loop = asyncio.get_running_loop()
         self._stop_timer = loop.call_at(self._loop_time(latest), self._refuse_unsent)
 
+    def end_after_fatal_fault(self) -> None:
+        """Answer the request at once with what is known of it, as the process is about to end."""
+        self._response.close_gracefully()
+        self._replies.end_after_fault(self._admission)
+        self._sender.cancel()
+        if self.task is not None:
+            self.task.cancel()
+
     def _refuse_unsent(self) -> None:
         if self.task is None or self._is_held or not self._is_unsent():
             return
@@ -153,8 +161,8 @@
     async def run(self) -> None:
         """Answer the request.
 
-        An unexpected exception is raised again after the caller has got a refusal, or an abort if
-        the request may have run.
+        An unexpected exception is raised again after the caller has got an answer, or an abort if
+        a part of one has been sent.
         """
         try:
             await self._run()
@@ -214,7 +222,7 @@
         """Release the grant, and refuse or abort the request after an unexpected exception."""
         if self._admission is not None:
             self._release_cancelled(self._admission)
-        self._replies.end_after_fault()
+        self._replies.end_after_fault(self._admission)
 
     def _refund_charge(self, admission: Admission) -> None:
         """Refund the quota charge of a request that ends without a run."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -19,6 +19,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._exchanges: dict[asyncio.Task[None], Exchange] = {}
+        self._has_failed = False
 
     @property
     def in_progress(self) -> int:
@@ -26,8 +27,11 @@
         return len(self._exchanges)
 
     def start_exchange(self, request: Request, response: ResponseWriter) -> Exchange:
-        """Start the task that answers a request."""
+        """Start the task that answers a request; after a fatal fault it is refused at once."""
         exchange = Exchange(self._parts, request, response)
+        if self._has_failed:
+            asyncio.get_running_loop().call_soon(exchange.end_after_fatal_fault)
+            return exchange
         exchange.task = asyncio.get_running_loop().create_task(exchange.run())
         self._exchanges[exchange.task] = exchange
         exchange.task.add_done_callback(self._on_task_done)
@@ -39,6 +43,12 @@
         for exchange in list(self._exchanges.values()):
             exchange.begin_stop()
 
+    def end_after_fatal_fault(self) -> None:
+        """End all requests, and refuse later ones, as the process is about to end."""
+        self._has_failed = True
+        for exchange in list(self._exchanges.values()):
+            exchange.end_after_fatal_fault()
+
     def on_request_held(self, request: bytes) -> None:
         """End the waiting exchanges of a request that is held back from now on.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -20,6 +20,8 @@
 RETRY_SOON_S = 0.3
 # Reason of a refusal because the answer would not end before this node does.
 STOPPING = "stopping"
+# Reason of an answer after an unexpected exception in this node.
+INTERNAL_FAULT = "internal fault"
 
 
 class Replies:
@@ -143,12 +145,26 @@
         )
         self._response.abort()
 
-    def end_after_fault(self) -> None:
+    def end_after_fault(self, admission: Admission | None) -> None:
         """End a request after an unexpected exception in this node.
 
-        If nothing was sent, the caller gets an answer: closing the connection would give it none.
+        The caller gets an answer unless a part of one has been sent: closing the connection would
+        give it none. The status 502 makes no promise about a run.
+
+        :param admission: None if the request has not been admitted yet.
         """
-        if self._sends.runs or self._delivery.head_sent:
+        if self._delivery.head_sent:
+            self._log_fault("cut_off", admission)
             self._response.abort()
+        elif self._sends.runs:
+            self._log_fault("given_up", admission)
+            self.send_answer(502, INTERNAL_FAULT, None)
         else:
-            self.send_answer(503, "internal fault", RETRY_SOON_S)
+            self._log_fault("refused", admission)
+            self.send_answer(503, INTERNAL_FAULT, RETRY_SOON_S)
+
+    def _log_fault(self, event: str, admission: Admission | None) -> None:
+        if admission is not None:
+            self._parts.log_decision(
+                event, admission, reason=INTERNAL_FAULT, sends=self._sends.arrivals
+            )
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -106,6 +106,9 @@
 # How long before the end of the grace period a stopping node ends, in seconds: time for its last
 # answers and for its removal from the store. After the grace period it may be killed.
 GRACE_MARGIN_S = 0.6
+# How long a node that ends on a fatal fault answers the requests that it has read, in seconds: time
+# for callers to read the answers.
+FATAL_ANSWERS_S = 1.2
 
 log = logger("node")
 
@@ -159,7 +162,7 @@
         self.fleet_size = FleetSize()
         self.request_log = RequestLog(self.metrics, self.now)
         self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
-        self._supervisor = Supervisor(self.metrics)
+        self._supervisor = Supervisor(self.metrics, lambda: self.gateway.in_progress)
         self._stopping = asyncio.Event()
         self._handled_generation = -1
         self._is_monitor = False
@@ -481,6 +484,8 @@
             self._supervisor.start(self._addresses.listen_some_time(metrics))
         self._supervisor.start(self._run_planned_stop(listeners.callers))
         await self._supervisor.ended.wait()
+        if self._supervisor.failure is not None:
+            await self._answer_after_fatal_fault(listeners.callers)
         await self._close(listeners.all)
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
@@ -535,6 +540,15 @@
                 await self._registration.deregister()
         self._supervisor.ended.set()
 
+    async def _answer_after_fatal_fault(self, callers: Listener) -> None:
+        """Answer the requests that have been read, and do nothing else: state may be wrong."""
+        self._supervisor.cancel()
+        callers.close()
+        self.gateway.end_after_fatal_fault()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FATAL_ANSWERS_S):
+                await callers.finish_requests()
+
     async def _close(self, listeners: list[Listener]) -> None:
         for listener in listeners:
             listener.close()
@@ -637,6 +651,8 @@
     # Messages.
 
     def _receive(self, connection: Connection, message: msgspec.Struct) -> Awaitable[None] | None:
+        if self._supervisor.failure is not None:
+            return None
         try:
             return self._router.route(connection, message)
         except InvariantBroken as error:
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -134,7 +134,7 @@
         self.events = EventRing(settings.node.host, HybridClock(), wall_clock_ms)
         self.view = MembershipView(self._record, settings.timing.heartbeat_interval_s)
         self._stopping = asyncio.Event()
-        self._supervisor = Supervisor(self.metrics)
+        self._supervisor = Supervisor(self.metrics, lambda: len(self.entry.in_progress()))
         self._make_links()
         self._make_platform()
         self._make_entry(incarnation)
--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -30,14 +30,16 @@
     invariant ends the process.
 
     :param metrics: counts the faults that don't end the process.
+    :param count_requests: returns the number of requests in progress, for the log.
     :ivar ended: set when the process must end.
     :ivar failure: the fault that ended the process, or None.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, count_requests: Callable[[], int] = lambda: 0) -> None:
         self.ended = asyncio.Event()
         self.failure: BaseException | None = None
         self._metrics = metrics
+        self._count_requests = count_requests
         self._tasks: list[asyncio.Task[None]] = []
         self._failing: set[str] = set()
         metrics.register_gauge("loops_failing", lambda: len(self._failing))
@@ -69,7 +71,12 @@
     def fail(self, error: BaseException) -> None:
         """End the process because of a fatal fault; the first fault is kept."""
         if self.failure is None:
-            log.critical("fatal", error=repr(error), where=_find_place(error))
+            log.critical(
+                "fatal",
+                error=repr(error),
+                where=_find_place(error),
+                in_progress=self._count_requests(),
+            )
             self.failure = error
         self.ended.set()
 
