Scheduler: a release with an unknown outcome ends its grant, and no longer raises

A release whose outcome was changed on the link, or that a later version may add, raised inside data_received: a fault was counted, the link with all messages in transit was closed, and the grant kept its slot.

Cause: the outcome is text on the wire, by the recorded messages of landed versions, and was read as an enumeration only where the grant ends. An unknown one now counts as cancelled: the slot is free, and nothing is learnt of the upstream. Ruled out: the enumeration as the type of the field, which breaks the link instead, keeps the slot, and refuses recorded messages of three landed versions (six cases of tests/test_versions.py failed).

--- a/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/messages.py
@@ -117,7 +117,8 @@
 class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
     """Release a grant.
 
-    :param outcome: one of :class:`~chalkyoke.scheduling.state.ReleaseOutcome`.
+    :param outcome: one of :class:`~chalkyoke.scheduling.state.ReleaseOutcome`; later versions may
+        add others.
     :param declined: whether the upstream declined the request without running it. Set only for the
         first decline of a request: later ones may be caused by the request itself.
     :param rest_s: remaining time for which the upstream asks the entry process to send nothing; 0
--- a/packages/chalkyoke/src/chalkyoke/scheduling/state.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/state.py
@@ -45,6 +45,11 @@
     UNREACHABLE = "unreachable"
     UNUSED = "unused"
 
+    @classmethod
+    def _missing_(cls, _: object) -> "ReleaseOutcome":
+        """Read an outcome that a later version may have added as one that shows nothing."""
+        return cls.CANCELLED
+
 
 class UpstreamSpec(msgspec.Struct, frozen=True):
     """One upstream, as configuration and host list define it.
--- a/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
+++ b/packages/chalkyoke/src/chalkyoke/scheduling/tests/test_scheduler.py
@@ -214,3 +214,11 @@
     assert scheduler.running == 1
     send_release(scheduler, "x", 2.0)
     assert scheduler.running == 0
+
+
+def test_a_grant_that_ends_with_an_unknown_outcome_is_released():
+    """Guards against an outcome of another version that raised, and held its slot."""
+    scheduler = make_scheduler()
+    send_acquires(scheduler, 0.0, acquire("first"), acquire("next"))
+    assert send_release(scheduler, "first", 1.0, "calcelled")[0].request == "next"
+    assert scheduler.upstreams["u1"].failures == 0.0
