Callers: a reset that is not read yet is no fault of the node

A caller that reset its connection after its answer had been written, and before the event loop read the reset, made write_eof raise ENOTCONN, which is no ConnectionError: the exchange failed unexpectedly, or data_received or _after_answer did, and a fault was counted. Only this connection was concerned; no process ended.

The connection is aborted now, as Discard does. The three cases of the new test failed before; all tests of http1/ pass.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -447,9 +447,14 @@
         self._flush()
         if self.transport.is_closing():
             return
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
         self._cancel_timer()
+        try:
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self.transport.abort()
+            return
         self._timer = self._loop.call_later(LINGER_S, self.transport.close)
 
     # Timeouts.
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import tracemalloc
 
 import pytest
@@ -616,3 +617,37 @@
         assert b"Name" not in dict(request.headers)
 
     run(check)
+
+
+class ResetTransport(RecordingTransport):
+    """A transport whose peer has reset the connection, which the event loop has not read yet."""
+
+    def write_eof(self):
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+
+@pytest.mark.parametrize("end", ["answer", "refusal", "pipelined refusal"])
+def test_a_reset_that_is_not_read_yet_ends_only_its_connection(end):
+    """Guards against callers' resets that were counted as faults of the node."""
+
+    async def check():
+        caller = Caller()
+        caller.transport = ResetTransport()
+        caller.connection.connection_made(caller.transport)
+        bad = b"GET /a HTTP/1.1\r\n\r\n"
+        if end == "refusal":
+            await caller.send(bad)
+        else:
+            await caller.send(GOOD + (bad if end == "pipelined refusal" else b""))
+            caller.connection.stopping = True
+            await caller.answer(0)
+        assert caller.transport.aborted
+
+    faults = []
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(lambda _, report: faults.append(report))
+        await check()
+
+    run(main)
+    assert not faults
