Supervisor: a loop that waits for a cancelled task no longer stops for good

A CancelledError that came from a task or future that a loop waited for ended the loop without a line, a count or another start, as it is no Exception: heartbeats or the watch of the store would have stopped until the process ended. Found by reading; no such stop was seen in a run.

A CancelledError counts as a failure of the loop now unless the cancellation of the loop itself was requested. Two of the three new tests failed before (1 start of 3, 1 call of 4); the third keeps cancelled loops from being started again. All tests of the supervisor and of failing loops pass.

--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -95,6 +95,11 @@
             stable = loop.call_later(STABLE_S, self._failing.discard, name)
             try:
                 await make()
+            except asyncio.CancelledError as error:
+                if _is_cancelled():
+                    raise
+                # The loop has waited for a task that somebody else cancelled.
+                self._record_failure(name, error)
             except Exception as error:
                 self._record_failure(name, error)
             else:
@@ -109,12 +114,12 @@
     def _call(self, name: str, work: Callable[[], None]) -> None:
         try:
             work()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             self._record_failure(name, error)
         else:
             self._failing.discard(name)
 
-    def _record_failure(self, name: str, error: Exception) -> None:
+    def _record_failure(self, name: str, error: Exception | asyncio.CancelledError) -> None:
         """Count a failure of a loop, and log the first in a row.
 
         :raises InvariantBroken: if the failure is a broken invariant.
@@ -146,6 +151,12 @@
             )
 
 
+def _is_cancelled() -> bool:
+    """Return whether the cancellation of the current task was requested."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _find_invariant(error: BaseException) -> InvariantBroken | None:
     """Return the broken invariant that an exception is or contains; None if there is none."""
     if isinstance(error, InvariantBroken):
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
@@ -137,3 +137,49 @@
     supervisor, _ = run_for(3, loop)
     assert isinstance(supervisor.failure, InvariantBroken) and supervisor.ended.is_set()
     assert len(loop.starts) == 1
+
+
+# Guards against a loop that stopped for good, without a word, when a task that it waited for was
+# cancelled by somebody else.
+def test_a_loop_that_waits_for_a_cancelled_task_is_started_again():
+    loop = FailingLoop(0.0, 0.0, error=asyncio.CancelledError())
+    supervisor, gauge = run_for(15, loop)
+    assert len(loop.starts) == 3
+    assert gauge[0] == 1 and gauge[-1] == 0
+    assert supervisor.failure is None
+
+
+def test_a_function_that_reads_a_cancelled_task_is_called_again():
+    calls = []
+
+    async def main():
+        supervisor = Supervisor(Metrics())
+        cancelled = asyncio.get_running_loop().create_future()
+        cancelled.cancel()
+
+        def work():
+            calls.append(asyncio.get_running_loop().time())
+            if len(calls) == 1:
+                cancelled.result()
+
+        supervisor.repeat("work", 1.0, work)
+        await asyncio.sleep(3.5)
+        supervisor.cancel()
+
+    virtual.run(main)
+    assert len(calls) == 4
+
+
+def test_cancelled_loops_are_not_started_again():
+    loop = FailingLoop()
+
+    async def main():
+        supervisor = Supervisor(Metrics())
+        supervisor.keep_running("loop", loop.run)
+        await asyncio.sleep(1.0)
+        supervisor.cancel()
+        await asyncio.sleep(10.0)
+        assert supervisor.failure is None
+
+    virtual.run(main)
+    assert len(loop.starts) == 1
