Housekeeping: a step that always fails no longer keeps the later ones from their turn

Once a loop that fails is called again, a step of the housekeeping that raised each second kept all steps after it from ever running: connections, permits and origins were never dropped, and nothing was told to new owners.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -579,7 +579,8 @@
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
         loops.repeat("store check", interval_s, self.catalog.check_store)
-        loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
+        for name, work in self._housekeeping().items():
+            loops.repeat(name, HOUSEKEEPING_S, work)
         replicate = self.quotas.replicate_windows
         loops.repeat("quota windows", WINDOW_REPLICATION_INTERVAL_S, replicate)
         loops.repeat("roll-outs", ROLLOUTS_TICK_S, self.rollouts.tick)
@@ -633,20 +634,23 @@
             self.scheduler_host.tick()
             await asyncio.sleep(TICK_S)
 
-    def _run_housekeeping(self) -> None:
-        self.fleet_size.record_live(self.view.live(), self.now())
-        self.grants.report_to_new_owners(self.pools.pools)
-        self.grants.send_progress()
-        self.connections.close_expired()
-        self._store_connections.close_expired()
-        self.balancer.prune(self.catalog.state.replicas, self.now())
-        self.dialer.prune()
-        self.quotas.refresh_ownership()
-        self.suspicions.tick()
-        self.quarantine.tick()
-        self.limits.broadcast_pending()
-        self.permits.drop_expired()
-        self.origins.drop_expired()
+    def _housekeeping(self) -> dict[str, Callable[[], None]]:
+        """Return what is done each second, by name; none waits for the success of another."""
+        return {
+            "fleet size": lambda: self.fleet_size.record_live(self.view.live(), self.now()),
+            "running requests": lambda: self.grants.report_to_new_owners(self.pools.pools),
+            "progress": self.grants.send_progress,
+            "replica connections": self.connections.close_expired,
+            "store connections": self._store_connections.close_expired,
+            "balancer": lambda: self.balancer.prune(self.catalog.state.replicas, self.now()),
+            "dialer": self.dialer.prune,
+            "quota ownership": self.quotas.refresh_ownership,
+            "suspicions": self.suspicions.tick,
+            "quarantine": self.quarantine.tick,
+            "limits": self.limits.broadcast_pending,
+            "permits": self.permits.drop_expired,
+            "origins": self.origins.drop_expired,
+        }
 
     # Messages.
 
--- a/tests/test_failing_loops.py
+++ b/tests/test_failing_loops.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import math
 from unittest import mock
 
 import pytest
@@ -60,6 +61,21 @@
         return mock.patch.object(self._owner, self._name, call)
 
 
+class Calls(Failure):
+    """Counts the calls of a method."""
+
+    calls = 0
+
+    def patch(self):
+        counter, original = self, self._original
+
+        def call(*arguments, **named):
+            counter.calls += 1
+            return original(*arguments, **named)
+
+        return mock.patch.object(self._owner, self._name, call)
+
+
 @pytest.mark.parametrize("loop", CALLS)
 def test_a_node_goes_on_when_one_of_its_loops_fails(loop):
     failure = Failure(CALLS[loop])
@@ -94,6 +110,23 @@
         run_check(check, may_fault=True, domains=("a", "b"), replicas=2, limits=limits)
 
 
+def test_a_step_of_the_housekeeping_that_always_fails_keeps_no_other_from_its_turn():
+    """Guards against state that was never dropped, as a step before it failed."""
+
+    async def check(fleet):
+        failure.left = math.inf
+        await asyncio.sleep(1.5)
+        last.calls = 0
+        await asyncio.sleep(5.0)
+        assert failure.raised >= 5 * len(fleet.nodes)
+        assert last.calls >= 5 * len(fleet.nodes)
+
+    failure = Failure("chalkyoke.gateway.grants.Grants.send_progress")
+    last = Calls("chalkyoke.resumption.finder.OriginFinder.drop_expired")
+    with failure.patch(), last.patch():
+        run_check(check, may_fault=True, domains=("a", "b"), replicas=2)
+
+
 def test_a_broken_invariant_in_a_loop_ends_the_node():
     async def check(fleet):
         node = fleet.nodes[0]
