Fleet size: sides of a partition no longer forget each other after two minutes

A team got up to 562 requests of its quota in 8 s, 352 allowed, when two of four hosts had been cut off from the others for 130 s, with the store or without it (569 and 574 at halves of six hosts).

Cause: hosts that were not seen for 120 s no longer counted, also those that the store still lists, as their registrations were recorded only when the list changed. Each side then took itself for the whole fleet, and granted the whole quota. Limits of replicas, the retry slack and shares without an owner use the same count.

A registered host counts for as long as the last known list has it, and a lost one for an hour. Only a host that left on plan is dropped after 120 s. A crashed host that does not return therefore takes its share of the quotas for an hour; a crash can't be told from a partition.

--- a/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
@@ -1,35 +1,48 @@
 """
 chalkyoke.node.fleetsize
 
-Estimates how many nodes may exist: the live ones, and those that were live or registered recently
-and may only be unreachable.
+Estimates how many nodes may exist: the live and the registered ones, and those that were live or
+registered earlier and may only be unreachable.
 """
 
 from collections.abc import Iterable
 
 from chalkyoke.membership.messages import MemberRecord
 
-# How long a host counts after it was last seen, in seconds: a network partition or a restart is
-# over by then.
-HOST_RETENTION_S = 120.0
+# How long a host that left on plan counts after it was last seen, in seconds: a restart is over by
+# then.
+LEFT_RETENTION_S = 120.0
+# How long a lost host counts after it was last seen, in seconds. A network partition can't be told
+# from a crash, and both sides of it would use the same limits once they forget each other.
+LOST_RETENTION_S = 3600.0
 
 
 class FleetSize:
-    """Count the hosts that were seen recently."""
+    """Count the hosts that may exist.
+
+    Registered hosts count for as long as the last known list of the store has them: a node that
+    does not reach the store can't know that they have gone.
+    """
 
     def __init__(self) -> None:
         self._last_seen: dict[str, float] = {}
+        self._registered: frozenset[str] = frozenset()
+        self._leaving: set[str] = set()
 
     def record_live(self, records: Iterable[MemberRecord], now: float) -> None:
-        """Record the live members that are not leaving, and drop hosts not seen for too long."""
+        """Record the live members, and drop hosts not seen for too long."""
         for record in records:
-            if not record.leaving:
-                self._last_seen[record.host] = now
+            if record.leaving:
+                self._leaving.add(record.host)
+                continue
+            self._leaving.discard(record.host)
+            self._last_seen[record.host] = now
         self._drop_expired(now)
 
     def record_registered(self, hosts: Iterable[str], now: float) -> None:
         """Record the hosts registered in the store, whether or not they ever sent a message."""
-        for host in hosts:
+        before, self._registered = self._registered, frozenset(hosts)
+        for host in before | self._registered:
             self._last_seen[host] = now
 
     def count(self) -> int:
@@ -41,5 +54,9 @@
 
     def _drop_expired(self, now: float) -> None:
         for host, at in list(self._last_seen.items()):
-            if now - at > HOST_RETENTION_S:
+            has_left = host in self._leaving
+            if host in self._registered and not has_left:
+                continue
+            if now - at > (LEFT_RETENTION_S if has_left else LOST_RETENTION_S):
                 del self._last_seen[host]
+                self._leaving.discard(host)
