Limits: halves of a fleet that are cut off from each other no longer allocate a whole limit each

A replica with a limit of 3.8 requests a second got 31 or 32 in 4 s when three of six hosts were cut off from the others, 27 allowed.

Cause: a side that sees exactly half of the fleet counted as the larger one, and both did. Only more than half is the larger side now; halves allocate half each. Ruled out: sides of other sizes (27 with a failure domain of three cut off for 130 s, when both sides had forgotten each other).

--- a/packages/chalkyoke/src/chalkyoke/limits/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/limits/keeper.py
@@ -17,7 +17,7 @@
 # processes may be asked at the same time for a moment, and the sum must stay below the tolerance of
 # the operators.
 STANDBY_SHARE = 0.3
-# Fraction of the fleet in sight from which a side of a partition allocates the whole limit. A
+# Fraction of the fleet in sight above which a side of a partition allocates the whole limit. A
 # smaller side allocates the fraction of the fleet that it sees, so two sides together stay below
 # one and a half times the limit.
 MAJOR_SHARE = 0.5
@@ -80,5 +80,5 @@
 
     def _share(self, service: str) -> float:
         seen = self._fleet_share()
-        side = 1.0 if seen >= MAJOR_SHARE else seen
+        side = 1.0 if seen > MAJOR_SHARE else seen
         return side * (1.0 if self._keeps(service) else STANDBY_SHARE)
--- a/tests/test_shares_of_a_cut_group.py
+++ b/tests/test_shares_of_a_cut_group.py
@@ -13,8 +13,13 @@
 
 from tests import gatewayfleet
 from tests.gatewayfleet import run_check
+from tests.limits import max_allowed_requests, worst_windows
+from tests.test_leaving_and_rest import replicas_of_path, run_callers
+from tests.test_limits import LIMIT_PER_S, set_limits
 
 PATH = "/find/1"
+# Time after which the lost hosts are out of the membership view, in seconds.
+VIEW_CHANGED_S = 6.0
 # Time after which hosts that left on plan no longer count, in seconds.
 LONG_CUT_S = 130.0
 MAX_PLAY_S = 300.0
@@ -75,3 +80,20 @@
         run_check(check, domains=("a", "a", "b", "b"), replicas=4)
     assert counts[0] > 0
     assert counts[0] <= RATE_PER_S * QUOTA_WINDOW_S * (1 + QUOTA_OVER)
+
+
+def test_a_replica_limit_holds_while_the_fleet_is_split_in_halves():
+    """Guards against halves that allocate the whole limit each."""
+    counts = []
+
+    async def check(fleet):
+        limited = replicas_of_path(fleet, PATH)[:2]
+        set_limits(limited, LIMIT_PER_S)
+        await run_callers(fleet, PATH, 3.0)
+        cut_off(fleet, (0, 2, 4), store=True)
+        await asyncio.sleep(VIEW_CHANGED_S)
+        got = await run_callers(fleet, PATH, 8.0)
+        counts.append(max(worst_windows(got, limited).values()))
+
+    run_check(check)
+    assert 0 < counts[0] <= max_allowed_requests(LIMIT_PER_S)
