Ready: a host without an address for callers no longer says that it is ready

Callers were sent to a restarted host on whose address they got no connection, or another program's: 35 of 959 requests at hosts that had said they were ready (trial: seven hosts as processes, 55 kills and starts beside other users of their addresses). The start opens the links before the callers' address, so that its peers sent it the whole catalog, and a node with the catalog counted as ready. Ruled out: the loops of the node, which start later; a kept connection to the earlier process.

A node is ready only once it listens on all addresses that it needs. The new test failed before, two times of two: the page said 200 while the callers' address was in use.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -161,6 +161,7 @@
         self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
         self._supervisor = Supervisor(self.metrics)
         self._stopping = asyncio.Event()
+        self._listening = False
         self._handled_generation = -1
         self._is_monitor = False
         self._store_epoch = 0
@@ -444,11 +445,12 @@
         return Presence(len(self.view.live()), self.count_nodes(), self.view.foreign_timeout_s)
 
     def is_ready(self) -> bool:
-        """Return whether the catalog is complete and no planned stop has begun.
+        """Return whether callers are served: the node listens, knows the catalog and doesn't stop.
 
         :rtype: bool
         """
-        return self.catalog.state.complete and not self._stopping.is_set()
+        # Peers may send the whole catalog while the callers' address is still in use.
+        return self._listening and self.catalog.state.complete and not self._stopping.is_set()
 
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
@@ -474,6 +476,7 @@
         if not await self._listen(listeners):
             await self._close(listeners.all)
             return
+        self._listening = True
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         if listeners.metrics is not None:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -21,6 +21,8 @@
 
 # Time for which another socket uses an address, in seconds: a start takes less.
 USED_S = 1.5
+# Interval at which the page that tells whether a node is ready is asked, in seconds.
+ASK_INTERVAL_S = 0.05
 ADDRESSES = ("callers", "links", "ready", "metrics")
 
 
@@ -127,6 +129,23 @@
     with_fleet(check, ("a",))
 
 
+def test_a_node_that_has_the_catalog_of_its_peers_is_not_ready_without_an_address_for_callers():
+    """Guards against callers sent to a host on whose address they got no connection."""
+
+    async def check(fleet):
+        node = kill(fleet, "n1")
+        with listening_on(node.callers):
+            fleet.start_node("n1", first_start=False)
+            await fleet.wait_until(lambda: "address_in_use" in read_events(fleet, "n1"), "a wait")
+            for _ in range(int(USED_S / ASK_INTERVAL_S)):
+                assert not await fleet.is_ready("n1")
+                await asyncio.sleep(ASK_INTERVAL_S)
+        await fleet.wait_until_ready("n1")
+        assert (await fleet.send_request("n1", "/book/1")).status == 200
+
+    with_fleet(check)
+
+
 async def _answers(fleet, address):
     with contextlib.suppress(OSError):
         async with fleet.session.get(f"http://{address}/readyz"):
