--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -29,6 +29,16 @@
 MIN_SHARE = 0.5
 
 
+class _UnreachableStore:
+    """A store that confirms nothing."""
+
+    async def confirm(self):
+        return False
+
+    def was_reachable(self):
+        return False
+
+
 class OriginFleet:
     """The finders of all hosts over links with a delay.
 
@@ -56,6 +66,7 @@
                 withholds=lambda address, kind: False,
             ),
             lambda: Presence(len(view.live()), len(self.contacted), 1.0),
+            _UnreachableStore(),
         )
         self.finders[host] = OriginFinder(port, loop.time)
 
