--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -49,7 +49,7 @@
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
 # How long after this failure domain has reached the store the count of the fleet's nodes holds, in
-# seconds: half of the time for which lost nodes count.
+# seconds: less than the shortest time for which an unreachable node counts.
 STORE_MEMORY_S = 60.0
 # Maximum length of a record, in bytes: a snapshot of the records must fit into one frame.
 MAX_RECORD_BYTES = 16_384
