Signals: SIGUSR1 and SIGUSR2 no longer end a node

They ended a running process at once (-10, -12), with all requests in progress; log rotation sends SIGUSR1 by default. Both are ignored from the start of the node on. The new test failed before.

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -35,6 +35,8 @@
 EXIT_INVARIANT = 70
 # Signals that a node handles while it runs.
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+# Signals that mean nothing to a node, and would end it. Log rotation tools send them by default.
+IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 # How long a start waits for valid settings, in seconds, and how often it reads them again.
 SETTINGS_WAIT_S = 1.0
 SETTINGS_INTERVAL_S = 0.1
@@ -110,6 +112,8 @@
     :param path: the settings file.
     :return: exit code of the process.
     """
+    for each in IGNORED_SIGNALS:
+        signal.signal(each, signal.SIG_IGN)
     try:
         eventloop.run(serve(load_written(path), path))
     except SettingsError as error:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -201,6 +201,19 @@
     with_fleet(check, ("a",))
 
 
+def test_signals_that_mean_nothing_to_a_node_leave_it_running():
+    """Guards against SIGUSR1, as log rotation sends it, which ended the process."""
+
+    async def check(fleet):
+        node = fleet.nodes["n1"]
+        for each in (signal.SIGUSR1, signal.SIGUSR2):
+            node.send_signal(each)
+        got = await fleet.send_request("n1", "/book/1")
+        assert got.status == 200 and node.popen.poll() is None
+
+    with_fleet(check, ("a",))
+
+
 @pytest.mark.parametrize("share", [0.0, 0.5, 0.98])
 def test_a_start_waits_for_settings_that_are_being_written(share):
     """Guards against a host that was lost for good, as it read a part of its settings."""
