Listening: a node without descriptors no longer becomes ready and listens nowhere

asyncio skips a socket that can't be created, and returns a server without sockets: a start, or a metrics address that became free while callers held all descriptors, went on as if it listened (trial: EMFILE, server.sockets is empty, nothing raised). Callers at the address got no connection.

Callers' and links' listeners check for it and raise EMFILE. EMFILE, ENFILE, ENOBUFS and ENOMEM may pass by themselves, so the address is awaited like one in use; before, they would have ended a node that already served, as the metrics address is bound at any time. The new test failed with the check taken out, and passes; the tests of links/ and node/ pass.

--- a/packages/chalkyoke/src/chalkyoke/links/intake.py
+++ b/packages/chalkyoke/src/chalkyoke/links/intake.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import SupportsIndex
 
-from chalkyoke.sockets import connect
+from chalkyoke import sockets
 
 Serve = Callable[["ByteStreamReader", asyncio.StreamWriter], Awaitable[None]]
 
@@ -63,7 +63,7 @@
     """
     intake = ByteStreamReader()
     protocol = asyncio.StreamReaderProtocol(intake)
-    transport, _ = await connect(lambda: protocol, ip, port)
+    transport, _ = await sockets.connect(lambda: protocol, ip, port)
     loop = asyncio.get_running_loop()
     return intake, asyncio.StreamWriter(transport, protocol, intake, loop)
 
@@ -77,4 +77,4 @@
     def accept() -> asyncio.StreamReaderProtocol:
         return asyncio.StreamReaderProtocol(ByteStreamReader(), serve)  # type: ignore[arg-type]
 
-    return await asyncio.get_running_loop().create_server(accept, ip, port)
+    return await sockets.listen(accept, ip, port)
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chalkyoke import sockets
 from chalkyoke.catalog.resources import RequestLimits
 from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
 from chalkyoke.http1.incoming import ServerLimits
@@ -96,12 +97,8 @@
         :raises OSError: if the address can't be bound.
         """
         ip, port = self._address.rsplit(":", 1)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._make_connection,
-            ip,
-            int(port),
-            backlog=BACKLOG_CONNECTIONS,
-            reuse_address=True,
+        self._server = await sockets.listen(
+            self._make_connection, ip, int(port), BACKLOG_CONNECTIONS
         )
 
     def close(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/listening.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listening.py
@@ -17,8 +17,18 @@
 
 # How often an address that is in use is tried, in seconds.
 RETRY_INTERVAL_S = 0.1
-# Errors that may pass: the address is in use, or not assigned to this host yet.
-TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+# Errors that may pass: the address is in use or not assigned to this host yet, or the process or
+# the system has no descriptor or no memory left for a socket.
+TEMPORARY_ERRORS = frozenset(
+    (
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
 
 log = logger("node")
 
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listening.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listening.py
@@ -1,7 +1,11 @@
 import asyncio
+import contextlib
 import errno
+import os
+import resource
 
 import pytest
+from chalkyoke import sockets
 from chalkyoke.exceptions import ListenError
 from chalkyoke.node.listening import RETRY_INTERVAL_S, AddressWaiter, ListenAddress
 
@@ -75,3 +79,42 @@
         assert asyncio.get_running_loop().time() >= 100 * WAIT_S
 
     virtual.run(main)
+
+
+@contextlib.contextmanager
+def without_descriptors():
+    """Use up the descriptors of this process."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    held = [os.dup(0)]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (held[0] + 16, before[1]))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                held.append(os.dup(0))
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        for each in held:
+            os.close(each)
+
+
+def test_a_start_without_descriptors_waits_until_it_really_listens():
+    """Guards against a node that was ready and listened nowhere."""
+    servers = []
+
+    async def listen():
+        servers.append(await sockets.listen(asyncio.Protocol, "127.0.0.1", 0))
+
+    async def main():
+        waiter = AddressWaiter(60.0)
+        address = ListenAddress("127.0.0.1:0", listen)
+        listening = asyncio.ensure_future(waiter.listen([address], asyncio.Event()))
+        with without_descriptors():
+            for _ in range(50):
+                await asyncio.sleep(0)
+            assert waiter.awaited and not servers
+        assert await listening
+        assert servers[0].sockets
+        servers[0].close()
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -7,7 +7,9 @@
 import asyncio
 import asyncio.trsock
 import contextlib
+import errno
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -20,6 +22,8 @@
 # How long a start waits for an address that is in use, in seconds: longer than a port stays in use
 # after its connection was closed.
 LISTEN_WAIT_S = 75.0
+# Number of new connections that may wait for accept on a link, as asyncio has it.
+BACKLOG_CONNECTIONS = 100
 # An int of the C language, as ioctl returns it.
 _C_INT = struct.Struct("i")
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset and discards unsent data.
@@ -43,6 +47,23 @@
     return transport, protocol
 
 
+async def listen(
+    make: Callable[[], asyncio.BaseProtocol], ip: str, port: int, backlog: int = BACKLOG_CONNECTIONS
+) -> asyncio.Server:
+    """Listen on an address.
+
+    :param make: creates the protocol of an accepted connection.
+    :param backlog: number of new connections that may wait for accept.
+    :raises OSError: if the address can't be bound, or this process may open no more descriptors;
+        asyncio alone would then return a server that listens nowhere.
+    """
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(make, ip, port, backlog=backlog, reuse_address=True)
+    if not server.sockets:
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+    return server
+
+
 def share_port(outgoing: SocketOptions) -> None:
     """Let a process of this host listen on the local port of an outgoing connection.
 
