Confirmation: a listing that is older than the records no longer confirms them

8 of 24 streams were joined from two versions at a group of hosts that was cut off from the others and got its answers from a store that had gone back by one revision or three under the same epoch.

Cause: a store that is behind answers a watch of a later revision with "history lost", whereupon it is listed; the records ignored the older listing, but the check counted as passed. A listing confirms now only if its position is not before that of the records. Ruled out: the answers to watches, whose revision was compared.

--- a/packages/chalkyoke/src/chalkyoke/catalog/confirmation.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/confirmation.py
@@ -32,8 +32,8 @@
     def apply_confirmed(self, found: Changes) -> bool:
         """Apply the changes since that revision; return whether they could be applied."""
 
-    def on_listing(self, listing: Listing) -> None:
-        """Apply a complete listing."""
+    def apply_confirmed_listing(self, listing: Listing) -> bool:
+        """Apply a complete listing; return whether it is as new as this node's records."""
 
 
 class StoreConfirmation:
@@ -87,6 +87,5 @@
         if isinstance(found, HistoryLost):
             listing = await self._store.read("")
             if not isinstance(listing, Unavailable):
-                self._port.on_listing(listing)
-                return True
+                return self._port.apply_confirmed_listing(listing)
         return False
--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -246,6 +246,15 @@
         self.on_changes(kept, UNKNOWN_AGE_S)
         return True
 
+    def apply_confirmed_listing(self, listing: Listing) -> bool:
+        """Apply a complete listing of the store.
+
+        :return: false if the listing is older than the records, as that of an outdated store is.
+        """
+        self.on_listing(listing)
+        position = Position(listing.epoch or self.state.epoch, listing.revision)
+        return position >= self.state.position
+
     def _report_ignored(self, what: str, position: Position) -> None:
         """Count and log a store answer that is older than this node's state."""
         held = self.state.position
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_confirmation.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_confirmation.py
@@ -18,6 +18,7 @@
 
     def __init__(self, answer):
         self.answer = answer
+        self.listing = Listing((), 9, 1)
         self.calls = 0
 
     async def watch(self, prefix, since, wait_s, answer_s):
@@ -28,7 +29,7 @@
 
     async def read(self, prefix):
         await asyncio.sleep(CALL_S)
-        return Listing((), 9, 1)
+        return self.listing
 
 
 class Records:
@@ -44,8 +45,9 @@
         self.applied.append(found)
         return found.revision >= 5
 
-    def on_listing(self, listing):
+    def apply_confirmed_listing(self, listing):
         self.applied.append(listing)
+        return listing.revision >= 5
 
 
 def check(answer, test):
@@ -82,6 +84,14 @@
     check(Changes((), 4, 1), test)
 
 
+def test_a_listing_of_a_store_that_is_behind_confirms_nothing():
+    async def test(confirmation, store, _):
+        store.listing = Listing((), 4, 1)
+        assert not await confirmation.confirm()
+
+    check(HistoryLost(), test)
+
+
 def test_checks_share_a_call_that_begins_after_them():
     """Guards against an answer that the store gave before a check was requested."""
 
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -39,6 +39,9 @@
 class _StoreClient(catalogfleet.StoreClient):
     """The store client of one host, with writes and leases."""
 
+    def use_store(self, store):
+        self._store = store
+
     async def write(self, key, value, *, lease=0, expected=None):
         if self._store.offline:
             return Unavailable("reset", may_have_been_applied=False)
@@ -112,6 +115,7 @@
     models: list = field(default_factory=list)
     seats: list = field(default_factory=list)
     status_writes: list = field(default_factory=list)
+    store_clients: dict = field(default_factory=dict)
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -208,7 +212,7 @@
     def _platform(self, number):
         parts = platform_parts()
         return PlatformParts(
-            lambda _: _StoreClient(self.store, f"n{number}"),
+            lambda _: self._make_store_client(number),
             parts.headers,
             parts.read_catalog,
             parts.read_record,
@@ -216,6 +220,18 @@
             parts.keys,
         )
 
+    def _make_store_client(self, number):
+        client = _StoreClient(self.store, f"n{number}")
+        self.store_clients.setdefault(number, []).append(client)
+        return client
+
+    def move_to_store(self, nodes, store):
+        """Let another store answer the calls of some nodes; calls in progress get no answer."""
+        store.status_writes = self.status_writes
+        for client in (each for number in nodes for each in self.store_clients[number]):
+            client.use_store(store)
+        self.store.silence_connections()
+
     def cut_from_replicas(self, nodes, replicas, mode):
         """Partition nodes from replicas, while callers, the store and other nodes reach them.
 
--- a/tests/test_streams_at_a_cut_group.py
+++ b/tests/test_streams_at_a_cut_group.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests import catalogfleet
 from tests.rejoinedstreams import Play, break_streams_off, run_play, unnamed
 from tests.streamcallers import name_first_attempt
 
@@ -201,3 +202,27 @@
     play.begin_nodes = play.resume_nodes = members
     play.fleet = {"domains": domains, "versions": ("v1", "v2")}
     check_streams_go_on(run_play(play))
+
+
+@CALLERS
+def test_streams_are_not_joined_at_a_group_whose_store_has_gone_back(resume_headers):
+    """Guards against a listing that is older than the records and confirms them all the same."""
+    domains, members = GROUPS["a domain"]
+    others = (2, 3, 4, 5)
+
+    async def prepare(fleet):
+        outdated = catalogfleet.Store()
+        outdated.items, outdated.history = dict(fleet.store.items), list(fleet.store.history)
+        outdated.revision = fleet.store.revision - 1
+        fleet.move_to_store(members, outdated)
+        fleet.cut_links(members, others)
+        await asyncio.sleep(VIEW_CHANGED_S)
+        await join_version(fleet, old_leaves=False)
+        await asyncio.sleep(UNTIL_JOINED_S)
+
+    play = Play(break_streams_off, resume_headers, prepare=prepare, until_disruption_s=0.0)
+    play.begin_nodes, play.resume_nodes = others, members
+    play.fleet = {"domains": domains}
+    outcome = run_play(play)
+    assert outcome.resumed >= MIN_RESUMED, outcome
+    assert not outcome.joined, outcome
