Origins: a host that restarts in a group which is cut off no longer takes the group for the fleet

Cause: without the store, every node that may exist has to answer. Ruled out: the store's confirmation, which was false throughout.

Hosts that are lost stay missing until they are back, have left on plan, or are no longer registered, and a node that has not read the list of registered hosts since its start can't confirm by the fleet.

--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -48,9 +48,6 @@
 LAG_RESET_S = 2.0
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
-# How long after this failure domain has reached the store the count of the fleet's nodes holds, in
-# seconds: half of the time for which lost nodes count.
-STORE_MEMORY_S = 60.0
 # Maximum length of a record, in bytes: a snapshot of the records must fit into one frame.
 MAX_RECORD_BYTES = 16_384
 # Maximum number of changed quotas in one log line.
@@ -115,7 +112,6 @@
         self._requested_at = -REQUEST_INTERVAL_S
         self._refused_version = 0
         self._lagging_since = 0.0
-        self._reachable_at = 0.0
         self._follower = StoreFollower(store, timeouts, self, self._watch_role, now)
         self._confirmation = StoreConfirmation(store, self, now)
 
@@ -130,10 +126,6 @@
         """
         return await self._confirmation.confirm()
 
-    def was_reachable(self) -> bool:
-        """Return whether this failure domain has reached the store within the last minute."""
-        return self._now() - self._reachable_at <= STORE_MEMORY_S
-
     def describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if its catalog is complete."""
         if self.state.complete:
@@ -144,14 +136,8 @@
             return f"the configuration can't be read: {self._unreadable.document}"
         return "no configuration is known yet"
 
-    def check_store(self) -> None:
-        """Note whether the store is reachable, and resolve expired conflicts with a restored one.
-
-        Call it a few times a second.
-        """
-        watching = set(self._list_watcher_hosts())
-        if any(each.host in watching and not each.store_lost for each in self._view.live()):
-            self._reachable_at = self._now()
+    def resolve_conflicts(self) -> None:
+        """Resolve expired conflicts with a restored store; call a few times a second."""
         if self.state.resolve_conflicts(self._now()):
             self._handle_records_change("settled", 0.0)
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -262,6 +262,7 @@
                 self.route_histories,
                 self.links,
                 self.presence,
+                self.fleet_size,
                 self.catalog,
             ),
             self.now,
@@ -564,7 +565,7 @@
         loops.repeat("members", interval_s, self._check_members)
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat("store check", interval_s, self.catalog.check_store)
+        loops.repeat("store conflicts", interval_s, self.catalog.resolve_conflicts)
         loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
         replicate = self.quotas.replicate_windows
         loops.repeat("quota windows", WINDOW_REPLICATION_INTERVAL_S, replicate)
--- a/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/originkeepers.py
@@ -11,6 +11,7 @@
 
 from chalkyoke.membership.messages import MemberRecord
 from chalkyoke.membership.view import MembershipView
+from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
 from chalkyoke.quotas.owner import Presence
@@ -33,14 +34,11 @@
 
 
 class ConfirmedStore(Protocol):
-    """What this node knows of the store."""
+    """Confirms this node's records with the store."""
 
     async def confirm(self) -> bool:
         """Bring this node's records up to date with the store; return whether it answered."""
 
-    def was_reachable(self) -> bool:
-        """Return whether the failure domain has reached the store within the last minute."""
-
 
 class PeerOriginKeepers:
     """Find the nodes that keep the origins of streams and send them messages.
@@ -51,6 +49,7 @@
     :param histories: version histories of the services.
     :param routes: histories of the routes.
     :param presence: returns how much of the fleet this node sees.
+    :param fleet_size: knows the nodes that may exist.
     :param store: confirms the histories.
     """
 
@@ -61,6 +60,7 @@
         routes: RouteHistories,
         links: OriginLinks,
         presence: Callable[[], Presence],
+        fleet_size: FleetSize,
         store: ConfirmedStore,
     ) -> None:
         self._view = view
@@ -68,6 +68,7 @@
         self._routes = routes
         self._links = links
         self._presence = presence
+        self._fleet_size = fleet_size
         self._store = store
         self._generation = -1
         self._keepers: dict[int, list[str]] = {}
@@ -114,12 +115,8 @@
         return [each.address for each in self._view.live() if each.host != own_host]
 
     def sees_whole_fleet(self) -> bool:
-        """Return whether every node that may exist is believed alive.
-
-        Nodes that were lost count only for a while, so a node of a fleet that has not reached the
-        store for longer can't tell.
-        """
-        return self._presence().share >= 1.0 and self._store.was_reachable()
+        """Return whether every node that may exist is believed alive."""
+        return self._fleet_size.is_whole(self._view.live())
 
     async def confirm_history(self) -> bool:
         """Bring this node's histories up to date with the store; return whether it answered."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
+from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.originkeepers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
 from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
@@ -35,9 +36,6 @@
     async def confirm(self):
         return False
 
-    def was_reachable(self):
-        return False
-
 
 class OriginFleet:
     """The finders of all hosts over links with a delay.
@@ -66,6 +64,7 @@
                 withholds=lambda address, kind: False,
             ),
             lambda: Presence(len(view.live()), len(self.contacted), 1.0),
+            FleetSize(),
             _UnreachableStore(),
         )
         self.finders[host] = OriginFinder(port, loop.time)
--- a/tests/test_streams_at_a_cut_group.py
+++ b/tests/test_streams_at_a_cut_group.py
@@ -34,6 +34,9 @@
 WATCH_ENDED_S = 5.0
 # Time from the start of a cut until new replicas have joined and streams begin, in seconds.
 UNTIL_JOINED_S = 0.1
+# Time after its start from which a host knows the versions of the time in which a stream can have
+# begun, in seconds.
+HISTORY_KNOWN_S = 25.0
 # Time after which the lost hosts are out of the membership view, in seconds.
 VIEW_CHANGED_S = 6.0
 
@@ -121,6 +124,35 @@
     assert not outcome.joined, outcome
 
 
+@CALLERS
+@pytest.mark.parametrize("group", ["a domain", "of two domains"])
+def test_streams_are_not_joined_at_a_host_that_restarts_in_a_group_that_is_cut_off(
+    group, resume_headers
+):
+    """Guards against a host that takes the hosts of its group for the fleet."""
+    domains, members = GROUPS[group]
+    others = tuple(each for each in range(len(domains)) if each not in members)
+    restarted = members[0]
+
+    async def cut_and_restart(fleet):
+        fleet.store.silent_hosts.update(f"n{each}" for each in members)
+        await asyncio.sleep(WATCH_ENDED_S)
+        fleet.cut_links(members, others)
+        await asyncio.sleep(VIEW_CHANGED_S)
+        await fleet.crash_node(restarted)
+        fleet.start_node(restarted, first_start=False)
+        await asyncio.sleep(HISTORY_KNOWN_S)
+        await join_version(fleet, old_leaves=False)
+        await asyncio.sleep(UNTIL_JOINED_S)
+
+    play = Play(break_streams_off, resume_headers, prepare=cut_and_restart, until_disruption_s=0.0)
+    play.begin_nodes, play.resume_nodes = others, (restarted,)
+    play.fleet = {"domains": domains}
+    outcome = run_play(play)
+    assert outcome.resumed >= MIN_RESUMED, outcome
+    assert not outcome.joined, outcome
+
+
 @EACH_GROUP
 def test_streams_are_not_joined_at_a_group_that_only_the_store_connects(group):
     outcome = play_cut(group, unnamed, old_leaves=False, wait_s=VIEW_CHANGED_S, store=False)
