Origins: a confirmation is judged by the records that a node had when its call began

A listing that is older than the records, or of a restored store, was counted as confirmed although it was ignored; changes since a revision of another epoch were applied if the records moved to the restored store during the call, with a gap that nothing would have filled; and an answer that peers' news had overtaken failed all checks of the node for a second. All three compared the answer with the records as they were afterwards, or with nothing.

The position of the records is taken before the call, for changes and listings alike. Found by reading, not seen in a fleet. Four of the new unit tests failed on the old source, with a stand-in of the records that has its interface; the case of epoch 1 passed before too.

--- a/packages/chalkyoke/src/chalkyoke/catalog/confirmation.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/confirmation.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from chalkyoke.catalog.restores import Position
 from chalkyoke.logs import logger
 from chalkyoke.storage.messages import Changes, HistoryLost, Listing, Unavailable
 from chalkyoke.storage.port import Store
@@ -26,11 +27,14 @@
 class ConfirmationPort(Protocol):
     """The records of this node, and how changes are applied to them."""
 
-    def known_revision(self) -> int:
-        """Return the store revision up to which this node's records are complete."""
+    def position(self) -> Position:
+        """Return the store's position up to which this node's records are complete."""
 
-    def apply_confirmed(self, found: Changes) -> bool:
-        """Apply the changes since that revision; return whether they could be applied."""
+    def apply_confirmed(self, found: Changes, since: Position) -> bool:
+        """Apply the changes since a position of the records.
+
+        :return: false if the records have moved to another epoch since.
+        """
 
     def on_listing(self, listing: Listing) -> None:
         """Apply a complete listing."""
@@ -74,19 +78,25 @@
             confirmed = False
         self._failed_at = None if confirmed else self._now()
         if not confirmed:
-            log.info("not_confirmed", known=self._port.known_revision())
+            log.info("not_confirmed", known=self._port.position().revision)
         return confirmed
 
     async def _call(self) -> bool:
-        known = self._port.known_revision()
-        if not known:
+        # Peers may bring the records past the store's answer while the call is in progress.
+        since = self._port.position()
+        if not since.revision:
             return False
-        found = await self._store.watch("", known, 0.0, CHECK_TIMEOUT_S)
+        found = await self._store.watch("", since.revision, 0.0, CHECK_TIMEOUT_S)
         if isinstance(found, Changes):
-            return self._port.apply_confirmed(found)
+            return _is_current(found, since) and self._port.apply_confirmed(found, since)
         if isinstance(found, HistoryLost):
             listing = await self._store.read("")
-            if not isinstance(listing, Unavailable):
+            if not isinstance(listing, Unavailable) and _is_current(listing, since):
                 self._port.on_listing(listing)
                 return True
         return False
+
+
+def _is_current(answer: Changes | Listing, since: Position) -> bool:
+    """Return whether an answer is neither that of a restored nor that of an outdated store."""
+    return answer.epoch in (0, since.epoch) and answer.revision >= since.revision
--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -214,18 +214,18 @@
         if nodes_changed:
             self._on_registrations(self._node_registrations)
 
-    def known_revision(self) -> int:
-        """Return the store revision up to which the records are complete; 0 if none is known."""
-        return self.state.replicas_revision
+    def position(self) -> Position:
+        """Return the store's position up to which the records are complete."""
+        return self.state.position
 
-    def apply_confirmed(self, found: Changes) -> bool:
-        """Apply the changes since :meth:`known_revision`.
+    def apply_confirmed(self, found: Changes, since: Position) -> bool:
+        """Apply the changes since an earlier :meth:`position`.
 
         Registrations are left to the watch, which has the earlier ones too.
 
-        :return: false if the answer is that of a restored or an outdated store.
+        :return: false if the records have moved to another epoch since.
         """
-        if found.epoch not in (0, self.state.epoch) or found.revision < self.known_revision():
+        if self.state.epoch != since.epoch:
             return False
         changes = (each for each in found.changes if not each.key.startswith(self._keys.nodes))
         kept = msgspec.structs.replace(found, changes=tuple(changes))
--- a/packages/chalkyoke/src/chalkyoke/catalog/tests/test_confirmation.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/tests/test_confirmation.py
@@ -1,11 +1,13 @@
 import asyncio
 
+import pytest
 from chalkyoke.catalog.confirmation import (
     CHECK_INTERVAL_S,
     CHECK_TIMEOUT_S,
     FAILURE_TTL_S,
     StoreConfirmation,
 )
+from chalkyoke.catalog.restores import Position
 from chalkyoke.storage.messages import Changes, HistoryLost, Item, Listing, Unavailable
 
 from tests import virtual
@@ -18,6 +20,7 @@
 
     def __init__(self, answer):
         self.answer = answer
+        self.listing = Listing((), 9, 1)
         self.calls = 0
 
     async def watch(self, prefix, since, wait_s, answer_s):
@@ -28,21 +31,22 @@
 
     async def read(self, prefix):
         await asyncio.sleep(CALL_S)
-        return Listing((), 9, 1)
+        return self.listing
 
 
 class Records:
-    """The records of a node at revision 5."""
+    """The records of a node, at revision 5 unless they are moved."""
 
     def __init__(self):
         self.applied = []
+        self.at = Position(1, 5)
 
-    def known_revision(self):
-        return 5
+    def position(self):
+        return self.at
 
-    def apply_confirmed(self, found):
+    def apply_confirmed(self, found, since):
         self.applied.append(found)
-        return found.revision >= 5
+        return self.at.epoch == since.epoch
 
     def on_listing(self, listing):
         self.applied.append(listing)
@@ -82,6 +86,43 @@
     check(Changes((), 4, 1), test)
 
 
+@pytest.mark.parametrize("listing", [Listing((), 4, 1), Listing((), 9, 2)])
+def test_a_listing_of_a_store_that_is_behind_or_restored_confirms_nothing(listing):
+    """Guards against an old state of the store that is ignored but counted as the latest one."""
+
+    async def test(confirmation, store, records):
+        store.listing = listing
+        assert not await confirmation.confirm()
+        assert not records.applied
+
+    check(HistoryLost(), test)
+
+
+def test_records_that_peers_move_past_the_answer_are_confirmed():
+    """Guards against checks that fail for a second because a change came during a call."""
+
+    async def test(confirmation, _, records):
+        confirming = asyncio.create_task(confirmation.confirm())
+        await asyncio.sleep(CALL_S / 2)
+        records.at = Position(1, 8)
+        assert await confirming
+
+    check(Changes((), 7, 1), test)
+
+
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_records_that_move_to_a_restored_store_during_a_call_are_not_confirmed(epoch):
+    """Guards against changes since a revision of another epoch, which may lack some."""
+
+    async def test(confirmation, _, records):
+        confirming = asyncio.create_task(confirmation.confirm())
+        await asyncio.sleep(CALL_S / 2)
+        records.at = Position(2, 3)
+        assert not await confirming
+
+    check(Changes((), 7, epoch), test)
+
+
 def test_checks_share_a_call_that_begins_after_them():
     """Guards against an answer that the store gave before a check was requested."""
 
