--- a/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
+++ b/packages/chalkyoke/src/chalkyoke/catalog/keeper.py
@@ -48,9 +48,6 @@
 LAG_RESET_S = 2.0
 # How long a removed replica is remembered, in seconds: longer than any request deadline.
 REMOVED_REPLICA_TTL_S = 30.0
-# How long after this failure domain has reached the store the count of the fleet's nodes holds, in
-# seconds: less than the shortest time for which an unreachable node counts.
-STORE_MEMORY_S = 60.0
 # Maximum length of a record, in bytes: a snapshot of the records must fit into one frame.
 MAX_RECORD_BYTES = 16_384
 # Maximum number of changed quotas in one log line.
@@ -115,7 +112,6 @@
         self._requested_at = -REQUEST_INTERVAL_S
         self._refused_version = 0
         self._lagging_since = 0.0
-        self._reachable_at = 0.0
         self._follower = StoreFollower(store, timeouts, self, self._watch_role, now)
         self._confirmation = StoreConfirmation(store, self, now)
 
@@ -130,10 +126,6 @@
         """
         return await self._confirmation.confirm()
 
-    def was_reachable(self) -> bool:
-        """Return whether this failure domain has reached the store within the last minute."""
-        return self._now() - self._reachable_at <= STORE_MEMORY_S
-
     def describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if its catalog is complete."""
         if self.state.complete:
@@ -144,14 +136,8 @@
             return f"the configuration can't be read: {self._unreadable.document}"
         return "no configuration is known yet"
 
-    def check_store(self) -> None:
-        """Note whether the store is reachable, and resolve expired conflicts with a restored one.
-
-        Call it a few times a second.
-        """
-        watching = set(self._list_watcher_hosts())
-        if any(each.host in watching and not each.store_lost for each in self._view.live()):
-            self._reachable_at = self._now()
+    def resolve_conflicts(self) -> None:
+        """Resolve expired conflicts with a restored store; call a few times a second."""
         if self.state.resolve_conflicts(self._now()):
             self._handle_records_change("settled", 0.0)
 
@@ -228,33 +214,24 @@
         if nodes_changed:
             self._on_registrations(self._node_registrations)
 
-    def known_revision(self) -> int:
-        """Return the store revision up to which the records are complete; 0 if none is known."""
-        return self.state.replicas_revision
+    def position(self) -> Position:
+        """Return the store's position up to which the records are complete."""
+        return self.state.position
 
-    def apply_confirmed(self, found: Changes) -> bool:
-        """Apply the changes since :meth:`known_revision`.
+    def apply_confirmed(self, found: Changes, since: Position) -> bool:
+        """Apply the changes since an earlier :meth:`position`.
 
         Registrations are left to the watch, which has the earlier ones too.
 
-        :return: false if the answer is that of a restored or an outdated store.
+        :return: false if the records have moved to another epoch since.
         """
-        if found.epoch not in (0, self.state.epoch) or found.revision < self.known_revision():
+        if self.state.epoch != since.epoch:
             return False
         changes = (each for each in found.changes if not each.key.startswith(self._keys.nodes))
         kept = msgspec.structs.replace(found, changes=tuple(changes))
         self.on_changes(kept, UNKNOWN_AGE_S)
         return True
 
-    def apply_confirmed_listing(self, listing: Listing) -> bool:
-        """Apply a complete listing of the store.
-
-        :return: false if the listing is older than the records, as that of an outdated store is.
-        """
-        self.on_listing(listing)
-        position = Position(listing.epoch or self.state.epoch, listing.revision)
-        return position >= self.state.position
-
     def _report_ignored(self, what: str, position: Position) -> None:
         """Count and log a store answer that is older than this node's state."""
         held = self.state.position
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -266,6 +266,7 @@
                 self.route_histories,
                 self.links,
                 self.presence,
+                self.fleet_size,
                 self.catalog,
             ),
             self.now,
@@ -581,7 +582,7 @@
         loops.repeat("members", interval_s, self._check_members)
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat("store check", interval_s, self.catalog.check_store)
+        loops.repeat("store conflicts", interval_s, self.catalog.resolve_conflicts)
         for name, work in self._housekeeping().items():
             loops.repeat(name, HOUSEKEEPING_S, work)
         replicate = self.quotas.replicate_windows
