--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -37,7 +37,7 @@
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 # Signals that mean nothing to a node, and would end it. Log rotation tools send them by default.
 IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
-# How often a start reads settings that are invalid, and the time between two reads, in seconds.
+# How often a start reads settings that are invalid, and the interval, in seconds: for a second.
 SETTINGS_READS = 11
 SETTINGS_INTERVAL_S = 0.1
 # File descriptor of standard output.
@@ -90,7 +90,7 @@
 def load_written(path: Path) -> GatewaySettings:
     """Read the settings of a node that starts; another process may be writing them.
 
-    :raises SettingsError: if they are still invalid at the last read.
+    :raises SettingsError: if they are still invalid at the last of :data:`SETTINGS_READS`.
     """
     printed: list[str] = []
     for _ in range(SETTINGS_READS - 1):
