Starts: names, a metrics page that is not needed, a reload of the other front, a test that is exact

From the review: listen_eventually, load_when_valid and _listen_when_free say what they do; an address of the metrics page that is forbidden is logged and no longer ends a node that has accepted callers; an awaited metrics address no longer hides what a node lacks to be ready; SIGHUP no longer ends a node of the completions front, which had no handler (new test in tests/test_processes.py).

--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -87,7 +87,7 @@
     return 0
 
 
-def load_written(path: Path) -> GatewaySettings:
+def load_when_valid(path: Path) -> GatewaySettings:
     """Read the settings of a node that starts; another process may be writing them.
 
     :raises SettingsError: if they are still invalid at the last of :data:`SETTINGS_READS`.
@@ -113,7 +113,7 @@
     for each in IGNORED_SIGNALS:
         signal.signal(each, signal.SIG_IGN)
     try:
-        eventloop.run(serve(load_written(path), path))
+        eventloop.run(serve(load_when_valid(path), path))
     except SettingsError as error:
         _print_problems(error)
         return EXIT_SETTINGS
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -459,7 +459,7 @@
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
         if self._addresses.awaited:
-            return f"{self._addresses.awaited} is in use"
+            return f"not listening on {self._addresses.awaited} yet"
         return self.catalog.describe_lack()
 
     # Start and stop.
@@ -485,7 +485,7 @@
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         if listeners.metrics is not None:
             metrics = listeners.metrics.listen_address
-            self._supervisor.start(self._addresses.listen_some_time(metrics))
+            self._supervisor.start(self._addresses.listen_eventually(metrics))
         self._supervisor.start(self._run_planned_stop(listeners.callers))
         await self._supervisor.ended.wait()
         if self._supervisor.failure is not None:
--- a/packages/chalkyoke/src/chalkyoke/node/listening.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listening.py
@@ -48,7 +48,7 @@
     """Listen on addresses, and wait for those that are in use.
 
     :param wait_s: how long to wait for all of them together, in seconds.
-    :ivar awaited: the address that is in use; empty if none is.
+    :ivar awaited: the address on which the node does not listen yet; empty if it listens on all.
     """
 
     def __init__(self, wait_s: float) -> None:
@@ -73,19 +73,24 @@
             listening.cancel()
             stopped.cancel()
 
-    async def listen_some_time(self, address: ListenAddress) -> None:
-        """Start to listen on an address as soon as it is free, however long that takes.
+    async def listen_eventually(self, address: ListenAddress) -> None:
+        """Start to listen on an address that the node can do without, however long that takes.
 
-        :raises ListenError: if the address can't be bound.
+        An address that can't be bound is logged and left.
         """
-        await self._listen(address, math.inf)
+        try:
+            await self._listen_when_free(address, math.inf)
+        except ListenError as error:
+            log.error("listen_failed", address=error.address, error=str(error))
 
     async def _listen_in_turn(self, addresses: Iterable[ListenAddress]) -> None:
         deadline = asyncio.get_running_loop().time() + self._wait_s
         for each in addresses:
-            await self._listen(each, deadline)
+            self.awaited = each.address
+            await self._listen_when_free(each, deadline)
+        self.awaited = ""
 
-    async def _listen(self, each: ListenAddress, deadline: float) -> None:
+    async def _listen_when_free(self, each: ListenAddress, deadline: float) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
         waits = False
@@ -97,11 +102,9 @@
                     raise ListenError(each.address, error) from error
                 if not waits:
                     waits = True
-                    self.awaited = each.address
                     log.warning("address_in_use", address=each.address, error=str(error))
             else:
                 break
             await asyncio.sleep(RETRY_INTERVAL_S)
         if waits:
-            self.awaited = ""
             log.notice("address_free", address=each.address, waited_s=round(loop.time() - began, 3))
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -239,6 +239,10 @@
             return
         self._stopping.set()
 
+    def _ignore_reload(self) -> None:
+        """Ignore a reload; without a handler, the signal would end the process."""
+        log.warning("the settings are read at the start only; apply changes with a restart")
+
     async def run(self) -> None:
         """Serve until a planned stop is complete.
 
@@ -248,6 +252,7 @@
         loop = asyncio.get_running_loop()
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self._ignore_reload)
         listen = self.settings.listen
         addresses = (
             ListenAddress(listen.links, self.links.listen),
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listening.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listening.py
@@ -75,12 +75,21 @@
 
 def test_an_address_that_is_not_needed_is_awaited_without_limit():
     async def main():
-        await AddressWaiter(WAIT_S).listen_some_time(in_use_until(100 * WAIT_S))
+        await AddressWaiter(WAIT_S).listen_eventually(in_use_until(100 * WAIT_S))
         assert asyncio.get_running_loop().time() >= 100 * WAIT_S
 
     virtual.run(main)
 
 
+def test_a_forbidden_address_that_is_not_needed_does_not_end_the_node():
+    """Guards against a metrics page that ended a process which had accepted callers."""
+
+    async def main():
+        await AddressWaiter(WAIT_S).listen_eventually(in_use_until(WAIT_S, errno.EACCES))
+
+    virtual.run(main)
+
+
 @contextlib.contextmanager
 def without_descriptors():
     """Use up the descriptors of this process."""
--- a/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
@@ -5,8 +5,12 @@
 """
 
 import asyncio
+import re
 import socket
+from pathlib import Path
 
+from chalkyoke import sockets
+from chalkyoke.callsessions import CallConnector
 from chalkyoke.sockets import connect, unacknowledged_bytes
 
 SMALL_BUFFER = 2_048
@@ -63,9 +67,8 @@
     """Guards against a host that did not start since a connection of another one had its port."""
 
     async def main():
-        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        async with server:
-            transport, _ = await connect(asyncio.Protocol, *server.sockets[0].getsockname())
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            transport, _ = await connect(asyncio.Protocol, *server.getsockname())
             own = transport.get_extra_info("sockname")
             listen_on(own)
             transport.close()
@@ -74,3 +77,31 @@
             listen_on(own)
 
     asyncio.run(main())
+
+
+# Calls that open an outgoing connection of the event loop.
+OUTGOING = re.compile(r"\b(create_connection|open_connection|sock_connect)\(")
+
+
+def test_only_one_module_opens_outgoing_connections():
+    """Guards against connections whose ports no host can listen on."""
+    package = Path(sockets.__file__).parent
+    found = {
+        str(path.relative_to(package))
+        for path in package.rglob("*.py")
+        if "tests" not in path.parts and OUTGOING.search(path.read_text(encoding="utf-8"))
+    }
+    assert found == {"sockets.py"}
+
+
+def test_the_client_library_shares_the_ports_of_its_connections():
+    """Guards against the same in the other front, whose library opens its sockets itself."""
+
+    async def main():
+        connector = CallConnector()
+        address = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ("127.0.0.1", 1))
+        with connector._socket_factory(address) as created:
+            assert created.getsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR) == 1
+        await connector.close()
+
+    asyncio.run(main())
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -437,3 +437,16 @@
         await fleet._wait_until(fleet._all_ready, "n1 to be ready")
 
     with_fleet(check)
+
+
+def test_a_reload_does_not_end_a_node():
+    """Guards against SIGHUP, which ended a node with all requests in progress."""
+
+    async def check(fleet, _):
+        node = fleet.nodes["n1"]
+        node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        assert node.popen.poll() is None
+        await fleet._wait_until(fleet._all_ready, "n1 to be ready")
+
+    with_fleet(check)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -12,7 +12,6 @@
 import socket
 import subprocess
 import sys
-from pathlib import Path
 
 import pytest
 from chalkyoke.gatewayd import EXIT_ADDRESS
@@ -54,18 +53,6 @@
             other.recv(1)
 
 
-def local_addresses(remote):
-    """List the local addresses of this machine's connections to an address, closed ones too."""
-    ip, port = remote.rsplit(":", 1)
-    lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
-    pairs = (line.split()[1:3] for line in lines)
-    wanted = f"{int.from_bytes(socket.inet_aton(ip), 'little'):08X}:{int(port):04X}"
-    found = (local.split(":") for local, peer in pairs if peer == wanted)
-    return {
-        (socket.inet_ntoa(int(ip, 16).to_bytes(4, "little")), int(port, 16)) for ip, port in found
-    }
-
-
 def kill(fleet, name):
     node = fleet.nodes[name]
     node.send_signal(signal.SIGKILL)
@@ -97,24 +84,6 @@
     with_fleet(check, ("a",))
 
 
-def test_the_ports_of_a_nodes_connections_can_be_listened_on():
-    """Guards against nodes that kept another one from starting, as they shared its address."""
-
-    async def check(fleet):
-        for name in fleet.nodes:
-            assert (await fleet.send_request(name, "/book/1")).status == 200
-        replicas = [each.listen_address for each in fleet.replicas.values()]
-        links = [each.links for each in fleet.nodes.values()]
-        for remotes in ([fleet.store.address], links, replicas):
-            found = {each for remote in remotes for each in local_addresses(remote)}
-            assert found, remotes
-            for ip, port in found:
-                with listening_on(f"{ip}:{port}"):
-                    pass
-
-    with_fleet(check)
-
-
 def test_a_node_says_that_it_is_not_ready_while_callers_have_no_address():
     async def check(fleet):
         node = kill(fleet, "n1")
