Broken invariants: connections that wait to be accepted are answered, and the node is not ready

The node closed its listener first when it ended on a broken invariant; that resets connections that the system has accepted and the node has not. It accepts them now until it ends, with 503 for each request, and its page says that it is not ready.

The test asks now for a request that comes 0.1 s later, too: 503. It passes with this change.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -447,11 +447,12 @@
         return Presence(len(self.view.live()), self.count_nodes(), self.view.foreign_timeout_s)
 
     def is_ready(self) -> bool:
-        """Return whether the catalog is complete and no planned stop has begun.
+        """Return whether the catalog is complete and the node is not about to end.
 
         :rtype: bool
         """
-        return self.catalog.state.complete and not self._stopping.is_set()
+        ends = self._stopping.is_set() or self._supervisor.ended.is_set()
+        return self.catalog.state.complete and not ends
 
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
@@ -541,9 +542,11 @@
         self._supervisor.ended.set()
 
     async def _answer_after_fatal_fault(self, callers: Listener) -> None:
-        """Answer the requests that have been read, and do nothing else: state may be wrong."""
+        """Answer the requests that have been read, and do nothing else: state may be wrong.
+
+        Connections are still accepted, as a close would reset those that wait for it.
+        """
         self._supervisor.cancel()
-        callers.close()
         self.gateway.end_after_fatal_fault()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FATAL_ANSWERS_S):
--- a/tests/test_broken_invariants.py
+++ b/tests/test_broken_invariants.py
@@ -43,6 +43,11 @@
     return answer
 
 
+async def send_late(path, request):
+    await asyncio.sleep(0.1)
+    return await send(path, request)
+
+
 async def send_pipelined(*requests):
     reader, writer = await asyncio.open_connection(_ip(0), 80)
     writer.write(b"".join(encode_head("/book/1", each, length=0, work_s=5.0) for each in requests))
@@ -63,6 +68,8 @@
         runs = {f"stream{n}": count_runs(fleet, f"stream{n}") for n in range(STREAMS)}
         broke_at = loop.time()
         fleet.nodes[0]._supervisor.fail(InvariantBroken("planted"))
+        assert not fleet.nodes[0].is_ready()
+        late = asyncio.ensure_future(send_late("/find/1", "late"))
         with pytest.raises(InvariantBroken):
             await fleet._tasks[0]
         # The system closes the connections of a process that has ended.
@@ -81,6 +88,7 @@
         for each in await asyncio.gather(*plain):
             assert each.status == 502 and each.whole, each
             assert count_runs(fleet, each.request) == 1
+        assert (await late).status == 503 and not count_runs(fleet, "late")
         for each in (await partial, await fast):
             assert count_runs(fleet, each.request) == (each.status == 502)
             assert each.status in (502, 503) and each.whole, each
