--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -164,6 +164,7 @@
         self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
         self._supervisor = Supervisor(self.metrics, lambda: self.gateway.in_progress)
         self._stopping = asyncio.Event()
+        self._listening = False
         self._handled_generation = -1
         self._is_monitor = False
         self._store_epoch = 0
@@ -265,6 +266,7 @@
                 self.route_histories,
                 self.links,
                 self.presence,
+                self.fleet_size,
                 self.catalog,
             ),
             self.now,
@@ -447,12 +449,13 @@
         return Presence(len(self.view.live()), self.count_nodes(), self.view.foreign_timeout_s)
 
     def is_ready(self) -> bool:
-        """Return whether the catalog is complete and the node is not about to end.
+        """Return whether callers are served: the node listens, knows the catalog and doesn't end.
 
         :rtype: bool
         """
         ends = self._stopping.is_set() or self._supervisor.ended.is_set()
-        return self.catalog.state.complete and not ends
+        # Peers may send the whole catalog while the callers' address is still in use.
+        return self._listening and self.catalog.state.complete and not ends
 
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
@@ -478,6 +481,7 @@
         if not await self._listen(listeners):
             await self._close(listeners.all)
             return
+        self._listening = True
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         if listeners.metrics is not None:
@@ -581,7 +585,7 @@
         loops.repeat("members", interval_s, self._check_members)
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat("store check", interval_s, self.catalog.check_store)
+        loops.repeat("store conflicts", interval_s, self.catalog.resolve_conflicts)
         for name, work in self._housekeeping().items():
             loops.repeat(name, HOUSEKEEPING_S, work)
         replicate = self.quotas.replicate_windows
--- a/tests/test_streams_at_a_cut_group.py
+++ b/tests/test_streams_at_a_cut_group.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests import catalogfleet
 from tests.rejoinedstreams import Play, break_streams_off, run_play, unnamed
 from tests.streamcallers import name_first_attempt
 
@@ -34,6 +35,9 @@
 WATCH_ENDED_S = 5.0
 # Time from the start of a cut until new replicas have joined and streams begin, in seconds.
 UNTIL_JOINED_S = 0.1
+# Time after its start from which a host knows the versions of the time in which a stream can have
+# begun, in seconds.
+HISTORY_KNOWN_S = 25.0
 # Time after which the lost hosts are out of the membership view, in seconds.
 VIEW_CHANGED_S = 6.0
 
@@ -121,6 +125,35 @@
     assert not outcome.joined, outcome
 
 
+@CALLERS
+@pytest.mark.parametrize("group", ["a domain", "of two domains"])
+def test_streams_are_not_joined_at_a_host_that_restarts_in_a_group_that_is_cut_off(
+    group, resume_headers
+):
+    """Guards against a host that takes the hosts of its group for the fleet."""
+    domains, members = GROUPS[group]
+    others = tuple(each for each in range(len(domains)) if each not in members)
+    restarted = members[0]
+
+    async def cut_and_restart(fleet):
+        fleet.store.silent_hosts.update(f"n{each}" for each in members)
+        await asyncio.sleep(WATCH_ENDED_S)
+        fleet.cut_links(members, others)
+        await asyncio.sleep(VIEW_CHANGED_S)
+        await fleet.crash_node(restarted)
+        fleet.start_node(restarted, first_start=False)
+        await asyncio.sleep(HISTORY_KNOWN_S)
+        await join_version(fleet, old_leaves=False)
+        await asyncio.sleep(UNTIL_JOINED_S)
+
+    play = Play(break_streams_off, resume_headers, prepare=cut_and_restart, until_disruption_s=0.0)
+    play.begin_nodes, play.resume_nodes = others, (restarted,)
+    play.fleet = {"domains": domains}
+    outcome = run_play(play)
+    assert outcome.resumed >= MIN_RESUMED, outcome
+    assert not outcome.joined, outcome
+
+
 @EACH_GROUP
 def test_streams_are_not_joined_at_a_group_that_only_the_store_connects(group):
     outcome = play_cut(group, unnamed, old_leaves=False, wait_s=VIEW_CHANGED_S, store=False)
@@ -201,3 +234,27 @@
     play.begin_nodes = play.resume_nodes = members
     play.fleet = {"domains": domains, "versions": ("v1", "v2")}
     check_streams_go_on(run_play(play))
+
+
+@CALLERS
+def test_streams_are_not_joined_at_a_group_whose_store_has_gone_back(resume_headers):
+    """Guards against a listing that is older than the records and confirms them all the same."""
+    domains, members = GROUPS["a domain"]
+    others = (2, 3, 4, 5)
+
+    async def prepare(fleet):
+        outdated = catalogfleet.Store()
+        outdated.items, outdated.history = dict(fleet.store.items), list(fleet.store.history)
+        outdated.revision = fleet.store.revision - 1
+        fleet.move_to_store(members, outdated)
+        fleet.cut_links(members, others)
+        await asyncio.sleep(VIEW_CHANGED_S)
+        await join_version(fleet, old_leaves=False)
+        await asyncio.sleep(UNTIL_JOINED_S)
+
+    play = Play(break_streams_off, resume_headers, prepare=prepare, until_disruption_s=0.0)
+    play.begin_nodes, play.resume_nodes = others, members
+    play.fleet = {"domains": domains}
+    outcome = run_play(play)
+    assert outcome.resumed >= MIN_RESUMED, outcome
+    assert not outcome.joined, outcome
