--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -449,12 +449,13 @@
         return Presence(len(self.view.live()), self.count_nodes(), self.view.foreign_timeout_s)
 
     def is_ready(self) -> bool:
-        """Return whether callers are served: the node listens, knows the catalog and doesn't stop.
+        """Return whether callers are served: the node listens, knows the catalog and doesn't end.
 
         :rtype: bool
         """
+        ends = self._stopping.is_set() or self._supervisor.ended.is_set()
         # Peers may send the whole catalog while the callers' address is still in use.
-        return self._listening and self.catalog.state.complete and not self._stopping.is_set()
+        return self._listening and self.catalog.state.complete and not ends
 
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
@@ -545,9 +546,11 @@
         self._supervisor.ended.set()
 
     async def _answer_after_fatal_fault(self, callers: Listener) -> None:
-        """Answer the requests that have been read, and do nothing else: state may be wrong."""
+        """Answer the requests that have been read, and do nothing else: state may be wrong.
+
+        Connections are still accepted, as a close would reset those that wait for it.
+        """
         self._supervisor.cancel()
-        callers.close()
         self.gateway.end_after_fatal_fault()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FATAL_ANSWERS_S):
