Fleet size: a host that left on plan does not count again when its registration expires

A host that had left on plan, and whose registration was removed more than two minutes later, counted for another hour as if it had been lost: the removal recorded it as seen. Only hosts that still count are recorded now. The new unit test failed before (2 hosts, 1 expected).

--- a/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
@@ -42,7 +42,7 @@
     def record_registered(self, hosts: Iterable[str], now: float) -> None:
         """Record the hosts registered in the store, whether or not they ever sent a message."""
         before, self._registered = self._registered, frozenset(hosts)
-        for host in before | self._registered:
+        for host in (before & self._last_seen.keys()) | self._registered:
             self._last_seen[host] = now
 
     def count(self) -> int:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_fleetsize.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_fleetsize.py
@@ -39,3 +39,12 @@
     size.record_live([member("n1")], 1.0)
     size.record_live([member("n0")], LEFT_RETENTION_S + 10.0)
     assert size.count() == 2
+
+
+def test_a_host_that_left_on_plan_does_not_count_again_when_its_registration_expires():
+    size = FleetSize()
+    size.record_registered(["n0", "n1"], 0.0)
+    size.record_live([member("n0"), member("n1", leaving=True)], 0.0)
+    size.record_live([member("n0")], LEFT_RETENTION_S + 1.0)
+    size.record_registered(["n0"], LEFT_RETENTION_S + 2.0)
+    assert size.count() == 1
