--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -106,6 +106,9 @@
 # How long before the end of the grace period a stopping node ends, in seconds: time for its last
 # answers and for its removal from the store. After the grace period it may be killed.
 GRACE_MARGIN_S = 0.6
+# How long a node that ends on a fatal fault answers the requests that it has read, in seconds: time
+# for callers to read the answers.
+FATAL_ANSWERS_S = 1.2
 
 log = logger("node")
 
@@ -159,8 +162,9 @@
         self.fleet_size = FleetSize()
         self.request_log = RequestLog(self.metrics, self.now)
         self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
-        self._supervisor = Supervisor(self.metrics)
+        self._supervisor = Supervisor(self.metrics, lambda: self.gateway.in_progress)
         self._stopping = asyncio.Event()
+        self._listening = False
         self._handled_generation = -1
         self._is_monitor = False
         self._store_epoch = 0
@@ -262,6 +266,7 @@
                 self.route_histories,
                 self.links,
                 self.presence,
+                self.fleet_size,
                 self.catalog,
             ),
             self.now,
@@ -444,11 +449,12 @@
         return Presence(len(self.view.live()), self.count_nodes(), self.view.foreign_timeout_s)
 
     def is_ready(self) -> bool:
-        """Return whether the catalog is complete and no planned stop has begun.
+        """Return whether callers are served: the node listens, knows the catalog and doesn't stop.
 
         :rtype: bool
         """
-        return self.catalog.state.complete and not self._stopping.is_set()
+        # Peers may send the whole catalog while the callers' address is still in use.
+        return self._listening and self.catalog.state.complete and not self._stopping.is_set()
 
     def _describe_lack(self) -> str:
         """Return what this node lacks to serve; empty if nothing."""
@@ -474,6 +480,7 @@
         if not await self._listen(listeners):
             await self._close(listeners.all)
             return
+        self._listening = True
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
         if listeners.metrics is not None:
@@ -481,6 +488,8 @@
             self._supervisor.start(self._addresses.listen_some_time(metrics))
         self._supervisor.start(self._run_planned_stop(listeners.callers))
         await self._supervisor.ended.wait()
+        if self._supervisor.failure is not None:
+            await self._answer_after_fatal_fault(listeners.callers)
         await self._close(listeners.all)
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
@@ -535,6 +544,15 @@
                 await self._registration.deregister()
         self._supervisor.ended.set()
 
+    async def _answer_after_fatal_fault(self, callers: Listener) -> None:
+        """Answer the requests that have been read, and do nothing else: state may be wrong."""
+        self._supervisor.cancel()
+        callers.close()
+        self.gateway.end_after_fatal_fault()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FATAL_ANSWERS_S):
+                await callers.finish_requests()
+
     async def _close(self, listeners: list[Listener]) -> None:
         for listener in listeners:
             listener.close()
@@ -564,8 +582,9 @@
         loops.repeat("members", interval_s, self._check_members)
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
         loops.repeat("silent paths", SILENCE_CHECK_INTERVAL_S, self.dialer.check_silent)
-        loops.repeat("store check", interval_s, self.catalog.check_store)
-        loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
+        loops.repeat("store conflicts", interval_s, self.catalog.resolve_conflicts)
+        for name, work in self._housekeeping().items():
+            loops.repeat(name, HOUSEKEEPING_S, work)
         replicate = self.quotas.replicate_windows
         loops.repeat("quota windows", WINDOW_REPLICATION_INTERVAL_S, replicate)
         loops.repeat("roll-outs", ROLLOUTS_TICK_S, self.rollouts.tick)
@@ -619,24 +638,29 @@
             self.scheduler_host.tick()
             await asyncio.sleep(TICK_S)
 
-    def _run_housekeeping(self) -> None:
-        self.fleet_size.record_live(self.view.live(), self.now())
-        self.grants.report_to_new_owners(self.pools.pools)
-        self.grants.send_progress()
-        self.connections.close_expired()
-        self._store_connections.close_expired()
-        self.balancer.prune(self.catalog.state.replicas, self.now())
-        self.dialer.prune()
-        self.quotas.refresh_ownership()
-        self.suspicions.tick()
-        self.quarantine.tick()
-        self.limits.broadcast_pending()
-        self.permits.drop_expired()
-        self.origins.drop_expired()
+    def _housekeeping(self) -> dict[str, Callable[[], None]]:
+        """Return what is done each second, by name; none waits for the success of another."""
+        return {
+            "fleet size": lambda: self.fleet_size.record_live(self.view.live(), self.now()),
+            "running requests": lambda: self.grants.report_to_new_owners(self.pools.pools),
+            "progress": self.grants.send_progress,
+            "replica connections": self.connections.close_expired,
+            "store connections": self._store_connections.close_expired,
+            "balancer": lambda: self.balancer.prune(self.catalog.state.replicas, self.now()),
+            "dialer": self.dialer.prune,
+            "quota ownership": self.quotas.refresh_ownership,
+            "suspicions": self.suspicions.tick,
+            "quarantine": self.quarantine.tick,
+            "limits": self.limits.broadcast_pending,
+            "permits": self.permits.drop_expired,
+            "origins": self.origins.drop_expired,
+        }
 
     # Messages.
 
     def _receive(self, connection: Connection, message: msgspec.Struct) -> Awaitable[None] | None:
+        if self._supervisor.failure is not None:
+            return None
         try:
             return self._router.route(connection, message)
         except InvariantBroken as error:
--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -30,14 +30,16 @@
     invariant ends the process.
 
     :param metrics: counts the faults that don't end the process.
+    :param count_requests: returns the number of requests in progress, for the log.
     :ivar ended: set when the process must end.
     :ivar failure: the fault that ended the process, or None.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, count_requests: Callable[[], int] = lambda: 0) -> None:
         self.ended = asyncio.Event()
         self.failure: BaseException | None = None
         self._metrics = metrics
+        self._count_requests = count_requests
         self._tasks: list[asyncio.Task[None]] = []
         self._failing: set[str] = set()
         metrics.register_gauge("loops_failing", lambda: len(self._failing))
@@ -69,7 +71,12 @@
     def fail(self, error: BaseException) -> None:
         """End the process because of a fatal fault; the first fault is kept."""
         if self.failure is None:
-            log.critical("fatal", error=repr(error), where=_find_place(error))
+            log.critical(
+                "fatal",
+                error=repr(error),
+                where=_find_place(error),
+                in_progress=self._count_requests(),
+            )
             self.failure = error
         self.ended.set()
 
@@ -88,6 +95,11 @@
             stable = loop.call_later(STABLE_S, self._failing.discard, name)
             try:
                 await make()
+            except asyncio.CancelledError as error:
+                if _is_cancelled():
+                    raise
+                # The loop has waited for a task that somebody else cancelled.
+                self._record_failure(name, error)
             except Exception as error:
                 self._record_failure(name, error)
             else:
@@ -102,12 +114,12 @@
     def _call(self, name: str, work: Callable[[], None]) -> None:
         try:
             work()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             self._record_failure(name, error)
         else:
             self._failing.discard(name)
 
-    def _record_failure(self, name: str, error: Exception) -> None:
+    def _record_failure(self, name: str, error: Exception | asyncio.CancelledError) -> None:
         """Count a failure of a loop, and log the first in a row.
 
         :raises InvariantBroken: if the failure is a broken invariant.
@@ -139,6 +151,12 @@
             )
 
 
+def _is_cancelled() -> bool:
+    """Return whether the cancellation of the current task was requested."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _find_invariant(error: BaseException) -> InvariantBroken | None:
     """Return the broken invariant that an exception is or contains; None if there is none."""
     if isinstance(error, InvariantBroken):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
+from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.originkeepers import ORIGIN_GROUPS, ORIGIN_KEEPERS, PeerOriginKeepers
 from chalkyoke.node.routehistory import RouteHistories
 from chalkyoke.node.versionhistory import VersionHistories
@@ -29,6 +30,13 @@
 MIN_SHARE = 0.5
 
 
+class _UnreachableStore:
+    """A store that confirms nothing."""
+
+    async def confirm(self):
+        return False
+
+
 class OriginFleet:
     """The finders of all hosts over links with a delay.
 
@@ -56,6 +64,8 @@
                 withholds=lambda address, kind: False,
             ),
             lambda: Presence(len(view.live()), len(self.contacted), 1.0),
+            FleetSize(),
+            _UnreachableStore(),
         )
         self.finders[host] = OriginFinder(port, loop.time)
 
