--- a/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleetsize.py
@@ -46,7 +46,7 @@
         """Record all hosts registered in the store, whether or not they ever sent a message."""
         self._is_listed = True
         before, self._registered = self._registered, frozenset(hosts)
-        for host in before | self._registered:
+        for host in (before & self._last_seen.keys()) | self._registered:
             self._last_seen[host] = now
         for host, at in list(self._expected.items()):
             if host not in self._registered and now - at > LEFT_RETENTION_S:
