--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/causes.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/causes.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import Any
 
 from chalkyoke_fakes.soak.observations import CallerAttempt, Observations
 
@@ -16,6 +17,15 @@
 NODE_FAULTS = frozenset({"loop_failed", "fatal", "start_failed"})
 
 
+def is_node_fault(entry: dict[str, Any]) -> bool:
+    """Return whether a line reports a fault of a node of this build.
+
+    Older builds name no place in the code; their faults are not judged in a rolling upgrade.
+    """
+    event = entry.get("event")
+    return event in NODE_FAULTS and ("where" in entry or event == "start_failed")
+
+
 def describe_cause(request: str, observations: Observations) -> str:
     """Describe the end of a request by the last line that its nodes logged about it."""
     found = "no line"
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -18,7 +18,7 @@
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
-from chalkyoke_fakes.soak.causes import COLLECTED, NODE_FAULTS
+from chalkyoke_fakes.soak.causes import COLLECTED, is_node_fault
 from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.injector import Injector
@@ -514,7 +514,7 @@
                 process = entry["process"]
             elif entry.get("event") == "version":
                 self.observations.versions.setdefault(process, []).append(entry["version"])
-            elif entry.get("event") in NODE_FAULTS:
+            elif is_node_fault(entry):
                 self.observations.node_faults.append(Decision(name, entry["event"], entry))
             elif entry.get("event") in COLLECTED and "request" in entry:
                 decision = Decision(name, entry["event"], entry)
