Planned stops: each request that a node can't finish gets a last statement

Cause: what guards the end of a stop is a prediction of how long answers take. Where it fails, the node had no last word, although the end after a broken invariant has one.

Change: both ends share it (node/ending.py). 0.6 s before the end of the grace period, 503 where no replica has the request or it is still being read, 502 where one may have run it, a visible break where a part of the answer was sent; later requests on open connections are refused. Callers get 0.3 s to read it, while the node is removed from the store. ended_unfinished counts them, each has a line of its own.

--- a/packages/chalkyoke-ctl/src/chalkyokectl/story.py
+++ b/packages/chalkyoke-ctl/src/chalkyokectl/story.py
@@ -39,6 +39,7 @@
         "started",
         "stopping",
         "stopped",
+        "ended_unfinished",
         "reloaded",
         "reload_failed",
         "fault",
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -25,7 +25,7 @@
 )
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.replacement import find_objection, next_search_at
-from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
+from chalkyoke.gateway.replies import INTERNAL_FAULT, RETRY_SOON_S, STOPPING, Replies
 from chalkyoke.gateway.sender import Sender
 from chalkyoke.gateway.sendlog import SendLog, silent_s
 from chalkyoke.gateway.takeover import Send
@@ -137,10 +137,13 @@
         loop = asyncio.get_running_loop()
         self._stop_timer = loop.call_at(self._loop_time(latest), self._refuse_unsent)
 
-    def end_after_fatal_fault(self) -> None:
-        """Answer the request at once with what is known of it, as the process is about to end."""
+    def end_now(self, reason: str) -> None:
+        """Answer the request at once with what is known of it, as the process is about to end.
+
+        :param reason: why the process ends.
+        """
         self._response.close_gracefully()
-        self._replies.end_after_fault(self._admission)
+        self._replies.end_unfinished(self._admission, reason)
         self._sender.cancel()
         if self.task is not None:
             self.task.cancel()
@@ -222,7 +225,7 @@
         """Release the grant, and refuse or abort the request after an unexpected exception."""
         if self._admission is not None:
             self._release_cancelled(self._admission)
-        self._replies.end_after_fault(self._admission)
+        self._replies.end_unfinished(self._admission, INTERNAL_FAULT)
 
     def _refund_charge(self, admission: Admission) -> None:
         """Refund the quota charge of a request that ends without a run."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -19,7 +19,7 @@
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._exchanges: dict[asyncio.Task[None], Exchange] = {}
-        self._has_failed = False
+        self._end_reason = ""
 
     @property
     def in_progress(self) -> int:
@@ -27,10 +27,10 @@
         return len(self._exchanges)
 
     def start_exchange(self, request: Request, response: ResponseWriter) -> Exchange:
-        """Start the task that answers a request; after a fatal fault it is refused at once."""
+        """Start the task that answers a request; it is refused at once after :meth:`end_now`."""
         exchange = Exchange(self._parts, request, response)
-        if self._has_failed:
-            asyncio.get_running_loop().call_soon(exchange.end_after_fatal_fault)
+        if self._end_reason:
+            asyncio.get_running_loop().call_soon(exchange.end_now, self._end_reason)
             return exchange
         exchange.task = asyncio.get_running_loop().create_task(exchange.run())
         self._exchanges[exchange.task] = exchange
@@ -43,11 +43,14 @@
         for exchange in list(self._exchanges.values()):
             exchange.begin_stop()
 
-    def end_after_fatal_fault(self) -> None:
-        """End all requests, and refuse later ones, as the process is about to end."""
-        self._has_failed = True
+    def end_now(self, reason: str) -> None:
+        """End all requests, and refuse later ones, as the process is about to end.
+
+        :param reason: why it ends, as its callers are told.
+        """
+        self._end_reason = reason
         for exchange in list(self._exchanges.values()):
-            exchange.end_after_fatal_fault()
+            exchange.end_now(reason)
 
     def on_request_held(self, request: bytes) -> None:
         """End the waiting exchanges of a request that is held back from now on.
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -18,7 +18,7 @@
 MAX_RETRY_AFTER_S = 60.0
 # Retry-After time of a refusal whose cause is short-lived, in seconds.
 RETRY_SOON_S = 0.3
-# Reason of a refusal because the answer would not end before this node does.
+# Reason of an answer because this node ends before the answer could.
 STOPPING = "stopping"
 # Reason of an answer after an unexpected exception in this node.
 INTERNAL_FAULT = "internal fault"
@@ -145,26 +145,31 @@
         )
         self._response.abort()
 
-    def end_after_fault(self, admission: Admission | None) -> None:
-        """End a request after an unexpected exception in this node.
+    def end_unfinished(self, admission: Admission | None, reason: str) -> None:
+        """Tell the caller what is known of a request that this node can't finish.
 
         The caller gets an answer unless a part of one has been sent: closing the connection would
         give it none. The status 502 makes no promise about a run.
 
         :param admission: None if the request has not been admitted yet.
+        :param reason: why the node can't finish it.
         """
         if self._delivery.head_sent:
-            self._log_fault("cut_off", admission)
+            self._log_unfinished("cut_off", admission, reason)
             self._response.abort()
         elif self._sends.runs:
-            self._log_fault("given_up", admission)
-            self.send_answer(502, INTERNAL_FAULT, None)
+            self._log_unfinished("given_up", admission, reason)
+            self.send_answer(502, reason, None)
         else:
-            self._log_fault("refused", admission)
-            self.send_answer(503, INTERNAL_FAULT, RETRY_SOON_S)
+            self._log_unfinished("refused", admission, reason)
+            self.send_answer(503, reason, RETRY_SOON_S)
 
-    def _log_fault(self, event: str, admission: Admission | None) -> None:
+    def _log_unfinished(self, event: str, admission: Admission | None, reason: str) -> None:
         if admission is not None:
             self._parts.log_decision(
-                event, admission, reason=INTERNAL_FAULT, sends=self._sends.arrivals
+                event,
+                admission,
+                reason=reason,
+                sends=self._sends.arrivals,
+                events=self._delivery.events,
             )
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -227,6 +227,17 @@
             self._flush()
             self.transport.close()
 
+    def refuse_unread(self, retry_after_s: float) -> bool:
+        """Refuse the request that is being read, since it can't be answered any more.
+
+        :param retry_after_s: seconds after which its caller may retry.
+        :return: whether there was one.
+        """
+        if not self._in_message or self._ignores_input:
+            return False
+        self._refuse_in_turn(_encode_unavailable(retry_after_s))
+        return True
+
     # Parser events.
 
     def on_message_begin(self) -> None:
@@ -283,7 +294,7 @@
             self._refuse(413)
         elif incoming.add_body(body) and self._memory.account.is_exceeded:
             self._memory.on_upload_refused()
-            self._refuse_in_turn(_encode_memory_refusal())
+            self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and start it when no other is in progress."""
@@ -420,7 +431,7 @@
         incoming = self._incoming
         size = incoming.expected_size()
         if not self._memory.admits(bytes(incoming.target), incoming.headers, size):
-            self._refuse_in_turn(_encode_memory_refusal())
+            self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
             return False
         incoming.reserve(size)
         return True
@@ -476,5 +487,5 @@
             self.transport.close()
 
 
-def _encode_memory_refusal() -> bytes:
-    return encode_refusal(503, [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)])
+def _encode_unavailable(retry_after_s: float) -> bytes:
+    return encode_refusal(503, [(b"Retry-After", b"%.2f" % retry_after_s)])
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -32,6 +32,7 @@
 from chalkyoke.gateway.gateway import Gateway
 from chalkyoke.gateway.grants import Grants
 from chalkyoke.gateway.parts import GatewayParts
+from chalkyoke.gateway.replies import INTERNAL_FAULT, STOPPING
 from chalkyoke.gateway.settings import GatewaySettings, load
 from chalkyoke.http1.calls import HttpClient
 from chalkyoke.http1.pool import ConnectionPool
@@ -48,6 +49,7 @@
 from chalkyoke.membership.state import Change, Joined
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.announcements import Announcements
+from chalkyoke.node.ending import answer_unfinished, finish_requests
 from chalkyoke.node.fleetsize import FleetSize
 from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
@@ -106,6 +108,8 @@
 # How long before the end of the grace period a stopping node ends, in seconds: time for its last
 # answers and for its removal from the store. After the grace period it may be killed.
 GRACE_MARGIN_S = 0.6
+# How long before its end a stopping node answers the requests that it can't finish, in seconds.
+LAST_ANSWERS_S = 0.3
 # How long a node that ends on a fatal fault answers the requests that it has read, in seconds: time
 # for callers to read the answers.
 FATAL_ANSWERS_S = 1.2
@@ -535,15 +539,18 @@
         # Callers still connect until the load balancer has removed this node.
         await asyncio.sleep(LEAVE_DELAY_S)
         callers.close()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, ends_at - self.now())):
-                await callers.finish_requests()
+        await finish_requests(callers, ends_at - self.now())
         await self.tunnels.finish(ends_at - self.now())
         log.notice("stopped", in_progress=self.gateway.in_progress, took_s=self.now() - began)
+        await asyncio.gather(
+            answer_unfinished(self.gateway, callers, STOPPING, LAST_ANSWERS_S), self._deregister()
+        )
+        self._supervisor.ended.set()
+
+    async def _deregister(self) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.3):
+            async with asyncio.timeout(LAST_ANSWERS_S):
                 await self._registration.deregister()
-        self._supervisor.ended.set()
 
     async def _answer_after_fatal_fault(self, callers: Listener) -> None:
         """Answer the requests that have been read, and do nothing else: state may be wrong.
@@ -551,10 +558,7 @@
         Connections are still accepted, as a close would reset those that wait for it.
         """
         self._supervisor.cancel()
-        self.gateway.end_after_fatal_fault()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FATAL_ANSWERS_S):
-                await callers.finish_requests()
+        await answer_unfinished(self.gateway, callers, INTERNAL_FAULT, FATAL_ANSWERS_S)
 
     async def _close(self, listeners: list[Listener]) -> None:
         for listener in listeners:
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -118,6 +118,14 @@
         while self._connections:  # noqa: ASYNC110
             await asyncio.sleep(CLOSE_CHECK_S)
 
+    def refuse_unread(self, retry_after_s: float) -> int:
+        """Refuse the requests that are still being read.
+
+        :param retry_after_s: seconds after which their callers may retry.
+        :return: how many there were.
+        """
+        return sum(each.refuse_unread(retry_after_s) for each in list(self._connections))
+
     def _make_connection(self) -> ServerConnection:
         return ServerConnection(
             self._start, self._limits, self._connections, self._on_opened, self._memory
--- /dev/null
+++ b/tests/test_end_of_planned_stop.py
@@ -0,0 +1,143 @@
+"""The end of a planned stop, for requests that the node has read and can't finish."""
+
+import asyncio
+import json
+import signal
+
+from tests.gatewayfleet import _ip, _parse_answer, _read_answer, run_check
+from tests.test_gateway_processes import with_fleet
+from tests.test_planned_stop import (
+    GRACE_S,
+    SHORT_ANSWER_S,
+    count_runs,
+    encode_head,
+    no_answer,
+    send_pipelined,
+    serve_before,
+    stop,
+)
+
+# Longer than the stop, shorter than the callers' deadline.
+LONG_ANSWER_S = 7.0
+# When the requests are sent, in seconds after the signal.
+SENT_AT_S = 1.0
+# Grace period of a process, in seconds.
+SHORT_GRACE_S = 4.0
+
+
+async def send(path, request, *, length=0, sent=0):
+    """Send a request with a part of its body, and read the answer."""
+    loop = asyncio.get_running_loop()
+    reader, writer = await asyncio.open_connection(_ip(0), 80)
+    began = loop.time()
+    writer.write(encode_head(path, request, length=length, work_s=LONG_ANSWER_S) + b"x" * sent)
+    answer = await _read_answer(reader, until_whole=False)
+    writer.close()
+    return _parse_answer(answer, loop.time() - began) if answer else no_answer()
+
+
+def test_requests_that_replicas_have_get_an_answer_at_the_end_of_a_stop():
+    """Guards against connections that a stop closed without a byte, although replicas had run."""
+
+    async def check(fleet):
+        for path in ("/book/1", "/find/1"):
+            await serve_before(fleet, path, SHORT_ANSWER_S)
+        stop(fleet)
+        await asyncio.sleep(SENT_AT_S)
+        paths = ["/book/1", "/find/1"] * 3
+        got = await asyncio.gather(*(send(path, f"r{n}") for n, path in enumerate(paths)))
+        for answer in got:
+            assert (answer.status, answer.whole) == (502, True), answer
+            assert answer.headers["connection"] == "close"
+            assert SENT_AT_S + answer.took_s < GRACE_S
+        assert all(count_runs(fleet, f"r{n}") == 1 for n in (0, 2, 4))
+        assert "retry-after" not in got[0].headers
+
+    run_check(check)
+
+
+def test_a_stream_that_a_stop_breaks_off_does_not_look_whole():
+    """Guards against streams that end early and look complete."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/chat/1", SHORT_ANSWER_S)
+        stop(fleet)
+        await asyncio.sleep(SENT_AT_S)
+        got = await send("/explain/1", "stream")
+        assert got.status == 200 and got.body and not got.whole
+        assert got.took_s < GRACE_S
+
+    run_check(check)
+
+
+def test_a_request_that_is_still_being_read_at_the_end_of_a_stop_is_refused():
+    """Guards against uploads that a stop closed without a byte."""
+
+    async def check(fleet):
+        stop(fleet)
+        # The body may take five seconds: longer than the stop.
+        await asyncio.sleep(2.45)
+        got = await send("/book/1", "upload", length=60_000, sent=59_999)
+        assert (got.status, got.whole) == (503, True), got
+        assert got.headers["connection"] == "close"
+        assert float(got.headers["retry-after"]) <= 1.0
+        assert count_runs(fleet, "upload") == 0
+
+    run_check(check)
+
+
+def test_requests_that_wait_behind_one_that_a_stop_ends_are_refused():
+    """Guards against requests that were read, and vanished with the answer before them."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        stop(fleet)
+        await asyncio.sleep(SENT_AT_S)
+        answers = await send_pipelined(
+            ("/book/1", "first", LONG_ANSWER_S),
+            ("/book/1", "second", 0.0),
+            ("/book/1", "third", 0.0),
+        )
+        heads = answers.split(b"HTTP/1.1 ")[1:]
+        assert [each[:3] for each in heads] == [b"502", b"503", b"503"]
+        closes = [b"connection: close" in each.lower() for each in heads]
+        assert closes == [False, False, True]
+        assert [count_runs(fleet, each) for each in ("first", "second", "third")] == [1, 0, 0]
+
+    run_check(check)
+
+
+async def send_to_process(fleet, path, request):
+    """Send a request to the first node of a fleet of processes, and read up to the close."""
+    ip, port = fleet.nodes["n1"].callers.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(encode_head(path, request, length=0, work_s=LONG_ANSWER_S))
+    answer = await _read_answer(reader, until_whole=False)
+    writer.close()
+    return _parse_answer(answer, 0.0) if answer else no_answer()
+
+
+def test_a_process_that_stops_closes_no_connection_without_an_answer():
+    """Guards against a process that ended at the end of its stop with requests in progress."""
+
+    async def check(fleet):
+        paths = ["/book/1", "/find/1", "/chat/1"] * 4
+        sends = [
+            asyncio.create_task(send_to_process(fleet, path, f"r{n}"))
+            for n, path in enumerate(paths)
+        ]
+        await asyncio.sleep(0.5)
+        node = fleet.nodes["n1"]
+        node.send_signal(signal.SIGTERM)
+        got = await asyncio.gather(*sends)
+        for path, answer in zip(paths, got, strict=True):
+            if path == "/chat/1":
+                assert answer.status == 200 and answer.body and not answer.whole
+            else:
+                assert (answer.status, answer.whole) == (502, True), (path, answer)
+        assert await asyncio.to_thread(node.popen.wait, GRACE_S) == 0
+        lines = (fleet.folder / "n1.log").read_text(encoding="utf-8").splitlines()
+        ended = [each for each in map(json.loads, lines) if each["event"] == "ended_unfinished"]
+        assert [(each["in_progress"], each["unread"]) for each in ended] == [(len(paths), 0)]
+
+    with_fleet(check, zones=("a",), grace_s=SHORT_GRACE_S)
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -20,10 +20,12 @@
 WHOLE_STREAM = b"".join(b"id: %d\ndata: piece %d of v1\n\n" % (n, n) for n in range(8))
 
 
-def with_fleet(check, zones=("a", "b", "c")):
+def with_fleet(check, zones=("a", "b", "c"), **limits):
     async def main():
         with tempfile.TemporaryDirectory(prefix="chalkyoke-test-") as folder:
-            async with PlatformFleet(Path(folder), zones) as fleet:
+            fleet = PlatformFleet(Path(folder), zones)
+            fleet.limits.update(limits)
+            async with fleet:
                 await check(fleet)
 
     asyncio.run(main())
