Planned stops: the prediction counts answers that have not ended yet

Cause: censored samples. The duration of an answer was learned at its end, so replicas that become slow are believed to be fast until the first slow answer has ended. Ruled out: the time of arrival, which is that of the whole request and not of its head (the exchange starts when the body is complete).

Change: requests that replicas have count by their age; one that has outlasted all recent answers is assumed to be halfway. A request that has waited for a grant is judged once more before it is sent.

Evidence: test_late_uploads_are_not_sent_on_while_answers_have_become_slow fails on (sent on at 5.0 s, answered at 7.5 s, after the node's end) and passes now: taken up to some moment, refused with 503 and not run after it.

--- a/packages/chalkyoke/src/chalkyoke/gateway/drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/drain.py
@@ -30,32 +30,33 @@
     """Predicts which answers end before a stopping node does.
 
     :ivar stop: the planned stop in progress; None before.
-    :ivar durations: the recent answers of this node.
+    :ivar durations: the recent answers of this node, and those under way.
     """
 
     def __init__(self) -> None:
         self.stop: PlannedStop | None = None
         self.durations = AnswerDurations()
 
-    def latest_dispatch(self, admission: Admission) -> float | None:
+    def latest_dispatch(self, admission: Admission, now: float) -> float | None:
         """Return when a request must have been dispatched to end in time, on the node's clock.
 
         A request that arrives after the callers have left is dispatched only if hardly any answer
         of its route takes longer than the time left, as its caller can still go elsewhere. Before,
         refusals would turn away callers that the answer would have reached most of the time.
 
+        :param now: time on the node's clock, in seconds.
         :return: None if no stop is in progress, or the caller gives up before its end.
         """
         stop = self.stop
         if stop is None or admission.deadline <= stop.ends_at:
             return None
-        expected_s = self._expected_s(admission, stop)
+        expected_s = self._expected_s(admission, stop, now)
         return stop.ends_at - max(REFUSAL_TIME_S, expected_s)
 
-    def _expected_s(self, admission: Admission, stop: PlannedStop) -> float:
+    def _expected_s(self, admission: Admission, stop: PlannedStop, now: float) -> float:
         timeout_s = admission.deadline - admission.arrived_at
         if admission.arrived_at <= stop.leaves_at:
             expected_s = self.durations.typical_s(admission)
             return 0.0 if expected_s is None else min(expected_s, timeout_s)
-        expected_s = self.durations.longest_s(admission)
+        expected_s = self.durations.longest_s(admission, now)
         return timeout_s if expected_s is None else min(expected_s, timeout_s)
--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -1,7 +1,8 @@
 """
 chalkyoke.gateway.durations
 
-Predict how long an answer takes from the recent answers of the same route. Performs no I/O.
+Predict how long an answer takes from the recent answers of the same route, and from those that have
+not ended yet. Performs no I/O.
 """
 
 import statistics
@@ -18,6 +19,8 @@
 FEW_SAMPLES = 4
 # Factor on the longest recent answer, since answers take longer when the load grows.
 LOAD_ALLOWANCE = 1.25
+# Expected duration of an answer that has outlasted all recent ones, as a multiple of its age.
+OUTLASTING_FACTOR = 2.0
 
 
 class AnswerDuration(msgspec.Struct, frozen=True):
@@ -43,10 +46,27 @@
 
 
 class AnswerDurations:
-    """The recent answers of each route and service."""
+    """The recent answers of each route and service, and the requests that replicas have."""
 
     def __init__(self) -> None:
         self._samples: dict[tuple[str, str], deque[AnswerDuration]] = {}
+        self._dispatched_at: dict[tuple[str, str], dict[str, float]] = {}
+
+    def record_dispatch(self, admission: Admission, now: float) -> None:
+        """Record that a request was dispatched; its first dispatch counts.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        under_way = self._dispatched_at.setdefault(_key(admission), {})
+        under_way.setdefault(admission.search_id, now)
+
+    def record_end(self, admission: Admission) -> None:
+        """Record that a request has ended, however it did."""
+        key = _key(admission)
+        under_way = self._dispatched_at.get(key, {})
+        under_way.pop(admission.search_id, None)
+        if not under_way:
+            self._dispatched_at.pop(key, None)
 
     def record(self, admission: Admission, took_s: float, first_s: float | None) -> None:
         """Record an answer.
@@ -67,17 +87,30 @@
         durations = self._scaled(admission)
         return statistics.median(durations) if durations else None
 
-    def longest_s(self, admission: Admission) -> float | None:
-        """Return a duration that few answers exceed, in seconds; None without recent answers."""
-        durations = self._scaled(admission)
+    def longest_s(self, admission: Admission, now: float) -> float | None:
+        """Return a duration that few answers exceed, in seconds; None without any answer.
+
+        Answers that become slower show first by the age of those that have not ended.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        durations, age_s = self._scaled(admission), self._longest_age_s(admission, now)
+        longest_s = max(durations, default=0.0)
+        if age_s > longest_s:
+            return age_s * OUTLASTING_FACTOR
         if not durations:
             return None
-        return max(durations) * LOAD_ALLOWANCE * (1.0 + FEW_SAMPLES / len(durations))
+        return longest_s * LOAD_ALLOWANCE * (1.0 + FEW_SAMPLES / len(durations))
 
     def retain(self, routes: set[str]) -> None:
         """Drop the answers of all other routes."""
         self._samples = {key: kept for key, kept in self._samples.items() if key[0] in routes}
 
+    def _longest_age_s(self, admission: Admission, now: float) -> float:
+        under_way = self._dispatched_at.get(_key(admission), {})
+        ages = (now - at for request, at in under_way.items() if request != admission.search_id)
+        return max(ages, default=0.0)
+
     def _scaled(self, admission: Admission) -> list[float]:
         most = admission.fields.max_output_tokens
         return [each.scaled_s(most) for each in self._samples.get(_key(admission), ())]
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -191,6 +191,7 @@
             if self._stop_timer is not None:
                 self._stop_timer.cancel()
             self._sender.close()
+            parts.drain.durations.record_end(decision)
             self._refund_charge(decision)
 
     async def _serve_in_time(self, admission: Admission) -> None:
@@ -242,7 +243,7 @@
         """Return when the request must have been sent; None if no stop limits that."""
         if self._admission is None:
             return None
-        return self._parts.drain.latest_dispatch(self._admission)
+        return self._parts.drain.latest_dispatch(self._admission, self._parts.now())
 
     def _is_too_late(self) -> bool:
         """Return whether no replica has the request and its answer would not end in time."""
@@ -304,6 +305,9 @@
             if isinstance(granted, Denied):
                 return granted
             self._granted = granted
+            if self._is_too_late():
+                self._return_grant(admission, granted)
+                return Denied(STOPPING, RETRY_SOON_S)
             objection = find_objection(
                 admission,
                 granted,
--- a/packages/chalkyoke/src/chalkyoke/gateway/sender.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/sender.py
@@ -328,6 +328,7 @@
         progress.sends.arrivals += 1
         progress.tried.append(granted.replica.id)
         parts.grants.record_started(admission, granted)
+        parts.drain.durations.record_dispatch(admission, now)
         parts.rollouts.record_sent(granted.replica)
         parts.log_decision(
             "sent",
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -3,18 +3,18 @@
 import pytest
 from chalkyoke.catalog.resources import Route, RouteKind, Service, Target
 from chalkyoke.gateway.drain import REFUSAL_TIME_S, Drain, PlannedStop
-from chalkyoke.gateway.durations import MAX_SAMPLES
+from chalkyoke.gateway.durations import MAX_SAMPLES, OUTLASTING_FACTOR
 from chalkyoke.gateway.ports import RequestFields
 from chalkyoke.gateway.reception import Admission
 
 STOP = PlannedStop(leaves_at=102.5, ends_at=107.4)
 
 
-def admitted(arrived_at, timeout_s=8.0, max_output=0, route="chat", service="model"):
-    fields = RequestFields("r1", max_output_tokens=max_output)
+def admitted(arrived_at, timeout_s=8.0, max_output=0, route="chat", service="model", request="r1"):
+    fields = RequestFields(request, max_output_tokens=max_output)
     return Admission(
-        request_id="r1",
-        search_id="n1/1",
+        request_id=request,
+        search_id=f"n1/{request}",
         fields=fields,
         route=Route(route, "h", "/", (Target(service, 1.0),), RouteKind.STREAM),
         service=Service(service),
@@ -39,12 +39,12 @@
 
 
 def is_taken(drain, admission):
-    latest = drain.latest_dispatch(admission)
+    latest = drain.latest_dispatch(admission, admission.arrived_at)
     return latest is None or admission.arrived_at < latest
 
 
 def test_every_request_is_taken_before_a_stop():
-    assert Drain().latest_dispatch(admitted(100.0)) is None
+    assert Drain().latest_dispatch(admitted(100.0), 100.0) is None
 
 
 def test_a_late_request_of_an_unknown_route_is_taken_only_if_its_caller_waits_no_longer():
@@ -92,4 +92,27 @@
 
 
 def test_a_request_that_waits_is_refused_in_time_for_its_caller_to_read_the_refusal():
-    assert stopping().latest_dispatch(admitted(100.0)) == STOP.ends_at - REFUSAL_TIME_S
+    latest = stopping().latest_dispatch(admitted(100.0), 100.0)
+    assert latest == STOP.ends_at - REFUSAL_TIME_S
+
+
+def test_a_late_request_is_refused_once_an_answer_under_way_outlasts_all_recent_ones():
+    """Guards against answers that become slow at a stop, while all that have ended were short."""
+    drain = stopping(*[(0.2, 0)] * 50)
+    slow = admitted(103.0, request="slow")
+    drain.durations.record_dispatch(slow, 103.0)
+    assert is_taken(drain, admitted(103.1))
+    assert is_taken(drain, admitted(104.0))
+    assert not is_taken(drain, admitted(105.0))
+    assert is_taken(drain, admitted(105.0, route="other", timeout_s=2.0))
+    drain.durations.record_end(slow)
+    assert is_taken(drain, admitted(105.0))
+
+
+def test_the_age_of_an_answer_counts_from_its_first_dispatch_and_not_against_itself():
+    drain = stopping()
+    slow = admitted(103.0, request="slow")
+    for at in (103.0, 104.5):
+        drain.durations.record_dispatch(slow, at)
+    assert drain.durations.longest_s(slow, 105.0) is None
+    assert drain.durations.longest_s(admitted(105.0), 105.0) == 2 * OUTLASTING_FACTOR
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,6 +11,7 @@
 # Seconds after the signal. The node accepts no connections from 2.5 s on and ends after 7.4 s.
 FIRST_BYTE_S = 2.3
 GRACE_S = 8.0
+ENDS_AT_S = 7.4
 # A body of this size may take five seconds, in bytes.
 BODY_BYTES = 60_000
 DEADLINE_MS = 7_900
@@ -204,3 +205,26 @@
         assert count_runs(fleet, "refused2") == 0
 
     run_check(check)
+
+
+def test_late_uploads_are_not_sent_on_while_answers_have_become_slow():
+    """Guards against a stop that believed in short answers until the first slow one had ended."""
+    slow_s = 2.5
+
+    async def check(fleet):
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        began = stop(fleet)
+        times = [3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 6.0, 6.5]
+        got = await asyncio.gather(
+            *(send_until(began, "/book/1", f"late{at}", at, work_s=slow_s) for at in times)
+        )
+        by_status = {}
+        for at, answer in zip(times, got, strict=True):
+            assert answer.whole and answer.status in (200, 503), (at, answer)
+            assert at + answer.took_s < ENDS_AT_S, (at, answer)
+            by_status.setdefault(answer.status, []).append(at)
+            assert count_runs(fleet, f"late{at}") == (answer.status == 200)
+        assert by_status[200] and by_status[503]
+        assert max(by_status[200]) < min(by_status[503])
+
+    run_check(check)
