Planned stops: a request that must not be repeated is judged by the longest answer

What callers saw: in the first 2.5 s of a stop each request was taken if the median of its route's answers ended in time.

Routes without an answer yet are taken as before, and repeatable requests are.

Evidence: test_a_request_that_must_not_be_repeated_is_refused_if_any_answer_would_be_cut_off fails before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/drain.py
@@ -42,7 +42,9 @@
 
         A request that arrives after the callers have left is dispatched only if hardly any answer
         of its route takes longer than the time left, as its caller can still go elsewhere. Before,
-        refusals would turn away callers that the answer would have reached most of the time.
+        refusals would turn away callers that the answer would have reached most of the time. A
+        request that must not be repeated is refused if a recent answer would have been cut off, as
+        its caller could neither repeat it nor learn whether it ran.
 
         :param now: time on the node's clock, in seconds.
         :return: None if no stop is in progress, or the caller gives up before its end.
@@ -55,8 +57,11 @@
 
     def _expected_s(self, admission: Admission, stop: PlannedStop, now: float) -> float:
         timeout_s = admission.deadline - admission.arrived_at
-        if admission.arrived_at <= stop.leaves_at:
+        if admission.arrived_at > stop.leaves_at:
+            expected_s = self.durations.bound_s(admission, now)
+            return timeout_s if expected_s is None else min(expected_s, timeout_s)
+        if admission.route.repeatable:
             expected_s = self.durations.typical_s(admission)
-            return 0.0 if expected_s is None else min(expected_s, timeout_s)
-        expected_s = self.durations.longest_s(admission, now)
-        return timeout_s if expected_s is None else min(expected_s, timeout_s)
+        else:
+            expected_s = self.durations.longest_s(admission, now)
+        return 0.0 if expected_s is None else min(expected_s, timeout_s)
--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -88,6 +88,14 @@
         return statistics.median(durations) if durations else None
 
     def longest_s(self, admission: Admission, now: float) -> float | None:
+        """Return the longest duration seen, in seconds; None without any answer.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        durations, age_s = self._scaled(admission), self._longest_age_s(admission, now)
+        return max([*durations, age_s]) or None
+
+    def bound_s(self, admission: Admission, now: float) -> float | None:
         """Return a duration that few answers exceed, in seconds; None without any answer.
 
         Answers that become slower show first by the age of those that have not ended.
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -10,13 +10,23 @@
 STOP = PlannedStop(leaves_at=102.5, ends_at=107.4)
 
 
-def admitted(arrived_at, timeout_s=8.0, max_output=0, route="chat", service="model", request="r1"):
+def admitted(
+    arrived_at,
+    timeout_s=8.0,
+    max_output=0,
+    route="chat",
+    service="model",
+    request="r1",
+    resumable=False,
+):
     fields = RequestFields(request, max_output_tokens=max_output)
     return Admission(
         request_id=request,
         search_id=f"n1/{request}",
         fields=fields,
-        route=Route(route, "h", "/", (Target(service, 1.0),), RouteKind.STREAM),
+        route=Route(
+            route, "h", "/", (Target(service, 1.0),), RouteKind.STREAM, resumable=resumable
+        ),
         service=Service(service),
         team=None,
         version=1,
@@ -68,6 +78,14 @@
     assert is_taken(stopping(*answers), admitted(102.4))
 
 
+def test_a_request_that_must_not_be_repeated_is_refused_if_any_answer_would_be_cut_off():
+    """Guards against unrepeatable requests that a stop cut off after they had run."""
+    drain = stopping(*[(0.5, 0)] * 50, (6.0, 0))
+    assert is_taken(drain, admitted(101.0, timeout_s=15.0))
+    assert not is_taken(drain, admitted(102.0, timeout_s=15.0))
+    assert is_taken(drain, admitted(102.0, timeout_s=15.0, resumable=True))
+
+
 def test_the_output_that_the_caller_allows_scales_the_expected_duration():
     drain = stopping(*[(0.6, 60)] * 100)
     assert is_taken(drain, admitted(104.0, max_output=90))
@@ -114,5 +132,5 @@
     slow = admitted(103.0, request="slow")
     for at in (103.0, 104.5):
         drain.durations.record_dispatch(slow, at)
-    assert drain.durations.longest_s(slow, 105.0) is None
-    assert drain.durations.longest_s(admitted(105.0), 105.0) == 2 * OUTLASTING_FACTOR
+    assert drain.durations.bound_s(slow, 105.0) is None
+    assert drain.durations.bound_s(admitted(105.0), 105.0) == 2 * OUTLASTING_FACTOR
