Planned stops: a close is announced with the answers before it

What callers saw: once in 9 nodes with 120 callers, two requests on kept connections crossed the close of an idle connection 2.5 s after the signal, without an answer and not run; their callers can't tell.

Cause: a connection learned of the stop only when the listener closed, 2.5 s after the signal; the answers before that kept it open, so it was idle just while its caller was about to use it again.

Change: from the signal on each answer announces the close, and the connection closes after it. What is still idle after 2.5 s has been idle since the signal, or is new; a new connection gets half a second for its first request.

Evidence: both new tests of tests/test_planned_stop.py fail on (no announcement; no answer).

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -533,6 +533,7 @@
         ends_at = began + self.settings.limits.grace_s - GRACE_MARGIN_S
         log.notice("stopping", in_progress=self.gateway.in_progress)
         self.gateway.begin_stop(PlannedStop(began + LEAVE_DELAY_S, ends_at))
+        callers.announce_close()
         self.tunnels.refuse_new()
         self.view.update_self(leaving=True, ready=False)
         self._send_heartbeats()
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -23,6 +23,8 @@
 BACKLOG_CONNECTIONS = 1024
 # Interval at which a stop checks whether connections are still open, in seconds.
 CLOSE_CHECK_S = 0.05
+# How long a stopping node waits for the first request on a new connection, in seconds.
+FIRST_REQUEST_S = 0.5
 
 log = logger("node")
 
@@ -106,16 +108,24 @@
         if self._server is not None:
             self._server.close()
 
+    def announce_close(self) -> None:
+        """Announce from now on with each answer that its connection closes, and close it then."""
+        self._stopping = True
+        for connection in self._connections:
+            connection.stopping = True
+
     async def finish_requests(self) -> None:
         """Close each connection after the requests that it has read, and wait until all are closed.
 
         A connection that was accepted just before :meth:`close` may open later; its caller can
-        still send one request.
+        still send one request, as can a caller that has just connected.
         """
-        self._stopping = True
-        for connection in list(self._connections):
-            connection.close_gracefully()
-        while self._connections:  # noqa: ASYNC110
+        self.announce_close()
+        loop = asyncio.get_running_loop()
+        while self._connections:
+            for connection in list(self._connections):
+                if loop.time() - connection.idle_since >= FIRST_REQUEST_S:
+                    connection.close_gracefully()
             await asyncio.sleep(CLOSE_CHECK_S)
 
     def refuse_unread(self, retry_after_s: float) -> int:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -228,3 +228,41 @@
         assert max(by_status[200]) < min(by_status[503])
 
     run_check(check)
+
+
+async def send_on(reader, writer, request):
+    """Send a request on an open connection and read its answer."""
+    writer.write(encode_head("/book/1", request, length=0, work_s=SHORT_ANSWER_S))
+    answer = await _read_answer(reader, until_whole=True)
+    return _parse_answer(answer, 0.0) if answer else no_answer()
+
+
+def test_a_stopping_node_announces_the_close_of_a_connection_with_the_answer_before_it():
+    """Guards against requests that cross the close of a connection which nobody had announced."""
+
+    async def check(fleet):
+        kept = await asyncio.open_connection(_ip(0), 80)
+        assert "connection" not in (await send_on(*kept, "before")).headers
+        stop(fleet)
+        await asyncio.sleep(0.5)
+        got = await send_on(*kept, "kept")
+        assert (got.status, got.headers["connection"]) == (200, "close")
+        got = await send_on(*await asyncio.open_connection(_ip(0), 80), "new")
+        assert (got.status, got.headers["connection"]) == (200, "close")
+
+    run_check(check)
+
+
+def test_a_caller_that_connects_just_before_a_stopping_node_closes_is_answered():
+    """Guards against a first request that crosses the close of its new connection."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        stop(fleet)
+        await asyncio.sleep(2.4)
+        connection = await asyncio.open_connection(_ip(0), 80)
+        await asyncio.sleep(0.3)
+        got = await send_on(*connection, "first")
+        assert (got.status, got.headers["connection"]) == (200, "close")
+
+    run_check(check)
