Planned stops: a short grace period is kept

A node waits 2.5 s for the load balancer, whatever its grace period; with limits.grace_s below 3.1 s it was killed in that wait, or soon after, with what it had read. The wait ends with the grace period now. test_a_stop_with_a_short_grace_period_ends_within_it fails before (the stop took longer than 2 s).

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -530,15 +530,16 @@
         """Stop accepting callers, finish the requests in progress, then end the process."""
         await self._stopping.wait()
         began = self.now()
-        ends_at = began + self.settings.limits.grace_s - GRACE_MARGIN_S
+        ends_at = began + max(0.0, self.settings.limits.grace_s - GRACE_MARGIN_S)
+        leaves_at = min(began + LEAVE_DELAY_S, ends_at)
         log.notice("stopping", in_progress=self.gateway.in_progress)
-        self.gateway.begin_stop(PlannedStop(began + LEAVE_DELAY_S, ends_at))
+        self.gateway.begin_stop(PlannedStop(leaves_at, ends_at))
         callers.announce_close()
         self.tunnels.refuse_new()
         self.view.update_self(leaving=True, ready=False)
         self._send_heartbeats()
         # Callers still connect until the load balancer has removed this node.
-        await asyncio.sleep(LEAVE_DELAY_S)
+        await asyncio.sleep(leaves_at - self.now())
         callers.close()
         await finish_requests(callers, ends_at - self.now())
         await self.tunnels.finish(ends_at - self.now())
--- a/tests/test_end_of_planned_stop.py
+++ b/tests/test_end_of_planned_stop.py
@@ -23,6 +23,8 @@
 SENT_AT_S = 1.0
 # Grace period of a process, in seconds.
 SHORT_GRACE_S = 4.0
+# Shorter than the time in which a load balancer removes a node, in seconds.
+VERY_SHORT_GRACE_S = 2.0
 
 
 async def send(path, request, *, length=0, sent=0):
@@ -141,3 +143,20 @@
         assert [(each["in_progress"], each["unread"]) for each in ended] == [(len(paths), 0)]
 
     with_fleet(check, zones=("a",), grace_s=SHORT_GRACE_S)
+
+
+def test_a_stop_with_a_short_grace_period_ends_within_it():
+    """Guards against a stop that waited for its callers for longer than it had, and was killed."""
+
+    async def check(fleet):
+        loop = asyncio.get_running_loop()
+        sending = asyncio.create_task(send("/book/1", "long"))
+        await asyncio.sleep(0.1)
+        stop(fleet)
+        began = loop.time()
+        got = await sending
+        assert (got.status, got.whole) == (502, True), got
+        await fleet._tasks[0]
+        assert loop.time() - began < VERY_SHORT_GRACE_S
+
+    run_check(check, limits={"grace_s": VERY_SHORT_GRACE_S})
