Soak: bodies that end late beside planned stops, each of them answered

Why the soak missed the cut answers: its answers are short, its callers send whole requests at once, and no check asked for an answer at the end of a stop. The plans of existing seeds stay as they are.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -30,6 +30,7 @@
     resumed_streams_go_on,
     streams_keep_their_version,
 )
+from chalkyoke_fakes.soak.uploads import uploads_are_answered
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A draining replica may still get requests for this long after its announcement.
@@ -404,13 +405,14 @@
     left_requests_end,
     begun_requests_end,
     dispatched_requests_end,
+    uploads_are_answered,
     work_hardly_overlaps,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
 # Old builds ignore the announcements in answers, the versions of replicas and the parts of prompts,
-# and close the connections of requests that they give up, so these promises do not hold for a mixed
-# fleet.
+# and close the connections of requests that they give up or can't finish, so these promises do not
+# hold for a mixed fleet.
 NEW_VERSION_CHECKERS = (
     drains_survive_store_restores,
     leaving_answers_are_respected,
@@ -423,6 +425,7 @@
     left_requests_end,
     begun_requests_end,
     dispatched_requests_end,
+    uploads_are_answered,
     work_hardly_overlaps,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -9,6 +9,7 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from chalkyoke_fakes.replica import Replica, ReplicaFaults
 from chalkyoke_fakes.soak.fleet import SoakFleet
@@ -132,6 +133,7 @@
     :param send_flood: makes one team send far more than usual for some seconds.
     :param send_streams: makes callers begin streams, and take broken ones up, for some seconds.
     :param send_crashing_part: makes callers send prompts with a part for some seconds.
+    :param start_uploads: makes callers of a node send bodies that end late.
     :param prefer_node: makes callers open most connections to a node; to any node if empty.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
@@ -148,6 +150,7 @@
         send_streams: Callable[[float], Awaitable[None]],
         send_crashing_part: Callable[[str, float], None],
         prefer_node: Callable[[str], None],
+        start_uploads: Callable[[str], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -159,6 +162,7 @@
         self.send_streams = send_streams
         self.send_crashing_part = send_crashing_part
         self.prefer_node = prefer_node
+        self._start_uploads = start_uploads
         self.active_targets: set[str] = set()
         self._operators = Operators(fleet.make_configuration, fleet.configure)
 
@@ -168,6 +172,9 @@
             # No fault of the node: it must serve all others as before.
             self._start_slow_readers(step.target)
             return
+        if step.fault is Fault.LATE_UPLOADS:
+            self._start_uploads(step.target)
+            step = replace(step, fault=Fault.NODE_STOP)
         if step.fault is Fault.CALLERS_FOCUS:
             await self._focus_callers(step)
             return
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -245,6 +245,7 @@
         written the lost records again.
     :ivar streams: the events of a complete stream, by the version that writes it.
     :ivar left_requests: requests whose callers left.
+    :ivar uploads: ids of the requests whose bodies ended late.
     :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
         changed it.
     :ivar route_moves: when routes moved to other services.
@@ -270,6 +271,7 @@
     crashing_parts: list[str] = field(default_factory=list)
     focus_periods: list[FocusPeriod] = field(default_factory=list)
     left_requests: list[LeftRequest] = field(default_factory=list)
+    uploads: set[str] = field(default_factory=set)
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
     decisions: dict[str, list[Decision]] = field(default_factory=dict)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -66,11 +66,12 @@
     SERVICE_PAUSES = "service_pauses"
     RELOAD = "reload"
     ODD_ENTRIES = "odd_entries"
+    LATE_UPLOADS = "late_uploads"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 # Faults of the callers of one node.
-CALLER_FAULTS = frozenset({Fault.SLOW_READERS, Fault.CALLERS_FOCUS})
+CALLER_FAULTS = frozenset({Fault.SLOW_READERS, Fault.CALLERS_FOCUS, Fault.LATE_UPLOADS})
 STORE_LINK_FAULTS = frozenset(
     {Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES, Fault.STORE_REPEATS}
 )
@@ -112,6 +113,8 @@
 PLANNED_SEED_MASKS = (0x57071, 0x57072)
 ODD_FAULTS = (Fault.ODD_ENTRIES,)
 ODD_SEED_MASK = 0x0DD5
+UPLOAD_FAULTS = (Fault.LATE_UPLOADS,)
+UPLOAD_SEED_MASK = 0x1A7E
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -131,6 +134,7 @@
         *SERVICE_FAULTS,
         Fault.RELOAD,
         *ODD_FAULTS,
+        *UPLOAD_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -230,6 +234,7 @@
         (SERVICE_FAULTS, SERVICE_SEED_MASK),
         *((PLANNED_FAULTS, each) for each in PLANNED_SEED_MASKS),
         (ODD_FAULTS, ODD_SEED_MASK),
+        (UPLOAD_FAULTS, UPLOAD_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -35,6 +35,7 @@
     Violation,
 )
 from chalkyoke_fakes.soak.plan import draw_faults, draw_roll
+from chalkyoke_fakes.soak.uploads import Upload
 
 KIND_BY_PATH = {
     "/book/1": Kind.ONCE,
@@ -69,6 +70,8 @@
 SLOW_ANSWER_BYTES = 600_000
 READ_PAUSE_S = 0.25
 
+# Number of callers whose bodies end late beside a planned stop.
+UPLOADS = 8
 # Requests a second during a flood of one team, and how often its callers resend a refused one: some
 # callers were seen to ignore Retry-After up to three times.
 FLOOD_PER_S = 40.0
@@ -208,6 +211,7 @@
             self._send_streams,
             self._start_crashing_part_caller,
             self._prefer_node,
+            self._start_uploads,
         )
         watch = asyncio.create_task(self._watch_own_loop())
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
@@ -333,6 +337,33 @@
             request = self._send_request(node, path, TEAM, read_pause_s=READ_PAUSE_S)
             self._slow_readers.append(asyncio.create_task(request))
 
+    def _start_uploads(self, node: str) -> None:
+        for number in range(UPLOADS):
+            path = "/book/1" if number % 2 else "/find/1"
+            self._extra_callers.append(asyncio.create_task(self._upload(node, path)))
+
+    async def _upload(self, node: str, path: str) -> None:
+        name = f"up{self._seed}-{next(self._numbers)}"
+        upload = Upload(self._fleet.nodes[node].callers, name, path, self.elapsed_s)
+        got = await upload.send(CALLER_TIMEOUT_S)
+        if got is None:
+            return
+        self.observations.uploads.add(name)
+        self.observations.attempts.append(
+            CallerAttempt(
+                name,
+                KIND_BY_PATH[path],
+                node,
+                TEAM,
+                upload.sent_at or self.elapsed_s(),
+                self.elapsed_s(),
+                DEADLINE_S,
+                got.status,
+                got.body,
+                got.whole,
+            )
+        )
+
     async def _send_burst(self, rate_per_s: float, seconds: float) -> None:
         """Send plain requests to random nodes, and wait for their answers."""
         until = min(self.elapsed_s() + seconds, self._config.seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -286,6 +286,13 @@
     observations.decisions["unread"] = [Decision("n1", "sent", {})]
 
 
+def close_a_late_upload_without_an_answer(observations):
+    observations.uploads.add("late")
+    observations.attempts.append(
+        make_attempt("late", began=20.0, ended=21.0, status=0, whole=False)
+    )
+
+
 def work_at_two_replicas_at_once(observations):
     observations.attempts.append(make_attempt("twice", Kind.RESUMABLE, began=20.0, ended=22.0))
     observations.runs += [
@@ -300,6 +307,7 @@
 
 VIOLATIONS = [
     (let_a_loop_fail, checkers.nodes_have_no_faults),
+    (close_a_late_upload_without_an_answer, checkers.uploads_are_answered),
     (run_twice, checkers.runs_once),
     (run_a_rejected_request, checkers.not_run_answers_are_true),
     (return_another_answer, checkers.answers_are_complete_and_own),
