Planned stops: no close before an answer has announced it

What callers saw: a caller whose answer had begun before the signal, and so had announced nothing, sent its next request on the kept connection when that answer had ended, and got a close without a byte; not run.

Change: only an announced close follows its answer. The other connections stay open for one more answer, which announces it; the listener closes those that stay idle for half a second once it accepts no more.

Evidence: test_a_caller_whose_answer_began_before_the_signal_may_send_its_next_request fails on (no byte) and passes now.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -220,7 +220,8 @@
     def close_gracefully(self) -> None:
         """Close after the last request that has been read; an idle connection closes at once.
 
-        The answer to that request announces the close with ``Connection: close``.
+        The answer to that request announces the close with ``Connection: close``. If its head was
+        sent before, its caller may send another request until the connection is closed as idle.
         """
         self.stopping = True
         if self.idle:
@@ -356,16 +357,13 @@
         if final_bytes:
             self.write(final_bytes)
         announced = self._response_writer is not None and self._response_writer.close_announced
-        if announced or self.closes_after_answer:
+        if announced or not self._keep_alive:
             self._close_after_linger()
             return
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
         if self._handler is None and not self.transport.is_closing():
-            if self.stopping and self.idle:
-                self._close_after_linger()
-                return
             self._start_next_request()
 
     def abort(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -266,3 +266,21 @@
         assert (got.status, got.headers["connection"]) == (200, "close")
 
     run_check(check)
+
+
+def test_a_caller_whose_answer_began_before_the_signal_may_send_its_next_request():
+    """Guards against a request that crosses a close which no answer had announced."""
+
+    async def check(fleet):
+        await serve_before(fleet, "/book/1", SHORT_ANSWER_S)
+        reader, writer = await asyncio.open_connection(_ip(0), 80)
+        writer.write(encode_head("/chat/1", "stream", length=0, work_s=1.0))
+        await asyncio.sleep(0.5)
+        stop(fleet)
+        stream = _parse_answer(await _read_answer(reader, until_whole=True), 0.0)
+        assert stream.status == 200 and stream.whole
+        assert "connection" not in stream.headers
+        got = await send_on(reader, writer, "next")
+        assert (got.status, got.headers.get("connection")) == (200, "close")
+
+    run_check(check)
