Planned stops: the last connection is waited for, the last answers linger

Two holes in Listener.finish_requests, found in review:

- It returned at once if no connection was open just then.
A connection that had been accepted, and opened a turn of the loop later, met a node that had ended its requests: 503 to a caller at 2.5 s that could be served.
- It closed connections half a second after their last answer, while they linger for a second so that input that is not read can't reset them before the caller has read the answer.

Evidence: both new tests of node/tests/test_listener.py fail before and pass now.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -79,6 +79,7 @@
         self._flushing = False
         self._timer: asyncio.TimerHandle | None = None
         self._ignores_input = False
+        self._lingers = False
         self._reading_paused = False
         self._writing_paused = False
         self._keep_alive = True
@@ -224,7 +225,7 @@
         sent before, its caller may send another request until the connection is closed as idle.
         """
         self.stopping = True
-        if self.idle:
+        if self.idle and not self._lingers:
             self._flush()
             self.transport.close()
 
@@ -363,7 +364,7 @@
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
-        if self._handler is None and not self.transport.is_closing():
+        if self._handler is None and not self._lingers and not self.transport.is_closing():
             self._start_next_request()
 
     def abort(self) -> None:
@@ -452,7 +453,7 @@
         Closing a socket with unread input resets the connection, and the caller could lose the
         answer.
         """
-        self._ignores_input = True
+        self._ignores_input = self._lingers = True
         self._flush()
         if self.transport.is_closing():
             return
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -122,11 +122,13 @@
         """
         self.announce_close()
         loop = asyncio.get_running_loop()
-        while self._connections:
+        while True:
             for connection in list(self._connections):
                 if loop.time() - connection.idle_since >= FIRST_REQUEST_S:
                     connection.close_gracefully()
             await asyncio.sleep(CLOSE_CHECK_S)
+            if not self._connections:
+                return
 
     def refuse_unread(self, retry_after_s: float) -> int:
         """Refuse the requests that are still being read.
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -4,6 +4,7 @@
 
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.messages import AnswerHead
+from chalkyoke.http1.server import LINGER_S
 from chalkyoke.http1.tests.transports import RecordingTransport
 from chalkyoke.node.listener import CLOSE_CHECK_S, Listener
 
@@ -56,3 +57,57 @@
         await finish
 
     virtual.run(main)
+
+
+def test_a_connection_that_opens_just_after_a_close_is_waited_for():
+    """Guards against a stop that ended while its last connection was accepted but not open."""
+
+    async def main():
+        writers = []
+
+        def start(request, writer):
+            writers.append(writer)
+            return Handler()
+
+        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        finish = asyncio.ensure_future(listener.finish_requests())
+        await asyncio.sleep(0)
+        late, transport = open_connection(listener)
+        await asyncio.sleep(2 * CLOSE_CHECK_S)
+        assert not finish.done()
+        late.data_received(REQUEST)
+        writers[0].send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+        writers[0].finish()
+        await asyncio.sleep(0)
+        assert transport.ended
+        late.connection_lost(None)
+        await finish
+
+    virtual.run(main)
+
+
+def test_a_stop_leaves_callers_the_time_to_read_their_last_answers():
+    """Guards against a reset that overtakes an answer whose caller has sent more meanwhile."""
+
+    async def main():
+        writers = []
+
+        def start(request, writer):
+            writers.append(writer)
+            return Handler()
+
+        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        connection, transport = open_connection(listener)
+        connection.data_received(REQUEST)
+        finish = asyncio.ensure_future(listener.finish_requests())
+        await asyncio.sleep(0)
+        writers[0].send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+        writers[0].finish()
+        await asyncio.sleep(LINGER_S - CLOSE_CHECK_S)
+        assert transport.ended and not transport.closed
+        await asyncio.sleep(2 * CLOSE_CHECK_S)
+        assert transport.closed
+        connection.connection_lost(None)
+        await finish
+
+    virtual.run(main)
