Planned stops: answers under way are compared with their like, in constant time

Two holes in the prediction by answers under way, found in review:

- The age of an answer that may be long counted against requests for short ones: with recent answers of 0.5 s for 100 tokens, one of 1,000 tokens that had run for 2.4 s refused late requests for 100 tokens.

Change: answers under way are kept by the output that their callers allowed, in the order of their dispatch, so that only the oldest of each is looked at, and counts once it has outlasted what the recent answers would take for its output.

Evidence: both new tests of gateway/tests/test_drain.py fail before and pass now.

--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -50,7 +50,8 @@
 
     def __init__(self) -> None:
         self._samples: dict[tuple[str, str], deque[AnswerDuration]] = {}
-        self._dispatched_at: dict[tuple[str, str], dict[str, float]] = {}
+        # By the output that the callers allowed, rounded up; each in the order of the dispatches.
+        self._dispatched_at: dict[tuple[str, str], dict[int, dict[str, float]]] = {}
 
     def record_dispatch(self, admission: Admission, now: float) -> None:
         """Record that a request was dispatched; its first dispatch counts.
@@ -58,13 +59,17 @@
         :param now: time on the node's clock, in seconds.
         """
         under_way = self._dispatched_at.setdefault(_key(admission), {})
-        under_way.setdefault(admission.search_id, now)
+        alike = under_way.setdefault(_rounded_output(admission), {})
+        alike.setdefault(admission.search_id, now)
 
     def record_end(self, admission: Admission) -> None:
         """Record that a request has ended, however it did."""
-        key = _key(admission)
+        key, most = _key(admission), _rounded_output(admission)
         under_way = self._dispatched_at.get(key, {})
-        under_way.pop(admission.search_id, None)
+        alike = under_way.get(most, {})
+        alike.pop(admission.search_id, None)
+        if not alike:
+            under_way.pop(most, None)
         if not under_way:
             self._dispatched_at.pop(key, None)
 
@@ -84,7 +89,7 @@
 
     def typical_s(self, admission: Admission) -> float | None:
         """Return the median duration, in seconds; None for a route without recent answers."""
-        durations = self._scaled(admission)
+        durations = self._scaled(_key(admission), admission.fields.max_output_tokens)
         return statistics.median(durations) if durations else None
 
     def longest_s(self, admission: Admission, now: float) -> float | None:
@@ -92,8 +97,9 @@
 
         :param now: time on the node's clock, in seconds.
         """
-        durations, age_s = self._scaled(admission), self._longest_age_s(admission, now)
-        return max([*durations, age_s]) or None
+        durations = self._scaled(_key(admission), admission.fields.max_output_tokens)
+        longest_s = max(durations, default=0.0)
+        return max(longest_s, self._longest_age_s(admission, now, longest_s)) or None
 
     def bound_s(self, admission: Admission, now: float) -> float | None:
         """Return a duration that few answers exceed, in seconds; None without any answer.
@@ -102,8 +108,9 @@
 
         :param now: time on the node's clock, in seconds.
         """
-        durations, age_s = self._scaled(admission), self._longest_age_s(admission, now)
+        durations = self._scaled(_key(admission), admission.fields.max_output_tokens)
         longest_s = max(durations, default=0.0)
+        age_s = self._longest_age_s(admission, now, longest_s)
         if age_s > longest_s:
             return age_s * OUTLASTING_FACTOR
         if not durations:
@@ -114,15 +121,33 @@
         """Drop the answers of all other routes."""
         self._samples = {key: kept for key, kept in self._samples.items() if key[0] in routes}
 
-    def _longest_age_s(self, admission: Admission, now: float) -> float:
-        under_way = self._dispatched_at.get(_key(admission), {})
-        ages = (now - at for request, at in under_way.items() if request != admission.search_id)
-        return max(ages, default=0.0)
+    def _longest_age_s(self, admission: Admission, now: float, above_s: float) -> float:
+        """Return the age of the oldest other request that has outlasted all recent answers.
+
+        Recent answers are scaled by the output that its caller allowed.
+
+        :param above_s: ages up to this one don't count, in seconds.
+        :return: 0 if there is none.
+        """
+        key, longest_s = _key(admission), 0.0
+        for most, alike in self._dispatched_at.get(key, {}).items():
+            others = (at for request, at in alike.items() if request != admission.search_id)
+            age_s = now - next(others, now)
+            if age_s <= max(above_s, longest_s):
+                continue
+            if age_s > max(self._scaled(key, most), default=0.0):
+                longest_s = age_s
+        return longest_s
 
-    def _scaled(self, admission: Admission) -> list[float]:
-        most = admission.fields.max_output_tokens
-        return [each.scaled_s(most) for each in self._samples.get(_key(admission), ())]
+    def _scaled(self, key: tuple[str, str], max_output_tokens: int) -> list[float]:
+        return [each.scaled_s(max_output_tokens) for each in self._samples.get(key, ())]
 
 
 def _key(admission: Admission) -> tuple[str, str]:
     return admission.route.name, admission.service.name
+
+
+def _rounded_output(admission: Admission) -> int:
+    """Return the next power of two, so that there are few different ones."""
+    most = admission.fields.max_output_tokens
+    return 1 << (most - 1).bit_length() if most > 0 else 0
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -1,5 +1,7 @@
 """Tests of the decision which requests a node takes during a planned stop."""
 
+import time
+
 import pytest
 from chalkyoke.catalog.resources import Route, RouteKind, Service, Target
 from chalkyoke.gateway.drain import REFUSAL_TIME_S, Drain, PlannedStop
@@ -134,3 +136,28 @@
         drain.durations.record_dispatch(slow, at)
     assert drain.durations.bound_s(slow, 105.0) is None
     assert drain.durations.bound_s(admitted(105.0), 105.0) == 2 * OUTLASTING_FACTOR
+
+
+def test_an_answer_under_way_that_may_be_long_says_nothing_of_short_ones():
+    """Guards against short requests that a stop refused because of long ones under way."""
+    drain = stopping(*[(0.5, 100)] * 50)
+    long = admitted(102.6, request="long", max_output=1000)
+    drain.durations.record_dispatch(long, 102.6)
+    assert is_taken(drain, admitted(105.0, max_output=100))
+    slow = admitted(102.6, request="slow", max_output=100)
+    drain.durations.record_dispatch(slow, 102.6)
+    assert not is_taken(drain, admitted(105.0, max_output=100))
+    drain.durations.record_end(slow)
+    assert is_taken(drain, admitted(105.0, max_output=100))
+
+
+def test_a_prediction_does_not_read_all_answers_under_way():
+    """Guards against a stop that held the event loop up for seconds with thousands in progress."""
+    drain = stopping((0.5, 0))
+    under_way = [admitted(102.0, request=f"r{number}") for number in range(50_000)]
+    for each in under_way:
+        drain.durations.record_dispatch(each, 102.0)
+    began = time.process_time()
+    for each in under_way[:200]:
+        assert drain.durations.longest_s(each, 105.0) == 3.0
+    assert time.process_time() - began < 0.2
