--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -79,6 +79,7 @@
         self._flushing = False
         self._timer: asyncio.TimerHandle | None = None
         self._ignores_input = False
+        self._lingers = False
         self._reading_paused = False
         self._writing_paused = False
         self._keep_alive = True
@@ -220,10 +221,11 @@
     def close_gracefully(self) -> None:
         """Close after the last request that has been read; an idle connection closes at once.
 
-        The answer to that request announces the close with ``Connection: close``.
+        The answer to that request announces the close with ``Connection: close``. If its head was
+        sent before, its caller may send another request until the connection is closed as idle.
         """
         self.stopping = True
-        if self.idle:
+        if self.idle and not self._lingers:
             self._flush()
             self.transport.close()
 
@@ -356,16 +358,13 @@
         if final_bytes:
             self.write(final_bytes)
         announced = self._response_writer is not None and self._response_writer.close_announced
-        if announced or self.closes_after_answer:
+        if announced or not self._keep_alive:
             self._close_after_linger()
             return
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
-        if self._handler is None and not self.transport.is_closing():
-            if self.stopping and self.idle:
-                self._close_after_linger()
-                return
+        if self._handler is None and not self._lingers and not self.transport.is_closing():
             self._start_next_request()
 
     def abort(self) -> None:
@@ -454,7 +453,7 @@
         Closing a socket with unread input resets the connection, and the caller could lose the
         answer.
         """
-        self._ignores_input = True
+        self._ignores_input = self._lingers = True
         self._flush()
         if self.transport.is_closing():
             return
