Completions node: a planned stop has a grace period and answers at its end

Seen: a completions node that was stopped while requests outlasted the time that its service manager gives it was killed (exit -9) and cut them all: four streams broke off without an error event, four waiting and four unrepeatable requests got no byte, nor did three that it had forwarded, nor three whose body was still arriving.

Cause: `Node._run_planned_stop` waited for runs and pools without a bound and knew no grace period; whoever waits for it has one.

Fix: `limits.grace_s` (default 30, at least 3, checked at the start; 0 keeps the stop without a limit). 1.5 s before its end every run is ended: not_run with Retry-After if it was not dispatched, else failed or unknown; bodies that still arrive get not_run, answers of other hosts unknown or failed, forwarded requests a ForwardEnd. Answers to bodies that are not read completely read on, so that the close does not reset the connection under the answer. The node then closes its links and exits.

--- a/packages/chalkyoke/src/chalkyoke/entry/answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/answers.py
@@ -17,7 +17,7 @@
     ForwardHead,
 )
 from chalkyoke.entry.readers import AnswerReader
-from chalkyoke.entry.service import EntryService
+from chalkyoke.entry.service import STOPPING_DETAIL, EntryService
 from chalkyoke.exceptions import LinkError, ProtocolError
 from chalkyoke.links.connection import Connection
 from chalkyoke.links.peers import Links
@@ -28,6 +28,8 @@
 RETRY_AFTER_S = 1.0
 # Time after the deadline for which an answer of another process is still awaited, in seconds.
 FORWARD_GRACE_S = 0.5
+# Detail for an answer of another host that this one no longer relays.
+ELSEWHERE_DETAIL = "this host is stopping; ask another one with the same token"
 
 
 class Answer(Protocol):
@@ -42,6 +44,9 @@
     def refusal(self) -> Refusal | None:
         """Return why the answer is incomplete; None for a complete one."""
 
+    def give_up(self) -> None:
+        """End the answer because this host stops; it has a refusal then, unless it is complete."""
+
     def close(self) -> None:
         """Stop reading; a second call does nothing."""
 
@@ -52,6 +57,7 @@
     def __init__(self, service: EntryService, reader: AnswerReader) -> None:
         self._service = service
         self._reader = reader
+        self._given_up = False
 
     async def read_head(self) -> AnswerHead | None:
         """Wait until the answer starts; None where it never does."""
@@ -64,7 +70,15 @@
 
     def refusal(self) -> Refusal | None:
         """Return why the answer is incomplete; None for a complete one."""
-        return self._service.refusal_for(self._reader.run)
+        run = self._reader.run
+        if self._given_up and run.end is None:
+            return run.make_failure(Reason.STOPPING, STOPPING_DETAIL)
+        return self._service.refusal_for(run)
+
+    def give_up(self) -> None:
+        """End the answer because this host stops; it has a refusal then, unless it is complete."""
+        self._given_up = True
+        self._reader.stop_waiting()
 
     def close(self) -> None:
         """Stop reading; a second call does nothing."""
@@ -79,10 +93,13 @@
 
     def __init__(self, connection: Connection, budget_s: float) -> None:
         self._connection = connection
-        self._deadline = asyncio.get_running_loop().time() + budget_s + FORWARD_GRACE_S
+        self._loop = asyncio.get_running_loop()
+        self._deadline = self._loop.time() + budget_s + FORWARD_GRACE_S
+        self._waiting: asyncio.Timeout | None = None
         self._end: ForwardEnd | None = None
         self._size = 0
         self._started = False
+        self._given_up = False
 
     async def read_head(self) -> AnswerHead | None:
         """Wait until the answer starts; None where it never does."""
@@ -116,19 +133,30 @@
         if self._end is not None:
             return self._end.refusal
         verdict = Verdict.FAILED if self._started else Verdict.UNKNOWN
+        if self._given_up:
+            return Refusal(verdict, Reason.STOPPING, ELSEWHERE_DETAIL, RETRY_AFTER_S, self._size)
         text = "the host that issued the token stopped answering; ask again with the same token"
         return Refusal(verdict, Reason.ISSUER_UNREACHABLE, text, RETRY_AFTER_S, self._size)
 
+    def give_up(self) -> None:
+        """End the answer because this host stops; it has a refusal then, unless it is complete."""
+        self._given_up = True
+        self._deadline = self._loop.time()
+        if self._waiting is not None:
+            self._waiting.reschedule(self._deadline)
+
     def close(self) -> None:
         """Stop reading; a second call does nothing."""
         self._connection.discard()
 
     async def _receive(self) -> object:
         try:
-            async with asyncio.timeout_at(self._deadline):
+            async with asyncio.timeout_at(self._deadline) as self._waiting:
                 message = await self._connection.receive()
         except (TimeoutError, ProtocolError):
             return None
+        finally:
+            self._waiting = None
         if isinstance(message, ForwardEnd):
             self._end = message
         return message
@@ -164,6 +192,14 @@
     return Refusal(Verdict.UNKNOWN, Reason.ISSUER_GONE, text)
 
 
+def relay_ended_refusal() -> Refusal:
+    """Build the refusal for a request that a stopping host was about to forward.
+
+    :rtype: Refusal
+    """
+    return Refusal(Verdict.UNKNOWN, Reason.STOPPING, ELSEWHERE_DETAIL, RETRY_AFTER_S)
+
+
 async def serve_forward(
     connection: Connection, service: EntryService, token: Token, message: Forward
 ) -> None:
--- a/packages/chalkyoke/src/chalkyoke/entry/ends.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/ends.py
@@ -30,7 +30,12 @@
 
 
 # Reasons whose grants are released as cancelled: the upstream did not fail.
-CANCELLATION_REASONS = (Reason.EXPIRED, Reason.CALLER_LEFT, Reason.TOO_LARGE)
+CANCELLATION_REASONS = (
+    Reason.EXPIRED,
+    Reason.CALLER_LEFT,
+    Reason.STOPPING,
+    Reason.TOO_LARGE,
+)
 
 
 class OutcomeRecorder:
--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -21,7 +21,9 @@
     RemoteAnswer,
     forward_request,
     issuer_gone_refusal,
+    relay_ended_refusal,
 )
+from chalkyoke.entry.cutoff import Cutoff
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.entry.reception import (
     EVENT_HEADER,
@@ -32,7 +34,7 @@
     read_completion,
     read_plain,
 )
-from chalkyoke.entry.service import EntryService
+from chalkyoke.entry.service import STOPPING_DETAIL, STOPPING_RETRY_S, EntryService
 from chalkyoke.entry.streams import assemble_completion
 from chalkyoke.links.peers import Links
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
@@ -42,6 +44,10 @@
 MAX_BODY_BYTES = 16_000_000
 # Key of the ASGI scope under which a request's receive channel is kept.
 RECEIVE_KEY = "chalkyoke.receive"
+# Key of the ASGI scope that is set if a request is answered before its body has been read.
+UNREAD_KEY = "chalkyoke.unread"
+# Interval in seconds at which an ending process checks whether all requests have been answered.
+FINISH_CHECK_S = 0.02
 # Retry-After in seconds where the token ledger is full.
 LEDGER_FULL_RETRY_S = 5.0
 
@@ -69,12 +75,27 @@
     """
 
     async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_and_linger(message: dict[str, Any]) -> None:
+            last = message["type"] == "http.response.body" and not message.get("more_body")
+            if not last or UNREAD_KEY not in scope:
+                await send(message)
+                return
+            await send({**message, "more_body": True})
+            await _discard_body(receive)
+            await send({"type": "http.response.body"})
+
         scope[RECEIVE_KEY] = receive
-        await app(scope, receive, send)
+        await app(scope, receive, send_and_linger)
 
     return wrapped
 
 
+async def _discard_body(receive: Receive) -> None:
+    """Read the rest of a body, since a close that leaves bytes unread may reset the connection."""
+    while (message := await receive())["type"] == "http.request" and message.get("more_body"):
+        pass
+
+
 class CallerApi:
     """Serve the HTTP API for callers.
 
@@ -94,6 +115,7 @@
         self._links = links
         self._events = events
         self._ready = ready
+        self._cutoff = Cutoff()
 
     def app(self) -> App:
         """Build the ASGI application with all routes.
@@ -109,6 +131,18 @@
         problems.stop_on_broken_invariants(app)
         return keep_receive_channel(app)
 
+    def end_requests(self) -> None:
+        """Answer all requests that were read, and each that comes later, because the process ends.
+
+        End the runs first.
+        """
+        self._cutoff.end()
+
+    async def finish_requests(self) -> None:
+        """Wait until no request waits for an answer."""
+        while self._cutoff.waiting():  # noqa: ASYNC110
+            await asyncio.sleep(FINISH_CHECK_S)
+
     async def issue_token(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         """Issue a token for one later request; respond 201 with its lifetime in seconds."""
         team = authenticate(req.headers_lower, self.configuration)
@@ -116,7 +150,7 @@
             _respond_bad_request(resp, team.err_value)
             return
         if self._service.stopping:
-            refusal = not_run(Reason.STOPPING, "this host is stopping", 1.0)
+            refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, 1.0)
             problems.respond(resp, problems.of_refusal(refusal, "", ""))
             return
         _, text = self._service.runs.issue_token(self._service.now())
@@ -138,6 +172,11 @@
             problems.respond(resp, problems.of_refusal(refusal, "", ""))
             return
         checked = await self._read_request(req, read)
+        if checked is None:
+            req.scope[UNREAD_KEY] = True
+            refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
+            problems.respond(resp, problems.of_refusal(refusal, "", ""))
+            return
         if isinstance(checked, Err):
             _respond_bad_request(resp, checked.err_value)
             return
@@ -152,13 +191,16 @@
         self,
         req: falcon.asgi.Request,
         read: Callable[[bytes, Any], Result[CallerRequest, BadRequest]],
-    ) -> Result[CallerRequest, BadRequest]:
+    ) -> Result[CallerRequest, BadRequest] | None:
+        """Read and validate a request; None if the process ends before the body has arrived."""
         team = authenticate(req.headers_lower, self.configuration)
         if isinstance(team, Err):
             return team
         if (req.content_length or 0) > MAX_BODY_BYTES:
             return Err(BadRequest(413, "body", f"larger than {MAX_BODY_BYTES} bytes"))
-        body = await req.stream.read(MAX_BODY_BYTES + 1)
+        body = await self._cutoff.run(req.stream.read(MAX_BODY_BYTES + 1))
+        if body is None:
+            return None
         if len(body) > MAX_BODY_BYTES:
             return Err(BadRequest(413, "body", f"larger than {MAX_BODY_BYTES} bytes"))
         return read(body, team.ok_value)
@@ -193,7 +235,7 @@
         if isinstance(answer, Refusal):
             problems.respond(resp, problems.of_refusal(answer, text, event))
             return
-        delivery = _Delivery(req, resp, answer, text, event)
+        delivery = _Delivery(req, resp, answer, text, event, self._cutoff)
         await (
             delivery.start_stream()
             if request.stream
@@ -206,7 +248,8 @@
         if token.host == self._service.runs.ledger.host:
             return issuer_gone_refusal()
         self._events.add(EventKind.FORWARDED, token.request, to=token.host)
-        return await forward_request(self._links, token, text, request)
+        answer = await self._cutoff.run(forward_request(self._links, token, text, request))
+        return answer or relay_ended_refusal()
 
 
 class _Delivery:
@@ -219,7 +262,10 @@
         answer: Answer,
         token: str,
         event: str,
+        cutoff: Cutoff,
     ) -> None:
+        self._cutoff = cutoff
+        cutoff.add(answer)
         self._resp = resp
         self._answer = answer
         self._token = token
@@ -292,6 +338,7 @@
 
     def _close(self) -> None:
         self._disconnect_watch.cancel()
+        self._cutoff.remove(self._answer)
         self._answer.close()
 
     async def _close_on_disconnect(self, receive: Receive) -> None:
--- a/packages/chalkyoke/src/chalkyoke/entry/readers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/readers.py
@@ -63,6 +63,10 @@
                 return None
             await self._wait()
 
+    def stop_waiting(self) -> None:
+        """Let the reader end now, as if its deadline had passed."""
+        self._on_deadline()
+
     def close(self) -> None:
         """Detach from the run; a second call does nothing."""
         if self._on_close is None:
--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -31,6 +31,7 @@
 NOT_REPEATABLE_RUN_S = 60.0
 # Retry-After in seconds that a stopping host returns; the caller then retries at another host.
 STOPPING_RETRY_S = 0.5
+STOPPING_DETAIL = "this host is stopping"
 # Interval in seconds at which a stopping node checks whether all runs and readers have finished.
 DRAIN_CHECK_S = 0.05
 
@@ -90,7 +91,7 @@
         self._events.add(EventKind.ARRIVED, run.id, service=request.service, tier=request.tier)
         self._metrics.count("arrived", tier=request.tier)
         if self.stopping:
-            refusal = not_run(Reason.STOPPING, "this host is stopping", STOPPING_RETRY_S)
+            refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
             self._recorder.refuse(run, refusal)
             return Ok(run)
         run.mark_queued()
@@ -155,7 +156,7 @@
                 # A dispatched run goes on without its caller, so that a retry with the same token
                 # can read its outcome.
                 await asyncio.shield(
-                    self._start_task(f"{run.id}/run", self._send_once(run, decision))
+                    self._start_task(_send_task_name(run), self._send_once(run, decision))
                 )
 
     async def _send_once(self, run: Run, grant: Grant) -> None:
@@ -175,7 +176,8 @@
             return
         if not run.dispatched:
             self._acquirer.withdraw(run)
-            self._recorder.refuse(run, not_run(reason, detail))
+            retry_after_s = STOPPING_RETRY_S if reason is Reason.STOPPING else None
+            self._recorder.refuse(run, not_run(reason, detail, retry_after_s))
         elif run.request.repeatable:
             self._recorder.fail(run, reason, detail)
             self._start_task(f"{run.id}/cancel", self._dispatcher.cancel(run))
@@ -213,7 +215,32 @@
         """
         return list(self.runs.active())
 
+    def end_runs(self) -> None:
+        """End all runs that are in progress, and refuse new ones.
+
+        Runs that were not dispatched get the verdict "not run"; the others are "failed" or
+        "unknown".
+        """
+        self.stopping = True
+        for run in self.in_progress():
+            try:
+                self._end_run(run)
+            except InvariantBroken as error:
+                log.error("request {} can't be ended: {!r}", run.id, error)
+
+    def _end_run(self, run: Run) -> None:
+        for name in (run.id, _send_task_name(run)):
+            if (task := self._tasks.get(name)) is not None:
+                task.cancel()
+        self._abandon(run, Reason.STOPPING, STOPPING_DETAIL)
+        if run.end is None:
+            self._recorder.fail(run, Reason.STOPPING, STOPPING_DETAIL)
+
     async def drain(self) -> None:
         """Wait until every run has ended and every reader is closed."""
         while self._tasks or any(run.readers for run in self.runs.all()):  # noqa: ASYNC110
             await asyncio.sleep(DRAIN_CHECK_S)
+
+
+def _send_task_name(run: Run) -> str:
+    return f"{run.id}/run"
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import secrets
 import signal
 from collections.abc import Callable, Coroutine
@@ -45,7 +46,7 @@
 from chalkyoke.node.ports import FleetPort
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
-from chalkyoke.node.servers import HttpServer
+from chalkyoke.node.servers import STOP_WAIT_S, HttpServer
 from chalkyoke.node.supervisor import Supervisor
 from chalkyoke.node.wallclock import wall_clock_ms
 from chalkyoke.scheduling.messages import (
@@ -73,6 +74,13 @@
 HOUSEKEEPING_S = 1.0
 # How long a stop is announced before requests are drained, in heartbeats.
 LEAVE_NOTICE_HEARTBEATS = 3
+# How long before the end of the grace period all requests that are left are answered, in seconds:
+# time for callers to read the answers. After the grace period the process may be killed.
+GRACE_MARGIN_S = 1.5
+# How long an ending node waits until its last answers are sent, and then until its servers have
+# closed their connections, in seconds.
+LAST_ANSWERS_S = 0.5
+CLOSE_S = 0.3
 # Bits of the random incarnation number, which distinguishes two starts of a process. 62 bits keep
 # the number positive in 64 bits.
 INCARNATION_BITS = 62
@@ -134,6 +142,7 @@
         self.events = EventRing(settings.node.host, HybridClock(), wall_clock_ms)
         self.view = MembershipView(self._record, settings.timing.heartbeat_interval_s)
         self._stopping = asyncio.Event()
+        self._close_wait_s = STOP_WAIT_S
         self._supervisor = Supervisor(self.metrics, lambda: len(self.entry.in_progress()))
         self._make_links()
         self._make_platform()
@@ -202,10 +211,13 @@
     def _make_apis(self) -> None:
         settings, tls = self.settings, self.settings.tls
         port = FleetPort(lambda: self.configuration.fleet)
-        callers = CallerApi(self.entry, port, self.links, self.events, self.is_ready)
+        self.callers = CallerApi(self.entry, port, self.links, self.events, self.is_ready)
         self._servers = [
             HttpServer(
-                callers.app(), settings.listen.callers, tls.callers_certificate, tls.callers_key
+                self.callers.app(),
+                settings.listen.callers,
+                tls.callers_certificate,
+                tls.callers_key,
             ),
             HttpServer(
                 NodeApi(self).app(),
@@ -277,8 +289,19 @@
             raise failure
 
     async def _run_planned_stop(self) -> None:
-        """Stop accepting requests, hand pools off, finish requests in progress, then end."""
+        """Hand pools off and finish requests in progress; end those that outlast the grace."""
         await self._stopping.wait()
+        grace_s = self.settings.limits.grace_s
+        try:
+            async with asyncio.timeout(grace_s - GRACE_MARGIN_S if grace_s else None):
+                await self._finish_requests()
+        except TimeoutError:
+            await self._answer_last_requests()
+        self.events.add(EventKind.STOPPED)
+        self._supervisor.ended.set()
+
+    async def _finish_requests(self) -> None:
+        """Stop accepting requests, hand pools off and wait for requests in progress."""
         log.notice("planned stop: {} requests in progress", len(self.entry.in_progress()))
         self.events.add(EventKind.STOPPING, in_progress=len(self.entry.in_progress()))
         self.entry.stopping = True
@@ -290,13 +313,22 @@
             if len(self.view.live()) == 1:
                 break
             await asyncio.sleep(TICK_S)
-        self.events.add(EventKind.STOPPED)
-        self._supervisor.ended.set()
+
+    async def _answer_last_requests(self) -> None:
+        """End the requests that are left, and wait until their callers have been told."""
+        log.warning("{} requests are ended unanswered", len(self.entry.in_progress()))
+        self._close_wait_s = CLOSE_S
+        self.entry.end_runs()
+        self.callers.end_requests()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_ANSWERS_S):
+                await self.callers.finish_requests()
+                await self.entry.drain()
 
     async def _close(self) -> None:
         self._supervisor.cancel()
         if self._supervisor.failure is None:
-            await asyncio.gather(*(server.stop() for server in self._servers))
+            await asyncio.gather(*(server.stop(self._close_wait_s) for server in self._servers))
         await self.links.close()
         await self._platform_session.close()
         await self._upstream_session.close()
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -18,6 +18,8 @@
 BACKLOG_CONNECTIONS = 1024
 # How long an idle connection is kept open, in seconds.
 KEEP_ALIVE_S = 30
+# How long a server that stops waits for its last requests, in seconds.
+STOP_WAIT_S = 2.0
 
 
 class _Server(uvicorn.Server):
@@ -49,7 +51,6 @@
             access_log=False,
             server_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=2,
             ssl_certfile=certificate or None,
             ssl_keyfile=key or None,
         )
@@ -83,8 +84,12 @@
         assert self._socket is not None
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
-    async def stop(self) -> None:
-        """Stop accepting connections and wait for the requests in progress."""
+    async def stop(self, wait_s: float = STOP_WAIT_S) -> None:
+        """Stop accepting connections and wait for the requests in progress.
+
+        :param wait_s: how long to wait; connections that are still open then are closed.
+        """
+        self._server.config.timeout_graceful_shutdown = wait_s  # type: ignore[assignment]
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -22,6 +22,8 @@
 SHA256 = re.compile(r"^[0-9a-f]{64}$")
 MIN_KEY_BYTES = 16
 MAX_KEY_BYTES = 64
+# Shortest grace period of a planned stop, in seconds; 0 means none.
+MIN_GRACE_S = 3.0
 
 
 class _Section(BaseModel):
@@ -124,10 +126,21 @@
 
 
 class LimitsSection(_Section):
-    """Limits of the state that this node keeps."""
+    """Limits of the state that this node keeps, and of its planned stop.
+
+    :ivar grace_s: how long a planned stop may take, in seconds; 0 for no limit.
+    """
 
     token_lifetime_s: float = Field(default=900.0, ge=1, le=86_400)
     tokens_kept: int = Field(default=100_000, ge=100)
+    grace_s: float = Field(default=30.0, allow_inf_nan=False)
+
+    @field_validator("grace_s")
+    @classmethod
+    def _check_grace(cls, grace_s: float) -> float:
+        if grace_s != 0 and grace_s < MIN_GRACE_S:
+            raise ValueError(f"the grace period is at least {MIN_GRACE_S:g} s, or 0 for no limit")
+        return grace_s
 
 
 class PolicySection(_Section):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -53,12 +53,12 @@
 }
 
 
-def with_fleet(check):
+def with_fleet(check, platform=PLATFORM):
     """Run a check against a fresh fleet of three nodes."""
 
     async def main():
         with tempfile.TemporaryDirectory(prefix="chalkyoke-test-") as folder:
-            fleet = LocalFleet(Path(folder), PLATFORM, RESOURCES)
+            fleet = LocalFleet(Path(folder), platform, RESOURCES)
             async with fleet, aiohttp.ClientSession() as session:
                 await check(fleet, Caller(session, KEY))
 
