Completions node: answer what was read before a broken invariant ends it

Seen: after a broken invariant the node ended at once and cut every request: streams without an error event, the others without a byte.

Cause: `Node._close` skipped its servers after a fault, and nothing ended the runs.

Fix: the last answers of a planned stop are given here too, before the links and servers close: not_run, failed or unknown, with reason `stopping`. A run that can't be ended, as its own state may be what broke, is logged and hinders no other (not tested).

tests/test_broken_invariants_completions.py fails before ("nothing ClientPayloadError"), passes after; the node ends with 70 within 2 s.

--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -225,7 +225,7 @@
         for run in self.in_progress():
             try:
                 self._end_run(run)
-            except InvariantBroken as error:
+            except Exception as error:
                 log.error("request {} can't be ended: {!r}", run.id, error)
 
     def _end_run(self, run: Run) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -282,8 +282,10 @@
         stopping = asyncio.create_task(self._run_planned_stop())
         await self._supervisor.ended.wait()
         stopping.cancel()
-        await self._close()
         failure = self._supervisor.failure
+        if failure is not None:
+            await self._answer_last_requests()
+        await self._close()
         if failure is not None:
             self.events.add(EventKind.STOPPED, fault=repr(failure))
             raise failure
@@ -327,8 +329,7 @@
 
     async def _close(self) -> None:
         self._supervisor.cancel()
-        if self._supervisor.failure is None:
-            await asyncio.gather(*(server.stop(self._close_wait_s) for server in self._servers))
+        await asyncio.gather(*(server.stop(self._close_wait_s) for server in self._servers))
         await self.links.close()
         await self._platform_session.close()
         await self._upstream_session.close()
--- /dev/null
+++ b/tests/test_broken_invariants_completions.py
@@ -0,0 +1,83 @@
+"""
+tests.test_broken_invariants_completions
+
+Guards against a completions node that ends on a broken invariant and closes the connections of
+callers whose requests it has read, without an answer.
+"""
+
+import asyncio
+import signal
+import sys
+
+from chalkyoke_fakes.caller import ReplyOutcome
+
+from tests.test_planned_stop_completions import send_in_parts
+from tests.test_processes import (
+    completion_body,
+    is_ready,
+    received_counts,
+    wait_until,
+    with_fleet,
+)
+
+# A node that breaks an invariant on SIGUSR1.
+BREAKABLE_NODE = """
+import asyncio, signal
+from chalkyoke import cli
+from chalkyoke.exceptions import InvariantBroken
+from chalkyoke.node.process import Node
+
+run = Node.run
+
+async def run_until_broken(node):
+    fail = lambda: node._supervisor.fail(InvariantBroken("planted"))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, fail)
+    await run(node)
+
+Node.run = run_until_broken
+cli.main()
+"""
+EXIT_INVARIANT = 70
+# Longest time that a node may take to end, in seconds.
+END_S = 2.0
+SLOW_S = 20.0
+
+
+async def start_breakable(fleet):
+    node = fleet.nodes["n1"]
+    node.send_signal(signal.SIGKILL)
+    node.popen.wait()
+    file = fleet.folder / "n1.toml"
+    command = [sys.executable, "-c", BREAKABLE_NODE, "serve", "--settings", str(file)]
+    node.popen = fleet._spawn("n1", command)
+    await wait_until(lambda: is_ready(fleet, "n1"))
+    return node
+
+
+def test_requests_that_were_read_are_answered_before_a_broken_invariant_ends_the_node():
+    async def check(fleet, caller):
+        node = await start_breakable(fleet)
+        await fleet.set_faults(fleet.upstreams["p1"], latency_s=SLOW_S)
+        streams = [
+            asyncio.create_task(caller.complete(node.address, completion_body(600)))
+            for _ in range(4)
+        ]
+        await wait_until(lambda: received_counts(fleet))
+        await asyncio.sleep(0.5)
+        waiting = asyncio.create_task(caller.complete(node.address, completion_body(600)))
+        booking = asyncio.create_task(caller.call(node.address, "seats", b"{}"))
+        partial = asyncio.create_task(send_in_parts(node.address, 12, 0.2))
+        await asyncio.sleep(0.5)
+
+        node.send_signal(signal.SIGUSR1)
+        async with asyncio.timeout(END_S):
+            while node.popen.poll() is None:
+                await asyncio.sleep(0.02)
+        assert node.popen.returncode == EXIT_INVARIANT
+        for reply in await asyncio.gather(*streams):
+            assert (reply.outcome, reply.reason) == (ReplyOutcome.FAILED, "stopping"), reply
+        assert ((await waiting).outcome, (await waiting).status) == (ReplyOutcome.NOT_RUN, 503)
+        assert ((await booking).outcome, (await booking).status) == (ReplyOutcome.UNKNOWN, 504)
+        assert (await partial).startswith(b"HTTP/1.1 503 ")
+
+    with_fleet(check)
