Completions node: answers of a planned stop announce the close

Cause: the 503s of a stop left the connection open until uvicorn closed all idle ones at once, and a request may cross that close.

Fix: from the start of a stop each answer carries `Connection: close`. On a pipelined connection the last request that was read announces it, since the ones behind an announced close are dropped.

--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -307,6 +307,8 @@
         log.notice("planned stop: {} requests in progress", len(self.entry.in_progress()))
         self.events.add(EventKind.STOPPING, in_progress=len(self.entry.in_progress()))
         self.entry.stopping = True
+        for server in self._servers:
+            server.announce_close()
         self.view.update_self(leaving=True)
         self._send_heartbeats()
         await asyncio.sleep(LEAVE_NOTICE_HEARTBEATS * self.view.interval_s)
@@ -320,6 +322,8 @@
         """End the requests that are left, and wait until their callers have been told."""
         log.warning("{} requests are ended unanswered", len(self.entry.in_progress()))
         self._close_wait_s = CLOSE_S
+        for server in self._servers:
+            server.announce_close()
         self.entry.end_runs()
         self.callers.end_requests()
         with contextlib.suppress(TimeoutError):
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from chalkyoke.node.listening import ListenAddress
 
@@ -22,6 +23,40 @@
 STOP_WAIT_S = 2.0
 
 
+class _Config(uvicorn.Config):
+    """The configuration of a server, with the state that its connections share.
+
+    :ivar closing: whether answers announce the close of their connection.
+    """
+
+    closing = False
+
+
+class _Connection(HttpToolsProtocol):
+    """A connection that announces its close with its last answer once the server is closing.
+
+    Requests that were read behind another one are answered, so only the last answer announces it.
+    """
+
+    def on_headers_complete(self) -> None:
+        """Start the request whose head is complete."""
+        previous = self.cycle
+        super().on_headers_complete()
+        if not self._is_closing():
+            return
+        if previous is not None and not previous.response_started:
+            previous.keep_alive = True
+        self.announce_close()
+
+    def announce_close(self) -> None:
+        """Announce the close with the answer to the latest request, unless that has begun."""
+        if self.cycle is not None and not self.cycle.response_started:
+            self.cycle.keep_alive = False
+
+    def _is_closing(self) -> bool:
+        return isinstance(self.config, _Config) and self.config.closing
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the node."""
 
@@ -41,10 +76,10 @@
     def __init__(self, app: Any, address: str, certificate: str = "", key: str = "") -> None:
         self._address = address
         self._socket: socket.socket | None = None
-        config = uvicorn.Config(
+        self._config = _Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=_Connection,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -54,7 +89,7 @@
             ssl_certfile=certificate or None,
             ssl_keyfile=key or None,
         )
-        self._server = _Server(config)
+        self._server = _Server(self._config)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -84,12 +119,19 @@
         assert self._socket is not None
         self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
 
+    def announce_close(self) -> None:
+        """Announce the close of each connection with its next answer; serve on meanwhile."""
+        self._config.closing = True
+        for connection in self._server.server_state.connections:
+            if isinstance(connection, _Connection):
+                connection.announce_close()
+
     async def stop(self, wait_s: float = STOP_WAIT_S) -> None:
         """Stop accepting connections and wait for the requests in progress.
 
         :param wait_s: how long to wait; connections that are still open then are closed.
         """
-        self._server.config.timeout_graceful_shutdown = wait_s  # type: ignore[assignment]
+        self._config.timeout_graceful_shutdown = wait_s  # type: ignore[assignment]
         self._server.should_exit = True
         if self._task is not None:
             await self._task
