--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -25,7 +25,7 @@
 )
 from chalkyoke.gateway.relay import Delivery
 from chalkyoke.gateway.replacement import find_objection, next_search_at
-from chalkyoke.gateway.replies import RETRY_SOON_S, STOPPING, Replies
+from chalkyoke.gateway.replies import INTERNAL_FAULT, RETRY_SOON_S, STOPPING, Replies
 from chalkyoke.gateway.sender import Sender
 from chalkyoke.gateway.sendlog import SendLog, silent_s
 from chalkyoke.gateway.takeover import Send
@@ -137,10 +137,13 @@
         loop = asyncio.get_running_loop()
         self._stop_timer = loop.call_at(self._loop_time(latest), self._refuse_unsent)
 
-    def end_after_fatal_fault(self) -> None:
-        """Answer the request at once with what is known of it, as the process is about to end."""
+    def end_now(self, reason: str) -> None:
+        """Answer the request at once with what is known of it, as the process is about to end.
+
+        :param reason: why the process ends.
+        """
         self._response.close_gracefully()
-        self._replies.end_after_fault(self._admission)
+        self._replies.end_unfinished(self._admission, reason)
         self._sender.cancel()
         if self.task is not None:
             self.task.cancel()
@@ -188,6 +191,7 @@
             if self._stop_timer is not None:
                 self._stop_timer.cancel()
             self._sender.close()
+            parts.drain.durations.record_end(decision)
             self._refund_charge(decision)
 
     async def _serve_in_time(self, admission: Admission) -> None:
@@ -222,7 +226,7 @@
         """Release the grant, and refuse or abort the request after an unexpected exception."""
         if self._admission is not None:
             self._release_cancelled(self._admission)
-        self._replies.end_after_fault(self._admission)
+        self._replies.end_unfinished(self._admission, INTERNAL_FAULT)
 
     def _refund_charge(self, admission: Admission) -> None:
         """Refund the quota charge of a request that ends without a run."""
@@ -239,7 +243,7 @@
         """Return when the request must have been sent; None if no stop limits that."""
         if self._admission is None:
             return None
-        return self._parts.drain.latest_dispatch(self._admission)
+        return self._parts.drain.latest_dispatch(self._admission, self._parts.now())
 
     def _is_too_late(self) -> bool:
         """Return whether no replica has the request and its answer would not end in time."""
@@ -301,6 +305,9 @@
             if isinstance(granted, Denied):
                 return granted
             self._granted = granted
+            if self._is_too_late():
+                self._return_grant(admission, granted)
+                return Denied(STOPPING, RETRY_SOON_S)
             objection = find_objection(
                 admission,
                 granted,
