Completions node: a planned stop that fails ends the process

Seen (planted): an exception in the task of the planned stop was kept in the task. The node refused new requests, never ended and was killed with what was in progress: its caller waited until then.

Cause: nobody watched the task. Fix: the supervisor runs it, as on the gateway node, so that an exception ends the process after the last answers. A fault in these changes neither the exit code nor the close.

test_a_planned_stop_that_fails_ends_the_node_and_answers_its_callers fails before (still running 4 s after SIGTERM), and ends with 1 after.

--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -279,12 +279,15 @@
         self._start_loops()
         self.events.add(EventKind.STARTED, process=self.process)
         log.info("{} serves callers on {}", self.process, self.settings.listen.callers)
-        stopping = asyncio.create_task(self._run_planned_stop())
+        self._supervisor.start(self._run_planned_stop())
         await self._supervisor.ended.wait()
-        stopping.cancel()
+        self._supervisor.cancel()
         failure = self._supervisor.failure
         if failure is not None:
-            await self._answer_last_requests()
+            try:
+                await self._answer_last_requests()
+            except Exception as error:
+                log.error("the last answers failed: {!r}", error)
         await self._close()
         if failure is not None:
             self.events.add(EventKind.STOPPED, fault=repr(failure))
@@ -332,7 +335,6 @@
                 await self.entry.drain()
 
     async def _close(self) -> None:
-        self._supervisor.cancel()
         await asyncio.gather(*(server.stop(self._close_wait_s) for server in self._servers))
         await self.links.close()
         await self._platform_session.close()
--- a/tests/test_broken_invariants_completions.py
+++ b/tests/test_broken_invariants_completions.py
@@ -20,43 +20,58 @@
     with_fleet,
 )
 
-# A node that breaks an invariant on SIGUSR1.
-BREAKABLE_NODE = """
+# A node with a fault: SIGUSR1 breaks an invariant, and the wait of a planned stop fails.
+FAULTY_NODE = """
 import asyncio, signal
 from chalkyoke import cli
+from chalkyoke.entry.service import EntryService
 from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.node.process import Node
 
-run = Node.run
+run, drain = Node.run, EntryService.drain
 
 async def run_until_broken(node):
     fail = lambda: node._supervisor.fail(InvariantBroken("planted"))
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, fail)
     await run(node)
 
+async def fail_once(entry):
+    EntryService.drain = drain
+    raise RuntimeError("planted")
+
 Node.run = run_until_broken
+EntryService.drain = fail_once
 cli.main()
 """
 EXIT_INVARIANT = 70
+EXIT_FAULT = 1
 # Longest time that a node may take to end, in seconds.
 END_S = 2.0
+STOP_S = 4.0
 SLOW_S = 20.0
 
 
-async def start_breakable(fleet):
+async def start_faulty(fleet):
     node = fleet.nodes["n1"]
     node.send_signal(signal.SIGKILL)
     node.popen.wait()
     file = fleet.folder / "n1.toml"
-    command = [sys.executable, "-c", BREAKABLE_NODE, "serve", "--settings", str(file)]
+    command = [sys.executable, "-c", FAULTY_NODE, "serve", "--settings", str(file)]
     node.popen = fleet._spawn("n1", command)
     await wait_until(lambda: is_ready(fleet, "n1"))
     return node
 
 
+async def wait_for_end(node, seconds):
+    async with asyncio.timeout(seconds):
+        while node.popen.poll() is None:
+            await asyncio.sleep(0.02)
+    return node.popen.returncode
+
+
 def test_requests_that_were_read_are_answered_before_a_broken_invariant_ends_the_node():
     async def check(fleet, caller):
-        node = await start_breakable(fleet)
+        node = await start_faulty(fleet)
         await fleet.set_faults(fleet.upstreams["p1"], latency_s=SLOW_S)
         streams = [
             asyncio.create_task(caller.complete(node.address, completion_body(600)))
@@ -70,10 +85,7 @@
         await asyncio.sleep(0.5)
 
         node.send_signal(signal.SIGUSR1)
-        async with asyncio.timeout(END_S):
-            while node.popen.poll() is None:
-                await asyncio.sleep(0.02)
-        assert node.popen.returncode == EXIT_INVARIANT
+        assert await wait_for_end(node, END_S) == EXIT_INVARIANT
         for reply in await asyncio.gather(*streams):
             assert (reply.outcome, reply.reason) == (ReplyOutcome.FAILED, "stopping"), reply
         assert ((await waiting).outcome, (await waiting).status) == (ReplyOutcome.NOT_RUN, 503)
@@ -81,3 +93,19 @@
         assert (await partial).startswith(b"HTTP/1.1 503 ")
 
     with_fleet(check)
+
+
+def test_a_planned_stop_that_fails_ends_the_node_and_answers_its_callers():
+    """Guards against a node that never ends, as the task of its planned stop has failed."""
+
+    async def check(fleet, caller):
+        node = await start_faulty(fleet)
+        stream = asyncio.create_task(caller.complete(node.address, completion_body(600)))
+        await wait_until(lambda: received_counts(fleet))
+        await asyncio.sleep(0.5)
+        node.send_signal(signal.SIGTERM)
+        assert await wait_for_end(node, STOP_S) == EXIT_FAULT
+        reply = await stream
+        assert (reply.outcome, reply.reason) == (ReplyOutcome.FAILED, "stopping"), reply
+
+    with_fleet(check)
