Calls of the completions front: bound what is read of an answer

Seen: an upstream whose load report had no end took 683 to 842 MB in the second for which it was read; a value of the key-value service 1.4 GB in 2 s; 400 KB of gzip 423 MB, and the call ended after its timeout. Interim answers, chunk sizes and chunk extensions without end kept a core busy until the call's own timeout, and a dispatched request until its deadline.

Cause: bodies of load reports, store values and host lists were read without a limit; the store's session accepted and inflated coded bodies; aiohttp bounds lines and header counts, but neither the number of interim answers nor the bytes between parts of a body.

The connections of both sessions now have the bounds of http1.client: 1 MB before the head of the answer and 64 KB without a part of a body. Bodies are read by one function with a limit, and neither session accepts a content coding. Each end writes one line, "oversized", with the peer and the part.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -5,6 +5,7 @@
 connection of its own, and an answer is whole only if its upstream has ended it.
 """
 
+import asyncio
 import functools
 import socket
 from typing import Any
@@ -15,26 +16,71 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from chalkyoke.http1.client import MAX_ANSWER_HEAD_BYTES, MAX_SKIPPED_BYTES
 from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
+from chalkyoke.logs import logger
 from chalkyoke.sockets import share_port
 
 # A status that is no answer, as no call asks for another protocol; other interim ones are skipped.
 SWITCHING_PROTOCOLS = 101
 MIN_STATUS = 100
+# Interim answers, which precede the answer, have lower statuses (RFC 9110).
+MIN_FINAL_STATUS = 200
+# The only content coding that calls accept.
+IDENTITY = "identity"
+
+log = logger("calls")
 
 
 class CallHandler(ResponseHandler):
     """The protocol of a connection that carries one call.
 
-    A head that is not the head of one answer ends the connection and the call.
+    A head that is not the head of one answer ends the connection and the call, and so do more than
+    :data:`MAX_SKIPPED_BYTES` before the head of the answer is complete, or more than
+    :data:`MAX_ANSWER_HEAD_BYTES` after it without a part of the body.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._has_answer = False
+        self._bytes_since_body = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        # Without a parser, or while reading is paused, the bytes are kept to be passed again.
+        is_parsed = self._parser is not None and not self._reading_paused
+        body = self._payload
+        body_bytes = 0 if body is None else body.total_bytes
+        super().data_received(data)
+        if not is_parsed:
+            return
+        if body is not self._payload or (body is not None and body.total_bytes != body_bytes):
+            self._bytes_since_body = 0 if self._has_answer else self._bytes_since_body + len(data)
+        else:
+            self._bytes_since_body += len(data)
+        limit = MAX_ANSWER_HEAD_BYTES if self._has_answer else MAX_SKIPPED_BYTES
+        if self._bytes_since_body > limit:
+            self._break_oversized()
+
+    def _break_oversized(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        part = "after its head" if self._has_answer else "before its head"
+        peer = ":".join(map(str, self.transport.get_extra_info("peername")[:2]))
+        log.notice("oversized", peer=peer, part=part)
+        error = aiohttp.ClientPayloadError(f"an answer without end {part}")
+        if self._payload is not None and not self._payload.is_eof():
+            set_exception(self._payload, error)
+        self.set_exception(error)
+        self.transport.abort()
+
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Receive the head of an answer."""
         problem = _find_problem(data[0])
         if problem is not None:
             self.set_exception(aiohttp.ClientPayloadError(problem))
             return
+        self._has_answer = self._has_answer or data[0].code >= MIN_FINAL_STATUS
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -57,6 +103,45 @@
         self._factory = functools.partial(handler, loop=self._loop)
 
 
+def make_call_session(connector: CallConnector, **options: Any) -> aiohttp.ClientSession:
+    """Create an HTTP session that accepts no content coding and decodes none.
+
+    :param options: those of :class:`aiohttp.ClientSession`.
+    """
+    return aiohttp.ClientSession(
+        connector=connector,
+        headers={"Accept-Encoding": IDENTITY},
+        auto_decompress=False,
+        **options,
+    )
+
+
+def find_coding(response: aiohttp.ClientResponse) -> str | None:
+    """Return the content coding of a body; None if it is not coded."""
+    coding = ", ".join(response.headers.getall("Content-Encoding", [IDENTITY]))
+    return None if coding.strip().lower() == IDENTITY else coding
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Read a body.
+
+    :param max_bytes: largest size of the body, in bytes.
+    :raises aiohttp.ClientPayloadError: when the body is larger, coded or incomplete.
+    """
+    if (coding := find_coding(response)) is not None:
+        raise aiohttp.ClientPayloadError(f"its body is coded: {coding}"[:200])
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > max_bytes:
+            response.close()
+            log.notice("oversized", peer=response.url.authority, part="body", max_bytes=max_bytes)
+            raise aiohttp.ClientPayloadError(f"its body is larger than {max_bytes} bytes")
+    return b"".join(parts)
+
+
 def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, *_ = address
     created = socket.socket(family, kind, protocol)
--- a/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
+++ b/packages/chalkyoke/src/chalkyoke/discovery/host_list.py
@@ -9,9 +9,11 @@
 from result import Err, Result
 
 from chalkyoke.administration.metrics import Metrics
+from chalkyoke.callsessions import read_body
 from chalkyoke.configuration.messages import HostsAnswer, ListedHost
 from chalkyoke.decoding.bounds import Count
 from chalkyoke.decoding.decoder import decode_json
+from chalkyoke.http1.calls import MAX_BODY_BYTES
 
 # How long one fetch of the list may take, in seconds.
 FETCH_TIMEOUT_S = 2.0
@@ -54,7 +56,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                found = read_hosts(await response.read())
+                found = read_hosts(await read_body(response, MAX_BODY_BYTES))
         except (aiohttp.ClientError, TimeoutError, OSError):
             found = Err("unavailable")
         if isinstance(found, Err):
--- a/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
+++ b/packages/chalkyoke/src/chalkyoke/storage/keyvalue.py
@@ -20,7 +20,7 @@
 )
 
 from chalkyoke.administration.metrics import Metrics
-from chalkyoke.callsessions import CallConnector
+from chalkyoke.callsessions import CallConnector, make_call_session, read_body
 from chalkyoke.configuration.publisher import (
     AnswerLost,
     Found,
@@ -33,6 +33,7 @@
     Written,
 )
 from chalkyoke.decoding.decoder import decode_json
+from chalkyoke.http1.calls import MAX_BODY_BYTES
 
 # Timeout of a call, in seconds. The timeout of a watch is this plus the time for which it waits.
 CALL_TIMEOUT_S = 2.0
@@ -56,7 +57,7 @@
 
     :rtype: aiohttp.ClientSession
     """
-    return aiohttp.ClientSession(connector=CallConnector())
+    return make_call_session(CallConnector())
 
 
 class StoreClient:
@@ -141,7 +142,9 @@
                     return Found(None, 0)
                 if response.status != 200:
                     return self._count_failure(kind, Unavailable())
-                return Found(await response.read(), int(response.headers[INDEX_HEADER]))
+                return Found(
+                    await read_body(response, MAX_BODY_BYTES), int(response.headers[INDEX_HEADER])
+                )
         except (aiohttp.ClientError, TimeoutError, KeyError, ValueError, OSError):
             return self._count_failure(kind, Unavailable())
 
@@ -158,7 +161,7 @@
                     return self._count_failure("put", Unavailable())
                 if response.status != 200:
                     return self._count_failure("put", AnswerLost())
-                applied = decode_json(await response.read(), bool)
+                applied = decode_json(await read_body(response, MAX_BODY_BYTES), bool)
                 if isinstance(applied, Err):
                     return self._count_failure("put", AnswerLost())
                 if applied.ok_value:
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -16,7 +16,13 @@
 import msgspec
 from result import Err, Ok, Result
 
-from chalkyoke.callsessions import CallConnector, CallHandler
+from chalkyoke.callsessions import (
+    CallConnector,
+    CallHandler,
+    find_coding,
+    make_call_session,
+    read_body,
+)
 from chalkyoke.decoding.bounds import Count, Fingerprint, Seconds
 from chalkyoke.decoding.decoder import decode_json
 from chalkyoke.exceptions import ChalkyokeError
@@ -38,10 +44,10 @@
 SHORT_CALL_TIMEOUT_S = 1.0
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
+# Largest load report, in bytes: some 50,000 fingerprints of dropped prefixes.
+MAX_LOAD_BYTES = 1_048_576
 REQUEST_ID = "X-Request-Id"
 OK = 200
-# The only content coding that is relayed: callers aren't told of others.
-IDENTITY = "identity"
 
 # Returns whether a request may be dispatched now.
 Gate = Callable[[], bool]
@@ -91,12 +97,10 @@
     :rtype: aiohttp.ClientSession
     """
     connector = CallConnector(_UpstreamHandler, limit=0, use_dns_cache=False, family=socket.AF_INET)
-    return aiohttp.ClientSession(
-        connector=connector,
+    return make_call_session(
+        connector,
         trace_configs=[dispatch_trace()],
-        headers={"Accept-Encoding": IDENTITY},
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        auto_decompress=False,
     )
 
 
@@ -208,15 +212,15 @@
             ) as response:
                 if response.status != OK:
                     return None
-                found = read_load(upstream, await response.read())
+                found = read_load(upstream, await read_body(response, MAX_LOAD_BYTES))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         return found.ok()
 
     async def _classify_response(self, response: aiohttp.ClientResponse) -> CallOutcome:
         if response.status < 500 and response.status not in (408, 429):
-            coding = ", ".join(response.headers.getall("Content-Encoding", [IDENTITY]))
-            if coding.strip().lower() == IDENTITY:
+            coding = find_coding(response)
+            if coding is None:
                 return Opened(response)
             response.close()
             return NoAnswer(f"its body is coded: {coding}"[:200])
