Streams of the completions front: end a run whose event has no end

Seen: of an event without end a host kept all bytes until the caller's deadline, with a whole core: each piece was joined to the bytes before it and searched with them again (117 MB after 3 s, without an answer).

Cause: the limit of an answer counted complete events only.

The bytes of the incomplete event count too, so that the run fails as too large, at the engine too; the splitter searches new bytes only.

--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -152,7 +152,7 @@
             if splitter.done:
                 self._recorder.finish(run, read_usage(b"".join(run.chunks[-4:])[-TAIL_BYTES:]))
                 return
-            if run.size > max_answer_bytes:
+            if run.size + splitter.partial_bytes > max_answer_bytes:
                 self._recorder.fail(
                     run, Reason.TOO_LARGE, f"the answer is larger than {max_answer_bytes} bytes"
                 )
@@ -179,13 +179,11 @@
         try:
             while data := await response.content.readany():
                 events_before = splitter.event_count
-                complete = splitter.feed(data)
-                if not complete:
-                    continue
-                if run.head is None:
-                    self._record_first_byte(run, response)
-                run.append_chunk(complete, self._now(), splitter.event_count - events_before)
-                if splitter.done or run.size > max_answer_bytes:
+                if complete := splitter.feed(data):
+                    if run.head is None:
+                        self._record_first_byte(run, response)
+                    run.append_chunk(complete, self._now(), splitter.event_count - events_before)
+                if splitter.done or run.size + splitter.partial_bytes > max_answer_bytes:
                     break
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
--- a/packages/chalkyoke/src/chalkyoke/entry/streams.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/streams.py
@@ -26,23 +26,29 @@
     __slots__ = ("_partial", "done", "event_count")
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.event_count = 0
         self.done = False
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of buffered bytes, which are no complete event yet."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream.
 
         :return: the events that are complete now, unchanged; empty where none is.
         """
-        if self._partial:
-            data = self._partial + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
+        partial = self._partial
+        searched = max(0, len(partial) - len(EVENT_END) + 1)
+        partial += data
+        end = partial.rfind(EVENT_END, searched) + len(EVENT_END)
         if end < len(EVENT_END):
-            self._partial = data
             return b""
 
-        complete, self._partial = data[:end], data[end:]
+        complete = bytes(partial[:end])
+        del partial[:end]
         self.event_count += complete.count(EVENT_END)
         if complete.endswith(DONE_EVENT):
             self.done = True
@@ -50,7 +56,7 @@
 
     def discard_partial(self) -> None:
         """Discard the buffered partial event before the stream is resumed."""
-        self._partial = b""
+        self._partial.clear()
 
 
 class _PromptTokensDetails(msgspec.Struct):
