Upstreams that decline without their body: answer the caller

Seen: a 429, 500 or 503 whose body did not arrive kept its caller, and the grant of the request, until the caller's deadline.

Cause: the body, of which one line of the log is made, was awaited without a timeout. It is awaited for a second now; the status is known by then.

Test: test_a_refusal_whose_body_does_not_arrive_ends_its_run failed on for each of three statuses (no end within 10 s); 1.0 s now.

--- a/packages/chalkyoke/src/chalkyoke/entry/tests/test_endless_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/tests/test_endless_answers.py
@@ -64,6 +64,14 @@
     assert b"".join(run.chunks) == EVENT
 
 
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_a_refusal_whose_body_does_not_arrive_ends_its_run(status):
+    """Guards against a caller that waits for its deadline though the status has arrived."""
+    head = b"HTTP/1.1 %d Reason\r\nContent-Length: 10\r\n\r\n" % status
+    run, _ = run_endless("plain", head, b"", interval_s=0.05)
+    assert run.end.reason is Reason.UPSTREAM_REFUSED
+
+
 def test_events_are_split_wherever_their_bytes_are_cut():
     """Guards against an event whose end is missed as it arrives in two pieces."""
     stream = EVENT * 3 + DONE_EVENT
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -8,6 +8,7 @@
 comes late or once more reaches no other call.
 """
 
+import asyncio
 import socket
 from collections.abc import Callable
 from types import SimpleNamespace
@@ -42,6 +43,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # How long the fetch of a load report or a cancellation may take, in seconds.
 SHORT_CALL_TIMEOUT_S = 1.0
+# How long the body of an upstream's refusal is awaited, in seconds; its status is known by then.
+DECLINE_TIMEOUT_S = 1.0
 # How much of the body of an upstream's refusal is read, in bytes; it goes into one log line.
 MAX_DECLINE_BYTES = 2_000
 # Largest load report, in bytes: some 50,000 fingerprints of dropped prefixes.
@@ -228,8 +231,9 @@
 
     async def _decline(self, response: aiohttp.ClientResponse) -> Declined:
         try:
-            text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
-        except (aiohttp.ClientError, OSError):
+            async with asyncio.timeout(DECLINE_TIMEOUT_S):
+                text = (await response.content.read(MAX_DECLINE_BYTES)).decode(errors="replace")
+        except (aiohttp.ClientError, TimeoutError, OSError):
             text = ""
         response.release()
         return Declined(
