Links: a peer without the fleet's key may send a handshake only

Seen: whoever reached the listener of links could fill a host before any proof of the fleet's key.

Cause: the bound on a frame, which fits the largest document, held from the first byte of a connection on.

Until a peer has proved that it holds the key, all its frames together may have 16 KB, and an array 256 fields; bytes behind the handshake are kept for the reader that follows.

--- a/packages/chalkyoke/src/chalkyoke/links/codec.py
+++ b/packages/chalkyoke/src/chalkyoke/links/codec.py
@@ -17,6 +17,10 @@
 
 # Maximum length of a frame, in bytes: five times the largest document that peers exchange.
 MAX_FRAME_BYTES = 20_000_000
+# Maximum length of all frames of a handshake, in bytes, and of an array in them: the longest one
+# lists the kinds of messages that a listener understands.
+MAX_HANDSHAKE_BYTES = 16_384
+MAX_HANDSHAKE_FIELDS = 256
 # Number of fields before those of the message: the two numbers of the stamp, and the tag.
 HEADER_FIELDS = 3
 # Maximum length of an unknown kind in the log, in characters.
@@ -74,21 +78,50 @@
 
 
 class FrameReader:
-    """Split a stream of bytes into frames."""
+    """Split a stream of bytes into frames.
 
-    def __init__(self) -> None:
+    A peer that has not proved that it holds the fleet's key may send no more than
+    :data:`MAX_HANDSHAKE_BYTES`.
+
+    :param is_trusted: whether the peer has proved it already.
+    """
+
+    def __init__(self, *, is_trusted: bool = True) -> None:
+        self._is_trusted = is_trusted
+        self._received = bytearray()
+        self._consumed = 0
+        self._unpacker = (
+            msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+            if is_trusted
+            else msgpack.Unpacker(
+                max_buffer_size=MAX_HANDSHAKE_BYTES, max_array_len=MAX_HANDSHAKE_FIELDS
+            )
+        )
+
+    def trust(self) -> None:
+        """Accept frames of up to :data:`MAX_FRAME_BYTES` from now on."""
+        if self._is_trusted:
+            return
+        self._is_trusted = True
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self._unpacker.feed(self._received[self._consumed :])
+        self._received.clear()
 
     def feed(self, data: bytes) -> Iterator[list[Any]]:
         """Add received bytes and yield the frames that are complete now.
 
         :raises ProtocolError: when the bytes are not valid frames, or a frame is too large.
         """
+        if not self._is_trusted:
+            if len(self._received) + len(data) > MAX_HANDSHAKE_BYTES:
+                raise ProtocolError(f"a handshake of more than {MAX_HANDSHAKE_BYTES} bytes")
+            self._received += data
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
                 if not isinstance(frame, list):
                     raise ProtocolError("frame is not an array")
+                self._consumed = self._unpacker.tell()
                 yield frame
         except (ValueError, msgpack.UnpackException, msgpack.BufferFull) as error:
             raise ProtocolError(f"unreadable stream: {describe(error)}") from error
--- a/packages/chalkyoke/src/chalkyoke/links/connection.py
+++ b/packages/chalkyoke/src/chalkyoke/links/connection.py
@@ -115,7 +115,7 @@
         self._clock = clock
         self._counters = counters
         self._max_unsent_bytes = max_unsent_bytes
-        self._frames = FrameReader()
+        self._frames = FrameReader(is_trusted=False)
         self._ready: list[msgspec.Struct] = []
 
     @property
@@ -244,6 +244,7 @@
             raise LinkError(f"handshake failed: {error}") from error
         if not isinstance(welcome, Welcome) or not welcome_is_valid(me.key, nonce, welcome):
             raise LinkError("the listener does not hold the fleet's key")
+        self._frames.trust()
         self.peer = welcome.process
         self.peer_kinds = frozenset(welcome.kinds)
 
@@ -261,6 +262,7 @@
             raise LinkError(f"handshake failed: {error}") from error
         if not isinstance(hello, Hello) or not hello_is_valid(me.key, nonce, hello):
             raise LinkError("the caller does not hold the fleet's key")
+        self._frames.trust()
         self.peer, self.peer_address = hello.process, hello.address
         self.peer_domain = hello.failure_domain
         self.send(make_welcome(me.key, hello, me.process, self._codec.kinds))
