Listings of the store: bound the bytes of all pages

Seen: a store whose pages never said that they were the last took 569 MB in 4.8 s of one listing, as each of 50 pages could have 16 MB.

Cause: the limits were on a page and on the number of pages, not on both.

The bodies of a listing may have 32 MB, all pages together.

--- a/packages/chalkyoke/src/chalkyoke/platform/store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/store.py
@@ -30,6 +30,7 @@
 
 CALL_TIMEOUT_S = 2.0  # a watch has its own timeout
 MAX_PAGES = 50  # in one listing
+MAX_LISTING_BYTES = 33_554_432  # of the bodies of all its pages
 OK, GONE, NOT_FOUND, CONFLICT = 200, 410, 404, 412
 NOT_APPLIED_STATUSES = (429, 503)  # the store has certainly not applied the call
 EPOCH = b"store-era"  # this header's number rises by one with each restore from a backup
@@ -73,11 +74,14 @@
     async def read(self, prefix: str) -> Listing | Unavailable:
         """Read all items under a prefix, in pages; fail if the store is restored in between."""
         items: list[Item] = []
-        at, epoch, after = 0, 0, ""
+        at, epoch, after, body_bytes = 0, 0, "", 0
         for _ in range(MAX_PAGES):
             target = f"/kv-range?path-prefix={quote(prefix)}"
             target += f"&since-rev={quote(after)}" if after else ""
             answer = await self._call(b"GET", target, None, CALL_TIMEOUT_S)
+            body_bytes += 0 if isinstance(answer, Unavailable) else len(answer.body)
+            if body_bytes > MAX_LISTING_BYTES:
+                return Unavailable("a listing that is too large", may_have_been_applied=False)
             page = _decode(answer, _Range)
             if isinstance(page, Unavailable):
                 return page
--- a/packages/chalkyoke/src/chalkyoke/platform/tests/test_store.py
+++ b/packages/chalkyoke/src/chalkyoke/platform/tests/test_store.py
@@ -1,6 +1,6 @@
 import pytest
-from chalkyoke.http1.calls import CallAnswer
-from chalkyoke.platform.store import MAX_PAGES, PlatformStore
+from chalkyoke.http1.calls import MAX_BODY_BYTES, CallAnswer
+from chalkyoke.platform.store import MAX_LISTING_BYTES, MAX_PAGES, PlatformStore
 from chalkyoke.storage.messages import (
     Changes,
     Item,
@@ -77,3 +77,16 @@
     pages = [answer(PAGE, b"1")] * (MAX_PAGES - 1)
     whole = call_store(lambda store: store.read(""), *pages, answer(LAST_PAGE, b"1"))
     assert isinstance(whole, Listing) and len(whole.items) == MAX_PAGES
+
+
+def test_a_listing_without_end_is_read_up_to_its_limit():
+    """Guards against pages without end that took 570 MB before the last of them was asked for."""
+    page = answer(PAGE + b" " * (MAX_BODY_BYTES // 4), b"1")
+    caller = ScriptedCaller(*[page] * MAX_PAGES)
+
+    async def main():
+        return await PlatformStore(caller).read("")
+
+    assert isinstance(virtual.run(main), Unavailable)
+    taken = sum(len(page.body) for _ in range(MAX_PAGES - len(caller.answers)))
+    assert taken <= MAX_LISTING_BYTES + MAX_BODY_BYTES
