Starts and the log don't depend on standard error

Where nobody took what a process wrote to standard error, a start with settings that were being written ended with 1 at once (a full device, a pipe without a reader) or never went on (a full pipe): neither re-reading the settings nor exit code 2 was reached. A running node of `chalkyoke serve` waited for good on the pipe of its log: 5 of 5 calls of its page ran into their time limit, and SIGTERM did not end it.

Cause: print, typer.echo and logbook's StreamHandler write blocking, and raise.

--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -13,6 +13,7 @@
 from chalkyoke import __version__, eventloop, logs, settings
 from chalkyoke.exceptions import InvariantBroken, ListenError, SettingsError
 from chalkyoke.node.process import Node
+from chalkyoke.standarderror import write_line
 
 # Exit codes: invalid settings, an address that can't be listened on, a violated invariant.
 EXIT_SETTINGS = 2
@@ -28,7 +29,7 @@
         return settings.load(path, os.environ)
     except SettingsError as error:
         for problem in error.problems:
-            typer.echo(f"settings: {problem}", err=True)
+            write_line(f"settings: {problem}")
         raise typer.Exit(EXIT_SETTINGS) from error
 
 
@@ -44,10 +45,10 @@
     try:
         eventloop.run(_serve(loaded))
     except ListenError as error:
-        typer.echo(str(error), err=True)
+        write_line(error)
         raise typer.Exit(EXIT_ADDRESS) from error
     except InvariantBroken as error:
-        typer.echo(str(error), err=True)
+        write_line(error)
         raise typer.Exit(EXIT_INVARIANT) from error
 
 
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -27,6 +27,7 @@
 from chalkyoke.logs import logger
 from chalkyoke.node.gateway import GatewayNode
 from chalkyoke.platform.start import platform_parts
+from chalkyoke.standarderror import write_line
 
 SETTINGS_VARIABLE = "CHALKYOKE_BOOT"
 # Exit codes: invalid settings, an address that can't be listened on, a violated invariant.
@@ -82,7 +83,7 @@
     try:
         load(path)
     except SettingsError as error:
-        _print_problems(error)
+        _report_problems(error)
         return EXIT_SETTINGS
     return 0
 
@@ -98,7 +99,7 @@
             return load(path)
         except SettingsError as error:
             if error.problems != printed:
-                _print_problems(error)
+                _report_problems(error)
                 printed = error.problems
         time.sleep(SETTINGS_INTERVAL_S)
     return load(path)
@@ -115,27 +116,27 @@
     try:
         eventloop.run(serve(load_when_valid(path), path))
     except SettingsError as error:
-        _print_problems(error)
+        _report_problems(error)
         return EXIT_SETTINGS
     except ListenError as error:
-        print(error, file=sys.stderr)
+        write_line(error)
         return EXIT_ADDRESS
     except InvariantBroken as error:
-        print(error, file=sys.stderr)
+        write_line(error)
         return EXIT_INVARIANT
     return 0
 
 
-def _print_problems(error: SettingsError) -> None:
+def _report_problems(error: SettingsError) -> None:
     for problem in error.problems:
-        print(f"settings: {problem}", file=sys.stderr, flush=True)
+        write_line(f"settings: {problem}")
 
 
 def main() -> None:
     """Run the node with the settings file from the first argument or :data:`SETTINGS_VARIABLE`."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
-        print(f"name the settings file, or set {SETTINGS_VARIABLE}", file=sys.stderr)
+        write_line(f"name the settings file, or set {SETTINGS_VARIABLE}")
         sys.exit(EXIT_SETTINGS)
     sys.exit(run(Path(path)))
 
--- a/packages/chalkyoke/src/chalkyoke/logs.py
+++ b/packages/chalkyoke/src/chalkyoke/logs.py
@@ -4,11 +4,11 @@
 Set-up of logbook: one line for each change of state, as plain text or JSON.
 """
 
-import sys
-
 import logbook
 import msgspec
 
+from chalkyoke.standarderror import StandardError
+
 PLAIN = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}: {record.message}"
 
 
@@ -29,7 +29,7 @@
     :param form: ``plain`` or ``json``.
     :param level: lowest level that is written.
     """
-    handler = logbook.StreamHandler(sys.stderr, level=level, format_string=PLAIN)
+    handler = logbook.StreamHandler(StandardError(), level=level, format_string=PLAIN)
     if form == "json":
         handler.formatter = _json_line
     handler.push_application()
