Stops before a node listens end with 0; early signals at chalkyoke serve

SIGTERM in the first half second ended either process with -15, which whoever counts exit codes takes for a process that ended by itself. `chalkyoke serve` also ended by SIGHUP (-1; 8 of 8 from 30 to 700 ms) and by SIGUSR1, and by a signal at the very end of its planned stop.

Both commands now set their handlers before any other import: a stop ends the process with 0, SIGHUP waits (the completions front ignores it), and signals that mean nothing are ignored.

--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -4,7 +4,13 @@
 The node's command line.
 """
 
+from chalkyoke import startsignals
+
+if __name__ == "__main__":
+    startsignals.prepare_command()
+
 import os
+import signal
 from pathlib import Path
 from typing import Annotated
 
@@ -34,12 +40,20 @@
 
 
 async def _serve(loaded: settings.Settings) -> None:
-    await Node(loaded).run()
+    # Until the node has its handler, a reload is ignored: there is nothing to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    try:
+        await Node(loaded).run()
+    finally:
+        # The loop is about to remove its handlers; a signal that comes later has no effect.
+        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
 
 
 @app.command()
 def serve(settings_file: SettingsFile) -> None:
     """Run a node until SIGTERM; a planned stop finishes what is in progress."""
+    startsignals.ignore_unused()
     loaded = _load_settings(settings_file)
     logs.set_up(loaded.logs.form, loaded.logs.level)
     try:
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -6,16 +6,16 @@
 same node.
 """
 
-import signal
+from chalkyoke import startsignals
 
 if __name__ == "__main__":
-    # A reload that is requested during the imports below waits for its handler; it would end the
-    # process otherwise.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Signals that come during the imports below would end the process otherwise.
+    startsignals.prepare()
 
 import asyncio
 import gc
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -34,10 +34,6 @@
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 EXIT_INVARIANT = 70
-# Signals that a node handles while it runs.
-HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
-# Signals that mean nothing to a node, and would end it. Log rotation tools send them by default.
-IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 # How often a start reads settings that are invalid, and the interval, in seconds: for a second.
 SETTINGS_READS = 11
 SETTINGS_INTERVAL_S = 0.1
@@ -71,7 +67,7 @@
         raise
     finally:
         # The loop is about to remove its handlers; a signal that comes later has no effect.
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
         writer.flush()
 
 
@@ -111,8 +107,7 @@
     :param path: the settings file.
     :return: exit code of the process.
     """
-    for each in IGNORED_SIGNALS:
-        signal.signal(each, signal.SIG_IGN)
+    startsignals.ignore_unused()
     try:
         eventloop.run(serve(load_when_valid(path), path))
     except SettingsError as error:
