A fault that is raised over and over is logged once a second

At its limit of descriptors a node logged each accept that failed: asyncio raises one for each connection that might wait, 1,024 a second.

The handler now logs the same fault in a row once a second, and the line that follows says how often it was raised (`repeated`); the counter `faults` has each.

--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import traceback
 from collections.abc import Callable, Coroutine
 
@@ -19,6 +20,9 @@
 MAX_RESTART_DELAY_S = 5.0
 # How long a loop has to run before a failure counts as the first in a row, in seconds.
 STABLE_S = 10.0
+# How often a fault that is raised over and over is logged, in seconds. Without descriptors, asyncio
+# raises one for each connection that might wait for accept.
+REPEATED_FAULT_S = 1.0
 
 log = logger("node")
 
@@ -42,6 +46,9 @@
         self._count_requests = count_requests
         self._tasks: list[asyncio.Task[None]] = []
         self._failing: set[str] = set()
+        self._last_fault: tuple[str, str] = ("", "")
+        self._last_fault_at = -math.inf
+        self._repeated_faults = 0
         metrics.register_gauge("loops_failing", lambda: len(self._failing))
         loop = asyncio.get_running_loop()
         self._started = loop.time()
@@ -143,12 +150,18 @@
         elif isinstance(error, BaseException) and not isinstance(error, ConnectionError):
             # A fault while serving one connection ends that connection, not the process.
             self._metrics.count("faults")
-            log.error(
-                "fault",
-                during=str(context.get("message")),
-                error=_describe(error),
-                where=_find_place(error),
-            )
+            self._log_fault(str(context.get("message")), error)
+
+    def _log_fault(self, during: str, error: BaseException) -> None:
+        """Log a fault, unless the last one was the same and has just been logged."""
+        fault, now = (during, _describe(error)), asyncio.get_running_loop().time()
+        if fault == self._last_fault and now < self._last_fault_at + REPEATED_FAULT_S:
+            self._repeated_faults += 1
+            return
+        self._last_fault, self._last_fault_at = fault, now
+        more = {"repeated": self._repeated_faults} if self._repeated_faults else {}
+        self._repeated_faults = 0
+        log.error("fault", during=during, error=fault[1], where=_find_place(error), **more)
 
 
 def _is_cancelled() -> bool:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_supervisor.py
@@ -5,14 +5,17 @@
 """
 
 import asyncio
+import errno
 import itertools
 
+import logbook
 import pytest
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.node.supervisor import (
     MAX_RESTART_DELAY_S,
     MIN_RESTART_DELAY_S,
+    REPEATED_FAULT_S,
     STABLE_S,
     Supervisor,
 )
@@ -183,3 +186,25 @@
 
     virtual.run(main)
     assert len(loop.starts) == 1
+
+
+def test_a_fault_that_is_raised_over_and_over_is_logged_once_a_second():
+    """Guards against a log that held nothing but failed accepts, and dropped a failed reload."""
+    faults = 1025
+
+    async def main():
+        metrics = Metrics()
+        Supervisor(metrics)
+        loop = asyncio.get_running_loop()
+        with logbook.TestHandler() as log:
+            for _ in range(2):
+                for _ in range(faults):
+                    error = OSError(errno.EMFILE, "no descriptors")
+                    loop.call_exception_handler({"message": "accept", "exception": error})
+                loop.call_exception_handler({"message": "read", "exception": ValueError("other")})
+                await asyncio.sleep(REPEATED_FAULT_S)
+        logged = [(each.kwargs["during"], each.kwargs.get("repeated", 0)) for each in log.records]
+        assert logged == [("accept", 0), ("read", faults - 1)] * 2
+        assert metrics.counter_value("faults") == 2 * (faults + 1)
+
+    virtual.run(main)
