A change of the membership is handled also when another one's handling fails

The view reports each change once. An exception while a node handled one change of a tick lost the rest of them: tunnels of, and slots held by, a host that had left were kept. With two of four nodes crashed at once and one failing step at each of the two others, none of four calls of TunnelServer.member_left came.

Each step is now called on its own (Supervisor.call_each), as the steps of the housekeeping are; a failure counts and is logged as one of a loop (`member changes`), and a broken invariant still ends the process. Now four of four.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import os
 import random
@@ -678,18 +679,26 @@
             joined = isinstance(change, Joined)
             event = "member_joined" if joined else "member_left"
             log.info(event, member=record.process, failure_domain=record.failure_domain)
-            if joined:
-                self.announcements.member_joined(record)
-                self.limits.member_joined(record)
-                self.tunnels.member_joined(record.process)
-            else:
-                self.scheduler_host.member_left(record.process)
-                self.tunnels.member_left(record.process)
+            calls = self._joined_calls(record) if joined else self._left_calls(record)
+            self._supervisor.call_each("member changes", calls)
         if changes:
             self.fleet_size.record_live(self.view.live(), self.now())
             self.grants.report_to_new_owners(self.pools.pools)
             self.keeper.refresh(self.now())
 
+    def _joined_calls(self, record: MemberRecord) -> list[Callable[[], None]]:
+        return [
+            functools.partial(self.announcements.member_joined, record),
+            functools.partial(self.limits.member_joined, record),
+            functools.partial(self.tunnels.member_joined, record.process),
+        ]
+
+    def _left_calls(self, record: MemberRecord) -> list[Callable[[], None]]:
+        return [
+            functools.partial(self.scheduler_host.member_left, record.process),
+            functools.partial(self.tunnels.member_left, record.process),
+        ]
+
     def _catalog_changed(self) -> None:
         state = self.catalog.state
         if state.epoch != self._store_epoch:
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import secrets
 import signal
 from collections.abc import Callable, Coroutine
@@ -385,7 +386,8 @@
             else:
                 self.events.add(EventKind.MEMBER_LEFT, process=change.record.process)
                 log.info("{} left the view", change.record.process)
-                self.schedulers.member_left(change.record.process)
+                left = functools.partial(self.schedulers.member_left, change.record.process)
+                self._supervisor.call_each("member changes", (left,))
         if changes:
             self.acquirer.check_owners()
 
--- a/packages/chalkyoke/src/chalkyoke/node/supervisor.py
+++ b/packages/chalkyoke/src/chalkyoke/node/supervisor.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 import traceback
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.decoding.decoder import MAX_REASON_CHARS
@@ -73,7 +73,23 @@
 
         :param name: for the log.
         """
-        self.start(_repeat(interval_s, self._started, lambda: self._call(name, work)))
+        self.start(_repeat(interval_s, self._started, lambda: self.call_each(name, (work,))))
+
+    def call_each(self, name: str, calls: Iterable[Callable[[], object]]) -> None:
+        """Call functions in turn, also after one has failed.
+
+        :param name: for the log.
+        :raises InvariantBroken: if a failure is a broken invariant.
+        """
+        failed = False
+        for call in calls:
+            try:
+                call()
+            except (Exception, asyncio.CancelledError) as error:
+                failed = True
+                self._record_failure(name, error)
+        if not failed:
+            self._failing.discard(name)
 
     def fail(self, error: BaseException) -> None:
         """End the process because of a fatal fault; the first fault is kept."""
@@ -118,14 +134,6 @@
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
 
-    def _call(self, name: str, work: Callable[[], None]) -> None:
-        try:
-            work()
-        except (Exception, asyncio.CancelledError) as error:
-            self._record_failure(name, error)
-        else:
-            self._failing.discard(name)
-
     def _record_failure(self, name: str, error: Exception | asyncio.CancelledError) -> None:
         """Count a failure of a loop, and log the first in a row.
 
