--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -4,7 +4,13 @@
 The node's command line.
 """
 
+from chalkyoke import startsignals
+
+if __name__ == "__main__":
+    startsignals.prepare_command()
+
 import os
+import signal
 from pathlib import Path
 from typing import Annotated
 
@@ -13,6 +19,7 @@
 from chalkyoke import __version__, eventloop, logs, settings
 from chalkyoke.exceptions import InvariantBroken, ListenError, SettingsError
 from chalkyoke.node.process import Node
+from chalkyoke.standarderror import write_line
 
 # Exit codes: invalid settings, an address that can't be listened on, a violated invariant.
 EXIT_SETTINGS = 2
@@ -28,26 +35,34 @@
         return settings.load(path, os.environ)
     except SettingsError as error:
         for problem in error.problems:
-            typer.echo(f"settings: {problem}", err=True)
+            write_line(f"settings: {problem}")
         raise typer.Exit(EXIT_SETTINGS) from error
 
 
 async def _serve(loaded: settings.Settings) -> None:
-    await Node(loaded).run()
+    # Until the node has its handler, a reload is ignored: there is nothing to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    try:
+        await Node(loaded).run()
+    finally:
+        # The loop is about to remove its handlers; a signal that comes later has no effect.
+        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
 
 
 @app.command()
 def serve(settings_file: SettingsFile) -> None:
     """Run a node until SIGTERM; a planned stop finishes what is in progress."""
+    startsignals.ignore_unused()
     loaded = _load_settings(settings_file)
     logs.set_up(loaded.logs.form, loaded.logs.level)
     try:
         eventloop.run(_serve(loaded))
     except ListenError as error:
-        typer.echo(str(error), err=True)
+        write_line(error)
         raise typer.Exit(EXIT_ADDRESS) from error
     except InvariantBroken as error:
-        typer.echo(str(error), err=True)
+        write_line(error)
         raise typer.Exit(EXIT_INVARIANT) from error
 
 
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -6,16 +6,16 @@
 same node.
 """
 
-import signal
+from chalkyoke import startsignals
 
 if __name__ == "__main__":
-    # A reload that is requested during the imports below waits for its handler; it would end the
-    # process otherwise.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Signals that come during the imports below would end the process otherwise.
+    startsignals.prepare()
 
 import asyncio
 import gc
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -27,16 +27,13 @@
 from chalkyoke.logs import logger
 from chalkyoke.node.gateway import GatewayNode
 from chalkyoke.platform.start import platform_parts
+from chalkyoke.standarderror import write_line
 
 SETTINGS_VARIABLE = "CHALKYOKE_BOOT"
 # Exit codes: invalid settings, an address that can't be listened on, a violated invariant.
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
 EXIT_INVARIANT = 70
-# Signals that a node handles while it runs.
-HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
-# Signals that mean nothing to a node, and would end it. Log rotation tools send them by default.
-IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 # How often a start reads settings that are invalid, and the interval, in seconds: for a second.
 SETTINGS_READS = 11
 SETTINGS_INTERVAL_S = 0.1
@@ -70,7 +67,7 @@
         raise
     finally:
         # The loop is about to remove its handlers; a signal that comes later has no effect.
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
         writer.flush()
 
 
@@ -82,7 +79,7 @@
     try:
         load(path)
     except SettingsError as error:
-        _print_problems(error)
+        _report_problems(error)
         return EXIT_SETTINGS
     return 0
 
@@ -98,7 +95,7 @@
             return load(path)
         except SettingsError as error:
             if error.problems != printed:
-                _print_problems(error)
+                _report_problems(error)
                 printed = error.problems
         time.sleep(SETTINGS_INTERVAL_S)
     return load(path)
@@ -110,32 +107,31 @@
     :param path: the settings file.
     :return: exit code of the process.
     """
-    for each in IGNORED_SIGNALS:
-        signal.signal(each, signal.SIG_IGN)
+    startsignals.ignore_unused()
     try:
         eventloop.run(serve(load_when_valid(path), path))
     except SettingsError as error:
-        _print_problems(error)
+        _report_problems(error)
         return EXIT_SETTINGS
     except ListenError as error:
-        print(error, file=sys.stderr)
+        write_line(error)
         return EXIT_ADDRESS
     except InvariantBroken as error:
-        print(error, file=sys.stderr)
+        write_line(error)
         return EXIT_INVARIANT
     return 0
 
 
-def _print_problems(error: SettingsError) -> None:
+def _report_problems(error: SettingsError) -> None:
     for problem in error.problems:
-        print(f"settings: {problem}", file=sys.stderr, flush=True)
+        write_line(f"settings: {problem}")
 
 
 def main() -> None:
     """Run the node with the settings file from the first argument or :data:`SETTINGS_VARIABLE`."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
-        print(f"name the settings file, or set {SETTINGS_VARIABLE}", file=sys.stderr)
+        write_line(f"name the settings file, or set {SETTINGS_VARIABLE}")
         sys.exit(EXIT_SETTINGS)
     sys.exit(run(Path(path)))
 
