Ends of nodes: a request that begins in the last moments is refused too

What callers saw: a request whose first byte came after the node had made its last statements (0.3 s before the end of a planned stop, up to 1.2 s after a broken invariant), and whose last byte did not come before its end, got a close without a byte.

Change: what is still being read is refused once more just before the connections close.

Evidence: test_a_request_that_is_still_being_read_when_the_node_ends_is_refused fails before (no byte). test_listener.py: what its tests have in common is written once.

--- a/packages/chalkyoke/src/chalkyoke/node/ending.py
+++ b/packages/chalkyoke/src/chalkyoke/node/ending.py
@@ -41,3 +41,5 @@
     if in_progress or unread:
         log.notice("ended_unfinished", reason=reason, in_progress=in_progress, unread=unread)
     await finish_requests(callers, seconds)
+    # Those that have begun since get an answer too.
+    callers.refuse_unread(RETRY_SOON_S)
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -21,6 +21,22 @@
         pass
 
 
+def make_listener():
+    """Return a listener, and the list of the writers of the answers to its requests."""
+    writers = []
+
+    def start(request, writer):
+        writers.append(writer)
+        return Handler()
+
+    return Listener("127.0.0.1:0", start, ServerLimits, descriptors=100), writers
+
+
+def answer(writer):
+    writer.send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+    writer.finish()
+
+
 def open_connection(listener):
     connection, transport = listener._make_connection(), RecordingTransport()
     connection.connection_made(transport)
@@ -31,13 +47,7 @@
     """Guards against connections that were accepted last and learned of no stop until its end."""
 
     async def main():
-        writers = []
-
-        def start(request, writer):
-            writers.append(writer)
-            return Handler()
-
-        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        listener, writers = make_listener()
         first, first_transport = open_connection(listener)
         first.data_received(REQUEST)
         finish = asyncio.ensure_future(listener.finish_requests())
@@ -47,8 +57,7 @@
         assert not late_transport.closed
         late.data_received(REQUEST)
         for writer in writers:
-            writer.send_head(AnswerHead(200, b"OK", [], 2), b"ok")
-            writer.finish()
+            answer(writer)
         await asyncio.sleep(0)
         for transport in (first_transport, late_transport):
             assert b"Connection: close" in transport.written and transport.ended
@@ -63,21 +72,14 @@
     """Guards against a stop that ended while its last connection was accepted but not open."""
 
     async def main():
-        writers = []
-
-        def start(request, writer):
-            writers.append(writer)
-            return Handler()
-
-        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        listener, writers = make_listener()
         finish = asyncio.ensure_future(listener.finish_requests())
         await asyncio.sleep(0)
         late, transport = open_connection(listener)
         await asyncio.sleep(2 * CLOSE_CHECK_S)
         assert not finish.done()
         late.data_received(REQUEST)
-        writers[0].send_head(AnswerHead(200, b"OK", [], 2), b"ok")
-        writers[0].finish()
+        answer(writers[0])
         await asyncio.sleep(0)
         assert transport.ended
         late.connection_lost(None)
@@ -90,19 +92,12 @@
     """Guards against a reset that overtakes an answer whose caller has sent more meanwhile."""
 
     async def main():
-        writers = []
-
-        def start(request, writer):
-            writers.append(writer)
-            return Handler()
-
-        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        listener, writers = make_listener()
         connection, transport = open_connection(listener)
         connection.data_received(REQUEST)
         finish = asyncio.ensure_future(listener.finish_requests())
         await asyncio.sleep(0)
-        writers[0].send_head(AnswerHead(200, b"OK", [], 2), b"ok")
-        writers[0].finish()
+        answer(writers[0])
         await asyncio.sleep(LINGER_S - CLOSE_CHECK_S)
         assert transport.ended and not transport.closed
         await asyncio.sleep(2 * CLOSE_CHECK_S)
--- a/tests/test_broken_invariants.py
+++ b/tests/test_broken_invariants.py
@@ -98,3 +98,22 @@
         assert count_runs(fleet, "second") == count_runs(fleet, "third") == 0
 
     run_check(check, domains=("a",), replicas=1)
+
+
+def test_a_request_that_is_still_being_read_when_the_node_ends_is_refused():
+    """Guards against a request that began after the fault and got no byte, as it did not end."""
+
+    async def check(fleet):
+        reader, writer = await asyncio.open_connection(_ip(0), 80)
+        fleet.nodes[0]._supervisor.fail(InvariantBroken("planted"))
+        await asyncio.sleep(0.3)
+        writer.write(encode_head("/book/1", "partial", length=60_000) + b"x")
+        reading = asyncio.ensure_future(_read_answer(reader, until_whole=False))
+        with pytest.raises(InvariantBroken):
+            await fleet._tasks[0]
+        # The system closes the connections of a process that has ended.
+        fleet.net.reset_host("n0")
+        assert _parse_answer(await reading, 0.0).status == 503
+        assert not count_runs(fleet, "partial")
+
+    run_check(check, domains=("a",), replicas=1)
