Ends of nodes: a request that has its answer gets no second last line

What operators saw: an exchange whose answer had ended, or whose caller had left, and whose task had not run since, was logged as refused, given_up or cut_off when the node ended, beside its true line.

Evidence: test_a_request_that_has_been_answered_has_no_other_end_when_the_node_ends fails before.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -142,8 +142,9 @@
 
         :param reason: why the process ends.
         """
-        self._response.close_gracefully()
-        self._replies.end_unfinished(self._admission, reason)
+        if not self._response.finished:
+            self._response.close_gracefully()
+            self._replies.end_unfinished(self._admission, reason)
         self._sender.cancel()
         if self.task is not None:
             self.task.cancel()
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -80,6 +80,7 @@
 
 class Answering:
     status = None
+    finished = False
 
     def check_caller_left(self):
         return False
@@ -93,6 +94,9 @@
     def abort(self):
         self.status = "aborted"
 
+    def close_gracefully(self):
+        pass
+
 
 async def path_is_not_lost(ip, port):
     return False
@@ -610,3 +614,22 @@
         assert lines[0][1] == {"reason": "shed", "sends": 0, "events": 3, "catalog_version": 1}
 
     virtual.run(main)
+
+
+def test_a_request_that_has_been_answered_has_no_other_end_when_the_node_ends():
+    """Guards against lines that call a request refused or cut off whose caller has its answer."""
+
+    async def main():
+        lines = []
+
+        async def acquire(*_, **__):
+            return Denied("shed", 0.5)
+
+        exchange, _, response = exchange_with(acquire)
+        exchange._parts.log_decision = lambda event, _, **facts: lines.append(event)
+        await exchange.run()
+        response.finished = True
+        exchange.end_now("stopping")
+        assert (response.status, lines) == (503, ["refused", "refunded"])
+
+    virtual.run(main)
