Ends of nodes: ended_unfinished counts only requests without an end

What operators saw: a process that was paused for 3 s up to the end of its stop logged in_progress=14, and two of these requests had no answer; the others had ended, and their tasks had not run since. A request that was being read behind an answer which was broken off counted as refused, although nobody can have read that.

Evidence: test_a_request_behind_an_answer_that_is_broken_off_does_not_count_as_refused fails before; the same play says nothing now where all answers have ended.

--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -137,17 +137,20 @@
         loop = asyncio.get_running_loop()
         self._stop_timer = loop.call_at(self._loop_time(latest), self._refuse_unsent)
 
-    def end_now(self, reason: str) -> None:
+    def end_now(self, reason: str) -> bool:
         """Answer the request at once with what is known of it, as the process is about to end.
 
         :param reason: why the process ends.
+        :return: whether its answer had not ended yet.
         """
-        if not self._response.finished:
+        is_unfinished = not self._response.finished
+        if is_unfinished:
             self._response.close_gracefully()
             self._replies.end_unfinished(self._admission, reason)
         self._sender.cancel()
         if self.task is not None:
             self.task.cancel()
+        return is_unfinished
 
     def _refuse_unsent(self) -> None:
         if self.task is None or self._is_held or not self._is_unsent():
--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -43,14 +43,14 @@
         for exchange in list(self._exchanges.values()):
             exchange.begin_stop()
 
-    def end_now(self, reason: str) -> None:
+    def end_now(self, reason: str) -> int:
         """End all requests, and refuse later ones, as the process is about to end.
 
         :param reason: why it ends, as its callers are told.
+        :return: how many answers had not ended yet.
         """
         self._end_reason = reason
-        for exchange in list(self._exchanges.values()):
-            exchange.end_now(reason)
+        return sum(each.end_now(reason) for each in list(self._exchanges.values()))
 
     def on_request_held(self, request: bytes) -> None:
         """End the waiting exchanges of a request that is held back from now on.
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -629,7 +629,7 @@
         exchange._parts.log_decision = lambda event, _, **facts: lines.append(event)
         await exchange.run()
         response.finished = True
-        exchange.end_now("stopping")
+        assert exchange.end_now("stopping") is False
         assert (response.status, lines) == (503, ["refused", "refunded"])
 
     virtual.run(main)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -235,7 +235,7 @@
         :param retry_after_s: seconds after which its caller may retry.
         :return: whether there was one.
         """
-        if not self._in_message or self._ignores_input:
+        if not self._in_message or self._ignores_input or self.transport.is_closing():
             return False
         self._refuse_in_turn(_encode_unavailable(retry_after_s))
         return True
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -349,6 +349,19 @@
     run(check)
 
 
+def test_a_request_behind_an_answer_that_is_broken_off_does_not_count_as_refused():
+    """Guards against a count of refusals that no caller can have read."""
+
+    async def check():
+        caller = Caller()
+        await caller.send(GOOD + GOOD[:10])
+        writer = await send_head_of(caller, 0)
+        writer.abort()
+        assert not caller.connection.refuse_unread(0.3)
+
+    run(check)
+
+
 def test_planned_stop_closes_an_idle_connection():
     async def check():
         caller = Caller()
--- a/packages/chalkyoke/src/chalkyoke/node/ending.py
+++ b/packages/chalkyoke/src/chalkyoke/node/ending.py
@@ -35,8 +35,7 @@
     :param reason: why the node ends.
     :param seconds: longest time in which the callers read their answers.
     """
-    in_progress = gateway.in_progress
-    gateway.end_now(reason)
+    in_progress = gateway.end_now(reason)
     unread = callers.refuse_unread(RETRY_SOON_S)
     if in_progress or unread:
         log.notice("ended_unfinished", reason=reason, in_progress=in_progress, unread=unread)
