Tests of planned stops: a node that has ended closes its connections; the grant that comes too late

On most tests of the end of a stop failed, but with the answers of a node that had ended: in virtual time its connections stayed open, so that a request in progress got its 200 after the end, and an upload its 408. The connections are reset with the node's end now, as a system does, and the tests fail on with no byte, which is what callers saw. The upload may take longer than the stop by more than a rounding.

test_a_request_that_gets_its_grant_too_late_in_a_stop_is_refused_and_not_sent: no test noticed that the check after the grant was missing; this one fails without it.

--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_exchange.py
@@ -223,6 +223,35 @@
     virtual.run(main)
 
 
+def test_a_request_that_gets_its_grant_too_late_in_a_stop_is_refused_and_not_sent():
+    """Guards against requests that were sent on while answers had become slow meanwhile."""
+
+    async def main():
+        sent = []
+
+        async def acquire(*_, **__):
+            durations, drain = exchange._parts.drain.durations, exchange._parts.drain
+            durations.record(exchange._admission, 0.2, 0.1)
+            drain.stop = PlannedStop(leaves_at=-1.0, ends_at=4.0)
+            exchange.begin_stop()
+            other = replace(exchange._admission, search_id="n1/other")
+            durations.record_dispatch(other, exchange._parts.now())
+            await asyncio.sleep(1.5)
+            return Granted(REPLICA, 1, Source.LOCAL)
+
+        async def connect(*_, **__):
+            sent.append("connect")
+            return ConnectFailure.REFUSED
+
+        exchange, quotas, response = exchange_with(acquire, connect)
+        exchange.task = asyncio.get_running_loop().create_task(exchange.run())
+        await exchange.task
+        assert (response.status, sent) == (503, [])
+        assert quotas.refunded == [(1000.0, 7)]
+
+    virtual.run(main)
+
+
 @pytest.mark.parametrize(("runs", "head_sent"), [(1, False), (1, True)])
 def test_a_request_that_may_have_run_is_not_refused_for_a_stop(runs, head_sent):
     """Guards against a "not run" that is untrue, and against streams that a stop gives up early."""
--- a/tests/test_end_of_planned_stop.py
+++ b/tests/test_end_of_planned_stop.py
@@ -77,9 +77,9 @@
 
     async def check(fleet):
         stop(fleet)
-        # The body may take five seconds: longer than the stop.
+        # The body may take 5.5 s: longer than the stop.
         await asyncio.sleep(2.45)
-        got = await send("/book/1", "upload", length=60_000, sent=59_999)
+        got = await send("/book/1", "upload", length=70_000, sent=69_999)
         assert (got.status, got.whole) == (503, True), got
         assert got.headers["connection"] == "close"
         assert float(got.headers["retry-after"]) <= 1.0
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -63,6 +63,8 @@
 
 def stop(fleet):
     fleet.nodes[0]._stopping.set()
+    # The system closes the connections of a process that has ended.
+    fleet._tasks[0].add_done_callback(lambda _: fleet.net.reset_host("n0"))
     return asyncio.get_running_loop().time()
 
 
@@ -246,9 +248,9 @@
         stop(fleet)
         await asyncio.sleep(0.5)
         got = await send_on(*kept, "kept")
-        assert (got.status, got.headers["connection"]) == (200, "close")
+        assert (got.status, got.headers.get("connection")) == (200, "close")
         got = await send_on(*await asyncio.open_connection(_ip(0), 80), "new")
-        assert (got.status, got.headers["connection"]) == (200, "close")
+        assert (got.status, got.headers.get("connection")) == (200, "close")
 
     run_check(check)
 
@@ -263,7 +265,7 @@
         connection = await asyncio.open_connection(_ip(0), 80)
         await asyncio.sleep(0.3)
         got = await send_on(*connection, "first")
-        assert (got.status, got.headers["connection"]) == (200, "close")
+        assert (got.status, got.headers.get("connection")) == (200, "close")
 
     run_check(check)
 
