--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -23,8 +23,9 @@
 BACKLOG_CONNECTIONS = 1024
 # Interval at which a stop checks whether connections are still open, in seconds.
 CLOSE_CHECK_S = 0.05
-# How long a stopping node waits for the first request on a new connection, in seconds.
-FIRST_REQUEST_S = 0.5
+# How long a stopping node waits for a request on a connection whose close no answer has announced,
+# in seconds.
+IDLE_CLOSE_S = 0.5
 
 log = logger("node")
 
@@ -118,13 +119,14 @@
         """Close each connection after the requests that it has read, and wait until all are closed.
 
         A connection that was accepted just before :meth:`close` may open later; its caller can
-        still send one request, as can a caller that has just connected.
+        still send one request, as can a caller that has just connected, or whose last answer has
+        not announced the close.
         """
         self.announce_close()
         loop = asyncio.get_running_loop()
         while True:
             for connection in list(self._connections):
-                if loop.time() - connection.idle_since >= FIRST_REQUEST_S:
+                if loop.time() - connection.idle_since >= IDLE_CLOSE_S:
                     connection.close_gracefully()
             await asyncio.sleep(CLOSE_CHECK_S)
             if not self._connections:
