Completions node: a leaving node serves what can end, for a set time

Seen: a completions node refused every new request from SIGTERM on, also while a load balancer that had not noticed yet still chose it.

Fix: `limits.leave_delay_s` (default 0, which keeps that): for so long a request is taken if its deadline lies before the end of the grace period, so none that is taken can be cut by the stop. Tokens are issued no more, since they could not be used afterwards, and /v1/ready says `stopping` at once.

test_a_node_that_leaves_still_serves_what_ends_within_the_grace_period fails with the delay 0 and passes with it.

--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -149,7 +149,7 @@
         if isinstance(team, Err):
             _respond_bad_request(resp, team.err_value)
             return
-        if self._service.stopping:
+        if self._service.leaving or self._service.stopping:
             refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, 1.0)
             problems.respond(resp, problems.of_refusal(refusal, "", ""))
             return
--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 
 from result import Err, Ok, Result
@@ -42,6 +43,8 @@
     """Run each accepted request to one end while schedulers, upstreams and callers fail or leave.
 
     :param now: seconds on the monotonic clock since this process started.
+    :ivar leaving: whether a planned stop has begun, so that tokens are issued no more.
+    :ivar stopping: whether all new requests are refused.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         now: Callable[[], float],
     ) -> None:
         self.runs = runs
+        self.leaving = False
         self.stopping = False
+        self._ends_at = math.inf
         self._acquirer = acquirer
         self._recorder = recorder
         self._dispatcher = dispatcher
@@ -90,7 +95,7 @@
 
         self._events.add(EventKind.ARRIVED, run.id, service=request.service, tier=request.tier)
         self._metrics.count("arrived", tier=request.tier)
-        if self.stopping:
+        if self.stopping or run.deadline > self._ends_at:
             refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
             self._recorder.refuse(run, refusal)
             return Ok(run)
@@ -215,6 +220,14 @@
         """
         return list(self.runs.active())
 
+    def begin_stop(self, seconds: float) -> None:
+        """Take only requests whose deadline lies before the end of the process from now on.
+
+        :param seconds: time until then; infinite where it is not limited.
+        """
+        self.leaving = True
+        self._ends_at = self.now() + seconds
+
     def end_runs(self) -> None:
         """End all runs that are in progress, and refuse new ones.
 
--- a/packages/chalkyoke/src/chalkyoke/node/api.py
+++ b/packages/chalkyoke/src/chalkyoke/node/api.py
@@ -144,7 +144,7 @@
     async def on_get(self, _: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         """Report whether this node is ready for callers; 503 if not."""
         state = self._node.configuration.state
-        stopping = self._node.entry.stopping
+        stopping = self._node.stopping
         ready = state.revision > 0 and not stopping
         reason = "stopping" if stopping else "no configuration is in force here yet"
         resp.status = 200 if ready else 503
@@ -285,7 +285,7 @@
             "process": node.process,
             "revision": node.configuration.state.revision,
             "hosts_version": node.configuration.hosts_version,
-            "stopping": node.entry.stopping,
+            "stopping": node.stopping,
             "in_progress": len(node.entry.in_progress()),
             "nodes": [msgspec.structs.asdict(record) for record in node.view.live()],
             "pools": {
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import secrets
 import signal
 from collections.abc import Callable, Coroutine
@@ -241,6 +242,11 @@
         """
         return self.configuration.state.revision > 0
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun, or all requests are refused."""
+        return self._stopping.is_set() or self.entry.stopping
+
     def stop(self) -> None:
         """Begin a planned stop; a second call logs the requests still in progress."""
         if self._stopping.is_set():
@@ -297,8 +303,10 @@
         """Hand pools off and finish requests in progress; end those that outlast the grace."""
         await self._stopping.wait()
         grace_s = self.settings.limits.grace_s
+        serving_s = grace_s - GRACE_MARGIN_S if grace_s else None
+        self.entry.begin_stop(math.inf if serving_s is None else serving_s)
         try:
-            async with asyncio.timeout(grace_s - GRACE_MARGIN_S if grace_s else None):
+            async with asyncio.timeout(serving_s):
                 await self._finish_requests()
         except TimeoutError:
             await self._answer_last_requests()
@@ -309,11 +317,14 @@
         """Stop accepting requests, hand pools off and wait for requests in progress."""
         log.notice("planned stop: {} requests in progress", len(self.entry.in_progress()))
         self.events.add(EventKind.STOPPING, in_progress=len(self.entry.in_progress()))
-        self.entry.stopping = True
         for server in self._servers:
             server.announce_close()
         self.view.update_self(leaving=True)
         self._send_heartbeats()
+        # Callers still choose this node until a load balancer has removed it.
+        if self.settings.limits.leave_delay_s:
+            await asyncio.sleep(self.settings.limits.leave_delay_s)
+        self.entry.stopping = True
         await asyncio.sleep(LEAVE_NOTICE_HEARTBEATS * self.view.interval_s)
         await self.entry.drain()
         while any(pool.waiting or pool.running for pool in self.schedulers.pools.values()):
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -9,9 +9,9 @@
 import re
 from collections.abc import Iterator, Mapping
 from pathlib import Path
-from typing import Any, Literal
+from typing import Any, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 from chalkyoke import tomlfile
 from chalkyoke.exceptions import SettingsError
@@ -129,11 +129,14 @@
     """Limits of the state that this node keeps, and of its planned stop.
 
     :ivar grace_s: how long a planned stop may take, in seconds; 0 for no limit.
+    :ivar leave_delay_s: how long a stopping node still takes requests that end within the grace
+        period, in seconds.
     """
 
     token_lifetime_s: float = Field(default=900.0, ge=1, le=86_400)
     tokens_kept: int = Field(default=100_000, ge=100)
     grace_s: float = Field(default=30.0, allow_inf_nan=False)
+    leave_delay_s: float = Field(default=0.0, ge=0, le=600)
 
     @field_validator("grace_s")
     @classmethod
@@ -142,6 +145,12 @@
             raise ValueError(f"the grace period is at least {MIN_GRACE_S:g} s, or 0 for no limit")
         return grace_s
 
+    @model_validator(mode="after")
+    def _check_delay(self) -> Self:
+        if self.grace_s and self.leave_delay_s > self.grace_s / 2:
+            raise ValueError("leave_delay_s is at most half of grace_s")
+        return self
+
 
 class PolicySection(_Section):
     """Parts of the scheduling policy; each can be switched off to measure its effect."""
--- a/tests/test_planned_stop_completions.py
+++ b/tests/test_planned_stop_completions.py
@@ -26,8 +26,8 @@
 BODY = json.dumps(completion_body(5)).encode()
 
 
-def with_grace(check):
-    limits = f"[limits]\ngrace_s = {GRACE_S}\n"
+def with_grace(check, more=""):
+    limits = f"[limits]\ngrace_s = {GRACE_S}\n{more}"
     with_fleet(check, {**PLATFORM, "settings": limits})
 
 
@@ -136,8 +136,11 @@
     with_grace(check)
 
 
-@pytest.mark.parametrize(("grace_s", "valid"), [("0", True), ("3", True), ("2.9", False)])
-def test_the_grace_period_is_checked_at_the_start(tmp_path, grace_s, valid):
+@pytest.mark.parametrize(
+    ("grace_s", "delay_s", "valid"),
+    [("0", "9", True), ("3", "1.5", True), ("2.9", "0", False), ("3", "1.6", False)],
+)
+def test_the_grace_period_is_checked_at_the_start(tmp_path, grace_s, delay_s, valid):
     """Guards against a grace period that is too short for any answer."""
     file = tmp_path / "node.toml"
     file.write_text(
@@ -145,13 +148,14 @@
         '[listen]\ncallers = "127.0.0.1:1"\nlinks = "127.0.0.1:2"\n'
         'administration = "127.0.0.1:3"\n'
         '[platform]\nstore_url = "http://s"\nhosts_url = "http://h"\n'
-        f'[fleet]\nkey_hex = "{"00" * 16}"\n[limits]\ngrace_s = {grace_s}\n',
+        f'[fleet]\nkey_hex = "{"00" * 16}"\n[limits]\ngrace_s = {grace_s}\n'
+        f"leave_delay_s = {delay_s}\n",
         encoding="utf-8",
     )
     if valid:
         assert settings.load(file, {}).limits.grace_s == float(grace_s)
     else:
-        with pytest.raises(SettingsError, match=r"limits\.grace_s"):
+        with pytest.raises(SettingsError, match="limits"):
             settings.load(file, {})
 
 
@@ -169,3 +173,27 @@
         assert outcomes(await asyncio.gather(*calls)) == [(ReplyOutcome.WHOLE, "")] * 4
 
     with_grace(check)
+
+
+def test_a_node_that_leaves_still_serves_what_ends_within_the_grace_period():
+    """Guards against refusals while a load balancer still sends requests to a stopping node."""
+
+    async def check(fleet, caller):
+        node = fleet.nodes["n1"]
+        ending = asyncio.create_task(kill_after_grace(node))
+        await asyncio.sleep(0.2)
+        short, long = await asyncio.gather(
+            caller.complete(node.address, completion_body(5), Chalkyoke_Deadline_Ms="1500"),
+            caller.complete(node.address, completion_body(5), Chalkyoke_Deadline_Ms="60000"),
+        )
+        assert short.headers["Connection"] == "close"
+        await asyncio.sleep(1.0)
+        late = await caller.complete(node.address, completion_body(5), Chalkyoke_Deadline_Ms="500")
+        assert outcomes([short, long, late]) == [
+            (ReplyOutcome.WHOLE, ""),
+            (ReplyOutcome.NOT_RUN, "stopping"),
+            (ReplyOutcome.NOT_RUN, "stopping"),
+        ]
+        assert await ending == 0
+
+    with_grace(check, "leave_delay_s = 1.0\n")
