Interim answers: at most 100 to one request

Cause, by the log lines of refused requests: their sends end as "not_connected" after 0.4 to 0.8 s, then the request is "shed". The loop of each node stood still: the bound of 1 MB before an answer holds some 37,000 interim answers of 28 bytes, which take most of a fifth of a second to parse for each send, up to three sends a request. Connections to sound replicas timed out, and queues grew.

An exchange breaks as oversized after 100 interim answers too; the completions front has the same bound.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -16,7 +16,11 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from chalkyoke.http1.client import MAX_ANSWER_HEAD_BYTES, MAX_SKIPPED_BYTES
+from chalkyoke.http1.client import (
+    MAX_ANSWER_HEAD_BYTES,
+    MAX_INTERIM_ANSWERS,
+    MAX_SKIPPED_BYTES,
+)
 from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
 from chalkyoke.logs import logger
 from chalkyoke.sockets import share_port
@@ -36,14 +40,15 @@
     """The protocol of a connection that carries one call.
 
     A head that is not the head of one answer ends the connection and the call, and so do more than
-    :data:`MAX_SKIPPED_BYTES` before the head of the answer is complete, or more than
-    :data:`MAX_ANSWER_HEAD_BYTES` after it without a part of the body.
+    :data:`MAX_SKIPPED_BYTES` or :data:`MAX_INTERIM_ANSWERS` before the head of the answer is
+    complete, or more than :data:`MAX_ANSWER_HEAD_BYTES` after it without a part of the body.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._has_answer = False
         self._bytes_since_body = 0
+        self._interim_answers = 0
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -80,7 +85,15 @@
         if problem is not None:
             self.set_exception(aiohttp.ClientPayloadError(problem))
             return
-        self._has_answer = self._has_answer or data[0].code >= MIN_FINAL_STATUS
+        if data[0].code < MIN_FINAL_STATUS:
+            # None of them is passed on.
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                self._break_oversized()
+            return
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            return
+        self._has_answer = True
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -34,6 +34,9 @@
 MAX_ANSWER_HEAD_BYTES = 65_536
 # Most bytes that precede the awaited answer: interim answers, and answers to other requests.
 MAX_SKIPPED_BYTES = 1_048_576
+# Most interim answers to one request; tens of thousands of small ones fit in the bytes above, and
+# would stand the event loop still.
+MAX_INTERIM_ANSWERS = 100
 # Bytes that are parsed at once before the awaited answer begins; the limit above may be exceeded by
 # as much.
 HEAD_PIECE_BYTES = 4_096
@@ -120,6 +123,7 @@
         self._headers: Headers = []
         self._bytes_since_body = 0
         self._skipped_bytes = 0
+        self._interim_answers = 0
         self._reason = bytearray()
         self._skipping = False
         self._until_close = False
@@ -200,6 +204,8 @@
     def _is_oversized(self) -> bool:
         if self._bytes_since_body > MAX_ANSWER_HEAD_BYTES:
             return True
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            return True
         return self._head is None and self._skipped_bytes > MAX_SKIPPED_BYTES
 
     # Exchanges.
@@ -263,7 +269,7 @@
         self._sent_ids.add(request_id)
         self._sink, self._match_answer, self._bodiless = sink, match_answer, bodiless
         self.active_at = self._loop.time()
-        self._skipped_bytes = 0
+        self._skipped_bytes = self._interim_answers = 0
         self._reset_message()
         self._upload = upload
         if upload is None:
@@ -333,6 +339,7 @@
         status = self._parser.get_status_code()
         if status <= MAX_INFORMATIONAL_STATUS:
             self._skipping = True
+            self._interim_answers += 1
             return
         match = match_answer(self._headers)
         if match is AnswerMatch.INVALID:
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_endless_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_endless_answers.py
@@ -5,10 +5,11 @@
 import aiohttp
 import logbook
 import pytest
+from chalkyoke.http1.client import MAX_INTERIM_ANSWERS
 from chalkyoke.upstreams.client import UpstreamClient, make_session
 from chalkyoke.upstreams.messages import NoAnswer, Opened
 
-from .endlessupstream import ENDLESS_BODIES, ENDLESS_HEADS, EndlessUpstream
+from .endlessupstream import ENDLESS_BODIES, ENDLESS_HEADS, INTERIM, OK, EndlessUpstream
 
 # Longest time until a call ends, in seconds; callers have deadlines of half a minute.
 AT_ONCE_S = 5.0
@@ -78,3 +79,11 @@
     (line,) = [each for each in handler.records if each.msg == "oversized"]
     assert line.kwargs["part"] == named
     assert "127.0.0.1" in line.kwargs["peer"]
+
+
+@pytest.mark.parametrize("more", [0, 1])
+def test_some_interim_answers_are_skipped(more):
+    """Guards against an upstream whose interim answers take the time of other requests."""
+    head = INTERIM * (MAX_INTERIM_ANSWERS + more) + OK + b"Content-Length: 0\r\n\r\n"
+    found, _ = call((head, b"", 0.01), post)
+    assert isinstance(found, NoAnswer if more else Opened)
