Test of outgoing ports: on a loopback address that other programs don't use

The suspected cause (by reading): a connection gets a local port that another program's connection has to another address, and that one need not share it.

--- a/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_sockets.py
@@ -55,9 +55,21 @@
     assert unacknowledged_bytes(Transport(None)) is None
 
 
-def listen_on(address):
+def create_server():
+    """Listen on a loopback address that no other program of the machine uses, if there is one.
+
+    A connection may get a local port that another program's connection has to another address, and
+    that program need not let others listen on it.
+    """
+    try:
+        return socket.create_server(("::1", 0), family=socket.AF_INET6)
+    except OSError:
+        return socket.create_server(("127.0.0.1", 0))
+
+
+def listen_on(address, family):
     """Listen as a process does that starts at an address."""
-    with socket.socket() as listening:
+    with socket.socket(family) as listening:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listening.bind(address)
         listening.listen()
@@ -67,14 +79,14 @@
     """Guards against a host that did not start since a connection of another one had its port."""
 
     async def main():
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            transport, _ = await connect(asyncio.Protocol, *server.getsockname())
+        with create_server() as server:
+            transport, _ = await connect(asyncio.Protocol, *server.getsockname()[:2])
             own = transport.get_extra_info("sockname")
-            listen_on(own)
+            listen_on(own, server.family)
             transport.close()
             await asyncio.sleep(0.01)
             # The port is still in use for a minute after the end that closed first.
-            listen_on(own)
+            listen_on(own, server.family)
 
     asyncio.run(main())
 
