Soak: uploads are excused by the same faults of a node as dispatched requests

uploads.py listed them again; dispatched.NODE_ENDS serves both. No verdict changes: the sets are equal. Lint, and the 45 tests of planted violations and excuses pass.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/uploads.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/uploads.py
@@ -10,8 +10,8 @@
 
 from chalkyoke_fakes.leaving import encode_request
 from chalkyoke_fakes.platformfleet import CallerResponse
+from chalkyoke_fakes.soak.dispatched import NODE_ENDS
 from chalkyoke_fakes.soak.observations import CallerAttempt, Observations, Violation
-from chalkyoke_fakes.soak.plan import Fault
 
 # Size of a body in bytes: the node reads it for up to 6 s.
 BODY_BYTES = 90_000
@@ -19,8 +19,6 @@
 # answers end close to the end of a stop that begins with the upload.
 MIN_UPLOAD_S, MAX_UPLOAD_S = 0.5, 5.5
 WORK_S = 2.5
-# Faults of a node that end its requests without an answer.
-ENDS = frozenset({Fault.NODE_KILL, Fault.NODE_FREEZE, Fault.ALL_KILL})
 
 
 class Upload:
@@ -96,7 +94,7 @@
 
 def _is_excused(attempt: CallerAttempt, observations: Observations) -> bool:
     return any(
-        each.fault in ENDS
+        each.fault in NODE_ENDS
         and each.target == attempt.node
         and each.overlaps(attempt.began - MAX_UPLOAD_S, attempt.ended)
         for each in observations.faults
