--- a/tests/test_end_of_planned_stop.py
+++ b/tests/test_end_of_planned_stop.py
@@ -27,10 +27,13 @@
 VERY_SHORT_GRACE_S = 2.0
 
 
-async def send(path, request, *, length=0, sent=0):
-    """Send a request with a part of its body, and read the answer."""
+async def send(path, request, *, length=0, sent=0, address=None):
+    """Send a request with a part of its body, and read up to the close.
+
+    :param address: of the node; the first one of a fleet in virtual time if None.
+    """
     loop = asyncio.get_running_loop()
-    reader, writer = await asyncio.open_connection(_ip(0), 80)
+    reader, writer = await asyncio.open_connection(*(address or (_ip(0), 80)))
     began = loop.time()
     writer.write(encode_head(path, request, length=length, work_s=LONG_ANSWER_S) + b"x" * sent)
     answer = await _read_answer(reader, until_whole=False)
@@ -109,23 +112,14 @@
     run_check(check)
 
 
-async def send_to_process(fleet, path, request):
-    """Send a request to the first node of a fleet of processes, and read up to the close."""
-    ip, port = fleet.nodes["n1"].callers.split(":")
-    reader, writer = await asyncio.open_connection(ip, int(port))
-    writer.write(encode_head(path, request, length=0, work_s=LONG_ANSWER_S))
-    answer = await _read_answer(reader, until_whole=False)
-    writer.close()
-    return _parse_answer(answer, 0.0) if answer else no_answer()
-
-
 def test_a_process_that_stops_closes_no_connection_without_an_answer():
     """Guards against a process that ended at the end of its stop with requests in progress."""
 
     async def check(fleet):
+        address = fleet.nodes["n1"].callers.split(":")
         paths = ["/book/1", "/find/1", "/chat/1"] * 4
         sends = [
-            asyncio.create_task(send_to_process(fleet, path, f"r{n}"))
+            asyncio.create_task(send(path, f"r{n}", address=address))
             for n, path in enumerate(paths)
         ]
         await asyncio.sleep(0.5)
