The HTTP listeners of a gateway node have a module of their own

Behaviour stays as it is: the tests of starts, of the end of planned stops, of gateway processes and of the node pass.

--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -55,6 +55,7 @@
 from chalkyoke.node.keptlimits import log_kept_limit
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listener import Listener, ListenerParts
+from chalkyoke.node.listeners import NodeListeners, make_listeners
 from chalkyoke.node.listening import AddressWaiter, ListenAddress
 from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
 from chalkyoke.node.memory import HostMemory
@@ -118,23 +119,6 @@
 log = logger("node")
 
 
-class _Listeners(msgspec.Struct, frozen=True):
-    """The HTTP listeners of a node.
-
-    :param metrics: None if the node has no address for it.
-    """
-
-    callers: Listener
-    ready: Listener
-    metrics: Listener | None
-
-    @property
-    def all(self) -> list[Listener]:
-        """All listeners."""
-        found = [self.callers, self.ready]
-        return found if self.metrics is None else [*found, self.metrics]
-
-
 class GatewayNode:
     """One gateway process of the fleet. Create it inside a running event loop.
 
@@ -483,7 +467,8 @@
         # The start-up code may have blocked it until it is handled.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         listeners = self._make_listeners()
-        if not await self._listen(listeners):
+        links = ListenAddress(self.settings.listen.links, self.links.listen)
+        if not await self._addresses.listen(listeners.needed(links), self._stopping):
             await self._close(listeners.all)
             return
         self._listening = True
@@ -500,32 +485,14 @@
         if self._supervisor.failure is not None:
             raise self._supervisor.failure
 
-    def _make_listeners(self) -> "_Listeners":
-        addresses = self.settings.listen
-        make = self._listener_parts()
-        callers = make.for_callers(addresses.callers, self.gateway.start_exchange)
-        ready = make.for_pages(addresses.ready, self._pages.start)
-        metrics = None
-        if addresses.metrics:
-            metrics = make.for_pages(addresses.metrics, self._pages.start)
-        return _Listeners(callers, ready, metrics)
-
-    async def _listen(self, listeners: "_Listeners") -> bool:
-        """Listen on all addresses that a node needs; return whether no stop was requested.
-
-        The page that tells why the node is not ready is the first, and callers come last.
-
-        :raises ListenError: if an address can't be bound.
-        """
-        links = ListenAddress(self.settings.listen.links, self.links.listen)
-        needed = (listeners.ready.listen_address, links, listeners.callers.listen_address)
-        return await self._addresses.listen(needed, self._stopping)
-
-    def _listener_parts(self) -> ListenerParts:
+    def _make_listeners(self) -> NodeListeners:
         catalog = self.catalog.state
         admission = self.memory.admit_callers(self._platform.headers, lambda: catalog.catalog)
         descriptors = self.settings.limits.descriptors
-        return ListenerParts(lambda: catalog.catalog.limits, descriptors, admission)
+        parts = ListenerParts(lambda: catalog.catalog.limits, descriptors, admission)
+        return make_listeners(
+            self.settings.listen, parts, self.gateway.start_exchange, self._pages.start
+        )
 
     async def _run_planned_stop(self, callers: Listener) -> None:
         """Stop accepting callers, finish the requests in progress, then end the process."""
