Start: unblock the signals that a parent process left blocked

Callers saw: nodes that a parent started with SIGTERM, SIGHUP and SIGINT blocked (one that waits with sigwait, or that starts children from a thread which blocks them) never stopped. Their service manager killed them, and all requests in progress were lost. Cause: a process inherits the signal mask of its parent. startsignals blocked SIGHUP and unblocked it later; nothing unblocked the others. A reload was held back as well at the completions front. Change: the start unblocks SIGINT and SIGTERM once they end the process with 0, so that a stop that was pending before the start ends it, and both fronts unblock all handled signals once they have handlers. The line signals_unblocked names what was inherited. Dispositions that a parent ignores are set by the start as before; alarms of a parent stay, as wrappers use them on purpose.

--- a/packages/chalkyoke/src/chalkyoke/cli.py
+++ b/packages/chalkyoke/src/chalkyoke/cli.py
@@ -46,8 +46,7 @@
     try:
         await Node(loaded).run()
     finally:
-        # The loop is about to remove its handlers; a signal that comes later has no effect.
-        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
+        startsignals.block()
 
 
 @app.command()
--- a/packages/chalkyoke/src/chalkyoke/gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/gatewayd.py
@@ -15,7 +15,6 @@
 import asyncio
 import gc
 import os
-import signal
 import sys
 import time
 from pathlib import Path
@@ -66,8 +65,7 @@
         log.critical("start_failed", address=error.address, error=str(error))
         raise
     finally:
-        # The loop is about to remove its handlers; a signal that comes later has no effect.
-        signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED_SIGNALS)
+        startsignals.block()
         writer.flush()
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from chalkyoke import __version__
+from chalkyoke import __version__, startsignals
 from chalkyoke.administration.events import EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.balancing.brittle import BrittleReplicas
@@ -480,8 +480,7 @@
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        # The start-up code may have blocked it until it is handled.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        startsignals.unblock()
         listeners = self._make_listeners()
         if not await self._listen(listeners):
             await self._close(listeners.all)
@@ -489,6 +488,8 @@
         self._listening = True
         self._start_loops()
         log.notice("started", process=self.record.process, pid=os.getpid(), version=__version__)
+        if startsignals.INHERITED_BLOCKED:
+            log.notice("signals_unblocked", inherited=startsignals.INHERITED_BLOCKED)
         if listeners.metrics is not None:
             metrics = listeners.metrics.listen_address
             self._supervisor.start(self._addresses.listen_eventually(metrics))
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from chalkyoke import startsignals
 from chalkyoke.administration.events import EventKind, EventRing
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.clock import HybridClock
@@ -272,6 +273,7 @@
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._ignore_reload)
+        startsignals.unblock()
         listen = self.settings.listen
         addresses = (
             ListenAddress(listen.links, self.links.listen),
@@ -286,6 +288,8 @@
         self._start_loops()
         self.events.add(EventKind.STARTED, process=self.process)
         log.info("{} serves callers on {}", self.process, self.settings.listen.callers)
+        if startsignals.INHERITED_BLOCKED:
+            log.notice("the parent had blocked {}", ", ".join(startsignals.INHERITED_BLOCKED))
         self._supervisor.start(self._run_planned_stop())
         await self._supervisor.ended.wait()
         self._supervisor.cancel()
--- a/packages/chalkyoke/src/chalkyoke/startsignals.py
+++ b/packages/chalkyoke/src/chalkyoke/startsignals.py
@@ -18,6 +18,11 @@
 IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 
 
+# Handled signals that the parent process left blocked; a process inherits the mask of its parent.
+INHERITED_BLOCKED = tuple(
+    each.name for each in HANDLED_SIGNALS if each in signal.pthread_sigmask(signal.SIG_BLOCK, ())
+)
+
 # Commands of ``chalkyoke`` that run a node.
 NODE_COMMANDS = ("serve", "gateway")
 
@@ -35,6 +40,18 @@
     ignore_unused()
     for each in STOP_SIGNALS:
         signal.signal(each, _end)
+    # A stop that was requested while they were blocked ends the process here.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
+
+
+def unblock() -> None:
+    """Unblock the handled signals; call it once they have handlers."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
+def block() -> None:
+    """Hold the handled signals back until the process ends: its loop removes their handlers."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def ignore_unused() -> None:
