Refused requests: the connection is read on until its caller has the answer

What callers saw: a request that is refused while it is still sent (413, 400, 431, a head that takes longer than its time) ended with a reset. Played with one node as a process and 20 callers each: 2 MB where 0.1 MB are allowed, 8 KB each 10 ms or 0.4 MB each 80 ms, declared, in chunks, with Expect: 100-continue, with a wrong key; a head of 4 s or 6 s where 2 s are allowed: 0 of 20 read their answer, in each of these lines.

Cause: the refusal was written, and the connection closed one second later, whatever still came. A close with unread input resets the connection, and the caller's next write fails before it has read anything. The 408 of a slow head was sent as well: it was lost in the same way, not left out.

Change: after the last answer the connection sends FIN, and input is discarded until the caller closes, until nothing has come for 5 s while a part of the refused request is due (1 s as before if nothing is due), or for 30 s in all (RFC 9112, section 9.6).

The two tests that import LINGER_S take it from its new module; no assertion changed.

--- a/packages/chalkyoke/src/chalkyoke/http1/incoming.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/incoming.py
@@ -89,6 +89,13 @@
                 return int(value)
         return None
 
+    def due_bytes(self) -> int | None:
+        """Return the number of bytes of the body that are still to come; None if it is unknown."""
+        length = self.declared_length()
+        if length is None:
+            return None if self.expected_size() else 0
+        return length - self.body_bytes
+
     def complete(self, method: bytes) -> Request:
         """Build the complete request; from here on its body is kept until it has been answered."""
         self.charge.move(Purpose.BODIES_KEPT)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -13,6 +13,7 @@
 
 from chalkyoke.hangups import HangupWatch, has_hung_up
 from chalkyoke.http1.incoming import IncomingRequest, ServerLimits, WaitingRequest
+from chalkyoke.http1.lingering import LingeringClose, LingeringConnections
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
     Request,
@@ -25,9 +26,6 @@
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
 MAX_PIPELINED_REQUESTS = 16
-# Seconds that a connection stays open after its last answer, so that the caller can read the answer
-# before it sees the close.
-LINGER_S = 1.0
 # Lowest accepted upload rate, in bytes per second. It bounds how long a slow upload occupies a
 # connection.
 MIN_BODY_BYTES_PER_S = 20_000
@@ -48,6 +46,7 @@
     :param connections: the set of open connections; it contains the connection while it is open.
     :param opened: called when the connection is open and in the set.
     :param memory: what the connections of a listener share to account for their buffers.
+    :param lingering: what the connections of a listener share while they close.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     :ivar stopping: whether a planned stop has begun.
     """
@@ -59,12 +58,16 @@
         connections: set["ServerConnection"],
         opened: Callable[[], None] = lambda: None,
         memory: CallerMemory | None = None,
+        lingering: LingeringConnections | None = None,
     ) -> None:
         self._start_handler = start
         self._limits = limits
         self._connections = connections
         self._on_opened = opened
         self._memory = memory or CallerMemory()
+        self._lingering = lingering or LingeringConnections()
+        self._linger: LingeringClose | None = None
+        self._due_bytes: int | None = 0
         self._unsent: UnsentResponse | None = None
         self._incoming = IncomingRequest(self._memory.account)
         self._kept_charge = self._incoming.charge
@@ -79,7 +82,6 @@
         self._flushing = False
         self._timer: asyncio.TimerHandle | None = None
         self._ignores_input = False
-        self._lingers = False
         self._reading_paused = False
         self._writing_paused = False
         self._keep_alive = True
@@ -99,9 +101,11 @@
         self._on_opened()
         self._set_timer(self._limits().idle_timeout_s)
 
-    def connection_lost(self, _: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
         """Notify the handler in progress that the caller has disconnected."""
         self._connections.discard(self)
+        if self._linger is not None:
+            self._linger.on_lost(error)
         self._cancel_timer()
         self._hangups.stop()
         self._release_memory()
@@ -154,6 +158,8 @@
             size = BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
             self._receive_piece(left[:size])
             left = left[size:]
+        if left:
+            self._discard_input(len(left))
 
     def _receive_piece(self, data: memoryview) -> None:
         """Parse a part of a request.
@@ -225,7 +231,9 @@
         sent before, its caller may send another request until the connection is closed as idle.
         """
         self.stopping = True
-        if self.idle and not self._lingers:
+        if self._linger is not None:
+            self._linger.stop()
+        elif self.idle:
             self._flush()
             self.transport.close()
 
@@ -289,6 +297,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, or refuse the request when the body is too large."""
         if self._ignores_input:
+            self._discard_input(len(body))
             return
         self._unparsed_bytes = 0
         incoming = self._incoming
@@ -364,7 +373,7 @@
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
-        if self._handler is None and not self._lingers and not self.transport.is_closing():
+        if self._handler is None and self._linger is None and not self.transport.is_closing():
             self._start_next_request()
 
     def abort(self) -> None:
@@ -405,6 +414,7 @@
         :param refusal: the complete answer.
         """
         self._ignores_input = True
+        self._due_bytes = self._incoming.due_bytes() if self._head_complete else None
         self._incoming.discard_body()
         if self._handler is None and not self._waiting_requests:
             self._send_refusal(refusal)
@@ -447,25 +457,30 @@
             waiting.body_charge.release()
         self._waiting_requests.clear()
 
-    def _close_after_linger(self) -> None:
-        """Close after :data:`LINGER_S`.
+    # The close.
 
-        Closing a socket with unread input resets the connection, and the caller could lose the
-        answer.
-        """
-        self._ignores_input = self._lingers = True
+    def _close_after_linger(self) -> None:
+        """Close when the caller has had the time to read the last answer."""
+        self._ignores_input = True
         self._flush()
         if self.transport.is_closing():
             return
         self._cancel_timer()
-        try:
-            if self.transport.can_write_eof():
-                self.transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            self.transport.abort()
-            return
-        self._timer = self._loop.call_later(LINGER_S, self.transport.close)
+        self._hangups.stop()
+        self._discard_waiting()
+        self._linger = LingeringClose(self.transport, self._lingering, self._due_bytes)
+        if self.stopping:
+            self._linger.stop()
+
+    def _discard_input(self, size: int) -> None:
+        """Record input that comes behind the last request that is answered.
+
+        :param size: in bytes.
+        """
+        if self._linger is not None:
+            self._linger.discard(size)
+        elif self._due_bytes is not None:
+            self._due_bytes = max(0, self._due_bytes - size)
 
     # Timeouts.
 
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -7,9 +7,10 @@
 from chalkyoke.hangups import CHECK_INTERVAL_S
 from chalkyoke.http1 import server
 from chalkyoke.http1.incoming import ServerLimits
+from chalkyoke.http1.lingering import LINGER_S
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.http1.server import LINGER_S, MAX_PIPELINED_REQUESTS, ServerConnection
+from chalkyoke.http1.server import MAX_PIPELINED_REQUESTS, ServerConnection
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.stopped import STOPPED_AFTER_S
 
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -14,6 +14,7 @@
 from chalkyoke.catalog.resources import RequestLimits
 from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
 from chalkyoke.http1.incoming import ServerLimits
+from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.server import ServerConnection, StartHandler
 from chalkyoke.logs import logger
@@ -84,6 +85,7 @@
         self._start = start
         self._limits = limits
         self._memory = memory or CallerMemory()
+        self._lingering = LingeringConnections()
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -142,7 +144,12 @@
 
     def _make_connection(self) -> ServerConnection:
         return ServerConnection(
-            self._start, self._limits, self._connections, self._on_opened, self._memory
+            self._start,
+            self._limits,
+            self._connections,
+            self._on_opened,
+            self._memory,
+            self._lingering,
         )
 
     def _on_opened(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from chalkyoke.http1.incoming import ServerLimits
+from chalkyoke.http1.lingering import LINGER_S
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.http1.server import LINGER_S
 from chalkyoke.http1.tests.transports import RecordingTransport
 from chalkyoke.node.listener import CLOSE_CHECK_S, Listener
 
