Bodies in chunks may come as slowly as bodies with a length

What callers saw: a body in chunks was ended when `header-timeout-ms` had passed since its head, however steadily it came; a body of the same size and pace with a declared length was read. 60 KB in chunks of 300 bytes over 4 s (2 s allowed for a head), one node as a process, 20 callers: 0 of 20 answered; declared: 20 of 20.

Cause: the time for a body was the base and its declared length at 20,000 bytes a second; an unknown length counted as 0.

Change: http1/timelimits.py holds the time of a body. Without a declared length each byte of the body adds its time as it comes; the framing of chunks adds none, so that it can't hold a connection for ever. The bound over all is the same as that of a declared body of the largest size.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -22,13 +22,11 @@
 )
 from chalkyoke.http1.offers import encode_without_offer
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
+from chalkyoke.http1.timelimits import BodyTime
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
 MAX_PIPELINED_REQUESTS = 16
-# Lowest accepted upload rate, in bytes per second. It bounds how long a slow upload occupies a
-# connection.
-MIN_BODY_BYTES_PER_S = 20_000
 # Bytes that are parsed at once in a head and in a body; the limit of the head may be exceeded by as
 # much.
 HEAD_PIECE_BYTES = 4_096
@@ -88,6 +86,7 @@
         self.stopping = False
         self._in_message = False
         self._head_complete = False
+        self._body_time: BodyTime | None = None
         self._unparsed_bytes = 0
 
     # Connection events.
@@ -290,7 +289,9 @@
             return
         if not self._admit_body():
             return
-        self._set_timer(limits.header_timeout_s + (length or 0) / MIN_BODY_BYTES_PER_S)
+        now = self._loop.time()
+        self._body_time = BodyTime(now, limits.header_timeout_s, length)
+        self._set_timer(self._body_time.ends_at - now)
         if any(name.lower() == b"expect" for name, _ in incoming.headers):
             self.write(CONTINUE)
 
@@ -300,6 +301,8 @@
             self._discard_input(len(body))
             return
         self._unparsed_bytes = 0
+        if self._body_time is not None:
+            self._body_time.on_received(len(body))
         incoming = self._incoming
         if incoming.body_bytes + len(body) > self._limits().body_bytes:
             self._refuse(413)
@@ -328,6 +331,7 @@
     def _reset_message(self) -> None:
         self._in_message = False
         self._head_complete = False
+        self._body_time = None
         self._unparsed_bytes = 0
         self._incoming = IncomingRequest(self._memory.account)
 
@@ -496,7 +500,11 @@
     def _timed_out(self) -> None:
         self._timer = None
         if self._in_message and self._handler is None:
-            self._refuse(408)
+            left_s = self._body_time.ends_at - self._loop.time() if self._body_time else 0.0
+            if left_s > 0:
+                self._set_timer(left_s)
+            else:
+                self._refuse(408)
         elif self.idle:
             self.transport.close()
 
