Targets in absolute form are served

What callers saw: 400 to `PUT http://desk.example/find/1 HTTP/1.1` (20 of 20, one node as a process). Servers must accept the absolute form (RFC 9112, section 3.2.2).

Change: http1/targets.py brings a request into origin form once its head is complete, before it is admitted.

--- a/packages/chalkyoke/src/chalkyoke/http1/incoming.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/incoming.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chalkyoke.http1.messages import Headers, Request
+from chalkyoke.http1.targets import OriginForm
 from chalkyoke.http1.upload import COPIED_BYTES
 from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
 
@@ -55,6 +56,11 @@
         self.head_bytes += len(name) + len(value) + 4
         self.headers.append((name, value))
 
+    def use_origin_form(self, origin: OriginForm) -> None:
+        """Replace target and headers by their origin form."""
+        if origin.headers is not self.headers:
+            self.target, self.headers = bytearray(origin.target), origin.headers
+
     def add_body(self, part: bytes) -> bool:
         """Append a part of the body.
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -22,6 +22,7 @@
 )
 from chalkyoke.http1.offers import encode_without_offer
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
+from chalkyoke.http1.targets import to_origin_form
 from chalkyoke.http1.timelimits import BodyTime
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
@@ -280,9 +281,11 @@
             return
         hosts = sum(1 for name, _ in incoming.headers if name.lower() == b"host")
         version = self._parser.get_http_version()
-        if hosts > 1 or (hosts == 0 and version != "1.0") or not incoming.target.startswith(b"/"):
+        origin = to_origin_form(bytes(incoming.target), incoming.headers)
+        if hosts > 1 or (hosts == 0 and version != "1.0") or origin is None:
             self._refuse(400)
             return
+        incoming.use_origin_form(origin)
         length = incoming.declared_length()
         if length is not None and length > limits.body_bytes:
             self._refuse(413)
