Account for memory wherever a limit is stated

Cause: `memory.limit_mb` was used only with `memory.accounted` or the contract named by `memory.accounted_with`; hosts end a process over its memory whatever the contracts are. Change: a limit above 0 is enough. `accounted`, `contracts` and `accounted_with` are removed; older settings files that have them still load. Test: test_memory_is_accounted_only_where_asked_for_and_limited asserted the fault (limit_mb = 128 alone: not accounted); it is replaced by one that asks for accounting with each limit and none without, with the old keys as well. Before, 3 of its 7 cases fail (`limit_mb = 128`, other contract, `accounted = false`).

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -60,7 +60,7 @@
             "quota_slack": QUOTA_SLACK,
             "quota_snapshots": "true",
         }
-        self.memory = {"limit_mb": HOST_MB, "accounted": True}
+        self.memory = {"limit_mb": HOST_MB}
         self.features = ["fair_admission", "reserved_retries"]
         self.tenants: list[dict[str, Any]] = [
             {"name": TEAM, "api-keys": [KEY], "priority": 1},
--- a/packages/chalkyoke/src/chalkyoke/gateway/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/settings.py
@@ -178,23 +178,16 @@
 class MemorySection(msgspec.Struct, frozen=True):
     """The memory of this process.
 
-    :param limit_mb: memory at which the host ends the process, in MB; 0 for no limit.
-    :param accounted: whether buffered bytes are accounted for and limited.
-    :param contracts: names of the contracts that the deployment declares.
-    :param accounted_with: contract with which buffered bytes are accounted for and limited, even if
-        ``accounted`` is false; empty for none.
+    :param limit_mb: memory at which the host ends the process, in MB; 0 for no limit. With a limit,
+        buffered bytes are accounted for and bounded.
     """
 
     limit_mb: float = 0.0
-    accounted: bool = False
-    contracts: list[str] = []
-    accounted_with: str = ""
 
     @property
     def is_accounted(self) -> bool:
         """Whether buffered bytes are accounted for and limited."""
-        asked = self.accounted or self.accounted_with in self.contracts
-        return asked and self.limit_mb > 0
+        return self.limit_mb > 0
 
 
 class LogsSection(msgspec.Struct, frozen=True):
@@ -283,8 +276,6 @@
         problems.append("limits.canary_slack: a number of requests, 0 or more")
     if settings.memory.limit_mb < 0:
         problems.append("memory.limit_mb: a number of megabytes, or 0 for no limit")
-    if settings.memory.accounted and not settings.memory.limit_mb:
-        problems.append("memory.accounted: needs memory.limit_mb")
     if not 0 <= listen.wait_s < math.inf:
         problems.append("listen.wait_s: a number of seconds, 0 or more")
     if settings.limits.descriptors < 0:
--- a/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
+++ b/packages/chalkyoke/src/chalkyoke/tests/test_gatewayd.py
@@ -89,13 +89,18 @@
 @pytest.mark.parametrize(
     ("section", "accounted"),
     [
+        ("limit_mb = 128", True),
+        ("limit_mb = 0", False),
+        ("", False),
+        # Keys of earlier versions.
         ('contracts = ["pressure"]\naccounted_with = "pressure"\nlimit_mb = 128', True),
-        ('contracts = ["other"]\naccounted_with = "pressure"\nlimit_mb = 128', False),
+        ('contracts = ["other"]\naccounted_with = "pressure"\nlimit_mb = 128', True),
         ('contracts = ["pressure"]\naccounted_with = "pressure"', False),
         ("accounted = true\nlimit_mb = 128", True),
-        ("limit_mb = 128", False),
+        ("accounted = false\nlimit_mb = 128", True),
     ],
 )
-def test_memory_is_accounted_only_where_asked_for_and_limited(section, accounted):
+def test_memory_is_accounted_wherever_a_limit_is_stated(section, accounted):
+    """A host that states a limit and doesn't use it is killed with all that it has accepted."""
     settings = msgspec.convert(tomllib.loads(section), MemorySection)
     assert settings.is_accounted is accounted
--- a/tests/leavingcallers.py
+++ b/tests/leavingcallers.py
@@ -110,7 +110,7 @@
     if held:
         return SoakFleet(folder, ZONES, REPLICAS_PER_ZONE)
     fleet = PlatformFleet(folder, ZONES)
-    fleet.memory = {"limit_mb": HOST_MB, "accounted": True}
+    fleet.memory = {"limit_mb": HOST_MB}
     fleet.read_limit_bytes = read_limit_bytes
     return fleet
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -43,7 +43,7 @@
 async def measure(check):
     with tempfile.TemporaryDirectory(prefix="chalkyoke-test-") as folder:
         fleet = PlatformFleet(Path(folder), ("a",))
-        fleet.memory = {"limit_mb": HOST_MB, "accounted": True}
+        fleet.memory = {"limit_mb": HOST_MB}
         # 100 callers exceed the declared slots, so a queued service would refuse some of them.
         fleet.plain_services = "local"
         async with fleet:
