Keep freed buffers out of the memory of the program

What callers saw: after a start under uploads, a host refused large bodies with 503 until its next start. Cause: the program's memory is its resident memory less what is buffered, measured for 5 s after the start, and only grows. Buffers that were freed in that time stay with the allocator and counted as the program's. Evidence: 150 uploads of 4 MB at once 1.5 s after the start of a host of 300 MB left `memory_program_bytes` 155 MB (34 MB without load) and `memory_limit_bytes` 85 MB (206 MB). Change: the largest total of buffers so far is subtracted, not the present one. Test: test_buffers_freed_during_the_start_do_not_lower_the_limit_for_good; before, the limit is 100 MB lower after the upload was freed.

--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -48,6 +48,7 @@
 
     :param limit_bytes: largest total, in bytes; 0 for no limit. It may be changed at any time.
     :ivar total: number of buffered bytes.
+    :ivar peak: the largest total so far, in bytes.
 
     Usage::
 
@@ -62,6 +63,7 @@
     def __init__(self, limit_bytes: int = 0) -> None:
         self.limit_bytes = limit_bytes
         self.total = 0
+        self.peak = 0
         self.by_purpose = dict.fromkeys(Purpose, 0)
 
     @property
@@ -138,6 +140,8 @@
     def add(self, purpose: Purpose, difference: int) -> None:
         """Add bytes to a purpose, or take them away if the number is negative."""
         self.total += difference
+        if self.total > self.peak:
+            self.peak = self.total
         self.by_purpose[purpose] += difference
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -89,7 +89,8 @@
 
     def _measure_program(self) -> None:
         """Set the limit by the memory that the program uses besides the buffers."""
-        used = _resident_bytes() - self.account.total
+        # Freed buffers may stay with the allocator.
+        used = _resident_bytes() - self.account.peak
         if used <= self._program_bytes:
             return
         self._program_bytes = used
