Read what callers send only as memory is granted for it

What callers saw (host of 300 MB with accounting, one node): 150 uploads of 4 MB in chunks took the process to 241 MB and left the others 503 or no answer (185 of 225 calm calls served). 400 senders of pipelined requests of 30 KB left 360 MB unread in the system's buffers, which count, and 157 were reset; 100 senders of pipelined heads of 2,500 tiny headers took it to 600 MB. Causes: a body without a length reserved nothing and took all room up to the limit; 16 requests of any size waited for each connection, and all that came in one read was parsed; heads weren't charged, though tiny headers take 30 times their bytes; each part of a body was an object, some 40 bytes for a chunk of one; the system received up to 1 MB for each connection. Change: bodies of unknown length get memory by pieces, the oldest first (`memory/bodygrants.py`); without a grant the connection isn't read, after 3 s of waiting it is answered with 503. `http1/pausing.py` passes received bytes on and stops for either reason; what was received and not parsed is kept and charged. Requests that wait are bounded in bytes as well, heads are charged with their objects, long ones without end are refused early, bodies are one buffer, listeners set SO_RCVBUF, and a tenth of the limit is left to small bodies. Why it works: a sender that isn't read holds 32 KB in the system and nothing in the program, and the oldest upload always has a band of its own to end in. Not solved: requests in 1-byte chunks and tiny pipelined requests keep the processor busy and starve others of it; their memory is bounded (37, 53 MB).

--- a/packages/chalkyoke/src/chalkyoke/http1/incoming.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/incoming.py
@@ -9,6 +9,10 @@
 from chalkyoke.http1.messages import Headers, Request
 from chalkyoke.http1.upload import COPIED_BYTES
 from chalkyoke.memory.account import Charge, MemoryAccount, Purpose
+from chalkyoke.memory.bodygrants import BodyGrant
+
+# Bytes that the program uses for a header beside its name and value.
+HEADER_OBJECT_BYTES = 180
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
@@ -27,14 +31,15 @@
 
 
 class IncomingRequest:
-    """Collects the parts of one request and charges its body to the account.
+    """Collects the parts of one request and charges them to the account.
 
     :ivar head_bytes: size of the head so far, in bytes.
     :ivar body_bytes: size of the body so far, in bytes.
-    :ivar charge: the bytes reserved or held for the body.
+    :ivar charge: the bytes held for the head, and reserved or held for the body.
+    :ivar grant: memory for a body of unknown length while it is read; None for any other.
     """
 
-    __slots__ = ("_body", "_reserved", "body_bytes", "charge", "head_bytes", "headers", "target")
+    __slots__ = ("_body", "body_bytes", "charge", "grant", "head_bytes", "headers", "target")
 
     def __init__(self, account: MemoryAccount) -> None:
         self.target = bytearray()
@@ -42,8 +47,8 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self.charge: Charge = account.open(Purpose.BODIES_READ)
-        self._body: list[bytes] = []
-        self._reserved = 0
+        self.grant: BodyGrant | None = None
+        self._body: bytes | bytearray = b""
 
     def add_target(self, part: bytes) -> None:
         """Append a part of the request target."""
@@ -55,25 +60,32 @@
         self.head_bytes += len(name) + len(value) + 4
         self.headers.append((name, value))
 
-    def add_body(self, part: bytes) -> bool:
+    def add_body(self, part: bytes, now: float) -> None:
         """Append a part of the body.
 
-        :return: whether the body exceeds what was reserved for it, and was charged in addition.
+        :param now: the loop's clock, in seconds.
         """
-        self._body.append(part)
+        if not self._body:
+            self._body = part
+        else:
+            # Not a list of parts: a small one takes much more memory than its bytes.
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += part
         self.body_bytes += len(part)
-        if self.body_bytes <= self._reserved:
-            return False
-        self.reserve(self.body_bytes)
-        return True
+        if self.grant is not None:
+            self.grant.on_received(self.body_bytes, now)
 
     def reserve(self, length: int) -> None:
-        """Charge a body, and the part of it that is copied while an upstream reads it.
+        """Charge the head, a body, and the part of it that is copied while an upstream reads it.
 
         :param length: in bytes.
         """
-        self._reserved = length
-        self.charge.resize(length + min(length, COPIED_BYTES))
+        self.charge.resize(self._head_memory + length + min(length, COPIED_BYTES))
+
+    @property
+    def _head_memory(self) -> int:
+        return self.head_bytes + HEADER_OBJECT_BYTES * len(self.headers)
 
     def expected_size(self) -> int:
         """Return the declared length of the body; 1 if it is unknown, 0 if there is no body."""
@@ -91,13 +103,18 @@
 
     def complete(self, method: bytes) -> Request:
         """Build the complete request; from here on its body is kept until it has been answered."""
+        if self.grant is not None:
+            self.grant.close()
+        self.charge.resize(self._head_memory + self.body_bytes)
         self.charge.move(Purpose.BODIES_KEPT)
-        return Request(method, bytes(self.target), self.headers, b"".join(self._body))
+        return Request(method, bytes(self.target), self.headers, bytes(self._body))
 
     def discard_body(self) -> None:
         """Drop the body of a refused request."""
-        self._body = []
+        self._body = b""
         self.charge.release()
+        if self.grant is not None:
+            self.grant.close()
 
 
 class WaitingRequest(msgspec.Struct, frozen=True):
@@ -106,3 +123,8 @@
     request: Request
     keep_alive: bool
     body_charge: Charge
+
+    def charge_copy(self) -> None:
+        """Charge the part of the body that is copied while an upstream reads it."""
+        if size := len(self.request.body):
+            self.body_charge.resize(self.body_charge.size + min(size, COPIED_BYTES))
--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -12,8 +12,9 @@
 
 from chalkyoke.http1.messages import Headers
 from chalkyoke.memory.account import MemoryAccount, Purpose
+from chalkyoke.memory.bodygrants import BodyGrant, BodyGrants, BodyReader
 from chalkyoke.memory.stopped import stopped_by_size
-from chalkyoke.sockets import bound_unsent
+from chalkyoke.sockets import bound_unread, bound_unsent
 
 # Bytes of responses in the program at which the handler of a request is told that its caller reads
 # too slowly, and bytes that the system accepts for one peer before it can send them. The defaults
@@ -21,9 +22,14 @@
 # small host before any of them was noticed.
 WRITE_BUFFER_BYTES = 16_384
 SYSTEM_UNSENT_BYTES = 16_384
+# Bytes that the system receives on a caller's connection before the program reads them. With half
+# of it, large bodies arrive slowly over loopback, whose segments are larger.
+SYSTEM_UNREAD_BYTES = 32_768
 # Retry-After time of a request that is refused for lack of memory, in seconds: time for some
 # responses to drain, and below a third of the time that callers of plain services usually have.
 RETRY_AFTER_S = 0.5
+# Interval at which bodies that wait for memory are considered, in seconds.
+GRANT_INTERVAL_S = 0.02
 
 
 class HeadCheck(Protocol):
@@ -59,6 +65,8 @@
     :param account: the host's account.
     :param admits: decides whether a request is read.
     :param on_upload_refused: called when an upload of unknown length is refused midway.
+    :param on_head_refused: called when a request is refused before its head is complete.
+    :ivar grants: memory for bodies of unknown length.
     """
 
     def __init__(
@@ -66,20 +74,47 @@
         account: MemoryAccount | None = None,
         admits: HeadCheck = admit_all,
         on_upload_refused: Callable[[], None] = lambda: None,
+        on_head_refused: Callable[[], None] = lambda: None,
     ) -> None:
         self.account = account or MemoryAccount()
+        self.grants = BodyGrants(self.account)
+        self._grant_timer: asyncio.TimerHandle | None = None
         self.admits = admits
         self.on_upload_refused = on_upload_refused
+        self.on_head_refused = on_head_refused
         self._unsent: set[UnsentResponse] = set()
 
+    def bound_unread(self, server: asyncio.Server) -> None:
+        """Bound what the system receives on each connection that a listener accepts."""
+        if self.account.is_limited:
+            for listening in server.sockets:
+                bound_unread(listening, SYSTEM_UNREAD_BYTES)
+
     def watch(self, transport: asyncio.WriteTransport) -> "UnsentResponse | None":
-        """Bound and account the send buffers of a new connection; None without a limit."""
+        """Bound and account the buffers of a new connection; None without a limit."""
         if not self.account.is_limited:
             return None
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         bound_unsent(transport, SYSTEM_UNSENT_BYTES)
         return UnsentResponse(self.account, transport, self._unsent)
 
+    def open_grant(self, reader: BodyReader) -> BodyGrant | None:
+        """Begin to read a body of unknown length; None without a limit."""
+        if not self.account.is_limited:
+            return None
+        return self.grants.open(reader, asyncio.get_running_loop().time())
+
+    def watch_grants(self) -> None:
+        """Consider waiting bodies until none is left; call when one begins to wait."""
+        if self._grant_timer is None and self.grants.waiting:
+            loop = asyncio.get_running_loop()
+            self._grant_timer = loop.call_later(GRANT_INTERVAL_S, self._grant)
+
+    def _grant(self) -> None:
+        self._grant_timer = None
+        self.grants.tick(asyncio.get_running_loop().time())
+        self.watch_grants()
+
     def refresh(self, now: float) -> None:
         """Follow the buffers that have drained; call a few times a second.
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from chalkyoke.hangups import HangupWatch, has_hung_up
+from chalkyoke.hangups import has_hung_up
 from chalkyoke.http1.incoming import IncomingRequest, ServerLimits, WaitingRequest
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
@@ -20,11 +20,14 @@
     encode_refusal,
 )
 from chalkyoke.http1.offers import encode_without_offer
+from chalkyoke.http1.pausing import PausableInput, PauseReason
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
 MAX_PIPELINED_REQUESTS = 16
+# The same in bytes of memory; less if memory is scarce.
+MAX_PIPELINED_BYTES = 65_536
 # Seconds that a connection stays open after its last answer, so that the caller can read the answer
 # before it sees the close.
 LINGER_S = 1.0
@@ -80,7 +83,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._ignores_input = False
         self._lingers = False
-        self._reading_paused = False
         self._writing_paused = False
         self._keep_alive = True
         self.stopping = False
@@ -95,7 +97,13 @@
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
         self._unsent = self._memory.watch(self.transport)
-        self._hangups = HangupWatch(self.transport, self._close_after_hangup)
+        self._input = PausableInput(
+            self.transport,
+            self._memory.account,
+            self._receive_piece,
+            self._piece_bytes,
+            self._close_after_hangup,
+        )
         self._on_opened()
         self._set_timer(self._limits().idle_timeout_s)
 
@@ -103,7 +111,7 @@
         """Notify the handler in progress that the caller has disconnected."""
         self._connections.discard(self)
         self._cancel_timer()
-        self._hangups.stop()
+        self._input.close()
         self._release_memory()
         self._cancel_handler()
 
@@ -149,11 +157,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; after a refusal they are ignored."""
-        left = memoryview(data)
-        while left and not self._ignores_input:
-            size = BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
-            self._receive_piece(left[:size])
-            left = left[size:]
+        if not self._ignores_input:
+            self._input.feed(data)
+
+    def _piece_bytes(self) -> int:
+        return BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
 
     def _receive_piece(self, data: memoryview) -> None:
         """Parse a part of a request.
@@ -161,6 +169,8 @@
         Line breaks before a request, its head, the header of a chunk and trailers are refused when
         they exceed the limit of a head.
         """
+        if self._ignores_input:
+            return
         if not self._in_message:
             self._set_timer(self._limits().header_timeout_s)
         self._unparsed_bytes += len(data)
@@ -171,6 +181,8 @@
             return
         if self._unparsed_bytes > self._limits().header_bytes:
             self._refuse(431)
+        elif self._in_message and not self._head_complete:
+            self._charge_head()
 
     def _feed_parser(self, data: memoryview) -> None:
         """Feed the parser, and read requests that offer another protocol without their offer.
@@ -294,9 +306,8 @@
         incoming = self._incoming
         if incoming.body_bytes + len(body) > self._limits().body_bytes:
             self._refuse(413)
-        elif incoming.add_body(body) and self._memory.account.is_exceeded:
-            self._memory.on_upload_refused()
-            self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
+        else:
+            incoming.add_body(body, self._loop.time())
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and start it when no other is in progress."""
@@ -311,10 +322,8 @@
         self._reset_message()
         if self._handler is None:
             self._start_next_request()
-        elif len(self._waiting_requests) >= MAX_PIPELINED_REQUESTS:
-            self._reading_paused = True
-            self.transport.pause_reading()
-            self._hangups.start()
+        elif self._is_pipeline_full:
+            self._input.pause(PauseReason.WAITING_REQUESTS)
 
     def _reset_message(self) -> None:
         self._in_message = False
@@ -324,6 +333,18 @@
 
     # Requests and answers.
 
+    @property
+    def _is_pipeline_full(self) -> bool:
+        """Whether no further request is read until one of those that wait is started."""
+        waiting, account = self._waiting_requests, self._memory.account
+        if not waiting:
+            return False
+        if len(waiting) >= MAX_PIPELINED_REQUESTS:
+            return True
+        share = account.share if account.is_limited else MAX_PIPELINED_BYTES
+        held = sum(each.body_charge.size for each in waiting)
+        return held >= min(MAX_PIPELINED_BYTES, share)
+
     def _start_next_request(self) -> None:
         if not self._waiting_requests:
             if self._refusal is not None:
@@ -333,11 +354,10 @@
             return
         self._cancel_timer()
         waiting = self._waiting_requests.popleft()
+        waiting.charge_copy()
         self._kept_charge = waiting.body_charge
-        if self._reading_paused and len(self._waiting_requests) < MAX_PIPELINED_REQUESTS:
-            self._reading_paused = False
-            self._hangups.stop()
-            self.transport.resume_reading()
+        if not self._is_pipeline_full:
+            self._input.resume(PauseReason.WAITING_REQUESTS)
         self._keep_alive = waiting.keep_alive
         self._response_writer = ResponseWriter(self, waiting.request.method == b"HEAD")
         self._handler = self._start_handler(waiting.request, self._response_writer)
@@ -406,6 +426,7 @@
         """
         self._ignores_input = True
         self._incoming.discard_body()
+        self._input.resume_all()
         if self._handler is None and not self._waiting_requests:
             self._send_refusal(refusal)
         else:
@@ -433,8 +454,35 @@
             self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
             return False
         incoming.reserve(size)
+        if size and incoming.declared_length() is None:
+            incoming.grant = self._memory.open_grant(self)
         return True
 
+    def _charge_head(self) -> None:
+        """Charge a head that is not complete, or refuse the request if there is no room for it."""
+        self._incoming.reserve(0)
+        if not self._memory.account.admits_more_head(self._incoming.charge.size):
+            self._memory.on_head_refused()
+            self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
+
+    def pause_body(self) -> None:
+        """Stop reading a body of unknown length until there is room for more of it."""
+        self._cancel_timer()
+        self._input.pause(PauseReason.BODY_MEMORY)
+        self._memory.watch_grants()
+
+    def resume_body(self) -> None:
+        """Read a body of unknown length on."""
+        if self._handler is None:
+            self._set_timer(self._limits().header_timeout_s)
+        self._input.resume(PauseReason.BODY_MEMORY)
+
+    def refuse_body(self) -> None:
+        """Refuse a request whose body does not fit, or has waited too long for room."""
+        if not self._ignores_input:
+            self._memory.on_upload_refused()
+            self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
+
     def _release_memory(self) -> None:
         self._incoming.discard_body()
         self._kept_charge.release()
--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -15,6 +15,8 @@
 # the other ranks lie between them in equal steps.
 LEAST_URGENT_LEVEL = 0.8
 MOST_URGENT_LEVEL = 0.95
+# Share of the limit, below the level of each rank, that only small bodies may use.
+SMALL_BODY_SHARE = 0.1
 # Largest part of the bytes that are free below the buffer level that one buffer may hold. The
 # share shrinks with each buffer that grows, so that the total approaches the level without
 # exceeding it however many buffers there are, and the first ones leave room for others.
@@ -22,6 +24,8 @@
 # Bytes that one buffer may always hold: a few events of a stream, or a usual plain response.
 # Smaller values would delay responses that hardly use memory.
 MIN_SHARE_BYTES = 16_384
+# Share of the limit up to which heads that are not complete may grow beyond a usual size.
+HEAD_LEVEL = 0.5
 # Share of the limit that messages to other hosts may use while they wait to be sent.
 LINK_LEVEL = 0.1
 # Bytes that the system may receive for one connection before the program reads them: a small share
@@ -108,6 +112,17 @@
         free = self.limit_bytes * LINK_LEVEL - self.by_purpose[Purpose.LINKS]
         return max(MIN_SHARE_BYTES, int(free * SHARE_OF_FREE))
 
+    def admits_more_head(self, size: int) -> bool:
+        """Return whether a head that is not complete may go on.
+
+        :param size: bytes of memory that it uses.
+        """
+        if not self.is_limited:
+            return True
+        if size <= MIN_SHARE_BYTES:
+            return not self.is_exceeded
+        return size <= (self.limit_bytes * HEAD_LEVEL - self.total) * SHARE_OF_FREE
+
     def admits_any(self, length: int) -> bool:
         """Return whether a request of any rank may be read; parameters as for :meth:`admits`."""
         return self.admits(length, 0.0)
@@ -128,9 +143,9 @@
 
     def _fits(self, length: int, level: float) -> bool:
         """Return whether a body fits below a level; a large one leaves room for small ones."""
-        free = self.limit_bytes * level - self.total
         if length <= MIN_SHARE_BYTES:
-            return length <= free
+            return length <= self.limit_bytes * level - self.total
+        free = self.limit_bytes * (level - SMALL_BODY_SHARE) - self.total
         return length <= free * SHARE_OF_FREE
 
     def open(self, purpose: Purpose) -> "Charge":
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -103,6 +103,7 @@
         self._server = await sockets.listen(
             self._make_connection, ip, int(port), BACKLOG_CONNECTIONS
         )
+        self._memory.bound_unread(self._server)
 
     def close(self) -> None:
         """Stop accepting connections; open ones stay open."""
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -59,7 +59,9 @@
     def admit_callers(self, headers: HeaderFormat, catalog: Callable[[], Catalog]) -> CallerMemory:
         """Return what callers' connections share; they refuse requests when memory is scarce."""
         intake = Intake(self.account, headers, catalog, self._log_refused)
-        self.callers = CallerMemory(self.account, intake, self._log_upload_refused)
+        self.callers = CallerMemory(
+            self.account, intake, self._log_upload_refused, self._log_head_refused
+        )
         return self.callers
 
     def bound_links(self, links: Links) -> None:
@@ -116,6 +118,10 @@
             limit=self.account.limit_bytes,
         )
 
+    def _log_head_refused(self) -> None:
+        self._metrics.count("memory_refused", tier="", cause="part of a head")
+        log.notice("memory_head_refused", total=self.account.total, limit=self.account.limit_bytes)
+
     def _log_upload_refused(self) -> None:
         self._metrics.count("memory_refused", tier="", cause="upload")
         log.notice(
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -102,12 +102,16 @@
         tcp_socket.setsockopt(socket.IPPROTO_TCP, option, size)
 
 
-def bound_unread(connection: asyncio.BaseTransport, size: int) -> None:
+def bound_unread(connection: asyncio.BaseTransport | SocketOptions, size: int) -> None:
     """Bound the bytes that the operating system receives before the program reads them.
 
+    :param connection: a transport, or a listening socket: for all connections that it accepts.
     :param size: in bytes; the system may use up to twice as much.
     """
-    tcp_socket = connection.get_extra_info("socket")
+    if isinstance(connection, asyncio.BaseTransport):
+        tcp_socket = connection.get_extra_info("socket")
+    else:
+        tcp_socket = connection
     if tcp_socket is not None:
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
--- a/tests/slowpeers.py
+++ b/tests/slowpeers.py
@@ -90,7 +90,8 @@
     return ip, int(port)
 
 
-def _make_slow_socket():
+def make_slow_socket():
+    """Return a socket with a small receive buffer, which does not block."""
     raw = socket.socket()
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
     raw.setblocking(False)
@@ -102,7 +103,7 @@
 
     :raises asyncio.IncompleteReadError: when the answer is incomplete.
     """
-    raw = _make_slow_socket()
+    raw = make_slow_socket()
     await asyncio.get_running_loop().sock_connect(raw, _split_address(address))
     reader, writer = await asyncio.open_connection(sock=raw)
     reader._transport.pause_reading()
@@ -118,7 +119,7 @@
 async def read_slowly(address, request):
     """Send a request and read its answer slowly until cancelled."""
     loop = asyncio.get_running_loop()
-    with _make_slow_socket() as raw, contextlib.suppress(OSError):
+    with make_slow_socket() as raw, contextlib.suppress(OSError):
         await loop.sock_connect(raw, _split_address(address))
         await loop.sock_sendall(raw, request)
         while await loop.sock_recv(raw, SLOW_BYTES_PER_S):
