Refuse large bodies while the process nearly fills its host, and say so

What operators saw: a process over its memory ends without a line; without the contract `pressure` no gauge of memory existed, and with it each refusal was a line of its own, none said when refusing began or ended. Cause: gauges were registered only with accounting, and nothing looked at the resident memory after the start, though the account doesn't see all of it. Change: `memory_resident_bytes`, `memory_host_limit_bytes` and the account's gauges are always there. From 0.9 of the host's memory to below 0.85, bodies above 16 KB are refused or wait unless little is buffered; both changes are a line. `memory_refusals_begun` and `memory_refusals_ended` bound a time of refusals. Buffers of 1 MB and more get pages of their own, so that they return to the system.

--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -53,6 +53,7 @@
     :param limit_bytes: largest total, in bytes; 0 for no limit. It may be changed at any time.
     :ivar total: number of buffered bytes.
     :ivar peak: the largest total so far, in bytes.
+    :ivar is_nearly_full: whether the process has nearly reached the memory of its host.
 
     Usage::
 
@@ -68,6 +69,7 @@
         self.limit_bytes = limit_bytes
         self.total = 0
         self.peak = 0
+        self.is_nearly_full = False
         self.by_purpose = dict.fromkeys(Purpose, 0)
 
     @property
@@ -85,6 +87,14 @@
         """Whether requests of the least urgent rank are refused."""
         return self.is_limited and self.total >= self.limit_bytes * LEAST_URGENT_LEVEL
 
+    @property
+    def refuses_large(self) -> bool:
+        """Whether no large body is read, since the process has nearly used up its host's memory.
+
+        While little is buffered, most of that memory is free for new buffers.
+        """
+        return self.is_nearly_full and self.total >= self.limit_bytes * BUFFER_LEVEL
+
     @property
     def share(self) -> int:
         """Bytes that one buffer may hold at present; only meaningful with a limit."""
@@ -145,6 +155,8 @@
         """Return whether a body fits below a level; a large one leaves room for small ones."""
         if length <= MIN_SHARE_BYTES:
             return length <= self.limit_bytes * level - self.total
+        if self.refuses_large:
+            return False
         free = self.limit_bytes * (level - SMALL_BODY_SHARE) - self.total
         return length <= free * SHARE_OF_FREE
 
--- a/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
@@ -170,7 +170,10 @@
         if not account.is_limited or added <= 0:
             return True
         total = account.total + added
-        if grant.next_size <= MIN_SHARE_BYTES or next(iter(self._open)) is grant:
+        is_small = grant.next_size <= MIN_SHARE_BYTES
+        if account.refuses_large and not is_small:
+            return False
+        if is_small or next(iter(self._open)) is grant:
             return total <= account.limit_bytes * OLDEST_LEVEL
         if is_first:
             return total <= account.limit_bytes * FIRST_WAITING_LEVEL
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -18,7 +18,10 @@
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
 from chalkyoke.memory.account import MemoryAccount, Purpose
-from chalkyoke.memory.limit import START_S, account_limit_bytes
+from chalkyoke.memory.guard import ResidentGuard
+from chalkyoke.memory.limit import BYTES_PER_MB, START_S, account_limit_bytes
+from chalkyoke.memory.refusals import Refusals
+from chalkyoke.node import allocator
 
 # How often buffers that drain are measured and stopped readers are looked for, in seconds: shorter
 # than a refused caller takes to return.
@@ -52,9 +55,12 @@
         self.account = MemoryAccount()
         self._links_charge = self.account.open(Purpose.LINKS)
         self.callers = CallerMemory(self.account)
+        self._guard = ResidentGuard(self.account, settings.limit_mb)
+        self._refusals = Refusals()
         if settings.is_accounted:
+            allocator.return_large_buffers()
             self._measure_program()
-            self._register_gauges()
+        self._register_gauges()
 
     def admit_callers(self, headers: HeaderFormat, catalog: Callable[[], Catalog]) -> CallerMemory:
         """Return what callers' connections share; they refuse requests when memory is scarce."""
@@ -75,8 +81,10 @@
             return
         if self._now() < START_S:
             self._measure_program()
+        self._watch_resident()
         self._links_charge.resize(links.buffered_bytes())
         now = self._loop_time()
+        self._log_refusals_ended(now)
         self.callers.refresh(now)
         for released in self.callers.release_stopped(now):
             self._metrics.count("memory_released")
@@ -89,6 +97,20 @@
                 limit=self.account.limit_bytes,
             )
 
+    def _watch_resident(self) -> None:
+        """Refuse large bodies while the process has nearly reached the memory of its host."""
+        resident = _resident_bytes()
+        changed = self._guard.on_measured(resident)
+        if self.account.is_nearly_full:
+            allocator.trim()
+        if changed:
+            log.warning(
+                "memory_nearly_full" if self.account.is_nearly_full else "memory_relieved",
+                resident=resident,
+                host_limit=int(self._settings.limit_mb * BYTES_PER_MB),
+                total=self.account.total,
+            )
+
     def _measure_program(self) -> None:
         """Set the limit by the memory that the program uses besides the buffers."""
         # Freed buffers may stay with the allocator.
@@ -100,6 +122,9 @@
 
     def _register_gauges(self) -> None:
         account = self.account
+        host_bytes = self._settings.limit_mb * BYTES_PER_MB
+        self._metrics.register_gauge("memory_resident_bytes", _resident_bytes)
+        self._metrics.register_gauge("memory_host_limit_bytes", lambda: host_bytes)
         self._metrics.register_gauge("memory_limit_bytes", lambda: account.limit_bytes)
         self._metrics.register_gauge("memory_buffered_bytes", lambda: account.total)
         self._metrics.register_gauge("memory_program_bytes", lambda: self._program_bytes)
@@ -107,7 +132,28 @@
             read = partial(account.by_purpose.__getitem__, purpose)
             self._metrics.register_gauge(f"memory_{purpose}_bytes", read)
 
+    def _log_refusals_begun(self, cause: str) -> None:
+        if self._refusals.on_refused(self._loop_time()):
+            log.warning(
+                "memory_refusals_begun",
+                cause=cause,
+                resident=_resident_bytes(),
+                total=self.account.total,
+                limit=self.account.limit_bytes,
+            )
+
+    def _log_refusals_ended(self, now: float) -> None:
+        if ended := self._refusals.on_tick(now):
+            log.warning(
+                "memory_refusals_ended",
+                refused=ended.refused,
+                lasted_s=round(ended.lasted_s, 1),
+                total=self.account.total,
+                limit=self.account.limit_bytes,
+            )
+
     def _log_refused(self, refused: RefusedHead) -> None:
+        self._log_refusals_begun("head")
         self._metrics.count("memory_refused", tier=str(refused.rank), cause="head")
         log.notice(
             "memory_refused",
@@ -119,10 +165,12 @@
         )
 
     def _log_head_refused(self) -> None:
+        self._log_refusals_begun("part of a head")
         self._metrics.count("memory_refused", tier="", cause="part of a head")
         log.notice("memory_head_refused", total=self.account.total, limit=self.account.limit_bytes)
 
     def _log_upload_refused(self) -> None:
+        self._log_refusals_begun("upload")
         self._metrics.count("memory_refused", tier="", cause="upload")
         log.notice(
             "memory_upload_refused", total=self.account.total, limit=self.account.limit_bytes
