Read one large body at a time on a host with a small account

What callers would see: a host of 88 to 100 MB in a large fleet has an account of some 10 to 20 MB, and a body must fit into a quarter of what is free: one of 4 MB got 503 from an idle host. With accounting wherever a limit is stated, such hosts are usual. Change: while other bodies use at most a twentieth of the limit, a body may use 0.6 of what is free below its rank's level. Test: test_a_small_host_reads_one_large_body_at_a_time; before, the first body is refused (4,000,000 of an account of 10,000,000). By the rule, not measured as processes.

--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -24,6 +24,10 @@
 # Bytes that one buffer may always hold: a few events of a stream, or a usual plain response.
 # Smaller values would delay responses that hardly use memory.
 MIN_SHARE_BYTES = 16_384
+# The same for a body that comes while others use at most this share of the limit: a small host
+# would never read a body of the largest size otherwise.
+LONE_BODY_SHARE = 0.6
+FEW_BODIES_SHARE = 0.05
 # Share of the limit up to which heads that are not complete may grow beyond a usual size.
 HEAD_LEVEL = 0.5
 # Share of the limit that messages to other hosts may use while they wait to be sent.
@@ -158,7 +162,13 @@
         if self.refuses_large:
             return False
         free = self.limit_bytes * (level - SMALL_BODY_SHARE) - self.total
-        return length <= free * SHARE_OF_FREE
+        share = LONE_BODY_SHARE if self._has_few_bodies else SHARE_OF_FREE
+        return length <= free * share
+
+    @property
+    def _has_few_bodies(self) -> bool:
+        bodies = self.by_purpose[Purpose.BODIES_READ] + self.by_purpose[Purpose.BODIES_KEPT]
+        return bodies <= self.limit_bytes * FEW_BODIES_SHARE
 
     def open(self, purpose: Purpose) -> "Charge":
         """Open a charge of 0 bytes for one buffer."""
--- a/packages/chalkyoke/src/chalkyoke/memory/tests/test_account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/tests/test_account.py
@@ -107,3 +107,12 @@
     ]
     assert stopped_by_size(buffers, 20.0 + STOPPED_AFTER_S) == [buffers[2], buffers[1]]
     assert stopped_by_size(buffers, 20.0) == []
+
+
+def test_a_small_host_reads_one_large_body_at_a_time():
+    """A body above a quarter of the account was refused however idle the host was."""
+    account = MemoryAccount(10_000_000)
+    assert account.admits(4_000_000, 0.0)
+    account.open(Purpose.BODIES_READ).resize(4_000_000)
+    assert not account.admits(4_000_000, 1.0)
+    assert account.admits(MIN_SHARE_BYTES, 0.0)
