--- a/packages/chalkyoke/src/chalkyoke/http1/pausing.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pausing.py
@@ -69,6 +69,9 @@
     def feed(self, data: bytes) -> None:
         """Pass received bytes on, up to where the input is paused."""
         self._kept = memoryview(bytes(self._kept) + data if self._kept else data)
+        if not self._reasons and len(self._kept) <= self._piece_bytes():
+            whole, self._kept = self._kept, memoryview(b"")
+            self._receive(whole)
         self._pass_on()
 
     def pause(self, reason: PauseReason) -> None:
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -454,7 +454,7 @@
             self._refuse_in_turn(_encode_unavailable(RETRY_AFTER_S))
             return False
         incoming.reserve(size)
-        if size and incoming.declared_length() is None:
+        if size == 1 and incoming.declared_length() is None:
             incoming.grant = self._memory.open_grant(self)
         return True
 
