--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -24,6 +24,10 @@
 # Bytes that one buffer may always hold: a few events of a stream, or a usual plain response.
 # Smaller values would delay responses that hardly use memory.
 MIN_SHARE_BYTES = 16_384
+# The same for a body that comes while others use at most this share of the limit: a small host
+# would never read a body of the largest size otherwise.
+LONE_BODY_SHARE = 0.6
+FEW_BODIES_SHARE = 0.05
 # Share of the limit up to which heads that are not complete may grow beyond a usual size.
 HEAD_LEVEL = 0.5
 # Share of the limit that messages to other hosts may use while they wait to be sent.
@@ -53,6 +57,7 @@
     :param limit_bytes: largest total, in bytes; 0 for no limit. It may be changed at any time.
     :ivar total: number of buffered bytes.
     :ivar peak: the largest total so far, in bytes.
+    :ivar is_nearly_full: whether the process has nearly reached the memory of its host.
 
     Usage::
 
@@ -68,6 +73,7 @@
         self.limit_bytes = limit_bytes
         self.total = 0
         self.peak = 0
+        self.is_nearly_full = False
         self.by_purpose = dict.fromkeys(Purpose, 0)
 
     @property
@@ -85,6 +91,14 @@
         """Whether requests of the least urgent rank are refused."""
         return self.is_limited and self.total >= self.limit_bytes * LEAST_URGENT_LEVEL
 
+    @property
+    def refuses_large(self) -> bool:
+        """Whether no large body is read, since the process has nearly used up its host's memory.
+
+        While little is buffered, most of that memory is free for new buffers.
+        """
+        return self.is_nearly_full and self.total >= self.limit_bytes * BUFFER_LEVEL
+
     @property
     def share(self) -> int:
         """Bytes that one buffer may hold at present; only meaningful with a limit."""
@@ -145,8 +159,16 @@
         """Return whether a body fits below a level; a large one leaves room for small ones."""
         if length <= MIN_SHARE_BYTES:
             return length <= self.limit_bytes * level - self.total
+        if self.refuses_large:
+            return False
         free = self.limit_bytes * (level - SMALL_BODY_SHARE) - self.total
-        return length <= free * SHARE_OF_FREE
+        share = LONE_BODY_SHARE if self._has_few_bodies else SHARE_OF_FREE
+        return length <= free * share
+
+    @property
+    def _has_few_bodies(self) -> bool:
+        bodies = self.by_purpose[Purpose.BODIES_READ] + self.by_purpose[Purpose.BODIES_KEPT]
+        return bodies <= self.limit_bytes * FEW_BODIES_SHARE
 
     def open(self, purpose: Purpose) -> "Charge":
         """Open a charge of 0 bytes for one buffer."""
