--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -44,8 +44,6 @@
 MAX_BODY_BYTES = 16_000_000
 # Key of the ASGI scope under which a request's receive channel is kept.
 RECEIVE_KEY = "chalkyoke.receive"
-# Key of the ASGI scope that is set if a request is answered before its body has been read.
-UNREAD_KEY = "chalkyoke.unread"
 # Interval in seconds at which an ending process checks whether all requests have been answered.
 FINISH_CHECK_S = 0.02
 # Retry-After in seconds where the token ledger is full.
@@ -75,27 +73,12 @@
     """
 
     async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
-        async def send_and_linger(message: dict[str, Any]) -> None:
-            last = message["type"] == "http.response.body" and not message.get("more_body")
-            if not last or UNREAD_KEY not in scope:
-                await send(message)
-                return
-            await send({**message, "more_body": True})
-            await _discard_body(receive)
-            await send({"type": "http.response.body"})
-
         scope[RECEIVE_KEY] = receive
-        await app(scope, receive, send_and_linger)
+        await app(scope, receive, send)
 
     return wrapped
 
 
-async def _discard_body(receive: Receive) -> None:
-    """Read the rest of a body, since a close that leaves bytes unread may reset the connection."""
-    while (message := await receive())["type"] == "http.request" and message.get("more_body"):
-        pass
-
-
 class CallerApi:
     """Serve the HTTP API for callers.
 
@@ -173,7 +156,6 @@
             return
         checked = await self._read_request(req, read)
         if checked is None:
-            req.scope[UNREAD_KEY] = True
             refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
             problems.respond(resp, problems.of_refusal(refusal, "", ""))
             return
