Memory load: callers that fill the memory of real node processes

Cause: nodes were only loaded by callers that send some kilobytes each, so that nothing showed what a process uses beside large uploads, unread answers or thousands of connections, and what a kill over the limit of its host takes along.

`make memory-load` prints one row of a table for each scenario.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 20
 PACKAGES := packages/chalkyoke packages/chalkyoke-ctl packages/chalkyoke-fakes
 
-.PHONY: install demo test lint bench proofs soak format
+.PHONY: install demo test lint bench proofs soak memory-load format
 
 $(VENV)/.installed: requirements.lock packages/chalkyoke/pyproject.toml packages/chalkyoke-ctl/pyproject.toml packages/chalkyoke-fakes/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 soak: install
 	$(BIN)/python scripts/soak.py --seeds $(SEEDS)
 
+memory-load: install
+	$(BIN)/python scripts/memory_load.py
+
 bench: install
 	$(BIN)/python -m benches --part $(PART)
 
