Soak: uploads that exceed the memory of a host, beside stops and kills

Change: 48 callers of one node send bodies of up to 4 MB for the length of a fault, declared or in chunks, fast or slow, nine in ten without their last byte, again after each answer. They excuse nothing; shares of served requests are not compared beside them, as beside any fault. New checks: no process uses more than the memory of its host (bytes that arrived and were not read included; a suspended process can't read, so it is not judged), and no process ends unless it is stopped or killed. Bodies of up to 4,194,304 bytes are allowed now, as deployed.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -11,6 +11,10 @@
 from chalkyoke_fakes.soak.dispatched import dispatched_requests_end, work_hardly_overlaps
 from chalkyoke_fakes.soak.endings import begun_requests_end
 from chalkyoke_fakes.soak.limits import describe_exceeded_windows
+from chalkyoke_fakes.soak.memorywatch import (
+    memory_stays_within_its_limit,
+    processes_end_when_told,
+)
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
     DrainStart,
@@ -386,6 +390,7 @@
     runs_have_a_caller,
     versions_never_decrease,
     nodes_have_no_faults,
+    processes_end_when_told,
 )
 TIMED_CHECKERS: tuple[Checker, ...] = (
     draining_replicas_get_no_requests,
@@ -407,10 +412,12 @@
     dispatched_requests_end,
     uploads_are_answered,
     work_hardly_overlaps,
+    memory_stays_within_its_limit,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
 # Old builds ignore the announcements in answers, the versions of replicas and the parts of prompts,
+# do not bound their memory,
 # and close the connections of requests that they give up or can't finish, so these promises do not
 # hold for a mixed fleet.
 NEW_VERSION_CHECKERS = (
@@ -427,6 +434,7 @@
     dispatched_requests_end,
     uploads_are_answered,
     work_hardly_overlaps,
+    memory_stays_within_its_limit,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from chalkyoke_fakes.children import RELAY_ADDRESS_NUMBER, REPLICA_ADDRESS_NUMBER, own_address
+from chalkyoke_fakes.memoryload.manners import MAX_BODY_BYTES
 from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
 from chalkyoke_fakes.replica import FIRST_VERSION, Replica
 from chalkyoke_fakes.soak.observations import place_of
@@ -101,6 +102,7 @@
         return {
             **made,
             "services": [*made["services"], *seconds],
+            "limits": {**made["limits"], "max-body-bytes": MAX_BODY_BYTES},
             "tenants": copy.deepcopy(self.tenants),
         }
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -134,7 +134,9 @@
     :param send_streams: makes callers begin streams, and take broken ones up, for some seconds.
     :param send_crashing_part: makes callers send prompts with a part for some seconds.
     :param start_uploads: makes callers of a node send bodies that end late.
+    :param start_large_uploads: makes callers of a node send large bodies for some seconds.
     :param prefer_node: makes callers open most connections to a node; to any node if empty.
+    :ivar ending: nodes whose processes are being stopped, killed or replaced.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -151,6 +153,7 @@
         send_crashing_part: Callable[[str, float], None],
         prefer_node: Callable[[str], None],
         start_uploads: Callable[[str], None],
+        start_large_uploads: Callable[[str, float], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -163,6 +166,8 @@
         self.send_crashing_part = send_crashing_part
         self.prefer_node = prefer_node
         self._start_uploads = start_uploads
+        self._start_large_uploads = start_large_uploads
+        self.ending: set[str] = set()
         self.active_targets: set[str] = set()
         self._operators = Operators(fleet.make_configuration, fleet.configure)
 
@@ -172,6 +177,9 @@
             # No fault of the node: it must serve all others as before.
             self._start_slow_readers(step.target)
             return
+        if step.fault is Fault.LARGE_UPLOADS:
+            self._start_large_uploads(step.target, step.duration_s)
+            return
         if step.fault is Fault.LATE_UPLOADS:
             self._start_uploads(step.target)
             step = replace(step, fault=Fault.NODE_STOP)
@@ -198,10 +206,7 @@
         self.active_targets.add(step.node)
         began = self._now()
         try:
-            self._fleet.nodes[step.node].send_signal(signal.SIGTERM)
-            await self._wait_for_exit(step.node)
-            self._fleet.choose_build(step.node, is_new=step.is_new)
-            self._fleet.start_node(step.node, first_start=False)
+            await self._stop_and_restart(step.node, step.is_new)
             await self._fleet.wait_until_ready(step.node)
         finally:
             self.active_targets.discard(step.node)
@@ -268,9 +273,20 @@
         elif step.fault is Fault.NODE_KILL:
             await self._kill_and_restart([step.target])
         else:
-            node.send_signal(signal.SIGTERM)
-            await self._wait_for_exit(step.target)
-            self._fleet.start_node(step.target, first_start=False)
+            await self._stop_and_restart(step.target)
+
+    async def _stop_and_restart(self, name: str, is_new: bool | None = None) -> None:
+        """Stop a node on plan and start it again.
+
+        :param is_new: whether it runs the new build from then on; None for no change.
+        """
+        self.ending.add(name)
+        self._fleet.nodes[name].send_signal(signal.SIGTERM)
+        await self._wait_for_exit(name)
+        if is_new is not None:
+            self._fleet.choose_build(name, is_new=is_new)
+        self._fleet.start_node(name, first_start=False)
+        self.ending.discard(name)
 
     async def _wait_for_exit(self, name: str) -> None:
         popen = self._fleet.nodes[name].popen
@@ -283,6 +299,7 @@
             popen.wait()
 
     async def _kill_and_restart(self, names: list[str]) -> None:
+        self.ending.update(names)
         for name in names:
             self._fleet.nodes[name].send_signal(signal.SIGKILL)
         for name in names:
@@ -292,6 +309,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
         for name in names:
             self._fleet.start_node(name, first_start=False)
+        self.ending.difference_update(names)
 
     # Relays.
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -227,6 +227,30 @@
     fields: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class OverLimit:
+    """A process that used more memory than its host has.
+
+    :param used_mb: resident memory and bytes that arrived and were not read, in MB.
+    """
+
+    node: str
+    at: float
+    used_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeExit:
+    """A process that ended although it was neither stopped nor killed.
+
+    :param code: its exit code; negative for the number of a signal.
+    """
+
+    node: str
+    at: float
+    code: int
+
+
 @dataclass
 class Observations:
     """All records of a run.
@@ -246,6 +270,10 @@
     :ivar streams: the events of a complete stream, by the version that writes it.
     :ivar left_requests: requests whose callers left.
     :ivar uploads: ids of the requests whose bodies ended late.
+    :ivar upload_periods: when callers of a node sent large bodies; no excuse for the node.
+    :ivar over_limit: the first time that each process used more memory than its host has.
+    :ivar exits: processes that ended by themselves.
+    :ivar peak_mb: for each node, the most memory that counted toward its limit, in MB.
     :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
         changed it.
     :ivar route_moves: when routes moved to other services.
@@ -272,6 +300,10 @@
     focus_periods: list[FocusPeriod] = field(default_factory=list)
     left_requests: list[LeftRequest] = field(default_factory=list)
     uploads: set[str] = field(default_factory=set)
+    upload_periods: list[FaultPeriod] = field(default_factory=list)
+    over_limit: list[OverLimit] = field(default_factory=list)
+    exits: list[NodeExit] = field(default_factory=list)
+    peak_mb: dict[str, float] = field(default_factory=dict)
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
     decisions: dict[str, list[Decision]] = field(default_factory=dict)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/parts.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/parts.py
@@ -115,4 +115,5 @@
 
 
 def _has_fault(began: float, ended: float, observations: Observations, but: str = "") -> bool:
-    return any(each.overlaps(began, ended) for each in observations.faults if each.fault != but)
+    faults = [*observations.faults, *observations.upload_periods]
+    return any(each.overlaps(began, ended) for each in faults if each.fault != but)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -67,11 +67,14 @@
     RELOAD = "reload"
     ODD_ENTRIES = "odd_entries"
     LATE_UPLOADS = "late_uploads"
+    LARGE_UPLOADS = "large_uploads"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 # Faults of the callers of one node.
-CALLER_FAULTS = frozenset({Fault.SLOW_READERS, Fault.CALLERS_FOCUS, Fault.LATE_UPLOADS})
+CALLER_FAULTS = frozenset(
+    {Fault.SLOW_READERS, Fault.CALLERS_FOCUS, Fault.LATE_UPLOADS, Fault.LARGE_UPLOADS}
+)
 STORE_LINK_FAULTS = frozenset(
     {Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES, Fault.STORE_REPEATS}
 )
@@ -115,6 +118,8 @@
 ODD_SEED_MASK = 0x0DD5
 UPLOAD_FAULTS = (Fault.LATE_UPLOADS,)
 UPLOAD_SEED_MASK = 0x1A7E
+MEMORY_FAULTS = (Fault.LARGE_UPLOADS,)
+MEMORY_SEED_MASK = 0x3E30
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -135,6 +140,7 @@
         Fault.RELOAD,
         *ODD_FAULTS,
         *UPLOAD_FAULTS,
+        *MEMORY_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -235,6 +241,7 @@
         *((PLANNED_FAULTS, each) for each in PLANNED_SEED_MASKS),
         (ODD_FAULTS, ODD_SEED_MASK),
         (UPLOAD_FAULTS, UPLOAD_SEED_MASK),
+        (MEMORY_FAULTS, MEMORY_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from chalkyoke_fakes.leaving import Leave, encode_request, leave_node
+from chalkyoke_fakes.memoryload.records import Ending
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
 from chalkyoke_fakes.soak import fleet as fleets
@@ -22,9 +23,12 @@
 from chalkyoke_fakes.soak.checkers import CHECKERS, MIXED_VERSION_CHECKERS, run_checkers
 from chalkyoke_fakes.soak.fleet import SoakFleet
 from chalkyoke_fakes.soak.injector import Injector
+from chalkyoke_fakes.soak.largeuploads import LargeUploader, UploadEnd
+from chalkyoke_fakes.soak.memorywatch import MemoryWatch
 from chalkyoke_fakes.soak.observations import (
     CallerAttempt,
     Decision,
+    FaultPeriod,
     Kind,
     LeftRequest,
     Observations,
@@ -34,7 +38,7 @@
     RetryLimit,
     Violation,
 )
-from chalkyoke_fakes.soak.plan import draw_faults, draw_roll
+from chalkyoke_fakes.soak.plan import Fault, draw_faults, draw_roll
 from chalkyoke_fakes.soak.uploads import Upload
 
 KIND_BY_PATH = {
@@ -72,6 +76,8 @@
 
 # Number of callers whose bodies end late beside a planned stop.
 UPLOADS = 8
+# Number of callers that send large bodies to one node at a time: more than its host has memory for.
+LARGE_UPLOADERS = 48
 # Requests a second during a flood of one team, and how often its callers resend a refused one: some
 # callers were seen to ignore Retry-After up to three times.
 FLOOD_PER_S = 40.0
@@ -127,7 +133,8 @@
         return (
             f"seed {self.seed}: {len(observations.attempts)} asked, {good} whole, "
             f"{len(observations.runs)} runs, {len(observations.faults)} faults, "
-            f"{len(observations.drains)} drained, back after {back}, "
+            f"{len(observations.drains)} drained, {len(observations.upload_periods)} uploads, "
+            f"{max(observations.peak_mb.values(), default=0.0):.0f} MB, back after {back}, "
             f"{len(self.violations)} broken"
         )
 
@@ -212,7 +219,10 @@
             self._start_crashing_part_caller,
             self._prefer_node,
             self._start_uploads,
+            self._start_large_uploads,
         )
+        memory = MemoryWatch(self._fleet, self.observations, injector.ending, self.elapsed_s)
+        memory_watch = asyncio.create_task(memory.run())
         watch = asyncio.create_task(self._watch_own_loop())
         callers = asyncio.create_task(self._run_callers(self._config.seconds, injector))
         leaving = asyncio.create_task(self._run_leaving_callers(self._config.seconds))
@@ -237,6 +247,9 @@
         await asyncio.gather(*injections)
         self.observations.recovered_s = await self._wait_for_recovery()
         watch.cancel()
+        if memory_watch.done():
+            memory_watch.result()
+        memory_watch.cancel()
         self._collect_replica_records()
         return self.observations
 
@@ -364,6 +377,52 @@
             )
         )
 
+    def _start_large_uploads(self, node: str, seconds: float) -> None:
+        self._extra_callers.append(asyncio.create_task(self._upload_large(node, seconds)))
+
+    async def _upload_large(self, node: str, seconds: float) -> None:
+        """Let callers of a node send more than its host has memory for."""
+        began = self.elapsed_s()
+        until = min(began + seconds, self._config.seconds)
+        paths = ("/book/1", "/find/1")
+        uploaders = [
+            LargeUploader(
+                self._fleet.nodes[node].callers,
+                f"large{self._seed}-{next(self._numbers)}",
+                paths[number % len(paths)],
+                self.elapsed_s,
+            )
+            for number in range(LARGE_UPLOADERS)
+        ]
+        ends = await asyncio.gather(*(each.run(until) for each in uploaders))
+        for number, uploader_ends in enumerate(ends):
+            for each in uploader_ends:
+                self._record_large_upload(each, node, paths[number % len(paths)])
+        self.observations.upload_periods.append(
+            FaultPeriod(Fault.LARGE_UPLOADS, node, began, self.elapsed_s())
+        )
+
+    def _record_large_upload(self, end: UploadEnd, node: str, path: str) -> None:
+        """Record an upload that was sent whole or answered; the caller left the others."""
+        if end.ending is Ending.LEFT:
+            return
+        if end.finished:
+            self.observations.uploads.add(end.name)
+        self.observations.attempts.append(
+            CallerAttempt(
+                end.name,
+                KIND_BY_PATH[path],
+                node,
+                TEAM,
+                end.began,
+                end.ended,
+                DEADLINE_S,
+                end.status,
+                end.body,
+                end.ending in (Ending.WHOLE, Ending.REFUSED, Ending.FAILED),
+            )
+        )
+
     async def _send_burst(self, rate_per_s: float, seconds: float) -> None:
         """Send plain requests to random nodes, and wait for their answers."""
         until = min(self.elapsed_s() + seconds, self._config.seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,9 @@
     Kind,
     LeftRequest,
     LimitPeriod,
+    NodeExit,
     Observations,
+    OverLimit,
     Quota,
     Rejection,
     ReplicaRun,
@@ -34,6 +36,13 @@
 EVENTS, OTHER_EVENTS = stream_events("v1"), stream_events("v1.1")
 STREAM = b"".join(EVENTS)
 SHORT = RunConfig(seconds=8.0, requests_per_s=6.0)
+# In the plan of this seed, callers send large bodies to nodes that stop, are killed and configured.
+UPLOAD_SEED = 3
+UPLOAD = RunConfig(
+    seconds=8.0,
+    requests_per_s=6.0,
+    only=frozenset({Fault.LARGE_UPLOADS, Fault.NODE_STOP, Fault.NODE_KILL, Fault.CONFIGURE}),
+)
 # In the plan of this seed, services pause beside reloads, stops and a kill.
 PAUSED_SEED = 41
 PAUSED = RunConfig(
@@ -305,7 +314,17 @@
     observations.node_faults.append(Decision("n1", "loop_failed", {"error": "LookupError()"}))
 
 
+def use_more_memory_than_the_host_has(observations):
+    observations.over_limit.append(OverLimit("n1", 20.0, 129.0))
+
+
+def end_a_process_by_itself(observations):
+    observations.exits.append(NodeExit("n1", 20.0, -9))
+
+
 VIOLATIONS = [
+    (use_more_memory_than_the_host_has, checkers.memory_stays_within_its_limit),
+    (end_a_process_by_itself, checkers.processes_end_when_told),
     (let_a_loop_fail, checkers.nodes_have_no_faults),
     (close_a_late_upload_without_an_answer, checkers.uploads_are_answered),
     (run_twice, checkers.runs_once),
@@ -519,6 +538,25 @@
     assert checkers.work_hardly_overlaps(observations) == []
 
 
+def test_unread_bytes_of_a_suspended_process_are_not_judged():
+    """It reads nothing, and the system receives on for it."""
+    observations = make_sound_run()
+    use_more_memory_than_the_host_has(observations)
+    observations.faults.append(FaultPeriod(Fault.NODE_FREEZE, "n2", 18.0, 20.5))
+    assert checkers.memory_stays_within_its_limit(observations)
+    observations.faults.append(FaultPeriod(Fault.NODE_FREEZE, "n1", 18.0, 20.5))
+    assert checkers.memory_stays_within_its_limit(observations) == []
+
+
+def test_shares_beside_large_uploads_are_not_compared():
+    """Uploads that nearly fill the memory of a host may have others refused."""
+    observations = make_sound_run()
+    serve_too_little_at_a_preferred_node(observations)
+    period = FaultPeriod(Fault.LARGE_UPLOADS, "n2", 121.0, 122.0)
+    observations.upload_periods.append(period)
+    assert checkers.focused_nodes_serve(observations) == []
+
+
 def test_a_frozen_node_excuses_runs_of_a_crashing_request():
     observations = make_sound_run()
     keep_running_a_crashing_request(observations)
@@ -616,3 +654,12 @@
     )
     assert any(each.fault == Fault.SERVICE_PAUSES for each in outcome.observations.faults)
     assert outcome.observations.time_limits and outcome.observations.decisions
+
+
+def test_a_short_run_with_large_uploads_keeps_the_safety_promises():
+    """Processes ended over the memory of their hosts, with all requests that they had accepted."""
+    outcome = asyncio.run(play_seed(UPLOAD_SEED, UPLOAD))
+    assert checkers.run_checkers(outcome.observations, checkers.SAFETY_CHECKERS) == [], (
+        outcome.summary()
+    )
+    assert outcome.observations.upload_periods and outcome.observations.peak_mb
