Soak: check that planned stops are heard

Cause: the soak killed a process that had not ended 12 s after SIGTERM and went on; only requests that were lost with it could show the fault.

Change: each planned stop is recorded with its time and exit code, and a code other than 0 is a violation (-9 where the process was killed). A planned stop, kill or freeze of a node is skipped while the node is being ended by another fault, so that no two starts of a node overlap.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -29,6 +29,7 @@
     sound_prompts_are_served,
 )
 from chalkyoke_fakes.soak.plan import Fault
+from chalkyoke_fakes.soak.stops import stops_are_heard
 from chalkyoke_fakes.soak.streams import (
     is_in_order,
     resumed_streams_go_on,
@@ -413,6 +414,7 @@
     uploads_are_answered,
     work_hardly_overlaps,
     memory_stays_within_its_limit,
+    stops_are_heard,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
@@ -435,6 +437,7 @@
     uploads_are_answered,
     work_hardly_overlaps,
     memory_stays_within_its_limit,
+    stops_are_heard,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -18,6 +18,7 @@
     FaultPeriod,
     FocusPeriod,
     LimitPeriod,
+    NodeStop,
     Observations,
     TimeLimit,
 )
@@ -191,6 +192,8 @@
             place = f"{place}, {step.fault}"
         if place in self.active_targets or (step.fault is Fault.ALL_KILL and self.active_targets):
             return
+        if step.fault.startswith("node_") and step.target in self.ending:
+            return
         self.active_targets.add(place)
         began = self._now()
         try:
@@ -201,7 +204,7 @@
 
     async def roll_node(self, step: RollStep) -> None:
         """Replace a host by one of the other build, once no other fault is active on it."""
-        while step.node in self.active_targets:
+        while step.node in self.active_targets | self.ending:
             await asyncio.sleep(0.05)
         self.active_targets.add(step.node)
         began = self._now()
@@ -281,14 +284,18 @@
         :param is_new: whether it runs the new build from then on; None for no change.
         """
         self.ending.add(name)
+        began = self._now()
         self._fleet.nodes[name].send_signal(signal.SIGTERM)
-        await self._wait_for_exit(name)
+        code = await self._wait_for_exit(name)
+        stop = NodeStop(name, began, self._now() - began, code)
+        self._observations.stops.append(stop)
         if is_new is not None:
             self._fleet.choose_build(name, is_new=is_new)
         self._fleet.start_node(name, first_start=False)
         self.ending.discard(name)
 
-    async def _wait_for_exit(self, name: str) -> None:
+    async def _wait_for_exit(self, name: str) -> int:
+        """Wait until a process has ended, kill it after a time, and return its exit code."""
         popen = self._fleet.nodes[name].popen
         assert popen is not None
         end = self._now() + STOP_TIMEOUT_S
@@ -296,7 +303,7 @@
             await asyncio.sleep(0.05)
         if popen.poll() is None:
             self._fleet.nodes[name].send_signal(signal.SIGKILL)
-            popen.wait()
+        return popen.wait()
 
     async def _kill_and_restart(self, names: list[str]) -> None:
         self.ending.update(names)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -251,6 +251,21 @@
     code: int
 
 
+@dataclass(frozen=True, slots=True)
+class NodeStop:
+    """A planned stop of a process.
+
+    :param at: when it was told to stop.
+    :param took_s: time until it ended or was killed, in seconds.
+    :param code: its exit code; negative for the number of a signal.
+    """
+
+    node: str
+    at: float
+    took_s: float
+    code: int
+
+
 @dataclass
 class Observations:
     """All records of a run.
@@ -273,6 +288,7 @@
     :ivar upload_periods: when callers of a node sent large bodies; no excuse for the node.
     :ivar over_limit: the first time that each process used more memory than its host has.
     :ivar exits: processes that ended by themselves.
+    :ivar stops: the planned stops.
     :ivar peak_mb: for each node, the most memory that counted toward its limit, in MB.
     :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
         changed it.
@@ -303,6 +319,7 @@
     upload_periods: list[FaultPeriod] = field(default_factory=list)
     over_limit: list[OverLimit] = field(default_factory=list)
     exits: list[NodeExit] = field(default_factory=list)
+    stops: list[NodeStop] = field(default_factory=list)
     peak_mb: dict[str, float] = field(default_factory=dict)
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
     LeftRequest,
     LimitPeriod,
     NodeExit,
+    NodeStop,
     Observations,
     OverLimit,
     Quota,
@@ -322,7 +323,12 @@
     observations.exits.append(NodeExit("n1", 20.0, -9))
 
 
+def kill_a_process_that_does_not_stop(observations):
+    observations.stops.append(NodeStop("n1", 20.0, 12.0, -9))
+
+
 VIOLATIONS = [
+    (kill_a_process_that_does_not_stop, checkers.stops_are_heard),
     (use_more_memory_than_the_host_has, checkers.memory_stays_within_its_limit),
     (end_a_process_by_itself, checkers.processes_end_when_told),
     (let_a_loop_fail, checkers.nodes_have_no_faults),
