Stand-ins: processes that inherit blocked signals

Cause: no stand-in could start a node as a parent does that blocks SIGTERM, SIGINT and SIGHUP to wait for them with sigwait; the mask is inherited.

Change: `spawn` takes the signals that the child inherits as blocked, and `PlatformFleet.blocked_signals` sets them for the next starts of nodes.

Measured: the child's mask holds the signal (test). No fleet uses it yet.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/children.py
@@ -9,7 +9,7 @@
 import os
 import signal
 import subprocess
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 
 PR_SET_PDEATHSIG = 1
@@ -32,12 +32,16 @@
     return f"127.{16 + process % 200}.{process // 200 % 250}.{number + 1}"
 
 
-def _ends_with(parent: int) -> Callable[[], None]:
-    """Return a function with which a child asks the kernel for SIGKILL when its parent dies."""
+def _ends_with(parent: int, blocked: Collection[signal.Signals]) -> Callable[[], None]:
+    """Return a function with which a child asks the kernel for SIGKILL when its parent dies.
+
+    :param blocked: signals that the child blocks at its start.
+    """
     prctl = ctypes.CDLL(None, use_errno=True).prctl
 
     def set_death_signal() -> None:
         prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        signal.pthread_sigmask(signal.SIG_BLOCK, blocked)
         if os.getppid() != parent:
             os._exit(1)
 
@@ -45,12 +49,16 @@
 
 
 def spawn(
-    command: list[str], log: Path, variables: dict[str, str] | None = None
+    command: list[str],
+    log: Path,
+    variables: dict[str, str] | None = None,
+    blocked: Collection[signal.Signals] = (),
 ) -> "subprocess.Popen[bytes]":
     """Start a process in a session of its own; call this from the main thread.
 
     :param log: file to which the process's output is appended.
     :param variables: environment variables in addition to those of this process.
+    :param blocked: signals that the process inherits as blocked.
     """
     with log.open("ab") as output:
         return subprocess.Popen(
@@ -59,5 +67,5 @@
             stderr=output,
             start_new_session=True,
             env={**os.environ, **(variables or {})},
-            preexec_fn=_ends_with(os.getpid()),
+            preexec_fn=_ends_with(os.getpid(), blocked),
         )
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/platformfleet.py
@@ -152,6 +152,7 @@
     :ivar memory: the ``memory`` section of the settings of all nodes.
     :ivar features: features of the pools' policy that nodes of this build switch on.
     :ivar plain_services: the setting ``scheduling.plain_services`` of all nodes.
+    :ivar blocked_signals: signals that the next starts of nodes inherit as blocked.
     :ivar read_limit_bytes: bytes of a request that a replica receives before it reads them.
     """
 
@@ -167,6 +168,7 @@
         self.features: list[str] = []
         self.plain_services = "auto"
         self.read_limit_bytes = READ_LIMIT_BYTES
+        self.blocked_signals: frozenset[signal.Signals] = frozenset()
         self._zones = zones
         self._numbers = iter(range(1, 1_000_000))
 
@@ -272,7 +274,7 @@
         )
         command = [sys.executable, "-m", "chalkyoke.gatewayd", str(node.settings)]
         other = {} if node.source is None else {"PYTHONPATH": str(node.source)}
-        node.popen = spawn(command, self.folder / f"{name}.log", other)
+        node.popen = spawn(command, self.folder / f"{name}.log", other, self.blocked_signals)
 
     def _scheduling_section(self, node: "GatewayProcess") -> str:
         """Return the settings of the pools' policy; another build may not know the features."""
--- a/tests/test_children.py
+++ b/tests/test_children.py
@@ -11,6 +11,8 @@
 import time
 from pathlib import Path
 
+from chalkyoke_fakes.children import spawn
+
 STARTER = """
 import sys, time
 from pathlib import Path
@@ -45,3 +47,13 @@
     if not gone:
         os.kill(child, signal.SIGKILL)
     assert gone
+
+
+def test_a_child_inherits_the_signals_that_it_is_to_block(tmp_path):
+    """Guards against plays of inherited masks in which nothing is blocked."""
+    for blocked, mask in (((), 0), ((signal.SIGTERM,), 1 << (signal.SIGTERM - 1))):
+        log = tmp_path / f"{mask}.log"
+        status = "print(open('/proc/self/status').read())"
+        assert spawn([sys.executable, "-c", status], log, blocked=blocked).wait() == 0
+        line = next(each for each in log.read_text().splitlines() if each.startswith("SigBlk:"))
+        assert int(line.split()[1], 16) == mask
