--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -151,9 +151,10 @@
         """Set the build that a node runs from its next start on."""
         self.nodes[name].source = None if is_new else self._old
 
-    def replica_at(self, place: str) -> Replica:
-        """Return the replica that currently serves at a place."""
-        return next(each for each in self.replicas.values() if place_of(each.id) == place)
+    def replica_at(self, place: str) -> Replica | None:
+        """Return the replica that currently serves at a place; None while it is being replaced."""
+        at_place = (each for each in self.replicas.values() if place_of(each.id) == place)
+        return next(at_place, None)
 
     def replicas_of(self, service: str) -> list[Replica]:
         """List the replicas that a service and the second service of its kind have now."""
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -386,6 +386,8 @@
 
     async def _apply_replica_fault(self, step: FaultStep) -> None:
         replica = self._fleet.replica_at(step.target)
+        if replica is None:
+            return
         if step.fault is Fault.REPLICA_CRASH:
             await self._crash_replica(replica)
         elif step.fault is Fault.REPLICA_RETURNS:
