--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -258,12 +258,14 @@
     :param at: when it was told to stop.
     :param took_s: time until it ended or was killed, in seconds.
     :param code: its exit code; negative for the number of a signal.
+    :param was_prepared: whether it handled the signal when it was told.
     """
 
     node: str
     at: float
     took_s: float
     code: int
+    was_prepared: bool = True
 
 
 @dataclass
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -554,6 +554,15 @@
     assert checkers.memory_stays_within_its_limit(observations) == []
 
 
+def test_a_stop_before_the_first_lines_of_a_node_may_end_it_by_the_default_action():
+    """The interpreter starts before any code of the node can prepare for signals."""
+    observations = make_sound_run()
+    observations.stops.append(NodeStop("n1", 20.0, 0.1, -15, was_prepared=False))
+    assert checkers.stops_are_heard(observations) == []
+    observations.stops.append(NodeStop("n1", 21.0, 0.1, -15))
+    assert checkers.stops_are_heard(observations)
+
+
 def test_shares_beside_large_uploads_are_not_compared():
     """Uploads that nearly fill the memory of a host may have others refused."""
     observations = make_sound_run()
