--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from chalkyoke_fakes.children import RELAY_ADDRESS_NUMBER, REPLICA_ADDRESS_NUMBER, own_address
+from chalkyoke_fakes.memoryload.manners import MAX_BODY_BYTES
 from chalkyoke_fakes.platformfleet import KEY, TEAM, PlatformFleet, default_configuration
 from chalkyoke_fakes.replica import FIRST_VERSION, Replica
 from chalkyoke_fakes.soak.observations import place_of
@@ -101,6 +102,7 @@
         return {
             **made,
             "services": [*made["services"], *seconds],
+            "limits": {**made["limits"], "max-body-bytes": MAX_BODY_BYTES},
             "tenants": copy.deepcopy(self.tenants),
         }
 
@@ -149,9 +151,10 @@
         """Set the build that a node runs from its next start on."""
         self.nodes[name].source = None if is_new else self._old
 
-    def replica_at(self, place: str) -> Replica:
-        """Return the replica that currently serves at a place."""
-        return next(each for each in self.replicas.values() if place_of(each.id) == place)
+    def replica_at(self, place: str) -> Replica | None:
+        """Return the replica that currently serves at a place; None while it is being replaced."""
+        at_place = (each for each in self.replicas.values() if place_of(each.id) == place)
+        return next(at_place, None)
 
     def replicas_of(self, service: str) -> list[Replica]:
         """List the replicas that a service and the second service of its kind have now."""
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -18,6 +18,7 @@
     FaultPeriod,
     FocusPeriod,
     LimitPeriod,
+    NodeStop,
     Observations,
     TimeLimit,
 )
@@ -33,11 +34,14 @@
     RollStep,
 )
 from chalkyoke_fakes.soak.relay import Relay, RelayFaults
+from chalkyoke_fakes.soak.stops import is_prepared_for
 
 RESTART_DELAY_S = 0.3
 # How much longer than other faults callers prefer one node, in seconds: it is checked from 3 s on.
 EXTRA_FOCUS_S = 4.0
 STOP_TIMEOUT_S = 12.0
+# Interval at which a process that starts is looked at, in seconds.
+START_POLL_S = 0.01
 # The shortest time for which a replica serves on after it announced leaving only in its answers; a
 # replica that drains serves on for 2.6 times as long.
 LEAVING_S = 2.5
@@ -134,7 +138,9 @@
     :param send_streams: makes callers begin streams, and take broken ones up, for some seconds.
     :param send_crashing_part: makes callers send prompts with a part for some seconds.
     :param start_uploads: makes callers of a node send bodies that end late.
+    :param start_large_uploads: makes callers of a node send large bodies for some seconds.
     :param prefer_node: makes callers open most connections to a node; to any node if empty.
+    :ivar ending: nodes whose processes are being stopped, killed or replaced.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
     """
 
@@ -151,6 +157,7 @@
         send_crashing_part: Callable[[str, float], None],
         prefer_node: Callable[[str], None],
         start_uploads: Callable[[str], None],
+        start_large_uploads: Callable[[str, float], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -163,6 +170,8 @@
         self.send_crashing_part = send_crashing_part
         self.prefer_node = prefer_node
         self._start_uploads = start_uploads
+        self._start_large_uploads = start_large_uploads
+        self.ending: set[str] = set()
         self.active_targets: set[str] = set()
         self._operators = Operators(fleet.make_configuration, fleet.configure)
 
@@ -172,6 +181,9 @@
             # No fault of the node: it must serve all others as before.
             self._start_slow_readers(step.target)
             return
+        if step.fault is Fault.LARGE_UPLOADS:
+            self._start_large_uploads(step.target, step.duration_s)
+            return
         if step.fault is Fault.LATE_UPLOADS:
             self._start_uploads(step.target)
             step = replace(step, fault=Fault.NODE_STOP)
@@ -183,6 +195,8 @@
             place = f"{place}, {step.fault}"
         if place in self.active_targets or (step.fault is Fault.ALL_KILL and self.active_targets):
             return
+        if step.fault.startswith("node_") and step.target in self.ending:
+            return
         self.active_targets.add(place)
         began = self._now()
         try:
@@ -193,15 +207,12 @@
 
     async def roll_node(self, step: RollStep) -> None:
         """Replace a host by one of the other build, once no other fault is active on it."""
-        while step.node in self.active_targets:
+        while step.node in self.active_targets | self.ending:
             await asyncio.sleep(0.05)
         self.active_targets.add(step.node)
         began = self._now()
         try:
-            self._fleet.nodes[step.node].send_signal(signal.SIGTERM)
-            await self._wait_for_exit(step.node)
-            self._fleet.choose_build(step.node, is_new=step.is_new)
-            self._fleet.start_node(step.node, first_start=False)
+            await self._stop_and_restart(step.node, step.is_new)
             await self._fleet.wait_until_ready(step.node)
         finally:
             self.active_targets.discard(step.node)
@@ -252,7 +263,7 @@
         elif step.fault is Fault.SERVICE_PAUSES:
             await self._pause_services(step)
         elif step.fault is Fault.RELOAD:
-            self._fleet.nodes[step.target].send_signal(signal.SIGHUP)
+            await self._reload_node(step.target)
         else:
             await self._operators.change_timeout()
             self._record_time_limit()
@@ -268,11 +279,37 @@
         elif step.fault is Fault.NODE_KILL:
             await self._kill_and_restart([step.target])
         else:
-            node.send_signal(signal.SIGTERM)
-            await self._wait_for_exit(step.target)
-            self._fleet.start_node(step.target, first_start=False)
+            await self._stop_and_restart(step.target)
+
+    async def _stop_and_restart(self, name: str, is_new: bool | None = None) -> None:
+        """Stop a node on plan and start it again.
+
+        :param is_new: whether it runs the new build from then on; None for no change.
+        """
+        self.ending.add(name)
+        began = self._now()
+        was_prepared = self._is_prepared_for(name, signal.SIGTERM)
+        self._fleet.nodes[name].send_signal(signal.SIGTERM)
+        code = await self._wait_for_exit(name)
+        stop = NodeStop(name, began, self._now() - began, code, was_prepared)
+        self._observations.stops.append(stop)
+        if is_new is not None:
+            self._fleet.choose_build(name, is_new=is_new)
+        self._fleet.start_node(name, first_start=False)
+        self.ending.discard(name)
+
+    async def _reload_node(self, name: str) -> None:
+        """Send SIGHUP, once the process has run the first lines of its code."""
+        while not self._is_prepared_for(name, signal.SIGHUP):
+            await asyncio.sleep(START_POLL_S)
+        self._fleet.nodes[name].send_signal(signal.SIGHUP)
+
+    def _is_prepared_for(self, name: str, number: signal.Signals) -> bool:
+        popen = self._fleet.nodes[name].popen
+        return popen is not None and is_prepared_for(popen.pid, number)
 
-    async def _wait_for_exit(self, name: str) -> None:
+    async def _wait_for_exit(self, name: str) -> int:
+        """Wait until a process has ended, kill it after a time, and return its exit code."""
         popen = self._fleet.nodes[name].popen
         assert popen is not None
         end = self._now() + STOP_TIMEOUT_S
@@ -280,9 +317,10 @@
             await asyncio.sleep(0.05)
         if popen.poll() is None:
             self._fleet.nodes[name].send_signal(signal.SIGKILL)
-            popen.wait()
+        return popen.wait()
 
     async def _kill_and_restart(self, names: list[str]) -> None:
+        self.ending.update(names)
         for name in names:
             self._fleet.nodes[name].send_signal(signal.SIGKILL)
         for name in names:
@@ -292,6 +330,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
         for name in names:
             self._fleet.start_node(name, first_start=False)
+        self.ending.difference_update(names)
 
     # Relays.
 
@@ -361,6 +400,8 @@
 
     async def _apply_replica_fault(self, step: FaultStep) -> None:
         replica = self._fleet.replica_at(step.target)
+        if replica is None:
+            return
         if step.fault is Fault.REPLICA_CRASH:
             await self._crash_replica(replica)
         elif step.fault is Fault.REPLICA_RETURNS:
