Planned stop: routes learn from slow answers of their service

Callers saw: uploads that ended late in the grace period were sent on and cut: answers broken off, and 502 to requests that must not be repeated and had run. Cause: how long an answer takes was learned by route alone. Where callers are spread over many routes, the first late request of each was judged by the short answers of before, while answers of other routes to the same replicas had been under way for two seconds. Ruled out: that a request is judged by when its head came. Judged is when it was read as a whole: with one route of each kind nothing that was sent after 4.9 s was taken, although all heads came before 2.5 s. Change: an answer of a service that outlasts the recent ones of its route, ended or under way, counts for its other routes, for 30 s and until an answer to a later request of the route itself has ended. An answer under way that has outlasted all recent ones is expected to take three times its age (two before): an age is a lower bound. Each refusal for a stop logs its inputs and their basis, also those after a wait for a replica, which named none.

--- a/packages/chalkyoke/src/chalkyoke/gateway/drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/drain.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chalkyoke.gateway.durations import AnswerDurations
+from chalkyoke.gateway.durations import AnswerDurations, Basis, Expected
 from chalkyoke.gateway.reception import Admission
 
 # How long before the node ends it refuses the requests that still wait, in seconds: time for the
@@ -52,16 +52,38 @@
         stop = self.stop
         if stop is None or admission.deadline <= stop.ends_at:
             return None
-        expected_s = self._expected_s(admission, stop, now)
-        return stop.ends_at - max(REFUSAL_TIME_S, expected_s)
+        seconds = self._expected(admission, stop, now).seconds
+        return stop.ends_at - max(REFUSAL_TIME_S, seconds or 0.0)
 
-    def _expected_s(self, admission: Admission, stop: PlannedStop, now: float) -> float:
+    def inputs(self, admission: Admission, now: float) -> dict[str, float | str]:
+        """Return what the decision on a request rests on, for the log; empty before a stop.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        stop = self.stop
+        if stop is None:
+            return {}
+        expected = self._expected(admission, stop, now)
+        return {
+            "ends_in_s": round(stop.ends_at - now, 4),
+            "expected_s": round(expected.seconds or 0.0, 4),
+            "basis": expected.basis.value,
+        }
+
+    def _expected(self, admission: Admission, stop: PlannedStop, now: float) -> Expected:
+        """Return how long the answer takes: as long as it may, if it is late and nothing is known.
+
+        Before the callers have left, nothing known counts as no time.
+        """
         timeout_s = admission.deadline - admission.arrived_at
         if admission.arrived_at > stop.leaves_at:
-            expected_s = self.durations.bound_s(admission, now)
-            return timeout_s if expected_s is None else min(expected_s, timeout_s)
+            found = self.durations.bound(admission, now)
+            seconds = timeout_s if found.seconds is None else min(found.seconds, timeout_s)
+            return Expected(seconds, found.basis)
         if admission.route.repeatable:
             expected_s = self.durations.typical_s(admission)
         else:
             expected_s = self.durations.longest_s(admission, now)
-        return 0.0 if expected_s is None else min(expected_s, timeout_s)
+        if expected_s is None:
+            return Expected(None, Basis.UNKNOWN)
+        return Expected(min(expected_s, timeout_s), Basis.RECENT)
--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -1,16 +1,19 @@
 """
 chalkyoke.gateway.durations
 
-Predict how long an answer takes from the recent answers of the same route, and from those that have
-not ended yet. Performs no I/O.
+Predict how long an answer takes from the recent answers of the same route, from those that have not
+ended yet, and from slow ones of other routes to the same service. Performs no I/O.
 """
 
+import enum
+import math
 import statistics
 from collections import deque
 
 import msgspec
 
 from chalkyoke.gateway.reception import Admission
+from chalkyoke.gateway.slowdowns import SlowAnswer, Slowdowns
 
 # Number of recent answers of a route that are kept. The longest of n samples bounds the next one
 # with probability n / (n + 1).
@@ -20,7 +23,26 @@
 # Factor on the longest recent answer, since answers take longer when the load grows.
 LOAD_ALLOWANCE = 1.25
 # Expected duration of an answer that has outlasted all recent ones, as a multiple of its age.
-OUTLASTING_FACTOR = 2.0
+OUTLASTING_FACTOR = 3.0
+
+
+class Basis(enum.StrEnum):
+    """What an expected duration rests on."""
+
+    UNKNOWN = "no answers"
+    RECENT = "recent answers"
+    UNDER_WAY = "answers under way"
+    SERVICE = "answers of other routes"
+
+
+class Expected(msgspec.Struct, frozen=True):
+    """How long an answer is expected to take.
+
+    :param seconds: None without any evidence.
+    """
+
+    seconds: float | None
+    basis: Basis
 
 
 class AnswerDuration(msgspec.Struct, frozen=True):
@@ -52,6 +74,7 @@
         self._samples: dict[tuple[str, str], deque[AnswerDuration]] = {}
         # By the output that the callers allowed, rounded up; each in the order of the dispatches.
         self._dispatched_at: dict[tuple[str, str], dict[int, dict[str, float]]] = {}
+        self._slowdowns = Slowdowns()
 
     def record_dispatch(self, admission: Admission, now: float) -> None:
         """Record that a request was dispatched; its first dispatch counts.
@@ -82,6 +105,7 @@
         """
         first_s = took_s if first_s is None else first_s
         sample = AnswerDuration(first_s, took_s - first_s, admission.fields.max_output_tokens)
+        self._record_slowdown(admission, took_s)
         found = self._samples.get(_key(admission))
         if found is None:
             found = self._samples[_key(admission)] = deque(maxlen=MAX_SAMPLES)
@@ -104,7 +128,15 @@
     def bound_s(self, admission: Admission, now: float) -> float | None:
         """Return a duration that few answers exceed, in seconds; None without any answer.
 
-        Answers that become slower show first by the age of those that have not ended.
+        :param now: time on the node's clock, in seconds.
+        """
+        return self.bound(admission, now).seconds
+
+    def bound(self, admission: Admission, now: float) -> Expected:
+        """Return a duration that few answers exceed, and what it rests on.
+
+        Answers that become slower show first by the age of those that have not ended, and at the
+        routes to their service that are used the most.
 
         :param now: time on the node's clock, in seconds.
         """
@@ -112,14 +144,47 @@
         longest_s = max(durations, default=0.0)
         age_s = self._longest_age_s(admission, now, longest_s)
         if age_s > longest_s:
-            return age_s * OUTLASTING_FACTOR
+            return Expected(age_s * OUTLASTING_FACTOR, Basis.UNDER_WAY)
         if not durations:
-            return None
-        return longest_s * LOAD_ALLOWANCE * (1.0 + FEW_SAMPLES / len(durations))
+            return Expected(None, Basis.UNKNOWN)
+        bound_s = longest_s * LOAD_ALLOWANCE * (1.0 + FEW_SAMPLES / len(durations))
+        excess_s = self._service_excess_s(_key(admission), now)
+        if excess_s > 0.0:
+            return Expected(bound_s + excess_s, Basis.SERVICE)
+        return Expected(bound_s, Basis.RECENT)
 
     def retain(self, routes: set[str]) -> None:
         """Drop the answers of all other routes."""
         self._samples = {key: kept for key, kept in self._samples.items() if key[0] in routes}
+        self._slowdowns.retain(routes)
+
+    def _record_slowdown(self, admission: Admission, took_s: float) -> None:
+        key, most = _key(admission), _rounded_output(admission)
+        alike = self._dispatched_at.get(key, {}).get(most, {})
+        at = alike.get(admission.search_id) if alike else None
+        if at is None:
+            return
+        before_s = max(self._scaled(key, admission.fields.max_output_tokens), default=took_s)
+        self._slowdowns.record(key, at, took_s - before_s)
+
+    def _service_excess_s(self, key: tuple[str, str], now: float) -> float:
+        """Return how much longer answers of other routes to the service take than before.
+
+        What an answer under way will have taken is a multiple of what it has taken so far.
+
+        :return: seconds; 0 if they don't, or if a later answer of the route itself has ended.
+        """
+        excess_s = self._slowdowns.excess_s(key, now) * LOAD_ALLOWANCE
+        for other, groups in self._dispatched_at.items():
+            if other == key or other[1] != key[1]:
+                continue
+            for most, alike in groups.items():
+                at = next(iter(alike.values()), now)
+                longest_s = max(self._scaled(other, most), default=math.inf)
+                slow = SlowAnswer(at, now - at - longest_s)
+                if slow.excess_s > 0.0 and self._slowdowns.is_news(key, slow):
+                    excess_s = max(excess_s, slow.excess_s * OUTLASTING_FACTOR)
+        return excess_s
 
     def _longest_age_s(self, admission: Admission, now: float, above_s: float) -> float:
         """Return the age of the oldest other request that has outlasted all recent answers.
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -213,7 +213,7 @@
                 return
             if self._is_refused_for_stop and self.task is not None and not self._caller_left:
                 self.task.uncancel()
-                self._refuse_stopping(admission)
+                self._replies.refuse(admission, STOPPING, RETRY_SOON_S)
                 return
             if not self._caller_left:
                 raise
@@ -259,14 +259,9 @@
         sent = self._sender.is_sending or self._progress.sends.runs
         return not sent and not self._delivery.head_sent
 
-    def _refuse_stopping(self, admission: Admission) -> None:
-        stop, latest = self._parts.drain.stop, self._latest_dispatch()
-        if stop is not None and latest is not None:
-            self._replies.refuse_stopping(admission, stop, latest)
-
     async def _serve_admitted(self, admission: Admission) -> None:
         if self._is_too_late():
-            self._refuse_stopping(admission)
+            self._replies.refuse(admission, STOPPING, RETRY_SOON_S)
             return
         if self._refuse_if_held_back(admission):
             return
--- a/packages/chalkyoke/src/chalkyoke/gateway/replies.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/replies.py
@@ -4,7 +4,6 @@
 Answers of the node itself, for requests without an answer of a replica.
 """
 
-from chalkyoke.gateway.drain import PlannedStop
 from chalkyoke.gateway.parts import GatewayParts
 from chalkyoke.gateway.reception import Admission
 from chalkyoke.gateway.relay import Delivery
@@ -78,25 +77,12 @@
             "a caller that is told 'not run' had no run",
             request=admission.request_id,
         )
-        self._parts.log_decision("refused", admission, reason=reason, retry_after_s=retry_after_s)
-        self.send_answer(503, reason, retry_after_s)
-
-    def refuse_stopping(
-        self, admission: Admission, stop: PlannedStop, latest_dispatch: float
-    ) -> None:
-        """Answer that the node ends too early for the answer.
-
-        :param latest_dispatch: when the request should have been dispatched, on the node's clock.
-        """
+        is_stop = reason == STOPPING
+        inputs = self._parts.drain.inputs(admission, self._parts.now()) if is_stop else {}
         self._parts.log_decision(
-            "refused",
-            admission,
-            reason=STOPPING,
-            retry_after_s=RETRY_SOON_S,
-            ends_in_s=round(stop.ends_at - self._parts.now(), 4),
-            expected_s=round(stop.ends_at - latest_dispatch, 4),
+            "refused", admission, reason=reason, retry_after_s=retry_after_s, **inputs
         )
-        self.send_answer(503, STOPPING, RETRY_SOON_S)
+        self.send_answer(503, reason, retry_after_s)
 
     def refuse_over_quota(self, admission: Admission, decided: QuotaDecision) -> None:
         """Answer that the team's quota is spent."""
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -151,6 +151,76 @@
     assert is_taken(drain, admitted(105.0, max_output=100))
 
 
+def stopping_with_routes(*routes):
+    """Return the drain of a stopping node with fifty short answers of each of some routes."""
+    drain = Drain()
+    for each in routes:
+        for number in range(50):
+            short = admitted(0.0, route=each, request=f"{each}{number}")
+            answer(drain, short, 0.0, 0.2)
+    drain.stop = STOP
+    return drain
+
+
+def answer(drain, admission, dispatched_at, took_s):
+    drain.durations.record_dispatch(admission, dispatched_at)
+    drain.durations.record(admission, took_s, None)
+    drain.durations.record_end(admission)
+
+
+def test_a_route_that_is_rarely_used_learns_from_slow_answers_under_way_of_its_service():
+    """Guards against late requests that a stop cut off, as each was the first of its route."""
+    drain = stopping_with_routes("busy", "rare")
+    drain.durations.record_dispatch(admitted(103.0, route="busy", request="slow"), 103.0)
+    assert is_taken(drain, admitted(103.5, route="rare"))
+    late = admitted(105.0, route="rare")
+    assert not is_taken(drain, late)
+    assert drain.inputs(late, 105.0)["basis"] == "answers of other routes"
+    assert is_taken(drain, admitted(105.0, route="rare", service="other", timeout_s=2.0))
+
+
+def test_a_route_that_is_rarely_used_learns_from_slow_answers_of_its_service():
+    """Guards against short answers of the past, while those of other routes had become slow."""
+    drain = stopping_with_routes("busy", "rare")
+    slow = admitted(103.0, route="busy", request="slow")
+    answer(drain, slow, 103.0, 2.5)
+    assert is_taken(drain, admitted(103.9, route="rare"))
+    assert not is_taken(drain, admitted(105.6, route="rare"))
+
+
+def test_slow_answers_of_a_service_that_are_long_past_say_nothing_of_its_rarely_used_routes():
+    """Guards against short routes that a stop refused since another one was slow once."""
+    drain = stopping_with_routes("busy", "rare")
+    answer(drain, admitted(60.0, route="busy", request="slow"), 60.0, 2.5)
+    assert is_taken(drain, admitted(105.6, route="rare"))
+
+
+def test_a_later_answer_of_the_route_itself_counts_more_than_slow_ones_of_other_routes():
+    """Guards against a stop that refuses all short routes because a long answer is under way."""
+    drain = stopping_with_routes("busy", "short")
+    drain.durations.record_dispatch(admitted(103.0, route="busy", request="slow"), 103.0)
+    assert not is_taken(drain, admitted(105.0, route="short"))
+    answer(drain, admitted(103.1, route="short", request="later"), 103.1, 0.2)
+    assert is_taken(drain, admitted(105.0, route="short"))
+
+
+def test_a_refusal_names_the_time_left_what_is_expected_and_why():
+    drain = stopping((2.0, 0))
+    assert Drain().inputs(admitted(100.0), 100.0) == {}
+    assert drain.inputs(admitted(104.0), 104.0) == {
+        "ends_in_s": 3.4,
+        "expected_s": 8.0,
+        "basis": "recent answers",
+    }
+    assert drain.inputs(admitted(104.0, route="new"), 104.0)["basis"] == "no answers"
+    drain.durations.record_dispatch(admitted(103.0, route="new", request="slow"), 103.0)
+    assert drain.inputs(admitted(104.0, route="new"), 104.0) == {
+        "ends_in_s": 3.4,
+        "expected_s": OUTLASTING_FACTOR,
+        "basis": "answers under way",
+    }
+
+
 def test_a_prediction_does_not_read_all_answers_under_way():
     """Guards against a stop that held the event loop up for seconds with thousands in progress."""
     drain = stopping((0.5, 0))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,7 +4,7 @@
 import json
 
 from chalkyoke.tunnels.messages import TunnelOutcome, TunnelRequest
-from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration
+from chalkyoke_fakes.platformfleet import HOST, KEY, default_configuration, make_route
 
 from tests.gatewayfleet import CallerAnswer, _ip, _parse_answer, _read_answer, run_check
 
@@ -232,6 +232,36 @@
     run_check(check)
 
 
+def test_late_uploads_of_many_routes_are_not_sent_on_while_answers_have_become_slow():
+    """Guards against a stop at which the first late request of each route was cut off."""
+    slow_s = 2.5
+    times = [3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 6.0, 6.5]
+
+    async def check(fleet):
+        many = default_configuration(2)
+        many["routes"] += [
+            make_route(f"book{number}", "non_idempotent", "seats") for number in range(len(times))
+        ]
+        fleet.store.put("op/config", json.dumps(many).encode())
+        await asyncio.sleep(1.0)
+        for number in range(len(times)):
+            await serve_before(fleet, f"/book{number}/1", SHORT_ANSWER_S)
+        began = stop(fleet)
+        got = await asyncio.gather(
+            *(
+                send_until(began, f"/book{number}/1", f"late{at}", at, work_s=slow_s)
+                for number, at in enumerate(times)
+            )
+        )
+        for at, answer in zip(times, got, strict=True):
+            assert answer.whole and answer.status in (200, 503), (at, answer)
+            assert count_runs(fleet, f"late{at}") == (answer.status == 200)
+        statuses = [each.status for each in got]
+        assert statuses[:2] == [200, 200] and statuses == sorted(statuses)
+
+    run_check(check)
+
+
 async def send_on(reader, writer, request):
     """Send a request on an open connection and read its answer."""
     writer.write(encode_head("/book/1", request, length=0, work_s=SHORT_ANSWER_S))
