Requests that are refused before their end, and answers that may be lost, leave a line and are counted

What operators saw: nothing.

Change: log line `not_read` with the request's id as far as its head was read, status, target, bytes read and declared, and time; `answer_lost` with its cause and what was discarded meanwhile. Counters requests_not_read_total{status} and answers_lost_total{cause}.

--- a/packages/chalkyoke/src/chalkyoke/http1/lingering.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingering.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from chalkyoke.discard import ONLY_FIN_BYTES
+from chalkyoke.http1.messages import Headers
 from chalkyoke.sockets import unacknowledged_bytes
 
 # Seconds without input after which a connection closes whose requests have been read.
@@ -79,11 +80,13 @@
         reset the connection or it broke.
     :param lingered_s: seconds since the answer was sent.
     :param discarded_bytes: bytes read in this time.
+    :param headers: of the request that was answered last, as far as they were read.
     """
 
     cause: str
     lingered_s: float
     discarded_bytes: int
+    headers: Headers
 
 
 class LingeringConnections:
@@ -110,13 +113,19 @@
 
     :param transport: its last answer has been written.
     :param due_bytes: bytes of the refused request that are still to come; None if unknown.
+    :param headers: of the request that was answered last, for reports.
     """
 
     def __init__(
-        self, transport: asyncio.Transport, shared: LingeringConnections, due_bytes: int | None
+        self,
+        transport: asyncio.Transport,
+        shared: LingeringConnections,
+        due_bytes: int | None,
+        headers: Headers,
     ) -> None:
         self._transport = transport
         self._shared = shared
+        self._headers = headers
         self._loop = asyncio.get_running_loop()
         self._began = self._loop.time()
         self._times = LingerTimes(self._began, due_bytes)
@@ -197,4 +206,5 @@
 
     def _report(self, cause: str) -> None:
         lingered_s = self._loop.time() - self._began
-        self._shared.on_answer_lost(LingerEnd(cause, lingered_s, self._discarded_bytes))
+        end = LingerEnd(cause, lingered_s, self._discarded_bytes, self._headers)
+        self._shared.on_answer_lost(end)
--- a/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
@@ -51,7 +51,7 @@
         if self._linger is not None:
             self._linger.stop()
         elif self._is_input_due() and not self._inner.is_closing():
-            self._linger = LingeringClose(self._inner, self._shared, None)
+            self._linger = LingeringClose(self._inner, self._shared, None, [])
         else:
             self._inner.close()
 
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -16,11 +16,13 @@
 from chalkyoke.http1.lingering import LingeringClose, LingeringConnections
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
+    Headers,
     Request,
     connection_options,
     encode_refusal,
 )
 from chalkyoke.http1.offers import encode_without_offer
+from chalkyoke.http1.refusals import RefusedRead
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 from chalkyoke.http1.targets import to_origin_form
 from chalkyoke.http1.timelimits import BodyTime
@@ -46,6 +48,7 @@
     :param opened: called when the connection is open and in the set.
     :param memory: what the connections of a listener share to account for their buffers.
     :param lingering: what the connections of a listener share while they close.
+    :param on_refused: called when a request is refused before its end.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     :ivar stopping: whether a planned stop has begun.
     """
@@ -58,6 +61,7 @@
         opened: Callable[[], None] = lambda: None,
         memory: CallerMemory | None = None,
         lingering: LingeringConnections | None = None,
+        on_refused: Callable[[RefusedRead], None] = lambda _: None,
     ) -> None:
         self._start_handler = start
         self._limits = limits
@@ -66,6 +70,9 @@
         self._memory = memory or CallerMemory()
         self._lingering = lingering or LingeringConnections()
         self._linger: LingeringClose | None = None
+        self._on_refused = on_refused
+        self._message_began = 0.0
+        self._last_headers: Headers = []
         self._due_bytes: int | None = 0
         self._unsent: UnsentResponse | None = None
         self._incoming = IncomingRequest(self._memory.account)
@@ -253,6 +260,7 @@
     def on_message_begin(self) -> None:
         """Mark the start of a request."""
         self._in_message = True
+        self._message_began = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -350,6 +358,7 @@
         self._cancel_timer()
         waiting = self._waiting_requests.popleft()
         self._kept_charge = waiting.body_charge
+        self._last_headers = waiting.request.headers
         if self._reading_paused and len(self._waiting_requests) < MAX_PIPELINED_REQUESTS:
             self._reading_paused = False
             self._hangups.stop()
@@ -411,6 +420,19 @@
         No part of the request reaches a handler.
         """
         if not self._ignores_input:
+            incoming = self._incoming
+            took_s = self._loop.time() - self._message_began if self._in_message else 0.0
+            declared = incoming.declared_length() if self._head_complete else None
+            self._on_refused(
+                RefusedRead(
+                    status,
+                    bytes(incoming.target),
+                    incoming.headers,
+                    incoming.body_bytes,
+                    declared,
+                    took_s,
+                )
+            )
             self._refuse_in_turn(encode_refusal(status, []))
 
     def _refuse_in_turn(self, refusal: bytes) -> None:
@@ -429,6 +451,7 @@
             self._refusal = refusal
 
     def _send_refusal(self, refusal: bytes) -> None:
+        self._last_headers = self._incoming.headers
         self.write(refusal)
         self._close_after_linger()
 
@@ -475,7 +498,9 @@
         self._cancel_timer()
         self._hangups.stop()
         self._discard_waiting()
-        self._linger = LingeringClose(self.transport, self._lingering, self._due_bytes)
+        self._linger = LingeringClose(
+            self.transport, self._lingering, self._due_bytes, self._last_headers
+        )
         if self.stopping:
             self._linger.stop()
 
--- a/packages/chalkyoke/src/chalkyoke/node/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/node/gateway.py
@@ -66,6 +66,7 @@
 from chalkyoke.node.plainqueues import add_queue_gauges, make_queued_services
 from chalkyoke.node.pools import DeclaredPools, DeclaredReplicas
 from chalkyoke.node.quotas import make_quotas
+from chalkyoke.node.readlog import ReadLog
 from chalkyoke.node.registration import CandidateReader, make_registration
 from chalkyoke.node.requestlog import RequestLog
 from chalkyoke.node.rollouts import TICK_S as ROLLOUTS_TICK_S
@@ -489,7 +490,11 @@
         catalog = self.catalog.state
         admission = self.memory.admit_callers(self._platform.headers, lambda: catalog.catalog)
         descriptors = self.settings.limits.descriptors
-        parts = ListenerParts(lambda: catalog.catalog.limits, descriptors, admission)
+        reports = ReadLog(
+            self.metrics,
+            lambda headers: self._platform.headers.read_request(headers).request_id,
+        )
+        parts = ListenerParts(lambda: catalog.catalog.limits, descriptors, admission, reports)
         return make_listeners(
             self.settings.listen, parts, self.gateway.start_exchange, self._pages.start
         )
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -16,6 +16,7 @@
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
+from chalkyoke.http1.refusals import NoReports, ReadReports
 from chalkyoke.http1.server import ServerConnection, StartHandler
 from chalkyoke.logs import logger
 from chalkyoke.node.listening import ListenAddress
@@ -38,15 +39,19 @@
     :param descriptors: number of file descriptors that this process may open; 0 for the limit of
         the system.
     :param memory: what callers' connections share to account for their buffers.
+    :param reports: told of callers' requests that are refused before they have been read.
     """
 
     limits: Callable[[], RequestLimits]
     descriptors: int
     memory: CallerMemory
+    reports: ReadReports = NoReports()
 
     def for_callers(self, address: str, start: StartHandler) -> "Listener":
         """Make the listener for callers."""
-        return Listener(address, start, self._server_limits, self.descriptors, self.memory)
+        return Listener(
+            address, start, self._server_limits, self.descriptors, self.memory, self.reports
+        )
 
     def for_pages(self, address: str, start: StartHandler) -> "Listener":
         """Make the listener for a page of this node, which is served however scarce memory is."""
@@ -71,6 +76,7 @@
     :param descriptors: number of file descriptors that this process may open; 0 for the limit of
         the system.
     :param memory: what its connections share to account for their buffers.
+    :param reports: told of requests that are refused before they have been read.
     """
 
     def __init__(
@@ -80,12 +86,14 @@
         limits: Callable[[], ServerLimits],
         descriptors: int = 0,
         memory: CallerMemory | None = None,
+        reports: ReadReports | None = None,
     ) -> None:
         self._address = address
         self._start = start
         self._limits = limits
         self._memory = memory or CallerMemory()
-        self._lingering = LingeringConnections()
+        self._reports = reports or NoReports()
+        self._lingering = LingeringConnections(self._reports.on_answer_lost)
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -150,6 +158,7 @@
             self._on_opened,
             self._memory,
             self._lingering,
+            self._reports.on_refused,
         )
 
     def _on_opened(self) -> None:
