--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -16,12 +16,14 @@
 from chalkyoke.http1.lingering import LingeringClose, LingeringConnections
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
 from chalkyoke.http1.messages import (
+    Headers,
     Request,
     connection_options,
     encode_refusal,
 )
 from chalkyoke.http1.offers import encode_without_offer
 from chalkyoke.http1.pausing import PausableInput, PauseReason
+from chalkyoke.http1.refusals import RefusedRead
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 from chalkyoke.http1.targets import to_origin_form
 from chalkyoke.http1.timelimits import BodyTime
@@ -49,6 +51,7 @@
     :param opened: called when the connection is open and in the set.
     :param memory: what the connections of a listener share to account for their buffers.
     :param lingering: what the connections of a listener share while they close.
+    :param on_refused: called when a request is refused before its end.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     :ivar stopping: whether a planned stop has begun.
     """
@@ -61,6 +64,7 @@
         opened: Callable[[], None] = lambda: None,
         memory: CallerMemory | None = None,
         lingering: LingeringConnections | None = None,
+        on_refused: Callable[[RefusedRead], None] = lambda _: None,
     ) -> None:
         self._start_handler = start
         self._limits = limits
@@ -69,6 +73,9 @@
         self._memory = memory or CallerMemory()
         self._lingering = lingering or LingeringConnections()
         self._linger: LingeringClose | None = None
+        self._on_refused = on_refused
+        self._message_began = 0.0
+        self._last_headers: Headers = []
         self._due_bytes: int | None = 0
         self._unsent: UnsentResponse | None = None
         self._incoming = IncomingRequest(self._memory.account)
@@ -267,6 +274,7 @@
     def on_message_begin(self) -> None:
         """Mark the start of a request."""
         self._in_message = True
+        self._message_began = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -374,6 +382,7 @@
         waiting = self._waiting_requests.popleft()
         waiting.charge_copy()
         self._kept_charge = waiting.body_charge
+        self._last_headers = waiting.request.headers
         if not self._is_pipeline_full:
             self._input.resume(PauseReason.WAITING_REQUESTS)
         self._keep_alive = waiting.keep_alive
@@ -433,6 +442,19 @@
         No part of the request reaches a handler.
         """
         if not self._ignores_input:
+            incoming = self._incoming
+            took_s = self._loop.time() - self._message_began if self._in_message else 0.0
+            declared = incoming.declared_length() if self._head_complete else None
+            self._on_refused(
+                RefusedRead(
+                    status,
+                    bytes(incoming.target),
+                    incoming.headers,
+                    incoming.body_bytes,
+                    declared,
+                    took_s,
+                )
+            )
             self._refuse_in_turn(encode_refusal(status, []))
 
     def _refuse_in_turn(self, refusal: bytes) -> None:
@@ -452,6 +474,7 @@
             self._refusal = refusal
 
     def _send_refusal(self, refusal: bytes) -> None:
+        self._last_headers = self._incoming.headers
         self.write(refusal)
         self._close_after_linger()
 
@@ -529,7 +552,9 @@
         self._cancel_timer()
         self._input.resume_all()
         self._discard_waiting()
-        self._linger = LingeringClose(self.transport, self._lingering, self._due_bytes)
+        self._linger = LingeringClose(
+            self.transport, self._lingering, self._due_bytes, self._last_headers
+        )
         if self.stopping:
             self._linger.stop()
 
