Memory load: callers that give up when their body can't be sent

Cause: a caller that reads its answer only after its body read what had arrived even when a reset had ended its sending, as few clients do; a refusal behind which the node closes with unread bytes looked answered.

Change: such a caller has nothing if its sending fails. Bodies may be larger than the limit, and keys unknown, for callers that are refused.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/manners.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/manners.py
@@ -21,7 +21,7 @@
 # Share of the uploads whose last byte is sent; the others hold the memory of their node longer.
 WHOLE_SHARE = 0.25
 # One body for all callers, which are many.
-BODY = memoryview(b"x" * MAX_BODY_BYTES)
+BODY = memoryview(b"x" * (MAX_BODY_BYTES + 200_000))
 
 
 class Manner(StrEnum):
@@ -57,7 +57,9 @@
     :param hold_s: time before the last byte, in seconds.
     :param is_whole: whether the last byte is sent.
     :param tries: how often the same body is sent while it is refused.
-    :param reads_late: whether the answer is read only after the body was sent.
+    :param reads_late: whether the answer is read only after the body was sent; as many clients do,
+        the caller gives up if it can't be sent.
+    :param key: the caller's key.
     """
 
     size: int
@@ -68,13 +70,14 @@
     is_whole: bool
     tries: int
     reads_late: bool
+    key: str = KEY
 
     def head(self, name: str, path: str) -> bytes:
         """Encode the head of the request."""
         framing = "Transfer-Encoding: chunked" if self.chunked else f"Content-Length: {self.size}"
         return (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\n"
-            f"X-Deadline-Ms: 8000\r\nX-Credential: {KEY}\r\n{framing}\r\n\r\n"
+            f"X-Deadline-Ms: 8000\r\nX-Credential: {self.key}\r\n{framing}\r\n\r\n"
         ).encode()
 
     def parts(self) -> Iterator[bytes | memoryview]:
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/uploading.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/uploading.py
@@ -45,6 +45,8 @@
     try:
         if upload.reads_late:
             await asyncio.wait((sending,))
+            if sending.exception() is not None:
+                return ReceivedEnd(False, Ending.CLOSED)
         async with asyncio.timeout(None if upload.is_whole else leaves_in_s):
             return await _read_beside(connection, sending)
     except TimeoutError:
--- a/tests/test_memory_load.py
+++ b/tests/test_memory_load.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -29,6 +30,7 @@
 from chalkyoke_fakes.memoryload.uploading import send_upload
 from chalkyoke_fakes.memoryload.usage import peak_resident_bytes, resident_bytes, unread_bytes
 from chalkyoke_fakes.memoryload.watch import NodeWatch
+from chalkyoke_fakes.resets import reset_connection
 
 SMALL = Upload(
     size=50_000,
@@ -130,6 +132,21 @@
     assert asyncio.run(send_to(cut, SMALL)).ending is Ending.CUT
 
 
+def test_a_caller_that_reads_late_gives_up_if_its_body_cannot_be_sent():
+    """Guards against refusals that count as seen, although the reset came before they were read."""
+
+    async def refuse_and_reset(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+        await writer.drain()
+        reset_connection(writer)
+
+    slow = replace(SMALL, pause_s=0.02)
+    assert asyncio.run(send_to(refuse_and_reset, slow)).ending is Ending.REFUSED
+    late = replace(slow, reads_late=True)
+    assert asyncio.run(send_to(refuse_and_reset, late)).ending is Ending.CLOSED
+
+
 # Records.
 
 
