--- a/scripts/memory_load.py
+++ b/scripts/memory_load.py
@@ -55,7 +55,9 @@
 
 
 def _play(scenario: Scenario, config: PlayConfig) -> bool:
-    kept = KEPT_FOLDER / f"{scenario.name}-{config.limit_mb:.0f}-{config.seed}".replace(" ", "-")
+    options = f"{'-accounted' * config.is_accounted}{'-kill' * config.enforces}"
+    name = f"{scenario.name}-{config.limit_mb:.0f}-{config.seed}{options}"
+    kept = KEPT_FOLDER / name.replace(" ", "-")
     outcome = asyncio.run(play_scenario(scenario, config, kept))
     print(_format_row(outcome.row()), flush=True)
     return _report_findings(outcome, kept)
