Connections are read on after a body in chunks that ended while it waited for memory

Callers whose body in chunks ended in the piece with which it began to wait for memory got their answer, but the connection stayed paused: the next request on it had no answer until the idle timeout closed it. Completing the request removes its grant, and only a grant resumed the input. Completing it now resumes the input as well.

A CONNECT that was refused while memory was exhausted was answered twice: its head counts as incomplete, and was charged and refused again after the 400; over a real transport the second write follows the end of the stream and raises. What was refused is not charged any more.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -187,6 +187,8 @@
         except httptools.HttpParserError:
             self._refuse(400)
             return
+        if self._ignores_input:
+            return
         if self._unparsed_bytes > self._limits().header_bytes:
             self._refuse(431)
         elif self._in_message and not self._head_complete:
@@ -337,6 +339,8 @@
             keep_alive = False
         self._waiting_requests.append(WaitingRequest(request, keep_alive, incoming.charge))
         self._reset_message()
+        # The end of a body may come with the bytes at which it began to wait for memory.
+        self._input.resume(PauseReason.BODY_MEMORY)
         if self._handler is None:
             self._start_next_request()
         elif self._is_pipeline_full:
