An idle connection keeps no headers of its last request

The line answer_lost names the last request of a connection, so its headers were kept until the next one, uncharged: up to max-header-bytes for each kept connection. They go with an answer after which the connection stays open.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -412,6 +412,7 @@
         if announced or not self._keep_alive:
             self._close_after_linger()
             return
+        self._last_headers = []
         self._loop.call_soon(self._after_answer)
 
     def _after_answer(self) -> None:
