Planned stop: a silent replica keeps its request if all have become slow

Callers saw: repeatable requests that were read up to 2.7 s before the end of a stop got 502, although their replica had answered in 2.5 s, well before that end. Cause: a plain request without an answer for 1.5 goals is sent to another replica, and the first send is dropped soon after. A stop limits the first send of a request only, so that the second began from the start near the end of the stop and was cut off. Change: during a stop another replica takes over only if its answer is expected to end in time; the silent one keeps the request otherwise. Long answers under way don't count against it once an answer to a later request of the route has ended. The play of five requests fails before (502 to the one of 3.5 s after the signal).

--- a/packages/chalkyoke/src/chalkyoke/gateway/drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/drain.py
@@ -55,6 +55,19 @@
         seconds = self._expected(admission, stop, now).seconds
         return stop.ends_at - max(REFUSAL_TIME_S, seconds or 0.0)
 
+    def may_replace(self, admission: Admission, now: float) -> bool:
+        """Return whether another replica may take a request over from one that is silent.
+
+        The silent one has worked on it, and is likely to answer earlier if all have become slow.
+
+        :param now: time on the node's clock, in seconds.
+        """
+        stop = self.stop
+        if stop is None or admission.deadline <= stop.ends_at:
+            return True
+        expected_s = self.durations.replacement_s(admission, now)
+        return expected_s is None or now + expected_s < stop.ends_at
+
     def inputs(self, admission: Admission, now: float) -> dict[str, float | str]:
         """Return what the decision on a request rests on, for the log; empty before a stop.
 
--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -153,6 +153,24 @@
             return Expected(bound_s + excess_s, Basis.SERVICE)
         return Expected(bound_s, Basis.RECENT)
 
+    def replacement_s(self, admission: Admission, now: float) -> float | None:
+        """Return how long another replica takes for a request that has one, at most.
+
+        Long answers under way may be those of the same replica, so they don't count once an answer
+        to a later request of the route has ended.
+
+        :param now: time on the node's clock, in seconds.
+        :return: seconds; None without any answer.
+        """
+        expected = self.bound(admission, now)
+        if expected.basis is not Basis.UNDER_WAY or expected.seconds is None:
+            return expected.seconds
+        age_s = expected.seconds / OUTLASTING_FACTOR
+        if self._slowdowns.is_news(_key(admission), SlowAnswer(now - age_s, age_s)):
+            return expected.seconds
+        durations = self._scaled(_key(admission), admission.fields.max_output_tokens)
+        return max(durations) * LOAD_ALLOWANCE if durations else None
+
     def retain(self, routes: set[str]) -> None:
         """Drop the answers of all other routes."""
         self._samples = {key: kept for key, kept in self._samples.items() if key[0] in routes}
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -254,6 +254,11 @@
         latest = self._latest_dispatch()
         return latest is not None and self._parts.now() >= latest and self._is_unsent()
 
+    def _would_outlast_stop(self, admission: Admission) -> bool:
+        """Return whether another replica than the silent one would answer too late."""
+        drain, is_silent = self._parts.drain, self._sender.silent is not None
+        return is_silent and not drain.may_replace(admission, self._parts.now())
+
     def _is_unsent(self) -> bool:
         """Return whether no replica has the request or has begun an answer."""
         sent = self._sender.is_sending or self._progress.sends.runs
@@ -292,7 +297,7 @@
         while True:
             if not self._sender.is_still_allowed(admission):
                 return Denied("no longer allowed", RETRY_SOON_S)
-            if self._is_too_late():
+            if self._is_too_late() or self._would_outlast_stop(admission):
                 return Denied(STOPPING, RETRY_SOON_S)
             if not self._sender.has_budget(admission):
                 return Denied("no retry budget", RETRY_SOON_S)
--- a/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/tests/test_drain.py
@@ -204,6 +204,30 @@
     assert is_taken(drain, admitted(105.0, route="short"))
 
 
+def test_a_silent_replica_keeps_its_request_if_all_have_become_slow():
+    """Guards against a second send that a stop cut off, in place of the first one's answer."""
+    drain = stopping_with_routes("busy")
+    slow = admitted(103.0, route="busy", request="slow")
+    other = admitted(103.2, route="busy", request="other")
+    for each in (slow, other):
+        drain.durations.record_dispatch(each, each.arrived_at)
+    assert drain.may_replace(slow, 103.5)
+    assert not drain.may_replace(slow, 105.0)
+    drain.stop = None
+    assert drain.may_replace(slow, 105.0)
+
+
+def test_another_replica_takes_over_from_a_silent_one_while_other_answers_are_short():
+    """Guards against requests that a stop leaves with one silent replica to its end."""
+    drain = stopping_with_routes("busy")
+    silent = [admitted(103.0, route="busy", request=f"silent{n}") for n in range(2)]
+    for each in silent:
+        drain.durations.record_dispatch(each, 103.0)
+    answer(drain, admitted(104.0, route="busy", request="later"), 104.0, 0.2)
+    assert drain.may_replace(silent[0], 105.0)
+    assert not drain.may_replace(silent[0], 107.3)
+
+
 def test_a_refusal_names_the_time_left_what_is_expected_and_why():
     drain = stopping((2.0, 0))
     assert Drain().inputs(admitted(100.0), 100.0) == {}
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -262,6 +262,23 @@
     run_check(check)
 
 
+def test_slow_answers_to_late_requests_are_not_given_up_for_those_of_other_replicas():
+    """Guards against a second send near the end of a stop, whose answer was cut off at it."""
+    times = [3.0, 3.25, 3.5, 3.75, 4.0]
+
+    async def check(fleet):
+        await serve_before(fleet, "/find/1", SHORT_ANSWER_S)
+        began = stop(fleet)
+        got = await asyncio.gather(
+            *(send_until(began, "/find/1", f"late{at}", at, work_s=2.5) for at in times)
+        )
+        for at, answer in zip(times, got, strict=True):
+            assert answer.whole and answer.status in (200, 503), (at, answer)
+        assert [each.status for each in got[:3]] == [200] * 3
+
+    run_check(check)
+
+
 async def send_on(reader, writer, request):
     """Send a request on an open connection and read its answer."""
     writer.write(encode_head("/book/1", request, length=0, work_s=SHORT_ANSWER_S))
