Planned stop: count what is refused after the last answers

Operators saw: requests that come in the last moments of a stop, after its last answers, are refused without a line, so that a caller's 503 had no cause in the log. Change: refused_at_end says how many were refused then, and how many were still being read.

--- a/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/gateway.py
@@ -14,12 +14,16 @@
 
 
 class Gateway:
-    """Start an exchange for each request."""
+    """Start an exchange for each request.
+
+    :ivar refused_after_end: how many requests were refused since :meth:`end_now`.
+    """
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self._exchanges: dict[asyncio.Task[None], Exchange] = {}
         self._end_reason = ""
+        self.refused_after_end = 0
 
     @property
     def in_progress(self) -> int:
@@ -30,6 +34,7 @@
         """Start the task that answers a request; it is refused at once after :meth:`end_now`."""
         exchange = Exchange(self._parts, request, response)
         if self._end_reason:
+            self.refused_after_end += 1
             asyncio.get_running_loop().call_soon(exchange.end_now, self._end_reason)
             return exchange
         exchange.task = asyncio.get_running_loop().create_task(exchange.run())
--- a/packages/chalkyoke/src/chalkyoke/node/ending.py
+++ b/packages/chalkyoke/src/chalkyoke/node/ending.py
@@ -41,4 +41,7 @@
         log.notice("ended_unfinished", reason=reason, in_progress=in_progress, unread=unread)
     await finish_requests(callers, seconds)
     # Those that have begun since get an answer too.
-    callers.refuse_unread(RETRY_SOON_S)
+    unread = callers.refuse_unread(RETRY_SOON_S)
+    refused = gateway.refused_after_end
+    if refused or unread:
+        log.notice("refused_at_end", reason=reason, refused=refused, unread=unread)
--- a/tests/test_end_of_planned_stop.py
+++ b/tests/test_end_of_planned_stop.py
@@ -4,6 +4,8 @@
 import json
 import signal
 
+import logbook
+
 from tests.gatewayfleet import _ip, _parse_answer, _read_answer, run_check
 from tests.test_gateway_processes import with_fleet
 from tests.test_planned_stop import (
@@ -139,6 +141,29 @@
     with_fleet(check, zones=("a",), grace_s=SHORT_GRACE_S)
 
 
+def test_requests_that_come_after_the_last_answers_of_a_stop_are_counted_in_its_log():
+    """Guards against requests that a stop refused in its last moments without a line."""
+
+    async def check(fleet):
+        node = fleet.nodes[0]
+        with logbook.TestHandler().applicationbound() as lines:
+            asking = asyncio.create_task(send("/book/1", "long"))
+            upload = asyncio.create_task(send("/book/1", "upload", length=9, sent=8))
+            await asyncio.sleep(0.1)
+            node.gateway.end_now("stopping")
+            late = await send("/book/1", "late")
+            assert (late.status, late.whole) == (503, True)
+            stop(fleet)
+            assert (await asking).status == 502
+            assert (await upload).status in (408, 503)
+            await fleet._tasks[0]
+        found = [each.kwargs for each in lines.records if each.message == "refused_at_end"]
+        assert [(each["reason"], each["refused"]) for each in found] == [("stopping", 1)]
+        assert count_runs(fleet, "late") == 0
+
+    run_check(check)
+
+
 def test_a_stop_with_a_short_grace_period_ends_within_it():
     """Guards against a stop that waited for its callers for longer than it had, and was killed."""
 
