Soak: the time limit of a large upload counts from its last byte

Its caller sent for 5.6 s and held the last byte back for 5 s more; by the log the node sent it on 10 ms after its body ended and delivered the whole answer 38 ms after, with 5.6 s left. The record counted from the connection on; that of late uploads counts from the last byte.

Change: the record of a large upload begins with its last byte, as that of a late upload. The check is the same.

--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/uploading.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/memoryload/uploading.py
@@ -22,12 +22,15 @@
     :param finished: whether its last byte was sent before.
     :param status: status of the answer; 0 for none.
     :param body: the first bytes of the answer's body.
+    :param answered_in_s: time from the last byte of an upload that was sent whole to its end, in
+        seconds.
     """
 
     finished: bool
     ending: Ending
     status: int = 0
     body: bytes = b""
+    answered_in_s: float = 0.0
 
 
 async def send_upload(
@@ -68,17 +71,19 @@
     return ReceivedEnd(True, judge_status(response.status), response.status, response.body)
 
 
-async def _send_body(connection: Connection, upload: Upload, name: str, path: str) -> bool:
-    """Send a request; return whether it was sent whole."""
+async def _send_body(connection: Connection, upload: Upload, name: str, path: str) -> float | None:
+    """Send a request; return when it was sent whole, on the loop's clock; None if it was not."""
     await connection.send([upload.head(name, path)])
     await connection.send(upload.parts(), upload.pause_s)
     await asyncio.sleep(upload.hold_s)
     if upload.is_whole:
         await connection.send([upload.last])
-    return upload.is_whole
+    return asyncio.get_running_loop().time() if upload.is_whole else None
 
 
-async def _read_beside(connection: Connection, sending: "asyncio.Task[bool]") -> ReceivedEnd:
+async def _read_beside(
+    connection: Connection, sending: "asyncio.Task[float | None]"
+) -> ReceivedEnd:
     """Read the answer while the request is sent."""
     reading = asyncio.create_task(connection.read_response())
     try:
@@ -86,17 +91,26 @@
         if not reading.done() and _is_whole(sending):
             await asyncio.wait((reading,), timeout=ANSWER_TIMEOUT_S)
             if not reading.done():
-                return ReceivedEnd(True, Ending.WAITING)
+                return ReceivedEnd(True, Ending.WAITING, answered_in_s=ANSWER_TIMEOUT_S)
         response = await reading
         status = response.status
-        return ReceivedEnd(_is_whole(sending), judge_status(status), status, response.body)
+        ending = judge_status(status)
+        answered_in_s = _since_whole_s(sending)
+        return ReceivedEnd(_is_whole(sending), ending, status, response.body, answered_in_s)
     except BrokenConnectionError as error:
         ending = Ending.CUT if error.began else Ending.CLOSED
-        return ReceivedEnd(_is_whole(sending), ending)
+        return ReceivedEnd(_is_whole(sending), ending, answered_in_s=_since_whole_s(sending))
     finally:
         reading.cancel()
         await asyncio.gather(reading, return_exceptions=True)
 
 
-def _is_whole(sending: "asyncio.Task[bool]") -> bool:
-    return sending.done() and sending.exception() is None and sending.result()
+def _is_whole(sending: "asyncio.Task[float | None]") -> bool:
+    return sending.done() and sending.exception() is None and sending.result() is not None
+
+
+def _since_whole_s(sending: "asyncio.Task[float | None]") -> float:
+    """Return the time since the last byte was sent, in seconds; 0 if it was not."""
+    if not _is_whole(sending):
+        return 0.0
+    return asyncio.get_running_loop().time() - (sending.result() or 0.0)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/largeuploads.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/largeuploads.py
@@ -27,7 +27,8 @@
 class UploadEnd:
     """The end of an upload that was sent whole, or whose body was begun.
 
-    :param began: when it began, in seconds since the run began.
+    :param began: when its last byte was sent, from which on its time limit counts, or else when it
+        ended; in seconds since the run began.
     :param finished: whether it was sent whole.
     """
 
@@ -75,6 +76,6 @@
         async with Connection(self._address) as connection:
             leaves_in_s = max(0.0, until - began)
             sent = await send_upload(connection, upload, name, self._path, leaves_in_s)
-        return UploadEnd(
-            name, began, self._now(), sent.finished, sent.ending, sent.status, sent.body
-        )
+        ended = self._now()
+        since = ended - sent.answered_in_s
+        return UploadEnd(name, since, ended, sent.finished, sent.ending, sent.status, sent.body)
--- a/tests/test_memory_load.py
+++ b/tests/test_memory_load.py
@@ -116,6 +116,19 @@
     assert (end.ending, end.status, end.body) == (Ending.REFUSED, 413, b"large")
 
 
+def test_the_time_to_an_answer_counts_from_the_last_byte_of_an_upload():
+    """Guards against slow uploads that seem to be answered after their time limit."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(SMALL.size)
+        writer.write(ANSWER)
+
+    end = asyncio.run(send_to(answer, replace(SMALL, hold_s=1.0)))
+    assert end.finished and end.status == 413
+    assert 0.0 < end.answered_in_s < 1.0
+
+
 def test_a_connection_that_ends_without_an_answer_is_told_from_a_refusal():
     """Guards against lost answers that are counted as refusals."""
 
