--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/checkers.py
@@ -29,6 +29,7 @@
     sound_prompts_are_served,
 )
 from chalkyoke_fakes.soak.plan import Fault
+from chalkyoke_fakes.soak.refusedsenders import refused_senders_get_answers
 from chalkyoke_fakes.soak.stops import stops_are_heard
 from chalkyoke_fakes.soak.streams import (
     is_in_order,
@@ -415,6 +416,7 @@
     work_hardly_overlaps,
     memory_stays_within_its_limit,
     stops_are_heard,
+    refused_senders_get_answers,
     service_recovers,
 )
 CHECKERS = SAFETY_CHECKERS + TIMED_CHECKERS
@@ -438,6 +440,7 @@
     work_hardly_overlaps,
     memory_stays_within_its_limit,
     stops_are_heard,
+    refused_senders_get_answers,
 )
 MIXED_VERSION_CHECKERS = tuple(each for each in CHECKERS if each not in NEW_VERSION_CHECKERS)
 
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/injector.py
@@ -139,6 +139,7 @@
     :param send_crashing_part: makes callers send prompts with a part for some seconds.
     :param start_uploads: makes callers of a node send bodies that end late.
     :param start_large_uploads: makes callers of a node send large bodies for some seconds.
+    :param start_refused_senders: makes callers of a node send on while they are refused.
     :param prefer_node: makes callers open most connections to a node; to any node if empty.
     :ivar ending: nodes whose processes are being stopped, killed or replaced.
     :ivar active_targets: nodes, places of replicas and the store that currently have a fault.
@@ -158,6 +159,7 @@
         prefer_node: Callable[[str], None],
         start_uploads: Callable[[str], None],
         start_large_uploads: Callable[[str, float], None],
+        start_refused_senders: Callable[[str], None],
     ) -> None:
         self._fleet = fleet
         self._observations = observations
@@ -171,6 +173,7 @@
         self.prefer_node = prefer_node
         self._start_uploads = start_uploads
         self._start_large_uploads = start_large_uploads
+        self._start_refused_senders = start_refused_senders
         self.ending: set[str] = set()
         self.active_targets: set[str] = set()
         self._operators = Operators(fleet.make_configuration, fleet.configure)
@@ -184,6 +187,9 @@
         if step.fault is Fault.LARGE_UPLOADS:
             self._start_large_uploads(step.target, step.duration_s)
             return
+        if step.fault is Fault.REFUSED_SENDERS:
+            self._start_refused_senders(step.target)
+            return
         if step.fault is Fault.LATE_UPLOADS:
             self._start_uploads(step.target)
             step = replace(step, fault=Fault.NODE_STOP)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/observations.py
@@ -268,6 +268,20 @@
     was_prepared: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedSender:
+    """A caller that sent on for seconds while its request was refused.
+
+    :param status: status of its answer; 0 for none.
+    """
+
+    request: str
+    node: str
+    began: float
+    ended: float
+    status: int
+
+
 @dataclass
 class Observations:
     """All records of a run.
@@ -291,6 +305,7 @@
     :ivar over_limit: the first time that each process used more memory than its host has.
     :ivar exits: processes that ended by themselves.
     :ivar stops: the planned stops.
+    :ivar refused_senders: callers that sent on while they were refused.
     :ivar peak_mb: for each node, the most memory that counted toward its limit, in MB.
     :ivar time_limits: the lowest time limit of the routes in each version of the configuration that
         changed it.
@@ -322,6 +337,7 @@
     over_limit: list[OverLimit] = field(default_factory=list)
     exits: list[NodeExit] = field(default_factory=list)
     stops: list[NodeStop] = field(default_factory=list)
+    refused_senders: list[RefusedSender] = field(default_factory=list)
     peak_mb: dict[str, float] = field(default_factory=dict)
     time_limits: list[TimeLimit] = field(default_factory=list)
     route_moves: list[float] = field(default_factory=list)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/plan.py
@@ -68,12 +68,19 @@
     ODD_ENTRIES = "odd_entries"
     LATE_UPLOADS = "late_uploads"
     LARGE_UPLOADS = "large_uploads"
+    REFUSED_SENDERS = "refused_senders"
 
 
 NODE_FAULTS = frozenset(each for each in Fault if each.startswith(("node_", "links_")))
 # Faults of the callers of one node.
 CALLER_FAULTS = frozenset(
-    {Fault.SLOW_READERS, Fault.CALLERS_FOCUS, Fault.LATE_UPLOADS, Fault.LARGE_UPLOADS}
+    {
+        Fault.SLOW_READERS,
+        Fault.CALLERS_FOCUS,
+        Fault.LATE_UPLOADS,
+        Fault.LARGE_UPLOADS,
+        Fault.REFUSED_SENDERS,
+    }
 )
 STORE_LINK_FAULTS = frozenset(
     {Fault.STORE_CUT, Fault.STORE_DEAD, Fault.STORE_REFUSES, Fault.STORE_REPEATS}
@@ -120,6 +127,8 @@
 UPLOAD_SEED_MASK = 0x1A7E
 MEMORY_FAULTS = (Fault.LARGE_UPLOADS,)
 MEMORY_SEED_MASK = 0x3E30
+REFUSAL_FAULTS = (Fault.REFUSED_SENDERS,)
+REFUSAL_SEED_MASK = 0x4E6F
 SEPARATELY_DRAWN_FAULTS = frozenset(
     (
         *LATER_FAULTS,
@@ -141,6 +150,7 @@
         *ODD_FAULTS,
         *UPLOAD_FAULTS,
         *MEMORY_FAULTS,
+        *REFUSAL_FAULTS,
     )
 )
 BASE_FAULTS = tuple(each for each in Fault if each not in SEPARATELY_DRAWN_FAULTS)
@@ -242,6 +252,7 @@
         (ODD_FAULTS, ODD_SEED_MASK),
         (UPLOAD_FAULTS, UPLOAD_SEED_MASK),
         (MEMORY_FAULTS, MEMORY_SEED_MASK),
+        (REFUSAL_FAULTS, REFUSAL_SEED_MASK),
     )
     for later, number in sources:
         steps += _draw_series(random.Random(seed ^ number), later, seconds, nodes, replicas)
--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/play.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from chalkyoke_fakes.leaving import Leave, encode_request, leave_node
+from chalkyoke_fakes.memoryload.manners import Upload as LargeUpload
 from chalkyoke_fakes.memoryload.records import Ending
 from chalkyoke_fakes.platformfleet import KEY, TEAM
 from chalkyoke_fakes.replica import read_events, shared_parts, stream_events
@@ -39,6 +40,8 @@
     Violation,
 )
 from chalkyoke_fakes.soak.plan import Fault, draw_faults, draw_roll
+from chalkyoke_fakes.soak.refusedsenders import UPLOADS as UPLOADS_REFUSED
+from chalkyoke_fakes.soak.refusedsenders import send_while_refused
 from chalkyoke_fakes.soak.uploads import Upload
 
 KIND_BY_PATH = {
@@ -220,6 +223,7 @@
             self._prefer_node,
             self._start_uploads,
             self._start_large_uploads,
+            self._start_refused_senders,
         )
         memory = MemoryWatch(self._fleet, self.observations, injector.ending, self.elapsed_s)
         memory_watch = asyncio.create_task(memory.run())
@@ -377,6 +381,16 @@
             )
         )
 
+    def _start_refused_senders(self, node: str) -> None:
+        for upload in UPLOADS_REFUSED:
+            task = asyncio.create_task(self._send_while_refused(node, upload))
+            self._extra_callers.append(task)
+
+    async def _send_while_refused(self, node: str, upload: LargeUpload) -> None:
+        name, address = f"refused{next(self._numbers)}", self._fleet.nodes[node].callers
+        found = await send_while_refused(address, node, name, upload, self.elapsed_s)
+        self.observations.refused_senders += found
+
     def _start_large_uploads(self, node: str, seconds: float) -> None:
         self._extra_callers.append(asyncio.create_task(self._upload_large(node, seconds)))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     Observations,
     OverLimit,
     Quota,
+    RefusedSender,
     Rejection,
     ReplicaRun,
     RetryLimit,
@@ -327,7 +328,12 @@
     observations.stops.append(NodeStop("n1", 20.0, 12.0, -9))
 
 
+def close_a_refused_sender_without_an_answer(observations):
+    observations.refused_senders.append(RefusedSender("big", "n1", 20.0, 24.0, 0))
+
+
 VIOLATIONS = [
+    (close_a_refused_sender_without_an_answer, checkers.refused_senders_get_answers),
     (kill_a_process_that_does_not_stop, checkers.stops_are_heard),
     (use_more_memory_than_the_host_has, checkers.memory_stays_within_its_limit),
     (end_a_process_by_itself, checkers.processes_end_when_told),
