--- a/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
+++ b/packages/chalkyoke-fakes/src/chalkyoke_fakes/soak/fleet.py
@@ -7,6 +7,7 @@
 
 import copy
 import itertools
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,9 @@
 # Software versions of the engines: each start runs the next one, so that a replica may come back
 # with another version than it had.
 ENGINE_VERSIONS = ("v1", "v1.1")
+# Signals that every other start of a node inherits as blocked.
+BLOCKED_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
+BLOCKED_EACH = 2
 # Memory of each node's host, in MB.
 HOST_MB = 128.0
 
@@ -80,6 +84,7 @@
         self.places: list[str] = []
         self._replicas_per_zone = replicas_each
         self._incarnations = itertools.count(1)
+        self._starts = itertools.count(1)
         self._engine_versions = itertools.cycle(ENGINE_VERSIONS)
 
     async def _start(self) -> None:
@@ -147,6 +152,16 @@
         )
         self.replicas[name] = replica
 
+    def start_node(self, name: str, *, first_start: bool = True) -> None:
+        """Start a node; some starts of this build inherit blocked signals.
+
+        A parent that waits with ``sigwait`` blocks the signals in the processes that it starts.
+        """
+        number = next(self._starts)
+        is_blocked = number % BLOCKED_EACH == 0 and self.nodes[name].source is None
+        self.blocked_signals = BLOCKED_SIGNALS if is_blocked else frozenset()
+        super().start_node(name, first_start=first_start)
+
     def choose_build(self, name: str, *, is_new: bool) -> None:
         """Set the build that a node runs from its next start on."""
         self.nodes[name].source = None if is_new else self._old
