Completions: a run that has ended keeps no request body

Callers saw nothing until the host was killed for its memory, with all that it had accepted.

Cause: a run stays known for the lifetime of its token (900 s), and with it the whole body of its request, although a retry is compared by its digest only.

Why it works: the ledger keeps the digest, so the body goes with the end of the run. A run that has ended before the task that sends it begins is released unused, as its gate would have done, instead of being encoded.

--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -66,6 +66,10 @@
 
         A run that has not ended when this returns was not sent and may acquire another grant.
         """
+        if run.end is not None:
+            # Its deadline passed before the task of an unrepeatable run began.
+            self._acquirer.release(run, ReleaseOutcome.UNUSED)
+            return
         service = self._configuration.service(run.request.service)
         if service is None:
             self._acquirer.release(run, ReleaseOutcome.UNUSED)
--- a/packages/chalkyoke/src/chalkyoke/entry/state.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/state.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from chalkyoke.entry.messages import AnswerHead, CallerRequest
 from chalkyoke.invariants import require
 from chalkyoke.outcomes import Reason, Refusal, Verdict
@@ -32,6 +34,7 @@
     :param token: the encoded token.
     :param arrived: arrival time, in seconds on this process's monotonic clock.
     :param deadline: in seconds on the same clock.
+    :ivar request: without its body once the run has ended.
     :ivar attempt: number of acquire attempts so far.
     :ivar dispatched_at: in seconds on the same clock; -1 before the dispatch.
     :ivar first_s: time from the dispatch to the first chunk, in seconds; -1 before.
@@ -163,6 +166,8 @@
         require(self.end is None, "a request ends once", request=self.id)
         self.end = end
         self.ended_at = now
+        # A retry is compared by its digest, which the ledger keeps.
+        self.request = msgspec.structs.replace(self.request, body=b"")
         self._changed()
 
     def _changed(self) -> None:
