Completions: a stated limit of memory bounds the bodies of callers

Callers saw the host's kill for its memory: connections that break off, and all that it had accepted lost.

Cause: the completions front had no limit. Bodies of up to 16 MB were read whole for any number of callers, and uvicorn, whose connections read 256 KB at a time, parses every request that was pipelined. Beside it two faults of the same reading: a head without end was kept without a bound, and a body whose caller left in the middle of it was run truncated, where the caller held a token.

The change: [memory] limit_mb. A body is reserved by the head of its request and refused with 503, not_run, no_memory and Retry-After before a byte of it is read; the account's rule for large bodies refuses the one that asks for most first. A body of unknown length asks for 64 KB and grows as room becomes free: up to a quarter of what is free, and the one that waits longest further, so that half-read bodies can't block each other; after 3 s of waiting in all it gets the same 503. The system's receive buffers, the reads and what is pipelined are bounded for each connection. A body stays charged until its run has ended.

--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/entry/channels.py
@@ -0,0 +1,68 @@
+"""
+chalkyoke.entry.channels
+
+The channels of one request, between the HTTP server and the application (ASGI).
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+# Key of the ASGI scope under which a request's receive channel is kept.
+RECEIVE_KEY = "chalkyoke.receive"
+# Key of the ASGI scope that is set if a request is answered before its body has been read.
+UNREAD_KEY = "chalkyoke.unread"
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+class _Body:
+    """The receive channel of one request."""
+
+    def __init__(self, receive: Receive) -> None:
+        self._receive = receive
+        self._is_read = False
+
+    async def receive(self) -> dict[str, Any]:
+        """Receive the next part of the body; afterwards, wait until the caller disconnects."""
+        message = await self._receive()
+        if message["type"] != "http.request" or not message.get("more_body"):
+            self._is_read = True
+        return message
+
+    async def discard(self) -> None:
+        """Read the rest, since a close that leaves bytes unread may reset the connection."""
+        while not self._is_read:
+            await self.receive()
+
+
+def keep_receive_channel(app: App) -> App:
+    """Wrap an application to keep each request's receive channel in its scope.
+
+    The handler reads the body from the channel, and notices there that the caller disconnects. The
+    application gets a request as soon as its head is complete.
+
+    :rtype: App
+    """
+
+    async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
+        body = _Body(receive)
+
+        async def receive_nothing() -> dict[str, Any]:
+            return {"type": "http.request", "body": b"", "more_body": True}
+
+        async def send_and_linger(message: dict[str, Any]) -> None:
+            last = message["type"] == "http.response.body" and not message.get("more_body")
+            if not last or UNREAD_KEY not in scope:
+                await send(message)
+                return
+            await send({**message, "more_body": True})
+            await body.discard()
+            await send({"type": "http.response.body"})
+
+        scope[RECEIVE_KEY] = body.receive
+        await app(scope, receive_nothing, send_and_linger)
+
+    return wrapped
--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import falcon
@@ -23,6 +23,15 @@
     issuer_gone_refusal,
     relay_ended_refusal,
 )
+from chalkyoke.entry.bodies import (
+    BodyIntake,
+    BodyProblem,
+    CallerLeft,
+    NoRoom,
+    TooLarge,
+    TooSlow,
+)
+from chalkyoke.entry.channels import RECEIVE_KEY, UNREAD_KEY, App, Receive, keep_receive_channel
 from chalkyoke.entry.cutoff import Cutoff
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.entry.reception import (
@@ -33,21 +42,26 @@
     authenticate,
     read_completion,
     read_plain,
+    read_urgency,
 )
 from chalkyoke.entry.service import STOPPING_DETAIL, STOPPING_RETRY_S, EntryService
+from chalkyoke.entry.state import Run
 from chalkyoke.entry.streams import assemble_completion
 from chalkyoke.links.peers import Links
+from chalkyoke.memory.account import Charge
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
 from chalkyoke.tokens.messages import Token, TokenProblem
 
 # Limit on the body of any request, in bytes; a service may set a lower one.
 MAX_BODY_BYTES = 16_000_000
-# Key of the ASGI scope under which a request's receive channel is kept.
-RECEIVE_KEY = "chalkyoke.receive"
-# Key of the ASGI scope that is set if a request is answered before its body has been read.
-UNREAD_KEY = "chalkyoke.unread"
 # Interval in seconds at which an ending process checks whether all requests have been answered.
 FINISH_CHECK_S = 0.02
+# Retry-After in seconds where memory is short.
+NO_MEMORY_RETRY_S = 1.0
+# Copies of a body that exist while its request is answered: a completion is encoded again for its
+# upstream.
+COMPLETION_COPIES = 2
+PLAIN_COPIES = 1
 # Retry-After in seconds where the token ledger is full.
 LEDGER_FULL_RETRY_S = 5.0
 
@@ -60,46 +74,12 @@
     TokenProblem.EXPIRED: (410, "it has expired"),
 }
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-App = Callable[[Scope, Receive, Send], Awaitable[None]]
-
-
-def keep_receive_channel(app: App) -> App:
-    """Wrap an application to keep each request's receive channel in its scope.
-
-    The handler needs the channel to notice that the caller disconnects.
-
-    :rtype: App
-    """
-
-    async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
-        async def send_and_linger(message: dict[str, Any]) -> None:
-            last = message["type"] == "http.response.body" and not message.get("more_body")
-            if not last or UNREAD_KEY not in scope:
-                await send(message)
-                return
-            await send({**message, "more_body": True})
-            await _discard_body(receive)
-            await send({"type": "http.response.body"})
-
-        scope[RECEIVE_KEY] = receive
-        await app(scope, receive, send_and_linger)
-
-    return wrapped
-
-
-async def _discard_body(receive: Receive) -> None:
-    """Read the rest of a body, since a close that leaves bytes unread may reset the connection."""
-    while (message := await receive())["type"] == "http.request" and message.get("more_body"):
-        pass
-
 
 class CallerApi:
     """Serve the HTTP API for callers.
 
     :param ready: returns whether this process has an active configuration.
+    :param bodies: reads the bodies of requests.
     """
 
     def __init__(
@@ -109,8 +89,10 @@
         links: Links,
         events: EventRing,
         ready: Callable[[], bool],
+        bodies: BodyIntake | None = None,
     ) -> None:
         self._service = service
+        self._bodies = bodies or BodyIntake()
         self.configuration = configuration
         self._links = links
         self._events = events
@@ -162,48 +144,64 @@
         req: falcon.asgi.Request,
         resp: falcon.asgi.Response,
         read: Callable[[bytes, Any], Result[CallerRequest, BadRequest]],
+        copies: int,
     ) -> None:
         """Authenticate, validate and answer one request.
 
         :param read: parses and validates the body for a team.
+        :param copies: how many copies of the body exist while the request is answered.
         """
         if not self._ready():
             refusal = not_run(Reason.NOT_READY, "no configuration is in force here yet", 1.0)
             problems.respond(resp, problems.of_refusal(refusal, "", ""))
             return
-        checked = await self._read_request(req, read)
-        if checked is None:
-            req.scope[UNREAD_KEY] = True
-            refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
-            problems.respond(resp, problems.of_refusal(refusal, "", ""))
+        headers = req.headers_lower
+        team = authenticate(headers, self.configuration)
+        if isinstance(team, Err):
+            _respond_bad_request(resp, team.err_value)
             return
-        if isinstance(checked, Err):
-            _respond_bad_request(resp, checked.err_value)
+        length = _declared_length(req)
+        if (length or 0) > MAX_BODY_BYTES:
+            _respond_bad_request(resp, _TOO_LARGE)
             return
-        request = checked.ok_value
-        opened = self._open_token(req.get_header(TOKEN_HEADER))
-        if isinstance(opened, Err):
-            _respond_token_problem(resp, opened.err_value)
+        urgency = read_urgency(headers, team.ok_value, self.configuration)
+        charge = self._bodies.admit(length, copies, urgency)
+        if charge is None:
+            _respond_unread(req, resp, _no_memory())
             return
-        await self._respond(req, resp, request, opened.ok_value)
+        receive = req.scope[RECEIVE_KEY]
+        run: Run | None = None
+        try:
+            body = await self._cutoff.run(
+                self._bodies.read(receive, charge, length, MAX_BODY_BYTES, copies)
+            )
+            if body is None:
+                refusal = not_run(Reason.STOPPING, STOPPING_DETAIL, STOPPING_RETRY_S)
+                _respond_unread(req, resp, refusal)
+            elif isinstance(body, BodyProblem):
+                _respond_body_problem(req, resp, body)
+            else:
+                run = await self._serve_read(req, resp, read(body, team.ok_value), charge)
+        finally:
+            if run is None or run.body_charge is not charge:
+                charge.release()
 
-    async def _read_request(
+    async def _serve_read(
         self,
         req: falcon.asgi.Request,
-        read: Callable[[bytes, Any], Result[CallerRequest, BadRequest]],
-    ) -> Result[CallerRequest, BadRequest] | None:
-        """Read and validate a request; None if the process ends before the body has arrived."""
-        team = authenticate(req.headers_lower, self.configuration)
-        if isinstance(team, Err):
-            return team
-        if (req.content_length or 0) > MAX_BODY_BYTES:
-            return Err(BadRequest(413, "body", f"larger than {MAX_BODY_BYTES} bytes"))
-        body = await self._cutoff.run(req.stream.read(MAX_BODY_BYTES + 1))
-        if body is None:
+        resp: falcon.asgi.Response,
+        checked: Result[CallerRequest, BadRequest],
+        charge: Charge,
+    ) -> Run | None:
+        """Answer a request whose body has been read; return its run if it has one here."""
+        if isinstance(checked, Err):
+            _respond_bad_request(resp, checked.err_value)
             return None
-        if len(body) > MAX_BODY_BYTES:
-            return Err(BadRequest(413, "body", f"larger than {MAX_BODY_BYTES} bytes"))
-        return read(body, team.ok_value)
+        opened = self._open_token(req.get_header(TOKEN_HEADER))
+        if isinstance(opened, Err):
+            _respond_token_problem(resp, opened.err_value)
+            return None
+        return await self._respond(req, resp, checked.ok_value, opened.ok_value, charge)
 
     def _open_token(self, text: str | None) -> Result[Token | None, TokenProblem]:
         if text is None:
@@ -216,15 +214,17 @@
         resp: falcon.asgi.Response,
         request: CallerRequest,
         token: Token | None,
-    ) -> None:
+        charge: Charge,
+    ) -> Run | None:
+        run: Run | None = None
         text = req.get_header(TOKEN_HEADER) or ""
         if token is not None and not self._service.runs.ledger.is_issued_here(token):
             answer: Answer | Refusal = await self._forward(token, text, request)
         else:
-            submitted = self._service.submit(request, token, text)
+            submitted = self._service.submit(request, token, text, charge)
             if isinstance(submitted, Err):
                 _respond_token_problem(resp, submitted.err_value)
-                return
+                return None
             run = submitted.ok_value
             token, text = run.record.token, run.token
             answer = LocalAnswer(self._service, self._service.open_reader(run))
@@ -234,13 +234,14 @@
         resp.set_header(EVENT_HEADER, event)
         if isinstance(answer, Refusal):
             problems.respond(resp, problems.of_refusal(answer, text, event))
-            return
+            return run
         delivery = _Delivery(req, resp, answer, text, event, self._cutoff)
         await (
             delivery.start_stream()
             if request.stream
             else delivery.send_complete(request.max_output > 0)
         )
+        return run
 
     async def _forward(
         self, token: Token, text: str, request: CallerRequest
@@ -358,7 +359,7 @@
             configuration = self._api.configuration
             return read_completion(req.headers_lower, req.path, body, team, configuration)
 
-        await self._api.serve_request(req, resp, read)
+        await self._api.serve_request(req, resp, read, COMPLETION_COPIES)
 
 
 class _ServiceCalls:
@@ -374,7 +375,7 @@
             configuration = self._api.configuration
             return read_plain(req.headers_lower, service, f"/{path}", body, team, configuration)
 
-        await self._api.serve_request(req, resp, read)
+        await self._api.serve_request(req, resp, read, PLAIN_COPIES)
 
 
 class _Tokens:
@@ -386,6 +387,39 @@
         await self._api.issue_token(req, resp)
 
 
+_TOO_LARGE = BadRequest(413, "body", f"larger than {MAX_BODY_BYTES} bytes")
+_TOO_SLOW = BadRequest(408, "body", "did not arrive in time")
+
+
+def _declared_length(req: falcon.asgi.Request) -> int | None:
+    """Return the declared length of the body in bytes, 0 without a body; None if it is unknown."""
+    length: int | None = req.content_length
+    if length is None and req.get_header("Transfer-Encoding") is None:
+        return 0
+    return length
+
+
+def _no_memory() -> Refusal:
+    return not_run(Reason.NO_MEMORY, "this host is short of memory", NO_MEMORY_RETRY_S)
+
+
+def _respond_unread(req: falcon.asgi.Request, resp: falcon.asgi.Response, refusal: Refusal) -> None:
+    req.scope[UNREAD_KEY] = True
+    problems.respond(resp, problems.of_refusal(refusal, "", ""))
+
+
+def _respond_body_problem(
+    req: falcon.asgi.Request, resp: falcon.asgi.Response, problem: BodyProblem
+) -> None:
+    if isinstance(problem, NoRoom):
+        _respond_unread(req, resp, _no_memory())
+    elif isinstance(problem, TooLarge | TooSlow):
+        req.scope[UNREAD_KEY] = True
+        _respond_bad_request(resp, _TOO_LARGE if isinstance(problem, TooLarge) else _TOO_SLOW)
+    elif isinstance(problem, CallerLeft):
+        _respond_bad_request(resp, BadRequest(400, "body", "it ended early"))
+
+
 def _respond_bad_request(resp: falcon.asgi.Response, rejected: BadRequest) -> None:
     problem = problems.document(
         rejected.status, "bad_request", rejected.detail, field=rejected.field
--- a/packages/chalkyoke/src/chalkyoke/entry/reception.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/reception.py
@@ -78,6 +78,10 @@
         """Return a tier's default deadline in seconds; None for an unknown tier."""
         raise NotImplementedError
 
+    def tier_urgency(self, tier: str) -> float:
+        """Return the position of a tier among all, from 0 for the least urgent to 1."""
+        raise NotImplementedError
+
 
 class _CompletionBody(msgspec.Struct):
     model: str
@@ -124,6 +128,18 @@
     return Ok(team)
 
 
+def read_urgency(
+    headers: Mapping[str, str], team: Team, configuration: ConfigurationLookup
+) -> float:
+    """Read the urgency of a request from its head, before its route is known.
+
+    :param headers: with lower-case names.
+    :return: the position of its tier among all, from 0 for the least urgent to 1.
+    """
+    asked = headers.get(TIER_HEADER.lower())
+    return configuration.tier_urgency(asked if asked in team.tiers else team.tiers[0])
+
+
 def read_completion(
     headers: Mapping[str, str],
     path: str,
--- a/packages/chalkyoke/src/chalkyoke/entry/service.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/service.py
@@ -22,6 +22,7 @@
 from chalkyoke.entry.state import Complete, Run
 from chalkyoke.exceptions import InvariantBroken
 from chalkyoke.logs import logger
+from chalkyoke.memory.account import Charge
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
 from chalkyoke.scheduling.messages import Grant, Shed
 from chalkyoke.scheduling.state import ReleaseOutcome
@@ -74,12 +75,17 @@
     # Admission.
 
     def submit(
-        self, request: CallerRequest, token: Token | None, text: str
+        self,
+        request: CallerRequest,
+        token: Token | None,
+        text: str,
+        body_charge: Charge | None = None,
     ) -> Result[Run, TokenProblem]:
         """Start a run, or join the run that the token already has.
 
         :param token: the caller's token; None issues a new one.
         :param text: the encoded token.
+        :param body_charge: memory of the body; a new run refunds it at its end.
         :return: the run, or the problem with the token; then no state has changed.
         """
         if token is None:
@@ -93,6 +99,7 @@
             self._metrics.count("joined")
             return Ok(run)
 
+        run.body_charge = body_charge
         self._events.add(EventKind.ARRIVED, run.id, service=request.service, tier=request.tier)
         self._metrics.count("arrived", tier=request.tier)
         if self.stopping or run.deadline > self._ends_at:
--- a/packages/chalkyoke/src/chalkyoke/entry/state.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/state.py
@@ -12,6 +12,7 @@
 
 from chalkyoke.entry.messages import AnswerHead, CallerRequest
 from chalkyoke.invariants import require
+from chalkyoke.memory.account import Charge
 from chalkyoke.outcomes import Reason, Refusal, Verdict
 from chalkyoke.scheduling.messages import Grant
 from chalkyoke.tokens.ledger import TokenLedger, TokenRecord
@@ -44,6 +45,7 @@
     :ivar answer_dropped: whether the kept answer was discarded to stay within the limits.
     :ivar readers: number of callers that read the answer now.
     :ivar watchers: callbacks after each change; they wake the readers.
+    :ivar body_charge: memory of the body of the request; refunded when the run ends.
     """
 
     id: str
@@ -66,6 +68,7 @@
     answer_dropped: bool = False
     readers: int = 0
     watchers: list[Callable[[], None]] = field(default_factory=list)
+    body_charge: Charge | None = None
 
     @property
     def state(self) -> TokenState:
@@ -168,6 +171,8 @@
         self.ended_at = now
         # A retry is compared by its digest, which the ledger keeps.
         self.request = msgspec.structs.replace(self.request, body=b"")
+        if self.body_charge is not None:
+            self.body_charge.release()
         self._changed()
 
     def _changed(self) -> None:
--- /dev/null
+++ b/packages/chalkyoke/src/chalkyoke/node/connections.py
@@ -0,0 +1,136 @@
+"""
+chalkyoke.node.connections
+
+Connections of uvicorn's HTTP server: they announce their close, and bound what they buffer.
+"""
+
+import asyncio
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from chalkyoke.http1.memory import CallerMemory, UnsentResponse
+from chalkyoke.sockets import bound_reads
+
+# Bytes of a request, besides those of its body, that are accepted: its head, the extensions of its
+# chunks and its trailers.
+MAX_HEAD_BYTES = 65_536
+# Bytes that are parsed at a time. Each request that they begin has its own state in the program, of
+# some kilobytes.
+STEP_BYTES = 1_024
+# Bytes that are read at a time where memory is limited.
+READ_BYTES = 16_384
+
+
+class ConnectionConfig(uvicorn.Config):
+    """The configuration of a server, with the state that its connections share.
+
+    :ivar closing: whether answers announce the close of their connection.
+    :ivar memory: accounts for what callers have not taken yet.
+    """
+
+    closing = False
+    memory = CallerMemory()
+
+
+class HttpConnection(HttpToolsProtocol):
+    """A connection that parses one request after the other.
+
+    What comes behind a request is parsed once that has been answered. A connection whose server is
+    closing parses all that it has read, and announces its close with the last answer only.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._unparsed = bytearray()
+        self._bytes_since_body = 0
+        self._unsent: UnsentResponse | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Bound the buffers of a new connection."""
+        super().connection_made(transport)
+        memory = self._shared.memory
+        self._unsent = memory.watch(transport)
+        if self._unsent is not None:
+            bound_reads(transport, READ_BYTES)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Refund the buffers of a closed connection."""
+        super().connection_lost(exc)
+        self._unparsed.clear()
+        if self._unsent is not None:
+            self._unsent.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes as far as they belong to the present request."""
+        self._unparsed += data
+        self._parse()
+
+    def on_headers_complete(self) -> None:
+        """Start the request whose head is complete."""
+        previous = self.cycle
+        super().on_headers_complete()
+        if not self._shared.closing:
+            return
+        if previous is not None and not previous.response_started:
+            previous.keep_alive = True
+        self._announce_with_latest()
+
+    def on_body(self, body: bytes) -> None:
+        """Receive a part of the body."""
+        super().on_body(body)
+        self._bytes_since_body = 0
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        super().on_message_complete()
+        self._bytes_since_body = 0
+
+    def on_response_complete(self) -> None:
+        """Go on with what came behind the request that was answered."""
+        super().on_response_complete()
+        self._parse()
+
+    def announce_close(self) -> None:
+        """Announce the close with the answer to the latest request, unless that has begun."""
+        self._parse()
+        self._announce_with_latest()
+
+    def _announce_with_latest(self) -> None:
+        if self.cycle is not None and not self.cycle.response_started:
+            self.cycle.keep_alive = False
+
+    @property
+    def _shared(self) -> ConnectionConfig:
+        assert isinstance(self.config, ConnectionConfig)
+        return self.config
+
+    def _parse(self) -> None:
+        while self._unparsed and not self._is_closed():
+            if self._is_answering() and not self._shared.closing:
+                self.flow.pause_reading()
+                return
+            step = bytes(self._unparsed[:STEP_BYTES])
+            del self._unparsed[:STEP_BYTES]
+            self._bytes_since_body += len(step)
+            super().data_received(step)
+            if self._bytes_since_body > MAX_HEAD_BYTES and not self._is_closed():
+                self._refuse_head()
+        if self._is_closed():
+            self._unparsed.clear()
+
+    def _is_closed(self) -> bool:
+        return self.parser is None or self.transport.is_closing()
+
+    def _is_answering(self) -> bool:
+        """Return whether a request has been read and not been answered yet."""
+        cycle = self.cycle
+        return cycle is not None and not cycle.response_complete and not cycle.more_body
+
+    def _refuse_head(self) -> None:
+        if self.cycle is not None and not self.cycle.response_complete:
+            # The head may belong to a request whose answer has begun.
+            self.transport.abort()
+            return
+        self.send_400_response("The head of the request is too large.")
--- a/packages/chalkyoke/src/chalkyoke/node/fleet.py
+++ b/packages/chalkyoke/src/chalkyoke/node/fleet.py
@@ -91,6 +91,14 @@
         matched = self.resources.tier.get(tier)
         return matched.default_deadline_s if matched is not None else None
 
+    def tier_urgency(self, tier: str) -> float:
+        """Return the position of a tier among all, from 0 for the least urgent to 1."""
+        ranks = sorted({each.rank for each in self._tiers})
+        matched = self.resources.tier.get(tier)
+        if matched is None or len(ranks) == 1:
+            return 0.0
+        return 1.0 - ranks.index(matched.rank) / (len(ranks) - 1)
+
     # Lookups for dispatch (entry.ports.ConfigurationPort) and membership.
 
     def pool(self, service: str, request: str) -> str:
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import Protocol
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Catalog
 from chalkyoke.gateway.intake import Intake, RefusedHead
 from chalkyoke.gateway.ports import HeaderFormat
-from chalkyoke.gateway.settings import MemorySection
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
@@ -30,6 +30,18 @@
 log = logger("memory")
 
 
+class MemorySettings(Protocol):
+    """The section of the settings that states the memory of the host."""
+
+    @property
+    def limit_mb(self) -> float:
+        """Memory at which the host ends the process, in MB."""
+
+    @property
+    def is_accounted(self) -> bool:
+        """Whether buffered bytes are accounted for and limited."""
+
+
 class HostMemory:
     """Accounts for the buffers of this host, if the settings ask for it.
 
@@ -39,7 +51,7 @@
 
     def __init__(
         self,
-        settings: MemorySection,
+        settings: MemorySettings,
         metrics: Metrics,
         now: Callable[[], float],
         loop_time: Callable[[], float],
@@ -89,7 +101,7 @@
 
     def _measure_program(self) -> None:
         """Set the limit by the memory that the program uses besides the buffers."""
-        used = _resident_bytes() - self.account.total
+        used = resident_bytes() - self.account.total
         if used <= self._program_bytes:
             return
         self._program_bytes = used
@@ -122,7 +134,7 @@
         )
 
 
-def _resident_bytes() -> int:
+def resident_bytes() -> int:
     """Return the resident memory of this process, in bytes."""
     try:
         pages = int(STATM.read_text(encoding="ascii").split()[1])
--- a/packages/chalkyoke/src/chalkyoke/node/ports.py
+++ b/packages/chalkyoke/src/chalkyoke/node/ports.py
@@ -38,6 +38,10 @@
         """Return a tier's default deadline in seconds, or None for an unknown tier."""
         return self._fleet().tier_deadline_s(tier)
 
+    def tier_urgency(self, tier: str) -> float:
+        """Return the position of a tier among all, from 0 for the least urgent to 1."""
+        return self._fleet().tier_urgency(tier)
+
     def pool(self, request_service: str, request: str) -> str:
         """Return the name of the pool that a service's request belongs to."""
         return self._fleet().pool(request_service, request)
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -27,6 +27,7 @@
 from chalkyoke.discovery.host_list import HostListClient
 from chalkyoke.entry.acquirer import Acquirer
 from chalkyoke.entry.answers import serve_forward
+from chalkyoke.entry.bodies import BodyIntake
 from chalkyoke.entry.dispatcher import Dispatcher
 from chalkyoke.entry.ends import OutcomeRecorder
 from chalkyoke.entry.http import CallerApi
@@ -42,9 +43,12 @@
 from chalkyoke.membership.state import Change, Joined
 from chalkyoke.membership.view import MembershipView
 from chalkyoke.node.api import NodeApi
+from chalkyoke.node.callermemory import MemoryWatch
 from chalkyoke.node.configuration import ConfigurationKeeper
 from chalkyoke.node.linkgauges import add_link_gauges
 from chalkyoke.node.listening import AddressWaiter, ListenAddress
+from chalkyoke.node.memory import TICK_S as MEMORY_TICK_S
+from chalkyoke.node.memory import HostMemory
 from chalkyoke.node.ports import FleetPort
 from chalkyoke.node.probes import probe_once
 from chalkyoke.node.schedulers import SchedulerHost
@@ -146,6 +150,8 @@
         self._stopping = asyncio.Event()
         self._close_wait_s = STOP_WAIT_S
         self._supervisor = Supervisor(self.metrics, lambda: len(self.entry.in_progress()))
+        self.memory = HostMemory(settings.memory, self.metrics, self.now, loop.time)
+        self._memory_watch = MemoryWatch(self.memory.account, self.metrics, self.now)
         self._make_links()
         self._make_platform()
         self._make_entry(incarnation)
@@ -159,6 +165,7 @@
             self.process, settings.listen.links, settings.node.failure_domain, settings.fleet.key
         )
         self.links = Links(identity, LINK_MESSAGES, self.events, self._receive)
+        self.memory.bound_links(self.links)
 
     def _make_platform(self) -> None:
         self._platform_session = make_platform_session()
@@ -213,19 +220,22 @@
     def _make_apis(self) -> None:
         settings, tls = self.settings, self.settings.tls
         port = FleetPort(lambda: self.configuration.fleet)
-        self.callers = CallerApi(self.entry, port, self.links, self.events, self.is_ready)
+        bodies = BodyIntake(self.memory.account, self._memory_watch.on_refused)
+        self.callers = CallerApi(self.entry, port, self.links, self.events, self.is_ready, bodies)
         self._servers = [
             HttpServer(
                 self.callers.app(),
                 settings.listen.callers,
                 tls.callers_certificate,
                 tls.callers_key,
+                self.memory.callers,
             ),
             HttpServer(
                 NodeApi(self).app(),
                 settings.listen.administration,
                 tls.administration_certificate,
                 tls.administration_key,
+                self.memory.callers,
             ),
         ]
         self.metrics.register_gauge("running", lambda: sum(1 for _ in self.entry.runs.active()))
@@ -361,6 +371,7 @@
         loops.repeat("heartbeats", self.view.interval_s, self._send_heartbeats)
         loops.repeat("schedulers", TICK_S, self._tick)
         loops.repeat("links", KEEPALIVE_INTERVAL_S, self._keep_links)
+        loops.repeat("memory", MEMORY_TICK_S, self._follow_memory)
         loops.repeat("housekeeping", HOUSEKEEPING_S, self._run_housekeeping)
         loops.keep_running("probes", lambda: self._probe(timing.load_interval_s))
         loops.keep_running("root watch", self.configuration.watch_root)
@@ -382,6 +393,10 @@
         self._apply_member_changes(self.view.tick(self.now()))
         self.schedulers.tick()
 
+    def _follow_memory(self) -> None:
+        self.memory.tick(self.links)
+        self._memory_watch.tick()
+
     def _run_housekeeping(self) -> None:
         self.acquirer.check_owners()
         self.acquirer.send_progress()
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from chalkyoke.http1.memory import CallerMemory
+from chalkyoke.node.connections import ConnectionConfig, HttpConnection
 from chalkyoke.node.listening import ListenAddress
 
 # Number of new connections that may wait for accept.
@@ -23,40 +24,6 @@
 STOP_WAIT_S = 2.0
 
 
-class _Config(uvicorn.Config):
-    """The configuration of a server, with the state that its connections share.
-
-    :ivar closing: whether answers announce the close of their connection.
-    """
-
-    closing = False
-
-
-class _Connection(HttpToolsProtocol):
-    """A connection that announces its close with its last answer once the server is closing.
-
-    Requests that were read behind another one are answered, so only the last answer announces it.
-    """
-
-    def on_headers_complete(self) -> None:
-        """Start the request whose head is complete."""
-        previous = self.cycle
-        super().on_headers_complete()
-        if not self._is_closing():
-            return
-        if previous is not None and not previous.response_started:
-            previous.keep_alive = True
-        self.announce_close()
-
-    def announce_close(self) -> None:
-        """Announce the close with the answer to the latest request, unless that has begun."""
-        if self.cycle is not None and not self.cycle.response_started:
-            self.cycle.keep_alive = False
-
-    def _is_closing(self) -> bool:
-        return isinstance(self.config, _Config) and self.config.closing
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the node."""
 
@@ -71,15 +38,24 @@
     :param address: ``ip:port``.
     :param certificate: file of a TLS certificate; empty for plain HTTP.
     :param key: file of the certificate's private key.
+    :param memory: accounts for what the peers of connections have not taken yet.
     """
 
-    def __init__(self, app: Any, address: str, certificate: str = "", key: str = "") -> None:
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        certificate: str = "",
+        key: str = "",
+        memory: CallerMemory | None = None,
+    ) -> None:
         self._address = address
+        self._memory = memory or CallerMemory()
         self._socket: socket.socket | None = None
-        self._config = _Config(
+        self._config = ConnectionConfig(
             app,
             loop="asyncio",
-            http=_Connection,
+            http=HttpConnection,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -89,6 +65,7 @@
             ssl_certfile=certificate or None,
             ssl_keyfile=key or None,
         )
+        self._config.memory = self._memory
         self._server = _Server(self._config)
         self._task: asyncio.Task[None] | None = None
 
@@ -107,6 +84,10 @@
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if self._memory.account.is_limited:
+                # Accepted connections inherit it; set later, it would not bound what has come.
+                unread = self._memory.account.unread_bound
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread)
             listening.bind((ip, int(port)))
             listening.listen(BACKLOG_CONNECTIONS)
         except OSError:
@@ -123,7 +104,7 @@
         """Announce the close of each connection with its next answer; serve on meanwhile."""
         self._config.closing = True
         for connection in self._server.server_state.connections:
-            if isinstance(connection, _Connection):
+            if isinstance(connection, HttpConnection):
                 connection.announce_close()
 
     async def stop(self, wait_s: float = STOP_WAIT_S) -> None:
--- a/packages/chalkyoke/src/chalkyoke/outcomes.py
+++ b/packages/chalkyoke/src/chalkyoke/outcomes.py
@@ -27,6 +27,7 @@
     STOPPING = "stopping"
     NOT_READY = "not_ready"
     LEDGER_FULL = "ledger_full"
+    NO_MEMORY = "no_memory"
     CALLER_LEFT = "caller_left"
     TOKEN_EXPIRED = "token_expired"
     REFUSED_BEFORE = "refused_before"
--- a/packages/chalkyoke/src/chalkyoke/settings.py
+++ b/packages/chalkyoke/src/chalkyoke/settings.py
@@ -24,6 +24,8 @@
 MAX_KEY_BYTES = 64
 # Shortest grace period of a planned stop, in seconds; 0 means none.
 MIN_GRACE_S = 3.0
+# Lowest limit of memory, in MB: what the program uses itself, and some requests.
+MIN_MEMORY_MB = 80.0
 
 
 class _Section(BaseModel):
@@ -152,6 +154,28 @@
         return self
 
 
+class MemorySection(_Section):
+    """The memory of this process.
+
+    :ivar limit_mb: memory at which the host ends the process, in MB; 0 for no limit. With a limit,
+        buffered bytes are accounted for and bounded.
+    """
+
+    limit_mb: float = Field(default=0.0, ge=0, allow_inf_nan=False)
+
+    @field_validator("limit_mb")
+    @classmethod
+    def _check_limit(cls, limit_mb: float) -> float:
+        if 0 < limit_mb < MIN_MEMORY_MB:
+            raise ValueError(f"the program needs {MIN_MEMORY_MB:g} MB; write 0 for no limit")
+        return limit_mb
+
+    @property
+    def is_accounted(self) -> bool:
+        """Whether buffered bytes are accounted for and limited."""
+        return self.limit_mb > 0
+
+
 class PolicySection(_Section):
     """Parts of the scheduling policy; each can be switched off to measure its effect."""
 
@@ -199,6 +223,7 @@
     administration: AdministrationSection = AdministrationSection()
     timing: TimingSection = TimingSection()
     limits: LimitsSection = LimitsSection()
+    memory: MemorySection = MemorySection()
     policy: PolicySection = PolicySection()
     tls: TlsSection = TlsSection()
     logs: LogsSection = LogsSection()
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -112,6 +112,17 @@
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
+def bound_reads(connection: asyncio.BaseTransport, size: int) -> None:
+    """Bound the bytes that the program reads at a time.
+
+    It has no effect on transports of other event loops than asyncio's own.
+
+    :param size: in bytes.
+    """
+    if hasattr(connection, "max_size"):
+        connection.max_size = size
+
+
 def unacknowledged_bytes(connection: asyncio.BaseTransport) -> int | None:
     """Return the bytes that the operating system has accepted and the peer's has not acknowledged.
 
