Completions: answers stay within the limit of memory, and are whole for those who read them

Callers with large answers saw 410 (the answer is no longer kept) to a first try, and the host's kill for its memory.

Causes: an answer was kept whole for its caller and once more in the server's buffer. Each delivered answer stayed in memory until a full collection of garbage, since the cancelled watch of its caller and the delivery refer to each other. Above 16 MB of kept answers the oldest was dropped even while its own caller was about to read it. Reading from upstreams had no bound for all of them together, and a body for an upstream was copied into the buffer whole.

The change: answers are charged as they are read and are read as room becomes free, by the rule for bodies of unknown length; they pass to the server in pieces of 64 KB, bodies to upstreams too; kept answers that nobody reads give way, those that are read are not dropped; the delivery forgets its watch.

Tried without result: levels of 0.8 and 1.0 for answers (calm calls got 503); kept answers that give way only while bodies are refused (96 of 100 answers waited for room that four kept ones held); the same without breaking the reference between delivery and watch (512 MB).

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -108,11 +108,19 @@
     """Opens a connection for each call.
 
     :param handler: the protocol of the connections.
+    :param buffer_bytes: bytes that the system receives before they are read, or accepts before they
+        are sent; 0 for its default.
     :param options: those of :class:`aiohttp.TCPConnector`.
     """
 
-    def __init__(self, handler: type[ResponseHandler] = CallHandler, **options: Any) -> None:
-        super().__init__(force_close=True, socket_factory=_create_socket, **options)
+    def __init__(
+        self,
+        handler: type[ResponseHandler] = CallHandler,
+        buffer_bytes: int = 0,
+        **options: Any,
+    ) -> None:
+        create = functools.partial(_create_socket, buffer_bytes)
+        super().__init__(force_close=True, socket_factory=create, **options)
         self._factory = functools.partial(handler, loop=self._loop)
 
 
@@ -155,9 +163,13 @@
     return b"".join(parts)
 
 
-def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+def _create_socket(buffer_bytes: int, address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, *_ = address
     created = socket.socket(family, kind, protocol)
+    if buffer_bytes:
+        created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        if (unsent := getattr(socket, "TCP_NOTSENT_LOWAT", None)) is not None:
+            created.setsockopt(socket.IPPROTO_TCP, unsent, buffer_bytes)
     share_port(created)
     return created
 
--- a/packages/chalkyoke/src/chalkyoke/entry/channels.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/channels.py
@@ -7,10 +7,20 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from chalkyoke.memory.account import Charge
+
 # Key of the ASGI scope under which a request's receive channel is kept.
 RECEIVE_KEY = "chalkyoke.receive"
 # Key of the ASGI scope that is set if a request is answered before its body has been read.
 UNREAD_KEY = "chalkyoke.unread"
+# Key of the ASGI scope under which the server keeps a function that it wants to be called with the
+# number of bytes of a body that were written.
+WRITTEN_KEY = "chalkyoke.written"
+# Key of the ASGI scope under which charges are kept that are refunded once the answer is sent.
+CHARGES_KEY = "chalkyoke.charges"
+# Bytes of an answer that are passed to the server at a time: it accepts more once the caller has
+# taken most of them.
+PIECE_BYTES = 65_536
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -56,13 +66,39 @@
         async def send_and_linger(message: dict[str, Any]) -> None:
             last = message["type"] == "http.response.body" and not message.get("more_body")
             if not last or UNREAD_KEY not in scope:
-                await send(message)
+                await _send_pieces(send, message, on_written)
                 return
             await send({**message, "more_body": True})
             await body.discard()
             await send({"type": "http.response.body"})
 
+        on_written = scope.get(WRITTEN_KEY, _ignore)
+        charges: list[Charge] = []
         scope[RECEIVE_KEY] = body.receive
-        await app(scope, receive_nothing, send_and_linger)
+        scope[CHARGES_KEY] = charges
+        try:
+            await app(scope, receive_nothing, send_and_linger)
+        finally:
+            for charge in charges:
+                charge.release()
 
     return wrapped
+
+
+async def _send_pieces(
+    send: Send, message: dict[str, Any], on_written: Callable[[int], None]
+) -> None:
+    """Send a message; a large body as pieces, so that the server holds few of them."""
+    if message["type"] != "http.response.body":
+        await send(message)
+        return
+    body = message.get("body") or b""
+    for start in range(0, max(1, len(body)), PIECE_BYTES):
+        piece = body[start : start + PIECE_BYTES]
+        more = message.get("more_body", False) or start + PIECE_BYTES < len(body)
+        await send({**message, "body": piece, "more_body": more})
+        on_written(len(piece))
+
+
+def _ignore(_: int) -> None:
+    pass
--- a/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/dispatcher.py
@@ -16,6 +16,7 @@
 from chalkyoke.entry.ends import RETRY_AFTER_S, OutcomeRecorder
 from chalkyoke.entry.messages import AnswerHead
 from chalkyoke.entry.ports import ConfigurationPort
+from chalkyoke.entry.room import AnswerRoom
 from chalkyoke.entry.state import Run
 from chalkyoke.entry.streams import EventSplitter, StreamUsage, read_usage
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
@@ -41,6 +42,7 @@
     """Send runs to upstreams and relay their answers.
 
     :param now: seconds on the monotonic clock since this process started.
+    :param room: memory for answers.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         events: EventRing,
         metrics: Metrics,
         now: Callable[[], float],
+        room: AnswerRoom | None = None,
     ) -> None:
+        self._room = room or AnswerRoom()
         self._acquirer = acquirer
         self._recorder = recorder
         self._configuration = configuration
@@ -89,10 +93,14 @@
             if run.end is None:
                 text = "its deadline passed before it was sent"
                 self._recorder.refuse(run, not_run(Reason.EXPIRED, text))
-        elif service.protocol == "plain":
-            await self._relay_plain(run, outcome, service.max_answer_bytes)
         else:
-            await self._relay_stream(run, grant, outcome, service.max_answer_bytes)
+            try:
+                if service.protocol == "plain":
+                    await self._relay_plain(run, outcome, service.max_answer_bytes)
+                else:
+                    await self._relay_stream(run, grant, outcome, service.max_answer_bytes)
+            finally:
+                self._room.settle(run)
 
     def _claim_dispatch(self, run: Run, grant: Grant) -> bool:
         if not run.claim_dispatch(self._now()):
@@ -119,9 +127,12 @@
         """Relay an answer once it has been received up to its end."""
         head = AnswerHead(response.status, response.headers.get("Content-Type", ""))
         try:
-            data = await response.content.read(max_answer_bytes + 1)
-            while not response.content.at_eof() and len(data) <= max_answer_bytes:
-                data += await response.content.read(max_answer_bytes + 1 - len(data))
+            parts: list[bytes] = []
+            size = 0
+            while size <= max_answer_bytes and (part := await response.content.readany()):
+                parts.append(part)
+                size += len(part)
+                await self._room.grow(run, size)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._recorder.fail(
                 run, Reason.CUT_SHORT, f"the answer broke off: {type(error).__name__}"
@@ -129,13 +140,13 @@
             return
         finally:
             response.release()
-        if len(data) > max_answer_bytes:
+        if size > max_answer_bytes:
             self._recorder.fail(
                 run, Reason.TOO_LARGE, f"the answer is larger than {max_answer_bytes} bytes"
             )
             return
         run.start_answer(head)
-        run.append_chunk(data, self._now(), tokens=usage.output_tokens)
+        run.append_chunk(b"".join(parts), self._now(), tokens=usage.output_tokens)
         self._recorder.finish(run, usage)
 
     async def _relay_stream(
@@ -183,6 +194,7 @@
         try:
             while data := await response.content.readany():
                 events_before = splitter.event_count
+                await self._room.grow(run, run.size + splitter.partial_bytes + len(data))
                 if complete := splitter.feed(data):
                     if run.head is None:
                         self._record_first_byte(run, response)
--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -31,7 +31,14 @@
     TooLarge,
     TooSlow,
 )
-from chalkyoke.entry.channels import RECEIVE_KEY, UNREAD_KEY, App, Receive, keep_receive_channel
+from chalkyoke.entry.channels import (
+    CHARGES_KEY,
+    RECEIVE_KEY,
+    UNREAD_KEY,
+    App,
+    Receive,
+    keep_receive_channel,
+)
 from chalkyoke.entry.cutoff import Cutoff
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.entry.reception import (
@@ -48,7 +55,7 @@
 from chalkyoke.entry.state import Run
 from chalkyoke.entry.streams import assemble_completion
 from chalkyoke.links.peers import Links
-from chalkyoke.memory.account import Charge
+from chalkyoke.memory.account import Charge, Purpose
 from chalkyoke.outcomes import Reason, Refusal, Verdict, not_run
 from chalkyoke.tokens.messages import Token, TokenProblem
 
@@ -235,12 +242,14 @@
         if isinstance(answer, Refusal):
             problems.respond(resp, problems.of_refusal(answer, text, event))
             return run
-        delivery = _Delivery(req, resp, answer, text, event, self._cutoff)
-        await (
-            delivery.start_stream()
-            if request.stream
-            else delivery.send_complete(request.max_output > 0)
-        )
+        unsent = self._bodies.account.open(Purpose.RESPONSES_SENT)
+        req.scope[CHARGES_KEY].append(unsent)
+        delivery = _Delivery(req, resp, answer, text, event, self._cutoff, unsent)
+        if request.stream:
+            await delivery.start_stream()
+        else:
+            await delivery.send_complete(request.max_output > 0)
+            self._service.runs.make_room()
         return run
 
     async def _forward(
@@ -254,7 +263,10 @@
 
 
 class _Delivery:
-    """Send one answer to its caller; stop reading the answer when the caller disconnects."""
+    """Send one answer to its caller; stop reading the answer when the caller disconnects.
+
+    :param unsent: the charge for what is sent as a whole; refunded by the server's channel.
+    """
 
     def __init__(
         self,
@@ -264,14 +276,16 @@
         token: str,
         event: str,
         cutoff: Cutoff,
+        unsent: Charge,
     ) -> None:
+        self._unsent = unsent
         self._cutoff = cutoff
         cutoff.add(answer)
         self._resp = resp
         self._answer = answer
         self._token = token
         self._event = event
-        self._disconnect_watch = asyncio.create_task(
+        self._disconnect_watch: asyncio.Task[None] | None = asyncio.create_task(
             self._close_on_disconnect(req.scope[RECEIVE_KEY])
         )
 
@@ -305,6 +319,7 @@
         else:
             self._resp.content_type = head.content_type
             self._resp.data = data
+        self._unsent.resize(len(self._resp.data or b""))
         self._close()
 
     def _respond_assembled(self, stream: bytes) -> None:
@@ -338,7 +353,10 @@
         self._close()
 
     def _close(self) -> None:
-        self._disconnect_watch.cancel()
+        # The cancelled task refers to this object; both would stay until a collection of garbage.
+        watch, self._disconnect_watch = self._disconnect_watch, None
+        if watch is not None:
+            watch.cancel()
         self._cutoff.remove(self._answer)
         self._answer.close()
 
--- a/packages/chalkyoke/src/chalkyoke/entry/runs.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/runs.py
@@ -7,13 +7,14 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 from result import Err, Ok, Result
 
 from chalkyoke.entry.messages import CallerRequest
 from chalkyoke.entry.state import Run
+from chalkyoke.memory.account import MemoryAccount
 from chalkyoke.tokens.codec import TokenCodec
 from chalkyoke.tokens.ledger import TokenLedger
 from chalkyoke.tokens.messages import Token, TokenProblem
@@ -43,9 +44,13 @@
 
     :param ledger: the tokens that this process issued.
     :param codec: signs and encodes tokens with the fleet's key.
+    :param account: the account of this process.
     """
 
-    def __init__(self, ledger: TokenLedger, codec: TokenCodec) -> None:
+    def __init__(
+        self, ledger: TokenLedger, codec: TokenCodec, account: MemoryAccount | None = None
+    ) -> None:
+        self._account = account or MemoryAccount()
         self.ledger = ledger
         self.codec = codec
         self._runs: dict[int, Run] = {}
@@ -107,12 +112,31 @@
     def keep_answer(self, run: Run) -> None:
         """Keep an ended run's answer and drop the oldest ones above the size limit.
 
-        The newest answer is kept even where it alone exceeds the limit.
+        Answers that are being read are kept, and the newest one, even where they exceed the limit.
         """
         self._kept_answers[run.record.token.sequence] = run
         self._kept_bytes += run.size
-        while self._kept_bytes > MAX_KEPT_ANSWER_BYTES and len(self._kept_answers) > 1:
-            self._drop_oldest()
+        if self._kept_bytes > MAX_KEPT_ANSWER_BYTES:
+            self._drop_while(lambda: self._kept_bytes > MAX_KEPT_ANSWER_BYTES, spared=run)
+        self.make_room()
+
+    def make_room(self) -> None:
+        """Drop the oldest kept answers while memory is scarce."""
+        if self._account.is_scarce:
+            self._drop_while(lambda: self._account.is_scarce)
+
+    def drop_idle(self) -> None:
+        """Drop the oldest kept answer that nobody reads, if there is one."""
+        kept = self._kept_bytes
+        self._drop_while(lambda: self._kept_bytes == kept)
+
+    def _drop_while(self, is_needed: Callable[[], bool], spared: Run | None = None) -> None:
+        """Drop the oldest answers that nobody reads as long as that is needed."""
+        for sequence, run in list(self._kept_answers.items()):
+            if not is_needed():
+                return
+            if run.size and not run.readers and run is not spared:
+                self._drop(sequence)
 
     def expire(self, now: float) -> None:
         """Drop answers older than the retention time, and runs whose tokens have expired.
@@ -129,9 +153,13 @@
             kept = self._kept_answers.pop(sequence, None)
             if kept is not None:
                 self._kept_bytes -= kept.size
+                kept.drop_answer()
             self._runs.pop(sequence, None)
 
     def _drop_oldest(self) -> None:
-        _, run = self._kept_answers.popitem(last=False)
+        self._drop(next(iter(self._kept_answers)))
+
+    def _drop(self, sequence: int) -> None:
+        run = self._kept_answers.pop(sequence)
         self._kept_bytes -= run.size
         run.drop_answer()
--- a/packages/chalkyoke/src/chalkyoke/entry/state.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/state.py
@@ -46,6 +46,7 @@
     :ivar readers: number of callers that read the answer now.
     :ivar watchers: callbacks after each change; they wake the readers.
     :ivar body_charge: memory of the body of the request; refunded when the run ends.
+    :ivar answer_charge: memory of the answer; refunded when it is dropped.
     """
 
     id: str
@@ -69,6 +70,7 @@
     readers: int = 0
     watchers: list[Callable[[], None]] = field(default_factory=list)
     body_charge: Charge | None = None
+    answer_charge: Charge | None = None
 
     @property
     def state(self) -> TokenState:
@@ -164,6 +166,8 @@
         """Discard the kept answer to stay within the limits on kept answers."""
         self.chunks.clear()
         self.answer_dropped = True
+        if self.answer_charge is not None:
+            self.answer_charge.release()
 
     def _end(self, end: End, now: float) -> None:
         require(self.end is None, "a request ends once", request=self.id)
--- a/packages/chalkyoke/src/chalkyoke/memory/growth.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/growth.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from chalkyoke.memory.account import (
-    LEAST_URGENT_LEVEL,
     MIN_SHARE_BYTES,
     SHARE_OF_FREE,
     Charge,
@@ -28,10 +27,9 @@
     first: float
 
 
-# Bodies that are being read leave room for small requests, whose size is known.
+# Both leave room for small requests, whose size is known, and for what is sent to callers.
 BODY_LEVELS = GrowthLevels(shared=0.6, first=0.75)
-# Answers belong to requests that have been accepted.
-ANSWER_LEVELS = GrowthLevels(shared=LEAST_URGENT_LEVEL, first=1.0)
+ANSWER_LEVELS = GrowthLevels(shared=0.5, first=0.7)
 
 
 class GrowthQueue:
--- a/packages/chalkyoke/src/chalkyoke/node/connections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/connections.py
@@ -10,6 +10,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from chalkyoke.entry.channels import WRITTEN_KEY
 from chalkyoke.http1.memory import CallerMemory, UnsentResponse
 from chalkyoke.sockets import bound_reads
 
@@ -67,6 +68,12 @@
         self._unparsed += data
         self._parse()
 
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        super().on_message_begin()
+        if self._unsent is not None:
+            self.scope[WRITTEN_KEY] = self._on_written  # type: ignore[literal-required]
+
     def on_headers_complete(self) -> None:
         """Start the request whose head is complete."""
         previous = self.cycle
@@ -134,3 +141,7 @@
             self.transport.abort()
             return
         self.send_400_response("The head of the request is too large.")
+
+    def _on_written(self, size: int) -> None:
+        if self._unsent is not None and not self._is_closed():
+            self._unsent.on_written(size, self.loop.time())
--- a/packages/chalkyoke/src/chalkyoke/node/process.py
+++ b/packages/chalkyoke/src/chalkyoke/node/process.py
@@ -32,6 +32,7 @@
 from chalkyoke.entry.ends import OutcomeRecorder
 from chalkyoke.entry.http import CallerApi
 from chalkyoke.entry.messages import Forward, ForwardChunk, ForwardEnd, ForwardHead
+from chalkyoke.entry.room import AnswerRoom
 from chalkyoke.entry.runs import Runs
 from chalkyoke.entry.service import EntryService
 from chalkyoke.exceptions import InvariantBroken
@@ -202,14 +203,22 @@
             settings.limits.token_lifetime_s,
             settings.limits.tokens_kept,
         )
-        runs = Runs(ledger, TokenCodec(settings.fleet.key))
+        account = self.memory.account
+        runs = Runs(ledger, TokenCodec(settings.fleet.key), account)
         port = FleetPort(lambda: self.configuration.fleet)
-        self._upstream_session = make_session()
+        self._upstream_session = make_session(account.unread_bound if account.is_limited else 0)
         self.upstreams = UpstreamClient(self._upstream_session)
         self.acquirer = Acquirer(runs, self.schedulers, port, self.metrics, self.now)
         recorder = OutcomeRecorder(runs, self.acquirer, self.events, self.metrics, self.now)
         dispatcher = Dispatcher(
-            self.acquirer, recorder, port, self.upstreams, self.events, self.metrics, self.now
+            self.acquirer,
+            recorder,
+            port,
+            self.upstreams,
+            self.events,
+            self.metrics,
+            self.now,
+            AnswerRoom(account, runs.drop_idle),
         )
         self.entry = EntryService(
             runs, self.acquirer, recorder, dispatcher, port, self.events, self.metrics, self.now
@@ -395,6 +404,7 @@
 
     def _follow_memory(self) -> None:
         self.memory.tick(self.links)
+        self.entry.runs.make_room()
         self._memory_watch.tick()
 
     def _run_housekeeping(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/upstreams/client.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/client.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
 
 import aiohttp
@@ -49,6 +49,10 @@
 MAX_DECLINE_BYTES = 2_000
 # Largest load report, in bytes: some 50,000 fingerprints of dropped prefixes.
 MAX_LOAD_BYTES = 1_048_576
+# Bytes of an answer that the library reads ahead, where memory is not limited.
+READ_BUFFER_BYTES = 65_536
+# Bytes of a body that are written at a time.
+PIECE_BYTES = 65_536
 REQUEST_ID = "X-Request-Id"
 OK = 200
 
@@ -94,14 +98,19 @@
         super().close()
 
 
-def make_session() -> aiohttp.ClientSession:
+def make_session(buffer_bytes: int = 0) -> aiohttp.ClientSession:
     """Create the HTTP session for upstreams, with dispatch gates and without a total timeout.
 
+    :param buffer_bytes: bytes that are buffered for one call before they are read; 0 for the
+        defaults of the system and the library.
     :rtype: aiohttp.ClientSession
     """
-    connector = CallConnector(_UpstreamHandler, limit=0, use_dns_cache=False, family=socket.AF_INET)
+    connector = CallConnector(
+        _UpstreamHandler, buffer_bytes, limit=0, use_dns_cache=False, family=socket.AF_INET
+    )
     return make_call_session(
         connector,
+        read_bufsize=buffer_bytes or READ_BUFFER_BYTES,
         trace_configs=[dispatch_trace()],
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
     )
@@ -156,8 +165,8 @@
         try:
             response = await self._session.post(
                 f"http://{address}{path}",
-                data=body,
-                headers=headers,
+                data=body if len(body) <= PIECE_BYTES else _iter_pieces(body),
+                headers={**headers, "Content-Length": str(len(body))},
                 trace_request_ctx=call_gate,
                 allow_redirects=False,
             )
@@ -243,5 +252,11 @@
         )
 
 
+async def _iter_pieces(body: bytes) -> AsyncIterator[bytes]:
+    """Iterate over a body, so that the library copies only what the upstream takes."""
+    for start in range(0, len(body), PIECE_BYTES):
+        yield body[start : start + PIECE_BYTES]
+
+
 def _describe_error(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"[:200]
