--- a/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
@@ -55,6 +55,10 @@
         else:
             self._inner.close()
 
+    def abort(self) -> None:
+        """Close at once, without the rest of what was written."""
+        self._inner.abort()
+
     def is_closing(self) -> bool:
         """Return whether the transport was closed."""
         return self._linger is not None or self._inner.is_closing()
