Planned stop: read the samples of other routes only where they can matter

A prediction read the recent answers of each route of the service that has a request under way. It skips now those whose oldest request could not raise the result.

--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -197,11 +197,14 @@
             if other == key or other[1] != key[1]:
                 continue
             for most, alike in groups.items():
-                at = next(iter(alike.values()), now)
+                oldest = SlowAnswer(next(iter(alike.values()), now), 0.0)
+                age_s = now - oldest.dispatched_at
+                if age_s * OUTLASTING_FACTOR <= excess_s or not self._slowdowns.is_news(
+                    key, oldest
+                ):
+                    continue
                 longest_s = max(self._scaled(other, most), default=math.inf)
-                slow = SlowAnswer(at, now - at - longest_s)
-                if slow.excess_s > 0.0 and self._slowdowns.is_news(key, slow):
-                    excess_s = max(excess_s, slow.excess_s * OUTLASTING_FACTOR)
+                excess_s = max(excess_s, (age_s - longest_s) * OUTLASTING_FACTOR)
         return excess_s
 
     def _longest_age_s(self, admission: Admission, now: float, above_s: float) -> float:
