Planned stop: look at the answers under way of a service once in 50 ms

Predictions read the recent answers of each route of the service that has a request under way: 7 ms each with 300 such routes, beside one event loop. The result is kept for 50 ms.

--- a/packages/chalkyoke/src/chalkyoke/gateway/durations.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/durations.py
@@ -24,6 +24,8 @@
 LOAD_ALLOWANCE = 1.25
 # Expected duration of an answer that has outlasted all recent ones, as a multiple of its age.
 OUTLASTING_FACTOR = 3.0
+# How long the answers under way of a service are not looked at again, in seconds.
+KEEP_UNDER_WAY_S = 0.05
 
 
 class Basis(enum.StrEnum):
@@ -75,6 +77,8 @@
         # By the output that the callers allowed, rounded up; each in the order of the dispatches.
         self._dispatched_at: dict[tuple[str, str], dict[int, dict[str, float]]] = {}
         self._slowdowns = Slowdowns()
+        # By service: when it was computed, and the result.
+        self._kept_under_way: dict[str, tuple[float, list[tuple[tuple[str, str], SlowAnswer]]]] = {}
 
     def record_dispatch(self, admission: Admission, now: float) -> None:
         """Record that a request was dispatched; its first dispatch counts.
@@ -175,6 +179,7 @@
         """Drop the answers of all other routes."""
         self._samples = {key: kept for key, kept in self._samples.items() if key[0] in routes}
         self._slowdowns.retain(routes)
+        self._kept_under_way.clear()
 
     def _record_slowdown(self, admission: Admission, took_s: float) -> None:
         key, most = _key(admission), _rounded_output(admission)
@@ -193,19 +198,30 @@
         :return: seconds; 0 if they don't, or if a later answer of the route itself has ended.
         """
         excess_s = self._slowdowns.excess_s(key, now) * LOAD_ALLOWANCE
-        for other, groups in self._dispatched_at.items():
-            if other == key or other[1] != key[1]:
+        for other, slow in self._slow_under_way(key[1], now):
+            if other != key and self._slowdowns.is_news(key, slow):
+                excess_s = max(excess_s, slow.excess_s * OUTLASTING_FACTOR)
+        return excess_s
+
+    def _slow_under_way(self, service: str, now: float) -> list[tuple[tuple[str, str], SlowAnswer]]:
+        """Return the routes of a service with an answer under way that outlasts all recent ones.
+
+        Reading the recent answers of many routes takes long, so the result is kept for a moment.
+        """
+        kept = self._kept_under_way.get(service)
+        if kept is not None and kept[0] <= now < kept[0] + KEEP_UNDER_WAY_S:
+            return kept[1]
+        found = []
+        for key, groups in self._dispatched_at.items():
+            if key[1] != service:
                 continue
             for most, alike in groups.items():
-                oldest = SlowAnswer(next(iter(alike.values()), now), 0.0)
-                age_s = now - oldest.dispatched_at
-                if age_s * OUTLASTING_FACTOR <= excess_s or not self._slowdowns.is_news(
-                    key, oldest
-                ):
-                    continue
-                longest_s = max(self._scaled(other, most), default=math.inf)
-                excess_s = max(excess_s, (age_s - longest_s) * OUTLASTING_FACTOR)
-        return excess_s
+                at = next(iter(alike.values()), now)
+                excess_s = now - at - max(self._scaled(key, most), default=math.inf)
+                if excess_s > 0.0:
+                    found.append((key, SlowAnswer(at, excess_s)))
+        self._kept_under_way[service] = (now, found)
+        return found
 
     def _longest_age_s(self, admission: Admission, now: float, above_s: float) -> float:
         """Return the age of the oldest other request that has outlasted all recent answers.
