--- a/packages/chalkyoke/src/chalkyoke/http1/lingering.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingering.py
@@ -54,7 +54,8 @@
         """When the connection closes if no further input comes."""
         patient = self.unfinished and not self._stopping
         wait_s = UPLOAD_LINGER_S if patient else LINGER_S
-        return min(self._last_input_at + wait_s, self._latest)
+        # In whole nanoseconds, as clocks are: a timer for this moment does not fire before it.
+        return round(min(self._last_input_at + wait_s, self._latest), 9)
 
     def on_input(self, size: int, now: float) -> None:
         """Record that input was discarded.
--- a/packages/chalkyoke/src/chalkyoke/http1/timelimits.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/timelimits.py
@@ -30,7 +30,8 @@
     def ends_at(self) -> float:
         """When the body is late unless more of it comes, in seconds."""
         size = self._received if self._length is None else self._length
-        return self._ends_at + size / MIN_BODY_BYTES_PER_S
+        # In whole nanoseconds, as clocks are: a timer for this moment does not fire before it.
+        return round(self._ends_at + size / MIN_BODY_BYTES_PER_S, 9)
 
     def on_received(self, size: int) -> None:
         """Record that a part of the body has come.
