Planned stop: connections that the system has established are served, not reset

Cause: the operating system establishes connections before the loop accepts them, and closing a listening socket resets those that wait.

Change: a listener that closes first accepts what has been established; such a connection gets half a second for its request, as one that was accepted just before does. What remains is a connection that is established between the last accept and the close, microseconds later.

Evidence: the new test connects 20 callers without an iteration of the loop in between and closes the listener: none of the 20 requests is served before (TimeoutError), all are now.

--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -7,6 +7,7 @@
 import asyncio
 import resource
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -97,6 +98,8 @@
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        # The loop keeps no reference to its tasks.
+        self._opening: list[asyncio.Future[Any]] = []
         self._stopping = False
 
     @property
@@ -116,9 +119,15 @@
         self._memory.bound_unread(self._server)
 
     def close(self) -> None:
-        """Stop accepting connections; open ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections; established ones stay open."""
+        server, self._server = self._server, None
+        if server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for accepted in sockets.accept_established(server):
+            opening = loop.connect_accepted_socket(self._make_connection, accepted)
+            self._opening.append(asyncio.ensure_future(opening))
+        server.close()
 
     def announce_close(self) -> None:
         """Announce from now on with each answer that its connection closes, and close it then."""
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of the listener for HTTP connections during a planned stop."""
 
 import asyncio
+import socket
 
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.lingering import LINGER_S
@@ -10,6 +11,8 @@
 
 from tests import virtual
 
+CALLERS = 20
+TIMEOUT_S = 10.0
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -106,3 +109,29 @@
         await finish
 
     virtual.run(main)
+
+
+def test_connections_that_are_not_accepted_yet_are_served_after_a_close():
+    """Guards against requests that were reset in the system's queue as the listener closed."""
+
+    async def main():
+        listener, writers = make_listener()
+        await listener.listen()
+        address = listener._server.sockets[0].getsockname()
+        # Without an iteration of the loop in between, none of them is accepted before the close.
+        callers = [socket.create_connection(address) for _ in range(CALLERS)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        listener.close()
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(writers) < CALLERS:
+                await asyncio.sleep(CLOSE_CHECK_S)
+        for writer in writers:
+            answer(writer)
+        await asyncio.sleep(CLOSE_CHECK_S)
+        for caller in callers:
+            caller.setblocking(False)
+            assert caller.recv(1_024).startswith(b"HTTP/1.1 200 ")
+            caller.close()
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -13,7 +13,7 @@
 import socket
 import struct
 import termios
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import TypeVar
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
@@ -64,6 +64,25 @@
     return server
 
 
+def accept_established(server: asyncio.Server) -> Iterator[socket.socket]:
+    """Accept the connections that the operating system has established for a server.
+
+    Closing the server would reset them, although their callers may have sent a request.
+
+    :return: sockets that do not block.
+    """
+    for each in server.sockets:
+        with each.dup() as listening:
+            while True:
+                try:
+                    accepted, _ = listening.accept()
+                except OSError:
+                    # There is none left, or no descriptor for it.
+                    break
+                accepted.setblocking(False)
+                yield accepted
+
+
 def share_port(outgoing: SocketOptions) -> None:
     """Let a process of this host listen on the local port of an outgoing connection.
 
