Interim answers wait for the answer before; bodies behind the last answer are refunded

A request with Expect: 100-continue behind another one, whose answer was being sent, had its interim answer written into the body of that answer. It is written now when the answers before have ended.

A body in progress when a planned stop closes its connection after the answer before kept its memory, and its place as the oldest body, while the connection lingered. It is dropped with the close.

--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -90,6 +90,7 @@
         self.stopping = False
         self._in_message = False
         self._head_complete = False
+        self._is_continue_due = False
         self._body_time: BodyTime | None = None
         self._unparsed_bytes = 0
 
@@ -312,7 +313,9 @@
         if not self._admit_body():
             return
         if any(name.lower() == b"expect" for name, _ in incoming.headers):
-            self.write(CONTINUE)
+            self._is_continue_due = True
+            if self._handler is None and not self._waiting_requests:
+                self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, or refuse the request when the body is too large."""
@@ -346,8 +349,15 @@
         elif self._is_pipeline_full:
             self._input.pause(PauseReason.WAITING_REQUESTS)
 
+    def _send_continue(self) -> None:
+        """Tell a caller that waits with its body to send it, after the answers before."""
+        if self._is_continue_due:
+            self._is_continue_due = False
+            self.write(CONTINUE)
+
     def _reset_message(self) -> None:
         self._in_message = False
+        self._is_continue_due = False
         self._head_complete = False
         self._body_time = None
         self._unparsed_bytes = 0
@@ -372,6 +382,7 @@
             if self._refusal is not None:
                 self._send_refusal(self._refusal)
                 return
+            self._send_continue()
             self._set_timer(self._limits().idle_timeout_s)
             return
         self._cancel_timer()
@@ -532,6 +543,7 @@
             return
         self._cancel_timer()
         self._input.resume_all()
+        self._incoming.discard_body()
         self._discard_waiting()
         self._linger = LingeringClose(self.transport, self._lingering, self._due_bytes)
         if self.stopping:
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_paused_input.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_paused_input.py
@@ -4,6 +4,7 @@
 
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import GRANT_INTERVAL_S, CallerMemory
+from chalkyoke.http1.messages import AnswerHead
 from chalkyoke.memory.account import MemoryAccount, Purpose
 
 from .test_server import Caller, run, settle
@@ -66,3 +67,44 @@
         assert caller.transport.written.startswith(b"HTTP/1.1 400 ")
 
     run(check)
+
+
+def test_a_body_behind_the_last_answer_is_refunded_with_that_answer():
+    """Its memory, and its place as the oldest body, were kept while the connection lingered."""
+
+    async def check():
+        memory = CallerMemory(MemoryAccount(LIMIT))
+        caller = Caller(LIMITS, memory)
+        await caller.send(TINY)
+        caller.connection.close_gracefully()
+        _, writer = caller.requests[0]
+        writer.send_head(AnswerHead(200, b"OK", [], 2), b"ok")
+        await caller.send(CHUNKED + b"20000\r\n" + b"x" * 0x18000)
+        assert memory.account.total > 0x18000
+        writer.finish()
+        await settle()
+        assert memory.account.total == 0
+
+    run(check)
+
+
+def test_an_interim_answer_is_not_written_into_the_answer_before():
+    """Callers took it for a part of the body of that answer."""
+
+    async def check():
+        caller = Caller(LIMITS)
+        await caller.send(TINY)
+        _, writer = caller.requests[0]
+        writer.send_head(AnswerHead(200, b"OK", [], 4), b"ab")
+        await settle()
+        await caller.send(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n"
+        )
+        writer.send_body(b"cd")
+        writer.finish()
+        await settle()
+        answer, _, interim = caller.transport.written.partition(b"abcd")
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert interim.startswith(b"HTTP/1.1 100 ")
+
+    run(check)
