--- a/packages/chalkyoke/src/chalkyoke/entry/state.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/state.py
@@ -8,8 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from chalkyoke.entry.messages import AnswerHead, CallerRequest
 from chalkyoke.invariants import require
+from chalkyoke.memory.account import Charge
 from chalkyoke.outcomes import Reason, Refusal, Verdict
 from chalkyoke.scheduling.messages import Grant
 from chalkyoke.tokens.ledger import TokenLedger, TokenRecord
@@ -32,6 +35,7 @@
     :param token: the encoded token.
     :param arrived: arrival time, in seconds on this process's monotonic clock.
     :param deadline: in seconds on the same clock.
+    :ivar request: without its body once the run has ended.
     :ivar attempt: number of acquire attempts so far.
     :ivar dispatched_at: in seconds on the same clock; -1 before the dispatch.
     :ivar first_s: time from the dispatch to the first chunk, in seconds; -1 before.
@@ -41,6 +45,8 @@
     :ivar answer_dropped: whether the kept answer was discarded to stay within the limits.
     :ivar readers: number of callers that read the answer now.
     :ivar watchers: callbacks after each change; they wake the readers.
+    :ivar body_charge: memory of the body of the request; refunded when the run ends.
+    :ivar answer_charge: memory of the answer; refunded when it is dropped.
     """
 
     id: str
@@ -63,6 +69,8 @@
     answer_dropped: bool = False
     readers: int = 0
     watchers: list[Callable[[], None]] = field(default_factory=list)
+    body_charge: Charge | None = None
+    answer_charge: Charge | None = None
 
     @property
     def state(self) -> TokenState:
@@ -158,11 +166,17 @@
         """Discard the kept answer to stay within the limits on kept answers."""
         self.chunks.clear()
         self.answer_dropped = True
+        if self.answer_charge is not None:
+            self.answer_charge.release()
 
     def _end(self, end: End, now: float) -> None:
         require(self.end is None, "a request ends once", request=self.id)
         self.end = end
         self.ended_at = now
+        # A retry is compared by its digest, which the ledger keeps.
+        self.request = msgspec.structs.replace(self.request, body=b"")
+        if self.body_charge is not None:
+            self.body_charge.release()
         self._changed()
 
     def _changed(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
+++ b/packages/chalkyoke/src/chalkyoke/gateway/exchange.py
@@ -213,7 +213,7 @@
                 return
             if self._is_refused_for_stop and self.task is not None and not self._caller_left:
                 self.task.uncancel()
-                self._refuse_stopping(admission)
+                self._replies.refuse(admission, STOPPING, RETRY_SOON_S)
                 return
             if not self._caller_left:
                 raise
@@ -254,19 +254,19 @@
         latest = self._latest_dispatch()
         return latest is not None and self._parts.now() >= latest and self._is_unsent()
 
+    def _would_outlast_stop(self, admission: Admission) -> bool:
+        """Return whether another replica than the silent one would answer too late."""
+        drain, is_silent = self._parts.drain, self._sender.silent is not None
+        return is_silent and not drain.may_replace(admission, self._parts.now())
+
     def _is_unsent(self) -> bool:
         """Return whether no replica has the request or has begun an answer."""
         sent = self._sender.is_sending or self._progress.sends.runs
         return not sent and not self._delivery.head_sent
 
-    def _refuse_stopping(self, admission: Admission) -> None:
-        stop, latest = self._parts.drain.stop, self._latest_dispatch()
-        if stop is not None and latest is not None:
-            self._replies.refuse_stopping(admission, stop, latest)
-
     async def _serve_admitted(self, admission: Admission) -> None:
         if self._is_too_late():
-            self._refuse_stopping(admission)
+            self._replies.refuse(admission, STOPPING, RETRY_SOON_S)
             return
         if self._refuse_if_held_back(admission):
             return
@@ -297,7 +297,7 @@
         while True:
             if not self._sender.is_still_allowed(admission):
                 return Denied("no longer allowed", RETRY_SOON_S)
-            if self._is_too_late():
+            if self._is_too_late() or self._would_outlast_stop(admission):
                 return Denied(STOPPING, RETRY_SOON_S)
             if not self._sender.has_budget(admission):
                 return Denied("no retry budget", RETRY_SOON_S)
--- a/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
@@ -51,10 +51,14 @@
         if self._linger is not None:
             self._linger.stop()
         elif self._is_input_due() and not self._inner.is_closing():
-            self._linger = LingeringClose(self._inner, self._shared, None)
+            self._linger = LingeringClose(self._inner, self._shared, None, [])
         else:
             self._inner.close()
 
+    def abort(self) -> None:
+        """Close at once, without the rest of what was written."""
+        self._inner.abort()
+
     def is_closing(self) -> bool:
         """Return whether the transport was closed."""
         return self._linger is not None or self._inner.is_closing()
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import Protocol
 
 from chalkyoke.administration.metrics import Metrics
 from chalkyoke.catalog.resources import Catalog
 from chalkyoke.gateway.intake import Intake, RefusedHead
 from chalkyoke.gateway.ports import HeaderFormat
-from chalkyoke.gateway.settings import MemorySection
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.links.peers import Links
 from chalkyoke.logs import logger
@@ -33,6 +33,18 @@
 log = logger("memory")
 
 
+class MemorySettings(Protocol):
+    """The section of the settings that states the memory of the host."""
+
+    @property
+    def limit_mb(self) -> float:
+        """Memory at which the host ends the process, in MB."""
+
+    @property
+    def is_accounted(self) -> bool:
+        """Whether buffered bytes are accounted for and limited."""
+
+
 class HostMemory:
     """Accounts for the buffers of this host, if the settings ask for it.
 
@@ -42,7 +54,7 @@
 
     def __init__(
         self,
-        settings: MemorySection,
+        settings: MemorySettings,
         metrics: Metrics,
         now: Callable[[], float],
         loop_time: Callable[[], float],
@@ -99,7 +111,7 @@
 
     def _watch_resident(self) -> None:
         """Refuse large bodies while the process has nearly reached the memory of its host."""
-        resident = _resident_bytes()
+        resident = resident_bytes()
         changed = self._guard.on_measured(resident)
         if self.account.is_nearly_full:
             allocator.trim()
@@ -114,7 +126,7 @@
     def _measure_program(self) -> None:
         """Set the limit by the memory that the program uses besides the buffers."""
         # Freed buffers may stay with the allocator.
-        used = _resident_bytes() - self.account.peak
+        used = resident_bytes() - self.account.peak
         if used <= self._program_bytes:
             return
         self._program_bytes = used
@@ -123,7 +135,7 @@
     def _register_gauges(self) -> None:
         account = self.account
         host_bytes = self._settings.limit_mb * BYTES_PER_MB
-        self._metrics.register_gauge("memory_resident_bytes", _resident_bytes)
+        self._metrics.register_gauge("memory_resident_bytes", resident_bytes)
         self._metrics.register_gauge("memory_host_limit_bytes", lambda: host_bytes)
         self._metrics.register_gauge("memory_limit_bytes", lambda: account.limit_bytes)
         self._metrics.register_gauge("memory_buffered_bytes", lambda: account.total)
@@ -137,7 +149,7 @@
             log.warning(
                 "memory_refusals_begun",
                 cause=cause,
-                resident=_resident_bytes(),
+                resident=resident_bytes(),
                 total=self.account.total,
                 limit=self.account.limit_bytes,
             )
@@ -177,7 +189,7 @@
         )
 
 
-def _resident_bytes() -> int:
+def resident_bytes() -> int:
     """Return the resident memory of this process, in bytes."""
     try:
         pages = int(STATM.read_text(encoding="ascii").split()[1])
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_memory.py
@@ -20,7 +20,7 @@
 @pytest.fixture
 def resident(monkeypatch):
     found = {"bytes": PROGRAM_BYTES}
-    monkeypatch.setattr(memory, "_resident_bytes", lambda: found["bytes"])
+    monkeypatch.setattr(memory, "resident_bytes", lambda: found["bytes"])
     return found
 
 
--- a/tests/test_uploads_to_completions.py
+++ b/tests/test_uploads_to_completions.py
@@ -13,7 +13,7 @@
 import pytest
 from chalkyoke import problems
 from chalkyoke.http1 import lingering, timelimits
-from chalkyoke.node import servers
+from chalkyoke.node import callerconnections
 from chalkyoke.node.servers import HttpServer
 from chalkyoke_fakes.fleet import free_address
 
@@ -84,8 +84,8 @@
 @pytest.mark.parametrize("slow", SLOW)
 def test_a_request_that_comes_too_slowly_gets_408(slow, monkeypatch):
     """Guards against requests without end that hold a connection for ever."""
-    monkeypatch.setattr(servers, "HEAD_TIME_S", 0.3)
-    monkeypatch.setattr(servers, "BODY_TIME_S", 0.3)
+    monkeypatch.setattr(callerconnections, "HEAD_TIME_S", 0.3)
+    monkeypatch.setattr(callerconnections, "BODY_TIME_S", 0.3)
     monkeypatch.setattr(timelimits, "MIN_BODY_BYTES_PER_S", 10_000_000)
 
     async def main():
@@ -101,7 +101,7 @@
 
 @pytest.mark.parametrize("begin", [b"", b"\r\n"])
 def test_a_connection_without_a_request_is_closed_in_silence(begin, monkeypatch):
-    monkeypatch.setattr(servers, "KEEP_ALIVE_S", 0.3)
+    monkeypatch.setattr(callerconnections, "KEEP_ALIVE_S", 0.3)
 
     async def main():
         async with serve() as port:
