A body of unknown length may use the whole share that one body may use

Callers with a body in chunks just below 0.4 of the account's limit got 503: the check compared the body with a whole further piece, although only its end was due. The bytes received are compared now. Found by the review; the new test fails before (refused) and passes now.

--- a/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
@@ -159,7 +159,7 @@
     def _exceeds_any(self, grant: BodyGrant) -> bool:
         """Return whether the body is larger than any may be."""
         limit = self._account.limit_bytes * MAX_BODY_SHARE
-        return self._account.is_limited and grant.next_size > limit
+        return self._account.is_limited and grant.received > limit
 
     def _fits(self, grant: BodyGrant, *, is_first: bool) -> bool:
         """Return whether the next piece of a body may be granted.
--- a/packages/chalkyoke/src/chalkyoke/memory/tests/test_bodygrants.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/tests/test_bodygrants.py
@@ -2,7 +2,13 @@
 
 import pytest
 from chalkyoke.memory.account import MIN_SHARE_BYTES, MemoryAccount, Purpose
-from chalkyoke.memory.bodygrants import MAX_WAIT_S, OLDEST_LEVEL, PIECE_BYTES, BodyGrants
+from chalkyoke.memory.bodygrants import (
+    MAX_BODY_SHARE,
+    MAX_WAIT_S,
+    OLDEST_LEVEL,
+    PIECE_BYTES,
+    BodyGrants,
+)
 
 LIMIT = 40_000_000
 BODY_BYTES = 4_194_304
@@ -135,3 +141,12 @@
     while not upload.is_complete:
         upload.send(PIECE_BYTES, 0.0)
         assert upload.is_read
+
+
+def test_a_body_as_large_as_any_may_be_is_read_to_its_end():
+    """It was refused with the piece that filled its grant, although only its end was due."""
+    account = MemoryAccount(LIMIT)
+    upload = Uploader(BodyGrants(account), 0.0, int(LIMIT * MAX_BODY_SHARE))
+    while upload.is_sending:
+        upload.send(PIECE_BYTES, 0.0)
+    assert upload.is_complete
