Completions: a refusal for lack of memory adds no reason to messages between nodes

The new reason no_memory became part of the type of Shed, a message between nodes, whose recorded versions don't know it: a node of an older build could not read such a message. tests/test_versions.py failed in five cases. Callers get shed with the detail that this host is short of memory; operators count memory_refused as before.

--- a/packages/chalkyoke/src/chalkyoke/entry/http.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/http.py
@@ -417,7 +417,7 @@
 
 
 def _no_memory() -> Refusal:
-    return not_run(Reason.NO_MEMORY, "this host is short of memory", NO_MEMORY_RETRY_S)
+    return not_run(Reason.SHED, "this host is short of memory", NO_MEMORY_RETRY_S)
 
 
 def _respond_refused(resp: falcon.asgi.Response, refusal: Refusal) -> None:
--- a/packages/chalkyoke/src/chalkyoke/outcomes.py
+++ b/packages/chalkyoke/src/chalkyoke/outcomes.py
@@ -27,7 +27,6 @@
     STOPPING = "stopping"
     NOT_READY = "not_ready"
     LEDGER_FULL = "ledger_full"
-    NO_MEMORY = "no_memory"
     CALLER_LEFT = "caller_left"
     TOKEN_EXPIRED = "token_expired"
     REFUSED_BEFORE = "refused_before"
