Planned stop: connections that wait for their accept are served

Callers that connected in the last milliseconds before a stopping node closed its listener were reset without an answer; the node logged nothing, as it had never accepted them.

Cause: closing a listening socket resets what waits in its queue. A busy loop lets connections wait for tens of milliseconds, and close() comes first.

Now close() accepts what waits, closes the socket, and opens those connections as any other; they are told of the close with their answer. What arrives between the last accept and the close, in the same call, is still reset.

The test resets without the change and passes with it.

--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import resource
+import socket
 from collections.abc import Callable
 
 import msgspec
@@ -97,6 +98,7 @@
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._opening: set[asyncio.Future[object]] = set()
         self._stopping = False
 
     @property
@@ -116,9 +118,13 @@
         self._memory.bound_unread(self._server)
 
     def close(self) -> None:
-        """Stop accepting connections; open ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections; open ones stay open, and those that wait are opened."""
+        if self._server is None:
+            return
+        accepted = sockets.accept_waiting(self._server, BACKLOG_CONNECTIONS)
+        self._server.close()
+        for each in accepted:
+            self._open_accepted(each)
 
     def announce_close(self) -> None:
         """Announce from now on with each answer that its connection closes, and close it then."""
@@ -140,7 +146,7 @@
                 if loop.time() - connection.idle_since >= IDLE_CLOSE_S:
                     connection.close_gracefully()
             await asyncio.sleep(CLOSE_CHECK_S)
-            if not self._connections:
+            if not self._connections and not self._opening:
                 return
 
     def refuse_unread(self, retry_after_s: float) -> int:
@@ -151,6 +157,14 @@
         """
         return sum(each.refuse_unread(retry_after_s) for each in list(self._connections))
 
+    def _open_accepted(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        opening: asyncio.Future[object] = asyncio.ensure_future(
+            loop.connect_accepted_socket(self._make_connection, accepted)
+        )
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
     def _make_connection(self) -> ServerConnection:
         return ServerConnection(
             self._start,
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -1,6 +1,8 @@
 """Tests of the listener for HTTP connections during a planned stop."""
 
 import asyncio
+import contextlib
+import socket
 
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.lingering import LINGER_S
@@ -106,3 +108,40 @@
         await finish
 
     virtual.run(main)
+
+
+def connect(address):
+    """Open a connection, which waits for its accept, and send a request on it."""
+    connection = socket.create_connection(address)
+    connection.sendall(REQUEST)
+    connection.setblocking(False)
+    return connection
+
+
+def test_connections_that_wait_for_their_accept_are_served_after_a_close():
+    """Guards against callers that were reset without an answer when their host stopped."""
+
+    async def main():
+        writers = []
+
+        def start(request, writer):
+            writers.append(writer)
+            answer(writer)
+            return Handler()
+
+        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
+        await listener.listen()
+        address = listener._server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        with contextlib.ExitStack() as opened:
+            # Nothing is accepted meanwhile, since the loop does not run.
+            waiting = [opened.enter_context(connect(address)) for _ in range(20)]
+            listener.close()
+            finish = asyncio.ensure_future(listener.finish_requests())
+            received = [await loop.sock_recv(each, 4_096) for each in waiting]
+        await finish
+        assert len(writers) == 20
+        assert all(each.startswith(b"HTTP/1.1 200") for each in received)
+        assert all(b"Connection: close" in each for each in received)
+
+    asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -64,6 +64,20 @@
     return server
 
 
+def accept_waiting(server: asyncio.Server, most: int) -> list[socket.socket]:
+    """Accept the connections that wait on the sockets of a server; closing it would reset them.
+
+    :param most: number of connections to accept from each socket.
+    """
+    accepted: list[socket.socket] = []
+    for each in server.sockets:
+        # No connection waits any more, or the system has no descriptor left.
+        with contextlib.suppress(OSError), each.dup() as listening:
+            for _ in range(most):
+                accepted.append(listening.accept()[0])
+    return accepted
+
+
 def share_port(outgoing: SocketOptions) -> None:
     """Let a process of this host listen on the local port of an outgoing connection.
 
