--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of the listener for HTTP connections during a planned stop."""
 
 import asyncio
+import contextlib
 import socket
 
 from chalkyoke.http1.incoming import ServerLimits
@@ -11,8 +12,6 @@
 
 from tests import virtual
 
-CALLERS = 20
-TIMEOUT_S = 10.0
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -111,27 +110,38 @@
     virtual.run(main)
 
 
-def test_connections_that_are_not_accepted_yet_are_served_after_a_close():
-    """Guards against requests that were reset in the system's queue as the listener closed."""
+def connect(address):
+    """Open a connection, which waits for its accept, and send a request on it."""
+    connection = socket.create_connection(address)
+    connection.sendall(REQUEST)
+    connection.setblocking(False)
+    return connection
+
+
+def test_connections_that_wait_for_their_accept_are_served_after_a_close():
+    """Guards against callers that were reset without an answer when their host stopped."""
 
     async def main():
-        listener, writers = make_listener()
+        writers = []
+
+        def start(request, writer):
+            writers.append(writer)
+            answer(writer)
+            return Handler()
+
+        listener = Listener("127.0.0.1:0", start, ServerLimits, descriptors=100)
         await listener.listen()
         address = listener._server.sockets[0].getsockname()
-        # Without an iteration of the loop in between, none of them is accepted before the close.
-        callers = [socket.create_connection(address) for _ in range(CALLERS)]
-        for caller in callers:
-            caller.sendall(REQUEST)
-        listener.close()
-        async with asyncio.timeout(TIMEOUT_S):
-            while len(writers) < CALLERS:
-                await asyncio.sleep(CLOSE_CHECK_S)
-        for writer in writers:
-            answer(writer)
-        await asyncio.sleep(CLOSE_CHECK_S)
-        for caller in callers:
-            caller.setblocking(False)
-            assert caller.recv(1_024).startswith(b"HTTP/1.1 200 ")
-            caller.close()
+        loop = asyncio.get_running_loop()
+        with contextlib.ExitStack() as opened:
+            # Nothing is accepted meanwhile, since the loop does not run.
+            waiting = [opened.enter_context(connect(address)) for _ in range(20)]
+            listener.close()
+            finish = asyncio.ensure_future(listener.finish_requests())
+            received = [await loop.sock_recv(each, 4_096) for each in waiting]
+        await finish
+        assert len(writers) == 20
+        assert all(each.startswith(b"HTTP/1.1 200") for each in received)
+        assert all(b"Connection: close" in each for each in received)
 
     asyncio.run(main())
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -13,7 +13,7 @@
 import socket
 import struct
 import termios
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TypeVar
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
@@ -64,23 +64,18 @@
     return server
 
 
-def accept_established(server: asyncio.Server) -> Iterator[socket.socket]:
-    """Accept the connections that the operating system has established for a server.
+def accept_waiting(server: asyncio.Server, most: int) -> list[socket.socket]:
+    """Accept the connections that wait on the sockets of a server; closing it would reset them.
 
-    Closing the server would reset them, although their callers may have sent a request.
-
-    :return: sockets that do not block.
+    :param most: number of connections to accept from each socket.
     """
+    accepted: list[socket.socket] = []
     for each in server.sockets:
-        with each.dup() as listening:
-            while True:
-                try:
-                    accepted, _ = listening.accept()
-                except OSError:
-                    # There is none left, or no descriptor for it.
-                    break
-                accepted.setblocking(False)
-                yield accepted
+        # No connection waits any more, or the system has no descriptor left.
+        with contextlib.suppress(OSError), each.dup() as listening:
+            for _ in range(most):
+                accepted.append(listening.accept()[0])
+    return accepted
 
 
 def share_port(outgoing: SocketOptions) -> None:
