--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -218,6 +218,19 @@
         return self._socket if name == "socket" else default
 
 
+class _NothingWaits:
+    """A listening socket whose connections are opened at once, so that none waits for accept."""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        pass
+
+    def accept(self):
+        raise BlockingIOError
+
+
 class _Listener:
     def __init__(self, net, address):
         self._net = net
@@ -227,6 +240,9 @@
     def getsockname(self):
         return self._address
 
+    def dup(self):
+        return _NothingWaits()
+
     def is_serving(self):
         return self._address in self._net.listeners
 
