Socket bounds: one copy of setting them on sockets and transports

node/servers.py and callsessions.py set SO_RCVBUF and TCP_NOTSENT_LOWAT by hand beside bound_unread and bound_unsent; both call these now, which take a socket as well as a transport.

--- a/packages/chalkyoke/src/chalkyoke/callsessions.py
+++ b/packages/chalkyoke/src/chalkyoke/callsessions.py
@@ -23,7 +23,7 @@
 )
 from chalkyoke.http1.heads import contains_status_line, has_unknown_coding
 from chalkyoke.logs import logger
-from chalkyoke.sockets import share_port
+from chalkyoke.sockets import bound_unread, bound_unsent, share_port
 
 # A status that is no answer, as no call asks for another protocol; other interim ones are skipped.
 SWITCHING_PROTOCOLS = 101
@@ -167,9 +167,8 @@
     family, kind, protocol, *_ = address
     created = socket.socket(family, kind, protocol)
     if buffer_bytes:
-        created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        if (unsent := getattr(socket, "TCP_NOTSENT_LOWAT", None)) is not None:
-            created.setsockopt(socket.IPPROTO_TCP, unsent, buffer_bytes)
+        bound_unread(created, buffer_bytes)
+        bound_unsent(created, buffer_bytes)
     share_port(created)
     return created
 
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -12,6 +12,7 @@
 
 import uvicorn
 
+from chalkyoke import sockets
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.node.callerconnections import (
@@ -91,8 +92,7 @@
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             if self._memory.account.is_limited:
                 # Accepted connections inherit it; set later, it would not bound what has come.
-                unread = self._memory.account.unread_bound
-                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread)
+                sockets.bound_unread(listening, self._memory.account.unread_bound)
             listening.bind((ip, int(port)))
             listening.listen(BACKLOG_CONNECTIONS)
         except OSError:
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -102,15 +102,16 @@
         tcp_socket.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
 
 
-def bound_unsent(connection: asyncio.BaseTransport, size: int) -> None:
+def bound_unsent(connection: asyncio.BaseTransport | SocketOptions, size: int) -> None:
     """Bound the bytes that the operating system accepts before it can send them.
 
     Unlike a small ``SO_SNDBUF``, this does not slow down a peer that reads: bytes in transit do not
     count. It has no effect where the system lacks ``TCP_NOTSENT_LOWAT``.
 
+    :param connection: a transport, or a socket.
     :param size: in bytes.
     """
-    tcp_socket = connection.get_extra_info("socket")
+    tcp_socket = _find_socket(connection)
     option = getattr(socket, "TCP_NOTSENT_LOWAT", None)
     if tcp_socket is not None and option is not None:
         tcp_socket.setsockopt(socket.IPPROTO_TCP, option, size)
@@ -122,10 +123,7 @@
     :param connection: a transport, or a listening socket: for all connections that it accepts.
     :param size: in bytes; the system may use up to twice as much.
     """
-    if isinstance(connection, asyncio.BaseTransport):
-        tcp_socket = connection.get_extra_info("socket")
-    else:
-        tcp_socket = connection
+    tcp_socket = _find_socket(connection)
     if tcp_socket is not None:
         tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
@@ -166,3 +164,11 @@
         # The connection may have been closed by the system already.
         with contextlib.suppress(OSError):
             tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
+def _find_socket(connection: asyncio.BaseTransport | SocketOptions) -> SocketOptions | None:
+    """Return a socket as it is, or that of a transport; None if the transport has none."""
+    if isinstance(connection, socket.socket | asyncio.trsock.TransportSocket):
+        return connection
+    found: SocketOptions | None = connection.get_extra_info("socket")
+    return found
