Small chunks: connections take turns to parse them

Callers saw: beside 400 bodies in chunks of one byte, an ordinary request got no answer in 3 s, at either front (tests/test_misbehaving_clients.py, ample memory and descriptors: 0 and 0 in both).

Cause: a connection parsed all that one read had brought, up to 64 KB at the gateway and 16 KB and more at the completions front. With one byte a chunk that is some 11,000 calls of the parser, tens of milliseconds, for each connection and in each iteration of the event loop.

Change: chunked bodies are parsed in pieces of 4 KB (1 KB at the completions front). After a piece with more than 64 parts a connection is not read until its turn, and each iteration of the loop gives one turn. uvicorn's flow control resumes reading whenever the application asks for more; a hold keeps that until the turn. Nobody is refused for the size of chunks.

Why it works: an iteration parses at most one such piece besides what has just come, so others wait for one piece and not for all connections.

Tests: http1/tests/test_turns.py, test_small_chunks_on_a_host_with_ample_room (both fail on the code before). test_paused_input sends a body one byte above the first grant, so that its end still comes in the piece at which it begins to wait (it fails without the repair that it guards); settle() of test_server runs more iterations of the loop.

--- a/packages/chalkyoke/src/chalkyoke/http1/pausing.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pausing.py
@@ -18,6 +18,7 @@
 
     WAITING_REQUESTS = auto()
     BODY_MEMORY = auto()
+    TURN = auto()
 
 
 class PausableInput:
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -27,6 +27,8 @@
 from chalkyoke.http1.response import RequestHandler, ResponseWriter
 from chalkyoke.http1.targets import to_origin_form
 from chalkyoke.http1.timelimits import BodyTime
+from chalkyoke.http1.turns import PIECE_BYTES as CHUNKED_PIECE_BYTES
+from chalkyoke.http1.turns import ParsingTurns, PartCount
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
@@ -52,6 +54,7 @@
     :param memory: what the connections of a listener share to account for their buffers.
     :param lingering: what the connections of a listener share while they close.
     :param on_refused: called when a request is refused before its end.
+    :param turns: what the connections of a listener share to parse small chunks in turn.
     :ivar idle_since: when the last answer ended, in seconds on the loop's clock.
     :ivar stopping: whether a planned stop has begun.
     """
@@ -65,6 +68,7 @@
         memory: CallerMemory | None = None,
         lingering: LingeringConnections | None = None,
         on_refused: Callable[[RefusedRead], None] = lambda _: None,
+        turns: ParsingTurns | None = None,
     ) -> None:
         self._start_handler = start
         self._limits = limits
@@ -74,6 +78,8 @@
         self._lingering = lingering or LingeringConnections()
         self._linger: LingeringClose | None = None
         self._on_refused = on_refused
+        self._turns = turns or ParsingTurns()
+        self._parts = PartCount()
         self._message_began = 0.0
         self._last_headers: Headers = []
         self._due_bytes: int | None = 0
@@ -97,6 +103,7 @@
         self.stopping = False
         self._in_message = False
         self._head_complete = False
+        self._is_chunked = False
         self._is_continue_due = False
         self._body_time: BodyTime | None = None
         self._unparsed_bytes = 0
@@ -176,7 +183,9 @@
             self._input.feed(data)
 
     def _piece_bytes(self) -> int:
-        return BODY_PIECE_BYTES if self._head_complete else HEAD_PIECE_BYTES
+        if not self._head_complete:
+            return HEAD_PIECE_BYTES
+        return CHUNKED_PIECE_BYTES if self._is_chunked else BODY_PIECE_BYTES
 
     def _receive_piece(self, data: memoryview) -> None:
         """Parse a part of a request.
@@ -201,6 +210,13 @@
             self._refuse(431)
         elif self._in_message and not self._head_complete:
             self._charge_head()
+        if self._parts.take_exceeded():
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        """Let other connections go on before the next piece of many small chunks is parsed."""
+        self._input.pause(PauseReason.TURN)
+        self._turns.wait(lambda: self._input.resume(PauseReason.TURN))
 
     def _feed_parser(self, data: memoryview) -> None:
         """Feed the parser, and read requests that offer another protocol without their offer.
@@ -315,6 +331,7 @@
         if length is not None and length > limits.body_bytes:
             self._refuse(413)
             return
+        self._is_chunked = length is None and incoming.expected_size() > 0
         now = self._loop.time()
         self._body_time = BodyTime(now, limits.header_timeout_s, length)
         self._set_timer(self._body_time.ends_at - now)
@@ -331,6 +348,7 @@
             self._discard_input(len(body))
             return
         self._unparsed_bytes = 0
+        self._parts.on_part()
         if self._body_time is not None:
             self._body_time.on_received(len(body))
         incoming = self._incoming
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_paused_input.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_paused_input.py
@@ -5,7 +5,7 @@
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import GRANT_INTERVAL_S, CallerMemory
 from chalkyoke.http1.messages import AnswerHead
-from chalkyoke.memory.account import MemoryAccount, Purpose
+from chalkyoke.memory.account import MIN_SHARE_BYTES, MemoryAccount, Purpose
 
 from .test_server import Caller, run, settle
 
@@ -43,7 +43,8 @@
         caller = Caller(LIMITS, memory)
         await caller.send(CHUNKED)
         others.resize(LIMIT * 78 // 100)
-        await caller.send(b"5000\r\n" + b"x" * 0x5000 + b"\r\n0\r\n\r\n")
+        size = MIN_SHARE_BYTES + 1
+        await caller.send(b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n")
         await caller.answer(0)
         others.release()
         await asyncio.sleep(10 * GRANT_INTERVAL_S)
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -19,6 +19,7 @@
 from .transports import RecordingTransport
 
 LIMITS = ServerLimits(header_bytes=400, body_bytes=50, header_timeout_s=0.02, idle_timeout_s=5)
+SETTLE_ITERATIONS = 100
 GOOD = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -61,7 +62,8 @@
 
 
 async def settle():
-    for _ in range(5):
+    # Input in small chunks is parsed over many iterations of the loop.
+    for _ in range(SETTLE_ITERATIONS):
         await asyncio.sleep(0)
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
@@ -25,6 +25,7 @@
     reason_phrase,
 )
 from chalkyoke.http1.timelimits import BodyTime
+from chalkyoke.http1.turns import ParsingTurns
 
 # How long an idle connection is kept open, in seconds.
 KEEP_ALIVE_S = 30
@@ -45,11 +46,13 @@
     :ivar closing: whether answers announce the close of their connection.
     :ivar lingering: what the connections share while they close.
     :ivar memory: accounts for what callers have not taken yet.
+    :ivar turns: turns for connections whose input has many small chunks.
     """
 
     closing = False
     lingering = LingeringConnections()
     memory = CallerMemory()
+    turns = ParsingTurns()
 
 
 class CallerConnection(HttpToolsProtocol):
--- a/packages/chalkyoke/src/chalkyoke/node/connections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/connections.py
@@ -9,7 +9,9 @@
 
 from chalkyoke.entry.channels import WRITTEN_KEY
 from chalkyoke.http1.memory import UnsentResponse
+from chalkyoke.http1.turns import PartCount
 from chalkyoke.node.callerconnections import CallerConnection
+from chalkyoke.node.inputflow import HoldableFlow
 from chalkyoke.sockets import bound_reads
 
 # Bytes of a request, besides those of its body, that are accepted: its head, the extensions of its
@@ -33,11 +35,14 @@
         super().__init__(*args, **options)
         self._unparsed = bytearray()
         self._bytes_since_body = 0
+        self._parts = PartCount()
+        self._is_turn_due = False
         self._unsent: UnsentResponse | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Bound the buffers of a new connection."""
         super().connection_made(transport)
+        self.flow = self._input_flow = HoldableFlow(self.transport)
         memory = self._shared.memory
         self._unsent = memory.watch(transport)
         if self._unsent is not None:
@@ -56,7 +61,8 @@
             super().data_received(data)
             return
         self._unparsed += data
-        self._parse()
+        if not self._is_turn_due:
+            self._parse()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -68,6 +74,7 @@
         """Receive a part of the body."""
         super().on_body(body)
         self._bytes_since_body = 0
+        self._parts.on_part()
 
     def on_message_complete(self) -> None:
         """End a request."""
@@ -88,6 +95,8 @@
         return bool(self._unparsed) or super()._is_input_due()
 
     def _parse(self) -> None:
+        if self._is_turn_due and not self._shared.closing:
+            return
         while self._unparsed and not self._is_closed():
             if self._is_answering() and not self._shared.closing:
                 self.flow.pause_reading()
@@ -98,9 +107,27 @@
             super().data_received(step)
             if self._bytes_since_body > MAX_HEAD_BYTES and not self._is_closed():
                 self._refuse_head()
+            if self._parts.take_exceeded() and self._unparsed and not self._shared.closing:
+                self._wait_for_turn()
+                return
         if self._is_closed():
             self._unparsed.clear()
 
+    def _wait_for_turn(self) -> None:
+        """Let other connections go on before the next piece of many small chunks is parsed."""
+        self._is_turn_due = True
+        self._input_flow.hold_reading()
+        self._shared.turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_due = False
+        if self._is_closed():
+            self._unparsed.clear()
+            return
+        self._parse()
+        if not self._is_turn_due:
+            self._input_flow.release_reading()
+
     def _is_closed(self) -> bool:
         return self.parser is None or self.transport.is_closing()
 
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -19,6 +19,7 @@
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.refusals import NoReports, ReadReports
 from chalkyoke.http1.server import ServerConnection, StartHandler
+from chalkyoke.http1.turns import ParsingTurns
 from chalkyoke.logs import logger
 from chalkyoke.node.listening import ListenAddress
 
@@ -95,6 +96,7 @@
         self._memory = memory or CallerMemory()
         self._reports = reports or NoReports()
         self._lingering = LingeringConnections(self._reports.on_answer_lost)
+        self._turns = ParsingTurns()
         self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -174,6 +176,7 @@
             self._memory,
             self._lingering,
             self._reports.on_refused,
+            self._turns,
         )
 
     def _on_opened(self) -> None:
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -15,6 +15,7 @@
 from chalkyoke import sockets
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
+from chalkyoke.http1.turns import ParsingTurns
 from chalkyoke.node.callerconnections import (
     KEEP_ALIVE_S,
     ConnectionConfig,
@@ -72,6 +73,7 @@
         )
         self._config.lingering = LingeringConnections()
         self._config.memory = self._memory
+        self._config.turns = ParsingTurns()
         self._server = _Server(self._config)
         self._task: asyncio.Task[None] | None = None
 
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -204,6 +204,9 @@
 
 
 kinds = pytest.mark.parametrize("kind", list(BODIES))
+fronts = pytest.mark.parametrize(
+    "open_front", [gateway, completions], ids=["gateway", "completions"]
+)
 little_memory = pytest.mark.parametrize(
     ("open_front", "memory_mb"),
     [(gateway, GATEWAY_MB), (completions, COMPLETIONS_MB)],
@@ -220,11 +223,17 @@
 
 # Guards against connections that use all descriptors, so that others are not accepted.
 @kinds
-@pytest.mark.parametrize("open_front", [gateway, completions], ids=["gateway", "completions"])
+@fronts
 def test_bodies_on_a_host_with_few_descriptors(open_front, kind):
     asyncio.run(play(open_front, kind, AMPLE_MB, FEW_DESCRIPTORS))
 
 
+# Guards against bodies whose parsing holds the event loop, so that others wait.
+@fronts
+def test_small_chunks_on_a_host_with_ample_room(open_front):
+    asyncio.run(play(open_front, "chunks-of-one-byte", AMPLE_MB, DESCRIPTORS))
+
+
 async def send_alone(open_front, kind, memory_mb):
     """Send one whole body of a kind to a front that serves nobody else; return the status."""
     body = BODIES[kind]
