Connections: a limit in both fronts, also while requests are being read

Cause: the completions front had no limit on connections. The gateway closed idle ones only: those that held a body open stayed, and the connections that it closed as idle were new ones which had not sent anything yet. All that wait for accept were accepted in one iteration, before any could be closed, and a request that is passed on needs a second descriptor, so six tenths for callers left too few.

Change: http1/connection_limit.py closes by use, the oldest first: at rest, waiting for the caller's close, reading a request (503 with Retry-After, not run), new; a request that was read is not affected. Both fronts use it and accept 16 connections an iteration. A refusal of uvicorn's connection also ends the application's wait for the body, which frees it.

Why it works: connections of callers stay below the limit by construction, two descriptors a request fit, and those whose requests are incomplete make room first.

The in-memory network's listener takes a backlog, as a socket does.

--- a/packages/chalkyoke/src/chalkyoke/http1/connection_limit.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/connection_limit.py
@@ -1,34 +1,73 @@
 """
 chalkyoke.http1.connection_limit
 
-The limit on callers' connections. Above it, the connections that have been idle for the longest
-are closed, so that a process that reports itself ready can accept new callers.
+The limit on callers' connections. Above it, those that are worth least are closed, so that a
+process that reports itself ready can accept new callers.
 """
 
 import heapq
-from collections.abc import Collection
+import resource
+from collections.abc import Iterable
+from enum import IntEnum, auto
 from typing import Protocol
 
-# Share of a process's file descriptors that callers' connections may use. The rest is for
-# upstreams, links, the store and files.
-CALLER_DESCRIPTOR_SHARE = 0.6
+# Share of a process's file descriptors that callers' connections may use. Each request that is
+# passed on may need another one, and some are for links, the store and files.
+CALLER_DESCRIPTOR_SHARE = 0.4
 # Share of the limit that is freed in addition, so that not every new connection causes a search.
 FREED_CONNECTIONS_SHARE = 0.02
+# Time that a new connection has for its first bytes before others are kept instead, in seconds.
+NEW_CONNECTION_S = 1.0
 
 
-class IdleClosable(Protocol):
-    """A caller's connection that can be closed while it is idle."""
+class ConnectionUse(IntEnum):
+    """What a connection is used for; those with a lower value are closed first.
+
+    ``IDLE``: no request is read or answered. ``CLOSING``: its last answer was sent, and it is read
+    until its caller has closed it. ``READING``: a request is being read. ``NEW``: nothing has come
+    yet. ``ANSWERING``: a request has been read and not been answered; it is not closed.
+    """
+
+    IDLE = auto()
+    CLOSING = auto()
+    READING = auto()
+    NEW = auto()
+    ANSWERING = auto()
+
+
+class LimitedConnection(Protocol):
+    """A caller's connection that may be closed to make room for others."""
+
+    @property
+    def use(self) -> ConnectionUse:
+        """What the connection is used for at present."""
 
     @property
-    def idle(self) -> bool:
-        """Whether no request is being read or answered."""
+    def used_since(self) -> float:
+        """When that use began, in seconds on the loop's clock."""
 
     @property
-    def idle_since(self) -> float:
-        """When the last answer ended, in seconds on the loop's clock."""
+    def is_closed(self) -> bool:
+        """Whether the connection was closed, though it may still be in the set."""
+
+    def make_room(self) -> None:
+        """Refuse the request that is being read; without one, close at once."""
+
+
+def use_before_request(now: float, opened_at: float, *, has_served: bool) -> ConnectionUse:
+    """Return the use of a connection on which no request is read or answered.
+
+    :param now: in seconds.
+    :param opened_at: in seconds.
+    :param has_served: whether a request was answered before.
+    """
+    is_new = not has_served and now - opened_at < NEW_CONNECTION_S
+    return ConnectionUse.NEW if is_new else ConnectionUse.IDLE
+
 
-    def close_gracefully(self) -> None:
-        """Close after the request in progress, or at once if the connection is idle."""
+def descriptor_limit() -> int:
+    """Return the number of file descriptors that the system lets this process open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
 def max_caller_connections(descriptors: int) -> int:
@@ -40,20 +79,22 @@
     return max(1, int(descriptors * CALLER_DESCRIPTOR_SHARE))
 
 
-def close_idle_connections(connections: Collection[IdleClosable], limit: int) -> int:
-    """Close the connections that have been idle for the longest if the limit is exceeded.
+def make_room(connections: Iterable[LimitedConnection], limit: int) -> int:
+    """Close connections if the limit is exceeded, in the order of :class:`ConnectionUse`.
 
-    They are closed down to :data:`FREED_CONNECTIONS_SHARE` below the limit. Connections with a
-    request in progress stay open.
+    Of those with the same use, the ones that began it first are closed first. They are closed down
+    to :data:`FREED_CONNECTIONS_SHARE` below the limit. Connections whose request is refused stay
+    open until their callers have read that, or until further room is needed.
 
     :param limit: highest number of connections.
-    :return: the number of closed connections.
+    :return: the number of connections that were closed or refused.
     """
-    if len(connections) <= limit:
+    open_now = [each for each in connections if not each.is_closed]
+    if len(open_now) <= limit:
         return 0
-    excess = len(connections) - limit + int(limit * FREED_CONNECTIONS_SHARE)
-    idle = (each for each in connections if each.idle)
-    longest_idle = heapq.nsmallest(excess, idle, key=lambda each: each.idle_since)
-    for connection in longest_idle:
-        connection.close_gracefully()
-    return len(longest_idle)
+    excess = len(open_now) - limit + int(limit * FREED_CONNECTIONS_SHARE)
+    closable = (each for each in open_now if each.use is not ConnectionUse.ANSWERING)
+    found = heapq.nsmallest(excess, closable, key=lambda each: (each.use, each.used_since))
+    for connection in found:
+        connection.make_room()
+    return len(found)
--- a/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
@@ -55,6 +55,15 @@
         else:
             self._inner.close()
 
+    def close_now(self) -> None:
+        """Close without waiting for the peer."""
+        self._inner.close()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection does not wait for its peer any more."""
+        return self._inner.is_closing()
+
     def abort(self) -> None:
         """Close at once, without the rest of what was written."""
         self._inner.abort()
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -12,6 +12,7 @@
 import httptools
 
 from chalkyoke.hangups import has_hung_up
+from chalkyoke.http1.connection_limit import ConnectionUse, use_before_request
 from chalkyoke.http1.incoming import IncomingRequest, ServerLimits, WaitingRequest
 from chalkyoke.http1.lingering import LingeringClose, LingeringConnections
 from chalkyoke.http1.memory import RETRY_AFTER_S, CallerMemory, UnsentResponse
@@ -88,7 +89,8 @@
         self._kept_charge = self._incoming.charge
         self._refusal: bytes | None = None
         self._loop = asyncio.get_running_loop()
-        self.idle_since = self._loop.time()
+        self.idle_since = self._opened_at = self._loop.time()
+        self._closing_since = 0.0
         self._parser = httptools.HttpRequestParser(self)
         self._waiting_requests: deque[WaitingRequest] = deque()
         self._handler: RequestHandler | None = None
@@ -253,6 +255,39 @@
         """Whether no request is being read or answered."""
         return self._handler is None and not self._waiting_requests and not self._in_message
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection was closed."""
+        return self.transport.is_closing()
+
+    @property
+    def use(self) -> ConnectionUse:
+        """What the connection is used for at present."""
+        if self._linger is not None:
+            return ConnectionUse.CLOSING
+        if self._handler is not None or self._waiting_requests:
+            return ConnectionUse.ANSWERING
+        if self._in_message:
+            return ConnectionUse.READING
+        has_served = self.idle_since > self._opened_at
+        return use_before_request(self._loop.time(), self._opened_at, has_served=has_served)
+
+    @property
+    def used_since(self) -> float:
+        """When that use began, in seconds on the loop's clock."""
+        if self._linger is not None:
+            return self._closing_since
+        return self._message_began if self._in_message else self.idle_since
+
+    def make_room(self) -> None:
+        """Refuse the request that is being read; without one, close at once."""
+        if self._linger is not None:
+            self.transport.close()
+        elif self._in_message:
+            self.refuse_unread(RETRY_AFTER_S)
+        else:
+            self.close_gracefully()
+
     @property
     def closes_after_answer(self) -> bool:
         """Whether the connection closes after the answer in progress.
@@ -587,6 +622,7 @@
         self._input.resume_all()
         self._incoming.discard_body()
         self._discard_waiting()
+        self._closing_since = self._loop.time()
         self._linger = LingeringClose(
             self.transport, self._lingering, self._due_bytes, self._last_headers
         )
--- a/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
@@ -14,11 +14,19 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from chalkyoke import problems
+from chalkyoke.http1.connection_limit import (
+    ConnectionUse,
+    descriptor_limit,
+    make_room,
+    max_caller_connections,
+    use_before_request,
+)
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.lingertransport import LingeringTransport
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.messages import (
     AnswerHead,
+    Header,
     Headers,
     encode_answer_head,
     find_header,
@@ -26,6 +34,7 @@
 )
 from chalkyoke.http1.timelimits import BodyTime
 from chalkyoke.http1.turns import ParsingTurns
+from chalkyoke.outcomes import Reason, not_run
 
 # How long an idle connection is kept open, in seconds.
 KEEP_ALIVE_S = 30
@@ -33,6 +42,8 @@
 HEAD_TIME_S = 10.0
 # Time for a body of any size, in seconds; more is given for each byte.
 BODY_TIME_S = 10.0
+# Retry-After time of a request that is refused for lack of descriptors, in seconds.
+NO_ROOM_RETRY_S = 1
 # Key of the ASGI scope for the request's :class:`RequestResponseCycle`.
 CYCLE_KEY = "chalkyoke.cycle"
 
@@ -54,6 +65,11 @@
     memory = CallerMemory()
     turns = ParsingTurns()
 
+    @staticmethod
+    def max_connections() -> int:
+        """Return the highest number of connections that the system's limit leaves room for."""
+        return max_caller_connections(descriptor_limit())
+
 
 class CallerConnection(HttpToolsProtocol):
     """A connection that announces its close with its last answer once the server is closing.
@@ -65,13 +81,17 @@
 
     _input_timer: asyncio.TimerHandle | None = None
     _refused = False
+    _in_message = False
+    used_since = 0.0
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Serve a new connection."""
         lingering = self._shared.lingering
         self._lingering = LingeringTransport(transport, lingering, self._is_input_due)
         super().connection_made(self._lingering)
+        self._opened_at = self.used_since = self.loop.time()
         self._set_input_timer(KEEP_ALIVE_S, self._lingering.close)
+        make_room(cast(set[CallerConnection], self.connections), self._shared.max_connections())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request in progress."""
@@ -96,6 +116,8 @@
     def on_message_begin(self) -> None:
         """Limit the time for the head of a request."""
         super().on_message_begin()
+        self._in_message = True
+        self.used_since = self.loop.time()
         self._set_input_timer(HEAD_TIME_S, self._check_head_time)
 
     def on_headers_complete(self) -> None:
@@ -120,8 +142,47 @@
     def on_message_complete(self) -> None:
         """Take the end of the request."""
         self._cancel_input_timer()
+        self._in_message = False
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Go on with the next request."""
+        super().on_response_complete()
+        self.used_since = self.loop.time()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection was closed."""
+        return self._lingering.is_closed
+
+    @property
+    def use(self) -> ConnectionUse:
+        """What the connection is used for at present."""
+        if self._lingering.is_closing():
+            return ConnectionUse.CLOSING
+        if self._is_answering_any():
+            return ConnectionUse.ANSWERING
+        if self._in_message:
+            return ConnectionUse.READING
+        return use_before_request(
+            self.loop.time(), self._opened_at, has_served=self.cycle is not None
+        )
+
+    def make_room(self) -> None:
+        """Refuse the request that is being read; without one, close at once."""
+        if self.use is ConnectionUse.READING:
+            self.used_since = self.loop.time()
+            self._refuse(_encode_no_room())
+        else:
+            self._lingering.close_now()
+
+    def _is_answering_any(self) -> bool:
+        """Return whether a request has been read or its answer has begun."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        return cycle.response_started or not cycle.more_body or bool(self.pipeline)
+
     def announce_close(self) -> None:
         """Announce the close with the answer to the latest request, unless that has begun."""
         self._announce_with_latest()
@@ -145,19 +206,23 @@
         if left_s > 0:
             self._set_input_timer(left_s, self._check_body_time)
         elif not self.cycle.response_started:
-            self._refuse_slow_request()
+            self._refuse(_encode_too_slow())
 
     def _check_head_time(self) -> None:
         if self._is_idle():
-            self._refuse_slow_request()
+            self._refuse(_encode_too_slow())
         else:
             # The answer to the request before comes first.
             self._set_input_timer(HEAD_TIME_S, self._check_head_time)
 
-    def _refuse_slow_request(self) -> None:
+    def _refuse(self, answer: bytes) -> None:
         self._refused = True
-        self.transport.write(_encode_too_slow())
+        self.transport.write(answer)
         self.transport.close()
+        if not self._is_idle():
+            # The application gives up the body, and frees it.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
 
     def _set_input_timer(self, seconds: float, action: Callable[[], None]) -> None:
         self._cancel_input_timer()
@@ -175,10 +240,19 @@
 
 
 def _encode_too_slow() -> bytes:
-    problem = problems.document(408, "bad_request", "it has not arrived in time")
+    return _encode_problem(408, problems.document(408, "bad_request", "it has not arrived in time"))
+
+
+def _encode_no_room() -> bytes:
+    refusal = not_run(Reason.SHED, "this host has too many connections", NO_ROOM_RETRY_S)
+    retry_after = (b"Retry-After", b"%d" % NO_ROOM_RETRY_S)
+    return _encode_problem(503, problems.of_refusal(refusal, "", ""), retry_after)
+
+
+def _encode_problem(status: int, problem: dict[str, Any], *more: Header) -> bytes:
     body = msgspec.json.encode(problem)
-    headers: Headers = [(b"Content-Type", problems.MEDIA_TYPE.encode())]
-    head = AnswerHead(408, reason_phrase(408), headers, len(body))
+    headers: Headers = [(b"Content-Type", problems.MEDIA_TYPE.encode()), *more]
+    head = AnswerHead(status, reason_phrase(status), headers, len(body))
     return encode_answer_head(head, close=True, chunked=False) + body
 
 
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import resource
 import socket
 from collections.abc import Callable
 
@@ -13,7 +12,11 @@
 
 from chalkyoke import sockets
 from chalkyoke.catalog.resources import RequestLimits
-from chalkyoke.http1.connection_limit import close_idle_connections, max_caller_connections
+from chalkyoke.http1.connection_limit import (
+    descriptor_limit,
+    make_room,
+    max_caller_connections,
+)
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
@@ -22,6 +25,7 @@
 from chalkyoke.http1.turns import ParsingTurns
 from chalkyoke.logs import logger
 from chalkyoke.node.listening import ListenAddress
+from chalkyoke.sockets import ACCEPTED_AT_ONCE
 
 # Number of new connections that may wait for accept: enough for a burst while the loop is busy.
 BACKLOG_CONNECTIONS = 1024
@@ -97,7 +101,7 @@
         self._reports = reports or NoReports()
         self._lingering = LingeringConnections(self._reports.on_answer_lost)
         self._turns = ParsingTurns()
-        self._max_connections = max_caller_connections(descriptors or _descriptor_limit())
+        self._max_connections = max_caller_connections(descriptors or descriptor_limit())
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._opening: set[asyncio.Future[object]] = set()
@@ -115,7 +119,7 @@
         """
         ip, port = self._address.rsplit(":", 1)
         self._server = await sockets.listen(
-            self._make_connection, ip, int(port), BACKLOG_CONNECTIONS
+            self._make_connection, ip, int(port), BACKLOG_CONNECTIONS, ACCEPTED_AT_ONCE
         )
         self._memory.bound_unread(self._server)
 
@@ -183,14 +187,10 @@
         if self._stopping:
             for connection in self._connections:
                 connection.stopping = True
-        self._limit_idle()
+        self._limit_connections()
 
-    def _limit_idle(self) -> None:
-        """Close idle connections if too many are open."""
+    def _limit_connections(self) -> None:
+        """Close or refuse connections if too many are open."""
         most = self._max_connections
-        if closed := close_idle_connections(self._connections, most):
+        if closed := make_room(self._connections, most):
             log.notice("room_made", closed=closed, open=len(self._connections), most=most)
-
-
-def _descriptor_limit() -> int:
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -23,6 +23,7 @@
 )
 from chalkyoke.node.connections import HttpConnection
 from chalkyoke.node.listening import ListenAddress
+from chalkyoke.sockets import ACCEPTED_AT_ONCE, set_backlog
 
 # Number of new connections that may wait for accept.
 BACKLOG_CONNECTIONS = 1024
@@ -33,6 +34,12 @@
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the node."""
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept connections, a few at a time."""
+        await super().startup(sockets)
+        for each in self.servers:
+            set_backlog(each, BACKLOG_CONNECTIONS)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
@@ -67,6 +74,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            backlog=ACCEPTED_AT_ONCE,
             timeout_keep_alive=KEEP_ALIVE_S,
             ssl_certfile=certificate or None,
             ssl_keyfile=key or None,
--- a/packages/chalkyoke/src/chalkyoke/sockets.py
+++ b/packages/chalkyoke/src/chalkyoke/sockets.py
@@ -24,6 +24,8 @@
 LISTEN_WAIT_S = 75.0
 # Number of new connections that may wait for accept on a link, as asyncio has it.
 BACKLOG_CONNECTIONS = 100
+# Number of callers' connections that are accepted before others are closed to make room for them.
+ACCEPTED_AT_ONCE = 16
 # An int of the C language, as ioctl returns it.
 _C_INT = struct.Struct("i")
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset and discards unsent data.
@@ -48,22 +50,42 @@
 
 
 async def listen(
-    make: Callable[[], asyncio.BaseProtocol], ip: str, port: int, backlog: int = BACKLOG_CONNECTIONS
+    make: Callable[[], asyncio.BaseProtocol],
+    ip: str,
+    port: int,
+    backlog: int = BACKLOG_CONNECTIONS,
+    accepted_at_once: int | None = None,
 ) -> asyncio.Server:
     """Listen on an address.
 
     :param make: creates the protocol of an accepted connection.
     :param backlog: number of new connections that may wait for accept.
+    :param accepted_at_once: number of connections that one iteration of the loop accepts; all that
+        wait if None.
     :raises OSError: if the address can't be bound, or this process may open no more descriptors;
         asyncio alone would then return a server that listens nowhere.
     """
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(make, ip, port, backlog=backlog, reuse_address=True)
+    server = await loop.create_server(
+        make, ip, port, backlog=accepted_at_once or backlog, reuse_address=True
+    )
     if not server.sockets:
         raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+    if accepted_at_once is not None:
+        set_backlog(server, backlog)
     return server
 
 
+def set_backlog(server: asyncio.Server, backlog: int) -> None:
+    """Set how many new connections may wait for accept.
+
+    asyncio accepts as many at once as it was told to let wait; this changes the second number only.
+    """
+    for each in server.sockets:
+        with each.dup() as listening:
+            listening.listen(backlog)
+
+
 def accept_waiting(server: asyncio.Server, most: int) -> list[socket.socket]:
     """Accept the connections that wait on the sockets of a server; closing it would reset them.
 
--- a/tests/memorynet.py
+++ b/tests/memorynet.py
@@ -230,6 +230,9 @@
     def accept(self):
         raise BlockingIOError
 
+    def listen(self, backlog):
+        pass
+
 
 class _Listener:
     def __init__(self, net, address):
