Memory: receive buffers share a part of the host's memory

Callers saw: crowds of 400 took a gateway of 64 MB to 69 to 72 MB, and a completions process of 100 MB to 102 to 112 MB, with what the system held for them; the host ends such a process.

Cause: the system holds up to 49 KB for each connection (SO_RCVBUF 32 KB), 19.7 MB for 400, which the account sees only while a connection is paused; refused callers that send on keep their buffers full while the connection lingers. uvicorn buffers up to 64 KB of a body besides, and reads 16 KB before the application has seen the head.

Change: memory/receiving.py divides 0.03 of the host's memory among the connections: the buffer of a new connection is halved, down to 4 KB, where there are many, at the listening sockets and at the connection; one that lingers shrinks to that. The completions front parses no more than 16 KB that the application has not taken, and reads 4 KB at a time until it asks. Nobody is refused by this; with few connections all buffers are as before (in the completions front 32 KB, where large hosts had more).

Tests: memory/tests/test_receiving.py; the crowds of test_misbehaving_clients.

--- a/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/lingertransport.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from chalkyoke.http1.lingering import LingeringClose, LingeringConnections
+from chalkyoke.sockets import bound_reads
 
 
 class LingeringTransport(asyncio.Transport):
@@ -17,6 +18,7 @@
     :param inner: the transport of the connection.
     :param shared: what the lingering connections of a server share.
     :param is_input_due: returns whether a part of the last request is still to come.
+    :param on_linger: called when the connection begins to wait for its peer.
     """
 
     def __init__(
@@ -24,11 +26,13 @@
         inner: asyncio.Transport,
         shared: LingeringConnections,
         is_input_due: Callable[[], bool],
+        on_linger: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
         self._inner = inner
         self._shared = shared
         self._is_input_due = is_input_due
+        self._on_linger = on_linger
         self._linger: LingeringClose | None = None
 
     def discard(self, size: int) -> bool:
@@ -51,10 +55,15 @@
         if self._linger is not None:
             self._linger.stop()
         elif self._is_input_due() and not self._inner.is_closing():
+            self._on_linger()
             self._linger = LingeringClose(self._inner, self._shared, None, [])
         else:
             self._inner.close()
 
+    def bound_reads(self, size: int) -> None:
+        """Bound the bytes that are read at a time."""
+        bound_reads(self._inner, size)
+
     def close_now(self) -> None:
         """Close without waiting for the peer."""
         self._inner.close()
--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import msgspec
@@ -13,8 +13,9 @@
 from chalkyoke.http1.messages import Headers
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.bodygrants import BodyGrant, BodyGrants, BodyReader
+from chalkyoke.memory.receiving import USUAL_BYTES, ReceiveBuffers
 from chalkyoke.memory.stopped import stopped_by_size
-from chalkyoke.sockets import bound_unread, bound_unsent
+from chalkyoke.sockets import SocketOptions, bound_unread, bound_unsent
 
 # Bytes of responses in the program at which the handler of a request is told that its caller reads
 # too slowly, and bytes that the system accepts for one peer before it can send them. The defaults
@@ -22,9 +23,6 @@
 # small host before any of them was noticed.
 WRITE_BUFFER_BYTES = 16_384
 SYSTEM_UNSENT_BYTES = 16_384
-# Bytes that the system receives on a caller's connection before the program reads them. With half
-# of it, large bodies arrive slowly over loopback, whose segments are larger.
-SYSTEM_UNREAD_BYTES = 32_768
 # Retry-After time of a request that is refused for lack of memory, in seconds: time for some
 # responses to drain, and below a third of the time that callers of plain services usually have.
 RETRY_AFTER_S = 0.5
@@ -66,6 +64,7 @@
     :param admits: decides whether a request is read.
     :param on_upload_refused: called when an upload of unknown length is refused midway.
     :param on_head_refused: called when a request is refused before its head is complete.
+    :param buffers: divides the memory for receive buffers among connections.
     :ivar grants: memory for bodies of unknown length.
     """
 
@@ -75,6 +74,7 @@
         admits: HeadCheck = admit_all,
         on_upload_refused: Callable[[], None] = lambda: None,
         on_head_refused: Callable[[], None] = lambda: None,
+        buffers: ReceiveBuffers | None = None,
     ) -> None:
         self.account = account or MemoryAccount()
         self.grants = BodyGrants(self.account)
@@ -83,12 +83,34 @@
         self.on_upload_refused = on_upload_refused
         self.on_head_refused = on_head_refused
         self._unsent: set[UnsentResponse] = set()
+        self._buffers = buffers or ReceiveBuffers()
+        self._buffer_bytes = USUAL_BYTES
+        self._listening: list[SocketOptions] = []
 
-    def bound_unread(self, server: asyncio.Server) -> None:
-        """Bound what the system receives on each connection that a listener accepts."""
+    def bound_listening(self, sockets: Iterable[SocketOptions]) -> None:
+        """Bound what the system receives on each connection that listening sockets accept."""
         if self.account.is_limited:
-            for listening in server.sockets:
-                bound_unread(listening, SYSTEM_UNREAD_BYTES)
+            self._listening += sockets
+            for each in self._listening:
+                bound_unread(each, self._buffer_bytes)
+
+    def share_receive_buffers(self, opened: asyncio.BaseTransport, connections: int) -> None:
+        """Adapt the receive buffer of a new connection, and of later ones, to their number.
+
+        :param connections: number of open connections.
+        """
+        size = self._buffers.size(connections)
+        if size != self._buffer_bytes:
+            self._buffer_bytes = size
+            for each in self._listening:
+                if each.fileno() >= 0:
+                    bound_unread(each, size)
+        self.shrink_receive_buffer(opened)
+
+    def shrink_receive_buffer(self, transport: asyncio.BaseTransport) -> None:
+        """Give a connection a receive buffer as small as a new connection would get."""
+        if self._buffer_bytes < USUAL_BYTES:
+            bound_unread(transport, self._buffer_bytes)
 
     def watch(self, transport: asyncio.WriteTransport) -> "UnsentResponse | None":
         """Bound and account the buffers of a new connection; None without a limit."""
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -116,6 +116,7 @@
         """Register the connection and start its idle timeout."""
         self.transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        self._memory.share_receive_buffers(self.transport, len(self._connections))
         self._unsent = self._memory.watch(self.transport)
         self._input = PausableInput(
             self.transport,
@@ -623,6 +624,7 @@
         self._incoming.discard_body()
         self._discard_waiting()
         self._closing_since = self._loop.time()
+        self._memory.shrink_receive_buffer(self.transport)
         self._linger = LingeringClose(
             self.transport, self._lingering, self._due_bytes, self._last_headers
         )
--- a/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
@@ -87,7 +87,13 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Serve a new connection."""
         lingering = self._shared.lingering
-        self._lingering = LingeringTransport(transport, lingering, self._is_input_due)
+        memory = self._shared.memory
+        self._lingering = LingeringTransport(
+            transport,
+            lingering,
+            self._is_input_due,
+            lambda: memory.shrink_receive_buffer(transport),
+        )
         super().connection_made(self._lingering)
         self._opened_at = self.used_since = self.loop.time()
         self._set_input_timer(KEEP_ALIVE_S, self._lingering.close)
--- a/packages/chalkyoke/src/chalkyoke/node/connections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/connections.py
@@ -20,8 +20,11 @@
 # Bytes that are parsed at a time. Each request that they begin has its own state in the program, of
 # some kilobytes.
 STEP_BYTES = 1_024
-# Bytes that are read at a time where memory is limited.
-READ_BYTES = 16_384
+# Bytes that are read at a time where memory is limited: until the application asks for a body, and
+# from then on. Hundreds of requests may have to wait before the application refuses them.
+FIRST_READ_BYTES, READ_BYTES = 4_096, 16_384
+# Bytes of a body at which parsing waits for the application to take them.
+MAX_UNTAKEN_BYTES = 16_384
 
 
 class HttpConnection(CallerConnection):
@@ -42,11 +45,12 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Bound the buffers of a new connection."""
         super().connection_made(transport)
-        self.flow = self._input_flow = HoldableFlow(self.transport)
+        self.flow = self._input_flow = HoldableFlow(self.transport, self._on_input_asked)
         memory = self._shared.memory
+        memory.share_receive_buffers(transport, len(self.connections))
         self._unsent = memory.watch(transport)
         if self._unsent is not None:
-            bound_reads(transport, READ_BYTES)
+            bound_reads(transport, FIRST_READ_BYTES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Refund the buffers of a closed connection."""
@@ -101,6 +105,9 @@
             if self._is_answering() and not self._shared.closing:
                 self.flow.pause_reading()
                 return
+            if self._is_body_untaken():
+                self.flow.pause_reading()
+                return
             step = bytes(self._unparsed[:STEP_BYTES])
             del self._unparsed[:STEP_BYTES]
             self._bytes_since_body += len(step)
@@ -136,6 +143,11 @@
         cycle = self.cycle
         return cycle is not None and not cycle.response_complete and not cycle.more_body
 
+    def _is_body_untaken(self) -> bool:
+        """Return whether the application has much of the body to take, and will ask for more."""
+        cycle = self.cycle
+        return cycle is not None and cycle.more_body and len(cycle.body) >= MAX_UNTAKEN_BYTES
+
     def _refuse_head(self) -> None:
         if self.cycle is not None and not self.cycle.response_complete:
             # The head may belong to a request whose answer has begun.
@@ -143,6 +155,13 @@
             return
         self.send_400_response("The head of the request is too large.")
 
+    def _on_input_asked(self) -> None:
+        if self._unsent is not None:
+            self._lingering.bound_reads(READ_BYTES)
+        if self._unparsed:
+            # The application takes what was parsed before that runs.
+            self.loop.call_soon(self._parse)
+
     def _on_written(self, size: int) -> None:
         if self._unsent is not None and not self._is_closed():
             self._unsent.on_written(size, self.loop.time())
--- a/packages/chalkyoke/src/chalkyoke/node/inputflow.py
+++ b/packages/chalkyoke/src/chalkyoke/node/inputflow.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from uvicorn.protocols.http.flow_control import FlowControl
 
@@ -14,10 +15,13 @@
 
     The application resumes reading whenever it asks for more of a body. While reading is held, that
     takes effect at the release only.
+
+    :param on_resumed: called whenever the application or the server asks for more input.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(self, transport: asyncio.Transport, on_resumed: Callable[[], None]) -> None:
         super().__init__(transport)
+        self._on_resumed = on_resumed
         self._is_held = False
 
     def hold_reading(self) -> None:
@@ -33,6 +37,7 @@
 
     def resume_reading(self) -> None:
         """Read on, now or at the release."""
+        self._on_resumed()
         if self._is_held:
             self.read_paused = False
         else:
--- a/packages/chalkyoke/src/chalkyoke/node/listener.py
+++ b/packages/chalkyoke/src/chalkyoke/node/listener.py
@@ -121,7 +121,7 @@
         self._server = await sockets.listen(
             self._make_connection, ip, int(port), BACKLOG_CONNECTIONS, ACCEPTED_AT_ONCE
         )
-        self._memory.bound_unread(self._server)
+        self._memory.bound_listening(self._server.sockets)
 
     def close(self) -> None:
         """Stop accepting connections; open ones stay open, and those that wait are opened."""
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -20,6 +20,7 @@
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.guard import ResidentGuard
 from chalkyoke.memory.limit import BYTES_PER_MB, START_S, account_limit_bytes
+from chalkyoke.memory.receiving import ReceiveBuffers
 from chalkyoke.memory.refusals import Refusals
 from chalkyoke.node import allocator
 
@@ -66,7 +67,8 @@
         self._program_bytes = 0
         self.account = MemoryAccount()
         self._links_charge = self.account.open(Purpose.LINKS)
-        self.callers = CallerMemory(self.account)
+        self._receive_buffers = ReceiveBuffers(settings.limit_mb)
+        self.callers = CallerMemory(self.account, buffers=self._receive_buffers)
         self._guard = ResidentGuard(self.account, settings.limit_mb)
         self._refusals = Refusals()
         if settings.is_accounted:
@@ -78,7 +80,11 @@
         """Return what callers' connections share; they refuse requests when memory is scarce."""
         intake = Intake(self.account, headers, catalog, self._log_refused)
         self.callers = CallerMemory(
-            self.account, intake, self._log_upload_refused, self._log_head_refused
+            self.account,
+            intake,
+            self._log_upload_refused,
+            self._log_head_refused,
+            self._receive_buffers,
         )
         return self.callers
 
--- a/packages/chalkyoke/src/chalkyoke/node/servers.py
+++ b/packages/chalkyoke/src/chalkyoke/node/servers.py
@@ -12,7 +12,6 @@
 
 import uvicorn
 
-from chalkyoke import sockets
 from chalkyoke.http1.lingering import LingeringConnections
 from chalkyoke.http1.memory import CallerMemory
 from chalkyoke.http1.turns import ParsingTurns
@@ -100,9 +99,8 @@
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if self._memory.account.is_limited:
-                # Accepted connections inherit it; set later, it would not bound what has come.
-                sockets.bound_unread(listening, self._memory.account.unread_bound)
+            # Accepted connections inherit it; set later, it would not bound what has come.
+            self._memory.bound_listening([listening])
             listening.bind((ip, int(port)))
             listening.listen(BACKLOG_CONNECTIONS)
         except OSError:
