Memory: bodies that wait leave room for small requests

Callers saw: beside crowds in chunks (400 on a small host) ordinary requests got 503, at both fronts, also right after the crowd had left.

Cause: a body that waits for memory, or for its turn to be parsed, is charged for what the system may hold of it (32 KB), and any number could wait: 350 paused bodies alone exceeded the limit, so everybody else was refused. The completions front reserves 64 KB for each body of unknown length and admitted it as if it had one byte.

Change: a body waits only below 0.6 of the limit (WAITING_LEVEL), the first one always; else it is refused with 503, not run. One client inside the limits meets neither.

Why it works: what waits stays below 0.6 and what grows below 0.75, and requests of the least rank are admitted up to 0.8.

--- a/packages/chalkyoke/src/chalkyoke/entry/bodies.py
+++ b/packages/chalkyoke/src/chalkyoke/entry/bodies.py
@@ -74,8 +74,7 @@
         :return: the charge, which the caller of this method releases; None to refuse the request.
         """
         size = UNREAD_BYTES if length is None else length * copies
-        asked = 1 if length is None else size
-        if not self.account.admits(asked, urgency):
+        if not self.account.admits(size, urgency):
             self._on_refused(length or 0)
             return None
         charge = self.account.open(Purpose.BODIES_READ)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -30,6 +30,7 @@
 from chalkyoke.http1.timelimits import BodyTime
 from chalkyoke.http1.turns import PIECE_BYTES as CHUNKED_PIECE_BYTES
 from chalkyoke.http1.turns import ParsingTurns, PartCount
+from chalkyoke.memory.receiving import USUAL_BYTES
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
@@ -218,6 +219,9 @@
 
     def _wait_for_turn(self) -> None:
         """Let other connections go on before the next piece of many small chunks is parsed."""
+        if self._in_message and not self._memory.account.admits_waiting(USUAL_BYTES):
+            self.refuse_body()
+            return
         self._input.pause(PauseReason.TURN)
         self._turns.wait(lambda: self._input.resume(PauseReason.TURN))
 
@@ -567,8 +571,9 @@
             return False
         incoming.reserve(size)
         if size == 1 and incoming.declared_length() is None:
+            # The request is refused at once if it may not even wait.
             incoming.grant = self._memory.open_grant(self)
-        return True
+        return not self._ignores_input
 
     def _charge_head(self) -> None:
         """Charge a head that is not complete, or refuse the request if there is no room for it."""
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_input_memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_input_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import tracemalloc
 
+import pytest
 from chalkyoke.http1.incoming import ServerLimits
 from chalkyoke.http1.memory import GRANT_INTERVAL_S, CallerMemory
 from chalkyoke.http1.server import (
@@ -185,3 +186,23 @@
         assert memory.account.total == LIMIT // 2
 
     run(check)
+
+
+# Guards against bodies that wait for room, or for their turn to be parsed, in such numbers that
+# what is held for them leaves no room for small requests.
+@pytest.mark.parametrize("data", [chunk_of(b"x" * 65_536), chunk_of(b"x") * 5_000])
+def test_bodies_that_wait_leave_room_for_small_requests(data):
+    async def check():
+        memory = memory_of(LIMIT)
+        callers = [Caller(LIMITS, memory) for _ in range(400)]
+        for caller in callers:
+            caller.connection.data_received(CHUNKED)
+            caller.connection.data_received(data)
+        assert memory.account.admits(1, 0.0)
+        await settle()
+        refused = [each for each in callers if each.transport.written]
+        assert 0 < len(refused) < len(callers)
+        assert all(each.transport.written.startswith(b"HTTP/1.1 503 ") for each in refused)
+        assert memory.account.admits(1, 0.0)
+
+    run(check)
--- a/packages/chalkyoke/src/chalkyoke/memory/account.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/account.py
@@ -28,6 +28,9 @@
 # would never read a body of the largest size otherwise.
 LONE_BODY_SHARE = 0.6
 FEW_BODIES_SHARE = 0.05
+# Share of the limit up to which requests may wait that are not read meanwhile. It leaves room for
+# small requests of any rank.
+WAITING_LEVEL = 0.6
 # Share of the limit up to which heads that are not complete may grow beyond a usual size.
 HEAD_LEVEL = 0.5
 # Share of the limit that messages to other hosts may use while they wait to be sent.
@@ -137,6 +140,13 @@
             return not self.is_exceeded
         return size <= (self.limit_bytes * HEAD_LEVEL - self.total) * SHARE_OF_FREE
 
+    def admits_waiting(self, size: int) -> bool:
+        """Return whether a request may wait to be read on.
+
+        :param size: bytes that are held for it meanwhile, in the program and in the system.
+        """
+        return not self.is_limited or self.total + size <= self.limit_bytes * WAITING_LEVEL
+
     def admits_any(self, length: int) -> bool:
         """Return whether a request of any rank may be read; parameters as for :meth:`admits`."""
         return self.admits(length, 0.0)
