Memory: a crowd at the start does not lower the limit for good

Callers saw: beside crowds on a completions process that had just started, ordinary requests got 503 "short of memory" although no more than half of the limit was held when it started to refuse (8.0 of 16.0 MB).

Cause: for 5 s after the start, what the process uses besides its buffers counts as the program's memory, and the limit follows. Under a crowd that includes the objects of its connections, some 13 MB for 400, so that the limit fell towards its least value of 4 MB, below what was held.

Change: the program is not measured any more once 32 connections have been open. The fifth of the host that stays outside the account is meant for such objects. A node without configuration is not ready, so it has read its catalog when callers come.

--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -66,6 +66,7 @@
     :param on_head_refused: called when a request is refused before its head is complete.
     :param buffers: divides the memory for receive buffers among connections.
     :ivar grants: memory for bodies of unknown length.
+    :ivar most_connections: the highest number of open connections so far.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self._unsent: set[UnsentResponse] = set()
         self._buffers = buffers or ReceiveBuffers()
         self._buffer_bytes = USUAL_BYTES
+        self.most_connections = 0
         self._listening: list[SocketOptions] = []
 
     def bound_listening(self, sockets: Iterable[SocketOptions]) -> None:
@@ -99,6 +101,7 @@
 
         :param connections: number of open connections.
         """
+        self.most_connections = max(self.most_connections, connections)
         size = self._buffers.size(connections)
         if size != self._buffer_bytes:
             self._buffer_bytes = size
--- a/packages/chalkyoke/src/chalkyoke/node/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/memory.py
@@ -29,6 +29,9 @@
 TICK_S = 0.25
 # Memory that the program is assumed to use where the system does not tell, in bytes.
 USUAL_PROGRAM_BYTES = 60_000_000
+# Number of callers' connections up to which what the process uses counts as the program's memory;
+# the objects of more would lower the limit for good.
+FEW_CONNECTIONS = 32
 STATM = Path("/proc/self/statm")
 
 log = logger("memory")
@@ -97,7 +100,7 @@
         """Measure what drains, and release buffers of stopped readers; call each ``TICK_S``."""
         if not self.account.is_limited:
             return
-        if self._now() < START_S:
+        if self._now() < START_S and self.callers.most_connections <= FEW_CONNECTIONS:
             self._measure_program()
         self._watch_resident()
         self._links_charge.resize(links.buffered_bytes())
--- a/packages/chalkyoke/src/chalkyoke/node/tests/test_memory.py
+++ b/packages/chalkyoke/src/chalkyoke/node/tests/test_memory.py
@@ -6,7 +6,7 @@
 from chalkyoke.memory.account import Purpose
 from chalkyoke.memory.limit import account_limit_bytes
 from chalkyoke.node import memory
-from chalkyoke.node.memory import HostMemory
+from chalkyoke.node.memory import FEW_CONNECTIONS, HostMemory
 
 HOST_MB = 300.0
 PROGRAM_BYTES = 40_000_000
@@ -17,6 +17,11 @@
         return 0
 
 
+class NoTransport:
+    def get_extra_info(self, _):
+        return None
+
+
 @pytest.fixture
 def resident(monkeypatch):
     found = {"bytes": PROGRAM_BYTES}
@@ -45,3 +50,17 @@
     resident["bytes"] = 2 * PROGRAM_BYTES
     host.tick(NoLinks())
     assert host.account.limit_bytes == account_limit_bytes(HOST_MB, 2 * PROGRAM_BYTES)
+
+
+# Guards against a crowd at the start, whose connections lowered the limit below what was held, so
+# that small requests were refused.
+def test_the_memory_of_many_connections_is_not_taken_for_the_programs(resident):
+    host = make_memory()
+    host.callers.share_receive_buffers(NoTransport(), FEW_CONNECTIONS)
+    resident["bytes"] = PROGRAM_BYTES + 1_000_000
+    host.tick(NoLinks())
+    assert host.account.limit_bytes == account_limit_bytes(HOST_MB, PROGRAM_BYTES + 1_000_000)
+    host.callers.share_receive_buffers(NoTransport(), FEW_CONNECTIONS + 1)
+    resident["bytes"] = 2 * PROGRAM_BYTES
+    host.tick(NoLinks())
+    assert host.account.limit_bytes == account_limit_bytes(HOST_MB, PROGRAM_BYTES + 1_000_000)
