Completions: trailers of requests are not kept

Callers saw: 400 bodies with 2,500 trailers each (15 KB, below every limit) took a completions process of 100 MB to 149.7 MB; the host ends it.

Cause: uvicorn's on_header appends trailers to the headers of the request, some 230 bytes for six on the wire, and nothing accounts for them.

Change: headers that come after the head are ignored, as the gateway does (RFC 9110, section 6.5.1). The bound of 64 KB without a part of a body stays.

Measured: the same crowd 77.0 MB; the gateway 41.9 of 64 MB, as before.

Test: many-trailers in tests/test_misbehaving_clients.py (fails before at the completions front); a single such body is served, at both fronts.

--- a/packages/chalkyoke/src/chalkyoke/node/connections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/connections.py
@@ -40,6 +40,7 @@
         self._bytes_since_body = 0
         self._parts = PartCount()
         self._is_turn_due = False
+        self._is_head_complete = False
         self._unsent: UnsentResponse | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -71,9 +72,20 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         super().on_message_begin()
+        self._is_head_complete = False
         if self._unsent is not None:
             self.scope[WRITTEN_KEY] = self._on_written  # type: ignore[literal-required]
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Receive a header; trailers are ignored (RFC 9110, section 6.5.1)."""
+        if not self._is_head_complete:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Start the request whose head is complete."""
+        self._is_head_complete = True
+        super().on_headers_complete()
+
     def on_body(self, body: bytes) -> None:
         """Receive a part of the body."""
         super().on_body(body)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -61,6 +61,9 @@
     ),
     "large-chunks": chunked_body(BODY_BYTES, 62_500),
     "chunks-of-one-byte": chunked_body(BODY_BYTES, 1),
+    "many-trailers": Body(
+        "Transfer-Encoding: chunked", b"1\r\nx\r\n0\r\n" + b"a: b\r\n" * 2_500, b"\r\n"
+    ),
 }
 WHOLE_BODIES = frozenset(("whole",))
 LEGAL_BODIES = [each for each in BODIES if each not in ("announced-too-large", "without-end")]
