Replicas: an answer whose status is none is no answer

Callers saw: where a replica answered with status 000 or 099 on a connection that it kept, an unrepeatable request got 504 at its deadline, and a repeatable one was late although another replica was sound. 600 and 999 were passed on with their body.

Cause: http1/client.py took every status up to 199 for that of an interim answer, which another answer follows, and looked at no upper bound.

Change: a status outside of 100 to 599 breaks the exchange as garbled, so a repeatable request goes to another replica at once, and another one gets 502. RFC 9110, section 15, lets a client treat such an answer as a 5xx.

The completions front passes none of them on: no answer for 000 and 099, a failure of the upstream for 600 and 999; its test passes on the code before.

Tests: tests/test_odd_answers.py (eight of twelve fail before: 504, 600, 999, 1.5 s of virtual time instead of 0.01), upstreams/tests/test_odd_answers.py.

--- a/packages/chalkyoke/src/chalkyoke/http1/client.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/client.py
@@ -19,6 +19,8 @@
 from chalkyoke.invariants import require
 from chalkyoke.sockets import unacknowledged_bytes
 
+# Lowest and highest valid status (RFC 9110, section 15).
+MIN_STATUS, MAX_STATUS = 100, 599
 # Highest status of an interim answer, which another answer follows (RFC 9110).
 MAX_INFORMATIONAL_STATUS = 199
 # Connections of earlier versions end with one answer unless both sides agree otherwise, and their
@@ -337,6 +339,9 @@
             self._abort_exchange(BreakReason.GARBLED)
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._abort_exchange(BreakReason.GARBLED)
+            return
         if status <= MAX_INFORMATIONAL_STATUS:
             self._skipping = True
             self._interim_answers += 1
--- a/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
+++ b/packages/chalkyoke/src/chalkyoke/upstreams/tests/test_odd_answers.py
@@ -8,7 +8,7 @@
 
 import pytest
 from chalkyoke.upstreams.client import UpstreamClient, make_session
-from chalkyoke.upstreams.messages import NoAnswer, Opened
+from chalkyoke.upstreams.messages import Declined, NoAnswer, Opened
 
 from .cuttingupstream import CuttingUpstream
 
@@ -39,6 +39,13 @@
     assert isinstance(outcome, NoAnswer)
 
 
+# Guards against a status outside of 100 to 599 that a caller gets.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_an_answer_without_a_valid_status_is_not_passed_on(status):
+    outcome, _ = post(b"HTTP/1.1 %b Odd\r\n" % status + LENGTH + b"\r\nhello")
+    assert isinstance(outcome, NoAnswer | Declined)
+
+
 # Guards against coded bytes that a caller gets as the body.
 @pytest.mark.parametrize(
     "coding", [b"gzip, chunked", b"chunked, gzip", b"gzip", b"identity", b"", b"chunked, chunked"]
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -142,3 +142,34 @@
     if framing == b"\r\n":
         end = AnswerEnd.RESET
     play(RawAnswer(OK + framing + b"z" * LONG_BYTES, end), PLAIN, check_not_whole, rounds=1)
+
+
+# Far more than two replicas take, in seconds of virtual time.
+LATE_S = 0.5
+NO_STATUSES = [b"000", b"099", b"600", b"999"]
+
+
+# Guards against a status outside of 100 to 599 that reaches the caller, or is taken for that of an
+# interim answer, so that the caller waits for another one in vain.
+@pytest.mark.parametrize("status", NO_STATUSES)
+@pytest.mark.parametrize("end", [AnswerEnd.KEEP, AnswerEnd.CLOSE])
+def test_an_answer_without_a_valid_status_is_none(status, end):
+    head = b"HTTP/1.1 %b Odd\r\n{fields}" % status
+    play(RawAnswer(head + LENGTH + b"{body}", end), PLAIN, check_no_success)
+    play(RawAnswer(head + LENGTH + b"{body}", end), STREAMS, check_not_whole)
+
+
+# Guards against waiting for a replica without valid answers where another one could serve.
+@pytest.mark.parametrize("status", NO_STATUSES)
+def test_another_replica_serves_what_got_an_answer_without_a_valid_status(status):
+    async def check(fleet):
+        odd = fleet.seats[0]
+        head = b"HTTP/1.1 %b Odd\r\n{fields}" % status
+        odd.faults.raw_answer = RawAnswer(head + LENGTH + b"{body}", AnswerEnd.KEEP)
+        for _ in range(12):
+            got = await fleet.send_request(0, "/find/1", until_whole=True)
+            assert (got.status, got.whole) == (200, True)
+            assert got.took_s < LATE_S
+        assert odd.runs
+
+    run_check(check, domains=("a", "b", "c"), replicas=3)
