Receive buffers and owed answers: names that say what they are

USUAL_BYTES said nothing outside of its module; it is the receive buffer of a connection where there are few. No change of behaviour; the tests of http1, memory and node pass.

--- a/packages/chalkyoke/src/chalkyoke/http1/memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/memory.py
@@ -13,7 +13,7 @@
 from chalkyoke.http1.messages import Headers
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.bodygrants import BodyGrant, BodyGrants, BodyReader
-from chalkyoke.memory.receiving import USUAL_BYTES, ReceiveBuffers
+from chalkyoke.memory.receiving import RECEIVE_BUFFER_BYTES, ReceiveBuffers
 from chalkyoke.memory.stopped import stopped_by_size
 from chalkyoke.sockets import SocketOptions, bound_unread, bound_unsent
 
@@ -85,7 +85,7 @@
         self.on_head_refused = on_head_refused
         self._unsent: set[UnsentResponse] = set()
         self._buffers = buffers or ReceiveBuffers()
-        self._buffer_bytes = USUAL_BYTES
+        self._buffer_bytes = RECEIVE_BUFFER_BYTES
         self.most_connections = 0
         self._listening: list[SocketOptions] = []
 
@@ -112,7 +112,7 @@
 
     def shrink_receive_buffer(self, transport: asyncio.BaseTransport) -> None:
         """Give a connection a receive buffer as small as a new connection would get."""
-        if self._buffer_bytes < USUAL_BYTES:
+        if self._buffer_bytes < RECEIVE_BUFFER_BYTES:
             bound_unread(transport, self._buffer_bytes)
 
     def watch(self, transport: asyncio.WriteTransport) -> "UnsentResponse | None":
--- a/packages/chalkyoke/src/chalkyoke/http1/pausing.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/pausing.py
@@ -10,7 +10,7 @@
 
 from chalkyoke.hangups import HangupWatch
 from chalkyoke.memory.account import MemoryAccount, Purpose
-from chalkyoke.memory.receiving import USUAL_BYTES
+from chalkyoke.memory.receiving import RECEIVE_BUFFER_BYTES
 
 
 class PauseReason(Enum):
@@ -126,4 +126,4 @@
         """Copy the rest, which would keep all that was received, and charge it."""
         self._kept = memoryview(bytes(self._kept))
         if self._account.is_limited:
-            self._charge.resize(len(self._kept) + USUAL_BYTES)
+            self._charge.resize(len(self._kept) + RECEIVE_BUFFER_BYTES)
--- a/packages/chalkyoke/src/chalkyoke/http1/server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/server.py
@@ -30,7 +30,7 @@
 from chalkyoke.http1.timelimits import BodyTime
 from chalkyoke.http1.turns import PIECE_BYTES as CHUNKED_PIECE_BYTES
 from chalkyoke.http1.turns import ParsingTurns, PartCount
-from chalkyoke.memory.receiving import USUAL_BYTES
+from chalkyoke.memory.receiving import RECEIVE_BUFFER_BYTES
 
 # Number of complete requests that may wait on one connection; at this number the connection stops
 # reading.
@@ -219,7 +219,7 @@
 
     def _wait_for_turn(self) -> None:
         """Let other connections go on before the next piece of many small chunks is parsed."""
-        if self._in_message and not self._memory.account.admits_waiting(USUAL_BYTES):
+        if self._in_message and not self._memory.account.admits_waiting(RECEIVE_BUFFER_BYTES):
             self.refuse_body()
             return
         self._input.pause(PauseReason.TURN)
--- a/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/bodygrants.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from chalkyoke.memory.account import MIN_SHARE_BYTES, SHARE_OF_FREE, MemoryAccount, Purpose
-from chalkyoke.memory.receiving import USUAL_BYTES
+from chalkyoke.memory.receiving import RECEIVE_BUFFER_BYTES
 
 # Bytes that are granted at a time.
 PIECE_BYTES = 65_536
@@ -134,7 +134,7 @@
             self._refuse(grant)
         elif self._fits(grant, is_first=False):
             grant.grant(now)
-        elif self._waiting and not self._account.admits_waiting(USUAL_BYTES):
+        elif self._waiting and not self._account.admits_waiting(RECEIVE_BUFFER_BYTES):
             self._refuse(grant)
         else:
             grant.waits_since = now
--- a/packages/chalkyoke/src/chalkyoke/memory/receiving.py
+++ b/packages/chalkyoke/src/chalkyoke/memory/receiving.py
@@ -11,7 +11,7 @@
 RECEIVE_SHARE = 0.03
 # Size of the receive buffer of a connection while there are few, and the smallest one, in bytes.
 # With half of the former, large bodies arrive slowly over loopback, whose segments are larger.
-USUAL_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 32_768
 MIN_BYTES = 4_096
 # Bytes that the system may hold for each byte of a receive buffer.
 OVERHEAD = 1.5
@@ -33,7 +33,7 @@
 
         :param connections: number of open connections.
         """
-        size = USUAL_BYTES
+        size = RECEIVE_BUFFER_BYTES
         while self._total and size > MIN_BYTES and size * connections > self._total:
             size //= 2
         return size
--- a/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
+++ b/packages/chalkyoke/src/chalkyoke/node/callerconnections.py
@@ -166,7 +166,7 @@
         """What the connection is used for at present."""
         if self._lingering.is_closing():
             return ConnectionUse.CLOSING
-        if self._is_answering_any():
+        if self._owes_answer():
             return ConnectionUse.ANSWERING
         if self._in_message:
             return ConnectionUse.READING
@@ -182,7 +182,7 @@
         else:
             self._lingering.close_now()
 
-    def _is_answering_any(self) -> bool:
+    def _owes_answer(self) -> bool:
         """Return whether a request has been read or its answer has begun."""
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
