--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_input_memory.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_input_memory.py
@@ -14,7 +14,7 @@
 from chalkyoke.memory.account import MemoryAccount, Purpose
 from chalkyoke.memory.bodygrants import MAX_WAIT_S
 
-from .test_server import Caller, run, settle
+from .test_server import SMALL_CHUNKS_ITERATIONS, Caller, run, settle
 
 LIMIT = 10_000_000
 LIMITS = ServerLimits(header_bytes=16_384, body_bytes=4_194_304)
@@ -100,7 +100,7 @@
         tracemalloc.start()
         try:
             for _ in range(20):
-                await caller.send(piece)
+                await caller.send(piece, SMALL_CHUNKS_ITERATIONS)
             held = tracemalloc.get_traced_memory()[0]
         finally:
             tracemalloc.stop()
--- a/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
+++ b/packages/chalkyoke/src/chalkyoke/http1/tests/test_server.py
@@ -19,7 +19,9 @@
 from .transports import RecordingTransport
 
 LIMITS = ServerLimits(header_bytes=400, body_bytes=50, header_timeout_s=0.02, idle_timeout_s=5)
-SETTLE_ITERATIONS = 100
+SETTLE_ITERATIONS = 5
+# Input in small chunks is parsed over many iterations of the loop.
+SMALL_CHUNKS_ITERATIONS = 100
 GOOD = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -50,9 +52,9 @@
         self.handlers.append(Handler())
         return self.handlers[-1]
 
-    async def send(self, data):
+    async def send(self, data, iterations=SETTLE_ITERATIONS):
         self.connection.data_received(data)
-        await settle()
+        await settle(iterations)
 
     async def answer(self, number, body=b"ok", status=200):
         _, writer = self.requests[number]
@@ -61,9 +63,8 @@
         await settle()
 
 
-async def settle():
-    # Input in small chunks is parsed over many iterations of the loop.
-    for _ in range(SETTLE_ITERATIONS):
+async def settle(iterations=SETTLE_ITERATIONS):
+    for _ in range(iterations):
         await asyncio.sleep(0)
 
 
@@ -614,7 +615,8 @@
 
     async def main():
         caller = Caller(USUAL_LIMITS)
-        await caller.send(POST_CHUNKS + b"1\r\nz\r\n" * size + b"0\r\nName: value\r\n\r\n" + GOOD)
+        request = POST_CHUNKS + b"1\r\nz\r\n" * size + b"0\r\nName: value\r\n\r\n"
+        await caller.send(request + GOOD, SMALL_CHUNKS_ITERATIONS)
         await caller.answer(0)
         assert [request.body for request, _ in caller.requests] == [b"z" * size, b""]
 
